--- /dev/null
+++ b/packages/arbutustally-cli/src/arbutustally_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator command behind the ``arbutustally`` binary."""
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/__init__.py
@@ -0,0 +1,1 @@
+"""The router node: services behind the ``arbutustallyd`` binary."""
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/clock.py
@@ -0,0 +1,36 @@
+"""Clocks; decisions take a clock so that replays run on virtual time."""
+
+import time
+from collections.abc import Callable
+
+#: Returns monotonic seconds.
+Clock = Callable[[], float]
+
+monotonic: Clock = time.monotonic
+
+
+class VirtualClock:
+    """A clock that moves only when told to.
+
+    :param now: start in seconds.
+    """
+
+    def __init__(self, now: float = 0.0) -> None:
+        self._now = now
+
+    def __call__(self) -> float:
+        return self._now
+
+    def advance(self, seconds: float) -> None:
+        """Moves the clock forward.
+
+        :param seconds: a non-negative duration.
+        :raises ValueError: if the duration is negative.
+        """
+        if seconds < 0:
+            raise ValueError("a monotonic clock cannot go back; pass a non-negative duration")
+        self._now += seconds
+
+    def advance_to(self, instant: float) -> None:
+        """Moves the clock to an instant that is not in the past."""
+        self.advance(instant - self._now)
