--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement scripts; each prints a table and writes CSV under bench/out."""
