--- a/packages/arbutustally-standins/src/arbutustally_standins/engine_model.py
+++ b/packages/arbutustally-standins/src/arbutustally_standins/engine_model.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+from collections.abc import Callable
 
 from arbutustally.clock import Clock
 from arbutustally_standins.block_cache import BlockCache
@@ -40,10 +41,18 @@
     """One engine.
 
     :param clock: monotonic seconds; events never lie after it.
+    :param name_incarnation: names the run after a number of restarts; the default is
+        ``engine/number``.
     """
 
-    def __init__(self, options: EngineModelOptions, clock: Clock) -> None:
+    def __init__(
+        self,
+        options: EngineModelOptions,
+        clock: Clock,
+        name_incarnation: Callable[[int], str] | None = None,
+    ) -> None:
         self._options = options
+        self._name_incarnation = name_incarnation or self._numbered
         self._clock = clock
         self._cache = BlockCache(options.cache_blocks)
         self._versions = list(options.versions)
@@ -55,9 +64,14 @@
         self.restart()
 
     @classmethod
-    def from_config(cls, options: EngineModelOptions, clock: Clock) -> "EngineModel":
+    def from_config(
+        cls,
+        options: EngineModelOptions,
+        clock: Clock,
+        name_incarnation: Callable[[int], str] | None = None,
+    ) -> "EngineModel":
         """Builds an engine with an empty cache and the declared versions loaded."""
-        return cls(options, clock)
+        return cls(options, clock, name_incarnation)
 
     @property
     def options(self) -> EngineModelOptions:
@@ -149,7 +163,7 @@
         for ticket in lost:
             ticket.cancelled = True
         self._restarts += 1
-        self._incarnation = f"{self._options.engine}/{self._restarts}"
+        self._incarnation = self._name_incarnation(self._restarts)
         self._cache.clear()
         self._queue: list[tuple[int, int, Ticket]] = []
         self._running: list[Ticket] = []
@@ -195,6 +209,9 @@
             if self._step_end == due:
                 self._end_step()
 
+    def _numbered(self, restarts: int) -> str:
+        return f"{self._options.engine}/{restarts}"
+
     def _take_events(self) -> list[EngineEvent]:
         events, self._events = self._events, []
         return events
--- /dev/null
+++ b/packages/arbutustally-standins/src/arbutustally_standins/instances/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the platform's instance list."""
--- /dev/null
+++ b/packages/arbutustally-standins/src/arbutustally_standins/kv_store/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the store of computed prompt pieces."""
--- /dev/null
+++ b/packages/arbutustally-standins/src/arbutustally_standins/weight_store/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the rate-limited store of model weights."""
