--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Workloads and measurements."""
