Add the HTTP listener with strict request checks

gevent's WSGI server alone reads the body lazily and accepts heads on which two parsers can disagree.

--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/http_body.py
@@ -0,0 +1,181 @@
+"""Reading of one request from a connection, with bounds on its size and on its time."""
+
+import re
+from typing import Any
+
+from arbutustally.clock import Clock
+from arbutustally.errors import (
+    BadRequestError,
+    BodyTooLargeError,
+    OverloadedError,
+    SlowSenderError,
+)
+from arbutustally_node.http_head import RequestHead, parse_head
+
+READ_BYTES = 65536
+MAX_CHUNK_LINE_BYTES = 256
+#: Bytes of request bodies that all connections of a listener may hold at once.
+MAX_BUFFERED_BYTES = 128 << 20
+
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t -~]*)?")
+
+
+class BodyBudget:
+    """Counts the bytes of bodies that one listener holds.
+
+    :param limit: bytes.
+    """
+
+    def __init__(self, limit: int = MAX_BUFFERED_BYTES) -> None:
+        self._limit = limit
+        self._held = 0
+
+    def take(self, count: int) -> None:
+        """Adds bytes.
+
+        :raises OverloadedError: if the listener already holds its limit.
+        """
+        if self._held + count > self._limit:
+            raise OverloadedError(
+                "the node holds too many request bodies; send the request again later",
+                retry_after_s=1.0,
+            )
+        self._held += count
+
+    def give(self, count: int) -> None:
+        """Returns bytes."""
+        self._held -= count
+
+    @property
+    def held(self) -> int:
+        """Returns the bytes held."""
+        return self._held
+
+
+class RequestReader:
+    """Reads requests from one connection and keeps bytes of the next one.
+
+    :param sock: connected gevent socket.
+    :param clock: monotonic seconds.
+    :param idle_s: longest wait for the first byte of a request.
+    :param send_s: longest time from the first byte of a request to its last.
+    """
+
+    def __init__(
+        self,
+        sock: Any,
+        clock: Clock,
+        budget: BodyBudget,
+        max_header_bytes: int,
+        max_body_bytes: int,
+        idle_s: float,
+        send_s: float,
+    ) -> None:
+        self._sock = sock
+        self._clock = clock
+        self._budget = budget
+        self._max_header_bytes = max_header_bytes
+        self._max_body_bytes = max_body_bytes
+        self._idle_s = idle_s
+        self._send_s = send_s
+        self._buffer = bytearray()
+        self._deadline = 0.0
+        self._taken = 0
+
+    def read_head(self) -> RequestHead | None:
+        """Returns the next head, or ``None`` when the connection ends or idles between requests.
+
+        :raises RouterError: if the head is refused.
+        """
+        if not self._buffer:
+            self._sock.settimeout(self._idle_s)
+            try:
+                received = self._sock.recv(READ_BYTES)
+            except OSError:
+                return None
+            if not received:
+                return None
+            self._buffer += received
+        self._deadline = self._clock() + self._send_s
+        head = self._read_until(b"\r\n\r\n", self._max_header_bytes, "the request head")
+        return parse_head(head, self._max_body_bytes)
+
+    def read_body(self, head: RequestHead) -> bytes:
+        """Returns the whole decoded body.
+
+        :raises RouterError: if the body is refused.
+        """
+        if head.content_length is None:
+            return self._read_chunked()
+        return self._read_exactly(head.content_length)
+
+    def release(self) -> None:
+        """Returns the bytes of the last body to the budget of the listener."""
+        self._budget.give(self._taken)
+        self._taken = 0
+
+    def _read_chunked(self) -> bytes:
+        parts = []
+        total = 0
+        while True:
+            line = self._read_until(b"\r\n", MAX_CHUNK_LINE_BYTES, "a chunk size line")
+            match = _CHUNK_LINE.fullmatch(line)
+            if match is None:
+                raise BadRequestError("a chunk size is malformed; send it in hexadecimal digits")
+            size = int(match[1], 16)
+            if not size:
+                self._skip_trailers()
+                return b"".join(parts)
+            total += size
+            if total > self._max_body_bytes:
+                raise BodyTooLargeError(
+                    f"the body exceeds {self._max_body_bytes} bytes; send a smaller one"
+                )
+            parts.append(self._read_exactly(size))
+            if self._read_exactly(2) != b"\r\n":
+                raise BadRequestError("a chunk is longer than its size; correct the chunk size")
+
+    def _skip_trailers(self) -> None:
+        left = self._max_header_bytes
+        while line := self._read_until(b"\r\n", left, "the trailer"):
+            left -= len(line) + 2
+
+    def _read_exactly(self, count: int) -> bytes:
+        self._budget.take(count)
+        self._taken += count
+        while len(self._buffer) < count:
+            self._receive()
+        data = bytes(self._buffer[:count])
+        del self._buffer[:count]
+        return data
+
+    def _read_until(self, end: bytes, limit: int, what: str) -> bytes:
+        searched = 0
+        while (found := self._buffer.find(end, searched)) < 0:
+            if len(self._buffer) > limit:
+                break
+            searched = max(0, len(self._buffer) - len(end) + 1)
+            self._receive()
+        if found < 0 or found > limit:
+            raise BodyTooLargeError(f"{what} exceeds {limit} bytes; send a smaller one")
+        data = bytes(self._buffer[:found])
+        del self._buffer[: found + len(end)]
+        return data
+
+    def _receive(self) -> None:
+        left = self._deadline - self._clock()
+        if left <= 0:
+            raise self._too_slow()
+        self._sock.settimeout(left)
+        try:
+            received = self._sock.recv(READ_BYTES)
+        except TimeoutError:
+            raise self._too_slow() from None
+        if not received:
+            raise ConnectionResetError("caller closed the connection inside a request")
+        self._buffer += received
+
+    def _too_slow(self) -> SlowSenderError:
+        return SlowSenderError(
+            f"the request did not arrive within {self._send_s:g} s; send it faster"
+        )
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/http_server.py
@@ -0,0 +1,257 @@
+"""HTTP listener: gevent's WSGI server behind strict request checks.
+
+A request reaches the application only when its head is unambiguous and its whole body has
+arrived within the bounds, so an application never waits for its caller.
+"""
+
+import io
+import socket
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import orjson
+from gevent import socket as gevent_socket
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from arbutustally.clock import monotonic
+from arbutustally.errors import RouterError
+from arbutustally.logs import get_logger
+from arbutustally.metrics import Counter, Metrics, declare
+from arbutustally_node.http_body import BodyBudget, RequestReader
+from arbutustally_node.options import Options, split_address
+
+IDLE_TIMEOUT_S = 75.0
+#: Longest time a caller may take to accept one write.
+WRITE_TIMEOUT_S = 60.0
+MAX_CONNECTIONS = 4096
+#: Time and bytes for which a refused connection is read on, so that the refusal is not lost in a
+#: reset when the caller is still sending.
+LINGER_S = 1.0
+LINGER_BYTES = 16 << 20
+#: The kernel doubles the value; together with one read of 64 KiB it keeps what a slow caller
+#: leaves unread on a node below 256 KiB.
+SEND_BUFFER_BYTES = 96 << 10
+#: WSGI variable that holds the connected socket.
+SOCKET_VARIABLE = "arbutustally.socket"
+
+BAD_REQUEST = declare(
+    "refused.bad_request", "Malformed request; the caller has to correct what it sends."
+)
+BODY_TOO_LARGE = declare(
+    "refused.body_too_large", "Head or body over its bound; raise the bound or send less."
+)
+SLOW_SENDER = declare(
+    "refused.slow_sender", "Request not received in time; check the path to the caller."
+)
+BODY_BUDGET = declare(
+    "refused.body_budget", "All body memory in use; add entry instances or lower max_body_bytes."
+)
+
+_COUNTERS: dict[str, Counter] = {
+    "bad_request": BAD_REQUEST,
+    "body_too_large": BODY_TOO_LARGE,
+    "slow_sender": SLOW_SENDER,
+    "overloaded": BODY_BUDGET,
+}
+_REASONS = {400: "Bad Request", 408: "Request Timeout", 413: "Content Too Large"}
+
+Application = Callable[[dict[str, Any], Callable[..., Any]], Any]
+
+
+def error_body(error: RouterError, request_id: str) -> dict[str, Any]:
+    """Returns the JSON form of an error for a caller."""
+    fields = {
+        "code": error.code,
+        "message": error.message,
+        "type": "invalid_request_error" if error.status < 500 else "server_error",
+        "ran": str(error.ran),
+        "retry_after_s": error.retry_after_s,
+        "request_id": request_id,
+    }
+    return {"error": fields}
+
+
+class _Handler(WSGIHandler):
+    """One connection; each request is read whole before gevent's handler sees it."""
+
+    def __init__(self, sock: Any, address: Any, server: "_WsgiServer") -> None:
+        super().__init__(sock, address, server, rfile=io.BytesIO())
+        self._reader = server.new_reader(sock)
+
+    def handle_one_request(self) -> Any:
+        """Reads one request and answers it."""
+        try:
+            head = self._reader.read_head()
+            if head is None:
+                return None
+            if head.expects_continue:
+                self.socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            body = self._reader.read_body(head)
+        except RouterError as error:
+            self._refuse(error)
+            return None
+        except OSError:
+            return None
+        finally:
+            self.socket.settimeout(WRITE_TIMEOUT_S)
+        self.rfile = io.BytesIO(head.with_length(len(body)) + body)
+        del body
+        with self.server.running():
+            try:
+                result = super().handle_one_request()
+            finally:
+                self._reader.release()
+        return None if self.server.draining else result
+
+    def get_environ(self) -> dict[str, Any]:
+        """Adds the socket, which an application watches for the end of its caller."""
+        environ = super().get_environ()
+        environ[SOCKET_VARIABLE] = self.socket
+        return environ
+
+    def finalize_headers(self) -> None:
+        """Tells callers of a draining listener to connect elsewhere."""
+        if self.server.draining:
+            self.close_connection = True
+        super().finalize_headers()
+
+    def handle_error(self, kind: Any, value: Any, trace: Any) -> None:
+        """Logs a fault of the application in place of a traceback on standard error."""
+        if isinstance(value, (OSError, gevent.Timeout)):
+            self.close_connection = True
+            return
+        self.server.logger.error("request failed", error=kind.__name__, reason=str(value))
+        super().handle_error(kind, value, trace)
+
+    def _refuse(self, error: RouterError) -> None:
+        self._reader.release()
+        self.server.count(error)
+        request_id = f"refused~{uuid.uuid4().hex}"
+        body = orjson.dumps(error_body(error, request_id))
+        reason = _REASONS.get(error.status, "Service Unavailable")
+        lines = [
+            f"HTTP/1.1 {error.status} {reason}",
+            "Content-Type: application/json",
+            f"Content-Length: {len(body)}",
+            f"X-Request-Id: {request_id}",
+            "Connection: close",
+        ]
+        if error.retry_after_s is not None:
+            lines.append(f"Retry-After: {max(1, round(error.retry_after_s))}")
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        try:
+            self.socket.settimeout(LINGER_S)
+            self.socket.sendall(head + body)
+            self._linger()
+        except OSError:
+            pass
+
+    def _linger(self) -> None:
+        self.socket.shutdown(socket.SHUT_WR)
+        left = LINGER_BYTES
+        with gevent.Timeout(LINGER_S, False):
+            while left > 0 and (received := self.socket.recv(65536)):
+                left -= len(received)
+
+
+class _Running:
+    """Counts requests that are being answered."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def __enter__(self) -> None:
+        self.count += 1
+
+    def __exit__(self, *_error: Any) -> None:
+        self.count -= 1
+
+
+class _WsgiServer(WSGIServer):
+    """gevent's server with the bounds of a listener."""
+
+    handler_class = _Handler
+
+    def __init__(
+        self, listener: Any, app: Application, options: Options, metrics: Metrics | None
+    ) -> None:
+        super().__init__(
+            listener, app, spawn=Pool(MAX_CONNECTIONS), log=None, error_log=None, environ=None
+        )
+        self.logger = get_logger("http")
+        self.draining = False
+        self._options = options
+        self._metrics = metrics or Metrics()
+        self._budget = BodyBudget()
+        self._running = _Running()
+
+    def new_reader(self, sock: Any) -> RequestReader:
+        """Returns a reader for a new connection."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return RequestReader(
+            sock,
+            monotonic,
+            self._budget,
+            self._options.max_header_bytes,
+            self._options.max_body_bytes,
+            IDLE_TIMEOUT_S,
+            self._options.body_timeout_s,
+        )
+
+    def running(self) -> _Running:
+        """Returns the context in which a request is answered."""
+        return self._running
+
+    def count(self, error: RouterError) -> None:
+        """Counts a refusal by its code."""
+        self._metrics.count(_COUNTERS[error.code])
+
+
+class Server:
+    """A listener that serves until it is stopped."""
+
+    def __init__(self, wsgi: _WsgiServer) -> None:
+        self._wsgi = wsgi
+        self._address = f"{wsgi.server_host}:{wsgi.server_port}"
+
+    @property
+    def address(self) -> str:
+        """Returns ``host:port`` with the port that was bound."""
+        return self._address
+
+    @property
+    def running(self) -> int:
+        """Returns the number of requests that are being answered."""
+        return self._wsgi.running().count
+
+    def drain(self) -> None:
+        """Answers on, but closes each connection after its next answer."""
+        self._wsgi.draining = True
+
+    def stop(self) -> None:
+        """Closes the listener and ends all connections."""
+        self._wsgi.stop(timeout=0)
+
+
+def serve(
+    listen: str, app: Application, options: Options, metrics: Metrics | None = None
+) -> Server:
+    """Listens and serves a WSGI application.
+
+    :param listen: ``host:port``; port 0 picks a free one.
+    :param options: gives ``max_body_bytes``, ``max_header_bytes`` and ``body_timeout_s``.
+    :param metrics: counts refusals; ``None`` counts them for this listener only.
+    :raises OSError: if the address cannot be bound.
+    """
+    listener = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted connections inherit the buffer size of their listener.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    listener.bind(split_address(listen))
+    listener.listen(1024)
+    wsgi = _WsgiServer(listener, app, options, metrics)
+    wsgi.start()
+    return Server(wsgi)
