--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/bookings.py
@@ -0,0 +1,147 @@
+"""Decisions about bookings: key times, claims and recorded outcomes.
+
+A booking is dispatched only by the node whose claim the log accepted, and only once.
+"""
+
+import base64
+import hashlib
+import uuid
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from arbutustally.errors import (
+    IdempotencyKeyRequiredError,
+    KeyExpiredError,
+    KeyReusedError,
+    OutcomeUnknownError,
+    Ran,
+)
+from arbutustally.records import Outcome
+
+#: Tolerated lead of a caller's clock.
+MAX_FUTURE_S = 300.0
+MAX_OUTCOME_BYTES = 65536
+#: Time after which a caller may ask again for the outcome of a booking in progress.
+OUTCOME_RETRY_S = 2.0
+
+_UUID_VERSION = 7
+_TIME_SHIFT_BITS = 80
+
+
+class Step(Enum):
+    """What a node does next with a booking."""
+
+    CLAIM = "claim"
+    ANSWER = "answer"
+
+
+@dataclass(frozen=True)
+class Decision:
+    """The next step; ``outcome`` is set for ``Step.ANSWER``."""
+
+    step: Step
+    outcome: Outcome | None = None
+
+
+def key_time_s(idempotency_key: str) -> float:
+    """Returns the time inside a UUIDv7 in Unix seconds.
+
+    :raises IdempotencyKeyRequiredError: if the key is missing or not a UUIDv7.
+    """
+    try:
+        parsed = uuid.UUID(idempotency_key)
+    except ValueError:
+        parsed = None
+    if parsed is None or parsed.version != _UUID_VERSION or len(idempotency_key) != 36:
+        raise IdempotencyKeyRequiredError(
+            "this route needs an Idempotency-Key header with a UUIDv7; make one for each booking"
+        )
+    return (parsed.int >> _TIME_SHIFT_BITS) / 1000
+
+
+def check_window(time_s: float, now_s: float, window_s: float) -> None:
+    """Checks a key's time against the booking window.
+
+    :param now_s: Unix seconds.
+    :raises KeyExpiredError: if the key is too old or too far in the future.
+    """
+    if time_s < now_s - window_s:
+        raise KeyExpiredError(
+            f"the idempotency key is older than {window_s:g} s; find out whether the booking "
+            "exists before it is made again with a new key"
+        )
+    if time_s > now_s + MAX_FUTURE_S:
+        raise KeyExpiredError(
+            f"the idempotency key lies more than {MAX_FUTURE_S:g} s in the future; "
+            "set the caller's clock and make a new key"
+        )
+
+
+def booking_key(account: str, route: str, idempotency_key: str) -> str:
+    """Returns the digest under which a booking is claimed, in hex."""
+    canonical = str(uuid.UUID(idempotency_key))
+    return hashlib.sha256("\0".join((account, route, canonical)).encode()).hexdigest()
+
+
+def request_digest(method: str, path: str, body: bytes) -> str:
+    """Returns the digest by which another request under the same key is recognised, in hex."""
+    digest = hashlib.sha256(f"{method}\0{path}\0".encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
+def decide(entry: Any, digest: str) -> Decision:
+    """Decides on a booking by what the log says.
+
+    :param entry: ``state.ClaimEntry`` of the key, or ``None``.
+    :param digest: digest of the request at hand.
+    :raises KeyReusedError: if the key was claimed for another request.
+    :raises OutcomeUnknownError: if the booking may have run.
+    """
+    if entry is None:
+        return Decision(Step.CLAIM)
+    if entry.request_digest != digest:
+        raise KeyReusedError(
+            "the idempotency key was used for another request; make a new key for this one"
+        )
+    if entry.outcome is None:
+        raise OutcomeUnknownError(
+            "the booking is in progress or its node failed; ask again with the same key",
+            ran=Ran.MAY_HAVE_RUN,
+            retry_after_s=OUTCOME_RETRY_S,
+        )
+    if entry.outcome.ran == Ran.NOT_RUN:
+        return Decision(Step.CLAIM)
+    if entry.outcome.ran == Ran.MAY_HAVE_RUN:
+        raise OutcomeUnknownError(
+            "the answer of the endpoint was lost; the booking is never repeated, so find out "
+            "at the service whether it exists",
+            ran=Ran.MAY_HAVE_RUN,
+        )
+    return Decision(Step.ANSWER, entry.outcome)
+
+
+def not_run(key: str, claim: int) -> Outcome:
+    """Returns the outcome that frees a key after its claimant gave up.
+
+    :param claim: offset of the claim.
+    """
+    return Outcome(key, str(Ran.NOT_RUN), claim=claim)
+
+
+def may_have_run(key: str, claim: int) -> Outcome:
+    """Returns the outcome of a dispatch whose answer was lost."""
+    return Outcome(key, str(Ran.MAY_HAVE_RUN), claim=claim)
+
+
+def answered(key: str, claim: int, status: int, content_type: str, body: bytes) -> Outcome:
+    """Returns the outcome of an answered dispatch; a body over ``MAX_OUTCOME_BYTES`` is left out."""
+    kept = body if len(body) <= MAX_OUTCOME_BYTES else b""
+    text = base64.b64encode(kept).decode()
+    return Outcome(key, str(Ran.RAN), status, content_type, text, claim=claim)
+
+
+def outcome_body(outcome: Outcome) -> bytes:
+    """Returns the recorded answer."""
+    return base64.b64decode(outcome.body)
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/engine_client.py
@@ -0,0 +1,358 @@
+"""Client of the engines' control interface and the wire form of their streams."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import orjson
+import urllib3
+
+from arbutustally.errors import (
+    EndpointFailedError,
+    EndpointTimeoutError,
+    Ran,
+    RouterError,
+    StaleFenceError,
+)
+
+#: Largest accepted answer of the control interface.
+MAX_ANSWER_BYTES = 4 << 20
+CONNECTIONS_PER_ENGINE = 2
+MAX_ENGINES = 256
+
+COMPLETIONS_PATH = "/v1/completions"
+CHAT_PATH = "/v1/chat/completions"
+END_OF_STREAM = b"[DONE]"
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """An engine's report of its load.
+
+    :ivar queued_tokens: prompt tokens that wait for prefill.
+    :ivar running: requests in the batch.
+    :ivar age_s: age of the figures when they were sent.
+    """
+
+    engine: str
+    incarnation: str
+    model: str
+    versions: tuple[str, ...]
+    adapters: tuple[str, ...]
+    role: str
+    queued_tokens: int
+    running: int
+    age_s: float
+
+
+@dataclass(frozen=True)
+class Order:
+    """An order to an engine.
+
+    :ivar order: ``load``, ``unload`` or ``role``.
+    :ivar fence: fencing number, the offset of the lease claim.
+    :ivar role: wanted role of a ``role`` order.
+    """
+
+    order: str
+    model: str
+    version: str
+    fence: int
+    adapter: str = ""
+    role: str = ""
+
+
+@dataclass(frozen=True)
+class CacheEvent:
+    """A block that an engine stored or evicted.
+
+    :ivar kind: ``stored`` or ``evicted``.
+    :ivar block: block hash in hex.
+    """
+
+    sequence: int
+    kind: str
+    block: str
+
+
+@dataclass(frozen=True)
+class CacheEvents:
+    """A page of cache events of one incarnation."""
+
+    incarnation: str
+    events: tuple[CacheEvent, ...]
+
+
+@dataclass(frozen=True)
+class Usage:
+    """Token counts of a finished request."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    cached_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class StreamChunk:
+    """One event of an engine's stream.
+
+    :ivar index: number of the token, -1 for an event without one.
+    :ivar text: text of the token.
+    :ivar finish_reason: set on the last token.
+    :ivar usage: set on the last event.
+    """
+
+    request_id: str
+    incarnation: str
+    version: str
+    index: int
+    text: str
+    finish_reason: str | None
+    usage: Usage | None
+
+
+class Engine(Protocol):
+    """Control interface of engines."""
+
+    def load(self, address: str) -> LoadReport:
+        """Returns the engine's load."""
+
+    def order(self, address: str, order: Order) -> None:
+        """Gives an order."""
+
+    def cancel(self, address: str, request_id: str) -> None:
+        """Cancels a request."""
+
+    def events(self, address: str, after: int) -> CacheEvents:
+        """Returns cache events after a sequence number."""
+
+
+class EngineClient:
+    """Thin HTTP client of the control interface.
+
+    :param manager: connection pools by address.
+    """
+
+    def __init__(self, manager: urllib3.PoolManager) -> None:
+        self._manager = manager
+
+    @classmethod
+    def from_config(cls, timeout_s: float) -> "EngineClient":
+        """Builds a client.
+
+        :param timeout_s: longest silence of an engine.
+        """
+        manager = urllib3.PoolManager(
+            num_pools=MAX_ENGINES,
+            maxsize=CONNECTIONS_PER_ENGINE,
+            timeout=urllib3.Timeout(timeout_s),
+            retries=False,
+        )
+        return cls(manager)
+
+    def load(self, address: str) -> LoadReport:
+        """Returns the engine's load report.
+
+        :raises EndpointFailedError: if the engine does not answer or answers malformed.
+        :raises EndpointTimeoutError: if the engine is silent.
+        """
+        data = self._call("GET", address, "/v1/load")
+        try:
+            return LoadReport(
+                engine=str(data["engine"]),
+                incarnation=str(data["incarnation"]),
+                model=str(data["model"]),
+                versions=tuple(data.get("versions", ())),
+                adapters=tuple(data.get("adapters", ())),
+                role=str(data.get("role", "")),
+                queued_tokens=int(data["queued_tokens"]),
+                running=int(data["running"]),
+                age_s=float(data.get("age_s", 0.0)),
+            )
+        except (KeyError, TypeError, ValueError):
+            raise _malformed("load report") from None
+
+    def order(self, address: str, order: Order) -> None:
+        """Gives an order.
+
+        :raises StaleFenceError: if the engine has obeyed a newer holder of the lease.
+        :raises EndpointFailedError: ``MAY_HAVE_RUN`` when the answer was lost.
+        """
+        body: dict[str, Any] = {
+            "order": order.order,
+            "model": order.model,
+            "version": order.version,
+            "fence": order.fence,
+        }
+        if order.adapter:
+            body["adapter"] = order.adapter
+        if order.role:
+            body["role"] = order.role
+        self._call("POST", address, "/v1/orders", body)
+
+    def cancel(self, address: str, request_id: str) -> None:
+        """Cancels a request; an unknown request is no error.
+
+        :raises EndpointFailedError: if the engine does not answer.
+        """
+        self._call("DELETE", address, f"/v1/requests/{request_id}")
+
+    def events(self, address: str, after: int) -> CacheEvents:
+        """Returns cache events after a sequence number.
+
+        :raises EndpointFailedError: if the engine does not answer or answers malformed.
+        """
+        data = self._call("GET", address, f"/v1/cache/events?after={after}")
+        try:
+            events = tuple(
+                CacheEvent(int(item["seq"]), str(item["kind"]), str(item["block"]))
+                for item in data["events"]
+            )
+            return CacheEvents(str(data["incarnation"]), events)
+        except (KeyError, TypeError, ValueError):
+            raise _malformed("page of cache events") from None
+
+    def _call(
+        self, method: str, address: str, path: str, body: Mapping[str, Any] | None = None
+    ) -> dict[str, Any]:
+        encoded = None if body is None else orjson.dumps(body)
+        headers = {"Content-Type": "application/json"} if encoded else {}
+        response = None
+        try:
+            response = self._manager.request(
+                method,
+                f"http://{address}{path}",
+                body=encoded,
+                headers=headers,
+                preload_content=False,
+                redirect=False,
+            )
+            data = response.read(MAX_ANSWER_BYTES)
+        except urllib3.exceptions.HTTPError as error:
+            raise translate(error, address) from error
+        finally:
+            if response is not None:
+                response.drain_conn()
+                response.release_conn()
+        return _answer(response.status, data, address)
+
+
+def _answer(status: int, data: bytes, address: str) -> dict[str, Any]:
+    try:
+        parsed = orjson.loads(data) if data else {}
+    except orjson.JSONDecodeError:
+        raise _malformed("answer") from None
+    if status == 409 and error_code(parsed) == "stale_fence":
+        raise StaleFenceError(
+            f"engine {address} has obeyed a newer lease holder; stop giving orders"
+        )
+    if status >= 400 and status != 404:
+        raise EndpointFailedError(
+            f"engine {address} answered status {status}; see the engine's log"
+        )
+    return parsed if isinstance(parsed, dict) else {}
+
+
+def error_code(parsed: Any) -> str:
+    """Returns the code of an engine's error answer, empty without one."""
+    error = parsed.get("error") if isinstance(parsed, dict) else None
+    if isinstance(error, dict):
+        return str(error.get("code", ""))
+    return error if isinstance(error, str) else ""
+
+
+def translate(error: Exception, address: str) -> RouterError:
+    """Returns the typed error for a fault of a connection.
+
+    Only a connection that was never established proves that no byte of the request was sent.
+    """
+    if is_unsent(error):
+        return EndpointFailedError(
+            f"endpoint {address} cannot be reached; check that it runs", retry_after_s=1.0
+        )
+    if isinstance(error, (urllib3.exceptions.ReadTimeoutError, TimeoutError)):
+        return EndpointTimeoutError(
+            f"endpoint {address} did not answer in time; check its load", ran=Ran.MAY_HAVE_RUN
+        )
+    return EndpointFailedError(
+        f"the connection to endpoint {address} broke; check that it runs", ran=Ran.MAY_HAVE_RUN
+    )
+
+
+def is_unsent(error: Exception) -> bool:
+    """Returns whether a fault proves that no byte of the request was sent."""
+    return isinstance(
+        error,
+        (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError),
+    )
+
+
+def _malformed(what: str) -> EndpointFailedError:
+    return EndpointFailedError(f"the engine's {what} is malformed; check the engine's version")
+
+
+def encode_request(
+    fields: Mapping[str, Any],
+    *,
+    request_id: str,
+    priority: int,
+    cache_salt: str,
+    version: str,
+    emitted: Sequence[str],
+    import_kv: bool,
+) -> bytes:
+    """Returns the body of a completion request; the engine always streams.
+
+    :param fields: fields of the caller's request; those that belong to the router are replaced.
+    :param emitted: texts of the tokens that the caller already has.
+    """
+    body = dict(fields)
+    body.update(
+        stream=True,
+        request_id=request_id,
+        priority=priority,
+        cache_salt=cache_salt,
+        weights_version=version,
+        kv_import=import_kv,
+    )
+    body.pop("continue_tokens", None)
+    if emitted:
+        body["continue_tokens"] = list(emitted)
+    return orjson.dumps(body)
+
+
+def parse_chunk(payload: bytes) -> StreamChunk | None:
+    """Decodes the data of one event; returns ``None`` if it is malformed."""
+    try:
+        data = orjson.loads(payload)
+        choices = data["choices"]
+        usage = data.get("usage")
+        index, text, finish_reason = -1, "", None
+        if choices:
+            choice = choices[0]
+            index = choice.get("token_index", -1)
+            delta = choice.get("delta")
+            text = (delta.get("content") if delta is not None else choice.get("text")) or ""
+            finish_reason = choice.get("finish_reason")
+        if type(index) is not int or type(text) is not str:
+            return None
+        return StreamChunk(
+            data["id"],
+            data["incarnation"],
+            data["version"],
+            index,
+            text,
+            finish_reason,
+            None if usage is None else _usage(usage),
+        )
+    except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError, ValueError, IndexError):
+        return None
+
+
+def _usage(data: Mapping[str, Any]) -> Usage:
+    details = data.get("prompt_tokens_details") or {}
+    return Usage(
+        int(data["prompt_tokens"]),
+        int(data["completion_tokens"]),
+        int(details.get("cached_tokens", 0)),
+    )
--- a/packages/arbutustally/src/arbutustally/records.py
+++ b/packages/arbutustally/src/arbutustally/records.py
@@ -92,7 +92,7 @@
 
     :ivar key: ``account/route/idempotency-key`` digest in hex.
     :ivar request_digest: digest of method, path and body.
-    :ivar holder: node incarnation that will dispatch.
+    :ivar holder: node incarnation and attempt that will dispatch, ``node-id#incarnation/attempt``.
     :ivar key_time_s: time inside the idempotency key, Unix seconds.
     """
 
@@ -111,6 +111,8 @@
     :ivar status: HTTP status of the endpoint's answer, 0 without one.
     :ivar content_type: of the answer.
     :ivar body: the answer, base64.
+    :ivar claim: offset of the claim that it ends. The fold ignores an outcome of any other claim,
+        else a late ``not_run`` would free a key that another node has claimed since.
     """
 
     key: str
@@ -118,6 +120,7 @@
     status: int = 0
     content_type: str = ""
     body: str = ""
+    claim: int = -1
 
 
 @dataclass(frozen=True)
