--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_http.py
@@ -0,0 +1,359 @@
+"""HTTP interface for callers; section 14 of the design."""
+
+import math
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any
+
+import bottle
+import orjson
+
+from arbutustally.engine_client import CHAT_PATH, COMPLETIONS_PATH
+from arbutustally.errors import (
+    DrainingError,
+    ModelUnknownError,
+    NoConfigurationError,
+    Ran,
+    RouterError,
+    RouteUnknownError,
+)
+from arbutustally.logs import get_logger
+from arbutustally.stream_token import digest_request
+from arbutustally_node.caller_watch import CallerGoneError, CallerWatch
+from arbutustally_node.calls import ModelCall, PlainCall
+from arbutustally_node.credentials import (
+    check_query,
+    check_unrevealed,
+    forwardable,
+    secret_of,
+)
+from arbutustally_node.explain import Trace
+from arbutustally_node.http_server import SOCKET_VARIABLE, Server, error_body, serve
+from arbutustally_node.kernel import Kernel
+from arbutustally_node.model_request import parse_model_request
+from arbutustally_node.options import Options
+from arbutustally_node.refusals import count_refusal
+
+MODEL_PATHS = (CHAT_PATH, COMPLETIONS_PATH)
+#: Account under which requests of open routes are accounted.
+OPEN_ACCOUNT = "open"
+
+_JSON = "application/json"
+_EVENTS = "text/event-stream; charset=utf-8"
+_REQUEST_ID = "X-Request-Id"
+_EXPLAIN = "X-Arbutustally-Explain"
+_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+
+Handler = Callable[[Trace], bottle.HTTPResponse]
+
+
+class CallerHttp:
+    """Serves callers.
+
+    :param kernel: finds ``log``, ``keys``, ``streams``, ``bookings``, ``directory``, ``explain``
+        and ``metrics``.
+    """
+
+    def __init__(self, kernel: Kernel, options: Options) -> None:
+        self._kernel = kernel
+        self._options = options
+        self._server: Server | None = None
+        self._draining = False
+        self._logger = get_logger("caller_http")
+        self._app = self._build()
+
+    @classmethod
+    def from_config(cls, kernel: Kernel, options: Options) -> "CallerHttp":
+        """Builds the service for a node."""
+        return cls(kernel, options)
+
+    @property
+    def app(self) -> bottle.Bottle:
+        """Returns the WSGI application."""
+        return self._app
+
+    @property
+    def address(self) -> str:
+        """Returns the address that was bound."""
+        return self._server.address if self._server else self._options.caller_listen
+
+    @property
+    def running(self) -> int:
+        """Returns the number of requests that are being answered."""
+        return self._server.running if self._server else 0
+
+    def start(self) -> None:
+        """Binds the listener and serves."""
+        metrics = self._kernel.lookup("metrics")
+        self._server = serve(self._options.caller_listen, self._app, self._options, metrics)
+
+    def stop(self) -> None:
+        """Ends all connections."""
+        if self._server is not None:
+            self._server.stop()
+
+    def drain(self) -> None:
+        """Fails ``/readyz`` and closes connections after their next answer; requests still run."""
+        self._draining = True
+        if self._server is not None:
+            self._server.drain()
+
+    # Routes.
+
+    def _build(self) -> bottle.Bottle:
+        app = bottle.Bottle()
+        app.route("/healthz", "GET", self._healthz)
+        app.route("/readyz", "GET", self._readyz)
+        app.route("/entry", "GET", lambda: self._answer("entry", self._entry))
+        app.route("/v1/models", "GET", lambda: self._answer("models", self._models))
+        app.route("/<_path:path>", _METHODS, lambda _path: self._answer("", self._routed))
+        app.route("/", _METHODS, lambda: self._answer("", self._routed))
+        app.default_error_handler = self._unrouted
+        return app
+
+    def _healthz(self) -> bottle.HTTPResponse:
+        return _json(200, {"status": "ok"}, "")
+
+    def _readyz(self) -> bottle.HTTPResponse:
+        if self._draining:
+            return self._error(DrainingError("the node is shutting down; use another node"), "")
+        if not self._kernel.lookup("log").ready:
+            return self._error(_no_configuration(), "")
+        return _json(200, {"status": "ready"}, "")
+
+    def _entry(self, trace: Trace) -> bottle.HTTPResponse:
+        account = self._authenticate(trace, "entry")
+        addresses, ttl_s = self._kernel.lookup("directory").entry(account)
+        return _json(200, {"addresses": list(addresses), "ttl_s": ttl_s}, trace.request_id)
+
+    def _models(self, trace: Trace) -> bottle.HTTPResponse:
+        self._authenticate(trace, "models")
+        models = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "arbutustally"}
+            for name in sorted(self._declarations().models)
+        ]
+        return _json(200, {"object": "list", "data": models}, trace.request_id)
+
+    def _routed(self, trace: Trace) -> bottle.HTTPResponse:
+        name, route = self._route()
+        if route.kind == "model":
+            return self._model(trace, name, route)
+        return self._plain(trace, name, route)
+
+    def _model(self, trace: Trace, name: str, route: Any) -> bottle.HTTPResponse:
+        account = OPEN_ACCOUNT if route.open else self._authenticate(trace, name)
+        environ = bottle.request.environ
+        path = environ["PATH_INFO"]
+        body = environ["wsgi.input"].read()
+        check_unrevealed(secret_of(environ.get("HTTP_AUTHORIZATION", "")), path, body)
+        request = parse_model_request(path, body)
+        declarations = self._declarations()
+        if request.model not in declarations.models:
+            raise ModelUnknownError("the model is not declared; see GET /v1/models for the names")
+        call = ModelCall(
+            request_id=trace.request_id,
+            account=account,
+            route=name,
+            class_name=route.class_,
+            service=route.service,
+            target=declarations.classes[route.class_],
+            path=path,
+            model=request.model,
+            fields=request.fields,
+            prompt=request.prompt,
+            prompt_bytes=len(body),
+            output_tokens=request.output_tokens,
+            digest=digest_request(path, body),
+            trace=trace,
+            watch=CallerWatch(environ.get(SOCKET_VARIABLE)),
+            last_event_id=environ.get("HTTP_LAST_EVENT_ID", "") if request.stream else "",
+        )
+        streams = self._kernel.lookup("streams")
+        if not request.stream:
+            return _json(200, streams.complete_whole(call), trace.request_id, self._summary(trace))
+        events = streams.complete(call)
+        first = next(events)
+        headers = {"Content-Type": _EVENTS, "Cache-Control": "no-cache"}
+        headers |= {_REQUEST_ID: trace.request_id} | self._summary(trace)
+        return bottle.HTTPResponse(_EventBody(first, events, self, trace), 200, headers)
+
+    def _plain(self, trace: Trace, name: str, route: Any) -> bottle.HTTPResponse:
+        account = OPEN_ACCOUNT if route.open else self._authenticate(trace, name)
+        environ = bottle.request.environ
+        secret = secret_of(environ.get("HTTP_AUTHORIZATION", ""))
+        body = environ["wsgi.input"].read()
+        path = bottle.request.urlparts.path
+        check_unrevealed(secret, path, body)
+        if query := environ.get("QUERY_STRING", ""):
+            path = f"{path}?{query}"
+        call = PlainCall(
+            request_id=trace.request_id,
+            account=account,
+            route=name,
+            service=route.service,
+            method=environ["REQUEST_METHOD"],
+            path=path,
+            headers=forwardable(_headers(environ), secret),
+            body=body,
+            idempotent=route.idempotent,
+            idempotency_key=environ.get("HTTP_IDEMPOTENCY_KEY", ""),
+            trace=trace,
+        )
+        answer = self._kernel.lookup("bookings").submit(call)
+        headers = dict(answer.headers) | {_REQUEST_ID: trace.request_id} | self._summary(trace)
+        return bottle.HTTPResponse(answer.body, answer.status, headers)
+
+    # Parts of all handlers.
+
+    def _answer(self, name: str, handler: Handler) -> bottle.HTTPResponse:
+        explain = self._kernel.lookup("explain")
+        trace = explain.begin(explain.new_request_id(), "", name)
+        try:
+            check_query(bottle.request.environ.get("QUERY_STRING", ""))
+            if not self._kernel.lookup("log").ready:
+                raise _no_configuration()
+            return handler(trace)
+        except RouterError as error:
+            self.refuse(trace, error)
+            return self._error(error, trace.request_id, self._summary(trace))
+        except CallerGoneError:
+            trace.note("caller_gone")
+            return _json(499, {}, trace.request_id)
+        except Exception as error:
+            self._logger.error("handler failed", request_id=trace.request_id, exc_info=True)
+            failure = _internal(error)
+            self.refuse(trace, failure)
+            return self._error(failure, trace.request_id)
+
+    def refuse(self, trace: Trace, error: RouterError) -> None:
+        """Counts, traces and logs a refusal."""
+        count_refusal(self._kernel.lookup("metrics"), error)
+        trace.refuse(error)
+        self._logger.info(
+            "request refused", request_id=trace.request_id, code=error.code, ran=str(error.ran)
+        )
+
+    def _authenticate(self, trace: Trace, route: str) -> str:
+        header = bottle.request.environ.get("HTTP_AUTHORIZATION", "")
+        account = self._kernel.lookup("keys").authenticate(header)
+        trace.identify(account, route)
+        trace.note("authenticated", account=account, route=route)
+        return account
+
+    def _route(self) -> tuple[str, Any]:
+        path = bottle.request.environ["PATH_INFO"]
+        method = bottle.request.environ["REQUEST_METHOD"]
+        found = None
+        for name, route in self._declarations().routes.items():
+            longer = found is None or len(route.path) > len(found[1].path)
+            if longer and method in route.methods and _covers(route, path):
+                found = (name, route)
+        if found is None:
+            raise RouteUnknownError(
+                "no declared route has this path and method; see the operator's declarations"
+            )
+        return found
+
+    def _declarations(self) -> Any:
+        return self._kernel.lookup("log").state.declarations
+
+    def _summary(self, trace: Trace) -> dict[str, str]:
+        if bottle.request.environ.get("HTTP_X_ARBUTUSTALLY_EXPLAIN") != "1":
+            return {}
+        return {_EXPLAIN: trace.summary()}
+
+    def _error(
+        self, error: RouterError, request_id: str, headers: Mapping[str, str] | None = None
+    ) -> bottle.HTTPResponse:
+        response = _json(error.status, error_body(error, request_id), request_id, headers)
+        if error.retry_after_s is not None:
+            response.set_header("Retry-After", str(max(1, math.ceil(error.retry_after_s))))
+        return response
+
+    def _unrouted(self, result: bottle.HTTPError) -> bytes:
+        """Answers what bottle itself refuses, in the form of all errors."""
+        explain = self._kernel.lookup("explain")
+        trace = explain.begin(explain.new_request_id(), "", "")
+        error: RouterError = RouteUnknownError(
+            "no declared route has this path and method; see the operator's declarations"
+        )
+        if result.status_code >= 500:
+            error = _internal(result)
+        self.refuse(trace, error)
+        result.status = error.status
+        result.set_header("Content-Type", _JSON)
+        result.set_header(_REQUEST_ID, trace.request_id)
+        return orjson.dumps(error_body(error, trace.request_id))
+
+
+class _EventBody:
+    """The body of a streamed answer; closing it ends the stream at the engine."""
+
+    def __init__(
+        self, first: bytes, events: Iterator[bytes], service: CallerHttp, trace: Trace
+    ) -> None:
+        self._events = events
+        self._items = self._guarded(first)
+        self._service = service
+        self._trace = trace
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._items
+
+    def close(self) -> None:
+        """Ends the stream."""
+        self._items.close()
+        self._events.close()
+
+    def _guarded(self, first: bytes) -> Iterator[bytes]:
+        yield first
+        try:
+            yield from self._events
+        except RouterError as error:
+            self._service.refuse(self._trace, error)
+            yield b"data: %s\n\n" % orjson.dumps(error_body(error, self._trace.request_id))
+        except CallerGoneError:
+            self._trace.note("caller_gone")
+
+
+def _covers(route: Any, path: str) -> bool:
+    if route.kind == "model":
+        return path in MODEL_PATHS and (path == route.path or path.startswith(_prefix(route)))
+    return path == route.path or path.startswith(_prefix(route))
+
+
+def _prefix(route: Any) -> str:
+    return route.path if route.path.endswith("/") else route.path + "/"
+
+
+def _headers(environ: Mapping[str, Any]) -> dict[str, str]:
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if content_type := environ.get("CONTENT_TYPE"):
+        headers["content-type"] = content_type
+    return headers
+
+
+def _json(
+    status: int, data: Any, request_id: str, headers: Mapping[str, str] | None = None
+) -> bottle.HTTPResponse:
+    fields = {"Content-Type": _JSON} | dict(headers or {})
+    if request_id:
+        fields[_REQUEST_ID] = request_id
+    return bottle.HTTPResponse(orjson.dumps(data), status, fields)
+
+
+def _no_configuration() -> NoConfigurationError:
+    return NoConfigurationError(
+        "the node has no configuration yet; use another node or send the request again later",
+        retry_after_s=1.0,
+    )
+
+
+def _internal(error: Exception) -> RouterError:
+    return RouterError(
+        f"a fault of the router ({type(error).__name__}); report it with the request id",
+        ran=Ran.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_watch.py
@@ -0,0 +1,65 @@
+"""Notices the end of a caller's connection while its request waits for an endpoint."""
+
+import select
+from typing import Any
+
+import gevent
+from gevent import monkey
+
+# gevent's own poll yields to other greenlets, which a callback of the event loop must not do.
+_poll = monkey.get_original("select", "poll")
+_READ = 1
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection; raised in the greenlet that serves it."""
+
+
+class CallerWatch:
+    """Interrupts the serving greenlet when its caller is gone.
+
+    The interruption comes only inside a ``with`` block of the watch, so that accounting outside of
+    it always completes.
+
+    :param sock: the caller's socket, or ``None`` to watch nothing.
+    """
+
+    def __init__(self, sock: Any = None) -> None:
+        self._gone = False
+        self._armed = False
+        self._greenlet = gevent.getcurrent()
+        self._watcher = None
+        if sock is not None:
+            self._descriptor = sock.fileno()
+            self._watcher = gevent.get_hub().loop.io(self._descriptor, _READ)
+            self._watcher.start(self._readable)
+
+    @property
+    def gone(self) -> bool:
+        """Returns whether the caller has closed its connection."""
+        return self._gone
+
+    def stop(self) -> None:
+        """Ends the watch; must be called before the socket is closed."""
+        watcher, self._watcher = self._watcher, None
+        if watcher is not None:
+            watcher.stop()
+            watcher.close()
+
+    def __enter__(self) -> None:
+        if self._gone:
+            raise CallerGoneError
+        self._armed = True
+
+    def __exit__(self, *_error: Any) -> None:
+        self._armed = False
+
+    def _readable(self) -> None:
+        poll = _poll()
+        poll.register(self._descriptor, select.POLLRDHUP)
+        # Without a hang-up these are bytes of the next request, which would wake the loop again
+        # and again.
+        self._gone = bool(poll.poll(0))
+        self.stop()
+        if self._gone and self._armed:
+            self._greenlet.throw(CallerGoneError)
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/dispatch.py
@@ -0,0 +1,235 @@
+"""Choice of an engine for a request and the connection to it."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+
+from arbutustally.engine_client import (
+    EngineClient,
+    encode_request,
+    error_code,
+    is_refused,
+    parse_json,
+)
+from arbutustally.errors import (
+    BadRequestError,
+    EndpointFailedError,
+    NoEndpointError,
+    Ran,
+    RouterError,
+)
+from arbutustally.placement import Candidate, Choice, PlacementRequest
+from arbutustally.prefixes import PromptShape
+from arbutustally_node.caller_watch import CallerGoneError
+from arbutustally_node.calls import ModelCall
+from arbutustally_node.kernel import Kernel
+from arbutustally_node.options import Options
+from arbutustally_node.pool import PooledResponse
+from arbutustally_node.relay import StreamCursor
+
+CANCEL_TIMEOUT_S = 2.0
+#: Priority of classes without a target for the first token; lower goes first at the engine.
+BULK_PRIORITY = 1_000_000
+NO_ENDPOINT_RETRY_S = 1.0
+
+_JSON = {"Content-Type": "application/json", "Accept": "text/event-stream"}
+#: Statuses by which an engine says that another engine may take the request.
+_ELSEWHERE = frozenset({408, 409, 425, 429})
+
+
+@dataclass
+class Link:
+    """One connection that carries a stream.
+
+    :ivar endpoint: ``EndpointState``.
+    :ivar tokens: load noted at the endpoint for this link.
+    :ivar opened_s: when the request was sent.
+    :ivar first_s: when the first token arrived, 0 before that.
+    :ivar last_s: when the last token arrived.
+    :ivar first_index: index of the first token of this link.
+    """
+
+    endpoint: Any
+    incarnation: str
+    choice: Choice | None
+    response: PooledResponse
+    tokens: int
+    opened_s: float
+    first_index: int
+    first_s: float = 0.0
+    last_s: float = 0.0
+
+
+class Dispatcher:
+    """Chooses engines and opens streams on them.
+
+    :param kernel: finds ``membership``, ``placement`` and ``pool``.
+    """
+
+    def __init__(self, kernel: Kernel, options: Options, engines: EngineClient) -> None:
+        self._kernel = kernel
+        self._import_kv = bool(options.kv_url)
+        self._engines = engines
+
+    @classmethod
+    def from_config(cls, kernel: Kernel, options: Options) -> "Dispatcher":
+        """Builds a dispatcher for a node."""
+        return cls(kernel, options, EngineClient.from_config(CANCEL_TIMEOUT_S))
+
+    def choose(
+        self, call: ModelCall, version: str, shape: PromptShape, tried: set[str]
+    ) -> tuple[Any, Choice]:
+        """Returns the endpoint with the shortest estimate among those with the version.
+
+        :param tried: endpoint ids that failed this request.
+        :raises NoEndpointError: if there is none; ``ran`` is for the caller to set.
+        """
+        endpoints = {
+            state.id: state
+            for state in self._kernel.lookup("membership").endpoints(call.service, call.model)
+            if not state.leaving and state.version == version and state.id not in tried
+        }
+        if not endpoints:
+            raise NoEndpointError(
+                f"no engine with {call.model} at version {version} can take the request; "
+                "check that engines of the service run and are not leaving",
+                retry_after_s=NO_ENDPOINT_RETRY_S,
+            )
+        request = PlacementRequest(
+            call.account, call.model, version, shape, call.output_tokens, call.target
+        )
+        candidates = [self._candidate(state, version) for state in endpoints.values()]
+        choice = self._kernel.lookup("placement").choose(request, candidates)
+        return endpoints[choice.endpoint], choice
+
+    def send(
+        self,
+        call: ModelCall,
+        version: str,
+        shape: PromptShape,
+        endpoint: Any,
+        choice: Choice,
+        cursor: StreamCursor,
+        now: float,
+    ) -> Link:
+        """Sends the request, continued from the tokens of the cursor.
+
+        :raises RouterError: ``NOT_RUN`` only if no byte was sent.
+        """
+        body = encode_request(
+            call.fields,
+            request_id=call.request_id,
+            priority=priority_of(call.target),
+            cache_salt=cache_salt(call.account),
+            version=version,
+            emitted=cursor.texts,
+            import_kv=choice.import_kv,
+        )
+        tokens = max(0, shape.total_tokens - choice.expected_cached_tokens)
+        membership = self._kernel.lookup("membership")
+        membership.dispatched(endpoint.id, tokens)
+        try:
+            response = self._open(call, endpoint, choice.incarnation, "POST", call.path, body)
+        except BaseException as error:
+            membership.finished(endpoint.id, tokens)
+            if isinstance(error, CallerGoneError):
+                self.cancel(endpoint, call.request_id)
+            raise
+        cursor.expect(choice.incarnation)
+        return Link(endpoint, choice.incarnation, choice, response, tokens, now, cursor.next_index)
+
+    def resume(
+        self, call: ModelCall, endpoint: Any, incarnation: str, cursor: StreamCursor, now: float
+    ) -> Link:
+        """Resumes a stream on the incarnation that produced it.
+
+        :raises RouterError: if the engine does not have the stream.
+        """
+        path = f"/v1/streams/{call.request_id}?from={cursor.next_index}"
+        response = self._open(call, endpoint, incarnation, "GET", path, None)
+        cursor.expect(incarnation)
+        return Link(endpoint, incarnation, None, response, 0, now, cursor.next_index)
+
+    def leave(self, link: Link) -> None:
+        """Closes a link and takes its load off the endpoint."""
+        link.response.close()
+        if link.tokens:
+            self._kernel.lookup("membership").finished(link.endpoint.id, link.tokens)
+            link.tokens = 0
+
+    def cancel(self, endpoint: Any, request_id: str) -> None:
+        """Cancels a request at its engine without waiting for the answer."""
+        gevent.spawn(self._cancel, endpoint.address, request_id)
+
+    def lost(self, endpoint: Any, incarnation: str) -> None:
+        """Marks an incarnation as dead and forgets its cache."""
+        self._kernel.lookup("membership").mark_dead(endpoint.id, incarnation)
+        self._kernel.lookup("placement").drop(endpoint.id, incarnation)
+
+    def _open(
+        self,
+        call: ModelCall,
+        endpoint: Any,
+        incarnation: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+    ) -> PooledResponse:
+        headers = dict(_JSON)
+        headers["X-Request-Id"] = call.request_id
+        try:
+            with call.watch:
+                response = self._kernel.lookup("pool").open(endpoint, method, path, headers, body)
+        except EndpointFailedError as error:
+            if is_refused(error):
+                self.lost(endpoint, incarnation)
+            raise
+        if response.status != 200:
+            raise _refusal(endpoint, response)
+        return response
+
+    def _cancel(self, address: str, request_id: str) -> None:
+        try:
+            self._engines.cancel(address, request_id)
+        except RouterError:
+            # The engine ends the request by itself when its connection is closed or it is dead.
+            return
+
+    def _candidate(self, state: Any, version: str) -> Candidate:
+        return Candidate(
+            endpoint=state.id,
+            incarnation=state.incarnation,
+            zone=state.zone,
+            queued_tokens=state.queued_tokens,
+            running=state.running,
+            version=state.version,
+            loaded=state.version == version,
+            import_available=self._import_kv,
+        )
+
+
+def priority_of(target: Any) -> int:
+    """Returns the priority at the engine: the class's target in milliseconds."""
+    first_token_ms = getattr(target, "first_token_ms", None)
+    return BULK_PRIORITY if first_token_ms is None else int(first_token_ms)
+
+
+def cache_salt(account: str) -> str:
+    """Returns the value that keeps an account's blocks apart at the engines."""
+    return f"account:{account}"
+
+
+def _refusal(endpoint: Any, response: PooledResponse) -> RouterError:
+    parsed = parse_json(response.read_whole())
+    code = error_code(parsed)
+    if 400 <= response.status < 500 and response.status not in _ELSEWHERE:
+        return BadRequestError(
+            f"the engine refused the request with status {response.status} {code}; correct it",
+            ran=Ran.MAY_HAVE_RUN,
+        )
+    return EndpointFailedError(
+        f"engine {endpoint.id} answered status {response.status} {code}; see the engine's log",
+        ran=Ran.MAY_HAVE_RUN,
+        retry_after_s=NO_ENDPOINT_RETRY_S,
+    )
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/framing.py
@@ -0,0 +1,127 @@
+"""Body framing of endpoint answers, decoded from large reads.
+
+urllib3 decodes one chunk per call; a stream with many small events is cheaper when everything
+that has arrived is decoded at once (bench/relay.py).
+"""
+
+from enum import Enum
+
+from arbutustally.errors import EndpointFailedError, Ran
+
+#: Longest chunk size line, extensions included.
+MAX_CHUNK_LINE_BYTES = 256
+_HEX = frozenset(b"0123456789abcdefABCDEF")
+
+
+class _Part(Enum):
+    SIZE = 0
+    DATA = 1
+    END = 2
+    TRAILER = 3
+    DONE = 4
+
+
+class ChunkedBody:
+    """Decoder of the chunked coding."""
+
+    def __init__(self) -> None:
+        self._part = _Part.SIZE
+        self._left = 0
+        self._line = b""
+
+    @property
+    def done(self) -> bool:
+        """Returns whether the last chunk and the trailer have been read."""
+        return self._part is _Part.DONE
+
+    @property
+    def unread(self) -> bytes:
+        """Returns bytes after the end of the body."""
+        return self._line if self.done else b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the decoded bytes.
+
+        :raises EndpointFailedError: if the coding is malformed.
+        """
+        if self._line:
+            data = self._line + data
+            self._line = b""
+        out: list[bytes] = []
+        at = 0
+        size = len(data)
+        while at < size and self._part is not _Part.DONE:
+            if self._part is _Part.DATA:
+                piece = data[at : at + self._left]
+                out.append(piece)
+                at += len(piece)
+                self._left -= len(piece)
+                if not self._left:
+                    self._part = _Part.END
+                continue
+            end = data.find(b"\r\n", at)
+            if end < 0:
+                break
+            self._take_line(data[at:end])
+            at = end + 2
+        self._line = data[at:]
+        if not self.done and len(self._line) > MAX_CHUNK_LINE_BYTES:
+            raise _malformed()
+        return out[0] if len(out) == 1 else b"".join(out)
+
+    def _take_line(self, line: bytes) -> None:
+        if self._part is _Part.END:
+            if line:
+                raise _malformed()
+            self._part = _Part.SIZE
+        elif self._part is _Part.TRAILER:
+            if not line:
+                self._part = _Part.DONE
+        else:
+            digits = line.partition(b";")[0].rstrip(b" \t")
+            if not 0 < len(digits) <= 8 or not _HEX.issuperset(digits):
+                raise _malformed()
+            self._left = int(digits, 16)
+            self._part = _Part.DATA if self._left else _Part.TRAILER
+
+
+class SizedBody:
+    """A body of known length."""
+
+    def __init__(self, length: int) -> None:
+        self._left = length
+        self._unread = b""
+
+    @property
+    def done(self) -> bool:
+        """Returns whether the whole body has been read."""
+        return not self._left
+
+    @property
+    def unread(self) -> bytes:
+        """Returns bytes after the end of the body."""
+        return self._unread
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the bytes that belong to the body."""
+        body = data[: self._left]
+        self._unread = data[self._left :]
+        self._left -= len(body)
+        return body
+
+
+class OpenBody:
+    """A body that ends with its connection."""
+
+    done = False
+    unread = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the bytes."""
+        return data
+
+
+def _malformed() -> EndpointFailedError:
+    return EndpointFailedError(
+        "the endpoint's chunked coding is malformed; check the endpoint", ran=Ran.MAY_HAVE_RUN
+    )
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/log_batcher.py
@@ -0,0 +1,149 @@
+"""Appends of claims and outcomes to the log in batches."""
+
+from collections import deque
+from typing import Any
+
+import gevent
+from gevent.event import AsyncResult, Event
+
+from arbutustally.clock import Clock
+from arbutustally.errors import LogUnavailableError, RouterError
+from arbutustally.logs import get_logger
+from arbutustally.records import Body, Outcome
+from arbutustally_node.kernel import Kernel
+
+#: Time for which records are collected; it grows to the duration of the last append.
+MIN_INTERVAL_S = 0.02
+MAX_INTERVAL_S = 1.0
+MAX_BATCH = 128
+#: Outcomes that wait for the log; the oldest is dropped, and its booking stays unknown.
+MAX_WAITING = 8192
+RETRY_S = 0.5
+
+
+class PendingAppend:
+    """A record that waits for its append."""
+
+    def __init__(self, body: Body) -> None:
+        self._body = body
+        self._result: AsyncResult = AsyncResult()
+        self._cancelled = False
+
+    @property
+    def body(self) -> Body:
+        """Returns the record's body."""
+        return self._body
+
+    @property
+    def cancelled(self) -> bool:
+        """Returns whether the record must not be sent any more."""
+        return self._cancelled
+
+    def cancel(self) -> None:
+        """Drops the record if it has not been sent yet."""
+        self._cancelled = True
+
+    def wait(self, timeout_s: float) -> Any:
+        """Returns ``Appended``.
+
+        :raises LogUnavailableError: if the log did not confirm the append in time.
+        """
+        try:
+            return self._result.get(timeout=timeout_s)
+        except gevent.Timeout:
+            raise LogUnavailableError(
+                "the log did not confirm in time; send the request again later"
+            ) from None
+
+    def resolve(self, appended: Any) -> None:
+        """Hands over the result."""
+        self._result.set(appended)
+
+    def fail(self, error: Exception) -> None:
+        """Hands over an error."""
+        self._result.set_exception(error)
+
+
+class LogBatcher:
+    """One greenlet that appends everything that waits.
+
+    Outcomes are sent again until the log confirms them; a repeated one changes nothing. Claims are
+    sent once, because their sender gives up.
+
+    :param kernel: finds ``log``.
+    """
+
+    def __init__(self, kernel: Kernel, clock: Clock) -> None:
+        self._kernel = kernel
+        self._clock = clock
+        self._waiting: deque[PendingAppend] = deque()
+        self._wake = Event()
+        self._greenlet: Any = None
+        self._interval_s = MIN_INTERVAL_S
+        self._logger = get_logger("bookings")
+
+    def start(self) -> None:
+        """Starts the greenlet."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Ends the greenlet; what waits is lost."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    @property
+    def waiting(self) -> int:
+        """Returns the number of records that wait."""
+        return len(self._waiting)
+
+    def submit(self, body: Body) -> PendingAppend:
+        """Queues a record."""
+        pending = PendingAppend(body)
+        self._waiting.append(pending)
+        if len(self._waiting) > MAX_WAITING:
+            dropped = self._waiting.popleft()
+            dropped.fail(LogUnavailableError("too many records wait for the log; try again later"))
+            self._logger.warning("record dropped", kind=type(dropped.body).__name__)
+        self._wake.set()
+        return pending
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait()
+            gevent.sleep(self._interval_s)
+            batch = self._take()
+            if batch:
+                self._append(batch)
+
+    def _take(self) -> list[PendingAppend]:
+        batch: list[PendingAppend] = []
+        while self._waiting and len(batch) < MAX_BATCH:
+            pending = self._waiting.popleft()
+            if not pending.cancelled:
+                batch.append(pending)
+        if not self._waiting:
+            self._wake.clear()
+        return batch
+
+    def _append(self, batch: list[PendingAppend]) -> None:
+        begun = self._clock()
+        try:
+            results = self._kernel.lookup("log").append_many([item.body for item in batch])
+        except RouterError as error:
+            self._failed(batch, error)
+            gevent.sleep(RETRY_S)
+            return
+        finally:
+            taken = self._clock() - begun
+            self._interval_s = min(MAX_INTERVAL_S, max(MIN_INTERVAL_S, taken))
+        for pending, appended in zip(batch, results, strict=True):
+            pending.resolve(appended)
+
+    def _failed(self, batch: list[PendingAppend], error: RouterError) -> None:
+        for pending in batch:
+            if isinstance(pending.body, Outcome):
+                self._waiting.append(pending)
+            else:
+                pending.fail(error)
+        if self._waiting:
+            self._wake.set()
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/plain_dispatch.py
@@ -0,0 +1,86 @@
+"""Calls of plain services: choice of an instance and one attempt at it."""
+
+import random
+from typing import Any
+
+from arbutustally.errors import (
+    EndpointFailedError,
+    EndpointTimeoutError,
+    NoEndpointError,
+    Ran,
+)
+from arbutustally_node.calls import PlainAnswer, PlainCall
+from arbutustally_node.kernel import Kernel
+
+NO_ENDPOINT_RETRY_S = 1.0
+REQUEST_ID_HEADER = "X-Request-Id"
+
+_KEPT_RESPONSE_HEADERS_EXCEPT = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "trailer", "te"}
+    | {"proxy-authenticate", "server", "date", "x-request-id"}
+)
+
+
+class PlainDispatcher:
+    """Sends a call to one instance of a service.
+
+    :param kernel: finds ``membership`` and ``pool``.
+    :param rng: chooses among equal instances.
+    """
+
+    def __init__(self, kernel: Kernel, rng: random.Random) -> None:
+        self._kernel = kernel
+        self._rng = rng
+
+    def choose(self, service: str, tried: set[str]) -> Any:
+        """Returns one of the least busy instances.
+
+        :param tried: endpoint ids that could not be reached.
+        :raises NoEndpointError: if there is none.
+        """
+        states = [
+            state
+            for state in self._kernel.lookup("membership").endpoints(service)
+            if not state.leaving and state.id not in tried
+        ]
+        if not states:
+            raise NoEndpointError(
+                f"no instance of {service} can take the request; check that instances run and "
+                "are not leaving",
+                retry_after_s=NO_ENDPOINT_RETRY_S,
+            )
+        least = min(state.running for state in states)
+        return self._rng.choice([state for state in states if state.running == least])
+
+    def send(self, call: PlainCall, endpoint: Any, fresh: bool) -> PlainAnswer:
+        """Sends the call once and returns the whole answer.
+
+        :raises RouterError: ``NOT_RUN`` only if no byte was sent.
+        """
+        headers = dict(call.headers)
+        headers[REQUEST_ID_HEADER] = call.request_id
+        if call.idempotency_key:
+            headers["Idempotency-Key"] = call.idempotency_key
+        pool = self._kernel.lookup("pool")
+        response = pool.open(
+            endpoint, call.method, call.path, headers, call.body or None, fresh=fresh
+        )
+        echoed = response.headers.get("x-request-id")
+        if echoed is not None and echoed != call.request_id:
+            response.close()
+            raise EndpointFailedError(
+                f"{endpoint.id} answered another request; find out at the service whether this "
+                "one ran",
+                ran=Ran.MAY_HAVE_RUN,
+            )
+        body = response.read_whole()
+        ran = Ran.RAN if response.status < 500 else Ran.MAY_HAVE_RUN
+        kept = {
+            name: value
+            for name, value in response.headers.items()
+            if name not in _KEPT_RESPONSE_HEADERS_EXCEPT
+        }
+        return PlainAnswer(response.status, kept, body, ran)
+
+
+ATTEMPT_ERRORS = (EndpointFailedError, EndpointTimeoutError)
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -0,0 +1,254 @@
+"""Connections to endpoints, with proof of whether a byte of a request was sent."""
+
+import select
+import socket
+from collections import OrderedDict
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import urllib3
+from gevent import monkey
+from urllib3.connection import HTTPConnection
+
+from arbutustally.engine_client import translate
+from arbutustally.errors import EndpointFailedError, EndpointTimeoutError, Ran
+from arbutustally_node.framing import ChunkedBody, OpenBody, SizedBody
+from arbutustally_node.kernel import Kernel
+from arbutustally_node.options import Options
+
+READ_BYTES = 65536
+IDLE_CONNECTIONS_PER_ENDPOINT = 64
+MAX_ENDPOINTS = 512
+#: Largest answer that is read whole.
+MAX_ANSWER_BYTES = 8 << 20
+#: The kernel doubles the value; a stream whose caller is slow holds no more than that unread.
+RECEIVE_BUFFER_BYTES = 64 << 10
+
+_SOCKET_OPTIONS = [
+    *HTTPConnection.default_socket_options,
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+]
+# gevent's own poll yields to other greenlets; this check must not.
+_poll = monkey.get_original("select", "poll")
+
+
+class PooledResponse:
+    """An endpoint's answer whose body is read from its connection.
+
+    :param response: urllib3 response without preloaded content.
+    :param pool: pool that gets the connection back, or ``None`` to close it.
+    """
+
+    def __init__(self, response: urllib3.HTTPResponse, address: str, pooled: bool) -> None:
+        self._response = response
+        self._address = address
+        self._pooled = pooled
+        self._headers = {name.lower(): value for name, value in response.headers.items()}
+        # The buffered file below urllib3's response returns everything that has arrived.
+        self._original = response._fp
+        self._file = self._original.fp
+        self._socket = response.connection.sock if response.connection else None
+        self._body = self._framing()
+        self._closed = False
+
+    @property
+    def status(self) -> int:
+        """Returns the HTTP status."""
+        return self._response.status
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """Returns the headers by lower-case name."""
+        return self._headers
+
+    def read(self) -> bytes:
+        """Returns the bytes of the body that have arrived, waiting for the first; empty at its end.
+
+        :raises EndpointFailedError: ``MAY_HAVE_RUN``, if the connection breaks inside the body.
+        :raises EndpointTimeoutError: ``MAY_HAVE_RUN``, if the endpoint is silent.
+        """
+        while not self._closed:
+            if self._body.done:
+                self._finish()
+                break
+            try:
+                received = self._file.read1(READ_BYTES)
+            except (OSError, ValueError) as error:
+                self.close()
+                raise self._broken(error) from error
+            if not received:
+                self.close()
+                if isinstance(self._body, OpenBody):
+                    break
+                raise self._broken(None)
+            decoded = self._body.feed(received)
+            if decoded:
+                return decoded
+        return b""
+
+    def read_whole(self, limit: int = MAX_ANSWER_BYTES) -> bytes:
+        """Returns the whole body.
+
+        :raises EndpointFailedError: as ``read``, and if the body exceeds ``limit`` bytes.
+        """
+        parts = []
+        size = 0
+        while part := self.read():
+            parts.append(part)
+            size += len(part)
+            if size > limit:
+                self.close()
+                raise EndpointFailedError(
+                    f"the answer of endpoint {self._address} exceeds {limit} bytes; "
+                    "make the service answer in smaller parts",
+                    ran=Ran.MAY_HAVE_RUN,
+                )
+        return b"".join(parts)
+
+    def __iter__(self) -> Iterator[bytes]:
+        while part := self.read():
+            yield part
+
+    def settle(self) -> None:
+        """Ends an answer whose content is complete without waiting for more of it.
+
+        The connection is kept only if the end of the body has arrived and nothing after it.
+        """
+        if self._closed:
+            return
+        if not self._body.done and (self._original.will_close or not self._is_readable()):
+            self.close()
+            return
+        try:
+            if not self.read() and not self._closed:
+                self._finish()
+        except (EndpointFailedError, EndpointTimeoutError):
+            return
+        self.close()
+
+    def close(self) -> None:
+        """Closes the connection; unread bytes never reach another request."""
+        if self._closed:
+            return
+        self._closed = True
+        connection = self._response.connection
+        self._original.close()
+        self._response.close()
+        if connection is not None:
+            connection.close()
+            self._response.release_conn()
+
+    def _finish(self) -> None:
+        reusable = self._pooled and not self._original.will_close
+        if not reusable or self._body.unread or self._is_readable():
+            self.close()
+            return
+        self._closed = True
+        self._original.close()
+        self._response.release_conn()
+
+    def _is_readable(self) -> bool:
+        if self._socket is None:
+            return True
+        poll = _poll()
+        poll.register(self._socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    def _framing(self) -> ChunkedBody | SizedBody | OpenBody:
+        if self._file is None:
+            return SizedBody(0)
+        if self._original.chunked:
+            return ChunkedBody()
+        if self._original.length is not None:
+            return SizedBody(self._original.length)
+        return OpenBody()
+
+    def _broken(self, error: Exception | None) -> EndpointFailedError | EndpointTimeoutError:
+        if isinstance(error, TimeoutError):
+            return EndpointTimeoutError(
+                f"endpoint {self._address} fell silent; check its load", ran=Ran.MAY_HAVE_RUN
+            )
+        return EndpointFailedError(
+            f"the connection to endpoint {self._address} broke; check that it runs",
+            ran=Ran.MAY_HAVE_RUN,
+        )
+
+
+class PoolService:
+    """urllib3 connection pools by endpoint address.
+
+    :param connect_s: time to connect.
+    :param read_s: longest silence of an endpoint.
+    """
+
+    def __init__(self, connect_s: float, read_s: float) -> None:
+        self._connect_s = connect_s
+        self._read_s = read_s
+        self._pools: OrderedDict[str, urllib3.HTTPConnectionPool] = OrderedDict()
+
+    @classmethod
+    def from_config(cls, _kernel: Kernel, options: Options) -> "PoolService":
+        """Builds the service for a node."""
+        return cls(options.endpoint_connect_timeout_s, options.endpoint_read_timeout_s)
+
+    def start(self) -> None:
+        """Does nothing; connections are made when they are needed."""
+
+    def stop(self) -> None:
+        """Closes idle connections."""
+        for pool in self._pools.values():
+            pool.close()
+        self._pools.clear()
+
+    def open(
+        self,
+        endpoint: Any,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes | None,
+        timeout_s: float | None = None,
+        fresh: bool = False,
+    ) -> PooledResponse:
+        """Sends a request and returns the answer with its body unread.
+
+        :param endpoint: ``EndpointState``; its ``address`` is used.
+        :param timeout_s: longest silence of the endpoint, by default that of the node.
+        :param fresh: use a new connection. An idle one may have been closed by the endpoint, and
+            then nobody can tell whether the request was read.
+        :raises EndpointFailedError: ``NOT_RUN`` only if the connection was never established.
+        :raises EndpointTimeoutError: ``MAY_HAVE_RUN``, if no answer began in time.
+        """
+        address = endpoint.address
+        timeout = urllib3.Timeout(connect=self._connect_s, read=timeout_s or self._read_s)
+        pool = self._new_pool(address, 1) if fresh else self._pool(address)
+        try:
+            response = pool.urlopen(
+                method,
+                path,
+                body=body,
+                headers=dict(headers),
+                retries=False,
+                redirect=False,
+                timeout=timeout,
+                preload_content=False,
+                decode_content=False,
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise translate(error, address) from error
+        return PooledResponse(response, address, pooled=not fresh)
+
+    def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = self._new_pool(address, IDLE_CONNECTIONS_PER_ENDPOINT)
+            if len(self._pools) > MAX_ENDPOINTS:
+                self._pools.popitem(last=False)[1].close()
+        self._pools.move_to_end(address)
+        return pool
+
+    def _new_pool(self, address: str, size: int) -> urllib3.HTTPConnectionPool:
+        host, _, port = address.rpartition(":")
+        return urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=size, block=False, socket_options=_SOCKET_OPTIONS
+        )
--- a/packages/arbutustally/src/arbutustally/bookings.py
+++ b/packages/arbutustally/src/arbutustally/bookings.py
@@ -25,6 +25,9 @@
 #: Time after which a caller may ask again for the outcome of a booking in progress.
 OUTCOME_RETRY_S = 2.0
 
+#: Content type in the record of an answer that was too large to keep.
+BODY_DROPPED = "application/x-arbutustally-not-kept"
+
 _UUID_VERSION = 7
 _TIME_SHIFT_BITS = 80
 
@@ -113,12 +116,18 @@
         )
     if entry.outcome.ran == Ran.NOT_RUN:
         return Decision(Step.CLAIM)
-    if entry.outcome.ran == Ran.MAY_HAVE_RUN:
+    if entry.outcome.ran == Ran.MAY_HAVE_RUN and not entry.outcome.status:
         raise OutcomeUnknownError(
             "the answer of the endpoint was lost; the booking is never repeated, so find out "
             "at the service whether it exists",
             ran=Ran.MAY_HAVE_RUN,
         )
+    if entry.outcome.content_type == BODY_DROPPED:
+        raise OutcomeUnknownError(
+            f"the booking ran, but its answer exceeded {MAX_OUTCOME_BYTES} bytes and was not kept; "
+            "ask the service for it",
+            ran=Ran.RAN,
+        )
     return Decision(Step.ANSWER, entry.outcome)
 
 
@@ -135,11 +144,17 @@
     return Outcome(key, str(Ran.MAY_HAVE_RUN), claim=claim)
 
 
-def answered(key: str, claim: int, status: int, content_type: str, body: bytes) -> Outcome:
-    """Returns the outcome of an answered dispatch; a body over ``MAX_OUTCOME_BYTES`` is left out."""
-    kept = body if len(body) <= MAX_OUTCOME_BYTES else b""
-    text = base64.b64encode(kept).decode()
-    return Outcome(key, str(Ran.RAN), status, content_type, text, claim=claim)
+def answered(
+    key: str, claim: int, ran: Ran, status: int, content_type: str, body: bytes
+) -> Outcome:
+    """Returns the outcome of an answered dispatch.
+
+    A body over ``MAX_OUTCOME_BYTES`` is left out, and the content type then says so.
+    """
+    if len(body) > MAX_OUTCOME_BYTES:
+        return Outcome(key, str(ran), status, BODY_DROPPED, claim=claim)
+    text = base64.b64encode(body).decode()
+    return Outcome(key, str(ran), status, content_type, text, claim=claim)
 
 
 def outcome_body(outcome: Outcome) -> bytes:
--- a/packages/arbutustally/src/arbutustally/engine_client.py
+++ b/packages/arbutustally/src/arbutustally/engine_client.py
@@ -287,6 +287,22 @@
     )
 
 
+def is_refused(error: Exception) -> bool:
+    """Returns whether the endpoint's system refused the connection: no process listens there."""
+    cause = error.__cause__
+    return isinstance(cause, urllib3.exceptions.NewConnectionError) and isinstance(
+        cause.__cause__, ConnectionRefusedError
+    )
+
+
+def parse_json(data: bytes) -> Any:
+    """Returns the decoded JSON, or ``None`` if it is malformed."""
+    try:
+        return orjson.loads(data)
+    except orjson.JSONDecodeError:
+        return None
+
+
 def _malformed(what: str) -> EndpointFailedError:
     return EndpointFailedError(f"the engine's {what} is malformed; check the engine's version")
 
