--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/breaker.py
@@ -0,0 +1,162 @@
+"""Circuit breaker: stops a version whose answers are worse than those of the old version."""
+
+from dataclasses import dataclass
+
+from arbutustally.evidence import (
+    MIN_BASE_SAMPLES,
+    Evidence,
+    EvidenceKey,
+    Latencies,
+    Sample,
+    Tally,
+    tail_probability,
+)
+
+#: Failure share that is accepted whatever the old version shows.
+TOLERATED_FAILURES = 0.02
+#: Probability under which bad answers are not taken as chance. The test is repeated for every
+#: answer on every node, so the value is far below the wanted rate of false trips; three failures
+#: in three answers, or four slow answers in four, are below it.
+TRIP_PROBABILITY = 1e-5
+#: A slow answer takes this many times the old version's 95th percentile.
+SLOW_FACTOR = 1.5
+#: Share of slow answers that is accepted whatever the old version shows.
+TOLERATED_SLOW = 0.05
+#: Answers of the new version that are compared; few, so that a late fault shows at once.
+RECENT = 40
+
+
+@dataclass(frozen=True)
+class Trip:
+    """Why a version must not be used.
+
+    :ivar reason: ``failures``, ``slow_first_token`` or ``slow_tokens``.
+    :ivar bad: bad answers among ``answers``.
+    :ivar answers: answers compared.
+    :ivar accepted: share of bad answers that the old version shows or that is tolerated.
+    """
+
+    key: EvidenceKey
+    reason: str
+    bad: int
+    answers: int
+    accepted: float
+
+    def describe(self) -> str:
+        """Returns a sentence for ``explain`` and the log."""
+        return (
+            f"version {self.key.version} of {self.key.model}: {self.reason} in {self.bad} of "
+            f"{self.answers} answers on route {self.key.route}, class {self.key.class_name}; "
+            f"accepted share is {self.accepted:.3f}"
+        )
+
+
+@dataclass(frozen=True)
+class _Judged:
+    """A sample with its comparison; ``None`` where it could not be compared."""
+
+    ok: bool
+    slow: bool | None
+    slow_gap: bool | None
+
+
+class _Trial:
+    """Answers of a version on one class and route."""
+
+    def __init__(self) -> None:
+        self.evidence = Evidence()
+        self.judged: list[_Judged] = []
+        self.tally = Tally()
+
+    def add(self, sample: Sample, old: Evidence | None) -> None:
+        self.evidence.add(sample)
+        slow = _is_slow(sample.first_token_s, old.first_token if old else None)
+        slow_gap = _is_slow(sample.gap_s, old.gap if old else None)
+        self.judged = [*self.judged[1 - RECENT :], _Judged(sample.ok, slow, slow_gap)]
+        self.tally = self.tally.plus(_count(self.judged[-1:]))
+
+
+def _is_slow(seconds: float | None, base: Latencies | None) -> bool | None:
+    if seconds is None or base is None or len(base) < MIN_BASE_SAMPLES:
+        return None
+    return seconds > base.quantile(0.95) * SLOW_FACTOR
+
+
+def _count(judged: list[_Judged]) -> Tally:
+    return Tally(
+        len(judged),
+        sum(not entry.ok for entry in judged),
+        sum(entry.slow is not None for entry in judged),
+        sum(entry.slow is True for entry in judged),
+        sum(entry.slow_gap is not None for entry in judged),
+        sum(entry.slow_gap is True for entry in judged),
+    )
+
+
+def judge_tally(key: EvidenceKey, tally: Tally, old_failure_share: float) -> Trip | None:
+    """Decides whether counts are too bad to be chance.
+
+    :param old_failure_share: failures of the old version on the same class and route.
+    """
+    accepted = max(old_failure_share, TOLERATED_FAILURES)
+    for reason, bad, answers, share in (
+        ("failures", tally.failures, tally.answers, accepted),
+        ("slow_first_token", tally.slow, tally.timed, TOLERATED_SLOW),
+        ("slow_tokens", tally.slow_gaps, tally.gapped, TOLERATED_SLOW),
+    ):
+        if bad and tail_probability(bad, answers, share) < TRIP_PROBABILITY:
+            return Trip(key, reason, bad, answers, share)
+    return None
+
+
+class Breaker:
+    """Compares the versions of models on the evidence of one node.
+
+    A tripped version stays tripped until ``reset``.
+    """
+
+    def __init__(self) -> None:
+        self._trials: dict[EvidenceKey, _Trial] = {}
+        self._trips: dict[tuple[str, str], Trip] = {}
+
+    def observe(self, key: EvidenceKey, sample: Sample, previous: str = "") -> Trip | None:
+        """Adds an answer and compares with the old version.
+
+        :param previous: the old version; empty if the version is not on trial.
+        :returns: the trip, if this answer caused it.
+        """
+        trial = self._trials.setdefault(key, _Trial())
+        on_trial = bool(previous) and previous != key.version
+        old = self._old(key, previous) if on_trial else None
+        trial.add(sample, old)
+        if not on_trial or self.tripped(key.model, key.version):
+            return None
+        trip = judge_tally(key, _count(trial.judged), old.failure_share if old else 0.0)
+        if trip is not None:
+            self.trip(trip)
+        return trip
+
+    def trip(self, trip: Trip) -> None:
+        """Stops the version, on own evidence or on a peer's word."""
+        self._trips.setdefault((trip.key.model, trip.key.version), trip)
+
+    def tripped(self, model: str, version: str) -> Trip | None:
+        """Returns why the version must not be used, or ``None``."""
+        return self._trips.get((model, version))
+
+    def reset(self, model: str, version: str) -> None:
+        """Forgets evidence and trip of a version, for a new attempt."""
+        self._trips.pop((model, version), None)
+        for key in self._keys(model, version):
+            del self._trials[key]
+
+    def tallies(self, model: str, version: str) -> dict[EvidenceKey, Tally]:
+        """Returns the counts of a version by class and route."""
+        return {key: self._trials[key].tally for key in self._keys(model, version)}
+
+    def _keys(self, model: str, version: str) -> list[EvidenceKey]:
+        return [key for key in self._trials if (key.model, key.version) == (model, version)]
+
+    def _old(self, key: EvidenceKey, previous: str) -> Evidence | None:
+        trial = self._trials.get(EvidenceKey(key.model, previous, key.class_name, key.route))
+        return trial.evidence if trial else None
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/endpoint_load.py
@@ -0,0 +1,88 @@
+"""Load of endpoints as one node sees it: own dispatches since the last report, learned speed."""
+
+from dataclasses import dataclass, field
+from itertools import count
+
+#: Prefill speed of an endpoint that has not been observed, in tokens/s.
+DEFAULT_PREFILL_TOKENS_PER_S = 8000.0
+#: Weight of the past in the learned speed after each observation.
+SPEED_MEMORY = 0.95
+#: Share of the default speed kept as a prior, in seconds of observed work.
+SPEED_PRIOR_S = 1.0
+#: Observations of less work than this say more about latency than about speed, in tokens.
+MIN_SPEED_TOKENS = 256
+#: Own dispatches older than this are taken as reported or lost, in seconds.
+MAX_DISPATCH_AGE_S = 30.0
+
+
+@dataclass(frozen=True)
+class Dispatch:
+    """A request that this node sent and that no answer or report has covered yet.
+
+    :ivar at: when it was sent.
+    :ivar tokens: tokens expected to be computed before its first token.
+    :ivar ahead: tokens expected to be queued before it.
+    """
+
+    at: float
+    tokens: float
+    ahead: float
+
+
+@dataclass
+class _Speed:
+    tokens: float
+    seconds: float
+
+
+@dataclass
+class EndpointLoad:
+    """Own dispatches and learned prefill speeds, by endpoint.
+
+    :param default_speed: tokens/s of an endpoint without observations.
+    """
+
+    default_speed: float = DEFAULT_PREFILL_TOKENS_PER_S
+    _open: dict[str, dict[int, Dispatch]] = field(default_factory=dict)
+    _speeds: dict[str, _Speed] = field(default_factory=dict)
+    _numbers: count = field(default_factory=lambda: count(1))
+
+    def speed(self, endpoint: str) -> float:
+        """Returns the learned prefill speed in tokens/s."""
+        speed = self._speeds.get(endpoint)
+        return speed.tokens / speed.seconds if speed else self.default_speed
+
+    def pending_tokens(self, endpoint: str, since: float) -> float:
+        """Returns the tokens of own dispatches after ``since`` that have no first token yet."""
+        dispatches = self._open.get(endpoint)
+        if not dispatches:
+            return 0.0
+        return sum(entry.tokens for entry in dispatches.values() if entry.at > since)
+
+    def dispatched(self, endpoint: str, tokens: float, ahead: float, now: float) -> int:
+        """Notes a dispatch and returns its number."""
+        dispatches = self._open.setdefault(endpoint, {})
+        for number, entry in list(dispatches.items()):
+            if now - entry.at <= MAX_DISPATCH_AGE_S:
+                break
+            del dispatches[number]
+        number = next(self._numbers)
+        dispatches[number] = Dispatch(now, tokens, ahead)
+        return number
+
+    def answered(self, endpoint: str, number: int) -> Dispatch | None:
+        """Ends a dispatch and returns it; ``None`` if it is unknown or has ended."""
+        return self._open.get(endpoint, {}).pop(number, None)
+
+    def learn_speed(self, endpoint: str, tokens: float, seconds: float) -> None:
+        """Takes one observation of ``tokens`` computed in ``seconds``."""
+        if tokens < MIN_SPEED_TOKENS or seconds <= 0:
+            return
+        prior = _Speed(self.default_speed * SPEED_PRIOR_S, SPEED_PRIOR_S)
+        speed = self._speeds.setdefault(endpoint, prior)
+        speed.tokens = speed.tokens * SPEED_MEMORY + tokens
+        speed.seconds = speed.seconds * SPEED_MEMORY + seconds
+
+    def forget(self, endpoint: str) -> None:
+        """Drops the open dispatches of an endpoint that crashed."""
+        self._open.pop(endpoint, None)
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/fairness.py
@@ -0,0 +1,317 @@
+"""Weighted fair queue on tokens between the accounts of a class, in front of a pool.
+
+Start-time fair queueing: each ticket has a start tag, the later of the virtual time and the finish
+tag of the account's previous ticket; the lowest start tag is served first. The queue works on a
+clock and never waits; ``arbutustally_node.admission`` adds the waiting.
+"""
+
+import math
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from typing import Protocol
+
+from arbutustally.clock import Clock
+from arbutustally.errors import OverloadedError
+from arbutustally.metrics import declare
+
+SHED = declare(
+    "refused.overloaded",
+    "a request was shed before work began; add endpoints or lower the load of the class",
+)
+
+#: Share of a first-token target that may pass in the queue; the rest is left for the prefill.
+QUEUE_SHARE_OF_TARGET = 0.5
+#: Queueing time accepted by a class with a recompute target, in seconds.
+RECOMPUTE_QUEUE_S = 2.0
+#: Engine priority of a class with a recompute target; lower runs first, and first-token targets
+#: are their own number of milliseconds.
+RECOMPUTE_PRIORITY = 60_000
+#: Seconds of work that a pool may have in flight: enough to keep engines busy, little enough that
+#: the order is still decided here rather than in the engines' queues.
+IN_FLIGHT_S = 1.0
+
+
+class Target(Protocol):
+    """The target of a class of work; exactly one of the two is set."""
+
+    first_token_ms: float | None
+    recompute_percent: float | None
+
+
+@dataclass(frozen=True)
+class QueueLimits:
+    """Bounds of a queue, derived from the class target and the speed of the pool.
+
+    :ivar in_flight_tokens: tokens admitted and not yet started by an engine.
+    :ivar queued_tokens: tokens waiting.
+    :ivar tokens_per_s: prefill speed of the pool.
+    :ivar wait_s: longest wait.
+    :ivar priority: engine priority, lower first.
+    """
+
+    in_flight_tokens: float
+    queued_tokens: float
+    tokens_per_s: float
+    wait_s: float
+    priority: int
+
+    @classmethod
+    def from_config(cls, target: Target, endpoints: int, tokens_per_s: float) -> "QueueLimits":
+        """Derives the bounds.
+
+        :param endpoints: live endpoints of the pool.
+        :param tokens_per_s: prefill speed of one endpoint.
+        """
+        speed = max(endpoints, 1) * tokens_per_s
+        wait = wait_of(target)
+        return cls(speed * IN_FLIGHT_S, speed * wait, speed, wait, priority_of(target))
+
+    def beside(self, others: float, nodes: int) -> "QueueLimits":
+        """Returns the bounds of one node of several that share the pool.
+
+        The node may use what the others leave of the bound, and always its even part of it, so
+        that the queue at the engines stays short and no node is shut out.
+
+        :param others: tokens queued at the engines by other nodes.
+        :param nodes: live nodes.
+        """
+        left = self.in_flight_tokens - others
+        own_part = self.in_flight_tokens / max(nodes, 1)
+        return replace(self, in_flight_tokens=max(left, own_part))
+
+    def explain(self) -> str:
+        """Returns the derivation in words."""
+        return (
+            f"the class target allows {self.wait_s:g} s in the queue; at "
+            f"{self.tokens_per_s:g} tokens/s that is {self.queued_tokens:g} tokens"
+        )
+
+
+def wait_of(target: Target) -> float:
+    """Returns the longest wait in the queue that a class target allows, in seconds."""
+    if target.first_token_ms is None:
+        return RECOMPUTE_QUEUE_S
+    return target.first_token_ms / 1000 * QUEUE_SHARE_OF_TARGET
+
+
+def priority_of(target: Target) -> int:
+    """Returns the engine priority of a class; lower runs first."""
+    if target.first_token_ms is None:
+        return RECOMPUTE_PRIORITY
+    return min(round(target.first_token_ms), RECOMPUTE_PRIORITY - 1)
+
+
+class TicketState(StrEnum):
+    """Life of a ticket."""
+
+    WAITING = "waiting"
+    ADMITTED = "admitted"
+    SHED = "shed"
+    RELEASED = "released"
+
+
+class Ticket:
+    """One request in the queue.
+
+    :param deadline: latest admission in monotonic seconds.
+    :param on_change: called once when the ticket is admitted or shed after having waited.
+    """
+
+    def __init__(
+        self,
+        account: str,
+        tokens: float,
+        deadline: float,
+        on_change: Callable[[], None] | None = None,
+    ) -> None:
+        self.account = account
+        self.tokens = tokens
+        self.deadline = deadline
+        self.state = TicketState.WAITING
+        self.start_tag = 0.0
+        self.reason = ""
+        self._on_change = on_change
+
+    def settle(self, state: TicketState, reason: str = "") -> None:
+        """Moves the ticket to a new state and tells its waiter."""
+        self.state = state
+        self.reason = reason
+        if self._on_change is not None:
+            self._on_change()
+
+
+class _Flow:
+    """Tickets of one account."""
+
+    def __init__(self) -> None:
+        self.waiting: deque[Ticket] = deque()
+        self.queued_tokens = 0.0
+        self.finish_tag = 0.0
+        self.in_flight = 0.0
+
+
+class FairQueue:
+    """Queue of one class in front of one pool.
+
+    :param clock: monotonic seconds.
+    :param limits: see ``QueueLimits``.
+    :param weights: account to weight, in practice its declared rate; unknown accounts weigh 1.
+    """
+
+    def __init__(
+        self, clock: Clock, limits: QueueLimits, weights: Mapping[str, float] | None = None
+    ) -> None:
+        self._clock = clock
+        self._limits = limits
+        self._weights = dict(weights or {})
+        self._flows: dict[str, _Flow] = {}
+        self._virtual = 0.0
+        self._in_flight = 0.0
+        self._queued = 0.0
+
+    @property
+    def in_flight(self) -> float:
+        """Returns the admitted tokens that were not released."""
+        return self._in_flight
+
+    @property
+    def queued(self) -> float:
+        """Returns the waiting tokens."""
+        return self._queued
+
+    @property
+    def limits(self) -> QueueLimits:
+        """Returns the bounds in force."""
+        return self._limits
+
+    def configure(self, limits: QueueLimits, weights: Mapping[str, float]) -> None:
+        """Takes new bounds and weights; tickets keep their place."""
+        self._limits = limits
+        self._weights = dict(weights)
+        self._admit()
+
+    def submit(
+        self,
+        account: str,
+        tokens: float,
+        deadline: float,
+        on_change: Callable[[], None] | None = None,
+    ) -> Ticket:
+        """Enters a request; the ticket may be admitted at once.
+
+        :param tokens: tokens to compute, at least 1.
+        :param deadline: latest admission in monotonic seconds.
+        :raises OverloadedError: if the queue is full and this account exceeds its fair share most.
+        """
+        self.expire()
+        ticket = Ticket(account, max(tokens, 1.0), deadline, on_change)
+        flow = self._flows.setdefault(account, _Flow())
+        ticket.start_tag = max(self._virtual, flow.finish_tag)
+        flow.finish_tag = ticket.start_tag + ticket.tokens / self._weight(account)
+        flow.waiting.append(ticket)
+        flow.queued_tokens += ticket.tokens
+        self._queued += ticket.tokens
+        self._admit()
+        while self._queued > self._limits.queued_tokens and self._queued > ticket.tokens:
+            self._shed_newest(self._most_over_share())
+        if ticket.state is TicketState.SHED:
+            self._drop_idle(account)
+            raise self.refusal(ticket)
+        return ticket
+
+    def release(self, ticket: Ticket) -> None:
+        """Ends a ticket: its work has started at an engine, failed, or is no longer wanted."""
+        if ticket.state is TicketState.ADMITTED:
+            flow = self._flows[ticket.account]
+            flow.in_flight -= ticket.tokens
+            self._in_flight -= ticket.tokens
+        elif ticket.state is TicketState.WAITING:
+            self._remove(ticket)
+        else:
+            return
+        ticket.state = TicketState.RELEASED
+        self._drop_idle(ticket.account)
+        self._admit()
+
+    def expire(self) -> None:
+        """Sheds the tickets whose deadline has passed."""
+        now = self._clock()
+        late = [
+            ticket
+            for flow in self._flows.values()
+            for ticket in flow.waiting
+            if ticket.deadline <= now
+        ]
+        for ticket in late:
+            self._remove(ticket)
+            ticket.settle(TicketState.SHED, "it waited as long as its class allows")
+            self._drop_idle(ticket.account)
+
+    def refusal(self, ticket: Ticket) -> OverloadedError:
+        """Returns the error for a shed ticket."""
+        backlog = self._queued + self._in_flight
+        retry_after = max(backlog / self._limits.tokens_per_s, 0.1)
+        return OverloadedError(
+            f"shed before work began: {ticket.reason}; retry after {retry_after:.1f} s",
+            retry_after_s=round(retry_after, 1),
+        )
+
+    def _weight(self, account: str) -> float:
+        weight = self._weights.get(account, 1.0)
+        return weight if weight > 0 and math.isfinite(weight) else 1.0
+
+    def _admit(self) -> None:
+        while self._queued > 0:
+            waiting = [flow for flow in self._flows.values() if flow.waiting]
+            if not waiting:
+                return
+            flow = min(waiting, key=lambda entry: entry.waiting[0].start_tag)
+            ticket = flow.waiting[0]
+            # A request above the bound runs alone, otherwise it would wait for ever.
+            if self._in_flight > 0 and (
+                self._in_flight + ticket.tokens > self._limits.in_flight_tokens
+            ):
+                return
+            self._remove(ticket)
+            flow.in_flight += ticket.tokens
+            self._in_flight += ticket.tokens
+            self._virtual = max(self._virtual, ticket.start_tag)
+            ticket.settle(TicketState.ADMITTED)
+
+    def _most_over_share(self) -> str:
+        """Returns the waiting account with the most tokens for its weight."""
+        return max(
+            (account for account, flow in self._flows.items() if flow.waiting),
+            key=lambda account: (
+                (self._flows[account].queued_tokens + self._flows[account].in_flight)
+                / self._weight(account)
+            ),
+        )
+
+    def _shed_newest(self, account: str) -> None:
+        flow = self._flows[account]
+        ticket = flow.waiting[-1]
+        self._remove(ticket)
+        # The work is not done, so the account's next request does not pay for it.
+        flow.finish_tag = ticket.start_tag
+        ticket.settle(
+            TicketState.SHED, "the queue is full and this account exceeds its fair share most"
+        )
+        self._drop_idle(account)
+
+    def _remove(self, ticket: Ticket) -> None:
+        flow = self._flows[ticket.account]
+        flow.waiting.remove(ticket)
+        flow.queued_tokens -= ticket.tokens
+        self._queued -= ticket.tokens
+        if not flow.waiting:
+            flow.queued_tokens = 0.0
+
+    def _drop_idle(self, account: str) -> None:
+        flow = self._flows.get(account)
+        if flow is None or flow.waiting or flow.in_flight > 0:
+            return
+        if flow.finish_tag <= self._virtual:
+            del self._flows[account]
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/rendezvous.py
@@ -0,0 +1,22 @@
+"""Rendezvous hashing: every node derives the same order of endpoints without shared state."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+_SEPARATOR = b"\xff"
+
+
+def score(key: bytes, name: str) -> int:
+    """Returns the weight of ``name`` for ``key``; the highest comes first."""
+    digest = blake2b(key + _SEPARATOR + name.encode(), digest_size=8)
+    return int.from_bytes(digest.digest(), "big")
+
+
+def order(key: bytes, names: Iterable[str]) -> list[str]:
+    """Returns the names in rendezvous order; removing one leaves the order of the others."""
+    return sorted(names, key=lambda name: score(key, name), reverse=True)
+
+
+def unit(key: bytes, name: str) -> float:
+    """Returns a uniform hash of the pair in [0, 1)."""
+    return score(key, name) / 2.0**64
