--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -0,0 +1,460 @@
+"""Service ``peers``: links to other nodes, calls, and broadcasts once a second."""
+
+import logging
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+
+import gevent
+from gevent.event import Event as Signal
+from websockets.exceptions import WebSocketException
+from websockets.sync.client import connect
+from websockets.sync.connection import Connection
+from websockets.sync.server import Server, serve
+
+from arbutustally.clock import Clock, monotonic
+from arbutustally.errors import PeerRejectedError, PeerUnavailableError, Ran
+from arbutustally.logs import get_logger
+from arbutustally.metrics import Metrics, declare
+from arbutustally.peer_protocol import Event, Events, Handshake, Identity, encode
+from arbutustally.topology import FULL_MESH_NODES, Plan, dials, plan
+from arbutustally_node.kernel import Kernel
+from arbutustally_node.options import Options, split_address
+from arbutustally_node.peer_link import (
+    HANDSHAKE_TIMEOUT_S,
+    OPENING_MAX_SIZE,
+    Handler,
+    PeerLink,
+    dial_handshake,
+    listen_handshake,
+)
+
+#: Interval in which broadcasts of other groups are passed on in one frame, seconds.
+FORWARD_INTERVAL_S = 0.25
+#: A node from which nothing was heard for this long, directly or passed on, is not connected.
+HEARD_S = 5.0
+BACKOFF_MIN_S = 0.1
+BACKOFF_MAX_S = 5.0
+#: A direct link for calls is closed after this long without a call, seconds.
+IDLE_LINK_S = 60.0
+#: Origins whose broadcast serials are remembered.
+MAX_ORIGINS = 4096
+#: Serials remembered for each origin, enough for the events of the slower of two paths.
+WINDOW = 64
+#: The node with the larger id dials only if the other has not linked after this time, seconds.
+DIAL_GRACE_S = 3.0
+#: Connections that may be unauthenticated at the same time.
+MAX_HANDSHAKES = 64
+REPLAN_INTERVAL_S = 1.0
+
+PEER_REJECTED = declare(
+    "refused.peer_rejected",
+    "Peer links closed for failed authentication or broken frames; check the peer secrets.",
+)
+PEER_UNAVAILABLE = declare(
+    "refused.peer_unavailable",
+    "Calls to peers that failed for want of a link or an answer; check the network.",
+)
+PEER_REDIALLED = declare(
+    "retried.peer_link", "Attempts to open a peer link again after a failure; check the peer."
+)
+
+_log = get_logger("peers")
+# The library logs whole tracebacks for every stray connection; this module logs typed errors.
+_library_log = logging.getLogger("arbutustally.peers.websockets")
+_library_log.addHandler(logging.NullHandler())
+_library_log.propagate = False
+_WEBSOCKET_OPTIONS: dict[str, Any] = {
+    "close_timeout": 1.0,
+    "ping_interval": None,
+    "compression": None,
+    "max_size": OPENING_MAX_SIZE,
+    "logger": _library_log,
+}
+
+
+class PeersService:
+    """Keeps the links that the topology wants.
+
+    :param addresses: returns the peer address of each known node by id.
+    """
+
+    def __init__(
+        self,
+        options: Options,
+        metrics: Metrics,
+        addresses: Callable[[], dict[str, str]],
+        clock: Clock = monotonic,
+        mesh_up_to: int = FULL_MESH_NODES,
+    ) -> None:
+        self._options = options
+        self._metrics = metrics
+        self._addresses = addresses
+        self._clock = clock
+        self._mesh_up_to = mesh_up_to
+        self._random = random.Random()
+        self._handlers: dict[str, Handler] = {}
+        self._subscribers: dict[str, list[Callable[[str, Any], None]]] = {}
+        self._links: dict[str, PeerLink] = {}
+        self._serials = count()
+        self._seen: OrderedDict[str, SerialWindow] = OrderedDict()
+        self._heard: dict[str, float] = {}
+        self._forward: list[Event] = []
+        self._plan = Plan(())
+        self._wanted: set[str] = set()
+        self._known_since: dict[str, float] = {}
+        self._linked = Signal()
+        self._tenders: dict[str, gevent.Greenlet] = {}
+        self._far_attempts: dict[str, int] = {}
+        self._direct_used: dict[str, float] = {}
+        self._handshakes = 0
+        self._server: Server | None = None
+        self._loops: list[gevent.Greenlet] = []
+        self._stopping = Signal()
+
+    @classmethod
+    def from_config(cls, kernel: Kernel, options: Options) -> "PeersService":
+        """Builds the service; node addresses come from ``membership`` at run time."""
+        return cls(
+            options,
+            kernel.lookup("metrics"),
+            lambda: kernel.lookup("membership").peer_addresses(),
+        )
+
+    @property
+    def address(self) -> str:
+        """Returns the address of the peer listener, ``host:port``; valid after ``start``."""
+        if self._server is None:
+            return self._options.peer_listen
+        host, port = self._server.socket.getsockname()[:2]
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Opens the listener and begins to dial."""
+        host, port = split_address(self._options.peer_listen)
+        self._server = serve(
+            self._accept, host, port, open_timeout=HANDSHAKE_TIMEOUT_S, **_WEBSOCKET_OPTIONS
+        )
+        self._loops = [
+            gevent.spawn(self._server.serve_forever),
+            gevent.spawn(self._replan_forever),
+            gevent.spawn(self._forward_forever),
+        ]
+
+    def stop(self) -> None:
+        """Closes the listener and all links."""
+        self._stopping.set()
+        if self._server is not None:
+            self._server.shutdown()
+        gevent.killall([*self._loops, *self._tenders.values()], timeout=1)
+        for link in list(self._links.values()):
+            link.close()
+
+    def handle(self, method: str, function: Handler) -> None:
+        """Answers calls of a method with ``function(node_id, payload)``; it may raise
+        ``RouterError``, which reaches the calling node with its code."""
+        self._handlers[method] = function
+
+    def subscribe(self, topic: str, function: Callable[[str, Any], None]) -> None:
+        """Calls ``function(node_id, payload)`` for each broadcast of a topic.
+
+        :param function: must not block; the node id is that of the origin.
+        """
+        self._subscribers.setdefault(topic, []).append(function)
+
+    def connected(self) -> list[str]:
+        """Returns the nodes with a link or heard through others within ``HEARD_S``."""
+        since = self._clock() - HEARD_S
+        heard = {node_id for node_id, instant in self._heard.items() if instant >= since}
+        return sorted(heard | set(self._links))
+
+    def broadcast(self, topic: str, payload: Any) -> None:
+        """Sends a message to all nodes that can be reached; best effort, at most once each.
+
+        :raises PeerRejectedError: if the message is larger than a frame.
+        """
+        event = Event(
+            self._options.node_id, self._options.incarnation, next(self._serials), topic, payload
+        )
+        data = encode(Events((event,)))
+        for link in self._broadcast_links():
+            link.post(data)
+
+    def call(self, node_id: str, method: str, payload: Any, timeout_s: float) -> Any:
+        """Calls a method of a node, over a direct link that is opened if there is none.
+
+        :raises PeerUnavailableError: if the node is not reached or does not answer in time.
+        :raises RouterError: the typed error of the node's handler.
+        """
+        if node_id == self._options.node_id:
+            return self._handlers[method](node_id, payload)
+        deadline = self._clock() + timeout_s
+        try:
+            link = self._links.get(node_id) or self._open_direct(node_id, deadline)
+            self._direct_used[node_id] = self._clock()
+            return link.call(method, payload, max(deadline - self._clock(), 0.001))
+        except PeerUnavailableError:
+            self._metrics.count(PEER_UNAVAILABLE)
+            raise
+
+    def stats(self) -> dict[str, float]:
+        """Returns figures of the links for the status report."""
+        return {
+            "links": len(self._links),
+            "sent_bytes": sum(link.sent_bytes for link in self._links.values()),
+            "sent_frames": sum(link.sent_frames for link in self._links.values()),
+        }
+
+    # Links
+
+    def _accept(self, connection: Connection) -> None:
+        if self._handshakes >= MAX_HANDSHAKES:
+            return
+        self._handshakes += 1
+        try:
+            peer, channel = listen_handshake(connection, self._handshake())
+        except PeerRejectedError as error:
+            self._reject(error, "unknown")
+            return
+        except (WebSocketException, OSError):
+            return
+        finally:
+            self._handshakes -= 1
+        self._run(PeerLink(connection, peer, channel, self._handlers, self._on_events), peer)
+
+    def _dial(self, node_id: str, address: str) -> None:
+        """Opens a link and serves it until it ends.
+
+        :raises PeerRejectedError: if the other end is not that node.
+        :raises OSError: if the connection fails.
+        """
+        connection = connect(
+            f"ws://{address}/", open_timeout=HANDSHAKE_TIMEOUT_S, proxy=None, **_WEBSOCKET_OPTIONS
+        )
+        try:
+            peer, channel = dial_handshake(connection, self._handshake(), node_id)
+        except (PeerRejectedError, WebSocketException, OSError):
+            connection.close()
+            raise
+        own = Identity(self._options.node_id, self._options.incarnation)
+        self._run(PeerLink(connection, peer, channel, self._handlers, self._on_events), own)
+
+    def _handshake(self) -> Handshake:
+        options = self._options
+        return Handshake.from_config(
+            options.node_id, options.incarnation, options.peer_secret, options.peer_secret_previous
+        )
+
+    def _run(self, link: PeerLink, dialler: Identity) -> None:
+        node_id = link.peer.node_id
+        link.dialler = dialler.node_id
+        if not self._adopt(link):
+            link.close()
+            return
+        _log.debug("peer link up", peer=node_id, dialler=dialler.node_id)
+        try:
+            link.run()
+        except PeerRejectedError as error:
+            self._reject(error, node_id)
+        finally:
+            if self._links.get(node_id) is link:
+                del self._links[node_id]
+            _log.debug("peer link down", peer=node_id)
+
+    def _adopt(self, link: PeerLink) -> bool:
+        """Makes a link the one to its peer; of two that cross, both ends keep the same one."""
+        node_id = link.peer.node_id
+        existing = self._links.get(node_id)
+        if existing is not None and not existing.closed:
+            first = min(node_id, self._options.node_id)
+            same_process = existing.peer == link.peer
+            if same_process and existing.dialler == first and link.dialler != first:
+                return False
+            existing.close()
+        self._links[node_id] = link
+        self._heard[node_id] = self._clock()
+        self._linked.set()
+        self._linked.clear()
+        return True
+
+    def _reject(self, error: PeerRejectedError, node_id: str) -> None:
+        self._metrics.count(PEER_REJECTED)
+        _log.warning("peer rejected", peer=node_id, reason=error.message)
+
+    def _open_direct(self, node_id: str, deadline: float) -> PeerLink:
+        address = self._addresses().get(node_id)
+        if address is None:
+            raise PeerUnavailableError(
+                f"node {node_id} is not in the instance list; retry when it is listed",
+                retry_after_s=1.0,
+            )
+        self._direct_used[node_id] = self._clock()
+        self._tend(node_id)
+        while node_id not in self._links:
+            remaining = deadline - self._clock()
+            if remaining <= 0:
+                raise PeerUnavailableError(
+                    f"no link to node {node_id} in time; retry or use another node",
+                    ran=Ran.NOT_RUN,
+                    retry_after_s=1.0,
+                )
+            self._linked.wait(remaining)
+        return self._links[node_id]
+
+    # Topology
+
+    def _replan_forever(self) -> None:
+        while not self._stopping.is_set():
+            self._replan()
+            self._stopping.wait(REPLAN_INTERVAL_S * self._random.uniform(0.8, 1.2))
+
+    def _replan(self) -> None:
+        known = self._addresses()
+        now = self._clock()
+        self._plan = plan(self._options.node_id, known, self._mesh_up_to)
+        wanted = set(self._plan.near)
+        for group in self._plan.far:
+            wanted.add(self._far_choice(group))
+        wanted.update(
+            node_id for node_id, used in self._direct_used.items() if used > now - IDLE_LINK_S
+        )
+        self._wanted = wanted
+        self._known_since = {node_id: self._known_since.get(node_id, now) for node_id in known}
+        for node_id in wanted:
+            waited = now - self._known_since.get(node_id, now)
+            if dials(self._options.node_id, node_id) or waited > DIAL_GRACE_S:
+                self._tend(node_id)
+        self._close_unwanted()
+
+    def _far_choice(self, group: tuple[str, ...]) -> str:
+        for node_id in group:
+            if node_id in self._links:
+                return node_id
+        return group[self._far_attempts.get(group[0], 0) % len(group)]
+
+    def _close_unwanted(self) -> None:
+        for node_id, link in list(self._links.items()):
+            # The dialling end decides; the listening end cannot know why the link exists.
+            if link.dialler == self._options.node_id and node_id not in self._wanted:
+                link.close()
+
+    def _tend(self, node_id: str) -> None:
+        tender = self._tenders.get(node_id)
+        if tender is None or tender.dead:
+            self._tenders[node_id] = gevent.spawn(self._keep_link, node_id)
+
+    def _keep_link(self, node_id: str) -> None:
+        backoff = BACKOFF_MIN_S
+        while not self._stopping.is_set() and self._is_wanted(node_id):
+            address = self._addresses().get(node_id)
+            if address is None:
+                return
+            if node_id not in self._links:
+                began = self._clock()
+                self._try_dial(node_id, address)
+                if self._clock() - began > HEARD_S:
+                    backoff = BACKOFF_MIN_S
+                self._metrics.count(PEER_REDIALLED)
+            # Jitter spreads the dials of a fleet that lost the same node.
+            self._stopping.wait(backoff * self._random.uniform(0.5, 1.5))
+            backoff = min(backoff * 2, BACKOFF_MAX_S)
+
+    def _try_dial(self, node_id: str, address: str) -> None:
+        try:
+            self._dial(node_id, address)
+        except PeerRejectedError as error:
+            self._reject(error, node_id)
+        except (WebSocketException, OSError) as error:
+            _log.debug("peer dial failed", peer=node_id, error=type(error).__name__)
+        for group in self._plan.far:
+            if node_id in group:
+                self._far_attempts[group[0]] = self._far_attempts.get(group[0], 0) + 1
+
+    def _is_wanted(self, node_id: str) -> bool:
+        recent = self._direct_used.get(node_id, -IDLE_LINK_S) > self._clock() - IDLE_LINK_S
+        return node_id in self._wanted or recent
+
+    # Broadcasts
+
+    def _broadcast_links(self) -> list[PeerLink]:
+        chosen = [*self._plan.near]
+        for group in self._plan.far:
+            linked = next((node_id for node_id in group if node_id in self._links), None)
+            if linked is not None:
+                chosen.append(linked)
+        return [self._links[node_id] for node_id in chosen if node_id in self._links]
+
+    def _on_events(self, link: PeerLink, events: Events) -> None:
+        self._heard[link.peer.node_id] = self._clock()
+        for event in events.events:
+            if event.origin == self._options.node_id or not self._is_new(event):
+                continue
+            self._heard[event.origin] = self._clock()
+            if event.origin == link.peer.node_id and event.origin not in self._plan.near:
+                self._forward.append(event)
+            self._deliver(event)
+
+    def _is_new(self, event: Event) -> bool:
+        window = self._seen.get(event.origin)
+        if window is None or window.incarnation != event.incarnation:
+            window = self._seen[event.origin] = SerialWindow(event.incarnation)
+        self._seen.move_to_end(event.origin)
+        if len(self._seen) > MAX_ORIGINS:
+            self._seen.popitem(last=False)
+        return window.accept(event.serial)
+
+    def _deliver(self, event: Event) -> None:
+        for function in self._subscribers.get(event.topic, ()):
+            try:
+                function(event.origin, event.payload)
+            except Exception as error:  # noqa: BLE001 one subscriber must not end the link
+                _log.error("subscriber failed", topic=event.topic, error=type(error).__name__)
+
+    def _forward_forever(self) -> None:
+        while not self._stopping.is_set():
+            self._stopping.wait(FORWARD_INTERVAL_S)
+            events, self._forward = self._forward, []
+            if events:
+                self._pass_on(events)
+
+    def _pass_on(self, events: list[Event]) -> None:
+        try:
+            data = encode(Events(tuple(events)))
+        except PeerRejectedError:
+            if len(events) > 1:
+                self._pass_on(events[: len(events) // 2])
+                self._pass_on(events[len(events) // 2 :])
+            return
+        for node_id in self._plan.near:
+            link = self._links.get(node_id)
+            if link is not None:
+                link.post(data)
+
+
+class SerialWindow:
+    """Remembers which serials of one origin incarnation have arrived."""
+
+    def __init__(self, incarnation: str) -> None:
+        self._incarnation = incarnation
+        self._highest = -1
+        self._mask = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Returns the incarnation whose serials these are."""
+        return self._incarnation
+
+    def accept(self, serial: int) -> bool:
+        """Returns whether the serial is new; one too old to tell is not."""
+        if serial > self._highest:
+            self._mask = (self._mask << min(serial - self._highest, WINDOW)) | 1
+            self._mask &= (1 << WINDOW) - 1
+            self._highest = serial
+            return True
+        age = self._highest - serial
+        if age >= WINDOW or self._mask >> age & 1:
+            return False
+        self._mask |= 1 << age
+        return True
--- a/packages/arbutustally/src/arbutustally/errors.py
+++ b/packages/arbutustally/src/arbutustally/errors.py
@@ -246,3 +246,17 @@
 
     code = "stale_fence"
     status = 409
+
+
+class PeerUnavailableError(RouterError):
+    """A peer cannot be reached or did not answer a call in time."""
+
+    code = "peer_unavailable"
+    status = 503
+
+
+class InstanceListUnavailableError(RouterError):
+    """The platform's instance list did not answer with a valid list."""
+
+    code = "instance_list_unavailable"
+    status = 503
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/limits.py
@@ -0,0 +1,387 @@
+"""Account limits: the bucket of an issuer and the grants that a node holds.
+
+The bound ``tokens in any interval <= rate x interval + burst`` follows from one rule of the
+issuer: ``level + outstanding <= burst`` at every instant, where a grant stays outstanding until
+its holder has reported its use or its deadline has passed. What can be used after an instant is
+then at most the outstanding grants, the level and the refill since.
+"""
+
+import heapq
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from itertools import count
+
+from arbutustally.clock import Clock
+
+#: Largest deviation of a monotonic clock from true time: the kernel slews by at most 500 ppm.
+CLOCK_SLEW = 0.0005
+#: Clocks of two nodes may differ in rate by this fraction; a holder stops this much earlier.
+CLOCK_RATE_MARGIN = 0.01
+#: Part of an account's rate and burst that each of the recorded standing share slots has.
+SLOT_FRACTION = 0.125
+SLOTS = 2
+
+
+@dataclass(frozen=True)
+class Grant:
+    """Tokens that a node may use until a deadline.
+
+    :ivar grant_id: unique among all grants of the fleet.
+    :ivar until: deadline on the clock of the process that holds this object, seconds.
+    :ivar epoch: lease epoch of the issuer, or offset of the share slot.
+    """
+
+    grant_id: str
+    account: str
+    holder: str
+    tokens: float
+    until: float
+    epoch: int
+
+
+@dataclass
+class _Outstanding:
+    tokens: float
+    until: float
+
+
+class OwnerBudget:
+    """Token bucket of one account at an issuer, with the grants made from it.
+
+    :param rate: tokens/s.
+    :param burst: tokens.
+    :param epoch: lease epoch under which it issues.
+    """
+
+    def __init__(
+        self, rate: float, burst: float, clock: Clock, account: str, epoch: int, since: float
+    ) -> None:
+        self._clock = clock
+        self._account = account
+        self._epoch = epoch
+        self._burst = burst
+        # A clock that runs fast refills fast; the bound holds in true time.
+        self._rate = rate / (1 + CLOCK_SLEW)
+        self._level = 0.0
+        self._refreshed = since
+        self._grants: dict[str, _Outstanding] = {}
+        self._expiries: list[tuple[float, str]] = []
+        self._outstanding = 0.0
+        self._serials = count()
+
+    @classmethod
+    def from_config(
+        cls,
+        rate: float,
+        burst: float,
+        clock: Clock,
+        account: str = "",
+        epoch: int = 0,
+        since: float | None = None,
+    ) -> "OwnerBudget":
+        """Builds a bucket that was empty at ``since``, by default now.
+
+        It starts empty because the previous issuer may have granted the burst just before.
+        """
+        return cls(rate, burst, clock, account, epoch, clock() if since is None else since)
+
+    @property
+    def burst(self) -> float:
+        """Returns the bound on level and outstanding grants together, tokens."""
+        return self._burst
+
+    @property
+    def level(self) -> float:
+        """Returns the tokens that can be granted now."""
+        self._refresh()
+        return self._level
+
+    @property
+    def outstanding(self) -> float:
+        """Returns the tokens of live grants whose use is not reported."""
+        self._refresh()
+        return self._outstanding
+
+    def resize(self, rate: float, burst: float) -> None:
+        """Applies a changed rate and burst from now on; grants stay as they are."""
+        self._refresh()
+        self._rate = rate / (1 + CLOCK_SLEW)
+        self._burst = burst
+        self._level = min(self._level, self._room())
+
+    def grant(self, holder: str, tokens: float, until: float) -> Grant | None:
+        """Takes tokens out of the level.
+
+        :param until: deadline on this clock; the holder must stop no later.
+        :returns: the grant, or ``None`` if the level is too low or the deadline has passed.
+        """
+        self._refresh()
+        if tokens <= 0 or tokens > self._level or until <= self._refreshed:
+            return None
+        grant_id = f"{holder}/{self._account}/{self._epoch}/{next(self._serials)}"
+        self._level -= tokens
+        self._outstanding += tokens
+        self._grants[grant_id] = _Outstanding(tokens, until)
+        heapq.heappush(self._expiries, (until, grant_id))
+        return Grant(grant_id, self._account, holder, tokens, until, self._epoch)
+
+    def settle(self, grant_id: str, unused: float) -> None:
+        """Ends a grant; its unused tokens return to the level.
+
+        A grant that has ended already is ignored: its tokens were written off at its deadline.
+        """
+        self._refresh()
+        entry = self._grants.pop(grant_id, None)
+        if entry is None:
+            return
+        self._outstanding -= entry.tokens
+        self._level += min(max(unused, 0.0), entry.tokens)
+
+    def spent(self, grant_id: str, tokens: float) -> None:
+        """Notes that tokens of a live grant are used for good, so they no longer bind the level."""
+        self._refresh()
+        entry = self._grants.get(grant_id)
+        if entry is None:
+            return
+        tokens = min(max(tokens, 0.0), entry.tokens)
+        entry.tokens -= tokens
+        self._outstanding -= tokens
+
+    def wait_s(self, tokens: float) -> float | None:
+        """Returns seconds until the level reaches ``tokens``; ``None`` if it never does.
+
+        It counts refill and expiries only; reports of use can make it sooner.
+        """
+        self._refresh()
+        if tokens > self._burst:
+            return None
+        missing = tokens - self._level
+        if missing <= 0:
+            return 0.0
+        wait = missing / self._rate if self._rate > 0 else None
+        freed = self._room()
+        for until, grant_id in sorted(self._expiries):
+            if freed >= tokens:
+                break
+            entry = self._grants.get(grant_id)
+            if entry is not None:
+                freed += entry.tokens
+                wait = max(wait or 0.0, until - self._refreshed)
+        return wait
+
+    def _room(self) -> float:
+        return max(self._burst - self._outstanding, 0.0)
+
+    def _refresh(self) -> None:
+        now = self._clock()
+        # Refill up to each expiry under the bound that held until then: a grant may have been
+        # spent in full just before its deadline, so its room does not fill retroactively.
+        while self._expiries and self._expiries[0][0] <= now:
+            until, grant_id = heapq.heappop(self._expiries)
+            self._refill(until)
+            entry = self._grants.pop(grant_id, None)
+            if entry is not None:
+                self._outstanding -= entry.tokens
+        self._refill(now)
+        if not self._grants:
+            # Clears rounding errors of the running sum.
+            self._outstanding = 0.0
+
+    def _refill(self, instant: float) -> None:
+        if instant <= self._refreshed:
+            return
+        refilled = self._level + self._rate * (instant - self._refreshed)
+        self._level = min(refilled, self._room())
+        self._refreshed = instant
+
+
+@dataclass(frozen=True)
+class Part:
+    """Tokens of a reservation that came from one grant."""
+
+    grant_id: str
+    tokens: float
+
+
+@dataclass(frozen=True)
+class Reservation:
+    """Tokens set aside for one request.
+
+    :ivar tokens: input estimate plus the output bound.
+    """
+
+    reservation_id: int
+    account: str
+    tokens: float
+    parts: tuple[Part, ...]
+
+
+@dataclass(frozen=True)
+class Use:
+    """Report to an issuer.
+
+    :ivar spent: tokens used for good since the last report.
+    :ivar closed: the holder will use no more of the grant.
+    :ivar unused: tokens that return to the issuer when closed.
+    """
+
+    grant_id: str
+    spent: float
+    closed: bool = False
+    unused: float = 0.0
+
+
+@dataclass
+class _Held:
+    grant: Grant
+    left: float
+    reserved: float = 0.0
+    spent: float = 0.0
+    reported: float = 0.0
+
+
+class GrantPool:
+    """Grants held by this node, by account.
+
+    :param clock: clock of this node; deadlines of added grants are on it.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._held: dict[str, dict[str, _Held]] = {}
+        self._debts: dict[str, float] = {}
+        self._open: set[int] = set()
+        self._serials = count()
+
+    @classmethod
+    def from_config(cls, clock: Clock) -> "GrantPool":
+        """Builds an empty pool."""
+        return cls(clock)
+
+    def add(self, grant: Grant) -> None:
+        """Takes a grant into the pool; one whose deadline has passed is dropped."""
+        if grant.until <= self._clock():
+            return
+        held = _Held(grant, grant.tokens)
+        self._held.setdefault(grant.account, {})[grant.grant_id] = held
+        self._pay_debt(grant.account)
+
+    def available(self, account: str) -> float:
+        """Returns the tokens that can be reserved now."""
+        return sum(held.left for held in self._live(account))
+
+    def debt(self, account: str) -> float:
+        """Returns tokens used beyond their reservations and not yet paid from grants."""
+        return self._debts.get(account, 0.0)
+
+    def reserve(self, account: str, tokens: float) -> Reservation | None:
+        """Sets tokens aside, from the grants that end first; all or nothing."""
+        live = self._live(account)
+        if sum(held.left for held in live) < tokens:
+            return None
+        parts = []
+        missing = tokens
+        for held in sorted(live, key=lambda held: held.grant.until):
+            taken = min(held.left, missing)
+            if taken <= 0:
+                continue
+            held.left -= taken
+            held.reserved += taken
+            missing -= taken
+            parts.append(Part(held.grant.grant_id, taken))
+        reservation = Reservation(next(self._serials), account, tokens, tuple(parts))
+        self._open.add(reservation.reservation_id)
+        return reservation
+
+    def settle(self, reservation: Reservation, used: float) -> None:
+        """Ends a reservation with the tokens really used.
+
+        Unused tokens return only to the grant from which they came, and only while it is live:
+        after its deadline the issuer has refilled in their place. A second call for the same
+        reservation does nothing.
+        """
+        if reservation.reservation_id not in self._open:
+            return
+        self._open.remove(reservation.reservation_id)
+        grants = self._held.get(reservation.account, {})
+        live = {held.grant.grant_id for held in self._live(reservation.account)}
+        remaining = min(used, reservation.tokens)
+        for part in reservation.parts:
+            spent = min(part.tokens, remaining)
+            remaining -= spent
+            if part.grant_id not in live:
+                continue
+            held = grants[part.grant_id]
+            held.reserved -= part.tokens
+            held.spent += spent
+            held.left += part.tokens - spent
+        if used > reservation.tokens:
+            excess = used - reservation.tokens
+            self._debts[reservation.account] = self.debt(reservation.account) + excess
+            self._pay_debt(reservation.account)
+
+    def reports(self, account: str) -> list[Use]:
+        """Returns what was used since the last call; used-up grants are closed and forgotten."""
+        uses = []
+        for held in self._live(account):
+            fresh = held.spent - held.reported
+            closed = held.left <= 0 and held.reserved <= 0
+            if fresh <= 0 and not closed:
+                continue
+            held.reported = held.spent
+            if closed:
+                del self._held[account][held.grant.grant_id]
+            uses.append(Use(held.grant.grant_id, fresh, closed))
+        return uses
+
+    def close(self, account: str) -> list[Use]:
+        """Ends all grants of an account and returns the reports that free them at the issuer."""
+        uses = []
+        for held in self._live(account):
+            # Tokens of open reservations count as used: their requests have been admitted.
+            spent = held.spent - held.reported + held.reserved
+            uses.append(Use(held.grant.grant_id, spent, True, held.left))
+        self._held.pop(account, None)
+        return uses
+
+    def accounts(self) -> list[str]:
+        """Returns the accounts with grants."""
+        return list(self._held)
+
+    def _live(self, account: str) -> list[_Held]:
+        grants = self._held.get(account)
+        if not grants:
+            return []
+        now = self._clock()
+        for grant_id in [key for key, held in grants.items() if held.grant.until <= now]:
+            del grants[grant_id]
+        return list(grants.values())
+
+    def _pay_debt(self, account: str) -> None:
+        debt = self._debts.get(account, 0.0)
+        for held in self._live(account):
+            paid = min(held.left, debt)
+            held.left -= paid
+            held.spent += paid
+            debt -= paid
+        self._debts[account] = debt
+        if debt <= 0:
+            del self._debts[account]
+
+
+def received(grant: Grant, lifetime_s: float, sent_at: float) -> Grant:
+    """Returns a grant as its receiver holds it.
+
+    :param lifetime_s: time from issue to deadline on the issuer's clock.
+    :param sent_at: when the receiver sent its request, on the receiver's clock; the issue was
+        later, so the receiver's deadline comes before the issuer's.
+    """
+    return replace(grant, until=sent_at + lifetime_s * (1 - CLOCK_RATE_MARGIN))
+
+
+def apply_reports(budget: OwnerBudget, uses: Iterable[Use]) -> None:
+    """Applies a holder's reports to the issuer's budget."""
+    for use in uses:
+        budget.spent(use.grant_id, use.spent)
+        if use.closed:
+            budget.settle(use.grant_id, use.unused)
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/peer_protocol.py
@@ -0,0 +1,433 @@
+"""Peer protocol: typed messages, their CBOR form, and the authenticated channel of a link.
+
+A frame is ``sequence (8 bytes) | message | MAC (16 bytes)``. The MAC is checked before the
+message is decoded, and the sequence has no gaps, so a replayed, reordered, truncated or altered
+frame ends the link.
+"""
+
+import hashlib
+import hmac
+import os
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, fields
+from typing import Any
+
+import cbor2
+
+from arbutustally.errors import PeerRejectedError
+
+PROTOCOL_VERSION = 1
+#: Largest frame in bytes, checked before decoding.
+MAX_FRAME_BYTES = 1 << 20
+#: Largest message before authentication, in bytes; a stranger can make a node hold no more.
+MAX_HANDSHAKE_BYTES = 1024
+#: Deepest nesting of a message; the deepest typed message needs 6 levels.
+MAX_DEPTH = 16
+#: Most CBOR items of a message; it bounds the memory that a frame of one-byte items decodes to.
+MAX_ITEMS = 1 << 16
+NONCE_BYTES = 32
+SEQUENCE_BYTES = 8
+MAC_BYTES = 16
+FRAME_OVERHEAD_BYTES = SEQUENCE_BYTES + MAC_BYTES
+
+
+@dataclass(frozen=True)
+class Hello:
+    """First message of the dialling node."""
+
+    version: int
+    node_id: str
+    incarnation: str
+    nonce: bytes
+
+
+@dataclass(frozen=True)
+class Challenge:
+    """Answer of the listening node.
+
+    :ivar proofs: one HMAC for each secret that the node accepts, current one first.
+    """
+
+    node_id: str
+    incarnation: str
+    nonce: bytes
+    proofs: tuple[bytes, ...]
+
+
+@dataclass(frozen=True)
+class Proof:
+    """Last handshake message, HMAC of the dialling node under the secret both share."""
+
+    proof: bytes
+
+
+@dataclass(frozen=True)
+class Call:
+    """A request on an authenticated link."""
+
+    call_id: int
+    method: str
+    payload: Any
+
+
+@dataclass(frozen=True)
+class Reply:
+    """The result of a call."""
+
+    call_id: int
+    payload: Any
+
+
+@dataclass(frozen=True)
+class Failure:
+    """The typed error of a call.
+
+    :ivar code: code of a ``RouterError``.
+    :ivar ran: value of ``Ran``.
+    """
+
+    call_id: int
+    code: str
+    message: str
+    ran: str
+    retry_after_s: float | None
+
+
+@dataclass(frozen=True)
+class Event:
+    """One broadcast.
+
+    :ivar origin: node that broadcast it.
+    :ivar incarnation: of the origin.
+    :ivar serial: counts up for each origin incarnation; a repeated pair is dropped.
+    """
+
+    origin: str
+    incarnation: str
+    serial: int
+    topic: str
+    payload: Any
+
+
+@dataclass(frozen=True)
+class Events:
+    """Several broadcasts in one frame; empty as a sign of life.
+
+    :ivar events: each an ``Event`` in its list form.
+    """
+
+    events: tuple[Event, ...]
+
+
+Message = Hello | Challenge | Proof | Call | Reply | Failure | Events
+
+_CODES: dict[int, type] = {
+    1: Hello,
+    2: Challenge,
+    3: Proof,
+    4: Call,
+    5: Reply,
+    6: Failure,
+    7: Events,
+}
+_CODE_OF = {cls: code for code, cls in _CODES.items()}
+
+
+def _rejected(what: str) -> PeerRejectedError:
+    return PeerRejectedError(
+        f"{what}; check that both nodes run compatible versions and share a peer secret"
+    )
+
+
+def encode(message: Message) -> bytes:
+    """Returns the CBOR form.
+
+    :raises PeerRejectedError: if the message does not fit into a frame; send less at once.
+    """
+    if isinstance(message, Events):
+        values: list[Any] = [[_values(event) for event in message.events]]
+    else:
+        values = _values(message)
+    data = cbor2.dumps([_CODE_OF[type(message)], *values])
+    if len(data) > MAX_FRAME_BYTES - FRAME_OVERHEAD_BYTES:
+        raise PeerRejectedError(
+            f"a peer message of {len(data)} bytes exceeds the frame of {MAX_FRAME_BYTES} bytes; "
+            "send it in parts"
+        )
+    return data
+
+
+def _values(message: Any) -> list[Any]:
+    return [getattr(message, field.name) for field in fields(message)]
+
+
+def decode(data: bytes) -> Message:
+    """Decodes a message whose bounds are checked first.
+
+    :raises PeerRejectedError: if the data is not exactly one well-formed message.
+    """
+    if len(data) > MAX_FRAME_BYTES:
+        raise _rejected(f"a peer message has {len(data)} bytes, more than {MAX_FRAME_BYTES}")
+    check_bounds(data)
+    try:
+        items = cbor2.loads(data)
+        code, *values = items
+        cls = _CODES[code]
+        if cls is Events:
+            (raw,) = values
+            return Events(tuple(_build(Event, event) for event in raw))
+        return _build(cls, values)
+    except (cbor2.CBORError, ValueError, TypeError, KeyError, OverflowError) as error:
+        raise _rejected(f"a peer message is malformed ({type(error).__name__})") from None
+
+
+_CHECKS: dict[Any, Callable[[Any], bool]] = {
+    int: lambda value: type(value) is int and 0 <= value < 1 << 63,
+    str: lambda value: type(value) is str,
+    bytes: lambda value: type(value) is bytes,
+    tuple[bytes, ...]: lambda value: type(value) is list and all(type(x) is bytes for x in value),
+    float | None: lambda value: value is None or type(value) in (int, float),
+    Any: lambda value: True,
+}
+
+
+def _build(cls: type, values: Sequence[Any]) -> Any:
+    declared = fields(cls)
+    if len(values) != len(declared):
+        raise ValueError("wrong number of fields")
+    for field, value in zip(declared, values, strict=True):
+        if not _CHECKS[field.type](value):
+            raise TypeError(field.name)
+    return cls(*(tuple(value) if type(value) is list else value for value in values))
+
+
+def check_bounds(data: bytes) -> None:
+    """Walks the item heads and compares each declared length with what is left.
+
+    Only definite lengths and plain types are accepted: no tags, no indefinite items, so a few
+    bytes cannot make the decoder reserve or build more than the frame itself holds.
+
+    :raises PeerRejectedError: on the first item that breaks a bound.
+    """
+    position = 0
+    size = len(data)
+    items = 0
+    # Items still expected at each open level.
+    open_items = [1]
+    while open_items:
+        if open_items[-1] == 0:
+            open_items.pop()
+            continue
+        open_items[-1] -= 1
+        items += 1
+        if items > MAX_ITEMS or position >= size:
+            raise _rejected("a peer message is truncated or has too many items")
+        major, info = data[position] >> 5, data[position] & 0x1F
+        position += 1
+        argument = info
+        if info >= 24:
+            width = {24: 1, 25: 2, 26: 4, 27: 8}.get(info, size)
+            if position + width > size:
+                raise _rejected("a peer message has a truncated or indefinite item")
+            argument = int.from_bytes(data[position : position + width], "big")
+            position += width
+        if major in (2, 3):
+            if argument > size - position:
+                raise _rejected("a peer message declares a string longer than itself")
+            position += argument
+        elif major in (4, 5):
+            count = argument * 2 if major == 5 else argument
+            if count > size - position or len(open_items) >= MAX_DEPTH:
+                raise _rejected("a peer message declares more items than it holds or nests deeply")
+            open_items.append(count)
+        elif major == 6:
+            raise _rejected("a peer message has a tagged item")
+    if position != size:
+        raise _rejected("a peer message has trailing bytes")
+
+
+class SecureChannel:
+    """Seals and opens the frames of one link.
+
+    :param send_key: MAC key of this direction.
+    :param receive_key: MAC key of the other direction.
+    """
+
+    def __init__(self, send_key: bytes, receive_key: bytes) -> None:
+        self._send_mac = hmac.new(send_key, digestmod=hashlib.sha256)
+        self._receive_mac = hmac.new(receive_key, digestmod=hashlib.sha256)
+        self._sent = 0
+        self._received = 0
+
+    @property
+    def received(self) -> int:
+        """Returns the number of accepted frames."""
+        return self._received
+
+    def seal(self, payload: bytes) -> bytes:
+        """Returns the next frame; frames must be sent in the order in which they were sealed."""
+        body = self._sent.to_bytes(SEQUENCE_BYTES, "big") + payload
+        self._sent += 1
+        return body + _mac(self._send_mac, body)
+
+    def open(self, frame: bytes) -> bytes:
+        """Returns the payload of the next frame.
+
+        :raises PeerRejectedError: if the frame is too short, too long, altered, or not the next.
+        """
+        if not FRAME_OVERHEAD_BYTES <= len(frame) <= MAX_FRAME_BYTES:
+            raise _rejected(f"a peer frame has a length of {len(frame)} bytes")
+        body, mac = frame[:-MAC_BYTES], frame[-MAC_BYTES:]
+        if not hmac.compare_digest(mac, _mac(self._receive_mac, body)):
+            raise _rejected("a peer frame has a wrong MAC")
+        if int.from_bytes(body[:SEQUENCE_BYTES], "big") != self._received:
+            raise _rejected("a peer frame is out of sequence")
+        self._received += 1
+        return body[SEQUENCE_BYTES:]
+
+
+def _mac(keyed: Any, body: bytes) -> bytes:
+    # A copy of the keyed state saves the key schedule on every frame.
+    state = keyed.copy()
+    state.update(body)
+    return state.digest()[:MAC_BYTES]
+
+
+@dataclass(frozen=True)
+class Identity:
+    """The authenticated other end of a link."""
+
+    node_id: str
+    incarnation: str
+
+
+class Handshake:
+    """One run of the mutual challenge-response, for either end; used once.
+
+    The dialling node calls ``hello`` and ``prove``, the listening node ``challenge`` and
+    ``finish``. Each HMAC covers the role, both identities and both nonces.
+
+    :param identity: this node.
+    :param secrets: accepted fleet secrets, current one first.
+    """
+
+    def __init__(
+        self, identity: Identity, secrets: tuple[bytes, ...], random: Callable[[int], bytes]
+    ) -> None:
+        self._identity = identity
+        self._secrets = secrets
+        self._nonce = random(NONCE_BYTES)
+        self._transcript: list[Any] = []
+        self._peer: Identity | None = None
+
+    @classmethod
+    def from_config(
+        cls,
+        node_id: str,
+        incarnation: str,
+        secret: str,
+        previous: str = "",
+        random: Callable[[int], bytes] = os.urandom,
+    ) -> "Handshake":
+        """Builds one end; an empty ``previous`` accepts only the current secret."""
+        secrets = tuple(text.encode() for text in (secret, previous) if text)
+        return cls(Identity(node_id, incarnation), secrets, random)
+
+    @property
+    def peer(self) -> Identity:
+        """Returns the other end; valid after ``prove`` or ``finish`` has returned."""
+        if self._peer is None:
+            raise _rejected("the peer has not proved its identity")
+        return self._peer
+
+    def hello(self) -> bytes:
+        """Returns the first message of the dialling node."""
+        return encode(
+            Hello(PROTOCOL_VERSION, self._identity.node_id, self._identity.incarnation, self._nonce)
+        )
+
+    def challenge(self, data: bytes) -> bytes:
+        """Returns the listening node's answer to a hello.
+
+        :raises PeerRejectedError: if the hello is malformed, of another version, or our own.
+        """
+        hello = _expect(Hello, data)
+        if hello.version != PROTOCOL_VERSION:
+            raise _rejected(f"the peer speaks protocol version {hello.version}")
+        peer = Identity(hello.node_id, hello.incarnation)
+        self._refuse_self(peer)
+        self._transcript = _transcript(peer, self._identity, hello.nonce, self._nonce)
+        proofs = tuple(_proof(secret, "listen", self._transcript) for secret in self._secrets)
+        return encode(
+            Challenge(self._identity.node_id, self._identity.incarnation, self._nonce, proofs)
+        )
+
+    def prove(self, data: bytes, expected_node_id: str) -> tuple[bytes, SecureChannel]:
+        """Checks the challenge and returns the dialling node's proof and its channel.
+
+        :raises PeerRejectedError: if another node answers or no secret is shared.
+        """
+        challenge = _expect(Challenge, data)
+        peer = Identity(challenge.node_id, challenge.incarnation)
+        self._refuse_self(peer)
+        if peer.node_id != expected_node_id:
+            raise _rejected(f"node {peer.node_id!r} answered for {expected_node_id!r}")
+        self._transcript = _transcript(self._identity, peer, self._nonce, challenge.nonce)
+        for secret in self._secrets:
+            expected = _proof(secret, "listen", self._transcript)
+            if any(hmac.compare_digest(expected, proof) for proof in challenge.proofs):
+                self._peer = peer
+                proof = encode(Proof(_proof(secret, "dial", self._transcript)))
+                return proof, self._channel(secret, "dial", "listen")
+        raise _rejected("the peer shares no secret with this node")
+
+    def finish(self, data: bytes) -> SecureChannel:
+        """Checks the proof and returns the listening node's channel.
+
+        :raises PeerRejectedError: if the proof fits none of the accepted secrets.
+        """
+        proof = _expect(Proof, data)
+        if not self._transcript:
+            raise _rejected("a proof came before the hello")
+        for secret in self._secrets:
+            if hmac.compare_digest(_proof(secret, "dial", self._transcript), proof.proof):
+                self._peer = Identity(self._transcript[0], self._transcript[1])
+                return self._channel(secret, "listen", "dial")
+        raise _rejected("the peer shares no secret with this node")
+
+    def _refuse_self(self, peer: Identity) -> None:
+        # A reflected handshake would otherwise authenticate this node to itself.
+        if peer.node_id == self._identity.node_id:
+            raise _rejected("the peer uses this node's own id")
+
+    def _channel(self, secret: bytes, own_role: str, peer_role: str) -> SecureChannel:
+        return SecureChannel(
+            _proof(secret, "key " + own_role, self._transcript),
+            _proof(secret, "key " + peer_role, self._transcript),
+        )
+
+
+def _expect(cls: type, data: bytes) -> Any:
+    if len(data) > MAX_HANDSHAKE_BYTES:
+        raise _rejected(f"a handshake message has {len(data)} bytes")
+    message = decode(data)
+    if type(message) is not cls:
+        raise _rejected(f"expected {cls.__name__} in the handshake")
+    if isinstance(message, Hello | Challenge) and len(message.nonce) != NONCE_BYTES:
+        raise _rejected("a handshake nonce has a wrong length")
+    return message
+
+
+def _transcript(dialling: Identity, listening: Identity, nonce: bytes, answer: bytes) -> list[Any]:
+    return [
+        dialling.node_id,
+        dialling.incarnation,
+        listening.node_id,
+        listening.incarnation,
+        nonce,
+        answer,
+    ]
+
+
+def _proof(secret: bytes, label: str, transcript: list[Any]) -> bytes:
+    return hmac.new(secret, cbor2.dumps([label, *transcript]), hashlib.sha256).digest()
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/topology.py
@@ -0,0 +1,64 @@
+"""Which peers a node keeps links to.
+
+Up to ``FULL_MESH_NODES`` every node links to every other. Beyond that, nodes form groups of about
+the square root of their number: full links within the group and one link to each other group.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from math import sqrt
+
+from arbutustally.directory import score
+
+FULL_MESH_NODES = 16
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Links that one node wants.
+
+    :ivar near: nodes of the own group.
+    :ivar far: for each other group its members in the order in which they are tried.
+    """
+
+    near: tuple[str, ...]
+    far: tuple[tuple[str, ...], ...] = ()
+
+
+def group_of(node_id: str, groups: int) -> int:
+    """Returns a node's group; it depends on no other node, so a join moves nobody else."""
+    return int.from_bytes(score("group", node_id), "big") % groups
+
+
+def plan(own_id: str, node_ids: Collection[str], mesh_up_to: int = FULL_MESH_NODES) -> Plan:
+    """Returns the links of a node.
+
+    :param node_ids: all known nodes; the own id may be among them.
+    :param mesh_up_to: largest fleet with a full mesh.
+    """
+    known = sorted({own_id, *node_ids})
+    groups = 1 if len(known) <= mesh_up_to else round(sqrt(len(known)))
+    members: list[list[str]] = [[] for _ in range(groups)]
+    for node_id in known:
+        members[group_of(node_id, groups)].append(node_id)
+    own_group = group_of(own_id, groups)
+    near = tuple(node_id for node_id in members[own_group] if node_id != own_id)
+    position = members[own_group].index(own_id)
+    far = tuple(
+        _round_robin(others, position)
+        for group, others in enumerate(members)
+        if group != own_group and others
+    )
+    return Plan(near, far)
+
+
+def _round_robin(others: list[str], position: int) -> tuple[str, ...]:
+    # Both ends pair positions whose sum is a multiple of the group size, so that with groups of
+    # equal size the choice of one end is also the choice of the other and needs one link.
+    first = -position % len(others)
+    return tuple(others[first:] + others[:first])
+
+
+def dials(own_id: str, other_id: str) -> bool:
+    """Returns whether this node opens the link of a pair; the smaller id does."""
+    return own_id < other_id
