Let loggers created at import time read the later configuration

Binding at import resolved the logger under structlog's defaults, so lines of a module-level logger were neither JSON nor redacted. A lazy logger with an initial value resolves at its first line.

--- a/packages/arbutustally-node/src/arbutustally_node/peer_link.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peer_link.py
@@ -1,6 +1,7 @@
 """One authenticated link to a peer: handshake, frames, calls and signs of life."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from itertools import count
 from typing import Any
 
@@ -267,10 +268,8 @@
 
 
 def _close_quietly(connection: Connection) -> None:
-    try:
+    with suppress(WebSocketException, OSError):
         connection.close()
-    except (WebSocketException, OSError):
-        pass
 
 
 #: Largest message accepted before authentication, for the websocket library.
--- a/packages/arbutustally/src/arbutustally/logs.py
+++ b/packages/arbutustally/src/arbutustally/logs.py
@@ -46,5 +46,8 @@
 
 
 def get_logger(component: str) -> Any:
-    """Returns a logger bound to a component name."""
-    return structlog.get_logger().bind(component=component)
+    """Returns a logger bound to a component name.
+
+    It reads the configuration at its first line, so modules may create it at import time.
+    """
+    return structlog.get_logger(component=component)
