--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/log_peers.py
@@ -0,0 +1,150 @@
+"""Exchange of log news between nodes: what one node missed, another can hand over."""
+
+import math
+from random import Random
+from typing import Any
+
+import gevent
+import orjson
+
+from arbutustally.clock import Clock
+from arbutustally.errors import RouterError, SnapshotInvalidError
+from arbutustally.logs import get_logger
+from arbutustally.records import decode
+from arbutustally_node.kernel import Kernel
+from arbutustally_node.log_view import LogView
+
+TAIL_METHOD = "log_tail"
+SNAPSHOT_METHOD = "log_snapshot"
+#: Frames of peer links end at 1 MB.
+PART_BYTES = 512 << 10
+_TAIL_BYTES = 256 << 10
+_TAIL_RECORDS = 500
+_INTERVAL_S = 1.0
+_TIMEOUT_S = 2.0
+_ASKED_PEERS = 2
+_MAX_PARTS = 1024
+
+_log = get_logger("log_peers")
+
+
+class LogPeers:
+    """Answers peers about the log and asks them while the node's own reading is behind.
+
+    :ivar confirmed_at: when a peer's confirmation of the tail was at least made, monotonic
+        seconds of this node; only set once everything that the peer holds was applied.
+    :ivar known_offset: highest offset that any peer was seen to hold.
+    """
+
+    def __init__(self, kernel: Kernel, view: LogView, clock: Clock, rng: Random, log: Any) -> None:
+        self._kernel = kernel
+        self._view = view
+        self._clock = clock
+        self._rng = rng
+        self._own = log
+        self._cached: tuple[int, bytes] = (-1, b"")
+        self._greenlet: gevent.Greenlet | None = None
+        self.confirmed_at = -math.inf
+        self.known_offset = -1
+
+    def start(self) -> None:
+        """Registers the handlers and starts asking; without a peers service nothing happens."""
+        peers = self._peers()
+        if peers is None:
+            return
+        peers.handle(TAIL_METHOD, self._tail)
+        peers.handle(SNAPSHOT_METHOD, self._snapshot)
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stops asking."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+            self._greenlet = None
+
+    def _peers(self) -> Any:
+        try:
+            return self._kernel.lookup("peers")
+        except LookupError:
+            return None
+
+    def _run(self) -> None:
+        while True:
+            if self._own.needs_peers:
+                self.ask()
+            gevent.sleep(self._rng.uniform(0.5, 1.0) * _INTERVAL_S)
+
+    def ask(self) -> None:
+        """Asks a few peers for what this node lacks."""
+        names = list(self._peers().connected())
+        for name in self._rng.sample(names, min(_ASKED_PEERS, len(names))):
+            try:
+                self._ask_one(name)
+            except (RouterError, KeyError, TypeError, ValueError, OSError) as error:
+                _log.info("peer gave no log news", peer=name, error=str(error)[:200])
+
+    def _ask_one(self, name: str) -> None:
+        sent_at = self._clock()
+        answer = self._call(name, TAIL_METHOD, {"from": self._view.next_offset})
+        offset = int(answer["offset"])
+        self.known_offset = max(self.known_offset, offset)
+        if answer["records"] is None:
+            self._fetch_snapshot(name)
+        else:
+            for record_offset, row in answer["records"]:
+                record = decode(orjson.loads(row)) if row is not None else None
+                self._view.apply(int(record_offset), record)
+        if answer["ready"] and self._view.state.offset >= offset:
+            # The peer computed the age after this node sent its question, so the instant is
+            # never later than the true one.
+            self.confirmed_at = max(self.confirmed_at, sent_at - float(answer["age_s"]))
+
+    def _fetch_snapshot(self, name: str) -> None:
+        first = self._call(name, SNAPSHOT_METHOD, {"part": 0, "offset": -1})
+        parts = min(int(first["parts"]), _MAX_PARTS)
+        pieces = [first["data"]]
+        for part in range(1, parts):
+            question = {"part": part, "offset": first["offset"]}
+            answer = self._call(name, SNAPSHOT_METHOD, question)
+            if answer["offset"] != first["offset"]:
+                raise SnapshotInvalidError("the peer took a new snapshot meanwhile; ask again")
+            pieces.append(answer["data"])
+        self._view.install(b"".join(pieces))
+
+    def _call(self, name: str, method: str, payload: dict[str, Any]) -> Any:
+        return self._peers().call(name, method, payload, _TIMEOUT_S)
+
+    def _tail(self, _node_id: str, payload: Any) -> dict[str, Any]:
+        kept = self._view.recent_from(int(payload["from"]), _TAIL_RECORDS)
+        age_s = self._clock() - self._own.confirmed_at
+        return {
+            "offset": self._view.state.offset,
+            "ready": self._own.ready and math.isfinite(age_s),
+            "age_s": age_s if math.isfinite(age_s) else 0.0,
+            "records": _bounded(kept) if kept is not None else None,
+        }
+
+    def _snapshot(self, _node_id: str, payload: Any) -> dict[str, Any]:
+        """Answers one part; later parts are of the snapshot that the first one began."""
+        if payload["offset"] < 0 and self._cached[0] != self._view.state.offset:
+            self._cached = (self._view.state.offset, self._view.state.snapshot())
+        offset, snapshot = self._cached
+        start = int(payload["part"]) * PART_BYTES
+        return {
+            "offset": offset,
+            "parts": max(1, math.ceil(len(snapshot) / PART_BYTES)),
+            "data": snapshot[start : start + PART_BYTES],
+        }
+
+
+def _bounded(records: list) -> list[tuple[int, bytes | None]]:
+    """Encodes records up to a size that fits into one frame; the first one always fits."""
+    rows: list[tuple[int, bytes | None]] = []
+    size = 0
+    for offset, record in records:
+        row = orjson.dumps(record.encode()) if record is not None else None
+        size += len(row or b"")
+        if rows and size > _TAIL_BYTES:
+            break
+        rows.append((offset, row))
+    return rows
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/log_reader.py
@@ -0,0 +1,190 @@
+"""Reads the log by long poll; finds a checkpoint when records are missing."""
+
+from random import Random
+from typing import Protocol
+
+import gevent
+
+from arbutustally.checkpoint import CheckpointAssembler
+from arbutustally.clock import Clock
+from arbutustally.errors import HoleFoundError, LogUnavailableError, SnapshotInvalidError
+from arbutustally.log_client import ReadResult
+from arbutustally.logs import get_logger
+from arbutustally.metrics import Metrics, declare
+from arbutustally.records import CheckpointPart, Record
+from arbutustally_node.log_view import LogView
+
+READ_RETRIED = declare(
+    "retried.log_read", "a read of the log failed and is repeated; look at the log"
+)
+HOLE_FOUND = declare(
+    "retried.log_hole", "records were missing and a checkpoint is awaited; raise the retention"
+)
+
+BATCH_RECORDS = 1000
+_RETRY_FIRST_S = 0.05
+_RETRY_LAST_S = 1.0
+#: Keeps a log that answers at once with nothing from being polled without a pause.
+_EMPTY_PAUSE_S = 0.05
+
+_log = get_logger("log_reader")
+
+
+class Reading(Protocol):
+    """The part of the log client that the reader uses."""
+
+    def read(self, start: int, limit: int, wait_s: float) -> ReadResult:
+        """Reads records."""
+
+
+class _Scan:
+    """A search for a checkpoint from the oldest record of the log."""
+
+    def __init__(self, oldest: int) -> None:
+        self.next = oldest
+        self.oldest = oldest
+        self.assembler = CheckpointAssembler()
+
+    def moved(self, oldest: int) -> None:
+        """Notes that the log has dropped more records."""
+        self.oldest = max(self.oldest, oldest)
+        self.next = max(self.next, oldest)
+
+
+class LogReader:
+    """Feeds the view in log order.
+
+    :param wait_s: longest wait of a poll; it bounds the age of the last confirmation of the tail.
+    """
+
+    def __init__(
+        self,
+        client: Reading,
+        view: LogView,
+        clock: Clock,
+        rng: Random,
+        metrics: Metrics,
+        wait_s: float,
+    ) -> None:
+        self._client = client
+        self._view = view
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._wait_s = wait_s
+        self._scan: _Scan | None = None
+        self._confirmed_at = float("-inf")
+        self._failures = 0
+        self._greenlet: gevent.Greenlet | None = None
+
+    @property
+    def confirmed_at(self) -> float:
+        """Returns when the last read that reached the tail was sent."""
+        return self._confirmed_at
+
+    @property
+    def is_scanning(self) -> bool:
+        """Returns whether records are missing."""
+        return self._scan is not None
+
+    @property
+    def is_failing(self) -> bool:
+        """Returns whether the last read failed."""
+        return self._failures > 0
+
+    def start(self) -> None:
+        """Starts the reading greenlet."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stops reading."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+            self._greenlet = None
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(self.step())
+
+    def step(self) -> float:
+        """Reads once.
+
+        :return: seconds to pause before the next read.
+        """
+        scan = self._current_scan()
+        start = scan.next if scan is not None else self._view.next_offset
+        sent_at = self._clock()
+        try:
+            result = self._client.read(start, BATCH_RECORDS, self._wait_s)
+            if result.oldest > start:
+                raise HoleFoundError("the log answered from a later offset", oldest=result.oldest)
+        except HoleFoundError as error:
+            return self._hole(start, error)
+        except LogUnavailableError as error:
+            return self._retry(error)
+        except Exception as error:  # noqa: BLE001 - the reader must survive a fault of the client
+            return self._retry(error)
+        if result.next < start:
+            # The log lost its tail. What was accepted stays in force until it grows past it again.
+            return self._retry(f"the log ends at {result.next}, below {start}")
+        self._failures = 0
+        if scan is not None:
+            return self._search(scan, result)
+        return self._follow(start, result, sent_at)
+
+    def _current_scan(self) -> _Scan | None:
+        """Ends the search once a snapshot of a peer closed the gap."""
+        if self._scan is not None and self._view.next_offset >= self._scan.oldest:
+            self._scan = None
+        return self._scan
+
+    def _follow(self, start: int, result: ReadResult, sent_at: float) -> float:
+        expected = start
+        for offset, record in result.records:
+            if offset != expected or not self._view.apply(offset, record):
+                return self._hole(start, HoleFoundError("offsets are missing", oldest=offset))
+            expected += 1
+        if len(result.records) < BATCH_RECORDS:
+            self._confirmed_at = sent_at
+        if not result.records and self._clock() - sent_at < _EMPTY_PAUSE_S:
+            return _EMPTY_PAUSE_S
+        return 0.0
+
+    def _hole(self, start: int, error: HoleFoundError) -> float:
+        self._metrics.count(HOLE_FOUND)
+        _log.warning("records are missing", start=start, oldest=error.oldest)
+        if self._scan is None:
+            self._scan = _Scan(error.oldest)
+        self._scan.moved(error.oldest)
+        return self._rng.uniform(0, _RETRY_FIRST_S)
+
+    def _search(self, scan: _Scan, result: ReadResult) -> float:
+        scan.moved(result.oldest)
+        for _, record in result.records:
+            self._collect(scan, record)
+            if self._current_scan() is None:
+                return 0.0
+        scan.next = max(scan.next, result.next)
+        return 0.0 if result.records else _EMPTY_PAUSE_S
+
+    def _collect(self, scan: _Scan, record: Record | None) -> None:
+        if record is None or not isinstance(record.body, CheckpointPart):
+            return
+        part = record.body
+        # Records between the checkpoint and the oldest one would be missing.
+        if part.upto + 1 < scan.oldest:
+            return
+        try:
+            snapshot = scan.assembler.add(part)
+            if snapshot is not None:
+                self._view.install(snapshot)
+        except SnapshotInvalidError as error:
+            _log.error("checkpoint refused", upto=part.upto, error=error.message)
+
+    def _retry(self, error: object) -> float:
+        self._metrics.count(READ_RETRIED)
+        if not self._failures:
+            _log.warning("log cannot be read", error=str(error))
+        self._failures = min(self._failures + 1, 10)
+        longest = min(_RETRY_LAST_S, _RETRY_FIRST_S * 2**self._failures)
+        return self._rng.uniform(_RETRY_FIRST_S / 2, longest)
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/log_service.py
@@ -0,0 +1,185 @@
+"""Service ``log``: the node's view of the platform's log."""
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any
+
+from arbutustally.clock import Clock, monotonic
+from arbutustally.log_client import LogClient
+from arbutustally.metrics import Metrics
+from arbutustally.records import Body
+from arbutustally.state import ControlState
+from arbutustally_node.checkpoint_writer import LEASE_NAME, CheckpointWriter
+from arbutustally_node.kernel import Kernel
+from arbutustally_node.lease_hold import LeaseHold
+from arbutustally_node.log_peers import LogPeers
+from arbutustally_node.log_reader import LogReader
+from arbutustally_node.log_view import LogView, Subscriber
+from arbutustally_node.log_writer import DEFAULT_TIMEOUT_S, Appended, LogWriter
+from arbutustally_node.options import Options
+
+#: Silence of the log after which a call to it is given up.
+CLIENT_TIMEOUT_S = 2.0
+#: A quarter of the staleness for each poll leaves room for one failed poll and its repeat.
+_POLL_PART = 0.25
+
+
+class LogService:
+    """Reads, appends and folds the log; keeps leases and checkpoints.
+
+    :param client: a ``LogClient`` or an object with its methods.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        options: Options,
+        client: Any,
+        clock: Clock = monotonic,
+        rng: Random | None = None,
+    ) -> None:
+        self._options = options
+        self._clock = clock
+        self._rng = rng or Random()
+        metrics = _metrics(kernel)
+        self._view = LogView(options.booking_window_s)
+        self._writer = LogWriter(client, clock, self._rng, metrics)
+        wait_s = options.key_staleness_s * _POLL_PART
+        self._reader = LogReader(client, self._view, clock, self._rng, metrics, wait_s)
+        self._peers = LogPeers(kernel, self._view, clock, self._rng, self)
+        self._view.subscribe(self._writer.read_back)
+        self._view.subscribe_jump(self._writer.jumped)
+        self._checkpoints = CheckpointWriter(
+            self, self.hold(LEASE_NAME), options.log_retention_s, clock, self._rng, metrics
+        )
+
+    @classmethod
+    def from_config(cls, kernel: Kernel, options: Options) -> "LogService":
+        """Builds the service with a client of the configured log."""
+        return cls(kernel, options, LogClient.from_config(options.log_url, CLIENT_TIMEOUT_S))
+
+    def start(self) -> None:
+        """Starts reading, writing, asking peers and checkpoints."""
+        self._reader.start()
+        self._writer.start()
+        self._peers.start()
+        self._checkpoints.start()
+
+    def stop(self) -> None:
+        """Releases the checkpoint lease and stops."""
+        self._checkpoints.stop()
+        self._peers.stop()
+        self._writer.stop()
+        self._reader.stop()
+
+    @property
+    def state(self) -> ControlState:
+        """Returns the fold; it is replaced when a snapshot is installed, so do not keep it."""
+        return self._view.state
+
+    @property
+    def confirmed_at(self) -> float:
+        """Returns the instant up to which the state is known to be complete, monotonic seconds.
+
+        It is when the last read that reached the tail was sent, by this node or by a peer whose
+        records were all applied; minus infinity before the first.
+        """
+        return max(self._reader.confirmed_at, self._peers.confirmed_at)
+
+    @property
+    def known_offset(self) -> int:
+        """Returns the highest offset that this node or a peer is known to hold."""
+        return max(self.state.offset, self._peers.known_offset)
+
+    @property
+    def is_missing_records(self) -> bool:
+        """Returns whether records left the log before this node read them."""
+        return self._reader.is_scanning
+
+    @property
+    def is_reachable(self) -> bool:
+        """Returns whether the last read of the log succeeded."""
+        return not self._reader.is_failing
+
+    @property
+    def ready(self) -> bool:
+        """Returns whether there is a configuration and the tail was reached at least once."""
+        return self.confirmed_at > float("-inf") and self.state.version >= 0
+
+    @property
+    def needs_peers(self) -> bool:
+        """Returns whether peers should be asked for records."""
+        if self.is_missing_records or self.confirmed_at == float("-inf"):
+            return True
+        return self.staleness() > self._options.key_staleness_s / 2
+
+    def staleness(self, now: float | None = None) -> float:
+        """Returns the age of the state in seconds, infinity before the tail was reached."""
+        return (self._clock() if now is None else now) - self.confirmed_at
+
+    def append(self, body: Body, timeout_s: float = DEFAULT_TIMEOUT_S) -> Appended:
+        """Appends a record and waits until it was read back.
+
+        :raises LogUnavailableError: ``not_run`` only if it cannot have reached the log.
+        """
+        return self.append_many([body], timeout_s)[0]
+
+    def append_many(
+        self, bodies: Sequence[Body], timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> list[Appended]:
+        """Appends records in order and waits until all were read back.
+
+        :raises LogUnavailableError: ``not_run`` only if none can have reached the log.
+        """
+        return self._writer.append_many(bodies, timeout_s)
+
+    def subscribe(self, callback: Subscriber) -> None:
+        """Adds a function that is called after each record; it must not block.
+
+        Records skipped by a snapshot are not announced; see ``subscribe_jump``.
+        """
+        self._view.subscribe(callback)
+
+    def subscribe_jump(self, callback: Callable[[], None]) -> None:
+        """Adds a function that is called after a snapshot replaced the state."""
+        self._view.subscribe_jump(callback)
+
+    def install(self, snapshot: bytes) -> bool:
+        """Installs a snapshot of a peer if it is higher.
+
+        :return: whether it was installed.
+        :raises SnapshotInvalidError: if it is damaged.
+        """
+        return self._view.install(snapshot)
+
+    def hold(
+        self,
+        name: str,
+        wanted: Callable[[], bool] | None = None,
+        duration_s: float | None = None,
+    ) -> LeaseHold:
+        """Returns a lease to ``start()``, ``stop()`` and check with ``valid()``.
+
+        :param wanted: tells whether this node should hold it; always by default.
+        :param duration_s: of the lease; ``lease_s`` of the settings by default.
+        """
+        return LeaseHold(
+            log=self,
+            name=name,
+            holder=self._options.holder,
+            duration_s=duration_s or self._options.lease_s,
+            clock=self._clock,
+            rng=self._rng,
+            wanted=wanted or _always,
+        )
+
+
+def _always() -> bool:
+    return True
+
+
+def _metrics(kernel: Kernel) -> Metrics:
+    try:
+        return kernel.lookup("metrics")
+    except LookupError:
+        return Metrics()
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/log_view.py
@@ -0,0 +1,106 @@
+"""The node's fold of the log, its subscribers and the latest records for peers."""
+
+from collections import deque
+from collections.abc import Callable
+from itertools import islice
+
+from arbutustally.errors import SnapshotInvalidError
+from arbutustally.logs import get_logger
+from arbutustally.records import Record
+from arbutustally.state import ControlState
+from arbutustally.verdicts import Reason, Verdict, rejected
+
+#: Called with the offset, the record (``None`` if undecodable) and the verdict; must not block.
+Subscriber = Callable[[int, Record | None, Verdict], None]
+
+#: Lets a peer that missed some seconds of the log catch up without a whole snapshot.
+RECENT_RECORDS = 2048
+
+_log = get_logger("log")
+
+
+class LogView:
+    """Holds the state; every path into it checks the order of offsets.
+
+    :param booking_window_s: see ``ControlState``.
+    """
+
+    def __init__(self, booking_window_s: float) -> None:
+        self._booking_window_s = booking_window_s
+        self._state = ControlState(booking_window_s)
+        self._recent: deque[tuple[int, Record | None]] = deque(maxlen=RECENT_RECORDS)
+        self._subscribers: list[Subscriber] = []
+        self._jump_subscribers: list[Callable[[], None]] = []
+
+    @property
+    def state(self) -> ControlState:
+        """Returns the current state."""
+        return self._state
+
+    @property
+    def next_offset(self) -> int:
+        """Returns the offset of the next record to apply."""
+        return self._state.offset + 1
+
+    def subscribe(self, subscriber: Subscriber) -> None:
+        """Adds a function that is called after each record."""
+        self._subscribers.append(subscriber)
+
+    def subscribe_jump(self, subscriber: Callable[[], None]) -> None:
+        """Adds a function that is called after records were skipped by a snapshot."""
+        self._jump_subscribers.append(subscriber)
+
+    def apply(self, offset: int, record: Record | None) -> bool:
+        """Applies a record if it is the next one.
+
+        :return: ``False`` if records before it are missing; one already applied is passed over.
+        """
+        if offset < self.next_offset:
+            return True
+        if offset > self.next_offset:
+            return False
+        verdict = self._verdict(offset, record)
+        self._recent.append((offset, record))
+        for subscriber in self._subscribers:
+            try:
+                subscriber(offset, record, verdict)
+            except Exception as error:  # noqa: BLE001 - one subscriber must not stop the fold
+                _log.error("log subscriber failed", offset=offset, error=repr(error))
+        return True
+
+    def _verdict(self, offset: int, record: Record | None) -> Verdict:
+        try:
+            return self._state.apply(offset, record)
+        except Exception as error:  # noqa: BLE001 - a record must never stop the reader
+            _log.error("log record raised; report this", offset=offset, error=repr(error))
+            return rejected(Reason.MALFORMED)
+
+    def install(self, snapshot: bytes) -> bool:
+        """Replaces the state by a snapshot if that is higher.
+
+        :return: whether it was installed.
+        :raises SnapshotInvalidError: if it is damaged.
+        """
+        restored = ControlState.restore(snapshot, self._booking_window_s)
+        if restored.offset <= self._state.offset:
+            return False
+        if restored.version < self._state.version:
+            raise SnapshotInvalidError(
+                f"the snapshot has version {restored.version}, below {self._state.version}, at a "
+                "higher offset; it is of another log"
+            )
+        self._state = restored
+        self._recent.clear()
+        for subscriber in self._jump_subscribers:
+            subscriber()
+        _log.info("snapshot installed", offset=restored.offset, version=restored.version)
+        return True
+
+    def recent_from(self, start: int, limit: int) -> list[tuple[int, Record | None]] | None:
+        """Returns records from an offset, or ``None`` if they are not all kept."""
+        if start >= self.next_offset:
+            return []
+        if not self._recent or self._recent[0][0] > start:
+            return None
+        first = start - self._recent[0][0]
+        return list(islice(self._recent, first, first + limit))
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/log_writer.py
@@ -0,0 +1,225 @@
+"""Appends to the log: one greenlet, batches, and waiting for the own records."""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, Protocol
+
+import gevent
+import orjson
+from gevent.event import AsyncResult, Event
+
+from arbutustally.clock import Clock
+from arbutustally.errors import BadRequestError, LogUnavailableError, Ran
+from arbutustally.logs import get_logger
+from arbutustally.metrics import Metrics, declare
+from arbutustally.records import Body, Record, wrap
+from arbutustally.verdicts import Verdict
+
+APPEND_RETRIED = declare(
+    "retried.log_append", "an append was sent again; look at the log's latency and errors"
+)
+
+BATCH_RECORDS = 500
+BATCH_BYTES = 1 << 20
+#: A single record above this size would fill every reader's batch.
+MAX_RECORD_BYTES = 8 << 20
+#: Under load, records wait this long for company; the interval grows as the log slows.
+MIN_INTERVAL_S = 0.02
+MAX_INTERVAL_S = 0.5
+DEFAULT_TIMEOUT_S = 5.0
+_RETRY_FIRST_S = 0.1
+_RETRY_LAST_S = 1.0
+#: A record that the log took in time is read back at the latest this long after the deadline.
+READ_BACK_GRACE_S = 1.0
+
+_log = get_logger("log_writer")
+
+
+@dataclass(frozen=True)
+class Appended:
+    """An own record, as it was read back."""
+
+    offset: int
+    verdict: Verdict
+
+
+class Appender(Protocol):
+    """The part of the log client that the writer uses."""
+
+    def append(self, records: list[Record]) -> int:
+        """Appends records and returns the offset of the first one."""
+
+
+@dataclass
+class _Pending:
+    """A record on its way; ``ran`` tells whether the log may have it."""
+
+    record: Record
+    size: int
+    deadline: float
+    ran: Ran = Ran.NOT_RUN
+    result: AsyncResult = field(default_factory=AsyncResult)
+
+
+class LogWriter:
+    """Sends records until they are read back or their deadline passes.
+
+    A lost answer is harmless: the record is sent again under the same id, and the fold ignores the
+    second one. The first one read decides.
+    """
+
+    def __init__(self, client: Appender, clock: Clock, rng: Random, metrics: Metrics) -> None:
+        self._client = client
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._queue: deque[_Pending] = deque()
+        self._waiting: dict[str, _Pending] = {}
+        self._wake = Event()
+        self._append_s = 0.0
+        self._failures = 0
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Starts the sending greenlet."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stops sending; waiting callers get an error."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+            self._greenlet = None
+        for pending in list(self._waiting.values()):
+            pending.result.set_exception(_unavailable("the node is stopping", pending.ran))
+
+    def append_many(self, bodies: Sequence[Body], timeout_s: float) -> list[Appended]:
+        """Appends records and waits until all of them were read back.
+
+        :raises LogUnavailableError: ``not_run`` only if none of them can have reached the log.
+        :raises BadRequestError: if a body cannot be encoded.
+        """
+        deadline = self._clock() + timeout_s
+        entries = [_prepare(body, deadline) for body in bodies]
+        for entry in entries:
+            self._waiting[entry.record.id] = entry
+        self._queue.extend(entries)
+        self._wake.set()
+        try:
+            return [self._wait(entry) for entry in entries]
+        except LogUnavailableError as error:
+            if any(entry.ran != Ran.NOT_RUN for entry in entries):
+                error.ran = Ran.MAY_HAVE_RUN
+            raise
+        finally:
+            self._forget(entries)
+
+    def _wait(self, entry: _Pending) -> Appended:
+        try:
+            return entry.result.get(timeout=max(0.0, entry.deadline - self._clock()))
+        except gevent.Timeout:
+            pass
+        if entry.ran != Ran.NOT_RUN:
+            try:
+                return entry.result.get(timeout=READ_BACK_GRACE_S)
+            except gevent.Timeout:
+                pass
+        raise _unavailable("the log did not confirm the append in time", entry.ran)
+
+    def _forget(self, entries: list[_Pending]) -> None:
+        for entry in entries:
+            self._waiting.pop(entry.record.id, None)
+        gone = {entry.record.id for entry in entries}
+        self._queue = deque(entry for entry in self._queue if entry.record.id not in gone)
+
+    def read_back(self, offset: int, record: Record | None, verdict: Verdict) -> None:
+        """Completes a waiting append; a subscriber of the view."""
+        entry = self._waiting.pop(record.id, None) if record is not None else None
+        if entry is not None:
+            entry.result.set(Appended(offset, verdict))
+
+    def jumped(self) -> None:
+        """Fails appends whose records may lie within records that a snapshot skipped.
+
+        Their verdicts are not known any more, and the verdict on a repeat would be misleading.
+        """
+        for entry in list(self._waiting.values()):
+            if entry.ran != Ran.NOT_RUN:
+                self._waiting.pop(entry.record.id, None)
+                error = _unavailable("a snapshot replaced the records in between", entry.ran)
+                entry.result.set_exception(error)
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait()
+            batch = self._take_batch()
+            if not batch:
+                self._wake.clear()
+                continue
+            gevent.sleep(self._send(batch))
+
+    def _take_batch(self) -> list[_Pending]:
+        batch: list[_Pending] = []
+        size = 0
+        now = self._clock()
+        while self._queue and len(batch) < BATCH_RECORDS:
+            entry = self._queue[0]
+            if batch and size + entry.size > BATCH_BYTES:
+                break
+            self._queue.popleft()
+            if entry.record.id in self._waiting and entry.deadline > now:
+                batch.append(entry)
+                size += entry.size
+        return batch
+
+    def _send(self, batch: list[_Pending]) -> float:
+        """Sends a batch once.
+
+        :return: seconds to wait before the next one.
+        """
+        before = [entry.ran for entry in batch]
+        for entry in batch:
+            entry.ran = Ran.MAY_HAVE_RUN
+        started = self._clock()
+        try:
+            self._client.append([entry.record for entry in batch])
+        except LogUnavailableError as error:
+            if error.ran == Ran.NOT_RUN:
+                for entry, ran in zip(batch, before, strict=True):
+                    entry.ran = ran
+            return self._retry(batch, error)
+        except Exception as error:  # noqa: BLE001 - the writer must survive a fault of the client
+            return self._retry(batch, error)
+        self._failures = 0
+        self._append_s = 0.8 * self._append_s + 0.2 * (self._clock() - started)
+        return min(MAX_INTERVAL_S, max(MIN_INTERVAL_S, 2 * self._append_s))
+
+    def _retry(self, batch: list[_Pending], error: Any) -> float:
+        self._metrics.count(APPEND_RETRIED)
+        _log.warning("append failed", records=len(batch), error=str(error))
+        self._queue.extendleft(reversed(batch))
+        self._failures = min(self._failures + 1, 10)
+        longest = min(_RETRY_LAST_S, _RETRY_FIRST_S * 2**self._failures)
+        return self._rng.uniform(MIN_INTERVAL_S, longest)
+
+
+def _prepare(body: Body, deadline: float) -> _Pending:
+    record = wrap(body)
+    try:
+        size = len(orjson.dumps(record.encode()))
+    except TypeError as error:
+        raise BadRequestError(
+            f"the record cannot be written as JSON: {error}; correct it"
+        ) from None
+    if size > MAX_RECORD_BYTES:
+        raise BadRequestError(f"the record has {size} bytes; split it below {MAX_RECORD_BYTES}")
+    return _Pending(record, size, deadline)
+
+
+def _unavailable(what: str, ran: Ran) -> LogUnavailableError:
+    return LogUnavailableError(
+        f"{what}; retry, and look at the history first if it may have run",
+        ran=ran,
+        retry_after_s=_RETRY_LAST_S,
+    )
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/checkpoint.py
@@ -0,0 +1,81 @@
+"""Checkpoints: the fold of the log, cut into records, and their assembly at a reader."""
+
+import base64
+import binascii
+import hashlib
+
+from arbutustally.errors import SnapshotInvalidError
+from arbutustally.records import CheckpointPart
+
+#: Base64 characters of one part; a few parts fit into one append.
+PART_CHARACTERS = 192 << 10
+MAX_PARTS = 4096
+#: Checkpoints that are assembled at the same time, for instance of an old and a new holder.
+_MAX_OPEN = 4
+_DIGEST_BYTES = 16
+
+
+def _digest(data: bytes) -> str:
+    return hashlib.blake2b(data, digest_size=_DIGEST_BYTES, person=b"at-checkpoint").hexdigest()
+
+
+def split_snapshot(
+    snapshot: bytes, upto: int, part_characters: int = PART_CHARACTERS
+) -> list[CheckpointPart]:
+    """Cuts a snapshot into parts.
+
+    :param upto: offset of the last record in the snapshot.
+    """
+    text = base64.b64encode(snapshot).decode()
+    pieces = [
+        text[start : start + part_characters] for start in range(0, len(text), part_characters)
+    ]
+    digest = _digest(snapshot)
+    return [
+        CheckpointPart(upto=upto, part=number, parts=len(pieces), data=piece, digest=digest)
+        for number, piece in enumerate(pieces)
+    ]
+
+
+class CheckpointAssembler:
+    """Collects parts of checkpoints until one is complete.
+
+    Parts are grouped by everything that names their checkpoint, so that parts of two checkpoints
+    written at the same time are never mixed; the digest is checked again on the whole.
+    """
+
+    def __init__(self) -> None:
+        self._open: dict[tuple[int, int, str], dict[int, str]] = {}
+
+    def add(self, part: CheckpointPart) -> bytes | None:
+        """Adds a part.
+
+        :return: the snapshot, once all of its parts have been added.
+        :raises SnapshotInvalidError: if the part is malformed or the whole is damaged; its
+            checkpoint is given up.
+        """
+        if not (0 <= part.part < part.parts <= MAX_PARTS and part.digest):
+            raise SnapshotInvalidError("checkpoint part is malformed; wait for the next checkpoint")
+        group = (part.upto, part.parts, part.digest)
+        pieces = self._open.setdefault(group, {})
+        pieces.setdefault(part.part, part.data)
+        if len(pieces) < part.parts:
+            self._forget_oldest()
+            return None
+        del self._open[group]
+        return _join(pieces, part.digest)
+
+    def _forget_oldest(self) -> None:
+        while len(self._open) > _MAX_OPEN:
+            del self._open[min(self._open)]
+
+
+def _join(pieces: dict[int, str], digest: str) -> bytes:
+    text = "".join(pieces[number] for number in sorted(pieces))
+    try:
+        snapshot = base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError):
+        snapshot = b""
+    if _digest(snapshot) != digest:
+        raise SnapshotInvalidError("the checkpoint is damaged; wait for the next checkpoint")
+    return snapshot
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/declaration_fields.py
@@ -0,0 +1,121 @@
+"""Strict structuring of declared items; a wrong field is named with its value and a remedy."""
+
+from collections.abc import Mapping
+from dataclasses import fields
+from typing import Any
+
+import cattrs
+from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
+
+from arbutustally.errors import ConfigurationInvalidError
+
+_MAX_SHOWN = 80
+_EXPECTED = {
+    str: "a string in quotes",
+    int: "a whole number",
+    float: "a number",
+    bool: "true/false",
+}
+
+
+class _FieldError(ValueError):
+    """A value of the wrong type."""
+
+
+def _strict(kind: type) -> Any:
+    """Returns a hook that accepts only ``kind``; the default hooks convert, for instance 5 to "5"."""
+
+    def structure(value: Any, _: Any) -> Any:
+        if kind is float and type(value) is int:
+            try:
+                return float(value)
+            except OverflowError:
+                raise _FieldError(f"{shown(value)} is too large") from None
+        if type(value) is not kind:
+            raise _FieldError(f"{shown(value)} is not {_EXPECTED[kind]}")
+        return value
+
+    return structure
+
+
+def _strings(value: Any, _: Any) -> tuple[str, ...]:
+    if not isinstance(value, list | tuple) or not all(type(entry) is str for entry in value):
+        raise _FieldError(f"{shown(value)} is not a list of strings")
+    return tuple(value)
+
+
+def _new_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for kind in _EXPECTED:
+        converter.register_structure_hook(kind, _strict(kind))
+    converter.register_structure_hook_func(lambda kind: kind == tuple[str, ...], _strings)
+    return converter
+
+
+_converter = _new_converter()
+_prepared: set[type] = set()
+
+
+def _prepare(cls: type) -> None:
+    """Registers the hooks of a section once; ``class_`` is ``class`` in files and records."""
+    if cls in _prepared:
+        return
+    renames = {
+        field.name: override(rename=field.name.rstrip("_"))
+        for field in fields(cls)
+        if field.name.endswith("_")
+    }
+    structure = make_dict_structure_fn(
+        cls, _converter, _cattrs_forbid_extra_keys=True, _cattrs_detailed_validation=True, **renames
+    )
+    _converter.register_structure_hook(cls, structure)
+    _converter.register_unstructure_hook(cls, make_dict_unstructure_fn(cls, _converter, **renames))
+    _prepared.add(cls)
+
+
+def shown(value: Any) -> str:
+    """Returns a value for a message, shortened."""
+    text = repr(value)
+    return text if len(text) <= _MAX_SHOWN else text[:_MAX_SHOWN] + "..."
+
+
+def structure_item(item: str, data: Any, cls: type) -> Any:
+    """Builds one item.
+
+    :param item: ``section/name``, for messages.
+    :raises ConfigurationInvalidError: naming the item, the field, its value and a remedy.
+    """
+    _prepare(cls)
+    if not isinstance(data, Mapping) or not all(type(name) is str for name in data):
+        raise ConfigurationInvalidError(
+            f"{item}: {shown(data)} is not a table; write [{item.replace('/', '.')}] with fields"
+        )
+    try:
+        return _converter.structure(data, cls)
+    except cattrs.BaseValidationError as error:
+        raise ConfigurationInvalidError(f"{item}: {_first_fault(error, cls)}") from error
+
+
+def unstructure_item(value: Any) -> dict[str, Any]:
+    """Returns the normal form of an item: tuples as lists, absent fields left out."""
+    _prepare(type(value))
+    plain = _converter.unstructure(value)
+    return {
+        name: list(entry) if isinstance(entry, tuple) else entry
+        for name, entry in plain.items()
+        if entry is not None
+    }
+
+
+def _first_fault(error: cattrs.BaseValidationError, cls: type) -> str:
+    names = ", ".join(field.name.rstrip("_") for field in fields(cls))
+    for cause in error.exceptions:
+        if isinstance(cause, cattrs.ForbiddenExtraKeysError):
+            extra = ", ".join(shown(name) for name in sorted(cause.extra_fields))
+            return f"unknown field {extra}; known fields: {names}"
+        if isinstance(cause, KeyError):
+            return f"field {cause.args[0]!r} is missing; add it (fields: {names})"
+        note = next((n for n in getattr(cause, "__notes__", []) if hasattr(n, "name")), None)
+        name = note.name.rstrip("_") if note is not None else "a field"
+        return f"{name}: {cause}; correct the value"
+    return f"cannot be read; known fields: {names}"
--- a/packages/arbutustally/src/arbutustally/errors.py
+++ b/packages/arbutustally/src/arbutustally/errors.py
@@ -246,3 +246,38 @@
 
     code = "stale_fence"
     status = 409
+
+
+class HoleFoundError(RouterError):
+    """Records that a reader still needs have left the log.
+
+    :param oldest: oldest offset that the log still has.
+    """
+
+    code = "hole_found"
+    status = 410
+
+    def __init__(self, message: str, *, oldest: int) -> None:
+        super().__init__(message)
+        self.oldest = oldest
+
+
+class SnapshotInvalidError(RouterError):
+    """A snapshot is damaged or was written by a newer version."""
+
+    code = "snapshot_invalid"
+    status = 422
+
+
+class RequestUnknownError(RouterError):
+    """No explanation is kept for the request id."""
+
+    code = "request_unknown"
+    status = 404
+
+
+class NodeUnreachableError(RouterError):
+    """A node that is needed for the answer cannot be reached."""
+
+    code = "node_unreachable"
+    status = 503
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/lease.py
@@ -0,0 +1,61 @@
+"""Validity of leases, for the holder and for a claimant."""
+
+from dataclasses import dataclass, field
+
+#: A holder gives up this much early, because clocks of two machines run at different rates.
+RATE_MARGIN = 0.01
+#: Seconds in addition, for the time between the check and the effect.
+FIXED_MARGIN_S = 0.05
+
+
+@dataclass(frozen=True)
+class HeldLease:
+    """The holder's view of its lease.
+
+    :ivar sent_at: when the last accepted renewal was sent, monotonic seconds. The time of sending
+        counts, because a claimant can have read the record at any moment after it.
+    :ivar duration: of the lease, seconds.
+    :ivar name: name of the lease.
+    :ivar epoch: fencing number.
+    """
+
+    sent_at: float
+    duration: float
+    name: str = ""
+    epoch: int = -1
+
+    def remaining(self, now: float) -> float:
+        """Returns the seconds for which effects are still allowed, at least 0."""
+        usable = self.duration * (1 - RATE_MARGIN) - FIXED_MARGIN_S
+        return max(0.0, self.sent_at + usable - now)
+
+    def valid(self, now: float) -> bool:
+        """Returns whether an effect is allowed; check immediately before each effect."""
+        return self.remaining(now) > 0
+
+
+@dataclass
+class LeaseObserver:
+    """A claimant's view of the leases of others.
+
+    :ivar duration: of the leases, seconds.
+    """
+
+    duration: float
+    _seen: dict[str, tuple[int, float]] = field(default_factory=dict)
+
+    @classmethod
+    def from_config(cls, duration: float) -> "LeaseObserver":
+        """Builds an observer of leases of one duration in seconds."""
+        return cls(duration)
+
+    def observed(self, name: str, last_offset: int, now: float) -> None:
+        """Notes the last record of a lease; only the first reading of each record counts."""
+        seen = self._seen.get(name)
+        if seen is None or seen[0] != last_offset:
+            self._seen[name] = (last_offset, now)
+
+    def claimable(self, name: str, last_offset: int, now: float) -> bool:
+        """Returns whether this observer has seen no newer record for a whole duration."""
+        self.observed(name, last_offset, now)
+        return now - self._seen[name][1] >= self.duration
--- a/packages/arbutustally/src/arbutustally/records.py
+++ b/packages/arbutustally/src/arbutustally/records.py
@@ -111,6 +111,8 @@
     :ivar status: HTTP status of the endpoint's answer, 0 without one.
     :ivar content_type: of the answer.
     :ivar body: the answer, base64.
+    :ivar base: offset of the claim that it ends; required for ``not_run``, because a late
+        ``not_run`` of a beaten or earlier claimant must not free the claim of another.
     """
 
     key: str
@@ -118,6 +120,7 @@
     status: int = 0
     content_type: str = ""
     body: str = ""
+    base: int = -1
 
 
 @dataclass(frozen=True)
@@ -150,12 +153,15 @@
     :ivar part: number of this part, from 0.
     :ivar parts: number of parts.
     :ivar data: slice of the encoded snapshot, base64 of compressed CBOR.
+    :ivar digest: BLAKE2 digest of the whole snapshot, in hex; parts with another digest belong
+        to another checkpoint.
     """
 
     upto: int
     part: int
     parts: int
     data: str
+    digest: str = ""
 
 
 Body = (
