--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -0,0 +1,361 @@
+"""Service ``membership``: nodes and endpoints, from the instance list, polls and peers."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent.event import Event as Signal
+from gevent.pool import Pool
+
+from arbutustally.clock import Clock, monotonic
+from arbutustally.directory import winner
+from arbutustally.errors import InstanceListUnavailableError, RouterError
+from arbutustally.instance_client import Instance, InstanceClient
+from arbutustally.logs import get_logger
+from arbutustally.metrics import Metrics, declare
+from arbutustally_node.endpoint_table import EndpointState, EndpointTable, Load, Mark
+from arbutustally_node.kernel import Kernel
+from arbutustally_node.node_table import Node, NodeTable
+from arbutustally_node.options import Options
+
+TOPIC = "membership"
+ENTRY_SERVICE = "entry"
+#: Interval of the batched deltas, seconds.
+DELTA_INTERVAL_S = 1.0
+#: Deltas after which one carries everything, which repairs lost ones.
+FULL_EVERY = 10
+#: An unchanged load is sent again after this long, so that its age stays low, seconds.
+LOAD_RESEND_S = 2.0
+#: Load polls in flight at the same time.
+MAX_POLLS = 16
+#: Failed polls in a row after which this node does not use an endpoint.
+POLL_FAILURES = 2
+
+LIST_FAILED = declare(
+    "retried.instance_list", "Reads of the instance list that failed; check the platform."
+)
+POLL_FAILED = declare("retried.load_poll", "Load polls that failed; check the endpoints.")
+
+LoadFunction = Callable[[str], Any]
+
+_log = get_logger("membership")
+
+
+class MembershipService:
+    """Keeps the tables of nodes and endpoints current.
+
+    :param list_instances: reads the instance list.
+    :param load: reads the load report of the engine at an address.
+    :param peers: returns the ``peers`` service.
+    """
+
+    def __init__(
+        self,
+        options: Options,
+        metrics: Metrics,
+        list_instances: Callable[[], list[Instance]],
+        load: LoadFunction,
+        peers: Callable[[], Any],
+        clock: Clock = monotonic,
+    ) -> None:
+        self._options = options
+        self._metrics = metrics
+        self._list_instances = list_instances
+        self._load = load
+        self._peers = peers
+        self._clock = clock
+        self._random = random.Random()
+        self._endpoints = EndpointTable(clock)
+        self._nodes = NodeTable(clock)
+        self._draining = False
+        self._list_read_at: float | None = None
+        self._failures: dict[str, int] = {}
+        self._sent_loads: dict[str, tuple[Load, float]] = {}
+        self._polled: dict[str, Load] = {}
+        self._fresh_marks: list[Mark] = []
+        self._deltas = 0
+        self._last_connected: list[str] = []
+        self._stopping = Signal()
+        self._loops: list[gevent.Greenlet] = []
+
+    @classmethod
+    def from_config(cls, kernel: Kernel, options: Options) -> "MembershipService":
+        """Builds the service over HTTP clients of the platform and the engines."""
+        from arbutustally.engine_client import EngineClient  # noqa: PLC0415 owned elsewhere
+
+        engines = EngineClient.from_config(
+            options.endpoint_connect_timeout_s, options.endpoint_read_timeout_s
+        )
+        return cls(
+            options,
+            kernel.lookup("metrics"),
+            InstanceClient.from_config(options.instances_url).list,
+            engines.load,
+            lambda: kernel.lookup("peers"),
+        )
+
+    def start(self) -> None:
+        """Begins to read the list, poll loads and share deltas."""
+        self._peers().subscribe(TOPIC, self._on_delta)
+        self._loops = [
+            gevent.spawn(self._list_forever),
+            gevent.spawn(self._poll_forever),
+            gevent.spawn(self._share_forever),
+        ]
+
+    def stop(self) -> None:
+        """Ends all polls."""
+        self._stopping.set()
+        gevent.killall(self._loops, timeout=1)
+
+    # Queries
+
+    def nodes(self) -> list[Node]:
+        """Returns all known nodes, this one included, in order of id."""
+        others = [node for node in self._nodes.nodes() if node.id != self._options.node_id]
+        return sorted([*others, self._own_node()], key=lambda node: node.id)
+
+    def live_nodes(self) -> list[Node]:
+        """Returns this node and the nodes that are reachable, named to callers and not draining.
+
+        A node that reaches less than half of the fleet cannot tell its own isolation from the
+        failure of the others, so it leaves none out for being unreachable.
+        """
+        known = self.nodes()
+        reachable = {*self._peers().connected(), self._options.node_id}
+        present = [node for node in known if node.id in reachable]
+        if len(present) * 2 < len(known):
+            present = known
+        return [node for node in present if not node.draining and node.caller_address]
+
+    def endpoints(self, service: str, model: str | None = None) -> list[EndpointState]:
+        """Returns the endpoints of a service that are not dead; skip leaving ones for new work."""
+        return self._endpoints.endpoints(service, model)
+
+    def peer_addresses(self) -> dict[str, str]:
+        """Returns the peer address of each other node by id."""
+        return {
+            node.id: node.peer_address
+            for node in self._nodes.nodes()
+            if node.peer_address and node.id != self._options.node_id
+        }
+
+    @property
+    def draining(self) -> bool:
+        """Returns whether this node has begun to drain."""
+        return self._draining
+
+    # Marks and own dispatches
+
+    def mark_dead(self, endpoint_id: str, incarnation: str) -> None:
+        """Excludes an incarnation for good on all nodes."""
+        self._mark(Mark(endpoint_id, incarnation, "dead"))
+
+    def mark_leaving(self, endpoint_id: str) -> None:
+        """Gives the current incarnation no new work on all nodes."""
+        incarnation = self._endpoints.incarnation(endpoint_id)
+        self._mark(Mark(endpoint_id, incarnation, "leaving"))
+
+    def dispatched(self, endpoint_id: str, tokens: int) -> None:
+        """Adds work sent by this node to the load of an endpoint."""
+        self._endpoints.dispatched(endpoint_id, tokens)
+
+    def finished(self, endpoint_id: str, tokens: int) -> None:
+        """Removes work sent by this node from the load of an endpoint."""
+        self._endpoints.finished(endpoint_id, tokens)
+
+    def drain(self) -> None:
+        """Announces at once that this node is no longer to be named to callers."""
+        self._draining = True
+        self._broadcast({"node": self._own_announcement()})
+
+    def _mark(self, mark: Mark) -> None:
+        if self._endpoints.apply(mark):
+            _log.info("endpoint marked", endpoint=mark.endpoint_id, kind=mark.kind)
+            # Sent at once: until the others know, they lose requests on it.
+            self._broadcast({"marks": [_from_mark(mark)]})
+            self._fresh_marks.append(mark)
+
+    # List
+
+    def _list_forever(self) -> None:
+        while not self._stopping.is_set():
+            self.refresh()
+            self._pause(self._options.poll_interval_s)
+
+    def refresh(self) -> None:
+        """Reads the instance list once; on failure the last list stays in use."""
+        try:
+            instances = self._list_instances()
+        except InstanceListUnavailableError as error:
+            self._metrics.count(LIST_FAILED)
+            _log.debug("instance list failed", reason=error.message)
+            return
+        self._list_read_at = self._clock()
+        self._nodes.update_list(i for i in instances if i.service == ENTRY_SERVICE)
+        marks = self._endpoints.update_list(i for i in instances if i.service != ENTRY_SERVICE)
+        self._fresh_marks.extend(marks)
+        if marks:
+            self._broadcast({"marks": [_from_mark(mark) for mark in marks]})
+
+    # Load
+
+    def _poll_forever(self) -> None:
+        pool = Pool(MAX_POLLS)
+        while not self._stopping.is_set():
+            for instance in self.assigned():
+                pool.spawn(self.poll, instance)
+            pool.join(timeout=self._options.endpoint_read_timeout_s)
+            self._pause(self._options.poll_interval_s)
+
+    def assigned(self) -> list[Instance]:
+        """Returns the engines that this node polls: its part of those of its zone.
+
+        A zone without a live node is polled by the nodes of the other zones.
+        """
+        reachable = {*self._peers().connected(), self._options.node_id}
+        live = [node for node in self.nodes() if node.id in reachable]
+        by_zone: dict[str, list[str]] = {}
+        for node in live:
+            by_zone.setdefault(node.zone, []).append(node.id)
+        everyone = [node.id for node in live]
+        return [
+            instance
+            for instance in self._endpoints.listed()
+            if instance.model is not None
+            and winner(instance.id, by_zone.get(instance.zone, everyone)) == self._options.node_id
+        ]
+
+    def poll(self, instance: Instance) -> None:
+        """Reads the load of one engine."""
+        sent_at = self._clock()
+        try:
+            report = self._load(instance.address)
+        except (RouterError, OSError) as error:
+            self._poll_failed(instance, error)
+            return
+        self._failures.pop(instance.id, None)
+        self._endpoints.set_unreachable(instance.id, False)
+        load = Load(
+            instance.id,
+            report.incarnation,
+            report.queued_tokens,
+            report.running,
+            tuple(report.versions),
+            sent_at - report.age_s,
+        )
+        if self._endpoints.report(load):
+            self._polled[instance.id] = load
+
+    def _poll_failed(self, instance: Instance, error: Exception) -> None:
+        self._metrics.count(POLL_FAILED)
+        if _is_refused(error):
+            # Nothing listens there: that process has ended.
+            self.mark_dead(instance.id, self._endpoints.incarnation(instance.id))
+            return
+        failures = self._failures.get(instance.id, 0) + 1
+        self._failures[instance.id] = failures
+        if failures >= POLL_FAILURES:
+            self._endpoints.set_unreachable(instance.id, True)
+
+    # Deltas
+
+    def _share_forever(self) -> None:
+        while not self._stopping.is_set():
+            self.share()
+            self._pause(DELTA_INTERVAL_S)
+
+    def share(self) -> None:
+        """Sends one delta; everything to newly connected nodes and now and then."""
+        connected = self._peers().connected()
+        full = connected != self._last_connected or self._deltas % FULL_EVERY == 0
+        self._last_connected = connected
+        self._deltas += 1
+        marks = self._endpoints.marks() if full else self._fresh_marks
+        self._fresh_marks = []
+        delta: dict[str, Any] = {}
+        if full:
+            delta["node"] = self._own_announcement()
+        if marks:
+            delta["marks"] = [_from_mark(mark) for mark in marks]
+        loads = self._loads_to_send(full)
+        if loads:
+            delta["loads"] = loads
+        self._broadcast(delta)
+
+    def _loads_to_send(self, full: bool) -> list[list[Any]]:
+        now = self._clock()
+        entries = []
+        for endpoint_id, load in self._polled.items():
+            sent, sent_at = self._sent_loads.get(endpoint_id, (None, 0.0))
+            if not full and _same_load(load, sent) and now - sent_at < LOAD_RESEND_S:
+                continue
+            self._sent_loads[endpoint_id] = (load, now)
+            entries.append(_from_load(load, now))
+        assigned = {instance.id for instance in self.assigned()}
+        self._polled = {key: load for key, load in self._polled.items() if key in assigned}
+        return entries
+
+    def _broadcast(self, delta: dict[str, Any]) -> None:
+        self._peers().broadcast(TOPIC, delta)
+
+    def _on_delta(self, node_id: str, delta: dict[str, Any]) -> None:
+        if "node" in delta:
+            self._nodes.announced(Node(node_id, *delta["node"]))
+        for values in delta.get("marks", ()):
+            if self._endpoints.apply(Mark(*values)):
+                self._fresh_marks.append(Mark(*values))
+        now = self._clock()
+        for values in delta.get("loads", ()):
+            self._endpoints.report(_to_load(values, now))
+
+    def _own_node(self) -> Node:
+        return Node(self._options.node_id, *self._own_announcement())
+
+    def _own_announcement(self) -> list[Any]:
+        options = self._options
+        peer_address = options.peer_advertise or self._peers().address
+        caller_address = options.caller_advertise or options.caller_listen
+        return [options.incarnation, options.zone, caller_address, peer_address, self._draining]
+
+    def _pause(self, seconds: float) -> None:
+        # Jitter keeps nodes that started together from polling together.
+        self._stopping.wait(seconds * self._random.uniform(0.8, 1.2))
+
+
+def _from_mark(mark: Mark) -> list[str]:
+    return [mark.endpoint_id, mark.incarnation, mark.kind]
+
+
+def _from_load(load: Load, now: float) -> list[Any]:
+    age_ms = int((now - load.taken_at) * 1000)
+    return [
+        load.endpoint_id,
+        load.incarnation,
+        load.queued_tokens,
+        load.running,
+        list(load.versions),
+        age_ms,
+    ]
+
+
+def _to_load(values: list[Any], now: float) -> Load:
+    endpoint_id, incarnation, queued, running, versions, age_ms = values
+    return Load(endpoint_id, incarnation, queued, running, tuple(versions), now - age_ms / 1000)
+
+
+def _same_load(load: Load, sent: Load | None) -> bool:
+    return sent is not None and (load.incarnation, load.queued_tokens, load.running) == (
+        sent.incarnation,
+        sent.queued_tokens,
+        sent.running,
+    )
+
+
+def _is_refused(error: BaseException | None) -> bool:
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__ or error.__context__
+    return False
