--- a/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
@@ -17,6 +17,9 @@
 #: Marks of an endpoint are forgotten this long after it left the list, seconds.
 FORGET_S = 600.0
 
+#: Marks of a replaced incarnation are repeated to peers for this long, seconds.
+REPEAT_S = 60.0
+
 MarkKind = Literal["dead", "leaving"]
 
 
@@ -165,8 +168,18 @@
         return True
 
     def marks(self) -> list[Mark]:
-        """Returns all marks in force, for sharing."""
-        return [mark for mark in self._marks if not self._expired(mark)]
+        """Returns the marks that other nodes may need.
+
+        A mark of a replaced incarnation is left out after ``REPEAT_S``; by then every node has
+        seen the new one.
+        """
+        since = self._clock() - REPEAT_S
+        return [
+            mark
+            for mark, instant in self._marks.items()
+            if not self._expired(mark)
+            and (instant >= since or mark.incarnation == self.incarnation(mark.endpoint_id))
+        ]
 
     def incarnation(self, endpoint_id: str) -> str:
         """Returns the current incarnation, empty if unknown."""
--- a/packages/arbutustally-node/src/arbutustally_node/membership.py
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -210,9 +210,13 @@
             self._pause(self._options.poll_interval_s)
 
     def assigned(self) -> list[Instance]:
-        """Returns the engines that this node polls: its part of those of its zone.
+        """Returns the engines that this node polls."""
+        return [instance for instance in self._own_part() if instance.model is not None]
 
-        A zone without a live node is polled by the nodes of the other zones.
+    def _own_part(self) -> list[Instance]:
+        """Returns this node's part of the endpoints of its zone.
+
+        A zone without a live node is split over the nodes of the other zones.
         """
         reachable = {*self._peers().connected(), self._options.node_id}
         live = [node for node in self.nodes() if node.id in reachable]
@@ -223,8 +227,7 @@
         return [
             instance
             for instance in self._endpoints.listed()
-            if instance.model is not None
-            and winner(instance.id, by_zone.get(instance.zone, everyone)) == self._options.node_id
+            if winner(instance.id, by_zone.get(instance.zone, everyone)) == self._options.node_id
         ]
 
     def poll(self, instance: Instance) -> None:
@@ -272,7 +275,7 @@
         full = connected != self._last_connected or self._deltas % FULL_EVERY == 0
         self._last_connected = connected
         self._deltas += 1
-        marks = self._endpoints.marks() if full else self._fresh_marks
+        marks = self._own_marks() if full else self._fresh_marks
         self._fresh_marks = []
         delta: dict[str, Any] = {}
         if full:
@@ -284,6 +287,12 @@
             delta["loads"] = loads
         self._broadcast(delta)
 
+    def _own_marks(self) -> list[Mark]:
+        # Each mark is repeated by one node, else every node would repeat all marks of the fleet.
+        own = {instance.id for instance in self._own_part()}
+        repeated = [mark for mark in self._endpoints.marks() if mark.endpoint_id in own]
+        return list(dict.fromkeys([*self._fresh_marks, *repeated]))
+
     def _loads_to_send(self, full: bool) -> list[list[Any]]:
         now = self._clock()
         entries = []
@@ -304,8 +313,7 @@
         if "node" in delta:
             self._nodes.announced(Node(node_id, *delta["node"]))
         for values in delta.get("marks", ()):
-            if self._endpoints.apply(Mark(*values)):
-                self._fresh_marks.append(Mark(*values))
+            self._endpoints.apply(Mark(*values))
         now = self._clock()
         for values in delta.get("loads", ()):
             self._endpoints.report(_to_load(values, now))
@@ -315,9 +323,13 @@
 
     def _own_announcement(self) -> list[Any]:
         options = self._options
+        listed_leaving = any(
+            node.id == options.node_id and node.draining for node in self._nodes.nodes()
+        )
+        draining = self._draining or listed_leaving
         peer_address = options.peer_advertise or self._peers().address
         caller_address = options.caller_advertise or options.caller_listen
-        return [options.incarnation, options.zone, caller_address, peer_address, self._draining]
+        return [options.incarnation, options.zone, caller_address, peer_address, draining]
 
     def _pause(self, seconds: float) -> None:
         # Jitter keeps nodes that started together from polling together.
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/limit_issuer.py
@@ -0,0 +1,233 @@
+"""Issuer of grants: the budgets of one shard's accounts under one lease or share slot."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import exp
+from typing import Any, Protocol
+
+from arbutustally.clock import Clock
+from arbutustally.errors import LeaseLostError
+from arbutustally.limits import Grant, OwnerBudget, Use, apply_reports
+
+#: Longest and shortest lifetime of a grant, seconds. Long ones let unused tokens of finished
+#: requests return, short ones free the level of tokens that a holder does not use.
+MAX_LIFETIME_S = 5.0
+MIN_LIFETIME_S = 0.5
+#: Lifetime as part of the time in which the burst refills: outstanding grants bind the level.
+LIFETIME_OF_REFILL = 0.25
+#: Part of the level beyond the need that one holder may fetch ahead; the rest serves the others.
+AHEAD_FRACTION = 0.25
+#: Time constant of the average of recent use, seconds.
+USE_AVERAGE_S = 2.0
+#: A node keeps grants for this much of its recent use, seconds.
+AHEAD_S = 0.5
+
+
+class Tenure(Protocol):
+    """A lease or share slot as its holder sees it."""
+
+    @property
+    def epoch(self) -> int:
+        """Offset of the record that began the tenure."""
+
+    def remaining(self, now: float) -> float:
+        """Returns seconds for which effects are allowed, 0 or less when it has lapsed."""
+
+
+@dataclass(frozen=True)
+class GrantRequest:
+    """What a node asks of an issuer.
+
+    :ivar needed: tokens without which a request waits; all or nothing.
+    :ivar wanted: tokens with those fetched ahead, at least ``needed``.
+    :ivar uses: reports on earlier grants of the same issuer.
+    """
+
+    account: str
+    needed: float
+    wanted: float
+    uses: tuple[Use, ...] = ()
+
+    def to_payload(self) -> list[Any]:
+        """Returns the form in a peer message."""
+        uses = [[use.grant_id, use.spent, use.closed, use.unused] for use in self.uses]
+        return [self.account, self.needed, self.wanted, uses]
+
+    @classmethod
+    def from_payload(cls, payload: list[Any]) -> "GrantRequest":
+        """Reads the form in a peer message."""
+        account, needed, wanted, uses = payload
+        return cls(account, needed, wanted, tuple(Use(*use) for use in uses))
+
+
+@dataclass(frozen=True)
+class Offer:
+    """An issuer's answer.
+
+    :ivar tokens: granted tokens, 0 for a refusal.
+    :ivar lifetime_s: from issue to deadline on the issuer's clock, seconds.
+    :ivar retry_after_s: for a refusal, when the need can be met; ``None`` if never.
+    :ivar within_rate: the refusal comes from tokens held elsewhere, not from the account's use.
+    """
+
+    grant_id: str
+    tokens: float
+    lifetime_s: float
+    epoch: int
+    retry_after_s: float | None = None
+    within_rate: bool = False
+
+    def to_payload(self) -> list[Any]:
+        """Returns the form in a peer message."""
+        return [
+            self.grant_id,
+            self.tokens,
+            self.lifetime_s,
+            self.epoch,
+            self.retry_after_s,
+            self.within_rate,
+        ]
+
+    def to_grant(self, account: str, holder: str, until: float) -> Grant:
+        """Returns the grant as held by its receiver."""
+        return Grant(self.grant_id, account, holder, self.tokens, until, self.epoch)
+
+
+class _Reference:
+    """Bucket that would admit the same use without grants; tells the cause of a refusal."""
+
+    def __init__(self, rate: float, burst: float, now: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.level = burst
+        self.at = now
+
+    def refresh(self, now: float) -> None:
+        self.level = min(self.level + self.rate * (now - self.at), self.burst)
+        self.at = now
+
+
+class Issuer:
+    """Grants tokens of a shard's accounts while its tenure lasts.
+
+    :param fraction: part of the accounts' rate and burst that this issuer has, 0 to 1; it is
+        read at each request.
+    """
+
+    def __init__(self, clock: Clock, tenure: Tenure, fraction: Callable[[], float]) -> None:
+        self._clock = clock
+        self._tenure = tenure
+        self._fraction = fraction
+        self._began = clock()
+        self._epoch = tenure.epoch
+        self._budgets: dict[str, OwnerBudget] = {}
+        self._references: dict[str, _Reference] = {}
+
+    @classmethod
+    def from_config(cls, clock: Clock, tenure: Tenure, fraction: Callable[[], float]) -> "Issuer":
+        """Builds an issuer whose buckets are empty now."""
+        return cls(clock, tenure, fraction)
+
+    @property
+    def epoch(self) -> int:
+        """Returns the epoch of the tenure under which it was built."""
+        return self._epoch
+
+    @property
+    def outstanding(self) -> float:
+        """Returns the tokens of all live grants, over all accounts."""
+        return sum(budget.outstanding for budget in self._budgets.values())
+
+    def lower(self, accounts: dict[str, Any]) -> bool:
+        """Applies the current fraction; returns whether no budget exceeds it any more."""
+        for account, limits in accounts.items():
+            self._budget(account, limits.rate, limits.burst)
+        return all(
+            budget.level + budget.outstanding <= budget.burst for budget in self._budgets.values()
+        )
+
+    def answer(self, holder: str, request: GrantRequest, rate: float, burst: float) -> Offer:
+        """Applies the reports of a holder and grants what it asks if the level allows.
+
+        :param rate: of the account, tokens/s, of which this issuer has its fraction.
+        :param burst: of the account, tokens.
+        :raises LeaseLostError: if the tenure has lapsed; the holder asks the next issuer.
+        """
+        budget = self._budget(request.account, rate, burst)
+        reference = self._references[request.account]
+        reference.refresh(self._clock())
+        apply_reports(budget, request.uses)
+        returned = sum(use.unused for use in request.uses if use.closed)
+        reference.level = min(reference.level + returned, reference.burst)
+        if request.needed <= 0 and request.wanted <= 0:
+            return Offer("", 0.0, 0.0, self._epoch)
+        tokens = self._size(budget, request)
+        lifetime_s = self._lifetime_s(rate, burst)
+        grant = None
+        if lifetime_s > 0 and tokens > 0:
+            grant = budget.grant(holder, tokens, self._clock() + lifetime_s)
+        if grant is None:
+            within = reference.level >= request.needed
+            return Offer("", 0.0, 0.0, self._epoch, budget.wait_s(request.needed), within)
+        reference.level -= tokens
+        return Offer(grant.grant_id, tokens, lifetime_s, self._epoch)
+
+    def _budget(self, account: str, rate: float, burst: float) -> OwnerBudget:
+        fraction = self._fraction()
+        budget = self._budgets.get(account)
+        if budget is None:
+            budget = OwnerBudget.from_config(
+                rate * fraction, burst * fraction, self._clock, account, self._epoch, self._began
+            )
+            self._budgets[account] = budget
+            self._references[account] = _Reference(rate, burst, self._clock())
+        budget.resize(rate * fraction, burst * fraction)
+        reference = self._references[account]
+        reference.rate, reference.burst = rate, burst
+        return budget
+
+    def _size(self, budget: OwnerBudget, request: GrantRequest) -> float:
+        level = budget.level
+        if level < request.needed:
+            return 0.0
+        ahead = max(request.wanted - request.needed, 0.0)
+        return request.needed + min(ahead, (level - request.needed) * AHEAD_FRACTION)
+
+    def _lifetime_s(self, rate: float, burst: float) -> float:
+        """Returns the lifetime of a new grant.
+
+        :raises LeaseLostError: if the tenure has lapsed or is another one.
+        """
+        remaining = self._tenure.remaining(self._clock())
+        if remaining <= 0 or self._tenure.epoch != self._epoch:
+            raise LeaseLostError(
+                "this node no longer holds the lease of the account's shard; ask its new holder",
+                retry_after_s=1.0,
+            )
+        refill_s = burst / rate if rate > 0 else MAX_LIFETIME_S
+        wanted = min(max(refill_s * LIFETIME_OF_REFILL, MIN_LIFETIME_S), MAX_LIFETIME_S)
+        return min(wanted, remaining)
+
+
+class Demand:
+    """Average of a node's recent use of one account.
+
+    :param now: start, seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._rate = 0.0
+        self._at = now
+
+    def note(self, tokens: float, now: float) -> None:
+        """Adds an admission."""
+        self._rate = self.rate(now) + tokens / USE_AVERAGE_S
+        self._at = now
+
+    def rate(self, now: float) -> float:
+        """Returns the average use in tokens/s."""
+        return self._rate * exp(-(now - self._at) / USE_AVERAGE_S)
+
+    def ahead(self, now: float) -> float:
+        """Returns the tokens worth holding ahead of requests."""
+        return self.rate(now) * AHEAD_S
