--- a/packages/arbutustally-node/src/arbutustally_node/log_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_reader.py
@@ -75,6 +75,7 @@
         self._scan: _Scan | None = None
         self._confirmed_at = float("-inf")
         self._failures = 0
+        self._at_tail = False
         self._greenlet: gevent.Greenlet | None = None
 
     @property
@@ -114,8 +115,10 @@
         scan = self._current_scan()
         start = scan.next if scan is not None else self._view.next_offset
         sent_at = self._clock()
+        # At the start and after a failure, the tail is confirmed at once instead of after a wait.
+        wait_s = self._wait_s if self._at_tail else 0.0
         try:
-            result = self._client.read(start, BATCH_RECORDS, self._wait_s)
+            result = self._client.read(start, BATCH_RECORDS, wait_s)
             if result.oldest > start:
                 raise HoleFoundError("the log answered from a later offset", oldest=result.oldest)
         except HoleFoundError as error:
@@ -144,14 +147,17 @@
             if offset != expected or not self._view.apply(offset, record):
                 return self._hole(start, HoleFoundError("offsets are missing", oldest=offset))
             expected += 1
-        if len(result.records) < BATCH_RECORDS:
+        had_waited = self._at_tail
+        self._at_tail = len(result.records) < BATCH_RECORDS
+        if self._at_tail:
             self._confirmed_at = sent_at
-        if not result.records and self._clock() - sent_at < _EMPTY_PAUSE_S:
+        if had_waited and not result.records and self._clock() - sent_at < _EMPTY_PAUSE_S:
             return _EMPTY_PAUSE_S
         return 0.0
 
     def _hole(self, start: int, error: HoleFoundError) -> float:
         self._metrics.count(HOLE_FOUND)
+        self._at_tail = False
         _log.warning("records are missing", start=start, oldest=error.oldest)
         if self._scan is None:
             self._scan = _Scan(error.oldest)
@@ -183,6 +189,7 @@
 
     def _retry(self, error: object) -> float:
         self._metrics.count(READ_RETRIED)
+        self._at_tail = False
         if not self._failures:
             _log.warning("log cannot be read", error=str(error))
         self._failures = min(self._failures + 1, 10)
--- a/packages/arbutustally/src/arbutustally/state.py
+++ b/packages/arbutustally/src/arbutustally/state.py
@@ -181,7 +181,10 @@
         return ACCEPTED
 
     def _issue(self, offset: int, body: KeyIssue) -> Verdict:
-        if body.account not in self._declarations.accounts:
+        is_new = self._keys.get(body.key_id) is None
+        if is_new and body.account not in self._declarations.accounts:
+            # A repeated append must not make the key valid once the account is declared.
+            self._keys.withdraw(KeyWithdraw(body.key_id))
             verdict = rejected(Reason.ACCOUNT_UNKNOWN)
         else:
             verdict = self._keys.issue(body)
