--- a/packages/arbutustally-node/src/arbutustally_node/__main__.py
+++ b/packages/arbutustally-node/src/arbutustally_node/__main__.py
@@ -10,6 +10,7 @@
 import os
 import signal
 import sys
+from typing import Any
 
 import gevent
 import orjson
@@ -97,13 +98,13 @@
     return EXIT_OK
 
 
-def _drain(kernel: Kernel, options: Options, killed: Event, log: object) -> None:
+def _drain(kernel: Kernel, options: Options, killed: Event, log: Any) -> None:
     """Serves callers that hold an old entry answer, then waits for the last request."""
     kernel.lookup("membership").drain()
     log.info("draining", grace_s=options.drain_grace_s)
     killed.wait(options.drain_grace_s)
     callers = kernel.lookup("caller_http")
-    while callers.active_requests and not killed.is_set():
+    while callers.running and not killed.is_set():
         gevent.sleep(DRAIN_POLL_S)
 
 
