--- a/packages/arbutustally-node/src/arbutustally_node/shard_owner.py
+++ b/packages/arbutustally-node/src/arbutustally_node/shard_owner.py
@@ -125,24 +125,29 @@
             return
         self._tend_slots(issuer, ranked, now)
 
-    def _displace(self, now: float) -> None:
-        if self._displaced_since is None:
-            self._displaced_since = now
-        if now - self._displaced_since >= DISPLACED_S and self._ends_at == float("inf"):
-            self._ends_at = now + HANDOVER_S
-
     def hand_over(self) -> None:
         """Begins to hand over at once; used when the node drains."""
         if self._hold is not None and self._ends_at == float("inf"):
             self._ends_at = self._clock() + HANDOVER_S
 
+    def _displace(self, now: float) -> None:
+        if self._displaced_since is None:
+            self._displaced_since = now
+        if now - self._displaced_since >= DISPLACED_S:
+            self.hand_over()
+
     def _release(self) -> None:
         # No grant outlives the handover, so the next owner's empty bucket is the whole truth.
         hold, self._hold, self._issuer = self._hold, None, None
         self._ends_at = float("inf")
         self._displaced_since = None
-        if hold is not None:
+        if hold is None:
+            return
+        try:
             hold.release()
+        except RouterError as error:
+            # The lease expires by itself.
+            _log.info("lease not released", shard=self._shard, code=error.code)
 
     def _fraction(self) -> float:
         state = self._log().state
@@ -182,7 +187,7 @@
         key = (issuer.epoch, slot, entry.last_offset)
         if key in self._confirmed or not issuer.lowered():
             return
-        # The lowering above may have taken long; the word counts only under the lease.
+        # An owner whose lease has lapsed may not have read what its successor knows.
         self.issuer()
         node_id = entry.holder.partition("#")[0]
         payload = [self._shard, slot, entry.last_offset]
--- a/packages/arbutustally/src/arbutustally/standing_shares.py
+++ b/packages/arbutustally/src/arbutustally/standing_shares.py
@@ -61,6 +61,11 @@
         entry = self._entry()
         return entry.last_offset if entry is not None and entry.holder == self._holder else -1
 
+    @property
+    def ends_at(self) -> float:
+        """Returns when use ends before a release, infinite without one."""
+        return self._ends_at
+
     def effective(self, offset: int) -> None:
         """Notes the owner's word that it has lowered its own budget for this assignment."""
         self._effective_offset = max(self._effective_offset, offset)
