--- a/packages/arbutustally-node/src/arbutustally_node/membership.py
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -9,7 +9,7 @@
 from gevent.pool import Pool
 
 from arbutustally.clock import Clock, monotonic
-from arbutustally.directory import winner
+from arbutustally.directory import winners
 from arbutustally.errors import InstanceListUnavailableError, RouterError
 from arbutustally.instance_client import Instance, InstanceClient
 from arbutustally.logs import get_logger
@@ -25,6 +25,9 @@
 DELTA_INTERVAL_S = 1.0
 #: Deltas after which one carries everything, which repairs lost ones.
 FULL_EVERY = 10
+#: Nodes that repeat a mark. One would not do: it may be the node that has missed the mark; all
+#: would send every mark of the fleet as often as there are nodes.
+MARK_COPIES = 3
 #: An unchanged load is sent again after this long, so that its age stays low, seconds.
 LOAD_RESEND_S = 2.0
 #: Load polls in flight at the same time.
@@ -211,12 +214,14 @@
 
     def assigned(self) -> list[Instance]:
         """Returns the engines that this node polls."""
-        return [instance for instance in self._own_part() if instance.model is not None]
+        return [instance for instance in self._own_part(1) if instance.model is not None]
 
-    def _own_part(self) -> list[Instance]:
+    def _own_part(self, copies: int) -> list[Instance]:
         """Returns this node's part of the endpoints of its zone.
 
         A zone without a live node is split over the nodes of the other zones.
+
+        :param copies: number of nodes to which each endpoint falls.
         """
         reachable = {*self._peers().connected(), self._options.node_id}
         live = [node for node in self.nodes() if node.id in reachable]
@@ -227,7 +232,8 @@
         return [
             instance
             for instance in self._endpoints.listed()
-            if winner(instance.id, by_zone.get(instance.zone, everyone)) == self._options.node_id
+            if self._options.node_id
+            in winners(instance.id, by_zone.get(instance.zone, everyone), copies)
         ]
 
     def poll(self, instance: Instance) -> None:
@@ -288,8 +294,7 @@
         self._broadcast(delta)
 
     def _own_marks(self) -> list[Mark]:
-        # Each mark is repeated by one node, else every node would repeat all marks of the fleet.
-        own = {instance.id for instance in self._own_part()}
+        own = {instance.id for instance in self._own_part(MARK_COPIES)}
         repeated = [mark for mark in self._endpoints.marks() if mark.endpoint_id in own]
         return list(dict.fromkeys([*self._fresh_marks, *repeated]))
 
--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -17,7 +17,7 @@
 from arbutustally.clock import Clock, monotonic
 from arbutustally.errors import PeerRejectedError, PeerUnavailableError, Ran
 from arbutustally.logs import get_logger
-from arbutustally.metrics import Metrics, declare
+from arbutustally.metrics import Counter, Metrics, declare
 from arbutustally.peer_protocol import Event, Events, Handshake, Identity, encode
 from arbutustally.topology import FULL_MESH_NODES, Plan, dials, plan
 from arbutustally_node.kernel import Kernel
@@ -111,6 +111,7 @@
         self._direct_used: dict[str, float] = {}
         self._handshakes = 0
         self._server: Server | None = None
+        self._address = options.peer_listen
         self._loops: list[gevent.Greenlet] = []
         self._stopping = Signal()
 
@@ -126,10 +127,7 @@
     @property
     def address(self) -> str:
         """Returns the address of the peer listener, ``host:port``; valid after ``start``."""
-        if self._server is None:
-            return self._options.peer_listen
-        host, port = self._server.socket.getsockname()[:2]
-        return f"{host}:{port}"
+        return self._address
 
     def start(self) -> None:
         """Opens the listener and begins to dial."""
@@ -137,6 +135,8 @@
         self._server = serve(
             self._accept, host, port, open_timeout=HANDSHAKE_TIMEOUT_S, **_WEBSOCKET_OPTIONS
         )
+        host, port = self._server.socket.getsockname()[:2]
+        self._address = f"{host}:{port}"
         self._loops = [
             gevent.spawn(self._server.serve_forever),
             gevent.spawn(self._replan_forever),
@@ -199,6 +199,10 @@
             self._metrics.count(PEER_UNAVAILABLE)
             raise
 
+    def metric(self, counter: Counter) -> int:
+        """Returns the count of one of this service's counters, for the status report."""
+        return self._metrics.counts.get(counter.name, 0)
+
     def stats(self) -> dict[str, float]:
         """Returns figures of the links for the status report."""
         return {
--- a/packages/arbutustally/src/arbutustally/peer_protocol.py
+++ b/packages/arbutustally/src/arbutustally/peer_protocol.py
@@ -195,10 +195,12 @@
     declared = fields(cls)
     if len(values) != len(declared):
         raise ValueError("wrong number of fields")
+    checked = []
     for field, value in zip(declared, values, strict=True):
         if not _CHECKS[field.type](value):
             raise TypeError(field.name)
-    return cls(*(tuple(value) if type(value) is list else value for value in values))
+        checked.append(tuple(value) if field.type == tuple[bytes, ...] else value)
+    return cls(*checked)
 
 
 def check_bounds(data: bytes) -> None:
--- /dev/null
+++ b/tests/node_options.py
@@ -0,0 +1,24 @@
+"""Options of nodes in tests: the defaults, free ports on the loopback."""
+
+from dataclasses import replace
+from typing import Any
+
+from arbutustally_node.options import SETTINGS, Options
+
+REQUIRED = {
+    "zone": "zone-a",
+    "log_url": "http://127.0.0.1:1",
+    "instances_url": "http://127.0.0.1:1",
+    "peer_secret": "test-secret-0123456789",
+    "operator_token": "test-token-0123456789",
+    "caller_listen": "127.0.0.1:0",
+    "operator_listen": "127.0.0.1:0",
+    "peer_listen": "127.0.0.1:0",
+}
+
+
+def options(node_id: str, **changes: Any) -> Options:
+    """Returns the options of a node; ``changes`` replace single values."""
+    values = {setting.name: setting.default for setting in SETTINGS}
+    built = Options.from_config({**values, **REQUIRED, "node_id": node_id})
+    return replace(built, **changes)
