--- a/packages/arbutustally-node/src/arbutustally_node/grant_sources.py
+++ b/packages/arbutustally-node/src/arbutustally_node/grant_sources.py
@@ -143,8 +143,11 @@
 
     def _plan(self, account: str) -> list[tuple[Callable[..., Offer], float]]:
         """Returns the issuers in order, each with the most that it can ever grant at once."""
-        burst = self._log().state.declarations.accounts[account].burst
         state = self._log().state
+        limits = state.declarations.accounts.get(account)
+        if limits is None:
+            return []
+        burst = limits.burst
         shard = self._shard(account)
         entries = [state.share(shard, slot) for slot in range(SLOTS)]
         recorded = [slot for slot, entry in enumerate(entries) if entry is not None]
@@ -212,9 +215,12 @@
 
     # Reports
 
-    def report(self, account: str) -> None:
-        """Reports use to the issuers that were not asked since, and closes ending grants."""
-        closing = self._clock() + CLOSE_AHEAD_S
+    def report(self, account: str, everything: bool = False) -> None:
+        """Reports use to the issuers that were not asked since, and closes ending grants.
+
+        :param everything: close all grants.
+        """
+        closing = float("inf") if everything else self._clock() + CLOSE_AHEAD_S
         for epoch in self._pool.epochs(account):
             issuer = self._issuers.get(epoch)
             uses = tuple(self._pool.reports(account, epoch, closing))
--- a/packages/arbutustally-node/src/arbutustally_node/limits_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/limits_service.py
@@ -21,6 +21,7 @@
 from arbutustally.metrics import Metrics, declare
 from arbutustally_node.grant_sources import GRANT, SHARE_GRANT, GrantSources, Refusal
 from arbutustally_node.kernel import Kernel
+from arbutustally_node.node_table import Node
 from arbutustally_node.options import Options
 from arbutustally_node.shard_owner import SLOT_EFFECTIVE, ShardOwner
 from arbutustally_node.slot_holder import SlotHolder
@@ -94,6 +95,7 @@
         self._sources = GrantSources(
             options, clock, log, self._call, self._pool, self._owners, self._slots
         )
+        self._tending: dict[int, gevent.Greenlet] = {}
         self._stopping = Signal()
         self._loops: list[gevent.Greenlet] = []
 
@@ -117,9 +119,17 @@
         self._loops = [gevent.spawn(self._tend_forever), gevent.spawn(self._report_forever)]
 
     def stop(self) -> None:
-        """Ends the loops; leases that were not handed over in the drain expire."""
+        """Returns unused grants and ends the loops.
+
+        Leases under which grants are live are not released; they expire. A drain before hands
+        them over without that wait.
+        """
         self._stopping.set()
-        gevent.killall(self._loops, timeout=1)
+        gevent.killall([*self._loops, *self._tending.values()], timeout=1)
+        for account in self._pool.accounts():
+            self._sources.report(account, everything=True)
+        for owner in self._owners:
+            owner.stop()
 
     # Requests
 
@@ -239,24 +249,25 @@
 
     def _tend_forever(self) -> None:
         while not self._stopping.is_set():
-            try:
-                self.tend()
-            except RouterError as error:
-                _log.debug("limits wait", code=error.code)
+            live = self._membership().live_nodes()
+            draining = self._membership().draining
+            for shard in range(self._options.shards):
+                # An append that waits for the log holds up its own shard only.
+                running = self._tending.get(shard)
+                if running is None or running.dead:
+                    self._tending[shard] = gevent.spawn(self.tend, shard, live, draining)
             self._stopping.wait(TEND_INTERVAL_S)
 
-    def tend(self) -> None:
-        """Claims or hands over leases and slots according to the live nodes, once."""
-        membership = self._membership()
-        live = membership.live_nodes()
-        for shard, owner in enumerate(self._owners):
-            ranked = ranking(shard, live)
-            if membership.draining:
-                owner.hand_over()
-            owner.tend(ranked)
-            home_ids = [node.id for node in ranked[:HOME_WIDTH]]
-            for holder in self._slots[shard]:
-                holder.tend(home_ids, membership.draining)
+    def tend(self, shard: int, live: list[Node], draining: bool) -> None:
+        """Claims or hands over the lease and slots of a shard according to the live nodes."""
+        ranked = ranking(shard, live)
+        owner = self._owners[shard]
+        if draining:
+            owner.hand_over()
+        owner.tend(ranked)
+        home_ids = [node.id for node in ranked[:HOME_WIDTH]]
+        for holder in self._slots[shard]:
+            holder.tend(home_ids, draining)
 
     def _report_forever(self) -> None:
         while not self._stopping.is_set():
--- a/packages/arbutustally-node/src/arbutustally_node/membership.py
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -10,6 +10,7 @@
 
 from arbutustally.clock import Clock, monotonic
 from arbutustally.directory import winners
+from arbutustally.engine_client import EngineClient
 from arbutustally.errors import InstanceListUnavailableError, RouterError
 from arbutustally.instance_client import Instance, InstanceClient
 from arbutustally.logs import get_logger
@@ -30,6 +31,8 @@
 MARK_COPIES = 3
 #: An unchanged load is sent again after this long, so that its age stays low, seconds.
 LOAD_RESEND_S = 2.0
+#: Longest silence of an engine that is asked for its load, seconds.
+LOAD_TIMEOUT_S = 1.0
 #: Load polls in flight at the same time.
 MAX_POLLS = 16
 #: Failed polls in a row after which this node does not use an endpoint.
@@ -85,11 +88,7 @@
     @classmethod
     def from_config(cls, kernel: Kernel, options: Options) -> "MembershipService":
         """Builds the service over HTTP clients of the platform and the engines."""
-        from arbutustally.engine_client import EngineClient  # noqa: PLC0415 owned elsewhere
-
-        engines = EngineClient.from_config(
-            options.endpoint_connect_timeout_s, options.endpoint_read_timeout_s
-        )
+        engines = EngineClient.from_config(LOAD_TIMEOUT_S)
         return cls(
             options,
             kernel.lookup("metrics"),
@@ -209,7 +208,7 @@
         while not self._stopping.is_set():
             for instance in self.assigned():
                 pool.spawn(self.poll, instance)
-            pool.join(timeout=self._options.endpoint_read_timeout_s)
+            pool.join()
             self._pause(self._options.poll_interval_s)
 
     def assigned(self) -> list[Instance]:
--- a/packages/arbutustally-node/src/arbutustally_node/shard_owner.py
+++ b/packages/arbutustally-node/src/arbutustally_node/shard_owner.py
@@ -1,7 +1,7 @@
 """Ownership of one shard: its lease, its issuer, and the assignment of its share slots."""
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 from arbutustally.clock import Clock
 from arbutustally.errors import LeaseLostError, RouterError
@@ -10,6 +10,7 @@
 from arbutustally.logs import get_logger
 from arbutustally.records import ShareRecord
 from arbutustally.standing_shares import owner_fraction
+from arbutustally_node.lease_hold import LeaseHold
 from arbutustally_node.node_table import Node
 
 #: An owner that is no longer first hands over after this long, seconds; shorter changes of the
@@ -26,22 +27,8 @@
 _log = get_logger("limits")
 
 
-class LeaseHold(Protocol):
-    """A lease that the log service claims and renews until it is released."""
-
-    @property
-    def epoch(self) -> int:
-        """Offset of the accepted claim, -1 while not held."""
-
-    def remaining(self, now: float) -> float:
-        """Returns seconds of proved validity, 0 or less while not held."""
-
-    def release(self) -> None:
-        """Gives the lease up and ends the renewals."""
-
-
-class _Bounded:
-    """A tenure that ends at the handover at the latest."""
+class _BoundedTenure:
+    """The lease as its issuer sees it; it ends at the handover at the latest."""
 
     def __init__(self, hold: LeaseHold, ends_at: Callable[[], float]) -> None:
         self._hold = hold
@@ -52,7 +39,9 @@
         return self._hold.epoch
 
     def remaining(self, now: float) -> float:
-        return min(self._hold.remaining(now), self._ends_at() - now)
+        if not self._hold.valid(now):
+            return 0.0
+        return min(self._hold.held.remaining(now), self._ends_at() - now)
 
 
 def lease_name(shard: int) -> str:
@@ -81,25 +70,31 @@
         self._log = log
         self._call = call
         self._hold: LeaseHold | None = None
+        self._tenure: _BoundedTenure | None = None
         self._issuer: Issuer | None = None
+        self._wanted = False
         self._displaced_since: float | None = None
         self._ends_at = float("inf")
         self._seen: dict[int, tuple[str, float]] = {}
         self._confirmed: set[tuple[int, int, int]] = set()
 
+    @property
+    def wanted(self) -> bool:
+        """Returns whether this node should hold the lease."""
+        return self._wanted
+
     def issuer(self) -> Issuer:
         """Returns the issuer under the current lease.
 
         :raises LeaseLostError: if this node does not hold the lease.
         """
-        now = self._clock()
-        if self._hold is None or min(self._hold.remaining(now), self._ends_at - now) <= 0:
+        tenure = self._tenure
+        if tenure is None or not self._wanted or tenure.remaining(self._clock()) <= 0:
             raise LeaseLostError(
                 f"this node does not hold the lease of shard {self._shard}; ask its holder",
                 retry_after_s=1.0,
             )
-        if self._issuer is None or self._issuer.epoch != self._hold.epoch:
-            tenure = _Bounded(self._hold, lambda: self._ends_at)
+        if self._issuer is None or self._issuer.epoch != tenure.epoch:
             self._issuer = Issuer.from_config(self._clock, tenure, self._fraction)
             self._confirmed.clear()
         return self._issuer
@@ -112,13 +107,12 @@
         now = self._clock()
         first = bool(ranked) and ranked[0].id == self._node_id
         if self._ends_at <= now:
-            self._release()
-        if first and self._ends_at == float("inf"):
-            self._displaced_since = None
-            if self._hold is None:
-                self._hold = self._log().hold(lease_name(self._shard))
-        elif self._hold is not None:
+            self._end()
+        elif not first:
             self._displace(now)
+        elif self._ends_at == float("inf"):
+            self._displaced_since = None
+            self._want()
         try:
             issuer = self.issuer()
         except LeaseLostError:
@@ -127,27 +121,37 @@
 
     def hand_over(self) -> None:
         """Begins to hand over at once; used when the node drains."""
-        if self._hold is not None and self._ends_at == float("inf"):
+        if self._wanted and self._ends_at == float("inf"):
             self._ends_at = self._clock() + HANDOVER_S
 
+    def stop(self) -> None:
+        """Ends the renewals; the lease is released only if no grant is live under it."""
+        self._wanted = False
+        if self._hold is None:
+            return
+        if self._issuer is None or self._issuer.outstanding <= 0 or not self._hold.valid():
+            self._hold.stop()
+
+    def _want(self) -> None:
+        self._wanted = True
+        if self._hold is None:
+            self._hold = self._log().hold(lease_name(self._shard), wanted=lambda: self._wanted)
+            self._tenure = _BoundedTenure(self._hold, lambda: self._ends_at)
+            self._hold.start()
+
     def _displace(self, now: float) -> None:
         if self._displaced_since is None:
             self._displaced_since = now
         if now - self._displaced_since >= DISPLACED_S:
             self.hand_over()
 
-    def _release(self) -> None:
-        # No grant outlives the handover, so the next owner's empty bucket is the whole truth.
-        hold, self._hold, self._issuer = self._hold, None, None
+    def _end(self) -> None:
+        # All grants end before the handover, so the next owner's empty bucket is the whole truth.
+        # The hold releases the lease once it is not wanted.
+        self._wanted = False
+        self._issuer = None
         self._ends_at = float("inf")
         self._displaced_since = None
-        if hold is None:
-            return
-        try:
-            hold.release()
-        except RouterError as error:
-            # The lease expires by itself.
-            _log.info("lease not released", shard=self._shard, code=error.code)
 
     def _fraction(self) -> float:
         state = self._log().state
--- a/packages/arbutustally/src/arbutustally/limit_issuer.py
+++ b/packages/arbutustally/src/arbutustally/limit_issuer.py
@@ -133,6 +133,11 @@
         """Returns the epoch of the tenure under which it was built."""
         return self._epoch
 
+    @property
+    def outstanding(self) -> float:
+        """Returns the tokens of all live grants, over all accounts."""
+        return sum(budget.outstanding for budget in self._budgets.values())
+
     def budget(self, account: str) -> OwnerBudget | None:
         """Returns the budget of an account that has asked, for reports."""
         return self._budgets.get(account)
--- a/tests/limits_world.py
+++ b/tests/limits_world.py
@@ -1,6 +1,8 @@
 """Several nodes with the real limit modules on separate virtual clocks, over a simulated log."""
 
+from contextlib import suppress
 from dataclasses import dataclass, field
+from random import Random
 from types import SimpleNamespace
 from typing import Any
 
@@ -8,10 +10,12 @@
 from arbutustally.errors import LogUnavailableError, PeerUnavailableError, RouterError
 from arbutustally.limits import CLOCK_SLEW, GrantPool, Reservation
 from arbutustally.logs import configure
-from arbutustally.records import LeaseRecord
+from arbutustally.records import Change, wrap
+from arbutustally.state import ControlState
 from arbutustally_node.grant_sources import GRANT, SHARE_GRANT, GrantSources
+from arbutustally_node.lease_hold import LeaseHold
 from arbutustally_node.node_table import Node
-from arbutustally_node.shard_owner import SLOT_EFFECTIVE, ShardOwner, lease_name
+from arbutustally_node.shard_owner import SLOT_EFFECTIVE, ShardOwner
 from arbutustally_node.slot_holder import SlotHolder
 
 # Refused attempts are expected here by the thousand.
@@ -21,109 +25,15 @@
 RATE = 100.0
 BURST = 1000.0
 LEASE_S = 10.0
-LEASE = lease_name(0)
 # Rounding of sums of up to some thousand floats of this size.
 ROUNDING = 1e-6
 
 
-@dataclass(frozen=True)
-class Lease:
-    holder: str
-    epoch: int
-    last_offset: int
-    released: bool
+class SteppedHold(LeaseHold):
+    """The real hold, driven by the world in place of its greenlet."""
 
-
-@dataclass(frozen=True)
-class Share:
-    holder: str
-    last_offset: int
-    previous_holder: str
-
-
-class Fold:
-    """State of a prefix of the simulated log."""
-
-    def __init__(self) -> None:
-        limits = SimpleNamespace(rate=RATE, burst=BURST)
-        self.declarations = SimpleNamespace(accounts={ACCOUNT: limits})
-        self._lease: Lease | None = None
-        self._shares: dict[int, Share] = {}
-
-    def lease(self, _name: str) -> Lease | None:
-        return self._lease
-
-    def share(self, _shard: int, slot: int) -> Share | None:
-        return self._shares.get(slot)
-
-    def apply(self, offset: int, body: Any) -> None:
-        if isinstance(body, LeaseRecord):
-            old = self._lease
-            if body.base != (old.last_offset if old else -1):
-                return
-            renewal = old is not None and old.holder == body.holder and not old.released
-            epoch = old.epoch if renewal else offset
-            self._lease = Lease(body.holder, epoch, offset, body.release)
-        else:
-            share = self._shares.get(body.slot)
-            if body.base != (share.last_offset if share else -1):
-                return
-            previous = share.holder if share else ""
-            self._shares[body.slot] = Share(body.holder, offset, previous)
-
-
-class Hold:
-    """Claims and renews the lease as the log service does."""
-
-    def __init__(self, node: "SimNode") -> None:
-        self._node = node
-        self._sent_at = float("-inf")
-        self._first_read: tuple[int, float] = (-1, 0.0)
-        self.released = False
-
-    def _mine(self) -> Lease | None:
-        lease = self._node.fold.lease(LEASE)
-        mine = lease is not None and lease.holder == self._node.holder and not lease.released
-        return lease if mine else None
-
-    @property
-    def epoch(self) -> int:
-        lease = self._mine()
-        return lease.epoch if lease else -1
-
-    def remaining(self, now: float) -> float:
-        if self._mine() is None or self.released:
-            return 0.0
-        return self._sent_at + LEASE_S * 0.99 - 0.05 - now
-
-    def step(self) -> None:
-        """Claims when the lease is claimable by what this node has seen, or renews."""
-        node, lease = self._node, self._node.fold.lease(LEASE)
-        now = node.clock()
-        if self._mine() is not None or lease is None or lease.released:
-            self._append(lease, now)
-            return
-        if self._first_read[0] != lease.last_offset:
-            self._first_read = (lease.last_offset, now)
-        elif now - self._first_read[1] >= LEASE_S:
-            self._append(lease, now)
-
-    def _append(self, lease: Lease | None, now: float) -> None:
-        base = lease.last_offset if lease else -1
-        record = LeaseRecord(LEASE, self._node.holder, base)
-        try:
-            self._node.append(record)
-        except LogUnavailableError:
-            return
-        if self._mine() is not None:
-            self._sent_at = now
-
-    def release(self) -> None:
-        self.released = True
-        self._node.lease_hold = None
-        lease = self._mine()
-        if lease is not None:
-            self._node.append(LeaseRecord(LEASE, self._node.holder, lease.last_offset, True))
+    def start(self) -> None:
+        """Does nothing; the world calls ``step``."""
 
 
 class SimNode:
@@ -139,10 +49,11 @@
         self.speed = 1 + CLOCK_SLEW * (-1, 1, 0.5, -0.5)[index % 4]
         self.frozen = False
         self.draining = False
-        self.fold = Fold()
-        self.read_to = 0
+        self.state = ControlState()
+        self.subscribers: list[Any] = []
+        self.ready = True
         self.confirmed_at = self.clock()
-        self.lease_hold: Hold | None = None
+        self.lease_hold: SteppedHold | None = None
         self.pool = GrantPool.from_config(self.clock)
         self.owner = ShardOwner(0, self.id, self.clock, lambda: self, self.call)
         self.slots = [
@@ -158,29 +69,37 @@
 
     # The log service of this node.
 
-    @property
-    def state(self) -> Fold:
-        return self.fold
-
     def read(self) -> None:
         sent_at = self.clock()
         if not self.world.log_up or self.id in self.world.cut_from_log:
             return
-        while self.read_to < len(self.world.log):
-            self.fold.apply(self.read_to, self.world.log[self.read_to])
-            self.read_to += 1
+        for offset in range(self.state.offset + 1, len(self.world.log)):
+            record = self.world.log[offset]
+            verdict = self.state.apply(offset, record)
+            for callback in self.subscribers:
+                callback(offset, record, verdict)
         self.confirmed_at = sent_at
 
-    def append(self, body: Any) -> None:
+    def append(self, body: Any, timeout_s: float = 1.0) -> None:
         if not self.world.log_up or self.id in self.world.cut_from_log:
-            raise LogUnavailableError("simulated outage")
-        self.world.log.append(body)
+            raise LogUnavailableError("simulated outage; wait")
+        self.world.log.append(wrap(body))
         self.read()
 
-    def hold(self, _name: str) -> Hold:
-        self.lease_hold = Hold(self)
+    def subscribe(self, callback: Any) -> None:
+        self.subscribers.append(callback)
+
+    def hold(self, name: str, wanted: Any) -> SteppedHold:
+        self.lease_hold = SteppedHold(
+            self, name, self.holder, LEASE_S, self.clock, Random(0), wanted
+        )
         return self.lease_hold
 
+    def step_hold(self) -> None:
+        with suppress(LogUnavailableError):
+            if self.lease_hold is not None:
+                self.lease_hold.step()
+
     # Peer calls.
 
     def call(self, node_id: str, method: str, payload: Any, _timeout_s: float) -> Any:
@@ -194,8 +113,7 @@
         if self.draining:
             self.owner.hand_over()
         self.owner.tend(ranked)
-        if self.lease_hold is not None:
-            self.lease_hold.step()
+        self.step_hold()
         for slot in self.slots:
             try:
                 slot.tend([node.id for node in ranked[:2]], self.draining)
@@ -231,7 +149,10 @@
 
     def __init__(self, size: int = 4) -> None:
         self.now = 0.0
-        self.log: list[Any] = []
+        items = {
+            f"accounts/{ACCOUNT}": {"rate": RATE, "burst": BURST},
+        }
+        self.log: list[Any] = [wrap(Change(-1, items))]
         self.log_up = True
         self.cut_from_log: set[str] = set()
         self.cut: set[frozenset[str]] = set()
@@ -249,6 +170,10 @@
         self.incarnations += 1
         self.nodes[f"n{index}"] = SimNode(self, index, self.incarnations)
 
+    def owns(self, node: SimNode) -> bool:
+        hold = node.lease_hold
+        return hold is not None and hold.valid(node.clock())
+
     def owner_index(self) -> int:
         """Returns the node that ranks first."""
         return int(ranking(0, [node.node() for node in self.nodes.values()])[0].id[1:])
--- a/tests/test_limits_model.py
+++ b/tests/test_limits_model.py
@@ -191,7 +191,7 @@
         """Guards against grants of an owner that has a successor."""
         self.owner.frozen = True
         self.world.run(40)
-        successor = next(node for node in self.others if node.lease_hold is not None)
+        successor = next(node for node in self.others if self.world.owns(node))
         self.world.admit_all(successor)
         self.owner.frozen = False
         self.world.admit_all(self.owner)
@@ -235,11 +235,11 @@
             self.world.run(0.25, step=0.05)
             node.sources.ask_owner("acct", 0.0, 400.0) if self._has_owner() else None
             self.world.admit_all(node)
-        self.assertIsNone(self.owner.lease_hold)
+        self.assertFalse(self.world.owns(self.owner))
         self.check()
 
     def _has_owner(self) -> bool:
-        lease = self.others[0].fold.lease("shard/0")
+        lease = self.others[0].state.lease("shard/0")
         return lease is not None and not lease.released
 
     def test_unused_tokens_return_before_the_deadline(self) -> None:
@@ -260,7 +260,7 @@
     def setUp(self) -> None:
         self.world = World()
         self.world.run(60)
-        fold = self.world.node(0).fold
+        fold = self.world.node(0).state
         self.holders = [fold.share(0, slot).holder.partition("#")[0] for slot in range(2)]
 
     def check(self) -> None:
@@ -295,7 +295,7 @@
             if node_id != old.id:
                 self.world.cut.add(frozenset((old.id, node_id)))
         self.world.run(200)
-        fold = self.world.node(self.world.owner_index()).fold
+        fold = self.world.node(self.world.owner_index()).state
         successor = fold.share(0, 1).holder.partition("#")[0]
         self.assertNotEqual(successor, old.id)
         self.assertTrue(self.usable(old.id, 1))
@@ -308,7 +308,7 @@
         """Guards against idling a released slot for the succession wait."""
         self.world.nodes[self.holders[1]].draining = True
         self.world.run(30)
-        fold = self.world.nodes[self.holders[0]].fold
+        fold = self.world.nodes[self.holders[0]].state
         successor = fold.share(0, 1).holder.partition("#")[0]
         self.assertNotEqual(successor, self.holders[1])
         self.assertTrue(self.usable(successor, 1))
@@ -320,17 +320,17 @@
         owner.tend()
         world.now += 30
         owner.read()
-        owner.lease_hold.step()
+        owner.step_hold()
         owner.owner.issuer()
         for _ in range(12):
             world.now += 1
-            owner.lease_hold.step()
+            owner.step_hold()
         other = next(node for node in world.nodes.values() if node is not owner)
         other.read()
         self.assertEqual(other.sources.ask_owner("acct", BURST, BURST).tokens, BURST)
         for _ in range(3):
             world.tend()
-        second = world.nodes[owner.fold.share(0, 1).holder.partition("#")[0]]
+        second = world.nodes[owner.state.share(0, 1).holder.partition("#")[0]]
         self.assertRaises(LeaseLostError, second.slots[1].issuer)
         world.run(4)
         second.slots[1].issuer()
@@ -343,7 +343,7 @@
             if node_id != old.id:
                 self.world.cut.add(frozenset((old.id, node_id)))
         self.world.run(200)
-        fold = self.world.node(self.world.owner_index()).fold
+        fold = self.world.node(self.world.owner_index()).state
         successor = fold.share(0, 1).holder.partition("#")[0]
         self.world.nodes[successor].draining = True
         self.world.run(200)
