--- a/packages/arbutustally-node/src/arbutustally_node/membership.py
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -208,7 +208,7 @@
         while not self._stopping.is_set():
             for instance in self.assigned():
                 pool.spawn(self.poll, instance)
-            pool.join(timeout=self._options.endpoint_read_timeout_s)
+            pool.join()
             self._pause(self._options.poll_interval_s)
 
     def assigned(self) -> list[Instance]:
