Run moves under the log service's lease; the whole path serves

Cause: the version service expected another lease interface, and its greenlet died at start; membership could not list the endpoints of all services. Change: leases are kept per model, started and released; the time of acquisition is when this node first saw its own tenure.

--- a/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
@@ -208,12 +208,15 @@
                 entry.dispatches.remove(dispatch)
                 return
 
-    def endpoints(self, service: str, model: str | None = None) -> list[EndpointState]:
-        """Returns the endpoints of a service that are listed and not dead, in order of id."""
+    def endpoints(self, service: str | None, model: str | None = None) -> list[EndpointState]:
+        """Returns the endpoints that are listed and not dead, in order of id.
+
+        :param service: one service, or ``None`` for all.
+        """
         chosen = [
             entry
             for entry in self._entries.values()
-            if entry.instance.service == service
+            if (service is None or entry.instance.service == service)
             and (model is None or entry.instance.model == model)
             and self._usable(entry)
         ]
--- a/packages/arbutustally-node/src/arbutustally_node/membership.py
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -131,8 +131,11 @@
             present = known
         return [node for node in present if not node.draining and node.caller_address]
 
-    def endpoints(self, service: str, model: str | None = None) -> list[EndpointState]:
-        """Returns the endpoints of a service that are not dead; skip leaving ones for new work."""
+    def endpoints(self, service: str | None, model: str | None = None) -> list[EndpointState]:
+        """Returns the endpoints that are not dead; skip leaving ones for new work.
+
+        :param service: one service, or ``None`` for all.
+        """
         return self._endpoints.endpoints(service, model)
 
     def peer_addresses(self) -> dict[str, str]:
--- a/packages/arbutustally-node/src/arbutustally_node/version_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/version_service.py
@@ -24,6 +24,7 @@
     pick_version,
 )
 from arbutustally_node.kernel import Kernel
+from arbutustally_node.lease_hold import LeaseHold
 from arbutustally_node.options import Options
 
 TRIPPED = declare(
@@ -70,6 +71,8 @@
         self._clock = clock
         self._breaker = Breaker()
         self._controllers: dict[str, MoveController] = {}
+        self._leases: dict[str, LeaseHold] = {}
+        self._acquired: dict[str, tuple[int, float]] = {}
         self._fleet: dict[str, dict[EvidenceKey, Tally]] = {}
         self._loading: dict[tuple[str, str], float] = {}
         self._greenlet: Any = None
@@ -91,10 +94,13 @@
         self._greenlet = spawn(self._run)
 
     def stop(self) -> None:
-        """Stops the controllers."""
+        """Stops the controllers and releases their leases."""
         if self._greenlet is not None:
             self._greenlet.kill()
             self._greenlet = None
+        for lease in self._leases.values():
+            lease.stop()
+        self._leases.clear()
 
     def pick(self, model: str, request_id: str) -> str:
         """Returns the weights version that runs the request.
@@ -230,18 +236,33 @@
     def step(self) -> None:
         """Runs one step of each move that this node controls."""
         for model, declared in self._kernel.lookup("log").state.declarations.models.items():
-            lease = self._kernel.lookup("log").hold(f"move/{model}")
-            if not lease.valid:
+            lease = self._lease(model)
+            if not lease.valid():
+                self._acquired.pop(model, None)
                 self._controllers.pop(model, None)
                 continue
             controller = self._controllers.setdefault(model, MoveController())
             view = self._view(model, declared, lease)
             for action in controller.step(view, self._evidence(model), self._clock()):
                 # The lease is checked before each effect: this greenlet may have been paused.
-                if lease.valid:
+                if lease.valid():
                     self._act(model, action)
 
-    def _view(self, model: str, declared: Any, lease: Any) -> MoveView:
+    def _lease(self, model: str) -> LeaseHold:
+        if model not in self._leases:
+            self._leases[model] = self._kernel.lookup("log").hold(f"move/{model}")
+            self._leases[model].start()
+        return self._leases[model]
+
+    def _acquired_at(self, model: str, lease: LeaseHold) -> float:
+        """Returns when this node first saw itself as the holder in the current tenure."""
+        epoch, since = self._acquired.get(model, (-1, 0.0))
+        if epoch != lease.epoch:
+            since = self._clock()
+            self._acquired[model] = (lease.epoch, since)
+        return since
+
+    def _view(self, model: str, declared: Any, lease: LeaseHold) -> MoveView:
         now = self._clock()
         limit = now - LOAD_TIMEOUT_S
         self._loading = {key: at for key, at in self._loading.items() if at > limit}
@@ -249,9 +270,9 @@
             model,
             declared.version,
             self._move(model),
-            lease.fence,
-            lease.valid,
-            lease.claimed_at + self._lease_s + ORDER_TIMEOUT_S,
+            lease.epoch,
+            lease.valid(),
+            self._acquired_at(model, lease) + self._lease_s + ORDER_TIMEOUT_S,
             _deadline(declared.move_by, now),
             declared.max_concurrent_loads,
             tuple(self._endpoints(model)),
