--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -328,6 +328,25 @@
         self.assertTrue(state.apply(1, wrap(Change(-1, {"accounts/a": ACCOUNT}))).accepted)
         self.assertFalse(state.apply(2, issue).accepted)
 
+    def test_repeat_of_a_move_step_stays_without_effect(self) -> None:
+        """Guards against traffic that goes back to an earlier share of a bad version."""
+        state = ControlState()
+        state.apply(0, wrap(LeaseRecord("move/m", "n1#1", -1)))
+        start = wrap(MoveStep("m", "v2", "v1", "started", 0.01, 0))
+        self.assertTrue(state.apply(1, start).accepted)
+        back = wrap(MoveStep("m", "v2", "v1", "taken_back", 0.0, 0))
+        self.assertTrue(state.apply(2, back).accepted)
+        self.assertEqual(state.apply(3, start).reason, Reason.DUPLICATE)
+        self.assertEqual(state.move("m").step, "taken_back")
+
+    def test_claim_without_a_usable_time_is_refused(self) -> None:
+        """Guards against one record that ends the booking window for all keys."""
+        state = ControlState()
+        for offset, key_time_s in enumerate((math.inf, math.nan, -math.inf)):
+            verdict = state.apply(offset, wrap(Claim("k", "d", "n1", key_time_s)))
+            self.assertEqual(verdict.reason, Reason.MALFORMED)
+        self.assertTrue(state.apply(9, wrap(Claim("k", "d", "n1", 5.0))).accepted)
+
     def test_outcome_turns_from_unknown_to_known_only(self) -> None:
         """Guards against a late record that hides an answer or frees a dispatched booking."""
         state = ControlState()
