--- a/packages/arbutustally-node/src/arbutustally_node/limits_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/limits_service.py
@@ -8,34 +8,33 @@
 from gevent.lock import BoundedSemaphore
 
 from arbutustally.clock import Clock, monotonic
+from arbutustally.directory import HOME_WIDTH, ranking
 from arbutustally.errors import (
     LimitUnavailableError,
     OverBurstError,
     RateLimitedError,
+    RouterError,
 )
 from arbutustally.limit_issuer import Demand
 from arbutustally.limits import SLOTS, GrantPool, Reservation
 from arbutustally.logs import get_logger
 from arbutustally.metrics import Metrics, declare
+from arbutustally_node.grant_sources import GRANT, SHARE_GRANT, GrantSources, Refusal
 from arbutustally_node.kernel import Kernel
+from arbutustally_node.node_table import Node
 from arbutustally_node.options import Options
 from arbutustally_node.shard_owner import SLOT_EFFECTIVE, ShardOwner
 from arbutustally_node.slot_holder import SlotHolder
 
 #: Longest wait of a request for a grant, seconds.
 WAIT_S = 0.5
-#: Bound for one call to an issuer, seconds.
-CALL_TIMEOUT_S = 0.25
-#: An issuer that did not answer is not asked again for this long, seconds.
-ISSUER_PAUSE_S = 1.0
-#: Interval in which leases, slots and reports are tended, seconds.
+#: Interval in which leases and slots are tended, seconds.
 TEND_INTERVAL_S = 0.5
+#: Interval in which use is reported to issuers that were not asked meanwhile, seconds.
+REPORT_INTERVAL_S = 0.25
 #: Shortest wait between two attempts of one request, seconds.
 MIN_RETRY_S = 0.01
 
-GRANT = "limits.grant"
-SHARE_GRANT = "limits.share_grant"
-
 RATE_LIMITED = declare(
     "refused.rate_limited", "Requests beyond their account's rate and burst; raise them if wrong."
 )
@@ -85,16 +84,18 @@
         self._locks: dict[str, BoundedSemaphore] = {}
         self._waiting: dict[str, float] = {}
         self._fetching: set[str] = set()
-        self._paused: dict[str, float] = {}
         self._owners = [
-            ShardOwner(shard, options.node_id, clock, log, lambda *args: self._peers().call(*args))
+            ShardOwner(shard, options.node_id, clock, log, self._call)
             for shard in range(options.shards)
         ]
-        self._slots = {
-            (shard, slot): SlotHolder(shard, slot, options.holder, clock, log)
+        self._slots = [
+            [SlotHolder(shard, slot, options.holder, clock, log) for slot in range(SLOTS)]
             for shard in range(options.shards)
-            for slot in range(SLOTS)
-        }
+        ]
+        self._sources = GrantSources(
+            options, clock, log, self._call, self._pool, self._owners, self._slots
+        )
+        self._tending: dict[int, gevent.Greenlet] = {}
         self._stopping = Signal()
         self._loops: list[gevent.Greenlet] = []
 
@@ -112,15 +113,23 @@
     def start(self) -> None:
         """Registers the calls of issuers and begins to tend leases and slots."""
         peers = self._peers()
-        peers.handle(GRANT, self._on_grant)
-        peers.handle(SHARE_GRANT, self._on_share_grant)
+        peers.handle(GRANT, self._sources.on_grant)
+        peers.handle(SHARE_GRANT, self._sources.on_share_grant)
         peers.handle(SLOT_EFFECTIVE, self._on_slot_effective)
         self._loops = [gevent.spawn(self._tend_forever), gevent.spawn(self._report_forever)]
 
     def stop(self) -> None:
-        """Ends the loops; leases that were not handed over in the drain expire."""
+        """Returns unused grants and ends the loops.
+
+        Leases under which grants are live are not released; they expire. A drain before hands
+        them over without that wait.
+        """
         self._stopping.set()
-        gevent.killall(self._loops, timeout=1)
+        gevent.killall([*self._loops, *self._tending.values()], timeout=1)
+        for account in self._pool.accounts():
+            self._sources.report(account, everything=True)
+        for owner in self._owners:
+            owner.stop()
 
     # Requests
 
@@ -141,9 +150,8 @@
                 f"{limits.burst:.0f}; shorten it or ask the operator for a larger burst"
             )
         reservation = self._pool.reserve(account, tokens)
-        source = "held"
+        source = "held" if reservation is not None else "fetched"
         if reservation is None:
-            source = "fetched"
             reservation = self._wait(account, tokens)
         now = self._clock()
         self._demand.setdefault(account, Demand(now)).note(tokens, now)
@@ -171,7 +179,7 @@
         self._waiting[account] = self._waiting.get(account, 0.0) + tokens
         try:
             if not lock.acquire(timeout=WAIT_S):
-                raise self._refused(account, tokens, RateLimitedError, WAIT_S, True)
+                raise self._refused(account, tokens, self._sources.last_refusal(account))
             try:
                 return self._fetch_until(account, tokens, deadline)
             finally:
@@ -184,13 +192,92 @@
             reservation = self._pool.reserve(account, tokens)
             if reservation is not None:
                 return reservation
-            refusal = self._fetch(account, tokens)
-            if refusal is None:
+            needed = tokens - self._pool.available(account)
+            wanted = max(needed, self._waiting[account]) + self._ahead(account)
+            refusal = self._sources.fetch(account, needed, wanted)
+            if refusal is None and self._clock() < deadline:
                 continue
+            refusal = refusal or self._sources.last_refusal(account)
             pause = max(refusal.retry_after_s or MIN_RETRY_S, MIN_RETRY_S)
             if self._clock() + pause > deadline:
-                raise self._refused(
-                    account, tokens, refusal.error, refusal.retry_after_s, refusal.within_rate
-                )
+                raise self._refused(account, tokens, refusal)
             self._metrics.count(GRANT_RETRIED)
             gevent.sleep(pause)
+
+    def _refused(self, account: str, tokens: float, refusal: Refusal) -> RouterError:
+        if refusal.within_rate:
+            self._metrics.count(WITHIN_RATE)
+        retry_after_s = refusal.retry_after_s if refusal.retry_after_s is not None else 1.0
+        if refusal.unavailable:
+            self._metrics.count(LIMIT_UNAVAILABLE)
+            return LimitUnavailableError(
+                f"no issuer of the limit of account {account!r} can be reached; retry, and check "
+                "the log and the peer links if it lasts",
+                retry_after_s=retry_after_s,
+            )
+        self._metrics.count(RATE_LIMITED)
+        return RateLimitedError(
+            f"account {account!r} has not {tokens:.0f} tokens left; "
+            f"retry after {retry_after_s:.1f} s",
+            retry_after_s=retry_after_s,
+        )
+
+    # Grants ahead of requests
+
+    def _ahead(self, account: str) -> float:
+        demand = self._demand.get(account)
+        return demand.ahead(self._clock()) if demand is not None else 0.0
+
+    def _fetch_ahead(self, account: str) -> None:
+        target = self._ahead(account)
+        if self._pool.available(account) >= target / 2 or account in self._fetching:
+            return
+        self._fetching.add(account)
+        gevent.spawn(self._fetch_target, account, target)
+
+    def _fetch_target(self, account: str, target: float) -> None:
+        try:
+            missing = target - self._pool.available(account)
+            if missing > 0 and not self._sources.is_owner(account):
+                self._sources.ask_owner(account, 0.0, missing)
+        except RouterError as error:
+            _log.debug("no grant ahead", account=account, code=error.code)
+        finally:
+            self._fetching.discard(account)
+
+    # Leases, slots and reports
+
+    def _tend_forever(self) -> None:
+        while not self._stopping.is_set():
+            live = self._membership().live_nodes()
+            draining = self._membership().draining
+            for shard in range(self._options.shards):
+                # An append that waits for the log holds up its own shard only.
+                running = self._tending.get(shard)
+                if running is None or running.dead:
+                    self._tending[shard] = gevent.spawn(self.tend, shard, live, draining)
+            self._stopping.wait(TEND_INTERVAL_S)
+
+    def tend(self, shard: int, live: list[Node], draining: bool) -> None:
+        """Claims or hands over the lease and slots of a shard according to the live nodes."""
+        ranked = ranking(shard, live)
+        owner = self._owners[shard]
+        if draining:
+            owner.hand_over()
+        owner.tend(ranked)
+        home_ids = [node.id for node in ranked[:HOME_WIDTH]]
+        for holder in self._slots[shard]:
+            holder.tend(home_ids, draining)
+
+    def _report_forever(self) -> None:
+        while not self._stopping.is_set():
+            for account in self._pool.accounts():
+                self._sources.report(account)
+            self._stopping.wait(REPORT_INTERVAL_S)
+
+    def _on_slot_effective(self, _node_id: str, payload: list[int]) -> None:
+        shard, slot, offset = payload
+        self._slots[shard][slot].effective(offset)
+
+    def _call(self, node_id: str, method: str, payload: Any, timeout_s: float) -> Any:
+        return self._peers().call(node_id, method, payload, timeout_s)
--- a/packages/arbutustally-node/src/arbutustally_node/membership.py
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -9,7 +9,8 @@
 from gevent.pool import Pool
 
 from arbutustally.clock import Clock, monotonic
-from arbutustally.directory import winner
+from arbutustally.directory import winners
+from arbutustally.engine_client import EngineClient
 from arbutustally.errors import InstanceListUnavailableError, RouterError
 from arbutustally.instance_client import Instance, InstanceClient
 from arbutustally.logs import get_logger
@@ -25,8 +26,13 @@
 DELTA_INTERVAL_S = 1.0
 #: Deltas after which one carries everything, which repairs lost ones.
 FULL_EVERY = 10
+#: Nodes that repeat a mark. One would not do: it may be the node that has missed the mark; all
+#: would send every mark of the fleet as often as there are nodes.
+MARK_COPIES = 3
 #: An unchanged load is sent again after this long, so that its age stays low, seconds.
 LOAD_RESEND_S = 2.0
+#: Longest silence of an engine that is asked for its load, seconds.
+LOAD_TIMEOUT_S = 1.0
 #: Load polls in flight at the same time.
 MAX_POLLS = 16
 #: Failed polls in a row after which this node does not use an endpoint.
@@ -82,11 +88,7 @@
     @classmethod
     def from_config(cls, kernel: Kernel, options: Options) -> "MembershipService":
         """Builds the service over HTTP clients of the platform and the engines."""
-        from arbutustally.engine_client import EngineClient  # noqa: PLC0415 owned elsewhere
-
-        engines = EngineClient.from_config(
-            options.endpoint_connect_timeout_s, options.endpoint_read_timeout_s
-        )
+        engines = EngineClient.from_config(LOAD_TIMEOUT_S)
         return cls(
             options,
             kernel.lookup("metrics"),
@@ -206,17 +208,19 @@
         while not self._stopping.is_set():
             for instance in self.assigned():
                 pool.spawn(self.poll, instance)
-            pool.join(timeout=self._options.endpoint_read_timeout_s)
+            pool.join()
             self._pause(self._options.poll_interval_s)
 
     def assigned(self) -> list[Instance]:
         """Returns the engines that this node polls."""
-        return [instance for instance in self._own_part() if instance.model is not None]
+        return [instance for instance in self._own_part(1) if instance.model is not None]
 
-    def _own_part(self) -> list[Instance]:
+    def _own_part(self, copies: int) -> list[Instance]:
         """Returns this node's part of the endpoints of its zone.
 
         A zone without a live node is split over the nodes of the other zones.
+
+        :param copies: number of nodes to which each endpoint falls.
         """
         reachable = {*self._peers().connected(), self._options.node_id}
         live = [node for node in self.nodes() if node.id in reachable]
@@ -227,7 +231,8 @@
         return [
             instance
             for instance in self._endpoints.listed()
-            if winner(instance.id, by_zone.get(instance.zone, everyone)) == self._options.node_id
+            if self._options.node_id
+            in winners(instance.id, by_zone.get(instance.zone, everyone), copies)
         ]
 
     def poll(self, instance: Instance) -> None:
@@ -288,8 +293,7 @@
         self._broadcast(delta)
 
     def _own_marks(self) -> list[Mark]:
-        # Each mark is repeated by one node, else every node would repeat all marks of the fleet.
-        own = {instance.id for instance in self._own_part()}
+        own = {instance.id for instance in self._own_part(MARK_COPIES)}
         repeated = [mark for mark in self._endpoints.marks() if mark.endpoint_id in own]
         return list(dict.fromkeys([*self._fresh_marks, *repeated]))
 
--- a/packages/arbutustally/src/arbutustally/claim_table.py
+++ b/packages/arbutustally/src/arbutustally/claim_table.py
@@ -100,10 +100,10 @@
         entry = self._entries.get(body.key)
         if entry is None:
             return rejected(Reason.NO_CLAIM)
-        is_named = body.base == entry.offset
+        is_named = body.claim == entry.offset
         # Only the claim itself can be declared not run: without its offset, a late record of a
         # beaten or earlier claimant would free a claim that has been dispatched.
-        if not is_named and (body.ran == Ran.NOT_RUN or body.base != -1):
+        if not is_named and (body.ran == Ran.NOT_RUN or body.claim != -1):
             return rejected(Reason.STALE_BASE, entry.offset)
         if entry.outcome is not None and not _improves(entry.outcome, body):
             return rejected(Reason.HAS_OUTCOME, entry.offset)
--- a/packages/arbutustally/src/arbutustally/errors.py
+++ b/packages/arbutustally/src/arbutustally/errors.py
@@ -248,6 +248,20 @@
     status = 409
 
 
+class PeerUnavailableError(RouterError):
+    """A peer cannot be reached or did not answer a call in time."""
+
+    code = "peer_unavailable"
+    status = 503
+
+
+class InstanceListUnavailableError(RouterError):
+    """The platform's instance list did not answer with a valid list."""
+
+    code = "instance_list_unavailable"
+    status = 503
+
+
 class HoleFoundError(RouterError):
     """Records that a reader still needs have left the log.
 
--- a/packages/arbutustally/src/arbutustally/limit_issuer.py
+++ b/packages/arbutustally/src/arbutustally/limit_issuer.py
@@ -138,6 +138,10 @@
         """Returns the tokens of all live grants, over all accounts."""
         return sum(budget.outstanding for budget in self._budgets.values())
 
+    def budget(self, account: str) -> OwnerBudget | None:
+        """Returns the budget of an account that has asked, for reports."""
+        return self._budgets.get(account)
+
     def lowered(self) -> bool:
         """Applies the current fraction; returns whether every budget is within it."""
         for account, reference in self._references.items():
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -134,7 +134,7 @@
         name, offset, _ = claim
         base = offset if names_claim else -1
         for _ in range(repeats):
-            self.append(wrap(Outcome(name, Ran.NOT_RUN, base=base)))
+            self.append(wrap(Outcome(name, Ran.NOT_RUN, claim=base)))
 
     @rule(data=st.data())
     def repeat(self, data: st.DataObject) -> None:
@@ -351,10 +351,10 @@
         """Guards against a late record that hides an answer or frees a dispatched booking."""
         state = ControlState()
         state.apply(0, wrap(Claim("k", "d", "n1", 1.0)))
-        self.assertTrue(state.apply(1, wrap(Outcome("k", Ran.MAY_HAVE_RUN, base=0))).accepted)
-        self.assertFalse(state.apply(2, wrap(Outcome("k", Ran.NOT_RUN, base=0))).accepted)
-        self.assertTrue(state.apply(3, wrap(Outcome("k", Ran.RAN, 200, base=0))).accepted)
-        self.assertFalse(state.apply(4, wrap(Outcome("k", Ran.MAY_HAVE_RUN, base=0))).accepted)
+        self.assertTrue(state.apply(1, wrap(Outcome("k", Ran.MAY_HAVE_RUN, claim=0))).accepted)
+        self.assertFalse(state.apply(2, wrap(Outcome("k", Ran.NOT_RUN, claim=0))).accepted)
+        self.assertTrue(state.apply(3, wrap(Outcome("k", Ran.RAN, 200, claim=0))).accepted)
+        self.assertFalse(state.apply(4, wrap(Outcome("k", Ran.MAY_HAVE_RUN, claim=0))).accepted)
         self.assertEqual(state.claim("k").outcome.status, 200)
 
 
