--- a/packages/arbutustally-node/src/arbutustally_node/caller_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_http.py
@@ -169,11 +169,11 @@
         )
         streams = self._kernel.lookup("streams")
         if not request.stream:
-            return _json(200, streams.complete_whole(call), trace.request_id, self._summary(trace))
+            return _json(200, streams.complete_whole(call), trace.request_id)
         events = streams.complete(call)
         first = next(events)
         headers = {"Content-Type": _EVENTS, "Cache-Control": "no-cache"}
-        headers |= {_REQUEST_ID: trace.request_id} | self._summary(trace)
+        headers[_REQUEST_ID] = trace.request_id
         return bottle.HTTPResponse(_EventBody(first, events, self, trace), 200, headers)
 
     def _plain(self, trace: Trace, name: str, route: Any) -> bottle.HTTPResponse:
@@ -199,7 +199,7 @@
             trace=trace,
         )
         answer = self._kernel.lookup("bookings").submit(call)
-        headers = dict(answer.headers) | {_REQUEST_ID: trace.request_id} | self._summary(trace)
+        headers = dict(answer.headers) | {_REQUEST_ID: trace.request_id}
         return bottle.HTTPResponse(answer.body, answer.status, headers)
 
     # Parts of all handlers.
@@ -211,7 +211,9 @@
             check_query(bottle.request.environ.get("QUERY_STRING", ""))
             if not self._kernel.lookup("log").ready:
                 raise _no_configuration()
-            return handler(trace)
+            response = handler(trace)
+            response.headers.update(self._summary(trace))
+            return response
         except RouterError as error:
             self.refuse(trace, error)
             return self._error(error, trace.request_id, self._summary(trace))
