--- a/packages/arbutustally/src/arbutustally/records.py
+++ b/packages/arbutustally/src/arbutustally/records.py
@@ -153,12 +153,15 @@
     :ivar part: number of this part, from 0.
     :ivar parts: number of parts.
     :ivar data: slice of the encoded snapshot, base64 of compressed CBOR.
+    :ivar digest: BLAKE2 digest of the whole snapshot, in hex; parts with another digest belong
+        to another checkpoint.
     """
 
     upto: int
     part: int
     parts: int
     data: str
+    digest: str = ""
 
 
 Body = (
