--- a/packages/arbutustally-node/src/arbutustally_node/booking_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/booking_service.py
@@ -27,6 +27,7 @@
 )
 from arbutustally.clock import Clock, monotonic
 from arbutustally.errors import (
+    KeyExpiredError,
     LogUnavailableError,
     NoEndpointError,
     OutcomeUnknownError,
@@ -36,6 +37,7 @@
 from arbutustally.metrics import declare
 from arbutustally.records import Claim, Outcome
 from arbutustally.retries import RetryBudget
+from arbutustally.verdicts import Reason
 from arbutustally_node.calls import PlainAnswer, PlainCall
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.log_batcher import LogBatcher
@@ -96,7 +98,7 @@
         self._attempts: dict[int, Attempt] = {}
         # Attempts that gave up before the log showed their claim. Only these are released: an
         # attempt that is not known here may have been dispatched.
-        self._abandoned: OrderedDict[int, None] = OrderedDict()
+        self._abandoned: OrderedDict[int, str] = OrderedDict()
         self._claiming: set[str] = set()
         self._finished: OrderedDict[str, Outcome] = OrderedDict()
 
@@ -107,7 +109,9 @@
 
     def start(self) -> None:
         """Starts to append and to watch for late claims."""
-        self._kernel.lookup("log").subscribe(self._seen)
+        log = self._kernel.lookup("log")
+        log.subscribe(self._seen)
+        log.subscribe_jump(self._jumped)
         self._batcher.start()
 
     def stop(self) -> None:
@@ -194,6 +198,11 @@
         if not appended.verdict.accepted:
             del self._attempts[number]
             call.trace.note("claim_beaten", by=appended.verdict.beaten_by)
+            if appended.verdict.reason == Reason.KEY_EXPIRED:
+                raise KeyExpiredError(
+                    "the idempotency key is older than the log's booking window; find out whether "
+                    "the booking exists before it is made again with a new key"
+                )
             return None
         attempt.offset = appended.offset
         call.trace.note("claimed", offset=appended.offset)
@@ -206,7 +215,7 @@
         if attempt.offset >= 0:
             self._batcher.submit(not_run(attempt.key, attempt.offset))
         else:
-            self._abandon(attempt.number)
+            self._abandon(attempt)
         return LogUnavailableError(
             "the booking was not made because the log did not confirm its claim in time; send it "
             "again with the same key",
@@ -228,8 +237,18 @@
             del self._abandoned[int(number)]
             self._batcher.submit(not_run(body.key, offset))
 
-    def _abandon(self, number: int) -> None:
-        self._abandoned[number] = None
+    def _jumped(self) -> None:
+        """Releases claims of given-up attempts that a snapshot brought unannounced."""
+        state = self._kernel.lookup("log").state
+        for number, key in list(self._abandoned.items()):
+            entry = state.claim(key)
+            if entry is not None and entry.holder == f"{self._holder}/{number}":
+                del self._abandoned[number]
+                if entry.outcome is None:
+                    self._batcher.submit(not_run(key, entry.offset))
+
+    def _abandon(self, attempt: Attempt) -> None:
+        self._abandoned[attempt.number] = attempt.key
         if len(self._abandoned) > MAX_ABANDONED:
             self._abandoned.popitem(last=False)
 
--- a/packages/arbutustally-node/src/arbutustally_node/caller_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_http.py
@@ -9,7 +9,6 @@
 
 from arbutustally.engine_client import CHAT_PATH, COMPLETIONS_PATH
 from arbutustally.errors import (
-    DrainingError,
     ModelUnknownError,
     NoConfigurationError,
     Ran,
@@ -49,15 +48,14 @@
 class CallerHttp:
     """Serves callers.
 
-    :param kernel: finds ``log``, ``keys``, ``streams``, ``bookings``, ``directory``, ``explain``
-        and ``metrics``.
+    :param kernel: finds ``log``, ``keys``, ``streams``, ``bookings``, ``directory``, ``explain``,
+        ``health`` and ``metrics``.
     """
 
     def __init__(self, kernel: Kernel, options: Options) -> None:
         self._kernel = kernel
         self._options = options
         self._server: Server | None = None
-        self._draining = False
         self._logger = get_logger("caller_http")
         self._app = self._build()
 
@@ -77,7 +75,7 @@
         return self._server.address if self._server else self._options.caller_listen
 
     @property
-    def running(self) -> int:
+    def active_requests(self) -> int:
         """Returns the number of requests that are being answered."""
         return self._server.running if self._server else 0
 
@@ -92,8 +90,7 @@
             self._server.stop()
 
     def drain(self) -> None:
-        """Fails ``/readyz`` and closes connections after their next answer; requests still run."""
-        self._draining = True
+        """Closes connections after their next answer; requests still run."""
         if self._server is not None:
             self._server.drain()
 
@@ -114,11 +111,10 @@
         return _json(200, {"status": "ok"}, "")
 
     def _readyz(self) -> bottle.HTTPResponse:
-        if self._draining:
-            return self._error(DrainingError("the node is shutting down; use another node"), "")
-        if not self._kernel.lookup("log").ready:
-            return self._error(_no_configuration(), "")
-        return _json(200, {"status": "ready"}, "")
+        readiness = self._kernel.lookup("health").readiness()
+        if readiness.ready:
+            return _json(200, {"status": "ready"}, "")
+        return _json(503, {"status": "not_ready", "reason": readiness.reason}, "")
 
     def _entry(self, trace: Trace) -> bottle.HTTPResponse:
         account = self._authenticate(trace, "entry")
@@ -209,7 +205,8 @@
         trace = explain.begin(explain.new_request_id(), "", name)
         try:
             check_query(bottle.request.environ.get("QUERY_STRING", ""))
-            if not self._kernel.lookup("log").ready:
+            log = self._kernel.lookup("log")
+            if not log.ready or log.state.version < 0:
                 raise _no_configuration()
             response = handler(trace)
             response.headers.update(self._summary(trace))
--- a/packages/arbutustally-node/src/arbutustally_node/dispatch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/dispatch.py
@@ -29,8 +29,6 @@
 from arbutustally_node.relay import StreamCursor
 
 CANCEL_TIMEOUT_S = 2.0
-#: Priority of classes without a target for the first token; lower goes first at the engine.
-BULK_PRIORITY = 1_000_000
 NO_ENDPOINT_RETRY_S = 1.0
 
 _JSON = {"Content-Type": "application/json", "Accept": "text/event-stream"}
@@ -75,7 +73,7 @@
     @classmethod
     def from_config(cls, kernel: Kernel, options: Options) -> "Dispatcher":
         """Builds a dispatcher for a node."""
-        return cls(kernel, options, EngineClient.from_config(CANCEL_TIMEOUT_S))
+        return cls(kernel, options, EngineClient.from_config(CANCEL_TIMEOUT_S, CANCEL_TIMEOUT_S))
 
     def choose(
         self, call: ModelCall, version: str, shape: PromptShape, tried: set[str]
@@ -88,7 +86,7 @@
         endpoints = {
             state.id: state
             for state in self._kernel.lookup("membership").endpoints(call.service, call.model)
-            if not state.leaving and state.version == version and state.id not in tried
+            if not state.leaving and _has_version(state, version) and state.id not in tried
         }
         if not endpoints:
             raise NoEndpointError(
@@ -111,16 +109,18 @@
         endpoint: Any,
         choice: Choice,
         cursor: StreamCursor,
+        priority: int,
         now: float,
     ) -> Link:
         """Sends the request, continued from the tokens of the cursor.
 
+        :param priority: priority at the engine, lower first.
         :raises RouterError: ``NOT_RUN`` only if no byte was sent.
         """
         body = encode_request(
             call.fields,
             request_id=call.request_id,
-            priority=priority_of(call.target),
+            priority=priority,
             cache_salt=cache_salt(call.account),
             version=version,
             emitted=cursor.texts,
@@ -203,23 +203,20 @@
             zone=state.zone,
             queued_tokens=state.queued_tokens,
             running=state.running,
-            version=state.version,
-            loaded=state.version == version,
+            version=version,
             import_available=self._import_kv,
         )
 
 
-def priority_of(target: Any) -> int:
-    """Returns the priority at the engine: the class's target in milliseconds."""
-    first_token_ms = getattr(target, "first_token_ms", None)
-    return BULK_PRIORITY if first_token_ms is None else int(first_token_ms)
-
-
 def cache_salt(account: str) -> str:
     """Returns the value that keeps an account's blocks apart at the engines."""
     return f"account:{account}"
 
 
+def _has_version(state: Any, version: str) -> bool:
+    return version in state.versions or (not state.versions and state.version == version)
+
+
 def _refusal(endpoint: Any, response: PooledResponse) -> RouterError:
     parsed = parse_json(response.read_whole())
     code = error_code(parsed)
--- a/packages/arbutustally-node/src/arbutustally_node/explain.py
+++ b/packages/arbutustally-node/src/arbutustally_node/explain.py
@@ -4,6 +4,7 @@
 import time
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from datetime import UTC, datetime
 from typing import Any
 
 from arbutustally.clock import Clock, monotonic
@@ -32,7 +33,11 @@
     @property
     def text(self) -> str:
         """Returns the step in one phrase."""
-        details = " ".join(f"{name}={value}" for name, value in self.fields.items())
+        details = " ".join(
+            f"{name}={value}"
+            for name, value in self.fields.items()
+            if not isinstance(value, (list, dict))
+        )
         return f"{self.at_s * 1000:.1f}ms {self.name}" + (f" {details}" if details else "")
 
 
@@ -80,7 +85,7 @@
     def refuse(self, error: RouterError) -> None:
         """Records the error that ended the request."""
         self._refusal = error
-        self.note("refused", code=error.code, ran=str(error.ran), message=error.message)
+        self.note("refused", code=error.code, ran=str(error.ran))
 
     def as_dict(self) -> dict[str, Any]:
         """Returns the JSON form."""
@@ -88,8 +93,9 @@
             "request_id": self._request_id,
             "account": self._account,
             "route": self._route,
-            "begun_unix_s": self._begun_unix_s,
-            "refused": None if self._refusal is None else self._refusal.code,
+            "node": self._request_id.partition("~")[0],
+            "started_at": datetime.fromtimestamp(self._begun_unix_s, UTC).isoformat(),
+            "error": self._error(),
             "steps": [
                 {"step": step.name, "at_s": step.at_s, **step.fields} for step in self._steps
             ],
@@ -97,6 +103,17 @@
             "summary": self.summary(),
         }
 
+    def _error(self) -> dict[str, Any] | None:
+        error = self._refusal
+        if error is None:
+            return None
+        return {
+            "code": error.code,
+            "message": error.message,
+            "ran": str(error.ran),
+            "retry_after_s": error.retry_after_s,
+        }
+
     def summary(self) -> str:
         """Returns the steps on one line of printable ASCII, for a response header."""
         text = "; ".join(step.text for step in self._steps)
--- a/packages/arbutustally-node/src/arbutustally_node/log_batcher.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_batcher.py
@@ -141,7 +141,7 @@
 
     def _failed(self, batch: list[PendingAppend], error: RouterError) -> None:
         for pending in batch:
-            if isinstance(pending.body, Outcome):
+            if isinstance(pending.body, Outcome) and isinstance(error, LogUnavailableError):
                 self._waiting.append(pending)
             else:
                 pending.fail(error)
--- a/packages/arbutustally-node/src/arbutustally_node/stream_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_run.py
@@ -4,6 +4,8 @@
 from dataclasses import replace
 from typing import Any
 
+import gevent
+
 from arbutustally.clock import Clock
 from arbutustally.engine_client import END_OF_STREAM, Usage
 from arbutustally.errors import (
@@ -16,8 +18,8 @@
     StreamNotResumableError,
 )
 from arbutustally.metrics import Counter, declare
-from arbutustally.placement import Observation
-from arbutustally.prefixes import PromptShape, split_levels
+from arbutustally.placement import Choice, Observation
+from arbutustally.prefixes import BYTES_PER_TOKEN, PromptShape, split_levels
 from arbutustally.retries import RetryBudget
 from arbutustally.stream_token import EventId, StreamToken, issue, verify
 from arbutustally_node.calls import ModelCall
@@ -28,7 +30,8 @@
 
 #: Resumptions of one stream that bring no token before another engine is tried.
 MAX_IDLE_RESUMES = 2
-BYTES_PER_TOKEN = 4
+#: Candidates that an explanation shows.
+MAX_RANKED_NOTED = 5
 DONE = b"data: [DONE]\n\n"
 
 _RETRIED = {
@@ -62,6 +65,7 @@
         self._shape: PromptShape | None = None
         self._tried: set[str] = set()
         self._link: Link | None = None
+        self._admission: Any = None
         self._idle_resumes = 0
         self._ran = Ran.NOT_RUN
 
@@ -87,10 +91,18 @@
         reservation = limits.reserve(call.account, tokens, call.trace)
         try:
             gate = self._kernel.lookup("fairness")
-            with gate.admit(call.account, call.class_name, tokens, call.trace):
+            with gate.admit(
+                call.account,
+                call.class_name,
+                tokens,
+                call.trace,
+                service=call.service,
+                model=call.model,
+            ) as admission:
+                self._admission = admission
                 self._version = self._kernel.lookup("versions").pick(call.model, call.request_id)
                 call.trace.note("version_picked", version=self._version)
-                self._shape = split_levels(call.prompt)
+                self._shape = split_levels(call.prompt, _yield_to_others)
                 self._cursor = StreamCursor(call.request_id, self._version)
                 yield from self._relay(self._open_link)
         finally:
@@ -166,7 +178,13 @@
         if not link.first_s:
             link.first_s = link.last_s
             self._idle_resumes = 0
-            self._call.trace.note("first_token", endpoint=link.endpoint.id)
+            if self._admission is not None:
+                self._admission.started()
+            self._call.trace.note(
+                "first_token",
+                endpoint=link.endpoint.id,
+                first_token_s=round(link.first_s - link.opened_s, 4),
+            )
 
     def _stream_token(self, link: Link) -> str:
         call = self._call
@@ -197,33 +215,51 @@
             call.trace.note(
                 "placed",
                 endpoint=endpoint.id,
-                estimate_ms=round(choice.estimate_s * 1000, 1),
-                cached=choice.expected_cached_tokens,
-                reasons=" ".join(choice.reasons),
+                estimate_s=round(choice.estimate_s, 4),
+                expected_cached_tokens=choice.expected_cached_tokens,
+                import_kv=choice.import_kv,
+                reasons=list(choice.reasons),
+                ranked=[
+                    {"endpoint": entry.endpoint, "first_token_s": round(entry.first_token_s, 4)}
+                    for entry in choice.ranked[:MAX_RANKED_NOTED]
+                ],
             )
             begun = self._clock()
             ran_before, self._ran = self._ran, Ran.MAY_HAVE_RUN
             try:
                 return self._dispatcher.send(
-                    call, self._version, self._shape, endpoint, choice, self._cursor, begun
+                    call,
+                    self._version,
+                    self._shape,
+                    endpoint,
+                    choice,
+                    self._cursor,
+                    self._admission.priority,
+                    begun,
                 )
             except (EndpointFailedError, EndpointTimeoutError) as error:
                 failure = error
                 if error.ran is Ran.NOT_RUN:
                     self._ran = ran_before
-                self._failed_before_answer(endpoint, error, begun)
+                self._failed_before_answer(endpoint, choice, error, begun)
                 if not self._retries.allow(call.account):
                     call.trace.note("retry_budget_empty")
                     raise self._final(failure) from error
 
-    def _failed_before_answer(self, endpoint: Any, error: RouterError, begun: float) -> None:
-        self._call.trace.note("endpoint_failed", endpoint=endpoint.id, code=error.code)
+    def _failed_before_answer(
+        self, endpoint: Any, choice: Choice, error: RouterError, begun: float
+    ) -> None:
+        lost_s = self._clock() - begun
+        self._call.trace.note(
+            "retried", endpoint=endpoint.id, reason=error.code, lost_s=round(lost_s, 4)
+        )
+        self._learn(endpoint.id, choice, None, None)
         if error.ran is Ran.NOT_RUN:
             self._count(NOT_SENT)
         else:
             self._count(REFUSED)
             self._dispatcher.cancel(endpoint, self._call.request_id)
-        self._observe(False, self._clock() - begun, 0.0)
+        self._observe(False, None, None)
 
     def _recover(self, link: Link, fault: Fault) -> Link:
         """Returns a link that carries the stream on from the cursor.
@@ -231,7 +267,11 @@
         :raises StreamLostError: if nothing can carry it on.
         """
         self._call.trace.note(
-            "stream_broken", endpoint=link.endpoint.id, fault=str(fault), at=self._cursor.next_index
+            "retried",
+            endpoint=link.endpoint.id,
+            reason=str(fault),
+            at=self._cursor.next_index,
+            lost_s=round(self._clock() - (link.last_s or link.opened_s), 4),
         )
         self._count(_RETRIED[fault])
         self._dispatcher.leave(link)
@@ -242,7 +282,9 @@
                 return resumed
         else:
             self._dispatcher.lost(link.endpoint, link.incarnation)
-        self._observe(False, self._first_token_s(link), 0.0)
+        self._observe(False, None, None)
+        if link.choice is not None:
+            self._learn(link.endpoint.id, link.choice, None, None)
         return self._continue_elsewhere(link)
 
     def _resume(self, link: Link) -> Link | None:
@@ -300,25 +342,38 @@
         self._dispatcher.leave(link)
         self._retries.succeeded(self._call.account)
         sent = self._cursor.next_index - link.first_index
-        gap = (link.last_s - link.first_s) / (sent - 1) if sent > 1 else 0.0
-        self._observe(True, self._first_token_s(link), gap)
+        gap_s = (link.last_s - link.first_s) / (sent - 1) if sent > 1 else None
         usage = self._cursor.usage
         self._call.trace.note(
-            "completed", endpoint=link.endpoint.id, tokens=self._cursor.next_index
+            "completed",
+            endpoint=link.endpoint.id,
+            completion_tokens=self._cursor.next_index,
+            prompt_tokens=usage.prompt_tokens if usage else None,
+            cached_tokens=usage.cached_tokens if usage else None,
         )
-        if usage is not None and link.choice is not None:
-            self._learn(link, usage)
-
-    def _learn(self, link: Link, usage: Usage) -> None:
-        self._call.trace.note("cached_tokens", tokens=usage.cached_tokens)
+        if link.choice is None:
+            self._observe(True, None, gap_s)
+            return
+        first_token_s = self._first_token_s(link)
+        work = usage.prompt_tokens - usage.cached_tokens if usage else None
+        self._observe(True, first_token_s, gap_s, work)
+        self._learn(link.endpoint.id, link.choice, usage, first_token_s)
+
+    def _learn(
+        self, endpoint: str, choice: Choice, usage: Usage | None, first_token_s: float | None
+    ) -> None:
         observation = Observation(
             account=self._call.account,
             model=self._call.model,
             version=self._version,
             shape=self._shape,
-            endpoint=link.endpoint.id,
-            incarnation=self._cursor.incarnation,
-            cached_tokens=usage.cached_tokens,
+            endpoint=endpoint,
+            incarnation=choice.incarnation,
+            cached_tokens=usage.cached_tokens if usage else None,
+            prompt_tokens=usage.prompt_tokens if usage else 0,
+            first_token_s=first_token_s,
+            dispatch=choice.dispatch,
+            imported=choice.import_kv,
         )
         self._kernel.lookup("placement").learn(observation)
 
@@ -336,10 +391,23 @@
         prompt = estimate if usage is None else usage.prompt_tokens
         return prompt + self._cursor.next_index
 
-    def _observe(self, ok: bool, first_token_s: float, gap_s: float) -> None:
+    def _observe(
+        self,
+        ok: bool,
+        first_token_s: float | None,
+        gap_s: float | None,
+        work_tokens: float | None = None,
+    ) -> None:
         call = self._call
         self._kernel.lookup("versions").observe(
-            call.model, self._version, call.class_name, call.route, ok, first_token_s, gap_s
+            call.model,
+            self._version,
+            call.class_name,
+            call.route,
+            ok,
+            first_token_s,
+            gap_s,
+            work_tokens,
         )
 
     def _first_token_s(self, link: Link) -> float:
@@ -371,3 +439,8 @@
 def _with_request_id(call: ModelCall, request_id: str) -> ModelCall:
     """Returns the call under the id that its stream has at the engine."""
     return replace(call, request_id=request_id)
+
+
+def _yield_to_others() -> None:
+    """Lets other greenlets run between the parts of a long computation."""
+    gevent.sleep(0)
--- a/packages/arbutustally/src/arbutustally/engine_client.py
+++ b/packages/arbutustally/src/arbutustally/engine_client.py
@@ -64,15 +64,15 @@
 
 @dataclass(frozen=True)
 class CacheEvent:
-    """A block that an engine stored or evicted.
+    """Blocks that an engine stored or evicted.
 
     :ivar kind: ``stored`` or ``evicted``.
-    :ivar block: block hash in hex.
+    :ivar blocks: block hashes in hex.
     """
 
     sequence: int
     kind: str
-    block: str
+    blocks: tuple[str, ...]
 
 
 @dataclass(frozen=True)
@@ -137,15 +137,16 @@
         self._manager = manager
 
     @classmethod
-    def from_config(cls, timeout_s: float) -> "EngineClient":
+    def from_config(cls, connect_s: float, read_s: float) -> "EngineClient":
         """Builds a client.
 
-        :param timeout_s: longest silence of an engine.
+        :param connect_s: time to connect.
+        :param read_s: longest silence of an engine.
         """
         manager = urllib3.PoolManager(
             num_pools=MAX_ENGINES,
             maxsize=CONNECTIONS_PER_ENGINE,
-            timeout=urllib3.Timeout(timeout_s),
+            timeout=urllib3.Timeout(connect=connect_s, read=read_s),
             retries=False,
         )
         return cls(manager)
@@ -205,7 +206,7 @@
         data = self._call("GET", address, f"/v1/cache/events?after={after}")
         try:
             events = tuple(
-                CacheEvent(int(item["seq"]), str(item["kind"]), str(item["block"]))
+                CacheEvent(int(item["seq"]), str(item["kind"]), tuple(item["blocks"]))
                 for item in data["events"]
             )
             return CacheEvents(str(data["incarnation"]), events)
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -62,7 +62,7 @@
     def __init__(self, platform: PlatformLog, after_append: Any) -> None:
         self.ready = True
         self.state = SimpleNamespace(
-            declarations=DECLARATIONS, claim=lambda key: self.claims.get(key)
+            declarations=DECLARATIONS, claim=lambda key: self.claims.get(key), version=1
         )
         self.claims: dict[str, Entry] = {}
         self._platform = platform
@@ -74,6 +74,9 @@
     def subscribe(self, callback: Any) -> None:
         self._callbacks.append(callback)
 
+    def subscribe_jump(self, callback: Any) -> None:
+        return
+
     def append_many(self, bodies: list[Body]) -> list[Any]:
         first = self._platform.append(bodies)
         self.sync()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -12,6 +12,7 @@
 from arbutustally_node.booking_service import BookingService
 from arbutustally_node.caller_http import CallerHttp
 from arbutustally_node.explain import ExplainService
+from arbutustally_node.health import HealthService
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import SETTINGS, Options
 from arbutustally_node.pool import PoolService
@@ -73,6 +74,7 @@
     leaving: bool = False
     queued_tokens: int = 0
     running: int = 0
+    versions: tuple[str, ...] = ()
 
 
 class FakeMembership:
@@ -82,6 +84,7 @@
         self.states = {endpoint.id: endpoint for endpoint in endpoints}
         self.dead: set[tuple[str, str]] = set()
         self.load: dict[str, int] = {}
+        self.draining = False
 
     def endpoints(self, service: str, model: str | None = None) -> list[Endpoint]:
         return [
@@ -115,6 +118,8 @@
             estimate_s=0.0,
             import_kv=False,
             reasons=("first",),
+            ranked=(),
+            dispatch=0,
         )
 
     def learn(self, observation: Any) -> None:
@@ -143,8 +148,8 @@
         self.settled.append(used_tokens)
 
     @contextmanager
-    def admit(self, account: str, class_name: str, tokens: int, trace: Any) -> Iterator[None]:
-        yield
+    def admit(self, account: str, class_name: str, *rest: Any, **pool: str) -> Iterator[Any]:
+        yield SimpleNamespace(priority=1, started=lambda: None)
 
     def pick(self, model: str, request_id: str) -> str:
         return "v1"
@@ -161,11 +166,14 @@
 
     def __init__(self) -> None:
         self.ready = True
-        self.state = SimpleNamespace(declarations=DECLARATIONS, claim=lambda key: None)
+        self.state = SimpleNamespace(declarations=DECLARATIONS, claim=lambda key: None, version=1)
 
     def subscribe(self, callback: Any) -> None:
         return
 
+    def subscribe_jump(self, callback: Any) -> None:
+        return
+
 
 def node_kernel(membership: FakeMembership, options: Options, log: Any = None) -> Kernel:
     """Returns a kernel with the real request path over fakes of the other services."""
@@ -178,6 +186,7 @@
     kernel.register("log", log or FakeLog())
     kernel.register("membership", membership)
     kernel.register("placement", FakePlacement())
+    kernel.register("health", HealthService.from_config(kernel, options))
     kernel.register("explain", ExplainService.from_config(kernel, options))
     kernel.register("pool", PoolService.from_config(kernel, options))
     kernel.register("streams", StreamsService.from_config(kernel, options))
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -146,7 +146,7 @@
         self.assertEqual(self.request("GET", "/readyz")[0].status, 200)
         self.kernel.lookup("log").ready = False
         self.assertEqual(self.error("GET", "/v1/models")["code"], "no_configuration")
-        self.kernel.lookup("caller_http").drain()
+        self.membership.draining = True
         self.assertEqual(self.request("GET", "/readyz")[0].status, 503)
         self.assertEqual(self.request("GET", "/healthz")[0].status, 200)
 
