Report each stream's outcome in one place and keep its link across a resumption

A resumed stream lost its placement decision, so its dispatch stayed counted at the endpoint. The load of a prefill now ends at the first token, and a caller that leaves is no failure of the endpoint.

--- a/packages/arbutustally-node/src/arbutustally_node/dispatch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/dispatch.py
@@ -58,6 +58,16 @@
     first_s: float = 0.0
     last_s: float = 0.0
 
+    @property
+    def first_token_s(self) -> float | None:
+        """Returns the time to the first token, ``None`` before it."""
+        return self.first_s - self.opened_s if self.first_s else None
+
+    def gap_s(self, next_index: int) -> float | None:
+        """Returns the mean time between tokens, ``None`` with less than two."""
+        sent = next_index - self.first_index
+        return (self.last_s - self.first_s) / (sent - 1) if sent > 1 else None
+
 
 class Dispatcher:
     """Chooses engines and opens streams on them.
@@ -140,8 +150,8 @@
         return Link(endpoint, choice.incarnation, choice, response, tokens, now, cursor.next_index)
 
     def resume(
-        self, call: ModelCall, endpoint: Any, incarnation: str, cursor: StreamCursor, now: float
-    ) -> Link:
+        self, call: ModelCall, endpoint: Any, incarnation: str, cursor: StreamCursor
+    ) -> PooledResponse:
         """Resumes a stream on the incarnation that produced it.
 
         :raises RouterError: if the engine does not have the stream.
@@ -149,11 +159,15 @@
         path = f"/v1/streams/{call.request_id}?from={cursor.next_index}"
         response = self._open(call, endpoint, incarnation, "GET", path, None)
         cursor.expect(incarnation)
-        return Link(endpoint, incarnation, None, response, 0, now, cursor.next_index)
+        return response
 
     def leave(self, link: Link) -> None:
         """Closes a link and takes its load off the endpoint."""
         link.response.close()
+        self.started(link)
+
+    def started(self, link: Link) -> None:
+        """Takes the load of a prefill off the endpoint, at its first token at the latest."""
         if link.tokens:
             self._kernel.lookup("membership").finished(link.endpoint.id, link.tokens)
             link.tokens = 0
--- a/packages/arbutustally-node/src/arbutustally_node/plain_dispatch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/plain_dispatch.py
@@ -3,6 +3,7 @@
 import random
 from typing import Any
 
+from arbutustally.engine_client import is_refused
 from arbutustally.errors import (
     EndpointFailedError,
     EndpointTimeoutError,
@@ -62,9 +63,14 @@
         if call.idempotency_key:
             headers["Idempotency-Key"] = call.idempotency_key
         pool = self._kernel.lookup("pool")
-        response = pool.open(
-            endpoint, call.method, call.path, headers, call.body or None, fresh=fresh
-        )
+        try:
+            response = pool.open(
+                endpoint, call.method, call.path, headers, call.body or None, fresh=fresh
+            )
+        except EndpointFailedError as error:
+            if is_refused(error):
+                self._kernel.lookup("membership").mark_dead(endpoint.id, endpoint.incarnation)
+            raise
         echoed = response.headers.get("x-request-id")
         if echoed is not None and echoed != call.request_id:
             response.close()
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_report.py
@@ -0,0 +1,165 @@
+"""What one model call tells placement, versions, limits, metrics and its explanation."""
+
+from typing import Any
+
+from arbutustally.engine_client import Usage
+from arbutustally.errors import RouterError
+from arbutustally.metrics import Counter, declare
+from arbutustally.placement import Choice, Observation
+from arbutustally.prefixes import BYTES_PER_TOKEN, PromptShape
+from arbutustally_node.calls import ModelCall
+from arbutustally_node.dispatch import Link
+from arbutustally_node.kernel import Kernel
+from arbutustally_node.relay import Fault, StreamCursor
+
+#: Candidates that an explanation shows.
+MAX_RANKED_NOTED = 5
+
+_RETRIED = {
+    fault: declare(f"retried.{fault}", f"Stream read on elsewhere: {fault}.") for fault in Fault
+}
+NOT_SENT = declare("retried.not_sent", "Endpoint unreachable; the request went to another one.")
+REFUSED = declare("retried.endpoint_refused", "Endpoint refused; the request went to another one.")
+RESUMED = declare("retried.resumed_for_caller", "A caller resumed the stream of another node.")
+
+
+def estimated_prompt_tokens(call: ModelCall) -> int:
+    """Returns the tokens of the prompt before an engine has counted them."""
+    return call.prompt_bytes // BYTES_PER_TOKEN + 1
+
+
+class StreamReport:
+    """Reports on one call.
+
+    :param kernel: finds ``placement``, ``versions`` and ``metrics``.
+    """
+
+    def __init__(self, call: ModelCall, kernel: Kernel) -> None:
+        self._call = call
+        self._kernel = kernel
+        self._version = ""
+        self._shape: PromptShape | None = None
+
+    def began(self, version: str, shape: PromptShape | None) -> None:
+        """Takes the weights version and, unless the stream is resumed, the prompt's shape."""
+        self._version = version
+        self._shape = shape
+
+    def count(self, counter: Counter) -> None:
+        """Counts a retry."""
+        self._kernel.lookup("metrics").count(counter)
+
+    def placed(self, endpoint: Any, choice: Choice) -> None:
+        """Notes why an endpoint was chosen."""
+        self._call.trace.note(
+            "placed",
+            endpoint=endpoint.id,
+            estimate_s=round(choice.estimate_s, 4),
+            expected_cached_tokens=choice.expected_cached_tokens,
+            import_kv=choice.import_kv,
+            reasons=list(choice.reasons),
+            ranked=[
+                {"endpoint": entry.endpoint, "first_token_s": round(entry.first_token_s, 4)}
+                for entry in choice.ranked[:MAX_RANKED_NOTED]
+            ],
+        )
+
+    def not_answered(
+        self, endpoint: Any, choice: Choice, error: RouterError, counter: Counter, lost_s: float
+    ) -> None:
+        """Reports a dispatch that failed before an answer began."""
+        self.count(counter)
+        self._call.trace.note(
+            "retried", endpoint=endpoint.id, reason=error.code, lost_s=round(lost_s, 4)
+        )
+        self._observe(False)
+        self._learn(endpoint.id, choice, None)
+
+    def broken(self, link: Link, fault: Fault, at: int, lost_s: float) -> None:
+        """Reports a stream that broke at a token."""
+        self.count(_RETRIED[fault])
+        self._call.trace.note(
+            "retried",
+            endpoint=link.endpoint.id,
+            reason=str(fault),
+            at=at,
+            lost_s=round(lost_s, 4),
+        )
+
+    def failed(self, link: Link) -> None:
+        """Reports an endpoint that could not carry its stream on."""
+        self._observe(False)
+        if link.choice is not None:
+            self._learn(link.endpoint.id, link.choice, None)
+
+    def first_token(self, link: Link) -> None:
+        """Notes the first token of a link."""
+        self._call.trace.note(
+            "first_token", endpoint=link.endpoint.id, first_token_s=round(link.first_token_s, 4)
+        )
+
+    def completed(self, link: Link, cursor: StreamCursor) -> None:
+        """Reports a whole answer."""
+        usage = cursor.usage
+        self._call.trace.note(
+            "completed",
+            endpoint=link.endpoint.id,
+            completion_tokens=cursor.next_index,
+            prompt_tokens=usage.prompt_tokens if usage else None,
+            cached_tokens=usage.cached_tokens if usage else None,
+        )
+        gap_s = link.gap_s(cursor.next_index)
+        if link.choice is None:
+            self._observe(True, None, gap_s)
+            return
+        work = usage.prompt_tokens - usage.cached_tokens if usage else None
+        self._observe(True, link.first_token_s, gap_s, work)
+        self._learn(link.endpoint.id, link.choice, usage, link.first_token_s)
+
+    def abandoned(self, link: Link, at: int) -> None:
+        """Reports a stream whose caller left; it says nothing about the endpoint or its cache."""
+        self._call.trace.note("abandoned", endpoint=link.endpoint.id, at=at)
+        if link.choice is not None:
+            expected = Usage(0, 0, link.choice.expected_cached_tokens)
+            self._learn(link.endpoint.id, link.choice, expected)
+
+    def _learn(
+        self,
+        endpoint: str,
+        choice: Choice,
+        usage: Usage | None,
+        first_token_s: float | None = None,
+    ) -> None:
+        observation = Observation(
+            account=self._call.account,
+            model=self._call.model,
+            version=self._version,
+            shape=self._shape,
+            endpoint=endpoint,
+            incarnation=choice.incarnation,
+            cached_tokens=usage.cached_tokens if usage else None,
+            prompt_tokens=usage.prompt_tokens if usage else 0,
+            first_token_s=first_token_s,
+            dispatch=choice.dispatch,
+            imported=choice.import_kv,
+        )
+        self._kernel.lookup("placement").learn(observation)
+
+    def _observe(
+        self,
+        ok: bool,
+        first_token_s: float | None = None,
+        gap_s: float | None = None,
+        work_tokens: float | None = None,
+    ) -> None:
+        call = self._call
+        self._kernel.lookup("versions").observe(
+            call.model,
+            self._version,
+            call.class_name,
+            call.route,
+            ok,
+            first_token_s,
+            gap_s,
+            work_tokens,
+        )
--- a/packages/arbutustally-node/src/arbutustally_node/stream_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_run.py
@@ -1,4 +1,4 @@
-"""One model call: admission, dispatch, relay, recovery and accounting."""
+"""One model call: admission, dispatch, relay and recovery."""
 
 from collections.abc import Callable, Generator, Iterator
 from dataclasses import replace
@@ -7,7 +7,7 @@
 import gevent
 
 from arbutustally.clock import Clock
-from arbutustally.engine_client import END_OF_STREAM, Usage
+from arbutustally.engine_client import END_OF_STREAM
 from arbutustally.errors import (
     EndpointFailedError,
     EndpointTimeoutError,
@@ -17,9 +17,7 @@
     StreamLostError,
     StreamNotResumableError,
 )
-from arbutustally.metrics import Counter, declare
-from arbutustally.placement import Choice, Observation
-from arbutustally.prefixes import BYTES_PER_TOKEN, PromptShape, split_levels
+from arbutustally.prefixes import PromptShape, split_levels
 from arbutustally.retries import RetryBudget
 from arbutustally.stream_token import EventId, StreamToken, issue, verify
 from arbutustally_node.calls import ModelCall
@@ -27,20 +25,18 @@
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import Options
 from arbutustally_node.relay import EventSplitter, Fault, StreamCursor
+from arbutustally_node.stream_report import (
+    NOT_SENT,
+    REFUSED,
+    RESUMED,
+    StreamReport,
+    estimated_prompt_tokens,
+)
 
 #: Resumptions of one stream that bring no token before another engine is tried.
 MAX_IDLE_RESUMES = 2
-#: Candidates that an explanation shows.
-MAX_RANKED_NOTED = 5
 DONE = b"data: [DONE]\n\n"
 
-_RETRIED = {
-    fault: declare(f"retried.{fault}", f"Stream read on elsewhere: {fault}.") for fault in Fault
-}
-NOT_SENT = declare("retried.not_sent", "Endpoint unreachable; the request went to another one.")
-REFUSED = declare("retried.endpoint_refused", "Endpoint refused; the request went to another one.")
-RESUMED = declare("retried.resumed_for_caller", "A caller resumed the stream of another node.")
-
 
 class StreamRun:
     """One model call."""
@@ -60,6 +56,7 @@
         self._dispatcher = dispatcher
         self._retries = retries
         self._clock = clock
+        self._report = StreamReport(call, kernel)
         self._cursor = StreamCursor(call.request_id, "")
         self._version = ""
         self._shape: PromptShape | None = None
@@ -86,23 +83,22 @@
 
     def _admitted(self) -> Iterator[bytes]:
         call = self._call
-        tokens = call.prompt_bytes // BYTES_PER_TOKEN + 1 + call.output_tokens
+        tokens = estimated_prompt_tokens(call) + call.output_tokens
         limits = self._kernel.lookup("limits")
         reservation = limits.reserve(call.account, tokens, call.trace)
         try:
-            gate = self._kernel.lookup("fairness")
-            with gate.admit(
+            with self._kernel.lookup("fairness").admit(
                 call.account,
                 call.class_name,
                 tokens,
                 call.trace,
                 service=call.service,
                 model=call.model,
-            ) as admission:
-                self._admission = admission
+            ) as self._admission:
                 self._version = self._kernel.lookup("versions").pick(call.model, call.request_id)
                 call.trace.note("version_picked", version=self._version)
                 self._shape = split_levels(call.prompt, _yield_to_others)
+                self._report.began(self._version, self._shape)
                 self._cursor = StreamCursor(call.request_id, self._version)
                 yield from self._relay(self._open_link)
         finally:
@@ -117,10 +113,11 @@
             )
         self._version = token.version
         self._ran = Ran.MAY_HAVE_RUN
-        self._call = call = _with_request_id(self._call, token.request_id)
+        self._call = call = replace(self._call, request_id=token.request_id)
         self._cursor = StreamCursor(token.request_id, token.version, event.index + 1, False)
+        self._report.began(token.version, None)
+        self._report.count(RESUMED)
         call.trace.note("resuming", stream=token.request_id, after=event.index)
-        self._kernel.lookup("metrics").count(RESUMED)
         yield from self._relay(lambda: self._resume_for_caller(event))
 
     def _relay(self, open_first: Callable[[], Link]) -> Iterator[bytes]:
@@ -136,6 +133,7 @@
                 self._abandon(self._link)
 
     def _pump(self, link: Link) -> Generator[bytes, None, Fault | None]:
+        """Yields checked events of a link; returns the fault that ends it, ``None`` at the end."""
         cursor = self._cursor
         splitter = EventSplitter()
         prefix = b""
@@ -175,16 +173,14 @@
 
     def _progress(self, link: Link) -> None:
         link.last_s = self._clock()
-        if not link.first_s:
-            link.first_s = link.last_s
-            self._idle_resumes = 0
-            if self._admission is not None:
-                self._admission.started()
-            self._call.trace.note(
-                "first_token",
-                endpoint=link.endpoint.id,
-                first_token_s=round(link.first_s - link.opened_s, 4),
-            )
+        self._idle_resumes = 0
+        if link.first_s:
+            return
+        link.first_s = link.last_s
+        self._dispatcher.started(link)
+        if self._admission is not None:
+            self._admission.started()
+        self._report.first_token(link)
 
     def _stream_token(self, link: Link) -> str:
         call = self._call
@@ -212,96 +208,72 @@
             except NoEndpointError as error:
                 raise self._final(failure or error) from error
             self._tried.add(endpoint.id)
-            call.trace.note(
-                "placed",
-                endpoint=endpoint.id,
-                estimate_s=round(choice.estimate_s, 4),
-                expected_cached_tokens=choice.expected_cached_tokens,
-                import_kv=choice.import_kv,
-                reasons=list(choice.reasons),
-                ranked=[
-                    {"endpoint": entry.endpoint, "first_token_s": round(entry.first_token_s, 4)}
-                    for entry in choice.ranked[:MAX_RANKED_NOTED]
-                ],
-            )
-            begun = self._clock()
-            ran_before, self._ran = self._ran, Ran.MAY_HAVE_RUN
+            self._report.placed(endpoint, choice)
             try:
-                return self._dispatcher.send(
-                    call,
-                    self._version,
-                    self._shape,
-                    endpoint,
-                    choice,
-                    self._cursor,
-                    self._admission.priority,
-                    begun,
-                )
+                return self._send(endpoint, choice)
             except (EndpointFailedError, EndpointTimeoutError) as error:
                 failure = error
-                if error.ran is Ran.NOT_RUN:
-                    self._ran = ran_before
-                self._failed_before_answer(endpoint, choice, error, begun)
                 if not self._retries.allow(call.account):
                     call.trace.note("retry_budget_empty")
                     raise self._final(failure) from error
 
-    def _failed_before_answer(
-        self, endpoint: Any, choice: Choice, error: RouterError, begun: float
-    ) -> None:
-        lost_s = self._clock() - begun
-        self._call.trace.note(
-            "retried", endpoint=endpoint.id, reason=error.code, lost_s=round(lost_s, 4)
-        )
-        self._learn(endpoint.id, choice, None, None)
-        if error.ran is Ran.NOT_RUN:
-            self._count(NOT_SENT)
-        else:
-            self._count(REFUSED)
-            self._dispatcher.cancel(endpoint, self._call.request_id)
-        self._observe(False, None, None)
+    def _send(self, endpoint: Any, choice: Any) -> Link:
+        begun = self._clock()
+        ran_before, self._ran = self._ran, Ran.MAY_HAVE_RUN
+        try:
+            return self._dispatcher.send(
+                self._call,
+                self._version,
+                self._shape,
+                endpoint,
+                choice,
+                self._cursor,
+                self._admission.priority,
+                begun,
+            )
+        except (EndpointFailedError, EndpointTimeoutError) as error:
+            counter = REFUSED
+            if error.ran is Ran.NOT_RUN:
+                self._ran = ran_before
+                counter = NOT_SENT
+            else:
+                self._dispatcher.cancel(endpoint, self._call.request_id)
+            self._report.not_answered(endpoint, choice, error, counter, self._clock() - begun)
+            raise
 
     def _recover(self, link: Link, fault: Fault) -> Link:
         """Returns a link that carries the stream on from the cursor.
 
         :raises StreamLostError: if nothing can carry it on.
         """
-        self._call.trace.note(
-            "retried",
-            endpoint=link.endpoint.id,
-            reason=str(fault),
-            at=self._cursor.next_index,
-            lost_s=round(self._clock() - (link.last_s or link.opened_s), 4),
-        )
-        self._count(_RETRIED[fault])
-        self._dispatcher.leave(link)
-        self._link = None
-        if fault is not Fault.OTHER_INCARNATION:
-            resumed = self._resume(link)
-            if resumed is not None:
-                return resumed
-        else:
+        lost_s = self._clock() - (link.last_s or link.opened_s)
+        self._report.broken(link, fault, self._cursor.next_index, lost_s)
+        link.response.close()
+        if fault is Fault.OTHER_INCARNATION:
             self._dispatcher.lost(link.endpoint, link.incarnation)
-        self._observe(False, None, None)
-        if link.choice is not None:
-            self._learn(link.endpoint.id, link.choice, None, None)
+        elif self._resume(link):
+            return link
+        self._link = None
+        self._dispatcher.leave(link)
+        self._report.failed(link)
         return self._continue_elsewhere(link)
 
-    def _resume(self, link: Link) -> Link | None:
+    def _resume(self, link: Link) -> bool:
+        """Reads a stream on from the incarnation that produces it; returns whether it can."""
         if self._idle_resumes >= MAX_IDLE_RESUMES or not self._cursor.incarnation:
-            return None
+            return False
         self._idle_resumes += 1
         try:
-            resumed = self._dispatcher.resume(
-                self._call, link.endpoint, self._cursor.incarnation, self._cursor, self._clock()
+            link.response = self._dispatcher.resume(
+                self._call, link.endpoint, self._cursor.incarnation, self._cursor
             )
         except RouterError as error:
             self._call.trace.note(
                 "not_resumed", endpoint=link.endpoint.id, code=error.code, reason=error.message
             )
-            return None
+            return False
         self._call.trace.note("resumed", endpoint=link.endpoint.id, at=self._cursor.next_index)
-        return resumed
+        return True
 
     def _continue_elsewhere(self, link: Link) -> Link:
         self._dispatcher.cancel(link.endpoint, self._call.request_id)
@@ -328,12 +300,15 @@
         ]
         if not found or found[0].incarnation not in ("", token.incarnation):
             raise self._not_resumable("its engine is gone")
+        opened_s = self._clock()
         try:
-            return self._dispatcher.resume(
-                self._call, found[0], token.incarnation, self._cursor, self._clock()
+            response = self._dispatcher.resume(
+                self._call, found[0], token.incarnation, self._cursor
             )
         except RouterError as error:
             raise self._not_resumable(error.message) from error
+        first = self._cursor.next_index
+        return Link(found[0], token.incarnation, None, response, 0, opened_s, first)
 
     # Ends.
 
@@ -341,81 +316,21 @@
         link.response.settle()
         self._dispatcher.leave(link)
         self._retries.succeeded(self._call.account)
-        sent = self._cursor.next_index - link.first_index
-        gap_s = (link.last_s - link.first_s) / (sent - 1) if sent > 1 else None
-        usage = self._cursor.usage
-        self._call.trace.note(
-            "completed",
-            endpoint=link.endpoint.id,
-            completion_tokens=self._cursor.next_index,
-            prompt_tokens=usage.prompt_tokens if usage else None,
-            cached_tokens=usage.cached_tokens if usage else None,
-        )
-        if link.choice is None:
-            self._observe(True, None, gap_s)
-            return
-        first_token_s = self._first_token_s(link)
-        work = usage.prompt_tokens - usage.cached_tokens if usage else None
-        self._observe(True, first_token_s, gap_s, work)
-        self._learn(link.endpoint.id, link.choice, usage, first_token_s)
-
-    def _learn(
-        self, endpoint: str, choice: Choice, usage: Usage | None, first_token_s: float | None
-    ) -> None:
-        observation = Observation(
-            account=self._call.account,
-            model=self._call.model,
-            version=self._version,
-            shape=self._shape,
-            endpoint=endpoint,
-            incarnation=choice.incarnation,
-            cached_tokens=usage.cached_tokens if usage else None,
-            prompt_tokens=usage.prompt_tokens if usage else 0,
-            first_token_s=first_token_s,
-            dispatch=choice.dispatch,
-            imported=choice.import_kv,
-        )
-        self._kernel.lookup("placement").learn(observation)
+        self._report.completed(link, self._cursor)
 
     def _abandon(self, link: Link) -> None:
         self._link = None
         self._dispatcher.leave(link)
         self._dispatcher.cancel(link.endpoint, self._call.request_id)
-        self._call.trace.note("abandoned", endpoint=link.endpoint.id, at=self._cursor.next_index)
+        self._report.abandoned(link, self._cursor.next_index)
 
     def _used_tokens(self) -> int:
         if self._ran is Ran.NOT_RUN:
             return 0
         usage = self._cursor.usage
-        estimate = self._call.prompt_bytes // BYTES_PER_TOKEN + 1
-        prompt = estimate if usage is None else usage.prompt_tokens
+        prompt = usage.prompt_tokens if usage else estimated_prompt_tokens(self._call)
         return prompt + self._cursor.next_index
 
-    def _observe(
-        self,
-        ok: bool,
-        first_token_s: float | None,
-        gap_s: float | None,
-        work_tokens: float | None = None,
-    ) -> None:
-        call = self._call
-        self._kernel.lookup("versions").observe(
-            call.model,
-            self._version,
-            call.class_name,
-            call.route,
-            ok,
-            first_token_s,
-            gap_s,
-            work_tokens,
-        )
-
-    def _first_token_s(self, link: Link) -> float:
-        return (link.first_s or self._clock()) - link.opened_s
-
-    def _count(self, counter: Counter) -> None:
-        self._kernel.lookup("metrics").count(counter)
-
     def _final(self, error: RouterError) -> RouterError:
         if self._ran is not Ran.NOT_RUN:
             error.ran = self._ran
@@ -436,11 +351,6 @@
         )
 
 
-def _with_request_id(call: ModelCall, request_id: str) -> ModelCall:
-    """Returns the call under the id that its stream has at the engine."""
-    return replace(call, request_id=request_id)
-
-
 def _yield_to_others() -> None:
     """Lets other greenlets run between the parts of a long computation."""
     gevent.sleep(0)
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -123,6 +123,12 @@
         self.clock.advance(self.pause_s)
         self.pause_s = 0.0
 
+    def reach_worker(self, running: bool) -> None:
+        """Starts or ends the worker; a mark of an instance without incarnation has expired."""
+        address = self.worker.address if running else "127.0.0.1:1"
+        self.membership.states["w"].address = address
+        self.membership.dead.clear()
+
     def sync(self) -> None:
         for log in self.logs:
             log.sync()
@@ -192,9 +198,7 @@
 
     @rule(running=st.booleans())
     def worker_is_reachable(self, running: bool) -> None:
-        self.fleet.membership.states["w"].address = (
-            self.fleet.worker.address if running else "127.0.0.1:1"
-        )
+        self.fleet.reach_worker(running)
 
     @rule(seconds=st.sampled_from((10.0, 4000.0)))
     def time_passes(self, seconds: float) -> None:
@@ -280,11 +284,10 @@
                 self.assertEqual(self.book(1).status, 200)
 
     def test_unreachable_worker_leaves_the_key_free(self) -> None:
-        address = self.fleet.membership.states["w"].address
-        self.fleet.membership.states["w"].address = "127.0.0.1:1"
+        self.fleet.reach_worker(False)
         refused = self.book()
         self.assertEqual((type(refused), refused.ran), (NoEndpointError, Ran.NOT_RUN))
-        self.fleet.membership.states["w"].address = address
+        self.fleet.reach_worker(True)
         self.fleet.sync()
         self.assertEqual(self.book(1).status, 200)
 
