--- a/packages/arbutustally-node/src/arbutustally_node/caller_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_http.py
@@ -9,6 +9,7 @@
 
 from arbutustally.engine_client import CHAT_PATH, COMPLETIONS_PATH
 from arbutustally.errors import (
+    DrainingError,
     ModelUnknownError,
     NoConfigurationError,
     Ran,
@@ -49,7 +50,7 @@
     """Serves callers.
 
     :param kernel: finds ``log``, ``keys``, ``streams``, ``bookings``, ``directory``, ``explain``,
-        ``health`` and ``metrics``.
+        ``membership`` and ``metrics``.
     """
 
     def __init__(self, kernel: Kernel, options: Options) -> None:
@@ -75,7 +76,7 @@
         return self._server.address if self._server else self._options.caller_listen
 
     @property
-    def active_requests(self) -> int:
+    def running(self) -> int:
         """Returns the number of requests that are being answered."""
         return self._server.running if self._server else 0
 
@@ -111,10 +112,11 @@
         return _json(200, {"status": "ok"}, "")
 
     def _readyz(self) -> bottle.HTTPResponse:
-        readiness = self._kernel.lookup("health").readiness()
-        if readiness.ready:
-            return _json(200, {"status": "ready"}, "")
-        return _json(503, {"status": "not_ready", "reason": readiness.reason}, "")
+        if self._kernel.lookup("membership").draining:
+            return self._error(DrainingError("the node is shutting down; use another node"), "")
+        if not self._is_configured():
+            return self._error(_no_configuration(), "")
+        return _json(200, {"status": "ready"}, "")
 
     def _entry(self, trace: Trace) -> bottle.HTTPResponse:
         account = self._authenticate(trace, "entry")
@@ -205,8 +207,9 @@
         trace = explain.begin(explain.new_request_id(), "", name)
         try:
             check_query(bottle.request.environ.get("QUERY_STRING", ""))
-            log = self._kernel.lookup("log")
-            if not log.ready or log.state.version < 0:
+            if self._kernel.lookup("membership").draining:
+                self.drain()
+            if not self._is_configured():
                 raise _no_configuration()
             response = handler(trace)
             response.headers.update(self._summary(trace))
@@ -252,6 +255,10 @@
             )
         return found
 
+    def _is_configured(self) -> bool:
+        log = self._kernel.lookup("log")
+        return log.ready and log.state.version >= 0
+
     def _declarations(self) -> Any:
         return self._kernel.lookup("log").state.declarations
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -12,7 +12,6 @@
 from arbutustally_node.booking_service import BookingService
 from arbutustally_node.caller_http import CallerHttp
 from arbutustally_node.explain import ExplainService
-from arbutustally_node.health import HealthService
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import SETTINGS, Options
 from arbutustally_node.pool import PoolService
@@ -186,7 +185,6 @@
     kernel.register("log", log or FakeLog())
     kernel.register("membership", membership)
     kernel.register("placement", FakePlacement())
-    kernel.register("health", HealthService.from_config(kernel, options))
     kernel.register("explain", ExplainService.from_config(kernel, options))
     kernel.register("pool", PoolService.from_config(kernel, options))
     kernel.register("streams", StreamsService.from_config(kernel, options))
