--- a/packages/arbutustally/src/arbutustally/fairness.py
+++ b/packages/arbutustally/src/arbutustally/fairness.py
@@ -228,7 +228,7 @@
             flow.in_flight -= ticket.tokens
             self._in_flight -= ticket.tokens
         elif ticket.state is TicketState.WAITING:
-            self._remove(ticket)
+            self._withdraw(ticket)
         else:
             return
         ticket.state = TicketState.RELEASED
@@ -245,7 +245,7 @@
             if ticket.deadline <= now
         ]
         for ticket in late:
-            self._remove(ticket)
+            self._withdraw(ticket)
             ticket.settle(TicketState.SHED, "it waited as long as its class allows")
             self._drop_idle(ticket.account)
 
@@ -293,14 +293,22 @@
     def _shed_newest(self, account: str) -> None:
         flow = self._flows[account]
         ticket = flow.waiting[-1]
-        self._remove(ticket)
-        # The work is not done, so the account's next request does not pay for it.
-        flow.finish_tag = ticket.start_tag
+        self._withdraw(ticket)
         ticket.settle(
             TicketState.SHED, "the queue is full and this account exceeds its fair share most"
         )
         self._drop_idle(account)
 
+    def _withdraw(self, ticket: Ticket) -> None:
+        """Removes a ticket unserved; the account's later requests do not pay for it."""
+        flow = self._flows[ticket.account]
+        size = ticket.tokens / self._weight(ticket.account)
+        behind = list(flow.waiting)[flow.waiting.index(ticket) + 1 :]
+        for later in behind:
+            later.start_tag -= size
+        flow.finish_tag -= size
+        self._remove(ticket)
+
     def _remove(self, ticket: Ticket) -> None:
         flow = self._flows[ticket.account]
         flow.waiting.remove(ticket)
--- /dev/null
+++ b/tests/test_cache_identity.py
@@ -0,0 +1,130 @@
+"""Cache identity: expected cache hits never cross accounts, weights or incarnations."""
+
+import unittest
+from random import Random
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from arbutustally.clock import VirtualClock
+from arbutustally.placement import Candidate, Observation, Placement, PlacementRequest
+from arbutustally.prefixes import split_levels
+from tests.policy_support import Aim
+
+ENDPOINTS = ("w1", "w2", "w3")
+ACCOUNTS = st.sampled_from(("school", "clinic"))
+VERSIONS = st.sampled_from(("v1", "v2"))
+PROMPTS = st.tuples(st.integers(0, 1), st.integers(0, 2), st.integers(0, 2))
+TARGET = Aim(first_token_ms=500.0)
+#: Tokens of roles, marks, the fixed answer and rounding, which ``texts`` leaves out.
+FRAME_TOKENS = 16
+
+
+def texts(prompt: tuple[int, int, int]) -> tuple[str, str, str]:
+    guide, history, question = prompt
+    return (f"guide{guide} " * 900, f"history{history} " * 700, f"question{question} " * 40)
+
+
+def messages(prompt: tuple[int, int, int]) -> list[dict]:
+    guide, history, question = texts(prompt)
+    return [
+        {"role": "system", "content": guide},
+        {"role": "user", "content": history},
+        {"role": "assistant", "content": "noted"},
+        {"role": "user", "content": question},
+    ]
+
+
+def shared_tokens(one: tuple[int, int, int], other: tuple[int, int, int]) -> int:
+    """Returns the tokens that two prompts share at the start, rounded up."""
+    left, right = "".join(texts(one)), "".join(texts(other))
+    same = 0
+    while same < min(len(left), len(right)) and left[same] == right[same]:
+        same += 1
+    return same // 4 + FRAME_TOKENS
+
+
+class CacheIdentityMachine(RuleBasedStateMachine):
+    """Model: for each engine incarnation, the prompts it ever received, by account and weights."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = VirtualClock()
+        self.placement = Placement.from_config(self.clock, Random(7))
+        self.incarnations = dict.fromkeys(ENDPOINTS, 0)
+        self.sent: dict[tuple, list] = {}
+        self.answers: list[Observation] = []
+        self.excess: list[str] = []
+
+    @rule(account=ACCOUNTS, version=VERSIONS, prompt=PROMPTS)
+    def send(self, account: str, version: str, prompt: tuple) -> None:
+        shape = split_levels(messages(prompt))
+        candidates = [
+            Candidate(name, str(self.incarnations[name]), "zone", 0, 0, version)
+            for name in ENDPOINTS
+        ]
+        request = PlacementRequest(account, "marelle", version, shape, 10, TARGET)
+        choice = self.placement.choose(request, candidates)
+        for estimate in choice.ranked:
+            place = (estimate.endpoint, estimate.incarnation, account, version)
+            truth = max((shared_tokens(prompt, old) for old in self.sent.get(place, ())), default=0)
+            if estimate.cached_tokens > truth:
+                self.excess.append(f"{place}: {estimate.cached_tokens} > {truth}")
+        place = (choice.endpoint, choice.incarnation, account, version)
+        self.sent.setdefault(place, []).append(prompt)
+        self.answers.append(
+            Observation(
+                account,
+                "marelle",
+                version,
+                shape,
+                choice.endpoint,
+                choice.incarnation,
+                choice.expected_cached_tokens,
+                shape.total_tokens,
+                0.2,
+                choice.dispatch,
+            )
+        )
+
+    @rule(number=st.integers(0, 50))
+    def answer(self, number: int) -> None:
+        """Delivers an answer, perhaps again, perhaps long after its engine died."""
+        if self.answers:
+            self.placement.learn(self.answers[number % len(self.answers)])
+
+    @rule(name=st.sampled_from(ENDPOINTS), noticed=st.booleans())
+    def crash(self, name: str, noticed: bool) -> None:
+        """Restarts an engine with an empty cache; the node may learn of it only by the number."""
+        if noticed:
+            self.placement.drop(name, str(self.incarnations[name]))
+        self.incarnations[name] += 1
+
+    @rule(seconds=st.floats(0.0, 20.0))
+    def wait(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+
+    @invariant()
+    def relies_only_on_own_cache(self) -> None:
+        assert not self.excess, self.excess
+
+
+CacheIdentityMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=30, phases=[Phase.generate]
+)
+CacheIdentityTest = CacheIdentityMachine.TestCase
+
+
+class LateEventTest(unittest.TestCase):
+    def test_late_answer_of_dead_engine_is_not_learned(self) -> None:
+        """Guards against an answer that arrives after the crash reviving a dead engine's cache."""
+        placement = Placement.from_config(VirtualClock(), Random(1))
+        shape = split_levels(messages((0, 0, 0)))
+        request = PlacementRequest("school", "marelle", "v1", shape, 10, TARGET)
+        candidates = [Candidate("w1", "a", "zone", 0, 0, "v1")]
+        placement.drop("w1", "a")
+        placement.learn(
+            Observation("school", "marelle", "v1", shape, "w1", "a", 900, shape.total_tokens)
+        )
+        self.assertEqual(placement.choose(request, candidates).expected_cached_tokens, 0)
