--- /dev/null
+++ b/bench/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of a workload on a virtual clock through the real decision modules."""
--- a/packages/arbutustally-node/src/arbutustally_node/version_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/version_service.py
@@ -9,6 +9,7 @@
 
 from arbutustally.breaker import Breaker, Trip
 from arbutustally.clock import Clock, monotonic
+from arbutustally.engine_client import EngineClient, Order
 from arbutustally.errors import LogUnavailableError, ModelUnknownError, RouterError
 from arbutustally.evidence import EvidenceKey, Sample, Tally
 from arbutustally.logs import get_logger
@@ -48,7 +49,7 @@
 class OrderSender(Protocol):
     """Sends orders to endpoints; raises a ``RouterError`` when one is not taken."""
 
-    def order(self, address: str, order: Any) -> Any:
+    def order(self, address: str, order: Order) -> None:
         """Sends an order to the endpoint at ``address``."""
 
 
@@ -78,8 +79,6 @@
     @classmethod
     def from_config(cls, kernel: Kernel, options: Options) -> "VersionService":
         """Builds the service."""
-        from arbutustally.engine_client import EngineClient
-
         return cls(kernel, EngineClient.from_config(ORDER_TIMEOUT_S), options.lease_s)
 
     def start(self) -> None:
@@ -304,8 +303,6 @@
             entry.id: entry.address
             for entry in self._kernel.lookup("membership").endpoints(None, model)
         }
-        from arbutustally.engine_client import Order
-
         order = Order("load", model, action.version, fence=action.fence)
         try:
             self._engines.order(addresses[action.endpoint], order)
--- a/packages/arbutustally/src/arbutustally/cache_index.py
+++ b/packages/arbutustally/src/arbutustally/cache_index.py
@@ -94,6 +94,10 @@
         """Returns the learned time for which an endpoint keeps an unused prefix."""
         return self._keep_s.get(endpoint, DEFAULT_KEEP_S)
 
+    def assume_keep(self, endpoint: str, seconds: float) -> None:
+        """Gives one place another keep time to start from than the default."""
+        self._keep_s[endpoint] = seconds
+
     def cached_tokens(
         self, scope: CacheScope, names: list[Anchor], endpoint: str, incarnation: str, now: float
     ) -> int:
--- a/packages/arbutustally/src/arbutustally/endpoint_load.py
+++ b/packages/arbutustally/src/arbutustally/endpoint_load.py
@@ -52,6 +52,10 @@
         speed = self._speeds.get(endpoint)
         return speed.tokens / speed.seconds if speed else self.default_speed
 
+    def assume_speed(self, endpoint: str, tokens_per_s: float) -> None:
+        """Gives one endpoint another speed to start from than the default."""
+        self._speeds[endpoint] = _Speed(tokens_per_s * SPEED_PRIOR_S, SPEED_PRIOR_S)
+
     def pending_tokens(self, endpoint: str, since: float) -> float:
         """Returns the tokens of own dispatches after ``since`` that have no first token yet."""
         dispatches = self._open.get(endpoint)
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -4,178 +4,61 @@
 cache entries, own dispatches and learned speeds refine the estimate.
 """
 
+import math
 from dataclasses import dataclass, field
 from random import Random
-from typing import Protocol
-
-from arbutustally.cache_index import (
-    DEFAULT_MAX_ENTRIES,
-    Anchor,
-    CacheIndex,
-    CacheScope,
-    anchors,
-)
+
+from arbutustally.cache_index import Anchor, CacheIndex, CacheScope, anchors
 from arbutustally.clock import Clock
-from arbutustally.endpoint_load import DEFAULT_PREFILL_TOKENS_PER_S, EndpointLoad
+from arbutustally.endpoint_load import Dispatch, EndpointLoad
 from arbutustally.errors import NoEndpointError
 from arbutustally.hot_prefixes import HotPrefixes
+from arbutustally.placement_types import (
+    Candidate,
+    Choice,
+    Estimate,
+    Observation,
+    PlacementOptions,
+    PlacementRequest,
+    Target,
+)
 from arbutustally.prefixes import PromptShape
 from arbutustally.rendezvous import order, score
 
+__all__ = [
+    "Candidate",
+    "Choice",
+    "Estimate",
+    "Observation",
+    "Placement",
+    "PlacementOptions",
+    "PlacementRequest",
+    "Target",
+]
+
 #: Candidates whose cost is within this share of the best are equal.
 NEAR_TIE = 0.05
 #: Candidates within this many seconds of the best are equal whatever their share.
 NEAR_TIE_S = 0.002
 #: Time that loading weights takes where no observation says otherwise, in seconds.
 DEFAULT_LOAD_S = 0.5
-#: Import speed of the KV store in tokens/s and its fixed delay in seconds, until learned.
-DEFAULT_IMPORT_TOKENS_PER_S = 20_000.0
-DEFAULT_IMPORT_DELAY_S = 0.02
+#: Import speed of the KV store in tokens/s, until learned.
+DEFAULT_IMPORT_TOKENS_PER_S = 40_000.0
+#: Fixed delay of an import in seconds.
+IMPORT_DELAY_S = 0.01
+#: Name under which the index and the learned speeds keep the KV store; no endpoint has it.
+KV_STORE = "\0kv"
+#: Time for which the KV store keeps a prompt, in seconds; it is larger than the engines' caches.
+KV_KEEP_S = 600.0
 #: Longest queue that a class with a recompute target accepts for a cache hit, in seconds.
 RECOMPUTE_QUEUE_BOUND_S = 2.0
+#: Cost in tokens of each second above that bound; it outweighs any prompt.
+OVER_BOUND_TOKENS_PER_S = 1e6
 #: Part of a home's missed guide that counts in the estimate: the prefill also serves the requests
 #: that follow, and another endpoint would lose cache space to a copy of the guide.
 HOME_SHARE = 0.5
 
 
-class Target(Protocol):
-    """The target of a class of work; exactly one of the two is set."""
-
-    first_token_ms: float | None
-    recompute_percent: float | None
-
-
-@dataclass(frozen=True)
-class PlacementOptions:
-    """Bounds and parts of placement; replays switch parts off to measure what each earns.
-
-    :ivar max_entries: bound on entries of the cache index.
-    :ivar prefill_tokens_per_s: prefill speed of an unobserved endpoint.
-    :ivar by_level: order homes by guide level and know every chunk; otherwise whole prompts only.
-    :ivar in_band: learn from the cached counts of answers.
-    :ivar widen: give hot prefixes more homes.
-    :ivar own_dispatches: count own dispatches since the last report.
-    :ivar random_ties: choose among near-equal candidates at random.
-    :ivar imports: import from the KV store where that is estimated to be faster.
-    """
-
-    max_entries: int = DEFAULT_MAX_ENTRIES
-    prefill_tokens_per_s: float = DEFAULT_PREFILL_TOKENS_PER_S
-    by_level: bool = True
-    in_band: bool = True
-    widen: bool = True
-    own_dispatches: bool = True
-    random_ties: bool = True
-    imports: bool = True
-
-
-@dataclass(frozen=True)
-class PlacementRequest:
-    """A request to place.
-
-    :ivar version: weights version that must run it.
-    :ivar shape: see ``arbutustally.prefixes.split_levels``.
-    :ivar output_tokens: largest number of tokens to generate.
-    :ivar target: class of work.
-    """
-
-    account: str
-    model: str
-    version: str
-    shape: PromptShape
-    output_tokens: int
-    target: Target
-
-
-@dataclass(frozen=True)
-class Candidate:
-    """An endpoint that may run the request.
-
-    :ivar queued_tokens: tokens waiting for prefill.
-    :ivar running: requests that are generating.
-    :ivar loaded: the endpoint has the wanted weights; otherwise it has to load them first.
-    :ivar import_available: the KV store can be read by this endpoint.
-    :ivar report_age_s: age of ``queued_tokens``; ``None`` if it already includes the dispatches of
-        this node since the report.
-    """
-
-    endpoint: str
-    incarnation: str
-    zone: str
-    queued_tokens: float
-    running: int
-    version: str
-    loaded: bool = True
-    import_available: bool = False
-    report_age_s: float | None = None
-
-
-@dataclass(frozen=True)
-class Estimate:
-    """What placement expects of one candidate.
-
-    :ivar cached_tokens: tokens expected in its cache.
-    :ivar queue_s: seconds until it starts this request.
-    :ivar first_token_s: seconds until the first token.
-    :ivar cost: what placement minimises, seconds or tokens.
-    :ivar import_kv: an import is expected to be faster than prefill.
-    """
-
-    endpoint: str
-    incarnation: str
-    cached_tokens: int
-    queue_s: float
-    first_token_s: float
-    cost: float
-    import_kv: bool
-
-
-@dataclass(frozen=True)
-class Choice:
-    """The chosen endpoint and why.
-
-    :ivar estimate_s: expected time to first token in seconds.
-    :ivar import_kv: tell the engine to import missing chunks.
-    :ivar reasons: sentences for ``explain``.
-    :ivar ranked: estimates of all candidates, best first.
-    :ivar dispatch: number to return in the observation.
-    """
-
-    endpoint: str
-    incarnation: str
-    expected_cached_tokens: int
-    estimate_s: float
-    import_kv: bool
-    reasons: tuple[str, ...]
-    ranked: tuple[Estimate, ...]
-    dispatch: int = 0
-
-
-@dataclass(frozen=True)
-class Observation:
-    """What an answer, or its failure, showed.
-
-    :ivar cached_tokens: prompt tokens that the engine found in its cache; ``None`` if the request
-        failed before the engine said so.
-    :ivar prompt_tokens: the engine's count of the whole prompt.
-    :ivar first_token_s: seconds from dispatch to first token; ``None`` without one.
-    :ivar dispatch: ``Choice.dispatch``.
-    :ivar imported: the engine was told to import.
-    """
-
-    account: str
-    model: str
-    version: str
-    shape: PromptShape
-    endpoint: str
-    incarnation: str
-    cached_tokens: int | None
-    prompt_tokens: int = 0
-    first_token_s: float | None = None
-    dispatch: int = 0
-    imported: bool = False
-
-
 @dataclass(frozen=True)
 class _View:
     """The parts of one decision that all candidates share."""
@@ -185,6 +68,7 @@
     names: list[Anchor]
     guide_tokens: int
     homes: list[str]
+    width: int
     now: float
 
 
@@ -203,6 +87,8 @@
     def __post_init__(self) -> None:
         self._index = CacheIndex(self.options.max_entries)
         self._load = EndpointLoad(self.options.prefill_tokens_per_s)
+        self._load.assume_speed(KV_STORE, DEFAULT_IMPORT_TOKENS_PER_S)
+        self._index.assume_keep(KV_STORE, KV_KEEP_S)
         self._hot = HotPrefixes()
 
     @classmethod
@@ -238,9 +124,8 @@
         estimates.sort(key=lambda entry: (entry.cost, view.homes.index(entry.endpoint)))
         best, tied = self._pick(view, estimates)
         missed = request.shape.total_tokens - best.cached_tokens
-        number = self._load.dispatched(
-            best.endpoint, missed, best.queue_s * self._load.speed(best.endpoint), view.now
-        )
+        ahead = best.queue_s * self._load.speed(best.endpoint)
+        number = self._load.dispatched(best.endpoint, missed, ahead, view.now)
         if self.options.in_band:
             self._index.enter(view.scope, view.names, best.endpoint, best.incarnation, view.now)
         return Choice(
@@ -252,6 +137,7 @@
             self._reasons(view, best, tied),
             tuple(estimates),
             number,
+            missed + ahead,
         )
 
     def learn(self, observation: Observation) -> None:
@@ -268,17 +154,24 @@
             self._index.learn(
                 scope, names, observation.endpoint, observation.incarnation, cached, now
             )
-        if dispatch is not None and observation.first_token_s and not observation.imported:
+            self._index.enter(scope, names, KV_STORE, "", now)
+        if dispatch is not None and observation.first_token_s:
             missed = observation.shape.total_tokens - cached
-            self._load.learn_speed(
-                observation.endpoint, missed + dispatch.ahead, observation.first_token_s
-            )
+            self._learn_speed(observation, dispatch, missed)
 
     def drop(self, endpoint: str, incarnation: str) -> None:
         """Forgets an incarnation for good after a crash or restart."""
         self._index.drop(endpoint, incarnation)
         self._load.forget(endpoint)
 
+    def _learn_speed(self, observation: Observation, dispatch: Dispatch, missed: int) -> None:
+        seconds = observation.first_token_s
+        if not observation.imported:
+            self._load.learn_speed(observation.endpoint, missed + dispatch.ahead, seconds)
+            return
+        queue_s = dispatch.ahead / self._load.speed(observation.endpoint)
+        self._load.learn_speed(KV_STORE, missed, seconds - queue_s - IMPORT_DELAY_S)
+
     def _names(self, shape: PromptShape) -> list[Anchor]:
         if self.options.by_level:
             return anchors(shape)
@@ -307,7 +200,7 @@
                 homes[:width], key=lambda name: score(key + deeper, name), reverse=True
             )
         guide = level.tokens if level else 0
-        return _View(request, scope, self._names(shape), guide, homes, now)
+        return _View(request, scope, self._names(shape), guide, homes, width, now)
 
     def _work(self, shape: PromptShape) -> float:
         """Returns the tokens of a prompt beyond its guide, which a home has cached."""
@@ -323,37 +216,55 @@
 
     def _estimate(self, view: _View, candidate: Candidate) -> Estimate:
         speed = self._load.speed(candidate.endpoint)
-        queued = candidate.queued_tokens
-        if candidate.report_age_s is not None and self.options.own_dispatches:
-            reported_at = view.now - candidate.report_age_s
-            queued += self._load.pending_tokens(candidate.endpoint, reported_at)
-        queue_s = queued / speed
-        cached = 0
-        if self.options.in_band:
-            cached = self._index.cached_tokens(
-                view.scope, view.names, candidate.endpoint, candidate.incarnation, view.now
-            )
+        queue_s = self._queued(view, candidate) / speed
+        cached = self._cached(view, candidate.endpoint, candidate.incarnation)
         missed = view.request.shape.total_tokens - cached
         compute_s = missed / speed
-        import_s = DEFAULT_IMPORT_DELAY_S + missed / DEFAULT_IMPORT_TOKENS_PER_S
-        import_kv = self.options.imports and candidate.import_available and import_s < compute_s
-        work_s = import_s if import_kv else compute_s
-        first_s = queue_s + work_s + (0.0 if candidate.loaded else DEFAULT_LOAD_S)
+        import_s = self._import_s(view, candidate, cached, speed)
+        import_kv = import_s < compute_s
+        first_s = queue_s + min(import_s, compute_s)
+        if not candidate.loaded:
+            first_s += DEFAULT_LOAD_S
         cost = self._cost(view, first_s, queue_s, missed)
+        if cached < view.guide_tokens and candidate.endpoint in view.homes[: view.width]:
+            cost -= self._investment(view, cached, speed)
         return Estimate(
-            candidate.endpoint,
-            candidate.incarnation,
-            cached,
-            queue_s,
-            first_s,
-            cost,
-            import_kv,
+            candidate.endpoint, candidate.incarnation, cached, queue_s, first_s, cost, import_kv
         )
 
+    def _queued(self, view: _View, candidate: Candidate) -> float:
+        queued = candidate.queued_tokens
+        if candidate.report_age_s is not None and self.options.own_dispatches:
+            reported_at = view.now - candidate.report_age_s
+            queued += self._load.pending_tokens(candidate.endpoint, reported_at)
+        return queued
+
+    def _cached(self, view: _View, endpoint: str, incarnation: str) -> int:
+        if not self.options.in_band:
+            return 0
+        return self._index.cached_tokens(view.scope, view.names, endpoint, incarnation, view.now)
+
+    def _import_s(self, view: _View, candidate: Candidate, cached: int, speed: float) -> float:
+        """Returns the time to import what the KV store has and to compute the rest."""
+        if not (self.options.imports and candidate.import_available):
+            return math.inf
+        held = self._cached(view, KV_STORE, "")
+        if held <= cached:
+            return math.inf
+        imported_s = IMPORT_DELAY_S + (held - cached) / self._load.speed(KV_STORE)
+        return imported_s + (view.request.shape.total_tokens - held) / speed
+
+    def _investment(self, view: _View, cached: int, speed: float) -> float:
+        """Returns what a new home of a hot prefix may cost more than an old one."""
+        if view.width < 2:
+            return 0.0
+        missed = (view.guide_tokens - cached) * HOME_SHARE
+        return missed / speed if view.request.target.first_token_ms is not None else missed
+
     def _cost(self, view: _View, first_s: float, queue_s: float, missed: float) -> float:
         if view.request.target.first_token_ms is not None:
             return first_s
-        return missed + max(0.0, queue_s - RECOMPUTE_QUEUE_BOUND_S) * 1e6
+        return missed + max(0.0, queue_s - RECOMPUTE_QUEUE_BOUND_S) * OVER_BOUND_TOKENS_PER_S
 
     def _pick(self, view: _View, estimates: list[Estimate]) -> tuple[Estimate, int]:
         best = estimates[0]
