--- /dev/null
+++ b/tests/fake_log.py
@@ -0,0 +1,94 @@
+"""A log in memory that fails on demand, with the methods of the log client."""
+
+import gevent
+from gevent.event import Event
+
+from arbutustally.errors import HoleFoundError, LogUnavailableError, Ran
+from arbutustally.log_client import ReadResult
+from arbutustally.records import Body, Record, wrap
+from arbutustally_node.kernel import Kernel
+from arbutustally_node.log_service import LogService
+from arbutustally_node.options import SETTINGS, Options
+
+
+class FakeLog:
+    """One log for any number of nodes.
+
+    :ivar is_down: reads and appends fail before they reach the log.
+    :ivar lost_answers: so many next appends take effect but fail.
+    :ivar delay_s: of each append and read.
+    :ivar oldest: oldest offset that is kept.
+    """
+
+    def __init__(self) -> None:
+        self.records: list[Record | None] = []
+        self.is_down = False
+        self.lost_answers = 0
+        self.delay_s = 0.0
+        self.oldest = 0
+        self.reads = 0
+        self._news = Event()
+
+    def put(self, body: Body | None) -> int:
+        """Appends a record of somebody else."""
+        self.records.append(wrap(body) if body is not None else None)
+        self._news.set()
+        return len(self.records) - 1
+
+    def append(self, records: list[Record]) -> int:
+        gevent.sleep(self.delay_s)
+        if self.is_down:
+            raise LogUnavailableError("down", ran=Ran.NOT_RUN)
+        first = len(self.records)
+        self.records.extend(records)
+        self._news.set()
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise LogUnavailableError("answer lost", ran=Ran.MAY_HAVE_RUN)
+        return first
+
+    def read(self, start: int, limit: int, wait_s: float) -> ReadResult:
+        self.reads += 1
+        gevent.sleep(self.delay_s)
+        if self.is_down:
+            raise LogUnavailableError("down")
+        if start < self.oldest:
+            raise HoleFoundError("gone", oldest=self.oldest)
+        if start >= len(self.records):
+            self._news.clear()
+            self._news.wait(min(wait_s, 0.05))
+        found = list(enumerate(self.records))[start : start + limit]
+        return ReadResult(found, min(start, len(self.records)) + len(found), self.oldest)
+
+
+def new_options(**changes: object) -> Options:
+    """Returns options of a node with short times."""
+    values = {setting.name: setting.default for setting in SETTINGS}
+    values.update(
+        node_id="n1",
+        zone="z",
+        log_url="unused",
+        instances_url="unused",
+        peer_secret="p" * 20,
+        operator_token="t" * 20,
+        operator_listen="127.0.0.1:0",
+        incarnation="1",
+    )
+    return Options.from_config({**values, **changes})
+
+
+def new_node(log: FakeLog, **changes: object) -> tuple[Kernel, LogService]:
+    """Returns a kernel with a log service that is not started."""
+    kernel = Kernel()
+    service = LogService(kernel, new_options(**changes), log)
+    kernel.register("log", service)
+    return kernel, service
+
+
+def wait_until(condition, seconds: float = 10.0) -> bool:
+    """Waits until a condition holds; the bound only ends a test that would hang."""
+    with gevent.Timeout(seconds, False):
+        while not condition():
+            gevent.sleep(0.005)
+        return True
+    return False
--- /dev/null
+++ b/tests/test_log_service.py
@@ -0,0 +1,242 @@
+"""The log service against a log that loses answers, is down or slow, and has holes."""
+
+import unittest
+
+import gevent
+
+from arbutustally.checkpoint import split_snapshot
+from arbutustally.errors import BadRequestError, LogUnavailableError, Ran
+from arbutustally.records import Change, Claim, KeyWithdraw
+from arbutustally.state import ControlState
+from arbutustally.verdicts import Reason
+from tests.fake_log import FakeLog, new_node, wait_until
+
+ACCOUNT = {"rate": 10.0, "burst": 100.0}
+CHANGE = Change(-1, {"accounts/a": ACCOUNT})
+
+
+class LogServiceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.log = FakeLog()
+
+    def start(self, **changes: object):
+        _, service = new_node(self.log, **changes)
+        service.start()
+        self.addCleanup(service.stop)
+        return service
+
+    def ready(self, **changes: object):
+        service = self.start(**changes)
+        service.append(CHANGE)
+        self.assertTrue(wait_until(lambda: service.ready))
+        return service
+
+    def ids(self) -> list[str]:
+        return [record.id for record in self.log.records]
+
+    def test_lost_answers_give_the_first_verdict(self) -> None:
+        """Guards against a writer that is told of a conflict with its own change."""
+        service = self.start()
+        self.log.lost_answers = 3
+        appended = service.append(CHANGE)
+        self.assertTrue(appended.verdict.accepted)
+        self.assertEqual(service.state.version, appended.offset)
+        claim = Claim("k", "d", "n1#1", 1.0)
+        self.log.lost_answers = 2
+        self.assertTrue(service.append(claim).verdict.accepted)
+
+    def test_lost_answer_of_unread_record_is_sent_again_under_its_id(self) -> None:
+        """Guards against a second effect of one append."""
+        service = self.ready()
+        reading = self.log.read
+        self.log.read = self._down
+        self.log.lost_answers = 1
+        with self.assertRaises(LogUnavailableError) as caught:
+            service.append(KeyWithdraw("kkkkkkkk"), timeout_s=1.0)
+        self.assertEqual(caught.exception.ran, Ran.MAY_HAVE_RUN)
+        withdrawals = [r.id for r in self.log.records if isinstance(r.body, KeyWithdraw)]
+        self.assertGreater(len(withdrawals), 1)
+        self.assertEqual(len(set(withdrawals)), 1)
+        self.log.read = reading
+        self.assertTrue(wait_until(lambda: service.state.key("kkkkkkkk") is not None))
+
+    def _down(self, *_: object):
+        raise LogUnavailableError("down")
+
+    def test_not_run_is_true_when_the_log_was_down(self) -> None:
+        """Guards against a record that takes effect after its writer was told "not run"."""
+        service = self.ready()
+        self.log.is_down = True
+        before = self.ids()
+        with self.assertRaises(LogUnavailableError) as caught:
+            service.append(KeyWithdraw("kkkkkkkk"), timeout_s=0.3)
+        self.assertEqual(caught.exception.ran, Ran.NOT_RUN)
+        self.log.is_down = False
+        service.append(KeyWithdraw("other-key"))
+        self.assertNotIn(
+            "kkkkkkkk",
+            [
+                r.body.key_id
+                for r in self.log.records[len(before) :]
+                if isinstance(r.body, KeyWithdraw)
+            ],
+        )
+
+    def test_slow_log_is_waited_for(self) -> None:
+        """Guards against refusals while the log is slow but works."""
+        service = self.ready()
+        self.log.delay_s = 0.3
+        bodies = [KeyWithdraw(f"key-{n:04}") for n in range(40)]
+        greenlets = [gevent.spawn(service.append, body) for body in bodies]
+        offsets = [greenlet.get().offset for greenlet in greenlets]
+        self.assertEqual(len(set(offsets)), len(bodies))
+
+    def test_append_without_json_form_is_refused_alone(self) -> None:
+        """Guards against one body that stops the writer for all others."""
+        service = self.ready()
+        with self.assertRaises(BadRequestError):
+            service.append(Change(0, {"accounts/a": {"rate": {1, 2}}}))
+        self.assertTrue(service.append(KeyWithdraw("kkkkkkkk")).verdict.accepted)
+
+    def test_confirmation_ages_while_the_log_is_down(self) -> None:
+        """Guards against a node that takes a silent log for an unchanged one."""
+        service = self.ready()
+        self.log.is_down = True
+        gevent.sleep(0.1)
+        confirmed_at = service.confirmed_at
+        gevent.sleep(0.2)
+        self.assertEqual(service.confirmed_at, confirmed_at)
+        self.assertTrue(service.ready)
+        self.log.is_down = False
+        self.assertTrue(wait_until(lambda: service.confirmed_at > confirmed_at))
+
+    def test_full_batch_is_no_confirmation_of_the_tail(self) -> None:
+        """Guards against serving old keys in the middle of a long catch-up."""
+        self.log.put(CHANGE)
+        for number in range(2500):
+            self.log.put(KeyWithdraw(f"key-{number:05}"))
+        _, service = new_node(self.log)
+        reader = service._reader
+        for _ in range(2):
+            reader.step()
+            self.assertFalse(service.ready)
+        reader.step()
+        self.assertTrue(service.ready)
+        self.assertEqual(service.state.offset, 2500)
+
+    def test_record_of_unknown_kind_is_passed_over(self) -> None:
+        """Guards against a reader that stops at a record of a newer release."""
+        service = self.ready()
+        self.log.put(None)
+        self.assertTrue(service.append(KeyWithdraw("kkkkkkkk")).verdict.accepted)
+
+    def test_lost_head_is_recovered_from_a_checkpoint(self) -> None:
+        """Guards against a start in the middle of the log with part of the state."""
+        state = ControlState()
+        offsets = [self.log.put(CHANGE), self.log.put(KeyWithdraw("aaaaaaaa"))]
+        for offset in offsets:
+            state.apply(offset, self.log.records[offset])
+        parts = split_snapshot(state.snapshot(), state.offset, 100)
+        self.log.put(KeyWithdraw("bbbbbbbb"))
+        for part in parts[:2]:
+            self.log.put(part)
+        self.log.put(KeyWithdraw("cccccccc"))
+        for part in parts[2:]:
+            self.log.put(part)
+        self.log.oldest = 2
+        service = self.start()
+        self.assertTrue(wait_until(lambda: service.ready))
+        for key in ("aaaaaaaa", "bbbbbbbb", "cccccccc"):
+            self.assertTrue(service.state.key(key).withdrawn)
+        self.assertEqual(service.state.version, 0)
+
+    def test_checkpoint_that_leaves_a_gap_is_not_used(self) -> None:
+        """Guards against records between a checkpoint and the oldest record being left out."""
+        self.log.put(CHANGE)
+        state = ControlState()
+        state.apply(0, self.log.records[0])
+        self.log.put(KeyWithdraw("aaaaaaaa"))
+        for part in split_snapshot(state.snapshot(), 0):
+            self.log.put(part)
+        self.log.oldest = 2
+        service = self.start()
+        self.assertFalse(wait_until(lambda: service.ready, 0.3))
+        self.assertTrue(service.is_missing_records)
+        state.apply(1, self.log.records[1])
+        for part in split_snapshot(state.snapshot(), 1):
+            self.log.put(part)
+        self.assertTrue(wait_until(lambda: service.ready))
+        self.assertTrue(service.state.key("aaaaaaaa").withdrawn)
+
+    def test_missing_offset_is_a_hole(self) -> None:
+        """Guards against a fold that silently leaves out a record."""
+        service = self.ready()
+        offset = service.state.offset
+        self.assertFalse(service._view.apply(offset + 2, None))
+        self.assertEqual(service.state.offset, offset)
+
+    def test_state_never_reverts_when_the_log_lost_its_tail(self) -> None:
+        """Guards against a configuration that reverts with a log that was restored."""
+        service = self.ready()
+        service.append(KeyWithdraw("kkkkkkkk"))
+        version = service.state.version
+        self.log.records = []
+        confirmed_at = service.confirmed_at
+        gevent.sleep(0.3)
+        self.assertEqual(service.state.version, version)
+        self.assertTrue(service.state.key("kkkkkkkk").withdrawn)
+        self.assertLess(service.confirmed_at - confirmed_at, 0.2)
+
+    def test_only_a_higher_snapshot_is_installed(self) -> None:
+        """Guards against a peer's older state that brings a withdrawn key back."""
+        service = self.ready()
+        old = service.state.snapshot()
+        service.append(KeyWithdraw("kkkkkkkk"))
+        self.assertFalse(service.install(old))
+        self.assertTrue(service.state.key("kkkkkkkk").withdrawn)
+
+    def test_snapshot_over_an_own_append_is_not_called_a_conflict(self) -> None:
+        """Guards against an operator who is told that the own change lost against itself."""
+        service = self.ready()
+        reading, self.log.read = self.log.read, self._down
+        self.log.lost_answers = 1
+        waiting = gevent.spawn(service.append, Change(0, {"accounts/b": ACCOUNT}))
+        self.assertTrue(wait_until(lambda: len(self.log.records) > 2))
+        ahead = ControlState()
+        for offset, record in enumerate(self.log.records):
+            ahead.apply(offset, record)
+        service.install(ahead.snapshot())
+        with self.assertRaises(LogUnavailableError) as caught:
+            waiting.get()
+        self.assertEqual(caught.exception.ran, Ran.MAY_HAVE_RUN)
+        self.log.read = reading
+
+    def test_two_writers_one_wins_and_the_other_learns_the_version(self) -> None:
+        """Guards against a lost update of two operators at two nodes."""
+        services = [self.start(node_id="n1"), self.start(node_id="n2")]
+        appended = [
+            gevent.spawn(service.append, Change(-1, {f"accounts/{n}": ACCOUNT}))
+            for n, service in enumerate(services)
+        ]
+        verdicts = sorted((greenlet.get() for greenlet in appended), key=lambda a: a.offset)
+        self.assertTrue(verdicts[0].verdict.accepted)
+        self.assertEqual(verdicts[1].verdict.reason, Reason.STALE_BASE)
+        self.assertEqual(verdicts[1].verdict.beaten_by, verdicts[0].offset)
+
+    def test_checkpoint_holder_keeps_a_short_log_readable(self) -> None:
+        """Guards against a log that drops the configuration before a checkpoint holds it."""
+        service = self.ready(log_retention_s=20.0, booking_window_s=10.0, lease_s=1.0)
+        service.append(KeyWithdraw("kkkkkkkk"))
+
+        def parts() -> list[int]:
+            kinds = [type(record.body).__name__ for record in self.log.records]
+            return [offset for offset, kind in enumerate(kinds) if kind == "CheckpointPart"]
+
+        self.assertTrue(wait_until(parts))
+        self.log.oldest = parts()[0]
+        upto = self.log.records[parts()[0]].body.upto
+        self.log.oldest = upto + 1
+        late = self.start(node_id="n2", log_retention_s=20.0, booking_window_s=10.0)
+        self.assertTrue(wait_until(lambda: late.ready))
+        self.assertEqual(late.state.version, service.state.version)
+        self.assertTrue(late.state.key("kkkkkkkk").withdrawn)
