Pass both timeouts to the engine client

Cause: the client takes a connect and a read timeout; two callers passed one and the node did not start. Change: both pass the configured connect timeout.

--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -10,7 +10,7 @@
 from arbutustally.fairness import FairQueue, QueueLimits, Ticket, TicketState
 from arbutustally.limits import GrantPool, OwnerBudget, Reservation, apply_reports, received
 from arbutustally_standins.engine_model import EngineModel, EngineModelOptions, ModelRequest
-from arbutustally_standins.engine_types import FIRST_TOKEN, FINISHED
+from arbutustally_standins.engine_types import FINISHED, FIRST_TOKEN
 from bench.replay.calls import Call, Result
 from bench.replay.loop import EventLoop
 from bench.replay.policies import Aim, Decision, Maker, View
--- a/packages/arbutustally-node/src/arbutustally_node/membership.py
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -88,7 +88,7 @@
     @classmethod
     def from_config(cls, kernel: Kernel, options: Options) -> "MembershipService":
         """Builds the service over HTTP clients of the platform and the engines."""
-        engines = EngineClient.from_config(LOAD_TIMEOUT_S)
+        engines = EngineClient.from_config(options.endpoint_connect_timeout_s, LOAD_TIMEOUT_S)
         return cls(
             options,
             kernel.lookup("metrics"),
--- a/packages/arbutustally-node/src/arbutustally_node/version_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/version_service.py
@@ -82,7 +82,8 @@
     @classmethod
     def from_config(cls, kernel: Kernel, options: Options) -> "VersionService":
         """Builds the service."""
-        return cls(kernel, EngineClient.from_config(ORDER_TIMEOUT_S), options.lease_s)
+        engines = EngineClient.from_config(options.endpoint_connect_timeout_s, ORDER_TIMEOUT_S)
+        return cls(kernel, engines, options.lease_s)
 
     def start(self) -> None:
         """Subscribes to trips, evidence and moves, and starts the controllers."""
