--- a/packages/arbutustally/src/arbutustally/instance_client.py
+++ b/packages/arbutustally/src/arbutustally/instance_client.py
@@ -91,4 +91,6 @@
         return None
     if entry["state"] not in STATES:
         return None
-    return Instance(*required, model=entry.get("model"), version=entry.get("version"))
+    # Plain services may be listed with an empty model; they have no load to poll.
+    model, version = entry.get("model") or None, entry.get("version") or None
+    return Instance(*required, model=model, version=version)
