--- a/packages/arbutustally-standins/src/arbutustally_standins/caller/client.py
+++ b/packages/arbutustally-standins/src/arbutustally_standins/caller/client.py
@@ -58,6 +58,9 @@
 
     :param entries: addresses of nodes that are asked first.
     :param key: the account's key, empty on open routes.
+    :param attempts: most attempts of one call.
+    :param repeats_refusals: repeat a refused call that did not run; a measurement counts the
+        refusal instead.
     """
 
     def __init__(
@@ -66,7 +69,11 @@
         key: str,
         clock: Clock,
         sleep: Callable[[float], None],
+        attempts: int = MOST_ATTEMPTS,
+        repeats_refusals: bool = True,
     ) -> None:
+        self._attempts = attempts
+        self._repeats_refusals = repeats_refusals
         self._entries = entries
         self._headers = {"Authorization": f"Bearer {key}"} if key else {}
         self._clock = clock
@@ -85,9 +92,11 @@
         key: str,
         sleep: Callable[[float], None],
         clock: Clock = monotonic,
+        attempts: int = MOST_ATTEMPTS,
+        repeats_refusals: bool = True,
     ) -> "Caller":
         """Builds a client that has asked nobody yet."""
-        return cls(entries, key, clock, sleep)
+        return cls(entries, key, clock, sleep, attempts, repeats_refusals)
 
     def addresses(self) -> tuple[str, ...]:
         """Returns the nodes to use, from the cached answer while it is valid.
@@ -106,19 +115,19 @@
                 return self._addresses
         raise failure
 
-    def stream(self, path: str, body: dict[str, Any]) -> Iterator[StreamResult]:
-        """Streams a completion, yielding after each token, and resumes at another node.
+    def stream(self, path: str, body: dict[str, Any], result: StreamResult) -> Iterator[str]:
+        """Streams a completion, yielding each text, and resumes it at another node.
 
-        :raises CallFailedError: if it cannot be completed; tokens yielded before stay valid.
+        :param result: filled while the stream runs, and valid after a failure too.
+        :raises CallFailedError: if the stream cannot be completed.
         """
-        result = StreamResult()
         wanted = {**body, "stream": True}
         failure = CallFailedError("unreachable", "no node takes the request")
-        for attempt in range(MOST_ATTEMPTS):
+        for attempt in range(self._attempts):
             try:
                 yield from self._stream_once(self._pick(attempt), path, wanted, result)
             except CallFailedError as error:
-                if not _retriable(error):
+                if not self._retriable(error):
                     raise
                 failure = error
                 self._forget_after(attempt)
@@ -136,7 +145,7 @@
         """
         key = idempotency_key or new_uuid7()
         failure = CallFailedError("unreachable", "no node takes the request")
-        for attempt in range(MOST_ATTEMPTS):
+        for attempt in range(self._attempts):
             url = f"http://{self._pick(attempt)}{path}"
             headers = {**self._headers, "Idempotency-Key": key}
             try:
@@ -166,9 +175,16 @@
         if (attempt + 1) % max(1, len(self._addresses)) == 0:
             self._expires = 0.0
 
+    def _retriable(self, error: CallFailedError) -> bool:
+        """A cut stream is resumed; a refusal is repeated if it says that nothing ran."""
+        if error.code in ("cut", "unreachable"):
+            return True
+        not_run = error.status in (429, 503) and error.ran == "not_run"
+        return not_run and self._repeats_refusals
+
     def _stream_once(
         self, address: str, path: str, body: dict[str, Any], result: StreamResult
-    ) -> Iterator[StreamResult]:
+    ) -> Iterator[str]:
         headers = dict(self._headers)
         if result.last_event_id:
             headers["Last-Event-ID"] = result.last_event_id
@@ -189,12 +205,12 @@
             raise CallFailedError("cut", f"{address} broke the connection") from error
 
 
-def _collect(response: urllib3.BaseHTTPResponse, result: StreamResult) -> Iterator[StreamResult]:
+def _collect(response: urllib3.BaseHTTPResponse, result: StreamResult) -> Iterator[str]:
     for event in parse_events(response.stream(2048)):
         if event.data == "[DONE]":
             return
         if _take(event, result):
-            yield result
+            yield result.texts[-1]
     raise CallFailedError("cut", "the stream ended before [DONE]")
 
 
@@ -221,10 +237,3 @@
         return CallFailedError(error["code"], error["message"], status, error.get("ran", ""))
     except (orjson.JSONDecodeError, KeyError, TypeError):
         return CallFailedError("unreadable", f"status {status} without an error body", status)
-
-
-def _retriable(error: CallFailedError) -> bool:
-    """A cut stream is resumed; a refusal is repeated if it says that nothing ran."""
-    if error.code in ("cut", "unreachable"):
-        return True
-    return error.status in (429, 503) and error.ran == "not_run"
--- a/packages/arbutustally-standins/src/arbutustally_standins/caller/commands.py
+++ b/packages/arbutustally-standins/src/arbutustally_standins/caller/commands.py
@@ -8,7 +8,7 @@
 
 import gevent
 
-from arbutustally_standins.caller.client import Caller, CallFailedError
+from arbutustally_standins.caller.client import Caller, CallFailedError, StreamResult
 
 _PATHS = {"chat": "/v1/chat/completions", "completions": "/v1/completions"}
 
@@ -52,12 +52,11 @@
         body["messages"] = [*guide, {"role": "user", "content": arguments.prompt}]
     else:
         body["prompt"] = arguments.guide + arguments.prompt
-    result = None
-    for result in caller.stream(_PATHS[arguments.route], body):
-        print(result.texts[-1], end="", flush=True)
+    result = StreamResult()
+    for text in caller.stream(_PATHS[arguments.route], body, result):
+        print(text, end="", flush=True)
     print()
-    if result is not None:
-        _summary(nodes=result.nodes, request_id=result.request_id, usage=result.usage)
+    _summary(nodes=result.nodes, request_id=result.request_id, usage=result.usage)
     return 0
 
 
--- a/packages/arbutustally-standins/src/arbutustally_standins/server.py
+++ b/packages/arbutustally-standins/src/arbutustally_standins/server.py
@@ -16,11 +16,19 @@
 _STRAY = "arbutustally_standins.stray"
 _GRACE_S = 30.0
 _POLL_S = 0.02
+# Bytes that arrive with the answer end in the reader's buffer and are dropped with it.
+_STRAY_DELAY_S = 0.05
 
 
 class _Handler(WSGIHandler):
     """Gives the application its socket and counts calls in progress."""
 
+    def __init__(self, sock: socket.socket, address: Any, server: Any) -> None:
+        super().__init__(sock, address, server)
+        # The server writes head and body apart; Nagle's algorithm would hold the body back for a
+        # delayed acknowledgement of about 40 ms.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
     def get_environ(self) -> dict[str, Any]:
         environ = super().get_environ()
         environ[_SOCKET] = self.socket
@@ -34,6 +42,7 @@
             self.server.calls -= 1
         stray = self.environ.get(_STRAY)
         if stray is not None:
+            gevent.sleep(_STRAY_DELAY_S)
             self.socket.sendall(stray)
 
     def log_request(self) -> None:
