--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_run.py
@@ -0,0 +1,356 @@
+"""One model call: admission, dispatch, relay and recovery."""
+
+from collections.abc import Callable, Generator, Iterator
+from dataclasses import replace
+from typing import Any
+
+import gevent
+
+from arbutustally.clock import Clock
+from arbutustally.engine_client import END_OF_STREAM
+from arbutustally.errors import (
+    EndpointFailedError,
+    EndpointTimeoutError,
+    NoEndpointError,
+    Ran,
+    RouterError,
+    StreamLostError,
+    StreamNotResumableError,
+)
+from arbutustally.prefixes import PromptShape, split_levels
+from arbutustally.retries import RetryBudget
+from arbutustally.stream_token import EventId, StreamToken, issue, verify
+from arbutustally_node.calls import ModelCall
+from arbutustally_node.dispatch import Dispatcher, Link
+from arbutustally_node.kernel import Kernel
+from arbutustally_node.options import Options
+from arbutustally_node.relay import EventSplitter, Fault, StreamCursor
+from arbutustally_node.stream_report import (
+    NOT_SENT,
+    REFUSED,
+    RESUMED,
+    StreamReport,
+    estimated_prompt_tokens,
+)
+
+#: Resumptions of one stream that bring no token before another engine is tried.
+MAX_IDLE_RESUMES = 2
+DONE = b"data: [DONE]\n\n"
+
+
+class StreamRun:
+    """One model call."""
+
+    def __init__(
+        self,
+        call: ModelCall,
+        kernel: Kernel,
+        options: Options,
+        dispatcher: Dispatcher,
+        retries: RetryBudget,
+        clock: Clock,
+    ) -> None:
+        self._call = call
+        self._kernel = kernel
+        self._secrets = (options.peer_secret, options.peer_secret_previous)
+        self._dispatcher = dispatcher
+        self._retries = retries
+        self._clock = clock
+        self._report = StreamReport(call, kernel)
+        self._cursor = StreamCursor(call.request_id, "")
+        self._version = ""
+        self._shape: PromptShape | None = None
+        self._tried: set[str] = set()
+        self._link: Link | None = None
+        self._admission: Any = None
+        self._idle_resumes = 0
+        self._ran = Ran.NOT_RUN
+
+    @property
+    def cursor(self) -> StreamCursor:
+        """Returns what was received."""
+        return self._cursor
+
+    def events(self) -> Iterator[bytes]:
+        """Yields batches of events and then the end mark."""
+        try:
+            if self._call.last_event_id:
+                yield from self._resumed()
+            else:
+                yield from self._admitted()
+        finally:
+            self._call.watch.stop()
+
+    def _admitted(self) -> Iterator[bytes]:
+        call = self._call
+        tokens = estimated_prompt_tokens(call) + call.output_tokens
+        limits = self._kernel.lookup("limits")
+        reservation = limits.reserve(call.account, tokens, call.trace)
+        try:
+            with self._kernel.lookup("fairness").admit(
+                call.account,
+                call.class_name,
+                tokens,
+                call.trace,
+                service=call.service,
+                model=call.model,
+            ) as self._admission:
+                self._version = self._kernel.lookup("versions").pick(call.model, call.request_id)
+                call.trace.note("version_picked", version=self._version)
+                self._shape = split_levels(call.prompt, _yield_to_others)
+                self._report.began(self._version, self._shape)
+                self._cursor = StreamCursor(call.request_id, self._version)
+                yield from self._relay(self._open_link)
+        finally:
+            limits.settle(reservation, self._used_tokens())
+
+    def _resumed(self) -> Iterator[bytes]:
+        event = verify(self._secrets, self._call.last_event_id)
+        token = event.token
+        if token.account != self._call.account or token.request_digest != self._call.digest:
+            raise StreamNotResumableError(
+                "Last-Event-ID belongs to another request; send that request's own body and key"
+            )
+        self._version = token.version
+        self._ran = Ran.MAY_HAVE_RUN
+        self._call = call = replace(self._call, request_id=token.request_id)
+        self._cursor = StreamCursor(token.request_id, token.version, event.index + 1, False)
+        self._report.began(token.version, None)
+        self._report.count(RESUMED)
+        call.trace.note("resuming", stream=token.request_id, after=event.index)
+        yield from self._relay(lambda: self._resume_for_caller(event))
+
+    def _relay(self, open_first: Callable[[], Link]) -> Iterator[bytes]:
+        try:
+            self._link = open_first()
+            while (fault := (yield from self._pump(self._link))) is not None:
+                self._link = self._recover(self._link, fault)
+            self._complete(self._link)
+            self._link = None
+            yield DONE
+        finally:
+            if self._link is not None:
+                self._abandon(self._link)
+
+    def _pump(self, link: Link) -> Generator[bytes, None, Fault | None]:
+        """Yields checked events of a link; returns the fault that ends it, ``None`` at the end."""
+        cursor = self._cursor
+        splitter = EventSplitter()
+        prefix = b""
+        while True:
+            try:
+                with self._call.watch:
+                    data = link.response.read()
+            except EndpointTimeoutError:
+                return Fault.SILENT
+            except EndpointFailedError:
+                return Fault.BROKEN
+            if not data:
+                return None if cursor.finished else Fault.TRUNCATED
+            payloads = splitter.feed(data)
+            if payloads is None:
+                return Fault.MALFORMED
+            out = []
+            result: Fault | int | None = 0
+            for payload in payloads:
+                if payload == END_OF_STREAM:
+                    result = None if cursor.finished else Fault.TRUNCATED
+                    break
+                result = cursor.take(payload)
+                if type(result) is not int:
+                    break
+                if result < 0:
+                    out.append(b"data: %s\n\n" % payload)
+                    continue
+                if not prefix:
+                    prefix = b"id: " + self._stream_token(link).encode() + b"."
+                out.append(b"%s%d\ndata: %s\n\n" % (prefix, result, payload))
+            if out:
+                self._progress(link)
+                yield b"".join(out)
+            if type(result) is not int:
+                return result
+
+    def _progress(self, link: Link) -> None:
+        link.last_s = self._clock()
+        self._idle_resumes = 0
+        if link.first_s:
+            return
+        link.first_s = link.last_s
+        self._dispatcher.started(link)
+        if self._admission is not None:
+            self._admission.started()
+        self._report.first_token(link)
+
+    def _stream_token(self, link: Link) -> str:
+        call = self._call
+        token = StreamToken(
+            call.request_id,
+            call.account,
+            link.endpoint.id,
+            self._cursor.incarnation,
+            self._version,
+            call.digest,
+        )
+        return issue(self._secrets[0], token)
+
+    # Opening and recovery.
+
+    def _open_link(self) -> Link:
+        """Opens a link on the best engine, trying others within the retry budget."""
+        call = self._call
+        failure: RouterError | None = None
+        while True:
+            try:
+                endpoint, choice = self._dispatcher.choose(
+                    call, self._version, self._shape, self._tried
+                )
+            except NoEndpointError as error:
+                raise self._final(failure or error) from error
+            self._tried.add(endpoint.id)
+            self._report.placed(endpoint, choice)
+            try:
+                return self._send(endpoint, choice)
+            except (EndpointFailedError, EndpointTimeoutError) as error:
+                failure = error
+                if not self._retries.allow(call.account):
+                    call.trace.note("retry_budget_empty")
+                    raise self._final(failure) from error
+
+    def _send(self, endpoint: Any, choice: Any) -> Link:
+        begun = self._clock()
+        ran_before, self._ran = self._ran, Ran.MAY_HAVE_RUN
+        try:
+            return self._dispatcher.send(
+                self._call,
+                self._version,
+                self._shape,
+                endpoint,
+                choice,
+                self._cursor,
+                self._admission.priority,
+                begun,
+            )
+        except (EndpointFailedError, EndpointTimeoutError) as error:
+            counter = REFUSED
+            if error.ran is Ran.NOT_RUN:
+                self._ran = ran_before
+                counter = NOT_SENT
+            else:
+                self._dispatcher.cancel(endpoint, self._call.request_id)
+            self._report.not_answered(endpoint, choice, error, counter, self._clock() - begun)
+            raise
+
+    def _recover(self, link: Link, fault: Fault) -> Link:
+        """Returns a link that carries the stream on from the cursor.
+
+        :raises StreamLostError: if nothing can carry it on.
+        """
+        lost_s = self._clock() - (link.last_s or link.opened_s)
+        self._report.broken(link, fault, self._cursor.next_index, lost_s)
+        link.response.close()
+        if fault is Fault.OTHER_INCARNATION:
+            self._dispatcher.lost(link.endpoint, link.incarnation)
+        elif self._resume(link):
+            return link
+        self._link = None
+        self._dispatcher.leave(link)
+        self._report.failed(link)
+        return self._continue_elsewhere(link)
+
+    def _resume(self, link: Link) -> bool:
+        """Reads a stream on from the incarnation that produces it; returns whether it can."""
+        if self._idle_resumes >= MAX_IDLE_RESUMES or not self._cursor.incarnation:
+            return False
+        self._idle_resumes += 1
+        try:
+            link.response = self._dispatcher.resume(
+                self._call, link.endpoint, self._cursor.incarnation, self._cursor
+            )
+        except RouterError as error:
+            self._call.trace.note(
+                "not_resumed", endpoint=link.endpoint.id, code=error.code, reason=error.message
+            )
+            return False
+        self._call.trace.note("resumed", endpoint=link.endpoint.id, at=self._cursor.next_index)
+        return True
+
+    def _continue_elsewhere(self, link: Link) -> Link:
+        self._dispatcher.cancel(link.endpoint, self._call.request_id)
+        if not self._cursor.can_continue:
+            raise self._lost("this node does not hold the tokens sent before")
+        if not self._retries.allow(self._call.account):
+            raise self._lost("the retry budget is used up")
+        try:
+            continued = self._open_link()
+        except RouterError as error:
+            raise self._lost(error.message) from error
+        self._call.trace.note(
+            "continued", endpoint=continued.endpoint.id, at=self._cursor.next_index
+        )
+        return continued
+
+    def _resume_for_caller(self, event: EventId) -> Link:
+        token = event.token
+        membership = self._kernel.lookup("membership")
+        found = [
+            state
+            for state in membership.endpoints(self._call.service, self._call.model)
+            if state.id == token.endpoint
+        ]
+        if not found or found[0].incarnation not in ("", token.incarnation):
+            raise self._not_resumable("its engine is gone")
+        opened_s = self._clock()
+        try:
+            response = self._dispatcher.resume(
+                self._call, found[0], token.incarnation, self._cursor
+            )
+        except RouterError as error:
+            raise self._not_resumable(error.message) from error
+        first = self._cursor.next_index
+        return Link(found[0], token.incarnation, None, response, 0, opened_s, first)
+
+    # Ends.
+
+    def _complete(self, link: Link) -> None:
+        link.response.settle()
+        self._dispatcher.leave(link)
+        self._retries.succeeded(self._call.account)
+        self._report.completed(link, self._cursor)
+
+    def _abandon(self, link: Link) -> None:
+        self._link = None
+        self._dispatcher.leave(link)
+        self._dispatcher.cancel(link.endpoint, self._call.request_id)
+        self._report.abandoned(link, self._cursor.next_index)
+
+    def _used_tokens(self) -> int:
+        if self._ran is Ran.NOT_RUN:
+            return 0
+        usage = self._cursor.usage
+        prompt = usage.prompt_tokens if usage else estimated_prompt_tokens(self._call)
+        return prompt + self._cursor.next_index
+
+    def _final(self, error: RouterError) -> RouterError:
+        if self._ran is not Ran.NOT_RUN:
+            error.ran = self._ran
+        return error
+
+    def _lost(self, reason: str) -> StreamLostError:
+        return StreamLostError(
+            f"the stream broke after {self._cursor.next_index} tokens and cannot be continued: "
+            f"{reason}; send the request again for a new answer",
+            ran=Ran.MAY_HAVE_RUN,
+            retry_after_s=0.0,
+        )
+
+    def _not_resumable(self, reason: str) -> StreamNotResumableError:
+        return StreamNotResumableError(
+            f"the stream cannot be resumed: {reason}; send the request again without Last-Event-ID",
+            ran=Ran.MAY_HAVE_RUN,
+        )
+
+
+def _yield_to_others() -> None:
+    """Lets other greenlets run between the parts of a long computation."""
+    gevent.sleep(0)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,389 @@
+"""Membership under a lagging list, disagreeing peers, restarts and sticky marks."""
+
+import unittest
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from arbutustally.clock import VirtualClock
+from arbutustally.directory import addresses, ranking, shard_of
+from arbutustally.errors import EndpointTimeoutError, InstanceListUnavailableError
+from arbutustally.instance_client import Instance
+from arbutustally.logs import configure
+from arbutustally.metrics import Metrics
+from arbutustally_node import endpoint_table
+from arbutustally_node.directory_service import DirectoryService
+from arbutustally_node.endpoint_table import EndpointTable, Load, Mark
+from arbutustally_node.membership import MembershipService
+from arbutustally_node.node_table import Node
+from tests.node_options import options
+
+
+def engine(name: str, state: str = "live", zone: str = "zone-a", address: str = "") -> Instance:
+    return Instance(name, "workers", address or f"{name}:80", zone, state, "m", "v1")
+
+
+def entry(name: str, state: str = "live", zone: str = "zone-a") -> Instance:
+    return Instance(name, "entry", f"{name}:82", zone, state)
+
+
+class Hub:
+    """Delivers broadcasts between services at once, except over cut links."""
+
+    def __init__(self) -> None:
+        self.services: dict[str, MembershipService] = {}
+        self.subscribers: dict[str, Any] = {}
+        self.cut: set[str] = set()
+
+    def port(self, name: str) -> SimpleNamespace:
+        def broadcast(_topic: str, payload: Any) -> None:
+            for other, deliver in list(self.subscribers.items()):
+                if other != name and not {name, other} & self.cut:
+                    deliver(name, payload)
+
+        def connected() -> list[str]:
+            if name in self.cut:
+                return []
+            return [other for other in self.subscribers if other != name and other not in self.cut]
+
+        def subscribe(_topic: str, deliver: Any) -> None:
+            self.subscribers[name] = deliver
+
+        return SimpleNamespace(
+            broadcast=broadcast, connected=connected, subscribe=subscribe, address=f"{name}:82"
+        )
+
+
+class MembershipTest(unittest.TestCase):
+    def setUp(self) -> None:
+        configure("error")
+        self.enterContext(mock.patch("gevent.spawn"))
+        self.clock = VirtualClock(100.0)
+        self.hub = Hub()
+        self.lists: dict[str, list[Instance]] = {}
+        self.loads: dict[str, Any] = {}
+        self.polls: list[tuple[str, str]] = []
+        self.instances = [entry("a"), entry("b"), entry("c"), engine("e1"), engine("e2")]
+        for name in "abc":
+            self.add(name)
+        self.set_load("e1", "i1", 100)
+        self.set_load("e2", "i1", 200)
+        self.round()
+
+    def add(self, name: str, **changes: Any) -> MembershipService:
+        def read() -> list[Instance]:
+            listed = self.lists.get(name, self.instances)
+            if listed is None:
+                raise InstanceListUnavailableError("simulated outage; wait")
+            return listed
+
+        def load(address: str) -> Any:
+            self.polls.append((name, address))
+            report = self.loads[address]
+            if isinstance(report, Exception):
+                raise report
+            return report
+
+        changes = {"caller_advertise": f"{name}:80", **changes}
+        port = self.hub.port(name)
+        service = MembershipService(
+            options(name, **changes), Metrics(), read, load, lambda: port, self.clock
+        )
+        self.hub.services[name] = service
+        service.start()
+        return service
+
+    def set_load(self, name: str, incarnation: str, queued: int, age_s: float = 0.0) -> None:
+        self.loads[f"{name}:80"] = SimpleNamespace(
+            incarnation=incarnation, queued_tokens=queued, running=1, versions=("v1",), age_s=age_s
+        )
+
+    def round(self) -> None:
+        """One interval of each loop on all nodes; three, so that news spread."""
+        for _ in range(3):
+            self.clock.advance(1.0)
+            for service in self.hub.services.values():
+                service.refresh()
+            for service in self.hub.services.values():
+                for instance in service.assigned():
+                    service.poll(instance)
+            for service in self.hub.services.values():
+                service.share()
+
+    def states(self, name: str) -> dict[str, Any]:
+        return {state.id: state for state in self.hub.services[name].endpoints("workers")}
+
+    def test_each_engine_is_polled_by_one_node_and_known_to_all(self) -> None:
+        """Guards against polls by every node, and against loads that are not shared."""
+        self.polls.clear()
+        for service in self.hub.services.values():
+            for instance in service.assigned():
+                service.poll(instance)
+        self.assertEqual(sorted(address for _, address in self.polls), ["e1:80", "e2:80"])
+        for name in "abc":
+            loads = [state.queued_tokens for state in self.states(name).values()]
+            self.assertEqual(loads, [100, 200])
+
+    def test_polls_move_when_a_node_is_cut_off(self) -> None:
+        """Guards against engines that nobody polls after a node failed."""
+        poller = next(n for n, s in self.hub.services.items() if s.assigned())
+        self.hub.cut.add(poller)
+        self.polls.clear()
+        rest = [service for name, service in self.hub.services.items() if name != poller]
+        polled = [instance.id for service in rest for instance in service.assigned()]
+        self.assertEqual(sorted(polled), ["e1", "e2"])
+
+    def test_leaving_mark_of_one_peer_wins_over_a_lagging_list(self) -> None:
+        """Guards against new work for a leaving endpoint that the list still shows as live."""
+        self.hub.services["a"].mark_leaving("e1")
+        self.round()
+        for name in "abc":
+            self.assertTrue(self.states(name)["e1"].leaving)
+            self.assertFalse(self.states(name)["e2"].leaving)
+
+    def test_leaving_is_sticky_when_lists_disagree(self) -> None:
+        """Guards against an endpoint that flaps because some nodes read an older list."""
+        self.lists["a"] = [*self.instances[:3], engine("e1", "leaving"), engine("e2")]
+        self.round()
+        self.lists.pop("a")
+        self.round()
+        for name in "abc":
+            self.assertTrue(self.states(name)["e1"].leaving)
+
+    def test_restart_ends_marks_although_the_list_lags(self) -> None:
+        """Guards against a replaced endpoint that never gets work again."""
+        self.instances[3] = engine("e1", "leaving")
+        self.round()
+        self.set_load("e1", "i2", 0)
+        self.round()
+        self.assertTrue(self.states("a")["e1"].leaving)
+        self.instances[3] = engine("e1")
+        self.round()
+        for name in "abc":
+            self.assertFalse(self.states(name)["e1"].leaving)
+            self.assertEqual(self.states(name)["e1"].incarnation, "i2")
+
+    def test_dead_incarnation_stays_dead_and_its_late_reports_are_dropped(self) -> None:
+        """Guards against work for a crashed engine after a late report of a peer."""
+        self.hub.services["b"].mark_dead("e1", "i1")
+        late = Load("e1", "i1", 5, 0, ("v1",), self.clock())
+        for name in "abc":
+            self.assertNotIn("e1", self.states(name))
+            self.assertFalse(self.hub.services[name]._endpoints.report(late))
+        self.round()
+        self.assertNotIn("e1", self.states("c"))
+        self.set_load("e1", "i2", 0)
+        self.round()
+        self.assertEqual(self.states("c")["e1"].incarnation, "i2")
+        self.assertFalse(self.hub.services["a"]._endpoints.report(late))
+
+    def test_marks_reach_a_node_that_was_cut_off(self) -> None:
+        """Guards against a mark that is lost with one broadcast."""
+        self.hub.cut.add("c")
+        self.hub.services["a"].mark_dead("e2", "i1")
+        self.round()
+        self.assertIn("e2", self.states("c"))
+        self.hub.cut.clear()
+        self.round()
+        self.assertNotIn("e2", self.states("c"))
+
+    def test_refused_poll_marks_dead_and_timeout_does_not(self) -> None:
+        """Guards against an engine killed on all nodes by one node's broken network."""
+        self.loads["e2:80"] = EndpointTimeoutError("simulated; wait")
+        refused = EndpointTimeoutError("simulated; wait")
+        refused.__cause__ = ConnectionRefusedError()
+        self.loads["e1:80"] = refused
+        self.round()
+        poller = next(n for n, s in self.hub.services.items() if "e2" in map(_id, s.assigned()))
+        other = next(name for name in "abc" if name != poller)
+        self.assertEqual(list(self.states(other)), ["e2"])
+        self.assertEqual(list(self.states(poller)), [])
+
+    def test_own_dispatches_count_until_a_report_includes_them(self) -> None:
+        """Guards against a herd to the endpoint that reported the least load."""
+        service = self.hub.services["a"]
+        service.dispatched("e1", 50)
+        service.dispatched("e1", 70)
+        self.assertEqual(self.states("a")["e1"].queued_tokens, 220)
+        self.assertEqual(self.states("b")["e1"].queued_tokens, 100)
+        service.finished("e1", 50)
+        self.assertEqual(self.states("a")["e1"].queued_tokens, 170)
+        self.set_load("e1", "i1", 300, age_s=60.0)
+        self.round()
+        self.assertEqual(self.states("a")["e1"].queued_tokens, 170)
+        self.set_load("e1", "i1", 300)
+        self.round()
+        self.assertEqual(self.states("a")["e1"].queued_tokens, 300)
+
+    def test_list_outage_keeps_the_last_list(self) -> None:
+        """Guards against refusing everything while the instance list is down."""
+        self.lists.update(dict.fromkeys("abc"))
+        self.round()
+        self.assertEqual(list(self.states("a")), ["e1", "e2"])
+        self.assertEqual(len(self.hub.services["a"].nodes()), 3)
+
+    def test_draining_node_is_not_named_although_listed_live(self) -> None:
+        """Guards against callers sent to a node that shuts down."""
+        directories = {
+            name: DirectoryService(options(name), lambda s=service: s)
+            for name, service in self.hub.services.items()
+        }
+        home = directories["a"].entry("acct")[0][0]
+        self.hub.services[home[0]].drain()
+        for name in "abc":
+            self.assertNotIn(home, directories[name].entry("acct")[0])
+            self.assertEqual(len(directories[name].entry("acct")[0]), 2)
+
+    def test_drain_ends_with_the_incarnation(self) -> None:
+        """Guards against a restarted node that is never named again."""
+        self.hub.services["b"].drain()
+        self.add("b", incarnation="next")
+        self.round()
+        node = next(n for n in self.hub.services["a"].nodes() if n.id == "b")
+        self.assertEqual((node.incarnation, node.draining), ("next", False))
+
+    def test_unreachable_node_is_not_named_unless_this_one_is_cut_off(self) -> None:
+        """Guards against naming dead nodes, and against a cut-off node that names only itself."""
+        self.hub.cut.add("c")
+        named = {name: [n.id for n in self.hub.services[name].live_nodes()] for name in "ac"}
+        self.assertEqual(named, {"a": ["a", "b"], "c": ["a", "b", "c"]})
+
+
+def _id(instance: Instance) -> str:
+    return instance.id
+
+
+class EndpointMachine(RuleBasedStateMachine):
+    """Guards against work for an incarnation that was marked, in any order of late news."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.clock = VirtualClock()
+        self.table = EndpointTable(self.clock)
+        self.table.update_list([engine("e")])
+        self.current = 0
+        self.dead: set[str] = set()
+        self.leaving: set[str] = set()
+
+    def report_of(self, number: int, age_s: float) -> None:
+        self.clock.advance(0.1)
+        load = Load("e", f"i{number}", 1, 1, (), self.clock() - age_s)
+        self.table.report(load)
+
+    @rule()
+    def restart(self) -> None:
+        self.current += 1
+
+    @rule()
+    def poll(self) -> None:
+        self.report_of(self.current, 0.0)
+
+    @rule(back=st.integers(1, 3), age_s=st.sampled_from([0.0, 0.5, 5.0]))
+    def late_report(self, back: int, age_s: float) -> None:
+        self.report_of(max(self.current - back, 0), age_s)
+
+    @rule(back=st.integers(0, 2))
+    def dead_mark(self, back: int) -> None:
+        incarnation = f"i{max(self.current - back, 0)}"
+        self.dead.add(incarnation)
+        self.table.apply(Mark("e", incarnation, "dead"))
+
+    @rule(back=st.integers(0, 2))
+    def leaving_mark(self, back: int) -> None:
+        incarnation = f"i{max(self.current - back, 0)}"
+        self.leaving.add(incarnation)
+        self.table.apply(Mark("e", incarnation, "leaving"))
+
+    @rule(state=st.sampled_from(["live", "leaving", "gone"]))
+    def new_list(self, state: str) -> None:
+        before = self.table.incarnation("e")
+        self.table.update_list([engine("e", state)] if state != "gone" else [])
+        if state == "leaving":
+            self.listed_for = before
+
+    @invariant()
+    def marked_incarnations_get_no_work(self) -> None:
+        if not hasattr(self, "table"):
+            return
+        for state in self.table.endpoints("workers"):
+            assert state.incarnation not in self.dead
+            assert state.leaving or state.incarnation not in self.leaving
+
+    @rule()
+    def newest_is_never_replaced_by_an_older(self) -> None:
+        self.report_of(self.current, 0.0)
+        seen = self.table.incarnation("e")
+        if seen != f"i{self.current}":
+            assert f"i{self.current}" in self.dead
+            return
+        for back in (1, 2):
+            if self.current >= back and f"i{self.current - back}" in self.seen_before():
+                self.report_of(self.current - back, 0.0)
+                assert self.table.incarnation("e") == seen
+
+    def seen_before(self) -> set[str]:
+        return set(self.table._entries["e"].past)
+
+
+EndpointMachine.TestCase.settings = settings(
+    max_examples=80, stateful_step_count=30, derandomize=True, deadline=None, database=None
+)
+
+
+class EndpointMachineTest(EndpointMachine.TestCase):
+    """Runs the machine."""
+
+
+class EndpointTableTest(unittest.TestCase):
+    def test_plain_service_marked_dead_returns(self) -> None:
+        """Guards against losing a service without incarnations for good."""
+        clock = VirtualClock()
+        table = EndpointTable(clock)
+        table.update_list([Instance("p", "quotes", "p:80", "z", "live")])
+        table.apply(Mark("p", "", "dead"))
+        self.assertEqual(table.endpoints("quotes"), [])
+        clock.advance(endpoint_table.UNNAMED_DEAD_S + 0.1)
+        self.assertEqual(len(table.endpoints("quotes")), 1)
+
+    def test_new_address_is_a_new_process(self) -> None:
+        """Guards against sending to a new process what belongs to the old one's cache."""
+        table = EndpointTable(VirtualClock())
+        table.update_list([engine("e")])
+        table.report(Load("e", "i1", 9, 9, ("v1",), 0.0))
+        table.update_list([engine("e", address="e:81")])
+        state = table.endpoints("workers")[0]
+        self.assertEqual((state.incarnation, state.queued_tokens), ("", 0))
+
+
+class DirectoryTest(unittest.TestCase):
+    NODES = [Node(f"n{i}", "i", f"z{i % 4}", f"n{i}:80", "", False) for i in range(40)]
+
+    def test_home_nodes_are_in_two_zones(self) -> None:
+        """Guards against losing both home nodes of a shard with one zone."""
+        for shard in range(64):
+            first, second = ranking(shard, self.NODES)[:2]
+            self.assertNotEqual(first.zone, second.zone)
+
+    def test_failure_moves_shards_to_different_nodes(self) -> None:
+        """Guards against one node that inherits all callers of a failed one."""
+        failed = ranking(0, self.NODES)[0]
+        seconds = {
+            ranking(shard, self.NODES)[1].id
+            for shard in range(512)
+            if ranking(shard, self.NODES)[0] == failed
+        }
+        self.assertGreater(len(seconds), 3)
+
+    def test_all_zones_name_the_same_home_nodes_first(self) -> None:
+        """Guards against an account's budget and cache index spread over the fleet."""
+        named = {addresses("acct", f"z{i}", self.NODES, 4, 64)[:2] for i in range(4)}
+        expected = ranking(shard_of("acct", 64), self.NODES)[:2]
+        self.assertEqual(named, {tuple(node.caller_address for node in expected)})
+
+
+if __name__ == "__main__":
+    unittest.main()
