Serve operators through http_server and count refusals of keys and the log

Leases of one name are shared, so that a caller may look one up at each step; they tell when the claim was read, which orders without fencing wait for. explain renders the steps that the request path notes.

--- a/packages/arbutustally-cli/src/arbutustally_cli/explanation.py
+++ b/packages/arbutustally-cli/src/arbutustally_cli/explanation.py
@@ -1,62 +1,39 @@
 """Readable account of one request: why this endpoint, what it waited for, what was reused, what
 each retry cost."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from datetime import UTC, datetime
 from typing import Any
 
 from arbutustally_cli.render import show
 
-_HIDDEN = frozenset({"step", "at_s"})
-_RETRY_STEPS = ("retry", "retried", "resume", "resumed", "continued")
-_SHOWN_CANDIDATES = 5
-
-
-def _number(value: Any) -> float | None:
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    return float(value) if is_number else None
-
-
-def _seconds(value: Any) -> str:
-    number = _number(value)
-    if number is None:
-        return show(value)
-    return f"{number * 1000:.0f} ms" if number < 1 else f"{number:.2f} s"
-
-
-def _tokens(value: Any) -> str:
-    number = _number(value)
-    return f"{number:,.0f} tokens" if number is not None else show(value)
+Step = Mapping[str, Any]
 
-
-def _steps(account: Mapping[str, Any]) -> list[dict[str, Any]]:
-    steps = account.get("steps")
-    return [step for step in steps if isinstance(step, dict)] if isinstance(steps, list) else []
-
-
-def _first(steps: list[dict[str, Any]], field: str) -> Any:
-    return next((step[field] for step in steps if step.get(field) is not None), None)
-
-
-def _last(steps: list[dict[str, Any]], field: str) -> Any:
-    return _first(steps[::-1], field)
+_HIDDEN = frozenset({"step", "at_s"})
+#: Waits below this are left to the timeline.
+_SHORTEST_WAIT_S = 0.0005
 
 
 def explain_text(account: Mapping[str, Any]) -> str:
     """Returns the account of a request as text.
 
-    :param account: answer of ``/v1/explain``: request, account, route, ``steps`` in order, each
-        with ``step``, ``at_s`` and fields, and ``error`` for a refusal.
+    :param account: answer of ``/v1/explain``: request, account, route, the code of a refusal, and
+        ``steps`` in order, each with ``step``, ``at_s`` (seconds) and fields.
     """
-    steps = _steps(account)
+    steps = [step for step in account.get("steps") or [] if isinstance(step, Mapping)]
     sections = [
         _headline(account, steps),
         _section("Endpoint", _endpoint_lines(steps)),
         _section("Waiting", _waiting_lines(steps)),
         _section("Reuse", _reuse_lines(steps)),
+        _section("Booking", _booking_lines(steps)),
         _section("Retries", _retry_lines(steps)),
-        _section("Refusal", _refusal_lines(account)),
+        _section("Refusal", _refusal_lines(steps)),
         _section("Timeline", [_timeline_line(step) for step in steps]),
     ]
+    dropped = account.get("steps_dropped")
+    if dropped:
+        sections.append(f"{dropped} later steps were not kept")
     return "\n\n".join(section for section in sections if section)
 
 
@@ -64,119 +41,163 @@
     return "\n".join([title, *(f"  {line}" for line in lines)]) if lines else ""
 
 
-def _headline(account: Mapping[str, Any], steps: list[dict[str, Any]]) -> str:
-    error = account.get("error")
-    if isinstance(error, Mapping):
-        result = f"refused with {show(error.get('code'))}"
-    elif account.get("status") is not None:
-        result = f"answered with status {show(account['status'])}"
-    else:
-        result = "answered" if _last(steps, "completion_tokens") is not None else "see timeline"
-    lines = [f"Request {show(account.get('request_id'))}: {result}"]
-    facts = [
-        f"{name.replace('_', ' ')} {show(account[name])}"
-        for name in ("account", "route", "model", "node", "started_at")
-        if account.get(name) is not None
-    ]
-    if facts:
-        lines.append("  " + ", ".join(facts))
-    return "\n".join(lines)
+def _named(steps: list[Step], *names: str) -> list[Step]:
+    return [step for step in steps if step.get("step") in names]
 
 
-def _endpoint_lines(steps: list[dict[str, Any]]) -> list[str]:
-    lines: list[str] = []
-    for step in steps:
-        if step.get("endpoint") is None or not (step.get("reasons") or step.get("ranked")):
-            continue
-        line = f"{step['endpoint']} was chosen"
-        if step.get("estimate_s") is not None:
-            line += f", expected first token after {_seconds(step['estimate_s'])}"
+def _number(value: Any) -> float:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return float(value) if is_number else 0.0
+
+
+def _at(step: Step) -> float:
+    return _number(step.get("at_s"))
+
+
+def _duration(seconds: float) -> str:
+    return f"{seconds * 1000:.0f} ms" if seconds < 1 else f"{seconds:.2f} s"
+
+
+def _tokens(value: Any) -> str:
+    return f"{_number(value):,.0f} tokens"
+
+
+def _before(steps: list[Step], step: Step) -> float:
+    """Returns when the step before this one was noted."""
+    place = next(number for number, other in enumerate(steps) if other is step)
+    return _at(steps[place - 1]) if place else 0.0
+
+
+def _headline(account: Mapping[str, Any], steps: list[Step]) -> str:
+    refused = account.get("refused")
+    ends = _named(steps, "completed", "answered", "recorded_answer")
+    total = f" after {_duration(_at(steps[-1]))}" if steps else ""
+    if refused:
+        result = f"refused with {refused}{total}"
+    elif ends:
+        status = ends[-1].get("status")
+        result = "answered" + (f" with status {status}" if status else "") + total
+    elif _named(steps, "caller_gone", "abandoned"):
+        result = f"given up by the caller{total}"
+    else:
+        result = "not finished"
+    facts = [f"{name} {account[name]}" for name in ("account", "route") if account.get(name)]
+    if account.get("begun_unix_s") is not None:
+        begun = datetime.fromtimestamp(_number(account["begun_unix_s"]), UTC)
+        facts.append(f"begun {begun.isoformat(timespec='milliseconds')}")
+    headline = f"Request {show(account.get('request_id'))}: {result}"
+    return headline + ("\n  " + ", ".join(facts) if facts else "")
+
+
+def _endpoint_lines(steps: list[Step]) -> list[str]:
+    lines = [
+        f"version {show(step.get('version'))} of the model was picked"
+        for step in _named(steps, "version_picked")
+    ]
+    for step in _named(steps, "placed"):
+        line = f"{show(step.get('endpoint'))} was chosen"
+        if step.get("estimate_ms") is not None:
+            estimate = _duration(_number(step["estimate_ms"]) / 1000)
+            line += f", first token expected within {estimate}"
         lines.append(line)
-        lines += [f"because {reason}" for reason in _as_list(step.get("reasons"))]
-        lines += _candidate_lines(step)
-    if not lines and _last(steps, "endpoint") is not None:
-        lines.append(f"{_last(steps, 'endpoint')}; no reasons were recorded")
+        lines += [f"  because {reason}" for reason in _reasons(step)]
     return lines
 
 
-def _as_list(value: Any) -> list[str]:
-    if isinstance(value, list | tuple):
-        return [show(entry) for entry in value]
-    return [show(value)] if value else []
+def _reasons(step: Step) -> list[str]:
+    reasons = step.get("reasons")
+    if isinstance(reasons, list | tuple):
+        return [show(reason) for reason in reasons]
+    return [show(reasons)] if reasons else []
 
 
-def _candidate_lines(step: Mapping[str, Any]) -> list[str]:
-    ranked = step.get("ranked")
-    if not isinstance(ranked, list | tuple):
-        return []
-    lines = [f"candidate {show(candidate)}" for candidate in ranked[:_SHOWN_CANDIDATES]]
-    rest = len(ranked) - _SHOWN_CANDIDATES
-    return lines + ([f"and {rest} more candidates"] if rest > 0 else [])
+def _waiting_lines(steps: list[Step]) -> list[str]:
+    lines: list[str] = []
+    for step in _named(steps, "limits"):
+        waited_s = _at(step) - _before(steps, step)
+        if waited_s >= _SHORTEST_WAIT_S:
+            source = "that this node held" if step.get("grant") == "held" else "of the account"
+            budget = f"for {_tokens(step.get('tokens'))} of the budget {source}"
+            lines.append(f"{_duration(waited_s)} {budget}")
+    for step in _named(steps, "admission"):
+        lines.append(f"{_duration(_number(step.get('waited_s')))} for a fair share of the pool")
+        if step.get("derivation"):
+            lines.append(f"  priority {show(step.get('priority'))}: {show(step['derivation'])}")
+    for step in _named(steps, "claimed", "claim_beaten", "claim_given_up"):
+        waited_s = _at(step) - _before(steps, step)
+        lines.append(f"{_duration(waited_s)} for the log to decide on the claim")
+    placed = _named(steps, "placed")
+    for step in _named(steps, "first_token")[:1]:
+        since = _at(placed[-1]) if placed else 0.0
+        lines.append(f"{_duration(_at(step) - since)} for the first token of the endpoint")
+        lines.append(f"time to first token: {_duration(_at(step))}")
+    return lines
 
 
-def _waiting_lines(steps: list[dict[str, Any]]) -> list[str]:
-    lines = []
-    for step in steps:
-        for field in ("waited_s", "wait_s", "queued_s"):
-            if _number(step.get(field)):
-                what = step.get("for") or step.get("reason") or step.get("step")
-                lines.append(f"{_seconds(step[field])} for {show(what).replace('_', ' ')}")
-    first_token_s = _last(steps, "first_token_s")
-    if first_token_s is not None:
-        lines.append(f"first token after {_seconds(first_token_s)}")
+def _reuse_lines(steps: list[Step]) -> list[str]:
+    lines: list[str] = []
+    placed = _named(steps, "placed")
+    if placed and placed[-1].get("cached") is not None:
+        lines.append(f"{_tokens(placed[-1]['cached'])} were expected in the endpoint's cache")
+    for step in _named(steps, "cached_tokens"):
+        lines.append(f"{_tokens(step.get('tokens'))} were reused, as the endpoint reported")
     return lines
 
 
-def _reuse_lines(steps: list[dict[str, Any]]) -> list[str]:
-    lines = []
-    expected = _last(steps, "expected_cached_tokens")
-    if expected is not None:
-        lines.append(f"{_tokens(expected)} were expected in the cache of the endpoint")
-    cached, prompt = _last(steps, "cached_tokens"), _last(steps, "prompt_tokens")
-    if cached is not None:
-        of = f" of {_tokens(prompt)}" if prompt is not None else ""
-        lines.append(f"{_tokens(cached)}{of} were reused")
-        missed = (_number(prompt) or 0) - (_number(cached) or 0)
-        if prompt is not None and missed > 0:
-            lines.append(f"{_tokens(missed)} were computed")
-    if _last(steps, "import_kv"):
-        lines.append("missing chunks were imported from the KV store")
-    return lines
+def _booking_lines(steps: list[Step]) -> list[str]:
+    texts: dict[str, Callable[[Step], str]] = {
+        "claimed": lambda step: f"claimed at offset {show(step.get('offset'))} of the log",
+        "claim_beaten": lambda step: f"another claim was first, at offset {show(step.get('by'))}",
+        "claim_given_up": lambda step: f"not dispatched: {show(step.get('reason'))}",
+        "recorded_answer": lambda step: "the recorded answer of the first run was returned",
+    }
+    return [texts[step["step"]](step) for step in _named(steps, *texts)]
 
 
-def _retry_lines(steps: list[dict[str, Any]]) -> list[str]:
-    lines = []
-    for step in steps:
-        if not str(step.get("step", "")).startswith(_RETRY_STEPS):
-            continue
-        parts = [show(step.get("reason") or step.get("code") or step["step"])]
-        if step.get("endpoint") is not None:
-            parts.append(f"at {show(step['endpoint'])}")
-        cost = step.get("cost_s") if step.get("cost_s") is not None else step.get("lost_s")
-        if cost is not None:
-            parts.append(f"cost {_seconds(cost)}")
-        for field in ("recomputed_tokens", "cost_tokens"):
-            if step.get(field) is not None:
-                parts.append(f"and {_tokens(step[field])} again")
-        lines.append(" ".join(parts))
+def _retry_lines(steps: list[Step]) -> list[str]:
+    lines: list[str] = []
+    attempt_at = 0.0
+    for number, step in enumerate(steps):
+        name = step.get("step")
+        where = show(step.get("endpoint"))
+        if name == "placed":
+            attempt_at = _at(step)
+        elif name == "endpoint_failed":
+            cost = _duration(_at(step) - attempt_at)
+            lines.append(f"{where} failed ({show(step.get('code'))}): cost {cost}")
+        elif name == "stream_broken":
+            lines.append(
+                f"{where} broke the stream ({show(step.get('fault'))})" + _repair(steps, number)
+            )
+        elif name == "not_resumed":
+            lines.append(f"{where} could not resume it: {show(step.get('reason'))}")
+        elif name == "retry_budget_empty":
+            lines.append("no further attempt: the retry budget is used up")
     return lines
 
 
-def _refusal_lines(account: Mapping[str, Any]) -> list[str]:
-    error = account.get("error")
-    if not isinstance(error, Mapping):
-        return []
-    lines = [f"{show(error.get('code'))}: {show(error.get('message'))}"]
-    lines.append(f"work: {show(error.get('ran')).replace('_', ' ')}")
-    if error.get("retry_after_s") is not None:
-        lines.append(f"a retry may succeed after {_seconds(error['retry_after_s'])}")
+def _repair(steps: list[Step], broken: int) -> str:
+    """Returns how and after how long a broken stream went on."""
+    begun = _at(steps[broken])
+    for step in steps[broken + 1 :]:
+        if step.get("step") in ("resumed", "continued"):
+            where = (
+                f"{step['step']} on {show(step.get('endpoint'))} at token {show(step.get('at'))}"
+            )
+            return f": {where}, cost {_duration(_at(step) - begun)}"
+    return ": the stream was lost"
+
+
+def _refusal_lines(steps: list[Step]) -> list[str]:
+    lines: list[str] = []
+    for step in _named(steps, "refused")[-1:]:
+        lines.append(f"{show(step.get('code'))}: {show(step.get('message'))}")
+        lines.append(f"work: {show(step.get('ran')).replace('_', ' ')}")
     return lines
 
 
-def _timeline_line(step: Mapping[str, Any]) -> str:
-    at = _number(step.get("at_s"))
-    instant = f"{at * 1000:8.1f} ms" if at is not None else " " * 11
+def _timeline_line(step: Step) -> str:
     fields = ", ".join(
         f"{name}={show(value)}" for name, value in step.items() if name not in _HIDDEN
     )
-    return f"{instant}  {show(step.get('step'))}  {fields}".rstrip()
+    return f"{_at(step) * 1000:9.1f} ms  {show(step.get('step'))}  {fields}".rstrip()
--- a/packages/arbutustally-node/src/arbutustally_node/fleet.py
+++ b/packages/arbutustally-node/src/arbutustally_node/fleet.py
@@ -69,11 +69,7 @@
 
     def _is_draining(self) -> bool:
         membership = self.service("membership")
-        if membership is None:
-            return False
-        return any(
-            node.id == self._options.node_id and node.draining for node in membership.nodes()
-        )
+        return membership is not None and membership.draining
 
     def reports(self) -> list[dict[str, Any]]:
         """Returns a report of every known node, in order of id; unreachable ones say so."""
--- a/packages/arbutustally-node/src/arbutustally_node/keys.py
+++ b/packages/arbutustally-node/src/arbutustally_node/keys.py
@@ -14,12 +14,20 @@
     KeysStaleError,
     NoConfigurationError,
 )
+from arbutustally.metrics import Counter, declare
 from arbutustally.records import KeyIssue, KeyWithdraw
 from arbutustally.verdicts import Reason
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.log_writer import Appended
 from arbutustally_node.options import Options
 
+KEY_INVALID = declare(
+    "refused.key_invalid", "Key missing, unknown or withdrawn; issue one, or correct the caller."
+)
+KEYS_STALE = declare(
+    "refused.keys_stale", "Withdrawals may be missing; look at the log and at the peer links."
+)
+
 _ID_BYTES = 8
 _SECRET_BYTES = 32
 _KEY_TEXT = re.compile(r"at-([0-9a-z]{8,32})-([0-9A-Za-z_\-]{16,128})\Z")
@@ -79,6 +87,16 @@
         :raises KeysStaleError: if a withdrawal may have been missed.
         :raises NoConfigurationError: if this node has no configuration yet.
         """
+        try:
+            return self._account_of(authorization)
+        except KeyInvalidError:
+            self._count(KEY_INVALID)
+            raise
+        except KeysStaleError:
+            self._count(KEYS_STALE)
+            raise
+
+    def _account_of(self, authorization: str | None) -> str:
         log = self._kernel.lookup("log")
         if not log.ready:
             raise NoConfigurationError(
@@ -151,6 +169,11 @@
             reached.update(peers.connected())
         return 2 * len(reached & nodes) > len(nodes)
 
+    def _count(self, counter: Counter) -> None:
+        metrics = self._service("metrics")
+        if metrics is not None:
+            metrics.count(counter)
+
     def _service(self, name: str) -> Any:
         try:
             return self._kernel.lookup(name)
--- a/packages/arbutustally-node/src/arbutustally_node/lease_hold.py
+++ b/packages/arbutustally-node/src/arbutustally_node/lease_hold.py
@@ -1,11 +1,11 @@
 """A lease that this node claims, renews and releases."""
 
+import math
 from collections.abc import Callable
 from random import Random
 from typing import Any
 
 import gevent
-from gevent.event import Event
 
 from arbutustally.clock import Clock
 from arbutustally.errors import LeaseLostError, LogUnavailableError
@@ -25,7 +25,8 @@
 _log = get_logger("lease")
 
 
-def _always() -> bool:
+def always() -> bool:
+    """Wants a lease at all times."""
     return True
 
 
@@ -46,7 +47,7 @@
         duration_s: float,
         clock: Clock,
         rng: Random,
-        wanted: Callable[[], bool] = _always,
+        wanted: Callable[[], bool] = always,
     ) -> None:
         self._log = log
         self._name = name
@@ -58,7 +59,7 @@
         self._observer = LeaseObserver.from_config(duration_s)
         self._sent: dict[int, float] = {}
         self._held: HeldLease | None = None
-        self._wake = Event()
+        self._claimed_at = math.inf
         self._greenlet: gevent.Greenlet | None = None
         log.subscribe(self._read_back)
 
@@ -72,6 +73,19 @@
         """Returns the fencing number of the current tenure, -1 without one."""
         return self._held.epoch if self._held is not None else -1
 
+    @property
+    def fence(self) -> int:
+        """Returns the fencing number of the current tenure, the same as ``epoch``."""
+        return self.epoch
+
+    @property
+    def claimed_at(self) -> float:
+        """Returns when this node read its accepted claim, monotonic seconds.
+
+        Endpoints that check no fencing numbers get orders only some time after it.
+        """
+        return self._claimed_at
+
     @property
     def held(self) -> HeldLease | None:
         """Returns the lease as last accepted; it may have lapsed."""
@@ -92,9 +106,14 @@
             raise LeaseLostError(f"lease {self._name} is not held by this node; ask its holder")
         return self.epoch
 
+    def want(self, wanted: Callable[[], bool]) -> None:
+        """Replaces the function that tells whether this node should hold the lease."""
+        self._wanted = wanted
+
     def start(self) -> None:
-        """Starts to claim and renew."""
-        self._greenlet = gevent.spawn(self._run)
+        """Starts to claim and renew, unless that is running."""
+        if self._greenlet is None:
+            self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
         """Ends all effects, then releases the lease, so that a successor need not wait."""
@@ -181,4 +200,6 @@
         if sent_at is None:
             return
         epoch = self._log.state.lease(self._name).epoch
+        if epoch != self.epoch:
+            self._claimed_at = self._clock()
         self._held = HeldLease(sent_at, self._duration_s, self._name, epoch)
--- a/packages/arbutustally-node/src/arbutustally_node/log_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_service.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 from arbutustally.clock import Clock, monotonic
+from arbutustally.errors import LogUnavailableError
 from arbutustally.log_client import LogClient
-from arbutustally.metrics import Metrics
+from arbutustally.metrics import Metrics, declare
 from arbutustally.records import Body
 from arbutustally.state import ControlState
 from arbutustally_node.checkpoint_writer import LEASE_NAME, CheckpointWriter
@@ -18,6 +19,10 @@
 from arbutustally_node.log_writer import DEFAULT_TIMEOUT_S, Appended, LogWriter
 from arbutustally_node.options import Options
 
+LOG_UNAVAILABLE = declare(
+    "refused.log_unavailable", "The log did not confirm an append in time; look at the log."
+)
+
 #: Silence of the log after which a call to it is given up.
 CLIENT_TIMEOUT_S = 2.0
 #: A quarter of the staleness for each poll leaves room for one failed poll and its repeat.
@@ -41,7 +46,8 @@
         self._options = options
         self._clock = clock
         self._rng = rng or Random()
-        metrics = _metrics(kernel)
+        metrics = self._metrics = _metrics(kernel)
+        self._holds: dict[str, LeaseHold] = {}
         self._view = LogView(options.booking_window_s)
         self._writer = LogWriter(client, clock, self._rng, metrics)
         wait_s = options.key_staleness_s * _POLL_PART
@@ -131,7 +137,11 @@
 
         :raises LogUnavailableError: ``not_run`` only if none can have reached the log.
         """
-        return self._writer.append_many(bodies, timeout_s)
+        try:
+            return self._writer.append_many(bodies, timeout_s)
+        except LogUnavailableError:
+            self._metrics.count(LOG_UNAVAILABLE)
+            raise
 
     def subscribe(self, callback: Subscriber) -> None:
         """Adds a function that is called after each record; it must not block.
@@ -158,24 +168,26 @@
         wanted: Callable[[], bool] | None = None,
         duration_s: float | None = None,
     ) -> LeaseHold:
-        """Returns a lease to ``start()``, ``stop()`` and check with ``valid()``.
+        """Returns the lease of a name, to ``start()``, ``stop()`` and check with ``valid()``.
+
+        Calls with the same name return the same object.
 
         :param wanted: tells whether this node should hold it; always by default.
         :param duration_s: of the lease; ``lease_s`` of the settings by default.
         """
-        return LeaseHold(
-            log=self,
-            name=name,
-            holder=self._options.holder,
-            duration_s=duration_s or self._options.lease_s,
-            clock=self._clock,
-            rng=self._rng,
-            wanted=wanted or _always,
-        )
-
-
-def _always() -> bool:
-    return True
+        hold = self._holds.get(name)
+        if hold is None:
+            hold = self._holds[name] = LeaseHold(
+                log=self,
+                name=name,
+                holder=self._options.holder,
+                duration_s=duration_s or self._options.lease_s,
+                clock=self._clock,
+                rng=self._rng,
+            )
+        if wanted is not None:
+            hold.want(wanted)
+        return hold
 
 
 def _metrics(kernel: Kernel) -> Metrics:
--- a/packages/arbutustally-node/src/arbutustally_node/operator_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/operator_http.py
@@ -3,35 +3,31 @@
 import hashlib
 import hmac
 import secrets
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from dataclasses import asdict
 from typing import Any
 
-import gevent
 import orjson
 from bottle import Bottle, HTTPResponse, request, response
-from gevent.pywsgi import WSGIServer
 
 from arbutustally.declarations import diff, from_items, to_items
 from arbutustally.errors import (
     BadRequestError,
-    BodyTooLargeError,
     ConfigurationConflictError,
     ConfigurationInvalidError,
     LogUnavailableError,
     OperatorUnauthorizedError,
     RequestUnknownError,
     RouterError,
-    SlowSenderError,
 )
 from arbutustally.logs import get_logger
 from arbutustally.metrics import declare, declared
 from arbutustally.records import Change
 from arbutustally.verdicts import Reason
 from arbutustally_node.fleet import Fleet
+from arbutustally_node.http_server import Server, serve
 from arbutustally_node.kernel import Kernel
-from arbutustally_node.options import Options, split_address
+from arbutustally_node.options import Options
 
 _HELP = "a request of an operator was refused; the answer names the remedy"
 _COUNTERS = {
@@ -55,7 +51,7 @@
         self._options = options
         self._fleet = Fleet(kernel, options)
         self._token = _digest(options.operator_token)
-        self._server: WSGIServer | None = None
+        self._server: Server | None = None
         self._app = self._routes()
 
     @classmethod
@@ -71,21 +67,18 @@
     @property
     def address(self) -> str:
         """Returns host:port of the listener, empty before ``start``."""
-        if self._server is None:
-            return ""
-        return f"{self._server.server_host}:{self._server.server_port}"
+        return self._server.address if self._server is not None else ""
 
     def start(self) -> None:
         """Opens the listener."""
         self._fleet.register()
-        address = split_address(self._options.operator_listen)
-        self._server = WSGIServer(address, self._app, log=None, error_log=None)
-        self._server.start()
+        metrics = self._fleet.service("metrics")
+        self._server = serve(self._options.operator_listen, self._app, self._options, metrics)
 
     def stop(self) -> None:
         """Closes the listener."""
         if self._server is not None:
-            self._server.stop(timeout=1)
+            self._server.stop()
             self._server = None
 
     def _routes(self) -> Bottle:
@@ -135,19 +128,10 @@
             )
 
     def _body(self) -> dict[str, Any]:
-        """Reads a JSON object within the declared bounds of size and time."""
-        length = request.content_length
-        if length < 0 or "chunked" in request.get_header("Transfer-Encoding", "").lower():
-            raise BadRequestError("send the body with Content-Length")
-        if length > self._options.max_body_bytes:
-            raise BodyTooLargeError(
-                f"the body has {length} bytes; the node accepts {self._options.max_body_bytes} "
-                "(--max-body-bytes)"
-            )
-        with _time_for_body(self._options.body_timeout_s):
-            payload = request.environ["wsgi.input"].read(length)
+        """Reads a JSON object; the listener has bounded its size and time."""
+        length = min(max(request.content_length, 0), self._options.max_body_bytes)
         try:
-            data = orjson.loads(payload)
+            data = orjson.loads(request.environ["wsgi.input"].read(length))
         except orjson.JSONDecodeError as error:
             raise BadRequestError(f"the body is not JSON: {error}; correct it") from None
         if not isinstance(data, dict):
@@ -298,21 +282,6 @@
     }
 
 
-@contextmanager
-def _time_for_body(seconds: float) -> Iterator[None]:
-    timer = gevent.Timeout.start_new(seconds)
-    try:
-        yield
-    except gevent.Timeout as error:
-        if error is not timer:
-            raise
-        raise SlowSenderError(
-            f"the body did not arrive within {seconds} s; send it again"
-        ) from None
-    finally:
-        timer.close()
-
-
 def _json(status: int, data: Any) -> HTTPResponse:
     return HTTPResponse(
         orjson.dumps(data, option=orjson.OPT_NON_STR_KEYS, default=str),
