--- a/packages/arbutustally-node/src/arbutustally_node/log_peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_peers.py
@@ -24,6 +24,8 @@
 _TIMEOUT_S = 2.0
 _ASKED_PEERS = 2
 _MAX_PARTS = 1024
+#: Rounds with one peer before the next one is asked.
+_MAX_ROUNDS = 20
 
 _log = get_logger("log_peers")
 
@@ -79,11 +81,22 @@
         names = list(self._peers().connected())
         for name in self._rng.sample(names, min(_ASKED_PEERS, len(names))):
             try:
-                self._ask_one(name)
+                self._catch_up(name)
             except (RouterError, KeyError, TypeError, ValueError, OSError) as error:
                 _log.info("peer gave no log news", peer=name, error=str(error)[:200])
 
-    def _ask_one(self, name: str) -> None:
+    def _catch_up(self, name: str) -> None:
+        for _ in range(_MAX_ROUNDS):
+            before = self._view.state.offset
+            offset = self._ask_one(name)
+            if self._view.state.offset >= offset or self._view.state.offset == before:
+                return
+
+    def _ask_one(self, name: str) -> int:
+        """Asks for the next records.
+
+        :return: the offset that the peer holds.
+        """
         sent_at = self._clock()
         answer = self._call(name, TAIL_METHOD, {"from": self._view.next_offset})
         offset = int(answer["offset"])
@@ -98,6 +111,7 @@
             # The peer computed the age after this node sent its question, so the instant is
             # never later than the true one.
             self.confirmed_at = max(self.confirmed_at, sent_at - float(answer["age_s"]))
+        return offset
 
     def _fetch_snapshot(self, name: str) -> None:
         first = self._call(name, SNAPSHOT_METHOD, {"part": 0, "offset": -1})
