--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -207,62 +207,21 @@
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
     max_leaves=8,
 )
-FIELDS = st.sampled_from(
-    [
-        "base",
-        "set",
-        "remove",
-        "author",
-        "key_id",
-        "digest",
-        "account",
-        "name",
-        "holder",
-        "release",
-        "shard",
-        "slot",
-        "key",
-        "request_digest",
-        "key_time_s",
-        "ran",
-        "status",
-        "content_type",
-        "body",
-        "model",
-        "version",
-        "previous",
-        "step",
-        "share",
-        "fence",
-        "evidence",
-        "upto",
-        "part",
-        "parts",
-        "data",
-    ]
-)
-KINDS = st.sampled_from(
-    [
-        "change",
-        "key_issue",
-        "key_withdraw",
-        "lease",
-        "share",
-        "claim",
-        "outcome",
-        "move",
-        "checkpoint",
-        "other",
-    ]
-)
 VALID = {
-    "change": {"base": -1, "set": {"accounts/a": ACCOUNT}},
+    "change": {"base": -1, "set": {"accounts/a": ACCOUNT}, "remove": [], "author": "x"},
     "key_issue": {"key_id": "k", "digest": "0" * 64, "account": "a"},
     "key_withdraw": {"key_id": "k"},
-    "lease": {"name": "move/m", "holder": "n", "base": -1},
+    "lease": {"name": "move/m", "holder": "n", "base": -1, "release": False},
     "share": {"shard": 0, "slot": 0, "holder": "n", "base": -1},
     "claim": {"key": "k", "request_digest": "d", "holder": "n", "key_time_s": 5.0},
-    "outcome": {"key": "k", "ran": "ran"},
+    "outcome": {
+        "key": "k",
+        "ran": "ran",
+        "status": 200,
+        "content_type": "",
+        "body": "",
+        "claim": -1,
+    },
     "move": {
         "model": "m",
         "version": "v",
@@ -270,9 +229,12 @@
         "step": "started",
         "share": 0,
         "fence": 0,
+        "evidence": {},
     },
     "checkpoint": {"upto": 1, "part": 0, "parts": 1, "data": "x"},
 }
+KINDS = st.sampled_from([*VALID, "other"])
+FIELDS = st.sampled_from(sorted({name for body in VALID.values() for name in body}))
 
 
 class HostileRecordTest(unittest.TestCase):
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -39,6 +39,8 @@
         self.state = ControlState()
         self.mode = "works"
         self.delay_s = 0.0
+        self.landed = lambda: None
+        self.answer_delay_s = 0.0
 
     def subscribe(self, subscriber) -> None:
         self._subscribers.append(subscriber)
@@ -48,6 +50,8 @@
         self._shared.now += self.delay_s
         if self.mode == "works":
             self._shared.records.append(record)
+            self.landed()
+            self._shared.now += self.answer_delay_s
             self.read(len(self._shared.records))
             return
         if self.mode == "answer lost":
@@ -152,6 +156,37 @@
         with self.assertRaises(LeaseLostError):
             self.hold.require()
 
+    def observe(self) -> None:
+        self.other_log.read(10)
+        self.other.step()
+
+    def test_validity_counts_from_sending(self) -> None:
+        """Guards against a slow answer that lengthens a tenure beyond a claimant's wait."""
+        self.log.landed = self.observe
+        self.log.answer_delay_s = 5.0
+        self.hold.step()
+        self.shared.now += 5.0
+        self.other.step()
+        self.assertTrue(self.other.valid())
+        self.assertFalse(self.hold.valid())
+
+    def test_first_of_several_attempts_counts(self) -> None:
+        """Guards against a renewal that is dated by its repeat after a lost answer."""
+        self.hold.step()
+        self.shared.now += 5.0
+        self.log.mode = "answer lost"
+        with self.assertRaises(LogUnavailableError):
+            self.hold.step()
+        self.observe()
+        self.shared.now += 4.0
+        self.log.mode = "works"
+        self.hold.step()
+        self.assertTrue(self.hold.valid())
+        self.shared.now += 6.0
+        self.other.step()
+        self.assertTrue(self.other.valid())
+        self.assertFalse(self.hold.valid())
+
     def test_clocks_of_different_rates_leave_no_overlap(self) -> None:
         """Guards against a holder whose clock is slow by nearly the allowed rate."""
         held = HeldLease(0.0, DURATION_S)
