--- a/packages/arbutustally-node/src/arbutustally_node/log_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_reader.py
@@ -177,9 +177,6 @@
         if record is None or not isinstance(record.body, CheckpointPart):
             return
         part = record.body
-        # Records between the checkpoint and the oldest one would be missing.
-        if part.upto + 1 < scan.oldest:
-            return
         try:
             snapshot = scan.assembler.add(part)
             if snapshot is not None:
--- a/packages/arbutustally/src/arbutustally/declarations.py
+++ b/packages/arbutustally/src/arbutustally/declarations.py
@@ -180,7 +180,7 @@
     touched: dict[str, dict[str, Any]] = {}
     for item in remove:
         section, name = _split(item)
-        entries = touched.setdefault(section, dict(getattr(declarations, section)))
+        entries = _copied(touched, declarations, section)
         if name not in entries:
             raise ConfigurationInvalidError(
                 f"{item} cannot be removed because it is not declared; read the current "
@@ -189,7 +189,7 @@
         del entries[name]
     for item, fields in set_items.items():
         section, name = _split(item)
-        entries = touched.setdefault(section, dict(getattr(declarations, section)))
+        entries = _copied(touched, declarations, section)
         value = structure_item(item, fields, _SECTIONS[section])
         check_item(item, value)
         entries[name] = value
@@ -202,6 +202,15 @@
     return changed
 
 
+def _copied(
+    touched: dict[str, dict[str, Any]], declarations: Declarations, section: str
+) -> dict[str, Any]:
+    """Returns the copy of a section that this change works on, made once per change."""
+    if section not in touched:
+        touched[section] = dict(getattr(declarations, section))
+    return touched[section]
+
+
 def diff(old_items: Mapping[str, Any], new_items: Mapping[str, Any]) -> Difference:
     """Compares two sets of items in normal form."""
     names = sorted(set(old_items) | set(new_items))
--- a/packages/arbutustally/src/arbutustally/state.py
+++ b/packages/arbutustally/src/arbutustally/state.py
@@ -270,4 +270,7 @@
 
 def _printable(text: str, longest: int) -> str:
     """Returns a text that every codec and terminal accepts, shortened."""
-    return "".join(char if char.isprintable() else "?" for char in text[:longest])
+    shortened = text[:longest]
+    if shortened.isprintable():
+        return shortened
+    return "".join(char if char.isprintable() else "?" for char in shortened)
