--- a/packages/arbutustally-node/src/arbutustally_node/caller_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_http.py
@@ -49,15 +49,14 @@
 class CallerHttp:
     """Serves callers.
 
-    :param kernel: finds ``log``, ``keys``, ``streams``, ``bookings``, ``directory``, ``explain``
-        and ``metrics``.
+    :param kernel: finds ``log``, ``keys``, ``streams``, ``bookings``, ``directory``, ``explain``,
+        ``membership`` and ``metrics``.
     """
 
     def __init__(self, kernel: Kernel, options: Options) -> None:
         self._kernel = kernel
         self._options = options
         self._server: Server | None = None
-        self._draining = False
         self._logger = get_logger("caller_http")
         self._app = self._build()
 
@@ -92,8 +91,7 @@
             self._server.stop()
 
     def drain(self) -> None:
-        """Fails ``/readyz`` and closes connections after their next answer; requests still run."""
-        self._draining = True
+        """Closes connections after their next answer; requests still run."""
         if self._server is not None:
             self._server.drain()
 
@@ -114,9 +112,9 @@
         return _json(200, {"status": "ok"}, "")
 
     def _readyz(self) -> bottle.HTTPResponse:
-        if self._draining:
+        if self._kernel.lookup("membership").draining:
             return self._error(DrainingError("the node is shutting down; use another node"), "")
-        if not self._kernel.lookup("log").ready:
+        if not self._is_configured():
             return self._error(_no_configuration(), "")
         return _json(200, {"status": "ready"}, "")
 
@@ -169,11 +167,11 @@
         )
         streams = self._kernel.lookup("streams")
         if not request.stream:
-            return _json(200, streams.complete_whole(call), trace.request_id, self._summary(trace))
+            return _json(200, streams.complete_whole(call), trace.request_id)
         events = streams.complete(call)
         first = next(events)
         headers = {"Content-Type": _EVENTS, "Cache-Control": "no-cache"}
-        headers |= {_REQUEST_ID: trace.request_id} | self._summary(trace)
+        headers[_REQUEST_ID] = trace.request_id
         return bottle.HTTPResponse(_EventBody(first, events, self, trace), 200, headers)
 
     def _plain(self, trace: Trace, name: str, route: Any) -> bottle.HTTPResponse:
@@ -199,7 +197,7 @@
             trace=trace,
         )
         answer = self._kernel.lookup("bookings").submit(call)
-        headers = dict(answer.headers) | {_REQUEST_ID: trace.request_id} | self._summary(trace)
+        headers = dict(answer.headers) | {_REQUEST_ID: trace.request_id}
         return bottle.HTTPResponse(answer.body, answer.status, headers)
 
     # Parts of all handlers.
@@ -209,9 +207,13 @@
         trace = explain.begin(explain.new_request_id(), "", name)
         try:
             check_query(bottle.request.environ.get("QUERY_STRING", ""))
-            if not self._kernel.lookup("log").ready:
+            if self._kernel.lookup("membership").draining:
+                self.drain()
+            if not self._is_configured():
                 raise _no_configuration()
-            return handler(trace)
+            response = handler(trace)
+            response.headers.update(self._summary(trace))
+            return response
         except RouterError as error:
             self.refuse(trace, error)
             return self._error(error, trace.request_id, self._summary(trace))
@@ -253,6 +255,10 @@
             )
         return found
 
+    def _is_configured(self) -> bool:
+        log = self._kernel.lookup("log")
+        return log.ready and log.state.version >= 0
+
     def _declarations(self) -> Any:
         return self._kernel.lookup("log").state.declarations
 
--- a/packages/arbutustally-node/src/arbutustally_node/membership.py
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -88,7 +88,7 @@
     @classmethod
     def from_config(cls, kernel: Kernel, options: Options) -> "MembershipService":
         """Builds the service over HTTP clients of the platform and the engines."""
-        engines = EngineClient.from_config(LOAD_TIMEOUT_S)
+        engines = EngineClient.from_config(options.endpoint_connect_timeout_s, LOAD_TIMEOUT_S)
         return cls(
             options,
             kernel.lookup("metrics"),
@@ -131,8 +131,11 @@
             present = known
         return [node for node in present if not node.draining and node.caller_address]
 
-    def endpoints(self, service: str, model: str | None = None) -> list[EndpointState]:
-        """Returns the endpoints of a service that are not dead; skip leaving ones for new work."""
+    def endpoints(self, service: str | None, model: str | None = None) -> list[EndpointState]:
+        """Returns the endpoints that are not dead; skip leaving ones for new work.
+
+        :param service: one service, or ``None`` for all.
+        """
         return self._endpoints.endpoints(service, model)
 
     def peer_addresses(self) -> dict[str, str]:
