--- a/packages/arbutustally-cli/src/arbutustally_cli/explanation.py
+++ b/packages/arbutustally-cli/src/arbutustally_cli/explanation.py
@@ -96,14 +96,24 @@
     ]
     for step in _named(steps, "placed"):
         line = f"{show(step.get('endpoint'))} was chosen"
-        if step.get("estimate_ms") is not None:
-            estimate = _duration(_number(step["estimate_ms"]) / 1000)
-            line += f", first token expected within {estimate}"
+        if step.get("estimate_s") is not None:
+            line += f", first token expected within {_duration(_number(step['estimate_s']))}"
         lines.append(line)
         lines += [f"  because {reason}" for reason in _reasons(step)]
+        lines += _other_candidates(step)
     return lines
 
 
+def _other_candidates(step: Step) -> list[str]:
+    ranked = [entry for entry in step.get("ranked") or [] if isinstance(entry, Mapping)]
+    others = [entry for entry in ranked if entry.get("endpoint") != step.get("endpoint")]
+    return [
+        f"  instead of {show(entry.get('endpoint'))}, "
+        f"expected within {_duration(_number(entry.get('first_token_s')))}"
+        for entry in others
+    ]
+
+
 def _reasons(step: Step) -> list[str]:
     reasons = step.get("reasons")
     if isinstance(reasons, list | tuple):
@@ -136,11 +146,17 @@
 
 def _reuse_lines(steps: list[Step]) -> list[str]:
     lines: list[str] = []
-    placed = _named(steps, "placed")
-    if placed and placed[-1].get("cached") is not None:
-        lines.append(f"{_tokens(placed[-1]['cached'])} were expected in the endpoint's cache")
-    for step in _named(steps, "cached_tokens"):
-        lines.append(f"{_tokens(step.get('tokens'))} were reused, as the endpoint reported")
+    for step in _named(steps, "placed")[-1:]:
+        expected = _tokens(step.get("expected_cached_tokens"))
+        lines.append(f"{expected} were expected in the endpoint's cache")
+        if step.get("import_kv"):
+            lines.append("missing chunks were to be imported from the KV store")
+    for step in _named(steps, "completed")[-1:]:
+        if step.get("cached_tokens") is None:
+            continue
+        cached, prompt = step["cached_tokens"], step.get("prompt_tokens")
+        lines.append(f"{_tokens(cached)} of {_tokens(prompt)} were reused")
+        lines.append(f"{_tokens(_number(prompt) - _number(cached))} were computed or imported")
     return lines
 
 
@@ -156,36 +172,33 @@
 
 def _retry_lines(steps: list[Step]) -> list[str]:
     lines: list[str] = []
-    attempt_at = 0.0
     for number, step in enumerate(steps):
-        name = step.get("step")
-        where = show(step.get("endpoint"))
-        if name == "placed":
-            attempt_at = _at(step)
+        name, where = step.get("step"), show(step.get("endpoint"))
+        if name == "retried":
+            cost = _duration(_number(step.get("lost_s")))
+            lines.append(f"{where} failed ({show(step.get('reason'))}): cost {cost}")
+            lines += _repair(steps[number:])
         elif name == "endpoint_failed":
-            cost = _duration(_at(step) - attempt_at)
+            cost = _duration(_at(step) - _before(steps, step))
             lines.append(f"{where} failed ({show(step.get('code'))}): cost {cost}")
-        elif name == "stream_broken":
-            lines.append(
-                f"{where} broke the stream ({show(step.get('fault'))})" + _repair(steps, number)
-            )
         elif name == "not_resumed":
-            lines.append(f"{where} could not resume it: {show(step.get('reason'))}")
+            lines.append(f"{where} could not resume the stream: {show(step.get('reason'))}")
         elif name == "retry_budget_empty":
             lines.append("no further attempt: the retry budget is used up")
     return lines
 
 
-def _repair(steps: list[Step], broken: int) -> str:
-    """Returns how and after how long a broken stream went on."""
-    begun = _at(steps[broken])
-    for step in steps[broken + 1 :]:
-        if step.get("step") in ("resumed", "continued"):
-            where = (
-                f"{step['step']} on {show(step.get('endpoint'))} at token {show(step.get('at'))}"
-            )
-            return f": {where}, cost {_duration(_at(step) - begun)}"
-    return ": the stream was lost"
+def _repair(steps: list[Step]) -> list[str]:
+    """Returns how the request went on after its first step, a retry."""
+    for step in steps[1:]:
+        if step.get("step") in ("resumed", "continued", "placed"):
+            how = step["step"] if step["step"] != "placed" else "sent again"
+            at = f" at token {step['at']}" if step.get("at") is not None else ""
+            after = _duration(_at(step) - _at(steps[0]))
+            return [f"  {how} on {show(step.get('endpoint'))}{at} after {after} more"]
+        if step.get("step") in ("retried", "refused"):
+            break
+    return []
 
 
 def _refusal_lines(steps: list[Step]) -> list[str]:
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -200,32 +200,20 @@
         clock = [100.0]
         self.explain._clock = lambda: clock[0]
         trace = self.explain.begin("n1~abc", "school", "chat")
+        ranked = [{"endpoint": f"e-{n}", "first_token_s": 0.3 + 0.1 * n} for n in (1, 2)]
+        placed = {"estimate_s": 0.4, "expected_cached_tokens": 3000, "ranked": ranked}
         steps = [
             (0.0, "authenticated", {"account": "school", "route": "chat"}),
             (0.12, "limits", {"tokens": 4500, "grant": "fetched"}),
             (0.03, "admission", {"waited_s": 0.03, "priority": 2, "derivation": "from 500 ms"}),
             (0.0, "version_picked", {"version": "v2"}),
-            (
-                0.0,
-                "placed",
-                {
-                    "endpoint": "e-1",
-                    "estimate_ms": 400.0,
-                    "cached": 3000,
-                    "reasons": "least estimate",
-                },
-            ),
-            (0.25, "endpoint_failed", {"endpoint": "e-1", "code": "endpoint_failed"}),
-            (
-                0.0,
-                "placed",
-                {"endpoint": "e-2", "estimate_ms": 450.0, "cached": 2000, "reasons": "next"},
-            ),
-            (0.5, "first_token", {"endpoint": "e-2"}),
-            (0.5, "stream_broken", {"endpoint": "e-2", "fault": "closed", "at": 7}),
+            (0.0, "placed", {**placed, "endpoint": "e-1", "reasons": ["least estimate"]}),
+            (0.25, "retried", {"endpoint": "e-1", "reason": "endpoint_failed", "lost_s": 0.25}),
+            (0.01, "placed", {**placed, "endpoint": "e-2", "reasons": ["next"]}),
+            (0.5, "first_token", {"endpoint": "e-2", "first_token_s": 0.5}),
+            (0.5, "retried", {"endpoint": "e-2", "reason": "closed", "at": 7, "lost_s": 0.3}),
             (0.2, "resumed", {"endpoint": "e-2", "at": 7}),
-            (1.0, "completed", {"endpoint": "e-2", "tokens": 20}),
-            (0.0, "cached_tokens", {"tokens": 2000}),
+            (1.0, "completed", {"endpoint": "e-2", "prompt_tokens": 4400, "cached_tokens": 2000}),
         ]
         for seconds, step, fields in steps:
             clock[0] += seconds
@@ -233,16 +221,20 @@
         code, out, _ = self.cli("explain", "n1~abc")
         self.assertEqual(code, ExitCode.DONE)
         for part in (
-            "Request n1~abc: answered after 2.60 s",
+            "Request n1~abc: answered after 2.61 s",
             "version v2 of the model was picked",
-            "e-2 was chosen, first token expected within 450 ms",
+            "e-2 was chosen, first token expected within 400 ms",
             "because least estimate",
+            "instead of e-2, expected within 500 ms",
             "120 ms for 4,500 tokens of the budget of the account",
             "30 ms for a fair share of the pool",
             "priority 2: from 500 ms",
-            "time to first token: 900 ms",
-            "2,000 tokens were reused",
+            "time to first token: 910 ms",
+            "3,000 tokens were expected",
+            "2,000 tokens of 4,400 tokens were reused",
             "e-1 failed (endpoint_failed): cost 250 ms",
-            "e-2 broke the stream (closed): resumed on e-2 at token 7, cost 200 ms",
+            "sent again on e-2 after 10 ms more",
+            "e-2 failed (closed): cost 300 ms",
+            "resumed on e-2 at token 7 after 200 ms more",
         ):
             self.assertIn(part, out)
