--- a/packages/arbutustally-node/src/arbutustally_node/checkpoint_writer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/checkpoint_writer.py
@@ -22,6 +22,9 @@
 LEASE_NAME = "checkpoint"
 #: Part of the retention between two checkpoints, so that several lie within it.
 INTERVAL_PART = 0.25
+#: Part of the retention over which the nodes spread their claims of the lease; without it, all
+#: nodes of a fleet would append at the same moment when a holder is gone.
+CLAIM_SPREAD_PART = 0.001
 _LOOK_EVERY = 0.02
 _LONGEST_LOOK_S = 5.0
 _PARTS_AT_ONCE = 4
--- a/packages/arbutustally-node/src/arbutustally_node/lease_hold.py
+++ b/packages/arbutustally-node/src/arbutustally_node/lease_hold.py
@@ -37,6 +37,7 @@
 
     :param wanted: tells whether this node should hold the lease.
     :param duration_s: of the lease.
+    :param spread_s: longest random delay of a claim after the lease became free.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         clock: Clock,
         rng: Random,
         wanted: Callable[[], bool] = always,
+        spread_s: float = 0.0,
     ) -> None:
         self._log = log
         self._name = name
@@ -56,6 +58,8 @@
         self._clock = clock
         self._rng = rng
         self._wanted = wanted
+        self._spread_s = spread_s
+        self._free_since: tuple[int, float] | None = None
         self._observer = LeaseObserver.from_config(duration_s)
         self._sent: dict[int, float] = {}
         self._held: HeldLease | None = None
@@ -163,7 +167,15 @@
         if self._is_mine():
             self._keep(entry.last_offset, now)
         elif self._wanted() and self._is_free(entry, now):
-            self._append(entry.last_offset if entry is not None else -1)
+            base = entry.last_offset if entry is not None else -1
+            if self._is_my_turn(base, now):
+                self._append(base)
+
+    def _is_my_turn(self, base: int, now: float) -> bool:
+        """Returns whether the random delay since the lease became free has passed."""
+        if self._free_since is None or self._free_since[0] != base:
+            self._free_since = (base, now + self._rng.uniform(0, self._spread_s))
+        return now >= self._free_since[1]
 
     def _is_free(self, entry: Any, now: float) -> bool:
         if entry is None or entry.released:
--- a/packages/arbutustally-node/src/arbutustally_node/log_peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_peers.py
@@ -24,6 +24,7 @@
 _TIMEOUT_S = 2.0
 _ASKED_PEERS = 2
 _MAX_PARTS = 1024
+_CACHE_S = 5.0
 #: Rounds with one peer before the next one is asked.
 _MAX_ROUNDS = 20
 
@@ -45,6 +46,7 @@
         self._rng = rng
         self._own = log
         self._cached: tuple[int, bytes] = (-1, b"")
+        self._cached_at = -math.inf
         self._greenlet: gevent.Greenlet | None = None
         self.confirmed_at = -math.inf
         self.known_offset = -1
@@ -114,7 +116,8 @@
         return offset
 
     def _fetch_snapshot(self, name: str) -> None:
-        first = self._call(name, SNAPSHOT_METHOD, {"part": 0, "offset": -1})
+        question = {"part": 0, "offset": -1, "from": self._view.next_offset}
+        first = self._call(name, SNAPSHOT_METHOD, question)
         parts = min(int(first["parts"]), _MAX_PARTS)
         pieces = [first["data"]]
         for part in range(1, parts):
@@ -140,8 +143,9 @@
 
     def _snapshot(self, _node_id: str, payload: Any) -> dict[str, Any]:
         """Answers one part; later parts are of the snapshot that the first one began."""
-        if payload["offset"] < 0 and self._cached[0] != self._view.state.offset:
+        if payload["offset"] < 0 and not self._is_cache_useful(int(payload["from"])):
             self._cached = (self._view.state.offset, self._view.state.snapshot())
+            self._cached_at = self._clock()
         offset, snapshot = self._cached
         start = int(payload["part"]) * PART_BYTES
         return {
@@ -150,6 +154,15 @@
             "data": snapshot[start : start + PART_BYTES],
         }
 
+    def _is_cache_useful(self, start: int) -> bool:
+        """Returns whether the last snapshot and the kept records after it serve a peer.
+
+        Many nodes that restart at once ask within seconds, and encoding holds up all requests.
+        """
+        offset = self._cached[0]
+        is_recent = self._clock() - self._cached_at < _CACHE_S
+        return is_recent and offset >= start and self._view.recent_from(offset + 1, 1) is not None
+
 
 def _bounded(records: list) -> list[tuple[int, bytes | None]]:
     """Encodes records up to a size that fits into one frame; the first one always fits."""
--- a/packages/arbutustally-node/src/arbutustally_node/log_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_reader.py
@@ -1,9 +1,11 @@
 """Reads the log by long poll; finds a checkpoint when records are missing."""
 
+from collections.abc import Callable
 from random import Random
 from typing import Protocol
 
 import gevent
+from gevent.event import Event
 
 from arbutustally.checkpoint import CheckpointAssembler
 from arbutustally.clock import Clock
@@ -24,6 +26,9 @@
 BATCH_RECORDS = 1000
 _RETRY_FIRST_S = 0.05
 _RETRY_LAST_S = 1.0
+#: Records of others are read in groups; a read for each would cost a node more bytes in heads of
+#: HTTP messages than in records.
+GROUP_PAUSE_S = 0.2
 #: Keeps a log that answers at once with nothing from being polled without a pause.
 _EMPTY_PAUSE_S = 0.05
 
@@ -55,6 +60,7 @@
     """Feeds the view in log order.
 
     :param wait_s: longest wait of a poll; it bounds the age of the last confirmation of the tail.
+    :param is_awaited: tells whether an own record is to be read back, so that no pause is made.
     """
 
     def __init__(
@@ -65,6 +71,7 @@
         rng: Random,
         metrics: Metrics,
         wait_s: float,
+        is_awaited: Callable[[], bool],
     ) -> None:
         self._client = client
         self._view = view
@@ -72,6 +79,8 @@
         self._rng = rng
         self._metrics = metrics
         self._wait_s = wait_s
+        self._is_awaited = is_awaited
+        self._hurried = Event()
         self._scan: _Scan | None = None
         self._confirmed_at = float("-inf")
         self._failures = 0
@@ -105,7 +114,16 @@
 
     def _run(self) -> None:
         while True:
-            gevent.sleep(self.step())
+            pause_s = self.step()
+            self._hurried.clear()
+            if not self._is_awaited() or self._failures or self._scan is not None:
+                self._hurried.wait(pause_s)
+            gevent.sleep(0)
+
+    def hurry(self) -> None:
+        """Ends a pause, because an own record is about to be appended."""
+        if not self._failures:
+            self._hurried.set()
 
     def step(self) -> float:
         """Reads once.
@@ -151,6 +169,8 @@
         self._at_tail = len(result.records) < BATCH_RECORDS
         if self._at_tail:
             self._confirmed_at = sent_at
+        if result.records and self._at_tail:
+            return GROUP_PAUSE_S
         if had_waited and not result.records and self._clock() - sent_at < _EMPTY_PAUSE_S:
             return _EMPTY_PAUSE_S
         return 0.0
--- a/packages/arbutustally-node/src/arbutustally_node/log_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_service.py
@@ -10,7 +10,7 @@
 from arbutustally.metrics import Metrics, declare
 from arbutustally.records import Body
 from arbutustally.state import ControlState
-from arbutustally_node.checkpoint_writer import LEASE_NAME, CheckpointWriter
+from arbutustally_node.checkpoint_writer import CLAIM_SPREAD_PART, LEASE_NAME, CheckpointWriter
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.lease_hold import LeaseHold
 from arbutustally_node.log_peers import LogPeers
@@ -51,12 +51,15 @@
         self._view = LogView(options.booking_window_s)
         self._writer = LogWriter(client, clock, self._rng, metrics)
         wait_s = options.key_staleness_s * _POLL_PART
-        self._reader = LogReader(client, self._view, clock, self._rng, metrics, wait_s)
+        self._reader = LogReader(
+            client, self._view, clock, self._rng, metrics, wait_s, lambda: self._writer.is_waiting
+        )
         self._peers = LogPeers(kernel, self._view, clock, self._rng, self)
         self._view.subscribe(self._writer.read_back)
         self._view.subscribe_jump(self._writer.jumped)
+        hold = self.hold(LEASE_NAME, spread_s=options.log_retention_s * CLAIM_SPREAD_PART)
         self._checkpoints = CheckpointWriter(
-            self, self.hold(LEASE_NAME), options.log_retention_s, clock, self._rng, metrics
+            self, hold, options.log_retention_s, clock, self._rng, metrics
         )
 
     @classmethod
@@ -137,6 +140,7 @@
 
         :raises LogUnavailableError: ``not_run`` only if none can have reached the log.
         """
+        self._reader.hurry()
         try:
             return self._writer.append_many(bodies, timeout_s)
         except LogUnavailableError:
@@ -167,6 +171,7 @@
         name: str,
         wanted: Callable[[], bool] | None = None,
         duration_s: float | None = None,
+        spread_s: float = 0.0,
     ) -> LeaseHold:
         """Returns the lease of a name, to ``start()``, ``stop()`` and check with ``valid()``.
 
@@ -174,6 +179,8 @@
 
         :param wanted: tells whether this node should hold it; always by default.
         :param duration_s: of the lease; ``lease_s`` of the settings by default.
+        :param spread_s: time over which the claims of all nodes are spread at random; for leases
+            that every node wants.
         """
         hold = self._holds.get(name)
         if hold is None:
@@ -184,6 +191,7 @@
                 duration_s=duration_s or self._options.lease_s,
                 clock=self._clock,
                 rng=self._rng,
+                spread_s=spread_s,
             )
         if wanted is not None:
             hold.want(wanted)
--- a/packages/arbutustally-node/src/arbutustally_node/log_writer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_writer.py
@@ -82,6 +82,11 @@
         self._failures = 0
         self._greenlet: gevent.Greenlet | None = None
 
+    @property
+    def is_waiting(self) -> bool:
+        """Returns whether a record is to be read back."""
+        return bool(self._waiting)
+
     def start(self) -> None:
         """Starts the sending greenlet."""
         self._greenlet = gevent.spawn(self._run)
