Bound the memory of kept records and answers; let the node decide on empty changes

Cause: 2,048 recent records or an hour of bookings could hold answers of 64 KB each without a bound, and the command said that nothing changes on the word of a node that might be stale. Change: 4 MiB of recent payloads, 8 MiB of answers in the fold (the oldest are dropped in log order, with status and ran kept), and apply always asks the node.

--- a/bench/control_state.py
+++ b/bench/control_state.py
@@ -16,11 +16,14 @@
 from dataclasses import asdict, dataclass, fields
 from pathlib import Path
 
+import orjson
+
 from arbutustally.checkpoint import split_snapshot
-from arbutustally.records import Change, KeyIssue, LeaseRecord, Record, wrap
+from arbutustally.records import Change, Claim, KeyIssue, LeaseRecord, Outcome, Record, decode, wrap
 from arbutustally.state import ControlState
 
 ACCOUNTS = (100, 500, 1000, 3000, 6000, 9000, 12_000)
+CLAIMS = (1000, 5000, 20_000)
 _ITEMS_PER_CHANGE = 100
 _LEASES = 64
 _CHANGES = 50
@@ -147,6 +150,24 @@
     print(f"{line}, largest residual {residual:.3f} ({residual / max(y):.1%} of the highest)")
 
 
+def _claims_kib(count: int) -> float:
+    """Returns the memory of so many claims with short answers, in KiB."""
+    records: list[Record] = []
+    for number in range(count):
+        key = hashlib.sha256(str(number).encode()).hexdigest()
+        records.append(wrap(Claim(key, key[::-1], f"entry-1#0123456789ab/{number}", 1e9)))
+        records.append(wrap(Outcome(key, "ran", 200, "application/json", "x" * 200, 2 * number)))
+    encoded = [orjson.dumps(record.encode()) for record in records]
+    del records
+    tracemalloc.start()
+    state = ControlState()
+    for offset, row in enumerate(encoded):
+        state.apply(offset, decode(orjson.loads(row)))
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / 1024
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--repeats", type=int, default=5, help="runs of which the median counts")
@@ -162,6 +183,9 @@
         print(" ".join(f"{name}={getattr(row, name):.6g}" for name in names))
     for name in names[2:]:
         _print_fit(name, rows)
+    sizes = [_claims_kib(count) for count in CLAIMS]
+    slope, intercept = statistics.linear_regression(CLAIMS, sizes)
+    print(f"claims: {slope * 1024:.0f} bytes each, {intercept:+.0f} KiB at 0, of {CLAIMS}")
     return 0
 
 
--- a/packages/arbutustally-cli/src/arbutustally_cli/commands.py
+++ b/packages/arbutustally-cli/src/arbutustally_cli/commands.py
@@ -80,13 +80,8 @@
 def apply(context: Context) -> ExitCode:
     """Applies a file and waits until the version is in force on every node."""
     wanted, version, difference = _compare(context)
-    expected = context.arguments.base
-    if expected is not None:
-        version = expected
-    elif difference.empty:
-        text = f"nothing to change: version {version} already declares this"
-        context.screen.result({"version": version, "applied": False, "missing": []}, text)
-        return ExitCode.DONE
+    if context.arguments.base is not None:
+        version = context.arguments.base
     body = {"items": wanted, "base": version, "author": context.arguments.author}
     answer = context.client.call("POST", "/v1/apply", body, longest_s=_APPLY_S)
     if not answer["applied"]:
--- a/packages/arbutustally-node/src/arbutustally_node/log_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_view.py
@@ -6,7 +6,7 @@
 
 from arbutustally.errors import SnapshotInvalidError
 from arbutustally.logs import get_logger
-from arbutustally.records import Record
+from arbutustally.records import CheckpointPart, Outcome, Record
 from arbutustally.state import ControlState
 from arbutustally.verdicts import Reason, Verdict, rejected
 
@@ -15,6 +15,8 @@
 
 #: Lets a peer that missed some seconds of the log catch up without a whole snapshot.
 RECENT_RECORDS = 2048
+#: Answers of bookings and checkpoints are large, so that the number alone bounds no memory.
+RECENT_BYTES = 4 << 20
 
 _log = get_logger("log")
 
@@ -28,7 +30,8 @@
     def __init__(self, booking_window_s: float) -> None:
         self._booking_window_s = booking_window_s
         self._state = ControlState(booking_window_s)
-        self._recent: deque[tuple[int, Record | None]] = deque(maxlen=RECENT_RECORDS)
+        self._recent: deque[tuple[int, Record | None]] = deque()
+        self._recent_bytes = 0
         self._subscribers: list[Subscriber] = []
         self._jump_subscribers: list[Callable[[], None]] = []
 
@@ -60,7 +63,7 @@
         if offset > self.next_offset:
             return False
         verdict = self._verdict(offset, record)
-        self._recent.append((offset, record))
+        self._keep(offset, record)
         for subscriber in self._subscribers:
             try:
                 subscriber(offset, record, verdict)
@@ -68,6 +71,13 @@
                 _log.error("log subscriber failed", offset=offset, error=repr(error))
         return True
 
+    def _keep(self, offset: int, record: Record | None) -> None:
+        self._recent.append((offset, record))
+        self._recent_bytes += _payload_bytes(record)
+        while len(self._recent) > RECENT_RECORDS or self._recent_bytes > RECENT_BYTES:
+            _, oldest = self._recent.popleft()
+            self._recent_bytes -= _payload_bytes(oldest)
+
     def _verdict(self, offset: int, record: Record | None) -> Verdict:
         try:
             return self._state.apply(offset, record)
@@ -91,6 +101,7 @@
             )
         self._state = restored
         self._recent.clear()
+        self._recent_bytes = 0
         for subscriber in self._jump_subscribers:
             subscriber()
         _log.info("snapshot installed", offset=restored.offset, version=restored.version)
@@ -104,3 +115,11 @@
             return None
         first = start - self._recent[0][0]
         return list(islice(self._recent, first, first + limit))
+
+
+def _payload_bytes(record: Record | None) -> int:
+    """Returns the size of the only parts of a record that can be large in numbers."""
+    body = record.body if record is not None else None
+    if isinstance(body, Outcome):
+        return len(body.body)
+    return len(body.data) if isinstance(body, CheckpointPart) else 0
--- a/packages/arbutustally/src/arbutustally/claim_table.py
+++ b/packages/arbutustally/src/arbutustally/claim_table.py
@@ -5,6 +5,7 @@
 from dataclasses import astuple, replace
 from typing import Any
 
+from arbutustally.bookings import BODY_DROPPED
 from arbutustally.control_tables import is_text
 from arbutustally.errors import Ran
 from arbutustally.records import Claim, Outcome
@@ -12,6 +13,9 @@
 
 #: Base64 of the 64 KB of an answer that are kept.
 MAX_BODY_CHARACTERS = (64 << 10) * 4 // 3 + 4
+#: Base64 of all answers that are kept; beyond it, the oldest ones are dropped, and their callers
+#: are told that the booking ran. Every node drops the same ones.
+MAX_KEPT_CHARACTERS = 8 << 20
 #: Repeated appends of one key come from the few nodes that its caller tried.
 _REMEMBERED_IDS = 16
 
@@ -32,6 +36,8 @@
         self._floor_s = -math.inf
         self._entries: dict[str, ClaimEntry] = {}
         self._by_time: list[tuple[float, str]] = []
+        self._bodies: dict[str, int] = {}
+        self._kept_characters = 0
 
     @property
     def floor_s(self) -> float:
@@ -88,6 +94,7 @@
         while self._by_time and self._by_time[0][0] < self._floor_s:
             _, key = heapq.heappop(self._by_time)
             del self._entries[key]
+            self._kept_characters -= self._bodies.pop(key, 0)
 
     def finish(self, body: Outcome) -> Verdict:
         """Applies an outcome."""
@@ -108,8 +115,20 @@
         if entry.outcome is not None and not _improves(entry.outcome, body):
             return rejected(Reason.HAS_OUTCOME, entry.offset)
         self._entries[body.key] = replace(entry, outcome=body)
+        if body.body:
+            self._bodies[body.key] = len(body.body)
+            self._kept_characters += len(body.body)
+            self._drop_bodies()
         return ACCEPTED
 
+    def _drop_bodies(self) -> None:
+        while self._kept_characters > MAX_KEPT_CHARACTERS:
+            key = next(iter(self._bodies))
+            self._kept_characters -= self._bodies.pop(key)
+            entry = self._entries[key]
+            outcome = replace(entry.outcome, body="", content_type=BODY_DROPPED)
+            self._entries[key] = replace(entry, outcome=outcome)
+
     def dump(self) -> Any:
         """Returns plain data."""
         rows = [
@@ -124,16 +143,18 @@
             ]
             for entry in self._entries.values()
         ]
-        return [self._floor_s, rows]
+        return [self._floor_s, rows, list(self._bodies)]
 
     def load(self, data: Any) -> None:
         """Replaces the content by data of ``dump``."""
-        self._floor_s, rows = data
+        self._floor_s, rows, with_body = data
         self._entries = {}
         for key, digest, holder, offset, key_time_s, outcome, ids in rows:
             known = Outcome(*outcome) if outcome is not None else None
             entry = ClaimEntry(key, digest, holder, offset, key_time_s, known, tuple(ids))
             self._entries[key] = entry
+        self._bodies = {key: len(self._entries[key].outcome.body) for key in with_body}
+        self._kept_characters = sum(self._bodies.values())
         self._by_time = [(entry.key_time_s, key) for key, entry in self._entries.items()]
         heapq.heapify(self._by_time)
 
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -7,6 +7,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, invariant, rule
 
+from arbutustally import claim_table
+from arbutustally.bookings import BODY_DROPPED
 from arbutustally.checkpoint import CheckpointAssembler, split_snapshot
 from arbutustally.errors import BadRequestError, Ran, SnapshotInvalidError
 from arbutustally.records import (
@@ -309,6 +311,24 @@
             self.assertEqual(verdict.reason, Reason.MALFORMED)
         self.assertTrue(state.apply(9, wrap(Claim("k", "d", "n1", 5.0))).accepted)
 
+    def test_oldest_answers_are_dropped_the_same_way_everywhere(self) -> None:
+        """Guards against answers of bookings that fill the memory of every node."""
+        self.addCleanup(setattr, claim_table, "MAX_KEPT_CHARACTERS", 8 << 20)
+        claim_table.MAX_KEPT_CHARACTERS = 100
+        one, other = ControlState(), ControlState()
+        for number in range(5):
+            claim = wrap(Claim(f"k{number}", "d", "n1", 1.0 + number))
+            outcome = wrap(Outcome(f"k{number}", Ran.RAN, 200, "text/plain", "x" * 40, 2 * number))
+            for state in (one, other):
+                state.apply(2 * number, claim)
+                state.apply(2 * number + 1, outcome)
+            other = ControlState.restore(other.snapshot())
+        self.assertEqual(one.snapshot(), other.snapshot())
+        kept = [one.claim(f"k{number}").outcome.body != "" for number in range(5)]
+        self.assertEqual(kept, [False, False, False, True, True])
+        self.assertEqual(one.claim("k0").outcome.content_type, BODY_DROPPED)
+        self.assertEqual(one.claim("k0").outcome.status, 200)
+
     def test_outcome_turns_from_unknown_to_known_only(self) -> None:
         """Guards against a late record that hides an answer or frees a dispatched booking."""
         state = ControlState()
--- a/tests/test_log_peers.py
+++ b/tests/test_log_peers.py
@@ -112,6 +112,22 @@
         self.assertGreater(self.two.known_offset, self.two.state.offset)
         self.assertEqual(self.two.confirmed_at, confirmed_at)
 
+    def test_part_of_the_news_confirms_nothing(self) -> None:
+        """Guards against a withdrawal in records that are still to be fetched."""
+        self.addCleanup(setattr, log_peers, "_MAX_ROUNDS", log_peers._MAX_ROUNDS)
+        log_peers._MAX_ROUNDS = 1
+        self.two._peers.ask()
+        confirmed_at = self.two.confirmed_at
+        for number in range(700):
+            self.log.put(KeyWithdraw(f"key-{number:05}"))
+        self.clock.advance(1.0)
+        self.one._reader.step()
+        self.two._peers.ask()
+        self.assertLess(self.two.state.offset, self.one.state.offset)
+        self.assertEqual(self.two.confirmed_at, confirmed_at)
+        self.two._peers.ask()
+        self.assertGreater(self.two.confirmed_at, confirmed_at)
+
     def test_malformed_news_changes_nothing(self) -> None:
         """Guards against a peer of another release that stops this node."""
         answers = (None, {}, {"offset": 5, "records": [[0, b"{}"]], "ready": True, "age_s": "x"})
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -23,6 +23,8 @@
 from tests.test_declarations import TEXT
 
 TOKEN = "t" * 20
+#: The least accepted setting.
+STALE_S = 1.0
 
 
 class OperatorTest(unittest.TestCase):
@@ -30,13 +32,14 @@
 
     def setUp(self) -> None:
         self.log = FakeLog()
-        self.kernel, self.service = new_node(self.log)
+        self.kernel, self.service = new_node(self.log, key_staleness_s=STALE_S)
+        options = new_options(key_staleness_s=STALE_S)
         self.other = {"offset": 1 << 40, "version": 0}
         self.kernel.register("metrics", Metrics())
         self.kernel.register("keys", Keys(self.kernel, new_options()))
         self.explain = ExplainService.from_config(self.kernel, new_options())
         self.kernel.register("explain", self.explain)
-        self.kernel.register("operator_http", OperatorHttp(self.kernel, new_options()))
+        self.kernel.register("operator_http", OperatorHttp(self.kernel, options))
         self.kernel.start()
         self.addCleanup(self.kernel.stop)
         self.address = self.kernel.lookup("operator_http").address
@@ -134,10 +137,12 @@
         """Guards against "nothing to change" from a node that cannot know."""
         self.cli("apply", str(self.file))
         self.log.is_down = True
-        self.file.write_text(TEXT.replace("rate = 100", "rate = 200"))
-        code, _, err = self.cli("apply", str(self.file))
-        self.assertEqual(code, ExitCode.UNAVAILABLE)
+        gevent.sleep(STALE_S + 0.2)
+        code, out, err = self.cli("apply", str(self.file))
+        self.assertEqual((code, out), (ExitCode.UNAVAILABLE, ""))
         self.assertIn("log", err)
+        self.file.write_text(TEXT.replace("rate = 100", "rate = 200"))
+        self.assertEqual(self.cli("apply", str(self.file))[0], ExitCode.UNAVAILABLE)
         self.assertEqual(self.service.state.declarations.accounts["school"].rate, 100.0)
 
     def test_apply_names_nodes_that_lack_the_version(self) -> None:
