--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -7,6 +7,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, invariant, rule
 
+from arbutustally import claim_table
+from arbutustally.bookings import BODY_DROPPED
 from arbutustally.checkpoint import CheckpointAssembler, split_snapshot
 from arbutustally.errors import BadRequestError, Ran, SnapshotInvalidError
 from arbutustally.records import (
@@ -207,62 +209,21 @@
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
     max_leaves=8,
 )
-FIELDS = st.sampled_from(
-    [
-        "base",
-        "set",
-        "remove",
-        "author",
-        "key_id",
-        "digest",
-        "account",
-        "name",
-        "holder",
-        "release",
-        "shard",
-        "slot",
-        "key",
-        "request_digest",
-        "key_time_s",
-        "ran",
-        "status",
-        "content_type",
-        "body",
-        "model",
-        "version",
-        "previous",
-        "step",
-        "share",
-        "fence",
-        "evidence",
-        "upto",
-        "part",
-        "parts",
-        "data",
-    ]
-)
-KINDS = st.sampled_from(
-    [
-        "change",
-        "key_issue",
-        "key_withdraw",
-        "lease",
-        "share",
-        "claim",
-        "outcome",
-        "move",
-        "checkpoint",
-        "other",
-    ]
-)
 VALID = {
-    "change": {"base": -1, "set": {"accounts/a": ACCOUNT}},
+    "change": {"base": -1, "set": {"accounts/a": ACCOUNT}, "remove": [], "author": "x"},
     "key_issue": {"key_id": "k", "digest": "0" * 64, "account": "a"},
     "key_withdraw": {"key_id": "k"},
-    "lease": {"name": "move/m", "holder": "n", "base": -1},
+    "lease": {"name": "move/m", "holder": "n", "base": -1, "release": False},
     "share": {"shard": 0, "slot": 0, "holder": "n", "base": -1},
     "claim": {"key": "k", "request_digest": "d", "holder": "n", "key_time_s": 5.0},
-    "outcome": {"key": "k", "ran": "ran"},
+    "outcome": {
+        "key": "k",
+        "ran": "ran",
+        "status": 200,
+        "content_type": "",
+        "body": "",
+        "claim": -1,
+    },
     "move": {
         "model": "m",
         "version": "v",
@@ -270,9 +231,12 @@
         "step": "started",
         "share": 0,
         "fence": 0,
+        "evidence": {},
     },
     "checkpoint": {"upto": 1, "part": 0, "parts": 1, "data": "x"},
 }
+KINDS = st.sampled_from([*VALID, "other"])
+FIELDS = st.sampled_from(sorted({name for body in VALID.values() for name in body}))
 
 
 class HostileRecordTest(unittest.TestCase):
@@ -347,6 +311,24 @@
             self.assertEqual(verdict.reason, Reason.MALFORMED)
         self.assertTrue(state.apply(9, wrap(Claim("k", "d", "n1", 5.0))).accepted)
 
+    def test_oldest_answers_are_dropped_the_same_way_everywhere(self) -> None:
+        """Guards against answers of bookings that fill the memory of every node."""
+        self.addCleanup(setattr, claim_table, "MAX_KEPT_CHARACTERS", 8 << 20)
+        claim_table.MAX_KEPT_CHARACTERS = 100
+        one, other = ControlState(), ControlState()
+        for number in range(5):
+            claim = wrap(Claim(f"k{number}", "d", "n1", 1.0 + number))
+            outcome = wrap(Outcome(f"k{number}", Ran.RAN, 200, "text/plain", "x" * 40, 2 * number))
+            for state in (one, other):
+                state.apply(2 * number, claim)
+                state.apply(2 * number + 1, outcome)
+            other = ControlState.restore(other.snapshot())
+        self.assertEqual(one.snapshot(), other.snapshot())
+        kept = [one.claim(f"k{number}").outcome.body != "" for number in range(5)]
+        self.assertEqual(kept, [False, False, False, True, True])
+        self.assertEqual(one.claim("k0").outcome.content_type, BODY_DROPPED)
+        self.assertEqual(one.claim("k0").outcome.status, 200)
+
     def test_outcome_turns_from_unknown_to_known_only(self) -> None:
         """Guards against a late record that hides an answer or frees a dispatched booking."""
         state = ControlState()
