Read relayed events straight from the socket

Cause: each read set a gevent timer and went through two buffered files; each write asked for the send buffer size.

--- a/packages/arbutustally-node/src/arbutustally_node/caller_watch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_watch.py
@@ -19,7 +19,7 @@
     """Interrupts the serving greenlet when its caller is gone.
 
     The interruption comes only inside a ``with`` block of the watch, so that accounting outside of
-    it always completes.
+    it always completes. Inside, the greenlet waits for an endpoint or for its caller.
 
     :param sock: the caller's socket, or ``None`` to watch nothing.
     """
--- a/packages/arbutustally-node/src/arbutustally_node/framing.py
+++ b/packages/arbutustally-node/src/arbutustally_node/framing.py
@@ -15,10 +15,9 @@
 
 class _Part(Enum):
     SIZE = 0
-    DATA = 1
-    END = 2
-    TRAILER = 3
-    DONE = 4
+    END = 1
+    TRAILER = 2
+    DONE = 3
 
 
 class ChunkedBody:
@@ -51,38 +50,37 @@
         at = 0
         size = len(data)
         while at < size and self._part is not _Part.DONE:
-            if self._part is _Part.DATA:
+            if self._left:
                 piece = data[at : at + self._left]
                 out.append(piece)
                 at += len(piece)
                 self._left -= len(piece)
-                if not self._left:
-                    self._part = _Part.END
                 continue
             end = data.find(b"\r\n", at)
             if end < 0:
                 break
             self._take_line(data[at:end])
             at = end + 2
-        self._line = data[at:]
-        if not self.done and len(self._line) > MAX_CHUNK_LINE_BYTES:
-            raise _malformed()
+        if at < size:
+            self._line = data[at:]
+            if len(self._line) > MAX_CHUNK_LINE_BYTES and not self.done:
+                raise _malformed()
         return out[0] if len(out) == 1 else b"".join(out)
 
     def _take_line(self, line: bytes) -> None:
-        if self._part is _Part.END:
+        if self._part is _Part.SIZE:
+            if not 0 < len(line) <= 8 or not _HEX.issuperset(line):
+                line = line.partition(b";")[0].rstrip(b" \t")
+                if not 0 < len(line) <= 8 or not _HEX.issuperset(line):
+                    raise _malformed()
+            self._left = int(line, 16)
+            self._part = _Part.END if self._left else _Part.TRAILER
+        elif self._part is _Part.END:
             if line:
                 raise _malformed()
             self._part = _Part.SIZE
-        elif self._part is _Part.TRAILER:
-            if not line:
-                self._part = _Part.DONE
-        else:
-            digits = line.partition(b";")[0].rstrip(b" \t")
-            if not 0 < len(digits) <= 8 or not _HEX.issuperset(digits):
-                raise _malformed()
-            self._left = int(digits, 16)
-            self._part = _Part.DATA if self._left else _Part.TRAILER
+        elif not line:
+            self._part = _Part.DONE
 
 
 class SizedBody:
--- a/packages/arbutustally-node/src/arbutustally_node/http_server.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_server.py
@@ -20,6 +20,7 @@
 from arbutustally.errors import RouterError
 from arbutustally.logs import get_logger
 from arbutustally.metrics import Counter, Metrics, declare
+from arbutustally_node.caller_watch import CallerGoneError
 from arbutustally_node.http_body import BodyBudget, RequestReader
 from arbutustally_node.options import Options, split_address
 
@@ -118,9 +119,16 @@
             self.close_connection = True
         super().finalize_headers()
 
+    def _sendall(self, data: bytes) -> None:
+        """Sends one piece; most fit into the send buffer, where ``sendall`` costs twice as much."""
+        sent = self.socket.send(data)
+        if sent < len(data):
+            self.socket.sendall(memoryview(data)[sent:])
+        self.response_length += len(data)
+
     def handle_error(self, kind: Any, value: Any, trace: Any) -> None:
         """Logs a fault of the application in place of a traceback on standard error."""
-        if isinstance(value, (OSError, gevent.Timeout)):
+        if isinstance(value, (OSError, gevent.Timeout, CallerGoneError)):
             self.close_connection = True
             return
         self.server.logger.error("request failed", error=kind.__name__, reason=str(value))
--- a/packages/arbutustally-node/src/arbutustally_node/pool.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -1,5 +1,6 @@
 """Connections to endpoints, with proof of whether a byte of a request was sent."""
 
+import contextlib
 import select
 import socket
 from collections import OrderedDict
@@ -10,11 +11,13 @@
 from gevent import monkey
 from urllib3.connection import HTTPConnection
 
+from arbutustally.clock import monotonic
 from arbutustally.engine_client import translate
 from arbutustally.errors import EndpointFailedError, EndpointTimeoutError, Ran
 from arbutustally_node.framing import ChunkedBody, OpenBody, SizedBody
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import Options
+from arbutustally_node.silence import SilenceWatch
 
 READ_BYTES = 65536
 IDLE_CONNECTIONS_PER_ENDPOINT = 64
@@ -39,17 +42,20 @@
     :param pool: pool that gets the connection back, or ``None`` to close it.
     """
 
-    def __init__(self, response: urllib3.HTTPResponse, address: str, pooled: bool) -> None:
+    def __init__(
+        self, response: urllib3.HTTPResponse, address: str, pooled: bool, silence: SilenceWatch
+    ) -> None:
         self._response = response
         self._address = address
         self._pooled = pooled
+        self._silence = silence
         self._headers = {name.lower(): value for name, value in response.headers.items()}
-        # The buffered file below urllib3's response returns everything that has arrived.
         self._original = response._fp
-        self._file = self._original.fp
-        self._socket = response.connection.sock if response.connection else None
+        self._socket = _socket_of(response)
         self._body = self._framing()
+        self._arrived = self._arrived_with_head()
         self._closed = False
+        self._silenced = False
 
     @property
     def status(self) -> int:
@@ -71,21 +77,41 @@
             if self._body.done:
                 self._finish()
                 break
-            try:
-                received = self._file.read1(READ_BYTES)
-            except (OSError, ValueError) as error:
-                self.close()
-                raise self._broken(error) from error
+            received = self._receive()
             if not received:
-                self.close()
                 if isinstance(self._body, OpenBody):
                     break
-                raise self._broken(None)
+                raise self._broken()
             decoded = self._body.feed(received)
             if decoded:
                 return decoded
         return b""
 
+    def _receive(self) -> bytes:
+        if self._arrived:
+            received, self._arrived = self._arrived, b""
+            return received
+        self._silence.waits(self)
+        try:
+            received = self._socket.recv(READ_BYTES)
+        except OSError:
+            received = b""
+        finally:
+            self._silence.received(self)
+        if not received:
+            self.close()
+            if self._silenced:
+                raise EndpointTimeoutError(
+                    f"endpoint {self._address} fell silent; check its load", ran=Ran.MAY_HAVE_RUN
+                )
+        return received
+
+    def silence(self) -> None:
+        """Ends a read that has waited too long."""
+        self._silenced = True
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+
     def read_whole(self, limit: int = MAX_ANSWER_BYTES) -> bytes:
         """Returns the whole body.
 
@@ -155,7 +181,7 @@
         return bool(poll.poll(0))
 
     def _framing(self) -> ChunkedBody | SizedBody | OpenBody:
-        if self._file is None:
+        if self._original.fp is None:
             return SizedBody(0)
         if self._original.chunked:
             return ChunkedBody()
@@ -163,17 +189,31 @@
             return SizedBody(self._original.length)
         return OpenBody()
 
-    def _broken(self, error: Exception | None) -> EndpointFailedError | EndpointTimeoutError:
-        if isinstance(error, TimeoutError):
-            return EndpointTimeoutError(
-                f"endpoint {self._address} fell silent; check its load", ran=Ran.MAY_HAVE_RUN
-            )
+    def _arrived_with_head(self) -> bytes:
+        """Returns bytes of the body that were read together with the head.
+
+        Later reads go to the socket, where one call returns everything that has arrived.
+        """
+        if self._original.fp is None or self._socket is None:
+            return b""
+        self._socket.settimeout(0.0)
+        arrived = self._original.fp.peek(READ_BYTES)
+        # The watch on silence takes the place of a timer for each read.
+        self._socket.settimeout(None)
+        return arrived
+
+    def _broken(self) -> EndpointFailedError:
         return EndpointFailedError(
             f"the connection to endpoint {self._address} broke; check that it runs",
             ran=Ran.MAY_HAVE_RUN,
         )
 
 
+def _socket_of(response: urllib3.HTTPResponse) -> Any:
+    connection = response.connection
+    return connection.sock if connection is not None else None
+
+
 class PoolService:
     """urllib3 connection pools by endpoint address.
 
@@ -184,6 +224,7 @@
     def __init__(self, connect_s: float, read_s: float) -> None:
         self._connect_s = connect_s
         self._read_s = read_s
+        self._silence = SilenceWatch(monotonic, read_s)
         self._pools: OrderedDict[str, urllib3.HTTPConnectionPool] = OrderedDict()
 
     @classmethod
@@ -196,6 +237,7 @@
 
     def stop(self) -> None:
         """Closes idle connections."""
+        self._silence.stop()
         for pool in self._pools.values():
             pool.close()
         self._pools.clear()
@@ -207,13 +249,13 @@
         path: str,
         headers: Mapping[str, str],
         body: bytes | None,
-        timeout_s: float | None = None,
+        timeout_s: float = 0.0,
         fresh: bool = False,
     ) -> PooledResponse:
         """Sends a request and returns the answer with its body unread.
 
         :param endpoint: ``EndpointState``; its ``address`` is used.
-        :param timeout_s: longest silence of the endpoint, by default that of the node.
+        :param timeout_s: longest wait for the head of the answer, 0 for that of the node.
         :param fresh: use a new connection. An idle one may have been closed by the endpoint, and
             then nobody can tell whether the request was read.
         :raises EndpointFailedError: ``NOT_RUN`` only if the connection was never established.
@@ -236,7 +278,7 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise translate(error, address) from error
-        return PooledResponse(response, address, pooled=not fresh)
+        return PooledResponse(response, address, not fresh, self._silence)
 
     def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
         pool = self._pools.get(address)
--- a/packages/arbutustally-node/src/arbutustally_node/stream_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_run.py
@@ -134,13 +134,16 @@
 
     def _pump(self, link: Link) -> Generator[bytes, None, Fault | None]:
         """Yields checked events of a link; returns the fault that ends it, ``None`` at the end."""
+        with self._call.watch:
+            return (yield from self._read_events(link))
+
+    def _read_events(self, link: Link) -> Generator[bytes, None, Fault | None]:
         cursor = self._cursor
         splitter = EventSplitter()
         prefix = b""
         while True:
             try:
-                with self._call.watch:
-                    data = link.response.read()
+                data = link.response.read()
             except EndpointTimeoutError:
                 return Fault.SILENT
             except EndpointFailedError:
--- a/packages/arbutustally/src/arbutustally/engine_client.py
+++ b/packages/arbutustally/src/arbutustally/engine_client.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 import orjson
 import urllib3
@@ -92,8 +92,7 @@
     cached_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class StreamChunk:
+class StreamChunk(NamedTuple):
     """One event of an engine's stream.
 
     :ivar index: number of the token, -1 for an event without one.
