--- a/packages/arbutustally-node/src/arbutustally_node/framing.py
+++ b/packages/arbutustally-node/src/arbutustally_node/framing.py
@@ -10,7 +10,7 @@
 
 #: Longest chunk size line, extensions included.
 MAX_CHUNK_LINE_BYTES = 256
-_HEX = frozenset(b"0123456789abcdefABCDEF")
+MAX_SIZE_DIGITS = 8
 
 
 class _Part(Enum):
@@ -43,6 +43,16 @@
 
         :raises EndpointFailedError: if the coding is malformed.
         """
+        if self._part is _Part.SIZE and not self._line:
+            # A paced stream delivers exactly one chunk a read.
+            end = data.find(b"\r\n", 0, MAX_SIZE_DIGITS + 2)
+            if end > 0 and (head := data[:end]).isalnum():
+                size = _size(head)
+                if size and len(data) == end + size + 4 and data.endswith(b"\r\n"):
+                    return data[end + 2 : -2]
+        return self._feed(data)
+
+    def _feed(self, data: bytes) -> bytes:
         if self._line:
             data = self._line + data
             self._line = b""
@@ -69,11 +79,7 @@
 
     def _take_line(self, line: bytes) -> None:
         if self._part is _Part.SIZE:
-            if not 0 < len(line) <= 8 or not _HEX.issuperset(line):
-                line = line.partition(b";")[0].rstrip(b" \t")
-                if not 0 < len(line) <= 8 or not _HEX.issuperset(line):
-                    raise _malformed()
-            self._left = int(line, 16)
+            self._left = _size(line if line.isalnum() else line.partition(b";")[0].rstrip(b" \t"))
             self._part = _Part.END if self._left else _Part.TRAILER
         elif self._part is _Part.END:
             if line:
@@ -119,6 +125,16 @@
         return data
 
 
+def _size(digits: bytes) -> int:
+    # ``int`` alone would accept signs, spaces and underscores.
+    if not digits.isalnum() or len(digits) > MAX_SIZE_DIGITS:
+        raise _malformed()
+    try:
+        return int(digits, 16)
+    except ValueError:
+        raise _malformed() from None
+
+
 def _malformed() -> EndpointFailedError:
     return EndpointFailedError(
         "the endpoint's chunked coding is malformed; check the endpoint", ran=Ran.MAY_HAVE_RUN
--- a/packages/arbutustally-node/src/arbutustally_node/pool.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
+import gevent
 import urllib3
 from gevent import monkey
 from urllib3.connection import HTTPConnection
@@ -20,6 +21,8 @@
 from arbutustally_node.silence import SilenceWatch
 
 READ_BYTES = 65536
+#: A read below this size means that the endpoint sends slower than the node reads.
+PACED_BYTES = 2048
 IDLE_CONNECTIONS_PER_ENDPOINT = 64
 MAX_ENDPOINTS = 512
 #: Largest answer that is read whole.
@@ -31,6 +34,7 @@
     *HTTPConnection.default_socket_options,
     (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
 ]
+_READ = 1
 # gevent's own poll yields to other greenlets; this check must not.
 _poll = monkey.get_original("select", "poll")
 
@@ -56,6 +60,10 @@
         self._arrived = self._arrived_with_head()
         self._closed = False
         self._silenced = False
+        # Reading before anything has arrived costs a failed call and an exception.
+        self._is_paced = False
+        self._hub = gevent.get_hub()
+        self._readable = self._hub.loop.io(self._socket.fileno(), _READ) if self._socket else None
 
     @property
     def status(self) -> int:
@@ -93,11 +101,14 @@
             return received
         self._silence.waits(self)
         try:
+            if self._is_paced:
+                self._hub.wait(self._readable)
             received = self._socket.recv(READ_BYTES)
         except OSError:
             received = b""
         finally:
             self._silence.received(self)
+        self._is_paced = len(received) < PACED_BYTES
         if not received:
             self.close()
             if self._silenced:
@@ -157,6 +168,7 @@
         if self._closed:
             return
         self._closed = True
+        self._stop_watching()
         connection = self._response.connection
         self._original.close()
         self._response.close()
@@ -170,9 +182,15 @@
             self.close()
             return
         self._closed = True
+        self._stop_watching()
         self._original.close()
         self._response.release_conn()
 
+    def _stop_watching(self) -> None:
+        if self._readable is not None:
+            self._readable.stop()
+            self._readable.close()
+
     def _is_readable(self) -> bool:
         if self._socket is None:
             return True
--- a/packages/arbutustally-node/src/arbutustally_node/relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/relay.py
@@ -30,6 +30,11 @@
 
     def feed(self, data: bytes) -> list[bytes] | None:
         """Returns the data of all whole events, or ``None`` if an event is too long."""
+        if not self._rest and data.startswith(b"data: ") and data.find(b"\n\n") == len(data) - 2:
+            # A paced stream delivers exactly one event a read.
+            payload = data[6:-2]
+            if b"\n" not in payload:
+                return [payload]
         if b"\r" in data:
             data = data.replace(b"\r\n", b"\n")
         if self._rest:
