--- a/packages/arbutustally/src/arbutustally/directory.py
+++ b/packages/arbutustally/src/arbutustally/directory.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 from hashlib import blake2b
+from heapq import nlargest
 from typing import Protocol, TypeVar
 
 #: Home nodes of a shard: rank 0 claims its lease, both hold its standing share slots.
@@ -29,9 +30,9 @@
     return digest.digest()
 
 
-def winner(item: str, node_ids: Iterable[str]) -> str | None:
-    """Returns the node with the largest score, or ``None`` without nodes."""
-    return max(node_ids, key=lambda node_id: (score(item, node_id), node_id), default=None)
+def winners(item: str, node_ids: Iterable[str], count: int) -> list[str]:
+    """Returns the nodes with the largest scores, best first."""
+    return nlargest(count, node_ids, key=lambda node_id: (score(item, node_id), node_id))
 
 
 def shard_of(account: str, shards: int) -> int:
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -1,112 +1,94 @@
-"""A platform log with lost answers and late appends, and log services that fold its bookings."""
+"""A log in memory that fails on demand, with the methods of the log client."""
 
-from dataclasses import dataclass, replace
-from types import SimpleNamespace
-from typing import Any
+import gevent
+from gevent.event import Event
 
-from arbutustally.errors import LogUnavailableError, Ran
-from arbutustally.records import Body, Claim, Outcome
-from tests.fakes import DECLARATIONS
+from arbutustally.errors import HoleFoundError, LogUnavailableError, Ran
+from arbutustally.log_client import ReadResult
+from arbutustally.records import Body, Record, wrap
+from arbutustally_node.kernel import Kernel
+from arbutustally_node.log_service import LogService
+from arbutustally_node.options import SETTINGS, Options
 
 
-@dataclass(frozen=True)
-class Entry:
-    """A ``ClaimEntry``."""
+class FakeLog:
+    """One log for any number of nodes.
 
-    key: str
-    request_digest: str
-    holder: str
-    offset: int
-    key_time_s: float
-    outcome: Outcome | None = None
-
-
-class PlatformLog:
-    """The records in order, and those that arrive late.
-
-    :ivar fault: what happens to appends: ``lost_answer``, ``late``, ``down`` or nothing.
+    :ivar is_down: reads and appends fail before they reach the log.
+    :ivar lost_answers: so many next appends take effect but fail.
+    :ivar delay_s: of each append and read.
+    :ivar oldest: oldest offset that is kept.
     """
 
     def __init__(self) -> None:
-        self.records: list[Body] = []
-        self.late: list[Body] = []
-        self.fault = ""
-
-    def append(self, bodies: list[Body]) -> int:
-        """Returns the first offset.
-
-        :raises LogUnavailableError: according to the fault.
-        """
-        if self.fault == "down":
-            raise LogUnavailableError("the log is down; try again later", ran=Ran.MAY_HAVE_RUN)
-        if self.fault == "late":
-            self.late.extend(bodies)
-            raise LogUnavailableError("no answer of the log", ran=Ran.MAY_HAVE_RUN)
-        self.records.extend(bodies)
-        if self.fault == "lost_answer":
-            raise LogUnavailableError("no answer of the log", ran=Ran.MAY_HAVE_RUN)
-        return len(self.records) - len(bodies)
-
-    def deliver(self, position: int) -> None:
-        """Appends one of the late records."""
-        if self.late:
-            self.records.append(self.late.pop(position % len(self.late)))
-
-
-class LogService:
-    """The ``log`` service of one node.
-
-    :param after_append: called between the append and its result, as when the node is paused.
-    """
-
-    def __init__(self, platform: PlatformLog, after_append: Any) -> None:
-        self.ready = True
-        self.state = SimpleNamespace(
-            declarations=DECLARATIONS, claim=lambda key: self.claims.get(key), version=1
-        )
-        self.claims: dict[str, Entry] = {}
-        self._platform = platform
-        self._after_append = after_append
-        self._read = 0
-        self._callbacks: list[Any] = []
-        self._verdicts: list[Any] = []
-
-    def subscribe(self, callback: Any) -> None:
-        self._callbacks.append(callback)
-
-    def subscribe_jump(self, callback: Any) -> None:
-        return
-
-    def append_many(self, bodies: list[Body]) -> list[Any]:
-        first = self._platform.append(bodies)
-        self.sync()
-        self._after_append()
-        return [
-            SimpleNamespace(offset=first + n, verdict=self._verdicts[first + n])
-            for n in range(len(bodies))
-        ]
-
-    def sync(self) -> None:
-        """Reads to the tail."""
-        while self._read < len(self._platform.records):
-            offset, body = self._read, self._platform.records[self._read]
-            self._read += 1
-            verdict = self._fold(offset, body)
-            self._verdicts.append(verdict)
-            for callback in self._callbacks:
-                callback(offset, SimpleNamespace(id=str(offset), body=body), verdict)
-
-    def _fold(self, offset: int, body: Body) -> Any:
-        entry = self.claims.get(body.key)
-        accepted = False
-        if isinstance(body, Claim):
-            free = entry is None or entry.outcome is not None and entry.outcome.ran == "not_run"
-            if accepted := free:
-                self.claims[body.key] = Entry(
-                    body.key, body.request_digest, body.holder, offset, body.key_time_s
-                )
-        elif entry is not None and entry.offset == body.claim and entry.outcome is None:
-            accepted = True
-            self.claims[body.key] = replace(entry, outcome=body)
-        beaten_by = None if accepted or entry is None else entry.offset
-        return SimpleNamespace(accepted=accepted, reason="", beaten_by=beaten_by)
+        self.records: list[Record | None] = []
+        self.is_down = False
+        self.lost_answers = 0
+        self.delay_s = 0.0
+        self.oldest = 0
+        self.reads = 0
+        self._news = Event()
+
+    def put(self, body: Body | None) -> int:
+        """Appends a record of somebody else."""
+        self.records.append(wrap(body) if body is not None else None)
+        self._news.set()
+        return len(self.records) - 1
+
+    def append(self, records: list[Record]) -> int:
+        gevent.sleep(self.delay_s)
+        if self.is_down:
+            raise LogUnavailableError("down", ran=Ran.NOT_RUN)
+        first = len(self.records)
+        self.records.extend(records)
+        self._news.set()
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise LogUnavailableError("answer lost", ran=Ran.MAY_HAVE_RUN)
+        return first
+
+    def read(self, start: int, limit: int, wait_s: float) -> ReadResult:
+        self.reads += 1
+        gevent.sleep(self.delay_s)
+        if self.is_down:
+            raise LogUnavailableError("down")
+        if start < self.oldest:
+            raise HoleFoundError("gone", oldest=self.oldest)
+        if start >= len(self.records):
+            self._news.clear()
+            self._news.wait(min(wait_s, 0.05))
+        found = list(enumerate(self.records))[start : start + limit]
+        return ReadResult(found, min(start, len(self.records)) + len(found), self.oldest)
+
+
+def new_options(**changes: object) -> Options:
+    """Returns options of a node with short times."""
+    values = {setting.name: setting.default for setting in SETTINGS}
+    values.update(
+        node_id="n1",
+        zone="z",
+        log_url="unused",
+        instances_url="unused",
+        peer_secret="p" * 20,
+        operator_token="t" * 20,
+        operator_listen="127.0.0.1:0",
+        incarnation="1",
+    )
+    return Options.from_config({**values, **changes})
+
+
+def new_node(log: FakeLog, **changes: object) -> tuple[Kernel, LogService]:
+    """Returns a kernel with a log service that is not started."""
+    kernel = Kernel()
+    service = LogService(kernel, new_options(**changes), log)
+    kernel.register("log", service)
+    return kernel, service
+
+
+def wait_until(condition, seconds: float = 10.0) -> bool:
+    """Waits until a condition holds; the bound only ends a test that would hang."""
+    with gevent.Timeout(seconds, False):
+        while not condition():
+            gevent.sleep(0.005)
+        return True
+    return False
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -28,7 +28,7 @@
 from arbutustally_node import booking_service, log_batcher
 from arbutustally_node.booking_service import BookingService
 from arbutustally_node.calls import PlainCall
-from tests.fake_log import LogService, PlatformLog
+from tests.fake_booking_log import LogService, PlatformLog
 from tests.fakes import Endpoint, FakeMembership, node_kernel, node_options
 
 NOW_S = 1_800_000_000.0
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,308 @@
+"""Peer links over real sockets: reconnection, calls, broadcasts and hostile ends."""
+
+import unittest
+from typing import Any
+from unittest import mock
+
+import gevent
+from websockets.exceptions import WebSocketException
+from websockets.sync.client import connect
+
+from arbutustally.errors import PeerUnavailableError, Ran, RateLimitedError
+from arbutustally.logs import configure
+from arbutustally.metrics import Metrics
+from arbutustally.peer_protocol import Call, Events, Handshake, SecureChannel, encode
+from arbutustally.topology import group_of, plan
+from arbutustally_node import peer_link, peers
+from arbutustally_node.peers import PEER_REJECTED, PeersService
+from tests.node_options import REQUIRED, options
+
+SECRET = REQUIRED["peer_secret"]
+#: Bound for what is expected to happen at once, seconds.
+PATIENCE_S = 10.0
+
+
+def eventually(condition: Any) -> bool:
+    """Returns whether the condition holds within the bound."""
+    with gevent.Timeout(PATIENCE_S, False):
+        while not condition():
+            gevent.sleep(0.02)
+        return True
+    return False
+
+
+class Fleet:
+    """Nodes that know each other's addresses."""
+
+    def __init__(self, mesh_up_to: int = 16) -> None:
+        self.nodes: dict[str, PeersService] = {}
+        self.received: dict[str, list[tuple[str, Any]]] = {}
+        self._mesh_up_to = mesh_up_to
+
+    def add(self, name: str, **changes: Any) -> PeersService:
+        service = PeersService(
+            options(name, **changes), Metrics(), self.addresses, mesh_up_to=self._mesh_up_to
+        )
+        inbox = self.received.setdefault(name, [])
+        service.subscribe("news", lambda origin, payload: inbox.append((origin, payload)))
+        service.handle("echo", lambda node_id, payload: [node_id, payload])
+        service.start()
+        self.nodes[name] = service
+        return service
+
+    def addresses(self) -> dict[str, str]:
+        return {name: node.address for name, node in self.nodes.items()}
+
+    def connected(self) -> bool:
+        return all(len(node.connected()) == len(self.nodes) - 1 for node in self.nodes.values())
+
+    def stop(self) -> None:
+        for node in self.nodes.values():
+            node.stop()
+
+
+class PeersCase(unittest.TestCase):
+    def setUp(self) -> None:
+        configure("error")
+        self.enterContext(mock.patch.object(peers, "REPLAN_INTERVAL_S", 0.05))
+        self.enterContext(mock.patch.object(peers, "DIAL_GRACE_S", 0.2))
+        self.fleet = Fleet()
+        self.addCleanup(lambda: self.fleet.stop())
+
+    def assert_eventually(self, condition: Any) -> None:
+        self.assertTrue(eventually(condition))
+
+
+class LinksTest(PeersCase):
+    def test_call_carries_payload_and_typed_errors(self) -> None:
+        """Guards against an error that loses its code, its ``ran`` or its retry time."""
+        a, b = self.fleet.add("a"), self.fleet.add("b")
+
+        def refuse(_node_id: str, _payload: Any) -> None:
+            raise RateLimitedError("no tokens; retry", ran=Ran.NOT_RUN, retry_after_s=2.5)
+
+        b.handle("refuse", refuse)
+        b.handle("fail", lambda _node_id, _payload: 1 // 0)
+        large = b"x" * 900_000
+        self.assertEqual(a.call("b", "echo", large, PATIENCE_S), ["a", large])
+        with self.assertRaises(RateLimitedError) as caught:
+            a.call("b", "refuse", None, PATIENCE_S)
+        self.assertEqual(caught.exception.retry_after_s, 2.5)
+        for method in ("fail", "unknown"):
+            with self.assertRaises(PeerUnavailableError):
+                a.call("b", method, None, PATIENCE_S)
+        self.assertEqual(a.call("b", "echo", 1, PATIENCE_S), ["a", 1])
+
+    def test_late_answer_reaches_no_other_call(self) -> None:
+        """Guards against an answer that is given to the next call."""
+        a, b = self.fleet.add("a"), self.fleet.add("b")
+        delays = iter([0.3, 0.0])
+
+        def slow(_node_id: str, payload: Any) -> Any:
+            gevent.sleep(next(delays))
+            return payload
+
+        b.handle("slow", slow)
+        a.call("b", "echo", 0, PATIENCE_S)
+        with self.assertRaises(PeerUnavailableError) as caught:
+            a.call("b", "slow", "first", 0.05)
+        self.assertEqual(caught.exception.ran, Ran.MAY_HAVE_RUN)
+        self.assertEqual(a.call("b", "slow", "second", PATIENCE_S), "second")
+        gevent.sleep(0.4)
+        self.assertEqual(a.call("b", "echo", 3, PATIENCE_S), ["a", 3])
+
+    def test_restarted_node_is_linked_again(self) -> None:
+        """Guards against a link that is kept for a dead incarnation."""
+        a, b = self.fleet.add("a"), self.fleet.add("b")
+        self.assert_eventually(self.fleet.connected)
+        b.stop()
+        with self.assertRaises(PeerUnavailableError):
+            a.call("b", "echo", 1, 0.05)
+        self.fleet.add("b")
+        self.assert_eventually(lambda: "b" in a._links and not a._links["b"].closed)
+        self.assertEqual(a.call("b", "echo", 2, PATIENCE_S), ["a", 2])
+
+    def test_silent_peer_is_dropped(self) -> None:
+        """Guards against a link to a frozen process that counts as connected for ever."""
+        self.enterContext(mock.patch.object(peer_link, "SILENCE_S", 0.3))
+        self.enterContext(mock.patch.object(peers, "HEARD_S", 0.3))
+        a = self.fleet.add("a")
+        with raw_link(a, "z"):
+            self.assert_eventually(lambda: a.connected() == ["z"])
+            self.assert_eventually(lambda: a.connected() == [])
+
+    def test_signs_of_life_keep_an_idle_link(self) -> None:
+        """Guards against dropping a healthy link on which nothing is said."""
+        self.enterContext(mock.patch.object(peer_link, "SILENCE_S", 0.6))
+        self.enterContext(mock.patch.object(peer_link, "HEARTBEAT_S", 0.1))
+        a = self.fleet.add("a")
+        self.fleet.add("b")
+        self.assert_eventually(self.fleet.connected)
+        link = a._links["b"]
+        gevent.sleep(1.5)
+        self.assertFalse(link.closed)
+
+    def test_secret_rotates_without_an_outage(self) -> None:
+        """Guards against a fleet that splits while nodes restart with the new secret."""
+        old, new = SECRET, "next-secret-0123456789"
+        names = ("a", "b", "c")
+        for name in names:
+            self.fleet.add(name)
+        self.assert_eventually(self.fleet.connected)
+        for secrets in ((new, old), (new, "")):
+            for name in names:
+                self.fleet.nodes[name].stop()
+                self.fleet.add(name, peer_secret=secrets[0], peer_secret_previous=secrets[1])
+                for other in names:
+                    if other != name:
+                        answer = self.fleet.nodes[name].call(other, "echo", 1, PATIENCE_S)
+                        self.assertEqual(answer, [name, 1])
+        rejected = [node.metric(PEER_REJECTED) for node in self.fleet.nodes.values()]
+        self.assertEqual(rejected, [0, 0, 0])
+
+
+class GroupsTest(PeersCase):
+    def test_broadcast_reaches_each_node_once_through_groups(self) -> None:
+        """Guards against broadcasts lost or repeated where no direct link exists."""
+        self.fleet = Fleet(mesh_up_to=4)
+        names = [f"node-{index}" for index in range(16)]
+        for name in names:
+            self.fleet.add(name)
+        self.assert_eventually(lambda: all(self._linked(name) for name in names))
+        for round_number in range(3):
+            for name in names:
+                self.fleet.nodes[name].broadcast("news", round_number)
+        expected = 3 * (len(names) - 1)
+        self.assert_eventually(
+            lambda: all(len(inbox) >= expected for inbox in self.fleet.received.values())
+        )
+        gevent.sleep(0.6)
+        for name in names:
+            inbox = self.fleet.received[name]
+            self.assertEqual(len(inbox), len(set(inbox)))
+            self.assertEqual(len(inbox), expected)
+        links = [len(node._links) for node in self.fleet.nodes.values()]
+        self.assertLess(max(links), len(names) - 1)
+        self.assert_eventually(self.fleet.connected)
+
+    def _linked(self, name: str) -> bool:
+        wanted = plan(name, self.fleet.nodes, 4)
+        links = self.fleet.nodes[name]._links
+        return set(wanted.near) <= set(links) and all(
+            set(group) & set(links) for group in wanted.far
+        )
+
+    def test_another_member_is_tried_when_the_first_is_down(self) -> None:
+        """Guards against losing a whole group with one of its members."""
+        self.fleet = Fleet(mesh_up_to=2)
+        names = [f"node-{index}" for index in range(9)]
+        listed = self.fleet.addresses
+        own = names[0]
+        group = next(g for g in plan(own, names, 2).far if len(g) > 1)
+        self.fleet.addresses = lambda: {
+            **dict.fromkeys(names, "127.0.0.1:1"),
+            **listed(),
+        }
+        self.fleet.add(own)
+        self.fleet.add(group[1])
+        self.assert_eventually(lambda: group[1] in self.fleet.nodes[own]._links)
+
+    def test_a_join_moves_no_other_node(self) -> None:
+        """Guards against regrouping the fleet whenever one node starts."""
+        groups = {name: group_of(name, 4) for name in map(str, range(16))}
+        joined = plan("0", [*groups, "new"], 4)
+        same = {name for name in groups if groups[name] == groups["0"] and name != "0"}
+        self.assertLessEqual(same, set(joined.near))
+
+
+class raw_link:  # noqa: N801 used as a context manager
+    """An authenticated connection under the control of a test."""
+
+    def __init__(self, node: PeersService, name: str, secret: str = SECRET) -> None:
+        self._node = node
+        self._handshake = Handshake.from_config(name, "1", secret)
+        self.channel: SecureChannel | None = None
+
+    def __enter__(self) -> "raw_link":
+        self.connection = connect(f"ws://{self._node.address}/", proxy=None, compression=None)
+        self.connection.send(self._handshake.hello())
+        proof, self.channel = self._handshake.prove(
+            self.connection.recv(timeout=PATIENCE_S), self._node._options.node_id
+        )
+        self.connection.send(proof)
+        self.channel.open(self.connection.recv(timeout=PATIENCE_S))
+        return self
+
+    def __exit__(self, *_: Any) -> None:
+        self.connection.close()
+
+
+class HostileTest(PeersCase):
+    def assert_rejected(self, node: PeersService, send: Any) -> None:
+        before = node.metric(PEER_REJECTED)
+        with raw_link(node, "z") as link:
+            self.assert_eventually(lambda: "z" in node.connected())
+            for frame in send(link.channel):
+                link.connection.send(frame)
+            with self.assertRaises((WebSocketException, TimeoutError)):
+                while True:
+                    link.connection.recv(timeout=PATIENCE_S)
+            self.assertEqual(link.connection.close_code is not None, True)
+        self.assert_eventually(lambda: node.metric(PEER_REJECTED) == before + 1)
+
+    def test_broken_frames_close_the_link_and_are_counted(self) -> None:
+        """Guards against replayed, reordered, altered, truncated and unknown frames."""
+        node = self.fleet.add("a")
+        self.fleet.add("b")
+        heartbeat = encode(Events(()))
+
+        def replayed(channel: SecureChannel) -> list[bytes]:
+            return [channel.seal(heartbeat)] * 2
+
+        def reordered(channel: SecureChannel) -> list[bytes]:
+            return [channel.seal(heartbeat), channel.seal(heartbeat)][::-1]
+
+        def altered(channel: SecureChannel) -> list[bytes]:
+            return [channel.seal(heartbeat)[:-1] + b"\x00\x00"]
+
+        def truncated(channel: SecureChannel) -> list[bytes]:
+            return [channel.seal(heartbeat)[:10]]
+
+        def hostile(channel: SecureChannel) -> list[bytes]:
+            return [channel.seal(b"\x82\x07\x9b\x7f\xff\xff\xff\xff\xff\xff\xff")]
+
+        def text(_channel: SecureChannel) -> list[str]:
+            return ["text"]
+
+        for send in (replayed, reordered, altered, truncated, hostile, text):
+            with self.subTest(send.__name__):
+                self.assert_rejected(node, send)
+        self.assertEqual(node.call("b", "echo", 1, PATIENCE_S), ["a", 1])
+
+    def test_wrong_secret_gets_no_answer(self) -> None:
+        """Guards against calls answered before the proof, or under another secret."""
+        node = self.fleet.add("a")
+        calls = []
+        node.handle("spy", lambda *call: calls.append(call))
+        with connect(f"ws://{node.address}/", proxy=None) as connection:
+            connection.send(Handshake.from_config("z", "1", "wrong" * 5).hello())
+            connection.recv(timeout=PATIENCE_S)
+            connection.send(encode(Call(0, "spy", None)))
+            with self.assertRaises(WebSocketException):
+                connection.recv(timeout=PATIENCE_S)
+        self.assert_eventually(lambda: node.metric(PEER_REJECTED) == 1)
+        self.assertEqual(calls, [])
+        self.assertEqual(node.connected(), [])
+
+    def test_large_message_before_authentication_is_refused(self) -> None:
+        """Guards against a stranger who makes the node hold a megabyte."""
+        node = self.fleet.add("a")
+        with connect(f"ws://{node.address}/", proxy=None) as connection:
+            with self.assertRaises(WebSocketException):
+                connection.send(bytes(100_000))
+                connection.recv(timeout=PATIENCE_S)
+            self.assertEqual(connection.close_code, 1009)
+
+
+if __name__ == "__main__":
+    unittest.main()
