--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -10,7 +10,7 @@
 from arbutustally.fairness import FairQueue, QueueLimits, Ticket, TicketState
 from arbutustally.limits import GrantPool, OwnerBudget, Reservation, apply_reports, received
 from arbutustally_standins.engine_model import EngineModel, EngineModelOptions, ModelRequest
-from arbutustally_standins.engine_types import FIRST_TOKEN, FINISHED
+from arbutustally_standins.engine_types import FINISHED, FIRST_TOKEN
 from bench.replay.calls import Call, Result
 from bench.replay.loop import EventLoop
 from bench.replay.policies import Aim, Decision, Maker, View
@@ -237,8 +237,10 @@
         holder: list[Ticket] = []
 
         def changed() -> None:
-            # The queue may settle the ticket before ``submit`` has returned it.
-            self._loop.after(0.0, lambda: self._settled(holder[0], result, node, reservation))
+            # The queue may settle the ticket before ``submit`` has returned it or has refused it.
+            self._loop.after(
+                0.0, lambda: holder and self._settled(holder[0], result, node, reservation)
+            )
 
         try:
             holder.append(node.queue.submit(call.account, call.prompt_tokens, deadline, changed))
