--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -259,6 +259,8 @@
 
     def _refuse(self, result: Result, node: _Node, reservation: Reservation) -> None:
         result.refused = "overloaded"
+        level, at = self._exact[result.call.account]
+        self._exact[result.call.account] = (level + result.call.tokens, at)
         node.pool.settle(reservation, 0.0)
 
     def _place(
--- a/packages/arbutustally/src/arbutustally/hot_prefixes.py
+++ b/packages/arbutustally/src/arbutustally/hot_prefixes.py
@@ -8,10 +8,10 @@
 DEMAND_WINDOW_S = 10.0
 #: Share of an endpoint's prefill speed at which a prefix gets one more home; queues grow steeply
 #: above about 60% use, so homes are added before that.
-WIDEN_AT = 0.5
+WIDEN_AT = 0.25
 #: Share of the remaining homes' speed below which a home is given up. The distance to ``WIDEN_AT``
 #: keeps the number of homes from changing with every small change of demand.
-NARROW_AT = 0.3
+NARROW_AT = 0.15
 #: Bound on prefixes whose demand is followed.
 MAX_PREFIXES = 4096
 
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -54,6 +54,8 @@
 RECOMPUTE_QUEUE_BOUND_S = 2.0
 #: Cost in tokens of each second above that bound; it outweighs any prompt.
 OVER_BOUND_TOKENS_PER_S = 1e6
+#: Engine time of an output token in prefill tokens, at a moderately filled batch.
+OUTPUT_COST = 10.0
 #: Part of a home's missed guide that counts in the estimate: the prefill also serves the requests
 #: that follow, and another endpoint would lose cache space to a copy of the guide.
 HOME_SHARE = 0.5
@@ -191,7 +193,7 @@
         )
         homes = order(key, [entry.endpoint for entry in able])
         if self.options.widen:
-            width = self._hot.requested(key, self._work(shape), self._load.speed(homes[0]), now)
+            width = self._hot.requested(key, self._work(request), self._load.speed(homes[0]), now)
         else:
             width = 1
         if width > 1 and len(shape.levels) > 1:
@@ -202,9 +204,11 @@
         guide = level.tokens if level else 0
         return _View(request, scope, self._names(shape), guide, homes, width, now)
 
-    def _work(self, shape: PromptShape) -> float:
-        """Returns the tokens of a prompt beyond its guide, which a home has cached."""
-        return shape.total_tokens - (shape.levels[0].tokens if len(shape.levels) > 1 else 0)
+    def _work(self, request: PlacementRequest) -> float:
+        """Returns the engine time of a request at a home that has its guide, in prefill tokens."""
+        shape = request.shape
+        guide = shape.levels[0].tokens if len(shape.levels) > 1 else 0
+        return shape.total_tokens - guide + OUTPUT_COST * request.output_tokens
 
     def _cached_estimate(self, observation: Observation) -> int:
         """Returns the engine's cached count in estimated tokens."""
