Close sockets only when no watcher is active on them

Change: an accept loop of our own on the listener; watches of a request stop before its socket can close. Conclusion: a node cannot abort at shutdown for this reason; no raw watcher outlives its socket.

--- a/packages/arbutustally-node/src/arbutustally_node/caller_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_http.py
@@ -27,7 +27,13 @@
     secret_of,
 )
 from arbutustally_node.explain import Trace
-from arbutustally_node.http_server import SOCKET_VARIABLE, Server, error_body, serve
+from arbutustally_node.http_server import (
+    ON_END_VARIABLE,
+    SOCKET_VARIABLE,
+    Server,
+    error_body,
+    serve,
+)
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.model_request import parse_model_request
 from arbutustally_node.options import Options
@@ -147,6 +153,8 @@
         declarations = self._declarations()
         if request.model not in declarations.models:
             raise ModelUnknownError("the model is not declared; see GET /v1/models for the names")
+        watch = CallerWatch(environ.get(SOCKET_VARIABLE))
+        environ.get(ON_END_VARIABLE, []).append(watch.stop)
         call = ModelCall(
             request_id=trace.request_id,
             account=account,
@@ -162,7 +170,7 @@
             output_tokens=request.output_tokens,
             digest=digest_request(path, body),
             trace=trace,
-            watch=CallerWatch(environ.get(SOCKET_VARIABLE)),
+            watch=watch,
             last_event_id=environ.get("HTTP_LAST_EVENT_ID", "") if request.stream else "",
         )
         streams = self._kernel.lookup("streams")
--- a/packages/arbutustally-node/src/arbutustally_node/http_server.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_server.py
@@ -37,6 +37,8 @@
 SEND_BUFFER_BYTES = 96 << 10
 #: WSGI variable that holds the connected socket.
 SOCKET_VARIABLE = "arbutustally.socket"
+#: Environment variable with a list of functions that run before the socket can be closed.
+ON_END_VARIABLE = "arbutustally.on_end"
 
 BAD_REQUEST = declare(
     "refused.bad_request", "Malformed request; the caller has to correct what it sends."
@@ -81,6 +83,7 @@
     def __init__(self, sock: Any, address: Any, server: "_WsgiServer") -> None:
         super().__init__(sock, address, server, rfile=io.BytesIO())
         self._reader = server.new_reader(sock)
+        self._on_end: list[Callable[[], None]] = []
 
     def handle_one_request(self) -> Any:
         """Reads one request and answers it."""
@@ -104,15 +107,23 @@
             try:
                 result = super().handle_one_request()
             finally:
-                self._reader.release()
+                self._end_request()
         return None if self.server.draining else result
 
     def get_environ(self) -> dict[str, Any]:
         """Adds the socket, which an application watches for the end of its caller."""
         environ = super().get_environ()
         environ[SOCKET_VARIABLE] = self.socket
+        environ[ON_END_VARIABLE] = self._on_end
         return environ
 
+    def _end_request(self) -> None:
+        # libev ends the process if a descriptor is closed while a watcher is active on it, so
+        # watchers of the application stop here, before the socket can be closed.
+        while self._on_end:
+            self._on_end.pop()()
+        self._reader.release()
+
     def finalize_headers(self) -> None:
         """Tells callers of a draining listener to connect elsewhere."""
         if self.server.draining:
--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -48,6 +48,8 @@
 #: Connections that may be unauthenticated at the same time.
 MAX_HANDSHAKES = 64
 REPLAN_INTERVAL_S = 1.0
+#: Pause after a failed accept, for instance without free descriptors, seconds.
+ACCEPT_RETRY_S = 0.1
 
 PEER_REJECTED = declare(
     "refused.peer_rejected",
@@ -138,7 +140,7 @@
         host, port = self._server.socket.getsockname()[:2]
         self._address = f"{host}:{port}"
         self._loops = [
-            gevent.spawn(self._server.serve_forever),
+            gevent.spawn(self._accept_forever, self._server),
             gevent.spawn(self._replan_forever),
             gevent.spawn(self._forward_forever),
         ]
@@ -146,12 +148,24 @@
     def stop(self) -> None:
         """Closes the listener and all links."""
         self._stopping.set()
-        if self._server is not None:
-            self._server.shutdown()
         gevent.killall([*self._loops, *self._tenders.values()], timeout=1)
+        if self._server is not None:
+            self._server.socket.close()
         for link in list(self._links.values()):
             link.close()
 
+    def _accept_forever(self, server: Server) -> None:
+        # ``Server.serve_forever`` has its listener closed while its selector watches the
+        # descriptor; libev then aborts the process on the next change of that watcher.
+        while True:
+            try:
+                connected, address = server.socket.accept()
+            except OSError as error:
+                _log.warning("accept failed", error=str(error))
+                gevent.sleep(ACCEPT_RETRY_S)
+                continue
+            gevent.spawn(server.handler, connected, address)
+
     def handle(self, method: str, function: Handler) -> None:
         """Answers calls of a method with ``function(node_id, payload)``; it may raise
         ``RouterError``, which reaches the calling node with its code."""
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -8,7 +8,7 @@
 import orjson
 import urllib3
 
-from arbutustally_standins.caller.client import CallFailedError
+from arbutustally_standins.caller.client import CallFailedError, StreamResult
 from arbutustally_standins.idempotency import new_uuid7
 from tests.fleet import DECLARATIONS, Fleet, wait_for
 
@@ -217,9 +217,9 @@
         """Guards against a stream that restarts, skips or ends early when its engine dies."""
         question = "What survives?"
         expected = engine_text(self.fleet, question, 120)
-        result = None
+        result = StreamResult()
         killed = False
-        for result in self.fleet.caller(self.key).stream(CHAT, chat_body(question, 120)):
+        for _ in self.fleet.caller(self.key).stream(CHAT, chat_body(question, 120), result):
             if len(result.texts) == 10 and not killed:
                 self._serving_engine(result.request_id).kill()
                 killed = True
@@ -243,9 +243,9 @@
         """Guards against a stream that is lost with its node."""
         question = "Which node?"
         expected = engine_text(self.fleet, question, 150)
-        result = None
+        result = StreamResult()
         victim = ""
-        for result in self.fleet.caller(self.key).stream(CHAT, chat_body(question, 150)):
+        for _ in self.fleet.caller(self.key).stream(CHAT, chat_body(question, 150), result):
             if len(result.texts) == 10 and not victim:
                 victim = result.request_id.partition("~")[0]
                 self.fleet.nodes[victim].kill()
@@ -277,9 +277,9 @@
     def test_graceful_stop_cuts_no_stream_and_exits_with_0(self) -> None:
         question = "Who stops?"
         expected = engine_text(self.fleet, question, 100)
-        result = None
+        result = StreamResult()
         stopped = ""
-        for result in self.fleet.caller(self.key).stream(CHAT, chat_body(question, 100)):
+        for _ in self.fleet.caller(self.key).stream(CHAT, chat_body(question, 100), result):
             if len(result.texts) == 5 and not stopped:
                 stopped = result.request_id.partition("~")[0]
                 self.fleet.nodes[stopped].send(15)
@@ -365,5 +365,9 @@
 
     def test_bad_request_paths_are_refused_with_a_code(self) -> None:
         with self.assertRaises(CallFailedError) as caught:
-            list(self.fleet.caller("at-unknown-0000").stream(CHAT, chat_body("No key")))
+            list(
+                self.fleet.caller("at-unknown-0000").stream(
+                    CHAT, chat_body("No key"), StreamResult()
+                )
+            )
         self.assertEqual(caught.exception.code, "key_invalid")
