--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -204,7 +204,8 @@
     header = {
         "kind": "header",
         "seed": seed,
-        "deployment": asdict(deployment),
+        # As JSON holds it, so that a generated trace equals the same trace read from a file.
+        "deployment": json.loads(json.dumps(asdict(deployment))),
         "accounts": accounts,
     }
     return [header, *events]
