Let the budgets fill before a live run

Cause: accounts start with empty budgets, so a cold run refuses calls that are within their rate and hides the steady state.

--- a/bench/live.py
+++ b/bench/live.py
@@ -53,6 +53,9 @@
     parser.add_argument("--duration-s", type=float, default=30.0, help="last start of a call")
     parser.add_argument("--version", default="good", choices=sorted(VERSIONS))
     parser.add_argument("--calm", action="store_true", help="leave out restarts and versions")
+    parser.add_argument(
+        "--settle-s", type=float, default=0.0, help="wait before the run, so that budgets fill"
+    )
     parser.add_argument("--keep", type=Path, help="directory for the logs of the processes")
     arguments = parser.parse_args()
     trace = with_version(read(TRACES / f"{arguments.deployment}.jsonl"), arguments.version)
@@ -62,14 +65,17 @@
         deployment = DEPLOYMENTS[arguments.deployment]
         fleet = LiveFleet.from_config(deployment, trace[0]["accounts"], arguments.nodes, directory)
         options = LoadOptions((), {}, arguments.speed, arguments.duration_s, versions=("1", "2"))
-        return _measure(fleet, trace, options, arguments.calm)
+        return _measure(fleet, trace, options, arguments)
 
 
-def _measure(fleet: LiveFleet, trace: list[dict], options: LoadOptions, calm: bool) -> int:
+def _measure(
+    fleet: LiveFleet, trace: list[dict], options: LoadOptions, arguments: argparse.Namespace
+) -> int:
     try:
         fleet.start()
         options = replace(options, entries=fleet.entries, keys=fleet.issue_keys())
-        figures = play(fleet, trace, options, calm)
+        gevent.sleep(arguments.settle_s)
+        figures = play(fleet, trace, options, arguments.calm)
         _report(fleet, figures)
     finally:
         codes = fleet.stop()
