Let the engines of a live run export to the KV store

Cause: nothing put pieces into the KV store, so imports never happened. Change: --kv-export yes for the engines of bench.live.

--- a/bench/live_fleet.py
+++ b/bench/live_fleet.py
@@ -142,6 +142,7 @@
             name = f"engine-{number}"
             flags = ["--engine", name, "--model", self._deployment.model]
             flags += ["--versions", FIRST_VERSION, "--kv-url", store, "--weights-url", weights]
+            flags += ["--kv-export", "yes"]
             engine = self._stand_in(name, "engine", *flags)
             self.engines.append(engine)
             self._list(engine, ENGINES, number, model=self._deployment.model, version="1")
