--- a/tests/test_standin_engine_model.py
+++ b/tests/test_standin_engine_model.py
@@ -21,9 +21,11 @@
 )
 
 OPTIONS = EngineModelOptions(
-    versions=("1",), max_batch=3, cache_blocks=40, prefill_chunk_tokens=64, load_s=0.3
+    versions=("1",), max_batch=3, cache_blocks=12, prefill_chunk_tokens=64, load_s=0.05
 )
 GUIDES = tuple(letter * 640 for letter in "abcd")
+# Short prompts leave most steps to decoding, in which a cancelled request could still emit.
+SHORT_GUIDES = tuple(letter * 128 for letter in "abcd")
 
 
 class EngineModelMachine(RuleBasedStateMachine):
@@ -41,12 +43,12 @@
         self.stored = set()
 
     @rule(
-        guide=st.sampled_from(GUIDES),
-        question=st.integers(0, 200),
-        output=st.integers(1, 6),
+        guide=st.sampled_from(SHORT_GUIDES),
+        question=st.integers(0, 100),
+        output=st.sampled_from((1, 5, 30)),
         salt=st.sampled_from(("s", "t")),
         priority=st.integers(0, 2),
-        version=st.sampled_from(("1", "2")),
+        version=st.sampled_from(("1", "1", "2")),
     )
     def submit(self, guide, question, output, salt, priority, version):
         text = guide + "q" * question
@@ -67,16 +69,14 @@
         self.tickets.append(ticket)
         self.emitted[ticket] = 0
 
-    @rule(seconds=st.floats(0.001, 0.4))
+    @rule(seconds=st.sampled_from((0.005, 0.02, 0.06, 0.3)))
     def advance(self, seconds):
-        before = self.clock()
         self.clock.advance(seconds)
         last = 0.0
         for event in self.model.advance_to(self.clock()):
             assert last <= event.at <= self.clock(), "events are in order and not in the future"
             last = event.at
             self.take(event)
-        assert last == 0.0 or last >= before - 1e-9 or self.emitted
 
     def take(self, event):
         if event.kind == "loaded":
@@ -102,14 +102,26 @@
         hit = ticket.request.blocks[: ticket.cached_tokens // BLOCK_TOKENS]
         assert set(hit) <= self.stored, "a hit needs a block stored by this incarnation"
 
-    @precondition(lambda self: self.tickets)
+    @precondition(lambda self: self.open_tickets())
     @rule(data=st.data())
     def cancel(self, data):
-        ticket = data.draw(st.sampled_from(self.tickets))
+        ticket = data.draw(st.sampled_from(self.open_tickets()))
         self.model.cancel(ticket)
         self.cancelled.add(ticket)
 
-    @rule()
+    def open_tickets(self):
+        return [t for t in self.tickets if t not in self.cancelled and t not in self.finished]
+
+    @rule(order=st.sampled_from(("load", "load", "unload", "restart")))
+    def order(self, order):
+        if order == "load":
+            self.model.load("2")
+        elif order == "unload":
+            self.model.unload("2")
+            self.loaded.discard("2")
+        else:
+            self.restart()
+
     def restart(self):
         incarnation = self.model.incarnation
         self.cancelled |= set(self.model.restart())
@@ -118,15 +130,6 @@
         self.stored.clear()
         self.loaded = set(self.model.versions)
 
-    @rule()
-    def load(self):
-        self.model.load("2")
-
-    @rule()
-    def unload(self):
-        self.model.unload("2")
-        self.loaded.discard("2")
-
     @invariant()
     def bounded(self):
         assert len(self.model.cache) <= OPTIONS.cache_blocks
@@ -136,12 +139,12 @@
         self.clock.advance(1000.0)
         for event in self.model.advance_to(self.clock()):
             self.take(event)
-        left = set(self.tickets) - self.cancelled - self.finished
+        left = self.open_tickets()
         assert not left, "every request that was not cancelled finishes"
 
 
 TestEngineModelMachine = EngineModelMachine.TestCase
-TestEngineModelMachine.settings = settings(max_examples=60, stateful_step_count=30)
+TestEngineModelMachine.settings = settings(max_examples=100, stateful_step_count=40)
 
 
 class EngineModelCases(unittest.TestCase):
