--- a/packages/arbutustally-node/src/arbutustally_node/log_peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_peers.py
@@ -21,6 +21,8 @@
 _TAIL_BYTES = 256 << 10
 _TAIL_RECORDS = 500
 _INTERVAL_S = 1.0
+#: A node that starts serves as soon as its first peer link is up.
+_START_INTERVAL_S = 0.1
 _TIMEOUT_S = 2.0
 _ASKED_PEERS = 2
 _MAX_PARTS = 1024
@@ -76,7 +78,8 @@
         while True:
             if self._own.needs_peers:
                 self.ask()
-            gevent.sleep(self._rng.uniform(0.5, 1.0) * _INTERVAL_S)
+            interval_s = _INTERVAL_S if self._own.ready else _START_INTERVAL_S
+            gevent.sleep(self._rng.uniform(0.5, 1.0) * interval_s)
 
     def ask(self) -> None:
         """Asks a few peers for what this node lacks."""
--- a/packages/arbutustally/src/arbutustally/declaration_rules.py
+++ b/packages/arbutustally/src/arbutustally/declaration_rules.py
@@ -1,4 +1,9 @@
-"""Rules for values of declared items and for references between items."""
+"""Rules for values of declared items and for references between items.
+
+The rules take part in the fold of the log. While nodes of two releases run side by side, a change
+that only one of them accepts would divide the fleet, so a rule is tightened only in a release that
+no node of the previous one runs beside.
+"""
 
 import math
 import re
--- a/packages/arbutustally/src/arbutustally/declarations.py
+++ b/packages/arbutustally/src/arbutustally/declarations.py
@@ -168,6 +168,18 @@
     return change_items(Declarations(), items, ())
 
 
+def restore_items(items: Mapping[str, Any]) -> Declarations:
+    """Builds declarations that were accepted before, possibly by a release with other rules.
+
+    :raises ConfigurationInvalidError: if an item does not have the fields of its section.
+    """
+    sections: dict[str, dict[str, Any]] = {section: {} for section in _SECTIONS}
+    for item, fields in items.items():
+        section, name = _split(item)
+        sections[section][name] = structure_item(item, fields, _SECTIONS[section])
+    return Declarations(**sections)
+
+
 def change_items(
     declarations: Declarations, set_items: Mapping[str, Any], remove: tuple[str, ...]
 ) -> Declarations:
--- a/packages/arbutustally/src/arbutustally/state.py
+++ b/packages/arbutustally/src/arbutustally/state.py
@@ -6,7 +6,7 @@
 
 from arbutustally.claim_table import ClaimTable
 from arbutustally.control_tables import KeyTable, LeaseTable, MoveTable, ShareTable
-from arbutustally.declarations import Declarations, change_items, from_items, to_items
+from arbutustally.declarations import Declarations, change_items, restore_items, to_items
 from arbutustally.errors import ConfigurationInvalidError, RouterError, SnapshotInvalidError
 from arbutustally.records import (
     Change,
@@ -258,7 +258,7 @@
     def _load(self, content: dict[str, Any]) -> None:
         self._offset = int(content["offset"])
         self._version = int(content["version"])
-        self._declarations = from_items(content["items"])
+        self._declarations = restore_items(content["items"])
         self._keys.load(content["keys"])
         self._leases.load(content["leases"])
         self._shares.load(content["shares"])
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -2,15 +2,21 @@
 
 import math
 import unittest
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, invariant, rule
 
-from arbutustally import claim_table
+from arbutustally import claim_table, declarations
 from arbutustally.bookings import BODY_DROPPED
 from arbutustally.checkpoint import CheckpointAssembler, split_snapshot
-from arbutustally.errors import BadRequestError, Ran, SnapshotInvalidError
+from arbutustally.errors import (
+    BadRequestError,
+    ConfigurationInvalidError,
+    Ran,
+    SnapshotInvalidError,
+)
 from arbutustally.records import (
     Change,
     Claim,
@@ -355,6 +361,13 @@
         with self.assertRaises(SnapshotInvalidError):
             ControlState.restore(bytes(damaged))
 
+    def test_accepted_configuration_outlives_a_tighter_rule(self) -> None:
+        """Guards against an upgrade after which no node can load its snapshot."""
+        refusal = ConfigurationInvalidError("a rule of a later release")
+        with patch.object(declarations, "check_item", side_effect=refusal):
+            restored = ControlState.restore(self.data)
+        self.assertEqual(len(restored.declarations.accounts), 50)
+
     def test_cut_and_foreign_data_is_refused(self) -> None:
         wrong = encode_snapshot({"offset": "x"}), encode_snapshot([1]), b"", self.data[:-1]
         for data in (*wrong, self.data + b"x", b"PK" + self.data):
