--- a/packages/arbutustally-cli/src/arbutustally_cli/explanation.py
+++ b/packages/arbutustally-cli/src/arbutustally_cli/explanation.py
@@ -9,7 +9,8 @@
 
 Step = Mapping[str, Any]
 
-_HIDDEN = frozenset({"step", "at_s"})
+#: Fields of a step that the timeline leaves to the sections above it.
+_HIDDEN = frozenset({"step", "at_s", "reasons", "ranked", "derivation"})
 #: Waits below this are left to the timeline.
 _SHORTEST_WAIT_S = 0.0005
 
@@ -101,6 +102,8 @@
         lines.append(line)
         lines += [f"  because {reason}" for reason in _reasons(step)]
         lines += _other_candidates(step)
+    if not _named(steps, "placed"):
+        lines += [f"{show(step.get('endpoint'))} answered" for step in _named(steps, "answered")]
     return lines
 
 
--- a/packages/arbutustally/src/arbutustally/state.py
+++ b/packages/arbutustally/src/arbutustally/state.py
@@ -163,7 +163,8 @@
         set_names = tuple(body.set)[:_SHOWN_NAMES]
         removed = tuple(f"-{name}" for name in body.remove[:_SHOWN_NAMES])
         total = len(body.set) + len(body.remove)
-        detail = verdict.detail or f"{verdict.reason or f'{total} items changed'}"
+        changed = f"{total} item{'' if total == 1 else 's'} changed"
+        detail = verdict.detail or verdict.reason or changed
         self._note(offset, "change", body.author, verdict, detail, set_names + removed)
         return verdict
 
