--- a/packages/arbutustally/src/arbutustally/state.py
+++ b/packages/arbutustally/src/arbutustally/state.py
@@ -6,7 +6,7 @@
 
 from arbutustally.claim_table import ClaimTable
 from arbutustally.control_tables import KeyTable, LeaseTable, MoveTable, ShareTable
-from arbutustally.declarations import Declarations, change_items, from_items, to_items
+from arbutustally.declarations import Declarations, change_items, restore_items, to_items
 from arbutustally.errors import ConfigurationInvalidError, RouterError, SnapshotInvalidError
 from arbutustally.records import (
     Change,
@@ -163,7 +163,8 @@
         set_names = tuple(body.set)[:_SHOWN_NAMES]
         removed = tuple(f"-{name}" for name in body.remove[:_SHOWN_NAMES])
         total = len(body.set) + len(body.remove)
-        detail = verdict.detail or f"{verdict.reason or f'{total} items changed'}"
+        changed = f"{total} item{'' if total == 1 else 's'} changed"
+        detail = verdict.detail or verdict.reason or changed
         self._note(offset, "change", body.author, verdict, detail, set_names + removed)
         return verdict
 
@@ -258,7 +259,7 @@
     def _load(self, content: dict[str, Any]) -> None:
         self._offset = int(content["offset"])
         self._version = int(content["version"])
-        self._declarations = from_items(content["items"])
+        self._declarations = restore_items(content["items"])
         self._keys.load(content["keys"])
         self._leases.load(content["leases"])
         self._shares.load(content["shares"])
