--- a/packages/arbutustally-node/src/arbutustally_node/framing.py
+++ b/packages/arbutustally-node/src/arbutustally_node/framing.py
@@ -11,6 +11,7 @@
 #: Longest chunk size line, extensions included.
 MAX_CHUNK_LINE_BYTES = 256
 MAX_SIZE_DIGITS = 8
+_HEX = b"0123456789abcdefABCDEF"
 
 
 class _Part(Enum):
@@ -126,13 +127,10 @@
 
 
 def _size(digits: bytes) -> int:
-    # ``int`` alone would accept signs, spaces and underscores.
-    if not digits.isalnum() or len(digits) > MAX_SIZE_DIGITS:
+    # ``int`` alone would accept signs, spaces, underscores and the prefix 0x.
+    if not digits or digits.strip(_HEX) or len(digits) > MAX_SIZE_DIGITS:
         raise _malformed()
-    try:
-        return int(digits, 16)
-    except ValueError:
-        raise _malformed() from None
+    return int(digits, 16)
 
 
 def _malformed() -> EndpointFailedError:
--- a/tests/fake_booking_log.py
+++ b/tests/fake_booking_log.py
@@ -1,24 +1,11 @@
-"""A platform log with lost answers and late appends, and log services that fold its bookings."""
+"""A platform log with lost answers and late appends, and log services over the real fold."""
 
-from dataclasses import dataclass, replace
 from types import SimpleNamespace
 from typing import Any
 
 from arbutustally.errors import LogUnavailableError, Ran
-from arbutustally.records import Body, Claim, Outcome
-from tests.fakes import DECLARATIONS
-
-
-@dataclass(frozen=True)
-class Entry:
-    """A ``ClaimEntry``."""
-
-    key: str
-    request_digest: str
-    holder: str
-    offset: int
-    key_time_s: float
-    outcome: Outcome | None = None
+from arbutustally.records import Body, wrap
+from arbutustally.state import ControlState
 
 
 class PlatformLog:
@@ -61,10 +48,7 @@
 
     def __init__(self, platform: PlatformLog, after_append: Any) -> None:
         self.ready = True
-        self.state = SimpleNamespace(
-            declarations=DECLARATIONS, claim=lambda key: self.claims.get(key), version=1
-        )
-        self.claims: dict[str, Entry] = {}
+        self.state = ControlState()
         self._platform = platform
         self._after_append = after_append
         self._read = 0
@@ -89,24 +73,9 @@
     def sync(self) -> None:
         """Reads to the tail."""
         while self._read < len(self._platform.records):
-            offset, body = self._read, self._platform.records[self._read]
+            offset, record = self._read, wrap(self._platform.records[self._read])
             self._read += 1
-            verdict = self._fold(offset, body)
+            verdict = self.state.apply(offset, record)
             self._verdicts.append(verdict)
             for callback in self._callbacks:
-                callback(offset, SimpleNamespace(id=str(offset), body=body), verdict)
-
-    def _fold(self, offset: int, body: Body) -> Any:
-        entry = self.claims.get(body.key)
-        accepted = False
-        if isinstance(body, Claim):
-            free = entry is None or entry.outcome is not None and entry.outcome.ran == "not_run"
-            if accepted := free:
-                self.claims[body.key] = Entry(
-                    body.key, body.request_digest, body.holder, offset, body.key_time_s
-                )
-        elif entry is not None and entry.offset == body.claim and entry.outcome is None:
-            accepted = True
-            self.claims[body.key] = replace(entry, outcome=body)
-        beaten_by = None if accepted or entry is None else entry.offset
-        return SimpleNamespace(accepted=accepted, reason="", beaten_by=beaten_by)
+                callback(offset, record, verdict)
