--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -172,9 +172,10 @@
     def _chunk(
         self, owner: str, prompt: str, index: int, last: bool, fault: str, count: int
     ) -> bytes:
+        text = token(prompt, index) + self.extra
         choice = {
             "index": 0,
-            "delta": {"content": token(prompt, index) + self.extra},
+            "delta": {"content": "foreign " if fault == "crossed" else text},
             "token_index": index,
             "finish_reason": "stop" if last else None,
         }
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -172,9 +172,9 @@
     @rule(
         node=st.integers(0, 1),
         key=st.integers(0, 2),
-        log_fault=st.sampled_from(("", "", "lost_answer", "late", "down")),
-        worker_fault=st.sampled_from(("", "", "lost", "late", "crossed", "busy")),
-        pause_s=st.sampled_from((0.0, 0.0, 100.0)),
+        log_fault=st.sampled_from(("", "", "", "lost_answer", "late", "down")),
+        worker_fault=st.sampled_from(("", "", "", "lost", "late", "crossed", "busy")),
+        pause_s=st.sampled_from((0.0, 0.0, 0.0, 100.0)),
         both=st.booleans(),
     )
     def book(self, node, key, log_fault, worker_fault, pause_s, both) -> None:
@@ -200,7 +200,7 @@
     def worker_is_reachable(self, running: bool) -> None:
         self.fleet.reach_worker(running)
 
-    @rule(seconds=st.sampled_from((10.0, 4000.0)))
+    @rule(seconds=st.sampled_from((10.0, 10.0, 10.0, 4000.0)))
     def time_passes(self, seconds: float) -> None:
         self.fleet.wall_s += seconds
 
@@ -233,7 +233,7 @@
     def test_machine(self) -> None:
         """Guards against second runs and untrue refusals under any mix of faults."""
         run_state_machine_as_test(
-            BookingMachine, settings=settings(max_examples=80, stateful_step_count=16)
+            BookingMachine, settings=settings(max_examples=150, stateful_step_count=16)
         )
 
     def book(self, node: int = 0, **changes):
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -27,7 +27,7 @@
             Endpoint("e2", self.other.address, incarnation=self.other.incarnation),
         )
         options = node_options(
-            caller_listen="127.0.0.1:0", body_timeout_s=0.5, endpoint_read_timeout_s=0.5
+            caller_listen="127.0.0.1:0", body_timeout_s=0.5, endpoint_read_timeout_s=30.0
         )
         self.kernel = node_kernel(self.membership, options)
         self.kernel.start()
@@ -87,6 +87,8 @@
         texts = [chunk.choices[0].delta.content for chunk in self.chat(stream=True)]
         self.assertEqual("".join(texts), answer("q", 20))
         self.assertEqual(self.kernel.lookup("metrics").counts["retried.connection_broken"], 1)
+        sent = orjson.loads(self.other.seen[0][3])
+        self.assertEqual("".join(sent["continue_tokens"]), answer("q", 5))
 
     def test_no_endpoint_sees_a_credential(self) -> None:
         """Guards against keys forwarded in a header, a cookie, a path or a body."""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,6 +1,7 @@
 """Streams: what a caller gets is the engine's own answer or an explicit ``stream_lost``."""
 
 import unittest
+from dataclasses import replace
 
 import orjson
 from gevent import Timeout
@@ -16,7 +17,7 @@
 )
 
 from arbutustally.errors import RouterError, StreamLostError, StreamNotResumableError
-from arbutustally.stream_token import digest_request, verify
+from arbutustally.stream_token import digest_request, issue, verify
 from arbutustally_node.calls import ModelCall
 from tests.fake_engine import FakeEngine, Script, answer, token
 from tests.fakes import Declared, Endpoint, FakeMembership, node_kernel, node_options
@@ -215,6 +216,15 @@
                     self.assertEqual(self.text(events), answer("p", TOKENS))
                     self.assertIsNone(events[-1][1])
 
+    def test_chunks_of_other_weights_or_another_life_are_refused(self) -> None:
+        """Guards against tokens computed from the cache or weights of another engine life."""
+        for fault, reason in (("stale", "other_incarnation"), ("version", "other_version")):
+            with self.subTest(fault):
+                self.script.faults = [(4, fault)]
+                self.complete(model_call(self.node, "p"))
+                self.fleet.membership.dead.clear()
+                self.assertEqual(self.node.lookup("metrics").counts[f"retried.{reason}"], 1)
+
     def test_continuation_only_on_the_same_weights(self) -> None:
         """Guards against an answer half from one version and half from another."""
         self.fleet.engines[1].die()
@@ -240,11 +250,14 @@
         event_id = events[4][0]
         own = model_call(self.node, "p", last_event_id=event_id)
         self.assertEqual(self.text(self.complete(own)), answer("p", TOKENS)[len(answer("p", 5)) :])
+        token = verify(["s" * 24], event_id).token
+        stolen = issue("another secret", replace(token, account="other")) + ".4"
         altered = ("A" if event_id[0] != "A" else "B") + event_id[1:]
         for call in (
             model_call(self.node, "p", last_event_id=event_id, account="other"),
             model_call(self.node, "other prompt", last_event_id=event_id),
             model_call(self.node, "p", last_event_id=altered),
+            model_call(self.node, "p", last_event_id=stolen, account="other"),
             model_call(self.node, "p", last_event_id="x" * 5000 + ".1"),
             model_call(self.node, "p", last_event_id=event_id.partition(".")[0]),
         ):
