--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -237,8 +237,10 @@
         holder: list[Ticket] = []
 
         def changed() -> None:
-            # The queue may settle the ticket before ``submit`` has returned it.
-            self._loop.after(0.0, lambda: self._settled(holder[0], result, node, reservation))
+            # The queue may settle the ticket before ``submit`` has returned it or has refused it.
+            self._loop.after(
+                0.0, lambda: holder and self._settled(holder[0], result, node, reservation)
+            )
 
         try:
             holder.append(node.queue.submit(call.account, call.prompt_tokens, deadline, changed))
@@ -257,6 +259,8 @@
 
     def _refuse(self, result: Result, node: _Node, reservation: Reservation) -> None:
         result.refused = "overloaded"
+        level, at = self._exact[result.call.account]
+        self._exact[result.call.account] = (level + result.call.tokens, at)
         node.pool.settle(reservation, 0.0)
 
     def _place(
--- a/packages/arbutustally-node/src/arbutustally_node/log_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_service.py
@@ -5,11 +5,12 @@
 from typing import Any
 
 from arbutustally.clock import Clock, monotonic
+from arbutustally.errors import LogUnavailableError
 from arbutustally.log_client import LogClient
-from arbutustally.metrics import Metrics
+from arbutustally.metrics import Metrics, declare
 from arbutustally.records import Body
 from arbutustally.state import ControlState
-from arbutustally_node.checkpoint_writer import LEASE_NAME, CheckpointWriter
+from arbutustally_node.checkpoint_writer import CLAIM_SPREAD_PART, LEASE_NAME, CheckpointWriter
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.lease_hold import LeaseHold
 from arbutustally_node.log_peers import LogPeers
@@ -18,6 +19,10 @@
 from arbutustally_node.log_writer import DEFAULT_TIMEOUT_S, Appended, LogWriter
 from arbutustally_node.options import Options
 
+LOG_UNAVAILABLE = declare(
+    "refused.log_unavailable", "The log did not confirm an append in time; look at the log."
+)
+
 #: Silence of the log after which a call to it is given up.
 CLIENT_TIMEOUT_S = 2.0
 #: A quarter of the staleness for each poll leaves room for one failed poll and its repeat.
@@ -41,16 +46,20 @@
         self._options = options
         self._clock = clock
         self._rng = rng or Random()
-        metrics = _metrics(kernel)
+        metrics = self._metrics = _metrics(kernel)
+        self._holds: dict[str, LeaseHold] = {}
         self._view = LogView(options.booking_window_s)
         self._writer = LogWriter(client, clock, self._rng, metrics)
         wait_s = options.key_staleness_s * _POLL_PART
-        self._reader = LogReader(client, self._view, clock, self._rng, metrics, wait_s)
+        self._reader = LogReader(
+            client, self._view, clock, self._rng, metrics, wait_s, lambda: self._writer.is_waiting
+        )
         self._peers = LogPeers(kernel, self._view, clock, self._rng, self)
         self._view.subscribe(self._writer.read_back)
         self._view.subscribe_jump(self._writer.jumped)
+        hold = self.hold(LEASE_NAME, spread_s=options.log_retention_s * CLAIM_SPREAD_PART)
         self._checkpoints = CheckpointWriter(
-            self, self.hold(LEASE_NAME), options.log_retention_s, clock, self._rng, metrics
+            self, hold, options.log_retention_s, clock, self._rng, metrics
         )
 
     @classmethod
@@ -131,7 +140,12 @@
 
         :raises LogUnavailableError: ``not_run`` only if none can have reached the log.
         """
-        return self._writer.append_many(bodies, timeout_s)
+        self._reader.hurry()
+        try:
+            return self._writer.append_many(bodies, timeout_s)
+        except LogUnavailableError:
+            self._metrics.count(LOG_UNAVAILABLE)
+            raise
 
     def subscribe(self, callback: Subscriber) -> None:
         """Adds a function that is called after each record; it must not block.
@@ -157,25 +171,31 @@
         name: str,
         wanted: Callable[[], bool] | None = None,
         duration_s: float | None = None,
+        spread_s: float = 0.0,
     ) -> LeaseHold:
-        """Returns a lease to ``start()``, ``stop()`` and check with ``valid()``.
+        """Returns the lease of a name, to ``start()``, ``stop()`` and check with ``valid()``.
+
+        Calls with the same name return the same object.
 
         :param wanted: tells whether this node should hold it; always by default.
         :param duration_s: of the lease; ``lease_s`` of the settings by default.
+        :param spread_s: time over which the claims of all nodes are spread at random; for leases
+            that every node wants.
         """
-        return LeaseHold(
-            log=self,
-            name=name,
-            holder=self._options.holder,
-            duration_s=duration_s or self._options.lease_s,
-            clock=self._clock,
-            rng=self._rng,
-            wanted=wanted or _always,
-        )
-
-
-def _always() -> bool:
-    return True
+        hold = self._holds.get(name)
+        if hold is None:
+            hold = self._holds[name] = LeaseHold(
+                log=self,
+                name=name,
+                holder=self._options.holder,
+                duration_s=duration_s or self._options.lease_s,
+                clock=self._clock,
+                rng=self._rng,
+                spread_s=spread_s,
+            )
+        if wanted is not None:
+            hold.want(wanted)
+        return hold
 
 
 def _metrics(kernel: Kernel) -> Metrics:
