--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -62,6 +62,7 @@
         self.sent_tokens = 0
         self.port = 0
         self.server: Any = None
+        self.restarting = False
         self.start()
 
     @property
@@ -86,9 +87,18 @@
 
     def restart(self) -> None:
         """Begins a new life with a new incarnation."""
+        if self.restarting:
+            return
+        self.restarting = True
         self.die()
         self.lives += 1
-        self.start()
+        try:
+            self.start()
+        except OSError:
+            # Another socket of the test has taken the port meanwhile.
+            self.port = 0
+            self.start()
+        self.restarting = False
 
     def _serve(self, sock: Any, _address: Any) -> None:
         buffer = b""
