Judge versions on the counts of the whole fleet; keep a part of the pool for each account

Cause: each node needed failures of its own before it tripped; a quiet account waited for a prefill of the flooding one. Change: nodes send counts at once after a failure and judge their sum; an account inside its part of the pool is admitted beside a full one.

--- a/packages/arbutustally-node/src/arbutustally_node/admission.py
+++ b/packages/arbutustally-node/src/arbutustally_node/admission.py
@@ -10,6 +10,7 @@
 from arbutustally.clock import Clock, monotonic
 from arbutustally.endpoint_load import DEFAULT_PREFILL_TOKENS_PER_S
 from arbutustally.fairness import (
+    MIN_COMPUTED_SHARE,
     SHED,
     FairQueue,
     QueueLimits,
@@ -148,8 +149,9 @@
         nodes = max(len(membership.nodes()), 1)
         speed = self._speed([entry.id for entry in endpoints])
         reported = sum(entry.queued_tokens for entry in endpoints)
-        limits = QueueLimits.from_config(target, len(endpoints), speed)
-        return limits.beside(max(reported - own, 0.0), nodes)
+        share = self._kernel.lookup("placement").computed_share if model else 1.0
+        limits = QueueLimits.from_config(target, len(endpoints), speed, share)
+        return limits.beside(max(reported / max(share, MIN_COMPUTED_SHARE) - own, 0.0), nodes)
 
     def _speed(self, endpoints: list[str]) -> float:
         """Returns the mean prefill speed of endpoints in tokens/s."""
--- a/packages/arbutustally-node/src/arbutustally_node/version_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/version_service.py
@@ -7,7 +7,7 @@
 
 from gevent import sleep, spawn
 
-from arbutustally.breaker import Breaker, Trip
+from arbutustally.breaker import Breaker, Report, Trip
 from arbutustally.clock import Clock, monotonic
 from arbutustally.engine_client import EngineClient, Order
 from arbutustally.errors import LogUnavailableError, ModelUnknownError, RouterError
@@ -15,6 +15,7 @@
 from arbutustally.logs import get_logger
 from arbutustally.metrics import declare
 from arbutustally.records import MoveStep, Record
+from arbutustally.rendezvous import order
 from arbutustally.versions import (
     EndpointVersions,
     FleetEvidence,
@@ -42,6 +43,8 @@
 LOAD_TIMEOUT_S = 30.0
 #: Tokens of work to which a time to first token is scaled; below that, latency dominates.
 WORK_UNIT_TOKENS = 1000.0
+#: Nodes that claim a lease, by rendezvous rank: the second takes over when the first is gone.
+CLAIMANTS = 2
 TRIP_TOPIC = "trip"
 EVIDENCE_TOPIC = "evidence"
 
@@ -58,20 +61,27 @@
 
     :param kernel: finds ``log``, ``membership``, ``peers`` and ``metrics``.
     :param engines: sends orders, see ``arbutustally.engine_client``.
+    :param node_id: name of this node.
     :param lease_s: duration of a lease in seconds.
     :param clock: monotonic seconds.
     """
 
     def __init__(
-        self, kernel: Kernel, engines: OrderSender, lease_s: float, clock: Clock = monotonic
+        self,
+        kernel: Kernel,
+        engines: OrderSender,
+        node_id: str,
+        lease_s: float,
+        clock: Clock = monotonic,
     ) -> None:
         self._kernel = kernel
+        self._node_id = node_id
         self._engines = engines
         self._lease_s = lease_s
         self._clock = clock
         self._breaker = Breaker()
         self._controllers: dict[str, MoveController] = {}
-        self._fleet: dict[str, dict[EvidenceKey, Tally]] = {}
+        self._holds: dict[str, _Hold] = {}
         self._loading: dict[tuple[str, str], float] = {}
         self._greenlet: Any = None
         self._log = get_logger("versions")
@@ -79,7 +89,9 @@
     @classmethod
     def from_config(cls, kernel: Kernel, options: Options) -> "VersionService":
         """Builds the service."""
-        return cls(kernel, EngineClient.from_config(ORDER_TIMEOUT_S), options.lease_s)
+        return cls(
+            kernel, EngineClient.from_config(ORDER_TIMEOUT_S), options.node_id, options.lease_s
+        )
 
     def start(self) -> None:
         """Subscribes to trips, evidence and moves, and starts the controllers."""
@@ -94,6 +106,9 @@
         if self._greenlet is not None:
             self._greenlet.kill()
             self._greenlet = None
+        for hold in self._holds.values():
+            hold.lease.stop()
+        self._holds.clear()
 
     def pick(self, model: str, request_id: str) -> str:
         """Returns the weights version that runs the request.
@@ -124,11 +139,11 @@
         """
         key = EvidenceKey(model, version, class_name, route)
         sample = Sample(ok, per_work(first_token_s, work_tokens), gap_s)
-        trip = self._breaker.observe(key, sample, self._previous(model, version))
-        if trip is not None:
-            self._kernel.lookup("metrics").count(TRIPPED)
-            self._log.warning("version stopped", reason=trip.describe())
-            spawn(self._tell, TRIP_TOPIC, asdict(trip))
+        previous = self._previous(model, version)
+        self._note_trip(self._breaker.observe(key, sample, previous))
+        if not ok and previous:
+            # A failure of a version on trial is told at once: the fleet stops it together.
+            spawn(self._send_reports, self._breaker.reports(model, version))
 
     def moves(self) -> list[dict[str, Any]]:
         """Returns the last step of each model's move and the local trips, for the status."""
@@ -184,20 +199,30 @@
 
     def _on_evidence(self, node_id: str, payload: Any) -> None:
         try:
-            tallies = {
-                EvidenceKey(*entry["key"]): Tally(**entry["tally"]) for entry in payload["tallies"]
-            }
+            reports = [
+                Report(EvidenceKey(*entry["key"]), Tally(*entry["recent"]), Tally(*entry["total"]))
+                for entry in payload["reports"]
+            ]
         except (TypeError, KeyError) as error:
             self._log.warning("evidence of a peer is malformed", peer=node_id, error=str(error))
             return
-        self._fleet[node_id] = tallies
+        for report in reports:
+            key = report.key
+            previous = self._previous(key.model, key.version)
+            self._note_trip(self._breaker.hear(node_id, [report], previous))
 
     def _on_record(self, _offset: int, record: Record | None, verdict: Any) -> None:
         if record is None or not isinstance(record.body, MoveStep) or not verdict.accepted:
             return
         if record.body.step == "started":
             self._breaker.reset(record.body.model, record.body.version)
-            self._fleet.clear()
+
+    def _note_trip(self, trip: Trip | None) -> None:
+        if trip is None:
+            return
+        self._kernel.lookup("metrics").count(TRIPPED)
+        self._log.warning("version stopped", reason=trip.describe())
+        spawn(self._tell, TRIP_TOPIC, asdict(trip))
 
     def _tell(self, topic: str, payload: Any) -> None:
         self._kernel.lookup("peers").broadcast(topic, payload)
@@ -212,35 +237,62 @@
                 self._log.warning("move step failed", code=error.code, error=error.message)
 
     def _report_evidence(self) -> None:
-        tallies = {}
+        reports: list[Report] = []
         for model in self._kernel.lookup("log").state.declarations.models:
             move = self._move(model)
             if move is None or move.step not in ("started", "raised", "done"):
                 continue
             for version in (move.version, move.previous):
-                tallies.update(self._breaker.tallies(model, version))
-        if tallies:
-            entries = [
-                {"key": list(astuple(key)), "tally": asdict(tally)}
-                for key, tally in tallies.items()
-            ]
-            self._tell(EVIDENCE_TOPIC, {"tallies": entries})
+                reports.extend(self._breaker.reports(model, version))
+        self._send_reports(reports)
+
+    def _send_reports(self, reports: list[Report]) -> None:
+        if not reports:
+            return
+        entries = [
+            {
+                "key": list(astuple(report.key)),
+                "recent": list(astuple(report.recent)),
+                "total": list(astuple(report.total)),
+            }
+            for report in reports
+        ]
+        self._tell(EVIDENCE_TOPIC, {"reports": entries})
 
     def step(self) -> None:
         """Runs one step of each move that this node controls."""
-        for model, declared in self._kernel.lookup("log").state.declarations.models.items():
-            lease = self._kernel.lookup("log").hold(f"move/{model}")
-            if not lease.valid:
+        models = self._kernel.lookup("log").state.declarations.models
+        for model in [name for name in self._holds if name not in models]:
+            self._holds.pop(model).lease.stop()
+        for model, declared in models.items():
+            hold = self._hold(model)
+            if not hold.lease.valid():
                 self._controllers.pop(model, None)
                 continue
+            hold.notice(self._clock())
             controller = self._controllers.setdefault(model, MoveController())
-            view = self._view(model, declared, lease)
+            view = self._view(model, declared, hold)
             for action in controller.step(view, self._evidence(model), self._clock()):
                 # The lease is checked before each effect: this greenlet may have been paused.
-                if lease.valid:
+                if hold.lease.valid():
                     self._act(model, action)
 
-    def _view(self, model: str, declared: Any, lease: Any) -> MoveView:
+    def _hold(self, model: str) -> "_Hold":
+        hold = self._holds.get(model)
+        if hold is None:
+            name = f"move/{model}"
+            lease = self._kernel.lookup("log").hold(name, lambda: self._is_ranked(name))
+            hold = _Hold(lease)
+            self._holds[model] = hold
+            lease.start()
+        return hold
+
+    def _is_ranked(self, name: str) -> bool:
+        """Returns whether this node is among the few that claim a lease; all others leave it."""
+        nodes = [node.id for node in self._kernel.lookup("membership").nodes() if not node.draining]
+        return self._node_id in order(name.encode(), nodes)[:CLAIMANTS]
+
+    def _view(self, model: str, declared: Any, hold: "_Hold") -> MoveView:
         now = self._clock()
         limit = now - LOAD_TIMEOUT_S
         self._loading = {key: at for key, at in self._loading.items() if at > limit}
@@ -248,9 +300,9 @@
             model,
             declared.version,
             self._move(model),
-            lease.fence,
-            lease.valid,
-            lease.claimed_at + self._lease_s + ORDER_TIMEOUT_S,
+            hold.lease.epoch,
+            hold.lease.valid(),
+            hold.seen_at + self._lease_s + ORDER_TIMEOUT_S,
             _deadline(declared.move_by, now),
             declared.max_concurrent_loads,
             tuple(self._endpoints(model)),
@@ -262,31 +314,30 @@
         return [
             EndpointVersions(
                 entry.id,
-                frozenset(getattr(entry, "versions", ()) or (entry.version,)),
+                frozenset(entry.versions or (entry.version,)),
                 entry.service in declared and declared[entry.service].checks_fencing,
             )
-            for entry in self._kernel.lookup("membership").endpoints(None, model)
+            for entry in self._states(model)
             if not entry.leaving
         ]
 
+    def _states(self, model: str) -> list[Any]:
+        """Returns the endpoints of a model in all services that model routes name."""
+        routes = self._kernel.lookup("log").state.declarations.routes.values()
+        services = sorted({route.service for route in routes if route.kind == "model"})
+        membership = self._kernel.lookup("membership")
+        return [entry for name in services for entry in membership.endpoints(name, model)]
+
     def _evidence(self, model: str) -> FleetEvidence:
         move = self._move(model)
         if move is None:
             return FleetEvidence()
         return FleetEvidence(
-            self._sum(model, move.version),
-            self._sum(model, move.previous),
+            self._breaker.totals(model, move.version),
+            self._breaker.totals(model, move.previous),
             self._breaker.tripped(model, move.version),
         )
 
-    def _sum(self, model: str, version: str) -> dict[EvidenceKey, Tally]:
-        total = self._breaker.tallies(model, version)
-        for tallies in self._fleet.values():
-            for key, tally in tallies.items():
-                if (key.model, key.version) == (model, version):
-                    total[key] = total.get(key, Tally()).plus(tally)
-        return total
-
     def _act(self, model: str, action: OrderLoad | WriteStep) -> None:
         if isinstance(action, OrderLoad):
             self._loading[(action.endpoint, model)] = self._clock()
@@ -299,19 +350,34 @@
             self._log.warning("step not recorded", model=model, error=error.message)
 
     def _order(self, model: str, action: OrderLoad) -> None:
-        addresses = {
-            entry.id: entry.address
-            for entry in self._kernel.lookup("membership").endpoints(None, model)
-        }
-        order = Order("load", model, action.version, fence=action.fence)
+        addresses = {entry.id: entry.address for entry in self._states(model)}
+        command = Order("load", model, action.version, fence=action.fence)
         try:
-            self._engines.order(addresses[action.endpoint], order)
+            self._engines.order(addresses[action.endpoint], command)
         except (RouterError, KeyError) as error:
             self._kernel.lookup("metrics").count(ORDER_FAILED)
             self._log.warning("load order failed", endpoint=action.endpoint, error=str(error))
             self._loading.pop((action.endpoint, model), None)
 
 
+class _Hold:
+    """A lease and when this node first saw its present tenure.
+
+    :param lease: see ``LogService.hold``.
+    """
+
+    def __init__(self, lease: Any) -> None:
+        self.lease = lease
+        self.seen_at = 0.0
+        self._epoch = -1
+
+    def notice(self, now: float) -> None:
+        """Notes the start of a tenure; it is seen at or after the reading of the own claim."""
+        if self.lease.epoch != self._epoch:
+            self._epoch = self.lease.epoch
+            self.seen_at = now
+
+
 def per_work(seconds: float | None, work_tokens: float | None) -> float | None:
     """Returns the time to first token for ``WORK_UNIT_TOKENS`` of work."""
     if seconds is None or work_tokens is None:
--- a/packages/arbutustally/src/arbutustally/breaker.py
+++ b/packages/arbutustally/src/arbutustally/breaker.py
@@ -15,9 +15,9 @@
 #: Failure share that is accepted whatever the old version shows.
 TOLERATED_FAILURES = 0.02
 #: Probability under which bad answers are not taken as chance. The test is repeated for every
-#: answer on every node, so the value is far below the wanted rate of false trips; three failures
-#: in three answers, or four slow answers in four, are below it.
-TRIP_PROBABILITY = 1e-5
+#: answer, so the value is far below the wanted rate of false trips; three failures in five
+#: answers, or four slow answers in five, are below it.
+TRIP_PROBABILITY = 1e-4
 #: A slow answer takes this many times the old version's 95th percentile.
 SLOW_FACTOR = 1.5
 #: Share of slow answers that is accepted whatever the old version shows.
@@ -109,14 +109,28 @@
     return None
 
 
+@dataclass(frozen=True)
+class Report:
+    """Counts of one node for one version, class and route.
+
+    :ivar recent: its last answers, at most ``RECENT``.
+    :ivar total: all its answers since the version was reset.
+    """
+
+    key: EvidenceKey
+    recent: Tally
+    total: Tally
+
+
 class Breaker:
-    """Compares the versions of models on the evidence of one node.
+    """Compares the versions of models on the evidence of this node and of its peers.
 
     A tripped version stays tripped until ``reset``.
     """
 
     def __init__(self) -> None:
         self._trials: dict[EvidenceKey, _Trial] = {}
+        self._heard: dict[EvidenceKey, dict[str, Report]] = {}
         self._trips: dict[tuple[str, str], Trip] = {}
 
     def observe(self, key: EvidenceKey, sample: Sample, previous: str = "") -> Trip | None:
@@ -129,11 +143,19 @@
         on_trial = bool(previous) and previous != key.version
         old = self._old(key, previous) if on_trial else None
         trial.add(sample, old)
-        if not on_trial or self.tripped(key.model, key.version):
-            return None
-        trip = judge_tally(key, _count(trial.judged), old.failure_share if old else 0.0)
-        if trip is not None:
-            self.trip(trip)
+        return self._judge(key, old) if on_trial else None
+
+    def hear(self, node: str, reports: list[Report], previous: str = "") -> Trip | None:
+        """Takes the counts of a peer, which replace those it sent before.
+
+        :param previous: as in ``observe``.
+        :returns: the trip, if these counts caused it.
+        """
+        trip = None
+        for report in reports:
+            self._heard.setdefault(report.key, {})[node] = report
+            if previous and previous != report.key.version:
+                trip = self._judge(report.key, self._old(report.key, previous)) or trip
         return trip
 
     def trip(self, trip: Trip) -> None:
@@ -147,15 +169,40 @@
     def reset(self, model: str, version: str) -> None:
         """Forgets evidence and trip of a version, for a new attempt."""
         self._trips.pop((model, version), None)
-        for key in self._keys(model, version):
-            del self._trials[key]
-
-    def tallies(self, model: str, version: str) -> dict[EvidenceKey, Tally]:
-        """Returns the counts of a version by class and route."""
-        return {key: self._trials[key].tally for key in self._keys(model, version)}
-
-    def _keys(self, model: str, version: str) -> list[EvidenceKey]:
-        return [key for key in self._trials if (key.model, key.version) == (model, version)]
+        for counts in (self._trials, self._heard):
+            for key in [key for key in counts if (key.model, key.version) == (model, version)]:
+                del counts[key]
+
+    def reports(self, model: str, version: str) -> list[Report]:
+        """Returns this node's own counts of a version, for its peers."""
+        return [
+            Report(key, _count(trial.judged), trial.tally)
+            for key, trial in self._trials.items()
+            if (key.model, key.version) == (model, version)
+        ]
+
+    def totals(self, model: str, version: str) -> dict[EvidenceKey, Tally]:
+        """Returns the counts of a version over this node and its peers, by class and route."""
+        totals: dict[EvidenceKey, Tally] = {}
+        heard = [report for reports in self._heard.values() for report in reports.values()]
+        for report in (*self.reports(model, version), *heard):
+            if (report.key.model, report.key.version) == (model, version):
+                totals[report.key] = totals.get(report.key, Tally()).plus(report.total)
+        return totals
+
+    def _judge(self, key: EvidenceKey, old: Evidence | None) -> Trip | None:
+        if self.tripped(key.model, key.version):
+            return None
+        share = old.failure_share if old else 0.0
+        trial = self._trials.get(key)
+        own = _count(trial.judged) if trial else Tally()
+        fleet = own
+        for report in self._heard.get(key, {}).values():
+            fleet = fleet.plus(report.recent)
+        trip = judge_tally(key, own, share) or judge_tally(key, fleet, share)
+        if trip is not None:
+            self.trip(trip)
+        return trip
 
     def _old(self, key: EvidenceKey, previous: str) -> Evidence | None:
         trial = self._trials.get(EvidenceKey(key.model, previous, key.class_name, key.route))
--- a/packages/arbutustally/src/arbutustally/fairness.py
+++ b/packages/arbutustally/src/arbutustally/fairness.py
@@ -31,6 +31,8 @@
 #: Seconds of work that a pool may have in flight: enough to keep engines busy, little enough that
 #: the order is still decided here rather than in the engines' queues.
 IN_FLIGHT_S = 1.0
+#: Least share of computed tokens that bounds rely on; decoding takes engine time as well.
+MIN_COMPUTED_SHARE = 0.1
 
 
 class Target(Protocol):
@@ -46,7 +48,8 @@
 
     :ivar in_flight_tokens: tokens admitted and not yet started by an engine.
     :ivar queued_tokens: tokens waiting.
-    :ivar tokens_per_s: prefill speed of the pool.
+    :ivar pool_tokens: tokens in flight that keep the whole pool busy, over all nodes.
+    :ivar tokens_per_s: speed of the pool in prompt tokens, cached ones included.
     :ivar wait_s: longest wait.
     :ivar priority: engine priority, lower first.
     """
@@ -56,17 +59,24 @@
     tokens_per_s: float
     wait_s: float
     priority: int
+    pool_tokens: float = 0.0
 
     @classmethod
-    def from_config(cls, target: Target, endpoints: int, tokens_per_s: float) -> "QueueLimits":
+    def from_config(
+        cls, target: Target, endpoints: int, tokens_per_s: float, computed_share: float = 1.0
+    ) -> "QueueLimits":
         """Derives the bounds.
 
         :param endpoints: live endpoints of the pool.
         :param tokens_per_s: prefill speed of one endpoint.
+        :param computed_share: share of prompt tokens that the engines do not find in their
+            caches; tickets are in prompt tokens, of which the pool serves more than it computes.
         """
-        speed = max(endpoints, 1) * tokens_per_s
+        share = min(max(computed_share, MIN_COMPUTED_SHARE), 1.0)
+        speed = max(endpoints, 1) * tokens_per_s / share
         wait = wait_of(target)
-        return cls(speed * IN_FLIGHT_S, speed * wait, speed, wait, priority_of(target))
+        busy = speed * IN_FLIGHT_S
+        return cls(busy, speed * wait, speed, wait, priority_of(target), busy)
 
     def beside(self, others: float, nodes: int) -> "QueueLimits":
         """Returns the bounds of one node of several that share the pool.
@@ -273,12 +283,37 @@
             if self._in_flight > 0 and (
                 self._in_flight + ticket.tokens > self._limits.in_flight_tokens
             ):
-                return
-            self._remove(ticket)
-            flow.in_flight += ticket.tokens
-            self._in_flight += ticket.tokens
-            self._virtual = max(self._virtual, ticket.start_tag)
-            ticket.settle(TicketState.ADMITTED)
+                break
+            self._grant(ticket)
+        self._admit_shares()
+
+    def _admit_shares(self) -> None:
+        """Admits accounts that have less in flight than their part of the pool.
+
+        Otherwise a request of a quiet account would wait until one of a flooding account, admitted
+        while the pool was free, has its first token; that alone can exceed the target.
+        """
+        for account in list(self._flows):
+            flow = self._flows[account]
+            while flow.waiting and self._has_share_left(account, flow):
+                self._grant(flow.waiting[0])
+
+    def _has_share_left(self, account: str, flow: _Flow) -> bool:
+        tokens = flow.waiting[0].tokens
+        if account not in self._weights:
+            return False
+        if self._in_flight + tokens > 2 * self._limits.pool_tokens:
+            return False
+        part = self._weight(account) / sum(self._weight(name) for name in self._weights)
+        share = self._limits.pool_tokens * part
+        return flow.in_flight + tokens <= share
+
+    def _grant(self, ticket: Ticket) -> None:
+        self._remove(ticket)
+        self._flows[ticket.account].in_flight += ticket.tokens
+        self._in_flight += ticket.tokens
+        self._virtual = max(self._virtual, ticket.start_tag)
+        ticket.settle(TicketState.ADMITTED)
 
     def _most_over_share(self) -> str:
         """Returns the waiting account with the most tokens for its weight."""
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -56,6 +56,8 @@
 OVER_BOUND_TOKENS_PER_S = 1e6
 #: Engine time of an output token in prefill tokens, at a moderately filled batch.
 OUTPUT_COST = 10.0
+#: Weight of one answer in the share of computed tokens.
+SHARE_GAIN = 0.02
 #: Part of a home's missed guide that counts in the estimate: the prefill also serves the requests
 #: that follow, and another endpoint would lose cache space to a copy of the guide.
 HOME_SHARE = 0.5
@@ -92,6 +94,7 @@
         self._load.assume_speed(KV_STORE, DEFAULT_IMPORT_TOKENS_PER_S)
         self._index.assume_keep(KV_STORE, KV_KEEP_S)
         self._hot = HotPrefixes()
+        self._computed_share = 1.0
 
     @classmethod
     def from_config(
@@ -109,6 +112,11 @@
         """Returns the learned prefill speed of an endpoint in tokens/s."""
         return self._load.speed(endpoint)
 
+    @property
+    def computed_share(self) -> float:
+        """Returns the recent share of prompt tokens that engines had to compute, 0 to 1."""
+        return self._computed_share
+
     def choose(self, request: PlacementRequest, candidates: list[Candidate]) -> Choice:
         """Chooses an endpoint and counts the dispatch to it.
 
@@ -151,6 +159,10 @@
             self._index.forget(scope, names, observation.endpoint, 0)
             return
         cached = self._cached_estimate(observation)
+        total = observation.shape.total_tokens
+        self._computed_share += ((total - cached) / max(total, 1) - self._computed_share) * (
+            SHARE_GAIN
+        )
         if self.options.in_band:
             now = self.clock()
             self._index.learn(
--- a/packages/arbutustally/src/arbutustally/versions.py
+++ b/packages/arbutustally/src/arbutustally/versions.py
@@ -16,6 +16,9 @@
 STEPS = (0.01, 0.05, 0.25, 0.5, 1.0)
 #: Answers of the new version that a step needs before the next one.
 STEP_ANSWERS = 8
+#: Steps with less time than planned left need this part of the answers that their share of the
+#: traffic should have given; none at all then means that the version does not answer.
+EXPECTED_PART = 0.5
 #: Share of the old version's answers from which a route must be seen on the new version too, the
 #: answers needed there, and the share from which they are needed: at 1% a small route would take
 #: thousands of requests to show.
@@ -23,7 +26,7 @@
 ROUTE_ANSWERS = 4
 ROUTE_FROM_SHARE = 0.25
 #: Bounds of the time at each step, in seconds; slow-onset faults need some, a deadline limits it.
-STEP_BOUNDS_S = (2.0, 30.0)
+STEP_BOUNDS_S = (0.5, 30.0)
 #: Part of the time to the deadline that the remaining steps may plan to use.
 DEADLINE_PART = 0.5
 #: Time after the end of a move for which a fault of the new version still takes it back, seconds.
@@ -135,7 +138,8 @@
     def __init__(self) -> None:
         self._seen: MoveStep | None = None
         self._seen_at = 0.0
-        self._answers_before = 0
+        self._new_before = 0
+        self._old_before = 0
 
     def step(self, view: MoveView, evidence: FleetEvidence, now: float) -> list[Action]:
         """Returns the actions that are due.
@@ -160,7 +164,8 @@
             return
         self._seen = move
         self._seen_at = now
-        self._answers_before = _answers(evidence.new)
+        self._new_before = _answers(evidence.new)
+        self._old_before = _answers(evidence.old)
 
     def _write(
         self, view: MoveView, step: str, share: float, previous: str, evidence: dict[str, Any]
@@ -238,13 +243,22 @@
     def _proved(self, view: MoveView, evidence: FleetEvidence, now: float) -> bool:
         if view.move.share <= 0.0:
             return True
-        if now - self._seen_at < self._step_time(view, now):
+        planned = self._step_time(view)
+        if now - self._seen_at < planned:
             return False
-        if _answers(evidence.new) - self._answers_before < STEP_ANSWERS:
-            return False
-        return view.move.share < ROUTE_FROM_SHARE or _routes_seen(evidence)
-
-    def _step_time(self, view: MoveView, now: float) -> float:
+        answers = _answers(evidence.new) - self._new_before
+        if view.move.share < ROUTE_FROM_SHARE:
+            late = view.deadline is not None and now - self._seen_at >= 2 * planned
+            return answers >= (self._expected(view, evidence) if late else STEP_ANSWERS)
+        return answers >= STEP_ANSWERS and _routes_seen(evidence)
+
+    def _expected(self, view: MoveView, evidence: FleetEvidence) -> float:
+        """Returns the answers that show, at little traffic, that the new version answers at all."""
+        old = _answers(evidence.old) - self._old_before
+        new = _answers(evidence.new) - self._new_before
+        return min(math.floor((old + new) * view.move.share * EXPECTED_PART), STEP_ANSWERS)
+
+    def _step_time(self, view: MoveView) -> float:
         low, high = STEP_BOUNDS_S
         if view.deadline is None:
             return high
