--- a/packages/arbutustally-node/src/arbutustally_node/grant_sources.py
+++ b/packages/arbutustally-node/src/arbutustally_node/grant_sources.py
@@ -20,6 +20,8 @@
 PAUSE_S = 1.0
 #: A grant that ends within this time is closed, so that its unused tokens return, seconds.
 CLOSE_AHEAD_S = 0.5
+#: Use is reported this often to an issuer that was not asked meanwhile, seconds.
+REPORT_S = 1.0
 GRANT = "limits.grant"
 SHARE_GRANT = "limits.share_grant"
 
@@ -72,6 +74,7 @@
         self._refusals: dict[str, Refusal] = {}
         # Node and method of each epoch from which grants came, for the reports.
         self._issuers: dict[int, tuple[str, str, int]] = {}
+        self._reported: dict[tuple[str, int], float] = {}
 
     # Answers
 
@@ -223,6 +226,10 @@
         closing = float("inf") if everything else self._clock() + CLOSE_AHEAD_S
         for epoch in self._pool.epochs(account):
             issuer = self._issuers.get(epoch)
+            due = self._clock() - self._reported.get((account, epoch), 0.0) >= REPORT_S
+            if not due and not self._pool.wastes(account, epoch, closing):
+                continue
+            self._reported[account, epoch] = self._clock()
             uses = tuple(self._pool.reports(account, epoch, closing))
             if issuer is None or not uses:
                 continue
@@ -236,6 +243,7 @@
     def _uses(self, account: str, node_id: str, method: str, slot: int) -> tuple[Any, ...]:
         source = (node_id, method, slot)
         epochs = [e for e in self._pool.epochs(account) if self._issuers.get(e) == source]
+        self._reported.update({(account, epoch): self._clock() for epoch in epochs})
         return tuple(use for epoch in epochs for use in self._pool.reports(account, epoch))
 
     def _shard(self, account: str) -> int:
--- a/packages/arbutustally-node/src/arbutustally_node/limits_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/limits_service.py
@@ -30,7 +30,7 @@
 WAIT_S = 0.5
 #: Interval in which leases and slots are tended, seconds.
 TEND_INTERVAL_S = 0.5
-#: Interval in which use is reported to issuers that were not asked meanwhile, seconds.
+#: Interval in which grants are looked through for those that end soon, seconds.
 REPORT_INTERVAL_S = 0.25
 #: Shortest wait between two attempts of one request, seconds.
 MIN_RETRY_S = 0.01
@@ -155,7 +155,7 @@
             reservation = self._wait(account, tokens)
         now = self._clock()
         self._demand.setdefault(account, Demand(now)).note(tokens, now)
-        self._fetch_ahead(account)
+        self._fetch_ahead(account, tokens, limits.burst)
         if trace is not None:
             trace.note("limits", tokens=tokens, grant=source)
         return reservation
@@ -226,20 +226,21 @@
 
     def _ahead(self, account: str) -> float:
         demand = self._demand.get(account)
-        return demand.ahead(self._clock()) if demand is not None else 0.0
+        burst = self._limits(account).burst
+        return demand.ahead(self._clock(), burst) if demand is not None else 0.0
 
-    def _fetch_ahead(self, account: str) -> None:
-        target = self._ahead(account)
-        if self._pool.available(account) >= target / 2 or account in self._fetching:
+    def _fetch_ahead(self, account: str, tokens: float, burst: float) -> None:
+        if account in self._fetching or self._sources.is_owner(account):
             return
-        self._fetching.add(account)
-        gevent.spawn(self._fetch_target, account, target)
+        available = self._pool.available(account)
+        missing = self._demand[account].missing(available, tokens, self._clock(), burst)
+        if missing > 0:
+            self._fetching.add(account)
+            gevent.spawn(self._fetch_missing, account, missing)
 
-    def _fetch_target(self, account: str, target: float) -> None:
+    def _fetch_missing(self, account: str, missing: float) -> None:
         try:
-            missing = target - self._pool.available(account)
-            if missing > 0 and not self._sources.is_owner(account):
-                self._sources.ask_owner(account, 0.0, missing)
+            self._sources.ask_owner(account, 0.0, missing)
         except RouterError as error:
             _log.debug("no grant ahead", account=account, code=error.code)
         finally:
--- a/packages/arbutustally/src/arbutustally/limit_issuer.py
+++ b/packages/arbutustally/src/arbutustally/limit_issuer.py
@@ -20,7 +20,9 @@
 #: Time constant of the average of recent use, seconds.
 USE_AVERAGE_S = 2.0
 #: A node keeps grants for this much of its recent use, seconds.
-AHEAD_S = 0.5
+AHEAD_S = 1.0
+#: and at most this part of the burst, for tokens held by one node are withheld from the others.
+AHEAD_OF_BURST = 1 / 16
 
 
 class Tenure(Protocol):
@@ -232,6 +234,20 @@
         """Returns the average use in tokens/s."""
         return self._rate * exp(-(now - self._at) / USE_AVERAGE_S)
 
-    def ahead(self, now: float) -> float:
-        """Returns the tokens worth holding ahead of requests."""
-        return self.rate(now) * AHEAD_S
+    def ahead(self, now: float, burst: float) -> float:
+        """Returns the tokens worth holding ahead of requests.
+
+        :param burst: of the account, tokens.
+        """
+        return min(self.rate(now) * AHEAD_S, burst * AHEAD_OF_BURST)
+
+    def missing(self, available: float, last_tokens: float, now: float, burst: float) -> float:
+        """Returns the tokens to fetch ahead now, 0 for none.
+
+        :param available: tokens of live grants.
+        :param last_tokens: size of the last request; less than that ahead saves no message.
+        """
+        target = self.ahead(now, burst)
+        if target < last_tokens or available >= target / 2:
+            return 0.0
+        return target - available
--- a/packages/arbutustally/src/arbutustally/limits.py
+++ b/packages/arbutustally/src/arbutustally/limits.py
@@ -341,6 +341,13 @@
             uses.append(Use(held.grant.grant_id, spent, closed, held.left if closed else 0.0))
         return uses
 
+    def wastes(self, account: str, epoch: int, closing: float) -> bool:
+        """Returns whether unused tokens of a grant are about to end with it."""
+        return any(
+            held.grant.epoch == epoch and held.left > 0 and held.grant.until <= closing
+            for held in self._live(account)
+        )
+
     def epochs(self, account: str) -> set[int]:
         """Returns the epochs of the live grants of an account."""
         return {held.grant.epoch for held in self._live(account)}
--- a/tests/limits_world.py
+++ b/tests/limits_world.py
@@ -120,12 +120,17 @@
             except RouterError:
                 continue
 
-    def reserve(self, tokens: float) -> Reservation | None:
+    def try_ahead(self, tokens: float) -> None:
+        """Asks the owner for tokens ahead of requests."""
+        with suppress(RouterError):
+            self.sources.ask_owner(ACCOUNT, 0.0, tokens)
+
+    def reserve(self, tokens: float, ahead: float = 50.0) -> Reservation | None:
         """Admits a request; what the service does without its waits."""
         reservation = self.pool.reserve(ACCOUNT, tokens)
         if reservation is None:
             needed = tokens - self.pool.available(ACCOUNT)
-            self.sources.fetch(ACCOUNT, needed, needed + 50)
+            self.sources.fetch(ACCOUNT, needed, needed + ahead)
             reservation = self.pool.reserve(ACCOUNT, tokens)
         return reservation
 
@@ -147,10 +152,13 @@
 class World:
     """True time, the log, the links and the admissions."""
 
-    def __init__(self, size: int = 4) -> None:
+    def __init__(self, size: int = 4, rate: float = RATE, burst: float = BURST) -> None:
         self.now = 0.0
+        self.rate = rate
+        self.burst = burst
+        self.calls = 0
         items = {
-            f"accounts/{ACCOUNT}": {"rate": RATE, "burst": BURST},
+            f"accounts/{ACCOUNT}": {"rate": rate, "burst": burst},
         }
         self.log: list[Any] = [wrap(Change(-1, items))]
         self.log_up = True
@@ -188,6 +196,7 @@
 
     def call(self, caller: SimNode, node_id: str, method: str, payload: Any) -> Any:
         callee = self.nodes[node_id]
+        self.calls += 1
         self.now += self.request_delay
         if callee.frozen or frozenset((caller.id, node_id)) in self.cut:
             raise PeerUnavailableError("simulated cut")
@@ -216,10 +225,10 @@
             self.now = min(self.now + step, end)
             self.tend()
 
-    def admit(self, node: SimNode, tokens: float) -> bool:
+    def admit(self, node: SimNode, tokens: float, ahead: float = 50.0) -> bool:
         if node.frozen:
             return False
-        reservation = node.reserve(tokens)
+        reservation = node.reserve(tokens, ahead)
         if reservation is None:
             return False
         self.admissions.append(Admission(self.now, tokens, reservation, node))
@@ -252,7 +261,7 @@
         """
         largest, worst, last = float("-inf"), float("-inf"), 0.0
         for admission in self.admissions:
-            worst = max(worst - RATE * (admission.at - last), 0.0) + admission.tokens
+            worst = max(worst - self.rate * (admission.at - last), 0.0) + admission.tokens
             last = admission.at
             largest = max(largest, worst)
-        return largest - BURST
+        return largest - self.burst
