--- a/tests/limits_world.py
+++ b/tests/limits_world.py
@@ -237,8 +237,9 @@
     def admit_all(self, node: SimNode) -> float:
         """Admits as much as the node can get, in requests of falling size; returns the tokens."""
         total = 0.0
-        for tokens in (1000.0, 500.0, 250.0, 125.0, 60.0, 25.0, 10.0):
-            for _ in range(8):
+        for part in (1.0, 0.5, 0.25, 0.125, 0.06, 0.025, 0.01):
+            tokens = part * self.burst
+            for _ in range(4):
                 if not self.admit(node, tokens):
                     break
                 total += tokens
--- a/tests/test_limits_model.py
+++ b/tests/test_limits_model.py
@@ -7,11 +7,14 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from arbutustally.errors import LeaseLostError
+from arbutustally.records import ShareRecord
 from arbutustally.standing_shares import SHARE_VALIDITY_S
+from arbutustally_node.shard_owner import HANDOVER_S
 from tests.limits_world import BURST, RATE, ROUNDING, World
 
 NODES = st.integers(0, 3)
-SIZES = st.sampled_from([10.0, 60.0, 125.0, 250.0, 700.0, 875.0, 1000.0])
+#: Sizes of requests as parts of the burst.
+PARTS = st.sampled_from([0.01, 0.06, 0.125, 0.25, 0.7, 0.875, 1.0])
 SHORT = st.sampled_from([0.05, 0.4, 1.0, 2.4, 3.0])
 LONG = st.sampled_from([9.0, 11.0, 25.0, 70.0])
 
@@ -19,19 +22,38 @@
 class LimitsMachine(RuleBasedStateMachine):
     """Guards against over-admission by any mix of owner deaths, freezes, cuts and outages."""
 
-    @initialize(warm=st.booleans())
-    def begin(self, warm: bool) -> None:
-        self.world = World()
+    @initialize(warm=st.booleans(), burst=st.sampled_from([RATE, 10 * RATE, 50 * RATE]))
+    def begin(self, warm: bool, burst: float) -> None:
+        self.world = World(4, RATE, burst)
         if warm:
-            self.world.run(30)
+            self.world.run(30 + burst / RATE)
 
-    @rule(index=NODES, tokens=SIZES)
-    def admit(self, index: int, tokens: float) -> None:
-        self.world.admit(self.world.node(index), tokens)
+    @rule(index=NODES, part=PARTS)
+    def admit(self, index: int, part: float) -> None:
+        self.world.admit(self.world.node(index), part * self.world.burst)
 
-    @rule(index=NODES)
-    def admit_all(self, index: int) -> None:
-        self.world.admit_all(self.world.node(index))
+    @rule(index=NODES, part=PARTS)
+    def fetch(self, index: int, part: float) -> None:
+        """A node fetches tokens and keeps them."""
+        if not self.world.node(index).frozen:
+            self.world.node(index).try_ahead(part * self.world.burst * 4)
+
+    @rule(order=st.permutations(range(4)))
+    def admit_all(self, order: list[int]) -> None:
+        """All nodes take what they can at one instant."""
+        for index in order:
+            self.world.admit_all(self.world.node(index))
+
+    @rule(seconds=LONG, order=st.permutations(range(4)))
+    def owners_sleep(self, seconds: float, order: list[int]) -> None:
+        """Owners freeze, others take over, and the old ones wake and serve."""
+        frozen = [node for node in self.world.nodes.values() if self.world.owns(node)]
+        for node in frozen:
+            node.frozen = True
+        self.world.run(seconds)
+        for node in frozen:
+            node.frozen = False
+        self.admit_all(order)
 
     @precondition(lambda self: self.world.admissions)
     @rule(data=st.data(), fraction=st.sampled_from([0.0, 0.3, 1.0]))
@@ -95,7 +117,9 @@
     def log_down(self) -> None:
         self.world.log_up = False
 
-    @rule(request=st.sampled_from([0.0, 0.2, 3.0, 11.0]), answer=st.sampled_from([0.0, 0.2, 3.0]))
+    @rule(
+        request=st.sampled_from([0.0, 0.2, 3.0, 11.0]), answer=st.sampled_from([0.0, 0.4, 2.4, 4.5])
+    )
     def slow_calls(self, request: float, answer: float) -> None:
         self.world.request_delay, self.world.answer_delay = request, answer
 
@@ -115,7 +139,7 @@
 
 
 LimitsMachine.TestCase.settings = settings(
-    max_examples=150, stateful_step_count=40, derandomize=True, deadline=None, database=None
+    max_examples=300, stateful_step_count=30, derandomize=True, deadline=None, database=None
 )
 
 
@@ -171,7 +195,8 @@
         self.world.answer_delay = 2.4
         self.others[0].sources.ask_owner("acct", 700.0, 700.0)
         self.world.answer_delay = 0.0
-        self.world.run(8)
+        self.world.admit_all(self.owner)
+        self.world.run(2.2, step=0.1)
         self.world.admit_all(self.owner)
         self.world.admit_all(self.others[0])
         self.check()
@@ -199,10 +224,16 @@
 
     def test_new_owner_starts_empty(self) -> None:
         """Guards against a second burst after a change of owner."""
-        self.world.admit_all(self.owner)
-        self.owner.frozen = True
+        # The burst lasts longer than a lease, so that it has not refilled when the owner changes.
+        self.world = World(4, RATE, 50 * RATE)
+        self.world.run(120)
+        owner = self.world.node(self.world.owner_index())
+        self.world.admit_all(owner)
+        owner.frozen = True
         self.world.run(25)
-        for node in self.others:
+        others = [node for node in self.world.nodes.values() if node is not owner]
+        self.assertTrue(any(self.world.owns(node) for node in others))
+        for node in others:
             self.world.admit_all(node)
         self.check()
 
@@ -231,17 +262,14 @@
         """Guards against a released lease under which grants are still live."""
         node = self.others[0]
         self.owner.draining = True
-        for _ in range(60):
-            self.world.run(0.25, step=0.05)
-            node.sources.ask_owner("acct", 0.0, 400.0) if self._has_owner() else None
-            self.world.admit_all(node)
-        self.assertFalse(self.world.owns(self.owner))
+        self.world.run(HANDOVER_S - 0.2, step=0.1)
+        self.assertGreater(node.sources.ask_owner("acct", 700.0, 700.0).tokens, 0)
+        self.world.run(2.3, step=0.1)
+        self.assertTrue(any(self.world.owns(other) for other in self.others))
+        for other in self.world.nodes.values():
+            self.world.admit_all(other)
         self.check()
 
-    def _has_owner(self) -> bool:
-        lease = self.others[0].state.lease("shard/0")
-        return lease is not None and not lease.released
-
     def test_unused_tokens_return_before_the_deadline(self) -> None:
         """Guards against writing off tokens that were fetched ahead and not used."""
         node = self.others[0]
@@ -304,6 +332,17 @@
         self.assertFalse(self.usable(old.id, 1))
         self.assertTrue(self.usable(successor, 1))
 
+    def test_holder_stops_when_it_reads_another_assignment(self) -> None:
+        """Guards against use of a slot that the log has given to another node."""
+        old = self.world.nodes[self.holders[1]]
+        offset = old.state.share(0, 1).last_offset
+        self.assertTrue(self.usable(old.id, 1))
+        self.world.nodes[self.holders[0]].append(ShareRecord(0, 1, "other#1", offset))
+        for _ in range(int(SHARE_VALIDITY_S * 1.02 / 60)):
+            old.read()
+            self.assertFalse(self.usable(old.id, 1))
+            self.world.now += 60
+
     def test_released_slot_is_used_at_once(self) -> None:
         """Guards against idling a released slot for the succession wait."""
         self.world.nodes[self.holders[1]].draining = True
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,16 +5,18 @@
 from unittest import mock
 
 import gevent
+from hypothesis import given
+from hypothesis import strategies as st
 from websockets.exceptions import WebSocketException
 from websockets.sync.client import connect
 
 from arbutustally.errors import PeerUnavailableError, Ran, RateLimitedError
 from arbutustally.logs import configure
 from arbutustally.metrics import Metrics
-from arbutustally.peer_protocol import Call, Events, Handshake, SecureChannel, encode
+from arbutustally.peer_protocol import Call, Event, Events, Handshake, SecureChannel, encode
 from arbutustally.topology import group_of, plan
 from arbutustally_node import peer_link, peers
-from arbutustally_node.peers import PEER_REJECTED, PeersService
+from arbutustally_node.peers import PEER_REJECTED, WINDOW, PeersService, SerialWindow
 from tests.node_options import REQUIRED, options
 
 SECRET = REQUIRED["peer_secret"]
@@ -215,6 +217,27 @@
         self.assertLessEqual(same, set(joined.near))
 
 
+class SerialsTest(PeersCase):
+    def test_repeated_event_is_delivered_once(self) -> None:
+        """Guards against an event that arrives over two paths and counts twice."""
+        node = self.fleet.add("a")
+        event = encode(Events((Event("y", "1", 5, "news", "x"),)))
+        later = encode(Events((Event("y", "1", 6, "news", "later"),)))
+        with raw_link(node, "z") as link:
+            for data in (event, event, later, event):
+                link.connection.send(link.channel.seal(data))
+            self.assert_eventually(lambda: ("y", "later") in self.fleet.received["a"])
+            gevent.sleep(0.1)
+        self.assertEqual(self.fleet.received["a"], [("y", "x"), ("y", "later")])
+
+    @given(st.lists(st.integers(0, WINDOW - 1), max_size=60))
+    def test_each_serial_is_accepted_once_in_any_order(self, serials: list[int]) -> None:
+        """Guards against an event lost because a newer one overtook it."""
+        window = SerialWindow("1")
+        accepted = [serial for serial in serials if window.accept(serial)]
+        self.assertEqual(accepted, list(dict.fromkeys(serials)))
+
+
 class raw_link:  # noqa: N801 used as a context manager
     """An authenticated connection under the control of a test."""
 
