Test the processes of the stand-ins and the demo command; report codes per account

Cause: entry points, a crash and the demo command had no test, and the table did not show which account was refused.

--- a/bench/figures.py
+++ b/bench/figures.py
@@ -98,10 +98,14 @@
         rows = [head, *(self._row(name) for name in self._names())]
         widths = [max(len(row[column]) for row in rows) for column in range(len(head))]
         lines = ["  ".join(c.rjust(w) for c, w in zip(r, widths, strict=True)) for r in rows]
-        others = sorted((c, n) for c, n in self.codes().items() if c != "ok")
-        lines.append("codes: " + (", ".join(f"{c} {n}" for c, n in others) or "none but ok"))
+        lines.append("refusals and failures by code:")
+        lines += [f"  {name}: {self._failures(name)}" for name in self._names()]
         return "\n".join(lines)
 
+    def _failures(self, name: str) -> str:
+        others = sorted((code, n) for code, n in self.codes(name).items() if code != "ok")
+        return ", ".join(f"{code} {n}" for code, n in others) or "none"
+
     def _names(self) -> list[str]:
         return [*sorted(name for name in self._groups if name != ALL), ALL]
 
--- a/bench/live.py
+++ b/bench/live.py
@@ -92,7 +92,8 @@
     for name in ("prompt_tokens", "cached_tokens", "imported_tokens", "prefill_tokens"):
         print(f"engines' {name}: {sum(count.get(name, 0) for count in counts)}")
     moves = fleet.operator("/v1/moves")["moves"]
-    print("moves: " + json.dumps([{k: m[k] for k in ("version", "step", "share")} for m in moves]))
+    shown = ("version", "step", "share", "evidence")
+    print("moves: " + json.dumps([{name: move[name] for name in shown} for move in moves]))
 
 
 if __name__ == "__main__":
--- a/bench/load.py
+++ b/bench/load.py
@@ -195,6 +195,15 @@
         return f"status_{response.status}", ""
 
 
+def speed_for(trace: list[dict[str, Any]], rate: float) -> float:
+    """Returns the speed at which a trace brings a mean rate of calls.
+
+    :param rate: calls per second.
+    """
+    calls = sum(event["kind"] in ("completion", "booking") for event in trace)
+    return rate * trace[0]["deployment"]["duration_s"] / calls
+
+
 def main() -> int:
     """Runs a trace; writes CSV and prints a table.
 
@@ -205,20 +214,22 @@
     parser.add_argument("--keys", type=Path, help="JSON file, account to key")
     parser.add_argument("--trace", type=Path, required=True)
     parser.add_argument("--speed", type=float, default=1.0, help="times faster than recorded")
+    parser.add_argument("--rate", type=float, help="mean calls/s, instead of --speed")
     parser.add_argument("--duration-s", type=float, default=30.0, help="last start of a call")
     parser.add_argument("--most-open", type=int, default=500, help="calls open at once")
     parser.add_argument("--versions", default="", help="versions whose output is right, by commas")
     parser.add_argument("--out", type=Path, default=_OUT / "load.csv")
     arguments = parser.parse_args()
+    trace = read(arguments.trace)
     options = LoadOptions(
         entries=tuple(arguments.entry.split(",")),
         keys=json.loads(arguments.keys.read_text()) if arguments.keys else {},
-        speed=arguments.speed,
+        speed=speed_for(trace, arguments.rate) if arguments.rate else arguments.speed,
         duration_s=arguments.duration_s,
         most_open=arguments.most_open,
         versions=tuple(part for part in arguments.versions.split(",") if part),
     )
-    figures = LoadRun.from_config(read(arguments.trace), options).run()
+    figures = LoadRun.from_config(trace, options).run()
     arguments.out.parent.mkdir(parents=True, exist_ok=True)
     figures.write_csv(arguments.out)
     print(figures.table())
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -1,8 +1,11 @@
 """The demo client, the load tool and the traces, against nodes written for the test."""
 
 import itertools
+import json
 import unittest
 import uuid
+from contextlib import redirect_stderr, redirect_stdout
+from io import StringIO
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from types import SimpleNamespace
@@ -12,12 +15,13 @@
 from bottle import Bottle, HTTPResponse, request
 
 from arbutustally_standins.caller.client import Caller, CallFailedError, StreamResult
+from arbutustally_standins.caller.commands import main
 from arbutustally_standins.caller.events import parse_events
 from arbutustally_standins.faults import answer
 from arbutustally_standins.idempotency import new_uuid7
 from arbutustally_standins.server import cut_connection
 from arbutustally_standins.tokens import output_tokens, prompt_text
-from bench.load import LoadOptions, LoadRun
+from bench.load import LoadOptions, LoadRun, speed_for
 from bench.workloads import DEPLOYMENTS, RAMDIN, TRACES, generate, messages, read, with_version
 from tests.standins import StandinCase
 
@@ -95,6 +99,20 @@
                 list(self.caller(address).stream("/v1/completions", {}, StreamResult()))
             self.assertEqual(len(standin.seen), calls)
 
+    def test_command_prints_the_text_and_a_summary(self):
+        """Guards against a demo client whose text or exit code is wrong."""
+        address, _ = self.start([])
+        arguments = ["--entry", address, "--route", "completions", "--prompt", "p"]
+        out, err = StringIO(), StringIO()
+        with redirect_stdout(out), redirect_stderr(err):
+            code = main([*arguments, "--max-tokens", "5"])
+        tokens = output_tokens("marelle", "1", "p")
+        self.assertEqual(out.getvalue(), "".join(itertools.islice(tokens, 5)) + "\n")
+        self.assertEqual((code, json.loads(err.getvalue())["nodes"]), (0, [address]))
+        refused, _ = self.start([], refusal={"code": "overloaded", "ran": "may_have_run"})
+        with redirect_stdout(out), redirect_stderr(err):
+            self.assertEqual(main(["--entry", refused]), 1)
+
     def test_incomplete_event_is_dropped(self):
         """Guards against half an event that is shown as a token."""
         chunks = [b"id: a.1\nda", b"ta: x\n\nid: a.2\ndata: y"]
@@ -125,6 +143,13 @@
             self.assertEqual(len(path.read_text().splitlines()), total + 1)
         self.assertIn(f"overloaded {total - bookings}", figures.table())
 
+    def test_speed_gives_the_wanted_rate(self):
+        """Guards against a run at another rate than the one reported."""
+        trace = read(TRACES / "ramdin.jsonl")
+        calls = sum(event["kind"] in ("completion", "booking") for event in trace)
+        seconds = RAMDIN.duration_s / speed_for(trace, 40.0)
+        self.assertAlmostEqual(calls / seconds, 40.0)
+
     def load(self, trace, **behaviour):
         address, _ = self.start([], **behaviour)
         options = LoadOptions((address,), {}, speed=6.0, versions=("1",), duration_s=10.0)
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -198,18 +198,48 @@
 
 
 class ProcessTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.http = urllib3.PoolManager(retries=False, timeout=20.0)
+        self.addCleanup(self.http.clear)
+
+    def start(self, name, *flags):
+        """Starts a stand-in and returns its process and base URL."""
+        command = [sys.executable, "-m", f"arbutustally_standins.{name}", *flags]
+        process = subprocess.Popen(command, stdout=subprocess.PIPE, env=os.environ)
+        self.addCleanup(process.wait, 20)
+        self.addCleanup(process.kill)
+        self.addCleanup(process.stdout.close)
+        return process, "http://" + json.loads(process.stdout.readline())["listening"]
+
+    def test_each_process_reports_its_address_and_stops(self):
+        """Guards against an entry point that does not start, serve or stop."""
+        names = ("log", "instances", "engine", "booking", "kv_store", "weight_store")
+        started = [self.start(name) for name in names]
+        for process, url in started:
+            self.assertEqual(self.http.request("GET", f"{url}/stats").status, 200)
+            process.terminate()
+            self.assertEqual(process.wait(timeout=20), 0)
+
     def test_sigterm_lets_a_running_call_finish(self):
         """Guards against a process that cuts calls when it is told to stop."""
-        command = [sys.executable, "-m", "arbutustally_standins.booking"]
-        faults = ["--faults", json.dumps({"slow_answer_s": 0.5})]
-        process = subprocess.Popen(command + faults, stdout=subprocess.PIPE, env=os.environ)
-        self.addCleanup(process.stdout.close)
-        self.addCleanup(process.kill)
-        address = json.loads(process.stdout.readline())["listening"]
-        http = urllib3.PoolManager(retries=False, timeout=20.0)
-        call = gevent.spawn(http.request, "POST", f"http://{address}/hire", body=b"{}")
-        while not http.request("GET", f"http://{address}/stats").json()["runs"]:
+        faults = json.dumps({"slow_answer_s": 0.5})
+        process, url = self.start("booking", "--faults", faults)
+        call = gevent.spawn(self.http.request, "POST", f"{url}/hire", body=b"{}")
+        while not self.http.request("GET", f"{url}/stats").json()["runs"]:
             gevent.sleep(0.01)
         process.send_signal(signal.SIGTERM)
         self.assertEqual(call.get(timeout=20).status, 200)
         self.assertEqual(process.wait(timeout=20), 0)
+
+    def test_crash_ends_the_process_at_once(self):
+        """Guards against a crash that still finishes streams."""
+        process, url = self.start("engine", "--faults", json.dumps({"slow_factor": 50.0}))
+        body = {"prompt": "p", "max_tokens": 500, "stream": True}
+        stream = self.http.request(
+            "POST", f"{url}/v1/completions", json=body, preload_content=False
+        )
+        with self.assertRaises(urllib3.exceptions.ProtocolError):
+            self.http.request("POST", f"{url}/faults", json={"crash": True})
+        with self.assertRaises(urllib3.exceptions.ProtocolError):
+            stream.read()
+        self.assertNotEqual(process.wait(timeout=20), 0)
