--- a/bench/live.py
+++ b/bench/live.py
@@ -17,9 +17,17 @@
 from bench.figures import Figures  # noqa: E402
 from bench.live_fleet import LiveFleet  # noqa: E402
 from bench.load import LoadOptions, LoadRun  # noqa: E402
-from bench.workloads import DEPLOYMENTS, TRACES, VERSIONS, read, with_version  # noqa: E402
+from bench.workloads import (
+    DEPLOYMENTS,
+    TRACES,
+    VERSIONS,
+    generate,
+    read,
+    with_version,
+)  # noqa: E402
 
 _OUT = Path(__file__).parent / "out"
+_SEED = 1
 _CALLS = ("header", "completion", "booking")
 
 
@@ -52,22 +60,34 @@
     parser.add_argument("--speed", type=float, default=1.0, help="times faster than recorded")
     parser.add_argument("--duration-s", type=float, default=30.0, help="last start of a call")
     parser.add_argument("--version", default="good", choices=sorted(VERSIONS))
+    parser.add_argument(
+        "--generate-s", type=float, help="generate a trace this long instead of the recorded one"
+    )
     parser.add_argument("--calm", action="store_true", help="leave out restarts and versions")
     parser.add_argument(
         "--settle-s", type=float, default=0.0, help="wait before the run, so that budgets fill"
     )
     parser.add_argument("--keep", type=Path, help="directory for the logs of the processes")
     arguments = parser.parse_args()
-    trace = with_version(read(TRACES / f"{arguments.deployment}.jsonl"), arguments.version)
+    trace = _trace(arguments)
     with TemporaryDirectory() as temporary:
         directory = arguments.keep or Path(temporary)
         directory.mkdir(parents=True, exist_ok=True)
         deployment = DEPLOYMENTS[arguments.deployment]
         fleet = LiveFleet.from_config(deployment, trace[0]["accounts"], arguments.nodes, directory)
-        options = LoadOptions((), {}, arguments.speed, arguments.duration_s, versions=("1", "2"))
+        duration_s = arguments.generate_s or arguments.duration_s
+        options = LoadOptions((), {}, arguments.speed, duration_s, versions=("1", "2"))
         return _measure(fleet, trace, options, arguments)
 
 
+def _trace(arguments: argparse.Namespace) -> list[dict]:
+    if arguments.generate_s is None:
+        recorded = read(TRACES / f"{arguments.deployment}.jsonl")
+        return with_version(recorded, arguments.version)
+    deployment = replace(DEPLOYMENTS[arguments.deployment], duration_s=arguments.generate_s)
+    return generate(deployment, _SEED, arguments.version)
+
+
 def _measure(
     fleet: LiveFleet, trace: list[dict], options: LoadOptions, arguments: argparse.Namespace
 ) -> int:
