Test failure rules and late answers of the engine stand-in

Cause: rules that begin late or under load had no test. Change: RuleBook on a virtual clock; late and lost answers over HTTP.

--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -4,7 +4,9 @@
 import orjson
 import urllib3
 
+from arbutustally.clock import VirtualClock
 from arbutustally_standins.engine.app import EngineStandin
+from arbutustally_standins.engine.faults import FailureRule, RuleBook
 from arbutustally_standins.engine.options import EngineOptions
 from arbutustally_standins.engine_types import EngineModelOptions
 from arbutustally_standins.kv_store.app import KvStoreStandin
@@ -130,6 +132,37 @@
             answer = self.post(f"{url}/v1/{route}", {**body, "weights_version": version})
             self.assertEqual(answer.status, status, (version, route))
 
+    def test_rules_wait_for_their_time_and_their_load(self):
+        """Guards against a late or load-dependent fault that shows at once."""
+        clock = VirtualClock()
+        rules = RuleBook(clock, seed=1)
+        late = FailureRule(version="2", rate=1.0, after_s=5.0)
+        loaded = FailureRule(version="2", rate=1.0, slow_factor=3.0, above_running=4, at_token=6)
+        rules.replace((late, loaded))
+        self.assertFalse(rules.judge("2", "chat", 4).fails)
+        self.assertEqual(rules.judge("2", "chat", 5).at_token, 6)
+        self.assertEqual(rules.slow_factors(("1", "2"), 5), {"1": 1.0, "2": 3.0})
+        self.assertEqual(rules.slow_factors(("1", "2"), 4), {"1": 1.0, "2": 1.0})
+        clock.advance(5.0)
+        rules.replace((late, loaded))
+        self.assertTrue(rules.judge("2", "chat", 0).fails)
+        self.assertFalse(rules.judge("1", "chat", 9).fails)
+
+    def test_late_and_lost_answers_have_run(self):
+        """Guards against a lost answer whose work did not run."""
+        url = self.engine()
+        self.fault(url, lose_next_answers=1)
+        with self.assertRaises(urllib3.exceptions.ProtocolError):
+            self.post(f"{url}/v1/completions", self.body("r1", stream=False))
+        self.fault(url, late_s=0.3)
+        with self.assertRaises(urllib3.exceptions.ReadTimeoutError):
+            body = self.body("r2", stream=False, prompt="short")
+            self.http.request("POST", f"{url}/v1/completions", json=body, timeout=0.15)
+        with gevent.Timeout(20):
+            while self.counts(url).get("finished") != 2:
+                gevent.sleep(0.02)
+        self.assertEqual(self.get(f"{url}/stats")["runs"], {"r1": 1, "r2": 1})
+
     def test_headers_are_recorded(self):
         """Guards against a key that reaches the engine unseen."""
         url = self.engine()
