Put a model's first declared version in force at once; keep the engine stand-in from empty steps

Cause: tests with moves showed two faults. (1) A change of version before the controller had recorded the first version sent all traffic to a version that no endpoint held: 966 of 1,013 requests refused with no_endpoint. (2) The engine stand-in repeated a step of no duration for ever when the first of its queue by priority had arrived later than another; nodes then waited 30 s for it. Ruled out: the nodes, which were idle. Change: the fold records the first declared version of a model when the change is accepted; the stand-in admits the first by priority among those that have arrived. A good version is taken back at its deadline; open. Conclusion: next is the time that each step of a good move takes.

--- a/packages/arbutustally-standins/src/arbutustally_standins/engine_model.py
+++ b/packages/arbutustally-standins/src/arbutustally_standins/engine_model.py
@@ -247,8 +247,9 @@
         self._step_end = start + duration * self._factor()
 
     def _drop_cancelled(self) -> None:
-        while self._queue and self._queue[0][2].cancelled:
-            heapq.heappop(self._queue)
+        if any(entry[2].cancelled for entry in self._queue):
+            self._queue = [entry for entry in self._queue if not entry[2].cancelled]
+            heapq.heapify(self._queue)
 
     def _factor(self) -> float:
         factors = [self._version_slow.get(ticket.version, 1.0) for ticket in self._running]
@@ -257,14 +258,30 @@
     def _admit(self, start: float) -> None:
         """Moves requests into the batch while it has room."""
         while len(self._running) < self._options.max_batch:
-            self._drop_cancelled()
-            if not self._queue or self._queue[0][2].submitted_at > start:
+            entry = self._pop_submitted(start)
+            if entry is None:
                 break
-            ticket = heapq.heappop(self._queue)[2]
+            ticket = entry[2]
             ticket.started_at = start
             self._running.append(ticket)
             self._emit(STARTED, start, ticket)
 
+    def _pop_submitted(self, start: float) -> tuple[int, int, Ticket] | None:
+        """Takes the first request in order of priority that was submitted by an instant.
+
+        The first of the queue may have come later than one of lower priority; a step that admits
+        neither would take no time and be repeated for ever.
+        """
+        if self._queue and self._queue[0][2].submitted_at <= start:
+            return heapq.heappop(self._queue)
+        submitted = [entry for entry in self._queue if entry[2].submitted_at <= start]
+        if not submitted:
+            return None
+        entry = min(submitted)
+        self._queue.remove(entry)
+        heapq.heapify(self._queue)
+        return entry
+
     def _plan_prefill(self) -> float:
         """Shares the prefill of one step out; returns the time that imports take."""
         left = self._options.prefill_chunk_tokens
--- a/packages/arbutustally/src/arbutustally/control_tables.py
+++ b/packages/arbutustally/src/arbutustally/control_tables.py
@@ -4,6 +4,7 @@
 """
 
 import math
+from collections.abc import Mapping
 from dataclasses import astuple, replace
 from typing import Any
 
@@ -199,6 +200,31 @@
         """Returns all moves."""
         return list(self._entries.values())
 
+    def declare(self, offset: int, versions: Mapping[str, str]) -> None:
+        """Follows an accepted change of configuration.
+
+        A model that is declared for the first time is in force at its version at once; without an
+        entry, a change of the version before the controller's first step would send all traffic
+        to a version that no endpoint has loaded.
+
+        :param versions: declared version of each model.
+        """
+        for model in [name for name in self._entries if name not in versions]:
+            del self._entries[model]
+        for model, version in versions.items():
+            if model not in self._entries and len(self._entries) < MAX_MOVES:
+                self._entries[model] = MoveEntry(
+                    model=model,
+                    version=version,
+                    previous="",
+                    step="done",
+                    share=1.0,
+                    fence=-1,
+                    evidence={"reason": "first declared version"},
+                    offset=offset,
+                    record_ids=(),
+                )
+
     def apply(self, offset: int, record_id: str, body: MoveStep) -> Verdict:
         """Applies a step."""
         if not self._is_well_formed(body):
--- a/packages/arbutustally/src/arbutustally/state.py
+++ b/packages/arbutustally/src/arbutustally/state.py
@@ -179,6 +179,7 @@
             return rejected(Reason.INVALID, detail=error.message)
         self._declarations = changed
         self._version = offset
+        self._moves.declare(offset, {name: model.version for name, model in changed.models.items()})
         return ACCEPTED
 
     def _issue(self, offset: int, body: KeyIssue) -> Verdict:
