--- a/packages/arbutustally/src/arbutustally/breaker.py
+++ b/packages/arbutustally/src/arbutustally/breaker.py
@@ -16,12 +16,16 @@
 TOLERATED_FAILURES = 0.02
 #: Probability under which bad answers are not taken as chance. The test is repeated for every
 #: answer, so the value is far below the wanted rate of false trips; three failures in five
-#: answers, or four slow answers in five, are below it.
+#: answers are below it.
 TRIP_PROBABILITY = 1e-4
 #: A slow answer takes this many times the old version's 95th percentile.
 SLOW_FACTOR = 1.5
-#: Share of slow answers that is accepted whatever the old version shows.
-TOLERATED_SLOW = 0.05
+#: The same for times between tokens; a cold cache adds prefill steps between the tokens of a version
+#: that starts, which 1.5 took for a fault.
+SLOW_GAP_FACTOR = 2.5
+#: Share of slow answers that is accepted; by the factor it is less than 5% for the old version.
+#: Three slow answers in three are then below ``TRIP_PROBABILITY``.
+TOLERATED_SLOW = 0.04
 #: Answers of the new version that are compared; few, so that a late fault shows at once.
 RECENT = 40
 
@@ -70,16 +74,16 @@
 
     def add(self, sample: Sample, old: Evidence | None) -> None:
         self.evidence.add(sample)
-        slow = _is_slow(sample.first_token_s, old.first_token if old else None)
-        slow_gap = _is_slow(sample.gap_s, old.gap if old else None)
+        slow = _is_slow(old.slowness_of(sample), old.slowness, SLOW_FACTOR) if old else None
+        slow_gap = _is_slow(sample.gap_s, old.gap, SLOW_GAP_FACTOR) if old else None
         self.judged = [*self.judged[1 - RECENT :], _Judged(sample.ok, slow, slow_gap)]
         self.tally = self.tally.plus(_count(self.judged[-1:]))
 
 
-def _is_slow(seconds: float | None, base: Latencies | None) -> bool | None:
-    if seconds is None or base is None or len(base) < MIN_BASE_SAMPLES:
+def _is_slow(value: float | None, base: Latencies, factor: float) -> bool | None:
+    if value is None or len(base) < MIN_BASE_SAMPLES:
         return None
-    return seconds > base.quantile(0.95) * SLOW_FACTOR
+    return value > base.quantile(0.95) * factor
 
 
 def _count(judged: list[_Judged]) -> Tally:
--- a/packages/arbutustally/src/arbutustally/evidence.py
+++ b/packages/arbutustally/src/arbutustally/evidence.py
@@ -9,6 +9,12 @@
 WINDOW = 200
 #: Answers of the old version below which its latencies are not compared.
 MIN_BASE_SAMPLES = 20
+#: Slope of the line of time over work before there are answers, in s/token, and the spread of work
+#: in tokens squared that answers need to outweigh it.
+PRIOR_S_PER_TOKEN = 1 / 8000
+PRIOR_SPREAD = 5e6
+#: Least expected time to first token in seconds: below, the network and the step decide.
+LEAST_FIRST_TOKEN_S = 0.01
 
 
 @dataclass(frozen=True)
@@ -26,14 +32,43 @@
     """One answer.
 
     :ivar ok: the answer was complete and correct.
-    :ivar first_token_s: time to first token, ``None`` without one. Divided by the expected time
-        where placement gave an estimate, so that a cold cache does not look like a slow version.
-    :ivar gap_s: longest or mean time between tokens, ``None`` without one.
+    :ivar first_token_s: time to first token, ``None`` without one.
+    :ivar gap_s: mean time between tokens, ``None`` without one.
+    :ivar work_tokens: tokens to compute before the first token, queue included; without them the
+        time to first token is not compared, since a cold cache would look like a slow version.
     """
 
     ok: bool
     first_token_s: float | None = None
     gap_s: float | None = None
+    work_tokens: float | None = None
+
+
+class WorkLine:
+    """Straight line of time to first token over work, fitted to recent answers.
+
+    A version that starts has a cold cache and computes more than the old one, so its times are
+    compared with what the old one would take for the same work.
+    """
+
+    def __init__(self) -> None:
+        self._points: deque[tuple[float, float]] = deque(maxlen=WINDOW)
+
+    def add(self, work_tokens: float, seconds: float) -> None:
+        """Adds an answer; the oldest goes when the window is full."""
+        self._points.append((work_tokens, seconds))
+
+    def expected_s(self, work_tokens: float) -> float:
+        """Returns the time that the line gives for some work."""
+        if not self._points:
+            return LEAST_FIRST_TOKEN_S + work_tokens * PRIOR_S_PER_TOKEN
+        count = len(self._points)
+        mean_work = sum(work for work, _ in self._points) / count
+        mean_s = sum(seconds for _, seconds in self._points) / count
+        spread = sum((work - mean_work) ** 2 for work, _ in self._points)
+        joint = sum((work - mean_work) * (seconds - mean_s) for work, seconds in self._points)
+        slope = (joint + PRIOR_SPREAD * PRIOR_S_PER_TOKEN) / (spread + PRIOR_SPREAD)
+        return max(mean_s + slope * (work_tokens - mean_work), LEAST_FIRST_TOKEN_S)
 
 
 class Latencies:
@@ -67,22 +102,33 @@
 
 @dataclass
 class Evidence:
-    """Recent answers of one version on one class and route."""
+    """Recent answers of one version on one class and route.
+
+    :ivar slowness: times to first token in parts of the expected ones.
+    :ivar gap: times between tokens in seconds.
+    """
 
     samples: deque[Sample] = field(default_factory=lambda: deque(maxlen=WINDOW))
-    first_token: Latencies = field(default_factory=Latencies)
+    slowness: Latencies = field(default_factory=Latencies)
     gap: Latencies = field(default_factory=Latencies)
-    total: int = 0
+    line: WorkLine = field(default_factory=WorkLine)
 
     def add(self, sample: Sample) -> None:
         """Adds an answer."""
         self.samples.append(sample)
-        self.total += 1
-        if sample.first_token_s is not None:
-            self.first_token.add(sample.first_token_s)
+        ratio = self.slowness_of(sample)
+        if ratio is not None:
+            self.slowness.add(ratio)
+            self.line.add(sample.work_tokens, sample.first_token_s)
         if sample.gap_s is not None:
             self.gap.add(sample.gap_s)
 
+    def slowness_of(self, sample: Sample) -> float | None:
+        """Returns an answer's time to first token in parts of what this version would take."""
+        if sample.first_token_s is None or sample.work_tokens is None:
+            return None
+        return sample.first_token_s / self.line.expected_s(sample.work_tokens)
+
     @property
     def failures(self) -> int:
         """Returns the failures in the window."""
--- a/packages/arbutustally/src/arbutustally/versions.py
+++ b/packages/arbutustally/src/arbutustally/versions.py
@@ -16,11 +16,11 @@
 STEPS = (0.01, 0.05, 0.25, 0.5, 1.0)
 #: Answers of the new version that a step needs before the next one.
 STEP_ANSWERS = 8
-#: Steps with less time than planned left need this part of the answers that their share of the
+#: Small steps of a move with a deadline need this part of the answers that their share of the
 #: traffic should have given; none at all then means that the version does not answer.
 EXPECTED_PART = 0.5
 #: Share of the old version's answers from which a route must be seen on the new version too, the
-#: answers needed there, and the share from which they are needed: at 1% a small route would take
+#: answers needed there (one in a move with a deadline), and the share from which they are needed: at 1% a small route would take
 #: thousands of requests to show.
 ROUTE_SHARE = 0.02
 ROUTE_ANSWERS = 4
@@ -248,9 +248,10 @@
             return False
         answers = _answers(evidence.new) - self._new_before
         if view.move.share < ROUTE_FROM_SHARE:
-            late = view.deadline is not None and now - self._seen_at >= 2 * planned
-            return answers >= (self._expected(view, evidence) if late else STEP_ANSWERS)
-        return answers >= STEP_ANSWERS and _routes_seen(evidence)
+            hurried = view.deadline is not None
+            return answers >= (self._expected(view, evidence) if hurried else STEP_ANSWERS)
+        needed = ROUTE_ANSWERS if view.deadline is None else 1
+        return answers >= STEP_ANSWERS and _routes_seen(evidence, needed)
 
     def _expected(self, view: MoveView, evidence: FleetEvidence) -> float:
         """Returns the answers that show, at little traffic, that the new version answers at all."""
@@ -283,11 +284,11 @@
     return Tally()
 
 
-def _routes_seen(evidence: FleetEvidence) -> bool:
+def _routes_seen(evidence: FleetEvidence, needed: int) -> bool:
     total = _answers(evidence.old)
     seen = {(key.class_name, key.route): tally.answers for key, tally in evidence.new.items()}
     return all(
-        seen.get((key.class_name, key.route), 0) >= ROUTE_ANSWERS
+        seen.get((key.class_name, key.route), 0) >= needed
         for key, tally in evidence.old.items()
         if tally.answers >= ROUTE_SHARE * total
     )
