--- a/tests/test_move_controller.py
+++ b/tests/test_move_controller.py
@@ -25,7 +25,7 @@
 OLD_KEY = EvidenceKey(MODEL, "1", "chat", "chat")
 TRIP = Trip(KEY, "failures", 3, 3, 0.02)
 LEASE_S = 10.0
-MAX_LOADS = 2
+MAX_LOADS = 1
 BASELINE = MoveStep(MODEL, "1", "", "done", 1.0, 0)
 
 
@@ -127,6 +127,16 @@
         if self.log[-1].share > 0:
             self.answers += count
 
+    @rule(number=st.integers(0, 1))
+    def run_quietly(self, number: int) -> None:
+        """A holder works for a while without faults, so that moves come far."""
+        for _ in range(4):
+            self.renew(number)
+            self.wait(5.0)
+            self.read(number)
+            self.serve(10)
+            self.act(number)
+
     @rule(down=st.booleans())
     def set_log(self, down: bool) -> None:
         self.log_down = down
@@ -225,6 +235,19 @@
         self.assertEqual(controller.step(state, evidence(), 14.9), [])
         self.assertEqual(controller.step(state, evidence(), 15.0), [OrderLoad("w0", "2", 1)])
 
+    def test_share_waits_for_endpoints_and_loads_are_bounded(self) -> None:
+        """Guards against a share that one endpoint has to carry, and against loading all at once."""
+        endpoints = tuple(
+            EndpointVersions(f"w{number}", frozenset({"1"} if number else {"1", "2"}), True)
+            for number in range(4)
+        )
+        raised = MoveStep(MODEL, "2", "1", "raised", 0.5, 1)
+        controller = MoveController()
+        state = view(move=raised, endpoints=endpoints)
+        controller.step(state, evidence(0), 0.0)
+        actions = controller.step(state, evidence(500), 100.0)
+        self.assertEqual(actions, [OrderLoad("w1", "2", 1)])
+
     def test_previous_version_declared_again_takes_back(self) -> None:
         """Guards against an operator who cannot call a move off."""
         raised = MoveStep(MODEL, "2", "1", "raised", 0.25, 1)
