--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -212,7 +212,7 @@
     def _ask_owner(self, result: Result, node: _Node, give_up: float, sent_at: float) -> None:
         call, now = result.call, self._loop.clock()
         owner = self._owners[call.account]
-        apply_reports(owner, node.pool.reports(call.account))
+        apply_reports(owner, node.pool.reports(call.account, 0))
         grant = owner.grant(node.name.id, call.tokens, now + GRANT_S)
         if grant is not None:
             node.pool.add(received(grant, GRANT_S, sent_at))
--- a/packages/arbutustally/src/arbutustally/breaker.py
+++ b/packages/arbutustally/src/arbutustally/breaker.py
@@ -20,9 +20,10 @@
 TRIP_PROBABILITY = 1e-4
 #: A slow answer takes this many times the old version's 95th percentile.
 SLOW_FACTOR = 1.5
-#: Share of slow answers that is accepted; by the factor it is less than 5% for the old version.
-#: Three slow answers in three are then below ``TRIP_PROBABILITY``.
-TOLERATED_SLOW = 0.04
+#: Share of slow answers that is accepted. A good version starts with cold caches on few endpoints,
+#: which made 13 of 88 answers slow in the replay; five slow answers in five are below
+#: ``TRIP_PROBABILITY``.
+TOLERATED_SLOW = 0.15
 #: Most answers of a slow version take this many times the old version's median. A cold cache makes
 #: a third of the answers of a good version slow, as its prefills stand between the tokens of other
 #: requests, so times between tokens are judged by this alone.
