--- a/packages/arbutustally-cli/src/arbutustally_cli/main.py
+++ b/packages/arbutustally-cli/src/arbutustally_cli/main.py
@@ -167,7 +167,8 @@
     try:
         return _run(parser, arguments, flags, environment, screen)
     except RouterError as error:
-        screen.note(f"arbutustally: {error.message}")
+        ran = str(error.ran).replace("_", " ")
+        screen.note(f"arbutustally: {error.message} ({error.code}, {ran})")
         return exit_code_of(error)
 
 
--- a/packages/arbutustally-node/src/arbutustally_node/fleet.py
+++ b/packages/arbutustally-node/src/arbutustally_node/fleet.py
@@ -61,12 +61,9 @@
             },
             "keys": len(state.keys()),
             "claims": state.claims_held,
-            "leases": [entry.name for entry in state.leases() if self._holds(entry)],
+            "leases": log.held_leases(),
         }
 
-    def _holds(self, entry: Any) -> bool:
-        return entry.holder == self._options.holder and not entry.released
-
     def _is_draining(self) -> bool:
         membership = self.service("membership")
         return membership is not None and membership.draining
--- a/packages/arbutustally-node/src/arbutustally_node/log_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_service.py
@@ -166,6 +166,10 @@
         """
         return self._view.install(snapshot)
 
+    def held_leases(self) -> list[str]:
+        """Returns the names of the leases under which this node may act now."""
+        return sorted(name for name, hold in self._holds.items() if hold.valid())
+
     def hold(
         self,
         name: str,
--- a/packages/arbutustally-node/src/arbutustally_node/log_writer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_writer.py
@@ -223,8 +223,9 @@
 
 
 def _unavailable(what: str, ran: Ran) -> LogUnavailableError:
+    remedy = "retry" if ran == Ran.NOT_RUN else "it may have run, so look before it is repeated"
     return LogUnavailableError(
-        f"{what}; retry, and look at the history first if it may have run",
+        f"{what}; {remedy}",
         ran=ran,
         retry_after_s=_RETRY_LAST_S,
     )
