Let grants live for half the time in which the burst refills

Cause: unused tokens return only to a live grant, and requests of 3 s outlived grants of 2.5 s. A longer grant binds more of the burst while requests run.

--- a/packages/arbutustally/src/arbutustally/limit_issuer.py
+++ b/packages/arbutustally/src/arbutustally/limit_issuer.py
@@ -11,10 +11,10 @@
 
 #: Longest and shortest lifetime of a grant, seconds. Long ones let unused tokens of finished
 #: requests return, short ones free the level of tokens that a holder does not use.
-MAX_LIFETIME_S = 5.0
+MAX_LIFETIME_S = 10.0
 MIN_LIFETIME_S = 0.5
 #: Lifetime as part of the time in which the burst refills: outstanding grants bind the level.
-LIFETIME_OF_REFILL = 0.25
+LIFETIME_OF_REFILL = 0.5
 #: Part of the level beyond the need that one holder may fetch ahead; the rest serves the others.
 AHEAD_FRACTION = 0.25
 #: Time constant of the average of recent use, seconds.
