--- a/packages/arbutustally-node/src/arbutustally_node/caller_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_http.py
@@ -27,7 +27,13 @@
     secret_of,
 )
 from arbutustally_node.explain import Trace
-from arbutustally_node.http_server import SOCKET_VARIABLE, Server, error_body, serve
+from arbutustally_node.http_server import (
+    ON_END_VARIABLE,
+    SOCKET_VARIABLE,
+    Server,
+    error_body,
+    serve,
+)
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.model_request import parse_model_request
 from arbutustally_node.options import Options
@@ -49,15 +55,14 @@
 class CallerHttp:
     """Serves callers.
 
-    :param kernel: finds ``log``, ``keys``, ``streams``, ``bookings``, ``directory``, ``explain``
-        and ``metrics``.
+    :param kernel: finds ``log``, ``keys``, ``streams``, ``bookings``, ``directory``, ``explain``,
+        ``membership`` and ``metrics``.
     """
 
     def __init__(self, kernel: Kernel, options: Options) -> None:
         self._kernel = kernel
         self._options = options
         self._server: Server | None = None
-        self._draining = False
         self._logger = get_logger("caller_http")
         self._app = self._build()
 
@@ -92,8 +97,7 @@
             self._server.stop()
 
     def drain(self) -> None:
-        """Fails ``/readyz`` and closes connections after their next answer; requests still run."""
-        self._draining = True
+        """Closes connections after their next answer; requests still run."""
         if self._server is not None:
             self._server.drain()
 
@@ -114,9 +118,9 @@
         return _json(200, {"status": "ok"}, "")
 
     def _readyz(self) -> bottle.HTTPResponse:
-        if self._draining:
+        if self._kernel.lookup("membership").draining:
             return self._error(DrainingError("the node is shutting down; use another node"), "")
-        if not self._kernel.lookup("log").ready:
+        if not self._is_configured():
             return self._error(_no_configuration(), "")
         return _json(200, {"status": "ready"}, "")
 
@@ -149,6 +153,8 @@
         declarations = self._declarations()
         if request.model not in declarations.models:
             raise ModelUnknownError("the model is not declared; see GET /v1/models for the names")
+        watch = CallerWatch(environ.get(SOCKET_VARIABLE))
+        environ.get(ON_END_VARIABLE, []).append(watch.stop)
         call = ModelCall(
             request_id=trace.request_id,
             account=account,
@@ -164,16 +170,16 @@
             output_tokens=request.output_tokens,
             digest=digest_request(path, body),
             trace=trace,
-            watch=CallerWatch(environ.get(SOCKET_VARIABLE)),
+            watch=watch,
             last_event_id=environ.get("HTTP_LAST_EVENT_ID", "") if request.stream else "",
         )
         streams = self._kernel.lookup("streams")
         if not request.stream:
-            return _json(200, streams.complete_whole(call), trace.request_id, self._summary(trace))
+            return _json(200, streams.complete_whole(call), trace.request_id)
         events = streams.complete(call)
         first = next(events)
         headers = {"Content-Type": _EVENTS, "Cache-Control": "no-cache"}
-        headers |= {_REQUEST_ID: trace.request_id} | self._summary(trace)
+        headers[_REQUEST_ID] = trace.request_id
         return bottle.HTTPResponse(_EventBody(first, events, self, trace), 200, headers)
 
     def _plain(self, trace: Trace, name: str, route: Any) -> bottle.HTTPResponse:
@@ -199,7 +205,7 @@
             trace=trace,
         )
         answer = self._kernel.lookup("bookings").submit(call)
-        headers = dict(answer.headers) | {_REQUEST_ID: trace.request_id} | self._summary(trace)
+        headers = dict(answer.headers) | {_REQUEST_ID: trace.request_id}
         return bottle.HTTPResponse(answer.body, answer.status, headers)
 
     # Parts of all handlers.
@@ -209,9 +215,13 @@
         trace = explain.begin(explain.new_request_id(), "", name)
         try:
             check_query(bottle.request.environ.get("QUERY_STRING", ""))
-            if not self._kernel.lookup("log").ready:
+            if self._kernel.lookup("membership").draining:
+                self.drain()
+            if not self._is_configured():
                 raise _no_configuration()
-            return handler(trace)
+            response = handler(trace)
+            response.headers.update(self._summary(trace))
+            return response
         except RouterError as error:
             self.refuse(trace, error)
             return self._error(error, trace.request_id, self._summary(trace))
@@ -253,6 +263,10 @@
             )
         return found
 
+    def _is_configured(self) -> bool:
+        log = self._kernel.lookup("log")
+        return log.ready and log.state.version >= 0
+
     def _declarations(self) -> Any:
         return self._kernel.lookup("log").state.declarations
 
--- a/packages/arbutustally-node/src/arbutustally_node/framing.py
+++ b/packages/arbutustally-node/src/arbutustally_node/framing.py
@@ -10,15 +10,15 @@
 
 #: Longest chunk size line, extensions included.
 MAX_CHUNK_LINE_BYTES = 256
-_HEX = frozenset(b"0123456789abcdefABCDEF")
+MAX_SIZE_DIGITS = 8
+_HEX = b"0123456789abcdefABCDEF"
 
 
 class _Part(Enum):
     SIZE = 0
-    DATA = 1
-    END = 2
-    TRAILER = 3
-    DONE = 4
+    END = 1
+    TRAILER = 2
+    DONE = 3
 
 
 class ChunkedBody:
@@ -44,6 +44,16 @@
 
         :raises EndpointFailedError: if the coding is malformed.
         """
+        if self._part is _Part.SIZE and not self._line:
+            # A paced stream delivers exactly one chunk a read.
+            end = data.find(b"\r\n", 0, MAX_SIZE_DIGITS + 2)
+            if end > 0 and (head := data[:end]).isalnum():
+                size = _size(head)
+                if size and len(data) == end + size + 4 and data.endswith(b"\r\n"):
+                    return data[end + 2 : -2]
+        return self._feed(data)
+
+    def _feed(self, data: bytes) -> bytes:
         if self._line:
             data = self._line + data
             self._line = b""
@@ -51,38 +61,33 @@
         at = 0
         size = len(data)
         while at < size and self._part is not _Part.DONE:
-            if self._part is _Part.DATA:
+            if self._left:
                 piece = data[at : at + self._left]
                 out.append(piece)
                 at += len(piece)
                 self._left -= len(piece)
-                if not self._left:
-                    self._part = _Part.END
                 continue
             end = data.find(b"\r\n", at)
             if end < 0:
                 break
             self._take_line(data[at:end])
             at = end + 2
-        self._line = data[at:]
-        if not self.done and len(self._line) > MAX_CHUNK_LINE_BYTES:
-            raise _malformed()
+        if at < size:
+            self._line = data[at:]
+            if len(self._line) > MAX_CHUNK_LINE_BYTES and not self.done:
+                raise _malformed()
         return out[0] if len(out) == 1 else b"".join(out)
 
     def _take_line(self, line: bytes) -> None:
-        if self._part is _Part.END:
+        if self._part is _Part.SIZE:
+            self._left = _size(line if line.isalnum() else line.partition(b";")[0].rstrip(b" \t"))
+            self._part = _Part.END if self._left else _Part.TRAILER
+        elif self._part is _Part.END:
             if line:
                 raise _malformed()
             self._part = _Part.SIZE
-        elif self._part is _Part.TRAILER:
-            if not line:
-                self._part = _Part.DONE
-        else:
-            digits = line.partition(b";")[0].rstrip(b" \t")
-            if not 0 < len(digits) <= 8 or not _HEX.issuperset(digits):
-                raise _malformed()
-            self._left = int(digits, 16)
-            self._part = _Part.DATA if self._left else _Part.TRAILER
+        elif not line:
+            self._part = _Part.DONE
 
 
 class SizedBody:
@@ -121,6 +126,13 @@
         return data
 
 
+def _size(digits: bytes) -> int:
+    # ``int`` alone would accept signs, spaces, underscores and the prefix 0x.
+    if not digits or digits.strip(_HEX) or len(digits) > MAX_SIZE_DIGITS:
+        raise _malformed()
+    return int(digits, 16)
+
+
 def _malformed() -> EndpointFailedError:
     return EndpointFailedError(
         "the endpoint's chunked coding is malformed; check the endpoint", ran=Ran.MAY_HAVE_RUN
--- a/packages/arbutustally/src/arbutustally/declarations.py
+++ b/packages/arbutustally/src/arbutustally/declarations.py
@@ -168,6 +168,18 @@
     return change_items(Declarations(), items, ())
 
 
+def restore_items(items: Mapping[str, Any]) -> Declarations:
+    """Builds declarations that were accepted before, possibly by a release with other rules.
+
+    :raises ConfigurationInvalidError: if an item does not have the fields of its section.
+    """
+    sections: dict[str, dict[str, Any]] = {section: {} for section in _SECTIONS}
+    for item, fields in items.items():
+        section, name = _split(item)
+        sections[section][name] = structure_item(item, fields, _SECTIONS[section])
+    return Declarations(**sections)
+
+
 def change_items(
     declarations: Declarations, set_items: Mapping[str, Any], remove: tuple[str, ...]
 ) -> Declarations:
@@ -180,7 +192,7 @@
     touched: dict[str, dict[str, Any]] = {}
     for item in remove:
         section, name = _split(item)
-        entries = touched.setdefault(section, dict(getattr(declarations, section)))
+        entries = _copied(touched, declarations, section)
         if name not in entries:
             raise ConfigurationInvalidError(
                 f"{item} cannot be removed because it is not declared; read the current "
@@ -189,7 +201,7 @@
         del entries[name]
     for item, fields in set_items.items():
         section, name = _split(item)
-        entries = touched.setdefault(section, dict(getattr(declarations, section)))
+        entries = _copied(touched, declarations, section)
         value = structure_item(item, fields, _SECTIONS[section])
         check_item(item, value)
         entries[name] = value
@@ -202,6 +214,15 @@
     return changed
 
 
+def _copied(
+    touched: dict[str, dict[str, Any]], declarations: Declarations, section: str
+) -> dict[str, Any]:
+    """Returns the copy of a section that this change works on, made once per change."""
+    if section not in touched:
+        touched[section] = dict(getattr(declarations, section))
+    return touched[section]
+
+
 def diff(old_items: Mapping[str, Any], new_items: Mapping[str, Any]) -> Difference:
     """Compares two sets of items in normal form."""
     names = sorted(set(old_items) | set(new_items))
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -2,13 +2,21 @@
 
 import math
 import unittest
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, invariant, rule
 
+from arbutustally import claim_table, declarations
+from arbutustally.bookings import BODY_DROPPED
 from arbutustally.checkpoint import CheckpointAssembler, split_snapshot
-from arbutustally.errors import BadRequestError, Ran, SnapshotInvalidError
+from arbutustally.errors import (
+    BadRequestError,
+    ConfigurationInvalidError,
+    Ran,
+    SnapshotInvalidError,
+)
 from arbutustally.records import (
     Change,
     Claim,
@@ -207,62 +215,21 @@
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
     max_leaves=8,
 )
-FIELDS = st.sampled_from(
-    [
-        "base",
-        "set",
-        "remove",
-        "author",
-        "key_id",
-        "digest",
-        "account",
-        "name",
-        "holder",
-        "release",
-        "shard",
-        "slot",
-        "key",
-        "request_digest",
-        "key_time_s",
-        "ran",
-        "status",
-        "content_type",
-        "body",
-        "model",
-        "version",
-        "previous",
-        "step",
-        "share",
-        "fence",
-        "evidence",
-        "upto",
-        "part",
-        "parts",
-        "data",
-    ]
-)
-KINDS = st.sampled_from(
-    [
-        "change",
-        "key_issue",
-        "key_withdraw",
-        "lease",
-        "share",
-        "claim",
-        "outcome",
-        "move",
-        "checkpoint",
-        "other",
-    ]
-)
 VALID = {
-    "change": {"base": -1, "set": {"accounts/a": ACCOUNT}},
+    "change": {"base": -1, "set": {"accounts/a": ACCOUNT}, "remove": [], "author": "x"},
     "key_issue": {"key_id": "k", "digest": "0" * 64, "account": "a"},
     "key_withdraw": {"key_id": "k"},
-    "lease": {"name": "move/m", "holder": "n", "base": -1},
+    "lease": {"name": "move/m", "holder": "n", "base": -1, "release": False},
     "share": {"shard": 0, "slot": 0, "holder": "n", "base": -1},
     "claim": {"key": "k", "request_digest": "d", "holder": "n", "key_time_s": 5.0},
-    "outcome": {"key": "k", "ran": "ran"},
+    "outcome": {
+        "key": "k",
+        "ran": "ran",
+        "status": 200,
+        "content_type": "",
+        "body": "",
+        "claim": -1,
+    },
     "move": {
         "model": "m",
         "version": "v",
@@ -270,9 +237,12 @@
         "step": "started",
         "share": 0,
         "fence": 0,
+        "evidence": {},
     },
     "checkpoint": {"upto": 1, "part": 0, "parts": 1, "data": "x"},
 }
+KINDS = st.sampled_from([*VALID, "other"])
+FIELDS = st.sampled_from(sorted({name for body in VALID.values() for name in body}))
 
 
 class HostileRecordTest(unittest.TestCase):
@@ -328,6 +298,43 @@
         self.assertTrue(state.apply(1, wrap(Change(-1, {"accounts/a": ACCOUNT}))).accepted)
         self.assertFalse(state.apply(2, issue).accepted)
 
+    def test_repeat_of_a_move_step_stays_without_effect(self) -> None:
+        """Guards against traffic that goes back to an earlier share of a bad version."""
+        state = ControlState()
+        state.apply(0, wrap(LeaseRecord("move/m", "n1#1", -1)))
+        start = wrap(MoveStep("m", "v2", "v1", "started", 0.01, 0))
+        self.assertTrue(state.apply(1, start).accepted)
+        back = wrap(MoveStep("m", "v2", "v1", "taken_back", 0.0, 0))
+        self.assertTrue(state.apply(2, back).accepted)
+        self.assertEqual(state.apply(3, start).reason, Reason.DUPLICATE)
+        self.assertEqual(state.move("m").step, "taken_back")
+
+    def test_claim_without_a_usable_time_is_refused(self) -> None:
+        """Guards against one record that ends the booking window for all keys."""
+        state = ControlState()
+        for offset, key_time_s in enumerate((math.inf, math.nan, -math.inf)):
+            verdict = state.apply(offset, wrap(Claim("k", "d", "n1", key_time_s)))
+            self.assertEqual(verdict.reason, Reason.MALFORMED)
+        self.assertTrue(state.apply(9, wrap(Claim("k", "d", "n1", 5.0))).accepted)
+
+    def test_oldest_answers_are_dropped_the_same_way_everywhere(self) -> None:
+        """Guards against answers of bookings that fill the memory of every node."""
+        self.addCleanup(setattr, claim_table, "MAX_KEPT_CHARACTERS", 8 << 20)
+        claim_table.MAX_KEPT_CHARACTERS = 100
+        one, other = ControlState(), ControlState()
+        for number in range(5):
+            claim = wrap(Claim(f"k{number}", "d", "n1", 1.0 + number))
+            outcome = wrap(Outcome(f"k{number}", Ran.RAN, 200, "text/plain", "x" * 40, 2 * number))
+            for state in (one, other):
+                state.apply(2 * number, claim)
+                state.apply(2 * number + 1, outcome)
+            other = ControlState.restore(other.snapshot())
+        self.assertEqual(one.snapshot(), other.snapshot())
+        kept = [one.claim(f"k{number}").outcome.body != "" for number in range(5)]
+        self.assertEqual(kept, [False, False, False, True, True])
+        self.assertEqual(one.claim("k0").outcome.content_type, BODY_DROPPED)
+        self.assertEqual(one.claim("k0").outcome.status, 200)
+
     def test_outcome_turns_from_unknown_to_known_only(self) -> None:
         """Guards against a late record that hides an answer or frees a dispatched booking."""
         state = ControlState()
@@ -354,6 +361,13 @@
         with self.assertRaises(SnapshotInvalidError):
             ControlState.restore(bytes(damaged))
 
+    def test_accepted_configuration_outlives_a_tighter_rule(self) -> None:
+        """Guards against an upgrade after which no node can load its snapshot."""
+        refusal = ConfigurationInvalidError("a rule of a later release")
+        with patch.object(declarations, "check_item", side_effect=refusal):
+            restored = ControlState.restore(self.data)
+        self.assertEqual(len(restored.declarations.accounts), 50)
+
     def test_cut_and_foreign_data_is_refused(self) -> None:
         wrong = encode_snapshot({"offset": "x"}), encode_snapshot([1]), b"", self.data[:-1]
         for data in (*wrong, self.data + b"x", b"PK" + self.data):
