--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -30,6 +30,7 @@
     dial_handshake,
     listen_handshake,
 )
+from arbutustally_node.serial_window import SerialWindow
 
 #: Interval in which broadcasts of other groups are passed on in one frame, seconds.
 FORWARD_INTERVAL_S = 0.25
@@ -41,8 +42,6 @@
 IDLE_LINK_S = 60.0
 #: Origins whose broadcast serials are remembered.
 MAX_ORIGINS = 4096
-#: Serials remembered for each origin, enough for the events of the slower of two paths.
-WINDOW = 64
 #: The node with the larger id dials only if the other has not linked after this time, seconds.
 DIAL_GRACE_S = 3.0
 #: Connections that may be unauthenticated at the same time.
@@ -449,30 +448,3 @@
             link = self._links.get(node_id)
             if link is not None:
                 link.post(data)
-
-
-class SerialWindow:
-    """Remembers which serials of one origin incarnation have arrived."""
-
-    def __init__(self, incarnation: str) -> None:
-        self._incarnation = incarnation
-        self._highest = -1
-        self._mask = 0
-
-    @property
-    def incarnation(self) -> str:
-        """Returns the incarnation whose serials these are."""
-        return self._incarnation
-
-    def accept(self, serial: int) -> bool:
-        """Returns whether the serial is new; one too old to tell is not."""
-        if serial > self._highest:
-            self._mask = (self._mask << min(serial - self._highest, WINDOW)) | 1
-            self._mask &= (1 << WINDOW) - 1
-            self._highest = serial
-            return True
-        age = self._highest - serial
-        if age >= WINDOW or self._mask >> age & 1:
-            return False
-        self._mask |= 1 << age
-        return True
--- a/packages/arbutustally/src/arbutustally/peer_protocol.py
+++ b/packages/arbutustally/src/arbutustally/peer_protocol.py
@@ -14,6 +14,7 @@
 
 import cbor2
 
+from arbutustally.cbor_bounds import check_bounds, rejected
 from arbutustally.errors import PeerRejectedError
 
 PROTOCOL_VERSION = 1
@@ -21,10 +22,6 @@
 MAX_FRAME_BYTES = 1 << 20
 #: Largest message before authentication, in bytes; a stranger can make a node hold no more.
 MAX_HANDSHAKE_BYTES = 1024
-#: Deepest nesting of a message; the deepest typed message needs 6 levels.
-MAX_DEPTH = 16
-#: Most CBOR items of a message; it bounds the memory that a frame of one-byte items decodes to.
-MAX_ITEMS = 1 << 16
 NONCE_BYTES = 32
 SEQUENCE_BYTES = 8
 MAC_BYTES = 16
@@ -133,12 +130,6 @@
 _CODE_OF = {cls: code for code, cls in _CODES.items()}
 
 
-def _rejected(what: str) -> PeerRejectedError:
-    return PeerRejectedError(
-        f"{what}; check that both nodes run compatible versions and share a peer secret"
-    )
-
-
 def encode(message: Message) -> bytes:
     """Returns the CBOR form.
 
@@ -167,7 +158,7 @@
     :raises PeerRejectedError: if the data is not exactly one well-formed message.
     """
     if len(data) > MAX_FRAME_BYTES:
-        raise _rejected(f"a peer message has {len(data)} bytes, more than {MAX_FRAME_BYTES}")
+        raise rejected(f"a peer message has {len(data)} bytes, more than {MAX_FRAME_BYTES}")
     check_bounds(data)
     try:
         items = cbor2.loads(data)
@@ -178,7 +169,7 @@
             return Events(tuple(_build(Event, event) for event in raw))
         return _build(cls, values)
     except (cbor2.CBORError, ValueError, TypeError, KeyError, OverflowError) as error:
-        raise _rejected(f"a peer message is malformed ({type(error).__name__})") from None
+        raise rejected(f"a peer message is malformed ({type(error).__name__})") from None
 
 
 _CHECKS: dict[Any, Callable[[Any], bool]] = {
@@ -203,51 +194,6 @@
     return cls(*checked)
 
 
-def check_bounds(data: bytes) -> None:
-    """Walks the item heads and compares each declared length with what is left.
-
-    Only definite lengths and plain types are accepted: no tags, no indefinite items, so a few
-    bytes cannot make the decoder reserve or build more than the frame itself holds.
-
-    :raises PeerRejectedError: on the first item that breaks a bound.
-    """
-    position = 0
-    size = len(data)
-    items = 0
-    # Items still expected at each open level.
-    open_items = [1]
-    while open_items:
-        if open_items[-1] == 0:
-            open_items.pop()
-            continue
-        open_items[-1] -= 1
-        items += 1
-        if items > MAX_ITEMS or position >= size:
-            raise _rejected("a peer message is truncated or has too many items")
-        major, info = data[position] >> 5, data[position] & 0x1F
-        position += 1
-        argument = info
-        if info >= 24:
-            width = {24: 1, 25: 2, 26: 4, 27: 8}.get(info, size)
-            if position + width > size:
-                raise _rejected("a peer message has a truncated or indefinite item")
-            argument = int.from_bytes(data[position : position + width], "big")
-            position += width
-        if major in (2, 3):
-            if argument > size - position:
-                raise _rejected("a peer message declares a string longer than itself")
-            position += argument
-        elif major in (4, 5):
-            count = argument * 2 if major == 5 else argument
-            if count > size - position or len(open_items) >= MAX_DEPTH:
-                raise _rejected("a peer message declares more items than it holds or nests deeply")
-            open_items.append(count)
-        elif major == 6:
-            raise _rejected("a peer message has a tagged item")
-    if position != size:
-        raise _rejected("a peer message has trailing bytes")
-
-
 class SecureChannel:
     """Seals and opens the frames of one link.
 
@@ -278,12 +224,12 @@
         :raises PeerRejectedError: if the frame is too short, too long, altered, or not the next.
         """
         if not FRAME_OVERHEAD_BYTES <= len(frame) <= MAX_FRAME_BYTES:
-            raise _rejected(f"a peer frame has a length of {len(frame)} bytes")
+            raise rejected(f"a peer frame has a length of {len(frame)} bytes")
         body, mac = frame[:-MAC_BYTES], frame[-MAC_BYTES:]
         if not hmac.compare_digest(mac, _mac(self._receive_mac, body)):
-            raise _rejected("a peer frame has a wrong MAC")
+            raise rejected("a peer frame has a wrong MAC")
         if int.from_bytes(body[:SEQUENCE_BYTES], "big") != self._received:
-            raise _rejected("a peer frame is out of sequence")
+            raise rejected("a peer frame is out of sequence")
         self._received += 1
         return body[SEQUENCE_BYTES:]
 
@@ -339,7 +285,7 @@
     def peer(self) -> Identity:
         """Returns the other end; valid after ``prove`` or ``finish`` has returned."""
         if self._peer is None:
-            raise _rejected("the peer has not proved its identity")
+            raise rejected("the peer has not proved its identity")
         return self._peer
 
     def hello(self) -> bytes:
@@ -355,7 +301,7 @@
         """
         hello = _expect(Hello, data)
         if hello.version != PROTOCOL_VERSION:
-            raise _rejected(f"the peer speaks protocol version {hello.version}")
+            raise rejected(f"the peer speaks protocol version {hello.version}")
         peer = Identity(hello.node_id, hello.incarnation)
         self._refuse_self(peer)
         self._transcript = _transcript(peer, self._identity, hello.nonce, self._nonce)
@@ -373,7 +319,7 @@
         peer = Identity(challenge.node_id, challenge.incarnation)
         self._refuse_self(peer)
         if peer.node_id != expected_node_id:
-            raise _rejected(f"node {peer.node_id!r} answered for {expected_node_id!r}")
+            raise rejected(f"node {peer.node_id!r} answered for {expected_node_id!r}")
         self._transcript = _transcript(self._identity, peer, self._nonce, challenge.nonce)
         for secret in self._secrets:
             expected = _proof(secret, "listen", self._transcript)
@@ -381,7 +327,7 @@
                 self._peer = peer
                 proof = encode(Proof(_proof(secret, "dial", self._transcript)))
                 return proof, self._channel(secret, "dial", "listen")
-        raise _rejected("the peer shares no secret with this node")
+        raise rejected("the peer shares no secret with this node")
 
     def finish(self, data: bytes) -> SecureChannel:
         """Checks the proof and returns the listening node's channel.
@@ -390,17 +336,17 @@
         """
         proof = _expect(Proof, data)
         if not self._transcript:
-            raise _rejected("a proof came before the hello")
+            raise rejected("a proof came before the hello")
         for secret in self._secrets:
             if hmac.compare_digest(_proof(secret, "dial", self._transcript), proof.proof):
                 self._peer = Identity(self._transcript[0], self._transcript[1])
                 return self._channel(secret, "listen", "dial")
-        raise _rejected("the peer shares no secret with this node")
+        raise rejected("the peer shares no secret with this node")
 
     def _refuse_self(self, peer: Identity) -> None:
         # A reflected handshake would otherwise authenticate this node to itself.
         if peer.node_id == self._identity.node_id:
-            raise _rejected("the peer uses this node's own id")
+            raise rejected("the peer uses this node's own id")
 
     def _channel(self, secret: bytes, own_role: str, peer_role: str) -> SecureChannel:
         return SecureChannel(
@@ -411,12 +357,12 @@
 
 def _expect(cls: type, data: bytes) -> Any:
     if len(data) > MAX_HANDSHAKE_BYTES:
-        raise _rejected(f"a handshake message has {len(data)} bytes")
+        raise rejected(f"a handshake message has {len(data)} bytes")
     message = decode(data)
     if type(message) is not cls:
-        raise _rejected(f"expected {cls.__name__} in the handshake")
+        raise rejected(f"expected {cls.__name__} in the handshake")
     if isinstance(message, Hello | Challenge) and len(message.nonce) != NONCE_BYTES:
-        raise _rejected("a handshake nonce has a wrong length")
+        raise rejected("a handshake nonce has a wrong length")
     return message
 
 
--- a/tests/test_peer_protocol.py
+++ b/tests/test_peer_protocol.py
@@ -7,11 +7,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from arbutustally.cbor_bounds import MAX_ITEMS
 from arbutustally.errors import PeerRejectedError
 from arbutustally.peer_protocol import (
     MAX_FRAME_BYTES,
     MAX_HANDSHAKE_BYTES,
-    MAX_ITEMS,
     Call,
     Challenge,
     Event,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,7 +16,8 @@
 from arbutustally.peer_protocol import Call, Event, Events, Handshake, SecureChannel, encode
 from arbutustally.topology import group_of, plan
 from arbutustally_node import peer_link, peers
-from arbutustally_node.peers import PEER_REJECTED, WINDOW, PeersService, SerialWindow
+from arbutustally_node.peers import PEER_REJECTED, PeersService
+from arbutustally_node.serial_window import WINDOW, SerialWindow
 from tests.node_options import REQUIRED, options
 
 SECRET = REQUIRED["peer_secret"]
