Return the body budget when a caller leaves inside a body

Found by tests.test_http_server: each such caller kept its bytes for good, so a node would have refused all bodies after 128 MiB of them. Silence is answered with one resumption in place of two before another engine is tried.

--- a/packages/arbutustally-node/src/arbutustally_node/http_server.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_server.py
@@ -85,6 +85,14 @@
         self._reader = server.new_reader(sock)
         self._on_end: list[Callable[[], None]] = []
 
+    def handle(self) -> None:
+        """Serves the connection to its end."""
+        try:
+            super().handle()
+        finally:
+            # A caller that leaves inside a body must not keep its share of the budget.
+            self._reader.release()
+
     def handle_one_request(self) -> Any:
         """Reads one request and answers it."""
         try:
@@ -220,6 +228,11 @@
             self._options.body_timeout_s,
         )
 
+    @property
+    def held_bytes(self) -> int:
+        """Returns the bytes of request bodies that are held."""
+        return self._budget.held
+
     def running(self) -> _Running:
         """Returns the context in which a request is answered."""
         return self._running
@@ -246,6 +259,11 @@
         """Returns the number of requests that are being answered."""
         return self._wsgi.running().count
 
+    @property
+    def held_bytes(self) -> int:
+        """Returns the bytes of request bodies that are held."""
+        return self._wsgi.held_bytes
+
     def drain(self) -> None:
         """Answers on, but closes each connection after its next answer."""
         self._wsgi.draining = True
--- a/packages/arbutustally-node/src/arbutustally_node/stream_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_run.py
@@ -35,6 +35,8 @@
 
 #: Resumptions of one stream that bring no token before another engine is tried.
 MAX_IDLE_RESUMES = 2
+#: The same after silence; each one may cost the longest accepted silence again.
+MAX_SILENT_RESUMES = 1
 DONE = b"data: [DONE]\n\n"
 
 
@@ -254,16 +256,16 @@
         link.response.close()
         if fault is Fault.OTHER_INCARNATION:
             self._dispatcher.lost(link.endpoint, link.incarnation)
-        elif self._resume(link):
+        elif self._resume(link, MAX_SILENT_RESUMES if fault is Fault.SILENT else MAX_IDLE_RESUMES):
             return link
         self._link = None
         self._dispatcher.leave(link)
         self._report.failed(link)
         return self._continue_elsewhere(link)
 
-    def _resume(self, link: Link) -> bool:
+    def _resume(self, link: Link, limit: int) -> bool:
         """Reads a stream on from the incarnation that produces it; returns whether it can."""
-        if self._idle_resumes >= MAX_IDLE_RESUMES or not self._cursor.incarnation:
+        if self._idle_resumes >= limit or not self._cursor.incarnation:
             return False
         self._idle_resumes += 1
         try:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,12 +3,16 @@
 import json
 import socket
 import unittest
+from unittest.mock import patch
 
 import bottle
+import gevent
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from arbutustally.errors import OverloadedError
 from arbutustally.metrics import Metrics
+from arbutustally_node import http_body, http_server
 from arbutustally_node.http_server import serve
 from tests.fakes import node_options
 
@@ -147,6 +151,26 @@
         )
         self.assertTrue(received.startswith(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"))
 
+    def test_idle_connections_are_closed(self) -> None:
+        """Guards against callers that hold all connections without a request."""
+        with patch.object(http_server, "IDLE_TIMEOUT_S", 0.1):
+            # The server closes first, so the read ends without a second request.
+            self.assertTrue(self.exchange(GOOD.replace(b"abc", b"xyz")).endswith(b"xyz"))
+            self.assertEqual(self.exchange(b""), b"")
+
+    def test_bodies_of_all_connections_have_one_bound(self) -> None:
+        """Guards against many callers that together fill the memory of a node."""
+        budget = http_body.BodyBudget(5)
+        budget.take(3)
+        with self.assertRaises(OverloadedError):
+            budget.take(3)
+        budget.give(3)
+        budget.take(5)
+        for data in (GOOD, GOOD[:-1], post("Host: x", "Content-Length: 5000")):
+            self.exchange(data, ends=True)
+        gevent.sleep(0.01)
+        self.assertEqual(self.server.held_bytes, 0)
+
     @settings(max_examples=60)
     @given(st.binary(max_size=400), st.booleans())
     def test_random_bytes_do_not_stop_the_listener(self, data: bytes, after_head: bool) -> None:
