--- a/bench/relay.py
+++ b/bench/relay.py
@@ -32,7 +32,11 @@
     gap_s: float
 
 
-LOADS = (Load("paced", 100, 100, 0.02), Load("burst", 8, 4000, 0.0))
+LOADS = (
+    Load("paced", 100, 100, 0.02),
+    Load("paced long", 50, 400, 0.01),
+    Load("burst", 8, 4000, 0.0),
+)
 
 
 def measure(load: Load, address: str, pid: int) -> float:
--- a/packages/arbutustally-node/src/arbutustally_node/caller_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_http.py
@@ -9,6 +9,7 @@
 
 from arbutustally.engine_client import CHAT_PATH, COMPLETIONS_PATH
 from arbutustally.errors import (
+    BadRequestError,
     DrainingError,
     ModelUnknownError,
     NoConfigurationError,
@@ -49,6 +50,8 @@
 _EXPLAIN = "X-Arbutustally-Explain"
 _METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 
+_DOT_SEGMENTS = frozenset({".", ".."})
+
 Handler = Callable[[Trace], bottle.HTTPResponse]
 
 
@@ -252,6 +255,10 @@
     def _route(self) -> tuple[str, Any]:
         path = bottle.request.environ["PATH_INFO"]
         method = bottle.request.environ["REQUEST_METHOD"]
+        if not _DOT_SEGMENTS.isdisjoint(path.replace("\\", "/").split("/")):
+            # A service that resolves them would run a request of one route under another one,
+            # which may be open to all.
+            raise BadRequestError("the path has a segment '.' or '..'; send the resolved path")
         found = None
         for name, route in self._declarations().routes.items():
             longer = found is None or len(route.path) > len(found[1].path)
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -138,6 +138,19 @@
         self.assertEqual(self.engine.seen, [])
         self.test_client_library_reads_a_whole_answer()
 
+    def test_dot_segments_cannot_reach_another_route(self) -> None:
+        """Guards against a booking sent without key and claim through an open route."""
+        self.membership.states["w"] = Endpoint("w", self.engine.address, "quotes")
+        for path in (
+            "/guide/../quotes",
+            "/guide/%2e%2e/quotes",
+            "/guide/%2E./quotes",
+            "/guide/./a",
+        ):
+            with self.subTest(path):
+                self.assertEqual(self.error("POST", path, b"x", key="")["code"], "bad_request")
+        self.assertEqual(self.engine.seen, [])
+
     def test_explain_header_and_trace(self) -> None:
         response, _ = self.request("GET", "/v1/models", **{"X-Arbutustally-Explain": "1"})
         self.assertIn("authenticated", response.getheader("X-Arbutustally-Explain"))
