Count a finished load no longer against the load limit; use only versions that are held

Cause: the controller counted an ordered load as running until its timeout, so the second load of a move waited until the deadline and a good version was taken back after 412 good answers. At each raise, requests were refused with no_endpoint while the node had the step but not yet the load report of the engine. Change: loads end when the endpoint reports the version; the previous version serves while no endpoint is known to hold the new one.

--- a/packages/arbutustally-node/src/arbutustally_node/version_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/version_service.py
@@ -114,8 +114,11 @@
         """
         wanted = self._wanted(model).version
         move = self._move(model)
-        tripped = move is not None and self._stopped(model, move)
-        return pick_version(model, request_id, move, wanted, tripped)
+        if move is None or not move.previous:
+            return pick_version(model, request_id, move, wanted, False)
+        # A step may reach this node before the load report of the endpoints that it relies on.
+        avoided = self._stopped(model, move) or not self._is_held(model, move.version)
+        return pick_version(model, request_id, move, wanted, avoided)
 
     def observe(
         self,
@@ -178,9 +181,10 @@
         """Returns whether the breaker tripped and the old version can still take the traffic."""
         if self._breaker.tripped(model, move.version) is None:
             return False
-        return move.step != "done" or any(
-            move.previous in entry.versions for entry in self._endpoints(model)
-        )
+        return move.step != "done" or self._is_held(model, move.previous)
+
+    def _is_held(self, model: str, version: str) -> bool:
+        return any(version in entry.versions for entry in self._endpoints(model))
 
     def _previous(self, model: str, version: str) -> str:
         move = self._move(model)
@@ -292,7 +296,14 @@
     def _view(self, model: str, declared: Any, hold: "_Hold") -> MoveView:
         now = self._clock()
         limit = now - LOAD_TIMEOUT_S
-        self._loading = {key: at for key, at in self._loading.items() if at > limit}
+        endpoints = tuple(self._endpoints(model))
+        loaded = {entry.id for entry in endpoints if declared.version in entry.versions}
+        # A finished load must not count against the limit, or the next one waits for the timeout.
+        self._loading = {
+            key: at
+            for key, at in self._loading.items()
+            if at > limit and not (key[1] == model and key[0] in loaded)
+        }
         return MoveView(
             model,
             declared.version,
@@ -302,7 +313,7 @@
             hold.seen_at + self._lease_s + ORDER_TIMEOUT_S,
             _deadline(declared.move_by, now),
             declared.max_concurrent_loads,
-            tuple(self._endpoints(model)),
+            endpoints,
             frozenset(endpoint for endpoint, loading in self._loading if loading == model),
         )
 
