--- a/packages/arbutustally-node/src/arbutustally_node/peer_link.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peer_link.py
@@ -1,5 +1,6 @@
 """One authenticated link to a peer: handshake, frames, calls and signs of life."""
 
+import logging
 from collections.abc import Callable
 from contextlib import suppress
 from itertools import count
@@ -43,6 +44,18 @@
 Handler = Callable[[str, Any], Any]
 
 _log = get_logger("peers")
+# The library logs whole tracebacks for every stray connection; this module logs typed errors.
+_library_log = logging.getLogger("arbutustally.peers.websockets")
+_library_log.addHandler(logging.NullHandler())
+_library_log.propagate = False
+#: The size bound holds until the peer is authenticated.
+WEBSOCKET_OPTIONS: dict[str, Any] = {
+    "close_timeout": 1.0,
+    "ping_interval": None,
+    "compression": None,
+    "max_size": MAX_HANDSHAKE_BYTES,
+    "logger": _library_log,
+}
 
 
 def _error_classes(base: type[RouterError]) -> dict[str, type[RouterError]]:
@@ -270,7 +283,3 @@
 def _close_quietly(connection: Connection) -> None:
     with suppress(WebSocketException, OSError):
         connection.close()
-
-
-#: Largest message accepted before authentication, for the websocket library.
-OPENING_MAX_SIZE = MAX_HANDSHAKE_BYTES
--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -1,10 +1,7 @@
 """Service ``peers``: links to other nodes, calls, and broadcasts once a second."""
 
-import logging
 import random
-from collections import OrderedDict
 from collections.abc import Callable
-from itertools import count
 from typing import Any
 
 import gevent
@@ -20,17 +17,17 @@
 from arbutustally.metrics import Counter, Metrics, declare
 from arbutustally.peer_protocol import Event, Events, Handshake, Identity, encode
 from arbutustally.topology import FULL_MESH_NODES, Plan, dials, plan
+from arbutustally_node.broadcasts import Broadcasts
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import Options, split_address
 from arbutustally_node.peer_link import (
     HANDSHAKE_TIMEOUT_S,
-    OPENING_MAX_SIZE,
+    WEBSOCKET_OPTIONS,
     Handler,
     PeerLink,
     dial_handshake,
     listen_handshake,
 )
-from arbutustally_node.serial_window import SerialWindow
 
 #: Interval in which broadcasts of other groups are passed on in one frame, seconds.
 FORWARD_INTERVAL_S = 0.25
@@ -40,8 +37,6 @@
 BACKOFF_MAX_S = 5.0
 #: A direct link for calls is closed after this long without a call, seconds.
 IDLE_LINK_S = 60.0
-#: Origins whose broadcast serials are remembered.
-MAX_ORIGINS = 4096
 #: The node with the larger id dials only if the other has not linked after this time, seconds.
 DIAL_GRACE_S = 3.0
 #: Connections that may be unauthenticated at the same time.
@@ -63,17 +58,6 @@
 )
 
 _log = get_logger("peers")
-# The library logs whole tracebacks for every stray connection; this module logs typed errors.
-_library_log = logging.getLogger("arbutustally.peers.websockets")
-_library_log.addHandler(logging.NullHandler())
-_library_log.propagate = False
-_WEBSOCKET_OPTIONS: dict[str, Any] = {
-    "close_timeout": 1.0,
-    "ping_interval": None,
-    "compression": None,
-    "max_size": OPENING_MAX_SIZE,
-    "logger": _library_log,
-}
 
 
 class PeersService:
@@ -97,12 +81,10 @@
         self._mesh_up_to = mesh_up_to
         self._random = random.Random()
         self._handlers: dict[str, Handler] = {}
-        self._subscribers: dict[str, list[Callable[[str, Any], None]]] = {}
         self._links: dict[str, PeerLink] = {}
-        self._serials = count()
-        self._seen: OrderedDict[str, SerialWindow] = OrderedDict()
         self._heard: dict[str, float] = {}
-        self._forward: list[Event] = []
+        own = Identity(options.node_id, options.incarnation)
+        self._broadcasts = Broadcasts.from_config(own)
         self._plan = Plan(())
         self._wanted: set[str] = set()
         self._known_since: dict[str, float] = {}
@@ -134,7 +116,7 @@
         """Opens the listener and begins to dial."""
         host, port = split_address(self._options.peer_listen)
         self._server = serve(
-            self._accept, host, port, open_timeout=HANDSHAKE_TIMEOUT_S, **_WEBSOCKET_OPTIONS
+            self._accept, host, port, open_timeout=HANDSHAKE_TIMEOUT_S, **WEBSOCKET_OPTIONS
         )
         host, port = self._server.socket.getsockname()[:2]
         self._address = f"{host}:{port}"
@@ -175,7 +157,7 @@
 
         :param function: must not block; the node id is that of the origin.
         """
-        self._subscribers.setdefault(topic, []).append(function)
+        self._broadcasts.subscribe(topic, function)
 
     def connected(self) -> list[str]:
         """Returns the nodes with a link or heard through others within ``HEARD_S``."""
@@ -188,10 +170,7 @@
 
         :raises PeerRejectedError: if the message is larger than a frame.
         """
-        event = Event(
-            self._options.node_id, self._options.incarnation, next(self._serials), topic, payload
-        )
-        data = encode(Events((event,)))
+        data = encode(Events((self._broadcasts.event(topic, payload),)))
         for link in self._broadcast_links():
             link.post(data)
 
@@ -224,8 +203,6 @@
             "sent_frames": sum(link.sent_frames for link in self._links.values()),
         }
 
-    # Links
-
     def _accept(self, connection: Connection) -> None:
         if self._handshakes >= MAX_HANDSHAKES:
             return
@@ -248,7 +225,7 @@
         :raises OSError: if the connection fails.
         """
         connection = connect(
-            f"ws://{address}/", open_timeout=HANDSHAKE_TIMEOUT_S, proxy=None, **_WEBSOCKET_OPTIONS
+            f"ws://{address}/", open_timeout=HANDSHAKE_TIMEOUT_S, proxy=None, **WEBSOCKET_OPTIONS
         )
         try:
             peer, channel = dial_handshake(connection, self._handshake(), node_id)
@@ -270,7 +247,6 @@
         if not self._adopt(link):
             link.close()
             return
-        _log.debug("peer link up", peer=node_id, dialler=dialler.node_id)
         try:
             link.run()
         except PeerRejectedError as error:
@@ -278,7 +254,6 @@
         finally:
             if self._links.get(node_id) is link:
                 del self._links[node_id]
-            _log.debug("peer link down", peer=node_id)
 
     def _adopt(self, link: PeerLink) -> bool:
         """Makes a link the one to its peer; of two that cross, both ends keep the same one."""
@@ -320,8 +295,6 @@
             self._linked.wait(remaining)
         return self._links[node_id]
 
-    # Topology
-
     def _replan_forever(self) -> None:
         while not self._stopping.is_set():
             self._replan()
@@ -332,8 +305,7 @@
         now = self._clock()
         self._plan = plan(self._options.node_id, known, self._mesh_up_to)
         wanted = set(self._plan.near)
-        for group in self._plan.far:
-            wanted.add(self._far_choice(group))
+        wanted.update(self._far_choice(group) for group in self._plan.far)
         wanted.update(
             node_id for node_id, used in self._direct_used.items() if used > now - IDLE_LINK_S
         )
@@ -393,8 +365,6 @@
         recent = self._direct_used.get(node_id, -IDLE_LINK_S) > self._clock() - IDLE_LINK_S
         return node_id in self._wanted or recent
 
-    # Broadcasts
-
     def _broadcast_links(self) -> list[PeerLink]:
         chosen = [*self._plan.near]
         for group in self._plan.far:
@@ -405,34 +375,14 @@
 
     def _on_events(self, link: PeerLink, events: Events) -> None:
         self._heard[link.peer.node_id] = self._clock()
-        for event in events.events:
-            if event.origin == self._options.node_id or not self._is_new(event):
-                continue
-            self._heard[event.origin] = self._clock()
-            if event.origin == link.peer.node_id and event.origin not in self._plan.near:
-                self._forward.append(event)
-            self._deliver(event)
-
-    def _is_new(self, event: Event) -> bool:
-        window = self._seen.get(event.origin)
-        if window is None or window.incarnation != event.incarnation:
-            window = self._seen[event.origin] = SerialWindow(event.incarnation)
-        self._seen.move_to_end(event.origin)
-        if len(self._seen) > MAX_ORIGINS:
-            self._seen.popitem(last=False)
-        return window.accept(event.serial)
-
-    def _deliver(self, event: Event) -> None:
-        for function in self._subscribers.get(event.topic, ()):
-            try:
-                function(event.origin, event.payload)
-            except Exception as error:  # noqa: BLE001 one subscriber must not end the link
-                _log.error("subscriber failed", topic=event.topic, error=type(error).__name__)
+        is_near = link.peer.node_id in self._plan.near
+        for origin in self._broadcasts.receive(events, link.peer.node_id, is_near):
+            self._heard[origin] = self._clock()
 
     def _forward_forever(self) -> None:
         while not self._stopping.is_set():
             self._stopping.wait(FORWARD_INTERVAL_S)
-            events, self._forward = self._forward, []
+            events = self._broadcasts.take_forwarded()
             if events:
                 self._pass_on(events)
 
