Bound the time of stopping and the memory of reports

An unanswered log would have held up a stop by a second for each shard, an issuer that does not answer the reports to all others, and reports were remembered for every epoch.

--- a/packages/arbutustally-node/src/arbutustally_node/grant_sources.py
+++ b/packages/arbutustally-node/src/arbutustally_node/grant_sources.py
@@ -22,6 +22,9 @@
 CLOSE_AHEAD_S = 0.5
 #: Use is reported this often to an issuer that was not asked meanwhile, seconds.
 REPORT_S = 1.0
+#: Epochs whose issuers are remembered, several for each shard of the planned size.
+MAX_EPOCHS = 4096
+
 GRANT = "limits.grant"
 SHARE_GRANT = "limits.share_grant"
 
@@ -74,7 +77,7 @@
         self._refusals: dict[str, Refusal] = {}
         # Node and method of each epoch from which grants came, for the reports.
         self._issuers: dict[int, tuple[str, str, int]] = {}
-        self._reported: dict[tuple[str, int], float] = {}
+        self._reported: dict[str, dict[int, float]] = {}
 
     # Answers
 
@@ -199,6 +202,8 @@
         if offer.tokens > 0:
             grant = offer.to_grant(account, self._node_id, 0.0)
             self._issuers[offer.epoch] = (node_id, method, slot)
+            if len(self._issuers) > MAX_EPOCHS:
+                del self._issuers[next(iter(self._issuers))]
             self._pool.add(received(grant, offer.lifetime_s, sent_at))
         return offer
 
@@ -224,12 +229,20 @@
         :param everything: close all grants.
         """
         closing = float("inf") if everything else self._clock() + CLOSE_AHEAD_S
-        for epoch in self._pool.epochs(account):
+        live = self._pool.epochs(account)
+        earlier = self._reported.get(account, {})
+        # Epochs without a live grant are forgotten here.
+        reported = {epoch: earlier.get(epoch, 0.0) for epoch in live}
+        self._reported[account] = reported
+        for epoch in live:
             issuer = self._issuers.get(epoch)
-            due = self._clock() - self._reported.get((account, epoch), 0.0) >= REPORT_S
+            due = self._clock() - reported[epoch] >= REPORT_S
             if not due and not self._pool.wastes(account, epoch, closing):
                 continue
-            self._reported[account, epoch] = self._clock()
+            if issuer is not None and self._paused.get(issuer[0], 0.0) > self._clock():
+                # An issuer that does not answer would hold up the reports to all others.
+                continue
+            reported[epoch] = self._clock()
             uses = tuple(self._pool.reports(account, epoch, closing))
             if issuer is None or not uses:
                 continue
@@ -243,7 +256,8 @@
     def _uses(self, account: str, node_id: str, method: str, slot: int) -> tuple[Any, ...]:
         source = (node_id, method, slot)
         epochs = [e for e in self._pool.epochs(account) if self._issuers.get(e) == source]
-        self._reported.update({(account, epoch): self._clock() for epoch in epochs})
+        reported = self._reported.setdefault(account, {})
+        reported.update({epoch: self._clock() for epoch in epochs})
         return tuple(use for epoch in epochs for use in self._pool.reports(account, epoch))
 
     def _shard(self, account: str) -> int:
--- a/packages/arbutustally-node/src/arbutustally_node/limits_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/limits_service.py
@@ -32,6 +32,8 @@
 TEND_INTERVAL_S = 0.5
 #: Interval in which grants are looked through for those that end soon, seconds.
 REPORT_INTERVAL_S = 0.25
+#: Bound for each step of stopping while log or peers do not answer, seconds.
+STOP_TIMEOUT_S = 2.0
 #: Shortest wait between two attempts of one request, seconds.
 MIN_RETRY_S = 0.01
 
@@ -126,10 +128,11 @@
         """
         self._stopping.set()
         gevent.killall([*self._loops, *self._tending.values()], timeout=1)
-        for account in self._pool.accounts():
-            self._sources.report(account, everything=True)
-        for owner in self._owners:
-            owner.stop()
+        with gevent.Timeout(STOP_TIMEOUT_S, False):
+            for account in self._pool.accounts():
+                self._sources.report(account, everything=True)
+        stops = [gevent.spawn(owner.stop) for owner in self._owners]
+        gevent.joinall(stops, timeout=STOP_TIMEOUT_S)
 
     # Requests
 
