--- a/packages/arbutustally-standins/src/arbutustally_standins/caller/client.py
+++ b/packages/arbutustally-standins/src/arbutustally_standins/caller/client.py
@@ -130,8 +130,7 @@
                 if not self._retriable(error):
                     raise
                 failure = error
-                self._forget_after(attempt)
-                self._sleep(_RETRY_AFTER_S)
+                self._wait_after(attempt)
             else:
                 return
         raise failure
@@ -144,16 +143,19 @@
         :raises CallFailedError: if no node answers.
         """
         key = idempotency_key or new_uuid7()
-        failure = CallFailedError("unreachable", "no node takes the request")
+        ran = "not_run"
         for attempt in range(self._attempts):
             url = f"http://{self._pick(attempt)}{path}"
             headers = {**self._headers, "Idempotency-Key": key}
             try:
                 return self._pool.request(method, url, json=body, headers=headers)
-            except urllib3.exceptions.HTTPError as error:
-                failure = CallFailedError("unreachable", str(error), ran="may_have_run")
-                self._forget_after(attempt)
-        raise failure
+            except urllib3.exceptions.NewConnectionError:
+                # No byte was sent, so this attempt did not run.
+                self._wait_after(attempt)
+            except urllib3.exceptions.HTTPError:
+                ran = "may_have_run"
+                self._wait_after(attempt)
+        raise CallFailedError("unreachable", "no node answers; send the same key later", ran=ran)
 
     def _ask(self, address: str) -> None:
         try:
@@ -170,10 +172,11 @@
         addresses = self.addresses()
         return addresses[attempt % len(addresses)]
 
-    def _forget_after(self, attempt: int) -> None:
-        """Asks again once every address has failed."""
+    def _wait_after(self, attempt: int) -> None:
+        """Waits before the next attempt; asks for addresses again once each has failed."""
         if (attempt + 1) % max(1, len(self._addresses)) == 0:
             self._expires = 0.0
+        self._sleep(_RETRY_AFTER_S)
 
     def _retriable(self, error: CallFailedError) -> bool:
         """A cut stream is resumed; a refusal is repeated if it says that nothing ran."""
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -22,6 +22,7 @@
 from arbutustally_standins.server import cut_connection
 from arbutustally_standins.tokens import output_tokens, prompt_text
 from bench.load import LoadOptions, LoadRun, speed_for
+from bench.processes import free_addresses
 from bench.workloads import DEPLOYMENTS, RAMDIN, TRACES, generate, messages, read, with_version
 from tests.standins import StandinCase
 
@@ -99,6 +100,20 @@
                 list(self.caller(address).stream("/v1/completions", {}, StreamResult()))
             self.assertEqual(len(standin.seen), calls)
 
+    def test_booking_keeps_its_key_and_knows_what_was_not_sent(self):
+        """Guards against a repeated booking under a new key and a false may_have_run."""
+        [dead] = free_addresses(1)
+        live, standin = self.start([])
+        entry, _ = self.start([dead, live])
+        key = new_uuid7()
+        response = self.caller(entry).book("POST", RAMDIN.plain_path, {}, key)
+        self.assertEqual(response.json(), {"booked": True})
+        self.assertEqual([seen["Idempotency-Key"] for seen in standin.seen], [key])
+        entry, _ = self.start([dead])
+        with self.assertRaises(CallFailedError) as caught:
+            self.caller(entry).book("POST", RAMDIN.plain_path, {})
+        self.assertEqual((caught.exception.code, caught.exception.ran), ("unreachable", "not_run"))
+
     def test_command_prints_the_text_and_a_summary(self):
         """Guards against a demo client whose text or exit code is wrong."""
         address, _ = self.start([])
