--- a/packages/arbutustally-node/src/arbutustally_node/version_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/version_service.py
@@ -36,13 +36,11 @@
 )
 
 #: Interval between two steps of the controllers and two reports of evidence, in seconds.
-STEP_INTERVAL_S = 1.0
+STEP_INTERVAL_S = 0.5
 #: Longest wait for the answer to a load order, in seconds.
 ORDER_TIMEOUT_S = 5.0
 #: Time after which an unanswered load counts as failed and is ordered again, in seconds.
 LOAD_TIMEOUT_S = 30.0
-#: Tokens of work to which a time to first token is scaled; below that, latency dominates.
-WORK_UNIT_TOKENS = 1000.0
 #: Nodes that claim a lease, by rendezvous rank: the second takes over when the first is gone.
 CLAIMANTS = 2
 TRIP_TOPIC = "trip"
@@ -133,11 +131,11 @@
         """Takes the result of an answer as evidence; may trip the breaker.
 
         :param gap_s: mean time between tokens in seconds.
-        :param work_tokens: tokens computed before the first token, ``Choice.work_tokens``; with it
-            a cold cache does not look like a slow version.
+        :param work_tokens: tokens to compute before the first token, ``Choice.work_tokens``; without
+            them the time to first token is not compared, for a cold cache looks like a slow version.
         """
         key = EvidenceKey(model, version, class_name, route)
-        sample = Sample(ok, per_work(first_token_s, work_tokens), gap_s)
+        sample = Sample(ok, first_token_s, gap_s, work_tokens)
         previous = self._previous(model, version)
         self._note_trip(self._breaker.observe(key, sample, previous))
         if not ok and previous:
@@ -377,13 +375,6 @@
             self.seen_at = now
 
 
-def per_work(seconds: float | None, work_tokens: float | None) -> float | None:
-    """Returns the time to first token for ``WORK_UNIT_TOKENS`` of work."""
-    if seconds is None or work_tokens is None:
-        return seconds
-    return seconds * WORK_UNIT_TOKENS / max(work_tokens, WORK_UNIT_TOKENS)
-
-
 def _deadline(move_by: str | None, now: float) -> float | None:
     """Converts ``move_by`` (ISO 8601) to a monotonic instant."""
     if not move_by:
