Repeat operator calls of a live fleet that the node asks to retry

Cause: a node refuses changes until it has read the log to its end, so the first apply of a fresh fleet was answered 503.

--- a/bench/live_fleet.py
+++ b/bench/live_fleet.py
@@ -197,7 +197,7 @@
         while time.monotonic() < deadline:
             try:
                 self._operate("/v1/status", None)
-            except (urllib3.exceptions.HTTPError, RuntimeError):
+            except urllib3.exceptions.HTTPError:
                 gevent.sleep(_POLL_S)
             else:
                 return
@@ -207,7 +207,12 @@
         method = "GET" if body is None else "POST"
         headers = {"Authorization": f"Bearer {self._token}"}
         url = f"http://{self._operators[0]}{path}"
+        deadline = time.monotonic() + _READY_S
         answer = self._http.request(method, url, json=body, headers=headers)
+        while answer.status == 503 and time.monotonic() < deadline:
+            # The node asks for a retry until it has read the log to its end.
+            gevent.sleep(_POLL_S)
+            answer = self._http.request(method, url, json=body, headers=headers)
         if answer.status != 200:
             raise RuntimeError(f"{method} {path} answered {answer.status}: {answer.data!r}")
         return answer.json()
