--- a/packages/arbutustally-node/src/arbutustally_node/log_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_reader.py
@@ -143,7 +143,7 @@
             return self._hole(start, error)
         except LogUnavailableError as error:
             return self._retry(error)
-        except Exception as error:  # noqa: BLE001 - the reader must survive a fault of the client
+        except Exception as error:  # The reader must survive a fault of the client
             return self._retry(error)
         if result.next < start:
             # The log lost its tail. What was accepted stays in force until it grows past it again.
--- a/packages/arbutustally-node/src/arbutustally_node/log_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_view.py
@@ -67,7 +67,7 @@
         for subscriber in self._subscribers:
             try:
                 subscriber(offset, record, verdict)
-            except Exception as error:  # noqa: BLE001 - one subscriber must not stop the fold
+            except Exception as error:  # One subscriber must not stop the fold
                 _log.error("log subscriber failed", offset=offset, error=repr(error))
         return True
 
@@ -81,7 +81,7 @@
     def _verdict(self, offset: int, record: Record | None) -> Verdict:
         try:
             return self._state.apply(offset, record)
-        except Exception as error:  # noqa: BLE001 - a record must never stop the reader
+        except Exception as error:  # A record must never stop the reader
             _log.error("log record raised; report this", offset=offset, error=repr(error))
             return rejected(Reason.MALFORMED)
 
--- a/packages/arbutustally-node/src/arbutustally_node/log_writer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_writer.py
@@ -194,7 +194,7 @@
                 for entry, ran in zip(batch, before, strict=True):
                     entry.ran = ran
             return self._retry(batch, error)
-        except Exception as error:  # noqa: BLE001 - the writer must survive a fault of the client
+        except Exception as error:  # The writer must survive a fault of the client
             return self._retry(batch, error)
         self._failures = 0
         self._append_s = 0.8 * self._append_s + 0.2 * (self._clock() - started)
--- a/packages/arbutustally-node/src/arbutustally_node/operator_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/operator_http.py
@@ -107,7 +107,7 @@
             except RouterError as error:
                 self._count(error)
                 return _fault(error)
-            except Exception as error:  # noqa: BLE001 - the answer must still be typed
+            except Exception as error:  # The answer must still be typed
                 _log.error("operator request failed", error=repr(error))
                 return _fault(RouterError("internal fault; see the node's log and report it"))
 
