--- a/tests/test_standin_engine_model.py
+++ b/tests/test_standin_engine_model.py
@@ -170,6 +170,17 @@
         order = [e.ticket.request.request_id for e in self.run_all(model) if e.kind == "started"]
         self.assertEqual(order, ["first", "second", "third", "late"])
 
+    def test_later_request_of_higher_priority_stalls_nothing(self):
+        """Guards against a step that admits nobody and is repeated without end."""
+        model = EngineModel.from_config(EngineModelOptions(), self.clock)
+        model.submit(self.request("early", GUIDES[0], priority=1))
+        self.clock.advance(1.0)
+        model.submit(self.request("late", GUIDES[1], priority=0))
+        self.assertGreater(model.next_event_at(), 0.0)
+        events = model.advance_to(5.0)
+        order = [event.ticket.request.request_id for event in events if event.kind == "started"]
+        self.assertEqual(order, ["early", "late"])
+
     def test_salt_separates_accounts(self):
         """Guards against a cached prefix that another account's request hits."""
         model = EngineModel.from_config(EngineModelOptions(), self.clock)
