--- a/bench/relay_processes.py
+++ b/bench/relay_processes.py
@@ -20,6 +20,7 @@
 import urllib3
 from gevent.pywsgi import WSGIServer
 
+from arbutustally_node.collector import tune_collector
 from bench.raw_http import RawServer
 from tests.fakes import Endpoint, FakeMembership, node_kernel, node_options
 
@@ -78,6 +79,7 @@
     options = node_options(caller_listen="127.0.0.1:0")
     kernel = node_kernel(FakeMembership(endpoint), options)
     kernel.start()
+    tune_collector()
     _announce(kernel.lookup("caller_http").address)
 
 
--- a/packages/arbutustally-node/src/arbutustally_node/__main__.py
+++ b/packages/arbutustally-node/src/arbutustally_node/__main__.py
@@ -20,6 +20,7 @@
 from arbutustally.errors import SettingInvalidError
 from arbutustally.logs import configure, get_logger
 from arbutustally.settings import add_flags, printable, read
+from arbutustally_node.collector import tune_collector
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import SETTINGS, Options
 from arbutustally_node.services import register_services
@@ -84,6 +85,7 @@
     gevent.signal_handler(signal.SIGTERM, on_signal)
     gevent.signal_handler(signal.SIGINT, on_signal)
     kernel.start()
+    tune_collector()
     log.info(
         "node started",
         caller=kernel.lookup("caller_http").address,
