Do not count an ended load as under way

Cause: a load order stayed noted for 30 s, so a move with few endpoints ordered no second load and ran into its deadline at 25% (tests.test_moves_processes, 24 s given). Change: endpoints that hold the version are no longer counted.

--- a/packages/arbutustally/src/arbutustally/versions.py
+++ b/packages/arbutustally/src/arbutustally/versions.py
@@ -228,8 +228,11 @@
 
     def _loads(self, view: MoveView, needed: int, now: float) -> list[Action]:
         """Orders loads up to the number needed, at most the declared number at once."""
-        free = view.max_concurrent_loads - len(view.loading)
-        missing = needed - len(_holders(view, view.wanted)) - len(view.loading)
+        holders = _holders(view, view.wanted)
+        # An order stays noted for a while after its load has ended.
+        loading = view.loading.difference(holders)
+        free = view.max_concurrent_loads - len(loading)
+        missing = needed - len(holders) - len(loading)
         open_for_orders = [
             entry
             for entry in view.endpoints
--- a/tests/test_move_controller.py
+++ b/tests/test_move_controller.py
@@ -248,6 +248,17 @@
         actions = controller.step(state, evidence(500), 100.0)
         self.assertEqual(actions, [OrderLoad("w1", "2", 1)])
 
+    def test_ended_load_does_not_hold_up_the_next(self) -> None:
+        """Guards against an order that counts as under way although its endpoint has loaded."""
+        endpoints = tuple(
+            EndpointVersions(f"w{number}", frozenset({"1"} if number else {"1", "2"}), True)
+            for number in range(3)
+        )
+        raised = MoveStep(MODEL, "2", "1", "raised", 0.25, 1)
+        state = view(move=raised, endpoints=endpoints, loading=frozenset({"w0"}))
+        actions = MoveController().step(state, evidence(9), 0.0)
+        self.assertEqual(actions, [OrderLoad("w1", "2", 1)])
+
     def test_previous_version_declared_again_takes_back(self) -> None:
         """Guards against an operator who cannot call a move off."""
         raised = MoveStep(MODEL, "2", "1", "raised", 0.25, 1)
