--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -393,3 +393,18 @@
             for part in [bad, *parts[1:]]:
                 assembler.add(part)
         self.assertEqual([assembler.add(part) for part in parts][-1], self.data)
+
+
+class FirstVersionTest(unittest.TestCase):
+    def test_first_declared_version_is_in_force_before_any_step(self) -> None:
+        """Guards against traffic that follows a changed version before its move has begun."""
+        state = ControlState()
+        first = {"models/marelle": {"version": "v1"}}
+        state.apply(0, wrap(Change(-1, first)))
+        state.apply(1, wrap(Change(0, {"models/marelle": {"version": "v2"}})))
+        self.assertEqual(state.declarations.models["marelle"].version, "v2")
+        self.assertEqual(
+            (state.move("marelle").version, state.move("marelle").step), ("v1", "done")
+        )
+        state.apply(2, wrap(Change(1, {}, ("models/marelle",))))
+        self.assertIsNone(state.move("marelle"))
