Leave open streams alone when a drain is cut short

Found by reading. Change: the process ends at once with exit code 3 and stops nothing; a test sends the signal twice in the middle of a stream. Conclusion: a cut drain behaves like a crash, which callers survive.

--- a/packages/arbutustally-node/src/arbutustally_node/__main__.py
+++ b/packages/arbutustally-node/src/arbutustally_node/__main__.py
@@ -28,6 +28,7 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
+EXIT_CUT_SHORT = 3
 
 DRAIN_POLL_S = 0.05
 
@@ -38,7 +39,8 @@
         prog="arbutustallyd",
         description="Router node for language-model traffic with long shared prompts.",
         epilog=(
-            "Exit codes: 0 stopped after a drain, 1 failed at run time, 2 a setting was refused."
+            "Exit codes: 0 stopped after a drain, 1 failed at run time, 2 a setting was refused, "
+            "3 ended by a second signal before the drain was over."
         ),
     )
     parser.add_argument("--version", action="version", version=f"arbutustallyd {__version__}")
@@ -95,6 +97,11 @@
     )
     stopping.wait()
     _drain(kernel, options, killed, log)
+    if killed.is_set():
+        log.warning("drain cut short", running=kernel.lookup("caller_http").running)
+        # Stopping the services would cancel open streams at their engines, where callers can
+        # still resume them through another node.
+        os._exit(EXIT_CUT_SHORT)
     kernel.stop()
     log.info("node stopped", counts=kernel.lookup("metrics").counts)
     return EXIT_OK
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -10,7 +10,7 @@
 
 from arbutustally_standins.caller.client import CallFailedError, StreamResult
 from arbutustally_standins.idempotency import new_uuid7
-from tests.fleet import DECLARATIONS, Fleet, wait_for
+from tests.fleet import DECLARATIONS, Fleet, Process, wait_for
 
 GUIDE = "Chalk paint washes off in rain; stencils come in five grids. " * 60
 CHAT = "/v1/chat/completions"
@@ -289,6 +289,26 @@
         self.fleet.add_node(stopped)
         self.fleet.wait_serving(self.key)
 
+    def test_second_signal_leaves_streams_to_be_resumed_elsewhere(self) -> None:
+        """Guards against a node that cancels the streams of its callers when it is ended."""
+        question = "Who is cut short?"
+        expected = engine_text(self.fleet, question, 150)
+        result = StreamResult()
+        stopped = ""
+        for _ in self.fleet.caller(self.key).stream(CHAT, chat_body(question, 150), result):
+            if len(result.texts) == 10 and not stopped:
+                stopped = result.request_id.partition("~")[0]
+                self._end_twice(self.fleet.nodes[stopped])
+        self.assertEqual(result.text, expected)
+        self.assertEqual(self.fleet.nodes[stopped].popen.wait(30), 3)
+        self.fleet.add_node(stopped)
+        self.fleet.wait_serving(self.key)
+
+    def _end_twice(self, node: Process) -> None:
+        node.send(15)
+        wait_for(lambda: "draining" in node.log_text(), "the drain to begin")
+        node.send(15)
+
     def test_frozen_nodes_do_not_admit_over_the_rate(self) -> None:
         """Guards against an owner of a budget that grants after its lease lapsed."""
         text = DECLARATIONS + "\n[accounts.small]\nrate = 20\nburst = 400\n"
