--- a/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
@@ -8,7 +8,7 @@
 from arbutustally.clock import Clock
 from arbutustally.instance_client import Instance
 
-#: Incarnations remembered for each endpoint, to refuse late news of replaced ones.
+#: Incarnations remembered for each endpoint, to refuse late reports of replaced ones.
 MAX_PAST = 8
 #: Own dispatches remembered for each endpoint between two load reports.
 MAX_DISPATCHES = 4096
@@ -129,7 +129,7 @@
         return [mark] if self.apply(mark) else []
 
     def report(self, load: Load) -> bool:
-        """Takes a load report; returns whether it is news.
+        """Takes a load report; returns whether it is newer than the known one.
 
         A report of a replaced or dead incarnation, or one older than the last, is dropped.
         """
--- a/packages/arbutustally-node/src/arbutustally_node/log_peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_peers.py
@@ -1,4 +1,4 @@
-"""Exchange of log news between nodes: what one node missed, another can hand over."""
+"""Exchange of log records between nodes: a node that is behind fetches what others hold."""
 
 import math
 from random import Random
@@ -88,7 +88,7 @@
             try:
                 self._catch_up(name)
             except (RouterError, KeyError, TypeError, ValueError, OSError) as error:
-                _log.info("peer gave no log news", peer=name, error=str(error)[:200])
+                _log.info("peer gave no log records", peer=name, error=str(error)[:200])
 
     def _catch_up(self, name: str) -> None:
         for _ in range(_MAX_ROUNDS):
--- a/packages/arbutustally/src/arbutustally/cache_index.py
+++ b/packages/arbutustally/src/arbutustally/cache_index.py
@@ -133,7 +133,7 @@
         """Enters the whole prompt after an answer that found ``cached`` tokens of it.
 
         A finished prefill leaves the whole prompt in the cache; the cached count corrects the
-        learned keep time. Late news of a dead incarnation is ignored.
+        learned keep time. A late answer of a dead incarnation is ignored.
         """
         if (endpoint, incarnation) in self._dead:
             return
