--- a/packages/arbutustally-node/src/arbutustally_node/options.py
+++ b/packages/arbutustally-node/src/arbutustally_node/options.py
@@ -81,7 +81,7 @@
         "endpoint_read_timeout_s", float, 30.0, "Longest silence of an endpoint.", "s", 0.1, 600
     ),
     Setting("shards", int, 8, "Number of shards of the account limits.", low=1, high=1024),
-    Setting("poll_interval_s", float, 0.5, "Interval of load and list polls.", "s", 0.05, 30),
+    Setting("poll_interval_s", float, 1.0, "Interval of load and list polls.", "s", 0.05, 30),
     Setting(
         "log_retention_s",
         float,
