Free a claim only by the release that names it, with a test of its own

Cause: a mutation run missed the removal of the check that not_run names its claim (the random machine rarely draws a late release), and the filter of ended loads stood both in versions and in version_service.

--- a/packages/arbutustally-node/src/arbutustally_node/version_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/version_service.py
@@ -297,13 +297,7 @@
         now = self._clock()
         limit = now - LOAD_TIMEOUT_S
         endpoints = tuple(self._endpoints(model))
-        loaded = {entry.id for entry in endpoints if declared.version in entry.versions}
-        # A finished load must not count against the limit, or the next one waits for the timeout.
-        self._loading = {
-            key: at
-            for key, at in self._loading.items()
-            if at > limit and not (key[1] == model and key[0] in loaded)
-        }
+        self._loading = {key: at for key, at in self._loading.items() if at > limit}
         return MoveView(
             model,
             declared.version,
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -408,3 +408,17 @@
         )
         state.apply(2, wrap(Change(1, {}, ("models/marelle",))))
         self.assertIsNone(state.move("marelle"))
+
+
+class LateReleaseTest(unittest.TestCase):
+    def test_late_release_of_an_earlier_claim_frees_nothing(self) -> None:
+        """Guards against a second run: a late not_run of one claimant frees another's claim."""
+        state = ControlState()
+        first, second = (Claim("k", "d", f"node-{n}#1", 1000.0) for n in (1, 2))
+        state.apply(0, wrap(first))
+        self.assertTrue(state.apply(1, wrap(Outcome("k", Ran.NOT_RUN, claim=0))).accepted)
+        self.assertTrue(state.apply(2, wrap(second)).accepted)
+        self.assertFalse(state.apply(3, wrap(Outcome("k", Ran.NOT_RUN, claim=0))).accepted)
+        self.assertFalse(state.apply(4, wrap(Outcome("k", Ran.NOT_RUN))).accepted)
+        self.assertFalse(state.apply(5, wrap(first)).accepted)
+        self.assertEqual((state.claim("k").offset, state.claim("k").outcome), (2, None))
