--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -393,32 +393,3 @@
             for part in [bad, *parts[1:]]:
                 assembler.add(part)
         self.assertEqual([assembler.add(part) for part in parts][-1], self.data)
-
-
-class FirstVersionTest(unittest.TestCase):
-    def test_first_declared_version_is_in_force_before_any_step(self) -> None:
-        """Guards against traffic that follows a changed version before its move has begun."""
-        state = ControlState()
-        first = {"models/marelle": {"version": "v1"}}
-        state.apply(0, wrap(Change(-1, first)))
-        state.apply(1, wrap(Change(0, {"models/marelle": {"version": "v2"}})))
-        self.assertEqual(state.declarations.models["marelle"].version, "v2")
-        self.assertEqual(
-            (state.move("marelle").version, state.move("marelle").step), ("v1", "done")
-        )
-        state.apply(2, wrap(Change(1, {}, ("models/marelle",))))
-        self.assertIsNone(state.move("marelle"))
-
-
-class LateReleaseTest(unittest.TestCase):
-    def test_late_release_of_an_earlier_claim_frees_nothing(self) -> None:
-        """Guards against a second run: a late not_run of one claimant frees another's claim."""
-        state = ControlState()
-        first, second = (Claim("k", "d", f"node-{n}#1", 1000.0) for n in (1, 2))
-        state.apply(0, wrap(first))
-        self.assertTrue(state.apply(1, wrap(Outcome("k", Ran.NOT_RUN, claim=0))).accepted)
-        self.assertTrue(state.apply(2, wrap(second)).accepted)
-        self.assertFalse(state.apply(3, wrap(Outcome("k", Ran.NOT_RUN, claim=0))).accepted)
-        self.assertFalse(state.apply(4, wrap(Outcome("k", Ran.NOT_RUN))).accepted)
-        self.assertFalse(state.apply(5, wrap(first)).accepted)
-        self.assertEqual((state.claim("k").offset, state.claim("k").outcome), (2, None))
