--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/caller.py
@@ -0,0 +1,72 @@
+"""Writing of answers to a caller's connection."""
+
+import contextlib
+import socket
+import struct
+from collections.abc import Sequence
+from http.client import responses
+from typing import Any
+
+#: Longest time that a caller may take to accept one write, seconds.
+WRITE_TIMEOUT_S = 5.0
+
+Headers = Sequence[tuple[str, str]]
+
+
+class CallerConnection:
+    """One connection of a caller, for the answer to its current request.
+
+    :param sock: connected gevent socket.
+    :param keep: whether the connection may serve another request.
+    """
+
+    def __init__(self, sock: Any, keep: bool = True) -> None:
+        self._sock = sock
+        self.keep = keep
+        self._began = False
+
+    @property
+    def began(self) -> bool:
+        """Returns whether the head of an answer was written."""
+        return self._began
+
+    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Writes an answer with its length."""
+        self._began = True
+        head = self._head(status, [*headers, ("Content-Length", str(len(body)))])
+        self._write(head + body)
+
+    def begin(self, status: int, headers: Headers, first: bytes) -> None:
+        """Writes the head and the first piece of a streamed answer."""
+        self._began = True
+        head = self._head(status, [*headers, ("Transfer-Encoding", "chunked")])
+        self._write(head + _chunk(first) if first else head)
+
+    def send_piece(self, piece: bytes) -> None:
+        """Writes a piece of a streamed answer."""
+        self._write(_chunk(piece))
+
+    def end(self) -> None:
+        """Ends a streamed answer as complete."""
+        self._write(b"0\r\n\r\n")
+
+    def abort(self) -> None:
+        """Resets the connection, so that the answer does not look complete."""
+        self.keep = False
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+    def _head(self, status: int, headers: Headers) -> bytes:
+        lines = [f"HTTP/1.1 {status} {responses.get(status, 'Unknown')}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if not self.keep:
+            lines.append("Connection: close")
+        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+
+    def _write(self, data: bytes) -> None:
+        self._sock.settimeout(WRITE_TIMEOUT_S)
+        self._sock.sendall(data)
+
+
+def _chunk(piece: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(piece), piece)
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/decision_log.py
@@ -0,0 +1,102 @@
+"""Decision lines on standard output: bounded in number and never waited for.
+
+Lines wait in memory for a greenlet that writes them. When the reader of the output is slow or
+lines come too fast, lines are dropped and a later line tells how many.
+"""
+
+import os
+from collections import deque
+from typing import Any
+
+import gevent
+import orjson
+
+from arbutustally.clock import Clock, monotonic
+
+#: Lines that wait to be written.
+MAX_WAITING_LINES = 2000
+#: Lines a second over a longer time, and the number that may come at once.
+LINES_PER_S = 400.0
+LINES_AT_ONCE = 1200.0
+#: Pause between two writes, seconds.
+WRITE_INTERVAL_S = 0.05
+STDOUT = 1
+
+
+class DecisionLog:
+    """Writes one JSON line for each decision.
+
+    :param fields: fields of every line.
+    :param descriptor: file descriptor of the output.
+    """
+
+    def __init__(self, fields: dict[str, Any], descriptor: int = STDOUT, clock: Clock = monotonic):
+        self._fields = fields
+        self._descriptor = descriptor
+        self._clock = clock
+        self._lines: deque[bytes] = deque()
+        self._partial = b""
+        self._dropped = 0
+        self._allowance = LINES_AT_ONCE
+        self._filled_at = clock()
+        self._greenlet: Any = None
+
+    def start(self) -> None:
+        """Starts writing."""
+        os.set_blocking(self._descriptor, False)
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Writes what waits and stops."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+        self.flush()
+
+    @property
+    def dropped(self) -> int:
+        """Returns the lines dropped since the last line that told so."""
+        return self._dropped
+
+    def line(self, event: str, **fields: Any) -> None:
+        """Adds a line; drops it if there are too many."""
+        if not self._may_write():
+            self._dropped += 1
+            return
+        if self._dropped:
+            fields["lines_dropped_before"] = self._dropped
+            self._dropped = 0
+        entry = {"t": round(self._clock(), 4), "event": event, **self._fields, **fields}
+        self._lines.append(orjson.dumps(entry, default=str) + b"\n")
+
+    def flush(self) -> None:
+        """Writes as much as the output takes now."""
+        while self._lines or self._partial:
+            data = self._partial or b"".join(self._lines)
+            if not self._partial:
+                self._lines.clear()
+            try:
+                written = os.write(self._descriptor, data)
+            except BlockingIOError:
+                self._partial = data
+                return
+            except OSError:
+                # Nobody reads the output any more; serving goes on without it.
+                self._partial = b""
+                return
+            self._partial = data[written:]
+
+    def _may_write(self) -> bool:
+        now = self._clock()
+        gained = (now - self._filled_at) * LINES_PER_S
+        self._allowance = min(LINES_AT_ONCE, self._allowance + gained)
+        self._filled_at = now
+        if self._allowance < 1 or len(self._lines) >= MAX_WAITING_LINES:
+            return False
+        self._allowance -= 1
+        return True
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(WRITE_INTERVAL_S)
+            if self._lines or self._partial:
+                self.flush()
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -0,0 +1,140 @@
+"""What a node knows: configuration, named weights, endpoints, and from where it knows them."""
+
+from dataclasses import dataclass
+
+from arbutustally.clock import Clock
+from arbutustally.gateway.configuration import Configuration
+from arbutustally.gateway.endpoints import EndpointBook, EndpointEntry
+from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.ports import Documents, Record, WeightsNamed
+
+#: Time after which an endpoint whose entry was removed is forgotten, seconds.
+FORGET_GONE_S = 30.0
+
+
+@dataclass
+class NamedWeights:
+    """Newest weights that the operator named.
+
+    :ivar known_at: when this node learned of it, monotonic seconds.
+    """
+
+    version: int
+    known_at: float
+
+
+class FleetView:
+    """Current knowledge of one node.
+
+    :param documents: decodes what others write into the store.
+    """
+
+    def __init__(self, documents: Documents, clock: Clock, log: DecisionLog) -> None:
+        self._documents = documents
+        self._clock = clock
+        self._log = log
+        self._configuration: Configuration | None = None
+        self._configured_at = 0.0
+        self._raw: dict[tuple[str, str], bytes] = {}
+        self._weights: dict[str, NamedWeights] = {}
+        self._has_endpoints = False
+        self.book = EndpointBook.from_config(clock)
+        self.on_configuration: list = []
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Returns the configuration in force, ``None`` before the first one."""
+        return self._configuration
+
+    @property
+    def configuration_age_s(self) -> float:
+        """Returns the time for which the configuration has been known."""
+        return self._clock() - self._configured_at
+
+    @property
+    def weights(self) -> dict[str, NamedWeights]:
+        """Returns the named weights by model."""
+        return self._weights
+
+    @property
+    def is_complete(self) -> bool:
+        """Returns whether the node knows enough to serve."""
+        return self._configuration is not None and self._has_endpoints
+
+    @property
+    def raw(self) -> dict[tuple[str, str], bytes]:
+        """Returns the documents as written, by topic and key, for peers without the store."""
+        return self._raw
+
+    def take_operator(self, record: Record, source: str) -> None:
+        """Takes a record of the operator; what is older than known changes nothing."""
+        change = self._documents.decode_operator(record)
+        if isinstance(change, Configuration):
+            self._configure(change, record, source)
+        elif isinstance(change, WeightsNamed):
+            self._name_weights(change, record, source)
+        elif change is None and record.value is not None:
+            self._log.line("operator_record_unreadable", key=record.key, source=source)
+
+    def take_endpoint(self, record: Record, source: str) -> None:
+        """Takes an endpoint's entry or its removal."""
+        if record.value is None:
+            self._raw.pop(("endpoint", record.key), None)
+            if self.book.remove(record.key):
+                self._log.line("endpoint_removed", endpoint=record.key, source=source)
+            return
+        entry = self._documents.decode_endpoint(record)
+        if entry is None:
+            self._log.line("endpoint_record_unreadable", key=record.key, source=source)
+            return
+        self._raw[("endpoint", record.key)] = record.value
+        self._has_endpoints = True
+        if self.book.put(entry):
+            self._note_endpoint(entry, source)
+
+    def replace_endpoints(self, records: tuple[Record, ...], source: str) -> None:
+        """Takes a whole list of entries."""
+        listed = {record.key for record in records}
+        for record in records:
+            self.take_endpoint(record, source)
+        for state in self.book.all():
+            if state.id not in listed:
+                self.take_endpoint(Record(state.id, None), source)
+
+    def forget_gone(self) -> None:
+        """Drops endpoints that were removed long ago."""
+        self.book.forget_gone(FORGET_GONE_S)
+
+    def _configure(self, configuration: Configuration, record: Record, source: str) -> None:
+        current = self._configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self._configuration = configuration
+        self._configured_at = self._clock()
+        self._raw[("operator", record.key)] = record.value or b""
+        self._log.line(
+            "configuration_in_force",
+            version=configuration.version,
+            previous=current.version if current else None,
+            source=source,
+        )
+        for notify in self.on_configuration:
+            notify(configuration)
+
+    def _name_weights(self, change: WeightsNamed, record: Record, source: str) -> None:
+        known = self._weights.get(change.model)
+        if known is not None and known.version >= change.version:
+            return
+        self._weights[change.model] = NamedWeights(change.version, self._clock())
+        self._raw[("operator", record.key)] = record.value or b""
+        self._log.line("weights_named", model=change.model, version=change.version, source=source)
+
+    def _note_endpoint(self, entry: EndpointEntry, source: str) -> None:
+        self._log.line(
+            "endpoint_listed",
+            endpoint=entry.id,
+            address=entry.address,
+            leaving=entry.is_leaving,
+            weights=dict(entry.weights),
+            source=source,
+        )
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -0,0 +1,159 @@
+"""Listener for callers: reads each request whole, then hands it to the exchange."""
+
+import contextlib
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent.pool import Pool
+from gevent.server import StreamServer
+
+from arbutustally.clock import monotonic
+from arbutustally.errors import BadRequestError, RouterError
+from arbutustally.gateway.configuration import CallerLimits
+from arbutustally.gateway.requests import CallerRequest
+from arbutustally_node.caller_watch import CallerGoneError, CallerWatch
+from arbutustally_node.gateway.caller import CallerConnection
+from arbutustally_node.gateway.ports import HttpCodec
+from arbutustally_node.http_body import BodyBudget, RequestReader
+
+BACKLOG = 1024
+MAX_CONNECTIONS = 3000
+#: Part of the process's memory that bodies of requests may take.
+BODY_MEMORY_PART = 0.2
+#: Longest wait for a caller that keeps sending after its request was refused, seconds.
+LINGER_S = 0.3
+
+Handler = Callable[[CallerRequest, CallerConnection, CallerWatch], None]
+
+
+class CallerListener:
+    """Accepts callers and serves their requests one after the other.
+
+    :param handler: answers a request.
+    :param limits: returns the bounds in force.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        codec: HttpCodec,
+        handler: Handler,
+        limits: Callable[[], CallerLimits],
+        memory_mb: int,
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._codec = codec
+        self._handler = handler
+        self._limits = limits
+        self._budget = BodyBudget(int(memory_mb * BODY_MEMORY_PART) << 20)
+        self._server = StreamServer(
+            (host, int(port)), self._serve, backlog=BACKLOG, spawn=Pool(MAX_CONNECTIONS)
+        )
+        self._idle: set[Any] = set()
+        self._connections = 0
+        self._running = 0
+        self._draining = False
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Returns host and port that were bound."""
+        return self._server.address[:2]
+
+    @property
+    def running(self) -> int:
+        """Returns the number of requests that are being answered."""
+        return self._running
+
+    @property
+    def connections(self) -> int:
+        """Returns the number of open connections."""
+        return self._connections
+
+    def start(self) -> None:
+        """Starts to accept connections."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Closes the listener; requests that are being answered go on."""
+        self._server.stop_accepting()
+        self._server.close()
+
+    def drain(self) -> None:
+        """Closes each connection after its next answer."""
+        self._draining = True
+
+    def close_idle(self) -> None:
+        """Closes connections on which no request has begun."""
+        for sock in list(self._idle):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def _serve(self, sock: Any, _address: Any) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        limits = self._limits()
+        reader = RequestReader(
+            sock,
+            monotonic,
+            self._budget,
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.idle_timeout_s,
+            limits.header_timeout_s,
+        )
+        self._connections += 1
+        try:
+            while self._serve_one(sock, reader):
+                continue
+        except (OSError, gevent.Timeout, CallerGoneError):
+            return
+        finally:
+            self._connections -= 1
+            reader.release()
+            sock.close()
+
+    def _serve_one(self, sock: Any, reader: RequestReader) -> bool:
+        connection = CallerConnection(sock, keep=not self._draining)
+        self._idle.add(sock)
+        try:
+            request = self._read(sock, reader)
+        except RouterError as error:
+            connection.keep = False
+            connection.send_whole(error.status, (), error.message.encode())
+            _linger(sock)
+            return False
+        finally:
+            self._idle.discard(sock)
+        if request is None:
+            return False
+        self._running += 1
+        watch = CallerWatch(sock)
+        try:
+            self._handler(request, connection, watch)
+        finally:
+            watch.stop()
+            reader.release()
+            self._running -= 1
+        return connection.keep and not self._draining
+
+    def _read(self, sock: Any, reader: RequestReader) -> CallerRequest | None:
+        head = reader.read_head()
+        if head is None:
+            return None
+        self._idle.discard(sock)
+        arrived_at = monotonic()
+        if head.expects_continue:
+            sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        body = reader.read_body(head)
+        if head.minor == 0:
+            raise BadRequestError("HTTP/1.0 is not supported; send HTTP/1.1")
+        return self._codec.decode_request(head, body, arrived_at)
+
+
+def _linger(sock: Any) -> None:
+    """Reads on for a moment, so that a refusal is not lost in a reset."""
+    with contextlib.suppress(OSError, gevent.Timeout), gevent.Timeout(LINGER_S):
+        sock.shutdown(socket.SHUT_WR)
+        while sock.recv(65536):
+            continue
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -0,0 +1,346 @@
+"""A gateway node: builds its services, runs them, and stops without cutting a request."""
+
+import secrets
+from random import Random
+
+import gevent
+import urllib3
+from gevent.event import Event
+
+from arbutustally.cache_index import Anchor, CacheScope
+from arbutustally.clock import boottime, monotonic
+from arbutustally.gateway.attempts import RepeatLedger
+from arbutustally.gateway.configuration import CallerLimits, Configuration
+from arbutustally.gateway.quota import QuotaLedger
+from arbutustally.placement import Placement
+from arbutustally_node.collector import tune_collector
+from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.directory import EntryNode, addresses_for
+from arbutustally_node.gateway.exchange import Exchange
+from arbutustally_node.gateway.fleet_view import FleetView, NamedWeights
+from arbutustally_node.gateway.follower import Follower
+from arbutustally_node.gateway.gossip import Gossip, PeerState
+from arbutustally_node.gateway.instruments import Instruments
+from arbutustally_node.gateway.listener import CallerListener
+from arbutustally_node.gateway.ports import GatewayOptions, Platform
+from arbutustally_node.gateway.transport import Transport
+from arbutustally_node.gateway.web import (
+    directory_app,
+    fetch_snapshot,
+    metrics_app,
+    ready_app,
+    serve,
+    snapshot_app,
+)
+from arbutustally_node.gateway.weights_service import WeightsService
+from arbutustally_node.kernel import Kernel
+from arbutustally_node.pool import PoolService
+
+CONNECT_TIMEOUT_S = 0.3
+#: Longest silence of an endpoint inside an answer, seconds; callers leave a stream at two.
+SILENCE_S = 1.6
+#: Time for which callers may keep an answer with addresses, seconds. Some keep it three times as
+#: long, and a node that stops serves until then.
+DIRECTORY_TTL_S = 1.5
+TTL_KEPT = 3
+#: Time before the end of the grace period at which a stopping node ends, seconds.
+GRACE_MARGIN_S = 0.6
+STOP_POLL_S = 0.05
+#: Interval at which a node without the store, or behind its peers, asks one of them, seconds.
+SNAPSHOT_INTERVAL_S = 0.5
+#: Placements of prompts that are told to peers with one datagram.
+MAX_PLACED = 64
+
+
+class GatewayNode:
+    """One node with all its services.
+
+    :param options: settings of the node.
+    :param platform: adapter of the platform.
+    """
+
+    def __init__(self, options: GatewayOptions, platform: Platform) -> None:
+        self._options = options
+        self._platform = platform
+        self._rng = Random()
+        self._incarnation = secrets.token_hex(6)
+        self._kernel = Kernel()
+        self._stopping = Event()
+        self._is_draining = False
+        self._build()
+
+    @classmethod
+    def from_config(cls, options: GatewayOptions, platform: Platform) -> "GatewayNode":
+        """Builds a node that has not started."""
+        return cls(options, platform)
+
+    def request_stop(self) -> None:
+        """Asks the node to drain and end."""
+        self._stopping.set()
+
+    def reload(self, options: GatewayOptions) -> None:
+        """Takes changed settings that can change while the node runs: the seeds."""
+        for seed in options.seeds:
+            self._gossip.introduce(seed.rpartition(":")[0])
+        self._log.line("settings_reloaded", seeds=len(options.seeds))
+
+    def reload_failed(self, reason: str) -> None:
+        """Notes that changed settings were refused; the old ones stay in force."""
+        self._log.line("settings_refused", reason=reason)
+
+    def run(self) -> None:
+        """Serves until a stop is requested, then drains."""
+        self.start()
+        self._stopping.wait()
+        self.drain()
+        self.stop()
+
+    def start(self) -> None:
+        """Starts all services."""
+        self._kernel.start()
+        for seed in self._options.seeds:
+            self._gossip.introduce(seed.rpartition(":")[0])
+        self._web = [
+            serve(self._options.ready_listen, ready_app(self._options.ready_path, self.is_ready)),
+            serve(
+                self._options.directory_listen,
+                directory_app(self._options.directory_path, self._addresses),
+            ),
+            serve(self._options.control_listen, snapshot_app(lambda: self._view.raw)),
+            serve(self._options.metrics_listen, metrics_app(self._metrics_text)),
+        ]
+        self._catch_up_greenlet = gevent.spawn(self._catch_up)
+        tune_collector()
+        self._log.line("node_started", zone=self._options.zone, callers=self._options.caller_listen)
+
+    def is_ready(self) -> bool:
+        """Returns whether callers should use this node."""
+        return self._view.is_complete and not self._is_draining
+
+    def drain(self) -> None:
+        """Serves callers that still know this node, then waits for running requests."""
+        self._is_draining = True
+        self._log.line("node_draining", running=self._listener.running)
+        self._weights.stop()
+        self._gossip.send_now()
+        latest = boottime() + self._options.bounds.grace_s - GRACE_MARGIN_S
+        known_until = boottime() + self._ttl_s * TTL_KEPT
+        self._listener.drain()
+        while boottime() < latest:
+            if boottime() >= known_until:
+                self._listener.close_idle()
+                if not self._listener.running:
+                    return
+            gevent.sleep(STOP_POLL_S)
+
+    def stop(self) -> None:
+        """Stops all services."""
+        self._log.line("node_stopped", running=self._listener.running)
+        self._catch_up_greenlet.kill()
+        for server in self._web:
+            server.stop(timeout=0)
+        self._kernel.stop()
+
+    @property
+    def _ttl_s(self) -> float:
+        return min(DIRECTORY_TTL_S, self._options.bounds.directory_ttl_s)
+
+    def _build(self) -> None:
+        options, platform = self._options, self._platform
+        bounds = options.bounds
+        self._log = DecisionLog({"node": options.node, "inc": self._incarnation[:6]})
+        self._instruments = Instruments()
+        self._view = FleetView(platform.documents, monotonic, self._log)
+        self._quota = QuotaLedger.from_config(boottime, bounds.quota)
+        self._repeats = RepeatLedger.from_config(monotonic, bounds.repeats)
+        self._placement = Placement.from_config(monotonic, self._rng)
+        self._pool = PoolService(CONNECT_TIMEOUT_S, SILENCE_S)
+        self._gossip = Gossip(
+            options.ip,
+            options.peer_port,
+            monotonic,
+            self._log,
+            self._describe,
+            self._on_peer,
+            self._on_absent,
+        )
+        self._exchange = Exchange(
+            self._view,
+            Transport(self._pool, platform.codec),
+            self._placement,
+            self._quota,
+            self._repeats,
+            self._log,
+            self._instruments,
+            monotonic,
+            self._rng,
+            options.zone,
+            bounds.weights_s,
+        )
+        self._follower = Follower(
+            platform,
+            self._view,
+            self._gossip,
+            self._log,
+            monotonic,
+            (options.node, options.ip.encode()),
+            bounds.store_return_s,
+        )
+        self._weights = WeightsService(
+            f"{options.node}~{self._incarnation}",
+            self._view,
+            self._gossip,
+            platform.lease_topic,
+            platform.engines,
+            self._log,
+            monotonic,
+            boottime,
+            bounds.lease_s,
+        )
+        self._listener = CallerListener(
+            options.caller_listen,
+            platform.codec,
+            self._exchange.serve,
+            self._caller_limits,
+            options.memory_mb,
+        )
+        self._view.on_configuration.append(self._configured)
+        for name, service in (
+            ("log", self._log),
+            ("gossip", self._gossip),
+            ("follower", self._follower),
+            ("pool", self._pool),
+            ("weights", self._weights),
+            ("listener", self._listener),
+        ):
+            self._kernel.register(name, service)
+
+    def _caller_limits(self) -> CallerLimits:
+        configuration = self._view.configuration
+        return configuration.limits if configuration else CallerLimits()
+
+    def _configured(self, configuration: Configuration) -> None:
+        self._quota.declare(
+            {name: (entry.rate, entry.burst) for name, entry in configuration.accounts.items()}
+        )
+
+    def _metrics_text(self) -> str:
+        return self._instruments.text()
+
+    def _addresses(self, zone: str) -> bytes | None:
+        nodes = [
+            EntryNode(state.callers, state.zone) for state in self._gossip.present if state.is_ready
+        ]
+        if self.is_ready():
+            nodes.append(EntryNode(self._options.caller_listen, self._options.zone))
+        if not nodes:
+            return None
+        addresses = addresses_for(zone, nodes, self._rng)
+        return self._platform.directory_body(addresses, self._ttl_s)
+
+    def _describe(self, number: int, peers: tuple[str, ...]) -> PeerState:
+        view, options = self._view, self._options
+        placed, self._exchange.placed_lately = self._exchange.placed_lately, []
+        now = monotonic()
+        states = view.book.all()
+        return PeerState(
+            node=options.node,
+            incarnation=self._incarnation,
+            number=number,
+            zone=options.zone,
+            callers=options.caller_listen,
+            control=options.control_listen,
+            is_ready=self.is_ready(),
+            config=view.configuration.version if view.configuration else 0,
+            loads={
+                state.id: (
+                    state.running,
+                    round(state.prompt_tokens),
+                    round(state.memory_tokens),
+                )
+                for state in states
+                if state.running
+            },
+            admitted=dict(self._quota.admitted),
+            weights={
+                model: (named.version, round(now - named.known_at, 3))
+                for model, named in view.weights.items()
+            },
+            engines={state.id: dict(state.weights) for state in states if state.weights},
+            loading=tuple(
+                state.id for state in states if state.loading and self._weights.is_holder
+            ),
+            placed=tuple(placed[-MAX_PLACED:]),
+            peers=peers,
+        )
+
+    def _on_peer(self, state: PeerState) -> None:
+        book = self._view.book
+        book.set_peer_load(state.node, {key: tuple(load) for key, load in state.loads.items()})
+        self._quota.heard(state.incarnation, state.admitted)
+        heard = len(self._gossip.present) + 1
+        self._quota.see(heard, self._gossip.known + 1)
+        self._repeats.share_among(self._gossip.known + 1)
+        now = monotonic()
+        for model, (version, age) in state.weights.items():
+            named = self._view.weights.get(model)
+            if named is not None and named.version == version:
+                named.known_at = min(named.known_at, now - age)
+            elif named is None or named.version < version:
+                self._view.weights[model] = NamedWeights(version, now - age)
+                self._log.line("weights_named", model=model, version=version, source=state.node)
+        for endpoint_id, weights in state.engines.items():
+            endpoint = book.get(endpoint_id)
+            if endpoint is not None:
+                for model, version in weights.items():
+                    endpoint.weights[model] = max(endpoint.weights.get(model, 0), version)
+        if not self._weights.is_holder:
+            self._take_loading(state, now)
+        for wall, model, version, hashes, endpoint_id, incarnation in state.placed:
+            self._placement.heard(
+                CacheScope(wall, model, version),
+                [Anchor(value, 0) for value in hashes],
+                endpoint_id,
+                incarnation,
+            )
+
+    def _take_loading(self, state: PeerState, now: float) -> None:
+        for endpoint_id in state.loading:
+            endpoint = self._view.book.get(endpoint_id)
+            if endpoint is not None:
+                endpoint.loading = True
+                endpoint.loading_until = now + self._gossip.interval_s * 2
+        for endpoint in self._view.book.all():
+            if endpoint.loading and now >= endpoint.loading_until:
+                endpoint.loading = False
+
+    def _on_absent(self, state: PeerState) -> None:
+        self._view.book.set_peer_load(state.node, {})
+        self._quota.see(len(self._gossip.present) + 1, self._gossip.known + 1)
+
+    def _catch_up(self) -> None:
+        """Asks a peer for what the store does not give."""
+        http = urllib3.PoolManager(maxsize=1)
+        while True:
+            gevent.sleep(SNAPSHOT_INTERVAL_S)
+            peer = self._peer_ahead()
+            if peer is None:
+                continue
+            documents = fetch_snapshot(http, peer.control)
+            self._log.line("snapshot_fetched", peer=peer.node, found=documents is not None)
+            for topic, record in documents or ():
+                if topic == "operator":
+                    self._view.take_operator(record, peer.node)
+                else:
+                    self._view.take_endpoint(record, peer.node)
+
+    def _peer_ahead(self) -> PeerState | None:
+        configuration = self._view.configuration
+        version = configuration.version if configuration else 0
+        ahead = [state for state in self._gossip.present if state.config > version]
+        if ahead:
+            return max(ahead, key=lambda state: state.config)
+        if self._follower.has_store and self._view.is_complete:
+            return None
+        ready = [state for state in self._gossip.present if state.is_ready]
+        return self._rng.choice(ready) if ready else None
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
@@ -0,0 +1,287 @@
+"""What the gateway needs of the platform that it runs on; an adapter implements it."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from arbutustally.gateway.attempts import RepeatBudget
+from arbutustally.gateway.configuration import Configuration
+from arbutustally.gateway.endpoints import EndpointEntry
+from arbutustally.gateway.quota import QuotaTolerance
+from arbutustally.gateway.requests import CallerRequest
+from arbutustally_node.http_head import RequestHead
+
+
+@dataclass(frozen=True)
+class AttemptTerms:
+    """What one attempt tells the endpoint beside the caller's request.
+
+    :ivar endpoint_id: any other endpoint at the address must refuse.
+    :ivar account: name of the account, empty on a public route without a key.
+    :ivar left_s: time until the answer is of no use.
+    :ivar cache_scope: cached parts are found under the same text only; empty for a plain service.
+    :ivar weights: version that the engine must have, ``None`` for a plain service.
+    :ivar priority: 0 is the most urgent, ``None`` for a plain service.
+    :ivar resume_from: id of the last event that was relayed, empty for none.
+    """
+
+    endpoint_id: str
+    account: str
+    left_s: float
+    cache_scope: str = ""
+    weights: int | None = None
+    priority: int | None = None
+    resume_from: str = ""
+
+
+@dataclass(frozen=True)
+class AnswerTerms:
+    """What the head of an endpoint's answer says.
+
+    :ivar echoed_id: request id of the answer, empty without one.
+    :ivar is_signed: the endpoint itself made the answer.
+    :ivar is_not_run: the endpoint states that it did not run the request.
+    :ivar is_other_endpoint: another endpoint has the address, or another version of weights.
+    :ivar weights: version of the weights, ``None`` if not stated.
+    :ivar headers: headers to pass on to the caller.
+    """
+
+    echoed_id: str
+    is_signed: bool
+    is_not_run: bool
+    is_other_endpoint: bool
+    weights: int | None
+    headers: tuple[tuple[str, str], ...]
+
+
+class HttpCodec(Protocol):
+    """Wire form of requests and answers."""
+
+    def decode_request(self, head: RequestHead, body: bytes, arrived_at: float) -> CallerRequest:
+        """Returns the request.
+
+        :raises BadRequestError: if a header is malformed.
+        """
+
+    def attempt_headers(self, request: CallerRequest, terms: AttemptTerms) -> dict[str, str]:
+        """Returns the headers of an attempt."""
+
+    def decode_answer(self, status: int, headers: Sequence[tuple[str, str]]) -> AnswerTerms:
+        """Returns what the head of an answer says."""
+
+
+@dataclass(frozen=True)
+class Record:
+    """The newest value of a key.
+
+    :ivar value: ``None`` where the key was removed.
+    """
+
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True)
+class Batch:
+    """Records of a topic.
+
+    :ivar next_offset: where to read on.
+    """
+
+    records: tuple[Record, ...]
+    next_offset: int
+
+
+class KeyedTopic(Protocol):
+    """A topic of the store that keeps the newest record of each key."""
+
+    def newest(self) -> Batch:
+        """Returns the newest record of every key.
+
+        :raises StoreUnavailableError: if the store does not answer.
+        """
+
+    def since(self, offset: int, wait_s: float) -> Batch:
+        """Returns the records from an offset on, waiting for the first.
+
+        :raises StoreUnavailableError: if the store does not answer.
+        :raises HoleFoundError: if the records have left the store.
+        """
+
+
+class NodeTopic(KeyedTopic, Protocol):
+    """Topic in which nodes announce themselves."""
+
+    def announce(self, name: str, value: bytes | None) -> None:
+        """Writes a node's record; ``None`` removes it.
+
+        :raises StoreUnavailableError: if the store does not confirm it.
+        """
+
+
+@dataclass(frozen=True)
+class LeaseRecord:
+    """The last record of a lease.
+
+    :ivar holder: node that wrote it.
+    :ivar offset: of the record, which grows with each record.
+    :ivar fence: offset of the record that began the holder's tenure.
+    :ivar is_released: the holder gave the lease up.
+    """
+
+    holder: str
+    offset: int
+    fence: int
+    is_released: bool
+
+
+class LeaseTopic(Protocol):
+    """Topic with the records of one lease."""
+
+    def last(self) -> tuple[LeaseRecord | None, int]:
+        """Returns the last record and the offset of the next one.
+
+        :raises StoreUnavailableError: if the store does not answer.
+        """
+
+    def append(self, holder: str, fence: int | None, is_released: bool, expected: int) -> bool:
+        """Appends a record if the topic still ends at ``expected``.
+
+        :param fence: ``None`` begins a tenure, whose fence is the offset of this record.
+        :returns: whether the record was appended.
+        :raises StoreUnavailableError: if nobody knows whether it was.
+        """
+
+
+@dataclass(frozen=True)
+class EngineReport:
+    """Load and weights of an engine.
+
+    :ivar orders: orders accepted since its start.
+    :ivar is_busy: an order is in progress.
+    """
+
+    orders: int
+    is_busy: bool
+    weights: Mapping[str, int]
+
+
+class OrderReply:
+    """Kinds of answers to an order."""
+
+    ACCEPTED = "accepted"
+    HOLDS_ALREADY = "holds_already"
+    BUSY = "busy"
+    FENCED = "fenced"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class EngineControl(Protocol):
+    """Calls that manage an engine."""
+
+    def report(self, endpoint: EndpointEntry) -> EngineReport | None:
+        """Returns the engine's report, ``None`` if it does not answer."""
+
+    def load_weights(
+        self,
+        endpoint: EndpointEntry,
+        model: str,
+        version: int,
+        holder: str,
+        fence: int,
+        orders: int,
+    ) -> str:
+        """Orders an engine to load weights; returns one of ``OrderReply``.
+
+        :param orders: orders that the engine must have accepted so far.
+        """
+
+
+@dataclass(frozen=True)
+class WeightsNamed:
+    """The operator named a version of a model's weights."""
+
+    model: str
+    version: int
+
+
+class Documents(Protocol):
+    """Decoding of what others write into the store; unreadable documents give ``None``."""
+
+    def decode_operator(self, record: Record) -> Configuration | WeightsNamed | None:
+        """Returns what the operator wrote."""
+
+    def decode_endpoint(self, record: Record) -> EndpointEntry | None:
+        """Returns an endpoint's entry."""
+
+
+@dataclass(frozen=True)
+class GatewayBounds:
+    """Bounds that the deployment sets.
+
+    :ivar weights_s: after this time no request may begin on weights older than those named.
+    :ivar lease_s: least time between orders of two holders.
+    :ivar store_return_s: time after the store's return for which a missing entry may come back.
+    :ivar grace_s: time from SIGTERM to SIGKILL.
+    :ivar directory_ttl_s: longest time for which an answer with addresses counts.
+    """
+
+    weights_s: float
+    lease_s: float
+    grace_s: float
+    directory_ttl_s: float
+    quota: QuotaTolerance
+    repeats: RepeatBudget
+    store_return_s: float = 2.5
+
+
+@dataclass(frozen=True)
+class GatewayOptions:
+    """Settings of one node.
+
+    :ivar node: name of the node.
+    :ivar ip: address of the instance.
+    :ivar caller_listen: ``host:port`` for callers; the others likewise.
+    :ivar peer_port: UDP port for messages between nodes, the same on all.
+    :ivar metrics_listen: ``host:port`` for metrics.
+    :ivar seeds: ``host:port`` of control listeners of some nodes.
+    :ivar memory_mb: memory of the process.
+    """
+
+    node: str
+    ip: str
+    zone: str
+    caller_listen: str
+    ready_listen: str
+    directory_listen: str
+    control_listen: str
+    metrics_listen: str
+    peer_port: int
+    seeds: tuple[str, ...]
+    memory_mb: int
+    bounds: GatewayBounds
+    ready_path: str = "/ready"
+    directory_path: str = "/addresses"
+    log_level: str = "info"
+
+
+@dataclass(frozen=True)
+class Platform:
+    """Everything that an adapter provides."""
+
+    codec: HttpCodec
+    documents: Documents
+    operator_topic: KeyedTopic
+    endpoint_topic: KeyedTopic
+    node_topic: NodeTopic
+    engines: EngineControl
+    lease_topic: LeaseTopic
+    directory_body: "DirectoryBody" = field(default=None)
+
+
+class DirectoryBody(Protocol):
+    """Encodes the addresses named to a caller."""
+
+    def __call__(self, addresses: Sequence[str], ttl_s: float) -> bytes:
+        """Returns the body of the answer."""
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
@@ -0,0 +1,110 @@
+"""Relay of an event stream, which may go on at another endpoint after any whole event."""
+
+from collections.abc import Callable
+from enum import StrEnum
+
+import gevent
+
+from arbutustally.clock import Clock
+from arbutustally.errors import EndpointTimeoutError, RouterError
+from arbutustally.gateway.events import EventTooLongError, WholeEvents
+from arbutustally_node.caller_watch import CallerWatch
+from arbutustally_node.gateway.caller import CallerConnection, Headers
+from arbutustally_node.pool import PooledResponse
+
+
+class RelayEnd(StrEnum):
+    """How the relay from one endpoint ended."""
+
+    COMPLETE = "stream_complete"
+    BROKEN = "stream_broken"
+    SILENT = "stream_silent"
+    OUT_OF_TIME = "stream_out_of_time"
+
+
+class StreamRelay:
+    """Passes whole events on to one caller, from one endpoint after the other.
+
+    :param headers: of the first endpoint's answer; the caller sees these only.
+    """
+
+    def __init__(self, connection: CallerConnection, headers: Headers, clock: Clock) -> None:
+        self._connection = connection
+        self._headers = headers
+        self._clock = clock
+        self._events = WholeEvents()
+        self.began = False
+
+    @property
+    def last_id(self) -> str:
+        """Returns the id of the last event that was passed on."""
+        return self._events.last_id
+
+    def run(
+        self,
+        response: PooledResponse,
+        left_s: float,
+        watch: CallerWatch,
+        on_first: Callable[[float], None],
+        may_resume: bool,
+    ) -> RelayEnd:
+        """Passes on events until the stream ends.
+
+        :param on_first: called with the time of the first event of this endpoint.
+        :param may_resume: pass on whole events only.
+        :raises CallerGoneError: if the caller leaves.
+        :raises OSError: if the caller can't be written to.
+        """
+        self._events.restart()
+        try:
+            with gevent.Timeout(max(left_s, 0.001), _OutOfTimeError):
+                return self._relay(response, watch, on_first)
+        except _OutOfTimeError:
+            response.close()
+            return RelayEnd.OUT_OF_TIME
+        except EndpointTimeoutError:
+            response.close()
+            return RelayEnd.SILENT
+        except (RouterError, EventTooLongError):
+            response.close()
+            return RelayEnd.BROKEN
+        except BaseException:
+            response.close()
+            raise
+
+    def _relay(
+        self, response: PooledResponse, watch: CallerWatch, on_first: Callable[[float], None]
+    ) -> RelayEnd:
+        is_first = True
+        while True:
+            with watch:
+                data = response.read()
+            if not data:
+                break
+            whole = self._events.feed(data)
+            if not whole:
+                continue
+            if is_first:
+                on_first(self._clock())
+                is_first = False
+            self._pass_on(whole)
+        if self._events.rest:
+            return RelayEnd.BROKEN
+        if not self.began:
+            self._begin(b"")
+        self._connection.end()
+        return RelayEnd.COMPLETE
+
+    def _pass_on(self, whole: bytes) -> None:
+        if self.began:
+            self._connection.send_piece(whole)
+        else:
+            self._begin(whole)
+
+    def _begin(self, first: bytes) -> None:
+        self.began = True
+        self._connection.begin(200, self._headers, first)
+
+
+class _OutOfTimeError(Exception):
+    """The caller's deadline or the route's timeout has passed."""
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -0,0 +1,113 @@
+"""One attempt of a request at one endpoint."""
+
+from dataclasses import dataclass
+
+import gevent
+
+from arbutustally.engine_client import is_refused
+from arbutustally.errors import EndpointFailedError, EndpointTimeoutError, Ran, RouterError
+from arbutustally.gateway.attempts import Outcome
+from arbutustally.gateway.endpoints import EndpointState
+from arbutustally.gateway.requests import CallerRequest
+from arbutustally_node.caller_watch import CallerWatch
+from arbutustally_node.gateway.ports import AnswerTerms, AttemptTerms, HttpCodec
+from arbutustally_node.pool import PooledResponse, PoolService
+
+#: Largest answer that is read whole before it is passed on, bytes.
+MAX_WHOLE_ANSWER = 8 << 20
+FIRST_FAILURE_STATUS = 500
+
+
+@dataclass
+class Attempt:
+    """How an attempt went.
+
+    :ivar reason: stable word for logs and counters.
+    :ivar status: of the endpoint's answer, 0 without one.
+    :ivar response: an answer whose body is still to be read, otherwise ``None``.
+    :ivar body: a whole answer's body.
+    :ivar is_unreachable: no connection could be made.
+    """
+
+    outcome: Outcome
+    reason: str
+    status: int = 0
+    terms: AnswerTerms | None = None
+    response: PooledResponse | None = None
+    body: bytes = b""
+    is_unreachable: bool = False
+
+
+class Transport:
+    """Sends attempts over pooled connections."""
+
+    def __init__(self, pool: PoolService, codec: HttpCodec) -> None:
+        self._pool = pool
+        self._codec = codec
+
+    def send(
+        self,
+        request: CallerRequest,
+        state: EndpointState,
+        terms: AttemptTerms,
+        head_s: float,
+        watch: CallerWatch,
+    ) -> Attempt:
+        """Sends a request and returns the head of its answer, or how the attempt failed.
+
+        :param head_s: longest wait for the head.
+        :raises CallerGoneError: if the caller leaves meanwhile.
+        """
+        headers = self._codec.attempt_headers(request, terms)
+        try:
+            with watch, gevent.Timeout(head_s, _HeadTimeoutError):
+                response = self._pool.open(
+                    state, request.method, request.target, headers, request.body or None, head_s
+                )
+        except (EndpointTimeoutError, _HeadTimeoutError):
+            return Attempt(Outcome.MAY_HAVE_RUN, "endpoint_silent")
+        except EndpointFailedError as error:
+            if error.ran is Ran.NOT_RUN:
+                reason = "connection_refused" if is_refused(error) else "connect_timeout"
+                return Attempt(Outcome.NOT_RUN, reason, is_unreachable=True)
+            return Attempt(Outcome.MAY_HAVE_RUN, "connection_broken")
+        return self._judge(request, response)
+
+    def read_whole(self, attempt: Attempt, left_s: float, watch: CallerWatch) -> Attempt:
+        """Reads the body of an answer.
+
+        :raises CallerGoneError: if the caller leaves meanwhile.
+        """
+        response = attempt.response
+        try:
+            with watch, gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
+                attempt.body = response.read_whole(MAX_WHOLE_ANSWER)
+        except (RouterError, _HeadTimeoutError):
+            response.close()
+            return Attempt(Outcome.MAY_HAVE_RUN, "answer_broken", attempt.status)
+        except BaseException:
+            response.close()
+            raise
+        attempt.response = None
+        return attempt
+
+    def _judge(self, request: CallerRequest, response: PooledResponse) -> Attempt:
+        """Tells a usable answer from one that must not reach the caller."""
+        terms = self._codec.decode_answer(response.status, response.header_items)
+        status = response.status
+        if terms.echoed_id and terms.echoed_id != request.request_id:
+            response.close()
+            return Attempt(Outcome.MAY_HAVE_RUN, "crossed_answer", status)
+        if terms.is_not_run or terms.is_other_endpoint:
+            response.settle()
+            reason = "other_endpoint" if terms.is_other_endpoint else "endpoint_full"
+            return Attempt(Outcome.NOT_RUN, reason, status, terms)
+        if not terms.is_signed:
+            response.close()
+            return Attempt(Outcome.MAY_HAVE_RUN, "unsigned_answer", status)
+        outcome = Outcome.FAILED if status >= FIRST_FAILURE_STATUS else Outcome.ANSWERED
+        return Attempt(outcome, f"status_{status}", status, terms, response)
+
+
+class _HeadTimeoutError(Exception):
+    """The head or the body of an answer did not come in time."""
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
@@ -0,0 +1,99 @@
+"""Small HTTP listeners of a node: readiness, addresses for callers, metrics, snapshots for peers."""
+
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+import urllib3
+from bottle import Bottle, HTTPResponse, request, response
+from gevent.pywsgi import WSGIServer
+
+from arbutustally_node.gateway.ports import Record
+
+SNAPSHOT_PATH = "/snapshot"
+#: Longest wait for a peer's snapshot, seconds.
+SNAPSHOT_TIMEOUT_S = 1.0
+MAX_LISTENERS_BACKLOG = 256
+
+Documents = dict[tuple[str, str], bytes]
+
+
+def serve(address: str, app: Bottle) -> WSGIServer:
+    """Listens on ``host:port`` and serves an application."""
+    host, _, port = address.rpartition(":")
+    server = WSGIServer(
+        (host, int(port)), app, log=None, error_log=None, backlog=MAX_LISTENERS_BACKLOG
+    )
+    server.start()
+    return server
+
+
+def ready_app(path: str, is_ready: Callable[[], bool]) -> Bottle:
+    """Answers 200 while the node takes requests and 503 otherwise."""
+    app = Bottle()
+
+    @app.get(path)
+    def ready() -> HTTPResponse:
+        return HTTPResponse(status=200 if is_ready() else 503)
+
+    return app
+
+
+def directory_app(path: str, answer: Callable[[str], bytes | None]) -> Bottle:
+    """Tells callers which addresses to use.
+
+    :param answer: returns the body for a caller's zone, ``None`` while there is no address.
+    """
+    app = Bottle()
+
+    @app.get(path)
+    def addresses() -> Any:
+        body = answer(request.query.get("zone", ""))
+        if body is None:
+            return HTTPResponse(status=503, headers={"Retry-After": "1"})
+        response.content_type = "application/json"
+        return body
+
+    return app
+
+
+def metrics_app(text: Callable[[], str]) -> Bottle:
+    """Serves counters and histograms as text."""
+    app = Bottle()
+
+    @app.get("/metrics")
+    def metrics() -> str:
+        response.content_type = "text/plain"
+        return text()
+
+    return app
+
+
+def snapshot_app(documents: Callable[[], Documents]) -> Bottle:
+    """Gives peers without the store the documents that this node has."""
+    app = Bottle()
+
+    @app.get(SNAPSHOT_PATH)
+    def snapshot() -> bytes:
+        response.content_type = "application/cbor"
+        rows = [[topic, key, value] for (topic, key), value in documents().items()]
+        return cbor2.dumps(rows)
+
+    return app
+
+
+def fetch_snapshot(http: urllib3.PoolManager, address: str) -> list[tuple[str, Record]] | None:
+    """Returns the documents of a peer by topic, ``None`` if it gives none."""
+    try:
+        answer = http.request(
+            "GET",
+            f"http://{address}{SNAPSHOT_PATH}",
+            timeout=SNAPSHOT_TIMEOUT_S,
+            retries=False,
+        )
+        if answer.status != 200:
+            return None
+        rows = cbor2.loads(answer.data)
+        return [(str(topic), Record(str(key), bytes(value))) for topic, key, value in rows]
+    except (urllib3.exceptions.HTTPError, cbor2.CBORDecodeError, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -0,0 +1,260 @@
+"""Orders engines to load newly named weights, by one node at a time under a lease.
+
+The lease exists only while there is work: the first node in the fleet's order claims it as soon as
+it sees older weights, the next ones only if nobody has. A claim is an append that succeeds only if
+no other record came in between; its offset is the fencing number of every order.
+"""
+
+from typing import Any
+
+import gevent
+
+from arbutustally.clock import Clock
+from arbutustally.errors import StoreUnavailableError
+from arbutustally.gateway.endpoints import EndpointState
+from arbutustally.gateway.weights import LOAD_CHECK_S, loads_at_once, plan_loads
+from arbutustally.lease import HeldLease, LeaseObserver
+from arbutustally.rendezvous import order
+from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.fleet_view import FleetView
+from arbutustally_node.gateway.gossip import Gossip
+from arbutustally_node.gateway.ports import EngineControl, LeaseTopic, OrderReply
+
+#: Interval between two looks at the engines, seconds.
+STEP_S = 0.1
+#: Interval between two looks while there is nothing to do, seconds.
+IDLE_STEP_S = 0.2
+#: Time that each rank waits longer before it claims, seconds.
+RANK_DELAY_S = 1.0
+#: Part of the lease after which it is renewed.
+RENEW_PART = 0.4
+#: Time after an order until its engine is asked whether it has loaded, seconds.
+FIRST_LOOK_S = 0.4
+LOOK_S = 0.25
+
+
+class WeightsService:
+    """Brings engines to the named weights.
+
+    :param node: name of this node.
+    :param boottime: seconds that go on while the instance is suspended.
+    :param lease_s: duration of the lease.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        view: FleetView,
+        gossip: Gossip,
+        leases: LeaseTopic,
+        engines: EngineControl,
+        log: DecisionLog,
+        clock: Clock,
+        boottime: Clock,
+        lease_s: float,
+    ) -> None:
+        self._node = node
+        self._view = view
+        self._gossip = gossip
+        self._leases = leases
+        self._engines = engines
+        self._log = log
+        self._clock = clock
+        self._boottime = boottime
+        self._lease_s = lease_s
+        self._observer = LeaseObserver.from_config(lease_s)
+        self._lease: HeldLease | None = None
+        self._unconfirmed: tuple[int, float] | None = None
+        self._behind_since: float | None = None
+        self._ordering: set[str] = set()
+        self._is_stopping = False
+        self._greenlet: Any = None
+
+    @property
+    def is_holder(self) -> bool:
+        """Returns whether this node may send orders now."""
+        return self._lease is not None and self._lease.valid(self._boottime())
+
+    def start(self) -> None:
+        """Starts watching for engines with older weights."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stops ordering and gives up the lease."""
+        self._is_stopping = True
+        self._release()
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def _run(self) -> None:
+        while not self._is_stopping:
+            try:
+                is_busy = self._step()
+            except StoreUnavailableError as error:
+                self._log.line("weights_lease_unknown", reason=error.message)
+                is_busy = True
+            gevent.sleep(STEP_S if is_busy else IDLE_STEP_S)
+
+    def _step(self) -> bool:
+        behind = self._behind()
+        if not behind:
+            self._behind_since = None
+            self._release()
+            return False
+        now = self._clock()
+        if self._behind_since is None:
+            self._behind_since = now
+        if not self.is_holder:
+            if now - self._behind_since < self._rank() * RANK_DELAY_S:
+                return True
+            if not self._claim():
+                return True
+        elif self._lease.remaining(self._boottime()) < self._lease_s * (1 - RENEW_PART):
+            self._renew()
+        for model, named in behind:
+            self._order(model, named)
+        return True
+
+    def _behind(self) -> list[tuple[str, int]]:
+        """Returns the models of which an engine has older weights than named."""
+        return [
+            (model, named.version)
+            for model, named in self._view.weights.items()
+            if any(
+                state.weights.get(model, 0) < named.version and self._clock() >= state.suspect_until
+                for state in self._engines_of(model)
+            )
+        ]
+
+    def _engines_of(self, model: str) -> list[EndpointState]:
+        return [
+            state
+            for state in self._view.book.all()
+            if model in state.weights and not state.entry.is_leaving and state.gone_at is None
+        ]
+
+    def _rank(self) -> int:
+        names = [state.node for state in self._gossip.present if state.is_ready]
+        return order(b"weights", [self._node, *names]).index(self._node)
+
+    def _claim(self) -> bool:
+        """Tries to become the holder.
+
+        :raises StoreUnavailableError: if nobody knows whether the claim was appended; the next
+            step finds it by its offset.
+        """
+        self._lease = None
+        last, end = self._leases.last()
+        if last is not None and last.holder == self._node and self._unconfirmed:
+            offset, sent_at = self._unconfirmed
+            if last.offset == offset:
+                return self._hold(offset, sent_at, last.holder)
+        sent_at = self._boottime()
+        if (
+            last is not None
+            and not last.is_released
+            and not self._observer.claimable("weights", last.offset, sent_at)
+        ):
+            return False
+        self._unconfirmed = (end, sent_at)
+        if not self._leases.append(self._node, None, False, end):
+            self._unconfirmed = None
+            self._log.line("weights_lease_lost_race", expected=end)
+            return False
+        return self._hold(end, sent_at, last.holder if last else "")
+
+    def _hold(self, fence: int, sent_at: float, previous: str) -> bool:
+        self._unconfirmed = None
+        self._lease = HeldLease(sent_at, self._lease_s, "weights", fence)
+        self._log.line("weights_lease_claimed", fence=fence, previous=previous)
+        return self.is_holder
+
+    def _renew(self) -> None:
+        lease = self._lease
+        last, end = self._leases.last()
+        if last is None or last.fence != lease.epoch or last.holder != self._node:
+            self._lease = None
+            self._log.line("weights_lease_lost", fence=lease.epoch)
+            return
+        sent_at = self._boottime()
+        if self._leases.append(self._node, lease.epoch, False, end):
+            self._lease = HeldLease(sent_at, self._lease_s, lease.name, lease.epoch)
+
+    def _release(self) -> None:
+        if not self.is_holder or self._ordering:
+            return
+        lease, self._lease = self._lease, None
+        try:
+            _last, end = self._leases.last()
+            self._leases.append(self._node, lease.epoch, True, end)
+            self._log.line("weights_lease_released", fence=lease.epoch)
+        except StoreUnavailableError as error:
+            self._log.line("weights_lease_not_released", reason=error.message)
+
+    def _order(self, model: str, named: int) -> None:
+        states = self._engines_of(model)
+        plan = plan_loads(states, model, named, loads_at_once(len(states)), self._clock())
+        for engine in plan.engines:
+            if engine not in self._ordering and self.is_holder:
+                self._ordering.add(engine)
+                gevent.spawn(self._load, self._view.book.get(engine), model, named)
+
+    def _load(self, state: EndpointState, model: str, named: int) -> None:
+        """Orders one engine and watches it until it has loaded."""
+        state.loading = True
+        state.loading_until = self._clock() + LOAD_CHECK_S
+        try:
+            if self._send_order(state, model, named):
+                self._await_load(state, model, named)
+        finally:
+            state.loading = False
+            self._ordering.discard(state.id)
+
+    def _send_order(self, state: EndpointState, model: str, named: int) -> bool:
+        report = self._engines.report(state.entry)
+        if report is None:
+            pause = self._view.book.unreachable(state)
+            self._log.line("engine_report_missing", engine=state.id, avoided_s=pause)
+            return False
+        self._take_weights(state, report.weights)
+        if report.weights.get(model, 0) >= named or report.is_busy:
+            return report.is_busy
+        if not self.is_holder:
+            return False
+        fence = self._lease.epoch
+        reply = self._engines.load_weights(
+            state.entry, model, named, self._node, fence, report.orders
+        )
+        self._log.line(
+            "weights_ordered",
+            engine=state.id,
+            model=model,
+            version=named,
+            fence=fence,
+            orders=report.orders,
+            reply=reply,
+        )
+        if reply == OrderReply.HOLDS_ALREADY:
+            self._take_weights(state, {model: named})
+        if reply == OrderReply.FENCED:
+            self._lease = None
+        return reply in (OrderReply.ACCEPTED, OrderReply.BUSY, OrderReply.UNKNOWN)
+
+    def _await_load(self, state: EndpointState, model: str, named: int) -> None:
+        gevent.sleep(FIRST_LOOK_S)
+        while self._clock() < state.loading_until:
+            if state.weights.get(model, 0) >= named:
+                return
+            report = self._engines.report(state.entry)
+            if report is None:
+                return
+            self._take_weights(state, report.weights)
+            if not report.is_busy:
+                return
+            gevent.sleep(LOOK_S)
+
+    def _take_weights(self, state: EndpointState, weights: dict[str, int]) -> None:
+        for model, version in weights.items():
+            if version > state.weights.get(model, 0):
+                state.weights[model] = version
+                self._log.line("engine_weights", engine=state.id, model=model, version=version)
--- a/packages/arbutustally-node/src/arbutustally_node/pool.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -1,6 +1,7 @@
 """Connections to endpoints, with proof of whether a byte of a request was sent."""
 
 import contextlib
+import re
 import select
 import socket
 from collections import OrderedDict
@@ -30,15 +31,42 @@
 #: The kernel doubles the value; a stream whose caller is slow holds no more than that unread.
 RECEIVE_BUFFER_BYTES = 64 << 10
 
+#: Time after which sent bytes without an acknowledgement end a connection, milliseconds. Without
+#: it, a connection that went silent holds its request until the caller gives up.
+UNACKNOWLEDGED_MS = 1500
+
 _SOCKET_OPTIONS = [
     *HTTPConnection.default_socket_options,
     (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
 ]
 _READ = 1
+_KEEP_ALIVE = re.compile(r"timeout=([0-9]{1,6})")
+#: Part of the announced idle time for which a connection is kept; the endpoint counts from earlier.
+KEEP_ALIVE_PART = 0.6
 # gevent's own poll yields to other greenlets; this check must not.
 _poll = monkey.get_original("select", "poll")
 
 
+class ExpiringConnection(HTTPConnection):
+    """A connection that is not used again after the endpoint may have closed it."""
+
+    idle_until: float | None = None
+
+    @property
+    def is_connected(self) -> bool:
+        """Returns whether the connection is open and may be used for another request."""
+        if self.idle_until is not None and monotonic() >= self.idle_until:
+            return False
+        return super().is_connected
+
+
+class EndpointPool(urllib3.HTTPConnectionPool):
+    """Connections to one endpoint."""
+
+    ConnectionCls = ExpiringConnection
+
+
 class PooledResponse:
     """An endpoint's answer whose body is read from its connection.
 
@@ -60,6 +88,7 @@
         self._arrived = self._arrived_with_head()
         self._closed = False
         self._silenced = False
+        self._was_reset = False
         # Reading before anything has arrived costs a failed call and an exception.
         self._is_paced = False
         self._hub = gevent.get_hub()
@@ -75,6 +104,11 @@
         """Returns the headers by lower-case name."""
         return self._headers
 
+    @property
+    def header_items(self) -> list[tuple[str, str]]:
+        """Returns all headers as sent, in order."""
+        return list(self._response.headers.iteritems())
+
     def read(self) -> bytes:
         """Returns the bytes of the body that have arrived, waiting for the first; empty at its end.
 
@@ -87,7 +121,7 @@
                 break
             received = self._receive()
             if not received:
-                if isinstance(self._body, OpenBody):
+                if isinstance(self._body, OpenBody) and not self._was_reset:
                     break
                 raise self._broken()
             decoded = self._body.feed(received)
@@ -105,6 +139,8 @@
                 self._hub.wait(self._readable)
             received = self._socket.recv(READ_BYTES)
         except OSError:
+            # Unlike an orderly end, a reset can't end a body without a length.
+            self._was_reset = True
             received = b""
         finally:
             self._silence.received(self)
@@ -183,9 +219,16 @@
             return
         self._closed = True
         self._stop_watching()
+        connection = self._response.connection
+        if connection is not None:
+            connection.idle_until = self._idle_until()
         self._original.close()
         self._response.release_conn()
 
+    def _idle_until(self) -> float | None:
+        match = _KEEP_ALIVE.search(self._headers.get("keep-alive", ""))
+        return monotonic() + int(match[1]) * KEEP_ALIVE_PART if match else None
+
     def _stop_watching(self) -> None:
         if self._readable is not None:
             self._readable.stop()
@@ -309,6 +352,6 @@
 
     def _new_pool(self, address: str, size: int) -> urllib3.HTTPConnectionPool:
         host, _, port = address.rpartition(":")
-        return urllib3.HTTPConnectionPool(
+        return EndpointPool(
             host, int(port), maxsize=size, block=False, socket_options=_SOCKET_OPTIONS
         )
--- a/packages/arbutustally/src/arbutustally/clock.py
+++ b/packages/arbutustally/src/arbutustally/clock.py
@@ -34,3 +34,8 @@
     def advance_to(self, instant: float) -> None:
         """Moves the clock to an instant that is not in the past."""
         self.advance(instant - self._now)
+
+
+def boottime() -> float:
+    """Returns seconds that go on while the instance is suspended; leases count these."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/arbutustally/src/arbutustally/errors.py
+++ b/packages/arbutustally/src/arbutustally/errors.py
@@ -295,3 +295,10 @@
 
     code = "node_unreachable"
     status = 503
+
+
+class StoreUnavailableError(RouterError):
+    """The platform's store did not answer, or refused the call."""
+
+    code = "store_unavailable"
+    status = 503
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -0,0 +1,110 @@
+"""Choice of an endpoint for one request.
+
+Load pattern: long prompts share parts, engines differ in what they hold and how much they have
+to read, and many nodes choose at once. Engines are ranked by the expected time to the first
+event (``arbutustally.placement``), with the requests of all nodes in the queue of each; a prompt
+that does not fit into what is left of an engine's memory counts as a longer queue there.
+"""
+
+from collections.abc import Sequence
+from random import Random
+
+from arbutustally.gateway.configuration import Service
+from arbutustally.gateway.endpoints import EndpointState
+from arbutustally.gateway.requests import CallerRequest, shape_of
+from arbutustally.placement import Candidate, Choice, Placement, PlacementRequest
+
+#: Queue tokens for each token that does not fit into an engine's memory: a preempted request is
+#: read again, and one that waits does so for the rest of another's stream.
+OVERFLOW_WEIGHT = 4.0
+#: Latency assumed of a plain endpoint that has not answered yet, seconds.
+DEFAULT_LATENCY_S = 0.05
+#: Endpoints whose expected time differs by less than this share are equal.
+NEAR_TIE = 0.1
+
+
+class FirstEventTarget:
+    """Target of placement: the least time to the first event.
+
+    :param target_s: seconds.
+    """
+
+    recompute_percent = None
+
+    def __init__(self, target_s: float) -> None:
+        self.first_token_ms = target_s * 1000
+
+
+def choose_plain(able: Sequence[EndpointState], zone: str, rng: Random) -> EndpointState:
+    """Returns the endpoint with the least expected time; the own zone wins among equals."""
+
+    def expected_s(state: EndpointState) -> float:
+        latency = state.latency_s or DEFAULT_LATENCY_S
+        waiting = max(0, state.total_running + 1 - state.entry.slots)
+        busy = state.total_running / max(state.entry.slots, 1)
+        return latency * (1 + busy + waiting / max(state.entry.slots, 1) + state.failures)
+
+    times = {state.id: expected_s(state) for state in able}
+    best = min(times.values())
+    tied = [state for state in able if times[state.id] <= best * (1 + NEAR_TIE)]
+    near = [state for state in tied if state.entry.zone == zone]
+    return rng.choice(near or tied)
+
+
+def choose_engine(
+    placement: Placement,
+    request: CallerRequest,
+    service: Service,
+    able: Sequence[EndpointState],
+    version: int,
+    wall: str,
+    target_s: float,
+) -> Choice:
+    """Returns the engine that is expected to send the first event soonest.
+
+    :param able: engines that run ``version``.
+    :param wall: name of the account if its cached parts are its own, otherwise empty.
+    """
+    shape = shape_of(request)
+    asked = PlacementRequest(
+        account=wall,
+        model=request.model,
+        version=str(version),
+        shape=shape,
+        output_tokens=request.output_tokens,
+        target=FirstEventTarget(target_s),
+    )
+    memory = service.engine.cache_tokens if service.engine else 0
+    needed = shape.total_tokens + request.output_tokens
+    candidates = [
+        Candidate(
+            endpoint=state.id,
+            incarnation=state.entry.incarnation,
+            zone=state.entry.zone,
+            queued_tokens=state.total_prompt_tokens + _overflow(state, needed, memory),
+            running=state.total_running,
+            version=str(version),
+        )
+        for state in able
+    ]
+    return placement.choose(asked, candidates)
+
+
+def _overflow(state: EndpointState, needed: float, memory: int) -> float:
+    return max(0.0, state.total_memory_tokens + needed - memory) * OVERFLOW_WEIGHT
+
+
+def weights_to_use(
+    states: Sequence[EndpointState], model: str, named: int, stale_allowed: bool
+) -> tuple[int, list[EndpointState]]:
+    """Returns the version of a model to run on, and the engines that have it.
+
+    :param named: newest version that the operator named.
+    :param stale_allowed: older weights may still begin requests.
+    """
+    ready = [state for state in states if not state.loading]
+    holders = [state for state in ready if state.weights.get(model, 0) >= named]
+    if holders or not stale_allowed:
+        return named, holders
+    newest = max((state.weights.get(model, 0) for state in ready), default=0)
+    return newest, [state for state in ready if state.weights.get(model, 0) == newest]
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/gateway/configuration.py
@@ -0,0 +1,166 @@
+"""Configuration in force: routes, services, client accounts and bounds on what callers send."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from arbutustally.errors import KeyInvalidError, RouteUnknownError
+
+
+class RouteKind(StrEnum):
+    """What a route's requests are, which decides whether one may run again."""
+
+    IDEMPOTENT = "idempotent"
+    AT_MOST_ONCE = "at_most_once"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True)
+class ServiceShare:
+    """Part of a route's traffic that goes to one service.
+
+    :ivar weight: relative to the other shares of the route.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """A route of one host.
+
+    :ivar path_prefix: begins and ends with a slash.
+    :ivar timeout_s: longest time that a caller is kept waiting.
+    :ivar target_s: time to the answer, or to the first event of a stream.
+    :ivar gap_target_s: longest pause between events of a stream that is on time.
+    :ivar priority: 0 is the most urgent.
+    :ivar max_attempts: endpoints on which one request may run.
+    :ivar is_public: needs no key.
+    :ivar is_resumable: a broken stream may go on at another endpoint.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_s: float
+    target_s: float
+    gap_target_s: float
+    priority: int
+    shares: tuple[ServiceShare, ...]
+    max_attempts: int
+    is_public: bool
+    is_resumable: bool
+
+    @property
+    def may_repeat(self) -> bool:
+        """Returns whether a request that may have run can be sent again."""
+        return self.kind is RouteKind.IDEMPOTENT or self.is_resumable
+
+
+@dataclass(frozen=True)
+class Engine:
+    """What every engine of a service has.
+
+    :ivar slots: requests that run at once.
+    :ivar cache_tokens: tokens that fit into the memory of running requests and cached parts.
+    """
+
+    slots: int
+    cache_tokens: int
+
+
+@dataclass(frozen=True)
+class Service:
+    """A group of endpoints.
+
+    :ivar max_connections: connections that one endpoint accepts from all nodes together.
+    :ivar engine: ``None`` for a plain service.
+    """
+
+    name: str
+    max_connections: int
+    engine: Engine | None = None
+
+
+@dataclass(frozen=True)
+class ClientAccount:
+    """A client account.
+
+    :ivar priority: 0 is the most urgent; it goes before the priority of the route.
+    :ivar rate: tokens/s or requests/s over all instances, 0 for no limit.
+    :ivar burst: in the unit of ``rate``.
+    :ivar counts_tokens: rate and burst are in tokens; otherwise in requests.
+    :ivar plain_tokens: tokens of a request that states none.
+    :ivar is_isolated: shares no cached part with other accounts.
+    """
+
+    name: str
+    priority: int
+    rate: float
+    burst: float
+    counts_tokens: bool
+    plain_tokens: int
+    is_isolated: bool
+
+    def cost(self, tokens: int | None) -> float:
+        """Returns what a request takes from the account's rate.
+
+        :param tokens: tokens that the request states, ``None`` without any.
+        """
+        if not self.counts_tokens:
+            return 1.0
+        return float(self.plain_tokens if tokens is None else tokens)
+
+
+@dataclass(frozen=True)
+class CallerLimits:
+    """Bounds on what a caller may send."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 << 20
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """One version of the whole configuration.
+
+    :ivar version: grows with every change.
+    :ivar accounts_by_key: account of each key; empty where routes need no key.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, Service]
+    accounts: Mapping[str, ClientAccount]
+    accounts_by_key: Mapping[str, str]
+    limits: CallerLimits = field(default_factory=CallerLimits)
+
+    def route_of(self, host: str, path: str) -> Route:
+        """Returns the route of the longest prefix.
+
+        :raises RouteUnknownError: if no route of the host matches.
+        """
+        matching = [
+            route
+            for route in self.routes
+            if route.host == host and path.startswith(route.path_prefix)
+        ]
+        if not matching:
+            raise RouteUnknownError("no route matches; check the host and the path")
+        return max(matching, key=lambda route: len(route.path_prefix))
+
+    def account_of(self, route: Route, key: str) -> ClientAccount | None:
+        """Returns the account that holds a key, ``None`` on a public route.
+
+        :raises KeyInvalidError: if the route needs a key and this one is unknown.
+        """
+        name = self.accounts_by_key.get(key)
+        if name is not None:
+            return self.accounts[name]
+        if route.is_public or not self.accounts:
+            return None
+        raise KeyInvalidError("the key is missing or unknown; send a key that is in force")
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/gateway/quota.py
@@ -0,0 +1,141 @@
+"""Rate and burst of client accounts over the whole fleet, without asking for each request.
+
+Load pattern: one account sends many times its rate to all nodes at once. Every node keeps the
+bucket of every account and takes out of it what it admits and what its peers say they admitted.
+Peers report several times a second, so the fleet exceeds the bucket by at most what arrives
+between two reports; the excess is owed and later requests pay for it. A node that does not hear
+some of its peers only uses the part of the rate that belongs to those it hears.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from arbutustally.clock import Clock
+
+#: Part of the operator's tolerance that may be used; the rest covers reports on their way.
+TOLERANCE_USED = 0.3
+#: Longest time that a refused caller is asked to wait, seconds.
+MAX_RETRY_AFTER_S = 5.0
+
+
+@dataclass(frozen=True)
+class QuotaTolerance:
+    """How far the fleet may exceed a limit in a sliding window.
+
+    :ivar share: of rate and burst.
+    :ivar tokens: in addition.
+    """
+
+    share: float
+    tokens: float
+
+
+@dataclass
+class _Bucket:
+    rate: float
+    burst: float
+    level: float
+    filled_at: float
+
+
+class QuotaLedger:
+    """Buckets of all accounts as one node sees them.
+
+    :param clock: seconds that go on while the instance is suspended.
+    :param tolerance: see ``QuotaTolerance``.
+    """
+
+    def __init__(self, clock: Clock, tolerance: QuotaTolerance) -> None:
+        self._clock = clock
+        self._tolerance = tolerance
+        self._buckets: dict[str, _Bucket] = {}
+        self._admitted: dict[str, float] = {}
+        self._heard: dict[tuple[str, str], float] = {}
+        self._visible = 1.0
+
+    @classmethod
+    def from_config(cls, clock: Clock, tolerance: QuotaTolerance) -> "QuotaLedger":
+        """Builds a ledger without accounts."""
+        return cls(clock, tolerance)
+
+    @property
+    def admitted(self) -> Mapping[str, float]:
+        """Returns the tokens that this node has admitted since its start, by account."""
+        return self._admitted
+
+    def level(self, account: str) -> float:
+        """Returns the tokens left in an account's bucket."""
+        bucket = self._buckets[account]
+        self._fill(bucket)
+        return bucket.level
+
+    def declare(self, limits: Mapping[str, tuple[float, float]]) -> None:
+        """Takes the rate and burst of each account; 0 as rate removes the limit."""
+        now = self._clock()
+        share = 1 + self._tolerance.share * TOLERANCE_USED
+        for account, (rate, burst) in limits.items():
+            if rate <= 0:
+                self._buckets.pop(account, None)
+                continue
+            size = burst * share + self._tolerance.tokens * TOLERANCE_USED
+            bucket = self._buckets.get(account)
+            if bucket is None:
+                # The fleet may have used the burst just before this node started.
+                first = min(size, self._tolerance.tokens * TOLERANCE_USED)
+                self._buckets[account] = _Bucket(rate * share, size, first, now)
+                continue
+            self._fill(bucket)
+            bucket.rate, bucket.burst = rate * share, size
+            bucket.level = min(bucket.level, size)
+        for account in [name for name in self._buckets if name not in limits]:
+            del self._buckets[account]
+
+    def see(self, heard: int, known: int) -> None:
+        """Notes how many nodes, this one included, are heard out of those known."""
+        for bucket in self._buckets.values():
+            self._fill(bucket)
+        self._visible = heard / max(known, heard, 1)
+
+    def take(self, account: str, tokens: float) -> float | None:
+        """Takes tokens for a request.
+
+        :returns: ``None`` if they were taken, otherwise seconds until they may be there.
+        """
+        bucket = self._buckets.get(account)
+        if bucket is not None:
+            self._fill(bucket)
+            needed = min(tokens, bucket.burst)
+            if bucket.level < needed:
+                rate = bucket.rate * self._visible
+                return min((needed - bucket.level) / rate, MAX_RETRY_AFTER_S)
+            bucket.level -= tokens
+        self._admitted[account] = self._admitted.get(account, 0.0) + tokens
+        return None
+
+    def give_back(self, account: str, tokens: float) -> None:
+        """Returns the tokens of a request that did not run."""
+        self._admitted[account] = self._admitted.get(account, 0.0) - tokens
+        bucket = self._buckets.get(account)
+        if bucket is not None:
+            bucket.level = min(bucket.level + tokens, bucket.burst)
+
+    def heard(self, peer: str, admitted: Mapping[str, float]) -> None:
+        """Takes a peer's running totals.
+
+        :param peer: unique for each start of a node.
+        """
+        for account, total in admitted.items():
+            # What a peer had admitted before it was first heard is in the first level already.
+            before = self._heard.get((peer, account), total)
+            self._heard[(peer, account)] = total
+            bucket = self._buckets.get(account)
+            if bucket is not None:
+                self._fill(bucket)
+                bucket.level = min(bucket.level - (total - before), bucket.burst)
+
+    def _fill(self, bucket: _Bucket) -> None:
+        now = self._clock()
+        if now > bucket.filled_at:
+            gained = bucket.rate * self._visible * (now - bucket.filled_at)
+            bucket.level = min(bucket.level + gained, bucket.burst)
+            bucket.filled_at = now
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/gateway/weights.py
@@ -0,0 +1,50 @@
+"""Which engines are told to load newly named weights, and when.
+
+Load pattern: new weights are named while traffic runs, often before the last ones are in place.
+Engines load a few at a time, since more at once slow each other down and take capacity away;
+engines that miss more versions go first, idle ones before busy ones.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from arbutustally.gateway.endpoints import EndpointState
+
+#: Time after which a load that was accepted and not reported as done is looked at again, seconds.
+LOAD_CHECK_S = 2.0
+#: Part of the engines that may load at once; beyond it loads slow each other down (site sheets).
+LOADING_SHARE = 0.4
+
+
+@dataclass(frozen=True)
+class LoadPlan:
+    """Loads that are due.
+
+    :ivar engines: ids of the engines to order, most useful first.
+    :ivar pending: engines that still have older weights.
+    """
+
+    engines: tuple[str, ...]
+    pending: int
+
+
+def plan_loads(
+    states: Sequence[EndpointState], model: str, named: int, at_once: int, now: float
+) -> LoadPlan:
+    """Returns the next engines to order.
+
+    :param states: engines of the model that are not leaving.
+    :param named: newest version that the operator named.
+    :param at_once: loads that may run at the same time.
+    """
+    old = [state for state in states if state.weights.get(model, 0) < named]
+    busy = [state for state in old if state.loading and now < state.loading_until]
+    free = [state for state in old if state not in busy and state.suspect_until <= now]
+    free.sort(key=lambda state: (state.weights.get(model, 0), state.total_memory_tokens))
+    room = max(0, at_once - len(busy))
+    return LoadPlan(tuple(state.id for state in free[:room]), len(old))
+
+
+def loads_at_once(engines: int) -> int:
+    """Returns how many engines load at the same time: at least one."""
+    return max(1, int(engines * LOADING_SHARE))
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -180,6 +180,12 @@
             missed = observation.shape.total_tokens - cached
             self._learn_speed(observation, dispatch, missed)
 
+    def heard(
+        self, scope: CacheScope, names: list[Anchor], endpoint: str, incarnation: str
+    ) -> None:
+        """Takes a placement of another node: the endpoint has read these prefixes."""
+        self._index.enter(scope, names, endpoint, incarnation, self.clock())
+
     def drop(self, endpoint: str, incarnation: str) -> None:
         """Forgets an incarnation for good after a crash or restart."""
         self._index.drop(endpoint, incarnation)
