Fetch cached parts from the place that holds them and follow cache events

Change: gateway.holdings knows what each engine and the store of parts hold, from cache events, own and peers' placements; attempts name the best source and the store. Before the first named version, an engine's own version is expected (100 requests of the first 2 s got 421 and 503).

--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
@@ -0,0 +1,102 @@
+"""Follows what engines and stores of parts say of their caches."""
+
+from typing import Any
+
+import gevent
+
+from arbutustally.clock import Clock
+from arbutustally.gateway.holdings import Holdings
+from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.fleet_view import FleetView
+from arbutustally_node.gateway.gossip import Gossip
+from arbutustally_node.gateway.ports import CacheEvents
+
+#: Wait of one call for changes, seconds.
+WAIT_S = 1.0
+#: Pause after an answer, so that changes come in batches, seconds.
+PAUSE_S = 0.2
+#: Pause after a call without an answer, seconds.
+RETRY_S = 1.0
+#: Interval at which the list of places is compared with the greenlets that follow them, seconds.
+REVIEW_S = 0.5
+#: Part of the calls that a place answers at once which the fleet uses.
+WATCHERS_USED = 0.8
+
+
+class CacheFollower:
+    """Runs one greenlet for each place whose changes this node follows."""
+
+    def __init__(
+        self,
+        events: CacheEvents,
+        view: FleetView,
+        holdings: Holdings,
+        gossip: Gossip,
+        log: DecisionLog,
+        clock: Clock,
+    ) -> None:
+        self._events = events
+        self._view = view
+        self._holdings = holdings
+        self._gossip = gossip
+        self._log = log
+        self._clock = clock
+        self._following: dict[str, Any] = {}
+        self._greenlet: Any = None
+
+    def start(self) -> None:
+        """Starts following."""
+        self._greenlet = gevent.spawn(self._review)
+
+    def stop(self) -> None:
+        """Stops following."""
+        self._greenlet.kill()
+        for greenlet in self._following.values():
+            greenlet.kill()
+
+    def _review(self) -> None:
+        while True:
+            places = self._places()
+            for place in [name for name in self._following if name not in places]:
+                self._following.pop(place).kill()
+                self._holdings.forget(place)
+            for place, address in places.items():
+                if place not in self._following:
+                    self._following[place] = gevent.spawn(self._follow, place, address)
+            gevent.sleep(REVIEW_S)
+
+    def _places(self) -> dict[str, str]:
+        """Returns the places to follow with their addresses."""
+        configuration = self._view.configuration
+        if configuration is None:
+            return {}
+        nodes = self._gossip.known + 1
+        places = {}
+        for service in configuration.services.values():
+            if service.part_store and nodes <= service.part_store.max_watchers * WATCHERS_USED:
+                places[service.name] = service.part_store.address
+            if service.engine and nodes <= service.engine.max_watchers * WATCHERS_USED:
+                for state in self._view.book.of_service(service.name):
+                    if state.gone_at is None:
+                        places[state.id] = state.address
+        return places
+
+    def _follow(self, place: str, address: str) -> None:
+        epoch, since = None, 0
+        while True:
+            batch = self._events.changes(address, since, WAIT_S)
+            if batch is None:
+                gevent.sleep(RETRY_S)
+                continue
+            if epoch is not None and batch.epoch != epoch:
+                self._holdings.forget(place)
+                self._log.line("cache_emptied", place=place, epoch=batch.epoch)
+            if batch.has_gap:
+                self._log.line("cache_events_lost", place=place, next=batch.next_number)
+            epoch, since = batch.epoch, batch.next_number
+            for change in batch.changes:
+                if change.is_stored:
+                    self._holdings.stored(place, change.scope, change.part_id, change.tokens)
+                else:
+                    self._holdings.dropped(place, change.scope, change.part_id, change.tokens)
+            gevent.sleep(PAUSE_S)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
@@ -17,7 +17,13 @@
 )
 from arbutustally.gateway.admission import must_reject, retry_after_s
 from arbutustally.gateway.attempts import Next, Outcome, RepeatLedger, after
-from arbutustally.gateway.choice import choose_engine, choose_plain, weights_to_use
+from arbutustally.gateway.choice import (
+    PartSource,
+    best_source,
+    choose_engine,
+    choose_plain,
+    weights_to_use,
+)
 from arbutustally.gateway.configuration import (
     ClientAccount,
     Configuration,
@@ -26,6 +32,7 @@
     Service,
 )
 from arbutustally.gateway.endpoints import EndpointState
+from arbutustally.gateway.holdings import Holdings
 from arbutustally.gateway.quota import QuotaLedger
 from arbutustally.gateway.requests import CallerRequest, shape_of
 from arbutustally.placement import Choice, Observation, Placement
@@ -72,11 +79,15 @@
 
     :ivar choice: placement's choice, ``None`` for a plain service.
     :ivar version: weights that it runs on, ``None`` for a plain service.
+    :ivar cache_scope: scope of the cached parts that it may use.
+    :ivar source: place from which the engine fetches parts that it lacks.
     """
 
     state: EndpointState
     choice: Choice | None = None
     version: int | None = None
+    cache_scope: str = ""
+    source: PartSource | None = None
 
 
 class Exchange:
@@ -91,6 +102,7 @@
         view: FleetView,
         transport: Transport,
         placement: Placement,
+        holdings: Holdings,
         quota: QuotaLedger,
         repeats: RepeatLedger,
         log: DecisionLog,
@@ -111,7 +123,8 @@
         self._rng = rng
         self._zone = zone
         self._weights_s = weights_s
-        self.placed_lately: list[tuple[str, str, str, tuple[bytes, ...], str, str]] = []
+        self._holdings = holdings
+        self.placed_lately: list[tuple[str, str, list[tuple[str, int]]]] = []
 
     def serve(
         self, request: CallerRequest, connection: CallerConnection, watch: CallerWatch
@@ -313,10 +326,12 @@
             endpoint_id=placed.state.id,
             account=self.account.name if self.account else "",
             left_s=left,
-            cache_scope=self._cache_scope(placed),
+            cache_scope=placed.cache_scope,
             weights=placed.version,
             priority=None if placed.version is None else min(self._urgency(), LEAST_PRIORITY),
             resume_from=self._resume_from(),
+            fetch_from=placed.source.address if placed.source else "",
+            save_to=self._store_address() if placed.choice else "",
         )
         return self._exchange._transport.send(
             self.request, placed.state, terms, head_s, self._watch
@@ -379,15 +394,26 @@
         version, able = weights_to_use(able, model, version, stale_allowed)
         if not able:
             raise self._nothing_able("no_engine_with_weights")
+        scope = f"{version}.{self._wall()}"
+        source = best_source(
+            exchange._holdings, scope, self.request.parts, able, self._configuration.part_stores
+        )
         choice = choose_engine(
             exchange._placement,
+            exchange._holdings,
             self.request,
             self._service,
             able,
             version,
             self._wall(),
+            scope,
+            source.tokens if source else 0,
             self._route.target_s,
         )
+        if source is not None and source.tokens <= choice.expected_cached_tokens:
+            source = None
+        if source is not None:
+            self.trace.facts["fetched"] = source.tokens
         self.trace.facts["expected_ms"] = round(choice.estimate_s * 1000)
         self.trace.facts["cached"] = choice.expected_cached_tokens
         self.trace.facts["weights"] = version
@@ -395,7 +421,7 @@
             wait = retry_after_s(choice.estimate_s, self.left_s, exchange._rng)
             raise OverloadedError("not run: engines are behind; retry", retry_after_s=wait)
         state = next(entry for entry in able if entry.id == choice.endpoint)
-        return Placed(state, choice, version)
+        return Placed(state, choice, version, scope, source)
 
     def _nothing_able(self, reason: str) -> RouterError:
         self.trace.facts["nothing_able"] = reason
@@ -442,16 +468,7 @@
         )
         if first_s is not None:
             exchange._instruments.duration("first_event", self._route.name, first_s)
-            exchange.placed_lately.append(
-                (
-                    self._wall(),
-                    self.request.model,
-                    str(placed.version),
-                    tuple(level.hash for level in shape.levels),
-                    placed.state.id,
-                    placed.state.entry.incarnation,
-                )
-            )
+            self._note_parts(placed)
         terms = attempt.terms
         if terms is not None and terms.weights is not None and not terms.is_other_endpoint:
             known = placed.state.weights
@@ -475,10 +492,17 @@
     def _wall(self) -> str:
         return self.account.name if self.account and self.account.is_isolated else ""
 
-    def _cache_scope(self, placed: Placed) -> str:
-        if placed.version is None:
-            return ""
-        return f"{placed.version}.{self._wall()}"
+    def _note_parts(self, placed: Placed) -> None:
+        """Notes, here and for the peers, that an engine has read the prompt's parts."""
+        exchange = self._exchange
+        parts = self.request.parts
+        exchange._holdings.assume(placed.state.id, placed.cache_scope, parts)
+        told = [(part.id, part.tokens) for part in parts]
+        exchange.placed_lately.append((placed.state.id, placed.cache_scope, told))
+
+    def _store_address(self) -> str:
+        stores = self._configuration.part_stores
+        return stores[0].part_store.address if stores else ""
 
     def _urgency(self) -> int:
         account = self.account.priority if self.account else 0
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -7,13 +7,15 @@
 import urllib3
 from gevent.event import Event
 
-from arbutustally.cache_index import Anchor, CacheScope
 from arbutustally.clock import boottime, monotonic
 from arbutustally.gateway.attempts import RepeatLedger
 from arbutustally.gateway.configuration import CallerLimits, Configuration
+from arbutustally.gateway.holdings import Holdings
 from arbutustally.gateway.quota import QuotaLedger
+from arbutustally.gateway.requests import PromptPart
 from arbutustally.placement import Placement
 from arbutustally_node.collector import tune_collector
+from arbutustally_node.gateway.cache_follower import CacheFollower
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.directory import EntryNode, addresses_for
 from arbutustally_node.gateway.exchange import Exchange
@@ -154,6 +156,7 @@
         self._quota = QuotaLedger.from_config(boottime, bounds.quota)
         self._repeats = RepeatLedger.from_config(monotonic, bounds.repeats)
         self._placement = Placement.from_config(monotonic, self._rng)
+        self._holdings = Holdings.from_config(monotonic)
         self._pool = PoolService(CONNECT_TIMEOUT_S, SILENCE_S)
         self._gossip = Gossip(
             options.ip,
@@ -168,6 +171,7 @@
             self._view,
             Transport(self._pool, platform.codec),
             self._placement,
+            self._holdings,
             self._quota,
             self._repeats,
             self._log,
@@ -186,6 +190,9 @@
             (options.node, options.ip.encode()),
             bounds.store_return_s,
         )
+        self._caches = CacheFollower(
+            platform.cache_events, self._view, self._holdings, self._gossip, self._log, monotonic
+        )
         self._weights = WeightsService(
             f"{options.node}~{self._incarnation}",
             self._view,
@@ -210,6 +217,7 @@
             ("gossip", self._gossip),
             ("follower", self._follower),
             ("pool", self._pool),
+            ("caches", self._caches),
             ("weights", self._weights),
             ("listener", self._listener),
         ):
@@ -220,6 +228,9 @@
         return configuration.limits if configuration else CallerLimits()
 
     def _configured(self, configuration: Configuration) -> None:
+        for service in configuration.services.values():
+            if service.engine and service.engine.transfer_tokens_per_s:
+                self._placement.assume_import_speed(service.engine.transfer_tokens_per_s)
         self._quota.declare(
             {name: (entry.rate, entry.burst) for name, entry in configuration.accounts.items()}
         )
@@ -296,13 +307,8 @@
                     endpoint.weights[model] = max(endpoint.weights.get(model, 0), version)
         if not self._weights.is_holder:
             self._take_loading(state, now)
-        for wall, model, version, hashes, endpoint_id, incarnation in state.placed:
-            self._placement.heard(
-                CacheScope(wall, model, version),
-                [Anchor(value, 0) for value in hashes],
-                endpoint_id,
-                incarnation,
-            )
+        for endpoint_id, scope, parts in state.placed:
+            self._holdings.assume(endpoint_id, scope, [PromptPart(*part) for part in parts])
 
     def _take_loading(self, state: PeerState, now: float) -> None:
         for endpoint_id in state.loading:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
@@ -1,7 +1,7 @@
 """What the gateway needs of the platform that it runs on; an adapter implements it."""
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol
 
 from arbutustally.gateway.attempts import RepeatBudget
@@ -23,6 +23,8 @@
     :ivar weights: version that the engine must have, ``None`` for a plain service.
     :ivar priority: 0 is the most urgent, ``None`` for a plain service.
     :ivar resume_from: id of the last event that was relayed, empty for none.
+    :ivar fetch_from: ``host:port`` of a place that holds more of the prompt, empty for none.
+    :ivar save_to: ``host:port`` of the store that gets the parts once they are read.
     """
 
     endpoint_id: str
@@ -32,6 +34,8 @@
     weights: int | None = None
     priority: int | None = None
     resume_from: str = ""
+    fetch_from: str = ""
+    save_to: str = ""
 
 
 @dataclass(frozen=True)
@@ -177,6 +181,41 @@
     UNKNOWN = "unknown"
 
 
+@dataclass(frozen=True)
+class CacheChange:
+    """A part that a place began to hold or dropped.
+
+    :ivar tokens: tokens of the part that the place holds now.
+    """
+
+    is_stored: bool
+    scope: str
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class CacheBatch:
+    """Changes of one cache.
+
+    :ivar epoch: differs between two starts of the place.
+    :ivar next_number: where to read on.
+    :ivar has_gap: changes before these were lost.
+    """
+
+    epoch: int
+    next_number: int
+    has_gap: bool
+    changes: tuple[CacheChange, ...]
+
+
+class CacheEvents(Protocol):
+    """Changes of caches as engines and stores of parts tell them."""
+
+    def changes(self, address: str, since: int, wait_s: float) -> CacheBatch | None:
+        """Returns the changes from a number on, waiting for some; ``None`` without an answer."""
+
+
 class EngineControl(Protocol):
     """Calls that manage an engine."""
 
@@ -266,6 +305,13 @@
     log_level: str = "info"
 
 
+class DirectoryBody(Protocol):
+    """Encodes the addresses named to a caller."""
+
+    def __call__(self, addresses: Sequence[str], ttl_s: float) -> bytes:
+        """Returns the body of the answer."""
+
+
 @dataclass(frozen=True)
 class Platform:
     """Everything that an adapter provides."""
@@ -277,11 +323,5 @@
     node_topic: NodeTopic
     engines: EngineControl
     lease_topic: LeaseTopic
-    directory_body: "DirectoryBody" = field(default=None)
-
-
-class DirectoryBody(Protocol):
-    """Encodes the addresses named to a caller."""
-
-    def __call__(self, addresses: Sequence[str], ttl_s: float) -> bytes:
-        """Returns the body of the answer."""
+    cache_events: CacheEvents
+    directory_body: DirectoryBody
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -7,11 +7,13 @@
 """
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 from random import Random
 
 from arbutustally.gateway.configuration import Service
 from arbutustally.gateway.endpoints import EndpointState
-from arbutustally.gateway.requests import CallerRequest, shape_of
+from arbutustally.gateway.holdings import Holdings
+from arbutustally.gateway.requests import CallerRequest, PromptPart, shape_of
 from arbutustally.placement import Candidate, Choice, Placement, PlacementRequest
 
 #: Queue tokens for each token that does not fit into an engine's memory: a preempted request is
@@ -51,19 +53,59 @@
     return rng.choice(near or tied)
 
 
+@dataclass(frozen=True)
+class PartSource:
+    """A place from which an engine can fetch cached parts.
+
+    :ivar place: id of the engine, or name of the store of parts.
+    :ivar tokens: tokens of the prompt that it holds.
+    """
+
+    place: str
+    address: str
+    zone: str
+    tokens: int
+
+
+def best_source(
+    holdings: Holdings,
+    scope: str,
+    parts: Sequence[PromptPart],
+    states: Sequence[EndpointState],
+    stores: Sequence[Service],
+) -> PartSource | None:
+    """Returns the place that holds most of a prompt, ``None`` if no place holds any."""
+    sources = [
+        PartSource(state.id, state.address, state.entry.zone, tokens)
+        for state in states
+        if (tokens := holdings.prefix_tokens(state.id, scope, parts))
+    ]
+    sources += [
+        PartSource(store.name, store.part_store.address, store.part_store.zone, tokens)
+        for store in stores
+        if (tokens := holdings.prefix_tokens(store.name, scope, parts))
+    ]
+    return max(sources, key=lambda source: source.tokens, default=None)
+
+
 def choose_engine(
     placement: Placement,
+    holdings: Holdings,
     request: CallerRequest,
     service: Service,
     able: Sequence[EndpointState],
     version: int,
     wall: str,
+    scope: str,
+    importable_tokens: int,
     target_s: float,
 ) -> Choice:
     """Returns the engine that is expected to send the first event soonest.
 
     :param able: engines that run ``version``.
     :param wall: name of the account if its cached parts are its own, otherwise empty.
+    :param scope: scope of the cached parts that the request may use.
+    :param importable_tokens: tokens of the prompt that any engine can fetch from elsewhere.
     """
     shape = shape_of(request)
     asked = PlacementRequest(
@@ -84,6 +126,9 @@
             queued_tokens=state.total_prompt_tokens + _overflow(state, needed, memory),
             running=state.total_running,
             version=str(version),
+            import_available=importable_tokens > 0,
+            cached_tokens=holdings.prefix_tokens(state.id, scope, request.parts),
+            importable_tokens=importable_tokens,
         )
         for state in able
     ]
@@ -104,7 +149,7 @@
     """
     ready = [state for state in states if not state.loading]
     holders = [state for state in ready if state.weights.get(model, 0) >= named]
-    if holders or not stale_allowed:
+    if named and (holders or not stale_allowed):
         return named, holders
     newest = max((state.weights.get(model, 0) for state in ready), default=0)
     return newest, [state for state in ready if state.weights.get(model, 0) == newest]
--- a/packages/arbutustally/src/arbutustally/gateway/configuration.py
+++ b/packages/arbutustally/src/arbutustally/gateway/configuration.py
@@ -65,10 +65,27 @@
 
     :ivar slots: requests that run at once.
     :ivar cache_tokens: tokens that fit into the memory of running requests and cached parts.
+    :ivar transfer_tokens_per_s: speed at which an engine fetches cached parts from elsewhere.
+    :ivar max_watchers: calls for cache events that one engine answers at once.
     """
 
     slots: int
     cache_tokens: int
+    transfer_tokens_per_s: float = 0.0
+    max_watchers: int = 0
+
+
+@dataclass(frozen=True)
+class PartStore:
+    """A store of cached parts that engines read and write.
+
+    :ivar address: ``host:port``.
+    :ivar max_watchers: calls for cache events that it answers at once.
+    """
+
+    address: str
+    zone: str
+    max_watchers: int
 
 
 @dataclass(frozen=True)
@@ -77,11 +94,13 @@
 
     :ivar max_connections: connections that one endpoint accepts from all nodes together.
     :ivar engine: ``None`` for a plain service.
+    :ivar part_store: set for a service that is a store of cached parts.
     """
 
     name: str
     max_connections: int
     engine: Engine | None = None
+    part_store: PartStore | None = None
 
 
 @dataclass(frozen=True)
@@ -139,6 +158,11 @@
     accounts_by_key: Mapping[str, str]
     limits: CallerLimits = field(default_factory=CallerLimits)
 
+    @property
+    def part_stores(self) -> tuple[Service, ...]:
+        """Returns the services that are stores of cached parts."""
+        return tuple(entry for entry in self.services.values() if entry.part_store)
+
     def route_of(self, host: str, path: str) -> Route:
         """Returns the route of the longest prefix.
 
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -119,6 +119,10 @@
         """Returns the learned prefill speed of an endpoint in tokens/s."""
         return self._load.speed(endpoint)
 
+    def assume_import_speed(self, tokens_per_s: float) -> None:
+        """Takes the speed at which engines import cached parts, as declared."""
+        self._load.assume_speed(KV_STORE, tokens_per_s)
+
     @property
     def computed_share(self) -> float:
         """Returns the recent share of prompt tokens that engines had to compute, 0 to 1."""
@@ -180,12 +184,6 @@
             missed = observation.shape.total_tokens - cached
             self._learn_speed(observation, dispatch, missed)
 
-    def heard(
-        self, scope: CacheScope, names: list[Anchor], endpoint: str, incarnation: str
-    ) -> None:
-        """Takes a placement of another node: the endpoint has read these prefixes."""
-        self._index.enter(scope, names, endpoint, incarnation, self.clock())
-
     def drop(self, endpoint: str, incarnation: str) -> None:
         """Forgets an incarnation for good after a crash or restart."""
         self._index.drop(endpoint, incarnation)
@@ -262,7 +260,9 @@
     def _estimate(self, view: _View, candidate: Candidate) -> Estimate:
         speed = self._load.speed(candidate.endpoint)
         queue_s = self._queued(view, candidate) / speed
-        cached = self._cached(view, candidate.endpoint, candidate.incarnation)
+        cached = candidate.cached_tokens
+        if cached is None:
+            cached = self._cached(view, candidate.endpoint, candidate.incarnation)
         missed = view.request.shape.total_tokens - cached
         compute_s = missed / speed
         import_s = self._import_s(view, candidate, cached, speed)
@@ -293,7 +293,7 @@
         """Returns the time to import what the KV store has and to compute the rest."""
         if not (self.options.imports and candidate.import_available):
             return math.inf
-        held = self._cached(view, KV_STORE, "")
+        held = candidate.importable_tokens or self._cached(view, KV_STORE, "")
         if held <= cached:
             return math.inf
         imported_s = IMPORT_DELAY_S + (held - cached) / self._load.speed(KV_STORE)
--- a/packages/arbutustally/src/arbutustally/placement_types.py
+++ b/packages/arbutustally/src/arbutustally/placement_types.py
@@ -65,6 +65,9 @@
     :ivar running: requests that are generating.
     :ivar loaded: the endpoint has the wanted weights; otherwise it has to load them first.
     :ivar import_available: the KV store can be read by this endpoint.
+    :ivar cached_tokens: tokens of the prompt that the endpoint is known to hold; ``None`` leaves
+        it to the index.
+    :ivar importable_tokens: tokens that it can import from the place that holds most.
     :ivar report_age_s: age of ``queued_tokens``; ``None`` if it already includes the dispatches of
         this node since the report.
     """
@@ -78,6 +81,8 @@
     loaded: bool = True
     import_available: bool = False
     report_age_s: float | None = None
+    cached_tokens: int | None = None
+    importable_tokens: int = 0
 
 
 @dataclass(frozen=True)
