Read answers that end their connection

Change: the pool finds the socket in the answer's reader; a fault inside the gateway is logged with its trace and answered with 502 instead of a closed connection. Test: test_pool closing, open-ended and open-reset answers; 2 failed before, pass now.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
@@ -1,5 +1,6 @@
 """One request from its decoded head to the last byte of its answer."""
 
+import traceback
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -142,6 +143,13 @@
             connection.abort()
         except RouterError as error:
             self._refuse(connection, error, trace)
+        except Exception as error:
+            # A fault of this program; the caller gets an answer and the log its cause.
+            self._log.line("fault", id=request.request_id, error=traceback.format_exc(limit=-4))
+            failed = EndpointFailedError(
+                f"internal fault {type(error).__name__}; report it", ran=Ran.MAY_HAVE_RUN
+            )
+            self._refuse(connection, failed, trace)
         finally:
             self._record(request, trace)
 
--- a/packages/arbutustally-node/src/arbutustally_node/pool.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -272,7 +272,11 @@
 
 def _socket_of(response: urllib3.HTTPResponse) -> Any:
     connection = response.connection
-    return connection.sock if connection is not None else None
+    if connection is not None and connection.sock is not None:
+        return connection.sock
+    # An answer that ends its connection takes the socket away from the connection object.
+    reader = response._fp.fp
+    return reader.raw._sock if reader is not None else None
 
 
 class PoolService:
--- /dev/null
+++ b/tests/platform_fakes.py
@@ -0,0 +1,261 @@
+"""Small stand-ins of the platform's store and of its workers, in this process."""
+
+import base64
+import json
+import struct
+from collections import defaultdict
+
+import gevent
+from bottle import Bottle, HTTPResponse, request, response
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+
+class _Server:
+    def __init__(self, app: Bottle) -> None:
+        self._server = WSGIServer(("127.0.0.1", 0), app, log=None, error_log=None)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def stop(self) -> None:
+        self._server.stop(timeout=0)
+
+
+class FakeStore(_Server):
+    """Keyed topics in memory; ``status`` other than 200 refuses every call."""
+
+    def __init__(self) -> None:
+        app = Bottle()
+        app.get("/arbutustally/log-newest")(self._newest)
+        app.get("/arbutustally/log-read")(self._read)
+        app.post("/arbutustally/log-append")(self._append)
+        self.topics: dict[str, list[tuple[str, bytes]]] = defaultdict(list)
+        self.first: dict[str, int] = defaultdict(int)
+        self.status = 200
+        self.lose_next_answer = False
+        self.calls = 0
+        self._changed = Event()
+        super().__init__(app)
+
+    def put(self, topic: str, key: str, value: object | None) -> None:
+        data = b"" if value is None else json.dumps(value).encode()
+        self.put_raw(topic, key, data)
+
+    def put_raw(self, topic: str, key: str, data: bytes) -> None:
+        self.topics[topic].append((key, data))
+        changed, self._changed = self._changed, Event()
+        changed.set()
+
+    def drop_history(self, topic: str) -> None:
+        self.first[topic] = len(self.topics[topic])
+
+    def newest(self, topic: str) -> dict[str, tuple[int, bytes]]:
+        found = {}
+        for offset, (key, data) in enumerate(self.topics[topic]):
+            found.pop(key, None)
+            if data:
+                found[key] = (offset, data)
+        return found
+
+    def _refused(self) -> HTTPResponse | None:
+        self.calls += 1
+        return HTTPResponse(status=self.status) if self.status != 200 else None
+
+    def _newest(self):
+        if refused := self._refused():
+            return refused
+        topic = request.query["topic"]
+        items = [
+            {"key": key, "value": base64.b64encode(data).decode(), "offset": offset}
+            for key, (offset, data) in self.newest(topic).items()
+        ]
+        return {"items": items, "hasMore": False, "end": len(self.topics[topic])}
+
+    def _read(self):
+        if refused := self._refused():
+            return refused
+        topic, start = request.query["topic"], int(request.query["from"])
+        if start < self.first[topic]:
+            response.status = 410
+            return {"first": self.first[topic]}
+        if start >= len(self.topics[topic]):
+            self._changed.wait(int(request.query.get("waitMs", 0)) / 1000)
+        records = self.topics[topic][start:]
+        body = struct.pack(">QQ", len(self.topics[topic]), self.first[topic])
+        for key, data in records:
+            content = bytes([len(key)]) + key.encode() + data
+            body += struct.pack(">I", len(content)) + content
+        return body
+
+    def _append(self):
+        if refused := self._refused():
+            return refused
+        topic = request.query["topic"]
+        end = len(self.topics[topic])
+        if "at" in request.query and int(request.query["at"]) != end:
+            response.status = 412
+            return {"end": end}
+        content = request.body.read()[4:]
+        self.put_raw(topic, content[1 : 1 + content[0]].decode(), content[1 + content[0] :])
+        if self.lose_next_answer:
+            self.lose_next_answer = False
+            gevent.sleep(30)
+        return {"offset": end, "end": end + 1}
+
+
+class FakeWorker(_Server):
+    """A worker; ``behave`` may replace the answer to a request.
+
+    :ivar ran: ids of the requests that it worked on.
+    """
+
+    def __init__(self, worker_id: str, service: str, model: str = "", version: int = 1) -> None:
+        app = Bottle()
+        app.get("/arbutustally/report")(self._report)
+        app.post("/arbutustally/order")(self._order)
+        app.get("/arbutustally/kv-events")(self._events)
+        app.route("/<path:path>", method=["GET", "POST"])(self._serve)
+        self.id = worker_id
+        self.service = service
+        self.model = model
+        self.version = version
+        self.ran: list[str] = []
+        self.seen: list[dict[str, str]] = []
+        self.orders: list[dict] = []
+        self.accepted = 0
+        self.behave = None
+        super().__init__(app)
+
+    def entry(self, state: str = "ready") -> dict:
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "coldRemainingMs": 0,
+            "models": models if self.model else [],
+            "sequence": 3,
+            "born": 1,
+        }
+
+    def _report(self):
+        return {
+            "stage": "unified",
+            "models": [{"name": self.model, "version": self.version, "adapters": []}],
+            "busy": False,
+            "sequence": self.accepted,
+        }
+
+    def _order(self):
+        order = json.loads(request.body.read())
+        self.orders.append(order)
+        if order["expect"] != self.accepted:
+            return HTTPResponse(status=409)
+        self.accepted += 1
+        self.version = order["version"]
+        return HTTPResponse(status=202)
+
+    def _events(self):
+        gevent.sleep(0.2)
+        return {"bootEpoch": 1, "next": 0, "lost": False, "events": []}
+
+    def _serve(self, path: str):
+        headers = dict(request.headers)
+        self.seen.append(headers)
+        if headers.get("Expect-Instance") != self.id:
+            return HTTPResponse(status=421, headers={"Instance-Id": self.id})
+        if self.model and headers.get("Expect-Version") != str(self.version):
+            return HTTPResponse(status=421, headers={"Instance-Id": self.id})
+        if self.behave is not None and (answer := self.behave(headers)) is not None:
+            return answer
+        self.ran.append(headers["Request-Id"])
+        response.set_header("Request-Id", headers["Request-Id"])
+        response.set_header("Server-Stamp", f"stamp-{self.id}")
+        if not self.model:
+            return request.body.read() or b"plain answer"
+        response.content_type = "text/event-stream"
+        return self.stream(int(headers.get("Last-Event-Id") or 0))
+
+    def stream(self, after: int, until: int = 5):
+        for number in range(after + 1, until + 1):
+            yield f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def configuration(version: int = 1, **changes) -> dict:
+    """Returns an operator's configuration with one engine route and two plain ones."""
+    common = {"host": "h.example", "public": False, "sessionAffinity": False, "timeoutMs": 2000}
+    fields = {
+        "version": version,
+        "routes": [
+            {
+                **common,
+                "name": "chat",
+                "pathPrefix": "/chat/",
+                "kind": "streaming",
+                "targetLatencyMs": 300,
+                "priority": 0,
+                "service": "llm",
+                "maxAttempts": 2,
+                "resumable": True,
+                "gapAimMs": 250,
+            },
+            {
+                **common,
+                "name": "book",
+                "pathPrefix": "/book/",
+                "kind": "non_idempotent",
+                "targetLatencyMs": 200,
+                "priority": 2,
+                "service": "desk",
+                "maxAttempts": 1,
+            },
+            {
+                **common,
+                "name": "look",
+                "pathPrefix": "/look/",
+                "kind": "idempotent",
+                "targetLatencyMs": 200,
+                "priority": 2,
+                "service": "desk",
+                "maxAttempts": 2,
+            },
+        ],
+        "services": [
+            {
+                "name": "llm",
+                "healthCheck": "/healthz",
+                "maxConnections": 100,
+                "engine": {
+                    "slots": 4,
+                    "kvCapacityTokens": 100000,
+                    "kvTokenBytes": 1000,
+                    "linkMbps": 1000.0,
+                    "maxInflight": 12,
+                    "models": [{"name": "m"}],
+                },
+            },
+            {"name": "desk", "healthCheck": "/healthz", "maxConnections": 100},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 65536,
+            "headerTimeoutMs": 1000,
+            "idleTimeoutMs": 5000,
+        },
+        "tenants": [
+            {
+                "name": "school",
+                "apiKeys": ["key-school"],
+                "priority": 1,
+                "unit": "tokens",
+                "plainTokens": 200,
+                "isolated": False,
+                "ratePerS": 100000,
+                "burst": 100000,
+            }
+        ],
+    }
+    return {**fields, **changes}
--- /dev/null
+++ b/tests/test_gateway_node.py
@@ -0,0 +1,268 @@
+"""A gateway node over real sockets: routes, keys, attempts, streams, weights, drain, trouble."""
+
+import gevent
+from bottle import HTTPResponse
+
+from tests.gateway_fleet import GatewayCase, settings
+from tests.platform_fakes import configuration
+
+
+class ServingTest(GatewayCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = self.start_node()
+        self.wait_ready(self.node)
+
+    def test_answer_of_the_worker_reaches_the_caller_unchanged(self) -> None:
+        answer = self.call(self.node, "/book/a?b=c", "r1", b"two vans")
+        self.assertEqual((answer.status, answer.data), (200, b"two vans"))
+        self.assertRegex(answer.headers["Server-Stamp"], "stamp-d[12]")
+        seen = next(worker for worker in self.desks if worker.ran).seen[0]
+        self.assertEqual(seen["Tenant"], "school")
+        self.assertNotIn("Authorization", seen)
+        self.assertLessEqual(int(seen["Deadline-Ms"]), 1500)
+
+    def test_headers_that_only_the_system_sets_are_never_the_callers(self) -> None:
+        self.call(
+            self.node,
+            "/chat/x",
+            "r1",
+            Tenant="other",
+            Cache_Salt="theirs",
+            Kv_Hold="h",
+            Pin_Ms="9",
+            Kv_Backup="1.2.3.4:5",
+            Kv_From="1.2.3.4:5/6",
+        )
+        seen = next(worker for worker in self.engines if worker.ran).seen[0]
+        self.assertEqual((seen["Tenant"], seen["Cache-Salt"]), ("school", "1."))
+        for name in ("Kv-Hold", "Pin-Ms", "Kv-Backup", "Kv-From"):
+            self.assertNotIn(name, seen)
+
+    def test_stream_arrives_whole(self) -> None:
+        answer = self.call(self.node, "/chat/x", "r1")
+        self.assertEqual(answer.data.count(b"data: piece"), 5)
+
+    def test_unknown_route_and_key_are_refused(self) -> None:
+        self.assertEqual(self.call(self.node, "/none/x", "r1").status, 404)
+        self.assertEqual(
+            self.call(self.node, "/book/x", "r2", Authorization="Token no").status, 401
+        )
+        self.assertEqual([worker.ran for worker in self.desks], [[], []])
+
+    def test_removed_key_stops_working(self) -> None:
+        changed = configuration(2)
+        changed["tenants"][0]["apiKeys"] = ["another"]
+        self.store.put("keyed.op", "config", changed)
+        self.eventually(lambda: self.call(self.node, "/look/x", "r1").status == 401)
+
+    def test_older_configuration_never_comes_back(self) -> None:
+        self.store.put("keyed.op", "config", configuration(5))
+        self.eventually(lambda: self.node._view.configuration.version == 5)
+        self.store.put("keyed.op", "config", configuration(4, routes=[]))
+        gevent.sleep(0.3)
+        self.assertEqual(self.call(self.node, "/look/x", "r1").status, 200)
+
+    def test_unreadable_records_harm_nobody(self) -> None:
+        self.store.put_raw("keyed.op", "config", b"{broken")
+        self.store.put_raw("keyed.servers", "d9", b"\xff\x00")
+        self.store.put("keyed.servers", "d8", {"service": 5, "state": "ready"})
+        self.store.put("keyed.servers", "d7", {**self.desks[0].entry(), "state": "dancing"})
+        gevent.sleep(1.2)
+        self.assertEqual(self.call(self.node, "/look/x", "r1").status, 200)
+        self.assertIsNone(self.node._view.book.get("d7"))
+
+
+class AttemptTest(GatewayCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = self.start_node()
+        self.wait_ready(self.node)
+
+    def test_full_worker_is_replaced_by_another(self) -> None:
+        self.desks[0].behave = lambda _headers: HTTPResponse(
+            status=503, headers={"Not-Executed": "1"}
+        )
+        for number in range(6):
+            self.assertEqual(self.call(self.node, "/book/x", f"r{number}").status, 200)
+        self.assertEqual(len(self.desks[1].ran), 6)
+
+    def test_booking_whose_answer_is_lost_is_not_sent_again(self) -> None:
+        """Guards against a booking that runs twice."""
+
+        def lose(headers):
+            self.lost.append(headers["Request-Id"])
+            raise ConnectionResetError
+
+        self.lost: list[str] = []
+        for desk in self.desks:
+            desk.behave = lose
+        answer = self.call(self.node, "/book/x", "r1")
+        self.assertIn(answer.status, (500, 502))
+        self.assertEqual(self.lost, ["r1"])
+
+    def test_failure_of_an_idempotent_call_is_tried_elsewhere(self) -> None:
+        def fail(headers):
+            fields = {"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
+            return HTTPResponse(status=500, body=b"no", headers=fields)
+
+        self.desks[0].behave = fail
+        for number in range(4):
+            self.assertEqual(self.call(self.node, "/look/x", f"r{number}").status, 200)
+
+    def test_answer_of_another_request_is_not_delivered(self) -> None:
+        def cross(_headers):
+            fields = {"Request-Id": "someone-else", "Server-Stamp": "s"}
+            return HTTPResponse(body=b"theirs", headers=fields)
+
+        for desk in self.desks:
+            desk.behave = cross
+        answer = self.call(self.node, "/book/x", "r1")
+        self.assertEqual(answer.status, 502)
+        self.assertNotIn(b"theirs", answer.data)
+
+    def test_unsigned_success_is_not_delivered(self) -> None:
+        for desk in self.desks:
+            desk.behave = lambda headers: HTTPResponse(
+                body=b"x", headers={"Request-Id": headers["Request-Id"]}
+            )
+        self.assertEqual(self.call(self.node, "/book/x", "r1").status, 502)
+
+    def test_broken_stream_goes_on_at_another_engine_without_gap_or_repeat(self) -> None:
+        def break_off(headers):
+            if headers.get("Last-Event-Id"):
+                return None
+            fields = {"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
+            body = self._broken()
+            return HTTPResponse(
+                body=body, headers={**fields, "Content-Length": "9999", "Connection": "close"}
+            )
+
+        for engine in self.engines:
+            engine.behave = break_off
+        answer = self.call(self.node, "/chat/x", "r1")
+        pieces = [line for line in answer.data.decode().split("\n") if line.startswith("data")]
+        self.assertEqual(pieces, [f"data: piece {number}" for number in range(1, 6)])
+
+    def _broken(self):
+        yield b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\nda"
+
+    def test_account_over_its_rate_is_told_when_to_return(self) -> None:
+        statuses = []
+        for number in range(40):
+            answer = self.call(self.node, "/chat/x", f"r{number}", Token_Usage="20000,10")
+            statuses.append(answer.status)
+            if answer.status == 429:
+                self.assertGreater(float(answer.headers["Retry-After"]), 0)
+                break
+        self.assertEqual(statuses[-1], 429)
+
+
+class WeightsTest(GatewayCase):
+    def test_engines_are_brought_to_named_weights_and_requests_follow(self) -> None:
+        node = self.start_node()
+        self.wait_ready(node)
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        self.eventually(lambda: [engine.version for engine in self.engines] == [2, 2])
+        self.assertEqual(self.call(node, "/chat/x", "r1").status, 200)
+        seen = next(engine for engine in self.engines if engine.ran).seen[-1]
+        self.assertEqual((seen["Expect-Version"], seen["Cache-Salt"]), ("2", "2."))
+        fences = {order["fence"] for engine in self.engines for order in engine.orders}
+        holders = {order["holder"] for engine in self.engines for order in engine.orders}
+        self.assertEqual((len(fences), len(holders)), (1, 1))
+
+    def test_lost_answer_to_the_claim_does_not_stop_the_move(self) -> None:
+        node = self.start_node()
+        self.wait_ready(node)
+        self.store.lose_next_answer = True
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        self.eventually(lambda: [engine.version for engine in self.engines] == [2, 2])
+
+    def test_lease_of_another_holder_is_waited_out(self) -> None:
+        """Guards against two holders that order in turns."""
+        lease = {"holder": "node-9~x", "fence": None, "released": False}
+        self.store.put("keyed.weights-lease", "lease", lease)
+        node = self.start_node()
+        self.wait_ready(node)
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        gevent.sleep(0.7)
+        self.assertEqual(self.engines[0].orders + self.engines[1].orders, [])
+        self.eventually(lambda: [engine.version for engine in self.engines] == [2, 2])
+
+
+class StoreTroubleTest(GatewayCase):
+    def test_serves_on_without_the_store(self) -> None:
+        node = self.start_node()
+        self.wait_ready(node)
+        self.store.status = 503
+        gevent.sleep(0.5)
+        self.assertEqual(self.call(node, "/book/x", "r1").status, 200)
+        self.store.status = 200
+        self.store.put("keyed.op", "config", configuration(2, routes=[]))
+        self.eventually(lambda: self.call(node, "/book/x", "r2").status == 404)
+
+    def test_without_any_configuration_nothing_is_denied(self) -> None:
+        self.store.status = 503
+        node = self.start_node()
+        gevent.sleep(0.2)
+        answer = self.call(node, "/book/x", "r1")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("Retry-After", answer.headers)
+        self.assertFalse(node.is_ready())
+
+    def test_forgotten_history_is_read_anew(self) -> None:
+        node = self.start_node()
+        self.wait_ready(node)
+        self.store.put("keyed.op", "config", configuration(2, routes=[]))
+        self.store.drop_history("keyed.op")
+        self.store.drop_history("keyed.servers")
+        self.eventually(lambda: self.call(node, "/book/x", "r1").status == 404)
+
+    def test_entries_that_lapsed_with_the_store_are_kept_for_a_while(self) -> None:
+        node = self.start_node()
+        self.wait_ready(node)
+        self.store.status = 503
+        gevent.sleep(2.0)
+        for worker in self.desks:
+            self.store.put("keyed.servers", worker.id, None)
+        self.store.status = 200
+        gevent.sleep(1.2)
+        self.assertEqual(self.call(node, "/book/x", "r1").status, 200)
+        self.eventually(lambda: self.call(node, "/book/x", "r2").status == 503)
+
+    def test_leaving_worker_gets_no_new_requests(self) -> None:
+        node = self.start_node()
+        self.wait_ready(node)
+        self.store.put("keyed.servers", "d1", self.desks[0].entry("draining"))
+        self.eventually(lambda: node._view.book.get("d1").entry.is_leaving)
+        before = len(self.desks[0].seen)
+        for number in range(6):
+            self.assertEqual(self.call(node, "/book/x", f"r{number}").status, 200)
+        self.assertEqual(len(self.desks[0].seen), before)
+
+
+class DirectoryTest(GatewayCase):
+    def test_callers_are_told_of_ready_nodes_only(self) -> None:
+        node = self.start_node(settings(self.store.address))
+        self.wait_ready(node)
+        url = f"http://{node._options.directory_listen}/arbutustally/resolve?name=h&zone=z1"
+        answer = self.http.request("GET", url)
+        self.assertEqual(answer.json()["addresses"], [node._options.caller_listen])
+        node._is_draining = True
+        self.assertEqual(self.http.request("GET", url).status, 503)
+
+    def test_stopping_node_finishes_what_runs(self) -> None:
+        node = self.start_node(settings(self.store.address))
+        self.wait_ready(node)
+        answers = []
+
+        def slow(_headers):
+            gevent.sleep(0.8)
+
+        for desk in self.desks:
+            desk.behave = slow
+        caller = gevent.spawn(lambda: answers.append(self.call(node, "/book/x", "r1").status))
+        gevent.sleep(0.2)
+        node.drain()
+        caller.join()
+        self.assertEqual(answers, [200])
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,5 +1,7 @@
 """Connections to endpoints: framing, unread bytes, silence, and proof that nothing was sent."""
 
+import socket
+import struct
 import unittest
 
 import gevent
@@ -42,6 +44,20 @@
             if path == "/stalled":
                 sock.sendall(OK + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
                 gevent.sleep(5)
+            if path == "/closing":
+                closing = OK + b"Connection: close\r\nContent-Length: 3\r\n\r\n"
+                sock.sendall(closing)
+                gevent.sleep(0.02)
+                sock.sendall(b"abc")
+                return
+            if path == "/open-ended":
+                sock.sendall(OK + b"Connection: close\r\n\r\nabc")
+                return
+            if path == "/open-reset":
+                sock.sendall(OK + b"Connection: close\r\n\r\nabc")
+                gevent.sleep(0.05)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                return
             body = b"3\r\nabc\r\n0\r\n\r\n"
             extra = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"
             if path == "/extra":
@@ -67,6 +83,13 @@
         self.assertEqual([self.get("/extra"), self.get("/a")], [b"abc", b"abc"])
         self.assertEqual(self.connections, 2)
 
+    def test_answer_that_ends_its_connection_is_read_whole(self) -> None:
+        self.assertEqual(self.get("/closing"), b"abc")
+        self.assertEqual(self.get("/open-ended"), b"abc")
+
+    def test_reset_does_not_end_a_body_without_a_length(self) -> None:
+        self.assertIsInstance(self.failure("/open-reset"), EndpointFailedError)
+
     def test_fresh_connection_is_never_an_idle_one(self) -> None:
         self.get("/a")
         self.get("/a", fresh=True)
