Tell other weights from another endpoint, and learn from both refusals

Change: a 421 names the endpoint that answered: another id marks this one as gone for good, the same id asks the engine for its weights; an engine's newer weights count as named. 80% of the repeat budget is used instead of 60%.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
@@ -1,6 +1,7 @@
 """One request from its decoded head to the last byte of its answer."""
 
 import traceback
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -45,7 +46,7 @@
 from arbutustally_node.gateway.instruments import Instruments
 from arbutustally_node.gateway.ports import AttemptTerms
 from arbutustally_node.gateway.stream_relay import RelayEnd, StreamRelay
-from arbutustally_node.gateway.transport import Attempt, Transport
+from arbutustally_node.gateway.transport import OTHER_ENDPOINT, OTHER_WEIGHTS, Attempt, Transport
 
 #: Return of callers where nothing tells when a request can be served, seconds.
 DEFAULT_RETRY_S = 0.25
@@ -96,6 +97,7 @@
 
     :param zone: of the node; endpoints there go first among equals.
     :param weights_s: after this time no request may begin on weights older than those named.
+    :param on_other_weights: called for an engine that has other weights than expected.
     """
 
     def __init__(
@@ -112,6 +114,7 @@
         rng: Random,
         zone: str,
         weights_s: float,
+        on_other_weights: Callable[[EndpointState], None],
     ) -> None:
         self._view = view
         self._transport = transport
@@ -124,6 +127,7 @@
         self._rng = rng
         self._zone = zone
         self._weights_s = weights_s
+        self._on_other_weights = on_other_weights
         self._holdings = holdings
         self.placed_lately: list[tuple[str, str, list[tuple[str, int]]]] = []
 
@@ -446,6 +450,11 @@
         now = exchange._clock()
         if attempt.outcome is Outcome.ANSWERED:
             exchange._view.book.answered(state, now - began)
+        elif attempt.reason == OTHER_ENDPOINT:
+            exchange._view.book.replaced(state)
+            exchange._log.line("endpoint_replaced", endpoint=state.id, by=attempt.terms.endpoint_id)
+        elif attempt.reason == OTHER_WEIGHTS:
+            exchange._on_other_weights(state)
         elif attempt.is_unreachable:
             pause = exchange._view.book.unreachable(state)
             exchange._log.line("endpoint_unreachable", endpoint=state.id, avoided_s=pause)
@@ -478,7 +487,7 @@
             exchange._instruments.duration("first_event", self._route.name, first_s)
             self._note_parts(placed)
         terms = attempt.terms
-        if terms is not None and terms.weights is not None and not terms.is_other_endpoint:
+        if terms is not None and terms.weights is not None and not terms.is_mismatched:
             known = placed.state.weights
             known[self.request.model] = max(known.get(self.request.model, 0), terms.weights)
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -180,6 +180,7 @@
             self._rng,
             options.zone,
             bounds.weights_s,
+            lambda state: self._weights.look(state),
         )
         self._follower = Follower(
             platform,
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
@@ -45,7 +45,8 @@
     :ivar echoed_id: request id of the answer, empty without one.
     :ivar is_signed: the endpoint itself made the answer.
     :ivar is_not_run: the endpoint states that it did not run the request.
-    :ivar is_other_endpoint: another endpoint has the address, or another version of weights.
+    :ivar is_mismatched: the endpoint is not the one that was named, or has other weights.
+    :ivar endpoint_id: of the endpoint that answered, empty if not stated.
     :ivar weights: version of the weights, ``None`` if not stated.
     :ivar headers: headers to pass on to the caller.
     """
@@ -53,7 +54,8 @@
     echoed_id: str
     is_signed: bool
     is_not_run: bool
-    is_other_endpoint: bool
+    is_mismatched: bool
+    endpoint_id: str
     weights: int | None
     headers: tuple[tuple[str, str], ...]
 
@@ -177,6 +179,7 @@
     HOLDS_ALREADY = "holds_already"
     BUSY = "busy"
     FENCED = "fenced"
+    OTHER_ENDPOINT = "other_endpoint"
     REFUSED = "refused"
     UNKNOWN = "unknown"
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -17,6 +17,11 @@
 MAX_WHOLE_ANSWER = 8 << 20
 FIRST_FAILURE_STATUS = 500
 
+#: Reasons of attempts that did not run.
+ENDPOINT_FULL = "endpoint_full"
+OTHER_ENDPOINT = "other_endpoint"
+OTHER_WEIGHTS = "other_weights"
+
 
 @dataclass
 class Attempt:
@@ -71,7 +76,7 @@
                 reason = "connection_refused" if is_refused(error) else "connect_timeout"
                 return Attempt(Outcome.NOT_RUN, reason, is_unreachable=True)
             return Attempt(Outcome.MAY_HAVE_RUN, "connection_broken")
-        return self._judge(request, response)
+        return self._judge(request, state, response)
 
     def read_whole(self, attempt: Attempt, left_s: float, watch: CallerWatch) -> Attempt:
         """Reads the body of an answer.
@@ -91,17 +96,18 @@
         attempt.response = None
         return attempt
 
-    def _judge(self, request: CallerRequest, response: PooledResponse) -> Attempt:
+    def _judge(
+        self, request: CallerRequest, state: EndpointState, response: PooledResponse
+    ) -> Attempt:
         """Tells a usable answer from one that must not reach the caller."""
         terms = self._codec.decode_answer(response.status, response.header_items)
         status = response.status
         if terms.echoed_id and terms.echoed_id != request.request_id:
             response.close()
             return Attempt(Outcome.MAY_HAVE_RUN, "crossed_answer", status)
-        if terms.is_not_run or terms.is_other_endpoint:
+        if terms.is_not_run or terms.is_mismatched:
             response.settle()
-            reason = "other_endpoint" if terms.is_other_endpoint else "endpoint_full"
-            return Attempt(Outcome.NOT_RUN, reason, status, terms)
+            return Attempt(Outcome.NOT_RUN, _refusal(terms, state), status, terms)
         if not terms.is_signed:
             response.close()
             return Attempt(Outcome.MAY_HAVE_RUN, "unsigned_answer", status)
@@ -109,5 +115,12 @@
         return Attempt(outcome, f"status_{status}", status, terms, response)
 
 
+def _refusal(terms: AnswerTerms, state: EndpointState) -> str:
+    if not terms.is_mismatched:
+        return ENDPOINT_FULL
+    is_other = terms.endpoint_id not in ("", state.id)
+    return OTHER_ENDPOINT if is_other else OTHER_WEIGHTS
+
+
 class _HeadTimeoutError(Exception):
     """The head or the body of an answer did not come in time."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -67,6 +67,7 @@
         self._unconfirmed: tuple[int, float] | None = None
         self._behind_since: float | None = None
         self._ordering: set[str] = set()
+        self._looked_at: dict[str, float] = {}
         self._is_stopping = False
         self._greenlet: Any = None
 
@@ -130,7 +131,9 @@
         return [
             state
             for state in self._view.book.all()
-            if model in state.weights and not state.entry.is_leaving and state.gone_at is None
+            if model in state.weights
+            and state.gone_at is None
+            and not (state.entry.is_leaving or state.is_replaced)
         ]
 
     def _rank(self) -> int:
@@ -236,6 +239,8 @@
         )
         if reply == OrderReply.HOLDS_ALREADY:
             self._take_weights(state, {model: named})
+        if reply == OrderReply.OTHER_ENDPOINT:
+            self._view.book.replaced(state)
         if reply == OrderReply.FENCED:
             self._lease = None
         return reply in (OrderReply.ACCEPTED, OrderReply.BUSY, OrderReply.UNKNOWN)
@@ -253,6 +258,18 @@
                 return
             gevent.sleep(LOOK_S)
 
+    def look(self, state: EndpointState) -> None:
+        """Asks an engine for its weights without waiting, at most every ``LOOK_S``."""
+        now = self._clock()
+        if now - self._looked_at.get(state.id, 0.0) >= LOOK_S:
+            self._looked_at[state.id] = now
+            gevent.spawn(self._look, state)
+
+    def _look(self, state: EndpointState) -> None:
+        report = self._engines.report(state.entry)
+        if report is not None:
+            self._take_weights(state, report.weights)
+
     def _take_weights(self, state: EndpointState, weights: dict[str, int]) -> None:
         for model, version in weights.items():
             if version > state.weights.get(model, 0):
--- a/packages/arbutustally/src/arbutustally/gateway/attempts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/attempts.py
@@ -15,7 +15,7 @@
 #: Least time for which another attempt is worth its cost, seconds.
 MIN_ATTEMPT_S = 0.02
 #: Part of the fleet's budget that is used; nodes count their own traffic only.
-BUDGET_USED = 0.6
+BUDGET_USED = 0.8
 #: Sends of one request that ran nowhere; endpoints that are full say so within a few ms.
 MAX_SENDS = 4
 
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -147,6 +147,8 @@
     :param named: newest version that the operator named.
     :param stale_allowed: older weights may still begin requests.
     """
+    # An engine may have weights of which this node has not heard yet.
+    named = max([named, *(state.weights.get(model, 0) for state in states)])
     ready = [state for state in states if not state.loading]
     holders = [state for state in ready if state.weights.get(model, 0) >= named]
     if named and (holders or not stale_allowed):
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -46,6 +46,7 @@
     :ivar memory_tokens: tokens that this node's running requests keep in memory.
     :ivar peer_load: the same three figures by peer.
     :ivar gone_at: when the entry was removed, ``None`` while it is listed.
+    :ivar is_replaced: another endpoint was found at its address.
     """
 
     entry: EndpointEntry
@@ -57,6 +58,7 @@
     loading: bool = False
     loading_until: float = 0.0
     gone_at: float | None = None
+    is_replaced: bool = False
     suspect_until: float = 0.0
     suspicions: int = 0
     failures: float = 0.0
@@ -129,7 +131,7 @@
         able = [
             state
             for state in self.of_service(service)
-            if not state.entry.is_leaving and not self._is_gone(state, now)
+            if not (state.entry.is_leaving or state.is_replaced or self._is_gone(state, now))
         ]
         trusted = [state for state in able if state.suspect_until <= now]
         return trusted or able
@@ -172,6 +174,10 @@
             if endpoint_id not in listed:
                 self.remove(endpoint_id)
 
+    def replaced(self, state: EndpointState) -> None:
+        """Notes that another endpoint has the address: this one is gone for good."""
+        state.is_replaced = True
+
     def forget_gone(self, after_s: float) -> list[EndpointState]:
         """Drops endpoints that were removed longer ago than ``after_s`` and returns them."""
         now = self._clock()
--- a/packages/arbutustally/src/arbutustally/gateway/quota.py
+++ b/packages/arbutustally/src/arbutustally/gateway/quota.py
@@ -4,7 +4,7 @@
 bucket of every account and takes out of it what it admits and what its peers say they admitted.
 Peers report several times a second, so the fleet exceeds the bucket by at most what arrives
 between two reports; the excess is owed and later requests pay for it. A node that does not hear
-some of its peers only uses the part of the rate that belongs to those it hears.
+some of its peers only uses the part of rate and burst that belongs to those it hears.
 """
 
 from collections.abc import Mapping
@@ -95,6 +95,8 @@
         for bucket in self._buckets.values():
             self._fill(bucket)
         self._visible = heard / max(known, heard, 1)
+        for bucket in self._buckets.values():
+            bucket.level = min(bucket.level, bucket.burst * self._visible)
 
     def take(self, account: str, tokens: float) -> float | None:
         """Takes tokens for a request.
@@ -104,7 +106,7 @@
         bucket = self._buckets.get(account)
         if bucket is not None:
             self._fill(bucket)
-            needed = min(tokens, bucket.burst)
+            needed = min(tokens, bucket.burst * self._visible)
             if bucket.level < needed:
                 rate = bucket.rate * self._visible
                 return min((needed - bucket.level) / rate, MAX_RETRY_AFTER_S)
@@ -137,5 +139,5 @@
         now = self._clock()
         if now > bucket.filled_at:
             gained = bucket.rate * self._visible * (now - bucket.filled_at)
-            bucket.level = min(bucket.level + gained, bucket.burst)
+            bucket.level = min(bucket.level + gained, bucket.burst * self._visible)
             bucket.filled_at = now
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -189,6 +189,24 @@
         self.assertEqual(self.engines[0].orders + self.engines[1].orders, [])
         self.eventually(lambda: [engine.version for engine in self.engines] == [2, 2])
 
+    def test_node_that_has_not_heard_of_new_weights_learns_them_from_the_engine(self) -> None:
+        """Guards against refusals of a node that is cut off while engines move on."""
+        node = self.start_node()
+        self.wait_ready(node)
+        for engine in self.engines:
+            engine.version = 3
+        self.eventually(lambda: self.call(node, "/chat/x", "r1").status == 200, 3.0)
+        seen = next(engine for engine in self.engines if engine.ran).seen[-1]
+        self.assertEqual(seen["Expect-Version"], "3")
+
+    def test_endpoint_whose_address_has_another_is_left_out_for_good(self) -> None:
+        node = self.start_node()
+        self.wait_ready(node)
+        self.desks[0].id = "d9"
+        for number in range(8):
+            self.assertEqual(self.call(node, "/book/x", f"r{number}").status, 200)
+        self.assertLessEqual(len(self.desks[0].seen), 1)
+
 
 class StoreTroubleTest(GatewayCase):
     def test_serves_on_without_the_store(self) -> None:
