Send requests that come late in a stop elsewhere

Change: directory answers count 1.0 s instead of 1.5 s; once no caller can still hold one, new requests get 503 (not run) with a short Retry-After. Parts whose last block is not whole count as held, and the decision line names the source of fetched parts. Test: test_gateway_node.DirectoryTest, late request.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
@@ -8,6 +8,7 @@
 
 from arbutustally.clock import Clock
 from arbutustally.errors import (
+    DrainingError,
     EndpointFailedError,
     EndpointTimeoutError,
     NoConfigurationError,
@@ -50,6 +51,8 @@
 
 #: Return of callers where nothing tells when a request can be served, seconds.
 DEFAULT_RETRY_S = 0.25
+#: Return of callers that only need another node, seconds.
+ELSEWHERE_S = 0.02
 #: Time before the bound on old weights at which they are no longer used, seconds.
 WEIGHTS_MARGIN_S = 0.8
 #: Longest wait for the first byte at one endpoint where another one may be tried, seconds.
@@ -129,8 +132,13 @@
         self._weights_s = weights_s
         self._on_other_weights = on_other_weights
         self._holdings = holdings
+        self._is_refusing = False
         self.placed_lately: list[tuple[str, str, list[tuple[str, int]]]] = []
 
+    def refuse_new(self) -> None:
+        """Sends callers of new requests elsewhere: the node stops soon."""
+        self._is_refusing = True
+
     def serve(
         self, request: CallerRequest, connection: CallerConnection, watch: CallerWatch
     ) -> None:
@@ -164,6 +172,8 @@
         watch: CallerWatch,
         trace: Trace,
     ) -> None:
+        if self._is_refusing:
+            raise DrainingError("not run: the node stops; use another", retry_after_s=ELSEWHERE_S)
         configuration = self._view.configuration
         if configuration is None or not self._view.is_complete:
             raise NoConfigurationError("no configuration yet; retry", retry_after_s=DEFAULT_RETRY_S)
@@ -426,6 +436,7 @@
             source = None
         if source is not None:
             self.trace.facts["fetched"] = source.tokens
+            self.trace.facts["source"] = source.place
         self.trace.facts["expected_ms"] = round(choice.estimate_s * 1000)
         self.trace.facts["cached"] = choice.expected_cached_tokens
         self.trace.facts["weights"] = version
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -43,7 +43,7 @@
 SILENCE_S = 1.6
 #: Time for which callers may keep an answer with addresses, seconds. Some keep it three times as
 #: long, and a node that stops serves until then.
-DIRECTORY_TTL_S = 1.5
+DIRECTORY_TTL_S = 1.0
 TTL_KEPT = 3
 #: Time before the end of the grace period at which a stopping node ends, seconds.
 GRACE_MARGIN_S = 0.6
@@ -130,6 +130,8 @@
         self._listener.drain()
         while boottime() < latest:
             if boottime() >= known_until:
+                # A stream that began now might not end before the grace period does.
+                self._exchange.refuse_new()
                 self._listener.close_idle()
                 if not self._listener.running:
                     return
--- a/packages/arbutustally/src/arbutustally/gateway/holdings.py
+++ b/packages/arbutustally/src/arbutustally/gateway/holdings.py
@@ -14,6 +14,8 @@
 
 #: Time for which a part counts as held without word from the engine, seconds.
 ASSUMED_S = 10.0
+#: Engines keep whole blocks, so the end of a part may be missing (site sheets), tokens.
+BLOCK_TOKENS = 16
 #: Parts remembered for each place.
 MAX_PARTS = 8192
 
@@ -73,7 +75,7 @@
             if entry is None or not (entry.is_confirmed or entry.at >= oldest):
                 break
             total += min(entry.tokens, part.tokens)
-            if entry.tokens < part.tokens:
+            if entry.tokens + BLOCK_TOKENS < part.tokens:
                 break
         return total
 
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -1,5 +1,7 @@
 """A gateway node over real sockets: routes, keys, attempts, streams, weights, drain, trouble."""
 
+from dataclasses import replace
+
 import gevent
 from bottle import HTTPResponse
 
@@ -284,3 +286,21 @@
         node.drain()
         caller.join()
         self.assertEqual(answers, [200])
+
+    def test_request_that_comes_late_in_the_stop_is_sent_elsewhere(self) -> None:
+        """Guards against a stream that is cut when the grace period ends."""
+        node = self.start_node(settings(self.store.address))
+        self.wait_ready(node)
+        for desk in self.desks:
+            desk.behave = lambda _headers: gevent.sleep(1.7)
+        node._options = replace(node._options, bounds=replace(node._options.bounds, grace_s=6.0))
+        stopping = gevent.spawn(node.drain)
+        gevent.sleep(1.8)
+        self.assertFalse(node.is_ready())
+        first = gevent.spawn(lambda: self.call(node, "/book/x", "r1", Deadline_Ms="5000").status)
+        self.eventually(lambda: node._exchange._is_refusing)
+        late = self.call(node, "/book/x", "r2")
+        self.assertEqual(late.status, 503)
+        self.assertIn("Retry-After", late.headers)
+        stopping.join()
+        self.assertEqual(first.get(), 200)
