Empty engines before they load, and let each node check endpoints that are down

Change: an engine that is to load gets no new requests, which all nodes hear, until what can't go on elsewhere has ended, at most 1 s; then it breaks off the rest if that is little, and those streams go on at engines with the new weights. A node that can't connect tells its peers; each checks by a connection of its own until one succeeds. Resumable streams leave a silent engine after 0.8 s. Tests: WeightsPlanTest.test_engine_is_emptied_before_it_loads, EndpointBookTest.

--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_check.py
@@ -0,0 +1,56 @@
+"""Finds out whether an endpoint can be reached, without risking a request.
+
+An endpoint that one node could not reach is checked by every node for itself, since a path may be
+lost for some of them only. It gets requests again after a connection could be made.
+"""
+
+import gevent
+from gevent import socket as gevent_socket
+
+from arbutustally.gateway.endpoints import EndpointBook, EndpointState
+from arbutustally_node.gateway.decision_log import DecisionLog
+
+#: Longest wait for a connection, seconds.
+CONNECT_TIMEOUT_S = 0.2
+#: Pause between two checks, seconds.
+PAUSE_S = 0.4
+
+
+class EndpointChecker:
+    """Checks endpoints that are believed to be down."""
+
+    def __init__(self, book: EndpointBook, log: DecisionLog) -> None:
+        self._book = book
+        self._log = log
+        self._checking: set[str] = set()
+
+    def check(self, state: EndpointState) -> None:
+        """Starts checks that go on until the endpoint can be reached or is forgotten."""
+        if state.id in self._checking:
+            return
+        self._checking.add(state.id)
+        gevent.spawn(self._check, state)
+
+    def _check(self, state: EndpointState) -> None:
+        try:
+            while self._book.get(state.id) is state and not state.is_replaced:
+                if _can_connect(state.address):
+                    if state.is_down:
+                        self._log.line("endpoint_reachable", endpoint=state.id)
+                    self._book.reachable(state)
+                    return
+                if not state.is_down:
+                    self._log.line("endpoint_unreachable", endpoint=state.id, found_by="check")
+                self._book.unreachable(state)
+                gevent.sleep(PAUSE_S)
+        finally:
+            self._checking.discard(state.id)
+
+
+def _can_connect(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        gevent_socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S).close()
+    except OSError:
+        return False
+    return True
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
@@ -101,6 +101,7 @@
     :param zone: of the node; endpoints there go first among equals.
     :param weights_s: after this time no request may begin on weights older than those named.
     :param on_other_weights: called for an engine that has other weights than expected.
+    :param on_unreachable: called for an endpoint to which no connection could be made.
     """
 
     def __init__(
@@ -118,6 +119,7 @@
         zone: str,
         weights_s: float,
         on_other_weights: Callable[[EndpointState], None],
+        on_unreachable: Callable[[EndpointState], None],
     ) -> None:
         self._view = view
         self._transport = transport
@@ -131,6 +133,7 @@
         self._zone = zone
         self._weights_s = weights_s
         self._on_other_weights = on_other_weights
+        self._on_unreachable = on_unreachable
         self._holdings = holdings
         self._is_refusing = False
         self.placed_lately: list[tuple[str, str, list[tuple[str, int]]]] = []
@@ -320,7 +323,7 @@
         self._sends += 1
         self._tried.add(state.id)
         began = self._exchange._clock()
-        load = _Load(state, self.request, placed.choice)
+        load = _Load(state, self.request, placed.choice, self._route.may_repeat)
         try:
             attempt = self._send(placed)
             if attempt.outcome in (Outcome.ANSWERED, Outcome.FAILED):
@@ -467,8 +470,7 @@
         elif attempt.reason == OTHER_WEIGHTS:
             exchange._on_other_weights(state)
         elif attempt.is_unreachable:
-            pause = exchange._view.book.unreachable(state)
-            exchange._log.line("endpoint_unreachable", endpoint=state.id, avoided_s=pause)
+            exchange._on_unreachable(state)
         elif attempt.outcome is not Outcome.NOT_RUN and exchange._view.book.failed(state):
             exchange._log.line(
                 "endpoint_avoided", endpoint=state.id, failures=round(state.failures, 1)
@@ -548,13 +550,21 @@
 class _Load:
     """Counts an attempt at its endpoint while it runs."""
 
-    def __init__(self, state: EndpointState, request: CallerRequest, choice: Choice | None) -> None:
+    def __init__(
+        self,
+        state: EndpointState,
+        request: CallerRequest,
+        choice: Choice | None,
+        may_repeat: bool,
+    ) -> None:
         self._state = state
         total = request.prompt_tokens or 0
         self._unread = float(total - choice.expected_cached_tokens) if choice else 0.0
         self._memory = float(total + request.output_tokens) if choice else 0.0
+        self._unrepeatable = 0 if may_repeat else 1
         self.first_at = 0.0
         state.running += 1
+        state.unrepeatable += self._unrepeatable
         state.prompt_tokens += self._unread
         state.memory_tokens += self._memory
 
@@ -567,6 +577,7 @@
     def end(self) -> None:
         """Takes the attempt off its endpoint."""
         self._state.running -= 1
+        self._state.unrepeatable -= self._unrepeatable
         self._state.prompt_tokens -= self._unread
         self._state.memory_tokens -= self._memory
         self._unread = self._memory = 0.0
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -41,11 +41,13 @@
     :ivar control: address of the control listener.
     :ivar is_ready: the node takes requests.
     :ivar config: version of the configuration in force, 0 for none.
-    :ivar loads: running requests, unread prompt tokens and tokens in memory by endpoint.
+    :ivar loads: running requests, unread prompt tokens, tokens in memory, and requests that can't
+        go on elsewhere, by endpoint.
     :ivar admitted: running totals by account.
     :ivar weights: version and age of knowledge in seconds by model.
     :ivar engines: version that an engine is known to run, by endpoint and model.
     :ivar loading: endpoints that load weights.
+    :ivar down: endpoints to which this node could not connect.
     :ivar placed: recent placements of prompts, see ``Exchange.placed_lately``.
     :ivar peers: addresses of other nodes.
     """
@@ -58,11 +60,12 @@
     control: str
     is_ready: bool
     config: int
-    loads: Mapping[str, tuple[int, float, float]] = field(default_factory=dict)
+    loads: Mapping[str, tuple[int, float, float, int]] = field(default_factory=dict)
     admitted: Mapping[str, float] = field(default_factory=dict)
     weights: Mapping[str, tuple[int, float]] = field(default_factory=dict)
     engines: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
     loading: tuple[str, ...] = ()
+    down: tuple[str, ...] = ()
     placed: tuple[Any, ...] = ()
     peers: tuple[str, ...] = ()
 
@@ -89,6 +92,7 @@
             and isinstance(self.config, int)
             and isinstance(self.is_ready, bool)
             and all(isinstance(table, dict) for table in tables)
+            and isinstance(self.down, list)
             and isinstance(self.placed, list)
             and isinstance(self.peers, list)
         )
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -10,6 +10,7 @@
 from arbutustally.clock import boottime, monotonic
 from arbutustally.gateway.attempts import RepeatLedger
 from arbutustally.gateway.configuration import CallerLimits, Configuration
+from arbutustally.gateway.endpoints import EndpointState
 from arbutustally.gateway.holdings import Holdings
 from arbutustally.gateway.quota import QuotaLedger
 from arbutustally.gateway.requests import PromptPart
@@ -18,6 +19,7 @@
 from arbutustally_node.gateway.cache_follower import CacheFollower
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.directory import EntryNode, addresses_for
+from arbutustally_node.gateway.endpoint_check import EndpointChecker
 from arbutustally_node.gateway.exchange import Exchange
 from arbutustally_node.gateway.fleet_view import FleetView, NamedWeights
 from arbutustally_node.gateway.follower import Follower
@@ -38,7 +40,7 @@
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.pool import PoolService
 
-CONNECT_TIMEOUT_S = 0.3
+CONNECT_TIMEOUT_S = 0.2
 #: Longest silence of an endpoint inside an answer, seconds; callers leave a stream at two.
 SILENCE_S = 1.6
 #: Time for which callers may keep an answer with addresses, seconds. Some keep it three times as
@@ -159,6 +161,7 @@
         self._repeats = RepeatLedger.from_config(monotonic, bounds.repeats)
         self._placement = Placement.from_config(monotonic, self._rng)
         self._holdings = Holdings.from_config(monotonic)
+        self._checker = EndpointChecker(self._view.book, self._log)
         self._pool = PoolService(CONNECT_TIMEOUT_S, SILENCE_S)
         self._gossip = Gossip(
             options.ip,
@@ -183,6 +186,7 @@
             options.zone,
             bounds.weights_s,
             lambda state: self._weights.look(state),
+            self._unreachable,
         )
         self._follower = Follower(
             platform,
@@ -206,6 +210,7 @@
             monotonic,
             boottime,
             bounds.lease_s,
+            self._unreachable,
         )
         self._listener = CallerListener(
             options.caller_listen,
@@ -238,6 +243,12 @@
             {name: (entry.rate, entry.burst) for name, entry in configuration.accounts.items()}
         )
 
+    def _unreachable(self, state: EndpointState) -> None:
+        if not state.is_down:
+            self._log.line("endpoint_unreachable", endpoint=state.id, found_by="request")
+        self._view.book.unreachable(state)
+        self._checker.check(state)
+
     def _metrics_text(self) -> str:
         return self._instruments.text()
 
@@ -271,6 +282,7 @@
                     state.running,
                     round(state.prompt_tokens),
                     round(state.memory_tokens),
+                    state.unrepeatable,
                 )
                 for state in states
                 if state.running
@@ -284,6 +296,7 @@
             loading=tuple(
                 state.id for state in states if state.loading and self._weights.is_holder
             ),
+            down=tuple(state.id for state in states if state.is_down),
             placed=tuple(placed[-MAX_PLACED:]),
             peers=peers,
         )
@@ -308,6 +321,10 @@
             if endpoint is not None:
                 for model, version in weights.items():
                     endpoint.weights[model] = max(endpoint.weights.get(model, 0), version)
+        for endpoint_id in state.down:
+            endpoint = book.get(endpoint_id)
+            if endpoint is not None and not endpoint.is_down:
+                self._checker.check(endpoint)
         if not self._weights.is_holder:
             self._take_loading(state, now)
         for endpoint_id, scope, parts in state.placed:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
@@ -219,6 +219,20 @@
         """Returns the changes from a number on, waiting for some; ``None`` without an answer."""
 
 
+@dataclass(frozen=True)
+class LoadOrder:
+    """What an engine is told to load.
+
+    :ivar orders: orders that the engine must have accepted so far.
+    :ivar breaks_runs_off: end what runs at once; otherwise it finishes first.
+    """
+
+    model: str
+    version: int
+    orders: int
+    breaks_runs_off: bool
+
+
 class EngineControl(Protocol):
     """Calls that manage an engine."""
 
@@ -228,16 +242,11 @@
     def load_weights(
         self,
         endpoint: EndpointEntry,
-        model: str,
-        version: int,
+        order: LoadOrder,
         holder: str,
         fence: int,
-        orders: int,
     ) -> str:
-        """Orders an engine to load weights; returns one of ``OrderReply``.
-
-        :param orders: orders that the engine must have accepted so far.
-        """
+        """Orders an engine to load weights; returns one of ``OrderReply``."""
 
 
 @dataclass(frozen=True)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
@@ -12,6 +12,9 @@
 from arbutustally_node.gateway.caller import CallerConnection, Headers
 from arbutustally_node.pool import PooledResponse
 
+#: Longest silence inside a stream that may go on elsewhere, seconds; callers leave at two.
+SILENT_GAP_S = 0.8
+
 
 class RelayEnd(StrEnum):
     """How the relay from one endpoint ended."""
@@ -51,14 +54,18 @@
         """Passes on events until the stream ends.
 
         :param on_first: called with the time of the first event of this endpoint.
-        :param may_resume: pass on whole events only.
+        :param may_resume: the stream may go on elsewhere, so a silent endpoint is left soon.
         :raises CallerGoneError: if the caller leaves.
         :raises OSError: if the caller can't be written to.
         """
         self._events.restart()
         try:
             with gevent.Timeout(max(left_s, 0.001), _OutOfTimeError):
-                return self._relay(response, watch, on_first)
+                gap_s = SILENT_GAP_S if may_resume else None
+                return self._relay(response, watch, on_first, gap_s)
+        except _SilentError:
+            response.close()
+            return RelayEnd.SILENT
         except _OutOfTimeError:
             response.close()
             return RelayEnd.OUT_OF_TIME
@@ -73,11 +80,16 @@
             raise
 
     def _relay(
-        self, response: PooledResponse, watch: CallerWatch, on_first: Callable[[float], None]
+        self,
+        response: PooledResponse,
+        watch: CallerWatch,
+        on_first: Callable[[float], None],
+        gap_s: float | None,
     ) -> RelayEnd:
         is_first = True
         while True:
-            with watch:
+            # Before its first event an engine may be reading the prompt.
+            with watch, gevent.Timeout(None if is_first else gap_s, _SilentError):
                 data = response.read()
             if not data:
                 break
@@ -106,5 +118,9 @@
         self._connection.begin(200, self._headers, first)
 
 
+class _SilentError(Exception):
+    """The endpoint was silent inside a stream that may go on elsewhere."""
+
+
 class _OutOfTimeError(Exception):
     """The caller's deadline or the route's timeout has passed."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -5,6 +5,7 @@
 no other record came in between; its offset is the fencing number of every order.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -12,13 +13,20 @@
 from arbutustally.clock import Clock
 from arbutustally.errors import StoreUnavailableError
 from arbutustally.gateway.endpoints import EndpointState
-from arbutustally.gateway.weights import LOAD_CHECK_S, loads_at_once, plan_loads
+from arbutustally.gateway.weights import (
+    EMPTYING_S,
+    LOAD_CHECK_S,
+    breaks_runs_off,
+    is_emptied,
+    loads_at_once,
+    plan_loads,
+)
 from arbutustally.lease import HeldLease, LeaseObserver
 from arbutustally.rendezvous import order
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.gossip import Gossip
-from arbutustally_node.gateway.ports import EngineControl, LeaseTopic, OrderReply
+from arbutustally_node.gateway.ports import EngineControl, LeaseTopic, LoadOrder, OrderReply
 
 #: Interval between two looks at the engines, seconds.
 STEP_S = 0.1
@@ -30,7 +38,9 @@
 RENEW_PART = 0.4
 #: Time after an order until its engine is asked whether it has loaded, seconds.
 FIRST_LOOK_S = 0.4
-LOOK_S = 0.25
+LOOK_S = 0.15
+#: Interval at which an engine that gets no new requests is looked at, seconds.
+EMPTY_STEP_S = 0.05
 
 
 class WeightsService:
@@ -39,6 +49,7 @@
     :param node: name of this node.
     :param boottime: seconds that go on while the instance is suspended.
     :param lease_s: duration of the lease.
+    :param on_unreachable: called for an engine that does not answer.
     """
 
     def __init__(
@@ -52,6 +63,7 @@
         clock: Clock,
         boottime: Clock,
         lease_s: float,
+        on_unreachable: Callable[[EndpointState], None],
     ) -> None:
         self._node = node
         self._view = view
@@ -62,6 +74,7 @@
         self._clock = clock
         self._boottime = boottime
         self._lease_s = lease_s
+        self._on_unreachable = on_unreachable
         self._observer = LeaseObserver.from_config(lease_s)
         self._lease: HeldLease | None = None
         self._unconfirmed: tuple[int, float] | None = None
@@ -122,7 +135,9 @@
             (model, named.version)
             for model, named in self._view.weights.items()
             if any(
-                state.weights.get(model, 0) < named.version and self._clock() >= state.suspect_until
+                state.weights.get(model, 0) < named.version
+                and not state.is_down
+                and self._clock() >= state.suspect_until
                 for state in self._engines_of(model)
             )
         ]
@@ -205,19 +220,27 @@
     def _load(self, state: EndpointState, model: str, named: int) -> None:
         """Orders one engine and watches it until it has loaded."""
         state.loading = True
-        state.loading_until = self._clock() + LOAD_CHECK_S
+        state.loading_until = self._clock() + EMPTYING_S + LOAD_CHECK_S
         try:
+            self._empty(state)
             if self._send_order(state, model, named):
                 self._await_load(state, model, named)
         finally:
             state.loading = False
             self._ordering.discard(state.id)
 
+    def _empty(self, state: EndpointState) -> None:
+        """Waits until an engine that gets no new requests has little left to do."""
+        self._gossip.send_now()
+        began = self._clock()
+        while not is_emptied(state, self._clock() - began):
+            gevent.sleep(EMPTY_STEP_S)
+
     def _send_order(self, state: EndpointState, model: str, named: int) -> bool:
         report = self._engines.report(state.entry)
         if report is None:
-            pause = self._view.book.unreachable(state)
-            self._log.line("engine_report_missing", engine=state.id, avoided_s=pause)
+            self._on_unreachable(state)
+            self._log.line("engine_report_missing", engine=state.id)
             return False
         self._take_weights(state, report.weights)
         if report.weights.get(model, 0) >= named or report.is_busy:
@@ -225,9 +248,8 @@
         if not self.is_holder:
             return False
         fence = self._lease.epoch
-        reply = self._engines.load_weights(
-            state.entry, model, named, self._node, fence, report.orders
-        )
+        order = LoadOrder(model, named, report.orders, breaks_runs_off(state))
+        reply = self._engines.load_weights(state.entry, order, self._node, fence)
         self._log.line(
             "weights_ordered",
             engine=state.id,
@@ -235,6 +257,8 @@
             version=named,
             fence=fence,
             orders=report.orders,
+            breaks_runs_off=order.breaks_runs_off,
+            running=state.total_running,
             reply=reply,
         )
         if reply == OrderReply.HOLDS_ALREADY:
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -5,8 +5,8 @@
 
 from arbutustally.clock import Clock
 
-#: Time for which an endpoint gets no requests after it could not be reached, seconds; doubled with
-#: each further failure.
+#: Time for which an endpoint gets no requests after several failures, seconds; doubled with each
+#: further time.
 SUSPECT_S = 0.5
 MAX_SUSPECT_S = 4.0
 #: Failures after which an endpoint that still answers is avoided.
@@ -44,8 +44,10 @@
     :ivar running: requests of this node at the endpoint.
     :ivar prompt_tokens: tokens of this node's requests that have no first event yet.
     :ivar memory_tokens: tokens that this node's running requests keep in memory.
-    :ivar peer_load: the same three figures by peer.
+    :ivar unrepeatable: of ``running``, those that would be lost if the endpoint broke them off.
+    :ivar peer_load: the same four figures by peer.
     :ivar gone_at: when the entry was removed, ``None`` while it is listed.
+    :ivar is_down: no connection could be made.
     :ivar is_replaced: another endpoint was found at its address.
     """
 
@@ -53,12 +55,14 @@
     running: int = 0
     prompt_tokens: float = 0.0
     memory_tokens: float = 0.0
-    peer_load: dict[str, tuple[int, float, float]] = field(default_factory=dict)
+    unrepeatable: int = 0
+    peer_load: dict[str, tuple[int, float, float, int]] = field(default_factory=dict)
     weights: dict[str, int] = field(default_factory=dict)
     loading: bool = False
     loading_until: float = 0.0
     gone_at: float | None = None
     is_replaced: bool = False
+    is_down: bool = False
     suspect_until: float = 0.0
     suspicions: int = 0
     failures: float = 0.0
@@ -80,6 +84,11 @@
         """Returns the requests of all nodes."""
         return self.running + sum(load[0] for load in self.peer_load.values())
 
+    @property
+    def total_unrepeatable(self) -> int:
+        """Returns the requests of all nodes that can't go on elsewhere."""
+        return self.unrepeatable + sum(load[3] for load in self.peer_load.values())
+
     @property
     def total_prompt_tokens(self) -> float:
         """Returns the tokens of all nodes' requests without a first event."""
@@ -133,7 +142,7 @@
             for state in self.of_service(service)
             if not (state.entry.is_leaving or state.is_replaced or self._is_gone(state, now))
         ]
-        trusted = [state for state in able if state.suspect_until <= now]
+        trusted = [state for state in able if not state.is_down and state.suspect_until <= now]
         return trusted or able
 
     def keep_removed(self, until: float) -> None:
@@ -190,12 +199,13 @@
             del self._states[state.id]
         return gone
 
-    def unreachable(self, state: EndpointState) -> float:
-        """Notes that an endpoint could not be reached; returns for how long it is avoided, s."""
-        pause = min(SUSPECT_S * 2**state.suspicions, MAX_SUSPECT_S)
-        state.suspicions += 1
-        state.suspect_until = self._clock() + pause
-        return pause
+    def unreachable(self, state: EndpointState) -> None:
+        """Notes that no connection to an endpoint could be made."""
+        state.is_down = True
+
+    def reachable(self, state: EndpointState) -> None:
+        """Notes that a connection to an endpoint could be made."""
+        state.is_down = False
 
     def failed(self, state: EndpointState) -> bool:
         """Notes a failed answer; returns whether the endpoint is now avoided."""
@@ -205,17 +215,19 @@
         state.failed_at = now
         if state.failures < FAILURES_TO_SUSPECT:
             return False
-        self.unreachable(state)
+        state.suspect_until = now + min(SUSPECT_S * 2**state.suspicions, MAX_SUSPECT_S)
+        state.suspicions += 1
         return True
 
     def answered(self, state: EndpointState, latency_s: float) -> None:
         """Notes a good answer."""
         state.suspicions = 0
         state.suspect_until = 0.0
+        state.is_down = False
         gain = LATENCY_GAIN if state.latency_s else 1.0
         state.latency_s += (latency_s - state.latency_s) * gain
 
-    def set_peer_load(self, peer: str, loads: Mapping[str, tuple[int, float, float]]) -> None:
+    def set_peer_load(self, peer: str, loads: Mapping[str, tuple[int, float, float, int]]) -> None:
         """Replaces what a peer has at the endpoints."""
         for state in self._states.values():
             load = loads.get(state.id)
--- a/packages/arbutustally/src/arbutustally/gateway/weights.py
+++ b/packages/arbutustally/src/arbutustally/gateway/weights.py
@@ -12,6 +12,13 @@
 
 #: Time after which a load that was accepted and not reported as done is looked at again, seconds.
 LOAD_CHECK_S = 2.0
+#: Longest time for which an engine gets no new requests before it is told to load, seconds.
+EMPTYING_S = 1.0
+#: Shortest such time: all nodes have heard by then that the engine will load.
+TELLING_S = 0.25
+#: Requests that an engine may have left for them to be moved to others; more would use up the
+#: budget of repeats.
+MAX_MOVED = 8
 #: Part of the engines that may load at once; beyond it loads slow each other down (site sheets).
 LOADING_SHARE = 0.4
 
@@ -39,12 +46,31 @@
     """
     old = [state for state in states if state.weights.get(model, 0) < named]
     busy = [state for state in old if state.loading and now < state.loading_until]
-    free = [state for state in old if state not in busy and state.suspect_until <= now]
+    free = [
+        state
+        for state in old
+        if state not in busy and not state.is_down and state.suspect_until <= now
+    ]
     free.sort(key=lambda state: (state.weights.get(model, 0), state.total_memory_tokens))
     room = max(0, at_once - len(busy))
     return LoadPlan(tuple(state.id for state in free[:room]), len(old))
 
 
+def is_emptied(state: EndpointState, waited_s: float) -> bool:
+    """Returns whether an engine that gets no new requests should load now.
+
+    Requests that can't go on elsewhere end first, the others are moved by the load.
+    """
+    if waited_s >= EMPTYING_S:
+        return True
+    return waited_s >= TELLING_S and state.total_running <= 1 and not state.total_unrepeatable
+
+
+def breaks_runs_off(state: EndpointState) -> bool:
+    """Returns whether an engine ends its runs at once rather than letting them finish."""
+    return not state.total_unrepeatable and state.total_running <= MAX_MOVED
+
+
 def loads_at_once(engines: int) -> int:
     """Returns how many engines load at the same time: at least one."""
     return max(1, int(engines * LOADING_SHARE))
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -23,7 +23,13 @@
 from arbutustally.gateway.holdings import ASSUMED_S, Holdings
 from arbutustally.gateway.quota import QuotaLedger, QuotaTolerance
 from arbutustally.gateway.requests import CallerRequest, PromptPart
-from arbutustally.gateway.weights import plan_loads
+from arbutustally.gateway.weights import (
+    EMPTYING_S,
+    TELLING_S,
+    breaks_runs_off,
+    is_emptied,
+    plan_loads,
+)
 from arbutustally.placement import Placement
 
 
@@ -205,12 +211,25 @@
 
     def test_unreachable_endpoint_is_avoided_while_another_remains(self) -> None:
         state = self.book.get("e1")
-        pauses = [self.book.unreachable(state) for _ in range(6)]
-        self.assertEqual(pauses, sorted(pauses))
+        self.book.unreachable(state)
         self.assertEqual(self.names(), ["e2"])
+        self.book.reachable(state)
+        self.assertEqual(self.names(), ["e1", "e2"])
+        self.book.unreachable(state)
         self.book.remove("e2")
         self.assertEqual(self.names(), ["e1"])
 
+    def test_endpoint_that_keeps_failing_is_avoided_for_longer_each_time(self) -> None:
+        state = self.book.get("e1")
+        pauses = []
+        for _ in range(8):
+            if self.book.failed(state):
+                pauses.append(state.suspect_until - self.clock())
+        self.assertEqual(pauses, sorted(pauses))
+        self.assertEqual(self.names(), ["e2"])
+        self.book.answered(state, 0.01)
+        self.assertEqual(self.names(), ["e1", "e2"])
+
     def test_restart_under_the_same_id_forgets_what_was_known(self) -> None:
         state = self.book.get("e1")
         state.weights["m"] = 7
@@ -255,7 +274,7 @@
     def test_queue_of_other_nodes_moves_a_request_away(self) -> None:
         request = prompt(("aa", 6000))
         self.holdings.assume("e3", "1.", request.parts)
-        self.states[2].peer_load["n2"] = (9, 80_000.0, 0.0)
+        self.states[2].peer_load["n2"] = (9, 80_000.0, 0.0, 0)
         self.assertNotEqual(self.choose(request), "e3")
 
     def test_full_memory_moves_a_request_away(self) -> None:
@@ -322,6 +341,20 @@
         states[0].loading, states[0].loading_until = True, 11.0
         self.assertEqual(len(plan_loads(states, "m", 3, 2, 10.0).engines), 1)
 
+    def test_engine_is_emptied_before_it_loads(self) -> None:
+        """Replays an engine with long streams: it loads soon and loses nothing for good."""
+        state = EndpointState(entry("e1"))
+        self.assertFalse(is_emptied(state, 0.0))
+        self.assertTrue(is_emptied(state, TELLING_S))
+        state.peer_load["n2"] = (1, 0.0, 0.0, 1)
+        self.assertFalse(is_emptied(state, TELLING_S))
+        self.assertFalse(breaks_runs_off(state))
+        self.assertTrue(is_emptied(state, EMPTYING_S))
+        state.peer_load["n2"] = (5, 0.0, 0.0, 0)
+        self.assertTrue(breaks_runs_off(state))
+        state.peer_load["n3"] = (50, 0.0, 0.0, 0)
+        self.assertFalse(breaks_runs_off(state))
+
 
 class WholeEventsTest(unittest.TestCase):
     STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, 9))
