Queue where parts are being read, and save only shared parts that the store lacks

Change: a part counts as held from when an engine is asked to read it, for placement only; saves name the store only while it lacks a shared part.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
@@ -25,6 +25,7 @@
     best_source,
     choose_engine,
     choose_plain,
+    must_save,
     weights_to_use,
 )
 from arbutustally.gateway.configuration import (
@@ -136,7 +137,7 @@
         self._on_unreachable = on_unreachable
         self._holdings = holdings
         self._is_refusing = False
-        self.placed_lately: list[tuple[str, str, list[tuple[str, int]]]] = []
+        self.placed_lately: list[tuple[str, str, list[tuple[str, int]], bool]] = []
 
     def refuse_new(self) -> None:
         """Sends callers of new requests elsewhere: the node stops soon."""
@@ -323,6 +324,9 @@
         self._sends += 1
         self._tried.add(state.id)
         began = self._exchange._clock()
+        if placed.choice is not None:
+            self._exchange._holdings.expect(state.id, placed.cache_scope, self.request.parts)
+            self._tell_parts(placed, True)
         load = _Load(state, self.request, placed.choice, self._route.may_repeat)
         try:
             attempt = self._send(placed)
@@ -356,7 +360,7 @@
             priority=None if placed.version is None else min(self._urgency(), LEAST_PRIORITY),
             resume_from=self._resume_from(),
             fetch_from=placed.source.address if placed.source else "",
-            save_to=self._store_address() if placed.choice else "",
+            save_to=self._save_to(placed),
         )
         return self._exchange._transport.send(
             self.request, placed.state, terms, head_s, self._watch
@@ -496,7 +500,9 @@
                 placed.choice.dispatch,
             )
         )
-        if first_s is not None:
+        if first_s is None:
+            exchange._holdings.unexpect(placed.state.id, placed.cache_scope, self.request.parts)
+        else:
             exchange._instruments.duration("first_event", self._route.name, first_s)
             self._note_parts(placed)
         terms = attempt.terms
@@ -527,12 +533,21 @@
         exchange = self._exchange
         parts = self.request.parts
         exchange._holdings.assume(placed.state.id, placed.cache_scope, parts)
-        told = [(part.id, part.tokens) for part in parts]
-        exchange.placed_lately.append((placed.state.id, placed.cache_scope, told))
+        self._tell_parts(placed, False)
+
+    def _tell_parts(self, placed: Placed, is_pending: bool) -> None:
+        told = [(part.id, part.tokens) for part in self.request.parts]
+        self._exchange.placed_lately.append((placed.state.id, placed.cache_scope, told, is_pending))
 
-    def _store_address(self) -> str:
+    def _save_to(self, placed: Placed) -> str:
+        """Returns the address of the store that gets the parts, empty for none."""
         stores = self._configuration.part_stores
-        return stores[0].part_store.address if stores else ""
+        if placed.choice is None or not stores:
+            return ""
+        holdings, parts = self._exchange._holdings, self.request.parts
+        if not must_save(holdings, placed.cache_scope, parts, stores[0]):
+            return ""
+        return stores[0].part_store.address
 
     def _urgency(self) -> int:
         account = self.account.priority if self.account else 0
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -327,8 +327,9 @@
                 self._checker.check(endpoint)
         if not self._weights.is_holder:
             self._take_loading(state, now)
-        for endpoint_id, scope, parts in state.placed:
-            self._holdings.assume(endpoint_id, scope, [PromptPart(*part) for part in parts])
+        for endpoint_id, scope, parts, is_pending in state.placed:
+            take = self._holdings.expect if is_pending else self._holdings.assume
+            take(endpoint_id, scope, [PromptPart(*part) for part in parts])
 
     def _take_loading(self, state: PeerState, now: float) -> None:
         for endpoint_id in state.loading:
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -12,7 +12,7 @@
 
 from arbutustally.gateway.configuration import Service
 from arbutustally.gateway.endpoints import EndpointState
-from arbutustally.gateway.holdings import Holdings
+from arbutustally.gateway.holdings import BLOCK_TOKENS, Holdings
 from arbutustally.gateway.requests import CallerRequest, PromptPart, shape_of
 from arbutustally.placement import Candidate, Choice, Placement, PlacementRequest
 
@@ -88,6 +88,16 @@
     return max(sources, key=lambda source: source.tokens, default=None)
 
 
+def must_save(holdings: Holdings, scope: str, parts: Sequence[PromptPart], store: Service) -> bool:
+    """Returns whether a store of parts lacks a part that other requests may share.
+
+    The last part belongs to one request or session; saving it would push shared parts out.
+    """
+    shared = parts[:-1]
+    wanted = sum(part.tokens for part in shared)
+    return holdings.prefix_tokens(store.name, scope, shared) + BLOCK_TOKENS * len(shared) < wanted
+
+
 def choose_engine(
     placement: Placement,
     holdings: Holdings,
@@ -127,7 +137,7 @@
             running=state.total_running,
             version=str(version),
             import_available=importable_tokens > 0,
-            cached_tokens=holdings.prefix_tokens(state.id, scope, request.parts),
+            cached_tokens=holdings.prefix_tokens(state.id, scope, request.parts, with_pending=True),
             importable_tokens=importable_tokens,
         )
         for state in able
--- a/packages/arbutustally/src/arbutustally/gateway/holdings.py
+++ b/packages/arbutustally/src/arbutustally/gateway/holdings.py
@@ -25,6 +25,7 @@
     tokens: int
     at: float
     is_confirmed: bool
+    is_pending: bool = False
 
 
 class Holdings:
@@ -48,6 +49,26 @@
         for part in parts:
             self._put(place, (scope, part.id), _Held(part.tokens, now, False))
 
+    def expect(self, place: str, scope: str, parts: Iterable[PromptPart]) -> None:
+        """Notes that a place has been asked to read these parts.
+
+        A later request with the same parts finds them there if it queues behind; elsewhere they
+        would be read a second time. They can't be fetched from the place yet.
+        """
+        now = self._clock()
+        held = self._places.get(place, {})
+        for part in parts:
+            if (scope, part.id) not in held:
+                self._put(place, (scope, part.id), _Held(part.tokens, now, False, True))
+
+    def unexpect(self, place: str, scope: str, parts: Iterable[PromptPart]) -> None:
+        """Notes that a place did not read parts that it was asked to read."""
+        held = self._places.get(place, {})
+        for part in parts:
+            entry = held.get((scope, part.id))
+            if entry is not None and entry.is_pending:
+                del held[(scope, part.id)]
+
     def stored(self, place: str, scope: str, part_id: str, tokens: int) -> None:
         """Notes that a place said that it holds a part."""
         self._put(place, (scope, part_id), _Held(tokens, self._clock(), True))
@@ -63,8 +84,13 @@
         """Forgets all parts of a place that restarted or was emptied."""
         self._places.pop(place, None)
 
-    def prefix_tokens(self, place: str, scope: str, parts: Sequence[PromptPart]) -> int:
-        """Returns the tokens of the leading parts that a place holds."""
+    def prefix_tokens(
+        self, place: str, scope: str, parts: Sequence[PromptPart], with_pending: bool = False
+    ) -> int:
+        """Returns the tokens of the leading parts that a place holds.
+
+        :param with_pending: count parts that the place is reading now.
+        """
         held = self._places.get(place)
         if not held:
             return 0
@@ -74,6 +100,8 @@
             entry = held.get((scope, part.id))
             if entry is None or not (entry.is_confirmed or entry.at >= oldest):
                 break
+            if entry.is_pending and not with_pending:
+                break
             total += min(entry.tokens, part.tokens)
             if entry.tokens + BLOCK_TOKENS < part.tokens:
                 break
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -16,8 +16,21 @@
     RepeatLedger,
     after,
 )
-from arbutustally.gateway.choice import best_source, choose_engine, choose_plain, weights_to_use
-from arbutustally.gateway.configuration import Engine, Route, RouteKind, Service, ServiceShare
+from arbutustally.gateway.choice import (
+    best_source,
+    choose_engine,
+    choose_plain,
+    must_save,
+    weights_to_use,
+)
+from arbutustally.gateway.configuration import (
+    Engine,
+    PartStore,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
 from arbutustally.gateway.endpoints import EndpointBook, EndpointEntry, EndpointState
 from arbutustally.gateway.events import EventTooLongError, WholeEvents
 from arbutustally.gateway.holdings import ASSUMED_S, Holdings
@@ -292,6 +305,26 @@
         source = best_source(self.holdings, "1.", request.parts, self.states, ())
         self.assertEqual((source.place, source.tokens), ("e2", 6500))
 
+    def test_second_request_queues_where_its_parts_are_being_read(self) -> None:
+        """Replays a burst on one long shared part: it is read once, not on every engine."""
+        request = prompt(("aa", 6000), ("bb", 500))
+        first = self.choose(request)
+        self.holdings.expect(first, "1.", request.parts)
+        self.assertEqual([self.choose(request) for _ in range(3)], [first] * 3)
+        self.assertIsNone(best_source(self.holdings, "1.", request.parts, self.states, ()))
+        self.holdings.unexpect(first, "1.", request.parts)
+        self.assertEqual(self.holdings.prefix_tokens(first, "1.", request.parts, True), 0)
+
+    def test_only_parts_that_are_shared_and_missing_are_saved(self) -> None:
+        store = Service("kv", 10, None, PartStore("10.0.0.9:1", "z1", 12))
+        request = prompt(("aa", 6000), ("bb", 500), ("own", 2000))
+        self.assertTrue(must_save(self.holdings, "1.", request.parts, store))
+        self.holdings.stored("kv", "1.", "aa", 5_990)
+        self.assertTrue(must_save(self.holdings, "1.", request.parts, store))
+        self.holdings.stored("kv", "1.", "bb", 496)
+        self.assertFalse(must_save(self.holdings, "1.", request.parts, store))
+        self.assertFalse(must_save(self.holdings, "1.", request.parts[2:], store))
+
     def test_assumption_ends_and_word_of_the_engine_stays(self) -> None:
         request = prompt(("aa", 6000))
         self.holdings.assume("e1", "1.", request.parts)
