--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
@@ -314,7 +314,6 @@
     bounds: GatewayBounds
     ready_path: str = "/ready"
     directory_path: str = "/addresses"
-    log_level: str = "info"
 
 
 class DirectoryBody(Protocol):
