Let engines with older weights share the load of a move

Change: while older weights may still begin requests, they are used if the wait at the engines with new weights is over 0.3 of the route's target and longer than the wait elsewhere. Test: ChoiceTest.test_engines_with_older_weights_share_the_load_of_a_move.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
@@ -25,6 +25,7 @@
     best_source,
     choose_engine,
     choose_plain,
+    expected_wait_s,
     must_save,
     weights_to_use,
 )
@@ -61,6 +62,8 @@
 #: Time kept for the answer's way to the caller, seconds.
 ANSWER_MARGIN_S = 0.01
 LEAST_PRIORITY = 9
+#: Part of a route's target that a request waits for engines with new weights.
+BEARABLE_PART = 0.3
 
 
 @dataclass
@@ -420,7 +423,15 @@
         version = named.version if named else 0
         age = exchange._clock() - named.known_at if named else 0.0
         stale_allowed = age < exchange._weights_s - WEIGHTS_MARGIN_S
-        version, able = weights_to_use(able, model, version, stale_allowed)
+        needed = (self.request.prompt_tokens or 0) + self.request.output_tokens
+        version, able = weights_to_use(
+            able,
+            model,
+            version,
+            stale_allowed,
+            lambda state: expected_wait_s(exchange._placement, state, needed, self._service),
+            self._route.target_s * BEARABLE_PART,
+        )
         if not able:
             raise self._nothing_able("no_engine_with_weights")
         scope = f"{version}.{self._wall()}"
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -6,7 +6,7 @@
 that does not fit into what is left of an engine's memory counts as a longer queue there.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -150,18 +150,50 @@
 
 
 def weights_to_use(
-    states: Sequence[EndpointState], model: str, named: int, stale_allowed: bool
+    states: Sequence[EndpointState],
+    model: str,
+    named: int,
+    stale_allowed: bool,
+    wait_s: Callable[[EndpointState], float] = lambda _state: 0.0,
+    bearable_s: float = 0.0,
 ) -> tuple[int, list[EndpointState]]:
     """Returns the version of a model to run on, and the engines that have it.
 
+    Load pattern: right after new weights are named, few engines have them. Older weights cost a
+    request less than a late first event does, so the others share the load while they may.
+
     :param named: newest version that the operator named.
     :param stale_allowed: older weights may still begin requests.
+    :param wait_s: expected wait at an engine.
+    :param bearable_s: wait at the engines with new weights up to which older ones are not used.
     """
     # An engine may have weights of which this node has not heard yet.
     named = max([named, *(state.weights.get(model, 0) for state in states)])
     ready = [state for state in states if not state.loading]
     holders = [state for state in ready if state.weights.get(model, 0) >= named]
-    if named and (holders or not stale_allowed):
+    if not stale_allowed:
+        return named, holders
+    others = [state for state in ready if state.weights.get(model, 0) < named]
+    if holders and (not others or _least(holders, wait_s) <= bearable_s):
         return named, holders
-    newest = max((state.weights.get(model, 0) for state in ready), default=0)
-    return newest, [state for state in ready if state.weights.get(model, 0) == newest]
+    newest = max((state.weights.get(model, 0) for state in others), default=0)
+    older = [state for state in others if state.weights.get(model, 0) == newest]
+    if holders and _least(holders, wait_s) <= _least(older, wait_s):
+        return named, holders
+    return newest, older
+
+
+def expected_wait_s(
+    placement: Placement, state: EndpointState, needed: float, service: Service
+) -> float:
+    """Returns the expected wait of a prompt at an engine.
+
+    :param needed: tokens that the request takes in memory.
+    """
+    memory = service.engine.cache_tokens if service.engine else 0
+    queued = state.total_prompt_tokens + _overflow(state, needed, memory)
+    return queued / placement.prefill_speed(state.id)
+
+
+def _least(states: Sequence[EndpointState], wait_s: Callable[[EndpointState], float]) -> float:
+    return min(wait_s(state) for state in states)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -352,6 +352,25 @@
         self.assertEqual((version, [state.id for state in able]), (1, ["e1", "e3"]))
         self.assertEqual(weights_to_use(self.states, "m", 2, False)[1], [])
 
+    def test_engines_with_older_weights_share_the_load_of_a_move(self) -> None:
+        """Replays the start of a move: one engine has the new weights and all the load."""
+        for state, version in zip(self.states, (1, 2, 1), strict=True):
+            state.weights = {"m": version}
+        waits = {"e1": 0.1, "e2": 2.0, "e3": 0.4}
+
+        def use(stale_allowed: bool) -> tuple[int, list[str]]:
+            version, able = weights_to_use(
+                self.states, "m", 2, stale_allowed, lambda state: waits[state.id], 0.1
+            )
+            return version, [state.id for state in able]
+
+        self.assertEqual(use(True), (1, ["e1", "e3"]))
+        self.assertEqual(use(False), (2, ["e2"]))
+        waits["e2"] = 0.05
+        self.assertEqual(use(True), (2, ["e2"]))
+        waits["e2"], waits["e1"], waits["e3"] = 0.5, 3.0, 3.0
+        self.assertEqual(use(True), (2, ["e2"]))
+
 
 class AdmissionTest(unittest.TestCase):
     def test_what_cannot_be_served_in_time_is_rejected_at_once(self) -> None:
