Use every allowed version of weights, and drop each at its own time

Change: the view keeps when each version was named; a version is allowed until a newer one is as old as the bound; among allowed versions the least wait wins, new ones first while their wait is short. Tests: NamedWeightsTest, ChoiceTest (three versions).

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
@@ -421,14 +421,14 @@
         model = self.request.model
         named = exchange._view.weights.get(model)
         version = named.version if named else 0
-        age = exchange._clock() - named.known_at if named else 0.0
-        stale_allowed = age < exchange._weights_s - WEIGHTS_MARGIN_S
+        bound_s = exchange._weights_s - WEIGHTS_MARGIN_S
+        oldest = named.oldest_allowed(exchange._clock(), bound_s) if named else 0
         needed = (self.request.prompt_tokens or 0) + self.request.output_tokens
         version, able = weights_to_use(
             able,
             model,
             version,
-            stale_allowed,
+            oldest,
             lambda state: expected_wait_s(exchange._placement, state, needed, self._service),
             self._route.target_s * BEARABLE_PART,
         )
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -1,7 +1,5 @@
 """What a node knows: configuration, named weights, endpoints, and from where it knows them."""
 
-from dataclasses import dataclass
-
 from arbutustally.clock import Clock
 from arbutustally.gateway.configuration import Configuration
 from arbutustally.gateway.endpoints import EndpointBook, EndpointEntry
@@ -10,17 +8,36 @@
 
 #: Time after which an endpoint whose entry was removed is forgotten, seconds.
 FORGET_GONE_S = 30.0
+#: Named versions of a model that are remembered.
+MAX_VERSIONS = 8
 
 
-@dataclass
 class NamedWeights:
-    """Newest weights that the operator named.
+    """Versions of one model that the operator named.
 
-    :ivar known_at: when this node learned of it, monotonic seconds.
+    :ivar known_at: when each version became known in the fleet, monotonic seconds.
     """
 
-    version: int
-    known_at: float
+    def __init__(self) -> None:
+        self.known_at: dict[int, float] = {}
+
+    @property
+    def version(self) -> int:
+        """Returns the newest version."""
+        return max(self.known_at)
+
+    def learn(self, version: int, known_at: float) -> bool:
+        """Takes a version; returns whether it is the newest one and was not known."""
+        is_newer = not self.known_at or version > self.version
+        self.known_at[version] = min(self.known_at.get(version, known_at), known_at)
+        for old in sorted(self.known_at)[:-MAX_VERSIONS]:
+            del self.known_at[old]
+        return is_newer
+
+    def oldest_allowed(self, now: float, bound_s: float) -> int:
+        """Returns the oldest version that was not replaced longer than ``bound_s`` ago."""
+        replaced = [version for version, at in self.known_at.items() if now - at >= bound_s]
+        return max(replaced, default=0)
 
 
 class FleetView:
@@ -122,12 +139,17 @@
             notify(configuration)
 
     def _name_weights(self, change: WeightsNamed, record: Record, source: str) -> None:
-        known = self._weights.get(change.model)
-        if known is not None and known.version >= change.version:
+        if not self.learn_weights(change.model, change.version, self._clock(), source):
             return
-        self._weights[change.model] = NamedWeights(change.version, self._clock())
         self._raw[("operator", record.key)] = record.value or b""
-        self._log.line("weights_named", model=change.model, version=change.version, source=source)
+
+    def learn_weights(self, model: str, version: int, known_at: float, source: str) -> bool:
+        """Takes a named version; returns whether it is the newest one and was not known."""
+        named = self._weights.setdefault(model, NamedWeights())
+        if not named.learn(version, known_at):
+            return False
+        self._log.line("weights_named", model=model, version=version, source=source)
+        return True
 
     def _note_endpoint(self, entry: EndpointEntry, source: str) -> None:
         self._log.line(
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -44,7 +44,7 @@
     :ivar loads: running requests, unread prompt tokens, tokens in memory, and requests that can't
         go on elsewhere, by endpoint.
     :ivar admitted: running totals by account.
-    :ivar weights: version and age of knowledge in seconds by model.
+    :ivar weights: named versions by model, with the age of the knowledge in seconds.
     :ivar engines: version that an engine is known to run, by endpoint and model.
     :ivar loading: endpoints that load weights.
     :ivar down: endpoints to which this node could not connect.
@@ -62,7 +62,7 @@
     config: int
     loads: Mapping[str, tuple[int, float, float, int]] = field(default_factory=dict)
     admitted: Mapping[str, float] = field(default_factory=dict)
-    weights: Mapping[str, tuple[int, float]] = field(default_factory=dict)
+    weights: Mapping[str, Mapping[int, float]] = field(default_factory=dict)
     engines: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
     loading: tuple[str, ...] = ()
     down: tuple[str, ...] = ()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -21,7 +21,7 @@
 from arbutustally_node.gateway.directory import EntryNode, addresses_for
 from arbutustally_node.gateway.endpoint_check import EndpointChecker
 from arbutustally_node.gateway.exchange import Exchange
-from arbutustally_node.gateway.fleet_view import FleetView, NamedWeights
+from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.follower import Follower
 from arbutustally_node.gateway.gossip import Gossip, PeerState
 from arbutustally_node.gateway.instruments import Instruments
@@ -289,7 +289,7 @@
             },
             admitted=dict(self._quota.admitted),
             weights={
-                model: (named.version, round(now - named.known_at, 3))
+                model: {version: round(now - at, 3) for version, at in named.known_at.items()}
                 for model, named in view.weights.items()
             },
             engines={state.id: dict(state.weights) for state in states if state.weights},
@@ -309,13 +309,9 @@
         self._quota.see(heard, self._gossip.known + 1)
         self._repeats.share_among(self._gossip.known + 1)
         now = monotonic()
-        for model, (version, age) in state.weights.items():
-            named = self._view.weights.get(model)
-            if named is not None and named.version == version:
-                named.known_at = min(named.known_at, now - age)
-            elif named is None or named.version < version:
-                self._view.weights[model] = NamedWeights(version, now - age)
-                self._log.line("weights_named", model=model, version=version, source=state.node)
+        for model, versions in state.weights.items():
+            for version, age in versions.items():
+                self._view.learn_weights(model, version, now - age, state.node)
         for endpoint_id, weights in state.engines.items():
             endpoint = book.get(endpoint_id)
             if endpoint is not None:
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -153,7 +153,7 @@
     states: Sequence[EndpointState],
     model: str,
     named: int,
-    stale_allowed: bool,
+    oldest_allowed: int,
     wait_s: Callable[[EndpointState], float] = lambda _state: 0.0,
     bearable_s: float = 0.0,
 ) -> tuple[int, list[EndpointState]]:
@@ -163,24 +163,24 @@
     request less than a late first event does, so the others share the load while they may.
 
     :param named: newest version that the operator named.
-    :param stale_allowed: older weights may still begin requests.
+    :param oldest_allowed: oldest version on which requests may still begin.
     :param wait_s: expected wait at an engine.
     :param bearable_s: wait at the engines with new weights up to which older ones are not used.
     """
     # An engine may have weights of which this node has not heard yet.
     named = max([named, *(state.weights.get(model, 0) for state in states)])
-    ready = [state for state in states if not state.loading]
-    holders = [state for state in ready if state.weights.get(model, 0) >= named]
-    if not stale_allowed:
-        return named, holders
-    others = [state for state in ready if state.weights.get(model, 0) < named]
-    if holders and (not others or _least(holders, wait_s) <= bearable_s):
-        return named, holders
-    newest = max((state.weights.get(model, 0) for state in others), default=0)
-    older = [state for state in others if state.weights.get(model, 0) == newest]
-    if holders and _least(holders, wait_s) <= _least(older, wait_s):
-        return named, holders
-    return newest, older
+    groups: dict[int, list[EndpointState]] = {}
+    for state in states:
+        version = state.weights.get(model, 0)
+        if not state.loading and version >= oldest_allowed:
+            groups.setdefault(version, []).append(state)
+    if not groups:
+        return named, []
+    waits = {version: min(map(wait_s, group)) for version, group in groups.items()}
+    if waits.get(named, bearable_s + 1) <= bearable_s:
+        return named, groups[named]
+    best = min(groups, key=lambda version: (waits[version], -version))
+    return best, groups[best]
 
 
 def expected_wait_s(
@@ -193,7 +193,3 @@
     memory = service.engine.cache_tokens if service.engine else 0
     queued = state.total_prompt_tokens + _overflow(state, needed, memory)
     return queued / placement.prefill_speed(state.id)
-
-
-def _least(states: Sequence[EndpointState], wait_s: Callable[[EndpointState], float]) -> float:
-    return min(wait_s(state) for state in states)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -44,6 +44,7 @@
     plan_loads,
 )
 from arbutustally.placement import Placement
+from arbutustally_node.gateway.fleet_view import NamedWeights
 
 
 def route(kind: RouteKind = RouteKind.STREAM, attempts: int = 2, resumable: bool = False) -> Route:
@@ -345,12 +346,12 @@
         self.states[0].weights = {"m": 1}
         self.states[1].weights = {"m": 2}
         self.states[2].weights = {"m": 1}
-        version, able = weights_to_use(self.states, "m", 2, True)
+        version, able = weights_to_use(self.states, "m", 2, 1)
         self.assertEqual((version, [state.id for state in able]), (2, ["e2"]))
         self.states[1].loading = True
-        version, able = weights_to_use(self.states, "m", 2, True)
+        version, able = weights_to_use(self.states, "m", 2, 1)
         self.assertEqual((version, [state.id for state in able]), (1, ["e1", "e3"]))
-        self.assertEqual(weights_to_use(self.states, "m", 2, False)[1], [])
+        self.assertEqual(weights_to_use(self.states, "m", 2, 2)[1], [])
 
     def test_engines_with_older_weights_share_the_load_of_a_move(self) -> None:
         """Replays the start of a move: one engine has the new weights and all the load."""
@@ -358,18 +359,34 @@
             state.weights = {"m": version}
         waits = {"e1": 0.1, "e2": 2.0, "e3": 0.4}
 
-        def use(stale_allowed: bool) -> tuple[int, list[str]]:
+        def use(oldest_allowed: int) -> tuple[int, list[str]]:
             version, able = weights_to_use(
-                self.states, "m", 2, stale_allowed, lambda state: waits[state.id], 0.1
+                self.states, "m", 2, oldest_allowed, lambda state: waits[state.id], 0.1
             )
             return version, [state.id for state in able]
 
-        self.assertEqual(use(True), (1, ["e1", "e3"]))
-        self.assertEqual(use(False), (2, ["e2"]))
+        self.assertEqual(use(1), (1, ["e1", "e3"]))
+        self.assertEqual(use(2), (2, ["e2"]))
         waits["e2"] = 0.05
-        self.assertEqual(use(True), (2, ["e2"]))
+        self.assertEqual(use(1), (2, ["e2"]))
+        self.states[0].weights = {"m": 0}
+        waits["e2"], waits["e1"], waits["e3"] = 2.0, 0.2, 1.0
+        self.assertEqual(use(0), (0, ["e1"]))
         waits["e2"], waits["e1"], waits["e3"] = 0.5, 3.0, 3.0
-        self.assertEqual(use(True), (2, ["e2"]))
+        self.assertEqual(use(1), (2, ["e2"]))
+
+
+class NamedWeightsTest(unittest.TestCase):
+    def test_each_version_is_allowed_until_the_one_after_it_is_old(self) -> None:
+        """Guards against requests on the oldest of three versions when the newest is young."""
+        named = NamedWeights()
+        for version, at in ((1, 0.0), (2, 2.0), (3, 5.0), (4, 8.6)):
+            self.assertTrue(named.learn(version, at))
+        self.assertFalse(named.learn(3, 4.9))
+        self.assertEqual(named.oldest_allowed(7.9, 6.0), 1)
+        self.assertEqual(named.oldest_allowed(8.0, 6.0), 2)
+        self.assertEqual(named.oldest_allowed(10.9, 6.0), 3)
+        self.assertEqual(named.oldest_allowed(20.0, 6.0), 4)
 
 
 class AdmissionTest(unittest.TestCase):
