Ask for the lease on orders only while no peer holds it

Change: nodes tell their peers that they hold the lease; a node that can't claim or gets no answer pauses 0.3 or 0.5 s.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -46,6 +46,7 @@
     :ivar admitted: running totals by account.
     :ivar weights: named versions by model, with the age of the knowledge in seconds.
     :ivar engines: version that an engine is known to run, by endpoint and model.
+    :ivar orders_engines: the node holds the lease on orders to engines.
     :ivar loading: endpoints that load weights.
     :ivar down: endpoints to which this node could not connect.
     :ivar placed: recent placements of prompts, see ``Exchange.placed_lately``.
@@ -64,6 +65,7 @@
     admitted: Mapping[str, float] = field(default_factory=dict)
     weights: Mapping[str, Mapping[int, float]] = field(default_factory=dict)
     engines: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
+    orders_engines: bool = False
     loading: tuple[str, ...] = ()
     down: tuple[str, ...] = ()
     placed: tuple[Any, ...] = ()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -293,6 +293,7 @@
                 for model, named in view.weights.items()
             },
             engines={state.id: dict(state.weights) for state in states if state.weights},
+            orders_engines=self._weights.is_holder,
             loading=tuple(
                 state.id for state in states if state.loading and self._weights.is_holder
             ),
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -34,6 +34,9 @@
 IDLE_STEP_S = 0.2
 #: Time that each rank waits longer before it claims, seconds.
 RANK_DELAY_S = 1.0
+#: Pause after a call that the store did not answer, and after a claim that was not possible, seconds.
+STORE_RETRY_S = 0.5
+CLAIM_RETRY_S = 0.3
 #: Part of the lease after which it is renewed.
 RENEW_PART = 0.4
 #: Time after an order until its engine is asked whether it has loaded, seconds.
@@ -106,7 +109,8 @@
                 is_busy = self._step()
             except StoreUnavailableError as error:
                 self._log.line("weights_lease_unknown", reason=error.message)
-                is_busy = True
+                gevent.sleep(STORE_RETRY_S)
+                continue
             gevent.sleep(STEP_S if is_busy else IDLE_STEP_S)
 
     def _step(self) -> bool:
@@ -121,7 +125,10 @@
         if not self.is_holder:
             if now - self._behind_since < self._rank() * RANK_DELAY_S:
                 return True
+            if any(state.orders_engines for state in self._gossip.present):
+                return True
             if not self._claim():
+                gevent.sleep(CLAIM_RETRY_S)
                 return True
         elif self._lease.remaining(self._boottime()) < self._lease_s * (1 - RENEW_PART):
             self._renew()
