--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/attempt_load.py
@@ -0,0 +1,41 @@
+"""Load of an attempt at its endpoint."""
+
+from arbutustally.gateway.endpoints import EndpointState
+from arbutustally.gateway.requests import CallerRequest
+from arbutustally.placement import Choice
+
+
+class AttemptLoad:
+    """Counts an attempt at its endpoint while it runs."""
+
+    def __init__(
+        self,
+        state: EndpointState,
+        request: CallerRequest,
+        choice: Choice | None,
+        may_repeat: bool,
+    ) -> None:
+        self._state = state
+        total = request.prompt_tokens or 0
+        self._unread = float(total - choice.expected_cached_tokens) if choice else 0.0
+        self._memory = float(total + request.output_tokens) if choice else 0.0
+        self._unrepeatable = 0 if may_repeat else 1
+        self.first_at = 0.0
+        state.running += 1
+        state.unrepeatable += self._unrepeatable
+        state.prompt_tokens += self._unread
+        state.memory_tokens += self._memory
+
+    def first_event(self, now: float) -> None:
+        """Notes that the prompt has been read."""
+        self.first_at = self.first_at or now
+        self._state.prompt_tokens -= self._unread
+        self._unread = 0.0
+
+    def end(self) -> None:
+        """Takes the attempt off its endpoint."""
+        self._state.running -= 1
+        self._state.unrepeatable -= self._unrepeatable
+        self._state.prompt_tokens -= self._unread
+        self._state.memory_tokens -= self._memory
+        self._unread = self._memory = 0.0
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -27,6 +27,7 @@
 from arbutustally_node.gateway.instruments import Instruments
 from arbutustally_node.gateway.listener import CallerListener
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
+from arbutustally_node.gateway.request_services import RequestServices
 from arbutustally_node.gateway.transport import Transport
 from arbutustally_node.gateway.web import (
     directory_app,
@@ -172,7 +173,7 @@
             self._on_peer,
             self._on_absent,
         )
-        self._exchange = Exchange(
+        self._request_services = RequestServices(
             self._view,
             Transport(self._pool, platform.codec),
             self._placement,
@@ -188,6 +189,7 @@
             lambda state: self._weights.look(state),
             self._unreachable,
         )
+        self._exchange = Exchange(self._request_services)
         self._follower = Follower(
             platform,
             self._view,
@@ -265,7 +267,7 @@
 
     def _describe(self, number: int, peers: tuple[str, ...]) -> PeerState:
         view, options = self._view, self._options
-        placed, self._exchange.placed_lately = self._exchange.placed_lately, []
+        placed = self._request_services.take_placed()
         now = monotonic()
         states = view.book.all()
         return PeerState(
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -0,0 +1,195 @@
+"""Choice of the endpoint for the next attempt of one request."""
+
+from dataclasses import dataclass
+
+from arbutustally.errors import (
+    EndpointFailedError,
+    NoEndpointError,
+    OverloadedError,
+    Ran,
+    RouterError,
+)
+from arbutustally.gateway.admission import must_reject, retry_after_s
+from arbutustally.gateway.choice import (
+    PartSource,
+    best_source,
+    choose_engine,
+    choose_plain,
+    expected_wait_s,
+    must_save,
+    weights_to_use,
+)
+from arbutustally.gateway.configuration import ClientAccount, Configuration, Route, Service
+from arbutustally.gateway.endpoints import EndpointState
+from arbutustally.gateway.requests import CallerRequest
+from arbutustally.placement import Choice
+from arbutustally.rendezvous import unit
+from arbutustally_node.gateway.request_services import RequestServices, Trace
+
+#: Return of callers where nothing tells when a request can be served, seconds.
+DEFAULT_RETRY_S = 0.25
+#: Time before the bound on old weights at which they are no longer used, seconds.
+WEIGHTS_MARGIN_S = 0.8
+#: Part of a route's target that a request waits for engines with new weights.
+BEARABLE_PART = 0.3
+
+
+@dataclass(frozen=True)
+class Placed:
+    """Where an attempt goes.
+
+    :ivar choice: placement's choice, ``None`` for a plain service.
+    :ivar version: weights that it runs on, ``None`` for a plain service.
+    :ivar cache_scope: scope of the cached parts that it may use.
+    :ivar source: place from which the engine fetches parts that it lacks.
+    """
+
+    state: EndpointState
+    choice: Choice | None = None
+    version: int | None = None
+    cache_scope: str = ""
+    source: PartSource | None = None
+
+
+class Placer:
+    """Places the attempts of one request.
+
+    :param account: ``None`` on a public route without a key.
+    """
+
+    def __init__(
+        self,
+        services: RequestServices,
+        request: CallerRequest,
+        configuration: Configuration,
+        route: Route,
+        account: ClientAccount | None,
+        trace: Trace,
+    ) -> None:
+        self._services = services
+        self._request = request
+        self._configuration = configuration
+        self._route = route
+        self._account = account
+        self._trace = trace
+        self._tried: set[str] = set()
+        self._service = self._pick_service()
+
+    @property
+    def service(self) -> Service:
+        """Returns the service that the request goes to."""
+        return self._service
+
+    @property
+    def wall(self) -> str:
+        """Returns the account if its cached parts are its own, otherwise an empty name."""
+        return self._account.name if self._account and self._account.is_isolated else ""
+
+    def place(self, left_s: float, has_run: bool) -> Placed:
+        """Returns where the next attempt goes.
+
+        :param left_s: time until the caller or the route gives up.
+        :param has_run: an earlier attempt may have run.
+        :raises RouterError: if there is no endpoint, or none can serve the request in time.
+        """
+        services = self._services
+        able = services.view.book.usable(self._service.name)
+        fresh = [state for state in able if state.id not in self._tried]
+        able = fresh or able
+        if not able:
+            raise self._nothing_able("no_endpoint", left_s, has_run)
+        if self._service.engine is None or not self._request.model:
+            placed = Placed(choose_plain(able, services.zone, services.rng))
+        else:
+            placed = self._place_at_engine(able, left_s, has_run)
+        self._tried.add(placed.state.id)
+        return placed
+
+    def save_to(self, placed: Placed) -> str:
+        """Returns the address of the store that gets the parts, empty for none."""
+        stores = self._configuration.part_stores
+        if placed.choice is None or not stores:
+            return ""
+        holdings, parts = self._services.holdings, self._request.parts
+        if not must_save(holdings, placed.cache_scope, parts, stores[0]):
+            return ""
+        return stores[0].part_store.address
+
+    def _place_at_engine(self, able: list[EndpointState], left_s: float, has_run: bool) -> Placed:
+        services, request = self._services, self._request
+        version, engines = self._engines_to_use(able)
+        if not engines:
+            raise self._nothing_able("no_engine_with_weights", left_s, has_run)
+        scope = f"{version}.{self.wall}"
+        source = best_source(
+            services.holdings, scope, request.parts, able, self._configuration.part_stores
+        )
+        choice = choose_engine(
+            services.placement,
+            services.holdings,
+            request,
+            self._service,
+            engines,
+            version,
+            self.wall,
+            scope,
+            source.tokens if source else 0,
+            self._route.target_s,
+        )
+        if source is not None and source.tokens <= choice.expected_cached_tokens:
+            source = None
+        self._note(choice, version, source)
+        if not self._tried and must_reject(choice.estimate_s, left_s):
+            wait = retry_after_s(choice.estimate_s, left_s, services.rng)
+            raise OverloadedError("not run: engines are behind; retry", retry_after_s=wait)
+        state = next(entry for entry in engines if entry.id == choice.endpoint)
+        return Placed(state, choice, version, scope, source)
+
+    def _engines_to_use(self, able: list[EndpointState]) -> tuple[int, list[EndpointState]]:
+        """Returns the version of weights to run on, and the engines that have it."""
+        services, request = self._services, self._request
+        named = services.view.weights.get(request.model)
+        bound_s = services.weights_s - WEIGHTS_MARGIN_S
+        needed = (request.prompt_tokens or 0) + request.output_tokens
+        return weights_to_use(
+            able,
+            request.model,
+            named.version if named else 0,
+            named.oldest_allowed(services.clock(), bound_s) if named else 0,
+            lambda state: expected_wait_s(services.placement, state, needed, self._service),
+            self._route.target_s * BEARABLE_PART,
+        )
+
+    def _note(self, choice: Choice, version: int, source: PartSource | None) -> None:
+        """Notes for the decision line what decided."""
+        facts = self._trace.facts
+        facts["expected_ms"] = round(choice.estimate_s * 1000)
+        facts["cached"] = choice.expected_cached_tokens
+        facts["weights"] = version
+        if source is not None:
+            facts["fetched"] = source.tokens
+            facts["source"] = source.place
+
+    def _nothing_able(self, reason: str, left_s: float, has_run: bool) -> RouterError:
+        self._trace.facts["nothing_able"] = reason
+        if has_run:
+            return EndpointFailedError(
+                "the endpoint failed and no other is left", ran=Ran.MAY_HAVE_RUN
+            )
+        wait = retry_after_s(DEFAULT_RETRY_S, left_s, self._services.rng)
+        return NoEndpointError("not run: no endpoint can take it; retry", retry_after_s=wait)
+
+    def _pick_service(self) -> Service:
+        shares = self._route.shares
+        total = sum(share.weight for share in shares) or 1.0
+        point = unit(self._route.name.encode(), self._request.request_id) * total
+        for share in shares:
+            point -= share.weight
+            if point < 0:
+                break
+        service = self._configuration.services.get(share.service)
+        if service is None:
+            raise NoEndpointError(
+                "not run: the route's service is unknown", retry_after_s=DEFAULT_RETRY_S
+            )
+        return service
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -0,0 +1,70 @@
+"""What the requests of one node share, and what is noted of each."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from arbutustally.clock import Clock
+from arbutustally.gateway.attempts import RepeatLedger
+from arbutustally.gateway.endpoints import EndpointState
+from arbutustally.gateway.holdings import Holdings
+from arbutustally.gateway.quota import QuotaLedger
+from arbutustally.placement import Placement
+from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.fleet_view import FleetView
+from arbutustally_node.gateway.instruments import Instruments
+from arbutustally_node.gateway.transport import Transport
+
+#: A placement of prompt parts: endpoint, cache scope, parts with their tokens, still being read.
+PlacedParts = tuple[str, str, list[tuple[str, int]], bool]
+
+
+@dataclass(frozen=True)
+class RequestServices:
+    """Services that every request of a node uses.
+
+    :ivar zone: of the node; endpoints there go first among equals.
+    :ivar weights_s: after this time no request may begin on weights older than those named.
+    :ivar on_other_weights: called for an engine that has other weights than expected.
+    :ivar on_unreachable: called for an endpoint to which no connection could be made.
+    :ivar placed_lately: placements that the peers have not been told yet.
+    """
+
+    view: FleetView
+    transport: Transport
+    placement: Placement
+    holdings: Holdings
+    quota: QuotaLedger
+    repeats: RepeatLedger
+    log: DecisionLog
+    instruments: Instruments
+    clock: Clock
+    rng: Random
+    zone: str
+    weights_s: float
+    on_other_weights: Callable[[EndpointState], None]
+    on_unreachable: Callable[[EndpointState], None]
+    placed_lately: list[PlacedParts] = field(default_factory=list)
+
+    def take_placed(self) -> list[PlacedParts]:
+        """Returns the placements that the peers have not been told yet, and forgets them."""
+        placed = self.placed_lately.copy()
+        self.placed_lately.clear()
+        return placed
+
+
+@dataclass
+class Trace:
+    """What happened to one request, for its decision line.
+
+    :ivar attempts: endpoint, reason and seconds of each attempt.
+    """
+
+    request_id: str
+    route: str = ""
+    account: str = ""
+    outcome: str = ""
+    status: int = 0
+    attempts: list[tuple[str, str, float]] = field(default_factory=list)
+    facts: dict[str, Any] = field(default_factory=dict)
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -1,9 +1,9 @@
 """A gateway node with stand-ins around it, for tests over real sockets in one process."""
 
-import json
 import socket
 import time
 import unittest
+from dataclasses import replace
 from typing import Any
 
 import gevent
@@ -11,7 +11,7 @@
 
 from arbutustally_node.gateway.node import GatewayNode
 from arbutustally_platform.__main__ import build_platform
-from arbutustally_platform.settings import PlatformSettings, _settings
+from arbutustally_platform.settings import PlatformSettings, decode_settings
 from tests.platform_fakes import FakeStore, FakeWorker, configuration
 
 
@@ -55,17 +55,15 @@
         self.http = urllib3.PoolManager(retries=False, timeout=5.0)
 
     def start_node(self, fields: dict[str, Any] | None = None) -> GatewayNode:
-        decoded = _settings(fields or settings(self.store.address))
-        decoded = PlatformSettings(decoded.options, decoded.store_address)
-        decoded = self._on_free_metrics_port(decoded)
+        decoded = self._on_free_metrics_port(
+            decode_settings(fields or settings(self.store.address))
+        )
         node = GatewayNode.from_config(decoded.options, build_platform(decoded))
         node.start()
         self.addCleanup(node.stop)
         return node
 
     def _on_free_metrics_port(self, decoded: PlatformSettings) -> PlatformSettings:
-        from dataclasses import replace
-
         ip = decoded.options.ip
         options = replace(decoded.options, metrics_listen=f"{ip}:{free_port(ip=ip)}")
         return PlatformSettings(options, decoded.store_address)
@@ -100,6 +98,3 @@
             headers=fields,
             body=body or None,
         )
-
-    def order_of(self, worker: FakeWorker) -> dict:
-        return json.loads(json.dumps(worker.orders[-1]))
