Let a broken stream go on at new weights only, where an engine has them

Change: after a first attempt, engines with the newest weights are used whatever their wait. Test: test_broken_stream_goes_on_at_new_weights; it failed before.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -1,5 +1,6 @@
 """Choice of the endpoint for the next attempt of one request."""
 
+import math
 from dataclasses import dataclass
 
 from arbutustally.errors import (
@@ -151,13 +152,15 @@
         named = services.view.weights.get(request.model)
         bound_s = services.weights_s - WEIGHTS_MARGIN_S
         needed = (request.prompt_tokens or 0) + request.output_tokens
+        # A stream that goes on at an engine with older weights could be broken off once more.
+        bearable_s = math.inf if self._tried else self._route.target_s * BEARABLE_PART
         return weights_to_use(
             able,
             request.model,
             named.version if named else 0,
             named.oldest_allowed(services.clock(), bound_s) if named else 0,
             lambda state: expected_wait_s(services.placement, state, needed, self._service),
-            self._route.target_s * BEARABLE_PART,
+            bearable_s,
         )
 
     def _note(self, choice: Choice, version: int, source: PartSource | None) -> None:
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -6,7 +6,7 @@
 from bottle import HTTPResponse
 
 from tests.gateway_fleet import GatewayCase, settings
-from tests.platform_fakes import configuration
+from tests.platform_fakes import FakeWorker, configuration
 
 
 class ServingTest(GatewayCase):
@@ -146,6 +146,31 @@
         pieces = [line for line in answer.data.decode().split("\n") if line.startswith("data")]
         self.assertEqual(pieces, [f"data: piece {number}" for number in range(1, 6)])
 
+    def test_broken_stream_goes_on_at_new_weights(self) -> None:
+        """Guards against a stream that is broken off by one load after the other."""
+        third = FakeWorker("e3", "llm", "m")
+        self.addCleanup(third.stop)
+        self.store.put("keyed.servers", third.id, third.entry())
+        self.wait_ready(self.node, 3)
+        third.version = 2
+        book = self.node._view.book
+        book.get("e3").weights["m"] = 2
+        book.get("e3").prompt_tokens = 1e6
+
+        def break_off(headers):
+            if headers.get("Last-Event-Id"):
+                return None
+            fields = {"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
+            body = self._broken()
+            fields |= {"Content-Length": "9999", "Connection": "close"}
+            return HTTPResponse(body=body, headers=fields)
+
+        for engine in self.engines:
+            engine.behave = break_off
+        answer = self.call(self.node, "/chat/x", "r1")
+        self.assertEqual(answer.data.count(b"data: piece"), 5)
+        self.assertEqual(third.ran, ["r1"])
+
     def _broken(self):
         yield b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\nda"
 
