--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -1,5 +1,6 @@
 """A gateway node over real sockets: routes, keys, attempts, streams, weights, drain, trouble."""
 
+import socket
 from dataclasses import replace
 
 import gevent
@@ -329,3 +330,39 @@
         self.assertIn("Retry-After", late.headers)
         stopping.join()
         self.assertEqual(first.get(), 200)
+
+
+class BadInputTest(GatewayCase):
+    """Each bad input is refused, and the node still serves."""
+
+    def send(self, node, data: bytes) -> bytes:
+        host, _, port = node._options.caller_listen.rpartition(":")
+        with socket.create_connection((host, int(port)), 3.0) as sock:
+            sock.sendall(data)
+            sock.shutdown(socket.SHUT_WR)
+            answer = b""
+            while part := sock.recv(65536):
+                answer += part
+        return answer
+
+    def test_bad_requests_run_nowhere(self) -> None:
+        node = self.start_node()
+        self.wait_ready(node)
+        usual = b"Host: h.example\r\nRequest-Id: bad\r\nAuthorization: Token key-school\r\n"
+        for data, status in (
+            (b"GARBAGE\r\n\r\n", b"400"),
+            (b"POST /book/x HTTP/1.1\r\n" + usual + b"Content-Length: nine\r\n\r\n", b"400"),
+            (
+                b"POST /book/x HTTP/1.1\r\n" + usual + b"Content-Length: 3\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /book/y HTTP/1.1\r\n\r\n",
+                b"400",
+            ),
+            (b"POST /book/x HTTP/1.1\r\n" + usual + b"Content-Length: 99999999\r\n\r\n", b"413"),
+            (b"GET /book/x HTTP/1.1\r\nX: " + b"a" * 20000 + b"\r\n\r\n", b"413"),
+            (b"GET /book/x HTTP/1.1\r\nHost: h.example\r\n\r\n", b"400"),
+            (b"GET /book/x HTTP/1.1\r\nRequest-Id: bad\r\nHost: none.example\r\n\r\n", b"404"),
+            (b"GET /book/x HTTP/1.0\r\n" + usual + b"\r\n", b"400"),
+        ):
+            self.assertIn(status, self.send(node, data)[:20], data[:60])
+        self.assertEqual([worker.ran for worker in self.desks], [[], []])
+        self.assertEqual(self.call(node, "/book/x", "good").status, 200)
