Do not take weights named before the start as newly named

After the closing fault restarted nodes read the named version from the store and counted its age from then, so older weights stayed allowed for 7 s more although they had been replaced 14 s before. Change: a version read with the newest records counts as named before anybody can know, until a peer that saw the naming tells its age; after an interruption it counts from 3 s before the read failed. Test: NamedWeightsTest.test_version_named_before_the_start_leaves_no_time_for_older_ones.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -1,5 +1,7 @@
 """What a node knows: configuration, named weights, endpoints, and from where it knows them."""
 
+import math
+
 from arbutustally.clock import Clock
 from arbutustally.gateway.configuration import Configuration
 from arbutustally.gateway.endpoints import EndpointBook, EndpointEntry
@@ -20,6 +22,14 @@
 
     def __init__(self) -> None:
         self.known_at: dict[int, float] = {}
+        self._undated: set[int] = set()
+
+    @property
+    def dated(self) -> dict[int, float]:
+        """Returns ``known_at`` of the versions whose naming a node of the fleet has seen."""
+        return {
+            version: at for version, at in self.known_at.items() if version not in self._undated
+        }
 
     @property
     def version(self) -> int:
@@ -27,11 +37,22 @@
         return max(self.known_at)
 
     def learn(self, version: int, known_at: float) -> bool:
-        """Takes a version; returns whether it is the newest one and was not known."""
+        """Takes a version; returns whether it is the newest one and was not known.
+
+        :param known_at: ``-inf`` if it was named before this node started, nobody knows when.
+        """
         is_newer = not self.known_at or version > self.version
-        self.known_at[version] = min(self.known_at.get(version, known_at), known_at)
+        if known_at == -math.inf:
+            if version not in self.known_at:
+                self._undated.add(version)
+                self.known_at[version] = known_at
+        else:
+            before = known_at if version in self._undated else self.known_at.get(version, known_at)
+            self._undated.discard(version)
+            self.known_at[version] = min(before, known_at)
         for old in sorted(self.known_at)[:-MAX_VERSIONS]:
             del self.known_at[old]
+            self._undated.discard(old)
         return is_newer
 
     def oldest_allowed(self, now: float, bound_s: float) -> int:
@@ -83,13 +104,16 @@
         """Returns the documents as written, by topic and key, for peers without the store."""
         return self._raw
 
-    def take_operator(self, record: Record, source: str) -> None:
-        """Takes a record of the operator; what is older than known changes nothing."""
+    def take_operator(self, record: Record, source: str, known_at: float = -math.inf) -> None:
+        """Takes a record of the operator; what is older than known changes nothing.
+
+        :param known_at: earliest time at which it may have been written, ``-inf`` if nobody knows.
+        """
         change = self._documents.decode_operator(record)
         if isinstance(change, Configuration):
             self._configure(change, record, source)
         elif isinstance(change, WeightsNamed):
-            self._name_weights(change, record, source)
+            self._name_weights(change, record, source, known_at)
         elif change is None and record.value is not None:
             self._log.line("operator_record_unreadable", key=record.key, source=source)
 
@@ -138,8 +162,10 @@
         for notify in self.on_configuration:
             notify(configuration)
 
-    def _name_weights(self, change: WeightsNamed, record: Record, source: str) -> None:
-        if not self.learn_weights(change.model, change.version, self._clock(), source):
+    def _name_weights(
+        self, change: WeightsNamed, record: Record, source: str, known_at: float
+    ) -> None:
+        if not self.learn_weights(change.model, change.version, known_at, source):
             return
         self._raw[("operator", record.key)] = record.value or b""
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -1,5 +1,6 @@
 """Follows the platform's store: operator's records, endpoints, and other nodes."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -20,8 +21,8 @@
 #: Pause after a failed call, seconds; doubled with each further failure.
 RETRY_S = 0.2
 MAX_RETRY_S = 1.0
-#: Calls that fail for this long make the store count as lost, seconds.
-LOST_AFTER_S = 0.5
+#: Time for which a connection to the store may have been silent before a call on it fails, seconds.
+UNNOTICED_S = 3.0
 
 
 class Follower:
@@ -82,33 +83,38 @@
     def _follow(
         self,
         topic: KeyedTopic,
-        take: Callable[[tuple[Record, ...], bool], None],
+        take: Callable[[tuple[Record, ...], bool, float], None],
         wait_s: float,
         pause_s: float,
     ) -> None:
         offset: int | None = None
         retry_s = RETRY_S
+        # Earliest time at which the next records may have been written.
+        unread_since = -math.inf
         while True:
             try:
                 batch = topic.newest() if offset is None else topic.since(offset, wait_s)
                 self._store_answered()
-                take(batch.records, offset is None)
+                take(batch.records, offset is None, min(unread_since, self._clock()))
+                unread_since = math.inf
                 offset = batch.next_offset
                 retry_s = RETRY_S
                 gevent.sleep(pause_s)
             except HoleFoundError as error:
                 self._log.line("store_history_gone", oldest=error.oldest, read_from=offset)
+                unread_since = min(unread_since, self._clock() - UNNOTICED_S)
                 offset = None
             except StoreUnavailableError as error:
                 self._store_failed(error)
+                unread_since = min(unread_since, self._clock() - UNNOTICED_S)
                 gevent.sleep(retry_s)
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
-    def _operator(self, records: tuple[Record, ...], is_whole: bool) -> None:
+    def _operator(self, records: tuple[Record, ...], is_whole: bool, known_at: float) -> None:
         for record in records:
-            self._view.take_operator(record, "store")
+            self._view.take_operator(record, "store", known_at)
 
-    def _endpoints(self, records: tuple[Record, ...], is_whole: bool) -> None:
+    def _endpoints(self, records: tuple[Record, ...], is_whole: bool, _known_at: float) -> None:
         if is_whole:
             self._view.replace_endpoints(records, "store")
         else:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -291,7 +291,7 @@
             },
             admitted=dict(self._quota.admitted),
             weights={
-                model: {version: round(now - at, 3) for version, at in named.known_at.items()}
+                model: {version: round(now - at, 3) for version, at in named.dated.items()}
                 for model, named in view.weights.items()
             },
             engines={state.id: dict(state.weights) for state in states if state.weights},
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -1,5 +1,6 @@
 """Decisions of the gateway without input and output, each with the load that it answers."""
 
+import math
 import unittest
 from random import Random
 
@@ -388,6 +389,16 @@
         self.assertEqual(named.oldest_allowed(10.9, 6.0), 3)
         self.assertEqual(named.oldest_allowed(20.0, 6.0), 4)
 
+    def test_version_named_before_the_start_leaves_no_time_for_older_ones(self) -> None:
+        """Guards against restarted nodes that begin requests on weights replaced long before."""
+        named = NamedWeights()
+        self.assertTrue(named.learn(5, -math.inf))
+        self.assertEqual((named.oldest_allowed(100.0, 6.0), named.dated), (5, {}))
+        named.learn(5, 98.0)
+        self.assertEqual((named.oldest_allowed(100.0, 6.0), named.dated), (0, {5: 98.0}))
+        named.learn(5, -math.inf)
+        self.assertEqual(named.oldest_allowed(100.0, 6.0), 0)
+
 
 class AdmissionTest(unittest.TestCase):
     def test_what_cannot_be_served_in_time_is_rejected_at_once(self) -> None:
