Let all nodes agree on who orders engines first

Cause: a node ranked itself by the name under which it holds the lease (name and incarnation) and its peers by their plain names, so ranks differed between nodes; with no node first, loads began up to a second per rank late. Found by reading. Change: each node ranks itself by the name that its peers know. One copy of the ranking, in rendezvous. Before: ranks of four nodes [0, 1, 1, 2] (the new test).

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -203,6 +203,7 @@
             platform.cache_events, self._view, self._holdings, self._gossip, self._log, monotonic
         )
         self._weights = WeightsService(
+            options.node,
             f"{options.node}~{self._incarnation}",
             self._view,
             self._gossip,
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -22,7 +22,7 @@
     plan_loads,
 )
 from arbutustally.lease import HeldLease, LeaseObserver
-from arbutustally.rendezvous import order
+from arbutustally.rendezvous import rank
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.gossip import Gossip
@@ -49,7 +49,8 @@
 class WeightsService:
     """Brings engines to the named weights.
 
-    :param node: name of this node.
+    :param node: name of this node, as its peers know it.
+    :param holder: name under which it holds the lease, different after each start.
     :param boottime: seconds that go on while the instance is suspended.
     :param lease_s: duration of the lease.
     :param on_unreachable: called for an engine that does not answer.
@@ -58,6 +59,7 @@
     def __init__(
         self,
         node: str,
+        holder: str,
         view: FleetView,
         gossip: Gossip,
         leases: LeaseTopic,
@@ -69,6 +71,7 @@
         on_unreachable: Callable[[EndpointState], None],
     ) -> None:
         self._node = node
+        self._holder = holder
         self._view = view
         self._gossip = gossip
         self._leases = leases
@@ -159,8 +162,8 @@
         ]
 
     def _rank(self) -> int:
-        names = [state.node for state in self._gossip.present if state.is_ready]
-        return order(b"weights", [self._node, *names]).index(self._node)
+        ready = [state.node for state in self._gossip.present if state.is_ready]
+        return rank(b"weights", self._node, ready)
 
     def _claim(self) -> bool:
         """Tries to become the holder.
@@ -170,7 +173,7 @@
         """
         self._lease = None
         last, end = self._leases.last()
-        if last is not None and last.holder == self._node and self._unconfirmed:
+        if last is not None and last.holder == self._holder and self._unconfirmed:
             offset, sent_at = self._unconfirmed
             if last.offset == offset:
                 return self._hold(offset, sent_at, last.holder)
@@ -182,7 +185,7 @@
         ):
             return False
         self._unconfirmed = (end, sent_at)
-        if not self._leases.append(self._node, None, False, end):
+        if not self._leases.append(self._holder, None, False, end):
             self._unconfirmed = None
             self._log.line("weights_lease_lost_race", expected=end)
             return False
@@ -197,12 +200,12 @@
     def _renew(self) -> None:
         lease = self._lease
         last, end = self._leases.last()
-        if last is None or last.fence != lease.epoch or last.holder != self._node:
+        if last is None or last.fence != lease.epoch or last.holder != self._holder:
             self._lease = None
             self._log.line("weights_lease_lost", fence=lease.epoch)
             return
         sent_at = self._boottime()
-        if self._leases.append(self._node, lease.epoch, False, end):
+        if self._leases.append(self._holder, lease.epoch, False, end):
             self._lease = HeldLease(sent_at, self._lease_s, lease.name, lease.epoch)
 
     def _release(self) -> None:
@@ -211,7 +214,7 @@
         lease, self._lease = self._lease, None
         try:
             _last, end = self._leases.last()
-            self._leases.append(self._node, lease.epoch, True, end)
+            self._leases.append(self._holder, lease.epoch, True, end)
             self._log.line("weights_lease_released", fence=lease.epoch)
         except StoreUnavailableError as error:
             self._log.line("weights_lease_not_released", reason=error.message)
@@ -256,7 +259,7 @@
             return False
         fence = self._lease.epoch
         order = LoadOrder(model, named, report.orders, breaks_runs_off(state))
-        reply = self._engines.load_weights(state.entry, order, self._node, fence)
+        reply = self._engines.load_weights(state.entry, order, self._holder, fence)
         self._log.line(
             "weights_ordered",
             engine=state.id,
--- a/packages/arbutustally/src/arbutustally/rendezvous.py
+++ b/packages/arbutustally/src/arbutustally/rendezvous.py
@@ -17,6 +17,14 @@
     return sorted(names, key=lambda name: score(key, name), reverse=True)
 
 
+def rank(key: bytes, name: str, others: Iterable[str]) -> int:
+    """Returns the place of ``name`` among all names in rendezvous order, 0 for the first.
+
+    All who know the same names agree, provided that each goes by the name the others know it by.
+    """
+    return order(key, {name, *others}).index(name)
+
+
 def unit(key: bytes, name: str) -> float:
     """Returns a uniform hash of the pair in [0, 1)."""
     return score(key, name) / 2.0**64
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -6,7 +6,8 @@
 import gevent
 from bottle import HTTPResponse
 
-from tests.gateway_fleet import GatewayCase, settings
+from arbutustally_node.gateway.node import GatewayNode
+from tests.gateway_fleet import GatewayCase, free_port, settings
 from tests.platform_fakes import FakeWorker, configuration
 
 
@@ -221,6 +222,20 @@
         self.assertEqual(self.engines[0].orders + self.engines[1].orders, [])
         self.eventually(lambda: [engine.version for engine in self.engines] == [2, 2])
 
+    def test_nodes_agree_on_who_orders_first(self) -> None:
+        """Guards against loads that wait since no node takes itself for the first."""
+        port = free_port(socket.SOCK_DGRAM)
+        nodes = []
+        for number in range(1, 5):
+            fields = settings(self.store.address, f"node-{number}", f"127.0.0.{number}")
+            nodes.append(self.start_node({**fields, "internalPorts": [port, port]}))
+        for node in nodes:
+            self.eventually(lambda node=node: self.ready_peers(node) == 3)
+        self.assertEqual(sorted(node._weights._rank() for node in nodes), [0, 1, 2, 3])
+
+    def ready_peers(self, node: GatewayNode) -> int:
+        return sum(state.is_ready for state in node._gossip.present)
+
     def test_node_that_has_not_heard_of_new_weights_learns_them_from_the_engine(self) -> None:
         """Guards against refusals of a node that is cut off while engines move on."""
         node = self.start_node()
