Let broken requests go on at older weights before any engine has new ones

Cause: a repeat bears any wait at the named weights (infinite), and the test for 'no engine has them' compared that wait plus one with itself; infinity plus one is infinity, so the repeat ended with a KeyError and a 502. Change: the named weights are used only if an engine has them. Test replays it and failed with KeyError before.

--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -177,7 +177,7 @@
     if not groups:
         return named, []
     waits = {version: min(map(wait_s, group)) for version, group in groups.items()}
-    if waits.get(named, bearable_s + 1) <= bearable_s:
+    if named in waits and waits[named] <= bearable_s:
         return named, groups[named]
     best = min(groups, key=lambda version: (waits[version], -version))
     return best, groups[best]
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -354,6 +354,13 @@
         self.assertEqual((version, [state.id for state in able]), (1, ["e1", "e3"]))
         self.assertEqual(weights_to_use(self.states, "m", 2, 2)[1], [])
 
+    def test_broken_request_goes_on_at_older_weights_before_any_engine_has_new_ones(self) -> None:
+        """Replays engines that die right after new weights are named: repeats find no new ones."""
+        for state in self.states:
+            state.weights = {"m": 1}
+        version, able = weights_to_use(self.states, "m", 2, 1, lambda _state: 0.1, math.inf)
+        self.assertEqual((version, len(able)), (1, 3))
+
     def test_engines_with_older_weights_share_the_load_of_a_move(self) -> None:
         """Replays the start of a move: one engine has the new weights and all the load."""
         for state, version in zip(self.states, (1, 2, 1), strict=True):
