Let two nodes read the endpoints' list for the whole fleet

Change: two nodes of a rendezvous order read; their datagrams tell what changed in the last 4 s and how far they read. A node reads itself if it has heard of no reading for a second, or missed changes. What a node knows of the store's absence (entries to keep) is told along. Readers tell after each reading; addresses and weights that the list has are left out of most datagrams.

--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -0,0 +1,139 @@
+"""Keeps the endpoints' list current: read from the store, or told by a peer that has read it."""
+
+from typing import Any
+
+import gevent
+
+from arbutustally.clock import Clock
+from arbutustally.errors import HoleFoundError, StoreUnavailableError
+from arbutustally.gateway.shared_reading import Change, ListNews, SharedReading
+from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.fleet_view import FleetView
+from arbutustally_node.gateway.gossip import Gossip
+from arbutustally_node.gateway.ports import Batch, KeyedTopic, Record
+from arbutustally_node.gateway.store_watch import StoreWatch
+
+#: Names the order of nodes in which they read the list.
+READING_DUTY = b"endpoints"
+#: Pause between two reads of the list, whose heartbeats come many times a second, seconds.
+PAUSE_S = 0.7
+#: Longest wait of a read for the next record, seconds.
+WAIT_S = 5.0
+#: Interval at which a node that does not read looks whether it must, seconds.
+LOOK_S = 0.1
+#: Pause after a failed call, seconds; doubled with each further failure.
+RETRY_S = 0.2
+MAX_RETRY_S = 1.0
+
+
+class EndpointReader:
+    """Reads the list while this node is one of the readers, or hears of none."""
+
+    def __init__(
+        self,
+        topic: KeyedTopic,
+        view: FleetView,
+        reading: SharedReading,
+        watch: StoreWatch,
+        log: DecisionLog,
+        clock: Clock,
+        gossip: Gossip,
+    ) -> None:
+        self._topic = topic
+        self._view = view
+        self._reading = reading
+        self._watch = watch
+        self._log = log
+        self._clock = clock
+        self._gossip = gossip
+        self._is_reader: bool | None = None
+        self._must_read_whole = True
+        self._greenlet: Any = None
+
+    def start(self) -> None:
+        """Starts reading."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stops reading."""
+        self._greenlet.kill()
+
+    def news(self) -> ListNews | None:
+        """Returns what to tell the peers, ``None`` if this node has not read the list lately."""
+        return self._reading.news(self._view.book.keeps_removed_s)
+
+    def take(self, news: ListNews, peer: str) -> None:
+        """Takes what a peer has read."""
+        if news.keep_removed_s > self._view.book.keeps_removed_s:
+            self._view.book.keep_removed(self._clock() + news.keep_removed_s)
+        for change in self._reading.take(news):
+            self._view.take_endpoint(Record(change.key, change.value), peer)
+
+    @property
+    def position(self) -> int | None:
+        """Returns the offset up to which the list is known, ``None`` for not at all."""
+        return self._reading.position
+
+    @property
+    def has_missed(self) -> bool:
+        """Returns whether a peer knows changes that this node lacks."""
+        return self._reading.has_missed
+
+    def take_snapshot(self, records: tuple[Record, ...], position: int, peer: str) -> None:
+        """Takes a peer's whole list if it is newer.
+
+        :param position: offset of the store up to which the list is current.
+        """
+        if position > (self._reading.position or 0):
+            self._view.replace_endpoints(records, peer)
+            self._reading.take_whole(position)
+
+    def _run(self) -> None:
+        retry_s = RETRY_S
+        while True:
+            is_due = self._reading.is_due(self._gossip.rank(READING_DUTY))
+            self._note_role(is_due)
+            if not is_due:
+                gevent.sleep(LOOK_S)
+                continue
+            try:
+                self._read()
+                retry_s = RETRY_S
+                gevent.sleep(PAUSE_S)
+            except HoleFoundError as error:
+                self._log.line("store_history_gone", oldest=error.oldest)
+                self._must_read_whole = True
+            except StoreUnavailableError as error:
+                self._watch.failed(error)
+                gevent.sleep(retry_s)
+                retry_s = min(retry_s * 2, MAX_RETRY_S)
+
+    def _read(self) -> None:
+        start = self._reading.position
+        if start is None or self._must_read_whole:
+            batch = self._topic.newest()
+            self._watch.answered()
+            self._view.replace_endpoints(batch.records, "store")
+            self._reading.read_whole(batch.next_offset)
+            self._must_read_whole = False
+            return
+        batch = self._topic.since(start, WAIT_S)
+        self._watch.answered()
+        self._reading.read(batch.next_offset, self._apply(start, batch))
+        self._view.forget_gone()
+        # The datagrams of a large fleet come too seldom for its list to stay fresh.
+        self._gossip.send_now()
+
+    def _apply(self, start: int, batch: Batch) -> list[Change]:
+        """Takes the records that no peer has told meanwhile; returns those with news."""
+        known_to = self._reading.position or start
+        return [
+            Change(offset, record.key, record.value)
+            for offset, record in enumerate(batch.records, start)
+            if offset >= known_to and self._view.take_endpoint(record, "store")
+        ]
+
+    def _note_role(self, is_reader: bool) -> None:
+        if is_reader != self._is_reader:
+            self._is_reader = is_reader
+            self._log.line("endpoint_list_source", source="store" if is_reader else "peers")
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -1,6 +1,7 @@
 """What a node knows: configuration, named weights, endpoints, and from where it knows them."""
 
 import math
+from collections.abc import Callable
 
 from arbutustally.clock import Clock
 from arbutustally.gateway.configuration import Configuration
@@ -72,23 +73,18 @@
         self._clock = clock
         self._log = log
         self._configuration: Configuration | None = None
-        self._configured_at = 0.0
-        self._raw: dict[tuple[str, str], bytes] = {}
+        self._operator_raw: dict[str, bytes] = {}
+        self._endpoint_raw: dict[str, bytes] = {}
         self._weights: dict[str, NamedWeights] = {}
         self._has_endpoints = False
         self.book = EndpointBook.from_config(clock)
-        self.on_configuration: list = []
+        self._configuration_watchers: list[Callable[[Configuration], None]] = []
 
     @property
     def configuration(self) -> Configuration | None:
         """Returns the configuration in force, ``None`` before the first one."""
         return self._configuration
 
-    @property
-    def configuration_age_s(self) -> float:
-        """Returns the time for which the configuration has been known."""
-        return self._clock() - self._configured_at
-
     @property
     def weights(self) -> dict[str, NamedWeights]:
         """Returns the named weights by model."""
@@ -100,9 +96,18 @@
         return self._configuration is not None and self._has_endpoints
 
     @property
-    def raw(self) -> dict[tuple[str, str], bytes]:
-        """Returns the documents as written, by topic and key, for peers without the store."""
-        return self._raw
+    def operator_records(self) -> tuple[Record, ...]:
+        """Returns the operator's records as written, for peers without the store."""
+        return tuple(Record(key, value) for key, value in self._operator_raw.items())
+
+    @property
+    def endpoint_records(self) -> tuple[Record, ...]:
+        """Returns the endpoints' entries as written, for peers without the store."""
+        return tuple(Record(key, value) for key, value in self._endpoint_raw.items())
+
+    def watch_configuration(self, notify: Callable[[Configuration], None]) -> None:
+        """Calls ``notify`` with each configuration that comes into force."""
+        self._configuration_watchers.append(notify)
 
     def take_operator(self, record: Record, source: str, known_at: float = -math.inf) -> None:
         """Takes a record of the operator; what is older than known changes nothing.
@@ -117,21 +122,20 @@
         elif change is None and record.value is not None:
             self._log.line("operator_record_unreadable", key=record.key, source=source)
 
-    def take_endpoint(self, record: Record, source: str) -> None:
-        """Takes an endpoint's entry or its removal."""
+    def take_endpoint(self, record: Record, source: str) -> bool:
+        """Takes an endpoint's entry or its removal; returns whether it says anything new."""
         if record.value is None:
-            self._raw.pop(("endpoint", record.key), None)
-            if self.book.remove(record.key):
-                self._log.line("endpoint_removed", endpoint=record.key, source=source)
-            return
+            return self._remove_endpoint(record.key, source)
         entry = self._documents.decode_endpoint(record)
         if entry is None:
             self._log.line("endpoint_record_unreadable", key=record.key, source=source)
-            return
-        self._raw[("endpoint", record.key)] = record.value
+            return False
+        self._endpoint_raw[record.key] = record.value
         self._has_endpoints = True
-        if self.book.put(entry):
+        is_new = self.book.put(entry)
+        if is_new:
             self._note_endpoint(entry, source)
+        return is_new
 
     def replace_endpoints(self, records: tuple[Record, ...], source: str) -> None:
         """Takes a whole list of entries."""
@@ -146,28 +150,34 @@
         """Drops endpoints that were removed long ago."""
         self.book.forget_gone(FORGET_GONE_S)
 
+    def _remove_endpoint(self, endpoint_id: str, source: str) -> bool:
+        self._endpoint_raw.pop(endpoint_id, None)
+        is_new = self.book.remove(endpoint_id)
+        if is_new:
+            self._log.line("endpoint_removed", endpoint=endpoint_id, source=source)
+        return is_new
+
     def _configure(self, configuration: Configuration, record: Record, source: str) -> None:
         current = self._configuration
         if current is not None and configuration.version <= current.version:
             return
         self._configuration = configuration
-        self._configured_at = self._clock()
-        self._raw[("operator", record.key)] = record.value or b""
+        self._operator_raw[record.key] = record.value or b""
         self._log.line(
             "configuration_in_force",
             version=configuration.version,
             previous=current.version if current else None,
             source=source,
         )
-        for notify in self.on_configuration:
+        for notify in self._configuration_watchers:
             notify(configuration)
 
     def _name_weights(
         self, change: WeightsNamed, record: Record, source: str, known_at: float
     ) -> None:
-        if not self.learn_weights(change.model, change.version, known_at, source):
-            return
-        self._raw[("operator", record.key)] = record.value or b""
+        self.learn_weights(change.model, change.version, known_at, source)
+        if change.version == self._weights[change.model].version:
+            self._operator_raw[record.key] = record.value or b""
 
     def learn_weights(self, model: str, version: int, known_at: float, source: str) -> bool:
         """Takes a named version; returns whether it is the newest one and was not known."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -5,21 +5,26 @@
 """
 
 import socket
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
-import cbor2
 import gevent
 from gevent import socket as gevent_socket
 
 from arbutustally.clock import Clock
+from arbutustally.rendezvous import rank
 from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.peer_state import PeerState
 
 #: Interval between two datagrams to a peer, seconds, and its growth with each peer: what a node
 #: sends in a second stays bounded as the fleet grows.
 INTERVAL_S = 0.15
 INTERVAL_PER_PEER_S = 0.01
+#: One of this many datagrams has the addresses of other nodes, and at most so many of them; the
+#: first one after a peer was heard has them too.
+PEERS_EVERY = 8
+MAX_PEERS = 128
 #: A peer that was not heard for this many intervals is taken as absent.
 ABSENT_AFTER = 6
 MIN_ABSENT_S = 1.2
@@ -30,76 +35,6 @@
 RECEIVE_BYTES = 65_536
 
 
-@dataclass(frozen=True)
-class PeerState:
-    """What a node tells its peers.
-
-    :ivar node: name of the node.
-    :ivar incarnation: differs between two starts of a node.
-    :ivar number: grows with each datagram of an incarnation.
-    :ivar callers: address for callers.
-    :ivar control: address of the control listener.
-    :ivar is_ready: the node takes requests.
-    :ivar config: version of the configuration in force, 0 for none.
-    :ivar loads: running requests, unread prompt tokens, tokens in memory, and requests that can't
-        go on elsewhere, by endpoint.
-    :ivar admitted: running totals by account.
-    :ivar weights: named versions by model, with the age of the knowledge in seconds.
-    :ivar engines: version that an engine is known to run, by endpoint and model.
-    :ivar orders_engines: the node holds the lease on orders to engines.
-    :ivar loading: endpoints that load weights.
-    :ivar down: endpoints to which this node could not connect.
-    :ivar placed: recent placements of prompts, see ``Exchange.placed_lately``.
-    :ivar peers: addresses of other nodes.
-    """
-
-    node: str
-    incarnation: str
-    number: int
-    zone: str
-    callers: str
-    control: str
-    is_ready: bool
-    config: int
-    loads: Mapping[str, tuple[int, float, float, int]] = field(default_factory=dict)
-    admitted: Mapping[str, float] = field(default_factory=dict)
-    weights: Mapping[str, Mapping[int, float]] = field(default_factory=dict)
-    engines: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
-    orders_engines: bool = False
-    loading: tuple[str, ...] = ()
-    down: tuple[str, ...] = ()
-    placed: tuple[Any, ...] = ()
-    peers: tuple[str, ...] = ()
-
-    def encode(self) -> bytes:
-        """Returns the datagram."""
-        return cbor2.dumps(list(self.__dict__.values()))
-
-    @classmethod
-    def decode(cls, data: bytes) -> "PeerState | None":
-        """Returns the state in a datagram, ``None`` if it is malformed."""
-        try:
-            values = cbor2.loads(data)
-            state = cls(*values)
-        except (cbor2.CBORDecodeError, TypeError, ValueError):
-            return None
-        return state if state._is_sound() else None
-
-    def _is_sound(self) -> bool:
-        texts = (self.node, self.incarnation, self.zone, self.callers, self.control)
-        tables = (self.loads, self.admitted, self.weights, self.engines)
-        return (
-            all(isinstance(text, str) for text in texts)
-            and isinstance(self.number, int)
-            and isinstance(self.config, int)
-            and isinstance(self.is_ready, bool)
-            and all(isinstance(table, dict) for table in tables)
-            and isinstance(self.down, list)
-            and isinstance(self.placed, list)
-            and isinstance(self.peers, list)
-        )
-
-
 @dataclass
 class Peer:
     """A node that was heard.
@@ -115,12 +50,14 @@
 class Gossip:
     """Sends this node's state to its peers and takes theirs.
 
+    :param node: name of this node, as its peers know it.
     :param describe: returns the current state, given the next number and the peers' addresses.
     :param on_state: takes a peer's new state.
     """
 
     def __init__(
         self,
+        node: str,
         ip: str,
         port: int,
         clock: Clock,
@@ -129,6 +66,7 @@
         on_state: Callable[[PeerState], None],
         on_absent: Callable[[PeerState], None],
     ) -> None:
+        self._node = node
         self._ip = ip
         self._port = port
         self._clock = clock
@@ -140,6 +78,7 @@
         self._peers: dict[str, Peer] = {}
         self._absent: set[str] = set()
         self._number = 0
+        self._has_newcomer = False
         self._socket: Any = None
         self._greenlets: list[Any] = []
 
@@ -172,6 +111,10 @@
         """Returns the number of peers that were heard lately, present or not."""
         return len(self._peers)
 
+    def rank(self, duty: bytes) -> int:
+        """Returns this node's place among the ready nodes for a duty, 0 for the first."""
+        return rank(duty, self._node, [state.node for state in self.present if state.is_ready])
+
     def introduce(self, ip: str) -> None:
         """Adds the address of a node that may be alive."""
         if ip != self._ip:
@@ -180,7 +123,9 @@
     def send_now(self) -> None:
         """Sends the current state to all peers."""
         self._number += 1
-        state = self._describe(self._number, tuple(self._known)[:128])
+        has_peers = self._has_newcomer or self._number % PEERS_EVERY == 1
+        self._has_newcomer = False
+        state = self._describe(self._number, tuple(self._known)[:MAX_PEERS] if has_peers else ())
         data = state.encode()
         if len(data) > MAX_DATAGRAM_BYTES:
             self._log.line("gossip_too_large", bytes=len(data))
@@ -222,6 +167,7 @@
             return
         if peer is None or ip in self._absent:
             self._absent.discard(ip)
+            self._has_newcomer = True
             self._log.line("peer_heard", peer=state.node, address=ip)
         self._known[ip] = now
         self._peers[ip] = Peer(ip, state, now)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -14,22 +14,27 @@
 from arbutustally.gateway.holdings import Holdings
 from arbutustally.gateway.quota import QuotaLedger
 from arbutustally.gateway.requests import PromptPart
+from arbutustally.gateway.shared_reading import SharedReading
 from arbutustally.placement import Placement
 from arbutustally_node.collector import tune_collector
 from arbutustally_node.gateway.cache_follower import CacheFollower
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.directory import EntryNode, addresses_for
 from arbutustally_node.gateway.endpoint_check import EndpointChecker
+from arbutustally_node.gateway.endpoint_reader import EndpointReader
 from arbutustally_node.gateway.exchange import Exchange
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.follower import Follower
-from arbutustally_node.gateway.gossip import Gossip, PeerState
+from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.instruments import Instruments
 from arbutustally_node.gateway.listener import CallerListener
+from arbutustally_node.gateway.peer_state import PeerState
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
 from arbutustally_node.gateway.request_services import RequestServices
+from arbutustally_node.gateway.store_watch import StoreWatch
 from arbutustally_node.gateway.transport import Transport
 from arbutustally_node.gateway.web import (
+    Snapshot,
     directory_app,
     fetch_snapshot,
     metrics_app,
@@ -111,7 +116,7 @@
                 self._options.directory_listen,
                 directory_app(self._options.directory_path, self._addresses),
             ),
-            serve(self._options.control_listen, snapshot_app(lambda: self._view.raw)),
+            serve(self._options.control_listen, snapshot_app(self._snapshot)),
             serve(self._options.metrics_listen, metrics_app(self._metrics_text)),
         ]
         self._catch_up_greenlet = gevent.spawn(self._catch_up)
@@ -165,6 +170,7 @@
         self._checker = EndpointChecker(self._view.book, self._log)
         self._pool = PoolService(CONNECT_TIMEOUT_S, SILENCE_S)
         self._gossip = Gossip(
+            options.node,
             options.ip,
             options.peer_port,
             monotonic,
@@ -190,20 +196,29 @@
             self._unreachable,
         )
         self._exchange = Exchange(self._request_services)
+        self._watch = StoreWatch(self._view.book, self._log, monotonic, bounds.store_return_s)
         self._follower = Follower(
             platform,
             self._view,
             self._gossip,
+            self._watch,
             self._log,
             monotonic,
             (options.node, options.ip.encode()),
-            bounds.store_return_s,
+        )
+        self._endpoints = EndpointReader(
+            platform.endpoint_topic,
+            self._view,
+            SharedReading.from_config(boottime),
+            self._watch,
+            self._log,
+            monotonic,
+            self._gossip,
         )
         self._caches = CacheFollower(
             platform.cache_events, self._view, self._holdings, self._gossip, self._log, monotonic
         )
         self._weights = WeightsService(
-            options.node,
             f"{options.node}~{self._incarnation}",
             self._view,
             self._gossip,
@@ -222,11 +237,12 @@
             self._caller_limits,
             options.memory_mb,
         )
-        self._view.on_configuration.append(self._configured)
+        self._view.watch_configuration(self._configured)
         for name, service in (
             ("log", self._log),
             ("gossip", self._gossip),
             ("follower", self._follower),
+            ("endpoints", self._endpoints),
             ("pool", self._pool),
             ("caches", self._caches),
             ("weights", self._weights),
@@ -295,7 +311,7 @@
                 model: {version: round(now - at, 3) for version, at in named.dated.items()}
                 for model, named in view.weights.items()
             },
-            engines={state.id: dict(state.weights) for state in states if state.weights},
+            engines={state.id: dict(newer) for state in states if (newer := state.newer_weights)},
             orders_engines=self._weights.is_holder,
             loading=tuple(
                 state.id for state in states if state.loading and self._weights.is_holder
@@ -303,10 +319,13 @@
             down=tuple(state.id for state in states if state.is_down),
             placed=tuple(placed[-MAX_PLACED:]),
             peers=peers,
+            news=self._endpoints.news(),
         )
 
     def _on_peer(self, state: PeerState) -> None:
         book = self._view.book
+        if state.news is not None:
+            self._endpoints.take(state.news, state.node)
         book.set_peer_load(state.node, {key: tuple(load) for key, load in state.loads.items()})
         self._quota.heard(state.incarnation, state.admitted)
         heard = len(self._gossip.present) + 1
@@ -353,13 +372,20 @@
             peer = self._peer_ahead()
             if peer is None:
                 continue
-            documents = fetch_snapshot(http, peer.control)
-            self._log.line("snapshot_fetched", peer=peer.node, found=documents is not None)
-            for topic, record in documents or ():
-                if topic == "operator":
-                    self._view.take_operator(record, peer.node)
-                else:
-                    self._view.take_endpoint(record, peer.node)
+            snapshot = fetch_snapshot(http, peer.control)
+            self._log.line("snapshot_fetched", peer=peer.node, found=snapshot is not None)
+            if snapshot is not None:
+                self._take_snapshot(snapshot, peer.node)
+
+    def _snapshot(self) -> Snapshot:
+        view = self._view
+        return Snapshot(self._endpoints.position, view.operator_records, view.endpoint_records)
+
+    def _take_snapshot(self, snapshot: Snapshot, peer: str) -> None:
+        for record in snapshot.operator:
+            self._view.take_operator(record, peer)
+        if snapshot.position is not None:
+            self._endpoints.take_snapshot(snapshot.endpoints, snapshot.position, peer)
 
     def _peer_ahead(self) -> PeerState | None:
         configuration = self._view.configuration
@@ -367,7 +393,7 @@
         ahead = [state for state in self._gossip.present if state.config > version]
         if ahead:
             return max(ahead, key=lambda state: state.config)
-        if self._follower.has_store and self._view.is_complete:
+        if self._view.is_complete and (self._watch.has_store or not self._endpoints.has_missed):
             return None
         ready = [state for state in self._gossip.present if state.is_ready]
         return self._rng.choice(ready) if ready else None
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
@@ -1,6 +1,7 @@
 """Small HTTP listeners of a node: readiness, addresses for callers, metrics, snapshots for peers."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import cbor2
@@ -15,7 +16,40 @@
 SNAPSHOT_TIMEOUT_S = 1.0
 MAX_LISTENERS_BACKLOG = 256
 
-Documents = dict[tuple[str, str], bytes]
+
+@dataclass(frozen=True)
+class Snapshot:
+    """Documents that a node gives its peers.
+
+    :ivar position: offset up to which the endpoints' list is current, ``None`` if it has none.
+    """
+
+    position: int | None
+    operator: tuple[Record, ...]
+    endpoints: tuple[Record, ...]
+
+    def encode(self) -> bytes:
+        """Returns the body of an answer."""
+        return cbor2.dumps([self.position, _rows(self.operator), _rows(self.endpoints)])
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Snapshot":
+        """Returns the snapshot in an answer.
+
+        :raises ValueError: or ``TypeError`` if it is malformed.
+        """
+        position, operator, endpoints = cbor2.loads(data)
+        return cls(
+            None if position is None else int(position), _records(operator), _records(endpoints)
+        )
+
+
+def _rows(records: tuple[Record, ...]) -> list[list[Any]]:
+    return [[record.key, record.value] for record in records]
+
+
+def _records(rows: Any) -> tuple[Record, ...]:
+    return tuple(Record(str(key), bytes(value)) for key, value in rows)
 
 
 def serve(address: str, app: Bottle) -> WSGIServer:
@@ -69,21 +103,20 @@
     return app
 
 
-def snapshot_app(documents: Callable[[], Documents]) -> Bottle:
+def snapshot_app(take: Callable[[], Snapshot]) -> Bottle:
     """Gives peers without the store the documents that this node has."""
     app = Bottle()
 
     @app.get(SNAPSHOT_PATH)
     def snapshot() -> bytes:
         response.content_type = "application/cbor"
-        rows = [[topic, key, value] for (topic, key), value in documents().items()]
-        return cbor2.dumps(rows)
+        return take().encode()
 
     return app
 
 
-def fetch_snapshot(http: urllib3.PoolManager, address: str) -> list[tuple[str, Record]] | None:
-    """Returns the documents of a peer by topic, ``None`` if it gives none."""
+def fetch_snapshot(http: urllib3.PoolManager, address: str) -> Snapshot | None:
+    """Returns the documents of a peer, ``None`` if it gives none."""
     try:
         answer = http.request(
             "GET",
@@ -93,7 +126,6 @@
         )
         if answer.status != 200:
             return None
-        rows = cbor2.loads(answer.data)
-        return [(str(topic), Record(str(key), bytes(value))) for topic, key, value in rows]
+        return Snapshot.decode(answer.data)
     except (urllib3.exceptions.HTTPError, cbor2.CBORDecodeError, TypeError, ValueError):
         return None
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -22,12 +22,13 @@
     plan_loads,
 )
 from arbutustally.lease import HeldLease, LeaseObserver
-from arbutustally.rendezvous import rank
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.ports import EngineControl, LeaseTopic, LoadOrder, OrderReply
 
+#: Names the order of nodes in which they order engines.
+LOADS_DUTY = b"loads"
 #: Interval between two looks at the engines, seconds.
 STEP_S = 0.1
 #: Interval between two looks while there is nothing to do, seconds.
@@ -49,7 +50,6 @@
 class WeightsService:
     """Brings engines to the named weights.
 
-    :param node: name of this node, as its peers know it.
     :param holder: name under which it holds the lease, different after each start.
     :param boottime: seconds that go on while the instance is suspended.
     :param lease_s: duration of the lease.
@@ -58,7 +58,6 @@
 
     def __init__(
         self,
-        node: str,
         holder: str,
         view: FleetView,
         gossip: Gossip,
@@ -70,7 +69,6 @@
         lease_s: float,
         on_unreachable: Callable[[EndpointState], None],
     ) -> None:
-        self._node = node
         self._holder = holder
         self._view = view
         self._gossip = gossip
@@ -126,7 +124,7 @@
         if self._behind_since is None:
             self._behind_since = now
         if not self.is_holder:
-            if now - self._behind_since < self._rank() * RANK_DELAY_S:
+            if now - self._behind_since < self._gossip.rank(LOADS_DUTY) * RANK_DELAY_S:
                 return True
             if any(state.orders_engines for state in self._gossip.present):
                 return True
@@ -161,10 +159,6 @@
             and not (state.entry.is_leaving or state.is_replaced)
         ]
 
-    def _rank(self) -> int:
-        ready = [state.node for state in self._gossip.present if state.is_ready]
-        return rank(b"weights", self._node, ready)
-
     def _claim(self) -> bool:
         """Tries to become the holder.
 
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -79,6 +79,16 @@
         """Returns ``host:port``."""
         return self.entry.address
 
+    @property
+    def newer_weights(self) -> dict[str, int]:
+        """Returns the weights that it is known to run and that the list does not have yet."""
+        listed = self.entry.weights
+        return {
+            model: version
+            for model, version in self.weights.items()
+            if version > listed.get(model, 0)
+        }
+
     @property
     def total_running(self) -> int:
         """Returns the requests of all nodes."""
@@ -152,6 +162,11 @@
         """
         self._keep_removed_until = until
 
+    @property
+    def keeps_removed_s(self) -> float:
+        """Returns the time for which removed entries still count as present, seconds."""
+        return max(0.0, self._keep_removed_until - self._clock())
+
     def put(self, entry: EndpointEntry) -> bool:
         """Takes an entry; returns whether it says anything new."""
         state = self._states.get(entry.id)
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -6,9 +6,11 @@
 import gevent
 from bottle import HTTPResponse
 
+from arbutustally.gateway.shared_reading import READERS
 from arbutustally_node.gateway.node import GatewayNode
+from arbutustally_node.gateway.weights_service import LOADS_DUTY
 from tests.gateway_fleet import GatewayCase, free_port, settings
-from tests.platform_fakes import FakeWorker, configuration
+from tests.platform_fakes import FakeStore, FakeWorker, configuration
 
 
 class ServingTest(GatewayCase):
@@ -231,7 +233,7 @@
             nodes.append(self.start_node({**fields, "internalPorts": [port, port]}))
         for node in nodes:
             self.eventually(lambda node=node: self.ready_peers(node) == 3)
-        self.assertEqual(sorted(node._weights._rank() for node in nodes), [0, 1, 2, 3])
+        self.assertEqual(sorted(node._gossip.rank(LOADS_DUTY) for node in nodes), [0, 1, 2, 3])
 
     def ready_peers(self, node: GatewayNode) -> int:
         return sum(state.is_ready for state in node._gossip.present)
@@ -295,6 +297,45 @@
         self.assertEqual(self.call(node, "/book/x", "r1").status, 200)
         self.eventually(lambda: self.call(node, "/book/x", "r2").status == 503)
 
+    def test_node_without_the_store_learns_of_changes_from_peers(self) -> None:
+        """Guards against requests to workers that left while one node has no store."""
+        refusing = FakeStore()
+        self.addCleanup(refusing.stop)
+        refusing.status = 503
+        port = free_port(socket.SOCK_DGRAM)
+        first = self.start_node({**settings(self.store.address), "internalPorts": [port, port]})
+        self.wait_ready(first)
+        fields = settings(refusing.address, "node-2", "127.0.0.2", internalPorts=[port, port])
+        node = self.start_node({**fields, "seeds": [first._options.control_listen]})
+        self.wait_ready(node)
+        self.store.put("keyed.servers", "d1", self.desks[0].entry("draining"))
+        self.eventually(lambda: node._view.book.get("d1").entry.is_leaving, 2.0)
+        for number in range(6):
+            self.assertEqual(self.call(node, "/look/a", f"r{number}").status, 200)
+        self.assertEqual(self.desks[0].ran, [])
+
+    def test_only_few_nodes_read_the_list(self) -> None:
+        port = free_port(socket.SOCK_DGRAM)
+        nodes = []
+        for number in range(1, 5):
+            fields = settings(self.store.address, f"node-{number}", f"127.0.0.{number}")
+            nodes.append(self.start_node({**fields, "internalPorts": [port, port]}))
+        for node in nodes:
+            self.eventually(lambda node=node: len(node._gossip.present) == 3)
+        heartbeats = gevent.spawn(self.write_heartbeats)
+        self.addCleanup(heartbeats.kill)
+        self.eventually(
+            lambda: sum(node._endpoints.news() is not None for node in nodes) == READERS
+        )
+        self.store.put("keyed.servers", "d1", self.desks[0].entry("draining"))
+        for node in nodes:
+            self.eventually(lambda node=node: node._view.book.get("d1").entry.is_leaving, 2.0)
+
+    def write_heartbeats(self) -> None:
+        while True:
+            gevent.sleep(0.1)
+            self.store.put("keyed.servers", "e1", self.engines[0].entry())
+
     def test_leaving_worker_gets_no_new_requests(self) -> None:
         node = self.start_node()
         self.wait_ready(node)
--- /dev/null
+++ b/tests/test_shared_reading.py
@@ -0,0 +1,155 @@
+"""Reading of the endpoints' list by a few nodes for the whole fleet."""
+
+import unittest
+
+from arbutustally.clock import VirtualClock
+from arbutustally.gateway.shared_reading import (
+    MAX_TOLD_BYTES,
+    READERS,
+    STALE_S,
+    TOLD_S,
+    Change,
+    SharedReading,
+)
+
+#: Interval between two readings of a reader, and between two of its datagrams, seconds.
+READ_S = 0.7
+TELL_S = 0.2
+
+
+class FakeList:
+    """The list as the store has it: a heartbeat at every offset, changes at some."""
+
+    def __init__(self) -> None:
+        self.end = 0
+        self.changes: dict[int, Change] = {}
+
+    def heartbeats(self, count: int) -> None:
+        self.end += count
+
+    def change(self, key: str, value: bytes | None = b"{}") -> None:
+        self.changes[self.end] = Change(self.end, key, value)
+        self.end += 1
+
+    def since(self, start: int) -> list[Change]:
+        return [change for offset, change in self.changes.items() if offset >= start]
+
+
+class Node:
+    """One node: what it knows of the list, and how often it has read."""
+
+    def __init__(self, clock: VirtualClock, listed: FakeList, rank: int) -> None:
+        self.reading = SharedReading.from_config(clock)
+        self._clock = clock
+        self._listed = listed
+        self._rank = rank
+        self._next_read = 0.0
+        self.known: dict[str, bytes | None] = {}
+        self.reads = 0
+
+    def step(self) -> None:
+        if self._clock() < self._next_read or not self.reading.is_due(self._rank):
+            return
+        self.reads += 1
+        self._next_read = self._clock() + READ_S
+        start = self.reading.position
+        found = self._listed.since(start or 0)
+        if start is None:
+            self.reading.read_whole(self._listed.end)
+        else:
+            self.reading.read(self._listed.end, found)
+        self._apply(found)
+
+    def hear(self, other: "Node") -> None:
+        news = other.reading.news(0.0)
+        if news is not None:
+            self._apply(self.reading.take(news))
+
+    def _apply(self, changes) -> None:
+        for change in changes:
+            self.known[change.key] = change.value
+
+
+class SharedReadingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = VirtualClock(100.0)
+        self.listed = FakeList()
+
+    def fleet(self, size: int) -> list[Node]:
+        return [Node(self.clock, self.listed, rank) for rank in range(size)]
+
+    def play(self, nodes: list[Node], seconds: float, told: bool = True) -> None:
+        """Lets time pass: heartbeats are written, readers read, and every node tells the others."""
+        for _ in range(round(seconds / TELL_S)):
+            self.listed.heartbeats(10)
+            for node in nodes:
+                node.step()
+            for node in nodes if told else ():
+                for other in nodes:
+                    if other is not node:
+                        other.hear(node)
+            self.clock.advance(TELL_S)
+
+    def test_large_fleet_reads_as_often_as_a_small_one(self) -> None:
+        """Replays 60 nodes in calm: a list read by every node cost each of them a call."""
+        small, large = self.fleet(4), self.fleet(60)
+        self.play(small, 20.0)
+        self.play(large, 20.0)
+        readings = sum(node.reads for node in large) - len(large)
+        self.assertLessEqual(readings, sum(node.reads for node in small) + READERS)
+
+    def test_every_node_knows_a_change_within_the_bound(self) -> None:
+        nodes = self.fleet(30)
+        self.play(nodes, 3.0)
+        self.listed.change("e1", None)
+        self.play(nodes, READ_S + 2 * TELL_S)
+        self.assertTrue(all(node.known == {"e1": None} for node in nodes))
+
+    def test_loss_of_all_readers_is_noticed_in_time(self) -> None:
+        nodes = self.fleet(30)
+        self.play(nodes, 3.0)
+        left = nodes[READERS:]
+        self.listed.change("e1", None)
+        self.play(left, 1.4)
+        self.assertTrue(all("e1" in node.known for node in left))
+
+    def test_lost_datagrams_cost_no_change(self) -> None:
+        nodes = self.fleet(6)
+        self.play(nodes, 3.0)
+        self.listed.change("e1")
+        self.play(nodes[:READERS], TOLD_S / 2)
+        self.listed.change("e2")
+        self.play(nodes, 1.0)
+        self.assertTrue(all(set(node.known) == {"e1", "e2"} for node in nodes))
+
+    def test_node_that_missed_changes_reads_itself(self) -> None:
+        """Guards against a node that takes a list as current although it lacks a change."""
+        nodes = self.fleet(6)
+        self.play(nodes, 3.0)
+        asleep, awake = nodes[-1], nodes[:-1]
+        self.listed.change("e1")
+        self.play(awake, 2 * TOLD_S)
+        asleep.hear(nodes[0])
+        self.assertTrue(asleep.reading.has_missed)
+        self.assertNotIn("e1", asleep.known)
+        asleep.step()
+        self.assertIn("e1", asleep.known)
+        self.assertFalse(asleep.reading.has_missed)
+
+    def test_many_changes_do_not_outgrow_a_datagram(self) -> None:
+        nodes = self.fleet(3)
+        self.play(nodes, 1.0)
+        for number in range(100):
+            self.listed.change(f"e{number}", b"x" * 300)
+        self.play(nodes, READ_S + 1.0)
+        told = nodes[0].reading.news(0.0).changes
+        self.assertLessEqual(sum(len(change.value) for change in told), MAX_TOLD_BYTES)
+        self.assertTrue(all(len(node.known) == 100 for node in nodes))
+
+    def test_node_without_a_recent_reading_tells_nothing(self) -> None:
+        """Guards against an old list that is told as current after a suspension."""
+        node = self.fleet(1)[0]
+        node.step()
+        self.assertIsNotNone(node.reading.news(0.0))
+        self.clock.advance(STALE_S)
+        self.assertIsNone(node.reading.news(0.0))
