Let standby nodes watch the lease on orders to engines

Cause: a holder that is cut off from the store can't renew its lease; the others first looked at its record when it had lapsed and then waited the whole lease time again. The holder also stopped ordering while a renewal hung. Change: the two nodes that come next look at the record each second while another one orders or has left it open; ranks wait 0.4 s instead of 1 s; renewals run beside the orders. The lease is a class of its own, with a random test that never has two holders. An unused clock is gone.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
@@ -4,7 +4,6 @@
 
 import gevent
 
-from arbutustally.clock import Clock
 from arbutustally.gateway.holdings import Holdings
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
@@ -33,14 +32,12 @@
         holdings: Holdings,
         gossip: Gossip,
         log: DecisionLog,
-        clock: Clock,
     ) -> None:
         self._events = events
         self._view = view
         self._holdings = holdings
         self._gossip = gossip
         self._log = log
-        self._clock = clock
         self._following: dict[str, Any] = {}
         self._greenlet: Any = None
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -28,6 +28,7 @@
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.instruments import Instruments
 from arbutustally_node.gateway.listener import CallerListener
+from arbutustally_node.gateway.order_lease import OrderLease
 from arbutustally_node.gateway.peer_state import PeerState
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
 from arbutustally_node.gateway.request_services import RequestServices
@@ -216,18 +217,21 @@
             self._gossip,
         )
         self._caches = CacheFollower(
-            platform.cache_events, self._view, self._holdings, self._gossip, self._log, monotonic
+            platform.cache_events, self._view, self._holdings, self._gossip, self._log
         )
         self._weights = WeightsService(
-            f"{options.node}~{self._incarnation}",
             self._view,
             self._gossip,
-            platform.lease_topic,
+            OrderLease(
+                f"{options.node}~{self._incarnation}",
+                platform.lease_topic,
+                self._log,
+                boottime,
+                bounds.lease_s,
+            ),
             platform.engines,
             self._log,
             monotonic,
-            boottime,
-            bounds.lease_s,
             self._unreachable,
         )
         self._listener = CallerListener(
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -1,8 +1,7 @@
 """Orders engines to load newly named weights, by one node at a time under a lease.
 
 The lease exists only while there is work: the first node in the fleet's order claims it as soon as
-it sees older weights, the next ones only if nobody has. A claim is an append that succeeds only if
-no other record came in between; its offset is the fencing number of every order.
+it sees older weights, the next ones only if nobody has.
 """
 
 from collections.abc import Callable
@@ -21,11 +20,11 @@
     loads_at_once,
     plan_loads,
 )
-from arbutustally.lease import HeldLease, LeaseObserver
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.gossip import Gossip
-from arbutustally_node.gateway.ports import EngineControl, LeaseTopic, LoadOrder, OrderReply
+from arbutustally_node.gateway.order_lease import OrderLease
+from arbutustally_node.gateway.ports import EngineControl, LoadOrder, OrderReply
 
 #: Names the order of nodes in which they order engines.
 LOADS_DUTY = b"loads"
@@ -34,12 +33,12 @@
 #: Interval between two looks while there is nothing to do, seconds.
 IDLE_STEP_S = 0.2
 #: Time that each rank waits longer before it claims, seconds.
-RANK_DELAY_S = 1.0
+RANK_DELAY_S = 0.4
+#: Nodes after the first that look at the holder's lease, to take over soon when it lapses.
+STANDBYS = 2
 #: Pause after a call that the store did not answer, and after a claim that was not possible, seconds.
 STORE_RETRY_S = 0.5
 CLAIM_RETRY_S = 0.3
-#: Part of the lease after which it is renewed.
-RENEW_PART = 0.4
 #: Time after an order until its engine is asked whether it has loaded, seconds.
 FIRST_LOOK_S = 0.4
 LOOK_S = 0.15
@@ -50,48 +49,37 @@
 class WeightsService:
     """Brings engines to the named weights.
 
-    :param holder: name under which it holds the lease, different after each start.
-    :param boottime: seconds that go on while the instance is suspended.
-    :param lease_s: duration of the lease.
     :param on_unreachable: called for an engine that does not answer.
     """
 
     def __init__(
         self,
-        holder: str,
         view: FleetView,
         gossip: Gossip,
-        leases: LeaseTopic,
+        lease: OrderLease,
         engines: EngineControl,
         log: DecisionLog,
         clock: Clock,
-        boottime: Clock,
-        lease_s: float,
         on_unreachable: Callable[[EndpointState], None],
     ) -> None:
-        self._holder = holder
         self._view = view
         self._gossip = gossip
-        self._leases = leases
+        self._lease = lease
         self._engines = engines
         self._log = log
         self._clock = clock
-        self._boottime = boottime
-        self._lease_s = lease_s
         self._on_unreachable = on_unreachable
-        self._observer = LeaseObserver.from_config(lease_s)
-        self._lease: HeldLease | None = None
-        self._unconfirmed: tuple[int, float] | None = None
         self._behind_since: float | None = None
         self._ordering: set[str] = set()
         self._looked_at: dict[str, float] = {}
+        self._is_renewing = False
         self._is_stopping = False
         self._greenlet: Any = None
 
     @property
     def is_holder(self) -> bool:
         """Returns whether this node may send orders now."""
-        return self._lease is not None and self._lease.valid(self._boottime())
+        return self._lease.is_held
 
     def start(self) -> None:
         """Starts watching for engines with older weights."""
@@ -119,6 +107,7 @@
         if not behind:
             self._behind_since = None
             self._release()
+            self._stand_by()
             return False
         now = self._clock()
         if self._behind_since is None:
@@ -127,16 +116,40 @@
             if now - self._behind_since < self._gossip.rank(LOADS_DUTY) * RANK_DELAY_S:
                 return True
             if any(state.orders_engines for state in self._gossip.present):
+                self._stand_by(True)
                 return True
-            if not self._claim():
+            if not self._lease.claim():
                 gevent.sleep(CLAIM_RETRY_S)
                 return True
-        elif self._lease.remaining(self._boottime()) < self._lease_s * (1 - RENEW_PART):
-            self._renew()
+        elif self._lease.must_renew and not self._is_renewing:
+            self._is_renewing = True
+            gevent.spawn(self._renew)
         for model, named in behind:
             self._order(model, named)
         return True
 
+    def _renew(self) -> None:
+        """Renews the lease while orders go on under what is left of it."""
+        try:
+            self._lease.renew()
+        except StoreUnavailableError as error:
+            self._log.line("weights_lease_not_renewed", reason=error.message)
+        finally:
+            self._is_renewing = False
+
+    def _release(self) -> None:
+        if self.is_holder and not self._ordering:
+            self._lease.release()
+
+    def _stand_by(self, has_holder: bool = False) -> None:
+        """Looks at the lease of another holder if this node is among the next ones.
+
+        :param has_holder: a holder is at work; otherwise only a lease left open is of interest.
+        """
+        may_claim = self._gossip.rank(LOADS_DUTY) <= STANDBYS
+        if not self.is_holder and may_claim and (has_holder or self._lease.is_open):
+            self._lease.watch()
+
     def _behind(self) -> list[tuple[str, int]]:
         """Returns the models of which an engine has older weights than named."""
         return [
@@ -159,60 +172,6 @@
             and not (state.entry.is_leaving or state.is_replaced)
         ]
 
-    def _claim(self) -> bool:
-        """Tries to become the holder.
-
-        :raises StoreUnavailableError: if nobody knows whether the claim was appended; the next
-            step finds it by its offset.
-        """
-        self._lease = None
-        last, end = self._leases.last()
-        if last is not None and last.holder == self._holder and self._unconfirmed:
-            offset, sent_at = self._unconfirmed
-            if last.offset == offset:
-                return self._hold(offset, sent_at, last.holder)
-        sent_at = self._boottime()
-        if (
-            last is not None
-            and not last.is_released
-            and not self._observer.claimable("weights", last.offset, sent_at)
-        ):
-            return False
-        self._unconfirmed = (end, sent_at)
-        if not self._leases.append(self._holder, None, False, end):
-            self._unconfirmed = None
-            self._log.line("weights_lease_lost_race", expected=end)
-            return False
-        return self._hold(end, sent_at, last.holder if last else "")
-
-    def _hold(self, fence: int, sent_at: float, previous: str) -> bool:
-        self._unconfirmed = None
-        self._lease = HeldLease(sent_at, self._lease_s, "weights", fence)
-        self._log.line("weights_lease_claimed", fence=fence, previous=previous)
-        return self.is_holder
-
-    def _renew(self) -> None:
-        lease = self._lease
-        last, end = self._leases.last()
-        if last is None or last.fence != lease.epoch or last.holder != self._holder:
-            self._lease = None
-            self._log.line("weights_lease_lost", fence=lease.epoch)
-            return
-        sent_at = self._boottime()
-        if self._leases.append(self._holder, lease.epoch, False, end):
-            self._lease = HeldLease(sent_at, self._lease_s, lease.name, lease.epoch)
-
-    def _release(self) -> None:
-        if not self.is_holder or self._ordering:
-            return
-        lease, self._lease = self._lease, None
-        try:
-            _last, end = self._leases.last()
-            self._leases.append(self._holder, lease.epoch, True, end)
-            self._log.line("weights_lease_released", fence=lease.epoch)
-        except StoreUnavailableError as error:
-            self._log.line("weights_lease_not_released", reason=error.message)
-
     def _order(self, model: str, named: int) -> None:
         states = self._engines_of(model)
         plan = plan_loads(states, model, named, loads_at_once(len(states)), self._clock())
@@ -251,9 +210,9 @@
             return report.is_busy
         if not self.is_holder:
             return False
-        fence = self._lease.epoch
+        fence = self._lease.fence
         order = LoadOrder(model, named, report.orders, breaks_runs_off(state))
-        reply = self._engines.load_weights(state.entry, order, self._holder, fence)
+        reply = self._engines.load_weights(state.entry, order, self._lease.holder, fence)
         self._log.line(
             "weights_ordered",
             engine=state.id,
@@ -270,7 +229,7 @@
         if reply == OrderReply.OTHER_ENDPOINT:
             self._view.book.replaced(state)
         if reply == OrderReply.FENCED:
-            self._lease = None
+            self._lease.drop()
         return reply in (OrderReply.ACCEPTED, OrderReply.BUSY, OrderReply.UNKNOWN)
 
     def _await_load(self, state: EndpointState, model: str, named: int) -> None:
--- /dev/null
+++ b/tests/test_order_lease.py
@@ -0,0 +1,119 @@
+"""The lease on orders to engines: one holder at a time, and a quick change of holders."""
+
+import unittest
+from random import Random
+
+from arbutustally.clock import VirtualClock
+from arbutustally.errors import StoreUnavailableError
+from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.order_lease import OrderLease
+from arbutustally_node.gateway.ports import LeaseRecord
+
+LEASE_S = 3.0
+
+
+class FakeLeases:
+    """The topic of the lease in memory."""
+
+    def __init__(self) -> None:
+        self.records: list[LeaseRecord] = []
+        self.lose_answer = False
+
+    def last(self) -> tuple[LeaseRecord | None, int]:
+        return (self.records[-1] if self.records else None), len(self.records)
+
+    def append(self, holder: str, fence: int | None, is_released: bool, expected: int) -> bool:
+        if expected != len(self.records):
+            return False
+        offset = len(self.records)
+        begun = offset if fence is None else fence
+        self.records.append(LeaseRecord(holder, offset, begun, is_released))
+        if self.lose_answer:
+            self.lose_answer = False
+            raise StoreUnavailableError("append got no answer")
+        return True
+
+
+class OrderLeaseTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = VirtualClock(50.0)
+        self.leases = FakeLeases()
+        self.log = DecisionLog({}, clock=self.clock)
+
+    def lease(self, holder: str) -> OrderLease:
+        return OrderLease(holder, self.leases, self.log, self.clock, LEASE_S)
+
+    def test_standby_takes_over_as_soon_as_the_lease_has_lapsed(self) -> None:
+        """Replays a holder that is cut off in the middle of a move."""
+        first, standby, late = self.lease("a"), self.lease("b"), self.lease("c")
+        self.assertTrue(first.claim())
+        standby.watch()
+        self.clock.advance(LEASE_S)
+        self.assertFalse(first.is_held)
+        self.assertFalse(late.claim())
+        self.assertTrue(standby.claim())
+        self.assertGreater(standby.fence, 0)
+
+    def test_standby_looks_seldom(self) -> None:
+        self.lease("a").claim()
+        standby = self.lease("b")
+        standby.watch()
+        self.assertTrue(standby.is_open)
+        self.leases.append("a", 0, True, 1)
+        standby.watch()
+        self.assertTrue(standby.is_open)
+        self.clock.advance(1.0)
+        standby.watch()
+        self.assertFalse(standby.is_open)
+
+    def test_released_lease_is_claimed_at_once(self) -> None:
+        first, second = self.lease("a"), self.lease("b")
+        first.claim()
+        first.release()
+        self.assertFalse(first.is_held)
+        self.assertTrue(second.claim())
+
+    def test_claim_whose_answer_was_lost_counts_from_when_it_was_sent(self) -> None:
+        lease = self.lease("a")
+        self.leases.lose_answer = True
+        with self.assertRaises(StoreUnavailableError):
+            lease.claim()
+        self.clock.advance(2.0)
+        self.assertTrue(lease.claim())
+        self.assertEqual(len(self.leases.records), 1)
+        self.clock.advance(LEASE_S - 2.0)
+        self.assertFalse(lease.is_held)
+
+    def test_renewal_after_another_claim_ends_the_hold(self) -> None:
+        first = self.lease("a")
+        first.claim()
+        self.leases.append("b", None, False, 1)
+        first.renew()
+        self.assertFalse(first.is_held)
+
+    def test_random_turns_never_have_two_holders_and_fences_only_rise(self) -> None:
+        for seed in range(200):
+            rng = Random(seed)
+            self.leases.records.clear()
+            nodes = [self.lease(f"n{number}") for number in range(3)]
+            fences: list[int] = []
+            for _ in range(60):
+                self.clock.advance(rng.choice((0.0, 0.1, 0.5, 2.0, LEASE_S)))
+                self.turn(rng.choice(nodes), rng)
+                held = [node for node in nodes if node.is_held]
+                self.assertLessEqual(len(held), 1, seed)
+                fences.extend(node.fence for node in held)
+            self.assertEqual(fences, sorted(fences), seed)
+
+    def turn(self, node: OrderLease, rng: Random) -> None:
+        self.leases.lose_answer = rng.random() < 0.2
+        try:
+            if node.is_held:
+                (node.release if rng.random() < 0.3 else node.renew)()
+            elif rng.random() < 0.5:
+                node.claim()
+            else:
+                node.watch()
+        except StoreUnavailableError:
+            pass
+        self.leases.lose_answer = False
