Keep only those removed entries that lapsed with the store

Cause: while the store was away and 2.5 s after, every removed endpoint counted as present, also one that had left long before. Since peers tell each other of the store's absence, one lost answer at one node brought it back on all nodes. Change: an entry is kept only if it was removed while the store was away or just back, and what a peer tells is kept only for the changes that it tells. Tests: an entry removed before is not used (failed before); a longer absence goes on keeping. The tests of decisions are split by subject (moves only), and the unused field for the gap between events is gone.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -64,10 +64,11 @@
 
     def take(self, news: ListNews, peer: str) -> None:
         """Takes what a peer has read."""
-        if news.keep_removed_s > self._view.book.keeps_removed_s:
-            self._view.book.keep_removed(self._clock() + news.keep_removed_s)
+        keep_until = self._clock() + news.keep_removed_s
         for change in self._reading.take(news):
             self._view.take_endpoint(Record(change.key, change.value), peer)
+            if change.value is None:
+                self._view.book.keep(change.key, keep_until)
 
     @property
     def position(self) -> int | None:
--- a/packages/arbutustally/src/arbutustally/gateway/configuration.py
+++ b/packages/arbutustally/src/arbutustally/gateway/configuration.py
@@ -33,7 +33,6 @@
     :ivar path_prefix: begins and ends with a slash.
     :ivar timeout_s: longest time that a caller is kept waiting.
     :ivar target_s: time to the answer, or to the first event of a stream.
-    :ivar gap_target_s: longest pause between events of a stream that is on time.
     :ivar priority: 0 is the most urgent.
     :ivar max_attempts: endpoints on which one request may run.
     :ivar is_public: needs no key.
@@ -46,7 +45,6 @@
     kind: RouteKind
     timeout_s: float
     target_s: float
-    gap_target_s: float
     priority: int
     shares: tuple[ServiceShare, ...]
     max_attempts: int
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -47,6 +47,7 @@
     :ivar unrepeatable: of ``running``, those that would be lost if the endpoint broke them off.
     :ivar peer_load: the same four figures by peer.
     :ivar gone_at: when the entry was removed, ``None`` while it is listed.
+    :ivar kept_until: until then it counts as present although its entry was removed.
     :ivar is_down: no connection could be made.
     :ivar is_replaced: another endpoint was found at its address.
     """
@@ -61,6 +62,7 @@
     loading: bool = False
     loading_until: float = 0.0
     gone_at: float | None = None
+    kept_until: float = 0.0
     is_replaced: bool = False
     is_down: bool = False
     suspect_until: float = 0.0
@@ -156,15 +158,26 @@
         return trusted or able
 
     def keep_removed(self, until: float) -> None:
-        """Treats removed entries as present until an instant.
+        """Treats entries that are removed from now on as present until an instant.
 
         Entries lapse while the platform's store is away, and come back soon after its return.
+        What was removed before the store went away stays removed.
         """
+        now = self._clock()
         self._keep_removed_until = until
+        for state in self._states.values():
+            if state.gone_at is not None and state.kept_until > now:
+                state.kept_until = until
+
+    def keep(self, endpoint_id: str, until: float) -> None:
+        """Treats a removed entry as present until an instant."""
+        state = self._states.get(endpoint_id)
+        if state is not None and state.gone_at is not None:
+            state.kept_until = max(state.kept_until, until)
 
     @property
     def keeps_removed_s(self) -> float:
-        """Returns the time for which removed entries still count as present, seconds."""
+        """Returns the time for which entries removed now count as present, seconds."""
         return max(0.0, self._keep_removed_until - self._clock())
 
     def put(self, entry: EndpointEntry) -> bool:
@@ -186,6 +199,7 @@
         if state is None or state.gone_at is not None:
             return False
         state.gone_at = self._clock()
+        state.kept_until = self._keep_removed_until
         return True
 
     def replace_all(self, entries: Iterable[EndpointEntry]) -> None:
@@ -252,4 +266,4 @@
                 state.peer_load[peer] = load
 
     def _is_gone(self, state: EndpointState, now: float) -> bool:
-        return state.gone_at is not None and now >= self._keep_removed_until
+        return state.gone_at is not None and now >= state.kept_until
--- a/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
+++ b/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
@@ -44,8 +44,8 @@
     :ivar covers_from: ``changes`` has every change from this offset on.
     :ivar read_to: offset up to which the list was read.
     :ivar age_s: time since that reading.
-    :ivar keep_removed_s: time for which removed endpoints count as present, since their entries
-        may have lapsed while the store was away.
+    :ivar keep_removed_s: time for which the endpoints that these changes remove count as present,
+        since their entries may have lapsed while the store was away.
     """
 
     covers_from: int
--- /dev/null
+++ b/tests/test_gateway_choice.py
@@ -0,0 +1,224 @@
+"""Choice of an endpoint, and what a node believes of endpoints."""
+
+import math
+import unittest
+from random import Random
+
+from arbutustally.clock import VirtualClock
+from arbutustally.gateway.choice import (
+    best_source,
+    choose_engine,
+    choose_plain,
+    must_save,
+    weights_to_use,
+)
+from arbutustally.gateway.configuration import (
+    Engine,
+    PartStore,
+    Service,
+)
+from arbutustally.gateway.endpoints import EndpointBook, EndpointState
+from arbutustally.gateway.holdings import ASSUMED_S, Holdings
+from arbutustally.gateway.requests import CallerRequest
+from arbutustally.placement import Placement
+from tests.gateway_values import entry, prompt
+
+
+class EndpointBookTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = VirtualClock(100.0)
+        self.book = EndpointBook.from_config(self.clock)
+        self.book.put(entry("e1"))
+        self.book.put(entry("e2"))
+
+    def names(self) -> list[str]:
+        return sorted(state.id for state in self.book.usable("s"))
+
+    def test_leaving_and_removed_endpoints_get_nothing(self) -> None:
+        self.book.put(entry("e1", is_leaving=True))
+        self.assertEqual(self.names(), ["e2"])
+        self.book.remove("e2")
+        self.assertEqual(self.names(), [])
+
+    def test_entry_that_lapsed_with_the_store_is_used_until_it_must_be_back(self) -> None:
+        self.book.keep_removed(102.0)
+        self.book.remove("e1")
+        self.assertEqual(self.names(), ["e1", "e2"])
+        self.clock.advance(2.0)
+        self.assertEqual(self.names(), ["e2"])
+
+    def test_entry_removed_before_the_store_went_away_does_not_come_back(self) -> None:
+        """Guards against requests to an endpoint that left long before the store did."""
+        self.book.remove("e1")
+        self.clock.advance(1.0)
+        self.book.keep_removed(self.clock() + 2.5)
+        self.assertEqual(self.names(), ["e2"])
+
+    def test_longer_absence_of_the_store_keeps_what_lapsed_in_it(self) -> None:
+        self.book.keep_removed(102.0)
+        self.book.remove("e1")
+        self.clock.advance(1.5)
+        self.book.keep_removed(104.0)
+        self.clock.advance(1.5)
+        self.assertEqual(self.names(), ["e1", "e2"])
+        self.clock.advance(1.0)
+        self.assertEqual(self.names(), ["e2"])
+
+    def test_unreachable_endpoint_is_avoided_while_another_remains(self) -> None:
+        state = self.book.get("e1")
+        self.book.unreachable(state)
+        self.assertEqual(self.names(), ["e2"])
+        self.book.reachable(state)
+        self.assertEqual(self.names(), ["e1", "e2"])
+        self.book.unreachable(state)
+        self.book.remove("e2")
+        self.assertEqual(self.names(), ["e1"])
+
+    def test_endpoint_that_keeps_failing_is_avoided_for_longer_each_time(self) -> None:
+        state = self.book.get("e1")
+        pauses = []
+        for _ in range(8):
+            if self.book.failed(state):
+                pauses.append(state.suspect_until - self.clock())
+        self.assertEqual(pauses, sorted(pauses))
+        self.assertEqual(self.names(), ["e2"])
+        self.book.answered(state, 0.01)
+        self.assertEqual(self.names(), ["e1", "e2"])
+
+    def test_restart_under_the_same_id_forgets_what_was_known(self) -> None:
+        state = self.book.get("e1")
+        state.weights["m"] = 7
+        self.book.put(entry("e1", incarnation="2"))
+        self.assertEqual(self.book.get("e1").weights, {"m": 1})
+
+
+class ChoiceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = VirtualClock(100.0)
+        self.holdings = Holdings.from_config(self.clock)
+        self.states = [EndpointState(entry(name)) for name in ("e1", "e2", "e3")]
+        self.service = Service("s", 10, Engine(4, 50_000))
+        self.placement = Placement.from_config(self.clock, Random(3))
+
+    def choose(self, request: CallerRequest) -> str:
+        return choose_engine(
+            self.placement,
+            self.holdings,
+            request,
+            self.service,
+            self.states,
+            1,
+            "",
+            "1.",
+            0,
+            0.3,
+        ).endpoint
+
+    def test_engine_that_holds_the_parts_is_chosen(self) -> None:
+        request = prompt(("aa", 6000), ("bb", 500))
+        self.holdings.assume("e3", "1.", request.parts[:1])
+        self.assertEqual(self.choose(request), "e3")
+
+    def test_parts_of_other_weights_or_walls_count_for_nothing(self) -> None:
+        request = prompt(("aa", 6000), ("bb", 500))
+        self.holdings.assume("e3", "2.", request.parts)
+        self.holdings.assume("e2", "1.school", request.parts)
+        self.assertEqual(self.holdings.prefix_tokens("e3", "1.", request.parts), 0)
+        self.assertEqual(self.holdings.prefix_tokens("e2", "1.", request.parts), 0)
+
+    def test_queue_of_other_nodes_moves_a_request_away(self) -> None:
+        request = prompt(("aa", 6000))
+        self.holdings.assume("e3", "1.", request.parts)
+        self.states[2].peer_load["n2"] = (9, 80_000.0, 0.0, 0)
+        self.assertNotEqual(self.choose(request), "e3")
+
+    def test_full_memory_moves_a_request_away(self) -> None:
+        """Replays long prompts whose engine has no memory left: they would wait or be preempted."""
+        request = prompt(("aa", 6000))
+        self.holdings.assume("e3", "1.", request.parts)
+        self.states[2].memory_tokens = 50_000.0
+        self.assertNotEqual(self.choose(request), "e3")
+
+    def test_best_source_holds_most(self) -> None:
+        request = prompt(("aa", 6000), ("bb", 500))
+        self.assertIsNone(best_source(self.holdings, "1.", request.parts, self.states, ()))
+        self.holdings.assume("e1", "1.", request.parts[:1])
+        self.holdings.assume("e2", "1.", request.parts)
+        source = best_source(self.holdings, "1.", request.parts, self.states, ())
+        self.assertEqual((source.place, source.tokens), ("e2", 6500))
+
+    def test_second_request_queues_where_its_parts_are_being_read(self) -> None:
+        """Replays a burst on one long shared part: it is read once, not on every engine."""
+        request = prompt(("aa", 6000), ("bb", 500))
+        first = self.choose(request)
+        self.holdings.expect(first, "1.", request.parts)
+        self.assertEqual([self.choose(request) for _ in range(3)], [first] * 3)
+        self.assertIsNone(best_source(self.holdings, "1.", request.parts, self.states, ()))
+        self.holdings.unexpect(first, "1.", request.parts)
+        self.assertEqual(self.holdings.prefix_tokens(first, "1.", request.parts, True), 0)
+
+    def test_only_parts_that_are_shared_and_missing_are_saved(self) -> None:
+        store = Service("kv", 10, None, PartStore("10.0.0.9:1", "z1", 12))
+        request = prompt(("aa", 6000), ("bb", 500), ("own", 2000))
+        self.assertTrue(must_save(self.holdings, "1.", request.parts, store))
+        self.holdings.stored("kv", "1.", "aa", 5_990)
+        self.assertTrue(must_save(self.holdings, "1.", request.parts, store))
+        self.holdings.stored("kv", "1.", "bb", 496)
+        self.assertFalse(must_save(self.holdings, "1.", request.parts, store))
+        self.assertFalse(must_save(self.holdings, "1.", request.parts[2:], store))
+
+    def test_assumption_ends_and_word_of_the_engine_stays(self) -> None:
+        request = prompt(("aa", 6000))
+        self.holdings.assume("e1", "1.", request.parts)
+        self.holdings.stored("e2", "1.", "aa", 6000)
+        self.clock.advance(ASSUMED_S + 1)
+        self.assertEqual(self.holdings.prefix_tokens("e1", "1.", request.parts), 0)
+        self.assertEqual(self.holdings.prefix_tokens("e2", "1.", request.parts), 6000)
+        self.holdings.dropped("e2", "1.", "aa", 0)
+        self.assertEqual(self.holdings.prefix_tokens("e2", "1.", request.parts), 0)
+
+    def test_busy_plain_endpoint_is_left_out(self) -> None:
+        self.states[0].running = 4
+        self.states[1].running = 4
+        chosen = choose_plain(self.states, "z1", Random(1))
+        self.assertEqual(chosen.id, "e3")
+
+    def test_named_weights_go_before_older_ones(self) -> None:
+        self.states[0].weights = {"m": 1}
+        self.states[1].weights = {"m": 2}
+        self.states[2].weights = {"m": 1}
+        version, able = weights_to_use(self.states, "m", 2, 1)
+        self.assertEqual((version, [state.id for state in able]), (2, ["e2"]))
+        self.states[1].loading = True
+        version, able = weights_to_use(self.states, "m", 2, 1)
+        self.assertEqual((version, [state.id for state in able]), (1, ["e1", "e3"]))
+        self.assertEqual(weights_to_use(self.states, "m", 2, 2)[1], [])
+
+    def test_broken_request_goes_on_at_older_weights_before_any_engine_has_new_ones(self) -> None:
+        """Replays engines that die right after new weights are named: repeats find no new ones."""
+        for state in self.states:
+            state.weights = {"m": 1}
+        version, able = weights_to_use(self.states, "m", 2, 1, lambda _state: 0.1, math.inf)
+        self.assertEqual((version, len(able)), (1, 3))
+
+    def test_engines_with_older_weights_share_the_load_of_a_move(self) -> None:
+        """Replays the start of a move: one engine has the new weights and all the load."""
+        for state, version in zip(self.states, (1, 2, 1), strict=True):
+            state.weights = {"m": version}
+        waits = {"e1": 0.1, "e2": 2.0, "e3": 0.4}
+
+        def use(oldest_allowed: int) -> tuple[int, list[str]]:
+            version, able = weights_to_use(
+                self.states, "m", 2, oldest_allowed, lambda state: waits[state.id], 0.1
+            )
+            return version, [state.id for state in able]
+
+        self.assertEqual(use(1), (1, ["e1", "e3"]))
+        self.assertEqual(use(2), (2, ["e2"]))
+        waits["e2"] = 0.05
+        self.assertEqual(use(1), (2, ["e2"]))
+        self.states[0].weights = {"m": 0}
+        waits["e2"], waits["e1"], waits["e3"] = 2.0, 0.2, 1.0
+        self.assertEqual(use(0), (0, ["e1"]))
+        waits["e2"], waits["e1"], waits["e3"] = 0.5, 3.0, 3.0
+        self.assertEqual(use(1), (2, ["e2"]))
--- /dev/null
+++ b/tests/test_gateway_weights.py
@@ -0,0 +1,62 @@
+"""Named weights: what may be used, and when engines load."""
+
+import math
+import unittest
+
+from arbutustally.gateway.endpoints import EndpointState
+from arbutustally.gateway.weights import (
+    EMPTYING_S,
+    TELLING_S,
+    breaks_runs_off,
+    is_emptied,
+    plan_loads,
+)
+from arbutustally_node.gateway.fleet_view import NamedWeights
+from tests.gateway_values import entry
+
+
+class NamedWeightsTest(unittest.TestCase):
+    def test_each_version_is_allowed_until_the_one_after_it_is_old(self) -> None:
+        """Guards against requests on the oldest of three versions when the newest is young."""
+        named = NamedWeights()
+        for version, at in ((1, 0.0), (2, 2.0), (3, 5.0), (4, 8.6)):
+            self.assertTrue(named.learn(version, at))
+        self.assertFalse(named.learn(3, 4.9))
+        self.assertEqual(named.oldest_allowed(7.9, 6.0), 1)
+        self.assertEqual(named.oldest_allowed(8.0, 6.0), 2)
+        self.assertEqual(named.oldest_allowed(10.9, 6.0), 3)
+        self.assertEqual(named.oldest_allowed(20.0, 6.0), 4)
+
+    def test_version_named_before_the_start_leaves_no_time_for_older_ones(self) -> None:
+        """Guards against restarted nodes that begin requests on weights replaced long before."""
+        named = NamedWeights()
+        self.assertTrue(named.learn(5, -math.inf))
+        self.assertEqual((named.oldest_allowed(100.0, 6.0), named.dated), (5, {}))
+        named.learn(5, 98.0)
+        self.assertEqual((named.oldest_allowed(100.0, 6.0), named.dated), (0, {5: 98.0}))
+        named.learn(5, -math.inf)
+        self.assertEqual(named.oldest_allowed(100.0, 6.0), 0)
+
+
+class WeightsPlanTest(unittest.TestCase):
+    def test_few_engines_load_at_once_and_the_oldest_go_first(self) -> None:
+        states = [EndpointState(entry(f"e{number}"), weights={"m": 2}) for number in range(5)]
+        states[3].weights = {"m": 1}
+        plan = plan_loads(states, "m", 3, 2, 10.0)
+        self.assertEqual((plan.engines[0], len(plan.engines), plan.pending), ("e3", 2, 5))
+        states[0].loading, states[0].loading_until = True, 11.0
+        self.assertEqual(len(plan_loads(states, "m", 3, 2, 10.0).engines), 1)
+
+    def test_engine_is_emptied_before_it_loads(self) -> None:
+        """Replays an engine with long streams: it loads soon and loses nothing for good."""
+        state = EndpointState(entry("e1"))
+        self.assertFalse(is_emptied(state, 0.0))
+        self.assertTrue(is_emptied(state, TELLING_S))
+        state.peer_load["n2"] = (1, 0.0, 0.0, 1)
+        self.assertFalse(is_emptied(state, TELLING_S))
+        self.assertFalse(breaks_runs_off(state))
+        self.assertTrue(is_emptied(state, EMPTYING_S))
+        state.peer_load["n2"] = (5, 0.0, 0.0, 0)
+        self.assertTrue(breaks_runs_off(state))
+        state.peer_load["n3"] = (50, 0.0, 0.0, 0)
+        self.assertFalse(breaks_runs_off(state))
