Take what a request costs where it can be given back

Cause, found by reading: a request whose service is unknown had paid its account and got nothing back; parts that a request was to read stayed expected after its caller left. Change: the run takes the cost and returns it; expected parts are taken back when the caller leaves. Test for the first; DecisionLog's constructor has its type.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/decision_log.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/decision_log.py
@@ -30,7 +30,9 @@
     :param descriptor: file descriptor of the output.
     """
 
-    def __init__(self, fields: dict[str, Any], descriptor: int = STDOUT, clock: Clock = monotonic):
+    def __init__(
+        self, fields: dict[str, Any], descriptor: int = STDOUT, clock: Clock = monotonic
+    ) -> None:
         self._fields = fields
         self._descriptor = descriptor
         self._clock = clock
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
@@ -7,10 +7,8 @@
     EndpointFailedError,
     NoConfigurationError,
     Ran,
-    RateLimitedError,
     RouterError,
 )
-from arbutustally.gateway.configuration import ClientAccount
 from arbutustally.gateway.requests import CallerRequest
 from arbutustally_node.caller_watch import CallerGoneError, CallerWatch
 from arbutustally_node.gateway.caller import CallerConnection
@@ -78,36 +76,11 @@
         account = configuration.account_of(route, request.key)
         trace.account = account.name if account else ""
         trace.facts["config"] = configuration.version
-        cost = self._take_cost(request, account, trace)
         run = RequestRun(
-            self._services,
-            request,
-            configuration,
-            route,
-            account,
-            cost,
-            connection,
-            watch,
-            trace,
+            self._services, request, configuration, route, account, connection, watch, trace
         )
         run.serve()
 
-    def _take_cost(
-        self, request: CallerRequest, account: ClientAccount | None, trace: Trace
-    ) -> float:
-        """Takes what the request costs from the account's rate.
-
-        :raises RateLimitedError: if the account has used its rate and burst.
-        """
-        if account is None:
-            return 0.0
-        cost = account.cost(request.tokens)
-        wait = self._services.quota.take(account.name, cost)
-        if wait is not None:
-            trace.facts.update(cost=cost, level=round(self._services.quota.level(account.name)))
-            raise RateLimitedError("the account has used its rate", retry_after_s=round(wait, 3))
-        return cost
-
     def _refuse(self, connection: CallerConnection, error: RouterError, trace: Trace) -> None:
         trace.outcome = error.code
         trace.status = error.status
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -5,6 +5,7 @@
     EndpointTimeoutError,
     OverloadedError,
     Ran,
+    RateLimitedError,
     RouterError,
 )
 from arbutustally.gateway.admission import retry_after_s
@@ -32,7 +33,6 @@
     """The attempts of one request.
 
     :param account: ``None`` on a public route without a key.
-    :param cost: what the request took from the account's rate.
     """
 
     def __init__(
@@ -42,7 +42,6 @@
         configuration: Configuration,
         route: Route,
         account: ClientAccount | None,
-        cost: float,
         connection: CallerConnection,
         watch: CallerWatch,
         trace: Trace,
@@ -51,7 +50,6 @@
         self._request = request
         self._route = route
         self._account = account
-        self._cost = cost
         self._connection = connection
         self._watch = watch
         self._trace = trace
@@ -74,14 +72,30 @@
 
         :raises RouterError: if it is given up before the head of an answer was written.
         """
+        cost = self._take_cost()
         self._services.repeats.requested(self._placer.service.name)
         try:
             self._attempts()
         except RouterError as error:
             if self._account and error.ran is Ran.NOT_RUN:
-                self._services.quota.give_back(self._account.name, self._cost)
+                self._services.quota.give_back(self._account.name, cost)
             raise
 
+    def _take_cost(self) -> float:
+        """Takes what the request costs from the account's rate.
+
+        :raises RateLimitedError: if the account has used its rate and burst.
+        """
+        if self._account is None:
+            return 0.0
+        quota = self._services.quota
+        cost = self._account.cost(self._request.tokens)
+        wait = quota.take(self._account.name, cost)
+        if wait is not None:
+            self._trace.facts.update(cost=cost, level=round(quota.level(self._account.name)))
+            raise RateLimitedError("the account has used its rate", retry_after_s=round(wait, 3))
+        return cost
+
     def _attempts(self) -> None:
         while True:
             placed = self._placer.place(self.left_s, self._ran > 0)
@@ -138,6 +152,7 @@
         except CallerGoneError:
             self._ran += 1
             self._trace.attempts.append((state.id, "caller_gone", self._since(began)))
+            self._services.holdings.unexpect(state.id, placed.cache_scope, self._request.parts)
             raise
         finally:
             load.end()
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -178,6 +178,17 @@
     def _broken(self):
         yield b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\nda"
 
+    def test_request_whose_service_is_unknown_costs_nothing(self) -> None:
+        """Guards against an account that pays for requests that were not even placed."""
+        changed = configuration(2)
+        changed["services"] = [one for one in changed["services"] if one["name"] != "desk"]
+        changed["tenants"][0] |= {"ratePerS": 1, "burst": 500}
+        self.store.put("keyed.op", "config", changed)
+        self.eventually(lambda: self.node._view.configuration.version == 2)
+        before = self.node._quota.admitted.get("school", 0.0)
+        self.assertEqual(self.call(self.node, "/look/a", "r1").status, 503)
+        self.assertEqual(self.node._quota.admitted.get("school", 0.0), before)
+
     def test_account_over_its_rate_is_told_when_to_return(self) -> None:
         """Sends more than the rate at any speed of the machine, in requests that engines can take."""
         changed = configuration(2)
