Add a fault soak of gateway nodes as real processes

Store, workers and nodes are processes; loopback proxies delay, reset, silence and cut connections, signals kill, stop, freeze and reload, in overlapping series. Checked: at most once, truth of refusals, whole streams, own signed answers, no denial, recovery, weights in place, rising fencing numbers, clean stops.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -29,6 +29,7 @@
         app.get("/arbutustally/log-newest")(self._newest)
         app.get("/arbutustally/log-read")(self._read)
         app.post("/arbutustally/log-append")(self._append)
+        self.add_routes(app)
         self.topics: dict[str, list[tuple[str, bytes]]] = defaultdict(list)
         self.first: dict[str, int] = defaultdict(int)
         self.status = 200
@@ -37,6 +38,9 @@
         self._changed = Event()
         super().__init__(app)
 
+    def add_routes(self, app: Bottle) -> None:
+        """Adds routes of a subclass."""
+
     def put(self, topic: str, key: str, value: object | None) -> None:
         data = b"" if value is None else json.dumps(value).encode()
         self.put_raw(topic, key, data)
@@ -126,6 +130,12 @@
         self.behave = None
         super().__init__(app)
 
+    def note_run(self, request_id: str) -> None:
+        """Called for each request that runs, before its answer begins."""
+
+    def note_order(self, order: dict) -> None:
+        """Called for each order that is accepted."""
+
     def entry(self, state: str = "ready") -> dict:
         models = [{"name": self.model, "version": self.version, "adapters": []}]
         return {
@@ -155,6 +165,7 @@
         if order["expect"] != self.accepted:
             return HTTPResponse(status=409)
         self.accepted += 1
+        self.note_order(order)
         self.version = order["version"]
         return HTTPResponse(status=202)
 
@@ -172,6 +183,7 @@
         if self.behave is not None and (answer := self.behave(headers)) is not None:
             return answer
         self.ran.append(headers["Request-Id"])
+        self.note_run(headers["Request-Id"])
         response.set_header("Request-Id", headers["Request-Id"])
         response.set_header("Server-Stamp", f"stamp-{self.id}")
         if not self.model:
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,43 @@
+"""Plays soaks of consecutive seeds, several side by side, and prints a line for each."""
+
+import argparse
+import sys
+
+from gevent import monkey
+
+monkey.patch_all()
+
+from gevent.pool import Pool  # noqa: E402
+
+from tests.soak.soak import run  # noqa: E402
+
+SECONDS = 12.0
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="tests.soak", description=__doc__)
+    parser.add_argument("--first", type=int, default=1, help="first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
+    parser.add_argument("--jobs", type=int, default=1, help="soaks side by side, at most 200")
+    parser.add_argument("--seconds", type=float, default=SECONDS, help="time of faults")
+    flags = parser.parse_args()
+    broken = 0
+    seeds = range(flags.first, flags.first + flags.seeds)
+    slots = list(range(1, flags.jobs + 1))
+
+    def play(seed: int):
+        slot = slots.pop()
+        try:
+            return run(seed, flags.seconds, slot)
+        finally:
+            slots.append(slot)
+
+    for report in Pool(flags.jobs).imap_unordered(play, seeds):
+        broken += bool(report.broken)
+        print(report, f"logs: {report.logs}" if report.broken else "", flush=True)
+    print(f"{len(seeds)} seeds played, {broken} with a broken promise")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,150 @@
+"""Faults of the soak: each runs for a while; several overlap."""
+
+import signal
+from collections.abc import Callable
+from random import Random
+
+import gevent
+
+from tests.soak.fleet import Backend, Program, SoakFleet
+from tests.soak.proxy import Harm
+
+#: Longest time of one fault, seconds.
+MAX_FAULT_S = 3.0
+#: Statuses with which the store refuses calls.
+STORE_REFUSALS = (429, 500, 503)
+
+Fault = Callable[[SoakFleet, Random], None]
+
+
+def kill_node(fleet: SoakFleet, rng: Random) -> None:
+    """Kills a node and starts it again."""
+    _restart(_node(fleet, rng), signal.SIGKILL, rng)
+
+
+def stop_node(fleet: SoakFleet, rng: Random) -> None:
+    """Stops a node in an orderly way and starts it again."""
+    _restart(_node(fleet, rng), signal.SIGTERM, rng)
+
+
+def kill_all_nodes(fleet: SoakFleet, rng: Random) -> None:
+    """Kills all nodes at once and starts them again."""
+    for node in fleet.nodes.values():
+        node.end()
+    gevent.sleep(rng.uniform(0.0, 0.5))
+    for node in fleet.nodes.values():
+        _start(node)
+
+
+def freeze_node(fleet: SoakFleet, rng: Random) -> None:
+    """Stops a node for a while without ending it."""
+    _node(fleet, rng).freeze(rng.uniform(0.2, MAX_FAULT_S))
+
+
+def reload_node(fleet: SoakFleet, rng: Random) -> None:
+    """Tells a node that its settings file has changed."""
+    _node(fleet, rng).send(signal.SIGHUP)
+
+
+def harm_store_path(fleet: SoakFleet, rng: Random) -> None:
+    """Harms one node's connections to the store."""
+    proxy = rng.choice(list(fleet.stores.values()))
+    _harm(proxy, rng)
+
+
+def refuse_at_store(fleet: SoakFleet, rng: Random) -> None:
+    """Makes the store refuse every call for a while."""
+    fleet.set_store_status(rng.choice(STORE_REFUSALS))
+    gevent.sleep(rng.uniform(0.3, MAX_FAULT_S))
+    fleet.set_store_status(200)
+
+
+def forget_history(fleet: SoakFleet, _rng: Random) -> None:
+    """Makes the store forget its history."""
+    fleet.forget_history()
+
+
+def harm_worker_path(fleet: SoakFleet, rng: Random) -> None:
+    """Harms the connections to one worker."""
+    _harm(_backend(fleet, rng).proxy, rng)
+
+
+def kill_worker(fleet: SoakFleet, rng: Random) -> None:
+    """Kills a worker and starts it again under its id."""
+    backend = _backend(fleet, rng)
+    backend.program.end()
+    gevent.sleep(rng.uniform(0.0, 1.5))
+    backend.restart()
+
+
+def freeze_worker(fleet: SoakFleet, rng: Random) -> None:
+    """Stops a worker for a while without ending it."""
+    _backend(fleet, rng).program.freeze(rng.uniform(0.2, MAX_FAULT_S))
+
+
+def drain_worker(fleet: SoakFleet, rng: Random) -> None:
+    """Lists a worker as leaving, removes it, and lists it again."""
+    backend = _backend(fleet, rng)
+    backend.list("draining")
+    gevent.sleep(rng.uniform(0.5, 1.5))
+    backend.list(None)
+    gevent.sleep(rng.uniform(0.0, 1.0))
+    backend.list("ready")
+
+
+def change_configuration(fleet: SoakFleet, rng: Random) -> None:
+    """Puts newer configurations in force in quick succession."""
+    for _ in range(rng.randint(1, 4)):
+        fleet.change_configuration()
+        gevent.sleep(rng.uniform(0.0, 0.3))
+
+
+def name_weights(fleet: SoakFleet, rng: Random) -> None:
+    """Names newer weights, perhaps before the last ones are in place."""
+    for _ in range(rng.randint(1, 2)):
+        fleet.name_weights()
+        gevent.sleep(rng.uniform(0.0, 1.0))
+
+
+FAULTS: tuple[Fault, ...] = (
+    kill_node,
+    stop_node,
+    kill_all_nodes,
+    freeze_node,
+    reload_node,
+    harm_store_path,
+    refuse_at_store,
+    forget_history,
+    harm_worker_path,
+    kill_worker,
+    freeze_worker,
+    drain_worker,
+    change_configuration,
+    name_weights,
+)
+
+
+def _node(fleet: SoakFleet, rng: Random) -> Program:
+    return rng.choice(list(fleet.nodes.values()))
+
+
+def _backend(fleet: SoakFleet, rng: Random) -> Backend:
+    return rng.choice(fleet.backends)
+
+
+def _restart(program: Program, number: int, rng: Random) -> None:
+    program.end(number)
+    gevent.sleep(rng.uniform(0.0, 1.0))
+    _start(program)
+
+
+def _start(program: Program) -> None:
+    # Another fault may have started it meanwhile.
+    if not program.is_alive:
+        program.start()
+
+
+def _harm(proxy, rng: Random) -> None:
+    proxy.set(rng.choice([harm for harm in Harm if harm is not Harm.NONE]))
+    gevent.sleep(rng.uniform(0.3, MAX_FAULT_S))
+    proxy.set(Harm.NONE)
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,260 @@
+"""The processes of one soak: a store, workers behind proxies, and gateway nodes."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import gevent
+import urllib3
+
+from tests.platform_fakes import configuration
+from tests.soak.proxy import Proxy
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+PORTS = {"front": 7101, "ready": 7102, "control": 7103, "directory": 7104}
+PEER_PORT = 7110
+MODEL = "m"
+#: As on the site sheets, but for a shorter lease.
+BOUNDS = {
+    "versionMs": 6000,
+    "leaseTtlMs": 2000,
+    "graceS": 6,
+    "ttl_max_s": 1,
+    "drainMs": 2000,
+    "quotaOverage": 0.1,
+    "quotaSlack": 1_000_000,
+    "retryBudgetRatio": 0.2,
+    "budgetWindowS": 10,
+    "retryBudgetSlack": 50,
+}
+
+
+@dataclass
+class Program:
+    """A process that the soak started."""
+
+    name: str
+    command: list[str]
+    log: Path
+    variables: dict[str, str] = field(default_factory=dict)
+    popen: subprocess.Popen | None = None
+    is_frozen: bool = False
+
+    def start(self) -> None:
+        """Starts the process; its output goes on in the same file."""
+        with self.log.open("ab") as output:
+            self.popen = subprocess.Popen(
+                self.command,
+                cwd=ROOT,
+                env={**os.environ, **self.variables},
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    @property
+    def is_alive(self) -> bool:
+        """Returns whether the process runs."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def send(self, number: int) -> None:
+        """Sends a signal to the process, by its id."""
+        if self.is_alive:
+            self.popen.send_signal(number)
+
+    def freeze(self, seconds: float) -> None:
+        """Stops the process for a while."""
+        self.send(signal.SIGSTOP)
+        gevent.sleep(seconds)
+        self.send(signal.SIGCONT)
+
+    def end(self, number: int = signal.SIGKILL, within_s: float = 10.0) -> int | None:
+        """Ends the process; returns its exit code, ``None`` if it had to be killed."""
+        if not self.is_alive:
+            return None
+        self.send(signal.SIGCONT)
+        self.send(number)
+        with gevent.Timeout(within_s, False):
+            while self.is_alive:
+                gevent.sleep(0.02)
+            return self.popen.returncode
+        self.popen.kill()
+        self.popen.wait()
+        return None
+
+
+class Backend:
+    """A worker behind a proxy."""
+
+    def __init__(self, fleet: "SoakFleet", worker_id: str, service: str, model: str) -> None:
+        self._fleet = fleet
+        self.id = worker_id
+        self.service = service
+        self.model = model
+        self.version = 1
+        self.born = 1
+        self.proxy: Proxy | None = None
+        self.program: Program | None = None
+
+    def start(self) -> None:
+        """Starts the worker and lists it as ready."""
+        notes = str(self._fleet.directory / f"{self.id}.ran")
+        values = [self.id, self.service, self.model, str(self.version), notes]
+        self.program, address = self._fleet.back_end(self.id, "worker", *values)
+        if self.proxy is None:
+            self.proxy = Proxy(address)
+        self.proxy.target = address
+        self.list("ready")
+
+    def list(self, state: str | None) -> None:
+        """Writes the worker's entry, or removes it."""
+        if state is None:
+            self._fleet.write("keyed.servers", self.id, None)
+            return
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        entry = {
+            "service": self.service,
+            "address": self.proxy.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 32,
+            "state": state,
+            "coldRemainingMs": 0,
+            "models": models if self.model else [],
+            "sequence": 1,
+            "born": self.born,
+        }
+        self._fleet.write("keyed.servers", self.id, entry)
+
+    def restart(self) -> None:
+        """Starts the worker again under its id, with the weights that it had."""
+        self.program.end()
+        self.version = self._fleet.ordered_version(self.id)
+        self.born += 1
+        self.start()
+
+
+class SoakFleet:
+    """All processes of one soak.
+
+    :param slot: distinguishes the loopback addresses of fleets that run side by side.
+    """
+
+    def __init__(self, slot: int, nodes: int = 3, engines: int = 3, desks: int = 2) -> None:
+        self.directory = Path(tempfile.mkdtemp(prefix=f"soak-{slot}-"))
+        self.programs: list[Program] = []
+        self._http = urllib3.PoolManager(retries=False, timeout=5.0)
+        self._store, self._store_address = self.back_end("store", "store")
+        self._config_version = 0
+        self.weights = 1
+        self.change_configuration()
+        self.backends = [Backend(self, f"e{n}", "llm", MODEL) for n in range(1, engines + 1)]
+        self.backends += [Backend(self, f"d{n}", "desk", "") for n in range(1, desks + 1)]
+        for backend in self.backends:
+            backend.start()
+        self.ips = [f"127.77.{slot}.{number}" for number in range(1, nodes + 1)]
+        self.stores = {ip: Proxy(self._store_address) for ip in self.ips}
+        self.nodes = {ip: self._node(ip) for ip in self.ips}
+        for node in self.nodes.values():
+            node.start()
+
+    def back_end(self, name: str, *arguments: str) -> tuple[Program, str]:
+        """Starts a stand-in; returns it and its address."""
+        command = [sys.executable, "-m", "tests.soak.backends", *arguments]
+        program = Program(name, command, self.directory / f"{name}.{len(self.programs)}.log")
+        self.programs.append(program)
+        program.start()
+        with gevent.Timeout(20):
+            while "\n" not in program.log.read_text():
+                gevent.sleep(0.02)
+        return program, program.log.read_text().split()[0]
+
+    def write(self, topic: str, key: str, value: object | None) -> None:
+        """Writes a record, as the operator or a worker does."""
+        body = b"" if value is None else json.dumps(value).encode()
+        self._call(f"record/{topic}/{key}", body)
+
+    def change_configuration(self) -> None:
+        """Puts a newer configuration in force."""
+        self._config_version += 1
+        self.write("keyed.op", "config", configuration(self._config_version))
+
+    def name_weights(self) -> None:
+        """Names newer weights."""
+        self.weights += 1
+        self.write("keyed.op", f"version/{MODEL}", {"model": MODEL, "version": self.weights})
+
+    def set_store_status(self, status: int) -> None:
+        """Makes the store refuse every call, or serve again with 200."""
+        self._call(f"status/{status}")
+
+    def forget_history(self) -> None:
+        """Makes the store forget the records that are not the newest of their key."""
+        for topic in ("keyed.op", "keyed.servers"):
+            self._call(f"forget/{topic}")
+
+    def ran(self) -> dict[str, list[str]]:
+        """Returns which workers ran each request."""
+        found: dict[str, list[str]] = {}
+        for notes in self.directory.glob("*.ran"):
+            for line in notes.read_text().split("\n"):
+                if line and not line.startswith("order "):
+                    found.setdefault(line, []).append(notes.stem)
+        return found
+
+    def orders(self) -> dict[str, list[tuple[int, int]]]:
+        """Returns fencing number and version of the orders that each engine accepted."""
+        found: dict[str, list[tuple[int, int]]] = {}
+        for notes in self.directory.glob("*.ran"):
+            for line in notes.read_text().split("\n"):
+                if line.startswith("order "):
+                    _word, engine, fence, version = line.split()
+                    found.setdefault(engine, []).append((int(fence), int(version)))
+        return found
+
+    def ordered_version(self, engine: str) -> int:
+        """Returns the newest version that an engine was ordered to load."""
+        return max((version for _fence, version in self.orders().get(engine, [])), default=1)
+
+    def is_ready(self, ip: str) -> bool:
+        """Returns whether a node says that it takes requests."""
+        url = f"http://{ip}:{PORTS['ready']}/arbutustally/readyz"
+        try:
+            return self._http.request("GET", url, timeout=1.0).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def stop(self) -> None:
+        """Ends every process by its id."""
+        for program in [*self.nodes.values(), *self.programs]:
+            program.end()
+        for proxy in [*self.stores.values(), *(one.proxy for one in self.backends)]:
+            proxy.stop()
+
+    def _call(self, path: str, body: bytes = b"") -> None:
+        answer = self._http.request("PUT", f"http://{self._store_address}/soak/{path}", body=body)
+        if answer.status >= 300:
+            raise RuntimeError(f"the store's stand-in refused {path}: {answer.status}")
+
+    def _node(self, ip: str) -> Program:
+        settings = {
+            "nodeName": f"node-{ip}",
+            "ip": ip,
+            "zone": "z1",
+            "listen": {name: f"{ip}:{port}" for name, port in PORTS.items()},
+            "internalPorts": [PEER_PORT, PEER_PORT],
+            "seeds": [f"{other}:{PORTS['control']}" for other in self.ips],
+            "limits": {"memoryMb": 150},
+            "bounds": BOUNDS,
+            "platform": {"address": self.stores[ip].address},
+        }
+        path = self.directory / f"node-{ip}.json"
+        path.write_text(json.dumps(settings))
+        command = [sys.executable, "-m", "arbutustally_platform"]
+        log = self.directory / f"node-{ip}.log"
+        return Program(f"node-{ip}", command, log, {"ARBUTUSTALLY_CONFIG": str(path)})
