Ask engines for their weights when the list shows none that may be used

Cause: after a restart of all nodes the list may still show older weights than the engines have; only the holder of the lease asked them, and the lease of a killed holder has to lapse first. Change: a refusal for want of weights asks one engine; the answer counts at once. Test: failed before, passes.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -120,6 +120,8 @@
         services, request = self._services, self._request
         version, engines = self._engines_to_use(able)
         if not engines:
+            # The list may lag behind the engines, for instance after a restart of all nodes.
+            services.on_other_weights(services.rng.choice(able))
             raise self._nothing_able("no_engine_with_weights", left_s, has_run)
         scope = f"{version}.{self.wall}"
         source = best_source(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -112,7 +112,8 @@
     checked = callers.results[first : first + CHECK_REQUESTS]
     served = sum(result.is_served for result in checked)
     if served < SERVED_PART * CHECK_REQUESTS:
-        yield f"{served} of {CHECK_REQUESTS} requests are served after the faults"
+        lost = [(one.id, str(one.kind), one.status) for one in checked if not one.is_served]
+        yield f"{served} of {CHECK_REQUESTS} requests are served after the faults: {lost}"
 
 
 def _broken_promises(fleet: SoakFleet, callers: Callers) -> Iterator[str]:
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -259,6 +259,18 @@
         seen = next(engine for engine in self.engines if engine.ran).seen[-1]
         self.assertEqual(seen["Expect-Version"], "3")
 
+    def test_engines_ahead_of_the_list_serve_while_another_holds_the_lease(self) -> None:
+        """Guards against refusals until the lease of a holder that was killed has lapsed."""
+        for engine in self.engines:
+            engine.version = 2
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        lease = {"holder": "node-9~x", "fence": None, "released": False}
+        self.store.put("keyed.weights-lease", "lease", lease)
+        fields = settings(self.store.address)
+        node = self.start_node({**fields, "bounds": {**fields["bounds"], "leaseTtlMs": 60_000}})
+        self.wait_ready(node)
+        self.eventually(lambda: self.call(node, "/chat/a", "r1").status == 200, 2.0)
+
     def test_endpoint_whose_address_has_another_is_left_out_for_good(self) -> None:
         node = self.start_node()
         self.wait_ready(node)
