--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -33,6 +33,7 @@
 
     :ivar status: 0 without an answer.
     :ivar is_whole: the answer came to its end.
+    :ivar is_done: the caller waits for nothing more.
     """
 
     id: str
@@ -40,6 +41,7 @@
     status: int = 0
     body: bytes = b""
     is_whole: bool = False
+    is_done: bool = False
     is_signed: bool = False
     echoed_id: str = ""
 
@@ -118,6 +120,8 @@
         except (urllib3.exceptions.HTTPError, OSError):
             # No answer, or one that broke off: the caller knows nothing more.
             return result
+        finally:
+            result.is_done = True
         return result
 
     def _read(self, answer: urllib3.BaseHTTPResponse, result: Result) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -108,8 +108,9 @@
         found = {one: fleet.ordered_version(one) for one in engines}
         yield f"engines have {found}, version {fleet.weights} was named"
     first = len(callers.results)
-    _wait(lambda: len(callers.results) >= first + CHECK_REQUESTS + CALLERS, RECOVER_S)
+    _wait(lambda: len(callers.results) >= first + CHECK_REQUESTS, RECOVER_S)
     checked = callers.results[first : first + CHECK_REQUESTS]
+    _wait(lambda: all(result.is_done for result in checked), RECOVER_S)
     served = sum(result.is_served for result in checked)
     if served < SERVED_PART * CHECK_REQUESTS:
         lost = [(one.id, str(one.kind), one.status) for one in checked if not one.is_served]
