Send datagrams to few peers at a time, and changes of the list packed after readings

Cause: a holder told all peers once for each of 12 engines that it was to order (about 1 MB at once), each node sent to 60 peers in one burst, and readers repeated 8 KB of changes in every datagram: links of 5 to 10 Mbit/s were full, peers seemed absent (254 times in 10 s), reports of engines timed out (12), loads stalled and requests were refused for want of engines.

Change: one telling per batch of loads; 12 peers at a time; changes compressed and sent after readings only. Placements are kept per group of peers until told.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -48,6 +48,7 @@
         self._gossip = gossip
         self._is_reader: bool | None = None
         self._must_read_whole = True
+        self._is_telling = False
         self._greenlet: Any = None
 
     def start(self) -> None:
@@ -59,7 +60,9 @@
         self._greenlet.kill()
 
     def news(self) -> ListNews | None:
-        """Returns what to tell the peers, ``None`` if this node has not read the list lately."""
+        """Returns what to tell the peers right after a reading, otherwise ``None``."""
+        if not self._is_telling:
+            return None
         return self._reading.news(self._view.book.keeps_removed_s)
 
     def take(self, news: ListNews, peer: str) -> None:
@@ -122,8 +125,15 @@
         self._watch.answered()
         self._reading.read(batch.next_offset, self._apply(start, batch))
         self._view.forget_gone()
-        # The datagrams of a large fleet come too seldom for its list to stay fresh.
-        self._gossip.send_now()
+        self._tell()
+
+    def _tell(self) -> None:
+        """Tells all peers at once: datagrams of a large fleet come too seldom by themselves."""
+        self._is_telling = True
+        try:
+            self._gossip.send_now()
+        finally:
+            self._is_telling = False
 
     def _apply(self, start: int, batch: Batch) -> list[Change]:
         """Takes the records that no peer has told meanwhile; returns those with news."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -4,6 +4,7 @@
 time. Datagrams need no connection that could go silent.
 """
 
+import math
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -21,6 +22,8 @@
 #: sends in a second stays bounded as the fleet grows.
 INTERVAL_S = 0.15
 INTERVAL_PER_PEER_S = 0.01
+#: Peers that are sent to at the same moment: more would fill a small link for a while.
+GROUP_SIZE = 12
 #: One of this many datagrams has the addresses of other nodes, and at most so many of them; the
 #: first one after a peer was heard has them too.
 PEERS_EVERY = 8
@@ -51,7 +54,8 @@
     """Sends this node's state to its peers and takes theirs.
 
     :param node: name of this node, as its peers know it.
-    :param describe: returns the current state, given the next number and the peers' addresses.
+    :param describe: returns the current state, given the next number, addresses of peers to name
+        in it, and the group of peers that it is for, ``None`` for all.
     :param on_state: takes a peer's new state.
     """
 
@@ -62,7 +66,7 @@
         port: int,
         clock: Clock,
         log: DecisionLog,
-        describe: Callable[[int, tuple[str, ...]], PeerState],
+        describe: Callable[[int, tuple[str, ...], int | None], PeerState],
         on_state: Callable[[PeerState], None],
         on_absent: Callable[[PeerState], None],
     ) -> None:
@@ -122,25 +126,33 @@
 
     def send_now(self) -> None:
         """Sends the current state to all peers."""
+        self._send_to(list(self._known), None, False)
+
+    def _send_to(self, ips: list[str], group: int | None, has_peers: bool) -> None:
         self._number += 1
-        has_peers = self._has_newcomer or self._number % PEERS_EVERY == 1
-        self._has_newcomer = False
-        state = self._describe(self._number, tuple(self._known)[:MAX_PEERS] if has_peers else ())
+        peers = tuple(self._known)[:MAX_PEERS] if has_peers else ()
+        state = self._describe(self._number, peers, group)
         data = state.encode()
         if len(data) > MAX_DATAGRAM_BYTES:
             self._log.line("gossip_too_large", bytes=len(data))
             return
-        for ip in self._known:
+        for ip in ips:
             try:
                 self._socket.sendto(data, (ip, self._port))
             except OSError as error:
                 self._log.line("gossip_unsent", peer=ip, error=type(error).__name__)
 
     def _send(self) -> None:
+        rounds = 0
         while True:
-            gevent.sleep(self.interval_s)
+            rounds += 1
+            has_peers = self._has_newcomer or rounds % PEERS_EVERY == 1
+            self._has_newcomer = False
+            groups = max(1, math.ceil(len(self._known) / GROUP_SIZE))
+            for group in range(groups):
+                gevent.sleep(self.interval_s / groups)
+                self._send_to(list(self._known)[group::groups], group, has_peers)
             self._drop_absent()
-            self.send_now()
 
     def _receive(self) -> None:
         while True:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -59,8 +59,6 @@
 STOP_POLL_S = 0.05
 #: Interval at which a node without the store, or behind its peers, asks one of them, seconds.
 SNAPSHOT_INTERVAL_S = 0.5
-#: Placements of prompts that are told to peers with one datagram.
-MAX_PLACED = 64
 
 
 class GatewayNode:
@@ -286,9 +284,9 @@
         addresses = addresses_for(zone, nodes, self._rng)
         return self._platform.directory_body(addresses, self._ttl_s)
 
-    def _describe(self, number: int, peers: tuple[str, ...]) -> PeerState:
+    def _describe(self, number: int, peers: tuple[str, ...], group: int | None) -> PeerState:
         view, options = self._view, self._options
-        placed = self._request_services.take_placed()
+        placed = () if group is None else self._request_services.placed.take(group)
         now = monotonic()
         states = view.book.all()
         return PeerState(
@@ -321,7 +319,7 @@
                 state.id for state in states if state.loading and self._weights.is_holder
             ),
             down=tuple(state.id for state in states if state.is_down),
-            placed=tuple(placed[-MAX_PLACED:]),
+            placed=placed,
             peers=peers,
             news=self._endpoints.news(),
         )
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -1,5 +1,6 @@
 """What a node tells its peers, and its form in a datagram."""
 
+import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field, fields
 from typing import Any
@@ -8,6 +9,10 @@
 
 from arbutustally.gateway.shared_reading import Change, ListNews
 
+COMPRESSION = 6
+#: Largest size of the changes of the endpoints' list in one datagram, uncompressed.
+MAX_NEWS_BYTES = 65_536
+
 
 @dataclass(frozen=True)
 class PeerState:
@@ -29,7 +34,7 @@
     :ivar orders_engines: the node holds the lease on orders to engines.
     :ivar loading: endpoints that load weights.
     :ivar down: endpoints to which this node could not connect.
-    :ivar placed: recent placements of prompts, see ``RequestServices.placed_lately``.
+    :ivar placed: recent placements of prompts, see ``PlacedParts``.
     :ivar peers: addresses of other nodes; empty in most datagrams.
     :ivar news: what the node read of the endpoints' list, ``None`` if it has not lately.
     """
@@ -87,7 +92,24 @@
 
 def _news_row(news: ListNews) -> list[Any]:
     changes = [[change.offset, change.key, change.value] for change in news.changes]
-    return [news.covers_from, news.read_to, news.age_s, news.keep_removed_s, changes]
+    # Entries of endpoints resemble each other.
+    packed = zlib.compress(cbor2.dumps(changes), COMPRESSION)
+    return [news.covers_from, news.read_to, news.age_s, news.keep_removed_s, packed]
+
+
+def _unpacked(packed: bytes) -> bytes:
+    """Returns what was compressed.
+
+    :raises ValueError: if it is malformed or too long.
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        data = unpacker.decompress(packed, MAX_NEWS_BYTES)
+    except zlib.error as error:
+        raise ValueError("news are not compressed data") from error
+    if unpacker.unconsumed_tail:
+        raise ValueError("news are too long")
+    return data
 
 
 def _news(row: Any) -> ListNews:
@@ -95,7 +117,8 @@
 
     :raises TypeError: or ``ValueError`` if they are malformed.
     """
-    covers_from, read_to, age_s, keep_removed_s, changes = row
+    covers_from, read_to, age_s, keep_removed_s, packed = row
+    changes = cbor2.loads(_unpacked(packed))
     return ListNews(
         int(covers_from),
         int(read_to),
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -273,7 +273,7 @@
 
     def _tell_parts(self, placed: Placed, is_pending: bool) -> None:
         told = [(part.id, part.tokens) for part in self._request.parts]
-        self._services.placed_lately.append((placed.state.id, placed.cache_scope, told, is_pending))
+        self._services.placed.add((placed.state.id, placed.cache_scope, told, is_pending))
 
     def _urgency(self) -> int:
         account = self._account.priority if self._account else 0
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -14,11 +14,9 @@
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.instruments import Instruments
+from arbutustally_node.gateway.placed_log import PlacedLog
 from arbutustally_node.gateway.transport import Transport
 
-#: A placement of prompt parts: endpoint, cache scope, parts with their tokens, still being read.
-PlacedParts = tuple[str, str, list[tuple[str, int]], bool]
-
 
 @dataclass(frozen=True)
 class RequestServices:
@@ -28,7 +26,7 @@
     :ivar weights_s: after this time no request may begin on weights older than those named.
     :ivar on_other_weights: called for an engine that has other weights than expected.
     :ivar on_unreachable: called for an endpoint to which no connection could be made.
-    :ivar placed_lately: placements that the peers have not been told yet.
+    :ivar placed: placements to tell the peers.
     """
 
     view: FleetView
@@ -45,13 +43,7 @@
     weights_s: float
     on_other_weights: Callable[[EndpointState], None]
     on_unreachable: Callable[[EndpointState], None]
-    placed_lately: list[PlacedParts] = field(default_factory=list)
-
-    def take_placed(self) -> list[PlacedParts]:
-        """Returns the placements that the peers have not been told yet, and forgets them."""
-        placed = self.placed_lately.copy()
-        self.placed_lately.clear()
-        return placed
+    placed: PlacedLog = field(default_factory=PlacedLog)
 
 
 @dataclass
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -175,15 +175,19 @@
     def _order(self, model: str, named: int) -> None:
         states = self._engines_of(model)
         plan = plan_loads(states, model, named, loads_at_once(len(states)), self._clock())
-        for engine in plan.engines:
-            if engine not in self._ordering and self.is_holder:
-                self._ordering.add(engine)
-                gevent.spawn(self._load, self._view.book.get(engine), model, named)
+        chosen = [engine for engine in plan.engines if engine not in self._ordering]
+        if not chosen or not self.is_holder:
+            return
+        for engine in chosen:
+            self._ordering.add(engine)
+            state = self._view.book.get(engine)
+            state.loading = True
+            state.loading_until = self._clock() + EMPTYING_S + LOAD_CHECK_S
+            gevent.spawn(self._load, state, model, named)
+        self._gossip.send_now()
 
     def _load(self, state: EndpointState, model: str, named: int) -> None:
         """Orders one engine and watches it until it has loaded."""
-        state.loading = True
-        state.loading_until = self._clock() + EMPTYING_S + LOAD_CHECK_S
         try:
             self._empty(state)
             if self._send_order(state, model, named):
@@ -194,7 +198,6 @@
 
     def _empty(self, state: EndpointState) -> None:
         """Waits until an engine that gets no new requests has little left to do."""
-        self._gossip.send_now()
         began = self._clock()
         while not is_emptied(state, self._clock() - began):
             gevent.sleep(EMPTY_STEP_S)
--- a/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
+++ b/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
@@ -19,10 +19,11 @@
 #: Additional age for each rank, so that not all nodes read at once when the readers are lost.
 RANK_DELAY_S = 0.02
 MAX_RANK_DELAY_S = 0.3
-#: Time for which changes are told again, so that a few lost datagrams cost nothing, seconds.
-TOLD_S = 4.0
-#: Bound on the size of the changes in one datagram.
-MAX_TOLD_BYTES = 8_000
+#: Time for which changes are told again after each reading, so that lost datagrams cost nothing,
+#: seconds.
+TOLD_S = 2.5
+#: Bound on the size of the changes in one datagram, before compression.
+MAX_TOLD_BYTES = 24_000
 
 
 @dataclass(frozen=True)
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -348,7 +348,7 @@
         heartbeats = gevent.spawn(self.write_heartbeats)
         self.addCleanup(heartbeats.kill)
         self.eventually(
-            lambda: sum(node._endpoints.news() is not None for node in nodes) == READERS
+            lambda: sum(node._endpoints._reading.news(0) is not None for node in nodes) == READERS
         )
         self.store.put("keyed.servers", "d1", self.desks[0].entry("draining"))
         for node in nodes:
