Take ports of tests below the range of outgoing connections; log first event and gap

Cause: a test's listener got 'Address already in use' (seen once without a log, then in 1 of 12 plays of test_gateway_node beside each other): between choice and use, or while a node restarts on its old addresses, an outgoing connection may take a port of that range. Decision lines tell the time to the first event and the longest gap between events.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -204,6 +204,7 @@
         end = self._relay.run(
             attempt.response, self.left_s, self._watch, load.first_event, self._route.may_repeat
         )
+        self._trace.facts["gap_ms"] = round(self._relay.longest_gap_s * 1000)
         if end is RelayEnd.COMPLETE:
             return attempt
         self._trace.facts["stream_end"] = str(end)
@@ -258,6 +259,7 @@
             services.holdings.unexpect(placed.state.id, placed.cache_scope, self._request.parts)
         else:
             services.instruments.duration("first_event", self._route.name, first_s)
+            self._trace.facts["first_ms"] = round(first_s * 1000)
             self._note_parts(placed)
         terms = attempt.terms
         if terms is not None and terms.weights is not None and not terms.is_mismatched:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
@@ -36,8 +36,15 @@
         self._headers = headers
         self._clock = clock
         self._events = WholeEvents()
+        self._passed_at = 0.0
+        self._longest_gap_s = 0.0
         self.began = False
 
+    @property
+    def longest_gap_s(self) -> float:
+        """Returns the longest time between two events that were passed on, seconds."""
+        return self._longest_gap_s
+
     @property
     def last_id(self) -> str:
         """Returns the id of the last event that was passed on."""
@@ -108,6 +115,10 @@
         return RelayEnd.COMPLETE
 
     def _pass_on(self, whole: bytes) -> None:
+        now = self._clock()
+        if self.began:
+            self._longest_gap_s = max(self._longest_gap_s, now - self._passed_at)
+        self._passed_at = now
         if self.began:
             self._connection.send_piece(whole)
         else:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -3,7 +3,6 @@
 import os
 import secrets
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -17,6 +16,7 @@
 import urllib3
 
 from arbutustally_standins.caller.client import Caller
+from tests.ports import free_port
 
 ROOT = Path(__file__).resolve().parent.parent
 DECLARATIONS = (ROOT / "examples" / "marelle.toml").read_text()
@@ -81,17 +81,6 @@
     raise FleetError(f"waited {timeout_s} s for {what}")
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns ports that were free a moment ago."""
-    held = [socket.socket() for _ in range(count)]
-    for one in held:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
-    return ports
-
-
 class Fleet:
     """The platform, endpoints and nodes of one test."""
 
@@ -166,7 +155,7 @@
         if old is not None:
             addresses = old.addresses
         else:
-            ports = free_ports(3)
+            ports = [free_port() for _ in range(3)]
             listeners = ("caller_listen", "operator_listen", "peer_listen")
             addresses = {
                 listener: f"127.0.0.1:{port}"
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -13,12 +13,7 @@
 from arbutustally_platform.__main__ import build_platform
 from arbutustally_platform.settings import PlatformSettings, decode_settings
 from tests.platform_fakes import FakeStore, FakeWorker, configuration
-
-
-def free_port(kind: int = socket.SOCK_STREAM, ip: str = "127.0.0.1") -> int:
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+from tests.ports import free_port
 
 
 def settings(store: str, name: str = "node-1", ip: str = "127.0.0.1", **changes) -> dict[str, Any]:
@@ -28,10 +23,9 @@
         "ip": ip,
         "zone": "z1",
         "listen": {
-            which: f"{ip}:{free_port(ip=ip)}"
-            for which in ("front", "ready", "control", "directory")
+            which: f"{ip}:{free_port(ip)}" for which in ("front", "ready", "control", "directory")
         },
-        "internalPorts": [free_port(socket.SOCK_DGRAM), 1],
+        "internalPorts": [free_port(kind=socket.SOCK_DGRAM), 1],
         "seeds": [],
         "limits": {"memoryMb": 150},
         "bounds": {"versionMs": 4000, "leaseTtlMs": 1000, "graceS": 3, "ttl_max_s": 1},
@@ -65,7 +59,7 @@
 
     def _on_free_metrics_port(self, decoded: PlatformSettings) -> PlatformSettings:
         ip = decoded.options.ip
-        options = replace(decoded.options, metrics_listen=f"{ip}:{free_port(ip=ip)}")
+        options = replace(decoded.options, metrics_listen=f"{ip}:{free_port(ip)}")
         return PlatformSettings(options, decoded.store_address)
 
     def wait_ready(self, node: GatewayNode, engines: int = 2) -> None:
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -9,8 +9,9 @@
 from arbutustally.gateway.shared_reading import READERS
 from arbutustally_node.gateway.node import GatewayNode
 from arbutustally_node.gateway.weights_service import LOADS_DUTY
-from tests.gateway_fleet import GatewayCase, free_port, settings
+from tests.gateway_fleet import GatewayCase, settings
 from tests.platform_fakes import FakeStore, FakeWorker, configuration
+from tests.ports import free_port
 
 
 class ServingTest(GatewayCase):
@@ -237,7 +238,7 @@
 
     def test_nodes_agree_on_who_orders_first(self) -> None:
         """Guards against loads that wait since no node takes itself for the first."""
-        port = free_port(socket.SOCK_DGRAM)
+        port = free_port(kind=socket.SOCK_DGRAM)
         nodes = []
         for number in range(1, 5):
             fields = settings(self.store.address, f"node-{number}", f"127.0.0.{number}")
@@ -325,7 +326,7 @@
         refusing = FakeStore()
         self.addCleanup(refusing.stop)
         refusing.status = 503
-        port = free_port(socket.SOCK_DGRAM)
+        port = free_port(kind=socket.SOCK_DGRAM)
         first = self.start_node({**settings(self.store.address), "internalPorts": [port, port]})
         self.wait_ready(first)
         fields = settings(refusing.address, "node-2", "127.0.0.2", internalPorts=[port, port])
@@ -338,7 +339,7 @@
         self.assertEqual(self.desks[0].ran, [])
 
     def test_only_few_nodes_read_the_list(self) -> None:
-        port = free_port(socket.SOCK_DGRAM)
+        port = free_port(kind=socket.SOCK_DGRAM)
         nodes = []
         for number in range(1, 5):
             fields = settings(self.store.address, f"node-{number}", f"127.0.0.{number}")
