Name another place also where an engine may have dropped parts

Cause supposed: on a large fleet nobody follows the engines' cache events, so an engine counts as holding parts for 10 s though it dropped them, and they are read again. Change: unless the engine itself said that it holds them, the request names another place as source; an engine fetches only what it lacks.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -17,6 +17,7 @@
     choose_engine,
     choose_plain,
     expected_wait_s,
+    fetch_source,
     must_save,
     weights_to_use,
 )
@@ -139,8 +140,14 @@
             source.tokens if source else 0,
             self._route.target_s,
         )
-        if source is not None and source.tokens <= choice.expected_cached_tokens:
-            source = None
+        source = fetch_source(
+            services.holdings,
+            scope,
+            request.parts,
+            choice.endpoint,
+            able,
+            self._configuration.part_stores,
+        )
         self._note(choice, version, source)
         if not self._tried and must_reject(choice.estimate_s, left_s):
             wait = retry_after_s(choice.estimate_s, left_s, services.rng)
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -88,6 +88,26 @@
     return max(sources, key=lambda source: source.tokens, default=None)
 
 
+def fetch_source(
+    holdings: Holdings,
+    scope: str,
+    parts: Sequence[PromptPart],
+    engine: str,
+    states: Sequence[EndpointState],
+    stores: Sequence[Service],
+) -> PartSource | None:
+    """Returns the place from which an engine fetches the parts that it may lack.
+
+    Load pattern: memory is short and engines drop parts within seconds, which a large fleet does
+    not hear. So a place is named also where the engine is only assumed to hold the parts; it
+    fetches nothing that it has.
+    """
+    others = [state for state in states if state.id != engine]
+    source = best_source(holdings, scope, parts, others, stores)
+    sure = holdings.prefix_tokens(engine, scope, parts, with_assumed=False)
+    return source if source is not None and source.tokens > sure else None
+
+
 def must_save(holdings: Holdings, scope: str, parts: Sequence[PromptPart], store: Service) -> bool:
     """Returns whether a store of parts lacks a part that other requests may share.
 
--- a/packages/arbutustally/src/arbutustally/gateway/holdings.py
+++ b/packages/arbutustally/src/arbutustally/gateway/holdings.py
@@ -85,11 +85,17 @@
         self._places.pop(place, None)
 
     def prefix_tokens(
-        self, place: str, scope: str, parts: Sequence[PromptPart], with_pending: bool = False
+        self,
+        place: str,
+        scope: str,
+        parts: Sequence[PromptPart],
+        with_pending: bool = False,
+        with_assumed: bool = True,
     ) -> int:
         """Returns the tokens of the leading parts that a place holds.
 
         :param with_pending: count parts that the place is reading now.
+        :param with_assumed: count parts of which the place itself has said nothing.
         """
         held = self._places.get(place)
         if not held:
@@ -100,6 +106,8 @@
             entry = held.get((scope, part.id))
             if entry is None or not (entry.is_confirmed or entry.at >= oldest):
                 break
+            if not (entry.is_confirmed or with_assumed):
+                break
             if entry.is_pending and not with_pending:
                 break
             total += min(entry.tokens, part.tokens)
--- a/tests/test_gateway_choice.py
+++ b/tests/test_gateway_choice.py
@@ -9,6 +9,7 @@
     best_source,
     choose_engine,
     choose_plain,
+    fetch_source,
     must_save,
     weights_to_use,
 )
@@ -157,6 +158,16 @@
         self.holdings.unexpect(first, "1.", request.parts)
         self.assertEqual(self.holdings.prefix_tokens(first, "1.", request.parts, True), 0)
 
+    def test_engine_that_may_have_dropped_parts_is_told_another_place(self) -> None:
+        """Replays short memory in a fleet that hears of no drops: parts were read again."""
+        request = prompt(("aa", 6000), ("own", 3000))
+        for engine in ("e1", "e2"):
+            self.holdings.assume(engine, "1.", request.parts[:1])
+        known = (self.holdings, "1.", request.parts, "e1", self.states, ())
+        self.assertEqual(fetch_source(*known).place, "e2")
+        self.holdings.stored("e1", "1.", "aa", 6000)
+        self.assertIsNone(fetch_source(*known))
+
     def test_only_parts_that_are_shared_and_missing_are_saved(self) -> None:
         store = Service("kv", 10, None, PartStore("10.0.0.9:1", "z1", 12))
         request = prompt(("aa", 6000), ("bb", 500), ("own", 2000))
