--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -57,6 +57,21 @@
         self.addCleanup(node.stop)
         return node
 
+    def start_nodes(self, count: int) -> list[GatewayNode]:
+        """Starts nodes that hear each other."""
+        port = free_port(kind=socket.SOCK_DGRAM)
+        return [
+            self.start_node(
+                settings(
+                    self.store.address,
+                    f"node-{number}",
+                    f"127.0.0.{number}",
+                    internalPorts=[port, port],
+                )
+            )
+            for number in range(1, count + 1)
+        ]
+
     def _on_free_metrics_port(self, decoded: PlatformSettings) -> PlatformSettings:
         ip = decoded.options.ip
         options = replace(decoded.options, metrics_listen=f"{ip}:{free_port(ip)}")
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -238,11 +238,7 @@
 
     def test_nodes_agree_on_who_orders_first(self) -> None:
         """Guards against loads that wait since no node takes itself for the first."""
-        port = free_port(kind=socket.SOCK_DGRAM)
-        nodes = []
-        for number in range(1, 5):
-            fields = settings(self.store.address, f"node-{number}", f"127.0.0.{number}")
-            nodes.append(self.start_node({**fields, "internalPorts": [port, port]}))
+        nodes = self.start_nodes(4)
         for node in nodes:
             self.eventually(lambda node=node: self.ready_peers(node) == 3)
         self.assertEqual(sorted(node._gossip.rank(LOADS_DUTY) for node in nodes), [0, 1, 2, 3])
@@ -339,11 +335,7 @@
         self.assertEqual(self.desks[0].ran, [])
 
     def test_only_few_nodes_read_the_list(self) -> None:
-        port = free_port(kind=socket.SOCK_DGRAM)
-        nodes = []
-        for number in range(1, 5):
-            fields = settings(self.store.address, f"node-{number}", f"127.0.0.{number}")
-            nodes.append(self.start_node({**fields, "internalPorts": [port, port]}))
+        nodes = self.start_nodes(4)
         for node in nodes:
             self.eventually(lambda node=node: len(node._gossip.present) == 3)
         heartbeats = gevent.spawn(self.write_heartbeats)
