Forget endpoints that are gone on nodes that do not read the list

Cause, found by reading the whole change: only a reading dropped endpoints removed long ago, so nodes that hear of the list kept each of them for good. Change: taking what a peer has read drops them too. The test failed before.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -72,6 +72,7 @@
             self._view.take_endpoint(Record(change.key, change.value), peer)
             if change.value is None:
                 self._view.book.keep(change.key, keep_until)
+        self._view.forget_gone()
 
     @property
     def position(self) -> int | None:
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -6,7 +6,8 @@
 import gevent
 from bottle import HTTPResponse
 
-from arbutustally.gateway.shared_reading import READERS
+from arbutustally.gateway.shared_reading import READERS, Change, ListNews
+from arbutustally_node.gateway.fleet_view import FORGET_GONE_S
 from arbutustally_node.gateway.node import GatewayNode
 from arbutustally_node.gateway.weights_service import LOADS_DUTY
 from tests.gateway_fleet import GatewayCase, settings
@@ -334,6 +335,18 @@
             self.assertEqual(self.call(node, "/look/a", f"r{number}").status, 200)
         self.assertEqual(self.desks[0].ran, [])
 
+    def test_node_that_hears_of_the_list_forgets_endpoints_that_are_gone(self) -> None:
+        """Guards against memory that grows with each replaced endpoint on nodes that do not read."""
+        node = self.start_node()
+        self.wait_ready(node)
+        book = node._view.book
+        position = node._endpoints.position
+        news = ListNews(position, position + 1, 0.0, 0.0, (Change(position, "d1", None),))
+        node._endpoints.take(news, "node-2")
+        book.get("d1").gone_at -= 2 * FORGET_GONE_S
+        node._endpoints.take(ListNews(position, position + 1, 0.0, 0.0, ()), "node-2")
+        self.assertIsNone(book.get("d1"))
+
     def test_only_few_nodes_read_the_list(self) -> None:
         nodes = self.start_nodes(4)
         for node in nodes:
