Let a few nodes relay what nodes know of each other

Cause: every node told every other node everything, so the messages grew with the square of the fleet, and their interval with its size.

Change: in a fleet of more than 16 nodes a few nodes of each zone, the largest ones first, relay (gateway.relaying). A node tells one relay; relays tell each other the sums over their nodes; each relay tells its nodes the sums over the fleet. Up to 16 nodes every node is a relay, which is the manner of before. Urgent facts (the endpoints' list, loads of weights, a stop) go to all relays at once and are passed on. The table of peers has no sockets, so bench.fleet_world replays fleets of it on a virtual clock.

--- /dev/null
+++ b/bench/fleet_world.py
@@ -0,0 +1,180 @@
+"""A fleet of the real tables of peers on a virtual clock, over a network that loses and delays.
+
+Every node's load grows with time by one token a second, so the sum that a node knows of its peers
+tells how old its knowledge is.
+"""
+
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+
+from arbutustally.clock import VirtualClock
+from arbutustally.gateway.relaying import Member
+from arbutustally_node.gateway.fleet_table import FleetTable
+from arbutustally_node.gateway.gossip import DIRECT_INTERVAL_S, RELAY_INTERVAL_S
+from arbutustally_node.gateway.peer_state import Covers, PeerState
+
+ENGINE = "engine"
+ACCOUNT = "school"
+DELAY_S = 0.002
+SEEDS = 3
+
+
+class WorldNode:
+    """One node: its table, and the use that it knows of its peers."""
+
+    def __init__(self, number: int, zone: str, start: int, world: "FleetWorld") -> None:
+        self.number = number
+        self.ip = f"10.0.{number // 250}.{number % 250 + 1}"
+        self.member = Member(f"node-{number}", self.ip, zone, f"{self.ip}:80", f"{self.ip}:81", True, 1)
+        self.incarnation = f"{number}.{start}"
+        self.table = FleetTable(self.member, world.clock)
+        self.uses: dict[str, float] = {}
+        self.peers_admitted = 0.0
+        self.admitted = 0.0
+        self.runs = True
+        self.frozen_until = 0.0
+        self.waiting: list[tuple[PeerState, str]] = []
+        self._heard: dict[str, float] = {}
+        self._world = world
+
+    def describe(self) -> PeerState:
+        now = self._world.clock()
+        return PeerState(
+            self.member,
+            self.incarnation,
+            0,
+            Covers.NODE,
+            loads={ENGINE: (1, now, 0.0, 0)},
+            admitted={ACCOUNT: self.admitted} if self.admitted else {},
+        )
+
+    def take(self, state: PeerState) -> None:
+        if not self.table.take(state):
+            return
+        use = self.table.use_of(state)
+        if use is None:
+            return
+        self.uses[use.source] = use.loads.get(ENGINE, (0, 0.0, 0.0, 0))[1]
+        total = use.admitted.get(ACCOUNT, 0.0)
+        self.peers_admitted += total - self._heard.get(use.source, total if not total else 0.0)
+        self._heard[use.source] = total
+
+    def known_load(self) -> float:
+        """Returns the load of all peers as this node knows it."""
+        sources = self.table.sources()
+        return sum(load for source, load in self.uses.items() if source in sources)
+
+
+class FleetWorld:
+    """Nodes and the network between them.
+
+    :param loss: part of the datagrams that are lost.
+    :param is_cut: whether a datagram from one node to another is lost in a partition.
+    """
+
+    def __init__(self, nodes: int, zones: int = 6, seed: int = 1, loss: float = 0.0) -> None:
+        self.clock = VirtualClock(100.0)
+        self.rng = Random(seed)
+        self.loss = loss
+        self.is_cut: Callable[[WorldNode, WorldNode], bool] = lambda _source, _target: False
+        self.sent: Counter[str] = Counter()
+        self.received: Counter[str] = Counter()
+        self.sent_bytes: Counter[str] = Counter()
+        self.zone_bytes = 0
+        self.counts_bytes = False
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._zones = zones
+        self.nodes = [WorldNode(number, f"z{number % zones}", 0, self) for number in range(nodes)]
+        self._by_ip = {node.ip: node for node in self.nodes}
+        for node in self.nodes:
+            self._begin(node)
+
+    def _begin(self, node: WorldNode) -> None:
+        for seed in self.nodes[:SEEDS]:
+            node.table.introduce(seed.ip, is_lasting=True)
+        self.at(self.rng.uniform(0.0, 0.3), lambda: self._tick(node))
+
+    def at(self, after_s: float, action: Callable[[], None]) -> None:
+        """Does something after a time."""
+        heapq.heappush(self._events, (self.clock() + after_s, next(self._order), action))
+
+    def run(self, seconds: float) -> None:
+        """Plays the fleet for a time."""
+        end = self.clock() + seconds
+        while self._events and self._events[0][0] <= end:
+            at, _order, action = heapq.heappop(self._events)
+            self.clock.advance_to(at)
+            action()
+        self.clock.advance_to(end)
+
+    def freeze(self, node: WorldNode, seconds: float) -> None:
+        """Suspends a node; what arrives meanwhile waits."""
+        node.frozen_until = self.clock() + seconds
+
+    def kill(self, node: WorldNode) -> None:
+        """Ends a node."""
+        node.runs = False
+
+    def restart(self, node: WorldNode, start: int = 1) -> WorldNode:
+        """Replaces a node that ended by a new start of it."""
+        fresh = WorldNode(node.number, node.member.zone, start, self)
+        self.nodes[node.number] = fresh
+        self._by_ip[fresh.ip] = fresh
+        self._begin(fresh)
+        return fresh
+
+    def running(self) -> list[WorldNode]:
+        """Returns the nodes that run."""
+        return [node for node in self.nodes if node.runs]
+
+    def age_s(self, node: WorldNode) -> float:
+        """Returns the mean age of what a node knows of its peers' load, seconds."""
+        peers = len(self.running()) - 1
+        return self.clock() - node.known_load() / peers if peers else 0.0
+
+    def _tick(self, node: WorldNode) -> None:
+        if not node.runs:
+            return
+        is_direct = node.table.is_direct
+        self.at(DIRECT_INTERVAL_S if is_direct else RELAY_INTERVAL_S, lambda: self._tick(node))
+        if node.frozen_until > self.clock():
+            return
+        waiting, node.waiting = node.waiting, []
+        for state, from_ip in waiting:
+            self._arrive(node, state, from_ip)
+        node.table.refresh()
+        own = node.describe()
+        for message in node.table.outgoing(own):
+            self._send(node, message.state, message.ips)
+
+    def tell(self, node: WorldNode) -> None:
+        """Lets a node tell facts that must be known at once."""
+        message = node.table.urgent(node.describe())
+        self._send(node, message.state, message.ips)
+
+    def _send(self, node: WorldNode, state: PeerState, ips: tuple[str, ...]) -> None:
+        size = len(state.encode()) if self.counts_bytes else 0
+        for ip in ips:
+            self.sent[node.ip] += 1
+            self.sent_bytes[node.ip] += size
+            target = self._by_ip.get(ip)
+            if target is None or self.rng.random() < self.loss or self.is_cut(node, target):
+                continue
+            if target.member.zone != node.member.zone:
+                self.zone_bytes += size
+            self.at(DELAY_S, lambda target=target: self._arrive(target, state, node.ip))
+
+    def _arrive(self, node: WorldNode, state: PeerState, from_ip: str) -> None:
+        if not node.runs:
+            return
+        if node.frozen_until > self.clock():
+            node.waiting.append((state, from_ip))
+            return
+        self.received[node.ip] += 1
+        onward = node.table.passed_on(state, from_ip)
+        node.take(state)
+        self._send(node, state, onward)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -13,6 +13,7 @@
 from arbutustally.gateway.endpoints import EndpointState
 from arbutustally.gateway.holdings import Holdings
 from arbutustally.gateway.quota import QuotaLedger
+from arbutustally.gateway.relaying import Member
 from arbutustally.gateway.requests import PromptPart
 from arbutustally.gateway.shared_reading import SharedReading
 from arbutustally.placement import Placement
@@ -23,13 +24,14 @@
 from arbutustally_node.gateway.endpoint_check import EndpointChecker
 from arbutustally_node.gateway.endpoint_reader import EndpointReader
 from arbutustally_node.gateway.exchange import Exchange
+from arbutustally_node.gateway.fleet_table import PeerUse
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.follower import Follower
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.instruments import Instruments
 from arbutustally_node.gateway.listener import CallerListener
 from arbutustally_node.gateway.order_lease import OrderLease
-from arbutustally_node.gateway.peer_state import PeerState
+from arbutustally_node.gateway.peer_state import Covers, PeerState
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
 from arbutustally_node.gateway.request_services import RequestServices
 from arbutustally_node.gateway.store_watch import StoreWatch
@@ -59,6 +61,8 @@
 STOP_POLL_S = 0.05
 #: Interval at which a node without the store, or behind its peers, asks one of them, seconds.
 SNAPSHOT_INTERVAL_S = 0.5
+#: Time for which an endpoint counts as loading after a peer said so, seconds.
+LOADING_HEARD_S = 0.6
 
 
 class GatewayNode:
@@ -90,7 +94,7 @@
     def reload(self, options: GatewayOptions) -> None:
         """Takes changed settings that can change while the node runs: the seeds."""
         for seed in options.seeds:
-            self._gossip.introduce(seed.rpartition(":")[0])
+            self._gossip.introduce(seed.rpartition(":")[0], is_lasting=True)
         self._log.line("settings_reloaded", seeds=len(options.seeds))
 
     def reload_failed(self, reason: str) -> None:
@@ -108,7 +112,7 @@
         """Starts all services."""
         self._kernel.start()
         for seed in self._options.seeds:
-            self._gossip.introduce(seed.rpartition(":")[0])
+            self._gossip.introduce(seed.rpartition(":")[0], is_lasting=True)
         self._web = [
             serve(self._options.ready_listen, ready_app(self._options.ready_path, self.is_ready)),
             serve(
@@ -169,14 +173,13 @@
         self._checker = EndpointChecker(self._view.book, self._log)
         self._pool = PoolService(CONNECT_TIMEOUT_S, SILENCE_S)
         self._gossip = Gossip(
-            options.node,
-            options.ip,
+            self._me(),
             options.peer_port,
-            monotonic,
+            boottime,
             self._log,
             self._describe,
             self._on_peer,
-            self._on_absent,
+            self._on_fleet_change,
         )
         self._request_services = RequestServices(
             self._view,
@@ -275,7 +278,7 @@
 
     def _addresses(self, zone: str) -> bytes | None:
         nodes = [
-            EntryNode(state.callers, state.zone) for state in self._gossip.present if state.is_ready
+            EntryNode(peer.callers, peer.zone) for peer in self._gossip.present if peer.is_ready
         ]
         if self.is_ready():
             nodes.append(EntryNode(self._options.caller_listen, self._options.zone))
@@ -284,20 +287,28 @@
         addresses = addresses_for(zone, nodes, self._rng)
         return self._platform.directory_body(addresses, self._ttl_s)
 
-    def _describe(self, number: int, peers: tuple[str, ...], group: int | None) -> PeerState:
-        view, options = self._view, self._options
-        placed = () if group is None else self._request_services.placed.take(group)
+    def _me(self) -> Member:
+        options, configuration = self._options, self._view.configuration
+        return Member(
+            options.node,
+            options.ip,
+            options.zone,
+            options.caller_listen,
+            options.control_listen,
+            self.is_ready(),
+            configuration.version if configuration else 0,
+            options.capacity,
+        )
+
+    def _describe(self, has_placed: bool) -> PeerState:
+        view = self._view
         now = monotonic()
         states = view.book.all()
         return PeerState(
-            node=options.node,
-            incarnation=self._incarnation,
-            number=number,
-            zone=options.zone,
-            callers=options.caller_listen,
-            control=options.control_listen,
-            is_ready=self.is_ready(),
-            config=view.configuration.version if view.configuration else 0,
+            self._me(),
+            self._incarnation,
+            0,
+            Covers.NODE,
             loads={
                 state.id: (
                     state.running,
@@ -319,24 +330,21 @@
                 state.id for state in states if state.loading and self._weights.is_holder
             ),
             down=tuple(state.id for state in states if state.is_down),
-            placed=placed,
-            peers=peers,
+            placed=self._request_services.placed.take(0) if has_placed else (),
             news=self._endpoints.news(),
         )
 
-    def _on_peer(self, state: PeerState) -> None:
-        book = self._view.book
+    def _on_peer(self, state: PeerState, use: PeerUse | None) -> None:
+        book, node = self._view.book, state.sender.node
         if state.news is not None:
-            self._endpoints.take(state.news, state.node)
-        book.set_peer_load(state.node, {key: tuple(load) for key, load in state.loads.items()})
-        self._quota.heard(state.incarnation, state.admitted)
-        heard = len(self._gossip.present) + 1
-        self._quota.see(heard, self._gossip.known + 1)
-        self._repeats.share_among(self._gossip.known + 1)
+            self._endpoints.take(state.news, node)
+        if use is not None:
+            book.set_peer_load(use.source, use.loads)
+            self._quota.heard(use.source, use.admitted)
         now = monotonic()
         for model, versions in state.weights.items():
             for version, age in versions.items():
-                self._view.learn_weights(model, version, now - age, state.node)
+                self._view.learn_weights(model, version, now - age, node)
         for endpoint_id, weights in state.engines.items():
             endpoint = book.get(endpoint_id)
             if endpoint is not None:
@@ -357,14 +365,17 @@
             endpoint = self._view.book.get(endpoint_id)
             if endpoint is not None:
                 endpoint.loading = True
-                endpoint.loading_until = now + self._gossip.interval_s * 2
+                endpoint.loading_until = now + LOADING_HEARD_S
         for endpoint in self._view.book.all():
             if endpoint.loading and now >= endpoint.loading_until:
                 endpoint.loading = False
 
-    def _on_absent(self, state: PeerState) -> None:
-        self._view.book.set_peer_load(state.node, {})
-        self._quota.see(len(self._gossip.present) + 1, self._gossip.known + 1)
+    def _on_fleet_change(self, gone: set[str]) -> None:
+        for source in gone:
+            self._view.book.set_peer_load(source, {})
+        known = self._gossip.known + 1
+        self._quota.see(len(self._gossip.present) + 1, known)
+        self._repeats.share_among(known)
 
     def _catch_up(self) -> None:
         """Asks a peer for what the store does not give."""
@@ -389,7 +400,7 @@
         if snapshot.position is not None:
             self._endpoints.take_snapshot(snapshot.endpoints, snapshot.position, peer)
 
-    def _peer_ahead(self) -> PeerState | None:
+    def _peer_ahead(self) -> Member | None:
         configuration = self._view.configuration
         version = configuration.version if configuration else 0
         ahead = [state for state in self._gossip.present if state.config > version]
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -1,53 +1,67 @@
-"""What a node tells its peers, and its form in a datagram."""
+"""What nodes tell each other, and its form in a datagram."""
 
 import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field, fields
+from enum import IntEnum
 from typing import Any
 
 import cbor2
 
+from arbutustally.gateway.fleet_sums import Load
+from arbutustally.gateway.relaying import Member
 from arbutustally.gateway.shared_reading import Change, ListNews
 
-COMPRESSION = 6
-#: Largest size of the changes of the endpoints' list in one datagram, uncompressed.
-MAX_NEWS_BYTES = 65_536
+COMPRESSION = 3
+#: Datagrams below this size are not worth the time of compression, bytes.
+MIN_COMPRESSED_BYTES = 700
+#: Largest size of a datagram's content, bytes.
+MAX_CONTENT_BYTES = 262_144
+
+_PLAIN = b"p"
+_COMPRESSED = b"z"
+
+
+class Covers(IntEnum):
+    """Whose load and admitted tokens a message has.
+
+    ``NODE``: the sender's, for the relay that it uses. ``CELL``: those of a relay and of the nodes
+    that use it, for the other relays. ``FLEET``: those of all nodes, from a relay for the nodes
+    that use it. ``NOTHING``: none; facts that must be known at once, which relays pass on.
+    """
+
+    NODE = 0
+    CELL = 1
+    FLEET = 2
+    NOTHING = 3
 
 
 @dataclass(frozen=True)
 class PeerState:
     """What a node tells its peers.
 
-    :ivar node: name of the node.
     :ivar incarnation: differs between two starts of a node.
     :ivar number: grows with each datagram of an incarnation.
-    :ivar callers: address for callers.
-    :ivar control: address of the control listener.
-    :ivar is_ready: the node takes requests.
-    :ivar config: version of the configuration in force, 0 for none.
-    :ivar loads: running requests, unread prompt tokens, tokens in memory, and requests that can't
-        go on elsewhere, by endpoint.
+    :ivar loads: load by endpoint.
     :ivar admitted: running totals by account.
     :ivar weights: named versions by model, with the age of the knowledge in seconds.
     :ivar engines: version that an engine is known to run beyond the endpoints' list, by endpoint
         and model.
-    :ivar orders_engines: the node holds the lease on orders to engines.
+    :ivar orders_engines: a node among those covered holds the lease on orders to engines.
     :ivar loading: endpoints that load weights.
-    :ivar down: endpoints to which this node could not connect.
+    :ivar down: endpoints to which the sender could not connect.
     :ivar placed: recent placements of prompts, see ``PlacedParts``.
-    :ivar peers: addresses of other nodes; empty in most datagrams.
-    :ivar news: what the node read of the endpoints' list, ``None`` if it has not lately.
+    :ivar members: the nodes covered, without the sender; ``None`` if they are the same as before.
+    :ivar peers: addresses of other relays.
+    :ivar counted: number of the last message of each node that uses the sender as its relay.
+    :ivar news: what the sender read of the endpoints' list, ``None`` if it has not lately.
     """
 
-    node: str
+    sender: Member
     incarnation: str
     number: int
-    zone: str
-    callers: str
-    control: str
-    is_ready: bool
-    config: int
-    loads: Mapping[str, tuple[int, float, float, int]] = field(default_factory=dict)
+    covers: Covers
+    loads: Mapping[str, Load] = field(default_factory=dict)
     admitted: Mapping[str, float] = field(default_factory=dict)
     weights: Mapping[str, Mapping[int, float]] = field(default_factory=dict)
     engines: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
@@ -55,61 +69,112 @@
     loading: tuple[str, ...] = ()
     down: tuple[str, ...] = ()
     placed: tuple[Any, ...] = ()
+    members: tuple[Member, ...] | None = None
     peers: tuple[str, ...] = ()
+    counted: Mapping[str, int] = field(default_factory=dict)
     news: ListNews | None = None
 
     def encode(self) -> bytes:
         """Returns the datagram."""
         values = [getattr(self, one.name) for one in fields(self)]
-        if self.news is not None:
-            values[-1] = _news_row(self.news)
-        return cbor2.dumps(values)
+        values[0] = _member_row(self.sender)
+        values[-4] = None if self.members is None else [_member_row(one) for one in self.members]
+        values[-1] = None if self.news is None else _news_row(self.news)
+        content = cbor2.dumps(values)
+        if len(content) < MIN_COMPRESSED_BYTES:
+            return _PLAIN + content
+        return _COMPRESSED + zlib.compress(content, COMPRESSION)
 
     @classmethod
     def decode(cls, data: bytes) -> "PeerState | None":
         """Returns the state in a datagram, ``None`` if it is malformed."""
         try:
-            *values, news = cbor2.loads(data)
-            state = cls(*values, news=None if news is None else _news(news))
-        except (cbor2.CBORDecodeError, TypeError, ValueError):
+            return cls._from_values(cbor2.loads(_content(data)))
+        except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError):
             return None
-        return state if state._is_sound() else None
-
-    def _is_sound(self) -> bool:
-        texts = (self.node, self.incarnation, self.zone, self.callers, self.control)
-        tables = (self.loads, self.admitted, self.weights, self.engines)
-        return (
-            all(isinstance(text, str) for text in texts)
-            and isinstance(self.number, int)
-            and isinstance(self.config, int)
-            and isinstance(self.is_ready, bool)
-            and all(isinstance(table, dict) for table in tables)
-            and isinstance(self.down, list)
-            and isinstance(self.placed, list)
-            and isinstance(self.peers, list)
-        )
-
 
-def _news_row(news: ListNews) -> list[Any]:
-    changes = [[change.offset, change.key, change.value] for change in news.changes]
-    # Entries of endpoints resemble each other.
-    packed = zlib.compress(cbor2.dumps(changes), COMPRESSION)
-    return [news.covers_from, news.read_to, news.age_s, news.keep_removed_s, packed]
+    @classmethod
+    def _from_values(cls, values: Any) -> "PeerState":
+        sender, incarnation, number, covers, *rest, members, peers, counted, news = values
+        loads, admitted, weights, engines, orders, loading, down, placed = rest
+        return cls(
+            _member(sender),
+            _text(incarnation),
+            int(number),
+            Covers(covers),
+            {_text(key): _load(load) for key, load in loads.items()},
+            {_text(key): float(total) for key, total in admitted.items()},
+            {_text(key): _ages(ages) for key, ages in weights.items()},
+            {_text(key): _versions(versions) for key, versions in engines.items()},
+            bool(orders),
+            tuple(map(_text, loading)),
+            tuple(map(_text, down)),
+            tuple(map(_placed, placed)),
+            None if members is None else tuple(map(_member, members)),
+            tuple(map(_text, peers)),
+            {_text(key): int(last) for key, last in counted.items()},
+            None if news is None else _news(news),
+        )
 
 
-def _unpacked(packed: bytes) -> bytes:
-    """Returns what was compressed.
+def _content(data: bytes) -> bytes:
+    """Returns the content of a datagram.
 
     :raises ValueError: if it is malformed or too long.
     """
+    kind, body = data[:1], data[1:]
+    if kind == _PLAIN:
+        return body
+    if kind != _COMPRESSED:
+        raise ValueError("not a datagram of a node")
     unpacker = zlib.decompressobj()
     try:
-        data = unpacker.decompress(packed, MAX_NEWS_BYTES)
+        content = unpacker.decompress(body, MAX_CONTENT_BYTES)
     except zlib.error as error:
-        raise ValueError("news are not compressed data") from error
+        raise ValueError("the datagram is not compressed data") from error
     if unpacker.unconsumed_tail:
-        raise ValueError("news are too long")
-    return data
+        raise ValueError("the datagram is too long")
+    return content
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError("not a text")
+    return value
+
+
+def _load(row: Any) -> Load:
+    running, unread, memory, unrepeatable = row
+    return int(running), float(unread), float(memory), int(unrepeatable)
+
+
+def _ages(row: Any) -> dict[int, float]:
+    return {int(version): float(age) for version, age in row.items()}
+
+
+def _versions(row: Any) -> dict[str, int]:
+    return {_text(model): int(version) for model, version in row.items()}
+
+
+def _placed(row: Any) -> tuple[str, str, list[tuple[str, int]], bool]:
+    endpoint, scope, parts, is_pending = row
+    told = [(_text(part), int(tokens)) for part, tokens in parts]
+    return _text(endpoint), _text(scope), told, bool(is_pending)
+
+
+def _member_row(member: Member) -> list[Any]:
+    return [getattr(member, one.name) for one in fields(Member)]
+
+
+def _member(row: Any) -> Member:
+    node, ip, zone, callers, control, is_ready, config, capacity = row
+    texts = map(_text, (node, ip, zone, callers, control))
+    return Member(*texts, bool(is_ready), int(config), int(capacity))
+
+
+def _news_row(news: ListNews) -> list[Any]:
+    changes = [[change.offset, change.key, change.value] for change in news.changes]
+    return [news.covers_from, news.read_to, news.age_s, news.keep_removed_s, changes]
 
 
 def _news(row: Any) -> ListNews:
@@ -117,8 +182,7 @@
 
     :raises TypeError: or ``ValueError`` if they are malformed.
     """
-    covers_from, read_to, age_s, keep_removed_s, packed = row
-    changes = cbor2.loads(_unpacked(packed))
+    covers_from, read_to, age_s, keep_removed_s, changes = row
     return ListNews(
         int(covers_from),
         int(read_to),
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
@@ -298,6 +298,7 @@
     :ivar metrics_listen: ``host:port`` for metrics.
     :ivar seeds: ``host:port`` of control listeners of some nodes.
     :ivar memory_mb: memory of the process.
+    :ivar capacity: of processor and link; instances with more relay for others first.
     """
 
     node: str
@@ -312,6 +313,7 @@
     seeds: tuple[str, ...]
     memory_mb: int
     bounds: GatewayBounds
+    capacity: int = 0
     ready_path: str = "/ready"
     directory_path: str = "/addresses"
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -115,7 +115,7 @@
         if not self.is_holder:
             if now - self._behind_since < self._gossip.rank(LOADS_DUTY) * RANK_DELAY_S:
                 return True
-            if any(state.orders_engines for state in self._gossip.present):
+            if self._gossip.has_orderer:
                 self._stand_by(True)
                 return True
             if not self._lease.claim():
--- a/packages/arbutustally/src/arbutustally/gateway/quota.py
+++ b/packages/arbutustally/src/arbutustally/gateway/quota.py
@@ -50,7 +50,7 @@
         self._tolerance = tolerance
         self._buckets: dict[str, _Bucket] = {}
         self._admitted: dict[str, float] = {}
-        self._heard: dict[tuple[str, str], float] = {}
+        self._heard: dict[str, Mapping[str, float]] = {}
         self._visible = 1.0
 
     @classmethod
@@ -126,14 +126,15 @@
 
         :param peer: unique for each start of a node.
         """
+        # What a peer had admitted before it was first heard is in the first level already.
+        before = self._heard.get(peer, admitted)
+        self._heard[peer] = dict(admitted)
         for account, total in admitted.items():
-            # What a peer had admitted before it was first heard is in the first level already.
-            before = self._heard.get((peer, account), total)
-            self._heard[(peer, account)] = total
             bucket = self._buckets.get(account)
-            if bucket is not None:
+            added = total - before.get(account, 0.0)
+            if bucket is not None and added:
                 self._fill(bucket)
-                bucket.level = min(bucket.level - (total - before), bucket.burst)
+                bucket.level = min(bucket.level - added, bucket.burst)
 
     def _fill(self, bucket: _Bucket) -> None:
         now = self._clock()
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -1,28 +1,48 @@
 """Datagrams between nodes: what arrives is what was sent, and malformed ones are refused."""
 
+import itertools
 import unittest
 import zlib
+from dataclasses import replace
 
 import cbor2
 from hypothesis import given
 from hypothesis import strategies as st
 
+from arbutustally.gateway.relaying import Member
 from arbutustally.gateway.shared_reading import Change, ListNews
-from arbutustally_node.gateway.peer_state import MAX_NEWS_BYTES, PeerState
+from arbutustally_node.gateway.peer_state import MAX_CONTENT_BYTES, Covers, PeerState
 from arbutustally_node.gateway.placed_log import MAX_TOLD, PlacedLog
 
 
+MEMBER = Member("n1", "10.0.0.1", "z1", "10.0.0.1:1", "10.0.0.1:2", True, 3, 20)
+
+
 def state(**changes) -> PeerState:
-    return PeerState("n1", "i1", 7, "z1", "10.0.0.1:1", "10.0.0.1:2", True, 3, **changes)
+    return PeerState(MEMBER, "i1", 7, Covers.NODE, **changes)
 
 
 class PeerStateTest(unittest.TestCase):
     def test_state_arrives_as_it_was_sent(self) -> None:
         changes = (Change(4, "e1", b"{}"), Change(6, "e2", None))
-        sent = state(news=ListNews(3, 9, 0.5, 1.0, changes), loads={"e1": [1, 2, 3, 0]})
-        received = PeerState.decode(sent.encode())
-        self.assertEqual(received.news, sent.news)
-        self.assertEqual(received.loads, sent.loads)
+        sent = state(
+            news=ListNews(3, 9, 0.5, 1.0, changes),
+            loads={"e1": (1, 2.0, 3.0, 0)},
+            admitted={"school": 7.0},
+            weights={"m": {2: 0.5}},
+            engines={"e1": {"m": 2}},
+            loading=("e1",),
+            placed=(("e1", "s", [("aa", 60)], True),),
+            members=(MEMBER,),
+            peers=("10.0.0.2",),
+            counted={"n2": 9},
+        )
+        self.assertEqual(PeerState.decode(sent.encode()), sent)
+
+    def test_large_message_takes_little_room(self) -> None:
+        """Replays a relay of 195 nodes that names them all."""
+        members = tuple(replace(MEMBER, node=f"front-zone-{n}", ip=f"10.1.0.{n}") for n in range(195))
+        self.assertLess(len(state(members=members).encode()), 195 * 25)
 
     def test_changes_that_resemble_each_other_take_little_room(self) -> None:
         """Replays weights that all of 70 engines have loaded: their entries change at once."""
@@ -31,10 +51,19 @@
         sent = state(news=ListNews(0, 99, 0.0, 0.0, changes))
         self.assertLess(len(sent.encode()), sum(len(change.value) for change in changes) / 4)
 
-    def test_news_that_unpack_to_too_much_are_refused(self) -> None:
-        values = cbor2.loads(state(news=ListNews(0, 1, 0.0, 0.0, ())).encode())
-        values[-1][-1] = zlib.compress(b"x" * (MAX_NEWS_BYTES + 1))
-        self.assertIsNone(PeerState.decode(cbor2.dumps(values)))
+    def test_datagrams_that_unpack_to_too_much_are_refused(self) -> None:
+        self.assertIsNone(PeerState.decode(b"z" + zlib.compress(b"x" * (MAX_CONTENT_BYTES + 1))))
+
+    def test_fields_of_another_type_are_refused(self) -> None:
+        """Guards against a message of a stranger that fails only where it is used."""
+        values = cbor2.loads(state(loads={"e1": (1, 2.0, 3.0, 0)}).encode()[1:])
+        self.assertIsNotNone(PeerState.decode(b"p" + cbor2.dumps(values)))
+        for place, wrong in itertools.product(range(len(values)), (b"x", "x", [1], {1: 1}, -1.5)):
+            if isinstance(wrong, type(values[place])) or values[place] is None:
+                continue
+            changed = [*values[:place], wrong, *values[place + 1 :]]
+            received = PeerState.decode(b"p" + cbor2.dumps(changed))
+            self.assertTrue(received is None or received.encode(), (place, wrong))
 
     @given(st.binary(max_size=200))
     def test_bytes_of_others_are_refused(self, data) -> None:
