Let two nodes read the operator's records for the whole fleet

Change: the nodes that read the endpoints' list read the operator's records too, and tell all others at once; a configuration that is larger than a datagram is fetched from the relay. Four nodes announce themselves, and only a node that hears nobody reads the announcements.

--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/announcer.py
@@ -0,0 +1,99 @@
+"""Lets nodes find each other through the platform's store where the seeds do not answer."""
+
+from typing import Any
+
+import gevent
+
+from arbutustally.clock import Clock
+from arbutustally.errors import StoreUnavailableError
+from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.gossip import Gossip
+from arbutustally_node.gateway.ports import NodeTopic
+from arbutustally_node.gateway.store_watch import StoreWatch
+
+#: Names the order of nodes in which they announce themselves.
+ANNOUNCING_DUTY = b"announce"
+#: Nodes that are announced; a new node needs one of them.
+ANNOUNCED = 4
+#: Time after the start until the fleet is known well enough to tell who is announced, seconds.
+SETTLED_S = 4.0
+#: Time after which a node that hears nobody looks into the store, and then looks again, seconds.
+ALONE_S = 0.6
+ALONE_RETRY_S = 1.0
+LOOK_S = 0.2
+
+
+class Announcer:
+    """Writes the address of a few nodes into the store, and reads it on nodes that hear nobody.
+
+    :param name: name of this node.
+    :param address: what the others need to reach it.
+    """
+
+    def __init__(
+        self,
+        topic: NodeTopic,
+        gossip: Gossip,
+        watch: StoreWatch,
+        log: DecisionLog,
+        clock: Clock,
+        name: str,
+        address: bytes,
+    ) -> None:
+        self._topic = topic
+        self._gossip = gossip
+        self._watch = watch
+        self._log = log
+        self._clock = clock
+        self._name = name
+        self._address = address
+        self._is_announced = False
+        self._greenlet: Any = None
+
+    def start(self) -> None:
+        """Starts to look whether this node must be announced."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Removes this node's record."""
+        self._greenlet.kill()
+        if not self._is_announced:
+            return
+        try:
+            self._topic.announce(self._name, None)
+        except StoreUnavailableError as error:
+            self._log.line("announcement_not_removed", reason=error.message)
+
+    def _run(self) -> None:
+        started = self._clock()
+        alone_since = started
+        while True:
+            gevent.sleep(LOOK_S)
+            now = self._clock()
+            is_alone = not self._gossip.present
+            if not is_alone:
+                alone_since = now
+            try:
+                if is_alone and now - alone_since >= ALONE_S:
+                    alone_since = now + ALONE_RETRY_S - ALONE_S
+                    self._announce()
+                    self._find()
+                elif now - started >= SETTLED_S and self._must_announce():
+                    self._announce()
+            except StoreUnavailableError as error:
+                self._watch.failed(error)
+                gevent.sleep(ALONE_RETRY_S)
+
+    def _must_announce(self) -> bool:
+        return not self._is_announced and self._gossip.rank(ANNOUNCING_DUTY) < ANNOUNCED
+
+    def _announce(self) -> None:
+        if not self._is_announced:
+            # The record may be there also if the store does not confirm it.
+            self._is_announced = True
+            self._topic.announce(self._name, self._address)
+
+    def _find(self) -> None:
+        for record in self._topic.newest().records:
+            if record.value is not None:
+                self._gossip.introduce(record.value.decode("ascii", "replace"))
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -79,6 +79,11 @@
         """Returns the offset up to which the list is known, ``None`` for not at all."""
         return self._reading.position
 
+    @property
+    def is_reader(self) -> bool:
+        """Returns whether this node reads the store for the fleet now."""
+        return bool(self._is_reader)
+
     @property
     def has_missed(self) -> bool:
         """Returns whether a peer knows changes that this node lacks."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
@@ -132,6 +132,13 @@
         """Returns whether this node relays, by plan or for nodes that use it."""
         return bool(self._nodes) or (bool(self._present) and self._ip in self._plan.ips)
 
+    @property
+    def relay(self) -> Member | None:
+        """Returns the relay that this node uses, ``None`` if it uses none."""
+        if self.is_relay or self._fleet is None:
+            return None
+        return self._fleet.state.sender
+
     @property
     def has_orderer(self) -> bool:
         """Returns whether a peer that is heard holds the lease on orders to engines."""
@@ -275,6 +282,7 @@
 
         :param own: this node's state, as it is told to the relay that it uses.
         """
+        own = replace(own, news=None, operator=())
         self._rounds += 1
         if own.sender != self._me:
             self._me = own.sender
@@ -291,8 +299,9 @@
 
     def urgent(self, own: PeerState) -> Outgoing:
         """Returns a message with facts that must be known at once."""
-        state = replace(self._numbered(own), covers=Covers.NOTHING, loads={}, admitted={})
-        state = replace(state, placed=())
+        state = replace(
+            self._numbered(own), covers=Covers.NOTHING, loads={}, admitted={}, placed=()
+        )
         return Outgoing(state, (*self.relays, *self._nodes))
 
     def passed_on(self, state: PeerState, from_ip: str) -> tuple[str, ...]:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -1,6 +1,8 @@
-"""Follows the operator's records in the platform's store, and announces this node there."""
+"""Keeps current with the operator's records: read from the store, or told by a peer that reads."""
 
 import math
+from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -9,8 +11,8 @@
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
-from arbutustally_node.gateway.gossip import Gossip
-from arbutustally_node.gateway.ports import KeyedTopic, NodeTopic, Platform
+from arbutustally_node.gateway.peer_state import OperatorNews
+from arbutustally_node.gateway.ports import KeyedTopic, Record
 from arbutustally_node.gateway.store_watch import StoreWatch
 
 #: Longest wait of a read for the next record, seconds.
@@ -20,61 +22,80 @@
 MAX_RETRY_S = 1.0
 #: Time for which a connection to the store may have been silent before a call on it fails, seconds.
 UNNOTICED_S = 3.0
+#: Interval at which a node that does not read looks whether it must, seconds.
+LOOK_S = 0.05
+#: Time for which records are told again, so that lost datagrams cost nothing, seconds.
+TOLD_S = 2.5
 
 
 class Follower:
     """Keeps a ``FleetView`` current with what the operator writes.
 
-    :param announcement: name and value of this node's record.
+    :param is_reader: returns whether this node reads for the fleet now.
+    :param tell: tells the peers at once what this node has read.
     """
 
     def __init__(
         self,
-        platform: Platform,
+        topic: KeyedTopic,
         view: FleetView,
-        gossip: Gossip,
         watch: StoreWatch,
         log: DecisionLog,
         clock: Clock,
-        announcement: tuple[str, bytes],
+        is_reader: Callable[[], bool],
+        tell: Callable[[], None],
     ) -> None:
-        self._platform = platform
+        self._topic = topic
         self._view = view
-        self._gossip = gossip
         self._watch = watch
         self._log = log
         self._clock = clock
-        self._announcement = announcement
-        self._greenlets: list[Any] = []
+        self._is_reader = is_reader
+        self._tell = tell
+        self._told: deque[tuple[float, float, Record]] = deque()
+        self._greenlet: Any = None
 
     def start(self) -> None:
         """Starts following."""
-        self._greenlets = [
-            gevent.spawn(self._follow, self._platform.operator_topic),
-            gevent.spawn(self._announce, self._platform.node_topic),
-        ]
+        self._greenlet = gevent.spawn(self._follow)
 
     def stop(self) -> None:
-        """Stops following and removes this node's record."""
-        for greenlet in self._greenlets:
-            greenlet.kill()
-        try:
-            self._platform.node_topic.announce(self._announcement[0], None)
-        except StoreUnavailableError as error:
-            self._log.line("announcement_not_removed", reason=error.message)
+        """Stops following."""
+        self._greenlet.kill()
 
-    def _follow(self, topic: KeyedTopic) -> None:
+    def news(self) -> tuple[OperatorNews, ...]:
+        """Returns the records that this node has read lately."""
+        now = self._clock()
+        while self._told and now - self._told[0][0] > TOLD_S:
+            self._told.popleft()
+        return tuple(
+            OperatorNews(record.key, record.value, None if known_at == -math.inf else now - known_at)
+            for _told_at, known_at, record in self._told
+            if record.value is not None
+        )
+
+    def take(self, news: tuple[OperatorNews, ...], peer: str) -> None:
+        """Takes what a peer has read."""
+        now = self._clock()
+        for one in news:
+            known_at = -math.inf if one.age_s is None else now - one.age_s
+            self._view.take_operator(Record(one.key, one.value), peer, known_at)
+
+    def _follow(self) -> None:
         offset: int | None = None
         retry_s = RETRY_S
         # Earliest time at which the next records may have been written.
         unread_since = -math.inf
         while True:
+            if offset is not None and not self._is_reader():
+                # Records that come now are told by the nodes that read.
+                unread_since = min(unread_since, self._clock())
+                gevent.sleep(LOOK_S)
+                continue
             try:
-                batch = topic.newest() if offset is None else topic.since(offset, WAIT_S)
+                batch = self._topic.newest() if offset is None else self._topic.since(offset, WAIT_S)
                 self._watch.answered()
-                known_at = min(unread_since, self._clock())
-                for record in batch.records:
-                    self._view.take_operator(record, "store", known_at)
+                self._take(batch.records, min(unread_since, self._clock()), offset is not None)
                 unread_since = math.inf
                 offset = batch.next_offset
                 retry_s = RETRY_S
@@ -88,16 +109,11 @@
                 gevent.sleep(retry_s)
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
-    def _announce(self, topic: NodeTopic) -> None:
-        retry_s = RETRY_S
-        while True:
-            try:
-                topic.announce(*self._announcement)
-                for record in topic.newest().records:
-                    if record.value is not None:
-                        self._gossip.introduce(record.value.decode("ascii", "replace"))
-                return
-            except StoreUnavailableError as error:
-                self._watch.failed(error)
-                gevent.sleep(retry_s)
-                retry_s = min(retry_s * 2, MAX_RETRY_S)
+    def _take(self, records: tuple[Record, ...], known_at: float, is_news: bool) -> None:
+        now = self._clock()
+        for record in records:
+            self._view.take_operator(record, "store", known_at)
+            if is_news:
+                self._told.append((now, known_at, record))
+        if is_news and records and self._is_reader():
+            self._tell()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -6,6 +6,7 @@
 
 import socket
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import gevent
@@ -101,6 +102,11 @@
         """Returns whether a peer that is heard holds the lease on orders to engines."""
         return self._table.has_orderer
 
+    @property
+    def relay(self) -> Member | None:
+        """Returns the relay that this node uses, ``None`` if it uses none."""
+        return self._table.relay
+
     def rank(self, duty: bytes) -> int:
         """Returns this node's place among the ready nodes for a duty, 0 for the first."""
         return self._table.rank(duty)
@@ -115,7 +121,11 @@
     def send_now(self) -> None:
         """Tells all peers the facts that they must know at once."""
         message = self._table.urgent(self._describe(False))
-        self._send_to(message.state, message.ips)
+        data = message.state.encode()
+        if len(data) > MAX_DATAGRAM_BYTES:
+            # Peers that see a newer configuration here fetch it.
+            data = replace(message.state, operator=()).encode()
+        self._send_data(data, message.ips)
 
     def _send(self) -> None:
         while True:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -18,6 +18,7 @@
 from arbutustally.gateway.shared_reading import SharedReading
 from arbutustally.placement import Placement
 from arbutustally_node.collector import tune_collector
+from arbutustally_node.gateway.announcer import Announcer
 from arbutustally_node.gateway.cache_follower import CacheFollower
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.directory import EntryNode, addresses_for
@@ -60,7 +61,7 @@
 GRACE_MARGIN_S = 0.6
 STOP_POLL_S = 0.05
 #: Interval at which a node without the store, or behind its peers, asks one of them, seconds.
-SNAPSHOT_INTERVAL_S = 0.5
+SNAPSHOT_INTERVAL_S = 0.25
 #: Time for which an endpoint counts as loading after a peer said so, seconds.
 LOADING_HEARD_S = 0.6
 
@@ -199,23 +200,32 @@
         )
         self._exchange = Exchange(self._request_services)
         self._watch = StoreWatch(self._view.book, self._log, monotonic, bounds.store_return_s)
-        self._follower = Follower(
-            platform,
+        self._endpoints = EndpointReader(
+            platform.endpoint_topic,
             self._view,
-            self._gossip,
+            SharedReading.from_config(boottime),
             self._watch,
             self._log,
             monotonic,
-            (options.node, options.ip.encode()),
+            self._gossip,
         )
-        self._endpoints = EndpointReader(
-            platform.endpoint_topic,
+        self._follower = Follower(
+            platform.operator_topic,
             self._view,
-            SharedReading.from_config(boottime),
             self._watch,
             self._log,
             monotonic,
+            lambda: self._endpoints.is_reader,
+            self._gossip.send_now,
+        )
+        self._announcer = Announcer(
+            platform.node_topic,
             self._gossip,
+            self._watch,
+            self._log,
+            boottime,
+            options.node,
+            options.ip.encode(),
         )
         self._caches = CacheFollower(
             platform.cache_events, self._view, self._holdings, self._gossip, self._log
@@ -246,8 +256,9 @@
         for name, service in (
             ("log", self._log),
             ("gossip", self._gossip),
-            ("follower", self._follower),
             ("endpoints", self._endpoints),
+            ("follower", self._follower),
+            ("announcer", self._announcer),
             ("pool", self._pool),
             ("caches", self._caches),
             ("weights", self._weights),
@@ -332,12 +343,14 @@
             down=tuple(state.id for state in states if state.is_down),
             placed=self._request_services.placed.take(0) if has_placed else (),
             news=self._endpoints.news(),
+            operator=self._follower.news() if self._endpoints.is_reader else (),
         )
 
     def _on_peer(self, state: PeerState, use: PeerUse | None) -> None:
         book, node = self._view.book, state.sender.node
         if state.news is not None:
             self._endpoints.take(state.news, node)
+        self._follower.take(state.operator, node)
         if use is not None:
             book.set_peer_load(use.source, use.loads)
             self._quota.heard(use.source, use.admitted)
@@ -403,10 +416,14 @@
     def _peer_ahead(self) -> Member | None:
         configuration = self._view.configuration
         version = configuration.version if configuration else 0
-        ahead = [state for state in self._gossip.present if state.config > version]
+        ahead = [peer for peer in self._gossip.present if peer.config > version]
+        relay = self._gossip.relay
+        if relay is not None and self._view.is_complete:
+            # All nodes at once would be too much for the first one that has a configuration.
+            ahead = [relay] if relay.config > version else []
         if ahead:
-            return max(ahead, key=lambda state: state.config)
+            return max(ahead, key=lambda peer: peer.config)
         if self._view.is_complete and (self._watch.has_store or not self._endpoints.has_missed):
             return None
-        ready = [state for state in self._gossip.present if state.is_ready]
+        ready = [peer for peer in self._gossip.present if peer.is_ready]
         return self._rng.choice(ready) if ready else None
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -36,6 +36,18 @@
     NOTHING = 3
 
 
+@dataclass(frozen=True)
+class OperatorNews:
+    """A record of the operator that the sender has read lately.
+
+    :ivar age_s: longest time since it may have been written, ``None`` if nobody knows.
+    """
+
+    key: str
+    value: bytes
+    age_s: float | None
+
+
 @dataclass(frozen=True)
 class PeerState:
     """What a node tells its peers.
@@ -55,6 +67,7 @@
     :ivar peers: addresses of other relays.
     :ivar counted: number of the last message of each node that uses the sender as its relay.
     :ivar news: what the sender read of the endpoints' list, ``None`` if it has not lately.
+    :ivar operator: records of the operator that the sender has read lately.
     """
 
     sender: Member
@@ -73,13 +86,15 @@
     peers: tuple[str, ...] = ()
     counted: Mapping[str, int] = field(default_factory=dict)
     news: ListNews | None = None
+    operator: tuple[OperatorNews, ...] = ()
 
     def encode(self) -> bytes:
         """Returns the datagram."""
         values = [getattr(self, one.name) for one in fields(self)]
         values[0] = _member_row(self.sender)
-        values[-4] = None if self.members is None else [_member_row(one) for one in self.members]
-        values[-1] = None if self.news is None else _news_row(self.news)
+        values[-5] = None if self.members is None else [_member_row(one) for one in self.members]
+        values[-2] = None if self.news is None else _news_row(self.news)
+        values[-1] = [[one.key, one.value, one.age_s] for one in self.operator]
         content = cbor2.dumps(values)
         if len(content) < MIN_COMPRESSED_BYTES:
             return _PLAIN + content
@@ -95,7 +110,7 @@
 
     @classmethod
     def _from_values(cls, values: Any) -> "PeerState":
-        sender, incarnation, number, covers, *rest, members, peers, counted, news = values
+        sender, incarnation, number, covers, *rest, members, peers, counted, news, operator = values
         loads, admitted, weights, engines, orders, loading, down, placed = rest
         return cls(
             _member(sender),
@@ -114,6 +129,7 @@
             tuple(map(_text, peers)),
             {_text(key): int(last) for key, last in counted.items()},
             None if news is None else _news(news),
+            tuple(map(_operator, operator)),
         )
 
 
@@ -162,6 +178,13 @@
     return _text(endpoint), _text(scope), told, bool(is_pending)
 
 
+def _operator(row: Any) -> OperatorNews:
+    key, value, age_s = row
+    if not isinstance(value, bytes):
+        raise TypeError("not a record")
+    return OperatorNews(_text(key), value, None if age_s is None else float(age_s))
+
+
 def _member_row(member: Member) -> list[Any]:
     return [getattr(member, one.name) for one in fields(Member)]
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
@@ -1,5 +1,6 @@
 """Small HTTP listeners of a node: readiness, addresses for callers, metrics, snapshots for peers."""
 
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -14,6 +15,9 @@
 SNAPSHOT_PATH = "/snapshot"
 #: Longest wait for a peer's snapshot, seconds.
 SNAPSHOT_TIMEOUT_S = 1.0
+#: Largest content of a snapshot, bytes; a configuration takes at most a few megabytes.
+MAX_SNAPSHOT_BYTES = 16 << 20
+COMPRESSION = 3
 MAX_LISTENERS_BACKLOG = 256
 
 
@@ -30,7 +34,8 @@
 
     def encode(self) -> bytes:
         """Returns the body of an answer."""
-        return cbor2.dumps([self.position, _rows(self.operator), _rows(self.endpoints)])
+        content = cbor2.dumps([self.position, _rows(self.operator), _rows(self.endpoints)])
+        return zlib.compress(content, COMPRESSION)
 
     @classmethod
     def decode(cls, data: bytes) -> "Snapshot":
@@ -38,7 +43,11 @@
 
         :raises ValueError: or ``TypeError`` if it is malformed.
         """
-        position, operator, endpoints = cbor2.loads(data)
+        unpacker = zlib.decompressobj()
+        content = unpacker.decompress(data, MAX_SNAPSHOT_BYTES)
+        if unpacker.unconsumed_tail:
+            raise ValueError("the snapshot is too long")
+        position, operator, endpoints = cbor2.loads(content)
         return cls(
             None if position is None else int(position), _records(operator), _records(endpoints)
         )
@@ -127,5 +136,5 @@
         if answer.status != 200:
             return None
         return Snapshot.decode(answer.data)
-    except (urllib3.exceptions.HTTPError, cbor2.CBORDecodeError, TypeError, ValueError):
+    except (urllib3.exceptions.HTTPError, cbor2.CBORDecodeError, zlib.error, TypeError, ValueError):
         return None
