Learn the speed of engines together; find holders that peers named

Cause: (1) each node learned the speed of each engine alone and assumed 8,000 tokens/s until then. (2) Beyond 32 engines only a shortlist gets an estimate, and holders that peers had named were not on it, so prompts were read again. (3) Readers of the endpoints' list waited longer for a heartbeat than the others waited for them.

Told holders are on the shortlist. Pause and wait of readers follow from the time within which leaving endpoints must be known. Among equals an engine of the own zone is taken.

Conclusion: both tests of ManyEnginesTest fail on the code before.

--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -36,8 +36,9 @@
         self.admitted = 0.0
         self.runs = True
         self.frozen_until = 0.0
+        self.told: list[PeerState] = []
         self.waiting: list[tuple[PeerState, str]] = []
-        self._heard: dict[str, float] = {}
+        self.heard: dict[str, float] = {}
         self._world = world
 
     def describe(self) -> PeerState:
@@ -54,13 +55,15 @@
     def take(self, state: PeerState) -> None:
         if not self.table.take(state):
             return
+        if state.covers is Covers.NOTHING:
+            self.told.append(state)
         use = self.table.use_of(state)
         if use is None:
             return
         self.uses[use.source] = use.loads.get(ENGINE, (0, 0.0, 0.0, 0))[1]
         total = use.admitted.get(ACCOUNT, 0.0)
-        self.peers_admitted += total - self._heard.get(use.source, total if not total else 0.0)
-        self._heard[use.source] = total
+        self.peers_admitted += total - self.heard.get(use.source, total)
+        self.heard[use.source] = total
 
     def known_load(self) -> float:
         """Returns the load of all peers as this node knows it."""
@@ -147,6 +150,8 @@
         for state, from_ip in waiting:
             self._arrive(node, state, from_ip)
         node.table.refresh()
+        sources = node.table.sources()
+        node.heard = {source: total for source, total in node.heard.items() if source in sources}
         own = node.describe()
         for message in node.table.outgoing(own):
             self._send(node, message.state, message.ips)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -15,10 +15,11 @@
 
 #: Names the order of nodes in which they read the list.
 READING_DUTY = b"endpoints"
-#: Pause between two reads of the list, whose heartbeats come many times a second, seconds.
-PAUSE_S = 0.7
-#: Longest wait of a read for the next record, seconds.
-WAIT_S = 5.0
+#: Pause between two reads of the list, whose heartbeats come many times a second, and longest wait
+#: of a read for the next record, as parts of the time within which leaving endpoints must be known.
+#: Together they are shorter than the age at which other nodes read the list themselves.
+PAUSE_PART = 0.35
+WAIT_PART = 0.1
 #: Interval at which a node that does not read looks whether it must, seconds.
 LOOK_S = 0.1
 #: Pause after a failed call, seconds; doubled with each further failure.
@@ -27,7 +28,10 @@
 
 
 class EndpointReader:
-    """Reads the list while this node is one of the readers, or hears of none."""
+    """Reads the list while this node is one of the readers, or hears of none.
+
+    :param leaving_s: time within which leaving endpoints must be known, seconds.
+    """
 
     def __init__(
         self,
@@ -38,7 +42,10 @@
         log: DecisionLog,
         clock: Clock,
         gossip: Gossip,
+        leaving_s: float,
     ) -> None:
+        self._pause_s = leaving_s * PAUSE_PART
+        self._wait_s = leaving_s * WAIT_PART
         self._topic = topic
         self._view = view
         self._reading = reading
@@ -109,7 +116,7 @@
             try:
                 self._read()
                 retry_s = RETRY_S
-                gevent.sleep(PAUSE_S)
+                gevent.sleep(self._pause_s)
             except HoleFoundError as error:
                 self._log.line("store_history_gone", oldest=error.oldest)
                 self._must_read_whole = True
@@ -127,7 +134,7 @@
             self._reading.read_whole(batch.next_offset)
             self._must_read_whole = False
             return
-        batch = self._topic.since(start, WAIT_S)
+        batch = self._topic.since(start, self._wait_s)
         self._watch.answered()
         self._reading.read(batch.next_offset, self._apply(start, batch))
         self._view.forget_gone()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
@@ -4,11 +4,12 @@
 """
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Any
 
 from arbutustally.clock import Clock
+from arbutustally.gateway.engine_speeds import Work, add_works, subtract_works
 from arbutustally.gateway.fleet_sums import Loads, RunningTotals, add_loads, subtract_loads
 from arbutustally.gateway.relaying import Member, RelayChoice, RelayPlan
 from arbutustally.rendezvous import order, rank
@@ -20,8 +21,10 @@
 MOVED_S = 0.4
 #: Time after which an absent peer is forgotten, seconds.
 FORGET_S = 30.0
-#: One of this many messages names members and relays also if they are the same as before.
-MEMBERS_EVERY = 10
+#: One of this many messages names members and relays also if they are the same as before. A node
+#: that begins to relay knows the fleet until its former relay counts as absent; by then the other
+#: relays have named their nodes.
+MEMBERS_EVERY = {Covers.CELL: 5, Covers.FLEET: 10}
 #: Interval at which a relay tries a node that was introduced and is not heard, seconds; longer
 #: when it was tried for a while.
 PROBE_S = 0.4
@@ -70,6 +73,7 @@
     source: str
     loads: Loads
     admitted: dict[str, float]
+    speeds: Mapping[str, Work]
 
 
 @dataclass(frozen=True)
@@ -199,7 +203,7 @@
                 self._see(state.sender)
             return True
         if state.covers is Covers.NODE:
-            self._cells.pop(ip, None)
+            self._drop_cell(ip)
             if ip not in self._nodes:
                 self._told_members.clear()
             self._nodes[ip] = Heard(state, self._clock())
@@ -220,7 +224,7 @@
 
     def _take_cell(self, state: PeerState) -> None:
         ip, now = state.sender.ip, self._clock()
-        self._nodes.pop(ip, None)
+        self._drop_node(ip)
         before = self._cells.get(ip)
         members = state.members
         if members is None:
@@ -231,7 +235,18 @@
         for member in members:
             mine = self._nodes.get(member.ip)
             if mine is not None and now - mine.at > MOVED_S:
-                del self._nodes[member.ip]
+                self._drop_node(member.ip)
+
+    def _drop_node(self, ip: str) -> None:
+        # What it is admitted from now on is counted by the relay that it uses then.
+        dropped = self._nodes.pop(ip, None)
+        if dropped is not None:
+            self._cell_totals.forget(dropped.state.incarnation)
+
+    def _drop_cell(self, ip: str) -> None:
+        dropped = self._cells.pop(ip, None)
+        if dropped is not None:
+            self._other_totals.forget(dropped.state.incarnation)
 
     def use_of(self, state: PeerState) -> PeerUse | None:
         """Returns what a message that was taken says of the use by peers, ``None`` for nothing."""
@@ -240,7 +255,7 @@
         if self.is_relay != (state.covers is not Covers.FLEET):
             return None
         if self.is_relay:
-            return PeerUse(_source(state), state.loads, dict(state.admitted))
+            return PeerUse(_source(state), state.loads, dict(state.admitted), state.speeds)
         if self._fleet is None or self._fleet.state is not state:
             return None
         counted = state.counted.get(self._me.node)
@@ -251,7 +266,12 @@
             account: total - own.admitted.get(account, 0.0)
             for account, total in state.admitted.items()
         }
-        return PeerUse(_source(state), subtract_loads(state.loads, own.loads), admitted)
+        return PeerUse(
+            _source(state),
+            subtract_loads(state.loads, own.loads),
+            admitted,
+            subtract_works(state.speeds, own.speeds),
+        )
 
     def sources(self) -> set[str]:
         """Returns the sources of use that count now; what others said before is out of date."""
@@ -261,9 +281,10 @@
         """Drops silent peers; returns whether the fleet has changed."""
         now = self._clock()
         for ip in [ip for ip, heard in self._cells.items() if now - heard.at > ABSENT_S]:
-            del self._cells[ip]
+            self._drop_cell(ip)
             self._lost_relays[ip] = now
-        self._nodes = {ip: one for ip, one in self._nodes.items() if now - one.at <= ABSENT_S}
+        for ip in [ip for ip, heard in self._nodes.items() if now - heard.at > ABSENT_S]:
+            self._drop_node(ip)
         if self._fleet is not None and now - self._fleet.at > ABSENT_S:
             self._fleet = None
         present = self._now_present()
@@ -300,7 +321,7 @@
     def urgent(self, own: PeerState) -> Outgoing:
         """Returns a message with facts that must be known at once."""
         state = replace(
-            self._numbered(own), covers=Covers.NOTHING, loads={}, admitted={}, placed=()
+            self._numbered(own), covers=Covers.NOTHING, loads={}, admitted={}, speeds={}, placed=()
         )
         return Outgoing(state, (*self.relays, *self._nodes))
 
@@ -357,6 +378,7 @@
                 admitted[account] = admitted.get(account, 0.0) + total
         return {
             "loads": add_loads(state.loads for state in states),
+            "speeds": add_works(state.speeds for state in states),
             "admitted": admitted,
             "orders_engines": any(state.orders_engines for state in states),
             "loading": tuple({engine for state in states for engine in state.loading}),
@@ -365,14 +387,14 @@
     def _members_to_tell(
         self, covers: Covers, members: tuple[Member, ...]
     ) -> tuple[Member, ...] | None:
-        is_due = self._rounds % MEMBERS_EVERY == 0
+        is_due = self._rounds % MEMBERS_EVERY[covers] == 0
         if not is_due and self._told_members.get(covers) == members:
             return None
         self._told_members[covers] = members
         return members
 
     def _peers_to_tell(self) -> tuple[str, ...]:
-        if self._rounds % MEMBERS_EVERY and not self._has_changed:
+        if self._rounds % MEMBERS_EVERY[Covers.CELL] and not self._has_changed:
             return ()
         self._has_changed = False
         return tuple(self.relays)
@@ -407,6 +429,7 @@
     def _changed(self) -> None:
         self._ranks.clear()
         self._has_changed = True
+        self._told_members.clear()
         self._plan = RelayPlan.from_members([*self._present.values(), self._me])
 
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -11,6 +11,7 @@
 from arbutustally.gateway.attempts import RepeatLedger
 from arbutustally.gateway.configuration import CallerLimits, Configuration
 from arbutustally.gateway.endpoints import EndpointState
+from arbutustally.gateway.engine_speeds import EngineSpeeds
 from arbutustally.gateway.holdings import Holdings
 from arbutustally.gateway.quota import QuotaLedger
 from arbutustally.gateway.relaying import Member
@@ -169,7 +170,8 @@
         self._view = FleetView(platform.documents, monotonic, self._log)
         self._quota = QuotaLedger.from_config(boottime, bounds.quota)
         self._repeats = RepeatLedger.from_config(monotonic, bounds.repeats)
-        self._placement = Placement.from_config(monotonic, self._rng)
+        self._speeds = EngineSpeeds.from_config(monotonic)
+        self._placement = Placement.from_config(monotonic, self._rng, speeds=self._speeds)
         self._holdings = Holdings.from_config(monotonic)
         self._checker = EndpointChecker(self._view.book, self._log)
         self._pool = PoolService(CONNECT_TIMEOUT_S, SILENCE_S)
@@ -203,11 +205,12 @@
         self._endpoints = EndpointReader(
             platform.endpoint_topic,
             self._view,
-            SharedReading.from_config(boottime),
+            SharedReading.from_config(boottime, bounds.leaving_s),
             self._watch,
             self._log,
             monotonic,
             self._gossip,
+            bounds.leaving_s,
         )
         self._follower = Follower(
             platform.operator_topic,
@@ -331,6 +334,7 @@
                 if state.running
             },
             admitted=dict(self._quota.admitted),
+            speeds=self._speeds.own(),
             weights={
                 model: {version: round(now - at, 3) for version, at in named.dated.items()}
                 for model, named in view.weights.items()
@@ -354,6 +358,7 @@
         if use is not None:
             book.set_peer_load(use.source, use.loads)
             self._quota.heard(use.source, use.admitted)
+            self._speeds.set_peers(use.source, use.speeds)
         now = monotonic()
         for model, versions in state.weights.items():
             for version, age in versions.items():
@@ -386,6 +391,8 @@
     def _on_fleet_change(self, gone: set[str]) -> None:
         for source in gone:
             self._view.book.set_peer_load(source, {})
+            self._quota.forget(source)
+            self._speeds.set_peers(source, {})
         known = self._gossip.known + 1
         self._quota.see(len(self._gossip.present) + 1, known)
         self._repeats.share_among(known)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -8,6 +8,7 @@
 
 import cbor2
 
+from arbutustally.gateway.engine_speeds import Work
 from arbutustally.gateway.fleet_sums import Load
 from arbutustally.gateway.relaying import Member
 from arbutustally.gateway.shared_reading import Change, ListNews
@@ -56,6 +57,7 @@
     :ivar number: grows with each datagram of an incarnation.
     :ivar loads: load by endpoint.
     :ivar admitted: running totals by account.
+    :ivar speeds: prompt tokens that engines were seen to read lately, and the seconds it took.
     :ivar weights: named versions by model, with the age of the knowledge in seconds.
     :ivar engines: version that an engine is known to run beyond the endpoints' list, by endpoint
         and model.
@@ -76,6 +78,7 @@
     covers: Covers
     loads: Mapping[str, Load] = field(default_factory=dict)
     admitted: Mapping[str, float] = field(default_factory=dict)
+    speeds: Mapping[str, Work] = field(default_factory=dict)
     weights: Mapping[str, Mapping[int, float]] = field(default_factory=dict)
     engines: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
     orders_engines: bool = False
@@ -111,7 +114,7 @@
     @classmethod
     def _from_values(cls, values: Any) -> "PeerState":
         sender, incarnation, number, covers, *rest, members, peers, counted, news, operator = values
-        loads, admitted, weights, engines, orders, loading, down, placed = rest
+        loads, admitted, speeds, weights, engines, orders, loading, down, placed = rest
         return cls(
             _member(sender),
             _text(incarnation),
@@ -119,6 +122,7 @@
             Covers(covers),
             {_text(key): _load(load) for key, load in loads.items()},
             {_text(key): float(total) for key, total in admitted.items()},
+            {_text(key): _work(work) for key, work in speeds.items()},
             {_text(key): _ages(ages) for key, ages in weights.items()},
             {_text(key): _versions(versions) for key, versions in engines.items()},
             bool(orders),
@@ -164,6 +168,11 @@
     return int(running), float(unread), float(memory), int(unrepeatable)
 
 
+def _work(row: Any) -> Work:
+    tokens, seconds = row
+    return float(tokens), float(seconds)
+
+
 def _ages(row: Any) -> dict[int, float]:
     return {int(version): float(age) for version, age in row.items()}
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -139,6 +139,7 @@
             scope,
             source.tokens if source else 0,
             self._route.target_s,
+            services.zone,
         )
         source = fetch_source(
             services.holdings,
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
@@ -273,6 +273,7 @@
 
     :ivar weights_s: after this time no request may begin on weights older than those named.
     :ivar lease_s: least time between orders of two holders.
+    :ivar leaving_s: after this time a leaving endpoint gets no new requests.
     :ivar store_return_s: time after the store's return for which a missing entry may come back.
     :ivar grace_s: time from SIGTERM to SIGKILL.
     :ivar directory_ttl_s: longest time for which an answer with addresses counts.
@@ -284,6 +285,7 @@
     directory_ttl_s: float
     quota: QuotaTolerance
     repeats: RepeatBudget
+    leaving_s: float = 2.0
     store_return_s: float = 2.5
 
 
--- a/packages/arbutustally/src/arbutustally/endpoint_load.py
+++ b/packages/arbutustally/src/arbutustally/endpoint_load.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from itertools import count
+from typing import Protocol
 
 #: Prefill speed of an endpoint that has not been observed, in tokens/s.
 DEFAULT_PREFILL_TOKENS_PER_S = 8000.0
@@ -29,6 +30,16 @@
     ahead: float
 
 
+class SharedSpeeds(Protocol):
+    """Speeds that nodes learn together."""
+
+    def speed(self, endpoint: str) -> float:
+        """Returns the prefill speed of an endpoint in tokens/s."""
+
+    def observe(self, endpoint: str, tokens: float, seconds: float) -> None:
+        """Takes one observation of ``tokens`` computed in ``seconds``."""
+
+
 @dataclass
 class _Speed:
     tokens: float
@@ -40,9 +51,12 @@
     """Own dispatches and learned prefill speeds, by endpoint.
 
     :param default_speed: tokens/s of an endpoint without observations.
+    :param shared: speeds that are used in place of those that this node learns alone; ``None``
+        for none.
     """
 
     default_speed: float = DEFAULT_PREFILL_TOKENS_PER_S
+    shared: SharedSpeeds | None = None
     _open: dict[str, dict[int, Dispatch]] = field(default_factory=dict)
     _speeds: dict[str, _Speed] = field(default_factory=dict)
     _numbers: count = field(default_factory=lambda: count(1))
@@ -50,7 +64,9 @@
     def speed(self, endpoint: str) -> float:
         """Returns the learned prefill speed in tokens/s."""
         speed = self._speeds.get(endpoint)
-        return speed.tokens / speed.seconds if speed else self.default_speed
+        if speed is not None:
+            return speed.tokens / speed.seconds
+        return self.shared.speed(endpoint) if self.shared else self.default_speed
 
     def assume_speed(self, endpoint: str, tokens_per_s: float) -> None:
         """Gives one endpoint another speed to start from than the default."""
@@ -82,6 +98,9 @@
         """Takes one observation of ``tokens`` computed in ``seconds``."""
         if tokens < MIN_SPEED_TOKENS or seconds <= 0:
             return
+        if self.shared is not None and endpoint not in self._speeds:
+            self.shared.observe(endpoint, tokens, seconds)
+            return
         prior = _Speed(self.default_speed * SPEED_PRIOR_S, SPEED_PRIOR_S)
         speed = self._speeds.setdefault(endpoint, prior)
         speed.tokens = speed.tokens * SPEED_MEMORY + tokens
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -129,6 +129,7 @@
     scope: str,
     importable_tokens: int,
     target_s: float,
+    zone: str,
 ) -> Choice:
     """Returns the engine that is expected to send the first event soonest.
 
@@ -136,6 +137,7 @@
     :param wall: name of the account if its cached parts are its own, otherwise empty.
     :param scope: scope of the cached parts that the request may use.
     :param importable_tokens: tokens of the prompt that any engine can fetch from elsewhere.
+    :param zone: engines of this zone go first among equals.
     """
     shape = shape_of(request)
     asked = PlacementRequest(
@@ -145,6 +147,7 @@
         shape=shape,
         output_tokens=request.output_tokens,
         target=FirstEventTarget(target_s),
+        zone=zone,
     )
     memory = service.engine.cache_tokens if service.engine else 0
     needed = shape.total_tokens + request.output_tokens
--- a/packages/arbutustally/src/arbutustally/gateway/quota.py
+++ b/packages/arbutustally/src/arbutustally/gateway/quota.py
@@ -136,6 +136,10 @@
                 self._fill(bucket)
                 bucket.level = min(bucket.level - added, bucket.burst)
 
+    def forget(self, peer: str) -> None:
+        """Forgets a peer that counts no longer; what it is admitted meanwhile others tell."""
+        self._heard.pop(peer, None)
+
     def _fill(self, bucket: _Bucket) -> None:
         now = self._clock()
         if now > bucket.filled_at:
--- a/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
+++ b/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
@@ -13,9 +13,9 @@
 
 #: Nodes that read the list; with two, the loss of one delays nothing.
 READERS = 2
-#: Age of the last known reading at which a node reads the list itself, seconds. Leaving endpoints
-#: must be known within two seconds on the tightest site sheet.
-STALE_S = 1.0
+#: Age of the last known reading at which a node reads the list itself, as a part of the time within
+#: which leaving endpoints must be known.
+STALE_PART = 0.5
 #: Additional age for each rank, so that not all nodes read at once when the readers are lost.
 RANK_DELAY_S = 0.02
 MAX_RANK_DELAY_S = 0.3
@@ -60,10 +60,12 @@
     """How far one node knows the list, and from whom.
 
     :param clock: seconds that go on while the instance is suspended.
+    :param leaving_s: time within which leaving endpoints must be known, seconds.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, leaving_s: float) -> None:
         self._clock = clock
+        self._stale_s = leaving_s * STALE_PART
         self._position: int | None = None
         self._read_at: float | None = None
         self._fresh_at = float("-inf")
@@ -72,9 +74,9 @@
         self._has_missed = False
 
     @classmethod
-    def from_config(cls, clock: Clock) -> "SharedReading":
+    def from_config(cls, clock: Clock, leaving_s: float) -> "SharedReading":
         """Builds the state of a node that knows nothing of the list."""
-        return cls(clock)
+        return cls(clock, leaving_s)
 
     @property
     def position(self) -> int | None:
@@ -94,7 +96,7 @@
         if self._position is None or self._has_missed or rank < READERS:
             return True
         delay = min(rank * RANK_DELAY_S, MAX_RANK_DELAY_S)
-        return self._clock() - self._fresh_at >= STALE_S + delay
+        return self._clock() - self._fresh_at >= self._stale_s + delay
 
     def read_whole(self, position: int) -> None:
         """Notes that this node has read the whole list up to an offset."""
@@ -133,7 +135,7 @@
     def news(self, keep_removed_s: float) -> ListNews | None:
         """Returns what to tell the peers, ``None`` if this node has not read the list lately."""
         now = self._clock()
-        if self._position is None or self._read_at is None or now - self._read_at >= STALE_S:
+        if self._position is None or self._read_at is None or now - self._read_at >= self._stale_s:
             return None
         self._drop_old(now)
         return ListNews(
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -5,13 +5,14 @@
 """
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
-from heapq import nsmallest
+from heapq import nlargest, nsmallest
 from random import Random
 
 from arbutustally.cache_index import Anchor, CacheIndex, CacheScope, anchors
 from arbutustally.clock import Clock
-from arbutustally.endpoint_load import Dispatch, EndpointLoad
+from arbutustally.endpoint_load import Dispatch, EndpointLoad, SharedSpeeds
 from arbutustally.errors import NoEndpointError
 from arbutustally.hot_prefixes import HotPrefixes
 from arbutustally.placement_types import (
@@ -67,6 +68,7 @@
 ALL_ESTIMATED = 32
 ESTIMATED_HOMES = 8
 ESTIMATED_IDLE = 8
+ESTIMATED_HOLDERS = 8
 
 
 @dataclass(frozen=True)
@@ -89,15 +91,17 @@
 
     :param clock: monotonic seconds.
     :param rng: source of the random choice between near-equal candidates.
+    :param speeds: prefill speeds that nodes learn together; ``None`` if each learns alone.
     """
 
     clock: Clock
     rng: Random
     options: PlacementOptions = field(default_factory=PlacementOptions)
+    speeds: SharedSpeeds | None = None
 
     def __post_init__(self) -> None:
         self._index = CacheIndex(self.options.max_entries)
-        self._load = EndpointLoad(self.options.prefill_tokens_per_s)
+        self._load = EndpointLoad(self.options.prefill_tokens_per_s, self.speeds)
         self._load.assume_speed(KV_STORE, DEFAULT_IMPORT_TOKENS_PER_S)
         self._index.assume_keep(KV_STORE, KV_KEEP_S)
         self._hot = HotPrefixes()
@@ -105,10 +109,14 @@
 
     @classmethod
     def from_config(
-        cls, clock: Clock, rng: Random, options: PlacementOptions | None = None
+        cls,
+        clock: Clock,
+        rng: Random,
+        options: PlacementOptions | None = None,
+        speeds: SharedSpeeds | None = None,
     ) -> "Placement":
-        """Builds placement; ``options`` may be omitted."""
-        return cls(clock, rng, options or PlacementOptions())
+        """Builds placement; ``options`` and ``speeds`` may be omitted."""
+        return cls(clock, rng, options or PlacementOptions(), speeds)
 
     @property
     def index_entries(self) -> int:
@@ -143,7 +151,8 @@
         view = self._view(request, able)
         estimates = [self._estimate(view, entry) for entry in self._shortlist(view, able)]
         estimates.sort(key=lambda entry: (entry.cost, view.ranks[entry.endpoint]))
-        best, tied = self._pick(view, estimates)
+        zones = {entry.endpoint: entry.zone for entry in able}
+        best, tied = self._pick(view, estimates, zones)
         missed = request.shape.total_tokens - best.cached_tokens
         ahead = best.queue_s * self._load.speed(best.endpoint)
         number = self._load.dispatched(best.endpoint, missed, ahead, view.now)
@@ -238,6 +247,8 @@
             return able
         names = set(view.homes[: max(ESTIMATED_HOMES, view.width)])
         names |= self._index.holders(view.scope, view.names)
+        told = nlargest(ESTIMATED_HOLDERS, able, key=lambda entry: entry.cached_tokens or 0)
+        names.update(entry.endpoint for entry in told if entry.cached_tokens)
         sampled = self.rng.sample(able, 2 * ESTIMATED_IDLE)
         idle = nsmallest(ESTIMATED_IDLE, sampled, key=lambda entry: entry.queued_tokens)
         names.update(entry.endpoint for entry in idle)
@@ -311,7 +322,9 @@
             return first_s
         return missed + max(0.0, queue_s - RECOMPUTE_QUEUE_BOUND_S) * OVER_BOUND_TOKENS_PER_S
 
-    def _pick(self, view: _View, estimates: list[Estimate]) -> tuple[Estimate, int]:
+    def _pick(
+        self, view: _View, estimates: list[Estimate], zones: Mapping[str, str]
+    ) -> tuple[Estimate, int]:
         best = estimates[0]
         if not self.options.random_ties:
             return best, 1
@@ -319,7 +332,8 @@
         tied = [entry for entry in estimates if entry.cost <= best.cost + slack]
         if best.cached_tokens == 0:
             return min(tied, key=lambda entry: view.ranks[entry.endpoint]), len(tied)
-        return self.rng.choice(tied), len(tied)
+        near = [entry for entry in tied if zones[entry.endpoint] == view.request.zone]
+        return self.rng.choice(near or tied), len(tied)
 
     def _reasons(self, view: _View, best: Estimate, tied: int) -> tuple[str, ...]:
         total = view.request.shape.total_tokens
--- a/packages/arbutustally/src/arbutustally/placement_types.py
+++ b/packages/arbutustally/src/arbutustally/placement_types.py
@@ -47,6 +47,7 @@
     :ivar shape: see ``arbutustally.prefixes.split_levels``.
     :ivar output_tokens: largest number of tokens to generate.
     :ivar target: class of work.
+    :ivar zone: endpoints of this zone go first among equals; empty for no preference.
     """
 
     account: str
@@ -55,6 +56,7 @@
     shape: PromptShape
     output_tokens: int
     target: Target
+    zone: str = ""
 
 
 @dataclass(frozen=True)
--- a/tests/gateway_values.py
+++ b/tests/gateway_values.py
@@ -6,6 +6,7 @@
     ServiceShare,
 )
 from arbutustally.gateway.endpoints import EndpointEntry
+from arbutustally.gateway.relaying import Member
 from arbutustally.gateway.requests import CallerRequest, PromptPart
 
 
@@ -34,3 +35,8 @@
     return CallerRequest(
         "id", "POST", "/a/", "h", (), b"", "", 5.0, "m", total, output, kept, "", 0.0
     )
+
+
+def member(node: str, ip: str, is_ready: bool = True, capacity: int = 0) -> Member:
+    """Returns a node as its peers know it."""
+    return Member(node, ip, "z1", f"{ip}:1", f"{ip}:2", is_ready, 1, capacity)
--- /dev/null
+++ b/tests/test_fleet_table.py
@@ -0,0 +1,177 @@
+"""What nodes know of each other: a fleet of the real tables on a virtual clock.
+
+Each test replays a fleet and a fault, and fails if knowledge is late, lost or counted twice.
+"""
+
+import unittest
+
+from arbutustally.gateway.relaying import DIRECT_NODES, NODES_PER_RELAY, RelayPlan
+from bench.fleet_world import FleetWorld, WorldNode
+from tests.gateway_values import member
+
+#: The oldest knowledge of peers' load that placement is made for, seconds.
+MAX_AGE_S = 0.6
+#: Time within which a fleet of any size has found together, seconds.
+TOGETHER_S = 3.0
+
+
+class FleetCase(unittest.TestCase):
+    def assert_knows_all(self, world: FleetWorld, nodes: list[WorldNode] | None = None) -> None:
+        """Asserts that nodes know the load of all others once, and know it lately."""
+        others = len(world.running()) - 1
+        for node in nodes or world.running():
+            self.assertEqual(len(node.table.present), others, node.member.node)
+            self.assertLess(world.age_s(node), MAX_AGE_S, node.member.node)
+            self.assertGreater(world.age_s(node), 0.0, node.member.node)
+
+    def assert_present(self, nodes: list[WorldNode], count: int) -> None:
+        for node in nodes:
+            self.assertEqual(len(node.table.present), count, node.member.node)
+
+
+class FreshnessTest(FleetCase):
+    def test_fleets_of_all_sizes_find_together_after_all_start_at_once(self) -> None:
+        for nodes in (2, 8, DIRECT_NODES, DIRECT_NODES + 1, 60, 195):
+            with self.subTest(nodes=nodes):
+                world = FleetWorld(nodes)
+                world.run(TOGETHER_S + 1)
+                self.assert_knows_all(world)
+
+    def test_what_a_node_sends_does_not_grow_with_the_fleet(self) -> None:
+        """Replays 60 and 300 nodes; told by each to each it would be five times as much."""
+        most = {}
+        for nodes in (60, 300):
+            world = FleetWorld(nodes)
+            world.run(TOGETHER_S)
+            world.sent.clear()
+            world.run(2)
+            most[nodes] = sorted(world.sent[node.ip] for node in world.nodes)[nodes // 2]
+        self.assertLessEqual(most[300], most[60] * 1.2)
+
+    def test_lost_datagrams_only_cost_time(self) -> None:
+        world = FleetWorld(60, loss=0.1)
+        world.run(2 * TOGETHER_S)
+        for node in world.nodes:
+            self.assertLess(world.age_s(node), 2 * MAX_AGE_S)
+
+    def test_seeds_that_are_gone_are_replaced_by_other_addresses(self) -> None:
+        world = FleetWorld(24)
+        for node in world.nodes[:3]:
+            world.kill(node)
+        for node in world.nodes:
+            node.table.introduce(world.nodes[10].ip)
+        world.run(2 * TOGETHER_S)
+        self.assert_knows_all(world)
+
+
+class FaultTest(FleetCase):
+    def setUp(self) -> None:
+        self.world = FleetWorld(60, zones=3)
+        self.world.run(TOGETHER_S)
+        self.relays = [node for node in self.world.nodes if node.table.is_relay]
+
+    def test_large_fleet_has_few_relays(self) -> None:
+        self.assertLessEqual(len(self.relays), 60 // NODES_PER_RELAY + 2 * 3)
+
+    def test_nodes_of_a_relay_that_is_killed_use_another(self) -> None:
+        self.world.kill(self.relays[0])
+        self.world.run(TOGETHER_S)
+        self.assert_knows_all(self.world)
+
+    def test_frozen_relay_hides_nobody_and_returns(self) -> None:
+        frozen = self.relays[0]
+        self.world.freeze(frozen, 6.0)
+        self.world.run(3.0)
+        others = [node for node in self.world.nodes if node is not frozen]
+        for node in others:
+            self.assertEqual(len(node.table.present), 58)
+        self.world.run(3.0 + TOGETHER_S)
+        self.assert_knows_all(self.world)
+
+    def test_zone_that_was_cut_off_for_long_is_found_again(self) -> None:
+        zone = "z1"
+        self.world.is_cut = lambda a, b: (a.member.zone == zone) != (b.member.zone == zone)
+        self.world.run(35.0)
+        inside = [node for node in self.world.nodes if node.member.zone == zone]
+        outside = [node for node in self.world.nodes if node.member.zone != zone]
+        self.assert_present(inside, len(inside) - 1)
+        self.assert_present(outside, len(outside) - 1)
+        self.world.is_cut = lambda _source, _target: False
+        self.world.run(2 * TOGETHER_S)
+        self.assert_knows_all(self.world)
+
+    def test_node_heard_in_one_direction_only_makes_nobody_absent(self) -> None:
+        """Replays a node whose datagrams are lost while it hears the others."""
+        mute = next(node for node in self.world.nodes if not node.table.is_relay)
+        self.world.is_cut = lambda source, _target: source is mute
+        self.world.run(TOGETHER_S)
+        others = [node for node in self.world.nodes if node is not mute]
+        self.assert_present(others, 58)
+
+    def test_all_nodes_lose_power_at_once(self) -> None:
+        for node in list(self.world.nodes):
+            self.world.kill(node)
+        self.world.run(0.5)
+        for node in list(self.world.nodes):
+            self.world.restart(node)
+        self.world.run(TOGETHER_S)
+        self.assert_knows_all(self.world)
+
+    def test_urgent_facts_reach_every_node_at_once(self) -> None:
+        """Replays a reader of the endpoints' list, on a relay and on another node."""
+        for teller in (self.relays[0], next(n for n in self.world.nodes if not n.table.is_relay)):
+            self.world.received.clear()
+            before = {node.ip: len(node.told) for node in self.world.nodes}
+            self.world.tell(teller)
+            self.world.run(0.02)
+            missed = [
+                node.member.node
+                for node in self.world.nodes
+                if node is not teller and len(node.told) == before[node.ip]
+            ]
+            self.assertEqual(missed, [])
+
+
+class AdmittedTest(FleetCase):
+    def admit(self, world: FleetWorld, seconds: float) -> None:
+        for step in range(round(seconds / 0.1)):
+            world.nodes[step % len(world.nodes)].admitted += 100.0
+            world.run(0.1)
+
+    def test_each_admitted_token_is_counted_once_by_each_node(self) -> None:
+        for nodes in (8, 60):
+            with self.subTest(nodes=nodes):
+                world = FleetWorld(nodes)
+                world.run(TOGETHER_S)
+                self.admit(world, 10.0)
+                world.run(1.0)
+                total = sum(node.admitted for node in world.nodes)
+                for node in world.nodes:
+                    self.assertAlmostEqual(node.peers_admitted, total - node.admitted)
+
+    def test_death_of_a_relay_loses_no_more_than_what_is_on_its_way(self) -> None:
+        """Guards against limits that are exceeded for good when relays change."""
+        world = FleetWorld(60, zones=3)
+        world.run(TOGETHER_S)
+        self.admit(world, 5.0)
+        world.kill(next(node for node in world.nodes if node.table.is_relay))
+        self.admit(world, 5.0)
+        world.run(1.0)
+        total = sum(node.admitted for node in world.nodes)
+        on_its_way = 1_000.0 * 1.5
+        for node in world.running():
+            self.assertLessEqual(node.peers_admitted, total - node.admitted + 1e-6)
+            self.assertGreaterEqual(node.peers_admitted, total - node.admitted - on_its_way)
+
+
+class PlanTest(unittest.TestCase):
+    def test_larger_instances_relay_first(self) -> None:
+        members = [member(f"n{n}", f"10.0.0.{n}", capacity=n % 3) for n in range(1, 31)]
+        plan = RelayPlan.from_members(members)
+        chosen = [one for one in members if one.ip in plan.ips]
+        self.assertEqual({one.capacity for one in chosen}, {2})
+
+    def test_nodes_that_stop_do_not_relay(self) -> None:
+        members = [member(f"n{n}", f"10.0.0.{n}", is_ready=n > 28) for n in range(1, 31)]
+        self.assertEqual(RelayPlan.from_members(members).ips, {"10.0.0.29", "10.0.0.30"})
+
--- a/tests/test_gateway_choice.py
+++ b/tests/test_gateway_choice.py
@@ -19,9 +19,10 @@
     Service,
 )
 from arbutustally.gateway.endpoints import EndpointBook, EndpointState
+from arbutustally.gateway.engine_speeds import EngineSpeeds, add_works, subtract_works
 from arbutustally.gateway.holdings import ASSUMED_S, Holdings
 from arbutustally.gateway.requests import CallerRequest
-from arbutustally.placement import Placement
+from arbutustally.placement import Choice, Placement
 from tests.gateway_values import entry, prompt
 
 
@@ -93,6 +94,85 @@
         self.assertEqual(self.book.get("e1").weights, {"m": 1})
 
 
+class ManyEnginesTest(unittest.TestCase):
+    """Replays a fleet of 70 engines of which each node sees few answers."""
+
+    ENGINES = 70
+
+    def setUp(self) -> None:
+        self.clock = VirtualClock(100.0)
+        self.holdings = Holdings.from_config(self.clock)
+        self.speeds = EngineSpeeds.from_config(self.clock)
+        self.states = [EndpointState(entry(f"e{number}")) for number in range(self.ENGINES)]
+        self.service = Service("s", 10, Engine(4, 50_000))
+        self.placement = Placement.from_config(self.clock, Random(3), speeds=self.speeds)
+
+    def choose(self, request: CallerRequest) -> Choice:
+        return choose_engine(
+            self.placement,
+            self.holdings,
+            request,
+            self.service,
+            self.states,
+            1,
+            "",
+            "1.",
+            0,
+            0.3,
+            "z1",
+        )
+
+    def test_engine_that_peers_named_as_holder_is_found(self) -> None:
+        """Guards against prompts that are read again although another node told who has them."""
+        for number in range(self.ENGINES):
+            request = prompt((f"part-{number}", 6000), ("own", 500))
+            self.holdings.assume(f"e{number}", "1.", request.parts[:1])
+            self.assertEqual(self.choose(request).endpoint, f"e{number}")
+
+    def test_engines_that_peers_saw_are_expected_to_be_as_fast_as_they_are(self) -> None:
+        """Guards against refusals by a node that takes engines for slow until it has seen them."""
+        self.speeds.set_peers("relay", {f"e{number}": (50_000.0, 1.0) for number in range(35)})
+        choice = self.choose(prompt(("aa", 10_000)))
+        self.assertAlmostEqual(choice.estimate_s, 0.2, delta=0.02)
+
+    def test_slow_engine_is_given_less_and_its_share_back(self) -> None:
+        """Replays an engine at a quarter of its speed that recovers."""
+        for _ in range(5):
+            for state in self.states[:3]:
+                slow = state.id == "e0"
+                self.speeds.observe(state.id, 10_000, 0.8 if slow else 0.2)
+            self.clock.advance(0.2)
+        self.assertLess(self.speeds.speed("e0"), 0.4 * self.speeds.speed("e1"))
+        self.states = self.states[:2]
+        self.states[1].prompt_tokens = 8_000.0
+        self.assertEqual(self.choose(prompt(("aa", 5_000))).endpoint, "e1")
+        self.states[1].prompt_tokens = 90_000.0
+        self.assertEqual(self.choose(prompt(("bb", 5_000))).endpoint, "e0")
+        for _ in range(20):
+            self.clock.advance(0.5)
+            for state in self.states:
+                self.speeds.observe(state.id, 10_000, 0.2)
+        self.assertGreater(self.speeds.speed("e0"), 0.85 * self.speeds.speed("e1"))
+
+    def test_own_observations_are_not_counted_twice(self) -> None:
+        self.speeds.observe("e0", 10_000, 0.2)
+        own = self.speeds.own()
+        total = add_works([own, {"e0": (10_000.0, 0.4)}, {"e1": (500.0, 0.1)}])
+        rest = subtract_works(total, own)
+        self.assertEqual(set(rest), {"e0", "e1"})
+        self.assertAlmostEqual(rest["e0"][1], 0.4)
+
+    def test_engine_of_the_own_zone_wins_among_equals(self) -> None:
+        for number, state in enumerate(self.states):
+            state.entry = entry(state.id, zone=f"z{number % 5}")
+            self.holdings.assume(state.id, "1.", prompt(("aa", 6000)).parts)
+        zones = {self.zone_of(self.choose(prompt(("aa", 6000), ("own", 50)))) for _ in range(20)}
+        self.assertEqual(zones, {"z1"})
+
+    def zone_of(self, choice: Choice) -> str:
+        return next(state.entry.zone for state in self.states if state.id == choice.endpoint)
+
+
 class ChoiceTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = VirtualClock(100.0)
@@ -113,6 +193,7 @@
             "1.",
             0,
             0.3,
+            "z1",
         ).endpoint
 
     def test_engine_that_holds_the_parts_is_chosen(self) -> None:
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -6,12 +6,14 @@
 from arbutustally.gateway.shared_reading import (
     MAX_TOLD_BYTES,
     READERS,
-    STALE_S,
+    STALE_PART,
     TOLD_S,
     Change,
     SharedReading,
 )
 
+LEAVING_S = 2.0
+STALE_S = LEAVING_S * STALE_PART
 #: Interval between two readings of a reader, and between two of its datagrams, seconds.
 READ_S = 0.7
 TELL_S = 0.2
@@ -39,7 +41,7 @@
     """One node: what it knows of the list, and how often it has read."""
 
     def __init__(self, clock: VirtualClock, listed: FakeList, rank: int) -> None:
-        self.reading = SharedReading.from_config(clock)
+        self.reading = SharedReading.from_config(clock, LEAVING_S)
         self._clock = clock
         self._listed = listed
         self._rank = rank
