Read the store only on nodes that know their place in the order

Change: a node that has started reads the list once, and on only when its peers have been the same for half a second. Whoever has read within three quarters of the bound on leaving endpoints is a reader; waiting calls end after 5 s, so that few are left open on nodes that read no more.

Tests: configurations reach all nodes through two readers, also when they are larger than a datagram and when both readers are lost; weights are known with their age; few announced nodes are enough to find the fleet.

--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -28,7 +28,9 @@
     def __init__(self, number: int, zone: str, start: int, world: "FleetWorld") -> None:
         self.number = number
         self.ip = f"10.0.{number // 250}.{number % 250 + 1}"
-        self.member = Member(f"node-{number}", self.ip, zone, f"{self.ip}:80", f"{self.ip}:81", True, 1)
+        self.member = Member(
+            f"node-{number}", self.ip, zone, f"{self.ip}:80", f"{self.ip}:81", True, 1
+        )
         self.incarnation = f"{number}.{start}"
         self.table = FleetTable(self.member, world.clock)
         self.uses: dict[str, float] = {}
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -22,6 +22,13 @@
 WAIT_PART = 0.1
 #: Interval at which a node that does not read looks whether it must, seconds.
 LOOK_S = 0.1
+#: A node that has started knows its place in the order once its peers are the same for this time,
+#: or after the longest such time at the latest, seconds. Until then it reads the list only once.
+SETTLED_S = 0.5
+MAX_SETTLING_S = 2.5
+#: Ages of this node's last reading up to which it reads for the fleet, as a part of the time within
+#: which leaving endpoints must be known.
+READER_PART = 0.75
 #: Pause after a failed call, seconds; doubled with each further failure.
 RETRY_S = 0.2
 MAX_RETRY_S = 1.0
@@ -53,6 +60,9 @@
         self._log = log
         self._clock = clock
         self._gossip = gossip
+        self._reader_s = leaving_s * READER_PART
+        self._started_at = clock()
+        self._read_at = float("-inf")
         self._is_reader: bool | None = None
         self._must_read_whole = True
         self._is_telling = False
@@ -89,7 +99,7 @@
     @property
     def is_reader(self) -> bool:
         """Returns whether this node reads the store for the fleet now."""
-        return bool(self._is_reader)
+        return self._clock() - self._read_at < self._reader_s
 
     @property
     def has_missed(self) -> bool:
@@ -108,7 +118,7 @@
     def _run(self) -> None:
         retry_s = RETRY_S
         while True:
-            is_due = self._reading.is_due(self._gossip.rank(READING_DUTY))
+            is_due = self._is_settled() and self._reading.is_due(self._gossip.rank(READING_DUTY))
             self._note_role(is_due)
             if not is_due:
                 gevent.sleep(LOOK_S)
@@ -125,6 +135,12 @@
                 gevent.sleep(retry_s)
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
+    def _is_settled(self) -> bool:
+        if self._reading.position is None or self._reading.has_missed:
+            return True
+        since_start = self._clock() - self._started_at
+        return since_start >= MAX_SETTLING_S or self._gossip.unchanged_s >= SETTLED_S
+
     def _read(self) -> None:
         start = self._reading.position
         if start is None or self._must_read_whole:
@@ -136,6 +152,7 @@
             return
         batch = self._topic.since(start, self._wait_s)
         self._watch.answered()
+        self._read_at = self._clock()
         self._reading.read(batch.next_offset, self._apply(start, batch))
         self._view.forget_gone()
         self._tell()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -16,7 +16,7 @@
 from arbutustally_node.gateway.store_watch import StoreWatch
 
 #: Longest wait of a read for the next record, seconds.
-WAIT_S = 20.0
+WAIT_S = 5.0
 #: Pause after a failed call, seconds; doubled with each further failure.
 RETRY_S = 0.2
 MAX_RETRY_S = 1.0
@@ -69,7 +69,9 @@
         while self._told and now - self._told[0][0] > TOLD_S:
             self._told.popleft()
         return tuple(
-            OperatorNews(record.key, record.value, None if known_at == -math.inf else now - known_at)
+            OperatorNews(
+                record.key, record.value, None if known_at == -math.inf else now - known_at
+            )
             for _told_at, known_at, record in self._told
             if record.value is not None
         )
@@ -93,7 +95,9 @@
                 gevent.sleep(LOOK_S)
                 continue
             try:
-                batch = self._topic.newest() if offset is None else self._topic.since(offset, WAIT_S)
+                batch = (
+                    self._topic.newest() if offset is None else self._topic.since(offset, WAIT_S)
+                )
                 self._watch.answered()
                 self._take(batch.records, min(unread_since, self._clock()), offset is not None)
                 unread_since = math.inf
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -63,6 +63,7 @@
         self._table = FleetTable(me, clock)
         self._sources: set[str] = set()
         self._was_relay = False
+        self._changed_at = clock()
         self._socket: Any = None
         self._greenlets: list[Any] = []
 
@@ -97,6 +98,11 @@
         """Returns the number of peers that were heard lately, present or not."""
         return self._table.known
 
+    @property
+    def unchanged_s(self) -> float:
+        """Returns the time for which the peers are the same, seconds."""
+        return self._clock() - self._changed_at
+
     @property
     def has_orderer(self) -> bool:
         """Returns whether a peer that is heard holds the lease on orders to engines."""
@@ -183,6 +189,7 @@
             self._was_relay = self._table.is_relay
             self._log.line("relay_role", relays=self._was_relay, direct=self._table.is_direct)
         if has_changed:
+            self._changed_at = self._clock()
             self._log.line("peers_changed", present=len(self._table.present), known=self.known)
         if has_changed or gone:
             self._on_change(gone)
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -3,7 +3,8 @@
 import base64
 import json
 import struct
-from collections import defaultdict
+import time
+from collections import Counter, defaultdict
 
 import gevent
 from bottle import Bottle, HTTPResponse, request, response
@@ -35,6 +36,8 @@
         self.status = 200
         self.lose_next_answer = False
         self.calls = 0
+        self.reads: Counter[str] = Counter()
+        self.waiting: Counter[str] = Counter()
         self._changed = Event()
         super().__init__(app)
 
@@ -79,11 +82,15 @@
         if refused := self._refused():
             return refused
         topic, start = request.query["topic"], int(request.query["from"])
+        self.reads[topic] += 1
         if start < self.first[topic]:
             response.status = 410
             return {"first": self.first[topic]}
-        if start >= len(self.topics[topic]):
-            self._changed.wait(int(request.query.get("waitMs", 0)) / 1000)
+        deadline = time.monotonic() + int(request.query.get("waitMs", 0)) / 1000
+        self.waiting[topic] += 1
+        while start >= len(self.topics[topic]) and time.monotonic() < deadline:
+            self._changed.wait(deadline - time.monotonic())
+        self.waiting[topic] -= 1
         records = self.topics[topic][start:]
         body = struct.pack(">QQ", len(self.topics[topic]), self.first[topic])
         for key, data in records:
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -174,4 +174,3 @@
     def test_nodes_that_stop_do_not_relay(self) -> None:
         members = [member(f"n{n}", f"10.0.0.{n}", is_ready=n > 28) for n in range(1, 31)]
         self.assertEqual(RelayPlan.from_members(members).ips, {"10.0.0.29", "10.0.0.30"})
-
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -2,6 +2,8 @@
 
 import socket
 from dataclasses import replace
+from random import Random
+from unittest import mock
 
 import gevent
 from bottle import HTTPResponse
@@ -360,6 +362,78 @@
         for node in nodes:
             self.eventually(lambda node=node: node._view.book.get("d1").entry.is_leaving, 2.0)
 
+    def start_settled(self, count: int) -> list[GatewayNode]:
+        """Starts nodes and waits until two of them read the store for all."""
+        patch = mock.patch("arbutustally_node.gateway.follower.WAIT_S", 1.0)
+        patch.start()
+        self.addCleanup(patch.stop)
+        nodes = self.start_nodes(count)
+        for node in nodes:
+            self.eventually(lambda node=node: len(node._gossip.present) == count - 1)
+        self.eventually(lambda: sum(node._endpoints.is_reader for node in nodes) == READERS)
+        self.eventually(lambda: self.store.waiting["keyed.op"] == READERS)
+        return nodes
+
+    def test_configuration_that_few_nodes_read_is_in_force_on_all(self) -> None:
+        nodes = self.start_settled(5)
+        before = self.store.reads["keyed.op"]
+        self.store.put("keyed.op", "config", configuration(2, routes=[]))
+        for node in nodes:
+            self.eventually(lambda node=node: node._view.configuration.version == 2, 1.0)
+        gevent.sleep(0.2)
+        # Each reader waits for the next record, and may have waited for this one in two calls.
+        self.assertLess(self.store.reads["keyed.op"] - before, len(nodes))
+
+    def test_configuration_that_is_larger_than_a_datagram_is_in_force_on_all(self) -> None:
+        """Replays a configuration that grows by many routes."""
+        nodes = self.start_settled(5)
+        rng = Random(5)
+        first = configuration()["routes"][0]
+        routes = [
+            {**first, "name": f"r{n}", "pathPrefix": f"/{rng.getrandbits(256):x}/"}
+            for n in range(1400)
+        ]
+        self.store.put("keyed.op", "config", configuration(2, routes=routes))
+        for node in nodes:
+            self.eventually(lambda node=node: node._view.configuration.version == 2, 2.0)
+
+    def test_configuration_is_in_force_in_time_though_its_readers_are_lost(self) -> None:
+        """Replays the loss of both readers just before a configuration is written."""
+        nodes = self.start_settled(5)
+        for node in nodes:
+            if node._endpoints.is_reader:
+                for greenlet in (*node._gossip._greenlets, node._follower._greenlet):
+                    greenlet.kill()
+                node._endpoints.stop()
+        left = [node for node in nodes if not node._gossip._greenlets[0].dead]
+        self.assertEqual(len(left), 5 - READERS)
+        self.store.put("keyed.op", "config", configuration(2, routes=[]))
+        for node in left:
+            self.eventually(lambda node=node: node._view.configuration.version == 2, 2.0)
+
+    def test_weights_that_a_peer_has_read_are_known_with_their_age(self) -> None:
+        """Guards against nodes that use replaced weights for longer than the readers do."""
+        nodes = self.start_settled(5)
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        for node in nodes:
+            self.eventually(lambda node=node: "m" in node._view.weights, 1.0)
+        known = [node._view.weights["m"].known_at[2] for node in nodes]
+        self.assertLess(max(known) - min(known), 0.5)
+
+    def test_few_nodes_are_announced_and_all_find_together(self) -> None:
+        nodes = self.start_nodes(3)
+        for node in nodes:
+            self.eventually(lambda node=node: len(node._gossip.present) == 2)
+        late = self.start_node(
+            settings(
+                self.store.address,
+                "node-9",
+                "127.0.0.9",
+                internalPorts=[nodes[0]._options.peer_port] * 2,
+            )
+        )
+        self.eventually(lambda: len(late._gossip.present) == 3, 4.0)
+
     def write_heartbeats(self) -> None:
         while True:
             gevent.sleep(0.1)
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -14,7 +14,6 @@
 from arbutustally_node.gateway.peer_state import MAX_CONTENT_BYTES, Covers, PeerState
 from arbutustally_node.gateway.placed_log import MAX_TOLD, PlacedLog
 
-
 MEMBER = Member("n1", "10.0.0.1", "z1", "10.0.0.1:1", "10.0.0.1:2", True, 3, 20)
 
 
@@ -41,7 +40,9 @@
 
     def test_large_message_takes_little_room(self) -> None:
         """Replays a relay of 195 nodes that names them all."""
-        members = tuple(replace(MEMBER, node=f"front-zone-{n}", ip=f"10.1.0.{n}") for n in range(195))
+        members = tuple(
+            replace(MEMBER, node=f"front-zone-{n}", ip=f"10.1.0.{n}") for n in range(195)
+        )
         self.assertLess(len(state(members=members).encode()), 195 * 25)
 
     def test_changes_that_resemble_each_other_take_little_room(self) -> None:
