End calls to servers that send bytes without end

Cause: (1) the standard library reads informational answers, and trailers of a chunked body, without end. While bytes keep arriving no other task has its turn, so no timeout fires: a test with such a server held the whole process for 5 minutes, until it was killed. (2) Calls to the store, to engines beside requests and to peers had no bound on size, and a timeout for each read only. (3) A stream that may go on elsewhere was left after 0.8 s without bytes, so one that sent a byte now and then was kept until the caller's deadline.

Change: heads have at most four informational answers; trailers are bounded; a fast sender lets other tasks have their turn; calls beside requests use the same pool and framing as requests (bounded_call) with a bound on size and on total time; the gap in a stream counts from its last whole event; the end of an event is searched in what is new only.

--- a/packages/arbutustally-node/src/arbutustally_node/framing.py
+++ b/packages/arbutustally-node/src/arbutustally_node/framing.py
@@ -11,6 +11,8 @@
 #: Longest chunk size line, extensions included.
 MAX_CHUNK_LINE_BYTES = 256
 MAX_SIZE_DIGITS = 8
+#: Longest trailer, all lines together.
+MAX_TRAILER_BYTES = 8192
 _HEX = b"0123456789abcdefABCDEF"
 
 
@@ -28,6 +30,7 @@
         self._part = _Part.SIZE
         self._left = 0
         self._line = b""
+        self._trailer_bytes = 0
 
     @property
     def done(self) -> bool:
@@ -88,6 +91,10 @@
             self._part = _Part.SIZE
         elif not line:
             self._part = _Part.DONE
+        else:
+            self._trailer_bytes += len(line)
+            if self._trailer_bytes > MAX_TRAILER_BYTES:
+                raise _malformed()
 
 
 class SizedBody:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -4,7 +4,6 @@
 from random import Random
 
 import gevent
-import urllib3
 from gevent.event import Event
 
 from arbutustally.clock import boottime, monotonic
@@ -399,13 +398,12 @@
 
     def _catch_up(self) -> None:
         """Asks a peer for what the store does not give."""
-        http = urllib3.PoolManager(maxsize=1)
         while True:
             gevent.sleep(SNAPSHOT_INTERVAL_S)
             peer = self._peer_ahead()
             if peer is None:
                 continue
-            snapshot = fetch_snapshot(http, peer.control)
+            snapshot = fetch_snapshot(peer.control)
             self._log.line("snapshot_fetched", peer=peer.node, found=snapshot is not None)
             if snapshot is not None:
                 self._take_snapshot(snapshot, peer.node)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
@@ -12,7 +12,8 @@
 from arbutustally_node.gateway.caller import CallerConnection, Headers
 from arbutustally_node.pool import PooledResponse
 
-#: Longest silence inside a stream that may go on elsewhere, seconds; callers leave at two.
+#: Longest time without a whole event inside a stream that may go on elsewhere, seconds; callers
+#: leave at two. Bytes of an event that does not end do not count.
 SILENT_GAP_S = 0.8
 
 
@@ -94,17 +95,22 @@
         gap_s: float | None,
     ) -> RelayEnd:
         is_first = True
+        event_at = self._clock()
         while True:
             # Before its first event an engine may be reading the prompt.
-            with watch, gevent.Timeout(None if is_first else gap_s, _SilentError):
+            left_s = None
+            if gap_s is not None and not is_first:
+                left_s = max(event_at + gap_s - self._clock(), 0.001)
+            with watch, gevent.Timeout(left_s, _SilentError):
                 data = response.read()
             if not data:
                 break
             whole = self._events.feed(data)
             if not whole:
                 continue
+            event_at = self._clock()
             if is_first:
-                on_first(self._clock())
+                on_first(event_at)
                 is_first = False
             self._pass_on(whole)
         if self._events.rest:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
@@ -6,11 +6,13 @@
 from typing import Any
 
 import cbor2
-import urllib3
 from bottle import Bottle, HTTPResponse, request, response
 from gevent.pywsgi import WSGIServer
 
+from arbutustally.errors import RouterError
+from arbutustally_node.bounded_call import call
 from arbutustally_node.gateway.ports import Record
+from arbutustally_node.pool import PoolService
 
 SNAPSHOT_PATH = "/snapshot"
 #: Longest wait for a peer's snapshot, seconds.
@@ -124,17 +126,20 @@
     return app
 
 
-def fetch_snapshot(http: urllib3.PoolManager, address: str) -> Snapshot | None:
+def fetch_snapshot(address: str) -> Snapshot | None:
     """Returns the documents of a peer, ``None`` if it gives none."""
+    pools = PoolService(SNAPSHOT_TIMEOUT_S, SNAPSHOT_TIMEOUT_S)
     try:
-        answer = http.request(
+        status, data = call(
+            pools,
+            address,
             "GET",
-            f"http://{address}{SNAPSHOT_PATH}",
-            timeout=SNAPSHOT_TIMEOUT_S,
-            retries=False,
+            SNAPSHOT_PATH,
+            max_bytes=MAX_SNAPSHOT_BYTES,
+            total_s=SNAPSHOT_TIMEOUT_S,
         )
-        if answer.status != 200:
-            return None
-        return Snapshot.decode(answer.data)
-    except (urllib3.exceptions.HTTPError, cbor2.CBORDecodeError, zlib.error, TypeError, ValueError):
+        return Snapshot.decode(data) if status == 200 else None
+    except (RouterError, cbor2.CBORDecodeError, zlib.error, TypeError, ValueError):
         return None
+    finally:
+        pools.stop()
--- a/packages/arbutustally-node/src/arbutustally_node/pool.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -5,7 +5,7 @@
 import select
 import socket
 from collections import OrderedDict
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
 import gevent
@@ -16,6 +16,7 @@
 from arbutustally.clock import monotonic
 from arbutustally.engine_client import translate
 from arbutustally.errors import EndpointFailedError, EndpointTimeoutError, Ran
+from arbutustally_node.bounded_head import BoundedConnection
 from arbutustally_node.framing import ChunkedBody, OpenBody, SizedBody
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import Options
@@ -24,6 +25,8 @@
 READ_BYTES = 65536
 #: A read below this size means that the endpoint sends slower than the node reads.
 PACED_BYTES = 2048
+#: Reads after which other tasks have their turn, also if more has arrived.
+READS_IN_A_ROW = 16
 IDLE_CONNECTIONS_PER_ENDPOINT = 64
 MAX_ENDPOINTS = 512
 #: Largest answer that is read whole.
@@ -35,6 +38,8 @@
 #: it, a connection that went silent holds its request until the caller gives up.
 UNACKNOWLEDGED_MS = 1500
 
+SocketOptions = Sequence[tuple[int, int, int]]
+
 _SOCKET_OPTIONS = [
     *HTTPConnection.default_socket_options,
     (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
@@ -48,7 +53,7 @@
 _poll = monkey.get_original("select", "poll")
 
 
-class ExpiringConnection(HTTPConnection):
+class ExpiringConnection(BoundedConnection):
     """A connection that is not used again after the endpoint may have closed it."""
 
     idle_until: float | None = None
@@ -91,6 +96,7 @@
         self._was_reset = False
         # Reading before anything has arrived costs a failed call and an exception.
         self._is_paced = False
+        self._reads = 0
         self._hub = gevent.get_hub()
         self._readable = self._hub.loop.io(self._socket.fileno(), _READ) if self._socket else None
 
@@ -135,8 +141,11 @@
             return received
         self._silence.waits(self)
         try:
+            self._reads += 1
             if self._is_paced:
                 self._hub.wait(self._readable)
+            elif self._reads % READS_IN_A_ROW == 0:
+                gevent.sleep(0)
             received = self._socket.recv(READ_BYTES)
         except OSError:
             # Unlike an orderly end, a reset can't end a body without a length.
@@ -284,9 +293,13 @@
 
     :param connect_s: time to connect.
     :param read_s: longest silence of an endpoint.
+    :param socket_options: of each connection.
     """
 
-    def __init__(self, connect_s: float, read_s: float) -> None:
+    def __init__(
+        self, connect_s: float, read_s: float, socket_options: SocketOptions = _SOCKET_OPTIONS
+    ) -> None:
+        self._socket_options = socket_options
         self._connect_s = connect_s
         self._read_s = read_s
         self._silence = SilenceWatch(monotonic, read_s)
@@ -357,5 +370,5 @@
     def _new_pool(self, address: str, size: int) -> urllib3.HTTPConnectionPool:
         host, _, port = address.rpartition(":")
         return EndpointPool(
-            host, int(port), maxsize=size, block=False, socket_options=_SOCKET_OPTIONS
+            host, int(port), maxsize=size, block=False, socket_options=self._socket_options
         )
--- a/packages/arbutustally/src/arbutustally/gateway/events.py
+++ b/packages/arbutustally/src/arbutustally/gateway/events.py
@@ -4,6 +4,8 @@
 
 #: Longest event that is accepted, bytes.
 MAX_EVENT_BYTES = 1 << 20
+#: Longest end of an event, bytes.
+LONGEST_END = 4
 
 _ID_LINE = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
 _END = re.compile(rb"\r?\n\r?\n")
@@ -35,8 +37,10 @@
 
         :raises EventTooLongError: if an event is too long.
         """
+        # What came before has no end, except for the beginning of one.
+        searched = max(0, len(self._rest) - LONGEST_END + 1)
         data = self._rest + data
-        ends = [match.end() for match in _END.finditer(data)]
+        ends = [match.end() for match in _END.finditer(data, searched)]
         if not ends:
             self._rest = data
             if len(data) > MAX_EVENT_BYTES:
