Let the holders of a hot part take turns as sources

Of all holders with as many tokens the first in the list was always named, and an engine sends one part after the other.

Change: a place is picked at random among those that hold as much, in the engine's zone if one is there.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -13,12 +13,12 @@
 from arbutustally.gateway.admission import must_reject, retry_after_s
 from arbutustally.gateway.choice import (
     PartSource,
-    best_source,
     choose_engine,
     choose_plain,
     expected_wait_s,
     fetch_source,
     must_save,
+    sources_of,
     weights_to_use,
 )
 from arbutustally.gateway.configuration import ClientAccount, Configuration, Route, Service
@@ -125,7 +125,7 @@
             services.on_other_weights(services.rng.choice(able))
             raise self._nothing_able("no_engine_with_weights", left_s, has_run)
         scope = f"{version}.{self.wall}"
-        source = best_source(
+        sources = sources_of(
             services.holdings, scope, request.parts, able, self._configuration.part_stores
         )
         choice = choose_engine(
@@ -137,23 +137,16 @@
             version,
             self.wall,
             scope,
-            source.tokens if source else 0,
+            max((source.tokens for source in sources), default=0),
             self._route.target_s,
             services.zone,
         )
-        source = fetch_source(
-            services.holdings,
-            scope,
-            request.parts,
-            choice.endpoint,
-            able,
-            self._configuration.part_stores,
-        )
+        state = next(entry for entry in engines if entry.id == choice.endpoint)
+        source = fetch_source(services.holdings, scope, request.parts, state, sources, services.rng)
         self._note(choice, version, source)
         if not self._tried and must_reject(choice.estimate_s, left_s):
             wait = retry_after_s(choice.estimate_s, left_s, services.rng)
             raise OverloadedError("not run: engines are behind; retry", retry_after_s=wait)
-        state = next(entry for entry in engines if entry.id == choice.endpoint)
         return Placed(state, choice, version, scope, source)
 
     def _engines_to_use(self, able: list[EndpointState]) -> tuple[int, list[EndpointState]]:
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -67,14 +67,14 @@
     tokens: int
 
 
-def best_source(
+def sources_of(
     holdings: Holdings,
     scope: str,
     parts: Sequence[PromptPart],
     states: Sequence[EndpointState],
     stores: Sequence[Service],
-) -> PartSource | None:
-    """Returns the place that holds most of a prompt, ``None`` if no place holds any."""
+) -> list[PartSource]:
+    """Returns the places that hold leading parts of a prompt."""
     sources = [
         PartSource(state.id, state.address, state.entry.zone, tokens)
         for state in states
@@ -85,27 +85,31 @@
         for store in stores
         if (tokens := holdings.prefix_tokens(store.name, scope, parts))
     ]
-    return max(sources, key=lambda source: source.tokens, default=None)
+    return sources
 
 
 def fetch_source(
     holdings: Holdings,
     scope: str,
     parts: Sequence[PromptPart],
-    engine: str,
-    states: Sequence[EndpointState],
-    stores: Sequence[Service],
+    engine: EndpointState,
+    sources: Sequence[PartSource],
+    rng: Random,
 ) -> PartSource | None:
     """Returns the place from which an engine fetches the parts that it may lack.
 
-    Load pattern: memory is short and engines drop parts within seconds, which a large fleet does
+    Load patterns: memory is short and engines drop parts within seconds, which a large fleet does
     not hear. So a place is named also where the engine is only assumed to hold the parts; it
-    fetches nothing that it has.
+    fetches nothing that it has. And a hot part is held by many engines, each of which sends one
+    part after the other; so the places that hold as much take turns, those of the zone first.
     """
-    others = [state for state in states if state.id != engine]
-    source = best_source(holdings, scope, parts, others, stores)
-    sure = holdings.prefix_tokens(engine, scope, parts, with_assumed=False)
-    return source if source is not None and source.tokens > sure else None
+    others = [source for source in sources if source.place != engine.id]
+    most = max((source.tokens for source in others), default=0)
+    if most <= holdings.prefix_tokens(engine.id, scope, parts, with_assumed=False):
+        return None
+    equal = [source for source in others if source.tokens + BLOCK_TOKENS >= most]
+    near = [source for source in equal if source.zone == engine.entry.zone]
+    return rng.choice(near or equal)
 
 
 def must_save(holdings: Holdings, scope: str, parts: Sequence[PromptPart], store: Service) -> bool:
--- a/tests/test_gateway_choice.py
+++ b/tests/test_gateway_choice.py
@@ -2,15 +2,17 @@
 
 import math
 import unittest
+from collections import Counter
 from random import Random
 
 from arbutustally.clock import VirtualClock
 from arbutustally.gateway.choice import (
-    best_source,
+    PartSource,
     choose_engine,
     choose_plain,
     fetch_source,
     must_save,
+    sources_of,
     weights_to_use,
 )
 from arbutustally.gateway.configuration import (
@@ -221,21 +223,50 @@
         self.states[2].memory_tokens = 50_000.0
         self.assertNotEqual(self.choose(request), "e3")
 
-    def test_best_source_holds_most(self) -> None:
+    def source(self, request: CallerRequest, engine: int = 2) -> PartSource | None:
+        sources = sources_of(self.holdings, "1.", request.parts, self.states, ())
+        state = self.states[engine]
+        return fetch_source(self.holdings, "1.", request.parts, state, sources, Random(3))
+
+    def test_source_holds_most(self) -> None:
         request = prompt(("aa", 6000), ("bb", 500))
-        self.assertIsNone(best_source(self.holdings, "1.", request.parts, self.states, ()))
+        self.assertIsNone(self.source(request))
         self.holdings.assume("e1", "1.", request.parts[:1])
         self.holdings.assume("e2", "1.", request.parts)
-        source = best_source(self.holdings, "1.", request.parts, self.states, ())
+        source = self.source(request)
         self.assertEqual((source.place, source.tokens), ("e2", 6500))
 
+    def test_holders_of_a_hot_part_take_turns(self) -> None:
+        """Replays one guide that all engines fetch: a holder sends one part after the other."""
+        request = prompt(("aa", 6000), ("bb", 500))
+        self.states = [EndpointState(entry(f"e{number}")) for number in range(20)]
+        for state in self.states[:10]:
+            self.holdings.assume(state.id, "1.", request.parts[:1])
+        sources = sources_of(self.holdings, "1.", request.parts, self.states, ())
+        rng, engine = Random(3), self.states[15]
+        named = Counter(
+            fetch_source(self.holdings, "1.", request.parts, engine, sources, rng).place
+            for _ in range(200)
+        )
+        self.assertEqual(len(named), 10)
+        self.assertLess(max(named.values()), 2 * 200 / 10)
+
+    def test_holder_in_the_zone_of_the_engine_goes_first(self) -> None:
+        request = prompt(("aa", 6000), ("bb", 500))
+        self.states = [
+            EndpointState(entry(f"e{number}", zone=f"z{number % 3}")) for number in range(9)
+        ]
+        for state in self.states[:6]:
+            self.holdings.assume(state.id, "1.", request.parts[:1])
+        self.assertIn(self.source(request, 7).place, ("e1", "e4"))
+
     def test_second_request_queues_where_its_parts_are_being_read(self) -> None:
         """Replays a burst on one long shared part: it is read once, not on every engine."""
         request = prompt(("aa", 6000), ("bb", 500))
         first = self.choose(request)
         self.holdings.expect(first, "1.", request.parts)
         self.assertEqual([self.choose(request) for _ in range(3)], [first] * 3)
-        self.assertIsNone(best_source(self.holdings, "1.", request.parts, self.states, ()))
+        self.assertEqual(sources_of(self.holdings, "1.", request.parts, self.states, ()), [])
         self.holdings.unexpect(first, "1.", request.parts)
         self.assertEqual(self.holdings.prefix_tokens(first, "1.", request.parts, True), 0)
 
@@ -244,10 +275,9 @@
         request = prompt(("aa", 6000), ("own", 3000))
         for engine in ("e1", "e2"):
             self.holdings.assume(engine, "1.", request.parts[:1])
-        known = (self.holdings, "1.", request.parts, "e1", self.states, ())
-        self.assertEqual(fetch_source(*known).place, "e2")
+        self.assertEqual(self.source(request, 0).place, "e2")
         self.holdings.stored("e1", "1.", "aa", 6000)
-        self.assertIsNone(fetch_source(*known))
+        self.assertIsNone(self.source(request, 0))
 
     def test_only_parts_that_are_shared_and_missing_are_saved(self) -> None:
         store = Service("kv", 10, None, PartStore("10.0.0.9:1", "z1", 12))
