--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -1,6 +1,7 @@
 """A gateway node over real sockets: routes, keys, attempts, streams, weights, drain, trouble."""
 
 import socket
+import time
 from dataclasses import replace
 from random import Random
 from unittest import mock
@@ -11,6 +12,7 @@
 from arbutustally.gateway.shared_reading import READERS, Change, ListNews
 from arbutustally_node.gateway.fleet_view import FORGET_GONE_S
 from arbutustally_node.gateway.node import GatewayNode
+from arbutustally_node.gateway.stream_relay import SILENT_GAP_S
 from arbutustally_node.gateway.weights_service import LOADS_DUTY
 from tests.gateway_fleet import GatewayCase, settings
 from tests.platform_fakes import FakeStore, FakeWorker, configuration
@@ -179,6 +181,48 @@
         self.assertEqual(answer.data.count(b"data: piece"), 5)
         self.assertEqual(third.ran, ["r1"])
 
+    def answer_with(self, stream) -> None:
+        """Makes all engines answer a stream that begins anew with ``stream``."""
+
+        def behave(headers):
+            if headers.get("Last-Event-Id"):
+                return None
+            fields = {"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
+            return HTTPResponse(body=stream(), headers=fields)
+
+        for engine in self.engines:
+            engine.behave = behave
+
+    def test_stream_that_sends_bytes_but_no_event_goes_on_elsewhere(self) -> None:
+        """Guards against stalled streams that never end since a byte comes now and then."""
+
+        def stalled():
+            yield b"id: 1\ndata: piece 1\n\n"
+            while True:
+                yield b":"
+                gevent.sleep(0.2)
+
+        self.answer_with(stalled)
+        began = time.monotonic()
+        answer = self.call(self.node, "/chat/x", "r1", Deadline_Ms="4000")
+        self.assertEqual(answer.data.count(b"data: piece"), 5)
+        self.assertLess(time.monotonic() - began, SILENT_GAP_S + 0.7)
+
+    def test_slow_but_sound_stream_is_not_cut(self) -> None:
+        """Replays an engine at a fraction of its speed that sends each event in two parts."""
+
+        def slow():
+            for number in (1, 2):
+                yield b"id: %d\ndata: pi" % number
+                gevent.sleep(0.3)
+                yield b"ece %d\n\n" % number
+                gevent.sleep(0.3)
+
+        self.answer_with(slow)
+        answer = self.call(self.node, "/chat/x", "r1", Deadline_Ms="4000")
+        self.assertEqual(answer.data.count(b"data: piece"), 2)
+        self.assertEqual(sum(len(engine.seen) for engine in self.engines), 1)
+
     def _broken(self):
         yield b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\nda"
 
