Tell of nodes that come back; take engines that have loaded into use at once

Cause, found by reading the diff: (1) a node that was first heard between two reviews was taken as known by the table, so the next review saw no change and limits and the budget of repeats were not told: after a start every node took itself for the only one, and after a loss the part of the rate stayed small until the next loss. (2) A message that an engine loads comes through relays up to half a second late, and held the engine back for 0.6 s more.

Change: the table keeps that it has news until it is asked. A message about loading counts for 2.5 intervals, and not for an engine that has the named weights already.

--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -39,6 +39,7 @@
         self.runs = True
         self.frozen_until = 0.0
         self.told: list[PeerState] = []
+        self.seen = 0
         self.waiting: list[tuple[PeerState, str]] = []
         self.heard: dict[str, float] = {}
         self._world = world
@@ -151,7 +152,8 @@
         waiting, node.waiting = node.waiting, []
         for state, from_ip in waiting:
             self._arrive(node, state, from_ip)
-        node.table.refresh()
+        if node.table.refresh():
+            node.seen = len(node.table.present)
         sources = node.table.sources()
         node.heard = {source: total for source, total in node.heard.items() if source in sources}
         own = node.describe()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
@@ -115,6 +115,7 @@
         self._told_members: dict[Covers, tuple[Member, ...]] = {}
         self._rounds = 0
         self._has_changed = False
+        self._has_news = False
 
     @property
     def present(self) -> list[Member]:
@@ -219,7 +220,7 @@
             members = before if state.members is None else state.members
             self._fleet = Heard(state, self._clock(), members)
         if ip not in self._present:
-            self.refresh()
+            self._renew_present()
         return True
 
     def _take_cell(self, state: PeerState) -> None:
@@ -278,7 +279,7 @@
         return {_source(heard.state) for heard in self._sources()}
 
     def refresh(self) -> bool:
-        """Drops silent peers; returns whether the fleet has changed."""
+        """Drops silent peers; returns whether the fleet has changed since the last call."""
         now = self._clock()
         for ip in [ip for ip, heard in self._cells.items() if now - heard.at > ABSENT_S]:
             self._drop_cell(ip)
@@ -287,16 +288,23 @@
             self._drop_node(ip)
         if self._fleet is not None and now - self._fleet.at > ABSENT_S:
             self._fleet = None
+        known = len(self._known_at)
+        self._known_at = {ip: at for ip, at in self._known_at.items() if now - at <= FORGET_S}
+        self._renew_present()
+        has_changed = self._has_news or len(self._known_at) != known
+        self._has_news = False
+        return has_changed
+
+    def _renew_present(self) -> None:
+        now = self._clock()
         present = self._now_present()
         for ip in present:
             self._known_at[ip] = now
             self._lost_relays.pop(ip, None)
-        self._known_at = {ip: at for ip, at in self._known_at.items() if now - at <= FORGET_S}
-        if present == self._present:
-            return False
-        self._present = present
-        self._changed()
-        return True
+        if present != self._present:
+            self._present = present
+            self._has_news = True
+            self._changed()
 
     def outgoing(self, own: PeerState) -> list[Outgoing]:
         """Returns the messages that are due now.
@@ -424,6 +432,7 @@
     def _see(self, member: Member) -> None:
         if self._present.get(member.ip) != member:
             self._present[member.ip] = member
+            self._has_news = True
             self._changed()
 
     def _changed(self) -> None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -5,7 +5,7 @@
 
 from arbutustally.clock import Clock
 from arbutustally.gateway.configuration import Configuration
-from arbutustally.gateway.endpoints import EndpointBook, EndpointEntry
+from arbutustally.gateway.endpoints import EndpointBook, EndpointEntry, EndpointState
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.ports import Documents, Record, WeightsNamed
 
@@ -187,6 +187,13 @@
         self._log.line("weights_named", model=model, version=version, source=source)
         return True
 
+    def is_behind(self, endpoint: EndpointState) -> bool:
+        """Returns whether an endpoint is known to have older weights than named."""
+        return any(
+            model in self._weights and version < self._weights[model].version
+            for model, version in endpoint.weights.items()
+        )
+
     def _note_endpoint(self, entry: EndpointEntry, source: str) -> None:
         self._log.line(
             "endpoint_listed",
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -62,8 +62,8 @@
 STOP_POLL_S = 0.05
 #: Interval at which a node without the store, or behind its peers, asks one of them, seconds.
 SNAPSHOT_INTERVAL_S = 0.25
-#: Time for which an endpoint counts as loading after a peer said so, seconds.
-LOADING_HEARD_S = 0.6
+#: Intervals between messages for which an endpoint counts as loading after a peer said so.
+LOADING_INTERVALS = 2.5
 
 
 class GatewayNode:
@@ -380,9 +380,10 @@
     def _take_loading(self, state: PeerState, now: float) -> None:
         for endpoint_id in state.loading:
             endpoint = self._view.book.get(endpoint_id)
-            if endpoint is not None:
+            # What comes through relays may be older than the word that it has loaded.
+            if endpoint is not None and self._view.is_behind(endpoint):
                 endpoint.loading = True
-                endpoint.loading_until = now + LOADING_HEARD_S
+                endpoint.loading_until = now + LOADING_INTERVALS * self._gossip.interval_s
         for endpoint in self._view.book.all():
             if endpoint.loading and now >= endpoint.loading_until:
                 endpoint.loading = False
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -164,6 +164,21 @@
             self.assertGreaterEqual(node.peers_admitted, total - node.admitted - on_its_way)
 
 
+class ChangeTest(FleetCase):
+    def test_node_that_comes_back_is_told_as_a_change(self) -> None:
+        """Guards against limits that stay at the part of the rate of fewer nodes."""
+        world = FleetWorld(8)
+        world.run(TOGETHER_S)
+        first, last = world.nodes[0], world.nodes[-1]
+        self.assertEqual(first.seen, 7)
+        world.kill(last)
+        world.run(2.0)
+        self.assertEqual(first.seen, 6)
+        world.restart(last)
+        world.run(2.0)
+        self.assertEqual(first.seen, 7)
+
+
 class PlanTest(unittest.TestCase):
     def test_larger_instances_relay_first(self) -> None:
         members = [member(f"n{n}", f"10.0.0.{n}", capacity=n % 3) for n in range(1, 31)]
