Repeat at the same endpoint on a new connection only

Cause: a late second copy of an answer is told from the answer to the next request by its id. Attempts of one request share the id, so a copy of a refusal was taken for the answer to the second attempt at the same endpoint, which ran and was sent a third time: the booking ran twice (test on the code before: ran == [r1, r1]).

Change: an attempt at an endpoint that was tried before uses a new connection.

Test: tests.test_late_copies, a server that sends each answer of a connection again right before the next one.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -1,7 +1,7 @@
 """Choice of the endpoint for the next attempt of one request."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from arbutustally.errors import (
     EndpointFailedError,
@@ -44,6 +44,7 @@
     :ivar version: weights that it runs on, ``None`` for a plain service.
     :ivar cache_scope: scope of the cached parts that it may use.
     :ivar source: place from which the engine fetches parts that it lacks.
+    :ivar was_tried: an earlier attempt of the request went to the same endpoint.
     """
 
     state: EndpointState
@@ -51,6 +52,7 @@
     version: int | None = None
     cache_scope: str = ""
     source: PartSource | None = None
+    was_tried: bool = False
 
 
 class Placer:
@@ -104,6 +106,7 @@
             placed = Placed(choose_plain(able, services.zone, services.rng))
         else:
             placed = self._place_at_engine(able, left_s, has_run)
+        placed = replace(placed, was_tried=placed.state.id in self._tried)
         self._tried.add(placed.state.id)
         return placed
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -177,7 +177,7 @@
             save_to=self._placer.save_to(placed),
         )
         return self._services.transport.send(
-            self._request, placed.state, terms, head_s, self._watch
+            self._request, placed.state, terms, head_s, self._watch, placed.was_tried
         )
 
     def _pass_on(self, attempt: Attempt, placed: Placed, load: AttemptLoad) -> Attempt:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -57,17 +57,20 @@
         terms: AttemptTerms,
         head_s: float,
         watch: CallerWatch,
+        fresh: bool = False,
     ) -> Attempt:
         """Sends a request and returns the head of its answer, or how the attempt failed.
 
         :param head_s: longest wait for the head.
+        :param fresh: use a new connection. A late copy of the answer to an earlier attempt at the
+            same endpoint has the same id, and could not be told from the answer to this one.
         :raises CallerGoneError: if the caller leaves meanwhile.
         """
         headers = self._codec.attempt_headers(request, terms)
         try:
             with watch, gevent.Timeout(head_s, _HeadTimeoutError):
                 response = self._pool.open(
-                    state, request.method, request.target, headers, request.body or None, head_s
+                    state, request.method, request.target, headers, request.body or None, head_s, fresh
                 )
         except (EndpointTimeoutError, _HeadTimeoutError):
             return Attempt(Outcome.MAY_HAVE_RUN, "endpoint_silent")
--- /dev/null
+++ b/tests/test_late_copies.py
@@ -0,0 +1,94 @@
+"""A server that sends a second copy of an answer, late, on a connection that is in use again."""
+
+from typing import BinaryIO
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from tests.gateway_fleet import GatewayCase, settings
+from tests.platform_fakes import FakeWorker
+
+FULL = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n"
+GOOD = b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: %s\r\nContent-Length: 4\r\n\r\ndone"
+
+
+class CopyingWorker:
+    """Sends the last answer of a connection again, right before the next one.
+
+    :param refusals: requests that are turned away before others run.
+    """
+
+    def __init__(self, refusals: int) -> None:
+        self._refusals = refusals
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.id = "copying"
+        self.address = f"127.0.0.1:{self._server.server_port}"
+        self.ran: list[str] = []
+
+    def entry(self) -> dict:
+        worker = FakeWorker(self.id, "desk")
+        worker.stop()
+        return {**worker.entry(), "address": self.address}
+
+    def stop(self) -> None:
+        self._server.stop(timeout=0)
+
+    def _serve(self, connection: socket.socket, _address: tuple[str, int]) -> None:
+        last = b""
+        reader = connection.makefile("rb")
+        while request_id := self._read_request(reader):
+            if last:
+                connection.sendall(last)
+                gevent.sleep(0.05)
+            if self._refusals:
+                self._refusals -= 1
+                last = FULL % request_id
+            else:
+                self.ran.append(request_id.decode())
+                last = GOOD % request_id
+            connection.sendall(last)
+
+
+    def _read_request(self, reader: BinaryIO) -> bytes:
+        """Returns the id of the next request, empty at the end of the connection."""
+        request_id, length = b"", 0
+        while (line := reader.readline()) not in (b"", b"\r\n"):
+            name, _, value = line.partition(b":")
+            if name.lower() == b"request-id":
+                request_id = value.strip()
+            elif name.lower() == b"content-length":
+                length = int(value)
+        reader.read(length)
+        return request_id
+
+
+class LateCopyTest(GatewayCase):
+    def start_with(self, refusals: int):
+        self.worker = CopyingWorker(refusals)
+        self.addCleanup(self.worker.stop)
+        for desk in self.desks:
+            self.store.put("keyed.servers", desk.id, None)
+        self.store.put("keyed.servers", self.worker.id, self.worker.entry())
+        node = self.start_node(settings(self.store.address))
+        self.wait_ready(node)
+        return node
+
+    def test_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_next_attempt(self) -> None:
+        """Guards against a booking that runs twice, or is said not to have run while it runs."""
+        node = self.start_with(refusals=1)
+        answer = self.call(node, "/book/x", "r1", b"stencil")
+        gevent.sleep(0.3)
+        self.assertEqual(self.worker.ran, ["r1"])
+        self.assertEqual((answer.status, answer.data), (200, b"done"))
+
+    def test_copy_of_an_answer_reaches_no_other_caller(self) -> None:
+        node = self.start_with(refusals=0)
+        for number in range(6):
+            answer = self.call(node, "/book/x", f"r{number}", b"stencil")
+            if answer.status == 200:
+                self.assertEqual(answer.headers["Request-Id"], f"r{number}")
+            else:
+                self.assertEqual(answer.status, 502)
+        self.assertEqual(len(self.worker.ran), len(set(self.worker.ran)))
