Keep the age of weights on a node that begins to read

Cause: a node that does not read noted when it last read, and gave that time to every record that it came across when it began to read, also to weights that peers had told it with their true age. Weights then seemed replaced long ago, and engines with them were left out (test on the code before: a second too old after one second).

Change: records that are known already are not taken again, and the age of others goes back three seconds at most, the time for which the loss of readers may go unnoticed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -122,6 +122,10 @@
         elif change is None and record.value is not None:
             self._log.line("operator_record_unreadable", key=record.key, source=source)
 
+    def has_operator(self, record: Record) -> bool:
+        """Returns whether a record of the operator is known as it is."""
+        return self._operator_raw.get(record.key) == record.value
+
     def take_endpoint(self, record: Record, source: str) -> bool:
         """Takes an endpoint's entry or its removal; returns whether it says anything new."""
         if record.value is None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -20,7 +20,8 @@
 #: Pause after a failed call, seconds; doubled with each further failure.
 RETRY_S = 0.2
 MAX_RETRY_S = 1.0
-#: Time for which a connection to the store may have been silent before a call on it fails, seconds.
+#: Time for which a connection to the store may have been silent before a call on it fails, and for
+#: which the loss of all nodes that read may have gone unnoticed, seconds.
 UNNOTICED_S = 3.0
 #: Interval at which a node that does not read looks whether it must, seconds.
 LOOK_S = 0.05
@@ -90,8 +91,8 @@
         unread_since = -math.inf
         while True:
             if offset is not None and not self._is_reader():
-                # Records that come now are told by the nodes that read.
-                unread_since = min(unread_since, self._clock())
+                # Records that come now are told by the nodes that read, up to their loss.
+                unread_since = self._clock() - UNNOTICED_S
                 gevent.sleep(LOOK_S)
                 continue
             try:
@@ -115,9 +116,11 @@
 
     def _take(self, records: tuple[Record, ...], known_at: float, is_news: bool) -> None:
         now = self._clock()
-        for record in records:
+        # A node that begins to read comes across what peers have told it, with a better age.
+        new = [record for record in records if not self._view.has_operator(record)]
+        for record in new:
             self._view.take_operator(record, "store", known_at)
             if is_news:
                 self._told.append((now, known_at, record))
-        if is_news and records and self._is_reader():
+        if is_news and new and self._is_reader():
             self._tell()
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -464,6 +464,21 @@
         known = [node._view.weights["m"].known_at[2] for node in nodes]
         self.assertLess(max(known) - min(known), 0.5)
 
+    def test_node_that_begins_to_read_keeps_the_age_of_weights(self) -> None:
+        """Guards against engines that are left out since their weights seem long replaced."""
+        nodes = self.start_settled(3)
+        node = next(node for node in nodes if not node._endpoints.is_reader)
+        gevent.sleep(1.0)
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        self.eventually(lambda: "m" in node._view.weights)
+        known_at = node._view.weights["m"].known_at[2]
+        for other in nodes:
+            if other is not node:
+                other.stop()
+        self.eventually(lambda: node._endpoints.is_reader)
+        gevent.sleep(0.5)
+        self.assertAlmostEqual(node._view.weights["m"].known_at[2], known_at, delta=0.1)
+
     def test_few_nodes_are_announced_and_all_find_together(self) -> None:
         nodes = self.start_nodes(3)
         for node in nodes:
