Spread prompts of a hot part by the demand of all nodes

Knowledge is 0.3 s old, and 114 such prompts a second share four guides. A prompt that no engine holds goes to the first engine in the order of its guide; the order widens with demand, but a node counted its own requests only, one a second. So all nodes sent what came within 0.3 s to four engines.

Change: demand counts for all nodes, so prompts are spread by their next part over as many engines as that needs.

Test: 60 nodes choose at once; on the code before (demand of one node) they chose few engines.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -198,6 +198,7 @@
             bounds.weights_s,
             lambda state: self._weights.look(state),
             self._unreachable,
+            lambda: len(self._gossip.present) + 1,
         )
         self._exchange = Exchange(self._request_services)
         self._watch = StoreWatch(self._view.book, self._log, monotonic, bounds.store_return_s)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -143,6 +143,7 @@
             max((source.tokens for source in sources), default=0),
             self._route.target_s,
             services.zone,
+            services.nodes(),
         )
         state = next(entry for entry in engines if entry.id == choice.endpoint)
         source = fetch_source(services.holdings, scope, request.parts, state, sources, services.rng)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -26,6 +26,7 @@
     :ivar weights_s: after this time no request may begin on weights older than those named.
     :ivar on_other_weights: called for an engine that has other weights than expected.
     :ivar on_unreachable: called for an endpoint to which no connection could be made.
+    :ivar nodes: returns the number of nodes of the fleet, this one included.
     :ivar placed: placements to tell the peers.
     """
 
@@ -43,6 +44,7 @@
     weights_s: float
     on_other_weights: Callable[[EndpointState], None]
     on_unreachable: Callable[[EndpointState], None]
+    nodes: Callable[[], int]
     placed: PlacedLog = field(default_factory=PlacedLog)
 
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -70,7 +70,13 @@
         try:
             with watch, gevent.Timeout(head_s, _HeadTimeoutError):
                 response = self._pool.open(
-                    state, request.method, request.target, headers, request.body or None, head_s, fresh
+                    state,
+                    request.method,
+                    request.target,
+                    headers,
+                    request.body or None,
+                    head_s,
+                    fresh,
                 )
         except (EndpointTimeoutError, _HeadTimeoutError):
             return Attempt(Outcome.MAY_HAVE_RUN, "endpoint_silent")
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -2,7 +2,9 @@
 
 Load pattern: long prompts share parts, engines differ in what they hold and how much they have
 to read, and many nodes choose at once. Engines are ranked by the expected time to the first
-event (``arbutustally.placement``), with the requests of all nodes in the queue of each; a prompt
+event (``arbutustally.placement``), with the requests of all nodes in the queue of each. What the
+nodes choose within a few hundred ms of each other they do not know yet, so prompts that share a
+hot part are spread by their next part over as many engines as the demand of all nodes needs. A prompt
 that does not fit into what is left of an engine's memory counts as a longer queue there.
 """
 
@@ -134,6 +136,7 @@
     importable_tokens: int,
     target_s: float,
     zone: str,
+    nodes: int,
 ) -> Choice:
     """Returns the engine that is expected to send the first event soonest.
 
@@ -142,6 +145,7 @@
     :param scope: scope of the cached parts that the request may use.
     :param importable_tokens: tokens of the prompt that any engine can fetch from elsewhere.
     :param zone: engines of this zone go first among equals.
+    :param nodes: nodes that choose at the same time, this one included.
     """
     shape = shape_of(request)
     asked = PlacementRequest(
@@ -152,6 +156,7 @@
         output_tokens=request.output_tokens,
         target=FirstEventTarget(target_s),
         zone=zone,
+        nodes=nodes,
     )
     memory = service.engine.cache_tokens if service.engine else 0
     needed = shape.total_tokens + request.output_tokens
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -225,7 +225,8 @@
         )
         homes = order(key, [entry.endpoint for entry in able])
         if self.options.widen:
-            width = self._hot.requested(key, self._work(request), self._load.speed(homes[0]), now)
+            work = self._work(request) * request.nodes
+            width = self._hot.requested(key, work, self._load.speed(homes[0]), now)
         else:
             width = 1
         if width > 1 and len(shape.levels) > 1:
--- a/packages/arbutustally/src/arbutustally/placement_types.py
+++ b/packages/arbutustally/src/arbutustally/placement_types.py
@@ -48,6 +48,7 @@
     :ivar output_tokens: largest number of tokens to generate.
     :ivar target: class of work.
     :ivar zone: endpoints of this zone go first among equals; empty for no preference.
+    :ivar nodes: nodes that place requests like this one; each sees its part of the demand only.
     """
 
     account: str
@@ -57,6 +58,7 @@
     output_tokens: int
     target: Target
     zone: str = ""
+    nodes: int = 1
 
 
 @dataclass(frozen=True)
--- a/tests/test_gateway_choice.py
+++ b/tests/test_gateway_choice.py
@@ -108,6 +108,7 @@
         self.states = [EndpointState(entry(f"e{number}")) for number in range(self.ENGINES)]
         self.service = Service("s", 10, Engine(4, 50_000))
         self.placement = Placement.from_config(self.clock, Random(3), speeds=self.speeds)
+        self.nodes = 195
 
     def choose(self, request: CallerRequest) -> Choice:
         return choose_engine(
@@ -122,6 +123,7 @@
             0,
             0.3,
             "z1",
+            self.nodes,
         )
 
     def test_engine_that_peers_named_as_holder_is_found(self) -> None:
@@ -139,6 +141,7 @@
 
     def test_slow_engine_is_given_less_and_its_share_back(self) -> None:
         """Replays an engine at a quarter of its speed that recovers."""
+        self.nodes = 1
         for _ in range(5):
             for state in self.states[:3]:
                 slow = state.id == "e0"
@@ -156,6 +159,23 @@
                 self.speeds.observe(state.id, 10_000, 0.2)
         self.assertGreater(self.speeds.speed("e0"), 0.85 * self.speeds.speed("e1"))
 
+    def test_nodes_that_choose_at_once_do_not_all_choose_the_same_engine(self) -> None:
+        """Replays a hot guide after a load: no engine holds it, and 195 nodes choose at once.
+
+        Each node sees one request a second and knows of no other that is sent meanwhile.
+        """
+        chosen: Counter[str] = Counter()
+        for node in range(60):
+            placement = Placement.from_config(self.clock, Random(node), speeds=self.speeds)
+            self.placement = placement
+            for second in range(3):
+                session = f"session-{node}-{second}"
+                choice = self.choose(prompt(("guide", 2500), (session, 3800), ("own", 2800)))
+                self.clock.advance(1.0)
+            chosen[choice.endpoint] += 1
+        self.assertGreater(len(chosen), 15)
+        self.assertLessEqual(max(chosen.values()), 8)
+
     def test_own_observations_are_not_counted_twice(self) -> None:
         self.speeds.observe("e0", 10_000, 0.2)
         own = self.speeds.own()
@@ -182,6 +202,7 @@
         self.states = [EndpointState(entry(name)) for name in ("e1", "e2", "e3")]
         self.service = Service("s", 10, Engine(4, 50_000))
         self.placement = Placement.from_config(self.clock, Random(3))
+        self.nodes = 1
 
     def choose(self, request: CallerRequest) -> str:
         return choose_engine(
@@ -196,6 +217,7 @@
             0,
             0.3,
             "z1",
+            self.nodes,
         ).endpoint
 
     def test_engine_that_holds_the_parts_is_chosen(self) -> None:
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -50,7 +50,6 @@
                 last = GOOD % request_id
             connection.sendall(last)
 
-
     def _read_request(self, reader: BinaryIO) -> bytes:
         """Returns the id of the next request, empty at the end of the connection."""
         request_id, length = b"", 0
