--- a/packages/arbutustally-node/src/arbutustally_node/gateway/announcer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/announcer.py
@@ -10,6 +10,7 @@
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.ports import NodeTopic
 from arbutustally_node.gateway.store_watch import StoreWatch
+from arbutustally_node.gateway.supervision import supervise
 
 #: Names the order of nodes in which they announce themselves.
 ANNOUNCING_DUTY = b"announce"
@@ -52,7 +53,7 @@
 
     def start(self) -> None:
         """Starts to look whether this node must be announced."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = supervise(self._log, "announcer", self._run)
 
     def stop(self) -> None:
         """Removes this node's record."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
@@ -9,6 +9,7 @@
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.ports import CacheEvents
+from arbutustally_node.gateway.supervision import supervise
 
 #: Wait of one call for changes, seconds.
 WAIT_S = 1.0
@@ -43,7 +44,7 @@
 
     def start(self) -> None:
         """Starts following."""
-        self._greenlet = gevent.spawn(self._review)
+        self._greenlet = supervise(self._log, "caches", self._review)
 
     def stop(self) -> None:
         """Stops following."""
@@ -59,7 +60,9 @@
                 self._holdings.forget(place)
             for place, address in places.items():
                 if place not in self._following:
-                    self._following[place] = gevent.spawn(self._follow, place, address)
+                    self._following[place] = supervise(
+                        self._log, "cache_events", self._follow, place, address
+                    )
             gevent.sleep(REVIEW_S)
 
     def _places(self) -> dict[str, str]:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -12,6 +12,7 @@
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.ports import Batch, KeyedTopic, Record
 from arbutustally_node.gateway.store_watch import StoreWatch
+from arbutustally_node.gateway.supervision import supervise
 
 #: Names the order of nodes in which they read the list.
 READING_DUTY = b"endpoints"
@@ -70,7 +71,7 @@
 
     def start(self) -> None:
         """Starts reading."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = supervise(self._log, "endpoints", self._run)
 
     def stop(self) -> None:
         """Stops reading."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -14,6 +14,7 @@
 from arbutustally_node.gateway.peer_state import OperatorNews
 from arbutustally_node.gateway.ports import KeyedTopic, Record
 from arbutustally_node.gateway.store_watch import StoreWatch
+from arbutustally_node.gateway.supervision import supervise
 
 #: Longest wait of a read for the next record, seconds.
 WAIT_S = 5.0
@@ -58,7 +59,7 @@
 
     def start(self) -> None:
         """Starts following."""
-        self._greenlet = gevent.spawn(self._follow)
+        self._greenlet = supervise(self._log, "operator", self._follow)
 
     def stop(self) -> None:
         """Stops following."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -17,6 +17,7 @@
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_table import FleetTable, PeerUse
 from arbutustally_node.gateway.peer_state import PeerState
+from arbutustally_node.gateway.supervision import supervise
 
 #: Interval between two datagrams to a peer, seconds. Where nodes tell each other directly it grows
 #: with each peer beyond ten, so that what a node sends in a second stays bounded.
@@ -71,7 +72,10 @@
         """Binds the port and starts to send and to receive."""
         self._socket = gevent_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((self._ip, self._port))
-        self._greenlets = [gevent.spawn(self._receive), gevent.spawn(self._send)]
+        self._greenlets = [
+            supervise(self._log, "gossip_receive", self._receive),
+            supervise(self._log, "gossip_send", self._send),
+        ]
 
     def stop(self) -> None:
         """Sends the last state once more and stops."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -36,6 +36,7 @@
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
 from arbutustally_node.gateway.request_services import RequestServices
 from arbutustally_node.gateway.store_watch import StoreWatch
+from arbutustally_node.gateway.supervision import supervise
 from arbutustally_node.gateway.transport import Transport
 from arbutustally_node.gateway.web import (
     Snapshot,
@@ -123,7 +124,7 @@
             serve(self._options.control_listen, snapshot_app(self._snapshot)),
             serve(self._options.metrics_listen, metrics_app(self._metrics_text)),
         ]
-        self._catch_up_greenlet = gevent.spawn(self._catch_up)
+        self._catch_up_greenlet = supervise(self._log, "snapshots", self._catch_up)
         tune_collector()
         self._log.line("node_started", zone=self._options.zone, callers=self._options.caller_listen)
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -25,6 +25,7 @@
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.order_lease import OrderLease
 from arbutustally_node.gateway.ports import EngineControl, LoadOrder, OrderReply
+from arbutustally_node.gateway.supervision import supervise
 
 #: Names the order of nodes in which they order engines.
 LOADS_DUTY = b"loads"
@@ -83,7 +84,7 @@
 
     def start(self) -> None:
         """Starts watching for engines with older weights."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = supervise(self._log, "weights", self._run)
 
     def stop(self) -> None:
         """Stops ordering and gives up the lease."""
