Serve only once the fleet is known after a start

Cause: when all nodes of a large fleet restart at once in a flood of one account, each knows only some of the others for a second, takes its bucket for the whole, and admits what belongs to all.

Change: a node counts as ready, and serves, once its peers have been the same for half a second, 2.5 s after its start at the latest; at once where nodes tell each other directly (16 at most) or where it has no address to try. Readers of the store use the same rule.

Price: up to a second without service after all nodes of a large fleet lose power; callers are told to come back after a quarter of a second.

Test: tests.test_fleet_table.FloodTest, with the death of a relay in a flood and an account within its rate beside it.

--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -11,6 +11,7 @@
 from random import Random
 
 from arbutustally.clock import VirtualClock
+from arbutustally.gateway.quota import QuotaLedger, QuotaTolerance
 from arbutustally.gateway.relaying import Member
 from arbutustally_node.gateway.fleet_table import FleetTable
 from arbutustally_node.gateway.gossip import DIRECT_INTERVAL_S, RELAY_INTERVAL_S
@@ -19,6 +20,9 @@
 ENGINE = "engine"
 ACCOUNT = "school"
 DELAY_S = 0.002
+#: Rate and burst of the account, tokens a second and tokens.
+LIMIT = (200_000.0, 200_000.0)
+TOLERANCE = QuotaTolerance(0.1, 110_000.0)
 SEEDS = 3
 
 
@@ -38,6 +42,9 @@
         self.admitted = 0.0
         self.runs = True
         self.frozen_until = 0.0
+        self.ledger = QuotaLedger.from_config(world.clock, TOLERANCE)
+        self.ledger.declare({ACCOUNT: world.limit})
+        self.sources: set[str] = set()
         self.told: list[PeerState] = []
         self.seen = 0
         self.waiting: list[tuple[PeerState, str]] = []
@@ -52,7 +59,7 @@
             0,
             Covers.NODE,
             loads={ENGINE: (1, now, 0.0, 0)},
-            admitted={ACCOUNT: self.admitted} if self.admitted else {},
+            admitted={ACCOUNT: self.admitted + self.ledger.admitted.get(ACCOUNT, 0.0)},
         )
 
     def take(self, state: PeerState) -> None:
@@ -64,10 +71,27 @@
         if use is None:
             return
         self.uses[use.source] = use.loads.get(ENGINE, (0, 0.0, 0.0, 0))[1]
+        self.ledger.heard(use.source, use.admitted)
+        self.sources.add(use.source)
         total = use.admitted.get(ACCOUNT, 0.0)
         self.peers_admitted += total - self.heard.get(use.source, total)
         self.heard[use.source] = total
 
+    def admit(self, tokens: float) -> bool:
+        """Takes a caller's request; returns whether it is within the limit as this node knows it."""
+        return self.table.is_settled and self.ledger.take(ACCOUNT, tokens) is None
+
+    def review(self) -> None:
+        """Drops what counts no longer, and tells the limit of a changed fleet."""
+        has_changed = self.table.refresh()
+        for source in self.sources - self.table.sources():
+            self.ledger.forget(source)
+            self.heard.pop(source, None)
+        self.sources &= self.table.sources()
+        if has_changed:
+            self.seen = len(self.table.present)
+            self.ledger.see(self.seen + 1, self.table.known + 1)
+
     def known_load(self) -> float:
         """Returns the load of all peers as this node knows it."""
         sources = self.table.sources()
@@ -81,8 +105,16 @@
     :param is_cut: whether a datagram from one node to another is lost in a partition.
     """
 
-    def __init__(self, nodes: int, zones: int = 6, seed: int = 1, loss: float = 0.0) -> None:
+    def __init__(
+        self,
+        nodes: int,
+        zones: int = 6,
+        seed: int = 1,
+        loss: float = 0.0,
+        limit: tuple[float, float] = LIMIT,
+    ) -> None:
         self.clock = VirtualClock(100.0)
+        self.limit = limit
         self.rng = Random(seed)
         self.loss = loss
         self.is_cut: Callable[[WorldNode, WorldNode], bool] = lambda _source, _target: False
@@ -152,10 +184,7 @@
         waiting, node.waiting = node.waiting, []
         for state, from_ip in waiting:
             self._arrive(node, state, from_ip)
-        if node.table.refresh():
-            node.seen = len(node.table.present)
-        sources = node.table.sources()
-        node.heard = {source: total for source, total in node.heard.items() if source in sources}
+        node.review()
         own = node.describe()
         for message in node.table.outgoing(own):
             self._send(node, message.state, message.ips)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -23,10 +23,6 @@
 WAIT_PART = 0.1
 #: Interval at which a node that does not read looks whether it must, seconds.
 LOOK_S = 0.1
-#: A node that has started knows its place in the order once its peers are the same for this time,
-#: or after the longest such time at the latest, seconds. Until then it reads the list only once.
-SETTLED_S = 0.5
-MAX_SETTLING_S = 2.5
 #: Ages of this node's last reading up to which it reads for the fleet, as a part of the time within
 #: which leaving endpoints must be known.
 READER_PART = 0.75
@@ -62,7 +58,6 @@
         self._clock = clock
         self._gossip = gossip
         self._reader_s = leaving_s * READER_PART
-        self._started_at = clock()
         self._read_at = float("-inf")
         self._is_reader: bool | None = None
         self._must_read_whole = True
@@ -137,10 +132,9 @@
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
     def _is_settled(self) -> bool:
-        if self._reading.position is None or self._reading.has_missed:
-            return True
-        since_start = self._clock() - self._started_at
-        return since_start >= MAX_SETTLING_S or self._gossip.unchanged_s >= SETTLED_S
+        """Returns whether this node knows its place in the order, or must read anyway."""
+        reading = self._reading
+        return reading.position is None or reading.has_missed or self._gossip.is_settled
 
     def _read(self) -> None:
         start = self._reading.position
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
@@ -69,8 +69,8 @@
         if self._is_refusing:
             raise DrainingError("not run: the node stops; use another", retry_after_s=ELSEWHERE_S)
         configuration = self._services.view.configuration
-        if configuration is None or not self._services.view.is_complete:
-            raise NoConfigurationError("no configuration yet; retry", retry_after_s=DEFAULT_RETRY_S)
+        if configuration is None or not self._services.is_complete():
+            raise NoConfigurationError("the node starts; retry", retry_after_s=DEFAULT_RETRY_S)
         route = configuration.route_of(request.host, request.path)
         trace.route = route.name
         account = configuration.account_of(route, request.key)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
@@ -30,6 +30,12 @@
 PROBE_S = 0.4
 LATE_PROBE_S = 5.0
 EARLY_PROBES_S = 4.0
+#: A node that has started knows the fleet once its peers are the same for this time, or after the
+#: longest such time at the latest, seconds.
+SETTLED_S = 0.5
+MAX_SETTLING_S = 2.5
+#: Time after which a node that hears nobody takes itself for the only one, seconds.
+ALONE_S = 0.6
 #: Nodes that are tried at the same time.
 MAX_PROBES = 8
 #: Messages of this node that its relay may still count.
@@ -116,6 +122,9 @@
         self._rounds = 0
         self._has_changed = False
         self._has_news = False
+        self._started_at = clock()
+        self._changed_at = clock()
+        self._is_settled = False
 
     @property
     def present(self) -> list[Member]:
@@ -132,6 +141,27 @@
         """Returns whether the nodes of the fleet tell each other directly."""
         return self._plan.is_direct
 
+    @property
+    def is_settled(self) -> bool:
+        """Returns whether this node has known the fleet well enough once since its start.
+
+        Load pattern: all nodes of a large fleet start at once while an account sends many times
+        its rate. Nodes that know only some of the others would each use what belongs to all.
+        """
+        self._is_settled = self._is_settled or self._knows_fleet()
+        return self._is_settled
+
+    def _knows_fleet(self) -> bool:
+        now = self._clock()
+        running_s = now - self._started_at
+        if not self._present:
+            return running_s >= ALONE_S or not self._candidates
+        return (
+            self._plan.is_direct
+            or running_s >= MAX_SETTLING_S
+            or now - self._changed_at >= SETTLED_S
+        )
+
     @property
     def is_relay(self) -> bool:
         """Returns whether this node relays, by plan or for nodes that use it."""
@@ -301,6 +331,8 @@
         for ip in present:
             self._known_at[ip] = now
             self._lost_relays.pop(ip, None)
+        if present.keys() != self._present.keys():
+            self._changed_at = now
         if present != self._present:
             self._present = present
             self._has_news = True
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -64,7 +64,6 @@
         self._table = FleetTable(me, clock)
         self._sources: set[str] = set()
         self._was_relay = False
-        self._changed_at = clock()
         self._socket: Any = None
         self._greenlets: list[Any] = []
 
@@ -103,9 +102,9 @@
         return self._table.known
 
     @property
-    def unchanged_s(self) -> float:
-        """Returns the time for which the peers are the same, seconds."""
-        return self._clock() - self._changed_at
+    def is_settled(self) -> bool:
+        """Returns whether this node has known the fleet well enough once since its start."""
+        return self._table.is_settled
 
     @property
     def has_orderer(self) -> bool:
@@ -193,7 +192,6 @@
             self._was_relay = self._table.is_relay
             self._log.line("relay_role", relays=self._was_relay, direct=self._table.is_direct)
         if has_changed:
-            self._changed_at = self._clock()
             self._log.line("peers_changed", present=len(self._table.present), known=self.known)
         if has_changed or gone:
             self._on_change(gone)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -130,7 +130,11 @@
 
     def is_ready(self) -> bool:
         """Returns whether callers should use this node."""
-        return self._view.is_complete and not self._is_draining
+        return self._is_complete() and not self._is_draining
+
+    def _is_complete(self) -> bool:
+        """Returns whether this node knows enough to serve."""
+        return self._view.is_complete and self._gossip.is_settled
 
     def drain(self) -> None:
         """Serves callers that still know this node, then waits for running requests."""
@@ -200,6 +204,7 @@
             lambda state: self._weights.look(state),
             self._unreachable,
             lambda: len(self._gossip.present) + 1,
+            self._is_complete,
         )
         self._exchange = Exchange(self._request_services)
         self._watch = StoreWatch(self._view.book, self._log, monotonic, bounds.store_return_s)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -27,6 +27,7 @@
     :ivar on_other_weights: called for an engine that has other weights than expected.
     :ivar on_unreachable: called for an endpoint to which no connection could be made.
     :ivar nodes: returns the number of nodes of the fleet, this one included.
+    :ivar is_complete: returns whether the node knows enough to serve.
     :ivar placed: placements to tell the peers.
     """
 
@@ -45,6 +46,7 @@
     on_other_weights: Callable[[EndpointState], None]
     on_unreachable: Callable[[EndpointState], None]
     nodes: Callable[[], int]
+    is_complete: Callable[[], bool]
     placed: PlacedLog = field(default_factory=PlacedLog)
 
 
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -6,7 +6,7 @@
 import unittest
 
 from arbutustally.gateway.relaying import DIRECT_NODES, NODES_PER_RELAY, RelayPlan
-from bench.fleet_world import FleetWorld, WorldNode
+from bench.fleet_world import LIMIT, TOLERANCE, FleetWorld, WorldNode
 from tests.gateway_values import member
 
 #: The oldest knowledge of peers' load that placement is made for, seconds.
@@ -164,6 +164,68 @@
             self.assertGreaterEqual(node.peers_admitted, total - node.admitted - on_its_way)
 
 
+class FloodTest(FleetCase):
+    """Replays an account at several times its rate while nodes come and go."""
+
+    WINDOW_S = 8.0
+    STEP_S = 0.01
+    TOKENS = 9_000.0
+
+    def flood(self, world: FleetWorld, seconds: float, factor: float) -> None:
+        """Sends requests to nodes at random."""
+        rate, _burst = LIMIT
+        for _ in range(round(seconds / self.STEP_S)):
+            world.run(self.STEP_S)
+            self._owed += rate * factor * self.STEP_S
+            while self._owed >= self.TOKENS:
+                self._owed -= self.TOKENS
+                running = world.running()
+                if running and world.rng.choice(running).admit(self.TOKENS):
+                    self._admitted.append(world.clock())
+
+    def most_in_window(self) -> float:
+        return self.TOKENS * max(
+            sum(start <= at < start + self.WINDOW_S for at in self._admitted)
+            for start in self._admitted
+        )
+
+    def bound(self) -> float:
+        rate, burst = LIMIT
+        return (rate * self.WINDOW_S + burst) * (1 + TOLERANCE.share) + TOLERANCE.tokens
+
+    def setUp(self) -> None:
+        self._owed = 0.0
+        self._admitted: list[float] = []
+
+    def test_all_nodes_restart_in_a_flood(self) -> None:
+        """Guards against nodes that each use the whole rate until they know of the others."""
+        world = FleetWorld(80, zones=3)
+        world.run(TOGETHER_S)
+        self.flood(world, 4.0, 4.6)
+        for node in list(world.nodes):
+            world.kill(node)
+        world.run(1.0)
+        for node in list(world.nodes):
+            world.restart(node)
+        self.flood(world, 6.0, 4.6)
+        self.assertLessEqual(self.most_in_window(), self.bound())
+        self.assertGreater(self._admitted[-1], world.clock() - 0.5)
+
+    def test_relay_dies_in_a_flood(self) -> None:
+        world = FleetWorld(80, zones=3)
+        world.run(TOGETHER_S)
+        self.flood(world, 4.0, 4.6)
+        world.kill(next(node for node in world.nodes if node.table.is_relay))
+        self.flood(world, 5.0, 4.6)
+        self.assertLessEqual(self.most_in_window(), self.bound())
+
+    def test_account_within_its_rate_is_not_refused(self) -> None:
+        world = FleetWorld(80, zones=3)
+        world.run(TOGETHER_S)
+        self.flood(world, 8.0, 0.8)
+        self.assertGreater(len(self._admitted) * self.TOKENS, 0.75 * LIMIT[0] * 8.0)
+
+
 class ChangeTest(FleetCase):
     def test_node_that_comes_back_is_told_as_a_change(self) -> None:
         """Guards against limits that stay at the part of the rate of fewer nodes."""
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -72,6 +72,8 @@
         self.store.put("keyed.servers", self.worker.id, self.worker.entry())
         node = self.start_node(settings(self.store.address))
         self.wait_ready(node)
+        # The bucket of a node that has just started is empty.
+        self.eventually(lambda: node._quota.level("school") >= 5_000.0)
         return node
 
     def test_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_next_attempt(self) -> None:
