Let engines with new weights take twice their part of the requests at most

Change: while older weights are allowed, engines with new ones take at most twice their part of all engines, by a draw for each request; the others share the rest. Requests that were broken off still go to new weights only.

Test: 60 engines of which 3 have loaded get a tenth of the requests, and all once half have loaded or older weights are no longer allowed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -166,6 +166,7 @@
             request.model,
             named.version if named else 0,
             named.oldest_allowed(services.clock(), bound_s) if named else 0,
+            services.rng,
             lambda state: expected_wait_s(services.placement, state, needed, self._service),
             bearable_s,
         )
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -8,6 +8,7 @@
 that does not fit into what is left of an engine's memory counts as a longer queue there.
 """
 
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
@@ -23,6 +24,8 @@
 OVERFLOW_WEIGHT = 4.0
 #: Latency assumed of a plain endpoint that has not answered yet, seconds.
 DEFAULT_LATENCY_S = 0.05
+#: Requests that engines with new weights take, as a multiple of their part of all engines.
+LOAD_OF_NEW = 2.0
 #: Endpoints whose expected time differs by less than this share are equal.
 NEAR_TIE = 0.1
 
@@ -186,18 +189,22 @@
     model: str,
     named: int,
     oldest_allowed: int,
+    rng: Random,
     wait_s: Callable[[EndpointState], float] = lambda _state: 0.0,
     bearable_s: float = 0.0,
 ) -> tuple[int, list[EndpointState]]:
     """Returns the version of a model to run on, and the engines that have it.
 
-    Load pattern: right after new weights are named, few engines have them. Older weights cost a
-    request less than a late first event does, so the others share the load while they may.
+    Load pattern: right after new weights are named, few engines have them, and all nodes see these
+    idle at the same moment. Older weights cost a request less than a late first event does, so
+    engines with new weights take a multiple of their part of the requests, and the others share
+    the load while they may.
 
     :param named: newest version that the operator named.
     :param oldest_allowed: oldest version on which requests may still begin.
     :param wait_s: expected wait at an engine.
-    :param bearable_s: wait at the engines with new weights up to which older ones are not used.
+    :param bearable_s: wait at the engines with new weights up to which older ones are not used;
+        without a bound they are not used at all.
     """
     # An engine may have weights of which this node has not heard yet.
     named = max([named, *(state.weights.get(model, 0) for state in states)])
@@ -209,9 +216,13 @@
     if not groups:
         return named, []
     waits = {version: min(map(wait_s, group)) for version, group in groups.items()}
+    if named in groups and len(groups) > 1 and bearable_s < math.inf:
+        part = len(groups[named]) / sum(map(len, groups.values()))
+        if rng.random() >= part * LOAD_OF_NEW:
+            del waits[named]
     if named in waits and waits[named] <= bearable_s:
         return named, groups[named]
-    best = min(groups, key=lambda version: (waits[version], -version))
+    best = min(waits, key=lambda version: (waits[version], -version))
     return best, groups[best]
 
 
--- a/tests/test_gateway_choice.py
+++ b/tests/test_gateway_choice.py
@@ -28,6 +28,20 @@
 from tests.gateway_values import entry, prompt
 
 
+class Draw:
+    """Random numbers that are all the same."""
+
+    def __init__(self, number: float) -> None:
+        self._number = number
+
+    def random(self) -> float:
+        return self._number
+
+
+LOW = Draw(0.0)
+HIGH = Draw(0.99)
+
+
 class EndpointBookTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = VirtualClock(100.0)
@@ -331,20 +345,40 @@
         self.states[0].weights = {"m": 1}
         self.states[1].weights = {"m": 2}
         self.states[2].weights = {"m": 1}
-        version, able = weights_to_use(self.states, "m", 2, 1)
+        version, able = weights_to_use(self.states, "m", 2, 1, LOW)
         self.assertEqual((version, [state.id for state in able]), (2, ["e2"]))
         self.states[1].loading = True
-        version, able = weights_to_use(self.states, "m", 2, 1)
+        version, able = weights_to_use(self.states, "m", 2, 1, LOW)
         self.assertEqual((version, [state.id for state in able]), (1, ["e1", "e3"]))
-        self.assertEqual(weights_to_use(self.states, "m", 2, 2)[1], [])
+        self.assertEqual(weights_to_use(self.states, "m", 2, 2, LOW)[1], [])
 
     def test_broken_request_goes_on_at_older_weights_before_any_engine_has_new_ones(self) -> None:
         """Replays engines that die right after new weights are named: repeats find no new ones."""
         for state in self.states:
             state.weights = {"m": 1}
-        version, able = weights_to_use(self.states, "m", 2, 1, lambda _state: 0.1, math.inf)
+        version, able = weights_to_use(self.states, "m", 2, 1, HIGH, lambda _state: 0.1, math.inf)
         self.assertEqual((version, len(able)), (1, 3))
 
+    def test_first_engines_with_new_weights_do_not_get_all_the_load(self) -> None:
+        """Replays 60 engines of which 3 have loaded: all nodes see them idle at once."""
+        states = [EndpointState(entry(f"e{number}")) for number in range(60)]
+        for number, state in enumerate(states):
+            state.weights["m"] = 2 if number < 3 else 1
+        rng = Random(1)
+
+        def new_part(oldest_allowed: int) -> float:
+            versions = [
+                weights_to_use(states, "m", 2, oldest_allowed, rng, lambda _state: 0.0, 0.1)[0]
+                for _ in range(1000)
+            ]
+            return versions.count(2) / 1000
+
+        self.assertAlmostEqual(new_part(1), 0.1, delta=0.03)
+        self.assertEqual(new_part(2), 1.0)
+        for state in states[:30]:
+            state.weights["m"] = 2
+        self.assertEqual(new_part(1), 1.0)
+
     def test_engines_with_older_weights_share_the_load_of_a_move(self) -> None:
         """Replays the start of a move: one engine has the new weights and all the load."""
         for state, version in zip(self.states, (1, 2, 1), strict=True):
@@ -353,7 +387,7 @@
 
         def use(oldest_allowed: int) -> tuple[int, list[str]]:
             version, able = weights_to_use(
-                self.states, "m", 2, oldest_allowed, lambda state: waits[state.id], 0.1
+                self.states, "m", 2, oldest_allowed, LOW, lambda state: waits[state.id], 0.1
             )
             return version, [state.id for state in able]
 
