--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -65,7 +65,7 @@
     def take(self, state: PeerState) -> None:
         if not self.table.take(state):
             return
-        if state.covers is Covers.NOTHING:
+        if state.covers is Covers.URGENT:
             self.told.append(state)
         use = self.table.use_of(state)
         if use is None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
@@ -101,10 +101,13 @@
         self._me = me
         self._ip = me.ip
         self._clock = clock
+        # By address: nodes that use this one as their relay, other relays, and peers of all kinds.
         self._nodes: dict[str, Heard] = {}
         self._cells: dict[str, Heard] = {}
-        self._fleet: Heard | None = None
         self._present: dict[str, Member] = {}
+        # What the relay of this node said last.
+        self._fleet: Heard | None = None
+        # When peers were present last, and when relays fell silent.
         self._known_at: dict[str, float] = {}
         self._lost_relays: dict[str, float] = {}
         self._candidates: dict[str, Candidate] = {}
@@ -114,12 +117,14 @@
         self._numbers: dict[tuple[str, Covers], int] = {}
         self._number = 0
         self._sent: deque[PeerState] = deque(maxlen=MAX_SENT)
+        # What was admitted at the nodes that use this one, and through the other relays.
         self._cell_totals = RunningTotals()
         self._other_totals = RunningTotals()
         self._cell_placed: deque[Any] = deque(maxlen=MAX_PLACED)
         self._other_placed: deque[Any] = deque(maxlen=MAX_PLACED)
         self._told_members: dict[Covers, tuple[Member, ...]] = {}
         self._rounds = 0
+        # Whether the other relays, and the owner of this table, are to be told of a changed fleet.
         self._has_changed = False
         self._has_news = False
         self._started_at = clock()
@@ -229,7 +234,7 @@
             return False
         self._numbers[key] = state.number
         self._choice.heard(ip)
-        if state.covers is Covers.NOTHING:
+        if state.covers is Covers.URGENT:
             if ip in self._present:
                 self._see(state.sender)
             return True
@@ -281,7 +286,7 @@
 
     def use_of(self, state: PeerState) -> PeerUse | None:
         """Returns what a message that was taken says of the use by peers, ``None`` for nothing."""
-        if state.covers is Covers.NOTHING:
+        if state.covers is Covers.URGENT:
             return None
         if self.is_relay != (state.covers is not Covers.FLEET):
             return None
@@ -361,7 +366,7 @@
     def urgent(self, own: PeerState) -> Outgoing:
         """Returns a message with facts that must be known at once."""
         state = replace(
-            self._numbered(own), covers=Covers.NOTHING, loads={}, admitted={}, speeds={}, placed=()
+            self._numbered(own), covers=Covers.URGENT, loads={}, admitted={}, speeds={}, placed=()
         )
         return Outgoing(state, (*self.relays, *self._nodes))
 
@@ -370,7 +375,7 @@
 
         :param from_ip: address that sent it; only what comes from its origin is passed on.
         """
-        if state.covers is not Covers.NOTHING or from_ip != state.sender.ip:
+        if state.covers is not Covers.URGENT or from_ip != state.sender.ip:
             return ()
         return tuple(ip for ip in self._nodes if ip != from_ip)
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -28,13 +28,13 @@
 
     ``NODE``: the sender's, for the relay that it uses. ``CELL``: those of a relay and of the nodes
     that use it, for the other relays. ``FLEET``: those of all nodes, from a relay for the nodes
-    that use it. ``NOTHING``: none; facts that must be known at once, which relays pass on.
+    that use it. ``URGENT``: none; facts that must be known at once, which relays pass on.
     """
 
     NODE = 0
     CELL = 1
     FLEET = 2
-    NOTHING = 3
+    URGENT = 3
 
 
 @dataclass(frozen=True)
