Look at other holders of a hot part with each request

Change: the holders on the shortlist are drawn anew for each request.

Test: 20 holders, 60 nodes that choose at once: 15 were chosen on the code before, more now.

--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -248,7 +248,9 @@
             return able
         names = set(view.homes[: max(ESTIMATED_HOMES, view.width)])
         names |= self._index.holders(view.scope, view.names)
-        told = nlargest(ESTIMATED_HOLDERS, able, key=lambda entry: entry.cached_tokens or 0)
+        # Of many that hold as much, each request looks at others, so that nodes do not herd.
+        shuffled = self.rng.sample(able, len(able))
+        told = nlargest(ESTIMATED_HOLDERS, shuffled, key=lambda entry: entry.cached_tokens or 0)
         names.update(entry.endpoint for entry in told if entry.cached_tokens)
         sampled = self.rng.sample(able, 2 * ESTIMATED_IDLE)
         idle = nsmallest(ESTIMATED_IDLE, sampled, key=lambda entry: entry.queued_tokens)
--- a/tests/test_gateway_choice.py
+++ b/tests/test_gateway_choice.py
@@ -147,6 +147,18 @@
             self.holdings.assume(f"e{number}", "1.", request.parts[:1])
             self.assertEqual(self.choose(request).endpoint, f"e{number}")
 
+    def test_holders_of_a_hot_part_share_its_requests(self) -> None:
+        """Replays a guide that 20 engines hold, and nodes that choose at once."""
+        self.nodes = 1
+        for state in self.states[:20]:
+            state.entry = entry(state.id, zone="z1")
+            self.holdings.assume(state.id, "1.", prompt(("guide", 2500)).parts)
+        chosen: Counter[str] = Counter()
+        for node in range(60):
+            self.placement = Placement.from_config(self.clock, Random(node), speeds=self.speeds)
+            chosen[self.choose(prompt(("guide", 2500), (f"session-{node}", 3800))).endpoint] += 1
+        self.assertGreater(len(chosen), 15)
+
     def test_engines_that_peers_saw_are_expected_to_be_as_fast_as_they_are(self) -> None:
         """Guards against refusals by a node that takes engines for slow until it has seen them."""
         self.speeds.set_peers("relay", {f"e{number}": (50_000.0, 1.0) for number in range(35)})
