Tell from the decision line who ended a stream, and what was left

Change: silent_ms, endpoints_left, engine_loading and is_cut on the line of the request, a counter of cut answers by reason, unrepeatable runs on the line of an order. No decision changes. Evidence: tests.test_gateway_node as before.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
@@ -86,6 +86,8 @@
         trace.outcome = error.code
         trace.status = error.status
         if connection.began:
+            trace.facts["is_cut"] = True
+            self._services.instruments.count("cut_answers", trace.facts.get("stream_end", ""))
             connection.abort()
             return
         headers = [("Content-Type", "text/plain")]
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -248,7 +248,7 @@
         self._trace.facts["gap_ms"] = round(self._relay.longest_gap_s * 1000)
         if end is RelayEnd.COMPLETE:
             return attempt
-        self._trace.facts["stream_end"] = str(end)
+        self._note_end(end, placed)
         if self._relay.began and not self._route.is_resumable:
             self._connection.abort()
             raise EndpointFailedError(
@@ -256,6 +256,15 @@
             )
         return Attempt(Outcome.MAY_HAVE_RUN, str(end), attempt.status)
 
+    def _note_end(self, end: RelayEnd, placed: Placed) -> None:
+        """Notes for the decision line why a stream ended early and what was left to do."""
+        self._trace.facts.update(
+            stream_end=str(end),
+            silent_ms=round(self._relay.silent_s * 1000),
+            endpoints_left=max(0, self._route.max_attempts - self._ran),
+            engine_loading=placed.state.loading,
+        )
+
     def _learn(self, placed: Placed, attempt: Attempt, began: float, load: AttemptLoad) -> None:
         services = self._services
         state = placed.state
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
@@ -40,6 +40,7 @@
         self._events = WholeEvents()
         self._passed_at = 0.0
         self._longest_gap_s = 0.0
+        self._event_at = clock()
         self.began = False
 
     @property
@@ -47,6 +48,11 @@
         """Returns the longest time between two events that were passed on, seconds."""
         return self._longest_gap_s
 
+    @property
+    def silent_s(self) -> float:
+        """Returns the time since the last whole event, or since the relay began, seconds."""
+        return self._clock() - self._event_at
+
     @property
     def last_id(self) -> str:
         """Returns the id of the last event that was passed on."""
@@ -96,12 +102,12 @@
         may_leave: Callable[[], bool] | None,
     ) -> RelayEnd:
         is_first = True
-        event_at = self._clock()
+        self._event_at = self._clock()
         while True:
             # Before its first event an engine may be reading the prompt.
             left_s = None
             if may_leave is not None and not is_first:
-                left_s = event_at + SILENT_GAP_S - self._clock()
+                left_s = self._event_at + SILENT_GAP_S - self._clock()
             with watch, Patience(left_s, may_leave, _SilentError):
                 data = response.read()
             if not data:
@@ -109,9 +115,9 @@
             whole = self._events.feed(data)
             if not whole:
                 continue
-            event_at = self._clock()
+            self._event_at = self._clock()
             if is_first:
-                on_first(event_at)
+                on_first(self._event_at)
                 is_first = False
             self._pass_on(whole)
         if self._events.rest:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -269,6 +269,7 @@
             orders=report.orders,
             breaks_runs_off=order.breaks_runs_off,
             running=state.total_running,
+            unrepeatable=state.total_unrepeatable,
             reply=reply,
         )
         if reply == OrderReply.HOLDS_ALREADY:
