--- /dev/null
+++ b/tests/test_cut_answers.py
@@ -0,0 +1,111 @@
+"""Answers that have begun reach their end, or another endpoint has taken the request before."""
+
+import gevent
+from bottle import HTTPResponse
+
+from arbutustally_node.gateway.request_run import FIRST_BYTE_S
+from arbutustally_node.gateway.stream_relay import SILENT_GAP_S
+from tests.gateway_fleet import GatewayCase
+from tests.platform_fakes import configuration
+
+#: Longer than any pause after which a node may look for another endpoint, seconds.
+LONG_PAUSE_S = 2.4
+
+
+def events(first: int, last: int) -> bytes:
+    """Returns whole events of a stream."""
+    return b"".join(
+        b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(first, last + 1)
+    )
+
+
+class CutAnswerTest(GatewayCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = self.start_node()
+        self.wait_ready(self.node)
+        self.first: str | None = None
+        self.asked = 0
+
+    def answer_first_with(self, stream, others) -> None:
+        """Makes the engine that is asked first answer with ``stream``, any other with ``others``."""
+
+        def answer(engine_id: str, headers: dict[str, str]):
+            self.first = self.first or engine_id
+            behave = stream if engine_id == self.first else others
+            return behave(headers)
+
+        for engine in self.engines:
+            engine.behave = lambda headers, engine_id=engine.id: answer(engine_id, headers)
+
+    def ask(self):
+        return self.call(self.node, "/chat/x", "r1", Deadline_Ms="6000")
+
+    def set_routes(self, **changes) -> None:
+        """Puts a configuration in force in which the streaming route has other terms."""
+        changed = configuration(2)
+        changed["routes"][0] |= {"timeoutMs": 6000, **changes}
+        self.store.put("keyed.op", "config", changed)
+        self.eventually(lambda: self.node._view.configuration.version == 2)
+
+    def paused(self, pause_s: float, begins_with_events: bool = True):
+        def stream(headers):
+            self.asked += 1
+            after = int(headers.get("Last-Event-Id") or 0)
+
+            def body():
+                if begins_with_events and not after:
+                    yield events(1, 2)
+                gevent.sleep(pause_s)
+                yield events(max(after + 1, 3 if begins_with_events else 1), 5)
+
+            return signed(headers, body())
+
+        return stream
+
+    def test_paused_stream_is_kept_where_no_other_engine_takes_it(self) -> None:
+        """Guards against a stream that is given up before another engine has taken it."""
+        self.set_routes()
+        self.answer_first_with(self.paused(SILENT_GAP_S + 0.6), full)
+        answer = self.ask()
+        self.assertEqual((self.asked, answer.data), (1, events(1, 5)))
+
+    def test_paused_stream_is_kept_on_its_last_endpoint(self) -> None:
+        """Replays inc1: a pause at the last endpoint that a route allows cut the answer."""
+        self.set_routes(maxAttempts=1, resumable=False)
+        self.answer_first_with(self.paused(LONG_PAUSE_S), full)
+        answer = self.ask()
+        self.assertEqual(answer.data, events(1, 5))
+
+    def test_late_first_event_is_waited_for_where_other_engines_are_full(self) -> None:
+        """Guards against a request that loses its place at an engine and finds no other."""
+        self.set_routes()
+        self.answer_first_with(self.paused(FIRST_BYTE_S + 0.6, begins_with_events=False), full)
+        answer = self.ask()
+        self.assertEqual((answer.status, self.asked, answer.data), (200, 1, events(1, 5)))
+
+    def test_run_on_its_last_endpoint_counts_as_unrepeatable(self) -> None:
+        """Guards against an order to load weights that breaks off a run that can't go on."""
+        counts = []
+
+        def last(headers):
+            states = self.node._view.book.of_service("llm")
+            counts.append(sum(state.unrepeatable for state in states))
+
+        self.answer_first_with(
+            lambda headers: HTTPResponse(status=500, headers=head(headers)), last
+        )
+        answer = self.ask()
+        self.assertEqual((answer.status, counts), (200, [1]))
+
+
+def head(headers: dict[str, str]) -> dict[str, str]:
+    return {"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
+
+
+def signed(headers: dict[str, str], body) -> HTTPResponse:
+    return HTTPResponse(body=body, headers=head(headers))
+
+
+def full(headers: dict[str, str]) -> HTTPResponse:
+    return HTTPResponse(status=503, headers={**head(headers), "Not-Executed": "1"})
