Leave a silent endpoint only once another one has answered

Cause: a timeout was taken for a failure. After a pause the node closed the connection to an engine that was alive, then looked for another one; where the route allowed none, no repeat was left or the others were full, the answer was lost. A pause of 1.6 s ended any answer, whatever else could be done. Change: the request is sent to another endpoint beside the silent one, and the first that answers is kept; a refusal changes nothing. A silent endpoint is given up for good only when no connection to it can be made for 0.8 s. What a node learns from an attempt moves to a module of its own. Why it works: nothing is closed before something better is there; bounds on endpoints, sends and repeats are taken when the other attempt begins.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/attempt_load.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/attempt_load.py
@@ -6,20 +6,23 @@
 
 
 class AttemptLoad:
-    """Counts an attempt at its endpoint while it runs."""
+    """Counts an attempt at its endpoint while it runs.
+
+    :param may_go_on: the request may go on at another endpoint if this one breaks it off.
+    """
 
     def __init__(
         self,
         state: EndpointState,
         request: CallerRequest,
         choice: Choice | None,
-        may_repeat: bool,
+        may_go_on: bool,
     ) -> None:
         self._state = state
         total = request.prompt_tokens or 0
         self._unread = float(total - choice.expected_cached_tokens) if choice else 0.0
         self._memory = float(total + request.output_tokens) if choice else 0.0
-        self._unrepeatable = 0 if may_repeat else 1
+        self._unrepeatable = 0 if may_go_on else 1
         self.first_at = 0.0
         state.running += 1
         state.unrepeatable += self._unrepeatable
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_check.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_check.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent import socket as gevent_socket
 
+from arbutustally.clock import Clock
 from arbutustally.gateway.endpoints import EndpointBook, EndpointState
 from arbutustally_node.gateway.decision_log import DecisionLog
 
@@ -14,14 +15,17 @@
 CONNECT_TIMEOUT_S = 0.2
 #: Pause between two checks, seconds.
 PAUSE_S = 0.4
+#: Least interval between two checks of an endpoint that is only silent, seconds.
+SILENT_INTERVAL_S = 1.0
 
 
 class EndpointChecker:
     """Checks endpoints that are believed to be down."""
 
-    def __init__(self, book: EndpointBook, log: DecisionLog) -> None:
+    def __init__(self, book: EndpointBook, log: DecisionLog, clock: Clock) -> None:
         self._book = book
         self._log = log
+        self._clock = clock
         self._checking: set[str] = set()
 
     def check(self, state: EndpointState) -> None:
@@ -31,6 +35,13 @@
         self._checking.add(state.id)
         gevent.spawn(self._check, state)
 
+    def check_silent(self, state: EndpointState) -> None:
+        """Checks an endpoint that keeps a request waiting, at most every ``SILENT_INTERVAL_S``."""
+        now = self._clock()
+        if now - state.checked_at >= SILENT_INTERVAL_S:
+            state.checked_at = now
+            self.check(state)
+
     def _check(self, state: EndpointState) -> None:
         try:
             while self._book.get(state.id) is state and not state.is_replaced:
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
@@ -0,0 +1,117 @@
+"""Hedging: a request at a silent endpoint is sent to another one, and the first answer counts.
+
+The silent endpoint is left only once another one has answered, so looking for another one never
+costs the request its place or an answer that has begun. An endpoint that is silent and to which no
+connection can be made any more is given up.
+"""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import gevent
+from gevent import get_hub, getcurrent
+
+from arbutustally.clock import Clock
+from arbutustally.gateway.endpoints import EndpointState
+
+#: Pause between two looks at a silent endpoint, seconds.
+LOOK_S = 0.3
+#: Time for which no connection could be made after which a silent endpoint is given up, seconds.
+UNREACHABLE_S = 0.8
+
+
+class OvertakenError(Exception):
+    """Another endpoint has answered the request."""
+
+
+class UnreachableError(Exception):
+    """The endpoint is silent and can't be connected to."""
+
+
+class Hedge:
+    """Watches one attempt for silence, and the attempt at another endpoint beside it.
+
+    :param state: endpoint of the attempt.
+    :param on_silent: called at each look at the silent endpoint, must not block.
+    :param start_other: sends the request to another endpoint and returns the greenlet whose value
+        is whether that endpoint has answered; ``None`` if there is no other, or not now.
+    :param cancel_other: ends the attempt at the other endpoint, also if it has answered.
+    """
+
+    def __init__(
+        self,
+        state: EndpointState,
+        clock: Clock,
+        on_silent: Callable[[EndpointState], None],
+        start_other: Callable[[], gevent.Greenlet | None],
+        cancel_other: Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._clock = clock
+        self._on_silent = on_silent
+        self._start_other = start_other
+        self._cancel_other = cancel_other
+        self._other: gevent.Greenlet | None = None
+        self._waiting: gevent.Greenlet | None = None
+        self._is_overtaken = False
+
+    @contextmanager
+    def watch(self, silent_s: float) -> Iterator[None]:
+        """Watches a wait for the endpoint, in the current greenlet.
+
+        :param silent_s: time from now after which the endpoint counts as silent.
+        :raises OvertakenError: if another endpoint has answered.
+        :raises UnreachableError: if the endpoint is silent and can't be reached.
+        """
+        if self._is_overtaken:
+            raise OvertakenError
+        timer = get_hub().loop.timer(max(silent_s, 0.0), LOOK_S)
+        self._waiting = getcurrent()
+        timer.start(self._look)
+        try:
+            yield
+        finally:
+            timer.stop()
+            timer.close()
+            self._waiting = None
+
+    def heard(self) -> None:
+        """Notes that the endpoint has gone on: what another one might answer is out of date."""
+        if self._other is not None or self._is_overtaken:
+            self._other = None
+            self._is_overtaken = False
+            self._cancel_other()
+
+    def _look(self) -> None:
+        state = self._state
+        if state.is_down and self._clock() - state.down_since >= UNREACHABLE_S:
+            self._interrupt(UnreachableError())
+            return
+        self._on_silent(state)
+        if self._other is None and not self._is_overtaken:
+            # Placement takes too long for a callback of the event loop.
+            gevent.spawn(self._start)
+
+    def _start(self) -> None:
+        if self._other is not None or self._waiting is None:
+            return
+        other = self._start_other()
+        if other is not None:
+            self._other = other
+            other.link(self._ended)
+
+    def _ended(self, other: Any) -> None:
+        if other is not self._other:
+            return
+        self._other = None
+        if other.value:
+            self._is_overtaken = True
+            self._interrupt(OvertakenError())
+        elif self._waiting is not None:
+            # An endpoint that is full says so within a few ms.
+            gevent.spawn(self._start)
+
+    def _interrupt(self, error: Exception) -> None:
+        if self._waiting is not None:
+            self._waiting.throw(error)
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -0,0 +1,122 @@
+"""What a node learns from one attempt: of the endpoint, its speed, its cache and its weights."""
+
+from dataclasses import dataclass
+
+from arbutustally.gateway.attempts import Outcome
+from arbutustally.gateway.configuration import Route, Service
+from arbutustally.gateway.requests import CallerRequest, shape_of
+from arbutustally.placement import Observation
+from arbutustally_node.gateway.attempt_load import AttemptLoad
+from arbutustally_node.gateway.placer import Placed
+from arbutustally_node.gateway.request_services import RequestServices, Trace
+from arbutustally_node.gateway.transport import OTHER_ENDPOINT, OTHER_WEIGHTS, Attempt
+
+
+@dataclass
+class Try:
+    """One attempt from its placement to its end.
+
+    :ivar began: steady clock, seconds.
+    :ivar saved_to: store that gets the prompt's shared parts.
+    :ivar attempt: how it went, ``None`` while no head of an answer has come.
+    """
+
+    placed: Placed
+    load: AttemptLoad
+    began: float
+    saved_to: Service | None = None
+    attempt: Attempt | None = None
+
+
+class AttemptLearning:
+    """Takes what the attempts of one request tell into the services of the node.
+
+    :param wall: account whose cached parts are its own, otherwise empty.
+    """
+
+    def __init__(
+        self,
+        services: RequestServices,
+        request: CallerRequest,
+        route: Route,
+        wall: str,
+        trace: Trace,
+    ) -> None:
+        self._services = services
+        self._request = request
+        self._route = route
+        self._wall = wall
+        self._trace = trace
+
+    def began(self, placed: Placed) -> None:
+        """Notes that an engine is about to read the prompt's parts."""
+        if placed.choice is not None:
+            self._services.holdings.expect(placed.state.id, placed.cache_scope, self._request.parts)
+            self._tell_parts(placed, True)
+
+    def withdrawn(self, tried: Try) -> None:
+        """Notes that an attempt was ended by this node or its caller; it says nothing else."""
+        placed = tried.placed
+        self._services.holdings.unexpect(placed.state.id, placed.cache_scope, self._request.parts)
+
+    def ended(self, tried: Try) -> None:
+        """Learns from how an attempt went."""
+        services, attempt, state = self._services, tried.attempt, tried.placed.state
+        if attempt.outcome is Outcome.ANSWERED:
+            services.view.book.answered(state, services.clock() - tried.began)
+        elif attempt.reason == OTHER_ENDPOINT:
+            services.view.book.replaced(state)
+            services.log.line("endpoint_replaced", endpoint=state.id, by=attempt.terms.endpoint_id)
+        elif attempt.reason == OTHER_WEIGHTS:
+            services.on_other_weights(state)
+        elif attempt.is_unreachable:
+            services.on_unreachable(state)
+        elif attempt.outcome is not Outcome.NOT_RUN and services.view.book.failed(state):
+            services.log.line(
+                "endpoint_avoided", endpoint=state.id, failures=round(state.failures, 1)
+            )
+        if tried.placed.choice is not None:
+            self._learn_engine(tried)
+
+    def _learn_engine(self, tried: Try) -> None:
+        services, request, placed = self._services, self._request, tried.placed
+        first_s = tried.load.first_at - tried.began if tried.load.first_at else None
+        services.placement.learn(
+            Observation(
+                self._wall,
+                request.model,
+                str(placed.version),
+                shape_of(request),
+                placed.state.id,
+                placed.state.entry.incarnation,
+                placed.choice.expected_cached_tokens if first_s is not None else None,
+                0,
+                first_s,
+                placed.choice.dispatch,
+            )
+        )
+        if first_s is None:
+            services.holdings.unexpect(placed.state.id, placed.cache_scope, request.parts)
+        else:
+            services.instruments.duration("first_event", self._route.name, first_s)
+            self._trace.facts["first_ms"] = round(first_s * 1000)
+            self._note_parts(tried)
+        terms = tried.attempt.terms
+        if terms is not None and terms.weights is not None and not terms.is_mismatched:
+            known = placed.state.weights
+            known[request.model] = max(known.get(request.model, 0), terms.weights)
+
+    def _note_parts(self, tried: Try) -> None:
+        """Notes, here and for the peers, that an engine has read the prompt's parts."""
+        services, placed, parts = self._services, tried.placed, self._request.parts
+        services.holdings.assume(placed.state.id, placed.cache_scope, parts)
+        self._tell_parts(placed, False)
+        if tried.saved_to is not None:
+            shared = parts[:-1]
+            services.holdings.assume(tried.saved_to.name, placed.cache_scope, shared)
+            told = [(part.id, part.tokens) for part in shared]
+            services.placed.add((tried.saved_to.name, placed.cache_scope, told, False))
+
+    def _tell_parts(self, placed: Placed, is_pending: bool) -> None:
+        told = [(part.id, part.tokens) for part in self._request.parts]
+        self._services.placed.add((placed.state.id, placed.cache_scope, told, is_pending))
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -1,5 +1,6 @@
 """A gateway node: builds its services, runs them, and stops without cutting a request."""
 
+import math
 import secrets
 from random import Random
 
@@ -57,8 +58,9 @@
 from arbutustally_node.pool import PoolService
 
 CONNECT_TIMEOUT_S = 0.2
-#: Longest silence of an endpoint inside an answer, seconds; callers leave a stream at two.
-SILENCE_S = 1.6
+#: Longest silence of an endpoint inside an answer: the time that the request has left, and the
+#: hedge, bound the wait.
+SILENCE_S = math.inf
 #: Time for which callers may keep an answer with addresses, seconds. Some keep it three times as
 #: long, and a node that stops serves until then.
 DIRECTORY_TTL_S = 1.0
@@ -182,7 +184,7 @@
             monotonic, self._rng, PLACEMENT_OPTIONS, self._speeds
         )
         self._holdings = Holdings.from_config(monotonic, self._place_terms)
-        self._checker = EndpointChecker(self._view.book, self._log)
+        self._checker = EndpointChecker(self._view.book, self._log, monotonic)
         self._pool = PoolService(CONNECT_TIMEOUT_S, SILENCE_S)
         self._gossip = Gossip(
             self._me(),
@@ -214,6 +216,7 @@
             lambda state: self._weights.look(state),
             self._notices.take,
             self._unreachable,
+            self._checker.check_silent,
             lambda: len(self._gossip.present) + 1,
             self._is_complete,
         )
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -104,14 +104,32 @@
         able = fresh or able
         if not able:
             raise self._nothing_able("no_endpoint", left_s, has_run)
+        return self._place_among(able, left_s, has_run, must_be_timely=not self._tried)
+
+    def _place_among(
+        self, able: list[EndpointState], left_s: float, has_run: bool, must_be_timely: bool
+    ) -> Placed:
+        services = self._services
         if self._service.engine is None or not self._request.model:
             placed = Placed(choose_plain(able, services.zone, services.rng))
         else:
-            placed = self._place_at_engine(able, left_s, has_run)
+            placed = self._place_at_engine(able, left_s, has_run, must_be_timely)
         placed = replace(placed, was_tried=placed.state.id in self._tried)
         self._tried.add(placed.state.id)
         return placed
 
+    def place_elsewhere(self, left_s: float) -> Placed:
+        """Returns an endpoint that was not tried yet, for an attempt beside another one.
+
+        :raises RouterError: if there is none that can serve the request in time.
+        """
+        services = self._services
+        able = services.view.book.usable(self._service.name)
+        fresh = [state for state in able if state.id not in self._tried]
+        if not fresh:
+            raise NoEndpointError("every endpoint was tried")
+        return self._place_among(fresh, left_s, True, must_be_timely=True)
+
     def save_to(self, placed: Placed) -> Service | None:
         """Returns the store that gets the shared parts, ``None`` if none needs them."""
         if placed.choice is None:
@@ -122,7 +140,9 @@
             return None
         return store
 
-    def _place_at_engine(self, able: list[EndpointState], left_s: float, has_run: bool) -> Placed:
+    def _place_at_engine(
+        self, able: list[EndpointState], left_s: float, has_run: bool, must_be_timely: bool
+    ) -> Placed:
         services, request = self._services, self._request
         version, engines = self._engines_to_use(able)
         if not engines:
@@ -151,7 +171,7 @@
         state = next(entry for entry in engines if entry.id == choice.endpoint)
         source = fetch_source(services.holdings, scope, request.parts, state, sources, services.rng)
         self._note(choice, version, source)
-        if not self._tried and must_reject(choice.estimate_s, left_s):
+        if must_be_timely and must_reject(choice.estimate_s, left_s):
             wait = retry_after_s(choice.estimate_s, left_s, services.rng)
             raise OverloadedError("not run: engines are behind; retry", retry_after_s=wait)
         return Placed(state, choice, version, scope, source)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -1,5 +1,10 @@
 """The attempts of one request, until it is answered or given up."""
 
+from collections.abc import Iterator
+from contextlib import AbstractContextManager, contextmanager, nullcontext
+
+import gevent
+
 from arbutustally.errors import (
     EndpointFailedError,
     EndpointTimeoutError,
@@ -9,26 +14,26 @@
     RouterError,
 )
 from arbutustally.gateway.admission import retry_after_s
-from arbutustally.gateway.attempts import Next, Outcome, after
+from arbutustally.gateway.attempts import MAX_SENDS, Next, Outcome, after
 from arbutustally.gateway.configuration import (
     ClientAccount,
     Configuration,
     Route,
     RouteKind,
-    Service,
 )
-from arbutustally.gateway.requests import CallerRequest, shape_of
-from arbutustally.placement import Observation
+from arbutustally.gateway.requests import CallerRequest
 from arbutustally_node.caller_watch import CallerGoneError, CallerWatch
 from arbutustally_node.gateway.attempt_load import AttemptLoad
 from arbutustally_node.gateway.caller import CallerConnection
+from arbutustally_node.gateway.hedge import Hedge
+from arbutustally_node.gateway.learning import AttemptLearning, Try
 from arbutustally_node.gateway.placer import DEFAULT_RETRY_S, Placed, Placer
 from arbutustally_node.gateway.ports import AttemptTerms
 from arbutustally_node.gateway.request_services import RequestServices, Trace
 from arbutustally_node.gateway.stream_relay import RelayEnd, StreamRelay
-from arbutustally_node.gateway.transport import OTHER_ENDPOINT, OTHER_WEIGHTS, Attempt
+from arbutustally_node.gateway.transport import OTHER_ENDPOINT, Attempt
 
-#: Longest wait for the first byte at one endpoint where another one may be tried, seconds.
+#: Wait for the head of an answer after which another endpoint is asked as well, seconds.
 FIRST_BYTE_S = 1.2
 #: Time kept for the answer's way to the caller, seconds.
 ANSWER_MARGIN_S = 0.01
@@ -65,10 +70,12 @@
         self._deadline = request.arrived_at + limit - ANSWER_MARGIN_S
         self._ran = 0
         self._sends = 0
-        self._has_repeat = False
-        self._saved_to: Service | None = None
         self._relay: StreamRelay | None = None
         self._placer = Placer(services, request, configuration, route, account, trace)
+        self._learning = AttemptLearning(services, request, route, self._placer.wall, trace)
+        self._current: Try | None = None
+        self._other: Try | None = None
+        self._other_greenlet: gevent.Greenlet | None = None
 
     @property
     def left_s(self) -> float:
@@ -88,6 +95,8 @@
             if self._account and error.ran is Ran.NOT_RUN:
                 self._services.quota.give_back(self._account.name, cost)
             raise
+        finally:
+            self._cancel_other()
 
     def _take_cost(self) -> float:
         """Takes what the request costs from the account's rate.
@@ -106,32 +115,26 @@
 
     def _attempts(self) -> None:
         while True:
-            placed = self._placer.place(self.left_s, self._ran > 0)
-            attempt = self._attempt(placed)
+            tried = self._take_other() or self._begin(
+                self._placer.place(self.left_s, self._ran > 0)
+            )
+            attempt = self._complete(tried)
+            if attempt.outcome is not Outcome.ANSWERED and self._other_answers():
+                _drop(attempt)
+                continue
             following = after(self._route, attempt.outcome, self._ran, self._sends, self.left_s)
-            if following is Next.REPEAT and not self._use_repeat():
+            if following is Next.REPEAT and not self._take_repeat():
                 self._trace.facts["repeat_budget"] = "used"
                 is_not_run = attempt.outcome is Outcome.NOT_RUN and self._ran == 0
                 following = Next.REFUSE if is_not_run else Next.FAIL
             if following is Next.REPEAT:
-                if attempt.response is not None:
-                    attempt.response.close()
+                _drop(attempt)
                 continue
             self._finish(following, attempt)
             return
 
-    def _reserve_repeat(self) -> bool:
-        """Takes a repeat from the budget for the next attempt, unless one is kept for it."""
-        self._has_repeat = self._has_repeat or self._services.repeats.take(
-            self._placer.service.name
-        )
-        return self._has_repeat
-
-    def _use_repeat(self) -> bool:
-        """Returns whether the budget allows the next attempt."""
-        is_allowed = self._reserve_repeat()
-        self._has_repeat = False
-        return is_allowed
+    def _take_repeat(self) -> bool:
+        return self._services.repeats.take(self._placer.service.name)
 
     def _finish(self, following: Next, attempt: Attempt) -> None:
         if following is Next.DELIVER:
@@ -152,73 +155,152 @@
             ran=Ran.MAY_HAVE_RUN,
         )
 
-    def _attempt(self, placed: Placed) -> Attempt:
-        state = placed.state
+    def _begin(self, placed: Placed) -> Try:
+        """Counts an attempt before its request is sent."""
         self._sends += 1
-        began = self._services.clock()
-        if placed.choice is not None:
-            self._services.holdings.expect(state.id, placed.cache_scope, self._request.parts)
-            self._tell_parts(placed, True)
-        load = AttemptLoad(state, self._request, placed.choice, self._route.may_repeat)
+        self._learning.began(placed)
+        load = AttemptLoad(placed.state, self._request, placed.choice, self._route.may_repeat)
+        return Try(placed, load, self._services.clock(), self._placer.save_to(placed))
+
+    def _complete(self, tried: Try) -> Attempt:
+        """Sends a request, unless that was done, passes its answer on, and learns from it."""
+        hedge = self._hedge(tried)
+        self._current = tried
         try:
-            attempt = self._send(placed)
-            self._heed(placed, attempt)
-            if attempt.outcome in (Outcome.ANSWERED, Outcome.FAILED):
-                self._ran += 1
-                if attempt.outcome is Outcome.ANSWERED:
-                    attempt = self._pass_on(attempt, placed, load)
-            elif attempt.outcome is Outcome.MAY_HAVE_RUN:
+            if tried.attempt is None:
+                tried.attempt = self._send(tried, self._watching(hedge))
+            if tried.attempt.outcome is not Outcome.NOT_RUN:
                 self._ran += 1
+            if tried.attempt.outcome is Outcome.ANSWERED:
+                self._cancel_other()
+                tried.attempt = self._pass_on(tried, hedge)
         except CallerGoneError:
-            self._ran += 1
-            self._trace.attempts.append((state.id, "caller_gone", self._since(began)))
-            self._services.holdings.unexpect(state.id, placed.cache_scope, self._request.parts)
+            if tried.attempt is None:
+                self._ran += 1
+            self._withdraw(tried, "caller_gone")
             raise
         finally:
-            load.end()
-        self._trace.attempts.append((state.id, attempt.reason, self._since(began)))
-        self._learn(placed, attempt, began, load)
-        return attempt
+            tried.load.end()
+        self._note(tried, tried.attempt.reason)
+        self._learning.ended(tried)
+        return tried.attempt
 
-    def _heed(self, placed: Placed, attempt: Attempt) -> None:
-        """Takes what the endpoint says of itself, before its answer is passed on."""
-        if attempt.terms is not None and attempt.reason != OTHER_ENDPOINT:
-            self._services.on_notice(placed.state, attempt.terms.notice)
+    def _hedge(self, tried: Try) -> Hedge:
+        return Hedge(
+            tried.placed.state,
+            self._services.clock,
+            self._services.on_silent,
+            self._start_other,
+            self._cancel_other,
+        )
+
+    @contextmanager
+    def _watching(self, hedge: Hedge) -> Iterator[None]:
+        with self._watch, hedge.watch(FIRST_BYTE_S):
+            yield
 
-    def _send(self, placed: Placed) -> Attempt:
-        left = max(self.left_s, 0.001)
-        self._saved_to = self._placer.save_to(placed)
-        head_s = FIRST_BYTE_S if self._may_repeat_after_run else None
+    def _start_other(self) -> gevent.Greenlet | None:
+        """Sends the request to another endpoint as well, ``None`` if it may not or can't go there.
+
+        The value of the greenlet is whether that endpoint has answered.
+        """
+        # The attempt that is silent is counted once the head of its answer has come.
+        ran = self._ran + (self._current.attempt is None)
+        is_possible = self._other is None and self._sends < MAX_SENDS
+        if not is_possible or not self._has_endpoints_left(ran):
+            return None
+        try:
+            placed = self._placer.place_elsewhere(self.left_s)
+        except RouterError:
+            return None
+        if not self._take_repeat():
+            return None
+        self._other = self._begin(placed)
+        self._other_greenlet = gevent.spawn(self._send_other, self._other)
+        return self._other_greenlet
+
+    def _send_other(self, tried: Try) -> bool:
+        tried.attempt = self._send(tried, nullcontext())
+        if tried.attempt.outcome is Outcome.ANSWERED:
+            return True
+        if tried.attempt.outcome is not Outcome.NOT_RUN:
+            self._ran += 1
+        _drop(tried.attempt)
+        self._other = self._other_greenlet = None
+        tried.load.end()
+        self._note(tried, tried.attempt.reason)
+        self._learning.ended(tried)
+        return False
+
+    def _other_answers(self) -> bool:
+        """Waits for the attempt beside the one that has ended; returns whether it is answered."""
+        greenlet = self._other_greenlet
+        if greenlet is None:
+            return False
+        with self._watch:
+            greenlet.join(max(self.left_s, 0.0))
+        return greenlet.value is True
+
+    def _take_other(self) -> Try | None:
+        """Returns the attempt beside the one that has ended, if it is answered."""
+        tried = self._other
+        if tried is None or tried.attempt is None:
+            return None
+        self._other = self._other_greenlet = None
+        return tried
+
+    def _cancel_other(self) -> None:
+        """Ends the attempt beside the current one."""
+        tried, greenlet = self._other, self._other_greenlet
+        self._other = self._other_greenlet = None
+        if tried is None:
+            return
+        greenlet.kill()
+        self._ran += 1
+        if tried.attempt is not None:
+            _drop(tried.attempt)
+        tried.load.end()
+        self._withdraw(tried, "not_needed")
+
+    def _withdraw(self, tried: Try, reason: str) -> None:
+        self._note(tried, reason)
+        self._learning.withdrawn(tried)
+
+    def _note(self, tried: Try, reason: str) -> None:
+        took = round(self._services.clock() - tried.began, 4)
+        self._trace.attempts.append((tried.placed.state.id, reason, took))
+
+    def _send(self, tried: Try, guard: AbstractContextManager[None]) -> Attempt:
+        """Sends a request; returns the head of its answer, or how it failed."""
+        placed = tried.placed
         terms = AttemptTerms(
             endpoint_id=placed.state.id,
             account=self._account.name if self._account else "",
-            left_s=left,
+            left_s=max(self.left_s, 0.001),
             cache_scope=placed.cache_scope,
             weights=placed.version,
             priority=None if placed.version is None else min(self._urgency(), LEAST_PRIORITY),
             resume_from=self._resume_from(),
             fetch_from=placed.source.address if placed.source else "",
-            save_to=self._saved_to.part_store.address if self._saved_to else "",
+            save_to=tried.saved_to.part_store.address if tried.saved_to else "",
         )
-        return self._services.transport.send(
-            self._request,
-            placed.state,
-            terms,
-            head_s,
-            self._reserve_repeat,
-            self._watch,
-            placed.was_tried,
+        attempt = self._services.transport.send(
+            self._request, placed.state, terms, guard, placed.was_tried
         )
+        # What the endpoint says of itself binds before its answer is passed on.
+        if attempt.terms is not None and attempt.reason != OTHER_ENDPOINT:
+            self._services.on_notice(placed.state, attempt.terms.notice)
+        return attempt
 
-    @property
-    def _may_repeat_after_run(self) -> bool:
-        """Returns whether another endpoint may be tried although this one may run the request."""
-        return self._route.may_repeat and self._ran + 1 < self._route.max_attempts
+    def _has_endpoints_left(self, ran: int) -> bool:
+        """Returns whether the request may run at another endpoint after it has run at ``ran``."""
+        return self._route.may_repeat and ran < self._route.max_attempts
 
-    def _pass_on(self, attempt: Attempt, placed: Placed, load: AttemptLoad) -> Attempt:
+    def _pass_on(self, tried: Try, hedge: Hedge) -> Attempt:
         """Passes an answer on to the caller, as a stream or whole."""
+        attempt = tried.attempt
         if self._route.kind is RouteKind.STREAM and attempt.status == 200:
-            return self._stream(attempt, placed, load)
+            return self._stream(tried, hedge)
         attempt = self._services.transport.read_whole(attempt, self.left_s, self._watch)
         if attempt.outcome is Outcome.ANSWERED:
             self._connection.send_whole(attempt.status, attempt.terms.headers, attempt.body)
@@ -233,27 +315,17 @@
         self._trace.status = status
         self._connection.send_whole(status, headers, whole.body)
 
-    def _stream(self, attempt: Attempt, placed: Placed, load: AttemptLoad) -> Attempt:
+    def _stream(self, tried: Try, hedge: Hedge) -> Attempt:
+        attempt = tried.attempt
         if self._relay is None:
             self._relay = StreamRelay(self._connection, attempt.terms.headers, self._services.clock)
-        # The attempt whose stream this is has been counted as run.
-        may_go_on = self._route.may_repeat and self._ran < self._route.max_attempts
         end = self._relay.run(
-            attempt.response,
-            self.left_s,
-            self._watch,
-            load.first_event,
-            self._reserve_repeat if may_go_on else None,
+            attempt.response, self.left_s, self._watch, tried.load.first_event, hedge
         )
         self._trace.facts["gap_ms"] = round(self._relay.longest_gap_s * 1000)
         if end is RelayEnd.COMPLETE:
             return attempt
-        self._note_end(end, placed)
-        if self._relay.began and not self._route.is_resumable:
-            self._connection.abort()
-            raise EndpointFailedError(
-                f"the stream broke off ({end}); it can't be resumed", ran=Ran.MAY_HAVE_RUN
-            )
+        self._note_end(end, tried.placed)
         return Attempt(Outcome.MAY_HAVE_RUN, str(end), attempt.status)
 
     def _note_end(self, end: RelayEnd, placed: Placed) -> None:
@@ -265,73 +337,6 @@
             engine_loading=placed.state.loading,
         )
 
-    def _learn(self, placed: Placed, attempt: Attempt, began: float, load: AttemptLoad) -> None:
-        services = self._services
-        state = placed.state
-        now = services.clock()
-        if attempt.outcome is Outcome.ANSWERED:
-            services.view.book.answered(state, now - began)
-        elif attempt.reason == OTHER_ENDPOINT:
-            services.view.book.replaced(state)
-            services.log.line("endpoint_replaced", endpoint=state.id, by=attempt.terms.endpoint_id)
-        elif attempt.reason == OTHER_WEIGHTS:
-            services.on_other_weights(state)
-        elif attempt.is_unreachable:
-            services.on_unreachable(state)
-        elif attempt.outcome is not Outcome.NOT_RUN and services.view.book.failed(state):
-            services.log.line(
-                "endpoint_avoided", endpoint=state.id, failures=round(state.failures, 1)
-            )
-        if placed.choice is not None:
-            self._learn_engine(placed, attempt, began, load)
-
-    def _learn_engine(
-        self, placed: Placed, attempt: Attempt, began: float, load: AttemptLoad
-    ) -> None:
-        services = self._services
-        first_s = load.first_at - began if load.first_at else None
-        shape = shape_of(self._request)
-        services.placement.learn(
-            Observation(
-                self._placer.wall,
-                self._request.model,
-                str(placed.version),
-                shape,
-                placed.state.id,
-                placed.state.entry.incarnation,
-                placed.choice.expected_cached_tokens if first_s is not None else None,
-                0,
-                first_s,
-                placed.choice.dispatch,
-            )
-        )
-        if first_s is None:
-            services.holdings.unexpect(placed.state.id, placed.cache_scope, self._request.parts)
-        else:
-            services.instruments.duration("first_event", self._route.name, first_s)
-            self._trace.facts["first_ms"] = round(first_s * 1000)
-            self._note_parts(placed)
-        terms = attempt.terms
-        if terms is not None and terms.weights is not None and not terms.is_mismatched:
-            known = placed.state.weights
-            known[self._request.model] = max(known.get(self._request.model, 0), terms.weights)
-
-    def _note_parts(self, placed: Placed) -> None:
-        """Notes, here and for the peers, that an engine has read the prompt's parts."""
-        services = self._services
-        parts = self._request.parts
-        services.holdings.assume(placed.state.id, placed.cache_scope, parts)
-        self._tell_parts(placed, False)
-        if self._saved_to is not None:
-            shared = parts[:-1]
-            services.holdings.assume(self._saved_to.name, placed.cache_scope, shared)
-            told = [(part.id, part.tokens) for part in shared]
-            services.placed.add((self._saved_to.name, placed.cache_scope, told, False))
-
-    def _tell_parts(self, placed: Placed, is_pending: bool) -> None:
-        told = [(part.id, part.tokens) for part in self._request.parts]
-        self._services.placed.add((placed.state.id, placed.cache_scope, told, is_pending))
-
     def _urgency(self) -> int:
         account = self._account.priority if self._account else 0
         return account * 3 + self._route.priority
@@ -341,5 +346,8 @@
             return self._relay.last_id
         return self._request.resume_from
 
-    def _since(self, began: float) -> float:
-        return round(self._services.clock() - began, 4)
+
+def _drop(attempt: Attempt) -> None:
+    """Closes an answer that is not passed on."""
+    if attempt.response is not None:
+        attempt.response.close()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -27,6 +27,7 @@
     :ivar on_other_weights: called for an engine that has other weights than expected.
     :ivar on_notice: called with what an endpoint says of itself.
     :ivar on_unreachable: called for an endpoint to which no connection could be made.
+    :ivar on_silent: called for an endpoint that is silent while a request waits for it.
     :ivar nodes: returns the number of nodes of the fleet, this one included.
     :ivar is_complete: returns whether the node knows enough to serve.
     :ivar placed: placements to tell the peers.
@@ -47,6 +48,7 @@
     on_other_weights: Callable[[EndpointState], None]
     on_notice: Callable[[EndpointState, EndpointNotice], None]
     on_unreachable: Callable[[EndpointState], None]
+    on_silent: Callable[[EndpointState], None]
     nodes: Callable[[], int]
     is_complete: Callable[[], bool]
     placed: PlacedLog = field(default_factory=PlacedLog)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
@@ -10,12 +10,14 @@
 from arbutustally.gateway.events import EventTooLongError, WholeEvents
 from arbutustally_node.caller_watch import CallerWatch
 from arbutustally_node.gateway.caller import CallerConnection, Headers
-from arbutustally_node.gateway.patience import Patience
+from arbutustally_node.gateway.hedge import Hedge, OvertakenError, UnreachableError
 from arbutustally_node.pool import PooledResponse
 
-#: Time without a whole event after which a stream goes on elsewhere if it may, seconds; callers
-#: leave at two. Bytes of an event that does not end do not count.
+#: Time without a whole event after which a stream is sought elsewhere if it may go on there,
+#: seconds; callers leave at two. Bytes of an event that does not end do not count.
 SILENT_GAP_S = 0.8
+#: The same before the first event, when the engine may be reading the prompt.
+SILENT_START_S = 1.2
 
 
 class RelayEnd(StrEnum):
@@ -24,6 +26,7 @@
     COMPLETE = "stream_complete"
     BROKEN = "stream_broken"
     SILENT = "stream_silent"
+    GONE = "stream_endpoint_gone"
     OUT_OF_TIME = "stream_out_of_time"
 
 
@@ -64,23 +67,25 @@
         left_s: float,
         watch: CallerWatch,
         on_first: Callable[[float], None],
-        may_leave: Callable[[], bool] | None,
+        hedge: Hedge,
     ) -> RelayEnd:
         """Passes on events until the stream ends.
 
         :param on_first: called with the time of the first event of this endpoint.
-        :param may_leave: returns whether a silent endpoint may be left for another one; ``None``
-            if the stream can't go on elsewhere.
+        :param hedge: of the attempt; the endpoint is left only once another one has answered.
         :raises CallerGoneError: if the caller leaves.
         :raises OSError: if the caller can't be written to.
         """
         self._events.restart()
         try:
             with gevent.Timeout(max(left_s, 0.001), _OutOfTimeError):
-                return self._relay(response, watch, on_first, may_leave)
-        except _SilentError:
+                return self._relay(response, watch, on_first, hedge)
+        except OvertakenError:
             response.close()
             return RelayEnd.SILENT
+        except UnreachableError:
+            response.close()
+            return RelayEnd.GONE
         except _OutOfTimeError:
             response.close()
             return RelayEnd.OUT_OF_TIME
@@ -99,22 +104,20 @@
         response: PooledResponse,
         watch: CallerWatch,
         on_first: Callable[[float], None],
-        may_leave: Callable[[], bool] | None,
+        hedge: Hedge,
     ) -> RelayEnd:
         is_first = True
         self._event_at = self._clock()
         while True:
-            # Before its first event an engine may be reading the prompt.
-            left_s = None
-            if may_leave is not None and not is_first:
-                left_s = self._event_at + SILENT_GAP_S - self._clock()
-            with watch, Patience(left_s, may_leave, _SilentError):
+            silent_s = SILENT_START_S if is_first else SILENT_GAP_S
+            with watch, hedge.watch(self._event_at + silent_s - self._clock()):
                 data = response.read()
             if not data:
                 break
             whole = self._events.feed(data)
             if not whole:
                 continue
+            hedge.heard()
             self._event_at = self._clock()
             if is_first:
                 on_first(self._event_at)
@@ -142,9 +145,5 @@
         self._connection.begin(200, self._headers, first)
 
 
-class _SilentError(Exception):
-    """The endpoint was silent inside a stream that may go on elsewhere."""
-
-
 class _OutOfTimeError(Exception):
     """The caller's deadline or the route's timeout has passed."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -1,6 +1,6 @@
 """One attempt of a request at one endpoint."""
 
-from collections.abc import Callable
+from contextlib import AbstractContextManager
 from dataclasses import dataclass
 
 import gevent
@@ -11,7 +11,7 @@
 from arbutustally.gateway.endpoints import EndpointState
 from arbutustally.gateway.requests import CallerRequest
 from arbutustally_node.caller_watch import CallerWatch
-from arbutustally_node.gateway.patience import Patience
+from arbutustally_node.gateway.hedge import OvertakenError, UnreachableError
 from arbutustally_node.gateway.ports import AnswerTerms, AttemptTerms, HttpCodec
 from arbutustally_node.pool import PooledResponse, PoolService
 
@@ -57,27 +57,19 @@
         request: CallerRequest,
         state: EndpointState,
         terms: AttemptTerms,
-        head_s: float | None,
-        may_leave: Callable[[], bool],
-        watch: CallerWatch,
+        guard: AbstractContextManager[None],
         fresh: bool = False,
     ) -> Attempt:
         """Sends a request and returns the head of its answer, or how the attempt failed.
 
-        :param head_s: wait for the head after which another endpoint is tried, ``None`` if the
-            wait goes on until the time that the terms leave.
-        :param may_leave: returns whether another endpoint may be tried then.
+        :param guard: watches the wait for the head.
         :param fresh: use a new connection. A late copy of the answer to an earlier attempt at the
             same endpoint has the same id, and could not be told from the answer to this one.
         :raises CallerGoneError: if the caller leaves meanwhile.
         """
         headers = self._codec.attempt_headers(request, terms)
         try:
-            with (
-                watch,
-                gevent.Timeout(terms.left_s, _HeadTimeoutError),
-                Patience(head_s, may_leave, _HeadTimeoutError),
-            ):
+            with guard, gevent.Timeout(terms.left_s, _HeadTimeoutError):
                 response = self._pool.open(
                     state,
                     request.method,
@@ -87,8 +79,10 @@
                     terms.left_s,
                     fresh,
                 )
-        except (EndpointTimeoutError, _HeadTimeoutError):
+        except (EndpointTimeoutError, OvertakenError, _HeadTimeoutError):
             return Attempt(Outcome.MAY_HAVE_RUN, "endpoint_silent")
+        except UnreachableError:
+            return Attempt(Outcome.MAY_HAVE_RUN, "endpoint_gone")
         except EndpointFailedError as error:
             if error.ran is Ran.NOT_RUN:
                 reason = "connection_refused" if is_refused(error) else "connect_timeout"
--- a/packages/arbutustally-node/src/arbutustally_node/silence.py
+++ b/packages/arbutustally-node/src/arbutustally_node/silence.py
@@ -4,6 +4,7 @@
 processor time of a relayed event (bench/relay.py).
 """
 
+import math
 from typing import Any, Protocol
 
 import gevent
@@ -25,7 +26,7 @@
 class SilenceWatch:
     """Knows since which sweep each read waits.
 
-    :param limit_s: longest accepted silence.
+    :param limit_s: longest accepted silence, infinite for no limit.
     """
 
     def __init__(self, clock: Clock, limit_s: float) -> None:
@@ -42,7 +43,7 @@
     def waits(self, reader: Reader) -> None:
         """Notes the begin of a read; its time counts from the next sweep."""
         self._waiting[reader] = 0.0
-        if self._greenlet is None:
+        if self._greenlet is None and math.isfinite(self._limit_s):
             self._greenlet = gevent.spawn(self._sweep)
 
     def received(self, reader: Reader) -> None:
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -73,6 +73,8 @@
     :ivar has_said_leaving: its answers say that it leaves, whatever the list says.
     :ivar paused_until: until then it wants nothing from this node.
     :ivar is_down: no connection could be made.
+    :ivar down_since: when that was first found.
+    :ivar checked_at: when a connection was last tried since a request waits for it.
     :ivar is_replaced: another endpoint was found at its address.
     """
 
@@ -91,6 +93,8 @@
     paused_until: float = 0.0
     is_replaced: bool = False
     is_down: bool = False
+    down_since: float = 0.0
+    checked_at: float = float("-inf")
     suspect_until: float = 0.0
     suspicions: int = 0
     failures: float = 0.0
@@ -279,6 +283,8 @@
 
     def unreachable(self, state: EndpointState) -> None:
         """Notes that no connection to an endpoint could be made."""
+        if not state.is_down:
+            state.down_since = self._clock()
         state.is_down = True
 
     def reachable(self, state: EndpointState) -> None:
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -1,8 +1,13 @@
 """Answers that have begun reach their end, or another endpoint has taken the request before."""
 
+import time
+from unittest import mock
+
 import gevent
+import urllib3
 from bottle import HTTPResponse
 
+from arbutustally_node.gateway import endpoint_check
 from arbutustally_node.gateway.request_run import FIRST_BYTE_S
 from arbutustally_node.gateway.stream_relay import SILENT_GAP_S
 from tests.gateway_fleet import GatewayCase
@@ -84,6 +89,35 @@
         answer = self.ask()
         self.assertEqual((answer.status, self.asked, answer.data), (200, 1, events(1, 5)))
 
+    def test_stream_that_goes_on_drops_the_other_engine(self) -> None:
+        """Guards against two engines that work on one request, and against mixed events."""
+        self.set_routes()
+
+        def slow(headers):
+            def body():
+                gevent.sleep(SILENT_GAP_S + 1.0)
+                yield events(3, 5)
+
+            return signed(headers, body())
+
+        self.answer_first_with(self.paused(SILENT_GAP_S + 0.4), slow)
+        answer = self.ask()
+        self.assertEqual((self.asked, answer.data), (1, events(1, 5)))
+        states = self.node._view.book.of_service("llm")
+        self.eventually(lambda: sum(state.running for state in states) == 0)
+
+    def test_stream_of_a_dead_engine_ends_soon(self) -> None:
+        """Guards against a caller that is held until its deadline by an engine that is gone."""
+        self.set_routes(maxAttempts=1, resumable=False)
+        self.answer_first_with(self.paused(5.0), full)
+        began = time.monotonic()
+        with (
+            mock.patch.object(endpoint_check, "_can_connect", return_value=False),
+            self.assertRaises(urllib3.exceptions.ProtocolError),
+        ):
+            self.ask()
+        self.assertLess(time.monotonic() - began, 4.0)
+
     def test_run_on_its_last_endpoint_counts_as_unrepeatable(self) -> None:
         """Guards against an order to load weights that breaks off a run that can't go on."""
         counts = []
