Count a run on its last endpoint as one that an order may not break off

What callers would see: a stream reset in the middle when its engine is told to load new weights. Cause: the count of runs that can't go on took the route's word and not the endpoints that are left, so such a run counted as movable and the order ended it.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -159,7 +159,9 @@
         """Counts an attempt before its request is sent."""
         self._sends += 1
         self._learning.began(placed)
-        load = AttemptLoad(placed.state, self._request, placed.choice, self._route.may_repeat)
+        load = AttemptLoad(
+            placed.state, self._request, placed.choice, self._has_endpoints_left(self._ran + 1)
+        )
         return Try(placed, load, self._services.clock(), self._placer.save_to(placed))
 
     def _complete(self, tried: Try) -> Attempt:
