Introduce the seeds before services start

Cause: the node introduced its seeds after all services had started. A service that asks in between whether the fleet is known gets 'yes', since a node without candidates takes itself for the only one, and that answer is kept. Change: the seeds are introduced first; start and reload share one function. Before: test_starting_node_knows_its_seeds_before_its_services_run fails ([True] != [False]).

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -1,6 +1,7 @@
 """A gateway node: builds its services, runs them, and stops without cutting a request."""
 
 import secrets
+from collections.abc import Sequence
 from random import Random
 
 import gevent
@@ -98,8 +99,7 @@
 
     def reload(self, options: GatewayOptions) -> None:
         """Takes changed settings that can change while the node runs: the seeds."""
-        for seed in options.seeds:
-            self._gossip.introduce(seed.rpartition(":")[0], is_lasting=True)
+        self._introduce(options.seeds)
         self._log.line("settings_reloaded", seeds=len(options.seeds))
 
     def reload_failed(self, reason: str) -> None:
@@ -115,9 +115,9 @@
 
     def start(self) -> None:
         """Starts all services."""
+        # Without seeds a node takes itself for the only one of the fleet, once and for good.
+        self._introduce(self._options.seeds)
         self._kernel.start()
-        for seed in self._options.seeds:
-            self._gossip.introduce(seed.rpartition(":")[0], is_lasting=True)
         self._web = [
             serve(self._options.ready_listen, ready_app(self._options.ready_path, self.is_ready)),
             serve(
@@ -131,6 +131,10 @@
         tune_collector()
         self._log.line("node_started", zone=self._options.zone, callers=self._options.caller_listen)
 
+    def _introduce(self, seeds: Sequence[str]) -> None:
+        for seed in seeds:
+            self._gossip.introduce(seed.rpartition(":")[0], is_lasting=True)
+
     def is_ready(self) -> bool:
         """Returns whether callers should use this node."""
         return self._is_complete() and not self._is_draining
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -11,6 +11,7 @@
 
 from arbutustally.gateway.shared_reading import READERS, Change, ListNews
 from arbutustally_node.gateway.fleet_view import FORGET_GONE_S
+from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.node import GatewayNode
 from arbutustally_node.gateway.request_run import FIRST_BYTE_S
 from arbutustally_node.gateway.stream_relay import SILENT_GAP_S
@@ -588,6 +589,20 @@
         stopping.join()
         self.assertEqual(first.get(), 200)
 
+    def test_starting_node_knows_its_seeds_before_its_services_run(self) -> None:
+        """Guards against a starting node that takes itself for the only one of the fleet."""
+        settled = []
+
+        def start(gossip: Gossip) -> None:
+            settled.append(gossip.is_settled)
+            bind(gossip)
+
+        bind = Gossip.start
+        fields = settings(self.store.address, seeds=["127.0.0.9:1"])
+        with mock.patch.object(Gossip, "start", start):
+            self.start_node(fields)
+        self.assertEqual(settled, [False])
+
 
 class BadInputTest(GatewayCase):
     """Each bad input is refused, and the node still serves."""
