--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/catch_up.py
@@ -0,0 +1,84 @@
+"""Gets from a peer what the store does not give, and gives peers the same."""
+
+from random import Random
+from typing import Any
+
+import gevent
+
+from arbutustally.gateway.relaying import Member
+from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.endpoint_reader import EndpointReader
+from arbutustally_node.gateway.fleet_view import FleetView
+from arbutustally_node.gateway.gossip import Gossip
+from arbutustally_node.gateway.store_watch import StoreWatch
+from arbutustally_node.gateway.supervision import supervise
+from arbutustally_node.gateway.web import Snapshot, fetch_snapshot
+
+#: Interval at which a node without the store, or behind its peers, asks one of them, seconds.
+SNAPSHOT_INTERVAL_S = 0.25
+
+
+class CatchUp:
+    """Asks peers for snapshots while this node is behind them or has no store."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        endpoints: EndpointReader,
+        gossip: Gossip,
+        watch: StoreWatch,
+        log: DecisionLog,
+        rng: Random,
+    ) -> None:
+        self._view = view
+        self._endpoints = endpoints
+        self._gossip = gossip
+        self._watch = watch
+        self._log = log
+        self._rng = rng
+        self._greenlet: Any = None
+
+    def start(self) -> None:
+        """Starts asking."""
+        self._greenlet = supervise(self._log, "snapshots", self._run)
+
+    def stop(self) -> None:
+        """Stops asking."""
+        self._greenlet.kill()
+
+    def snapshot(self) -> Snapshot:
+        """Returns the documents that this node has."""
+        view = self._view
+        return Snapshot(self._endpoints.position, view.operator_records, view.endpoint_records)
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(SNAPSHOT_INTERVAL_S)
+            peer = self._peer_ahead()
+            if peer is None:
+                continue
+            snapshot = fetch_snapshot(peer.control)
+            self._log.line("snapshot_fetched", peer=peer.node, found=snapshot is not None)
+            if snapshot is not None:
+                self._take(snapshot, peer.node)
+
+    def _take(self, snapshot: Snapshot, peer: str) -> None:
+        for record in snapshot.operator:
+            self._view.take_operator(record, peer)
+        if snapshot.position is not None:
+            self._endpoints.take_snapshot(snapshot.endpoints, snapshot.position, peer)
+
+    def _peer_ahead(self) -> Member | None:
+        configuration = self._view.configuration
+        version = configuration.version if configuration else 0
+        ahead = [peer for peer in self._gossip.present if peer.config > version]
+        relay = self._gossip.relay
+        if relay is not None and self._view.is_complete:
+            # All nodes at once would be too much for the first one that has a configuration.
+            ahead = [relay] if relay.config > version else []
+        if ahead:
+            return max(ahead, key=lambda peer: peer.config)
+        if self._view.is_complete and (self._watch.has_store or not self._endpoints.has_missed):
+            return None
+        ready = [peer for peer in self._gossip.present if peer.is_ready]
+        return self._rng.choice(ready) if ready else None
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_check.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_check.py
@@ -24,6 +24,13 @@
         self._log = log
         self._checking: set[str] = set()
 
+    def unreachable(self, state: EndpointState) -> None:
+        """Notes that a request could not connect to the endpoint, and starts checks."""
+        if not state.is_down:
+            self._log.line("endpoint_unreachable", endpoint=state.id, found_by="request")
+        self._book.unreachable(state)
+        self.check(state)
+
     def check(self, state: EndpointState) -> None:
         """Starts checks that go on until the endpoint can be reached or is forgotten."""
         if state.id in self._checking:
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -0,0 +1,221 @@
+"""The services of a node and how they are joined.
+
+Peers are told of all services and tell all services, so some of them are named in functions that
+run only once all are built.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from arbutustally.clock import boottime, monotonic
+from arbutustally.gateway.endpoints import EndpointState
+from arbutustally.gateway.holdings import USUAL_TERMS, Holdings, PlaceTerms
+from arbutustally.gateway.place_terms import terms_of
+from arbutustally.gateway.shared_reading import SharedReading
+from arbutustally_node.gateway.announcer import Announcer
+from arbutustally_node.gateway.cache_follower import CacheFollower
+from arbutustally_node.gateway.catch_up import CatchUp
+from arbutustally_node.gateway.endpoint_check import EndpointChecker
+from arbutustally_node.gateway.endpoint_notices import EndpointNotices
+from arbutustally_node.gateway.endpoint_reader import EndpointReader
+from arbutustally_node.gateway.exchange import Exchange
+from arbutustally_node.gateway.follower import Follower
+from arbutustally_node.gateway.gossip import Gossip
+from arbutustally_node.gateway.listener import CallerListener
+from arbutustally_node.gateway.node_state import NodeState
+from arbutustally_node.gateway.node_status import NodeStatus
+from arbutustally_node.gateway.order_lease import OrderLease
+from arbutustally_node.gateway.peer_news import PeerNews, ToldServices
+from arbutustally_node.gateway.ports import GatewayOptions, Platform
+from arbutustally_node.gateway.request_services import RequestServices
+from arbutustally_node.gateway.store_watch import StoreWatch
+from arbutustally_node.gateway.transport import Transport
+from arbutustally_node.gateway.weights_service import WeightsService
+from arbutustally_node.kernel import Kernel, Service
+from arbutustally_node.pool import PoolService
+
+CONNECT_TIMEOUT_S = 0.2
+#: Longest silence of an endpoint inside an answer, seconds; callers leave a stream at two.
+SILENCE_S = 1.6
+
+
+@dataclass(frozen=True)
+class StoreReaders:
+    """Services that follow the store of the platform."""
+
+    watch: StoreWatch
+    endpoints: EndpointReader
+    follower: Follower
+    announcer: Announcer
+
+
+@dataclass(frozen=True)
+class NodeServices:
+    """Services of one node.
+
+    :ivar kernel: starts and stops those that have a lifetime.
+    """
+
+    kernel: Kernel
+    state: NodeState
+    status: NodeStatus
+    gossip: Gossip
+    store: StoreReaders
+    catch_up: CatchUp
+    weights: WeightsService
+    exchange: Exchange
+    listener: CallerListener
+
+
+def build_services(options: GatewayOptions, platform: Platform, incarnation: str) -> NodeServices:
+    """Builds the services of a node; none has started."""
+    state = NodeState.from_config(options, platform.documents, incarnation)
+    log, view = state.log, state.view
+    status = NodeStatus(options, view, lambda: gossip.is_settled)
+    gossip = Gossip(
+        status.member,
+        options.peer_port,
+        boottime,
+        log,
+        lambda has_placed: news.describe(has_placed),
+        lambda told, use: news.take(told, use),
+        lambda gone: news.fleet_changed(gone),
+    )
+    checker = EndpointChecker(view.book, log)
+    notices = _build_notices(platform, state, gossip)
+    holdings = Holdings.from_config(monotonic, lambda place: _place_terms(place, caches, state))
+    caches = CacheFollower(platform.cache_events, view, holdings, gossip, log)
+    pool = PoolService(CONNECT_TIMEOUT_S, SILENCE_S)
+    requests = RequestServices(
+        view,
+        Transport(pool, platform.codec),
+        state.placement,
+        holdings,
+        state.quota,
+        state.repeats,
+        log,
+        state.instruments,
+        monotonic,
+        state.rng,
+        options.zone,
+        options.bounds.weights_s,
+        lambda endpoint: weights.look(endpoint),
+        notices.take,
+        checker.unreachable,
+        lambda: len(gossip.present) + 1,
+        lambda: status.is_complete,
+    )
+    exchange = Exchange(requests)
+    store = _build_store_readers(options, platform, state, gossip)
+    weights = _build_weights(options, platform, state, gossip, checker.unreachable)
+    told = ToldServices(
+        view,
+        state.quota,
+        state.repeats,
+        state.speeds,
+        holdings,
+        checker,
+        notices,
+        store.endpoints,
+        store.follower,
+        weights,
+        gossip,
+        requests.placed,
+    )
+    news = PeerNews(told, lambda: status.member, incarnation, monotonic)
+    listener = CallerListener(
+        options.caller_listen,
+        platform.codec,
+        exchange.serve,
+        lambda: state.caller_limits,
+        options.memory_mb,
+    )
+    kernel = _register(
+        ("log", log),
+        ("gossip", gossip),
+        ("endpoints", store.endpoints),
+        ("follower", store.follower),
+        ("announcer", store.announcer),
+        ("pool", pool),
+        ("caches", caches),
+        ("weights", weights),
+        ("listener", listener),
+    )
+    catch_up = CatchUp(view, store.endpoints, gossip, store.watch, log, state.rng)
+    return NodeServices(kernel, state, status, gossip, store, catch_up, weights, exchange, listener)
+
+
+def _build_notices(platform: Platform, state: NodeState, gossip: Gossip) -> EndpointNotices:
+    notices = EndpointNotices(state.view.book, state.log, state.rng, gossip.send_now)
+    platform.engines.watch_notices(notices.take_from)
+    platform.cache_events.watch_notices(notices.take_from)
+    return notices
+
+
+def _build_store_readers(
+    options: GatewayOptions, platform: Platform, state: NodeState, gossip: Gossip
+) -> StoreReaders:
+    log, view, bounds = state.log, state.view, options.bounds
+    watch = StoreWatch(view.book, log, monotonic, bounds.store_return_s)
+    endpoints = EndpointReader(
+        platform.endpoint_topic,
+        view,
+        SharedReading.from_config(boottime, bounds.leaving_s),
+        watch,
+        log,
+        monotonic,
+        gossip,
+        bounds.leaving_s,
+    )
+    follower = Follower(
+        platform.operator_topic,
+        view,
+        watch,
+        log,
+        monotonic,
+        lambda: endpoints.is_reader,
+        gossip.send_now,
+    )
+    announcer = Announcer(
+        platform.node_topic, gossip, watch, log, boottime, options.node, options.ip.encode()
+    )
+    return StoreReaders(watch, endpoints, follower, announcer)
+
+
+def _build_weights(
+    options: GatewayOptions,
+    platform: Platform,
+    state: NodeState,
+    gossip: Gossip,
+    on_unreachable: Callable[[EndpointState], None],
+) -> WeightsService:
+    holder = f"{options.node}~{state.incarnation}"
+    lease = OrderLease(holder, platform.lease_topic, state.log, boottime, options.bounds.lease_s)
+
+    def wait_s(endpoint: EndpointState) -> float:
+        return endpoint.total_prompt_tokens / state.placement.prefill_speed(endpoint.id)
+
+    return WeightsService(
+        state.view,
+        gossip,
+        lease,
+        platform.engines,
+        state.log,
+        monotonic,
+        options.bounds.weights_s,
+        wait_s,
+        on_unreachable,
+    )
+
+
+def _register(*services: tuple[str, Service]) -> Kernel:
+    kernel = Kernel()
+    for name, service in services:
+        kernel.register(name, service)
+    return kernel
+
+
+def _place_terms(place: str, caches: CacheFollower, state: NodeState) -> PlaceTerms:
+    if caches.follows(place):
+        return USUAL_TERMS
+    return terms_of(place, state.view.configuration, state.view.book)
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
@@ -0,0 +1,71 @@
+"""What a node knows and counts in memory, apart from the services that use it."""
+
+from dataclasses import dataclass
+from random import Random
+
+from arbutustally.clock import boottime, monotonic
+from arbutustally.gateway.attempts import RepeatLedger
+from arbutustally.gateway.choice import PLACEMENT_OPTIONS
+from arbutustally.gateway.configuration import CallerLimits, Configuration
+from arbutustally.gateway.engine_speeds import EngineSpeeds
+from arbutustally.gateway.quota import QuotaLedger
+from arbutustally.placement import Placement
+from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.fleet_view import FleetView
+from arbutustally_node.gateway.instruments import Instruments
+from arbutustally_node.gateway.ports import Documents, GatewayOptions
+
+
+@dataclass(frozen=True)
+class NodeState:
+    """Tables of one node.
+
+    :ivar incarnation: differs between two starts of the node.
+    :ivar repeats: attempts that the node may still make again.
+    """
+
+    incarnation: str
+    log: DecisionLog
+    instruments: Instruments
+    rng: Random
+    view: FleetView
+    quota: QuotaLedger
+    repeats: RepeatLedger
+    speeds: EngineSpeeds
+    placement: Placement
+
+    @classmethod
+    def from_config(
+        cls, options: GatewayOptions, documents: Documents, incarnation: str
+    ) -> "NodeState":
+        """Builds empty tables that follow the configuration once there is one."""
+        rng = Random()
+        log = DecisionLog({"node": options.node, "inc": incarnation[:6]})
+        speeds = EngineSpeeds.from_config(monotonic)
+        state = cls(
+            incarnation,
+            log,
+            Instruments(),
+            rng,
+            FleetView(documents, monotonic, log),
+            QuotaLedger.from_config(boottime, options.bounds.quota),
+            RepeatLedger.from_config(monotonic, options.bounds.repeats),
+            speeds,
+            Placement.from_config(monotonic, rng, PLACEMENT_OPTIONS, speeds),
+        )
+        state.view.watch_configuration(state._configured)
+        return state
+
+    @property
+    def caller_limits(self) -> CallerLimits:
+        """Returns the limits of callers' connections, the usual ones without a configuration."""
+        configuration = self.view.configuration
+        return configuration.limits if configuration else CallerLimits()
+
+    def _configured(self, configuration: Configuration) -> None:
+        for service in configuration.services.values():
+            if service.engine and service.engine.transfer_tokens_per_s:
+                self.placement.assume_import_speed(service.engine.transfer_tokens_per_s)
+        self.quota.declare(
+            {name: (entry.rate, entry.burst) for name, entry in configuration.accounts.items()}
+        )
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -90,8 +90,8 @@
 
     def _has_budget(self, node: GatewayNode) -> bool:
         """Returns whether the account can pay: its bucket is empty when a node starts."""
-        is_limited = "school" in node._quota._buckets
-        return not is_limited or node._quota.level("school") >= FIRST_TOKENS
+        quota = node._services.state.quota
+        return "school" not in quota._buckets or quota.level("school") >= FIRST_TOKENS
 
     def eventually(self, condition, within_s: float = 8.0) -> None:
         deadline = time.monotonic() + within_s
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -233,7 +233,7 @@
             yield b"id: 1\ndata: piece 1\n\n"
 
         self.answer_with(late)
-        with mock.patch.object(self.node._repeats, "take", return_value=False):
+        with mock.patch.object(self.node._services.state.repeats, "take", return_value=False):
             answer = self.call(self.node, "/chat/x", "r1", Deadline_Ms="4000")
         self.assertEqual((answer.status, answer.data.count(b"data: piece")), (200, 1))
 
@@ -244,7 +244,7 @@
             yield b"id: 2\ndata: piece 2\n\n"
 
         self.answer_with(paused)
-        with mock.patch.object(self.node._repeats, "take", return_value=False):
+        with mock.patch.object(self.node._services.state.repeats, "take", return_value=False):
             answer = self.call(self.node, "/chat/x", "r1", Deadline_Ms="4000")
         self.assertEqual((answer.status, answer.data.count(b"data: piece")), (200, 2))
 
@@ -258,9 +258,9 @@
         changed["tenants"][0] |= {"ratePerS": 1, "burst": 500}
         self.store.put("keyed.op", "config", changed)
         self.eventually(lambda: self.node._view.configuration.version == 2)
-        before = self.node._quota.admitted.get("school", 0.0)
+        before = self.node._services.state.quota.admitted.get("school", 0.0)
         self.assertEqual(self.call(self.node, "/look/a", "r1").status, 503)
-        self.assertEqual(self.node._quota.admitted.get("school", 0.0), before)
+        self.assertEqual(self.node._services.state.quota.admitted.get("school", 0.0), before)
 
     def test_account_over_its_rate_is_told_when_to_return(self) -> None:
         """Sends more than the rate at any speed of the machine, in requests that engines can take."""
@@ -482,7 +482,7 @@
         nodes = self.start_settled(5)
         for node in nodes:
             if node._endpoints.is_reader:
-                for greenlet in (*node._gossip._greenlets, node._follower._greenlet):
+                for greenlet in (*node._gossip._greenlets, node._services.store.follower._greenlet):
                     greenlet.kill()
                 node._endpoints.stop()
         left = [node for node in nodes if not node._gossip._greenlets[0].dead]
@@ -552,7 +552,7 @@
         url = f"http://{node._options.directory_listen}/arbutustally/resolve?name=h&zone=z1"
         answer = self.http.request("GET", url)
         self.assertEqual(answer.json()["addresses"], [node._options.caller_listen])
-        node._is_draining = True
+        node._status.begin_drain()
         self.assertEqual(self.http.request("GET", url).status, 503)
 
     def test_stopping_node_finishes_what_runs(self) -> None:
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -73,7 +73,7 @@
         node = self.start_node(settings(self.store.address))
         self.wait_ready(node)
         # The bucket of a node that has just started is empty.
-        self.eventually(lambda: node._quota.level("school") >= 5_000.0)
+        self.eventually(lambda: node._services.state.quota.level("school") >= 5_000.0)
         return node
 
     def test_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_next_attempt(self) -> None:
