Judge a release on few requests, and keep it or take it back

Cause: the gateway did not read the operator's orders to roll out; a release was an endpoint like any other. Change: a service's releases are compared by route, on 4% of the requests, over the answers of all nodes; a run counts as slow as soon as it has taken far longer than usual. A bad release gets nothing more and is reported as rolled back; a sound one gets all requests 1.2 s before the order's time is over and is reported as completed when the one before has finished what it ran. Evidence: test_failing_release_is_taken_back_and_harms_few could not pass before, since no status was ever written.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -6,8 +6,10 @@
 from arbutustally.clock import Clock
 from arbutustally.gateway.configuration import Configuration
 from arbutustally.gateway.endpoints import EndpointBook, EndpointEntry, EndpointState
+from arbutustally.gateway.rollouts import RolloutBook, RolloutOrder
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.ports import Documents, Record, WeightsNamed
+from arbutustally_node.gateway.rollout_record import PROGRESS_PREFIX, decode_progress
 
 #: Time after which an endpoint whose entry was removed is forgotten, seconds.
 FORGET_GONE_S = 30.0
@@ -76,6 +78,7 @@
         self._operator_raw: dict[str, bytes] = {}
         self._endpoint_raw: dict[str, bytes] = {}
         self._weights: dict[str, NamedWeights] = {}
+        self._rollouts = RolloutBook()
         self._has_endpoints = False
         self.book = EndpointBook.from_config(clock)
         self._configuration_watchers: list[Callable[[Configuration], None]] = []
@@ -90,6 +93,11 @@
         """Returns the named weights by model."""
         return self._weights
 
+    @property
+    def rollouts(self) -> RolloutBook:
+        """Returns the roll-outs of services."""
+        return self._rollouts
+
     @property
     def is_complete(self) -> bool:
         """Returns whether the node knows enough to serve."""
@@ -114,11 +122,16 @@
 
         :param known_at: earliest time at which it may have been written, ``-inf`` if nobody knows.
         """
+        if record.key.startswith(PROGRESS_PREFIX):
+            self._take_progress(record, source)
+            return
         change = self._documents.decode_operator(record)
         if isinstance(change, Configuration):
             self._configure(change, record, source)
         elif isinstance(change, WeightsNamed):
             self._name_weights(change, record, source, known_at)
+        elif isinstance(change, RolloutOrder):
+            self._order_rollout(change, record, source, known_at)
         elif change is None and record.value is not None:
             self._log.line("operator_record_unreadable", key=record.key, source=source)
 
@@ -176,6 +189,33 @@
         for notify in self._configuration_watchers:
             notify(configuration)
 
+    def _order_rollout(
+        self, order: RolloutOrder, record: Record, source: str, known_at: float
+    ) -> None:
+        known_at = self._clock() if known_at == -math.inf else known_at
+        if self._rollouts.order(order, known_at):
+            self._operator_raw[record.key] = record.value or b""
+            self._log.line(
+                "rollout_ordered",
+                service=order.service,
+                target=order.target,
+                duration_s=order.duration_s,
+                source=source,
+            )
+
+    def _take_progress(self, record: Record, source: str) -> None:
+        progress = decode_progress(record)
+        if progress is not None and self._rollouts.take(progress):
+            self._operator_raw[record.key] = record.value
+            self._log.line(
+                "rollout_progress",
+                service=progress.service,
+                target=progress.target,
+                state=progress.state,
+                share=progress.share,
+                source=source,
+            )
+
     def _name_weights(
         self, change: WeightsNamed, record: Record, source: str, known_at: float
     ) -> None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -78,6 +78,12 @@
             if record.value is not None
         )
 
+    def publish(self, record: Record) -> None:
+        """Tells the peers a record of this node together with those that it has read."""
+        now = self._clock()
+        self._told.append((now, now, record))
+        self._tell()
+
     def take(self, news: tuple[OperatorNews, ...], peer: str) -> None:
         """Takes what a peer has read."""
         now = self._clock()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -9,6 +9,7 @@
 from arbutustally_node.gateway.attempt_load import AttemptLoad
 from arbutustally_node.gateway.placer import Placed
 from arbutustally_node.gateway.request_services import RequestServices, Trace
+from arbutustally_node.gateway.rollout_evidence import AnswerRun
 from arbutustally_node.gateway.transport import OTHER_ENDPOINT, OTHER_WEIGHTS, Attempt
 
 
@@ -17,6 +18,7 @@
     """One attempt from its placement to its end.
 
     :ivar began: steady clock, seconds.
+    :ivar answer: of a service whose releases are compared.
     :ivar saved_to: store that gets the prompt's shared parts.
     :ivar attempt: how it went, ``None`` while no head of an answer has come.
     """
@@ -24,6 +26,7 @@
     placed: Placed
     load: AttemptLoad
     began: float
+    answer: AnswerRun
     saved_to: Service | None = None
     attempt: Attempt | None = None
 
@@ -48,20 +51,29 @@
         self._wall = wall
         self._trace = trace
 
-    def began(self, placed: Placed) -> None:
+    def began(self, placed: Placed) -> AnswerRun:
         """Notes that an engine is about to read the prompt's parts."""
+        services, state = self._services, placed.state
+        read_s = 0.0
         if placed.choice is not None:
+            read_s = (self._request.prompt_tokens or 0) / services.placement.prefill_speed(state.id)
             self._services.holdings.expect(placed.state.id, placed.cache_scope, self._request.parts)
             self._tell_parts(placed, True)
+        return services.rollouts.began(state, self._route.name, read_s)
 
     def withdrawn(self, tried: Try) -> None:
         """Notes that an attempt was ended by this node or its caller; it says nothing else."""
         placed = tried.placed
+        self._services.rollouts.withdrawn(tried.answer)
         self._services.holdings.unexpect(placed.state.id, placed.cache_scope, self._request.parts)
 
     def ended(self, tried: Try) -> None:
         """Learns from how an attempt went."""
         services, attempt, state = self._services, tried.attempt, tried.placed.state
+        if attempt.outcome is Outcome.NOT_RUN:
+            services.rollouts.withdrawn(tried.answer)
+        else:
+            services.rollouts.ended(tried.answer, attempt.outcome is not Outcome.ANSWERED)
         if attempt.outcome is Outcome.ANSWERED:
             services.view.book.answered(state, services.clock() - tried.began)
         elif attempt.reason == OTHER_ENDPOINT:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -18,7 +18,7 @@
 from arbutustally_node.gateway.catch_up import CatchUp
 from arbutustally_node.gateway.endpoint_check import EndpointChecker
 from arbutustally_node.gateway.endpoint_notices import EndpointNotices
-from arbutustally_node.gateway.endpoint_reader import EndpointReader
+from arbutustally_node.gateway.endpoint_reader import READING_DUTY, EndpointReader
 from arbutustally_node.gateway.exchange import Exchange
 from arbutustally_node.gateway.follower import Follower
 from arbutustally_node.gateway.gossip import Gossip
@@ -29,6 +29,8 @@
 from arbutustally_node.gateway.peer_news import PeerNews, ToldServices
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
 from arbutustally_node.gateway.request_services import RequestServices
+from arbutustally_node.gateway.rollout_record import encode_progress
+from arbutustally_node.gateway.rollout_service import RolloutService
 from arbutustally_node.gateway.store_watch import StoreWatch
 from arbutustally_node.gateway.transport import Transport
 from arbutustally_node.gateway.weights_service import WeightsService
@@ -107,6 +109,7 @@
         checker.check_silent,
         lambda: len(gossip.present) + 1,
         lambda: status.is_complete,
+        state.rollouts,
     )
     exchange = Exchange(requests)
     store = _build_store_readers(options, platform, state, gossip)
@@ -124,8 +127,10 @@
         weights,
         gossip,
         requests.placed,
+        state.rollouts,
     )
     news = PeerNews(told, lambda: status.member, incarnation, monotonic)
+    rollouts = _build_rollouts(platform, state, gossip, store)
     listener = CallerListener(
         options.caller_listen,
         platform.codec,
@@ -142,6 +147,7 @@
         ("pool", pool),
         ("caches", caches),
         ("weights", weights),
+        ("rollouts", rollouts),
         ("listener", listener),
     )
     catch_up = CatchUp(view, store.endpoints, gossip, store.watch, log, state.rng)
@@ -211,6 +217,25 @@
     )
 
 
+def _build_rollouts(
+    platform: Platform, state: NodeState, gossip: Gossip, store: StoreReaders
+) -> RolloutService:
+    def is_decider() -> bool:
+        return store.endpoints.is_reader and gossip.rank(READING_DUTY) == 0
+
+    return RolloutService(
+        state.view.rollouts,
+        state.rollouts,
+        state.view.book,
+        platform.status_topic,
+        platform.documents,
+        state.log,
+        monotonic,
+        is_decider,
+        lambda progress: store.follower.publish(encode_progress(progress)),
+    )
+
+
 def _register(*services: tuple[str, Service]) -> Kernel:
     kernel = Kernel()
     for name, service in services:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
@@ -14,6 +14,7 @@
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.instruments import Instruments
 from arbutustally_node.gateway.ports import Documents, GatewayOptions
+from arbutustally_node.gateway.rollout_evidence import RolloutEvidence
 
 
 @dataclass(frozen=True)
@@ -33,6 +34,7 @@
     repeats: RepeatLedger
     speeds: EngineSpeeds
     placement: Placement
+    rollouts: RolloutEvidence
 
     @classmethod
     def from_config(
@@ -42,16 +44,18 @@
         rng = Random()
         log = DecisionLog({"node": options.node, "inc": incarnation[:6]})
         speeds = EngineSpeeds.from_config(monotonic)
+        view = FleetView(documents, monotonic, log)
         state = cls(
             incarnation,
             log,
             Instruments(),
             rng,
-            FleetView(documents, monotonic, log),
+            view,
             QuotaLedger.from_config(boottime, options.bounds.quota),
             RepeatLedger.from_config(monotonic, options.bounds.repeats),
             speeds,
             Placement.from_config(monotonic, rng, PLACEMENT_OPTIONS, speeds),
+            RolloutEvidence(view.rollouts, monotonic),
         )
         state.view.watch_configuration(state._configured)
         return state
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_news.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_news.py
@@ -19,6 +19,7 @@
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.peer_state import Covers, PeerState
 from arbutustally_node.gateway.placed_log import PlacedLog
+from arbutustally_node.gateway.rollout_evidence import PREFIX, RolloutEvidence
 from arbutustally_node.gateway.weights_service import WeightsService
 
 #: Intervals between messages for which an endpoint counts as loading after a peer said so.
@@ -41,6 +42,7 @@
     weights: WeightsService
     gossip: Gossip
     placed: PlacedLog
+    rollouts: RolloutEvidence
 
 
 class PeerNews:
@@ -82,7 +84,7 @@
                 for state in states
                 if state.running
             },
-            admitted=dict(services.quota.admitted),
+            admitted={**services.quota.admitted, **services.rollouts.totals},
             speeds=services.speeds.own(),
             weights={
                 model: {version: round(now - at, 3) for version, at in named.dated.items()}
@@ -109,7 +111,9 @@
         services.follower.take(state.operator, node)
         if use is not None:
             services.view.book.set_peer_load(use.source, use.loads)
-            services.quota.heard(use.source, use.admitted)
+            accounts = {k: v for k, v in use.admitted.items() if not k.startswith(PREFIX)}
+            services.quota.heard(use.source, accounts)
+            services.rollouts.heard(use.source, use.admitted)
             services.speeds.set_peers(use.source, use.speeds)
         self._take_weights(state)
         services.notices.take_leaving(state.leaving, node)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -98,14 +98,19 @@
         :param has_run: an earlier attempt may have run.
         :raises RouterError: if there is no endpoint, or none can serve the request in time.
         """
-        services = self._services
-        able = services.view.book.usable(self._service.name)
+        able = self._usable()
         fresh = [state for state in able if state.id not in self._tried]
         able = fresh or able
         if not able:
             raise self._nothing_able("no_endpoint", left_s, has_run)
         return self._place_among(able, left_s, has_run, must_be_timely=not self._tried)
 
+    def _usable(self) -> list[EndpointState]:
+        """Returns the endpoints that may get the request, of one release where two are compared."""
+        view, service = self._services.view, self._service.name
+        able = view.book.usable(service)
+        return view.rollouts.allowed(service, able, self._request.request_id, not self._tried)
+
     def _place_among(
         self, able: list[EndpointState], left_s: float, has_run: bool, must_be_timely: bool
     ) -> Placed:
@@ -123,9 +128,7 @@
 
         :raises RouterError: if there is none that can serve the request in time.
         """
-        services = self._services
-        able = services.view.book.usable(self._service.name)
-        fresh = [state for state in able if state.id not in self._tried]
+        fresh = [state for state in self._usable() if state.id not in self._tried]
         if not fresh:
             raise NoEndpointError("every endpoint was tried")
         return self._place_among(fresh, left_s, True, must_be_timely=True)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 from arbutustally.gateway.attempts import RepeatBudget
 from arbutustally.gateway.configuration import Configuration
 from arbutustally.gateway.endpoints import NO_NOTICE, EndpointEntry, EndpointNotice
 from arbutustally.gateway.quota import QuotaTolerance
 from arbutustally.gateway.requests import CallerRequest
+from arbutustally.gateway.rollouts import RolloutOrder, RolloutProgress
 from arbutustally_node.http_head import RequestHead
 
 
@@ -124,6 +125,23 @@
         """
 
 
+class StatusTopic(Protocol):
+    """Topic in which the system tells the operator what it has done."""
+
+    def newest(self) -> Batch:
+        """Returns the newest record of every key.
+
+        :raises StoreUnavailableError: if the store does not answer.
+        """
+
+    def put(self, key: str, value: bytes | None, expected: int | None = None) -> Any:
+        """Appends a record; ``None`` in place of a result says that the topic ends elsewhere.
+
+        :param expected: append only if the topic ends at this offset.
+        :raises StoreUnavailableError: if nobody knows whether it was appended.
+        """
+
+
 class NodeTopic(KeyedTopic, Protocol):
     """Topic in which nodes announce themselves."""
 
@@ -272,12 +290,22 @@
     version: int
 
 
+#: What a record of the operator says.
+OperatorChange = Configuration | WeightsNamed | RolloutOrder
+
+
 class Documents(Protocol):
     """Decoding of what others write into the store; unreadable documents give ``None``."""
 
-    def decode_operator(self, record: Record) -> Configuration | WeightsNamed | None:
+    def decode_operator(self, record: Record) -> OperatorChange | None:
         """Returns what the operator wrote."""
 
+    def encode_rollout(self, progress: RolloutProgress) -> Record:
+        """Returns the record that tells the operator how far a roll-out is."""
+
+    def decode_rollout(self, record: Record) -> RolloutProgress | None:
+        """Returns how far a roll-out was, as written by a node."""
+
     def decode_endpoint(self, record: Record) -> EndpointEntry | None:
         """Returns an endpoint's entry."""
 
@@ -349,6 +377,7 @@
     codec: HttpCodec
     documents: Documents
     operator_topic: KeyedTopic
+    status_topic: StatusTopic
     endpoint_topic: KeyedTopic
     node_topic: NodeTopic
     engines: EngineControl
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -158,11 +158,11 @@
     def _begin(self, placed: Placed) -> Try:
         """Counts an attempt before its request is sent."""
         self._sends += 1
-        self._learning.began(placed)
+        answer = self._learning.began(placed)
         load = AttemptLoad(
             placed.state, self._request, placed.choice, self._has_endpoints_left(self._ran + 1)
         )
-        return Try(placed, load, self._services.clock(), self._placer.save_to(placed))
+        return Try(placed, load, self._services.clock(), answer, self._placer.save_to(placed))
 
     def _complete(self, tried: Try) -> Attempt:
         """Sends a request, unless that was done, passes its answer on, and learns from it."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -15,6 +15,7 @@
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.instruments import Instruments
 from arbutustally_node.gateway.placed_log import PlacedLog
+from arbutustally_node.gateway.rollout_evidence import RolloutEvidence
 from arbutustally_node.gateway.transport import Transport
 
 
@@ -30,6 +31,7 @@
     :ivar on_silent: called for an endpoint that is silent while a request waits for it.
     :ivar nodes: returns the number of nodes of the fleet, this one included.
     :ivar is_complete: returns whether the node knows enough to serve.
+    :ivar rollouts: answers of releases that are compared.
     :ivar placed: placements to tell the peers.
     """
 
@@ -51,6 +53,7 @@
     on_silent: Callable[[EndpointState], None]
     nodes: Callable[[], int]
     is_complete: Callable[[], bool]
+    rollouts: RolloutEvidence
     placed: PlacedLog = field(default_factory=PlacedLog)
 
 
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
@@ -0,0 +1,205 @@
+"""Carries out roll-outs: one node decides, writes the operator's record and tells the others.
+
+The first of the nodes that read the store for the fleet decides. A release that is bad gets nothing
+more at once; one is kept only once the store has that record and no other, so that two nodes that
+both take themselves for the first can't end a roll-out in two ways.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from arbutustally.clock import Clock
+from arbutustally.errors import StoreUnavailableError
+from arbutustally.gateway.endpoints import EndpointBook
+from arbutustally.gateway.rollouts import (
+    KnownOrder,
+    RolloutBook,
+    RolloutProgress,
+    RolloutState,
+    Tallies,
+    is_bad,
+    next_progress,
+    since,
+)
+from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.ports import Documents, StatusTopic
+from arbutustally_node.gateway.rollout_evidence import NEW, OLD, RolloutEvidence
+from arbutustally_node.gateway.supervision import supervise
+
+#: Interval between two looks at the answers, seconds.
+STEP_S = 0.1
+#: Interval at which a decision is told again, seconds.
+TELL_S = 1.0
+#: A release is also judged by its latest answers alone: steps between two tallies that are kept,
+#: and their number, so 3 s.
+RECENT_STEPS = 30
+#: Pause after a call that the store did not answer, seconds.
+STORE_RETRY_S = 0.3
+
+
+class RolloutService:
+    """Decides on roll-outs where this node is the first in order.
+
+    :param is_decider: returns whether this node decides now.
+    :param tell: tells all peers a decision at once, and again for a while.
+    """
+
+    def __init__(
+        self,
+        rollouts: RolloutBook,
+        evidence: RolloutEvidence,
+        endpoints: EndpointBook,
+        topic: StatusTopic,
+        documents: Documents,
+        log: DecisionLog,
+        clock: Clock,
+        is_decider: Callable[[], bool],
+        tell: Callable[[RolloutProgress], None],
+    ) -> None:
+        self._rollouts = rollouts
+        self._evidence = evidence
+        self._endpoints = endpoints
+        self._topic = topic
+        self._documents = documents
+        self._log = log
+        self._clock = clock
+        self._is_decider = is_decider
+        self._tell = tell
+        self._written: dict[str, RolloutProgress] = {}
+        self._told_at: dict[str, float] = {}
+        self._known: dict[str, KnownOrder] = {}
+        self._recent: dict[str, deque[tuple[Tallies, Tallies]]] = {}
+        self._greenlet: Any = None
+
+    def start(self) -> None:
+        """Starts looking at orders."""
+        self._greenlet = supervise(self._log, "rollouts", self._run)
+
+    def stop(self) -> None:
+        """Stops deciding."""
+        self._greenlet.kill()
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(STEP_S)
+            try:
+                for known in self._rollouts.orders:
+                    self._step(known)
+            except StoreUnavailableError as error:
+                self._log.line("rollout_not_written", reason=error.message)
+                gevent.sleep(STORE_RETRY_S)
+
+    def _step(self, known: KnownOrder) -> None:
+        order = known.order
+        current = self._rollouts.progress(order.service)
+        if not self._is_decider():
+            # Another node goes on; what it writes is read again if this one takes over.
+            self._known.pop(order.service, None)
+            return
+        if self._known.get(order.service) != known:
+            self._known[order.service] = known
+            self._recent.pop(order.service, None)
+            self._resume(known)
+            current = self._rollouts.progress(order.service)
+        if current is not None and current.is_final:
+            self._tell_again(current)
+            return
+        new = self._evidence.tallies(order.service, order.target, NEW)
+        old = self._evidence.tallies(order.service, order.target, OLD)
+        following = next_progress(
+            order,
+            current,
+            known.known_at + order.duration_s - self._clock(),
+            self._is_bad(order.service, new, old),
+            sum(tally.answers for tally in new.values()),
+            self._old_runs(order.service, order.target),
+        )
+        if following != current:
+            self._decide(following, new)
+        else:
+            self._tell_again(following)
+
+    def _is_bad(self, service: str, new: Tallies, old: Tallies) -> bool:
+        recent = self._recent.setdefault(service, deque(maxlen=RECENT_STEPS))
+        recent.append((new, old))
+        new_before, old_before = recent[0]
+        return is_bad(new, old) or is_bad(since(new, new_before), since(old, old_before))
+
+    def _old_runs(self, service: str, target: str) -> int:
+        return sum(
+            state.total_running
+            for state in self._endpoints.of_service(service)
+            if state.entry.release != target
+        )
+
+    def _resume(self, known: KnownOrder) -> None:
+        """Takes what an earlier decider has written of the same order."""
+        for record in self._topic.newest().records:
+            progress = self._documents.decode_rollout(record)
+            if progress is None or progress.service != known.order.service:
+                continue
+            if progress.target == known.order.target:
+                self._written[progress.service] = progress
+                if progress.is_final:
+                    self._rollouts.take(progress)
+
+    def _decide(self, progress: RolloutProgress, new: Tallies) -> None:
+        if progress.state is RolloutState.COMPLETED and not self._keep(progress):
+            return
+        self._take(progress, new)
+        if progress.state is RolloutState.ROLLED_BACK:
+            self._write(progress)
+        written = self._written.get(progress.service)
+        if written is None or written.target != progress.target:
+            self._write(progress)
+
+    def _take(self, progress: RolloutProgress, new: Tallies) -> None:
+        if self._rollouts.take(progress):
+            self._log.line(
+                "rollout_decided",
+                service=progress.service,
+                target=progress.target,
+                state=progress.state,
+                share=progress.share,
+                answers=sum(tally.answers for tally in new.values()),
+                failures=sum(tally.failures for tally in new.values()),
+                slow=sum(tally.slow for tally in new.values()),
+            )
+        self._told_at[progress.service] = self._clock()
+        self._tell(progress)
+
+    def _tell_again(self, progress: RolloutProgress) -> None:
+        now = self._clock()
+        if now - self._told_at.get(progress.service, float("-inf")) >= TELL_S:
+            self._told_at[progress.service] = now
+            self._tell(progress)
+        written = self._written.get(progress.service)
+        if written is None or (written.target, written.state) != (progress.target, progress.state):
+            self._write(progress)
+
+    def _keep(self, progress: RolloutProgress) -> bool:
+        """Writes that a release is kept, unless the store has another end of the roll-out."""
+        batch = self._topic.newest()
+        for record in batch.records:
+            found = self._documents.decode_rollout(record)
+            if found is None or (found.service, found.target) != (
+                progress.service,
+                progress.target,
+            ):
+                continue
+            if found.state is RolloutState.ROLLED_BACK:
+                self._rollouts.take(found)
+                return False
+        record = self._documents.encode_rollout(progress)
+        if self._topic.put(record.key, record.value, batch.next_offset) is None:
+            return False
+        self._written[progress.service] = progress
+        return True
+
+    def _write(self, progress: RolloutProgress) -> None:
+        record = self._documents.encode_rollout(progress)
+        self._topic.put(record.key, record.value)
+        self._written[progress.service] = progress
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -31,6 +31,7 @@
     :ivar is_leaving: it finishes what runs and takes no new work.
     :ivar weights: version of each model's weights.
     :ivar incarnation: differs between two starts of an endpoint, also under the same id.
+    :ivar release: version of its program.
     """
 
     id: str
@@ -41,6 +42,7 @@
     is_leaving: bool
     weights: Mapping[str, int]
     incarnation: str
+    release: str = ""
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/gateway/rollouts.py
@@ -0,0 +1,253 @@
+"""Roll-outs of a service's releases: which requests go to the new one, and whether it is kept.
+
+Load pattern: a new release fails or answers several times slower, at once or later, for all or on
+one route, while each node sees only a few of its answers. Few requests go to it until the order's
+time is nearly over; the answers of all nodes are added up and compared with those of the release
+before, at the same time and by route.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import astuple, dataclass
+from enum import StrEnum
+
+from arbutustally.evidence import tail_probability
+from arbutustally.gateway.endpoints import EndpointState
+from arbutustally.rendezvous import unit
+
+#: Part of the requests that a release gets while it is judged.
+TRIAL_SHARE = 0.04
+#: Answers of a release on one route, or on all, before it is judged.
+MIN_ANSWERS = 8
+#: Answers that a release must have given before it may be kept.
+MIN_ANSWERS_TO_KEEP = 12
+#: Part of a sound release's answers that may count as slow, and that may fail.
+SLOW_CHANCE = 0.25
+LEAST_FAILURE_CHANCE = 0.04
+#: Failures of a release are compared with this multiple of those of the release before.
+FAILURE_FACTOR = 2.0
+#: Probability below which chance does not explain what was seen.
+SIGNIFICANCE = 1e-4
+#: Time before the end of the order at which all new requests go to a sound release, seconds; the
+#: release before finishes what it runs meanwhile.
+MOVE_S = 1.2
+#: Time before the end at which the release is kept although the one before still runs requests.
+KEEP_S = 0.4
+
+
+class RolloutState(StrEnum):
+    """How far a roll-out is."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+
+@dataclass(frozen=True)
+class RolloutOrder:
+    """The operator wants a service's requests moved to a release.
+
+    :ivar duration_s: time in which it should be done.
+    """
+
+    service: str
+    target: str
+    duration_s: float
+
+
+@dataclass(frozen=True)
+class RolloutProgress:
+    """What the node that decides has decided last.
+
+    :ivar share: part of the requests that go to the target.
+    """
+
+    service: str
+    target: str
+    state: RolloutState
+    share: float
+
+    @property
+    def is_final(self) -> bool:
+        """Returns whether nothing more will be decided."""
+        return self.state is not RolloutState.RUNNING
+
+
+@dataclass(frozen=True)
+class AnswerTally:
+    """Answers of one release on one route.
+
+    :ivar slow: answers, or runs still going on, that took far longer than the usual ones of the
+        release before.
+    """
+
+    answers: int = 0
+    failures: int = 0
+    slow: int = 0
+
+    def plus(self, other: "AnswerTally") -> "AnswerTally":
+        """Returns the sum."""
+        return AnswerTally(*(a + b for a, b in zip(astuple(self), astuple(other), strict=True)))
+
+    def minus(self, other: "AnswerTally") -> "AnswerTally":
+        """Returns what was added since an earlier tally."""
+        pairs = zip(astuple(self), astuple(other), strict=True)
+        return AnswerTally(*(max(0, a - b) for a, b in pairs))
+
+
+#: Tallies by route.
+Tallies = Mapping[str, AnswerTally]
+
+
+def add_tallies(tables: Iterable[Tallies]) -> dict[str, AnswerTally]:
+    """Returns the sums by route."""
+    total: dict[str, AnswerTally] = {}
+    for table in tables:
+        for route, tally in table.items():
+            total[route] = total.get(route, AnswerTally()).plus(tally)
+    return total
+
+
+def since(now: Tallies, before: Tallies) -> dict[str, AnswerTally]:
+    """Returns what was added to tallies since earlier ones."""
+    return {route: tally.minus(before.get(route, AnswerTally())) for route, tally in now.items()}
+
+
+def is_bad(new: Tallies, old: Tallies) -> bool:
+    """Returns whether a release is worse than the one before, on any route or on all.
+
+    :param new: answers of the release.
+    :param old: answers of the release before at the same time.
+    """
+    whole_new = add_tallies([{"": tally} for tally in new.values()]).get("", AnswerTally())
+    whole_old = add_tallies([{"": tally} for tally in old.values()]).get("", AnswerTally())
+    return _is_worse(whole_new, whole_old) or any(
+        _is_worse(tally, old.get(route, AnswerTally())) for route, tally in new.items()
+    )
+
+
+def _is_worse(new: AnswerTally, old: AnswerTally) -> bool:
+    if new.answers < MIN_ANSWERS:
+        return False
+    old_share = old.failures / old.answers if old.answers else 0.0
+    chance = min(0.9, max(LEAST_FAILURE_CHANCE, old_share * FAILURE_FACTOR))
+    if tail_probability(new.failures, new.answers, chance) < SIGNIFICANCE:
+        return True
+    slow = min(new.slow, new.answers)
+    return tail_probability(slow, new.answers, SLOW_CHANCE) < SIGNIFICANCE
+
+
+def next_progress(
+    order: RolloutOrder,
+    current: RolloutProgress | None,
+    left_s: float,
+    is_found_bad: bool,
+    answers: int,
+    old_runs: int,
+) -> RolloutProgress:
+    """Returns what holds from now on.
+
+    :param left_s: time until the order's end.
+    :param is_found_bad: the answers say that the release is bad.
+    :param answers: of the release so far.
+    :param old_runs: requests that the release before still runs.
+    """
+    if current is not None and current.is_final:
+        return current
+    if is_found_bad:
+        return _progress(order, RolloutState.ROLLED_BACK, 0.0)
+    has_moved = current is not None and current.share == 1.0
+    if has_moved and (not old_runs or left_s <= KEEP_S):
+        return _progress(order, RolloutState.COMPLETED, 1.0)
+    if has_moved or (left_s <= MOVE_S and answers >= MIN_ANSWERS_TO_KEEP):
+        return _progress(order, RolloutState.RUNNING, 1.0)
+    return _progress(order, RolloutState.RUNNING, TRIAL_SHARE)
+
+
+def _progress(order: RolloutOrder, state: RolloutState, share: float) -> RolloutProgress:
+    return RolloutProgress(order.service, order.target, state, share)
+
+
+@dataclass(frozen=True)
+class KnownOrder:
+    """An order and when it became known in the fleet, monotonic seconds."""
+
+    order: RolloutOrder
+    known_at: float
+
+
+class RolloutBook:
+    """Orders and progress by service, as one node knows them."""
+
+    def __init__(self) -> None:
+        self._orders: dict[str, KnownOrder] = {}
+        self._progress: dict[str, RolloutProgress] = {}
+
+    @property
+    def orders(self) -> list[KnownOrder]:
+        """Returns the newest order of each service."""
+        return list(self._orders.values())
+
+    def progress(self, service: str) -> RolloutProgress | None:
+        """Returns what was decided on the newest order of a service, ``None`` for nothing yet."""
+        return self._progress.get(service)
+
+    def order(self, order: RolloutOrder, known_at: float) -> bool:
+        """Takes an order; returns whether it is new."""
+        known = self._orders.get(order.service)
+        if known is not None and known.order == order:
+            return False
+        self._orders[order.service] = KnownOrder(order, known_at)
+        progress = self._progress.get(order.service)
+        if progress is not None and progress.target != order.target:
+            del self._progress[order.service]
+        return True
+
+    def take(self, progress: RolloutProgress) -> bool:
+        """Takes a decision; returns whether it is news. A final one is never taken back."""
+        known = self._orders.get(progress.service)
+        if known is not None and known.order.target != progress.target:
+            return False
+        current = self._progress.get(progress.service)
+        if current == progress:
+            return False
+        is_later = current is not None and current.target == progress.target
+        if is_later and not self._may_follow(current, progress):
+            return False
+        self._progress[progress.service] = progress
+        return True
+
+    @staticmethod
+    def _may_follow(current: RolloutProgress, progress: RolloutProgress) -> bool:
+        """Returns whether a decision may replace one on the same order."""
+        return not current.is_final and (progress.is_final or progress.share >= current.share)
+
+    def is_judged(self, service: str) -> bool:
+        """Returns whether the answers of a service's releases are being compared."""
+        progress = self._progress.get(service)
+        return service in self._orders and (progress is None or not progress.is_final)
+
+    def target(self, service: str) -> str | None:
+        """Returns the release that the newest order of a service names."""
+        known = self._orders.get(service)
+        return known.order.target if known else None
+
+    def allowed(
+        self, service: str, states: Sequence[EndpointState], request_id: str, is_first: bool
+    ) -> list[EndpointState]:
+        """Returns the endpoints of the release that a request should go to.
+
+        :param is_first: no attempt of the request was made; later ones prefer the release that is
+            known to be sound.
+        """
+        target = self.target(service)
+        new = [state for state in states if state.entry.release == target]
+        old = [state for state in states if state.entry.release != target]
+        if target is None or not new:
+            return list(states)
+        progress = self._progress.get(service)
+        if progress is not None and progress.state is RolloutState.ROLLED_BACK:
+            return old
+        share = progress.share if progress is not None else 0.0
+        if share >= 1.0 or (is_first and unit(service.encode(), request_id) < share):
+            return new
+        return old or new
--- /dev/null
+++ b/tests/test_rollouts.py
@@ -0,0 +1,194 @@
+"""Roll-outs of releases: judged on few requests, kept or taken back, by one node for all."""
+
+import json
+import unittest
+from random import Random
+
+import gevent
+from bottle import HTTPResponse
+
+from arbutustally.gateway.endpoints import EndpointEntry, EndpointState
+from arbutustally.gateway.rollouts import (
+    KEEP_S,
+    MIN_ANSWERS,
+    MOVE_S,
+    TRIAL_SHARE,
+    AnswerTally,
+    RolloutBook,
+    RolloutOrder,
+    RolloutProgress,
+    RolloutState,
+    is_bad,
+    next_progress,
+)
+from arbutustally_node.gateway.rollout_evidence import MIN_USUAL, RolloutEvidence
+from tests.gateway_fleet import GatewayCase
+from tests.platform_fakes import FakeWorker
+
+ORDER = RolloutOrder("llm", "v2", 10.0)
+SOUND = {"chat": AnswerTally(200, 2, 40)}
+
+
+def state(name: str, release: str) -> EndpointState:
+    return EndpointState(EndpointEntry(name, "llm", "x:1", "z", 4, False, {}, "1", release))
+
+
+def progress(state: RolloutState, share: float) -> RolloutProgress:
+    return RolloutProgress("llm", "v2", state, share)
+
+
+class JudgementTest(unittest.TestCase):
+    def test_release_that_fails_on_one_route_is_found(self) -> None:
+        """Guards against a bad route that is hidden by the others' good answers."""
+        new = {"chat": AnswerTally(300, 1, 30), "look": AnswerTally(12, 8, 0)}
+        self.assertTrue(is_bad(new, SOUND))
+
+    def test_release_that_is_slow_is_found_after_few_answers(self) -> None:
+        self.assertTrue(is_bad({"chat": AnswerTally(MIN_ANSWERS, 0, MIN_ANSWERS)}, SOUND))
+        self.assertTrue(is_bad({"chat": AnswerTally(24, 0, 18)}, SOUND))
+
+    def test_sound_releases_are_kept_by_chance_too(self) -> None:
+        """Guards against roll-outs that end since a sound release had bad luck."""
+        rng = Random(1)
+        wrong = 0
+        for _ in range(500):
+            slow = sum(rng.random() < 0.15 for _ in range(40))
+            failed = sum(rng.random() < 0.01 for _ in range(40))
+            wrong += is_bad({"chat": AnswerTally(40, failed, slow)}, SOUND)
+        self.assertEqual(wrong, 0)
+
+    def test_failures_that_the_release_before_has_too_are_no_evidence(self) -> None:
+        old = {"look": AnswerTally(200, 30, 0)}
+        self.assertFalse(is_bad({"look": AnswerTally(40, 7, 0)}, old))
+
+
+class DecisionTest(unittest.TestCase):
+    def test_sound_release_is_judged_moved_and_kept(self) -> None:
+        trial = next_progress(ORDER, None, 9.0, False, 0, 5)
+        self.assertEqual(trial, progress(RolloutState.RUNNING, TRIAL_SHARE))
+        moved = next_progress(ORDER, trial, MOVE_S, False, 50, 5)
+        self.assertEqual(moved, progress(RolloutState.RUNNING, 1.0))
+        self.assertEqual(next_progress(ORDER, moved, MOVE_S - 0.1, False, 50, 5), moved)
+        kept = progress(RolloutState.COMPLETED, 1.0)
+        self.assertEqual(next_progress(ORDER, moved, MOVE_S - 0.1, False, 50, 0), kept)
+        self.assertEqual(next_progress(ORDER, moved, KEEP_S, False, 50, 5), kept)
+
+    def test_release_with_too_few_answers_is_not_kept(self) -> None:
+        """Guards against a roll-out that is completed unseen."""
+        trial = progress(RolloutState.RUNNING, TRIAL_SHARE)
+        self.assertEqual(next_progress(ORDER, trial, -5.0, False, 3, 0), trial)
+
+    def test_bad_release_is_taken_back_at_any_step(self) -> None:
+        back = progress(RolloutState.ROLLED_BACK, 0.0)
+        for current in (None, progress(RolloutState.RUNNING, 1.0)):
+            self.assertEqual(next_progress(ORDER, current, 5.0, True, 9, 0), back)
+
+
+class RoutingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.book = RolloutBook()
+        self.states = [state("a", "v1"), state("b", "v1"), state("c", "v2")]
+
+    def chosen(self, number: int = 1000, is_first: bool = True) -> int:
+        return sum(
+            self.book.allowed("llm", self.states, f"r{one}", is_first)[0].id == "c"
+            for one in range(number)
+        )
+
+    def test_only_the_trial_share_goes_to_a_release_that_is_judged(self) -> None:
+        """Guards against a bad release that gets a large part of the requests."""
+        self.book.order(ORDER, 0.0)
+        self.assertEqual(self.chosen(), 0)
+        self.book.take(progress(RolloutState.RUNNING, TRIAL_SHARE))
+        self.assertTrue(10 < self.chosen() < 80)
+        self.assertEqual(self.chosen(is_first=False), 0)
+
+    def test_nothing_goes_to_a_release_that_was_taken_back(self) -> None:
+        self.book.order(ORDER, 0.0)
+        self.book.take(progress(RolloutState.ROLLED_BACK, 0.0))
+        self.assertFalse(self.book.take(progress(RolloutState.RUNNING, 1.0)))
+        self.assertEqual(self.chosen(), 0)
+        self.assertEqual(self.book.allowed("llm", self.states[2:], "r", True), [])
+
+    def test_all_releases_are_used_where_nothing_is_ordered(self) -> None:
+        self.assertEqual(self.book.allowed("llm", self.states, "r", True), self.states)
+
+    def test_new_order_begins_anew(self) -> None:
+        self.book.order(ORDER, 0.0)
+        self.book.take(progress(RolloutState.ROLLED_BACK, 0.0))
+        self.assertTrue(self.book.order(RolloutOrder("llm", "v3", 10.0), 1.0))
+        self.assertIsNone(self.book.progress("llm"))
+
+
+class EvidenceTest(unittest.TestCase):
+    def test_runs_that_do_not_end_count_as_slow_before_they_do(self) -> None:
+        """Guards against a slow release that is not found since its answers come last."""
+        now = [0.0]
+        book = RolloutBook()
+        evidence = RolloutEvidence(book, lambda: now[0])
+        for _ in range(MIN_USUAL):
+            run = evidence.began(state("a", "v1"), "chat", 0.0)
+            now[0] += 0.1
+            evidence.ended(run, False)
+        book.order(ORDER, 0.0)
+        run = evidence.began(state("c", "v2"), "chat", 0.0)
+        now[0] += 0.5
+        self.assertEqual(evidence.tallies("llm", "v2", "new"), {"chat": AnswerTally(0, 0, 1)})
+        peer = RolloutEvidence(book, lambda: now[0])
+        peer.heard("node-1", evidence.totals)
+        evidence.ended(run, False)
+        self.assertEqual(evidence.tallies("llm", "v2", "new"), {"chat": AnswerTally(1, 0, 1)})
+        self.assertEqual(peer.tallies("llm", "v2", "new"), {"chat": AnswerTally(0, 0, 1)})
+
+
+class RolloutNodeTest(GatewayCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.new = [FakeWorker(f"n{number}", "desk") for number in (1, 2)]
+        for worker in self.new:
+            self.addCleanup(worker.stop)
+        self.node = self.start_node()
+        self.wait_ready(self.node)
+
+    def roll_out(self, duration_s: float) -> None:
+        order = {"service": "desk", "target": "v2", "durationS": duration_s}
+        self.store.put("keyed.op", "rollout/desk", order)
+        self.eventually(lambda: self.state() == "running")
+        for worker in self.new:
+            entry = {**worker.entry(), "version": "v2"}
+            self.store.put("keyed.servers", worker.id, entry)
+        self.eventually(lambda: self.node._view.book.get("n2") is not None)
+
+    def state(self) -> str:
+        found = self.store.newest("keyed.status").get("rollout/desk")
+        return json.loads(found[1])["state"] if found else ""
+
+    def send_until(self, final: str) -> int:
+        """Sends requests until the roll-out has ended; returns how many were sent."""
+        for number in range(3000):
+            if self.state() == final:
+                return number
+            self.call(self.node, "/book/a", f"r{number}")
+            gevent.sleep(0)
+        self.fail(f"the roll-out is {self.state()!r} and not {final!r}")
+
+    def test_failing_release_is_taken_back_and_harms_few(self) -> None:
+        """Replays the day `hasty`: a bad release was used like any other."""
+        for worker in self.new:
+            worker.behave = lambda headers: HTTPResponse(
+                status=500, headers={"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
+            )
+        self.roll_out(60.0)
+        sent = self.send_until("rolled_back")
+        harmed = sum(len(worker.seen) for worker in self.new)
+        self.assertLess(harmed, sent * 0.1 + 10)
+        for number in range(50):
+            self.assertEqual(self.call(self.node, "/book/a", f"s{number}").status, 200)
+
+    def test_sound_release_is_kept_before_its_time_is_over(self) -> None:
+        self.roll_out(6.0)
+        self.send_until("completed")
+        before = sum(len(worker.seen) for worker in self.desks)
+        for number in range(20):
+            self.call(self.node, "/book/a", f"s{number}")
+        self.assertEqual(sum(len(worker.seen) for worker in self.desks), before)
