Let the stand-in store return to an older copy

The platform's store may come back from a copy some seconds old, and no stand-in could play it.

FakeStore takes a copy and returns to it: what was written since is gone, offsets are given out again, every answer (refusals too) carries Store-Era, a read beyond the end gets 410 and those that wait there are woken. The operator's and the workers' records are written again on request, in another order or late, at new offsets.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -5,6 +5,8 @@
 import struct
 import time
 from collections import Counter, defaultdict
+from dataclasses import dataclass
+from random import Random
 
 import gevent
 from bottle import Bottle, HTTPResponse, request, response
@@ -22,8 +24,23 @@
         self._server.stop(timeout=0)
 
 
+#: Topics whose authors write again what the store has lost.
+REWRITTEN_TOPICS = ("keyed.op", "keyed.servers")
+
+
+@dataclass(frozen=True)
+class StoreCopy:
+    """What a store held at some time."""
+
+    topics: dict[str, list[tuple[str, bytes]]]
+    first: dict[str, int]
+
+
 class FakeStore(_Server):
-    """Keyed topics in memory; ``status`` other than 200 refuses every call."""
+    """Keyed topics in memory; ``status`` other than 200 refuses every call.
+
+    :ivar era: number of the store's era, ``None`` for a store that does not tell it.
+    """
 
     def __init__(self) -> None:
         app = Bottle()
@@ -38,8 +55,23 @@
         self.calls = 0
         self.reads: Counter[str] = Counter()
         self.waiting: Counter[str] = Counter()
+        self.era: int | None = 1
+        self._authored: dict[tuple[str, str], bytes] = {}
         self._changed = Event()
-        super().__init__(app)
+        super().__init__(self._with_era(app))
+
+    def _with_era(self, app: Bottle):
+        """Adds the era to all answers, also to refusals."""
+
+        def serve(environ, start_response):
+            def start(status, headers, exc_info=None):
+                if self.era is not None:
+                    headers = [*headers, ("Store-Era", str(self.era))]
+                return start_response(status, headers, exc_info)
+
+            return app(environ, start)
+
+        return serve
 
     def add_routes(self, app: Bottle) -> None:
         """Adds routes of a subclass."""
@@ -49,10 +81,50 @@
         self.put_raw(topic, key, data)
 
     def put_raw(self, topic: str, key: str, data: bytes) -> None:
+        if topic in REWRITTEN_TOPICS:
+            self._authored[topic, key] = data
         self.topics[topic].append((key, data))
+        self._wake()
+
+    def _wake(self) -> None:
         changed, self._changed = self._changed, Event()
         changed.set()
 
+    def take_copy(self) -> StoreCopy:
+        """Returns a copy to which the store may return later."""
+        topics = {topic: list(records) for topic, records in self.topics.items()}
+        return StoreCopy(topics, dict(self.first))
+
+    def return_to(self, copy: StoreCopy) -> None:
+        """Loses what was written since the copy and begins an era; wakes the reads that wait."""
+        self.topics = defaultdict(list)
+        self.topics.update({topic: list(records) for topic, records in copy.topics.items()})
+        self.first = defaultdict(int, copy.first)
+        self.era = (self.era or 0) + 1
+        self._wake()
+
+    def write_again(self, rng: Random | None = None, late_s: float = 0.0) -> None:
+        """Writes what the operator and the workers have written and the store has lost.
+
+        :param rng: gives the order and the pauses; as first written without it.
+        :param late_s: longest pause before each record.
+        """
+        order = list(self._authored)
+        if rng is not None:
+            rng.shuffle(order)
+        for topic, key in order:
+            if not self._has_lost(topic, key):
+                continue
+            if rng is not None and late_s:
+                gevent.sleep(rng.uniform(0.0, late_s))
+            # The author may have written a newer record meanwhile.
+            if self._has_lost(topic, key):
+                self.put_raw(topic, key, self._authored[topic, key])
+
+    def _has_lost(self, topic: str, key: str) -> bool:
+        _offset, data = self.newest(topic).get(key, (0, b""))
+        return data != self._authored[topic, key]
+
     def drop_history(self, topic: str) -> None:
         self.first[topic] = len(self.topics[topic])
 
@@ -83,14 +155,14 @@
             return refused
         topic, start = request.query["topic"], int(request.query["from"])
         self.reads[topic] += 1
-        if start < self.first[topic]:
-            response.status = 410
-            return {"first": self.first[topic]}
         deadline = time.monotonic() + int(request.query.get("waitMs", 0)) / 1000
         self.waiting[topic] += 1
-        while start >= len(self.topics[topic]) and time.monotonic() < deadline:
+        while start == len(self.topics[topic]) and time.monotonic() < deadline:
             self._changed.wait(deadline - time.monotonic())
         self.waiting[topic] -= 1
+        if not self.first[topic] <= start <= len(self.topics[topic]):
+            response.status = 410
+            return {"first": self.first[topic]}
         records = self.topics[topic][start:]
         body = struct.pack(">QQ", len(self.topics[topic]), self.first[topic])
         for key, data in records:
