Let every answer of the store tell its era

Cause: the product read no Store-Era, so offsets from before and after a return to an older copy could not be told apart.

Change: Batch, LeaseReading, LeaseAppend and HoleFoundError carry the era of their answer; Platform.store_era gives the newest era of any answer (refusals too) and passes each newer one to watchers before that answer is used. A missing or unreadable header, or a number above 2^20-1, is era 0. A list whose pages come from two eras is refused and read again. No decision uses the era yet.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/order_lease.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/order_lease.py
@@ -9,7 +9,7 @@
 from arbutustally.errors import StoreUnavailableError
 from arbutustally.lease import HeldLease, LeaseObserver
 from arbutustally_node.gateway.decision_log import DecisionLog
-from arbutustally_node.gateway.ports import LeaseRecord, LeaseTopic
+from arbutustally_node.gateway.ports import LeaseReading, LeaseTopic
 
 NAME = "weights"
 #: Part of the lease after which it is renewed.
@@ -85,7 +85,8 @@
             try finds it by its offset.
         """
         self._lease = None
-        last, end = self._last()
+        reading = self._last()
+        last, end = reading.last, reading.end
         if last is not None and last.holder == self._holder and self._unconfirmed:
             offset, sent_at = self._unconfirmed
             if last.offset == offset:
@@ -94,7 +95,7 @@
         if self._is_open and not self._observer.claimable(NAME, last.offset, sent_at):
             return False
         self._unconfirmed = (end, sent_at)
-        if not self._leases.append(self._holder, None, False, end):
+        if not self._leases.append(self._holder, None, False, end).is_appended:
             self._unconfirmed = None
             self._log.line("weights_lease_lost_race", expected=end)
             return False
@@ -106,7 +107,8 @@
         :raises StoreUnavailableError: if nobody knows whether it was renewed.
         """
         lease = self._lease
-        last, end = self._last()
+        reading = self._last()
+        last, end = reading.last, reading.end
         if self._lease is not lease:
             return
         if last is None or last.fence != lease.epoch or last.holder != self._holder:
@@ -114,27 +116,29 @@
             self._log.line("weights_lease_lost", fence=lease.epoch)
             return
         sent_at = self._boottime()
-        if self._leases.append(self._holder, lease.epoch, False, end) and self._lease is lease:
+        answer = self._leases.append(self._holder, lease.epoch, False, end)
+        if answer.is_appended and self._lease is lease:
             self._lease = HeldLease(sent_at, self._lease_s, lease.name, lease.epoch)
 
     def release(self) -> None:
         """Gives the lease up, so that others need not wait for its end."""
         lease, self._lease = self._lease, None
         try:
-            _last, end = self._leases.last()
+            end = self._leases.last().end
             self._leases.append(self._holder, lease.epoch, True, end)
             self._log.line("weights_lease_released", fence=lease.epoch)
         except StoreUnavailableError as error:
             self._log.line("weights_lease_not_released", reason=error.message)
 
-    def _last(self) -> tuple[LeaseRecord | None, int]:
-        last, end = self._leases.last()
+    def _last(self) -> LeaseReading:
+        reading = self._leases.last()
+        last = reading.last
         now = self._boottime()
         self._watched_at = now
         self._is_open = last is not None and not last.is_released
         if self._is_open:
             self._observer.observed(NAME, last.offset, now)
-        return last, end
+        return reading
 
     def _hold(self, fence: int, sent_at: float, previous: str) -> bool:
         self._unconfirmed = None
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
@@ -96,15 +96,39 @@
     value: bytes | None
 
 
+class EraWatcher(Protocol):
+    """Takes the number of an era of the store that has begun."""
+
+    def __call__(self, era: int) -> None:
+        """Takes the era; called once for each that is newer than all before."""
+
+
+class StoreEra(Protocol):
+    """The newest era that any answer of the store has told.
+
+    The store begins an era each time that it comes back from an older copy: what was written
+    since that copy is gone, and its offsets are given out again.
+    """
+
+    @property
+    def newest(self) -> int:
+        """Returns the era, 0 as long as no answer has told one."""
+
+    def watch(self, watcher: EraWatcher) -> None:
+        """Passes each newer era to ``watcher``, before the answer that told it is used."""
+
+
 @dataclass(frozen=True)
 class Batch:
     """Records of a topic.
 
     :ivar next_offset: where to read on.
+    :ivar era: of the store when it answered, 0 if not stated.
     """
 
     records: tuple[Record, ...]
     next_offset: int
+    era: int = 0
 
 
 class KeyedTopic(Protocol):
@@ -150,20 +174,47 @@
     is_released: bool
 
 
+@dataclass(frozen=True)
+class LeaseReading:
+    """What the topic of a lease held.
+
+    :ivar last: the last record, ``None`` for none.
+    :ivar end: offset of the next record.
+    :ivar era: of the store when it answered, 0 if not stated.
+    """
+
+    last: LeaseRecord | None
+    end: int
+    era: int = 0
+
+
+@dataclass(frozen=True)
+class LeaseAppend:
+    """Answer to an append.
+
+    :ivar is_appended: the topic ended where it was expected to.
+    :ivar era: of the store when it answered, 0 if not stated.
+    """
+
+    is_appended: bool
+    era: int = 0
+
+
 class LeaseTopic(Protocol):
     """Topic with the records of one lease."""
 
-    def last(self) -> tuple[LeaseRecord | None, int]:
+    def last(self) -> LeaseReading:
         """Returns the last record and the offset of the next one.
 
         :raises StoreUnavailableError: if the store does not answer.
         """
 
-    def append(self, holder: str, fence: int | None, is_released: bool, expected: int) -> bool:
+    def append(
+        self, holder: str, fence: int | None, is_released: bool, expected: int
+    ) -> LeaseAppend:
         """Appends a record if the topic still ends at ``expected``.
 
         :param fence: ``None`` begins a tenure, whose fence is the offset of this record.
-        :returns: whether the record was appended.
         :raises StoreUnavailableError: if nobody knows whether it was.
         """
 
@@ -353,5 +404,6 @@
     node_topic: NodeTopic
     engines: EngineControl
     lease_topic: LeaseTopic
+    store_era: StoreEra
     cache_events: CacheEvents
     directory_body: DirectoryBody
--- a/packages/arbutustally/src/arbutustally/errors.py
+++ b/packages/arbutustally/src/arbutustally/errors.py
@@ -266,14 +266,16 @@
     """Records that a reader still needs have left the log.
 
     :param oldest: oldest offset that the log still has.
+    :param era: of the store, 0 if not stated.
     """
 
     code = "hole_found"
     status = 410
 
-    def __init__(self, message: str, *, oldest: int) -> None:
+    def __init__(self, message: str, *, oldest: int, era: int = 0) -> None:
         super().__init__(message)
         self.oldest = oldest
+        self.era = era
 
 
 class SnapshotInvalidError(RouterError):
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -56,6 +56,7 @@
         self.reads: Counter[str] = Counter()
         self.waiting: Counter[str] = Counter()
         self.era: int | None = 1
+        self.page_size = 500
         self._authored: dict[tuple[str, str], bytes] = {}
         self._changed = Event()
         super().__init__(self._with_era(app))
@@ -143,12 +144,15 @@
     def _newest(self):
         if refused := self._refused():
             return refused
-        topic = request.query["topic"]
+        topic, after = request.query["topic"], request.query.get("after")
         items = [
             {"key": key, "value": base64.b64encode(data).decode(), "offset": offset}
             for key, (offset, data) in self.newest(topic).items()
         ]
-        return {"items": items, "hasMore": False, "end": len(self.topics[topic])}
+        start = 1 + [item["key"] for item in items].index(after) if after else 0
+        has_more = len(items) > start + self.page_size
+        items = items[start : start + self.page_size]
+        return {"items": items, "hasMore": has_more, "end": len(self.topics[topic])}
 
     def _read(self):
         if refused := self._refused():
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -7,7 +7,7 @@
 from arbutustally.errors import StoreUnavailableError
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.order_lease import OrderLease
-from arbutustally_node.gateway.ports import LeaseRecord
+from arbutustally_node.gateway.ports import LeaseAppend, LeaseReading, LeaseRecord
 
 LEASE_S = 3.0
 
@@ -19,19 +19,21 @@
         self.records: list[LeaseRecord] = []
         self.lose_answer = False
 
-    def last(self) -> tuple[LeaseRecord | None, int]:
-        return (self.records[-1] if self.records else None), len(self.records)
+    def last(self) -> LeaseReading:
+        return LeaseReading(self.records[-1] if self.records else None, len(self.records))
 
-    def append(self, holder: str, fence: int | None, is_released: bool, expected: int) -> bool:
+    def append(
+        self, holder: str, fence: int | None, is_released: bool, expected: int
+    ) -> LeaseAppend:
         if expected != len(self.records):
-            return False
+            return LeaseAppend(False)
         offset = len(self.records)
         begun = offset if fence is None else fence
         self.records.append(LeaseRecord(holder, offset, begun, is_released))
         if self.lose_answer:
             self.lose_answer = False
             raise StoreUnavailableError("append got no answer")
-        return True
+        return LeaseAppend(True)
 
 
 class OrderLeaseTest(unittest.TestCase):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,7 +15,13 @@
     StoreUnavailableError,
 )
 from arbutustally.gateway.configuration import Configuration, RouteKind
-from arbutustally_node.gateway.ports import AttemptTerms, Record, WeightsNamed
+from arbutustally_node.gateway.ports import (
+    AttemptTerms,
+    LeaseAppend,
+    LeaseReading,
+    Record,
+    WeightsNamed,
+)
 from arbutustally_node.http_head import RequestHead, parse_head
 from arbutustally_platform.documents import PlatformDocuments
 from arbutustally_platform.headers import PlatformCodec
@@ -193,13 +199,14 @@
 
     def test_of_two_claims_on_one_offset_one_wins(self) -> None:
         leases = StoreLeaseTopic(StoreKeyedTopic(self.client, "keyed.l"))
-        self.assertEqual(leases.last(), (None, 0))
-        self.assertTrue(leases.append("n1", None, False, 0))
-        self.assertFalse(leases.append("n2", None, False, 0))
-        last, end = leases.last()
+        self.assertEqual(leases.last(), LeaseReading(None, 0, era=1))
+        self.assertEqual(leases.append("n1", None, False, 0), LeaseAppend(True, era=1))
+        self.assertEqual(leases.append("n2", None, False, 0), LeaseAppend(False, era=1))
+        reading = leases.last()
+        last, end = reading.last, reading.end
         self.assertEqual((last.holder, last.fence, end), ("n1", 0, 1))
-        self.assertTrue(leases.append("n1", 0, True, end))
-        self.assertTrue(leases.last()[0].is_released)
+        self.assertTrue(leases.append("n1", 0, True, end).is_appended)
+        self.assertTrue(leases.last().last.is_released)
 
 
 class SettingsTest(unittest.TestCase):
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -5,7 +5,10 @@
 
 import gevent
 import urllib3
+from bottle import request
 
+from arbutustally.errors import HoleFoundError, StoreUnavailableError
+from arbutustally_platform.store import StoreClient, StoreKeyedTopic, StoreLeaseTopic
 from tests.platform_fakes import FakeStore
 
 TOPIC = "keyed.op"
@@ -57,3 +60,71 @@
         self.assertEqual(values, {"a": b"2", "b": b"3"})
         self.assertEqual(len(self.store.topics[TOPIC]), 3)
         self.assertEqual(self.store.topics["keyed.weights-lease"], [])
+
+
+class PagedStore(FakeStore):
+    """A store that may return from a copy before it gives the second page of a list."""
+
+    returns_between_pages = False
+
+    def _newest(self):
+        if self.returns_between_pages and "after" in request.query:
+            self.return_to(self.take_copy())
+        return super()._newest()
+
+
+class AdapterTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = PagedStore()
+        self.addCleanup(self.store.stop)
+        self.client = StoreClient(self.store.address)
+        self.topic = StoreKeyedTopic(self.client, TOPIC)
+        self.eras: list[int] = []
+        self.client.era.watch(self.eras.append)
+
+    def test_every_answer_tells_its_era(self) -> None:
+        """Guards against offsets of two eras that nobody can tell apart."""
+        leases = StoreLeaseTopic(StoreKeyedTopic(self.client, "keyed.l"))
+        for era in (1, 2):
+            if era > 1:
+                self.store.return_to(self.store.take_copy())
+            self.store.put(TOPIC, "a", era)
+            self.assertEqual(self.topic.newest().era, era)
+            self.assertEqual(self.topic.since(0, 0.1).era, era)
+            self.assertEqual(leases.last().era, era)
+            self.assertEqual(leases.append("n", None, False, 99).era, era)
+            self.assertEqual(leases.append("n", None, False, leases.last().end).era, era)
+        self.assertEqual((self.eras, self.client.era.newest), ([1, 2], 2))
+
+    def test_read_beyond_the_end_tells_the_era(self) -> None:
+        self.store.put(TOPIC, "a", 1)
+        copy = self.store.take_copy()
+        self.store.put(TOPIC, "a", 2)
+        self.store.return_to(copy)
+        with self.assertRaises(HoleFoundError) as caught:
+            self.topic.since(2, 0.1)
+        self.assertEqual((caught.exception.era, caught.exception.oldest), (2, 0))
+
+    def test_refusals_tell_the_era(self) -> None:
+        """Guards against a store that refuses calls after its return and hides the new era."""
+        self.store.return_to(self.store.take_copy())
+        self.store.status = 503
+        with self.assertRaises(StoreUnavailableError):
+            self.topic.newest()
+        self.assertEqual(self.eras, [2])
+
+    def test_missing_or_unreadable_era_counts_as_none(self) -> None:
+        for era in (None, "", "x", "-3", "1.5", "9" * 30, 1 << 40):
+            self.store.era = era
+            self.assertEqual(self.topic.newest().era, 0, era)
+        self.assertEqual(self.client.era.newest, 0)
+
+    def test_pages_of_two_eras_are_read_again(self) -> None:
+        """Guards against a list of which one half is from before the return."""
+        self.store.put(TOPIC, "b", 1)
+        self.store.page_size = 1
+        self.store.put(TOPIC, "a", 1)
+        self.assertEqual(len(self.topic.newest().records), 2)
+        self.store.returns_between_pages = True
+        with self.assertRaises(StoreUnavailableError):
+            self.topic.newest()
