Show that fences fall when the store forgets the lease

After a return to an older copy the offset is given out again.

Seen: fences [0, 5, 0, 0, 0] over three returns where each should be above the one before, and a second node that claims while the first still holds.

--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -17,23 +17,30 @@
 
     def __init__(self) -> None:
         self.records: list[LeaseRecord] = []
+        self.era = 0
         self.lose_answer = False
 
+    def return_to(self, end: int) -> None:
+        """Loses the records from an offset on and begins an era."""
+        del self.records[end:]
+        self.era += 1
+
     def last(self) -> LeaseReading:
-        return LeaseReading(self.records[-1] if self.records else None, len(self.records))
+        last = self.records[-1] if self.records else None
+        return LeaseReading(last, len(self.records), self.era)
 
     def append(
         self, holder: str, fence: int | None, is_released: bool, expected: int
     ) -> LeaseAppend:
         if expected != len(self.records):
-            return LeaseAppend(False)
+            return LeaseAppend(False, self.era)
         offset = len(self.records)
         begun = offset if fence is None else fence
         self.records.append(LeaseRecord(holder, offset, begun, is_released))
         if self.lose_answer:
             self.lose_answer = False
             raise StoreUnavailableError("append got no answer")
-        return LeaseAppend(True)
+        return LeaseAppend(True, self.era)
 
 
 class OrderLeaseTest(unittest.TestCase):
@@ -93,6 +100,40 @@
         first.renew()
         self.assertFalse(first.is_held)
 
+    def hold(self, lease: OrderLease) -> int:
+        """Claims until the lease is held; returns the fence."""
+        for _ in range(20):
+            if lease.claim():
+                return lease.fence
+            self.clock.advance(LEASE_S / 10)
+        raise AssertionError("nobody orders engines")
+
+    def test_fence_rises_over_a_store_that_forgot_the_lease(self) -> None:
+        """Guards against a new holder whose orders engines refuse, or can't tell from the old's."""
+        self.leases.era = 1
+        old = self.lease("a")
+        fences = [self.hold(old)]
+        for _ in range(3):
+            old.renew()
+        old.release()
+        fences.append(self.hold(self.lease("b")))
+        for number in range(3):
+            self.clock.advance(LEASE_S)
+            self.leases.return_to(0)
+            fences.append(self.hold(self.lease(f"c{number}")))
+        self.assertEqual(fences, sorted(set(fences)))
+
+    def test_holder_whose_record_was_lost_is_waited_out(self) -> None:
+        """Guards against two nodes that order engines after a return of the store."""
+        self.leases.era = 1
+        old = self.lease("a")
+        self.hold(old)
+        self.leases.return_to(0)
+        new = self.lease("b")
+        while not new.claim():
+            self.clock.advance(0.1)
+        self.assertFalse(old.is_held)
+
     def test_random_turns_never_have_two_holders_and_fences_only_rise(self) -> None:
         for seed in range(200):
             rng = Random(seed)
