Let fences rise over a store that comes back from an older copy

Cause: the fence of orders was the offset of the lease's record, and a released or missing record was claimed at once. After a return to an older copy the offset is given out again and the holder's record is gone, while the holder still believes its lease.

Change: the fence is the era of the store times 2^33 plus the offset, below 2^53. A record counts as released only in the era in which its writer knew the store; a claimant in a new era waits out the lease from when it first saw that era, or a record unchanged in it for that time. A holder whose lease is still valid claims anew at once in the new era, with a higher fence; others cannot have claimed before its lease ends. A claim or a renewal whose answer comes from another era than the reading before it is not held. A release follows only the own record: it could have been appended after another's claim.

Conclusion: during an upgrade nodes of the version before have lower fences than the new ones, so their orders are refused once a new one has ordered.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -250,16 +250,18 @@
         self._caches = CacheFollower(
             platform.cache_events, self._view, self._holdings, self._gossip, self._log
         )
+        lease = OrderLease(
+            f"{options.node}~{self._incarnation}",
+            platform.lease_topic,
+            self._log,
+            boottime,
+            bounds.lease_s,
+        )
+        platform.store_era.watch(lease.note_era)
         self._weights = WeightsService(
             self._view,
             self._gossip,
-            OrderLease(
-                f"{options.node}~{self._incarnation}",
-                platform.lease_topic,
-                self._log,
-                boottime,
-                bounds.lease_s,
-            ),
+            lease,
             platform.engines,
             self._log,
             monotonic,
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/order_lease.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/order_lease.py
@@ -1,13 +1,17 @@
 """The lease under which one node at a time orders engines.
 
-A claim is an append that succeeds only if no other record came in between; its offset is the
-fencing number of every order. A lease that was not released may be claimed once a node has seen
-its last record unchanged for the whole lease time, so the nodes that come next look at it early.
+A claim is an append that succeeds only if no other record came in between; the store's era and
+the record's offset make the fencing number of every order. A lease that was not released may be
+claimed once a node has seen its last record unchanged for the whole lease time, so the nodes that
+come next look at it early. In an era that is new the store may have lost the holder's record, so
+a claimant waits out the lease time there too; only the holder itself may claim at once.
 """
 
+from dataclasses import dataclass
+
 from arbutustally.clock import Clock
 from arbutustally.errors import StoreUnavailableError
-from arbutustally.lease import HeldLease, LeaseObserver
+from arbutustally.lease import HeldLease, LeaseObserver, era_of, fence_number
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.ports import LeaseReading, LeaseTopic
 
@@ -36,7 +40,10 @@
         self._lease_s = lease_s
         self._observer = LeaseObserver.from_config(lease_s)
         self._lease: HeldLease | None = None
-        self._unconfirmed: tuple[int, float] | None = None
+        self._unconfirmed: _Attempt | None = None
+        self._era = 0
+        # A store that tells no era has always been in one.
+        self._era_seen_at = float("-inf")
         self._watched_at = float("-inf")
         self._is_open = False
 
@@ -76,7 +83,17 @@
         :raises StoreUnavailableError: if the store does not answer.
         """
         if self._boottime() - self._watched_at >= WATCH_S:
-            self._last()
+            self._read()
+
+    def note_era(self, era: int) -> None:
+        """Notes that the store has begun an era.
+
+        The holder of an earlier era, whose record the store may have lost, believes its lease for
+        at most the lease time from now on.
+        """
+        if era > self._era:
+            self._era = era
+            self._era_seen_at = self._boottime()
 
     def claim(self) -> bool:
         """Tries to become the holder.
@@ -85,21 +102,10 @@
             try finds it by its offset.
         """
         self._lease = None
-        reading = self._last()
-        last, end = reading.last, reading.end
-        if last is not None and last.holder == self._holder and self._unconfirmed:
-            offset, sent_at = self._unconfirmed
-            if last.offset == offset:
-                return self._hold(offset, sent_at, last.holder)
-        sent_at = self._boottime()
-        if self._is_open and not self._observer.claimable(NAME, last.offset, sent_at):
-            return False
-        self._unconfirmed = (end, sent_at)
-        if not self._leases.append(self._holder, None, False, end).is_appended:
-            self._unconfirmed = None
-            self._log.line("weights_lease_lost_race", expected=end)
-            return False
-        return self._hold(end, sent_at, last.holder if last else "")
+        reading = self._read()
+        if self._is_confirmed(reading):
+            return self._hold(self._unconfirmed, self._holder)
+        return self._is_claimable(reading) and self._begin_tenure(reading)
 
     def renew(self) -> None:
         """Renews the lease that this node holds.
@@ -107,41 +113,139 @@
         :raises StoreUnavailableError: if nobody knows whether it was renewed.
         """
         lease = self._lease
-        reading = self._last()
-        last, end = reading.last, reading.end
+        reading = self._read()
         if self._lease is not lease:
             return
-        if last is None or last.fence != lease.epoch or last.holder != self._holder:
-            self._lease = None
-            self._log.line("weights_lease_lost", fence=lease.epoch)
+        if reading.era > era_of(lease.epoch):
+            self._carry_over(lease, reading)
+            return
+        if not self._is_own(reading, lease):
+            self._lose(lease, reading.era)
             return
         sent_at = self._boottime()
-        answer = self._leases.append(self._holder, lease.epoch, False, end)
-        if answer.is_appended and self._lease is lease:
+        answer = self._leases.append(
+            self._holder, reading.last.tenure, False, reading.era, reading.end
+        )
+        if self._lease is not lease:
+            return
+        if answer.era != reading.era:
+            # The record that was read may be gone; the next claim reads what the store has.
+            self._lose(lease, answer.era)
+        elif answer.is_appended:
             self._lease = HeldLease(sent_at, self._lease_s, lease.name, lease.epoch)
 
     def release(self) -> None:
         """Gives the lease up, so that others need not wait for its end."""
         lease, self._lease = self._lease, None
         try:
-            end = self._leases.last().end
-            self._leases.append(self._holder, lease.epoch, True, end)
+            reading = self._read()
+            if not self._is_own(reading, lease):
+                self._log.line("weights_lease_lost", fence=lease.epoch, era=reading.era)
+                return
+            self._leases.append(self._holder, reading.last.tenure, True, reading.era, reading.end)
             self._log.line("weights_lease_released", fence=lease.epoch)
         except StoreUnavailableError as error:
             self._log.line("weights_lease_not_released", reason=error.message)
 
-    def _last(self) -> LeaseReading:
+    def _read(self) -> LeaseReading:
         reading = self._leases.last()
-        last = reading.last
+        self.note_era(reading.era)
+        if reading.era < self._era:
+            raise StoreUnavailableError("the lease was read in an era that is over; retry")
         now = self._boottime()
         self._watched_at = now
-        self._is_open = last is not None and not last.is_released
-        if self._is_open:
-            self._observer.observed(NAME, last.offset, now)
+        last = reading.last
+        if last is not None:
+            self._observer.observed(NAME, fence_number(reading.era, last.offset), now)
+        self._is_open = last is not None and not _is_released(reading)
+        if self._is_open and last.is_released:
+            self._is_open = not self._is_claimable(reading)
         return reading
 
-    def _hold(self, fence: int, sent_at: float, previous: str) -> bool:
+    def _is_claimable(self, reading: LeaseReading) -> bool:
+        """Returns whether no other node can believe that it holds the lease.
+
+        A record that was written in an earlier era tells nothing of what that era's later records
+        said, and a late one may follow those of this era; so it counts like one not released.
+        """
+        now, last = self._boottime(), reading.last
+        if last is None:
+            return now - self._era_seen_at >= self._lease_s
+        position = fence_number(reading.era, last.offset)
+        return _is_released(reading) or self._observer.claimable(NAME, position, now)
+
+    def _begin_tenure(self, reading: LeaseReading) -> bool:
+        attempt = _Attempt(reading.era, reading.end, self._boottime())
+        earlier = self._unconfirmed
+        if earlier is not None and earlier.fence == attempt.fence:
+            # Which of two calls wrote the record is not known, so the first one's time counts.
+            attempt = earlier
+        self._unconfirmed = attempt
+        answer = self._leases.append(self._holder, None, False, reading.era, reading.end)
+        if not answer.is_appended or answer.era != reading.era:
+            self._log.line("weights_lease_lost_race", expected=reading.end, era=answer.era)
+            return False
+        return self._hold(attempt, reading.last.holder if reading.last else "")
+
+    def _carry_over(self, lease: HeldLease, reading: LeaseReading) -> None:
+        """Claims the lease anew in an era that began while this node held it.
+
+        Others wait longer than this node's lease lasts, and the append fails if one claims now.
+        """
+        last = reading.last
+        if self._is_confirmed(reading):
+            self._hold(self._unconfirmed, self._holder)
+            return
+        is_taken = last is not None and last.era == reading.era and last.holder != self._holder
+        is_over = is_taken or not lease.valid(self._boottime())
+        if is_over or not self._begin_tenure(reading):
+            self._lose(lease, reading.era)
+
+    def _is_confirmed(self, reading: LeaseReading) -> bool:
+        """Returns whether a claim whose answer was lost is the last record."""
+        last, attempt = reading.last, self._unconfirmed
+        if last is None or attempt is None or last.holder != self._holder:
+            return False
+        return (reading.era, last.offset) == (attempt.era, attempt.offset)
+
+    def _is_own(self, reading: LeaseReading, lease: HeldLease) -> bool:
+        last = reading.last
+        return (
+            last is not None
+            and last.holder == self._holder
+            and fence_number(reading.era, last.tenure) == lease.epoch
+        )
+
+    def _lose(self, lease: HeldLease, era: int) -> None:
+        self._lease = None
+        self._log.line("weights_lease_lost", fence=lease.epoch, era=era)
+
+    def _hold(self, attempt: "_Attempt", previous: str) -> bool:
         self._unconfirmed = None
-        self._lease = HeldLease(sent_at, self._lease_s, NAME, fence)
-        self._log.line("weights_lease_claimed", fence=fence, previous=previous)
+        self._lease = HeldLease(attempt.sent_at, self._lease_s, NAME, attempt.fence)
+        self._log.line("weights_lease_claimed", fence=attempt.fence, previous=previous)
         return self.is_held
+
+
+@dataclass(frozen=True)
+class _Attempt:
+    """A claim that was sent.
+
+    :ivar era: in which the topic was read before.
+    :ivar offset: at which the claim is, if it was appended.
+    :ivar sent_at: seconds of the clock that goes on while the instance is suspended.
+    """
+
+    era: int
+    offset: int
+    sent_at: float
+
+    @property
+    def fence(self) -> int:
+        """Returns the fencing number of the tenure."""
+        return fence_number(self.era, self.offset)
+
+
+def _is_released(reading: LeaseReading) -> bool:
+    last = reading.last
+    return last.is_released and last.era == reading.era
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports.py
@@ -164,14 +164,16 @@
 
     :ivar holder: node that wrote it.
     :ivar offset: of the record, which grows with each record.
-    :ivar fence: offset of the record that began the holder's tenure.
+    :ivar tenure: offset of the record that began the holder's tenure.
     :ivar is_released: the holder gave the lease up.
+    :ivar era: of the store as its writer knew it; the record may have come into a later one.
     """
 
     holder: str
     offset: int
-    fence: int
+    tenure: int
     is_released: bool
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -210,11 +212,12 @@
         """
 
     def append(
-        self, holder: str, fence: int | None, is_released: bool, expected: int
+        self, holder: str, tenure: int | None, is_released: bool, era: int, expected: int
     ) -> LeaseAppend:
         """Appends a record if the topic still ends at ``expected``.
 
-        :param fence: ``None`` begins a tenure, whose fence is the offset of this record.
+        :param tenure: offset of the record that began it; ``None`` begins one with this record.
+        :param era: of the store as this node knows it.
         :raises StoreUnavailableError: if nobody knows whether it was.
         """
 
--- a/packages/arbutustally/src/arbutustally/lease.py
+++ b/packages/arbutustally/src/arbutustally/lease.py
@@ -6,6 +6,24 @@
 RATE_MARGIN = 0.01
 #: Seconds in addition, for the time between the check and the effect.
 FIXED_MARGIN_S = 0.05
+#: Bits of a fencing number that hold the offset; with the era's it stays below 2^53, which every
+#: reader of JSON keeps exactly.
+FENCE_OFFSET_BITS = 33
+FENCE_ERA_BITS = 20
+
+
+def fence_number(era: int, offset: int) -> int:
+    """Returns the number of a record, which grows with each record and with each era.
+
+    :param era: counts how often the store came back from an older copy.
+    :param offset: of the record; a new era may give it out again.
+    """
+    return (era << FENCE_OFFSET_BITS) + offset
+
+
+def era_of(fence: int) -> int:
+    """Returns the era of a fencing number."""
+    return fence >> FENCE_OFFSET_BITS
 
 
 @dataclass(frozen=True)
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -19,6 +19,7 @@
         self.records: list[LeaseRecord] = []
         self.era = 0
         self.lose_answer = False
+        self.before_append = lambda: None
 
     def return_to(self, end: int) -> None:
         """Loses the records from an offset on and begins an era."""
@@ -30,13 +31,14 @@
         return LeaseReading(last, len(self.records), self.era)
 
     def append(
-        self, holder: str, fence: int | None, is_released: bool, expected: int
+        self, holder: str, tenure: int | None, is_released: bool, era: int, expected: int
     ) -> LeaseAppend:
+        self.before_append()
         if expected != len(self.records):
             return LeaseAppend(False, self.era)
         offset = len(self.records)
-        begun = offset if fence is None else fence
-        self.records.append(LeaseRecord(holder, offset, begun, is_released))
+        begun = offset if tenure is None else tenure
+        self.records.append(LeaseRecord(holder, offset, begun, is_released, era))
         if self.lose_answer:
             self.lose_answer = False
             raise StoreUnavailableError("append got no answer")
@@ -68,7 +70,7 @@
         standby = self.lease("b")
         standby.watch()
         self.assertTrue(standby.is_open)
-        self.leases.append("a", 0, True, 1)
+        self.leases.append("a", 0, True, 0, 1)
         standby.watch()
         self.assertTrue(standby.is_open)
         self.clock.advance(1.0)
@@ -96,7 +98,7 @@
     def test_renewal_after_another_claim_ends_the_hold(self) -> None:
         first = self.lease("a")
         first.claim()
-        self.leases.append("b", None, False, 1)
+        self.leases.append("b", None, False, 0, 1)
         first.renew()
         self.assertFalse(first.is_held)
 
@@ -134,6 +136,53 @@
             self.clock.advance(0.1)
         self.assertFalse(old.is_held)
 
+    def test_holder_goes_on_in_a_new_era_with_a_higher_fence(self) -> None:
+        """Guards against weights that stand still for a whole lease after each return."""
+        self.leases.era = 1
+        lease, other = self.lease("a"), self.lease("b")
+        fence = self.hold(lease)
+        self.leases.return_to(0)
+        self.assertFalse(other.claim())
+        lease.renew()
+        self.assertTrue(lease.is_held)
+        self.assertGreater(lease.fence, fence)
+        self.clock.advance(LEASE_S - 0.1)
+        self.assertFalse(other.claim())
+
+    def test_claim_that_arrives_in_a_later_era_is_not_held(self) -> None:
+        """Guards against a fence that another claim of the era before may have had."""
+        self.leases.era = 1
+        lease = self.lease("a")
+        self.assertFalse(lease.claim())
+        self.clock.advance(LEASE_S)
+        self.leases.before_append = lambda: self.leases.return_to(0)
+        self.assertFalse(lease.claim())
+        self.assertEqual(len(self.leases.records), 1)
+        self.assertFalse(lease.is_held)
+
+    def test_release_follows_only_the_own_record(self) -> None:
+        """Guards against a late release that invites a third node while the second holds."""
+        first, second = self.lease("a"), self.lease("b")
+        first.claim()
+        self.leases.append("b", None, False, 0, 1)
+        first.release()
+        self.assertFalse(self.leases.records[-1].is_released)
+        self.assertFalse(second.claim())
+
+    def test_release_of_an_earlier_era_counts_for_nothing(self) -> None:
+        """Guards against a copy that shows a released lease which was claimed again since."""
+        self.leases.era = 1
+        first, second, third = self.lease("a"), self.lease("b"), self.lease("c")
+        self.hold(first)
+        first.release()
+        self.hold(second)
+        self.leases.return_to(2)
+        self.assertTrue(self.leases.records[-1].is_released)
+        self.assertFalse(third.claim())
+        self.clock.advance(LEASE_S)
+        self.assertFalse(second.is_held)
+        self.assertTrue(third.claim())
+
     def test_random_turns_never_have_two_holders_and_fences_only_rise(self) -> None:
         for seed in range(200):
             rng = Random(seed)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -200,12 +200,12 @@
     def test_of_two_claims_on_one_offset_one_wins(self) -> None:
         leases = StoreLeaseTopic(StoreKeyedTopic(self.client, "keyed.l"))
         self.assertEqual(leases.last(), LeaseReading(None, 0, era=1))
-        self.assertEqual(leases.append("n1", None, False, 0), LeaseAppend(True, era=1))
-        self.assertEqual(leases.append("n2", None, False, 0), LeaseAppend(False, era=1))
+        self.assertEqual(leases.append("n1", None, False, 1, 0), LeaseAppend(True, era=1))
+        self.assertEqual(leases.append("n2", None, False, 1, 0), LeaseAppend(False, era=1))
         reading = leases.last()
         last, end = reading.last, reading.end
-        self.assertEqual((last.holder, last.fence, end), ("n1", 0, 1))
-        self.assertTrue(leases.append("n1", 0, True, end).is_appended)
+        self.assertEqual((last.holder, last.tenure, end), ("n1", 0, 1))
+        self.assertTrue(leases.append("n1", 0, True, 1, end).is_appended)
         self.assertTrue(leases.last().last.is_released)
 
 
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -92,8 +92,8 @@
             self.assertEqual(self.topic.newest().era, era)
             self.assertEqual(self.topic.since(0, 0.1).era, era)
             self.assertEqual(leases.last().era, era)
-            self.assertEqual(leases.append("n", None, False, 99).era, era)
-            self.assertEqual(leases.append("n", None, False, leases.last().end).era, era)
+            self.assertEqual(leases.append("n", None, False, era, 99).era, era)
+            self.assertEqual(leases.append("n", None, False, era, leases.last().end).era, era)
         self.assertEqual((self.eras, self.client.era.newest), ([1, 2], 2))
 
     def test_read_beyond_the_end_tells_the_era(self) -> None:
