Write the announcement again in a new era, and tell operators of it

Cause: a node announced itself once; a store that came back from a copy made before forgot it, and a new node that hears nobody would find nobody. Nothing told operators of the return.

Change: the announcer writes its record again at a new era and repeats until the store confirms it. A decision line store_returned with both eras, and the counter arbutustally_store_returns.

Evidence: tests.test_store_return (10) passes, with two new tests of a whole node: its record is back, and weights are loaded over two returns with rising fences.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/announcer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/announcer.py
@@ -49,6 +49,7 @@
         self._name = name
         self._address = address
         self._is_announced = False
+        self._may_be_lost = False
         self._greenlet: Any = None
 
     def start(self) -> None:
@@ -65,6 +66,10 @@
         except StoreUnavailableError as error:
             self._log.line("announcement_not_removed", reason=error.message)
 
+    def era_changed(self, _era: int) -> None:
+        """Has this node's record written again: the store may have lost it."""
+        self._may_be_lost = self._is_announced
+
     def _run(self) -> None:
         started = self._clock()
         alone_since = started
@@ -81,6 +86,8 @@
                     self._find()
                 elif now - started >= SETTLED_S and self._must_announce():
                     self._announce()
+                if self._may_be_lost:
+                    self._announce_again()
             except StoreUnavailableError as error:
                 self._watch.failed(error)
                 gevent.sleep(ALONE_RETRY_S)
@@ -94,6 +101,15 @@
             self._is_announced = True
             self._topic.announce(self._name, self._address)
 
+    def _announce_again(self) -> None:
+        self._may_be_lost = False
+        try:
+            self._topic.announce(self._name, self._address)
+        except StoreUnavailableError:
+            self._may_be_lost = True
+            raise
+        self._log.line("announced_again")
+
     def _find(self) -> None:
         for record in self._topic.newest().records:
             if record.value is not None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -40,6 +40,7 @@
 from arbutustally_node.gateway.peer_news import PeerNews, ToldServices
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
 from arbutustally_node.gateway.request_services import RequestServices
+from arbutustally_node.gateway.store_returns import StoreReturns
 from arbutustally_node.gateway.store_watch import StoreWatch
 from arbutustally_node.gateway.supervision import supervise
 from arbutustally_node.gateway.transport import Transport
@@ -219,6 +220,7 @@
         )
         self._exchange = Exchange(self._request_services)
         self._watch = StoreWatch(self._view.book, self._log, monotonic, bounds.store_return_s)
+        StoreReturns.from_config(platform.store_era, self._log, self._instruments)
         self._endpoints = EndpointReader(
             platform.endpoint_topic,
             self._view,
@@ -247,6 +249,7 @@
             options.node,
             options.ip.encode(),
         )
+        platform.store_era.watch(self._announcer.era_changed)
         self._caches = CacheFollower(
             platform.cache_events, self._view, self._holdings, self._gossip, self._log
         )
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -9,6 +9,7 @@
 
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
 from arbutustally_platform.store import StoreClient, StoreKeyedTopic, StoreLeaseTopic
+from tests.gateway_fleet import GatewayCase
 from tests.platform_fakes import FakeStore
 
 TOPIC = "keyed.op"
@@ -128,3 +129,31 @@
         self.store.returns_between_pages = True
         with self.assertRaises(StoreUnavailableError):
             self.topic.newest()
+
+
+class NodeTest(GatewayCase):
+    def test_announcement_that_was_lost_is_written_again(self) -> None:
+        """Guards against new nodes that find nobody since the store forgot who runs."""
+        copy = self.store.take_copy()
+        node = self.start_node()
+        self.eventually(lambda: self.store.newest("keyed.nodes"))
+        written = self.store.newest("keyed.nodes")
+        self.store.return_to(copy)
+        self.assertFalse(self.store.newest("keyed.nodes"))
+        self.eventually(lambda: self.store.newest("keyed.nodes") == written)
+        self.assertEqual(node._instruments.value("store_returns"), 1)
+
+    def test_weights_are_loaded_with_a_higher_fence_after_a_return(self) -> None:
+        """Guards against engines that refuse every order after the store's return."""
+        node = self.start_node()
+        self.wait_ready(node)
+        for version in (2, 3):
+            copy = self.store.take_copy()
+            self.store.put("keyed.op", "version/m", {"model": "m", "version": version})
+            self.eventually(lambda v=version: all(e.version == v for e in self.engines))
+            self.eventually(lambda: not node._weights.is_holder)
+            self.store.return_to(copy)
+            self.store.write_again()
+        fences = [order["fence"] for order in self.engines[0].orders]
+        self.assertEqual(fences, sorted(set(fences)))
+        self.assertEqual(len(fences), 2)
