Let the store of the soak return to a copy

Change: the fault return_store copies the store and returns to the copy up to 3 s later, in half of the cases after it refused calls for a moment; operator and workers write again what was lost, in another order and late. Orders are noted with their holder, and no fencing number may be used by two. Fences of an engine may not go down, as before over all its starts.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -7,6 +7,7 @@
 
 import os
 import sys
+from random import Random
 
 from gevent import monkey
 
@@ -15,11 +16,13 @@
 import gevent  # noqa: E402
 from bottle import Bottle, request  # noqa: E402
 
-from tests.platform_fakes import FakeStore, FakeWorker  # noqa: E402
+from tests.platform_fakes import FakeStore, FakeWorker, StoreCopy  # noqa: E402
 
 STREAM_EVENTS = 20
 EVENT_S = 0.03
 WORK_S = 0.05
+#: Longest pause before the operator or a worker writes again a record that the store lost, seconds.
+REWRITE_PAUSE_S = 0.3
 
 
 class SoakStore(FakeStore):
@@ -29,10 +32,21 @@
         app.put("/soak/record/<topic>/<key:path>")(self._put)
         app.put("/soak/status/<status:int>")(self._set_status)
         app.put("/soak/forget/<topic>")(self.drop_history)
+        self._copies: list[StoreCopy] = []
+        app.put("/soak/copy")(self._copy)
+        app.put("/soak/return/<number:int>/<seed:int>")(self._return)
 
     def _put(self, topic: str, key: str) -> None:
         self.put_raw(topic, key, request.body.read())
 
+    def _copy(self) -> str:
+        self._copies.append(self.take_copy())
+        return str(len(self._copies) - 1)
+
+    def _return(self, number: int, seed: int) -> None:
+        self.return_to(self._copies[number])
+        gevent.spawn(self.write_again, Random(seed), REWRITE_PAUSE_S)
+
     def _set_status(self, status: int) -> None:
         self.status = status
 
@@ -50,7 +64,7 @@
             gevent.sleep(WORK_S)
 
     def note_order(self, order: dict) -> None:
-        line = f"order {self.id} {order['fence']} {order['version']}\n"
+        line = f"order {self.id} {order['fence']} {order['version']} {order['holder']}\n"
         os.write(self._notes, line.encode())
 
     def stream(self, after: int, until: int = STREAM_EVENTS):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -64,6 +64,17 @@
     fleet.forget_history()
 
 
+def return_store(fleet: SoakFleet, rng: Random) -> None:
+    """Lets the store come back from a copy, perhaps after it was away for a moment."""
+    copy = fleet.copy_store()
+    gevent.sleep(rng.uniform(0.2, MAX_FAULT_S))
+    if rng.random() < 0.5:
+        fleet.set_store_status(rng.choice(STORE_REFUSALS))
+        gevent.sleep(rng.uniform(0.1, 0.8))
+    fleet.return_store(copy, rng.randrange(1 << 16))
+    fleet.set_store_status(200)
+
+
 def harm_worker_path(fleet: SoakFleet, rng: Random) -> None:
     """Harms the connections to one worker."""
     _harm(_backend(fleet, rng).proxy, rng)
@@ -115,6 +126,7 @@
     harm_store_path,
     refuse_at_store,
     forget_history,
+    return_store,
     harm_worker_path,
     kill_worker,
     freeze_worker,
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -34,6 +34,19 @@
 }
 
 
+@dataclass(frozen=True)
+class Order:
+    """An order that an engine accepted.
+
+    :ivar fence: fencing number.
+    :ivar holder: of the lease.
+    """
+
+    fence: int
+    version: int
+    holder: str
+
+
 @dataclass
 class Program:
     """A process that the soak started."""
@@ -198,6 +211,17 @@
         for topic in ("keyed.op", "keyed.servers"):
             self._call(f"forget/{topic}")
 
+    def copy_store(self) -> int:
+        """Copies what the store holds; returns the number of the copy."""
+        return int(self._call("copy"))
+
+    def return_store(self, copy: int, seed: int) -> None:
+        """Makes the store return to a copy; operator and workers write again what it lost.
+
+        :param seed: gives the order and the pauses in which they write.
+        """
+        self._call(f"return/{copy}/{seed}")
+
     def ran(self) -> dict[str, list[str]]:
         """Returns which workers ran each request."""
         found: dict[str, list[str]] = {}
@@ -207,19 +231,20 @@
                     found.setdefault(line, []).append(notes.stem)
         return found
 
-    def orders(self) -> dict[str, list[tuple[int, int]]]:
-        """Returns fencing number and version of the orders that each engine accepted."""
-        found: dict[str, list[tuple[int, int]]] = {}
+    def orders(self) -> dict[str, list[Order]]:
+        """Returns the orders that each engine accepted."""
+        found: dict[str, list[Order]] = {}
         for notes in self.directory.glob("*.ran"):
             for line in notes.read_text().split("\n"):
                 if line.startswith("order "):
-                    _word, engine, fence, version = line.split()
-                    found.setdefault(engine, []).append((int(fence), int(version)))
+                    _word, engine, fence, version, holder = line.split()
+                    order = Order(int(fence), int(version), holder)
+                    found.setdefault(engine, []).append(order)
         return found
 
     def ordered_version(self, engine: str) -> int:
         """Returns the newest version that an engine was ordered to load."""
-        return max((version for _fence, version in self.orders().get(engine, [])), default=1)
+        return max((order.version for order in self.orders().get(engine, [])), default=1)
 
     def is_ready(self, ip: str) -> bool:
         """Returns whether a node says that it takes requests."""
@@ -236,10 +261,11 @@
         for proxy in [*self.stores.values(), *(one.proxy for one in self.backends)]:
             proxy.stop()
 
-    def _call(self, path: str, body: bytes = b"") -> None:
+    def _call(self, path: str, body: bytes = b"") -> bytes:
         answer = self._http.request("PUT", f"http://{self._store_address}/soak/{path}", body=body)
         if answer.status >= 300:
             raise RuntimeError(f"the store's stand-in refused {path}: {answer.status}")
+        return answer.data
 
     def _node(self, ip: str) -> Program:
         settings = {
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -125,10 +125,16 @@
     unasked = ran.keys() - {result.id for result in callers.results}
     if unasked:
         yield f"requests ran that nobody sent: {sorted(unasked)[:3]}"
+    holders: dict[int, set[str]] = {}
     for engine, orders in fleet.orders().items():
-        fences = [fence for fence, _version in orders]
+        fences = [order.fence for order in orders]
         if fences != sorted(fences):
             yield f"{engine} was ordered with fencing numbers {fences}"
+        for order in orders:
+            holders.setdefault(order.fence, set()).add(order.holder)
+    for fence, names in holders.items():
+        if len(names) > 1:
+            yield f"{sorted(names)} used the fencing number {fence}"
 
 
 def _bad_stops(fleet: SoakFleet) -> Iterator[str]:
