Look at the lease early in a new era

Cause: after a return with a released or an older record nobody looked at the lease until weights were named; its record then had to be seen unchanged for the whole lease time, which the bound on old weights hardly allows.

Change: a new era counts as a reason for the standbys to look.

Evidence: the new test failed before (is_open was False), passes now; the model passes with it.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/order_lease.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/order_lease.py
@@ -70,7 +70,7 @@
 
     @property
     def is_open(self) -> bool:
-        """Returns whether another holder's record was seen that is not released yet."""
+        """Returns whether a record was seen, or may be there, that is not released yet."""
         return self._is_open
 
     def drop(self) -> None:
@@ -94,6 +94,8 @@
         if era > self._era:
             self._era = era
             self._era_seen_at = self._boottime()
+            # What the store has now must be seen early: it may have to stay unchanged for a while.
+            self._is_open = True
 
     def claim(self) -> bool:
         """Tries to become the holder.
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -186,6 +186,18 @@
         self.assertFalse(second.is_held)
         self.assertTrue(third.claim())
 
+    def test_standby_looks_at_the_lease_early_in_a_new_era(self) -> None:
+        """Guards against weights named long after a return that wait for the whole lease."""
+        self.leases.era = 1
+        self.hold(self.lease("a"))
+        self.leases.return_to(1)
+        standby = self.lease("b")
+        standby.note_era(2)
+        self.assertTrue(standby.is_open)
+        standby.watch()
+        self.clock.advance(LEASE_S)
+        self.assertTrue(standby.claim())
+
     def test_lapsed_holder_does_not_go_on_in_a_new_era(self) -> None:
         """Guards against a holder that was frozen, while another held and its record was lost."""
         self.leases.era = 1
