--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -19,11 +19,17 @@
     parser.add_argument("--first", type=int, default=1, help="first seed")
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
     parser.add_argument("--jobs", type=int, default=1, help="soaks side by side, at most 200")
+    parser.add_argument(
+        "--slot",
+        type=int,
+        default=1,
+        help="first of the loopback networks 127.77.N; soaks that run at once need different ones",
+    )
     parser.add_argument("--seconds", type=float, default=SECONDS, help="time of faults")
     flags = parser.parse_args()
     broken = 0
     seeds = range(flags.first, flags.first + flags.seeds)
-    slots = list(range(1, flags.jobs + 1))
+    slots = list(range(flags.slot, flags.slot + flags.jobs))
 
     def play(seed: int):
         slot = slots.pop()
