--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -31,6 +31,7 @@
 from arbutustally_node.gateway.request_services import RequestServices
 from arbutustally_node.gateway.rollout_record import encode_progress
 from arbutustally_node.gateway.rollout_service import RolloutService
+from arbutustally_node.gateway.store_returns import StoreReturns
 from arbutustally_node.gateway.store_watch import StoreWatch
 from arbutustally_node.gateway.transport import Transport
 from arbutustally_node.gateway.weights_service import WeightsService
@@ -166,6 +167,7 @@
 ) -> StoreReaders:
     log, view, bounds = state.log, state.view, options.bounds
     watch = StoreWatch(view.book, log, monotonic, bounds.store_return_s)
+    StoreReturns.from_config(platform.store_era, log, state.instruments)
     endpoints = EndpointReader(
         platform.endpoint_topic,
         view,
@@ -188,6 +190,7 @@
     announcer = Announcer(
         platform.node_topic, gossip, watch, log, boottime, options.node, options.ip.encode()
     )
+    platform.store_era.watch(announcer.era_changed)
     return StoreReaders(watch, endpoints, follower, announcer)
 
 
@@ -200,6 +203,7 @@
 ) -> WeightsService:
     holder = f"{options.node}~{state.incarnation}"
     lease = OrderLease(holder, platform.lease_topic, state.log, boottime, options.bounds.lease_s)
+    platform.store_era.watch(lease.note_era)
 
     def wait_s(endpoint: EndpointState) -> float:
         return endpoint.total_prompt_tokens / state.placement.prefill_speed(endpoint.id)
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -7,7 +7,7 @@
 from arbutustally.errors import StoreUnavailableError
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.order_lease import OrderLease
-from arbutustally_node.gateway.ports import LeaseRecord
+from arbutustally_node.gateway.ports import LeaseAppend, LeaseReading, LeaseRecord
 
 LEASE_S = 3.0
 
@@ -17,21 +17,35 @@
 
     def __init__(self) -> None:
         self.records: list[LeaseRecord] = []
+        self.era = 0
         self.lose_answer = False
+        self.is_away = False
+        self.before_append = lambda: None
 
-    def last(self) -> tuple[LeaseRecord | None, int]:
-        return (self.records[-1] if self.records else None), len(self.records)
+    def return_to(self, end: int) -> None:
+        """Loses the records from an offset on and begins an era."""
+        del self.records[end:]
+        self.era += 1
 
-    def append(self, holder: str, fence: int | None, is_released: bool, expected: int) -> bool:
+    def last(self) -> LeaseReading:
+        last = self.records[-1] if self.records else None
+        return LeaseReading(last, len(self.records), self.era)
+
+    def append(
+        self, holder: str, tenure: int | None, is_released: bool, era: int, expected: int
+    ) -> LeaseAppend:
+        self.before_append()
+        if self.is_away:
+            raise StoreUnavailableError("append got no answer")
         if expected != len(self.records):
-            return False
+            return LeaseAppend(False, self.era)
         offset = len(self.records)
-        begun = offset if fence is None else fence
-        self.records.append(LeaseRecord(holder, offset, begun, is_released))
+        begun = offset if tenure is None else tenure
+        self.records.append(LeaseRecord(holder, offset, begun, is_released, era))
         if self.lose_answer:
             self.lose_answer = False
             raise StoreUnavailableError("append got no answer")
-        return True
+        return LeaseAppend(True, self.era)
 
 
 class OrderLeaseTest(unittest.TestCase):
@@ -59,7 +73,7 @@
         standby = self.lease("b")
         standby.watch()
         self.assertTrue(standby.is_open)
-        self.leases.append("a", 0, True, 1)
+        self.leases.append("a", 0, True, 0, 1)
         standby.watch()
         self.assertTrue(standby.is_open)
         self.clock.advance(1.0)
@@ -87,10 +101,161 @@
     def test_renewal_after_another_claim_ends_the_hold(self) -> None:
         first = self.lease("a")
         first.claim()
-        self.leases.append("b", None, False, 1)
+        self.leases.append("b", None, False, 0, 1)
         first.renew()
         self.assertFalse(first.is_held)
 
+    def hold(self, lease: OrderLease) -> int:
+        """Claims until the lease is held; returns the fence."""
+        for _ in range(20):
+            if lease.claim():
+                return lease.fence
+            self.clock.advance(LEASE_S / 10)
+        raise AssertionError("nobody orders engines")
+
+    def test_fence_rises_over_a_store_that_forgot_the_lease(self) -> None:
+        """Guards against a new holder whose orders engines refuse, or can't tell from the old's."""
+        self.leases.era = 1
+        old = self.lease("a")
+        fences = [self.hold(old)]
+        for _ in range(3):
+            old.renew()
+        old.release()
+        fences.append(self.hold(self.lease("b")))
+        for number in range(3):
+            self.clock.advance(LEASE_S)
+            self.leases.return_to(0)
+            fences.append(self.hold(self.lease(f"c{number}")))
+        self.assertEqual(fences, sorted(set(fences)))
+
+    def test_holder_whose_record_was_lost_is_waited_out(self) -> None:
+        """Guards against two nodes that order engines after a return of the store."""
+        self.leases.era = 1
+        old = self.lease("a")
+        self.hold(old)
+        self.leases.return_to(0)
+        new = self.lease("b")
+        while not new.claim():
+            self.clock.advance(0.1)
+        self.assertFalse(old.is_held)
+
+    def test_holder_goes_on_in_a_new_era_with_a_higher_fence(self) -> None:
+        """Guards against weights that stand still for a whole lease after each return."""
+        self.leases.era = 1
+        lease, other = self.lease("a"), self.lease("b")
+        fence = self.hold(lease)
+        self.leases.return_to(0)
+        self.assertFalse(other.claim())
+        lease.renew()
+        self.assertTrue(lease.is_held)
+        self.assertGreater(lease.fence, fence)
+        self.clock.advance(LEASE_S - 0.1)
+        self.assertFalse(other.claim())
+
+    def test_claim_that_arrives_in_a_later_era_is_not_held(self) -> None:
+        """Guards against a fence that another claim of the era before may have had."""
+        self.leases.era = 1
+        lease = self.lease("a")
+        self.assertFalse(lease.claim())
+        self.clock.advance(LEASE_S)
+        self.leases.before_append = lambda: self.leases.return_to(0)
+        self.assertFalse(lease.claim())
+        self.assertEqual(len(self.leases.records), 1)
+        self.assertFalse(lease.is_held)
+
+    def test_release_follows_only_the_own_record(self) -> None:
+        """Guards against a late release that invites a third node while the second holds."""
+        first, second = self.lease("a"), self.lease("b")
+        first.claim()
+        self.leases.append("b", None, False, 0, 1)
+        first.release()
+        self.assertFalse(self.leases.records[-1].is_released)
+        self.assertFalse(second.claim())
+
+    def test_release_of_an_earlier_era_counts_for_nothing(self) -> None:
+        """Guards against a copy that shows a released lease which was claimed again since."""
+        self.leases.era = 1
+        first, second, third = self.lease("a"), self.lease("b"), self.lease("c")
+        self.hold(first)
+        first.release()
+        self.hold(second)
+        self.leases.return_to(2)
+        self.assertTrue(self.leases.records[-1].is_released)
+        self.assertFalse(third.claim())
+        self.clock.advance(LEASE_S)
+        self.assertFalse(second.is_held)
+        self.assertTrue(third.claim())
+
+    def test_standby_looks_at_the_lease_early_in_a_new_era(self) -> None:
+        """Guards against weights named long after a return that wait for the whole lease."""
+        self.leases.era = 1
+        self.hold(self.lease("a"))
+        self.leases.return_to(1)
+        standby = self.lease("b")
+        standby.note_era(2)
+        self.assertTrue(standby.is_open)
+        standby.watch()
+        self.clock.advance(LEASE_S)
+        self.assertTrue(standby.claim())
+
+    def test_lapsed_holder_does_not_go_on_in_a_new_era(self) -> None:
+        """Guards against a holder that was frozen, while another held and its record was lost."""
+        self.leases.era = 1
+        first, second = self.lease("a"), self.lease("b")
+        self.hold(first)
+        first_end = len(self.leases.records)
+        self.assertFalse(second.claim())
+        self.clock.advance(LEASE_S)
+        self.assertTrue(second.claim())
+        self.leases.return_to(first_end)
+        first.renew()
+        self.assertFalse(first.is_held)
+        self.assertTrue(second.is_held)
+
+    def test_renewal_that_arrives_in_a_later_era_ends_the_hold(self) -> None:
+        """Guards against a tenure that goes on under a fence of an era that is over."""
+        self.leases.era = 1
+        lease = self.lease("a")
+        self.hold(lease)
+        self.leases.before_append = lambda: self.leases.return_to(1)
+        lease.renew()
+        self.assertFalse(lease.is_held)
+
+    def test_claim_is_not_confirmed_by_a_record_of_a_later_era(self) -> None:
+        """Guards against a fence of the old era that another node had at the same offset."""
+        self.leases.era = 1
+        lease = self.lease("a")
+        self.assertFalse(lease.claim())
+        self.clock.advance(LEASE_S)
+        self.leases.lose_answer = True
+        self.leases.before_append = lambda: self.leases.return_to(0)
+        with self.assertRaises(StoreUnavailableError):
+            lease.claim()
+        self.assertEqual(len(self.leases.records), 1)
+        self.assertFalse(lease.claim())
+
+    def test_first_of_two_unanswered_claims_counts(self) -> None:
+        """Guards against a tenure that is counted from the second claim, which wrote nothing."""
+        lease = self.lease("a")
+        self.leases.is_away = True
+        for _ in range(2):
+            with self.assertRaises(StoreUnavailableError):
+                lease.claim()
+            self.clock.advance(1.0)
+        self.leases.is_away = False
+        self.leases.append("a", None, False, 0, 0)
+        self.assertTrue(lease.claim())
+        self.clock.advance(LEASE_S - 2.0)
+        self.assertFalse(lease.is_held)
+
+    def test_answer_of_an_era_that_is_over_is_not_used(self) -> None:
+        """Guards against a claim on what the store held before its return."""
+        self.leases.era = 1
+        lease = self.lease("a")
+        lease.note_era(2)
+        with self.assertRaises(StoreUnavailableError):
+            lease.claim()
+
     def test_random_turns_never_have_two_holders_and_fences_only_rise(self) -> None:
         for seed in range(200):
             rng = Random(seed)
