Compare offsets of the store within one era only

Cause: after the store came back from an older copy, readers went on at offsets that had been given out again: records below them were never read, waits stood at offsets that no longer counted, and hearers compared offsets of both eras. An older entry brought endpoints back that had left, had been removed or had started again, and endpoints that the copy lacked were dropped at once.

An answer of another era, or 410, has the list read anew; endpoints that it lacks are kept like lapsed ones; entries of endpoints that were removed or have started again since are not taken, and the node reads on until a record settles them. Leaving outlasts the list within an incarnation. The follower of the operator's records is woken by the era in any answer. An older naming of weights dates nothing. Numbers of the store in datagrams are checked; an infinite one ended the receiving task's pass before.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -6,7 +6,7 @@
 
 from arbutustally.clock import Clock
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
-from arbutustally.gateway.shared_reading import Change, ListNews, SharedReading
+from arbutustally.gateway.shared_reading import Change, ListNews, Position, SharedReading
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.gossip import Gossip
@@ -28,6 +28,9 @@
 READER_PART = 0.75
 #: Pause after a failed call, seconds; doubled with each further failure.
 RETRY_S = 0.2
+#: Longest time for which a node waits for the next records of endpoints whose entries it has not
+#: taken after the store's return, seconds.
+SETTLING_S = 20.0
 MAX_RETRY_S = 1.0
 
 
@@ -61,6 +64,10 @@
         self._read_at = float("-inf")
         self._is_reader: bool | None = None
         self._must_read_whole = True
+        # Endpoints whose entries in an older copy of the list were not taken; their next records
+        # tell whether they are there.
+        self._unsettled: set[str] = set()
+        self._unsettled_until = float("-inf")
         self._is_telling = False
         self._greenlet: Any = None
 
@@ -83,13 +90,14 @@
         keep_until = self._clock() + news.keep_removed_s
         for change in self._reading.take(news):
             self._view.take_endpoint(Record(change.key, change.value), peer)
+            self._unsettled.discard(change.key)
             if change.value is None:
                 self._view.book.keep(change.key, keep_until)
         self._view.forget_gone()
 
     @property
-    def position(self) -> int | None:
-        """Returns the offset up to which the list is known, ``None`` for not at all."""
+    def position(self) -> Position | None:
+        """Returns up to where the list is known, ``None`` for not at all."""
         return self._reading.position
 
     @property
@@ -99,59 +107,100 @@
 
     @property
     def has_missed(self) -> bool:
-        """Returns whether a peer knows changes that this node lacks."""
+        """Returns whether a peer knows changes, or told of an era, that this node lacks."""
         return self._reading.has_missed
 
-    def take_snapshot(self, records: tuple[Record, ...], position: int, peer: str) -> None:
+    def take_snapshot(self, records: tuple[Record, ...], position: Position, peer: str) -> None:
         """Takes a peer's whole list if it is newer.
 
-        :param position: offset of the store up to which the list is current.
+        :param position: up to where the list is current.
         """
-        if position > (self._reading.position or 0):
-            self._view.replace_endpoints(records, peer)
+        known = self._reading.position
+        if known is None or position > known:
+            self._replace(records, position, peer)
             self._reading.take_whole(position)
 
     def _run(self) -> None:
         retry_s = RETRY_S
         while True:
-            is_due = self._is_settled() and self._reading.is_due(self._gossip.rank(READING_DUTY))
-            self._note_role(is_due)
-            if not is_due:
+            if not self._must_read():
                 gevent.sleep(LOOK_S)
                 continue
             try:
-                self._read()
+                self.read_once()
                 retry_s = RETRY_S
-                gevent.sleep(self._pause_s)
-            except HoleFoundError as error:
-                self._log.line("store_history_gone", oldest=error.oldest)
-                self._must_read_whole = True
+                if not self._must_read_whole:
+                    gevent.sleep(self._pause_s)
             except StoreUnavailableError as error:
                 self._watch.failed(error)
                 gevent.sleep(retry_s)
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
+    def _must_read(self) -> bool:
+        if self._clock() >= self._unsettled_until:
+            self._unsettled.clear()
+        is_due = self._is_settled() and self._reading.is_due(self._gossip.rank(READING_DUTY))
+        self._note_role(is_due)
+        return is_due or bool(self._unsettled)
+
     def _is_settled(self) -> bool:
         """Returns whether this node knows its place in the order, or must read anyway."""
         reading = self._reading
         return reading.position is None or reading.has_missed or self._gossip.is_settled
 
-    def _read(self) -> None:
+    def read_once(self) -> None:
+        """Reads what is new, or the whole list.
+
+        :raises StoreUnavailableError: if the store does not answer.
+        """
         start = self._reading.position
         if start is None or self._must_read_whole:
-            batch = self._topic.newest()
-            self._watch.answered()
-            self._view.replace_endpoints(batch.records, "store")
-            self._reading.read_whole(batch.next_offset)
-            self._must_read_whole = False
+            self._read_whole(start)
+            return
+        try:
+            batch = self._topic.since(start.offset, self._wait_s)
+        except HoleFoundError as error:
+            self._log.line("store_history_gone", oldest=error.oldest)
+            self._must_read_whole = True
             return
-        batch = self._topic.since(start, self._wait_s)
         self._watch.answered()
+        if batch.era != start.era:
+            self._must_read_whole = True
+            return
+        if self._reading.position.era != start.era:
+            # A peer's list of a newer era came meanwhile.
+            return
         self._read_at = self._clock()
-        self._reading.read(batch.next_offset, self._apply(start, batch))
+        self._reading.read(batch.next_offset, self._apply(start.offset, batch))
         self._view.forget_gone()
         self._tell()
 
+    def _read_whole(self, start: Position | None) -> None:
+        batch = self._topic.newest()
+        self._watch.answered()
+        self._must_read_whole = False
+        position = Position(batch.era, batch.next_offset)
+        now_known = self._reading.position
+        if now_known is not None and now_known != start and now_known > position:
+            # What peers told meanwhile is newer than this answer.
+            return
+        self._replace(batch.records, position, "store")
+        self._reading.read_whole(position)
+
+    def _replace(self, records: tuple[Record, ...], position: Position, source: str) -> None:
+        """Takes a whole list; one of another era may be older than what is known."""
+        known = self._reading.position
+        self._unsettled.clear()
+        if known is None or known.era == position.era:
+            self._view.replace_endpoints(records, source)
+            return
+        self._watch.list_returned()
+        self._unsettled = self._view.settle_endpoints(records, source)
+        self._unsettled_until = self._clock() + SETTLING_S
+        self._log.line(
+            "endpoints_read_anew", era=position.era, previous=known.era, listed=len(records)
+        )
+
     def _tell(self) -> None:
         """Tells all peers at once: datagrams of a large fleet come too seldom by themselves."""
         self._is_telling = True
@@ -162,13 +211,21 @@
 
     def _apply(self, start: int, batch: Batch) -> list[Change]:
         """Takes the records that no peer has told meanwhile; returns those with news."""
-        known_to = self._reading.position or start
+        known_to = self._reading.position.offset
         return [
             Change(offset, record.key, record.value)
             for offset, record in enumerate(batch.records, start)
-            if offset >= known_to and self._view.take_endpoint(record, "store")
+            if self._take_record(record, offset >= known_to)
         ]
 
+    def _take_record(self, record: Record, is_unknown: bool) -> bool:
+        """Takes a record that no peer has told; returns whether it may say anything new to them."""
+        was_unsettled = record.key in self._unsettled
+        if not (is_unknown or was_unsettled):
+            return False
+        self._unsettled.discard(record.key)
+        return self._view.take_endpoint(record, "store") or was_unsettled
+
     def _note_role(self, is_reader: bool) -> None:
         if is_reader != self._is_reader:
             self._is_reader = is_reader
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -9,8 +9,9 @@
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.ports import Documents, Record, WeightsNamed
 
-#: Time after which an endpoint whose entry was removed is forgotten, seconds.
-FORGET_GONE_S = 30.0
+#: Time after which an endpoint whose entry was removed is forgotten, seconds. It is longer than a
+#: copy is old from which the store may come back: its entry is known as one of the past then.
+FORGET_GONE_S = 60.0
 #: Named versions of a model that are remembered.
 MAX_VERSIONS = 8
 
@@ -150,10 +151,28 @@
             if state.id not in listed:
                 self.take_endpoint(Record(state.id, None), source)
 
+    def settle_endpoints(self, records: tuple[Record, ...], source: str) -> set[str]:
+        """Takes a whole list that may be older than what is known.
+
+        An endpoint that was removed, or has started again since, comes back only by an entry that
+        is written after the store's return. The list's other entries count as usual.
+
+        :returns: ids of the endpoints whose entries were not taken.
+        """
+        past = {record.key for record in records if self._is_past(record)}
+        self.replace_endpoints(
+            tuple(record for record in records if record.key not in past), source
+        )
+        return past
+
     def forget_gone(self) -> None:
         """Drops endpoints that were removed long ago."""
         self.book.forget_gone(FORGET_GONE_S)
 
+    def _is_past(self, record: Record) -> bool:
+        entry = self._documents.decode_endpoint(record)
+        return entry is not None and self.book.is_past(entry)
+
     def _remove_endpoint(self, endpoint_id: str, source: str) -> bool:
         self._endpoint_raw.pop(endpoint_id, None)
         is_new = self.book.remove(endpoint_id)
@@ -179,6 +198,10 @@
     def _name_weights(
         self, change: WeightsNamed, record: Record, source: str, known_at: float
     ) -> None:
+        named = self._weights.get(change.model)
+        if named is not None and change.version < named.version:
+            # An older naming, such as one in an older copy of the store, dates nothing.
+            return
         self.learn_weights(change.model, change.version, known_at, source)
         if change.version == self._weights[change.model].version:
             self._operator_raw[record.key] = record.value or b""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -6,13 +6,14 @@
 from typing import Any
 
 import gevent
+from gevent.event import Event
 
 from arbutustally.clock import Clock
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.peer_state import OperatorNews
-from arbutustally_node.gateway.ports import KeyedTopic, Record
+from arbutustally_node.gateway.ports import Batch, KeyedTopic, Record
 from arbutustally_node.gateway.store_watch import StoreWatch
 from arbutustally_node.gateway.supervision import supervise
 
@@ -55,6 +56,12 @@
         self._is_reader = is_reader
         self._tell = tell
         self._told: deque[tuple[float, float, Record]] = deque()
+        self._offset: int | None = None
+        self._era = 0
+        # Earliest time at which the next records may have been written.
+        self._unread_since = -math.inf
+        self._has_read = False
+        self._woken = Event()
         self._greenlet: Any = None
 
     def start(self) -> None:
@@ -85,36 +92,79 @@
             known_at = -math.inf if one.age_s is None else now - one.age_s
             self._view.take_operator(Record(one.key, one.value), peer, known_at)
 
+    def era_changed(self, era: int) -> None:
+        """Ends a wait for the next record: the store has begun an era with other offsets."""
+        if era > self._era:
+            self._woken.set()
+
     def _follow(self) -> None:
-        offset: int | None = None
         retry_s = RETRY_S
-        # Earliest time at which the next records may have been written.
-        unread_since = -math.inf
         while True:
-            if offset is not None and not self._is_reader():
+            if self._offset is not None and not self._is_reader():
                 # Records that come now are told by the nodes that read, up to their loss.
-                unread_since = self._clock() - UNNOTICED_S
+                self._unread_since = self._clock() - UNNOTICED_S
                 gevent.sleep(LOOK_S)
                 continue
             try:
-                batch = (
-                    self._topic.newest() if offset is None else self._topic.since(offset, WAIT_S)
-                )
-                self._watch.answered()
-                self._take(batch.records, min(unread_since, self._clock()), offset is not None)
-                unread_since = math.inf
-                offset = batch.next_offset
+                self.read_once()
                 retry_s = RETRY_S
-            except HoleFoundError as error:
-                self._log.line("store_history_gone", oldest=error.oldest, read_from=offset)
-                unread_since = min(unread_since, self._clock() - UNNOTICED_S)
-                offset = None
             except StoreUnavailableError as error:
                 self._watch.failed(error)
-                unread_since = min(unread_since, self._clock() - UNNOTICED_S)
+                self._expect_unread()
                 gevent.sleep(retry_s)
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
+    def read_once(self) -> None:
+        """Reads what is new, or the newest record of every key.
+
+        :raises StoreUnavailableError: if the store does not answer.
+        """
+        offset = self._offset
+        try:
+            batch = self._newest() if offset is None else self._wait_for_records(offset)
+        except HoleFoundError as error:
+            self._log.line("store_history_gone", oldest=error.oldest, read_from=offset)
+            self._read_anew()
+            return
+        self._watch.answered()
+        if offset is not None and batch.era != self._era:
+            self._read_anew()
+            return
+        self._era, self._offset = batch.era, batch.next_offset
+        self._take(batch.records, min(self._unread_since, self._clock()), self._has_read)
+        self._unread_since = math.inf
+        self._has_read = True
+
+    def _newest(self) -> Batch:
+        # An era that begins while the store answers ends the next wait.
+        self._woken.clear()
+        return self._topic.newest()
+
+    def _wait_for_records(self, offset: int) -> Batch:
+        """Returns the records from an offset on; a new era ends the wait for the first.
+
+        :raises StoreUnavailableError: if the store does not answer.
+        :raises HoleFoundError: if the offset is none of the store.
+        """
+        reading = gevent.spawn(_outcome, self._topic, offset)
+        try:
+            gevent.wait([reading, self._woken], count=1)
+            if not reading.ready():
+                raise HoleFoundError("the store has begun a new era; read the newest", oldest=0)
+            outcome = reading.get()
+        finally:
+            reading.kill(block=False)
+        if isinstance(outcome, Batch):
+            return outcome
+        raise outcome
+
+    def _read_anew(self) -> None:
+        self._expect_unread()
+        self._offset = None
+
+    def _expect_unread(self) -> None:
+        self._unread_since = min(self._unread_since, self._clock() - UNNOTICED_S)
+
     def _take(self, records: tuple[Record, ...], known_at: float, is_news: bool) -> None:
         now = self._clock()
         # A node that begins to read comes across what peers have told it, with a better age.
@@ -125,3 +175,10 @@
                 self._told.append((now, known_at, record))
         if is_news and new and self._is_reader():
             self._tell()
+
+
+def _outcome(topic: KeyedTopic, offset: int) -> Batch | HoleFoundError | StoreUnavailableError:
+    try:
+        return topic.since(offset, WAIT_S)
+    except (HoleFoundError, StoreUnavailableError) as error:
+        return error
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -294,6 +294,7 @@
             options.memory_mb,
         )
         self._view.watch_configuration(self._configured)
+        platform.store_era.watch(self._follower.era_changed)
         for name, service in (
             ("log", self._log),
             ("gossip", self._gossip),
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -18,6 +18,8 @@
 MIN_COMPRESSED_BYTES = 700
 #: Largest size of a datagram's content, bytes.
 MAX_CONTENT_BYTES = 262_144
+#: Largest offset or era that a peer may tell.
+MAX_NUMBER = (1 << 63) - 1
 
 _PLAIN = b"p"
 _COMPRESSED = b"z"
@@ -110,7 +112,7 @@
         """Returns the state in a datagram, ``None`` if it is malformed."""
         try:
             return cls._from_values(cbor2.loads(_content(data)))
-        except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError):
+        except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError, OverflowError):
             return None
 
     @classmethod
@@ -166,6 +168,18 @@
     return value
 
 
+def natural_number(value: Any) -> int:
+    """Returns a number of the store, such as an offset, that a peer told.
+
+    :raises TypeError: or ``ValueError`` if it is none.
+    """
+    if not isinstance(value, int):
+        raise TypeError("not a whole number")
+    if not 0 <= value <= MAX_NUMBER:
+        raise ValueError("not a number of the store")
+    return value
+
+
 def _load(row: Any) -> Load:
     running, unread, memory, unrepeatable = row
     return int(running), float(unread), float(memory), int(unrepeatable)
@@ -209,7 +223,7 @@
 
 def _news_row(news: ListNews) -> list[Any]:
     changes = [[change.offset, change.key, change.value] for change in news.changes]
-    return [news.covers_from, news.read_to, news.age_s, news.keep_removed_s, changes]
+    return [news.era, news.covers_from, news.read_to, news.age_s, news.keep_removed_s, changes]
 
 
 def _news(row: Any) -> ListNews:
@@ -217,14 +231,15 @@
 
     :raises TypeError: or ``ValueError`` if they are malformed.
     """
-    covers_from, read_to, age_s, keep_removed_s, changes = row
+    era, covers_from, read_to, age_s, keep_removed_s, changes = row
     return ListNews(
-        int(covers_from),
-        int(read_to),
+        natural_number(era),
+        natural_number(covers_from),
+        natural_number(read_to),
         float(age_s),
         float(keep_removed_s),
         tuple(
-            Change(int(offset), str(key), None if value is None else bytes(value))
+            Change(natural_number(offset), str(key), None if value is None else bytes(value))
             for offset, key, value in changes
         ),
     )
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/store_watch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/store_watch.py
@@ -24,6 +24,13 @@
         """Returns whether the last call to the store succeeded."""
         return self._lost_since is None
 
+    def list_returned(self) -> None:
+        """Notes that the endpoints' list has come back from an older copy.
+
+        Endpoints that it lacks are written again within the same time as lapsed ones.
+        """
+        self._book.keep_removed(self._clock() + self._return_s)
+
     def failed(self, error: StoreUnavailableError) -> None:
         """Notes a call without an answer."""
         now = self._clock()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
@@ -10,7 +10,9 @@
 from gevent.pywsgi import WSGIServer
 
 from arbutustally.errors import RouterError
+from arbutustally.gateway.shared_reading import Position
 from arbutustally_node.bounded_call import call
+from arbutustally_node.gateway.peer_state import natural_number
 from arbutustally_node.gateway.ports import Record
 from arbutustally_node.pool import PoolService
 
@@ -27,16 +29,17 @@
 class Snapshot:
     """Documents that a node gives its peers.
 
-    :ivar position: offset up to which the endpoints' list is current, ``None`` if it has none.
+    :ivar position: up to where the endpoints' list is current, ``None`` if it has none.
     """
 
-    position: int | None
+    position: Position | None
     operator: tuple[Record, ...]
     endpoints: tuple[Record, ...]
 
     def encode(self) -> bytes:
         """Returns the body of an answer."""
-        content = cbor2.dumps([self.position, _rows(self.operator), _rows(self.endpoints)])
+        position = None if self.position is None else [self.position.era, self.position.offset]
+        content = cbor2.dumps([position, _rows(self.operator), _rows(self.endpoints)])
         return zlib.compress(content, COMPRESSION)
 
     @classmethod
@@ -51,10 +54,17 @@
             raise ValueError("the snapshot is too long")
         position, operator, endpoints = cbor2.loads(content)
         return cls(
-            None if position is None else int(position), _records(operator), _records(endpoints)
+            None if position is None else _position(position),
+            _records(operator),
+            _records(endpoints),
         )
 
 
+def _position(row: Any) -> Position:
+    era, offset = row
+    return Position(natural_number(era), natural_number(offset))
+
+
 def _rows(records: tuple[Record, ...]) -> list[list[Any]]:
     return [[record.key, record.value] for record in records]
 
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -21,6 +21,8 @@
 PAUSE_SPREAD = 0.2
 #: Longest time by which a return is put off beyond the pause, seconds.
 MAX_PAUSE_SPREAD_S = 1.0
+#: Earlier starts of an endpoint that are remembered.
+MAX_INCARNATIONS = 8
 
 
 @dataclass(frozen=True)
@@ -70,7 +72,8 @@
     :ivar peer_load: the same four figures by peer.
     :ivar gone_at: when the entry was removed, ``None`` while it is listed.
     :ivar kept_until: until then it counts as present although its entry was removed.
-    :ivar has_said_leaving: its answers say that it leaves, whatever the list says.
+    :ivar has_said_leaving: it has said that it leaves, whatever the list says now.
+    :ivar replaced_incarnations: of earlier starts under the same id, latest last.
     :ivar paused_until: until then it wants nothing from this node.
     :ivar is_down: no connection could be made.
     :ivar is_replaced: another endpoint was found at its address.
@@ -88,6 +91,7 @@
     gone_at: float | None = None
     kept_until: float = 0.0
     has_said_leaving: bool = False
+    replaced_incarnations: tuple[str, ...] = ()
     paused_until: float = 0.0
     is_replaced: bool = False
     is_down: bool = False
@@ -232,9 +236,19 @@
     def put(self, entry: EndpointEntry) -> bool:
         """Takes an entry; returns whether it says anything new."""
         state = self._states.get(entry.id)
-        if state is None or state.entry.incarnation != entry.incarnation:
+        if state is None:
             self._states[entry.id] = EndpointState(entry, weights=dict(entry.weights))
             return True
+        if state.entry.incarnation != entry.incarnation:
+            replaced = (*state.replaced_incarnations, state.entry.incarnation)
+            self._states[entry.id] = EndpointState(
+                entry,
+                weights=dict(entry.weights),
+                replaced_incarnations=replaced[-MAX_INCARNATIONS:],
+            )
+            return True
+        # A store that came back from an older copy lists an endpoint that leaves as it was before.
+        state.has_said_leaving |= state.entry.is_leaving and not entry.is_leaving
         is_new = state.entry != entry or state.gone_at is not None
         state.entry = entry
         state.gone_at = None
@@ -242,6 +256,15 @@
             state.weights[model] = max(state.weights.get(model, 0), version)
         return is_new
 
+    def is_past(self, entry: EndpointEntry) -> bool:
+        """Returns whether an endpoint was removed, or has started again, since this entry."""
+        state = self._states.get(entry.id)
+        if state is None:
+            return False
+        if entry.incarnation == state.entry.incarnation:
+            return state.gone_at is not None
+        return entry.incarnation in state.replaced_incarnations
+
     def remove(self, endpoint_id: str) -> bool:
         """Notes that an entry was removed; returns whether it was present."""
         state = self._states.get(endpoint_id)
--- a/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
+++ b/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
@@ -3,6 +3,10 @@
 Load pattern: endpoints write heartbeats many times a second, and each node that reads the list
 costs the store calls and bytes. A few nodes read it and tell the others what changed. Any other
 node reads the list itself if it has not heard from a reader lately, or has missed changes.
+
+The store may come back from an older copy; it then begins a new era, in which it gives offsets out
+again. Offsets are compared within one era only. What a peer says of a newer era is a reason to ask
+the store, and nothing else.
 """
 
 from collections import deque
@@ -24,6 +28,22 @@
 TOLD_S = 2.5
 #: Bound on the size of the changes in one datagram, before compression.
 MAX_TOLD_BYTES = 24_000
+#: Time for which a peer's word of a newer era counts; readers repeat it with each reading, seconds.
+CLAIM_S = 3.0
+#: Time for which the store is not asked again after its answer did not bear out such a word,
+#: seconds.
+CLAIM_PAUSE_S = 5.0
+
+
+@dataclass(frozen=True, order=True)
+class Position:
+    """How far a topic of the store is known.
+
+    :ivar era: of the store; it rises each time that the store returns from an older copy.
+    """
+
+    era: int
+    offset: int
 
 
 @dataclass(frozen=True)
@@ -42,6 +62,7 @@
 class ListNews:
     """What a reader tells its peers.
 
+    :ivar era: of the store, for all offsets here.
     :ivar covers_from: ``changes`` has every change from this offset on.
     :ivar read_to: offset up to which the list was read.
     :ivar age_s: time since that reading.
@@ -49,6 +70,7 @@
         since their entries may have lapsed while the store was away.
     """
 
+    era: int
     covers_from: int
     read_to: int
     age_s: float
@@ -66,12 +88,16 @@
     def __init__(self, clock: Clock, leaving_s: float) -> None:
         self._clock = clock
         self._stale_s = leaving_s * STALE_PART
-        self._position: int | None = None
+        self._position: Position | None = None
         self._read_at: float | None = None
         self._fresh_at = float("-inf")
         self._covers_from = 0
         self._told: deque[tuple[float, Change]] = deque()
-        self._has_missed = False
+        self._lacks_changes = False
+        # When peers first and last told of a newer era, and when the store last denied it.
+        self._claimed_since = float("-inf")
+        self._claimed_at = float("-inf")
+        self._denied_at = float("-inf")
 
     @classmethod
     def from_config(cls, clock: Clock, leaving_s: float) -> "SharedReading":
@@ -79,56 +105,61 @@
         return cls(clock, leaving_s)
 
     @property
-    def position(self) -> int | None:
-        """Returns the offset up to which the list is known, ``None`` for not at all."""
+    def position(self) -> Position | None:
+        """Returns up to where the list is known, ``None`` for not at all."""
         return self._position
 
     @property
     def has_missed(self) -> bool:
-        """Returns whether a peer knows changes that this node lacks."""
-        return self._has_missed
+        """Returns whether a peer knows changes, or told of an era, that this node lacks."""
+        return self._lacks_changes or self._has_claim
 
     def is_due(self, rank: int) -> bool:
         """Returns whether this node must read the list now.
 
         :param rank: place of this node in the fleet's order, 0 for the first.
         """
-        if self._position is None or self._has_missed or rank < READERS:
+        if self._position is None or self._lacks_changes or rank < READERS:
             return True
+        now = self._clock()
         delay = min(rank * RANK_DELAY_S, MAX_RANK_DELAY_S)
-        return self._clock() - self._fresh_at >= self._stale_s + delay
+        if self._has_claim and now - self._claimed_since >= delay:
+            return True
+        return now - self._fresh_at >= self._stale_s + delay
 
-    def read_whole(self, position: int) -> None:
-        """Notes that this node has read the whole list up to an offset."""
-        self._told.clear()
-        self._covers_from = position
-        self._advance(position)
+    def read_whole(self, position: Position) -> None:
+        """Notes that this node has read the whole list as it is at a position."""
+        self._begin_at(position)
+        self._asked()
 
-    def take_whole(self, position: int) -> None:
-        """Notes that this node has taken a peer's whole list, current up to an offset."""
-        self._told.clear()
-        self._covers_from = position
-        self._position = position
+    def take_whole(self, position: Position) -> None:
+        """Notes that this node has taken a peer's whole list as it is at a position."""
+        self._begin_at(position)
         self._fresh_at = self._clock()
 
-    def read(self, position: int, changes: Iterable[Change]) -> None:
-        """Notes that this node has read the list up to an offset.
+    def read(self, offset: int, changes: Iterable[Change]) -> None:
+        """Notes that this node has read the list up to an offset of the era that it knows.
 
         :param changes: records among those that say something new.
         """
         self._tell(changes)
-        self._advance(position)
+        self._reach(offset)
+        self._asked()
 
     def take(self, news: ListNews) -> tuple[Change, ...]:
         """Returns the changes that a peer told and this node did not know."""
-        if self._position is None:
+        known = self._position
+        if known is None or news.era < known.era:
+            return ()
+        if news.era > known.era:
+            self._claim()
             return ()
-        if news.covers_from > self._position:
-            self._has_missed = True
+        if news.covers_from > known.offset:
+            self._lacks_changes = True
             return ()
-        new = tuple(change for change in news.changes if change.offset >= self._position)
+        new = tuple(change for change in news.changes if change.offset >= known.offset)
         self._tell(new)
-        self._position = max(self._position, news.read_to)
+        self._reach(news.read_to)
         self._fresh_at = max(self._fresh_at, self._clock() - news.age_s)
         return new
 
@@ -139,17 +170,46 @@
             return None
         self._drop_old(now)
         return ListNews(
+            self._position.era,
             self._covers_from,
-            self._position,
+            self._position.offset,
             now - self._read_at,
             keep_removed_s,
             tuple(change for _at, change in self._told),
         )
 
-    def _advance(self, position: int) -> None:
-        self._position = max(self._position or 0, position)
-        self._has_missed = False
-        self._read_at = self._fresh_at = self._clock()
+    @property
+    def _has_claim(self) -> bool:
+        """Returns whether the store is to be asked whether a newer era has begun."""
+        now = self._clock()
+        return now - self._claimed_at < CLAIM_S and now - self._denied_at >= CLAIM_PAUSE_S
+
+    def _claim(self) -> None:
+        now = self._clock()
+        if now - self._claimed_at >= CLAIM_S:
+            self._claimed_since = now
+        self._claimed_at = now
+
+    def _begin_at(self, position: Position) -> None:
+        if self._position is None or position.era != self._position.era:
+            # What peers told of other eras than this one says nothing of it.
+            self._claimed_at = float("-inf")
+        self._told.clear()
+        self._covers_from = position.offset
+        self._position = position
+        self._lacks_changes = False
+
+    def _reach(self, offset: int) -> None:
+        self._position = Position(self._position.era, max(self._position.offset, offset))
+
+    def _asked(self) -> None:
+        """Notes an answer of the store in the era that this node knows."""
+        now = self._clock()
+        if now - self._claimed_at < CLAIM_S:
+            self._denied_at = now
+        self._claimed_at = float("-inf")
+        self._lacks_changes = False
+        self._read_at = self._fresh_at = now
 
     def _tell(self, changes: Iterable[Change]) -> None:
         now = self._clock()
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -422,10 +422,11 @@
         self.wait_ready(node)
         book = node._view.book
         position = node._endpoints.position
-        news = ListNews(position, position + 1, 0.0, 0.0, (Change(position, "d1", None),))
+        era, offset = position.era, position.offset
+        news = ListNews(era, offset, offset + 1, 0.0, 0.0, (Change(offset, "d1", None),))
         node._endpoints.take(news, "node-2")
         book.get("d1").gone_at -= 2 * FORGET_GONE_S
-        node._endpoints.take(ListNews(position, position + 1, 0.0, 0.0, ()), "node-2")
+        node._endpoints.take(ListNews(era, offset, offset + 1, 0.0, 0.0, ()), "node-2")
         self.assertIsNone(book.get("d1"))
 
     def test_only_few_nodes_read_the_list(self) -> None:
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -25,7 +25,7 @@
     def test_state_arrives_as_it_was_sent(self) -> None:
         changes = (Change(4, "e1", b"{}"), Change(6, "e2", None))
         sent = state(
-            news=ListNews(3, 9, 0.5, 1.0, changes),
+            news=ListNews(2, 3, 9, 0.5, 1.0, changes),
             loads={"e1": (1, 2.0, 3.0, 0)},
             admitted={"school": 7.0},
             weights={"m": {2: 0.5}},
@@ -49,7 +49,7 @@
         """Replays weights that all of 70 engines have loaded: their entries change at once."""
         entry = b'{"service":"llm","address":"10.1.64.%d:8221","zone":"z1","slots":12}' * 3
         changes = tuple(Change(n, f"i-{n:010x}", entry % (n, n, n)) for n in range(70))
-        sent = state(news=ListNews(0, 99, 0.0, 0.0, changes))
+        sent = state(news=ListNews(1, 0, 99, 0.0, 0.0, changes))
         self.assertLess(len(sent.encode()), sum(len(change.value) for change in changes) / 4)
 
     def test_datagrams_that_unpack_to_too_much_are_refused(self) -> None:
@@ -72,7 +72,7 @@
 
     @given(st.data())
     def test_damaged_datagrams_end_no_node(self, data) -> None:
-        sent = bytearray(state(news=ListNews(0, 1, 0.0, 0.0, (Change(0, "e", b"{}"),))).encode())
+        sent = bytearray(state(news=ListNews(1, 0, 1, 0.0, 0.0, (Change(0, "e", b"{}"),))).encode())
         at = data.draw(st.integers(0, len(sent) - 1))
         sent[at] = data.draw(st.integers(0, 255))
         PeerState.decode(bytes(sent))
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -9,6 +9,7 @@
     STALE_PART,
     TOLD_S,
     Change,
+    Position,
     SharedReading,
 )
 
@@ -23,6 +24,7 @@
     """The list as the store has it: a heartbeat at every offset, changes at some."""
 
     def __init__(self) -> None:
+        self.era = 1
         self.end = 0
         self.changes: dict[int, Change] = {}
 
@@ -55,10 +57,12 @@
         self.reads += 1
         self._next_read = self._clock() + READ_S
         start = self.reading.position
-        found = self._listed.since(start or 0)
-        if start is None:
-            self.reading.read_whole(self._listed.end)
+        if start is None or start.era != self._listed.era:
+            self.known.clear()
+            found = self._listed.since(0)
+            self.reading.read_whole(Position(self._listed.era, self._listed.end))
         else:
+            found = self._listed.since(start.offset)
             self.reading.read(self._listed.end, found)
         self._apply(found)
 
