--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -89,9 +89,9 @@
         """Takes what a peer has read."""
         keep_until = self._clock() + news.keep_removed_s
         for change in self._reading.take(news):
-            self._view.take_endpoint(Record(change.key, change.value), peer)
+            is_new = self._view.take_endpoint(Record(change.key, change.value), peer)
             self._unsettled.discard(change.key)
-            if change.value is None:
+            if change.value is None and is_new:
                 self._view.book.keep(change.key, keep_until)
         self._view.forget_gone()
 
