Settle endpoints of an older list from the node's own offset

Cause: a node that had not taken an entry of an older list read on for the next record from its position, which peers move on with each of their readings; it could miss every heartbeat of the endpoint and leave it out for as long as it ran.

Tests of the hearer's rules for eras, and of three single cases of settling.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -68,6 +68,7 @@
         # tell whether they are there.
         self._unsettled: set[str] = set()
         self._unsettled_until = float("-inf")
+        self._settled_to = 0
         self._is_telling = False
         self._greenlet: Any = None
 
@@ -158,7 +159,9 @@
             self._read_whole(start)
             return
         try:
-            batch = self._topic.since(start.offset, self._wait_s)
+            # What peers tell moves the position on, but does not settle these endpoints.
+            offset = self._settled_to if self._unsettled else start.offset
+            batch = self._topic.since(offset, self._wait_s)
         except HoleFoundError as error:
             self._log.line("store_history_gone", oldest=error.oldest)
             self._must_read_whole = True
@@ -171,7 +174,8 @@
             # A peer's list of a newer era came meanwhile.
             return
         self._read_at = self._clock()
-        self._reading.read(batch.next_offset, self._apply(start.offset, batch))
+        self._reading.read(batch.next_offset, self._apply(offset, batch))
+        self._settled_to = batch.next_offset
         self._view.forget_gone()
         self._tell()
 
@@ -197,6 +201,7 @@
         self._watch.list_returned()
         self._unsettled = self._view.settle_endpoints(records, source)
         self._unsettled_until = self._clock() + SETTLING_S
+        self._settled_to = position.offset
         self._log.line(
             "endpoints_read_anew", era=position.era, previous=known.era, listed=len(records)
         )
--- a/tests/test_return_model.py
+++ b/tests/test_return_model.py
@@ -177,5 +177,48 @@
 )
 ReturnTest = ReturnMachine.TestCase
 
+
+class SettlingTest(unittest.TestCase):
+    """Single cases in which nodes know different things of an endpoint in an older list."""
+
+    def setUp(self) -> None:
+        self.world = World(Random(1))
+        self.world.run(2.0)
+        self.copy = self.world.store.copy()
+
+    def test_node_without_the_store_takes_the_list_of_the_newer_era(self) -> None:
+        last = self.world.nodes[-1]
+        last.is_cut = True
+        self.world.run(3.0)
+        self.world.return_to(self.copy)
+        self.world.run(3.0)
+        self.assertEqual(last.reading.position.era, 2)
+
+    def test_fresh_node_hears_that_an_endpoint_of_the_older_list_is_gone(self) -> None:
+        """Guards against readers that tell no removal since it is no news to themselves."""
+        self.world.workers[0].is_alive = False
+        self.world.run(3.0)
+        self.world.return_to(self.copy)
+        self.world.nodes[-1] = Node(self.world, len(self.world.nodes) - 1)
+        self.world.run(0.2, has_heartbeats=False)
+        self.assertIn("e0", self.world.nodes[-1].usable)
+        self.world.run(6.0)
+        self.assertNotIn("e0", self.world.nodes[-1].usable)
+
+    def test_node_that_reads_late_learns_that_an_endpoint_is_back(self) -> None:
+        """Guards against an entry that is taken for an older one and never looked at again."""
+        worker, last = self.world.workers[0], self.world.nodes[-1]
+        worker.is_alive = False
+        self.world.run(3.0)
+        last.is_frozen = True
+        self.world.return_to(self.copy)
+        self.world.run(0.4, has_heartbeats=False)
+        worker.is_alive = True
+        self.world.run(5.0)
+        last.is_frozen = False
+        self.world.run(3.0)
+        self.assertIn("e0", last.usable)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -4,11 +4,14 @@
 
 from arbutustally.clock import VirtualClock
 from arbutustally.gateway.shared_reading import (
+    CLAIM_PAUSE_S,
+    CLAIM_S,
     MAX_TOLD_BYTES,
     READERS,
     STALE_PART,
     TOLD_S,
     Change,
+    ListNews,
     Position,
     SharedReading,
 )
@@ -159,3 +162,63 @@
         self.assertIsNotNone(node.reading.news(0.0))
         self.clock.advance(STALE_S)
         self.assertIsNone(node.reading.news(0.0))
+
+
+class EraTest(unittest.TestCase):
+    """One hearer, far back in the order of readers, and what peers tell it of eras."""
+
+    RANK = 5
+
+    def setUp(self) -> None:
+        self.clock = VirtualClock(100.0)
+        self.reading = SharedReading.from_config(self.clock, LEAVING_S)
+        self.reading.read_whole(Position(2, 10))
+
+    def hear(self, era: int, *changes: Change) -> tuple[Change, ...]:
+        return self.reading.take(ListNews(era, 0, 99, 0.0, 0.0, changes))
+
+    def test_news_of_an_older_era_say_nothing(self) -> None:
+        """Guards against a node that a late reader takes back to before the store's return."""
+        self.assertEqual(self.hear(1, Change(20, "e1", None)), ())
+        self.assertEqual(self.reading.position, Position(2, 10))
+        self.assertFalse(self.reading.has_missed)
+
+    def test_news_of_an_older_era_are_no_sign_of_a_reader(self) -> None:
+        """Guards against a node that never reads since readers of an older era are loud."""
+        for _ in range(20):
+            self.hear(1)
+            self.clock.advance(0.1)
+        self.assertTrue(self.reading.is_due(self.RANK))
+
+    def test_newer_era_is_a_reason_to_ask_the_store_and_nothing_else(self) -> None:
+        self.assertEqual(self.hear(3, Change(20, "e1", None)), ())
+        self.assertEqual(self.reading.position, Position(2, 10))
+        self.assertTrue(self.reading.has_missed)
+        self.clock.advance(0.3)
+        self.assertTrue(self.reading.is_due(self.RANK))
+        self.reading.read_whole(Position(3, 4))
+        self.assertFalse(self.reading.has_missed)
+        self.assertFalse(self.reading.is_due(self.RANK))
+
+    def test_era_that_the_store_denies_is_not_asked_for_again_soon(self) -> None:
+        """Guards against a peer with a false era that has all nodes call the store for ever."""
+        asked = 0
+        for _ in range(round(2 * CLAIM_PAUSE_S / 0.1)):
+            self.hear(1 << 60)
+            self.hear(2)
+            if self.reading.is_due(self.RANK):
+                asked += 1
+                self.reading.read(10, ())
+            self.clock.advance(0.1)
+        self.assertIn(asked, (1, 2))
+
+    def test_word_of_an_era_that_nobody_repeats_is_forgotten(self) -> None:
+        self.hear(3)
+        self.clock.advance(CLAIM_S)
+        self.assertFalse(self.reading.has_missed)
+
+    def test_whole_list_of_the_store_counts_whatever_was_known(self) -> None:
+        """Guards against a node that holds on to an era which the store never had."""
+        self.reading.take_whole(Position(1 << 60, 1))
+        self.reading.read_whole(Position(2, 11))
+        self.assertEqual(self.reading.position, Position(2, 11))
