Read the operator's records once at a start

Cause: the first era that a store told counted as a return, so the follower of the operator's records dropped its first wait and read the newest records a second time.

Change: an era that the last answer already had ends no wait. Tests of numbers in datagrams that no store has, and a case of settling in which the fresh node hears the removal and does not read it.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -58,6 +58,7 @@
         self._told: deque[tuple[float, float, Record]] = deque()
         self._offset: int | None = None
         self._era = 0
+        self._told_era = 0
         # Earliest time at which the next records may have been written.
         self._unread_since = -math.inf
         self._has_read = False
@@ -94,6 +95,7 @@
 
     def era_changed(self, era: int) -> None:
         """Ends a wait for the next record: the store has begun an era with other offsets."""
+        self._told_era = era
         if era > self._era:
             self._woken.set()
 
@@ -131,6 +133,8 @@
             self._read_anew()
             return
         self._era, self._offset = batch.era, batch.next_offset
+        if self._era >= self._told_era:
+            self._woken.clear()
         self._take(batch.records, min(self._unread_since, self._clock()), self._has_read)
         self._unread_since = math.inf
         self._has_read = True
--- a/tests/test_fleet_after_return.py
+++ b/tests/test_fleet_after_return.py
@@ -164,6 +164,10 @@
         self.heartbeats(3 * MANY)
         self.eventually(lambda: not self.is_used(self.node, "d1"), AGREED_S)
 
+    def test_first_era_is_no_return(self) -> None:
+        """Guards against a node that reads the operator's records twice at its start."""
+        self.assertFalse(self.node._follower._woken.is_set())
+
     def test_requests_are_served_through_a_return(self) -> None:
         self.lose_heartbeats()
         for number in range(20):
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -66,6 +66,15 @@
             received = PeerState.decode(b"p" + cbor2.dumps(changed))
             self.assertTrue(received is None or received.encode(), (place, wrong))
 
+    def test_numbers_that_no_store_has_are_refused(self) -> None:
+        """Guards against an era or offset that ends the task which receives, or fills the log."""
+        for wrong in (float("inf"), float("nan"), 1.5, -1, 1 << 64, "1", None):
+            for numbers in ((wrong, 0, 1), (1, wrong, 1), (1, 0, wrong)):
+                news = ListNews(*numbers, 0.0, 0.0, ())
+                self.assertIsNone(PeerState.decode(state(news=news).encode()), numbers)
+            counted = state(counted={"n2": wrong})
+            self.assertTrue(wrong != float("inf") or PeerState.decode(counted.encode()) is None)
+
     @given(st.binary(max_size=200))
     def test_bytes_of_others_are_refused(self, data) -> None:
         self.assertIsNone(PeerState.decode(data))
--- a/tests/test_return_model.py
+++ b/tests/test_return_model.py
@@ -199,6 +199,8 @@
         self.world.workers[0].is_alive = False
         self.world.run(3.0)
         self.world.return_to(self.copy)
+        # The others have read the older list before the fresh node does.
+        self.world.run(1.4, has_heartbeats=False)
         self.world.nodes[-1] = Node(self.world, len(self.world.nodes) - 1)
         self.world.run(0.2, has_heartbeats=False)
         self.assertIn("e0", self.world.nodes[-1].usable)
