--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -190,6 +190,7 @@
     announcer = Announcer(
         platform.node_topic, gossip, watch, log, boottime, options.node, options.ip.encode()
     )
+    platform.store_era.watch(follower.era_changed)
     platform.store_era.watch(announcer.era_changed)
     return StoreReaders(watch, endpoints, follower, announcer)
 
