Split the table of the fleet by subject

The addresses of the other relays are worked out once a round, not twice. The rule that a message without members leaves those named before stood twice and is one function.

--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_candidates.py
@@ -0,0 +1,66 @@
+"""Addresses at which peers may be alive, and when a relay tries them."""
+
+from collections.abc import Container, KeysView
+from dataclasses import dataclass
+
+from arbutustally.clock import Clock
+
+#: Time after which an absent peer, or an address that is not heard, is forgotten, seconds.
+FORGET_S = 30.0
+#: Interval at which a relay tries a node that was introduced and is not heard, seconds; longer
+#: when it was tried for a while.
+PROBE_S = 0.4
+LATE_PROBE_S = 5.0
+EARLY_PROBES_S = 4.0
+#: Nodes that are tried at the same time.
+MAX_PROBES = 8
+
+
+@dataclass
+class Candidate:
+    """An address at which a node may be alive.
+
+    :ivar is_lasting: kept also if nothing is heard of it for long.
+    """
+
+    added_at: float
+    is_lasting: bool
+    probed_at: float = float("-inf")
+
+
+class PeerCandidates:
+    """Candidates of one node, by address."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._candidates: dict[str, Candidate] = {}
+
+    @property
+    def ips(self) -> KeysView[str]:
+        """Returns the addresses."""
+        return self._candidates.keys()
+
+    def add(self, ip: str, is_lasting: bool) -> None:
+        """Adds an address unless it is known."""
+        self._candidates.setdefault(ip, Candidate(self._clock(), is_lasting))
+
+    def due_probes(self, present: Container[str]) -> tuple[str, ...]:
+        """Returns the addresses to try now, and forgets those that were tried for long.
+
+        :param present: addresses of the peers that are heard; they are not tried.
+        """
+        now = self._clock()
+        due = []
+        for ip, candidate in list(self._candidates.items()):
+            tried_s = now - candidate.added_at
+            if ip in present:
+                candidate.added_at = now
+                candidate.probed_at = float("-inf")
+            elif tried_s > FORGET_S and not candidate.is_lasting:
+                del self._candidates[ip]
+            elif len(due) < MAX_PROBES:
+                pause = PROBE_S if tried_s <= EARLY_PROBES_S else LATE_PROBE_S
+                if now - candidate.probed_at >= pause:
+                    candidate.probed_at = now
+                    due.append(ip)
+        return tuple(due)
--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/relay_messages.py
@@ -0,0 +1,116 @@
+"""The messages of a node, numbered, and those of a relay with the sums over what it heard."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
+from typing import Any
+
+from arbutustally.gateway.engine_speeds import add_works
+from arbutustally.gateway.fleet_sums import add_loads
+from arbutustally.gateway.relaying import Member
+from arbutustally_node.gateway.heard_peers import MAX_PLACED, HeardPeers
+from arbutustally_node.gateway.peer_state import Covers, PeerState
+
+#: One of this many messages names members and relays also if they are the same as before. A node
+#: that begins to relay knows the fleet until its former relay counts as absent; by then the other
+#: relays have named their nodes.
+MEMBERS_EVERY = {Covers.CELL: 5, Covers.FLEET: 10}
+
+
+class RelayMessages:
+    """Builds the messages of one node."""
+
+    def __init__(self, heard: HeardPeers) -> None:
+        self._heard = heard
+        self._number = 0
+        self._rounds = 0
+        self._told_members: dict[Covers, tuple[Member, ...]] = {}
+        # Whether the other relays are to be told of a changed fleet.
+        self._has_changed = False
+
+    def begin_round(self) -> None:
+        """Begins the messages that are sent together."""
+        self._rounds += 1
+
+    def fleet_changed(self) -> None:
+        """Lets the next messages name members and relays."""
+        self._has_changed = True
+        self._told_members.clear()
+
+    def node_came(self) -> None:
+        """Lets the next messages name members: a node that knows none has come."""
+        self._told_members.clear()
+
+    def numbered(self, own: PeerState) -> PeerState:
+        """Returns a state of this node with the next number."""
+        self._number += 1
+        return replace(own, number=self._number)
+
+    def cell(self, own: PeerState, relays: Sequence[str]) -> PeerState:
+        """Returns the message to other relays: this node and those that use it.
+
+        :param relays: addresses of the other relays.
+        """
+        heard = self._heard
+        nodes = heard.nodes.values()
+        members = tuple(one.state.sender for one in nodes)
+        return replace(
+            self.numbered(own),
+            covers=Covers.CELL,
+            peers=self._peers_to_tell(relays),
+            placed=(*own.placed, *heard.cell_placed),
+            members=self._members_to_tell(Covers.CELL, members),
+            **_sums([own, *(one.state for one in nodes)], own, heard.cell_admitted),
+        )
+
+    def fleet(self, own: PeerState, present: Sequence[Member]) -> PeerState:
+        """Returns the message to the nodes that use this one: the whole fleet.
+
+        :param present: peers that are heard, by this node or by a relay.
+        """
+        heard = self._heard
+        states = [one.state for one in (*heard.nodes.values(), *heard.cells.values())]
+        return replace(
+            self.numbered(own),
+            covers=Covers.FLEET,
+            placed=(*own.placed, *heard.cell_placed, *heard.other_placed)[-MAX_PLACED:],
+            members=self._members_to_tell(Covers.FLEET, tuple(present)),
+            counted={one.state.sender.node: one.state.number for one in heard.nodes.values()},
+            **_sums([own, *states], own, heard.cell_admitted, heard.other_admitted),
+        )
+
+    def _members_to_tell(
+        self, covers: Covers, members: tuple[Member, ...]
+    ) -> tuple[Member, ...] | None:
+        is_due = self._rounds % MEMBERS_EVERY[covers] == 0
+        if not is_due and self._told_members.get(covers) == members:
+            return None
+        self._told_members[covers] = members
+        return members
+
+    def _peers_to_tell(self, relays: Sequence[str]) -> tuple[str, ...]:
+        if self._rounds % MEMBERS_EVERY[Covers.CELL] and not self._has_changed:
+            return ()
+        self._has_changed = False
+        return tuple(relays)
+
+
+def _sums(
+    states: Sequence[PeerState], own: PeerState, *totals: Mapping[str, float]
+) -> dict[str, Any]:
+    """Returns the fields of a message that add up what several nodes say."""
+    admitted = dict(own.admitted)
+    for by_account in totals:
+        for account, total in by_account.items():
+            admitted[account] = admitted.get(account, 0.0) + total
+    return {
+        "loads": add_loads(state.loads for state in states),
+        "speeds": add_works(state.speeds for state in states),
+        "admitted": admitted,
+        "orders_engines": any(state.orders_engines for state in states),
+        "loading": tuple({engine for state in states for engine in state.loading}),
+        "leaving": {
+            endpoint: incarnation
+            for state in states
+            for endpoint, incarnation in state.leaving.items()
+        },
+    }
