--- a/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Literal
+from typing import Any, Literal
 
 from arbutustally.clock import Clock
 from arbutustally.instance_client import Instance
@@ -31,6 +31,10 @@
     incarnation: str
     kind: MarkKind
 
+    def to_values(self) -> list[str]:
+        """Returns the form in which nodes share it."""
+        return [self.endpoint_id, self.incarnation, self.kind]
+
 
 @dataclass(frozen=True)
 class Load:
@@ -48,6 +52,24 @@
     versions: tuple[str, ...]
     taken_at: float
 
+    @classmethod
+    def from_values(cls, values: list[Any], now: float) -> "Load":
+        """Returns the load that a peer shared, as of its arrival."""
+        endpoint_id, incarnation, queued, running, versions, age_ms = values
+        return cls(endpoint_id, incarnation, queued, running, tuple(versions), now - age_ms / 1000)
+
+    def to_values(self, now: float) -> list[Any]:
+        """Returns the form in which nodes share it, with its age in milliseconds."""
+        age_ms = int((now - self.taken_at) * 1000)
+        return [
+            self.endpoint_id,
+            self.incarnation,
+            self.queued_tokens,
+            self.running,
+            list(self.versions),
+            age_ms,
+        ]
+
 
 @dataclass(frozen=True)
 class EndpointState:
--- a/packages/arbutustally-node/src/arbutustally_node/membership.py
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -11,12 +11,13 @@
 from arbutustally.clock import Clock, monotonic
 from arbutustally.directory import winners
 from arbutustally.engine_client import EngineClient
-from arbutustally.errors import InstanceListUnavailableError, RouterError
+from arbutustally.errors import InstanceListUnavailableError
 from arbutustally.instance_client import Instance, InstanceClient
 from arbutustally.logs import get_logger
 from arbutustally.metrics import Metrics, declare
 from arbutustally_node.endpoint_table import EndpointState, EndpointTable, Load, Mark
 from arbutustally_node.kernel import Kernel
+from arbutustally_node.load_polls import LoadFunction, LoadPolls
 from arbutustally_node.node_table import Node, NodeTable
 from arbutustally_node.options import Options
 
@@ -29,21 +30,14 @@
 #: Nodes that repeat a mark. One would not do: it may be the node that has missed the mark; all
 #: would send every mark of the fleet as often as there are nodes.
 MARK_COPIES = 3
-#: An unchanged load is sent again after this long, so that its age stays low, seconds.
-LOAD_RESEND_S = 2.0
 #: Longest silence of an engine that is asked for its load, seconds.
 LOAD_TIMEOUT_S = 1.0
 #: Load polls in flight at the same time.
 MAX_POLLS = 16
-#: Failed polls in a row after which this node does not use an endpoint.
-POLL_FAILURES = 2
 
 LIST_FAILED = declare(
     "retried.instance_list", "Reads of the instance list that failed; check the platform."
 )
-POLL_FAILED = declare("retried.load_poll", "Load polls that failed; check the endpoints.")
-
-LoadFunction = Callable[[str], Any]
 
 _log = get_logger("membership")
 
@@ -68,17 +62,14 @@
         self._options = options
         self._metrics = metrics
         self._list_instances = list_instances
-        self._load = load
         self._peers = peers
         self._clock = clock
         self._random = random.Random()
         self._endpoints = EndpointTable(clock)
         self._nodes = NodeTable(clock)
+        self._polls = LoadPolls(self._endpoints, load, self.mark_dead, metrics, clock)
         self._draining = False
         self._list_read_at: float | None = None
-        self._failures: dict[str, int] = {}
-        self._sent_loads: dict[str, tuple[Load, float]] = {}
-        self._polled: dict[str, Load] = {}
         self._fresh_marks: list[Mark] = []
         self._deltas = 0
         self._last_connected: list[str] = []
@@ -179,7 +170,7 @@
         if self._endpoints.apply(mark):
             _log.info("endpoint marked", endpoint=mark.endpoint_id, kind=mark.kind)
             # Sent at once: until the others know, they lose requests on it.
-            self._broadcast({"marks": [_from_mark(mark)]})
+            self._broadcast({"marks": [mark.to_values()]})
             self._fresh_marks.append(mark)
 
     # List
@@ -202,7 +193,7 @@
         marks = self._endpoints.update_list(i for i in instances if i.service != ENTRY_SERVICE)
         self._fresh_marks.extend(marks)
         if marks:
-            self._broadcast({"marks": [_from_mark(mark) for mark in marks]})
+            self._broadcast({"marks": [mark.to_values() for mark in marks]})
 
     # Load
 
@@ -240,35 +231,7 @@
 
     def poll(self, instance: Instance) -> None:
         """Reads the load of one engine."""
-        sent_at = self._clock()
-        try:
-            report = self._load(instance.address)
-        except (RouterError, OSError) as error:
-            self._poll_failed(instance, error)
-            return
-        self._failures.pop(instance.id, None)
-        self._endpoints.set_unreachable(instance.id, False)
-        load = Load(
-            instance.id,
-            report.incarnation,
-            report.queued_tokens,
-            report.running,
-            tuple(report.versions),
-            sent_at - report.age_s,
-        )
-        if self._endpoints.report(load):
-            self._polled[instance.id] = load
-
-    def _poll_failed(self, instance: Instance, error: Exception) -> None:
-        self._metrics.count(POLL_FAILED)
-        if _is_refused(error):
-            # Nothing listens there: that process has ended.
-            self.mark_dead(instance.id, self._endpoints.incarnation(instance.id))
-            return
-        failures = self._failures.get(instance.id, 0) + 1
-        self._failures[instance.id] = failures
-        if failures >= POLL_FAILURES:
-            self._endpoints.set_unreachable(instance.id, True)
+        self._polls.poll(instance)
 
     # Deltas
 
@@ -289,8 +252,10 @@
         if full:
             delta["node"] = self._own_announcement()
         if marks:
-            delta["marks"] = [_from_mark(mark) for mark in marks]
-        loads = self._loads_to_send(full)
+            delta["marks"] = [mark.to_values() for mark in marks]
+        now = self._clock()
+        loads = [load.to_values(now) for load in self._polls.take_unsent(full)]
+        self._polls.keep({instance.id for instance in self.assigned()})
         if loads:
             delta["loads"] = loads
         self._broadcast(delta)
@@ -300,19 +265,6 @@
         repeated = [mark for mark in self._endpoints.marks() if mark.endpoint_id in own]
         return list(dict.fromkeys([*self._fresh_marks, *repeated]))
 
-    def _loads_to_send(self, full: bool) -> list[list[Any]]:
-        now = self._clock()
-        entries = []
-        for endpoint_id, load in self._polled.items():
-            sent, sent_at = self._sent_loads.get(endpoint_id, (None, 0.0))
-            if not full and _same_load(load, sent) and now - sent_at < LOAD_RESEND_S:
-                continue
-            self._sent_loads[endpoint_id] = (load, now)
-            entries.append(_from_load(load, now))
-        assigned = {instance.id for instance in self.assigned()}
-        self._polled = {key: load for key, load in self._polled.items() if key in assigned}
-        return entries
-
     def _broadcast(self, delta: dict[str, Any]) -> None:
         self._peers().broadcast(TOPIC, delta)
 
@@ -323,7 +275,7 @@
             self._endpoints.apply(Mark(*values))
         now = self._clock()
         for values in delta.get("loads", ()):
-            self._endpoints.report(_to_load(values, now))
+            self._endpoints.report(Load.from_values(values, now))
 
     def _own_node(self) -> Node:
         return Node(self._options.node_id, *self._own_announcement())
@@ -341,40 +293,3 @@
     def _pause(self, seconds: float) -> None:
         # Jitter keeps nodes that started together from polling together.
         self._stopping.wait(seconds * self._random.uniform(0.8, 1.2))
-
-
-def _from_mark(mark: Mark) -> list[str]:
-    return [mark.endpoint_id, mark.incarnation, mark.kind]
-
-
-def _from_load(load: Load, now: float) -> list[Any]:
-    age_ms = int((now - load.taken_at) * 1000)
-    return [
-        load.endpoint_id,
-        load.incarnation,
-        load.queued_tokens,
-        load.running,
-        list(load.versions),
-        age_ms,
-    ]
-
-
-def _to_load(values: list[Any], now: float) -> Load:
-    endpoint_id, incarnation, queued, running, versions, age_ms = values
-    return Load(endpoint_id, incarnation, queued, running, tuple(versions), now - age_ms / 1000)
-
-
-def _same_load(load: Load, sent: Load | None) -> bool:
-    return sent is not None and (load.incarnation, load.queued_tokens, load.running) == (
-        sent.incarnation,
-        sent.queued_tokens,
-        sent.running,
-    )
-
-
-def _is_refused(error: BaseException | None) -> bool:
-    while error is not None:
-        if isinstance(error, ConnectionRefusedError):
-            return True
-        error = error.__cause__ or error.__context__
-    return False
