Remove what nothing uses

Cause: functions, fields and constants without a user: EndpointBook.replace_all, Placement.index_entries, ControlState.claim_floor_s with ClaimTable.floor_s, the stand-in's held_pieces, membership's time of the last list (written, never read), and three constants and fields of bench and tests. Change: removed.

--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -125,7 +125,6 @@
         self.counts_bytes = False
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
-        self._zones = zones
         self.nodes = [WorldNode(number, f"z{number % zones}", 0, self) for number in range(nodes)]
         self._by_ip = {node.ip: node for node in self.nodes}
         for node in self.nodes:
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -15,7 +15,6 @@
 
 TRACES = Path(__file__).parent / "traces"
 BURST_FACTOR = 5
-_TOKEN_BYTES = 4
 _RATE_HEADROOM = 1.6
 _BURST_S = 10.0
 
--- a/packages/arbutustally-node/src/arbutustally_node/membership.py
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -69,7 +69,6 @@
         self._nodes = NodeTable(clock)
         self._polls = LoadPolls(self._endpoints, load, self.mark_dead, metrics, clock)
         self._draining = False
-        self._list_read_at: float | None = None
         self._fresh_marks: list[Mark] = []
         self._deltas = 0
         self._last_connected: list[str] = []
@@ -188,7 +187,6 @@
             self._metrics.count(LIST_FAILED)
             _log.debug("instance list failed", reason=error.message)
             return
-        self._list_read_at = self._clock()
         self._nodes.update_list(i for i in instances if i.service == ENTRY_SERVICE)
         marks = self._endpoints.update_list(i for i in instances if i.service != ENTRY_SERVICE)
         self._fresh_marks.extend(marks)
--- a/packages/arbutustally-standins/src/arbutustally_standins/engine/stores.py
+++ b/packages/arbutustally-standins/src/arbutustally_standins/engine/stores.py
@@ -42,10 +42,6 @@
         """
         self._call("GET", f"{self._weights_url}/v1/weights/{model}/{version}")
 
-    def held_pieces(self, blocks: Sequence[bytes]) -> int:
-        """Returns how many leading pieces of a chain the KV store holds."""
-        return self._pieces("have", blocks)
-
     def fetch_pieces(self, blocks: Sequence[bytes]) -> int:
         """Fetches the leading pieces of a chain and returns their number."""
         return self._pieces("fetch", blocks)
--- a/packages/arbutustally/src/arbutustally/claim_table.py
+++ b/packages/arbutustally/src/arbutustally/claim_table.py
@@ -33,17 +33,13 @@
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
+        # Least key time that is accepted, Unix seconds.
         self._floor_s = -math.inf
         self._entries: dict[str, ClaimEntry] = {}
         self._by_time: list[tuple[float, str]] = []
         self._bodies: dict[str, int] = {}
         self._kept_characters = 0
 
-    @property
-    def floor_s(self) -> float:
-        """Returns the least key time that is accepted, Unix seconds."""
-        return self._floor_s
-
     def get(self, key: str) -> ClaimEntry | None:
         """Returns the current claim of a key."""
         return self._entries.get(key)
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -1,6 +1,6 @@
 """What a node believes of the endpoints, from the platform's list, its own calls and its peers."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from random import Random
 
@@ -251,16 +251,6 @@
         state.kept_until = self._keep_removed_until
         return True
 
-    def replace_all(self, entries: Iterable[EndpointEntry]) -> None:
-        """Takes a whole list; endpoints that it lacks are removed."""
-        listed = set()
-        for entry in entries:
-            listed.add(entry.id)
-            self.put(entry)
-        for endpoint_id in list(self._states):
-            if endpoint_id not in listed:
-                self.remove(endpoint_id)
-
     def replaced(self, state: EndpointState) -> None:
         """Notes that another endpoint has the address: this one is gone for good."""
         state.is_replaced = True
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -119,11 +119,6 @@
         """Builds placement; ``options`` and ``speeds`` may be omitted."""
         return cls(clock, rng, options or PlacementOptions(), speeds)
 
-    @property
-    def index_entries(self) -> int:
-        """Returns the number of prefixes in the cache index."""
-        return len(self._index)
-
     def prefill_speed(self, endpoint: str) -> float:
         """Returns the learned prefill speed of an endpoint in tokens/s."""
         return self._load.speed(endpoint)
--- a/packages/arbutustally/src/arbutustally/state.py
+++ b/packages/arbutustally/src/arbutustally/state.py
@@ -75,11 +75,6 @@
         """Returns the configuration in force."""
         return self._declarations
 
-    @property
-    def claim_floor_s(self) -> float:
-        """Returns the least key time of an accepted claim, Unix seconds."""
-        return self._claims.floor_s
-
     @property
     def claims_held(self) -> int:
         """Returns the number of claims within the booking window."""
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -20,9 +20,8 @@
 SLOTS = 12
 #: Age of what nodes know of each other, seconds.
 HEARD_AFTER_S = 0.3
-#: What an engine reads, tokens a second, and what a first event takes beside it, seconds.
+#: What an engine reads, tokens a second.
 READ_SPEED = 90_000.0
-FIRST_EVENT_S = 0.06
 GUIDE, HISTORY, OWN = 2_500, 3_800, 2_900
 
 
