--- a/packages/arbutustally-node/src/arbutustally_node/caller_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_http.py
@@ -7,18 +7,16 @@
 import bottle
 import orjson
 
-from arbutustally.engine_client import CHAT_PATH, COMPLETIONS_PATH
 from arbutustally.errors import (
-    BadRequestError,
     DrainingError,
     ModelUnknownError,
     NoConfigurationError,
     Ran,
     RouterError,
-    RouteUnknownError,
 )
 from arbutustally.logs import get_logger
 from arbutustally.stream_token import digest_request
+from arbutustally_node.caller_routes import find_route, route_unknown
 from arbutustally_node.caller_watch import CallerGoneError, CallerWatch
 from arbutustally_node.calls import ModelCall, PlainCall
 from arbutustally_node.credentials import (
@@ -40,7 +38,6 @@
 from arbutustally_node.options import Options
 from arbutustally_node.refusals import count_refusal
 
-MODEL_PATHS = (CHAT_PATH, COMPLETIONS_PATH)
 #: Account under which requests of open routes are accounted.
 OPEN_ACCOUNT = "open"
 
@@ -50,8 +47,6 @@
 _EXPLAIN = "X-Arbutustally-Explain"
 _METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 
-_DOT_SEGMENTS = frozenset({".", ".."})
-
 Handler = Callable[[Trace], bottle.HTTPResponse]
 
 
@@ -253,22 +248,9 @@
         return account
 
     def _route(self) -> tuple[str, Any]:
-        path = bottle.request.environ["PATH_INFO"]
-        method = bottle.request.environ["REQUEST_METHOD"]
-        if not _DOT_SEGMENTS.isdisjoint(path.replace("\\", "/").split("/")):
-            # A service that resolves them would run a request of one route under another one,
-            # which may be open to all.
-            raise BadRequestError("the path has a segment '.' or '..'; send the resolved path")
-        found = None
-        for name, route in self._declarations().routes.items():
-            longer = found is None or len(route.path) > len(found[1].path)
-            if longer and method in route.methods and _covers(route, path):
-                found = (name, route)
-        if found is None:
-            raise RouteUnknownError(
-                "no declared route has this path and method; see the operator's declarations"
-            )
-        return found
+        environ = bottle.request.environ
+        routes = self._declarations().routes
+        return find_route(routes, environ["REQUEST_METHOD"], environ["PATH_INFO"])
 
     def _is_configured(self) -> bool:
         log = self._kernel.lookup("log")
@@ -294,9 +276,7 @@
         """Answers what bottle itself refuses, in the form of all errors."""
         explain = self._kernel.lookup("explain")
         trace = explain.begin(explain.new_request_id(), "", "")
-        error: RouterError = RouteUnknownError(
-            "no declared route has this path and method; see the operator's declarations"
-        )
+        error: RouterError = route_unknown()
         if result.status_code >= 500:
             error = _internal(result)
         self.refuse(trace, error)
@@ -336,16 +316,6 @@
             self._trace.note("caller_gone")
 
 
-def _covers(route: Any, path: str) -> bool:
-    if route.kind == "model":
-        return path in MODEL_PATHS and (path == route.path or path.startswith(_prefix(route)))
-    return path == route.path or path.startswith(_prefix(route))
-
-
-def _prefix(route: Any) -> str:
-    return route.path if route.path.endswith("/") else route.path + "/"
-
-
 def _headers(environ: Mapping[str, Any]) -> dict[str, str]:
     headers = {
         name[5:].replace("_", "-").lower(): value
