Build the options of tests in one place

Cause: fake_log, fakes and node_options each joined the defaults of all settings with their own values. Change: node_options.with_defaults does it for all three.

--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -8,7 +8,8 @@
 from arbutustally.records import Body, Record, wrap
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.log_service import LogService
-from arbutustally_node.options import SETTINGS, Options
+from arbutustally_node.options import Options
+from tests.node_options import with_defaults
 
 
 class FakeLog:
@@ -63,18 +64,17 @@
 
 def new_options(**changes: object) -> Options:
     """Returns options of a node with short times."""
-    values = {setting.name: setting.default for setting in SETTINGS}
-    values.update(
-        node_id="n1",
-        zone="z",
-        log_url="unused",
-        instances_url="unused",
-        peer_secret="p" * 20,
-        operator_token="t" * 20,
-        operator_listen="127.0.0.1:0",
-        incarnation="1",
-    )
-    return Options.from_config({**values, **changes})
+    values = {
+        "node_id": "n1",
+        "zone": "z",
+        "log_url": "unused",
+        "instances_url": "unused",
+        "peer_secret": "p" * 20,
+        "operator_token": "t" * 20,
+        "operator_listen": "127.0.0.1:0",
+        "incarnation": "1",
+    }
+    return with_defaults(values | changes)
 
 
 def new_node(log: FakeLog, **changes: object) -> tuple[Kernel, LogService]:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -13,26 +13,25 @@
 from arbutustally_node.caller_http import CallerHttp
 from arbutustally_node.explain import ExplainService
 from arbutustally_node.kernel import Kernel
-from arbutustally_node.options import SETTINGS, Options
+from arbutustally_node.options import Options
 from arbutustally_node.pool import PoolService
 from arbutustally_node.streams import StreamsService
+from tests.node_options import with_defaults
 
 configure("error")
 
 
 def node_options(**changes: Any) -> Options:
     """Returns options with the defaults of the settings and the given changes."""
-    values = {setting.name: setting.default for setting in SETTINGS}
-    values.update(
-        node_id="entry-1",
-        zone="zone-a",
-        log_url="http://127.0.0.1:1",
-        instances_url="http://127.0.0.1:1",
-        peer_secret="s" * 24,
-        operator_token="o" * 24,
-    )
-    values.update(changes)
-    return Options.from_config(values)
+    values = {
+        "node_id": "entry-1",
+        "zone": "zone-a",
+        "log_url": "http://127.0.0.1:1",
+        "instances_url": "http://127.0.0.1:1",
+        "peer_secret": "s" * 24,
+        "operator_token": "o" * 24,
+    }
+    return with_defaults(values | changes)
 
 
 @dataclass(frozen=True)
--- a/tests/node_options.py
+++ b/tests/node_options.py
@@ -1,5 +1,6 @@
 """Options of nodes in tests: the defaults, free ports on the loopback."""
 
+from collections.abc import Mapping
 from dataclasses import replace
 from typing import Any
 
@@ -17,8 +18,11 @@
 }
 
 
+def with_defaults(values: Mapping[str, Any]) -> Options:
+    """Returns the options with these values and the defaults of all other settings."""
+    return Options.from_config({setting.name: setting.default for setting in SETTINGS} | values)
+
+
 def options(node_id: str, **changes: Any) -> Options:
     """Returns the options of a node; ``changes`` replace single values."""
-    values = {setting.name: setting.default for setting in SETTINGS}
-    built = Options.from_config({**values, **REQUIRED, "node_id": node_id})
-    return replace(built, **changes)
+    return replace(with_defaults({**REQUIRED, "node_id": node_id}), **changes)
