Compare a new version with what the old one takes at the same time

Cause: answers of a version on trial were compared with the last 200 answers of the old version, however old those were. At full share and after the end of a move the old version gets no requests, and at other shares its median follows a change only after 100 answers, so a machine that got busy made a good version look slow: the move ended as taken_back with "slow_first_token in 29 of 40 answers ... accepted share is 0.400".

Change: answers of the old version are judged by the same bounds, and a new version is stopped for slowness only if it is slower than the old one may have been during the same answers (rule of three for few of them). Answers without one of the old version among the 11 before them are not counted. If a version looks slow and fewer than 20 answers of the old one tell why, half the requests go to the old version until they do. Peers get the counts of the old version before those of the new one; the message has the same form.

--- a/packages/arbutustally-node/src/arbutustally_node/version_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/version_service.py
@@ -23,6 +23,7 @@
     MoveView,
     OrderLoad,
     WriteStep,
+    is_control,
     pick_version,
 )
 from arbutustally_node.kernel import Kernel
@@ -77,7 +78,7 @@
         self._engines = engines
         self._lease_s = lease_s
         self._clock = clock
-        self._breaker = Breaker()
+        self._breaker = Breaker(clock)
         self._controllers: dict[str, MoveController] = {}
         self._holds: dict[str, _Hold] = {}
         self._loading: dict[tuple[str, str], float] = {}
@@ -118,6 +119,8 @@
             return pick_version(model, request_id, move, wanted, False)
         # A step may reach this node before the load report of the endpoints that it relies on.
         avoided = self._stopped(model, move) or not self._is_held(model, move.version)
+        if not avoided and self._breaker.doubted(model, move.version):
+            avoided = is_control(model, request_id) and self._is_held(model, move.previous)
         return pick_version(model, request_id, move, wanted, avoided)
 
     def observe(
@@ -143,7 +146,7 @@
         self._note_trip(self._breaker.observe(key, sample, previous))
         if not ok and previous:
             # A failure of a version on trial is told at once: the fleet stops it together.
-            spawn(self._send_reports, self._breaker.reports(model, version))
+            spawn(self._send_reports, self._reports(model, version, previous))
 
     def moves(self) -> list[dict[str, Any]]:
         """Returns the last step of each model's move and the local trips, for the status."""
@@ -243,10 +246,16 @@
             move = self._move(model)
             if move is None or move.step not in ("started", "raised", "done"):
                 continue
-            for version in (move.version, move.previous):
-                reports.extend(self._breaker.reports(model, version))
+            reports.extend(self._reports(model, move.version, move.previous))
         self._send_reports(reports)
 
+    def _reports(self, model: str, version: str, previous: str) -> list[Report]:
+        """Returns the counts of both versions; the old one's come first, to be compared with."""
+        return [
+            *self._breaker.reports(model, previous, version),
+            *self._breaker.reports(model, version),
+        ]
+
     def _send_reports(self, reports: list[Report]) -> None:
         if not reports:
             return
--- a/packages/arbutustally/src/arbutustally/breaker.py
+++ b/packages/arbutustally/src/arbutustally/breaker.py
@@ -1,7 +1,10 @@
 """Circuit breaker: stops a version whose answers are worse than those of the old version."""
 
-from dataclasses import dataclass
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
 
+from arbutustally.clock import Clock, monotonic
 from arbutustally.evidence import (
     MIN_BASE_SAMPLES,
     Evidence,
@@ -9,9 +12,13 @@
     Latencies,
     Sample,
     Tally,
+    TallyHistory,
     tail_probability,
 )
 
+FAILURES = "failures"
+SLOW_FIRST_TOKEN = "slow_first_token"
+SLOW_TOKENS = "slow_tokens"
 #: Failure share that is accepted whatever the old version shows.
 TOLERATED_FAILURES = 0.02
 #: Probability under which bad answers are not taken as chance. The test is repeated for every
@@ -32,13 +39,22 @@
 TOLERATED_ABOVE_MEDIAN = 0.4
 #: Answers of the new version that are compared; few, so that a late fault shows at once.
 RECENT = 40
+#: Answers of the new version in a row that are compared with the last one of the old version; a
+#: longer row says nothing about how fast the old version would be at present.
+MAX_UNPAIRED = 11
+#: Rule of three: among ``n`` answers without a slow one, the share of slow ones may still be 3/n.
+UNSEEN_SLOW = 3
+#: Answers of the old version at the same time that settle whether a slow new version is at fault.
+CONTROL_ANSWERS = 20
+#: Time for which a doubt lasts without new answers, seconds.
+DOUBT_S = 10.0
 
 
 @dataclass(frozen=True)
 class Trip:
     """Why a version must not be used.
 
-    :ivar reason: ``failures``, ``slow_first_token`` or ``slow_tokens``.
+    :ivar reason: ``FAILURES``, ``SLOW_FIRST_TOKEN`` or ``SLOW_TOKENS``.
     :ivar bad: bad answers among ``answers``.
     :ivar answers: answers compared.
     :ivar accepted: share of bad answers that the old version shows or that is tolerated.
@@ -61,8 +77,12 @@
 
 @dataclass(frozen=True)
 class _Judged:
-    """A sample with its comparisons; ``None`` where it could not be compared."""
+    """A sample with its comparisons; ``None`` where it could not be compared.
 
+    :ivar paired: the old version answered a few answers ago at most.
+    """
+
+    paired: bool
     ok: bool
     slow: bool | None
     above_median: bool | None
@@ -74,19 +94,53 @@
 
     def __init__(self) -> None:
         self.evidence = Evidence()
-        self.judged: list[_Judged] = []
-        self.tally = Tally()
-
-    def add(self, sample: Sample, old: Evidence | None) -> None:
+        self.history = TallyHistory()
+        self._recent: deque[tuple[float, _Judged]] = deque(maxlen=RECENT)
+        self._old_answers = 0
+        self._unpaired = 0
+
+    def add(self, sample: Sample, now: float) -> None:
+        """Adds an answer of a version that is not on trial; its own past is the base."""
+        self._add(sample, self.evidence, True, now)
+
+    def add_beside(self, sample: Sample, old: "_Trial | None", now: float) -> None:
+        """Adds an answer of a version on trial after comparing it with the old version."""
+        old_answers = old.history.total.answers if old else 0
+        if old_answers != self._old_answers:
+            self._old_answers = old_answers
+            self._unpaired = 0
+        self._unpaired += 1
+        paired = old_answers > 0 and self._unpaired <= MAX_UNPAIRED
+        self._add(sample, old.evidence if old else None, paired, now)
+
+    def _add(self, sample: Sample, base: Evidence | None, paired: bool, now: float) -> None:
+        judged = _compare(sample, base, paired)
         self.evidence.add(sample)
-        judged = _compare(sample, old) if old else _Judged(sample.ok, None, None, None)
-        self.judged = [*self.judged[1 - RECENT :], judged]
-        self.tally = self.tally.plus(_count(self.judged[-1:]))
+        self._recent.append((now, judged))
+        self.history.add(now, _count([judged]))
+
+    @property
+    def recent(self) -> Tally:
+        """Returns the counts of the last answers; those without a pair count as not compared."""
+        return _count(judged for _, judged in self._recent)
 
+    @property
+    def recent_compared(self) -> Tally:
+        """Returns the counts of the last answers as if each had a pair."""
+        return _count(replace(judged, paired=True) for _, judged in self._recent)
 
-def _compare(sample: Sample, old: Evidence) -> _Judged:
+    @property
+    def recent_since(self) -> float:
+        """Returns when the first of the last answers came, infinity without answers."""
+        return self._recent[0][0] if self._recent else float("inf")
+
+
+def _compare(sample: Sample, old: Evidence | None, paired: bool) -> _Judged:
+    if old is None:
+        return _Judged(paired, sample.ok, None, None, None)
     slowness = old.slowness_of(sample)
     return _Judged(
+        paired,
         sample.ok,
         _exceeds(slowness, old.slowness, 0.95, SLOW_FACTOR),
         _exceeds(slowness, old.slowness, 0.5, MEDIAN_FACTOR),
@@ -100,29 +154,56 @@
     return value > base.quantile(share) * factor
 
 
-def _count(judged: list[_Judged]) -> Tally:
+def _count(answers: Iterable[_Judged]) -> Tally:
+    judged = list(answers)
+    paired = [entry for entry in judged if entry.paired]
     return Tally(
         len(judged),
         sum(not entry.ok for entry in judged),
-        sum(entry.slow is not None for entry in judged),
-        sum(entry.slow is True for entry in judged),
-        sum(entry.above_median is True for entry in judged),
-        sum(entry.gap_above_median is not None for entry in judged),
-        sum(entry.gap_above_median is True for entry in judged),
+        sum(entry.slow is not None for entry in paired),
+        sum(entry.slow is True for entry in paired),
+        sum(entry.above_median is True for entry in paired),
+        sum(entry.gap_above_median is not None for entry in paired),
+        sum(entry.gap_above_median is True for entry in paired),
     )
 
 
-def judge_tally(key: EvidenceKey, tally: Tally, old_failure_share: float) -> Trip | None:
-    """Decides whether counts are too bad to be chance.
+@dataclass(frozen=True)
+class Accepted:
+    """Shares of bad answers that are accepted; by default those tolerated of any version."""
+
+    failures: float = TOLERATED_FAILURES
+    slow: float = TOLERATED_SLOW
+    above_median: float = TOLERATED_ABOVE_MEDIAN
+    slow_gaps: float = TOLERATED_ABOVE_MEDIAN
 
-    :param old_failure_share: failures of the old version on the same class and route.
-    """
-    accepted = max(old_failure_share, TOLERATED_FAILURES)
+    @classmethod
+    def from_old(cls, failure_share: float, beside: Tally) -> "Accepted":
+        """Accepts what the old version shows as well.
+
+        :param failure_share: failures of the old version.
+        :param beside: its answers at the same time; a busy machine makes both versions slow.
+        """
+        return cls(
+            max(failure_share, TOLERATED_FAILURES),
+            max(_highest_share(beside.slow, beside.timed), TOLERATED_SLOW),
+            max(_highest_share(beside.above_median, beside.timed), TOLERATED_ABOVE_MEDIAN),
+            max(_highest_share(beside.slow_gaps, beside.gapped), TOLERATED_ABOVE_MEDIAN),
+        )
+
+
+def _highest_share(slow: int, answers: int) -> float:
+    """Returns the largest share of slow answers that counts leave open; 1 without answers."""
+    return (slow + UNSEEN_SLOW) / (answers + UNSEEN_SLOW)
+
+
+def judge_tally(key: EvidenceKey, tally: Tally, accepted: Accepted) -> Trip | None:
+    """Decides whether counts are too bad to be chance."""
     for reason, bad, answers, share in (
-        ("failures", tally.failures, tally.answers, accepted),
-        ("slow_first_token", tally.slow, tally.timed, TOLERATED_SLOW),
-        ("slow_first_token", tally.above_median, tally.timed, TOLERATED_ABOVE_MEDIAN),
-        ("slow_tokens", tally.slow_gaps, tally.gapped, TOLERATED_ABOVE_MEDIAN),
+        (FAILURES, tally.failures, tally.answers, accepted.failures),
+        (SLOW_FIRST_TOKEN, tally.slow, tally.timed, accepted.slow),
+        (SLOW_FIRST_TOKEN, tally.above_median, tally.timed, accepted.above_median),
+        (SLOW_TOKENS, tally.slow_gaps, tally.gapped, accepted.slow_gaps),
     ):
         if bad and tail_probability(bad, answers, share) < TRIP_PROBABILITY:
             return Trip(key, reason, bad, answers, share)
@@ -146,12 +227,16 @@
     """Compares the versions of models on the evidence of this node and of its peers.
 
     A tripped version stays tripped until ``reset``.
+
+    :param clock: monotonic seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock = monotonic) -> None:
+        self._clock = clock
         self._trials: dict[EvidenceKey, _Trial] = {}
         self._heard: dict[EvidenceKey, dict[str, Report]] = {}
         self._trips: dict[tuple[str, str], Trip] = {}
+        self._doubts: dict[EvidenceKey, float] = {}
 
     def observe(self, key: EvidenceKey, sample: Sample, previous: str = "") -> Trip | None:
         """Adds an answer and compares with the old version.
@@ -160,10 +245,11 @@
         :returns: the trip, if this answer caused it.
         """
         trial = self._trials.setdefault(key, _Trial())
-        on_trial = bool(previous) and previous != key.version
-        old = self._old(key, previous) if on_trial else None
-        trial.add(sample, old)
-        return self._judge(key, old) if on_trial else None
+        if not previous or previous == key.version:
+            trial.add(sample, self._clock())
+            return None
+        trial.add_beside(sample, self._trials.get(_key_of(key, previous)), self._clock())
+        return self._judge(key, previous)
 
     def hear(self, node: str, reports: list[Report], previous: str = "") -> Trip | None:
         """Takes the counts of a peer, which replace those it sent before.
@@ -175,7 +261,7 @@
         for report in reports:
             self._heard.setdefault(report.key, {})[node] = report
             if previous and previous != report.key.version:
-                trip = self._judge(report.key, self._old(report.key, previous)) or trip
+                trip = self._judge(report.key, previous) or trip
         return trip
 
     def trip(self, trip: Trip) -> None:
@@ -186,17 +272,32 @@
         """Returns why the version must not be used, or ``None``."""
         return self._trips.get((model, version))
 
+    def doubted(self, model: str, version: str) -> bool:
+        """Returns whether the version is slow and too few answers of the old one tell why.
+
+        Some requests should go to the old version then.
+        """
+        since = self._clock() - DOUBT_S
+        return any(
+            (key.model, key.version) == (model, version) and instant >= since
+            for key, instant in self._doubts.items()
+        )
+
     def reset(self, model: str, version: str) -> None:
         """Forgets evidence and trip of a version, for a new attempt."""
         self._trips.pop((model, version), None)
-        for counts in (self._trials, self._heard):
+        for counts in (self._trials, self._heard, self._doubts):
             for key in [key for key in counts if (key.model, key.version) == (model, version)]:
                 del counts[key]
 
-    def reports(self, model: str, version: str) -> list[Report]:
-        """Returns this node's own counts of a version, for its peers."""
+    def reports(self, model: str, version: str, beside: str = "") -> list[Report]:
+        """Returns this node's own counts of a version, for its peers.
+
+        :param beside: version on trial, if ``version`` is the old one; then only the answers
+            during the recent ones of that version count as recent.
+        """
         return [
-            Report(key, _count(trial.judged), trial.tally)
+            Report(key, self._beside(key, beside) if beside else trial.recent, trial.history.total)
             for key, trial in self._trials.items()
             if (key.model, key.version) == (model, version)
         ]
@@ -210,20 +311,55 @@
                 totals[report.key] = totals.get(report.key, Tally()).plus(report.total)
         return totals
 
-    def _judge(self, key: EvidenceKey, old: Evidence | None) -> Trip | None:
+    def _judge(self, key: EvidenceKey, previous: str) -> Trip | None:
         if self.tripped(key.model, key.version):
             return None
-        share = old.failure_share if old else 0.0
+        old_key = _key_of(key, previous)
+        old = self._trials.get(old_key)
+        share = old.evidence.failure_share if old else 0.0
         trial = self._trials.get(key)
-        own = _count(trial.judged) if trial else Tally()
-        fleet = own
-        for report in self._heard.get(key, {}).values():
-            fleet = fleet.plus(report.recent)
-        trip = judge_tally(key, own, share) or judge_tally(key, fleet, share)
+        own = trial.recent if trial else Tally()
+        beside = self._beside(old_key, key.version)
+        fleet = _sum(own, self._heard.get(key, {}))
+        fleet_beside = _sum(beside, self._heard.get(old_key, {}))
+        trip = judge_tally(key, own, Accepted.from_old(share, beside)) or judge_tally(
+            key, fleet, Accepted.from_old(share, fleet_beside)
+        )
         if trip is not None:
             self.trip(trip)
+        elif trial is not None:
+            self._note_doubt(key, judge_tally(key, trial.recent_compared, Accepted()), beside)
         return trip
 
-    def _old(self, key: EvidenceKey, previous: str) -> Evidence | None:
-        trial = self._trials.get(EvidenceKey(key.model, previous, key.class_name, key.route))
-        return trial.evidence if trial else None
+    def _note_doubt(self, key: EvidenceKey, suspicion: Trip | None, beside: Tally) -> None:
+        """Notes whether a suspicion needs more answers of the old version.
+
+        :param suspicion: trip that would follow if every answer had a pair.
+        """
+        if suspicion is None or suspicion.reason == FAILURES:
+            answers = CONTROL_ANSWERS
+        else:
+            answers = beside.gapped if suspicion.reason == SLOW_TOKENS else beside.timed
+        if answers < CONTROL_ANSWERS:
+            self._doubts[key] = self._clock()
+        else:
+            self._doubts.pop(key, None)
+
+    def _beside(self, old_key: EvidenceKey, version: str) -> Tally:
+        """Returns the old version's answers during the recent ones of a version on trial."""
+        old = self._trials.get(old_key)
+        trial = self._trials.get(_key_of(old_key, version))
+        if old is None or trial is None:
+            return Tally()
+        return old.history.since(trial.recent_since)
+
+
+def _key_of(key: EvidenceKey, version: str) -> EvidenceKey:
+    """Returns the key of another version on the same class and route."""
+    return EvidenceKey(key.model, version, key.class_name, key.route)
+
+
+def _sum(own: Tally, heard: dict[str, Report]) -> Tally:
+    for report in heard.values():
+        own = own.plus(report.recent)
+    return own
--- a/packages/arbutustally/src/arbutustally/evidence.py
+++ b/packages/arbutustally/src/arbutustally/evidence.py
@@ -7,6 +7,8 @@
 
 #: Answers kept per version, class and route.
 WINDOW = 200
+#: Answers whose instants are kept; at a share of 1% they cover the recent ones of a new version.
+HISTORY = 4000
 #: Answers of the old version below which its latencies are not compared.
 MIN_BASE_SAMPLES = 20
 #: Slope of the line of time over work before there are answers, in s/token, and the spread of work
@@ -174,3 +176,39 @@
     def plus(self, other: "Tally") -> "Tally":
         """Returns the sum."""
         return Tally(*(a + b for a, b in zip(astuple(self), astuple(other), strict=True)))
+
+    def minus(self, other: "Tally") -> "Tally":
+        """Returns the difference."""
+        return Tally(*(a - b for a, b in zip(astuple(self), astuple(other), strict=True)))
+
+
+class TallyHistory:
+    """Running counts of answers, from which those since an instant are taken."""
+
+    def __init__(self) -> None:
+        self._instants: list[float] = []
+        self._sums: list[Tally] = []
+        self._dropped = Tally()
+
+    @property
+    def total(self) -> Tally:
+        """Returns the counts of all answers."""
+        return self._sums[-1] if self._sums else self._dropped
+
+    def add(self, now: float, answer: Tally) -> None:
+        """Adds an answer.
+
+        :param now: monotonic seconds, never less than before.
+        """
+        self._sums.append(self.total.plus(answer))
+        self._instants.append(now)
+        if len(self._sums) >= 2 * HISTORY:
+            self._dropped = self._sums[-HISTORY - 1]
+            del self._sums[:-HISTORY]
+            del self._instants[:-HISTORY]
+
+    def since(self, instant: float) -> Tally:
+        """Returns the counts of the kept answers at or after an instant."""
+        position = bisect_left(self._instants, instant)
+        before = self._sums[position - 1] if position else self._dropped
+        return self.total.minus(before)
--- a/packages/arbutustally/src/arbutustally/versions.py
+++ b/packages/arbutustally/src/arbutustally/versions.py
@@ -5,12 +5,20 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from arbutustally.breaker import Breaker, Trip, judge_tally
+from arbutustally.breaker import TOLERATED_FAILURES, Accepted, Breaker, Trip, judge_tally
 from arbutustally.evidence import EvidenceKey, Tally
 from arbutustally.records import MoveStep
 from arbutustally.rendezvous import unit
 
-__all__ = ["Breaker", "MoveController", "Trip", "in_use", "pick_version", "share_picks"]
+__all__ = [
+    "Breaker",
+    "MoveController",
+    "Trip",
+    "in_use",
+    "is_control",
+    "pick_version",
+    "share_picks",
+]
 
 #: Shares of requests on the new version, in order.
 STEPS = (0.01, 0.05, 0.25, 0.5, 1.0)
@@ -31,6 +39,8 @@
 DEADLINE_PART = 0.5
 #: Time after the end of a move for which a fault of the new version still takes it back, seconds.
 WATCH_S = 600.0
+#: Share of requests that the old version takes while it is open why the new one is slow.
+CONTROL_SHARE = 0.5
 
 
 def share_picks(model: str, request_id: str, share: float) -> bool:
@@ -38,6 +48,11 @@
     return unit(model.encode(), request_id) < share
 
 
+def is_control(model: str, request_id: str) -> bool:
+    """Returns whether the old version takes a request while the new one is doubted."""
+    return unit(f"{model}/control".encode(), request_id) < CONTROL_SHARE
+
+
 def in_use(move: MoveStep | None, wanted: str) -> str:
     """Returns the version that carries the requests outside a move's share."""
     if move is None:
@@ -278,7 +293,8 @@
             old = _old_tally(evidence, key)
             # Over a whole move only failures add up: the cold start makes early answers slow.
             failed = Tally(tally.answers, tally.failures)
-            trip = judge_tally(key, failed, old.failures / old.answers if old.answers else 0.0)
+            share = old.failures / old.answers if old.answers else 0.0
+            trip = judge_tally(key, failed, Accepted(max(share, TOLERATED_FAILURES)))
             if trip is not None:
                 return trip
         return None
--- a/tests/test_version_service.py
+++ b/tests/test_version_service.py
@@ -169,6 +169,23 @@
         self.nodes[0].versions.step()
         self.assertEqual([step.step for step in self.log.appended], ["taken_back"])
 
+    def test_doubted_version_shares_requests_with_the_old_one(self) -> None:
+        """Guards against a slow version at full share that nothing is left to compare with."""
+        node = self.nodes[0]
+        for _ in range(40):
+            node.versions.observe(MODEL, "1", "chat", "chat", True, 0.02, 0.01, 100.0)
+        picks = [node.versions.pick(MODEL, f"request-{number}") for number in range(200)]
+        self.assertEqual(set(picks), {"2"})
+        node.clock.advance(1.0)
+        for seconds in (0.02, 0.2):
+            for _ in range(40):
+                node.versions.observe(MODEL, "2", "chat", "chat", True, seconds, 0.01, 100.0)
+        picks = [node.versions.pick(MODEL, f"request-{number}") for number in range(200)]
+        self.assertTrue(60 < picks.count("1") < 140, picks.count("1"))
+        node.endpoints = [endpoint("w2", ("2",))]
+        picks = [node.versions.pick(MODEL, f"request-{number}") for number in range(200)]
+        self.assertEqual(set(picks), {"2"})
+
     def test_lost_lease_allows_no_order_and_no_step(self) -> None:
         """Guards against a paused controller that acts after its lease."""
         self.log.move = MoveStep(MODEL, "2", "1", "raised", 0.5, 1)
