Wait for a listener's port that a connection holds; keep the logs of fleets

Cause of three entries of KNOWN-RED.txt (NodeDeathTest, node-2 silent for over 30 s): an outgoing connection takes the port of a listener while its node restarts, the node ends with "Address already in use", and a connection that has ended holds the port for 60 s of TIME_WAIT more. node-2 is the home of the tests' account, so it is the node that test_graceful_stop restarts after test_frozen_nodes; the two later tests need it as well. The logs of that run are gone, so that this was the cause then is concluded, not seen.

Change: listeners for callers, operators and peers try for 75 s to bind a port in use and say so. A fleet's logs are kept in target/fleets, and waiting for a node that has ended fails at once with the end of its log instead of after 30 s.

Evidence: a node restarted on the port of a connection exited with 1 before, for each of its three listeners, and answers now when the connection has ended.

--- a/packages/arbutustally-node/src/arbutustally_node/http_server.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_server.py
@@ -12,7 +12,6 @@
 
 import gevent
 import orjson
-from gevent import socket as gevent_socket
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
@@ -22,7 +21,8 @@
 from arbutustally.metrics import Counter, Metrics, declare
 from arbutustally_node.caller_watch import CallerGoneError
 from arbutustally_node.http_body import BodyBudget, RequestReader
-from arbutustally_node.options import Options, split_address
+from arbutustally_node.listening import listen as open_listener
+from arbutustally_node.options import Options
 
 IDLE_TIMEOUT_S = 75.0
 #: Longest time a caller may take to accept one write.
@@ -281,14 +281,10 @@
     :param listen: ``host:port``; port 0 picks a free one.
     :param options: gives ``max_body_bytes``, ``max_header_bytes`` and ``body_timeout_s``.
     :param metrics: counts refusals; ``None`` counts them for this listener only.
-    :raises OSError: if the address cannot be bound.
+    :raises OSError: if the address cannot be bound in ``listening.PORT_WAIT_S``.
     """
-    listener = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     # Accepted connections inherit the buffer size of their listener.
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-    listener.bind(split_address(listen))
-    listener.listen(1024)
+    listener = open_listener(listen, SEND_BUFFER_BYTES)
     wsgi = _WsgiServer(listener, app, options, metrics)
     wsgi.start()
     return Server(wsgi)
--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -19,7 +19,8 @@
 from arbutustally.topology import FULL_MESH_NODES, Plan, dials, plan
 from arbutustally_node.broadcasts import Broadcasts
 from arbutustally_node.kernel import Kernel
-from arbutustally_node.options import Options, split_address
+from arbutustally_node.listening import listen
+from arbutustally_node.options import Options
 from arbutustally_node.peer_link import (
     HANDSHAKE_TIMEOUT_S,
     WEBSOCKET_OPTIONS,
@@ -114,9 +115,11 @@
 
     def start(self) -> None:
         """Opens the listener and begins to dial."""
-        host, port = split_address(self._options.peer_listen)
         self._server = serve(
-            self._accept, host, port, open_timeout=HANDSHAKE_TIMEOUT_S, **WEBSOCKET_OPTIONS
+            self._accept,
+            sock=listen(self._options.peer_listen),
+            open_timeout=HANDSHAKE_TIMEOUT_S,
+            **WEBSOCKET_OPTIONS,
         )
         host, port = self._server.socket.getsockname()[:2]
         self._address = f"{host}:{port}"
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,12 +2,14 @@
 
 import os
 import secrets
+import shutil
 import signal
 import subprocess
 import sys
 import tempfile
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -22,6 +24,13 @@
 DECLARATIONS = (ROOT / "examples" / "marelle.toml").read_text()
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
+#: Logs of all processes stay here, for the trace of a test that failed once; git ignores it.
+LOGS = ROOT / "target" / "fleets"
+#: Fleets whose logs are kept.
+KEPT_FLEETS = 100
+#: Fleets younger than this may belong to a run beside this one and are kept too, seconds.
+KEPT_S = 3600.0
+SHOWN_BYTES = 2000
 
 _http = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(connect=5, read=30))
 
@@ -67,6 +76,18 @@
         return self.output.read_text(errors="replace")
 
 
+def logs_directory() -> Path:
+    """Returns a new directory for the logs of a fleet; removes those of the oldest."""
+    LOGS.mkdir(parents=True, exist_ok=True)
+    limit = time.time() - KEPT_S
+    for old in sorted(LOGS.iterdir(), key=lambda path: path.name)[:-KEPT_FLEETS]:
+        with suppress(FileNotFoundError):
+            if old.stat().st_mtime < limit:
+                shutil.rmtree(old, ignore_errors=True)
+    stamp = time.strftime("%Y%m%dT%H%M%S")
+    return Path(tempfile.mkdtemp(prefix=f"{stamp}-", dir=LOGS))
+
+
 def wait_for(condition: Callable[[], Any], what: str, timeout_s: float = START_TIMEOUT_S) -> Any:
     """Returns the first true result of ``condition``.
 
@@ -102,7 +123,7 @@
         cls, engines: int = 2, bookings: int = 1, nodes: int = 2, **settings: object
     ) -> "Fleet":
         """Starts a fleet and waits until every node is ready to read the configuration."""
-        fleet = cls(Path(tempfile.mkdtemp(prefix="fleet-")))
+        fleet = cls(logs_directory())
         try:
             for number in range(1, engines + 1):
                 fleet.add_engine(f"engine-{number}")
@@ -260,13 +281,19 @@
 
     def wait_running(self) -> None:
         """Waits until every node answers its operator interface."""
-        for name in self.nodes:
-            wait_for(lambda name=name: self.status_of(name), f"{name} to answer")
+        for name, node in self.nodes.items():
+            wait_for(
+                lambda name=name, node=node: self._lives(node) and self.status_of(name),
+                f"{name} to answer; its log is {node.output}",
+            )
 
     def wait_serving(self, key: str) -> None:
         """Waits until every node has answered one request of the account."""
         for name, node in self.nodes.items():
-            wait_for(lambda node=node: self._serves(node, key), f"{name} to serve")
+            wait_for(
+                lambda node=node: self._lives(node) and self._serves(node, key),
+                f"{name} to serve; its log is {node.output}",
+            )
 
     def stop(self) -> None:
         """Ends every process by its id."""
@@ -277,6 +304,15 @@
         for process in self.processes:
             process.popen.wait(START_TIMEOUT_S)
 
+    @staticmethod
+    def _lives(node: Process) -> bool:
+        """Returns true, or raises at once with the end of the log of a node that has ended."""
+        code = node.popen.poll()
+        if code is not None:
+            shown = node.log_text()[-SHOWN_BYTES:]
+            raise FleetError(f"{node.name} exited with {code}; {node.output} ends with:\n{shown}")
+        return True
+
     def _serves(self, node: Process, key: str) -> bool:
         body = {"model": "marelle", "prompt": "ready?", "max_tokens": 1}
         headers = {"Authorization": f"Bearer {key}"}
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,5 +1,6 @@
 """The whole path as separate processes, and what happens when processes fail."""
 
+import socket
 import threading
 import time
 import unittest
@@ -10,7 +11,7 @@
 
 from arbutustally_standins.caller.client import CallFailedError, StreamResult
 from arbutustally_standins.idempotency import new_uuid7
-from tests.fleet import DECLARATIONS, Fleet, Process, wait_for
+from tests.fleet import DECLARATIONS, Fleet, FleetError, Process, wait_for
 
 GUIDE = "Chalk paint washes off in rain; stencils come in five grids. " * 60
 CHAT = "/v1/chat/completions"
@@ -364,6 +365,48 @@
         return len(admitted)
 
 
+class PortTest(unittest.TestCase):
+    """A node starts on a port that is in use."""
+
+    def setUp(self) -> None:
+        self.fleet = Fleet.from_config(engines=0, bookings=0, nodes=1)
+        self.addCleanup(self.fleet.stop)
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+
+    def restart_on_the_port_of_a_connection(self, which: str) -> socket.socket:
+        """Restarts the node with a listener on the port of a connection, which is returned."""
+        connection = socket.create_connection(self.listener.getsockname())
+        self.addCleanup(connection.close)
+        # The end that closes first keeps its port in TIME_WAIT; that is to be the other one.
+        self.listener.accept()[0].close()
+        node = self.fleet.nodes["node-1"]
+        node.kill()
+        port = connection.getsockname()[1]
+        node.addresses = {**node.addresses, which: f"127.0.0.1:{port}"}
+        restarted = self.fleet.add_node("node-1")
+        wait_for(lambda: "in use" in restarted.log_text(), "the node to find its port in use")
+        return connection
+
+    def test_restarted_node_waits_for_a_port_that_a_connection_holds(self) -> None:
+        """Guards against a node that stays down because a connection that it or another process
+        opened while it restarted has taken its port."""
+        for which in ("caller_listen", "operator_listen", "peer_listen"):
+            with self.subTest(which):
+                connection = self.restart_on_the_port_of_a_connection(which)
+                self.assertIsNone(self.fleet.nodes["node-1"].popen.poll())
+                connection.close()
+                self.fleet.wait_running()
+
+    def test_wait_for_a_node_that_has_ended_fails_at_once_with_its_log(self) -> None:
+        """Guards against a failure that tells only of the time that was waited."""
+        self.fleet.nodes["node-1"].terminate()
+        began = time.monotonic()
+        with self.assertRaisesRegex(FleetError, "exited with 0(.|\n)*node stopped"):
+            self.fleet.wait_running()
+        self.assertLess(time.monotonic() - began, 5.0)
+
+
 class LeavingEndpointTest(FleetCase):
     """An endpoint leaves."""
 
