Wait for an issuer of a limit that is away for a moment; give each home node a share

Cause: three ways to limit_unavailable ("no issuer") for a request within its rate. 1. A grant that came after the wait of 0.5 s, as on a busy machine, was put into the pool and the request refused all the same. 2. One call without an answer in 0.25 s kept the issuer from being asked for 1 s, and the waiting requests were refused at once, for the pause told to the caller (1 s) was also that between attempts. If one of two home nodes started first, it could get both share slots, so the other one had none when the lease lapsed.

Change: a wait that ends late looks at the grants once more; an issuer that missed a call is left alone for 0.1 s, doubling to 1 s; a request tries again every 0.1 s within its 0.5 s. After 2 s without an issuer requests are refused at once, as before. A slot goes to the home node that has none.

--- a/packages/arbutustally-node/src/arbutustally_node/grant_sources.py
+++ b/packages/arbutustally-node/src/arbutustally_node/grant_sources.py
@@ -16,8 +16,10 @@
 
 #: Bound for one call to an issuer, seconds.
 CALL_TIMEOUT_S = 0.25
-#: A node that did not answer is not asked again for this long, seconds.
-PAUSE_S = 1.0
+#: A node that did not answer is not asked again for this long, seconds; the pause doubles with
+#: each further call that it does not answer. One late answer may come from a busy machine.
+PAUSE_FIRST_S = 0.1
+PAUSE_LAST_S = 1.0
 #: A grant that ends within this time is closed, so that its unused tokens return, seconds.
 CLOSE_AHEAD_S = 0.5
 #: Use is reported this often to an issuer that was not asked meanwhile, seconds.
@@ -34,7 +36,8 @@
     """Why no grant came.
 
     :ivar unavailable: no issuer could be asked.
-    :ivar retry_after_s: earliest time at which an issuer may grant, seconds.
+    :ivar retry_after_s: earliest time at which an issuer may grant, seconds; for an account without
+        a reachable issuer, when its caller should ask again.
     :ivar within_rate: the account's use is within its rate as far as is known.
     """
 
@@ -46,6 +49,18 @@
 _UNAVAILABLE = Refusal(True, 1.0, True)
 
 
+@dataclass(frozen=True)
+class _Pause:
+    """Time in which a node that did not answer is not asked.
+
+    :ivar until: monotonic seconds.
+    :ivar length_s: of this pause.
+    """
+
+    until: float
+    length_s: float
+
+
 class GrantSources:
     """Asks issuers for grants and answers for those of this node.
 
@@ -73,7 +88,7 @@
         self._pool = pool
         self._owners = owners
         self._slots = slots
-        self._paused: dict[str, float] = {}
+        self._pauses: dict[str, _Pause] = {}
         self._refusals: dict[str, Refusal] = {}
         # Node and method of each epoch from which grants came, for the reports.
         self._issuers: dict[int, tuple[str, str, int]] = {}
@@ -190,9 +205,9 @@
     def _ask(
         self, node_id: str, method: str, slot: int, account: str, needed: float, wanted: float
     ) -> Offer:
-        if self._paused.get(node_id, 0.0) > self._clock():
+        if self._is_paused(node_id):
             raise LimitUnavailableError(
-                f"node {node_id} did not answer a moment ago; retry", retry_after_s=PAUSE_S
+                f"node {node_id} did not answer a moment ago; retry", retry_after_s=PAUSE_LAST_S
             )
         uses = self._uses(account, node_id, method, slot)
         request = GrantRequest(account, needed, wanted, uses)
@@ -213,13 +228,25 @@
             if node_id == self._node_id:
                 answer = self.on_grant if method == GRANT else self.on_share_grant
                 return Offer(*answer(node_id, payload))
-            return Offer(*self._call(node_id, method, payload, CALL_TIMEOUT_S))
+            offer = Offer(*self._call(node_id, method, payload, CALL_TIMEOUT_S))
         except LeaseLostError:
             # The node is alive; the log will name the next holder.
+            self._pauses.pop(node_id, None)
             raise
         except RouterError:
-            self._paused[node_id] = self._clock() + PAUSE_S
+            self._pause(node_id)
             raise
+        self._pauses.pop(node_id, None)
+        return offer
+
+    def _is_paused(self, node_id: str) -> bool:
+        pause = self._pauses.get(node_id)
+        return pause is not None and pause.until > self._clock()
+
+    def _pause(self, node_id: str) -> None:
+        last = self._pauses.get(node_id)
+        length_s = PAUSE_FIRST_S if last is None else min(2 * last.length_s, PAUSE_LAST_S)
+        self._pauses[node_id] = _Pause(self._clock() + length_s, length_s)
 
     # Reports
 
@@ -239,7 +266,7 @@
             due = self._clock() - reported[epoch] >= REPORT_S
             if not due and not self._pool.wastes(account, epoch, closing):
                 continue
-            if issuer is not None and self._paused.get(issuer[0], 0.0) > self._clock():
+            if issuer is not None and self._is_paused(issuer[0]):
                 # An issuer that does not answer would hold up the reports to all others.
                 continue
             reported[epoch] = self._clock()
--- a/packages/arbutustally-node/src/arbutustally_node/limits_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/limits_service.py
@@ -1,6 +1,7 @@
 """Service ``limits``: reserves tokens for requests, from grants of the owner and of shares."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import gevent
@@ -36,6 +37,12 @@
 STOP_TIMEOUT_S = 2.0
 #: Shortest wait between two attempts of one request, seconds.
 MIN_RETRY_S = 0.01
+#: Wait between two attempts while no issuer answers, seconds: its next answer or the renewal of
+#: its lease may be near.
+UNAVAILABLE_RETRY_S = 0.1
+#: After this long without an issuer, requests are refused at once instead of waiting for one,
+#: seconds; without requests for as long, the next one waits again.
+OUTAGE_S = 2.0
 
 RATE_LIMITED = declare(
     "refused.rate_limited", "Requests beyond their account's rate and burst; raise them if wrong."
@@ -58,6 +65,18 @@
 _log = get_logger("limits")
 
 
+@dataclass(frozen=True)
+class _Outage:
+    """Attempts in a row that found no issuer of an account.
+
+    :ivar since: first of them, monotonic seconds.
+    :ivar last: latest of them, monotonic seconds.
+    """
+
+    since: float
+    last: float
+
+
 class LimitsService:
     """Admits requests within their accounts' limits.
 
@@ -86,6 +105,7 @@
         self._locks: dict[str, BoundedSemaphore] = {}
         self._waiting: dict[str, float] = {}
         self._fetching: set[str] = set()
+        self._outages: dict[str, _Outage] = {}
         self._owners = [
             ShardOwner(shard, options.node_id, clock, log, self._call)
             for shard in range(options.shards)
@@ -182,7 +202,7 @@
         self._waiting[account] = self._waiting.get(account, 0.0) + tokens
         try:
             if not lock.acquire(timeout=WAIT_S):
-                raise self._refused(account, tokens, self._sources.last_refusal(account))
+                return self._reserve_last(account, tokens)
             try:
                 return self._fetch_until(account, tokens, deadline)
             finally:
@@ -198,15 +218,38 @@
             needed = tokens - self._pool.available(account)
             wanted = max(needed, self._waiting[account]) + self._ahead(account)
             refusal = self._sources.fetch(account, needed, wanted)
-            if refusal is None and self._clock() < deadline:
-                continue
-            refusal = refusal or self._sources.last_refusal(account)
-            pause = max(refusal.retry_after_s or MIN_RETRY_S, MIN_RETRY_S)
-            if self._clock() + pause > deadline:
+            is_outage = self._note_outage(account, refusal)
+            if refusal is None:
+                if self._clock() < deadline:
+                    continue
+                return self._reserve_last(account, tokens)
+            pause = _pause_s(refusal)
+            if is_outage or self._clock() + pause > deadline:
                 raise self._refused(account, tokens, refusal)
             self._metrics.count(GRANT_RETRIED)
             gevent.sleep(pause)
 
+    def _note_outage(self, account: str, refusal: Refusal | None) -> bool:
+        """Returns whether no issuer has been reached for so long that waiting helps no more."""
+        if refusal is None or not refusal.unavailable:
+            self._outages.pop(account, None)
+            return False
+        now = self._clock()
+        known = self._outages.get(account)
+        since = known.since if known is not None and now - known.last < OUTAGE_S else now
+        self._outages[account] = _Outage(since, now)
+        return now - since >= OUTAGE_S
+
+    def _reserve_last(self, account: str, tokens: float) -> Reservation:
+        """Reserves from the grants at hand at the end of a wait, which may have ended late.
+
+        :raises RouterError: if they do not suffice.
+        """
+        reservation = self._pool.reserve(account, tokens)
+        if reservation is None:
+            raise self._refused(account, tokens, self._sources.last_refusal(account))
+        return reservation
+
     def _refused(self, account: str, tokens: float, refusal: Refusal) -> RouterError:
         if refusal.within_rate:
             self._metrics.count(WITHIN_RATE)
@@ -285,3 +328,10 @@
 
     def _call(self, node_id: str, method: str, payload: Any, timeout_s: float) -> Any:
         return self._peers().call(node_id, method, payload, timeout_s)
+
+
+def _pause_s(refusal: Refusal) -> float:
+    """Returns how long to wait before the next attempt of a request, seconds."""
+    if refusal.unavailable:
+        return UNAVAILABLE_RETRY_S
+    return max(refusal.retry_after_s or MIN_RETRY_S, MIN_RETRY_S)
--- a/packages/arbutustally-node/src/arbutustally_node/shard_owner.py
+++ b/packages/arbutustally-node/src/arbutustally_node/shard_owner.py
@@ -166,7 +166,7 @@
             entry = self._log().state.share(self._shard, slot)
             try:
                 if entry is None or not entry.holder or self._absent(slot, entry, present, now):
-                    self._assign(slot, ranked[slot], entry)
+                    self._assign(slot, self._slot_home(slot, ranked), entry)
                 else:
                     self._confirm(issuer, slot, entry)
             except RouterError as error:
@@ -180,6 +180,17 @@
             return False
         return now - seen_at > ABSENT_S
 
+    def _slot_home(self, slot: int, ranked: list[Node]) -> Node:
+        """Returns the home node for a slot: each of them is to serve without the other."""
+        entries = [self._log().state.share(self._shard, other) for other in range(SLOTS)]
+        taken = {
+            entry.holder.partition("#")[0]
+            for other, entry in enumerate(entries)
+            if other != slot and entry is not None
+        }
+        homes = ranked[:SLOTS]
+        return next((node for node in homes if node.id not in taken), homes[slot])
+
     def _assign(self, slot: int, node: Node, entry: Any) -> None:
         if not node.incarnation:
             return
--- a/tests/test_limits_model.py
+++ b/tests/test_limits_model.py
@@ -370,6 +370,18 @@
         self.assertNotEqual(successor, self.holders[1])
         self.assertTrue(self.usable(successor, 1))
 
+    def test_home_nodes_that_start_in_turn_get_a_slot_each(self) -> None:
+        """Guards against a home node without a share because the other one started first."""
+        world = World(size=2)
+        first = world.owner_index()
+        world.node(first).frozen = True
+        world.run(20)
+        world.node(first).frozen = False
+        world.run(60)
+        fold = world.node(first).state
+        holders = {fold.share(0, slot).holder.partition("#")[0] for slot in range(2)}
+        self.assertEqual(holders, set(world.nodes))
+
     def test_first_share_waits_for_the_lowered_owner(self) -> None:
         """Guards against a first share beside an owner that granted the whole burst."""
         world = World()
--- a/tests/test_limits_service.py
+++ b/tests/test_limits_service.py
@@ -13,6 +13,7 @@
     LimitUnavailableError,
     LogUnavailableError,
     OverBurstError,
+    PeerUnavailableError,
     RateLimitedError,
 )
 from arbutustally.logs import configure
@@ -20,7 +21,14 @@
 from arbutustally.records import Change, wrap
 from arbutustally.state import ControlState
 from arbutustally_node.lease_hold import LeaseHold
-from arbutustally_node.limits_service import GRANT_RETRIED, WAIT_S, WITHIN_RATE, LimitsService
+from arbutustally_node.limits_service import (
+    GRANT_RETRIED,
+    LIMIT_UNAVAILABLE,
+    OUTAGE_S,
+    WAIT_S,
+    WITHIN_RATE,
+    LimitsService,
+)
 from arbutustally_node.node_table import Node
 from arbutustally_node.peers import PeersService
 from tests.node_options import options
@@ -203,6 +211,53 @@
             self.third.limits.reserve("idle", 1)
         self.assertEqual(self.third.count(WITHIN_RATE), 1)
 
+    def test_grant_that_comes_late_admits_the_request(self) -> None:
+        """Guards against telling of no issuer when the grant came on a busy machine, late."""
+        call = self.third.limits._call
+
+        def late(*arguments: Any) -> Any:
+            answer = call(*arguments)
+            gevent.sleep(WAIT_S + 0.1)
+            return answer
+
+        gevent.sleep(1.0)
+        self.third.limits._sources._call = late
+        self.third.limits.settle(self.third.limits.reserve("slow", 20), 20)
+
+    def test_short_loss_of_the_issuers_is_waited_for(self) -> None:
+        """Guards against a second of refusals after one answer that did not come in time."""
+        call = self.third.limits._call
+        lost_until = monotonic() + 1.2
+
+        def lossy(*arguments: Any) -> Any:
+            if monotonic() < lost_until:
+                raise PeerUnavailableError("no answer in time; retry")
+            return call(*arguments)
+
+        self.third.limits._sources._call = lossy
+        gevent.sleep(1.0)
+        self.third.limits.settle(self.third.limits.reserve("big", 100), 100)
+        self.assertEqual(self.third.count(LIMIT_UNAVAILABLE), 0)
+
+    def test_long_loss_of_the_issuers_is_refused_at_once(self) -> None:
+        """Guards against callers that wait for an issuer that has been gone for long."""
+        self.third.log.up = False
+        self.owner.peers.stop()
+        self.second.peers.stop()
+        with gevent.Timeout(PATIENCE_S):
+            refused = monotonic()
+            while monotonic() < refused + OUTAGE_S + WAIT_S:
+                self.assertFalse(self.admitted(self.third, "idle", 1))
+                gevent.sleep(0.01)
+        # An issuer's pause has ended at times, and a call to it then takes its bound.
+        waits = []
+        for _ in range(20):
+            began = monotonic()
+            self.assertFalse(self.admitted(self.third, "idle", 1))
+            waits.append(monotonic() - began)
+            gevent.sleep(0.01)
+        self.assertLess(sorted(waits)[10], 0.1)
+
     def test_share_admits_without_log_and_owner(self) -> None:
         """Guards against a share that is never asked when owner and log are gone."""
         self.fill("slow", 10)
