Try once more for a grant when a node wakes after the wait of a request

Cause: a request that waited for a grant while its node was stopped for longer than its wait of 0.5 s was refused with limit_unavailable after one attempt, made before the stop.

Evidence: the new test failed before and passes now; tests.test_limits_service 12 of 12.

--- a/packages/arbutustally-node/src/arbutustally_node/limits_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/limits_service.py
@@ -211,7 +211,9 @@
             self._waiting[account] -= tokens
 
     def _fetch_until(self, account: str, tokens: float, deadline: float) -> Reservation:
+        attempts = 0
         while True:
+            attempts += 1
             reservation = self._pool.reserve(account, tokens)
             if reservation is not None:
                 return reservation
@@ -224,7 +226,9 @@
                     continue
                 return self._reserve_last(account, tokens)
             pause = _pause_s(refusal)
-            if is_outage or self._clock() + pause > deadline:
+            # A node without processor time may find its deadline passed by the first attempt.
+            is_repeated = attempts > 1 or not refusal.unavailable
+            if is_outage or (is_repeated and self._clock() + pause > deadline):
                 raise self._refused(account, tokens, refusal)
             self._metrics.count(GRANT_RETRIED)
             gevent.sleep(pause)
--- a/tests/test_limits_service.py
+++ b/tests/test_limits_service.py
@@ -239,6 +239,23 @@
         self.third.limits.settle(self.third.limits.reserve("big", 100), 100)
         self.assertEqual(self.third.count(LIMIT_UNAVAILABLE), 0)
 
+    def test_pause_in_the_first_attempt_is_followed_by_another_one(self) -> None:
+        """Guards against refusing what waited when a paused node wakes, after one attempt."""
+        call = self.third.limits._call
+        paused_until = monotonic() + 1.0 + WAIT_S + 0.1
+
+        def paused(*arguments: Any) -> Any:
+            if monotonic() < paused_until:
+                gevent.sleep(paused_until - monotonic())
+                raise PeerUnavailableError("no answer in time; retry")
+            return call(*arguments)
+
+        gevent.sleep(1.0)
+        self.third.limits._sources._call = paused
+        lost = self.third.limits._sources._pause
+        self.third.limits._sources._pause = lambda _node: [lost(name) for name in self.nodes]
+        self.third.limits.settle(self.third.limits.reserve("slow", 20), 20)
+
     def test_long_loss_of_the_issuers_is_refused_at_once(self) -> None:
         """Guards against callers that wait for an issuer that has been gone for long."""
         self.third.log.up = False
