Count tokens of an event only once there is memory for them

Cause: a request that was preempted as it made an event had its tokens counted although they were never sent, so it made one token more than asked for. Change: the count follows the memory; parts that are read again are counted by part; the run is a World whose nodes tests can look at.

--- a/bench/engines/engine.py
+++ b/bench/engines/engine.py
@@ -14,7 +14,7 @@
 from bench.engines.jobs import Job, Rejection
 from bench.engines.links import Link
 from bench.engines.loads import LoadPool
-from bench.engines.memory import BlockMemory, PartKey, Watcher
+from bench.engines.memory import BlockMemory, PartKey, ReadParts, Watcher
 from bench.replay.loop import EventLoop
 
 #: Time after which a request learns that the source of its parts is gone, seconds.
@@ -26,6 +26,7 @@
 class Engine:
     """One engine; ``incarnation`` grows with each start.
 
+    :param read_parts: notes what the engines of the site read.
     :param watch: hears which parts are stored and dropped.
     :ivar read_tokens: prompt tokens that were read, those read again after a preemption included.
     :ivar preemptions: requests that lost their memory.
@@ -38,6 +39,7 @@
         sizes: EngineSizes,
         loop: EventLoop,
         loads: LoadPool,
+        read_parts: ReadParts,
         watch: Watcher | None = None,
     ) -> None:
         self.name = name
@@ -54,6 +56,7 @@
         self._sizes = sizes
         self._loop = loop
         self._loads = loads
+        self._read_parts = read_parts
         self._watch = watch
         self._orders = count(1)
         self._admissions = count(1)
@@ -290,7 +293,8 @@
             return False
         job.used, job.private, job.cached = used, blocks, cached
         # The last token is computed in any case.
-        job.unread = max(1, job.context - max(cached, job.fetched))
+        job.had = max(cached, job.fetched)
+        job.unread = max(1, job.context - job.had)
         job.fetched = 0
         return True
 
@@ -299,6 +303,7 @@
         self._reading.remove(job)
         self._running.add(job)
         self._context += job.context
+        self._note_read(job)
         kept = 0
         for part in job.parts[len(job.used) :]:
             key = PartKey(job.scope, part.id)
@@ -315,10 +320,18 @@
         self._context += 1
         self._tell(job)
 
+    def _note_read(self, job: Job) -> None:
+        end = 0
+        for part in job.parts:
+            end += part.tokens
+            if end > job.had:
+                key = PartKey(job.scope, part.id)
+                self._read_parts.note(key, min(part.tokens, end - job.had))
+
     def _make(self, job: Job) -> None:
         """Makes the tokens of one event."""
-        job.made += min(self._sizes.stride_tokens, job.output_tokens - job.made)
-        needed = self.memory.blocks(job.loose + job.made - job.made_at_read)
+        made = min(job.made + self._sizes.stride_tokens, job.output_tokens)
+        needed = self.memory.blocks(job.loose + made - job.made_at_read)
         while needed > job.private:
             if self.memory.take(needed - job.private):
                 job.private = needed
@@ -327,6 +340,7 @@
             self._preempt(victim)
             if victim is job:
                 return
+        job.made = made
         self._tell(job)
 
     def _tell(self, job: Job) -> None:
--- a/bench/engines/jobs.py
+++ b/bench/engines/jobs.py
@@ -58,6 +58,7 @@
     :ivar made: tokens made so far; not 0 at the start if a stream is resumed.
     :ivar fetched: tokens that came from elsewhere and are not read.
     :ivar unread: prompt tokens that are still to be read.
+    :ivar had: leading tokens that were cached or fetched when it got its slot.
     :ivar used: cached parts that it uses.
     :ivar private: blocks that belong to it alone.
     :ivar loose: tokens in them beside those made since the prompt was read.
@@ -75,6 +76,7 @@
     made: int = 0
     fetched: int = 0
     unread: int = 0
+    had: int = 0
     cached: int = 0
     used: list[PartKey] = field(default_factory=list)
     private: int = 0
--- a/bench/engines/memory.py
+++ b/bench/engines/memory.py
@@ -167,3 +167,20 @@
     def _notify(self, key: PartKey, tokens: int) -> None:
         if self._watch is not None:
             self._watch(key, tokens)
+
+
+class ReadParts:
+    """Which parts any engine of the site has read, and what was read again.
+
+    :ivar again_tokens: tokens of parts that an engine read although one had read them before.
+    """
+
+    def __init__(self) -> None:
+        self.again_tokens = 0
+        self._seen: set[PartKey] = set()
+
+    def note(self, key: PartKey, tokens: int) -> None:
+        """Notes that an engine has read tokens of a part."""
+        if key in self._seen:
+            self.again_tokens += tokens
+        self._seen.add(key)
--- a/bench/engines/run.py
+++ b/bench/engines/run.py
@@ -29,81 +29,76 @@
     seed: int
 
 
-def run_cell(cell: Cell) -> Result:
-    """Plays one cell; equal cells give equal results."""
-    experiment, scenario = cell.experiment, cell.scenario
-    loop = EventLoop()
-    nodes: list[Node] = []
-
-    def on_cache(place: str, key: PartKey, tokens: int) -> None:
-        for node in nodes:
-            if node.policy.has_cached_parts:
-                # Without tokens left the part counts as dropped.
-                node.holdings.dropped(place, key.scope, key.id, tokens)
-
-    site = Site(experiment, loop, Random(f"events/{cell.seed}"), on_cache)
-    zones = experiment.nodes.zones
-    nodes.extend(
-        Node(
-            number,
-            zones[number % len(zones)],
-            experiment,
-            POLICIES[cell.policy],
-            loop.clock,
-            Random(f"node/{cell.seed}/{number}"),
-            site.entries(),
+class World:
+    """Site, nodes and callers of one cell."""
+
+    def __init__(self, cell: Cell) -> None:
+        experiment = cell.experiment
+        self._cell = cell
+        self._loop = EventLoop()
+        self._tally = Tally()
+        self.site = Site(experiment, self._loop, Random(f"events/{cell.seed}"), self._on_cache)
+        zones = experiment.nodes.zones
+        self.nodes = [
+            Node(
+                number,
+                zones[number % len(zones)],
+                experiment,
+                POLICIES[cell.policy],
+                self._loop.clock,
+                Random(f"node/{cell.seed}/{number}"),
+                self.site.entries(),
+            )
+            for number in range(experiment.nodes.count)
+        ]
+        self._placer = Placer(experiment, self.site.stores)
+        self._routes = {sizes.name: route_of(sizes) for sizes in experiment.requests}
+
+    def play(self) -> Result:
+        """Plays the cell to its end."""
+        cell, experiment = self._cell, self._cell.experiment
+        orders = Orders(experiment, self.site, self.nodes)
+        rng = Random(f"troubles/{cell.seed}")
+        troubles = Troubles(experiment, self.site, self.nodes, orders, rng)
+        for trouble in cell.scenario.troubles:
+            troubles.plan(trouble)
+        until = experiment.run.duration_s + experiment.run.tail_s
+        News(self.nodes, self._loop, experiment.nodes.knowledge_age_ms * MS, until).start()
+        arrivals = draw_arrivals(experiment, cell.scenario.load, cell.seed)
+        for arrival in arrivals:
+            self._loop.at(arrival.at, lambda arrival=arrival: self._begin(arrival))
+        self._loop.run(until)
+        return Result(
+            cell.scenario.name,
+            cell.policy,
+            cell.seed,
+            len(arrivals),
+            tuple(self._tally.records),
+            self.site.read_parts.again_tokens,
+            self.site.preemptions,
         )
-        for number in range(experiment.nodes.count)
-    )
-    orders = Orders(experiment, site, nodes)
-    troubles = Troubles(experiment, site, nodes, orders, Random(f"troubles/{cell.seed}"))
-    for trouble in scenario.troubles:
-        troubles.plan(trouble)
-    until = experiment.run.duration_s + experiment.run.tail_s
-    News(nodes, loop, experiment.nodes.knowledge_age_ms * MS, until).start()
-    arrivals = draw_arrivals(experiment, scenario.load, cell.seed)
-    tally = Tally()
-    _play(experiment, loop, site, nodes, arrivals, tally)
-    loop.run(until)
-    return Result(
-        scenario.name,
-        cell.policy,
-        cell.seed,
-        len(arrivals),
-        tuple(tally.records),
-        site.read_tokens,
-        _distinct_tokens(arrivals),
-        site.preemptions,
-    )
 
-
-def _play(
-    experiment: Experiment,
-    loop: EventLoop,
-    site: Site,
-    nodes: list[Node],
-    arrivals: list[Arrival],
-    tally: Tally,
-) -> None:
-    placer = Placer(experiment, site.stores)
-    routes = {sizes.name: route_of(sizes) for sizes in experiment.requests}
-    way_s = 2 * experiment.net.client_ms * MS
-
-    def begin(arrival: Arrival) -> None:
-        route = routes[arrival.sizes.name]
+    def _begin(self, arrival: Arrival) -> None:
+        route = self._routes[arrival.sizes.name]
+        way_s = 2 * self._cell.experiment.net.client_ms * MS
 
         def start(node: int, left_s: float, made: int, caller: Caller) -> RequestRun:
-            run = RequestRun(site, nodes[node], placer, arrival, route, left_s, made, caller)
+            run = RequestRun(
+                self.site, self.nodes[node], self._placer, arrival, route, left_s, made, caller
+            )
             # Both ways between caller and node are spent before the node has the request.
-            loop.after(way_s, run.start)
+            self._loop.after(way_s, run.start)
             return run
 
-        Caller(loop, arrival, tally, start).begin()
+        Caller(self._loop, arrival, self._tally, start).begin()
 
-    for arrival in arrivals:
-        loop.at(arrival.at, lambda arrival=arrival: begin(arrival))
+    def _on_cache(self, place: str, key: PartKey, tokens: int) -> None:
+        for node in self.nodes:
+            if node.policy.has_cached_parts:
+                # Without tokens left the part counts as dropped.
+                node.holdings.dropped(place, key.scope, key.id, tokens)
 
 
-def _distinct_tokens(arrivals: list[Arrival]) -> int:
-    parts = {part.id: part.tokens for arrival in arrivals for part in arrival.parts}
-    return sum(parts.values())
+def run_cell(cell: Cell) -> Result:
+    """Plays one cell; equal cells give equal results."""
+    return World(cell).play()
--- a/bench/engines/sites.py
+++ b/bench/engines/sites.py
@@ -10,7 +10,7 @@
 from bench.engines.jobs import Job, PartPlace
 from bench.engines.links import Link
 from bench.engines.loads import LoadPool
-from bench.engines.memory import BlockMemory, PartKey
+from bench.engines.memory import BlockMemory, PartKey, ReadParts
 from bench.engines.node import ENGINES, MODEL, WORKERS
 from bench.engines.worker import Worker, WorkerJob
 from bench.replay.loop import EventLoop
@@ -34,11 +34,18 @@
         self._on_cache = on_cache
         self._net = experiment.net
         loads = LoadPool(loop, experiment.engines.load_s, experiment.engines.loads_at_once)
+        self.read_parts = ReadParts()
         self.engines: dict[str, Engine] = {}
         for number in range(experiment.engines.count):
             name = f"engine-{number}"
             self.engines[name] = Engine(
-                name, self._zone(number), experiment.engines, loop, loads, self._watcher(name)
+                name,
+                self._zone(number),
+                experiment.engines,
+                loop,
+                loads,
+                self.read_parts,
+                self._watcher(name),
             )
         workers = experiment.workers
         self.workers = {
@@ -67,11 +74,6 @@
         """Returns the zones of the stores of cached parts by name."""
         return {name: place.link.zone for name, place in self._stores.items()}
 
-    @property
-    def read_tokens(self) -> int:
-        """Returns the prompt tokens that all engines have read."""
-        return sum(engine.read_tokens for engine in self.engines.values())
-
     @property
     def preemptions(self) -> int:
         """Returns how often a request lost its memory."""
--- a/bench/engines/tally.py
+++ b/bench/engines/tally.py
@@ -57,8 +57,8 @@
     """One run of one policy.
 
     :ivar arrived: requests that callers began.
-    :ivar read_tokens: prompt tokens that engines read.
-    :ivar distinct_tokens: tokens of all prompts that arrived, each shared part counted once.
+    :ivar read_again: tokens of prompts that engines read although one had read them before.
+    :ivar preemptions: requests that lost their memory in an engine.
     """
 
     scenario: str
@@ -66,15 +66,9 @@
     seed: int
     arrived: int
     records: tuple[Record, ...]
-    read_tokens: int
-    distinct_tokens: int
+    read_again: int
     preemptions: int
 
-    @property
-    def read_again(self) -> int:
-        """Returns the tokens that engines read beyond one reading of each part."""
-        return max(0, self.read_tokens - self.distinct_tokens)
-
     def share(self, ending: Ending) -> float:
         """Returns the part of the requests with an ending."""
         return sum(record.ending is ending for record in self.records) / max(self.arrived, 1)
