--- a/bench/engines/engine.py
+++ b/bench/engines/engine.py
@@ -142,7 +142,7 @@
             return False
         self.is_loading = True
         waiting = [job for *_key, job in self._waiting if not job.is_over]
-        for job in [*waiting, *self._arriving]:
+        for job in [*waiting, *sorted(self._arriving, key=_by_order)]:
             job.is_over = True
             job.listener.rejected(Rejection.LOADING, 0.0, self.version)
         self._arriving.clear()
