--- a/bench/engines/engine.py
+++ b/bench/engines/engine.py
@@ -44,7 +44,8 @@
     ) -> None:
         self.name = name
         self.zone = zone
-        self.link = Link(loop.clock, sizes.transfer_tokens_per_s, zone)
+        queues_at_both = sizes.transfers_queue == "both"
+        self.link = Link(loop.clock, sizes.transfer_tokens_per_s, zone, queues_at_both)
         self.version = 1
         self.incarnation = 1
         self.is_up = True
--- a/bench/engines/experiment.py
+++ b/bench/engines/experiment.py
@@ -67,6 +67,8 @@
     :ivar stride_tokens: tokens of an event.
     :ivar chunk_tokens: prompt tokens that one step reads.
     :ivar kv_tokens: memory of running requests and cached parts.
+    :ivar transfers_queue: links on which a transfer waits for others: that of its ``source``, or
+        ``both``, in which case it keeps the other link from further transfers while it waits.
     :ivar setup_ms: time to begin a transfer of cached parts.
     :ivar load_s: time to load new weights.
     :ivar loads_at_once: loads of the whole site beyond which each takes longer.
@@ -88,6 +90,7 @@
     kv_tokens: int = bounded(1)
     kv_token_bytes: float = bounded(0.0)
     link_mbps: float = bounded(0.001)
+    transfers_queue: str = one_of("source", "both")
     setup_ms: float = bounded(0.0)
     load_s: float = bounded(0.0)
     loads_at_once: int = bounded(1)
--- a/bench/engines/sites.py
+++ b/bench/engines/sites.py
@@ -62,7 +62,9 @@
             )
             speed = experiment.engines.transfer_tokens_per_s
             speed *= experiment.store.link_mbps / experiment.engines.link_mbps
-            self._stores[name] = PartPlace(memory, Link(loop.clock, speed, self._zone(number)))
+            queues_at_both = experiment.engines.transfers_queue == "both"
+            link = Link(loop.clock, speed, self._zone(number), queues_at_both)
+            self._stores[name] = PartPlace(memory, link)
 
     @property
     def clock(self) -> Clock:
--- a/tests/test_bench_engines.py
+++ b/tests/test_bench_engines.py
@@ -34,6 +34,7 @@
     "kv_tokens": 1000,
     "kv_token_bytes": 125.0,
     "link_mbps": 1.0,
+    "transfers_queue": "both",
     "setup_ms": 0.0,
     "load_s": 1.0,
     "loads_at_once": 2,
@@ -132,6 +133,16 @@
         self.assertAlmostEqual(source.send(self.link(), 50), 0.5)
         self.assertAlmostEqual(source.send(self.link(), 50), 1.0)
 
+    def test_a_waiting_transfer_holds_the_other_link_only_if_told_so(self) -> None:
+        """Guards against a setting without an effect, on which results at high load depend."""
+        ends = []
+        for queues_at_both in (True, False):
+            source, other = (Link(self.clock, 100.0, "a", queues_at_both) for _ in range(2))
+            source.send(self.link(), 100)
+            source.send(other, 50)
+            ends.append(round(other.send(self.link(), 50), 6))
+        self.assertEqual(ends, [2.0, 0.5])
+
     def test_zones_cost_twice_the_time(self) -> None:
         """Guards against transfers between zones that are as cheap as within one."""
         self.assertAlmostEqual(self.link("a").send(self.link("b"), 50), 1.0)
