--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -228,7 +228,7 @@
     def is_decider() -> bool:
         return store.endpoints.is_reader and gossip.rank(READING_DUTY) == 0
 
-    return RolloutService(
+    service = RolloutService(
         state.view.rollouts,
         state.rollouts,
         state.view.book,
@@ -239,6 +239,8 @@
         is_decider,
         lambda progress: store.follower.publish(encode_progress(progress)),
     )
+    platform.store_era.watch(service.era_changed)
+    return service
 
 
 def _register(*services: tuple[str, Service]) -> Kernel:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
@@ -79,6 +79,10 @@
         """Starts looking at orders."""
         self._greenlet = supervise(self._log, "rollouts", self._run)
 
+    def era_changed(self, _era: int) -> None:
+        """Notes that the store came back from an older copy: what was written may be gone."""
+        self._written.clear()
+
     def stop(self) -> None:
         """Stops deciding."""
         self._greenlet.kill()
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -504,6 +504,8 @@
     def test_node_that_begins_to_read_keeps_the_age_of_weights(self) -> None:
         """Guards against engines that are left out since their weights seem long replaced."""
         nodes = self.start_settled(3)
+        # A node that started before it knew the others has read once itself.
+        self.eventually(lambda: not all(node._endpoints.is_reader for node in nodes))
         node = next(node for node in nodes if not node._endpoints.is_reader)
         gevent.sleep(1.0)
         self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -214,6 +214,14 @@
         for number in range(50):
             self.assertEqual(self.call(self.node, "/book/a", f"s{number}").status, 200)
 
+    def test_status_is_written_again_after_a_return_of_the_store(self) -> None:
+        """Guards against an operator that never hears of a roll-out whose record was lost."""
+        copy = self.store.take_copy()
+        self.roll_out(60.0)
+        self.store.return_to(copy)
+        self.store.write_again(Random(1), 0.01)
+        self.eventually(lambda: self.state() == "running")
+
     def test_sound_release_is_kept_before_its_time_is_over(self) -> None:
         self.roll_out(8.0)
         self.send_until("completed")
