Let a hedge end no answer that goes on

What callers would see, found by the review of the trace: an answer that had begun ended with 502 although both engines lived; a stream cut by one failed check while its events came; a run that an order to load may break off. Cause: a withdrawn attempt counted as the other engine's answer; the head of an answer counted as the answer; an endpoint was given up by the time since a check failed and not since its last event; withdrawn and hedged attempts did not count as endpoints used; a caller that can't be written to left counts behind. Change: the other engine counts from its first whole event; a withdrawn attempt counts for nothing; an endpoint is given up after 1.2 s without an event, and two checks that failed for reasons of its own; loads are told what is left; a refusal is followed by the next look, not at once; whole answers are hedged as well.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/attempt_load.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/attempt_load.py
@@ -29,6 +29,11 @@
         state.prompt_tokens += self._unread
         state.memory_tokens += self._memory
 
+    def may_go_on(self, may_go_on: bool) -> None:
+        """Notes whether the request may still go on at another endpoint."""
+        before, self._unrepeatable = self._unrepeatable, 0 if may_go_on else 1
+        self._state.unrepeatable += self._unrepeatable - before
+
     def first_event(self, now: float) -> None:
         """Notes that the prompt has been read."""
         self.first_at = self.first_at or now
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_check.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_check.py
@@ -4,6 +4,8 @@
 lost for some of them only. It gets requests again after a connection could be made.
 """
 
+import errno
+
 import gevent
 from gevent import socket as gevent_socket
 
@@ -17,6 +19,8 @@
 PAUSE_S = 0.4
 #: Least interval between two checks of an endpoint that is only silent, seconds.
 SILENT_INTERVAL_S = 1.0
+#: Errors that tell of this process and not of the endpoint.
+LOCAL_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EADDRNOTAVAIL})
 
 
 class EndpointChecker:
@@ -63,6 +67,7 @@
                 if not state.is_down:
                     self._log.line("endpoint_unreachable", endpoint=state.id, found_by="check")
                 self._book.unreachable(state)
+                state.failed_checks += 1
                 gevent.sleep(PAUSE_S)
         finally:
             self._checking.discard(state.id)
@@ -72,6 +77,6 @@
     host, _, port = address.rpartition(":")
     try:
         gevent_socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S).close()
-    except OSError:
-        return False
+    except OSError as error:
+        return error.errno in LOCAL_ERRORS
     return True
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
@@ -17,8 +17,10 @@
 
 #: Pause between two looks at a silent endpoint, seconds.
 LOOK_S = 0.3
-#: Time for which no connection could be made after which a silent endpoint is given up, seconds.
-UNREACHABLE_S = 0.8
+#: Time of silence without a connection after which an endpoint is given up, seconds, and the
+#: checks that must have failed meanwhile.
+UNREACHABLE_S = 1.2
+FAILED_CHECKS = 2
 
 
 class OvertakenError(Exception):
@@ -55,6 +57,8 @@
         self._other: gevent.Greenlet | None = None
         self._waiting: gevent.Greenlet | None = None
         self._is_overtaken = False
+        self._waits = 0
+        self._heard_at = clock()
 
     @contextmanager
     def watch(self, silent_s: float) -> Iterator[None]:
@@ -68,6 +72,7 @@
             raise OvertakenError
         timer = get_hub().loop.timer(max(silent_s, 0.0), LOOK_S)
         self._waiting = getcurrent()
+        self._waits += 1
         timer.start(self._look)
         try:
             yield
@@ -78,23 +83,30 @@
 
     def heard(self) -> None:
         """Notes that the endpoint has gone on: what another one might answer is out of date."""
+        self._heard_at = self._clock()
         if self._other is not None or self._is_overtaken:
             self._other = None
             self._is_overtaken = False
             self._cancel_other()
 
     def _look(self) -> None:
-        state = self._state
-        if state.is_down and self._clock() - state.down_since >= UNREACHABLE_S:
+        if self._is_gone():
             self._interrupt(UnreachableError())
             return
-        self._on_silent(state)
+        self._on_silent(self._state)
         if self._other is None and not self._is_overtaken:
             # Placement takes too long for a callback of the event loop.
-            gevent.spawn(self._start)
+            gevent.spawn(self._start, self._waits)
+
+    def _is_gone(self) -> bool:
+        state = self._state
+        if not state.is_down or state.failed_checks < FAILED_CHECKS:
+            return False
+        return self._clock() - max(state.down_since, self._heard_at) >= UNREACHABLE_S
 
-    def _start(self) -> None:
-        if self._other is not None or self._waiting is None:
+    def _start(self, wait: int) -> None:
+        # The endpoint may have gone on since the timer expired.
+        if self._other is not None or self._waiting is None or wait != self._waits:
             return
         other = self._start_other()
         if other is not None:
@@ -105,12 +117,10 @@
         if other is not self._other:
             return
         self._other = None
-        if other.value:
+        # The value of a greenlet that was killed is an exception.
+        if other.value is True:
             self._is_overtaken = True
             self._interrupt(OvertakenError())
-        elif self._waiting is not None:
-            # An endpoint that is full says so within a few ms.
-            gevent.spawn(self._start)
 
     def _interrupt(self, error: Exception) -> None:
         if self._waiting is not None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -10,7 +10,16 @@
 from arbutustally_node.gateway.placer import Placed
 from arbutustally_node.gateway.request_services import RequestServices, Trace
 from arbutustally_node.gateway.rollout_evidence import AnswerRun
-from arbutustally_node.gateway.transport import OTHER_ENDPOINT, OTHER_WEIGHTS, Attempt
+from arbutustally_node.gateway.stream_relay import RelayEnd
+from arbutustally_node.gateway.transport import (
+    ENDPOINT_SILENT,
+    OTHER_ENDPOINT,
+    OTHER_WEIGHTS,
+    Attempt,
+)
+
+#: Reasons of attempts that were left for an endpoint that answered first: late, not failed.
+SILENT = frozenset({ENDPOINT_SILENT, RelayEnd.SILENT})
 
 
 @dataclass
@@ -73,7 +82,8 @@
         if attempt.outcome is Outcome.NOT_RUN:
             services.rollouts.withdrawn(tried.answer)
         else:
-            services.rollouts.ended(tried.answer, attempt.outcome is not Outcome.ANSWERED)
+            is_failed = attempt.outcome is not Outcome.ANSWERED and attempt.reason not in SILENT
+            services.rollouts.ended(tried.answer, is_failed)
         if attempt.outcome is Outcome.ANSWERED:
             services.view.book.answered(state, services.clock() - tried.began)
         elif attempt.reason == OTHER_ENDPOINT:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -174,12 +174,13 @@
             if tried.attempt.outcome is not Outcome.NOT_RUN:
                 self._ran += 1
             if tried.attempt.outcome is Outcome.ANSWERED:
-                self._cancel_other()
+                hedge.heard()
                 tried.attempt = self._pass_on(tried, hedge)
-        except CallerGoneError:
+        except BaseException as error:
             if tried.attempt is None:
                 self._ran += 1
-            self._withdraw(tried, "caller_gone")
+            is_left = isinstance(error, CallerGoneError)
+            self._withdraw(tried, "caller_gone" if is_left else "caller_unwritable")
             raise
         finally:
             tried.load.end()
@@ -219,17 +220,32 @@
             return None
         self._other = self._begin(placed)
         self._other_greenlet = gevent.spawn(self._send_other, self._other)
+        self._update_loads()
         return self._other_greenlet
 
+    def _update_loads(self) -> None:
+        """Notes at the endpoints at work whether the request may go on at a further one."""
+        tries = [one for one in (self._current, self._other) if one is not None]
+        in_use = self._ran + sum(one.attempt is None for one in tries)
+        for one in tries:
+            one.load.may_go_on(self._has_endpoints_left(in_use))
+
     def _send_other(self, tried: Try) -> bool:
-        tried.attempt = self._send(tried, nullcontext())
-        if tried.attempt.outcome is Outcome.ANSWERED:
+        attempt = self._send(tried, nullcontext())
+        if attempt.outcome is Outcome.ANSWERED and self._is_stream(attempt):
+            attempt = self._services.transport.await_event(attempt, self.left_s)
+        if self._other is not tried:
+            _drop(attempt)
+            return False
+        tried.attempt = attempt
+        if attempt.outcome is Outcome.ANSWERED:
             return True
-        if tried.attempt.outcome is not Outcome.NOT_RUN:
+        if attempt.outcome is not Outcome.NOT_RUN:
             self._ran += 1
-        _drop(tried.attempt)
+        _drop(attempt)
         self._other = self._other_greenlet = None
         tried.load.end()
+        self._update_loads()
         self._note(tried, tried.attempt.reason)
         self._learning.ended(tried)
         return False
@@ -257,7 +273,7 @@
         self._other = self._other_greenlet = None
         if tried is None:
             return
-        greenlet.kill()
+        greenlet.kill(block=False)
         self._ran += 1
         if tried.attempt is not None:
             _drop(tried.attempt)
@@ -301,13 +317,16 @@
     def _pass_on(self, tried: Try, hedge: Hedge) -> Attempt:
         """Passes an answer on to the caller, as a stream or whole."""
         attempt = tried.attempt
-        if self._route.kind is RouteKind.STREAM and attempt.status == 200:
+        if self._is_stream(attempt):
             return self._stream(tried, hedge)
-        attempt = self._services.transport.read_whole(attempt, self.left_s, self._watch)
+        attempt = self._services.transport.read_whole(attempt, self.left_s, self._watching(hedge))
         if attempt.outcome is Outcome.ANSWERED:
             self._connection.send_whole(attempt.status, attempt.terms.headers, attempt.body)
         return attempt
 
+    def _is_stream(self, attempt: Attempt) -> bool:
+        return self._route.kind is RouteKind.STREAM and attempt.status == 200
+
     def _deliver_whole(self, attempt: Attempt) -> None:
         """Delivers an endpoint's own failure."""
         status, headers = attempt.status, attempt.terms.headers
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -9,8 +9,8 @@
 from arbutustally.errors import EndpointFailedError, EndpointTimeoutError, Ran, RouterError
 from arbutustally.gateway.attempts import Outcome
 from arbutustally.gateway.endpoints import EndpointState
+from arbutustally.gateway.events import EventTooLongError, WholeEvents
 from arbutustally.gateway.requests import CallerRequest
-from arbutustally_node.caller_watch import CallerWatch
 from arbutustally_node.gateway.hedge import OvertakenError, UnreachableError
 from arbutustally_node.gateway.ports import AnswerTerms, AttemptTerms, HttpCodec
 from arbutustally_node.pool import PooledResponse, PoolService
@@ -23,6 +23,8 @@
 ENDPOINT_FULL = "endpoint_full"
 OTHER_ENDPOINT = "other_endpoint"
 OTHER_WEIGHTS = "other_weights"
+#: Reason of an attempt whose endpoint did not answer in time, or after another one.
+ENDPOINT_SILENT = "endpoint_silent"
 
 
 @dataclass
@@ -80,7 +82,7 @@
                     fresh,
                 )
         except (EndpointTimeoutError, OvertakenError, _HeadTimeoutError):
-            return Attempt(Outcome.MAY_HAVE_RUN, "endpoint_silent")
+            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_SILENT)
         except UnreachableError:
             return Attempt(Outcome.MAY_HAVE_RUN, "endpoint_gone")
         except EndpointFailedError as error:
@@ -90,16 +92,36 @@
             return Attempt(Outcome.MAY_HAVE_RUN, "connection_broken")
         return self._judge(request, state, response)
 
-    def read_whole(self, attempt: Attempt, left_s: float, watch: CallerWatch) -> Attempt:
+    def await_event(self, attempt: Attempt, left_s: float) -> Attempt:
+        """Waits for the first whole event of a stream, which stays to be read."""
+        response = attempt.response
+        arrived = b""
+        try:
+            with gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
+                while not WholeEvents().feed(arrived) and (piece := response.read()):
+                    arrived += piece
+        except (RouterError, EventTooLongError, _HeadTimeoutError):
+            response.close()
+            return Attempt(Outcome.MAY_HAVE_RUN, "stream_broken", attempt.status)
+        except BaseException:
+            response.close()
+            raise
+        response.put_back(arrived)
+        return attempt
+
+    def read_whole(
+        self, attempt: Attempt, left_s: float, guard: AbstractContextManager[None]
+    ) -> Attempt:
         """Reads the body of an answer.
 
+        :param guard: watches the wait for it.
         :raises CallerGoneError: if the caller leaves meanwhile.
         """
         response = attempt.response
         try:
-            with watch, gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
+            with guard, gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
                 attempt.body = response.read_whole(MAX_WHOLE_ANSWER)
-        except (RouterError, _HeadTimeoutError):
+        except (RouterError, OvertakenError, UnreachableError, _HeadTimeoutError):
             response.close()
             return Attempt(Outcome.MAY_HAVE_RUN, "answer_broken", attempt.status)
         except BaseException:
--- a/packages/arbutustally-node/src/arbutustally_node/pool.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -91,6 +91,7 @@
         self._socket = _socket_of(response)
         self._body = self._framing()
         self._arrived = self._arrived_with_head()
+        self._put_back = b""
         self._closed = False
         self._silenced = False
         self._was_reset = False
@@ -121,6 +122,9 @@
         :raises EndpointFailedError: ``MAY_HAVE_RUN``, if the connection breaks inside the body.
         :raises EndpointTimeoutError: ``MAY_HAVE_RUN``, if the endpoint is silent.
         """
+        if self._put_back:
+            data, self._put_back = self._put_back, b""
+            return data
         while not self._closed:
             if self._body.done:
                 self._finish()
@@ -135,6 +139,10 @@
                 return decoded
         return b""
 
+    def put_back(self, data: bytes) -> None:
+        """Makes bytes of the body that were read the first ones to be read."""
+        self._put_back = data + self._put_back
+
     def _receive(self) -> bytes:
         if self._arrived:
             received, self._arrived = self._arrived, b""
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -1,6 +1,6 @@
 """What a node believes of the endpoints, from the platform's list, its own calls and its peers."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 
@@ -79,6 +79,7 @@
     :ivar paused_until: until then it wants nothing from this node.
     :ivar is_down: no connection could be made.
     :ivar down_since: when that was first found.
+    :ivar failed_checks: checks since then that could make none either.
     :ivar checked_at: when a connection was last tried since a request waits for it.
     :ivar is_replaced: another endpoint was found at its address.
     """
@@ -100,6 +101,7 @@
     is_replaced: bool = False
     is_down: bool = False
     down_since: float = 0.0
+    failed_checks: int = 0
     checked_at: float = float("-inf")
     suspect_until: float = 0.0
     suspicions: int = 0
@@ -184,17 +186,26 @@
         """Returns the endpoints of a service, leaving ones included."""
         return [state for state in self._states.values() if state.entry.service == service]
 
-    def usable(self, service: str) -> list[EndpointState]:
+    def usable(
+        self, service: str, may_take: Callable[[EndpointState], bool] = lambda _state: True
+    ) -> list[EndpointState]:
         """Returns the endpoints that may get a new request now.
 
         Suspected endpoints are left out as long as another one remains; those that asked for a
         pause get nothing in any case.
+
+        :param may_take: which of them count at all.
         """
         now = self._clock()
-        able = [state for state in self._staying(service, now) if state.paused_until <= now]
+        staying = filter(may_take, self._staying(service, now))
+        able = [state for state in staying if state.paused_until <= now]
         trusted = [state for state in able if not state.is_down and state.suspect_until <= now]
         return trusted or able
 
+    def has_any(self, service: str, is_meant: Callable[[EndpointState], bool]) -> bool:
+        """Returns whether an endpoint of a service stays, usable now or not."""
+        return any(map(is_meant, self._staying(service, self._clock())))
+
     def returns_in(self, service: str) -> float | None:
         """Returns the time until the first paused endpoint may be used, ``None`` if none pauses."""
         now = self._clock()
@@ -300,6 +311,7 @@
         """Notes that no connection to an endpoint could be made."""
         if not state.is_down:
             state.down_since = self._clock()
+            state.failed_checks = 0
         state.is_down = True
 
     def reachable(self, state: EndpointState) -> None:
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -7,7 +7,7 @@
 import urllib3
 from bottle import HTTPResponse
 
-from arbutustally_node.gateway import endpoint_check
+from arbutustally_node.gateway import endpoint_check, stream_relay
 from arbutustally_node.gateway.request_run import FIRST_BYTE_S
 from arbutustally_node.gateway.stream_relay import SILENT_GAP_S
 from tests.gateway_fleet import GatewayCase
@@ -106,6 +106,72 @@
         states = self.node._view.book.of_service("llm")
         self.eventually(lambda: sum(state.running for state in states) == 0)
 
+    def test_late_head_drops_the_other_engine(self) -> None:
+        """Guards against a withdrawn attempt that counts as the other engine's answer."""
+        self.set_routes()
+
+        def late(headers):
+            gevent.sleep(FIRST_BYTE_S + 0.3)
+
+            def body():
+                yield b"id: 1\n"
+                gevent.sleep(0.4)
+                yield b"data: piece 1\n\n" + events(2, 5)
+
+            return signed(headers, body())
+
+        self.answer_first_with(late, self.paused(5.0, begins_with_events=False))
+        self.assertEqual(self.ask().data, events(1, 5))
+
+    def test_other_engine_counts_from_its_first_event(self) -> None:
+        """Guards against leaving an engine for one that has answered nothing but a head."""
+        self.set_routes()
+
+        def only_head(headers):
+            def body():
+                yield b"id: 3\n"
+                gevent.sleep(4.0)
+                yield b"data: piece 3\n\n" + events(4, 5)
+
+            return signed(headers, body())
+
+        self.answer_first_with(self.paused(SILENT_GAP_S + 0.7), only_head)
+        began = time.monotonic()
+        self.assertEqual(self.ask().data, events(1, 5))
+        self.assertLess(time.monotonic() - began, 3.0)
+
+    def test_short_pause_of_an_engine_that_could_not_be_reached_is_borne(self) -> None:
+        """Guards against one failed check that ends a stream whose events still come."""
+        self.set_routes(maxAttempts=1, resumable=False)
+        self.answer_first_with(self.paused(SILENT_GAP_S + 0.3), full)
+        with mock.patch.object(endpoint_check, "_can_connect", return_value=False):
+            self.assertEqual(self.ask().data, events(1, 5))
+
+    def test_hedged_run_on_its_last_endpoint_counts_as_unrepeatable(self) -> None:
+        """Guards against an order that breaks off a run whose other attempt was withdrawn."""
+        self.set_routes()
+        counts = []
+
+        def slow(headers):
+            def body():
+                gevent.sleep(SILENT_GAP_S + 0.4)
+                yield events(1, 2)
+                gevent.sleep(0.2)
+                states = self.node._view.book.of_service("llm")
+                counts.append((sum(one.running for one in states), total(states)))
+                yield events(3, 5)
+
+            return signed(headers, body())
+
+        def total(states) -> int:
+            return sum(one.unrepeatable for one in states)
+
+        late = self.paused(9.0, begins_with_events=False)
+        self.answer_first_with(slow, late)
+        with mock.patch.object(stream_relay, "SILENT_START_S", SILENT_GAP_S):
+            self.assertEqual(self.ask().data, events(1, 5))
+        self.assertEqual(counts, [(1, 1)])
+
     def test_stream_of_a_dead_engine_ends_soon(self) -> None:
         """Guards against a caller that is held until its deadline by an engine that is gone."""
         self.set_routes(maxAttempts=1, resumable=False)
