Keep no release without a comparison, and none beside another end

Cause, found by the review: a release with few answers on each route, or seen by a node that had just taken over, was kept without any comparison; while the usual endpoints paused, all requests went to the release on trial; one that was taken back counted as usual under the next order; two nodes could write two ends. Change: half of the answers must be on routes that can be compared, also when it is kept; a trial replaces no endpoint that only pauses or is doubted; releases that were taken back get nothing; every write is conditional and replaces no end.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -108,8 +108,8 @@
     def _usable(self) -> list[EndpointState]:
         """Returns the endpoints that may get the request, of one release where two are compared."""
         view, service = self._services.view, self._service.name
-        able = view.book.usable(service)
-        return view.rollouts.allowed(service, able, self._request.request_id, not self._tried)
+        request_id = self._request.request_id
+        return view.rollouts.allowed(view.book, service, request_id, not self._tried)
 
     def _place_among(
         self, able: list[EndpointState], left_s: float, has_run: bool, must_be_timely: bool
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
@@ -37,6 +37,7 @@
     """
 
     service: str
+    target: str
     group: str
     route: str
     began: float
@@ -96,8 +97,9 @@
     def began(self, state: EndpointState, route: str, extra_s: float) -> AnswerRun:
         """Notes that a request was sent to an endpoint."""
         service = state.entry.service
-        is_new = state.entry.release == self._book.target(service)
-        run = AnswerRun(service, NEW if is_new else OLD, route, self._clock(), extra_s)
+        target = self._book.target(service) or ""
+        group = NEW if self._book.is_new(state) else OLD
+        run = AnswerRun(service, target, group, route, self._clock(), extra_s)
         if self._book.is_judged(service):
             self._running[id(run)] = run
         return run
@@ -131,8 +133,7 @@
         return usual.quantile(USUAL_QUANTILE) * LONG_FACTOR + run.extra_s
 
     def _add(self, run: AnswerRun, tally: AnswerTally) -> None:
-        target = self._book.target(run.service) or ""
-        name = _name(run.service, target, run.group, run.route)
+        name = _name(run.service, run.target, run.group, run.route)
         self._own[name] = self._own.get(name, AnswerTally()).plus(tally)
 
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
@@ -1,13 +1,13 @@
 """Carries out roll-outs: one node decides, writes the operator's record and tells the others.
 
 The first of the nodes that read the store for the fleet decides. A release that is bad gets nothing
-more at once; one is kept only once the store has that record and no other, so that two nodes that
-both take themselves for the first can't end a roll-out in two ways.
+more at once; one gets all requests or is kept only once the store has that record. No record of an
+end is replaced by another one, also where two nodes take themselves for the first.
 """
 
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import gevent
@@ -26,7 +26,7 @@
     since,
 )
 from arbutustally_node.gateway.decision_log import DecisionLog
-from arbutustally_node.gateway.ports import Documents, StatusTopic
+from arbutustally_node.gateway.ports import Documents, Record, StatusTopic
 from arbutustally_node.gateway.rollout_evidence import NEW, OLD, RolloutEvidence
 from arbutustally_node.gateway.supervision import supervise
 
@@ -153,14 +153,19 @@
                     self._rollouts.take(progress)
 
     def _decide(self, progress: RolloutProgress, new: Tallies) -> None:
-        if progress.state is RolloutState.COMPLETED and not self._keep(progress):
-            return
-        self._take(progress, new)
         if progress.state is RolloutState.ROLLED_BACK:
+            # Nothing more goes to a bad release, whether or not the store can be written.
+            self._take(progress, new)
             self._write(progress)
+        elif self._is_written(progress) or self._write(progress):
+            self._take(progress, new)
+
+    def _is_written(self, progress: RolloutProgress) -> bool:
         written = self._written.get(progress.service)
-        if written is None or written.target != progress.target:
-            self._write(progress)
+        return written is not None and (written.target, written.state) == (
+            progress.target,
+            progress.state,
+        )
 
     def _take(self, progress: RolloutProgress, new: Tallies) -> None:
         if self._rollouts.take(progress):
@@ -186,30 +191,39 @@
         if now - self._told_at.get(progress.service, float("-inf")) >= TELL_S:
             self._told_at[progress.service] = now
             self._tell(progress)
-        written = self._written.get(progress.service)
-        if written is None or (written.target, written.state) != (progress.target, progress.state):
+        if not self._is_written(progress):
             self._write(progress)
 
-    def _keep(self, progress: RolloutProgress) -> bool:
-        """Writes that a release is kept, unless the store has another end of the roll-out."""
+    def _write(self, progress: RolloutProgress) -> bool:
+        """Writes how far a roll-out is, unless the store has another end of it."""
         batch = self._topic.newest()
-        for record in batch.records:
-            found = self._documents.decode_rollout(record)
-            if found is None or (found.service, found.target) != (
-                progress.service,
-                progress.target,
-            ):
-                continue
-            if found.state is RolloutState.ROLLED_BACK:
-                self._rollouts.take(found)
-                return False
+        found = self._found(batch.records, progress)
+        if found is not None and found.is_final and found.state is not progress.state:
+            self._written[progress.service] = found
+            self._log.line(
+                "rollout_ended_otherwise",
+                service=progress.service,
+                target=progress.target,
+                state=found.state,
+                wanted=progress.state,
+            )
+            self._rollouts.take(found)
+            return False
         record = self._documents.encode_rollout(progress)
         if self._topic.put(record.key, record.value, batch.next_offset) is None:
             return False
         self._written[progress.service] = progress
         return True
 
-    def _write(self, progress: RolloutProgress) -> None:
-        record = self._documents.encode_rollout(progress)
-        self._topic.put(record.key, record.value)
-        self._written[progress.service] = progress
+    def _found(
+        self, records: Iterable[Record], progress: RolloutProgress
+    ) -> RolloutProgress | None:
+        """Returns what the store has of the same roll-out."""
+        for record in records:
+            found = self._documents.decode_rollout(record)
+            if found is not None and (found.service, found.target) == (
+                progress.service,
+                progress.target,
+            ):
+                return found
+        return None
--- a/packages/arbutustally/src/arbutustally/gateway/rollouts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/rollouts.py
@@ -12,7 +12,7 @@
 from enum import StrEnum
 
 from arbutustally.evidence import tail_probability
-from arbutustally.gateway.endpoints import EndpointState
+from arbutustally.gateway.endpoints import EndpointBook, EndpointState
 from arbutustally.rendezvous import unit
 
 #: Part of the requests that a release gets while it is judged.
@@ -36,9 +36,13 @@
 SLOW_DEVIATION = 3.1
 SLOW_ROUTE_DEVIATION = 4.0
 SOUND_DEVIATION = 1.5
+#: Part of a release's answers on routes with enough of them, for it to be kept.
+COMPARED_PART = 0.5
 #: Time before the end of the order at which all new requests go to a sound release, seconds; the
 #: release before finishes what it runs meanwhile.
 MOVE_S = 1.2
+#: Time after that for which a release is watched in any case, seconds.
+WATCH_S = 0.5
 #: Time before the end at which the release is kept although the one before still runs requests.
 KEEP_S = 0.4
 
@@ -164,7 +168,14 @@
     """Returns whether enough answers say that a release is as good as the one before."""
     if _whole(new).answers < MIN_ANSWERS_TO_KEEP or is_bad(new, old):
         return False
-    return _together(_deviations(new, old)) < SOUND_DEVIATION
+    compared = [tally for route, tally in new.items() if _is_compared(tally, old.get(route))]
+    if sum(tally.timed for tally in compared) < _whole(new).timed * COMPARED_PART:
+        return False
+    return bool(compared) and _together(_deviations(new, old)) < SOUND_DEVIATION
+
+
+def _is_compared(new: AnswerTally, old: AnswerTally | None) -> bool:
+    return old is not None and new.timed >= MIN_TIMED and old.timed >= MIN_USUAL
 
 
 def _whole(tallies: Tallies) -> AnswerTally:
@@ -183,8 +194,8 @@
     """Returns by how many standard errors the times of each route are beyond what is bearable."""
     found = []
     for route, tally in new.items():
-        usual = old.get(route, AnswerTally())
-        if tally.timed < MIN_TIMED or usual.timed < MIN_USUAL:
+        usual = old.get(route)
+        if not _is_compared(tally, usual):
             continue
         error = math.sqrt(usual.variance * (1 / tally.timed + 1 / usual.timed))
         found.append((tally.mean - usual.mean - math.log(BEARABLE_FACTOR)) / error)
@@ -217,8 +228,10 @@
     if is_found_bad or is_bad(new, old):
         return _progress(order, RolloutState.ROLLED_BACK, 0.0)
     has_moved = current is not None and current.share == 1.0
-    if has_moved and (not old_runs or left_s <= KEEP_S):
-        return _progress(order, RolloutState.COMPLETED, 1.0)
+    if has_moved and (left_s <= KEEP_S or not old_runs and left_s <= MOVE_S - WATCH_S):
+        is_kept = is_sound(new, old)
+        end = RolloutState.COMPLETED if is_kept else RolloutState.ROLLED_BACK
+        return _progress(order, end, 1.0 if is_kept else 0.0)
     if has_moved or (left_s <= MOVE_S and is_sound(new, old)):
         return _progress(order, RolloutState.RUNNING, 1.0)
     return _progress(order, RolloutState.RUNNING, TRIAL_SHARE)
@@ -242,6 +255,7 @@
     def __init__(self) -> None:
         self._orders: dict[str, KnownOrder] = {}
         self._progress: dict[str, RolloutProgress] = {}
+        self._bad: dict[str, set[str]] = {}
 
     @property
     def orders(self) -> list[KnownOrder]:
@@ -258,6 +272,7 @@
         if known is not None and known.order == order:
             return False
         self._orders[order.service] = KnownOrder(order, known_at)
+        self._bad.get(order.service, set()).discard(order.target)
         progress = self._progress.get(order.service)
         if progress is not None and progress.target != order.target:
             del self._progress[order.service]
@@ -275,6 +290,8 @@
         if is_later and not self._may_follow(current, progress):
             return False
         self._progress[progress.service] = progress
+        if progress.state is RolloutState.ROLLED_BACK:
+            self._bad.setdefault(progress.service, set()).add(progress.target)
         return True
 
     @staticmethod
@@ -292,23 +309,33 @@
         known = self._orders.get(service)
         return known.order.target if known else None
 
+    def is_new(self, state: EndpointState) -> bool:
+        """Returns whether an endpoint has the release that its service's newest order names."""
+        return state.entry.release == self.target(state.entry.service)
+
+    def is_usual(self, state: EndpointState) -> bool:
+        """Returns whether an endpoint has a release that is neither on trial nor taken back."""
+        is_bad = state.entry.release in self._bad.get(state.entry.service, ())
+        return not is_bad and not self.is_new(state)
+
     def allowed(
-        self, service: str, states: Sequence[EndpointState], request_id: str, is_first: bool
+        self, book: EndpointBook, service: str, request_id: str, is_first: bool
     ) -> list[EndpointState]:
-        """Returns the endpoints of the release that a request should go to.
+        """Returns the usable endpoints of the release that a request should go to.
 
         :param is_first: no attempt of the request was made; later ones prefer the release that is
             known to be sound.
         """
-        target = self.target(service)
-        new = [state for state in states if state.entry.release == target]
-        old = [state for state in states if state.entry.release != target]
-        if target is None or not new:
-            return list(states)
+        if service not in self._orders:
+            return book.usable(service)
         progress = self._progress.get(service)
-        if progress is not None and progress.state is RolloutState.ROLLED_BACK:
-            return old
         share = progress.share if progress is not None else 0.0
-        if share >= 1.0 or (is_first and unit(service.encode(), request_id) < share):
+        is_on_trial = is_first and unit(service.encode(), request_id) < share
+        if (share >= 1.0 or is_on_trial) and (new := book.usable(service, self.is_new)):
             return new
-        return old or new
+        if old := book.usable(service, self.is_usual):
+            return old
+        # While endpoints of the usual release only pause, the one on trial does not replace them.
+        has_usual = book.has_any(service, self.is_usual)
+        is_out = progress is not None and progress.state is RolloutState.ROLLED_BACK
+        return [] if has_usual or is_out else book.usable(service, self.is_new)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -8,12 +8,13 @@
 import gevent
 from bottle import HTTPResponse
 
-from arbutustally.gateway.endpoints import EndpointEntry, EndpointState
+from arbutustally.gateway.endpoints import EndpointBook, EndpointEntry, EndpointState
 from arbutustally.gateway.rollouts import (
     KEEP_S,
     MIN_USUAL,
     MOVE_S,
     TRIAL_SHARE,
+    WATCH_S,
     AnswerTally,
     RolloutBook,
     RolloutOrder,
@@ -91,7 +92,8 @@
         self.assertEqual(moved, progress(RolloutState.RUNNING, 1.0))
         self.assertEqual(self.following(moved, MOVE_S - 0.1), moved)
         kept = progress(RolloutState.COMPLETED, 1.0)
-        self.assertEqual(self.following(moved, MOVE_S - 0.1, old_runs=0), kept)
+        self.assertEqual(self.following(moved, MOVE_S - 0.1, old_runs=0), moved)
+        self.assertEqual(self.following(moved, MOVE_S - WATCH_S, old_runs=0), kept)
         self.assertEqual(self.following(moved, KEEP_S), kept)
 
     def test_release_with_too_few_answers_is_not_kept(self) -> None:
@@ -100,6 +102,15 @@
         few = {"chat": times(3, 1.0)}
         self.assertEqual(self.following(trial, -5.0, few, old_runs=0), trial)
 
+    def test_release_without_a_comparison_is_not_kept(self) -> None:
+        """Guards against a slow release that is kept since each route has few answers."""
+        thin = {f"route-{number}": times(4, 10.0, number) for number in range(6)}
+        self.assertFalse(is_sound(thin, {route: times(100, 1.0) for route in thin}))
+        self.assertFalse(is_sound(SOUND, {"chat": times(10, 1.0)}))
+        moved = progress(RolloutState.RUNNING, 1.0)
+        back = progress(RolloutState.ROLLED_BACK, 0.0)
+        self.assertEqual(self.following(moved, KEEP_S, {}), back)
+
     def test_bad_release_is_taken_back_at_any_step(self) -> None:
         back = progress(RolloutState.ROLLED_BACK, 0.0)
         for current in (None, progress(RolloutState.RUNNING, 1.0)):
@@ -110,13 +121,17 @@
 class RoutingTest(unittest.TestCase):
     def setUp(self) -> None:
         self.book = RolloutBook()
-        self.states = [state("a", "v1"), state("b", "v1"), state("c", "v2")]
+        self.now = 100.0
+        self.endpoints = EndpointBook(lambda: self.now)
+        for name, release in (("a", "v1"), ("b", "v1"), ("c", "v2")):
+            self.endpoints.put(state(name, release).entry)
+
+    def allowed(self, request_id: str = "r", is_first: bool = True) -> list[str]:
+        found = self.book.allowed(self.endpoints, "llm", request_id, is_first)
+        return [one.id for one in found]
 
     def chosen(self, number: int = 1000, is_first: bool = True) -> int:
-        return sum(
-            self.book.allowed("llm", self.states, f"r{one}", is_first)[0].id == "c"
-            for one in range(number)
-        )
+        return sum(self.allowed(f"r{one}", is_first)[0] == "c" for one in range(number))
 
     def test_only_the_trial_share_goes_to_a_release_that_is_judged(self) -> None:
         """Guards against a bad release that gets a large part of the requests."""
@@ -131,10 +146,32 @@
         self.book.take(progress(RolloutState.ROLLED_BACK, 0.0))
         self.assertFalse(self.book.take(progress(RolloutState.RUNNING, 1.0)))
         self.assertEqual(self.chosen(), 0)
-        self.assertEqual(self.book.allowed("llm", self.states[2:], "r", True), [])
+        for name in ("a", "b"):
+            self.endpoints.remove(name)
+        self.assertEqual(self.allowed(), [])
 
     def test_all_releases_are_used_where_nothing_is_ordered(self) -> None:
-        self.assertEqual(self.book.allowed("llm", self.states, "r", True), self.states)
+        self.assertEqual(self.allowed(), ["a", "b", "c"])
+
+    def test_trial_does_not_replace_endpoints_that_pause_or_are_doubted(self) -> None:
+        """Guards against a bad release that gets all requests while the others have trouble."""
+        self.book.order(ORDER, 0.0)
+        for name in ("a", "b"):
+            self.endpoints.get(name).suspect_until = self.now + 1.0
+        self.assertEqual(self.chosen(), 0)
+        for name in ("a", "b"):
+            self.endpoints.get(name).paused_until = self.now + 1.0
+        self.assertEqual(self.allowed(), [])
+        for name in ("a", "b"):
+            self.endpoints.remove(name)
+        self.assertEqual(self.allowed(), ["c"])
+
+    def test_release_that_was_taken_back_gets_nothing_under_the_next_order(self) -> None:
+        """Guards against a bad release that counts as the usual one while the next is judged."""
+        self.book.order(ORDER, 0.0)
+        self.book.take(progress(RolloutState.ROLLED_BACK, 0.0))
+        self.book.order(RolloutOrder("llm", "v3", 10.0), 1.0)
+        self.assertEqual(self.allowed(), ["a", "b"])
 
     def test_new_order_begins_anew(self) -> None:
         self.book.order(ORDER, 0.0)
