Show that one failed check ends a stream whose events still come

Cause: the test that was to guard this passed on the code before, since its check fails only after the pause began. Change: the endpoint was found unreachable long before.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -143,7 +143,16 @@
     def test_short_pause_of_an_engine_that_could_not_be_reached_is_borne(self) -> None:
         """Guards against one failed check that ends a stream whose events still come."""
         self.set_routes(maxAttempts=1, resumable=False)
-        self.answer_first_with(self.paused(SILENT_GAP_S + 0.3), full)
+        paused = self.paused(SILENT_GAP_S + 0.3)
+
+        def reached_no_more(headers):
+            book = self.node._view.book
+            for state in book.of_service("llm"):
+                book.unreachable(state)
+                state.down_since -= 5.0
+            return paused(headers)
+
+        self.answer_first_with(reached_no_more, full)
         with mock.patch.object(endpoint_check, "_can_connect", return_value=False):
             self.assertEqual(self.ask().data, events(1, 5))
 
