--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -141,7 +141,7 @@
         self.store.return_to(copy)
         self.assertFalse(self.store.newest("keyed.nodes"))
         self.eventually(lambda: self.store.newest("keyed.nodes") == written)
-        self.assertEqual(node._instruments.value("store_returns"), 1)
+        self.assertEqual(node._services.state.instruments.value("store_returns"), 1)
 
     def test_weights_are_loaded_with_a_higher_fence_after_a_return(self) -> None:
         """Guards against engines that refuse every order after the store's return."""
