--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -58,7 +58,8 @@
     :ivar incarnation: differs between two starts of a node.
     :ivar number: grows with each datagram of an incarnation.
     :ivar loads: load by endpoint.
-    :ivar admitted: running totals by account.
+    :ivar admitted: running totals of admitted tokens by account, and of the answers of releases
+        that are judged (``RolloutEvidence.totals``).
     :ivar speeds: prompt tokens that engines were seen to read lately, and the seconds it took.
     :ivar weights: named versions by model, with the age of the knowledge in seconds.
     :ivar engines: version that an engine is known to run beyond the endpoints' list, by endpoint
