Leave an endpoint out for good only by entries of an older copy

Cause: since the readers' change for the store's return, an endpoint that was listed as leaving and then as ready again, without a new start, was never used again, also where the store had not come back from a copy. Change: that holds for entries read while a list of a newer era settles.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -199,8 +199,9 @@
             self._view.replace_endpoints(records, source)
             return
         self._watch.list_returned()
-        self._unsettled = self._view.settle_endpoints(records, source)
         self._unsettled_until = self._clock() + SETTLING_S
+        self._view.book.expect_older(self._unsettled_until)
+        self._unsettled = self._view.settle_endpoints(records, source)
         self._settled_to = position.offset
         self._log.line(
             "endpoints_read_anew", era=position.era, previous=known.era, listed=len(records)
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -165,6 +165,7 @@
         self._clock = clock
         self._states: dict[str, EndpointState] = {}
         self._keep_removed_until = 0.0
+        self._may_be_older_until = float("-inf")
 
     @classmethod
     def from_config(cls, clock: Clock) -> "EndpointBook":
@@ -264,8 +265,8 @@
                 replaced_incarnations=replaced[-MAX_INCARNATIONS:],
             )
             return True
-        # A store that came back from an older copy lists an endpoint that leaves as it was before.
-        state.has_said_leaving |= state.entry.is_leaving and not entry.is_leaving
+        if self._clock() < self._may_be_older_until:
+            state.has_said_leaving |= state.entry.is_leaving and not entry.is_leaving
         is_new = state.entry != entry or state.gone_at is not None
         state.entry = entry
         state.gone_at = None
@@ -273,6 +274,13 @@
             state.weights[model] = max(state.weights.get(model, 0), version)
         return is_new
 
+    def expect_older(self, until: float) -> None:
+        """Expects older entries until an instant: the store came back from an older copy.
+
+        Until then an endpoint that leaves goes on to leave, whatever its entry says.
+        """
+        self._may_be_older_until = until
+
     def is_past(self, entry: EndpointEntry) -> bool:
         """Returns whether an endpoint was removed, or has started again, since this entry."""
         state = self._states.get(entry.id)
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -1,8 +1,10 @@
 """Reading of the endpoints' list by a few nodes for the whole fleet."""
 
 import unittest
+from dataclasses import replace
 
 from arbutustally.clock import VirtualClock
+from arbutustally.gateway.endpoints import EndpointBook, EndpointEntry
 from arbutustally.gateway.shared_reading import (
     CLAIM_PAUSE_S,
     CLAIM_S,
@@ -222,3 +224,23 @@
         self.reading.take_whole(Position(1 << 60, 1))
         self.reading.read_whole(Position(2, 11))
         self.assertEqual(self.reading.position, Position(2, 11))
+
+
+class ListedAgainTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.book = EndpointBook(lambda: self.now)
+        self.ready = EndpointEntry("d1", "desk", "10.0.0.1:1", "z1", 4, False, {}, "1")
+        self.book.put(self.ready)
+        self.book.put(replace(self.ready, is_leaving=True))
+
+    def test_endpoint_that_stays_after_all_is_used_again(self) -> None:
+        """Guards against an endpoint that is left out for good since it once was to leave."""
+        self.book.put(self.ready)
+        self.assertEqual([state.id for state in self.book.usable("desk")], ["d1"])
+
+    def test_endpoint_that_leaves_is_not_used_by_an_older_entry(self) -> None:
+        """Guards against new work at a leaving endpoint after a return of the store."""
+        self.book.expect_older(self.now + 1.0)
+        self.book.put(self.ready)
+        self.assertEqual(self.book.usable("desk"), [])
