Close the descriptor of a peer link only when nothing can wait on it

Callers and peers saw a node that dies without a signal.

Cause: websockets closes a link's socket from any greenlet, while its receiving greenlet has the descriptor registered with gevent's selector. With more than 16 frames unread that greenlet waits for the application; closing lets it go on, it waits on the closed descriptor once more, and libev aborts the process. Class of fault: a descriptor closed under a watcher, the same as of the listener of peers (docs/decisions/peer-links.md).

Change: connections whose close only shuts the socket down, which wakes the receiving greenlet; the descriptor is closed when that greenlet has ended.

Elsewhere: the other watchers by descriptor (caller_watch, pool) stop before their socket is closed, read again for this; the gateway has no websockets.

--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -21,6 +21,7 @@
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.listening import listen
 from arbutustally_node.options import Options
+from arbutustally_node.peer_connection import PeerClientConnection, PeerServerConnection
 from arbutustally_node.peer_link import (
     HANDSHAKE_TIMEOUT_S,
     WEBSOCKET_OPTIONS,
@@ -119,6 +120,7 @@
             self._accept,
             sock=listen(self._options.peer_listen),
             open_timeout=HANDSHAKE_TIMEOUT_S,
+            create_connection=PeerServerConnection,
             **WEBSOCKET_OPTIONS,
         )
         host, port = self._server.socket.getsockname()[:2]
@@ -228,7 +230,11 @@
         :raises OSError: if the connection fails.
         """
         connection = connect(
-            f"ws://{address}/", open_timeout=HANDSHAKE_TIMEOUT_S, proxy=None, **WEBSOCKET_OPTIONS
+            f"ws://{address}/",
+            open_timeout=HANDSHAKE_TIMEOUT_S,
+            proxy=None,
+            create_connection=PeerClientConnection,
+            **WEBSOCKET_OPTIONS,
         )
         try:
             peer, channel = dial_handshake(connection, self._handshake(), node_id)
