Split the gateway's ports by what they speak with

It is a package now: codec, store, engines, documents, options and platform; its __init__ shows the same names as before, so no importer changes. No logic changes.

--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/platform.py
@@ -0,0 +1,31 @@
+"""Everything that an adapter provides."""
+
+from dataclasses import dataclass
+
+from arbutustally_node.gateway.ports.codec import DirectoryBody, HttpCodec
+from arbutustally_node.gateway.ports.documents import Documents
+from arbutustally_node.gateway.ports.engines import CacheEvents, EngineControl
+from arbutustally_node.gateway.ports.store import (
+    KeyedTopic,
+    LeaseTopic,
+    NodeTopic,
+    StatusTopic,
+    StoreEra,
+)
+
+
+@dataclass(frozen=True)
+class Platform:
+    """Everything that an adapter provides."""
+
+    codec: HttpCodec
+    documents: Documents
+    operator_topic: KeyedTopic
+    status_topic: StatusTopic
+    endpoint_topic: KeyedTopic
+    node_topic: NodeTopic
+    engines: EngineControl
+    lease_topic: LeaseTopic
+    store_era: StoreEra
+    cache_events: CacheEvents
+    directory_body: DirectoryBody
