--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -9,27 +9,25 @@
 from websockets.exceptions import WebSocketException
 from websockets.sync.client import connect
 from websockets.sync.connection import Connection
-from websockets.sync.server import Server, serve
 
 from arbutustally.clock import Clock, monotonic
 from arbutustally.errors import PeerRejectedError, PeerUnavailableError, Ran
 from arbutustally.logs import get_logger
 from arbutustally.metrics import Counter, Metrics, declare
-from arbutustally.peer_protocol import Event, Events, Handshake, Identity, encode
+from arbutustally.peer_protocol import Event, Events, Handshake, Identity, SecureChannel, encode
 from arbutustally.topology import FULL_MESH_NODES, Plan, dials, plan
 from arbutustally_node.broadcasts import Broadcasts
 from arbutustally_node.kernel import Kernel
-from arbutustally_node.listening import listen
 from arbutustally_node.options import Options
-from arbutustally_node.peer_connection import PeerClientConnection, PeerServerConnection
+from arbutustally_node.peer_connection import PeerClientConnection
 from arbutustally_node.peer_link import (
     HANDSHAKE_TIMEOUT_S,
     WEBSOCKET_OPTIONS,
     Handler,
     PeerLink,
     dial_handshake,
-    listen_handshake,
 )
+from arbutustally_node.peer_listener import PeerListener
 
 #: Interval in which broadcasts of other groups are passed on in one frame, seconds.
 FORWARD_INTERVAL_S = 0.25
@@ -41,11 +39,7 @@
 IDLE_LINK_S = 60.0
 #: The node with the larger id dials only if the other has not linked after this time, seconds.
 DIAL_GRACE_S = 3.0
-#: Connections that may be unauthenticated at the same time.
-MAX_HANDSHAKES = 64
 REPLAN_INTERVAL_S = 1.0
-#: Pause after a failed accept, for instance without free descriptors, seconds.
-ACCEPT_RETRY_S = 0.1
 
 PEER_REJECTED = declare(
     "refused.peer_rejected",
@@ -94,8 +88,9 @@
         self._tenders: dict[str, gevent.Greenlet] = {}
         self._far_attempts: dict[str, int] = {}
         self._direct_used: dict[str, float] = {}
-        self._handshakes = 0
-        self._server: Server | None = None
+        self._listener = PeerListener(
+            self._handshake, self._serve_accepted, lambda error: self._reject(error, "unknown")
+        )
         self._address = options.peer_listen
         self._loops: list[gevent.Greenlet] = []
         self._stopping = Signal()
@@ -116,17 +111,8 @@
 
     def start(self) -> None:
         """Opens the listener and begins to dial."""
-        self._server = serve(
-            self._accept,
-            sock=listen(self._options.peer_listen),
-            open_timeout=HANDSHAKE_TIMEOUT_S,
-            create_connection=PeerServerConnection,
-            **WEBSOCKET_OPTIONS,
-        )
-        host, port = self._server.socket.getsockname()[:2]
-        self._address = f"{host}:{port}"
+        self._address = self._listener.start(self._options.peer_listen)
         self._loops = [
-            gevent.spawn(self._accept_forever, self._server),
             gevent.spawn(self._replan_forever),
             gevent.spawn(self._forward_forever),
         ]
@@ -135,23 +121,10 @@
         """Closes the listener and all links."""
         self._stopping.set()
         gevent.killall([*self._loops, *self._tenders.values()], timeout=1)
-        if self._server is not None:
-            self._server.socket.close()
+        self._listener.stop()
         for link in list(self._links.values()):
             link.close()
 
-    def _accept_forever(self, server: Server) -> None:
-        # ``Server.serve_forever`` has its listener closed while its selector watches the
-        # descriptor; libev then aborts the process on the next change of that watcher.
-        while True:
-            try:
-                connected, address = server.socket.accept()
-            except OSError as error:
-                _log.warning("accept failed", error=str(error))
-                gevent.sleep(ACCEPT_RETRY_S)
-                continue
-            gevent.spawn(server.handler, connected, address)
-
     def handle(self, method: str, function: Handler) -> None:
         """Answers calls of a method with ``function(node_id, payload)``; it may raise
         ``RouterError``, which reaches the calling node with its code."""
@@ -208,19 +181,9 @@
             "sent_frames": sum(link.sent_frames for link in self._links.values()),
         }
 
-    def _accept(self, connection: Connection) -> None:
-        if self._handshakes >= MAX_HANDSHAKES:
-            return
-        self._handshakes += 1
-        try:
-            peer, channel = listen_handshake(connection, self._handshake())
-        except PeerRejectedError as error:
-            self._reject(error, "unknown")
-            return
-        except (WebSocketException, OSError):
-            return
-        finally:
-            self._handshakes -= 1
+    def _serve_accepted(
+        self, connection: Connection, peer: Identity, channel: SecureChannel
+    ) -> None:
         self._run(PeerLink(connection, peer, channel, self._handlers, self._on_events), peer)
 
     def _dial(self, node_id: str, address: str) -> None:
