Name who holds the port of a listener; test with a port that no other has

Cause: the test took an ephemeral port. The kernel (6.18 here) gives one ephemeral port to several connections with different remote ends, and one that its own process closed first holds the port for 60 s of TIME_WAIT, which SO_REUSEADDR of the listener alone does not pass by.

Change: while it waits, a node logs state and remote address of the sockets that hold the port (/proc/self/net/tcp and tcp6), again whenever they change. The test holds the port with a connection bound outside the ephemeral range, so that only that connection holds it; it is as strict, and checks also that the log names the holder.

--- a/packages/arbutustally-node/src/arbutustally_node/listening.py
+++ b/packages/arbutustally-node/src/arbutustally_node/listening.py
@@ -9,6 +9,7 @@
 from arbutustally.clock import Clock, monotonic
 from arbutustally.logs import get_logger
 from arbutustally_node.options import split_address
+from arbutustally_node.port_holders import port_holders
 
 #: Longest wait for a port in use, seconds. An outgoing connection may have taken the port of a
 #: listener while its node restarted; it holds it for the 60 s of TIME_WAIT after its end.
@@ -27,16 +28,18 @@
     :raises OSError: if the address cannot be bound in ``PORT_WAIT_S``.
     """
     deadline = clock() + PORT_WAIT_S
-    is_waiting = False
+    reported: list[str] | None = None
     while True:
         try:
             return _listen_once(address, send_buffer_bytes)
         except OSError as error:
             if error.errno != errno.EADDRINUSE or clock() >= deadline:
                 raise
-            if not is_waiting:
-                _log.warning("port in use", address=address, wait_s=PORT_WAIT_S)
-            is_waiting = True
+            holders = port_holders(split_address(address)[1])
+            if holders != reported:
+                wait_s = round(deadline - clock(), 1)
+                _log.warning("port in use", address=address, wait_s=wait_s, holders=holders)
+            reported = holders
         gevent.sleep(PORT_RETRY_S)
 
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -12,6 +12,7 @@
 from arbutustally_standins.caller.client import CallFailedError, StreamResult
 from arbutustally_standins.idempotency import new_uuid7
 from tests.fleet import DECLARATIONS, Fleet, FleetError, Process, wait_for
+from tests.ports import free_port
 
 GUIDE = "Chalk paint washes off in rain; stencils come in five grids. " * 60
 CHAT = "/v1/chat/completions"
@@ -376,7 +377,10 @@
 
     def restart_on_the_port_of_a_connection(self, which: str) -> socket.socket:
         """Restarts the node with a listener on the port of a connection, which is returned."""
-        connection = socket.create_connection(self.listener.getsockname())
+        # A port of the system's range may at the same time be that of connections of other
+        # processes, which hold it for the 60 s of TIME_WAIT after the end of this one.
+        source = ("127.0.0.1", free_port())
+        connection = socket.create_connection(self.listener.getsockname(), source_address=source)
         self.addCleanup(connection.close)
         # The end that closes first keeps its port in TIME_WAIT; that is to be the other one.
         self.listener.accept()[0].close()
@@ -386,6 +390,8 @@
         node.addresses = {**node.addresses, which: f"127.0.0.1:{port}"}
         restarted = self.fleet.add_node("node-1")
         wait_for(lambda: "in use" in restarted.log_text(), "the node to find its port in use")
+        far_host, far_port = self.listener.getsockname()
+        self.assertIn(f"CLOSE_WAIT to {far_host}:{far_port}", restarted.log_text())
         return connection
 
     def test_restarted_node_waits_for_a_port_that_a_connection_holds(self) -> None:
