Wait for the outcome of another node's booking before calling it unknown

Seen: ServingTest.test_booking_runs_once_for_a_repeated_key_at_two_nodes, once at a load of about 20: 409 outcome_unknown in place of 200 for the repeated key.

Cause: a fault, not load. A node reads the records of others in groups: after a claim it pauses for GROUP_PAUSE_S (0.2 s) before it reads on. The claimant answers its caller some 50 ms after the claim; the caller's repeat at the other node then meets a claim without an outcome and is refused at once. The refusal is true (the caller may ask again), but the answer is in the log.

Change: for a claim without an outcome and with the same request, a node that can read the log waits up to 1 s (OUTCOME_READ_S) for the outcome. That also covers a claimant that answers before a slow log confirms its outcome.

--- a/packages/arbutustally-node/src/arbutustally_node/booking_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/booking_service.py
@@ -13,7 +13,10 @@
 from dataclasses import dataclass
 from typing import Any
 
+from gevent.event import Event
+
 from arbutustally.bookings import (
+    Decision,
     Step,
     answered,
     booking_key,
@@ -50,6 +53,9 @@
 CLAIM_VALID_S = 8.0
 #: Time to wait for the log to confirm an outcome before the caller gets the answer anyway.
 OUTCOME_WAIT_S = 1.0
+#: Time to wait for the outcome of another node's claim. Nodes read the records of others in groups,
+#: so a caller that has its answer can reach another node before that node has read the outcome.
+OUTCOME_READ_S = 1.0
 LOG_RETRY_S = 2.0
 MAX_ATTEMPTS = 3
 MAX_FINISHED = 1024
@@ -100,6 +106,8 @@
         # attempt that is not known here may have been dispatched.
         self._abandoned: OrderedDict[int, str] = OrderedDict()
         self._claiming: set[str] = set()
+        # Calls that wait for an outcome; one for each key, because of ``_claiming``.
+        self._outcome_waits: dict[str, Event] = {}
         self._finished: OrderedDict[str, Outcome] = OrderedDict()
 
     @classmethod
@@ -161,7 +169,7 @@
         self._claiming.add(key)
         try:
             for _ in range(MAX_ATTEMPTS):
-                decision = decide(self._entry(key), digest)
+                decision = self._decide(key, digest)
                 if decision.step is Step.ANSWER:
                     call.trace.note("recorded_answer", ran=decision.outcome.ran)
                     return _recorded(decision.outcome)
@@ -172,6 +180,23 @@
         finally:
             self._claiming.discard(key)
 
+    def _decide(self, key: str, digest: str) -> Decision:
+        """Decides by what the log says; waits a moment for the outcome of a claim."""
+        entry = self._entry(key)
+        if entry is not None and entry.outcome is None and entry.request_digest == digest:
+            self._wait_for_outcome(key)
+            entry = self._entry(key)
+        return decide(entry, digest)
+
+    def _wait_for_outcome(self, key: str) -> None:
+        if not self._kernel.lookup("log").is_reachable:
+            return
+        arrived = self._outcome_waits[key] = Event()
+        try:
+            arrived.wait(OUTCOME_READ_S)
+        finally:
+            del self._outcome_waits[key]
+
     def _entry(self, key: str) -> Any:
         entry = self._kernel.lookup("log").state.claim(key)
         known = self._finished.get(key)
@@ -223,10 +248,16 @@
         )
 
     def _seen(self, offset: int, record: Any, verdict: Any) -> None:
-        """Releases an accepted claim of this process whose attempt gave up before."""
         body = getattr(record, "body", None)
-        if not isinstance(body, Claim) or not verdict.accepted:
+        if not verdict.accepted:
             return
+        if isinstance(body, Outcome) and body.key in self._outcome_waits:
+            self._outcome_waits[body.key].set()
+        elif isinstance(body, Claim):
+            self._seen_claim(offset, body)
+
+    def _seen_claim(self, offset: int, body: Claim) -> None:
+        """Releases an accepted claim of this process whose attempt gave up before."""
         holder, _, number = body.holder.rpartition("/")
         if holder != self._holder or not number.isdigit():
             return
@@ -238,7 +269,9 @@
             self._batcher.submit(not_run(body.key, offset))
 
     def _jumped(self) -> None:
-        """Releases claims of given-up attempts that a snapshot brought unannounced."""
+        """Wakes waiting calls, and releases claims of given-up attempts, after a snapshot."""
+        for arrived in self._outcome_waits.values():
+            arrived.set()
         state = self._kernel.lookup("log").state
         for number, key in list(self._abandoned.items()):
             entry = state.claim(key)
--- a/tests/fake_booking_log.py
+++ b/tests/fake_booking_log.py
@@ -48,6 +48,7 @@
 
     def __init__(self, platform: PlatformLog, after_append: Any) -> None:
         self.ready = True
+        self.is_reachable = True
         self.state = ControlState()
         self._platform = platform
         self._after_append = after_append
@@ -70,9 +71,9 @@
             for n in range(len(bodies))
         ]
 
-    def sync(self) -> None:
-        """Reads to the tail."""
-        while self._read < len(self._platform.records):
+    def sync(self, upto: int | None = None) -> None:
+        """Reads to an offset, or to the tail."""
+        while self._read < len(self._platform.records[:upto]):
             offset, record = self._read, wrap(self._platform.records[self._read])
             self._read += 1
             verdict = self.state.apply(offset, record)
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -35,6 +35,7 @@
 SHORT = (
     patch.object(booking_service, "CLAIM_WAIT_S", 0.05),
     patch.object(booking_service, "OUTCOME_WAIT_S", 0.05),
+    patch.object(booking_service, "OUTCOME_READ_S", 0.02),
     patch.object(log_batcher, "MIN_INTERVAL_S", 0.0005),
     patch.object(log_batcher, "MAX_INTERVAL_S", 0.002),
     patch.object(log_batcher, "RETRY_S", 0.002),
@@ -247,6 +248,27 @@
         self.assertIsInstance(self.book(body=b"other"), KeyReusedError)
         self.assertEqual(self.fleet.worker.runs, {self.key: 1})
 
+    def test_repeated_key_waits_for_an_outcome_that_this_node_has_not_read(self) -> None:
+        """Guards against a caller who has its answer and is told at another node, which has read
+        only the claim, that the booking may have run."""
+        first = self.book()
+        self.fleet.logs[1].sync(upto=1)
+        with patch.object(booking_service, "OUTCOME_READ_S", 10.0):
+            again = gevent.spawn(self.book, 1)
+            gevent.sleep(0.05)
+            self.fleet.sync()
+            answer = again.get()
+        self.assertEqual((answer.status, answer.body), (first.status, first.body))
+        self.assertEqual(self.fleet.worker.runs, {self.key: 1})
+
+    def test_repeated_key_does_not_wait_for_a_log_that_is_down(self) -> None:
+        """Guards against a caller who waits for an outcome that cannot come."""
+        self.book()
+        self.fleet.logs[1].sync(upto=1)
+        self.fleet.logs[1].is_reachable = False
+        with patch.object(booking_service, "OUTCOME_READ_S", 10.0), gevent.Timeout(5.0):
+            self.assertIsInstance(self.book(1), OutcomeUnknownError)
+
     def test_lost_answer_of_the_worker_is_never_repeated(self) -> None:
         for fault in ("lost", "late", "crossed"):
             with self.subTest(fault):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -160,6 +160,18 @@
         self.assertEqual(first, second)
         self.assertEqual(after - before, 1)
 
+    def test_repeated_key_is_answered_by_a_node_that_reads_the_log_a_moment_later(self) -> None:
+        """Guards against a booking that one node has answered and another calls unknown, because
+        it has read the claim and pauses before it reads the outcome."""
+        answers = []
+        for _ in range(20):
+            # After this, the poll of node-2 waits for a record again and reads the claim at once.
+            time.sleep(0.3)
+            key = new_uuid7()
+            for node in ("node-1", "node-2"):
+                answers.append(self.call(node, "/bookings", {"day": 5}, Idempotency_Key=key)[0])
+        self.assertEqual(answers, [200] * len(answers))
+
     def test_lost_answer_of_the_worker_is_said_to_be_unknown_and_not_repeated(self) -> None:
         """Guards against a second run after the worker ran and its answer was lost."""
         booking = self.fleet.bookings["booking-1"]
