Accept changes at a node that was paused; tell a conflict without the tail

Seen: OperatorTest.test_second_operator_is_told_the_version_that_won, once at a load of about 20: UNAVAILABLE in place of CONFLICT.

Cause: a node refuses a change when its last confirmation of the log is older than key_staleness_s, which is 1 s in this test. A process that is not scheduled for longer wakes with such a confirmation: the read in progress was sent before the pause, and the next one waits for records, up to a quarter of key_staleness_s. Until it ends, changes are refused, and the base is not even looked at. With the default of 8 s it takes a pause of 8 s and lasts up to 2 s; keyed requests of a node without a majority of peers are refused as long.

Change: a base older than the known version is a conflict at once, as versions only rise. A change waits up to 1 s for the confirmation while the log can be read. After a pause, the reader's next read does not wait for records but confirms the tail at once.

That a pause was the cause in the run of then is concluded, not seen.

--- a/packages/arbutustally-node/src/arbutustally_node/log_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_reader.py
@@ -29,6 +29,8 @@
 #: Records of others are read in groups; a read for each would cost a node more bytes in heads of
 #: HTTP messages than in records.
 GROUP_PAUSE_S = 0.2
+#: Age of the last confirmation, in longest waits of a poll, from which the process was paused.
+_PAUSED_POLLS = 2.0
 #: Keeps a log that answers at once with nothing from being polled without a pause.
 _EMPTY_PAUSE_S = 0.05
 
@@ -133,8 +135,7 @@
         scan = self._current_scan()
         start = scan.next if scan is not None else self._view.next_offset
         sent_at = self._clock()
-        # At the start and after a failure, the tail is confirmed at once instead of after a wait.
-        wait_s = self._wait_s if self._at_tail else 0.0
+        wait_s = self._wait_s if self._is_confirmed(sent_at) else 0.0
         try:
             result = self._client.read(start, BATCH_RECORDS, wait_s)
             if result.oldest > start:
@@ -153,6 +154,14 @@
             return self._search(scan, result)
         return self._follow(start, result, sent_at)
 
+    def _is_confirmed(self, now: float) -> bool:
+        """Returns whether the next read may wait for records.
+
+        At the start, after a failure and after a pause of the process, the tail is confirmed at
+        once instead.
+        """
+        return self._at_tail and now - self._confirmed_at <= _PAUSED_POLLS * self._wait_s
+
     def _current_scan(self) -> _Scan | None:
         """Ends the search once a snapshot of a peer closed the gap."""
         if self._scan is not None and self._view.next_offset >= self._scan.oldest:
--- a/packages/arbutustally-node/src/arbutustally_node/operator_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/operator_http.py
@@ -7,6 +7,7 @@
 from dataclasses import asdict
 from typing import Any
 
+import gevent
 import orjson
 from bottle import Bottle, HTTPResponse, request, response
 
@@ -37,6 +38,9 @@
 _OTHER = declare("refused.operator", _HELP)
 #: How long an operator's request waits for other nodes to confirm a withdrawal.
 _CONFIRM_S = 9.0
+#: How long a change waits for the log to confirm the state of a node that was paused.
+_CONFIRMATION_S = 1.0
+_CONFIRMATION_POLL_S = 0.02
 _MAX_AUTHOR = 80
 _RETRY_AFTER_S = 1.0
 
@@ -181,6 +185,8 @@
         if not isinstance(items, dict):
             raise BadRequestError("'items' is missing; send the mapping by section/name")
         wanted = to_items(from_items(items))
+        # Versions only rise, so that a base that was beaten is known without the tail of the log.
+        self._check_not_beaten(body.get("base"))
         state = self._current_state()
         base = body.get("base", state.version)
         self._check_base(base, state.version)
@@ -203,16 +209,30 @@
     def _current_state(self) -> Any:
         """Returns the state if it is known to be recent.
 
-        Compared with an old state, a file could look already applied although it is not.
+        Compared with an old state, a file could look already applied although it is not. A node
+        that was paused confirms the state with its next read.
         """
         log = self._log_service
-        if log.staleness() > self._options.key_staleness_s:
+        if not self._wait_for_confirmation(log):
             raise LogUnavailableError(
                 "this node has no recent confirmation of the log; retry, or ask another node",
                 retry_after_s=_RETRY_AFTER_S,
             )
         return log.state
 
+    def _wait_for_confirmation(self, log: Any) -> bool:
+        """Returns whether the state is recent, after a short wait while the log can be read."""
+        longest_s = self._options.key_staleness_s
+        with gevent.Timeout(_CONFIRMATION_S, False):
+            while log.staleness() > longest_s and log.is_reachable:
+                gevent.sleep(_CONFIRMATION_POLL_S)
+        return log.staleness() <= longest_s
+
+    def _check_not_beaten(self, base: Any) -> None:
+        version = self._log_service.state.version
+        if type(base) is int and base < version:
+            raise _conflict(base, version)
+
     @staticmethod
     def _check_base(base: Any, version: int) -> None:
         if type(base) is not int:
--- a/tests/test_log_service.py
+++ b/tests/test_log_service.py
@@ -1,15 +1,19 @@
 """The log service against a log that loses answers, is down or slow, and has holes."""
 
 import unittest
+from unittest.mock import patch
 
 import gevent
 
 from arbutustally.checkpoint import split_snapshot
+from arbutustally.clock import VirtualClock
 from arbutustally.errors import BadRequestError, LogUnavailableError, Ran
 from arbutustally.records import Change, Claim, KeyWithdraw
 from arbutustally.state import ControlState
 from arbutustally.verdicts import Reason
-from tests.fake_log import FakeLog, new_node, wait_until
+from arbutustally_node.kernel import Kernel
+from arbutustally_node.log_service import LogService
+from tests.fake_log import FakeLog, new_node, new_options, wait_until
 
 ACCOUNT = {"rate": 10.0, "burst": 100.0}
 CHANGE = Change(-1, {"accounts/a": ACCOUNT})
@@ -111,6 +115,20 @@
         self.log.is_down = False
         self.assertTrue(wait_until(lambda: service.confirmed_at > confirmed_at))
 
+    def test_paused_node_confirms_the_tail_at_once(self) -> None:
+        """Guards against a node that was not scheduled for a time and then refuses requests for
+        the whole wait of a poll, although the log answers."""
+        clock = VirtualClock()
+        service = LogService(Kernel(), new_options(key_staleness_s=8.0), self.log, clock)
+        waits = []
+        with patch.object(self.log, "read", wraps=self.log.read) as read:
+            for pause_s in (0.0, 2.0, 10.0, 0.0):
+                clock.advance(pause_s)
+                service._reader.step()
+                waits.append(read.call_args.args[2])
+        self.assertEqual(waits, [0.0, 2.0, 0.0, 2.0])
+        self.assertEqual(service.staleness(), 0.0)
+
     def test_full_batch_is_no_confirmation_of_the_tail(self) -> None:
         """Guards against serving old keys in the middle of a long catch-up."""
         self.log.put(CHANGE)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -9,6 +9,7 @@
 import gevent
 import orjson
 import urllib3
+from gevent import monkey
 
 from arbutustally.errors import PeerUnavailableError
 from arbutustally.metrics import Metrics
@@ -25,6 +26,8 @@
 TOKEN = "t" * 20
 #: The least accepted setting.
 STALE_S = 1.0
+#: Stops every greenlet of the process, as when it is not scheduled.
+pause = monkey.get_original("time", "sleep")
 
 
 class OperatorTest(unittest.TestCase):
@@ -100,6 +103,27 @@
         self.assertIn(f"version {version} was accepted instead", err)
         self.assertEqual(self.service.state.declarations.accounts["school"].rate, 200.0)
 
+    def test_conflict_is_told_by_a_node_that_does_not_know_the_tail(self) -> None:
+        """Guards against an operator who is told to retry a change that can only be refused."""
+        self.cli("apply", str(self.file))
+        self.file.write_text(TEXT.replace("rate = 100", "rate = 200"))
+        self.cli("apply", str(self.file), "--base", "0")
+        version = self.service.state.version
+        self.log.is_down = True
+        gevent.sleep(STALE_S + 0.2)
+        code, _, err = self.cli("apply", str(self.file), "--base", "0")
+        self.assertEqual(code, ExitCode.CONFLICT)
+        self.assertIn(f"version {version} was accepted instead", err)
+
+    def test_change_is_accepted_by_a_node_that_was_paused(self) -> None:
+        """Guards against a refusal by a node that was not scheduled for a time and whose next read
+        of the log confirms the tail."""
+        self.cli("apply", str(self.file))
+        self.file.write_text(TEXT.replace("rate = 100", "rate = 200"))
+        pause(STALE_S + 0.2)
+        code, _, err = self.cli("apply", str(self.file))
+        self.assertEqual(code, ExitCode.DONE, err)
+
     def test_concurrent_operators_do_not_overwrite_each_other(self) -> None:
         """Guards against a check of the base that is not repeated by the log."""
         self.log.delay_s = 0.05
