--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -12,6 +12,7 @@
 from arbutustally_standins.caller.client import CallFailedError, StreamResult
 from arbutustally_standins.idempotency import new_uuid7
 from tests.fleet import DECLARATIONS, Fleet, FleetError, Process, wait_for
+from tests.ports import free_port
 
 GUIDE = "Chalk paint washes off in rain; stencils come in five grids. " * 60
 CHAT = "/v1/chat/completions"
@@ -159,6 +160,18 @@
         self.assertEqual(first, second)
         self.assertEqual(after - before, 1)
 
+    def test_repeated_key_is_answered_by_a_node_that_reads_the_log_a_moment_later(self) -> None:
+        """Guards against a booking that one node has answered and another calls unknown, because
+        it has read the claim and pauses before it reads the outcome."""
+        answers = []
+        for _ in range(20):
+            # After this, the poll of node-2 waits for a record again and reads the claim at once.
+            time.sleep(0.3)
+            key = new_uuid7()
+            for node in ("node-1", "node-2"):
+                answers.append(self.call(node, "/bookings", {"day": 5}, Idempotency_Key=key)[0])
+        self.assertEqual(answers, [200] * len(answers))
+
     def test_lost_answer_of_the_worker_is_said_to_be_unknown_and_not_repeated(self) -> None:
         """Guards against a second run after the worker ran and its answer was lost."""
         booking = self.fleet.bookings["booking-1"]
@@ -376,7 +389,10 @@
 
     def restart_on_the_port_of_a_connection(self, which: str) -> socket.socket:
         """Restarts the node with a listener on the port of a connection, which is returned."""
-        connection = socket.create_connection(self.listener.getsockname())
+        # A port of the system's range may at the same time be that of connections of other
+        # processes, which hold it for the 60 s of TIME_WAIT after the end of this one.
+        source = ("127.0.0.1", free_port())
+        connection = socket.create_connection(self.listener.getsockname(), source_address=source)
         self.addCleanup(connection.close)
         # The end that closes first keeps its port in TIME_WAIT; that is to be the other one.
         self.listener.accept()[0].close()
@@ -386,6 +402,8 @@
         node.addresses = {**node.addresses, which: f"127.0.0.1:{port}"}
         restarted = self.fleet.add_node("node-1")
         wait_for(lambda: "in use" in restarted.log_text(), "the node to find its port in use")
+        far_host, far_port = self.listener.getsockname()
+        self.assertIn(f"CLOSE_WAIT to {far_host}:{far_port}", restarted.log_text())
         return connection
 
     def test_restarted_node_waits_for_a_port_that_a_connection_holds(self) -> None:
