Let each soak reserve its loopback network

Cause: a soak's nodes listen on fixed ports of 127.77.N.

If none is free, the soak ends with an error. Other ports are given by the system and folders by mkdtemp, so these can't collide.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 
 from gevent.pool import Pool  # noqa: E402
 
+from tests.soak.networks import FIRST_NETWORK  # noqa: E402
 from tests.soak.soak import run  # noqa: E402
 
 SECONDS = 12.0
@@ -20,23 +21,18 @@
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
     parser.add_argument("--jobs", type=int, default=1, help="soaks side by side, at most 200")
     parser.add_argument(
-        "--slot",
+        "--network",
         type=int,
-        default=1,
-        help="first of the loopback networks 127.77.N; soaks that run at once need different ones",
+        default=FIRST_NETWORK,
+        help="first of the loopback networks 127.77.N to try; each soak takes a free one",
     )
     parser.add_argument("--seconds", type=float, default=SECONDS, help="time of faults")
     flags = parser.parse_args()
     broken = 0
     seeds = range(flags.first, flags.first + flags.seeds)
-    slots = list(range(flags.slot, flags.slot + flags.jobs))
 
     def play(seed: int):
-        slot = slots.pop()
-        try:
-            return run(seed, flags.seconds, slot)
-        finally:
-            slots.append(slot)
+        return run(seed, flags.seconds, flags.network)
 
     for report in Pool(flags.jobs).imap_unordered(play, seeds):
         broken += bool(report.broken)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -13,6 +13,7 @@
 import urllib3
 
 from tests.platform_fakes import configuration
+from tests.soak.networks import Network
 from tests.soak.proxy import Proxy
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -155,11 +156,12 @@
 class SoakFleet:
     """All processes of one soak.
 
-    :param slot: distinguishes the loopback addresses of fleets that run side by side.
+    :param network: that nobody else uses; it is released when the fleet stops.
     """
 
-    def __init__(self, slot: int, nodes: int = 3, engines: int = 3, desks: int = 2) -> None:
-        self.directory = Path(tempfile.mkdtemp(prefix=f"soak-{slot}-"))
+    def __init__(self, network: Network, nodes: int = 3, engines: int = 3, desks: int = 2) -> None:
+        self._network = network
+        self.directory = Path(tempfile.mkdtemp(prefix=f"soak-{network.number}-"))
         self.programs: list[Program] = []
         self._http = urllib3.PoolManager(retries=False, timeout=5.0)
         self._store, self._store_address = self.back_end("store", "store")
@@ -170,7 +172,7 @@
         self.backends += [Backend(self, f"d{n}", "desk", "") for n in range(1, desks + 1)]
         for backend in self.backends:
             backend.start()
-        self.ips = [f"127.77.{slot}.{number}" for number in range(1, nodes + 1)]
+        self.ips = network.ips(nodes)
         self.stores = {ip: Proxy(self._store_address) for ip in self.ips}
         self.nodes = {ip: self._node(ip) for ip in self.ips}
         for node in self.nodes.values():
@@ -260,6 +262,7 @@
             program.end()
         for proxy in [*self.stores.values(), *(one.proxy for one in self.backends)]:
             proxy.stop()
+        self._network.release()
 
     def _call(self, path: str, body: bytes = b"") -> bytes:
         answer = self._http.request("PUT", f"http://{self._store_address}/soak/{path}", body=body)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,7 +10,8 @@
 from arbutustally.clock import monotonic
 from tests.soak.callers import Callers
 from tests.soak.faults import FAULTS
-from tests.soak.fleet import SoakFleet
+from tests.soak.fleet import PORTS, SoakFleet
+from tests.soak.networks import FIRST_NETWORK, Network
 from tests.soak.proxy import Harm
 
 CALLERS = 16
@@ -43,14 +44,14 @@
         return f"seed {self.seed}: {self.served}/{self.requests} served, {verdict}; {names}"
 
 
-def run(seed: int, seconds: float, slot: int = 1) -> Report:
+def run(seed: int, seconds: float, first_network: int = FIRST_NETWORK) -> Report:
     """Plays one seed.
 
     :param seconds: time during which faults begin.
-    :param slot: distinguishes fleets that run side by side.
+    :param first_network: number of the first network to try; the first free one is used.
     """
     rng = Random(seed)
-    fleet = SoakFleet(slot)
+    fleet = SoakFleet(Network.reserve_free(first_network, tuple(PORTS.values())))
     report = Report(seed, str(fleet.directory))
     callers = Callers(fleet, Random(seed))
     try:
