Start each program of a soak only once

Cause: two faults that overlap may start the same node. While a process is started on a busy machine other greenlets run, so both saw it as ended; the second process can't listen and ends, and the first one is never ended by the soak. Callers of the next soak on that network reach it. end() also waited for a process that another fault had started meanwhile.

Change: a lock around the start; end() keeps to the process that it found.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -33,7 +33,7 @@
         node.end()
     gevent.sleep(rng.uniform(0.0, 0.5))
     for node in fleet.nodes.values():
-        _start(node)
+        node.start()
 
 
 def freeze_node(fleet: SoakFleet, rng: Random) -> None:
@@ -147,13 +147,7 @@
 def _restart(program: Program, number: int, rng: Random) -> None:
     program.end(number)
     gevent.sleep(rng.uniform(0.0, 1.0))
-    _start(program)
-
-
-def _start(program: Program) -> None:
-    # Another fault may have started it meanwhile.
-    if not program.is_alive:
-        program.start()
+    program.start()
 
 
 def _harm(proxy, rng: Random) -> None:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -11,6 +11,7 @@
 
 import gevent
 import urllib3
+from gevent.lock import BoundedSemaphore
 
 from tests.platform_fakes import configuration
 from tests.soak.networks import Network
@@ -58,9 +59,18 @@
     variables: dict[str, str] = field(default_factory=dict)
     popen: subprocess.Popen | None = None
     is_frozen: bool = False
+    lock: BoundedSemaphore = field(default_factory=BoundedSemaphore)
 
     def start(self) -> None:
-        """Starts the process; its output goes on in the same file."""
+        """Starts the process unless it runs; its output goes on in the same file.
+
+        Faults overlap, and other greenlets run while a process is started.
+        """
+        with self.lock:
+            if not self.is_alive:
+                self._start()
+
+    def _start(self) -> None:
         with self.log.open("ab") as output:
             self.popen = subprocess.Popen(
                 self.command,
@@ -93,12 +103,14 @@
             return None
         self.send(signal.SIGCONT)
         self.send(number)
+        # Another fault may start the program again as soon as this process is gone.
+        ended = self.popen
         with gevent.Timeout(within_s, False):
-            while self.is_alive:
+            while ended.poll() is None:
                 gevent.sleep(0.02)
-            return self.popen.returncode
-        self.popen.kill()
-        self.popen.wait()
+            return ended.returncode
+        ended.kill()
+        ended.wait()
         return None
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -88,8 +88,7 @@
     for program in (*fleet.nodes.values(), *fleet.programs):
         program.send(signal.SIGCONT)
     for node in fleet.nodes.values():
-        if not node.is_alive:
-            node.start()
+        node.start()
     for backend in fleet.backends:
         if not backend.program.is_alive:
             backend.restart()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,16 @@
 """A short soak of fixed seeds; ``python -m tests.soak`` plays others."""
 
 import socket
+import subprocess
+import sys
+import tempfile
 import unittest
+from pathlib import Path
+from unittest import mock
 
+import gevent
+
+from tests.soak.fleet import Program
 from tests.soak.networks import Network, NetworkInUseError
 from tests.soak.soak import run
 
@@ -38,6 +46,31 @@
         self.assertEqual(self.reserve(free.number).number, free.number)
 
 
+def slow_start(popen):
+    """Returns a way to start processes that lets other greenlets run, as on a busy machine."""
+
+    def start(*arguments, **options):
+        gevent.sleep(0.1)
+        return popen(*arguments, **options)
+
+    return start
+
+
+class ProgramTest(unittest.TestCase):
+    def test_program_that_two_faults_start_runs_once(self) -> None:
+        """Guards against a node that nobody ends, which callers of later soaks reach."""
+        with tempfile.TemporaryDirectory() as directory:
+            log = Path(directory) / "log"
+            command = [sys.executable, "-uc", "import time; print('began'); time.sleep(9)"]
+            program = Program("sleeper", command, log)
+            with mock.patch.object(subprocess, "Popen", slow_start(subprocess.Popen)):
+                gevent.joinall([gevent.spawn(program.start) for _ in range(2)], raise_error=True)
+            gevent.sleep(0.5)
+            began = log.read_text().count("began")
+            program.end()
+        self.assertEqual(began, 1)
+
+
 class SoakTest(unittest.TestCase):
     def test_promises_hold_under_faults_from_outside(self) -> None:
         for seed in (2, 4):
