Use an endpoint again that stays after all in a new era

Cause: for 20 s after a return any ready entry of an endpoint that leaves counted as one of the older copy, also one written in the new era, and was told to all nodes as the endpoint's own word, which only a new start ends.

Change: only entries of the list that is read anew count as older; such an endpoint is handled like one that was removed: it stays out until a record that is written after the return, which readers tell to the others. The wait of 20 s in the book is gone.

The test of ListedAgainTest that asked the removed method asks is_past instead, and that the endpoint is not used; over sockets the rule is held by test_endpoint_that_drains_does_not_come_back_by_its_older_entry as before.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -200,7 +200,6 @@
             return
         self._watch.list_returned()
         self._unsettled_until = self._clock() + SETTLING_S
-        self._view.book.expect_older(self._unsettled_until)
         self._unsettled = self._view.settle_endpoints(records, source)
         self._settled_to = position.offset
         self._log.line(
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -167,8 +167,8 @@
     def settle_endpoints(self, records: tuple[Record, ...], source: str) -> set[str]:
         """Takes a whole list that may be older than what is known.
 
-        An endpoint that was removed, or has started again since, comes back only by an entry that
-        is written after the store's return. The list's other entries count as usual.
+        An endpoint that leaves, was removed, or has started again since, comes back only by an
+        entry that is written after the store's return. The list's other entries count as usual.
 
         :returns: ids of the endpoints whose entries were not taken.
         """
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -165,7 +165,6 @@
         self._clock = clock
         self._states: dict[str, EndpointState] = {}
         self._keep_removed_until = 0.0
-        self._may_be_older_until = float("-inf")
 
     @classmethod
     def from_config(cls, clock: Clock) -> "EndpointBook":
@@ -265,8 +264,6 @@
                 replaced_incarnations=replaced[-MAX_INCARNATIONS:],
             )
             return True
-        if self._clock() < self._may_be_older_until:
-            state.has_said_leaving |= state.entry.is_leaving and not entry.is_leaving
         is_new = state.entry != entry or state.gone_at is not None
         state.entry = entry
         state.gone_at = None
@@ -274,20 +271,17 @@
             state.weights[model] = max(state.weights.get(model, 0), version)
         return is_new
 
-    def expect_older(self, until: float) -> None:
-        """Expects older entries until an instant: the store came back from an older copy.
+    def is_past(self, entry: EndpointEntry) -> bool:
+        """Returns whether an entry of an older list is from before what is known.
 
-        Until then an endpoint that leaves goes on to leave, whatever its entry says.
+        Since then the endpoint began to leave, was removed, or has started again.
         """
-        self._may_be_older_until = until
-
-    def is_past(self, entry: EndpointEntry) -> bool:
-        """Returns whether an endpoint was removed, or has started again, since this entry."""
         state = self._states.get(entry.id)
         if state is None:
             return False
         if entry.incarnation == state.entry.incarnation:
-            return state.gone_at is not None
+            has_left = state.entry.is_leaving and not entry.is_leaving
+            return has_left or state.gone_at is not None
         return entry.incarnation in state.replaced_incarnations
 
     def remove(self, endpoint_id: str) -> bool:
--- a/tests/test_fleet_after_return.py
+++ b/tests/test_fleet_after_return.py
@@ -102,6 +102,28 @@
         self.store.put(SERVERS, "d1", {**self.desks[0].entry(), "born": 2})
         self.eventually(lambda: self.is_used(self.node, "d1"), AGREED_S)
 
+    def test_endpoint_that_stays_after_all_is_used_by_its_newer_entry(self) -> None:
+        """Guards against an endpoint that is left out for good since it once was to leave."""
+        copy = self.store.take_copy()
+        self.drain(self.desks[0])
+        self.eventually(lambda: not self.is_used(self.node, "d1"))
+        self.store.return_to(copy)
+        gevent.sleep(1.5)
+        self.assertFalse(self.is_used(self.node, "d1"))
+        self.store.put(SERVERS, "d1", self.desks[0].entry())
+        self.eventually(lambda: self.is_used(self.node, "d1"), AGREED_S)
+
+    def test_endpoint_that_leaves_and_stays_in_the_new_era_is_used(self) -> None:
+        """Replays the soak's seed 35: both plain workers left and were listed again."""
+        self.store.return_to(self.store.take_copy())
+        self.eventually(lambda: self.node._endpoints.position.era == 2)
+        self.drain(self.desks[0])
+        self.eventually(lambda: not self.is_used(self.node, "d1"))
+        self.store.put(SERVERS, "d1", None)
+        gevent.sleep(0.5)
+        self.store.put(SERVERS, "d1", self.desks[0].entry())
+        self.eventually(lambda: self.is_used(self.node, "d1"), AGREED_S)
+
     def test_endpoint_that_was_removed_comes_back_only_by_a_newer_entry(self) -> None:
         copy = self.store.take_copy()
         self.store.put(SERVERS, "d1", None)
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -241,6 +241,6 @@
 
     def test_endpoint_that_leaves_is_not_used_by_an_older_entry(self) -> None:
         """Guards against new work at a leaving endpoint after a return of the store."""
-        self.book.expect_older(self.now + 1.0)
-        self.book.put(self.ready)
+        self.assertTrue(self.book.is_past(self.ready))
+        self.assertFalse(self.book.is_past(replace(self.ready, is_leaving=True)))
         self.assertEqual(self.book.usable("desk"), [])
