Take no earlier start of an endpoint from an older list

Cause: after a return, an entry of the older list was kept out only if this node had seen the start that replaced it. A node that started afterwards knew only the later start, and took the older entry for a third one: its requests went to a process that is gone until the next heartbeat.

Change: a start with a lower number (the platform's born) counts as earlier.

Evidence: found by tests.test_return_model once it lets workers stay after all (new rule; its model failed with 'an earlier start came back'); the new test of SettlingTest failed before ('1' != '2'), both pass now.

--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -32,7 +32,8 @@
     :ivar slots: requests that it runs at once.
     :ivar is_leaving: it finishes what runs and takes no new work.
     :ivar weights: version of each model's weights.
-    :ivar incarnation: differs between two starts of an endpoint, also under the same id.
+    :ivar incarnation: differs between two starts of an endpoint, also under the same id. A decimal
+        number rises from start to start.
     :ivar release: version of its program.
     """
 
@@ -282,7 +283,8 @@
         if entry.incarnation == state.entry.incarnation:
             has_left = state.entry.is_leaving and not entry.is_leaving
             return has_left or state.gone_at is not None
-        return entry.incarnation in state.replaced_incarnations
+        is_replaced = entry.incarnation in state.replaced_incarnations
+        return is_replaced or _start_number(entry) < _start_number(state.entry)
 
     def remove(self, endpoint_id: str) -> bool:
         """Notes that an entry was removed; returns whether it was present."""
@@ -358,3 +360,7 @@
 
     def _is_gone(self, state: EndpointState, now: float) -> bool:
         return state.gone_at is not None and now >= state.kept_until
+
+
+def _start_number(entry: EndpointEntry) -> int:
+    return int(entry.incarnation) if entry.incarnation.isdecimal() else 0
--- a/tests/test_return_model.py
+++ b/tests/test_return_model.py
@@ -92,6 +92,10 @@
     def worker_drains(self, index: int) -> None:
         self.world.workers[index].is_leaving = True
 
+    @rule(index=WORKERS)
+    def worker_stays(self, index: int) -> None:
+        self.world.workers[index].is_leaving = False
+
     @rule(index=WORKERS)
     def worker_ends(self, index: int) -> None:
         self.world.workers[index].is_alive = False
@@ -207,6 +211,19 @@
         self.world.run(6.0)
         self.assertNotIn("e0", self.world.nodes[-1].usable)
 
+    def test_earlier_start_does_not_come_back_on_a_node_that_never_knew_it(self) -> None:
+        """Guards against requests to a process that is gone, at nodes that started after it."""
+        self.world.workers[0].born += 1
+        self.world.run(2.0)
+        fresh = self.world.nodes[-1] = Node(self.world, len(self.world.nodes) - 1)
+        self.world.run(2.0)
+        self.world.return_to(self.copy)
+        self.world.run(1.0, has_heartbeats=False)
+        self.assertEqual(fresh.reading.position.era, 2)
+        self.assertEqual(fresh.view.book.get("e0").entry.incarnation, "2")
+        self.world.run(3.0)
+        self.assertIn("e0", fresh.usable)
+
     def test_node_that_reads_late_learns_that_an_endpoint_is_back(self) -> None:
         """Guards against an entry that is taken for an older one and never looked at again."""
         worker, last = self.world.workers[0], self.world.nodes[-1]
