Let workers of the stand-in store write their entries at each return

Cause: the platform's workers write their entries at every heartbeat. The stand-in wrote only entries that differed from the copy, so an entry that was the same before and after a change in between was never written again, and a soak would count it as lost for good.

Change: write_again writes all entries of workers; the operator's records as before, only where the store has lost them.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -25,7 +25,8 @@
 
 
 #: Topics whose authors write again what the store has lost.
-REWRITTEN_TOPICS = ("keyed.op", "keyed.servers")
+HEARTBEATS_TOPIC = "keyed.servers"
+REWRITTEN_TOPICS = ("keyed.op", HEARTBEATS_TOPIC)
 
 
 @dataclass(frozen=True)
@@ -105,7 +106,9 @@
         self._wake()
 
     def write_again(self, rng: Random | None = None, late_s: float = 0.0) -> None:
-        """Writes what the operator and the workers have written and the store has lost.
+        """Writes what the operator has written and the store has lost, and the workers' entries.
+
+        Workers write theirs at every heartbeat, whatever the store has.
 
         :param rng: gives the order and the pauses; as first written without it.
         :param late_s: longest pause before each record.
@@ -114,17 +117,18 @@
         if rng is not None:
             rng.shuffle(order)
         for topic, key in order:
-            if not self._has_lost(topic, key):
+            if not self._must_write_again(topic, key):
                 continue
             if rng is not None and late_s:
                 gevent.sleep(rng.uniform(0.0, late_s))
             # The author may have written a newer record meanwhile.
-            if self._has_lost(topic, key):
+            if self._must_write_again(topic, key):
                 self.put_raw(topic, key, self._authored[topic, key])
 
-    def _has_lost(self, topic: str, key: str) -> bool:
+    def _must_write_again(self, topic: str, key: str) -> bool:
+        authored = self._authored[topic, key]
         _offset, data = self.newest(topic).get(key, (0, b""))
-        return data != self._authored[topic, key]
+        return data != authored or (topic == HEARTBEATS_TOPIC and bool(authored))
 
     def drop_history(self, topic: str) -> None:
         self.first[topic] = len(self.topics[topic])
