Give up another endpoint that can't be reached, as the first one is

What callers saw: a request whose first endpoint was silent or had broken off, and whose other endpoint had ended without a word, was held until its deadline and then reset, although a third endpoint was idle and the route allowed it.

Cause: the attempt beside the first one had no watch at all. Nothing checked whether its endpoint could be reached, and while it lasted no further endpoint was asked: neither after the first one had broken off nor beside a silent first one.

Change: the wait for the other endpoint's head and first event runs under the same watch as that for the first one: silent, checked, and given up after 1.2 s in which two checks made no connection. The attempt then counts as one that may have run, and the next endpoint takes the request if the route and the budget of repeats allow it.

Open: an endpoint that hangs but can be connected to is still waited for after the first one has ended, and no third one is asked beside it.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
@@ -37,7 +37,8 @@
     :param state: endpoint of the attempt.
     :param on_silent: called at each look at the silent endpoint, must not block.
     :param start_other: sends the request to another endpoint and returns the greenlet whose value
-        is whether that endpoint has answered; ``None`` if there is no other, or not now.
+        is whether that endpoint has answered; ``None`` if there is no other, or not now. Without
+        it the attempt is only given up when its endpoint can't be reached.
     :param cancel_other: ends the attempt at the other endpoint, also if it has answered.
     """
 
@@ -46,8 +47,8 @@
         state: EndpointState,
         clock: Clock,
         on_silent: Callable[[EndpointState], None],
-        start_other: Callable[[], gevent.Greenlet | None],
-        cancel_other: Callable[[], None],
+        start_other: Callable[[], gevent.Greenlet | None] = lambda: None,
+        cancel_other: Callable[[], None] = lambda: None,
     ) -> None:
         self._state = state
         self._clock = clock
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -1,7 +1,7 @@
 """The attempts of one request, until it is answered or given up."""
 
 from collections.abc import Iterator
-from contextlib import AbstractContextManager, contextmanager, nullcontext
+from contextlib import AbstractContextManager, contextmanager
 
 import gevent
 
@@ -30,7 +30,7 @@
 from arbutustally_node.gateway.placer import DEFAULT_RETRY_S, Placed, Placer
 from arbutustally_node.gateway.ports import AttemptTerms
 from arbutustally_node.gateway.request_services import RequestServices, Trace
-from arbutustally_node.gateway.stream_relay import RelayEnd, StreamRelay
+from arbutustally_node.gateway.stream_relay import SILENT_START_S, RelayEnd, StreamRelay
 from arbutustally_node.gateway.transport import OTHER_ENDPOINT, Attempt
 
 #: Wait for the head of an answer after which another endpoint is asked as well, seconds.
@@ -231,9 +231,7 @@
             one.load.may_go_on(self._has_endpoints_left(in_use))
 
     def _send_other(self, tried: Try) -> bool:
-        attempt = self._send(tried, nullcontext())
-        if attempt.outcome is Outcome.ANSWERED and self._is_stream(attempt):
-            attempt = self._services.transport.await_event(attempt, self.left_s)
+        attempt = self._await_other(tried)
         if self._other is not tried:
             _drop(attempt)
             return False
@@ -250,6 +248,20 @@
         self._learning.ended(tried)
         return False
 
+    def _await_other(self, tried: Try) -> Attempt:
+        """Waits for another endpoint's answer, of a stream for its first event.
+
+        The endpoint is given up once it can't be reached: a dead one would hold the request while
+        a further one could serve it.
+        """
+        hedge = Hedge(tried.placed.state, self._services.clock, self._services.on_silent)
+        attempt = self._send(tried, hedge.watch(FIRST_BYTE_S))
+        if attempt.outcome is not Outcome.ANSWERED or not self._is_stream(attempt):
+            return attempt
+        hedge.heard()
+        guard = hedge.watch(SILENT_START_S)
+        return self._services.transport.await_event(attempt, self.left_s, guard)
+
     def _other_answers(self) -> bool:
         """Waits for the attempt beside the one that has ended; returns whether it is answered."""
         greenlet = self._other_greenlet
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -25,6 +25,8 @@
 OTHER_WEIGHTS = "other_weights"
 #: Reason of an attempt whose endpoint did not answer in time, or after another one.
 ENDPOINT_SILENT = "endpoint_silent"
+#: Reason of an attempt whose endpoint is silent and can't be reached.
+ENDPOINT_GONE = "endpoint_gone"
 
 
 @dataclass
@@ -84,7 +86,7 @@
         except (EndpointTimeoutError, OvertakenError, _HeadTimeoutError):
             return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_SILENT)
         except UnreachableError:
-            return Attempt(Outcome.MAY_HAVE_RUN, "endpoint_gone")
+            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE)
         except EndpointFailedError as error:
             if error.ran is Ran.NOT_RUN:
                 reason = "connection_refused" if is_refused(error) else "connect_timeout"
@@ -92,14 +94,22 @@
             return Attempt(Outcome.MAY_HAVE_RUN, "connection_broken")
         return self._judge(request, state, response)
 
-    def await_event(self, attempt: Attempt, left_s: float) -> Attempt:
-        """Waits for the first whole event of a stream, which stays to be read."""
+    def await_event(
+        self, attempt: Attempt, left_s: float, guard: AbstractContextManager[None]
+    ) -> Attempt:
+        """Waits for the first whole event of a stream, which stays to be read.
+
+        :param guard: watches the wait for it.
+        """
         response = attempt.response
         arrived = b""
         try:
-            with gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
+            with guard, gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
                 while not WholeEvents().feed(arrived) and (piece := response.read()):
                     arrived += piece
+        except UnreachableError:
+            response.close()
+            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE, attempt.status)
         except (RouterError, EventTooLongError, _HeadTimeoutError):
             response.close()
             return Attempt(Outcome.MAY_HAVE_RUN, "stream_broken", attempt.status)
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -11,7 +11,7 @@
 from arbutustally_node.gateway.request_run import FIRST_BYTE_S
 from arbutustally_node.gateway.stream_relay import SILENT_GAP_S
 from tests.gateway_fleet import GatewayCase
-from tests.platform_fakes import configuration
+from tests.platform_fakes import FakeWorker, configuration
 
 #: Longer than any pause after which a node may look for another endpoint, seconds.
 LONG_PAUSE_S = 2.4
@@ -208,6 +208,84 @@
         self.assertEqual((answer.status, counts), (200, [1]))
 
 
+class DeadOtherEndpointTest(GatewayCase):
+    """Replays an engine that ends, without a word, after a request was sent to it as well."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.http = urllib3.PoolManager(retries=False, timeout=9.0)
+        third = FakeWorker("e3", "llm", "m")
+        self.addCleanup(third.stop)
+        self.store.put("keyed.servers", third.id, third.entry())
+        self.engines.append(third)
+        self.node = self.start_node()
+        self.wait_ready(self.node, 3)
+        changed = configuration(2)
+        changed["routes"][0] |= {"timeoutMs": 8000, "maxAttempts": 3}
+        self.store.put("keyed.op", "config", changed)
+        self.eventually(lambda: self.node._view.configuration.version == 2)
+        self.asked: list[str] = []
+
+    def ask(self, first, begins_head: bool = False) -> float:
+        """Sends a request whose first engine answers ``first`` and whose second one has ended.
+
+        :param begins_head: the second one has sent the head of its answer before.
+        :return: time until the whole answer had come, seconds.
+        """
+
+        def part():
+            yield b"id: 3\n"
+            gevent.sleep(9.0)
+
+        def behave(engine: FakeWorker, headers: dict[str, str]):
+            self.asked.append(engine.id)
+            if len(self.asked) == 1:
+                return first(headers)
+            if len(self.asked) == 2 and begins_head:
+                return signed(headers, part())
+            if len(self.asked) == 2:
+                gevent.sleep(9.0)
+            return signed(headers, iter([events(3, 5)]))
+
+        for engine in self.engines:
+            engine.behave = lambda headers, engine=engine: behave(engine, headers)
+        with mock.patch.object(endpoint_check, "_can_connect", self._can_connect):
+            began = time.monotonic()
+            answer = self.call(self.node, "/chat/x", "r1", Deadline_Ms="7000")
+            took_s = time.monotonic() - began
+        self.assertEqual(answer.data, events(1, 5))
+        return took_s
+
+    def _can_connect(self, address: str) -> bool:
+        dead = self.asked[1] if len(self.asked) > 1 else ""
+        return all(engine.address != address for engine in self.engines if engine.id == dead)
+
+    def test_it_is_not_waited_for_after_the_first_one_has_broken_off(self) -> None:
+        """Guards against a caller that waits for a dead endpoint while a third one is idle."""
+
+        def breaks_off(headers):
+            def body():
+                yield events(1, 2)
+                gevent.sleep(SILENT_GAP_S + 0.4)
+
+            fields = {**head(headers), "Content-Length": "9999", "Connection": "close"}
+            return HTTPResponse(body=body(), headers=fields)
+
+        self.assertLess(self.ask(breaks_off), 4.5)
+
+    def test_it_does_not_keep_a_third_one_from_being_asked(self) -> None:
+        """Guards against a silent endpoint beside which only one other, dead, is ever asked."""
+
+        def hangs(headers):
+            def body():
+                yield events(1, 2)
+                gevent.sleep(9.0)
+
+            return signed(headers, body())
+
+        self.assertLess(self.ask(hangs, begins_head=True), 4.5)
+
+
 def head(headers: dict[str, str]) -> dict[str, str]:
     return {"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
 
