Break runs off at a load only if the nodes' budgets of repeats can move them

What callers saw: a stream in its middle was reset when its engine was told to load newly named weights, with most of its time left and another engine idle.

Cause: an order ends an engine's runs at once if all of them "can be repeated". The count took the word of the route and the endpoints left, and not the budget that a repeat draws on. With the budget used up the node that held the run could send it nowhere.

Evidence: tests.test_cut_answers.LoadOrderTest names weights while a stream runs. On the code before, 2 of its 3 tests failed: ConnectionResetError in the middle, with repeat_budget=used and is_cut in the decision line, once with the budget of the only node used up and once with that of the node beside the one that orders. The third, with a budget, passes before and after: there the run is broken off and goes on at the other engine.

Change: the ledger of repeats tells how many are left. Runs beyond that count as unrepeatable, and all engines that load share what is left, so that two orders don't count on the same repeats. The node that orders asks this of its own ledger just before the order. Each other node applies it to its own runs before it tells its load, in the figure that it told already: a repeat draws on the budget of the node that has the run, which only that node knows. What is told is as old as a message between nodes (some hundred ms, a further interval through relays). The engine gets no new requests for at least 0.25 s before the order, but hedges and failures elsewhere may take repeats meanwhile: none are reserved. tests.test_gateway_weights: the calls take the count as a parameter now; their expectations are unchanged.

After: LoadOrderTest 3 of 3; the order says "queue" and both streams end after 5.0 s, their full length. tests.test_cut_answers, test_gateway_node, test_gateway_choice, test_rollouts, test_gateway_weights, test_planned_stop, test_gateway_limits and test_peer_state: 150 passed, 0 failed, load about 14.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -219,6 +219,7 @@
         options.bounds.weights_s,
         wait_s,
         on_unreachable,
+        state.repeats,
     )
 
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_news.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_news.py
@@ -10,6 +10,7 @@
 from arbutustally.gateway.quota import QuotaLedger
 from arbutustally.gateway.relaying import Member
 from arbutustally.gateway.requests import PromptPart
+from arbutustally.gateway.weights import unrepeatable_runs
 from arbutustally_node.gateway.endpoint_check import EndpointChecker
 from arbutustally_node.gateway.endpoint_notices import EndpointNotices
 from arbutustally_node.gateway.endpoint_reader import EndpointReader
@@ -69,6 +70,7 @@
         view, weights = services.view, services.weights
         now = self._clock()
         states = view.book.all()
+        loading = [state for state in states if state.loading]
         return PeerState(
             self._member(),
             self._incarnation,
@@ -79,7 +81,7 @@
                     state.running,
                     round(state.prompt_tokens),
                     round(state.memory_tokens),
-                    state.unrepeatable,
+                    unrepeatable_runs(state, loading, services.repeats.left(state.entry.service)),
                 )
                 for state in states
                 if state.running
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -12,6 +12,7 @@
 
 from arbutustally.clock import Clock
 from arbutustally.errors import StoreUnavailableError
+from arbutustally.gateway.attempts import RepeatLedger
 from arbutustally.gateway.configuration import RouteKind
 from arbutustally.gateway.endpoints import EndpointState
 from arbutustally.gateway.weights import (
@@ -24,6 +25,7 @@
     loads_at_once,
     loads_in_step,
     plan_loads,
+    unrepeatable_runs,
 )
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
@@ -61,6 +63,7 @@
     :param weights_s: time after which weights that were replaced are no longer allowed, seconds.
     :param wait_s: returns the expected wait at an engine, seconds.
     :param on_unreachable: called for an engine that does not answer.
+    :param repeats: budget for requests that go on elsewhere when an engine breaks them off.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         weights_s: float,
         wait_s: Callable[[EndpointState], float],
         on_unreachable: Callable[[EndpointState], None],
+        repeats: RepeatLedger,
     ) -> None:
         self._view = view
         self._gossip = gossip
@@ -86,6 +90,7 @@
         self._load_s = FIRST_LOAD_S
         self._step_at = -math.inf
         self._on_unreachable = on_unreachable
+        self._repeats = repeats
         self._behind_since: float | None = None
         self._ordering: set[str] = set()
         self._looked_at: dict[str, float] = {}
@@ -241,9 +246,15 @@
     def _empty(self, state: EndpointState) -> None:
         """Waits until an engine that gets no new requests has little left to do."""
         began = self._clock()
-        while not is_emptied(state, self._clock() - began):
+        while not is_emptied(state, self._clock() - began, self._unrepeatable(state)):
             gevent.sleep(EMPTY_STEP_S)
 
+    def _unrepeatable(self, state: EndpointState) -> int:
+        """Returns the requests of all nodes that are lost if an engine breaks its runs off."""
+        loading = [one for one in self._view.book.all() if one.loading]
+        left = self._repeats.left(state.entry.service)
+        return unrepeatable_runs(state, loading, left) + state.peer_unrepeatable
+
     def _send_order(self, state: EndpointState, model: str, named: int) -> bool:
         report = self._engines.report(state.entry)
         if report is None and self._view.book.is_paused(state):
@@ -258,7 +269,9 @@
         if not self.is_holder:
             return False
         fence = self._lease.fence
-        order = LoadOrder(model, named, report.orders, breaks_runs_off(state))
+        unrepeatable = self._unrepeatable(state)
+        breaks_off = breaks_runs_off(state, unrepeatable)
+        order = LoadOrder(model, named, report.orders, breaks_off)
         reply = self._engines.load_weights(state.entry, order, self._lease.holder, fence)
         self._log.line(
             "weights_ordered",
@@ -269,7 +282,7 @@
             orders=report.orders,
             breaks_runs_off=order.breaks_runs_off,
             running=state.total_running,
-            unrepeatable=state.total_unrepeatable,
+            unrepeatable=unrepeatable,
             reply=reply,
         )
         if reply == OrderReply.HOLDS_ALREADY:
--- a/packages/arbutustally/src/arbutustally/gateway/attempts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/attempts.py
@@ -5,6 +5,7 @@
 traffic, so that a fault does not multiply the load on the endpoints that remain.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass
 from enum import StrEnum
@@ -79,14 +80,18 @@
 
     def take(self, service: str) -> bool:
         """Counts a repeat if the budget has room for it."""
+        if not self.left(service):
+            return False
+        self._repeats[service].append(self._clock())
+        return True
+
+    def left(self, service: str) -> int:
+        """Returns the repeats for which the budget has room now."""
         requests = len(self._recent(self._requests, service))
-        repeats = self._recent(self._repeats, service)
+        repeats = len(self._recent(self._repeats, service))
         budget = self._budget
         room = (requests * budget.share + budget.slack / self._nodes) * BUDGET_USED
-        if len(repeats) + 1 > room:
-            return False
-        repeats.append(self._clock())
-        return True
+        return max(0, math.floor(room - repeats))
 
     def _recent(self, table: dict[str, deque[float]], service: str) -> deque[float]:
         entries = table.setdefault(service, deque())
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -70,8 +70,9 @@
     :ivar running: requests of this node at the endpoint.
     :ivar prompt_tokens: tokens of this node's requests that have no first event yet.
     :ivar memory_tokens: tokens that this node's running requests keep in memory.
-    :ivar unrepeatable: of ``running``, those that would be lost if the endpoint broke them off.
-    :ivar peer_load: the same four figures by peer.
+    :ivar unrepeatable: of ``running``, those that their routes don't let go on elsewhere.
+    :ivar peer_load: the same four figures by peer; the last one also has those for which the peer
+        has no repeat left.
     :ivar gone_at: when the entry was removed, ``None`` while it is listed.
     :ivar kept_until: until then it counts as present although its entry was removed.
     :ivar has_said_leaving: it has said that it leaves, whatever the list says now.
@@ -140,9 +141,9 @@
         return self.running + sum(load[0] for load in self.peer_load.values())
 
     @property
-    def total_unrepeatable(self) -> int:
-        """Returns the requests of all nodes that can't go on elsewhere."""
-        return self.unrepeatable + sum(load[3] for load in self.peer_load.values())
+    def peer_unrepeatable(self) -> int:
+        """Returns the requests of other nodes that can't go on elsewhere."""
+        return sum(load[3] for load in self.peer_load.values())
 
     @property
     def total_prompt_tokens(self) -> float:
--- a/packages/arbutustally/src/arbutustally/gateway/weights.py
+++ b/packages/arbutustally/src/arbutustally/gateway/weights.py
@@ -70,19 +70,45 @@
     return LoadPlan(tuple(state.id for state in free[:room]), len(old))
 
 
-def is_emptied(state: EndpointState, waited_s: float) -> bool:
+def unrepeatable_runs(
+    state: EndpointState, loading: Sequence[EndpointState], repeats_left: int
+) -> int:
+    """Returns this node's requests that would be lost if an engine broke them off.
+
+    Each request that goes on elsewhere takes a repeat, and engines that load at the same time share
+    the node's budget of them.
+
+    :param loading: engines that load or are about to.
+    :param repeats_left: repeats for which the node's budget has room.
+    """
+    others = sum(
+        other.running - other.unrepeatable
+        for other in loading
+        if other is not state and other.entry.service == state.entry.service
+    )
+    repeatable = state.running - state.unrepeatable
+    lacking = max(0, others + repeatable - repeats_left)
+    return state.unrepeatable + min(repeatable, lacking)
+
+
+def is_emptied(state: EndpointState, waited_s: float, unrepeatable: int) -> bool:
     """Returns whether an engine that gets no new requests should load now.
 
     Requests that can't go on elsewhere end first, the others are moved by the load.
+
+    :param unrepeatable: requests of all nodes that can't go on elsewhere.
     """
     if waited_s >= EMPTYING_S:
         return True
-    return waited_s >= TELLING_S and state.total_running <= 1 and not state.total_unrepeatable
+    return waited_s >= TELLING_S and state.total_running <= 1 and not unrepeatable
 
 
-def breaks_runs_off(state: EndpointState) -> bool:
-    """Returns whether an engine ends its runs at once rather than letting them finish."""
-    return not state.total_unrepeatable and state.total_running <= MAX_MOVED
+def breaks_runs_off(state: EndpointState, unrepeatable: int) -> bool:
+    """Returns whether an engine ends its runs at once rather than letting them finish.
+
+    :param unrepeatable: as for ``is_emptied``.
+    """
+    return not unrepeatable and state.total_running <= MAX_MOVED
 
 
 def loads_at_once(
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -8,8 +8,10 @@
 from bottle import HTTPResponse
 
 from arbutustally_node.gateway import endpoint_check, stream_relay
+from arbutustally_node.gateway.node import GatewayNode
 from arbutustally_node.gateway.request_run import FIRST_BYTE_S
 from arbutustally_node.gateway.stream_relay import SILENT_GAP_S
+from arbutustally_node.gateway.weights_service import LOADS_DUTY
 from tests.gateway_fleet import GatewayCase
 from tests.platform_fakes import FakeWorker, configuration
 
@@ -286,6 +288,86 @@
         self.assertLess(self.ask(hangs, begins_head=True), 4.5)
 
 
+class LoadOrderTest(GatewayCase):
+    """Replays weights that are named while a stream runs, at engines that may break it off."""
+
+    EVENTS = 20
+    EVENT_S = 0.25
+
+    def setUp(self) -> None:
+        super().setUp()
+        changed = configuration()
+        changed["routes"][0] |= {"timeoutMs": 8000}
+        self.store.put("keyed.op", "config", changed)
+        self.running = ""
+        self.strategies: list[str] = []
+        for engine in self.engines:
+            engine.behave = lambda headers, engine=engine: self._stream(engine, headers)
+            engine.note_order = lambda order, engine=engine: self._ordered(engine, order)
+
+    def _stream(self, engine: FakeWorker, headers: dict[str, str]) -> HTTPResponse:
+        self.running = engine.id
+        after = int(headers.get("Last-Event-Id") or 0)
+
+        def body():
+            for number in range(after + 1, self.EVENTS + 1):
+                gevent.sleep(self.EVENT_S)
+                if self.running != engine.id:
+                    return
+                yield events(number, number)
+            self.running = ""
+
+        fields = {**head(headers), "Connection": "close"}
+        size = len(events(after + 1, self.EVENTS))
+        return HTTPResponse(body=body(), headers={**fields, "Content-Length": str(size)})
+
+    def _ordered(self, engine: FakeWorker, order: dict) -> None:
+        if self.running != engine.id:
+            return
+        self.strategies.append(order["strategy"])
+        if order["strategy"] == "truncate":
+            self.running = ""
+
+    def name_weights_while_a_stream_runs_at(self, node: GatewayNode) -> bytes:
+        """Returns the whole answer."""
+        call = gevent.spawn(self.call, node, "/chat/x", "r1", Deadline_Ms="7500")
+        self.eventually(lambda: self.running)
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        return call.get().data
+
+    def test_stream_is_broken_off_if_it_can_go_on_elsewhere(self) -> None:
+        node = self.start_node()
+        self.wait_ready(node)
+        answer = self.name_weights_while_a_stream_runs_at(node)
+        self.assertEqual((answer, self.strategies), (events(1, self.EVENTS), ["truncate"]))
+
+    def test_stream_ends_first_where_the_budget_of_repeats_is_used(self) -> None:
+        """Guards against an order that breaks off an answer which no repeat can finish."""
+        node = self.start_node()
+        self.wait_ready(node)
+        use_up(node)
+        answer = self.name_weights_while_a_stream_runs_at(node)
+        self.assertEqual((answer, self.strategies), (events(1, self.EVENTS), ["queue"]))
+
+    def test_stream_ends_first_where_the_budget_of_another_node_is_used(self) -> None:
+        """Guards against an order by a node with a budget, for a stream of one without."""
+        nodes = self.start_nodes(2)
+        for node in nodes:
+            self.wait_ready(node)
+            self.eventually(lambda node=node: len(node._gossip.present) == 1)
+        orderer, other = sorted(nodes, key=lambda node: node._gossip.rank(LOADS_DUTY))
+        use_up(other)
+        answer = self.name_weights_while_a_stream_runs_at(other)
+        self.assertTrue(orderer._services.state.repeats.take("llm"))
+        self.assertEqual((answer, self.strategies), (events(1, self.EVENTS), ["queue"]))
+
+
+def use_up(node: GatewayNode) -> None:
+    """Uses up a node's budget of repeats at the engines."""
+    while node._services.state.repeats.take("llm"):
+        pass
+
+
 def head(headers: dict[str, str]) -> dict[str, str]:
     return {"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
 
--- a/tests/test_gateway_weights.py
+++ b/tests/test_gateway_weights.py
@@ -14,6 +14,7 @@
     loads_at_once,
     loads_in_step,
     plan_loads,
+    unrepeatable_runs,
 )
 from arbutustally_node.gateway.fleet_view import NamedWeights
 from tests.gateway_values import entry
@@ -54,16 +55,29 @@
     def test_engine_is_emptied_before_it_loads(self) -> None:
         """Replays an engine with long streams: it loads soon and loses nothing for good."""
         state = EndpointState(entry("e1"))
-        self.assertFalse(is_emptied(state, 0.0))
-        self.assertTrue(is_emptied(state, TELLING_S))
+        self.assertFalse(is_emptied(state, 0.0, 0))
+        self.assertTrue(is_emptied(state, TELLING_S, 0))
         state.peer_load["n2"] = (1, 0.0, 0.0, 1)
-        self.assertFalse(is_emptied(state, TELLING_S))
-        self.assertFalse(breaks_runs_off(state))
-        self.assertTrue(is_emptied(state, EMPTYING_S))
+        self.assertFalse(is_emptied(state, TELLING_S, state.peer_unrepeatable))
+        self.assertFalse(breaks_runs_off(state, state.peer_unrepeatable))
+        self.assertTrue(is_emptied(state, EMPTYING_S, state.peer_unrepeatable))
         state.peer_load["n2"] = (5, 0.0, 0.0, 0)
-        self.assertTrue(breaks_runs_off(state))
+        self.assertTrue(breaks_runs_off(state, state.peer_unrepeatable))
         state.peer_load["n3"] = (50, 0.0, 0.0, 0)
-        self.assertFalse(breaks_runs_off(state))
+        self.assertFalse(breaks_runs_off(state, state.peer_unrepeatable))
+
+    def test_engines_that_load_together_share_the_budget_of_repeats(self) -> None:
+        """Guards against two orders that each break off as many runs as one budget moves."""
+        states = [EndpointState(entry(f"e{number}")) for number in range(3)]
+        for state in states:
+            state.running, state.unrepeatable = 3, 1
+        self.assertEqual(unrepeatable_runs(states[0], [], 2), 1)
+        self.assertEqual(unrepeatable_runs(states[0], [], 1), 2)
+        self.assertEqual(unrepeatable_runs(states[0], [], 0), 3)
+        self.assertEqual(unrepeatable_runs(states[0], states[:1], 2), 1)
+        self.assertEqual(unrepeatable_runs(states[0], states[:2], 4), 1)
+        self.assertEqual(unrepeatable_runs(states[0], states[:2], 3), 2)
+        self.assertEqual(unrepeatable_runs(states[0], states, 1), 3)
 
 
 class LoadPaceTest(unittest.TestCase):
