--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -8,10 +8,12 @@
 from bottle import HTTPResponse
 
 from arbutustally_node.gateway import endpoint_check, stream_relay
+from arbutustally_node.gateway.node import GatewayNode
 from arbutustally_node.gateway.request_run import FIRST_BYTE_S
 from arbutustally_node.gateway.stream_relay import SILENT_GAP_S
+from arbutustally_node.gateway.weights_service import LOADS_DUTY
 from tests.gateway_fleet import GatewayCase
-from tests.platform_fakes import configuration
+from tests.platform_fakes import FakeWorker, configuration
 
 #: Longer than any pause after which a node may look for another endpoint, seconds.
 LONG_PAUSE_S = 2.4
@@ -208,6 +210,164 @@
         self.assertEqual((answer.status, counts), (200, [1]))
 
 
+class DeadOtherEndpointTest(GatewayCase):
+    """Replays an engine that ends, without a word, after a request was sent to it as well."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.http = urllib3.PoolManager(retries=False, timeout=9.0)
+        third = FakeWorker("e3", "llm", "m")
+        self.addCleanup(third.stop)
+        self.store.put("keyed.servers", third.id, third.entry())
+        self.engines.append(third)
+        self.node = self.start_node()
+        self.wait_ready(self.node, 3)
+        changed = configuration(2)
+        changed["routes"][0] |= {"timeoutMs": 8000, "maxAttempts": 3}
+        self.store.put("keyed.op", "config", changed)
+        self.eventually(lambda: self.node._view.configuration.version == 2)
+        self.asked: list[str] = []
+
+    def ask(self, first, begins_head: bool = False) -> float:
+        """Sends a request whose first engine answers ``first`` and whose second one has ended.
+
+        :param begins_head: the second one has sent the head of its answer before.
+        :return: time until the whole answer had come, seconds.
+        """
+
+        def part():
+            yield b"id: 3\n"
+            gevent.sleep(9.0)
+
+        def behave(engine: FakeWorker, headers: dict[str, str]):
+            self.asked.append(engine.id)
+            if len(self.asked) == 1:
+                return first(headers)
+            if len(self.asked) == 2 and begins_head:
+                return signed(headers, part())
+            if len(self.asked) == 2:
+                gevent.sleep(9.0)
+            return signed(headers, iter([events(3, 5)]))
+
+        for engine in self.engines:
+            engine.behave = lambda headers, engine=engine: behave(engine, headers)
+        with mock.patch.object(endpoint_check, "_can_connect", self._can_connect):
+            began = time.monotonic()
+            answer = self.call(self.node, "/chat/x", "r1", Deadline_Ms="7000")
+            took_s = time.monotonic() - began
+        self.assertEqual(answer.data, events(1, 5))
+        return took_s
+
+    def _can_connect(self, address: str) -> bool:
+        dead = self.asked[1] if len(self.asked) > 1 else ""
+        return all(engine.address != address for engine in self.engines if engine.id == dead)
+
+    def test_it_is_not_waited_for_after_the_first_one_has_broken_off(self) -> None:
+        """Guards against a caller that waits for a dead endpoint while a third one is idle."""
+
+        def breaks_off(headers):
+            def body():
+                yield events(1, 2)
+                gevent.sleep(SILENT_GAP_S + 0.4)
+
+            fields = {**head(headers), "Content-Length": "9999", "Connection": "close"}
+            return HTTPResponse(body=body(), headers=fields)
+
+        self.assertLess(self.ask(breaks_off), 4.5)
+
+    def test_it_does_not_keep_a_third_one_from_being_asked(self) -> None:
+        """Guards against a silent endpoint beside which only one other, dead, is ever asked."""
+
+        def hangs(headers):
+            def body():
+                yield events(1, 2)
+                gevent.sleep(9.0)
+
+            return signed(headers, body())
+
+        self.assertLess(self.ask(hangs, begins_head=True), 4.5)
+
+
+class LoadOrderTest(GatewayCase):
+    """Replays weights that are named while a stream runs, at engines that may break it off."""
+
+    EVENTS = 20
+    EVENT_S = 0.25
+
+    def setUp(self) -> None:
+        super().setUp()
+        changed = configuration()
+        changed["routes"][0] |= {"timeoutMs": 8000}
+        self.store.put("keyed.op", "config", changed)
+        self.running = ""
+        self.strategies: list[str] = []
+        for engine in self.engines:
+            engine.behave = lambda headers, engine=engine: self._stream(engine, headers)
+            engine.note_order = lambda order, engine=engine: self._ordered(engine, order)
+
+    def _stream(self, engine: FakeWorker, headers: dict[str, str]) -> HTTPResponse:
+        self.running = engine.id
+        after = int(headers.get("Last-Event-Id") or 0)
+
+        def body():
+            for number in range(after + 1, self.EVENTS + 1):
+                gevent.sleep(self.EVENT_S)
+                if self.running != engine.id:
+                    return
+                yield events(number, number)
+            self.running = ""
+
+        fields = {**head(headers), "Connection": "close"}
+        size = len(events(after + 1, self.EVENTS))
+        return HTTPResponse(body=body(), headers={**fields, "Content-Length": str(size)})
+
+    def _ordered(self, engine: FakeWorker, order: dict) -> None:
+        if self.running != engine.id:
+            return
+        self.strategies.append(order["strategy"])
+        if order["strategy"] == "truncate":
+            self.running = ""
+
+    def name_weights_while_a_stream_runs_at(self, node: GatewayNode) -> bytes:
+        """Returns the whole answer."""
+        call = gevent.spawn(self.call, node, "/chat/x", "r1", Deadline_Ms="7500")
+        self.eventually(lambda: self.running)
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        return call.get().data
+
+    def test_stream_is_broken_off_if_it_can_go_on_elsewhere(self) -> None:
+        node = self.start_node()
+        self.wait_ready(node)
+        answer = self.name_weights_while_a_stream_runs_at(node)
+        self.assertEqual((answer, self.strategies), (events(1, self.EVENTS), ["truncate"]))
+
+    def test_stream_ends_first_where_the_budget_of_repeats_is_used(self) -> None:
+        """Guards against an order that breaks off an answer which no repeat can finish."""
+        node = self.start_node()
+        self.wait_ready(node)
+        use_up(node)
+        answer = self.name_weights_while_a_stream_runs_at(node)
+        self.assertEqual((answer, self.strategies), (events(1, self.EVENTS), ["queue"]))
+
+    def test_stream_ends_first_where_the_budget_of_another_node_is_used(self) -> None:
+        """Guards against an order by a node with a budget, for a stream of one without."""
+        nodes = self.start_nodes(2)
+        for node in nodes:
+            self.wait_ready(node)
+            self.eventually(lambda node=node: len(node._gossip.present) == 1)
+        orderer, other = sorted(nodes, key=lambda node: node._gossip.rank(LOADS_DUTY))
+        use_up(other)
+        answer = self.name_weights_while_a_stream_runs_at(other)
+        self.assertTrue(orderer._services.state.repeats.take("llm"))
+        self.assertEqual((answer, self.strategies), (events(1, self.EVENTS), ["queue"]))
+
+
+def use_up(node: GatewayNode) -> None:
+    """Uses up a node's budget of repeats at the engines."""
+    while node._services.state.repeats.take("llm"):
+        pass
+
+
 def head(headers: dict[str, str]) -> dict[str, str]:
     return {"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
 
