Count a late answer as a failure of its engine only if the engine is stalled

What callers saw: after a burst that one engine took up late, the next requests went to the other engines only, for 0.5 s and longer, away from the engine that held their prompts and to engines that got its load on top of theirs.

Cause: an attempt that another engine had overtaken (no head or first event for 1.2 s, no event for 0.8 s) counted like a failed answer in the choice of engines, and after a few of them within 3 s the engine was avoided. So did a stream that was still going on at its caller's deadline.

A true observation is what came from the engine, not what one request waited for. An engine that hangs gives nothing to anyone; one that is behind goes on with others, and what waits there is counted by placement already.

Evidence: tests.test_cut_answers.SilentEngineTest. Load pattern: five requests wait for an engine at which a stream goes on, and the other engine answers them after 1.2 s; ten streams go on beyond short deadlines. On the code before 2 of its 3 tests failed: the engine was left out of the choice (['e2'] instead of ['e1', 'e2']), and the engines had 5.0 failures each where there was none. The third, an engine that stops in the middle of its stream with five more requests waiting, passes before and after: that engine is avoided.

Change: a state notes when an answer or a whole event last came from the endpoint, for any request of the node. A late attempt (overtaken, or out of time) counts as a failure of an engine only if nothing came for 0.6 s, less than the shortest silence after which a request is hedged, so that all streams of an engine that stops count.

After: 3 of 3. tests.test_cut_answers, test_gateway_node, test_gateway_choice, test_rollouts, test_gateway_weights, test_planned_stop and test_gateway_limits: 143 passed, 0 failed, load about 15.

Open: a node with no other request at the engine can't tell and still counts the silence; an engine that answers some requests and never others is not avoided for it (before, each of its answers ended that as well), its callers are hedged one by one.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
@@ -84,7 +84,7 @@
 
     def heard(self) -> None:
         """Notes that the endpoint has gone on: what another one might answer is out of date."""
-        self._heard_at = self._clock()
+        self._heard_at = self._state.heard_at = self._clock()
         if self._other is not None or self._is_overtaken:
             self._other = None
             self._is_overtaken = False
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -4,6 +4,7 @@
 
 from arbutustally.gateway.attempts import Outcome
 from arbutustally.gateway.configuration import Route, Service
+from arbutustally.gateway.endpoints import EndpointState
 from arbutustally.gateway.requests import CallerRequest, shape_of
 from arbutustally.placement import Observation
 from arbutustally_node.gateway.attempt_load import AttemptLoad
@@ -20,6 +21,8 @@
 
 #: Reasons of attempts that were left for an endpoint that answered first: late, not failed.
 SILENT = frozenset({ENDPOINT_SILENT, RelayEnd.SILENT})
+#: Reasons of attempts that took too long and were not broken off by their endpoint.
+LATE = SILENT | {RelayEnd.OUT_OF_TIME}
 
 
 @dataclass
@@ -93,12 +96,26 @@
             services.on_other_weights(state)
         elif attempt.is_unreachable:
             services.on_unreachable(state)
-        elif attempt.outcome is not Outcome.NOT_RUN and services.view.book.failed(state):
+        elif attempt.outcome is not Outcome.NOT_RUN and not self._is_behind(tried):
+            self._note_failure(state)
+        if tried.placed.choice is not None:
+            self._learn_engine(tried)
+
+    def _is_behind(self, tried: Try) -> bool:
+        """Returns whether an attempt was late at an engine that goes on with other requests.
+
+        Placement counts what waits there already. A plain endpoint answers each request at once
+        and whole, so what others get there says nothing about this one.
+        """
+        is_late = tried.attempt.reason in LATE and tried.placed.choice is not None
+        return is_late and not self._services.view.book.is_stalled(tried.placed.state)
+
+    def _note_failure(self, state: EndpointState) -> None:
+        services = self._services
+        if services.view.book.failed(state):
             services.log.line(
                 "endpoint_avoided", endpoint=state.id, failures=round(state.failures, 1)
             )
-        if tried.placed.choice is not None:
-            self._learn_engine(tried)
 
     def _learn_engine(self, tried: Try) -> None:
         services, request, placed = self._services, self._request, tried.placed
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -12,6 +12,9 @@
 MAX_SUSPECT_S = 4.0
 #: Failures after which an endpoint that still answers is avoided.
 FAILURES_TO_SUSPECT = 3
+#: Time without an answer or an event to any request after which an endpoint counts as stalled,
+#: seconds; shorter than any silence after which a request is sent elsewhere as well.
+STALLED_S = 0.6
 #: Time constant of the average of failures, seconds.
 FAILURE_MEMORY_S = 3.0
 #: Weight of one answer in the average latency.
@@ -82,6 +85,7 @@
     :ivar down_since: when that was first found.
     :ivar failed_checks: checks since then that could make none either.
     :ivar checked_at: when a connection was last tried since a request waits for it.
+    :ivar heard_at: when an answer or an event of a stream last came from it, for any request.
     :ivar is_replaced: another endpoint was found at its address.
     """
 
@@ -104,6 +108,7 @@
     down_since: float = 0.0
     failed_checks: int = 0
     checked_at: float = float("-inf")
+    heard_at: float = float("-inf")
     suspect_until: float = 0.0
     suspicions: int = 0
     failures: float = 0.0
@@ -327,6 +332,13 @@
         """Notes that a connection to an endpoint could be made."""
         state.is_down = False
 
+    def is_stalled(self, state: EndpointState) -> bool:
+        """Returns whether an endpoint that keeps a request waiting gives nothing to others either.
+
+        One that goes on with other requests is only behind.
+        """
+        return self._clock() - state.heard_at >= STALLED_S
+
     def failed(self, state: EndpointState) -> bool:
         """Notes a failed answer; returns whether the endpoint is now avoided."""
         now = self._clock()
