Leave a silent engine of the product's own path only once another one has its stream

What callers saw: a stream ended with stream_lost because its engine had been silent twice for endpoint_read_timeout_s, although the engine still had the stream.

Cause: the work was cancelled at the silent engine before it was known whether another one could take the stream: the budget of retries was asked, and another engine looked for, only afterwards.

Evidence: two new tests of tests.test_streams failed on the code before with StreamLostError ("the retry budget is used up"; the only other engine refused with 409), each after 5 of 24 tokens. A third, an engine that stays silent, passes before and after: the stream is lost explicitly and its work cancelled.

Change: after silence another engine is asked first; the silent one is left and its work cancelled once the other has begun its answer. Where none takes the stream it is resumed at the silent engine by id and index, at most four times in a row without a token, so an engine that sends nothing more holds its caller for five times the longest silence instead of two. Other faults are handled as before. An engine that does not answer the resumption is lost at once, as before.

Open: the connection is still closed before another engine is asked; an engine that ends a stream soon after its connection closes can't resume it. Each try elsewhere takes a retry from the budget also if no engine was left to ask.

--- a/packages/arbutustally-node/src/arbutustally_node/stream_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_run.py
@@ -37,6 +37,8 @@
 MAX_IDLE_RESUMES = 2
 #: The same after silence; each one may cost the longest accepted silence again.
 MAX_SILENT_RESUMES = 1
+#: The same while no other engine can take the stream.
+MAX_LAST_RESUMES = 4
 DONE = b"data: [DONE]\n\n"
 
 
@@ -258,10 +260,32 @@
             self._dispatcher.lost(link.endpoint, link.incarnation)
         elif self._resume(link, MAX_SILENT_RESUMES if fault is Fault.SILENT else MAX_IDLE_RESUMES):
             return link
+        if fault is Fault.SILENT:
+            return self._continue_from_silent(link)
+        self._give_up(link)
+        return self._continue_elsewhere()
+
+    def _continue_from_silent(self, link: Link) -> Link:
+        """Returns a link at another engine, or at the silent one if no other takes the stream.
+
+        An engine that is silent may only be behind, and still has the stream.
+        """
+        try:
+            continued = self._continue_elsewhere()
+        except StreamLostError:
+            if self._resume(link, MAX_LAST_RESUMES):
+                return link
+            self._give_up(link)
+            raise
+        self._give_up(link)
+        return continued
+
+    def _give_up(self, link: Link) -> None:
+        """Leaves an engine that could not carry its stream on, and ends its work."""
         self._link = None
         self._dispatcher.leave(link)
         self._report.failed(link)
-        return self._continue_elsewhere(link)
+        self._dispatcher.cancel(link.endpoint, self._call.request_id)
 
     def _resume(self, link: Link, limit: int) -> bool:
         """Reads a stream on from the incarnation that produces it; returns whether it can."""
@@ -280,8 +304,7 @@
         self._call.trace.note("resumed", endpoint=link.endpoint.id, at=self._cursor.next_index)
         return True
 
-    def _continue_elsewhere(self, link: Link) -> Link:
-        self._dispatcher.cancel(link.endpoint, self._call.request_id)
+    def _continue_elsewhere(self) -> Link:
         if not self._cursor.can_continue:
             raise self._lost("this node does not hold the tokens sent before")
         if not self._retries.allow(self._call.account):
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -3,6 +3,7 @@
 import unittest
 from dataclasses import replace
 
+import gevent
 import orjson
 from gevent import Timeout
 from hypothesis import settings
@@ -244,6 +245,40 @@
         with self.assertRaisesRegex(StreamLostError, "retry budget"):
             self.complete(call)
 
+    def fall_silent_twice(self) -> ModelCall:
+        """Returns a call whose engine is resumed once in vain after token 5."""
+        # The engine takes a fault from its script when it is asked to resume, too.
+        self.script.faults = [(5, "silent")] * 3
+        return model_call(self.node, "p")
+
+    def assert_kept(self, call: ModelCall) -> None:
+        events = self.complete(call)
+        self.assertEqual(self.text(events), answer("p", TOKENS))
+        self.assertEqual(self.fleet.engines[0].cancelled, [])
+
+    def test_silent_engine_is_kept_where_the_retry_budget_is_used_up(self) -> None:
+        """Guards against an answer that is lost to silence although its engine still has it."""
+        call = self.fall_silent_twice()
+        budget = self.node.lookup("streams")._retries
+        while budget.allow("school"):
+            continue
+        self.assert_kept(call)
+
+    def test_silent_engine_is_kept_where_no_other_takes_the_stream(self) -> None:
+        """Guards against work that is cancelled before another engine has taken it over."""
+        # The list says that it has the weights, and it refuses.
+        self.fleet.engines[1].version = "v9"
+        self.assert_kept(self.fall_silent_twice())
+
+    def test_engine_that_stays_silent_is_given_up(self) -> None:
+        """Guards against a caller that is held for ever by an engine that sends nothing more."""
+        self.fleet.membership.states.pop("e2")
+        self.script.faults = [(5, "silent")] * 20
+        with Timeout(10), self.assertRaises(StreamLostError):
+            self.complete(model_call(self.node, "p"))
+        gevent.sleep(0.1)
+        self.assertEqual(len(self.fleet.engines[0].cancelled), 1)
+
     def test_foreign_or_altered_event_ids_are_refused(self) -> None:
         """Guards against a caller that reads the stream of another account or request."""
         events = self.complete(model_call(self.node, "p"))
