Write no second head into a stream that has begun

Callers saw a status line and headers inside the body of a chunked stream, on a connection that stayed open, when a second endpoint answered its own 500 or 404 (rule MIXED). Cause: an answer that is no stream was passed on whole without asking whether the answer had begun; a head that is no stream also counted as the other endpoint's answer and ended a stream that only paused. Now such an answer counts as may have run once an answer has begun.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -320,7 +320,15 @@
         # What the endpoint says of itself binds before its answer is passed on.
         if attempt.terms is not None and attempt.reason != OTHER_ENDPOINT:
             self._services.on_notice(placed.state, attempt.terms.notice)
-        return attempt
+        return self._continuing(attempt)
+
+    def _continuing(self, attempt: Attempt) -> Attempt:
+        """Takes an answer that can't go on with the stream that the caller has, for none."""
+        has_head = attempt.outcome in (Outcome.ANSWERED, Outcome.FAILED)
+        if not (has_head and self._connection.began) or self._is_stream(attempt):
+            return attempt
+        _drop(attempt)
+        return Attempt(Outcome.MAY_HAVE_RUN, attempt.reason, attempt.status, attempt.terms)
 
     def _has_endpoints_left(self, ran: int) -> bool:
         """Returns whether the request may run at another endpoint after it has run at ``ran``."""
--- /dev/null
+++ b/tests/test_hedged_answers.py
@@ -0,0 +1,108 @@
+"""A request at work on two endpoints: one whole answer, true refusals, even counts."""
+
+import time
+from contextlib import suppress
+from unittest import mock
+
+import gevent
+from bottle import HTTPResponse
+
+from arbutustally.gateway.attempts import RepeatLedger
+from arbutustally_node.gateway.request_run import FIRST_BYTE_S
+from tests.gateway_fleet import GatewayCase
+from tests.platform_fakes import configuration
+from tests.test_cut_answers import events, full, head, signed
+
+#: A pause after which a node has asked another endpoint, seconds.
+PAUSE_S = 1.6
+STREAM_ROUTE = 0
+PLAIN_ROUTE = 2
+
+
+def paused_stream(headers):
+    """Answers with a stream that pauses after two of its five events."""
+
+    def body():
+        yield events(1, 2)
+        gevent.sleep(PAUSE_S)
+        yield events(3, 5)
+
+    return signed(headers, body())
+
+
+def late_full(headers):
+    """Refuses after another endpoint was asked."""
+    gevent.sleep(FIRST_BYTE_S + 0.3)
+    return full(headers)
+
+
+class HedgedAnswerTest(GatewayCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = self.start_node()
+        self.wait_ready(self.node)
+        self.first: str | None = None
+
+    def answer_first_with(self, first, others, workers=None) -> None:
+        """Makes the worker that is asked first answer with ``first``, any other with ``others``."""
+
+        def answer(worker_id, headers):
+            self.first = self.first or worker_id
+            return (first if worker_id == self.first else others)(headers)
+
+        for worker in workers or self.engines:
+            worker.behave = lambda headers, worker_id=worker.id: answer(worker_id, headers)
+
+    def set_timeout(self, number: int) -> None:
+        """Puts a configuration in force in which a route has a timeout of six seconds."""
+        changed = configuration(2)
+        changed["routes"][number]["timeoutMs"] = 6000
+        self.store.put("keyed.op", "config", changed)
+        self.eventually(lambda: self.node._view.configuration.version == 2)
+
+    def raw_chat(self) -> bytes:
+        """Returns every byte that the caller of a stream gets."""
+        host, _, port = self.node._options.caller_listen.rpartition(":")
+        caller = gevent.socket.create_connection((host, int(port)))
+        caller.sendall(
+            b"POST /chat/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+            b"Authorization: Token key-school\r\nDeadline-Ms: 6000\r\nModel: m\r\n"
+            b"Token-Usage: 100,5\r\nPrompt-Prefix: aa:60,bb:40\r\nContent-Length: 0\r\n\r\n"
+        )
+        caller.settimeout(3.0)
+        got = b""
+        with suppress(OSError):
+            while data := caller.recv(65536):
+                got += data
+        caller.close()
+        return got
+
+    def test_failure_of_a_second_endpoint_is_not_written_into_a_stream(self) -> None:
+        """Guards against a second head inside the body of an answer that has begun."""
+        self.set_timeout(STREAM_ROUTE)
+
+        def breaks(headers):
+            def body():
+                yield events(1, 2)
+                gevent.sleep(0.1)
+                raise OSError
+
+            return signed(headers, body())
+
+        def failing(headers):
+            return HTTPResponse(status=500, headers=head(headers), body=b"own failure")
+
+        self.answer_first_with(breaks, failing)
+        self.assertEqual(self.raw_chat().count(b"HTTP/1.1"), 1)
+
+    def test_other_status_does_not_end_a_stream_that_has_begun(self) -> None:
+        """Guards against a stream that goes on and is left for an answer that can't follow it."""
+        self.set_timeout(STREAM_ROUTE)
+
+        def unknown(headers):
+            return HTTPResponse(status=404, headers=head(headers), body=b"no such stream")
+
+        self.answer_first_with(paused_stream, unknown)
+        got = self.raw_chat()
+        self.assertEqual(got.count(b"HTTP/1.1"), 1)
+        self.assertIn(b"piece 5", got)
