Call no request not run while another endpoint may run it

Callers saw 503 'not run: endpoint_full; retry', and the account got its tokens back, while another endpoint that was asked beside the first ran the request. Cause: its run was counted only after the decision. Now an attempt in progress counts as may have run when the other one ends.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -122,10 +122,12 @@
             if attempt.outcome is not Outcome.ANSWERED and self._other_answers():
                 _drop(attempt)
                 continue
-            following = after(self._route, attempt.outcome, self._ran, self._sends, self.left_s)
+            # The attempt beside this one may run although its answer has not come in time.
+            ran = self._ran + (self._other is not None)
+            following = after(self._route, attempt.outcome, ran, self._sends, self.left_s)
             if following is Next.REPEAT and not self._take_repeat():
                 self._trace.facts["repeat_budget"] = "used"
-                is_not_run = attempt.outcome is Outcome.NOT_RUN and self._ran == 0
+                is_not_run = attempt.outcome is Outcome.NOT_RUN and ran == 0
                 following = Next.REFUSE if is_not_run else Next.FAIL
             if following is Next.REPEAT:
                 _drop(attempt)
--- a/tests/test_hedged_answers.py
+++ b/tests/test_hedged_answers.py
@@ -106,3 +106,18 @@
         got = self.raw_chat()
         self.assertEqual(got.count(b"HTTP/1.1"), 1)
         self.assertIn(b"piece 5", got)
+
+    def test_request_at_work_elsewhere_is_not_called_not_run(self) -> None:
+        """Guards against a refusal that says not run of a request that another endpoint runs."""
+        self.set_timeout(PLAIN_ROUTE)
+
+        def works(_headers):
+            gevent.sleep(6.0)
+
+        statuses = []
+        for number in range(5):
+            self.first = None
+            self.answer_first_with(late_full, works, self.desks)
+            answer = self.call(self.node, "/look/x", f"r{number}", Deadline_Ms="2500")
+            statuses.append(answer.status)
+        self.assertEqual(statuses, [504] * 5)
