--- a/packages/arbutustally-node/src/arbutustally_node/gateway/attempt_load.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/attempt_load.py
@@ -23,6 +23,7 @@
         self._unread = float(total - choice.expected_cached_tokens) if choice else 0.0
         self._memory = float(total + request.output_tokens) if choice else 0.0
         self._unrepeatable = 0 if may_go_on else 1
+        self._has_ended = False
         self.first_at = 0.0
         state.running += 1
         state.unrepeatable += self._unrepeatable
@@ -31,6 +32,8 @@
 
     def may_go_on(self, may_go_on: bool) -> None:
         """Notes whether the request may still go on at another endpoint."""
+        if self._has_ended:
+            return
         before, self._unrepeatable = self._unrepeatable, 0 if may_go_on else 1
         self._state.unrepeatable += self._unrepeatable - before
 
@@ -42,6 +45,7 @@
 
     def end(self) -> None:
         """Takes the attempt off its endpoint."""
+        self._has_ended = True
         self._state.running -= 1
         self._state.unrepeatable -= self._unrepeatable
         self._state.prompt_tokens -= self._unread
--- a/tests/test_hedged_answers.py
+++ b/tests/test_hedged_answers.py
@@ -121,3 +121,21 @@
             answer = self.call(self.node, "/look/x", f"r{number}", Deadline_Ms="2500")
             statuses.append(answer.status)
         self.assertEqual(statuses, [504] * 5)
+
+    def test_load_is_even_after_both_attempts_failed(self) -> None:
+        """Guards against a count below zero, which lets an order break off a run that is lost."""
+        self.set_timeout(STREAM_ROUTE)
+
+        def unsigned(_headers):
+            gevent.sleep(FIRST_BYTE_S + 0.3)
+            return HTTPResponse(body=b"x")
+
+        def full_at_last(headers):
+            gevent.sleep(0.7)
+            return full(headers)
+
+        self.answer_first_with(unsigned, full_at_last)
+        self.call(self.node, "/chat/x", "r1", Deadline_Ms="6000")
+        states = self.node._view.book.of_service("llm")
+        self.eventually(lambda: sum(state.running for state in states) == 0)
+        self.assertEqual([state.unrepeatable for state in states], [0, 0])
