Leave no whole answer that arrives for a head

Callers saw 504 for an answer whose body was flowing: the timer of its silence was not set back by bytes, and the head of another endpoint's answer counted as an answer. Now each piece ends the silence, and the other endpoint counts once its body is whole. An answer left so is noted as silent, not as failed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -251,16 +251,18 @@
         return False
 
     def _await_other(self, tried: Try) -> Attempt:
-        """Waits for another endpoint's answer, of a stream for its first event.
+        """Waits for another endpoint's whole answer, of a stream for its first event.
 
         The endpoint is given up once it can't be reached: a dead one would hold the request while
         a further one could serve it.
         """
         hedge = Hedge(tried.placed.state, self._services.clock, self._services.on_silent)
         attempt = self._send(tried, hedge.watch(FIRST_BYTE_S))
-        if attempt.outcome is not Outcome.ANSWERED or not self._is_stream(attempt):
+        if attempt.outcome is not Outcome.ANSWERED:
             return attempt
         hedge.heard()
+        if not self._is_stream(attempt):
+            return self._read_whole(attempt, hedge)
         guard = hedge.watch(SILENT_START_S)
         return self._services.transport.await_event(attempt, self.left_s, guard)
 
@@ -341,18 +343,25 @@
         attempt = tried.attempt
         if self._is_stream(attempt):
             return self._stream(tried, hedge)
-        attempt = self._services.transport.read_whole(attempt, self.left_s, self._watching(hedge))
+        if attempt.response is not None:
+            attempt = self._read_whole(attempt, hedge)
         if attempt.outcome is Outcome.ANSWERED:
             self._connection.send_whole(attempt.status, attempt.terms.headers, attempt.body)
         return attempt
 
+    def _read_whole(self, attempt: Attempt, hedge: Hedge) -> Attempt:
+        """Reads the body of an answer; each piece of it ends the endpoint's silence."""
+        return self._services.transport.read_whole(
+            attempt, self.left_s, lambda: self._watching(hedge)
+        )
+
     def _is_stream(self, attempt: Attempt) -> bool:
         return self._route.kind is RouteKind.STREAM and attempt.status == 200
 
     def _deliver_whole(self, attempt: Attempt) -> None:
         """Delivers an endpoint's own failure."""
         status, headers = attempt.status, attempt.terms.headers
-        whole = self._services.transport.read_whole(attempt, self.left_s, self._watch)
+        whole = self._services.transport.read_whole(attempt, self.left_s, lambda: self._watch)
         if whole.outcome is Outcome.MAY_HAVE_RUN:
             raise EndpointFailedError("the endpoint's answer broke off", ran=Ran.MAY_HAVE_RUN)
         self._trace.status = status
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -1,5 +1,6 @@
 """One attempt of a request at one endpoint."""
 
+from collections.abc import Callable
 from contextlib import AbstractContextManager
 from dataclasses import dataclass
 
@@ -120,18 +121,24 @@
         return attempt
 
     def read_whole(
-        self, attempt: Attempt, left_s: float, guard: AbstractContextManager[None]
+        self, attempt: Attempt, left_s: float, watch: Callable[[], AbstractContextManager[None]]
     ) -> Attempt:
         """Reads the body of an answer.
 
-        :param guard: watches the wait for it.
+        :param watch: returns what watches the wait for a piece of it.
         :raises CallerGoneError: if the caller leaves meanwhile.
         """
         response = attempt.response
         try:
-            with guard, gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
-                attempt.body = response.read_whole(MAX_WHOLE_ANSWER)
-        except (RouterError, OvertakenError, UnreachableError, _HeadTimeoutError):
+            with gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
+                attempt.body = response.read_whole(MAX_WHOLE_ANSWER, watch)
+        except OvertakenError:
+            response.close()
+            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_SILENT, attempt.status)
+        except UnreachableError:
+            response.close()
+            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE, attempt.status)
+        except (RouterError, _HeadTimeoutError):
             response.close()
             return Attempt(Outcome.MAY_HAVE_RUN, "answer_broken", attempt.status)
         except BaseException:
--- a/packages/arbutustally-node/src/arbutustally_node/pool.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -5,7 +5,8 @@
 import select
 import socket
 from collections import OrderedDict
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from contextlib import AbstractContextManager, nullcontext
 from typing import Any
 
 import gevent
@@ -176,14 +177,23 @@
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
 
-    def read_whole(self, limit: int = MAX_ANSWER_BYTES) -> bytes:
+    def read_whole(
+        self,
+        limit: int = MAX_ANSWER_BYTES,
+        watch: Callable[[], AbstractContextManager[None]] = nullcontext,
+    ) -> bytes:
         """Returns the whole body.
 
+        :param watch: returns what watches the wait for a piece of it.
         :raises EndpointFailedError: as ``read``, and if the body exceeds ``limit`` bytes.
         """
         parts = []
         size = 0
-        while part := self.read():
+        while True:
+            with watch():
+                part = self.read()
+            if not part:
+                break
             parts.append(part)
             size += len(part)
             if size > limit:
--- a/tests/test_hedged_answers.py
+++ b/tests/test_hedged_answers.py
@@ -139,3 +139,27 @@
         states = self.node._view.book.of_service("llm")
         self.eventually(lambda: sum(state.running for state in states) == 0)
         self.assertEqual([state.unrepeatable for state in states], [0, 0])
+
+    def test_whole_answer_that_arrives_is_not_left_for_a_head(self) -> None:
+        """Guards against an answer that is given up for an endpoint that has sent only a head."""
+        self.set_timeout(PLAIN_ROUTE)
+
+        def steady(headers):
+            def body():
+                for _ in range(10):
+                    yield b"x" * 1000
+                    gevent.sleep(0.2)
+
+            return signed(headers, body())
+
+        def only_head(headers):
+            def body():
+                yield b"y"
+                gevent.sleep(20.0)
+                yield b"y"
+
+            return signed(headers, body())
+
+        self.answer_first_with(steady, only_head, self.desks)
+        answer = self.call(self.node, "/look/x", "r1", Deadline_Ms="4000")
+        self.assertEqual((answer.status, answer.data), (200, b"x" * 10000))
