Count no stream without a whole event as an answer

Callers saw a reset: a stream that paused was left for one that ended inside its first event.

Evidence: test_other_stream_without_a_whole_event_does_not_count: before 0 passed, 1 failed; after 1 passed, 0 failed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -117,6 +117,9 @@
         except BaseException:
             response.close()
             raise
+        if arrived and not WholeEvents().feed(arrived):
+            response.close()
+            return Attempt(Outcome.MAY_HAVE_RUN, "stream_broken", attempt.status)
         response.put_back(arrived)
         return attempt
 
--- a/tests/test_hedged_answers.py
+++ b/tests/test_hedged_answers.py
@@ -163,3 +163,9 @@
         self.answer_first_with(steady, only_head, self.desks)
         answer = self.call(self.node, "/look/x", "r1", Deadline_Ms="4000")
         self.assertEqual((answer.status, answer.data), (200, b"x" * 10000))
+
+    def test_other_stream_without_a_whole_event_does_not_count(self) -> None:
+        """Guards against a stream that goes on and is left for a broken one."""
+        self.set_timeout(STREAM_ROUTE)
+        self.answer_first_with(paused_stream, lambda headers: signed(headers, iter([b"id: 3\n"])))
+        self.assertIn(b"piece 5", self.raw_chat())
