End the other attempt at an event, not at a head

Callers saw 504: the late bare head of a stalled engine ended the attempt at another one that would have answered 0.3 s later. Of another endpoint's stream a head does not count either.

Evidence: test_other_endpoint_goes_on_until_the_silent_one_gave_an_event: before 0 passed, 1 failed; after 1 passed, 0 failed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -176,7 +176,6 @@
             if tried.attempt.outcome is not Outcome.NOT_RUN:
                 self._ran += 1
             if tried.attempt.outcome is Outcome.ANSWERED:
-                hedge.heard()
                 tried.attempt = self._pass_on(tried, hedge)
         except BaseException as error:
             if tried.attempt is None:
--- a/tests/test_hedged_answers.py
+++ b/tests/test_hedged_answers.py
@@ -169,3 +169,28 @@
         self.set_timeout(STREAM_ROUTE)
         self.answer_first_with(paused_stream, lambda headers: signed(headers, iter([b"id: 3\n"])))
         self.assertIn(b"piece 5", self.raw_chat())
+
+    def test_other_endpoint_goes_on_until_the_silent_one_gave_an_event(self) -> None:
+        """Guards against an attempt that is ended by the bare head of a stalled answer."""
+        self.set_timeout(STREAM_ROUTE)
+
+        def late_head_only(headers):
+            gevent.sleep(FIRST_BYTE_S + 0.3)
+
+            def body():
+                yield b"id: 1\n"
+                gevent.sleep(20.0)
+                yield b"data: x\n\n"
+
+            return signed(headers, body())
+
+        def good(headers):
+            def body():
+                gevent.sleep(0.6)
+                yield events(1, 5)
+
+            return signed(headers, body())
+
+        self.answer_first_with(late_head_only, good)
+        answer = self.call(self.node, "/chat/x", "r1", Deadline_Ms="4500")
+        self.assertEqual(answer.data, events(1, 5))
