Count an endpoint as tried when the request is sent

Callers waited 4.0 s in place of about 1.5: an endpoint chosen for a hedge for which the repeat budget had no room counted as tried and was not asked again.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -119,9 +119,11 @@
             placed = Placed(choose_plain(able, services.zone, services.rng))
         else:
             placed = self._place_at_engine(able, left_s, has_run, must_be_timely)
-        placed = replace(placed, was_tried=placed.state.id in self._tried)
+        return replace(placed, was_tried=placed.state.id in self._tried)
+
+    def note_sent(self, placed: Placed) -> None:
+        """Notes that the request is sent to an endpoint."""
         self._tried.add(placed.state.id)
-        return placed
 
     def place_elsewhere(self, left_s: float) -> Placed:
         """Returns an endpoint that was not tried yet, for an attempt beside another one.
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -160,6 +160,7 @@
     def _begin(self, placed: Placed) -> Try:
         """Counts an attempt before its request is sent."""
         self._sends += 1
+        self._placer.note_sent(placed)
         answer = self._learning.began(placed)
         load = AttemptLoad(
             placed.state, self._request, placed.choice, self._has_endpoints_left(self._ran + 1)
--- a/tests/test_hedged_answers.py
+++ b/tests/test_hedged_answers.py
@@ -194,3 +194,24 @@
         self.answer_first_with(late_head_only, good)
         answer = self.call(self.node, "/chat/x", "r1", Deadline_Ms="4500")
         self.assertEqual(answer.data, events(1, 5))
+
+    def test_endpoint_that_got_nothing_does_not_count_as_tried(self) -> None:
+        """Guards against an endpoint that is not asked again after the budget had no room once."""
+        self.set_timeout(STREAM_ROUTE)
+
+        def late(headers):
+            gevent.sleep(4.0)
+            return signed(headers, iter([events(1, 5)]))
+
+        self.answer_first_with(late, lambda headers: signed(headers, iter([events(1, 5)])))
+        takes = []
+
+        def take(_ledger, _service):
+            takes.append(time.monotonic())
+            return len(takes) > 1
+
+        began = time.monotonic()
+        with mock.patch.object(RepeatLedger, "take", take):
+            answer = self.call(self.node, "/chat/x", "r1", Deadline_Ms="6000")
+        self.assertEqual(answer.data, events(1, 5))
+        self.assertLess(time.monotonic() - began, 2.5)
