Call the releases of a roll-out canary and baseline

Cause: the code used "new", "target" and "release on trial" for one release and "old", "usual" and "the one before" for the other; a newcomer could not tell whether these were two things or six. next_progress decided the end in one line of mixed and/or conditions, and several comments stood over two or three constants at once.

Change: names and comments only. CANARY_SHARE, MIN_CANARY_TIMES, MIN_BASELINE_TIMES, is_canary, is_baseline, baseline_running; the z-scores are called so (_z_scores, _combined_z, SLOW_Z, SLOW_ROUTE_Z, SOUND_Z); each constant has its own comment; next_progress names its conditions (is_watched, is_drained, must_end) and says why the move comes late; is_found_bad is is_bad_lately. The groups keep the names "new" and "old" in what nodes tell each other. Three tests were renamed likewise; none changed what it checks.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
@@ -1,7 +1,7 @@
-"""Answers of a service's releases as this node sees them, and what the peers tell of theirs.
+"""Answers of a service's canary and baseline as this node sees them, and what the peers tell of theirs.
 
 A node notes answers and their times while a roll-out is judged. A run that takes far longer than
-usual on its route counts with the time that it has taken already, since the slowest answers come
+the baseline's on its route counts with the time that it has taken already, since the slowest answers come
 last.
 """
 
@@ -12,16 +12,23 @@
 from arbutustally.clock import Clock
 from arbutustally.evidence import Latencies
 from arbutustally.gateway.endpoints import EndpointState
-from arbutustally.gateway.rollouts import MIN_USUAL, AnswerTally, RolloutBook, add_tallies
-
-#: Quantile of the usual times and the factor above which a run counts before it has ended.
-USUAL_QUANTILE = 0.75
+from arbutustally.gateway.rollouts import (
+    MIN_BASELINE_TIMES,
+    AnswerTally,
+    RolloutBook,
+    add_tallies,
+)
+
+#: Quantile of the baseline's times with which a run that has not ended is compared.
+BASELINE_QUANTILE = 0.75
+#: Factor above that quantile at which a run counts before it has ended.
 LONG_FACTOR = 1.5
 #: Most of an answer's time that is put down to reading a prompt at an endpoint with a cold cache.
 COLD_PART = 0.5
 
-NEW = "new"
-OLD = "old"
+#: Groups of answers, by the names that nodes tell each other.
+CANARY = "new"
+BASELINE = "old"
 #: Fields of a tally by the last part of a total's name.
 _PARTS = tuple(str(number) for number in range(len(fields(AnswerTally))))
 #: Begins the names of these totals among those that nodes tell each other.
@@ -47,7 +54,7 @@
     def tally(self, now: float) -> AnswerTally:
         """Returns the time that the run has taken, without what a cold cache costs."""
         took_s = now - self.began
-        cold_s = min(self.extra_s, took_s * COLD_PART) if self.group == NEW else 0.0
+        cold_s = min(self.extra_s, took_s * COLD_PART) if self.group == CANARY else 0.0
         return AnswerTally.of_time(took_s - cold_s)
 
 
@@ -57,7 +64,7 @@
     def __init__(self, book: RolloutBook, clock: Clock) -> None:
         self._book = book
         self._clock = clock
-        self._usual: dict[tuple[str, str], Latencies] = {}
+        self._baseline_times: dict[tuple[str, str], Latencies] = {}
         self._running: dict[int, AnswerRun] = {}
         self._own: dict[str, AnswerTally] = {}
         self._heard: dict[str, dict[str, AnswerTally]] = {}
@@ -98,7 +105,7 @@
         """Notes that a request was sent to an endpoint."""
         service = state.entry.service
         target = self._book.target(service) or ""
-        group = NEW if self._book.is_new(state) else OLD
+        group = CANARY if self._book.is_canary(state) else BASELINE
         run = AnswerRun(service, target, group, route, self._clock(), extra_s)
         if self._book.is_judged(service):
             self._running[id(run)] = run
@@ -115,9 +122,9 @@
             self._add(run, AnswerTally(answers=1, failures=int(is_failed)))
             if not is_failed:
                 self._add(run, run.tally(now).minus(run.noted or AnswerTally()))
-        if run.group == OLD and not is_failed:
-            usual = self._usual.setdefault((run.service, run.route), Latencies())
-            usual.add(now - run.began)
+        if run.group == BASELINE and not is_failed:
+            times = self._baseline_times.setdefault((run.service, run.route), Latencies())
+            times.add(now - run.began)
 
     def _note_long_runs(self) -> None:
         now = self._clock()
@@ -127,10 +134,10 @@
                 self._add(run, run.noted)
 
     def _long_s(self, run: AnswerRun) -> float:
-        usual = self._usual.get((run.service, run.route))
-        if usual is None or len(usual) < MIN_USUAL:
+        times = self._baseline_times.get((run.service, run.route))
+        if times is None or len(times) < MIN_BASELINE_TIMES:
             return math.inf
-        return usual.quantile(USUAL_QUANTILE) * LONG_FACTOR + run.extra_s
+        return times.quantile(BASELINE_QUANTILE) * LONG_FACTOR + run.extra_s
 
     def _add(self, run: AnswerRun, tally: AnswerTally) -> None:
         name = _name(run.service, run.target, run.group, run.route)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
@@ -27,7 +27,7 @@
 )
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.ports import Documents, Record, StatusTopic
-from arbutustally_node.gateway.rollout_evidence import NEW, OLD, RolloutEvidence
+from arbutustally_node.gateway.rollout_evidence import BASELINE, CANARY, RolloutEvidence
 from arbutustally_node.gateway.supervision import supervise
 
 #: Interval between two looks at the answers, seconds.
@@ -112,29 +112,29 @@
         if current is not None and current.is_final:
             self._tell_again(current)
             return
-        new = self._evidence.tallies(order.service, order.target, NEW)
-        old = self._evidence.tallies(order.service, order.target, OLD)
+        canary = self._evidence.tallies(order.service, order.target, CANARY)
+        baseline = self._evidence.tallies(order.service, order.target, BASELINE)
         following = next_progress(
             order,
             current,
             known.known_at + order.duration_s - self._clock(),
-            new,
-            old,
-            self._is_bad_lately(order.service, new, old),
-            self._old_runs(order.service, order.target),
+            canary,
+            baseline,
+            self._is_bad_lately(order.service, canary, baseline),
+            self._baseline_running(order.service, order.target),
         )
         if following != current:
-            self._decide(following, new)
+            self._decide(following, canary)
         else:
             self._tell_again(following)
 
-    def _is_bad_lately(self, service: str, new: Tallies, old: Tallies) -> bool:
+    def _is_bad_lately(self, service: str, canary: Tallies, baseline: Tallies) -> bool:
         recent = self._recent.setdefault(service, deque(maxlen=RECENT_STEPS))
-        recent.append((new, old))
-        new_before, old_before = recent[0]
-        return is_bad(since(new, new_before), since(old, old_before))
+        recent.append((canary, baseline))
+        canary_before, baseline_before = recent[0]
+        return is_bad(since(canary, canary_before), since(baseline, baseline_before))
 
-    def _old_runs(self, service: str, target: str) -> int:
+    def _baseline_running(self, service: str, target: str) -> int:
         return sum(
             state.total_running
             for state in self._endpoints.of_service(service)
@@ -152,13 +152,13 @@
                 if progress.is_final:
                     self._rollouts.take(progress)
 
-    def _decide(self, progress: RolloutProgress, new: Tallies) -> None:
+    def _decide(self, progress: RolloutProgress, canary: Tallies) -> None:
         if progress.state is RolloutState.ROLLED_BACK:
             # Nothing more goes to a bad release, whether or not the store can be written.
-            self._take(progress, new)
+            self._take(progress, canary)
             self._write(progress)
         elif self._is_written(progress) or self._write(progress):
-            self._take(progress, new)
+            self._take(progress, canary)
 
     def _is_written(self, progress: RolloutProgress) -> bool:
         written = self._written.get(progress.service)
@@ -167,7 +167,7 @@
             progress.state,
         )
 
-    def _take(self, progress: RolloutProgress, new: Tallies) -> None:
+    def _take(self, progress: RolloutProgress, canary: Tallies) -> None:
         if self._rollouts.take(progress):
             self._log.line(
                 "rollout_decided",
@@ -175,11 +175,11 @@
                 target=progress.target,
                 state=progress.state,
                 share=progress.share,
-                answers=sum(tally.answers for tally in new.values()),
-                failures=sum(tally.failures for tally in new.values()),
+                answers=sum(tally.answers for tally in canary.values()),
+                failures=sum(tally.failures for tally in canary.values()),
                 mean_s={
                     route: round(math.exp(tally.mean), 3)
-                    for route, tally in new.items()
+                    for route, tally in canary.items()
                     if tally.timed
                 },
             )
--- a/packages/arbutustally/src/arbutustally/gateway/rollouts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/rollouts.py
@@ -1,9 +1,12 @@
-"""Roll-outs of a service's releases: which requests go to the new one, and whether it is kept.
+"""Roll-outs of a service's releases: which requests go to the canary, and whether it is kept.
 
-Load pattern: a new release fails or answers several times slower, at once or later, for all or on
-one route, while each node sees only a few of its answers. Few requests go to it until the order's
-time is nearly over; the answers of all nodes are added up and compared with those of the release
-before, at the same time and by route.
+The canary is the release that the operator's order names, the baseline every other release that was
+not rolled back.
+
+Load pattern: a canary fails or answers several times slower, at once or later, for all or on one
+route, while each node sees only a few of its answers. Few requests go to it until the order's time
+is nearly over; the answers of all nodes are added up and compared with those of the baseline, at
+the same time and by route.
 """
 
 import math
@@ -15,40 +18,42 @@
 from arbutustally.gateway.endpoints import EndpointBook, EndpointState
 from arbutustally.rendezvous import unit
 
-#: Part of the requests that a release gets while it is judged.
-TRIAL_SHARE = 0.06
-#: Answers of a release on one route, or on all, before its failures are judged.
+#: Part of the requests that the canary gets while it is judged.
+CANARY_SHARE = 0.06
+#: Answers of the canary on one route, or on all, before its failures are judged.
 MIN_ANSWERS = 8
-#: Answers that a release must have given before it may be kept.
+#: Answers that the canary must have given before it may be kept.
 MIN_ANSWERS_TO_KEEP = 20
-#: Times of answers on one route before they are compared, of the new release and of the old one.
-MIN_TIMED = 5
-MIN_USUAL = 20
-#: Part of a sound release's answers that may fail, at least, and in multiples of the old one's.
+#: Times of the canary's answers on one route before they are compared.
+MIN_CANARY_TIMES = 5
+#: Times of the baseline's answers on one route before they are compared with.
+MIN_BASELINE_TIMES = 20
+#: Part of a sound canary's answers that may fail however few of the baseline's do.
 LEAST_FAILURE_CHANCE = 0.04
+#: Part of a sound canary's answers that may fail, in multiples of the baseline's.
 FAILURE_FACTOR = 2.0
 #: Probability below which chance does not explain the failures that were seen.
 SIGNIFICANCE = 1e-4
-#: Factor by which the answers of a sound release may take longer, for its caches are cold.
+#: Factor by which the answers of a sound canary may take longer, for its caches are cold.
 BEARABLE_FACTOR = 1.3
-#: Standard errors beyond that factor at which a release is slow: on all routes, and on one of them;
-#: and below which it may be kept.
-SLOW_DEVIATION = 3.1
-SLOW_ROUTE_DEVIATION = 4.0
-SOUND_DEVIATION = 1.5
-#: Part of a release's answers on routes with enough of them, for it to be kept.
+#: Combined z-score of all routes above which the canary is slow.
+SLOW_Z = 3.1
+#: Z-score of one route above which the canary is slow.
+SLOW_ROUTE_Z = 4.0
+#: Combined z-score below which the canary may be kept.
+SOUND_Z = 1.5
+#: Part of the canary's answers on routes with enough of them, for it to be kept.
 COMPARED_PART = 0.5
-#: Time before the end of the order at which all new requests go to a sound release, seconds; the
-#: release before finishes what it runs meanwhile.
+#: Time before the end of the order at which all new requests go to a sound canary, seconds; the
+#: baseline finishes what it runs meanwhile.
 MOVE_S = 1.2
-#: Time after that for which a release is watched in any case, seconds.
+#: First part of that time, in which the canary is watched and not kept yet, seconds.
 WATCH_S = 0.5
-#: Time before the end at which the release is kept although the one before still runs requests.
+#: Time before the end at which the canary is kept although the baseline still runs requests.
 KEEP_S = 0.4
-
-
-#: Shortest time that is told apart, seconds, and the least variance of logarithms of times.
+#: Shortest time that is told apart, seconds.
 LEAST_S = 1e-4
+#: Least variance of the logarithms of times; keeps z-scores finite where all times are equal.
 LEAST_VARIANCE = 0.01
 
 
@@ -64,6 +69,7 @@
 class RolloutOrder:
     """The operator wants a service's requests moved to a release.
 
+    :ivar target: the canary.
     :ivar duration_s: time in which it should be done.
     """
 
@@ -76,7 +82,7 @@
 class RolloutProgress:
     """What the node that decides has decided last.
 
-    :ivar share: part of the requests that go to the target.
+    :ivar share: part of the requests that go to the canary.
     """
 
     service: str
@@ -148,93 +154,103 @@
     return {route: tally.minus(before.get(route, AnswerTally())) for route, tally in now.items()}
 
 
-def is_bad(new: Tallies, old: Tallies) -> bool:
-    """Returns whether a release is worse than the one before, on any route or on all.
+def is_bad(canary: Tallies, baseline: Tallies) -> bool:
+    """Returns whether the canary is worse than the baseline, on any route or on all.
 
-    :param new: answers of the release.
-    :param old: answers of the release before at the same time.
+    :param canary: answers of the canary.
+    :param baseline: answers of the baseline at the same time.
     """
-    pairs = [(tally, old.get(route, AnswerTally())) for route, tally in new.items()]
-    whole = (_whole(new), _whole(old))
+    pairs = [(tally, baseline.get(route, AnswerTally())) for route, tally in canary.items()]
+    whole = (_whole(canary), _whole(baseline))
     if any(_fails_more(one, other) for one, other in (*pairs, whole)):
         return True
-    deviations = _deviations(new, old)
-    return any(one > SLOW_ROUTE_DEVIATION for one in deviations) or (
-        _together(deviations) > SLOW_DEVIATION
-    )
+    z_scores = _z_scores(canary, baseline)
+    return any(one > SLOW_ROUTE_Z for one in z_scores) or _combined_z(z_scores) > SLOW_Z
 
 
-def is_sound(new: Tallies, old: Tallies) -> bool:
-    """Returns whether enough answers say that a release is as good as the one before."""
-    if _whole(new).answers < MIN_ANSWERS_TO_KEEP or is_bad(new, old):
+def is_sound(canary: Tallies, baseline: Tallies) -> bool:
+    """Returns whether enough answers say that the canary is as good as the baseline."""
+    if _whole(canary).answers < MIN_ANSWERS_TO_KEEP or is_bad(canary, baseline):
         return False
-    compared = [tally for route, tally in new.items() if _is_compared(tally, old.get(route))]
-    if sum(tally.timed for tally in compared) < _whole(new).timed * COMPARED_PART:
+    compared = [
+        tally for route, tally in canary.items() if _is_compared(tally, baseline.get(route))
+    ]
+    if sum(tally.timed for tally in compared) < _whole(canary).timed * COMPARED_PART:
         return False
-    return bool(compared) and _together(_deviations(new, old)) < SOUND_DEVIATION
+    return bool(compared) and _combined_z(_z_scores(canary, baseline)) < SOUND_Z
 
 
-def _is_compared(new: AnswerTally, old: AnswerTally | None) -> bool:
-    return old is not None and new.timed >= MIN_TIMED and old.timed >= MIN_USUAL
+def _is_compared(canary: AnswerTally, baseline: AnswerTally | None) -> bool:
+    return (
+        baseline is not None
+        and canary.timed >= MIN_CANARY_TIMES
+        and baseline.timed >= MIN_BASELINE_TIMES
+    )
 
 
 def _whole(tallies: Tallies) -> AnswerTally:
     return add_tallies([{"": tally} for tally in tallies.values()]).get("", AnswerTally())
 
 
-def _fails_more(new: AnswerTally, old: AnswerTally) -> bool:
-    if new.answers < MIN_ANSWERS:
+def _fails_more(canary: AnswerTally, baseline: AnswerTally) -> bool:
+    if canary.answers < MIN_ANSWERS:
         return False
-    old_share = old.failures / old.answers if old.answers else 0.0
-    chance = min(0.9, max(LEAST_FAILURE_CHANCE, old_share * FAILURE_FACTOR))
-    return tail_probability(round(new.failures), round(new.answers), chance) < SIGNIFICANCE
+    baseline_share = baseline.failures / baseline.answers if baseline.answers else 0.0
+    chance = min(0.9, max(LEAST_FAILURE_CHANCE, baseline_share * FAILURE_FACTOR))
+    return tail_probability(round(canary.failures), round(canary.answers), chance) < SIGNIFICANCE
 
 
-def _deviations(new: Tallies, old: Tallies) -> list[float]:
+def _z_scores(canary: Tallies, baseline: Tallies) -> list[float]:
     """Returns by how many standard errors the times of each route are beyond what is bearable."""
-    found = []
-    for route, tally in new.items():
-        usual = old.get(route)
-        if not _is_compared(tally, usual):
+    z_scores = []
+    for route, tally in canary.items():
+        other = baseline.get(route)
+        if not _is_compared(tally, other):
             continue
-        error = math.sqrt(usual.variance * (1 / tally.timed + 1 / usual.timed))
-        found.append((tally.mean - usual.mean - math.log(BEARABLE_FACTOR)) / error)
-    return found
+        error = math.sqrt(other.variance * (1 / tally.timed + 1 / other.timed))
+        z_scores.append((tally.mean - other.mean - math.log(BEARABLE_FACTOR)) / error)
+    return z_scores
 
 
-def _together(deviations: Sequence[float]) -> float:
-    return sum(deviations) / math.sqrt(len(deviations)) if deviations else 0.0
+def _combined_z(z_scores: Sequence[float]) -> float:
+    """Returns the z-scores of all routes combined by Stouffer's method."""
+    return sum(z_scores) / math.sqrt(len(z_scores)) if z_scores else 0.0
 
 
 def next_progress(
     order: RolloutOrder,
     current: RolloutProgress | None,
     left_s: float,
-    new: Tallies,
-    old: Tallies,
-    is_found_bad: bool,
-    old_runs: int,
+    canary: Tallies,
+    baseline: Tallies,
+    is_bad_lately: bool,
+    baseline_running: int,
 ) -> RolloutProgress:
     """Returns what holds from now on.
 
+    A canary may turn bad late in its time, so all requests move to it only shortly before the end.
+
     :param left_s: time until the order's end.
-    :param new: answers of the release so far.
-    :param old: answers of the release before.
-    :param is_found_bad: its latest answers alone say that the release is bad.
-    :param old_runs: requests that the release before still runs.
+    :param canary: answers of the canary so far.
+    :param baseline: answers of the baseline.
+    :param is_bad_lately: the canary's answers of the last 3 s alone are bad.
+    :param baseline_running: requests that endpoints of other releases still run.
     """
     if current is not None and current.is_final:
         return current
-    if is_found_bad or is_bad(new, old):
+    if is_bad_lately or is_bad(canary, baseline):
         return _progress(order, RolloutState.ROLLED_BACK, 0.0)
     has_moved = current is not None and current.share == 1.0
-    if has_moved and (left_s <= KEEP_S or not old_runs and left_s <= MOVE_S - WATCH_S):
-        is_kept = is_sound(new, old)
+    is_watched = left_s <= MOVE_S - WATCH_S
+    is_drained = baseline_running == 0
+    must_end = left_s <= KEEP_S
+    if has_moved and (must_end or (is_watched and is_drained)):
+        is_kept = is_sound(canary, baseline)
         end = RolloutState.COMPLETED if is_kept else RolloutState.ROLLED_BACK
         return _progress(order, end, 1.0 if is_kept else 0.0)
-    if has_moved or (left_s <= MOVE_S and is_sound(new, old)):
+    if has_moved or (left_s <= MOVE_S and is_sound(canary, baseline)):
         return _progress(order, RolloutState.RUNNING, 1.0)
-    return _progress(order, RolloutState.RUNNING, TRIAL_SHARE)
+    return _progress(order, RolloutState.RUNNING, CANARY_SHARE)
 
 
 def _progress(order: RolloutOrder, state: RolloutState, share: float) -> RolloutProgress:
@@ -300,42 +316,41 @@
         return not current.is_final and (progress.is_final or progress.share >= current.share)
 
     def is_judged(self, service: str) -> bool:
-        """Returns whether the answers of a service's releases are being compared."""
+        """Returns whether the answers of a service's canary and baseline are being compared."""
         progress = self._progress.get(service)
         return service in self._orders and (progress is None or not progress.is_final)
 
     def target(self, service: str) -> str | None:
-        """Returns the release that the newest order of a service names."""
+        """Returns the canary, which the newest order of a service names."""
         known = self._orders.get(service)
         return known.order.target if known else None
 
-    def is_new(self, state: EndpointState) -> bool:
+    def is_canary(self, state: EndpointState) -> bool:
         """Returns whether an endpoint has the release that its service's newest order names."""
         return state.entry.release == self.target(state.entry.service)
 
-    def is_usual(self, state: EndpointState) -> bool:
-        """Returns whether an endpoint has a release that is neither on trial nor taken back."""
+    def is_baseline(self, state: EndpointState) -> bool:
+        """Returns whether an endpoint has a release that is neither canary nor rolled back."""
         is_bad = state.entry.release in self._bad.get(state.entry.service, ())
-        return not is_bad and not self.is_new(state)
+        return not is_bad and not self.is_canary(state)
 
     def allowed(
         self, book: EndpointBook, service: str, request_id: str, is_first: bool
     ) -> list[EndpointState]:
-        """Returns the usable endpoints of the release that a request should go to.
+        """Returns the usable endpoints of the canary or the baseline, whichever a request goes to.
 
-        :param is_first: no attempt of the request was made; later ones prefer the release that is
-            known to be sound.
+        :param is_first: no attempt of the request was made; later ones prefer the baseline.
         """
         if service not in self._orders:
             return book.usable(service)
         progress = self._progress.get(service)
         share = progress.share if progress is not None else 0.0
-        is_on_trial = is_first and unit(service.encode(), request_id) < share
-        if (share >= 1.0 or is_on_trial) and (new := book.usable(service, self.is_new)):
-            return new
-        if old := book.usable(service, self.is_usual):
-            return old
-        # While endpoints of the usual release only pause, the one on trial does not replace them.
-        has_usual = book.has_any(service, self.is_usual)
+        is_sampled = is_first and unit(service.encode(), request_id) < share
+        if (share >= 1.0 or is_sampled) and (canary := book.usable(service, self.is_canary)):
+            return canary
+        if baseline := book.usable(service, self.is_baseline):
+            return baseline
+        # While endpoints of the baseline only pause, the canary does not replace them.
+        has_baseline = book.has_any(service, self.is_baseline)
         is_out = progress is not None and progress.state is RolloutState.ROLLED_BACK
-        return [] if has_usual or is_out else book.usable(service, self.is_new)
+        return [] if has_baseline or is_out else book.usable(service, self.is_canary)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -10,10 +10,10 @@
 
 from arbutustally.gateway.endpoints import EndpointBook, EndpointEntry, EndpointState
 from arbutustally.gateway.rollouts import (
+    CANARY_SHARE,
     KEEP_S,
-    MIN_USUAL,
+    MIN_BASELINE_TIMES,
     MOVE_S,
-    TRIAL_SHARE,
     WATCH_S,
     AnswerTally,
     RolloutBook,
@@ -24,7 +24,7 @@
     is_sound,
     next_progress,
 )
-from arbutustally_node.gateway.rollout_evidence import RolloutEvidence
+from arbutustally_node.gateway.rollout_evidence import CANARY, RolloutEvidence
 from tests.gateway_fleet import GatewayCase
 from tests.platform_fakes import FakeWorker
 
@@ -40,7 +40,7 @@
     return tally
 
 
-OLD = {"chat": times(400, 1.0, failures=2)}
+BASELINE = {"chat": times(400, 1.0, failures=2)}
 SOUND = {"chat": times(40, 0.9, 2)}
 
 
@@ -55,52 +55,54 @@
 class JudgementTest(unittest.TestCase):
     def test_release_that_fails_on_one_route_is_found(self) -> None:
         """Guards against a bad route that is hidden by the others' good answers."""
-        new = {"chat": times(300, 1.0, 3, failures=1), "look": AnswerTally(12, 8)}
-        self.assertTrue(is_bad(new, OLD))
+        canary = {"chat": times(300, 1.0, 3, failures=1), "look": AnswerTally(12, 8)}
+        self.assertTrue(is_bad(canary, BASELINE))
 
     def test_slow_release_is_found_within_fifty_answers(self) -> None:
-        """Replays `hasty`: slow answers take 2.2 times the usual while the engines are idle."""
-        found = sum(is_bad({"chat": times(50, 2.2, seed)}, OLD) for seed in range(200))
+        """Replays `hasty`: slow answers take 2.2 times the baseline while the engines are idle."""
+        found = sum(is_bad({"chat": times(50, 2.2, seed)}, BASELINE) for seed in range(200))
         self.assertGreaterEqual(found, 195)
-        found = sum(is_bad({"chat": times(20, 3.0, seed)}, OLD) for seed in range(200))
+        found = sum(is_bad({"chat": times(20, 3.0, seed)}, BASELINE) for seed in range(200))
         self.assertGreaterEqual(found, 195)
 
     def test_slow_release_is_not_kept_where_it_is_not_found_yet(self) -> None:
         """Guards against a roll-out that is completed since nothing was proved in time."""
-        kept = sum(is_sound({"chat": times(21, 2.2, seed)}, OLD) for seed in range(500))
+        kept = sum(is_sound({"chat": times(21, 2.2, seed)}, BASELINE) for seed in range(500))
         self.assertLess(kept, 10)
 
     def test_sound_releases_are_not_taken_back_by_chance(self) -> None:
         """Guards against roll-outs that end since a sound release had bad luck."""
         tallies = [{"chat": times(40, 1.1, seed, failures=seed % 2)} for seed in range(500)]
-        self.assertEqual(sum(is_bad(one, OLD) for one in tallies), 0)
-        self.assertGreater(sum(is_sound(one, OLD) for one in tallies), 450)
+        self.assertEqual(sum(is_bad(one, BASELINE) for one in tallies), 0)
+        self.assertGreater(sum(is_sound(one, BASELINE) for one in tallies), 450)
 
-    def test_failures_that_the_release_before_has_too_are_no_evidence(self) -> None:
-        old = {"look": AnswerTally(200, 30)}
-        self.assertFalse(is_bad({"look": AnswerTally(40, 7)}, old))
+    def test_failures_that_the_baseline_has_too_are_no_evidence(self) -> None:
+        baseline = {"look": AnswerTally(200, 30)}
+        self.assertFalse(is_bad({"look": AnswerTally(40, 7)}, baseline))
 
 
 class DecisionTest(unittest.TestCase):
-    def following(self, current, left_s, new=SOUND, is_found_bad=False, old_runs=5):
-        return next_progress(ORDER, current, left_s, new, OLD, is_found_bad, old_runs)
+    def following(self, current, left_s, canary=SOUND, is_bad_lately=False, baseline_running=5):
+        return next_progress(
+            ORDER, current, left_s, canary, BASELINE, is_bad_lately, baseline_running
+        )
 
     def test_sound_release_is_judged_moved_and_kept(self) -> None:
-        trial = self.following(None, 9.0, {})
-        self.assertEqual(trial, progress(RolloutState.RUNNING, TRIAL_SHARE))
-        moved = self.following(trial, MOVE_S)
+        judged = self.following(None, 9.0, {})
+        self.assertEqual(judged, progress(RolloutState.RUNNING, CANARY_SHARE))
+        moved = self.following(judged, MOVE_S)
         self.assertEqual(moved, progress(RolloutState.RUNNING, 1.0))
         self.assertEqual(self.following(moved, MOVE_S - 0.1), moved)
         kept = progress(RolloutState.COMPLETED, 1.0)
-        self.assertEqual(self.following(moved, MOVE_S - 0.1, old_runs=0), moved)
-        self.assertEqual(self.following(moved, MOVE_S - WATCH_S, old_runs=0), kept)
+        self.assertEqual(self.following(moved, MOVE_S - 0.1, baseline_running=0), moved)
+        self.assertEqual(self.following(moved, MOVE_S - WATCH_S, baseline_running=0), kept)
         self.assertEqual(self.following(moved, KEEP_S), kept)
 
     def test_release_with_too_few_answers_is_not_kept(self) -> None:
         """Guards against a roll-out that is completed unseen."""
-        trial = progress(RolloutState.RUNNING, TRIAL_SHARE)
+        judged = progress(RolloutState.RUNNING, CANARY_SHARE)
         few = {"chat": times(3, 1.0)}
-        self.assertEqual(self.following(trial, -5.0, few, old_runs=0), trial)
+        self.assertEqual(self.following(judged, -5.0, few, baseline_running=0), judged)
 
     def test_release_without_a_comparison_is_not_kept(self) -> None:
         """Guards against a slow release that is kept since each route has few answers."""
@@ -114,7 +116,7 @@
     def test_bad_release_is_taken_back_at_any_step(self) -> None:
         back = progress(RolloutState.ROLLED_BACK, 0.0)
         for current in (None, progress(RolloutState.RUNNING, 1.0)):
-            self.assertEqual(self.following(current, 5.0, is_found_bad=True), back)
+            self.assertEqual(self.following(current, 5.0, is_bad_lately=True), back)
             self.assertEqual(self.following(current, 5.0, {"chat": times(30, 4.0)}), back)
 
 
@@ -133,11 +135,11 @@
     def chosen(self, number: int = 1000, is_first: bool = True) -> int:
         return sum(self.allowed(f"r{one}", is_first)[0] == "c" for one in range(number))
 
-    def test_only_the_trial_share_goes_to_a_release_that_is_judged(self) -> None:
+    def test_only_the_canary_share_goes_to_a_release_that_is_judged(self) -> None:
         """Guards against a bad release that gets a large part of the requests."""
         self.book.order(ORDER, 0.0)
         self.assertEqual(self.chosen(), 0)
-        self.book.take(progress(RolloutState.RUNNING, TRIAL_SHARE))
+        self.book.take(progress(RolloutState.RUNNING, CANARY_SHARE))
         self.assertTrue(10 < self.chosen() < 80)
         self.assertEqual(self.chosen(is_first=False), 0)
 
@@ -153,7 +155,7 @@
     def test_all_releases_are_used_where_nothing_is_ordered(self) -> None:
         self.assertEqual(self.allowed(), ["a", "b", "c"])
 
-    def test_trial_does_not_replace_endpoints_that_pause_or_are_doubted(self) -> None:
+    def test_canary_does_not_replace_endpoints_that_pause_or_are_doubted(self) -> None:
         """Guards against a bad release that gets all requests while the others have trouble."""
         self.book.order(ORDER, 0.0)
         for name in ("a", "b"):
@@ -167,7 +169,7 @@
         self.assertEqual(self.allowed(), ["c"])
 
     def test_release_that_was_taken_back_gets_nothing_under_the_next_order(self) -> None:
-        """Guards against a bad release that counts as the usual one while the next is judged."""
+        """Guards against a bad release that counts as the baseline while the next is judged."""
         self.book.order(ORDER, 0.0)
         self.book.take(progress(RolloutState.ROLLED_BACK, 0.0))
         self.book.order(RolloutOrder("llm", "v3", 10.0), 1.0)
@@ -186,22 +188,22 @@
         now = [0.0]
         book = RolloutBook()
         evidence = RolloutEvidence(book, lambda: now[0])
-        for _ in range(MIN_USUAL):
+        for _ in range(MIN_BASELINE_TIMES):
             run = evidence.began(state("a", "v1"), "chat", 0.0)
             now[0] += 0.1
             evidence.ended(run, False)
         book.order(ORDER, 0.0)
         run = evidence.began(state("c", "v2"), "chat", 0.0)
         now[0] += 0.5
-        early = evidence.tallies("llm", "v2", "new")["chat"]
+        early = evidence.tallies("llm", "v2", CANARY)["chat"]
         self.assertEqual((early.answers, early.timed), (0, 1))
         self.assertAlmostEqual(math.exp(early.mean), 0.5)
         peer = RolloutEvidence(book, lambda: now[0])
         peer.heard("node-1", evidence.totals)
-        self.assertEqual(peer.tallies("llm", "v2", "new"), {"chat": early})
+        self.assertEqual(peer.tallies("llm", "v2", CANARY), {"chat": early})
         now[0] += 0.5
         evidence.ended(run, False)
-        late = evidence.tallies("llm", "v2", "new")["chat"]
+        late = evidence.tallies("llm", "v2", CANARY)["chat"]
         self.assertEqual((late.answers, late.timed), (1, 1))
         self.assertAlmostEqual(math.exp(late.mean), 1.0)
 
@@ -209,8 +211,8 @@
 class RolloutNodeTest(GatewayCase):
     def setUp(self) -> None:
         super().setUp()
-        self.new = [FakeWorker(f"n{number}", "desk") for number in (1, 2)]
-        for worker in self.new:
+        self.canaries = [FakeWorker(f"n{number}", "desk") for number in (1, 2)]
+        for worker in self.canaries:
             self.addCleanup(worker.stop)
         self.node = self.start_node()
         self.wait_ready(self.node)
@@ -219,7 +221,7 @@
         order = {"service": "desk", "target": "v2", "durationS": duration_s}
         self.store.put("keyed.op", "rollout/desk", order)
         self.eventually(lambda: self.state() == "running")
-        for worker in self.new:
+        for worker in self.canaries:
             entry = {**worker.entry(), "version": "v2"}
             self.store.put("keyed.servers", worker.id, entry)
         self.eventually(lambda: self.node._view.book.get("n2") is not None)
@@ -240,13 +242,13 @@
 
     def test_failing_release_is_taken_back_and_harms_few(self) -> None:
         """Replays the day `hasty`: a bad release was used like any other."""
-        for worker in self.new:
+        for worker in self.canaries:
             worker.behave = lambda headers: HTTPResponse(
                 status=500, headers={"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
             )
         self.roll_out(60.0)
         sent = self.send_until("rolled_back")
-        harmed = sum(len(worker.seen) for worker in self.new)
+        harmed = sum(len(worker.seen) for worker in self.canaries)
         self.assertLess(harmed, sent * 0.1 + 10)
         for number in range(50):
             self.assertEqual(self.call(self.node, "/book/a", f"s{number}").status, 200)
