Name the steps of a roll-out after what they do

Cause: RolloutBook.order, .take, RolloutService._take, _found and since() read as nouns or as something else than they do; the comment on RECENT_STEPS named two figures for one number; the module doc of rollout_service said loosely what waits for the store.

Change: names and comments only. add_order, apply, _apply, _stored_progress, subtract.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -212,7 +212,7 @@
         self, order: RolloutOrder, record: Record, source: str, known_at: float
     ) -> None:
         known_at = self._clock() if known_at == -math.inf else known_at
-        if self._rollouts.order(order, known_at):
+        if self._rollouts.add_order(order, known_at):
             self._operator_raw[record.key] = record.value or b""
             self._log.line(
                 "rollout_ordered",
@@ -224,7 +224,7 @@
 
     def _take_progress(self, record: Record, source: str) -> None:
         progress = decode_progress(record)
-        if progress is not None and self._rollouts.take(progress):
+        if progress is not None and self._rollouts.apply(progress):
             self._operator_raw[record.key] = record.value
             self._log.line(
                 "rollout_progress",
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
@@ -1,8 +1,9 @@
 """Carries out roll-outs: one node decides, writes the operator's record and tells the others.
 
-The first of the nodes that read the store for the fleet decides. A release that is bad gets nothing
-more at once; one gets all requests or is kept only once the store has that record. No record of an
-end is replaced by another one, also where two nodes take themselves for the first.
+The first of the nodes that read the store for the fleet decides. A bad release gets nothing more at
+once, whether or not the store can be written. A release gets requests only after the store has the
+record that its roll-out runs, and is kept only after the store has the record of that. A final
+record is never replaced by another end, even if two nodes both act as decider.
 """
 
 import math
@@ -23,7 +24,7 @@
     Tallies,
     is_bad,
     next_progress,
-    since,
+    subtract,
 )
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.ports import Documents, Record, StatusTopic
@@ -34,8 +35,7 @@
 STEP_S = 0.1
 #: Interval at which a decision is told again, seconds.
 TELL_S = 1.0
-#: A release is also judged by its latest answers alone: steps between two tallies that are kept,
-#: and their number, so 3 s.
+#: Tallies kept for judging recent answers alone, one per step (about 3 s).
 RECENT_STEPS = 30
 #: Pause after a call that the store did not answer, seconds.
 STORE_RETRY_S = 0.3
@@ -132,7 +132,7 @@
         recent = self._recent.setdefault(service, deque(maxlen=RECENT_STEPS))
         recent.append((canary, baseline))
         canary_before, baseline_before = recent[0]
-        return is_bad(since(canary, canary_before), since(baseline, baseline_before))
+        return is_bad(subtract(canary, canary_before), subtract(baseline, baseline_before))
 
     def _baseline_running(self, service: str, target: str) -> int:
         return sum(
@@ -150,15 +150,15 @@
             if progress.target == known.order.target:
                 self._written[progress.service] = progress
                 if progress.is_final:
-                    self._rollouts.take(progress)
+                    self._rollouts.apply(progress)
 
     def _decide(self, progress: RolloutProgress, canary: Tallies) -> None:
         if progress.state is RolloutState.ROLLED_BACK:
             # Nothing more goes to a bad release, whether or not the store can be written.
-            self._take(progress, canary)
+            self._apply(progress, canary)
             self._write(progress)
         elif self._is_written(progress) or self._write(progress):
-            self._take(progress, canary)
+            self._apply(progress, canary)
 
     def _is_written(self, progress: RolloutProgress) -> bool:
         written = self._written.get(progress.service)
@@ -167,8 +167,8 @@
             progress.state,
         )
 
-    def _take(self, progress: RolloutProgress, canary: Tallies) -> None:
-        if self._rollouts.take(progress):
+    def _apply(self, progress: RolloutProgress, canary: Tallies) -> None:
+        if self._rollouts.apply(progress):
             self._log.line(
                 "rollout_decided",
                 service=progress.service,
@@ -197,7 +197,7 @@
     def _write(self, progress: RolloutProgress) -> bool:
         """Writes how far a roll-out is, unless the store has another end of it."""
         batch = self._topic.newest()
-        found = self._found(batch.records, progress)
+        found = self._stored_progress(batch.records, progress)
         if found is not None and found.is_final and found.state is not progress.state:
             self._written[progress.service] = found
             self._log.line(
@@ -207,7 +207,7 @@
                 state=found.state,
                 wanted=progress.state,
             )
-            self._rollouts.take(found)
+            self._rollouts.apply(found)
             return False
         record = self._documents.encode_rollout(progress)
         if self._topic.put(record.key, record.value, batch.next_offset) is None:
@@ -215,7 +215,7 @@
         self._written[progress.service] = progress
         return True
 
-    def _found(
+    def _stored_progress(
         self, records: Iterable[Record], progress: RolloutProgress
     ) -> RolloutProgress | None:
         """Returns what the store has of the same roll-out."""
--- a/packages/arbutustally/src/arbutustally/gateway/rollouts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/rollouts.py
@@ -149,7 +149,7 @@
     return total
 
 
-def since(now: Tallies, before: Tallies) -> dict[str, AnswerTally]:
+def subtract(now: Tallies, before: Tallies) -> dict[str, AnswerTally]:
     """Returns what was added to tallies since earlier ones."""
     return {route: tally.minus(before.get(route, AnswerTally())) for route, tally in now.items()}
 
@@ -282,8 +282,8 @@
         """Returns what was decided on the newest order of a service, ``None`` for nothing yet."""
         return self._progress.get(service)
 
-    def order(self, order: RolloutOrder, known_at: float) -> bool:
-        """Takes an order; returns whether it is new."""
+    def add_order(self, order: RolloutOrder, known_at: float) -> bool:
+        """Adds an order; returns whether it is new."""
         known = self._orders.get(order.service)
         if known is not None and known.order == order:
             return False
@@ -294,8 +294,8 @@
             del self._progress[order.service]
         return True
 
-    def take(self, progress: RolloutProgress) -> bool:
-        """Takes a decision; returns whether it is news. A final one is never taken back."""
+    def apply(self, progress: RolloutProgress) -> bool:
+        """Applies a decision; returns whether it changes anything. A final one is never replaced."""
         known = self._orders.get(progress.service)
         if known is not None and known.order.target != progress.target:
             return False
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -137,16 +137,16 @@
 
     def test_only_the_canary_share_goes_to_a_release_that_is_judged(self) -> None:
         """Guards against a bad release that gets a large part of the requests."""
-        self.book.order(ORDER, 0.0)
+        self.book.add_order(ORDER, 0.0)
         self.assertEqual(self.chosen(), 0)
-        self.book.take(progress(RolloutState.RUNNING, CANARY_SHARE))
+        self.book.apply(progress(RolloutState.RUNNING, CANARY_SHARE))
         self.assertTrue(10 < self.chosen() < 80)
         self.assertEqual(self.chosen(is_first=False), 0)
 
     def test_nothing_goes_to_a_release_that_was_taken_back(self) -> None:
-        self.book.order(ORDER, 0.0)
-        self.book.take(progress(RolloutState.ROLLED_BACK, 0.0))
-        self.assertFalse(self.book.take(progress(RolloutState.RUNNING, 1.0)))
+        self.book.add_order(ORDER, 0.0)
+        self.book.apply(progress(RolloutState.ROLLED_BACK, 0.0))
+        self.assertFalse(self.book.apply(progress(RolloutState.RUNNING, 1.0)))
         self.assertEqual(self.chosen(), 0)
         for name in ("a", "b"):
             self.endpoints.remove(name)
@@ -157,7 +157,7 @@
 
     def test_canary_does_not_replace_endpoints_that_pause_or_are_doubted(self) -> None:
         """Guards against a bad release that gets all requests while the others have trouble."""
-        self.book.order(ORDER, 0.0)
+        self.book.add_order(ORDER, 0.0)
         for name in ("a", "b"):
             self.endpoints.get(name).suspect_until = self.now + 1.0
         self.assertEqual(self.chosen(), 0)
@@ -170,15 +170,15 @@
 
     def test_release_that_was_taken_back_gets_nothing_under_the_next_order(self) -> None:
         """Guards against a bad release that counts as the baseline while the next is judged."""
-        self.book.order(ORDER, 0.0)
-        self.book.take(progress(RolloutState.ROLLED_BACK, 0.0))
-        self.book.order(RolloutOrder("llm", "v3", 10.0), 1.0)
+        self.book.add_order(ORDER, 0.0)
+        self.book.apply(progress(RolloutState.ROLLED_BACK, 0.0))
+        self.book.add_order(RolloutOrder("llm", "v3", 10.0), 1.0)
         self.assertEqual(self.allowed(), ["a", "b"])
 
     def test_new_order_begins_anew(self) -> None:
-        self.book.order(ORDER, 0.0)
-        self.book.take(progress(RolloutState.ROLLED_BACK, 0.0))
-        self.assertTrue(self.book.order(RolloutOrder("llm", "v3", 10.0), 1.0))
+        self.book.add_order(ORDER, 0.0)
+        self.book.apply(progress(RolloutState.ROLLED_BACK, 0.0))
+        self.assertTrue(self.book.add_order(RolloutOrder("llm", "v3", 10.0), 1.0))
         self.assertIsNone(self.book.progress("llm"))
 
 
@@ -192,7 +192,7 @@
             run = evidence.began(state("a", "v1"), "chat", 0.0)
             now[0] += 0.1
             evidence.ended(run, False)
-        book.order(ORDER, 0.0)
+        book.add_order(ORDER, 0.0)
         run = evidence.began(state("c", "v2"), "chat", 0.0)
         now[0] += 0.5
         early = evidence.tallies("llm", "v2", CANARY)["chat"]
