Name the parts of the evidence on roll-outs after what they hold

Cause: extra_s, noted, PREFIX (used as a separator) and heard() did not say what they are.

Change: names and comments only. prompt_read_s, counted_early, SEPARATOR, set_peer_totals. The names and fields that nodes send each other are as before ("\x1f", "new", "old").

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_news.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_news.py
@@ -20,7 +20,7 @@
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.peer_state import Covers, PeerState
 from arbutustally_node.gateway.placed_log import PlacedLog
-from arbutustally_node.gateway.rollout_evidence import PREFIX, RolloutEvidence
+from arbutustally_node.gateway.rollout_evidence import SEPARATOR, RolloutEvidence
 from arbutustally_node.gateway.weights_service import WeightsService
 
 #: Intervals between messages for which an endpoint counts as loading after a peer said so.
@@ -113,9 +113,9 @@
         services.follower.take(state.operator, node)
         if use is not None:
             services.view.book.set_peer_load(use.source, use.loads)
-            accounts = {k: v for k, v in use.admitted.items() if not k.startswith(PREFIX)}
+            accounts = {k: v for k, v in use.admitted.items() if not k.startswith(SEPARATOR)}
             services.quota.heard(use.source, accounts)
-            services.rollouts.heard(use.source, use.admitted)
+            services.rollouts.set_peer_totals(use.source, use.admitted)
             services.speeds.set_peers(use.source, use.speeds)
         self._take_weights(state)
         services.notices.take_leaving(state.leaving, node)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
@@ -1,6 +1,6 @@
 """Answers of a service's canary and baseline as this node sees them, and what the peers tell of theirs.
 
-A node notes answers and their times while a roll-out is judged. A run that takes far longer than
+A node counts answers and their times while a roll-out is judged. A run that takes far longer than
 the baseline's on its route counts with the time that it has taken already, since the slowest answers come
 last.
 """
@@ -31,16 +31,17 @@
 BASELINE = "old"
 #: Fields of a tally by the last part of a total's name.
 _PARTS = tuple(str(number) for number in range(len(fields(AnswerTally))))
-#: Begins the names of these totals among those that nodes tell each other.
-PREFIX = "\x1f"
+#: Separates the parts of these totals' names, and begins the names, so that they are told from the
+#: accounts that nodes send beside them.
+SEPARATOR = "\x1f"
 
 
 @dataclass
 class AnswerRun:
     """A request at an endpoint of a service that is judged.
 
-    :ivar extra_s: time that reading the prompt may take at an endpoint with an empty cache.
-    :ivar noted: what was counted of the run before it has ended.
+    :ivar prompt_read_s: time that reading the prompt may take at an endpoint with an empty cache.
+    :ivar counted_early: what was counted of the run before it ended.
     """
 
     service: str
@@ -48,13 +49,13 @@
     group: str
     route: str
     began: float
-    extra_s: float
-    noted: AnswerTally | None = None
+    prompt_read_s: float
+    counted_early: AnswerTally | None = None
 
     def tally(self, now: float) -> AnswerTally:
         """Returns the time that the run has taken, without what a cold cache costs."""
         took_s = now - self.began
-        cold_s = min(self.extra_s, took_s * COLD_PART) if self.group == CANARY else 0.0
+        cold_s = min(self.prompt_read_s, took_s * COLD_PART) if self.group == CANARY else 0.0
         return AnswerTally.of_time(took_s - cold_s)
 
 
@@ -67,46 +68,46 @@
         self._baseline_times: dict[tuple[str, str], Latencies] = {}
         self._running: dict[int, AnswerRun] = {}
         self._own: dict[str, AnswerTally] = {}
-        self._heard: dict[str, dict[str, AnswerTally]] = {}
+        self._peer_totals: dict[str, dict[str, AnswerTally]] = {}
 
     @property
     def totals(self) -> dict[str, float]:
         """Returns the running totals of this node, to tell the peers."""
-        self._note_long_runs()
+        self._count_long_runs()
         return {
-            f"{PREFIX}{name}{PREFIX}{part}": float(count)
+            f"{SEPARATOR}{name}{SEPARATOR}{part}": float(count)
             for name, tally in self._own.items()
             for part, count in enumerate(astuple(tally))
             if count
         }
 
-    def heard(self, source: str, totals: Mapping[str, float]) -> None:
-        """Takes the running totals of a peer, or of the nodes behind a relay."""
+    def set_peer_totals(self, source: str, totals: Mapping[str, float]) -> None:
+        """Replaces the running totals of a peer, or of the nodes behind a relay."""
         rows: dict[str, list[float]] = {}
         for key, count in totals.items():
-            name, _, part = key.removeprefix(PREFIX).rpartition(PREFIX)
-            if key.startswith(PREFIX) and part in _PARTS:
+            name, _, part = key.removeprefix(SEPARATOR).rpartition(SEPARATOR)
+            if key.startswith(SEPARATOR) and part in _PARTS:
                 rows.setdefault(name, [0.0] * len(_PARTS))[_PARTS.index(part)] = count
         if rows:
-            self._heard[source] = {name: AnswerTally(*row) for name, row in rows.items()}
+            self._peer_totals[source] = {name: AnswerTally(*row) for name, row in rows.items()}
 
     def tallies(self, service: str, target: str, group: str) -> dict[str, AnswerTally]:
         """Returns the answers of all nodes by route."""
-        self._note_long_runs()
+        self._count_long_runs()
         start = _name(service, target, group, "")
-        whole = add_tallies([self._own, *self._heard.values()])
+        whole = add_tallies([self._own, *self._peer_totals.values()])
         return {
             name.removeprefix(start): tally
             for name, tally in whole.items()
             if name.startswith(start)
         }
 
-    def began(self, state: EndpointState, route: str, extra_s: float) -> AnswerRun:
+    def began(self, state: EndpointState, route: str, prompt_read_s: float) -> AnswerRun:
         """Notes that a request was sent to an endpoint."""
         service = state.entry.service
         target = self._book.target(service) or ""
         group = CANARY if self._book.is_canary(state) else BASELINE
-        run = AnswerRun(service, target, group, route, self._clock(), extra_s)
+        run = AnswerRun(service, target, group, route, self._clock(), prompt_read_s)
         if self._book.is_judged(service):
             self._running[id(run)] = run
         return run
@@ -121,23 +122,23 @@
         if self._running.pop(id(run), None) is not None:
             self._add(run, AnswerTally(answers=1, failures=int(is_failed)))
             if not is_failed:
-                self._add(run, run.tally(now).minus(run.noted or AnswerTally()))
+                self._add(run, run.tally(now).minus(run.counted_early or AnswerTally()))
         if run.group == BASELINE and not is_failed:
             times = self._baseline_times.setdefault((run.service, run.route), Latencies())
             times.add(now - run.began)
 
-    def _note_long_runs(self) -> None:
+    def _count_long_runs(self) -> None:
         now = self._clock()
         for run in self._running.values():
-            if run.noted is None and now - run.began > self._long_s(run):
-                run.noted = run.tally(now)
-                self._add(run, run.noted)
+            if run.counted_early is None and now - run.began > self._long_s(run):
+                run.counted_early = run.tally(now)
+                self._add(run, run.counted_early)
 
     def _long_s(self, run: AnswerRun) -> float:
         times = self._baseline_times.get((run.service, run.route))
         if times is None or len(times) < MIN_BASELINE_TIMES:
             return math.inf
-        return times.quantile(BASELINE_QUANTILE) * LONG_FACTOR + run.extra_s
+        return times.quantile(BASELINE_QUANTILE) * LONG_FACTOR + run.prompt_read_s
 
     def _add(self, run: AnswerRun, tally: AnswerTally) -> None:
         name = _name(run.service, run.target, run.group, run.route)
@@ -145,4 +146,4 @@
 
 
 def _name(service: str, target: str, group: str, route: str) -> str:
-    return f"{service}{PREFIX}{target}{PREFIX}{group}{PREFIX}{route}"
+    return f"{service}{SEPARATOR}{target}{SEPARATOR}{group}{SEPARATOR}{route}"
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -199,7 +199,7 @@
         self.assertEqual((early.answers, early.timed), (0, 1))
         self.assertAlmostEqual(math.exp(early.mean), 0.5)
         peer = RolloutEvidence(book, lambda: now[0])
-        peer.heard("node-1", evidence.totals)
+        peer.set_peer_totals("node-1", evidence.totals)
         self.assertEqual(peer.tallies("llm", "v2", CANARY), {"chat": early})
         now[0] += 0.5
         evidence.ended(run, False)
