Split the tests of the node and of the choice by subject

Cause: tests/test_gateway_node.py (643 lines) and tests/test_gateway_choice.py (502 lines) each tested several things.

Change: classes moved as they are (their syntax trees compared: equal). From test_gateway_node: test_gateway_node_attempts, _weights and _store; it keeps ServingTest, DirectoryTest and BadInputTest. From test_gateway_choice: test_gateway_endpoints and test_gateway_many_engines; it keeps ChoiceTest. No other module imported from the two.

--- /dev/null
+++ b/tests/test_gateway_endpoints.py
@@ -0,0 +1,75 @@
+"""What a node believes of endpoints: which may be used, and which are avoided."""
+
+import unittest
+
+from arbutustally.clock import VirtualClock
+from arbutustally.gateway.endpoints import EndpointBook
+from tests.gateway_values import entry
+
+
+class EndpointBookTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = VirtualClock(100.0)
+        self.book = EndpointBook.from_config(self.clock)
+        self.book.put(entry("e1"))
+        self.book.put(entry("e2"))
+
+    def names(self) -> list[str]:
+        return sorted(state.id for state in self.book.usable("s"))
+
+    def test_leaving_and_removed_endpoints_get_nothing(self) -> None:
+        self.book.put(entry("e1", is_leaving=True))
+        self.assertEqual(self.names(), ["e2"])
+        self.book.remove("e2")
+        self.assertEqual(self.names(), [])
+
+    def test_entry_that_lapsed_with_the_store_is_used_until_it_must_be_back(self) -> None:
+        self.book.keep_removed(102.0)
+        self.book.remove("e1")
+        self.assertEqual(self.names(), ["e1", "e2"])
+        self.clock.advance(2.0)
+        self.assertEqual(self.names(), ["e2"])
+
+    def test_entry_removed_before_the_store_went_away_does_not_come_back(self) -> None:
+        """Guards against requests to an endpoint that left long before the store did."""
+        self.book.remove("e1")
+        self.clock.advance(1.0)
+        self.book.keep_removed(self.clock() + 2.5)
+        self.assertEqual(self.names(), ["e2"])
+
+    def test_longer_absence_of_the_store_keeps_what_lapsed_in_it(self) -> None:
+        self.book.keep_removed(102.0)
+        self.book.remove("e1")
+        self.clock.advance(1.5)
+        self.book.keep_removed(104.0)
+        self.clock.advance(1.5)
+        self.assertEqual(self.names(), ["e1", "e2"])
+        self.clock.advance(1.0)
+        self.assertEqual(self.names(), ["e2"])
+
+    def test_unreachable_endpoint_is_avoided_while_another_remains(self) -> None:
+        state = self.book.get("e1")
+        self.book.unreachable(state)
+        self.assertEqual(self.names(), ["e2"])
+        self.book.reachable(state)
+        self.assertEqual(self.names(), ["e1", "e2"])
+        self.book.unreachable(state)
+        self.book.remove("e2")
+        self.assertEqual(self.names(), ["e1"])
+
+    def test_endpoint_that_keeps_failing_is_avoided_for_longer_each_time(self) -> None:
+        state = self.book.get("e1")
+        pauses = []
+        for _ in range(8):
+            if self.book.failed(state):
+                pauses.append(state.suspect_until - self.clock())
+        self.assertEqual(pauses, sorted(pauses))
+        self.assertEqual(self.names(), ["e2"])
+        self.book.answered(state, 0.01)
+        self.assertEqual(self.names(), ["e1", "e2"])
+
+    def test_restart_under_the_same_id_forgets_what_was_known(self) -> None:
+        state = self.book.get("e1")
+        state.weights["m"] = 7
+        self.book.put(entry("e1", incarnation="2"))
+        self.assertEqual(self.book.get("e1").weights, {"m": 1})
