Give up a silent endpoint only on checks that failed during its silence

What callers saw: 502 endpoint_gone at 2.4 s for a booking that its worker made at 3.5 s; a stream reset with stream_endpoint_gone although its data waited in the socket, after the caller had not read for a while; a stream reset at an engine that pauses and can be reached, on checks from before the request.

Cause: connects that take over 0.2 s counted as proof that an endpoint is dead, also where the route allows no other one. Silence counted from the last event that was read, so the caller's slow write was part of it. failed_checks counted since the endpoint was first found down, and checks stop while it pauses.

Change: silence begins with the wait (Hedge.watch). The last two checks must have begun after that, and have been refused (or unreachable). Checks that time out count only for the second endpoint of a request, and only where the route allows a further one: the first needs no giving up for that, since another one is asked beside it. The endpoint is given up by a spawned greenlet, after data that wait have been read. down_since has no reader left.

Why it works: no attempt ends by the node on a connect timeout alone while it is the last that the route allows, and every check that counts was made while this wait gave nothing.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_check.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_check.py
@@ -10,7 +10,7 @@
 from gevent import socket as gevent_socket
 
 from arbutustally.clock import Clock
-from arbutustally.gateway.endpoints import EndpointBook, EndpointState
+from arbutustally.gateway.endpoints import EndpointBook, EndpointState, FailedCheck
 from arbutustally_node.gateway.decision_log import DecisionLog
 
 #: Longest wait for a connection, seconds.
@@ -21,6 +21,8 @@
 SILENT_INTERVAL_S = 1.0
 #: Errors that tell of this process and not of the endpoint.
 LOCAL_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EADDRNOTAVAIL})
+#: Errors after which nothing is at work at the address, unlike after a connect that timed out.
+REFUSALS = frozenset({errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH})
 
 
 class EndpointChecker:
@@ -59,7 +61,9 @@
                 if self._book.is_paused(state):
                     gevent.sleep(PAUSE_S)
                     continue
-                if _can_connect(state.address):
+                began = self._clock()
+                error = _connect_error(state.address)
+                if error is None:
                     if state.is_down:
                         self._log.line("endpoint_reachable", endpoint=state.id)
                     self._book.reachable(state)
@@ -67,16 +71,17 @@
                 if not state.is_down:
                     self._log.line("endpoint_unreachable", endpoint=state.id, found_by="check")
                 self._book.unreachable(state)
-                state.failed_checks += 1
+                state.failed_checks.append(FailedCheck(began, error.errno in REFUSALS))
                 gevent.sleep(PAUSE_S)
         finally:
             self._checking.discard(state.id)
 
 
-def _can_connect(address: str) -> bool:
+def _connect_error(address: str) -> OSError | None:
+    """Returns why the endpoint can't be connected to, ``None`` if it can."""
     host, _, port = address.rpartition(":")
     try:
         gevent_socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S).close()
     except OSError as error:
-        return error.errno in LOCAL_ERRORS
-    return True
+        return None if error.errno in LOCAL_ERRORS else error
+    return None
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
@@ -1,8 +1,9 @@
 """Hedging: a request at a silent endpoint is sent to another one, and the first answer counts.
 
 The silent endpoint is left only once another one has answered, so looking for another one never
-costs the request its place or an answer that has begun. An endpoint that is silent and to which no
-connection can be made any more is given up.
+costs the request its place or an answer that has begun. An endpoint that is silent and refuses
+connections is given up. Connects that time out also happen at an endpoint that works, so they count
+only where the request may be left to others.
 """
 
 from collections.abc import Callable, Iterator
@@ -17,10 +18,8 @@
 
 #: Pause between two looks at a silent endpoint, seconds.
 LOOK_S = 0.3
-#: Time of silence without a connection after which an endpoint is given up, seconds, and the
-#: checks that must have failed meanwhile.
+#: Least silence after which an endpoint that can't be connected to is given up, seconds.
 UNREACHABLE_S = 1.2
-FAILED_CHECKS = 2
 
 
 class OvertakenError(Exception):
@@ -40,6 +39,8 @@
         is whether that endpoint has answered; ``None`` if there is no other, or not now. Without
         it the attempt is only given up when its endpoint can't be reached.
     :param cancel_other: ends the attempt at the other endpoint, also if it has answered.
+    :param may_go_on: whether the request may go on elsewhere if the endpoint is given up because
+        connects to it time out.
     """
 
     def __init__(
@@ -49,17 +50,19 @@
         on_silent: Callable[[EndpointState], None],
         start_other: Callable[[], gevent.Greenlet | None] = lambda: None,
         cancel_other: Callable[[], None] = lambda: None,
+        may_go_on: Callable[[], bool] = lambda: False,
     ) -> None:
         self._state = state
         self._clock = clock
         self._on_silent = on_silent
         self._start_other = start_other
         self._cancel_other = cancel_other
+        self._may_go_on = may_go_on
         self._other: gevent.Greenlet | None = None
         self._waiting: gevent.Greenlet | None = None
         self._is_overtaken = False
         self._waits = 0
-        self._heard_at = clock()
+        self._waits_since = clock()
 
     @contextmanager
     def watch(self, silent_s: float) -> Iterator[None]:
@@ -74,6 +77,7 @@
         timer = get_hub().loop.timer(max(silent_s, 0.0), LOOK_S)
         self._waiting = getcurrent()
         self._waits += 1
+        self._waits_since = self._clock()
         timer.start(self._look)
         try:
             yield
@@ -84,7 +88,6 @@
 
     def heard(self) -> None:
         """Notes that the endpoint has gone on: what another one might answer is out of date."""
-        self._heard_at = self._clock()
         if self._other is not None or self._is_overtaken:
             self._other = None
             self._is_overtaken = False
@@ -92,7 +95,8 @@
 
     def _look(self) -> None:
         if self._is_gone():
-            self._interrupt(UnreachableError())
+            # Data that wait in the socket are read before the spawned greenlet runs.
+            gevent.spawn(self._give_up, self._waits)
             return
         self._on_silent(self._state)
         if self._other is None and not self._is_overtaken:
@@ -101,9 +105,14 @@
 
     def _is_gone(self) -> bool:
         state = self._state
-        if not state.is_down or state.failed_checks < FAILED_CHECKS:
+        since = self._waits_since
+        if not state.is_down or self._clock() - since < UNREACHABLE_S:
             return False
-        return self._clock() - max(state.down_since, self._heard_at) >= UNREACHABLE_S
+        return state.has_refused(since) or (state.has_failed_checks(since) and self._may_go_on())
+
+    def _give_up(self, wait: int) -> None:
+        if wait == self._waits:
+            self._interrupt(UnreachableError())
 
     def _start(self, wait: int) -> None:
         # The endpoint may have gone on since the timer expired.
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -226,9 +226,13 @@
     def _update_loads(self) -> None:
         """Notes at the endpoints at work whether the request may go on at a further one."""
         tries = [one for one in (self._current, self._other) if one is not None]
-        in_use = self._ran + sum(one.attempt is None for one in tries)
         for one in tries:
-            one.load.may_go_on(self._has_endpoints_left(in_use))
+            one.load.may_go_on(self._has_endpoints_left(self._in_use()))
+
+    def _in_use(self) -> int:
+        """Returns the endpoints on which the request may have run or is at work."""
+        tries = [one for one in (self._current, self._other) if one is not None]
+        return self._ran + sum(one.attempt is None for one in tries)
 
     def _send_other(self, tried: Try) -> bool:
         attempt = self._await_other(tried)
@@ -254,7 +258,12 @@
         The endpoint is given up once it can't be reached: a dead one would hold the request while
         a further one could serve it.
         """
-        hedge = Hedge(tried.placed.state, self._services.clock, self._services.on_silent)
+        hedge = Hedge(
+            tried.placed.state,
+            self._services.clock,
+            self._services.on_silent,
+            may_go_on=lambda: self._has_endpoints_left(self._in_use()),
+        )
         attempt = self._send(tried, hedge.watch(FIRST_BYTE_S))
         if attempt.outcome is not Outcome.ANSWERED or not self._is_stream(attempt):
             return attempt
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -1,5 +1,6 @@
 """What a node believes of the endpoints, from the platform's list, its own calls and its peers."""
 
+from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from random import Random
@@ -21,6 +22,8 @@
 PAUSE_SPREAD = 0.2
 #: Longest time by which a return is put off beyond the pause, seconds.
 MAX_PAUSE_SPREAD_S = 1.0
+#: Failed checks after which an endpoint counts as one that can't be connected to.
+FAILED_CHECKS = 2
 #: Earlier starts of an endpoint that are remembered.
 MAX_INCARNATIONS = 8
 
@@ -60,6 +63,17 @@
     pause_s: float = 0.0
 
 
+@dataclass(frozen=True)
+class FailedCheck:
+    """A check that could make no connection to an endpoint.
+
+    :ivar is_refused: nothing listens at the address; the connect did not only time out.
+    """
+
+    began_at: float
+    is_refused: bool
+
+
 #: The endpoint said nothing of itself.
 NO_NOTICE = EndpointNotice()
 
@@ -80,8 +94,7 @@
     :ivar replaced_incarnations: of earlier starts under the same id, latest last.
     :ivar paused_until: until then it wants nothing from this node.
     :ivar is_down: no connection could be made.
-    :ivar down_since: when that was first found.
-    :ivar failed_checks: checks since then that could make none either.
+    :ivar failed_checks: the last checks since then that could make none either.
     :ivar checked_at: when a connection was last tried since a request waits for it.
     :ivar is_replaced: another endpoint was found at its address.
     """
@@ -102,8 +115,7 @@
     paused_until: float = 0.0
     is_replaced: bool = False
     is_down: bool = False
-    down_since: float = 0.0
-    failed_checks: int = 0
+    failed_checks: deque[FailedCheck] = field(default_factory=lambda: deque(maxlen=FAILED_CHECKS))
     checked_at: float = float("-inf")
     suspect_until: float = 0.0
     suspicions: int = 0
@@ -116,6 +128,15 @@
         """Returns the id of the endpoint."""
         return self.entry.id
 
+    def has_failed_checks(self, since: float) -> bool:
+        """Returns whether the last ``FAILED_CHECKS`` checks all began since then and failed."""
+        checks = self.failed_checks
+        return len(checks) == FAILED_CHECKS and checks[0].began_at >= since
+
+    def has_refused(self, since: float) -> bool:
+        """Returns whether the endpoint has refused the connections of all these checks."""
+        return self.has_failed_checks(since) and all(one.is_refused for one in self.failed_checks)
+
     @property
     def address(self) -> str:
         """Returns ``host:port``."""
@@ -315,8 +336,7 @@
     def unreachable(self, state: EndpointState) -> None:
         """Notes that no connection to an endpoint could be made."""
         if not state.is_down:
-            state.down_since = self._clock()
-            state.failed_checks = 0
+            state.failed_checks.clear()
         state.is_down = True
 
     def reachable(self, state: EndpointState) -> None:
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -1,12 +1,16 @@
 """Answers that have begun reach their end, or another endpoint has taken the request before."""
 
+import errno
+import socket
 import time
+from contextlib import suppress
 from unittest import mock
 
 import gevent
 import urllib3
 from bottle import HTTPResponse
 
+from arbutustally.gateway.endpoints import FailedCheck
 from arbutustally_node.gateway import endpoint_check, stream_relay
 from arbutustally_node.gateway.node import GatewayNode
 from arbutustally_node.gateway.request_run import FIRST_BYTE_S
@@ -18,6 +22,10 @@
 #: Longer than any pause after which a node may look for another endpoint, seconds.
 LONG_PAUSE_S = 2.4
 
+#: What checks of endpoints end with.
+REFUSED = ConnectionRefusedError(errno.ECONNREFUSED, "refused")
+TIMED_OUT = TimeoutError("timed out")
+
 
 def events(first: int, last: int) -> bytes:
     """Returns whole events of a stream."""
@@ -151,11 +159,11 @@
             book = self.node._view.book
             for state in book.of_service("llm"):
                 book.unreachable(state)
-                state.down_since -= 5.0
+                state.failed_checks.extend([FailedCheck(time.monotonic() - 5.0, True)] * 2)
             return paused(headers)
 
         self.answer_first_with(reached_no_more, full)
-        with mock.patch.object(endpoint_check, "_can_connect", return_value=False):
+        with connects_fail(REFUSED):
             self.assertEqual(self.ask().data, events(1, 5))
 
     def test_hedged_run_on_its_last_endpoint_counts_as_unrepeatable(self) -> None:
@@ -189,12 +197,32 @@
         self.answer_first_with(self.paused(5.0), full)
         began = time.monotonic()
         with (
-            mock.patch.object(endpoint_check, "_can_connect", return_value=False),
+            connects_fail(REFUSED),
             self.assertRaises(urllib3.exceptions.ProtocolError),
         ):
             self.ask()
         self.assertLess(time.monotonic() - began, 4.0)
 
+    def test_last_endpoint_is_waited_for_though_connects_time_out(self) -> None:
+        """Guards against giving up the only endpoint left, which works on the request."""
+        self.set_routes()
+
+        def breaks_off(headers):
+            def body():
+                yield events(1, 2)
+                gevent.sleep(SILENT_GAP_S + 0.4)
+
+            fields = {**head(headers), "Content-Length": "9999", "Connection": "close"}
+            return HTTPResponse(body=body(), headers=fields)
+
+        def late(headers):
+            gevent.sleep(3.5)
+            return signed(headers, iter([events(3, 5)]))
+
+        self.answer_first_with(breaks_off, late)
+        with connects_fail(TIMED_OUT):
+            self.assertEqual(self.ask().data, events(1, 5))
+
     def test_run_on_its_last_endpoint_counts_as_unrepeatable(self) -> None:
         """Guards against an order to load weights that breaks off a run that can't go on."""
         counts = []
@@ -210,6 +238,105 @@
         self.assertEqual((answer.status, counts), (200, [1]))
 
 
+class FailedChecksTest(GatewayCase):
+    """Checks of an endpoint that fail although it works on the request."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = self.start_node()
+        self.wait_ready(self.node)
+        changed = configuration(2)
+        for route in changed["routes"]:
+            route |= {"timeoutMs": 20000, "maxAttempts": 1}
+        changed["routes"][0]["resumable"] = False
+        self.store.put("keyed.op", "config", changed)
+        self.eventually(lambda: self.node._view.configuration.version == 2)
+
+    def check_engines(self) -> None:
+        for state in self.engine_states():
+            self.node._services.exchange._services.on_silent(state)
+
+    def engine_states(self):
+        return self.node._view.book.of_service("llm")
+
+    def test_booking_at_work_is_waited_for(self) -> None:
+        """Guards against 502 for a booking that its worker, slow to accept connects, makes."""
+
+        def books(headers):
+            gevent.sleep(3.5)
+            return HTTPResponse(headers=head(headers), body=b"booked")
+
+        for desk in self.desks:
+            desk.behave = books
+        with connects_fail(TIMED_OUT):
+            answer = self.call(self.node, "/book/x", "b1", b"{}", Deadline_Ms="5000")
+        self.assertEqual(answer.data, b"booked")
+
+    def test_data_that_wait_for_a_slow_caller_are_passed_on(self) -> None:
+        """Guards against counting the time in which the caller does not read as silence."""
+
+        def stream(headers):
+            def body():
+                for number in range(1, 8001):
+                    yield b"id: %d\ndata: %b\n\n" % (number, b"p" * 1200)
+                    gevent.sleep(0.0005)
+
+            return signed(headers, body())
+
+        for engine in self.engines:
+            engine.behave = stream
+        caller = self.connect_slow_caller()
+        got = caller.recv(1000)
+        with connects_fail(REFUSED):
+            self.check_engines()
+            gevent.sleep(4.5)
+            caller.settimeout(6.0)
+            with suppress(OSError):
+                while not got.endswith(b"0\r\n\r\n") and (data := caller.recv(65536)):
+                    got = got[-100:] + data
+        self.assertTrue(got.endswith(b"0\r\n\r\n"), got[-60:])
+
+    def connect_slow_caller(self) -> gevent.socket.socket:
+        """Returns a connection on which a stream was asked for and that takes little unread."""
+        host, _, port = self.node._options.caller_listen.rpartition(":")
+        caller = gevent.socket.socket()
+        self.addCleanup(caller.close)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.connect((host, int(port)))
+        caller.sendall(
+            b"POST /chat/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+            b"Authorization: Token key-school\r\nDeadline-Ms: 15000\r\nModel: m\r\n"
+            b"Token-Usage: 100,5\r\nPrompt-Prefix: aa:60,bb:40\r\nContent-Length: 0\r\n\r\n"
+        )
+        return caller
+
+    def test_checks_before_the_silence_do_not_count(self) -> None:
+        """Guards against an endpoint that pauses, so is not checked, and is given up for that."""
+
+        def stream(headers):
+            def body():
+                yield events(1, 2)
+                gevent.sleep(LONG_PAUSE_S)
+                yield events(3, 5)
+
+            return signed(headers, body())
+
+        for engine in self.engines:
+            engine.behave = stream
+        with connects_fail(REFUSED) as connect_error:
+            self.check_engines()
+            self.eventually(
+                lambda: all(len(one.failed_checks) >= 2 for one in self.engine_states())
+            )
+            connect_error.return_value = None
+            call = gevent.spawn(self.call, self.node, "/chat/x", "r1", Deadline_Ms="6000")
+            gevent.sleep(0.05)
+            for state in self.engine_states():
+                state.paused_until = time.monotonic() + 5.0
+            call.join()
+        self.assertEqual(call.value and call.value.data, events(1, 5))
+
+
 class DeadOtherEndpointTest(GatewayCase):
     """Replays an engine that ends, without a word, after a request was sent to it as well."""
 
@@ -251,16 +378,17 @@
 
         for engine in self.engines:
             engine.behave = lambda headers, engine=engine: behave(engine, headers)
-        with mock.patch.object(endpoint_check, "_can_connect", self._can_connect):
+        with mock.patch.object(endpoint_check, "_connect_error", self._connect_error):
             began = time.monotonic()
             answer = self.call(self.node, "/chat/x", "r1", Deadline_Ms="7000")
             took_s = time.monotonic() - began
         self.assertEqual(answer.data, events(1, 5))
         return took_s
 
-    def _can_connect(self, address: str) -> bool:
+    def _connect_error(self, address: str) -> OSError | None:
         dead = self.asked[1] if len(self.asked) > 1 else ""
-        return all(engine.address != address for engine in self.engines if engine.id == dead)
+        is_dead = any(engine.address == address for engine in self.engines if engine.id == dead)
+        return TIMED_OUT if is_dead else None
 
     def test_it_is_not_waited_for_after_the_first_one_has_broken_off(self) -> None:
         """Guards against a caller that waits for a dead endpoint while a third one is idle."""
@@ -362,6 +490,11 @@
         self.assertEqual((answer, self.strategies), (events(1, self.EVENTS), ["queue"]))
 
 
+def connects_fail(error: OSError):
+    """Makes all checks of endpoints fail."""
+    return mock.patch.object(endpoint_check, "_connect_error", return_value=error)
+
+
 def use_up(node: GatewayNode) -> None:
     """Uses up a node's budget of repeats at the engines."""
     while node._services.state.repeats.take("llm"):
