Never wait for the rest of a refusal

What callers saw: a request whose endpoint refuses (503 with Not-Executed) and stops inside the refusal's body is held beyond its deadline, with no answer.

Cause: Transport._judge settles a refusal outside the guard and the timeout of the attempt. PooledResponse.settle read on once the socket was readable, also if what had arrived ended inside a chunk's size line, and gateways bound no read (SILENCE_S is infinite).

Change: settle reads only what has arrived. It keeps the connection if the end of the body has, and closes it otherwise.

Why it works: each read of settle is of bytes that are there. It also looks at the bytes that came together with the head; a chunked refusal whose end came so had its connection closed each time.

--- a/packages/arbutustally-node/src/arbutustally_node/pool.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -200,22 +200,27 @@
             yield part
 
     def settle(self) -> None:
-        """Ends an answer whose content is complete without waiting for more of it.
+        """Ends an answer whose content is complete; never waits for more of it.
 
         The connection is kept only if the end of the body has arrived and nothing after it.
         """
         if self._closed:
             return
-        if not self._body.done and (self._original.will_close or not self._is_readable()):
-            self.close()
-            return
-        try:
-            if not self.read() and not self._closed:
+        with contextlib.suppress(EndpointFailedError, EndpointTimeoutError):
+            if self._ends_now():
                 self._finish()
-        except (EndpointFailedError, EndpointTimeoutError):
-            return
         self.close()
 
+    def _ends_now(self) -> bool:
+        """Returns whether the end of the body has arrived and no content before it."""
+        while not self._body.done:
+            if not (self._arrived or self._is_readable()):
+                return False
+            received = self._receive()
+            if not received or self._body.feed(received):
+                return False
+        return not self._put_back
+
     def close(self) -> None:
         """Closes the connection; unread bytes never reach another request."""
         if self._closed:
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -9,6 +9,8 @@
 import gevent
 import urllib3
 from bottle import HTTPResponse
+from gevent.pool import Pool
+from gevent.server import StreamServer
 
 from arbutustally.gateway.endpoints import FailedCheck
 from arbutustally_node.gateway import endpoint_check, stream_relay
@@ -337,6 +339,50 @@
         self.assertEqual(call.value and call.value.data, events(1, 5))
 
 
+class StoppedRefusalTest(GatewayCase):
+    """An endpoint that refuses, and whose refusal stops inside its body."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        node = self.start_node()
+        self.wait_ready(node)
+        changed = configuration(2)
+        changed["routes"][2] |= {"timeoutMs": 6000, "maxAttempts": 1}
+        self.store.put("keyed.op", "config", changed)
+        server = StreamServer(("127.0.0.1", 0), self._refuse, spawn=Pool())
+        server.start()
+        self.addCleanup(server.stop, 0)
+        address = f"127.0.0.1:{server.server_port}"
+        for desk in self.desks:
+            entry = desk.entry() | {"address": address, "sequence": 9}
+            self.store.put("keyed.servers", desk.id, entry)
+        states = node._view.book.of_service("desk")
+        self.eventually(lambda: all(one.address == address for one in states))
+        self.eventually(lambda: node._view.configuration.version == 2)
+        self.node = node
+
+    def _refuse(self, sock, _address) -> None:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            if not (piece := sock.recv(65536)):
+                return
+            data += piece
+        request_id = data.lower().split(b"request-id: ")[1].split(b"\r\n")[0]
+        start = b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: "
+        start += request_id + b"\r\nTransfer-Encoding: chunked\r\nX: "
+        # The head fills the reader's buffer, so that the size line is left in the socket.
+        start += b"x" * (8192 - 1 - 4 - len(start)) + b"\r\n\r\n"
+        sock.sendall(start + b"1000")
+        gevent.sleep(9.0)
+
+    def test_its_request_is_answered_at_once(self) -> None:
+        """Guards against a caller that is held beyond its deadline by the rest of a refusal."""
+        began = time.monotonic()
+        answer = self.call(self.node, "/look/x", "r1", Deadline_Ms="1000")
+        self.assertEqual(answer.status, 503)
+        self.assertLess(time.monotonic() - began, 2.0)
+
+
 class DeadOtherEndpointTest(GatewayCase):
     """Replays an engine that ends, without a word, after a request was sent to it as well."""
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+import time
 import unittest
 
 import gevent
@@ -58,6 +59,12 @@
                 gevent.sleep(0.05)
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 return
+            if path == "/refusal":
+                sock.sendall(OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+                continue
+            if path == "/half-end":
+                sock.sendall(OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n")
+                gevent.sleep(5)
             body = b"3\r\nabc\r\n0\r\n\r\n"
             extra = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"
             if path == "/extra":
@@ -96,6 +103,15 @@
         self.get("/a", fresh=True)
         self.assertEqual(self.connections, 3)
 
+    def test_settling_keeps_a_connection_whose_body_has_ended(self) -> None:
+        """Guards against a connection lost at each refusal, and against a wait for its end."""
+        for path, connections in (("/refusal", 1), ("/half-end", 1), ("/refusal", 2)):
+            response = self.pool.open(self.endpoint, "GET", path, {}, None)
+            began = time.monotonic()
+            response.settle()
+            self.assertLess(time.monotonic() - began, 0.1)
+            self.assertEqual(self.connections, connections)
+
     def test_only_an_unmade_connection_proves_that_nothing_ran(self) -> None:
         """Guards against a refusal "not run" for a request that an endpoint has read."""
         for path, kind in {
