Check the offset of an append in the stand-in store when it has the whole body

Cause: the stand-in compared the offset, then read the body, and served other calls meanwhile. Two claims at one offset both got 200, with the same offset: two nodes held the lease on orders under one fence.

Change: the body is read first.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -182,11 +182,12 @@
         if refused := self._refused():
             return refused
         topic = request.query["topic"]
+        # Other calls are served until the whole body is here.
+        content = request.body.read()[4:]
         end = len(self.topics[topic])
         if "at" in request.query and int(request.query["at"]) != end:
             response.status = 412
             return {"end": end}
-        content = request.body.read()[4:]
         self.put_raw(topic, content[1 : 1 + content[0]].decode(), content[1 + content[0] :])
         if self.lose_next_answer:
             self.lose_next_answer = False
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -1,5 +1,6 @@
 """A store that comes back from an older copy: the stand-in, and what the adapter tells of it."""
 
+import socket
 import unittest
 from random import Random
 
@@ -48,6 +49,21 @@
         self.store.return_to(copy)
         self.assertEqual(waiting.get(timeout=1).status, 410)
 
+    def test_of_two_appends_at_one_offset_the_one_that_comes_whole_first_wins(self) -> None:
+        """Guards against two holders of one fence that only a stand-in can make."""
+        host, _, port = self.store.address.rpartition(":")
+        query = f"topic={TOPIC}&part=0&at=0"
+        head = f"POST /arbutustally/log-append?{query} HTTP/1.1\r\nHost: s\r\nContent-Length: 8\r\n"
+        with socket.create_connection((host, int(port))) as slow:
+            slow.sendall(head.encode() + b"\r\n" + bytes([0, 0, 0, 4]))
+            gevent.sleep(0.1)
+            url = f"http://{self.store.address}/arbutustally/log-append?{query}"
+            body = bytes([0, 0, 0, 4, 1]) + b"key"
+            self.assertEqual(self.http.request("POST", url, body=body).status, 200)
+            slow.sendall(bytes([1]) + b"key")
+            self.assertIn(b" 412 ", slow.recv(4096))
+        self.assertEqual(len(self.store.topics[TOPIC]), 1)
+
     def test_authors_write_again_at_new_offsets(self) -> None:
         self.store.put(TOPIC, "a", 1)
         copy = self.store.take_copy()
