--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -139,6 +139,24 @@
             self.clock.advance(0.1)
         self.assertFalse(old.is_held)
 
+    def test_each_of_two_returns_is_waited_out(self) -> None:
+        """Guards against a holder that claimed anew after the first return and froze then."""
+        self.leases.era = 1
+        old, new = self.lease("a"), self.lease("b")
+        self.hold(old)
+        self.leases.return_to(0)
+        self.assertFalse(new.claim())
+        self.clock.advance(LEASE_S / 2)
+        old.renew()
+        self.leases.return_to(0)
+        self.assertFalse(new.claim())
+        self.clock.advance(LEASE_S / 2)
+        self.assertTrue(old.is_held)
+        self.assertFalse(new.claim())
+        self.clock.advance(LEASE_S / 2)
+        self.assertFalse(old.is_held)
+        self.assertTrue(new.claim())
+
     def test_holder_goes_on_in_a_new_era_with_a_higher_fence(self) -> None:
         """Guards against weights that stand still for a whole lease after each return."""
         self.leases.era = 1
