Log what is read and written again after a return of the store

The line store_returned (old and new era) and the counter were there, endpoints_read_anew was not on the operators' page, and nothing told that the operator's records were read anew or that a roll-out's status was written again.

Not one line for all, since each node reads and writes again at its own time.

Evidence: the new test failed without the line of the operator's records; it, tests.test_rollouts, tests.test_store_return and tests.test_return_model pass.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -138,6 +138,8 @@
         if offset is not None and batch.era != self._era:
             self._read_anew()
             return
+        if self._has_read and batch.era != self._era:
+            self._log.line("operator_records_read_anew", era=batch.era, previous=self._era)
         self._era, self._offset = batch.era, batch.next_offset
         if self._era >= self._told_era:
             self._woken.clear()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
@@ -213,6 +213,12 @@
         if self._topic.put(record.key, record.value, batch.next_offset) is None:
             return False
         self._written[progress.service] = progress
+        self._log.line(
+            "rollout_written",
+            service=progress.service,
+            target=progress.target,
+            state=progress.state,
+        )
         return True
 
     def _found(
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -3,6 +3,7 @@
 import socket
 import unittest
 from random import Random
+from unittest import mock
 
 import gevent
 import urllib3
@@ -159,6 +160,24 @@
         self.eventually(lambda: self.store.newest("keyed.nodes") == written)
         self.assertEqual(node._services.state.instruments.value("store_returns"), 1)
 
+    def test_operators_can_tell_what_was_read_and_written_again(self) -> None:
+        """Guards against a return of which the lines of a node say nothing."""
+        node = self.start_node()
+        self.wait_ready(node)
+        self.eventually(lambda: self.store.newest("keyed.nodes"))
+        with mock.patch.object(node._services.state.log, "line") as line:
+            self.store.return_to(self.store.take_copy())
+            expected = {
+                "store_returned",
+                "endpoints_read_anew",
+                "operator_records_read_anew",
+                "announced_again",
+            }
+            self.eventually(lambda: expected <= {call.args[0] for call in line.call_args_list})
+        told = {call.args[0]: call.kwargs for call in line.call_args_list}
+        for name in expected - {"announced_again"}:
+            self.assertEqual((told[name]["era"], told[name]["previous"]), (2, 1), name)
+
     def test_weights_are_loaded_with_a_higher_fence_after_a_return(self) -> None:
         """Guards against engines that refuse every order after the store's return."""
         node = self.start_node()
