Let a node without the store hear which endpoints are back after a return

Cause: a node that hears of a new era from peers only takes a peer's list, and keeps out the endpoints that it knew as leaving or gone until a record written after the return. If such a record was in that list already, no reader tells it again, and the endpoint stayed out on this node until it reached the store.

Change: 2.5 s after the list was taken, when workers that are there have written and other entries have lapsed, the node takes a peer's list once more as it is.

Evidence: the new test of tests.test_return_model failed before where heartbeats come 0.2 s after the return (e0 and e1 missing), and passes; the model passes (its world now asks EndpointReader.has_missed, as CatchUp does); tests.test_fleet_after_return, tests.test_shared_reading, tests.test_gateway_node and tests.test_store_return pass (93).

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -31,6 +31,9 @@
 #: Longest time for which a node waits for the next records of endpoints whose entries it has not
 #: taken after the store's return, seconds.
 SETTLING_S = 20.0
+#: Time after the store's return in which workers that are there have written their entries, and
+#: those of others have lapsed, seconds.
+WRITTEN_AGAIN_S = 2.5
 MAX_RETRY_S = 1.0
 
 
@@ -68,6 +71,7 @@
         # tell whether they are there.
         self._unsettled: set[str] = set()
         self._unsettled_until = float("-inf")
+        self._settled_by_peers_at = float("-inf")
         self._settled_to = 0
         self._is_telling = False
         self._greenlet: Any = None
@@ -109,7 +113,15 @@
     @property
     def has_missed(self) -> bool:
         """Returns whether a peer knows changes, or told of an era, that this node lacks."""
-        return self._reading.has_missed
+        return self._reading.has_missed or self._must_hear_again
+
+    @property
+    def _must_hear_again(self) -> bool:
+        """Returns whether peers know by now which of the unsettled endpoints are there.
+
+        The readers tell a record once; this node may have taken the list after that.
+        """
+        return bool(self._unsettled) and self._clock() >= self._settled_by_peers_at
 
     def take_snapshot(self, records: tuple[Record, ...], position: Position, peer: str) -> None:
         """Takes a peer's whole list if it is newer.
@@ -117,7 +129,8 @@
         :param position: up to where the list is current.
         """
         known = self._reading.position
-        if known is None or position > known:
+        is_newer = known is None or position > known
+        if is_newer or (self._must_hear_again and position == known):
             self._replace(records, position, peer)
             self._reading.take_whole(position)
 
@@ -200,6 +213,7 @@
             return
         self._watch.list_returned()
         self._unsettled_until = self._clock() + SETTLING_S
+        self._settled_by_peers_at = self._clock() + WRITTEN_AGAIN_S
         self._unsettled = self._view.settle_endpoints(records, source)
         self._settled_to = position.offset
         self._log.line(
--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -199,7 +199,7 @@
     def _catch_up(self) -> None:
         peers = [peer for peer in self.world.awake() if peer is not self]
         ahead = [peer for peer in peers if peer.version > self.version]
-        is_behind = not self.watch.has_store and self.reading.has_missed
+        is_behind = not self.watch.has_store and self.endpoints.has_missed
         if not peers or not (ahead or is_behind or self.reading.position is None):
             return
         peer = max(ahead, key=lambda one: one.version) if ahead else self.world.rng.choice(peers)
--- a/tests/test_return_model.py
+++ b/tests/test_return_model.py
@@ -211,6 +211,20 @@
         self.world.run(6.0)
         self.assertNotIn("e0", self.world.nodes[-1].usable)
 
+    def test_node_without_the_store_hears_that_an_endpoint_stays_or_is_back(self) -> None:
+        """Guards against an endpoint left out by nodes that only hear of the new era."""
+        leaving, gone, last = *self.world.workers[:2], self.world.nodes[-1]
+        for pause_s in (0.2, 3.0):
+            with self.subTest(pause_s=pause_s):
+                leaving.is_leaving, gone.is_alive, last.is_cut = True, False, True
+                self.world.run(4.0)
+                self.assertFalse({"e0", "e1"} & last.usable)
+                self.world.return_to(self.copy)
+                self.world.run(pause_s, has_heartbeats=False)
+                leaving.is_leaving, gone.is_alive = False, True
+                self.world.run(6.0)
+                self.assertLessEqual({"e0", "e1"}, last.usable)
+
     def test_earlier_start_does_not_come_back_on_a_node_that_never_knew_it(self) -> None:
         """Guards against requests to a process that is gone, at nodes that started after it."""
         self.world.workers[0].born += 1
