--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -1,7 +1,9 @@
 """A store that comes back from an older copy: the stand-in, and what the adapter tells of it."""
 
+import socket
 import unittest
 from random import Random
+from unittest import mock
 
 import gevent
 import urllib3
@@ -48,6 +50,21 @@
         self.store.return_to(copy)
         self.assertEqual(waiting.get(timeout=1).status, 410)
 
+    def test_of_two_appends_at_one_offset_the_one_that_comes_whole_first_wins(self) -> None:
+        """Guards against two holders of one fence that only a stand-in can make."""
+        host, _, port = self.store.address.rpartition(":")
+        query = f"topic={TOPIC}&part=0&at=0"
+        head = f"POST /arbutustally/log-append?{query} HTTP/1.1\r\nHost: s\r\nContent-Length: 8\r\n"
+        with socket.create_connection((host, int(port))) as slow:
+            slow.sendall(head.encode() + b"\r\n" + bytes([0, 0, 0, 4]))
+            gevent.sleep(0.1)
+            url = f"http://{self.store.address}/arbutustally/log-append?{query}"
+            body = bytes([0, 0, 0, 4, 1]) + b"key"
+            self.assertEqual(self.http.request("POST", url, body=body).status, 200)
+            slow.sendall(bytes([1]) + b"key")
+            self.assertIn(b" 412 ", slow.recv(4096))
+        self.assertEqual(len(self.store.topics[TOPIC]), 1)
+
     def test_authors_write_again_at_new_offsets(self) -> None:
         self.store.put(TOPIC, "a", 1)
         copy = self.store.take_copy()
@@ -143,6 +160,24 @@
         self.eventually(lambda: self.store.newest("keyed.nodes") == written)
         self.assertEqual(node._services.state.instruments.value("store_returns"), 1)
 
+    def test_operators_can_tell_what_was_read_and_written_again(self) -> None:
+        """Guards against a return of which the lines of a node say nothing."""
+        node = self.start_node()
+        self.wait_ready(node)
+        self.eventually(lambda: self.store.newest("keyed.nodes"))
+        with mock.patch.object(node._services.state.log, "line") as line:
+            self.store.return_to(self.store.take_copy())
+            expected = {
+                "store_returned",
+                "endpoints_read_anew",
+                "operator_records_read_anew",
+                "announced_again",
+            }
+            self.eventually(lambda: expected <= {call.args[0] for call in line.call_args_list})
+        told = {call.args[0]: call.kwargs for call in line.call_args_list}
+        for name in expected - {"announced_again"}:
+            self.assertEqual((told[name]["era"], told[name]["previous"]), (2, 1), name)
+
     def test_weights_are_loaded_with_a_higher_fence_after_a_return(self) -> None:
         """Guards against engines that refuse every order after the store's return."""
         node = self.start_node()
