Tell a node everything once broadcasts reach it, not only when it connects

Seen: while tracing test_failing_version_is_taken_back_and_harms_few (75 refusals with limit_unavailable): of two nodes that start together, the second share slot of a shard was recorded 0.8 s or about 10 s after the configuration.

Cause: a node announces itself when its list of connected nodes changes. A link can exist before the node has read of the other in the instance list, and broadcasts go only to nodes of the plan made from that list; the announcement then went to nobody and was repeated with the tenth delta. A node that restarts within HEARD_S (5 s) is connected all the time, so the others did not announce themselves to it either. Until the tenth delta such a node does not name the others to callers, hands over no lease and assigns no share slot to them.

Change: broadcast returns the processes that it was sent to; a full delta is due while there is one among them that no full delta reached.

Evidence: two new tests of membership failed before and pass now.

--- a/packages/arbutustally-node/src/arbutustally_node/membership.py
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -72,6 +72,8 @@
         self._fresh_marks: list[Mark] = []
         self._deltas = 0
         self._last_connected: list[str] = []
+        self._reached: frozenset[Any] = frozenset()
+        self._introduced: frozenset[Any] = frozenset()
         self._stopping = Signal()
         self._loops: list[gevent.Greenlet] = []
 
@@ -240,9 +242,7 @@
 
     def share(self) -> None:
         """Sends one delta; everything to newly connected nodes and now and then."""
-        connected = self._peers().connected()
-        full = connected != self._last_connected or self._deltas % FULL_EVERY == 0
-        self._last_connected = connected
+        full = self._is_full_due()
         self._deltas += 1
         marks = self._own_marks() if full else self._fresh_marks
         self._fresh_marks = []
@@ -256,15 +256,30 @@
         self._polls.keep({instance.id for instance in self.assigned()})
         if loads:
             delta["loads"] = loads
-        self._broadcast(delta)
+        self._reached = self._broadcast(delta)
+        if full:
+            self._introduced = self._reached
+
+    def _is_full_due(self) -> bool:
+        """Returns whether the next delta has to tell everything.
+
+        A node can be connected before broadcasts reach it, because this node has not read of it in
+        the list yet; and one that restarts at once is connected all the time. So what counts
+        besides is which processes the last delta reached and no full one did.
+        """
+        connected = self._peers().connected()
+        is_changed = connected != self._last_connected
+        self._last_connected = connected
+        is_news = not self._reached <= self._introduced
+        return is_changed or is_news or self._deltas % FULL_EVERY == 0
 
     def _own_marks(self) -> list[Mark]:
         own = {instance.id for instance in self._own_part(MARK_COPIES)}
         repeated = [mark for mark in self._endpoints.marks() if mark.endpoint_id in own]
         return list(dict.fromkeys([*self._fresh_marks, *repeated]))
 
-    def _broadcast(self, delta: dict[str, Any]) -> None:
-        self._peers().broadcast(TOPIC, delta)
+    def _broadcast(self, delta: dict[str, Any]) -> frozenset[Any]:
+        return self._peers().broadcast(TOPIC, delta)
 
     def _on_delta(self, node_id: str, delta: dict[str, Any]) -> None:
         if "node" in delta:
--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -170,14 +170,17 @@
         heard = {node_id for node_id, instant in self._heard.items() if instant >= since}
         return sorted(heard | set(self._links))
 
-    def broadcast(self, topic: str, payload: Any) -> None:
+    def broadcast(self, topic: str, payload: Any) -> frozenset[Identity]:
         """Sends a message to all nodes that can be reached; best effort, at most once each.
 
+        :return: processes to which it was sent over a direct link; others pass it on.
         :raises PeerRejectedError: if the message is larger than a frame.
         """
         data = encode(Events((self._broadcasts.event(topic, payload),)))
-        for link in self._broadcast_links():
+        links = self._broadcast_links()
+        for link in links:
             link.post(data)
+        return frozenset(link.peer for link in links)
 
     def call(self, node_id: str, method: str, payload: Any, timeout_s: float) -> Any:
         """Calls a method of a node, over a direct link that is opened if there is none.
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -38,12 +38,18 @@
         self.services: dict[str, MembershipService] = {}
         self.subscribers: dict[str, Any] = {}
         self.cut: set[str] = set()
+        # Connected nodes that broadcasts do not reach.
+        self.unreached: set[str] = set()
+        self.incarnations: dict[str, int] = {}
 
     def port(self, name: str) -> SimpleNamespace:
-        def broadcast(_topic: str, payload: Any) -> None:
-            for other, deliver in list(self.subscribers.items()):
-                if other != name and not {name, other} & self.cut:
-                    deliver(name, payload)
+        def broadcast(_topic: str, payload: Any) -> frozenset[tuple[str, int]]:
+            away = self.cut | self.unreached | {name}
+            others = self.subscribers if name not in self.cut else ()
+            reached = [other for other in others if other not in away]
+            for other in reached:
+                self.subscribers[other](name, payload)
+            return frozenset((other, self.incarnations.get(other, 0)) for other in reached)
 
         def connected() -> list[str]:
             if name in self.cut:
@@ -226,6 +232,36 @@
         self.assertEqual(list(self.states("a")), ["e1", "e2"])
         self.assertEqual(len(self.hub.services["a"].nodes()), 3)
 
+    def share_twice(self) -> None:
+        """Lets all nodes send two deltas, of which none is a periodic full one."""
+        for _ in range(2):
+            for service in self.hub.services.values():
+                service.share()
+
+    def live_at(self, name: str) -> list[str]:
+        return [node.id for node in self.hub.services[name].live_nodes()]
+
+    def test_node_that_is_reached_after_it_is_connected_is_told_everything(self) -> None:
+        """Guards against a new node that does not know the others for ten deltas, and so assigns
+        no share slots to them: its link existed before it was read of in the list."""
+        self.hub.unreached = {"d"}
+        self.add("d")
+        self.share_twice()
+        self.assertEqual(self.live_at("d"), ["d"])
+        self.hub.unreached = set()
+        self.share_twice()
+        self.assertEqual(self.live_at("d"), ["a", "b", "c", "d"])
+
+    def test_node_that_restarts_at_once_is_told_everything(self) -> None:
+        """Guards against a restarted node that does not know the others for ten deltas, because
+        they saw no change of the connected nodes."""
+        self.add("d")
+        self.share_twice()
+        self.add("d")
+        self.hub.incarnations["d"] = 1
+        self.share_twice()
+        self.assertEqual(self.live_at("d"), ["a", "b", "c", "d"])
+
     def test_draining_node_is_not_named_although_listed_live(self) -> None:
         """Guards against callers sent to a node that shuts down."""
         directories = {
