--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -17,7 +17,13 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-SOURCES = ("arbutustally", "arbutustally-node", "arbutustally-cli", "arbutustally-standins")
+SOURCES = (
+    "packages/arbutustally/src",
+    "packages/arbutustally-node/src",
+    "packages/arbutustally-cli/src",
+    "packages/arbutustally-standins/src",
+    "platform",
+)
 TEST_TIMEOUT_S = 300
 
 
@@ -55,13 +61,13 @@
 
 def copy_tree(target: Path) -> None:
     """Copies the sources and tests to ``target``."""
-    ignore = shutil.ignore_patterns(".git", ".venv", "__pycache__", "out", ".hypothesis")
+    ignore = shutil.ignore_patterns(".git", ".venv", "__pycache__", "out", ".hypothesis", "target")
     shutil.copytree(ROOT, target, ignore=ignore)
 
 
 def run_test(tree: Path, test: str) -> bool:
     """Returns whether the test passes in ``tree``."""
-    paths = [str(tree / "packages" / name / "src") for name in SOURCES]
+    paths = [str(tree / source) for source in SOURCES]
     environment = dict(os.environ, PYTHONPATH=os.pathsep.join(paths), PYTHONDONTWRITEBYTECODE="1")
     try:
         finished = subprocess.run(
