Do not join a stream with one that begins again

What callers saw: events 1, 2, 1, 2, 3, 4, 5 in an answer that looks complete, if the second engine ignores Last-Event-Id, after a pause as after a break.

Cause: whole events of a resumed stream were passed on without a look at their ids.

Change: the first id after a resumption must exceed the last one passed on. Otherwise the attempt counts as broken (it may have run) and nothing of it is passed on. Of an engine that is asked beside a silent one this is found before it counts as an answer, so the silent one is kept. The platform's ids are increasing integers; ids that are no decimal numbers, and events without an id, can't be compared and are passed on as before.

Why it works: the check comes before the bytes of the first event with an id are returned, at both places that read a resumed stream.

Tests: the two of CutAnswerTest named "begins_again" failed before (events 1, 2, 1 to 5; no ProtocolError). test_first_id_after_a_resumption_must_follow is new with the function.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -269,7 +269,8 @@
             return attempt
         hedge.heard()
         guard = hedge.watch(SILENT_START_S)
-        return self._services.transport.await_event(attempt, self.left_s, guard)
+        resumed_after = self._relay.last_id if self._relay else ""
+        return self._services.transport.await_event(attempt, self.left_s, guard, resumed_after)
 
     def _other_answers(self) -> bool:
         """Waits for the attempt beside the one that has ended; returns whether it is answered."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
@@ -7,7 +7,7 @@
 
 from arbutustally.clock import Clock
 from arbutustally.errors import EndpointTimeoutError, RouterError
-from arbutustally.gateway.events import EventTooLongError, WholeEvents
+from arbutustally.gateway.events import EventError, WholeEvents
 from arbutustally_node.caller_watch import CallerWatch
 from arbutustally_node.gateway.caller import CallerConnection, Headers
 from arbutustally_node.gateway.hedge import Hedge, OvertakenError, UnreachableError
@@ -92,7 +92,7 @@
         except EndpointTimeoutError:
             response.close()
             return RelayEnd.SILENT
-        except (RouterError, EventTooLongError):
+        except (RouterError, EventError):
             response.close()
             return RelayEnd.BROKEN
         except BaseException:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -9,7 +9,7 @@
 from arbutustally.errors import EndpointFailedError, EndpointTimeoutError, Ran, RouterError
 from arbutustally.gateway.attempts import Outcome
 from arbutustally.gateway.endpoints import EndpointState
-from arbutustally.gateway.events import EventTooLongError, WholeEvents
+from arbutustally.gateway.events import EventError, WholeEvents
 from arbutustally.gateway.requests import CallerRequest
 from arbutustally_node.gateway.hedge import OvertakenError, UnreachableError
 from arbutustally_node.gateway.ports import AnswerTerms, AttemptTerms, HttpCodec
@@ -95,22 +95,27 @@
         return self._judge(request, state, response)
 
     def await_event(
-        self, attempt: Attempt, left_s: float, guard: AbstractContextManager[None]
+        self,
+        attempt: Attempt,
+        left_s: float,
+        guard: AbstractContextManager[None],
+        resumed_after: str,
     ) -> Attempt:
         """Waits for the first whole event of a stream, which stays to be read.
 
         :param guard: watches the wait for it.
+        :param resumed_after: as for ``WholeEvents``.
         """
         response = attempt.response
         arrived = b""
         try:
             with guard, gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
-                while not WholeEvents().feed(arrived) and (piece := response.read()):
+                while not WholeEvents(resumed_after).feed(arrived) and (piece := response.read()):
                     arrived += piece
         except UnreachableError:
             response.close()
             return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE, attempt.status)
-        except (RouterError, EventTooLongError, _HeadTimeoutError):
+        except (RouterError, EventError, _HeadTimeoutError):
             response.close()
             return Attempt(Outcome.MAY_HAVE_RUN, "stream_broken", attempt.status)
         except BaseException:
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -94,6 +94,34 @@
         answer = self.ask()
         self.assertEqual(answer.data, events(1, 5))
 
+    def test_paused_stream_is_kept_where_the_other_engine_begins_again(self) -> None:
+        """Guards against events 1, 2, 1 to 5 from an engine that ignores Last-Event-Id."""
+        self.set_routes()
+
+        def begins_again(headers):
+            return signed(headers, iter([events(1, 5)]))
+
+        self.answer_first_with(self.paused(SILENT_GAP_S + 0.8), begins_again)
+        self.assertEqual(self.ask().data, events(1, 5))
+
+    def test_broken_stream_does_not_go_on_at_an_engine_that_begins_again(self) -> None:
+        """Guards against an answer that has events twice and looks complete."""
+        self.set_routes()
+
+        def begins_again(headers):
+            asked.append(headers)
+            is_first = len(asked) == 1
+            body = events(1, 2 if is_first else 5)
+            size = str(len(body) + is_first)
+            fields = {**head(headers), "Content-Length": size, "Connection": "close"}
+            return HTTPResponse(body=iter([body]), headers=fields)
+
+        asked: list[dict[str, str]] = []
+        self.answer_first_with(begins_again, begins_again)
+        with self.assertRaises(urllib3.exceptions.ProtocolError):
+            self.ask()
+        self.assertEqual([one.get("Last-Event-Id") for one in asked], [None, "2"])
+
     def test_late_first_event_is_waited_for_where_other_engines_are_full(self) -> None:
         """Guards against a request that loses its place at an engine and finds no other."""
         self.set_routes()
--- a/tests/test_gateway_events.py
+++ b/tests/test_gateway_events.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from arbutustally.gateway.events import EventTooLongError, WholeEvents
+from arbutustally.gateway.events import EventTooLongError, RepeatedEventError, WholeEvents
 
 
 class WholeEventsTest(unittest.TestCase):
@@ -23,6 +23,28 @@
         self.assertEqual(out + events.rest, fed)
         self.assertEqual(events.last_id, str(out.count(b"id:")) if out else "")
 
+    def test_first_id_after_a_resumption_must_follow(self) -> None:
+        """Guards against a stream that begins again and is passed on as its own rest."""
+        for last, first, is_refused in (
+            (b"9", b"10", False),
+            (b"9", b"12", False),
+            (b"9", b"9", True),
+            (b"10", b"9", True),
+            (b"9", b"09", True),
+            (b"9", b"1" * 5000, False),
+            (b"9", b"a", False),
+            (b"a", b"a", False),
+        ):
+            with self.subTest(last=last, first=first):
+                events = WholeEvents()
+                events.feed(b"id: " + last + b"\n\nid: 1")
+                events.restart()
+                resumed = b"id: " + first + b"\n\nid: 1\n\n"
+                if is_refused:
+                    self.assertRaises(RepeatedEventError, events.feed, resumed)
+                else:
+                    self.assertEqual(events.feed(resumed), resumed)
+
     def test_endless_event_is_refused(self) -> None:
         with self.assertRaises(EventTooLongError):
             WholeEvents().feed(b"x" * (2 << 20))
