Keep half of the repeats from hedges

What callers saw: 502 for a request whose first engine failed, right after ten streams that only paused and all ended well.

Cause: a request sent beside a silent engine took its repeat from the same budget as one whose attempt has ended, and each pause could take several, one for each engine that was full. The ten streams took all 8 of the node.

Change: RepeatLedger.take_for_hedge takes a repeat only while more than half of the budget is left; attempts that have ended use all of it as before.

Why it works: hedges alone leave half of the budget of the window. A node whose budget is one repeat may still use it for a hedge.

Tests: test_hedges_leave_repeats_for_streams_that_broke_off failed before (unsigned_answer, 502); test_hedges_leave_half_of_the_budget is new with the function.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -216,7 +216,7 @@
             placed = self._placer.place_elsewhere(self.left_s)
         except RouterError:
             return None
-        if not self._take_repeat():
+        if not self._services.repeats.take_for_hedge(self._placer.service.name):
             return None
         self._other = self._begin(placed)
         self._other_greenlet = gevent.spawn(self._send_other, self._other)
--- a/packages/arbutustally/src/arbutustally/gateway/attempts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/attempts.py
@@ -17,6 +17,9 @@
 MIN_ATTEMPT_S = 0.02
 #: Part of the fleet's budget that is used; nodes count their own traffic only.
 BUDGET_USED = 0.8
+#: Part of the budget that is kept for attempts that have ended: most requests that are hedged would
+#: end well without it, while those whose endpoint failed have no other way.
+KEPT_FROM_HEDGES = 0.5
 #: Sends of one request that ran nowhere; endpoints that are full say so within a few ms.
 MAX_SENDS = 4
 
@@ -85,13 +88,21 @@
         self._repeats[service].append(self._clock())
         return True
 
+    def take_for_hedge(self, service: str) -> bool:
+        """Counts a repeat beside an attempt at work if more than the part to be kept is left."""
+        if self.left(service) <= self._room(service) * KEPT_FROM_HEDGES:
+            return False
+        return self.take(service)
+
     def left(self, service: str) -> int:
         """Returns the repeats for which the budget has room now."""
-        requests = len(self._recent(self._requests, service))
         repeats = len(self._recent(self._repeats, service))
-        budget = self._budget
-        room = (requests * budget.share + budget.slack / self._nodes) * BUDGET_USED
-        return max(0, math.floor(room - repeats))
+        return max(0, math.floor(self._room(service) - repeats))
+
+    def _room(self, service: str) -> float:
+        requests = len(self._recent(self._requests, service))
+        slack = self._budget.slack / self._nodes
+        return (requests * self._budget.share + slack) * BUDGET_USED
 
     def _recent(self, table: dict[str, deque[float]], service: str) -> deque[float]:
         entries = table.setdefault(service, deque())
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -267,6 +267,35 @@
         answer = self.ask()
         self.assertEqual((answer.status, counts), (200, [1]))
 
+    def test_hedges_leave_repeats_for_streams_that_broke_off(self) -> None:
+        """Guards against 502 after a failed engine since streams that paused took all repeats."""
+        self.set_routes()
+        asked: set[str] = set()
+
+        def paused(headers):
+            if headers["Request-Id"] in asked:
+                return full(headers)
+            asked.add(headers["Request-Id"])
+            return self.paused(2.5)(headers)
+
+        def fails_first(headers):
+            if headers["Request-Id"] in asked:
+                return signed(headers, iter([events(1, 5)]))
+            asked.add(headers["Request-Id"])
+            return HTTPResponse(body=b"x")
+
+        self.answer_first_with(paused, paused)
+        calls = [
+            gevent.spawn(self.call, self.node, "/chat/x", f"p{number}", Deadline_Ms="6000")
+            for number in range(10)
+        ]
+        gevent.sleep(1.5)
+        self.answer_first_with(fails_first, fails_first)
+        answer = self.call(self.node, "/chat/x", "c1", Deadline_Ms="3000")
+        gevent.joinall(calls)
+        self.assertEqual(answer.data, events(1, 5))
+        self.assertEqual([call.value.data for call in calls], [events(1, 5)] * 10)
+
 
 class FailedChecksTest(GatewayCase):
     """Checks of an endpoint that fail although it works on the request."""
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -74,6 +74,13 @@
             self.assertLessEqual(within, 0.2 * 1000 + 56)
         self.assertGreater(len(repeats), 100)
 
+    def test_hedges_leave_half_of_the_budget(self) -> None:
+        """Guards against hedges that use up what failed attempts need."""
+        ledger = RepeatLedger.from_config(VirtualClock(), RepeatBudget(10.0, 0.2, 10.0))
+        self.assertEqual(sum(ledger.take_for_hedge("s") for _ in range(20)), 4)
+        self.assertEqual(sum(ledger.take("s") for _ in range(20)), 4)
+        self.assertFalse(ledger.take_for_hedge("s"))
+
 
 class QuotaTest(unittest.TestCase):
     TOLERANCE = QuotaTolerance(0.1, 110_000.0)
