--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -218,7 +218,7 @@
             placed = self._placer.place_elsewhere(self.left_s)
         except RouterError:
             return None
-        if not self._take_repeat():
+        if not self._services.repeats.take_for_hedge(self._placer.service.name):
             return None
         self._other = self._begin(placed)
         self._other_greenlet = gevent.spawn(self._send_other, self._other)
@@ -273,7 +273,8 @@
         if not self._is_stream(attempt):
             return self._read_whole(attempt, hedge)
         guard = hedge.watch(SILENT_START_S)
-        return self._services.transport.await_event(attempt, self.left_s, guard)
+        resumed_after = self._relay.last_id if self._relay else ""
+        return self._services.transport.await_event(attempt, self.left_s, guard, resumed_after)
 
     def _other_answers(self) -> bool:
         """Waits for the attempt beside the one that has ended; returns whether it is answered."""
