Let only the serving greenlet watch for the end of its caller

Test: test_caller_that_leaves_is_noticed_after_the_other_attempt_broke failed before ([1, 0] requests left at the endpoints), passes now.

Also: SilentEngineTest plays its burst of five beside the traffic of which it is a part.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -1,6 +1,6 @@
 """The attempts of one request, until it is answered or given up."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager
 
 import gevent
@@ -271,7 +271,8 @@
             return attempt
         hedge.heard()
         if not self._is_stream(attempt):
-            return self._read_whole(attempt, hedge)
+            # The end of the caller is noticed by the greenlet that serves it.
+            return self._read_whole(attempt, lambda: hedge.watch(FIRST_BYTE_S))
         guard = hedge.watch(SILENT_START_S)
         resumed_after = self._relay.last_id if self._relay else ""
         return self._services.transport.await_event(attempt, self.left_s, guard, resumed_after)
@@ -354,16 +355,19 @@
         if self._is_stream(attempt):
             return self._stream(tried, hedge)
         if attempt.response is not None:
-            attempt = self._read_whole(attempt, hedge)
+            attempt = self._read_whole(attempt, lambda: self._watching(hedge))
         if attempt.outcome is Outcome.ANSWERED:
             self._connection.send_whole(attempt.status, attempt.terms.headers, attempt.body)
         return attempt
 
-    def _read_whole(self, attempt: Attempt, hedge: Hedge) -> Attempt:
-        """Reads the body of an answer; each piece of it ends the endpoint's silence."""
-        return self._services.transport.read_whole(
-            attempt, self.left_s, lambda: self._watching(hedge)
-        )
+    def _read_whole(
+        self, attempt: Attempt, watch: Callable[[], AbstractContextManager[None]]
+    ) -> Attempt:
+        """Reads the body of an answer; each piece of it ends the endpoint's silence.
+
+        :param watch: returns what watches the wait for a piece.
+        """
+        return self._services.transport.read_whole(attempt, self.left_s, watch)
 
     def _is_stream(self, attempt: Attempt) -> bool:
         return self._route.kind is RouteKind.STREAM and attempt.status == 200
@@ -371,7 +375,7 @@
     def _deliver_whole(self, attempt: Attempt) -> None:
         """Delivers an endpoint's own failure."""
         status, headers = attempt.status, attempt.terms.headers
-        whole = self._services.transport.read_whole(attempt, self.left_s, lambda: self._watch)
+        whole = self._read_whole(attempt, lambda: self._watch)
         if whole.outcome is Outcome.MAY_HAVE_RUN:
             raise EndpointFailedError("the endpoint's answer broke off", ran=Ran.MAY_HAVE_RUN)
         self._trace.status = status
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -597,6 +597,8 @@
     """Replays requests that wait longer for one engine than another one takes to answer them."""
 
     REQUESTS = 5
+    #: Requests before, so that half of the repeat budget has room for all of the burst.
+    EARLIER = 50
     LATE_S = FIRST_BYTE_S + 1.0
 
     def setUp(self) -> None:
@@ -607,6 +609,8 @@
         changed["routes"][0] |= {"timeoutMs": 6000}
         self.store.put("keyed.op", "config", changed)
         self.eventually(lambda: self.node._view.configuration.version == 2)
+        for _ in range(self.EARLIER):
+            self.node._services.exchange._services.repeats.requested("llm")
 
     def send_to_first_engine(self, running) -> None:
         """Sends requests that get no head in time beside one that runs there.
--- a/tests/test_hedged_answers.py
+++ b/tests/test_hedged_answers.py
@@ -60,15 +60,20 @@
         self.store.put("keyed.op", "config", changed)
         self.eventually(lambda: self.node._view.configuration.version == 2)
 
-    def raw_chat(self) -> bytes:
-        """Returns every byte that the caller of a stream gets."""
+    def connect(self, path: bytes) -> gevent.socket.socket:
+        """Returns the connection on which a request was sent."""
         host, _, port = self.node._options.caller_listen.rpartition(":")
         caller = gevent.socket.create_connection((host, int(port)))
         caller.sendall(
-            b"POST /chat/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+            b"POST " + path + b" HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
             b"Authorization: Token key-school\r\nDeadline-Ms: 6000\r\nModel: m\r\n"
             b"Token-Usage: 100,5\r\nPrompt-Prefix: aa:60,bb:40\r\nContent-Length: 0\r\n\r\n"
         )
+        return caller
+
+    def raw_chat(self) -> bytes:
+        """Returns every byte that the caller of a stream gets."""
+        caller = self.connect(b"/chat/x")
         caller.settimeout(3.0)
         got = b""
         with suppress(OSError):
@@ -215,3 +220,27 @@
             answer = self.call(self.node, "/chat/x", "r1", Deadline_Ms="6000")
         self.assertEqual(answer.data, events(1, 5))
         self.assertLess(time.monotonic() - began, 2.5)
+
+    def test_caller_that_leaves_is_noticed_after_the_other_attempt_broke(self) -> None:
+        """Guards against work for nobody once the body of another endpoint's answer broke off."""
+        self.set_timeout(PLAIN_ROUTE)
+
+        def works(_headers):
+            gevent.sleep(6.0)
+
+        def breaks(headers):
+            def body():
+                yield b"x" * 100
+                gevent.sleep(0.2)
+                raise OSError
+
+            return signed(headers, body())
+
+        self.answer_first_with(works, breaks, self.desks)
+        caller = self.connect(b"/look/x")
+        states = self.node._view.book.of_service("desk")
+        self.eventually(lambda: sum(state.running for state in states) == 2)
+        self.eventually(lambda: sum(state.running for state in states) == 1)
+        caller.close()
+        gevent.sleep(1.0)
+        self.assertEqual([state.running for state in states], [0, 0])
