--- /dev/null
+++ b/tests/engine_answers.py
@@ -0,0 +1,61 @@
+"""Answers of stand-in engines, and other terms of requests that wait for them."""
+
+import errno
+from unittest import mock
+
+import gevent
+from bottle import HTTPResponse
+
+from arbutustally_node.gateway import endpoint_check
+from arbutustally_node.gateway.node import GatewayNode
+
+#: Longer than any pause after which a node may look for another endpoint, seconds.
+LONG_PAUSE_S = 2.4
+
+#: What checks of endpoints end with.
+REFUSED = ConnectionRefusedError(errno.ECONNREFUSED, "refused")
+TIMED_OUT = TimeoutError("timed out")
+
+
+def events(first: int, last: int) -> bytes:
+    """Returns whole events of a stream."""
+    return b"".join(
+        b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(first, last + 1)
+    )
+
+
+def head(headers: dict[str, str]) -> dict[str, str]:
+    """Returns the headers that an engine sends with each answer."""
+    return {"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
+
+
+def signed(headers: dict[str, str], body) -> HTTPResponse:
+    """Returns an answer of an engine with a body in pieces."""
+    return HTTPResponse(body=body, headers=head(headers))
+
+
+def full(headers: dict[str, str]) -> HTTPResponse:
+    """Returns the refusal of an engine that has no room."""
+    return HTTPResponse(status=503, headers={**head(headers), "Not-Executed": "1"})
+
+
+def goes_on(headers: dict[str, str]) -> HTTPResponse:
+    """Answers a stream of three seconds without a pause."""
+
+    def body():
+        for number in range(1, 31):
+            gevent.sleep(0.1)
+            yield events(number, number)
+
+    return signed(headers, body())
+
+
+def connects_fail(error: OSError):
+    """Makes all checks of endpoints fail."""
+    return mock.patch.object(endpoint_check, "_connect_error", return_value=error)
+
+
+def use_up(node: GatewayNode) -> None:
+    """Uses up a node's budget of repeats at the engines."""
+    while node._services.state.repeats.take("llm"):
+        pass
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -1,40 +1,32 @@
 """Answers that have begun reach their end, or another endpoint has taken the request before."""
 
-import errno
-import socket
 import time
-from contextlib import suppress
 from unittest import mock
 
 import gevent
 import urllib3
 from bottle import HTTPResponse
-from gevent.pool import Pool
-from gevent.server import StreamServer
 
 from arbutustally.gateway.endpoints import FailedCheck
-from arbutustally_node.gateway import endpoint_check, stream_relay
+from arbutustally_node.gateway import stream_relay
 from arbutustally_node.gateway.node import GatewayNode
 from arbutustally_node.gateway.request_run import FIRST_BYTE_S
 from arbutustally_node.gateway.stream_relay import SILENT_GAP_S
 from arbutustally_node.gateway.weights_service import LOADS_DUTY
+from tests.engine_answers import (
+    LONG_PAUSE_S,
+    REFUSED,
+    TIMED_OUT,
+    connects_fail,
+    events,
+    full,
+    head,
+    signed,
+    use_up,
+)
 from tests.gateway_fleet import GatewayCase
 from tests.platform_fakes import FakeWorker, configuration
 
-#: Longer than any pause after which a node may look for another endpoint, seconds.
-LONG_PAUSE_S = 2.4
-
-#: What checks of endpoints end with.
-REFUSED = ConnectionRefusedError(errno.ECONNREFUSED, "refused")
-TIMED_OUT = TimeoutError("timed out")
-
-
-def events(first: int, last: int) -> bytes:
-    """Returns whole events of a stream."""
-    return b"".join(
-        b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(first, last + 1)
-    )
-
 
 class CutAnswerTest(GatewayCase):
     def setUp(self) -> None:
@@ -297,228 +289,6 @@
         self.assertEqual([call.value.data for call in calls], [events(1, 5)] * 10)
 
 
-class FailedChecksTest(GatewayCase):
-    """Checks of an endpoint that fail although it works on the request."""
-
-    def setUp(self) -> None:
-        super().setUp()
-        self.node = self.start_node()
-        self.wait_ready(self.node)
-        changed = configuration(2)
-        for route in changed["routes"]:
-            route |= {"timeoutMs": 20000, "maxAttempts": 1}
-        changed["routes"][0]["resumable"] = False
-        self.store.put("keyed.op", "config", changed)
-        self.eventually(lambda: self.node._view.configuration.version == 2)
-
-    def check_engines(self) -> None:
-        for state in self.engine_states():
-            self.node._services.exchange._services.on_silent(state)
-
-    def engine_states(self):
-        return self.node._view.book.of_service("llm")
-
-    def test_booking_at_work_is_waited_for(self) -> None:
-        """Guards against 502 for a booking that its worker, slow to accept connects, makes."""
-
-        def books(headers):
-            gevent.sleep(3.5)
-            return HTTPResponse(headers=head(headers), body=b"booked")
-
-        for desk in self.desks:
-            desk.behave = books
-        with connects_fail(TIMED_OUT):
-            answer = self.call(self.node, "/book/x", "b1", b"{}", Deadline_Ms="5000")
-        self.assertEqual(answer.data, b"booked")
-
-    def test_data_that_wait_for_a_slow_caller_are_passed_on(self) -> None:
-        """Guards against counting the time in which the caller does not read as silence."""
-
-        def stream(headers):
-            def body():
-                for number in range(1, 3001):
-                    yield b"id: %d\ndata: %b\n\n" % (number, b"p" * 1200)
-                    gevent.sleep(0.0005)
-
-            return signed(headers, body())
-
-        for engine in self.engines:
-            engine.behave = stream
-        caller = self.connect_slow_caller()
-        got = caller.recv(1000)
-        with connects_fail(REFUSED):
-            self.check_engines()
-            gevent.sleep(4.5)
-            caller.settimeout(6.0)
-            with suppress(OSError):
-                while not got.endswith(b"0\r\n\r\n") and (data := caller.recv(65536)):
-                    got = got[-100:] + data
-        self.assertTrue(got.endswith(b"0\r\n\r\n"), got[-60:])
-
-    def connect_slow_caller(self) -> gevent.socket.socket:
-        """Returns a connection on which a stream was asked for and that takes little unread."""
-        host, _, port = self.node._options.caller_listen.rpartition(":")
-        caller = gevent.socket.socket()
-        self.addCleanup(caller.close)
-        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        caller.connect((host, int(port)))
-        caller.sendall(
-            b"POST /chat/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
-            b"Authorization: Token key-school\r\nDeadline-Ms: 15000\r\nModel: m\r\n"
-            b"Token-Usage: 100,5\r\nPrompt-Prefix: aa:60,bb:40\r\nContent-Length: 0\r\n\r\n"
-        )
-        return caller
-
-    def test_checks_before_the_silence_do_not_count(self) -> None:
-        """Guards against an endpoint that pauses, so is not checked, and is given up for that."""
-
-        def stream(headers):
-            def body():
-                yield events(1, 2)
-                gevent.sleep(LONG_PAUSE_S)
-                yield events(3, 5)
-
-            return signed(headers, body())
-
-        for engine in self.engines:
-            engine.behave = stream
-        with connects_fail(REFUSED) as connect_error:
-            self.check_engines()
-            self.eventually(
-                lambda: all(len(one.failed_checks) >= 2 for one in self.engine_states())
-            )
-            connect_error.return_value = None
-            call = gevent.spawn(self.call, self.node, "/chat/x", "r1", Deadline_Ms="6000")
-            gevent.sleep(0.05)
-            for state in self.engine_states():
-                state.paused_until = time.monotonic() + 5.0
-            call.join()
-        self.assertEqual(call.value and call.value.data, events(1, 5))
-
-
-class StoppedRefusalTest(GatewayCase):
-    """An endpoint that refuses, and whose refusal stops inside its body."""
-
-    def setUp(self) -> None:
-        super().setUp()
-        node = self.start_node()
-        self.wait_ready(node)
-        changed = configuration(2)
-        changed["routes"][2] |= {"timeoutMs": 6000, "maxAttempts": 1}
-        self.store.put("keyed.op", "config", changed)
-        server = StreamServer(("127.0.0.1", 0), self._refuse, spawn=Pool())
-        server.start()
-        self.addCleanup(server.stop, 0)
-        address = f"127.0.0.1:{server.server_port}"
-        for desk in self.desks:
-            entry = desk.entry() | {"address": address, "sequence": 9}
-            self.store.put("keyed.servers", desk.id, entry)
-        states = node._view.book.of_service("desk")
-        self.eventually(lambda: all(one.address == address for one in states))
-        self.eventually(lambda: node._view.configuration.version == 2)
-        self.node = node
-
-    def _refuse(self, sock, _address) -> None:
-        data = b""
-        while b"\r\n\r\n" not in data:
-            if not (piece := sock.recv(65536)):
-                return
-            data += piece
-        request_id = data.lower().split(b"request-id: ")[1].split(b"\r\n")[0]
-        start = b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: "
-        start += request_id + b"\r\nTransfer-Encoding: chunked\r\nX: "
-        # The head fills the reader's buffer, so that the size line is left in the socket.
-        start += b"x" * (8192 - 1 - 4 - len(start)) + b"\r\n\r\n"
-        sock.sendall(start + b"1000")
-        gevent.sleep(9.0)
-
-    def test_its_request_is_answered_at_once(self) -> None:
-        """Guards against a caller that is held beyond its deadline by the rest of a refusal."""
-        began = time.monotonic()
-        answer = self.call(self.node, "/look/x", "r1", Deadline_Ms="1000")
-        self.assertEqual(answer.status, 503)
-        self.assertLess(time.monotonic() - began, 2.0)
-
-
-class DeadOtherEndpointTest(GatewayCase):
-    """Replays an engine that ends, without a word, after a request was sent to it as well."""
-
-    def setUp(self) -> None:
-        super().setUp()
-        self.http = urllib3.PoolManager(retries=False, timeout=9.0)
-        third = FakeWorker("e3", "llm", "m")
-        self.addCleanup(third.stop)
-        self.store.put("keyed.servers", third.id, third.entry())
-        self.engines.append(third)
-        self.node = self.start_node()
-        self.wait_ready(self.node, 3)
-        changed = configuration(2)
-        changed["routes"][0] |= {"timeoutMs": 8000, "maxAttempts": 3}
-        self.store.put("keyed.op", "config", changed)
-        self.eventually(lambda: self.node._view.configuration.version == 2)
-        self.asked: list[str] = []
-
-    def ask(self, first, begins_head: bool = False) -> float:
-        """Sends a request whose first engine answers ``first`` and whose second one has ended.
-
-        :param begins_head: the second one has sent the head of its answer before.
-        :return: time until the whole answer had come, seconds.
-        """
-
-        def part():
-            yield b"id: 3\n"
-            gevent.sleep(9.0)
-
-        def behave(engine: FakeWorker, headers: dict[str, str]):
-            self.asked.append(engine.id)
-            if len(self.asked) == 1:
-                return first(headers)
-            if len(self.asked) == 2 and begins_head:
-                return signed(headers, part())
-            if len(self.asked) == 2:
-                gevent.sleep(9.0)
-            return signed(headers, iter([events(3, 5)]))
-
-        for engine in self.engines:
-            engine.behave = lambda headers, engine=engine: behave(engine, headers)
-        with mock.patch.object(endpoint_check, "_connect_error", self._connect_error):
-            began = time.monotonic()
-            answer = self.call(self.node, "/chat/x", "r1", Deadline_Ms="7000")
-            took_s = time.monotonic() - began
-        self.assertEqual(answer.data, events(1, 5))
-        return took_s
-
-    def _connect_error(self, address: str) -> OSError | None:
-        dead = self.asked[1] if len(self.asked) > 1 else ""
-        is_dead = any(engine.address == address for engine in self.engines if engine.id == dead)
-        return TIMED_OUT if is_dead else None
-
-    def test_it_is_not_waited_for_after_the_first_one_has_broken_off(self) -> None:
-        """Guards against a caller that waits for a dead endpoint while a third one is idle."""
-
-        def breaks_off(headers):
-            def body():
-                yield events(1, 2)
-                gevent.sleep(SILENT_GAP_S + 0.4)
-
-            fields = {**head(headers), "Content-Length": "9999", "Connection": "close"}
-            return HTTPResponse(body=body(), headers=fields)
-
-        self.assertLess(self.ask(breaks_off), 4.5)
-
-    def test_it_does_not_keep_a_third_one_from_being_asked(self) -> None:
-        """Guards against a silent endpoint beside which only one other, dead, is ever asked."""
-
-        def hangs(headers):
-            def body():
-                yield events(1, 2)
-                gevent.sleep(9.0)
-
-            return signed(headers, body())
-
-        self.assertLess(self.ask(hangs, begins_head=True), 4.5)
-
-
 class LoadOrderTest(GatewayCase):
     """Replays weights that are named while a stream runs, at engines that may break it off."""
 
@@ -591,129 +361,3 @@
         answer = self.name_weights_while_a_stream_runs_at(other)
         self.assertTrue(orderer._services.state.repeats.take("llm"))
         self.assertEqual((answer, self.strategies), (events(1, self.EVENTS), ["queue"]))
-
-
-class SilentEngineTest(GatewayCase):
-    """Replays requests that wait longer for one engine than another one takes to answer them."""
-
-    REQUESTS = 5
-    #: Requests before, so that half of the repeat budget has room for all of the burst.
-    EARLIER = 50
-    LATE_S = FIRST_BYTE_S + 1.0
-
-    def setUp(self) -> None:
-        super().setUp()
-        self.node = self.start_node()
-        self.wait_ready(self.node)
-        changed = configuration(2)
-        changed["routes"][0] |= {"timeoutMs": 6000}
-        self.store.put("keyed.op", "config", changed)
-        self.eventually(lambda: self.node._view.configuration.version == 2)
-        for _ in range(self.EARLIER):
-            self.node._services.exchange._services.repeats.requested("llm")
-
-    def send_to_first_engine(self, running) -> None:
-        """Sends requests that get no head in time beside one that runs there.
-
-        :param running: behaviour of the engine towards the request that runs.
-        """
-
-        def late(headers):
-            if headers["Request-Id"] == "running":
-                return running(headers)
-            gevent.sleep(self.LATE_S)
-            return None
-
-        self.engines[0].behave = late
-        first, second = (self.node._view.book.get(engine.id) for engine in self.engines)
-        second.prompt_tokens += 1e5
-        calls = [gevent.spawn(self.ask, "running")]
-        self.eventually(lambda: first.running == 1)
-        gevent.sleep(0.3)
-        calls += [gevent.spawn(self.ask, f"r{number}") for number in range(self.REQUESTS)]
-        self.eventually(lambda: first.running == self.REQUESTS + 1)
-        second.prompt_tokens -= 1e5
-        gevent.joinall(calls[1:], raise_error=True)
-        self.assertEqual(sorted(self.engines[1].ran)[: self.REQUESTS], self.names())
-
-    def names(self) -> list[str]:
-        return [f"r{number}" for number in range(self.REQUESTS)]
-
-    def ask(self, request_id: str) -> None:
-        answer = self.call(self.node, "/chat/x", request_id, Deadline_Ms="5000")
-        self.assertEqual(answer.status, 200)
-
-    def usable(self) -> list[str]:
-        return sorted(state.id for state in self.node._view.book.usable("llm"))
-
-    def test_engine_that_is_behind_goes_on_to_be_chosen(self) -> None:
-        """Replays a burst that an engine takes up late while what runs there goes on.
-
-        Guards against a burst that takes engines away from those that follow, which makes the rest
-        late as well.
-        """
-
-        self.send_to_first_engine(goes_on)
-        self.assertEqual(self.usable(), ["e1", "e2"])
-
-    def test_engine_at_work_at_the_callers_deadlines_goes_on_to_be_chosen(self) -> None:
-        """Replays long answers with short deadlines: each stream goes on when its time is over."""
-
-        for engine in self.engines:
-            engine.behave = goes_on
-        calls = [gevent.spawn(self.ask_briefly, f"r{number}") for number in range(10)]
-        gevent.joinall(calls, raise_error=True)
-        self.assertEqual(self.usable(), ["e1", "e2"])
-        failures = [state.failures for state in self.node._view.book.of_service("llm")]
-        self.assertEqual(failures, [0.0, 0.0])
-
-    def ask_briefly(self, request_id: str) -> None:
-        with self.assertRaises(urllib3.exceptions.ProtocolError):
-            self.call(self.node, "/chat/x", request_id, Deadline_Ms="1000")
-
-    def test_engine_that_hangs_is_avoided(self) -> None:
-        """Guards against callers that are sent to an engine which stopped in the middle."""
-
-        def hangs(headers):
-            def body():
-                yield events(1, 2)
-                gevent.sleep(9.0)
-
-            return signed(headers, body())
-
-        self.send_to_first_engine(hangs)
-        self.assertEqual(self.usable(), ["e2"])
-
-
-def connects_fail(error: OSError):
-    """Makes all checks of endpoints fail."""
-    return mock.patch.object(endpoint_check, "_connect_error", return_value=error)
-
-
-def use_up(node: GatewayNode) -> None:
-    """Uses up a node's budget of repeats at the engines."""
-    while node._services.state.repeats.take("llm"):
-        pass
-
-
-def goes_on(headers: dict[str, str]) -> HTTPResponse:
-    """Answers a stream of three seconds without a pause."""
-
-    def body():
-        for number in range(1, 31):
-            gevent.sleep(0.1)
-            yield events(number, number)
-
-    return signed(headers, body())
-
-
-def head(headers: dict[str, str]) -> dict[str, str]:
-    return {"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
-
-
-def signed(headers: dict[str, str], body) -> HTTPResponse:
-    return HTTPResponse(body=body, headers=head(headers))
-
-
-def full(headers: dict[str, str]) -> HTTPResponse:
-    return HTTPResponse(status=503, headers={**head(headers), "Not-Executed": "1"})
--- a/tests/test_hedged_answers.py
+++ b/tests/test_hedged_answers.py
@@ -9,9 +9,9 @@
 
 from arbutustally.gateway.attempts import RepeatLedger
 from arbutustally_node.gateway.request_run import FIRST_BYTE_S
+from tests.engine_answers import events, full, head, signed
 from tests.gateway_fleet import GatewayCase
 from tests.platform_fakes import configuration
-from tests.test_cut_answers import events, full, head, signed
 
 #: A pause after which a node has asked another endpoint, seconds.
 PAUSE_S = 1.6
