Name each holder of a port once

Cause: the kernel lists a socket again when others are opened while its table is read. Beside two processes that open and close connections (32,000 rows) 5 of 256 readings named one TIME_WAIT two or three times; on a quieter machine 0 of 400. A waiting node then logged its holders again without a change.

Change: equal rows count once. The new test failed before (the row twice).

--- a/packages/arbutustally-node/src/arbutustally_node/port_holders.py
+++ b/packages/arbutustally-node/src/arbutustally_node/port_holders.py
@@ -38,7 +38,8 @@
                 found += _of_port(lines, port)
         except OSError:
             continue
-    return found[:MAX_HOLDERS]
+    # The kernel lists a socket again if others are opened while the table is read.
+    return list(dict.fromkeys(found))[:MAX_HOLDERS]
 
 
 def _of_port(lines: Iterable[str], port: int) -> list[str]:
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -3,9 +3,13 @@
 import errno
 import socket
 import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest.mock import patch
 
 from structlog.testing import capture_logs
 
+from arbutustally_node import port_holders as port_holders_module
 from arbutustally_node.listening import listen
 from arbutustally_node.port_holders import port_holders
 from tests.ports import free_port
@@ -61,3 +65,11 @@
             other.listen()
             self.assertEqual(port_holders(self.port), ["LISTEN to :::0"])
         self.assertEqual(port_holders(self.port), [])
+
+    def test_socket_that_the_kernel_lists_twice_is_reported_once(self) -> None:
+        """Guards against a report that changes with the reading of a table under load."""
+        row = "   7: 0100007F:1F90 0100007F:1F91 06 00000000:00000000 03:00001770 00000000 0 0 0\n"
+        table = Path(self.enterContext(TemporaryDirectory())) / "tcp"
+        table.write_text("  sl  local_address rem_address   st\n" + row * 2)
+        with patch.object(port_holders_module, "TABLES", (table,)):
+            self.assertEqual(port_holders(8080), ["TIME_WAIT to 127.0.0.1:8081"])
