Check a listener's log lines without the level that other tests set

Cause: other tests set the level "error" for the whole process, so the warning is not written.

Change: the test reads what is passed to the logger. Shown: with the level set before, it failed and passes now; behind tests.test_limits_service 16 passed, 0 failed, three times; with the holders left out of the line it fails.

--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -7,8 +7,7 @@
 from tempfile import TemporaryDirectory
 from unittest.mock import patch
 
-from structlog.testing import capture_logs
-
+from arbutustally_node import listening
 from arbutustally_node import port_holders as port_holders_module
 from arbutustally_node.listening import listen
 from arbutustally_node.port_holders import port_holders
@@ -52,11 +51,14 @@
         for end in (first_far, first, second, second_far):
             end.close()
         instants = iter([0.0, 1.0, 1.0, 2.0, 1000.0, 1000.0])
-        with capture_logs() as lines, self.assertRaises(OSError) as caught:
+        with patch.object(listening, "_log") as log, self.assertRaises(OSError) as caught:
             listen(f"127.0.0.1:{self.port}", clock=lambda: next(instants))
         self.assertEqual(caught.exception.errno, errno.EADDRINUSE)
         host, port = self.listeners[1].getsockname()
-        self.assertEqual([line["holders"] for line in lines], [[f"TIME_WAIT to {host}:{port}"]])
+        self.assertEqual(
+            [call.kwargs["holders"] for call in log.warning.call_args_list],
+            [[f"TIME_WAIT to {host}:{port}"]],
+        )
 
     def test_report_names_listeners_and_connections_of_both_families(self) -> None:
         """Guards against holders that are overlooked because they use IPv6 sockets."""
