--- a/packages/arbutustally/src/arbutustally/cache_index.py
+++ b/packages/arbutustally/src/arbutustally/cache_index.py
@@ -1,8 +1,8 @@
-"""Learned index of cached prefixes: which endpoint holds how much of which prefix.
+"""Learned index of cached prefixes: which endpoint is expected to hold which prefix.
 
-Entries are estimates. They are keyed by account, model and weights version, and each holds the
+Entries are estimates. They are keyed by account, model and weights version, and each stores the
 incarnation that it was learned from, so that an entry of another account, of other weights or of a
-dead engine is never relied on.
+dead engine is never used.
 """
 
 from collections import OrderedDict
@@ -10,25 +10,25 @@
 
 from arbutustally.prefixes import PromptShape
 
-#: Default bound on entries; one takes about 470 bytes, so the index stays below 16 MB.
+#: Default bound on entries; an entry takes about 470 bytes, so the index stays below 16 MB.
 DEFAULT_MAX_ENTRIES = 32_000
-#: Chunks that all become anchors; beyond them the distance of anchors doubles with each doubling
-#: of the length, so an anchor misses at most 1/16 of a shared prefix.
+#: Number of leading chunks that each end in an anchor. Beyond them the distance between anchors
+#: doubles with each doubling of the length, so at most 1/16 of a shared prefix is missed.
 DENSE_ANCHORS = 16
 #: Endpoints remembered per prefix.
 MAX_HOLDERS = 8
-#: Start of the learned time for which engines keep an unused prefix, in seconds.
+#: Initial value of the learned time for which engines retain an unused prefix, in seconds.
 DEFAULT_KEEP_S = 30.0
-#: Bounds of that time in seconds.
+#: Bounds of the retention time in seconds.
 KEEP_BOUNDS_S = (1.0, 600.0)
-#: Factors by which a hit beyond it raises that time and a miss within it lowers it.
+#: Factors that raise the retention time after a late hit and lower it after a miss within it.
 KEEP_RAISE = 1.1
 KEEP_LOWER = 0.8
 
 
 @dataclass(frozen=True)
 class CacheScope:
-    """What a cached block belongs to; blocks of different scopes are never shared."""
+    """Owner of a cached block; blocks are never shared between scopes."""
 
     account: str
     model: str
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True)
 class Anchor:
-    """A prefix that the index can name.
+    """A prefix that the index stores.
 
     :ivar hash: hash of the prefix.
     :ivar tokens: its length in tokens.
@@ -48,9 +48,9 @@
 
 
 def anchors(shape: PromptShape, levels: bool = True) -> list[Anchor]:
-    """Returns the prefixes of a prompt that the index names, longest first.
+    """Returns the prefixes of a prompt that the index stores, longest first.
 
-    :param levels: include the ends of the levels beside the chunks.
+    :param levels: include the levels as well as the chunks.
     """
     found = {level.tokens: level.hash for level in shape.levels} if levels else {}
     for number in _anchor_numbers(len(shape.pieces)):
@@ -76,7 +76,7 @@
 
 
 class CacheIndex:
-    """Bounded map from (scope, prefix) to the endpoints that hold it; the oldest go first.
+    """Bounded map from (scope, prefix) to the endpoints that hold it; evicts the oldest entries.
 
     :param max_entries: bound on prefixes.
     """
@@ -91,11 +91,11 @@
         return len(self._entries)
 
     def keep_s(self, endpoint: str) -> float:
-        """Returns the learned time for which an endpoint keeps an unused prefix."""
+        """Returns the learned time in seconds for which an endpoint retains an unused prefix."""
         return self._keep_s.get(endpoint, DEFAULT_KEEP_S)
 
     def assume_keep(self, endpoint: str, seconds: float) -> None:
-        """Gives one place another keep time to start from than the default."""
+        """Sets the initial retention time of one endpoint, in place of the default."""
         self._keep_s[endpoint] = seconds
 
     def cached_tokens(
@@ -130,10 +130,10 @@
         cached: int,
         now: float,
     ) -> None:
-        """Enters the whole prompt after an answer that found ``cached`` tokens of it.
+        """Records the whole prompt after a response that reports ``cached`` tokens of it as cached.
 
-        A finished prefill leaves the whole prompt in the cache; the cached count corrects the
-        learned keep time. A late answer of a dead incarnation is ignored.
+        A finished prefill leaves the whole prompt in the cache. The cached count adjusts the learned
+        retention time. A late response of a dead incarnation is ignored.
         """
         if (endpoint, incarnation) in self._dead:
             return
@@ -143,7 +143,7 @@
     def enter(
         self, scope: CacheScope, names: list[Anchor], endpoint: str, incarnation: str, now: float
     ) -> None:
-        """Notes that the endpoint holds all these prefixes from ``now``."""
+        """Records that the endpoint holds all these prefixes as of ``now``."""
         if (endpoint, incarnation) in self._dead:
             return
         for anchor in names:
@@ -160,7 +160,7 @@
     def forget(
         self, scope: CacheScope, names: list[Anchor], endpoint: str, above_tokens: int
     ) -> None:
-        """Drops prefixes longer than ``above_tokens`` that the endpoint turned out not to hold."""
+        """Removes the endpoint from the holders of prefixes longer than ``above_tokens``."""
         for anchor in names:
             if anchor.tokens > above_tokens:
                 holders = self._entries.get((scope, anchor.hash))
@@ -168,7 +168,7 @@
                     holders.pop(endpoint, None)
 
     def drop(self, endpoint: str, incarnation: str) -> None:
-        """Marks an incarnation dead for good; its entries are never relied on again."""
+        """Marks an incarnation as permanently dead; its entries are no longer used."""
         self._dead[(endpoint, incarnation)] = None
         while len(self._dead) > self._max_entries:
             self._dead.popitem(last=False)
--- a/packages/arbutustally/src/arbutustally/endpoint_load.py
+++ b/packages/arbutustally/src/arbutustally/endpoint_load.py
@@ -1,4 +1,4 @@
-"""Load of endpoints as one node sees it: own dispatches since the last report, learned speed."""
+"""Load of endpoints as estimated by one node: its own recent dispatches and learned speeds."""
 
 from dataclasses import dataclass, field
 from itertools import count
@@ -6,21 +6,21 @@
 
 #: Prefill speed of an endpoint that has not been observed, in tokens/s.
 DEFAULT_PREFILL_TOKENS_PER_S = 8000.0
-#: Weight of the past in the learned speed after each observation.
+#: Decay factor of earlier observations in the learned speed, per observation.
 SPEED_MEMORY = 0.95
-#: Share of the default speed kept as a prior, in seconds of observed work.
+#: Weight of the default speed as a prior, in seconds of observed work.
 SPEED_PRIOR_S = 1.0
-#: Observations of less work than this say more about latency than about speed, in tokens.
+#: Least work of an observation, in tokens; the time of less work is dominated by latency.
 MIN_SPEED_TOKENS = 256
-#: Own dispatches older than this are taken as reported or lost, in seconds.
+#: Age in seconds after which a dispatch is assumed to be reported or lost.
 MAX_DISPATCH_AGE_S = 30.0
 
 
 @dataclass(frozen=True)
 class Dispatch:
-    """A request that this node sent and that no answer or report has covered yet.
+    """A request that this node has sent and that has neither a first token nor a failure yet.
 
-    :ivar at: when it was sent.
+    :ivar at: time of sending in monotonic seconds.
     :ivar tokens: tokens expected to be computed before its first token.
     :ivar ahead: tokens expected to be queued before it.
     """
@@ -31,13 +31,13 @@
 
 
 class SharedSpeeds(Protocol):
-    """Speeds that nodes learn together."""
+    """Prefill speeds shared between nodes."""
 
     def speed(self, endpoint: str) -> float:
         """Returns the prefill speed of an endpoint in tokens/s."""
 
     def observe(self, endpoint: str, tokens: float, seconds: float) -> None:
-        """Takes one observation of ``tokens`` computed in ``seconds``."""
+        """Records one observation of ``tokens`` computed in ``seconds``."""
 
 
 @dataclass
@@ -48,11 +48,11 @@
 
 @dataclass
 class EndpointLoad:
-    """Own dispatches and learned prefill speeds, by endpoint.
+    """Open dispatches of this node and learned prefill speeds, by endpoint.
 
     :param default_speed: tokens/s of an endpoint without observations.
-    :param shared: speeds that are used in place of those that this node learns alone; ``None``
-        for none.
+    :param shared: shared speeds that replace those that this node learns by itself; ``None`` for
+        none.
     """
 
     default_speed: float = DEFAULT_PREFILL_TOKENS_PER_S
@@ -69,18 +69,18 @@
         return self.shared.speed(endpoint) if self.shared else self.default_speed
 
     def assume_speed(self, endpoint: str, tokens_per_s: float) -> None:
-        """Gives one endpoint another speed to start from than the default."""
+        """Sets the initial speed of one endpoint, in place of the default or the shared speed."""
         self._speeds[endpoint] = _Speed(tokens_per_s * SPEED_PRIOR_S, SPEED_PRIOR_S)
 
     def pending_tokens(self, endpoint: str, since: float) -> float:
-        """Returns the tokens of own dispatches after ``since`` that have no first token yet."""
+        """Returns the tokens of open dispatches that were sent after ``since``."""
         dispatches = self._open.get(endpoint)
         if not dispatches:
             return 0.0
         return sum(entry.tokens for entry in dispatches.values() if entry.at > since)
 
     def dispatched(self, endpoint: str, tokens: float, ahead: float, now: float) -> int:
-        """Notes a dispatch and returns its number."""
+        """Records a dispatch and returns its number."""
         dispatches = self._open.setdefault(endpoint, {})
         for number, entry in list(dispatches.items()):
             if now - entry.at <= MAX_DISPATCH_AGE_S:
@@ -91,11 +91,11 @@
         return number
 
     def answered(self, endpoint: str, number: int) -> Dispatch | None:
-        """Ends a dispatch and returns it; ``None`` if it is unknown or has ended."""
+        """Removes a dispatch and returns it; ``None`` if it is unknown or already removed."""
         return self._open.get(endpoint, {}).pop(number, None)
 
     def learn_speed(self, endpoint: str, tokens: float, seconds: float) -> None:
-        """Takes one observation of ``tokens`` computed in ``seconds``."""
+        """Records one observation of ``tokens`` computed in ``seconds``."""
         if tokens < MIN_SPEED_TOKENS or seconds <= 0:
             return
         if self.shared is not None and endpoint not in self._speeds:
--- a/packages/arbutustally/src/arbutustally/engine_client.py
+++ b/packages/arbutustally/src/arbutustally/engine_client.py
@@ -1,4 +1,4 @@
-"""Client of the engines' control interface and the wire form of their streams."""
+"""Client of the engines' control interface, and encoding of requests and streamed responses."""
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -15,7 +15,7 @@
     StaleFenceError,
 )
 
-#: Largest accepted answer of the control interface.
+#: Largest accepted response body of the control interface.
 MAX_ANSWER_BYTES = 4 << 20
 CONNECTIONS_PER_ENGINE = 2
 MAX_ENGINES = 256
@@ -31,7 +31,7 @@
 
     :ivar queued_tokens: prompt tokens that wait for prefill.
     :ivar running: requests in the batch.
-    :ivar age_s: age of the figures when they were sent.
+    :ivar age_s: age of the figures in seconds when they were sent.
     """
 
     engine: str
@@ -47,11 +47,11 @@
 
 @dataclass(frozen=True)
 class Order:
-    """An order to an engine.
+    """An order for an engine.
 
     :ivar order: ``load``, ``unload`` or ``role``.
     :ivar fence: fencing number, the offset of the lease claim.
-    :ivar role: wanted role of a ``role`` order.
+    :ivar role: role to take, for a ``role`` order.
     """
 
     order: str
@@ -95,7 +95,7 @@
 class StreamChunk(NamedTuple):
     """One event of an engine's stream.
 
-    :ivar index: number of the token, -1 for an event without one.
+    :ivar index: index of the token, -1 for an event without one.
     :ivar text: text of the token.
     :ivar finish_reason: set on the last token.
     :ivar usage: set on the last event.
@@ -114,16 +114,16 @@
     """Control interface of engines."""
 
     def load(self, address: str) -> LoadReport:
-        """Returns the engine's load."""
+        """Returns the engine's load report."""
 
     def order(self, address: str, order: Order) -> None:
-        """Gives an order."""
+        """Sends an order."""
 
     def cancel(self, address: str, request_id: str) -> None:
         """Cancels a request."""
 
     def events(self, address: str, after: int) -> CacheEvents:
-        """Returns cache events after a sequence number."""
+        """Returns the cache events after a sequence number."""
 
 
 class EngineClient:
@@ -139,8 +139,8 @@
     def from_config(cls, connect_s: float, read_s: float) -> "EngineClient":
         """Builds a client.
 
-        :param connect_s: time to connect.
-        :param read_s: longest silence of an engine.
+        :param connect_s: connect timeout in seconds.
+        :param read_s: read timeout in seconds.
         """
         manager = urllib3.PoolManager(
             num_pools=MAX_ENGINES,
@@ -153,8 +153,8 @@
     def load(self, address: str) -> LoadReport:
         """Returns the engine's load report.
 
-        :raises EndpointFailedError: if the engine does not answer or answers malformed.
-        :raises EndpointTimeoutError: if the engine is silent.
+        :raises EndpointFailedError: if the engine does not respond or its response is malformed.
+        :raises EndpointTimeoutError: if the read timeout expires.
         """
         data = self._call("GET", address, "/v1/load")
         try:
@@ -173,10 +173,10 @@
             raise _malformed("load report") from None
 
     def order(self, address: str, order: Order) -> None:
-        """Gives an order.
+        """Sends an order.
 
-        :raises StaleFenceError: if the engine has obeyed a newer holder of the lease.
-        :raises EndpointFailedError: ``MAY_HAVE_RUN`` when the answer was lost.
+        :raises StaleFenceError: if the engine has accepted an order of a newer lease holder.
+        :raises EndpointFailedError: with ``MAY_HAVE_RUN`` if the response was lost.
         """
         body: dict[str, Any] = {
             "order": order.order,
@@ -191,16 +191,16 @@
         self._call("POST", address, "/v1/orders", body)
 
     def cancel(self, address: str, request_id: str) -> None:
-        """Cancels a request; an unknown request is no error.
+        """Cancels a request; an unknown request is not an error.
 
-        :raises EndpointFailedError: if the engine does not answer.
+        :raises EndpointFailedError: if the engine does not respond.
         """
         self._call("DELETE", address, f"/v1/requests/{request_id}")
 
     def events(self, address: str, after: int) -> CacheEvents:
-        """Returns cache events after a sequence number.
+        """Returns the cache events after a sequence number.
 
-        :raises EndpointFailedError: if the engine does not answer or answers malformed.
+        :raises EndpointFailedError: if the engine does not respond or its response is malformed.
         """
         data = self._call("GET", address, f"/v1/cache/events?after={after}")
         try:
@@ -241,20 +241,20 @@
     try:
         parsed = orjson.loads(data) if data else {}
     except orjson.JSONDecodeError:
-        raise _malformed("answer") from None
+        raise _malformed("response") from None
     if status == 409 and error_code(parsed) == "stale_fence":
         raise StaleFenceError(
-            f"engine {address} has obeyed a newer lease holder; stop giving orders"
+            f"engine {address} has accepted an order of a newer lease holder; stop sending orders"
         )
     if status >= 400 and status != 404:
         raise EndpointFailedError(
-            f"engine {address} answered status {status}; see the engine's log"
+            f"engine {address} responded with status {status}; see the engine's log"
         )
     return parsed if isinstance(parsed, dict) else {}
 
 
 def error_code(parsed: Any) -> str:
-    """Returns the code of an engine's error answer, empty without one."""
+    """Returns the code of an engine's error response, or an empty string."""
     error = parsed.get("error") if isinstance(parsed, dict) else None
     if isinstance(error, dict):
         return str(error.get("code", ""))
@@ -262,7 +262,7 @@
 
 
 def translate(error: Exception, address: str) -> RouterError:
-    """Returns the typed error for a fault of a connection.
+    """Returns the typed error for a connection error.
 
     Only a connection that was never established proves that no byte of the request was sent.
     """
@@ -280,7 +280,7 @@
 
 
 def is_unsent(error: Exception) -> bool:
-    """Returns whether a fault proves that no byte of the request was sent."""
+    """Returns whether an error proves that no byte of the request was sent."""
     return isinstance(
         error,
         (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError),
@@ -319,8 +319,8 @@
 ) -> bytes:
     """Returns the body of a completion request; the engine always streams.
 
-    :param fields: fields of the caller's request; those that belong to the router are replaced.
-    :param emitted: texts of the tokens that the caller already has.
+    :param fields: fields of the caller's request; those that the router sets are replaced.
+    :param emitted: texts of the tokens that the caller has already received.
     """
     body = dict(fields)
     body.update(
--- a/packages/arbutustally/src/arbutustally/fairness.py
+++ b/packages/arbutustally/src/arbutustally/fairness.py
@@ -1,8 +1,8 @@
-"""Weighted fair queue on tokens between the accounts of a class, in front of a pool.
+"""Weighted fair queue, in tokens, between the accounts of a class in front of a pool.
 
-Start-time fair queueing: each ticket has a start tag, the later of the virtual time and the finish
-tag of the account's previous ticket; the lowest start tag is served first. The queue works on a
-clock and never waits; ``arbutustally_node.admission`` adds the waiting.
+Start-time fair queueing: the start tag of a ticket is the later of the virtual time and the finish
+tag of the account's previous ticket; the lowest start tag is served first. The queue reads a clock
+and never blocks; ``arbutustally_node.admission`` waits for its tickets.
 """
 
 import math
@@ -21,22 +21,23 @@
     "a request was shed before work began; add endpoints or lower the load of the class",
 )
 
-#: Share of a first-token target that may pass in the queue; the rest is left for the prefill.
+#: Share of a first-token target that a request may spend in the queue; the rest is for prefill.
 QUEUE_SHARE_OF_TARGET = 0.5
-#: Queueing time accepted by a class with a recompute target, in seconds.
+#: Longest queueing time of a class with a recompute target, in seconds.
 RECOMPUTE_QUEUE_S = 2.0
-#: Engine priority of a class with a recompute target; lower runs first, and first-token targets
-#: are their own number of milliseconds.
+#: Engine priority of a class with a recompute target; lower runs first. The priority of a class
+#: with a first-token target is the target in milliseconds.
 RECOMPUTE_PRIORITY = 60_000
-#: Seconds of work that a pool may have in flight: enough to keep engines busy, little enough that
-#: the order is still decided here rather than in the engines' queues.
+#: Seconds of work that a pool may have in flight: enough to keep the engines busy, but so little
+#: that the order is decided by this queue and not by the engines' queues.
 IN_FLIGHT_S = 1.0
-#: Least share of computed tokens that bounds rely on; decoding takes engine time as well.
+#: Lower bound of the share of computed tokens that bounds are derived from, because decoding takes
+#: engine time as well.
 MIN_COMPUTED_SHARE = 0.1
 
 
 class Target(Protocol):
-    """The target of a class of work; exactly one of the two is set."""
+    """Target of a class of work; exactly one field is set."""
 
     first_token_ms: float | None
     recompute_percent: float | None
@@ -48,9 +49,9 @@
 
     :ivar in_flight_tokens: tokens admitted and not yet started by an engine.
     :ivar queued_tokens: tokens waiting.
-    :ivar pool_tokens: tokens in flight that keep the whole pool busy, over all nodes.
-    :ivar tokens_per_s: speed of the pool in prompt tokens, cached ones included.
-    :ivar wait_s: longest wait.
+    :ivar pool_tokens: tokens in flight, over all nodes, that keep the whole pool busy.
+    :ivar tokens_per_s: speed of the pool in prompt tokens, including cached ones.
+    :ivar wait_s: longest queueing time in seconds.
     :ivar priority: engine priority, lower first.
     """
 
@@ -69,8 +70,8 @@
 
         :param endpoints: live endpoints of the pool.
         :param tokens_per_s: prefill speed of one endpoint.
-        :param computed_share: share of prompt tokens that the engines do not find in their
-            caches; tickets are in prompt tokens, of which the pool serves more than it computes.
+        :param computed_share: share of prompt tokens that are not in the engines' caches; tickets
+            count prompt tokens, of which the pool serves more than it computes.
         """
         share = min(max(computed_share, MIN_COMPUTED_SHARE), 1.0)
         speed = max(endpoints, 1) * tokens_per_s / share
@@ -79,10 +80,10 @@
         return cls(busy, speed * wait, speed, wait, priority_of(target), busy)
 
     def beside(self, others: float, nodes: int) -> "QueueLimits":
-        """Returns the bounds of one node of several that share the pool.
+        """Returns the bounds of one of several nodes that share the pool.
 
-        The node may use what the others leave of the bound, and always its even part of it, so
-        that the queue at the engines stays short and no node is shut out.
+        The node may use the part of the bound that the others leave, so that the queue at the
+        engines stays short, and always an equal part of it, so that no node is starved.
 
         :param others: tokens queued at the engines by other nodes.
         :param nodes: live nodes.
@@ -92,7 +93,7 @@
         return replace(self, in_flight_tokens=max(left, own_part))
 
     def explain(self) -> str:
-        """Returns the derivation in words."""
+        """Returns the derivation of the bounds as text."""
         return (
             f"the class target allows {self.wait_s:g} s in the queue; at "
             f"{self.tokens_per_s:g} tokens/s that is {self.queued_tokens:g} tokens"
@@ -114,7 +115,7 @@
 
 
 class TicketState(StrEnum):
-    """Life of a ticket."""
+    """States of a ticket."""
 
     WAITING = "waiting"
     ADMITTED = "admitted"
@@ -126,7 +127,7 @@
     """One request in the queue.
 
     :param deadline: latest admission in monotonic seconds.
-    :param on_change: called once when the ticket is admitted or shed after having waited.
+    :param on_change: called once when the ticket is admitted or shed, possibly within ``submit``.
     """
 
     def __init__(
@@ -145,7 +146,7 @@
         self._on_change = on_change
 
     def settle(self, state: TicketState, reason: str = "") -> None:
-        """Moves the ticket to a new state and tells its waiter."""
+        """Sets a new state and calls ``on_change``."""
         self.state = state
         self.reason = reason
         if self._on_change is not None:
@@ -167,7 +168,7 @@
 
     :param clock: monotonic seconds.
     :param limits: see ``QueueLimits``.
-    :param weights: account to weight, in practice its declared rate; unknown accounts weigh 1.
+    :param weights: weight of each account, usually its declared rate; 1 for an unknown account.
     """
 
     def __init__(
@@ -183,7 +184,7 @@
 
     @property
     def in_flight(self) -> float:
-        """Returns the admitted tokens that were not released."""
+        """Returns the admitted tokens that have not been released."""
         return self._in_flight
 
     @property
@@ -197,7 +198,7 @@
         return self._limits
 
     def configure(self, limits: QueueLimits, weights: Mapping[str, float]) -> None:
-        """Takes new bounds and weights; tickets keep their place."""
+        """Replaces the bounds and weights; tickets keep their tags."""
         self._limits = limits
         self._weights = dict(weights)
         self._admit()
@@ -209,11 +210,12 @@
         deadline: float,
         on_change: Callable[[], None] | None = None,
     ) -> Ticket:
-        """Enters a request; the ticket may be admitted at once.
+        """Enqueues a request; the ticket may be admitted at once.
 
         :param tokens: tokens to compute, at least 1.
         :param deadline: latest admission in monotonic seconds.
-        :raises OverloadedError: if the queue is full and this account exceeds its fair share most.
+        :raises OverloadedError: if the queue is full and this account exceeds its fair share most,
+            so that this request is shed.
         """
         self.expire()
         ticket = Ticket(account, max(tokens, 1.0), deadline, on_change)
@@ -232,7 +234,7 @@
         return ticket
 
     def release(self, ticket: Ticket) -> None:
-        """Ends a ticket: its work has started at an engine, failed, or is no longer wanted."""
+        """Releases a ticket whose work has started at an engine, has failed or is cancelled."""
         if ticket.state is TicketState.ADMITTED:
             flow = self._flows[ticket.account]
             flow.in_flight -= ticket.tokens
@@ -279,7 +281,7 @@
                 return
             flow = min(waiting, key=lambda entry: entry.waiting[0].start_tag)
             ticket = flow.waiting[0]
-            # A request above the bound runs alone, otherwise it would wait for ever.
+            # A request larger than the bound is admitted alone; otherwise it would never run.
             if self._in_flight > 0 and (
                 self._in_flight + ticket.tokens > self._limits.in_flight_tokens
             ):
@@ -288,10 +290,10 @@
         self._admit_shares()
 
     def _admit_shares(self) -> None:
-        """Admits accounts that have less in flight than their part of the pool.
+        """Admits tickets of accounts that have less in flight than their share of the pool.
 
-        Otherwise a request of a quiet account would wait until one of a flooding account, admitted
-        while the pool was free, has its first token; that alone can exceed the target.
+        Otherwise a request of a quiet account would wait for the first token of a flooding
+        account's request that was admitted while the pool was free, which can exceed the target.
         """
         for account in list(self._flows):
             flow = self._flows[account]
@@ -316,7 +318,7 @@
         ticket.settle(TicketState.ADMITTED)
 
     def _most_over_share(self) -> str:
-        """Returns the waiting account with the most tokens for its weight."""
+        """Returns the account with waiting tickets that has the most tokens per weight."""
         return max(
             (account for account, flow in self._flows.items() if flow.waiting),
             key=lambda account: (
@@ -335,7 +337,7 @@
         self._drop_idle(account)
 
     def _withdraw(self, ticket: Ticket) -> None:
-        """Removes a ticket unserved; the account's later requests do not pay for it."""
+        """Removes a ticket that was not served and refunds it in the tags of the account."""
         flow = self._flows[ticket.account]
         size = ticket.tokens / self._weight(ticket.account)
         behind = list(flow.waiting)[flow.waiting.index(ticket) + 1 :]
--- a/packages/arbutustally/src/arbutustally/hot_prefixes.py
+++ b/packages/arbutustally/src/arbutustally/hot_prefixes.py
@@ -1,18 +1,18 @@
-"""Homes of hot prefixes: more before requests queue for them, fewer later."""
+"""Number of homes of each prefix: grows with demand before queues build up, then shrinks again."""
 
 import math
 from collections import OrderedDict
 from dataclasses import dataclass
 
-#: Time over which demand is averaged, in seconds.
+#: Time constant of the moving average of demand, in seconds.
 DEMAND_WINDOW_S = 10.0
-#: Share of an endpoint's prefill speed at which a prefix gets one more home; queues grow steeply
-#: above about 60% use, so homes are added before that.
+#: Share of an endpoint's prefill speed per home at which a home is added. Queues grow steeply above
+#: about 60% utilisation, so homes are added well before that.
 WIDEN_AT = 0.25
-#: Part of that share of the remaining homes' speed below which a home is given up. The distance
-#: keeps the number of homes from changing with every small change of demand.
+#: Fraction of the ``widen_at`` share, applied to the speed of the remaining homes, below which a home is
+#: removed. This hysteresis keeps small changes of demand from changing the number of homes.
 NARROW_PART = 0.6
-#: Bound on prefixes whose demand is followed.
+#: Bound on prefixes whose demand is tracked.
 MAX_PREFIXES = 4096
 
 
@@ -26,7 +26,8 @@
 class HotPrefixes:
     """Demand and number of homes by prefix.
 
-    :param widen_at: share of an endpoint's speed at which a prefix gets one more home.
+    :param max_prefixes: bound on tracked prefixes; the least recently requested are evicted.
+    :param widen_at: share of an endpoint's speed per home at which a home is added.
     """
 
     def __init__(self, max_prefixes: int = MAX_PREFIXES, widen_at: float = WIDEN_AT) -> None:
@@ -41,7 +42,7 @@
         return demand.homes if demand else 1
 
     def requested(self, key: bytes, tokens: float, speed: float, now: float) -> int:
-        """Adds a request that computes ``tokens`` and returns the number of homes.
+        """Records a request that computes ``tokens`` and returns the number of homes.
 
         :param speed: prefill speed of one endpoint in tokens/s.
         """
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -1,7 +1,8 @@
-"""Placement: the endpoint with the least estimated time to first token, or the least recomputation.
+"""Placement: chooses the endpoint with the lowest estimated time to first token or recomputation.
 
-Without any state the rendezvous order of the guide level gives every node the same homes. Learned
-cache entries, own dispatches and learned speeds refine the estimate.
+Rendezvous hashing of the guide level, the leading system messages, assigns each prefix its home
+endpoints; every node derives the same homes without shared state. The cache index, the requests
+that this node has dispatched and learned prefill speeds refine the estimate.
 """
 
 import math
@@ -38,33 +39,35 @@
     "Target",
 ]
 
-#: Candidates whose cost is within this share of the best are equal.
+#: Candidates whose cost is within this fraction of the lowest cost count as equal.
 NEAR_TIE = 0.05
-#: Candidates within this many seconds of the best are equal whatever their share.
+#: Candidates within this many seconds of the lowest cost count as equal whatever the fraction.
 NEAR_TIE_S = 0.002
-#: Time that loading weights takes where no observation says otherwise, in seconds.
+#: Assumed time to load weights, in seconds.
 DEFAULT_LOAD_S = 0.5
-#: Import speed of the KV store in tokens/s, until learned.
+#: Import speed of the KV store in tokens/s before any observation.
 DEFAULT_IMPORT_TOKENS_PER_S = 40_000.0
 #: Fixed delay of an import in seconds.
 IMPORT_DELAY_S = 0.01
-#: Name under which the index and the learned speeds keep the KV store; no endpoint has it.
+#: Key of the KV store in the cache index and the learned speeds; no endpoint has this name.
 KV_STORE = "\0kv"
-#: Time for which the KV store keeps a prompt, in seconds; it is larger than the engines' caches.
+#: Initial estimate of how long the KV store retains a prompt, in seconds; longer than for engines
+#: because the store is larger than their caches.
 KV_KEEP_S = 600.0
-#: Longest queue that a class with a recompute target accepts for a cache hit, in seconds.
+#: Longest queueing time that a class with a recompute target accepts for a cache hit, in seconds.
 RECOMPUTE_QUEUE_BOUND_S = 2.0
-#: Cost in tokens of each second above that bound; it outweighs any prompt.
+#: Cost in tokens of each second above that bound; higher than the cost of any prompt.
 OVER_BOUND_TOKENS_PER_S = 1e6
-#: Engine time of an output token in prefill tokens, at a moderately filled batch.
+#: Engine time of an output token, in prefill tokens, with a moderately filled batch.
 OUTPUT_COST = 10.0
-#: Weight of one answer in the share of computed tokens.
+#: Weight of one response in the moving average of the share of computed tokens.
 SHARE_GAIN = 0.02
-#: Part of a home's missed guide that counts in the estimate: the prefill also serves the requests
-#: that follow, and another endpoint would lose cache space to a copy of the guide.
+#: Fraction of the uncached home prefix that is deducted from the cost of a home: its prefill also
+#: serves later requests, and a copy at another endpoint would take cache space there.
 HOME_SHARE = 0.5
-#: Number of candidates up to which all get an estimate; beyond it, the homes and the candidates
-#: with short queues that do, beside the known holders.
+#: Up to this many candidates, all are estimated. Above it, only these numbers of homes, of
+#: candidates with short queues and of endpoints that report cached tokens are estimated, and every
+#: holder in the cache index.
 ALL_ESTIMATED = 32
 ESTIMATED_HOMES = 8
 ESTIMATED_IDLE = 8
@@ -73,7 +76,7 @@
 
 @dataclass(frozen=True)
 class _View:
-    """The parts of one decision that all candidates share."""
+    """Inputs of one placement decision that are the same for all candidates."""
 
     request: PlacementRequest
     scope: CacheScope
@@ -88,11 +91,11 @@
 
 @dataclass
 class Placement:
-    """Chooses endpoints and learns from answers.
+    """Chooses endpoints and learns from their responses.
 
     :param clock: monotonic seconds.
     :param rng: source of the random choice between near-equal candidates.
-    :param speeds: prefill speeds that nodes learn together; ``None`` if each learns alone.
+    :param speeds: prefill speeds shared between nodes; ``None`` if each node learns its own.
     """
 
     clock: Clock
@@ -116,7 +119,7 @@
         options: PlacementOptions | None = None,
         speeds: SharedSpeeds | None = None,
     ) -> "Placement":
-        """Builds placement; ``options`` and ``speeds`` may be omitted."""
+        """Builds a placement; ``options`` defaults to ``PlacementOptions()``."""
         return cls(clock, rng, options or PlacementOptions(), speeds)
 
     def prefill_speed(self, endpoint: str) -> float:
@@ -124,7 +127,7 @@
         return self._load.speed(endpoint)
 
     def assume_import_speed(self, tokens_per_s: float) -> None:
-        """Takes the speed at which engines import cached parts, as declared."""
+        """Sets the declared speed at which engines import cached chunks, in tokens/s."""
         self._load.assume_speed(KV_STORE, tokens_per_s)
 
     @property
@@ -133,9 +136,9 @@
         return self._computed_share
 
     def choose(self, request: PlacementRequest, candidates: list[Candidate]) -> Choice:
-        """Chooses an endpoint and counts the dispatch to it.
+        """Chooses an endpoint and records the dispatch to it.
 
-        :raises NoEndpointError: if no candidate runs the wanted version.
+        :raises NoEndpointError: if no candidate runs the requested version.
         """
         able = [entry for entry in candidates if entry.version == request.version]
         if not able:
@@ -167,7 +170,7 @@
         )
 
     def learn(self, observation: Observation) -> None:
-        """Takes the cached count and the time to first token of an answer."""
+        """Learns from the cached token count and the time to first token of a response."""
         dispatch = self._load.answered(observation.endpoint, observation.dispatch)
         names = self._names(observation.shape)
         scope = CacheScope(observation.account, observation.model, observation.version)
@@ -190,7 +193,7 @@
             self._learn_speed(observation, dispatch, missed)
 
     def drop(self, endpoint: str, incarnation: str) -> None:
-        """Forgets an incarnation for good after a crash or restart."""
+        """Permanently discards what is known of an incarnation that crashed or restarted."""
         self._index.drop(endpoint, incarnation)
         self._load.forget(endpoint)
 
@@ -237,16 +240,18 @@
         return _View(request, scope, self._names(shape), guide, homes, ranks, width, speed, now)
 
     def _shortlist(self, view: _View, able: list[Candidate]) -> list[Candidate]:
-        """Returns the candidates worth an estimate: homes, known holders and some with short queues.
+        """Returns the candidates to estimate: homes, known holders and some with short queues.
 
-        An estimate takes about 20 us, which is 9 ms for the 433 engines of a model at the planned
-        size. The short queues are taken from a random sample, so that nodes do not herd.
+        An estimate takes about 20 us, so all 433 engines of a model at the planned fleet size would
+        take 9 ms. Short queues are picked from a random sample, so that nodes do not all choose the
+        same endpoint.
         """
         if len(able) <= ALL_ESTIMATED:
             return able
         names = set(view.homes[: max(ESTIMATED_HOMES, view.width)])
         names |= self._index.holders(view.scope, view.names)
-        # Of many that hold as much, each request looks at others, so that nodes do not herd.
+        # Shuffling breaks ties between holders of equally many tokens differently for each request,
+        # so that nodes do not all choose the same endpoint.
         shuffled = self.rng.sample(able, len(able))
         told = nlargest(ESTIMATED_HOLDERS, shuffled, key=lambda entry: entry.cached_tokens or 0)
         names.update(entry.endpoint for entry in told if entry.cached_tokens)
@@ -256,14 +261,14 @@
         return [entry for entry in able if entry.endpoint in names]
 
     def _work(self, request: PlacementRequest, home_level: int) -> float:
-        """Returns the engine time of a request at a home that has its prefix, in prefill tokens."""
+        """Returns the engine time of a request in prefill tokens, with its home prefix cached."""
         shape = request.shape
         has_more = 0 <= home_level < len(shape.levels) - 1
         guide = shape.levels[home_level].tokens if has_more else 0
         return shape.total_tokens - guide + OUTPUT_COST * request.output_tokens
 
     def _cached_estimate(self, observation: Observation) -> int:
-        """Returns the engine's cached count in estimated tokens."""
+        """Returns the cached token count of the engine, scaled to estimated tokens."""
         total = observation.shape.total_tokens
         if not observation.prompt_tokens:
             return min(observation.cached_tokens or 0, total)
@@ -307,7 +312,10 @@
         return self._index.cached_tokens(view.scope, view.names, endpoint, incarnation, view.now)
 
     def _import_s(self, view: _View, candidate: Candidate, cached: int, speed: float) -> float:
-        """Returns the time to import what the KV store has and to compute the rest."""
+        """Returns the seconds to import what the KV store holds and to compute the rest.
+
+        Infinite if no import is possible or the store holds no more than the endpoint.
+        """
         if not (self.options.imports and candidate.import_available):
             return math.inf
         held = candidate.importable_tokens or self._cached(view, KV_STORE, "")
@@ -317,9 +325,11 @@
         return imported_s + (view.request.shape.total_tokens - held) / speed
 
     def _investment(self, view: _View, cached: int, read_s: float, speed: float) -> float:
-        """Returns what a new home of a hot prefix may cost more than an old one.
+        """Returns the deduction from the cost of a home that does not hold its hot prefix yet.
+
+        It lets a new home compete with one that holds the prefix; zero for a prefix with one home.
 
-        :param read_s: seconds until it has computed or imported what it lacks of the prompt.
+        :param read_s: seconds to compute or import the uncached part of the prompt.
         """
         if view.width < 2:
             return 0.0
@@ -330,7 +340,7 @@
         return min(missed / view.home_speed, max(0.0, read_s - own_s))
 
     def _copy_cost(self, view: _View, cached: int) -> float:
-        """Returns what a copy of a prefix outside its homes costs the prefixes it pushes out."""
+        """Returns the cost of a copy outside the homes, which evicts other prefixes from the cache."""
         missed = (view.guide_tokens - cached) * self.options.copy_share
         return (
             missed / view.home_speed if view.request.target.first_token_ms is not None else missed
--- a/packages/arbutustally/src/arbutustally/placement_types.py
+++ b/packages/arbutustally/src/arbutustally/placement_types.py
@@ -10,7 +10,7 @@
 
 
 class Target(Protocol):
-    """The target of a class of work; exactly one of the two is set."""
+    """Target of a class of work; exactly one field is set."""
 
     first_token_ms: float | None
     recompute_percent: float | None
@@ -18,20 +18,22 @@
 
 @dataclass(frozen=True)
 class PlacementOptions:
-    """Bounds and parts of placement; replays switch parts off to measure what each earns.
+    """Bounds and features of placement; replays disable features to measure the effect of each.
 
     :ivar max_entries: bound on entries of the cache index.
     :ivar prefill_tokens_per_s: prefill speed of an unobserved endpoint.
-    :ivar by_level: order homes by guide level and know every chunk; otherwise whole prompts only.
-    :ivar in_band: learn from the cached counts of answers.
-    :ivar widen: give hot prefixes more homes.
-    :ivar own_dispatches: count own dispatches since the last report.
+    :ivar by_level: derive homes from the home level and index each level and chunk; otherwise
+        use the hash of the whole prompt for both.
+    :ivar in_band: learn from the cached token counts in responses.
+    :ivar widen: assign more homes to hot prefixes.
+    :ivar own_dispatches: add this node's dispatches since the last load report to the queue.
     :ivar random_ties: choose among near-equal candidates at random.
     :ivar imports: import from the KV store where that is estimated to be faster.
-    :ivar homes: endpoints that may hold a prefix before its demand asks for more.
-    :ivar widen_at: share of an endpoint's speed at which the demand of a prefix asks for one more.
-    :ivar copy_share: part of the work of a prefix that a copy outside its homes costs the others,
-        since it takes their place in the cache.
+    :ivar homes: number of first endpoints in rendezvous order that are exempt from the copy cost, whatever the
+        demand for the prefix.
+    :ivar widen_at: demand for a prefix, as a share of an endpoint's speed, that adds a home.
+    :ivar copy_share: fraction of the work of a prefix that is charged for a copy outside its homes,
+        because the copy evicts other prefixes from the cache.
     """
 
     max_entries: int = DEFAULT_MAX_ENTRIES
@@ -54,10 +56,11 @@
     :ivar version: weights version that must run it.
     :ivar shape: see ``arbutustally.prefixes.split_levels``.
     :ivar output_tokens: largest number of tokens to generate.
-    :ivar target: class of work.
-    :ivar zone: endpoints of this zone go first among equals; empty for no preference.
-    :ivar nodes: nodes that place requests like this one; each sees its part of the demand only.
-    :ivar home_level: level of the prefix that has homes.
+    :ivar target: target of the class of work.
+    :ivar zone: preferred availability zone among candidates of equal cost; empty for none.
+    :ivar nodes: nodes that place requests of this kind; each sees only its part of the demand, so
+        the demand is multiplied by this number.
+    :ivar home_level: index of the level whose hash determines the homes.
     """
 
     account: str
@@ -76,13 +79,14 @@
     """An endpoint that may run the request.
 
     :ivar queued_tokens: tokens waiting for prefill.
-    :ivar running: requests that are generating.
-    :ivar loaded: the endpoint has the wanted weights; otherwise it has to load them first.
-    :ivar import_available: the KV store can be read by this endpoint.
-    :ivar cached_tokens: tokens of the prompt that the endpoint is known to hold; ``None`` leaves
-        it to the index.
-    :ivar importable_tokens: tokens that it can import from the place that holds most.
-    :ivar room_s: seconds until it has room for another request.
+    :ivar running: requests that are generating tokens.
+    :ivar loaded: the endpoint has loaded the requested weights; otherwise it has to load them first.
+    :ivar import_available: the endpoint can import from the KV store.
+    :ivar cached_tokens: tokens of the prompt that the endpoint is known to hold; ``None`` to use
+        the estimate of the cache index.
+    :ivar importable_tokens: tokens that it can import from the source that holds the most; 0 to use
+        the estimate of the cache index.
+    :ivar room_s: seconds until it has capacity for another request.
     :ivar report_age_s: age of ``queued_tokens``; ``None`` if it already includes the dispatches of
         this node since the report.
     """
@@ -103,12 +107,13 @@
 
 @dataclass(frozen=True)
 class Estimate:
-    """What placement expects of one candidate.
+    """Estimate for one candidate.
 
-    :ivar cached_tokens: tokens expected in its cache.
+    :ivar cached_tokens: prompt tokens expected in its cache.
     :ivar queue_s: seconds until it starts this request.
     :ivar first_token_s: seconds until the first token.
-    :ivar cost: what placement minimises, seconds or tokens.
+    :ivar cost: value that placement minimises: seconds for a first-token target, tokens for a
+        recompute target.
     :ivar import_kv: an import is expected to be faster than prefill.
     """
 
@@ -123,13 +128,13 @@
 
 @dataclass(frozen=True)
 class Choice:
-    """The chosen endpoint and why.
+    """The chosen endpoint and the reasons for it.
 
     :ivar estimate_s: expected time to first token in seconds.
-    :ivar import_kv: tell the engine to import missing chunks.
-    :ivar reasons: sentences for ``explain``.
-    :ivar ranked: estimates of all candidates, best first.
-    :ivar dispatch: number to return in the observation.
+    :ivar import_kv: instruct the engine to import missing chunks.
+    :ivar reasons: sentences for the output of ``explain``.
+    :ivar ranked: estimates of all estimated candidates, lowest cost first.
+    :ivar dispatch: number of the dispatch, to be passed in the observation.
     :ivar work_tokens: tokens expected to be computed before the first token, queue included.
     """
 
@@ -146,14 +151,14 @@
 
 @dataclass(frozen=True)
 class Observation:
-    """What an answer, or its failure, showed.
+    """Measurements from a response or a failed request.
 
     :ivar cached_tokens: prompt tokens that the engine found in its cache; ``None`` if the request
-        failed before the engine said so.
+        failed before the engine reported it.
     :ivar prompt_tokens: the engine's count of the whole prompt.
     :ivar first_token_s: seconds from dispatch to first token; ``None`` without one.
     :ivar dispatch: ``Choice.dispatch``.
-    :ivar imported: the engine was told to import.
+    :ivar imported: the engine was instructed to import.
     """
 
     account: str
--- a/packages/arbutustally/src/arbutustally/prefixes.py
+++ b/packages/arbutustally/src/arbutustally/prefixes.py
@@ -1,6 +1,6 @@
-"""Prompt prefixes: cumulative hashes of the nested levels and chained hashes of chunks.
+"""Prompt prefixes: cumulative hashes of a prompt up to the end of each level and of each chunk.
 
-The hashes identify text only. A cache key adds account, model and weights version at use, see
+The hashes identify text only. Cache keys add account, model and weights version, see
 ``arbutustally.cache_index.CacheScope``.
 """
 
@@ -15,8 +15,8 @@
 BYTES_PER_TOKEN = 4
 #: Size of a chunk in bytes; the KV store keeps chunks of about 1,000 tokens.
 PIECE_BYTES = 4000
-#: Bytes hashed between two calls of ``pause``; about 0.05 ms of work, so that a 400 KB prompt
-#: does not hold up the other greenlets.
+#: Bytes hashed between two calls of ``pause``, about 0.05 ms of work, so that a 400 KB prompt does
+#: not block other greenlets.
 SLICE_BYTES = 32_000
 #: Digest length in bytes; 16 makes an accidental collision negligible at 120 million blocks.
 DIGEST_BYTES = 16
@@ -39,10 +39,11 @@
 
 @dataclass(frozen=True)
 class PromptShape:
-    """What placement knows of a prompt.
+    """Levels, chunk hashes and size of a prompt.
 
-    :ivar levels: guide, history and question, shortest first; equal levels appear once.
-    :ivar pieces: chained hashes of the whole chunks, in order.
+    :ivar levels: guide (leading system and developer messages), history (up to the last user
+        message) and question (whole prompt), shortest first; levels of equal length appear once.
+    :ivar pieces: cumulative hashes up to the end of each full chunk, in order.
     :ivar total_tokens: estimated tokens of the whole prompt.
     """
 
@@ -52,12 +53,12 @@
 
     @property
     def piece_tokens(self) -> int:
-        """Returns the tokens of a whole chunk."""
+        """Returns the estimated tokens of a full chunk."""
         return PIECE_BYTES // BYTES_PER_TOKEN
 
 
 def split_levels(prompt: Sequence[Message] | str, pause: Pause | None = None) -> PromptShape:
-    """Hashes a prompt.
+    """Hashes the levels and chunks of a prompt.
 
     :param prompt: chat messages, or the text of a completion.
     :param pause: called between slices of ``SLICE_BYTES``; a node passes a cooperative yield.
@@ -70,8 +71,8 @@
 
 
 def _split_text(text: bytes, pause: Pause | None) -> PromptShape:
-    # A bare text has no message limits: its first chunk stands for the guide and its whole chunks
-    # for the history.
+    # Plain text has no message boundaries: its first chunk is taken as the guide and its full
+    # chunks as the history.
     whole = len(text) // PIECE_BYTES * PIECE_BYTES
     ends = sorted({min(len(text), PIECE_BYTES), whole or len(text), len(text)})
     return _hash([text], ends, pause)
@@ -82,8 +83,8 @@
     content = message.get("content")
     rest = {name: value for name, value in message.items() if name not in ("role", "content")}
     body = content.encode() if isinstance(content, str) else _canonical(content)
-    # Field ends are marked by bytes that UTF-8 text cannot contain, so that text moved from one
-    # field to the next gives another hash.
+    # Fields are delimited by bytes that UTF-8 text cannot contain, so that moving text from one
+    # field to the next changes the hash.
     return b"\xfe" + role + b"\xff" + body + (b"\xff" + _canonical(rest) if rest else b"")
 
 
@@ -134,7 +135,7 @@
 
 
 def _pieces(parts: Sequence[bytes]) -> Iterator[bytes]:
-    """Cuts the concatenation of ``parts`` into chunks without joining it."""
+    """Yields the chunks of the concatenation of ``parts`` without building it in memory."""
     rest = b""
     for part in parts:
         data = rest + part if rest else part
--- a/packages/arbutustally/src/arbutustally/rendezvous.py
+++ b/packages/arbutustally/src/arbutustally/rendezvous.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing: every node derives the same order of endpoints without shared state."""
+"""Rendezvous hashing: every node derives the same order of names without shared state."""
 
 from collections.abc import Iterable
 from hashlib import blake2b
@@ -13,18 +13,19 @@
 
 
 def order(key: bytes, names: Iterable[str]) -> list[str]:
-    """Returns the names in rendezvous order; removing one leaves the order of the others."""
+    """Returns the names in rendezvous order; removing one does not reorder the others."""
     return sorted(names, key=lambda name: score(key, name), reverse=True)
 
 
 def rank(key: bytes, name: str, others: Iterable[str]) -> int:
-    """Returns the place of ``name`` among all names in rendezvous order, 0 for the first.
+    """Returns the index of ``name`` among all names in rendezvous order, 0 for the first.
 
-    All who know the same names agree, provided that each goes by the name the others know it by.
+    Nodes that pass the same set of names compute consistent ranks, so each node has to pass itself
+    under the name that the others use for it.
     """
     return order(key, {name, *others}).index(name)
 
 
 def unit(key: bytes, name: str) -> float:
-    """Returns a uniform hash of the pair in [0, 1)."""
+    """Returns a hash of the pair, uniformly distributed in [0, 1)."""
     return score(key, name) / 2.0**64
--- a/packages/arbutustally/src/arbutustally/retries.py
+++ b/packages/arbutustally/src/arbutustally/retries.py
@@ -1,10 +1,11 @@
-"""Retry budget: retries may be only a fraction of the work that succeeds."""
+"""Retry budget: limits retries to a fraction of the successful requests."""
 
 from collections import OrderedDict
 
-#: Retries earned by one success.
+#: Retries credited for one success.
 RETRY_FRACTION = 0.1
-#: One engine may break about this many streams of a node at once, and each continuation counts.
+#: About as many streams of a node as one failing engine can break at once; each continuation
+#: counts as a retry.
 NODE_RESERVE = 64.0
 ACCOUNT_RESERVE = 32.0
 MAX_ACCOUNTS = 16384
@@ -13,9 +14,9 @@
 class RetryBudget:
     """Balance of retries for the node and for each account.
 
-    :param fraction: retries earned by one success.
-    :param node_reserve: largest and first balance of the node.
-    :param account_reserve: largest and first balance of an account.
+    :param fraction: retries credited for one success.
+    :param node_reserve: initial and largest balance of the node.
+    :param account_reserve: initial and largest balance of an account.
     """
 
     def __init__(self, fraction: float, node_reserve: float, account_reserve: float) -> None:
@@ -36,7 +37,7 @@
         return cls(fraction, node_reserve, account_reserve)
 
     def allow(self, account: str) -> bool:
-        """Takes one retry from both balances if both have one."""
+        """Deducts one retry from both balances and returns whether both had one."""
         balance = self._accounts.get(account, self._account_reserve)
         if self._node < 1 or balance < 1:
             return False
@@ -45,7 +46,7 @@
         return True
 
     def succeeded(self, account: str) -> None:
-        """Earns a fraction of a retry for both balances."""
+        """Credits both balances with a fraction of a retry."""
         self._node = min(self._node_reserve, self._node + self._fraction)
         balance = self._accounts.get(account)
         if balance is not None:
--- a/packages/arbutustally/src/arbutustally/stream_token.py
+++ b/packages/arbutustally/src/arbutustally/stream_token.py
@@ -1,4 +1,4 @@
-"""Stream tokens: authenticated values by which a caller resumes its stream at any node."""
+"""Stream tokens: authenticated values with which a caller can resume its stream at any node."""
 
 import base64
 import binascii
@@ -11,7 +11,7 @@
 
 DIGEST_BYTES = 16
 MAC_BYTES = 16
-#: Longest accepted event id; a longer one cannot be a token of this system.
+#: Longest accepted event id; no token issued by this system is longer.
 MAX_EVENT_ID_CHARACTERS = 1024
 
 _PURPOSE = b"arbutustally stream token"
@@ -20,14 +20,14 @@
 
 @dataclass(frozen=True)
 class StreamToken:
-    """What a node needs to resume a stream.
+    """State that a node needs to resume a stream.
 
     :ivar request_id: id of the request at the engine.
     :ivar account: client account that owns the stream.
     :ivar endpoint: endpoint id.
     :ivar incarnation: incarnation of the engine.
     :ivar version: weights version.
-    :ivar request_digest: ``DIGEST_BYTES`` over the request, see ``digest_request``.
+    :ivar request_digest: digest of the request, ``DIGEST_BYTES`` long, see ``digest_request``.
     """
 
     request_id: str
@@ -47,9 +47,10 @@
 
 
 def digest_request(path: str, body: bytes) -> bytes:
-    """Returns the digest by which a repeated request is recognised.
+    """Returns the digest that identifies a repeated request.
 
-    :param path: path of the interface, so that a body cannot be resumed at another one.
+    :param path: path of the request; it is included so that a stream cannot be resumed with the
+        same body at another path.
     """
     digest = hashlib.blake2b(body, digest_size=DIGEST_BYTES, person=b"stream request")
     digest.update(b"\0" + path.encode())
@@ -57,7 +58,7 @@
 
 
 def issue(secret: str, token: StreamToken) -> str:
-    """Returns the text form; it contains no ``.``.
+    """Returns the encoded token, which contains no ``.``.
 
     :raises ValueError: if a field contains a null character.
     """
@@ -72,7 +73,7 @@
     """Decodes an event id ``<token>.<index>``.
 
     :param secrets: accepted fleet secrets; empty ones are ignored.
-    :raises StreamNotResumableError: if no secret authenticates it.
+    :raises StreamNotResumableError: if it is malformed or no secret authenticates it.
     """
     text, _, number = event_id.rpartition(".")
     if len(event_id) > MAX_EVENT_ID_CHARACTERS or not (number.isascii() and number.isdigit()):
--- a/tests/policy_support.py
+++ b/tests/policy_support.py
@@ -5,7 +5,7 @@
 
 @dataclass(frozen=True)
 class Aim:
-    """A class target; exactly one of the two is set."""
+    """A class target; exactly one field is set."""
 
     first_token_ms: float | None = None
     recompute_percent: float | None = None
--- a/tests/test_cache_identity.py
+++ b/tests/test_cache_identity.py
@@ -17,7 +17,7 @@
 VERSIONS = st.sampled_from(("v1", "v2"))
 PROMPTS = st.tuples(st.integers(0, 1), st.integers(0, 2), st.integers(0, 2))
 TARGET = Aim(first_token_ms=500.0)
-#: Tokens of roles, marks, the fixed answer and rounding, which ``texts`` leaves out.
+#: Tokens of roles, delimiters, the fixed assistant message and rounding, which ``texts`` omits.
 FRAME_TOKENS = 16
 
 
@@ -37,7 +37,7 @@
 
 
 def shared_tokens(one: tuple[int, int, int], other: tuple[int, int, int]) -> int:
-    """Returns the tokens that two prompts share at the start, rounded up."""
+    """Returns an upper bound of the tokens in the common prefix of two prompts."""
     left, right = "".join(texts(one)), "".join(texts(other))
     same = 0
     while same < min(len(left), len(right)) and left[same] == right[same]:
@@ -46,7 +46,7 @@
 
 
 class CacheIdentityMachine(RuleBasedStateMachine):
-    """Model: for each engine incarnation, the prompts it ever received, by account and weights."""
+    """Model: all prompts sent to each engine incarnation, by account and weights version."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -90,13 +90,16 @@
 
     @rule(number=st.integers(0, 50))
     def answer(self, number: int) -> None:
-        """Delivers an answer, perhaps again, perhaps long after its engine died."""
+        """Delivers a response, possibly repeatedly or long after its engine crashed."""
         if self.answers:
             self.placement.learn(self.answers[number % len(self.answers)])
 
     @rule(name=st.sampled_from(ENDPOINTS), noticed=st.booleans())
     def crash(self, name: str, noticed: bool) -> None:
-        """Restarts an engine with an empty cache; the node may learn of it only by the number."""
+        """Restarts an engine with an empty cache.
+
+        Unless the crash is noticed, the node learns of it only from the new incarnation.
+        """
         if noticed:
             self.placement.drop(name, str(self.incarnations[name]))
         self.incarnations[name] += 1
@@ -118,7 +121,7 @@
 
 class LateEventTest(unittest.TestCase):
     def test_late_answer_of_dead_engine_is_not_learned(self) -> None:
-        """Guards against an answer that arrives after the crash reviving a dead engine's cache."""
+        """Guards against a response that arrives after the crash restoring the dead engine's entries."""
         placement = Placement.from_config(VirtualClock(), Random(1))
         shape = split_levels(messages((0, 0, 0)))
         request = PlacementRequest("school", "marelle", "v1", shape, 10, TARGET)
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -23,7 +23,7 @@
 
 
 class FairQueueMachine(RuleBasedStateMachine):
-    """Model: all tickets ever returned, with the sums recomputed from their states."""
+    """Model: all tickets ever returned; sums are recomputed from their states."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -65,10 +65,10 @@
     def bounds_hold(self) -> None:
         admitted = [entry for entry in self.tickets if entry.state is TicketState.ADMITTED]
         waiting = [entry for entry in self.tickets if entry.state is TicketState.WAITING]
-        # Beyond the bound there are only accounts inside their part of the pool.
+        # Only accounts within their share of the pool are admitted beyond the bound.
         assert self.queue.in_flight <= 2 * LIMITS.pool_tokens or len(admitted) == 1
         assert self.queue.queued <= LIMITS.queued_tokens or len(waiting) == 1
-        assert not waiting or admitted, "work waits in front of an idle pool"
+        assert not waiting or admitted, "requests are queued although the pool is idle"
 
     @invariant()
     def admitted_work_is_never_shed(self) -> None:
@@ -84,7 +84,10 @@
 
 class FairnessTest(unittest.TestCase):
     def serve(self, offered: dict[str, int], weights: dict[str, float]) -> dict[str, float]:
-        """Offers each account's 10-token requests per round of one second; returns tokens served."""
+        """Submits 10-token requests for 60 rounds of one second; returns the tokens served.
+
+        :param offered: requests per round of each account.
+        """
         clock = VirtualClock()
         queue = FairQueue(clock, LIMITS, weights)
         served = dict.fromkeys(offered, 0.0)
@@ -109,12 +112,12 @@
         self.assertGreaterEqual(served["quiet"], 0.95 * 4 * 10 * 60)
 
     def test_service_follows_weights_under_overload(self) -> None:
-        """Guards against equal parts where the declared rates differ."""
+        """Guards against equal shares for accounts with different declared rates."""
         served = self.serve({"small": 30, "large": 30}, WEIGHTS)
         self.assertAlmostEqual(served["large"] / served["small"], 4.0, delta=0.6)
 
     def test_quiet_account_does_not_wait_for_flood_to_finish(self) -> None:
-        """Guards against a pool filled by one account holding up another for a whole prefill."""
+        """Guards against a pool filled by one account delaying another for a whole prefill."""
         queue = FairQueue(VirtualClock(), LIMITS, {"flood": 1.0, "quiet": 1.0})
         for _ in range(6):
             queue.submit("flood", 25, 10.0)
@@ -123,7 +126,7 @@
         self.assertIs(quiet.state, TicketState.ADMITTED)
 
     def test_shed_falls_on_account_over_its_share(self) -> None:
-        """Guards against shedding the newcomer instead of the account that filled the queue."""
+        """Guards against shedding the new request instead of the account that filled the queue."""
         queue = FairQueue(VirtualClock(), LIMITS, {})
         flood = [queue.submit("flood", 50, 10.0) for _ in range(8)]
         quiet = queue.submit("quiet", 120, 10.0)
@@ -131,7 +134,7 @@
         self.assertIs(flood[-1].state, TicketState.SHED)
 
     def test_withdrawn_request_is_not_charged(self) -> None:
-        """Guards against an account paying in order for requests that its callers gave up."""
+        """Guards against charging an account's tags for requests that its callers cancelled."""
         clock = VirtualClock()
         queue = FairQueue(clock, LIMITS, {})
         running = queue.submit("other", 100, 10.0)
--- a/tests/test_placement_traces.py
+++ b/tests/test_placement_traces.py
@@ -1,4 +1,4 @@
-"""Recorded small traces of placement; the stated outcome stands beside each step."""
+"""Replays small recorded traces of placement; each step states its expected outcome."""
 
 import json
 import unittest
@@ -24,7 +24,7 @@
 
 
 class _Player:
-    """Plays one trace against a placement."""
+    """Replays one trace against a placement."""
 
     def __init__(self, test: unittest.TestCase, trace: dict[str, Any]) -> None:
         self.test = test
@@ -119,7 +119,7 @@
         _Player(self, trace).play()
 
     def test_no_candidate_of_the_version_is_refused(self) -> None:
-        """Guards against a request that runs on other weights than it was picked for."""
+        """Guards against a request running on a version other than the one picked for it."""
         player = _Player(self, {"steps": []})
         request = player.request("school", "v1", "g1")
         others = [replace(entry, version="v2") for entry in player.candidates("v1")]
@@ -127,8 +127,8 @@
             player.placement.choose(request, others)
 
     def test_shortlist_of_many_candidates_keeps_homes_and_holders(self) -> None:
-        """Guards against a shortlist that loses the endpoint with the prefix, or that differs
-        between nodes on a cold prefix."""
+        """Guards against a shortlist that omits the endpoint that holds the prefix, or that makes
+        nodes choose different endpoints for a cold prefix."""
         many = [Candidate(f"w{number}", "1", "zone-1", 0, 0, "v1") for number in range(400)]
         chosen = set()
         for seed in range(5):
@@ -152,7 +152,7 @@
         self.assertEqual(len(chosen), 1)
 
     def test_reasons_name_target_cache_and_queue(self) -> None:
-        """Guards against a choice that an operator cannot have explained."""
+        """Guards against a choice whose reasons are not reported to the operator."""
         player = _Player(self, {"steps": []})
         request = player.request("school", "v1", "g1")
         text = "\n".join(player.placement.choose(request, player.candidates("v1")).reasons)
@@ -163,7 +163,7 @@
 def _add_trace(trace: dict[str, Any]) -> None:
     name = "test_" + trace["name"].lower().replace(" ", "_")
     function = lambda self: self.play(trace["name"])  # noqa: E731
-    function.__doc__ = f"Guards the stated outcome: {trace['name']}."
+    function.__doc__ = f"Guards against an outcome other than: {trace['name']}."
     setattr(PlacementTraceTest, name, function)
 
 
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -1,4 +1,4 @@
-"""Prefix hashes: equal prefixes have equal hashes, others do not, and long prompts yield."""
+"""Prefix hashes: equal prefixes, and only these, have equal hashes; hashing long prompts yields."""
 
 import unittest
 
@@ -19,7 +19,7 @@
 
 class PrefixTest(unittest.TestCase):
     def test_next_turn_extends_chunks_of_the_turn_before(self) -> None:
-        """Guards against a conversation that finds nothing of its own history."""
+        """Guards against a conversation missing the cached chunks of its own history."""
         first = split_levels(chat("g" * 9000, "h" * 9000))
         second = split_levels(chat("g" * 9000, "h" * 9000, "a" * 50, "q" * 50))
         self.assertEqual(second.pieces[: len(first.pieces)], first.pieces)
@@ -35,14 +35,14 @@
 
     @given(st.text(max_size=30), st.text(max_size=30), st.integers(0, 30))
     def test_text_moved_between_fields_changes_the_hash(self, a: str, b: str, cut: int) -> None:
-        """Guards against two prompts of one byte string whose messages differ."""
+        """Guards against equal hashes of prompts whose texts agree but whose messages differ."""
         left, right = (a + b)[:cut], (a + b)[cut:]
         one, two = split_levels(chat(a, b)), split_levels(chat(left, right))
         self.assertEqual(one.levels[-1].hash == two.levels[-1].hash, (a, b) == (left, right))
 
     @given(st.lists(st.integers(0, 9000), min_size=1, max_size=4))
     def test_tokens_and_chunks_follow_size(self, sizes: list[int]) -> None:
-        """Guards against levels that are lost or doubled at chunk limits."""
+        """Guards against levels that are lost or duplicated at chunk boundaries."""
         shape = split_levels(chat(*("x" * size for size in sizes)))
         tokens = [level.tokens for level in shape.levels]
         self.assertEqual(tokens, sorted(set(tokens)))
@@ -50,14 +50,14 @@
         self.assertLessEqual(len(shape.pieces), shape.total_tokens // 1000)
 
     def test_long_prompt_yields_between_slices(self) -> None:
-        """Guards against one 400 KB prompt holding up every other greenlet of the node."""
+        """Guards against one 400 KB prompt blocking all other greenlets of the node."""
         pauses: list[int] = []
         shape = split_levels(chat("x" * 400_000, "q"), lambda: pauses.append(1))
         self.assertGreaterEqual(len(pauses), 400_000 // SLICE_BYTES)
         self.assertEqual(shape, split_levels(chat("x" * 400_000, "q")))
 
     def test_anchors_of_long_prompt_are_few_and_close(self) -> None:
-        """Guards against an index that one long prompt fills, or that misses long prefixes."""
+        """Guards against one long prompt filling the index, and against missing long prefixes."""
         names = anchors(split_levels("x" * 400_000))
         lengths = sorted(anchor.tokens for anchor in names)
         self.assertLess(len(lengths), 60)
