--- a/packages/arbutustally/src/arbutustally/cache_index.py
+++ b/packages/arbutustally/src/arbutustally/cache_index.py
@@ -132,8 +132,8 @@
     ) -> None:
         """Records the whole prompt after a response that reports ``cached`` tokens of it as cached.
 
-        A finished prefill leaves the whole prompt in the cache. The cached count adjusts the learned
-        retention time. A late response of a dead incarnation is ignored.
+        A finished prefill leaves the whole prompt in the cache. The cached count adjusts the
+        learned retention time. A late response of a dead incarnation is ignored.
         """
         if (endpoint, incarnation) in self._dead:
             return
--- a/packages/arbutustally/src/arbutustally/hot_prefixes.py
+++ b/packages/arbutustally/src/arbutustally/hot_prefixes.py
@@ -9,8 +9,8 @@
 #: Share of an endpoint's prefill speed per home at which a home is added. Queues grow steeply above
 #: about 60% utilisation, so homes are added well before that.
 WIDEN_AT = 0.25
-#: Fraction of the ``widen_at`` share, applied to the speed of the remaining homes, below which a home is
-#: removed. This hysteresis keeps small changes of demand from changing the number of homes.
+#: Fraction of the ``widen_at`` share, applied to the speed of the remaining homes, below which a
+#: home is removed. This hysteresis keeps small changes of demand from changing the number of homes.
 NARROW_PART = 0.6
 #: Bound on prefixes whose demand is tracked.
 MAX_PREFIXES = 4096
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -340,7 +340,7 @@
         return min(missed / view.home_speed, max(0.0, read_s - own_s))
 
     def _copy_cost(self, view: _View, cached: int) -> float:
-        """Returns the cost of a copy outside the homes, which evicts other prefixes from the cache."""
+        """Returns the cost of a copy outside the homes, which evicts other cached prefixes."""
         missed = (view.guide_tokens - cached) * self.options.copy_share
         return (
             missed / view.home_speed if view.request.target.first_token_ms is not None else missed
--- a/tests/test_cache_identity.py
+++ b/tests/test_cache_identity.py
@@ -121,7 +121,7 @@
 
 class LateEventTest(unittest.TestCase):
     def test_late_answer_of_dead_engine_is_not_learned(self) -> None:
-        """Guards against a response that arrives after the crash restoring the dead engine's entries."""
+        """Guards against a response after the crash restoring the entries of the dead engine."""
         placement = Placement.from_config(VirtualClock(), Random(1))
         shape = split_levels(messages((0, 0, 0)))
         request = PlacementRequest("school", "marelle", "v1", shape, 10, TARGET)
