Call the chunks of a prompt chunks in code too

Their field, constant and locals were named pieces while the documentation says chunks; locals of the hash loop say what they hold.

--- a/packages/arbutustally/src/arbutustally/cache_index.py
+++ b/packages/arbutustally/src/arbutustally/cache_index.py
@@ -53,15 +53,15 @@
     :param levels: include the levels as well as the chunks.
     """
     found = {level.tokens: level.hash for level in shape.levels} if levels else {}
-    for number in _anchor_numbers(len(shape.pieces)):
-        found.setdefault(number * shape.piece_tokens, shape.pieces[number - 1])
+    for number in _anchor_numbers(len(shape.chunks)):
+        found.setdefault(number * shape.chunk_tokens, shape.chunks[number - 1])
     return [Anchor(found[tokens], tokens) for tokens in sorted(found, reverse=True)]
 
 
-def _anchor_numbers(pieces: int) -> list[int]:
+def _anchor_numbers(chunks: int) -> list[int]:
     numbers = []
     number, distance = 1, 1
-    while number <= pieces:
+    while number <= chunks:
         numbers.append(number)
         if number >= DENSE_ANCHORS * distance:
             distance *= 2
--- a/packages/arbutustally/src/arbutustally/prefixes.py
+++ b/packages/arbutustally/src/arbutustally/prefixes.py
@@ -14,7 +14,7 @@
 #: Estimated size of a token, in bytes of UTF-8.
 BYTES_PER_TOKEN = 4
 #: Size of a chunk in bytes; the KV store keeps chunks of about 1,000 tokens.
-PIECE_BYTES = 4000
+CHUNK_BYTES = 4000
 #: Bytes hashed between two calls of ``pause``, about 0.05 ms of work, so that a 400 KB prompt does
 #: not block other greenlets.
 SLICE_BYTES = 32_000
@@ -43,18 +43,18 @@
 
     :ivar levels: guide (leading system and developer messages), history (up to the last user
         message) and question (whole prompt), shortest first; levels of equal length appear once.
-    :ivar pieces: cumulative hashes up to the end of each full chunk, in order.
+    :ivar chunks: cumulative hashes up to the end of each full chunk, in order.
     :ivar total_tokens: estimated tokens of the whole prompt.
     """
 
     levels: tuple[Level, ...]
-    pieces: tuple[bytes, ...]
+    chunks: tuple[bytes, ...]
     total_tokens: int
 
     @property
-    def piece_tokens(self) -> int:
+    def chunk_tokens(self) -> int:
         """Returns the estimated tokens of a full chunk."""
-        return PIECE_BYTES // BYTES_PER_TOKEN
+        return CHUNK_BYTES // BYTES_PER_TOKEN
 
 
 def split_levels(prompt: Sequence[Message] | str, pause: Pause | None = None) -> PromptShape:
@@ -73,8 +73,8 @@
 def _split_text(text: bytes, pause: Pause | None) -> PromptShape:
     # Plain text has no message boundaries: its first chunk is taken as the guide and its full
     # chunks as the history.
-    whole = len(text) // PIECE_BYTES * PIECE_BYTES
-    ends = sorted({min(len(text), PIECE_BYTES), whole or len(text), len(text)})
+    whole = len(text) // CHUNK_BYTES * CHUNK_BYTES
+    ends = sorted({min(len(text), CHUNK_BYTES), whole or len(text), len(text)})
     return _hash([text], ends, pause)
 
 
@@ -110,38 +110,38 @@
 
 def _hash(parts: Sequence[bytes], ends: Sequence[int], pause: Pause | None) -> PromptShape:
     total = sum(len(part) for part in parts)
-    whole_hash = blake2b(digest_size=DIGEST_BYTES)
+    prefix_hash = blake2b(digest_size=DIGEST_BYTES)
     levels: list[Level] = []
-    pieces: list[bytes] = []
-    done = 0
-    for piece in _pieces(parts):
-        if pause is not None and done and done % SLICE_BYTES == 0:
+    chunks: list[bytes] = []
+    hashed_bytes = 0
+    for chunk in _chunks(parts):
+        if pause is not None and hashed_bytes and hashed_bytes % SLICE_BYTES == 0:
             pause()
         start = 0
         for end in ends:
-            if done < end <= done + len(piece):
-                whole_hash.update(piece[start : end - done])
-                start = end - done
-                levels.append(Level(whole_hash.digest(), _tokens(end)))
-        whole_hash.update(piece[start:])
-        done += len(piece)
-        if len(piece) == PIECE_BYTES:
-            pieces.append(whole_hash.digest())
-    return PromptShape(tuple(levels), tuple(pieces), _tokens(total))
+            if hashed_bytes < end <= hashed_bytes + len(chunk):
+                prefix_hash.update(chunk[start : end - hashed_bytes])
+                start = end - hashed_bytes
+                levels.append(Level(prefix_hash.digest(), _tokens(end)))
+        prefix_hash.update(chunk[start:])
+        hashed_bytes += len(chunk)
+        if len(chunk) == CHUNK_BYTES:
+            chunks.append(prefix_hash.digest())
+    return PromptShape(tuple(levels), tuple(chunks), _tokens(total))
 
 
 def _tokens(size: int) -> int:
     return -(-size // BYTES_PER_TOKEN)
 
 
-def _pieces(parts: Sequence[bytes]) -> Iterator[bytes]:
+def _chunks(parts: Sequence[bytes]) -> Iterator[bytes]:
     """Yields the chunks of the concatenation of ``parts`` without building it in memory."""
     rest = b""
     for part in parts:
         data = rest + part if rest else part
-        whole = len(data) // PIECE_BYTES * PIECE_BYTES
-        for start in range(0, whole, PIECE_BYTES):
-            yield data[start : start + PIECE_BYTES]
+        whole = len(data) // CHUNK_BYTES * CHUNK_BYTES
+        for start in range(0, whole, CHUNK_BYTES):
+            yield data[start : start + CHUNK_BYTES]
         rest = data[whole:]
     if rest:
         yield rest
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -22,7 +22,7 @@
         """Guards against a conversation missing the cached chunks of its own history."""
         first = split_levels(chat("g" * 9000, "h" * 9000))
         second = split_levels(chat("g" * 9000, "h" * 9000, "a" * 50, "q" * 50))
-        self.assertEqual(second.pieces[: len(first.pieces)], first.pieces)
+        self.assertEqual(second.chunks[: len(first.chunks)], first.chunks)
         self.assertEqual(second.levels[0], first.levels[0])
 
     def test_levels_are_guide_history_and_question(self) -> None:
@@ -47,7 +47,7 @@
         tokens = [level.tokens for level in shape.levels]
         self.assertEqual(tokens, sorted(set(tokens)))
         self.assertEqual(tokens[-1], shape.total_tokens)
-        self.assertLessEqual(len(shape.pieces), shape.total_tokens // 1000)
+        self.assertLessEqual(len(shape.chunks), shape.total_tokens // 1000)
 
     def test_long_prompt_yields_between_slices(self) -> None:
         """Guards against one 400 KB prompt blocking all other greenlets of the node."""
