Rename names of anchors, and keep time to retention time, in the cache index

Lists of Anchor were called names, and the time for which an engine retains an unused prefix had four spellings with keep; the function anchors is prefix_anchors so that lists can be anchors.

--- a/packages/arbutustally/src/arbutustally/cache_index.py
+++ b/packages/arbutustally/src/arbutustally/cache_index.py
@@ -18,12 +18,12 @@
 #: Endpoints remembered per prefix.
 MAX_HOLDERS = 8
 #: Initial value of the learned time for which engines retain an unused prefix, in seconds.
-DEFAULT_KEEP_S = 30.0
+DEFAULT_RETENTION_S = 30.0
 #: Bounds of the retention time in seconds.
-KEEP_BOUNDS_S = (1.0, 600.0)
+RETENTION_BOUNDS_S = (1.0, 600.0)
 #: Factors that raise the retention time after a late hit and lower it after a miss within it.
-KEEP_RAISE = 1.1
-KEEP_LOWER = 0.8
+RETENTION_RAISE = 1.1
+RETENTION_LOWER = 0.8
 
 
 @dataclass(frozen=True)
@@ -47,7 +47,7 @@
     tokens: int
 
 
-def anchors(shape: PromptShape, levels: bool = True) -> list[Anchor]:
+def prefix_anchors(shape: PromptShape, levels: bool = True) -> list[Anchor]:
     """Returns the prefixes of a prompt that the index stores, longest first.
 
     :param levels: include the levels as well as the chunks.
@@ -85,24 +85,24 @@
         self._max_entries = max_entries
         self._entries: OrderedDict[tuple[CacheScope, bytes], dict[str, _Holder]] = OrderedDict()
         self._dead: OrderedDict[tuple[str, str], None] = OrderedDict()
-        self._keep_s: dict[str, float] = {}
+        self._retention_s: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._entries)
 
-    def keep_s(self, endpoint: str) -> float:
+    def retention_s(self, endpoint: str) -> float:
         """Returns the learned time in seconds for which an endpoint retains an unused prefix."""
-        return self._keep_s.get(endpoint, DEFAULT_KEEP_S)
+        return self._retention_s.get(endpoint, DEFAULT_RETENTION_S)
 
-    def assume_keep(self, endpoint: str, seconds: float) -> None:
+    def set_initial_retention(self, endpoint: str, seconds: float) -> None:
         """Sets the initial retention time of one endpoint, in place of the default."""
-        self._keep_s[endpoint] = seconds
+        self._retention_s[endpoint] = seconds
 
     def cached_tokens(
-        self, scope: CacheScope, names: list[Anchor], endpoint: str, incarnation: str, now: float
+        self, scope: CacheScope, anchors: list[Anchor], endpoint: str, incarnation: str, now: float
     ) -> int:
         """Returns the tokens of the longest prefix that the endpoint is expected to hold."""
-        for anchor in names:
+        for anchor in anchors:
             holders = self._entries.get((scope, anchor.hash))
             holder = holders.get(endpoint) if holders else None
             if holder is None:
@@ -110,21 +110,21 @@
             if holder.incarnation != incarnation or (endpoint, incarnation) in self._dead:
                 del holders[endpoint]
                 continue
-            if now - holder.seen_at <= self.keep_s(endpoint):
+            if now - holder.seen_at <= self.retention_s(endpoint):
                 return anchor.tokens
         return 0
 
-    def holders(self, scope: CacheScope, names: list[Anchor]) -> set[str]:
+    def holders(self, scope: CacheScope, anchors: list[Anchor]) -> set[str]:
         """Returns the endpoints that may hold any of the prefixes."""
         found: set[str] = set()
-        for anchor in names:
+        for anchor in anchors:
             found.update(self._entries.get((scope, anchor.hash), ()))
         return found
 
     def learn(
         self,
         scope: CacheScope,
-        names: list[Anchor],
+        anchors: list[Anchor],
         endpoint: str,
         incarnation: str,
         cached: int,
@@ -137,16 +137,16 @@
         """
         if (endpoint, incarnation) in self._dead:
             return
-        self._correct_keep(scope, names, endpoint, incarnation, cached, now)
-        self.enter(scope, names, endpoint, incarnation, now)
+        self._adjust_retention(scope, anchors, endpoint, incarnation, cached, now)
+        self.enter(scope, anchors, endpoint, incarnation, now)
 
     def enter(
-        self, scope: CacheScope, names: list[Anchor], endpoint: str, incarnation: str, now: float
+        self, scope: CacheScope, anchors: list[Anchor], endpoint: str, incarnation: str, now: float
     ) -> None:
         """Records that the endpoint holds all these prefixes as of ``now``."""
         if (endpoint, incarnation) in self._dead:
             return
-        for anchor in names:
+        for anchor in anchors:
             key = (scope, anchor.hash)
             holders = self._entries.setdefault(key, {})
             holders.pop(endpoint, None)
@@ -158,10 +158,10 @@
             self._entries.popitem(last=False)
 
     def forget(
-        self, scope: CacheScope, names: list[Anchor], endpoint: str, above_tokens: int
+        self, scope: CacheScope, anchors: list[Anchor], endpoint: str, above_tokens: int
     ) -> None:
         """Removes the endpoint from the holders of prefixes longer than ``above_tokens``."""
-        for anchor in names:
+        for anchor in anchors:
             if anchor.tokens > above_tokens:
                 holders = self._entries.get((scope, anchor.hash))
                 if holders:
@@ -173,26 +173,26 @@
         while len(self._dead) > self._max_entries:
             self._dead.popitem(last=False)
 
-    def _correct_keep(
+    def _adjust_retention(
         self,
         scope: CacheScope,
-        names: list[Anchor],
+        anchors: list[Anchor],
         endpoint: str,
         incarnation: str,
         cached: int,
         now: float,
     ) -> None:
-        for anchor in names:
+        for anchor in anchors:
             holder = (self._entries.get((scope, anchor.hash)) or {}).get(endpoint)
             if holder is None or holder.incarnation != incarnation:
                 continue
             age = now - holder.seen_at
-            keep = self.keep_s(endpoint)
+            retention = self.retention_s(endpoint)
             if cached >= anchor.tokens:
-                if age > keep * 0.5:
-                    keep = max(keep * KEEP_RAISE, min(age, keep * 2))
-            elif age <= keep:
-                keep *= KEEP_LOWER
-            low, high = KEEP_BOUNDS_S
-            self._keep_s[endpoint] = min(max(keep, low), high)
+                if age > retention * 0.5:
+                    retention = max(retention * RETENTION_RAISE, min(age, retention * 2))
+            elif age <= retention:
+                retention *= RETENTION_LOWER
+            low, high = RETENTION_BOUNDS_S
+            self._retention_s[endpoint] = min(max(retention, low), high)
             return
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -11,7 +11,7 @@
 from heapq import nlargest, nsmallest
 from random import Random
 
-from arbutustally.cache_index import Anchor, CacheIndex, CacheScope, anchors
+from arbutustally.cache_index import Anchor, CacheIndex, CacheScope, prefix_anchors
 from arbutustally.clock import Clock
 from arbutustally.endpoint_load import Dispatch, EndpointLoad, SharedSpeeds
 from arbutustally.errors import NoEndpointError
@@ -53,7 +53,7 @@
 KV_STORE = "\0kv"
 #: Initial estimate of how long the KV store retains a prompt, in seconds; longer than for engines
 #: because the store is larger than their caches.
-KV_KEEP_S = 600.0
+KV_STORE_RETENTION_S = 600.0
 #: Longest queueing time that a class with a recompute target accepts for a cache hit, in seconds.
 RECOMPUTE_QUEUE_BOUND_S = 2.0
 #: Cost in tokens of each second above that bound; higher than the cost of any prompt.
@@ -80,7 +80,7 @@
 
     request: PlacementRequest
     scope: CacheScope
-    names: list[Anchor]
+    anchors: list[Anchor]
     guide_tokens: int
     homes: list[str]
     ranks: dict[str, int]
@@ -107,7 +107,7 @@
         self._index = CacheIndex(self.options.max_entries)
         self._load = EndpointLoad(self.options.prefill_tokens_per_s, self.speeds)
         self._load.assume_speed(KV_STORE, DEFAULT_IMPORT_TOKENS_PER_S)
-        self._index.assume_keep(KV_STORE, KV_KEEP_S)
+        self._index.set_initial_retention(KV_STORE, KV_STORE_RETENTION_S)
         self._hot = HotPrefixes(widen_at=self.options.widen_at)
         self._computed_share = 1.0
 
@@ -156,7 +156,7 @@
         ahead = best.queue_s * self._load.speed(best.endpoint)
         number = self._load.dispatched(best.endpoint, missed, ahead, view.now)
         if self.options.in_band:
-            self._index.enter(view.scope, view.names, best.endpoint, best.incarnation, view.now)
+            self._index.enter(view.scope, view.anchors, best.endpoint, best.incarnation, view.now)
         return Choice(
             best.endpoint,
             best.incarnation,
@@ -172,10 +172,10 @@
     def learn(self, observation: Observation) -> None:
         """Learns from the cached token count and the time to first token of a response."""
         dispatch = self._load.answered(observation.endpoint, observation.dispatch)
-        names = self._names(observation.shape)
+        anchors = self._anchors(observation.shape)
         scope = CacheScope(observation.account, observation.model, observation.version)
         if observation.cached_tokens is None:
-            self._index.forget(scope, names, observation.endpoint, 0)
+            self._index.forget(scope, anchors, observation.endpoint, 0)
             return
         cached = self._cached_estimate(observation)
         total = observation.shape.total_tokens
@@ -185,9 +185,9 @@
         if self.options.in_band:
             now = self.clock()
             self._index.learn(
-                scope, names, observation.endpoint, observation.incarnation, cached, now
+                scope, anchors, observation.endpoint, observation.incarnation, cached, now
             )
-            self._index.enter(scope, names, KV_STORE, "", now)
+            self._index.enter(scope, anchors, KV_STORE, "", now)
         if dispatch is not None and observation.first_token_s:
             missed = observation.shape.total_tokens - cached
             self._learn_speed(observation, dispatch, missed)
@@ -205,9 +205,9 @@
         queue_s = dispatch.ahead / self._load.speed(observation.endpoint)
         self._load.learn_speed(KV_STORE, missed, seconds - queue_s - IMPORT_DELAY_S)
 
-    def _names(self, shape: PromptShape) -> list[Anchor]:
+    def _anchors(self, shape: PromptShape) -> list[Anchor]:
         if self.options.by_level:
-            return anchors(shape)
+            return prefix_anchors(shape)
         return [Anchor(shape.levels[-1].hash, shape.total_tokens)] if shape.levels else []
 
     def _view(self, request: PlacementRequest, able: list[Candidate]) -> _View:
@@ -237,7 +237,7 @@
         guide = level.tokens if level else 0
         ranks = {name: rank for rank, name in enumerate(homes)}
         speed = max(self._load.speed(name) for name in homes[:width])
-        return _View(request, scope, self._names(shape), guide, homes, ranks, width, speed, now)
+        return _View(request, scope, self._anchors(shape), guide, homes, ranks, width, speed, now)
 
     def _shortlist(self, view: _View, able: list[Candidate]) -> list[Candidate]:
         """Returns the candidates to estimate: homes, known holders and some with short queues.
@@ -249,7 +249,7 @@
         if len(able) <= ALL_ESTIMATED:
             return able
         names = set(view.homes[: max(ESTIMATED_HOMES, view.width)])
-        names |= self._index.holders(view.scope, view.names)
+        names |= self._index.holders(view.scope, view.anchors)
         # Shuffling breaks ties between holders of equally many tokens differently for each request,
         # so that nodes do not all choose the same endpoint.
         shuffled = self.rng.sample(able, len(able))
@@ -309,7 +309,7 @@
     def _cached(self, view: _View, endpoint: str, incarnation: str) -> int:
         if not self.options.in_band:
             return 0
-        return self._index.cached_tokens(view.scope, view.names, endpoint, incarnation, view.now)
+        return self._index.cached_tokens(view.scope, view.anchors, endpoint, incarnation, view.now)
 
     def _import_s(self, view: _View, candidate: Candidate, cached: int, speed: float) -> float:
         """Returns the seconds to import what the KV store holds and to compute the rest.
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from arbutustally.cache_index import anchors
+from arbutustally.cache_index import prefix_anchors
 from arbutustally.prefixes import SLICE_BYTES, split_levels
 
 
@@ -58,8 +58,8 @@
 
     def test_anchors_of_long_prompt_are_few_and_close(self) -> None:
         """Guards against one long prompt filling the index, and against missing long prefixes."""
-        names = anchors(split_levels("x" * 400_000))
-        lengths = sorted(anchor.tokens for anchor in names)
+        found = prefix_anchors(split_levels("x" * 400_000))
+        lengths = sorted(anchor.tokens for anchor in found)
         self.assertLess(len(lengths), 60)
         for before, after in zip(lengths, lengths[1:], strict=False):
             self.assertLessEqual(after - before, max(1000, after / 8))
