Name placement's inputs, eligible candidates and home discount

view, able, told, aim, investment and guide_tokens (which holds the tokens of the home level, not always the guide) were vague or figurative; they are context, eligible, reported, target_text, home_discount and home_tokens.

--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -64,7 +64,7 @@
 SHARE_GAIN = 0.02
 #: Fraction of the uncached home prefix that is deducted from the cost of a home: its prefill also
 #: serves later requests, and a copy at another endpoint would take cache space there.
-HOME_SHARE = 0.5
+HOME_DISCOUNT = 0.5
 #: Up to this many candidates, all are estimated. Above it, only these numbers of homes, of
 #: candidates with short queues and of endpoints that report cached tokens are estimated, and every
 #: holder in the cache index.
@@ -75,13 +75,13 @@
 
 
 @dataclass(frozen=True)
-class _View:
+class _PlacementContext:
     """Inputs of one placement decision that are the same for all candidates."""
 
     request: PlacementRequest
     scope: CacheScope
     anchors: list[Anchor]
-    guide_tokens: int
+    home_tokens: int
     homes: list[str]
     ranks: dict[str, int]
     width: int
@@ -140,30 +140,32 @@
 
         :raises NoEndpointError: if no candidate runs the requested version.
         """
-        able = [entry for entry in candidates if entry.version == request.version]
-        if not able:
+        eligible = [entry for entry in candidates if entry.version == request.version]
+        if not eligible:
             raise NoEndpointError(
                 f"no endpoint of model {request.model} runs version {request.version}; retry when "
                 "one is live",
                 retry_after_s=1.0,
             )
-        view = self._view(request, able)
-        estimates = [self._estimate(view, entry) for entry in self._shortlist(view, able)]
-        estimates.sort(key=lambda entry: (entry.cost, view.ranks[entry.endpoint]))
-        zones = {entry.endpoint: entry.zone for entry in able}
-        best, tied = self._pick(view, estimates, zones)
+        context = self._context(request, eligible)
+        estimates = [self._estimate(context, entry) for entry in self._shortlist(context, eligible)]
+        estimates.sort(key=lambda entry: (entry.cost, context.ranks[entry.endpoint]))
+        zones = {entry.endpoint: entry.zone for entry in eligible}
+        best, tied = self._pick(context, estimates, zones)
         missed = request.shape.total_tokens - best.cached_tokens
         ahead = best.queue_s * self._load.speed(best.endpoint)
-        number = self._load.dispatched(best.endpoint, missed, ahead, view.now)
+        number = self._load.dispatched(best.endpoint, missed, ahead, context.now)
         if self.options.in_band:
-            self._index.enter(view.scope, view.anchors, best.endpoint, best.incarnation, view.now)
+            self._index.enter(
+                context.scope, context.anchors, best.endpoint, best.incarnation, context.now
+            )
         return Choice(
             best.endpoint,
             best.incarnation,
             best.cached_tokens,
             best.first_token_s,
             best.import_kv,
-            self._reasons(view, best, tied),
+            self._reasons(context, best, tied),
             tuple(estimates),
             number,
             missed + ahead,
@@ -210,7 +212,7 @@
             return prefix_anchors(shape)
         return [Anchor(shape.levels[-1].hash, shape.total_tokens)] if shape.levels else []
 
-    def _view(self, request: PlacementRequest, able: list[Candidate]) -> _View:
+    def _context(self, request: PlacementRequest, eligible: list[Candidate]) -> _PlacementContext:
         scope = CacheScope(request.account, request.model, request.version)
         shape, now = request.shape, self.clock()
         home_level = min(request.home_level, len(shape.levels) - 1) if self.options.by_level else -1
@@ -223,7 +225,7 @@
                 level.hash if level else b"",
             )
         )
-        homes = order(key, [entry.endpoint for entry in able])
+        homes = order(key, [entry.endpoint for entry in eligible])
         if self.options.widen:
             work = self._work(request, home_level) * request.nodes
             width = self._hot.requested(key, work, self._load.speed(homes[0]), now)
@@ -234,38 +236,40 @@
             homes[:width] = sorted(
                 homes[:width], key=lambda name: score(key + deeper, name), reverse=True
             )
-        guide = level.tokens if level else 0
+        home_tokens = level.tokens if level else 0
         ranks = {name: rank for rank, name in enumerate(homes)}
         speed = max(self._load.speed(name) for name in homes[:width])
-        return _View(request, scope, self._anchors(shape), guide, homes, ranks, width, speed, now)
+        return _PlacementContext(
+            request, scope, self._anchors(shape), home_tokens, homes, ranks, width, speed, now
+        )
 
-    def _shortlist(self, view: _View, able: list[Candidate]) -> list[Candidate]:
+    def _shortlist(self, context: _PlacementContext, eligible: list[Candidate]) -> list[Candidate]:
         """Returns the candidates to estimate: homes, known holders and some with short queues.
 
         An estimate takes about 20 us, so all 433 engines of a model at the planned fleet size would
         take 9 ms. Short queues are picked from a random sample, so that nodes do not all choose the
         same endpoint.
         """
-        if len(able) <= ALL_ESTIMATED:
-            return able
-        names = set(view.homes[: max(ESTIMATED_HOMES, view.width)])
-        names |= self._index.holders(view.scope, view.anchors)
+        if len(eligible) <= ALL_ESTIMATED:
+            return eligible
+        names = set(context.homes[: max(ESTIMATED_HOMES, context.width)])
+        names |= self._index.holders(context.scope, context.anchors)
         # Shuffling breaks ties between holders of equally many tokens differently for each request,
         # so that nodes do not all choose the same endpoint.
-        shuffled = self.rng.sample(able, len(able))
-        told = nlargest(ESTIMATED_HOLDERS, shuffled, key=lambda entry: entry.cached_tokens or 0)
-        names.update(entry.endpoint for entry in told if entry.cached_tokens)
-        sampled = self.rng.sample(able, 2 * ESTIMATED_IDLE)
+        shuffled = self.rng.sample(eligible, len(eligible))
+        reported = nlargest(ESTIMATED_HOLDERS, shuffled, key=lambda entry: entry.cached_tokens or 0)
+        names.update(entry.endpoint for entry in reported if entry.cached_tokens)
+        sampled = self.rng.sample(eligible, 2 * ESTIMATED_IDLE)
         idle = nsmallest(ESTIMATED_IDLE, sampled, key=lambda entry: entry.queued_tokens)
         names.update(entry.endpoint for entry in idle)
-        return [entry for entry in able if entry.endpoint in names]
+        return [entry for entry in eligible if entry.endpoint in names]
 
     def _work(self, request: PlacementRequest, home_level: int) -> float:
         """Returns the engine time of a request in prefill tokens, with its home prefix cached."""
         shape = request.shape
         has_more = 0 <= home_level < len(shape.levels) - 1
-        guide = shape.levels[home_level].tokens if has_more else 0
-        return shape.total_tokens - guide + OUTPUT_COST * request.output_tokens
+        home_tokens = shape.levels[home_level].tokens if has_more else 0
+        return shape.total_tokens - home_tokens + OUTPUT_COST * request.output_tokens
 
     def _cached_estimate(self, observation: Observation) -> int:
         """Returns the cached token count of the engine, scaled to estimated tokens."""
@@ -275,84 +279,94 @@
         share = (observation.cached_tokens or 0) / observation.prompt_tokens
         return round(min(share, 1.0) * total)
 
-    def _estimate(self, view: _View, candidate: Candidate) -> Estimate:
+    def _estimate(self, context: _PlacementContext, candidate: Candidate) -> Estimate:
         speed = self._load.speed(candidate.endpoint)
-        queue_s = self._queued(view, candidate) / speed + candidate.room_s
+        queue_s = self._queued(context, candidate) / speed + candidate.room_s
         cached = candidate.cached_tokens
         if cached is None:
-            cached = self._cached(view, candidate.endpoint, candidate.incarnation)
-        missed = view.request.shape.total_tokens - cached
+            cached = self._cached(context, candidate.endpoint, candidate.incarnation)
+        missed = context.request.shape.total_tokens - cached
         compute_s = missed / speed
-        import_s = self._import_s(view, candidate, cached, speed)
+        import_s = self._import_s(context, candidate, cached, speed)
         import_kv = import_s < compute_s
         first_s = queue_s + min(import_s, compute_s)
         if not candidate.loaded:
             first_s += DEFAULT_LOAD_S
-        cost = self._cost(view, first_s, queue_s, missed)
-        if cached < view.guide_tokens:
-            rank = view.ranks[candidate.endpoint]
-            if rank < view.width:
-                cost -= self._investment(view, cached, min(import_s, compute_s), speed)
+        cost = self._cost(context, first_s, queue_s, missed)
+        if cached < context.home_tokens:
+            rank = context.ranks[candidate.endpoint]
+            if rank < context.width:
+                cost -= self._home_discount(context, cached, min(import_s, compute_s), speed)
             elif rank >= self.options.homes:
-                cost += self._copy_cost(view, cached)
+                cost += self._copy_cost(context, cached)
         return Estimate(
             candidate.endpoint, candidate.incarnation, cached, queue_s, first_s, cost, import_kv
         )
 
-    def _queued(self, view: _View, candidate: Candidate) -> float:
+    def _queued(self, context: _PlacementContext, candidate: Candidate) -> float:
         queued = candidate.queued_tokens
         if candidate.report_age_s is not None and self.options.own_dispatches:
-            reported_at = view.now - candidate.report_age_s
+            reported_at = context.now - candidate.report_age_s
             queued += self._load.pending_tokens(candidate.endpoint, reported_at)
         return queued
 
-    def _cached(self, view: _View, endpoint: str, incarnation: str) -> int:
+    def _cached(self, context: _PlacementContext, endpoint: str, incarnation: str) -> int:
         if not self.options.in_band:
             return 0
-        return self._index.cached_tokens(view.scope, view.anchors, endpoint, incarnation, view.now)
+        return self._index.cached_tokens(
+            context.scope, context.anchors, endpoint, incarnation, context.now
+        )
 
-    def _import_s(self, view: _View, candidate: Candidate, cached: int, speed: float) -> float:
+    def _import_s(
+        self, context: _PlacementContext, candidate: Candidate, cached: int, speed: float
+    ) -> float:
         """Returns the seconds to import what the KV store holds and to compute the rest.
 
         Infinite if no import is possible or the store holds no more than the endpoint.
         """
         if not (self.options.imports and candidate.import_available):
             return math.inf
-        held = candidate.importable_tokens or self._cached(view, KV_STORE, "")
+        held = candidate.importable_tokens or self._cached(context, KV_STORE, "")
         if held <= cached:
             return math.inf
         imported_s = IMPORT_DELAY_S + (held - cached) / self._load.speed(KV_STORE)
-        return imported_s + (view.request.shape.total_tokens - held) / speed
+        return imported_s + (context.request.shape.total_tokens - held) / speed
 
-    def _investment(self, view: _View, cached: int, read_s: float, speed: float) -> float:
+    def _home_discount(
+        self, context: _PlacementContext, cached: int, compute_or_import_s: float, speed: float
+    ) -> float:
         """Returns the deduction from the cost of a home that does not hold its hot prefix yet.
 
         It lets a new home compete with one that holds the prefix; zero for a prefix with one home.
 
-        :param read_s: seconds to compute or import the uncached part of the prompt.
+        :param compute_or_import_s: seconds to compute or import the uncached part of the prompt.
         """
-        if view.width < 2:
+        if context.width < 2:
             return 0.0
-        missed = (view.guide_tokens - cached) * HOME_SHARE
-        if view.request.target.first_token_ms is None:
+        missed = (context.home_tokens - cached) * HOME_DISCOUNT
+        if context.request.target.first_token_ms is None:
             return missed
-        own_s = (view.request.shape.total_tokens - view.guide_tokens) / speed
-        return min(missed / view.home_speed, max(0.0, read_s - own_s))
+        own_s = (context.request.shape.total_tokens - context.home_tokens) / speed
+        return min(missed / context.home_speed, max(0.0, compute_or_import_s - own_s))
 
-    def _copy_cost(self, view: _View, cached: int) -> float:
+    def _copy_cost(self, context: _PlacementContext, cached: int) -> float:
         """Returns the cost of a copy outside the homes, which evicts other cached prefixes."""
-        missed = (view.guide_tokens - cached) * self.options.copy_share
+        missed = (context.home_tokens - cached) * self.options.copy_share
         return (
-            missed / view.home_speed if view.request.target.first_token_ms is not None else missed
+            missed / context.home_speed
+            if context.request.target.first_token_ms is not None
+            else missed
         )
 
-    def _cost(self, view: _View, first_s: float, queue_s: float, missed: float) -> float:
-        if view.request.target.first_token_ms is not None:
+    def _cost(
+        self, context: _PlacementContext, first_s: float, queue_s: float, missed: float
+    ) -> float:
+        if context.request.target.first_token_ms is not None:
             return first_s
         return missed + max(0.0, queue_s - RECOMPUTE_QUEUE_BOUND_S) * OVER_BOUND_TOKENS_PER_S
 
     def _pick(
-        self, view: _View, estimates: list[Estimate], zones: Mapping[str, str]
+        self, context: _PlacementContext, estimates: list[Estimate], zones: Mapping[str, str]
     ) -> tuple[Estimate, int]:
         best = estimates[0]
         if not self.options.random_ties:
@@ -360,27 +374,27 @@
         slack = max(abs(best.cost) * NEAR_TIE, NEAR_TIE_S)
         tied = [entry for entry in estimates if entry.cost <= best.cost + slack]
         if best.cached_tokens == 0:
-            return min(tied, key=lambda entry: view.ranks[entry.endpoint]), len(tied)
-        near = [entry for entry in tied if zones[entry.endpoint] == view.request.zone]
+            return min(tied, key=lambda entry: context.ranks[entry.endpoint]), len(tied)
+        near = [entry for entry in tied if zones[entry.endpoint] == context.request.zone]
         return self.rng.choice(near or tied), len(tied)
 
-    def _reasons(self, view: _View, best: Estimate, tied: int) -> tuple[str, ...]:
-        total = view.request.shape.total_tokens
-        target = view.request.target
-        aim = (
+    def _reasons(self, context: _PlacementContext, best: Estimate, tied: int) -> tuple[str, ...]:
+        total = context.request.shape.total_tokens
+        target = context.request.target
+        target_text = (
             f"class target is {target.first_token_ms:g} ms to first token"
             if target.first_token_ms is not None
             else f"class target is at most {target.recompute_percent:g}% recomputed tokens"
         )
         reasons = [
-            aim,
+            target_text,
             f"{best.endpoint} is expected to hold {best.cached_tokens} of {total} prompt tokens",
             f"its queue takes {best.queue_s:.3f} s; first token after {best.first_token_s:.3f} s",
         ]
         if best.import_kv:
             reasons.append("import from the KV store is expected to be faster than prefill")
         if best.cached_tokens == 0:
-            reasons.append(f"cold prefix, rendezvous order is {', '.join(view.homes[:3])}")
+            reasons.append(f"cold prefix, rendezvous order is {', '.join(context.homes[:3])}")
         elif tied > 1:
             reasons.append(f"chosen at random from {tied} candidates of nearly equal cost")
         return tuple(reasons)
