--- a/packages/arbutustally/src/arbutustally/hot_prefixes.py
+++ b/packages/arbutustally/src/arbutustally/hot_prefixes.py
@@ -11,15 +11,15 @@
 WIDEN_AT = 0.25
 #: Fraction of the ``widen_at`` share, applied to the speed of the remaining homes, below which a
 #: home is removed. This hysteresis keeps small changes of demand from changing the number of homes.
-NARROW_PART = 0.6
+NARROW_FRACTION = 0.6
 #: Bound on prefixes whose demand is tracked.
 MAX_PREFIXES = 4096
 
 
 @dataclass
 class _Demand:
-    work: float
-    at: float
+    tokens_per_s: float
+    updated_at: float
     homes: int = 1
 
 
@@ -33,7 +33,7 @@
     def __init__(self, max_prefixes: int = MAX_PREFIXES, widen_at: float = WIDEN_AT) -> None:
         self._max_prefixes = max_prefixes
         self._widen_at = widen_at
-        self._narrow_at = widen_at * NARROW_PART
+        self._narrow_at = widen_at * NARROW_FRACTION
         self._demands: OrderedDict[bytes, _Demand] = OrderedDict()
 
     def homes(self, key: bytes) -> int:
@@ -41,20 +41,20 @@
         demand = self._demands.get(key)
         return demand.homes if demand else 1
 
-    def requested(self, key: bytes, tokens: float, speed: float, now: float) -> int:
+    def record_request(self, key: bytes, tokens: float, speed: float, now: float) -> int:
         """Records a request that computes ``tokens`` and returns the number of homes.
 
         :param speed: prefill speed of one endpoint in tokens/s.
         """
         demand = self._demands.setdefault(key, _Demand(0.0, now))
-        demand.work *= math.exp((demand.at - now) / DEMAND_WINDOW_S)
-        demand.work += tokens / DEMAND_WINDOW_S
-        demand.at = now
+        demand.tokens_per_s *= math.exp((demand.updated_at - now) / DEMAND_WINDOW_S)
+        demand.tokens_per_s += tokens / DEMAND_WINDOW_S
+        demand.updated_at = now
         self._demands.move_to_end(key)
         if len(self._demands) > self._max_prefixes:
             self._demands.popitem(last=False)
-        use = demand.work / speed
-        demand.homes = max(demand.homes, math.ceil(use / self._widen_at), 1)
-        while demand.homes > 1 and use < self._narrow_at * (demand.homes - 1):
+        utilisation = demand.tokens_per_s / speed
+        demand.homes = max(demand.homes, math.ceil(utilisation / self._widen_at), 1)
+        while demand.homes > 1 and utilisation < self._narrow_at * (demand.homes - 1):
             demand.homes -= 1
         return demand.homes
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -106,7 +106,7 @@
     def __post_init__(self) -> None:
         self._index = CacheIndex(self.options.max_entries)
         self._load = EndpointLoad(self.options.prefill_tokens_per_s, self.speeds)
-        self._load.assume_speed(KV_STORE, DEFAULT_IMPORT_TOKENS_PER_S)
+        self._load.set_initial_speed(KV_STORE, DEFAULT_IMPORT_TOKENS_PER_S)
         self._index.set_initial_retention(KV_STORE, KV_STORE_RETENTION_S)
         self._hot = HotPrefixes(widen_at=self.options.widen_at)
         self._computed_share = 1.0
@@ -128,7 +128,7 @@
 
     def assume_import_speed(self, tokens_per_s: float) -> None:
         """Sets the declared speed at which engines import cached chunks, in tokens/s."""
-        self._load.assume_speed(KV_STORE, tokens_per_s)
+        self._load.set_initial_speed(KV_STORE, tokens_per_s)
 
     @property
     def computed_share(self) -> float:
@@ -154,7 +154,7 @@
         best, tied = self._pick(context, estimates, zones)
         missed = request.shape.total_tokens - best.cached_tokens
         ahead = best.queue_s * self._load.speed(best.endpoint)
-        number = self._load.dispatched(best.endpoint, missed, ahead, context.now)
+        number = self._load.record_dispatch(best.endpoint, missed, ahead, context.now)
         if self.options.in_band:
             self._index.enter(
                 context.scope, context.anchors, best.endpoint, best.incarnation, context.now
@@ -173,7 +173,7 @@
 
     def learn(self, observation: Observation) -> None:
         """Learns from the cached token count and the time to first token of a response."""
-        dispatch = self._load.answered(observation.endpoint, observation.dispatch)
+        dispatch = self._load.complete_dispatch(observation.endpoint, observation.dispatch)
         anchors = self._anchors(observation.shape)
         scope = CacheScope(observation.account, observation.model, observation.version)
         if observation.cached_tokens is None:
@@ -228,7 +228,7 @@
         homes = order(key, [entry.endpoint for entry in eligible])
         if self.options.widen:
             work = self._work(request, home_level) * request.nodes
-            width = self._hot.requested(key, work, self._load.speed(homes[0]), now)
+            width = self._hot.record_request(key, work, self._load.speed(homes[0]), now)
         else:
             width = 1
         if width > 1 and len(shape.levels) > home_level + 1 > 0:
