Name the steps of the fair queue by the terms of queueing

wait_of and priority_of are longest_wait_s and engine_priority, settle is transition, _grant is _admit_ticket, _virtual is _virtual_time; locals late, behind and own_part are expired, later_tickets and equal_part.

--- a/packages/arbutustally/src/arbutustally/fairness.py
+++ b/packages/arbutustally/src/arbutustally/fairness.py
@@ -75,9 +75,9 @@
         """
         share = min(max(computed_share, MIN_COMPUTED_SHARE), 1.0)
         speed = max(endpoints, 1) * tokens_per_s / share
-        wait = wait_of(target)
+        wait = longest_wait_s(target)
         busy = speed * IN_FLIGHT_S
-        return cls(busy, speed * wait, speed, wait, priority_of(target), busy)
+        return cls(busy, speed * wait, speed, wait, engine_priority(target), busy)
 
     def beside(self, others: float, nodes: int) -> "QueueLimits":
         """Returns the bounds of one of several nodes that share the pool.
@@ -89,8 +89,8 @@
         :param nodes: live nodes.
         """
         left = self.in_flight_tokens - others
-        own_part = self.in_flight_tokens / max(nodes, 1)
-        return replace(self, in_flight_tokens=max(left, own_part))
+        equal_part = self.in_flight_tokens / max(nodes, 1)
+        return replace(self, in_flight_tokens=max(left, equal_part))
 
     def explain(self) -> str:
         """Returns the derivation of the bounds as text."""
@@ -100,14 +100,14 @@
         )
 
 
-def wait_of(target: Target) -> float:
+def longest_wait_s(target: Target) -> float:
     """Returns the longest wait in the queue that a class target allows, in seconds."""
     if target.first_token_ms is None:
         return RECOMPUTE_QUEUE_S
     return target.first_token_ms / 1000 * QUEUE_SHARE_OF_TARGET
 
 
-def priority_of(target: Target) -> int:
+def engine_priority(target: Target) -> int:
     """Returns the engine priority of a class; lower runs first."""
     if target.first_token_ms is None:
         return RECOMPUTE_PRIORITY
@@ -145,7 +145,7 @@
         self.reason = ""
         self._on_change = on_change
 
-    def settle(self, state: TicketState, reason: str = "") -> None:
+    def transition(self, state: TicketState, reason: str = "") -> None:
         """Sets a new state and calls ``on_change``."""
         self.state = state
         self.reason = reason
@@ -178,7 +178,7 @@
         self._limits = limits
         self._weights = dict(weights or {})
         self._flows: dict[str, _Flow] = {}
-        self._virtual = 0.0
+        self._virtual_time = 0.0
         self._in_flight = 0.0
         self._queued = 0.0
 
@@ -220,7 +220,7 @@
         self.expire()
         ticket = Ticket(account, max(tokens, 1.0), deadline, on_change)
         flow = self._flows.setdefault(account, _Flow())
-        ticket.start_tag = max(self._virtual, flow.finish_tag)
+        ticket.start_tag = max(self._virtual_time, flow.finish_tag)
         flow.finish_tag = ticket.start_tag + ticket.tokens / self._weight(account)
         flow.waiting.append(ticket)
         flow.queued_tokens += ticket.tokens
@@ -250,15 +250,15 @@
     def expire(self) -> None:
         """Sheds the tickets whose deadline has passed."""
         now = self._clock()
-        late = [
+        expired = [
             ticket
             for flow in self._flows.values()
             for ticket in flow.waiting
             if ticket.deadline <= now
         ]
-        for ticket in late:
+        for ticket in expired:
             self._withdraw(ticket)
-            ticket.settle(TicketState.SHED, "it waited as long as its class allows")
+            ticket.transition(TicketState.SHED, "it waited as long as its class allows")
             self._drop_idle(ticket.account)
 
     def refusal(self, ticket: Ticket) -> OverloadedError:
@@ -286,7 +286,7 @@
                 self._in_flight + ticket.tokens > self._limits.in_flight_tokens
             ):
                 break
-            self._grant(ticket)
+            self._admit_ticket(ticket)
         self._admit_shares()
 
     def _admit_shares(self) -> None:
@@ -298,7 +298,7 @@
         for account in list(self._flows):
             flow = self._flows[account]
             while flow.waiting and self._has_share_left(account, flow):
-                self._grant(flow.waiting[0])
+                self._admit_ticket(flow.waiting[0])
 
     def _has_share_left(self, account: str, flow: _Flow) -> bool:
         tokens = flow.waiting[0].tokens
@@ -310,12 +310,12 @@
         share = self._limits.pool_tokens * part
         return flow.in_flight + tokens <= share
 
-    def _grant(self, ticket: Ticket) -> None:
+    def _admit_ticket(self, ticket: Ticket) -> None:
         self._remove(ticket)
         self._flows[ticket.account].in_flight += ticket.tokens
         self._in_flight += ticket.tokens
-        self._virtual = max(self._virtual, ticket.start_tag)
-        ticket.settle(TicketState.ADMITTED)
+        self._virtual_time = max(self._virtual_time, ticket.start_tag)
+        ticket.transition(TicketState.ADMITTED)
 
     def _most_over_share(self) -> str:
         """Returns the account with waiting tickets that has the most tokens per weight."""
@@ -331,7 +331,7 @@
         flow = self._flows[account]
         ticket = flow.waiting[-1]
         self._withdraw(ticket)
-        ticket.settle(
+        ticket.transition(
             TicketState.SHED, "the queue is full and this account exceeds its fair share most"
         )
         self._drop_idle(account)
@@ -340,8 +340,8 @@
         """Removes a ticket that was not served and refunds it in the tags of the account."""
         flow = self._flows[ticket.account]
         size = ticket.tokens / self._weight(ticket.account)
-        behind = list(flow.waiting)[flow.waiting.index(ticket) + 1 :]
-        for later in behind:
+        later_tickets = list(flow.waiting)[flow.waiting.index(ticket) + 1 :]
+        for later in later_tickets:
             later.start_tag -= size
         flow.finish_tag -= size
         self._remove(ticket)
@@ -358,5 +358,5 @@
         flow = self._flows.get(account)
         if flow is None or flow.waiting or flow.in_flight > 0:
             return
-        if flow.finish_tag <= self._virtual:
+        if flow.finish_tag <= self._virtual_time:
             del self._flows[account]
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -8,7 +8,7 @@
 
 from arbutustally.clock import VirtualClock
 from arbutustally.errors import OverloadedError, Ran
-from arbutustally.fairness import FairQueue, QueueLimits, TicketState, priority_of
+from arbutustally.fairness import FairQueue, QueueLimits, TicketState, engine_priority
 from tests.policy_support import Aim
 
 LIMITS = QueueLimits(
@@ -151,5 +151,5 @@
         tight = Aim(first_token_ms=300.0)
         loose = Aim(first_token_ms=5000.0)
         batch = Aim(recompute_percent=10.0)
-        ranks = [priority_of(target) for target in (tight, loose, batch)]
+        ranks = [engine_priority(target) for target in (tight, loose, batch)]
         self.assertEqual(ranks, sorted(set(ranks)))
