Call responses of engines responses in the engine client

_answer parses a response and raises its errors, so it is _parse_response; MAX_ANSWER_BYTES of this module is MAX_RESPONSE_BYTES. Modules with a constant of that spelling of their own are unchanged.

--- a/packages/arbutustally/src/arbutustally/engine_client.py
+++ b/packages/arbutustally/src/arbutustally/engine_client.py
@@ -16,7 +16,7 @@
 )
 
 #: Largest accepted response body of the control interface.
-MAX_ANSWER_BYTES = 4 << 20
+MAX_RESPONSE_BYTES = 4 << 20
 CONNECTIONS_PER_ENGINE = 2
 MAX_ENGINES = 256
 
@@ -227,17 +227,17 @@
                 preload_content=False,
                 redirect=False,
             )
-            data = response.read(MAX_ANSWER_BYTES)
+            data = response.read(MAX_RESPONSE_BYTES)
         except urllib3.exceptions.HTTPError as error:
             raise translate(error, address) from error
         finally:
             if response is not None:
                 response.drain_conn()
                 response.release_conn()
-        return _answer(response.status, data, address)
+        return _parse_response(response.status, data, address)
 
 
-def _answer(status: int, data: bytes, address: str) -> dict[str, Any]:
+def _parse_response(status: int, data: bytes, address: str) -> dict[str, Any]:
     try:
         parsed = orjson.loads(data) if data else {}
     except orjson.JSONDecodeError:
@@ -303,8 +303,8 @@
         return None
 
 
-def _malformed(what: str) -> EndpointFailedError:
-    return EndpointFailedError(f"the engine's {what} is malformed; check the engine's version")
+def _malformed(subject: str) -> EndpointFailedError:
+    return EndpointFailedError(f"the engine's {subject} is malformed; check the engine's version")
 
 
 def encode_request(
