--- a/tests/test_cache_identity.py
+++ b/tests/test_cache_identity.py
@@ -67,12 +67,14 @@
         request = PlacementRequest(account, "marelle", version, shape, 10, TARGET)
         choice = self.placement.choose(request, candidates)
         for estimate in choice.ranked:
-            place = (estimate.endpoint, estimate.incarnation, account, version)
-            truth = max((shared_tokens(prompt, old) for old in self.sent.get(place, ())), default=0)
+            engine_key = (estimate.endpoint, estimate.incarnation, account, version)
+            truth = max(
+                (shared_tokens(prompt, old) for old in self.sent.get(engine_key, ())), default=0
+            )
             if estimate.cached_tokens > truth:
-                self.excess.append(f"{place}: {estimate.cached_tokens} > {truth}")
-        place = (choice.endpoint, choice.incarnation, account, version)
-        self.sent.setdefault(place, []).append(prompt)
+                self.excess.append(f"{engine_key}: {estimate.cached_tokens} > {truth}")
+        engine_key = (choice.endpoint, choice.incarnation, account, version)
+        self.sent.setdefault(engine_key, []).append(prompt)
         self.answers.append(
             Observation(
                 account,
--- a/tests/test_placement_traces.py
+++ b/tests/test_placement_traces.py
@@ -17,13 +17,13 @@
 ENDPOINTS = ("w1", "w2", "w3")
 
 
-def shape_of(guide: str):
+def build_shape(guide: str):
     return split_levels(
         [{"role": "system", "content": f"{guide} " * 3000}, {"role": "user", "content": "hello"}]
     )
 
 
-class _Player:
+class _TraceRunner:
     """Replays one trace against a placement."""
 
     def __init__(self, test: unittest.TestCase, trace: dict[str, Any]) -> None:
@@ -34,24 +34,24 @@
         self.target = Aim(**trace.get("target", {"first_token_ms": 500}))
         self.incarnations = dict.fromkeys(ENDPOINTS, 0)
         self.queues = dict.fromkeys(ENDPOINTS, 0)
-        self.named: dict[str, str] = {}
+        self.endpoint_by_label: dict[str, str] = {}
 
-    def play(self) -> None:
+    def replay(self) -> None:
         for step in self.trace["steps"]:
             if "send" in step:
                 self.send(step)
             elif "wait" in step:
                 self.clock.advance(step["wait"])
             elif "restart" in step:
-                self.incarnations[self.named[step["restart"]]] += 1
+                self.incarnations[self.endpoint_by_label[step["restart"]]] += 1
             elif "queue" in step:
-                self.queues[self.named[step["queue"][0]]] = step["queue"][1]
+                self.queues[self.endpoint_by_label[step["queue"][0]]] = step["queue"][1]
             else:
-                chosen = [self.named[name] for name in step["different"]]
+                chosen = [self.endpoint_by_label[name] for name in step["different"]]
                 self.test.assertEqual(len(set(chosen)), len(chosen), chosen)
 
     def request(self, account: str, version: str, guide: str) -> PlacementRequest:
-        return PlacementRequest(account, "marelle", version, shape_of(guide), 10, self.target)
+        return PlacementRequest(account, "marelle", version, build_shape(guide), 10, self.target)
 
     def candidates(self, version: str) -> list[Candidate]:
         unloaded = self.trace.get("unloaded", ())
@@ -74,7 +74,7 @@
         request = self.request(*step["send"])
         candidates = self.candidates(request.version)
         choice = self.placement.choose(request, candidates)
-        self.named[step.get("as", "")] = choice.endpoint
+        self.endpoint_by_label[step.get("as", "")] = choice.endpoint
         if "answer" in step:
             self.placement.learn(
                 Observation(
@@ -99,9 +99,9 @@
         if "cached_least" in expect:
             test.assertGreaterEqual(choice.expected_cached_tokens, expect["cached_least"])
         if "same_as" in expect:
-            test.assertEqual(choice.endpoint, self.named[expect["same_as"]])
+            test.assertEqual(choice.endpoint, self.endpoint_by_label[expect["same_as"]])
         if "not_same_as" in expect:
-            test.assertNotEqual(choice.endpoint, self.named[expect["not_same_as"]])
+            test.assertNotEqual(choice.endpoint, self.endpoint_by_label[expect["not_same_as"]])
         if "import" in expect:
             test.assertEqual(choice.import_kv, expect["import"])
         if "endpoint" in expect:
@@ -114,17 +114,17 @@
 
 
 class PlacementTraceTest(unittest.TestCase):
-    def play(self, name: str) -> None:
+    def replay(self, name: str) -> None:
         (trace,) = [trace for trace in TRACES if trace["name"] == name]
-        _Player(self, trace).play()
+        _TraceRunner(self, trace).replay()
 
     def test_no_candidate_of_the_version_is_refused(self) -> None:
         """Guards against a request running on a version other than the one picked for it."""
-        player = _Player(self, {"steps": []})
-        request = player.request("school", "v1", "g1")
-        others = [replace(entry, version="v2") for entry in player.candidates("v1")]
+        runner = _TraceRunner(self, {"steps": []})
+        request = runner.request("school", "v1", "g1")
+        others = [replace(entry, version="v2") for entry in runner.candidates("v1")]
         with self.assertRaises(NoEndpointError):
-            player.placement.choose(request, others)
+            runner.placement.choose(request, others)
 
     def test_shortlist_of_many_candidates_keeps_homes_and_holders(self) -> None:
         """Guards against a shortlist that omits the endpoint that holds the prefix, or that makes
@@ -134,7 +134,7 @@
         for seed in range(5):
             placement = Placement.from_config(VirtualClock(100.0), Random(seed))
             request = PlacementRequest(
-                "school", "marelle", "v1", shape_of("cold"), 10, Aim(first_token_ms=500)
+                "school", "marelle", "v1", build_shape("cold"), 10, Aim(first_token_ms=500)
             )
             first = placement.choose(request, many)
             busy = [
@@ -153,16 +153,16 @@
 
     def test_reasons_name_target_cache_and_queue(self) -> None:
         """Guards against a choice whose reasons are not reported to the operator."""
-        player = _Player(self, {"steps": []})
-        request = player.request("school", "v1", "g1")
-        text = "\n".join(player.placement.choose(request, player.candidates("v1")).reasons)
+        runner = _TraceRunner(self, {"steps": []})
+        request = runner.request("school", "v1", "g1")
+        text = "\n".join(runner.placement.choose(request, runner.candidates("v1")).reasons)
         for part in ("500 ms to first token", "prompt tokens", "queue takes", "rendezvous order"):
             self.assertIn(part, text)
 
 
 def _add_trace(trace: dict[str, Any]) -> None:
     name = "test_" + trace["name"].lower().replace(" ", "_")
-    function = lambda self: self.play(trace["name"])  # noqa: E731
+    function = lambda self: self.replay(trace["name"])  # noqa: E731
     function.__doc__ = f"Guards against an outcome other than: {trace['name']}."
     setattr(PlacementTraceTest, name, function)
 
