State the default home level and the refund of withdrawn tickets

A second reading against the removed lines: the module docstring of placement says that homes are derived from the guide by default, HOME_DISCOUNT that it applies to hot prefixes, PlacementOptions when a home may be used without copy cost, and the fair queue why a withdrawn ticket lowers tags.

--- a/packages/arbutustally/src/arbutustally/cache_index.py
+++ b/packages/arbutustally/src/arbutustally/cache_index.py
@@ -160,7 +160,7 @@
     def forget(
         self, scope: CacheScope, anchors: list[Anchor], endpoint: str, above_tokens: int
     ) -> None:
-        """Removes the endpoint from the holders of prefixes longer than ``above_tokens``."""
+        """Removes the endpoint from prefixes longer than ``above_tokens`` that it does not hold."""
         for anchor in anchors:
             if anchor.tokens > above_tokens:
                 holders = self._entries.get((scope, anchor.hash))
--- a/packages/arbutustally/src/arbutustally/fairness.py
+++ b/packages/arbutustally/src/arbutustally/fairness.py
@@ -337,7 +337,10 @@
         self._drop_idle(account)
 
     def _withdraw(self, ticket: Ticket) -> None:
-        """Removes a ticket that was not served and refunds it in the tags of the account."""
+        """Removes a ticket that was not served, and lowers the tags of the account by its size.
+
+        Later requests of the account are thus not charged for it.
+        """
         flow = self._flows[ticket.account]
         size = ticket.tokens / self._weight(ticket.account)
         later_tickets = list(flow.waiting)[flow.waiting.index(ticket) + 1 :]
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -1,8 +1,8 @@
 """Placement: chooses the endpoint with the lowest estimated time to first token or recomputation.
 
-Rendezvous hashing of the guide level, the leading system messages, assigns each prefix its home
-endpoints; every node derives the same homes without shared state. The cache index, the requests
-that this node has dispatched and learned prefill speeds refine the estimate.
+Rendezvous hashing of a prefix of the prompt, by default the guide (the leading system messages),
+determines its home endpoints; every node derives the same homes without shared state. The cache
+index, the requests that this node has dispatched and learned prefill speeds refine the estimate.
 """
 
 import math
@@ -62,8 +62,9 @@
 OUTPUT_COST = 10.0
 #: Weight of one response in the moving average of the share of computed tokens.
 SHARE_GAIN = 0.02
-#: Fraction of the uncached home prefix that is deducted from the cost of a home: its prefill also
-#: serves later requests, and a copy at another endpoint would take cache space there.
+#: Fraction of the uncached home prefix that is deducted from the cost of a home of a hot prefix:
+#: its prefill also serves later requests, and a copy at another endpoint would take cache space
+#: there.
 HOME_DISCOUNT = 0.5
 #: Up to this many candidates, all are estimated. Above it, only these numbers of homes, of
 #: candidates with short queues and of endpoints that report cached tokens are estimated, and every
--- a/packages/arbutustally/src/arbutustally/placement_types.py
+++ b/packages/arbutustally/src/arbutustally/placement_types.py
@@ -29,8 +29,8 @@
     :ivar own_dispatches: add this node's dispatches since the last load report to the queue.
     :ivar random_ties: choose among near-equal candidates at random.
     :ivar imports: import from the KV store where that is estimated to be faster.
-    :ivar homes: number of first endpoints in rendezvous order that are exempt from the copy cost,
-        whatever the demand for the prefix.
+    :ivar homes: number of first endpoints in rendezvous order that may hold a prefix without the
+        copy cost before demand adds homes.
     :ivar widen_at: demand for a prefix, as a share of an endpoint's speed, that adds a home.
     :ivar copy_share: fraction of the work of a prefix that is charged for a copy outside its homes,
         because the copy evicts other prefixes from the cache.
