--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -196,7 +196,10 @@
             self._learn_speed(observation, dispatch, missed)
 
     def drop(self, endpoint: str, incarnation: str) -> None:
-        """Permanently discards what is known of an incarnation that crashed or restarted."""
+        """Marks a crashed or restarted incarnation as permanently dead.
+
+        Its cache entries and open dispatches are discarded; the learned speed is kept.
+        """
         self._index.drop(endpoint, incarnation)
         self._load.forget(endpoint)
 
