--- a/packages/arbutustally/src/arbutustally/prefixes.py
+++ b/packages/arbutustally/src/arbutustally/prefixes.py
@@ -1,6 +1,6 @@
-"""Prompt prefixes: cumulative hashes of the nested levels and chained hashes of chunks.
+"""Prompt prefixes: cumulative hashes of a prompt up to the end of each level and of each chunk.
 
-The hashes identify text only. A cache key adds account, model and weights version at use, see
+The hashes identify text only. Cache keys add account, model and weights version, see
 ``arbutustally.cache_index.CacheScope``.
 """
 
@@ -14,9 +14,9 @@
 #: Estimated size of a token, in bytes of UTF-8.
 BYTES_PER_TOKEN = 4
 #: Size of a chunk in bytes; the KV store keeps chunks of about 1,000 tokens.
-PIECE_BYTES = 4000
-#: Bytes hashed between two calls of ``pause``; about 0.05 ms of work, so that a 400 KB prompt
-#: does not hold up the other greenlets.
+CHUNK_BYTES = 4000
+#: Bytes hashed between two calls of ``pause``, about 0.05 ms of work, so that a 400 KB prompt does
+#: not block other greenlets.
 SLICE_BYTES = 32_000
 #: Digest length in bytes; 16 makes an accidental collision negligible at 120 million blocks.
 DIGEST_BYTES = 16
@@ -39,25 +39,26 @@
 
 @dataclass(frozen=True)
 class PromptShape:
-    """What placement knows of a prompt.
+    """Levels, chunk hashes and size of a prompt.
 
-    :ivar levels: guide, history and question, shortest first; equal levels appear once.
-    :ivar pieces: chained hashes of the whole chunks, in order.
+    :ivar levels: guide (leading system and developer messages), history (up to the last user
+        message) and question (whole prompt), shortest first; levels of equal length appear once.
+    :ivar chunks: cumulative hashes up to the end of each full chunk, in order.
     :ivar total_tokens: estimated tokens of the whole prompt.
     """
 
     levels: tuple[Level, ...]
-    pieces: tuple[bytes, ...]
+    chunks: tuple[bytes, ...]
     total_tokens: int
 
     @property
-    def piece_tokens(self) -> int:
-        """Returns the tokens of a whole chunk."""
-        return PIECE_BYTES // BYTES_PER_TOKEN
+    def chunk_tokens(self) -> int:
+        """Returns the estimated tokens of a full chunk."""
+        return CHUNK_BYTES // BYTES_PER_TOKEN
 
 
 def split_levels(prompt: Sequence[Message] | str, pause: Pause | None = None) -> PromptShape:
-    """Hashes a prompt.
+    """Hashes the levels and chunks of a prompt.
 
     :param prompt: chat messages, or the text of a completion.
     :param pause: called between slices of ``SLICE_BYTES``; a node passes a cooperative yield.
@@ -70,10 +71,10 @@
 
 
 def _split_text(text: bytes, pause: Pause | None) -> PromptShape:
-    # A bare text has no message limits: its first chunk stands for the guide and its whole chunks
-    # for the history.
-    whole = len(text) // PIECE_BYTES * PIECE_BYTES
-    ends = sorted({min(len(text), PIECE_BYTES), whole or len(text), len(text)})
+    # Plain text has no message boundaries: its first chunk is taken as the guide and its full
+    # chunks as the history.
+    whole = len(text) // CHUNK_BYTES * CHUNK_BYTES
+    ends = sorted({min(len(text), CHUNK_BYTES), whole or len(text), len(text)})
     return _hash([text], ends, pause)
 
 
@@ -82,8 +83,8 @@
     content = message.get("content")
     rest = {name: value for name, value in message.items() if name not in ("role", "content")}
     body = content.encode() if isinstance(content, str) else _canonical(content)
-    # Field ends are marked by bytes that UTF-8 text cannot contain, so that text moved from one
-    # field to the next gives another hash.
+    # Fields are delimited by bytes that UTF-8 text cannot contain, so that moving text from one
+    # field to the next changes the hash.
     return b"\xfe" + role + b"\xff" + body + (b"\xff" + _canonical(rest) if rest else b"")
 
 
@@ -109,38 +110,38 @@
 
 def _hash(parts: Sequence[bytes], ends: Sequence[int], pause: Pause | None) -> PromptShape:
     total = sum(len(part) for part in parts)
-    whole_hash = blake2b(digest_size=DIGEST_BYTES)
+    prefix_hash = blake2b(digest_size=DIGEST_BYTES)
     levels: list[Level] = []
-    pieces: list[bytes] = []
-    done = 0
-    for piece in _pieces(parts):
-        if pause is not None and done and done % SLICE_BYTES == 0:
+    chunks: list[bytes] = []
+    hashed_bytes = 0
+    for chunk in _chunks(parts):
+        if pause is not None and hashed_bytes and hashed_bytes % SLICE_BYTES == 0:
             pause()
         start = 0
         for end in ends:
-            if done < end <= done + len(piece):
-                whole_hash.update(piece[start : end - done])
-                start = end - done
-                levels.append(Level(whole_hash.digest(), _tokens(end)))
-        whole_hash.update(piece[start:])
-        done += len(piece)
-        if len(piece) == PIECE_BYTES:
-            pieces.append(whole_hash.digest())
-    return PromptShape(tuple(levels), tuple(pieces), _tokens(total))
+            if hashed_bytes < end <= hashed_bytes + len(chunk):
+                prefix_hash.update(chunk[start : end - hashed_bytes])
+                start = end - hashed_bytes
+                levels.append(Level(prefix_hash.digest(), _tokens(end)))
+        prefix_hash.update(chunk[start:])
+        hashed_bytes += len(chunk)
+        if len(chunk) == CHUNK_BYTES:
+            chunks.append(prefix_hash.digest())
+    return PromptShape(tuple(levels), tuple(chunks), _tokens(total))
 
 
 def _tokens(size: int) -> int:
     return -(-size // BYTES_PER_TOKEN)
 
 
-def _pieces(parts: Sequence[bytes]) -> Iterator[bytes]:
-    """Cuts the concatenation of ``parts`` into chunks without joining it."""
+def _chunks(parts: Sequence[bytes]) -> Iterator[bytes]:
+    """Yields the chunks of the concatenation of ``parts`` without building it in memory."""
     rest = b""
     for part in parts:
         data = rest + part if rest else part
-        whole = len(data) // PIECE_BYTES * PIECE_BYTES
-        for start in range(0, whole, PIECE_BYTES):
-            yield data[start : start + PIECE_BYTES]
+        whole = len(data) // CHUNK_BYTES * CHUNK_BYTES
+        for start in range(0, whole, CHUNK_BYTES):
+            yield data[start : start + CHUNK_BYTES]
         rest = data[whole:]
     if rest:
         yield rest
