--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
@@ -1,6 +1,6 @@
-"""What one node has heard of its peers, and the messages that it owes them.
+"""State that one node holds about its peers, and the messages that it must send to them.
 
-Apart from sockets, so that a fleet of these can be replayed on a virtual clock.
+It does no socket I/O, so that tests can replay a fleet of these tables on a virtual clock.
 """
 
 from collections import deque
@@ -17,21 +17,22 @@
 from arbutustally_node.gateway.peer_state import Covers, PeerState
 from arbutustally_node.gateway.relay_messages import RelayMessages
 
-#: A node that has started knows the fleet once its peers are the same for this time, or after the
-#: longest such time at the latest, seconds.
+#: After its start, a node treats its view of the fleet as settled once the set of peers has not
+#: changed for ``SETTLED_S``, or after ``MAX_SETTLING_S`` at the latest, seconds.
 SETTLED_S = 0.5
 MAX_SETTLING_S = 2.5
-#: Time after which a node that hears nobody takes itself for the only one, seconds.
+#: Time after which a node that receives no messages treats itself as the only one, seconds.
 ALONE_S = 0.6
-#: Messages of this node that its relay may still count.
+#: Sent messages that are kept, because the relay's sums may still include any of them.
 MAX_SENT = 32
 
 
 @dataclass(frozen=True)
 class PeerUse:
-    """What the peers of a source use.
+    """Load, admitted tokens and engine speeds of peers, as reported by one source.
 
-    :ivar source: differs between two starts of a peer; replaces what it said before.
+    :ivar source: key of the source, which differs between two starts of a peer. A report replaces
+        the previous one of the same source.
     """
 
     source: str
@@ -42,17 +43,17 @@
 
 @dataclass(frozen=True)
 class Outgoing:
-    """A message and the addresses that it goes to."""
+    """A message and the addresses to which it is sent."""
 
     state: PeerState
     ips: tuple[str, ...]
 
 
 class FleetTable:
-    """Peers of one node, and its part in relaying.
+    """Peers of one node, and the node's role in relaying.
 
-    :param me: this node as its peers know it at its start.
-    :param clock: seconds that go on while the instance is suspended.
+    :param me: this node's membership data at its start.
+    :param clock: clock in seconds that keeps counting while the instance is suspended.
     """
 
     def __init__(self, me: Member, clock: Clock) -> None:
@@ -65,12 +66,12 @@
         self._choice = RelayChoice.from_config(clock)
         self._plan = RelayPlan.from_members([me])
         self._ranks: dict[bytes, int] = {}
-        # Peers by address; when they were present last, and when relays fell silent.
+        # By address: present peers, when peers were last present, and when relays timed out.
         self._present: dict[str, Member] = {}
         self._known_at: dict[str, float] = {}
         self._lost_relays: dict[str, float] = {}
         self._sent: deque[PeerState] = deque(maxlen=MAX_SENT)
-        # Whether the owner of this table is to be told of a changed fleet.
+        # Whether the next ``refresh`` must report a changed fleet.
         self._has_news = False
         self._started_at = clock()
         self._changed_at = clock()
@@ -78,25 +79,26 @@
 
     @property
     def present(self) -> list[Member]:
-        """Returns the peers that are heard, by this node or by a relay."""
+        """Returns the peers from which this node or a relay receives messages."""
         return list(self._present.values())
 
     @property
     def known(self) -> int:
-        """Returns the number of peers that were present lately."""
+        """Returns the number of peers that were present within the last ``FORGET_S``."""
         return len(self._known_at)
 
     @property
     def is_direct(self) -> bool:
-        """Returns whether the nodes of the fleet tell each other directly."""
+        """Returns whether the nodes of the fleet send messages to each other directly."""
         return self._plan.is_direct
 
     @property
     def is_settled(self) -> bool:
-        """Returns whether this node has known the fleet well enough once since its start.
+        """Returns whether this node's view of the fleet has been settled once since its start.
 
         Load pattern: all nodes of a large fleet start at once while an account sends many times
-        its rate. Nodes that know only some of the others would each use what belongs to all.
+        its rate. Nodes that know only some of the others would each admit more than their share
+        of the account's limit.
         """
         self._is_settled = self._is_settled or self._knows_fleet()
         return self._is_settled
@@ -114,7 +116,7 @@
 
     @property
     def is_relay(self) -> bool:
-        """Returns whether this node relays, by plan or for nodes that use it."""
+        """Returns whether this node is a relay, by plan or because nodes use it as their relay."""
         return bool(self._heard.nodes) or (bool(self._present) and self._ip in self._plan.ips)
 
     @property
@@ -125,7 +127,7 @@
 
     @property
     def has_orderer(self) -> bool:
-        """Returns whether a peer that is heard holds the lease on orders to engines."""
+        """Returns whether a peer reports that it holds the lease on orders to engines."""
         return any(heard.state.orders_engines for heard in self._sources())
 
     @property
@@ -147,18 +149,18 @@
             self._candidates.add(ip, is_lasting)
 
     def due_probes(self) -> tuple[str, ...]:
-        """Returns the addresses of nodes that a relay should make itself known to now."""
+        """Returns the addresses of absent nodes to which a relay should send its state now."""
         return self._candidates.due_probes(self._present)
 
     def rank(self, duty: bytes) -> int:
-        """Returns this node's place among the ready nodes for a duty, 0 for the first."""
+        """Returns this node's rank among the ready nodes for a duty, 0 for the first."""
         if duty not in self._ranks:
             ready = [member.node for member in self._present.values() if member.is_ready]
             self._ranks[duty] = rank(duty, self._me.node, ready)
         return self._ranks[duty]
 
     def take(self, state: PeerState) -> bool:
-        """Takes a message; returns whether it says anything new."""
+        """Applies a received message; returns ``False`` if it is this node's own or outdated."""
         ip = state.sender.ip
         if ip == self._ip or not self._heard.is_newer(state):
             return False
@@ -183,7 +185,7 @@
         return True
 
     def use_of(self, state: PeerState) -> PeerUse | None:
-        """Returns what a message that was taken says of the use by peers, ``None`` for nothing."""
+        """Returns the use by peers that an applied message reports, ``None`` if it reports none."""
         if state.covers is Covers.URGENT:
             return None
         if self.is_relay != (state.covers is not Covers.FLEET):
@@ -209,11 +211,11 @@
         )
 
     def sources(self) -> set[str]:
-        """Returns the sources of use that count now; what others said before is out of date."""
+        """Returns the sources of use that count now; reports of other sources are outdated."""
         return {_source(heard.state) for heard in self._sources()}
 
     def refresh(self) -> bool:
-        """Drops silent peers; returns whether the fleet has changed since the last call."""
+        """Drops peers that timed out; returns whether the fleet has changed since the last call."""
         now = self._clock()
         for ip in self._heard.drop_silent():
             self._lost_relays[ip] = now
@@ -241,7 +243,7 @@
     def outgoing(self, own: PeerState) -> list[Outgoing]:
         """Returns the messages that are due now.
 
-        :param own: this node's state, as it is told to the relay that it uses.
+        :param own: this node's state, as it is sent to the relay that it uses.
         """
         own = replace(own, news=None, operator=())
         self._messages.begin_round()
@@ -259,7 +261,7 @@
         return messages
 
     def urgent(self, own: PeerState) -> Outgoing:
-        """Returns a message with facts that must be known at once."""
+        """Returns a message with facts that all nodes must receive immediately."""
         state = replace(
             self._messages.numbered(own),
             covers=Covers.URGENT,
@@ -271,9 +273,10 @@
         return Outgoing(state, (*self.relays, *self.cell))
 
     def passed_on(self, state: PeerState, from_ip: str) -> tuple[str, ...]:
-        """Returns the addresses to which a message with urgent facts goes on.
+        """Returns the addresses to which an urgent message is forwarded.
 
-        :param from_ip: address that sent it; only what comes from its origin is passed on.
+        :param from_ip: address that sent it; only messages received from their origin are
+            forwarded.
         """
         if state.covers is not Covers.URGENT or from_ip != state.sender.ip:
             return ()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -1,4 +1,4 @@
-"""What a node knows: configuration, named weights, endpoints, and from where it knows them."""
+"""A node's current configuration, named weights and endpoints, from the store and from peers."""
 
 import math
 from collections.abc import Callable
@@ -11,10 +11,11 @@
 from arbutustally_node.gateway.ports import Documents, Record, WeightsNamed
 from arbutustally_node.gateway.rollout_record import PROGRESS_PREFIX, decode_progress
 
-#: Time after which an endpoint whose entry was removed is forgotten, seconds. It is longer than a
-#: copy is old from which the store may come back: its entry is known as one of the past then.
+#: Time after which an endpoint whose entry was removed is forgotten, seconds. It exceeds the age of
+#: a copy from which the store may be restored, so that an entry in the copy is recognised as
+#: outdated.
 FORGET_GONE_S = 60.0
-#: Named versions of a model that are remembered.
+#: Named versions that are kept per model.
 MAX_VERSIONS = 8
 
 
@@ -30,7 +31,7 @@
 
     @property
     def dated(self) -> dict[int, float]:
-        """Returns ``known_at`` of the versions whose naming a node of the fleet has seen."""
+        """Returns ``known_at`` of the versions whose naming was observed by a node of the fleet."""
         return {
             version: at for version, at in self.known_at.items() if version not in self._undated
         }
@@ -41,9 +42,9 @@
         return max(self.known_at)
 
     def learn(self, version: int, known_at: float) -> bool:
-        """Takes a version; returns whether it is the newest one and was not known.
+        """Records a version; returns whether it is the newest one and was not known.
 
-        :param known_at: ``-inf`` if it was named before this node started, nobody knows when.
+        :param known_at: ``-inf`` if it was named before this node started, at an unknown time.
         """
         is_newer = not self.known_at or version > self.version
         if known_at == -math.inf:
@@ -66,9 +67,9 @@
 
 
 class FleetView:
-    """Current knowledge of one node.
+    """Configuration, named weights and endpoints as one node currently knows them.
 
-    :param documents: decodes what others write into the store.
+    :param documents: decodes the records that other programs write into the store.
     """
 
     def __init__(self, documents: Documents, clock: Clock, log: DecisionLog) -> None:
@@ -119,9 +120,9 @@
         self._configuration_watchers.append(notify)
 
     def take_operator(self, record: Record, source: str, known_at: float = -math.inf) -> None:
-        """Takes a record of the operator; what is older than known changes nothing.
+        """Applies a record of the operator; one older than the known state changes nothing.
 
-        :param known_at: earliest time at which it may have been written, ``-inf`` if nobody knows.
+        :param known_at: earliest time at which it may have been written, ``-inf`` if unknown.
         """
         if record.key.startswith(PROGRESS_PREFIX):
             self._take_progress(record, source)
@@ -137,11 +138,11 @@
             self._log.line("operator_record_unreadable", key=record.key, source=source)
 
     def has_operator(self, record: Record) -> bool:
-        """Returns whether a record of the operator is known as it is."""
+        """Returns whether a record of the operator is already known with the same value."""
         return self._operator_raw.get(record.key) == record.value
 
     def take_endpoint(self, record: Record, source: str) -> bool:
-        """Takes an endpoint's entry or its removal; returns whether it says anything new."""
+        """Applies an endpoint's entry or its removal; returns whether that changes anything."""
         if record.value is None:
             return self._remove_endpoint(record.key, source)
         entry = self._documents.decode_endpoint(record)
@@ -156,7 +157,7 @@
         return is_new
 
     def replace_endpoints(self, records: tuple[Record, ...], source: str) -> None:
-        """Takes a whole list of entries."""
+        """Applies a complete list of entries; endpoints that it lacks are removed."""
         listed = {record.key for record in records}
         for record in records:
             self.take_endpoint(record, source)
@@ -165,12 +166,12 @@
                 self.take_endpoint(Record(state.id, None), source)
 
     def settle_endpoints(self, records: tuple[Record, ...], source: str) -> set[str]:
-        """Takes a whole list that may be older than what is known.
+        """Applies a complete list that may be older than the known state.
 
-        An endpoint that leaves, was removed, or has started again since, comes back only by an
-        entry that is written after the store's return. The list's other entries count as usual.
+        An endpoint that is leaving, was removed, or has restarted since, is used again only after
+        an entry is written after the store's return. The other entries are applied as usual.
 
-        :returns: ids of the endpoints whose entries were not taken.
+        :returns: ids of the endpoints whose entries were not applied.
         """
         past = {record.key for record in records if self._is_past(record)}
         self.replace_endpoints(
@@ -240,14 +241,14 @@
     ) -> None:
         named = self._weights.get(change.model)
         if named is not None and change.version < named.version:
-            # An older naming, such as one in an older copy of the store, dates nothing.
+            # An older naming, such as one in an older copy of the store, changes no known time.
             return
         self.learn_weights(change.model, change.version, known_at, source)
         if change.version == self._weights[change.model].version:
             self._operator_raw[record.key] = record.value or b""
 
     def learn_weights(self, model: str, version: int, known_at: float, source: str) -> bool:
-        """Takes a named version; returns whether it is the newest one and was not known."""
+        """Records a named version; returns whether it is the newest one and was not known."""
         named = self._weights.setdefault(model, NamedWeights())
         if not named.learn(version, known_at):
             return False
@@ -255,7 +256,7 @@
         return True
 
     def is_behind(self, endpoint: EndpointState) -> bool:
-        """Returns whether an endpoint is known to have older weights than named."""
+        """Returns whether an endpoint is known to have older weights than the newest named ones."""
         return any(
             model in self._weights and version < self._weights[model].version
             for model, version in endpoint.weights.items()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -1,7 +1,7 @@
-"""Datagrams between nodes: load at endpoints, use of limits, weights, and who is alive.
+"""Datagrams between nodes: load at endpoints, use of limits, weights, and membership.
 
-Each datagram replaces the one before it from the same node, so loss and reordering only cost
-time. Datagrams need no connection that could go silent.
+Each datagram replaces the previous one from the same node, so loss and reordering only cause
+delay. Datagrams need no connection that could stall undetected.
 """
 
 import socket
@@ -19,12 +19,12 @@
 from arbutustally_node.gateway.peer_state import PeerState
 from arbutustally_node.gateway.supervision import supervise
 
-#: Interval between two datagrams to a peer, seconds. Where nodes tell each other directly it grows
-#: with each peer beyond ten, so that what a node sends in a second stays bounded.
+#: Interval between two datagrams to a peer, seconds. Where nodes send to each other directly, it
+#: grows with each peer beyond ten, which bounds the rate at which a node sends.
 RELAY_INTERVAL_S = 0.2
 DIRECT_INTERVAL_S = 0.15
 INTERVAL_PER_PEER_S = 0.01
-#: Datagrams that are sent at the same moment: more would fill a small link for a while.
+#: Datagrams sent without a pause (more would saturate a small link), and the pause, seconds.
 SENT_AT_ONCE = 8
 SENT_PAUSE_S = 0.005
 #: Largest datagram that is sent.
@@ -33,15 +33,16 @@
 
 
 class Gossip:
-    """Sends this node's state to its peers and takes theirs.
-
-    :param me: this node as its peers know it at its start.
-    :param clock: seconds that go on while the instance is suspended.
-    :param describe: returns this node's state; with placements only if asked for, since each is
-        told once.
-    :param on_state: takes a peer's facts, and what peers use if the message says it.
-    :param on_change: called when the fleet has changed, with the sources of use that count no
-        longer.
+    """Sends this node's state to its peers and receives theirs.
+
+    :param me: this node's membership data at its start.
+    :param clock: clock in seconds that keeps counting while the instance is suspended.
+    :param describe: returns this node's state; with placements only if its argument is true, since
+        each placement is sent once.
+    :param on_state: called with a peer's state and the use by peers, ``None`` if the message does
+        not report it.
+    :param on_change: called when the fleet has changed, with the sources of use that no longer
+        count.
     """
 
     def __init__(
@@ -68,7 +69,7 @@
         self._greenlets: list[Any] = []
 
     def start(self) -> None:
-        """Binds the port and starts to send and to receive."""
+        """Binds the port and starts sending and receiving."""
         self._socket = gevent_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((self._ip, self._port))
         self._greenlets = [
@@ -77,7 +78,7 @@
         ]
 
     def stop(self) -> None:
-        """Sends the last state once more and stops."""
+        """Sends the current state once more and stops."""
         self.send_now()
         for greenlet in self._greenlets:
             greenlet.kill()
@@ -93,22 +94,22 @@
 
     @property
     def present(self) -> list[Member]:
-        """Returns the peers that are heard, by this node or by a relay."""
+        """Returns the peers from which this node or a relay receives messages."""
         return self._table.present
 
     @property
     def known(self) -> int:
-        """Returns the number of peers that were heard lately, present or not."""
+        """Returns the number of peers that were present recently, whether or not they still are."""
         return self._table.known
 
     @property
     def is_settled(self) -> bool:
-        """Returns whether this node has known the fleet well enough once since its start."""
+        """Returns whether this node's view of the fleet has been settled once since its start."""
         return self._table.is_settled
 
     @property
     def has_orderer(self) -> bool:
-        """Returns whether a peer that is heard holds the lease on orders to engines."""
+        """Returns whether a peer reports that it holds the lease on orders to engines."""
         return self._table.has_orderer
 
     @property
@@ -117,22 +118,22 @@
         return self._table.relay
 
     def rank(self, duty: bytes) -> int:
-        """Returns this node's place among the ready nodes for a duty, 0 for the first."""
+        """Returns this node's rank among the ready nodes for a duty, 0 for the first."""
         return self._table.rank(duty)
 
     def introduce(self, ip: str, is_lasting: bool = False) -> None:
         """Adds the address of a node that may be alive.
 
-        :param is_lasting: keep it also if nothing is heard of it for long.
+        :param is_lasting: whether to keep it even if the node stays silent for long.
         """
         self._table.introduce(ip, is_lasting)
 
     def send_now(self) -> None:
-        """Tells all peers the facts that they must know at once."""
+        """Sends all peers the facts that they must receive immediately."""
         message = self._table.urgent(self._describe(False))
         data = message.state.encode()
         if len(data) > MAX_DATAGRAM_BYTES:
-            # Peers that see a newer configuration here fetch it.
+            # Peers fetch the configuration when they see that this node has a newer one.
             data = replace(message.state, operator=()).encode()
         self._send_data(data, message.ips)
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_news.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_news.py
@@ -1,4 +1,4 @@
-"""What a node tells its peers of itself, and what it takes from what they tell."""
+"""Builds the state that a node sends to its peers, and applies the states that it receives."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -23,13 +23,13 @@
 from arbutustally_node.gateway.rollout_evidence import SEPARATOR, RolloutEvidence
 from arbutustally_node.gateway.weights_service import WeightsService
 
-#: Intervals between messages for which an endpoint counts as loading after a peer said so.
+#: Time for which an endpoint counts as loading after a peer reported it, in message intervals.
 LOADING_INTERVALS = 2.5
 
 
 @dataclass(frozen=True)
 class ToldServices:
-    """Services whose state the nodes tell each other."""
+    """Services whose state the nodes exchange."""
 
     view: FleetView
     quota: QuotaLedger
@@ -47,9 +47,9 @@
 
 
 class PeerNews:
-    """Describes this node to its peers, and takes their descriptions.
+    """Builds this node's state for its peers, and applies theirs.
 
-    :param member: returns this node as its peers know it.
+    :param member: returns this node's membership data.
     :param incarnation: differs between two starts of the node.
     """
 
@@ -64,7 +64,7 @@
     def describe(self, has_placed: bool) -> PeerState:
         """Returns this node's state.
 
-        :param has_placed: with the latest placements, which are told once.
+        :param has_placed: whether to include the latest placements, each of which is sent once.
         """
         services = self._services
         view, weights = services.view, services.weights
@@ -103,9 +103,9 @@
         )
 
     def take(self, state: PeerState, use: PeerUse | None) -> None:
-        """Takes what a peer told.
+        """Applies a peer's state.
 
-        :param use: what peers use, ``None`` if the message does not say it.
+        :param use: use by peers, ``None`` if the message does not report it.
         """
         services, node = self._services, state.sender.node
         if state.news is not None:
@@ -130,9 +130,9 @@
             take(endpoint_id, scope, [PromptPart(*part) for part in parts])
 
     def fleet_changed(self, gone: set[str]) -> None:
-        """Notes that the fleet has changed.
+        """Updates the services that depend on the size of the fleet, and drops sources.
 
-        :param gone: sources of use that count no longer.
+        :param gone: sources of use that no longer count.
         """
         services = self._services
         for source in gone:
@@ -159,7 +159,7 @@
         view, now = self._services.view, self._clock()
         for endpoint_id in state.loading:
             endpoint = view.book.get(endpoint_id)
-            # What comes through relays may be older than the word that it has loaded.
+            # A state that came through relays may be older than the report that loading has ended.
             if endpoint is not None and view.is_behind(endpoint):
                 endpoint.loading = True
                 endpoint.loading_until = now + LOADING_INTERVALS * self._services.gossip.interval_s
