Reword the texts of the nodes' messages and of the announcer

Comments and docstrings of peer_state, heard_peers, peer_candidates, relay_messages and announcer use the field's terms. The messages of the errors that decode() catches name what was expected; no test or tool matches them.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/announcer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/announcer.py
@@ -1,4 +1,4 @@
-"""Lets nodes find each other through the platform's store where the seeds do not answer."""
+"""Peer discovery through the platform's store, for nodes whose seeds do not answer."""
 
 from typing import Any
 
@@ -12,23 +12,24 @@
 from arbutustally_node.gateway.store_watch import StoreWatch
 from arbutustally_node.gateway.supervision import supervise
 
-#: Names the order of nodes in which they announce themselves.
+#: Key of the ranking of nodes that decides which of them are announced.
 ANNOUNCING_DUTY = b"announce"
-#: Nodes that are announced; a new node needs one of them.
+#: Number of nodes that are announced; a new node needs to reach only one of them.
 ANNOUNCED = 4
-#: Time after the start until the fleet is known well enough to tell who is announced, seconds.
+#: Time after the start until enough of the fleet is known to rank the nodes, seconds.
 SETTLED_S = 4.0
-#: Time after which a node that hears nobody looks into the store, and then looks again, seconds.
+#: Time after which a node that receives no messages reads the store, and interval at which it
+#: reads it again, seconds.
 ALONE_S = 0.6
 ALONE_RETRY_S = 1.0
 LOOK_S = 0.2
 
 
 class Announcer:
-    """Writes the address of a few nodes into the store, and reads it on nodes that hear nobody.
+    """Writes the addresses of a few nodes into the store; nodes without peers read them from there.
 
     :param name: name of this node.
-    :param address: what the others need to reach it.
+    :param address: address at which the other nodes reach it.
     """
 
     def __init__(
@@ -53,7 +54,7 @@
         self._greenlet: Any = None
 
     def start(self) -> None:
-        """Starts to look whether this node must be announced."""
+        """Starts to check periodically whether this node must be announced or needs peers."""
         self._greenlet = supervise(self._log, "announcer", self._run)
 
     def stop(self) -> None:
@@ -67,7 +68,7 @@
             self._log.line("announcement_not_removed", reason=error.message)
 
     def era_changed(self, _era: int) -> None:
-        """Has this node's record written again: the store may have lost it."""
+        """Schedules another write of this node's record, which the store may have lost."""
         self._may_be_lost = self._is_announced
 
     def _run(self) -> None:
@@ -97,7 +98,7 @@
 
     def _announce(self) -> None:
         if not self._is_announced:
-            # The record may be there also if the store does not confirm it.
+            # The store may have written the record even if it does not confirm the write.
             self._is_announced = True
             self._topic.announce(self._name, self._address)
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/heard_peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/heard_peers.py
@@ -1,4 +1,4 @@
-"""The newest messages of a node's peers, and what they add up to."""
+"""The latest messages received from a node's peers, and the sums over them."""
 
 from collections import deque
 from collections.abc import Mapping
@@ -10,20 +10,20 @@
 from arbutustally.gateway.relaying import Member
 from arbutustally_node.gateway.peer_state import Covers, PeerState
 
-#: Silence after which a peer counts as absent, seconds.
+#: Time without messages after which a peer counts as absent, seconds.
 ABSENT_S = 1.2
-#: A node that another relay names is dropped by the one before after this silence, seconds.
+#: Time without messages after which a relay drops a node that another relay lists, seconds.
 MOVED_S = 0.4
-#: Placements in one message; older ones are of less use.
+#: Largest number of placements in a message; the oldest are dropped, as they matter least.
 MAX_PLACED = 256
 
 
 @dataclass(frozen=True)
 class Heard:
-    """The newest message of a peer.
+    """The latest message of a peer.
 
-    :ivar at: when it came, in seconds of the clock.
-    :ivar members: nodes that the peer named last.
+    :ivar at: time of receipt, seconds of the clock.
+    :ivar members: nodes in the last list that the peer sent.
     """
 
     state: PeerState
@@ -32,7 +32,7 @@
 
 
 class HeardPeers:
-    """What one node has heard: as a relay from its nodes and other relays, else from its relay."""
+    """Messages that one node received: a relay from its nodes and other relays, others from theirs."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -48,46 +48,46 @@
 
     @property
     def nodes(self) -> Mapping[str, Heard]:
-        """Returns what the nodes that use this one as their relay said last, by address."""
+        """Returns the latest messages of the nodes that use this one as their relay, by address."""
         return self._nodes
 
     @property
     def cells(self) -> Mapping[str, Heard]:
-        """Returns what the other relays said last, by address."""
+        """Returns the latest messages of the other relays, by address."""
         return self._cells
 
     @property
     def fleet(self) -> Heard | None:
-        """Returns what the relay of this node said last, ``None`` if it uses none."""
+        """Returns the latest message of this node's relay, ``None`` if it uses none."""
         return self._fleet
 
     @property
     def cell_admitted(self) -> Mapping[str, float]:
-        """Returns what was admitted at the nodes that use this one, by account."""
+        """Returns the tokens admitted at the nodes that use this one as their relay, by account."""
         return self._cell_totals.totals
 
     @property
     def other_admitted(self) -> Mapping[str, float]:
-        """Returns what was admitted through the other relays, by account."""
+        """Returns the admitted tokens that the other relays report, by account."""
         return self._other_totals.totals
 
     @property
     def cell_placed(self) -> tuple[Any, ...]:
-        """Returns the placements of the nodes that use this one since they were told on."""
+        """Returns the placements of the nodes that use this one that are not yet forwarded."""
         return tuple(self._cell_placed)
 
     @property
     def other_placed(self) -> tuple[Any, ...]:
-        """Returns the placements that the other relays told of since they were told on."""
+        """Returns the placements from the other relays that are not yet forwarded."""
         return tuple(self._other_placed)
 
     def forget_placed(self) -> None:
-        """Forgets the placements: they have been told on."""
+        """Discards the placements once they have been forwarded."""
         self._cell_placed.clear()
         self._other_placed.clear()
 
     def is_newer(self, state: PeerState) -> bool:
-        """Returns whether a message is newer than all before it of its kind and source."""
+        """Returns whether a message is newer than all earlier ones of its kind and source."""
         key = (state.incarnation, state.covers)
         if state.number <= self._numbers.get(key, -1):
             return False
@@ -95,7 +95,7 @@
         return True
 
     def take_node(self, state: PeerState) -> None:
-        """Takes a message of a node that uses this one as its relay."""
+        """Applies a message of a node that uses this one as its relay."""
         ip = state.sender.ip
         self._drop_cell(ip)
         self._nodes[ip] = Heard(state, self._clock())
@@ -103,7 +103,7 @@
         self._cell_placed.extend(state.placed)
 
     def take_cell(self, state: PeerState) -> None:
-        """Takes a message of another relay."""
+        """Applies a message of another relay."""
         ip, now = state.sender.ip, self._clock()
         self._drop_node(ip)
         members = _members(state, self._cells.get(ip))
@@ -116,11 +116,11 @@
                 self._drop_node(member.ip)
 
     def take_fleet(self, state: PeerState) -> None:
-        """Takes a message of the relay of this node."""
+        """Applies a message of this node's relay."""
         self._fleet = Heard(state, self._clock(), _members(state, self._fleet))
 
     def drop_silent(self) -> list[str]:
-        """Drops silent peers; returns the addresses of the relays among them."""
+        """Drops peers that timed out; returns the addresses of the relays among them."""
         now = self._clock()
         relays = [ip for ip, heard in self._cells.items() if now - heard.at > ABSENT_S]
         for ip in relays:
@@ -132,9 +132,10 @@
         return relays
 
     def members(self) -> dict[str, Member]:
-        """Returns all nodes that were heard or named, by address."""
+        """Returns all nodes that sent a message or are listed in one, by address."""
         members: dict[str, Member] = {}
-        # A node that begins to relay hears the other relays a little later.
+        # A node that becomes a relay keeps the fleet of its former relay until that times out: the
+        # first messages of the other relays arrive a little later.
         if self._fleet is not None:
             members = {member.ip: member for member in self._fleet.members}
             members[self._fleet.state.sender.ip] = self._fleet.state.sender
@@ -145,7 +146,7 @@
         return members
 
     def _drop_node(self, ip: str) -> None:
-        # What it is admitted from now on is counted by the relay that it uses then.
+        # Tokens that the node admits from now on are counted by the relay that it uses next.
         dropped = self._nodes.pop(ip, None)
         if dropped is not None:
             self._cell_totals.forget(dropped.state.incarnation)
@@ -157,7 +158,7 @@
 
 
 def _members(state: PeerState, before: Heard | None) -> tuple[Member, ...]:
-    """Returns the nodes that a peer names; a message without them leaves those named before."""
+    """Returns the nodes that a peer lists; a message without a list keeps the previous one."""
     if state.members is not None:
         return state.members
     return before.members if before else ()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_candidates.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_candidates.py
@@ -1,26 +1,26 @@
-"""Addresses at which peers may be alive, and when a relay tries them."""
+"""Addresses at which peers may run, and the times at which a relay probes them."""
 
 from collections.abc import Container, KeysView
 from dataclasses import dataclass
 
 from arbutustally.clock import Clock
 
-#: Time after which an absent peer, or an address that is not heard, is forgotten, seconds.
+#: Time without messages after which a peer or a candidate address is forgotten, seconds.
 FORGET_S = 30.0
-#: Interval at which a relay tries a node that was introduced and is not heard, seconds; longer
-#: when it was tried for a while.
+#: Interval at which a relay probes a candidate that sends no messages, seconds. ``LATE_PROBE_S``
+#: applies once the candidate has been probed for ``EARLY_PROBES_S``.
 PROBE_S = 0.4
 LATE_PROBE_S = 5.0
 EARLY_PROBES_S = 4.0
-#: Nodes that are tried at the same time.
+#: Largest number of candidates that are probed at the same time.
 MAX_PROBES = 8
 
 
 @dataclass
 class Candidate:
-    """An address at which a node may be alive.
+    """An address at which a node may run.
 
-    :ivar is_lasting: kept also if nothing is heard of it for long.
+    :ivar is_lasting: whether it is kept even if the node stays silent for long.
     """
 
     added_at: float
@@ -29,7 +29,7 @@
 
 
 class PeerCandidates:
-    """Candidates of one node, by address."""
+    """Candidate peers of one node, by address."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -37,7 +37,7 @@
 
     @property
     def ips(self) -> KeysView[str]:
-        """Returns the addresses."""
+        """Returns the candidate addresses."""
         return self._candidates.keys()
 
     def add(self, ip: str, is_lasting: bool) -> None:
@@ -45,9 +45,9 @@
         self._candidates.setdefault(ip, Candidate(self._clock(), is_lasting))
 
     def due_probes(self, present: Container[str]) -> tuple[str, ...]:
-        """Returns the addresses to try now, and forgets those that were tried for long.
+        """Returns the addresses to probe now, and drops those that have been probed for too long.
 
-        :param present: addresses of the peers that are heard; they are not tried.
+        :param present: addresses of the present peers, which are not probed.
         """
         now = self._clock()
         due = []
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -1,4 +1,4 @@
-"""What nodes tell each other, and its form in a datagram."""
+"""The state that nodes send to each other, and its encoding as a datagram."""
 
 import zlib
 from collections.abc import Mapping
@@ -14,11 +14,11 @@
 from arbutustally.gateway.shared_reading import Change, ListNews
 
 COMPRESSION = 3
-#: Datagrams below this size are not worth the time of compression, bytes.
+#: Content below this size is sent uncompressed: the gain would not justify the CPU time, bytes.
 MIN_COMPRESSED_BYTES = 700
-#: Largest size of a datagram's content, bytes.
+#: Largest decompressed content of a datagram, bytes.
 MAX_CONTENT_BYTES = 262_144
-#: Largest offset or era that a peer may tell.
+#: Largest offset or era that is accepted from a peer.
 MAX_NUMBER = (1 << 63) - 1
 
 _PLAIN = b"p"
@@ -26,11 +26,11 @@
 
 
 class Covers(IntEnum):
-    """Whose load and admitted tokens a message has.
+    """Nodes whose load and admitted tokens a message contains.
 
-    ``NODE``: the sender's, for the relay that it uses. ``CELL``: those of a relay and of the nodes
-    that use it, for the other relays. ``FLEET``: those of all nodes, from a relay for the nodes
-    that use it. ``URGENT``: none; facts that must be known at once, which relays pass on.
+    ``NODE``: the sender, sent to the relay that it uses. ``CELL``: a relay and the nodes that use
+    it, sent to the other relays. ``FLEET``: all nodes, sent by a relay to the nodes that use it.
+    ``URGENT``: none; facts that all nodes must receive immediately, which relays forward.
     """
 
     NODE = 0
@@ -41,9 +41,9 @@
 
 @dataclass(frozen=True)
 class OperatorNews:
-    """A record of the operator that the sender has read lately.
+    """A record of the operator that the sender has read recently.
 
-    :ivar age_s: longest time since it may have been written, ``None`` if nobody knows.
+    :ivar age_s: longest possible time since it was written, ``None`` if unknown.
     """
 
     key: str
@@ -53,27 +53,29 @@
 
 @dataclass(frozen=True)
 class PeerState:
-    """What a node tells its peers.
+    """State of one or more nodes, as one node sends it to its peers.
 
     :ivar incarnation: differs between two starts of a node.
-    :ivar number: grows with each datagram of an incarnation.
+    :ivar number: increases with each datagram of an incarnation.
     :ivar loads: load by endpoint.
     :ivar admitted: running totals of admitted tokens by account, and of the answers of releases
-        that are judged (``RolloutEvidence.totals``).
-    :ivar speeds: prompt tokens that engines were seen to read lately, and the seconds it took.
-    :ivar weights: named versions by model, with the age of the knowledge in seconds.
-    :ivar engines: version that an engine is known to run beyond the endpoints' list, by endpoint
-        and model.
-    :ivar orders_engines: a node among those covered holds the lease on orders to engines.
+        under evaluation (``RolloutEvidence.totals``).
+    :ivar speeds: prompt tokens that engines were observed to process recently, and the seconds that
+        it took, by engine.
+    :ivar weights: named versions by model, with the time in seconds since each became known.
+    :ivar engines: version that an engine is known to run if newer than in the endpoints' list, by
+        endpoint and model.
+    :ivar orders_engines: whether one of the covered nodes holds the lease on orders to engines.
     :ivar loading: endpoints that load weights.
     :ivar down: endpoints to which the sender could not connect.
-    :ivar leaving: incarnations of endpoints whose answers say that they leave, by id.
+    :ivar leaving: incarnations of endpoints that announced in answers that they leave, by id.
     :ivar placed: recent placements of prompts, see ``PlacedParts``.
-    :ivar members: the nodes covered, without the sender; ``None`` if they are the same as before.
+    :ivar members: the covered nodes without the sender; ``None`` if unchanged since the last list.
     :ivar peers: addresses of other relays.
     :ivar counted: number of the last message of each node that uses the sender as its relay.
-    :ivar news: what the sender read of the endpoints' list, ``None`` if it has not lately.
-    :ivar operator: records of the operator that the sender has read lately.
+    :ivar news: changes of the endpoints' list that the sender read, ``None`` if it has not read it
+        recently.
+    :ivar operator: records of the operator that the sender has read recently.
     """
 
     sender: Member
@@ -144,40 +146,41 @@
 
 
 def _content(data: bytes) -> bytes:
-    """Returns the content of a datagram.
+    """Returns the decompressed content of a datagram.
 
-    :raises ValueError: if it is malformed or too long.
+    :raises ValueError: if the datagram is malformed or its content too long.
     """
     kind, body = data[:1], data[1:]
     if kind == _PLAIN:
         return body
     if kind != _COMPRESSED:
-        raise ValueError("not a datagram of a node")
+        raise ValueError("unknown datagram type")
     unpacker = zlib.decompressobj()
     try:
         content = unpacker.decompress(body, MAX_CONTENT_BYTES)
     except zlib.error as error:
-        raise ValueError("the datagram is not compressed data") from error
+        raise ValueError("datagram content is not valid zlib data") from error
     if unpacker.unconsumed_tail:
-        raise ValueError("the datagram is too long")
+        raise ValueError("datagram content exceeds the size limit")
     return content
 
 
 def _text(value: Any) -> str:
     if not isinstance(value, str):
-        raise TypeError("not a text")
+        raise TypeError("expected a string")
     return value
 
 
 def natural_number(value: Any) -> int:
-    """Returns a number of the store, such as an offset, that a peer told.
+    """Returns a number of the store, such as an offset, that a peer sent.
 
-    :raises TypeError: or ``ValueError`` if it is none.
+    :raises TypeError: if it is not an integer.
+    :raises ValueError: if it is outside the range of such numbers.
     """
     if not isinstance(value, int):
-        raise TypeError("not a whole number")
+        raise TypeError("expected an integer")
     if not 0 <= value <= MAX_NUMBER:
-        raise ValueError("not a number of the store")
+        raise ValueError("integer is outside the range of store offsets and eras")
     return value
 
 
@@ -208,7 +211,7 @@
 def _operator(row: Any) -> OperatorNews:
     key, value, age_s = row
     if not isinstance(value, bytes):
-        raise TypeError("not a record")
+        raise TypeError("expected the bytes of a record")
     return OperatorNews(_text(key), value, None if age_s is None else float(age_s))
 
 
@@ -228,9 +231,9 @@
 
 
 def _news(row: Any) -> ListNews:
-    """Returns the news in a datagram.
+    """Returns the changes of the endpoints' list in a datagram.
 
-    :raises TypeError: or ``ValueError`` if they are malformed.
+    :raises TypeError: or ``ValueError`` if the row is malformed.
     """
     era, covers_from, read_to, age_s, keep_removed_s, changes = row
     return ListNews(
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/relay_messages.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/relay_messages.py
@@ -1,4 +1,4 @@
-"""The messages of a node, numbered, and those of a relay with the sums over what it heard."""
+"""Builds the numbered messages of a node, with sums over received messages if it is a relay."""
 
 from collections.abc import Mapping, Sequence
 from dataclasses import replace
@@ -10,9 +10,9 @@
 from arbutustally_node.gateway.heard_peers import MAX_PLACED, HeardPeers
 from arbutustally_node.gateway.peer_state import Covers, PeerState
 
-#: One of this many messages names members and relays also if they are the same as before. A node
-#: that begins to relay knows the fleet until its former relay counts as absent; by then the other
-#: relays have named their nodes.
+#: One of this many messages lists members and relays even if they are unchanged. A node that
+#: becomes a relay knows the fleet until its former relay counts as absent; by then the other relays
+#: have sent the lists of their nodes.
 MEMBERS_EVERY = {Covers.CELL: 5, Covers.FLEET: 10}
 
 
@@ -24,20 +24,20 @@
         self._number = 0
         self._rounds = 0
         self._told_members: dict[Covers, tuple[Member, ...]] = {}
-        # Whether the other relays are to be told of a changed fleet.
+        # Whether the next message to the other relays must list the relays of a changed fleet.
         self._has_changed = False
 
     def begin_round(self) -> None:
-        """Begins the messages that are sent together."""
+        """Starts a round: the messages that are sent at one interval."""
         self._rounds += 1
 
     def fleet_changed(self) -> None:
-        """Lets the next messages name members and relays."""
+        """Makes the next messages list members and relays."""
         self._has_changed = True
         self._told_members.clear()
 
     def node_came(self) -> None:
-        """Lets the next messages name members: a node that knows none has come."""
+        """Makes the next messages list members, for a node that has joined and knows none."""
         self._told_members.clear()
 
     def numbered(self, own: PeerState) -> PeerState:
@@ -46,7 +46,7 @@
         return replace(own, number=self._number)
 
     def cell(self, own: PeerState, relays: Sequence[str]) -> PeerState:
-        """Returns the message to other relays: this node and those that use it.
+        """Returns the message to the other relays, which covers this node and those that use it.
 
         :param relays: addresses of the other relays.
         """
@@ -63,9 +63,9 @@
         )
 
     def fleet(self, own: PeerState, present: Sequence[Member]) -> PeerState:
-        """Returns the message to the nodes that use this one: the whole fleet.
+        """Returns the message to the nodes that use this one, which covers the whole fleet.
 
-        :param present: peers that are heard, by this node or by a relay.
+        :param present: peers from which this node or a relay receives messages.
         """
         heard = self._heard
         states = [one.state for one in (*heard.nodes.values(), *heard.cells.values())]
@@ -97,7 +97,7 @@
 def _sums(
     states: Sequence[PeerState], own: PeerState, *totals: Mapping[str, float]
 ) -> dict[str, Any]:
-    """Returns the fields of a message that add up what several nodes say."""
+    """Returns the fields of a message that combine the states of several nodes."""
     admitted = dict(own.admitted)
     for by_account in totals:
         for account, total in by_account.items():
