--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -1,7 +1,7 @@
-"""A fleet of the real tables of peers on a virtual clock, over a network that loses and delays.
+"""Simulates a fleet of real ``FleetTable`` objects on a virtual clock and a lossy, slow network.
 
-Every node's load grows with time by one token a second, so the sum that a node knows of its peers
-tells how old its knowledge is.
+Every node's load grows by one token a second, so the sum of peers' load that a node knows gives the
+age of its data.
 """
 
 import heapq
@@ -27,7 +27,7 @@
 
 
 class WorldNode:
-    """One node: its table, and the use that it knows of its peers."""
+    """One node: its table, and the use by peers that it knows of."""
 
     def __init__(self, number: int, zone: str, start: int, world: "FleetWorld") -> None:
         self.number = number
@@ -78,11 +78,11 @@
         self.heard[use.source] = total
 
     def admit(self, tokens: float) -> bool:
-        """Takes a caller's request; returns whether it is within the limit as this node knows it."""
+        """Tries to admit a request; returns whether it is within the limit that this node knows."""
         return self.table.is_settled and self.ledger.take(ACCOUNT, tokens) is None
 
     def review(self) -> None:
-        """Drops what counts no longer, and tells the limit of a changed fleet."""
+        """Drops sources that no longer count, and updates the limit when the fleet has changed."""
         has_changed = self.table.refresh()
         for source in self.sources - self.table.sources():
             self.ledger.forget(source)
@@ -101,7 +101,7 @@
 class FleetWorld:
     """Nodes and the network between them.
 
-    :param loss: part of the datagrams that are lost.
+    :param loss: fraction of the datagrams that are lost.
     :param is_cut: whether a datagram from one node to another is lost in a partition.
     """
 
@@ -136,11 +136,11 @@
         self.at(self.rng.uniform(0.0, 0.3), lambda: self._tick(node))
 
     def at(self, after_s: float, action: Callable[[], None]) -> None:
-        """Does something after a time."""
+        """Schedules an action after a delay in seconds."""
         heapq.heappush(self._events, (self.clock() + after_s, next(self._order), action))
 
     def run(self, seconds: float) -> None:
-        """Plays the fleet for a time."""
+        """Runs the simulation for a time in seconds."""
         end = self.clock() + seconds
         while self._events and self._events[0][0] <= end:
             at, _order, action = heapq.heappop(self._events)
@@ -149,15 +149,15 @@
         self.clock.advance_to(end)
 
     def freeze(self, node: WorldNode, seconds: float) -> None:
-        """Suspends a node; what arrives meanwhile waits."""
+        """Suspends a node; datagrams that arrive meanwhile are queued."""
         node.frozen_until = self.clock() + seconds
 
     def kill(self, node: WorldNode) -> None:
-        """Ends a node."""
+        """Stops a node without notice to its peers."""
         node.runs = False
 
     def restart(self, node: WorldNode, start: int = 1) -> WorldNode:
-        """Replaces a node that ended by a new start of it."""
+        """Replaces a stopped node by a new incarnation of it."""
         fresh = WorldNode(node.number, node.member.zone, start, self)
         self.nodes[node.number] = fresh
         self._by_ip[fresh.ip] = fresh
@@ -169,7 +169,7 @@
         return [node for node in self.nodes if node.runs]
 
     def age_s(self, node: WorldNode) -> float:
-        """Returns the mean age of what a node knows of its peers' load, seconds."""
+        """Returns the mean age of a node's data on its peers' load, seconds."""
         peers = len(self.running()) - 1
         return self.clock() - node.known_load() / peers if peers else 0.0
 
@@ -189,7 +189,7 @@
             self._send(node, message.state, message.ips)
 
     def tell(self, node: WorldNode) -> None:
-        """Lets a node tell facts that must be known at once."""
+        """Makes a node send an urgent message."""
         message = node.table.urgent(node.describe())
         self._send(node, message.state, message.ips)
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/__init__.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/__init__.py
@@ -1,7 +1,8 @@
-"""Relay of traffic that stays unchanged between callers and endpoints.
+"""Gateway between callers and endpoints, whose traffic it relays unchanged.
 
-A request passes ``listener`` (reads it), ``exchange`` (route, key, limit, attempts), ``transport``
-(one attempt at an endpoint) and back through ``caller`` (writes the answer). ``fleet_view`` holds
-what the node knows, ``follower`` keeps it current from the platform's store, ``gossip`` tells
-peers, ``weights_service`` orders engines to load newly named weights.
+A request passes through ``listener`` (reads it), ``exchange`` (route, key, limit, attempts) and
+``transport`` (one attempt at an endpoint), and its answer through ``caller`` (writes it).
+``fleet_view`` holds the node's configuration, weights and endpoints, ``follower`` updates it from
+the platform's store, ``gossip`` exchanges state with peers, and ``weights_service`` orders engines
+to load newly named weights.
 """
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
@@ -1,4 +1,4 @@
-"""Follows what engines and stores of parts say of their caches."""
+"""Follows the cache events of engines and part stores."""
 
 from typing import Any
 
@@ -11,15 +11,15 @@
 from arbutustally_node.gateway.ports import CacheEvents
 from arbutustally_node.gateway.supervision import supervise
 
-#: Wait of one call for changes, seconds.
+#: Longest wait of one call for changes, seconds.
 WAIT_S = 1.0
-#: Pause after an answer, so that changes come in batches, seconds.
+#: Pause after an answer, so that changes arrive in batches, seconds.
 PAUSE_S = 0.2
 #: Pause after a call without an answer, seconds.
 RETRY_S = 1.0
-#: Interval at which the list of places is compared with the greenlets that follow them, seconds.
+#: Interval at which greenlets are started for new places and ended for removed ones, seconds.
 REVIEW_S = 0.5
-#: Part of the calls that a place answers at once which the fleet uses.
+#: Fraction of the concurrent calls that a place accepts which the fleet may use.
 WATCHERS_USED = 0.8
 
 
@@ -43,15 +43,15 @@
         self._greenlet: Any = None
 
     def follows(self, place: str) -> bool:
-        """Returns whether a place tells this node what it drops."""
+        """Returns whether this node follows the changes of a place's cache."""
         return place in self._following
 
     def start(self) -> None:
-        """Starts following."""
+        """Starts following caches."""
         self._greenlet = supervise(self._log, "caches", self._review)
 
     def stop(self) -> None:
-        """Stops following."""
+        """Stops following caches."""
         self._greenlet.kill()
         for greenlet in self._following.values():
             greenlet.kill()
@@ -70,7 +70,7 @@
             gevent.sleep(REVIEW_S)
 
     def _places(self) -> dict[str, str]:
-        """Returns the places to follow with their addresses."""
+        """Returns the addresses of the places to follow, by place."""
         configuration = self._view.configuration
         if configuration is None:
             return {}
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/catch_up.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/catch_up.py
@@ -1,4 +1,4 @@
-"""Gets from a peer what the store does not give, and gives peers the same."""
+"""Fetches snapshots from peers when the store is unavailable, and provides them to peers."""
 
 from random import Random
 from typing import Any
@@ -14,12 +14,13 @@
 from arbutustally_node.gateway.supervision import supervise
 from arbutustally_node.gateway.web import Snapshot, fetch_snapshot
 
-#: Interval at which a node without the store, or behind its peers, asks one of them, seconds.
+#: Interval at which a node that has no store or older data than its peers asks one of them,
+#: seconds.
 SNAPSHOT_INTERVAL_S = 0.25
 
 
 class CatchUp:
-    """Asks peers for snapshots while this node is behind them or has no store."""
+    """Fetches snapshots from peers while this node has older data than they or no store."""
 
     def __init__(
         self,
@@ -39,15 +40,15 @@
         self._greenlet: Any = None
 
     def start(self) -> None:
-        """Starts asking."""
+        """Starts to fetch snapshots as needed."""
         self._greenlet = supervise(self._log, "snapshots", self._run)
 
     def stop(self) -> None:
-        """Stops asking."""
+        """Stops fetching snapshots."""
         self._greenlet.kill()
 
     def snapshot(self) -> Snapshot:
-        """Returns the documents that this node has."""
+        """Returns the records that this node has, for a peer."""
         view = self._view
         return Snapshot(self._endpoints.position, view.operator_records, view.endpoint_records)
 
@@ -74,7 +75,7 @@
         ahead = [peer for peer in self._gossip.present if peer.config > version]
         relay = self._gossip.relay
         if relay is not None and self._view.is_complete:
-            # All nodes at once would be too much for the first one that has a configuration.
+            # Requests of all nodes at once would overload the first one that has a configuration.
             ahead = [relay] if relay.config > version else []
         if ahead:
             return max(ahead, key=lambda peer: peer.config)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_notices.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_notices.py
@@ -1,4 +1,4 @@
-"""What endpoints say of themselves in their answers: that they leave, or that they need a pause."""
+"""Notices in endpoints' answers: that the endpoint is leaving, or that it asks for a pause."""
 
 from collections.abc import Callable, Mapping
 from random import Random
@@ -8,11 +8,11 @@
 
 
 class EndpointNotices:
-    """Takes notices into the book of endpoints, and tells the peers of endpoints that leave.
+    """Records notices in the book of endpoints, and informs peers of endpoints that leave.
 
-    A pause binds this node only: the endpoint may want requests of others.
+    A pause applies to this node only: the endpoint may still accept requests from others.
 
-    :param tell: tells the peers at once.
+    :param tell: sends this node's state to the peers immediately.
     """
 
     def __init__(
@@ -25,7 +25,7 @@
 
     @property
     def leaving(self) -> dict[str, str]:
-        """Returns the incarnations of endpoints that said that they leave, by id."""
+        """Returns the incarnations of endpoints that announced that they leave, by id."""
         return {
             state.id: state.entry.incarnation
             for state in self._book.all()
@@ -33,7 +33,7 @@
         }
 
     def take(self, state: EndpointState, notice: EndpointNotice) -> None:
-        """Takes what an endpoint said to this node."""
+        """Applies a notice that an endpoint sent to this node."""
         if notice.pause_s > 0:
             self._book.pause(state, notice.pause_s, self._rng)
             self._log.line("endpoint_paused", endpoint=state.id, pause_s=notice.pause_s)
@@ -42,13 +42,13 @@
             self._tell()
 
     def take_from(self, address: str, notice: EndpointNotice) -> None:
-        """Takes what the endpoint at an address said to this node."""
+        """Applies a notice that the endpoint at an address sent to this node."""
         for state in self._book.all():
             if state.address == address and state.gone_at is None:
                 self.take(state, notice)
 
     def take_leaving(self, leaving: Mapping[str, str], peer: str) -> None:
-        """Takes the endpoints of which a peer knows that they leave."""
+        """Applies a peer's list of endpoints that leave, with their incarnations by id."""
         for endpoint_id, incarnation in leaving.items():
             state = self._book.get(endpoint_id)
             if state is None or state.entry.incarnation != incarnation:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -1,4 +1,4 @@
-"""A gateway node: runs its services, and stops without cutting a request."""
+"""A gateway node: runs its services, and stops without interrupting requests."""
 
 import secrets
 from collections.abc import Sequence
@@ -20,11 +20,11 @@
     snapshot_app,
 )
 
-#: Time for which callers may keep an answer with addresses, seconds. Some keep it three times as
-#: long, and a node that stops serves until then.
+#: Time for which callers may cache an answer with addresses, seconds. Some cache it three times as
+#: long, and a stopping node serves until then.
 DIRECTORY_TTL_S = 1.0
 TTL_KEPT = 3
-#: Time before the end of the grace period at which a stopping node ends, seconds.
+#: Time before the end of the grace period at which a draining node stops, seconds.
 GRACE_MARGIN_S = 0.6
 STOP_POLL_S = 0.05
 
@@ -53,20 +53,20 @@
 
     @classmethod
     def from_config(cls, options: GatewayOptions, platform: Platform) -> "GatewayNode":
-        """Builds a node that has not started."""
+        """Builds a node without starting it."""
         return cls(options, platform, build_services(options, platform, secrets.token_hex(6)))
 
     def request_stop(self) -> None:
-        """Asks the node to drain and end."""
+        """Requests that the node drain and stop."""
         self._stopping.set()
 
     def reload(self, options: GatewayOptions) -> None:
-        """Takes changed settings that can change while the node runs: the seeds."""
+        """Applies the settings that can change while the node runs: the seeds."""
         self._introduce(options.seeds)
         self._log.line("settings_reloaded", seeds=len(options.seeds))
 
     def reload_failed(self, reason: str) -> None:
-        """Notes that changed settings were refused; the old ones stay in force."""
+        """Logs that changed settings were refused; the old ones stay in force."""
         self._log.line("settings_refused", reason=reason)
 
     def run(self) -> None:
@@ -78,7 +78,8 @@
 
     def start(self) -> None:
         """Starts all services."""
-        # Without seeds a node takes itself for the only one of the fleet, once and for good.
+        # Seeds come first: a node without them treats itself as the only one of the fleet, and
+        # then counts as settled for the rest of its life.
         self._introduce(self._options.seeds)
         self._services.kernel.start()
         self._web = self._serve_web()
@@ -91,7 +92,7 @@
         return self._status.is_ready
 
     def drain(self) -> None:
-        """Serves callers that still know this node, then waits for running requests."""
+        """Serves callers that still have this node's address, then waits for running requests."""
         self._status.begin_drain()
         self._log.line("node_draining", running=self._listener.running)
         self._weights.stop()
@@ -101,7 +102,7 @@
         self._listener.drain()
         while boottime() < latest:
             if boottime() >= known_until:
-                # A stream that began now might not end before the grace period does.
+                # A stream that starts now might not finish within the grace period.
                 self._exchange.refuse_new()
                 self._listener.close_idle()
                 if not self._listener.running:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -1,7 +1,7 @@
-"""The services of a node and how they are joined.
+"""Builds the services of a node and connects them.
 
-Peers are told of all services and tell all services, so some of them are named in functions that
-run only once all are built.
+The exchange with peers reads from all services and updates them all, so some services are referred
+to in functions that run only after all are built.
 """
 
 import math
@@ -39,14 +39,14 @@
 from arbutustally_node.pool import PoolService
 
 CONNECT_TIMEOUT_S = 0.2
-#: Longest silence of an endpoint inside an answer: the time that the request has left, and the
-#: hedge, bound the wait.
+#: Longest pause of an endpoint within an answer, seconds. It has no limit of its own: the remaining
+#: time of the request and the hedge bound the wait.
 SILENCE_S = math.inf
 
 
 @dataclass(frozen=True)
 class StoreReaders:
-    """Services that follow the store of the platform."""
+    """Services that read the platform's store."""
 
     watch: StoreWatch
     endpoints: EndpointReader
@@ -58,7 +58,7 @@
 class NodeServices:
     """Services of one node.
 
-    :ivar kernel: starts and stops those that have a lifetime.
+    :ivar kernel: starts and stops the services that run in the background.
     """
 
     kernel: Kernel
@@ -73,7 +73,7 @@
 
 
 def build_services(options: GatewayOptions, platform: Platform, incarnation: str) -> NodeServices:
-    """Builds the services of a node; none has started."""
+    """Builds the services of a node without starting them."""
     state = NodeState.from_config(options, platform.documents, incarnation)
     log, view = state.log, state.view
     status = NodeStatus(options, view, lambda: gossip.is_settled)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
@@ -1,4 +1,4 @@
-"""What a node knows and counts in memory, apart from the services that use it."""
+"""In-memory state of a node that its services share."""
 
 from dataclasses import dataclass
 from random import Random
@@ -19,10 +19,10 @@
 
 @dataclass(frozen=True)
 class NodeState:
-    """Tables of one node.
+    """Shared tables and counters of one node.
 
     :ivar incarnation: differs between two starts of the node.
-    :ivar repeats: attempts that the node may still make again.
+    :ivar repeats: number of repeated attempts that the node may still make.
     """
 
     incarnation: str
@@ -40,7 +40,7 @@
     def from_config(
         cls, options: GatewayOptions, documents: Documents, incarnation: str
     ) -> "NodeState":
-        """Builds empty tables that follow the configuration once there is one."""
+        """Builds empty tables, which are updated with each configuration that comes into force."""
         rng = Random()
         log = DecisionLog({"node": options.node, "inc": incarnation[:6]})
         speeds = EngineSpeeds.from_config(monotonic)
@@ -62,7 +62,7 @@
 
     @property
     def caller_limits(self) -> CallerLimits:
-        """Returns the limits of callers' connections, the usual ones without a configuration."""
+        """Returns the limits of callers' connections, the defaults without a configuration."""
         configuration = self.view.configuration
         return configuration.limits if configuration else CallerLimits()
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_status.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_status.py
@@ -1,4 +1,4 @@
-"""Whether a node serves, and how its peers know it."""
+"""Readiness of a node, and the membership data that it sends to its peers."""
 
 from collections.abc import Callable
 
@@ -8,9 +8,9 @@
 
 
 class NodeStatus:
-    """Whether a node serves.
+    """Readiness and membership data of a node.
 
-    :param is_settled: returns whether the node has known the fleet well enough once.
+    :param is_settled: returns whether the node's view of the fleet has been settled once.
     """
 
     def __init__(
@@ -23,7 +23,7 @@
 
     @property
     def is_complete(self) -> bool:
-        """Returns whether the node knows enough to serve."""
+        """Returns whether the node has the data that it needs to serve."""
         return self._view.is_complete and self._is_settled()
 
     @property
@@ -33,7 +33,7 @@
 
     @property
     def member(self) -> Member:
-        """Returns the node as its peers know it."""
+        """Returns the node's membership data for its peers."""
         options, configuration = self._options, self._view.configuration
         return Member(
             options.node,
@@ -47,5 +47,5 @@
         )
 
     def begin_drain(self) -> None:
-        """Sends callers to other nodes from now on."""
+        """Marks the node as not ready, so that callers are directed to other nodes."""
         self._is_draining = True
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/supervision.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/supervision.py
@@ -1,4 +1,4 @@
-"""Tasks that a node needs for as long as it runs."""
+"""Restarts background tasks of a node that fail."""
 
 import traceback
 from collections.abc import Callable
@@ -8,16 +8,16 @@
 
 from arbutustally_node.gateway.decision_log import DecisionLog
 
-#: Pause before a task that failed is started again, seconds.
+#: First and longest pause before a failed task is restarted, seconds; it doubles with each failure.
 RESTART_S = 0.1
 MAX_RESTART_S = 2.0
 
 
 def supervise(log: DecisionLog, name: str, run: Callable[..., None], *arguments: Any) -> Any:
-    """Runs a task and starts it again after an unexpected error; returns its greenlet.
+    """Runs a task and restarts it after an unexpected error; returns its greenlet.
 
-    Without it, one message that nobody has thought of would end the task for good, and the node
-    would go on with what it knew then.
+    Without restarts, one message that raises an unhandled error would end the task permanently,
+    and the node would continue with outdated state.
     """
     return gevent.spawn(_run, log, name, run, arguments)
 
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -1,4 +1,4 @@
-"""What endpoints say of themselves: that they leave, and that they need a pause."""
+"""Notices in endpoints' answers: that the endpoint is leaving, or that it asks for a pause."""
 
 import time
 import unittest
@@ -15,14 +15,14 @@
 from tests.gateway_values import entry
 from tests.platform_fakes import FakeWorker
 
-#: Time after a notice from which requests count as sent in spite of it, seconds.
+#: Time that a notice takes to reach all nodes; later requests count as violations, seconds.
 HEARD_S = 0.5
-#: Requests after which each of two workers has answered one.
+#: Number of requests after which each of two workers has answered at least one.
 MOST_TRIES = 40
 
 
 class LeavingTest(GatewayCase):
-    """Guards against new work for a worker that says only in its answers that it leaves."""
+    """Guards against new requests to a worker that announces only in its answers that it leaves."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -32,7 +32,7 @@
         self.eventually(lambda: all(len(node._gossip.present) == 1 for node in self.nodes))
 
     def hear(self, worker: FakeWorker, path: str) -> int:
-        """Sends requests until the worker has answered one; returns what it has run."""
+        """Sends requests until the worker has answered one; returns how many it has run."""
         worker.is_leaving = True
         for number in range(MOST_TRIES):
             if not worker.ran:
@@ -41,7 +41,7 @@
         return len(worker.ran)
 
     def call_with_own_prompt(self, path: str, number: int) -> None:
-        """Sends a request that shares no part with others, so that no engine holds one."""
+        """Sends a request that shares no prompt part with others, so that no engine caches one."""
         prompt = {"Prompt_Prefix": f"{number:x}:60,b{number:x}:40"}
         answer = self.call(self.nodes[0], path, f"r{number}", **prompt)
         self.assertEqual(answer.status, 200)
@@ -95,7 +95,7 @@
 
 
 class PauseTest(GatewayCase):
-    """Guards against requests to a worker that has asked this node for a pause."""
+    """Guards against requests to a worker that asked this node for a pause."""
 
     PAUSE_S = 1.5
 
@@ -132,7 +132,7 @@
         for number in range(10):
             self.call(self.node, "/chat/x", f"r{number}")
             gevent.sleep(self.PAUSE_S / 10)
-        # A call that waited at the engine when it began to refuse was asked before.
+        # A call that was pending at the engine when it began to refuse was sent before the pause.
         self.assertEqual(self.asked_in_pause(engine, since), 0)
 
     def test_when_all_pause_callers_are_told_at_once_when_to_return(self) -> None:
--- a/tests/test_fleet_after_return.py
+++ b/tests/test_fleet_after_return.py
@@ -1,4 +1,4 @@
-"""Nodes over sockets after the store has come back from an older copy."""
+"""Nodes that communicate over sockets after the store was restored from an older copy."""
 
 import socket
 from unittest import mock
@@ -14,21 +14,22 @@
 
 SERVERS = "keyed.servers"
 OPERATOR = "keyed.op"
-#: Heartbeats after which the offsets of the new era are beyond those of the old one.
+#: Number of heartbeats after which offsets of the new era exceed those of the old one.
 MANY = 10
-#: Time within which the fleet is of one mind after a return, seconds.
+#: Time within which all nodes agree after a return of the store, seconds.
 AGREED_S = 3.0
-#: Time within which what the operator writes is in force, seconds.
+#: Time within which a record that the operator writes is in force, seconds.
 IN_FORCE_S = 2.0
-#: Time after the store's return for which endpoints that it lacks are used on, and more, seconds.
+#: Time after the store's return for which endpoints that it lacks stay in use, and the time after
+#: which they are out of use at the latest, seconds.
 KEPT_S = 2.5
 LATEST_GONE_S = 5.0
-#: Offset or era far beyond any that a store reaches.
+#: Offset or era far above any that a store reaches.
 HUGE = 1 << 60
 
 
 class ReturnCase(GatewayCase):
-    """Plays returns of the store in which nodes see nothing but other answers."""
+    """Simulates returns of the store that nodes can detect only by its answers."""
 
     def heartbeats(self, count: int = MANY) -> None:
         for _ in range(count):
@@ -38,7 +39,7 @@
         self.store.put(SERVERS, worker.id, worker.entry("draining"))
 
     def lose_heartbeats(self) -> None:
-        """Returns to a copy that lacks some heartbeats which all nodes have read."""
+        """Restores the store from a copy that lacks heartbeats which all nodes have read."""
         copy = self.store.take_copy()
         self.heartbeats()
         gevent.sleep(1.5)
@@ -48,7 +49,7 @@
         return any(state.id == endpoint_id for state in node._view.book.usable("desk"))
 
     def start_heard(self, count: int) -> list[GatewayNode]:
-        """Starts nodes that all hear each other."""
+        """Starts nodes and waits until each receives messages from all others."""
         nodes = self.start_nodes(count)
         for node in nodes:
             self.wait_ready(node)
@@ -63,7 +64,7 @@
         self.wait_ready(self.node)
 
     def test_records_at_offsets_that_were_given_out_again_are_read(self) -> None:
-        """Guards against a reader that goes on at its offset, beyond records that it never saw."""
+        """Guards against a reader that continues at its offset and skips records it never read."""
         copy = self.store.take_copy()
         self.heartbeats(MANY)
         gevent.sleep(1.5)
@@ -73,7 +74,7 @@
         self.eventually(lambda: not self.is_used(self.node, "d1"), AGREED_S)
 
     def test_configuration_at_an_offset_that_was_given_out_again_comes_into_force(self) -> None:
-        """Guards against a wait at an offset at which the record that matters will never be."""
+        """Guards against a wait at an offset that the awaited record will never have."""
         copy = self.store.take_copy()
         self.store.put(OPERATOR, "version/m", {"model": "m", "version": 1})
         self.eventually(lambda: "m" in self.node._view.weights)
@@ -85,7 +86,7 @@
         """Guards against a wait of several seconds at an offset of the old era."""
         copy = self.store.take_copy()
         self.eventually(lambda: self.store.waiting[OPERATOR] == 1)
-        # The read that waits now is woken neither by the return nor by later records.
+        # The pending read is woken neither by the return nor by later records.
         self.store._changed = Event()
         self.store.return_to(copy)
         self.store.put(OPERATOR, "config", configuration(2, routes=[]))
@@ -103,7 +104,7 @@
         self.eventually(lambda: self.is_used(self.node, "d1"), AGREED_S)
 
     def test_endpoint_that_stays_after_all_is_used_by_its_newer_entry(self) -> None:
-        """Guards against an endpoint that is left out for good since it once was to leave."""
+        """Guards against an endpoint that stays excluded because it once was draining."""
         copy = self.store.take_copy()
         self.drain(self.desks[0])
         self.eventually(lambda: not self.is_used(self.node, "d1"))
@@ -114,7 +115,7 @@
         self.eventually(lambda: self.is_used(self.node, "d1"), AGREED_S)
 
     def test_endpoint_that_leaves_and_stays_in_the_new_era_is_used(self) -> None:
-        """Replays the soak's seed 35: both plain workers left and were listed again."""
+        """Replays seed 35 of the soak test: both plain workers left and were listed again."""
         self.store.return_to(self.store.take_copy())
         self.eventually(lambda: self.node._endpoints.position.era == 2)
         self.drain(self.desks[0])
@@ -157,7 +158,7 @@
         self.eventually(lambda: not self.is_used(self.node, "d3"), LATEST_GONE_S)
 
     def test_what_the_operator_wrote_never_goes_back(self) -> None:
-        """Replays the loss of a configuration that took a key away, and of named weights."""
+        """Replays the loss of a configuration that withdrew a key, and of named weights."""
         copy = self.store.take_copy()
         changed = configuration(5)
         changed["tenants"][0]["apiKeys"] = ["another"]
@@ -199,7 +200,7 @@
 
 class FleetTest(ReturnCase):
     def test_all_nodes_agree_after_a_return(self) -> None:
-        """Guards against offsets of two eras that readers and hearers compare."""
+        """Guards against comparing offsets of two eras between readers and other nodes."""
         nodes = self.start_heard(4)
         self.lose_heartbeats()
         self.drain(self.desks[0])
@@ -243,7 +244,7 @@
             self.eventually(lambda node=node: not self.is_used(node, "d1"), AGREED_S)
 
     def test_false_era_of_a_peer_does_no_harm(self) -> None:
-        """Guards against a datagram that keeps a node from changes, or has it ask for ever."""
+        """Guards against a datagram that hides changes from a node, or makes it poll forever."""
         node = self.start_node()
         self.wait_ready(node)
         self.store.reads.clear()
@@ -258,7 +259,7 @@
         self.eventually(lambda: not self.is_used(node, "d1"), 2.0)
 
     def test_return_that_the_readers_have_not_seen_yet(self) -> None:
-        """Replays two readers whose calls hang: the others must not go back to what they tell."""
+        """Simulates two readers whose calls hang: others must not revert to the state they send."""
         nodes = self.start_heard(4)
         self.eventually(lambda: sum(node._endpoints.is_reader for node in nodes) == 2)
         self.lose_heartbeats()
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -1,6 +1,6 @@
-"""What nodes know of each other: a fleet of the real tables on a virtual clock.
+"""State that nodes exchange, tested with a fleet of real ``FleetTable`` objects on a virtual clock.
 
-Each test replays a fleet and a fault, and fails if knowledge is late, lost or counted twice.
+Each test simulates a fleet and a fault, and fails if state is late, lost or counted twice.
 """
 
 import unittest
@@ -9,15 +9,15 @@
 from bench.fleet_world import LIMIT, TOLERANCE, FleetWorld, WorldNode
 from tests.gateway_values import member
 
-#: The oldest knowledge of peers' load that placement is made for, seconds.
+#: Largest age of peers' load that placement is designed for, seconds.
 MAX_AGE_S = 0.6
-#: Time within which a fleet of any size has found together, seconds.
+#: Time within which all nodes of a fleet of any size know each other, seconds.
 TOGETHER_S = 3.0
 
 
 class FleetCase(unittest.TestCase):
     def assert_knows_all(self, world: FleetWorld, nodes: list[WorldNode] | None = None) -> None:
-        """Asserts that nodes know the load of all others once, and know it lately."""
+        """Asserts that nodes count the load of each other node once, and that it is recent."""
         others = len(world.running()) - 1
         for node in nodes or world.running():
             self.assertEqual(len(node.table.present), others, node.member.node)
@@ -38,7 +38,7 @@
                 self.assert_knows_all(world)
 
     def test_what_a_node_sends_does_not_grow_with_the_fleet(self) -> None:
-        """Replays 60 and 300 nodes; told by each to each it would be five times as much."""
+        """Simulates 60 and 300 nodes; with direct exchange, 300 would send five times as much."""
         most = {}
         for nodes in (60, 300):
             world = FleetWorld(nodes)
@@ -101,7 +101,7 @@
         self.assert_knows_all(self.world)
 
     def test_node_heard_in_one_direction_only_makes_nobody_absent(self) -> None:
-        """Replays a node whose datagrams are lost while it hears the others."""
+        """Simulates a node whose datagrams are lost while it receives those of the others."""
         mute = next(node for node in self.world.nodes if not node.table.is_relay)
         self.world.is_cut = lambda source, _target: source is mute
         self.world.run(TOGETHER_S)
@@ -118,7 +118,7 @@
         self.assert_knows_all(self.world)
 
     def test_urgent_facts_reach_every_node_at_once(self) -> None:
-        """Replays a reader of the endpoints' list, on a relay and on another node."""
+        """Simulates a reader of the endpoints' list on a relay and on another node."""
         for teller in (self.relays[0], next(n for n in self.world.nodes if not n.table.is_relay)):
             self.world.received.clear()
             before = {node.ip: len(node.told) for node in self.world.nodes}
@@ -150,7 +150,7 @@
                     self.assertAlmostEqual(node.peers_admitted, total - node.admitted)
 
     def test_death_of_a_relay_loses_no_more_than_what_is_on_its_way(self) -> None:
-        """Guards against limits that are exceeded for good when relays change."""
+        """Guards against limits that stay exceeded permanently after a change of relays."""
         world = FleetWorld(60, zones=3)
         world.run(TOGETHER_S)
         self.admit(world, 5.0)
@@ -165,7 +165,7 @@
 
 
 class FloodTest(FleetCase):
-    """Replays an account at several times its rate while nodes come and go."""
+    """Simulates an account that sends several times its rate while nodes join and leave."""
 
     WINDOW_S = 8.0
     STEP_S = 0.01
@@ -198,7 +198,7 @@
         self._admitted: list[float] = []
 
     def test_all_nodes_restart_in_a_flood(self) -> None:
-        """Guards against nodes that each use the whole rate until they know of the others."""
+        """Guards against nodes that each admit the whole rate until they know the others."""
         world = FleetWorld(80, zones=3)
         world.run(TOGETHER_S)
         self.flood(world, 4.0, 4.6)
@@ -228,7 +228,7 @@
 
 class ChangeTest(FleetCase):
     def test_node_that_comes_back_is_told_as_a_change(self) -> None:
-        """Guards against limits that stay at the part of the rate of fewer nodes."""
+        """Guards against limits that stay divided among the former number of nodes."""
         world = FleetWorld(8)
         world.run(TOGETHER_S)
         first, last = world.nodes[0], world.nodes[-1]
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -1,4 +1,4 @@
-"""Datagrams between nodes: what arrives is what was sent, and malformed ones are refused."""
+"""Datagrams between nodes decode to what was encoded, and malformed ones are rejected."""
 
 import itertools
 import unittest
@@ -39,14 +39,14 @@
         self.assertEqual(PeerState.decode(sent.encode()), sent)
 
     def test_large_message_takes_little_room(self) -> None:
-        """Replays a relay of 195 nodes that names them all."""
+        """Encodes the message of a relay that lists all of 195 nodes."""
         members = tuple(
             replace(MEMBER, node=f"front-zone-{n}", ip=f"10.1.0.{n}") for n in range(195)
         )
         self.assertLess(len(state(members=members).encode()), 195 * 25)
 
     def test_changes_that_resemble_each_other_take_little_room(self) -> None:
-        """Replays weights that all of 70 engines have loaded: their entries change at once."""
+        """Encodes the changes after 70 engines have loaded weights and update their entries at once."""
         entry = b'{"service":"llm","address":"10.1.64.%d:8221","zone":"z1","slots":12}' * 3
         changes = tuple(Change(n, f"i-{n:010x}", entry % (n, n, n)) for n in range(70))
         sent = state(news=ListNews(1, 0, 99, 0.0, 0.0, changes))
@@ -56,7 +56,7 @@
         self.assertIsNone(PeerState.decode(b"z" + zlib.compress(b"x" * (MAX_CONTENT_BYTES + 1))))
 
     def test_fields_of_another_type_are_refused(self) -> None:
-        """Guards against a message of a stranger that fails only where it is used."""
+        """Guards against foreign messages that pass decoding and fail only where they are used."""
         values = cbor2.loads(state(loads={"e1": (1, 2.0, 3.0, 0)}).encode()[1:])
         self.assertIsNotNone(PeerState.decode(b"p" + cbor2.dumps(values)))
         for place, wrong in itertools.product(range(len(values)), (b"x", "x", [1], {1: 1}, -1.5)):
@@ -67,7 +67,7 @@
             self.assertTrue(received is None or received.encode(), (place, wrong))
 
     def test_numbers_that_no_store_has_are_refused(self) -> None:
-        """Guards against an era or offset that ends the task which receives, or fills the log."""
+        """Guards against an era or offset that ends the receiving task or floods the log."""
         for wrong in (float("inf"), float("nan"), 1.5, -1, 1 << 64, "1", None):
             for numbers in ((wrong, 0, 1), (1, wrong, 1), (1, 0, wrong)):
                 news = ListNews(*numbers, 0.0, 0.0, ())
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -1,4 +1,4 @@
-"""Tasks of a node go on after an unexpected error."""
+"""Tasks of a node are restarted after an unexpected error."""
 
 import gevent
 
@@ -7,7 +7,7 @@
 
 
 class Log:
-    """Keeps decision lines."""
+    """Records decision log lines."""
 
     def __init__(self) -> None:
         self.lines: list[tuple[str, dict]] = []
@@ -23,22 +23,22 @@
         def task() -> None:
             runs.append(1)
             if len(runs) < 3:
-                raise ValueError("not thought of")
+                raise ValueError("unexpected error")
 
         supervise(log, "task", task).join(timeout=5.0)
         self.assertEqual(len(runs), 3)
         self.assertEqual([event for event, _fields in log.lines], ["fault", "fault"])
-        self.assertIn("not thought of", log.lines[0][1]["error"])
+        self.assertIn("unexpected error", log.lines[0][1]["error"])
 
     def test_one_message_does_not_make_a_node_deaf(self) -> None:
-        """Guards against a node that goes on with what it knew before one bad message."""
+        """Guards against a node that receives no more state after one message that raises an error."""
         first, second = self.start_nodes(2)
         self.eventually(lambda: len(first._gossip.present) == 1)
         take = first._gossip._on_state
 
         def fail_once(*_arguments: object) -> None:
             first._gossip._on_state = take
-            raise KeyError("not thought of")
+            raise KeyError("unexpected error")
 
         first._gossip._on_state = fail_once
         self.eventually(lambda: first._gossip._on_state is take)
