Name the store of received messages for what it holds

The module of 'heard peers' keeps the latest message of each peer: module latest_messages, classes LatestMessages and ReceivedMessage, record_node and its like, timeouts and placements follow.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
@@ -12,7 +12,7 @@
 from arbutustally.gateway.fleet_sums import Loads, subtract_loads
 from arbutustally.gateway.relaying import Member, RelayChoice, RelayPlan
 from arbutustally.rendezvous import order, rank
-from arbutustally_node.gateway.heard_peers import Heard, HeardPeers
+from arbutustally_node.gateway.latest_messages import LatestMessages, ReceivedMessage
 from arbutustally_node.gateway.peer_candidates import FORGET_S, PeerCandidates
 from arbutustally_node.gateway.peer_state import Covers, PeerState
 from arbutustally_node.gateway.relay_messages import RelayMessages
@@ -60,8 +60,8 @@
         self._me = me
         self._ip = me.ip
         self._clock = clock
-        self._heard = HeardPeers(clock)
-        self._messages = RelayMessages(self._heard)
+        self._latest = LatestMessages(clock)
+        self._messages = RelayMessages(self._latest)
         self._candidates = PeerCandidates(clock)
         self._choice = RelayChoice.from_config(clock)
         self._plan = RelayPlan.from_members([me])
@@ -117,31 +117,31 @@
     @property
     def is_relay(self) -> bool:
         """Returns whether this node is a relay, by plan or because nodes use it as their relay."""
-        return bool(self._heard.nodes) or (bool(self._present) and self._ip in self._plan.ips)
+        return bool(self._latest.nodes) or (bool(self._present) and self._ip in self._plan.ips)
 
     @property
     def relay(self) -> Member | None:
         """Returns the relay that this node uses, ``None`` if it uses none."""
-        fleet = self._heard.fleet
+        fleet = self._latest.fleet
         return None if self.is_relay or fleet is None else fleet.state.sender
 
     @property
     def has_orderer(self) -> bool:
         """Returns whether a peer reports that it holds the lease on orders to engines."""
-        return any(heard.state.orders_engines for heard in self._sources())
+        return any(received.state.orders_engines for received in self._sources())
 
     @property
     def relays(self) -> list[str]:
         """Returns the addresses of the other relays."""
         now = self._clock()
         lost = {ip for ip, at in self._lost_relays.items() if now - at < FORGET_S}
-        ips = self._plan.ips | self._heard.cells.keys() | (lost - self._heard.nodes.keys())
+        ips = self._plan.ips | self._latest.cells.keys() | (lost - self._latest.nodes.keys())
         return sorted(ips - {self._ip})
 
     @property
     def cell(self) -> tuple[str, ...]:
         """Returns the addresses of the nodes that use this one as their relay."""
-        return tuple(self._heard.nodes)
+        return tuple(self._latest.nodes)
 
     def introduce(self, ip: str, is_lasting: bool = False) -> None:
         """Adds the address of a node that may be alive."""
@@ -162,7 +162,7 @@
     def take(self, state: PeerState) -> bool:
         """Applies a received message; returns ``False`` if it is this node's own or outdated."""
         ip = state.sender.ip
-        if ip == self._ip or not self._heard.is_newer(state):
+        if ip == self._ip or not self._latest.is_newer(state):
             return False
         self._choice.heard(ip)
         if state.covers is Covers.URGENT:
@@ -170,16 +170,16 @@
                 self._see(state.sender)
             return True
         if state.covers is Covers.NODE:
-            if ip not in self._heard.nodes:
+            if ip not in self._latest.nodes:
                 self._messages.node_came()
-            self._heard.take_node(state)
+            self._latest.record_node(state)
         elif state.covers is Covers.CELL:
-            self._heard.take_cell(state)
+            self._latest.record_cell(state)
             for peer in state.peers:
                 if peer not in self._present:
                     self.introduce(peer)
         elif ip == self._choice.current:
-            self._heard.take_fleet(state)
+            self._latest.record_fleet(state)
         if ip not in self._present:
             self._renew_present()
         return True
@@ -192,7 +192,7 @@
             return None
         if self.is_relay:
             return PeerUse(_source(state), state.loads, dict(state.admitted), state.speeds)
-        fleet = self._heard.fleet
+        fleet = self._latest.fleet
         if fleet is None or fleet.state is not state:
             return None
         counted = state.counted.get(self._me.node)
@@ -212,12 +212,12 @@
 
     def sources(self) -> set[str]:
         """Returns the sources of use that count now; reports of other sources are outdated."""
-        return {_source(heard.state) for heard in self._sources()}
+        return {_source(received.state) for received in self._sources()}
 
     def refresh(self) -> bool:
         """Drops peers that timed out; returns whether the fleet has changed since the last call."""
         now = self._clock()
-        for ip in self._heard.drop_silent():
+        for ip in self._latest.drop_timed_out():
             self._lost_relays[ip] = now
         known = len(self._known_at)
         self._known_at = {ip: at for ip, at in self._known_at.items() if now - at <= FORGET_S}
@@ -228,7 +228,7 @@
 
     def _renew_present(self) -> None:
         now = self._clock()
-        present = self._heard.members()
+        present = self._latest.members()
         present.pop(self._ip, None)
         for ip in present:
             self._known_at[ip] = now
@@ -255,9 +255,9 @@
         relays = self.relays
         ips = dict.fromkeys((*relays, *self.due_probes()))
         messages = [Outgoing(self._messages.cell(own, relays), tuple(ips))]
-        if self._heard.nodes:
+        if self._latest.nodes:
             messages.append(Outgoing(self._messages.fleet(own, self.present), self.cell))
-        self._heard.forget_placed()
+        self._latest.clear_placements()
         return messages
 
     def urgent(self, own: PeerState) -> Outgoing:
@@ -292,10 +292,10 @@
         self._sent.append(state)
         return [Outgoing(state, (relay,))]
 
-    def _sources(self) -> list[Heard]:
+    def _sources(self) -> list[ReceivedMessage]:
         if self.is_relay:
-            return [*self._heard.nodes.values(), *self._heard.cells.values()]
-        return [self._heard.fleet] if self._heard.fleet else []
+            return [*self._latest.nodes.values(), *self._latest.cells.values()]
+        return [self._latest.fleet] if self._latest.fleet else []
 
     def _see(self, member: Member) -> None:
         if self._present.get(member.ip) != member:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/relay_messages.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/relay_messages.py
@@ -7,7 +7,7 @@
 from arbutustally.gateway.engine_speeds import add_works
 from arbutustally.gateway.fleet_sums import add_loads
 from arbutustally.gateway.relaying import Member
-from arbutustally_node.gateway.heard_peers import MAX_PLACED, HeardPeers
+from arbutustally_node.gateway.latest_messages import MAX_PLACEMENTS, LatestMessages
 from arbutustally_node.gateway.peer_state import Covers, PeerState
 
 #: One of this many messages lists members and relays even if they are unchanged. A node that
@@ -19,8 +19,8 @@
 class RelayMessages:
     """Builds the messages of one node."""
 
-    def __init__(self, heard: HeardPeers) -> None:
-        self._heard = heard
+    def __init__(self, latest: LatestMessages) -> None:
+        self._latest = latest
         self._number = 0
         self._rounds = 0
         self._told_members: dict[Covers, tuple[Member, ...]] = {}
@@ -50,16 +50,16 @@
 
         :param relays: addresses of the other relays.
         """
-        heard = self._heard
-        nodes = heard.nodes.values()
+        latest = self._latest
+        nodes = latest.nodes.values()
         members = tuple(one.state.sender for one in nodes)
         return replace(
             self.numbered(own),
             covers=Covers.CELL,
             peers=self._peers_to_tell(relays),
-            placed=(*own.placed, *heard.cell_placed),
+            placed=(*own.placed, *latest.cell_placements),
             members=self._members_to_tell(Covers.CELL, members),
-            **_sums([own, *(one.state for one in nodes)], own, heard.cell_admitted),
+            **_sums([own, *(one.state for one in nodes)], own, latest.cell_admitted),
         )
 
     def fleet(self, own: PeerState, present: Sequence[Member]) -> PeerState:
@@ -67,15 +67,17 @@
 
         :param present: peers from which this node or a relay receives messages.
         """
-        heard = self._heard
-        states = [one.state for one in (*heard.nodes.values(), *heard.cells.values())]
+        latest = self._latest
+        states = [one.state for one in (*latest.nodes.values(), *latest.cells.values())]
         return replace(
             self.numbered(own),
             covers=Covers.FLEET,
-            placed=(*own.placed, *heard.cell_placed, *heard.other_placed)[-MAX_PLACED:],
+            placed=(*own.placed, *latest.cell_placements, *latest.other_placements)[
+                -MAX_PLACEMENTS:
+            ],
             members=self._members_to_tell(Covers.FLEET, tuple(present)),
-            counted={one.state.sender.node: one.state.number for one in heard.nodes.values()},
-            **_sums([own, *states], own, heard.cell_admitted, heard.other_admitted),
+            counted={one.state.sender.node: one.state.number for one in latest.nodes.values()},
+            **_sums([own, *states], own, latest.cell_admitted, latest.other_admitted),
         )
 
     def _members_to_tell(
