Name the steps of the fleet's table and messages by what they do

Figurative and vague names (see, me, passed_on, introduce, told) become terms of the field: own_member, forward_ips, add_candidate, reported_use and their like.

--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -67,7 +67,7 @@
             return
         if state.covers is Covers.URGENT:
             self.told.append(state)
-        use = self.table.use_of(state)
+        use = self.table.reported_use(state)
         if use is None:
             return
         self.uses[use.source] = use.loads.get(ENGINE, (0, 0.0, 0.0, 0))[1]
@@ -132,7 +132,7 @@
 
     def _begin(self, node: WorldNode) -> None:
         for seed in self.nodes[:SEEDS]:
-            node.table.introduce(seed.ip, is_lasting=True)
+            node.table.add_candidate(seed.ip, is_lasting=True)
         self.at(self.rng.uniform(0.0, 0.3), lambda: self._tick(node))
 
     def at(self, after_s: float, action: Callable[[], None]) -> None:
@@ -212,6 +212,6 @@
             node.waiting.append((state, from_ip))
             return
         self.received[node.ip] += 1
-        onward = node.table.passed_on(state, from_ip)
+        onward = node.table.forward_ips(state, from_ip)
         node.take(state)
         self._send(node, state, onward)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/announcer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/announcer.py
@@ -114,4 +114,4 @@
     def _find(self) -> None:
         for record in self._topic.newest().records:
             if record.value is not None:
-                self._gossip.introduce(record.value.decode("ascii", "replace"))
+                self._gossip.add_candidate(record.value.decode("ascii", "replace"))
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
@@ -22,7 +22,7 @@
 SETTLED_S = 0.5
 MAX_SETTLING_S = 2.5
 #: Time after which a node that receives no messages treats itself as the only one, seconds.
-ALONE_S = 0.6
+NO_PEERS_S = 0.6
 #: Sent messages that are kept, because the relay's sums may still include any of them.
 MAX_SENT = 32
 
@@ -52,19 +52,19 @@
 class FleetTable:
     """Peers of one node, and the node's role in relaying.
 
-    :param me: this node's membership data at its start.
+    :param own_member: this node's membership data at its start.
     :param clock: clock in seconds that keeps counting while the instance is suspended.
     """
 
-    def __init__(self, me: Member, clock: Clock) -> None:
-        self._me = me
-        self._ip = me.ip
+    def __init__(self, own_member: Member, clock: Clock) -> None:
+        self._own_member = own_member
+        self._ip = own_member.ip
         self._clock = clock
         self._latest = LatestMessages(clock)
         self._messages = RelayMessages(self._latest)
         self._candidates = PeerCandidates(clock)
         self._choice = RelayChoice.from_config(clock)
-        self._plan = RelayPlan.from_members([me])
+        self._plan = RelayPlan.from_members([own_member])
         self._ranks: dict[bytes, int] = {}
         # By address: present peers, when peers were last present, and when relays timed out.
         self._present: dict[str, Member] = {}
@@ -72,7 +72,7 @@
         self._lost_relays: dict[str, float] = {}
         self._sent: deque[PeerState] = deque(maxlen=MAX_SENT)
         # Whether the next ``refresh`` must report a changed fleet.
-        self._has_news = False
+        self._has_unreported_change = False
         self._started_at = clock()
         self._changed_at = clock()
         self._is_settled = False
@@ -107,7 +107,7 @@
         now = self._clock()
         running_s = now - self._started_at
         if not self._present:
-            return running_s >= ALONE_S or not self._candidates.ips
+            return running_s >= NO_PEERS_S or not self._candidates.ips
         return (
             self._plan.is_direct
             or running_s >= MAX_SETTLING_S
@@ -143,7 +143,7 @@
         """Returns the addresses of the nodes that use this one as their relay."""
         return tuple(self._latest.nodes)
 
-    def introduce(self, ip: str, is_lasting: bool = False) -> None:
+    def add_candidate(self, ip: str, is_lasting: bool = False) -> None:
         """Adds the address of a node that may be alive."""
         if ip != self._ip:
             self._candidates.add(ip, is_lasting)
@@ -156,7 +156,7 @@
         """Returns this node's rank among the ready nodes for a duty, 0 for the first."""
         if duty not in self._ranks:
             ready = [member.node for member in self._present.values() if member.is_ready]
-            self._ranks[duty] = rank(duty, self._me.node, ready)
+            self._ranks[duty] = rank(duty, self._own_member.node, ready)
         return self._ranks[duty]
 
     def take(self, state: PeerState) -> bool:
@@ -167,24 +167,24 @@
         self._choice.heard(ip)
         if state.covers is Covers.URGENT:
             if ip in self._present:
-                self._see(state.sender)
+                self._update_member(state.sender)
             return True
         if state.covers is Covers.NODE:
             if ip not in self._latest.nodes:
-                self._messages.node_came()
+                self._messages.node_joined()
             self._latest.record_node(state)
         elif state.covers is Covers.CELL:
             self._latest.record_cell(state)
             for peer in state.peers:
                 if peer not in self._present:
-                    self.introduce(peer)
+                    self.add_candidate(peer)
         elif ip == self._choice.current:
             self._latest.record_fleet(state)
         if ip not in self._present:
-            self._renew_present()
+            self._update_present()
         return True
 
-    def use_of(self, state: PeerState) -> PeerUse | None:
+    def reported_use(self, state: PeerState) -> PeerUse | None:
         """Returns the use by peers that an applied message reports, ``None`` if it reports none."""
         if state.covers is Covers.URGENT:
             return None
@@ -195,7 +195,7 @@
         fleet = self._latest.fleet
         if fleet is None or fleet.state is not state:
             return None
-        counted = state.counted.get(self._me.node)
+        counted = state.counted.get(self._own_member.node)
         own = next((sent for sent in self._sent if sent.number == counted), None)
         if own is None:
             return None
@@ -221,12 +221,12 @@
             self._lost_relays[ip] = now
         known = len(self._known_at)
         self._known_at = {ip: at for ip, at in self._known_at.items() if now - at <= FORGET_S}
-        self._renew_present()
-        has_changed = self._has_news or len(self._known_at) != known
-        self._has_news = False
+        self._update_present()
+        has_changed = self._has_unreported_change or len(self._known_at) != known
+        self._has_unreported_change = False
         return has_changed
 
-    def _renew_present(self) -> None:
+    def _update_present(self) -> None:
         now = self._clock()
         present = self._latest.members()
         present.pop(self._ip, None)
@@ -237,8 +237,8 @@
             self._changed_at = now
         if present != self._present:
             self._present = present
-            self._has_news = True
-            self._changed()
+            self._has_unreported_change = True
+            self._membership_changed()
 
     def outgoing(self, own: PeerState) -> list[Outgoing]:
         """Returns the messages that are due now.
@@ -247,11 +247,11 @@
         """
         own = replace(own, news=None, operator=())
         self._messages.begin_round()
-        if own.sender != self._me:
-            self._me = own.sender
-            self._changed()
+        if own.sender != self._own_member:
+            self._own_member = own.sender
+            self._membership_changed()
         if not self.is_relay:
-            return self._to_relay(own)
+            return self._messages_to_relay(own)
         relays = self.relays
         ips = dict.fromkeys((*relays, *self.due_probes()))
         messages = [Outgoing(self._messages.cell(own, relays), tuple(ips))]
@@ -272,7 +272,7 @@
         )
         return Outgoing(state, (*self.relays, *self.cell))
 
-    def passed_on(self, state: PeerState, from_ip: str) -> tuple[str, ...]:
+    def forward_ips(self, state: PeerState, from_ip: str) -> tuple[str, ...]:
         """Returns the addresses to which an urgent message is forwarded.
 
         :param from_ip: address that sent it; only messages received from their origin are
@@ -282,10 +282,10 @@
             return ()
         return tuple(ip for ip in self.cell if ip != from_ip)
 
-    def _to_relay(self, own: PeerState) -> list[Outgoing]:
-        relays = self._plan.order_for(self._me.node, self._me.zone)
+    def _messages_to_relay(self, own: PeerState) -> list[Outgoing]:
+        relays = self._plan.order_for(self._own_member.node, self._own_member.zone)
         others = (self._candidates.ips | self._known_at.keys()) - set(relays)
-        relay = self._choice.pick([*relays, *order(self._me.node.encode(), others)])
+        relay = self._choice.pick([*relays, *order(self._own_member.node.encode(), others)])
         if relay is None:
             return []
         state = self._messages.numbered(own)
@@ -297,16 +297,16 @@
             return [*self._latest.nodes.values(), *self._latest.cells.values()]
         return [self._latest.fleet] if self._latest.fleet else []
 
-    def _see(self, member: Member) -> None:
+    def _update_member(self, member: Member) -> None:
         if self._present.get(member.ip) != member:
             self._present[member.ip] = member
-            self._has_news = True
-            self._changed()
+            self._has_unreported_change = True
+            self._membership_changed()
 
-    def _changed(self) -> None:
+    def _membership_changed(self) -> None:
         self._ranks.clear()
         self._messages.fleet_changed()
-        self._plan = RelayPlan.from_members([*self._present.values(), self._me])
+        self._plan = RelayPlan.from_members([*self._present.values(), self._own_member])
 
 
 def _source(state: PeerState) -> str:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -35,7 +35,7 @@
 class Gossip:
     """Sends this node's state to its peers and receives theirs.
 
-    :param me: this node's membership data at its start.
+    :param own_member: this node's membership data at its start.
     :param clock: clock in seconds that keeps counting while the instance is suspended.
     :param describe: returns this node's state; with placements only if its argument is true, since
         each placement is sent once.
@@ -47,7 +47,7 @@
 
     def __init__(
         self,
-        me: Member,
+        own_member: Member,
         port: int,
         clock: Clock,
         log: DecisionLog,
@@ -55,14 +55,14 @@
         on_state: Callable[[PeerState, PeerUse | None], None],
         on_change: Callable[[set[str]], None],
     ) -> None:
-        self._ip = me.ip
+        self._ip = own_member.ip
         self._port = port
         self._clock = clock
         self._log = log
         self._describe = describe
         self._on_state = on_state
         self._on_change = on_change
-        self._table = FleetTable(me, clock)
+        self._table = FleetTable(own_member, clock)
         self._sources: set[str] = set()
         self._was_relay = False
         self._socket: Any = None
@@ -121,12 +121,12 @@
         """Returns this node's rank among the ready nodes for a duty, 0 for the first."""
         return self._table.rank(duty)
 
-    def introduce(self, ip: str, is_lasting: bool = False) -> None:
+    def add_candidate(self, ip: str, is_lasting: bool = False) -> None:
         """Adds the address of a node that may be alive.
 
         :param is_lasting: whether to keep it even if the node stays silent for long.
         """
-        self._table.introduce(ip, is_lasting)
+        self._table.add_candidate(ip, is_lasting)
 
     def send_now(self) -> None:
         """Sends all peers the facts that they must receive immediately."""
@@ -177,10 +177,10 @@
     def _take(self, ip: str, state: PeerState, data: bytes) -> None:
         if not self._table.take(state):
             return
-        onward = self._table.passed_on(state, ip)
+        onward = self._table.forward_ips(state, ip)
         if onward:
             gevent.spawn(self._send_data, data, onward)
-        use = self._table.use_of(state)
+        use = self._table.reported_use(state)
         if use is not None:
             self._sources.add(use.source)
         self._on_state(state, use)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -62,7 +62,7 @@
 
     def reload(self, options: GatewayOptions) -> None:
         """Applies the settings that can change while the node runs: the seeds."""
-        self._introduce(options.seeds)
+        self._add_seeds(options.seeds)
         self._log.line("settings_reloaded", seeds=len(options.seeds))
 
     def reload_failed(self, reason: str) -> None:
@@ -80,7 +80,7 @@
         """Starts all services."""
         # Seeds come first: a node without them treats itself as the only one of the fleet, and
         # then counts as settled for the rest of its life.
-        self._introduce(self._options.seeds)
+        self._add_seeds(self._options.seeds)
         self._services.kernel.start()
         self._web = self._serve_web()
         self._services.catch_up.start()
@@ -121,9 +121,9 @@
     def _ttl_s(self) -> float:
         return min(DIRECTORY_TTL_S, self._options.bounds.directory_ttl_s)
 
-    def _introduce(self, seeds: Sequence[str]) -> None:
+    def _add_seeds(self, seeds: Sequence[str]) -> None:
         for seed in seeds:
-            self._gossip.introduce(seed.rpartition(":")[0], is_lasting=True)
+            self._gossip.add_candidate(seed.rpartition(":")[0], is_lasting=True)
 
     def _serve_web(self) -> list[Any]:
         options, services = self._options, self._services
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/relay_messages.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/relay_messages.py
@@ -23,7 +23,7 @@
         self._latest = latest
         self._number = 0
         self._rounds = 0
-        self._told_members: dict[Covers, tuple[Member, ...]] = {}
+        self._sent_members: dict[Covers, tuple[Member, ...]] = {}
         # Whether the next message to the other relays must list the relays of a changed fleet.
         self._has_changed = False
 
@@ -34,11 +34,11 @@
     def fleet_changed(self) -> None:
         """Makes the next messages list members and relays."""
         self._has_changed = True
-        self._told_members.clear()
+        self._sent_members.clear()
 
-    def node_came(self) -> None:
+    def node_joined(self) -> None:
         """Makes the next messages list members, for a node that has joined and knows none."""
-        self._told_members.clear()
+        self._sent_members.clear()
 
     def numbered(self, own: PeerState) -> PeerState:
         """Returns a state of this node with the next number."""
@@ -56,9 +56,9 @@
         return replace(
             self.numbered(own),
             covers=Covers.CELL,
-            peers=self._peers_to_tell(relays),
+            peers=self._relays_to_send(relays),
             placed=(*own.placed, *latest.cell_placements),
-            members=self._members_to_tell(Covers.CELL, members),
+            members=self._members_to_send(Covers.CELL, members),
             **_sums([own, *(one.state for one in nodes)], own, latest.cell_admitted),
         )
 
@@ -75,21 +75,21 @@
             placed=(*own.placed, *latest.cell_placements, *latest.other_placements)[
                 -MAX_PLACEMENTS:
             ],
-            members=self._members_to_tell(Covers.FLEET, tuple(present)),
+            members=self._members_to_send(Covers.FLEET, tuple(present)),
             counted={one.state.sender.node: one.state.number for one in latest.nodes.values()},
             **_sums([own, *states], own, latest.cell_admitted, latest.other_admitted),
         )
 
-    def _members_to_tell(
+    def _members_to_send(
         self, covers: Covers, members: tuple[Member, ...]
     ) -> tuple[Member, ...] | None:
         is_due = self._rounds % MEMBERS_EVERY[covers] == 0
-        if not is_due and self._told_members.get(covers) == members:
+        if not is_due and self._sent_members.get(covers) == members:
             return None
-        self._told_members[covers] = members
+        self._sent_members[covers] = members
         return members
 
-    def _peers_to_tell(self, relays: Sequence[str]) -> tuple[str, ...]:
+    def _relays_to_send(self, relays: Sequence[str]) -> tuple[str, ...]:
         if self._rounds % MEMBERS_EVERY[Covers.CELL] and not self._has_changed:
             return ()
         self._has_changed = False
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -59,7 +59,7 @@
         for node in world.nodes[:3]:
             world.kill(node)
         for node in world.nodes:
-            node.table.introduce(world.nodes[10].ip)
+            node.table.add_candidate(world.nodes[10].ip)
         world.run(2 * TOGETHER_S)
         self.assert_knows_all(world)
 
