Name the exchange of state with peers peer_sync

The module of 'peer news' builds the state sent to peers and applies theirs: module peer_sync, classes PeerSync and SyncedServices.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -26,7 +26,7 @@
 from arbutustally_node.gateway.node_state import NodeState
 from arbutustally_node.gateway.node_status import NodeStatus
 from arbutustally_node.gateway.order_lease import OrderLease
-from arbutustally_node.gateway.peer_news import PeerNews, ToldServices
+from arbutustally_node.gateway.peer_sync import PeerSync, SyncedServices
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
 from arbutustally_node.gateway.request_services import RequestServices
 from arbutustally_node.gateway.rollout_record import encode_progress
@@ -82,9 +82,9 @@
         options.peer_port,
         boottime,
         log,
-        lambda has_placed: news.describe(has_placed),
-        lambda told, use: news.take(told, use),
-        lambda gone: news.fleet_changed(gone),
+        lambda has_placements: sync.describe(has_placements),
+        lambda received, use: sync.take(received, use),
+        lambda gone: sync.fleet_changed(gone),
     )
     checker = EndpointChecker(view.book, log, monotonic)
     notices = _build_notices(platform, state, gossip)
@@ -115,7 +115,7 @@
     exchange = Exchange(requests)
     store = _build_store_readers(options, platform, state, gossip)
     weights = _build_weights(options, platform, state, gossip, checker.unreachable)
-    told = ToldServices(
+    synced = SyncedServices(
         view,
         state.quota,
         state.repeats,
@@ -130,7 +130,7 @@
         requests.placed,
         state.rollouts,
     )
-    news = PeerNews(told, lambda: status.member, incarnation, monotonic)
+    sync = PeerSync(synced, lambda: status.member, incarnation, monotonic)
     rollouts = _build_rollouts(platform, state, gossip, store)
     listener = CallerListener(
         options.caller_listen,
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_news.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -24,11 +24,11 @@
 from arbutustally_node.gateway.weights_service import WeightsService
 
 #: Time for which an endpoint counts as loading after a peer reported it, in message intervals.
-LOADING_INTERVALS = 2.5
+LOADING_TIMEOUT_INTERVALS = 2.5
 
 
 @dataclass(frozen=True)
-class ToldServices:
+class SyncedServices:
     """Services whose state the nodes exchange."""
 
     view: FleetView
@@ -46,7 +46,7 @@
     rollouts: RolloutEvidence
 
 
-class PeerNews:
+class PeerSync:
     """Builds this node's state for its peers, and applies theirs.
 
     :param member: returns this node's membership data.
@@ -54,17 +54,17 @@
     """
 
     def __init__(
-        self, services: ToldServices, member: Callable[[], Member], incarnation: str, clock: Clock
+        self, services: SyncedServices, member: Callable[[], Member], incarnation: str, clock: Clock
     ) -> None:
         self._services = services
         self._member = member
         self._incarnation = incarnation
         self._clock = clock
 
-    def describe(self, has_placed: bool) -> PeerState:
+    def describe(self, has_placements: bool) -> PeerState:
         """Returns this node's state.
 
-        :param has_placed: whether to include the latest placements, each of which is sent once.
+        :param has_placements: whether to include the latest placements, each of which is sent once.
         """
         services = self._services
         view, weights = services.view, services.weights
@@ -97,7 +97,7 @@
             loading=tuple(state.id for state in states if state.loading and weights.is_holder),
             down=tuple(state.id for state in states if state.is_down),
             leaving=services.notices.leaving,
-            placed=services.placed.take(0) if has_placed else (),
+            placed=services.placed.take(0) if has_placements else (),
             news=services.endpoints.news(),
             operator=services.follower.news() if services.endpoints.is_reader else (),
         )
@@ -117,14 +117,14 @@
             services.quota.heard(use.source, accounts)
             services.rollouts.set_peer_totals(use.source, use.admitted)
             services.speeds.set_peers(use.source, use.speeds)
-        self._take_weights(state)
+        self._apply_weights(state)
         services.notices.take_leaving(state.leaving, node)
         for endpoint_id in state.down:
             endpoint = services.view.book.get(endpoint_id)
             if endpoint is not None and not endpoint.is_down:
                 services.checker.check(endpoint)
         if not services.weights.is_holder:
-            self._take_loading(state)
+            self._apply_loading(state)
         for endpoint_id, scope, parts, is_pending in state.placed:
             take = services.holdings.expect if is_pending else services.holdings.assume
             take(endpoint_id, scope, [PromptPart(*part) for part in parts])
@@ -143,7 +143,7 @@
         services.quota.see(len(services.gossip.present) + 1, known)
         services.repeats.share_among(known)
 
-    def _take_weights(self, state: PeerState) -> None:
+    def _apply_weights(self, state: PeerState) -> None:
         view, now = self._services.view, self._clock()
         for model, versions in state.weights.items():
             for version, age in versions.items():
@@ -155,14 +155,16 @@
             for model, version in weights.items():
                 endpoint.weights[model] = max(endpoint.weights.get(model, 0), version)
 
-    def _take_loading(self, state: PeerState) -> None:
+    def _apply_loading(self, state: PeerState) -> None:
         view, now = self._services.view, self._clock()
         for endpoint_id in state.loading:
             endpoint = view.book.get(endpoint_id)
             # A state that came through relays may be older than the report that loading has ended.
             if endpoint is not None and view.is_behind(endpoint):
                 endpoint.loading = True
-                endpoint.loading_until = now + LOADING_INTERVALS * self._services.gossip.interval_s
+                endpoint.loading_until = (
+                    now + LOADING_TIMEOUT_INTERVALS * self._services.gossip.interval_s
+                )
         for endpoint in view.book.all():
             if endpoint.loading and now >= endpoint.loading_until:
                 endpoint.loading = False
