--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -212,6 +212,6 @@
             node.waiting.append((state, from_ip))
             return
         self.received[node.ip] += 1
-        onward = node.table.forward_ips(state, from_ip)
+        forward_to = node.table.forward_ips(state, from_ip)
         node.take(state)
-        self._send(node, state, onward)
+        self._send(node, state, forward_to)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -25,8 +25,8 @@
 DIRECT_INTERVAL_S = 0.15
 INTERVAL_PER_PEER_S = 0.01
 #: Datagrams sent without a pause (more would saturate a small link), and the pause, seconds.
-SENT_AT_ONCE = 8
-SENT_PAUSE_S = 0.005
+SEND_BURST = 8
+SEND_BURST_PAUSE_S = 0.005
 #: Largest datagram that is sent.
 MAX_DATAGRAM_BYTES = 48_000
 RECEIVE_BYTES = 65_536
@@ -140,7 +140,7 @@
     def _send(self) -> None:
         while True:
             gevent.sleep(self.interval_s)
-            self._review()
+            self._refresh_peers()
             for message in self._table.outgoing(self._describe(True)):
                 self._send_to(message.state, message.ips)
 
@@ -153,8 +153,8 @@
 
     def _send_data(self, data: bytes, ips: tuple[str, ...]) -> None:
         for number, ip in enumerate(ips):
-            if number and number % SENT_AT_ONCE == 0:
-                gevent.sleep(SENT_PAUSE_S)
+            if number and number % SEND_BURST == 0:
+                gevent.sleep(SEND_BURST_PAUSE_S)
             try:
                 self._socket.sendto(data, (ip, self._port))
             except OSError as error:
@@ -172,20 +172,20 @@
             if state is None:
                 self._log.line("gossip_malformed", peer=ip, bytes=len(data))
                 continue
-            self._take(ip, state, data)
+            self._process(ip, state, data)
 
-    def _take(self, ip: str, state: PeerState, data: bytes) -> None:
+    def _process(self, ip: str, state: PeerState, data: bytes) -> None:
         if not self._table.take(state):
             return
-        onward = self._table.forward_ips(state, ip)
-        if onward:
-            gevent.spawn(self._send_data, data, onward)
+        forward_to = self._table.forward_ips(state, ip)
+        if forward_to:
+            gevent.spawn(self._send_data, data, forward_to)
         use = self._table.reported_use(state)
         if use is not None:
             self._sources.add(use.source)
         self._on_state(state, use)
 
-    def _review(self) -> None:
+    def _refresh_peers(self) -> None:
         has_changed = self._table.refresh()
         gone = self._sources - self._table.sources()
         self._sources -= gone
