--- a/packages/arbutustally-node/src/arbutustally_node/gateway/announcer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/announcer.py
@@ -15,14 +15,14 @@
 #: Key of the ranking of nodes that decides which of them are announced.
 ANNOUNCING_DUTY = b"announce"
 #: Number of nodes that are announced; a new node needs to reach only one of them.
-ANNOUNCED = 4
+ANNOUNCED_NODES = 4
 #: Time after the start until enough of the fleet is known to rank the nodes, seconds.
-SETTLED_S = 4.0
+RANKING_DELAY_S = 4.0
 #: Time after which a node that receives no messages reads the store, and interval at which it
 #: reads it again, seconds.
-ALONE_S = 0.6
-ALONE_RETRY_S = 1.0
-LOOK_S = 0.2
+NO_PEERS_S = 0.6
+NO_PEERS_RETRY_S = 1.0
+CHECK_INTERVAL_S = 0.2
 
 
 class Announcer:
@@ -73,28 +73,28 @@
 
     def _run(self) -> None:
         started = self._clock()
-        alone_since = started
+        no_peers_since = started
         while True:
-            gevent.sleep(LOOK_S)
+            gevent.sleep(CHECK_INTERVAL_S)
             now = self._clock()
-            is_alone = not self._gossip.present
-            if not is_alone:
-                alone_since = now
+            has_no_peers = not self._gossip.present
+            if not has_no_peers:
+                no_peers_since = now
             try:
-                if is_alone and now - alone_since >= ALONE_S:
-                    alone_since = now + ALONE_RETRY_S - ALONE_S
+                if has_no_peers and now - no_peers_since >= NO_PEERS_S:
+                    no_peers_since = now + NO_PEERS_RETRY_S - NO_PEERS_S
                     self._announce()
-                    self._find()
-                elif now - started >= SETTLED_S and self._must_announce():
+                    self._discover_peers()
+                elif now - started >= RANKING_DELAY_S and self._must_announce():
                     self._announce()
                 if self._may_be_lost:
                     self._announce_again()
             except StoreUnavailableError as error:
                 self._watch.failed(error)
-                gevent.sleep(ALONE_RETRY_S)
+                gevent.sleep(NO_PEERS_RETRY_S)
 
     def _must_announce(self) -> bool:
-        return not self._is_announced and self._gossip.rank(ANNOUNCING_DUTY) < ANNOUNCED
+        return not self._is_announced and self._gossip.rank(ANNOUNCING_DUTY) < ANNOUNCED_NODES
 
     def _announce(self) -> None:
         if not self._is_announced:
@@ -111,7 +111,7 @@
             raise
         self._log.line("announced_again")
 
-    def _find(self) -> None:
+    def _discover_peers(self) -> None:
         for record in self._topic.newest().records:
             if record.value is not None:
                 self._gossip.add_candidate(record.value.decode("ascii", "replace"))
