--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_notices.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_notices.py
@@ -12,16 +12,16 @@
 
     A pause applies to this node only: the endpoint may still accept requests from others.
 
-    :param tell: sends this node's state to the peers immediately.
+    :param notify_peers: sends this node's state to the peers immediately.
     """
 
     def __init__(
-        self, book: EndpointBook, log: DecisionLog, rng: Random, tell: Callable[[], None]
+        self, book: EndpointBook, log: DecisionLog, rng: Random, notify_peers: Callable[[], None]
     ) -> None:
         self._book = book
         self._log = log
         self._rng = rng
-        self._tell = tell
+        self._notify_peers = notify_peers
 
     @property
     def leaving(self) -> dict[str, str]:
@@ -39,9 +39,9 @@
             self._log.line("endpoint_paused", endpoint=state.id, pause_s=notice.pause_s)
         if notice.is_leaving and self._book.leaves(state):
             self._log.line("endpoint_leaving", endpoint=state.id, source="endpoint")
-            self._tell()
+            self._notify_peers()
 
-    def take_from(self, address: str, notice: EndpointNotice) -> None:
+    def take_from_address(self, address: str, notice: EndpointNotice) -> None:
         """Applies a notice that the endpoint at an address sent to this node."""
         for state in self._book.all():
             if state.address == address and state.gone_at is None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -157,8 +157,8 @@
 
 def _build_notices(platform: Platform, state: NodeState, gossip: Gossip) -> EndpointNotices:
     notices = EndpointNotices(state.view.book, state.log, state.rng, gossip.send_now)
-    platform.engines.watch_notices(notices.take_from)
-    platform.cache_events.watch_notices(notices.take_from)
+    platform.engines.watch_notices(notices.take_from_address)
+    platform.cache_events.watch_notices(notices.take_from_address)
     return notices
 
 
