Rename vague private names of the node's assembly and view

catch_up, cache_follower, fleet_view, node, node_state and peer_state: private methods and constants say what they do or measure.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
@@ -20,7 +20,7 @@
 #: Interval at which greenlets are started for new places and ended for removed ones, seconds.
 REVIEW_S = 0.5
 #: Fraction of the concurrent calls that a place accepts which the fleet may use.
-WATCHERS_USED = 0.8
+WATCHER_SHARE = 0.8
 
 
 class CacheFollower:
@@ -39,12 +39,12 @@
         self._holdings = holdings
         self._gossip = gossip
         self._log = log
-        self._following: dict[str, Any] = {}
+        self._greenlets: dict[str, Any] = {}
         self._greenlet: Any = None
 
     def follows(self, place: str) -> bool:
         """Returns whether this node follows the changes of a place's cache."""
-        return place in self._following
+        return place in self._greenlets
 
     def start(self) -> None:
         """Starts following caches."""
@@ -53,18 +53,18 @@
     def stop(self) -> None:
         """Stops following caches."""
         self._greenlet.kill()
-        for greenlet in self._following.values():
+        for greenlet in self._greenlets.values():
             greenlet.kill()
 
     def _review(self) -> None:
         while True:
             places = self._places()
-            for place in [name for name in self._following if name not in places]:
-                self._following.pop(place).kill()
+            for place in [name for name in self._greenlets if name not in places]:
+                self._greenlets.pop(place).kill()
                 self._holdings.forget(place)
             for place, address in places.items():
-                if place not in self._following:
-                    self._following[place] = supervise(
+                if place not in self._greenlets:
+                    self._greenlets[place] = supervise(
                         self._log, "cache_events", self._follow, place, address
                     )
             gevent.sleep(REVIEW_S)
@@ -77,9 +77,9 @@
         nodes = self._gossip.known + 1
         places = {}
         for service in configuration.services.values():
-            if service.part_store and nodes <= service.part_store.max_watchers * WATCHERS_USED:
+            if service.part_store and nodes <= service.part_store.max_watchers * WATCHER_SHARE:
                 places[service.name] = service.part_store.address
-            if service.engine and nodes <= service.engine.max_watchers * WATCHERS_USED:
+            if service.engine and nodes <= service.engine.max_watchers * WATCHER_SHARE:
                 for state in self._view.book.of_service(service.name):
                     if state.gone_at is None:
                         places[state.id] = state.address
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/catch_up.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/catch_up.py
@@ -55,21 +55,21 @@
     def _run(self) -> None:
         while True:
             gevent.sleep(SNAPSHOT_INTERVAL_S)
-            peer = self._peer_ahead()
+            peer = self._peer_to_ask()
             if peer is None:
                 continue
             snapshot = fetch_snapshot(peer.control)
             self._log.line("snapshot_fetched", peer=peer.node, found=snapshot is not None)
             if snapshot is not None:
-                self._take(snapshot, peer.node)
+                self._apply(snapshot, peer.node)
 
-    def _take(self, snapshot: Snapshot, peer: str) -> None:
+    def _apply(self, snapshot: Snapshot, peer: str) -> None:
         for record in snapshot.operator:
             self._view.take_operator(record, peer)
         if snapshot.position is not None:
             self._endpoints.take_snapshot(snapshot.endpoints, snapshot.position, peer)
 
-    def _peer_ahead(self) -> Member | None:
+    def _peer_to_ask(self) -> Member | None:
         configuration = self._view.configuration
         version = configuration.version if configuration else 0
         ahead = [peer for peer in self._gossip.present if peer.config > version]
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -153,7 +153,7 @@
         self._has_endpoints = True
         is_new = self.book.put(entry)
         if is_new:
-            self._note_endpoint(entry, source)
+            self._log_endpoint(entry, source)
         return is_new
 
     def replace_endpoints(self, records: tuple[Record, ...], source: str) -> None:
@@ -173,7 +173,7 @@
 
         :returns: ids of the endpoints whose entries were not applied.
         """
-        past = {record.key for record in records if self._is_past(record)}
+        past = {record.key for record in records if self._is_outdated(record)}
         self.replace_endpoints(
             tuple(record for record in records if record.key not in past), source
         )
@@ -183,7 +183,7 @@
         """Drops endpoints that were removed long ago."""
         self.book.forget_gone(FORGET_GONE_S)
 
-    def _is_past(self, record: Record) -> bool:
+    def _is_outdated(self, record: Record) -> bool:
         entry = self._documents.decode_endpoint(record)
         return entry is not None and self.book.is_past(entry)
 
@@ -262,7 +262,7 @@
             for model, version in endpoint.weights.items()
         )
 
-    def _note_endpoint(self, entry: EndpointEntry, source: str) -> None:
+    def _log_endpoint(self, entry: EndpointEntry, source: str) -> None:
         self._log.line(
             "endpoint_listed",
             endpoint=entry.id,
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -23,7 +23,7 @@
 #: Time for which callers may cache an answer with addresses, seconds. Some cache it three times as
 #: long, and a stopping node serves until then.
 DIRECTORY_TTL_S = 1.0
-TTL_KEPT = 3
+TTL_CACHED_FACTOR = 3
 #: Time before the end of the grace period at which a draining node stops, seconds.
 GRACE_MARGIN_S = 0.6
 STOP_POLL_S = 0.05
@@ -98,7 +98,7 @@
         self._weights.stop()
         self._gossip.send_now()
         latest = boottime() + self._options.bounds.grace_s - GRACE_MARGIN_S
-        known_until = boottime() + self._ttl_s * TTL_KEPT
+        known_until = boottime() + self._ttl_s * TTL_CACHED_FACTOR
         self._listener.drain()
         while boottime() < latest:
             if boottime() >= known_until:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
@@ -57,7 +57,7 @@
             Placement.from_config(monotonic, rng, PLACEMENT_OPTIONS, speeds),
             RolloutEvidence(view.rollouts, monotonic),
         )
-        state.view.watch_configuration(state._configured)
+        state.view.watch_configuration(state._apply_configuration)
         return state
 
     @property
@@ -66,7 +66,7 @@
         configuration = self.view.configuration
         return configuration.limits if configuration else CallerLimits()
 
-    def _configured(self, configuration: Configuration) -> None:
+    def _apply_configuration(self, configuration: Configuration) -> None:
         for service in configuration.services.values():
             if service.engine and service.engine.transfer_tokens_per_s:
                 self.placement.assume_import_speed(service.engine.transfer_tokens_per_s)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -13,13 +13,13 @@
 from arbutustally.gateway.relaying import Member
 from arbutustally.gateway.shared_reading import Change, ListNews
 
-COMPRESSION = 3
+COMPRESSION_LEVEL = 3
 #: Content below this size is sent uncompressed: the gain would not justify the CPU time, bytes.
 MIN_COMPRESSED_BYTES = 700
 #: Largest decompressed content of a datagram, bytes.
 MAX_CONTENT_BYTES = 262_144
 #: Largest offset or era that is accepted from a peer.
-MAX_NUMBER = (1 << 63) - 1
+MAX_STORE_NUMBER = (1 << 63) - 1
 
 _PLAIN = b"p"
 _COMPRESSED = b"z"
@@ -108,7 +108,7 @@
         content = cbor2.dumps(values)
         if len(content) < MIN_COMPRESSED_BYTES:
             return _PLAIN + content
-        return _COMPRESSED + zlib.compress(content, COMPRESSION)
+        return _COMPRESSED + zlib.compress(content, COMPRESSION_LEVEL)
 
     @classmethod
     def decode(cls, data: bytes) -> "PeerState | None":
@@ -179,7 +179,7 @@
     """
     if not isinstance(value, int):
         raise TypeError("expected an integer")
-    if not 0 <= value <= MAX_NUMBER:
+    if not 0 <= value <= MAX_STORE_NUMBER:
         raise ValueError("integer is outside the range of store offsets and eras")
     return value
 
