--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -45,10 +45,10 @@
         self.ledger = QuotaLedger.from_config(world.clock, TOLERANCE)
         self.ledger.declare({ACCOUNT: world.limit})
         self.sources: set[str] = set()
-        self.told: list[PeerState] = []
-        self.seen = 0
-        self.waiting: list[tuple[PeerState, str]] = []
-        self.heard: dict[str, float] = {}
+        self.urgent_states: list[PeerState] = []
+        self.reported_peers = 0
+        self.queued: list[tuple[PeerState, str]] = []
+        self.last_admitted: dict[str, float] = {}
         self._world = world
 
     def describe(self) -> PeerState:
@@ -66,7 +66,7 @@
         if not self.table.take(state):
             return
         if state.covers is Covers.URGENT:
-            self.told.append(state)
+            self.urgent_states.append(state)
         use = self.table.reported_use(state)
         if use is None:
             return
@@ -74,8 +74,8 @@
         self.ledger.heard(use.source, use.admitted)
         self.sources.add(use.source)
         total = use.admitted.get(ACCOUNT, 0.0)
-        self.peers_admitted += total - self.heard.get(use.source, total)
-        self.heard[use.source] = total
+        self.peers_admitted += total - self.last_admitted.get(use.source, total)
+        self.last_admitted[use.source] = total
 
     def admit(self, tokens: float) -> bool:
         """Tries to admit a request; returns whether it is within the limit that this node knows."""
@@ -86,11 +86,11 @@
         has_changed = self.table.refresh()
         for source in self.sources - self.table.sources():
             self.ledger.forget(source)
-            self.heard.pop(source, None)
+            self.last_admitted.pop(source, None)
         self.sources &= self.table.sources()
         if has_changed:
-            self.seen = len(self.table.present)
-            self.ledger.see(self.seen + 1, self.table.known + 1)
+            self.reported_peers = len(self.table.present)
+            self.ledger.see(self.reported_peers + 1, self.table.known + 1)
 
     def known_load(self) -> float:
         """Returns the load of all peers as this node knows it."""
@@ -180,15 +180,15 @@
         self.at(DIRECT_INTERVAL_S if is_direct else RELAY_INTERVAL_S, lambda: self._tick(node))
         if node.frozen_until > self.clock():
             return
-        waiting, node.waiting = node.waiting, []
-        for state, from_ip in waiting:
+        queued, node.queued = node.queued, []
+        for state, from_ip in queued:
             self._arrive(node, state, from_ip)
         node.review()
         own = node.describe()
         for message in node.table.outgoing(own):
             self._send(node, message.state, message.ips)
 
-    def tell(self, node: WorldNode) -> None:
+    def send_urgent(self, node: WorldNode) -> None:
         """Makes a node send an urgent message."""
         message = node.table.urgent(node.describe())
         self._send(node, message.state, message.ips)
@@ -209,7 +209,7 @@
         if not node.runs:
             return
         if node.frozen_until > self.clock():
-            node.waiting.append((state, from_ip))
+            node.queued.append((state, from_ip))
             return
         self.received[node.ip] += 1
         forward_to = node.table.forward_ips(state, from_ip)
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -16,9 +16,9 @@
 from tests.platform_fakes import FakeWorker
 
 #: Time that a notice takes to reach all nodes; later requests count as violations, seconds.
-HEARD_S = 0.5
+NOTICE_TIME_S = 0.5
 #: Number of requests after which each of two workers has answered at least one.
-MOST_TRIES = 40
+MAX_TRIES = 40
 
 
 class LeavingTest(GatewayCase):
@@ -31,10 +31,10 @@
             self.wait_ready(node)
         self.eventually(lambda: all(len(node._gossip.present) == 1 for node in self.nodes))
 
-    def hear(self, worker: FakeWorker, path: str) -> int:
+    def run_until_notice(self, worker: FakeWorker, path: str) -> int:
         """Sends requests until the worker has answered one; returns how many it has run."""
         worker.is_leaving = True
-        for number in range(MOST_TRIES):
+        for number in range(MAX_TRIES):
             if not worker.ran:
                 self.call_with_own_prompt(path, number)
         self.assertTrue(worker.ran)
@@ -47,27 +47,27 @@
         self.assertEqual(answer.status, 200)
 
     def test_plain_worker_gets_nothing_new_from_the_first_answer_on(self) -> None:
-        ran = self.hear(self.desks[0], "/book/x")
+        ran = self.run_until_notice(self.desks[0], "/book/x")
         for number in range(10):
             self.assertEqual(self.call(self.nodes[0], "/book/x", f"r{number}").status, 200)
         self.assertEqual(len(self.desks[0].ran), ran)
 
     def test_head_of_a_stream_counts(self) -> None:
-        ran = self.hear(self.engines[0], "/chat/x")
-        for number in range(MOST_TRIES, MOST_TRIES + 10):
+        ran = self.run_until_notice(self.engines[0], "/chat/x")
+        for number in range(MAX_TRIES, MAX_TRIES + 10):
             self.call_with_own_prompt("/chat/x", number)
         self.assertEqual(len(self.engines[0].ran), ran)
 
-    def test_the_fleet_hears_it_at_once(self) -> None:
-        self.hear(self.desks[0], "/book/x")
+    def test_notice_reaches_the_fleet_at_once(self) -> None:
+        self.run_until_notice(self.desks[0], "/book/x")
         other = self.nodes[1]._view.book.get("d1")
-        self.eventually(lambda: other.is_leaving, HEARD_S)
+        self.eventually(lambda: other.is_leaving, NOTICE_TIME_S)
 
     def test_refusal_counts(self) -> None:
         desk = self.desks[0]
         desk.is_leaving, desk.pause_s = True, "0"
         state = self.nodes[0]._view.book.get("d1")
-        for number in range(MOST_TRIES):
+        for number in range(MAX_TRIES):
             self.assertEqual(self.call(self.nodes[0], "/look/x", f"r{number}").status, 200)
         self.assertTrue(state.is_leaving)
         self.assertEqual(len(desk.asked_at), 1)
@@ -79,15 +79,15 @@
         self.eventually(lambda: state.is_leaving, 2.0)
         self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
         self.eventually(lambda: self.engines[1].version == 2)
-        gevent.sleep(HEARD_S)
+        gevent.sleep(NOTICE_TIME_S)
         self.assertEqual(self.engines[0].orders, [])
 
     def test_start_under_the_same_id_is_used_again(self) -> None:
-        ran = self.hear(self.desks[0], "/book/x")
+        ran = self.run_until_notice(self.desks[0], "/book/x")
         self.desks[0].is_leaving = False
         self.store.put("keyed.servers", "d1", {**self.desks[0].entry(), "born": 2})
         self.eventually(lambda: self.nodes[1]._view.book.get("d1").entry.incarnation == "2")
-        gevent.sleep(HEARD_S)
+        gevent.sleep(NOTICE_TIME_S)
         self.assertFalse(self.nodes[1]._view.book.get("d1").is_leaving)
         for number in range(20):
             self.call(self.nodes[1], "/book/x", f"r{number}")
@@ -105,7 +105,7 @@
         self.wait_ready(self.node)
 
     def asked_in_pause(self, worker: FakeWorker, since: float) -> int:
-        return sum(since + HEARD_S <= at < since + self.PAUSE_S for at in worker.asked_at)
+        return sum(since + NOTICE_TIME_S <= at < since + self.PAUSE_S for at in worker.asked_at)
 
     def test_worker_gets_nothing_for_the_time_it_asks(self) -> None:
         self.desks[0].pause_s = str(self.PAUSE_S)
--- a/tests/test_fleet_after_return.py
+++ b/tests/test_fleet_after_return.py
@@ -15,7 +15,7 @@
 SERVERS = "keyed.servers"
 OPERATOR = "keyed.op"
 #: Number of heartbeats after which offsets of the new era exceed those of the old one.
-MANY = 10
+MANY_HEARTBEATS = 10
 #: Time within which all nodes agree after a return of the store, seconds.
 AGREED_S = 3.0
 #: Time within which a record that the operator writes is in force, seconds.
@@ -31,7 +31,7 @@
 class ReturnCase(GatewayCase):
     """Simulates returns of the store that nodes can detect only by its answers."""
 
-    def heartbeats(self, count: int = MANY) -> None:
+    def heartbeats(self, count: int = MANY_HEARTBEATS) -> None:
         for _ in range(count):
             self.store.put(SERVERS, "e1", self.engines[0].entry())
 
@@ -48,7 +48,7 @@
     def is_used(self, node: GatewayNode, endpoint_id: str) -> bool:
         return any(state.id == endpoint_id for state in node._view.book.usable("desk"))
 
-    def start_heard(self, count: int) -> list[GatewayNode]:
+    def start_connected(self, count: int) -> list[GatewayNode]:
         """Starts nodes and waits until each receives messages from all others."""
         nodes = self.start_nodes(count)
         for node in nodes:
@@ -66,11 +66,11 @@
     def test_records_at_offsets_that_were_given_out_again_are_read(self) -> None:
         """Guards against a reader that continues at its offset and skips records it never read."""
         copy = self.store.take_copy()
-        self.heartbeats(MANY)
+        self.heartbeats(MANY_HEARTBEATS)
         gevent.sleep(1.5)
         self.store.return_to(copy)
         self.drain(self.desks[0])
-        self.heartbeats(MANY)
+        self.heartbeats(MANY_HEARTBEATS)
         self.eventually(lambda: not self.is_used(self.node, "d1"), AGREED_S)
 
     def test_configuration_at_an_offset_that_was_given_out_again_comes_into_force(self) -> None:
@@ -146,7 +146,7 @@
         self.assertEqual(book.get("d1").entry.incarnation, "2")
         self.assertEqual(self.node._endpoints.position.era, 2)
 
-    def test_endpoint_that_the_copy_lacks_is_used_on_for_a_while_and_then_gone(self) -> None:
+    def test_endpoint_that_the_copy_lacks_stays_in_use_for_a_while(self) -> None:
         copy = self.store.take_copy()
         third = FakeWorker("d3", "desk")
         self.addCleanup(third.stop)
@@ -184,7 +184,7 @@
         gevent.sleep(0.3)
         self.store.return_to(first)
         self.drain(self.desks[0])
-        self.heartbeats(3 * MANY)
+        self.heartbeats(3 * MANY_HEARTBEATS)
         self.eventually(lambda: not self.is_used(self.node, "d1"), AGREED_S)
 
     def test_first_era_is_no_return(self) -> None:
@@ -201,15 +201,15 @@
 class FleetTest(ReturnCase):
     def test_all_nodes_agree_after_a_return(self) -> None:
         """Guards against comparing offsets of two eras between readers and other nodes."""
-        nodes = self.start_heard(4)
+        nodes = self.start_connected(4)
         self.lose_heartbeats()
         self.drain(self.desks[0])
-        self.heartbeats(3 * MANY)
+        self.heartbeats(3 * MANY_HEARTBEATS)
         for node in nodes:
             self.eventually(lambda node=node: not self.is_used(node, "d1"), AGREED_S)
 
-    def test_change_after_a_return_is_told_to_all(self) -> None:
-        nodes = self.start_heard(4)
+    def test_change_after_a_return_reaches_all(self) -> None:
+        nodes = self.start_connected(4)
         self.lose_heartbeats()
         gevent.sleep(AGREED_S)
         self.drain(self.desks[0])
@@ -228,13 +228,13 @@
         self.wait_ready(node)
         self.lose_heartbeats()
         self.drain(self.desks[0])
-        self.heartbeats(3 * MANY)
+        self.heartbeats(3 * MANY_HEARTBEATS)
         self.eventually(lambda: not self.is_used(node, "d1"), AGREED_S)
         self.store.put(SERVERS, "d2", self.desks[1].entry("draining"))
         self.eventually(lambda: not self.is_used(node, "d2"), AGREED_S)
 
     def test_restart_of_all_in_a_return(self) -> None:
-        nodes = self.start_heard(2)
+        nodes = self.start_connected(2)
         self.lose_heartbeats()
         self.drain(self.desks[0])
         for node in nodes:
@@ -260,7 +260,7 @@
 
     def test_return_that_the_readers_have_not_seen_yet(self) -> None:
         """Simulates two readers whose calls hang: others must not revert to the state they send."""
-        nodes = self.start_heard(4)
+        nodes = self.start_connected(4)
         self.eventually(lambda: sum(node._endpoints.is_reader for node in nodes) == 2)
         self.lose_heartbeats()
         slow = [node for node in nodes if node._endpoints.is_reader]
@@ -272,7 +272,7 @@
             patch.start()
             self.addCleanup(patch.stop)
         self.drain(self.desks[0])
-        self.heartbeats(3 * MANY)
+        self.heartbeats(3 * MANY_HEARTBEATS)
         for node in nodes:
             if node not in slow:
                 self.eventually(lambda node=node: not self.is_used(node, "d1"), AGREED_S)
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -12,7 +12,7 @@
 #: Largest age of peers' load that placement is designed for, seconds.
 MAX_AGE_S = 0.6
 #: Time within which all nodes of a fleet of any size know each other, seconds.
-TOGETHER_S = 3.0
+CONVERGED_S = 3.0
 
 
 class FleetCase(unittest.TestCase):
@@ -30,11 +30,11 @@
 
 
 class FreshnessTest(FleetCase):
-    def test_fleets_of_all_sizes_find_together_after_all_start_at_once(self) -> None:
+    def test_fleets_of_all_sizes_converge_after_all_start_at_once(self) -> None:
         for nodes in (2, 8, DIRECT_NODES, DIRECT_NODES + 1, 60, 195):
             with self.subTest(nodes=nodes):
                 world = FleetWorld(nodes)
-                world.run(TOGETHER_S + 1)
+                world.run(CONVERGED_S + 1)
                 self.assert_knows_all(world)
 
     def test_what_a_node_sends_does_not_grow_with_the_fleet(self) -> None:
@@ -42,7 +42,7 @@
         most = {}
         for nodes in (60, 300):
             world = FleetWorld(nodes)
-            world.run(TOGETHER_S)
+            world.run(CONVERGED_S)
             world.sent.clear()
             world.run(2)
             most[nodes] = sorted(world.sent[node.ip] for node in world.nodes)[nodes // 2]
@@ -50,7 +50,7 @@
 
     def test_lost_datagrams_only_cost_time(self) -> None:
         world = FleetWorld(60, loss=0.1)
-        world.run(2 * TOGETHER_S)
+        world.run(2 * CONVERGED_S)
         for node in world.nodes:
             self.assertLess(world.age_s(node), 2 * MAX_AGE_S)
 
@@ -60,14 +60,14 @@
             world.kill(node)
         for node in world.nodes:
             node.table.add_candidate(world.nodes[10].ip)
-        world.run(2 * TOGETHER_S)
+        world.run(2 * CONVERGED_S)
         self.assert_knows_all(world)
 
 
 class FaultTest(FleetCase):
     def setUp(self) -> None:
         self.world = FleetWorld(60, zones=3)
-        self.world.run(TOGETHER_S)
+        self.world.run(CONVERGED_S)
         self.relays = [node for node in self.world.nodes if node.table.is_relay]
 
     def test_large_fleet_has_few_relays(self) -> None:
@@ -75,7 +75,7 @@
 
     def test_nodes_of_a_relay_that_is_killed_use_another(self) -> None:
         self.world.kill(self.relays[0])
-        self.world.run(TOGETHER_S)
+        self.world.run(CONVERGED_S)
         self.assert_knows_all(self.world)
 
     def test_frozen_relay_hides_nobody_and_returns(self) -> None:
@@ -85,7 +85,7 @@
         others = [node for node in self.world.nodes if node is not frozen]
         for node in others:
             self.assertEqual(len(node.table.present), 58)
-        self.world.run(3.0 + TOGETHER_S)
+        self.world.run(3.0 + CONVERGED_S)
         self.assert_knows_all(self.world)
 
     def test_zone_that_was_cut_off_for_long_is_found_again(self) -> None:
@@ -97,15 +97,15 @@
         self.assert_present(inside, len(inside) - 1)
         self.assert_present(outside, len(outside) - 1)
         self.world.is_cut = lambda _source, _target: False
-        self.world.run(2 * TOGETHER_S)
+        self.world.run(2 * CONVERGED_S)
         self.assert_knows_all(self.world)
 
-    def test_node_heard_in_one_direction_only_makes_nobody_absent(self) -> None:
+    def test_node_whose_datagrams_are_lost_makes_no_other_node_absent(self) -> None:
         """Simulates a node whose datagrams are lost while it receives those of the others."""
-        mute = next(node for node in self.world.nodes if not node.table.is_relay)
-        self.world.is_cut = lambda source, _target: source is mute
-        self.world.run(TOGETHER_S)
-        others = [node for node in self.world.nodes if node is not mute]
+        silent_node = next(node for node in self.world.nodes if not node.table.is_relay)
+        self.world.is_cut = lambda source, _target: source is silent_node
+        self.world.run(CONVERGED_S)
+        others = [node for node in self.world.nodes if node is not silent_node]
         self.assert_present(others, 58)
 
     def test_all_nodes_lose_power_at_once(self) -> None:
@@ -114,20 +114,20 @@
         self.world.run(0.5)
         for node in list(self.world.nodes):
             self.world.restart(node)
-        self.world.run(TOGETHER_S)
+        self.world.run(CONVERGED_S)
         self.assert_knows_all(self.world)
 
     def test_urgent_facts_reach_every_node_at_once(self) -> None:
         """Simulates a reader of the endpoints' list on a relay and on another node."""
-        for teller in (self.relays[0], next(n for n in self.world.nodes if not n.table.is_relay)):
+        for sender in (self.relays[0], next(n for n in self.world.nodes if not n.table.is_relay)):
             self.world.received.clear()
-            before = {node.ip: len(node.told) for node in self.world.nodes}
-            self.world.tell(teller)
+            before = {node.ip: len(node.urgent_states) for node in self.world.nodes}
+            self.world.send_urgent(sender)
             self.world.run(0.02)
             missed = [
                 node.member.node
                 for node in self.world.nodes
-                if node is not teller and len(node.told) == before[node.ip]
+                if node is not sender and len(node.urgent_states) == before[node.ip]
             ]
             self.assertEqual(missed, [])
 
@@ -142,26 +142,26 @@
         for nodes in (8, 60):
             with self.subTest(nodes=nodes):
                 world = FleetWorld(nodes)
-                world.run(TOGETHER_S)
+                world.run(CONVERGED_S)
                 self.admit(world, 10.0)
                 world.run(1.0)
                 total = sum(node.admitted for node in world.nodes)
                 for node in world.nodes:
                     self.assertAlmostEqual(node.peers_admitted, total - node.admitted)
 
-    def test_death_of_a_relay_loses_no_more_than_what_is_on_its_way(self) -> None:
+    def test_death_of_a_relay_loses_only_tokens_in_flight(self) -> None:
         """Guards against limits that stay exceeded permanently after a change of relays."""
         world = FleetWorld(60, zones=3)
-        world.run(TOGETHER_S)
+        world.run(CONVERGED_S)
         self.admit(world, 5.0)
         world.kill(next(node for node in world.nodes if node.table.is_relay))
         self.admit(world, 5.0)
         world.run(1.0)
         total = sum(node.admitted for node in world.nodes)
-        on_its_way = 1_000.0 * 1.5
+        in_flight = 1_000.0 * 1.5
         for node in world.running():
             self.assertLessEqual(node.peers_admitted, total - node.admitted + 1e-6)
-            self.assertGreaterEqual(node.peers_admitted, total - node.admitted - on_its_way)
+            self.assertGreaterEqual(node.peers_admitted, total - node.admitted - in_flight)
 
 
 class FloodTest(FleetCase):
@@ -200,7 +200,7 @@
     def test_all_nodes_restart_in_a_flood(self) -> None:
         """Guards against nodes that each admit the whole rate until they know the others."""
         world = FleetWorld(80, zones=3)
-        world.run(TOGETHER_S)
+        world.run(CONVERGED_S)
         self.flood(world, 4.0, 4.6)
         for node in list(world.nodes):
             world.kill(node)
@@ -213,7 +213,7 @@
 
     def test_relay_dies_in_a_flood(self) -> None:
         world = FleetWorld(80, zones=3)
-        world.run(TOGETHER_S)
+        world.run(CONVERGED_S)
         self.flood(world, 4.0, 4.6)
         world.kill(next(node for node in world.nodes if node.table.is_relay))
         self.flood(world, 5.0, 4.6)
@@ -221,7 +221,7 @@
 
     def test_account_within_its_rate_is_not_refused(self) -> None:
         world = FleetWorld(80, zones=3)
-        world.run(TOGETHER_S)
+        world.run(CONVERGED_S)
         self.flood(world, 8.0, 0.8)
         self.assertGreater(len(self._admitted) * self.TOKENS, 0.75 * LIMIT[0] * 8.0)
 
@@ -230,15 +230,15 @@
     def test_node_that_comes_back_is_told_as_a_change(self) -> None:
         """Guards against limits that stay divided among the former number of nodes."""
         world = FleetWorld(8)
-        world.run(TOGETHER_S)
+        world.run(CONVERGED_S)
         first, last = world.nodes[0], world.nodes[-1]
-        self.assertEqual(first.seen, 7)
+        self.assertEqual(first.reported_peers, 7)
         world.kill(last)
         world.run(2.0)
-        self.assertEqual(first.seen, 6)
+        self.assertEqual(first.reported_peers, 6)
         world.restart(last)
         world.run(2.0)
-        self.assertEqual(first.seen, 7)
+        self.assertEqual(first.reported_peers, 7)
 
 
 class PlanTest(unittest.TestCase):
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -76,11 +76,11 @@
             self.assertTrue(wrong != float("inf") or PeerState.decode(counted.encode()) is None)
 
     @given(st.binary(max_size=200))
-    def test_bytes_of_others_are_refused(self, data) -> None:
+    def test_arbitrary_bytes_are_refused(self, data) -> None:
         self.assertIsNone(PeerState.decode(data))
 
     @given(st.data())
-    def test_damaged_datagrams_end_no_node(self, data) -> None:
+    def test_damaged_datagrams_raise_no_error(self, data) -> None:
         sent = bytearray(state(news=ListNews(1, 0, 1, 0.0, 0.0, (Change(0, "e", b"{}"),))).encode())
         at = data.draw(st.integers(0, len(sent) - 1))
         sent[at] = data.draw(st.integers(0, 255))
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -30,7 +30,7 @@
         self.assertEqual([event for event, _fields in log.lines], ["fault", "fault"])
         self.assertIn("unexpected error", log.lines[0][1]["error"])
 
-    def test_one_message_does_not_make_a_node_deaf(self) -> None:
+    def test_error_in_one_message_does_not_stop_receiving(self) -> None:
         """Guards against a node that receives no more state after one message that raises an error."""
         first, second = self.start_nodes(2)
         self.eventually(lambda: len(first._gossip.present) == 1)
