--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -1,4 +1,4 @@
-"""Simulates a fleet of real ``FleetTable`` objects on a virtual clock and a lossy, slow network.
+"""Simulates real ``FleetTable`` objects on a virtual clock and a network with delay and loss.
 
 Every node's load grows by one token a second, so the sum of peers' load that a node knows gives the
 age of its data.
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
@@ -43,7 +43,7 @@
         self._greenlet: Any = None
 
     def follows(self, place: str) -> bool:
-        """Returns whether this node follows the changes of a place's cache."""
+        """Returns whether this node follows a place's cache, and so learns what the place drops."""
         return place in self._greenlets
 
     def start(self) -> None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -102,7 +102,7 @@
 
     @property
     def is_complete(self) -> bool:
-        """Returns whether the node knows enough to serve."""
+        """Returns whether the node has a configuration and endpoints, as serving requires."""
         return self._configuration is not None and self._has_endpoints
 
     @property
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/latest_messages.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/latest_messages.py
@@ -32,7 +32,7 @@
 
 
 class LatestMessages:
-    """Messages that one node received: a relay from its nodes and other relays, others from theirs."""
+    """Latest messages at a node: a relay has its nodes' and other relays', others their relay's."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_status.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_status.py
@@ -23,7 +23,7 @@
 
     @property
     def is_complete(self) -> bool:
-        """Returns whether the node has the data that it needs to serve."""
+        """Returns whether the node has the data, and the settled view of the fleet, to serve."""
         return self._view.is_complete and self._is_settled()
 
     @property
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -46,7 +46,7 @@
         self.assertLess(len(state(members=members).encode()), 195 * 25)
 
     def test_changes_that_resemble_each_other_take_little_room(self) -> None:
-        """Encodes the changes after 70 engines have loaded weights and update their entries at once."""
+        """Encodes the changes of 70 engines that have all loaded weights at the same time."""
         entry = b'{"service":"llm","address":"10.1.64.%d:8221","zone":"z1","slots":12}' * 3
         changes = tuple(Change(n, f"i-{n:010x}", entry % (n, n, n)) for n in range(70))
         sent = state(news=ListNews(1, 0, 99, 0.0, 0.0, changes))
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -31,7 +31,7 @@
         self.assertIn("unexpected error", log.lines[0][1]["error"])
 
     def test_error_in_one_message_does_not_stop_receiving(self) -> None:
-        """Guards against a node that receives no more state after one message that raises an error."""
+        """Guards against a node that stops receiving state after one bad message."""
         first, second = self.start_nodes(2)
         self.eventually(lambda: len(first._gossip.present) == 1)
         take = first._gossip._on_state
