Name outdated weights and the last figurative names of the fleet

is_behind is has_outdated_weights, and the share of watchers, parts of placements and four tests follow the shared terms.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
@@ -20,7 +20,7 @@
 #: Interval at which greenlets are started for new places and ended for removed ones, seconds.
 REVIEW_S = 0.5
 #: Fraction of the concurrent calls that a place accepts which the fleet may use.
-WATCHER_SHARE = 0.8
+WATCHER_FRACTION = 0.8
 
 
 class CacheFollower:
@@ -77,9 +77,9 @@
         nodes = self._gossip.known + 1
         places = {}
         for service in configuration.services.values():
-            if service.part_store and nodes <= service.part_store.max_watchers * WATCHER_SHARE:
+            if service.part_store and nodes <= service.part_store.max_watchers * WATCHER_FRACTION:
                 places[service.name] = service.part_store.address
-            if service.engine and nodes <= service.engine.max_watchers * WATCHER_SHARE:
+            if service.engine and nodes <= service.engine.max_watchers * WATCHER_FRACTION:
                 for state in self._view.book.of_service(service.name):
                     if state.gone_at is None:
                         places[state.id] = state.address
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -255,7 +255,7 @@
         self._log.line("weights_named", model=model, version=version, source=source)
         return True
 
-    def is_behind(self, endpoint: EndpointState) -> bool:
+    def has_outdated_weights(self, endpoint: EndpointState) -> bool:
         """Returns whether an endpoint is known to have older weights than the newest named ones."""
         return any(
             model in self._weights and version < self._weights[model].version
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -204,8 +204,8 @@
 
 def _placed(row: Any) -> tuple[str, str, list[tuple[str, int]], bool]:
     endpoint, scope, parts, is_pending = row
-    told = [(_text(part), int(tokens)) for part, tokens in parts]
-    return _text(endpoint), _text(scope), told, bool(is_pending)
+    decoded_parts = [(_text(part), int(tokens)) for part, tokens in parts]
+    return _text(endpoint), _text(scope), decoded_parts, bool(is_pending)
 
 
 def _operator(row: Any) -> OperatorNews:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -160,7 +160,7 @@
         for endpoint_id in state.loading:
             endpoint = view.book.get(endpoint_id)
             # A state that came through relays may be older than the report that loading has ended.
-            if endpoint is not None and view.is_behind(endpoint):
+            if endpoint is not None and view.has_outdated_weights(endpoint):
                 endpoint.loading = True
                 endpoint.loading_until = (
                     now + LOADING_TIMEOUT_INTERVALS * self._services.gossip.interval_s
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -135,7 +135,7 @@
         # A call that was pending at the engine when it began to refuse was sent before the pause.
         self.assertEqual(self.asked_in_pause(engine, since), 0)
 
-    def test_when_all_pause_callers_are_told_at_once_when_to_return(self) -> None:
+    def test_when_all_pause_callers_receive_retry_after_at_once(self) -> None:
         for desk in self.desks:
             desk.pause_s = "0.4"
         self.call(self.node, "/book/x", "first")
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -78,7 +78,7 @@
         self.world.run(CONVERGED_S)
         self.assert_knows_all(self.world)
 
-    def test_frozen_relay_hides_nobody_and_returns(self) -> None:
+    def test_frozen_relay_makes_no_other_node_absent_and_returns(self) -> None:
         frozen = self.relays[0]
         self.world.freeze(frozen, 6.0)
         self.world.run(3.0)
@@ -227,7 +227,7 @@
 
 
 class ChangeTest(FleetCase):
-    def test_node_that_comes_back_is_told_as_a_change(self) -> None:
+    def test_return_of_a_node_is_reported_as_a_change(self) -> None:
         """Guards against limits that stay divided among the former number of nodes."""
         world = FleetWorld(8)
         world.run(CONVERGED_S)
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -88,7 +88,7 @@
 
 
 class PlacedLogTest(unittest.TestCase):
-    def test_each_group_is_told_each_placement_once(self) -> None:
+    def test_each_group_receives_each_placement_once(self) -> None:
         log = PlacedLog()
         log.add(("e1", "s", [("a", 1)], True))
         self.assertEqual(len(log.take(0)), 1)
