--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -1,7 +1,7 @@
-"""A fleet of the real tables of peers on a virtual clock, over a network that loses and delays.
+"""Simulates real ``FleetTable`` objects on a virtual clock and a network with delay and loss.
 
-Every node's load grows with time by one token a second, so the sum that a node knows of its peers
-tells how old its knowledge is.
+Every node's load grows by one token a second, so the sum of peers' load that a node knows gives the
+age of its data.
 """
 
 import heapq
@@ -27,7 +27,7 @@
 
 
 class WorldNode:
-    """One node: its table, and the use that it knows of its peers."""
+    """One node: its table, and the use by peers that it knows of."""
 
     def __init__(self, number: int, zone: str, start: int, world: "FleetWorld") -> None:
         self.number = number
@@ -45,10 +45,10 @@
         self.ledger = QuotaLedger.from_config(world.clock, TOLERANCE)
         self.ledger.declare({ACCOUNT: world.limit})
         self.sources: set[str] = set()
-        self.told: list[PeerState] = []
-        self.seen = 0
-        self.waiting: list[tuple[PeerState, str]] = []
-        self.heard: dict[str, float] = {}
+        self.urgent_states: list[PeerState] = []
+        self.reported_peers = 0
+        self.queued: list[tuple[PeerState, str]] = []
+        self.last_admitted: dict[str, float] = {}
         self._world = world
 
     def describe(self) -> PeerState:
@@ -66,31 +66,31 @@
         if not self.table.take(state):
             return
         if state.covers is Covers.URGENT:
-            self.told.append(state)
-        use = self.table.use_of(state)
+            self.urgent_states.append(state)
+        use = self.table.reported_use(state)
         if use is None:
             return
         self.uses[use.source] = use.loads.get(ENGINE, (0, 0.0, 0.0, 0))[1]
         self.ledger.heard(use.source, use.admitted)
         self.sources.add(use.source)
         total = use.admitted.get(ACCOUNT, 0.0)
-        self.peers_admitted += total - self.heard.get(use.source, total)
-        self.heard[use.source] = total
+        self.peers_admitted += total - self.last_admitted.get(use.source, total)
+        self.last_admitted[use.source] = total
 
     def admit(self, tokens: float) -> bool:
-        """Takes a caller's request; returns whether it is within the limit as this node knows it."""
+        """Tries to admit a request; returns whether it is within the limit that this node knows."""
         return self.table.is_settled and self.ledger.take(ACCOUNT, tokens) is None
 
     def review(self) -> None:
-        """Drops what counts no longer, and tells the limit of a changed fleet."""
+        """Drops sources that no longer count, and updates the limit when the fleet has changed."""
         has_changed = self.table.refresh()
         for source in self.sources - self.table.sources():
             self.ledger.forget(source)
-            self.heard.pop(source, None)
+            self.last_admitted.pop(source, None)
         self.sources &= self.table.sources()
         if has_changed:
-            self.seen = len(self.table.present)
-            self.ledger.see(self.seen + 1, self.table.known + 1)
+            self.reported_peers = len(self.table.present)
+            self.ledger.see(self.reported_peers + 1, self.table.known + 1)
 
     def known_load(self) -> float:
         """Returns the load of all peers as this node knows it."""
@@ -101,7 +101,7 @@
 class FleetWorld:
     """Nodes and the network between them.
 
-    :param loss: part of the datagrams that are lost.
+    :param loss: fraction of the datagrams that are lost.
     :param is_cut: whether a datagram from one node to another is lost in a partition.
     """
 
@@ -132,15 +132,15 @@
 
     def _begin(self, node: WorldNode) -> None:
         for seed in self.nodes[:SEEDS]:
-            node.table.introduce(seed.ip, is_lasting=True)
+            node.table.add_candidate(seed.ip, is_lasting=True)
         self.at(self.rng.uniform(0.0, 0.3), lambda: self._tick(node))
 
     def at(self, after_s: float, action: Callable[[], None]) -> None:
-        """Does something after a time."""
+        """Schedules an action after a delay in seconds."""
         heapq.heappush(self._events, (self.clock() + after_s, next(self._order), action))
 
     def run(self, seconds: float) -> None:
-        """Plays the fleet for a time."""
+        """Runs the simulation for a time in seconds."""
         end = self.clock() + seconds
         while self._events and self._events[0][0] <= end:
             at, _order, action = heapq.heappop(self._events)
@@ -149,15 +149,15 @@
         self.clock.advance_to(end)
 
     def freeze(self, node: WorldNode, seconds: float) -> None:
-        """Suspends a node; what arrives meanwhile waits."""
+        """Suspends a node; datagrams that arrive meanwhile are queued."""
         node.frozen_until = self.clock() + seconds
 
     def kill(self, node: WorldNode) -> None:
-        """Ends a node."""
+        """Stops a node without notice to its peers."""
         node.runs = False
 
     def restart(self, node: WorldNode, start: int = 1) -> WorldNode:
-        """Replaces a node that ended by a new start of it."""
+        """Replaces a stopped node by a new incarnation of it."""
         fresh = WorldNode(node.number, node.member.zone, start, self)
         self.nodes[node.number] = fresh
         self._by_ip[fresh.ip] = fresh
@@ -169,7 +169,7 @@
         return [node for node in self.nodes if node.runs]
 
     def age_s(self, node: WorldNode) -> float:
-        """Returns the mean age of what a node knows of its peers' load, seconds."""
+        """Returns the mean age of a node's data on its peers' load, seconds."""
         peers = len(self.running()) - 1
         return self.clock() - node.known_load() / peers if peers else 0.0
 
@@ -180,16 +180,16 @@
         self.at(DIRECT_INTERVAL_S if is_direct else RELAY_INTERVAL_S, lambda: self._tick(node))
         if node.frozen_until > self.clock():
             return
-        waiting, node.waiting = node.waiting, []
-        for state, from_ip in waiting:
+        queued, node.queued = node.queued, []
+        for state, from_ip in queued:
             self._arrive(node, state, from_ip)
         node.review()
         own = node.describe()
         for message in node.table.outgoing(own):
             self._send(node, message.state, message.ips)
 
-    def tell(self, node: WorldNode) -> None:
-        """Lets a node tell facts that must be known at once."""
+    def send_urgent(self, node: WorldNode) -> None:
+        """Makes a node send an urgent message."""
         message = node.table.urgent(node.describe())
         self._send(node, message.state, message.ips)
 
@@ -209,9 +209,9 @@
         if not node.runs:
             return
         if node.frozen_until > self.clock():
-            node.waiting.append((state, from_ip))
+            node.queued.append((state, from_ip))
             return
         self.received[node.ip] += 1
-        onward = node.table.passed_on(state, from_ip)
+        forward_to = node.table.forward_ips(state, from_ip)
         node.take(state)
-        self._send(node, state, onward)
+        self._send(node, state, forward_to)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/announcer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/announcer.py
@@ -1,4 +1,4 @@
-"""Lets nodes find each other through the platform's store where the seeds do not answer."""
+"""Peer discovery through the platform's store, for nodes whose seeds do not answer."""
 
 from typing import Any
 
@@ -12,23 +12,24 @@
 from arbutustally_node.gateway.store_watch import StoreWatch
 from arbutustally_node.gateway.supervision import supervise
 
-#: Names the order of nodes in which they announce themselves.
+#: Key of the ranking of nodes that decides which of them are announced.
 ANNOUNCING_DUTY = b"announce"
-#: Nodes that are announced; a new node needs one of them.
-ANNOUNCED = 4
-#: Time after the start until the fleet is known well enough to tell who is announced, seconds.
-SETTLED_S = 4.0
-#: Time after which a node that hears nobody looks into the store, and then looks again, seconds.
-ALONE_S = 0.6
-ALONE_RETRY_S = 1.0
-LOOK_S = 0.2
+#: Number of nodes that are announced; a new node needs to reach only one of them.
+ANNOUNCED_NODES = 4
+#: Time after the start until enough of the fleet is known to rank the nodes, seconds.
+RANKING_DELAY_S = 4.0
+#: Time after which a node that receives no messages reads the store, and interval at which it
+#: reads it again, seconds.
+NO_PEERS_S = 0.6
+NO_PEERS_RETRY_S = 1.0
+CHECK_INTERVAL_S = 0.2
 
 
 class Announcer:
-    """Writes the address of a few nodes into the store, and reads it on nodes that hear nobody.
+    """Writes the addresses of a few nodes into the store; nodes without peers read them from there.
 
     :param name: name of this node.
-    :param address: what the others need to reach it.
+    :param address: address at which the other nodes reach it.
     """
 
     def __init__(
@@ -53,7 +54,7 @@
         self._greenlet: Any = None
 
     def start(self) -> None:
-        """Starts to look whether this node must be announced."""
+        """Starts to check periodically whether this node must be announced or needs peers."""
         self._greenlet = supervise(self._log, "announcer", self._run)
 
     def stop(self) -> None:
@@ -67,37 +68,37 @@
             self._log.line("announcement_not_removed", reason=error.message)
 
     def era_changed(self, _era: int) -> None:
-        """Has this node's record written again: the store may have lost it."""
+        """Schedules another write of this node's record, which the store may have lost."""
         self._may_be_lost = self._is_announced
 
     def _run(self) -> None:
         started = self._clock()
-        alone_since = started
+        no_peers_since = started
         while True:
-            gevent.sleep(LOOK_S)
+            gevent.sleep(CHECK_INTERVAL_S)
             now = self._clock()
-            is_alone = not self._gossip.present
-            if not is_alone:
-                alone_since = now
+            has_no_peers = not self._gossip.present
+            if not has_no_peers:
+                no_peers_since = now
             try:
-                if is_alone and now - alone_since >= ALONE_S:
-                    alone_since = now + ALONE_RETRY_S - ALONE_S
+                if has_no_peers and now - no_peers_since >= NO_PEERS_S:
+                    no_peers_since = now + NO_PEERS_RETRY_S - NO_PEERS_S
                     self._announce()
-                    self._find()
-                elif now - started >= SETTLED_S and self._must_announce():
+                    self._discover_peers()
+                elif now - started >= RANKING_DELAY_S and self._must_announce():
                     self._announce()
                 if self._may_be_lost:
                     self._announce_again()
             except StoreUnavailableError as error:
                 self._watch.failed(error)
-                gevent.sleep(ALONE_RETRY_S)
+                gevent.sleep(NO_PEERS_RETRY_S)
 
     def _must_announce(self) -> bool:
-        return not self._is_announced and self._gossip.rank(ANNOUNCING_DUTY) < ANNOUNCED
+        return not self._is_announced and self._gossip.rank(ANNOUNCING_DUTY) < ANNOUNCED_NODES
 
     def _announce(self) -> None:
         if not self._is_announced:
-            # The record may be there also if the store does not confirm it.
+            # The store may have written the record even if it does not confirm the write.
             self._is_announced = True
             self._topic.announce(self._name, self._address)
 
@@ -110,7 +111,7 @@
             raise
         self._log.line("announced_again")
 
-    def _find(self) -> None:
+    def _discover_peers(self) -> None:
         for record in self._topic.newest().records:
             if record.value is not None:
-                self._gossip.introduce(record.value.decode("ascii", "replace"))
+                self._gossip.add_candidate(record.value.decode("ascii", "replace"))
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
@@ -1,4 +1,4 @@
-"""Follows what engines and stores of parts say of their caches."""
+"""Follows the cache events of engines and part stores."""
 
 from typing import Any
 
@@ -11,16 +11,16 @@
 from arbutustally_node.gateway.ports import CacheEvents
 from arbutustally_node.gateway.supervision import supervise
 
-#: Wait of one call for changes, seconds.
+#: Longest wait of one call for changes, seconds.
 WAIT_S = 1.0
-#: Pause after an answer, so that changes come in batches, seconds.
+#: Pause after an answer, so that changes arrive in batches, seconds.
 PAUSE_S = 0.2
 #: Pause after a call without an answer, seconds.
 RETRY_S = 1.0
-#: Interval at which the list of places is compared with the greenlets that follow them, seconds.
+#: Interval at which greenlets are started for new places and ended for removed ones, seconds.
 REVIEW_S = 0.5
-#: Part of the calls that a place answers at once which the fleet uses.
-WATCHERS_USED = 0.8
+#: Fraction of the concurrent calls that a place accepts which the fleet may use.
+WATCHER_FRACTION = 0.8
 
 
 class CacheFollower:
@@ -39,47 +39,47 @@
         self._holdings = holdings
         self._gossip = gossip
         self._log = log
-        self._following: dict[str, Any] = {}
+        self._greenlets: dict[str, Any] = {}
         self._greenlet: Any = None
 
     def follows(self, place: str) -> bool:
-        """Returns whether a place tells this node what it drops."""
-        return place in self._following
+        """Returns whether this node follows a place's cache, and so learns what the place drops."""
+        return place in self._greenlets
 
     def start(self) -> None:
-        """Starts following."""
+        """Starts following caches."""
         self._greenlet = supervise(self._log, "caches", self._review)
 
     def stop(self) -> None:
-        """Stops following."""
+        """Stops following caches."""
         self._greenlet.kill()
-        for greenlet in self._following.values():
+        for greenlet in self._greenlets.values():
             greenlet.kill()
 
     def _review(self) -> None:
         while True:
             places = self._places()
-            for place in [name for name in self._following if name not in places]:
-                self._following.pop(place).kill()
+            for place in [name for name in self._greenlets if name not in places]:
+                self._greenlets.pop(place).kill()
                 self._holdings.forget(place)
             for place, address in places.items():
-                if place not in self._following:
-                    self._following[place] = supervise(
+                if place not in self._greenlets:
+                    self._greenlets[place] = supervise(
                         self._log, "cache_events", self._follow, place, address
                     )
             gevent.sleep(REVIEW_S)
 
     def _places(self) -> dict[str, str]:
-        """Returns the places to follow with their addresses."""
+        """Returns the addresses of the places to follow, by place."""
         configuration = self._view.configuration
         if configuration is None:
             return {}
         nodes = self._gossip.known + 1
         places = {}
         for service in configuration.services.values():
-            if service.part_store and nodes <= service.part_store.max_watchers * WATCHERS_USED:
+            if service.part_store and nodes <= service.part_store.max_watchers * WATCHER_FRACTION:
                 places[service.name] = service.part_store.address
-            if service.engine and nodes <= service.engine.max_watchers * WATCHERS_USED:
+            if service.engine and nodes <= service.engine.max_watchers * WATCHER_FRACTION:
                 for state in self._view.book.of_service(service.name):
                     if state.gone_at is None:
                         places[state.id] = state.address
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/catch_up.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/catch_up.py
@@ -1,4 +1,4 @@
-"""Gets from a peer what the store does not give, and gives peers the same."""
+"""Fetches snapshots from peers when the store is unavailable, and provides them to peers."""
 
 from random import Random
 from typing import Any
@@ -14,12 +14,13 @@
 from arbutustally_node.gateway.supervision import supervise
 from arbutustally_node.gateway.web import Snapshot, fetch_snapshot
 
-#: Interval at which a node without the store, or behind its peers, asks one of them, seconds.
+#: Interval at which a node that has no store or older data than its peers asks one of them,
+#: seconds.
 SNAPSHOT_INTERVAL_S = 0.25
 
 
 class CatchUp:
-    """Asks peers for snapshots while this node is behind them or has no store."""
+    """Fetches snapshots from peers while this node has older data than they or no store."""
 
     def __init__(
         self,
@@ -39,42 +40,42 @@
         self._greenlet: Any = None
 
     def start(self) -> None:
-        """Starts asking."""
+        """Starts to fetch snapshots as needed."""
         self._greenlet = supervise(self._log, "snapshots", self._run)
 
     def stop(self) -> None:
-        """Stops asking."""
+        """Stops fetching snapshots."""
         self._greenlet.kill()
 
     def snapshot(self) -> Snapshot:
-        """Returns the documents that this node has."""
+        """Returns the records that this node has, for a peer."""
         view = self._view
         return Snapshot(self._endpoints.position, view.operator_records, view.endpoint_records)
 
     def _run(self) -> None:
         while True:
             gevent.sleep(SNAPSHOT_INTERVAL_S)
-            peer = self._peer_ahead()
+            peer = self._peer_to_ask()
             if peer is None:
                 continue
             snapshot = fetch_snapshot(peer.control)
             self._log.line("snapshot_fetched", peer=peer.node, found=snapshot is not None)
             if snapshot is not None:
-                self._take(snapshot, peer.node)
+                self._apply(snapshot, peer.node)
 
-    def _take(self, snapshot: Snapshot, peer: str) -> None:
+    def _apply(self, snapshot: Snapshot, peer: str) -> None:
         for record in snapshot.operator:
             self._view.take_operator(record, peer)
         if snapshot.position is not None:
             self._endpoints.take_snapshot(snapshot.endpoints, snapshot.position, peer)
 
-    def _peer_ahead(self) -> Member | None:
+    def _peer_to_ask(self) -> Member | None:
         configuration = self._view.configuration
         version = configuration.version if configuration else 0
         ahead = [peer for peer in self._gossip.present if peer.config > version]
         relay = self._gossip.relay
         if relay is not None and self._view.is_complete:
-            # All nodes at once would be too much for the first one that has a configuration.
+            # Requests of all nodes at once would overload the first one that has a configuration.
             ahead = [relay] if relay.config > version else []
         if ahead:
             return max(ahead, key=lambda peer: peer.config)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -1,7 +1,7 @@
-"""Datagrams between nodes: load at endpoints, use of limits, weights, and who is alive.
+"""Datagrams between nodes: load at endpoints, use of limits, weights, and membership.
 
-Each datagram replaces the one before it from the same node, so loss and reordering only cost
-time. Datagrams need no connection that could go silent.
+Each datagram replaces the previous one from the same node, so loss and reordering only cause
+delay. Datagrams need no connection that could stall undetected.
 """
 
 import socket
@@ -19,34 +19,35 @@
 from arbutustally_node.gateway.peer_state import PeerState
 from arbutustally_node.gateway.supervision import supervise
 
-#: Interval between two datagrams to a peer, seconds. Where nodes tell each other directly it grows
-#: with each peer beyond ten, so that what a node sends in a second stays bounded.
+#: Interval between two datagrams to a peer, seconds. Where nodes send to each other directly, it
+#: grows with each peer beyond ten, which bounds the rate at which a node sends.
 RELAY_INTERVAL_S = 0.2
 DIRECT_INTERVAL_S = 0.15
 INTERVAL_PER_PEER_S = 0.01
-#: Datagrams that are sent at the same moment: more would fill a small link for a while.
-SENT_AT_ONCE = 8
-SENT_PAUSE_S = 0.005
+#: Datagrams sent without a pause (more would saturate a small link), and the pause, seconds.
+SEND_BURST = 8
+SEND_BURST_PAUSE_S = 0.005
 #: Largest datagram that is sent.
 MAX_DATAGRAM_BYTES = 48_000
 RECEIVE_BYTES = 65_536
 
 
 class Gossip:
-    """Sends this node's state to its peers and takes theirs.
-
-    :param me: this node as its peers know it at its start.
-    :param clock: seconds that go on while the instance is suspended.
-    :param describe: returns this node's state; with placements only if asked for, since each is
-        told once.
-    :param on_state: takes a peer's facts, and what peers use if the message says it.
-    :param on_change: called when the fleet has changed, with the sources of use that count no
-        longer.
+    """Sends this node's state to its peers and receives theirs.
+
+    :param own_member: this node's membership data at its start.
+    :param clock: clock in seconds that keeps counting while the instance is suspended.
+    :param describe: returns this node's state; with placements only if its argument is true, since
+        each placement is sent once.
+    :param on_state: called with a peer's state and the use by peers, ``None`` if the message does
+        not report it.
+    :param on_change: called when the fleet has changed, with the sources of use that no longer
+        count.
     """
 
     def __init__(
         self,
-        me: Member,
+        own_member: Member,
         port: int,
         clock: Clock,
         log: DecisionLog,
@@ -54,21 +55,21 @@
         on_state: Callable[[PeerState, PeerUse | None], None],
         on_change: Callable[[set[str]], None],
     ) -> None:
-        self._ip = me.ip
+        self._ip = own_member.ip
         self._port = port
         self._clock = clock
         self._log = log
         self._describe = describe
         self._on_state = on_state
         self._on_change = on_change
-        self._table = FleetTable(me, clock)
+        self._table = FleetTable(own_member, clock)
         self._sources: set[str] = set()
         self._was_relay = False
         self._socket: Any = None
         self._greenlets: list[Any] = []
 
     def start(self) -> None:
-        """Binds the port and starts to send and to receive."""
+        """Binds the port and starts sending and receiving."""
         self._socket = gevent_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((self._ip, self._port))
         self._greenlets = [
@@ -77,7 +78,7 @@
         ]
 
     def stop(self) -> None:
-        """Sends the last state once more and stops."""
+        """Sends the current state once more and stops."""
         self.send_now()
         for greenlet in self._greenlets:
             greenlet.kill()
@@ -93,22 +94,22 @@
 
     @property
     def present(self) -> list[Member]:
-        """Returns the peers that are heard, by this node or by a relay."""
+        """Returns the peers from which this node or a relay receives messages."""
         return self._table.present
 
     @property
     def known(self) -> int:
-        """Returns the number of peers that were heard lately, present or not."""
+        """Returns the number of peers that were present recently, whether or not they still are."""
         return self._table.known
 
     @property
     def is_settled(self) -> bool:
-        """Returns whether this node has known the fleet well enough once since its start."""
+        """Returns whether this node's view of the fleet has been settled once since its start."""
         return self._table.is_settled
 
     @property
     def has_orderer(self) -> bool:
-        """Returns whether a peer that is heard holds the lease on orders to engines."""
+        """Returns whether a peer reports that it holds the lease on orders to engines."""
         return self._table.has_orderer
 
     @property
@@ -117,29 +118,29 @@
         return self._table.relay
 
     def rank(self, duty: bytes) -> int:
-        """Returns this node's place among the ready nodes for a duty, 0 for the first."""
+        """Returns this node's rank among the ready nodes for a duty, 0 for the first."""
         return self._table.rank(duty)
 
-    def introduce(self, ip: str, is_lasting: bool = False) -> None:
+    def add_candidate(self, ip: str, is_lasting: bool = False) -> None:
         """Adds the address of a node that may be alive.
 
-        :param is_lasting: keep it also if nothing is heard of it for long.
+        :param is_lasting: whether to keep it even if the node stays silent for long.
         """
-        self._table.introduce(ip, is_lasting)
+        self._table.add_candidate(ip, is_lasting)
 
     def send_now(self) -> None:
-        """Tells all peers the facts that they must know at once."""
+        """Sends all peers the facts that they must receive immediately."""
         message = self._table.urgent(self._describe(False))
         data = message.state.encode()
         if len(data) > MAX_DATAGRAM_BYTES:
-            # Peers that see a newer configuration here fetch it.
+            # Peers fetch the configuration when they see that this node has a newer one.
             data = replace(message.state, operator=()).encode()
         self._send_data(data, message.ips)
 
     def _send(self) -> None:
         while True:
             gevent.sleep(self.interval_s)
-            self._review()
+            self._refresh_peers()
             for message in self._table.outgoing(self._describe(True)):
                 self._send_to(message.state, message.ips)
 
@@ -152,8 +153,8 @@
 
     def _send_data(self, data: bytes, ips: tuple[str, ...]) -> None:
         for number, ip in enumerate(ips):
-            if number and number % SENT_AT_ONCE == 0:
-                gevent.sleep(SENT_PAUSE_S)
+            if number and number % SEND_BURST == 0:
+                gevent.sleep(SEND_BURST_PAUSE_S)
             try:
                 self._socket.sendto(data, (ip, self._port))
             except OSError as error:
@@ -171,20 +172,20 @@
             if state is None:
                 self._log.line("gossip_malformed", peer=ip, bytes=len(data))
                 continue
-            self._take(ip, state, data)
+            self._process(ip, state, data)
 
-    def _take(self, ip: str, state: PeerState, data: bytes) -> None:
+    def _process(self, ip: str, state: PeerState, data: bytes) -> None:
         if not self._table.take(state):
             return
-        onward = self._table.passed_on(state, ip)
-        if onward:
-            gevent.spawn(self._send_data, data, onward)
-        use = self._table.use_of(state)
+        forward_to = self._table.forward_ips(state, ip)
+        if forward_to:
+            gevent.spawn(self._send_data, data, forward_to)
+        use = self._table.reported_use(state)
         if use is not None:
             self._sources.add(use.source)
         self._on_state(state, use)
 
-    def _review(self) -> None:
+    def _refresh_peers(self) -> None:
         has_changed = self._table.refresh()
         gone = self._sources - self._table.sources()
         self._sources -= gone
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -1,7 +1,7 @@
-"""The services of a node and how they are joined.
+"""Builds the services of a node and connects them.
 
-Peers are told of all services and tell all services, so some of them are named in functions that
-run only once all are built.
+The exchange with peers reads from all services and updates them all, so some services are referred
+to in functions that run only after all are built.
 """
 
 import math
@@ -26,7 +26,7 @@
 from arbutustally_node.gateway.node_state import NodeState
 from arbutustally_node.gateway.node_status import NodeStatus
 from arbutustally_node.gateway.order_lease import OrderLease
-from arbutustally_node.gateway.peer_news import PeerNews, ToldServices
+from arbutustally_node.gateway.peer_sync import PeerSync, SyncedServices
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
 from arbutustally_node.gateway.request_services import RequestServices
 from arbutustally_node.gateway.rollout_record import encode_progress
@@ -39,14 +39,14 @@
 from arbutustally_node.pool import PoolService
 
 CONNECT_TIMEOUT_S = 0.2
-#: Longest silence of an endpoint inside an answer: the time that the request has left, and the
-#: hedge, bound the wait.
+#: Longest pause of an endpoint within an answer, seconds. It has no limit of its own: the remaining
+#: time of the request and the hedge bound the wait.
 SILENCE_S = math.inf
 
 
 @dataclass(frozen=True)
 class StoreReaders:
-    """Services that follow the store of the platform."""
+    """Services that read the platform's store."""
 
     watch: StoreWatch
     endpoints: EndpointReader
@@ -58,7 +58,7 @@
 class NodeServices:
     """Services of one node.
 
-    :ivar kernel: starts and stops those that have a lifetime.
+    :ivar kernel: starts and stops the services that run in the background.
     """
 
     kernel: Kernel
@@ -73,7 +73,7 @@
 
 
 def build_services(options: GatewayOptions, platform: Platform, incarnation: str) -> NodeServices:
-    """Builds the services of a node; none has started."""
+    """Builds the services of a node without starting them."""
     state = NodeState.from_config(options, platform.documents, incarnation)
     log, view = state.log, state.view
     status = NodeStatus(options, view, lambda: gossip.is_settled)
@@ -82,9 +82,9 @@
         options.peer_port,
         boottime,
         log,
-        lambda has_placed: news.describe(has_placed),
-        lambda told, use: news.take(told, use),
-        lambda gone: news.fleet_changed(gone),
+        lambda has_placements: sync.describe(has_placements),
+        lambda received, use: sync.take(received, use),
+        lambda gone: sync.fleet_changed(gone),
     )
     checker = EndpointChecker(view.book, log, monotonic)
     notices = _build_notices(platform, state, gossip)
@@ -115,7 +115,7 @@
     exchange = Exchange(requests)
     store = _build_store_readers(options, platform, state, gossip)
     weights = _build_weights(options, platform, state, gossip, checker.unreachable)
-    told = ToldServices(
+    synced = SyncedServices(
         view,
         state.quota,
         state.repeats,
@@ -130,7 +130,7 @@
         requests.placed,
         state.rollouts,
     )
-    news = PeerNews(told, lambda: status.member, incarnation, monotonic)
+    sync = PeerSync(synced, lambda: status.member, incarnation, monotonic)
     rollouts = _build_rollouts(platform, state, gossip, store)
     listener = CallerListener(
         options.caller_listen,
@@ -157,8 +157,8 @@
 
 def _build_notices(platform: Platform, state: NodeState, gossip: Gossip) -> EndpointNotices:
     notices = EndpointNotices(state.view.book, state.log, state.rng, gossip.send_now)
-    platform.engines.watch_notices(notices.take_from)
-    platform.cache_events.watch_notices(notices.take_from)
+    platform.engines.watch_notices(notices.take_from_address)
+    platform.cache_events.watch_notices(notices.take_from_address)
     return notices
 
 
