--- a/packages/arbutustally/src/arbutustally/gateway/attempts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/attempts.py
@@ -1,8 +1,8 @@
-"""What follows a failed attempt: another endpoint, or the final answer at once.
+"""Retry policy after an attempt: another endpoint, or the final answer.
 
 Load pattern: endpoints fail or are full while callers keep sending. A request that may have run is
-repeated only where its route allows it, and all repeats share a budget that is a part of the
-traffic, so that a fault does not multiply the load on the endpoints that remain.
+repeated only if its route allows it, and all repeats share a budget proportional to the traffic, so
+that a failure does not multiply the load on the remaining endpoints.
 """
 
 import math
@@ -13,19 +13,19 @@
 from arbutustally.clock import Clock
 from arbutustally.gateway.configuration import Route
 
-#: Least time for which another attempt is worth its cost, seconds.
+#: Shortest remaining time for which another attempt is made, seconds.
 MIN_ATTEMPT_S = 0.02
-#: Part of the fleet's budget that is used; nodes count their own traffic only.
+#: Share of the fleet's budget that is used; a node counts only its own traffic.
 BUDGET_USED = 0.8
-#: Part of the budget that is kept for attempts that have ended: most requests that are hedged would
-#: end well without it, while those whose endpoint failed have no other way.
+#: Share of the budget reserved for repeats after a failed attempt: most hedged requests would
+#: succeed without the hedge, while a failed request can succeed only by a repeat.
 KEPT_FROM_HEDGES = 0.5
-#: Sends of one request that ran nowhere; endpoints that are full say so within a few ms.
+#: Attempts of one request that ran nowhere; endpoints that are full reject it within a few ms.
 MAX_SENDS = 4
 
 
 class Outcome(StrEnum):
-    """How an attempt ended."""
+    """Result of an attempt."""
 
     ANSWERED = "answered"
     NOT_RUN = "not_run"
@@ -34,7 +34,7 @@
 
 
 class Next(StrEnum):
-    """What to do after an attempt."""
+    """Action after an attempt."""
 
     DELIVER = "deliver"
     REPEAT = "repeat"
@@ -44,10 +44,11 @@
 
 @dataclass(frozen=True)
 class RepeatBudget:
-    """Bound on repeats in a sliding window over all nodes.
+    """Limit on repeats of all nodes in a sliding window.
 
-    :ivar share: of the requests in the window.
-    :ivar slack: repeats in addition.
+    :ivar window_s: length of the window, seconds.
+    :ivar share: repeats as a share of the requests in the window.
+    :ivar slack: additional repeats.
     """
 
     window_s: float
@@ -56,9 +57,10 @@
 
 
 class RepeatLedger:
-    """Repeats and requests of this node by service.
+    """Counts the recent requests and repeats of this node by service.
 
-    :param nodes: returns the number of nodes that share the budget.
+    :param clock: monotonic seconds.
+    :param budget: limit that all nodes share.
     """
 
     def __init__(self, clock: Clock, budget: RepeatBudget) -> None:
@@ -74,7 +76,7 @@
         return cls(clock, budget)
 
     def share_among(self, nodes: int) -> None:
-        """Notes the number of nodes that share the budget."""
+        """Sets the number of nodes that share the budget."""
         self._nodes = max(nodes, 1)
 
     def requested(self, service: str) -> None:
@@ -82,20 +84,23 @@
         self._recent(self._requests, service).append(self._clock())
 
     def take(self, service: str) -> bool:
-        """Counts a repeat if the budget has room for it."""
+        """Counts a repeat if the budget allows it; returns whether it does."""
         if not self.left(service):
             return False
         self._repeats[service].append(self._clock())
         return True
 
     def take_for_hedge(self, service: str) -> bool:
-        """Counts a repeat beside an attempt at work if more than the part to be kept is left."""
+        """Counts a repeat made while an attempt is still running.
+
+        :returns: whether more than the share reserved for failed attempts was left.
+        """
         if self.left(service) <= self._room(service) * KEPT_FROM_HEDGES:
             return False
         return self.take(service)
 
     def left(self, service: str) -> int:
-        """Returns the repeats for which the budget has room now."""
+        """Returns the number of repeats that the budget allows now."""
         repeats = len(self._recent(self._repeats, service))
         return max(0, math.floor(self._room(service) - repeats))
 
@@ -113,11 +118,11 @@
 
 
 def after(route: Route, outcome: Outcome, ran: int, sends: int, left_s: float) -> Next:
-    """Returns what follows an attempt, budget aside.
+    """Returns the action after an attempt, regardless of the repeat budget.
 
-    :param ran: endpoints on which the request may have run so far, this attempt included.
-    :param sends: attempts so far, this one included.
-    :param left_s: time until the caller or the route gives up.
+    :param ran: number of endpoints on which the request may have run, this attempt included.
+    :param sends: number of attempts, this one included.
+    :param left_s: time until the caller's or the route's timeout, seconds.
     """
     if outcome is Outcome.ANSWERED:
         return Next.DELIVER
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -1,13 +1,14 @@
 """Choice of an endpoint for one request.
 
-Load pattern: long prompts share parts, engines differ in what they hold and how much they have
-to read, and many nodes choose at once. Engines are ranked by the expected time to the first
-event (``arbutustally.placement``), with the requests of all nodes in the queue of each. What the
-nodes choose within a few hundred ms of each other they do not know yet, so the same few engines are
-home to a shared part at every node, as many as the demand of all nodes needs, and the prompts that
-share it are spread over them by their next part. Memory is short: a copy elsewhere pushes out other
-parts, so it is made only where the homes are much busier. A prompt that does not fit into what is
-left of an engine's memory counts as a longer queue there, and so does an engine without a free slot.
+Load pattern: long prompts share parts, engines differ in cached parts and queue length, and many
+nodes choose concurrently. Engines are ranked by the expected time to the first event
+(``arbutustally.placement``); the queue of each engine includes the requests of all nodes. A node
+does not know the choices that other nodes made within the last few hundred ms. All nodes therefore
+derive the same few home engines for a shared part, as many as the demand of the fleet needs, and
+the next part of a prompt spreads the prompts over these homes. Engine memory is limited and each
+further copy evicts other parts, so a copy is made on another engine only if the homes are much
+busier. A prompt that exceeds an engine's free memory, or an engine without a free slot, counts as a
+longer queue.
 """
 
 import math
@@ -28,32 +29,33 @@
 )
 from arbutustally.rendezvous import score
 
-#: Queue tokens for each token that does not fit into an engine's memory: a preempted request is
-#: read again, and one that waits does so for the rest of another's stream.
+#: Queue tokens added per token that does not fit into an engine's memory: the prompt of a preempted
+#: request is computed again, and a request that waits for memory waits until another stream ends.
 OVERFLOW_WEIGHT = 4.0
-#: Engines that may hold a shared part whatever its demand: the second takes over while the first is
-#: busy, and more copies would push out other parts.
+#: Home engines of a shared part regardless of its demand: the second serves requests while the
+#: first is busy; more copies would evict other parts.
 ENGINE_HOMES = 2
-#: Share of an engine's speed at which the demand of a part asks for one more home. A node sees few
-#: of the fleet's requests, so a smaller share would widen by chance.
+#: Share of an engine's speed at which the demand for a part adds another home engine. A node sees
+#: few of the fleet's requests, so a smaller share would add homes because of random variation.
 WIDEN_AT = 0.6
-#: Part of the work of a copy elsewhere that it costs the parts that it pushes out.
+#: Cost of evicting other parts for an additional copy, as a share of the work of making the copy.
 COPY_SHARE = 0.5
 PLACEMENT_OPTIONS = PlacementOptions(homes=ENGINE_HOMES, copy_share=COPY_SHARE, widen_at=WIDEN_AT)
-#: Places that keep a part for as long but for this are as likely to hold it still, seconds.
+#: Places whose expiry times of a part differ by at most this are equally likely to still hold it,
+#: seconds.
 FRESH_S = 0.5
-#: Latency assumed of a plain endpoint while none of its service has answered, seconds.
+#: Latency assumed for a plain endpoint until any endpoint of its service has answered, seconds.
 DEFAULT_LATENCY_S = 0.05
-#: Requests that engines with new weights take, as a multiple of their part of all engines.
+#: Share of requests sent to engines with new weights, as a multiple of their share of all engines.
 LOAD_OF_NEW = 2.0
-#: Endpoints whose expected time differs by less than this share are equal.
+#: Endpoints whose expected times differ by at most this share count as equal.
 NEAR_TIE = 0.1
 
 
 class FirstEventTarget:
-    """Target of placement: the least time to the first event.
+    """Placement target: time to the first event.
 
-    :param target_s: seconds.
+    :param target_s: targeted time to the first event, seconds.
     """
 
     recompute_percent = None
@@ -63,15 +65,15 @@
 
 
 def usual_latency_s(states: Sequence[EndpointState]) -> float:
-    """Returns the average latency of the endpoints that have answered."""
+    """Returns the mean latency of the endpoints that have answered, or the default."""
     known = [state.latency_s for state in states if state.latency_s]
     return sum(known) / len(known) if known else DEFAULT_LATENCY_S
 
 
 def choose_plain(able: Sequence[EndpointState], zone: str, rng: Random) -> EndpointState:
-    """Returns the endpoint with the least expected time; the own zone wins among equals.
+    """Returns the endpoint with the shortest expected time; ``zone`` is preferred among equals.
 
-    An endpoint that has not answered yet counts as those that have do on average.
+    An endpoint that has not answered yet is assumed to have the mean latency of the others.
     """
     usual_s = usual_latency_s(able)
 
@@ -92,8 +94,8 @@
 class PartSource:
     """A place from which an engine can fetch cached parts.
 
-    :ivar place: id of the engine, or name of the store of parts.
-    :ivar tokens: tokens of the prompt that it holds.
+    :ivar place: id of the engine, or name of the part store.
+    :ivar tokens: tokens of the prompt that the place holds.
     """
 
     place: str
@@ -133,12 +135,13 @@
 ) -> PartSource | None:
     """Returns the place from which an engine fetches the parts that it may lack.
 
-    Load patterns: memory is short and engines drop parts within seconds, which a large fleet does
-    not hear. So a place is named also where the engine is only assumed to hold the parts; it
-    fetches nothing that it has. Of the places that are said to hold as much, those that keep the
-    last shared part longest are the least likely to have dropped it: stores of parts, then engines
-    that were seen to use it lately. And a hot part is held by many engines, each of which sends one
-    part after the other; so these places take turns, those of the zone first.
+    Load patterns: engine memory is limited and engines drop parts within seconds; a large fleet
+    receives no events about it. A source is therefore named even if the engine is assumed to hold
+    the parts; the engine fetches nothing that it has. Among the places that hold equally much,
+    those whose entry for the last shared part expires latest are the least likely to have dropped
+    it: part stores, then engines that used it recently. A hot part is held by many engines, each of
+    which transfers one part at a time, so the load is spread at random over these places, with a
+    preference for the engine's zone.
     """
     others = [source for source in sources if source.place != engine.id]
     most = max((source.tokens for source in others), default=0)
@@ -156,10 +159,11 @@
 
 
 def store_of(stores: Sequence[Service], scope: str, parts: Sequence[PromptPart]) -> Service | None:
-    """Returns the store of parts that is meant to keep the shared parts of a prompt.
+    """Returns the part store that should keep the shared parts of a prompt.
 
-    Load pattern: the links of the stores are short for the whole fleet. Every node derives the same
-    store from the last shared part, so the stores share parts and traffic.
+    Load pattern: the network bandwidth of one store does not suffice for the whole fleet. Every
+    node derives the same store from the last shared part by rendezvous hashing, so that parts and
+    traffic are divided among the stores.
     """
     if not stores or len(parts) < 2:
         return None
@@ -168,9 +172,9 @@
 
 
 def must_save(holdings: Holdings, scope: str, parts: Sequence[PromptPart], store: Service) -> bool:
-    """Returns whether a store of parts lacks a part that other requests may share.
+    """Returns whether a part store lacks a part that other requests may share.
 
-    The last part belongs to one request or session; saving it would push shared parts out.
+    The last part belongs to one request or session; saving it would evict shared parts.
     """
     shared = parts[:-1]
     wanted = sum(part.tokens for part in shared)
@@ -191,14 +195,15 @@
     zone: str,
     nodes: int,
 ) -> Choice:
-    """Returns the engine that is expected to send the first event soonest.
+    """Returns the engine with the shortest expected time to the first event.
 
-    :param able: engines that run ``version``.
-    :param wall: name of the account if its cached parts are its own, otherwise empty.
+    :param able: usable engines that run ``version``.
+    :param wall: name of the account if its cached parts are isolated from other accounts, otherwise
+        empty.
     :param scope: scope of the cached parts that the request may use.
-    :param importable_tokens: tokens of the prompt that any engine can fetch from elsewhere.
-    :param zone: engines of this zone go first among equals.
-    :param nodes: nodes that choose at the same time, this one included.
+    :param importable_tokens: tokens of the prompt that any engine can fetch from another place.
+    :param zone: engines of this zone are preferred among equals.
+    :param nodes: nodes that choose concurrently, this one included.
     """
     shape = shape_of(request)
     asked = PlacementRequest(
@@ -235,7 +240,7 @@
 
 
 def _room_s(state: EndpointState, usual_s: float) -> float:
-    """Returns the time until an engine has a free slot; each slot is free once in ``usual_s``."""
+    """Returns the expected time until a slot is free; each slot frees up once per ``usual_s``."""
     waiting = state.total_running + 1 - state.entry.slots
     return max(0, waiting) * usual_s / max(state.entry.slots, 1)
 
@@ -253,20 +258,20 @@
     wait_s: Callable[[EndpointState], float] = lambda _state: 0.0,
     bearable_s: float = 0.0,
 ) -> tuple[int, list[EndpointState]]:
-    """Returns the version of a model to run on, and the engines that have it.
+    """Returns the version of a model to use, and the engines that run it.
 
-    Load pattern: right after new weights are named, few engines have them, and all nodes see these
-    idle at the same moment. Older weights cost a request less than a late first event does, so
-    engines with new weights take a multiple of their part of the requests, and the others share
-    the load while they may.
+    Load pattern: right after new weights are named, few engines run them, and all nodes see these
+    idle at the same moment. A late first event costs a request more than older weights do.
+    Engines with new weights therefore get a multiple of their proportional share of the requests,
+    and the other engines serve the rest while older weights are allowed.
 
     :param named: newest version that the operator named.
     :param oldest_allowed: oldest version on which requests may still begin.
-    :param wait_s: expected wait at an engine.
-    :param bearable_s: wait at the engines with new weights up to which older ones are not used;
-        without a bound they are not used at all.
+    :param wait_s: returns the expected wait at an engine, seconds.
+    :param bearable_s: expected wait at the engines with new weights up to which older ones are not
+        used, seconds; if infinite, older ones are used only while no engine has the new weights.
     """
-    # An engine may have weights of which this node has not heard yet.
+    # An engine may already run weights whose naming this node has not received yet.
     named = max([named, *(state.weights.get(model, 0) for state in states)])
     groups: dict[int, list[EndpointState]] = {}
     for state in states:
@@ -293,10 +298,10 @@
     service: Service,
     usual_s: float = 0.0,
 ) -> float:
-    """Returns the expected wait of a prompt at an engine.
+    """Returns the expected wait of a prompt at an engine, seconds.
 
-    :param needed: tokens that the request takes in memory.
-    :param usual_s: time for which a request usually has a slot.
+    :param needed: tokens of memory that the request needs.
+    :param usual_s: mean time for which a request occupies a slot.
     """
     memory = service.engine.cache_tokens if service.engine else 0
     queued = state.total_prompt_tokens + _overflow(state, needed, memory)
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -1,4 +1,4 @@
-"""What a node believes of the endpoints, from the platform's list, its own calls and its peers."""
+"""State of the endpoints as a node sees it: the platform's list, its own calls and peer reports."""
 
 from collections import deque
 from collections.abc import Callable, Mapping
@@ -7,39 +7,39 @@
 
 from arbutustally.clock import Clock
 
-#: Time for which an endpoint gets no requests after several failures, seconds; doubled with each
-#: further time.
+#: Time for which an endpoint gets no requests after several failures, seconds; doubled at each
+#: repetition.
 SUSPECT_S = 0.5
 MAX_SUSPECT_S = 4.0
-#: Failures after which an endpoint that still answers is avoided.
+#: Decayed count of failures from which an endpoint that still accepts connections is avoided.
 FAILURES_TO_SUSPECT = 3
-#: Time without an answer or an event to any request after which an endpoint counts as stalled,
-#: seconds; shorter than any silence after which a request is sent elsewhere as well.
+#: Time without an answer or a stream event for any request after which an endpoint counts as
+#: stalled, seconds; shorter than every silence after which a request is hedged.
 STALLED_S = 0.6
-#: Time constant of the average of failures, seconds.
+#: Time over which the count of failures decays to 0, seconds.
 FAILURE_MEMORY_S = 3.0
-#: Weight of one answer in the average latency.
+#: Weight of one answer in the moving average of the latency.
 LATENCY_GAIN = 0.2
-#: Returns to an endpoint that asked for a pause are spread by this part of the pause, so that nodes
-#: do not come back in step.
+#: Longest random extension of a pause that an endpoint asked for, as a share of the pause, so that
+#: the nodes do not resume at the same time.
 PAUSE_SPREAD = 0.2
-#: Longest time by which a return is put off beyond the pause, seconds.
+#: Longest extension of a pause, seconds.
 MAX_PAUSE_SPREAD_S = 1.0
-#: Failed checks after which an endpoint counts as one that can't be connected to.
+#: Consecutive failed checks after which an endpoint counts as unreachable.
 FAILED_CHECKS = 2
-#: Earlier starts of an endpoint that are remembered.
+#: Earlier incarnations that are remembered per endpoint.
 MAX_INCARNATIONS = 8
 
 
 @dataclass(frozen=True)
 class EndpointEntry:
-    """An endpoint as the platform's list has it.
+    """An endpoint as registered in the platform's list.
 
-    :ivar slots: requests that it runs at once.
-    :ivar is_leaving: it finishes what runs and takes no new work.
-    :ivar weights: version of each model's weights.
+    :ivar slots: requests that it runs concurrently.
+    :ivar is_leaving: it finishes its running requests and accepts no new ones.
+    :ivar weights: version of the weights by model.
     :ivar incarnation: differs between two starts of an endpoint, also under the same id. A decimal
-        number rises from start to start.
+        number increases from start to start.
     :ivar release: version of its program.
     """
 
@@ -56,10 +56,10 @@
 
 @dataclass(frozen=True)
 class EndpointNotice:
-    """What an endpoint says of itself beside an answer.
+    """Status of an endpoint that it sends along with an answer.
 
-    :ivar is_leaving: it stops soon and takes no new work.
-    :ivar pause_s: it wants nothing more from this node for so long, seconds; 0 for no pause.
+    :ivar is_leaving: it stops soon and accepts no new requests.
+    :ivar pause_s: time for which this node must send it no requests, seconds; 0 for no pause.
     """
 
     is_leaving: bool = False
@@ -68,38 +68,40 @@
 
 @dataclass(frozen=True)
 class FailedCheck:
-    """A check that could make no connection to an endpoint.
+    """A check that could not connect to an endpoint.
 
-    :ivar is_refused: nothing listens at the address; the connect did not only time out.
+    :ivar began_at: start of the check, monotonic seconds.
+    :ivar is_refused: the connection was refused since nothing listens at the address; it did not
+        merely time out.
     """
 
     began_at: float
     is_refused: bool
 
 
-#: The endpoint said nothing of itself.
+#: Notice for an answer that carries no status of the endpoint.
 NO_NOTICE = EndpointNotice()
 
 
 @dataclass
 class EndpointState:
-    """Belief about one endpoint.
+    """State of one endpoint as this node knows it. Times are in monotonic seconds.
 
     :ivar running: requests of this node at the endpoint.
-    :ivar prompt_tokens: tokens of this node's requests that have no first event yet.
-    :ivar memory_tokens: tokens that this node's running requests keep in memory.
-    :ivar unrepeatable: of ``running``, those that their routes don't let go on elsewhere.
-    :ivar peer_load: the same four figures by peer; the last one also has those for which the peer
-        has no repeat left.
+    :ivar prompt_tokens: prompt tokens of this node's requests that have no first event yet.
+    :ivar memory_tokens: tokens that this node's running requests occupy in memory.
+    :ivar unrepeatable: those of ``running`` whose routes do not allow a repeat on another endpoint.
+    :ivar peer_load: the same four figures by peer; the last one also counts requests for which the
+        peer's repeat budget is used up.
     :ivar gone_at: when the entry was removed, ``None`` while it is listed.
     :ivar kept_until: until then it counts as present although its entry was removed.
-    :ivar has_said_leaving: it has said that it leaves, whatever the list says now.
-    :ivar replaced_incarnations: of earlier starts under the same id, latest last.
-    :ivar paused_until: until then it wants nothing from this node.
-    :ivar is_down: no connection could be made.
-    :ivar failed_checks: the last checks since then that could make none either.
-    :ivar checked_at: when a connection was last tried since a request waits for it.
-    :ivar heard_at: when an answer or an event of a stream last came from it, for any request.
+    :ivar has_said_leaving: it has announced that it leaves, regardless of its list entry.
+    :ivar replaced_incarnations: incarnations of earlier starts under the same id, latest last.
+    :ivar paused_until: until then this node must send it no requests.
+    :ivar is_down: the last attempt to connect failed.
+    :ivar failed_checks: the latest failed checks since ``is_down`` was set.
+    :ivar checked_at: when a connection was last tried because a request waits for it.
+    :ivar heard_at: when it last sent an answer or a stream event, for any request.
     :ivar is_replaced: another endpoint was found at its address.
     """
 
@@ -134,12 +136,12 @@
         return self.entry.id
 
     def has_failed_checks(self, since: float) -> bool:
-        """Returns whether the last ``FAILED_CHECKS`` checks all began since then and failed."""
+        """Returns whether the last ``FAILED_CHECKS`` checks failed and began since ``since``."""
         checks = self.failed_checks
         return len(checks) == FAILED_CHECKS and checks[0].began_at >= since
 
     def has_refused(self, since: float) -> bool:
-        """Returns whether the endpoint has refused the connections of all these checks."""
+        """Returns whether each of these checks was also refused rather than timed out."""
         return self.has_failed_checks(since) and all(one.is_refused for one in self.failed_checks)
 
     @property
@@ -149,12 +151,12 @@
 
     @property
     def is_leaving(self) -> bool:
-        """Returns whether it takes no new work, by the list or by its own word."""
+        """Returns whether it accepts no new requests, by its list entry or its own notice."""
         return self.entry.is_leaving or self.has_said_leaving
 
     @property
     def newer_weights(self) -> dict[str, int]:
-        """Returns the weights that it is known to run and that the list does not have yet."""
+        """Returns the weights that it is known to run and that its list entry does not show yet."""
         listed = self.entry.weights
         return {
             model: version
@@ -164,22 +166,22 @@
 
     @property
     def total_running(self) -> int:
-        """Returns the requests of all nodes."""
+        """Returns the running requests of all nodes."""
         return self.running + sum(load[0] for load in self.peer_load.values())
 
     @property
     def peer_unrepeatable(self) -> int:
-        """Returns the requests of other nodes that can't go on elsewhere."""
+        """Returns the requests of other nodes that can't be repeated on another endpoint."""
         return sum(load[3] for load in self.peer_load.values())
 
     @property
     def total_prompt_tokens(self) -> float:
-        """Returns the tokens of all nodes' requests without a first event."""
+        """Returns the prompt tokens of all nodes' requests that have no first event yet."""
         return self.prompt_tokens + sum(load[1] for load in self.peer_load.values())
 
     @property
     def total_memory_tokens(self) -> float:
-        """Returns the tokens in memory of all nodes' requests."""
+        """Returns the tokens that all nodes' requests occupy in memory."""
         return self.memory_tokens + sum(load[2] for load in self.peer_load.values())
 
 
@@ -219,10 +221,10 @@
     ) -> list[EndpointState]:
         """Returns the endpoints that may get a new request now.
 
-        Suspected endpoints are left out as long as another one remains; those that asked for a
-        pause get nothing in any case.
+        Suspected and unreachable endpoints are left out while another one remains; paused ones are
+        always left out.
 
-        :param may_take: which of them count at all.
+        :param may_take: filter of the endpoints to consider.
         """
         now = self._clock()
         staying = filter(may_take, self._staying(service, now))
@@ -231,35 +233,38 @@
         return trusted or able
 
     def has_any(self, service: str, is_meant: Callable[[EndpointState], bool]) -> bool:
-        """Returns whether an endpoint of a service stays, usable now or not."""
+        """Returns whether a matching endpoint of a service is present and not leaving.
+
+        It need not be usable now.
+        """
         return any(map(is_meant, self._staying(service, self._clock())))
 
     def returns_in(self, service: str) -> float | None:
-        """Returns the time until the first paused endpoint may be used, ``None`` if none pauses."""
+        """Returns the time until the first pause ends, seconds; ``None`` if none is paused."""
         now = self._clock()
         waits = [state.paused_until - now for state in self._staying(service, now)]
         return min((wait for wait in waits if wait > 0), default=None)
 
     def leaves(self, state: EndpointState) -> bool:
-        """Notes that an endpoint said that it leaves; returns whether that is news."""
+        """Records that an endpoint announced its leaving; returns whether this was unknown."""
         is_news = not state.is_leaving
         state.has_said_leaving = True
         return is_news
 
     def pause(self, state: EndpointState, pause_s: float, rng: Random) -> None:
-        """Leaves an endpoint alone for the time that it asked for, and a little longer."""
+        """Pauses requests to an endpoint for the requested time plus a random extension."""
         spread_s = min(pause_s * PAUSE_SPREAD, MAX_PAUSE_SPREAD_S) * rng.random()
         state.paused_until = max(state.paused_until, self._clock() + pause_s + spread_s)
 
     def is_paused(self, state: EndpointState) -> bool:
-        """Returns whether an endpoint wants nothing from this node now."""
+        """Returns whether this node must send an endpoint no requests now."""
         return state.paused_until > self._clock()
 
     def keep_removed(self, until: float) -> None:
-        """Treats entries that are removed from now on as present until an instant.
+        """Treats entries that are removed from now on as present until a point in time.
 
-        Entries lapse while the platform's store is away, and come back soon after its return.
-        What was removed before the store went away stays removed.
+        Entries expire while the platform's store is unavailable, and are registered again soon
+        after it returns. Entries removed before the outage stay removed.
         """
         now = self._clock()
         self._keep_removed_until = until
@@ -268,7 +273,7 @@
                 state.kept_until = until
 
     def keep(self, endpoint_id: str, until: float) -> None:
-        """Treats a removed entry as present until an instant."""
+        """Treats a removed entry as present until a point in time."""
         state = self._states.get(endpoint_id)
         if state is not None and state.gone_at is not None:
             state.kept_until = max(state.kept_until, until)
@@ -279,7 +284,7 @@
         return max(0.0, self._keep_removed_until - self._clock())
 
     def put(self, entry: EndpointEntry) -> bool:
-        """Takes an entry; returns whether it says anything new."""
+        """Adds or updates an entry; returns whether it changes anything."""
         state = self._states.get(entry.id)
         if state is None:
             self._states[entry.id] = EndpointState(entry, weights=dict(entry.weights))
@@ -300,9 +305,9 @@
         return is_new
 
     def is_past(self, entry: EndpointEntry) -> bool:
-        """Returns whether an entry of an older list is from before what is known.
+        """Returns whether an entry of an older list is outdated.
 
-        Since then the endpoint began to leave, was removed, or has started again.
+        It is if the endpoint has since begun to leave, was removed, or has restarted.
         """
         state = self._states.get(entry.id)
         if state is None:
@@ -314,7 +319,7 @@
         return is_replaced or _start_number(entry) < _start_number(state.entry)
 
     def remove(self, endpoint_id: str) -> bool:
-        """Notes that an entry was removed; returns whether it was present."""
+        """Marks an entry as removed; returns whether it was present."""
         state = self._states.get(endpoint_id)
         if state is None or state.gone_at is not None:
             return False
@@ -323,11 +328,14 @@
         return True
 
     def replaced(self, state: EndpointState) -> None:
-        """Notes that another endpoint has the address: this one is gone for good."""
+        """Marks an endpoint as permanently gone: another one uses its address."""
         state.is_replaced = True
 
     def forget_gone(self, after_s: float) -> list[EndpointState]:
-        """Drops endpoints that were removed longer ago than ``after_s`` and returns them."""
+        """Deletes and returns the endpoints removed more than ``after_s`` seconds ago.
+
+        Endpoints that still run requests of this node are kept.
+        """
         now = self._clock()
         gone = [
             state
@@ -339,24 +347,24 @@
         return gone
 
     def unreachable(self, state: EndpointState) -> None:
-        """Notes that no connection to an endpoint could be made."""
+        """Records a failed connection to an endpoint."""
         if not state.is_down:
             state.failed_checks.clear()
         state.is_down = True
 
     def reachable(self, state: EndpointState) -> None:
-        """Notes that a connection to an endpoint could be made."""
+        """Records a successful connection to an endpoint."""
         state.is_down = False
 
     def is_stalled(self, state: EndpointState) -> bool:
-        """Returns whether an endpoint that keeps a request waiting gives nothing to others either.
+        """Returns whether an endpoint has sent nothing for any request for ``STALLED_S``.
 
-        One that goes on with other requests is only behind.
+        One that keeps a request waiting but sends data for other requests is only overloaded.
         """
         return self._clock() - state.heard_at >= STALLED_S
 
     def failed(self, state: EndpointState) -> bool:
-        """Notes a failed answer; returns whether the endpoint is now avoided."""
+        """Records a failed answer; returns whether the endpoint is now avoided."""
         now = self._clock()
         decay = max(0.0, 1.0 - (now - state.failed_at) / FAILURE_MEMORY_S)
         state.failures = state.failures * decay + 1.0
@@ -368,7 +376,7 @@
         return True
 
     def answered(self, state: EndpointState, latency_s: float) -> None:
-        """Notes a good answer."""
+        """Records a successful answer and its latency."""
         state.suspicions = 0
         state.suspect_until = 0.0
         state.is_down = False
@@ -376,7 +384,7 @@
         state.latency_s += (latency_s - state.latency_s) * gain
 
     def set_peer_load(self, peer: str, loads: Mapping[str, tuple[int, float, float, int]]) -> None:
-        """Replaces what a peer has at the endpoints."""
+        """Replaces the load that a peer reports at the endpoints."""
         for state in self._states.values():
             load = loads.get(state.id)
             if load is None:
--- a/packages/arbutustally/src/arbutustally/gateway/engine_speeds.py
+++ b/packages/arbutustally/src/arbutustally/gateway/engine_speeds.py
@@ -1,10 +1,10 @@
-"""How fast engines read prompts, from the first events that all nodes have seen lately.
+"""Prefill speed of engines, estimated from the latest first events of all nodes.
 
-Load pattern: in a large fleet one node sends an engine a request only now and then, and an engine
-may turn slow and recover. So nodes tell each other what they observed, and old observations fade.
-What is observed holds more than the speed of reading: a first event takes a while whatever the
-prompt, and waits for other requests. So short prompts are left out, and an engine counts as fast as
-the median of all unless it is far slower.
+Load pattern: in a large fleet one node rarely sends a request to a given engine, and an engine may
+become slow and recover. Nodes therefore exchange their observations, and the weight of old ones
+decays. The observed time includes more than the prefill: a first event has a fixed latency for any
+prompt length, and waits for other requests. Short prompts are therefore ignored, and an engine
+counts as fast as the median of all engines unless it is much slower.
 """
 
 import math
@@ -14,20 +14,21 @@
 
 from arbutustally.clock import Clock
 
-#: Time constant with which observations fade, seconds.
+#: Time constant of the exponential decay of observations, seconds.
 MEMORY_S = 4.0
-#: Weight of the median of all engines beside an engine's own observations, seconds of work.
+#: Weight of the median of all engines relative to an engine's own observations, seconds of work.
 MEDIAN_S = 0.3
-#: Speed before anything was observed, tokens a second.
+#: Speed assumed before the first observation, tokens/s.
 DEFAULT_SPEED = 20_000.0
-#: Observations of less work say more about latency than about speed, tokens.
+#: Shortest prompt that is observed, tokens; the time of a shorter one depends mostly on latency.
 MIN_TOKENS = 2048
-#: Part of the median speed below which an engine is slow; other prompts explain what lies above.
+#: Share of the median speed below which an engine counts as slow; smaller deviations may be due to
+#: differences between prompts.
 SLOW_PART = 0.5
-#: Observed work that is worth telling, seconds.
+#: Least observed work that is reported to peers, seconds.
 MIN_TOLD_S = 0.01
 
-#: Tokens that were read, and the seconds that this took.
+#: Number of prompt tokens processed, and the time that this took in seconds.
 Work = tuple[float, float]
 
 
@@ -39,7 +40,7 @@
 
 
 class EngineSpeeds:
-    """Speeds as one node knows them.
+    """Prefill speeds as one node knows them.
 
     :param clock: monotonic seconds.
     """
@@ -53,11 +54,11 @@
 
     @classmethod
     def from_config(cls, clock: Clock) -> "EngineSpeeds":
-        """Builds speeds of engines of which nothing is known."""
+        """Builds speeds without observations."""
         return cls(clock)
 
     def observe(self, engine: str, tokens: float, seconds: float) -> None:
-        """Takes one observation of ``tokens`` read in ``seconds``."""
+        """Adds an observation: ``tokens`` of a prompt were processed in ``seconds``."""
         if tokens < MIN_TOKENS or seconds <= 0:
             return
         before_tokens, before_s = self._faded(engine)
@@ -65,14 +66,14 @@
         self._sums = None
 
     def own(self) -> dict[str, Work]:
-        """Returns what this node has observed lately, by engine."""
+        """Returns the recent observations of this node by engine."""
         works = {engine: self._faded(engine) for engine in list(self._own)}
         for engine in [engine for engine, work in works.items() if work[1] < MIN_TOLD_S]:
             del works[engine], self._own[engine]
         return {engine: (round(work[0]), round(work[1], 3)) for engine, work in works.items()}
 
     def set_peers(self, source: str, works: Mapping[str, Work]) -> None:
-        """Replaces what the nodes of a source have observed."""
+        """Replaces the observations that a source reports for its nodes."""
         if works:
             self._peers[source] = works
         else:
@@ -80,7 +81,7 @@
         self._sums = None
 
     def speed(self, engine: str) -> float:
-        """Returns the speed of an engine, tokens a second."""
+        """Returns the estimated speed of an engine, tokens/s."""
         sums = self._summed()
         tokens, seconds = sums.get(engine, (0.0, 0.0))
         speed = (tokens + self._median * MEDIAN_S) / (seconds + MEDIAN_S)
@@ -94,7 +95,7 @@
         return observed.tokens * left, observed.seconds * left
 
     def _summed(self) -> dict[str, Work]:
-        """Returns the work of all nodes by engine."""
+        """Returns the work observed by all nodes, by engine."""
         if self._sums is None:
             self._sums = add_works([self.own(), *self._peers.values()])
             speeds = [tokens / seconds for tokens, seconds in self._sums.values() if seconds > 0]
@@ -113,7 +114,7 @@
 
 
 def subtract_works(total: Mapping[str, Work], part: Mapping[str, Work]) -> dict[str, Work]:
-    """Returns observed work without a part of it; what is left is never negative."""
+    """Returns observed work minus a part of it; the result is never negative."""
     rest = {}
     for engine, (tokens, seconds) in total.items():
         own_tokens, own_s = part.get(engine, (0.0, 0.0))
--- a/packages/arbutustally/src/arbutustally/gateway/holdings.py
+++ b/packages/arbutustally/src/arbutustally/gateway/holdings.py
@@ -1,9 +1,10 @@
-"""Which parts of prompts each engine and the store of parts hold.
+"""Prompt parts that each engine and part store holds in its cache.
 
-Load pattern: many prompts share long parts, and engines drop parts within seconds. What engines
-say of their caches comes late and with gaps, and in a large fleet nobody hears it. So a part that was
-just read somewhere counts as held there until the engine says otherwise, the assumption is old, or
-the parts that were read there since fill the engine's memory: engines drop the least recently used.
+Load pattern: many prompts share long parts, and engines drop parts within seconds. Cache events of
+engines arrive late and with gaps, and in a large fleet no node follows them. A part that was just
+computed or received somewhere therefore counts as held there until the engine reports otherwise,
+the assumption expires, or the parts added there since fill the engine's memory: engines evict the
+least recently used parts.
 """
 
 import math
@@ -14,30 +15,31 @@
 from arbutustally.clock import Clock
 from arbutustally.gateway.requests import PromptPart
 
-#: Time for which a part counts as held without word from the engine, seconds.
+#: Time for which a part counts as held without a cache event of the engine, seconds.
 ASSUMED_S = 10.0
-#: The same for a store of parts, which is larger than the caches of the engines. A store that was
-#: emptied gets a part again after this time at the latest.
+#: The same for a part store, which is larger than the engines' caches, seconds. After a store was
+#: emptied, a part is saved again after this time at the latest.
 STORE_ASSUMED_S = 20.0
-#: Engines keep whole blocks, so the end of a part may be missing (site sheets), tokens.
+#: Block size of the engines' caches (site sheets), tokens. Only whole blocks are kept, so the end
+#: of a part may be missing.
 BLOCK_TOKENS = 16
-#: Parts remembered for each place.
+#: Parts remembered per place.
 MAX_PARTS = 8192
 
 
 @dataclass(frozen=True)
 class PlaceTerms:
-    """What is assumed of a place that does not say itself what it drops.
+    """Assumptions about a place that does not report what it drops.
 
-    :ivar memory_tokens: tokens that fit into it.
-    :ivar assumed_s: time for which a part counts as held there without word from it, seconds.
+    :ivar memory_tokens: capacity of its memory, tokens.
+    :ivar assumed_s: time for which a part counts as held there without an event from it, seconds.
     """
 
     memory_tokens: float = math.inf
     assumed_s: float = ASSUMED_S
 
 
-#: Terms of places of which nothing is known.
+#: Terms of unknown places.
 USUAL_TERMS = PlaceTerms()
 
 
@@ -45,7 +47,8 @@
 class _Held:
     """A part at a place.
 
-    :ivar until: when it no longer counts as held; without end if the place itself said so.
+    :ivar until: when it no longer counts as held; infinite if the place itself reported it.
+    :ivar is_pending: a request for it was sent and has not been processed yet.
     """
 
     tokens: int
@@ -65,7 +68,7 @@
     tokens: int = 0
 
     def put(self, key: tuple[str, str], entry: _Held, most_tokens: float) -> None:
-        """Takes a part as the most recently used one, and drops others that no longer fit."""
+        """Adds a part as the most recently used one and evicts others that no longer fit."""
         self.drop(key)
         self.parts[key] = entry
         self.tokens += entry.tokens
@@ -80,10 +83,10 @@
 
 
 class Holdings:
-    """Held parts by place; a place is the id of an endpoint, or the name of a store of parts.
+    """Held parts by place; a place is the id of an endpoint, or the name of a part store.
 
     :param clock: monotonic seconds.
-    :param terms: returns what is assumed of a place.
+    :param terms: returns the assumptions about a place.
     """
 
     def __init__(self, clock: Clock, terms: Callable[[str], PlaceTerms]) -> None:
@@ -95,20 +98,21 @@
     def from_config(
         cls, clock: Clock, terms: Callable[[str], PlaceTerms] = lambda _place: USUAL_TERMS
     ) -> "Holdings":
-        """Builds holdings of no place."""
+        """Builds empty holdings."""
         return cls(clock, terms)
 
     def assume(self, place: str, scope: str, parts: Iterable[PromptPart]) -> None:
-        """Notes that a place has just read or received these parts."""
+        """Records that a place has just computed or received these parts."""
         until = self._clock() + self._terms(place).assumed_s
         for part in parts:
             self._put(place, (scope, part.id), _Held(part.tokens, until))
 
     def expect(self, place: str, scope: str, parts: Iterable[PromptPart]) -> None:
-        """Notes that a place has been asked to read these parts.
+        """Records that a place has been sent a request with these parts.
 
-        A later request with the same parts finds them there if it queues behind; elsewhere they
-        would be read a second time. They can't be fetched from the place yet.
+        A later request with the same parts finds them there if it queues behind the first; on
+        another engine they would be computed a second time. They can't be fetched from the place
+        yet.
         """
         until = self._clock() + self._terms(place).assumed_s
         held = self._parts(place)
@@ -117,18 +121,18 @@
                 self._put(place, (scope, part.id), _Held(part.tokens, until, True))
 
     def unexpect(self, place: str, scope: str, parts: Iterable[PromptPart]) -> None:
-        """Notes that a place did not read parts that it was asked to read."""
+        """Reverts ``expect`` for parts that a place did not compute."""
         for part in parts:
             entry = self._parts(place).get((scope, part.id))
             if entry is not None and entry.is_pending:
                 self._places[place].drop((scope, part.id))
 
     def stored(self, place: str, scope: str, part_id: str, tokens: int) -> None:
-        """Notes that a place said that it holds a part."""
+        """Records that a place reported that it holds a part."""
         self._put(place, (scope, part_id), _Held(tokens, math.inf))
 
     def dropped(self, place: str, scope: str, part_id: str, tokens: int) -> None:
-        """Notes that a place said that only ``tokens`` of a part are left."""
+        """Records that a place reported that only ``tokens`` of a part are left."""
         if tokens > 0:
             self.stored(place, scope, part_id, tokens)
             return
@@ -136,7 +140,7 @@
             self._places[place].drop((scope, part_id))
 
     def forget(self, place: str) -> None:
-        """Forgets all parts of a place that restarted or was emptied."""
+        """Removes all parts of a place that restarted or was emptied."""
         self._places.pop(place, None)
 
     def prefix_tokens(
@@ -149,8 +153,8 @@
     ) -> int:
         """Returns the tokens of the leading parts that a place holds.
 
-        :param with_pending: count parts that the place is reading now.
-        :param with_assumed: count parts of which the place itself has said nothing.
+        :param with_pending: count parts that the place has yet to compute.
+        :param with_assumed: count parts that the place itself has not reported.
         """
         held = self._parts(place)
         if not held:
@@ -171,7 +175,7 @@
         return total
 
     def held_until(self, place: str, scope: str, part: PromptPart) -> float:
-        """Returns until when a part counts as held at a place, ``-inf`` if it does not."""
+        """Returns until when a part counts as held at a place, ``-inf`` if it is not known."""
         entry = self._parts(place).get((scope, part.id))
         return -math.inf if entry is None else entry.until
 
--- a/packages/arbutustally/src/arbutustally/gateway/quota.py
+++ b/packages/arbutustally/src/arbutustally/gateway/quota.py
@@ -1,11 +1,12 @@
-"""Rate and burst of client accounts over the whole fleet, without asking for each request.
-
-Load pattern: one account sends many times its rate to all nodes at once. Every node keeps the
-bucket of every account and takes out of it what it admits and what its peers say they admitted.
-Peers report several times a second, so the fleet exceeds the bucket by at most what arrives
-between two reports; the excess is owed and later requests pay for it. What the peers admit before
-their next report is expected to go on as it did. A node that does not hear
-some of its peers only uses the part of rate and burst that belongs to those it hears.
+"""Fleet-wide rate limits of client accounts, without coordination per request.
+
+Load pattern: one account sends many times its rate to all nodes at once. Every node keeps a token
+bucket for every account and deducts what it admits and what its peers report as admitted. Peers
+report several times a second, so the fleet exceeds the bucket by at most what arrives between two
+reports; the excess makes the level negative, and later requests wait until it is refilled. Until
+their next report, the peers are assumed to admit tokens at the same rate as before. A node that
+receives no reports from some of its peers uses only the share of rate and burst that belongs to
+the nodes it hears, itself included.
 """
 
 import math
@@ -14,11 +15,11 @@
 
 from arbutustally.clock import Clock
 
-#: Part of the operator's tolerance that may be used; the rest covers reports on their way.
+#: Share of the operator's tolerance that is used; the rest covers reports in transit.
 TOLERANCE_USED = 0.15
-#: Age of what a node knows of its peers' use, seconds.
+#: Age of the peers' reports at a node, seconds.
 REPORT_AGE_S = 0.3
-#: Time over which the peers' use is averaged, seconds.
+#: Time constant of the average of the peers' use, seconds.
 USE_MEMORY_S = 0.6
 #: Longest time that a refused caller is asked to wait, seconds.
 MAX_RETRY_AFTER_S = 5.0
@@ -26,10 +27,10 @@
 
 @dataclass(frozen=True)
 class QuotaTolerance:
-    """How far the fleet may exceed a limit in a sliding window.
+    """Amount by which the fleet may exceed a limit in a sliding window.
 
-    :ivar share: of rate and burst.
-    :ivar tokens: in addition.
+    :ivar share: as a share of rate and burst.
+    :ivar tokens: additional tokens.
     """
 
     share: float
@@ -47,10 +48,10 @@
 
 
 class QuotaLedger:
-    """Buckets of all accounts as one node sees them.
+    """Token buckets of all accounts as one node sees them.
 
-    :param clock: seconds that go on while the instance is suspended.
-    :param tolerance: see ``QuotaTolerance``.
+    :param clock: seconds; advances while the instance is suspended.
+    :param tolerance: amount by which the fleet may exceed the limits.
     """
 
     def __init__(self, clock: Clock, tolerance: QuotaTolerance) -> None:
@@ -78,7 +79,7 @@
         return bucket.level
 
     def declare(self, limits: Mapping[str, tuple[float, float]]) -> None:
-        """Takes the rate and burst of each account; 0 as rate removes the limit."""
+        """Sets the rate and burst of each account; a rate of 0 removes the limit."""
         now = self._clock()
         share = 1 + self._tolerance.share * TOLERANCE_USED
         for account, (rate, burst) in limits.items():
@@ -99,7 +100,7 @@
             del self._buckets[account]
 
     def see(self, heard: int, known: int) -> None:
-        """Notes how many nodes, this one included, are heard out of those known."""
+        """Sets the number of nodes that are heard out of those known, this one included."""
         for bucket in self._buckets.values():
             self._fill(bucket)
         self._visible = heard / max(known, heard, 1)
@@ -107,9 +108,9 @@
             bucket.level = min(bucket.level, bucket.burst * self._visible)
 
     def take(self, account: str, tokens: float) -> float | None:
-        """Takes tokens for a request.
+        """Deducts the tokens of a request if they are available.
 
-        :returns: ``None`` if they were taken, otherwise seconds until they may be there.
+        :returns: ``None`` if they were deducted, otherwise seconds until they may be available.
         """
         bucket = self._buckets.get(account)
         if bucket is not None:
@@ -123,18 +124,19 @@
         return None
 
     def give_back(self, account: str, tokens: float) -> None:
-        """Returns the tokens of a request that did not run."""
+        """Refunds the tokens of a request that did not run."""
         self._admitted[account] = self._admitted.get(account, 0.0) - tokens
         bucket = self._buckets.get(account)
         if bucket is not None:
             bucket.level = min(bucket.level + tokens, bucket.burst)
 
     def heard(self, peer: str, admitted: Mapping[str, float]) -> None:
-        """Takes a peer's running totals.
+        """Deducts what a peer has admitted since its last report.
 
-        :param peer: unique for each start of a node.
+        :param peer: id that is unique for each start of a node.
+        :param admitted: tokens that the peer has admitted since its start, by account.
         """
-        # What a peer had admitted before it was first heard is in the first level already.
+        # The initial level already accounts for what a peer admitted before its first report.
         before = self._heard.get(peer, admitted)
         self._heard[peer] = dict(admitted)
         for account, total in admitted.items():
@@ -147,16 +149,16 @@
                 bucket.peers_used_at = self._clock()
 
     def forget(self, peer: str) -> None:
-        """Forgets a peer that counts no longer; what it is admitted meanwhile others tell."""
+        """Removes a peer that no longer counts; later admissions arrive in reports of others."""
         self._heard.pop(peer, None)
 
     def _peers_use(self, bucket: _Bucket) -> float:
-        """Returns what the peers have lately admitted, tokens a second."""
+        """Returns the average rate at which the peers admitted tokens lately, tokens/s."""
         age_s = self._clock() - bucket.peers_used_at
         return bucket.peers_use * math.exp(-age_s / USE_MEMORY_S)
 
     def _unreported(self, bucket: _Bucket) -> float:
-        """Returns what the peers have probably admitted and not reported yet."""
+        """Returns the estimated tokens that the peers have admitted and not reported yet."""
         return self._peers_use(bucket) * REPORT_AGE_S
 
     def _fill(self, bucket: _Bucket) -> None:
--- a/packages/arbutustally/src/arbutustally/gateway/rollouts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/rollouts.py
@@ -1,12 +1,12 @@
-"""Roll-outs of a service's releases: which requests go to the canary, and whether it is kept.
+"""Canary roll-outs of a service's releases: routing of requests, and the decision to keep or not.
 
-The canary is the release that the operator's order names, the baseline every other release that was
-not rolled back.
+The canary is the release that the operator's order names; the baseline is every other release that
+was not rolled back.
 
-Load pattern: a canary fails or answers several times slower, at once or later, for all or on one
-route, while each node sees only a few of its answers. Few requests go to it until the order's time
-is nearly over; the answers of all nodes are added up and compared with those of the baseline, at
-the same time and by route.
+Load pattern: a canary fails or answers several times slower, immediately or later, on all routes or
+on one, while each node sees only a few of its answers. Few requests are routed to it until the
+order's time is nearly over. The answers of all nodes are summed and compared by route with those of
+the baseline in the same period.
 """
 
 import math
@@ -18,47 +18,49 @@
 from arbutustally.gateway.endpoints import EndpointBook, EndpointState
 from arbutustally.rendezvous import unit
 
-#: Part of the requests that the canary gets while it is judged.
+#: Share of the requests routed to the canary while it is evaluated.
 CANARY_SHARE = 0.06
-#: Answers of the canary on one route, or on all, before its failures are judged.
+#: Minimum answers of the canary, on one route or in total, before its failures are evaluated.
 MIN_ANSWERS = 8
-#: Answers that the canary must have given before it may be kept.
+#: Minimum answers of the canary before it may be kept.
 MIN_ANSWERS_TO_KEEP = 20
-#: Times of the canary's answers on one route before they are compared.
+#: Minimum response times of the canary on one route before they are compared.
 MIN_CANARY_TIMES = 5
-#: Times of the baseline's answers on one route before they are compared with.
+#: Minimum response times of the baseline on one route before they are compared.
 MIN_BASELINE_TIMES = 20
-#: Part of a sound canary's answers that may fail however few of the baseline's do.
+#: Failure rate allowed for a sound canary however low the baseline's is.
 LEAST_FAILURE_CHANCE = 0.04
-#: Part of a sound canary's answers that may fail, in multiples of the baseline's.
+#: Failure rate allowed for a sound canary, as a multiple of the baseline's.
 FAILURE_FACTOR = 2.0
-#: Probability below which chance does not explain the failures that were seen.
+#: Significance level: probability below which the observed failures are not due to chance.
 SIGNIFICANCE = 1e-4
-#: Factor by which the answers of a sound canary may take longer, for its caches are cold.
+#: Factor by which the answers of a sound canary may take longer, since its caches are cold.
 BEARABLE_FACTOR = 1.3
-#: Combined z-score of all routes above which the canary is slow.
+#: Combined z-score of all routes above which the canary counts as slow.
 SLOW_Z = 3.1
-#: Z-score of one route above which the canary is slow.
+#: Z-score of one route above which the canary counts as slow.
 SLOW_ROUTE_Z = 4.0
 #: Combined z-score below which the canary may be kept.
 SOUND_Z = 1.5
-#: Part of the canary's answers on routes with enough of them, for it to be kept.
+#: Share of the canary's response times that must be on routes with enough of them to compare, for
+#: it to be kept.
 COMPARED_PART = 0.5
-#: Time before the end of the order at which all new requests go to a sound canary, seconds; the
-#: baseline finishes what it runs meanwhile.
+#: Time before the end of the order at which all new requests are routed to a sound canary, seconds;
+#: meanwhile the baseline finishes its running requests.
 MOVE_S = 1.2
-#: First part of that time, in which the canary is watched and not kept yet, seconds.
+#: Observation time at the start of that period, before which the canary is not kept, seconds.
 WATCH_S = 0.5
-#: Time before the end at which the canary is kept although the baseline still runs requests.
+#: Time before the end at which the decision to keep the canary is made although the baseline still
+#: runs requests, seconds.
 KEEP_S = 0.4
-#: Shortest time that is told apart, seconds.
+#: Lower limit of a response time before its logarithm is taken, seconds.
 LEAST_S = 1e-4
-#: Least variance of the logarithms of times; keeps z-scores finite where all times are equal.
+#: Lower limit of the variance of log times; keeps z-scores finite where all times are equal.
 LEAST_VARIANCE = 0.01
 
 
 class RolloutState(StrEnum):
-    """How far a roll-out is."""
+    """Progress state of a roll-out."""
 
     RUNNING = "running"
     COMPLETED = "completed"
@@ -67,10 +69,10 @@
 
 @dataclass(frozen=True)
 class RolloutOrder:
-    """The operator wants a service's requests moved to a release.
+    """An operator's order to move a service's requests to a release.
 
-    :ivar target: the canary.
-    :ivar duration_s: time in which it should be done.
+    :ivar target: release that is the canary.
+    :ivar duration_s: time within which the roll-out must end, seconds.
     """
 
     service: str
@@ -80,9 +82,9 @@
 
 @dataclass(frozen=True)
 class RolloutProgress:
-    """What the node that decides has decided last.
+    """Latest decision of the node that decides on roll-outs.
 
-    :ivar share: part of the requests that go to the canary.
+    :ivar share: share of the requests that are routed to the canary.
     """
 
     service: str
@@ -92,17 +94,20 @@
 
     @property
     def is_final(self) -> bool:
-        """Returns whether nothing more will be decided."""
+        """Returns whether no further decision follows."""
         return self.state is not RolloutState.RUNNING
 
 
 @dataclass(frozen=True)
 class AnswerTally:
-    """Answers of one release on one route.
+    """Statistics of the answers of one release on one route.
 
-    :ivar timed: answers, or runs that already take long, whose time was noted.
+    :ivar answers: number of answers.
+    :ivar failures: failed ones of these.
+    :ivar timed: number of recorded response times; includes those of running requests that already
+        take long.
     :ivar log_sum: sum of the logarithms of these times in seconds.
-    :ivar log_squares: sum of their squares.
+    :ivar log_squares: sum of the squares of these logarithms.
     """
 
     answers: float = 0
@@ -113,26 +118,26 @@
 
     @classmethod
     def of_time(cls, seconds: float) -> "AnswerTally":
-        """Returns the tally of one time."""
+        """Returns the tally of a single response time."""
         log = math.log(max(seconds, LEAST_S))
         return cls(timed=1, log_sum=log, log_squares=log * log)
 
     @property
     def mean(self) -> float:
-        """Returns the mean logarithm of the times."""
+        """Returns the mean of the log times."""
         return self.log_sum / self.timed
 
     @property
     def variance(self) -> float:
-        """Returns the variance of the logarithms."""
+        """Returns the variance of the log times, at least ``LEAST_VARIANCE``."""
         return max(self.log_squares / self.timed - self.mean**2, LEAST_VARIANCE)
 
     def plus(self, other: "AnswerTally") -> "AnswerTally":
-        """Returns the sum."""
+        """Returns the sum of both tallies."""
         return AnswerTally(*(a + b for a, b in zip(astuple(self), astuple(other), strict=True)))
 
     def minus(self, other: "AnswerTally") -> "AnswerTally":
-        """Returns what was added since an earlier tally."""
+        """Returns the difference to an earlier tally."""
         return AnswerTally(*(a - b for a, b in zip(astuple(self), astuple(other), strict=True)))
 
 
@@ -141,7 +146,7 @@
 
 
 def add_tallies(tables: Iterable[Tallies]) -> dict[str, AnswerTally]:
-    """Returns the sums by route."""
+    """Returns the sums of tallies by route."""
     total: dict[str, AnswerTally] = {}
     for table in tables:
         for route, tally in table.items():
@@ -150,15 +155,15 @@
 
 
 def subtract(now: Tallies, before: Tallies) -> dict[str, AnswerTally]:
-    """Returns what was added to tallies since earlier ones."""
+    """Returns the differences to earlier tallies by route."""
     return {route: tally.minus(before.get(route, AnswerTally())) for route, tally in now.items()}
 
 
 def is_bad(canary: Tallies, baseline: Tallies) -> bool:
-    """Returns whether the canary is worse than the baseline, on any route or on all.
+    """Returns whether the canary is worse than the baseline, on any route or in total.
 
     :param canary: answers of the canary.
-    :param baseline: answers of the baseline at the same time.
+    :param baseline: answers of the baseline in the same period.
     """
     pairs = [(tally, baseline.get(route, AnswerTally())) for route, tally in canary.items()]
     whole = (_whole(canary), _whole(baseline))
@@ -169,7 +174,7 @@
 
 
 def is_sound(canary: Tallies, baseline: Tallies) -> bool:
-    """Returns whether enough answers say that the canary is as good as the baseline."""
+    """Returns whether enough answers show that the canary is as good as the baseline."""
     if _whole(canary).answers < MIN_ANSWERS_TO_KEEP or is_bad(canary, baseline):
         return False
     compared = [
@@ -201,7 +206,7 @@
 
 
 def _z_scores(canary: Tallies, baseline: Tallies) -> list[float]:
-    """Returns by how many standard errors the times of each route are beyond what is bearable."""
+    """Returns by how many standard errors each compared route exceeds the bearable slowdown."""
     z_scores = []
     for route, tally in canary.items():
         other = baseline.get(route)
@@ -213,7 +218,7 @@
 
 
 def _combined_z(z_scores: Sequence[float]) -> float:
-    """Returns the z-scores of all routes combined by Stouffer's method."""
+    """Returns the combined z-score of all routes by Stouffer's method."""
     return sum(z_scores) / math.sqrt(len(z_scores)) if z_scores else 0.0
 
 
@@ -226,15 +231,16 @@
     is_bad_lately: bool,
     baseline_running: int,
 ) -> RolloutProgress:
-    """Returns what holds from now on.
+    """Returns the progress that applies from now on.
 
-    A canary may turn bad late in its time, so all requests move to it only shortly before the end.
+    A canary may turn bad late in the roll-out, so all requests are moved to it only shortly before
+    the end.
 
-    :param left_s: time until the order's end.
+    :param left_s: time until the order's end, seconds.
     :param canary: answers of the canary so far.
-    :param baseline: answers of the baseline.
-    :param is_bad_lately: the canary's answers of the last 3 s alone are bad.
-    :param baseline_running: requests that endpoints of other releases still run.
+    :param baseline: answers of the baseline in the same period.
+    :param is_bad_lately: whether the canary's answers of the last 3 s alone are bad.
+    :param baseline_running: number of requests that endpoints of other releases still run.
     """
     if current is not None and current.is_final:
         return current
@@ -259,14 +265,17 @@
 
 @dataclass(frozen=True)
 class KnownOrder:
-    """An order and when it became known in the fleet, monotonic seconds."""
+    """An order and the time at which it became known in the fleet.
+
+    :ivar known_at: monotonic seconds.
+    """
 
     order: RolloutOrder
     known_at: float
 
 
 class RolloutBook:
-    """Orders and progress by service, as one node knows them."""
+    """Roll-out orders and progress by service, as one node knows them."""
 
     def __init__(self) -> None:
         self._orders: dict[str, KnownOrder] = {}
@@ -279,7 +288,7 @@
         return list(self._orders.values())
 
     def progress(self, service: str) -> RolloutProgress | None:
-        """Returns what was decided on the newest order of a service, ``None`` for nothing yet."""
+        """Returns the latest decision on a service's newest order, ``None`` if there is none."""
         return self._progress.get(service)
 
     def add_order(self, order: RolloutOrder, known_at: float) -> bool:
@@ -295,7 +304,10 @@
         return True
 
     def apply(self, progress: RolloutProgress) -> bool:
-        """Applies a decision; returns whether it changes anything. A final one is never replaced."""
+        """Applies a decision; returns whether it changes anything.
+
+        A final decision on the same order is never replaced.
+        """
         known = self._orders.get(progress.service)
         if known is not None and known.order.target != progress.target:
             return False
@@ -312,7 +324,7 @@
 
     @staticmethod
     def _may_follow(current: RolloutProgress, progress: RolloutProgress) -> bool:
-        """Returns whether a decision may replace one on the same order."""
+        """Returns whether a decision may replace an earlier one on the same order."""
         return not current.is_final and (progress.is_final or progress.share >= current.share)
 
     def is_judged(self, service: str) -> bool:
@@ -321,7 +333,7 @@
         return service in self._orders and (progress is None or not progress.is_final)
 
     def target(self, service: str) -> str | None:
-        """Returns the canary, which the newest order of a service names."""
+        """Returns the release that the newest order of a service names, ``None`` without one."""
         known = self._orders.get(service)
         return known.order.target if known else None
 
@@ -337,9 +349,9 @@
     def allowed(
         self, book: EndpointBook, service: str, request_id: str, is_first: bool
     ) -> list[EndpointState]:
-        """Returns the usable endpoints of the canary or the baseline, whichever a request goes to.
+        """Returns the usable endpoints of the canary or the baseline, to which a request is routed.
 
-        :param is_first: no attempt of the request was made; later ones prefer the baseline.
+        :param is_first: whether this is the first attempt; later ones prefer the baseline.
         """
         if service not in self._orders:
             return book.usable(service)
@@ -350,7 +362,7 @@
             return canary
         if baseline := book.usable(service, self.is_baseline):
             return baseline
-        # While endpoints of the baseline only pause, the canary does not replace them.
+        # If endpoints of the baseline are merely paused, the canary does not replace them.
         has_baseline = book.has_any(service, self.is_baseline)
         is_out = progress is not None and progress.state is RolloutState.ROLLED_BACK
         return [] if has_baseline or is_out else book.usable(service, self.is_canary)
--- a/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
+++ b/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
@@ -1,12 +1,13 @@
 """Reading of the endpoints' list by a few nodes for the whole fleet.
 
 Load pattern: endpoints write heartbeats many times a second, and each node that reads the list
-costs the store calls and bytes. A few nodes read it and tell the others what changed. Any other
-node reads the list itself if it has not heard from a reader lately, or has missed changes.
+costs the store calls and bandwidth. A few nodes read it and send the changes to the others. Any
+other node reads the list itself if it has not received news from a reader lately, or has missed
+changes.
 
-The store may come back from an older copy; it then begins a new era, in which it gives offsets out
-again. Offsets are compared within one era only. What a peer says of a newer era is a reason to ask
-the store, and nothing else.
+The store may be restored from an older copy; it then begins a new era, in which it assigns offsets
+again. Offsets are compared within one era only. News of a newer era from a peer only cause a
+query to the store.
 """
 
 from collections import deque
@@ -15,31 +16,31 @@
 
 from arbutustally.clock import Clock
 
-#: Nodes that read the list; with two, the loss of one delays nothing.
+#: Number of nodes that read the list; with two, the loss of one causes no delay.
 READERS = 2
-#: Age of the last known reading at which a node reads the list itself, as a part of the time within
-#: which leaving endpoints must be known.
+#: Age of the last known reading at which a node reads the list itself, as a share of the time
+#: within which leaving endpoints must be known.
 STALE_PART = 0.5
-#: Additional age for each rank, so that not all nodes read at once when the readers are lost.
+#: Additional age per rank, seconds, so that not all nodes read at once when the readers are lost.
 RANK_DELAY_S = 0.02
 MAX_RANK_DELAY_S = 0.3
-#: Time for which changes are told again after each reading, so that lost datagrams cost nothing,
-#: seconds.
+#: Time for which each change is sent again after every reading, so that lost datagrams cause no
+#: gaps, seconds.
 TOLD_S = 2.5
-#: Bound on the size of the changes in one datagram, before compression.
+#: Limit of the size of the changes in one datagram before compression, bytes.
 MAX_TOLD_BYTES = 24_000
-#: Time for which a peer's word of a newer era counts; readers repeat it with each reading, seconds.
+#: Validity of a peer's claim of a newer era, seconds; readers repeat it with each reading.
 CLAIM_S = 3.0
-#: Time for which the store is not asked again after its answer did not bear out such a word,
-#: seconds.
+#: Time for which the store is not queried again after its answer did not confirm a claim, seconds.
 CLAIM_PAUSE_S = 5.0
 
 
 @dataclass(frozen=True, order=True)
 class Position:
-    """How far a topic of the store is known.
+    """Position up to which a topic of the store is known.
 
-    :ivar era: of the store; it rises each time that the store returns from an older copy.
+    :ivar era: era of the store; increases each time that the store is restored from an older copy.
+    :ivar offset: offset within the era.
     """
 
     era: int
@@ -48,9 +49,9 @@
 
 @dataclass(frozen=True)
 class Change:
-    """A record of the list that says something new.
+    """A record of the list that changes an entry.
 
-    :ivar value: ``None`` where the endpoint was removed.
+    :ivar value: ``None`` if the endpoint was removed.
     """
 
     offset: int
@@ -60,14 +61,14 @@
 
 @dataclass(frozen=True)
 class ListNews:
-    """What a reader tells its peers.
+    """Message of a reader to its peers.
 
-    :ivar era: of the store, for all offsets here.
-    :ivar covers_from: ``changes`` has every change from this offset on.
+    :ivar era: era of the store to which all offsets of the message belong.
+    :ivar covers_from: ``changes`` contains every change from this offset on.
     :ivar read_to: offset up to which the list was read.
-    :ivar age_s: time since that reading.
+    :ivar age_s: time since that reading, seconds.
     :ivar keep_removed_s: time for which the endpoints that these changes remove count as present,
-        since their entries may have lapsed while the store was away.
+        since their entries may have expired while the store was unavailable, seconds.
     """
 
     era: int
@@ -79,9 +80,9 @@
 
 
 class SharedReading:
-    """How far one node knows the list, and from whom.
+    """Position up to which one node knows the list, and the changes that it sends to its peers.
 
-    :param clock: seconds that go on while the instance is suspended.
+    :param clock: seconds; advances while the instance is suspended.
     :param leaving_s: time within which leaving endpoints must be known, seconds.
     """
 
@@ -94,30 +95,30 @@
         self._covers_from = 0
         self._told: deque[tuple[float, Change]] = deque()
         self._lacks_changes = False
-        # When peers first and last told of a newer era, and when the store last denied it.
+        # Times of the first and last claim of a newer era, and of the store's last denial.
         self._claimed_since = float("-inf")
         self._claimed_at = float("-inf")
         self._denied_at = float("-inf")
 
     @classmethod
     def from_config(cls, clock: Clock, leaving_s: float) -> "SharedReading":
-        """Builds the state of a node that knows nothing of the list."""
+        """Builds the state of a node that has not read the list yet."""
         return cls(clock, leaving_s)
 
     @property
     def position(self) -> Position | None:
-        """Returns up to where the list is known, ``None`` for not at all."""
+        """Returns the position up to which the list is known, ``None`` if it is unknown."""
         return self._position
 
     @property
     def has_missed(self) -> bool:
-        """Returns whether a peer knows changes, or told of an era, that this node lacks."""
+        """Returns whether a peer has sent news of changes, or of an era, that this node lacks."""
         return self._lacks_changes or self._has_claim
 
     def is_due(self, rank: int) -> bool:
         """Returns whether this node must read the list now.
 
-        :param rank: place of this node in the fleet's order, 0 for the first.
+        :param rank: rank of this node in the fleet, 0 for the first.
         """
         if self._position is None or self._lacks_changes or rank < READERS:
             return True
@@ -128,26 +129,26 @@
         return now - self._fresh_at >= self._stale_s + delay
 
     def read_whole(self, position: Position) -> None:
-        """Notes that this node has read the whole list as it is at a position."""
+        """Records that this node has read the whole list at a position."""
         self._begin_at(position)
         self._asked()
 
     def take_whole(self, position: Position) -> None:
-        """Notes that this node has taken a peer's whole list as it is at a position."""
+        """Records that this node has adopted a peer's whole list at a position."""
         self._begin_at(position)
         self._fresh_at = self._clock()
 
     def read(self, offset: int, changes: Iterable[Change]) -> None:
-        """Notes that this node has read the list up to an offset of the era that it knows.
+        """Records that this node has read the list up to an offset of the current era.
 
-        :param changes: records among those that say something new.
+        :param changes: those of the records read that change an entry.
         """
         self._tell(changes)
         self._reach(offset)
         self._asked()
 
     def take(self, news: ListNews) -> tuple[Change, ...]:
-        """Returns the changes that a peer told and this node did not know."""
+        """Processes news of a peer; returns the changes that this node did not know."""
         known = self._position
         if known is None or news.era < known.era:
             return ()
@@ -164,7 +165,7 @@
         return new
 
     def news(self, keep_removed_s: float) -> ListNews | None:
-        """Returns what to tell the peers, ``None`` if this node has not read the list lately."""
+        """Returns the message to the peers, ``None`` if this node has not read the list lately."""
         now = self._clock()
         if self._position is None or self._read_at is None or now - self._read_at >= self._stale_s:
             return None
@@ -180,7 +181,7 @@
 
     @property
     def _has_claim(self) -> bool:
-        """Returns whether the store is to be asked whether a newer era has begun."""
+        """Returns whether the store should be queried for a newer era."""
         now = self._clock()
         return now - self._claimed_at < CLAIM_S and now - self._denied_at >= CLAIM_PAUSE_S
 
@@ -192,7 +193,7 @@
 
     def _begin_at(self, position: Position) -> None:
         if self._position is None or position.era != self._position.era:
-            # What peers told of other eras than this one says nothing of it.
+            # Claims of peers that refer to other eras do not apply to this one.
             self._claimed_at = float("-inf")
         self._told.clear()
         self._covers_from = position.offset
@@ -203,7 +204,7 @@
         self._position = Position(self._position.era, max(self._position.offset, offset))
 
     def _asked(self) -> None:
-        """Notes an answer of the store in the era that this node knows."""
+        """Records an answer of the store in the current era."""
         now = self._clock()
         if now - self._claimed_at < CLAIM_S:
             self._denied_at = now
--- a/packages/arbutustally/src/arbutustally/gateway/weights.py
+++ b/packages/arbutustally/src/arbutustally/gateway/weights.py
@@ -1,10 +1,11 @@
-"""Which engines are told to load newly named weights, and when.
-
-Load pattern: new weights are named while traffic runs, often before the last ones are in place.
-Engines load a few at a time, since more at once slow each other down and take capacity away;
-engines that miss more versions go first, idle ones before busy ones. An engine that loads returns
-with an empty cache, so loads are begun step by step, and where the others fall behind only as many
-go on as the bound on old weights needs: an old version costs a caller less than a late answer.
+"""Order and timing of loading newly named weights onto engines.
+
+Load pattern: new weights are named under traffic, often before all engines have loaded the previous
+ones. Only a few engines load at the same time, since concurrent loads slow each other down and
+reduce capacity. Engines with the oldest weights go first, and idle ones before busy ones. An engine
+has an empty cache after a load, so loads are started in steps. While the other engines are
+overloaded, only as many load as are needed to meet the deadline for old weights, since a late
+answer costs a caller more than an old version does.
 """
 
 import math
@@ -13,25 +14,25 @@
 
 from arbutustally.gateway.endpoints import EndpointState
 
-#: Time after which a load that was accepted and not reported as done is looked at again, seconds.
+#: Time after which an accepted load that was not reported as done is checked again, seconds.
 LOAD_CHECK_S = 2.0
-#: Longest time for which an engine gets no new requests before it is told to load, seconds.
+#: Longest time for which an engine gets no new requests before it is ordered to load, seconds.
 EMPTYING_S = 1.0
-#: Shortest such time: all nodes have heard by then that the engine will load.
+#: Shortest such time, seconds: by then all nodes have been informed that the engine will load.
 TELLING_S = 0.25
-#: Requests that an engine may have left for them to be moved to others; more would use up the
-#: budget of repeats.
+#: Most running requests of an engine that are moved to other engines; more would use up the repeat
+#: budget.
 MAX_MOVED = 8
-#: Part of the engines that may load at once; beyond it loads slow each other down (site sheets).
+#: Share of the engines that may load at once; more loads slow each other down (site sheets).
 LOADING_SHARE = 0.4
-#: Part of the engines that begin to load in one step, and the least number.
+#: Share of the engines that begin to load in one step, and the least number of them.
 STEP_SHARE = 0.1
 LEAST_STEP = 2
-#: Time of a step, in which nodes hear how the others bear it, seconds.
+#: Duration of a step, seconds; in this time nodes receive the resulting load of the other engines.
 STEP_PAUSE_S = 0.4
-#: Part of the shortest target that the other engines' mean wait may take.
+#: Limit of the other engines' mean wait, as a share of the shortest target.
 BEARABLE_PART = 0.3
-#: Part of the time until old weights are not allowed that loads which could wait may take.
+#: Share of the time until old weights are forbidden over which deferred loads are spread.
 USED_PART = 0.8
 
 
@@ -39,8 +40,8 @@
 class LoadPlan:
     """Loads that are due.
 
-    :ivar engines: ids of the engines to order, most useful first.
-    :ivar pending: engines that still have older weights.
+    :ivar engines: ids of the engines that should load, highest priority first.
+    :ivar pending: number of engines that still have older weights.
     """
 
     engines: tuple[str, ...]
@@ -50,11 +51,12 @@
 def plan_loads(
     states: Sequence[EndpointState], model: str, named: int, at_once: int, now: float
 ) -> LoadPlan:
-    """Returns the next engines to order.
+    """Returns the engines that should load next.
 
     :param states: engines of the model that are not leaving.
     :param named: newest version that the operator named.
-    :param at_once: loads that may run at the same time.
+    :param at_once: number of loads that may run at the same time.
+    :param now: monotonic seconds.
     """
     old = [state for state in states if state.weights.get(model, 0) < named]
     busy = [state for state in old if state.loading and now < state.loading_until]
@@ -73,13 +75,13 @@
 def unrepeatable_runs(
     state: EndpointState, loading: Sequence[EndpointState], repeats_left: int
 ) -> int:
-    """Returns this node's requests that would be lost if an engine broke them off.
+    """Returns the number of this node's requests that would fail if an engine aborted them.
 
-    Each request that goes on elsewhere takes a repeat, and engines that load at the same time share
-    the node's budget of them.
+    Each request that continues on another engine takes a repeat, and engines that load at the same
+    time share the node's repeat budget.
 
-    :param loading: engines that load or are about to.
-    :param repeats_left: repeats for which the node's budget has room.
+    :param loading: engines that load or are about to load.
+    :param repeats_left: number of repeats that the node's budget allows.
     """
     others = sum(
         other.running - other.unrepeatable
@@ -94,9 +96,10 @@
 def is_emptied(state: EndpointState, waited_s: float, unrepeatable: int) -> bool:
     """Returns whether an engine that gets no new requests should load now.
 
-    Requests that can't go on elsewhere end first, the others are moved by the load.
+    Requests that can't continue on another engine finish first; the load moves the others.
 
-    :param unrepeatable: requests of all nodes that can't go on elsewhere.
+    :param waited_s: time for which the engine has got no new requests, seconds.
+    :param unrepeatable: requests of all nodes that can't continue on another engine.
     """
     if waited_s >= EMPTYING_S:
         return True
@@ -104,7 +107,7 @@
 
 
 def breaks_runs_off(state: EndpointState, unrepeatable: int) -> bool:
-    """Returns whether an engine ends its runs at once rather than letting them finish.
+    """Returns whether an engine aborts its running requests rather than letting them finish.
 
     :param unrepeatable: as for ``is_emptied``.
     """
@@ -118,12 +121,13 @@
     load_s: float = 1.0,
     is_behind: bool = False,
 ) -> int:
-    """Returns how many engines load at the same time: at least one.
+    """Returns how many engines may load at the same time, at least one.
 
-    :param pending: engines that still have older weights.
-    :param left_s: time until older weights are no longer allowed.
-    :param load_s: time for which a load takes an engine away.
-    :param is_behind: the other engines can't bear more loads.
+    :param engines: number of engines of the model.
+    :param pending: number of engines that still have older weights.
+    :param left_s: time until older weights are no longer allowed, seconds.
+    :param load_s: time for which a load makes an engine unavailable, seconds.
+    :param is_behind: whether the other engines are overloaded.
     """
     most = max(1, int(engines * LOADING_SHARE))
     if not is_behind:
@@ -133,14 +137,15 @@
 
 
 def loads_in_step(engines: int) -> int:
-    """Returns how many engines begin to load in one step."""
+    """Returns the number of engines that begin to load in one step."""
     return max(LEAST_STEP, int(engines * STEP_SHARE))
 
 
 def are_behind(waits_s: Sequence[float], shortest_target_s: float) -> bool:
-    """Returns whether engines can't bear that others load.
+    """Returns whether engines are too busy for others to load.
 
-    :param waits_s: expected wait at each engine that takes requests.
+    :param waits_s: expected wait at each engine that takes requests, seconds.
+    :param shortest_target_s: shortest target of the routes to these engines, seconds.
     """
     if not waits_s:
         return False
