Reword texts of admission, configuration, events, sums and relaying

Cause: docs spoke of what nodes 'tell' and 'hear' and of requests that 'go on'. Change: module docs, docstrings and comments name reports, relays, timeouts and shares; parameters and units that were missing are stated. No code changes.

--- a/packages/arbutustally/src/arbutustally/gateway/__init__.py
+++ b/packages/arbutustally/src/arbutustally/gateway/__init__.py
@@ -1,6 +1,7 @@
-"""Decisions on traffic that is relayed unchanged: routes, endpoints, limits, attempts, weights.
+"""Decisions of the gateway: routing, endpoint selection, rate limits, retries and weights.
 
-``configuration`` holds what operators declare, ``requests`` what a caller asks, ``endpoints`` what
-is known of endpoints. ``admission``, ``choice`` and ``attempts`` decide on one request, ``quota``
-on an account across the fleet, ``weights`` on moves to newly named weights.
+The gateway relays requests and answers unchanged. ``configuration`` holds the operator's settings,
+``requests`` a caller's request, ``endpoints`` the known state of endpoints. ``admission``,
+``choice`` and ``attempts`` decide on one request, ``quota`` on an account across the fleet,
+``weights`` on the change to newly named weights.
 """
--- a/packages/arbutustally/src/arbutustally/gateway/admission.py
+++ b/packages/arbutustally/src/arbutustally/gateway/admission.py
@@ -1,31 +1,37 @@
 """Rejection of requests before any work begins.
 
-Load pattern: more prompts arrive than the engines can read. A request whose first event can't come
-before its caller gives up is rejected at once, with the time in which the backlog shrinks to what
-its target bears, so that callers come back when there is room and not all together.
+Load pattern: more prompts arrive than the engines can process. A request whose first event can't
+arrive before the caller's timeout is rejected immediately. The answer states after what time to
+retry: when the backlog has shrunk enough to meet the request's target, with a random spread so that
+callers do not all retry together.
 """
 
 from random import Random
 
-#: Part of the time that is left by which the first event must be expected.
+#: Share of the remaining time within which the first event must be expected.
 USABLE_PART = 0.6
-#: Bounds of the time after which a rejected caller is asked to return, seconds.
+#: Limits of the time after which a rejected caller is asked to retry, seconds.
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 2.0
-#: Returns are spread by this part of the wait, so that callers do not come back in step.
+#: Largest random reduction of the wait, as a share of it, so that callers do not retry in step.
 SPREAD = 0.5
 
 
 def must_reject(expected_s: float, left_s: float) -> bool:
-    """Returns whether a request can't be served in the time that is left."""
+    """Returns whether a request can't be served in the remaining time.
+
+    :param expected_s: expected time to the first event, seconds.
+    :param left_s: time until the caller's timeout, seconds.
+    """
     return expected_s > left_s * USABLE_PART
 
 
 def retry_after_s(backlog_s: float, left_s: float, rng: Random) -> float:
-    """Returns when a rejected caller should come back.
+    """Returns after how many seconds a rejected caller should retry.
 
-    :param backlog_s: time in which the work ahead is done.
-    :param left_s: time that the caller has left; a third of it is the most that helps.
+    :param backlog_s: time to work off the backlog, seconds.
+    :param left_s: time until the caller's timeout, seconds; the wait is at most a third of it,
+        since a longer one leaves too little time for the retry.
     """
     wait = min(max(backlog_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S, max(left_s / 3, 0.0))
     return round(max(wait * (1 - SPREAD * rng.random()), MIN_RETRY_AFTER_S), 3)
--- a/packages/arbutustally/src/arbutustally/gateway/configuration.py
+++ b/packages/arbutustally/src/arbutustally/gateway/configuration.py
@@ -1,4 +1,4 @@
-"""Configuration in force: routes, services, client accounts and bounds on what callers send."""
+"""Active configuration: routes, services, client accounts and limits on what callers send."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -8,7 +8,7 @@
 
 
 class RouteKind(StrEnum):
-    """What a route's requests are, which decides whether one may run again."""
+    """Kind of a route's requests, which decides whether a request may be repeated."""
 
     IDEMPOTENT = "idempotent"
     AT_MOST_ONCE = "at_most_once"
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True)
 class ServiceShare:
-    """Part of a route's traffic that goes to one service.
+    """Share of a route's traffic that is routed to one service.
 
     :ivar weight: relative to the other shares of the route.
     """
@@ -31,12 +31,12 @@
     """A route of one host.
 
     :ivar path_prefix: begins and ends with a slash.
-    :ivar timeout_s: longest time that a caller is kept waiting.
-    :ivar target_s: time to the answer, or to the first event of a stream.
+    :ivar timeout_s: longest time that a caller waits, seconds.
+    :ivar target_s: targeted time to the answer, or to the first event of a stream, seconds.
     :ivar priority: 0 is the most urgent.
-    :ivar max_attempts: endpoints on which one request may run.
-    :ivar is_public: needs no key.
-    :ivar is_resumable: a broken stream may go on at another endpoint.
+    :ivar max_attempts: number of endpoints on which one request may run.
+    :ivar is_public: requests need no key.
+    :ivar is_resumable: an interrupted stream may continue at another endpoint.
     """
 
     name: str
@@ -59,12 +59,12 @@
 
 @dataclass(frozen=True)
 class Engine:
-    """What every engine of a service has.
+    """Properties of every engine of a service.
 
-    :ivar slots: requests that run at once.
-    :ivar cache_tokens: tokens that fit into the memory of running requests and cached parts.
-    :ivar transfer_tokens_per_s: speed at which an engine fetches cached parts from elsewhere.
-    :ivar max_watchers: calls for cache events that one engine answers at once.
+    :ivar slots: requests that run concurrently.
+    :ivar cache_tokens: capacity of the memory for running requests and cached parts, tokens.
+    :ivar transfer_tokens_per_s: speed at which an engine fetches cached parts from another place.
+    :ivar max_watchers: concurrent calls for cache events that one engine answers.
     """
 
     slots: int
@@ -78,7 +78,7 @@
     """A store of cached parts that engines read and write.
 
     :ivar address: ``host:port``.
-    :ivar max_watchers: calls for cache events that it answers at once.
+    :ivar max_watchers: concurrent calls for cache events that it answers.
     """
 
     address: str
@@ -105,12 +105,12 @@
 class ClientAccount:
     """A client account.
 
-    :ivar priority: 0 is the most urgent; it goes before the priority of the route.
+    :ivar priority: 0 is the most urgent; takes precedence over the priority of the route.
     :ivar rate: tokens/s or requests/s over all instances, 0 for no limit.
-    :ivar burst: in the unit of ``rate``.
-    :ivar counts_tokens: rate and burst are in tokens; otherwise in requests.
-    :ivar plain_tokens: tokens of a request that states none.
-    :ivar is_isolated: shares no cached part with other accounts.
+    :ivar burst: tokens or requests, as ``rate``.
+    :ivar counts_tokens: whether rate and burst are in tokens; otherwise in requests.
+    :ivar plain_tokens: tokens counted for a request that states none.
+    :ivar is_isolated: whether the account shares no cached part with other accounts.
     """
 
     name: str
@@ -122,7 +122,7 @@
     is_isolated: bool
 
     def cost(self, tokens: int | None) -> float:
-        """Returns what a request takes from the account's rate.
+        """Returns the cost of a request in the unit of the account's burst.
 
         :param tokens: tokens that the request states, ``None`` without any.
         """
@@ -133,7 +133,7 @@
 
 @dataclass(frozen=True)
 class CallerLimits:
-    """Bounds on what a caller may send."""
+    """Limits on what a caller may send."""
 
     max_header_bytes: int = 16384
     max_body_bytes: int = 4 << 20
@@ -145,7 +145,7 @@
 class Configuration:
     """One version of the whole configuration.
 
-    :ivar version: grows with every change.
+    :ivar version: increases with every change.
     :ivar accounts_by_key: account of each key; empty where routes need no key.
     """
 
@@ -162,7 +162,7 @@
         return tuple(entry for entry in self.services.values() if entry.part_store)
 
     def route_of(self, host: str, path: str) -> Route:
-        """Returns the route of the longest prefix.
+        """Returns the route with the longest matching path prefix.
 
         :raises RouteUnknownError: if no route of the host matches.
         """
--- a/packages/arbutustally/src/arbutustally/gateway/events.py
+++ b/packages/arbutustally/src/arbutustally/gateway/events.py
@@ -4,7 +4,7 @@
 
 #: Longest event that is accepted, bytes.
 MAX_EVENT_BYTES = 1 << 20
-#: Longest end of an event, bytes.
+#: Length of the longest event terminator, bytes.
 LONGEST_END = 4
 
 _ID_LINE = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
@@ -12,22 +12,22 @@
 
 
 class EventError(ValueError):
-    """The events of an endpoint can't be passed on."""
+    """The events of an endpoint can't be forwarded."""
 
 
 class EventTooLongError(EventError):
-    """An event exceeds ``MAX_EVENT_BYTES``; the endpoint has to send shorter ones."""
+    """An event exceeds ``MAX_EVENT_BYTES``; the endpoint must send shorter events."""
 
 
 class RepeatedEventError(EventError):
-    """A resumed stream begins at an event that was passed on; the endpoint has to go on after it."""
+    """A resumed stream repeats a forwarded event; the endpoint must continue after it."""
 
 
 class WholeEvents:
-    """Passes on whole events only, so that a stream can go on elsewhere after any of them.
+    """Forwards complete events only, so that another endpoint can continue the stream after any.
 
     :param resumed_after: id that the first id must exceed, empty for a new stream. Only decimal ids
-        are compared: others, and events without an id, are passed on as they come.
+        are compared; others, and events without an id, are forwarded unchecked.
     """
 
     def __init__(self, resumed_after: str = "") -> None:
@@ -37,21 +37,21 @@
 
     @property
     def last_id(self) -> str:
-        """Returns the id of the last whole event that had one."""
+        """Returns the id of the last complete event that had one."""
         return self._last_id
 
     @property
     def rest(self) -> bytes:
-        """Returns the bytes of an event whose end has not arrived."""
+        """Returns the bytes of the incomplete last event."""
         return self._rest
 
     def feed(self, data: bytes) -> bytes:
-        """Returns the bytes of all whole events.
+        """Adds received bytes; returns the bytes of all events that are now complete.
 
         :raises EventTooLongError: if an event is too long.
-        :raises RepeatedEventError: if a resumed stream does not go on after its last event.
+        :raises RepeatedEventError: if a resumed stream does not continue after its last event.
         """
-        # What came before has no end, except for the beginning of one.
+        # The earlier bytes contain no terminator, but may end with the beginning of one.
         searched = max(0, len(self._rest) - LONGEST_END + 1)
         data = self._rest + data
         ends = [match.end() for match in _END.finditer(data, searched)]
@@ -70,7 +70,7 @@
         return whole
 
     def restart(self) -> None:
-        """Drops the beginning of an event that broke off; the next one is of a resumed stream."""
+        """Discards an incomplete event; the next bytes belong to a resumed stream."""
         self._rest = b""
         self._resumed_after = self._last_id
 
@@ -80,6 +80,6 @@
 
 
 def _magnitude(digits: bytes) -> tuple[int, bytes]:
-    # ``int`` refuses numbers of several thousand digits.
+    # ``int`` raises ValueError for numbers of several thousand digits.
     digits = digits.lstrip(b"0")
     return len(digits), digits
--- a/packages/arbutustally/src/arbutustally/gateway/fleet_sums.py
+++ b/packages/arbutustally/src/arbutustally/gateway/fleet_sums.py
@@ -1,13 +1,13 @@
-"""Sums over nodes: load at endpoints, and what accounts were admitted.
+"""Sums over nodes: load at endpoints, and admitted tokens of accounts.
 
-Load pattern: a relay adds up what its nodes say several times a second while nodes start, end and
-change to other relays.
+Load pattern: a relay sums the reports of its nodes several times a second while nodes start, stop
+and change to other relays.
 """
 
 from collections.abc import Iterable, Mapping
 
-#: Load at one endpoint: running requests, unread prompt tokens, tokens in memory, and requests
-#: that can't go on elsewhere.
+#: Load at one endpoint: running requests, prompt tokens of requests without a first event, tokens
+#: in memory, and requests that can't continue on another endpoint.
 Load = tuple[int, float, float, int]
 Loads = Mapping[str, Load]
 
@@ -23,7 +23,7 @@
 
 
 def subtract_loads(total: Loads, part: Loads) -> dict[str, Load]:
-    """Returns the loads of a total without a part of it; what is left is never negative."""
+    """Returns the loads of a total minus a part of it; the result is never negative."""
     rest = {}
     for endpoint, load in total.items():
         own = part.get(endpoint)
@@ -52,10 +52,10 @@
 
 
 class RunningTotals:
-    """Totals by account over sources that each have a running total of their own.
+    """Totals by account over sources that each report a running total.
 
-    Only what a source adds after it was first heard counts, so a source that is heard through
-    another relay from now on is not counted twice.
+    Only increases after a source's first report count. A source whose reports start to arrive
+    through another relay is therefore not counted twice.
     """
 
     def __init__(self) -> None:
@@ -68,9 +68,10 @@
         return self._totals
 
     def take(self, source: str, totals: Mapping[str, float]) -> None:
-        """Takes a source's running totals.
+        """Adds the increase of a source's running totals since its last report.
 
-        :param source: unique for each start of a node.
+        :param source: id that is unique for each start of a node.
+        :param totals: running totals of the source by account.
         """
         before = self._heard.get(source)
         self._heard[source] = dict(totals)
@@ -82,5 +83,5 @@
                 self._totals[account] = self._totals.get(account, 0.0) + added
 
     def forget(self, source: str) -> None:
-        """Forgets a source that has ended."""
+        """Removes a source that has stopped; its share of the totals remains."""
         self._heard.pop(source, None)
--- a/packages/arbutustally/src/arbutustally/gateway/place_terms.py
+++ b/packages/arbutustally/src/arbutustally/gateway/place_terms.py
@@ -1,4 +1,4 @@
-"""What is assumed of the places that hold cached parts and do not say what they drop."""
+"""Assumptions about places that hold cached parts and do not report what they drop."""
 
 from arbutustally.gateway.configuration import Configuration
 from arbutustally.gateway.endpoints import EndpointBook
@@ -6,9 +6,10 @@
 
 
 def terms_of(place: str, configuration: Configuration | None, book: EndpointBook) -> PlaceTerms:
-    """Returns what is assumed of an engine or of a store of parts.
+    """Returns the assumptions about an engine or a part store.
 
-    :param place: id of an engine, or name of a store of parts.
+    :param place: id of an engine, or name of a part store.
+    :param configuration: active configuration, ``None`` while there is none.
     """
     if configuration is None:
         return USUAL_TERMS
--- a/packages/arbutustally/src/arbutustally/gateway/quota.py
+++ b/packages/arbutustally/src/arbutustally/gateway/quota.py
@@ -6,7 +6,7 @@
 reports; the excess makes the level negative, and later requests wait until it is refilled. Until
 their next report, the peers are assumed to admit tokens at the same rate as before. A node that
 receives no reports from some of its peers uses only the share of rate and burst that belongs to
-the nodes it hears, itself included.
+itself and the peers that report.
 """
 
 import math
@@ -100,7 +100,7 @@
             del self._buckets[account]
 
     def see(self, heard: int, known: int) -> None:
-        """Sets the number of nodes that are heard out of those known, this one included."""
+        """Sets how many nodes report their use, and how many are known, this one included."""
         for bucket in self._buckets.values():
             self._fill(bucket)
         self._visible = heard / max(known, heard, 1)
--- a/packages/arbutustally/src/arbutustally/gateway/relaying.py
+++ b/packages/arbutustally/src/arbutustally/gateway/relaying.py
@@ -1,10 +1,10 @@
-"""Which nodes relay what the others know, and which relay a node uses.
+"""Selection of the nodes that relay load reports, and of the relay that a node uses.
 
-Load pattern: hundreds of nodes need each other's load several times a second. Told by each to each,
-messages grow with the square of the fleet. So in a large fleet a few nodes of each zone relay: a
-node tells one relay its state, relays tell each other the sums over their nodes, and each relay
-tells its nodes the sums over the fleet. Nodes of a small fleet tell each other directly, which is
-the same with a relay on every node.
+Load pattern: hundreds of nodes need each other's load several times a second. If each node sent it
+to every other, messages would grow with the square of the fleet. In a large fleet, a few nodes of
+each zone are therefore relays: a node sends its state to one relay, relays exchange the sums over
+their nodes, and each relay sends its nodes the sums over the fleet. Nodes of a small fleet exchange
+their state directly, which is the same as a relay on every node.
 """
 
 import math
@@ -15,16 +15,16 @@
 from arbutustally.clock import Clock
 from arbutustally.rendezvous import score
 
-#: Largest fleet whose nodes tell each other directly.
+#: Largest number of nodes that exchange their state directly.
 DIRECT_NODES = 16
-#: Nodes that one relay serves; the smallest instances can send to that many.
+#: Nodes per relay; the smallest instances have the capacity to send to that many.
 NODES_PER_RELAY = 16
-#: Relays of a zone, so that the loss of one leaves the zone's nodes another nearby.
+#: Minimum relays per zone, so that after the loss of one another relay remains in the zone.
 MIN_RELAYS = 2
-#: Silence of a relay after which its nodes use another one, seconds. Nodes that a relay has lost
-#: count as absent only later, so a change of relay hides nobody.
+#: Time without a message from a relay after which its nodes use another one, seconds. Nodes that no
+#: longer report through a relay count as absent only later, so a change of relay hides no node.
 SILENT_S = 0.7
-#: Time for which a relay that was silent is not tried again, seconds.
+#: Time for which a relay that sent no messages is not tried again, seconds.
 AVOID_S = 3.0
 
 _RELAY_DUTY = b"relay"
@@ -36,9 +36,10 @@
 
     :ivar callers: address for callers.
     :ivar control: address of the control listener.
-    :ivar is_ready: the node takes requests.
-    :ivar config: version of the configuration in force, 0 for none.
-    :ivar capacity: processor and link of the instance; larger ones relay first.
+    :ivar is_ready: the node accepts requests.
+    :ivar config: version of the active configuration, 0 for none.
+    :ivar capacity: processor and network capacity of the instance; larger ones are preferred as
+        relays.
     """
 
     node: str
@@ -52,9 +53,9 @@
 
 
 class RelayPlan:
-    """The relays of a fleet; nodes that know the same members make the same plan.
+    """The relays of a fleet; nodes that know the same members compute the same plan.
 
-    :param members: all nodes that are present.
+    :param members: all present nodes.
     """
 
     def __init__(self, members: Iterable[Member]) -> None:
@@ -69,7 +70,7 @@
 
     @classmethod
     def from_members(cls, members: Iterable[Member]) -> "RelayPlan":
-        """Plans the relays of the given nodes."""
+        """Builds the plan for the given nodes."""
         return cls(members)
 
     @property
@@ -83,7 +84,7 @@
         return self._ips
 
     def order_for(self, node: str, zone: str) -> list[str]:
-        """Returns the addresses of the relays for a node, first choice first, own zone first."""
+        """Returns the addresses of the relays for a node in order of preference, own zone first."""
         relays = [relay for relays in self._relays.values() for relay in relays]
         key = node.encode()
         relays.sort(key=lambda relay: (relay.zone != zone, -score(key, relay.node)))
@@ -100,9 +101,9 @@
 
 
 class RelayChoice:
-    """The relay that one node uses; another one as soon as it is silent.
+    """Selects the relay that one node uses, and another one if it sends no messages.
 
-    :param clock: seconds that go on while the instance is suspended.
+    :param clock: seconds; advances while the instance is suspended.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -113,7 +114,7 @@
 
     @classmethod
     def from_config(cls, clock: Clock) -> "RelayChoice":
-        """Builds the choice of a node that uses no relay yet."""
+        """Builds the state of a node that uses no relay yet."""
         return cls(clock)
 
     @property
@@ -122,15 +123,15 @@
         return self._current
 
     def heard(self, relay: str) -> None:
-        """Notes a message of a relay."""
+        """Records a message from a relay."""
         self._avoided.pop(relay, None)
         if relay == self._current:
             self._heard_at = self._clock()
 
     def pick(self, order: Sequence[str]) -> str | None:
-        """Returns the relay to use now, ``None`` if there is none.
+        """Selects and returns the relay to use now, ``None`` if there is none.
 
-        :param order: addresses, first choice first.
+        :param order: addresses in order of preference.
         """
         now = self._clock()
         if self._current is not None and now - self._heard_at > SILENT_S:
--- a/packages/arbutustally/src/arbutustally/gateway/requests.py
+++ b/packages/arbutustally/src/arbutustally/gateway/requests.py
@@ -1,4 +1,4 @@
-"""A caller's request after its wire form has been decoded."""
+"""Decoded request of a caller."""
 
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -19,15 +19,15 @@
 
 @dataclass(frozen=True)
 class CallerRequest:
-    """One attempt of a caller.
+    """One request of a caller; a retry by the caller is another one.
 
-    :ivar headers: names in lower case; only those that are passed on to an endpoint.
-    :ivar key: text of the caller's key, empty without one.
-    :ivar time_left_s: how long the caller waits, ``None`` if it does not say.
-    :ivar model: empty for a request of a plain service.
-    :ivar prompt_tokens: ``None`` where the caller states no tokens.
-    :ivar resume_from: id of the last event that the caller has, empty for a new stream.
-    :ivar arrived_at: seconds on the monotonic clock at the first byte.
+    :ivar headers: names in lower case; only those that are forwarded to an endpoint.
+    :ivar key: the caller's key, empty without one.
+    :ivar time_left_s: time until the caller's timeout, seconds; ``None`` if it states none.
+    :ivar model: empty for a request to a plain service.
+    :ivar prompt_tokens: ``None`` if the caller states no tokens.
+    :ivar resume_from: id of the last event that the caller received, empty for a new stream.
+    :ivar arrived_at: time of the first byte, monotonic seconds.
     """
 
     request_id: str
@@ -52,14 +52,14 @@
 
     @property
     def tokens(self) -> int | None:
-        """Returns the tokens that count towards the account, ``None`` if none are stated."""
+        """Returns the tokens charged to the account, ``None`` if the caller states none."""
         if self.prompt_tokens is None:
             return None
         return self.prompt_tokens + self.output_tokens
 
 
 def shape_of(request: CallerRequest) -> PromptShape:
-    """Returns the nested prefixes of a prompt as placement sees them."""
+    """Returns the nested prefixes of a prompt for ``arbutustally.placement``."""
     levels: list[Level] = []
     running = blake2b(digest_size=DIGEST_BYTES)
     total = 0
