Reword docstrings of the tests of the gateway's decisions

Cause: stories at the head of tests. Change: each docstring states the guarded failure or the simulated load in one line.

--- a/tests/gateway_values.py
+++ b/tests/gateway_values.py
@@ -1,4 +1,4 @@
-"""Values that the tests of the gateway's decisions share."""
+"""Values shared by the tests of the gateway's decisions."""
 
 from arbutustally.gateway.configuration import (
     Route,
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -1,4 +1,4 @@
-"""Replays an account that floods a large fleet whose nodes hear each other late."""
+"""An account far above its rate in a large fleet whose reports are delayed."""
 
 import math
 import unittest
@@ -18,9 +18,10 @@
 
 class FloodOverRelaysTest(unittest.TestCase):
     def play(self, factor: float, age_s: float, seed: int = 1) -> tuple[float, float]:
-        """Returns the most tokens admitted in a window, and the part that was refused.
+        """Returns the maximum of tokens admitted in a window, and the share that was refused.
 
-        :param age_s: of what nodes hear of each other.
+        :param factor: requested tokens as a multiple of the account's rate.
+        :param age_s: delay of the reports between nodes, seconds.
         """
         rng, clock = Random(seed), VirtualClock(100.0)
         ledgers = [QuotaLedger.from_config(clock, TOLERANCE) for _ in range(NODES)]
--- a/tests/test_gateway_choice.py
+++ b/tests/test_gateway_choice.py
@@ -28,7 +28,7 @@
 
 
 class Draw:
-    """Random numbers that are all the same."""
+    """Random number generator that always returns the same number."""
 
     def __init__(self, number: float) -> None:
         self._number = number
@@ -85,7 +85,7 @@
         self.assertNotEqual(self.choose(request), "e3")
 
     def test_full_memory_moves_a_request_away(self) -> None:
-        """Replays long prompts whose engine has no memory left: they would wait or be preempted."""
+        """Guards against long prompts that wait or are preempted at an engine without memory."""
         request = prompt(("aa", 6000))
         self.holdings.assume("e3", "1.", request.parts)
         self.states[2].memory_tokens = 50_000.0
@@ -105,7 +105,7 @@
         self.assertEqual((source.place, source.tokens), ("e2", 6500))
 
     def test_holders_of_a_hot_part_take_turns(self) -> None:
-        """Replays one guide that all engines fetch: a holder sends one part after the other."""
+        """Simulates a part that all engines fetch; a holder transfers one part at a time."""
         request = prompt(("aa", 6000), ("bb", 500))
         self.states = [EndpointState(entry(f"e{number}")) for number in range(20)]
         for state in self.states[:10]:
@@ -129,7 +129,7 @@
         self.assertIn(self.source(request, 7).place, ("e1", "e4"))
 
     def test_second_request_queues_where_its_parts_are_being_read(self) -> None:
-        """Replays a burst on one long shared part: it is read once, not on every engine."""
+        """Simulates a burst on a long shared part: it is computed once, not on every engine."""
         request = prompt(("aa", 6000), ("bb", 500))
         first = self.choose(request)
         self.holdings.expect(first, "1.", request.parts)
@@ -139,7 +139,7 @@
         self.assertEqual(self.holdings.prefix_tokens(first, "1.", request.parts, True), 0)
 
     def test_engine_that_may_have_dropped_parts_is_told_another_place(self) -> None:
-        """Replays short memory in a fleet that hears of no drops: parts were read again."""
+        """Guards against parts computed again after an engine dropped them without any event."""
         request = prompt(("aa", 6000), ("own", 3000))
         for engine in ("e1", "e2"):
             self.holdings.assume(engine, "1.", request.parts[:1])
@@ -174,7 +174,7 @@
         self.assertEqual(chosen.id, "e3")
 
     def test_plain_endpoint_that_has_not_answered_counts_as_the_others(self) -> None:
-        """Guards against new endpoints that get nothing while the others answer fast."""
+        """Guards against new endpoints that get no requests while the others answer fast."""
         self.states[0].latency_s = self.states[1].latency_s = 0.004
         chosen = Counter(choose_plain(self.states, "z1", Random(seed)).id for seed in range(60))
         self.assertGreater(chosen["e3"], 0)
@@ -191,14 +191,14 @@
         self.assertEqual(weights_to_use(self.states, "m", 2, 2, LOW)[1], [])
 
     def test_broken_request_goes_on_at_older_weights_before_any_engine_has_new_ones(self) -> None:
-        """Replays engines that die right after new weights are named: repeats find no new ones."""
+        """Guards against repeats that find no engine when engines fail just after a new version."""
         for state in self.states:
             state.weights = {"m": 1}
         version, able = weights_to_use(self.states, "m", 2, 1, HIGH, lambda _state: 0.1, math.inf)
         self.assertEqual((version, len(able)), (1, 3))
 
     def test_first_engines_with_new_weights_do_not_get_all_the_load(self) -> None:
-        """Replays 60 engines of which 3 have loaded: all nodes see them idle at once."""
+        """Simulates 60 engines of which 3 have loaded; all nodes see these idle at once."""
         states = [EndpointState(entry(f"e{number}")) for number in range(60)]
         for number, state in enumerate(states):
             state.weights["m"] = 2 if number < 3 else 1
@@ -218,7 +218,7 @@
         self.assertEqual(new_part(1), 1.0)
 
     def test_engines_with_older_weights_share_the_load_of_a_move(self) -> None:
-        """Replays the start of a move: one engine has the new weights and all the load."""
+        """Guards against all the load on the one engine that has loaded new weights first."""
         for state, version in zip(self.states, (1, 2, 1), strict=True):
             state.weights = {"m": version}
         waits = {"e1": 0.1, "e2": 2.0, "e3": 0.4}
--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -1,4 +1,4 @@
-"""What a node believes of endpoints: which may be used, and which are avoided."""
+"""State of endpoints at a node: which are usable, and which are avoided."""
 
 import unittest
 
@@ -31,7 +31,7 @@
         self.assertEqual(self.names(), ["e2"])
 
     def test_entry_removed_before_the_store_went_away_does_not_come_back(self) -> None:
-        """Guards against requests to an endpoint that left long before the store did."""
+        """Guards against requests to an endpoint that was removed before the store's outage."""
         self.book.remove("e1")
         self.clock.advance(1.0)
         self.book.keep_removed(self.clock() + 2.5)
--- a/tests/test_gateway_events.py
+++ b/tests/test_gateway_events.py
@@ -1,4 +1,4 @@
-"""Whole events out of a stream that arrives in pieces."""
+"""Complete events from a stream that arrives in chunks."""
 
 import unittest
 
@@ -24,7 +24,7 @@
         self.assertEqual(events.last_id, str(out.count(b"id:")) if out else "")
 
     def test_first_id_after_a_resumption_must_follow(self) -> None:
-        """Guards against a stream that begins again and is passed on as its own rest."""
+        """Guards against a restarted stream that is forwarded as the rest of the first one."""
         for last, first, is_refused in (
             (b"9", b"10", False),
             (b"9", b"12", False),
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -1,4 +1,4 @@
-"""Attempts, repeats, limits and rejection, each with the load that it answers."""
+"""Attempts, repeat budgets, rate limits and rejection under the loads that they handle."""
 
 import unittest
 from random import Random
@@ -25,7 +25,7 @@
 
 class AfterAttemptTest(unittest.TestCase):
     def test_request_that_may_have_run_is_repeated_only_where_allowed(self) -> None:
-        """Guards against a booking that runs twice."""
+        """Guards against a non-idempotent request that runs twice."""
         for kind, resumable, expected in (
             (RouteKind.AT_MOST_ONCE, False, Next.FAIL),
             (RouteKind.STREAM, False, Next.FAIL),
@@ -56,7 +56,7 @@
 
 class RepeatLedgerTest(unittest.TestCase):
     def test_failing_endpoints_do_not_multiply_the_load(self) -> None:
-        """Replays a service whose every answer fails, at 100 requests/s for 30 s on 4 nodes."""
+        """Simulates a service whose answers all fail, at 100 requests/s for 30 s on 4 nodes."""
         clock = VirtualClock()
         budget = RepeatBudget(10.0, 0.2, 56.0)
         ledgers = [RepeatLedger.from_config(clock, budget) for _ in range(4)]
@@ -75,7 +75,7 @@
         self.assertGreater(len(repeats), 100)
 
     def test_hedges_leave_half_of_the_budget(self) -> None:
-        """Guards against hedges that use up what failed attempts need."""
+        """Guards against hedges that use up the budget that failed attempts need."""
         ledger = RepeatLedger.from_config(VirtualClock(), RepeatBudget(10.0, 0.2, 10.0))
         self.assertEqual(sum(ledger.take_for_hedge("s") for _ in range(20)), 4)
         self.assertEqual(sum(ledger.take("s") for _ in range(20)), 4)
@@ -94,7 +94,12 @@
     def play(
         self, nodes: int, factor: float, lag: float, heard_by: int
     ) -> list[tuple[float, float]]:
-        """Returns time and tokens of what a fleet admits of ``factor`` times the rate."""
+        """Simulates an account at ``factor`` times its rate.
+
+        :param lag: interval between reports of the nodes, seconds.
+        :param heard_by: number of nodes that are heard; 1 for no exchange of reports.
+        :returns: time and tokens of each admitted request.
+        """
         clock = VirtualClock()
         ledgers = self.fleet(clock, nodes)
         for ledger in ledgers:
@@ -122,7 +127,7 @@
         )
 
     def test_account_at_many_times_its_rate_stays_within_the_bound(self) -> None:
-        """Replays an account at 7.5 times its rate on 8 nodes that hear each other after 0.2 s."""
+        """Simulates an account at 7.5 times its rate on 8 nodes that report every 0.2 s."""
         bound = (78_000 * 8 + 78_000) * 1.1 + 110_000
         self.assertLessEqual(self.most_in_window(self.play(8, 7.5, 0.2, 8)), bound)
 
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -1,4 +1,4 @@
-"""Replays of worst load on a virtual clock: many nodes place prompts by what they heard late."""
+"""Worst-case load on a virtual clock: many nodes place prompts by delayed reports."""
 
 import unittest
 from collections import defaultdict, deque
@@ -18,9 +18,9 @@
 ENGINES = 70
 NODES = 80
 SLOTS = 12
-#: Age of what nodes know of each other, seconds.
+#: Delay of the reports between nodes, seconds.
 HEARD_AFTER_S = 0.3
-#: What an engine reads, tokens a second.
+#: Prefill speed of an engine, tokens/s.
 READ_SPEED = 90_000.0
 GUIDE, HISTORY, OWN = 2_500, 3_800, 2_900
 
@@ -29,9 +29,9 @@
 class Sent:
     """A request that was placed.
 
-    :ivar at: when it was placed.
-    :ivar began: when its engine began to read it.
-    :ivar ended: when its engine has read it.
+    :ivar at: time at which it was placed.
+    :ivar began: time at which its engine starts the prefill.
+    :ivar ended: time at which its engine ends the prefill.
     """
 
     at: float
@@ -42,7 +42,7 @@
 
 
 class EngineFleet:
-    """Engines that read one prompt after the other, and nodes that hear of it late."""
+    """Engines that process prompts one at a time, and nodes that learn of it with a delay."""
 
     def __init__(self, seed: int) -> None:
         self.clock = VirtualClock(100.0)
@@ -107,7 +107,7 @@
 
 
 class SharedPartsTest(unittest.TestCase):
-    """Replays prompts with shared histories from 80 nodes after all engines dropped their caches."""
+    """Simulates prompts with shared histories from 80 nodes to engines with empty caches."""
 
     HISTORIES = 16
     RATE = 400
@@ -123,11 +123,11 @@
             self.fleet.clock.advance(1 / self.RATE)
 
     def test_a_shared_part_is_kept_by_few_engines(self) -> None:
-        """Guards against copies of every part on every engine, which push each other out."""
+        """Guards against copies of every part on every engine, which evict each other."""
         copies = [len(held) for part, held in self.fleet.readers.items()]
         self.assertLessEqual(sum(copies) / len(copies), ENGINES / 5)
 
     def test_prompts_do_not_wait_for_it(self) -> None:
-        """Guards against prompts that gather on the few engines that a guide has."""
+        """Guards against a queue of prompts at the few home engines of a shared part."""
         waits = sorted(sent.began - sent.at for sent in self.fleet.sent)
         self.assertLess(waits[int(0.9 * len(waits))], self.TARGET_S / 5)
--- a/tests/test_gateway_many_engines.py
+++ b/tests/test_gateway_many_engines.py
@@ -1,4 +1,4 @@
-"""Choice among many engines, by what a node and its peers have seen of them."""
+"""Choice among many engines by the observations of a node and its peers."""
 
 import unittest
 from collections import Counter
@@ -27,7 +27,7 @@
 
 
 class ManyEnginesTest(unittest.TestCase):
-    """Replays a fleet of 70 engines of which each node sees few answers."""
+    """Simulates a fleet of 70 engines of which each node sees few answers."""
 
     ENGINES = 70
 
@@ -60,14 +60,14 @@
         )
 
     def test_engine_that_peers_named_as_holder_is_found(self) -> None:
-        """Guards against prompts that are read again although another node told who has them."""
+        """Guards against parts computed again although a peer reported an engine with them."""
         for number in range(self.ENGINES):
             request = prompt((f"part-{number}", 6000), ("own", 500))
             self.holdings.assume(f"e{number}", "1.", request.parts[:1])
             self.assertEqual(self.choose(request).endpoint, f"e{number}")
 
     def test_holders_of_a_hot_part_share_its_requests(self) -> None:
-        """Replays a guide that 20 engines hold, and nodes that choose at once."""
+        """Simulates a part that 20 engines hold, and nodes that choose concurrently."""
         self.nodes = 1
         for state in self.states[:20]:
             state.entry = entry(state.id, zone="z1")
@@ -79,13 +79,13 @@
         self.assertGreater(len(chosen), 15)
 
     def test_engines_that_peers_saw_are_expected_to_be_as_fast_as_they_are(self) -> None:
-        """Guards against refusals by a node that takes engines for slow until it has seen them."""
+        """Guards against rejections by a node that assumes unobserved engines to be slow."""
         self.speeds.set_peers("relay", {f"e{number}": (50_000.0, 1.0) for number in range(35)})
         choice = self.choose(prompt(("aa", 10_000)))
         self.assertAlmostEqual(choice.estimate_s, 0.2, delta=0.02)
 
     def test_slow_engine_is_given_less_and_its_share_back(self) -> None:
-        """Replays an engine at a quarter of its speed that recovers."""
+        """Simulates an engine at a quarter of its speed that recovers."""
         self.nodes = 1
         for _ in range(5):
             for state in self.states[:3]:
@@ -105,7 +105,7 @@
         self.assertGreater(self.speeds.speed("e0"), 0.85 * self.speeds.speed("e1"))
 
     def test_engines_that_read_other_prompts_count_as_equally_fast(self) -> None:
-        """Replays prompts of all sizes at engines of one speed; a first event takes 60 ms more."""
+        """Simulates prompts of all sizes at equally fast engines with a fixed latency of 60 ms."""
         sizes = (300, 700, 2_500, 9_000, 40_000)
         for step in range(10):
             for number, state in enumerate(self.states):
@@ -116,9 +116,9 @@
         self.assertEqual(len({self.speeds.speed(state.id) for state in self.states}), 1)
 
     def test_nodes_that_choose_at_once_do_not_all_choose_the_same_engine(self) -> None:
-        """Replays a hot guide after a load: no engine holds it, and 195 nodes choose at once.
+        """Simulates a hot part after a load: no engine holds it, and 195 nodes choose concurrently.
 
-        Each node sees one request a second and knows of no other that is sent meanwhile.
+        Each node receives one request a second and does not know the concurrent ones of others.
         """
         chosen: Counter[str] = Counter()
         for node in range(60):
@@ -132,7 +132,7 @@
         self.assertLessEqual(max(chosen.values()), 8)
 
     def test_parts_that_later_ones_pushed_out_do_not_count(self) -> None:
-        """Replays an engine of a large fleet whose cache turns over within a second."""
+        """Simulates an engine of a large fleet whose whole cache is replaced within a second."""
         self.holdings = Holdings.from_config(self.clock, lambda _place: PlaceTerms(10_000))
         first = prompt(("history", 4_000), ("own", 1_000)).parts
         self.holdings.assume("e0", "1.", first)
@@ -158,7 +158,7 @@
         self.assertEqual(chosen, {"e3"})
 
     def test_stores_share_the_parts_and_every_node_derives_the_same_one(self) -> None:
-        """Replays 300 histories before three stores: the link of one could not carry them."""
+        """Guards against the overload of one store's network link: 300 histories, three stores."""
         stores = [Service(f"keep-{n}", 10, part_store=PartStore("a:1", "z1", 3)) for n in range(3)]
         chosen: Counter[str] = Counter()
         for number in range(300):
@@ -171,7 +171,7 @@
         self.assertIsNone(store_of([], "1.", parts))
 
     def test_store_of_which_nobody_hears_is_asked_for_parts_that_were_saved(self) -> None:
-        """Replays a fleet that is too large to follow the store, and a part that returns late."""
+        """Simulates a fleet too large to follow the store's events, and a part reused late."""
         self.holdings = Holdings.from_config(self.clock, self.terms_of_a_store)
         store = Service("keep", 10, part_store=PartStore("10.0.0.9:1", "z1", 3))
         parts = prompt(("guide", 2_500), ("history", 3_800), ("own", 900)).parts
@@ -190,7 +190,7 @@
         return PlaceTerms(assumed_s=STORE_ASSUMED_S) if place == "keep" else PlaceTerms()
 
     def test_engine_without_a_free_slot_counts_as_busy(self) -> None:
-        """Replays long streams: nothing waits to be read, and every slot of the holder is taken."""
+        """Simulates long streams: no prefill is queued, but every slot of the holder is taken."""
         request = prompt(("aa", 3_000), ("own", 50))
         self.holdings.assume("e0", "1.", request.parts[:1])
         self.states[0].latency_s = 2.0
--- a/tests/test_gateway_weights.py
+++ b/tests/test_gateway_weights.py
@@ -1,4 +1,4 @@
-"""Named weights: what may be used, and when engines load."""
+"""Named weights: which versions are allowed, and when engines load."""
 
 import math
 import unittest
@@ -22,7 +22,7 @@
 
 class NamedWeightsTest(unittest.TestCase):
     def test_each_version_is_allowed_until_the_one_after_it_is_old(self) -> None:
-        """Guards against requests on the oldest of three versions when the newest is young."""
+        """Guards against use of the oldest of three versions just after the newest is named."""
         named = NamedWeights()
         for version, at in ((1, 0.0), (2, 2.0), (3, 5.0), (4, 8.6)):
             self.assertTrue(named.learn(version, at))
@@ -33,7 +33,7 @@
         self.assertEqual(named.oldest_allowed(20.0, 6.0), 4)
 
     def test_version_named_before_the_start_leaves_no_time_for_older_ones(self) -> None:
-        """Guards against restarted nodes that begin requests on weights replaced long before."""
+        """Guards against restarted nodes that start requests on weights replaced long before."""
         named = NamedWeights()
         self.assertTrue(named.learn(5, -math.inf))
         self.assertEqual((named.oldest_allowed(100.0, 6.0), named.dated), (5, {}))
@@ -53,7 +53,7 @@
         self.assertEqual(len(plan_loads(states, "m", 3, 2, 10.0).engines), 1)
 
     def test_engine_is_emptied_before_it_loads(self) -> None:
-        """Replays an engine with long streams: it loads soon and loses nothing for good."""
+        """Simulates an engine with long streams: it loads soon and no request is lost."""
         state = EndpointState(entry("e1"))
         self.assertFalse(is_emptied(state, 0.0, 0))
         self.assertTrue(is_emptied(state, TELLING_S, 0))
@@ -67,7 +67,7 @@
         self.assertFalse(breaks_runs_off(state, state.peer_unrepeatable))
 
     def test_engines_that_load_together_share_the_budget_of_repeats(self) -> None:
-        """Guards against two orders that each break off as many runs as one budget moves."""
+        """Guards against two orders that each abort as many requests as one budget covers."""
         states = [EndpointState(entry(f"e{number}")) for number in range(3)]
         for state in states:
             state.running, state.unrepeatable = 3, 1
@@ -81,12 +81,12 @@
 
 
 class LoadPaceTest(unittest.TestCase):
-    """Replays weights that are named while a quarter of the engines is lost and the rest is busy."""
+    """Simulates weights named while a quarter of the engines is lost and the rest is busy."""
 
     LOAD_S = 2.5
 
     def replay(self, engines: int, bound_s: float, is_behind: bool) -> tuple[int, float]:
-        """Returns the most engines that were away at once, and when the last one had loaded."""
+        """Returns the maximum of engines loading at once, and the time when all had loaded."""
         pending, now, most = engines, 0.0, 0
         ends: list[float] = []
         while pending or ends:
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -20,13 +20,13 @@
 
 LEAVING_S = 2.0
 STALE_S = LEAVING_S * STALE_PART
-#: Interval between two readings of a reader, and between two of its datagrams, seconds.
+#: Interval between two readings of a reader, and between two of its messages to peers, seconds.
 READ_S = 0.7
 TELL_S = 0.2
 
 
 class FakeList:
-    """The list as the store has it: a heartbeat at every offset, changes at some."""
+    """List in the store: each offset is a heartbeat or a change."""
 
     def __init__(self) -> None:
         self.era = 1
@@ -45,7 +45,7 @@
 
 
 class Node:
-    """One node: what it knows of the list, and how often it has read."""
+    """One node with its copy of the list, and the number of its readings."""
 
     def __init__(self, clock: VirtualClock, listed: FakeList, rank: int) -> None:
         self.reading = SharedReading.from_config(clock, LEAVING_S)
@@ -90,7 +90,10 @@
         return [Node(self.clock, self.listed, rank) for rank in range(size)]
 
     def play(self, nodes: list[Node], seconds: float, told: bool = True) -> None:
-        """Lets time pass: heartbeats are written, readers read, and every node tells the others."""
+        """Advances time: heartbeats are written, readers read, and every node informs the others.
+
+        :param told: whether nodes send news to each other.
+        """
         for _ in range(round(seconds / TELL_S)):
             self.listed.heartbeats(10)
             for node in nodes:
@@ -102,7 +105,7 @@
             self.clock.advance(TELL_S)
 
     def test_large_fleet_reads_as_often_as_a_small_one(self) -> None:
-        """Replays 60 nodes in calm: a list read by every node cost each of them a call."""
+        """Guards against one store call per node and interval; simulates 60 idle nodes."""
         small, large = self.fleet(4), self.fleet(60)
         self.play(small, 20.0)
         self.play(large, 20.0)
@@ -134,7 +137,7 @@
         self.assertTrue(all(set(node.known) == {"e1", "e2"} for node in nodes))
 
     def test_node_that_missed_changes_reads_itself(self) -> None:
-        """Guards against a node that takes a list as current although it lacks a change."""
+        """Guards against a node that treats a list as current although it lacks a change."""
         nodes = self.fleet(6)
         self.play(nodes, 3.0)
         asleep, awake = nodes[-1], nodes[:-1]
@@ -158,7 +161,7 @@
         self.assertTrue(all(len(node.known) == 100 for node in nodes))
 
     def test_node_without_a_recent_reading_tells_nothing(self) -> None:
-        """Guards against an old list that is told as current after a suspension."""
+        """Guards against an old list that is sent as current after a suspension."""
         node = self.fleet(1)[0]
         node.step()
         self.assertIsNotNone(node.reading.news(0.0))
@@ -167,7 +170,7 @@
 
 
 class EraTest(unittest.TestCase):
-    """One hearer, far back in the order of readers, and what peers tell it of eras."""
+    """News of other eras at a node of a rank that does not read by default."""
 
     RANK = 5
 
@@ -180,13 +183,13 @@
         return self.reading.take(ListNews(era, 0, 99, 0.0, 0.0, changes))
 
     def test_news_of_an_older_era_say_nothing(self) -> None:
-        """Guards against a node that a late reader takes back to before the store's return."""
+        """Guards against late news that revert a node to the state before the store's return."""
         self.assertEqual(self.hear(1, Change(20, "e1", None)), ())
         self.assertEqual(self.reading.position, Position(2, 10))
         self.assertFalse(self.reading.has_missed)
 
     def test_news_of_an_older_era_are_no_sign_of_a_reader(self) -> None:
-        """Guards against a node that never reads since readers of an older era are loud."""
+        """Guards against a node that never reads because readers of an older era keep sending."""
         for _ in range(20):
             self.hear(1)
             self.clock.advance(0.1)
@@ -203,7 +206,7 @@
         self.assertFalse(self.reading.is_due(self.RANK))
 
     def test_era_that_the_store_denies_is_not_asked_for_again_soon(self) -> None:
-        """Guards against a peer with a false era that has all nodes call the store for ever."""
+        """Guards against a peer whose false era makes all nodes query the store for ever."""
         asked = 0
         for _ in range(round(2 * CLAIM_PAUSE_S / 0.1)):
             self.hear(1 << 60)
@@ -220,7 +223,7 @@
         self.assertFalse(self.reading.has_missed)
 
     def test_whole_list_of_the_store_counts_whatever_was_known(self) -> None:
-        """Guards against a node that holds on to an era which the store never had."""
+        """Guards against a node that keeps an era which the store never had."""
         self.reading.take_whole(Position(1 << 60, 1))
         self.reading.read_whole(Position(2, 11))
         self.assertEqual(self.reading.position, Position(2, 11))
@@ -235,12 +238,12 @@
         self.book.put(replace(self.ready, is_leaving=True))
 
     def test_endpoint_that_stays_after_all_is_used_again(self) -> None:
-        """Guards against an endpoint that is left out for good since it once was to leave."""
+        """Guards against an endpoint that stays excluded after it cancelled its leaving."""
         self.book.put(self.ready)
         self.assertEqual([state.id for state in self.book.usable("desk")], ["d1"])
 
     def test_endpoint_that_leaves_is_not_used_by_an_older_entry(self) -> None:
-        """Guards against new work at a leaving endpoint after a return of the store."""
+        """Guards against new requests to a leaving endpoint after the store has returned."""
         self.assertTrue(self.book.is_past(self.ready))
         self.assertFalse(self.book.is_past(replace(self.ready, is_leaving=True)))
         self.assertEqual(self.book.usable("desk"), [])
