Rename constants of the gateway's decisions to what they limit

Cause: names such as LOAD_OF_NEW, USABLE_PART, TELLING_S or KEPT_FROM_HEDGES did not state their meaning. Change: module constants get the terms of the field (share, factor, limit, decay, drain). Values are unchanged.

--- a/packages/arbutustally/src/arbutustally/gateway/admission.py
+++ b/packages/arbutustally/src/arbutustally/gateway/admission.py
@@ -9,12 +9,12 @@
 from random import Random
 
 #: Share of the remaining time within which the first event must be expected.
-USABLE_PART = 0.6
+USABLE_SHARE = 0.6
 #: Limits of the time after which a rejected caller is asked to retry, seconds.
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 2.0
 #: Largest random reduction of the wait, as a share of it, so that callers do not retry in step.
-SPREAD = 0.5
+RETRY_SPREAD = 0.5
 
 
 def must_reject(expected_s: float, left_s: float) -> bool:
@@ -23,7 +23,7 @@
     :param expected_s: expected time to the first event, seconds.
     :param left_s: time until the caller's timeout, seconds.
     """
-    return expected_s > left_s * USABLE_PART
+    return expected_s > left_s * USABLE_SHARE
 
 
 def retry_after_s(backlog_s: float, left_s: float, rng: Random) -> float:
@@ -34,4 +34,4 @@
         since a longer one leaves too little time for the retry.
     """
     wait = min(max(backlog_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S, max(left_s / 3, 0.0))
-    return round(max(wait * (1 - SPREAD * rng.random()), MIN_RETRY_AFTER_S), 3)
+    return round(max(wait * (1 - RETRY_SPREAD * rng.random()), MIN_RETRY_AFTER_S), 3)
--- a/packages/arbutustally/src/arbutustally/gateway/attempts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/attempts.py
@@ -19,7 +19,7 @@
 BUDGET_USED = 0.8
 #: Share of the budget reserved for repeats after a failed attempt: most hedged requests would
 #: succeed without the hedge, while a failed request can succeed only by a repeat.
-KEPT_FROM_HEDGES = 0.5
+RESERVED_FROM_HEDGES = 0.5
 #: Attempts of one request that ran nowhere; endpoints that are full reject it within a few ms.
 MAX_SENDS = 4
 
@@ -95,7 +95,7 @@
 
         :returns: whether more than the share reserved for failed attempts was left.
         """
-        if self.left(service) <= self._room(service) * KEPT_FROM_HEDGES:
+        if self.left(service) <= self._room(service) * RESERVED_FROM_HEDGES:
             return False
         return self.take(service)
 
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -43,11 +43,11 @@
 PLACEMENT_OPTIONS = PlacementOptions(homes=ENGINE_HOMES, copy_share=COPY_SHARE, widen_at=WIDEN_AT)
 #: Places whose expiry times of a part differ by at most this are equally likely to still hold it,
 #: seconds.
-FRESH_S = 0.5
+EXPIRY_TOLERANCE_S = 0.5
 #: Latency assumed for a plain endpoint until any endpoint of its service has answered, seconds.
 DEFAULT_LATENCY_S = 0.05
 #: Share of requests sent to engines with new weights, as a multiple of their share of all engines.
-LOAD_OF_NEW = 2.0
+NEW_WEIGHTS_LOAD_FACTOR = 2.0
 #: Endpoints whose expected times differ by at most this share count as equal.
 NEAR_TIE = 0.1
 
@@ -153,7 +153,7 @@
         source.place: holdings.held_until(source.place, scope, last_shared) for source in equal
     }
     longest = max(until.values())
-    fresh = [source for source in equal if until[source.place] >= longest - FRESH_S]
+    fresh = [source for source in equal if until[source.place] >= longest - EXPIRY_TOLERANCE_S]
     near = [source for source in fresh if source.zone == engine.entry.zone]
     return rng.choice(near or fresh)
 
@@ -283,7 +283,7 @@
     waits = {version: min(map(wait_s, group)) for version, group in groups.items()}
     if named in groups and len(groups) > 1 and bearable_s < math.inf:
         part = len(groups[named]) / sum(map(len, groups.values()))
-        if rng.random() >= part * LOAD_OF_NEW:
+        if rng.random() >= part * NEW_WEIGHTS_LOAD_FACTOR:
             del waits[named]
     if named in waits and waits[named] <= bearable_s:
         return named, groups[named]
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -17,7 +17,7 @@
 #: stalled, seconds; shorter than every silence after which a request is hedged.
 STALLED_S = 0.6
 #: Time over which the count of failures decays to 0, seconds.
-FAILURE_MEMORY_S = 3.0
+FAILURE_DECAY_S = 3.0
 #: Weight of one answer in the moving average of the latency.
 LATENCY_GAIN = 0.2
 #: Longest random extension of a pause that an endpoint asked for, as a share of the pause, so that
@@ -366,7 +366,7 @@
     def failed(self, state: EndpointState) -> bool:
         """Records a failed answer; returns whether the endpoint is now avoided."""
         now = self._clock()
-        decay = max(0.0, 1.0 - (now - state.failed_at) / FAILURE_MEMORY_S)
+        decay = max(0.0, 1.0 - (now - state.failed_at) / FAILURE_DECAY_S)
         state.failures = state.failures * decay + 1.0
         state.failed_at = now
         if state.failures < FAILURES_TO_SUSPECT:
--- a/packages/arbutustally/src/arbutustally/gateway/engine_speeds.py
+++ b/packages/arbutustally/src/arbutustally/gateway/engine_speeds.py
@@ -15,18 +15,18 @@
 from arbutustally.clock import Clock
 
 #: Time constant of the exponential decay of observations, seconds.
-MEMORY_S = 4.0
+DECAY_S = 4.0
 #: Weight of the median of all engines relative to an engine's own observations, seconds of work.
-MEDIAN_S = 0.3
+MEDIAN_WEIGHT_S = 0.3
 #: Speed assumed before the first observation, tokens/s.
 DEFAULT_SPEED = 20_000.0
 #: Shortest prompt that is observed, tokens; the time of a shorter one depends mostly on latency.
 MIN_TOKENS = 2048
 #: Share of the median speed below which an engine counts as slow; smaller deviations may be due to
 #: differences between prompts.
-SLOW_PART = 0.5
+SLOW_SHARE = 0.5
 #: Least observed work that is reported to peers, seconds.
-MIN_TOLD_S = 0.01
+MIN_REPORTED_S = 0.01
 
 #: Number of prompt tokens processed, and the time that this took in seconds.
 Work = tuple[float, float]
@@ -68,7 +68,7 @@
     def own(self) -> dict[str, Work]:
         """Returns the recent observations of this node by engine."""
         works = {engine: self._faded(engine) for engine in list(self._own)}
-        for engine in [engine for engine, work in works.items() if work[1] < MIN_TOLD_S]:
+        for engine in [engine for engine, work in works.items() if work[1] < MIN_REPORTED_S]:
             del works[engine], self._own[engine]
         return {engine: (round(work[0]), round(work[1], 3)) for engine, work in works.items()}
 
@@ -84,14 +84,14 @@
         """Returns the estimated speed of an engine, tokens/s."""
         sums = self._summed()
         tokens, seconds = sums.get(engine, (0.0, 0.0))
-        speed = (tokens + self._median * MEDIAN_S) / (seconds + MEDIAN_S)
-        return speed if speed < self._median * SLOW_PART else self._median
+        speed = (tokens + self._median * MEDIAN_WEIGHT_S) / (seconds + MEDIAN_WEIGHT_S)
+        return speed if speed < self._median * SLOW_SHARE else self._median
 
     def _faded(self, engine: str) -> Work:
         observed = self._own.get(engine)
         if observed is None:
             return 0.0, 0.0
-        left = math.exp((observed.at - self._clock()) / MEMORY_S)
+        left = math.exp((observed.at - self._clock()) / DECAY_S)
         return observed.tokens * left, observed.seconds * left
 
     def _summed(self) -> dict[str, Work]:
@@ -118,6 +118,6 @@
     rest = {}
     for engine, (tokens, seconds) in total.items():
         own_tokens, own_s = part.get(engine, (0.0, 0.0))
-        if seconds - own_s >= MIN_TOLD_S and tokens > own_tokens:
+        if seconds - own_s >= MIN_REPORTED_S and tokens > own_tokens:
             rest[engine] = (tokens - own_tokens, seconds - own_s)
     return rest
--- a/packages/arbutustally/src/arbutustally/gateway/events.py
+++ b/packages/arbutustally/src/arbutustally/gateway/events.py
@@ -5,7 +5,7 @@
 #: Longest event that is accepted, bytes.
 MAX_EVENT_BYTES = 1 << 20
 #: Length of the longest event terminator, bytes.
-LONGEST_END = 4
+MAX_TERMINATOR_BYTES = 4
 
 _ID_LINE = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
 _END = re.compile(rb"\r?\n\r?\n")
@@ -52,7 +52,7 @@
         :raises RepeatedEventError: if a resumed stream does not continue after its last event.
         """
         # The earlier bytes contain no terminator, but may end with the beginning of one.
-        searched = max(0, len(self._rest) - LONGEST_END + 1)
+        searched = max(0, len(self._rest) - MAX_TERMINATOR_BYTES + 1)
         data = self._rest + data
         ends = [match.end() for match in _END.finditer(data, searched)]
         if not ends:
--- a/packages/arbutustally/src/arbutustally/gateway/relaying.py
+++ b/packages/arbutustally/src/arbutustally/gateway/relaying.py
@@ -23,9 +23,9 @@
 MIN_RELAYS = 2
 #: Time without a message from a relay after which its nodes use another one, seconds. Nodes that no
 #: longer report through a relay count as absent only later, so a change of relay hides no node.
-SILENT_S = 0.7
+RELAY_TIMEOUT_S = 0.7
 #: Time for which a relay that sent no messages is not tried again, seconds.
-AVOID_S = 3.0
+RELAY_AVOID_S = 3.0
 
 _RELAY_DUTY = b"relay"
 
@@ -134,8 +134,8 @@
         :param order: addresses in order of preference.
         """
         now = self._clock()
-        if self._current is not None and now - self._heard_at > SILENT_S:
-            self._avoided[self._current] = now + AVOID_S
+        if self._current is not None and now - self._heard_at > RELAY_TIMEOUT_S:
+            self._avoided[self._current] = now + RELAY_AVOID_S
         self._avoided = {ip: until for ip, until in self._avoided.items() if until > now}
         able = [ip for ip in order if ip not in self._avoided] or list(order)
         best = able[0] if able else None
--- a/packages/arbutustally/src/arbutustally/gateway/rollouts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/rollouts.py
@@ -29,13 +29,13 @@
 #: Minimum response times of the baseline on one route before they are compared.
 MIN_BASELINE_TIMES = 20
 #: Failure rate allowed for a sound canary however low the baseline's is.
-LEAST_FAILURE_CHANCE = 0.04
+MIN_FAILURE_RATE = 0.04
 #: Failure rate allowed for a sound canary, as a multiple of the baseline's.
 FAILURE_FACTOR = 2.0
 #: Significance level: probability below which the observed failures are not due to chance.
 SIGNIFICANCE = 1e-4
 #: Factor by which the answers of a sound canary may take longer, since its caches are cold.
-BEARABLE_FACTOR = 1.3
+ALLOWED_SLOWDOWN = 1.3
 #: Combined z-score of all routes above which the canary counts as slow.
 SLOW_Z = 3.1
 #: Z-score of one route above which the canary counts as slow.
@@ -44,7 +44,7 @@
 SOUND_Z = 1.5
 #: Share of the canary's response times that must be on routes with enough of them to compare, for
 #: it to be kept.
-COMPARED_PART = 0.5
+MIN_COMPARED_SHARE = 0.5
 #: Time before the end of the order at which all new requests are routed to a sound canary, seconds;
 #: meanwhile the baseline finishes its running requests.
 MOVE_S = 1.2
@@ -54,9 +54,9 @@
 #: runs requests, seconds.
 KEEP_S = 0.4
 #: Lower limit of a response time before its logarithm is taken, seconds.
-LEAST_S = 1e-4
+MIN_TIME_S = 1e-4
 #: Lower limit of the variance of log times; keeps z-scores finite where all times are equal.
-LEAST_VARIANCE = 0.01
+MIN_VARIANCE = 0.01
 
 
 class RolloutState(StrEnum):
@@ -119,7 +119,7 @@
     @classmethod
     def of_time(cls, seconds: float) -> "AnswerTally":
         """Returns the tally of a single response time."""
-        log = math.log(max(seconds, LEAST_S))
+        log = math.log(max(seconds, MIN_TIME_S))
         return cls(timed=1, log_sum=log, log_squares=log * log)
 
     @property
@@ -129,8 +129,8 @@
 
     @property
     def variance(self) -> float:
-        """Returns the variance of the log times, at least ``LEAST_VARIANCE``."""
-        return max(self.log_squares / self.timed - self.mean**2, LEAST_VARIANCE)
+        """Returns the variance of the log times, at least ``MIN_VARIANCE``."""
+        return max(self.log_squares / self.timed - self.mean**2, MIN_VARIANCE)
 
     def plus(self, other: "AnswerTally") -> "AnswerTally":
         """Returns the sum of both tallies."""
@@ -180,7 +180,7 @@
     compared = [
         tally for route, tally in canary.items() if _is_compared(tally, baseline.get(route))
     ]
-    if sum(tally.timed for tally in compared) < _whole(canary).timed * COMPARED_PART:
+    if sum(tally.timed for tally in compared) < _whole(canary).timed * MIN_COMPARED_SHARE:
         return False
     return bool(compared) and _combined_z(_z_scores(canary, baseline)) < SOUND_Z
 
@@ -201,7 +201,7 @@
     if canary.answers < MIN_ANSWERS:
         return False
     baseline_share = baseline.failures / baseline.answers if baseline.answers else 0.0
-    chance = min(0.9, max(LEAST_FAILURE_CHANCE, baseline_share * FAILURE_FACTOR))
+    chance = min(0.9, max(MIN_FAILURE_RATE, baseline_share * FAILURE_FACTOR))
     return tail_probability(round(canary.failures), round(canary.answers), chance) < SIGNIFICANCE
 
 
@@ -213,7 +213,7 @@
         if not _is_compared(tally, other):
             continue
         error = math.sqrt(other.variance * (1 / tally.timed + 1 / other.timed))
-        z_scores.append((tally.mean - other.mean - math.log(BEARABLE_FACTOR)) / error)
+        z_scores.append((tally.mean - other.mean - math.log(ALLOWED_SLOWDOWN)) / error)
     return z_scores
 
 
--- a/packages/arbutustally/src/arbutustally/gateway/weights.py
+++ b/packages/arbutustally/src/arbutustally/gateway/weights.py
@@ -19,7 +19,7 @@
 #: Longest time for which an engine gets no new requests before it is ordered to load, seconds.
 EMPTYING_S = 1.0
 #: Shortest such time, seconds: by then all nodes have been informed that the engine will load.
-TELLING_S = 0.25
+MIN_DRAIN_S = 0.25
 #: Most running requests of an engine that are moved to other engines; more would use up the repeat
 #: budget.
 MAX_MOVED = 8
@@ -27,13 +27,13 @@
 LOADING_SHARE = 0.4
 #: Share of the engines that begin to load in one step, and the least number of them.
 STEP_SHARE = 0.1
-LEAST_STEP = 2
+MIN_STEP = 2
 #: Duration of a step, seconds; in this time nodes receive the resulting load of the other engines.
 STEP_PAUSE_S = 0.4
 #: Limit of the other engines' mean wait, as a share of the shortest target.
 BEARABLE_PART = 0.3
 #: Share of the time until old weights are forbidden over which deferred loads are spread.
-USED_PART = 0.8
+DEADLINE_SHARE = 0.8
 
 
 @dataclass(frozen=True)
@@ -103,7 +103,7 @@
     """
     if waited_s >= EMPTYING_S:
         return True
-    return waited_s >= TELLING_S and state.total_running <= 1 and not unrepeatable
+    return waited_s >= MIN_DRAIN_S and state.total_running <= 1 and not unrepeatable
 
 
 def breaks_runs_off(state: EndpointState, unrepeatable: int) -> bool:
@@ -132,13 +132,13 @@
     most = max(1, int(engines * LOADING_SHARE))
     if not is_behind:
         return most
-    rounds = max(1, math.floor(left_s * USED_PART / load_s))
+    rounds = max(1, math.floor(left_s * DEADLINE_SHARE / load_s))
     return min(most, math.ceil(pending / rounds))
 
 
 def loads_in_step(engines: int) -> int:
     """Returns the number of engines that begin to load in one step."""
-    return max(LEAST_STEP, int(engines * STEP_SHARE))
+    return max(MIN_STEP, int(engines * STEP_SHARE))
 
 
 def are_behind(waits_s: Sequence[float], shortest_target_s: float) -> bool:
--- a/tests/test_gateway_weights.py
+++ b/tests/test_gateway_weights.py
@@ -6,8 +6,8 @@
 from arbutustally.gateway.endpoints import EndpointState
 from arbutustally.gateway.weights import (
     EMPTYING_S,
+    MIN_DRAIN_S,
     STEP_PAUSE_S,
-    TELLING_S,
     are_behind,
     breaks_runs_off,
     is_emptied,
@@ -56,9 +56,9 @@
         """Simulates an engine with long streams: it loads soon and no request is lost."""
         state = EndpointState(entry("e1"))
         self.assertFalse(is_emptied(state, 0.0, 0))
-        self.assertTrue(is_emptied(state, TELLING_S, 0))
+        self.assertTrue(is_emptied(state, MIN_DRAIN_S, 0))
         state.peer_load["n2"] = (1, 0.0, 0.0, 1)
-        self.assertFalse(is_emptied(state, TELLING_S, state.peer_unrepeatable))
+        self.assertFalse(is_emptied(state, MIN_DRAIN_S, state.peer_unrepeatable))
         self.assertFalse(breaks_runs_off(state, state.peer_unrepeatable))
         self.assertTrue(is_emptied(state, EMPTYING_S, state.peer_unrepeatable))
         state.peer_load["n2"] = (5, 0.0, 0.0, 0)
