Rename private names of SharedReading to what they do

Cause: _told, _tell, _asked and _reach are figurative. Change: the deque of changes that are sent again is _recent_changes; methods and constants are named for their effect.

--- a/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
+++ b/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
@@ -20,15 +20,15 @@
 READERS = 2
 #: Age of the last known reading at which a node reads the list itself, as a share of the time
 #: within which leaving endpoints must be known.
-STALE_PART = 0.5
+STALE_SHARE = 0.5
 #: Additional age per rank, seconds, so that not all nodes read at once when the readers are lost.
 RANK_DELAY_S = 0.02
 MAX_RANK_DELAY_S = 0.3
 #: Time for which each change is sent again after every reading, so that lost datagrams cause no
 #: gaps, seconds.
-TOLD_S = 2.5
+RESEND_S = 2.5
 #: Limit of the size of the changes in one datagram before compression, bytes.
-MAX_TOLD_BYTES = 24_000
+MAX_CHANGES_BYTES = 24_000
 #: Validity of a peer's claim of a newer era, seconds; readers repeat it with each reading.
 CLAIM_S = 3.0
 #: Time for which the store is not queried again after its answer did not confirm a claim, seconds.
@@ -88,12 +88,12 @@
 
     def __init__(self, clock: Clock, leaving_s: float) -> None:
         self._clock = clock
-        self._stale_s = leaving_s * STALE_PART
+        self._stale_s = leaving_s * STALE_SHARE
         self._position: Position | None = None
         self._read_at: float | None = None
         self._fresh_at = float("-inf")
         self._covers_from = 0
-        self._told: deque[tuple[float, Change]] = deque()
+        self._recent_changes: deque[tuple[float, Change]] = deque()
         self._lacks_changes = False
         # Times of the first and last claim of a newer era, and of the store's last denial.
         self._claimed_since = float("-inf")
@@ -130,12 +130,12 @@
 
     def read_whole(self, position: Position) -> None:
         """Records that this node has read the whole list at a position."""
-        self._begin_at(position)
-        self._asked()
+        self._reset_to(position)
+        self._record_store_answer()
 
     def take_whole(self, position: Position) -> None:
         """Records that this node has adopted a peer's whole list at a position."""
-        self._begin_at(position)
+        self._reset_to(position)
         self._fresh_at = self._clock()
 
     def read(self, offset: int, changes: Iterable[Change]) -> None:
@@ -143,9 +143,9 @@
 
         :param changes: those of the records read that change an entry.
         """
-        self._tell(changes)
-        self._reach(offset)
-        self._asked()
+        self._add_changes(changes)
+        self._advance_to(offset)
+        self._record_store_answer()
 
     def take(self, news: ListNews) -> tuple[Change, ...]:
         """Processes news of a peer; returns the changes that this node did not know."""
@@ -159,8 +159,8 @@
             self._lacks_changes = True
             return ()
         new = tuple(change for change in news.changes if change.offset >= known.offset)
-        self._tell(new)
-        self._reach(news.read_to)
+        self._add_changes(new)
+        self._advance_to(news.read_to)
         self._fresh_at = max(self._fresh_at, self._clock() - news.age_s)
         return new
 
@@ -176,7 +176,7 @@
             self._position.offset,
             now - self._read_at,
             keep_removed_s,
-            tuple(change for _at, change in self._told),
+            tuple(change for _at, change in self._recent_changes),
         )
 
     @property
@@ -191,19 +191,19 @@
             self._claimed_since = now
         self._claimed_at = now
 
-    def _begin_at(self, position: Position) -> None:
+    def _reset_to(self, position: Position) -> None:
         if self._position is None or position.era != self._position.era:
             # Claims of peers that refer to other eras do not apply to this one.
             self._claimed_at = float("-inf")
-        self._told.clear()
+        self._recent_changes.clear()
         self._covers_from = position.offset
         self._position = position
         self._lacks_changes = False
 
-    def _reach(self, offset: int) -> None:
+    def _advance_to(self, offset: int) -> None:
         self._position = Position(self._position.era, max(self._position.offset, offset))
 
-    def _asked(self) -> None:
+    def _record_store_answer(self) -> None:
         """Records an answer of the store in the current era."""
         now = self._clock()
         if now - self._claimed_at < CLAIM_S:
@@ -212,17 +212,17 @@
         self._lacks_changes = False
         self._read_at = self._fresh_at = now
 
-    def _tell(self, changes: Iterable[Change]) -> None:
+    def _add_changes(self, changes: Iterable[Change]) -> None:
         now = self._clock()
-        self._told.extend((now, change) for change in changes)
+        self._recent_changes.extend((now, change) for change in changes)
         self._drop_old(now)
 
     def _drop_old(self, now: float) -> None:
-        size = sum(len(change.value or b"") for _at, change in self._told)
-        while self._told:
-            told_at, oldest = self._told[0]
-            if now - told_at < TOLD_S and size <= MAX_TOLD_BYTES:
+        size = sum(len(change.value or b"") for _at, change in self._recent_changes)
+        while self._recent_changes:
+            added_at, oldest = self._recent_changes[0]
+            if now - added_at < RESEND_S and size <= MAX_CHANGES_BYTES:
                 return
-            self._told.popleft()
+            self._recent_changes.popleft()
             size -= len(oldest.value or b"")
             self._covers_from = oldest.offset + 1
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -8,10 +8,10 @@
 from arbutustally.gateway.shared_reading import (
     CLAIM_PAUSE_S,
     CLAIM_S,
-    MAX_TOLD_BYTES,
+    MAX_CHANGES_BYTES,
     READERS,
-    STALE_PART,
-    TOLD_S,
+    RESEND_S,
+    STALE_SHARE,
     Change,
     ListNews,
     Position,
@@ -19,7 +19,7 @@
 )
 
 LEAVING_S = 2.0
-STALE_S = LEAVING_S * STALE_PART
+STALE_S = LEAVING_S * STALE_SHARE
 #: Interval between two readings of a reader, and between two of its messages to peers, seconds.
 READ_S = 0.7
 TELL_S = 0.2
@@ -131,7 +131,7 @@
         nodes = self.fleet(6)
         self.play(nodes, 3.0)
         self.listed.change("e1")
-        self.play(nodes[:READERS], TOLD_S / 2)
+        self.play(nodes[:READERS], RESEND_S / 2)
         self.listed.change("e2")
         self.play(nodes, 1.0)
         self.assertTrue(all(set(node.known) == {"e1", "e2"} for node in nodes))
@@ -142,7 +142,7 @@
         self.play(nodes, 3.0)
         asleep, awake = nodes[-1], nodes[:-1]
         self.listed.change("e1")
-        self.play(awake, 2 * TOLD_S)
+        self.play(awake, 2 * RESEND_S)
         asleep.hear(nodes[0])
         self.assertTrue(asleep.reading.has_missed)
         self.assertNotIn("e1", asleep.known)
@@ -157,7 +157,7 @@
             self.listed.change(f"e{number}", b"x" * 300)
         self.play(nodes, READ_S + 1.0)
         told = nodes[0].reading.news(0.0).changes
-        self.assertLessEqual(sum(len(change.value) for change in told), MAX_TOLD_BYTES)
+        self.assertLessEqual(sum(len(change.value) for change in told), MAX_CHANGES_BYTES)
         self.assertTrue(all(len(node.known) == 100 for node in nodes))
 
     def test_node_without_a_recent_reading_tells_nothing(self) -> None:
