Rename private attributes of the gateway's decisions to the terms of the field

Cause: _visible, _heard, _faded or may_take did not state what they hold. Change: share of reporting nodes, last reports, decayed work, predicate; rolled back releases. test_supervision reads quota._last_reports and follows.

--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -217,7 +217,7 @@
         return [state for state in self._states.values() if state.entry.service == service]
 
     def usable(
-        self, service: str, may_take: Callable[[EndpointState], bool] = lambda _state: True
+        self, service: str, predicate: Callable[[EndpointState], bool] = lambda _state: True
     ) -> list[EndpointState]:
         """Returns the endpoints that may get a new request now.
 
@@ -227,17 +227,17 @@
         :param may_take: filter of the endpoints to consider.
         """
         now = self._clock()
-        staying = filter(may_take, self._staying(service, now))
+        staying = filter(predicate, self._staying(service, now))
         able = [state for state in staying if state.paused_until <= now]
         trusted = [state for state in able if not state.is_down and state.suspect_until <= now]
         return trusted or able
 
-    def has_any(self, service: str, is_meant: Callable[[EndpointState], bool]) -> bool:
+    def has_any(self, service: str, predicate: Callable[[EndpointState], bool]) -> bool:
         """Returns whether a matching endpoint of a service is present and not leaving.
 
         It need not be usable now.
         """
-        return any(map(is_meant, self._staying(service, self._clock())))
+        return any(map(predicate, self._staying(service, self._clock())))
 
     def returns_in(self, service: str) -> float | None:
         """Returns the time until the first pause ends, seconds; ``None`` if none is paused."""
--- a/packages/arbutustally/src/arbutustally/gateway/engine_speeds.py
+++ b/packages/arbutustally/src/arbutustally/gateway/engine_speeds.py
@@ -61,13 +61,13 @@
         """Adds an observation: ``tokens`` of a prompt were processed in ``seconds``."""
         if tokens < MIN_TOKENS or seconds <= 0:
             return
-        before_tokens, before_s = self._faded(engine)
+        before_tokens, before_s = self._decayed_work(engine)
         self._own[engine] = _Observed(before_tokens + tokens, before_s + seconds, self._clock())
         self._sums = None
 
     def own(self) -> dict[str, Work]:
         """Returns the recent observations of this node by engine."""
-        works = {engine: self._faded(engine) for engine in list(self._own)}
+        works = {engine: self._decayed_work(engine) for engine in list(self._own)}
         for engine in [engine for engine, work in works.items() if work[1] < MIN_REPORTED_S]:
             del works[engine], self._own[engine]
         return {engine: (round(work[0]), round(work[1], 3)) for engine, work in works.items()}
@@ -82,19 +82,19 @@
 
     def speed(self, engine: str) -> float:
         """Returns the estimated speed of an engine, tokens/s."""
-        sums = self._summed()
+        sums = self._total_work()
         tokens, seconds = sums.get(engine, (0.0, 0.0))
         speed = (tokens + self._median * MEDIAN_WEIGHT_S) / (seconds + MEDIAN_WEIGHT_S)
         return speed if speed < self._median * SLOW_SHARE else self._median
 
-    def _faded(self, engine: str) -> Work:
+    def _decayed_work(self, engine: str) -> Work:
         observed = self._own.get(engine)
         if observed is None:
             return 0.0, 0.0
         left = math.exp((observed.at - self._clock()) / DECAY_S)
         return observed.tokens * left, observed.seconds * left
 
-    def _summed(self) -> dict[str, Work]:
+    def _total_work(self) -> dict[str, Work]:
         """Returns the work observed by all nodes, by engine."""
         if self._sums is None:
             self._sums = add_works([self.own(), *self._peers.values()])
--- a/packages/arbutustally/src/arbutustally/gateway/fleet_sums.py
+++ b/packages/arbutustally/src/arbutustally/gateway/fleet_sums.py
@@ -60,7 +60,7 @@
 
     def __init__(self) -> None:
         self._totals: dict[str, float] = {}
-        self._heard: dict[str, dict[str, float]] = {}
+        self._last_reports: dict[str, dict[str, float]] = {}
 
     @property
     def totals(self) -> Mapping[str, float]:
@@ -73,8 +73,8 @@
         :param source: id that is unique for each start of a node.
         :param totals: running totals of the source by account.
         """
-        before = self._heard.get(source)
-        self._heard[source] = dict(totals)
+        before = self._last_reports.get(source)
+        self._last_reports[source] = dict(totals)
         if before is None:
             return
         for account, total in totals.items():
@@ -84,4 +84,4 @@
 
     def forget(self, source: str) -> None:
         """Removes a source that has stopped; its share of the totals remains."""
-        self._heard.pop(source, None)
+        self._last_reports.pop(source, None)
--- a/packages/arbutustally/src/arbutustally/gateway/quota.py
+++ b/packages/arbutustally/src/arbutustally/gateway/quota.py
@@ -20,7 +20,7 @@
 #: Age of the peers' reports at a node, seconds.
 REPORT_AGE_S = 0.3
 #: Time constant of the average of the peers' use, seconds.
-USE_MEMORY_S = 0.6
+USE_AVERAGING_S = 0.6
 #: Longest time that a refused caller is asked to wait, seconds.
 MAX_RETRY_AFTER_S = 5.0
 
@@ -59,8 +59,8 @@
         self._tolerance = tolerance
         self._buckets: dict[str, _Bucket] = {}
         self._admitted: dict[str, float] = {}
-        self._heard: dict[str, Mapping[str, float]] = {}
-        self._visible = 1.0
+        self._last_reports: dict[str, Mapping[str, float]] = {}
+        self._reporting_share = 1.0
 
     @classmethod
     def from_config(cls, clock: Clock, tolerance: QuotaTolerance) -> "QuotaLedger":
@@ -103,9 +103,9 @@
         """Sets how many nodes report their use, and how many are known, this one included."""
         for bucket in self._buckets.values():
             self._fill(bucket)
-        self._visible = heard / max(known, heard, 1)
+        self._reporting_share = heard / max(known, heard, 1)
         for bucket in self._buckets.values():
-            bucket.level = min(bucket.level, bucket.burst * self._visible)
+            bucket.level = min(bucket.level, bucket.burst * self._reporting_share)
 
     def take(self, account: str, tokens: float) -> float | None:
         """Deducts the tokens of a request if they are available.
@@ -115,9 +115,9 @@
         bucket = self._buckets.get(account)
         if bucket is not None:
             self._fill(bucket)
-            needed = min(tokens, bucket.burst * self._visible) + self._unreported(bucket)
+            needed = min(tokens, bucket.burst * self._reporting_share) + self._unreported(bucket)
             if bucket.level < needed:
-                rate = bucket.rate * self._visible
+                rate = bucket.rate * self._reporting_share
                 return min((needed - bucket.level) / rate, MAX_RETRY_AFTER_S)
             bucket.level -= tokens
         self._admitted[account] = self._admitted.get(account, 0.0) + tokens
@@ -137,25 +137,25 @@
         :param admitted: tokens that the peer has admitted since its start, by account.
         """
         # The initial level already accounts for what a peer admitted before its first report.
-        before = self._heard.get(peer, admitted)
-        self._heard[peer] = dict(admitted)
+        before = self._last_reports.get(peer, admitted)
+        self._last_reports[peer] = dict(admitted)
         for account, total in admitted.items():
             bucket = self._buckets.get(account)
             added = total - before.get(account, 0.0)
             if bucket is not None and added:
                 self._fill(bucket)
                 bucket.level = min(bucket.level - added, bucket.burst)
-                bucket.peers_use = self._peers_use(bucket) + max(added, 0.0) / USE_MEMORY_S
+                bucket.peers_use = self._peers_use(bucket) + max(added, 0.0) / USE_AVERAGING_S
                 bucket.peers_used_at = self._clock()
 
     def forget(self, peer: str) -> None:
         """Removes a peer that no longer counts; later admissions arrive in reports of others."""
-        self._heard.pop(peer, None)
+        self._last_reports.pop(peer, None)
 
     def _peers_use(self, bucket: _Bucket) -> float:
         """Returns the average rate at which the peers admitted tokens lately, tokens/s."""
         age_s = self._clock() - bucket.peers_used_at
-        return bucket.peers_use * math.exp(-age_s / USE_MEMORY_S)
+        return bucket.peers_use * math.exp(-age_s / USE_AVERAGING_S)
 
     def _unreported(self, bucket: _Bucket) -> float:
         """Returns the estimated tokens that the peers have admitted and not reported yet."""
@@ -164,6 +164,6 @@
     def _fill(self, bucket: _Bucket) -> None:
         now = self._clock()
         if now > bucket.filled_at:
-            gained = bucket.rate * self._visible * (now - bucket.filled_at)
-            bucket.level = min(bucket.level + gained, bucket.burst * self._visible)
+            gained = bucket.rate * self._reporting_share * (now - bucket.filled_at)
+            bucket.level = min(bucket.level + gained, bucket.burst * self._reporting_share)
             bucket.filled_at = now
--- a/packages/arbutustally/src/arbutustally/gateway/rollouts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/rollouts.py
@@ -166,7 +166,7 @@
     :param baseline: answers of the baseline in the same period.
     """
     pairs = [(tally, baseline.get(route, AnswerTally())) for route, tally in canary.items()]
-    whole = (_whole(canary), _whole(baseline))
+    whole = (_total(canary), _total(baseline))
     if any(_fails_more(one, other) for one, other in (*pairs, whole)):
         return True
     z_scores = _z_scores(canary, baseline)
@@ -175,12 +175,12 @@
 
 def is_sound(canary: Tallies, baseline: Tallies) -> bool:
     """Returns whether enough answers show that the canary is as good as the baseline."""
-    if _whole(canary).answers < MIN_ANSWERS_TO_KEEP or is_bad(canary, baseline):
+    if _total(canary).answers < MIN_ANSWERS_TO_KEEP or is_bad(canary, baseline):
         return False
     compared = [
         tally for route, tally in canary.items() if _is_compared(tally, baseline.get(route))
     ]
-    if sum(tally.timed for tally in compared) < _whole(canary).timed * MIN_COMPARED_SHARE:
+    if sum(tally.timed for tally in compared) < _total(canary).timed * MIN_COMPARED_SHARE:
         return False
     return bool(compared) and _combined_z(_z_scores(canary, baseline)) < SOUND_Z
 
@@ -193,7 +193,7 @@
     )
 
 
-def _whole(tallies: Tallies) -> AnswerTally:
+def _total(tallies: Tallies) -> AnswerTally:
     return add_tallies([{"": tally} for tally in tallies.values()]).get("", AnswerTally())
 
 
@@ -280,7 +280,7 @@
     def __init__(self) -> None:
         self._orders: dict[str, KnownOrder] = {}
         self._progress: dict[str, RolloutProgress] = {}
-        self._bad: dict[str, set[str]] = {}
+        self._rolled_back: dict[str, set[str]] = {}
 
     @property
     def orders(self) -> list[KnownOrder]:
@@ -297,7 +297,7 @@
         if known is not None and known.order == order:
             return False
         self._orders[order.service] = KnownOrder(order, known_at)
-        self._bad.get(order.service, set()).discard(order.target)
+        self._rolled_back.get(order.service, set()).discard(order.target)
         progress = self._progress.get(order.service)
         if progress is not None and progress.target != order.target:
             del self._progress[order.service]
@@ -319,7 +319,7 @@
             return False
         self._progress[progress.service] = progress
         if progress.state is RolloutState.ROLLED_BACK:
-            self._bad.setdefault(progress.service, set()).add(progress.target)
+            self._rolled_back.setdefault(progress.service, set()).add(progress.target)
         return True
 
     @staticmethod
@@ -343,7 +343,7 @@
 
     def is_baseline(self, state: EndpointState) -> bool:
         """Returns whether an endpoint has a release that is neither canary nor rolled back."""
-        is_bad = state.entry.release in self._bad.get(state.entry.service, ())
+        is_bad = state.entry.release in self._rolled_back.get(state.entry.service, ())
         return not is_bad and not self.is_canary(state)
 
     def allowed(
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -43,7 +43,7 @@
         first._gossip._on_state = fail_once
         self.eventually(lambda: first._gossip._on_state is take)
         second._services.state.quota._admitted["school"] = 70.0
-        self.eventually(lambda: "school" in str(first._services.state.quota._heard), 3.0)
+        self.eventually(lambda: "school" in str(first._services.state.quota._last_reports), 3.0)
 
     def test_error_in_one_task_leaves_the_others(self) -> None:
         node = self.start_node()
