Rename parameters of engine choice and weight loads

Cause: wall and is_behind are figurative. Change: isolated_account, is_overloaded and MAX_MEAN_WAIT_SHARE; the simulation in test_gateway_weights is named simulate.

--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -188,7 +188,7 @@
     service: Service,
     able: Sequence[EndpointState],
     version: int,
-    wall: str,
+    isolated_account: str,
     scope: str,
     importable_tokens: int,
     target_s: float,
@@ -198,8 +198,8 @@
     """Returns the engine with the shortest expected time to the first event.
 
     :param able: usable engines that run ``version``.
-    :param wall: name of the account if its cached parts are isolated from other accounts, otherwise
-        empty.
+    :param isolated_account: name of the account if its cached parts are isolated from other
+        accounts, otherwise empty.
     :param scope: scope of the cached parts that the request may use.
     :param importable_tokens: tokens of the prompt that any engine can fetch from another place.
     :param zone: engines of this zone are preferred among equals.
@@ -207,7 +207,7 @@
     """
     shape = shape_of(request)
     asked = PlacementRequest(
-        account=wall,
+        account=isolated_account,
         model=request.model,
         version=str(version),
         shape=shape,
--- a/packages/arbutustally/src/arbutustally/gateway/weights.py
+++ b/packages/arbutustally/src/arbutustally/gateway/weights.py
@@ -31,7 +31,7 @@
 #: Duration of a step, seconds; in this time nodes receive the resulting load of the other engines.
 STEP_PAUSE_S = 0.4
 #: Limit of the other engines' mean wait, as a share of the shortest target.
-BEARABLE_PART = 0.3
+MAX_MEAN_WAIT_SHARE = 0.3
 #: Share of the time until old weights are forbidden over which deferred loads are spread.
 DEADLINE_SHARE = 0.8
 
@@ -119,7 +119,7 @@
     pending: int = 0,
     left_s: float = 0.0,
     load_s: float = 1.0,
-    is_behind: bool = False,
+    is_overloaded: bool = False,
 ) -> int:
     """Returns how many engines may load at the same time, at least one.
 
@@ -127,10 +127,10 @@
     :param pending: number of engines that still have older weights.
     :param left_s: time until older weights are no longer allowed, seconds.
     :param load_s: time for which a load makes an engine unavailable, seconds.
-    :param is_behind: whether the other engines are overloaded.
+    :param is_overloaded: whether the other engines are overloaded.
     """
     most = max(1, int(engines * LOADING_SHARE))
-    if not is_behind:
+    if not is_overloaded:
         return most
     rounds = max(1, math.floor(left_s * DEADLINE_SHARE / load_s))
     return min(most, math.ceil(pending / rounds))
@@ -149,4 +149,4 @@
     """
     if not waits_s:
         return False
-    return sum(waits_s) / len(waits_s) > shortest_target_s * BEARABLE_PART
+    return sum(waits_s) / len(waits_s) > shortest_target_s * MAX_MEAN_WAIT_SHARE
--- a/tests/test_gateway_weights.py
+++ b/tests/test_gateway_weights.py
@@ -85,14 +85,14 @@
 
     LOAD_S = 2.5
 
-    def replay(self, engines: int, bound_s: float, is_behind: bool) -> tuple[int, float]:
+    def simulate(self, engines: int, bound_s: float, is_overloaded: bool) -> tuple[int, float]:
         """Returns the maximum of engines loading at once, and the time when all had loaded."""
         pending, now, most = engines, 0.0, 0
         ends: list[float] = []
         while pending or ends:
             ends = [end for end in ends if end > now]
             at_once = loads_at_once(
-                engines, pending + len(ends), bound_s - now, self.LOAD_S, is_behind
+                engines, pending + len(ends), bound_s - now, self.LOAD_S, is_overloaded
             )
             begin = min(pending, loads_in_step(engines), max(0, at_once - len(ends)))
             ends += [now + self.LOAD_S] * begin
@@ -102,17 +102,17 @@
         return most, now
 
     def test_fewer_engines_are_away_while_the_others_are_behind(self) -> None:
-        calm, _ = self.replay(70, 15.0, False)
-        busy, _ = self.replay(70, 15.0, True)
-        self.assertGreater(calm, 1.5 * busy)
+        idle, _ = self.simulate(70, 15.0, False)
+        busy, _ = self.simulate(70, 15.0, True)
+        self.assertGreater(idle, 1.5 * busy)
 
     def test_all_have_loaded_before_old_weights_are_refused(self) -> None:
         for engines in (1, 2, 5, 9, 30, 70, 2600):
             for bound_s in (8.0, 12.0, 15.0):
-                most, ended = self.replay(engines, bound_s, True)
-                calm, calm_ended = self.replay(engines, bound_s, False)
-                self.assertLessEqual(ended, max(bound_s, calm_ended), (engines, bound_s))
-                self.assertLessEqual(most, max(calm, 1))
+                most, ended = self.simulate(engines, bound_s, True)
+                idle, idle_ended = self.simulate(engines, bound_s, False)
+                self.assertLessEqual(ended, max(bound_s, idle_ended), (engines, bound_s))
+                self.assertLessEqual(most, max(idle, 1))
 
     def test_engines_are_behind_by_their_mean_wait(self) -> None:
         self.assertFalse(are_behind([], 0.5))
