--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -17,7 +17,7 @@
 
 
 class FloodOverRelaysTest(unittest.TestCase):
-    def play(self, factor: float, age_s: float, seed: int = 1) -> tuple[float, float]:
+    def simulate(self, factor: float, age_s: float, seed: int = 1) -> tuple[float, float]:
         """Returns the maximum of tokens admitted in a window, and the share that was refused.
 
         :param factor: requested tokens as a multiple of the account's rate.
@@ -29,14 +29,14 @@
             ledger.declare({"a": (RATE, BURST)})
             ledger.see(NODES, NODES)
         clock.advance(5.0)
-        began, told_at = clock(), 0.0
+        began, reported_at = clock(), 0.0
         reports: deque[tuple[float, list[float]]] = deque()
         window: deque[tuple[float, float]] = deque()
         most = in_window = asked = refused = 0.0
         while clock() - began < 2 * WINDOW_S:
             now = clock()
-            if now - told_at >= REPORT_EVERY_S:
-                told_at = now
+            if now - reported_at >= REPORT_EVERY_S:
+                reported_at = now
                 reports.append((now, [ledger.admitted.get("a", 0.0) for ledger in ledgers]))
             while reports and now - reports[0][0] >= age_s:
                 self.report(ledgers, reports.popleft()[1])
@@ -61,8 +61,8 @@
         allowed = (RATE * WINDOW_S + BURST) * (1 + TOLERANCE.share) + TOLERANCE.tokens
         for factor in (2.0, 3.6, 4.6):
             for age_s in (0.3, 0.5):
-                most, _refused = self.play(factor, age_s)
+                most, _refused = self.simulate(factor, age_s)
                 self.assertLessEqual(most, allowed, (factor, age_s))
 
     def test_nothing_within_the_rate_is_refused(self) -> None:
-        self.assertEqual(self.play(0.95, 0.4)[1], 0.0)
+        self.assertEqual(self.simulate(0.95, 0.4)[1], 0.0)
--- a/tests/test_gateway_choice.py
+++ b/tests/test_gateway_choice.py
@@ -27,7 +27,7 @@
 from tests.gateway_values import entry, prompt
 
 
-class Draw:
+class ConstantRandom:
     """Random number generator that always returns the same number."""
 
     def __init__(self, number: float) -> None:
@@ -37,8 +37,8 @@
         return self._number
 
 
-LOW = Draw(0.0)
-HIGH = Draw(0.99)
+LOW = ConstantRandom(0.0)
+HIGH = ConstantRandom(0.99)
 
 
 class ChoiceTest(unittest.TestCase):
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -91,32 +91,32 @@
             ledger.declare({"a": (78_000.0, 78_000.0)})
         return ledgers
 
-    def play(
-        self, nodes: int, factor: float, lag: float, heard_by: int
+    def simulate(
+        self, nodes: int, factor: float, lag: float, reporting: int
     ) -> list[tuple[float, float]]:
         """Simulates an account at ``factor`` times its rate.
 
         :param lag: interval between reports of the nodes, seconds.
-        :param heard_by: number of nodes that are heard; 1 for no exchange of reports.
+        :param reporting: number of nodes that exchange reports; 1 for no exchange.
         :returns: time and tokens of each admitted request.
         """
         clock = VirtualClock()
         ledgers = self.fleet(clock, nodes)
         for ledger in ledgers:
-            ledger.see(heard_by, nodes)
+            ledger.see(reporting, nodes)
         rng = Random(7)
         admitted = []
-        told = 0.0
+        reported_at = 0.0
         while clock() < 40.0:
             tokens = rng.choice((1_000.0, 8_000.0, 20_000.0))
             if rng.choice(ledgers).take("a", tokens) is None:
                 admitted.append((clock(), tokens))
             clock.advance(tokens / (78_000.0 * factor))
-            if clock() - told >= lag:
-                told = clock()
+            if clock() - reported_at >= lag:
+                reported_at = clock()
                 for number, ledger in enumerate(ledgers):
                     for other, peer in enumerate(ledgers):
-                        if other != number and heard_by > 1:
+                        if other != number and reporting > 1:
                             ledger.heard(str(other), peer.admitted)
         return admitted
 
@@ -129,14 +129,14 @@
     def test_account_at_many_times_its_rate_stays_within_the_bound(self) -> None:
         """Simulates an account at 7.5 times its rate on 8 nodes that report every 0.2 s."""
         bound = (78_000 * 8 + 78_000) * 1.1 + 110_000
-        self.assertLessEqual(self.most_in_window(self.play(8, 7.5, 0.2, 8)), bound)
+        self.assertLessEqual(self.most_in_window(self.simulate(8, 7.5, 0.2, 8)), bound)
 
     def test_nodes_that_hear_nobody_stay_within_the_bound_together(self) -> None:
         bound = (78_000 * 8 + 78_000) * 1.1 + 110_000
-        self.assertLessEqual(self.most_in_window(self.play(8, 7.5, 0.2, 1)), bound)
+        self.assertLessEqual(self.most_in_window(self.simulate(8, 7.5, 0.2, 1)), bound)
 
     def test_account_within_its_rate_is_not_refused(self) -> None:
-        admitted = self.play(8, 0.9, 0.2, 8)
+        admitted = self.simulate(8, 0.9, 0.2, 8)
         late = sum(tokens for at, tokens in admitted if at >= 5)
         self.assertGreater(late, 0.88 * 78_000 * 35)
 
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -19,9 +19,9 @@
 NODES = 80
 SLOTS = 12
 #: Delay of the reports between nodes, seconds.
-HEARD_AFTER_S = 0.3
+REPORT_DELAY_S = 0.3
 #: Prefill speed of an engine, tokens/s.
-READ_SPEED = 90_000.0
+PREFILL_SPEED = 90_000.0
 GUIDE, HISTORY, OWN = 2_500, 3_800, 2_900
 
 
@@ -58,17 +58,17 @@
         for node in self.nodes:
             node.assume_import_speed(2e6)
         self.free_at: dict[str, float] = defaultdict(float)
-        self.readers: dict[str, set[str]] = defaultdict(set)
+        self.holders: dict[str, set[str]] = defaultdict(set)
         self.sent: list[Sent] = []
-        self._unheard: deque[Sent] = deque()
+        self._unreported: deque[Sent] = deque()
 
     def place(self, request: CallerRequest) -> Choice:
         """Sends a request through one of the nodes."""
         now = self.clock()
-        self._hear(now)
+        self._receive_reports(now)
         node = self.rng.choice(self.nodes)
         shared = sum(part.tokens for part in request.parts[:-1])
-        held = self.readers[request.parts[-2].id]
+        held = self.holders[request.parts[-2].id]
         choice = choose_engine(
             node,
             self.holdings,
@@ -85,25 +85,25 @@
         )
         read = request.prompt_tokens - (shared if held else 0)
         began = max(self.free_at[choice.endpoint], now)
-        self.free_at[choice.endpoint] = began + read / READ_SPEED
+        self.free_at[choice.endpoint] = began + read / PREFILL_SPEED
         held.add(choice.endpoint)
         sent = Sent(now, choice.endpoint, began, self.free_at[choice.endpoint], request)
         self.sent.append(sent)
-        self._unheard.append(sent)
+        self._unreported.append(sent)
         return choice
 
-    def _hear(self, now: float) -> None:
-        while self._unheard and now - self._unheard[0].at > HEARD_AFTER_S:
-            heard = self._unheard.popleft()
+    def _receive_reports(self, now: float) -> None:
+        while self._unreported and now - self._unreported[0].at > REPORT_DELAY_S:
+            heard = self._unreported.popleft()
             self.holdings.assume(heard.engine, "1.", heard.request.parts)
         for state in self.states:
             left_s = max(0.0, self._known_free_at(state.id, now) - now)
-            state.prompt_tokens = left_s * READ_SPEED
+            state.prompt_tokens = left_s * PREFILL_SPEED
 
     def _known_free_at(self, engine: str, now: float) -> float:
         known = [sent.ended for sent in self.sent[-400:] if sent.engine == engine]
-        unheard = [sent for sent in self._unheard if sent.engine == engine]
-        return known[-len(unheard) - 1] if len(known) > len(unheard) else 0.0
+        unreported = [sent for sent in self._unreported if sent.engine == engine]
+        return known[-len(unreported) - 1] if len(known) > len(unreported) else 0.0
 
 
 class SharedPartsTest(unittest.TestCase):
@@ -124,7 +124,7 @@
 
     def test_a_shared_part_is_kept_by_few_engines(self) -> None:
         """Guards against copies of every part on every engine, which evict each other."""
-        copies = [len(held) for part, held in self.fleet.readers.items()]
+        copies = [len(held) for part, held in self.fleet.holders.items()]
         self.assertLessEqual(sum(copies) / len(copies), ENGINES / 5)
 
     def test_prompts_do_not_wait_for_it(self) -> None:
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -71,7 +71,7 @@
             self.reading.read(self._listed.end, found)
         self._apply(found)
 
-    def hear(self, other: "Node") -> None:
+    def receive(self, other: "Node") -> None:
         news = other.reading.news(0.0)
         if news is not None:
             self._apply(self.reading.take(news))
@@ -89,7 +89,7 @@
     def fleet(self, size: int) -> list[Node]:
         return [Node(self.clock, self.listed, rank) for rank in range(size)]
 
-    def play(self, nodes: list[Node], seconds: float, told: bool = True) -> None:
+    def simulate(self, nodes: list[Node], seconds: float, told: bool = True) -> None:
         """Advances time: heartbeats are written, readers read, and every node informs the others.
 
         :param told: whether nodes send news to each other.
@@ -101,49 +101,49 @@
             for node in nodes if told else ():
                 for other in nodes:
                     if other is not node:
-                        other.hear(node)
+                        other.receive(node)
             self.clock.advance(TELL_S)
 
     def test_large_fleet_reads_as_often_as_a_small_one(self) -> None:
         """Guards against one store call per node and interval; simulates 60 idle nodes."""
         small, large = self.fleet(4), self.fleet(60)
-        self.play(small, 20.0)
-        self.play(large, 20.0)
+        self.simulate(small, 20.0)
+        self.simulate(large, 20.0)
         readings = sum(node.reads for node in large) - len(large)
         self.assertLessEqual(readings, sum(node.reads for node in small) + READERS)
 
     def test_every_node_knows_a_change_within_the_bound(self) -> None:
         nodes = self.fleet(30)
-        self.play(nodes, 3.0)
+        self.simulate(nodes, 3.0)
         self.listed.change("e1", None)
-        self.play(nodes, READ_S + 2 * TELL_S)
+        self.simulate(nodes, READ_S + 2 * TELL_S)
         self.assertTrue(all(node.known == {"e1": None} for node in nodes))
 
     def test_loss_of_all_readers_is_noticed_in_time(self) -> None:
         nodes = self.fleet(30)
-        self.play(nodes, 3.0)
+        self.simulate(nodes, 3.0)
         left = nodes[READERS:]
         self.listed.change("e1", None)
-        self.play(left, 1.4)
+        self.simulate(left, 1.4)
         self.assertTrue(all("e1" in node.known for node in left))
 
     def test_lost_datagrams_cost_no_change(self) -> None:
         nodes = self.fleet(6)
-        self.play(nodes, 3.0)
+        self.simulate(nodes, 3.0)
         self.listed.change("e1")
-        self.play(nodes[:READERS], RESEND_S / 2)
+        self.simulate(nodes[:READERS], RESEND_S / 2)
         self.listed.change("e2")
-        self.play(nodes, 1.0)
+        self.simulate(nodes, 1.0)
         self.assertTrue(all(set(node.known) == {"e1", "e2"} for node in nodes))
 
     def test_node_that_missed_changes_reads_itself(self) -> None:
         """Guards against a node that treats a list as current although it lacks a change."""
         nodes = self.fleet(6)
-        self.play(nodes, 3.0)
+        self.simulate(nodes, 3.0)
         asleep, awake = nodes[-1], nodes[:-1]
         self.listed.change("e1")
-        self.play(awake, 2 * RESEND_S)
-        asleep.hear(nodes[0])
+        self.simulate(awake, 2 * RESEND_S)
+        asleep.receive(nodes[0])
         self.assertTrue(asleep.reading.has_missed)
         self.assertNotIn("e1", asleep.known)
         asleep.step()
@@ -152,10 +152,10 @@
 
     def test_many_changes_do_not_outgrow_a_datagram(self) -> None:
         nodes = self.fleet(3)
-        self.play(nodes, 1.0)
+        self.simulate(nodes, 1.0)
         for number in range(100):
             self.listed.change(f"e{number}", b"x" * 300)
-        self.play(nodes, READ_S + 1.0)
+        self.simulate(nodes, READ_S + 1.0)
         told = nodes[0].reading.news(0.0).changes
         self.assertLessEqual(sum(len(change.value) for change in told), MAX_CHANGES_BYTES)
         self.assertTrue(all(len(node.known) == 100 for node in nodes))
@@ -179,24 +179,24 @@
         self.reading = SharedReading.from_config(self.clock, LEAVING_S)
         self.reading.read_whole(Position(2, 10))
 
-    def hear(self, era: int, *changes: Change) -> tuple[Change, ...]:
+    def receive(self, era: int, *changes: Change) -> tuple[Change, ...]:
         return self.reading.take(ListNews(era, 0, 99, 0.0, 0.0, changes))
 
     def test_news_of_an_older_era_say_nothing(self) -> None:
         """Guards against late news that revert a node to the state before the store's return."""
-        self.assertEqual(self.hear(1, Change(20, "e1", None)), ())
+        self.assertEqual(self.receive(1, Change(20, "e1", None)), ())
         self.assertEqual(self.reading.position, Position(2, 10))
         self.assertFalse(self.reading.has_missed)
 
     def test_news_of_an_older_era_are_no_sign_of_a_reader(self) -> None:
         """Guards against a node that never reads because readers of an older era keep sending."""
         for _ in range(20):
-            self.hear(1)
+            self.receive(1)
             self.clock.advance(0.1)
         self.assertTrue(self.reading.is_due(self.RANK))
 
     def test_newer_era_is_a_reason_to_ask_the_store_and_nothing_else(self) -> None:
-        self.assertEqual(self.hear(3, Change(20, "e1", None)), ())
+        self.assertEqual(self.receive(3, Change(20, "e1", None)), ())
         self.assertEqual(self.reading.position, Position(2, 10))
         self.assertTrue(self.reading.has_missed)
         self.clock.advance(0.3)
@@ -209,8 +209,8 @@
         """Guards against a peer whose false era makes all nodes query the store for ever."""
         asked = 0
         for _ in range(round(2 * CLAIM_PAUSE_S / 0.1)):
-            self.hear(1 << 60)
-            self.hear(2)
+            self.receive(1 << 60)
+            self.receive(2)
             if self.reading.is_due(self.RANK):
                 asked += 1
                 self.reading.read(10, ())
@@ -218,7 +218,7 @@
         self.assertIn(asked, (1, 2))
 
     def test_word_of_an_era_that_nobody_repeats_is_forgotten(self) -> None:
-        self.hear(3)
+        self.receive(3)
         self.clock.advance(CLAIM_S)
         self.assertFalse(self.reading.has_missed)
 
