Rename tests of the gateway's decisions whose names are figurative

Cause: names spoke of words, walls, turns and hearing. The checks are unchanged. Tests: the nine modules of this part and test_rollouts passed.

--- a/tests/test_gateway_choice.py
+++ b/tests/test_gateway_choice.py
@@ -71,7 +71,7 @@
         self.holdings.assume("e3", "1.", request.parts[:1])
         self.assertEqual(self.choose(request), "e3")
 
-    def test_parts_of_other_weights_or_walls_count_for_nothing(self) -> None:
+    def test_parts_of_other_weights_or_accounts_do_not_count(self) -> None:
         request = prompt(("aa", 6000), ("bb", 500))
         self.holdings.assume("e3", "2.", request.parts)
         self.holdings.assume("e2", "1.school", request.parts)
@@ -104,7 +104,7 @@
         source = self.source(request)
         self.assertEqual((source.place, source.tokens), ("e2", 6500))
 
-    def test_holders_of_a_hot_part_take_turns(self) -> None:
+    def test_transfers_of_a_hot_part_are_spread_over_its_holders(self) -> None:
         """Simulates a part that all engines fetch; a holder transfers one part at a time."""
         request = prompt(("aa", 6000), ("bb", 500))
         self.states = [EndpointState(entry(f"e{number}")) for number in range(20)]
@@ -138,7 +138,7 @@
         self.holdings.unexpect(first, "1.", request.parts)
         self.assertEqual(self.holdings.prefix_tokens(first, "1.", request.parts, True), 0)
 
-    def test_engine_that_may_have_dropped_parts_is_told_another_place(self) -> None:
+    def test_engine_that_may_have_dropped_parts_gets_another_source(self) -> None:
         """Guards against parts computed again after an engine dropped them without any event."""
         request = prompt(("aa", 6000), ("own", 3000))
         for engine in ("e1", "e2"):
@@ -157,7 +157,7 @@
         self.assertFalse(must_save(self.holdings, "1.", request.parts, store))
         self.assertFalse(must_save(self.holdings, "1.", request.parts[2:], store))
 
-    def test_assumption_ends_and_word_of_the_engine_stays(self) -> None:
+    def test_assumed_part_expires_and_reported_part_stays(self) -> None:
         request = prompt(("aa", 6000))
         self.holdings.assume("e1", "1.", request.parts)
         self.holdings.stored("e2", "1.", "aa", 6000)
@@ -179,7 +179,7 @@
         chosen = Counter(choose_plain(self.states, "z1", Random(seed)).id for seed in range(60))
         self.assertGreater(chosen["e3"], 0)
 
-    def test_named_weights_go_before_older_ones(self) -> None:
+    def test_named_weights_are_preferred_to_older_ones(self) -> None:
         self.states[0].weights = {"m": 1}
         self.states[1].weights = {"m": 2}
         self.states[2].weights = {"m": 1}
@@ -190,7 +190,7 @@
         self.assertEqual((version, [state.id for state in able]), (1, ["e1", "e3"]))
         self.assertEqual(weights_to_use(self.states, "m", 2, 2, LOW)[1], [])
 
-    def test_broken_request_goes_on_at_older_weights_before_any_engine_has_new_ones(self) -> None:
+    def test_repeat_uses_older_weights_before_any_engine_has_new_ones(self) -> None:
         """Guards against repeats that find no engine when engines fail just after a new version."""
         for state in self.states:
             state.weights = {"m": 1}
--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -17,13 +17,13 @@
     def names(self) -> list[str]:
         return sorted(state.id for state in self.book.usable("s"))
 
-    def test_leaving_and_removed_endpoints_get_nothing(self) -> None:
+    def test_leaving_and_removed_endpoints_are_not_usable(self) -> None:
         self.book.put(entry("e1", is_leaving=True))
         self.assertEqual(self.names(), ["e2"])
         self.book.remove("e2")
         self.assertEqual(self.names(), [])
 
-    def test_entry_that_lapsed_with_the_store_is_used_until_it_must_be_back(self) -> None:
+    def test_entry_that_expired_in_an_outage_is_used_until_it_must_be_back(self) -> None:
         self.book.keep_removed(102.0)
         self.book.remove("e1")
         self.assertEqual(self.names(), ["e1", "e2"])
@@ -37,7 +37,7 @@
         self.book.keep_removed(self.clock() + 2.5)
         self.assertEqual(self.names(), ["e2"])
 
-    def test_longer_absence_of_the_store_keeps_what_lapsed_in_it(self) -> None:
+    def test_longer_outage_of_the_store_keeps_entries_that_expired_in_it(self) -> None:
         self.book.keep_removed(102.0)
         self.book.remove("e1")
         self.clock.advance(1.5)
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -131,7 +131,7 @@
         bound = (78_000 * 8 + 78_000) * 1.1 + 110_000
         self.assertLessEqual(self.most_in_window(self.simulate(8, 7.5, 0.2, 8)), bound)
 
-    def test_nodes_that_hear_nobody_stay_within_the_bound_together(self) -> None:
+    def test_nodes_without_reports_stay_within_the_bound_together(self) -> None:
         bound = (78_000 * 8 + 78_000) * 1.1 + 110_000
         self.assertLessEqual(self.most_in_window(self.simulate(8, 7.5, 0.2, 1)), bound)
 
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -127,7 +127,7 @@
         copies = [len(held) for part, held in self.fleet.holders.items()]
         self.assertLessEqual(sum(copies) / len(copies), ENGINES / 5)
 
-    def test_prompts_do_not_wait_for_it(self) -> None:
+    def test_prompts_do_not_queue_at_the_holders(self) -> None:
         """Guards against a queue of prompts at the few home engines of a shared part."""
         waits = sorted(sent.began - sent.at for sent in self.fleet.sent)
         self.assertLess(waits[int(0.9 * len(waits))], self.TARGET_S / 5)
--- a/tests/test_gateway_many_engines.py
+++ b/tests/test_gateway_many_engines.py
@@ -59,7 +59,7 @@
             self.nodes,
         )
 
-    def test_engine_that_peers_named_as_holder_is_found(self) -> None:
+    def test_engine_that_peers_reported_as_holder_is_chosen(self) -> None:
         """Guards against parts computed again although a peer reported an engine with them."""
         for number in range(self.ENGINES):
             request = prompt((f"part-{number}", 6000), ("own", 500))
@@ -78,13 +78,13 @@
             chosen[self.choose(prompt(("guide", 2500), (f"session-{node}", 3800))).endpoint] += 1
         self.assertGreater(len(chosen), 15)
 
-    def test_engines_that_peers_saw_are_expected_to_be_as_fast_as_they_are(self) -> None:
+    def test_expected_time_uses_the_speeds_that_peers_observed(self) -> None:
         """Guards against rejections by a node that assumes unobserved engines to be slow."""
         self.speeds.set_peers("relay", {f"e{number}": (50_000.0, 1.0) for number in range(35)})
         choice = self.choose(prompt(("aa", 10_000)))
         self.assertAlmostEqual(choice.estimate_s, 0.2, delta=0.02)
 
-    def test_slow_engine_is_given_less_and_its_share_back(self) -> None:
+    def test_slow_engine_gets_fewer_requests_until_it_recovers(self) -> None:
         """Simulates an engine at a quarter of its speed that recovers."""
         self.nodes = 1
         for _ in range(5):
@@ -131,7 +131,7 @@
         self.assertGreater(len(chosen), 15)
         self.assertLessEqual(max(chosen.values()), 8)
 
-    def test_parts_that_later_ones_pushed_out_do_not_count(self) -> None:
+    def test_evicted_parts_do_not_count(self) -> None:
         """Simulates an engine of a large fleet whose whole cache is replaced within a second."""
         self.holdings = Holdings.from_config(self.clock, lambda _place: PlaceTerms(10_000))
         first = prompt(("history", 4_000), ("own", 1_000)).parts
@@ -170,7 +170,7 @@
         self.assertIsNone(store_of(stores, "1.", parts[:1]))
         self.assertIsNone(store_of([], "1.", parts))
 
-    def test_store_of_which_nobody_hears_is_asked_for_parts_that_were_saved(self) -> None:
+    def test_saved_parts_are_fetched_from_a_store_without_events(self) -> None:
         """Simulates a fleet too large to follow the store's events, and a part reused late."""
         self.holdings = Holdings.from_config(self.clock, self.terms_of_a_store)
         store = Service("keep", 10, part_store=PartStore("10.0.0.9:1", "z1", 3))
--- a/tests/test_gateway_weights.py
+++ b/tests/test_gateway_weights.py
@@ -52,7 +52,7 @@
         states[0].loading, states[0].loading_until = True, 11.0
         self.assertEqual(len(plan_loads(states, "m", 3, 2, 10.0).engines), 1)
 
-    def test_engine_is_emptied_before_it_loads(self) -> None:
+    def test_engine_is_drained_before_it_loads(self) -> None:
         """Simulates an engine with long streams: it loads soon and no request is lost."""
         state = EndpointState(entry("e1"))
         self.assertFalse(is_emptied(state, 0.0, 0))
@@ -101,7 +101,7 @@
             now += STEP_PAUSE_S
         return most, now
 
-    def test_fewer_engines_are_away_while_the_others_are_behind(self) -> None:
+    def test_fewer_engines_load_while_the_others_are_overloaded(self) -> None:
         idle, _ = self.simulate(70, 15.0, False)
         busy, _ = self.simulate(70, 15.0, True)
         self.assertGreater(idle, 1.5 * busy)
@@ -114,7 +114,7 @@
                 self.assertLessEqual(ended, max(bound_s, idle_ended), (engines, bound_s))
                 self.assertLessEqual(most, max(idle, 1))
 
-    def test_engines_are_behind_by_their_mean_wait(self) -> None:
+    def test_engines_are_overloaded_by_their_mean_wait(self) -> None:
         self.assertFalse(are_behind([], 0.5))
         self.assertFalse(are_behind([0.0, 0.1, 0.2], 0.5))
         self.assertTrue(are_behind([0.0, 0.3, 0.4], 0.5))
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -127,7 +127,7 @@
         self.simulate(left, 1.4)
         self.assertTrue(all("e1" in node.known for node in left))
 
-    def test_lost_datagrams_cost_no_change(self) -> None:
+    def test_lost_datagrams_lose_no_change(self) -> None:
         nodes = self.fleet(6)
         self.simulate(nodes, 3.0)
         self.listed.change("e1")
@@ -160,7 +160,7 @@
         self.assertLessEqual(sum(len(change.value) for change in told), MAX_CHANGES_BYTES)
         self.assertTrue(all(len(node.known) == 100 for node in nodes))
 
-    def test_node_without_a_recent_reading_tells_nothing(self) -> None:
+    def test_node_without_a_recent_reading_sends_no_news(self) -> None:
         """Guards against an old list that is sent as current after a suspension."""
         node = self.fleet(1)[0]
         node.step()
@@ -182,20 +182,20 @@
     def receive(self, era: int, *changes: Change) -> tuple[Change, ...]:
         return self.reading.take(ListNews(era, 0, 99, 0.0, 0.0, changes))
 
-    def test_news_of_an_older_era_say_nothing(self) -> None:
+    def test_news_of_an_older_era_are_ignored(self) -> None:
         """Guards against late news that revert a node to the state before the store's return."""
         self.assertEqual(self.receive(1, Change(20, "e1", None)), ())
         self.assertEqual(self.reading.position, Position(2, 10))
         self.assertFalse(self.reading.has_missed)
 
-    def test_news_of_an_older_era_are_no_sign_of_a_reader(self) -> None:
+    def test_news_of_an_older_era_do_not_count_as_a_reading(self) -> None:
         """Guards against a node that never reads because readers of an older era keep sending."""
         for _ in range(20):
             self.receive(1)
             self.clock.advance(0.1)
         self.assertTrue(self.reading.is_due(self.RANK))
 
-    def test_newer_era_is_a_reason_to_ask_the_store_and_nothing_else(self) -> None:
+    def test_news_of_a_newer_era_only_cause_a_query(self) -> None:
         self.assertEqual(self.receive(3, Change(20, "e1", None)), ())
         self.assertEqual(self.reading.position, Position(2, 10))
         self.assertTrue(self.reading.has_missed)
@@ -205,7 +205,7 @@
         self.assertFalse(self.reading.has_missed)
         self.assertFalse(self.reading.is_due(self.RANK))
 
-    def test_era_that_the_store_denies_is_not_asked_for_again_soon(self) -> None:
+    def test_denied_era_is_not_queried_again_soon(self) -> None:
         """Guards against a peer whose false era makes all nodes query the store for ever."""
         asked = 0
         for _ in range(round(2 * CLAIM_PAUSE_S / 0.1)):
@@ -217,12 +217,12 @@
             self.clock.advance(0.1)
         self.assertIn(asked, (1, 2))
 
-    def test_word_of_an_era_that_nobody_repeats_is_forgotten(self) -> None:
+    def test_claim_of_an_era_expires_unless_repeated(self) -> None:
         self.receive(3)
         self.clock.advance(CLAIM_S)
         self.assertFalse(self.reading.has_missed)
 
-    def test_whole_list_of_the_store_counts_whatever_was_known(self) -> None:
+    def test_whole_list_of_the_store_replaces_any_state(self) -> None:
         """Guards against a node that keeps an era which the store never had."""
         self.reading.take_whole(Position(1 << 60, 1))
         self.reading.read_whole(Position(2, 11))
