--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -290,11 +290,11 @@
             self._states[entry.id] = EndpointState(entry, weights=dict(entry.weights))
             return True
         if state.entry.incarnation != entry.incarnation:
-            replaced = (*state.replaced_incarnations, state.entry.incarnation)
+            incarnations = (*state.replaced_incarnations, state.entry.incarnation)
             self._states[entry.id] = EndpointState(
                 entry,
                 weights=dict(entry.weights),
-                replaced_incarnations=replaced[-MAX_INCARNATIONS:],
+                replaced_incarnations=incarnations[-MAX_INCARNATIONS:],
             )
             return True
         is_new = state.entry != entry or state.gone_at is not None
