Rename locals that spoke of told and heard reports

Change: with_news, sent, reported and the parameter reporting of QuotaLedger.see. Tests: the nine modules of this part, test_rollouts and test_supervision passed.

--- a/packages/arbutustally/src/arbutustally/gateway/quota.py
+++ b/packages/arbutustally/src/arbutustally/gateway/quota.py
@@ -99,11 +99,11 @@
         for account in [name for name in self._buckets if name not in limits]:
             del self._buckets[account]
 
-    def see(self, heard: int, known: int) -> None:
+    def see(self, reporting: int, known: int) -> None:
         """Sets how many nodes report their use, and how many are known, this one included."""
         for bucket in self._buckets.values():
             self._fill(bucket)
-        self._reporting_share = heard / max(known, heard, 1)
+        self._reporting_share = reporting / max(known, reporting, 1)
         for bucket in self._buckets.values():
             bucket.level = min(bucket.level, bucket.burst * self._reporting_share)
 
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -94,8 +94,8 @@
 
     def _receive_reports(self, now: float) -> None:
         while self._unreported and now - self._unreported[0].at > REPORT_DELAY_S:
-            heard = self._unreported.popleft()
-            self.holdings.assume(heard.engine, "1.", heard.request.parts)
+            reported = self._unreported.popleft()
+            self.holdings.assume(reported.engine, "1.", reported.request.parts)
         for state in self.states:
             left_s = max(0.0, self._known_free_at(state.id, now) - now)
             state.prompt_tokens = left_s * PREFILL_SPEED
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -89,16 +89,16 @@
     def fleet(self, size: int) -> list[Node]:
         return [Node(self.clock, self.listed, rank) for rank in range(size)]
 
-    def simulate(self, nodes: list[Node], seconds: float, told: bool = True) -> None:
+    def simulate(self, nodes: list[Node], seconds: float, with_news: bool = True) -> None:
         """Advances time: heartbeats are written, readers read, and every node informs the others.
 
-        :param told: whether nodes send news to each other.
+        :param with_news: whether nodes send news to each other.
         """
         for _ in range(round(seconds / TELL_S)):
             self.listed.heartbeats(10)
             for node in nodes:
                 node.step()
-            for node in nodes if told else ():
+            for node in nodes if with_news else ():
                 for other in nodes:
                     if other is not node:
                         other.receive(node)
@@ -156,8 +156,8 @@
         for number in range(100):
             self.listed.change(f"e{number}", b"x" * 300)
         self.simulate(nodes, READ_S + 1.0)
-        told = nodes[0].reading.news(0.0).changes
-        self.assertLessEqual(sum(len(change.value) for change in told), MAX_CHANGES_BYTES)
+        sent = nodes[0].reading.news(0.0).changes
+        self.assertLessEqual(sum(len(change.value) for change in sent), MAX_CHANGES_BYTES)
         self.assertTrue(all(len(node.known) == 100 for node in nodes))
 
     def test_node_without_a_recent_reading_sends_no_news(self) -> None:
