--- a/tests/test_gateway_weights.py
+++ b/tests/test_gateway_weights.py
@@ -1,4 +1,4 @@
-"""Named weights: what may be used, and when engines load."""
+"""Named weights: which versions are allowed, and when engines load."""
 
 import math
 import unittest
@@ -6,8 +6,8 @@
 from arbutustally.gateway.endpoints import EndpointState
 from arbutustally.gateway.weights import (
     EMPTYING_S,
+    MIN_DRAIN_S,
     STEP_PAUSE_S,
-    TELLING_S,
     are_behind,
     breaks_runs_off,
     is_emptied,
@@ -22,7 +22,7 @@
 
 class NamedWeightsTest(unittest.TestCase):
     def test_each_version_is_allowed_until_the_one_after_it_is_old(self) -> None:
-        """Guards against requests on the oldest of three versions when the newest is young."""
+        """Guards against use of the oldest of three versions just after the newest is named."""
         named = NamedWeights()
         for version, at in ((1, 0.0), (2, 2.0), (3, 5.0), (4, 8.6)):
             self.assertTrue(named.learn(version, at))
@@ -33,7 +33,7 @@
         self.assertEqual(named.oldest_allowed(20.0, 6.0), 4)
 
     def test_version_named_before_the_start_leaves_no_time_for_older_ones(self) -> None:
-        """Guards against restarted nodes that begin requests on weights replaced long before."""
+        """Guards against restarted nodes that start requests on weights replaced long before."""
         named = NamedWeights()
         self.assertTrue(named.learn(5, -math.inf))
         self.assertEqual((named.oldest_allowed(100.0, 6.0), named.dated), (5, {}))
@@ -52,13 +52,13 @@
         states[0].loading, states[0].loading_until = True, 11.0
         self.assertEqual(len(plan_loads(states, "m", 3, 2, 10.0).engines), 1)
 
-    def test_engine_is_emptied_before_it_loads(self) -> None:
-        """Replays an engine with long streams: it loads soon and loses nothing for good."""
+    def test_engine_is_drained_before_it_loads(self) -> None:
+        """Simulates an engine with long streams: it loads soon and no request is lost."""
         state = EndpointState(entry("e1"))
         self.assertFalse(is_emptied(state, 0.0, 0))
-        self.assertTrue(is_emptied(state, TELLING_S, 0))
+        self.assertTrue(is_emptied(state, MIN_DRAIN_S, 0))
         state.peer_load["n2"] = (1, 0.0, 0.0, 1)
-        self.assertFalse(is_emptied(state, TELLING_S, state.peer_unrepeatable))
+        self.assertFalse(is_emptied(state, MIN_DRAIN_S, state.peer_unrepeatable))
         self.assertFalse(breaks_runs_off(state, state.peer_unrepeatable))
         self.assertTrue(is_emptied(state, EMPTYING_S, state.peer_unrepeatable))
         state.peer_load["n2"] = (5, 0.0, 0.0, 0)
@@ -67,7 +67,7 @@
         self.assertFalse(breaks_runs_off(state, state.peer_unrepeatable))
 
     def test_engines_that_load_together_share_the_budget_of_repeats(self) -> None:
-        """Guards against two orders that each break off as many runs as one budget moves."""
+        """Guards against two orders that each abort as many requests as one budget covers."""
         states = [EndpointState(entry(f"e{number}")) for number in range(3)]
         for state in states:
             state.running, state.unrepeatable = 3, 1
@@ -81,18 +81,18 @@
 
 
 class LoadPaceTest(unittest.TestCase):
-    """Replays weights that are named while a quarter of the engines is lost and the rest is busy."""
+    """Simulates weights named while a quarter of the engines is lost and the rest is busy."""
 
     LOAD_S = 2.5
 
-    def replay(self, engines: int, bound_s: float, is_behind: bool) -> tuple[int, float]:
-        """Returns the most engines that were away at once, and when the last one had loaded."""
+    def simulate(self, engines: int, bound_s: float, is_overloaded: bool) -> tuple[int, float]:
+        """Returns the maximum of engines loading at once, and the time when all had loaded."""
         pending, now, most = engines, 0.0, 0
         ends: list[float] = []
         while pending or ends:
             ends = [end for end in ends if end > now]
             at_once = loads_at_once(
-                engines, pending + len(ends), bound_s - now, self.LOAD_S, is_behind
+                engines, pending + len(ends), bound_s - now, self.LOAD_S, is_overloaded
             )
             begin = min(pending, loads_in_step(engines), max(0, at_once - len(ends)))
             ends += [now + self.LOAD_S] * begin
@@ -101,20 +101,20 @@
             now += STEP_PAUSE_S
         return most, now
 
-    def test_fewer_engines_are_away_while_the_others_are_behind(self) -> None:
-        calm, _ = self.replay(70, 15.0, False)
-        busy, _ = self.replay(70, 15.0, True)
-        self.assertGreater(calm, 1.5 * busy)
+    def test_fewer_engines_load_while_the_others_are_overloaded(self) -> None:
+        idle, _ = self.simulate(70, 15.0, False)
+        busy, _ = self.simulate(70, 15.0, True)
+        self.assertGreater(idle, 1.5 * busy)
 
     def test_all_have_loaded_before_old_weights_are_refused(self) -> None:
         for engines in (1, 2, 5, 9, 30, 70, 2600):
             for bound_s in (8.0, 12.0, 15.0):
-                most, ended = self.replay(engines, bound_s, True)
-                calm, calm_ended = self.replay(engines, bound_s, False)
-                self.assertLessEqual(ended, max(bound_s, calm_ended), (engines, bound_s))
-                self.assertLessEqual(most, max(calm, 1))
+                most, ended = self.simulate(engines, bound_s, True)
+                idle, idle_ended = self.simulate(engines, bound_s, False)
+                self.assertLessEqual(ended, max(bound_s, idle_ended), (engines, bound_s))
+                self.assertLessEqual(most, max(idle, 1))
 
-    def test_engines_are_behind_by_their_mean_wait(self) -> None:
+    def test_engines_are_overloaded_by_their_mean_wait(self) -> None:
         self.assertFalse(are_behind([], 0.5))
         self.assertFalse(are_behind([0.0, 0.1, 0.2], 0.5))
         self.assertTrue(are_behind([0.0, 0.3, 0.4], 0.5))
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -8,10 +8,10 @@
 from arbutustally.gateway.shared_reading import (
     CLAIM_PAUSE_S,
     CLAIM_S,
-    MAX_TOLD_BYTES,
+    MAX_CHANGES_BYTES,
     READERS,
-    STALE_PART,
-    TOLD_S,
+    RESEND_S,
+    STALE_SHARE,
     Change,
     ListNews,
     Position,
@@ -19,14 +19,14 @@
 )
 
 LEAVING_S = 2.0
-STALE_S = LEAVING_S * STALE_PART
-#: Interval between two readings of a reader, and between two of its datagrams, seconds.
+STALE_S = LEAVING_S * STALE_SHARE
+#: Interval between two readings of a reader, and between two of its messages to peers, seconds.
 READ_S = 0.7
 TELL_S = 0.2
 
 
 class FakeList:
-    """The list as the store has it: a heartbeat at every offset, changes at some."""
+    """List in the store: each offset is a heartbeat or a change."""
 
     def __init__(self) -> None:
         self.era = 1
@@ -45,7 +45,7 @@
 
 
 class Node:
-    """One node: what it knows of the list, and how often it has read."""
+    """One node with its copy of the list, and the number of its readings."""
 
     def __init__(self, clock: VirtualClock, listed: FakeList, rank: int) -> None:
         self.reading = SharedReading.from_config(clock, LEAVING_S)
@@ -71,7 +71,7 @@
             self.reading.read(self._listed.end, found)
         self._apply(found)
 
-    def hear(self, other: "Node") -> None:
+    def receive(self, other: "Node") -> None:
         news = other.reading.news(0.0)
         if news is not None:
             self._apply(self.reading.take(news))
@@ -89,58 +89,61 @@
     def fleet(self, size: int) -> list[Node]:
         return [Node(self.clock, self.listed, rank) for rank in range(size)]
 
-    def play(self, nodes: list[Node], seconds: float, told: bool = True) -> None:
-        """Lets time pass: heartbeats are written, readers read, and every node tells the others."""
+    def simulate(self, nodes: list[Node], seconds: float, with_news: bool = True) -> None:
+        """Advances time: heartbeats are written, readers read, and every node informs the others.
+
+        :param with_news: whether nodes send news to each other.
+        """
         for _ in range(round(seconds / TELL_S)):
             self.listed.heartbeats(10)
             for node in nodes:
                 node.step()
-            for node in nodes if told else ():
+            for node in nodes if with_news else ():
                 for other in nodes:
                     if other is not node:
-                        other.hear(node)
+                        other.receive(node)
             self.clock.advance(TELL_S)
 
     def test_large_fleet_reads_as_often_as_a_small_one(self) -> None:
-        """Replays 60 nodes in calm: a list read by every node cost each of them a call."""
+        """Guards against one store call per node and interval; simulates 60 idle nodes."""
         small, large = self.fleet(4), self.fleet(60)
-        self.play(small, 20.0)
-        self.play(large, 20.0)
+        self.simulate(small, 20.0)
+        self.simulate(large, 20.0)
         readings = sum(node.reads for node in large) - len(large)
         self.assertLessEqual(readings, sum(node.reads for node in small) + READERS)
 
     def test_every_node_knows_a_change_within_the_bound(self) -> None:
         nodes = self.fleet(30)
-        self.play(nodes, 3.0)
+        self.simulate(nodes, 3.0)
         self.listed.change("e1", None)
-        self.play(nodes, READ_S + 2 * TELL_S)
+        self.simulate(nodes, READ_S + 2 * TELL_S)
         self.assertTrue(all(node.known == {"e1": None} for node in nodes))
 
     def test_loss_of_all_readers_is_noticed_in_time(self) -> None:
         nodes = self.fleet(30)
-        self.play(nodes, 3.0)
+        self.simulate(nodes, 3.0)
         left = nodes[READERS:]
         self.listed.change("e1", None)
-        self.play(left, 1.4)
+        self.simulate(left, 1.4)
         self.assertTrue(all("e1" in node.known for node in left))
 
-    def test_lost_datagrams_cost_no_change(self) -> None:
+    def test_lost_datagrams_lose_no_change(self) -> None:
         nodes = self.fleet(6)
-        self.play(nodes, 3.0)
+        self.simulate(nodes, 3.0)
         self.listed.change("e1")
-        self.play(nodes[:READERS], TOLD_S / 2)
+        self.simulate(nodes[:READERS], RESEND_S / 2)
         self.listed.change("e2")
-        self.play(nodes, 1.0)
+        self.simulate(nodes, 1.0)
         self.assertTrue(all(set(node.known) == {"e1", "e2"} for node in nodes))
 
     def test_node_that_missed_changes_reads_itself(self) -> None:
-        """Guards against a node that takes a list as current although it lacks a change."""
+        """Guards against a node that treats a list as current although it lacks a change."""
         nodes = self.fleet(6)
-        self.play(nodes, 3.0)
+        self.simulate(nodes, 3.0)
         asleep, awake = nodes[-1], nodes[:-1]
         self.listed.change("e1")
-        self.play(awake, 2 * TOLD_S)
-        asleep.hear(nodes[0])
+        self.simulate(awake, 2 * RESEND_S)
+        asleep.receive(nodes[0])
         self.assertTrue(asleep.reading.has_missed)
         self.assertNotIn("e1", asleep.known)
         asleep.step()
@@ -149,16 +152,16 @@
 
     def test_many_changes_do_not_outgrow_a_datagram(self) -> None:
         nodes = self.fleet(3)
-        self.play(nodes, 1.0)
+        self.simulate(nodes, 1.0)
         for number in range(100):
             self.listed.change(f"e{number}", b"x" * 300)
-        self.play(nodes, READ_S + 1.0)
-        told = nodes[0].reading.news(0.0).changes
-        self.assertLessEqual(sum(len(change.value) for change in told), MAX_TOLD_BYTES)
+        self.simulate(nodes, READ_S + 1.0)
+        sent = nodes[0].reading.news(0.0).changes
+        self.assertLessEqual(sum(len(change.value) for change in sent), MAX_CHANGES_BYTES)
         self.assertTrue(all(len(node.known) == 100 for node in nodes))
 
-    def test_node_without_a_recent_reading_tells_nothing(self) -> None:
-        """Guards against an old list that is told as current after a suspension."""
+    def test_node_without_a_recent_reading_sends_no_news(self) -> None:
+        """Guards against an old list that is sent as current after a suspension."""
         node = self.fleet(1)[0]
         node.step()
         self.assertIsNotNone(node.reading.news(0.0))
@@ -167,7 +170,7 @@
 
 
 class EraTest(unittest.TestCase):
-    """One hearer, far back in the order of readers, and what peers tell it of eras."""
+    """News of other eras at a node of a rank that does not read by default."""
 
     RANK = 5
 
@@ -176,24 +179,24 @@
         self.reading = SharedReading.from_config(self.clock, LEAVING_S)
         self.reading.read_whole(Position(2, 10))
 
-    def hear(self, era: int, *changes: Change) -> tuple[Change, ...]:
+    def receive(self, era: int, *changes: Change) -> tuple[Change, ...]:
         return self.reading.take(ListNews(era, 0, 99, 0.0, 0.0, changes))
 
-    def test_news_of_an_older_era_say_nothing(self) -> None:
-        """Guards against a node that a late reader takes back to before the store's return."""
-        self.assertEqual(self.hear(1, Change(20, "e1", None)), ())
+    def test_news_of_an_older_era_are_ignored(self) -> None:
+        """Guards against late news that revert a node to the state before the store's return."""
+        self.assertEqual(self.receive(1, Change(20, "e1", None)), ())
         self.assertEqual(self.reading.position, Position(2, 10))
         self.assertFalse(self.reading.has_missed)
 
-    def test_news_of_an_older_era_are_no_sign_of_a_reader(self) -> None:
-        """Guards against a node that never reads since readers of an older era are loud."""
+    def test_news_of_an_older_era_do_not_count_as_a_reading(self) -> None:
+        """Guards against a node that never reads because readers of an older era keep sending."""
         for _ in range(20):
-            self.hear(1)
+            self.receive(1)
             self.clock.advance(0.1)
         self.assertTrue(self.reading.is_due(self.RANK))
 
-    def test_newer_era_is_a_reason_to_ask_the_store_and_nothing_else(self) -> None:
-        self.assertEqual(self.hear(3, Change(20, "e1", None)), ())
+    def test_news_of_a_newer_era_only_cause_a_query(self) -> None:
+        self.assertEqual(self.receive(3, Change(20, "e1", None)), ())
         self.assertEqual(self.reading.position, Position(2, 10))
         self.assertTrue(self.reading.has_missed)
         self.clock.advance(0.3)
@@ -202,25 +205,25 @@
         self.assertFalse(self.reading.has_missed)
         self.assertFalse(self.reading.is_due(self.RANK))
 
-    def test_era_that_the_store_denies_is_not_asked_for_again_soon(self) -> None:
-        """Guards against a peer with a false era that has all nodes call the store for ever."""
+    def test_denied_era_is_not_queried_again_soon(self) -> None:
+        """Guards against a peer whose false era makes all nodes query the store for ever."""
         asked = 0
         for _ in range(round(2 * CLAIM_PAUSE_S / 0.1)):
-            self.hear(1 << 60)
-            self.hear(2)
+            self.receive(1 << 60)
+            self.receive(2)
             if self.reading.is_due(self.RANK):
                 asked += 1
                 self.reading.read(10, ())
             self.clock.advance(0.1)
         self.assertIn(asked, (1, 2))
 
-    def test_word_of_an_era_that_nobody_repeats_is_forgotten(self) -> None:
-        self.hear(3)
+    def test_claim_of_an_era_expires_unless_repeated(self) -> None:
+        self.receive(3)
         self.clock.advance(CLAIM_S)
         self.assertFalse(self.reading.has_missed)
 
-    def test_whole_list_of_the_store_counts_whatever_was_known(self) -> None:
-        """Guards against a node that holds on to an era which the store never had."""
+    def test_whole_list_of_the_store_replaces_any_state(self) -> None:
+        """Guards against a node that keeps an era which the store never had."""
         self.reading.take_whole(Position(1 << 60, 1))
         self.reading.read_whole(Position(2, 11))
         self.assertEqual(self.reading.position, Position(2, 11))
@@ -235,12 +238,12 @@
         self.book.put(replace(self.ready, is_leaving=True))
 
     def test_endpoint_that_stays_after_all_is_used_again(self) -> None:
-        """Guards against an endpoint that is left out for good since it once was to leave."""
+        """Guards against an endpoint that stays excluded after it cancelled its leaving."""
         self.book.put(self.ready)
         self.assertEqual([state.id for state in self.book.usable("desk")], ["d1"])
 
     def test_endpoint_that_leaves_is_not_used_by_an_older_entry(self) -> None:
-        """Guards against new work at a leaving endpoint after a return of the store."""
+        """Guards against new requests to a leaving endpoint after the store has returned."""
         self.assertTrue(self.book.is_past(self.ready))
         self.assertFalse(self.book.is_past(replace(self.ready, is_leaving=True)))
         self.assertEqual(self.book.usable("desk"), [])
