--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_check.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_check.py
@@ -1,7 +1,7 @@
-"""Finds out whether an endpoint can be reached, without risking a request.
+"""Checks whether endpoints can be reached, without risking a request.
 
-An endpoint that one node could not reach is checked by every node for itself, since a path may be
-lost for some of them only. It gets requests again after a connection could be made.
+An endpoint that one node could not reach is checked by every node separately, since the network
+path may be broken for some nodes only. It gets requests again once a connection succeeds.
 """
 
 import errno
@@ -13,20 +13,20 @@
 from arbutustally.gateway.endpoints import EndpointBook, EndpointState, FailedCheck
 from arbutustally_node.gateway.decision_log import DecisionLog
 
-#: Longest wait for a connection, seconds.
+#: Timeout of a connection attempt, seconds.
 CONNECT_TIMEOUT_S = 0.2
 #: Pause between two checks, seconds.
 PAUSE_S = 0.4
-#: Least interval between two checks of an endpoint that is only silent, seconds.
+#: Shortest interval between two checks of an endpoint that is slow to answer, seconds.
 SILENT_INTERVAL_S = 1.0
-#: Errors that tell of this process and not of the endpoint.
+#: Errors caused by this process and not by the endpoint.
 LOCAL_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EADDRNOTAVAIL})
-#: Errors after which nothing is at work at the address, unlike after a connect that timed out.
+#: Errors that show that no process listens at the address, unlike a connection timeout.
 REFUSALS = frozenset({errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH})
 
 
 class EndpointChecker:
-    """Checks endpoints that are believed to be down."""
+    """Checks endpoints that are considered down."""
 
     def __init__(self, book: EndpointBook, log: DecisionLog, clock: Clock) -> None:
         self._book = book
@@ -35,21 +35,21 @@
         self._checking: set[str] = set()
 
     def unreachable(self, state: EndpointState) -> None:
-        """Notes that a request could not connect to the endpoint, and starts checks."""
+        """Records that a request could not connect to the endpoint, and starts checks."""
         if not state.is_down:
             self._log.line("endpoint_unreachable", endpoint=state.id, found_by="request")
         self._book.unreachable(state)
         self.check(state)
 
     def check(self, state: EndpointState) -> None:
-        """Starts checks that go on until the endpoint can be reached or is forgotten."""
+        """Starts checks that repeat until the endpoint can be reached or is removed."""
         if state.id in self._checking:
             return
         self._checking.add(state.id)
         gevent.spawn(self._check, state)
 
     def check_silent(self, state: EndpointState) -> None:
-        """Checks an endpoint that keeps a request waiting, at most every ``SILENT_INTERVAL_S``."""
+        """Checks an endpoint that keeps a request waiting, once per ``SILENT_INTERVAL_S`` at most."""
         now = self._clock()
         if now - state.checked_at >= SILENT_INTERVAL_S:
             state.checked_at = now
@@ -78,7 +78,7 @@
 
 
 def _connect_error(address: str) -> OSError | None:
-    """Returns why the endpoint can't be connected to, ``None`` if it can."""
+    """Returns the error of a connection attempt, ``None`` on success or after a local error."""
     host, _, port = address.rpartition(":")
     try:
         gevent_socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S).close()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -1,4 +1,4 @@
-"""Keeps the endpoints' list current: read from the store, or told by a peer that has read it."""
+"""Keeps the list of endpoints current, from the store or from peers that have read the store."""
 
 from typing import Any
 
@@ -14,31 +14,31 @@
 from arbutustally_node.gateway.store_watch import StoreWatch
 from arbutustally_node.gateway.supervision import supervise
 
-#: Names the order of nodes in which they read the list.
+#: Duty name that ranks the nodes for reading the list.
 READING_DUTY = b"endpoints"
-#: Pause between two reads of the list, whose heartbeats come many times a second, and longest wait
-#: of a read for the next record, as parts of the time within which leaving endpoints must be known.
-#: Together they are shorter than the age at which other nodes read the list themselves.
+#: Pause between two reads of the list, and longest wait of a read for the next record, as fractions
+#: of the time within which leaving endpoints must be known. The pause batches heartbeats, which are
+#: written many times a second. The sum stays below the age at which other nodes start to read.
 PAUSE_PART = 0.35
 WAIT_PART = 0.1
-#: Interval at which a node that does not read looks whether it must, seconds.
+#: Interval at which a node that does not read checks whether it must, seconds.
 LOOK_S = 0.1
-#: Ages of this node's last reading up to which it reads for the fleet, as a part of the time within
-#: which leaving endpoints must be known.
+#: Age of this node's last read up to which it counts as a reader for the fleet, as a fraction of the
+#: time within which leaving endpoints must be known.
 READER_PART = 0.75
-#: Pause after a failed call, seconds; doubled with each further failure.
+#: Delay before the first retry of a failed call, seconds; doubles up to ``MAX_RETRY_S``.
 RETRY_S = 0.2
-#: Longest time for which a node waits for the next records of endpoints whose entries it has not
-#: taken after the store's return, seconds.
+#: Longest time for which a node waits for new records of endpoints whose entries in an older copy of
+#: the list it did not apply, seconds.
 SETTLING_S = 20.0
-#: Time after the store's return in which workers that are there have written their entries, and
-#: those of others have lapsed, seconds.
+#: Time after a return of the store within which live workers have rewritten their entries and the
+#: entries of others have expired, seconds.
 WRITTEN_AGAIN_S = 2.5
 MAX_RETRY_S = 1.0
 
 
 class EndpointReader:
-    """Reads the list while this node is one of the readers, or hears of none.
+    """Reads the list while this node is a reader, or receives nothing from any reader.
 
     :param leaving_s: time within which leaving endpoints must be known, seconds.
     """
@@ -67,8 +67,8 @@
         self._read_at = float("-inf")
         self._is_reader: bool | None = None
         self._must_read_whole = True
-        # Endpoints whose entries in an older copy of the list were not taken; their next records
-        # tell whether they are there.
+        # Endpoints whose entries in an older copy of the list were not applied; their next records
+        # show whether they still exist.
         self._unsettled: set[str] = set()
         self._unsettled_until = float("-inf")
         self._settled_by_peers_at = float("-inf")
@@ -85,13 +85,13 @@
         self._greenlet.kill()
 
     def news(self) -> ListNews | None:
-        """Returns what to tell the peers right after a reading, otherwise ``None``."""
+        """Returns the changes to send to the peers right after a read, otherwise ``None``."""
         if not self._is_telling:
             return None
         return self._reading.news(self._view.book.keeps_removed_s)
 
     def take(self, news: ListNews, peer: str) -> None:
-        """Takes what a peer has read."""
+        """Applies the changes that a peer has read."""
         keep_until = self._clock() + news.keep_removed_s
         for change in self._reading.take(news):
             is_new = self._view.take_endpoint(Record(change.key, change.value), peer)
@@ -102,7 +102,7 @@
 
     @property
     def position(self) -> Position | None:
-        """Returns up to where the list is known, ``None`` for not at all."""
+        """Returns the position up to which the list is known, ``None`` before the first read."""
         return self._reading.position
 
     @property
@@ -112,19 +112,20 @@
 
     @property
     def has_missed(self) -> bool:
-        """Returns whether a peer knows changes, or told of an era, that this node lacks."""
+        """Returns whether a peer has changes that this node lacks, or reported a newer era."""
         return self._reading.has_missed or self._must_hear_again
 
     @property
     def _must_hear_again(self) -> bool:
-        """Returns whether peers know by now which of the unsettled endpoints are there.
+        """Returns whether to request from peers which of the unsettled endpoints exist.
 
-        The readers tell a record once; this node may have taken the list after that.
+        Readers send each record once, and this node may have taken the list after that. By now
+        the peers have the records that followed the store's return.
         """
         return bool(self._unsettled) and self._clock() >= self._settled_by_peers_at
 
     def take_snapshot(self, records: tuple[Record, ...], position: Position, peer: str) -> None:
-        """Takes a peer's whole list if it is newer.
+        """Applies a peer's whole list if it is newer, or as new and endpoints are unsettled.
 
         :param position: up to where the list is current.
         """
@@ -158,12 +159,12 @@
         return is_due or bool(self._unsettled)
 
     def _is_settled(self) -> bool:
-        """Returns whether this node knows its place in the order, or must read anyway."""
+        """Returns whether this node knows its rank among the readers, or must read regardless."""
         reading = self._reading
         return reading.position is None or reading.has_missed or self._gossip.is_settled
 
     def read_once(self) -> None:
-        """Reads what is new, or the whole list.
+        """Reads the new records, or the whole list.
 
         :raises StoreUnavailableError: if the store does not answer.
         """
@@ -172,7 +173,7 @@
             self._read_whole(start)
             return
         try:
-            # What peers tell moves the position on, but does not settle these endpoints.
+            # Changes from peers advance the position but do not settle these endpoints.
             offset = self._settled_to if self._unsettled else start.offset
             batch = self._topic.since(offset, self._wait_s)
         except HoleFoundError as error:
@@ -184,7 +185,7 @@
             self._must_read_whole = True
             return
         if self._reading.position.era != start.era:
-            # A peer's list of a newer era came meanwhile.
+            # Meanwhile a peer's list of a newer era was applied.
             return
         self._read_at = self._clock()
         self._reading.read(batch.next_offset, self._apply(offset, batch))
@@ -199,13 +200,13 @@
         position = Position(batch.era, batch.next_offset)
         now_known = self._reading.position
         if now_known is not None and now_known != start and now_known > position:
-            # What peers told meanwhile is newer than this answer.
+            # The changes received from peers meanwhile are newer than this answer.
             return
         self._replace(batch.records, position, "store")
         self._reading.read_whole(position)
 
     def _replace(self, records: tuple[Record, ...], position: Position, source: str) -> None:
-        """Takes a whole list; one of another era may be older than what is known."""
+        """Applies a whole list; a list of another era may be older than the known one."""
         known = self._reading.position
         self._unsettled.clear()
         if known is None or known.era == position.era:
@@ -221,7 +222,10 @@
         )
 
     def _tell(self) -> None:
-        """Tells all peers at once: datagrams of a large fleet come too seldom by themselves."""
+        """Sends the changes to all peers now.
+
+        In a large fleet the interval of the regular datagrams is too long.
+        """
         self._is_telling = True
         try:
             self._gossip.send_now()
@@ -229,7 +233,7 @@
             self._is_telling = False
 
     def _apply(self, start: int, batch: Batch) -> list[Change]:
-        """Takes the records that no peer has told meanwhile; returns those with news."""
+        """Applies the records not received from peers meanwhile; returns the changes."""
         known_to = self._reading.position.offset
         return [
             Change(offset, record.key, record.value)
@@ -238,7 +242,7 @@
         ]
 
     def _take_record(self, record: Record, is_unknown: bool) -> bool:
-        """Takes a record that no peer has told; returns whether it may say anything new to them."""
+        """Applies a record that no peer has sent; returns whether it may be new to the peers."""
         was_unsettled = record.key in self._unsettled
         if not (is_unknown or was_unsettled):
             return False
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -1,4 +1,4 @@
-"""Keeps current with the operator's records: read from the store, or told by a peer that reads."""
+"""Keeps the operator's records current, from the store or from peers that read the store."""
 
 import math
 from collections import deque
@@ -19,23 +19,23 @@
 
 #: Longest wait of a read for the next record, seconds.
 WAIT_S = 5.0
-#: Pause after a failed call, seconds; doubled with each further failure.
+#: Delay before the first retry of a failed call, seconds; doubles up to ``MAX_RETRY_S``.
 RETRY_S = 0.2
 MAX_RETRY_S = 1.0
-#: Time for which a connection to the store may have been silent before a call on it fails, and for
-#: which the loss of all nodes that read may have gone unnoticed, seconds.
+#: Longest time for which a dead connection to the store, or the loss of all nodes that read, stays
+#: undetected, seconds.
 UNNOTICED_S = 3.0
-#: Interval at which a node that does not read looks whether it must, seconds.
+#: Interval at which a node that does not read checks whether it must, seconds.
 LOOK_S = 0.05
-#: Time for which records are told again, so that lost datagrams cost nothing, seconds.
+#: Time for which records are sent repeatedly, so that lost datagrams do not matter, seconds.
 TOLD_S = 2.5
 
 
 class Follower:
-    """Keeps a ``FleetView`` current with what the operator writes.
+    """Keeps a ``FleetView`` current with the operator's records.
 
     :param is_reader: returns whether this node reads for the fleet now.
-    :param tell: tells the peers at once what this node has read.
+    :param tell: sends the peers at once the records that this node has read.
     """
 
     def __init__(
@@ -74,7 +74,7 @@
         self._greenlet.kill()
 
     def news(self) -> tuple[OperatorNews, ...]:
-        """Returns the records that this node has read lately."""
+        """Returns the records that this node has recently read or published."""
         now = self._clock()
         while self._told and now - self._told[0][0] > TOLD_S:
             self._told.popleft()
@@ -87,20 +87,20 @@
         )
 
     def publish(self, record: Record) -> None:
-        """Tells the peers a record of this node together with those that it has read."""
+        """Sends the peers a record of this node together with those that it has read."""
         now = self._clock()
         self._told.append((now, now, record))
         self._tell()
 
     def take(self, news: tuple[OperatorNews, ...], peer: str) -> None:
-        """Takes what a peer has read."""
+        """Applies the records that a peer has read."""
         now = self._clock()
         for one in news:
             known_at = -math.inf if one.age_s is None else now - one.age_s
             self._view.take_operator(Record(one.key, one.value), peer, known_at)
 
     def era_changed(self, era: int) -> None:
-        """Ends a wait for the next record: the store has begun an era with other offsets."""
+        """Ends a wait for the next record, since offsets differ in the store's new era."""
         self._told_era = era
         if era > self._era:
             self._woken.set()
@@ -109,7 +109,8 @@
         retry_s = RETRY_S
         while True:
             if self._offset is not None and not self._is_reader():
-                # Records that come now are told by the nodes that read, up to their loss.
+                # The nodes that read pass on new records, unless all of them are lost, which may
+                # be undetected for a while.
                 self._unread_since = self._clock() - UNNOTICED_S
                 gevent.sleep(LOOK_S)
                 continue
@@ -123,7 +124,7 @@
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
     def read_once(self) -> None:
-        """Reads what is new, or the newest record of every key.
+        """Reads the new records, or the newest record of every key.
 
         :raises StoreUnavailableError: if the store does not answer.
         """
@@ -148,15 +149,15 @@
         self._has_read = True
 
     def _newest(self) -> Batch:
-        # An era that begins while the store answers ends the next wait.
+        # Cleared before the call: an era that begins during it then ends the next wait.
         self._woken.clear()
         return self._topic.newest()
 
     def _wait_for_records(self, offset: int) -> Batch:
-        """Returns the records from an offset on; a new era ends the wait for the first.
+        """Returns the records from an offset on; a new era ends the wait for the first one.
 
         :raises StoreUnavailableError: if the store does not answer.
-        :raises HoleFoundError: if the offset is none of the store.
+        :raises HoleFoundError: if the store no longer has the offset, or has begun a new era.
         """
         reading = gevent.spawn(_outcome, self._topic, offset)
         try:
@@ -179,7 +180,8 @@
 
     def _take(self, records: tuple[Record, ...], known_at: float, is_news: bool) -> None:
         now = self._clock()
-        # A node that begins to read comes across what peers have told it, with a better age.
+        # A node that begins to read finds records that it has from peers already, with a more
+        # exact age.
         new = [record for record in records if not self._view.has_operator(record)]
         for record in new:
             self._view.take_operator(record, "store", known_at)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/order_lease.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/order_lease.py
@@ -1,10 +1,11 @@
 """The lease under which one node at a time orders engines.
 
-A claim is an append that succeeds only if no other record came in between; the store's era and
-the record's offset make the fencing number of every order. A lease that was not released may be
-claimed once a node has seen its last record unchanged for the whole lease time, so the nodes that
-come next look at it early. In an era that is new the store may have lost the holder's record, so
-a claimant waits out the lease time there too; only the holder itself may claim at once.
+A claim is a conditional append: it succeeds only if no other record was appended since the topic
+was read. The store's era and the record's offset form the fencing number of every order. A lease
+that was not released may be claimed once a node has seen its last record unchanged for the whole
+lease duration, so the nodes next in order start to poll it early. In a new era the store may have
+lost the holder's record, so a claimant waits for the lease duration there too; only the holder
+itself may claim at once.
 """
 
 from dataclasses import dataclass
@@ -16,18 +17,18 @@
 from arbutustally_node.gateway.ports import LeaseReading, LeaseTopic
 
 NAME = "weights"
-#: Part of the lease after which it is renewed.
+#: Fraction of the lease duration after which the lease is renewed.
 RENEW_PART = 0.4
-#: Interval at which the nodes that come next look at another holder's lease, seconds.
+#: Interval at which the nodes next in order poll another holder's lease, seconds.
 WATCH_S = 1.0
 
 
 class OrderLease:
-    """One node's view of the lease, and its hold on it.
+    """One node's view of the lease, and its own tenure if it is the holder.
 
-    :param holder: name under which this node holds it, different after each start.
-    :param boottime: seconds that go on while the instance is suspended.
-    :param lease_s: duration of the lease.
+    :param holder: name under which this node holds the lease, different after each start.
+    :param boottime: clock in seconds that keeps running while the instance is suspended.
+    :param lease_s: duration of the lease, seconds.
     """
 
     def __init__(
@@ -42,7 +43,7 @@
         self._lease: HeldLease | None = None
         self._unconfirmed: _Attempt | None = None
         self._era = 0
-        # A store that tells no era has always been in one.
+        # A store that states no era never changes era, so nothing has to be waited out.
         self._era_seen_at = float("-inf")
         self._watched_at = float("-inf")
         self._is_open = False
@@ -70,15 +71,15 @@
 
     @property
     def is_open(self) -> bool:
-        """Returns whether a record was seen, or may be there, that is not released yet."""
+        """Returns whether the store has, or may have, a record of a lease not yet released."""
         return self._is_open
 
     def drop(self) -> None:
-        """Forgets a lease that another holder has taken over."""
+        """Drops this node's lease after another holder has taken it over."""
         self._lease = None
 
     def watch(self) -> None:
-        """Looks at the lease of another holder, at most every ``WATCH_S``.
+        """Reads the lease of another holder, at most once per ``WATCH_S``.
 
         :raises StoreUnavailableError: if the store does not answer.
         """
@@ -86,22 +87,23 @@
             self._read()
 
     def note_era(self, era: int) -> None:
-        """Notes that the store has begun an era.
+        """Records that the store has begun an era.
 
-        The holder of an earlier era, whose record the store may have lost, believes its lease for
-        at most the lease time from now on.
+        The holder of an earlier era, whose record the store may have lost, can regard its lease as
+        valid for at most the lease duration from now on.
         """
         if era > self._era:
             self._era = era
             self._era_seen_at = self._boottime()
-            # What the store has now must be seen early: it may have to stay unchanged for a while.
+            # Have the lease read soon: its record must be seen unchanged for the whole lease duration
+            # before another node may claim.
             self._is_open = True
 
     def claim(self) -> bool:
         """Tries to become the holder.
 
-        :raises StoreUnavailableError: if nobody knows whether the claim was appended; the next
-            try finds it by its offset.
+        :raises StoreUnavailableError: if it is unknown whether the claim was appended; the next
+            attempt recognizes it by its offset.
         """
         self._lease = None
         reading = self._read()
@@ -112,7 +114,7 @@
     def renew(self) -> None:
         """Renews the lease that this node holds.
 
-        :raises StoreUnavailableError: if nobody knows whether it was renewed.
+        :raises StoreUnavailableError: if it is unknown whether the lease was renewed.
         """
         lease = self._lease
         reading = self._read()
@@ -131,13 +133,13 @@
         if self._lease is not lease:
             return
         if answer.era != reading.era:
-            # The record that was read may be gone; the next claim reads what the store has.
+            # The record that was read may be lost; the next claim reads the topic again.
             self._lose(lease, answer.era)
         elif answer.is_appended:
             self._lease = HeldLease(sent_at, self._lease_s, lease.name, lease.epoch)
 
     def release(self) -> None:
-        """Gives the lease up, so that others need not wait for its end."""
+        """Releases the lease, so that other nodes need not wait until it expires."""
         lease, self._lease = self._lease, None
         try:
             reading = self._read()
@@ -165,10 +167,11 @@
         return reading
 
     def _is_claimable(self, reading: LeaseReading) -> bool:
-        """Returns whether no other node can believe that it holds the lease.
+        """Returns whether no other node can regard itself as the holder.
 
-        A record that was written in an earlier era tells nothing of what that era's later records
-        said, and a late one may follow those of this era; so it counts like one not released.
+        A record written in an earlier era does not show what the later records of that era said,
+        and a delayed record of that era may be appended after those of this era. So even a release
+        from an earlier era counts as not released.
         """
         now, last = self._boottime(), reading.last
         if last is None:
@@ -180,7 +183,8 @@
         attempt = _Attempt(reading.era, reading.end, self._boottime())
         earlier = self._unconfirmed
         if earlier is not None and earlier.fence == attempt.fence:
-            # Which of two calls wrote the record is not known, so the first one's time counts.
+            # It is unknown which of the two calls wrote the record, so the lease starts at the
+            # earlier one.
             attempt = earlier
         self._unconfirmed = attempt
         answer = self._leases.append(self._holder, None, False, reading.era, reading.end)
@@ -190,9 +194,10 @@
         return self._hold(attempt, reading.last.holder if reading.last else "")
 
     def _carry_over(self, lease: HeldLease, reading: LeaseReading) -> None:
-        """Claims the lease anew in an era that began while this node held it.
+        """Claims the lease again in an era that began while this node held it.
 
-        Others wait longer than this node's lease lasts, and the append fails if one claims now.
+        This is safe: other nodes wait longer than this node's lease lasts, and the append fails if
+        another node claims now.
         """
         if self._is_confirmed(reading):
             self._hold(self._unconfirmed, self._holder)
@@ -201,7 +206,7 @@
             self._lose(lease, reading.era)
 
     def _is_confirmed(self, reading: LeaseReading) -> bool:
-        """Returns whether a claim whose answer was lost is the last record."""
+        """Returns whether the last record is this node's claim whose answer was lost."""
         last, attempt = reading.last, self._unconfirmed
         if last is None or attempt is None or last.holder != self._holder:
             return False
@@ -230,9 +235,9 @@
 class _Attempt:
     """A claim that was sent.
 
-    :ivar era: in which the topic was read before.
-    :ivar offset: at which the claim is, if it was appended.
-    :ivar sent_at: seconds of the clock that goes on while the instance is suspended.
+    :ivar era: era in which the topic was read before the claim.
+    :ivar offset: offset of the claim's record, if it was appended.
+    :ivar sent_at: time on the clock that keeps running while the instance is suspended, seconds.
     """
 
     era: int
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/__init__.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/__init__.py
@@ -1,4 +1,4 @@
-"""What the gateway needs of the platform that it runs on; an adapter implements it."""
+"""Interfaces to the platform that the gateway runs on; a platform adapter implements them."""
 
 from arbutustally_node.gateway.ports.codec import (
     AnswerTerms,
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/codec.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/codec.py
@@ -1,4 +1,4 @@
-"""Wire form of requests and answers, and the answer that names addresses to callers."""
+"""Interfaces to encode requests and answers, and the list of addresses for callers."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -11,17 +11,18 @@
 
 @dataclass(frozen=True)
 class AttemptTerms:
-    """What one attempt tells the endpoint beside the caller's request.
+    """What an attempt sends to the endpoint in addition to the caller's request.
 
-    :ivar endpoint_id: any other endpoint at the address must refuse.
+    :ivar endpoint_id: id of the intended endpoint; any other at the address must refuse.
     :ivar account: name of the account, empty on a public route without a key.
-    :ivar left_s: time until the answer is of no use.
-    :ivar cache_scope: cached parts are found under the same text only; empty for a plain service.
+    :ivar left_s: time after which the answer is no longer useful, seconds.
+    :ivar cache_scope: scope of cached prompt parts, which are found under the same scope only; empty
+        for a plain service.
     :ivar weights: version that the engine must have, ``None`` for a plain service.
     :ivar priority: 0 is the most urgent, ``None`` for a plain service.
     :ivar resume_from: id of the last event that was relayed, empty for none.
-    :ivar fetch_from: ``host:port`` of a place that holds more of the prompt, empty for none.
-    :ivar save_to: ``host:port`` of the store that gets the parts once they are read.
+    :ivar fetch_from: ``host:port`` of a cache that holds more of the prompt, empty for none.
+    :ivar save_to: ``host:port`` of the store that receives the prompt parts once they are read.
     """
 
     endpoint_id: str
@@ -37,16 +38,16 @@
 
 @dataclass(frozen=True)
 class AnswerTerms:
-    """What the head of an endpoint's answer says.
+    """Contents of the head of an endpoint's answer.
 
     :ivar echoed_id: request id of the answer, empty without one.
-    :ivar is_signed: the endpoint itself made the answer.
+    :ivar is_signed: the answer was produced by the endpoint itself.
     :ivar is_not_run: the endpoint states that it did not run the request.
-    :ivar is_mismatched: the endpoint is not the one that was named, or has other weights.
-    :ivar endpoint_id: of the endpoint that answered, empty if not stated.
+    :ivar is_mismatched: the endpoint is not the intended one, or has other weights.
+    :ivar endpoint_id: id of the endpoint that answered, empty if not stated.
     :ivar weights: version of the weights, ``None`` if not stated.
     :ivar headers: headers to pass on to the caller.
-    :ivar notice: what the endpoint says of itself.
+    :ivar notice: state of the endpoint as stated by itself.
     """
 
     echoed_id: str
@@ -60,14 +61,14 @@
 
 
 class NoticeWatcher(Protocol):
-    """Takes what endpoints say of themselves in answers to calls beside requests."""
+    """Callback for endpoints' notices in answers to calls other than requests."""
 
     def __call__(self, address: str, notice: EndpointNotice) -> None:
-        """Takes the notice of the endpoint at an address."""
+        """Receives the notice of the endpoint at an address."""
 
 
 class HttpCodec(Protocol):
-    """Wire form of requests and answers."""
+    """Encodes and decodes requests and answers."""
 
     def decode_request(self, head: RequestHead, body: bytes, arrived_at: float) -> CallerRequest:
         """Returns the request.
@@ -79,11 +80,14 @@
         """Returns the headers of an attempt."""
 
     def decode_answer(self, status: int, headers: Sequence[tuple[str, str]]) -> AnswerTerms:
-        """Returns what the head of an answer says."""
+        """Returns the contents of the head of an answer."""
 
 
 class DirectoryBody(Protocol):
-    """Encodes the addresses named to a caller."""
+    """Encodes the addresses that a caller may use."""
 
     def __call__(self, addresses: Sequence[str], ttl_s: float) -> bytes:
-        """Returns the body of the answer."""
+        """Returns the body of the answer.
+
+        :param ttl_s: time for which the addresses are valid, seconds.
+        """
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/documents.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/documents.py
@@ -1,4 +1,4 @@
-"""What others write into the store."""
+"""Documents in the store and the interface to decode and encode them."""
 
 from dataclasses import dataclass
 from typing import Protocol
@@ -17,21 +17,21 @@
     version: int
 
 
-#: What a record of the operator says.
+#: Decoded content of an operator's record.
 OperatorChange = Configuration | WeightsNamed | RolloutOrder
 
 
 class Documents(Protocol):
-    """Decoding of what others write into the store; unreadable documents give ``None``."""
+    """Decodes and encodes documents in the store; an unreadable one is decoded to ``None``."""
 
     def decode_operator(self, record: Record) -> OperatorChange | None:
-        """Returns what the operator wrote."""
+        """Returns the content of an operator's record."""
 
     def encode_rollout(self, progress: RolloutProgress) -> Record:
-        """Returns the record that tells the operator how far a roll-out is."""
+        """Returns the record that reports a roll-out's progress to the operator."""
 
     def decode_rollout(self, record: Record) -> RolloutProgress | None:
-        """Returns how far a roll-out was, as written by a node."""
+        """Returns a roll-out's progress as written by a node."""
 
     def decode_endpoint(self, record: Record) -> EndpointEntry | None:
         """Returns an endpoint's entry."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/engines.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/engines.py
@@ -1,4 +1,4 @@
-"""Calls to engines beside requests: reports, orders and changes of their caches."""
+"""Interfaces to engines apart from requests: reports, load orders and changes of their caches."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -12,7 +12,7 @@
 class EngineReport:
     """Load and weights of an engine.
 
-    :ivar orders: orders accepted since its start.
+    :ivar orders: number of orders accepted since the engine's start.
     :ivar is_busy: an order is in progress.
     """
 
@@ -22,7 +22,7 @@
 
 
 class OrderReply:
-    """Kinds of answers to an order."""
+    """Outcomes of a load order."""
 
     ACCEPTED = "accepted"
     HOLDS_ALREADY = "holds_already"
@@ -35,9 +35,10 @@
 
 @dataclass(frozen=True)
 class CacheChange:
-    """A part that a place began to hold or dropped.
+    """A prompt part that a cache has added or dropped.
 
-    :ivar tokens: tokens of the part that the place holds now.
+    :ivar is_stored: the part was added; otherwise it was dropped.
+    :ivar tokens: number of tokens of the part that the cache holds now.
     """
 
     is_stored: bool
@@ -50,8 +51,8 @@
 class CacheBatch:
     """Changes of one cache.
 
-    :ivar epoch: differs between two starts of the place.
-    :ivar next_number: where to read on.
+    :ivar epoch: differs between two starts of the cache's process.
+    :ivar next_number: number of the change from which to read next.
     :ivar has_gap: changes before these were lost.
     """
 
@@ -62,21 +63,24 @@
 
 
 class CacheEvents(Protocol):
-    """Changes of caches as engines and stores of parts tell them."""
+    """Changes of caches as reported by engines and stores of prompt parts."""
 
     def changes(self, address: str, since: int, wait_s: float) -> CacheBatch | None:
-        """Returns the changes from a number on, waiting for some; ``None`` without an answer."""
+        """Returns the changes from a number on; waits up to ``wait_s`` seconds for the first.
+
+        :returns: ``None`` if there was no answer.
+        """
 
     def watch_notices(self, watcher: NoticeWatcher) -> None:
-        """Passes notices in answers to ``watcher``."""
+        """Passes the notices in answers to ``watcher``."""
 
 
 @dataclass(frozen=True)
 class LoadOrder:
-    """What an engine is told to load.
+    """An order to load weights.
 
-    :ivar orders: orders that the engine must have accepted so far.
-    :ivar breaks_runs_off: end what runs at once; otherwise it finishes first.
+    :ivar orders: number of orders that the engine must have accepted so far.
+    :ivar breaks_runs_off: the engine aborts its runs at once; otherwise they finish first.
     """
 
     model: str
@@ -98,7 +102,12 @@
         holder: str,
         fence: int,
     ) -> str:
-        """Orders an engine to load weights; returns one of ``OrderReply``."""
+        """Orders an engine to load weights.
+
+        :param holder: name of the lease's holder.
+        :param fence: fencing number of the lease.
+        :returns: one of the values of ``OrderReply``.
+        """
 
     def watch_notices(self, watcher: NoticeWatcher) -> None:
-        """Passes notices in answers to ``watcher``."""
+        """Passes the notices in answers to ``watcher``."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/options.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/options.py
@@ -1,4 +1,4 @@
-"""Settings of one node and bounds of its deployment."""
+"""Settings of a node and bounds set by its deployment."""
 
 from dataclasses import dataclass
 
@@ -8,14 +8,16 @@
 
 @dataclass(frozen=True)
 class GatewayBounds:
-    """Bounds that the deployment sets.
-
-    :ivar weights_s: after this time no request may begin on weights older than those named.
-    :ivar lease_s: least time between orders of two holders.
-    :ivar leaving_s: after this time a leaving endpoint gets no new requests.
-    :ivar store_return_s: time after the store's return for which a missing entry may come back.
-    :ivar grace_s: time from SIGTERM to SIGKILL.
-    :ivar directory_ttl_s: longest time for which an answer with addresses counts.
+    """Bounds set by the deployment.
+
+    :ivar weights_s: time after which no request may begin on weights older than the named ones,
+        seconds.
+    :ivar lease_s: shortest time between orders of two holders, seconds.
+    :ivar leaving_s: time after which a leaving endpoint gets no new requests, seconds.
+    :ivar store_return_s: time after the store's return within which a missing entry may reappear,
+        seconds.
+    :ivar grace_s: time from SIGTERM to SIGKILL, seconds.
+    :ivar directory_ttl_s: longest time for which an answer with addresses is valid, seconds.
     """
 
     weights_s: float
@@ -30,16 +32,17 @@
 
 @dataclass(frozen=True)
 class GatewayOptions:
-    """Settings of one node.
+    """Settings of a node.
 
     :ivar node: name of the node.
     :ivar ip: address of the instance.
-    :ivar caller_listen: ``host:port`` for callers; the others likewise.
+    :ivar caller_listen: ``host:port`` for callers; the other ``*_listen`` likewise.
     :ivar peer_port: UDP port for messages between nodes, the same on all.
     :ivar metrics_listen: ``host:port`` for metrics.
-    :ivar seeds: ``host:port`` of control listeners of some nodes.
-    :ivar memory_mb: memory of the process.
-    :ivar capacity: of processor and link; instances with more relay for others first.
+    :ivar seeds: ``host:port`` of the control listeners of some nodes, to join the fleet.
+    :ivar memory_mb: memory available to the process, MiB.
+    :ivar capacity: capacity of processor and link; instances with more of it are the first to relay
+        for others.
     """
 
     node: str
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/platform.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/platform.py
@@ -1,4 +1,4 @@
-"""Everything that an adapter provides."""
+"""The set of interfaces that a platform adapter provides."""
 
 from dataclasses import dataclass
 
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True)
 class Platform:
-    """Everything that an adapter provides."""
+    """The set of interfaces that a platform adapter provides."""
 
     codec: HttpCodec
     documents: Documents
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/store.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/store.py
@@ -1,4 +1,4 @@
-"""Topics of the platform's store."""
+"""Interfaces to the platform's store: topics, their records, and the store's era."""
 
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -16,33 +16,33 @@
 
 
 class EraWatcher(Protocol):
-    """Takes the number of an era of the store that has begun."""
+    """Callback for a new era of the store."""
 
     def __call__(self, era: int) -> None:
-        """Takes the era; called once for each that is newer than all before."""
+        """Receives the era; called once for each era that is newer than all before."""
 
 
 class StoreEra(Protocol):
-    """The newest era that any answer of the store has told.
+    """The newest era that any answer of the store has stated.
 
-    The store begins an era each time that it comes back from an older copy: what was written
-    since that copy is gone, and its offsets are given out again.
+    The store begins a new era each time it is restored from an older copy: records written since
+    that copy are lost, and their offsets are assigned again.
     """
 
     @property
     def newest(self) -> int:
-        """Returns the era, 0 as long as no answer has told one."""
+        """Returns the era, 0 as long as no answer has stated one."""
 
     def watch(self, watcher: EraWatcher) -> None:
-        """Passes each newer era to ``watcher``, before the answer that told it is used."""
+        """Passes each newer era to ``watcher`` before the answer that stated it is used."""
 
 
 @dataclass(frozen=True)
 class Batch:
     """Records of a topic.
 
-    :ivar next_offset: where to read on.
-    :ivar era: of the store when it answered, 0 if not stated.
+    :ivar next_offset: offset from which to read next.
+    :ivar era: era of the store when it answered, 0 if not stated.
     """
 
     records: tuple[Record, ...]
@@ -60,15 +60,15 @@
         """
 
     def since(self, offset: int, wait_s: float) -> Batch:
-        """Returns the records from an offset on, waiting for the first.
+        """Returns the records from an offset on; waits up to ``wait_s`` seconds for the first.
 
         :raises StoreUnavailableError: if the store does not answer.
-        :raises HoleFoundError: if the records have left the store.
+        :raises HoleFoundError: if the store no longer has the records.
         """
 
 
 class StatusTopic(Protocol):
-    """Topic in which the system tells the operator what it has done."""
+    """Topic in which the system reports to the operator what it has done."""
 
     def newest(self) -> Batch:
         """Returns the newest record of every key.
@@ -77,10 +77,10 @@
         """
 
     def put(self, key: str, value: bytes | None, expected: int | None = None) -> Any:
-        """Appends a record; ``None`` in place of a result says that the topic ends elsewhere.
+        """Appends a record; returns ``None`` if the topic does not end at ``expected``.
 
-        :param expected: append only if the topic ends at this offset.
-        :raises StoreUnavailableError: if nobody knows whether it was appended.
+        :param expected: offset at which the topic must end for the append to succeed.
+        :raises StoreUnavailableError: if it is unknown whether the record was appended.
         """
 
 
@@ -98,11 +98,11 @@
 class LeaseRecord:
     """The last record of a lease.
 
-    :ivar holder: node that wrote it.
-    :ivar offset: of the record, which grows with each record.
+    :ivar holder: name of the node that wrote it.
+    :ivar offset: offset of the record; increases with each record.
     :ivar tenure: offset of the record that began the holder's tenure.
-    :ivar is_released: the holder gave the lease up.
-    :ivar era: of the store as its writer knew it; the record may have come into a later one.
+    :ivar is_released: the holder released the lease.
+    :ivar era: era of the store as known to the writer; the append may have arrived in a later one.
     """
 
     holder: str
@@ -114,11 +114,11 @@
 
 @dataclass(frozen=True)
 class LeaseReading:
-    """What the topic of a lease held.
+    """Result of reading the topic of a lease.
 
     :ivar last: the last record, ``None`` for none.
     :ivar end: offset of the next record.
-    :ivar era: of the store when it answered, 0 if not stated.
+    :ivar era: era of the store when it answered, 0 if not stated.
     """
 
     last: LeaseRecord | None
@@ -128,10 +128,10 @@
 
 @dataclass(frozen=True)
 class LeaseAppend:
-    """Answer to an append.
+    """Answer to a conditional append.
 
-    :ivar is_appended: the topic ended where it was expected to.
-    :ivar era: of the store when it answered, 0 if not stated.
+    :ivar is_appended: the topic ended at the expected offset.
+    :ivar era: era of the store when it answered, 0 if not stated.
     """
 
     is_appended: bool
@@ -152,7 +152,8 @@
     ) -> LeaseAppend:
         """Appends a record if the topic still ends at ``expected``.
 
-        :param tenure: offset of the record that began it; ``None`` begins one with this record.
-        :param era: of the store as this node knows it.
-        :raises StoreUnavailableError: if nobody knows whether it was.
+        :param tenure: offset of the record that began the tenure; ``None`` begins a tenure with
+            this record.
+        :param era: era of the store as known to this node.
+        :raises StoreUnavailableError: if it is unknown whether the record was appended.
         """
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
@@ -1,8 +1,8 @@
-"""Answers of a service's canary and baseline as this node sees them, and what the peers tell of theirs.
+"""Tallies of a service's canary and baseline answers, of this node and as reported by its peers.
 
-A node counts answers and their times while a roll-out is judged. A run that takes far longer than
-the baseline's on its route counts with the time that it has taken already, since the slowest answers come
-last.
+A node counts answers and their durations while a roll-out is judged. A run that takes far longer
+than the baseline's runs on its route is counted before it ends, with its duration so far, since the
+slowest answers arrive last.
 """
 
 import math
@@ -19,20 +19,20 @@
     add_tallies,
 )
 
-#: Quantile of the baseline's times with which a run that has not ended is compared.
+#: Quantile of the baseline's durations with which a run that has not ended is compared.
 BASELINE_QUANTILE = 0.75
-#: Factor above that quantile at which a run counts before it has ended.
+#: Multiple of that quantile from which a run is counted before it has ended.
 LONG_FACTOR = 1.5
-#: Most of an answer's time that is put down to reading a prompt at an endpoint with a cold cache.
+#: Largest fraction of an answer's duration that is attributed to reading the prompt with a cold cache.
 COLD_PART = 0.5
 
-#: Groups of answers, by the names that nodes tell each other.
+#: Groups of answers, by the names used in messages between nodes.
 CANARY = "new"
 BASELINE = "old"
-#: Fields of a tally by the last part of a total's name.
+#: Last parts of the totals' names, one per field of a tally in their order.
 _PARTS = tuple(str(number) for number in range(len(fields(AnswerTally))))
-#: Separates the parts of these totals' names, and begins the names, so that they are told from the
-#: accounts that nodes send beside them.
+#: Separates the parts of these totals' names. It also begins the names, to distinguish them from the
+#: accounts' totals in the same messages.
 SEPARATOR = "\x1f"
 
 
@@ -40,8 +40,10 @@
 class AnswerRun:
     """A request at an endpoint of a service that is judged.
 
-    :ivar prompt_read_s: time that reading the prompt may take at an endpoint with an empty cache.
-    :ivar counted_early: what was counted of the run before it ended.
+    :ivar began: start time on this node's clock, seconds.
+    :ivar prompt_read_s: time that reading the prompt may take at an endpoint with an empty cache,
+        seconds.
+    :ivar counted_early: tally that was counted before the run ended, ``None`` if none was.
     """
 
     service: str
@@ -53,14 +55,14 @@
     counted_early: AnswerTally | None = None
 
     def tally(self, now: float) -> AnswerTally:
-        """Returns the time that the run has taken, without what a cold cache costs."""
+        """Returns the run's duration so far as a tally, less the part due to a cold cache."""
         took_s = now - self.began
         cold_s = min(self.prompt_read_s, took_s * COLD_PART) if self.group == CANARY else 0.0
         return AnswerTally.of_time(took_s - cold_s)
 
 
 class RolloutEvidence:
-    """Tallies of this node, and their sums with those of the peers."""
+    """Tallies of this node, and their sums with the tallies of the peers."""
 
     def __init__(self, book: RolloutBook, clock: Clock) -> None:
         self._book = book
@@ -72,7 +74,7 @@
 
     @property
     def totals(self) -> dict[str, float]:
-        """Returns the running totals of this node, to tell the peers."""
+        """Returns the running totals of this node, to send to the peers."""
         self._count_long_runs()
         return {
             f"{SEPARATOR}{name}{SEPARATOR}{part}": float(count)
@@ -92,7 +94,7 @@
             self._peer_totals[source] = {name: AnswerTally(*row) for name, row in rows.items()}
 
     def tallies(self, service: str, target: str, group: str) -> dict[str, AnswerTally]:
-        """Returns the answers of all nodes by route."""
+        """Returns the tallies of all nodes' answers by route."""
         self._count_long_runs()
         start = _name(service, target, group, "")
         whole = add_tallies([self._own, *self._peer_totals.values()])
@@ -103,7 +105,7 @@
         }
 
     def began(self, state: EndpointState, route: str, prompt_read_s: float) -> AnswerRun:
-        """Notes that a request was sent to an endpoint."""
+        """Records that a request was sent to an endpoint."""
         service = state.entry.service
         target = self._book.target(service) or ""
         group = CANARY if self._book.is_canary(state) else BASELINE
@@ -113,11 +115,14 @@
         return run
 
     def withdrawn(self, run: AnswerRun) -> None:
-        """Notes that a request was ended by this node or its caller; what was counted stays."""
+        """Records that this node or the caller ended a request; an early tally stays counted."""
         self._running.pop(id(run), None)
 
     def ended(self, run: AnswerRun, is_failed: bool) -> None:
-        """Notes an answer, or that there was none."""
+        """Records the end of a run.
+
+        :param is_failed: the endpoint failed or gave no answer.
+        """
         now = self._clock()
         if self._running.pop(id(run), None) is not None:
             self._add(run, AnswerTally(answers=1, failures=int(is_failed)))
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_record.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_record.py
@@ -1,11 +1,11 @@
-"""The record in which the node that decides on a roll-out tells its peers what it has decided."""
+"""Record with which the node that decides on a roll-out sends its decision to its peers."""
 
 import cbor2
 
 from arbutustally.gateway.rollouts import RolloutProgress, RolloutState
 from arbutustally_node.gateway.ports import Record
 
-#: Begins the keys of these records among those that nodes tell each other.
+#: Key prefix of these records among those that nodes send each other.
 PROGRESS_PREFIX = "rollout-progress/"
 
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
@@ -1,9 +1,10 @@
-"""Carries out roll-outs: one node decides, writes the operator's record and tells the others.
+"""Carries out roll-outs: one node decides, writes the operator's record and informs its peers.
 
-The first of the nodes that read the store for the fleet decides. A bad release gets nothing more at
-once, whether or not the store can be written. A release gets requests only after the store has the
-record that its roll-out runs, and is kept only after the store has the record of that. A final
-record is never replaced by another end, even if two nodes both act as decider.
+The first of the nodes that read the store for the fleet decides. A bad release gets no further
+requests from the moment of the decision, even if the store cannot be written. A release gets
+requests only after the store has the record that its roll-out is running, and is kept only after the
+store has the record of its completion. A final record is never replaced by a different final
+record, even if two nodes both act as decider.
 """
 
 import math
@@ -31,21 +32,21 @@
 from arbutustally_node.gateway.rollout_evidence import BASELINE, CANARY, RolloutEvidence
 from arbutustally_node.gateway.supervision import supervise
 
-#: Interval between two looks at the answers, seconds.
+#: Interval between two evaluations of the answers, seconds.
 STEP_S = 0.1
-#: Interval at which a decision is told again, seconds.
+#: Interval at which a decision is sent to the peers again, seconds.
 TELL_S = 1.0
-#: Tallies kept for judging recent answers alone, one per step (about 3 s).
+#: Number of past tallies kept to judge recent answers separately, one per step (about 3 s).
 RECENT_STEPS = 30
 #: Pause after a call that the store did not answer, seconds.
 STORE_RETRY_S = 0.3
 
 
 class RolloutService:
-    """Decides on roll-outs where this node is the first in order.
+    """Decides on roll-outs while this node is the first in order.
 
     :param is_decider: returns whether this node decides now.
-    :param tell: tells all peers a decision at once, and again for a while.
+    :param tell: sends a decision to all peers at once, and repeatedly for a while.
     """
 
     def __init__(
@@ -76,11 +77,11 @@
         self._greenlet: Any = None
 
     def start(self) -> None:
-        """Starts looking at orders."""
+        """Starts processing orders."""
         self._greenlet = supervise(self._log, "rollouts", self._run)
 
     def era_changed(self, _era: int) -> None:
-        """Notes that the store came back from an older copy: what was written may be gone."""
+        """Forgets which records were written: a store restored from an older copy may lack them."""
         self._written.clear()
 
     def stop(self) -> None:
@@ -101,7 +102,7 @@
         order = known.order
         current = self._rollouts.progress(order.service)
         if not self._is_decider():
-            # Another node goes on; what it writes is read again if this one takes over.
+            # Another node decides; its records are read again if this node takes over.
             self._known.pop(order.service, None)
             return
         if self._known.get(order.service) != known:
@@ -142,7 +143,7 @@
         )
 
     def _resume(self, known: KnownOrder) -> None:
-        """Takes what an earlier decider has written of the same order."""
+        """Adopts what an earlier decider has written for the same order."""
         for record in self._topic.newest().records:
             progress = self._documents.decode_rollout(record)
             if progress is None or progress.service != known.order.service:
@@ -154,7 +155,7 @@
 
     def _decide(self, progress: RolloutProgress, canary: Tallies) -> None:
         if progress.state is RolloutState.ROLLED_BACK:
-            # Nothing more goes to a bad release, whether or not the store can be written.
+            # A bad release gets no further requests, even if the store cannot be written.
             self._apply(progress, canary)
             self._write(progress)
         elif self._is_written(progress) or self._write(progress):
@@ -195,7 +196,10 @@
             self._write(progress)
 
     def _write(self, progress: RolloutProgress) -> bool:
-        """Writes how far a roll-out is, unless the store has another end of it."""
+        """Writes a roll-out's progress, unless the store has a different final state of it.
+
+        :returns: whether the store has the record.
+        """
         batch = self._topic.newest()
         found = self._stored_progress(batch.records, progress)
         if found is not None and found.is_final and found.state is not progress.state:
@@ -224,7 +228,7 @@
     def _stored_progress(
         self, records: Iterable[Record], progress: RolloutProgress
     ) -> RolloutProgress | None:
-        """Returns what the store has of the same roll-out."""
+        """Returns the progress of the same roll-out among the store's records."""
         for record in records:
             found = self._documents.decode_rollout(record)
             if found is not None and (found.service, found.target) == (
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/store_returns.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/store_returns.py
@@ -1,4 +1,4 @@
-"""Tells operators that the store came back from an older copy."""
+"""Logs and counts restorations of the store from an older copy."""
 
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.instruments import Instruments
@@ -6,7 +6,7 @@
 
 
 class StoreReturns:
-    """Notes each era of the store after the first one that this node has seen."""
+    """Logs and counts each era of the store after the first one that this node has seen."""
 
     def __init__(self, log: DecisionLog, instruments: Instruments) -> None:
         self._log = log
@@ -17,13 +17,13 @@
     def from_config(
         cls, store_era: StoreEra, log: DecisionLog, instruments: Instruments
     ) -> "StoreReturns":
-        """Builds one that is told of the store's eras."""
+        """Returns one that watches the store's eras."""
         returns = cls(log, instruments)
         store_era.watch(returns.note)
         return returns
 
     def note(self, era: int) -> None:
-        """Notes an era; the first one that the store tells is no return."""
+        """Records an era; the first one that the store reports is no return."""
         previous, self._era = self._era, era
         if not previous:
             return
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/store_watch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/store_watch.py
@@ -1,4 +1,4 @@
-"""Whether the platform's store answers this node."""
+"""Tracks whether the platform's store answers this node."""
 
 from arbutustally.clock import Clock
 from arbutustally.errors import StoreUnavailableError
@@ -7,9 +7,9 @@
 
 
 class StoreWatch:
-    """Notes every answer and failure of the store.
+    """Records every answer and failure of the store.
 
-    :param return_s: time after the store's return for which a missing entry may come back.
+    :param return_s: time after the store's return within which a missing entry may reappear, seconds.
     """
 
     def __init__(self, book: EndpointBook, log: DecisionLog, clock: Clock, return_s: float) -> None:
@@ -25,23 +25,23 @@
         return self._lost_since is None
 
     def list_returned(self) -> None:
-        """Notes that the endpoints' list has come back from an older copy.
+        """Records that the list of endpoints was restored from an older copy.
 
-        Endpoints that it lacks are written again within the same time as lapsed ones.
+        Endpoints missing from it are rewritten within the same time as expired ones.
         """
         self._book.keep_removed(self._clock() + self._return_s)
 
     def failed(self, error: StoreUnavailableError) -> None:
-        """Notes a call without an answer."""
+        """Records a failed call to the store."""
         now = self._clock()
-        # Entries may lapse while the store is away and are back some time after its return.
+        # Entries may expire during an outage of the store and reappear some time after its return.
         self._book.keep_removed(now + self._return_s)
         if self._lost_since is None:
             self._lost_since = now
             self._log.line("store_lost", reason=error.message)
 
     def answered(self) -> None:
-        """Notes an answer."""
+        """Records a successful call to the store."""
         if self._lost_since is None:
             return
         lost_s = self._clock() - self._lost_since
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -1,7 +1,7 @@
-"""Orders engines to load newly named weights, by one node at a time under a lease.
+"""Orders engines to load newly named weights; one node at a time does so, under a lease.
 
-The lease exists only while there is work: the first node in the fleet's order claims it as soon as
-it sees older weights, the next ones only if nobody has.
+The lease is held only while some engine has outdated weights: the first node in the fleet's order
+claims it as soon as it sees outdated weights, the following nodes only if no other node has.
 """
 
 import math
@@ -34,36 +34,37 @@
 from arbutustally_node.gateway.ports import EngineControl, LoadOrder, OrderReply
 from arbutustally_node.gateway.supervision import supervise
 
-#: Names the order of nodes in which they order engines.
+#: Duty name that ranks the nodes for ordering engines.
 LOADS_DUTY = b"loads"
-#: Interval between two looks at the engines, seconds.
+#: Poll interval while some engine has outdated weights, seconds.
 STEP_S = 0.1
-#: Interval between two looks while there is nothing to do, seconds.
+#: Poll interval while all engines are current, seconds.
 IDLE_STEP_S = 0.2
-#: Time that each rank waits longer before it claims, seconds.
+#: Additional delay per rank before a node claims the lease, seconds.
 RANK_DELAY_S = 0.4
-#: Nodes after the first that look at the holder's lease, to take over soon when it lapses.
+#: Number of nodes after the first that poll the holder's lease, to take over soon after it lapses.
 STANDBYS = 2
-#: Pause after a call that the store did not answer, and after a claim that was not possible, seconds.
+#: Delays before a retry, seconds: after a store call without an answer, and after a failed claim.
 STORE_RETRY_S = 0.5
 CLAIM_RETRY_S = 0.3
-#: Time after an order until its engine is asked whether it has loaded, seconds.
+#: Delay from an order to the first poll of its engine, and interval of further polls, seconds.
 FIRST_LOOK_S = 0.4
 LOOK_S = 0.15
-#: Interval at which an engine that gets no new requests is looked at, seconds.
+#: Interval at which an engine that is draining before a load is checked, seconds.
 EMPTY_STEP_S = 0.05
-#: Time for which a load takes an engine away before any was seen, and the weight of one that was.
+#: Initial estimate of the time for which a load makes an engine unavailable, seconds, and the weight
+#: of each measured load in the moving average.
 FIRST_LOAD_S = 2.5
 LOAD_GAIN = 0.3
 
 
 class WeightsService:
-    """Brings engines to the named weights.
+    """Updates engines to the named weights.
 
-    :param weights_s: time after which weights that were replaced are no longer allowed, seconds.
+    :param weights_s: time after which replaced weights are no longer allowed, seconds.
     :param wait_s: returns the expected wait at an engine, seconds.
     :param on_unreachable: called for an engine that does not answer.
-    :param repeats: budget for requests that go on elsewhere when an engine breaks them off.
+    :param repeats: budget for requests that are repeated elsewhere after an engine aborts them.
     """
 
     def __init__(
@@ -104,11 +105,11 @@
         return self._lease.is_held
 
     def start(self) -> None:
-        """Starts watching for engines with older weights."""
+        """Starts watching for engines with outdated weights."""
         self._greenlet = supervise(self._log, "weights", self._run)
 
     def stop(self) -> None:
-        """Stops ordering and gives up the lease."""
+        """Stops ordering and releases the lease."""
         self._is_stopping = True
         self._release()
         if self._greenlet is not None:
@@ -151,7 +152,7 @@
         return True
 
     def _renew(self) -> None:
-        """Renews the lease while orders go on under what is left of it."""
+        """Renews the lease; orders continue meanwhile under its remaining time."""
         try:
             self._lease.renew()
         except StoreUnavailableError as error:
@@ -164,16 +165,17 @@
             self._lease.release()
 
     def _stand_by(self, has_holder: bool = False) -> None:
-        """Looks at the lease of another holder if this node is among the next ones.
+        """Polls the lease of another holder if this node is among the next in order.
 
-        :param has_holder: a holder is at work; otherwise only a lease left open is of interest.
+        :param has_holder: another node is the active holder; without one, only a lease that may be
+            unreleased is polled.
         """
         may_claim = self._gossip.rank(LOADS_DUTY) <= STANDBYS
         if not self.is_holder and may_claim and (has_holder or self._lease.is_open):
             self._lease.watch()
 
     def _behind(self) -> list[tuple[str, int]]:
-        """Returns the models of which an engine has older weights than named."""
+        """Returns the models, with the named version, of which some available engine is outdated."""
         return [
             (model, named.version)
             for model, named in self._view.weights.items()
@@ -214,11 +216,12 @@
         self._gossip.send_now()
 
     def _at_once(self, states: list[EndpointState], model: str, named: int) -> int:
-        """Returns how many engines may load now."""
+        """Returns how many engines may load at the same time now."""
         now = self._clock()
         pending = sum(state.weights.get(model, 0) < named for state in states)
         known_at = self._view.weights[model].known_at.get(named, now)
-        # A version that was named before this node started may be as old as the bound.
+        # A version that was named before this node started may be as old as the bound, so it
+        # leaves no time.
         left_s = max(0.0, known_at + self._weights_s - now)
         waits_s = [
             self._wait_s(state) for state in states if not state.loading and not state.is_down
@@ -230,11 +233,11 @@
         return loads_at_once(len(states), pending, left_s, self._load_s, is_behind)
 
     def _load(self, state: EndpointState, model: str) -> None:
-        """Orders one engine and watches it until it has loaded."""
+        """Drains one engine, orders the load and polls the engine until it has loaded."""
         began = self._clock()
         try:
             self._empty(state)
-            # A newer version may have been named while the engine was emptied.
+            # A newer version may have been named while the engine was draining.
             named = self._view.weights[model].version
             if self._send_order(state, model, named):
                 self._await_load(state, model, named)
@@ -244,13 +247,13 @@
             self._ordering.discard(state.id)
 
     def _empty(self, state: EndpointState) -> None:
-        """Waits until an engine that gets no new requests has little left to do."""
+        """Waits until an engine that gets no new requests has few enough requests left."""
         began = self._clock()
         while not is_emptied(state, self._clock() - began, self._unrepeatable(state)):
             gevent.sleep(EMPTY_STEP_S)
 
     def _unrepeatable(self, state: EndpointState) -> int:
-        """Returns the requests of all nodes that are lost if an engine breaks its runs off."""
+        """Returns how many requests of all nodes would be lost if the engine aborted its runs."""
         loading = [one for one in self._view.book.all() if one.loading]
         left = self._repeats.left(state.entry.service)
         return unrepeatable_runs(state, loading, left) + state.peer_unrepeatable
@@ -307,7 +310,7 @@
             gevent.sleep(LOOK_S)
 
     def look(self, state: EndpointState) -> None:
-        """Asks an engine for its weights without waiting, at most every ``LOOK_S``."""
+        """Polls an engine's weights in the background, at most once per ``LOOK_S``."""
         now = self._clock()
         if self._view.book.is_paused(state):
             return
