Word the tests of the gateway's work with the store plainly

Cause: docstrings and failure messages of these tests told stories instead of naming the failure that a test guards against. Change: comments, docstrings and messages of the tests' own assertions; no tool or other test matches these messages (git grep).

--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -1,4 +1,4 @@
-"""Nodes that read a store which comes back from older copies, on a virtual clock."""
+"""Simulates nodes that read a store which returns to older copies, on a virtual clock."""
 
 import json
 from dataclasses import dataclass
@@ -20,13 +20,13 @@
 STORE_RETURN_S = 2.5
 #: Interval between two rounds of messages, and between two heartbeats of a worker, seconds.
 TICK_S = 0.2
-#: Silence of a worker after which the store drops its entry, seconds.
+#: Time without heartbeats after which the store drops a worker's entry, seconds.
 LAPSE_S = 0.8
 SERVICE = "s"
 
 
 class Documents:
-    """Entries as JSON, configurations and named weights as numbers."""
+    """Decodes endpoint entries from JSON, and configurations and named weights from numbers."""
 
     def decode_operator(self, record: Record) -> Configuration | WeightsNamed | None:
         if record.key == "config":
@@ -42,7 +42,7 @@
 
 @dataclass
 class Worker:
-    """A worker as it is, whatever the store holds."""
+    """Actual state of a worker, regardless of its entry in the store."""
 
     id: str
     born: int = 1
@@ -55,7 +55,7 @@
 
 
 class Store:
-    """Two topics, and copies of them."""
+    """A store of two topics that can be copied and restored."""
 
     def __init__(self) -> None:
         self.era = 1
@@ -81,7 +81,7 @@
 
 
 class Topic:
-    """A topic as one node reaches it."""
+    """A node's access to a topic; fails while the node is cut off."""
 
     def __init__(self, world: "World", node: "Node", name: str) -> None:
         self._world = world
@@ -107,7 +107,7 @@
 
 
 class Node:
-    """The readers of one node, and the messages to its peers."""
+    """Readers of one node, and its messages to its peers."""
 
     def __init__(self, world: "World", index: int) -> None:
         self.world = world
@@ -143,7 +143,7 @@
 
     @property
     def is_settled(self) -> bool:
-        """Returns whether the fleet is known, as ``Gossip`` tells it."""
+        """Stands in for ``Gossip.is_settled``: the fleet is always known."""
         return True
 
     @property
@@ -163,7 +163,7 @@
         return [node.index for node in self.world.awake()].index(self.index)
 
     def send_now(self) -> None:
-        """Tells all awake peers, as ``PeerNews`` does."""
+        """Sends the news to all awake peers, as ``PeerNews`` does."""
         news = self.endpoints.news()
         operator = self.follower.news() if self.endpoints.is_reader else ()
         now = self.world.clock()
@@ -180,7 +180,7 @@
         assert now == self.world.clock()
 
     def step(self) -> None:
-        """Reads what is due, and asks a peer for what the store does not give."""
+        """Performs the reads that are due, and requests from a peer what the store lacks."""
         try:
             if self.world.clock() >= self._next_read and self.endpoints._must_read():
                 self._next_read = self.world.clock() + LEAVING_S * PAUSE_PART
@@ -210,7 +210,7 @@
 
 
 class World:
-    """Workers, an operator, a store and nodes."""
+    """Simulation of workers, an operator, a store and nodes."""
 
     def __init__(self, rng, nodes: int = 4, workers: int = 4) -> None:
         self.rng = rng
@@ -230,7 +230,7 @@
         self.store.put("op", key, str(self.written[key]).encode())
 
     def write_again(self) -> None:
-        """Writes what the operator has written and the store has lost, in any order."""
+        """Rewrites the operator's records that the store has lost, in random order."""
         newest = self.store.newest("op")
         lost = [
             key for key, version in self.written.items() if newest.get(key) != str(version).encode()
@@ -240,7 +240,7 @@
             self.write_operator(key)
 
     def beat(self) -> None:
-        """Writes heartbeats, and drops the entries of workers that are silent."""
+        """Writes heartbeats of live workers and drops the expired entries of the others."""
         now = self.clock()
         listed = self.store.newest("servers")
         for worker in self.workers:
@@ -263,5 +263,5 @@
     def return_to(self, copy: dict[str, list[Record]]) -> None:
         self.store.return_to(copy)
         for worker in self.workers:
-            # The store counts the silence of those that it lists anew.
+            # After a return, the store restarts the expiry time of all its entries.
             worker.heard_at = self.clock()
--- a/tests/test_gateway_node_store.py
+++ b/tests/test_gateway_node_store.py
@@ -1,4 +1,4 @@
-"""Gateway nodes over real sockets: what they know with and without the store, and from peers."""
+"""Tests gateway nodes over real sockets: state read from the store or received from peers."""
 
 import socket
 from random import Random
@@ -55,7 +55,7 @@
         self.eventually(lambda: self.call(node, "/book/x", "r2").status == 503)
 
     def test_node_without_the_store_learns_of_changes_from_peers(self) -> None:
-        """Guards against requests to workers that left while one node has no store."""
+        """Guards against requests to workers that left while a node cannot reach the store."""
         refusing = FakeStore()
         self.addCleanup(refusing.stop)
         refusing.status = 503
@@ -72,7 +72,7 @@
         self.assertEqual(self.desks[0].ran, [])
 
     def test_node_that_hears_of_the_list_forgets_endpoints_that_are_gone(self) -> None:
-        """Guards against memory that grows with each replaced endpoint on nodes that do not read."""
+        """Guards against a memory leak per replaced endpoint on nodes that do not read the store."""
         node = self.start_node()
         self.wait_ready(node)
         book = node._view.book
@@ -98,7 +98,7 @@
             self.eventually(lambda node=node: node._view.book.get("d1").entry.is_leaving, 2.0)
 
     def start_settled(self, count: int) -> list[GatewayNode]:
-        """Starts nodes and waits until two of them read the store for all."""
+        """Starts nodes and waits until ``READERS`` of them read the store for all."""
         patch = mock.patch("arbutustally_node.gateway.follower.WAIT_S", 1.0)
         patch.start()
         self.addCleanup(patch.stop)
@@ -116,11 +116,11 @@
         for node in nodes:
             self.eventually(lambda node=node: node._view.configuration.version == 2, 1.0)
         gevent.sleep(0.2)
-        # Each reader waits for the next record, and may have waited for this one in two calls.
+        # Each reader waits for the next record, and may have needed two calls to get this one.
         self.assertLess(self.store.reads["keyed.op"] - before, len(nodes))
 
     def test_configuration_that_is_larger_than_a_datagram_is_in_force_on_all(self) -> None:
-        """Replays a configuration that grows by many routes."""
+        """Replays a configuration that grew beyond a datagram through many routes."""
         nodes = self.start_settled(5)
         rng = Random(5)
         first = configuration()["routes"][0]
@@ -147,7 +147,7 @@
             self.eventually(lambda node=node: node._view.configuration.version == 2, 2.0)
 
     def test_weights_that_a_peer_has_read_are_known_with_their_age(self) -> None:
-        """Guards against nodes that use replaced weights for longer than the readers do."""
+        """Guards against nodes that use replaced weights longer than the readers do."""
         nodes = self.start_settled(5)
         self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
         for node in nodes:
@@ -156,7 +156,7 @@
         self.assertLess(max(known) - min(known), 0.5)
 
     def test_node_that_begins_to_read_keeps_the_age_of_weights(self) -> None:
-        """Guards against engines that are left out since their weights seem long replaced."""
+        """Guards against engines left out because their weights appear to be long replaced."""
         nodes = self.start_settled(3)
         # A node that started before it knew the others has read once itself.
         self.eventually(lambda: not all(node._endpoints.is_reader for node in nodes))
--- a/tests/test_gateway_node_weights.py
+++ b/tests/test_gateway_node_weights.py
@@ -1,4 +1,4 @@
-"""A gateway node over real sockets: engines are brought to the named weights."""
+"""Tests over real sockets that gateway nodes update engines to the named weights."""
 
 import gevent
 
@@ -21,7 +21,7 @@
         self.assertEqual((len(fences), len(holders)), (1, 1))
 
     def test_version_that_the_next_one_overtakes_is_not_ordered(self) -> None:
-        """Replays inc-27e7: engines loaded a version that was replaced while they were emptied."""
+        """Replays inc-27e7: engines loaded a version that was replaced while they drained."""
         node = self.start_node()
         self.wait_ready(node)
         self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
@@ -39,7 +39,7 @@
         self.eventually(lambda: [engine.version for engine in self.engines] == [2, 2])
 
     def test_lease_of_another_holder_is_waited_out(self) -> None:
-        """Guards against two holders that order in turns."""
+        """Guards against two holders that order engines alternately."""
         lease = {"holder": "node-9~x", "fence": None, "released": False}
         self.store.put("keyed.weights-lease", "lease", lease)
         node = self.start_node()
@@ -50,7 +50,7 @@
         self.eventually(lambda: [engine.version for engine in self.engines] == [2, 2])
 
     def test_nodes_agree_on_who_orders_first(self) -> None:
-        """Guards against loads that wait since no node takes itself for the first."""
+        """Guards against delayed loads because no node ranks itself first."""
         nodes = self.start_nodes(4)
         for node in nodes:
             self.eventually(lambda node=node: self.ready_peers(node) == 3)
@@ -60,7 +60,7 @@
         return sum(state.is_ready for state in node._gossip.present)
 
     def test_node_that_has_not_heard_of_new_weights_learns_them_from_the_engine(self) -> None:
-        """Guards against refusals of a node that is cut off while engines move on."""
+        """Guards against refusals by a node that is cut off while engines load newer weights."""
         node = self.start_node()
         self.wait_ready(node)
         for engine in self.engines:
@@ -70,7 +70,7 @@
         self.assertEqual(seen["Expect-Version"], "3")
 
     def test_engines_ahead_of_the_list_serve_while_another_holds_the_lease(self) -> None:
-        """Guards against refusals until the lease of a holder that was killed has lapsed."""
+        """Guards against refusals until the lease of a killed holder has expired."""
         for engine in self.engines:
             engine.version = 2
         self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -1,4 +1,4 @@
-"""The lease on orders to engines: one holder at a time, and a quick change of holders."""
+"""Tests the lease on orders to engines: one holder at a time, and fast changes of holder."""
 
 import unittest
 from random import Random
@@ -13,7 +13,7 @@
 
 
 class FakeLeases:
-    """The topic of the lease in memory."""
+    """In-memory topic of the lease."""
 
     def __init__(self) -> None:
         self.records: list[LeaseRecord] = []
@@ -23,7 +23,7 @@
         self.before_append = lambda: None
 
     def return_to(self, end: int) -> None:
-        """Loses the records from an offset on and begins an era."""
+        """Drops the records from an offset on and begins a new era."""
         del self.records[end:]
         self.era += 1
 
@@ -58,7 +58,7 @@
         return OrderLease(holder, self.leases, self.log, self.clock, LEASE_S)
 
     def test_standby_takes_over_as_soon_as_the_lease_has_lapsed(self) -> None:
-        """Replays a holder that is cut off in the middle of a move."""
+        """Replays a holder that loses its connection while engines are being updated."""
         first, standby, late = self.lease("a"), self.lease("b"), self.lease("c")
         self.assertTrue(first.claim())
         standby.watch()
@@ -111,10 +111,10 @@
             if lease.claim():
                 return lease.fence
             self.clock.advance(LEASE_S / 10)
-        raise AssertionError("nobody orders engines")
+        raise AssertionError("no node gets the lease")
 
     def test_fence_rises_over_a_store_that_forgot_the_lease(self) -> None:
-        """Guards against a new holder whose orders engines refuse, or can't tell from the old's."""
+        """Guards against a new holder whose orders are refused or mistaken for the old holder's."""
         self.leases.era = 1
         old = self.lease("a")
         fences = [self.hold(old)]
@@ -129,7 +129,7 @@
         self.assertEqual(fences, sorted(set(fences)))
 
     def test_holder_whose_record_was_lost_is_waited_out(self) -> None:
-        """Guards against two nodes that order engines after a return of the store."""
+        """Guards against two nodes ordering engines after a return of the store."""
         self.leases.era = 1
         old = self.lease("a")
         self.hold(old)
@@ -140,7 +140,7 @@
         self.assertFalse(old.is_held)
 
     def test_each_of_two_returns_is_waited_out(self) -> None:
-        """Guards against a holder that claimed anew after the first return and froze then."""
+        """Guards against a second holder beside one that claimed after the first return and froze."""
         self.leases.era = 1
         old, new = self.lease("a"), self.lease("b")
         self.hold(old)
@@ -158,7 +158,7 @@
         self.assertTrue(new.claim())
 
     def test_holder_goes_on_in_a_new_era_with_a_higher_fence(self) -> None:
-        """Guards against weights that stand still for a whole lease after each return."""
+        """Guards against loads that pause for a whole lease duration after each return."""
         self.leases.era = 1
         lease, other = self.lease("a"), self.lease("b")
         fence = self.hold(lease)
@@ -171,7 +171,7 @@
         self.assertFalse(other.claim())
 
     def test_claim_that_arrives_in_a_later_era_is_not_held(self) -> None:
-        """Guards against a fence that another claim of the era before may have had."""
+        """Guards against a fence that another claim of the previous era may have had."""
         self.leases.era = 1
         lease = self.lease("a")
         self.assertFalse(lease.claim())
@@ -182,7 +182,7 @@
         self.assertFalse(lease.is_held)
 
     def test_release_follows_only_the_own_record(self) -> None:
-        """Guards against a late release that invites a third node while the second holds."""
+        """Guards against a late release that lets a third node claim while the second holds."""
         first, second = self.lease("a"), self.lease("b")
         first.claim()
         self.leases.append("b", None, False, 0, 1)
@@ -191,7 +191,7 @@
         self.assertFalse(second.claim())
 
     def test_release_of_an_earlier_era_counts_for_nothing(self) -> None:
-        """Guards against a copy that shows a released lease which was claimed again since."""
+        """Guards against an older copy with a released lease that was claimed again afterwards."""
         self.leases.era = 1
         first, second, third = self.lease("a"), self.lease("b"), self.lease("c")
         self.hold(first)
@@ -205,7 +205,7 @@
         self.assertTrue(third.claim())
 
     def test_standby_looks_at_the_lease_early_in_a_new_era(self) -> None:
-        """Guards against weights named long after a return that wait for the whole lease."""
+        """Guards against a full lease duration of delay for weights named long after a return."""
         self.leases.era = 1
         self.hold(self.lease("a"))
         self.leases.return_to(1)
@@ -217,7 +217,7 @@
         self.assertTrue(standby.claim())
 
     def test_lapsed_holder_does_not_go_on_in_a_new_era(self) -> None:
-        """Guards against a holder that was frozen, while another held and its record was lost."""
+        """Guards against a thawed holder that misses another's tenure whose record was lost."""
         self.leases.era = 1
         first, second = self.lease("a"), self.lease("b")
         self.hold(first)
@@ -231,7 +231,7 @@
         self.assertTrue(second.is_held)
 
     def test_renewal_that_arrives_in_a_later_era_ends_the_hold(self) -> None:
-        """Guards against a tenure that goes on under a fence of an era that is over."""
+        """Guards against a tenure that continues under a fence of a past era."""
         self.leases.era = 1
         lease = self.lease("a")
         self.hold(lease)
@@ -240,7 +240,7 @@
         self.assertFalse(lease.is_held)
 
     def test_claim_is_not_confirmed_by_a_record_of_a_later_era(self) -> None:
-        """Guards against a fence of the old era that another node had at the same offset."""
+        """Guards against an old era's fence that another node may have had at the same offset."""
         self.leases.era = 1
         lease = self.lease("a")
         self.assertFalse(lease.claim())
@@ -253,7 +253,7 @@
         self.assertFalse(lease.claim())
 
     def test_first_of_two_unanswered_claims_counts(self) -> None:
-        """Guards against a tenure that is counted from the second claim, which wrote nothing."""
+        """Guards against a tenure counted from the second claim, which may have written nothing."""
         lease = self.lease("a")
         self.leases.is_away = True
         for _ in range(2):
@@ -267,7 +267,7 @@
         self.assertFalse(lease.is_held)
 
     def test_answer_of_an_era_that_is_over_is_not_used(self) -> None:
-        """Guards against a claim on what the store held before its return."""
+        """Guards against a claim based on records from before the store's return."""
         self.leases.era = 1
         lease = self.lease("a")
         lease.note_era(2)
--- a/tests/test_order_lease_upgrade.py
+++ b/tests/test_order_lease_upgrade.py
@@ -1,4 +1,4 @@
-"""The lease on orders among nodes of this version and of the one before, whose fences lack the era."""
+"""Tests the lease among nodes of this and the previous version, whose fences lack the era."""
 
 import unittest
 from random import Random
@@ -12,14 +12,14 @@
 
 LEASE_S = 3.0
 NAME = "weights"
-#: Interval of a node's turns while an engine has older weights, seconds.
+#: Interval between two turns of a node while an engine has outdated weights, seconds.
 TURN_S = 0.4
-#: Time within which an engine that takes orders must get one, seconds.
+#: Time within which an engine must receive an accepted order, seconds.
 ORDERED_S = 12 * LEASE_S
 
 
 class EarlierLease:
-    """The lease as the version before has it: the fence is the offset, records have no era."""
+    """Lease of the previous version: the fence is the offset, and records have no era."""
 
     def __init__(self, holder: str, leases: FakeLeases, clock: VirtualClock) -> None:
         self.holder = holder
@@ -86,14 +86,14 @@
 
 
 class Engine:
-    """Takes orders, but none under a lower fence than one that it has seen."""
+    """Accepts orders unless their fence is lower than the highest one seen."""
 
     def __init__(self) -> None:
         self.highest = -1
         self.taken: list[tuple[int, str]] = []
 
     def order(self, node) -> bool:
-        """Takes a node's order; one that is refused makes the node give up."""
+        """Accepts or refuses a node's order; a refused node drops its lease."""
         if node.fence < self.highest:
             node.drop()
             return False
@@ -120,7 +120,7 @@
             if node.claim():
                 return
             self.clock.advance(LEASE_S / 10)
-        raise AssertionError("nobody orders engines")
+        raise AssertionError("no node gets the lease")
 
     def turn(self, node, rng: Random) -> None:
         self.leases.lose_answer = rng.random() < 0.2
@@ -137,7 +137,7 @@
         self.leases.lose_answer = False
 
     def play(self, era: int, seed: int) -> None:
-        """Plays random turns of a mixed fleet whose store does not return."""
+        """Runs random turns of a mixed fleet; the store does not return to a copy."""
         rng = Random(seed)
         self.leases.records.clear()
         self.leases.era = era
@@ -151,7 +151,7 @@
         self.assertTrue(all(holders[fence] == name for fence, name in self.engine.taken), seed)
 
     def test_mixed_fleet_has_one_holder(self) -> None:
-        """Guards against a record that one version takes for released or lapsed too early."""
+        """Guards against a record that one version treats as released or expired too early."""
         for era in (0, 1, 7):
             for seed in range(150):
                 with self.subTest(era=era, seed=seed):
@@ -168,7 +168,7 @@
         self.assertTrue(self.engine.order(new))
 
     def test_late_order_of_the_version_before_is_refused(self) -> None:
-        """Guards against an order under a lease that a node of this version has taken over."""
+        """Guards against an order by a holder whose lease a node of this version took over."""
         self.leases.era = 1
         old, new = self.earlier("a"), self.later("b")
         self.hold(old)
@@ -179,13 +179,13 @@
         self.assertFalse(old.is_held)
 
     def ordered_after(self, nodes: list, wanted: int, rng: Random | None = None) -> float:
-        """Plays turns until the engine has taken a number of orders; returns the time.
+        """Runs turns until the engine has accepted ``wanted`` orders; returns the seconds taken.
 
-        :param rng: gives the order of the turns; as listed without it.
+        :param rng: shuffles the order of the turns; without it, nodes act in the listed order.
         """
         began = self.clock()
         while len(self.engine.taken) < wanted:
-            self.assertLess(self.clock() - began, ORDERED_S, "the engine is stuck")
+            self.assertLess(self.clock() - began, ORDERED_S, "the engine accepts no order")
             for node in nodes if rng is None else rng.sample(nodes, len(nodes)):
                 if node.is_held or node.claim():
                     self.engine.order(node)
@@ -193,7 +193,7 @@
         return self.clock() - began
 
     def test_engine_that_saw_a_new_fence_is_ordered_though_an_earlier_node_is_first(self) -> None:
-        """Guards against a node whose orders are all refused and that claims again for ever."""
+        """Guards against a node that claims again forever though all its orders are refused."""
         self.leases.era = 1
         for seed in range(50):
             rng = Random(seed)
@@ -215,7 +215,7 @@
         self.assertLessEqual(self.ordered_after([self.later("b")], 2), LEASE_S + 2 * TURN_S)
 
     def test_store_that_begins_to_tell_its_era_raises_fences(self) -> None:
-        """Guards against engines stuck where the platform is upgraded after the nodes."""
+        """Guards against engines that refuse all orders if the platform is upgraded after the nodes."""
         old, new = self.earlier("a"), self.later("b")
         self.hold(old)
         self.engine.order(old)
--- a/tests/test_return_model.py
+++ b/tests/test_return_model.py
@@ -1,4 +1,4 @@
-"""Readers and hearers of a store that comes back from older copies at any time."""
+"""Model test of nodes that read a store, or learn from peers, while it returns to older copies."""
 
 import unittest
 from random import Random
@@ -13,14 +13,14 @@
 NODES = st.integers(0, 3)
 WORKERS = st.integers(0, 3)
 SECONDS = st.sampled_from([0.2, 0.6, 1.4, 3.0])
-#: Time in which all nodes agree once nothing is cut or frozen any more, seconds.
+#: Time within which all nodes must agree after all cuts and freezes have ended, seconds.
 AGREED_S = 12.0
-#: Age of a copy to which the store returns, seconds.
+#: Largest age of a copy to which the store returns, seconds.
 OLDEST_COPY_S = 30.0
 
 
 class ReturnMachine(RuleBasedStateMachine):
-    """Guards against nodes that believe what the store has forgotten, or go back with it."""
+    """Guards against nodes that keep state the store has lost, or revert to older state with it."""
 
     @initialize(seed=st.integers(0, 99))
     def begin(self, seed: int) -> None:
@@ -28,7 +28,7 @@
         self.world.run(2.0)
         self.copies = [(self.world.clock(), self.world.store.copy())]
         self.seen: dict[Node, tuple[int, int]] = {}
-        # Latest start of each endpoint that a node knew, and whether that one had left.
+        # Per node: latest start of each endpoint that it knew, and whether that process had left.
         self.past: dict[Node, dict[str, tuple[int, bool]]] = {}
 
     @rule(seconds=SECONDS)
@@ -46,7 +46,7 @@
 
     @rule(which=st.integers(0, 1), is_written=st.booleans(), beats=st.integers(0, 12))
     def return_to_copy(self, which: int, is_written: bool, beats: int) -> None:
-        """The store returns; heartbeats may bring its offsets beyond the old ones at once."""
+        """The store returns; heartbeats may advance its offsets past the old ones at once."""
         taken_at, copy = self.copies[min(which, len(self.copies) - 1)]
         if self.world.clock() - taken_at > OLDEST_COPY_S:
             return
@@ -64,7 +64,7 @@
         quiet_s=st.sampled_from([0.2, 1.6, 3.0]),
     )
     def forget(self, event: str, index: int, written: str, beats: int, quiet_s: float) -> None:
-        """The store forgets what all nodes have heard, and its authors are silent for a while."""
+        """The store loses records that all nodes have, and heartbeats pause for a while."""
         copy = self.world.store.copy()
         if event in self.world.written:
             self.operator_writes(event)
@@ -138,14 +138,14 @@
             self._check_endpoints(node)
 
     def _check_endpoints(self, node: Node) -> None:
-        """Checks that no endpoint comes back by an entry older than what the node knew of it."""
+        """Checks that no outdated entry makes an endpoint usable again on a node."""
         usable = node.usable
         past = self.past.setdefault(node, {})
         states = {state.id: state for state in node.view.book.all()}
         for worker in self.world.workers:
             state = states.get(worker.id)
             if state is None:
-                # Forgotten long after it was removed.
+                # The node discards an endpoint's state long after its removal.
                 past.pop(worker.id, None)
                 continue
             born = int(state.entry.incarnation)
@@ -183,7 +183,7 @@
 
 
 class SettlingTest(unittest.TestCase):
-    """Single cases in which nodes know different things of an endpoint in an older list."""
+    """Cases in which nodes differ in what they know of an endpoint in an older list."""
 
     def setUp(self) -> None:
         self.world = World(Random(1))
@@ -199,7 +199,7 @@
         self.assertEqual(last.reading.position.era, 2)
 
     def test_fresh_node_hears_that_an_endpoint_of_the_older_list_is_gone(self) -> None:
-        """Guards against readers that tell no removal since it is no news to themselves."""
+        """Guards against readers that do not pass on a removal because they know it already."""
         self.world.workers[0].is_alive = False
         self.world.run(3.0)
         self.world.return_to(self.copy)
@@ -212,7 +212,7 @@
         self.assertNotIn("e0", self.world.nodes[-1].usable)
 
     def test_node_without_the_store_hears_that_an_endpoint_stays_or_is_back(self) -> None:
-        """Guards against an endpoint left out by nodes that only hear of the new era."""
+        """Guards against an endpoint left out by nodes that learn of the new era from peers only."""
         leaving, gone, last = *self.world.workers[:2], self.world.nodes[-1]
         for pause_s in (0.2, 3.0):
             with self.subTest(pause_s=pause_s):
@@ -226,7 +226,7 @@
                 self.assertLessEqual({"e0", "e1"}, last.usable)
 
     def test_earlier_start_does_not_come_back_on_a_node_that_never_knew_it(self) -> None:
-        """Guards against requests to a process that is gone, at nodes that started after it."""
+        """Guards against requests to an ended process by nodes started after it ended."""
         self.world.workers[0].born += 1
         self.world.run(2.0)
         fresh = self.world.nodes[-1] = Node(self.world, len(self.world.nodes) - 1)
@@ -239,7 +239,7 @@
         self.assertIn("e0", fresh.usable)
 
     def test_node_that_reads_late_learns_that_an_endpoint_is_back(self) -> None:
-        """Guards against an entry that is taken for an older one and never looked at again."""
+        """Guards against an entry that is treated as outdated and never checked again."""
         worker, last = self.world.workers[0], self.world.nodes[-1]
         worker.is_alive = False
         self.world.run(3.0)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -1,4 +1,4 @@
-"""Roll-outs of releases: judged on few requests, kept or taken back, by one node for all."""
+"""Tests roll-outs of releases: judged on few requests, then kept or rolled back, by one node."""
 
 import json
 import math
@@ -32,7 +32,7 @@
 
 
 def times(number: int, mean_s: float, seed: int = 1, failures: int = 0) -> AnswerTally:
-    """Returns answers whose times spread as those of streams of different lengths."""
+    """Returns a tally whose durations spread like those of streams of different lengths."""
     rng = Random(seed)
     tally = AnswerTally(number, failures)
     for _ in range(number):
@@ -54,24 +54,24 @@
 
 class JudgementTest(unittest.TestCase):
     def test_release_that_fails_on_one_route_is_found(self) -> None:
-        """Guards against a bad route that is hidden by the others' good answers."""
+        """Guards against good answers of other routes that mask a bad route."""
         canary = {"chat": times(300, 1.0, 3, failures=1), "look": AnswerTally(12, 8)}
         self.assertTrue(is_bad(canary, BASELINE))
 
     def test_slow_release_is_found_within_fifty_answers(self) -> None:
-        """Replays `hasty`: slow answers take 2.2 times the baseline while the engines are idle."""
+        """Replays the day `hasty`: slow answers take 2.2 times the baseline's time on idle engines."""
         found = sum(is_bad({"chat": times(50, 2.2, seed)}, BASELINE) for seed in range(200))
         self.assertGreaterEqual(found, 195)
         found = sum(is_bad({"chat": times(20, 3.0, seed)}, BASELINE) for seed in range(200))
         self.assertGreaterEqual(found, 195)
 
     def test_slow_release_is_not_kept_where_it_is_not_found_yet(self) -> None:
-        """Guards against a roll-out that is completed since nothing was proved in time."""
+        """Guards against completing a roll-out because nothing was proved in time."""
         kept = sum(is_sound({"chat": times(21, 2.2, seed)}, BASELINE) for seed in range(500))
         self.assertLess(kept, 10)
 
     def test_sound_releases_are_not_taken_back_by_chance(self) -> None:
-        """Guards against roll-outs that end since a sound release had bad luck."""
+        """Guards against rolling back a sound release because of random variation."""
         tallies = [{"chat": times(40, 1.1, seed, failures=seed % 2)} for seed in range(500)]
         self.assertEqual(sum(is_bad(one, BASELINE) for one in tallies), 0)
         self.assertGreater(sum(is_sound(one, BASELINE) for one in tallies), 450)
@@ -99,13 +99,13 @@
         self.assertEqual(self.following(moved, KEEP_S), kept)
 
     def test_release_with_too_few_answers_is_not_kept(self) -> None:
-        """Guards against a roll-out that is completed unseen."""
+        """Guards against completing a roll-out without enough evidence."""
         judged = progress(RolloutState.RUNNING, CANARY_SHARE)
         few = {"chat": times(3, 1.0)}
         self.assertEqual(self.following(judged, -5.0, few, baseline_running=0), judged)
 
     def test_release_without_a_comparison_is_not_kept(self) -> None:
-        """Guards against a slow release that is kept since each route has few answers."""
+        """Guards against keeping a slow release because each route has few answers."""
         thin = {f"route-{number}": times(4, 10.0, number) for number in range(6)}
         self.assertFalse(is_sound(thin, {route: times(100, 1.0) for route in thin}))
         self.assertFalse(is_sound(SOUND, {"chat": times(10, 1.0)}))
@@ -136,7 +136,7 @@
         return sum(self.allowed(f"r{one}", is_first)[0] == "c" for one in range(number))
 
     def test_only_the_canary_share_goes_to_a_release_that_is_judged(self) -> None:
-        """Guards against a bad release that gets a large part of the requests."""
+        """Guards against a bad release that gets a large share of the requests."""
         self.book.add_order(ORDER, 0.0)
         self.assertEqual(self.chosen(), 0)
         self.book.apply(progress(RolloutState.RUNNING, CANARY_SHARE))
@@ -156,7 +156,7 @@
         self.assertEqual(self.allowed(), ["a", "b", "c"])
 
     def test_canary_does_not_replace_endpoints_that_pause_or_are_doubted(self) -> None:
-        """Guards against a bad release that gets all requests while the others have trouble."""
+        """Guards against a bad release that gets all requests while the others are suspect or paused."""
         self.book.add_order(ORDER, 0.0)
         for name in ("a", "b"):
             self.endpoints.get(name).suspect_until = self.now + 1.0
@@ -184,7 +184,7 @@
 
 class EvidenceTest(unittest.TestCase):
     def test_long_runs_count_before_they_end(self) -> None:
-        """Guards against a slow release that is not found since its answers come last."""
+        """Guards against missing a slow release because its answers arrive last."""
         now = [0.0]
         book = RolloutBook()
         evidence = RolloutEvidence(book, lambda: now[0])
@@ -241,7 +241,7 @@
         return sent
 
     def test_failing_release_is_taken_back_and_harms_few(self) -> None:
-        """Replays the day `hasty`: a bad release was used like any other."""
+        """Replays the day `hasty`: a bad release got requests like any other."""
         for worker in self.canaries:
             worker.behave = lambda headers: HTTPResponse(
                 status=500, headers={"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
@@ -254,7 +254,7 @@
             self.assertEqual(self.call(self.node, "/book/a", f"s{number}").status, 200)
 
     def test_status_is_written_again_after_a_return_of_the_store(self) -> None:
-        """Guards against an operator that never hears of a roll-out whose record was lost."""
+        """Guards against a lost status record that is never written again for the operator."""
         copy = self.store.take_copy()
         self.roll_out(60.0)
         self.store.return_to(copy)
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -1,4 +1,4 @@
-"""A store that comes back from an older copy: the stand-in, and what the adapter tells of it."""
+"""Tests a store restored from an older copy: the fake, the adapter and gateway nodes."""
 
 import socket
 import unittest
@@ -18,7 +18,7 @@
 
 
 class FakeStoreTest(unittest.TestCase):
-    """Guards the stand-in: a return that it plays wrongly would prove nothing."""
+    """Tests the fake store, since a return that it simulates wrongly would prove nothing."""
 
     def setUp(self) -> None:
         self.store = FakeStore()
@@ -51,7 +51,7 @@
         self.assertEqual(waiting.get(timeout=1).status, 410)
 
     def test_of_two_appends_at_one_offset_the_one_that_comes_whole_first_wins(self) -> None:
-        """Guards against two holders of one fence that only a stand-in can make."""
+        """Guards against two holders of one fence that are an artifact of the fake store."""
         host, _, port = self.store.address.rpartition(":")
         query = f"topic={TOPIC}&part=0&at=0"
         head = f"POST /arbutustally/log-append?{query} HTTP/1.1\r\nHost: s\r\nContent-Length: 8\r\n"
@@ -81,7 +81,7 @@
 
 
 class PagedStore(FakeStore):
-    """A store that may return from a copy before it gives the second page of a list."""
+    """A store that may return to a copy before it sends the second page of a list."""
 
     returns_between_pages = False
 
@@ -101,7 +101,7 @@
         self.client.era.watch(self.eras.append)
 
     def test_every_answer_tells_its_era(self) -> None:
-        """Guards against offsets of two eras that nobody can tell apart."""
+        """Guards against offsets of two eras that cannot be distinguished."""
         leases = StoreLeaseTopic(StoreKeyedTopic(self.client, "keyed.l"))
         for era in (1, 2):
             if era > 1:
@@ -124,7 +124,7 @@
         self.assertEqual((caught.exception.era, caught.exception.oldest), (2, 0))
 
     def test_refusals_tell_the_era(self) -> None:
-        """Guards against a store that refuses calls after its return and hides the new era."""
+        """Guards against missing a new era because the store refuses calls after its return."""
         self.store.return_to(self.store.take_copy())
         self.store.status = 503
         with self.assertRaises(StoreUnavailableError):
@@ -138,7 +138,7 @@
         self.assertEqual(self.client.era.newest, 0)
 
     def test_pages_of_two_eras_are_read_again(self) -> None:
-        """Guards against a list of which one half is from before the return."""
+        """Guards against a list of which one page predates the return."""
         self.store.put(TOPIC, "b", 1)
         self.store.page_size = 1
         self.store.put(TOPIC, "a", 1)
@@ -150,7 +150,7 @@
 
 class NodeTest(GatewayCase):
     def test_announcement_that_was_lost_is_written_again(self) -> None:
-        """Guards against new nodes that find nobody since the store forgot who runs."""
+        """Guards against new nodes that find no peers since the store lost the announcements."""
         copy = self.store.take_copy()
         node = self.start_node()
         self.eventually(lambda: self.store.newest("keyed.nodes"))
@@ -161,7 +161,7 @@
         self.assertEqual(node._services.state.instruments.value("store_returns"), 1)
 
     def test_operators_can_tell_what_was_read_and_written_again(self) -> None:
-        """Guards against a return of which the lines of a node say nothing."""
+        """Guards against a return of the store that a node does not log."""
         node = self.start_node()
         self.wait_ready(node)
         self.eventually(lambda: self.store.newest("keyed.nodes"))
@@ -179,7 +179,7 @@
             self.assertEqual((told[name]["era"], told[name]["previous"]), (2, 1), name)
 
     def test_weights_are_loaded_with_a_higher_fence_after_a_return(self) -> None:
-        """Guards against engines that refuse every order after the store's return."""
+        """Guards against engines that refuse all orders after a return of the store."""
         node = self.start_node()
         self.wait_ready(node)
         for version in (2, 3):
--- a/tests/test_store_return_model.py
+++ b/tests/test_store_return_model.py
@@ -1,4 +1,4 @@
-"""The lease on orders over random returns of the store, freezes, lost and late answers."""
+"""Model test of the lease on orders with random store returns, freezes, lost and late answers."""
 
 import unittest
 from collections.abc import Callable
@@ -16,14 +16,14 @@
 
 LEASE_S = 3.0
 NODES = 2
-#: Turns after the last fault within which someone must order, and seconds between them.
+#: Turns after the last fault within which a node must get the lease, and seconds between them.
 LAST_TURNS = 40
 LAST_STEP_S = 0.5
 
 
 @dataclass(frozen=True)
 class Append:
-    """An append on its way."""
+    """An append that was sent but has not arrived."""
 
     holder: str
     tenure: int | None
@@ -33,10 +33,11 @@
 
 
 class ModelStore:
-    """The lease's topic in a store that returns to copies.
+    """Topic of the lease in a store that returns to older copies.
 
-    :ivar fault: of the next append: ``lost`` is carried out without an answer, ``late`` later.
-    :ivar meanwhile: what happens between the next append's sending and its arrival.
+    :ivar fault: fault of the next append: ``lost`` executes it without an answer, ``late`` delays it
+        and sends no answer.
+    :ivar meanwhile: called between sending and arrival of the next append.
     """
 
     def __init__(self) -> None:
@@ -81,7 +82,7 @@
 
 
 class LeaseMachine(RuleBasedStateMachine):
-    """Nodes that claim, renew and release in any order; one that takes no turns is frozen."""
+    """Nodes that claim, renew and release in any order; a node without turns acts as frozen."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -178,12 +179,14 @@
     @invariant()
     def note_holders(self) -> None:
         held = [node for node in self.nodes if node.is_held]
-        assert len(held) <= 1, "two nodes may order engines"
+        assert len(held) <= 1, "two nodes hold the lease"
         for node in held:
-            assert node.fence >= self.newest_fence, "engines refuse the holder's orders"
+            assert (
+                node.fence >= self.newest_fence
+            ), "the holder's fence is lower than an earlier one"
             self.newest_fence = node.fence
             holder = self.holders.setdefault(node.fence, node.holder)
-            assert holder == node.holder, "two holders used one fence"
+            assert holder == node.holder, "two holders used the same fence"
 
     def teardown(self) -> None:
         self.store.fault, self.store.meanwhile = "", None
@@ -193,11 +196,11 @@
                 self.act(node)
             if any(node.is_held for node in self.nodes):
                 return
-        raise AssertionError("nobody orders engines any more")
+        raise AssertionError("no node gets the lease after the last fault")
 
 
 class LeaseModelTest(LeaseMachine.TestCase):
-    """Guards against two holders, fences that fall, and weights that nobody orders."""
+    """Guards against two holders, decreasing fences, and a lease that no node can claim."""
 
     settings = settings(max_examples=300, stateful_step_count=40, deadline=None)
 
