Rename private names of the weights service

Cause: names such as _behind, _at_once and LOOK_S did not say what they hold. Change: outdated models, polls, the load limit and the engines being loaded are named so; one docstring follows its constant.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -43,18 +43,18 @@
 #: Additional delay per rank before a node claims the lease, seconds.
 RANK_DELAY_S = 0.4
 #: Number of nodes after the first that poll the holder's lease, to take over soon after it lapses.
-STANDBYS = 2
+STANDBY_NODES = 2
 #: Delays before a retry, seconds: after a store call without an answer, and after a failed claim.
 STORE_RETRY_S = 0.5
 CLAIM_RETRY_S = 0.3
 #: Delay from an order to the first poll of its engine, and interval of further polls, seconds.
-FIRST_LOOK_S = 0.4
-LOOK_S = 0.15
+FIRST_POLL_S = 0.4
+POLL_S = 0.15
 #: Interval at which an engine that is draining before a load is checked, seconds.
 EMPTY_STEP_S = 0.05
 #: Initial estimate of the time for which a load makes an engine unavailable, seconds, and the weight
 #: of each measured load in the moving average.
-FIRST_LOAD_S = 2.5
+INITIAL_LOAD_S = 2.5
 LOAD_GAIN = 0.3
 
 
@@ -88,13 +88,13 @@
         self._clock = clock
         self._weights_s = weights_s
         self._wait_s = wait_s
-        self._load_s = FIRST_LOAD_S
+        self._load_estimate_s = INITIAL_LOAD_S
         self._step_at = -math.inf
         self._on_unreachable = on_unreachable
         self._repeats = repeats
-        self._behind_since: float | None = None
-        self._ordering: set[str] = set()
-        self._looked_at: dict[str, float] = {}
+        self._outdated_since: float | None = None
+        self._loading_engines: set[str] = set()
+        self._polled_at: dict[str, float] = {}
         self._is_renewing = False
         self._is_stopping = False
         self._greenlet: Any = None
@@ -126,20 +126,20 @@
             gevent.sleep(STEP_S if is_busy else IDLE_STEP_S)
 
     def _step(self) -> bool:
-        behind = self._behind()
-        if not behind:
-            self._behind_since = None
+        outdated = self._outdated_models()
+        if not outdated:
+            self._outdated_since = None
             self._release()
-            self._stand_by()
+            self._poll_lease()
             return False
         now = self._clock()
-        if self._behind_since is None:
-            self._behind_since = now
+        if self._outdated_since is None:
+            self._outdated_since = now
         if not self.is_holder:
-            if now - self._behind_since < self._gossip.rank(LOADS_DUTY) * RANK_DELAY_S:
+            if now - self._outdated_since < self._gossip.rank(LOADS_DUTY) * RANK_DELAY_S:
                 return True
             if self._gossip.has_orderer:
-                self._stand_by(True)
+                self._poll_lease(True)
                 return True
             if not self._lease.claim():
                 gevent.sleep(CLAIM_RETRY_S)
@@ -147,7 +147,7 @@
         elif self._lease.must_renew and not self._is_renewing:
             self._is_renewing = True
             gevent.spawn(self._renew)
-        for model, named in behind:
+        for model, named in outdated:
             self._order(model, named)
         return True
 
@@ -161,20 +161,20 @@
             self._is_renewing = False
 
     def _release(self) -> None:
-        if self.is_holder and not self._ordering:
+        if self.is_holder and not self._loading_engines:
             self._lease.release()
 
-    def _stand_by(self, has_holder: bool = False) -> None:
+    def _poll_lease(self, has_holder: bool = False) -> None:
         """Polls the lease of another holder if this node is among the next in order.
 
         :param has_holder: another node is the active holder; without one, only a lease that may be
             unreleased is polled.
         """
-        may_claim = self._gossip.rank(LOADS_DUTY) <= STANDBYS
+        may_claim = self._gossip.rank(LOADS_DUTY) <= STANDBY_NODES
         if not self.is_holder and may_claim and (has_holder or self._lease.is_open):
             self._lease.watch()
 
-    def _behind(self) -> list[tuple[str, int]]:
+    def _outdated_models(self) -> list[tuple[str, int]]:
         """Returns the models, with the named version, of which some available engine is outdated."""
         return [
             (model, named.version)
@@ -201,21 +201,21 @@
         if now - self._step_at < STEP_PAUSE_S:
             return
         states = self._engines_of(model)
-        plan = plan_loads(states, model, named, self._at_once(states, model, named), now)
-        chosen = [engine for engine in plan.engines if engine not in self._ordering]
+        plan = plan_loads(states, model, named, self._load_limit(states, model, named), now)
+        chosen = [engine for engine in plan.engines if engine not in self._loading_engines]
         chosen = chosen[: loads_in_step(len(states))]
         if not chosen or not self.is_holder:
             return
         self._step_at = now
         for engine in chosen:
-            self._ordering.add(engine)
+            self._loading_engines.add(engine)
             state = self._view.book.get(engine)
             state.loading = True
             state.loading_until = self._clock() + EMPTYING_S + LOAD_CHECK_S
             gevent.spawn(self._load, state, model)
         self._gossip.send_now()
 
-    def _at_once(self, states: list[EndpointState], model: str, named: int) -> int:
+    def _load_limit(self, states: list[EndpointState], model: str, named: int) -> int:
         """Returns how many engines may load at the same time now."""
         now = self._clock()
         pending = sum(state.weights.get(model, 0) < named for state in states)
@@ -230,7 +230,7 @@
         routes = configuration.routes if configuration else ()
         targets_s = [route.target_s for route in routes if route.kind is RouteKind.STREAM]
         is_behind = bool(targets_s) and are_behind(waits_s, min(targets_s))
-        return loads_at_once(len(states), pending, left_s, self._load_s, is_behind)
+        return loads_at_once(len(states), pending, left_s, self._load_estimate_s, is_behind)
 
     def _load(self, state: EndpointState, model: str) -> None:
         """Drains one engine, orders the load and polls the engine until it has loaded."""
@@ -241,10 +241,10 @@
             named = self._view.weights[model].version
             if self._send_order(state, model, named):
                 self._await_load(state, model, named)
-                self._load_s += (self._clock() - began - self._load_s) * LOAD_GAIN
+                self._load_estimate_s += (self._clock() - began - self._load_estimate_s) * LOAD_GAIN
         finally:
             state.loading = False
-            self._ordering.discard(state.id)
+            self._loading_engines.discard(state.id)
 
     def _empty(self, state: EndpointState) -> None:
         """Waits until an engine that gets no new requests has few enough requests left."""
@@ -266,7 +266,7 @@
             self._on_unreachable(state)
             self._log.line("engine_report_missing", engine=state.id)
             return False
-        self._take_weights(state, report.weights)
+        self._apply_weights(state, report.weights)
         if report.weights.get(model, 0) >= named or report.is_busy:
             return report.is_busy
         if not self.is_holder:
@@ -289,7 +289,7 @@
             reply=reply,
         )
         if reply == OrderReply.HOLDS_ALREADY:
-            self._take_weights(state, {model: named})
+            self._apply_weights(state, {model: named})
         if reply == OrderReply.OTHER_ENDPOINT:
             self._view.book.replaced(state)
         if reply == OrderReply.FENCED:
@@ -297,33 +297,33 @@
         return reply in (OrderReply.ACCEPTED, OrderReply.BUSY, OrderReply.UNKNOWN)
 
     def _await_load(self, state: EndpointState, model: str, named: int) -> None:
-        gevent.sleep(FIRST_LOOK_S)
+        gevent.sleep(FIRST_POLL_S)
         while self._clock() < state.loading_until:
             if state.weights.get(model, 0) >= named or self._view.book.is_paused(state):
                 return
             report = self._engines.report(state.entry)
             if report is None:
                 return
-            self._take_weights(state, report.weights)
+            self._apply_weights(state, report.weights)
             if not report.is_busy:
                 return
-            gevent.sleep(LOOK_S)
+            gevent.sleep(POLL_S)
 
     def look(self, state: EndpointState) -> None:
-        """Polls an engine's weights in the background, at most once per ``LOOK_S``."""
+        """Polls an engine's weights in the background, at most once per ``POLL_S``."""
         now = self._clock()
         if self._view.book.is_paused(state):
             return
-        if now - self._looked_at.get(state.id, 0.0) >= LOOK_S:
-            self._looked_at[state.id] = now
-            gevent.spawn(self._look, state)
+        if now - self._polled_at.get(state.id, 0.0) >= POLL_S:
+            self._polled_at[state.id] = now
+            gevent.spawn(self._poll_weights, state)
 
-    def _look(self, state: EndpointState) -> None:
+    def _poll_weights(self, state: EndpointState) -> None:
         report = self._engines.report(state.entry)
         if report is not None:
-            self._take_weights(state, report.weights)
+            self._apply_weights(state, report.weights)
 
-    def _take_weights(self, state: EndpointState, weights: dict[str, int]) -> None:
+    def _apply_weights(self, state: EndpointState, weights: dict[str, int]) -> None:
         for model, version in weights.items():
             if version > state.weights.get(model, 0):
                 state.weights[model] = version
--- a/tests/test_gateway_node_weights.py
+++ b/tests/test_gateway_node_weights.py
@@ -25,7 +25,7 @@
         node = self.start_node()
         self.wait_ready(node)
         self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
-        self.eventually(lambda: node._weights._ordering)
+        self.eventually(lambda: node._weights._loading_engines)
         self.store.put("keyed.op", "version/m", {"model": "m", "version": 3})
         self.eventually(lambda: [engine.version for engine in self.engines] == [3, 3])
         versions = [order["version"] for engine in self.engines for order in engine.orders]
