Name the polls of another holder's lease as polls

Cause: watch, looks and hears did not say that the lease is read at most once per interval. Change: OrderLease.watch is poll; its interval, two tests and two rules of the model test follow; RENEW_PART is a fraction of the lease duration.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/order_lease.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/order_lease.py
@@ -18,9 +18,9 @@
 
 NAME = "weights"
 #: Fraction of the lease duration after which the lease is renewed.
-RENEW_PART = 0.4
+RENEW_FRACTION = 0.4
 #: Interval at which the nodes next in order poll another holder's lease, seconds.
-WATCH_S = 1.0
+POLL_S = 1.0
 
 
 class OrderLease:
@@ -45,7 +45,7 @@
         self._era = 0
         # A store that states no era never changes era, so nothing has to be waited out.
         self._era_seen_at = float("-inf")
-        self._watched_at = float("-inf")
+        self._read_at = float("-inf")
         self._is_open = False
 
     @property
@@ -67,7 +67,7 @@
     def must_renew(self) -> bool:
         """Returns whether the lease that this node holds should be renewed."""
         left = self._lease.remaining(self._boottime())
-        return left < self._lease_s * (1 - RENEW_PART)
+        return left < self._lease_s * (1 - RENEW_FRACTION)
 
     @property
     def is_open(self) -> bool:
@@ -78,12 +78,12 @@
         """Drops this node's lease after another holder has taken it over."""
         self._lease = None
 
-    def watch(self) -> None:
-        """Reads the lease of another holder, at most once per ``WATCH_S``.
+    def poll(self) -> None:
+        """Reads the lease of another holder, at most once per ``POLL_S``.
 
         :raises StoreUnavailableError: if the store does not answer.
         """
-        if self._boottime() - self._watched_at >= WATCH_S:
+        if self._boottime() - self._read_at >= POLL_S:
             self._read()
 
     def note_era(self, era: int) -> None:
@@ -157,7 +157,7 @@
         if reading.era < self._era:
             raise StoreUnavailableError("the lease was read in an era that is over; retry")
         now = self._boottime()
-        self._watched_at = now
+        self._read_at = now
         last = reading.last
         if last is not None:
             self._observer.observed(NAME, fence_number(reading.era, last.offset), now)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -172,7 +172,7 @@
         """
         may_claim = self._gossip.rank(LOADS_DUTY) <= STANDBY_NODES
         if not self.is_holder and may_claim and (has_holder or self._lease.is_open):
-            self._lease.watch()
+            self._lease.poll()
 
     def _outdated_models(self) -> list[tuple[str, int]]:
         """Returns the models, with the named version, of which some available engine is outdated."""
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -61,23 +61,23 @@
         """Replays a holder that loses its connection while engines are being updated."""
         first, standby, late = self.lease("a"), self.lease("b"), self.lease("c")
         self.assertTrue(first.claim())
-        standby.watch()
+        standby.poll()
         self.clock.advance(LEASE_S)
         self.assertFalse(first.is_held)
         self.assertFalse(late.claim())
         self.assertTrue(standby.claim())
         self.assertGreater(standby.fence, 0)
 
-    def test_standby_looks_seldom(self) -> None:
+    def test_standby_polls_at_most_once_per_interval(self) -> None:
         self.lease("a").claim()
         standby = self.lease("b")
-        standby.watch()
+        standby.poll()
         self.assertTrue(standby.is_open)
         self.leases.append("a", 0, True, 0, 1)
-        standby.watch()
+        standby.poll()
         self.assertTrue(standby.is_open)
         self.clock.advance(1.0)
-        standby.watch()
+        standby.poll()
         self.assertFalse(standby.is_open)
 
     def test_released_lease_is_claimed_at_once(self) -> None:
@@ -204,7 +204,7 @@
         self.assertFalse(second.is_held)
         self.assertTrue(third.claim())
 
-    def test_standby_looks_at_the_lease_early_in_a_new_era(self) -> None:
+    def test_standby_polls_the_lease_early_in_a_new_era(self) -> None:
         """Guards against a full lease duration of delay for weights named long after a return."""
         self.leases.era = 1
         self.hold(self.lease("a"))
@@ -212,7 +212,7 @@
         standby = self.lease("b")
         standby.note_era(2)
         self.assertTrue(standby.is_open)
-        standby.watch()
+        standby.poll()
         self.clock.advance(LEASE_S)
         self.assertTrue(standby.claim())
 
@@ -296,7 +296,7 @@
             elif rng.random() < 0.5:
                 node.claim()
             else:
-                node.watch()
+                node.poll()
         except StoreUnavailableError:
             pass
         self.leases.lose_answer = False
--- a/tests/test_store_return_model.py
+++ b/tests/test_store_return_model.py
@@ -124,12 +124,12 @@
             self.nodes[number].release()
 
     @rule(number=st.integers(0, NODES - 1))
-    def node_hears_the_era(self, number: int) -> None:
+    def node_learns_the_era(self, number: int) -> None:
         self.nodes[number].note_era(self.store.era)
 
     @rule(number=st.integers(0, NODES - 1))
-    def node_looks(self, number: int) -> None:
-        self.nodes[number].watch()
+    def node_polls_lease(self, number: int) -> None:
+        self.nodes[number].poll()
 
     @rule(number=st.integers(0, NODES - 1))
     def node_restarts(self, number: int) -> None:
