Name endpoints of an older list unconfirmed in the endpoint reader

Cause: settled meant both a known rank in the fleet and an endpoint whose next record was seen; telling, hearing and parts were figurative.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -19,21 +19,21 @@
 #: Pause between two reads of the list, and longest wait of a read for the next record, as fractions
 #: of the time within which leaving endpoints must be known. The pause batches heartbeats, which are
 #: written many times a second. The sum stays below the age at which other nodes start to read.
-PAUSE_PART = 0.35
-WAIT_PART = 0.1
+PAUSE_FRACTION = 0.35
+WAIT_FRACTION = 0.1
 #: Interval at which a node that does not read checks whether it must, seconds.
-LOOK_S = 0.1
+ROLE_CHECK_S = 0.1
 #: Age of this node's last read up to which it counts as a reader for the fleet, as a fraction of the
 #: time within which leaving endpoints must be known.
-READER_PART = 0.75
+READER_FRACTION = 0.75
 #: Delay before the first retry of a failed call, seconds; doubles up to ``MAX_RETRY_S``.
 RETRY_S = 0.2
 #: Longest time for which a node waits for new records of endpoints whose entries in an older copy of
 #: the list it did not apply, seconds.
-SETTLING_S = 20.0
+UNCONFIRMED_S = 20.0
 #: Time after a return of the store within which live workers have rewritten their entries and the
 #: entries of others have expired, seconds.
-WRITTEN_AGAIN_S = 2.5
+REWRITTEN_S = 2.5
 MAX_RETRY_S = 1.0
 
 
@@ -54,8 +54,8 @@
         gossip: Gossip,
         leaving_s: float,
     ) -> None:
-        self._pause_s = leaving_s * PAUSE_PART
-        self._wait_s = leaving_s * WAIT_PART
+        self._pause_s = leaving_s * PAUSE_FRACTION
+        self._wait_s = leaving_s * WAIT_FRACTION
         self._topic = topic
         self._view = view
         self._reading = reading
@@ -63,17 +63,17 @@
         self._log = log
         self._clock = clock
         self._gossip = gossip
-        self._reader_s = leaving_s * READER_PART
+        self._reader_s = leaving_s * READER_FRACTION
         self._read_at = float("-inf")
         self._is_reader: bool | None = None
         self._must_read_whole = True
         # Endpoints whose entries in an older copy of the list were not applied; their next records
         # show whether they still exist.
-        self._unsettled: set[str] = set()
-        self._unsettled_until = float("-inf")
-        self._settled_by_peers_at = float("-inf")
-        self._settled_to = 0
-        self._is_telling = False
+        self._unconfirmed: set[str] = set()
+        self._unconfirmed_until = float("-inf")
+        self._confirmed_by_peers_at = float("-inf")
+        self._confirmed_to = 0
+        self._is_publishing = False
         self._greenlet: Any = None
 
     def start(self) -> None:
@@ -86,7 +86,7 @@
 
     def news(self) -> ListNews | None:
         """Returns the changes to send to the peers right after a read, otherwise ``None``."""
-        if not self._is_telling:
+        if not self._is_publishing:
             return None
         return self._reading.news(self._view.book.keeps_removed_s)
 
@@ -95,7 +95,7 @@
         keep_until = self._clock() + news.keep_removed_s
         for change in self._reading.take(news):
             is_new = self._view.take_endpoint(Record(change.key, change.value), peer)
-            self._unsettled.discard(change.key)
+            self._unconfirmed.discard(change.key)
             if change.value is None and is_new:
                 self._view.book.keep(change.key, keep_until)
         self._view.forget_gone()
@@ -113,16 +113,16 @@
     @property
     def has_missed(self) -> bool:
         """Returns whether a peer has changes that this node lacks, or reported a newer era."""
-        return self._reading.has_missed or self._must_hear_again
+        return self._reading.has_missed or self._needs_peer_list
 
     @property
-    def _must_hear_again(self) -> bool:
+    def _needs_peer_list(self) -> bool:
         """Returns whether to request from peers which of the unsettled endpoints exist.
 
         Readers send each record once, and this node may have taken the list after that. By now
         the peers have the records that followed the store's return.
         """
-        return bool(self._unsettled) and self._clock() >= self._settled_by_peers_at
+        return bool(self._unconfirmed) and self._clock() >= self._confirmed_by_peers_at
 
     def take_snapshot(self, records: tuple[Record, ...], position: Position, peer: str) -> None:
         """Applies a peer's whole list if it is newer, or as new and endpoints are unsettled.
@@ -131,7 +131,7 @@
         """
         known = self._reading.position
         is_newer = known is None or position > known
-        if is_newer or (self._must_hear_again and position == known):
+        if is_newer or (self._needs_peer_list and position == known):
             self._replace(records, position, peer)
             self._reading.take_whole(position)
 
@@ -139,7 +139,7 @@
         retry_s = RETRY_S
         while True:
             if not self._must_read():
-                gevent.sleep(LOOK_S)
+                gevent.sleep(ROLE_CHECK_S)
                 continue
             try:
                 self.read_once()
@@ -152,13 +152,13 @@
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
     def _must_read(self) -> bool:
-        if self._clock() >= self._unsettled_until:
-            self._unsettled.clear()
-        is_due = self._is_settled() and self._reading.is_due(self._gossip.rank(READING_DUTY))
-        self._note_role(is_due)
-        return is_due or bool(self._unsettled)
+        if self._clock() >= self._unconfirmed_until:
+            self._unconfirmed.clear()
+        is_due = self._may_read() and self._reading.is_due(self._gossip.rank(READING_DUTY))
+        self._log_role(is_due)
+        return is_due or bool(self._unconfirmed)
 
-    def _is_settled(self) -> bool:
+    def _may_read(self) -> bool:
         """Returns whether this node knows its rank among the readers, or must read regardless."""
         reading = self._reading
         return reading.position is None or reading.has_missed or self._gossip.is_settled
@@ -174,7 +174,7 @@
             return
         try:
             # Changes from peers advance the position but do not settle these endpoints.
-            offset = self._settled_to if self._unsettled else start.offset
+            offset = self._confirmed_to if self._unconfirmed else start.offset
             batch = self._topic.since(offset, self._wait_s)
         except HoleFoundError as error:
             self._log.line("store_history_gone", oldest=error.oldest)
@@ -189,9 +189,9 @@
             return
         self._read_at = self._clock()
         self._reading.read(batch.next_offset, self._apply(offset, batch))
-        self._settled_to = batch.next_offset
+        self._confirmed_to = batch.next_offset
         self._view.forget_gone()
-        self._tell()
+        self._publish()
 
     def _read_whole(self, start: Position | None) -> None:
         batch = self._topic.newest()
@@ -208,29 +208,29 @@
     def _replace(self, records: tuple[Record, ...], position: Position, source: str) -> None:
         """Applies a whole list; a list of another era may be older than the known one."""
         known = self._reading.position
-        self._unsettled.clear()
+        self._unconfirmed.clear()
         if known is None or known.era == position.era:
             self._view.replace_endpoints(records, source)
             return
         self._watch.list_returned()
-        self._unsettled_until = self._clock() + SETTLING_S
-        self._settled_by_peers_at = self._clock() + WRITTEN_AGAIN_S
-        self._unsettled = self._view.settle_endpoints(records, source)
-        self._settled_to = position.offset
+        self._unconfirmed_until = self._clock() + UNCONFIRMED_S
+        self._confirmed_by_peers_at = self._clock() + REWRITTEN_S
+        self._unconfirmed = self._view.settle_endpoints(records, source)
+        self._confirmed_to = position.offset
         self._log.line(
             "endpoints_read_anew", era=position.era, previous=known.era, listed=len(records)
         )
 
-    def _tell(self) -> None:
+    def _publish(self) -> None:
         """Sends the changes to all peers now.
 
         In a large fleet the interval of the regular datagrams is too long.
         """
-        self._is_telling = True
+        self._is_publishing = True
         try:
             self._gossip.send_now()
         finally:
-            self._is_telling = False
+            self._is_publishing = False
 
     def _apply(self, start: int, batch: Batch) -> list[Change]:
         """Applies the records not received from peers meanwhile; returns the changes."""
@@ -243,13 +243,13 @@
 
     def _take_record(self, record: Record, is_unknown: bool) -> bool:
         """Applies a record that no peer has sent; returns whether it may be new to the peers."""
-        was_unsettled = record.key in self._unsettled
-        if not (is_unknown or was_unsettled):
+        was_unconfirmed = record.key in self._unconfirmed
+        if not (is_unknown or was_unconfirmed):
             return False
-        self._unsettled.discard(record.key)
-        return self._view.take_endpoint(record, "store") or was_unsettled
+        self._unconfirmed.discard(record.key)
+        return self._view.take_endpoint(record, "store") or was_unconfirmed
 
-    def _note_role(self, is_reader: bool) -> None:
+    def _log_role(self, is_reader: bool) -> None:
         if is_reader != self._is_reader:
             self._is_reader = is_reader
             self._log.line("endpoint_list_source", source="store" if is_reader else "peers")
--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -10,7 +10,7 @@
 from arbutustally.gateway.shared_reading import SharedReading
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.endpoint_notices import EndpointNotices
-from arbutustally_node.gateway.endpoint_reader import PAUSE_PART, READING_DUTY, EndpointReader
+from arbutustally_node.gateway.endpoint_reader import PAUSE_FRACTION, READING_DUTY, EndpointReader
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.follower import Follower
 from arbutustally_node.gateway.ports import Batch, Record, WeightsNamed
@@ -183,7 +183,7 @@
         """Performs the reads that are due, and requests from a peer what the store lacks."""
         try:
             if self.world.clock() >= self._next_read and self.endpoints._must_read():
-                self._next_read = self.world.clock() + LEAVING_S * PAUSE_PART
+                self._next_read = self.world.clock() + LEAVING_S * PAUSE_FRACTION
                 self.endpoints.read_once()
                 if self.endpoints._must_read_whole:
                     self.endpoints.read_once()
