Name what the follower resends and applies

Cause: told, outcome and unnoticed did not say what they hold. Change: recently sent records, the announced era and the bound of undetected losses are named so. Tests run: tests.test_gateway_node_store, test_fleet_after_return, test_rollouts: 52 passed, 0 failed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -24,11 +24,11 @@
 MAX_RETRY_S = 1.0
 #: Longest time for which a dead connection to the store, or the loss of all nodes that read, stays
 #: undetected, seconds.
-UNNOTICED_S = 3.0
+UNDETECTED_S = 3.0
 #: Interval at which a node that does not read checks whether it must, seconds.
-LOOK_S = 0.05
+ROLE_CHECK_S = 0.05
 #: Time for which records are sent repeatedly, so that lost datagrams do not matter, seconds.
-TOLD_S = 2.5
+RESEND_S = 2.5
 
 
 class Follower:
@@ -55,10 +55,10 @@
         self._clock = clock
         self._is_reader = is_reader
         self._tell = tell
-        self._told: deque[tuple[float, float, Record]] = deque()
+        self._recent: deque[tuple[float, float, Record]] = deque()
         self._offset: int | None = None
         self._era = 0
-        self._told_era = 0
+        self._announced_era = 0
         # Earliest time at which the next records may have been written.
         self._unread_since = -math.inf
         self._has_read = False
@@ -76,32 +76,32 @@
     def news(self) -> tuple[OperatorNews, ...]:
         """Returns the records that this node has recently read or published."""
         now = self._clock()
-        while self._told and now - self._told[0][0] > TOLD_S:
-            self._told.popleft()
+        while self._recent and now - self._recent[0][0] > RESEND_S:
+            self._recent.popleft()
         return tuple(
             OperatorNews(
                 record.key, record.value, None if known_at == -math.inf else now - known_at
             )
-            for _told_at, known_at, record in self._told
+            for _sent_at, known_at, record in self._recent
             if record.value is not None
         )
 
     def publish(self, record: Record) -> None:
         """Sends the peers a record of this node together with those that it has read."""
         now = self._clock()
-        self._told.append((now, now, record))
+        self._recent.append((now, now, record))
         self._tell()
 
     def take(self, news: tuple[OperatorNews, ...], peer: str) -> None:
         """Applies the records that a peer has read."""
         now = self._clock()
-        for one in news:
-            known_at = -math.inf if one.age_s is None else now - one.age_s
-            self._view.take_operator(Record(one.key, one.value), peer, known_at)
+        for item in news:
+            known_at = -math.inf if item.age_s is None else now - item.age_s
+            self._view.take_operator(Record(item.key, item.value), peer, known_at)
 
     def era_changed(self, era: int) -> None:
         """Ends a wait for the next record, since offsets differ in the store's new era."""
-        self._told_era = era
+        self._announced_era = era
         if era > self._era:
             self._woken.set()
 
@@ -111,8 +111,8 @@
             if self._offset is not None and not self._is_reader():
                 # The nodes that read pass on new records, unless all of them are lost, which may
                 # be undetected for a while.
-                self._unread_since = self._clock() - UNNOTICED_S
-                gevent.sleep(LOOK_S)
+                self._unread_since = self._clock() - UNDETECTED_S
+                gevent.sleep(ROLE_CHECK_S)
                 continue
             try:
                 self.read_once()
@@ -142,9 +142,9 @@
         if self._has_read and batch.era != self._era:
             self._log.line("operator_records_read_anew", era=batch.era, previous=self._era)
         self._era, self._offset = batch.era, batch.next_offset
-        if self._era >= self._told_era:
+        if self._era >= self._announced_era:
             self._woken.clear()
-        self._take(batch.records, min(self._unread_since, self._clock()), self._has_read)
+        self._apply_records(batch.records, min(self._unread_since, self._clock()), self._has_read)
         self._unread_since = math.inf
         self._has_read = True
 
@@ -159,7 +159,7 @@
         :raises StoreUnavailableError: if the store does not answer.
         :raises HoleFoundError: if the store no longer has the offset, or has begun a new era.
         """
-        reading = gevent.spawn(_outcome, self._topic, offset)
+        reading = gevent.spawn(_read_or_error, self._topic, offset)
         try:
             gevent.wait([reading, self._woken], count=1)
             if not reading.ready():
@@ -176,9 +176,9 @@
         self._offset = None
 
     def _expect_unread(self) -> None:
-        self._unread_since = min(self._unread_since, self._clock() - UNNOTICED_S)
+        self._unread_since = min(self._unread_since, self._clock() - UNDETECTED_S)
 
-    def _take(self, records: tuple[Record, ...], known_at: float, is_news: bool) -> None:
+    def _apply_records(self, records: tuple[Record, ...], known_at: float, is_news: bool) -> None:
         now = self._clock()
         # A node that begins to read finds records that it has from peers already, with a more
         # exact age.
@@ -186,12 +186,14 @@
         for record in new:
             self._view.take_operator(record, "store", known_at)
             if is_news:
-                self._told.append((now, known_at, record))
+                self._recent.append((now, known_at, record))
         if is_news and new and self._is_reader():
             self._tell()
 
 
-def _outcome(topic: KeyedTopic, offset: int) -> Batch | HoleFoundError | StoreUnavailableError:
+def _read_or_error(
+    topic: KeyedTopic, offset: int
+) -> Batch | HoleFoundError | StoreUnavailableError:
     try:
         return topic.since(offset, WAIT_S)
     except (HoleFoundError, StoreUnavailableError) as error:
