Name resends, durations and cache fractions of roll-outs

Cause: tell again, lately, took and part were loose names. Change: private names and local constants of the roll-out service and its evidence only. Tests run: tests.test_rollouts, test_gateway_node_store, test_fleet_after_return: 52 passed, 0 failed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
@@ -22,9 +22,9 @@
 #: Quantile of the baseline's durations with which a run that has not ended is compared.
 BASELINE_QUANTILE = 0.75
 #: Multiple of that quantile from which a run is counted before it has ended.
-LONG_FACTOR = 1.5
+LONG_RUN_FACTOR = 1.5
 #: Largest fraction of an answer's duration that is attributed to reading the prompt with a cold cache.
-COLD_PART = 0.5
+COLD_CACHE_FRACTION = 0.5
 
 #: Groups of answers, by the names used in messages between nodes.
 CANARY = "new"
@@ -56,9 +56,13 @@
 
     def tally(self, now: float) -> AnswerTally:
         """Returns the run's duration so far as a tally, less the part due to a cold cache."""
-        took_s = now - self.began
-        cold_s = min(self.prompt_read_s, took_s * COLD_PART) if self.group == CANARY else 0.0
-        return AnswerTally.of_time(took_s - cold_s)
+        duration_s = now - self.began
+        cold_s = (
+            min(self.prompt_read_s, duration_s * COLD_CACHE_FRACTION)
+            if self.group == CANARY
+            else 0.0
+        )
+        return AnswerTally.of_time(duration_s - cold_s)
 
 
 class RolloutEvidence:
@@ -69,7 +73,7 @@
         self._clock = clock
         self._baseline_times: dict[tuple[str, str], Latencies] = {}
         self._running: dict[int, AnswerRun] = {}
-        self._own: dict[str, AnswerTally] = {}
+        self._own_tallies: dict[str, AnswerTally] = {}
         self._peer_totals: dict[str, dict[str, AnswerTally]] = {}
 
     @property
@@ -78,7 +82,7 @@
         self._count_long_runs()
         return {
             f"{SEPARATOR}{name}{SEPARATOR}{part}": float(count)
-            for name, tally in self._own.items()
+            for name, tally in self._own_tallies.items()
             for part, count in enumerate(astuple(tally))
             if count
         }
@@ -97,10 +101,10 @@
         """Returns the tallies of all nodes' answers by route."""
         self._count_long_runs()
         start = _name(service, target, group, "")
-        whole = add_tallies([self._own, *self._peer_totals.values()])
+        all_tallies = add_tallies([self._own_tallies, *self._peer_totals.values()])
         return {
             name.removeprefix(start): tally
-            for name, tally in whole.items()
+            for name, tally in all_tallies.items()
             if name.startswith(start)
         }
 
@@ -135,19 +139,19 @@
     def _count_long_runs(self) -> None:
         now = self._clock()
         for run in self._running.values():
-            if run.counted_early is None and now - run.began > self._long_s(run):
+            if run.counted_early is None and now - run.began > self._long_run_s(run):
                 run.counted_early = run.tally(now)
                 self._add(run, run.counted_early)
 
-    def _long_s(self, run: AnswerRun) -> float:
+    def _long_run_s(self, run: AnswerRun) -> float:
         times = self._baseline_times.get((run.service, run.route))
         if times is None or len(times) < MIN_BASELINE_TIMES:
             return math.inf
-        return times.quantile(BASELINE_QUANTILE) * LONG_FACTOR + run.prompt_read_s
+        return times.quantile(BASELINE_QUANTILE) * LONG_RUN_FACTOR + run.prompt_read_s
 
     def _add(self, run: AnswerRun, tally: AnswerTally) -> None:
         name = _name(run.service, run.target, run.group, run.route)
-        self._own[name] = self._own.get(name, AnswerTally()).plus(tally)
+        self._own_tallies[name] = self._own_tallies.get(name, AnswerTally()).plus(tally)
 
 
 def _name(service: str, target: str, group: str, route: str) -> str:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
@@ -35,7 +35,7 @@
 #: Interval between two evaluations of the answers, seconds.
 STEP_S = 0.1
 #: Interval at which a decision is sent to the peers again, seconds.
-TELL_S = 1.0
+RESEND_INTERVAL_S = 1.0
 #: Number of past tallies kept to judge recent answers separately, one per step (about 3 s).
 RECENT_STEPS = 30
 #: Pause after a call that the store did not answer, seconds.
@@ -71,7 +71,7 @@
         self._is_decider = is_decider
         self._tell = tell
         self._written: dict[str, RolloutProgress] = {}
-        self._told_at: dict[str, float] = {}
+        self._sent_at: dict[str, float] = {}
         self._known: dict[str, KnownOrder] = {}
         self._recent: dict[str, deque[tuple[Tallies, Tallies]]] = {}
         self._greenlet: Any = None
@@ -111,7 +111,7 @@
             self._resume(known)
             current = self._rollouts.progress(order.service)
         if current is not None and current.is_final:
-            self._tell_again(current)
+            self._resend(current)
             return
         canary = self._evidence.tallies(order.service, order.target, CANARY)
         baseline = self._evidence.tallies(order.service, order.target, BASELINE)
@@ -121,15 +121,15 @@
             known.known_at + order.duration_s - self._clock(),
             canary,
             baseline,
-            self._is_bad_lately(order.service, canary, baseline),
+            self._is_recently_bad(order.service, canary, baseline),
             self._baseline_running(order.service, order.target),
         )
         if following != current:
             self._decide(following, canary)
         else:
-            self._tell_again(following)
+            self._resend(following)
 
-    def _is_bad_lately(self, service: str, canary: Tallies, baseline: Tallies) -> bool:
+    def _is_recently_bad(self, service: str, canary: Tallies, baseline: Tallies) -> bool:
         recent = self._recent.setdefault(service, deque(maxlen=RECENT_STEPS))
         recent.append((canary, baseline))
         canary_before, baseline_before = recent[0]
@@ -184,13 +184,13 @@
                     if tally.timed
                 },
             )
-        self._told_at[progress.service] = self._clock()
+        self._sent_at[progress.service] = self._clock()
         self._tell(progress)
 
-    def _tell_again(self, progress: RolloutProgress) -> None:
+    def _resend(self, progress: RolloutProgress) -> None:
         now = self._clock()
-        if now - self._told_at.get(progress.service, float("-inf")) >= TELL_S:
-            self._told_at[progress.service] = now
+        if now - self._sent_at.get(progress.service, float("-inf")) >= RESEND_INTERVAL_S:
+            self._sent_at[progress.service] = now
             self._tell(progress)
         if not self._is_written(progress):
             self._write(progress)
