Name tests and test parts of the store after what happens

Cause: hears, tells, goes on and trouble were figurative names of tests; beat and lapse named heartbeats and expiry in the simulation.

--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -21,7 +21,7 @@
 #: Interval between two rounds of messages, and between two heartbeats of a worker, seconds.
 TICK_S = 0.2
 #: Time without heartbeats after which the store drops a worker's entry, seconds.
-LAPSE_S = 0.8
+EXPIRY_S = 0.8
 SERVICE = "s"
 
 
@@ -48,7 +48,7 @@
     born: int = 1
     is_alive: bool = True
     is_leaving: bool = False
-    heard_at: float = 0.0
+    heartbeat_at: float = 0.0
 
     def entry(self) -> bytes:
         return json.dumps({"leaving": self.is_leaving, "born": str(self.born)}).encode()
@@ -220,7 +220,7 @@
         self.written = {"config": 1, "version/m": 1}
         for key in self.written:
             self.write_operator(key)
-        self.beat()
+        self.write_heartbeats()
         self.nodes = [Node(self, index) for index in range(nodes)]
 
     def awake(self) -> list[Node]:
@@ -239,22 +239,22 @@
         for key in lost:
             self.write_operator(key)
 
-    def beat(self) -> None:
+    def write_heartbeats(self) -> None:
         """Writes heartbeats of live workers and drops the expired entries of the others."""
         now = self.clock()
         listed = self.store.newest("servers")
         for worker in self.workers:
             if worker.is_alive:
-                worker.heard_at = now
+                worker.heartbeat_at = now
                 self.store.put("servers", worker.id, worker.entry())
-            elif worker.id in listed and now - worker.heard_at >= LAPSE_S:
+            elif worker.id in listed and now - worker.heartbeat_at >= EXPIRY_S:
                 self.store.put("servers", worker.id, None)
 
     def run(self, seconds: float, has_heartbeats: bool = True) -> None:
         for _ in range(round(seconds / TICK_S)):
             self.clock.advance(TICK_S)
             if has_heartbeats:
-                self.beat()
+                self.write_heartbeats()
             for node in self.awake():
                 node.step()
             for node in self.awake():
@@ -264,4 +264,4 @@
         self.store.return_to(copy)
         for worker in self.workers:
             # After a return, the store restarts the expiry time of all its entries.
-            worker.heard_at = self.clock()
+            worker.heartbeat_at = self.clock()
--- a/tests/test_gateway_node_store.py
+++ b/tests/test_gateway_node_store.py
@@ -14,8 +14,8 @@
 from tests.ports import free_port
 
 
-class StoreTroubleTest(GatewayCase):
-    def test_serves_on_without_the_store(self) -> None:
+class StoreOutageTest(GatewayCase):
+    def test_keeps_serving_without_the_store(self) -> None:
         node = self.start_node()
         self.wait_ready(node)
         self.store.status = 503
@@ -71,7 +71,7 @@
             self.assertEqual(self.call(node, "/look/a", f"r{number}").status, 200)
         self.assertEqual(self.desks[0].ran, [])
 
-    def test_node_that_hears_of_the_list_forgets_endpoints_that_are_gone(self) -> None:
+    def test_changes_from_peers_remove_endpoints_that_are_gone(self) -> None:
         """Guards against a memory leak per replaced endpoint on nodes that do not read the store."""
         node = self.start_node()
         self.wait_ready(node)
@@ -172,7 +172,7 @@
         gevent.sleep(0.5)
         self.assertAlmostEqual(node._view.weights["m"].known_at[2], known_at, delta=0.1)
 
-    def test_few_nodes_are_announced_and_all_find_together(self) -> None:
+    def test_few_nodes_are_announced_and_all_find_each_other(self) -> None:
         nodes = self.start_nodes(3)
         for node in nodes:
             self.eventually(lambda node=node: len(node._gossip.present) == 2)
--- a/tests/test_gateway_node_weights.py
+++ b/tests/test_gateway_node_weights.py
@@ -8,7 +8,7 @@
 
 
 class WeightsTest(GatewayCase):
-    def test_engines_are_brought_to_named_weights_and_requests_follow(self) -> None:
+    def test_engines_load_named_weights_and_requests_follow(self) -> None:
         node = self.start_node()
         self.wait_ready(node)
         self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -157,7 +157,7 @@
         self.assertFalse(old.is_held)
         self.assertTrue(new.claim())
 
-    def test_holder_goes_on_in_a_new_era_with_a_higher_fence(self) -> None:
+    def test_holder_continues_in_a_new_era_with_a_higher_fence(self) -> None:
         """Guards against loads that pause for a whole lease duration after each return."""
         self.leases.era = 1
         lease, other = self.lease("a"), self.lease("b")
@@ -216,7 +216,7 @@
         self.clock.advance(LEASE_S)
         self.assertTrue(standby.claim())
 
-    def test_lapsed_holder_does_not_go_on_in_a_new_era(self) -> None:
+    def test_expired_holder_does_not_continue_in_a_new_era(self) -> None:
         """Guards against a thawed holder that misses another's tenure whose record was lost."""
         self.leases.era = 1
         first, second = self.lease("a"), self.lease("b")
--- a/tests/test_return_model.py
+++ b/tests/test_return_model.py
@@ -54,7 +54,7 @@
         if is_written:
             self.world.write_again()
         for _ in range(beats):
-            self.world.beat()
+            self.world.write_heartbeats()
 
     @rule(
         event=st.sampled_from(["drains", "ends", "starts", "config", "version/m", "nothing"]),
@@ -76,7 +76,7 @@
         if written:
             self.operator_writes(written)
         for _ in range(beats):
-            self.world.beat()
+            self.world.write_heartbeats()
         self.world.run(quiet_s, has_heartbeats=False)
 
     @rule(key=st.sampled_from(["config", "version/m"]))
@@ -198,7 +198,7 @@
         self.world.run(3.0)
         self.assertEqual(last.reading.position.era, 2)
 
-    def test_fresh_node_hears_that_an_endpoint_of_the_older_list_is_gone(self) -> None:
+    def test_fresh_node_learns_that_an_endpoint_of_the_older_list_is_gone(self) -> None:
         """Guards against readers that do not pass on a removal because they know it already."""
         self.world.workers[0].is_alive = False
         self.world.run(3.0)
@@ -211,7 +211,7 @@
         self.world.run(6.0)
         self.assertNotIn("e0", self.world.nodes[-1].usable)
 
-    def test_node_without_the_store_hears_that_an_endpoint_stays_or_is_back(self) -> None:
+    def test_node_without_the_store_learns_that_an_endpoint_stays_or_is_back(self) -> None:
         """Guards against an endpoint left out by nodes that learn of the new era from peers only."""
         leaving, gone, last = *self.world.workers[:2], self.world.nodes[-1]
         for pause_s in (0.2, 3.0):
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -100,7 +100,7 @@
         self.eras: list[int] = []
         self.client.era.watch(self.eras.append)
 
-    def test_every_answer_tells_its_era(self) -> None:
+    def test_every_answer_states_its_era(self) -> None:
         """Guards against offsets of two eras that cannot be distinguished."""
         leases = StoreLeaseTopic(StoreKeyedTopic(self.client, "keyed.l"))
         for era in (1, 2):
@@ -114,7 +114,7 @@
             self.assertEqual(leases.append("n", None, False, era, leases.last().end).era, era)
         self.assertEqual((self.eras, self.client.era.newest), ([1, 2], 2))
 
-    def test_read_beyond_the_end_tells_the_era(self) -> None:
+    def test_read_beyond_the_end_states_the_era(self) -> None:
         self.store.put(TOPIC, "a", 1)
         copy = self.store.take_copy()
         self.store.put(TOPIC, "a", 2)
@@ -123,7 +123,7 @@
             self.topic.since(2, 0.1)
         self.assertEqual((caught.exception.era, caught.exception.oldest), (2, 0))
 
-    def test_refusals_tell_the_era(self) -> None:
+    def test_refusals_state_the_era(self) -> None:
         """Guards against missing a new era because the store refuses calls after its return."""
         self.store.return_to(self.store.take_copy())
         self.store.status = 503
