Name the callbacks that send to peers after what they send

Cause: tell did not say what is sent. Change: parameters and private fields of Follower and RolloutService, passed by position everywhere.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -35,7 +35,7 @@
     """Keeps a ``FleetView`` current with the operator's records.
 
     :param is_reader: returns whether this node reads for the fleet now.
-    :param tell: sends the peers at once the records that this node has read.
+    :param send_now: sends the peers at once the records that this node has read.
     """
 
     def __init__(
@@ -46,7 +46,7 @@
         log: DecisionLog,
         clock: Clock,
         is_reader: Callable[[], bool],
-        tell: Callable[[], None],
+        send_now: Callable[[], None],
     ) -> None:
         self._topic = topic
         self._view = view
@@ -54,7 +54,7 @@
         self._log = log
         self._clock = clock
         self._is_reader = is_reader
-        self._tell = tell
+        self._send_now = send_now
         self._recent: deque[tuple[float, float, Record]] = deque()
         self._offset: int | None = None
         self._era = 0
@@ -90,7 +90,7 @@
         """Sends the peers a record of this node together with those that it has read."""
         now = self._clock()
         self._recent.append((now, now, record))
-        self._tell()
+        self._send_now()
 
     def take(self, news: tuple[OperatorNews, ...], peer: str) -> None:
         """Applies the records that a peer has read."""
@@ -188,7 +188,7 @@
             if is_news:
                 self._recent.append((now, known_at, record))
         if is_news and new and self._is_reader():
-            self._tell()
+            self._send_now()
 
 
 def _read_or_error(
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
@@ -46,7 +46,7 @@
     """Decides on roll-outs while this node is the first in order.
 
     :param is_decider: returns whether this node decides now.
-    :param tell: sends a decision to all peers at once, and repeatedly for a while.
+    :param send_decision: sends a decision to all peers at once, and repeatedly for a while.
     """
 
     def __init__(
@@ -59,7 +59,7 @@
         log: DecisionLog,
         clock: Clock,
         is_decider: Callable[[], bool],
-        tell: Callable[[RolloutProgress], None],
+        send_decision: Callable[[RolloutProgress], None],
     ) -> None:
         self._rollouts = rollouts
         self._evidence = evidence
@@ -69,7 +69,7 @@
         self._log = log
         self._clock = clock
         self._is_decider = is_decider
-        self._tell = tell
+        self._send_decision = send_decision
         self._written: dict[str, RolloutProgress] = {}
         self._sent_at: dict[str, float] = {}
         self._known: dict[str, KnownOrder] = {}
@@ -185,13 +185,13 @@
                 },
             )
         self._sent_at[progress.service] = self._clock()
-        self._tell(progress)
+        self._send_decision(progress)
 
     def _resend(self, progress: RolloutProgress) -> None:
         now = self._clock()
         if now - self._sent_at.get(progress.service, float("-inf")) >= RESEND_INTERVAL_S:
             self._sent_at[progress.service] = now
-            self._tell(progress)
+            self._send_decision(progress)
         if not self._is_written(progress):
             self._write(progress)
 
