Name a restored list of endpoints so

Cause: the list does not return, it is restored from an older copy. Change: StoreWatch.list_returned is list_restored. Tests run: tests.test_rollouts, test_fleet_after_return, test_gateway_node_weights: 46 passed, 0 failed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -212,7 +212,7 @@
         if known is None or known.era == position.era:
             self._view.replace_endpoints(records, source)
             return
-        self._watch.list_returned()
+        self._watch.list_restored()
         self._unconfirmed_until = self._clock() + UNCONFIRMED_S
         self._confirmed_by_peers_at = self._clock() + REWRITTEN_S
         self._unconfirmed = self._view.settle_endpoints(records, source)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/store_watch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/store_watch.py
@@ -24,7 +24,7 @@
         """Returns whether the last call to the store succeeded."""
         return self._lost_since is None
 
-    def list_returned(self) -> None:
+    def list_restored(self) -> None:
         """Records that the list of endpoints was restored from an older copy.
 
         Endpoints missing from it are rewritten within the same time as expired ones.
