Name overloaded engines so in the weights service

Cause: is_behind said neither what is behind nor of what. Change: one local variable. Tests run: tests.test_rollouts, test_fleet_after_return, test_gateway_node_weights: 46 passed, 0 failed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -229,8 +229,8 @@
         configuration = self._view.configuration
         routes = configuration.routes if configuration else ()
         targets_s = [route.target_s for route in routes if route.kind is RouteKind.STREAM]
-        is_behind = bool(targets_s) and are_behind(waits_s, min(targets_s))
-        return loads_at_once(len(states), pending, left_s, self._load_estimate_s, is_behind)
+        is_overloaded = bool(targets_s) and are_behind(waits_s, min(targets_s))
+        return loads_at_once(len(states), pending, left_s, self._load_estimate_s, is_overloaded)
 
     def _load(self, state: EndpointState, model: str) -> None:
         """Drains one engine, orders the load and polls the engine until it has loaded."""
