Follow the new names in comments of the store's readers

Cause: three docstrings of the endpoint reader still spoke of settled endpoints; Follower reads rather than follows. Change: comments and docstrings only.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -117,7 +117,7 @@
 
     @property
     def _needs_peer_list(self) -> bool:
-        """Returns whether to request from peers which of the unsettled endpoints exist.
+        """Returns whether to request from peers which of the unconfirmed endpoints exist.
 
         Readers send each record once, and this node may have taken the list after that. By now
         the peers have the records that followed the store's return.
@@ -125,7 +125,7 @@
         return bool(self._unconfirmed) and self._clock() >= self._confirmed_by_peers_at
 
     def take_snapshot(self, records: tuple[Record, ...], position: Position, peer: str) -> None:
-        """Applies a peer's whole list if it is newer, or as new and endpoints are unsettled.
+        """Applies a peer's whole list if it is newer, or confirms endpoints at the same position.
 
         :param position: up to where the list is current.
         """
@@ -173,7 +173,7 @@
             self._read_whole(start)
             return
         try:
-            # Changes from peers advance the position but do not settle these endpoints.
+            # Changes from peers advance the position but do not confirm these endpoints.
             offset = self._confirmed_to if self._unconfirmed else start.offset
             batch = self._topic.since(offset, self._wait_s)
         except HoleFoundError as error:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -66,11 +66,11 @@
         self._greenlet: Any = None
 
     def start(self) -> None:
-        """Starts following."""
+        """Starts reading."""
         self._greenlet = supervise(self._log, "operator", self._follow)
 
     def stop(self) -> None:
-        """Stops following."""
+        """Stops reading."""
         self._greenlet.kill()
 
     def news(self) -> tuple[OperatorNews, ...]:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -42,7 +42,7 @@
 IDLE_STEP_S = 0.2
 #: Additional delay per rank before a node claims the lease, seconds.
 RANK_DELAY_S = 0.4
-#: Number of nodes after the first that poll the holder's lease, to take over soon after it lapses.
+#: Number of nodes after the first that poll the holder's lease, to take over soon after it expires.
 STANDBY_NODES = 2
 #: Delays before a retry, seconds: after a store call without an answer, and after a failed claim.
 STORE_RETRY_S = 0.5
