--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -1,4 +1,4 @@
-"""Keeps current with the operator's records: read from the store, or told by a peer that reads."""
+"""Keeps the operator's records current, from the store or from peers that read the store."""
 
 import math
 from collections import deque
@@ -19,23 +19,23 @@
 
 #: Longest wait of a read for the next record, seconds.
 WAIT_S = 5.0
-#: Pause after a failed call, seconds; doubled with each further failure.
+#: Delay before the first retry of a failed call, seconds; doubles up to ``MAX_RETRY_S``.
 RETRY_S = 0.2
 MAX_RETRY_S = 1.0
-#: Time for which a connection to the store may have been silent before a call on it fails, and for
-#: which the loss of all nodes that read may have gone unnoticed, seconds.
-UNNOTICED_S = 3.0
-#: Interval at which a node that does not read looks whether it must, seconds.
-LOOK_S = 0.05
-#: Time for which records are told again, so that lost datagrams cost nothing, seconds.
-TOLD_S = 2.5
+#: Longest time for which a dead connection to the store, or the loss of all nodes that read, stays
+#: undetected, seconds.
+UNDETECTED_S = 3.0
+#: Interval at which a node that does not read checks whether it must, seconds.
+ROLE_CHECK_S = 0.05
+#: Time for which records are sent repeatedly, so that lost datagrams do not matter, seconds.
+RESEND_S = 2.5
 
 
 class Follower:
-    """Keeps a ``FleetView`` current with what the operator writes.
+    """Keeps a ``FleetView`` current with the operator's records.
 
     :param is_reader: returns whether this node reads for the fleet now.
-    :param tell: tells the peers at once what this node has read.
+    :param send_now: sends the peers at once the records that this node has read.
     """
 
     def __init__(
@@ -46,7 +46,7 @@
         log: DecisionLog,
         clock: Clock,
         is_reader: Callable[[], bool],
-        tell: Callable[[], None],
+        send_now: Callable[[], None],
     ) -> None:
         self._topic = topic
         self._view = view
@@ -54,11 +54,11 @@
         self._log = log
         self._clock = clock
         self._is_reader = is_reader
-        self._tell = tell
-        self._told: deque[tuple[float, float, Record]] = deque()
+        self._send_now = send_now
+        self._recent: deque[tuple[float, float, Record]] = deque()
         self._offset: int | None = None
         self._era = 0
-        self._told_era = 0
+        self._announced_era = 0
         # Earliest time at which the next records may have been written.
         self._unread_since = -math.inf
         self._has_read = False
@@ -66,42 +66,42 @@
         self._greenlet: Any = None
 
     def start(self) -> None:
-        """Starts following."""
+        """Starts reading."""
         self._greenlet = supervise(self._log, "operator", self._follow)
 
     def stop(self) -> None:
-        """Stops following."""
+        """Stops reading."""
         self._greenlet.kill()
 
     def news(self) -> tuple[OperatorNews, ...]:
-        """Returns the records that this node has read lately."""
+        """Returns the records that this node has recently read or published."""
         now = self._clock()
-        while self._told and now - self._told[0][0] > TOLD_S:
-            self._told.popleft()
+        while self._recent and now - self._recent[0][0] > RESEND_S:
+            self._recent.popleft()
         return tuple(
             OperatorNews(
                 record.key, record.value, None if known_at == -math.inf else now - known_at
             )
-            for _told_at, known_at, record in self._told
+            for _sent_at, known_at, record in self._recent
             if record.value is not None
         )
 
     def publish(self, record: Record) -> None:
-        """Tells the peers a record of this node together with those that it has read."""
+        """Sends the peers a record of this node together with those that it has read."""
         now = self._clock()
-        self._told.append((now, now, record))
-        self._tell()
+        self._recent.append((now, now, record))
+        self._send_now()
 
     def take(self, news: tuple[OperatorNews, ...], peer: str) -> None:
-        """Takes what a peer has read."""
+        """Applies the records that a peer has read."""
         now = self._clock()
-        for one in news:
-            known_at = -math.inf if one.age_s is None else now - one.age_s
-            self._view.take_operator(Record(one.key, one.value), peer, known_at)
+        for item in news:
+            known_at = -math.inf if item.age_s is None else now - item.age_s
+            self._view.take_operator(Record(item.key, item.value), peer, known_at)
 
     def era_changed(self, era: int) -> None:
-        """Ends a wait for the next record: the store has begun an era with other offsets."""
-        self._told_era = era
+        """Ends a wait for the next record, since offsets differ in the store's new era."""
+        self._announced_era = era
         if era > self._era:
             self._woken.set()
 
@@ -109,9 +109,10 @@
         retry_s = RETRY_S
         while True:
             if self._offset is not None and not self._is_reader():
-                # Records that come now are told by the nodes that read, up to their loss.
-                self._unread_since = self._clock() - UNNOTICED_S
-                gevent.sleep(LOOK_S)
+                # The nodes that read pass on new records, unless all of them are lost, which may
+                # be undetected for a while.
+                self._unread_since = self._clock() - UNDETECTED_S
+                gevent.sleep(ROLE_CHECK_S)
                 continue
             try:
                 self.read_once()
@@ -123,7 +124,7 @@
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
     def read_once(self) -> None:
-        """Reads what is new, or the newest record of every key.
+        """Reads the new records, or the newest record of every key.
 
         :raises StoreUnavailableError: if the store does not answer.
         """
@@ -141,24 +142,24 @@
         if self._has_read and batch.era != self._era:
             self._log.line("operator_records_read_anew", era=batch.era, previous=self._era)
         self._era, self._offset = batch.era, batch.next_offset
-        if self._era >= self._told_era:
+        if self._era >= self._announced_era:
             self._woken.clear()
-        self._take(batch.records, min(self._unread_since, self._clock()), self._has_read)
+        self._apply_records(batch.records, min(self._unread_since, self._clock()), self._has_read)
         self._unread_since = math.inf
         self._has_read = True
 
     def _newest(self) -> Batch:
-        # An era that begins while the store answers ends the next wait.
+        # Cleared before the call: an era that begins during it then ends the next wait.
         self._woken.clear()
         return self._topic.newest()
 
     def _wait_for_records(self, offset: int) -> Batch:
-        """Returns the records from an offset on; a new era ends the wait for the first.
+        """Returns the records from an offset on; a new era ends the wait for the first one.
 
         :raises StoreUnavailableError: if the store does not answer.
-        :raises HoleFoundError: if the offset is none of the store.
+        :raises HoleFoundError: if the store no longer has the offset, or has begun a new era.
         """
-        reading = gevent.spawn(_outcome, self._topic, offset)
+        reading = gevent.spawn(_read_or_error, self._topic, offset)
         try:
             gevent.wait([reading, self._woken], count=1)
             if not reading.ready():
@@ -175,21 +176,24 @@
         self._offset = None
 
     def _expect_unread(self) -> None:
-        self._unread_since = min(self._unread_since, self._clock() - UNNOTICED_S)
+        self._unread_since = min(self._unread_since, self._clock() - UNDETECTED_S)
 
-    def _take(self, records: tuple[Record, ...], known_at: float, is_news: bool) -> None:
+    def _apply_records(self, records: tuple[Record, ...], known_at: float, is_news: bool) -> None:
         now = self._clock()
-        # A node that begins to read comes across what peers have told it, with a better age.
+        # A node that begins to read finds records that it has from peers already, with a more
+        # exact age.
         new = [record for record in records if not self._view.has_operator(record)]
         for record in new:
             self._view.take_operator(record, "store", known_at)
             if is_news:
-                self._told.append((now, known_at, record))
+                self._recent.append((now, known_at, record))
         if is_news and new and self._is_reader():
-            self._tell()
+            self._send_now()
 
 
-def _outcome(topic: KeyedTopic, offset: int) -> Batch | HoleFoundError | StoreUnavailableError:
+def _read_or_error(
+    topic: KeyedTopic, offset: int
+) -> Batch | HoleFoundError | StoreUnavailableError:
     try:
         return topic.since(offset, WAIT_S)
     except (HoleFoundError, StoreUnavailableError) as error:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -1,7 +1,7 @@
-"""Orders engines to load newly named weights, by one node at a time under a lease.
+"""Orders engines to load newly named weights; one node at a time does so, under a lease.
 
-The lease exists only while there is work: the first node in the fleet's order claims it as soon as
-it sees older weights, the next ones only if nobody has.
+The lease is held only while some engine has outdated weights: the first node in the fleet's order
+claims it as soon as it sees outdated weights, the following nodes only if no other node has.
 """
 
 import math
@@ -34,36 +34,37 @@
 from arbutustally_node.gateway.ports import EngineControl, LoadOrder, OrderReply
 from arbutustally_node.gateway.supervision import supervise
 
-#: Names the order of nodes in which they order engines.
+#: Duty name that ranks the nodes for ordering engines.
 LOADS_DUTY = b"loads"
-#: Interval between two looks at the engines, seconds.
+#: Poll interval while some engine has outdated weights, seconds.
 STEP_S = 0.1
-#: Interval between two looks while there is nothing to do, seconds.
+#: Poll interval while all engines are current, seconds.
 IDLE_STEP_S = 0.2
-#: Time that each rank waits longer before it claims, seconds.
+#: Additional delay per rank before a node claims the lease, seconds.
 RANK_DELAY_S = 0.4
-#: Nodes after the first that look at the holder's lease, to take over soon when it lapses.
-STANDBYS = 2
-#: Pause after a call that the store did not answer, and after a claim that was not possible, seconds.
+#: Number of nodes after the first that poll the holder's lease, to take over soon after it expires.
+STANDBY_NODES = 2
+#: Delays before a retry, seconds: after a store call without an answer, and after a failed claim.
 STORE_RETRY_S = 0.5
 CLAIM_RETRY_S = 0.3
-#: Time after an order until its engine is asked whether it has loaded, seconds.
-FIRST_LOOK_S = 0.4
-LOOK_S = 0.15
-#: Interval at which an engine that gets no new requests is looked at, seconds.
+#: Delay from an order to the first poll of its engine, and interval of further polls, seconds.
+FIRST_POLL_S = 0.4
+POLL_S = 0.15
+#: Interval at which an engine that is draining before a load is checked, seconds.
 EMPTY_STEP_S = 0.05
-#: Time for which a load takes an engine away before any was seen, and the weight of one that was.
-FIRST_LOAD_S = 2.5
+#: Initial estimate of the time for which a load makes an engine unavailable, seconds, and the weight
+#: of each measured load in the moving average.
+INITIAL_LOAD_S = 2.5
 LOAD_GAIN = 0.3
 
 
 class WeightsService:
-    """Brings engines to the named weights.
+    """Updates engines to the named weights.
 
-    :param weights_s: time after which weights that were replaced are no longer allowed, seconds.
+    :param weights_s: time after which replaced weights are no longer allowed, seconds.
     :param wait_s: returns the expected wait at an engine, seconds.
     :param on_unreachable: called for an engine that does not answer.
-    :param repeats: budget for requests that go on elsewhere when an engine breaks them off.
+    :param repeats: budget for requests that are repeated elsewhere after an engine aborts them.
     """
 
     def __init__(
@@ -87,13 +88,13 @@
         self._clock = clock
         self._weights_s = weights_s
         self._wait_s = wait_s
-        self._load_s = FIRST_LOAD_S
+        self._load_estimate_s = INITIAL_LOAD_S
         self._step_at = -math.inf
         self._on_unreachable = on_unreachable
         self._repeats = repeats
-        self._behind_since: float | None = None
-        self._ordering: set[str] = set()
-        self._looked_at: dict[str, float] = {}
+        self._outdated_since: float | None = None
+        self._loading_engines: set[str] = set()
+        self._polled_at: dict[str, float] = {}
         self._is_renewing = False
         self._is_stopping = False
         self._greenlet: Any = None
@@ -104,11 +105,11 @@
         return self._lease.is_held
 
     def start(self) -> None:
-        """Starts watching for engines with older weights."""
+        """Starts watching for engines with outdated weights."""
         self._greenlet = supervise(self._log, "weights", self._run)
 
     def stop(self) -> None:
-        """Stops ordering and gives up the lease."""
+        """Stops ordering and releases the lease."""
         self._is_stopping = True
         self._release()
         if self._greenlet is not None:
@@ -125,20 +126,20 @@
             gevent.sleep(STEP_S if is_busy else IDLE_STEP_S)
 
     def _step(self) -> bool:
-        behind = self._behind()
-        if not behind:
-            self._behind_since = None
+        outdated = self._outdated_models()
+        if not outdated:
+            self._outdated_since = None
             self._release()
-            self._stand_by()
+            self._poll_lease()
             return False
         now = self._clock()
-        if self._behind_since is None:
-            self._behind_since = now
+        if self._outdated_since is None:
+            self._outdated_since = now
         if not self.is_holder:
-            if now - self._behind_since < self._gossip.rank(LOADS_DUTY) * RANK_DELAY_S:
+            if now - self._outdated_since < self._gossip.rank(LOADS_DUTY) * RANK_DELAY_S:
                 return True
             if self._gossip.has_orderer:
-                self._stand_by(True)
+                self._poll_lease(True)
                 return True
             if not self._lease.claim():
                 gevent.sleep(CLAIM_RETRY_S)
@@ -146,12 +147,12 @@
         elif self._lease.must_renew and not self._is_renewing:
             self._is_renewing = True
             gevent.spawn(self._renew)
-        for model, named in behind:
+        for model, named in outdated:
             self._order(model, named)
         return True
 
     def _renew(self) -> None:
-        """Renews the lease while orders go on under what is left of it."""
+        """Renews the lease; orders continue meanwhile under its remaining time."""
         try:
             self._lease.renew()
         except StoreUnavailableError as error:
@@ -160,20 +161,21 @@
             self._is_renewing = False
 
     def _release(self) -> None:
-        if self.is_holder and not self._ordering:
+        if self.is_holder and not self._loading_engines:
             self._lease.release()
 
-    def _stand_by(self, has_holder: bool = False) -> None:
-        """Looks at the lease of another holder if this node is among the next ones.
+    def _poll_lease(self, has_holder: bool = False) -> None:
+        """Polls the lease of another holder if this node is among the next in order.
 
-        :param has_holder: a holder is at work; otherwise only a lease left open is of interest.
+        :param has_holder: another node is the active holder; without one, only a lease that may be
+            unreleased is polled.
         """
-        may_claim = self._gossip.rank(LOADS_DUTY) <= STANDBYS
+        may_claim = self._gossip.rank(LOADS_DUTY) <= STANDBY_NODES
         if not self.is_holder and may_claim and (has_holder or self._lease.is_open):
-            self._lease.watch()
+            self._lease.poll()
 
-    def _behind(self) -> list[tuple[str, int]]:
-        """Returns the models of which an engine has older weights than named."""
+    def _outdated_models(self) -> list[tuple[str, int]]:
+        """Returns the models, with the named version, of which some available engine is outdated."""
         return [
             (model, named.version)
             for model, named in self._view.weights.items()
@@ -199,26 +201,27 @@
         if now - self._step_at < STEP_PAUSE_S:
             return
         states = self._engines_of(model)
-        plan = plan_loads(states, model, named, self._at_once(states, model, named), now)
-        chosen = [engine for engine in plan.engines if engine not in self._ordering]
+        plan = plan_loads(states, model, named, self._load_limit(states, model, named), now)
+        chosen = [engine for engine in plan.engines if engine not in self._loading_engines]
         chosen = chosen[: loads_in_step(len(states))]
         if not chosen or not self.is_holder:
             return
         self._step_at = now
         for engine in chosen:
-            self._ordering.add(engine)
+            self._loading_engines.add(engine)
             state = self._view.book.get(engine)
             state.loading = True
             state.loading_until = self._clock() + EMPTYING_S + LOAD_CHECK_S
             gevent.spawn(self._load, state, model)
         self._gossip.send_now()
 
-    def _at_once(self, states: list[EndpointState], model: str, named: int) -> int:
-        """Returns how many engines may load now."""
+    def _load_limit(self, states: list[EndpointState], model: str, named: int) -> int:
+        """Returns how many engines may load at the same time now."""
         now = self._clock()
         pending = sum(state.weights.get(model, 0) < named for state in states)
         known_at = self._view.weights[model].known_at.get(named, now)
-        # A version that was named before this node started may be as old as the bound.
+        # A version that was named before this node started may be as old as the bound, so it
+        # leaves no time.
         left_s = max(0.0, known_at + self._weights_s - now)
         waits_s = [
             self._wait_s(state) for state in states if not state.loading and not state.is_down
@@ -226,31 +229,31 @@
         configuration = self._view.configuration
         routes = configuration.routes if configuration else ()
         targets_s = [route.target_s for route in routes if route.kind is RouteKind.STREAM]
-        is_behind = bool(targets_s) and are_behind(waits_s, min(targets_s))
-        return loads_at_once(len(states), pending, left_s, self._load_s, is_behind)
+        is_overloaded = bool(targets_s) and are_behind(waits_s, min(targets_s))
+        return loads_at_once(len(states), pending, left_s, self._load_estimate_s, is_overloaded)
 
     def _load(self, state: EndpointState, model: str) -> None:
-        """Orders one engine and watches it until it has loaded."""
+        """Drains one engine, orders the load and polls the engine until it has loaded."""
         began = self._clock()
         try:
             self._empty(state)
-            # A newer version may have been named while the engine was emptied.
+            # A newer version may have been named while the engine was draining.
             named = self._view.weights[model].version
             if self._send_order(state, model, named):
                 self._await_load(state, model, named)
-                self._load_s += (self._clock() - began - self._load_s) * LOAD_GAIN
+                self._load_estimate_s += (self._clock() - began - self._load_estimate_s) * LOAD_GAIN
         finally:
             state.loading = False
-            self._ordering.discard(state.id)
+            self._loading_engines.discard(state.id)
 
     def _empty(self, state: EndpointState) -> None:
-        """Waits until an engine that gets no new requests has little left to do."""
+        """Waits until an engine that gets no new requests has few enough requests left."""
         began = self._clock()
         while not is_emptied(state, self._clock() - began, self._unrepeatable(state)):
             gevent.sleep(EMPTY_STEP_S)
 
     def _unrepeatable(self, state: EndpointState) -> int:
-        """Returns the requests of all nodes that are lost if an engine breaks its runs off."""
+        """Returns how many requests of all nodes would be lost if the engine aborted its runs."""
         loading = [one for one in self._view.book.all() if one.loading]
         left = self._repeats.left(state.entry.service)
         return unrepeatable_runs(state, loading, left) + state.peer_unrepeatable
@@ -263,7 +266,7 @@
             self._on_unreachable(state)
             self._log.line("engine_report_missing", engine=state.id)
             return False
-        self._take_weights(state, report.weights)
+        self._apply_weights(state, report.weights)
         if report.weights.get(model, 0) >= named or report.is_busy:
             return report.is_busy
         if not self.is_holder:
@@ -286,7 +289,7 @@
             reply=reply,
         )
         if reply == OrderReply.HOLDS_ALREADY:
-            self._take_weights(state, {model: named})
+            self._apply_weights(state, {model: named})
         if reply == OrderReply.OTHER_ENDPOINT:
             self._view.book.replaced(state)
         if reply == OrderReply.FENCED:
@@ -294,33 +297,33 @@
         return reply in (OrderReply.ACCEPTED, OrderReply.BUSY, OrderReply.UNKNOWN)
 
     def _await_load(self, state: EndpointState, model: str, named: int) -> None:
-        gevent.sleep(FIRST_LOOK_S)
+        gevent.sleep(FIRST_POLL_S)
         while self._clock() < state.loading_until:
             if state.weights.get(model, 0) >= named or self._view.book.is_paused(state):
                 return
             report = self._engines.report(state.entry)
             if report is None:
                 return
-            self._take_weights(state, report.weights)
+            self._apply_weights(state, report.weights)
             if not report.is_busy:
                 return
-            gevent.sleep(LOOK_S)
+            gevent.sleep(POLL_S)
 
     def look(self, state: EndpointState) -> None:
-        """Asks an engine for its weights without waiting, at most every ``LOOK_S``."""
+        """Polls an engine's weights in the background, at most once per ``POLL_S``."""
         now = self._clock()
         if self._view.book.is_paused(state):
             return
-        if now - self._looked_at.get(state.id, 0.0) >= LOOK_S:
-            self._looked_at[state.id] = now
-            gevent.spawn(self._look, state)
+        if now - self._polled_at.get(state.id, 0.0) >= POLL_S:
+            self._polled_at[state.id] = now
+            gevent.spawn(self._poll_weights, state)
 
-    def _look(self, state: EndpointState) -> None:
+    def _poll_weights(self, state: EndpointState) -> None:
         report = self._engines.report(state.entry)
         if report is not None:
-            self._take_weights(state, report.weights)
+            self._apply_weights(state, report.weights)
 
-    def _take_weights(self, state: EndpointState, weights: dict[str, int]) -> None:
+    def _apply_weights(self, state: EndpointState, weights: dict[str, int]) -> None:
         for model, version in weights.items():
             if version > state.weights.get(model, 0):
                 state.weights[model] = version
--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -1,4 +1,4 @@
-"""Nodes that read a store which comes back from older copies, on a virtual clock."""
+"""Simulates nodes that read a store which returns to older copies, on a virtual clock."""
 
 import json
 from dataclasses import dataclass
@@ -10,7 +10,7 @@
 from arbutustally.gateway.shared_reading import SharedReading
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.endpoint_notices import EndpointNotices
-from arbutustally_node.gateway.endpoint_reader import PAUSE_PART, READING_DUTY, EndpointReader
+from arbutustally_node.gateway.endpoint_reader import PAUSE_FRACTION, READING_DUTY, EndpointReader
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.follower import Follower
 from arbutustally_node.gateway.ports import Batch, Record, WeightsNamed
@@ -20,13 +20,13 @@
 STORE_RETURN_S = 2.5
 #: Interval between two rounds of messages, and between two heartbeats of a worker, seconds.
 TICK_S = 0.2
-#: Silence of a worker after which the store drops its entry, seconds.
-LAPSE_S = 0.8
+#: Time without heartbeats after which the store drops a worker's entry, seconds.
+EXPIRY_S = 0.8
 SERVICE = "s"
 
 
 class Documents:
-    """Entries as JSON, configurations and named weights as numbers."""
+    """Decodes endpoint entries from JSON, and configurations and named weights from numbers."""
 
     def decode_operator(self, record: Record) -> Configuration | WeightsNamed | None:
         if record.key == "config":
@@ -42,20 +42,20 @@
 
 @dataclass
 class Worker:
-    """A worker as it is, whatever the store holds."""
+    """Actual state of a worker, regardless of its entry in the store."""
 
     id: str
     born: int = 1
     is_alive: bool = True
     is_leaving: bool = False
-    heard_at: float = 0.0
+    heartbeat_at: float = 0.0
 
     def entry(self) -> bytes:
         return json.dumps({"leaving": self.is_leaving, "born": str(self.born)}).encode()
 
 
 class Store:
-    """Two topics, and copies of them."""
+    """A store of two topics that can be copied and restored."""
 
     def __init__(self) -> None:
         self.era = 1
@@ -81,7 +81,7 @@
 
 
 class Topic:
-    """A topic as one node reaches it."""
+    """A node's access to a topic; fails while the node is cut off."""
 
     def __init__(self, world: "World", node: "Node", name: str) -> None:
         self._world = world
@@ -107,7 +107,7 @@
 
 
 class Node:
-    """The readers of one node, and the messages to its peers."""
+    """Readers of one node, and its messages to its peers."""
 
     def __init__(self, world: "World", index: int) -> None:
         self.world = world
@@ -143,7 +143,7 @@
 
     @property
     def is_settled(self) -> bool:
-        """Returns whether the fleet is known, as ``Gossip`` tells it."""
+        """Stands in for ``Gossip.is_settled``: the fleet is always known."""
         return True
 
     @property
@@ -163,7 +163,7 @@
         return [node.index for node in self.world.awake()].index(self.index)
 
     def send_now(self) -> None:
-        """Tells all awake peers, as ``PeerNews`` does."""
+        """Sends the news to all awake peers, as ``PeerNews`` does."""
         news = self.endpoints.news()
         operator = self.follower.news() if self.endpoints.is_reader else ()
         now = self.world.clock()
@@ -180,10 +180,10 @@
         assert now == self.world.clock()
 
     def step(self) -> None:
-        """Reads what is due, and asks a peer for what the store does not give."""
+        """Performs the reads that are due, and requests from a peer what the store lacks."""
         try:
             if self.world.clock() >= self._next_read and self.endpoints._must_read():
-                self._next_read = self.world.clock() + LEAVING_S * PAUSE_PART
+                self._next_read = self.world.clock() + LEAVING_S * PAUSE_FRACTION
                 self.endpoints.read_once()
                 if self.endpoints._must_read_whole:
                     self.endpoints.read_once()
@@ -210,7 +210,7 @@
 
 
 class World:
-    """Workers, an operator, a store and nodes."""
+    """Simulation of workers, an operator, a store and nodes."""
 
     def __init__(self, rng, nodes: int = 4, workers: int = 4) -> None:
         self.rng = rng
@@ -220,7 +220,7 @@
         self.written = {"config": 1, "version/m": 1}
         for key in self.written:
             self.write_operator(key)
-        self.beat()
+        self.write_heartbeats()
         self.nodes = [Node(self, index) for index in range(nodes)]
 
     def awake(self) -> list[Node]:
@@ -230,7 +230,7 @@
         self.store.put("op", key, str(self.written[key]).encode())
 
     def write_again(self) -> None:
-        """Writes what the operator has written and the store has lost, in any order."""
+        """Rewrites the operator's records that the store has lost, in random order."""
         newest = self.store.newest("op")
         lost = [
             key for key, version in self.written.items() if newest.get(key) != str(version).encode()
@@ -239,22 +239,22 @@
         for key in lost:
             self.write_operator(key)
 
-    def beat(self) -> None:
-        """Writes heartbeats, and drops the entries of workers that are silent."""
+    def write_heartbeats(self) -> None:
+        """Writes heartbeats of live workers and drops the expired entries of the others."""
         now = self.clock()
         listed = self.store.newest("servers")
         for worker in self.workers:
             if worker.is_alive:
-                worker.heard_at = now
+                worker.heartbeat_at = now
                 self.store.put("servers", worker.id, worker.entry())
-            elif worker.id in listed and now - worker.heard_at >= LAPSE_S:
+            elif worker.id in listed and now - worker.heartbeat_at >= EXPIRY_S:
                 self.store.put("servers", worker.id, None)
 
     def run(self, seconds: float, has_heartbeats: bool = True) -> None:
         for _ in range(round(seconds / TICK_S)):
             self.clock.advance(TICK_S)
             if has_heartbeats:
-                self.beat()
+                self.write_heartbeats()
             for node in self.awake():
                 node.step()
             for node in self.awake():
@@ -263,5 +263,5 @@
     def return_to(self, copy: dict[str, list[Record]]) -> None:
         self.store.return_to(copy)
         for worker in self.workers:
-            # The store counts the silence of those that it lists anew.
-            worker.heard_at = self.clock()
+            # After a return, the store restarts the expiry time of all its entries.
+            worker.heartbeat_at = self.clock()
