--- a/packages/arbutustally-node/src/arbutustally_node/gateway/attempt_load.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/attempt_load.py
@@ -1,4 +1,4 @@
-"""Load of an attempt at its endpoint."""
+"""Load that an attempt causes at its endpoint."""
 
 from arbutustally.gateway.endpoints import EndpointState
 from arbutustally.gateway.requests import CallerRequest
@@ -6,9 +6,13 @@
 
 
 class AttemptLoad:
-    """Counts an attempt at its endpoint while it runs.
+    """Adds an attempt to the load of its endpoint while it runs.
 
-    :param may_go_on: the request may go on at another endpoint if this one breaks it off.
+    :param state: endpoint of the attempt.
+    :param request: request of the caller.
+    :param choice: result of placement, ``None`` for a plain service.
+    :param may_go_on: whether the request may run at another endpoint if this one interrupts it.
+    :ivar first_at: time of the first event by the steady clock, seconds; 0 before it.
     """
 
     def __init__(
@@ -31,20 +35,23 @@
         state.memory_tokens += self._memory
 
     def may_go_on(self, may_go_on: bool) -> None:
-        """Notes whether the request may still go on at another endpoint."""
+        """Updates whether the request may still run at another endpoint."""
         if self._has_ended:
             return
         before, self._unrepeatable = self._unrepeatable, 0 if may_go_on else 1
         self._state.unrepeatable += self._unrepeatable - before
 
     def first_event(self, now: float) -> None:
-        """Notes that the prompt has been read."""
+        """Records the first event, which shows that the prompt has been read.
+
+        :param now: time of the event by the steady clock, seconds.
+        """
         self.first_at = self.first_at or now
         self._state.prompt_tokens -= self._unread
         self._unread = 0.0
 
     def end(self) -> None:
-        """Takes the attempt off its endpoint."""
+        """Removes the attempt from the load of its endpoint."""
         self._has_ended = True
         self._state.running -= 1
         self._state.unrepeatable -= self._unrepeatable
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/caller.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/caller.py
@@ -1,4 +1,4 @@
-"""Writing of answers to a caller's connection."""
+"""Writing of responses to a caller's connection."""
 
 import contextlib
 import socket
@@ -14,10 +14,10 @@
 
 
 class CallerConnection:
-    """One connection of a caller, for the answer to its current request.
+    """Connection of a caller, for the response to its current request.
 
     :param sock: connected gevent socket.
-    :param keep: whether the connection may serve another request.
+    :param keep: whether to keep the connection open for another request.
     """
 
     def __init__(self, sock: Any, keep: bool = True) -> None:
@@ -27,31 +27,31 @@
 
     @property
     def began(self) -> bool:
-        """Returns whether the head of an answer was written."""
+        """Returns whether writing of a response has begun."""
         return self._began
 
     def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
-        """Writes an answer with its length."""
+        """Writes a complete response with a ``Content-Length``."""
         self._began = True
         head = self._head(status, [*headers, ("Content-Length", str(len(body)))])
         self._write(head + body)
 
     def begin(self, status: int, headers: Headers, first: bytes) -> None:
-        """Writes the head and the first piece of a streamed answer."""
+        """Writes the head and the first chunk of a streamed response."""
         self._began = True
         head = self._head(status, [*headers, ("Transfer-Encoding", "chunked")])
         self._write(head + _chunk(first) if first else head)
 
     def send_piece(self, piece: bytes) -> None:
-        """Writes a piece of a streamed answer."""
+        """Writes a chunk of a streamed response."""
         self._write(_chunk(piece))
 
     def end(self) -> None:
-        """Ends a streamed answer as complete."""
+        """Writes the last chunk, which marks a streamed response as complete."""
         self._write(b"0\r\n\r\n")
 
     def abort(self) -> None:
-        """Resets the connection, so that the answer does not look complete."""
+        """Makes closing reset the connection, so that the response does not look complete."""
         self.keep = False
         with contextlib.suppress(OSError):
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/decision_log.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/decision_log.py
@@ -1,7 +1,7 @@
-"""Decision lines on standard output: bounded in number and never waited for.
+"""Log of decisions on standard output: rate-limited and non-blocking.
 
-Lines wait in memory for a greenlet that writes them. When the reader of the output is slow or
-lines come too fast, lines are dropped and a later line tells how many.
+Lines are buffered in memory for a greenlet that writes them. If the reader of the output is slow
+or the rate is too high, lines are dropped, and a later line contains their number.
 """
 
 import os
@@ -13,9 +13,9 @@
 
 from arbutustally.clock import Clock, monotonic
 
-#: Lines that wait to be written.
+#: Maximum number of buffered lines.
 MAX_WAITING_LINES = 2000
-#: Lines a second over a longer time, and the number that may come at once.
+#: Sustained rate, lines a second, and burst size, lines.
 LINES_PER_S = 400.0
 LINES_AT_ONCE = 1200.0
 #: Pause between two writes, seconds.
@@ -26,8 +26,9 @@
 class DecisionLog:
     """Writes one JSON line for each decision.
 
-    :param fields: fields of every line.
+    :param fields: fields added to every line.
     :param descriptor: file descriptor of the output.
+    :param clock: steady clock, seconds.
     """
 
     def __init__(
@@ -44,23 +45,23 @@
         self._greenlet: Any = None
 
     def start(self) -> None:
-        """Starts writing."""
+        """Starts the greenlet that writes lines."""
         os.set_blocking(self._descriptor, False)
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Writes what waits and stops."""
+        """Stops the greenlet and writes the buffered lines that the output accepts now."""
         if self._greenlet is not None:
             self._greenlet.kill()
         self.flush()
 
     @property
     def dropped(self) -> int:
-        """Returns the lines dropped since the last line that told so."""
+        """Returns the number of lines dropped and not yet reported in a later line."""
         return self._dropped
 
     def line(self, event: str, **fields: Any) -> None:
-        """Adds a line; drops it if there are too many."""
+        """Adds a line, or drops it if the rate or the buffer limit is exceeded."""
         if not self._may_write():
             self._dropped += 1
             return
@@ -71,7 +72,7 @@
         self._lines.append(orjson.dumps(entry, default=str) + b"\n")
 
     def flush(self) -> None:
-        """Writes as much as the output takes now."""
+        """Writes as much as the output accepts without blocking."""
         while self._lines or self._partial:
             data = self._partial or b"".join(self._lines)
             if not self._partial:
@@ -82,7 +83,7 @@
                 self._partial = data
                 return
             except OSError:
-                # Nobody reads the output any more; serving goes on without it.
+                # The reader has closed the output; the node keeps serving without a log.
                 self._partial = b""
                 return
             self._partial = data[written:]
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/directory.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/directory.py
@@ -1,16 +1,19 @@
-"""Which nodes a caller is told to use."""
+"""Selection of the node addresses for a caller."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
 
-#: Addresses that callers accept in one answer.
+#: Maximum number of addresses that callers accept in one response.
 MAX_ADDRESSES = 64
 
 
 @dataclass(frozen=True)
 class EntryNode:
-    """A node that takes callers."""
+    """A node that accepts callers.
+
+    :ivar zone: availability zone.
+    """
 
     address: str
     zone: str
@@ -19,8 +22,12 @@
 def addresses_for(zone: str, nodes: Sequence[EntryNode], rng: Random) -> list[str]:
     """Returns the addresses for a caller.
 
-    All ready nodes are named, since callers choose among them at random and leave out those that
-    failed; only a fleet larger than an answer is cut, the caller's zone first.
+    All ready nodes are included, since callers choose among them at random and skip those that
+    failed. Only if they exceed a response's limit is the list cut; nodes in the caller's zone go
+    first.
+
+    :param zone: availability zone of the caller.
+    :param nodes: nodes that are ready.
     """
     if len(nodes) <= MAX_ADDRESSES:
         return [node.address for node in nodes]
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
@@ -1,4 +1,4 @@
-"""Serving of a caller's request: configuration, key, limit, then its attempts."""
+"""Handler for callers' requests: finds route and account, runs the attempts and reports errors."""
 
 import traceback
 
@@ -16,25 +16,33 @@
 from arbutustally_node.gateway.request_run import RequestRun
 from arbutustally_node.gateway.request_services import RequestServices, Trace
 
-#: Return of callers that only need another node, seconds.
+#: Retry delay suggested to callers that only have to use another node, seconds.
 ELSEWHERE_S = 0.02
 
 
 class Exchange:
-    """Serves requests; one object for all of a node."""
+    """Serves all requests of a node.
+
+    :param services: services that the requests share.
+    """
 
     def __init__(self, services: RequestServices) -> None:
         self._services = services
         self._is_refusing = False
 
     def refuse_new(self) -> None:
-        """Sends callers of new requests elsewhere: the node stops soon."""
+        """Rejects new requests from now on, so that callers use another node before a shutdown."""
         self._is_refusing = True
 
     def serve(
         self, request: CallerRequest, connection: CallerConnection, watch: CallerWatch
     ) -> None:
-        """Answers one request."""
+        """Answers one request.
+
+        :param request: the decoded request.
+        :param connection: receives the response.
+        :param watch: detects that the caller disconnects.
+        """
         trace = Trace(request.request_id)
         try:
             self._serve(request, connection, watch, trace)
@@ -48,12 +56,12 @@
         except RouterError as error:
             self._refuse(connection, error, trace)
         except Exception as error:
-            # A fault of this program; the caller gets an answer and the log its cause.
+            # A bug in this program: the caller receives an error and the log a traceback.
             self._services.log.line(
                 "fault", id=request.request_id, error=traceback.format_exc(limit=-4)
             )
             failed = EndpointFailedError(
-                f"internal fault {type(error).__name__}; report it", ran=Ran.MAY_HAVE_RUN
+                f"internal error {type(error).__name__}; report it", ran=Ran.MAY_HAVE_RUN
             )
             self._refuse(connection, failed, trace)
         finally:
@@ -67,10 +75,12 @@
         trace: Trace,
     ) -> None:
         if self._is_refusing:
-            raise DrainingError("not run: the node stops; use another", retry_after_s=ELSEWHERE_S)
+            raise DrainingError(
+                "not run: the node is shutting down; use another", retry_after_s=ELSEWHERE_S
+            )
         configuration = self._services.view.configuration
         if configuration is None or not self._services.is_complete():
-            raise NoConfigurationError("the node starts; retry", retry_after_s=DEFAULT_RETRY_S)
+            raise NoConfigurationError("the node is starting; retry", retry_after_s=DEFAULT_RETRY_S)
         route = configuration.route_of(request.host, request.path)
         trace.route = route.name
         account = configuration.account_of(route, request.key)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
@@ -1,9 +1,9 @@
-"""Hedging: a request at a silent endpoint is sent to another one, and the first answer counts.
+"""Hedging: a request at a silent endpoint is also sent to another one; the first response is used.
 
-The silent endpoint is left only once another one has answered, so looking for another one never
-costs the request its place or an answer that has begun. An endpoint that is silent and refuses
-connections is given up. Connects that time out also happen at an endpoint that works, so they count
-only where the request may be left to others.
+The first attempt is abandoned only once another endpoint has answered, so hedging never costs the
+request its place in a queue or a response that has begun. An attempt is also abandoned if its
+endpoint is silent and refuses connections. Connect timeouts also occur at a working endpoint, so
+they count only if the request may run at another endpoint.
 """
 
 from collections.abc import Callable, Iterator
@@ -16,9 +16,9 @@
 from arbutustally.clock import Clock
 from arbutustally.gateway.endpoints import EndpointState
 
-#: Pause between two looks at a silent endpoint, seconds.
+#: Interval between two checks of a silent endpoint, seconds.
 LOOK_S = 0.3
-#: Least silence after which an endpoint that can't be connected to is given up, seconds.
+#: Minimum silence before an attempt at an unreachable endpoint is abandoned, seconds.
 UNREACHABLE_S = 1.2
 
 
@@ -27,20 +27,21 @@
 
 
 class UnreachableError(Exception):
-    """The endpoint is silent and can't be connected to."""
+    """The endpoint is silent and does not accept connections."""
 
 
 class Hedge:
-    """Watches one attempt for silence, and the attempt at another endpoint beside it.
+    """Watches one attempt for silence and controls its hedge, an attempt at another endpoint.
 
     :param state: endpoint of the attempt.
-    :param on_silent: called at each look at the silent endpoint, must not block.
-    :param start_other: sends the request to another endpoint and returns the greenlet whose value
-        is whether that endpoint has answered; ``None`` if there is no other, or not now. Without
-        it the attempt is only given up when its endpoint can't be reached.
-    :param cancel_other: ends the attempt at the other endpoint, also if it has answered.
-    :param may_go_on: whether the request may go on elsewhere if the endpoint is given up because
-        connects to it time out.
+    :param clock: steady clock, seconds.
+    :param on_silent: called at each check of the silent endpoint, must not block.
+    :param start_other: sends the hedge and returns the greenlet whose value is whether the other
+        endpoint has answered; ``None`` if no other endpoint is available at present. Without it
+        the attempt is abandoned only if its endpoint is unreachable.
+    :param cancel_other: cancels the hedge, even if it has been answered.
+    :param may_go_on: returns whether the request may run at another endpoint if this attempt is
+        abandoned because connects to its endpoint time out.
     """
 
     def __init__(
@@ -66,11 +67,11 @@
 
     @contextmanager
     def watch(self, silent_s: float) -> Iterator[None]:
-        """Watches a wait for the endpoint, in the current greenlet.
+        """Guards a wait of the current greenlet for the endpoint.
 
-        :param silent_s: time from now after which the endpoint counts as silent.
+        :param silent_s: time from now after which the endpoint counts as silent, seconds.
         :raises OvertakenError: if another endpoint has answered.
-        :raises UnreachableError: if the endpoint is silent and can't be reached.
+        :raises UnreachableError: if the endpoint is silent and unreachable.
         """
         if self._is_overtaken:
             raise OvertakenError
@@ -87,7 +88,7 @@
             self._waiting = None
 
     def heard(self) -> None:
-        """Notes that the endpoint has gone on: what another one might answer is out of date."""
+        """Records data from the endpoint and cancels the hedge, whose response is obsolete now."""
         self._state.heard_at = self._clock()
         if self._other is not None or self._is_overtaken:
             self._other = None
@@ -96,12 +97,12 @@
 
     def _look(self) -> None:
         if self._is_gone():
-            # Data that wait in the socket are read before the spawned greenlet runs.
+            # Spawned, so that data waiting in the socket is read first.
             gevent.spawn(self._give_up, self._waits)
             return
         self._on_silent(self._state)
         if self._other is None and not self._is_overtaken:
-            # Placement takes too long for a callback of the event loop.
+            # Spawned, as placement takes too long for a callback of the event loop.
             gevent.spawn(self._start, self._waits)
 
     def _is_gone(self) -> bool:
@@ -116,7 +117,7 @@
             self._interrupt(UnreachableError())
 
     def _start(self, wait: int) -> None:
-        # The endpoint may have gone on since the timer expired.
+        # The endpoint may have sent data since the timer expired.
         if self._other is not None or self._waiting is None or wait != self._waits:
             return
         other = self._start_other()
@@ -128,7 +129,7 @@
         if other is not self._other:
             return
         self._other = None
-        # The value of a greenlet that was killed is an exception.
+        # The value of a killed greenlet is an exception, hence the comparison with ``True``.
         if other.value is True:
             self._is_overtaken = True
             self._interrupt(OvertakenError())
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/instruments.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/instruments.py
@@ -1,4 +1,4 @@
-"""Counters and latency histograms of the gateway, served as text."""
+"""Counters and duration histograms of the gateway, exported as text."""
 
 from collections import Counter as Tally
 
@@ -11,18 +11,18 @@
 
 
 class Instruments:
-    """Counts by name and labels, and durations by name and route."""
+    """Counters by name and label, and histograms of durations by name and label."""
 
     def __init__(self) -> None:
         self._counts: Tally[tuple[str, str]] = Tally()
         self._histograms: dict[tuple[str, str], HdrHistogram] = {}
 
     def count(self, name: str, label: str = "", amount: int = 1) -> None:
-        """Adds to a counter."""
+        """Increments a counter."""
         self._counts[(name, label)] += amount
 
     def value(self, name: str, label: str = "") -> int:
-        """Returns a counter."""
+        """Returns the value of a counter."""
         return self._counts[(name, label)]
 
     def duration(self, name: str, label: str, seconds: float) -> None:
@@ -35,7 +35,7 @@
         histogram.record_value(min(max(int(seconds * 1e6), LOWEST_US), HIGHEST_US))
 
     def text(self) -> str:
-        """Returns all counters and histograms, a line each."""
+        """Returns all counters and histograms, one sample a line."""
         lines = [
             f'arbutustally_{name}{{label="{label}"}} {count}'
             for (name, label), count in sorted(self._counts.items())
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -1,4 +1,4 @@
-"""What a node learns from one attempt: of the endpoint, its speed, its cache and its weights."""
+"""Updates a node's knowledge of an endpoint (health, speed, cache, weights) from an attempt."""
 
 from dataclasses import dataclass
 
@@ -19,20 +19,20 @@
     Attempt,
 )
 
-#: Reasons of attempts that were left for an endpoint that answered first: late, not failed.
+#: Reasons of attempts abandoned because another endpoint answered first: slow, not failed.
 SILENT = frozenset({ENDPOINT_SILENT, RelayEnd.SILENT})
-#: Reasons of attempts that took too long and were not broken off by their endpoint.
+#: Reasons of attempts that took too long and were not interrupted by their endpoint.
 LATE = SILENT | {RelayEnd.OUT_OF_TIME}
 
 
 @dataclass
 class Try:
-    """One attempt from its placement to its end.
+    """One attempt, from its placement to its end.
 
-    :ivar began: steady clock, seconds.
-    :ivar answer: of a service whose releases are compared.
-    :ivar saved_to: store that gets the prompt's shared parts.
-    :ivar attempt: how it went, ``None`` while no head of an answer has come.
+    :ivar began: start time by the steady clock, seconds.
+    :ivar answer: record for the comparison of two releases of a service.
+    :ivar saved_to: store that receives the shared parts of the prompt.
+    :ivar attempt: result, ``None`` until a response head has arrived or the attempt failed.
     """
 
     placed: Placed
@@ -44,9 +44,9 @@
 
 
 class AttemptLearning:
-    """Takes what the attempts of one request tell into the services of the node.
+    """Updates the services of the node with the results of one request's attempts.
 
-    :param wall: account whose cached parts are its own, otherwise empty.
+    :param wall: account whose cached parts are isolated, otherwise empty.
     """
 
     def __init__(
@@ -64,7 +64,7 @@
         self._trace = trace
 
     def began(self, placed: Placed) -> AnswerRun:
-        """Notes that an engine is about to read the prompt's parts."""
+        """Records that an engine is about to read the prompt's parts."""
         services, state = self._services, placed.state
         read_s = 0.0
         if placed.choice is not None:
@@ -74,13 +74,13 @@
         return services.rollouts.began(state, self._route.name, read_s)
 
     def withdrawn(self, tried: Try) -> None:
-        """Notes that an attempt was ended by this node or its caller; it says nothing else."""
+        """Records that this node or the caller cancelled an attempt, which proves nothing else."""
         placed = tried.placed
         self._services.rollouts.withdrawn(tried.answer)
         self._services.holdings.unexpect(placed.state.id, placed.cache_scope, self._request.parts)
 
     def ended(self, tried: Try) -> None:
-        """Learns from how an attempt went."""
+        """Records the result of an attempt."""
         services, attempt, state = self._services, tried.attempt, tried.placed.state
         if attempt.outcome is Outcome.NOT_RUN:
             services.rollouts.withdrawn(tried.answer)
@@ -102,10 +102,11 @@
             self._learn_engine(tried)
 
     def _is_behind(self, tried: Try) -> bool:
-        """Returns whether an attempt was late at an engine that goes on with other requests.
+        """Returns whether an attempt was slow at an engine that makes progress on other requests.
 
-        Placement counts what waits there already. A plain endpoint answers each request at once
-        and whole, so what others get there says nothing about this one.
+        That is not a failure, since placement already accounts for the engine's queue. A plain
+        endpoint answers each request at once and in full, so its progress on other requests says
+        nothing about this one.
         """
         is_late = tried.attempt.reason in LATE and tried.placed.choice is not None
         return is_late and not self._services.view.book.is_stalled(tried.placed.state)
@@ -146,7 +147,7 @@
             known[request.model] = max(known.get(request.model, 0), terms.weights)
 
     def _note_parts(self, tried: Try) -> None:
-        """Notes, here and for the peers, that an engine has read the prompt's parts."""
+        """Records, locally and for the peers, that an engine has read the prompt's parts."""
         services, placed, parts = self._services, tried.placed, self._request.parts
         services.holdings.assume(placed.state.id, placed.cache_scope, parts)
         self._tell_parts(placed, False)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -1,4 +1,4 @@
-"""Listener for callers: reads each request whole, then hands it to the exchange."""
+"""HTTP listener for callers: reads each request completely, then calls the request handler."""
 
 import contextlib
 import socket
@@ -21,19 +21,22 @@
 
 BACKLOG = 1024
 MAX_CONNECTIONS = 3000
-#: Part of the process's memory that bodies of requests may take.
+#: Fraction of the process's memory that request bodies may use.
 BODY_MEMORY_PART = 0.2
-#: Longest wait for a caller that keeps sending after its request was refused, seconds.
+#: Longest time to read from a caller that keeps sending after its request was refused, seconds.
 LINGER_S = 0.3
 
 Handler = Callable[[CallerRequest, CallerConnection, CallerWatch], None]
 
 
 class CallerListener:
-    """Accepts callers and serves their requests one after the other.
+    """Accepts connections of callers and serves the requests on each one after another.
 
+    :param address: ``host:port`` to listen on.
+    :param codec: decodes requests.
     :param handler: answers a request.
-    :param limits: returns the bounds in force.
+    :param limits: returns the limits in force.
+    :param memory_mb: memory of the process, megabytes.
     """
 
     def __init__(
@@ -59,12 +62,12 @@
 
     @property
     def address(self) -> tuple[str, int]:
-        """Returns host and port that were bound."""
+        """Returns the host and port of the listener."""
         return self._server.address[:2]
 
     @property
     def running(self) -> int:
-        """Returns the number of requests that are being read or answered."""
+        """Returns the number of requests being read or answered."""
         return self._running
 
     @property
@@ -73,20 +76,20 @@
         return self._connections
 
     def start(self) -> None:
-        """Starts to accept connections."""
+        """Starts accepting connections."""
         self._server.start()
 
     def stop(self) -> None:
-        """Closes the listener; requests that are being answered go on."""
+        """Closes the listening socket; open connections are not affected."""
         self._server.stop_accepting()
         self._server.close()
 
     def drain(self) -> None:
-        """Closes each connection after its next answer."""
+        """Closes each connection after its next response."""
         self._draining = True
 
     def close_idle(self) -> None:
-        """Closes connections on which no request has begun."""
+        """Closes the connections on which no request has begun."""
         for sock in list(self._idle):
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
@@ -123,7 +126,7 @@
             return False
         if head is None:
             return False
-        # From here on a stop waits for the request.
+        # From here on, a shutdown of the node waits for the request.
         self._running += 1
         try:
             return self._serve_request(sock, reader, head, connection)
@@ -170,7 +173,10 @@
 
 
 def _linger(sock: Any) -> None:
-    """Reads on for a moment, so that a refusal is not lost in a reset."""
+    """Discards input for a short time: closing with unread data would reset the connection.
+
+    The reset could destroy the refusal before the caller has read it.
+    """
     with contextlib.suppress(OSError, gevent.Timeout), gevent.Timeout(LINGER_S):
         sock.shutdown(socket.SHUT_WR)
         while sock.recv(65536):
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placed_log.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placed_log.py
@@ -1,19 +1,20 @@
-"""Placements of prompt parts that the peers are told, each group of peers in its turn."""
+"""Queue of prompt-part placements to announce to the peers, one group of peers at a time."""
 
 from collections import deque
 from itertools import islice
 
-#: A placement of prompt parts: endpoint, cache scope, parts with their tokens, still being read.
+#: A placement of prompt parts: endpoint id, cache scope, ids of the parts with their numbers of
+#: tokens, whether the engine is still reading them.
 PlacedParts = tuple[str, str, list[tuple[str, int]], bool]
 
-#: Placements that wait to be told; older ones are of little use.
+#: Maximum number of placements kept; older ones are of little use.
 MAX_WAITING = 256
-#: Placements in one datagram.
+#: Maximum number of placements in one datagram.
 MAX_TOLD = 64
 
 
 class PlacedLog:
-    """The latest placements, and how far each group has been told."""
+    """Keeps the latest placements and how many of them each group of peers has received."""
 
     def __init__(self) -> None:
         self._items: deque[PlacedParts] = deque(maxlen=MAX_WAITING)
@@ -26,7 +27,10 @@
         self._added += 1
 
     def take(self, group: int) -> tuple[PlacedParts, ...]:
-        """Returns the latest placements that a group of peers has not been told yet."""
+        """Returns the latest placements not yet announced to a group of peers.
+
+        :param group: number of the group.
+        """
         untold = min(self._added - self._told.get(group, 0), len(self._items), MAX_TOLD)
         self._told[group] = self._added
         return tuple(islice(self._items, len(self._items) - untold, None))
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -1,4 +1,4 @@
-"""Choice of the endpoint for the next attempt of one request."""
+"""Selection of the endpoint for the next attempt of one request."""
 
 import math
 from dataclasses import dataclass, replace
@@ -30,23 +30,23 @@
 from arbutustally.rendezvous import unit
 from arbutustally_node.gateway.request_services import RequestServices, Trace
 
-#: Return of callers where nothing tells when a request can be served, seconds.
+#: Retry delay suggested to callers if no estimate is available, seconds.
 DEFAULT_RETRY_S = 0.25
-#: Time before the bound on old weights at which they are no longer used, seconds.
+#: Safety margin before the bound on old weights, from which on they are not used, seconds.
 WEIGHTS_MARGIN_S = 0.8
-#: Part of a route's target that a request waits for engines with new weights.
+#: Fraction of a route's target latency that a request may wait for engines with new weights.
 BEARABLE_PART = 0.3
 
 
 @dataclass(frozen=True)
 class Placed:
-    """Where an attempt goes.
+    """The endpoint selected for an attempt.
 
-    :ivar choice: placement's choice, ``None`` for a plain service.
-    :ivar version: weights that it runs on, ``None`` for a plain service.
-    :ivar cache_scope: scope of the cached parts that it may use.
-    :ivar source: place from which the engine fetches parts that it lacks.
-    :ivar was_tried: an earlier attempt of the request went to the same endpoint.
+    :ivar choice: result of placement, ``None`` for a plain service.
+    :ivar version: version of the weights to run on, ``None`` for a plain service.
+    :ivar cache_scope: scope of the cached prompt parts that the attempt may use.
+    :ivar source: place from which the engine fetches parts missing in its cache.
+    :ivar was_tried: whether an earlier attempt of the request was sent to the same endpoint.
     """
 
     state: EndpointState
@@ -58,9 +58,9 @@
 
 
 class Placer:
-    """Places the attempts of one request.
+    """Selects the endpoints for the attempts of one request.
 
-    :param account: ``None`` on a public route without a key.
+    :param account: client account, ``None`` on a public route without a key.
     """
 
     def __init__(
@@ -83,19 +83,19 @@
 
     @property
     def service(self) -> Service:
-        """Returns the service that the request goes to."""
+        """Returns the service that the request is routed to."""
         return self._service
 
     @property
     def wall(self) -> str:
-        """Returns the account if its cached parts are its own, otherwise an empty name."""
+        """Returns the account's name if its cached parts are isolated, otherwise ``""``."""
         return self._account.name if self._account and self._account.is_isolated else ""
 
     def place(self, left_s: float, has_run: bool) -> Placed:
-        """Returns where the next attempt goes.
+        """Selects the endpoint for the next attempt.
 
-        :param left_s: time until the caller or the route gives up.
-        :param has_run: an earlier attempt may have run.
+        :param left_s: time until the deadline of the caller or of the route, seconds.
+        :param has_run: whether an earlier attempt may have run.
         :raises RouterError: if there is no endpoint, or none can serve the request in time.
         """
         able = self._usable()
@@ -106,7 +106,7 @@
         return self._place_among(able, left_s, has_run, must_be_timely=not self._tried)
 
     def _usable(self) -> list[EndpointState]:
-        """Returns the endpoints that may get the request, of one release where two are compared."""
+        """Returns the eligible endpoints, of only one release if two are being compared."""
         view, service = self._services.view, self._service.name
         request_id = self._request.request_id
         return view.rollouts.allowed(view.book, service, request_id, not self._tried)
@@ -122,21 +122,22 @@
         return replace(placed, was_tried=placed.state.id in self._tried)
 
     def note_sent(self, placed: Placed) -> None:
-        """Notes that the request is sent to an endpoint."""
+        """Records that the request is sent to an endpoint."""
         self._tried.add(placed.state.id)
 
     def place_elsewhere(self, left_s: float) -> Placed:
-        """Returns an endpoint that was not tried yet, for an attempt beside another one.
+        """Selects an endpoint that was not tried yet, for a hedge.
 
-        :raises RouterError: if there is none that can serve the request in time.
+        :param left_s: time until the deadline of the caller or of the route, seconds.
+        :raises RouterError: if none can serve the request in time.
         """
         fresh = [state for state in self._usable() if state.id not in self._tried]
         if not fresh:
-            raise NoEndpointError("every endpoint was tried")
+            raise NoEndpointError("all endpoints have been tried")
         return self._place_among(fresh, left_s, True, must_be_timely=True)
 
     def save_to(self, placed: Placed) -> Service | None:
-        """Returns the store that gets the shared parts, ``None`` if none needs them."""
+        """Returns the store to save the shared parts to, ``None`` if that is not needed."""
         if placed.choice is None:
             return None
         scope, parts = placed.cache_scope, self._request.parts
@@ -151,7 +152,7 @@
         services, request = self._services, self._request
         version, engines = self._engines_to_use(able)
         if not engines:
-            # The list may lag behind the engines, for instance after a restart of all nodes.
+            # The known versions may lag behind the engines, e.g. after a restart of all nodes.
             services.on_other_weights(services.rng.choice(able))
             raise self._nothing_able("no_engine_with_weights", left_s, has_run)
         scope = f"{version}.{self.wall}"
@@ -178,16 +179,17 @@
         self._note(choice, version, source)
         if must_be_timely and must_reject(choice.estimate_s, left_s):
             wait = retry_after_s(choice.estimate_s, left_s, services.rng)
-            raise OverloadedError("not run: engines are behind; retry", retry_after_s=wait)
+            raise OverloadedError("not run: engines are overloaded; retry", retry_after_s=wait)
         return Placed(state, choice, version, scope, source)
 
     def _engines_to_use(self, able: list[EndpointState]) -> tuple[int, list[EndpointState]]:
-        """Returns the version of weights to run on, and the engines that have it."""
+        """Returns the version of the weights to run on, and the engines that have it."""
         services, request = self._services, self._request
         named = services.view.weights.get(request.model)
         bound_s = services.weights_s - WEIGHTS_MARGIN_S
         needed = (request.prompt_tokens or 0) + request.output_tokens
-        # A stream that goes on at an engine with older weights could be broken off once more.
+        # A repeated attempt waits without limit for new weights: a stream that continues at an
+        # engine with older weights could be interrupted once more.
         usual_s = usual_latency_s(able)
         bearable_s = math.inf if self._tried else self._route.target_s * BEARABLE_PART
         return weights_to_use(
@@ -203,7 +205,7 @@
         )
 
     def _note(self, choice: Choice, version: int, source: PartSource | None) -> None:
-        """Notes for the decision line what decided."""
+        """Adds the inputs of the placement decision to the log line of the request."""
         facts = self._trace.facts
         facts["expected_ms"] = round(choice.estimate_s * 1000)
         facts["cached"] = choice.expected_cached_tokens
@@ -216,11 +218,11 @@
         self._trace.facts["nothing_able"] = reason
         if has_run:
             return EndpointFailedError(
-                "the endpoint failed and no other is left", ran=Ran.MAY_HAVE_RUN
+                "endpoint failed and no other endpoint is left", ran=Ran.MAY_HAVE_RUN
             )
         pause_s = self._services.view.book.returns_in(self._service.name)
         wait = retry_after_s(pause_s or DEFAULT_RETRY_S, left_s, self._services.rng)
-        return NoEndpointError("not run: no endpoint can take it; retry", retry_after_s=wait)
+        return NoEndpointError("not run: no endpoint is available; retry", retry_after_s=wait)
 
     def _pick_service(self) -> Service:
         shares = self._route.shares
@@ -233,6 +235,6 @@
         service = self._configuration.services.get(share.service)
         if service is None:
             raise NoEndpointError(
-                "not run: the route's service is unknown", retry_after_s=DEFAULT_RETRY_S
+                "not run: the service of the route is unknown", retry_after_s=DEFAULT_RETRY_S
             )
         return service
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -1,4 +1,4 @@
-"""The attempts of one request, until it is answered or given up."""
+"""Attempts of one request: sends, retries and hedges it until it is answered or fails."""
 
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager
@@ -33,17 +33,17 @@
 from arbutustally_node.gateway.stream_relay import SILENT_START_S, RelayEnd, StreamRelay
 from arbutustally_node.gateway.transport import OTHER_ENDPOINT, Attempt
 
-#: Wait for the head of an answer after which another endpoint is asked as well, seconds.
+#: Time without a response head after which a hedge is sent to another endpoint, seconds.
 FIRST_BYTE_S = 1.2
-#: Time kept for the answer's way to the caller, seconds.
+#: Part of the deadline reserved for sending the response to the caller, seconds.
 ANSWER_MARGIN_S = 0.01
 LEAST_PRIORITY = 9
 
 
 class RequestRun:
-    """The attempts of one request.
+    """Runs the attempts of one request and passes a response on to the caller.
 
-    :param account: ``None`` on a public route without a key.
+    :param account: client account, ``None`` on a public route without a key.
     """
 
     def __init__(
@@ -79,13 +79,13 @@
 
     @property
     def left_s(self) -> float:
-        """Returns the time until the caller or the route gives up."""
+        """Returns the time until the deadline of the caller or of the route, seconds."""
         return self._deadline - self._services.clock()
 
     def serve(self) -> None:
-        """Sends the request until it is answered or given up.
+        """Sends the request until it is answered or fails.
 
-        :raises RouterError: if it is given up before the head of an answer was written.
+        :raises RouterError: if it fails; part of a streamed response may have been written.
         """
         cost = self._take_cost()
         self._services.repeats.requested(self._placer.service.name)
@@ -99,9 +99,9 @@
             self._cancel_other()
 
     def _take_cost(self) -> float:
-        """Takes what the request costs from the account's rate.
+        """Charges the cost of the request to the account's rate limit.
 
-        :raises RateLimitedError: if the account has used its rate and burst.
+        :raises RateLimitedError: if the account has exceeded its rate and burst.
         """
         if self._account is None:
             return 0.0
@@ -110,7 +110,7 @@
         wait = quota.take(self._account.name, cost)
         if wait is not None:
             self._trace.facts.update(cost=cost, level=round(quota.level(self._account.name)))
-            raise RateLimitedError("the account has used its rate", retry_after_s=round(wait, 3))
+            raise RateLimitedError("account rate limit exceeded", retry_after_s=round(wait, 3))
         return cost
 
     def _attempts(self) -> None:
@@ -122,7 +122,7 @@
             if attempt.outcome is not Outcome.ANSWERED and self._other_answers():
                 _drop(attempt)
                 continue
-            # The attempt beside this one may run although its answer has not come in time.
+            # The hedge may be running even if its response has not arrived in time.
             ran = self._ran + (self._other is not None)
             following = after(self._route, attempt.outcome, ran, self._sends, self.left_s)
             if following is Next.REPEAT and not self._take_repeat():
@@ -158,7 +158,7 @@
         )
 
     def _begin(self, placed: Placed) -> Try:
-        """Counts an attempt before its request is sent."""
+        """Records an attempt before its request is sent."""
         self._sends += 1
         self._placer.note_sent(placed)
         answer = self._learning.began(placed)
@@ -168,7 +168,7 @@
         return Try(placed, load, self._services.clock(), answer, self._placer.save_to(placed))
 
     def _complete(self, tried: Try) -> Attempt:
-        """Sends a request, unless that was done, passes its answer on, and learns from it."""
+        """Sends the request unless it was sent, passes the response on and records the result."""
         hedge = self._hedge(tried)
         self._current = tried
         try:
@@ -205,11 +205,11 @@
             yield
 
     def _start_other(self) -> gevent.Greenlet | None:
-        """Sends the request to another endpoint as well, ``None`` if it may not or can't go there.
+        """Sends a hedge to another endpoint; returns ``None`` if that is not allowed or possible.
 
         The value of the greenlet is whether that endpoint has answered.
         """
-        # The attempt that is silent is counted once the head of its answer has come.
+        # ``_ran`` counts the silent attempt only once its response head has arrived.
         ran = self._ran + (self._current.attempt is None)
         is_possible = self._other is None and self._sends < MAX_SENDS
         if not is_possible or not self._has_endpoints_left(ran):
@@ -226,13 +226,13 @@
         return self._other_greenlet
 
     def _update_loads(self) -> None:
-        """Notes at the endpoints at work whether the request may go on at a further one."""
+        """Updates the load of both attempts: whether the request may run at a further endpoint."""
         tries = [one for one in (self._current, self._other) if one is not None]
         for one in tries:
             one.load.may_go_on(self._has_endpoints_left(self._in_use()))
 
     def _in_use(self) -> int:
-        """Returns the endpoints on which the request may have run or is at work."""
+        """Returns the number of endpoints where the request may have run or is in flight."""
         tries = [one for one in (self._current, self._other) if one is not None]
         return self._ran + sum(one.attempt is None for one in tries)
 
@@ -255,10 +255,10 @@
         return False
 
     def _await_other(self, tried: Try) -> Attempt:
-        """Waits for another endpoint's whole answer, of a stream for its first event.
+        """Waits for the hedge's complete response, or for the first event of a stream.
 
-        The endpoint is given up once it can't be reached: a dead one would hold the request while
-        a further one could serve it.
+        The hedge is abandoned once its endpoint is unreachable: a dead endpoint would block the
+        request while a further one could serve it.
         """
         hedge = Hedge(
             tried.placed.state,
@@ -271,14 +271,14 @@
             return attempt
         hedge.heard()
         if not self._is_stream(attempt):
-            # The end of the caller is noticed by the greenlet that serves it.
+            # The greenlet that serves the caller detects its disconnection.
             return self._read_whole(attempt, lambda: hedge.watch(FIRST_BYTE_S))
         guard = hedge.watch(SILENT_START_S)
         resumed_after = self._relay.last_id if self._relay else ""
         return self._services.transport.await_event(attempt, self.left_s, guard, resumed_after)
 
     def _other_answers(self) -> bool:
-        """Waits for the attempt beside the one that has ended; returns whether it is answered."""
+        """Waits for the hedge after the other attempt has failed; returns whether it answered."""
         greenlet = self._other_greenlet
         if greenlet is None:
             return False
@@ -287,7 +287,7 @@
         return greenlet.value is True
 
     def _take_other(self) -> Try | None:
-        """Returns the attempt beside the one that has ended, if it is answered."""
+        """Returns the hedge if it was answered; it becomes the current attempt."""
         tried = self._other
         if tried is None or tried.attempt is None:
             return None
@@ -295,7 +295,7 @@
         return tried
 
     def _cancel_other(self) -> None:
-        """Ends the attempt beside the current one."""
+        """Cancels the hedge."""
         tried, greenlet = self._other, self._other_greenlet
         self._other = self._other_greenlet = None
         if tried is None:
@@ -316,7 +316,7 @@
         self._trace.attempts.append((tried.placed.state.id, reason, took))
 
     def _send(self, tried: Try, guard: AbstractContextManager[None]) -> Attempt:
-        """Sends a request; returns the head of its answer, or how it failed."""
+        """Sends one attempt; returns it with the response head, or with the failure."""
         placed = tried.placed
         terms = AttemptTerms(
             endpoint_id=placed.state.id,
@@ -332,13 +332,13 @@
         attempt = self._services.transport.send(
             self._request, placed.state, terms, guard, placed.was_tried
         )
-        # What the endpoint says of itself binds before its answer is passed on.
+        # The endpoint's notice takes effect before its response is passed on.
         if attempt.terms is not None and attempt.reason != OTHER_ENDPOINT:
             self._services.on_notice(placed.state, attempt.terms.notice)
         return self._continuing(attempt)
 
     def _continuing(self, attempt: Attempt) -> Attempt:
-        """Takes an answer that can't go on with the stream that the caller has, for none."""
+        """Replaces a response that can't continue the caller's stream by a failed attempt."""
         has_head = attempt.outcome in (Outcome.ANSWERED, Outcome.FAILED)
         if not (has_head and self._connection.began) or self._is_stream(attempt):
             return attempt
@@ -346,11 +346,14 @@
         return Attempt(Outcome.MAY_HAVE_RUN, attempt.reason, attempt.status, attempt.terms)
 
     def _has_endpoints_left(self, ran: int) -> bool:
-        """Returns whether the request may run at another endpoint after it has run at ``ran``."""
+        """Returns whether the request may run at a further endpoint.
+
+        :param ran: number of endpoints where it has run.
+        """
         return self._route.may_repeat and ran < self._route.max_attempts
 
     def _pass_on(self, tried: Try, hedge: Hedge) -> Attempt:
-        """Passes an answer on to the caller, as a stream or whole."""
+        """Passes a response on to the caller, as a stream or with its complete body."""
         attempt = tried.attempt
         if self._is_stream(attempt):
             return self._stream(tried, hedge)
@@ -363,9 +366,9 @@
     def _read_whole(
         self, attempt: Attempt, watch: Callable[[], AbstractContextManager[None]]
     ) -> Attempt:
-        """Reads the body of an answer; each piece of it ends the endpoint's silence.
+        """Reads the complete body of a response; each chunk restarts the silence timer.
 
-        :param watch: returns what watches the wait for a piece.
+        :param watch: returns the context manager that guards the wait for one chunk.
         """
         return self._services.transport.read_whole(attempt, self.left_s, watch)
 
@@ -373,11 +376,11 @@
         return self._route.kind is RouteKind.STREAM and attempt.status == 200
 
     def _deliver_whole(self, attempt: Attempt) -> None:
-        """Delivers an endpoint's own failure."""
+        """Passes the endpoint's own error response on to the caller."""
         status, headers = attempt.status, attempt.terms.headers
         whole = self._read_whole(attempt, lambda: self._watch)
         if whole.outcome is Outcome.MAY_HAVE_RUN:
-            raise EndpointFailedError("the endpoint's answer broke off", ran=Ran.MAY_HAVE_RUN)
+            raise EndpointFailedError("endpoint response was incomplete", ran=Ran.MAY_HAVE_RUN)
         self._trace.status = status
         self._connection.send_whole(status, headers, whole.body)
 
@@ -395,7 +398,7 @@
         return Attempt(Outcome.MAY_HAVE_RUN, str(end), attempt.status)
 
     def _note_end(self, end: RelayEnd, placed: Placed) -> None:
-        """Notes for the decision line why a stream ended early and what was left to do."""
+        """Adds to the log line why a stream ended early and which endpoints were left."""
         self._trace.facts.update(
             stream_end=str(end),
             silent_ms=round(self._relay.silent_s * 1000),
@@ -414,6 +417,6 @@
 
 
 def _drop(attempt: Attempt) -> None:
-    """Closes an answer that is not passed on."""
+    """Closes a response that is not passed on."""
     if attempt.response is not None:
         attempt.response.close()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -1,4 +1,4 @@
-"""What the requests of one node share, and what is noted of each."""
+"""Services shared by the requests of one node, and the record of one request for the log."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -23,16 +23,18 @@
 class RequestServices:
     """Services that every request of a node uses.
 
-    :ivar zone: of the node; endpoints there go first among equals.
-    :ivar weights_s: after this time no request may begin on weights older than those named.
-    :ivar on_other_weights: called for an engine that has other weights than expected.
-    :ivar on_notice: called with what an endpoint says of itself.
-    :ivar on_unreachable: called for an endpoint to which no connection could be made.
+    :ivar repeats: budget of repeated and hedged attempts.
+    :ivar zone: availability zone of the node, preferred among otherwise equal endpoints.
+    :ivar weights_s: time after which no request may start on weights older than those announced,
+        seconds.
+    :ivar on_other_weights: called for an engine whose weights differ from those expected.
+    :ivar on_notice: called with the notice in an endpoint's response.
+    :ivar on_unreachable: called for an endpoint to which no connection could be established.
     :ivar on_silent: called for an endpoint that is silent while a request waits for it.
-    :ivar nodes: returns the number of nodes of the fleet, this one included.
-    :ivar is_complete: returns whether the node knows enough to serve.
-    :ivar rollouts: answers of releases that are compared.
-    :ivar placed: placements to tell the peers.
+    :ivar nodes: returns the number of nodes in the fleet, including this one.
+    :ivar is_complete: returns whether the node has all data it needs to serve.
+    :ivar rollouts: results of the releases that are being compared.
+    :ivar placed: placements to announce to the peers.
     """
 
     view: FleetView
@@ -59,9 +61,10 @@
 
 @dataclass
 class Trace:
-    """What happened to one request, for its decision line.
+    """Record of one request for its log line.
 
-    :ivar attempts: endpoint, reason and seconds of each attempt.
+    :ivar attempts: endpoint, reason and duration (seconds) of each attempt.
+    :ivar facts: further fields of the log line.
     """
 
     request_id: str
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
@@ -1,4 +1,4 @@
-"""Relay of an event stream, which may go on at another endpoint after any whole event."""
+"""Relay of an event stream, which can continue at another endpoint after any complete event."""
 
 from collections.abc import Callable
 from enum import StrEnum
@@ -13,10 +13,10 @@
 from arbutustally_node.gateway.hedge import Hedge, OvertakenError, UnreachableError
 from arbutustally_node.pool import PooledResponse
 
-#: Time without a whole event after which a stream is sought elsewhere if it may go on there,
-#: seconds; callers leave at two. Bytes of an event that does not end do not count.
+#: Time without a complete event after which the stream is also requested from another endpoint if
+#: that is allowed, seconds. Callers disconnect after 2 s. Bytes of an incomplete event don't count.
 SILENT_GAP_S = 0.8
-#: The same before the first event, when the engine may be reading the prompt.
+#: The same before the first event, while the engine may be processing the prompt.
 SILENT_START_S = 1.2
 
 
@@ -31,9 +31,11 @@
 
 
 class StreamRelay:
-    """Passes whole events on to one caller, from one endpoint after the other.
+    """Passes complete events on to one caller, from one endpoint after another.
 
-    :param headers: of the first endpoint's answer; the caller sees these only.
+    :param connection: connection of the caller.
+    :param headers: headers of the first endpoint's response, the only ones the caller receives.
+    :param clock: steady clock, seconds.
     """
 
     def __init__(self, connection: CallerConnection, headers: Headers, clock: Clock) -> None:
@@ -48,17 +50,17 @@
 
     @property
     def longest_gap_s(self) -> float:
-        """Returns the longest time between two events that were passed on, seconds."""
+        """Returns the longest time between two events passed on, seconds."""
         return self._longest_gap_s
 
     @property
     def silent_s(self) -> float:
-        """Returns the time since the last whole event, or since the relay began, seconds."""
+        """Returns the time since the last complete event or the start of the relay, seconds."""
         return self._clock() - self._event_at
 
     @property
     def last_id(self) -> str:
-        """Returns the id of the last event that was passed on."""
+        """Returns the id of the last event passed on."""
         return self._events.last_id
 
     def run(
@@ -71,10 +73,14 @@
     ) -> RelayEnd:
         """Passes on events until the stream ends.
 
-        :param on_first: called with the time of the first event of this endpoint.
-        :param hedge: of the attempt; the endpoint is left only once another one has answered.
-        :raises CallerGoneError: if the caller leaves.
-        :raises OSError: if the caller can't be written to.
+        :param response: response of the endpoint.
+        :param left_s: time until the deadline, seconds.
+        :param watch: detects that the caller disconnects.
+        :param on_first: called with the time of the first event from this endpoint.
+        :param hedge: hedge of the attempt, which abandons the endpoint if it is silent and another
+            one has answered or it is unreachable.
+        :raises CallerGoneError: if the caller disconnects.
+        :raises OSError: if writing to the caller fails.
         """
         self._events.restart()
         try:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -1,4 +1,4 @@
-"""One attempt of a request at one endpoint."""
+"""Sending of one attempt to one endpoint and classification of its response."""
 
 from collections.abc import Callable
 from contextlib import AbstractContextManager
@@ -16,29 +16,31 @@
 from arbutustally_node.gateway.ports import AnswerTerms, AttemptTerms, HttpCodec
 from arbutustally_node.pool import PooledResponse, PoolService
 
-#: Largest answer that is read whole before it is passed on, bytes.
+#: Largest response that is read completely before it is passed on, bytes.
 MAX_WHOLE_ANSWER = 8 << 20
 FIRST_FAILURE_STATUS = 500
 
-#: Reasons of attempts that did not run.
+#: Reasons of attempts that the endpoint did not run.
 ENDPOINT_FULL = "endpoint_full"
 OTHER_ENDPOINT = "other_endpoint"
 OTHER_WEIGHTS = "other_weights"
-#: Reason of an attempt whose endpoint did not answer in time, or after another one.
+#: Reason of an attempt whose endpoint did not answer in time, or not before another one.
 ENDPOINT_SILENT = "endpoint_silent"
-#: Reason of an attempt whose endpoint is silent and can't be reached.
+#: Reason of an attempt whose endpoint is silent and unreachable.
 ENDPOINT_GONE = "endpoint_gone"
 
 
 @dataclass
 class Attempt:
-    """How an attempt went.
-
-    :ivar reason: stable word for logs and counters.
-    :ivar status: of the endpoint's answer, 0 without one.
-    :ivar response: an answer whose body is still to be read, otherwise ``None``.
-    :ivar body: a whole answer's body.
-    :ivar is_unreachable: no connection could be made.
+    """Result of an attempt.
+
+    :ivar outcome: decides whether the request may be repeated.
+    :ivar reason: stable identifier of the result in logs and counters.
+    :ivar status: status of the endpoint's response, 0 without one.
+    :ivar terms: decoded headers of the response, ``None`` without one.
+    :ivar response: response whose body has not been read completely, otherwise ``None``.
+    :ivar body: body of a response that was read completely.
+    :ivar is_unreachable: whether no connection could be established.
     """
 
     outcome: Outcome
@@ -65,12 +67,16 @@
         guard: AbstractContextManager[None],
         fresh: bool = False,
     ) -> Attempt:
-        """Sends a request and returns the head of its answer, or how the attempt failed.
-
-        :param guard: watches the wait for the head.
-        :param fresh: use a new connection. A late copy of the answer to an earlier attempt at the
-            same endpoint has the same id, and could not be told from the answer to this one.
-        :raises CallerGoneError: if the caller leaves meanwhile.
+        """Sends a request; returns the attempt with the response head, or with the failure.
+
+        :param request: request of the caller.
+        :param state: endpoint to send it to.
+        :param terms: contents of the attempt's own headers.
+        :param guard: context manager that guards the wait for the response head.
+        :param fresh: whether to open a new connection. On a reused one, a late duplicate of the
+            response to an earlier attempt at the same endpoint would carry the same id and could
+            not be distinguished from the response to this attempt.
+        :raises CallerGoneError: if the caller disconnects meanwhile.
         """
         headers = self._codec.attempt_headers(request, terms)
         try:
@@ -102,9 +108,11 @@
         guard: AbstractContextManager[None],
         resumed_after: str,
     ) -> Attempt:
-        """Waits for the first whole event of a stream, which stays to be read.
+        """Waits for the first complete event of a stream without consuming it.
 
-        :param guard: watches the wait for it.
+        :param attempt: answered attempt.
+        :param left_s: time until the deadline, seconds.
+        :param guard: context manager that guards the wait.
         :param resumed_after: as for ``WholeEvents``.
         """
         response = attempt.response
@@ -131,10 +139,12 @@
     def read_whole(
         self, attempt: Attempt, left_s: float, watch: Callable[[], AbstractContextManager[None]]
     ) -> Attempt:
-        """Reads the body of an answer.
+        """Reads the complete body of a response.
 
-        :param watch: returns what watches the wait for a piece of it.
-        :raises CallerGoneError: if the caller leaves meanwhile.
+        :param attempt: attempt with an unread response.
+        :param left_s: time until the deadline, seconds.
+        :param watch: returns the context manager that guards the wait for one chunk.
+        :raises CallerGoneError: if the caller disconnects meanwhile.
         """
         response = attempt.response
         try:
@@ -158,7 +168,7 @@
     def _judge(
         self, request: CallerRequest, state: EndpointState, response: PooledResponse
     ) -> Attempt:
-        """Tells a usable answer from one that must not reach the caller."""
+        """Classifies a response: usable, or not to be passed on to the caller."""
         terms = self._codec.decode_answer(response.status, response.header_items)
         status = response.status
         if terms.echoed_id and terms.echoed_id != request.request_id:
@@ -182,4 +192,4 @@
 
 
 class _HeadTimeoutError(Exception):
-    """The head or the body of an answer did not come in time."""
+    """The head or the body of a response did not arrive before the deadline."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
@@ -1,4 +1,4 @@
-"""Small HTTP listeners of a node: readiness, addresses for callers, metrics, snapshots for peers."""
+"""HTTP applications of a node: readiness, caller addresses, metrics, snapshots for peers."""
 
 import zlib
 from collections.abc import Callable
@@ -17,9 +17,9 @@
 from arbutustally_node.pool import PoolService
 
 SNAPSHOT_PATH = "/snapshot"
-#: Longest wait for a peer's snapshot, seconds.
+#: Timeout for fetching a peer's snapshot, seconds.
 SNAPSHOT_TIMEOUT_S = 1.0
-#: Largest content of a snapshot, bytes; a configuration takes at most a few megabytes.
+#: Largest uncompressed snapshot, bytes; a configuration takes at most a few megabytes.
 MAX_SNAPSHOT_BYTES = 16 << 20
 COMPRESSION = 3
 MAX_LISTENERS_BACKLOG = 256
@@ -27,9 +27,12 @@
 
 @dataclass(frozen=True)
 class Snapshot:
-    """Documents that a node gives its peers.
+    """Documents that a node provides to its peers.
 
-    :ivar position: up to where the endpoints' list is current, ``None`` if it has none.
+    :ivar position: position in the store's topic up to which ``endpoints`` is current, ``None`` if
+        unknown.
+    :ivar operator: records of the operator's documents.
+    :ivar endpoints: records of the list of endpoints.
     """
 
     position: Position | None
@@ -37,21 +40,23 @@
     endpoints: tuple[Record, ...]
 
     def encode(self) -> bytes:
-        """Returns the body of an answer."""
+        """Returns the compressed response body."""
         position = None if self.position is None else [self.position.era, self.position.offset]
         content = cbor2.dumps([position, _rows(self.operator), _rows(self.endpoints)])
         return zlib.compress(content, COMPRESSION)
 
     @classmethod
     def decode(cls, data: bytes) -> "Snapshot":
-        """Returns the snapshot in an answer.
+        """Decodes a response body.
 
-        :raises ValueError: or ``TypeError`` if it is malformed.
+        :raises ValueError: if the snapshot is malformed or too long.
+        :raises TypeError: if the snapshot is malformed.
+        :raises zlib.error: if it can't be decompressed.
         """
         unpacker = zlib.decompressobj()
         content = unpacker.decompress(data, MAX_SNAPSHOT_BYTES)
         if unpacker.unconsumed_tail:
-            raise ValueError("the snapshot is too long")
+            raise ValueError("snapshot exceeds the maximum size")
         position, operator, endpoints = cbor2.loads(content)
         return cls(
             None if position is None else _position(position),
@@ -74,7 +79,10 @@
 
 
 def serve(address: str, app: Bottle) -> WSGIServer:
-    """Listens on ``host:port`` and serves an application."""
+    """Starts a server for an application.
+
+    :param address: ``host:port`` to listen on.
+    """
     host, _, port = address.rpartition(":")
     server = WSGIServer(
         (host, int(port)), app, log=None, error_log=None, backlog=MAX_LISTENERS_BACKLOG
@@ -84,7 +92,7 @@
 
 
 def ready_app(path: str, is_ready: Callable[[], bool]) -> Bottle:
-    """Answers 200 while the node takes requests and 503 otherwise."""
+    """Returns an application that answers 200 while the node is ready and 503 otherwise."""
     app = Bottle()
 
     @app.get(path)
@@ -95,9 +103,9 @@
 
 
 def directory_app(path: str, answer: Callable[[str], bytes | None]) -> Bottle:
-    """Tells callers which addresses to use.
+    """Returns an application that serves the node addresses that callers should use.
 
-    :param answer: returns the body for a caller's zone, ``None`` while there is no address.
+    :param answer: returns the response body for a caller's zone, ``None`` if there is no address.
     """
     app = Bottle()
 
@@ -113,7 +121,7 @@
 
 
 def metrics_app(text: Callable[[], str]) -> Bottle:
-    """Serves counters and histograms as text."""
+    """Returns an application that serves counters and histograms as text."""
     app = Bottle()
 
     @app.get("/metrics")
@@ -125,7 +133,7 @@
 
 
 def snapshot_app(take: Callable[[], Snapshot]) -> Bottle:
-    """Gives peers without the store the documents that this node has."""
+    """Returns an application that serves this node's documents to peers without store access."""
     app = Bottle()
 
     @app.get(SNAPSHOT_PATH)
@@ -137,7 +145,7 @@
 
 
 def fetch_snapshot(address: str) -> Snapshot | None:
-    """Returns the documents of a peer, ``None`` if it gives none."""
+    """Fetches the documents of a peer; returns ``None`` if it provides none."""
     pools = PoolService(SNAPSHOT_TIMEOUT_S, SNAPSHOT_TIMEOUT_S)
     try:
         answer = call(
