Reword the texts of the request path's tests

Docstrings state the failure that a test guards against in the field's terms (hedge, response, abandon, repeat budget). No check changes; one assertion message of planned_stop says what happened.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -34,7 +34,7 @@
     return {**fields, **changes}
 
 
-#: Tokens that an account must have before a test sends requests; the largest takes fewer.
+#: Tokens that an account must have before a test sends requests; the largest one costs fewer.
 FIRST_TOKENS = 5_000
 
 
@@ -62,7 +62,7 @@
         return node
 
     def start_nodes(self, count: int) -> list[GatewayNode]:
-        """Starts nodes that hear each other."""
+        """Starts nodes that are peers of each other."""
         port = free_port(kind=socket.SOCK_DGRAM)
         return [
             self.start_node(
@@ -89,7 +89,7 @@
         )
 
     def _has_budget(self, node: GatewayNode) -> bool:
-        """Returns whether the account can pay: its bucket is empty when a node starts."""
+        """Returns whether the account has enough tokens: a node starts with an empty bucket."""
         quota = node._services.state.quota
         return "school" not in quota._buckets or quota.level("school") >= FIRST_TOKENS
 
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -1,4 +1,4 @@
-"""Small stand-ins of the platform's store and of its workers, in this process."""
+"""In-process fakes of the platform's store and workers."""
 
 import base64
 import json
@@ -24,23 +24,23 @@
         self._server.stop(timeout=0)
 
 
-#: Topics whose authors write again what the store has lost.
+#: Topics whose authors rewrite records that the store has lost.
 HEARTBEATS_TOPIC = "keyed.servers"
 REWRITTEN_TOPICS = ("keyed.op", HEARTBEATS_TOPIC)
 
 
 @dataclass(frozen=True)
 class StoreCopy:
-    """What a store held at some time."""
+    """The contents of a store at some time."""
 
     topics: dict[str, list[tuple[str, bytes]]]
     first: dict[str, int]
 
 
 class FakeStore(_Server):
-    """Keyed topics in memory; ``status`` other than 200 refuses every call.
+    """Keyed topics in memory; a ``status`` other than 200 refuses every call.
 
-    :ivar era: number of the store's era, ``None`` for a store that does not tell it.
+    :ivar era: number of the store's era, ``None`` for a store that does not send it.
     """
 
     def __init__(self) -> None:
@@ -63,7 +63,7 @@
         super().__init__(self._with_era(app))
 
     def _with_era(self, app: Bottle):
-        """Adds the era to all answers, also to refusals."""
+        """Adds the era to all responses, including refusals."""
 
         def serve(environ, start_response):
             def start(status, headers, exc_info=None):
@@ -93,12 +93,12 @@
         changed.set()
 
     def take_copy(self) -> StoreCopy:
-        """Returns a copy to which the store may return later."""
+        """Returns a copy that can be restored later."""
         topics = {topic: list(records) for topic, records in self.topics.items()}
         return StoreCopy(topics, dict(self.first))
 
     def return_to(self, copy: StoreCopy) -> None:
-        """Loses what was written since the copy and begins an era; wakes the reads that wait."""
+        """Restores a copy, which loses later records, and begins an era; wakes waiting reads."""
         self.topics = defaultdict(list)
         self.topics.update({topic: list(records) for topic, records in copy.topics.items()})
         self.first = defaultdict(int, copy.first)
@@ -106,12 +106,12 @@
         self._wake()
 
     def write_again(self, rng: Random | None = None, late_s: float = 0.0) -> None:
-        """Writes what the operator has written and the store has lost, and the workers' entries.
+        """Rewrites the operator's records that the store has lost, and all entries of workers.
 
-        Workers write theirs at every heartbeat, whatever the store has.
+        Workers write their entries at every heartbeat, whatever the store contains.
 
-        :param rng: gives the order and the pauses; as first written without it.
-        :param late_s: longest pause before each record.
+        :param rng: determines the order and the pauses; without it, in the original order.
+        :param late_s: longest pause before each record, seconds.
         """
         order = list(self._authored)
         if rng is not None:
@@ -182,7 +182,7 @@
         if refused := self._refused():
             return refused
         topic = request.query["topic"]
-        # Other calls are served until the whole body is here.
+        # Other calls are served until the complete body has arrived.
         content = request.body.read()[4:]
         end = len(self.topics[topic])
         if "at" in request.query and int(request.query["at"]) != end:
@@ -196,9 +196,9 @@
 
 
 class FakeWorker(_Server):
-    """A worker; ``behave`` may replace the answer to a request.
+    """A worker; ``behave`` may replace the response to a request.
 
-    :ivar ran: ids of the requests that it worked on.
+    :ivar ran: ids of the requests that it ran.
     """
 
     def __init__(self, worker_id: str, service: str, model: str = "", version: int = 1) -> None:
@@ -222,7 +222,7 @@
         super().__init__(self._with_notices(app))
 
     def _with_notices(self, app: Bottle):
-        """Adds what the worker says of itself to all its answers."""
+        """Adds the worker's notices to all its responses."""
 
         def serve(environ, start_response):
             self.asked_at.append(time.monotonic())
@@ -242,7 +242,7 @@
         return serve
 
     def note_run(self, request_id: str) -> None:
-        """Called for each request that runs, before its answer begins."""
+        """Called for each request that runs, before its response begins."""
 
     def note_order(self, order: dict) -> None:
         """Called for each order that is accepted."""
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -1,4 +1,4 @@
-"""Answers that have begun reach their end, or another endpoint has taken the request before."""
+"""Streams that pause or break off are completed, if necessary at another endpoint."""
 
 import time
 from unittest import mock
@@ -37,7 +37,7 @@
         self.asked = 0
 
     def answer_first_with(self, stream, others) -> None:
-        """Makes the engine that is asked first answer with ``stream``, any other with ``others``."""
+        """Makes the first engine to get a request answer with ``stream``, others with ``others``."""
 
         def answer(engine_id: str, headers: dict[str, str]):
             self.first = self.first or engine_id
@@ -51,7 +51,7 @@
         return self.call(self.node, "/chat/x", "r1", Deadline_Ms="6000")
 
     def set_routes(self, **changes) -> None:
-        """Puts a configuration in force in which the streaming route has other terms."""
+        """Applies a configuration in which fields of the streaming route are changed."""
         changed = configuration(2)
         changed["routes"][0] |= {"timeoutMs": 6000, **changes}
         self.store.put("keyed.op", "config", changed)
@@ -73,14 +73,14 @@
         return stream
 
     def test_paused_stream_is_kept_where_no_other_engine_takes_it(self) -> None:
-        """Guards against a stream that is given up before another engine has taken it."""
+        """Guards against abandoning a stream before another engine has accepted it."""
         self.set_routes()
         self.answer_first_with(self.paused(SILENT_GAP_S + 0.6), full)
         answer = self.ask()
         self.assertEqual((self.asked, answer.data), (1, events(1, 5)))
 
     def test_paused_stream_is_kept_on_its_last_endpoint(self) -> None:
-        """Replays inc1: a pause at the last endpoint that a route allows cut the answer."""
+        """Replays inc1: a pause at the last endpoint allowed by the route cut the response."""
         self.set_routes(maxAttempts=1, resumable=False)
         self.answer_first_with(self.paused(LONG_PAUSE_S), full)
         answer = self.ask()
@@ -97,7 +97,7 @@
         self.assertEqual(self.ask().data, events(1, 5))
 
     def test_broken_stream_does_not_go_on_at_an_engine_that_begins_again(self) -> None:
-        """Guards against an answer that has events twice and looks complete."""
+        """Guards against a response that repeats events and looks complete."""
         self.set_routes()
 
         def begins_again(headers):
@@ -115,14 +115,14 @@
         self.assertEqual([one.get("Last-Event-Id") for one in asked], [None, "2"])
 
     def test_late_first_event_is_waited_for_where_other_engines_are_full(self) -> None:
-        """Guards against a request that loses its place at an engine and finds no other."""
+        """Guards against giving up the place in an engine's queue without finding another engine."""
         self.set_routes()
         self.answer_first_with(self.paused(FIRST_BYTE_S + 0.6, begins_with_events=False), full)
         answer = self.ask()
         self.assertEqual((answer.status, self.asked, answer.data), (200, 1, events(1, 5)))
 
     def test_stream_that_goes_on_drops_the_other_engine(self) -> None:
-        """Guards against two engines that work on one request, and against mixed events."""
+        """Guards against two engines that keep running one request, and against mixed events."""
         self.set_routes()
 
         def slow(headers):
@@ -139,7 +139,7 @@
         self.eventually(lambda: sum(state.running for state in states) == 0)
 
     def test_late_head_drops_the_other_engine(self) -> None:
-        """Guards against a withdrawn attempt that counts as the other engine's answer."""
+        """Guards against counting a cancelled hedge as answered."""
         self.set_routes()
 
         def late(headers):
@@ -156,7 +156,7 @@
         self.assertEqual(self.ask().data, events(1, 5))
 
     def test_other_engine_counts_from_its_first_event(self) -> None:
-        """Guards against leaving an engine for one that has answered nothing but a head."""
+        """Guards against abandoning an engine for one that has sent only a response head."""
         self.set_routes()
 
         def only_head(headers):
@@ -173,7 +173,7 @@
         self.assertLess(time.monotonic() - began, 3.0)
 
     def test_short_pause_of_an_engine_that_could_not_be_reached_is_borne(self) -> None:
-        """Guards against one failed check that ends a stream whose events still come."""
+        """Guards against ending a stream that still sends events because of one failed check."""
         self.set_routes(maxAttempts=1, resumable=False)
         paused = self.paused(SILENT_GAP_S + 0.3)
 
@@ -189,7 +189,7 @@
             self.assertEqual(self.ask().data, events(1, 5))
 
     def test_hedged_run_on_its_last_endpoint_counts_as_unrepeatable(self) -> None:
-        """Guards against an order that breaks off a run whose other attempt was withdrawn."""
+        """Guards against an order that interrupts a run although its hedge was cancelled."""
         self.set_routes()
         counts = []
 
@@ -214,7 +214,7 @@
         self.assertEqual(counts, [(1, 1)])
 
     def test_stream_of_a_dead_engine_ends_soon(self) -> None:
-        """Guards against a caller that is held until its deadline by an engine that is gone."""
+        """Guards against a dead engine that blocks a caller until its deadline."""
         self.set_routes(maxAttempts=1, resumable=False)
         self.answer_first_with(self.paused(5.0), full)
         began = time.monotonic()
@@ -226,7 +226,7 @@
         self.assertLess(time.monotonic() - began, 4.0)
 
     def test_last_endpoint_is_waited_for_though_connects_time_out(self) -> None:
-        """Guards against giving up the only endpoint left, which works on the request."""
+        """Guards against abandoning the only endpoint left while it is running the request."""
         self.set_routes()
 
         def breaks_off(headers):
@@ -246,7 +246,7 @@
             self.assertEqual(self.ask().data, events(1, 5))
 
     def test_run_on_its_last_endpoint_counts_as_unrepeatable(self) -> None:
-        """Guards against an order to load weights that breaks off a run that can't go on."""
+        """Guards against an order to load weights that interrupts a run that can't be repeated."""
         counts = []
 
         def last(headers):
@@ -260,7 +260,10 @@
         self.assertEqual((answer.status, counts), (200, [1]))
 
     def test_hedges_leave_repeats_for_streams_that_broke_off(self) -> None:
-        """Guards against 502 after a failed engine since streams that paused took all repeats."""
+        """Guards against hedges of paused streams that use the whole repeat budget.
+
+        A request whose engine fails would then be answered with 502.
+        """
         self.set_routes()
         asked: set[str] = set()
 
@@ -290,7 +293,7 @@
 
 
 class LoadOrderTest(GatewayCase):
-    """Replays weights that are named while a stream runs, at engines that may break it off."""
+    """Announces weights while a stream runs, at engines that may interrupt it to load them."""
 
     EVENTS = 20
     EVENT_S = 0.25
@@ -330,7 +333,7 @@
             self.running = ""
 
     def name_weights_while_a_stream_runs_at(self, node: GatewayNode) -> bytes:
-        """Returns the whole answer."""
+        """Returns the body of the complete response."""
         call = gevent.spawn(self.call, node, "/chat/x", "r1", Deadline_Ms="7500")
         self.eventually(lambda: self.running)
         self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
@@ -343,7 +346,7 @@
         self.assertEqual((answer, self.strategies), (events(1, self.EVENTS), ["truncate"]))
 
     def test_stream_ends_first_where_the_budget_of_repeats_is_used(self) -> None:
-        """Guards against an order that breaks off an answer which no repeat can finish."""
+        """Guards against an order that interrupts a response which no repeat can complete."""
         node = self.start_node()
         self.wait_ready(node)
         use_up(node)
@@ -351,7 +354,10 @@
         self.assertEqual((answer, self.strategies), (events(1, self.EVENTS), ["queue"]))
 
     def test_stream_ends_first_where_the_budget_of_another_node_is_used(self) -> None:
-        """Guards against an order by a node with a budget, for a stream of one without."""
+        """Guards against an interrupting order by a node with repeat budget.
+
+        The stream is of another node, whose budget is used up.
+        """
         nodes = self.start_nodes(2)
         for node in nodes:
             self.wait_ready(node)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -1,4 +1,4 @@
-"""Servers in trouble that send bytes without end: calls end in time, and others are not held up.
+"""Faulty servers that send endless data: calls end in time and don't block other greenlets.
 
 The servers run on native threads, so that they send faster than the node reads.
 """
@@ -21,9 +21,9 @@
 from tests.gateway_values import entry
 
 _socket = monkey.get_original("socket", "socket")
-#: Time by which a call must have ended beyond its own bound, seconds.
+#: Tolerance for the end of a call beyond its own time limit, seconds.
 SLACK_S = 1.0
-#: Longest time for which another task may be held up, seconds.
+#: Longest time for which another greenlet may be blocked, seconds.
 MAX_HELD_UP_S = 0.5
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -85,7 +85,7 @@
 
 
 class EndlessServer:
-    """Sends one kind of trouble to each connection until it is closed."""
+    """Sends one kind of endless data on each connection until it is closed."""
 
     def __init__(self, trouble: Callable[[], Iterator[bytes]]) -> None:
         self._trouble = trouble
@@ -99,7 +99,7 @@
         self._pool.spawn(self._serve)
 
     def stop(self) -> None:
-        # Wakes the thread that accepts.
+        # Wakes the thread that is blocked in ``accept``.
         self._trouble = None
         waker = _socket()
         waker.connect(self._listener.getsockname())
@@ -123,7 +123,7 @@
 
 class EndlessTest(unittest.TestCase):
     def play(self, check: Callable[[str], None]) -> None:
-        """Runs a check against each kind of trouble."""
+        """Runs a check against each kind of endless data."""
         for trouble in TROUBLES:
             server = EndlessServer(trouble)
             with self.subTest(trouble=trouble.__name__):
@@ -131,7 +131,10 @@
             server.stop()
 
     def assert_ends(self, call: Callable[[], object], within_s: float) -> None:
-        """Asserts that a call ends in time while another task has its turns."""
+        """Asserts that a call ends in time and does not block other greenlets.
+
+        :param within_s: time limit of the call, seconds.
+        """
         longest = 0.0
 
         def watch() -> None:
@@ -203,4 +206,4 @@
 
 
 class _TooLateError(Exception):
-    """The answer did not end in time."""
+    """The response did not end in time."""
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -1,4 +1,4 @@
-"""A gateway node over real sockets: routes, keys, bad requests, start and planned stop."""
+"""A gateway node over real sockets: routes, keys, bad requests, start-up and shutdown."""
 
 import socket
 from dataclasses import replace
@@ -104,7 +104,7 @@
         self.assertEqual(answers, [200])
 
     def test_request_that_comes_late_in_the_stop_is_sent_elsewhere(self) -> None:
-        """Guards against a stream that is cut when the grace period ends."""
+        """Guards against a stream that is cut at the end of the grace period."""
         node = self.start_node(settings(self.store.address))
         self.wait_ready(node)
         for desk in self.desks:
@@ -122,7 +122,7 @@
         self.assertEqual(first.get(), 200)
 
     def test_starting_node_knows_its_seeds_before_its_services_run(self) -> None:
-        """Guards against a starting node that takes itself for the only one of the fleet."""
+        """Guards against a starting node that assumes it is the only one in the fleet."""
         settled = []
 
         def start(gossip: Gossip) -> None:
--- a/tests/test_gateway_node_attempts.py
+++ b/tests/test_gateway_node_attempts.py
@@ -1,4 +1,4 @@
-"""A gateway node over real sockets: attempts at endpoints, and streams that go on elsewhere."""
+"""A gateway node over real sockets: attempts, and streams continued at another endpoint."""
 
 import time
 from unittest import mock
@@ -84,7 +84,7 @@
         self.assertEqual(pieces, [f"data: piece {number}" for number in range(1, 6)])
 
     def test_broken_stream_goes_on_at_new_weights(self) -> None:
-        """Guards against a stream that is broken off by one load after the other."""
+        """Guards against a stream that is interrupted by one load of weights after another."""
         third = FakeWorker("e3", "llm", "m")
         self.addCleanup(third.stop)
         self.store.put("keyed.servers", third.id, third.entry())
@@ -109,7 +109,7 @@
         self.assertEqual(third.ran, ["r1"])
 
     def answer_with(self, stream) -> None:
-        """Makes all engines answer a stream that begins anew with ``stream``."""
+        """Makes all engines answer a new stream with ``stream``; resumed ones run normally."""
 
         def behave(headers):
             if headers.get("Last-Event-Id"):
@@ -121,7 +121,7 @@
             engine.behave = behave
 
     def test_stream_that_sends_bytes_but_no_event_goes_on_elsewhere(self) -> None:
-        """Guards against stalled streams that never end since a byte comes now and then."""
+        """Guards against stalled streams kept alive by an occasional byte."""
 
         def stalled():
             yield b"id: 1\ndata: piece 1\n\n"
@@ -136,7 +136,7 @@
         self.assertLess(time.monotonic() - began, SILENT_GAP_S + 0.7)
 
     def test_slow_but_sound_stream_is_not_cut(self) -> None:
-        """Replays an engine at a fraction of its speed that sends each event in two parts."""
+        """Replays an engine at a fraction of its normal speed, which sends events in two parts."""
 
         def slow():
             for number in (1, 2):
@@ -151,7 +151,10 @@
         self.assertEqual(sum(len(engine.seen) for engine in self.engines), 1)
 
     def test_late_first_event_is_waited_for_where_no_repeat_is_left(self) -> None:
-        """Replays engines behind while the budget of repeats is used: giving up helps nobody."""
+        """Replays overloaded engines while the repeat budget is used up.
+
+        Abandoning the request would only lose its place in the queue.
+        """
 
         def late():
             gevent.sleep(FIRST_BYTE_S + 0.3)
@@ -177,7 +180,7 @@
         yield b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\nda"
 
     def test_request_whose_service_is_unknown_costs_nothing(self) -> None:
-        """Guards against an account that pays for requests that were not even placed."""
+        """Guards against charging an account for requests that were never placed."""
         changed = configuration(2)
         changed["services"] = [one for one in changed["services"] if one["name"] != "desk"]
         changed["tenants"][0] |= {"ratePerS": 1, "burst": 500}
@@ -188,7 +191,7 @@
         self.assertEqual(self.node._services.state.quota.admitted.get("school", 0.0), before)
 
     def test_account_over_its_rate_is_told_when_to_return(self) -> None:
-        """Sends more than the rate at any speed of the machine, in requests that engines can take."""
+        """Exceeds the rate on a machine of any speed, with requests that engines can accept."""
         changed = configuration(2)
         changed["tenants"][0] |= {"ratePerS": 100, "burst": 20_000}
         self.store.put("keyed.op", "config", changed)
--- a/tests/test_hedged_answers.py
+++ b/tests/test_hedged_answers.py
@@ -1,4 +1,4 @@
-"""A request at work on two endpoints: one whole answer, true refusals, even counts."""
+"""Hedged requests: one complete response, correct refusals and balanced load counts."""
 
 import time
 from contextlib import suppress
@@ -13,14 +13,14 @@
 from tests.gateway_fleet import GatewayCase
 from tests.platform_fakes import configuration
 
-#: A pause after which a node has asked another endpoint, seconds.
+#: A pause long enough for the node to send a hedge, seconds.
 PAUSE_S = 1.6
 STREAM_ROUTE = 0
 PLAIN_ROUTE = 2
 
 
 def paused_stream(headers):
-    """Answers with a stream that pauses after two of its five events."""
+    """Returns a stream that pauses after two of its five events."""
 
     def body():
         yield events(1, 2)
@@ -31,7 +31,7 @@
 
 
 def late_full(headers):
-    """Refuses after another endpoint was asked."""
+    """Refuses the request after a hedge was sent."""
     gevent.sleep(FIRST_BYTE_S + 0.3)
     return full(headers)
 
@@ -44,7 +44,7 @@
         self.first: str | None = None
 
     def answer_first_with(self, first, others, workers=None) -> None:
-        """Makes the worker that is asked first answer with ``first``, any other with ``others``."""
+        """Makes the first worker to get a request answer with ``first``, others with ``others``."""
 
         def answer(worker_id, headers):
             self.first = self.first or worker_id
@@ -54,14 +54,14 @@
             worker.behave = lambda headers, worker_id=worker.id: answer(worker_id, headers)
 
     def set_timeout(self, number: int) -> None:
-        """Puts a configuration in force in which a route has a timeout of six seconds."""
+        """Applies a configuration in which a route has a timeout of six seconds."""
         changed = configuration(2)
         changed["routes"][number]["timeoutMs"] = 6000
         self.store.put("keyed.op", "config", changed)
         self.eventually(lambda: self.node._view.configuration.version == 2)
 
     def connect(self, path: bytes) -> gevent.socket.socket:
-        """Returns the connection on which a request was sent."""
+        """Sends a request and returns its connection."""
         host, _, port = self.node._options.caller_listen.rpartition(":")
         caller = gevent.socket.create_connection((host, int(port)))
         caller.sendall(
@@ -72,7 +72,7 @@
         return caller
 
     def raw_chat(self) -> bytes:
-        """Returns every byte that the caller of a stream gets."""
+        """Returns all bytes that the caller of a stream receives."""
         caller = self.connect(b"/chat/x")
         caller.settimeout(3.0)
         got = b""
@@ -83,7 +83,7 @@
         return got
 
     def test_failure_of_a_second_endpoint_is_not_written_into_a_stream(self) -> None:
-        """Guards against a second head inside the body of an answer that has begun."""
+        """Guards against a second response head inside the body of a response that has begun."""
         self.set_timeout(STREAM_ROUTE)
 
         def breaks(headers):
@@ -101,7 +101,7 @@
         self.assertEqual(self.raw_chat().count(b"HTTP/1.1"), 1)
 
     def test_other_status_does_not_end_a_stream_that_has_begun(self) -> None:
-        """Guards against a stream that goes on and is left for an answer that can't follow it."""
+        """Guards against abandoning a working stream for a response that can't continue it."""
         self.set_timeout(STREAM_ROUTE)
 
         def unknown(headers):
@@ -113,7 +113,7 @@
         self.assertIn(b"piece 5", got)
 
     def test_request_at_work_elsewhere_is_not_called_not_run(self) -> None:
-        """Guards against a refusal that says not run of a request that another endpoint runs."""
+        """Guards against reporting a request as not run while another endpoint is running it."""
         self.set_timeout(PLAIN_ROUTE)
 
         def works(_headers):
@@ -128,7 +128,10 @@
         self.assertEqual(statuses, [504] * 5)
 
     def test_load_is_even_after_both_attempts_failed(self) -> None:
-        """Guards against a count below zero, which lets an order break off a run that is lost."""
+        """Guards against a count below zero, which would let an order interrupt a run for good.
+
+        An order to load weights may interrupt runs only if they can be repeated.
+        """
         self.set_timeout(STREAM_ROUTE)
 
         def unsigned(_headers):
@@ -146,7 +149,7 @@
         self.assertEqual([state.unrepeatable for state in states], [0, 0])
 
     def test_whole_answer_that_arrives_is_not_left_for_a_head(self) -> None:
-        """Guards against an answer that is given up for an endpoint that has sent only a head."""
+        """Guards against abandoning a response for an endpoint that has sent only a head."""
         self.set_timeout(PLAIN_ROUTE)
 
         def steady(headers):
@@ -170,13 +173,13 @@
         self.assertEqual((answer.status, answer.data), (200, b"x" * 10000))
 
     def test_other_stream_without_a_whole_event_does_not_count(self) -> None:
-        """Guards against a stream that goes on and is left for a broken one."""
+        """Guards against abandoning a working stream for a broken one."""
         self.set_timeout(STREAM_ROUTE)
         self.answer_first_with(paused_stream, lambda headers: signed(headers, iter([b"id: 3\n"])))
         self.assertIn(b"piece 5", self.raw_chat())
 
     def test_other_endpoint_goes_on_until_the_silent_one_gave_an_event(self) -> None:
-        """Guards against an attempt that is ended by the bare head of a stalled answer."""
+        """Guards against cancelling the hedge when the silent endpoint has sent only a head."""
         self.set_timeout(STREAM_ROUTE)
 
         def late_head_only(headers):
@@ -201,7 +204,7 @@
         self.assertEqual(answer.data, events(1, 5))
 
     def test_endpoint_that_got_nothing_does_not_count_as_tried(self) -> None:
-        """Guards against an endpoint that is not asked again after the budget had no room once."""
+        """Guards against excluding an endpoint for which the repeat budget was used up once."""
         self.set_timeout(STREAM_ROUTE)
 
         def late(headers):
@@ -222,7 +225,10 @@
         self.assertLess(time.monotonic() - began, 2.5)
 
     def test_caller_that_leaves_is_noticed_after_the_other_attempt_broke(self) -> None:
-        """Guards against work for nobody once the body of another endpoint's answer broke off."""
+        """Guards against missing the caller's disconnection after the hedge's body broke off.
+
+        The endpoint would go on working on a request whose caller is gone.
+        """
         self.set_timeout(PLAIN_ROUTE)
 
         def works(_headers):
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -1,4 +1,4 @@
-"""A server that sends a second copy of an answer, late, on a connection that is in use again."""
+"""A server that sends a late duplicate of a response on a reused connection."""
 
 from typing import BinaryIO
 
@@ -14,9 +14,9 @@
 
 
 class CopyingWorker:
-    """Sends the last answer of a connection again, right before the next one.
+    """Repeats the last response of a connection immediately before the next one.
 
-    :param refusals: requests that are turned away before others run.
+    :param refusals: number of requests refused before others run.
     """
 
     def __init__(self, refusals: int) -> None:
@@ -72,12 +72,12 @@
         self.store.put("keyed.servers", self.worker.id, self.worker.entry())
         node = self.start_node(settings(self.store.address))
         self.wait_ready(node)
-        # The bucket of a node that has just started is empty.
+        # The token bucket of a node that has just started is empty.
         self.eventually(lambda: node._services.state.quota.level("school") >= 5_000.0)
         return node
 
     def test_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_next_attempt(self) -> None:
-        """Guards against a booking that runs twice, or is said not to have run while it runs."""
+        """Guards against a booking that runs twice, or is reported as not run while it runs."""
         node = self.start_with(refusals=1)
         answer = self.call(node, "/book/x", "r1", b"stencil")
         gevent.sleep(0.3)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,4 +1,4 @@
-"""A planned stop under load cuts no request that the node has begun to read."""
+"""A graceful shutdown under load interrupts no request that the node has begun to read."""
 
 import socket
 
@@ -7,7 +7,7 @@
 from tests.gateway_fleet import GatewayCase, settings
 from tests.platform_fakes import configuration
 
-#: Longest that a stop may take in these tests, seconds.
+#: Longest time that a shutdown may take in these tests, seconds.
 GRACE_S = 8
 BODY = b"two vans, please"
 
@@ -45,13 +45,13 @@
         return sock.recv(65536)
 
     def test_request_whose_body_is_half_read_is_answered(self) -> None:
-        """Guards against a stop that takes a node for idle while it reads a body."""
+        """Guards against a shutdown that treats a node as idle while it reads a body."""
         sock = self.connect()
         sock.sendall(self.head() + BODY[:4])
         self.eventually(lambda: self.node._listener.connections == 1)
         drain = gevent.spawn(self.node.drain)
         gevent.sleep(self.node._ttl_s * 3 + 0.5)
-        self.assertFalse(drain.ready(), "the process would end now")
+        self.assertFalse(drain.ready(), "the drain ended while a request body was being read")
         sock.sendall(BODY[4:])
         self.assertRegex(self.answer(sock), rb"^HTTP/1.1 (200|503) ")
         drain.join(GRACE_S)
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -1,4 +1,4 @@
-"""Engines that are silent: behind, or stopped."""
+"""Silent engines: overloaded ones stay in use, stopped ones are avoided."""
 
 import gevent
 import urllib3
@@ -10,10 +10,10 @@
 
 
 class SilentEngineTest(GatewayCase):
-    """Replays requests that wait longer for one engine than another one takes to answer them."""
+    """Requests that wait longer for one engine than another one needs to answer them."""
 
     REQUESTS = 5
-    #: Requests before, so that half of the repeat budget has room for all of the burst.
+    #: Earlier requests, so that half of the repeat budget suffices for the whole burst.
     EARLIER = 50
     LATE_S = FIRST_BYTE_S + 1.0
 
@@ -29,9 +29,9 @@
             self.node._services.exchange._services.repeats.requested("llm")
 
     def send_to_first_engine(self, running) -> None:
-        """Sends requests that get no head in time beside one that runs there.
+        """Sends one request that runs at the first engine, then some that get no head in time.
 
-        :param running: behaviour of the engine towards the request that runs.
+        :param running: behaviour of the engine for the running request.
         """
 
         def late(headers):
@@ -63,17 +63,17 @@
         return sorted(state.id for state in self.node._view.book.usable("llm"))
 
     def test_engine_that_is_behind_goes_on_to_be_chosen(self) -> None:
-        """Replays a burst that an engine takes up late while what runs there goes on.
+        """Replays a burst whose start is delayed at an engine that continues its running request.
 
-        Guards against a burst that takes engines away from those that follow, which makes the rest
-        late as well.
+        Guards against a burst that makes the node avoid engines, which would delay later requests
+        as well.
         """
 
         self.send_to_first_engine(goes_on)
         self.assertEqual(self.usable(), ["e1", "e2"])
 
     def test_engine_at_work_at_the_callers_deadlines_goes_on_to_be_chosen(self) -> None:
-        """Replays long answers with short deadlines: each stream goes on when its time is over."""
+        """Replays long responses with short deadlines: streams still make progress at expiry."""
 
         for engine in self.engines:
             engine.behave = goes_on
@@ -88,7 +88,7 @@
             self.call(self.node, "/chat/x", request_id, Deadline_Ms="1000")
 
     def test_engine_that_hangs_is_avoided(self) -> None:
-        """Guards against callers that are sent to an engine which stopped in the middle."""
+        """Guards against routing callers to an engine that stopped in the middle of a stream."""
 
         def hangs(headers):
             def body():
--- a/tests/test_unreachable_endpoints.py
+++ b/tests/test_unreachable_endpoints.py
@@ -1,4 +1,4 @@
-"""Endpoints that can't be connected to, and what is at work there."""
+"""Endpoints that can't be connected to, and the requests running there."""
 
 import socket
 import time
@@ -27,7 +27,7 @@
 
 
 class FailedChecksTest(GatewayCase):
-    """Checks of an endpoint that fail although it works on the request."""
+    """Checks of an endpoint that fail although it is running the request."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -48,7 +48,7 @@
         return self.node._view.book.of_service("llm")
 
     def test_booking_at_work_is_waited_for(self) -> None:
-        """Guards against 502 for a booking that its worker, slow to accept connects, makes."""
+        """Guards against 502 for a booking in progress at a worker that is slow to accept connects."""
 
         def books(headers):
             gevent.sleep(3.5)
@@ -61,7 +61,7 @@
         self.assertEqual(answer.data, b"booked")
 
     def test_data_that_wait_for_a_slow_caller_are_passed_on(self) -> None:
-        """Guards against counting the time in which the caller does not read as silence."""
+        """Guards against counting time in which the caller does not read as endpoint silence."""
 
         def stream(headers):
             def body():
@@ -85,7 +85,7 @@
         self.assertTrue(got.endswith(b"0\r\n\r\n"), got[-60:])
 
     def connect_slow_caller(self) -> gevent.socket.socket:
-        """Returns a connection on which a stream was asked for and that takes little unread."""
+        """Requests a stream; returns its connection, which has a small receive buffer."""
         host, _, port = self.node._options.caller_listen.rpartition(":")
         caller = gevent.socket.socket()
         self.addCleanup(caller.close)
@@ -99,7 +99,7 @@
         return caller
 
     def test_checks_before_the_silence_do_not_count(self) -> None:
-        """Guards against an endpoint that pauses, so is not checked, and is given up for that."""
+        """Guards against abandoning a paused endpoint, which is not checked, for earlier failures."""
 
         def stream(headers):
             def body():
@@ -126,7 +126,7 @@
 
 
 class StoppedRefusalTest(GatewayCase):
-    """An endpoint that refuses, and whose refusal stops inside its body."""
+    """An endpoint that refuses a request and stops within the body of the refusal."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -156,13 +156,13 @@
         request_id = data.lower().split(b"request-id: ")[1].split(b"\r\n")[0]
         start = b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: "
         start += request_id + b"\r\nTransfer-Encoding: chunked\r\nX: "
-        # The head fills the reader's buffer, so that the size line is left in the socket.
+        # The head fills the reader's buffer, so that the chunk size line remains in the socket.
         start += b"x" * (8192 - 1 - 4 - len(start)) + b"\r\n\r\n"
         sock.sendall(start + b"1000")
         gevent.sleep(9.0)
 
     def test_its_request_is_answered_at_once(self) -> None:
-        """Guards against a caller that is held beyond its deadline by the rest of a refusal."""
+        """Guards against blocking a caller beyond its deadline while the refusal is read."""
         began = time.monotonic()
         answer = self.call(self.node, "/look/x", "r1", Deadline_Ms="1000")
         self.assertEqual(answer.status, 503)
@@ -170,7 +170,7 @@
 
 
 class DeadOtherEndpointTest(GatewayCase):
-    """Replays an engine that ends, without a word, after a request was sent to it as well."""
+    """Replays an engine that dies silently after a hedge was sent to it."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -188,10 +188,10 @@
         self.asked: list[str] = []
 
     def ask(self, first, begins_head: bool = False) -> float:
-        """Sends a request whose first engine answers ``first`` and whose second one has ended.
+        """Sends a request whose first engine answers ``first`` and whose second one dies.
 
-        :param begins_head: the second one has sent the head of its answer before.
-        :return: time until the whole answer had come, seconds.
+        :param begins_head: whether the second one sends a response head before.
+        :return: time until the complete response had arrived, seconds.
         """
 
         def part():
@@ -236,7 +236,7 @@
         self.assertLess(self.ask(breaks_off), 4.5)
 
     def test_it_does_not_keep_a_third_one_from_being_asked(self) -> None:
-        """Guards against a silent endpoint beside which only one other, dead, is ever asked."""
+        """Guards against a dead endpoint's hedge that keeps a third endpoint from being used."""
 
         def hangs(headers):
             def body():
