Name the attempt beside another one a hedge

class Hedge controlled the hedge of an attempt and the hedge itself was called "other". The class becomes HedgeController, variables and callbacks of the second attempt are named hedge.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
@@ -30,16 +30,16 @@
     """The endpoint is silent and does not accept connections."""
 
 
-class Hedge:
+class HedgeController:
     """Watches one attempt for silence and controls its hedge, an attempt at another endpoint.
 
     :param state: endpoint of the attempt.
     :param clock: steady clock, seconds.
     :param on_silent: called at each check of the silent endpoint, must not block.
-    :param start_other: sends the hedge and returns the greenlet whose value is whether the other
+    :param start_hedge: sends the hedge and returns the greenlet whose value is whether the other
         endpoint has answered; ``None`` if no other endpoint is available at present. Without it
         the attempt is abandoned only if its endpoint is unreachable.
-    :param cancel_other: cancels the hedge, even if it has been answered.
+    :param cancel_hedge: cancels the hedge, even if it has been answered.
     :param may_go_on: returns whether the request may run at another endpoint if this attempt is
         abandoned because connects to its endpoint time out.
     """
@@ -49,17 +49,17 @@
         state: EndpointState,
         clock: Clock,
         on_silent: Callable[[EndpointState], None],
-        start_other: Callable[[], gevent.Greenlet | None] = lambda: None,
-        cancel_other: Callable[[], None] = lambda: None,
+        start_hedge: Callable[[], gevent.Greenlet | None] = lambda: None,
+        cancel_hedge: Callable[[], None] = lambda: None,
         may_go_on: Callable[[], bool] = lambda: False,
     ) -> None:
         self._state = state
         self._clock = clock
         self._on_silent = on_silent
-        self._start_other = start_other
-        self._cancel_other = cancel_other
+        self._start_hedge = start_hedge
+        self._cancel_hedge = cancel_hedge
         self._may_go_on = may_go_on
-        self._other: gevent.Greenlet | None = None
+        self._hedge_greenlet: gevent.Greenlet | None = None
         self._waiting: gevent.Greenlet | None = None
         self._is_overtaken = False
         self._waits = 0
@@ -90,10 +90,10 @@
     def heard(self) -> None:
         """Records data from the endpoint and cancels the hedge, whose response is obsolete now."""
         self._state.heard_at = self._clock()
-        if self._other is not None or self._is_overtaken:
-            self._other = None
+        if self._hedge_greenlet is not None or self._is_overtaken:
+            self._hedge_greenlet = None
             self._is_overtaken = False
-            self._cancel_other()
+            self._cancel_hedge()
 
     def _look(self) -> None:
         if self._is_gone():
@@ -101,7 +101,7 @@
             gevent.spawn(self._give_up, self._waits)
             return
         self._on_silent(self._state)
-        if self._other is None and not self._is_overtaken:
+        if self._hedge_greenlet is None and not self._is_overtaken:
             # Spawned, as placement takes too long for a callback of the event loop.
             gevent.spawn(self._start, self._waits)
 
@@ -118,19 +118,19 @@
 
     def _start(self, wait: int) -> None:
         # The endpoint may have sent data since the timer expired.
-        if self._other is not None or self._waiting is None or wait != self._waits:
+        if self._hedge_greenlet is not None or self._waiting is None or wait != self._waits:
             return
-        other = self._start_other()
-        if other is not None:
-            self._other = other
-            other.link(self._ended)
+        greenlet = self._start_hedge()
+        if greenlet is not None:
+            self._hedge_greenlet = greenlet
+            greenlet.link(self._ended)
 
-    def _ended(self, other: Any) -> None:
-        if other is not self._other:
+    def _ended(self, greenlet: Any) -> None:
+        if greenlet is not self._hedge_greenlet:
             return
-        self._other = None
+        self._hedge_greenlet = None
         # The value of a killed greenlet is an exception, hence the comparison with ``True``.
-        if other.value is True:
+        if greenlet.value is True:
             self._is_overtaken = True
             self._interrupt(OvertakenError())
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -125,7 +125,7 @@
         """Records that the request is sent to an endpoint."""
         self._tried.add(placed.state.id)
 
-    def place_elsewhere(self, left_s: float) -> Placed:
+    def place_hedge(self, left_s: float) -> Placed:
         """Selects an endpoint that was not tried yet, for a hedge.
 
         :param left_s: time until the deadline of the caller or of the route, seconds.
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -25,7 +25,7 @@
 from arbutustally_node.caller_watch import CallerGoneError, CallerWatch
 from arbutustally_node.gateway.attempt_load import AttemptLoad
 from arbutustally_node.gateway.caller import CallerConnection
-from arbutustally_node.gateway.hedge import Hedge
+from arbutustally_node.gateway.hedge import HedgeController
 from arbutustally_node.gateway.learning import AttemptLearning, Try
 from arbutustally_node.gateway.placer import DEFAULT_RETRY_S, Placed, Placer
 from arbutustally_node.gateway.ports import AttemptTerms
@@ -74,8 +74,8 @@
         self._placer = Placer(services, request, configuration, route, account, trace)
         self._learning = AttemptLearning(services, request, route, self._placer.wall, trace)
         self._current: Try | None = None
-        self._other: Try | None = None
-        self._other_greenlet: gevent.Greenlet | None = None
+        self._hedge: Try | None = None
+        self._hedge_greenlet: gevent.Greenlet | None = None
 
     @property
     def left_s(self) -> float:
@@ -96,7 +96,7 @@
                 self._services.quota.give_back(self._account.name, cost)
             raise
         finally:
-            self._cancel_other()
+            self._cancel_hedge()
 
     def _take_cost(self) -> float:
         """Charges the cost of the request to the account's rate limit.
@@ -115,15 +115,15 @@
 
     def _attempts(self) -> None:
         while True:
-            tried = self._take_other() or self._begin(
+            tried = self._take_answered_hedge() or self._begin(
                 self._placer.place(self.left_s, self._ran > 0)
             )
             attempt = self._complete(tried)
-            if attempt.outcome is not Outcome.ANSWERED and self._other_answers():
+            if attempt.outcome is not Outcome.ANSWERED and self._await_hedge_answer():
                 _drop(attempt)
                 continue
             # The hedge may be running even if its response has not arrived in time.
-            ran = self._ran + (self._other is not None)
+            ran = self._ran + (self._hedge is not None)
             following = after(self._route, attempt.outcome, ran, self._sends, self.left_s)
             if following is Next.REPEAT and not self._take_repeat():
                 self._trace.facts["repeat_budget"] = "used"
@@ -169,15 +169,15 @@
 
     def _complete(self, tried: Try) -> Attempt:
         """Sends the request unless it was sent, passes the response on and records the result."""
-        hedge = self._hedge(tried)
+        hedging = self._create_hedging(tried)
         self._current = tried
         try:
             if tried.attempt is None:
-                tried.attempt = self._send(tried, self._watching(hedge))
+                tried.attempt = self._send(tried, self._watching(hedging))
             if tried.attempt.outcome is not Outcome.NOT_RUN:
                 self._ran += 1
             if tried.attempt.outcome is Outcome.ANSWERED:
-                tried.attempt = self._pass_on(tried, hedge)
+                tried.attempt = self._pass_on(tried, hedging)
         except BaseException as error:
             if tried.attempt is None:
                 self._ran += 1
@@ -190,55 +190,55 @@
         self._learning.ended(tried)
         return tried.attempt
 
-    def _hedge(self, tried: Try) -> Hedge:
-        return Hedge(
+    def _create_hedging(self, tried: Try) -> HedgeController:
+        return HedgeController(
             tried.placed.state,
             self._services.clock,
             self._services.on_silent,
-            self._start_other,
-            self._cancel_other,
+            self._start_hedge,
+            self._cancel_hedge,
         )
 
     @contextmanager
-    def _watching(self, hedge: Hedge) -> Iterator[None]:
-        with self._watch, hedge.watch(FIRST_BYTE_S):
+    def _watching(self, hedging: HedgeController) -> Iterator[None]:
+        with self._watch, hedging.watch(FIRST_BYTE_S):
             yield
 
-    def _start_other(self) -> gevent.Greenlet | None:
+    def _start_hedge(self) -> gevent.Greenlet | None:
         """Sends a hedge to another endpoint; returns ``None`` if that is not allowed or possible.
 
         The value of the greenlet is whether that endpoint has answered.
         """
         # ``_ran`` counts the silent attempt only once its response head has arrived.
         ran = self._ran + (self._current.attempt is None)
-        is_possible = self._other is None and self._sends < MAX_SENDS
+        is_possible = self._hedge is None and self._sends < MAX_SENDS
         if not is_possible or not self._has_endpoints_left(ran):
             return None
         try:
-            placed = self._placer.place_elsewhere(self.left_s)
+            placed = self._placer.place_hedge(self.left_s)
         except RouterError:
             return None
         if not self._services.repeats.take_for_hedge(self._placer.service.name):
             return None
-        self._other = self._begin(placed)
-        self._other_greenlet = gevent.spawn(self._send_other, self._other)
+        self._hedge = self._begin(placed)
+        self._hedge_greenlet = gevent.spawn(self._run_hedge, self._hedge)
         self._update_loads()
-        return self._other_greenlet
+        return self._hedge_greenlet
 
     def _update_loads(self) -> None:
         """Updates the load of both attempts: whether the request may run at a further endpoint."""
-        tries = [one for one in (self._current, self._other) if one is not None]
+        tries = [one for one in (self._current, self._hedge) if one is not None]
         for one in tries:
             one.load.may_go_on(self._has_endpoints_left(self._in_use()))
 
     def _in_use(self) -> int:
         """Returns the number of endpoints where the request may have run or is in flight."""
-        tries = [one for one in (self._current, self._other) if one is not None]
+        tries = [one for one in (self._current, self._hedge) if one is not None]
         return self._ran + sum(one.attempt is None for one in tries)
 
-    def _send_other(self, tried: Try) -> bool:
-        attempt = self._await_other(tried)
-        if self._other is not tried:
+    def _run_hedge(self, tried: Try) -> bool:
+        attempt = self._send_hedge(tried)
+        if self._hedge is not tried:
             _drop(attempt)
             return False
         tried.attempt = attempt
@@ -247,57 +247,57 @@
         if attempt.outcome is not Outcome.NOT_RUN:
             self._ran += 1
         _drop(attempt)
-        self._other = self._other_greenlet = None
+        self._hedge = self._hedge_greenlet = None
         tried.load.end()
         self._update_loads()
         self._note(tried, tried.attempt.reason)
         self._learning.ended(tried)
         return False
 
-    def _await_other(self, tried: Try) -> Attempt:
+    def _send_hedge(self, tried: Try) -> Attempt:
         """Waits for the hedge's complete response, or for the first event of a stream.
 
         The hedge is abandoned once its endpoint is unreachable: a dead endpoint would block the
         request while a further one could serve it.
         """
-        hedge = Hedge(
+        hedging = HedgeController(
             tried.placed.state,
             self._services.clock,
             self._services.on_silent,
             may_go_on=lambda: self._has_endpoints_left(self._in_use()),
         )
-        attempt = self._send(tried, hedge.watch(FIRST_BYTE_S))
+        attempt = self._send(tried, hedging.watch(FIRST_BYTE_S))
         if attempt.outcome is not Outcome.ANSWERED:
             return attempt
-        hedge.heard()
+        hedging.heard()
         if not self._is_stream(attempt):
             # The greenlet that serves the caller detects its disconnection.
-            return self._read_whole(attempt, lambda: hedge.watch(FIRST_BYTE_S))
-        guard = hedge.watch(SILENT_START_S)
+            return self._read_whole(attempt, lambda: hedging.watch(FIRST_BYTE_S))
+        guard = hedging.watch(SILENT_START_S)
         resumed_after = self._relay.last_id if self._relay else ""
         return self._services.transport.await_event(attempt, self.left_s, guard, resumed_after)
 
-    def _other_answers(self) -> bool:
+    def _await_hedge_answer(self) -> bool:
         """Waits for the hedge after the other attempt has failed; returns whether it answered."""
-        greenlet = self._other_greenlet
+        greenlet = self._hedge_greenlet
         if greenlet is None:
             return False
         with self._watch:
             greenlet.join(max(self.left_s, 0.0))
         return greenlet.value is True
 
-    def _take_other(self) -> Try | None:
+    def _take_answered_hedge(self) -> Try | None:
         """Returns the hedge if it was answered; it becomes the current attempt."""
-        tried = self._other
+        tried = self._hedge
         if tried is None or tried.attempt is None:
             return None
-        self._other = self._other_greenlet = None
+        self._hedge = self._hedge_greenlet = None
         return tried
 
-    def _cancel_other(self) -> None:
+    def _cancel_hedge(self) -> None:
         """Cancels the hedge."""
-        tried, greenlet = self._other, self._other_greenlet
-        self._other = self._other_greenlet = None
+        tried, greenlet = self._hedge, self._hedge_greenlet
+        self._hedge = self._hedge_greenlet = None
         if tried is None:
             return
         greenlet.kill(block=False)
@@ -352,13 +352,13 @@
         """
         return self._route.may_repeat and ran < self._route.max_attempts
 
-    def _pass_on(self, tried: Try, hedge: Hedge) -> Attempt:
+    def _pass_on(self, tried: Try, hedging: HedgeController) -> Attempt:
         """Passes a response on to the caller, as a stream or with its complete body."""
         attempt = tried.attempt
         if self._is_stream(attempt):
-            return self._stream(tried, hedge)
+            return self._stream(tried, hedging)
         if attempt.response is not None:
-            attempt = self._read_whole(attempt, lambda: self._watching(hedge))
+            attempt = self._read_whole(attempt, lambda: self._watching(hedging))
         if attempt.outcome is Outcome.ANSWERED:
             self._connection.send_whole(attempt.status, attempt.terms.headers, attempt.body)
         return attempt
@@ -384,12 +384,12 @@
         self._trace.status = status
         self._connection.send_whole(status, headers, whole.body)
 
-    def _stream(self, tried: Try, hedge: Hedge) -> Attempt:
+    def _stream(self, tried: Try, hedging: HedgeController) -> Attempt:
         attempt = tried.attempt
         if self._relay is None:
             self._relay = StreamRelay(self._connection, attempt.terms.headers, self._services.clock)
         end = self._relay.run(
-            attempt.response, self.left_s, self._watch, tried.load.first_event, hedge
+            attempt.response, self.left_s, self._watch, tried.load.first_event, hedging
         )
         self._trace.facts["gap_ms"] = round(self._relay.longest_gap_s * 1000)
         if end is RelayEnd.COMPLETE:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
@@ -10,7 +10,7 @@
 from arbutustally.gateway.events import EventError, WholeEvents
 from arbutustally_node.caller_watch import CallerWatch
 from arbutustally_node.gateway.caller import CallerConnection, Headers
-from arbutustally_node.gateway.hedge import Hedge, OvertakenError, UnreachableError
+from arbutustally_node.gateway.hedge import HedgeController, OvertakenError, UnreachableError
 from arbutustally_node.pool import PooledResponse
 
 #: Time without a complete event after which the stream is also requested from another endpoint if
@@ -69,7 +69,7 @@
         left_s: float,
         watch: CallerWatch,
         on_first: Callable[[float], None],
-        hedge: Hedge,
+        hedging: HedgeController,
     ) -> RelayEnd:
         """Passes on events until the stream ends.
 
@@ -77,15 +77,15 @@
         :param left_s: time until the deadline, seconds.
         :param watch: detects that the caller disconnects.
         :param on_first: called with the time of the first event from this endpoint.
-        :param hedge: hedge of the attempt, which abandons the endpoint if it is silent and another
-            one has answered or it is unreachable.
+        :param hedging: hedging of the attempt, which abandons the endpoint if it is silent and
+            another one has answered or it is unreachable.
         :raises CallerGoneError: if the caller disconnects.
         :raises OSError: if writing to the caller fails.
         """
         self._events.restart()
         try:
             with gevent.Timeout(max(left_s, 0.001), _OutOfTimeError):
-                return self._relay(response, watch, on_first, hedge)
+                return self._relay(response, watch, on_first, hedging)
         except OvertakenError:
             response.close()
             return RelayEnd.SILENT
@@ -110,20 +110,20 @@
         response: PooledResponse,
         watch: CallerWatch,
         on_first: Callable[[float], None],
-        hedge: Hedge,
+        hedging: HedgeController,
     ) -> RelayEnd:
         is_first = True
         self._event_at = self._clock()
         while True:
             silent_s = SILENT_START_S if is_first else SILENT_GAP_S
-            with watch, hedge.watch(self._event_at + silent_s - self._clock()):
+            with watch, hedging.watch(self._event_at + silent_s - self._clock()):
                 data = response.read()
             if not data:
                 break
             whole = self._events.feed(data)
             if not whole:
                 continue
-            hedge.heard()
+            hedging.heard()
             self._event_at = self._clock()
             if is_first:
                 on_first(self._event_at)
