Tell an attempt from its result by their names

Class Try held an attempt from its placement to its end and class Attempt the result of sending it. They become PlacedAttempt and AttemptResult, the field attempt becomes result, and local variables follow.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -16,7 +16,7 @@
     ENDPOINT_SILENT,
     OTHER_ENDPOINT,
     OTHER_WEIGHTS,
-    Attempt,
+    AttemptResult,
 )
 
 #: Reasons of attempts abandoned because another endpoint answered first: slow, not failed.
@@ -26,13 +26,13 @@
 
 
 @dataclass
-class Try:
+class PlacedAttempt:
     """One attempt, from its placement to its end.
 
     :ivar began: start time by the steady clock, seconds.
     :ivar answer: record for the comparison of two releases of a service.
     :ivar saved_to: store that receives the shared parts of the prompt.
-    :ivar attempt: result, ``None`` until a response head has arrived or the attempt failed.
+    :ivar result: ``None`` until a response head has arrived or the attempt has failed.
     """
 
     placed: Placed
@@ -40,7 +40,7 @@
     began: float
     answer: AnswerRun
     saved_to: Service | None = None
-    attempt: Attempt | None = None
+    result: AttemptResult | None = None
 
 
 class AttemptLearning:
@@ -73,43 +73,43 @@
             self._tell_parts(placed, True)
         return services.rollouts.began(state, self._route.name, read_s)
 
-    def withdrawn(self, tried: Try) -> None:
+    def withdrawn(self, attempt: PlacedAttempt) -> None:
         """Records that this node or the caller cancelled an attempt, which proves nothing else."""
-        placed = tried.placed
-        self._services.rollouts.withdrawn(tried.answer)
+        placed = attempt.placed
+        self._services.rollouts.withdrawn(attempt.answer)
         self._services.holdings.unexpect(placed.state.id, placed.cache_scope, self._request.parts)
 
-    def ended(self, tried: Try) -> None:
+    def ended(self, attempt: PlacedAttempt) -> None:
         """Records the result of an attempt."""
-        services, attempt, state = self._services, tried.attempt, tried.placed.state
-        if attempt.outcome is Outcome.NOT_RUN:
-            services.rollouts.withdrawn(tried.answer)
+        services, result, state = self._services, attempt.result, attempt.placed.state
+        if result.outcome is Outcome.NOT_RUN:
+            services.rollouts.withdrawn(attempt.answer)
         else:
-            is_failed = attempt.outcome is not Outcome.ANSWERED and attempt.reason not in SILENT
-            services.rollouts.ended(tried.answer, is_failed)
-        if attempt.outcome is Outcome.ANSWERED:
-            services.view.book.answered(state, services.clock() - tried.began)
-        elif attempt.reason == OTHER_ENDPOINT:
+            is_failed = result.outcome is not Outcome.ANSWERED and result.reason not in SILENT
+            services.rollouts.ended(attempt.answer, is_failed)
+        if result.outcome is Outcome.ANSWERED:
+            services.view.book.answered(state, services.clock() - attempt.began)
+        elif result.reason == OTHER_ENDPOINT:
             services.view.book.replaced(state)
-            services.log.line("endpoint_replaced", endpoint=state.id, by=attempt.terms.endpoint_id)
-        elif attempt.reason == OTHER_WEIGHTS:
+            services.log.line("endpoint_replaced", endpoint=state.id, by=result.terms.endpoint_id)
+        elif result.reason == OTHER_WEIGHTS:
             services.on_other_weights(state)
-        elif attempt.is_unreachable:
+        elif result.is_unreachable:
             services.on_unreachable(state)
-        elif attempt.outcome is not Outcome.NOT_RUN and not self._is_behind(tried):
+        elif result.outcome is not Outcome.NOT_RUN and not self._is_behind(attempt):
             self._note_failure(state)
-        if tried.placed.choice is not None:
-            self._learn_engine(tried)
+        if attempt.placed.choice is not None:
+            self._learn_engine(attempt)
 
-    def _is_behind(self, tried: Try) -> bool:
+    def _is_behind(self, attempt: PlacedAttempt) -> bool:
         """Returns whether an attempt was slow at an engine that makes progress on other requests.
 
         That is not a failure, since placement already accounts for the engine's queue. A plain
         endpoint answers each request at once and in full, so its progress on other requests says
         nothing about this one.
         """
-        is_late = tried.attempt.reason in LATE and tried.placed.choice is not None
-        return is_late and not self._services.view.book.is_stalled(tried.placed.state)
+        is_late = attempt.result.reason in LATE and attempt.placed.choice is not None
+        return is_late and not self._services.view.book.is_stalled(attempt.placed.state)
 
     def _note_failure(self, state: EndpointState) -> None:
         services = self._services
@@ -118,9 +118,9 @@
                 "endpoint_avoided", endpoint=state.id, failures=round(state.failures, 1)
             )
 
-    def _learn_engine(self, tried: Try) -> None:
-        services, request, placed = self._services, self._request, tried.placed
-        first_s = tried.load.first_at - tried.began if tried.load.first_at else None
+    def _learn_engine(self, attempt: PlacedAttempt) -> None:
+        services, request, placed = self._services, self._request, attempt.placed
+        first_s = attempt.load.first_at - attempt.began if attempt.load.first_at else None
         services.placement.learn(
             Observation(
                 self._wall,
@@ -140,22 +140,22 @@
         else:
             services.instruments.duration("first_event", self._route.name, first_s)
             self._trace.facts["first_ms"] = round(first_s * 1000)
-            self._note_parts(tried)
-        terms = tried.attempt.terms
+            self._note_parts(attempt)
+        terms = attempt.result.terms
         if terms is not None and terms.weights is not None and not terms.is_mismatched:
             known = placed.state.weights
             known[request.model] = max(known.get(request.model, 0), terms.weights)
 
-    def _note_parts(self, tried: Try) -> None:
+    def _note_parts(self, attempt: PlacedAttempt) -> None:
         """Records, locally and for the peers, that an engine has read the prompt's parts."""
-        services, placed, parts = self._services, tried.placed, self._request.parts
+        services, placed, parts = self._services, attempt.placed, self._request.parts
         services.holdings.assume(placed.state.id, placed.cache_scope, parts)
         self._tell_parts(placed, False)
-        if tried.saved_to is not None:
+        if attempt.saved_to is not None:
             shared = parts[:-1]
-            services.holdings.assume(tried.saved_to.name, placed.cache_scope, shared)
+            services.holdings.assume(attempt.saved_to.name, placed.cache_scope, shared)
             told = [(part.id, part.tokens) for part in shared]
-            services.placed.add((tried.saved_to.name, placed.cache_scope, told, False))
+            services.placed.add((attempt.saved_to.name, placed.cache_scope, told, False))
 
     def _tell_parts(self, placed: Placed, is_pending: bool) -> None:
         told = [(part.id, part.tokens) for part in self._request.parts]
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -26,12 +26,12 @@
 from arbutustally_node.gateway.attempt_load import AttemptLoad
 from arbutustally_node.gateway.caller import CallerConnection
 from arbutustally_node.gateway.hedge import HedgeController
-from arbutustally_node.gateway.learning import AttemptLearning, Try
+from arbutustally_node.gateway.learning import AttemptLearning, PlacedAttempt
 from arbutustally_node.gateway.placer import DEFAULT_RETRY_S, Placed, Placer
 from arbutustally_node.gateway.ports import AttemptTerms
 from arbutustally_node.gateway.request_services import RequestServices, Trace
 from arbutustally_node.gateway.stream_relay import SILENT_START_S, RelayEnd, StreamRelay
-from arbutustally_node.gateway.transport import OTHER_ENDPOINT, Attempt
+from arbutustally_node.gateway.transport import OTHER_ENDPOINT, AttemptResult
 
 #: Time without a response head after which a hedge is sent to another endpoint, seconds.
 FIRST_BYTE_S = 1.2
@@ -73,8 +73,8 @@
         self._relay: StreamRelay | None = None
         self._placer = Placer(services, request, configuration, route, account, trace)
         self._learning = AttemptLearning(services, request, route, self._placer.wall, trace)
-        self._current: Try | None = None
-        self._hedge: Try | None = None
+        self._current: PlacedAttempt | None = None
+        self._hedge: PlacedAttempt | None = None
         self._hedge_greenlet: gevent.Greenlet | None = None
 
     @property
@@ -115,49 +115,49 @@
 
     def _attempts(self) -> None:
         while True:
-            tried = self._take_answered_hedge() or self._begin(
+            attempt = self._take_answered_hedge() or self._begin(
                 self._placer.place(self.left_s, self._ran > 0)
             )
-            attempt = self._complete(tried)
-            if attempt.outcome is not Outcome.ANSWERED and self._await_hedge_answer():
-                _drop(attempt)
+            result = self._complete(attempt)
+            if result.outcome is not Outcome.ANSWERED and self._await_hedge_answer():
+                _drop(result)
                 continue
             # The hedge may be running even if its response has not arrived in time.
             ran = self._ran + (self._hedge is not None)
-            following = after(self._route, attempt.outcome, ran, self._sends, self.left_s)
+            following = after(self._route, result.outcome, ran, self._sends, self.left_s)
             if following is Next.REPEAT and not self._take_repeat():
                 self._trace.facts["repeat_budget"] = "used"
-                is_not_run = attempt.outcome is Outcome.NOT_RUN and ran == 0
+                is_not_run = result.outcome is Outcome.NOT_RUN and ran == 0
                 following = Next.REFUSE if is_not_run else Next.FAIL
             if following is Next.REPEAT:
-                _drop(attempt)
+                _drop(result)
                 continue
-            self._finish(following, attempt)
+            self._finish(following, result)
             return
 
     def _take_repeat(self) -> bool:
         return self._services.repeats.take(self._placer.service.name)
 
-    def _finish(self, following: Next, attempt: Attempt) -> None:
+    def _finish(self, following: Next, result: AttemptResult) -> None:
         if following is Next.DELIVER:
             self._trace.outcome = "answered"
-            self._trace.status = attempt.status
+            self._trace.status = result.status
             return
         if following is Next.REFUSE:
             wait = retry_after_s(DEFAULT_RETRY_S, self.left_s, self._services.rng)
-            raise OverloadedError(f"not run: {attempt.reason}; retry", retry_after_s=wait)
-        if attempt.outcome is Outcome.FAILED and attempt.response is not None:
-            self._deliver_whole(attempt)
+            raise OverloadedError(f"not run: {result.reason}; retry", retry_after_s=wait)
+        if result.outcome is Outcome.FAILED and result.response is not None:
+            self._deliver_whole(result)
             self._trace.outcome = "endpoint_failed"
             return
         if self.left_s <= ANSWER_MARGIN_S:
             raise EndpointTimeoutError("no answer in time; it may have run", ran=Ran.MAY_HAVE_RUN)
         raise EndpointFailedError(
-            f"the endpoint failed ({attempt.reason}); the request may have run",
+            f"the endpoint failed ({result.reason}); the request may have run",
             ran=Ran.MAY_HAVE_RUN,
         )
 
-    def _begin(self, placed: Placed) -> Try:
+    def _begin(self, placed: Placed) -> PlacedAttempt:
         """Records an attempt before its request is sent."""
         self._sends += 1
         self._placer.note_sent(placed)
@@ -165,34 +165,36 @@
         load = AttemptLoad(
             placed.state, self._request, placed.choice, self._has_endpoints_left(self._ran + 1)
         )
-        return Try(placed, load, self._services.clock(), answer, self._placer.save_to(placed))
+        return PlacedAttempt(
+            placed, load, self._services.clock(), answer, self._placer.save_to(placed)
+        )
 
-    def _complete(self, tried: Try) -> Attempt:
+    def _complete(self, attempt: PlacedAttempt) -> AttemptResult:
         """Sends the request unless it was sent, passes the response on and records the result."""
-        hedging = self._create_hedging(tried)
-        self._current = tried
+        hedging = self._create_hedging(attempt)
+        self._current = attempt
         try:
-            if tried.attempt is None:
-                tried.attempt = self._send(tried, self._watching(hedging))
-            if tried.attempt.outcome is not Outcome.NOT_RUN:
+            if attempt.result is None:
+                attempt.result = self._send(attempt, self._watching(hedging))
+            if attempt.result.outcome is not Outcome.NOT_RUN:
                 self._ran += 1
-            if tried.attempt.outcome is Outcome.ANSWERED:
-                tried.attempt = self._pass_on(tried, hedging)
+            if attempt.result.outcome is Outcome.ANSWERED:
+                attempt.result = self._pass_on(attempt, hedging)
         except BaseException as error:
-            if tried.attempt is None:
+            if attempt.result is None:
                 self._ran += 1
             is_left = isinstance(error, CallerGoneError)
-            self._withdraw(tried, "caller_gone" if is_left else "caller_unwritable")
+            self._withdraw(attempt, "caller_gone" if is_left else "caller_unwritable")
             raise
         finally:
-            tried.load.end()
-        self._note(tried, tried.attempt.reason)
-        self._learning.ended(tried)
-        return tried.attempt
+            attempt.load.end()
+        self._note(attempt, attempt.result.reason)
+        self._learning.ended(attempt)
+        return attempt.result
 
-    def _create_hedging(self, tried: Try) -> HedgeController:
+    def _create_hedging(self, attempt: PlacedAttempt) -> HedgeController:
         return HedgeController(
-            tried.placed.state,
+            attempt.placed.state,
             self._services.clock,
             self._services.on_silent,
             self._start_hedge,
@@ -210,7 +212,7 @@
         The value of the greenlet is whether that endpoint has answered.
         """
         # ``_ran`` counts the silent attempt only once its response head has arrived.
-        ran = self._ran + (self._current.attempt is None)
+        ran = self._ran + (self._current.result is None)
         is_possible = self._hedge is None and self._sends < MAX_SENDS
         if not is_possible or not self._has_endpoints_left(ran):
             return None
@@ -227,55 +229,55 @@
 
     def _update_loads(self) -> None:
         """Updates the load of both attempts: whether the request may run at a further endpoint."""
-        tries = [one for one in (self._current, self._hedge) if one is not None]
-        for one in tries:
+        attempts = [one for one in (self._current, self._hedge) if one is not None]
+        for one in attempts:
             one.load.may_go_on(self._has_endpoints_left(self._in_use()))
 
     def _in_use(self) -> int:
         """Returns the number of endpoints where the request may have run or is in flight."""
-        tries = [one for one in (self._current, self._hedge) if one is not None]
-        return self._ran + sum(one.attempt is None for one in tries)
+        attempts = [one for one in (self._current, self._hedge) if one is not None]
+        return self._ran + sum(one.result is None for one in attempts)
 
-    def _run_hedge(self, tried: Try) -> bool:
-        attempt = self._send_hedge(tried)
-        if self._hedge is not tried:
-            _drop(attempt)
+    def _run_hedge(self, attempt: PlacedAttempt) -> bool:
+        result = self._send_hedge(attempt)
+        if self._hedge is not attempt:
+            _drop(result)
             return False
-        tried.attempt = attempt
-        if attempt.outcome is Outcome.ANSWERED:
+        attempt.result = result
+        if result.outcome is Outcome.ANSWERED:
             return True
-        if attempt.outcome is not Outcome.NOT_RUN:
+        if result.outcome is not Outcome.NOT_RUN:
             self._ran += 1
-        _drop(attempt)
+        _drop(result)
         self._hedge = self._hedge_greenlet = None
-        tried.load.end()
+        attempt.load.end()
         self._update_loads()
-        self._note(tried, tried.attempt.reason)
-        self._learning.ended(tried)
+        self._note(attempt, attempt.result.reason)
+        self._learning.ended(attempt)
         return False
 
-    def _send_hedge(self, tried: Try) -> Attempt:
+    def _send_hedge(self, attempt: PlacedAttempt) -> AttemptResult:
         """Waits for the hedge's complete response, or for the first event of a stream.
 
         The hedge is abandoned once its endpoint is unreachable: a dead endpoint would block the
         request while a further one could serve it.
         """
         hedging = HedgeController(
-            tried.placed.state,
+            attempt.placed.state,
             self._services.clock,
             self._services.on_silent,
             may_go_on=lambda: self._has_endpoints_left(self._in_use()),
         )
-        attempt = self._send(tried, hedging.watch(FIRST_BYTE_S))
-        if attempt.outcome is not Outcome.ANSWERED:
-            return attempt
+        result = self._send(attempt, hedging.watch(FIRST_BYTE_S))
+        if result.outcome is not Outcome.ANSWERED:
+            return result
         hedging.heard()
-        if not self._is_stream(attempt):
+        if not self._is_stream(result):
             # The greenlet that serves the caller detects its disconnection.
-            return self._read_whole(attempt, lambda: hedging.watch(FIRST_BYTE_S))
+            return self._read_whole(result, lambda: hedging.watch(FIRST_BYTE_S))
         guard = hedging.watch(SILENT_START_S)
         resumed_after = self._relay.last_id if self._relay else ""
-        return self._services.transport.await_event(attempt, self.left_s, guard, resumed_after)
+        return self._services.transport.await_event(result, self.left_s, guard, resumed_after)
 
     def _await_hedge_answer(self) -> bool:
         """Waits for the hedge after the other attempt has failed; returns whether it answered."""
@@ -286,38 +288,38 @@
             greenlet.join(max(self.left_s, 0.0))
         return greenlet.value is True
 
-    def _take_answered_hedge(self) -> Try | None:
+    def _take_answered_hedge(self) -> PlacedAttempt | None:
         """Returns the hedge if it was answered; it becomes the current attempt."""
-        tried = self._hedge
-        if tried is None or tried.attempt is None:
+        attempt = self._hedge
+        if attempt is None or attempt.result is None:
             return None
         self._hedge = self._hedge_greenlet = None
-        return tried
+        return attempt
 
     def _cancel_hedge(self) -> None:
         """Cancels the hedge."""
-        tried, greenlet = self._hedge, self._hedge_greenlet
+        attempt, greenlet = self._hedge, self._hedge_greenlet
         self._hedge = self._hedge_greenlet = None
-        if tried is None:
+        if attempt is None:
             return
         greenlet.kill(block=False)
         self._ran += 1
-        if tried.attempt is not None:
-            _drop(tried.attempt)
-        tried.load.end()
-        self._withdraw(tried, "not_needed")
-
-    def _withdraw(self, tried: Try, reason: str) -> None:
-        self._note(tried, reason)
-        self._learning.withdrawn(tried)
-
-    def _note(self, tried: Try, reason: str) -> None:
-        took = round(self._services.clock() - tried.began, 4)
-        self._trace.attempts.append((tried.placed.state.id, reason, took))
-
-    def _send(self, tried: Try, guard: AbstractContextManager[None]) -> Attempt:
-        """Sends one attempt; returns it with the response head, or with the failure."""
-        placed = tried.placed
+        if attempt.result is not None:
+            _drop(attempt.result)
+        attempt.load.end()
+        self._withdraw(attempt, "not_needed")
+
+    def _withdraw(self, attempt: PlacedAttempt, reason: str) -> None:
+        self._note(attempt, reason)
+        self._learning.withdrawn(attempt)
+
+    def _note(self, attempt: PlacedAttempt, reason: str) -> None:
+        took = round(self._services.clock() - attempt.began, 4)
+        self._trace.attempts.append((attempt.placed.state.id, reason, took))
+
+    def _send(self, attempt: PlacedAttempt, guard: AbstractContextManager[None]) -> AttemptResult:
+        """Sends one attempt; returns the response head or the failure."""
+        placed = attempt.placed
         terms = AttemptTerms(
             endpoint_id=placed.state.id,
             account=self._account.name if self._account else "",
@@ -327,23 +329,23 @@
             priority=None if placed.version is None else min(self._urgency(), LEAST_PRIORITY),
             resume_from=self._resume_from(),
             fetch_from=placed.source.address if placed.source else "",
-            save_to=tried.saved_to.part_store.address if tried.saved_to else "",
+            save_to=attempt.saved_to.part_store.address if attempt.saved_to else "",
         )
-        attempt = self._services.transport.send(
+        result = self._services.transport.send(
             self._request, placed.state, terms, guard, placed.was_tried
         )
         # The endpoint's notice takes effect before its response is passed on.
-        if attempt.terms is not None and attempt.reason != OTHER_ENDPOINT:
-            self._services.on_notice(placed.state, attempt.terms.notice)
-        return self._continuing(attempt)
+        if result.terms is not None and result.reason != OTHER_ENDPOINT:
+            self._services.on_notice(placed.state, result.terms.notice)
+        return self._continuing(result)
 
-    def _continuing(self, attempt: Attempt) -> Attempt:
+    def _continuing(self, result: AttemptResult) -> AttemptResult:
         """Replaces a response that can't continue the caller's stream by a failed attempt."""
-        has_head = attempt.outcome in (Outcome.ANSWERED, Outcome.FAILED)
-        if not (has_head and self._connection.began) or self._is_stream(attempt):
-            return attempt
-        _drop(attempt)
-        return Attempt(Outcome.MAY_HAVE_RUN, attempt.reason, attempt.status, attempt.terms)
+        has_head = result.outcome in (Outcome.ANSWERED, Outcome.FAILED)
+        if not (has_head and self._connection.began) or self._is_stream(result):
+            return result
+        _drop(result)
+        return AttemptResult(Outcome.MAY_HAVE_RUN, result.reason, result.status, result.terms)
 
     def _has_endpoints_left(self, ran: int) -> bool:
         """Returns whether the request may run at a further endpoint.
@@ -352,50 +354,50 @@
         """
         return self._route.may_repeat and ran < self._route.max_attempts
 
-    def _pass_on(self, tried: Try, hedging: HedgeController) -> Attempt:
+    def _pass_on(self, attempt: PlacedAttempt, hedging: HedgeController) -> AttemptResult:
         """Passes a response on to the caller, as a stream or with its complete body."""
-        attempt = tried.attempt
-        if self._is_stream(attempt):
-            return self._stream(tried, hedging)
-        if attempt.response is not None:
-            attempt = self._read_whole(attempt, lambda: self._watching(hedging))
-        if attempt.outcome is Outcome.ANSWERED:
-            self._connection.send_whole(attempt.status, attempt.terms.headers, attempt.body)
-        return attempt
+        result = attempt.result
+        if self._is_stream(result):
+            return self._stream(attempt, hedging)
+        if result.response is not None:
+            result = self._read_whole(result, lambda: self._watching(hedging))
+        if result.outcome is Outcome.ANSWERED:
+            self._connection.send_whole(result.status, result.terms.headers, result.body)
+        return result
 
     def _read_whole(
-        self, attempt: Attempt, watch: Callable[[], AbstractContextManager[None]]
-    ) -> Attempt:
+        self, result: AttemptResult, watch: Callable[[], AbstractContextManager[None]]
+    ) -> AttemptResult:
         """Reads the complete body of a response; each chunk restarts the silence timer.
 
         :param watch: returns the context manager that guards the wait for one chunk.
         """
-        return self._services.transport.read_whole(attempt, self.left_s, watch)
+        return self._services.transport.read_whole(result, self.left_s, watch)
 
-    def _is_stream(self, attempt: Attempt) -> bool:
-        return self._route.kind is RouteKind.STREAM and attempt.status == 200
+    def _is_stream(self, result: AttemptResult) -> bool:
+        return self._route.kind is RouteKind.STREAM and result.status == 200
 
-    def _deliver_whole(self, attempt: Attempt) -> None:
+    def _deliver_whole(self, result: AttemptResult) -> None:
         """Passes the endpoint's own error response on to the caller."""
-        status, headers = attempt.status, attempt.terms.headers
-        whole = self._read_whole(attempt, lambda: self._watch)
+        status, headers = result.status, result.terms.headers
+        whole = self._read_whole(result, lambda: self._watch)
         if whole.outcome is Outcome.MAY_HAVE_RUN:
             raise EndpointFailedError("endpoint response was incomplete", ran=Ran.MAY_HAVE_RUN)
         self._trace.status = status
         self._connection.send_whole(status, headers, whole.body)
 
-    def _stream(self, tried: Try, hedging: HedgeController) -> Attempt:
-        attempt = tried.attempt
+    def _stream(self, attempt: PlacedAttempt, hedging: HedgeController) -> AttemptResult:
+        result = attempt.result
         if self._relay is None:
-            self._relay = StreamRelay(self._connection, attempt.terms.headers, self._services.clock)
+            self._relay = StreamRelay(self._connection, result.terms.headers, self._services.clock)
         end = self._relay.run(
-            attempt.response, self.left_s, self._watch, tried.load.first_event, hedging
+            result.response, self.left_s, self._watch, attempt.load.first_event, hedging
         )
         self._trace.facts["gap_ms"] = round(self._relay.longest_gap_s * 1000)
         if end is RelayEnd.COMPLETE:
-            return attempt
-        self._note_end(end, tried.placed)
-        return Attempt(Outcome.MAY_HAVE_RUN, str(end), attempt.status)
+            return result
+        self._note_end(end, attempt.placed)
+        return AttemptResult(Outcome.MAY_HAVE_RUN, str(end), result.status)
 
     def _note_end(self, end: RelayEnd, placed: Placed) -> None:
         """Adds to the log line why a stream ended early and which endpoints were left."""
@@ -416,7 +418,7 @@
         return self._request.resume_from
 
 
-def _drop(attempt: Attempt) -> None:
+def _drop(result: AttemptResult) -> None:
     """Closes a response that is not passed on."""
-    if attempt.response is not None:
-        attempt.response.close()
+    if result.response is not None:
+        result.response.close()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -31,7 +31,7 @@
 
 
 @dataclass
-class Attempt:
+class AttemptResult:
     """Result of an attempt.
 
     :ivar outcome: decides whether the request may be repeated.
@@ -66,8 +66,8 @@
         terms: AttemptTerms,
         guard: AbstractContextManager[None],
         fresh: bool = False,
-    ) -> Attempt:
-        """Sends a request; returns the attempt with the response head, or with the failure.
+    ) -> AttemptResult:
+        """Sends a request; returns the response head or the failure.
 
         :param request: request of the caller.
         :param state: endpoint to send it to.
@@ -91,31 +91,31 @@
                     fresh,
                 )
         except (EndpointTimeoutError, OvertakenError, _HeadTimeoutError):
-            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_SILENT)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, ENDPOINT_SILENT)
         except UnreachableError:
-            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE)
         except EndpointFailedError as error:
             if error.ran is Ran.NOT_RUN:
                 reason = "connection_refused" if is_refused(error) else "connect_timeout"
-                return Attempt(Outcome.NOT_RUN, reason, is_unreachable=True)
-            return Attempt(Outcome.MAY_HAVE_RUN, "connection_broken")
+                return AttemptResult(Outcome.NOT_RUN, reason, is_unreachable=True)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, "connection_broken")
         return self._judge(request, state, response)
 
     def await_event(
         self,
-        attempt: Attempt,
+        result: AttemptResult,
         left_s: float,
         guard: AbstractContextManager[None],
         resumed_after: str,
-    ) -> Attempt:
+    ) -> AttemptResult:
         """Waits for the first complete event of a stream without consuming it.
 
-        :param attempt: answered attempt.
+        :param result: result of an answered attempt.
         :param left_s: time until the deadline, seconds.
         :param guard: context manager that guards the wait.
         :param resumed_after: as for ``WholeEvents``.
         """
-        response = attempt.response
+        response = result.response
         arrived = b""
         try:
             with guard, gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
@@ -123,65 +123,68 @@
                     arrived += piece
         except UnreachableError:
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE, attempt.status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE, result.status)
         except (RouterError, EventError, _HeadTimeoutError):
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, "stream_broken", attempt.status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, "stream_broken", result.status)
         except BaseException:
             response.close()
             raise
         if arrived and not WholeEvents().feed(arrived):
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, "stream_broken", attempt.status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, "stream_broken", result.status)
         response.put_back(arrived)
-        return attempt
+        return result
 
     def read_whole(
-        self, attempt: Attempt, left_s: float, watch: Callable[[], AbstractContextManager[None]]
-    ) -> Attempt:
+        self,
+        result: AttemptResult,
+        left_s: float,
+        watch: Callable[[], AbstractContextManager[None]],
+    ) -> AttemptResult:
         """Reads the complete body of a response.
 
-        :param attempt: attempt with an unread response.
+        :param result: result of an attempt whose response has not been read.
         :param left_s: time until the deadline, seconds.
         :param watch: returns the context manager that guards the wait for one chunk.
         :raises CallerGoneError: if the caller disconnects meanwhile.
         """
-        response = attempt.response
+        response = result.response
         try:
             with gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
-                attempt.body = response.read_whole(MAX_WHOLE_ANSWER, watch)
+                result.body = response.read_whole(MAX_WHOLE_ANSWER, watch)
         except OvertakenError:
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_SILENT, attempt.status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, ENDPOINT_SILENT, result.status)
         except UnreachableError:
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE, attempt.status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE, result.status)
         except (RouterError, _HeadTimeoutError):
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, "answer_broken", attempt.status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, "answer_broken", result.status)
         except BaseException:
             response.close()
             raise
-        attempt.response = None
-        return attempt
+        result.response = None
+        return result
 
     def _judge(
         self, request: CallerRequest, state: EndpointState, response: PooledResponse
-    ) -> Attempt:
+    ) -> AttemptResult:
         """Classifies a response: usable, or not to be passed on to the caller."""
         terms = self._codec.decode_answer(response.status, response.header_items)
         status = response.status
         if terms.echoed_id and terms.echoed_id != request.request_id:
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, "crossed_answer", status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, "crossed_answer", status)
         if terms.is_not_run or terms.is_mismatched:
             response.settle()
-            return Attempt(Outcome.NOT_RUN, _refusal(terms, state), status, terms)
+            return AttemptResult(Outcome.NOT_RUN, _refusal(terms, state), status, terms)
         if not terms.is_signed:
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, "unsigned_answer", status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, "unsigned_answer", status)
         outcome = Outcome.FAILED if status >= FIRST_FAILURE_STATUS else Outcome.ANSWERED
-        return Attempt(outcome, f"status_{status}", status, terms, response)
+        return AttemptResult(outcome, f"status_{status}", status, terms, response)
 
 
 def _refusal(terms: AnswerTerms, state: EndpointState) -> str:
