--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -72,7 +72,7 @@
     yield from repeat(b"\0\xff" * 2048)
 
 
-TROUBLES = (
+ENDLESS_RESPONSES = (
     endless_head_line,
     endless_headers,
     endless_informational,
@@ -87,8 +87,8 @@
 class EndlessServer:
     """Sends one kind of endless data on each connection until it is closed."""
 
-    def __init__(self, trouble: Callable[[], Iterator[bytes]]) -> None:
-        self._trouble = trouble
+    def __init__(self, response: Callable[[], Iterator[bytes]]) -> None:
+        self._response = response
         self._listener = _socket()
         self._listener.bind(("127.0.0.1", 0))
         self._listener.listen(8)
@@ -100,18 +100,18 @@
 
     def stop(self) -> None:
         # Wakes the thread that is blocked in ``accept``.
-        self._trouble = None
+        self._response = None
         waker = _socket()
         waker.connect(self._listener.getsockname())
         waker.close()
 
     def _serve(self) -> None:
-        while self._trouble is not None:
+        while self._response is not None:
             connection, _address = self._listener.accept()
             connection.settimeout(10.0)
             try:
                 connection.recv(65536)
-                for piece in self._trouble() if self._trouble else ():
+                for piece in self._response() if self._response else ():
                     connection.sendall(piece)
                     self.sent += len(piece)
             except OSError:
@@ -122,11 +122,11 @@
 
 
 class EndlessTest(unittest.TestCase):
-    def play(self, check: Callable[[str], None]) -> None:
+    def check_each_response(self, check: Callable[[str], None]) -> None:
         """Runs a check against each kind of endless data."""
-        for trouble in TROUBLES:
-            server = EndlessServer(trouble)
-            with self.subTest(trouble=trouble.__name__):
+        for response in ENDLESS_RESPONSES:
+            server = EndlessServer(response)
+            with self.subTest(response=response.__name__):
                 check(server.address)
             server.stop()
 
@@ -162,7 +162,7 @@
             with self.assertRaises(StoreUnavailableError):
                 self.assert_ends(lambda: topic.since(0, 0.0), ANSWER_TIMEOUT_S)
 
-        self.play(check)
+        self.check_each_response(check)
 
     def test_engine_calls(self) -> None:
         def check(address: str) -> None:
@@ -171,10 +171,12 @@
             events = PlatformCacheEvents()
             self.assert_ends(lambda: events.changes(address, 0, 0.0), ENGINE_TIMEOUT_S)
 
-        self.play(check)
+        self.check_each_response(check)
 
     def test_snapshot_of_a_peer(self) -> None:
-        self.play(lambda address: self.assert_ends(lambda: fetch_snapshot(address), 1.0))
+        self.check_each_response(
+            lambda address: self.assert_ends(lambda: fetch_snapshot(address), 1.0)
+        )
 
     def test_answer_to_a_request(self) -> None:
         def check(address: str) -> None:
@@ -193,7 +195,7 @@
             with self.assertRaises((RouterError, _TooLateError)):
                 self.assert_ends(ask, 2.0)
 
-        self.play(check)
+        self.check_each_response(check)
 
 
 class TrailerTest(unittest.TestCase):
