Name announced placements and queue bounds by their purpose

"Told" stood for announcing placements to peers; the retry delay for another node, the fraction of memory for bodies and a backlog had vague names.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
@@ -17,7 +17,7 @@
 from arbutustally_node.gateway.request_services import RequestServices, Trace
 
 #: Retry delay suggested to callers that only have to use another node, seconds.
-ELSEWHERE_S = 0.02
+OTHER_NODE_RETRY_S = 0.02
 
 
 class Exchange:
@@ -76,7 +76,7 @@
     ) -> None:
         if self._is_refusing:
             raise DrainingError(
-                "not run: the node is shutting down; use another", retry_after_s=ELSEWHERE_S
+                "not run: the node is shutting down; use another", retry_after_s=OTHER_NODE_RETRY_S
             )
         configuration = self._services.view.configuration
         if configuration is None or not self._services.is_complete():
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -22,7 +22,7 @@
 BACKLOG = 1024
 MAX_CONNECTIONS = 3000
 #: Fraction of the process's memory that request bodies may use.
-BODY_MEMORY_PART = 0.2
+BODY_MEMORY_FRACTION = 0.2
 #: Longest time to read from a caller that keeps sending after its request was refused, seconds.
 LINGER_S = 0.3
 
@@ -51,7 +51,7 @@
         self._codec = codec
         self._handler = handler
         self._limits = limits
-        self._budget = BodyBudget(int(memory_mb * BODY_MEMORY_PART) << 20)
+        self._budget = BodyBudget(int(memory_mb * BODY_MEMORY_FRACTION) << 20)
         self._server = StreamServer(
             (host, int(port)), self._serve, backlog=BACKLOG, spawn=Pool(MAX_CONNECTIONS)
         )
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placed_log.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placed_log.py
@@ -10,7 +10,7 @@
 #: Maximum number of placements kept; older ones are of little use.
 MAX_WAITING = 256
 #: Maximum number of placements in one datagram.
-MAX_TOLD = 64
+MAX_ANNOUNCED = 64
 
 
 class PlacedLog:
@@ -19,7 +19,7 @@
     def __init__(self) -> None:
         self._items: deque[PlacedParts] = deque(maxlen=MAX_WAITING)
         self._added = 0
-        self._told: dict[int, int] = {}
+        self._announced: dict[int, int] = {}
 
     def add(self, placed: PlacedParts) -> None:
         """Adds a placement."""
@@ -31,6 +31,6 @@
 
         :param group: number of the group.
         """
-        untold = min(self._added - self._told.get(group, 0), len(self._items), MAX_TOLD)
-        self._told[group] = self._added
-        return tuple(islice(self._items, len(self._items) - untold, None))
+        count = min(self._added - self._announced.get(group, 0), len(self._items), MAX_ANNOUNCED)
+        self._announced[group] = self._added
+        return tuple(islice(self._items, len(self._items) - count, None))
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
@@ -22,7 +22,7 @@
 #: Largest uncompressed snapshot, bytes; a configuration takes at most a few megabytes.
 MAX_SNAPSHOT_BYTES = 16 << 20
 COMPRESSION = 3
-MAX_LISTENERS_BACKLOG = 256
+BACKLOG = 256
 
 
 @dataclass(frozen=True)
@@ -84,9 +84,7 @@
     :param address: ``host:port`` to listen on.
     """
     host, _, port = address.rpartition(":")
-    server = WSGIServer(
-        (host, int(port)), app, log=None, error_log=None, backlog=MAX_LISTENERS_BACKLOG
-    )
+    server = WSGIServer((host, int(port)), app, log=None, error_log=None, backlog=BACKLOG)
     server.start()
     return server
 
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -12,7 +12,7 @@
 from arbutustally.gateway.relaying import Member
 from arbutustally.gateway.shared_reading import Change, ListNews
 from arbutustally_node.gateway.peer_state import MAX_CONTENT_BYTES, Covers, PeerState
-from arbutustally_node.gateway.placed_log import MAX_TOLD, PlacedLog
+from arbutustally_node.gateway.placed_log import MAX_ANNOUNCED, PlacedLog
 
 MEMBER = Member("n1", "10.0.0.1", "z1", "10.0.0.1:1", "10.0.0.1:2", True, 3, 20)
 
@@ -102,4 +102,4 @@
         for number in range(1000):
             log.add((f"e{number}", "s", [], False))
         told = log.take(0)
-        self.assertEqual((len(told), told[-1][0]), (MAX_TOLD, "e999"))
+        self.assertEqual((len(told), told[-1][0]), (MAX_ANNOUNCED, "e999"))
