Name what the request path records, announces and waits for

"Note" becomes record, "tell" announce, "able" eligible, "wall" isolated_account, "heard" record_data, "piece" chunk. FIRST_BYTE_S is the delay of a hedge and becomes HEDGE_DELAY_S; LOOK_S, BEARABLE_PART, SILENT and LATE get exact names.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/caller.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/caller.py
@@ -42,9 +42,9 @@
         head = self._head(status, [*headers, ("Transfer-Encoding", "chunked")])
         self._write(head + _chunk(first) if first else head)
 
-    def send_piece(self, piece: bytes) -> None:
+    def send_chunk(self, chunk: bytes) -> None:
         """Writes a chunk of a streamed response."""
-        self._write(_chunk(piece))
+        self._write(_chunk(chunk))
 
     def end(self) -> None:
         """Writes the last chunk, which marks a streamed response as complete."""
@@ -68,5 +68,5 @@
         self._sock.sendall(data)
 
 
-def _chunk(piece: bytes) -> bytes:
-    return b"%x\r\n%b\r\n" % (len(piece), piece)
+def _chunk(chunk: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(chunk), chunk)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
@@ -17,7 +17,7 @@
 from arbutustally.gateway.endpoints import EndpointState
 
 #: Interval between two checks of a silent endpoint, seconds.
-LOOK_S = 0.3
+CHECK_INTERVAL_S = 0.3
 #: Minimum silence before an attempt at an unreachable endpoint is abandoned, seconds.
 UNREACHABLE_S = 1.2
 
@@ -75,11 +75,11 @@
         """
         if self._is_overtaken:
             raise OvertakenError
-        timer = get_hub().loop.timer(max(silent_s, 0.0), LOOK_S)
+        timer = get_hub().loop.timer(max(silent_s, 0.0), CHECK_INTERVAL_S)
         self._waiting = getcurrent()
         self._waits += 1
         self._waits_since = self._clock()
-        timer.start(self._look)
+        timer.start(self._check)
         try:
             yield
         finally:
@@ -87,7 +87,7 @@
             timer.close()
             self._waiting = None
 
-    def heard(self) -> None:
+    def record_data(self) -> None:
         """Records data from the endpoint and cancels the hedge, whose response is obsolete now."""
         self._state.heard_at = self._clock()
         if self._hedge_greenlet is not None or self._is_overtaken:
@@ -95,7 +95,7 @@
             self._is_overtaken = False
             self._cancel_hedge()
 
-    def _look(self) -> None:
+    def _check(self) -> None:
         if self._is_gone():
             # Spawned, so that data waiting in the socket is read first.
             gevent.spawn(self._give_up, self._waits)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -20,9 +20,9 @@
 )
 
 #: Reasons of attempts abandoned because another endpoint answered first: slow, not failed.
-SILENT = frozenset({ENDPOINT_SILENT, RelayEnd.SILENT})
+SILENT_REASONS = frozenset({ENDPOINT_SILENT, RelayEnd.SILENT})
 #: Reasons of attempts that took too long and were not interrupted by their endpoint.
-LATE = SILENT | {RelayEnd.OUT_OF_TIME}
+SLOW_REASONS = SILENT_REASONS | {RelayEnd.OUT_OF_TIME}
 
 
 @dataclass
@@ -46,7 +46,7 @@
 class AttemptLearning:
     """Updates the services of the node with the results of one request's attempts.
 
-    :param wall: account whose cached parts are isolated, otherwise empty.
+    :param isolated_account: account whose cached parts are isolated, otherwise empty.
     """
 
     def __init__(
@@ -54,13 +54,13 @@
         services: RequestServices,
         request: CallerRequest,
         route: Route,
-        wall: str,
+        isolated_account: str,
         trace: Trace,
     ) -> None:
         self._services = services
         self._request = request
         self._route = route
-        self._wall = wall
+        self._isolated_account = isolated_account
         self._trace = trace
 
     def began(self, placed: Placed) -> AnswerRun:
@@ -70,7 +70,7 @@
         if placed.choice is not None:
             read_s = (self._request.prompt_tokens or 0) / services.placement.prefill_speed(state.id)
             self._services.holdings.expect(placed.state.id, placed.cache_scope, self._request.parts)
-            self._tell_parts(placed, True)
+            self._announce_parts(placed, True)
         return services.rollouts.began(state, self._route.name, read_s)
 
     def withdrawn(self, attempt: PlacedAttempt) -> None:
@@ -85,7 +85,9 @@
         if result.outcome is Outcome.NOT_RUN:
             services.rollouts.withdrawn(attempt.answer)
         else:
-            is_failed = result.outcome is not Outcome.ANSWERED and result.reason not in SILENT
+            is_failed = (
+                result.outcome is not Outcome.ANSWERED and result.reason not in SILENT_REASONS
+            )
             services.rollouts.ended(attempt.answer, is_failed)
         if result.outcome is Outcome.ANSWERED:
             services.view.book.answered(state, services.clock() - attempt.began)
@@ -96,22 +98,22 @@
             services.on_other_weights(state)
         elif result.is_unreachable:
             services.on_unreachable(state)
-        elif result.outcome is not Outcome.NOT_RUN and not self._is_behind(attempt):
-            self._note_failure(state)
+        elif result.outcome is not Outcome.NOT_RUN and not self._is_overloaded(attempt):
+            self._record_failure(state)
         if attempt.placed.choice is not None:
             self._learn_engine(attempt)
 
-    def _is_behind(self, attempt: PlacedAttempt) -> bool:
+    def _is_overloaded(self, attempt: PlacedAttempt) -> bool:
         """Returns whether an attempt was slow at an engine that makes progress on other requests.
 
         That is not a failure, since placement already accounts for the engine's queue. A plain
         endpoint answers each request at once and in full, so its progress on other requests says
         nothing about this one.
         """
-        is_late = attempt.result.reason in LATE and attempt.placed.choice is not None
-        return is_late and not self._services.view.book.is_stalled(attempt.placed.state)
+        is_slow = attempt.result.reason in SLOW_REASONS and attempt.placed.choice is not None
+        return is_slow and not self._services.view.book.is_stalled(attempt.placed.state)
 
-    def _note_failure(self, state: EndpointState) -> None:
+    def _record_failure(self, state: EndpointState) -> None:
         services = self._services
         if services.view.book.failed(state):
             services.log.line(
@@ -123,7 +125,7 @@
         first_s = attempt.load.first_at - attempt.began if attempt.load.first_at else None
         services.placement.learn(
             Observation(
-                self._wall,
+                self._isolated_account,
                 request.model,
                 str(placed.version),
                 shape_of(request),
@@ -140,23 +142,23 @@
         else:
             services.instruments.duration("first_event", self._route.name, first_s)
             self._trace.facts["first_ms"] = round(first_s * 1000)
-            self._note_parts(attempt)
+            self._record_parts(attempt)
         terms = attempt.result.terms
         if terms is not None and terms.weights is not None and not terms.is_mismatched:
             known = placed.state.weights
             known[request.model] = max(known.get(request.model, 0), terms.weights)
 
-    def _note_parts(self, attempt: PlacedAttempt) -> None:
+    def _record_parts(self, attempt: PlacedAttempt) -> None:
         """Records, locally and for the peers, that an engine has read the prompt's parts."""
         services, placed, parts = self._services, attempt.placed, self._request.parts
         services.holdings.assume(placed.state.id, placed.cache_scope, parts)
-        self._tell_parts(placed, False)
+        self._announce_parts(placed, False)
         if attempt.saved_to is not None:
             shared = parts[:-1]
             services.holdings.assume(attempt.saved_to.name, placed.cache_scope, shared)
-            told = [(part.id, part.tokens) for part in shared]
-            services.placed.add((attempt.saved_to.name, placed.cache_scope, told, False))
+            announced = [(part.id, part.tokens) for part in shared]
+            services.placed.add((attempt.saved_to.name, placed.cache_scope, announced, False))
 
-    def _tell_parts(self, placed: Placed, is_pending: bool) -> None:
-        told = [(part.id, part.tokens) for part in self._request.parts]
-        self._services.placed.add((placed.state.id, placed.cache_scope, told, is_pending))
+    def _announce_parts(self, placed: Placed, is_pending: bool) -> None:
+        announced = [(part.id, part.tokens) for part in self._request.parts]
+        self._services.placed.add((placed.state.id, placed.cache_scope, announced, is_pending))
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -35,7 +35,7 @@
 #: Safety margin before the bound on old weights, from which on they are not used, seconds.
 WEIGHTS_MARGIN_S = 0.8
 #: Fraction of a route's target latency that a request may wait for engines with new weights.
-BEARABLE_PART = 0.3
+MAX_WEIGHTS_WAIT_FRACTION = 0.3
 
 
 @dataclass(frozen=True)
@@ -87,7 +87,7 @@
         return self._service
 
     @property
-    def wall(self) -> str:
+    def isolated_account(self) -> str:
         """Returns the account's name if its cached parts are isolated, otherwise ``""``."""
         return self._account.name if self._account and self._account.is_isolated else ""
 
@@ -98,12 +98,12 @@
         :param has_run: whether an earlier attempt may have run.
         :raises RouterError: if there is no endpoint, or none can serve the request in time.
         """
-        able = self._usable()
-        fresh = [state for state in able if state.id not in self._tried]
-        able = fresh or able
-        if not able:
-            raise self._nothing_able("no_endpoint", left_s, has_run)
-        return self._place_among(able, left_s, has_run, must_be_timely=not self._tried)
+        eligible = self._usable()
+        fresh = [state for state in eligible if state.id not in self._tried]
+        eligible = fresh or eligible
+        if not eligible:
+            raise self._no_endpoint_error("no_endpoint", left_s, has_run)
+        return self._place_among(eligible, left_s, has_run, must_be_timely=not self._tried)
 
     def _usable(self) -> list[EndpointState]:
         """Returns the eligible endpoints, of only one release if two are being compared."""
@@ -112,16 +112,16 @@
         return view.rollouts.allowed(view.book, service, request_id, not self._tried)
 
     def _place_among(
-        self, able: list[EndpointState], left_s: float, has_run: bool, must_be_timely: bool
+        self, eligible: list[EndpointState], left_s: float, has_run: bool, must_be_timely: bool
     ) -> Placed:
         services = self._services
         if self._service.engine is None or not self._request.model:
-            placed = Placed(choose_plain(able, services.zone, services.rng))
+            placed = Placed(choose_plain(eligible, services.zone, services.rng))
         else:
-            placed = self._place_at_engine(able, left_s, has_run, must_be_timely)
+            placed = self._place_at_engine(eligible, left_s, has_run, must_be_timely)
         return replace(placed, was_tried=placed.state.id in self._tried)
 
-    def note_sent(self, placed: Placed) -> None:
+    def record_sent(self, placed: Placed) -> None:
         """Records that the request is sent to an endpoint."""
         self._tried.add(placed.state.id)
 
@@ -147,18 +147,18 @@
         return store
 
     def _place_at_engine(
-        self, able: list[EndpointState], left_s: float, has_run: bool, must_be_timely: bool
+        self, eligible: list[EndpointState], left_s: float, has_run: bool, must_be_timely: bool
     ) -> Placed:
         services, request = self._services, self._request
-        version, engines = self._engines_to_use(able)
+        version, engines = self._engines_to_use(eligible)
         if not engines:
             # The known versions may lag behind the engines, e.g. after a restart of all nodes.
-            services.on_other_weights(services.rng.choice(able))
-            raise self._nothing_able("no_engine_with_weights", left_s, has_run)
-        scope = f"{version}.{self.wall}"
+            services.on_other_weights(services.rng.choice(eligible))
+            raise self._no_endpoint_error("no_engine_with_weights", left_s, has_run)
+        scope = f"{version}.{self.isolated_account}"
         store = store_of(self._configuration.part_stores, scope, request.parts)
         sources = sources_of(
-            services.holdings, scope, request.parts, able, [store] if store else []
+            services.holdings, scope, request.parts, eligible, [store] if store else []
         )
         choice = choose_engine(
             services.placement,
@@ -167,7 +167,7 @@
             self._service,
             engines,
             version,
-            self.wall,
+            self.isolated_account,
             scope,
             max((source.tokens for source in sources), default=0),
             self._route.target_s,
@@ -176,13 +176,13 @@
         )
         state = next(entry for entry in engines if entry.id == choice.endpoint)
         source = fetch_source(services.holdings, scope, request.parts, state, sources, services.rng)
-        self._note(choice, version, source)
+        self._record_decision(choice, version, source)
         if must_be_timely and must_reject(choice.estimate_s, left_s):
             wait = retry_after_s(choice.estimate_s, left_s, services.rng)
             raise OverloadedError("not run: engines are overloaded; retry", retry_after_s=wait)
         return Placed(state, choice, version, scope, source)
 
-    def _engines_to_use(self, able: list[EndpointState]) -> tuple[int, list[EndpointState]]:
+    def _engines_to_use(self, eligible: list[EndpointState]) -> tuple[int, list[EndpointState]]:
         """Returns the version of the weights to run on, and the engines that have it."""
         services, request = self._services, self._request
         named = services.view.weights.get(request.model)
@@ -190,10 +190,10 @@
         needed = (request.prompt_tokens or 0) + request.output_tokens
         # A repeated attempt waits without limit for new weights: a stream that continues at an
         # engine with older weights could be interrupted once more.
-        usual_s = usual_latency_s(able)
-        bearable_s = math.inf if self._tried else self._route.target_s * BEARABLE_PART
+        usual_s = usual_latency_s(eligible)
+        max_wait_s = math.inf if self._tried else self._route.target_s * MAX_WEIGHTS_WAIT_FRACTION
         return weights_to_use(
-            able,
+            eligible,
             request.model,
             named.version if named else 0,
             named.oldest_allowed(services.clock(), bound_s) if named else 0,
@@ -201,10 +201,10 @@
             lambda state: expected_wait_s(
                 services.placement, state, needed, self._service, usual_s
             ),
-            bearable_s,
+            max_wait_s,
         )
 
-    def _note(self, choice: Choice, version: int, source: PartSource | None) -> None:
+    def _record_decision(self, choice: Choice, version: int, source: PartSource | None) -> None:
         """Adds the inputs of the placement decision to the log line of the request."""
         facts = self._trace.facts
         facts["expected_ms"] = round(choice.estimate_s * 1000)
@@ -214,7 +214,7 @@
             facts["fetched"] = source.tokens
             facts["source"] = source.place
 
-    def _nothing_able(self, reason: str, left_s: float, has_run: bool) -> RouterError:
+    def _no_endpoint_error(self, reason: str, left_s: float, has_run: bool) -> RouterError:
         self._trace.facts["nothing_able"] = reason
         if has_run:
             return EndpointFailedError(
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -34,7 +34,7 @@
 from arbutustally_node.gateway.transport import OTHER_ENDPOINT, AttemptResult
 
 #: Time without a response head after which a hedge is sent to another endpoint, seconds.
-FIRST_BYTE_S = 1.2
+HEDGE_DELAY_S = 1.2
 #: Part of the deadline reserved for sending the response to the caller, seconds.
 ANSWER_MARGIN_S = 0.01
 LEAST_PRIORITY = 9
@@ -72,7 +72,9 @@
         self._sends = 0
         self._relay: StreamRelay | None = None
         self._placer = Placer(services, request, configuration, route, account, trace)
-        self._learning = AttemptLearning(services, request, route, self._placer.wall, trace)
+        self._learning = AttemptLearning(
+            services, request, route, self._placer.isolated_account, trace
+        )
         self._current: PlacedAttempt | None = None
         self._hedge: PlacedAttempt | None = None
         self._hedge_greenlet: gevent.Greenlet | None = None
@@ -147,7 +149,7 @@
             wait = retry_after_s(DEFAULT_RETRY_S, self.left_s, self._services.rng)
             raise OverloadedError(f"not run: {result.reason}; retry", retry_after_s=wait)
         if result.outcome is Outcome.FAILED and result.response is not None:
-            self._deliver_whole(result)
+            self._deliver_error(result)
             self._trace.outcome = "endpoint_failed"
             return
         if self.left_s <= ANSWER_MARGIN_S:
@@ -160,7 +162,7 @@
     def _begin(self, placed: Placed) -> PlacedAttempt:
         """Records an attempt before its request is sent."""
         self._sends += 1
-        self._placer.note_sent(placed)
+        self._placer.record_sent(placed)
         answer = self._learning.began(placed)
         load = AttemptLoad(
             placed.state, self._request, placed.choice, self._has_endpoints_left(self._ran + 1)
@@ -183,12 +185,12 @@
         except BaseException as error:
             if attempt.result is None:
                 self._ran += 1
-            is_left = isinstance(error, CallerGoneError)
-            self._withdraw(attempt, "caller_gone" if is_left else "caller_unwritable")
+            is_gone = isinstance(error, CallerGoneError)
+            self._withdraw(attempt, "caller_gone" if is_gone else "caller_unwritable")
             raise
         finally:
             attempt.load.end()
-        self._note(attempt, attempt.result.reason)
+        self._record_attempt(attempt, attempt.result.reason)
         self._learning.ended(attempt)
         return attempt.result
 
@@ -203,7 +205,7 @@
 
     @contextmanager
     def _watching(self, hedging: HedgeController) -> Iterator[None]:
-        with self._watch, hedging.watch(FIRST_BYTE_S):
+        with self._watch, hedging.watch(HEDGE_DELAY_S):
             yield
 
     def _start_hedge(self) -> gevent.Greenlet | None:
@@ -252,7 +254,7 @@
         self._hedge = self._hedge_greenlet = None
         attempt.load.end()
         self._update_loads()
-        self._note(attempt, attempt.result.reason)
+        self._record_attempt(attempt, attempt.result.reason)
         self._learning.ended(attempt)
         return False
 
@@ -268,13 +270,13 @@
             self._services.on_silent,
             may_go_on=lambda: self._has_endpoints_left(self._in_use()),
         )
-        result = self._send(attempt, hedging.watch(FIRST_BYTE_S))
+        result = self._send(attempt, hedging.watch(HEDGE_DELAY_S))
         if result.outcome is not Outcome.ANSWERED:
             return result
-        hedging.heard()
+        hedging.record_data()
         if not self._is_stream(result):
             # The greenlet that serves the caller detects its disconnection.
-            return self._read_whole(result, lambda: hedging.watch(FIRST_BYTE_S))
+            return self._read_whole(result, lambda: hedging.watch(HEDGE_DELAY_S))
         guard = hedging.watch(SILENT_START_S)
         resumed_after = self._relay.last_id if self._relay else ""
         return self._services.transport.await_event(result, self.left_s, guard, resumed_after)
@@ -310,10 +312,10 @@
         self._withdraw(attempt, "not_needed")
 
     def _withdraw(self, attempt: PlacedAttempt, reason: str) -> None:
-        self._note(attempt, reason)
+        self._record_attempt(attempt, reason)
         self._learning.withdrawn(attempt)
 
-    def _note(self, attempt: PlacedAttempt, reason: str) -> None:
+    def _record_attempt(self, attempt: PlacedAttempt, reason: str) -> None:
         took = round(self._services.clock() - attempt.began, 4)
         self._trace.attempts.append((attempt.placed.state.id, reason, took))
 
@@ -377,7 +379,7 @@
     def _is_stream(self, result: AttemptResult) -> bool:
         return self._route.kind is RouteKind.STREAM and result.status == 200
 
-    def _deliver_whole(self, result: AttemptResult) -> None:
+    def _deliver_error(self, result: AttemptResult) -> None:
         """Passes the endpoint's own error response on to the caller."""
         status, headers = result.status, result.terms.headers
         whole = self._read_whole(result, lambda: self._watch)
@@ -396,10 +398,10 @@
         self._trace.facts["gap_ms"] = round(self._relay.longest_gap_s * 1000)
         if end is RelayEnd.COMPLETE:
             return result
-        self._note_end(end, attempt.placed)
+        self._record_stream_end(end, attempt.placed)
         return AttemptResult(Outcome.MAY_HAVE_RUN, str(end), result.status)
 
-    def _note_end(self, end: RelayEnd, placed: Placed) -> None:
+    def _record_stream_end(self, end: RelayEnd, placed: Placed) -> None:
         """Adds to the log line why a stream ended early and which endpoints were left."""
         self._trace.facts.update(
             stream_end=str(end),
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
@@ -123,7 +123,7 @@
             whole = self._events.feed(data)
             if not whole:
                 continue
-            hedging.heard()
+            hedging.record_data()
             self._event_at = self._clock()
             if is_first:
                 on_first(self._event_at)
@@ -142,7 +142,7 @@
             self._longest_gap_s = max(self._longest_gap_s, now - self._passed_at)
         self._passed_at = now
         if self.began:
-            self._connection.send_piece(whole)
+            self._connection.send_chunk(whole)
         else:
             self._begin(whole)
 
--- a/tests/engine_answers.py
+++ b/tests/engine_answers.py
@@ -39,7 +39,7 @@
     return HTTPResponse(status=503, headers={**head(headers), "Not-Executed": "1"})
 
 
-def goes_on(headers: dict[str, str]) -> HTTPResponse:
+def steady_stream(headers: dict[str, str]) -> HTTPResponse:
     """Returns a stream of three seconds without a pause."""
 
     def body():
@@ -55,7 +55,7 @@
     return mock.patch.object(endpoint_check, "_connect_error", return_value=error)
 
 
-def use_up(node: GatewayNode) -> None:
+def use_up_repeat_budget(node: GatewayNode) -> None:
     """Uses up a node's repeat budget for the engines."""
     while node._services.state.repeats.take("llm"):
         pass
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -10,7 +10,7 @@
 from arbutustally.gateway.endpoints import FailedCheck
 from arbutustally_node.gateway import stream_relay
 from arbutustally_node.gateway.node import GatewayNode
-from arbutustally_node.gateway.request_run import FIRST_BYTE_S
+from arbutustally_node.gateway.request_run import HEDGE_DELAY_S
 from arbutustally_node.gateway.stream_relay import SILENT_GAP_S
 from arbutustally_node.gateway.weights_service import LOADS_DUTY
 from tests.engine_answers import (
@@ -22,7 +22,7 @@
     full,
     head,
     signed,
-    use_up,
+    use_up_repeat_budget,
 )
 from tests.gateway_fleet import GatewayCase
 from tests.platform_fakes import FakeWorker, configuration
@@ -117,7 +117,7 @@
     def test_late_first_event_is_waited_for_where_other_engines_are_full(self) -> None:
         """Guards against giving up the place in an engine's queue without finding another engine."""
         self.set_routes()
-        self.answer_first_with(self.paused(FIRST_BYTE_S + 0.6, begins_with_events=False), full)
+        self.answer_first_with(self.paused(HEDGE_DELAY_S + 0.6, begins_with_events=False), full)
         answer = self.ask()
         self.assertEqual((answer.status, self.asked, answer.data), (200, 1, events(1, 5)))
 
@@ -143,7 +143,7 @@
         self.set_routes()
 
         def late(headers):
-            gevent.sleep(FIRST_BYTE_S + 0.3)
+            gevent.sleep(HEDGE_DELAY_S + 0.3)
 
             def body():
                 yield b"id: 1\n"
@@ -349,7 +349,7 @@
         """Guards against an order that interrupts a response which no repeat can complete."""
         node = self.start_node()
         self.wait_ready(node)
-        use_up(node)
+        use_up_repeat_budget(node)
         answer = self.name_weights_while_a_stream_runs_at(node)
         self.assertEqual((answer, self.strategies), (events(1, self.EVENTS), ["queue"]))
 
@@ -363,7 +363,7 @@
             self.wait_ready(node)
             self.eventually(lambda node=node: len(node._gossip.present) == 1)
         orderer, other = sorted(nodes, key=lambda node: node._gossip.rank(LOADS_DUTY))
-        use_up(other)
+        use_up_repeat_budget(other)
         answer = self.name_weights_while_a_stream_runs_at(other)
         self.assertTrue(orderer._services.state.repeats.take("llm"))
         self.assertEqual((answer, self.strategies), (events(1, self.EVENTS), ["queue"]))
--- a/tests/test_gateway_node_attempts.py
+++ b/tests/test_gateway_node_attempts.py
@@ -6,7 +6,7 @@
 import gevent
 from bottle import HTTPResponse
 
-from arbutustally_node.gateway.request_run import FIRST_BYTE_S
+from arbutustally_node.gateway.request_run import HEDGE_DELAY_S
 from arbutustally_node.gateway.stream_relay import SILENT_GAP_S
 from tests.gateway_fleet import GatewayCase
 from tests.platform_fakes import FakeWorker, configuration
@@ -157,7 +157,7 @@
         """
 
         def late():
-            gevent.sleep(FIRST_BYTE_S + 0.3)
+            gevent.sleep(HEDGE_DELAY_S + 0.3)
             yield b"id: 1\ndata: piece 1\n\n"
 
         self.answer_with(late)
--- a/tests/test_hedged_answers.py
+++ b/tests/test_hedged_answers.py
@@ -8,7 +8,7 @@
 from bottle import HTTPResponse
 
 from arbutustally.gateway.attempts import RepeatLedger
-from arbutustally_node.gateway.request_run import FIRST_BYTE_S
+from arbutustally_node.gateway.request_run import HEDGE_DELAY_S
 from tests.engine_answers import events, full, head, signed
 from tests.gateway_fleet import GatewayCase
 from tests.platform_fakes import configuration
@@ -32,7 +32,7 @@
 
 def late_full(headers):
     """Refuses the request after a hedge was sent."""
-    gevent.sleep(FIRST_BYTE_S + 0.3)
+    gevent.sleep(HEDGE_DELAY_S + 0.3)
     return full(headers)
 
 
@@ -135,7 +135,7 @@
         self.set_timeout(STREAM_ROUTE)
 
         def unsigned(_headers):
-            gevent.sleep(FIRST_BYTE_S + 0.3)
+            gevent.sleep(HEDGE_DELAY_S + 0.3)
             return HTTPResponse(body=b"x")
 
         def full_at_last(headers):
@@ -183,7 +183,7 @@
         self.set_timeout(STREAM_ROUTE)
 
         def late_head_only(headers):
-            gevent.sleep(FIRST_BYTE_S + 0.3)
+            gevent.sleep(HEDGE_DELAY_S + 0.3)
 
             def body():
                 yield b"id: 1\n"
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -3,8 +3,8 @@
 import gevent
 import urllib3
 
-from arbutustally_node.gateway.request_run import FIRST_BYTE_S
-from tests.engine_answers import events, goes_on, signed
+from arbutustally_node.gateway.request_run import HEDGE_DELAY_S
+from tests.engine_answers import events, signed, steady_stream
 from tests.gateway_fleet import GatewayCase
 from tests.platform_fakes import configuration
 
@@ -15,7 +15,7 @@
     REQUESTS = 5
     #: Earlier requests, so that half of the repeat budget suffices for the whole burst.
     EARLIER = 50
-    LATE_S = FIRST_BYTE_S + 1.0
+    LATE_S = HEDGE_DELAY_S + 1.0
 
     def setUp(self) -> None:
         super().setUp()
@@ -69,14 +69,14 @@
         as well.
         """
 
-        self.send_to_first_engine(goes_on)
+        self.send_to_first_engine(steady_stream)
         self.assertEqual(self.usable(), ["e1", "e2"])
 
     def test_engine_at_work_at_the_callers_deadlines_goes_on_to_be_chosen(self) -> None:
         """Replays long responses with short deadlines: streams still make progress at expiry."""
 
         for engine in self.engines:
-            engine.behave = goes_on
+            engine.behave = steady_stream
         calls = [gevent.spawn(self.ask_briefly, f"r{number}") for number in range(10)]
         gevent.joinall(calls, raise_error=True)
         self.assertEqual(self.usable(), ["e1", "e2"])
