Name whether a request may run elsewhere by what it decides

may_go_on was a callback of hedging, a parameter and a method of AttemptLoad. They become may_run_elsewhere, is_repeatable and set_repeatable.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/attempt_load.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/attempt_load.py
@@ -11,7 +11,8 @@
     :param state: endpoint of the attempt.
     :param request: request of the caller.
     :param choice: result of placement, ``None`` for a plain service.
-    :param may_go_on: whether the request may run at another endpoint if this one interrupts it.
+    :param is_repeatable: whether the request may run at another endpoint if this one interrupts
+        it.
     :ivar first_at: time of the first event by the steady clock, seconds; 0 before it.
     """
 
@@ -20,13 +21,13 @@
         state: EndpointState,
         request: CallerRequest,
         choice: Choice | None,
-        may_go_on: bool,
+        is_repeatable: bool,
     ) -> None:
         self._state = state
         total = request.prompt_tokens or 0
         self._unread = float(total - choice.expected_cached_tokens) if choice else 0.0
         self._memory = float(total + request.output_tokens) if choice else 0.0
-        self._unrepeatable = 0 if may_go_on else 1
+        self._unrepeatable = 0 if is_repeatable else 1
         self._has_ended = False
         self.first_at = 0.0
         state.running += 1
@@ -34,11 +35,11 @@
         state.prompt_tokens += self._unread
         state.memory_tokens += self._memory
 
-    def may_go_on(self, may_go_on: bool) -> None:
+    def set_repeatable(self, is_repeatable: bool) -> None:
         """Updates whether the request may still run at another endpoint."""
         if self._has_ended:
             return
-        before, self._unrepeatable = self._unrepeatable, 0 if may_go_on else 1
+        before, self._unrepeatable = self._unrepeatable, 0 if is_repeatable else 1
         self._state.unrepeatable += self._unrepeatable - before
 
     def first_event(self, now: float) -> None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
@@ -40,8 +40,8 @@
         endpoint has answered; ``None`` if no other endpoint is available at present. Without it
         the attempt is abandoned only if its endpoint is unreachable.
     :param cancel_hedge: cancels the hedge, even if it has been answered.
-    :param may_go_on: returns whether the request may run at another endpoint if this attempt is
-        abandoned because connects to its endpoint time out.
+    :param may_run_elsewhere: returns whether the request may run at another endpoint if this
+        attempt is abandoned because connects to its endpoint time out.
     """
 
     def __init__(
@@ -51,14 +51,14 @@
         on_silent: Callable[[EndpointState], None],
         start_hedge: Callable[[], gevent.Greenlet | None] = lambda: None,
         cancel_hedge: Callable[[], None] = lambda: None,
-        may_go_on: Callable[[], bool] = lambda: False,
+        may_run_elsewhere: Callable[[], bool] = lambda: False,
     ) -> None:
         self._state = state
         self._clock = clock
         self._on_silent = on_silent
         self._start_hedge = start_hedge
         self._cancel_hedge = cancel_hedge
-        self._may_go_on = may_go_on
+        self._may_run_elsewhere = may_run_elsewhere
         self._hedge_greenlet: gevent.Greenlet | None = None
         self._waiting: gevent.Greenlet | None = None
         self._is_overtaken = False
@@ -110,7 +110,9 @@
         since = self._waits_since
         if not state.is_down or self._clock() - since < UNREACHABLE_S:
             return False
-        return state.has_refused(since) or (state.has_failed_checks(since) and self._may_go_on())
+        return state.has_refused(since) or (
+            state.has_failed_checks(since) and self._may_run_elsewhere()
+        )
 
     def _give_up(self, wait: int) -> None:
         if wait == self._waits:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -233,7 +233,7 @@
         """Updates the load of both attempts: whether the request may run at a further endpoint."""
         attempts = [one for one in (self._current, self._hedge) if one is not None]
         for one in attempts:
-            one.load.may_go_on(self._has_endpoints_left(self._in_use()))
+            one.load.set_repeatable(self._has_endpoints_left(self._in_use()))
 
     def _in_use(self) -> int:
         """Returns the number of endpoints where the request may have run or is in flight."""
@@ -268,7 +268,7 @@
             attempt.placed.state,
             self._services.clock,
             self._services.on_silent,
-            may_go_on=lambda: self._has_endpoints_left(self._in_use()),
+            may_run_elsewhere=lambda: self._has_endpoints_left(self._in_use()),
         )
         result = self._send(attempt, hedging.watch(HEDGE_DELAY_S))
         if result.outcome is not Outcome.ANSWERED:
