--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -37,7 +37,7 @@
         self.asked = 0
 
     def answer_first_with(self, stream, others) -> None:
-        """Makes the first engine to get a request answer with ``stream``, others with ``others``."""
+        """Makes the first engine asked answer with ``stream``, the others with ``others``."""
 
         def answer(engine_id: str, headers: dict[str, str]):
             self.first = self.first or engine_id
@@ -115,7 +115,7 @@
         self.assertEqual([one.get("Last-Event-Id") for one in asked], [None, "2"])
 
     def test_late_first_event_is_waited_for_where_other_engines_are_full(self) -> None:
-        """Guards against giving up the place in an engine's queue without finding another engine."""
+        """Guards against losing the place in an engine's queue without finding another engine."""
         self.set_routes()
         self.answer_first_with(self.paused(HEDGE_DELAY_S + 0.6, begins_with_events=False), full)
         answer = self.ask()
--- a/tests/test_unreachable_endpoints.py
+++ b/tests/test_unreachable_endpoints.py
@@ -48,7 +48,7 @@
         return self.node._view.book.of_service("llm")
 
     def test_booking_at_work_is_waited_for(self) -> None:
-        """Guards against 502 for a booking in progress at a worker that is slow to accept connects."""
+        """Guards against 502 for a booking in progress at a worker that accepts connects slowly."""
 
         def books(headers):
             gevent.sleep(3.5)
@@ -99,7 +99,7 @@
         return caller
 
     def test_checks_before_the_silence_do_not_count(self) -> None:
-        """Guards against abandoning a paused endpoint, which is not checked, for earlier failures."""
+        """Guards against abandoning a paused endpoint, which is not checked, for older failures."""
 
         def stream(headers):
             def body():
