--- a/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
@@ -1,9 +1,9 @@
-"""Hedging: a request at a silent endpoint is sent to another one, and the first answer counts.
+"""Hedging: a request at a silent endpoint is also sent to another one; the first response is used.
 
-The silent endpoint is left only once another one has answered, so looking for another one never
-costs the request its place or an answer that has begun. An endpoint that is silent and refuses
-connections is given up. Connects that time out also happen at an endpoint that works, so they count
-only where the request may be left to others.
+The first attempt is abandoned only once another endpoint has answered, so hedging never costs the
+request its place in a queue or a response that has begun. An attempt is also abandoned if its
+endpoint is silent and refuses connections. Connect timeouts also occur at a working endpoint, so
+they count only if the request may run at another endpoint.
 """
 
 from collections.abc import Callable, Iterator
@@ -16,9 +16,9 @@
 from arbutustally.clock import Clock
 from arbutustally.gateway.endpoints import EndpointState
 
-#: Pause between two looks at a silent endpoint, seconds.
-LOOK_S = 0.3
-#: Least silence after which an endpoint that can't be connected to is given up, seconds.
+#: Interval between two checks of a silent endpoint, seconds.
+CHECK_INTERVAL_S = 0.3
+#: Minimum silence before an attempt at an unreachable endpoint is abandoned, seconds.
 UNREACHABLE_S = 1.2
 
 
@@ -27,20 +27,21 @@
 
 
 class UnreachableError(Exception):
-    """The endpoint is silent and can't be connected to."""
+    """The endpoint is silent and does not accept connections."""
 
 
-class Hedge:
-    """Watches one attempt for silence, and the attempt at another endpoint beside it.
+class HedgeController:
+    """Watches one attempt for silence and controls its hedge, an attempt at another endpoint.
 
     :param state: endpoint of the attempt.
-    :param on_silent: called at each look at the silent endpoint, must not block.
-    :param start_other: sends the request to another endpoint and returns the greenlet whose value
-        is whether that endpoint has answered; ``None`` if there is no other, or not now. Without
-        it the attempt is only given up when its endpoint can't be reached.
-    :param cancel_other: ends the attempt at the other endpoint, also if it has answered.
-    :param may_go_on: whether the request may go on elsewhere if the endpoint is given up because
-        connects to it time out.
+    :param clock: steady clock, seconds.
+    :param on_silent: called at each check of the silent endpoint, must not block.
+    :param start_hedge: sends the hedge and returns the greenlet whose value is whether the other
+        endpoint has answered; ``None`` if no other endpoint is available at present. Without it
+        the attempt is abandoned only if its endpoint is unreachable.
+    :param cancel_hedge: cancels the hedge, even if it has been answered.
+    :param may_run_elsewhere: returns whether the request may run at another endpoint if this
+        attempt is abandoned because connects to its endpoint time out.
     """
 
     def __init__(
@@ -48,17 +49,17 @@
         state: EndpointState,
         clock: Clock,
         on_silent: Callable[[EndpointState], None],
-        start_other: Callable[[], gevent.Greenlet | None] = lambda: None,
-        cancel_other: Callable[[], None] = lambda: None,
-        may_go_on: Callable[[], bool] = lambda: False,
+        start_hedge: Callable[[], gevent.Greenlet | None] = lambda: None,
+        cancel_hedge: Callable[[], None] = lambda: None,
+        may_run_elsewhere: Callable[[], bool] = lambda: False,
     ) -> None:
         self._state = state
         self._clock = clock
         self._on_silent = on_silent
-        self._start_other = start_other
-        self._cancel_other = cancel_other
-        self._may_go_on = may_go_on
-        self._other: gevent.Greenlet | None = None
+        self._start_hedge = start_hedge
+        self._cancel_hedge = cancel_hedge
+        self._may_run_elsewhere = may_run_elsewhere
+        self._hedge_greenlet: gevent.Greenlet | None = None
         self._waiting: gevent.Greenlet | None = None
         self._is_overtaken = False
         self._waits = 0
@@ -66,19 +67,19 @@
 
     @contextmanager
     def watch(self, silent_s: float) -> Iterator[None]:
-        """Watches a wait for the endpoint, in the current greenlet.
+        """Guards a wait of the current greenlet for the endpoint.
 
-        :param silent_s: time from now after which the endpoint counts as silent.
+        :param silent_s: time from now after which the endpoint counts as silent, seconds.
         :raises OvertakenError: if another endpoint has answered.
-        :raises UnreachableError: if the endpoint is silent and can't be reached.
+        :raises UnreachableError: if the endpoint is silent and unreachable.
         """
         if self._is_overtaken:
             raise OvertakenError
-        timer = get_hub().loop.timer(max(silent_s, 0.0), LOOK_S)
+        timer = get_hub().loop.timer(max(silent_s, 0.0), CHECK_INTERVAL_S)
         self._waiting = getcurrent()
         self._waits += 1
         self._waits_since = self._clock()
-        timer.start(self._look)
+        timer.start(self._check)
         try:
             yield
         finally:
@@ -86,22 +87,22 @@
             timer.close()
             self._waiting = None
 
-    def heard(self) -> None:
-        """Notes that the endpoint has gone on: what another one might answer is out of date."""
+    def record_data(self) -> None:
+        """Records data from the endpoint and cancels the hedge, whose response is obsolete now."""
         self._state.heard_at = self._clock()
-        if self._other is not None or self._is_overtaken:
-            self._other = None
+        if self._hedge_greenlet is not None or self._is_overtaken:
+            self._hedge_greenlet = None
             self._is_overtaken = False
-            self._cancel_other()
+            self._cancel_hedge()
 
-    def _look(self) -> None:
+    def _check(self) -> None:
         if self._is_gone():
-            # Data that wait in the socket are read before the spawned greenlet runs.
+            # Spawned, so that data waiting in the socket is read first.
             gevent.spawn(self._give_up, self._waits)
             return
         self._on_silent(self._state)
-        if self._other is None and not self._is_overtaken:
-            # Placement takes too long for a callback of the event loop.
+        if self._hedge_greenlet is None and not self._is_overtaken:
+            # Spawned, as placement takes too long for a callback of the event loop.
             gevent.spawn(self._start, self._waits)
 
     def _is_gone(self) -> bool:
@@ -109,27 +110,29 @@
         since = self._waits_since
         if not state.is_down or self._clock() - since < UNREACHABLE_S:
             return False
-        return state.has_refused(since) or (state.has_failed_checks(since) and self._may_go_on())
+        return state.has_refused(since) or (
+            state.has_failed_checks(since) and self._may_run_elsewhere()
+        )
 
     def _give_up(self, wait: int) -> None:
         if wait == self._waits:
             self._interrupt(UnreachableError())
 
     def _start(self, wait: int) -> None:
-        # The endpoint may have gone on since the timer expired.
-        if self._other is not None or self._waiting is None or wait != self._waits:
+        # The endpoint may have sent data since the timer expired.
+        if self._hedge_greenlet is not None or self._waiting is None or wait != self._waits:
             return
-        other = self._start_other()
-        if other is not None:
-            self._other = other
-            other.link(self._ended)
+        greenlet = self._start_hedge()
+        if greenlet is not None:
+            self._hedge_greenlet = greenlet
+            greenlet.link(self._ended)
 
-    def _ended(self, other: Any) -> None:
-        if other is not self._other:
+    def _ended(self, greenlet: Any) -> None:
+        if greenlet is not self._hedge_greenlet:
             return
-        self._other = None
-        # The value of a greenlet that was killed is an exception.
-        if other.value is True:
+        self._hedge_greenlet = None
+        # The value of a killed greenlet is an exception, hence the comparison with ``True``.
+        if greenlet.value is True:
             self._is_overtaken = True
             self._interrupt(OvertakenError())
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -1,4 +1,4 @@
-"""One attempt of a request at one endpoint."""
+"""Sending of one attempt to one endpoint and classification of its response."""
 
 from collections.abc import Callable
 from contextlib import AbstractContextManager
@@ -16,29 +16,31 @@
 from arbutustally_node.gateway.ports import AnswerTerms, AttemptTerms, HttpCodec
 from arbutustally_node.pool import PooledResponse, PoolService
 
-#: Largest answer that is read whole before it is passed on, bytes.
+#: Largest response that is read completely before it is passed on, bytes.
 MAX_WHOLE_ANSWER = 8 << 20
 FIRST_FAILURE_STATUS = 500
 
-#: Reasons of attempts that did not run.
+#: Reasons of attempts that the endpoint did not run.
 ENDPOINT_FULL = "endpoint_full"
 OTHER_ENDPOINT = "other_endpoint"
 OTHER_WEIGHTS = "other_weights"
-#: Reason of an attempt whose endpoint did not answer in time, or after another one.
+#: Reason of an attempt whose endpoint did not answer in time, or not before another one.
 ENDPOINT_SILENT = "endpoint_silent"
-#: Reason of an attempt whose endpoint is silent and can't be reached.
+#: Reason of an attempt whose endpoint is silent and unreachable.
 ENDPOINT_GONE = "endpoint_gone"
 
 
 @dataclass
-class Attempt:
-    """How an attempt went.
-
-    :ivar reason: stable word for logs and counters.
-    :ivar status: of the endpoint's answer, 0 without one.
-    :ivar response: an answer whose body is still to be read, otherwise ``None``.
-    :ivar body: a whole answer's body.
-    :ivar is_unreachable: no connection could be made.
+class AttemptResult:
+    """Result of an attempt.
+
+    :ivar outcome: decides whether the request may be repeated.
+    :ivar reason: stable identifier of the result in logs and counters.
+    :ivar status: status of the endpoint's response, 0 without one.
+    :ivar terms: decoded headers of the response, ``None`` without one.
+    :ivar response: response whose body has not been read completely, otherwise ``None``.
+    :ivar body: body of a response that was read completely.
+    :ivar is_unreachable: whether no connection could be established.
     """
 
     outcome: Outcome
@@ -64,13 +66,17 @@
         terms: AttemptTerms,
         guard: AbstractContextManager[None],
         fresh: bool = False,
-    ) -> Attempt:
-        """Sends a request and returns the head of its answer, or how the attempt failed.
-
-        :param guard: watches the wait for the head.
-        :param fresh: use a new connection. A late copy of the answer to an earlier attempt at the
-            same endpoint has the same id, and could not be told from the answer to this one.
-        :raises CallerGoneError: if the caller leaves meanwhile.
+    ) -> AttemptResult:
+        """Sends a request; returns the response head or the failure.
+
+        :param request: request of the caller.
+        :param state: endpoint to send it to.
+        :param terms: contents of the attempt's own headers.
+        :param guard: context manager that guards the wait for the response head.
+        :param fresh: whether to open a new connection. On a reused one, a late duplicate of the
+            response to an earlier attempt at the same endpoint would carry the same id and could
+            not be distinguished from the response to this attempt.
+        :raises CallerGoneError: if the caller disconnects meanwhile.
         """
         headers = self._codec.attempt_headers(request, terms)
         try:
@@ -85,29 +91,31 @@
                     fresh,
                 )
         except (EndpointTimeoutError, OvertakenError, _HeadTimeoutError):
-            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_SILENT)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, ENDPOINT_SILENT)
         except UnreachableError:
-            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE)
         except EndpointFailedError as error:
             if error.ran is Ran.NOT_RUN:
                 reason = "connection_refused" if is_refused(error) else "connect_timeout"
-                return Attempt(Outcome.NOT_RUN, reason, is_unreachable=True)
-            return Attempt(Outcome.MAY_HAVE_RUN, "connection_broken")
+                return AttemptResult(Outcome.NOT_RUN, reason, is_unreachable=True)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, "connection_broken")
         return self._judge(request, state, response)
 
     def await_event(
         self,
-        attempt: Attempt,
+        result: AttemptResult,
         left_s: float,
         guard: AbstractContextManager[None],
         resumed_after: str,
-    ) -> Attempt:
-        """Waits for the first whole event of a stream, which stays to be read.
+    ) -> AttemptResult:
+        """Waits for the first complete event of a stream without consuming it.
 
-        :param guard: watches the wait for it.
+        :param result: result of an answered attempt.
+        :param left_s: time until the deadline, seconds.
+        :param guard: context manager that guards the wait.
         :param resumed_after: as for ``WholeEvents``.
         """
-        response = attempt.response
+        response = result.response
         arrived = b""
         try:
             with guard, gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
@@ -115,63 +123,68 @@
                     arrived += piece
         except UnreachableError:
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE, attempt.status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE, result.status)
         except (RouterError, EventError, _HeadTimeoutError):
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, "stream_broken", attempt.status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, "stream_broken", result.status)
         except BaseException:
             response.close()
             raise
         if arrived and not WholeEvents().feed(arrived):
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, "stream_broken", attempt.status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, "stream_broken", result.status)
         response.put_back(arrived)
-        return attempt
+        return result
 
     def read_whole(
-        self, attempt: Attempt, left_s: float, watch: Callable[[], AbstractContextManager[None]]
-    ) -> Attempt:
-        """Reads the body of an answer.
-
-        :param watch: returns what watches the wait for a piece of it.
-        :raises CallerGoneError: if the caller leaves meanwhile.
+        self,
+        result: AttemptResult,
+        left_s: float,
+        watch: Callable[[], AbstractContextManager[None]],
+    ) -> AttemptResult:
+        """Reads the complete body of a response.
+
+        :param result: result of an attempt whose response has not been read.
+        :param left_s: time until the deadline, seconds.
+        :param watch: returns the context manager that guards the wait for one chunk.
+        :raises CallerGoneError: if the caller disconnects meanwhile.
         """
-        response = attempt.response
+        response = result.response
         try:
             with gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
-                attempt.body = response.read_whole(MAX_WHOLE_ANSWER, watch)
+                result.body = response.read_whole(MAX_WHOLE_ANSWER, watch)
         except OvertakenError:
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_SILENT, attempt.status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, ENDPOINT_SILENT, result.status)
         except UnreachableError:
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE, attempt.status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE, result.status)
         except (RouterError, _HeadTimeoutError):
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, "answer_broken", attempt.status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, "answer_broken", result.status)
         except BaseException:
             response.close()
             raise
-        attempt.response = None
-        return attempt
+        result.response = None
+        return result
 
     def _judge(
         self, request: CallerRequest, state: EndpointState, response: PooledResponse
-    ) -> Attempt:
-        """Tells a usable answer from one that must not reach the caller."""
+    ) -> AttemptResult:
+        """Classifies a response: usable, or not to be passed on to the caller."""
         terms = self._codec.decode_answer(response.status, response.header_items)
         status = response.status
         if terms.echoed_id and terms.echoed_id != request.request_id:
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, "crossed_answer", status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, "crossed_answer", status)
         if terms.is_not_run or terms.is_mismatched:
             response.settle()
-            return Attempt(Outcome.NOT_RUN, _refusal(terms, state), status, terms)
+            return AttemptResult(Outcome.NOT_RUN, _refusal(terms, state), status, terms)
         if not terms.is_signed:
             response.close()
-            return Attempt(Outcome.MAY_HAVE_RUN, "unsigned_answer", status)
+            return AttemptResult(Outcome.MAY_HAVE_RUN, "unsigned_answer", status)
         outcome = Outcome.FAILED if status >= FIRST_FAILURE_STATUS else Outcome.ANSWERED
-        return Attempt(outcome, f"status_{status}", status, terms, response)
+        return AttemptResult(outcome, f"status_{status}", status, terms, response)
 
 
 def _refusal(terms: AnswerTerms, state: EndpointState) -> str:
@@ -182,4 +195,4 @@
 
 
 class _HeadTimeoutError(Exception):
-    """The head or the body of an answer did not come in time."""
+    """The head or the body of a response did not arrive before the deadline."""
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -1,4 +1,4 @@
-"""Servers in trouble that send bytes without end: calls end in time, and others are not held up.
+"""Faulty servers that send endless data: calls end in time and don't block other greenlets.
 
 The servers run on native threads, so that they send faster than the node reads.
 """
@@ -21,9 +21,9 @@
 from tests.gateway_values import entry
 
 _socket = monkey.get_original("socket", "socket")
-#: Time by which a call must have ended beyond its own bound, seconds.
+#: Tolerance for the end of a call beyond its own time limit, seconds.
 SLACK_S = 1.0
-#: Longest time for which another task may be held up, seconds.
+#: Longest time for which another greenlet may be blocked, seconds.
 MAX_HELD_UP_S = 0.5
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -72,7 +72,7 @@
     yield from repeat(b"\0\xff" * 2048)
 
 
-TROUBLES = (
+ENDLESS_RESPONSES = (
     endless_head_line,
     endless_headers,
     endless_informational,
@@ -85,10 +85,10 @@
 
 
 class EndlessServer:
-    """Sends one kind of trouble to each connection until it is closed."""
+    """Sends one kind of endless data on each connection until it is closed."""
 
-    def __init__(self, trouble: Callable[[], Iterator[bytes]]) -> None:
-        self._trouble = trouble
+    def __init__(self, response: Callable[[], Iterator[bytes]]) -> None:
+        self._response = response
         self._listener = _socket()
         self._listener.bind(("127.0.0.1", 0))
         self._listener.listen(8)
@@ -99,19 +99,19 @@
         self._pool.spawn(self._serve)
 
     def stop(self) -> None:
-        # Wakes the thread that accepts.
-        self._trouble = None
+        # Wakes the thread that is blocked in ``accept``.
+        self._response = None
         waker = _socket()
         waker.connect(self._listener.getsockname())
         waker.close()
 
     def _serve(self) -> None:
-        while self._trouble is not None:
+        while self._response is not None:
             connection, _address = self._listener.accept()
             connection.settimeout(10.0)
             try:
                 connection.recv(65536)
-                for piece in self._trouble() if self._trouble else ():
+                for piece in self._response() if self._response else ():
                     connection.sendall(piece)
                     self.sent += len(piece)
             except OSError:
@@ -122,16 +122,19 @@
 
 
 class EndlessTest(unittest.TestCase):
-    def play(self, check: Callable[[str], None]) -> None:
-        """Runs a check against each kind of trouble."""
-        for trouble in TROUBLES:
-            server = EndlessServer(trouble)
-            with self.subTest(trouble=trouble.__name__):
+    def check_each_response(self, check: Callable[[str], None]) -> None:
+        """Runs a check against each kind of endless data."""
+        for response in ENDLESS_RESPONSES:
+            server = EndlessServer(response)
+            with self.subTest(response=response.__name__):
                 check(server.address)
             server.stop()
 
     def assert_ends(self, call: Callable[[], object], within_s: float) -> None:
-        """Asserts that a call ends in time while another task has its turns."""
+        """Asserts that a call ends in time and does not block other greenlets.
+
+        :param within_s: time limit of the call, seconds.
+        """
         longest = 0.0
 
         def watch() -> None:
@@ -159,7 +162,7 @@
             with self.assertRaises(StoreUnavailableError):
                 self.assert_ends(lambda: topic.since(0, 0.0), ANSWER_TIMEOUT_S)
 
-        self.play(check)
+        self.check_each_response(check)
 
     def test_engine_calls(self) -> None:
         def check(address: str) -> None:
@@ -168,10 +171,12 @@
             events = PlatformCacheEvents()
             self.assert_ends(lambda: events.changes(address, 0, 0.0), ENGINE_TIMEOUT_S)
 
-        self.play(check)
+        self.check_each_response(check)
 
     def test_snapshot_of_a_peer(self) -> None:
-        self.play(lambda address: self.assert_ends(lambda: fetch_snapshot(address), 1.0))
+        self.check_each_response(
+            lambda address: self.assert_ends(lambda: fetch_snapshot(address), 1.0)
+        )
 
     def test_answer_to_a_request(self) -> None:
         def check(address: str) -> None:
@@ -190,7 +195,7 @@
             with self.assertRaises((RouterError, _TooLateError)):
                 self.assert_ends(ask, 2.0)
 
-        self.play(check)
+        self.check_each_response(check)
 
 
 class TrailerTest(unittest.TestCase):
@@ -203,4 +208,4 @@
 
 
 class _TooLateError(Exception):
-    """The answer did not end in time."""
+    """The response did not end in time."""
