State the limits, breaker and version modules in usual technical terms

Comments and docstrings used figurative verbs (tells, notes, takes back) and answers for responses. They now say what is recorded, limited or compared; parameters without a description have one. Constants keep every reason and number.

--- a/packages/arbutustally/src/arbutustally/breaker.py
+++ b/packages/arbutustally/src/arbutustally/breaker.py
@@ -1,4 +1,4 @@
-"""Circuit breaker: stops a version whose answers are worse than those of the old version."""
+"""Circuit breaker: stops a version whose responses are worse than those of the old version."""
 
 from collections import deque
 from collections.abc import Iterable
@@ -19,34 +19,36 @@
 FAILURES = "failures"
 SLOW_FIRST_TOKEN = "slow_first_token"
 SLOW_TOKENS = "slow_tokens"
-#: Failure share that is accepted whatever the old version shows.
+#: Share of failures that is accepted regardless of the old version's share.
 TOLERATED_FAILURES = 0.02
-#: Probability under which bad answers are not taken as chance. The test is repeated for every
-#: answer, so the value is far below the wanted rate of false trips; three failures in five
-#: answers are below it.
+#: The breaker trips if bad responses would occur by chance with less than this probability. The
+#: test is repeated for every response, so the value is far below the wanted rate of false trips;
+#: three failures in five responses are below it.
 TRIP_PROBABILITY = 1e-4
-#: A slow answer takes this many times the old version's 95th percentile.
+#: A response is slow if it takes longer than this multiple of the old version's 95th percentile.
 SLOW_FACTOR = 1.5
-#: Share of slow answers that is accepted. A good version starts with cold caches on few endpoints,
-#: which made 13 of 88 answers slow in the replay; five slow answers in five are below
-#: ``TRIP_PROBABILITY``.
+#: Share of slow responses that is accepted. A good version starts with cold caches on few
+#: endpoints, which made 13 of 88 responses slow in the replay; five slow responses in five are
+#: below ``TRIP_PROBABILITY``.
 TOLERATED_SLOW = 0.15
-#: Most answers of a slow version take this many times the old version's median. A cold cache makes
-#: a third of the answers of a good version slow, as its prefills stand between the tokens of other
-#: requests, so times between tokens are judged by this alone.
+#: Most responses of a slow version take longer than this multiple of the old version's median. A
+#: cold cache makes a third of the responses of a good version slow, as its prefills delay the
+#: tokens of other requests, so times between tokens are judged by the median alone.
 MEDIAN_FACTOR = 2.0
-#: Share of answers above that bound that is accepted.
+#: Share of responses above that bound that is accepted.
 TOLERATED_ABOVE_MEDIAN = 0.4
-#: Answers of the new version that are compared; few, so that a late fault shows at once.
+#: Latest responses of the new version that are compared; few, so that a fault that begins late is
+#: detected quickly.
 RECENT = 40
-#: Answers of the new version in a row that are compared with the last one of the old version; a
-#: longer row says nothing about how fast the old version would be at present.
+#: Consecutive responses of the new version that are compared with the last one of the old version;
+#: in a longer run that one no longer shows how fast the old version would be at present.
 MAX_UNPAIRED = 11
-#: Rule of three: among ``n`` answers without a slow one, the share of slow ones may still be 3/n.
+#: Rule of three: if none of ``n`` responses is slow, the share of slow ones may still be 3/n.
 UNSEEN_SLOW = 3
-#: Answers of the old version at the same time that settle whether a slow new version is at fault.
+#: Concurrent responses of the old version that suffice to decide whether a slow new version is at
+#: fault.
 CONTROL_ANSWERS = 20
-#: Time for which a doubt lasts without new answers, seconds.
+#: Time after which a doubt ends without new responses, seconds.
 DOUBT_S = 10.0
 
 
@@ -55,9 +57,9 @@
     """Why a version must not be used.
 
     :ivar reason: ``FAILURES``, ``SLOW_FIRST_TOKEN`` or ``SLOW_TOKENS``.
-    :ivar bad: bad answers among ``answers``.
-    :ivar answers: answers compared.
-    :ivar accepted: share of bad answers that the old version shows or that is tolerated.
+    :ivar bad: bad responses among ``answers``.
+    :ivar answers: responses compared.
+    :ivar accepted: share of bad responses that the old version has or that is tolerated.
     """
 
     key: EvidenceKey
@@ -79,7 +81,8 @@
 class _Judged:
     """A sample with its comparisons; ``None`` where it could not be compared.
 
-    :ivar paired: the old version answered a few answers ago at most.
+    :ivar paired: at most ``MAX_UNPAIRED`` responses of the new version, this one included, came
+        since the last response of the old version.
     """
 
     paired: bool
@@ -90,7 +93,7 @@
 
 
 class _Trial:
-    """Answers of a version on one class and route."""
+    """Responses of a version on one class and route."""
 
     def __init__(self) -> None:
         self.evidence = Evidence()
@@ -100,11 +103,11 @@
         self._unpaired = 0
 
     def add(self, sample: Sample, now: float) -> None:
-        """Adds an answer of a version that is not on trial; its own past is the base."""
+        """Adds a response of a version that is not on trial; its own past is the base."""
         self._add(sample, self.evidence, True, now)
 
     def add_beside(self, sample: Sample, old: "_Trial | None", now: float) -> None:
-        """Adds an answer of a version on trial after comparing it with the old version."""
+        """Adds a response of a version on trial after comparing it with the old version."""
         old_answers = old.history.total.answers if old else 0
         if old_answers != self._old_answers:
             self._old_answers = old_answers
@@ -121,17 +124,17 @@
 
     @property
     def recent(self) -> Tally:
-        """Returns the counts of the last answers; those without a pair count as not compared."""
+        """Returns the counts of the last responses; unpaired ones count as not compared."""
         return _count(judged for _, judged in self._recent)
 
     @property
     def recent_compared(self) -> Tally:
-        """Returns the counts of the last answers as if each had a pair."""
+        """Returns the counts of the last responses as if all were paired."""
         return _count(replace(judged, paired=True) for _, judged in self._recent)
 
     @property
     def recent_since(self) -> float:
-        """Returns when the first of the last answers came, infinity without answers."""
+        """Returns the time of the first of the last responses, infinity without responses."""
         return self._recent[0][0] if self._recent else float("inf")
 
 
@@ -170,7 +173,7 @@
 
 @dataclass(frozen=True)
 class Accepted:
-    """Shares of bad answers that are accepted; by default those tolerated of any version."""
+    """Shares of bad responses that are accepted; by default those tolerated of any version."""
 
     failures: float = TOLERATED_FAILURES
     slow: float = TOLERATED_SLOW
@@ -179,10 +182,10 @@
 
     @classmethod
     def from_old(cls, failure_share: float, beside: Tally) -> "Accepted":
-        """Accepts what the old version shows as well.
+        """Returns the shares of the old version, at least the tolerated ones.
 
-        :param failure_share: failures of the old version.
-        :param beside: its answers at the same time; a busy machine makes both versions slow.
+        :param failure_share: share of failures of the old version.
+        :param beside: its concurrent responses, since a busy machine makes both versions slow.
         """
         return cls(
             max(failure_share, TOLERATED_FAILURES),
@@ -193,12 +196,12 @@
 
 
 def _highest_share(slow: int, answers: int) -> float:
-    """Returns the largest share of slow answers that counts leave open; 1 without answers."""
+    """Returns the largest share of slow responses that counts allow; 1 without responses."""
     return (slow + UNSEEN_SLOW) / (answers + UNSEEN_SLOW)
 
 
 def judge_tally(key: EvidenceKey, tally: Tally, accepted: Accepted) -> Trip | None:
-    """Decides whether counts are too bad to be chance."""
+    """Returns a trip if more responses are bad than chance explains, else ``None``."""
     for reason, bad, answers, share in (
         (FAILURES, tally.failures, tally.answers, accepted.failures),
         (SLOW_FIRST_TOKEN, tally.slow, tally.timed, accepted.slow),
@@ -214,8 +217,9 @@
 class Report:
     """Counts of one node for one version, class and route.
 
-    :ivar recent: its last answers, at most ``RECENT``.
-    :ivar total: all its answers since the version was reset.
+    :ivar recent: its last responses, at most ``RECENT``; of the old version those during the recent
+        ones of the version on trial.
+    :ivar total: all its responses since the version was reset.
     """
 
     key: EvidenceKey
@@ -224,11 +228,11 @@
 
 
 class Breaker:
-    """Compares the versions of models on the evidence of this node and of its peers.
+    """Compares versions of models by the evidence of this node and of its peers.
 
     A tripped version stays tripped until ``reset``.
 
-    :param clock: monotonic seconds.
+    :param clock: returns monotonic seconds.
     """
 
     def __init__(self, clock: Clock = monotonic) -> None:
@@ -239,10 +243,10 @@
         self._doubts: dict[EvidenceKey, float] = {}
 
     def observe(self, key: EvidenceKey, sample: Sample, previous: str = "") -> Trip | None:
-        """Adds an answer and compares with the old version.
+        """Adds a response and compares the version with the old one.
 
         :param previous: the old version; empty if the version is not on trial.
-        :returns: the trip, if this answer caused it.
+        :returns: the trip, if this response caused it.
         """
         trial = self._trials.setdefault(key, _Trial())
         if not previous or previous == key.version:
@@ -252,7 +256,7 @@
         return self._judge(key, previous)
 
     def hear(self, node: str, reports: list[Report], previous: str = "") -> Trip | None:
-        """Takes the counts of a peer, which replace those it sent before.
+        """Applies the counts of a peer, which replace those that it sent before.
 
         :param previous: as in ``observe``.
         :returns: the trip, if these counts caused it.
@@ -265,7 +269,7 @@
         return trip
 
     def trip(self, trip: Trip) -> None:
-        """Stops the version, on own evidence or on a peer's word."""
+        """Stops the version, by this node's evidence or by a trip that a peer reported."""
         self._trips.setdefault((trip.key.model, trip.key.version), trip)
 
     def tripped(self, model: str, version: str) -> Trip | None:
@@ -273,9 +277,9 @@
         return self._trips.get((model, version))
 
     def doubted(self, model: str, version: str) -> bool:
-        """Returns whether the version is slow and too few answers of the old one tell why.
+        """Returns whether the version is slow and the old one has too few responses to find out why.
 
-        Some requests should go to the old version then.
+        The old version should then receive some requests.
         """
         since = self._clock() - DOUBT_S
         return any(
@@ -284,16 +288,16 @@
         )
 
     def reset(self, model: str, version: str) -> None:
-        """Forgets evidence and trip of a version, for a new attempt."""
+        """Discards evidence and trip of a version, for a new attempt."""
         self._trips.pop((model, version), None)
         for counts in (self._trials, self._heard, self._doubts):
             for key in [key for key in counts if (key.model, key.version) == (model, version)]:
                 del counts[key]
 
     def reports(self, model: str, version: str, beside: str = "") -> list[Report]:
-        """Returns this node's own counts of a version, for its peers.
+        """Returns this node's own counts of a version, to be sent to its peers.
 
-        :param beside: version on trial, if ``version`` is the old one; then only the answers
+        :param beside: version on trial, if ``version`` is the old one; then only the responses
             during the recent ones of that version count as recent.
         """
         return [
@@ -332,9 +336,9 @@
         return trip
 
     def _note_doubt(self, key: EvidenceKey, suspicion: Trip | None, beside: Tally) -> None:
-        """Notes whether a suspicion needs more answers of the old version.
+        """Records whether more responses of the old version are needed to judge a suspicion.
 
-        :param suspicion: trip that would follow if every answer had a pair.
+        :param suspicion: trip that would follow if all responses were paired.
         """
         if suspicion is None or suspicion.reason == FAILURES:
             answers = CONTROL_ANSWERS
@@ -346,7 +350,7 @@
             self._doubts.pop(key, None)
 
     def _beside(self, old_key: EvidenceKey, version: str) -> Tally:
-        """Returns the old version's answers during the recent ones of a version on trial."""
+        """Returns the old version's responses during the recent ones of a version on trial."""
         old = self._trials.get(old_key)
         trial = self._trials.get(_key_of(old_key, version))
         if old is None or trial is None:
--- a/packages/arbutustally/src/arbutustally/evidence.py
+++ b/packages/arbutustally/src/arbutustally/evidence.py
@@ -5,23 +5,24 @@
 from collections import deque
 from dataclasses import astuple, dataclass, field
 
-#: Answers kept per version, class and route.
+#: Responses kept per version, class and route.
 WINDOW = 200
-#: Answers whose instants are kept; at a share of 1% they cover the recent ones of a new version.
+#: Responses whose times are kept; at a share of 1% they cover the recent ones of a new version.
 HISTORY = 4000
-#: Answers of the old version below which its latencies are not compared.
+#: Responses of the old version below which its latencies are not compared.
 MIN_BASE_SAMPLES = 20
-#: Slope of the line of time over work before there are answers, in s/token, and the spread of work
-#: in tokens squared that answers need to outweigh it.
+#: Prior of the regression of time on work: its slope in s/token, and its weight as the sum of squared
+#: deviations of work, in tokens squared, at which responses count as much as the prior.
 PRIOR_S_PER_TOKEN = 1 / 8000
 PRIOR_SPREAD = 5e6
-#: Least expected time to first token in seconds: below, the network and the step decide.
+#: Smallest expected time to first token, seconds: shorter times depend on the network and the
+#: engine's step, not on the work.
 LEAST_FIRST_TOKEN_S = 0.01
 
 
 @dataclass(frozen=True)
 class EvidenceKey:
-    """What a piece of evidence is about."""
+    """Identifies the model, version, class and route that a sample belongs to."""
 
     model: str
     version: str
@@ -31,13 +32,13 @@
 
 @dataclass(frozen=True)
 class Sample:
-    """One answer.
+    """One response.
 
-    :ivar ok: the answer was complete and correct.
+    :ivar ok: the response was complete and correct.
     :ivar first_token_s: time to first token, ``None`` without one.
     :ivar gap_s: mean time between tokens, ``None`` without one.
-    :ivar work_tokens: tokens to compute before the first token, queue included; without them the
-        time to first token is not compared, since a cold cache would look like a slow version.
+    :ivar work_tokens: tokens to compute before the first token, queue included; if ``None``, the
+        time to first token is not compared, since a cold cache would appear as a slow version.
     """
 
     ok: bool
@@ -47,21 +48,21 @@
 
 
 class WorkLine:
-    """Straight line of time to first token over work, fitted to recent answers.
+    """Linear regression of time to first token on work, over recent responses.
 
     A version that starts has a cold cache and computes more than the old one, so its times are
-    compared with what the old one would take for the same work.
+    compared with those expected of the old one for the same work.
     """
 
     def __init__(self) -> None:
         self._points: deque[tuple[float, float]] = deque(maxlen=WINDOW)
 
     def add(self, work_tokens: float, seconds: float) -> None:
-        """Adds an answer; the oldest goes when the window is full."""
+        """Adds a response; the oldest is removed when the window is full."""
         self._points.append((work_tokens, seconds))
 
     def expected_s(self, work_tokens: float) -> float:
-        """Returns the time that the line gives for some work."""
+        """Returns the expected time to first token for an amount of work, seconds."""
         if not self._points:
             return LEAST_FIRST_TOKEN_S + work_tokens * PRIOR_S_PER_TOKEN
         count = len(self._points)
@@ -88,7 +89,7 @@
         return len(self._recent)
 
     def add(self, seconds: float) -> None:
-        """Adds a sample; the oldest goes when the window is full."""
+        """Adds a sample; the oldest is removed when the window is full."""
         self._recent.append(seconds)
         insort(self._sorted, seconds)
         if len(self._recent) > self._size:
@@ -104,10 +105,11 @@
 
 @dataclass
 class Evidence:
-    """Recent answers of one version on one class and route.
+    """Recent responses of one version on one class and route.
 
-    :ivar slowness: times to first token in parts of the expected ones.
+    :ivar slowness: ratios of measured to expected times to first token.
     :ivar gap: times between tokens in seconds.
+    :ivar line: expected times to first token.
     """
 
     samples: deque[Sample] = field(default_factory=lambda: deque(maxlen=WINDOW))
@@ -116,7 +118,7 @@
     line: WorkLine = field(default_factory=WorkLine)
 
     def add(self, sample: Sample) -> None:
-        """Adds an answer."""
+        """Adds a response."""
         self.samples.append(sample)
         ratio = self.slowness_of(sample)
         if ratio is not None:
@@ -126,7 +128,10 @@
             self.gap.add(sample.gap_s)
 
     def slowness_of(self, sample: Sample) -> float | None:
-        """Returns an answer's time to first token in parts of what this version would take."""
+        """Returns the ratio of a response's time to first token to that expected of this version.
+
+        It is ``None`` without a first token or known work.
+        """
         if sample.first_token_s is None or sample.work_tokens is None:
             return None
         return sample.first_token_s / self.line.expected_s(sample.work_tokens)
@@ -138,7 +143,7 @@
 
     @property
     def failure_share(self) -> float:
-        """Returns the share of failures in the window, 0 without answers."""
+        """Returns the share of failures in the window, 0 without responses."""
         return self.failures / len(self.samples) if self.samples else 0.0
 
 
@@ -154,14 +159,14 @@
 
 @dataclass(frozen=True)
 class Tally:
-    """Counts of answers of one version on one class and route, added up over nodes.
+    """Counts of responses of one version on one class and route, of one or more nodes.
 
-    :ivar answers: all answers.
+    :ivar answers: all responses.
     :ivar failures: failed ones.
-    :ivar timed: answers whose time to first token was compared with the old version's.
+    :ivar timed: responses whose time to first token was compared with the old version's.
     :ivar slow: those far above its 95th percentile.
     :ivar above_median: those far above its median.
-    :ivar gapped: answers whose time between tokens was compared.
+    :ivar gapped: responses whose time between tokens was compared.
     :ivar slow_gaps: those far above the old version's median.
     """
 
@@ -183,7 +188,7 @@
 
 
 class TallyHistory:
-    """Running counts of answers, from which those since an instant are taken."""
+    """Cumulative counts of responses, which give the counts since an instant."""
 
     def __init__(self) -> None:
         self._instants: list[float] = []
@@ -192,11 +197,11 @@
 
     @property
     def total(self) -> Tally:
-        """Returns the counts of all answers."""
+        """Returns the counts of all responses."""
         return self._sums[-1] if self._sums else self._dropped
 
     def add(self, now: float, answer: Tally) -> None:
-        """Adds an answer.
+        """Adds the counts of one response.
 
         :param now: monotonic seconds, never less than before.
         """
@@ -208,7 +213,7 @@
             del self._instants[:-HISTORY]
 
     def since(self, instant: float) -> Tally:
-        """Returns the counts of the kept answers at or after an instant."""
+        """Returns the counts of the kept responses at or after an instant."""
         position = bisect_left(self._instants, instant)
         before = self._sums[position - 1] if position else self._dropped
         return self.total.minus(before)
--- a/packages/arbutustally/src/arbutustally/limit_issuer.py
+++ b/packages/arbutustally/src/arbutustally/limit_issuer.py
@@ -9,40 +9,43 @@
 from arbutustally.errors import LeaseLostError
 from arbutustally.limits import Grant, OwnerBudget, Use, apply_reports
 
-#: Longest and shortest lifetime of a grant, seconds. Long ones let unused tokens of finished
-#: requests return, short ones free the level of tokens that a holder does not use.
+#: Longest and shortest lifetime of a grant, seconds. With long ones the unused tokens of finished
+#: requests return to a live grant; short ones free tokens that a holder does not use.
 MAX_LIFETIME_S = 10.0
 MIN_LIFETIME_S = 0.5
-#: Lifetime as part of the time in which the burst refills: outstanding grants bind the level.
+#: Lifetime as a fraction of the time in which the burst refills, as outstanding grants limit the
+#: level.
 LIFETIME_OF_REFILL = 0.5
-#: Part of the level beyond the need that one holder may fetch ahead; the rest serves the others.
+#: Fraction of the level beyond the need that one holder may prefetch; the rest is left for the
+#: other holders.
 AHEAD_FRACTION = 0.25
-#: Time constant of the average of recent use, seconds.
+#: Time constant of the exponential average of recent use, seconds.
 USE_AVERAGE_S = 2.0
-#: A node keeps grants for this much of its recent use, seconds.
+#: A node prefetches grants for this duration of its recent use, seconds.
 AHEAD_S = 1.0
-#: and at most this part of the burst, for tokens held by one node are withheld from the others.
+#: Largest fraction of the burst that a node prefetches, as tokens held by one node are not
+#: available to the others.
 AHEAD_OF_BURST = 1 / 16
 
 
 class Tenure(Protocol):
-    """A lease or share slot as its holder sees it."""
+    """A lease or share slot, as seen by its holder."""
 
     @property
     def epoch(self) -> int:
         """Offset of the record that began the tenure."""
 
     def remaining(self, now: float) -> float:
-        """Returns seconds for which effects are allowed, 0 or less when it has lapsed."""
+        """Returns seconds for which its holder may act, 0 or less when it has lapsed."""
 
 
 @dataclass(frozen=True)
 class GrantRequest:
-    """What a node asks of an issuer.
+    """A node's request for tokens, sent to an issuer.
 
-    :ivar needed: tokens without which a request waits; all or nothing.
-    :ivar wanted: tokens with those fetched ahead, at least ``needed``.
-    :ivar uses: reports on earlier grants of the same issuer.
+    :ivar needed: tokens for which a request waits; granted in full or not at all.
+    :ivar wanted: tokens including prefetched ones, at least ``needed``.
+    :ivar uses: usage reports on earlier grants of the same issuer.
     """
 
     account: str
@@ -51,25 +54,25 @@
     uses: tuple[Use, ...] = ()
 
     def to_payload(self) -> list[Any]:
-        """Returns the form in a peer message."""
+        """Returns the payload of a peer message."""
         uses = [[use.grant_id, use.spent, use.closed, use.unused] for use in self.uses]
         return [self.account, self.needed, self.wanted, uses]
 
     @classmethod
     def from_payload(cls, payload: list[Any]) -> "GrantRequest":
-        """Reads the form in a peer message."""
+        """Parses the payload of a peer message."""
         account, needed, wanted, uses = payload
         return cls(account, needed, wanted, tuple(Use(*use) for use in uses))
 
 
 @dataclass(frozen=True)
 class Offer:
-    """An issuer's answer.
+    """An issuer's response.
 
     :ivar tokens: granted tokens, 0 for a refusal.
     :ivar lifetime_s: from issue to deadline on the issuer's clock, seconds.
-    :ivar retry_after_s: for a refusal, when the need can be met; ``None`` if never.
-    :ivar within_rate: the refusal comes from tokens held elsewhere, not from the account's use.
+    :ivar retry_after_s: for a refusal, seconds until the need can be met; ``None`` if never.
+    :ivar within_rate: the refusal is caused by tokens held elsewhere, not by the account's use.
     """
 
     grant_id: str
@@ -80,7 +83,7 @@
     within_rate: bool = False
 
     def to_payload(self) -> list[Any]:
-        """Returns the form in a peer message."""
+        """Returns the payload of a peer message."""
         return [
             self.grant_id,
             self.tokens,
@@ -96,7 +99,7 @@
 
 
 class _Reference:
-    """Bucket that would admit the same use without grants; tells the cause of a refusal."""
+    """Token bucket without grants for the same use, which shows the cause of a refusal."""
 
     def __init__(self, rate: float, burst: float, now: float) -> None:
         self.rate = rate
@@ -112,8 +115,8 @@
 class Issuer:
     """Grants tokens of a shard's accounts while its tenure lasts.
 
-    :param fraction: part of the accounts' rate and burst that this issuer has, 0 to 1; it is
-        read at each request.
+    :param fraction: returns the fraction of the accounts' rate and burst that this issuer has,
+        0 to 1; called at each request.
     """
 
     def __init__(self, clock: Clock, tenure: Tenure, fraction: Callable[[], float]) -> None:
@@ -141,11 +144,11 @@
         return sum(budget.outstanding for budget in self._budgets.values())
 
     def budget(self, account: str) -> OwnerBudget | None:
-        """Returns the budget of an account that has asked, for reports."""
+        """Returns the budget of an account for applying reports, ``None`` before its first request."""
         return self._budgets.get(account)
 
     def lowered(self) -> bool:
-        """Applies the current fraction; returns whether every budget is within it."""
+        """Applies the current fraction and returns whether every budget is within it."""
         for account, reference in self._references.items():
             self._budget(account, reference.rate, reference.burst)
         return all(
@@ -153,11 +156,11 @@
         )
 
     def answer(self, holder: str, request: GrantRequest, rate: float, burst: float) -> Offer:
-        """Applies the reports of a holder and grants what it asks if the level allows.
+        """Applies a holder's usage reports and grants the requested tokens if the level allows.
 
-        :param rate: of the account, tokens/s, of which this issuer has its fraction.
-        :param burst: of the account, tokens.
-        :raises LeaseLostError: if the tenure has lapsed; the holder asks the next issuer.
+        :param rate: whole rate of the account, tokens/s; this issuer has its fraction of it.
+        :param burst: whole burst of the account, tokens; likewise.
+        :raises LeaseLostError: if the tenure has lapsed; the holder then asks the next issuer.
         """
         budget = self._budget(request.account, rate, burst)
         reference = self._references[request.account]
@@ -226,7 +229,7 @@
         self._at = now
 
     def note(self, tokens: float, now: float) -> None:
-        """Adds an admission."""
+        """Records an admission."""
         self._rate = self.rate(now) + tokens / USE_AVERAGE_S
         self._at = now
 
@@ -235,17 +238,17 @@
         return self._rate * exp(-(now - self._at) / USE_AVERAGE_S)
 
     def ahead(self, now: float, burst: float) -> float:
-        """Returns the tokens worth holding ahead of requests.
+        """Returns the tokens to hold in advance of requests.
 
         :param burst: of the account, tokens.
         """
         return min(self.rate(now) * AHEAD_S, burst * AHEAD_OF_BURST)
 
     def missing(self, available: float, last_tokens: float, now: float, burst: float) -> float:
-        """Returns the tokens to fetch ahead now, 0 for none.
+        """Returns the tokens to prefetch now, 0 for none.
 
         :param available: tokens of live grants.
-        :param last_tokens: size of the last request; less than that ahead saves no message.
+        :param last_tokens: size of the last request; prefetching fewer tokens saves no message.
         """
         target = self.ahead(now, burst)
         if target < last_tokens or available >= target / 2:
--- a/packages/arbutustally/src/arbutustally/limits.py
+++ b/packages/arbutustally/src/arbutustally/limits.py
@@ -1,9 +1,9 @@
-"""Account limits: the bucket of an issuer and the grants that a node holds.
+"""Account limits: the token bucket of an issuer and the grants held by a node.
 
 The bound ``tokens in any interval <= rate x interval + burst`` follows from one rule of the
 issuer: ``level + outstanding <= burst`` at every instant, where a grant stays outstanding until
-its holder has reported its use or its deadline has passed. What can be used after an instant is
-then at most the outstanding grants, the level and the refill since.
+its holder has reported its use or its deadline has passed. The tokens that can be used after an
+instant are then at most the outstanding grants, the level and the refill since.
 """
 
 import heapq
@@ -15,10 +15,12 @@
 
 #: Largest deviation of a monotonic clock from true time: the kernel slews by at most 500 ppm.
 CLOCK_SLEW = 0.0005
-#: Clocks of two nodes may differ in rate by this fraction; a holder stops this much earlier.
+#: Clocks of two nodes may differ in rate by this fraction; a holder shortens the lifetime of its
+#: grants by it.
 CLOCK_RATE_MARGIN = 0.01
-#: Part of an account's rate and burst that each of the recorded standing share slots has.
+#: Fraction of an account's rate and burst that each recorded standing share slot has.
 SLOT_FRACTION = 0.125
+#: Standing share slots of a shard.
 SLOTS = 2
 
 
@@ -46,11 +48,12 @@
 
 
 class OwnerBudget:
-    """Token bucket of one account at an issuer, with the grants made from it.
+    """Token bucket of one account at an issuer, with its outstanding grants.
 
     :param rate: tokens/s.
     :param burst: tokens.
-    :param epoch: lease epoch under which it issues.
+    :param epoch: lease epoch of the issuer, or offset of its share slot.
+    :param since: instant at which the bucket was empty, seconds on ``clock``.
     """
 
     def __init__(
@@ -60,7 +63,7 @@
         self._account = account
         self._epoch = epoch
         self._burst = burst
-        # A clock that runs fast refills fast; the bound holds in true time.
+        # The bound must hold in true time, and a fast clock would refill faster.
         self._rate = rate / (1 + CLOCK_SLEW)
         self._level = 0.0
         self._refreshed = since
@@ -87,7 +90,7 @@
 
     @property
     def burst(self) -> float:
-        """Returns the bound on level and outstanding grants together, tokens."""
+        """Returns the upper bound of the level plus the outstanding grants, tokens."""
         return self._burst
 
     @property
@@ -98,19 +101,19 @@
 
     @property
     def outstanding(self) -> float:
-        """Returns the tokens of live grants whose use is not reported."""
+        """Returns the tokens of live grants whose use has not been reported."""
         self._refresh()
         return self._outstanding
 
     def resize(self, rate: float, burst: float) -> None:
-        """Applies a changed rate and burst from now on; grants stay as they are."""
+        """Changes rate and burst from now on; existing grants are kept."""
         self._refresh()
         self._rate = rate / (1 + CLOCK_SLEW)
         self._burst = burst
         self._level = min(self._level, self._room())
 
     def grant(self, holder: str, tokens: float, until: float) -> Grant | None:
-        """Takes tokens out of the level.
+        """Grants tokens from the level.
 
         :param until: deadline on this clock; the holder must stop no later.
         :returns: the grant, or ``None`` if the level is too low or the deadline has passed.
@@ -126,9 +129,10 @@
         return Grant(grant_id, self._account, holder, tokens, until, self._epoch)
 
     def settle(self, grant_id: str, unused: float) -> None:
-        """Ends a grant; its unused tokens return to the level.
+        """Closes a grant and returns its unused tokens to the level.
 
-        A grant that has ended already is ignored: its tokens were written off at its deadline.
+        A grant that is no longer live is ignored: its tokens were written off at its deadline or
+        returned when it was closed.
         """
         self._refresh()
         entry = self._grants.pop(grant_id, None)
@@ -138,7 +142,7 @@
         self._level += min(max(unused, 0.0), entry.tokens)
 
     def spent(self, grant_id: str, tokens: float) -> None:
-        """Notes that tokens of a live grant are used for good, so they no longer bind the level."""
+        """Records that tokens of a live grant were used, so that they no longer limit the level."""
         self._refresh()
         entry = self._grants.get(grant_id)
         if entry is None:
@@ -150,7 +154,7 @@
     def wait_s(self, tokens: float) -> float | None:
         """Returns seconds until the level reaches ``tokens``; ``None`` if it never does.
 
-        It counts refill and expiries only; reports of use can make it sooner.
+        Only refill and expiries are considered; usage reports can shorten the wait.
         """
         self._refresh()
         if tokens > self._burst:
@@ -174,8 +178,9 @@
 
     def _refresh(self) -> None:
         now = self._clock()
-        # Refill up to each expiry under the bound that held until then: a grant may have been
-        # spent in full just before its deadline, so its room does not fill retroactively.
+        # The refill up to each expiry is limited by the bound that held until then: a grant may
+        # have been used in full just before its deadline, so the tokens that it kept from the
+        # level are not refilled for the time before.
         while self._expiries and self._expiries[0][0] <= now:
             until, grant_id = heapq.heappop(self._expiries)
             self._refill(until)
@@ -205,9 +210,9 @@
 
 @dataclass(frozen=True)
 class Reservation:
-    """Tokens set aside for one request.
+    """Tokens reserved for one request.
 
-    :ivar tokens: input estimate plus the output bound.
+    :ivar tokens: estimated input tokens plus the bound on output tokens.
     """
 
     reservation_id: int
@@ -218,11 +223,11 @@
 
 @dataclass(frozen=True)
 class Use:
-    """Report to an issuer.
+    """A holder's usage report on one grant, sent to its issuer.
 
-    :ivar spent: tokens used for good since the last report.
-    :ivar closed: the holder will use no more of the grant.
-    :ivar unused: tokens that return to the issuer when closed.
+    :ivar spent: tokens used since the last report.
+    :ivar closed: the holder will use no more tokens of the grant.
+    :ivar unused: tokens returned to the issuer if ``closed``.
     """
 
     grant_id: str
@@ -243,7 +248,7 @@
 class GrantPool:
     """Grants held by this node, by account.
 
-    :param clock: clock of this node; deadlines of added grants are on it.
+    :param clock: clock of this node, to which deadlines of added grants refer.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -259,7 +264,7 @@
         return cls(clock)
 
     def add(self, grant: Grant) -> None:
-        """Takes a grant into the pool; one whose deadline has passed is dropped."""
+        """Adds a grant; one whose deadline has passed is discarded."""
         if grant.until <= self._clock():
             return
         held = _Held(grant, grant.tokens)
@@ -275,7 +280,7 @@
         return self._debts.get(account, 0.0)
 
     def reserve(self, account: str, tokens: float) -> Reservation | None:
-        """Sets tokens aside, from the grants that end first; all or nothing."""
+        """Reserves tokens, from the grants with the earliest deadlines first; all or nothing."""
         live = self._live(account)
         if sum(held.left for held in live) < tokens:
             return None
@@ -294,11 +299,11 @@
         return reservation
 
     def settle(self, reservation: Reservation, used: float) -> None:
-        """Ends a reservation with the tokens really used.
+        """Ends a reservation with the number of tokens that were used.
 
-        Unused tokens return only to the grant from which they came, and only while it is live:
-        after its deadline the issuer has refilled in their place. A second call for the same
-        reservation does nothing.
+        Unused tokens return only to the grant from which they were taken, and only while it is
+        live: after its deadline the issuer has refilled its level by as many. A second call for
+        the same reservation does nothing.
         """
         if reservation.reservation_id not in self._open:
             return
@@ -321,10 +326,10 @@
             self._pay_debt(reservation.account)
 
     def reports(self, account: str, epoch: int, closing: float = float("-inf")) -> list[Use]:
-        """Returns what was used since the last call of grants of one issuer's epoch.
+        """Returns the use since the last call of the grants of one issuer's epoch.
 
-        :param closing: grants that end before this instant are closed, as are used-up ones; tokens
-            of their open reservations count as used, for those requests have been admitted.
+        :param closing: grants with a deadline up to this instant are closed, as are used-up ones;
+            tokens of their open reservations count as used because the requests are admitted.
         """
         uses = []
         for held in self._live(account):
@@ -342,7 +347,7 @@
         return uses
 
     def wastes(self, account: str, epoch: int, closing: float) -> bool:
-        """Returns whether unused tokens of a grant are about to end with it."""
+        """Returns whether a grant that still has unused tokens expires by ``closing``."""
         return any(
             held.grant.epoch == epoch and held.left > 0 and held.grant.until <= closing
             for held in self._live(account)
@@ -378,17 +383,17 @@
 
 
 def received(grant: Grant, lifetime_s: float, sent_at: float) -> Grant:
-    """Returns a grant as its receiver holds it.
+    """Returns a grant with its deadline on the receiver's clock.
 
     :param lifetime_s: time from issue to deadline on the issuer's clock.
-    :param sent_at: when the receiver sent its request, on the receiver's clock; the issue was
-        later, so the receiver's deadline comes before the issuer's.
+    :param sent_at: when the receiver sent its request, on the receiver's clock; the grant was
+        issued later, so the receiver's deadline is earlier than the issuer's.
     """
     return replace(grant, until=sent_at + lifetime_s * (1 - CLOCK_RATE_MARGIN))
 
 
 def apply_reports(budget: OwnerBudget, uses: Iterable[Use]) -> None:
-    """Applies a holder's reports to the issuer's budget."""
+    """Applies a holder's usage reports to the issuer's budget."""
     for use in uses:
         budget.spent(use.grant_id, use.spent)
         if use.closed:
--- a/packages/arbutustally/src/arbutustally/standing_shares.py
+++ b/packages/arbutustally/src/arbutustally/standing_shares.py
@@ -5,10 +5,11 @@
 
 from arbutustally.limits import CLOCK_RATE_MARGIN, SLOT_FRACTION
 
-#: A slot is used for at most this long after the log read that last confirmed it was sent,
-#: seconds. It bounds how long an outage of the log is bridged.
+#: Longest use of a slot, counted from when the log read that last confirmed it was sent, seconds.
+#: It bounds how long a slot stays usable during an outage of the log.
 SHARE_VALIDITY_S = 7200.0
-#: A successor waits this long unless its predecessor released the slot, seconds.
+#: A successor waits this long unless its predecessor released the slot, seconds. The margin covers
+#: clocks that run at different rates.
 SUCCESSION_WAIT_S = SHARE_VALIDITY_S * (1 + CLOCK_RATE_MARGIN)
 
 
@@ -16,6 +17,7 @@
     """A slot in the fold of the log.
 
     :ivar holder: node incarnation, empty when released.
+    :ivar last_offset: offset of the last accepted record of the slot.
     :ivar previous_holder: holder when this assignment was accepted, empty if none or released.
     """
 
@@ -25,16 +27,16 @@
 
 
 def owner_fraction(recorded_slots: int) -> float:
-    """Returns the part of rate and burst that the owner of a shard has.
+    """Returns the fraction of rate and burst that the owner of a shard has.
 
-    :param recorded_slots: slots that were ever assigned; a released one stays deducted, for its
-        next holder may start at once.
+    :param recorded_slots: slots that were ever assigned; a released one stays deducted because
+        its next holder may start at once.
     """
     return 1 - SLOT_FRACTION * recorded_slots
 
 
 class SlotTenure:
-    """One slot as its holder sees it; a ``Tenure`` of an issuer.
+    """One slot, as seen by its holder; a ``Tenure`` of an issuer.
 
     :param holder: this node's incarnation as recorded in the log.
     :param entry: returns the slot's entry in the current fold.
@@ -67,15 +69,18 @@
         return self._ends_at
 
     def effective(self, offset: int) -> None:
-        """Notes the owner's word that it has lowered its own budget for this assignment."""
+        """Records that the owner has lowered its own budget for this assignment."""
         self._effective_offset = max(self._effective_offset, offset)
 
     def end_at(self, instant: float) -> None:
-        """Sets when use ends before a release; grants end by then too."""
+        """Sets when use ends before a release; grants expire by then too."""
         self._ends_at = min(self._ends_at, instant)
 
     def observe(self, now: float) -> None:
-        """Notes a new assignment; called often, for a succession wait counts from here."""
+        """Records a new assignment.
+
+        It must be called often because a succession wait starts when the assignment is recorded.
+        """
         if self.epoch != self._offset:
             self._offset = self.epoch
             self._read_at = now
@@ -84,7 +89,8 @@
     def usable(self, now: float) -> bool:
         """Returns whether the predecessor can no longer use the slot.
 
-        Only then may this holder release it: a release tells the next holder to start at once.
+        Only then may this holder release it, because the next holder of a released slot starts at
+        once.
         """
         self.observe(now)
         entry = self._entry()
--- a/packages/arbutustally/src/arbutustally/verdicts.py
+++ b/packages/arbutustally/src/arbutustally/verdicts.py
@@ -1,4 +1,4 @@
-"""Verdicts of the fold of the log and the entries that it keeps."""
+"""Verdicts on the records of the log and the entries of the state folded from it."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -31,10 +31,10 @@
 
 @dataclass(frozen=True)
 class Verdict:
-    """What every reader decides about one record.
+    """Decision on one record, the same for every reader of the log.
 
-    :ivar beaten_by: offset of the record that won, -1 where that does not apply.
-    :ivar detail: for ``invalid``, what is wrong and the remedy.
+    :ivar beaten_by: offset of the record that took precedence, -1 where that does not apply.
+    :ivar detail: for ``invalid``, the fault and its remedy.
     """
 
     accepted: bool
@@ -99,8 +99,8 @@
     """The current claim of a booking.
 
     :ivar offset: offset of the claim, the base of its outcome.
-    :ivar key_time_s: time inside the idempotency key, Unix seconds.
-    :ivar record_ids: ids of the latest claim records of this key, to recognise repeated appends.
+    :ivar key_time_s: time contained in the idempotency key, Unix seconds.
+    :ivar record_ids: ids of the latest claim records of this key, to detect repeated appends.
     """
 
     key: str
@@ -132,8 +132,8 @@
     """One step of the audit trail.
 
     :ivar kind: kind of the record.
-    :ivar author: operator's name, or the node that wrote it.
-    :ivar detail: what was changed, or why it was rejected.
+    :ivar author: name of the operator, or the node that wrote the record.
+    :ivar detail: what was changed, or why the record was rejected.
     """
 
     offset: int
--- a/packages/arbutustally/src/arbutustally/versions.py
+++ b/packages/arbutustally/src/arbutustally/versions.py
@@ -1,4 +1,4 @@
-"""Moves between versions: the share of requests on the new version and the controller of it."""
+"""Moves between versions: the new version's share of requests and its controller."""
 
 import math
 from collections.abc import Mapping
@@ -22,39 +22,40 @@
 
 #: Shares of requests on the new version, in order.
 STEPS = (0.01, 0.05, 0.25, 0.5, 1.0)
-#: Answers of the new version that a step needs before the next one.
+#: Responses of the new version that a step needs before the next one.
 STEP_ANSWERS = 8
-#: Steps of a move with a deadline need this part of the answers that their share of the traffic
-#: should have given; fewer mean that the version does not answer. The last step needs all answers.
+#: Steps of a move with a deadline need this fraction of the responses expected from their share of
+#: the traffic; fewer mean that the version does not respond. The last step needs ``STEP_ANSWERS``.
 EXPECTED_PART = 0.5
-#: Share of the old version's answers from which a route must be seen on the new version too, the
-#: answers needed there (one in a move with a deadline), and the share from which they are needed:
-#: at 1% a small route would take thousands of requests to show.
+#: A route with at least this share of the old version's responses needs responses of the new version
+#: too; their number (1 in a move with a deadline); and the new version's share of requests from which
+#: they are needed, as at 1% a small route would need thousands of requests.
 ROUTE_SHARE = 0.02
 ROUTE_ANSWERS = 4
 ROUTE_FROM_SHARE = 0.25
-#: Bounds of the time at each step, in seconds; slow-onset faults need some, a deadline limits it.
+#: Shortest and longest time at each step, seconds. Faults that develop slowly need some time to
+#: appear; a deadline limits it.
 STEP_BOUNDS_S = (0.5, 30.0)
-#: Part of the time to the deadline that the remaining steps may plan to use.
+#: Fraction of the time to the deadline that is planned for the remaining steps.
 DEADLINE_PART = 0.5
-#: Time after the end of a move for which a fault of the new version still takes it back, seconds.
+#: Time after the end of a move in which a fault of the new version still rolls it back, seconds.
 WATCH_S = 600.0
-#: Share of requests that the old version takes while it is open why the new one is slow.
+#: Share of requests sent to the old version while it is undecided why the new one is slow.
 CONTROL_SHARE = 0.5
 
 
 def share_picks(model: str, request_id: str, share: float) -> bool:
-    """Returns whether a request belongs to the fixed part ``share`` of the hash space."""
+    """Returns whether a request's hash lies in the fixed fraction ``share`` of the hash space."""
     return unit(model.encode(), request_id) < share
 
 
 def is_control(model: str, request_id: str) -> bool:
-    """Returns whether the old version takes a request while the new one is doubted."""
+    """Returns whether a request is sent to the old version while the new one is doubted."""
     return unit(f"{model}/control".encode(), request_id) < CONTROL_SHARE
 
 
 def in_use(move: MoveStep | None, wanted: str) -> str:
-    """Returns the version that carries the requests outside a move's share."""
+    """Returns the version that serves the requests outside a move's share."""
     if move is None:
         return wanted
     return move.version if move.step == "done" else move.previous
@@ -65,7 +66,7 @@
 ) -> str:
     """Returns the version for a request.
 
-    :param tripped: ``move.version`` must not be used and the previous one still can be.
+    :param tripped: ``move.version`` must not be used, and the previous one is still available.
     """
     if move is None:
         return wanted
@@ -78,10 +79,10 @@
 
 @dataclass(frozen=True)
 class EndpointVersions:
-    """An endpoint as the controller sees it.
+    """The controller's view of an endpoint.
 
     :ivar versions: weights versions that it has loaded.
-    :ivar checks_fencing: it refuses orders with an old fencing number.
+    :ivar checks_fencing: it rejects orders with an old fencing number.
     """
 
     id: str
@@ -91,14 +92,14 @@
 
 @dataclass(frozen=True)
 class MoveView:
-    """The state that a step of the controller depends on.
+    """State on which a step of the controller depends.
 
     :ivar wanted: declared version.
     :ivar move: last accepted step of the model in the log, ``None`` without one.
     :ivar fence: fencing number of the held lease.
     :ivar lease_valid: the lease is valid at this instant.
-    :ivar unfenced_from: instant from which endpoints that ignore fencing may get orders: the
-        reading of the own claim plus lease duration and longest order timeout.
+    :ivar unfenced_from: instant from which orders may be sent to endpoints that ignore fencing:
+        when this node read its own claim, plus lease duration and longest order timeout.
     :ivar deadline: monotonic instant of ``move_by``, ``None`` without one.
     :ivar loading: endpoints with a load order in progress.
     """
@@ -146,8 +147,8 @@
 class MoveController:
     """Decides the next actions of the move of one model.
 
-    It remembers only since when it has seen the current step, so a successor that starts from the
-    log alone repeats at most the waiting time of one step.
+    It keeps only what it saw when the current step began (time and responses), so a successor that
+    starts from the log alone repeats at most the waiting time of one step.
     """
 
     def __init__(self) -> None:
@@ -190,7 +191,7 @@
         )
 
     def _redirect(self, view: MoveView) -> list[Action]:
-        """Starts the move to another declared version, or ends one that was called off."""
+        """Starts the move to another declared version, or rolls back a cancelled one."""
         current = in_use(view.move, view.wanted)
         if current != view.wanted:
             return [self._write(view, "started", 0.0, current, {"reason": "declared"})]
@@ -244,7 +245,7 @@
     def _loads(self, view: MoveView, needed: int, now: float) -> list[Action]:
         """Orders loads up to the number needed, at most the declared number at once."""
         holders = _holders(view, view.wanted)
-        # An order stays noted for a while after its load has ended.
+        # ``loading`` still contains an order for a while after its load has ended.
         loading = view.loading.difference(holders)
         free = view.max_concurrent_loads - len(loading)
         missing = needed - len(holders) - len(loading)
@@ -274,7 +275,7 @@
         return answers >= STEP_ANSWERS and _routes_seen(evidence, needed)
 
     def _expected(self, view: MoveView, evidence: FleetEvidence) -> float:
-        """Returns the answers that show, at little traffic, that the new version answers at all."""
+        """Returns the responses that show, even at little traffic, that the new version responds."""
         old = _answers(evidence.old) - self._old_before
         new = _answers(evidence.new) - self._new_before
         return min(math.floor((old + new) * view.move.share * EXPECTED_PART), STEP_ANSWERS)
@@ -291,7 +292,7 @@
             return evidence.trip
         for key, tally in evidence.new.items():
             old = _old_tally(evidence, key)
-            # Over a whole move only failures add up: the cold start makes early answers slow.
+            # Over a whole move only failures are counted, as the cold start slows early responses.
             failed = Tally(tally.answers, tally.failures)
             share = old.failures / old.answers if old.answers else 0.0
             trip = judge_tally(key, failed, Accepted(max(share, TOLERATED_FAILURES)))
