--- a/packages/arbutustally/src/arbutustally/breaker.py
+++ b/packages/arbutustally/src/arbutustally/breaker.py
@@ -277,7 +277,7 @@
         return self._trips.get((model, version))
 
     def doubted(self, model: str, version: str) -> bool:
-        """Returns whether the version is slow and the old one has too few responses to find out why.
+        """Returns whether the version is slow and too few responses of the old one show why.
 
         The old version should then receive some requests.
         """
--- a/packages/arbutustally/src/arbutustally/limit_issuer.py
+++ b/packages/arbutustally/src/arbutustally/limit_issuer.py
@@ -144,7 +144,7 @@
         return sum(budget.outstanding for budget in self._budgets.values())
 
     def budget(self, account: str) -> OwnerBudget | None:
-        """Returns the budget of an account for applying reports, ``None`` before its first request."""
+        """Returns the budget of an account, to apply reports; ``None`` before its first request."""
         return self._budgets.get(account)
 
     def lowered(self) -> bool:
--- a/packages/arbutustally/src/arbutustally/versions.py
+++ b/packages/arbutustally/src/arbutustally/versions.py
@@ -27,9 +27,9 @@
 #: Steps of a move with a deadline need this fraction of the responses expected from their share of
 #: the traffic; fewer mean that the version does not respond. The last step needs ``STEP_ANSWERS``.
 EXPECTED_PART = 0.5
-#: A route with at least this share of the old version's responses needs responses of the new version
-#: too; their number (1 in a move with a deadline); and the new version's share of requests from which
-#: they are needed, as at 1% a small route would need thousands of requests.
+#: A route with at least this share of the old version's responses needs responses of the new
+#: version too; their number (1 in a move with a deadline); and the new version's share of requests
+#: from which they are needed, as at 1% a small route would need thousands of requests.
 ROUTE_SHARE = 0.02
 ROUTE_ANSWERS = 4
 ROUTE_FROM_SHARE = 0.25
@@ -275,7 +275,7 @@
         return answers >= STEP_ANSWERS and _routes_seen(evidence, needed)
 
     def _expected(self, view: MoveView, evidence: FleetEvidence) -> float:
-        """Returns the responses that show, even at little traffic, that the new version responds."""
+        """Returns the number of responses that show, at little traffic, that the version responds."""
         old = _answers(evidence.old) - self._old_before
         new = _answers(evidence.new) - self._new_before
         return min(math.floor((old + new) * view.move.share * EXPECTED_PART), STEP_ANSWERS)
