--- a/packages/arbutustally/src/arbutustally/limits.py
+++ b/packages/arbutustally/src/arbutustally/limits.py
@@ -110,7 +110,7 @@
         self._refresh()
         self._rate = rate / (1 + CLOCK_SLEW)
         self._burst = burst
-        self._level = min(self._level, self._room())
+        self._level = min(self._level, self._max_level())
 
     def grant(self, holder: str, tokens: float, until: float) -> Grant | None:
         """Grants tokens from the level.
@@ -163,7 +163,7 @@
         if missing <= 0:
             return 0.0
         wait = missing / self._rate if self._rate > 0 else None
-        freed = self._room()
+        freed = self._max_level()
         for until, grant_id in sorted(self._expiries):
             if freed >= tokens:
                 break
@@ -173,7 +173,7 @@
                 wait = max(wait or 0.0, until - self._refreshed)
         return wait
 
-    def _room(self) -> float:
+    def _max_level(self) -> float:
         return max(self._burst - self._outstanding, 0.0)
 
     def _refresh(self) -> None:
@@ -196,12 +196,12 @@
         if instant <= self._refreshed:
             return
         refilled = self._level + self._rate * (instant - self._refreshed)
-        self._level = min(refilled, self._room())
+        self._level = min(refilled, self._max_level())
         self._refreshed = instant
 
 
 @dataclass(frozen=True)
-class Part:
+class GrantPart:
     """Tokens of a reservation that came from one grant."""
 
     grant_id: str
@@ -218,7 +218,7 @@
     reservation_id: int
     account: str
     tokens: float
-    parts: tuple[Part, ...]
+    parts: tuple[GrantPart, ...]
 
 
 @dataclass(frozen=True)
@@ -237,7 +237,7 @@
 
 
 @dataclass
-class _Held:
+class _HeldGrant:
     grant: Grant
     left: float
     reserved: float = 0.0
@@ -253,7 +253,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._held: dict[str, dict[str, _Held]] = {}
+        self._held: dict[str, dict[str, _HeldGrant]] = {}
         self._debts: dict[str, float] = {}
         self._open: set[int] = set()
         self._serials = count()
@@ -267,7 +267,7 @@
         """Adds a grant; one whose deadline has passed is discarded."""
         if grant.until <= self._clock():
             return
-        held = _Held(grant, grant.tokens)
+        held = _HeldGrant(grant, grant.tokens)
         self._held.setdefault(grant.account, {})[grant.grant_id] = held
         self._pay_debt(grant.account)
 
@@ -293,7 +293,7 @@
             held.left -= taken
             held.reserved += taken
             missing -= taken
-            parts.append(Part(held.grant.grant_id, taken))
+            parts.append(GrantPart(held.grant.grant_id, taken))
         reservation = Reservation(next(self._serials), account, tokens, tuple(parts))
         self._open.add(reservation.reservation_id)
         return reservation
@@ -361,7 +361,7 @@
         """Returns the accounts with grants."""
         return list(self._held)
 
-    def _live(self, account: str) -> list[_Held]:
+    def _live(self, account: str) -> list[_HeldGrant]:
         grants = self._held.get(account)
         if not grants:
             return []
