Name the instant and offset at which a slot assignment was first seen, and prefetching

_read_at and _offset of SlotTenure are _seen_at and _seen_offset. In the issuer AHEAD_* constants are PREFETCH_* and MAX_PREFETCH_BURST_FRACTION, LIFETIME_OF_REFILL is LIFETIME_REFILL_FRACTION, _Reference is _ReferenceBucket and _size is _grant_size.

--- a/packages/arbutustally/src/arbutustally/limit_issuer.py
+++ b/packages/arbutustally/src/arbutustally/limit_issuer.py
@@ -15,17 +15,17 @@
 MIN_LIFETIME_S = 0.5
 #: Lifetime as a fraction of the time in which the burst refills, as outstanding grants limit the
 #: level.
-LIFETIME_OF_REFILL = 0.5
+LIFETIME_REFILL_FRACTION = 0.5
 #: Fraction of the level beyond the need that one holder may prefetch; the rest is left for the
 #: other holders.
-AHEAD_FRACTION = 0.25
+PREFETCH_LEVEL_FRACTION = 0.25
 #: Time constant of the exponential average of recent use, seconds.
 USE_AVERAGE_S = 2.0
 #: A node prefetches grants for this duration of its recent use, seconds.
-AHEAD_S = 1.0
+PREFETCH_S = 1.0
 #: Largest fraction of the burst that a node prefetches, as tokens held by one node are not
 #: available to the others.
-AHEAD_OF_BURST = 1 / 16
+MAX_PREFETCH_BURST_FRACTION = 1 / 16
 
 
 class Tenure(Protocol):
@@ -98,7 +98,7 @@
         return Grant(self.grant_id, account, holder, self.tokens, until, self.epoch)
 
 
-class _Reference:
+class _ReferenceBucket:
     """Token bucket without grants for the same use, which shows the cause of a refusal."""
 
     def __init__(self, rate: float, burst: float, now: float) -> None:
@@ -126,7 +126,7 @@
         self._began = clock()
         self._epoch = tenure.epoch
         self._budgets: dict[str, OwnerBudget] = {}
-        self._references: dict[str, _Reference] = {}
+        self._references: dict[str, _ReferenceBucket] = {}
 
     @classmethod
     def from_config(cls, clock: Clock, tenure: Tenure, fraction: Callable[[], float]) -> "Issuer":
@@ -170,7 +170,7 @@
         reference.level = min(reference.level + returned, reference.burst)
         if request.needed <= 0 and request.wanted <= 0:
             return Offer("", 0.0, 0.0, self._epoch)
-        tokens = self._size(budget, request)
+        tokens = self._grant_size(budget, request)
         lifetime_s = self._lifetime_s(rate, burst)
         grant = None
         if lifetime_s > 0 and tokens > 0:
@@ -189,18 +189,18 @@
                 rate * fraction, burst * fraction, self._clock, account, self._epoch, self._began
             )
             self._budgets[account] = budget
-            self._references[account] = _Reference(rate, burst, self._clock())
+            self._references[account] = _ReferenceBucket(rate, burst, self._clock())
         budget.resize(rate * fraction, burst * fraction)
         reference = self._references[account]
         reference.rate, reference.burst = rate, burst
         return budget
 
-    def _size(self, budget: OwnerBudget, request: GrantRequest) -> float:
+    def _grant_size(self, budget: OwnerBudget, request: GrantRequest) -> float:
         level = budget.level
         if level < request.needed:
             return 0.0
         ahead = max(request.wanted - request.needed, 0.0)
-        return request.needed + min(ahead, (level - request.needed) * AHEAD_FRACTION)
+        return request.needed + min(ahead, (level - request.needed) * PREFETCH_LEVEL_FRACTION)
 
     def _lifetime_s(self, rate: float, burst: float) -> float:
         """Returns the lifetime of a new grant.
@@ -214,7 +214,7 @@
                 retry_after_s=1.0,
             )
         refill_s = burst / rate if rate > 0 else MAX_LIFETIME_S
-        wanted = min(max(refill_s * LIFETIME_OF_REFILL, MIN_LIFETIME_S), MAX_LIFETIME_S)
+        wanted = min(max(refill_s * LIFETIME_REFILL_FRACTION, MIN_LIFETIME_S), MAX_LIFETIME_S)
         return min(wanted, remaining)
 
 
@@ -242,7 +242,7 @@
 
         :param burst: of the account, tokens.
         """
-        return min(self.rate(now) * AHEAD_S, burst * AHEAD_OF_BURST)
+        return min(self.rate(now) * PREFETCH_S, burst * MAX_PREFETCH_BURST_FRACTION)
 
     def missing(self, available: float, last_tokens: float, now: float, burst: float) -> float:
         """Returns the tokens to prefetch now, 0 for none.
--- a/packages/arbutustally/src/arbutustally/standing_shares.py
+++ b/packages/arbutustally/src/arbutustally/standing_shares.py
@@ -52,8 +52,8 @@
         self._holder = holder
         self._entry = entry
         self._confirmed_at = confirmed_at
-        self._offset = -1
-        self._read_at = 0.0
+        self._seen_offset = -1
+        self._seen_at = 0.0
         self._effective_offset = -1
         self._ends_at = float("inf")
 
@@ -81,9 +81,9 @@
 
         It must be called often because a succession wait starts when the assignment is recorded.
         """
-        if self.epoch != self._offset:
-            self._offset = self.epoch
-            self._read_at = now
+        if self.epoch != self._seen_offset:
+            self._seen_offset = self.epoch
+            self._seen_at = now
             self._ends_at = float("inf")
 
     def usable(self, now: float) -> bool:
@@ -97,7 +97,7 @@
         if entry is None or entry.holder != self._holder:
             return False
         if entry.previous_holder:
-            return now >= self._read_at + SUCCESSION_WAIT_S
+            return now >= self._seen_at + SUCCESSION_WAIT_S
         return self._effective_offset >= entry.last_offset
 
     def remaining(self, now: float) -> float:
--- a/tests/test_limits_model.py
+++ b/tests/test_limits_model.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from arbutustally.errors import LeaseLostError, RouterError
-from arbutustally.limit_issuer import LIFETIME_OF_REFILL
+from arbutustally.limit_issuer import LIFETIME_REFILL_FRACTION
 from arbutustally.records import ShareRecord
 from arbutustally.standing_shares import SHARE_VALIDITY_S
 from arbutustally_node.shard_owner import HANDOVER_S
@@ -18,7 +18,7 @@
 #: Sizes of requests as parts of the burst.
 PARTS = st.sampled_from([0.01, 0.06, 0.125, 0.25, 0.7, 0.875, 1.0])
 #: Lifetime of a grant of the account, seconds.
-LIFETIME_S = LIFETIME_OF_REFILL * BURST / RATE
+LIFETIME_S = LIFETIME_REFILL_FRACTION * BURST / RATE
 SHORT = st.sampled_from([0.05, 0.4, 1.0, 2.4, 3.0])
 LONG = st.sampled_from([9.0, 11.0, 25.0, 70.0])
 
