Name the breaker's records and the evidence's constants in usual terms

In breaker.py _Trial also held responses of versions not on trial and is _VersionRecord; beside is concurrent, heard is peer_reports, a version's key is made by _with_version. WorkLine is FirstTokenRegression, and constants counted in responses say so.

--- a/packages/arbutustally/src/arbutustally/breaker.py
+++ b/packages/arbutustally/src/arbutustally/breaker.py
@@ -6,7 +6,7 @@
 
 from arbutustally.clock import Clock, monotonic
 from arbutustally.evidence import (
-    MIN_BASE_SAMPLES,
+    MIN_BASELINE_SAMPLES,
     Evidence,
     EvidenceKey,
     Latencies,
@@ -39,15 +39,15 @@
 TOLERATED_ABOVE_MEDIAN = 0.4
 #: Latest responses of the new version that are compared; few, so that a fault that begins late is
 #: detected quickly.
-RECENT = 40
+RECENT_RESPONSES = 40
 #: Consecutive responses of the new version that are compared with the last one of the old version;
 #: in a longer run that one no longer shows how fast the old version would be at present.
-MAX_UNPAIRED = 11
+MAX_UNPAIRED_RESPONSES = 11
 #: Rule of three: if none of ``n`` responses is slow, the share of slow ones may still be 3/n.
-UNSEEN_SLOW = 3
+RULE_OF_THREE = 3
 #: Concurrent responses of the old version that suffice to decide whether a slow new version is at
 #: fault.
-CONTROL_ANSWERS = 20
+CONTROL_RESPONSES = 20
 #: Time after which a doubt ends without new responses, seconds.
 DOUBT_S = 10.0
 
@@ -78,11 +78,11 @@
 
 
 @dataclass(frozen=True)
-class _Judged:
+class _JudgedSample:
     """A sample with its comparisons; ``None`` where it could not be compared.
 
-    :ivar paired: at most ``MAX_UNPAIRED`` responses of the new version, this one included, came
-        since the last response of the old version.
+    :ivar paired: at most ``MAX_UNPAIRED_RESPONSES`` responses of the new version, this one included,
+        came since the last response of the old version.
     """
 
     paired: bool
@@ -92,28 +92,28 @@
     gap_above_median: bool | None
 
 
-class _Trial:
+class _VersionRecord:
     """Responses of a version on one class and route."""
 
     def __init__(self) -> None:
         self.evidence = Evidence()
         self.history = TallyHistory()
-        self._recent: deque[tuple[float, _Judged]] = deque(maxlen=RECENT)
-        self._old_answers = 0
+        self._recent: deque[tuple[float, _JudgedSample]] = deque(maxlen=RECENT_RESPONSES)
+        self._old_responses = 0
         self._unpaired = 0
 
     def add(self, sample: Sample, now: float) -> None:
         """Adds a response of a version that is not on trial; its own past is the base."""
         self._add(sample, self.evidence, True, now)
 
-    def add_beside(self, sample: Sample, old: "_Trial | None", now: float) -> None:
+    def add_on_trial(self, sample: Sample, old: "_VersionRecord | None", now: float) -> None:
         """Adds a response of a version on trial after comparing it with the old version."""
-        old_answers = old.history.total.answers if old else 0
-        if old_answers != self._old_answers:
-            self._old_answers = old_answers
+        old_responses = old.history.total.answers if old else 0
+        if old_responses != self._old_responses:
+            self._old_responses = old_responses
             self._unpaired = 0
         self._unpaired += 1
-        paired = old_answers > 0 and self._unpaired <= MAX_UNPAIRED
+        paired = old_responses > 0 and self._unpaired <= MAX_UNPAIRED_RESPONSES
         self._add(sample, old.evidence if old else None, paired, now)
 
     def _add(self, sample: Sample, base: Evidence | None, paired: bool, now: float) -> None:
@@ -138,11 +138,11 @@
         return self._recent[0][0] if self._recent else float("inf")
 
 
-def _compare(sample: Sample, old: Evidence | None, paired: bool) -> _Judged:
+def _compare(sample: Sample, old: Evidence | None, paired: bool) -> _JudgedSample:
     if old is None:
-        return _Judged(paired, sample.ok, None, None, None)
+        return _JudgedSample(paired, sample.ok, None, None, None)
     slowness = old.slowness_of(sample)
-    return _Judged(
+    return _JudgedSample(
         paired,
         sample.ok,
         _exceeds(slowness, old.slowness, 0.95, SLOW_FACTOR),
@@ -152,12 +152,12 @@
 
 
 def _exceeds(value: float | None, base: Latencies, share: float, factor: float) -> bool | None:
-    if value is None or len(base) < MIN_BASE_SAMPLES:
+    if value is None or len(base) < MIN_BASELINE_SAMPLES:
         return None
     return value > base.quantile(share) * factor
 
 
-def _count(answers: Iterable[_Judged]) -> Tally:
+def _count(answers: Iterable[_JudgedSample]) -> Tally:
     judged = list(answers)
     paired = [entry for entry in judged if entry.paired]
     return Tally(
@@ -181,23 +181,23 @@
     slow_gaps: float = TOLERATED_ABOVE_MEDIAN
 
     @classmethod
-    def from_old(cls, failure_share: float, beside: Tally) -> "Accepted":
+    def from_old(cls, failure_share: float, concurrent: Tally) -> "Accepted":
         """Returns the shares of the old version, at least the tolerated ones.
 
         :param failure_share: share of failures of the old version.
-        :param beside: its concurrent responses, since a busy machine makes both versions slow.
+        :param concurrent: its concurrent responses, since a busy machine makes both versions slow.
         """
         return cls(
             max(failure_share, TOLERATED_FAILURES),
-            max(_highest_share(beside.slow, beside.timed), TOLERATED_SLOW),
-            max(_highest_share(beside.above_median, beside.timed), TOLERATED_ABOVE_MEDIAN),
-            max(_highest_share(beside.slow_gaps, beside.gapped), TOLERATED_ABOVE_MEDIAN),
+            max(_highest_share(concurrent.slow, concurrent.timed), TOLERATED_SLOW),
+            max(_highest_share(concurrent.above_median, concurrent.timed), TOLERATED_ABOVE_MEDIAN),
+            max(_highest_share(concurrent.slow_gaps, concurrent.gapped), TOLERATED_ABOVE_MEDIAN),
         )
 
 
 def _highest_share(slow: int, answers: int) -> float:
     """Returns the largest share of slow responses that counts allow; 1 without responses."""
-    return (slow + UNSEEN_SLOW) / (answers + UNSEEN_SLOW)
+    return (slow + RULE_OF_THREE) / (answers + RULE_OF_THREE)
 
 
 def judge_tally(key: EvidenceKey, tally: Tally, accepted: Accepted) -> Trip | None:
@@ -217,8 +217,8 @@
 class Report:
     """Counts of one node for one version, class and route.
 
-    :ivar recent: its last responses, at most ``RECENT``; of the old version those during the recent
-        ones of the version on trial.
+    :ivar recent: its last responses, at most ``RECENT_RESPONSES``; of the old version those during
+        the recent ones of the version on trial.
     :ivar total: all its responses since the version was reset.
     """
 
@@ -237,8 +237,8 @@
 
     def __init__(self, clock: Clock = monotonic) -> None:
         self._clock = clock
-        self._trials: dict[EvidenceKey, _Trial] = {}
-        self._heard: dict[EvidenceKey, dict[str, Report]] = {}
+        self._records: dict[EvidenceKey, _VersionRecord] = {}
+        self._peer_reports: dict[EvidenceKey, dict[str, Report]] = {}
         self._trips: dict[tuple[str, str], Trip] = {}
         self._doubts: dict[EvidenceKey, float] = {}
 
@@ -248,11 +248,11 @@
         :param previous: the old version; empty if the version is not on trial.
         :returns: the trip, if this response caused it.
         """
-        trial = self._trials.setdefault(key, _Trial())
+        record = self._records.setdefault(key, _VersionRecord())
         if not previous or previous == key.version:
-            trial.add(sample, self._clock())
+            record.add(sample, self._clock())
             return None
-        trial.add_beside(sample, self._trials.get(_key_of(key, previous)), self._clock())
+        record.add_on_trial(sample, self._records.get(_with_version(key, previous)), self._clock())
         return self._judge(key, previous)
 
     def hear(self, node: str, reports: list[Report], previous: str = "") -> Trip | None:
@@ -263,7 +263,7 @@
         """
         trip = None
         for report in reports:
-            self._heard.setdefault(report.key, {})[node] = report
+            self._peer_reports.setdefault(report.key, {})[node] = report
             if previous and previous != report.key.version:
                 trip = self._judge(report.key, previous) or trip
         return trip
@@ -290,27 +290,33 @@
     def reset(self, model: str, version: str) -> None:
         """Discards evidence and trip of a version, for a new attempt."""
         self._trips.pop((model, version), None)
-        for counts in (self._trials, self._heard, self._doubts):
+        for counts in (self._records, self._peer_reports, self._doubts):
             for key in [key for key in counts if (key.model, key.version) == (model, version)]:
                 del counts[key]
 
-    def reports(self, model: str, version: str, beside: str = "") -> list[Report]:
+    def reports(self, model: str, version: str, on_trial: str = "") -> list[Report]:
         """Returns this node's own counts of a version, to be sent to its peers.
 
-        :param beside: version on trial, if ``version`` is the old one; then only the responses
+        :param on_trial: version on trial, if ``version`` is the old one; then only the responses
             during the recent ones of that version count as recent.
         """
         return [
-            Report(key, self._beside(key, beside) if beside else trial.recent, trial.history.total)
-            for key, trial in self._trials.items()
+            Report(
+                key,
+                self._concurrent_tally(key, on_trial) if on_trial else record.recent,
+                record.history.total,
+            )
+            for key, record in self._records.items()
             if (key.model, key.version) == (model, version)
         ]
 
     def totals(self, model: str, version: str) -> dict[EvidenceKey, Tally]:
         """Returns the counts of a version over this node and its peers, by class and route."""
         totals: dict[EvidenceKey, Tally] = {}
-        heard = [report for reports in self._heard.values() for report in reports.values()]
-        for report in (*self.reports(model, version), *heard):
+        peer_reports = [
+            report for reports in self._peer_reports.values() for report in reports.values()
+        ]
+        for report in (*self.reports(model, version), *peer_reports):
             if (report.key.model, report.key.version) == (model, version):
                 totals[report.key] = totals.get(report.key, Tally()).plus(report.total)
         return totals
@@ -318,52 +324,54 @@
     def _judge(self, key: EvidenceKey, previous: str) -> Trip | None:
         if self.tripped(key.model, key.version):
             return None
-        old_key = _key_of(key, previous)
-        old = self._trials.get(old_key)
+        old_key = _with_version(key, previous)
+        old = self._records.get(old_key)
         share = old.evidence.failure_share if old else 0.0
-        trial = self._trials.get(key)
-        own = trial.recent if trial else Tally()
-        beside = self._beside(old_key, key.version)
-        fleet = _sum(own, self._heard.get(key, {}))
-        fleet_beside = _sum(beside, self._heard.get(old_key, {}))
-        trip = judge_tally(key, own, Accepted.from_old(share, beside)) or judge_tally(
-            key, fleet, Accepted.from_old(share, fleet_beside)
+        record = self._records.get(key)
+        own = record.recent if record else Tally()
+        concurrent = self._concurrent_tally(old_key, key.version)
+        fleet = _add_recent(own, self._peer_reports.get(key, {}))
+        fleet_concurrent = _add_recent(concurrent, self._peer_reports.get(old_key, {}))
+        trip = judge_tally(key, own, Accepted.from_old(share, concurrent)) or judge_tally(
+            key, fleet, Accepted.from_old(share, fleet_concurrent)
         )
         if trip is not None:
             self.trip(trip)
-        elif trial is not None:
-            self._note_doubt(key, judge_tally(key, trial.recent_compared, Accepted()), beside)
+        elif record is not None:
+            self._update_doubt(
+                key, judge_tally(key, record.recent_compared, Accepted()), concurrent
+            )
         return trip
 
-    def _note_doubt(self, key: EvidenceKey, suspicion: Trip | None, beside: Tally) -> None:
+    def _update_doubt(self, key: EvidenceKey, suspicion: Trip | None, concurrent: Tally) -> None:
         """Records whether more responses of the old version are needed to judge a suspicion.
 
         :param suspicion: trip that would follow if all responses were paired.
         """
         if suspicion is None or suspicion.reason == FAILURES:
-            answers = CONTROL_ANSWERS
+            answers = CONTROL_RESPONSES
         else:
-            answers = beside.gapped if suspicion.reason == SLOW_TOKENS else beside.timed
-        if answers < CONTROL_ANSWERS:
+            answers = concurrent.gapped if suspicion.reason == SLOW_TOKENS else concurrent.timed
+        if answers < CONTROL_RESPONSES:
             self._doubts[key] = self._clock()
         else:
             self._doubts.pop(key, None)
 
-    def _beside(self, old_key: EvidenceKey, version: str) -> Tally:
+    def _concurrent_tally(self, old_key: EvidenceKey, version: str) -> Tally:
         """Returns the old version's responses during the recent ones of a version on trial."""
-        old = self._trials.get(old_key)
-        trial = self._trials.get(_key_of(old_key, version))
-        if old is None or trial is None:
+        old = self._records.get(old_key)
+        record = self._records.get(_with_version(old_key, version))
+        if old is None or record is None:
             return Tally()
-        return old.history.since(trial.recent_since)
+        return old.history.since(record.recent_since)
 
 
-def _key_of(key: EvidenceKey, version: str) -> EvidenceKey:
+def _with_version(key: EvidenceKey, version: str) -> EvidenceKey:
     """Returns the key of another version on the same class and route."""
     return EvidenceKey(key.model, version, key.class_name, key.route)
 
 
-def _sum(own: Tally, heard: dict[str, Report]) -> Tally:
-    for report in heard.values():
+def _add_recent(own: Tally, peer_reports: dict[str, Report]) -> Tally:
+    for report in peer_reports.values():
         own = own.plus(report.recent)
     return own
--- a/packages/arbutustally/src/arbutustally/evidence.py
+++ b/packages/arbutustally/src/arbutustally/evidence.py
@@ -6,18 +6,18 @@
 from dataclasses import astuple, dataclass, field
 
 #: Responses kept per version, class and route.
-WINDOW = 200
+WINDOW_RESPONSES = 200
 #: Responses whose times are kept; at a share of 1% they cover the recent ones of a new version.
-HISTORY = 4000
+HISTORY_RESPONSES = 4000
 #: Responses of the old version below which its latencies are not compared.
-MIN_BASE_SAMPLES = 20
+MIN_BASELINE_SAMPLES = 20
 #: Prior of the regression of time on work: its slope in s/token, and its weight as the sum of
 #: squared deviations of work, in tokens squared, at which responses count as much as the prior.
 PRIOR_S_PER_TOKEN = 1 / 8000
 PRIOR_SPREAD = 5e6
 #: Smallest expected time to first token, seconds: shorter times depend on the network and the
 #: engine's step, not on the work.
-LEAST_FIRST_TOKEN_S = 0.01
+MIN_FIRST_TOKEN_S = 0.01
 
 
 @dataclass(frozen=True)
@@ -47,7 +47,7 @@
     work_tokens: float | None = None
 
 
-class WorkLine:
+class FirstTokenRegression:
     """Linear regression of time to first token on work, over recent responses.
 
     A version that starts has a cold cache and computes more than the old one, so its times are
@@ -55,7 +55,7 @@
     """
 
     def __init__(self) -> None:
-        self._points: deque[tuple[float, float]] = deque(maxlen=WINDOW)
+        self._points: deque[tuple[float, float]] = deque(maxlen=WINDOW_RESPONSES)
 
     def add(self, work_tokens: float, seconds: float) -> None:
         """Adds a response; the oldest is removed when the window is full."""
@@ -64,14 +64,14 @@
     def expected_s(self, work_tokens: float) -> float:
         """Returns the expected time to first token for an amount of work, seconds."""
         if not self._points:
-            return LEAST_FIRST_TOKEN_S + work_tokens * PRIOR_S_PER_TOKEN
+            return MIN_FIRST_TOKEN_S + work_tokens * PRIOR_S_PER_TOKEN
         count = len(self._points)
         mean_work = sum(work for work, _ in self._points) / count
         mean_s = sum(seconds for _, seconds in self._points) / count
         spread = sum((work - mean_work) ** 2 for work, _ in self._points)
         joint = sum((work - mean_work) * (seconds - mean_s) for work, seconds in self._points)
         slope = (joint + PRIOR_SPREAD * PRIOR_S_PER_TOKEN) / (spread + PRIOR_SPREAD)
-        return max(mean_s + slope * (work_tokens - mean_work), LEAST_FIRST_TOKEN_S)
+        return max(mean_s + slope * (work_tokens - mean_work), MIN_FIRST_TOKEN_S)
 
 
 class Latencies:
@@ -80,7 +80,7 @@
     :param size: samples kept.
     """
 
-    def __init__(self, size: int = WINDOW) -> None:
+    def __init__(self, size: int = WINDOW_RESPONSES) -> None:
         self._recent: deque[float] = deque()
         self._sorted: list[float] = []
         self._size = size
@@ -109,13 +109,13 @@
 
     :ivar slowness: ratios of measured to expected times to first token.
     :ivar gap: times between tokens in seconds.
-    :ivar line: expected times to first token.
+    :ivar regression: expected times to first token.
     """
 
-    samples: deque[Sample] = field(default_factory=lambda: deque(maxlen=WINDOW))
+    samples: deque[Sample] = field(default_factory=lambda: deque(maxlen=WINDOW_RESPONSES))
     slowness: Latencies = field(default_factory=Latencies)
     gap: Latencies = field(default_factory=Latencies)
-    line: WorkLine = field(default_factory=WorkLine)
+    regression: FirstTokenRegression = field(default_factory=FirstTokenRegression)
 
     def add(self, sample: Sample) -> None:
         """Adds a response."""
@@ -123,7 +123,7 @@
         ratio = self.slowness_of(sample)
         if ratio is not None:
             self.slowness.add(ratio)
-            self.line.add(sample.work_tokens, sample.first_token_s)
+            self.regression.add(sample.work_tokens, sample.first_token_s)
         if sample.gap_s is not None:
             self.gap.add(sample.gap_s)
 
@@ -134,7 +134,7 @@
         """
         if sample.first_token_s is None or sample.work_tokens is None:
             return None
-        return sample.first_token_s / self.line.expected_s(sample.work_tokens)
+        return sample.first_token_s / self.regression.expected_s(sample.work_tokens)
 
     @property
     def failures(self) -> int:
@@ -207,10 +207,10 @@
         """
         self._sums.append(self.total.plus(answer))
         self._instants.append(now)
-        if len(self._sums) >= 2 * HISTORY:
-            self._dropped = self._sums[-HISTORY - 1]
-            del self._sums[:-HISTORY]
-            del self._instants[:-HISTORY]
+        if len(self._sums) >= 2 * HISTORY_RESPONSES:
+            self._dropped = self._sums[-HISTORY_RESPONSES - 1]
+            del self._sums[:-HISTORY_RESPONSES]
+            del self._instants[:-HISTORY_RESPONSES]
 
     def since(self, instant: float) -> Tally:
         """Returns the counts of the kept responses at or after an instant."""
