Name the steps of the move controller and its constants by what they decide

_notice, _proved, _redirect, _loads and _figures are _track_step, _can_advance, _change_version, _order_loads and _new_totals; constants of fractions end in FRACTION, those counted in responses in RESPONSES.

--- a/packages/arbutustally/src/arbutustally/versions.py
+++ b/packages/arbutustally/src/arbutustally/versions.py
@@ -23,21 +23,22 @@
 #: Shares of requests on the new version, in order.
 STEPS = (0.01, 0.05, 0.25, 0.5, 1.0)
 #: Responses of the new version that a step needs before the next one.
-STEP_ANSWERS = 8
+STEP_RESPONSES = 8
 #: Steps of a move with a deadline need this fraction of the responses expected from their share of
-#: the traffic; fewer mean that the version does not respond. The last step needs ``STEP_ANSWERS``.
-EXPECTED_PART = 0.5
+#: the traffic; fewer mean that the version does not respond. The last step needs
+#: ``STEP_RESPONSES``.
+EXPECTED_RESPONSES_FRACTION = 0.5
 #: A route with at least this share of the old version's responses needs responses of the new
 #: version too; their number (1 in a move with a deadline); and the new version's share of requests
 #: from which they are needed, as at 1% a small route would need thousands of requests.
-ROUTE_SHARE = 0.02
-ROUTE_ANSWERS = 4
-ROUTE_FROM_SHARE = 0.25
+MIN_ROUTE_SHARE = 0.02
+ROUTE_RESPONSES = 4
+ROUTE_CHECK_SHARE = 0.25
 #: Shortest and longest time at each step, seconds. Faults that develop slowly need some time to
 #: appear; a deadline limits it.
 STEP_BOUNDS_S = (0.5, 30.0)
 #: Fraction of the time to the deadline that is planned for the remaining steps.
-DEADLINE_PART = 0.5
+DEADLINE_FRACTION = 0.5
 #: Time after the end of a move in which a fault of the new version still rolls it back, seconds.
 WATCH_S = 600.0
 #: Share of requests sent to the old version while it is undecided why the new one is slow.
@@ -152,10 +153,10 @@
     """
 
     def __init__(self) -> None:
-        self._seen: MoveStep | None = None
-        self._seen_at = 0.0
-        self._new_before = 0
-        self._old_before = 0
+        self._current_step: MoveStep | None = None
+        self._step_began = 0.0
+        self._new_at_start = 0
+        self._old_at_start = 0
 
     def step(self, view: MoveView, evidence: FleetEvidence, now: float) -> list[Action]:
         """Returns the actions that are due.
@@ -164,24 +165,24 @@
         """
         if not view.lease_valid:
             return []
-        self._notice(view.move, evidence, now)
+        self._track_step(view.move, evidence, now)
         if view.move is None:
             return [self._write(view, "done", 1.0, "", {"reason": "first version"})]
         if view.wanted != view.move.version:
-            return self._redirect(view)
+            return self._change_version(view)
         if view.move.step == "taken_back":
             return []
         if view.move.step == "done":
-            return self._watch(view, evidence, now)
+            return self._watch_finished(view, evidence, now)
         return self._advance(view, evidence, now)
 
-    def _notice(self, move: MoveStep | None, evidence: FleetEvidence, now: float) -> None:
-        if move == self._seen:
+    def _track_step(self, move: MoveStep | None, evidence: FleetEvidence, now: float) -> None:
+        if move == self._current_step:
             return
-        self._seen = move
-        self._seen_at = now
-        self._new_before = _answers(evidence.new)
-        self._old_before = _answers(evidence.old)
+        self._current_step = move
+        self._step_began = now
+        self._new_at_start = _count_responses(evidence.new)
+        self._old_at_start = _count_responses(evidence.old)
 
     def _write(
         self, view: MoveView, step: str, share: float, previous: str, evidence: dict[str, Any]
@@ -190,7 +191,7 @@
             MoveStep(view.model, view.wanted, previous, step, share, view.fence, evidence)
         )
 
-    def _redirect(self, view: MoveView) -> list[Action]:
+    def _change_version(self, view: MoveView) -> list[Action]:
         """Starts the move to another declared version, or rolls back a cancelled one."""
         current = in_use(view.move, view.wanted)
         if current != view.wanted:
@@ -207,8 +208,8 @@
             )
         )
 
-    def _watch(self, view: MoveView, evidence: FleetEvidence, now: float) -> list[Action]:
-        if now - self._seen_at > WATCH_S or not view.move.previous:
+    def _watch_finished(self, view: MoveView, evidence: FleetEvidence, now: float) -> list[Action]:
+        if now - self._step_began > WATCH_S or not view.move.previous:
             return []
         if not _holders(view, view.move.previous):
             return []
@@ -221,35 +222,35 @@
             return [self._take_back(view, _trip_evidence(trip))]
         if view.deadline is not None and now >= view.deadline:
             reason = "the deadline passed before the version was proved good"
-            return [self._take_back(view, {"reason": reason, **_figures(evidence)})]
-        following = self._following_share(view.move)
-        if following is None:
+            return [self._take_back(view, {"reason": reason, **_new_totals(evidence)})]
+        next_share = self._next_share(view.move)
+        if next_share is None:
             return self._finish(view, evidence, now)
-        needed = math.ceil(following * len(view.endpoints))
+        needed = math.ceil(next_share * len(view.endpoints))
         if len(_holders(view, view.wanted)) < max(needed, 1):
-            return self._loads(view, max(needed, 1), now)
-        if not self._proved(view, evidence, now):
+            return self._order_loads(view, max(needed, 1), now)
+        if not self._can_advance(view, evidence, now):
             return []
-        figures = _figures(evidence)
-        return [self._write(view, "raised", following, view.move.previous, figures)]
+        figures = _new_totals(evidence)
+        return [self._write(view, "raised", next_share, view.move.previous, figures)]
 
     def _finish(self, view: MoveView, evidence: FleetEvidence, now: float) -> list[Action]:
-        if not self._proved(view, evidence, now):
+        if not self._can_advance(view, evidence, now):
             return []
-        figures = _figures(evidence)
+        figures = _new_totals(evidence)
         return [self._write(view, "done", 1.0, view.move.previous, figures)]
 
-    def _following_share(self, move: MoveStep) -> float | None:
+    def _next_share(self, move: MoveStep) -> float | None:
         return next((share for share in STEPS if share > move.share), None)
 
-    def _loads(self, view: MoveView, needed: int, now: float) -> list[Action]:
+    def _order_loads(self, view: MoveView, needed: int, now: float) -> list[Action]:
         """Orders loads up to the number needed, at most the declared number at once."""
         holders = _holders(view, view.wanted)
         # ``loading`` still contains an order for a while after its load has ended.
         loading = view.loading.difference(holders)
         free = view.max_concurrent_loads - len(loading)
         missing = needed - len(holders) - len(loading)
-        open_for_orders = [
+        orderable = [
             entry
             for entry in view.endpoints
             if view.wanted not in entry.versions
@@ -257,35 +258,37 @@
             and (entry.checks_fencing or now >= view.unfenced_from)
         ]
         count = max(0, min(free, missing))
-        return [OrderLoad(entry.id, view.wanted, view.fence) for entry in open_for_orders[:count]]
+        return [OrderLoad(entry.id, view.wanted, view.fence) for entry in orderable[:count]]
 
-    def _proved(self, view: MoveView, evidence: FleetEvidence, now: float) -> bool:
+    def _can_advance(self, view: MoveView, evidence: FleetEvidence, now: float) -> bool:
         if view.move.share <= 0.0:
             return True
         planned = self._step_time(view)
-        if now - self._seen_at < planned:
+        if now - self._step_began < planned:
             return False
-        answers = _answers(evidence.new) - self._new_before
-        hurried = view.deadline is not None
-        if view.move.share < 1.0 and hurried:
-            return answers >= self._expected(view, evidence)
-        if view.move.share < ROUTE_FROM_SHARE:
-            return answers >= STEP_ANSWERS
-        needed = 1 if hurried else ROUTE_ANSWERS
-        return answers >= STEP_ANSWERS and _routes_seen(evidence, needed)
-
-    def _expected(self, view: MoveView, evidence: FleetEvidence) -> float:
-        """Returns the number of responses that show, at little traffic, that the version responds."""
-        old = _answers(evidence.old) - self._old_before
-        new = _answers(evidence.new) - self._new_before
-        return min(math.floor((old + new) * view.move.share * EXPECTED_PART), STEP_ANSWERS)
+        answers = _count_responses(evidence.new) - self._new_at_start
+        has_deadline = view.deadline is not None
+        if view.move.share < 1.0 and has_deadline:
+            return answers >= self._expected_responses(view, evidence)
+        if view.move.share < ROUTE_CHECK_SHARE:
+            return answers >= STEP_RESPONSES
+        needed = 1 if has_deadline else ROUTE_RESPONSES
+        return answers >= STEP_RESPONSES and _routes_have_responses(evidence, needed)
+
+    def _expected_responses(self, view: MoveView, evidence: FleetEvidence) -> float:
+        """Returns how many responses show, at little traffic, that the version responds."""
+        old = _count_responses(evidence.old) - self._old_at_start
+        new = _count_responses(evidence.new) - self._new_at_start
+        return min(
+            math.floor((old + new) * view.move.share * EXPECTED_RESPONSES_FRACTION), STEP_RESPONSES
+        )
 
     def _step_time(self, view: MoveView) -> float:
         low, high = STEP_BOUNDS_S
         if view.deadline is None:
             return high
         left = sum(share >= view.move.share for share in STEPS)
-        return min(max((view.deadline - self._seen_at) * DEADLINE_PART / left, low), high)
+        return min(max((view.deadline - self._step_began) * DEADLINE_FRACTION / left, low), high)
 
     def _trip(self, evidence: FleetEvidence) -> Trip | None:
         if evidence.trip is not None:
@@ -308,17 +311,17 @@
     return Tally()
 
 
-def _routes_seen(evidence: FleetEvidence, needed: int) -> bool:
-    total = _answers(evidence.old)
+def _routes_have_responses(evidence: FleetEvidence, needed: int) -> bool:
+    total = _count_responses(evidence.old)
     seen = {(key.class_name, key.route): tally.answers for key, tally in evidence.new.items()}
     return all(
         seen.get((key.class_name, key.route), 0) >= needed
         for key, tally in evidence.old.items()
-        if tally.answers >= ROUTE_SHARE * total
+        if tally.answers >= MIN_ROUTE_SHARE * total
     )
 
 
-def _answers(tallies: Mapping[EvidenceKey, Tally]) -> int:
+def _count_responses(tallies: Mapping[EvidenceKey, Tally]) -> int:
     return sum(tally.answers for tally in tallies.values())
 
 
@@ -335,7 +338,7 @@
     }
 
 
-def _figures(evidence: FleetEvidence) -> dict[str, Any]:
+def _new_totals(evidence: FleetEvidence) -> dict[str, Any]:
     total = Tally()
     for tally in evidence.new.values():
         total = total.plus(tally)
