--- a/tests/limits_world.py
+++ b/tests/limits_world.py
@@ -1,4 +1,4 @@
-"""Several nodes with the real limit modules on separate virtual clocks, over a simulated log."""
+"""Nodes that run the real limit modules on separate virtual clocks and a simulated log."""
 
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -18,19 +18,19 @@
 from arbutustally_node.shard_owner import SLOT_EFFECTIVE, ShardOwner
 from arbutustally_node.slot_holder import SlotHolder
 
-# Refused attempts are expected here by the thousand.
+# Thousands of refused attempts are expected, so their log lines are suppressed.
 configure("error")
 
 ACCOUNT = "acct"
 RATE = 100.0
 BURST = 1000.0
 LEASE_S = 10.0
-# Rounding of sums of up to some thousand floats of this size.
+# Tolerance in tokens for rounding errors of sums of up to some thousand such floats.
 ROUNDING = 1e-6
 
 
 class SteppedHold(LeaseHold):
-    """The real hold, driven by the world in place of its greenlet."""
+    """The real lease hold, stepped by the world instead of its greenlet."""
 
     def start(self) -> None:
         """Does nothing; the world calls ``step``."""
@@ -44,7 +44,7 @@
         self.id = f"n{index}"
         self.holder = f"{self.id}#{incarnation}"
         self.incarnation = str(incarnation)
-        # Clocks differ in origin and run apart within the stated slew.
+        # Clocks differ in origin and drift within ``CLOCK_SLEW``.
         self.origin = 1000.0 * index
         self.speed = 1 + CLOCK_SLEW * (-1, 1, 0.5, -0.5)[index % 4]
         self.frozen = False
@@ -67,7 +67,7 @@
     def clock(self) -> float:
         return self.origin + self.world.now * self.speed
 
-    # The log service of this node.
+    # Interface of the node's log service.
 
     def read(self) -> None:
         sent_at = self.clock()
@@ -105,7 +105,7 @@
     def call(self, node_id: str, method: str, payload: Any, _timeout_s: float) -> Any:
         return self.world.call(self, node_id, method, payload)
 
-    # What the limits service does.
+    # Work of the limits service.
 
     def tend(self) -> None:
         self.read()
@@ -121,12 +121,12 @@
                 continue
 
     def try_ahead(self, tokens: float) -> None:
-        """Asks the owner for tokens ahead of requests."""
+        """Prefetches tokens from the owner."""
         with suppress(RouterError):
             self.sources.ask_owner(ACCOUNT, 0.0, tokens)
 
     def reserve(self, tokens: float, ahead: float = 50.0) -> Reservation | None:
-        """Admits a request; what the service does without its waits."""
+        """Reserves tokens for a request, as the limits service does, but without waiting."""
         reservation = self.pool.reserve(ACCOUNT, tokens)
         if reservation is None:
             needed = tokens - self.pool.available(ACCOUNT)
@@ -140,7 +140,11 @@
 
 @dataclass
 class Admission:
-    """One admitted request, with the tokens that it has at present."""
+    """One admitted request.
+
+    :ivar at: true time of the admission, seconds.
+    :ivar tokens: tokens reserved, after settlement those used.
+    """
 
     at: float
     tokens: float
@@ -150,7 +154,7 @@
 
 
 class World:
-    """True time, the log, the links and the admissions."""
+    """Simulation of true time, the log, the links and the admissions."""
 
     def __init__(self, size: int = 4, rate: float = RATE, burst: float = BURST) -> None:
         self.now = 0.0
@@ -183,7 +187,7 @@
         return hold is not None and hold.valid(node.clock())
 
     def owner_index(self) -> int:
-        """Returns the node that ranks first."""
+        """Returns the index of the node that ranks first."""
         return int(ranking(0, [node.node() for node in self.nodes.values()])[0].id[1:])
 
     def visible_to(self, node: SimNode) -> list[SimNode]:
@@ -219,7 +223,7 @@
                 node.tend()
 
     def run(self, seconds: float, step: float = 1.0) -> None:
-        """Lets time pass while all nodes that are not frozen tend their leases and slots."""
+        """Advances time while all nodes that are not frozen do their periodic work."""
         end = self.now + seconds
         while self.now < end:
             self.now = min(self.now + step, end)
@@ -235,7 +239,7 @@
         return True
 
     def admit_all(self, node: SimNode) -> float:
-        """Admits as much as the node can get, in requests of falling size; returns the tokens."""
+        """Admits as much as the node can, in requests of decreasing size; returns the tokens."""
         total = 0.0
         for part in (1.0, 0.5, 0.25, 0.125, 0.06, 0.025, 0.01):
             tokens = part * self.burst
@@ -257,7 +261,7 @@
     def excess(self) -> float:
         """Returns the largest amount by which any interval exceeds ``rate x interval + burst``.
 
-        The maximum over all pairs of admissions, in one pass: ``worst`` is the largest
+        It is the maximum over all pairs of admissions, found in one pass: ``worst`` is the largest
         ``tokens - rate x interval`` of all intervals that end at the current admission.
         """
         largest, worst, last = float("-inf"), float("-inf"), 0.0
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -1,4 +1,4 @@
-"""Circuit breaker: bad versions stop after few answers, good ones with a cold cache do not."""
+"""Circuit breaker: bad versions stop after few responses, good ones with a cold cache do not."""
 
 import unittest
 from random import Random
@@ -12,7 +12,7 @@
 
 
 def answer(rng: Random, work: float = 100.0, slow: float = 1.0) -> Sample:
-    """Returns a good answer: 10 ms and 8,000 tokens/s, times a factor and some noise."""
+    """Returns a good response: 10 ms plus work at 8,000 tokens/s, times ``slow`` and noise."""
     noise = rng.uniform(0.8, 1.3)
     return Sample(True, (0.01 + work / 8000) * slow * noise, 0.01 * slow * noise, work)
 
@@ -36,7 +36,7 @@
         return None
 
     def pairs_until_trip(self, old_slow: float, new_slow: float, limit: int = 300) -> int | None:
-        """Answers of both versions in turn; returns how many of the new one it took to trip."""
+        """Alternates responses of both versions; returns how many of the new one caused a trip."""
         for count in range(1, limit + 1):
             self.now += 0.05
             self.breaker.observe(OLD, answer(self.rng, slow=old_slow))
@@ -45,7 +45,7 @@
         return None
 
     def only_new(self, slow: float, count: int = 60) -> None:
-        """Answers of the new version alone, as at the last step of a move."""
+        """Adds responses of the new version alone, as at the last step of a move."""
         for _ in range(count):
             self.now += 0.05
             self.breaker.observe(NEW, answer(self.rng, slow=slow), "1")
@@ -56,12 +56,12 @@
         self.assertIsNotNone(self.breaker.tripped("marelle", "2"))
 
     def test_one_failure_does_not_stop(self) -> None:
-        """Guards against tripping on a single failure, which any version has."""
+        """Guards against tripping on a single failure, which any version may have."""
         self.breaker.observe(NEW, FAILURE, "1")
         self.assertIsNone(self.answers_until_trip(lambda: answer(self.rng)))
 
     def test_bad_late_stops_soon_after_its_fault(self) -> None:
-        """Guards against a long good past hiding a fault that begins later."""
+        """Guards against a long good history that hides a fault which begins later."""
         for _ in range(500):
             self.assertIsNone(self.breaker.observe(NEW, answer(self.rng), "1"))
         self.assertLessEqual(self.answers_until_trip(lambda: FAILURE), 7)
@@ -76,23 +76,23 @@
         self.assertLessEqual(count, 12)
 
     def test_busy_machine_that_slows_both_versions_stops_none(self) -> None:
-        """Guards against comparing with what the old version took before the machine was busy."""
+        """Guards against comparing with the old version's times before the machine was busy."""
         self.assertIsNone(self.pairs_until_trip(1.0, 1.0, 30))
         for factor in (4.0, 1.0, 3.0):
             self.assertIsNone(self.pairs_until_trip(factor, factor))
 
     def test_slow_version_stops_beside_the_old_one(self) -> None:
-        """Guards against a busy machine as an excuse of a slow version."""
+        """Guards against attributing a slow version to a busy machine."""
         self.assertIsNone(self.pairs_until_trip(1.0, 1.0, 30))
         self.assertLessEqual(self.pairs_until_trip(1.0, 4.0), 30)
 
     def test_slow_version_stops_on_a_busy_machine(self) -> None:
-        """Guards against a slow version that hides behind slow answers of the old one."""
+        """Guards against slow responses of the old version that hide a slow new one."""
         self.assertIsNone(self.pairs_until_trip(2.0, 2.0))
         self.assertLessEqual(self.pairs_until_trip(2.0, 8.0), 40)
 
     def test_slow_version_without_an_old_one_beside_it_is_doubted(self) -> None:
-        """Guards against a trip on a comparison with answers from a quieter time."""
+        """Guards against a trip by comparison with responses from a time of lower load."""
         self.only_new(1.0)
         self.assertFalse(self.breaker.doubted("marelle", "2"))
         self.only_new(4.0)
@@ -100,7 +100,7 @@
         self.assertTrue(self.breaker.doubted("marelle", "2"))
 
     def test_machine_that_gets_busy_after_the_last_step_stops_no_version(self) -> None:
-        """Guards against counting old answers from before the last step as given beside."""
+        """Guards against counting old responses from before the last step as concurrent."""
         for count in (4, 8, 12, 20, 28, 40):
             self.setUp()
             self.assertIsNone(self.pairs_until_trip(1.0, 1.0, count))
@@ -115,7 +115,7 @@
         self.assertLessEqual(self.pairs_until_trip(1.0, 4.0), 20)
 
     def test_doubt_ends_without_a_trip_if_the_old_version_is_as_slow(self) -> None:
-        """Guards against taking back a good version, and against requests on the old one for
+        """Guards against rolling back a good version, and against requests on the old one for
         longer than it takes to compare."""
         self.only_new(4.0)
         self.assertIsNone(self.pairs_until_trip(4.0, 4.0, 25))
@@ -123,13 +123,13 @@
         self.assertIsNone(self.pairs_until_trip(4.0, 4.0))
 
     def test_doubt_ends_when_no_answers_come(self) -> None:
-        """Guards against requests on the old version because of a route that is no longer used."""
+        """Guards against requests on the old version due to a route that is no longer used."""
         self.only_new(4.0)
         self.now += 11.0
         self.assertFalse(self.breaker.doubted("marelle", "2"))
 
     def test_busy_machines_of_peers_stop_no_version(self) -> None:
-        """Guards against adding up the slow answers of peers without those of the old version."""
+        """Guards against adding up slow responses of peers without those of the old version."""
         peer = Breaker(lambda: self.now)
         for _ in range(100):
             peer.observe(OLD, answer(self.rng))
@@ -143,7 +143,7 @@
         self.assertIsNone(self.breaker.hear("node-1", reports[1:], "1"))
 
     def test_cold_cache_does_not_stop_good_version(self) -> None:
-        """Guards against taking the recomputation of a cold cache for a slow version."""
+        """Guards against mistaking the recomputation after a cold cache for a slow version."""
         self.assertIsNone(self.answers_until_trip(lambda: answer(self.rng, work=1900.0)))
 
     def test_good_version_is_never_stopped(self) -> None:
@@ -151,7 +151,7 @@
         self.assertIsNone(self.answers_until_trip(lambda: answer(self.rng), 3000))
 
     def test_one_bad_route_stops(self) -> None:
-        """Guards against a large good route hiding a small bad one."""
+        """Guards against a large good route that hides a small bad one."""
         trip = None
         for _ in range(5):
             for _ in range(20):
@@ -177,7 +177,7 @@
         self.assertIsNone(self.breaker.tripped("marelle", "2"))
 
     def test_trip_lasts_until_new_attempt(self) -> None:
-        """Guards against a version that is used again as soon as its bad answers are old."""
+        """Guards against using a version again as soon as its bad responses are old."""
         self.answers_until_trip(lambda: FAILURE)
         for _ in range(300):
             self.breaker.observe(NEW, answer(self.rng), "1")
--- a/tests/test_limits_model.py
+++ b/tests/test_limits_model.py
@@ -1,4 +1,4 @@
-"""No interval admits more than rate x interval + burst, whatever fails together."""
+"""No interval admits more than ``rate x interval + burst`` under any combination of failures."""
 
 import unittest
 from contextlib import suppress
@@ -15,16 +15,16 @@
 from tests.limits_world import BURST, RATE, ROUNDING, World
 
 NODES = st.integers(0, 3)
-#: Sizes of requests as parts of the burst.
+#: Sizes of requests as fractions of the burst.
 PARTS = st.sampled_from([0.01, 0.06, 0.125, 0.25, 0.7, 0.875, 1.0])
-#: Lifetime of a grant of the account, seconds.
+#: Lifetime of a grant for the account, seconds.
 LIFETIME_S = LIFETIME_REFILL_FRACTION * BURST / RATE
 SHORT = st.sampled_from([0.05, 0.4, 1.0, 2.4, 3.0])
 LONG = st.sampled_from([9.0, 11.0, 25.0, 70.0])
 
 
 class LimitsMachine(RuleBasedStateMachine):
-    """Guards against over-admission by any mix of owner deaths, freezes, cuts and outages."""
+    """Guards against over-admission by any mix of owner crashes, freezes, cut links and outages."""
 
     @initialize(warm=st.booleans(), burst=st.sampled_from([RATE, 10 * RATE, 50 * RATE]))
     def begin(self, warm: bool, burst: float) -> None:
@@ -46,7 +46,7 @@
     def hold(
         self, index: int, part: float, answer: float, seconds: float, order: list[int]
     ) -> None:
-        """A node fetches tokens and keeps them for a while."""
+        """A node fetches tokens and holds them for a while."""
         node, tokens = self.world.node(index), part * 0.75 * self.world.burst
         if node.frozen:
             return
@@ -59,13 +59,13 @@
 
     @rule(order=st.permutations(range(4)))
     def admit_all(self, order: list[int]) -> None:
-        """All nodes take what they can at one instant."""
+        """All nodes admit as much as they can at one instant."""
         for index in order:
             self.world.admit_all(self.world.node(index))
 
     @rule(seconds=LONG, order=st.permutations(range(4)))
     def owners_sleep(self, seconds: float, order: list[int]) -> None:
-        """Owners freeze, others take over, and the old ones wake and serve."""
+        """Owners freeze, others take over, and the old ones resume and admit requests."""
         frozen = [node for node in self.world.nodes.values() if self.world.owns(node)]
         for node in frozen:
             node.frozen = True
@@ -82,7 +82,7 @@
 
     @rule(seconds=SHORT)
     def wait_idle(self, seconds: float) -> None:
-        """Time passes and nobody tends anything, as for a stalled process."""
+        """Time passes without any periodic work, as for a stalled process."""
         self.world.now += seconds
 
     @rule(seconds=SHORT | LONG)
@@ -148,7 +148,7 @@
 
     @rule()
     def pass_succession(self) -> None:
-        """A successor's wait for an unreleased slot passes."""
+        """The wait of a successor of an unreleased slot passes."""
         self.world.run(SHARE_VALIDITY_S * 1.02, step=60.0)
 
     @invariant()
@@ -163,11 +163,11 @@
 
 
 class LimitsMachineTest(LimitsMachine.TestCase):
-    """Runs the machine."""
+    """Runs the state machine."""
 
 
 class LimitsScenarioTest(unittest.TestCase):
-    """Each case drives the whole budget through one failure."""
+    """Each test takes the whole budget through one failure."""
 
     def setUp(self) -> None:
         self.world = World()
@@ -179,7 +179,7 @@
         self.assertLessEqual(self.world.excess(), ROUNDING)
 
     def test_whole_burst_is_admitted_and_no_more(self) -> None:
-        """Guards against a split budget of which a part can never be used."""
+        """Guards against a split budget of which one part can never be used."""
         self.assertTrue(self.world.admit(self.others[0], BURST))
         self.assertFalse(self.world.admit(self.others[1], 10.0))
         self.check()
@@ -198,7 +198,7 @@
         self.assertGreater(admitted, RATE * 150 * 0.95)
 
     def test_grant_used_just_before_its_deadline(self) -> None:
-        """Guards against refilling the room of a grant for the time in which it was live."""
+        """Guards against a refill in place of a grant for the time in which it was live."""
         node = self.others[0]
         self.world.admit_all(self.owner)
         self.world.run(8)
@@ -210,7 +210,7 @@
         self.check()
 
     def test_late_answer_does_not_extend_a_grant(self) -> None:
-        """Guards against counting a grant's lifetime from when its answer arrived."""
+        """Guards against counting a grant's lifetime from the arrival of the response."""
         self.world.answer_delay = LIFETIME_S - 0.1
         self.others[0].sources.ask_owner("acct", 700.0, 700.0)
         self.world.answer_delay = 0.0
@@ -220,7 +220,7 @@
         self.check()
 
     def test_frozen_holder_wakes_after_its_grant_ended(self) -> None:
-        """Guards against using a grant that ended while its holder was frozen."""
+        """Guards against using a grant that expired while its holder was frozen."""
         node = self.others[0]
         node.sources.ask_owner("acct", 700.0, 700.0)
         node.frozen = True
@@ -256,7 +256,7 @@
         self.check()
 
     def test_late_settlement_does_not_return_tokens(self) -> None:
-        """Guards against crediting a grant whose room the owner has refilled."""
+        """Guards against returning tokens to a grant in whose place the owner has refilled."""
         node = self.others[0]
         self.world.admit(node, 700.0)
         self.world.run(12)
@@ -289,7 +289,7 @@
         self.check()
 
     def test_unused_tokens_return_before_the_deadline(self) -> None:
-        """Guards against writing off tokens that were fetched ahead and not used."""
+        """Guards against writing off tokens that were prefetched and not used."""
         node = self.others[0]
         node.sources.ask_owner("acct", 400.0, 400.0)
         budget = self.owner.owner.issuer().budget("acct")
@@ -301,7 +301,7 @@
 
 
 class StandingShareTest(unittest.TestCase):
-    """Slots change hands without a moment in which two nodes use one."""
+    """Slots change holders without an instant at which two nodes use one slot."""
 
     def setUp(self) -> None:
         self.world = World()
@@ -328,13 +328,13 @@
         self.check()
 
     def test_share_ends_when_the_log_was_not_read_for_its_validity(self) -> None:
-        """Guards against a share that outlives its successor's wait."""
+        """Guards against a share that is still used after its successor's wait."""
         self.world.log_up = False
         self.world.run(SHARE_VALIDITY_S + 10, step=30.0)
         self.assertFalse(self.usable(self.holders[1], 1))
 
     def test_successor_of_an_unreleased_slot_waits(self) -> None:
-        """Guards against use by a holder that was cut off from the log and by its successor."""
+        """Guards against use by a holder without access to the log and by its successor at once."""
         old = self.world.nodes[self.holders[1]]
         self.world.cut_from_log.add(old.id)
         for node_id in self.world.nodes:
@@ -362,7 +362,7 @@
             self.world.now += 60
 
     def test_released_slot_is_used_at_once(self) -> None:
-        """Guards against idling a released slot for the succession wait."""
+        """Guards against leaving a released slot unused for the succession wait."""
         self.world.nodes[self.holders[1]].draining = True
         self.world.run(30)
         fold = self.world.nodes[self.holders[0]].state
@@ -371,7 +371,7 @@
         self.assertTrue(self.usable(successor, 1))
 
     def test_home_nodes_that_start_in_turn_get_a_slot_each(self) -> None:
-        """Guards against a home node without a share because the other one started first."""
+        """Guards against a home node that gets no share because the other one started first."""
         world = World(size=2)
         first = world.owner_index()
         world.node(first).frozen = True
@@ -383,7 +383,7 @@
         self.assertEqual(holders, set(world.nodes))
 
     def test_first_share_waits_for_the_lowered_owner(self) -> None:
-        """Guards against a first share beside an owner that granted the whole burst."""
+        """Guards against a first share in use while the owner's grants cover the whole burst."""
         world = World()
         owner = world.node(world.owner_index())
         owner.tend()
--- a/tests/test_move_controller.py
+++ b/tests/test_move_controller.py
@@ -1,4 +1,4 @@
-"""Moves between versions: two controllers, one of them frozen at any time, and one log."""
+"""Moves between versions: two controllers, one of which may be frozen, share a log."""
 
 import unittest
 
@@ -74,7 +74,7 @@
 
     @rule(number=st.integers(0, 1))
     def act(self, number: int) -> None:
-        """One controller takes a step; it may act on an old view of the log."""
+        """One controller takes a step, possibly on a stale view of the log."""
         trip = TRIP if self.bad and self.answers else None
         state = view(
             move=self.seen[number],
@@ -129,7 +129,7 @@
 
     @rule(number=st.integers(0, 1))
     def run_quietly(self, number: int) -> None:
-        """A holder works for a while without faults, so that moves come far."""
+        """A holder works for a while without faults, so that moves advance far."""
         for _ in range(4):
             self.renew(number)
             self.wait(5.0)
@@ -196,38 +196,38 @@
         return steps
 
     def test_good_version_is_done_before_its_deadline(self) -> None:
-        """Guards against proof that takes longer than the time given."""
+        """Guards against steps that take longer than the time to the deadline."""
         steps = self.follow(60, 1000, deadline=60.0)
         self.assertEqual(steps[-1].step, "done")
         self.assertEqual([step.share for step in steps], [0.0, *STEPS, 1.0])
 
     def test_version_without_proof_is_taken_back_at_its_deadline(self) -> None:
-        """Guards against a version that never answers staying at its share for ever."""
+        """Guards against a version that never responds and keeps its share."""
         steps = self.follow(60, 0, deadline=30.0)
         self.assertEqual(steps[-1].step, "taken_back")
         self.assertIn("deadline", steps[-1].evidence["reason"])
 
     def test_trip_takes_back_and_says_why(self) -> None:
-        """Guards against a fleet that goes on raising a version that a node has stopped."""
+        """Guards against a fleet that keeps raising a version that a node has stopped."""
         raised = MoveStep(MODEL, "2", "1", "raised", 0.25, 1)
         (action,) = MoveController().step(view(move=raised), evidence(9, trip=TRIP), 5.0)
         self.assertEqual(action.step.step, "taken_back")
         self.assertIn("3 of 3", action.step.evidence["reason"])
 
     def test_fault_after_the_end_takes_back(self) -> None:
-        """Guards against a late fault of a version whose move is done."""
+        """Guards against ignoring a fault that a version shows after its move is done."""
         done = MoveStep(MODEL, "2", "1", "done", 1.0, 1)
         (action,) = MoveController().step(view(move=done), evidence(9, trip=TRIP), 5.0)
         self.assertEqual(action.step.step, "taken_back")
 
     def test_expired_lease_allows_nothing(self) -> None:
-        """Guards against a controller that was paused and acts after its lease."""
+        """Guards against a controller that was paused and acts after its lease has expired."""
         raised = MoveStep(MODEL, "2", "1", "raised", 0.25, 1)
         state = view(move=raised, lease_valid=False)
         self.assertEqual(MoveController().step(state, evidence(9, trip=TRIP), 5.0), [])
 
     def test_endpoint_that_ignores_fencing_waits(self) -> None:
-        """Guards against orders beside those of a frozen holder that are still under way."""
+        """Guards against orders concurrent with those of a frozen holder that are still pending."""
         endpoints = (EndpointVersions("w0", frozenset({"1"}), False),)
         started = MoveStep(MODEL, "2", "1", "started", 0.0, 1)
         state = view(move=started, endpoints=endpoints, unfenced_from=15.0)
@@ -236,7 +236,7 @@
         self.assertEqual(controller.step(state, evidence(), 15.0), [OrderLoad("w0", "2", 1)])
 
     def test_share_waits_for_endpoints_and_loads_are_bounded(self) -> None:
-        """Guards against a share that one endpoint has to carry, and against loading all at once."""
+        """Guards against a share that one endpoint must serve, and against loading all at once."""
         endpoints = tuple(
             EndpointVersions(f"w{number}", frozenset({"1"} if number else {"1", "2"}), True)
             for number in range(4)
@@ -249,7 +249,7 @@
         self.assertEqual(actions, [OrderLoad("w1", "2", 1)])
 
     def test_ended_load_does_not_hold_up_the_next(self) -> None:
-        """Guards against an order that counts as under way although its endpoint has loaded."""
+        """Guards against an order that counts as pending although its endpoint has loaded."""
         endpoints = tuple(
             EndpointVersions(f"w{number}", frozenset({"1"} if number else {"1", "2"}), True)
             for number in range(3)
@@ -260,7 +260,7 @@
         self.assertEqual(actions, [OrderLoad("w1", "2", 1)])
 
     def test_previous_version_declared_again_takes_back(self) -> None:
-        """Guards against an operator who cannot call a move off."""
+        """Guards against a move that an operator cannot cancel."""
         raised = MoveStep(MODEL, "2", "1", "raised", 0.25, 1)
         (action,) = MoveController().step(view(wanted="1", move=raised), evidence(), 5.0)
         self.assertEqual((action.step.step, action.step.version), ("taken_back", "2"))
@@ -274,6 +274,6 @@
         self.assertEqual(picks, [pick_version(MODEL, name, raised, "2", False) for name in ids])
 
     def test_tripped_version_gets_nothing(self) -> None:
-        """Guards against use of a stopped version while the log still says that it has a share."""
+        """Guards against using a stopped version while the log still assigns it a share."""
         full = MoveStep(MODEL, "2", "1", "raised", 1.0, 1)
         self.assertEqual(pick_version(MODEL, "request-1", full, "2", True), "1")
