Call the report on a grant's use UsageReport

Use is UsageReport, OwnerBudget.spent is record_use (the field spent keeps its name), and the local name ahead in the issuer is prefetch.

Tests: tests.test_limits_model tests.test_limits_service: 33 passed, 0 failed.

--- a/packages/arbutustally/src/arbutustally/limit_issuer.py
+++ b/packages/arbutustally/src/arbutustally/limit_issuer.py
@@ -7,7 +7,7 @@
 
 from arbutustally.clock import Clock
 from arbutustally.errors import LeaseLostError
-from arbutustally.limits import Grant, OwnerBudget, Use, apply_reports
+from arbutustally.limits import Grant, OwnerBudget, UsageReport, apply_reports
 
 #: Longest and shortest lifetime of a grant, seconds. With long ones the unused tokens of finished
 #: requests return to a live grant; short ones free tokens that a holder does not use.
@@ -51,7 +51,7 @@
     account: str
     needed: float
     wanted: float
-    uses: tuple[Use, ...] = ()
+    uses: tuple[UsageReport, ...] = ()
 
     def to_payload(self) -> list[Any]:
         """Returns the payload of a peer message."""
@@ -62,7 +62,7 @@
     def from_payload(cls, payload: list[Any]) -> "GrantRequest":
         """Parses the payload of a peer message."""
         account, needed, wanted, uses = payload
-        return cls(account, needed, wanted, tuple(Use(*use) for use in uses))
+        return cls(account, needed, wanted, tuple(UsageReport(*use) for use in uses))
 
 
 @dataclass(frozen=True)
@@ -199,8 +199,8 @@
         level = budget.level
         if level < request.needed:
             return 0.0
-        ahead = max(request.wanted - request.needed, 0.0)
-        return request.needed + min(ahead, (level - request.needed) * PREFETCH_LEVEL_FRACTION)
+        prefetch = max(request.wanted - request.needed, 0.0)
+        return request.needed + min(prefetch, (level - request.needed) * PREFETCH_LEVEL_FRACTION)
 
     def _lifetime_s(self, rate: float, burst: float) -> float:
         """Returns the lifetime of a new grant.
--- a/packages/arbutustally/src/arbutustally/limits.py
+++ b/packages/arbutustally/src/arbutustally/limits.py
@@ -141,7 +141,7 @@
         self._outstanding -= entry.tokens
         self._level += min(max(unused, 0.0), entry.tokens)
 
-    def spent(self, grant_id: str, tokens: float) -> None:
+    def record_use(self, grant_id: str, tokens: float) -> None:
         """Records that tokens of a live grant were used, so that they no longer limit the level."""
         self._refresh()
         entry = self._grants.get(grant_id)
@@ -222,7 +222,7 @@
 
 
 @dataclass(frozen=True)
-class Use:
+class UsageReport:
     """A holder's usage report on one grant, sent to its issuer.
 
     :ivar spent: tokens used since the last report.
@@ -325,7 +325,9 @@
             self._debts[reservation.account] = self.debt(reservation.account) + excess
             self._pay_debt(reservation.account)
 
-    def reports(self, account: str, epoch: int, closing: float = float("-inf")) -> list[Use]:
+    def reports(
+        self, account: str, epoch: int, closing: float = float("-inf")
+    ) -> list[UsageReport]:
         """Returns the use since the last call of the grants of one issuer's epoch.
 
         :param closing: grants with a deadline up to this instant are closed, as are used-up ones;
@@ -343,7 +345,9 @@
             held.reported = held.spent
             if closed:
                 del self._held[account][held.grant.grant_id]
-            uses.append(Use(held.grant.grant_id, spent, closed, held.left if closed else 0.0))
+            uses.append(
+                UsageReport(held.grant.grant_id, spent, closed, held.left if closed else 0.0)
+            )
         return uses
 
     def wastes(self, account: str, epoch: int, closing: float) -> bool:
@@ -392,9 +396,9 @@
     return replace(grant, until=sent_at + lifetime_s * (1 - CLOCK_RATE_MARGIN))
 
 
-def apply_reports(budget: OwnerBudget, uses: Iterable[Use]) -> None:
+def apply_reports(budget: OwnerBudget, uses: Iterable[UsageReport]) -> None:
     """Applies a holder's usage reports to the issuer's budget."""
     for use in uses:
-        budget.spent(use.grant_id, use.spent)
+        budget.record_use(use.grant_id, use.spent)
         if use.closed:
             budget.settle(use.grant_id, use.unused)
