--- a/tests/limits_world.py
+++ b/tests/limits_world.py
@@ -167,7 +167,7 @@
         self.log: list[Any] = [wrap(Change(-1, items))]
         self.log_up = True
         self.cut_from_log: set[str] = set()
-        self.cut: set[frozenset[str]] = set()
+        self.cut_links: set[frozenset[str]] = set()
         self.request_delay = 0.0
         self.answer_delay = 0.0
         self.lose_answers = False
@@ -195,14 +195,14 @@
             other
             for other in self.nodes.values()
             if not other.draining
-            and (other is node or not (other.frozen or {node.id, other.id} in self.cut))
+            and (other is node or not (other.frozen or {node.id, other.id} in self.cut_links))
         ]
 
     def call(self, caller: SimNode, node_id: str, method: str, payload: Any) -> Any:
         callee = self.nodes[node_id]
         self.calls += 1
         self.now += self.request_delay
-        if callee.frozen or frozenset((caller.id, node_id)) in self.cut:
+        if callee.frozen or frozenset((caller.id, node_id)) in self.cut_links:
             raise PeerUnavailableError("simulated cut")
         if method == SLOT_EFFECTIVE:
             answer = callee.slots[payload[1]].effective(payload[2])
--- a/tests/test_limits_model.py
+++ b/tests/test_limits_model.py
@@ -118,11 +118,11 @@
     @rule(first=NODES, second=NODES)
     def cut_link(self, first: int, second: int) -> None:
         if first != second:
-            self.world.cut.add(frozenset((f"n{first}", f"n{second}")))
+            self.world.cut_links.add(frozenset((f"n{first}", f"n{second}")))
 
     @rule()
     def heal(self) -> None:
-        self.world.cut.clear()
+        self.world.cut_links.clear()
         self.world.cut_from_log.clear()
         self.world.log_up = True
         self.world.request_delay = self.world.answer_delay = 0.0
@@ -339,7 +339,7 @@
         self.world.cut_from_log.add(old.id)
         for node_id in self.world.nodes:
             if node_id != old.id:
-                self.world.cut.add(frozenset((old.id, node_id)))
+                self.world.cut_links.add(frozenset((old.id, node_id)))
         self.world.run(200)
         fold = self.world.node(self.world.owner_index()).state
         successor = fold.share(0, 1).holder.partition("#")[0]
@@ -410,7 +410,7 @@
         self.world.cut_from_log.add(old.id)
         for node_id in self.world.nodes:
             if node_id != old.id:
-                self.world.cut.add(frozenset((old.id, node_id)))
+                self.world.cut_links.add(frozenset((old.id, node_id)))
         self.world.run(200)
         fold = self.world.node(self.world.owner_index()).state
         successor = fold.share(0, 1).holder.partition("#")[0]
