Restore reasons found missing in a second reading of limits and breaker

The prior of the regression applies alone before responses, used tokens of a grant cannot return, and the move controller keeps only what it saw first of the current step.

--- a/packages/arbutustally/src/arbutustally/breaker.py
+++ b/packages/arbutustally/src/arbutustally/breaker.py
@@ -81,8 +81,8 @@
 class _JudgedSample:
     """A sample with its comparisons; ``None`` where it could not be compared.
 
-    :ivar paired: at most ``MAX_UNPAIRED_RESPONSES`` responses of the new version, this one included,
-        came since the last response of the old version.
+    :ivar paired: at most ``MAX_UNPAIRED_RESPONSES`` responses of the new version, including
+        this one, came since the last response of the old version.
     """
 
     paired: bool
@@ -277,7 +277,7 @@
         return self._trips.get((model, version))
 
     def doubted(self, model: str, version: str) -> bool:
-        """Returns whether the version is slow and too few responses of the old one show why.
+        """Returns whether the version is slow and responses of the old one are too few to show why.
 
         The old version should then receive some requests.
         """
--- a/packages/arbutustally/src/arbutustally/evidence.py
+++ b/packages/arbutustally/src/arbutustally/evidence.py
@@ -11,8 +11,9 @@
 HISTORY_RESPONSES = 4000
 #: Responses of the old version below which its latencies are not compared.
 MIN_BASELINE_SAMPLES = 20
-#: Prior of the regression of time on work: its slope in s/token, and its weight as the sum of
-#: squared deviations of work, in tokens squared, at which responses count as much as the prior.
+#: Prior of the regression of time on work, used alone before there are responses: its slope in
+#: s/token, and its weight as the sum of squared deviations of work, in tokens squared, at which
+#: responses count as much as the prior.
 PRIOR_S_PER_TOKEN = 1 / 8000
 PRIOR_SPREAD = 5e6
 #: Smallest expected time to first token, seconds: shorter times depend on the network and the
--- a/packages/arbutustally/src/arbutustally/limit_issuer.py
+++ b/packages/arbutustally/src/arbutustally/limit_issuer.py
@@ -21,7 +21,7 @@
 PREFETCH_LEVEL_FRACTION = 0.25
 #: Time constant of the exponential average of recent use, seconds.
 USE_AVERAGE_S = 2.0
-#: A node prefetches grants for this duration of its recent use, seconds.
+#: Prefetched grants of a node cover its recent average use for this time, seconds.
 PREFETCH_S = 1.0
 #: Largest fraction of the burst that a node prefetches, as tokens held by one node are not
 #: available to the others.
--- a/packages/arbutustally/src/arbutustally/limits.py
+++ b/packages/arbutustally/src/arbutustally/limits.py
@@ -142,7 +142,7 @@
         self._level += min(max(unused, 0.0), entry.tokens)
 
     def record_use(self, grant_id: str, tokens: float) -> None:
-        """Records that tokens of a live grant were used, so that they no longer limit the level."""
+        """Records tokens of a live grant as used for good, so they no longer limit the level."""
         self._refresh()
         entry = self._grants.get(grant_id)
         if entry is None:
@@ -225,7 +225,7 @@
 class UsageReport:
     """A holder's usage report on one grant, sent to its issuer.
 
-    :ivar spent: tokens used since the last report.
+    :ivar spent: tokens used since the last report; these cannot return.
     :ivar closed: the holder will use no more tokens of the grant.
     :ivar unused: tokens returned to the issuer if ``closed``.
     """
--- a/packages/arbutustally/src/arbutustally/versions.py
+++ b/packages/arbutustally/src/arbutustally/versions.py
@@ -148,8 +148,8 @@
 class MoveController:
     """Decides the next actions of the move of one model.
 
-    It keeps only what it saw when the current step began (time and responses), so a successor that
-    starts from the log alone repeats at most the waiting time of one step.
+    It keeps only when it first saw the current step and the responses counted by then, so a
+    successor that starts from the log alone repeats at most the waiting time of one step.
     """
 
     def __init__(self) -> None:
