--- a/packages/arbutustally/src/arbutustally/bookings.py
+++ b/packages/arbutustally/src/arbutustally/bookings.py
@@ -19,13 +19,13 @@
 )
 from arbutustally.records import Outcome
 
-#: Tolerated lead of a caller's clock.
+#: Largest lead of a caller's clock, seconds.
 MAX_FUTURE_S = 300.0
 MAX_OUTCOME_BYTES = 65536
-#: Time after which a caller may ask again for the outcome of a booking in progress.
+#: Seconds after which a caller may retry to get the outcome of a booking in progress.
 OUTCOME_RETRY_S = 2.0
 
-#: Content type in the record of an answer that was too large to keep.
+#: Content type in the record of a response that was too large to keep.
 BODY_DROPPED = "application/x-arbutustally-not-kept"
 
 _UUID_VERSION = 7
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True)
 class Decision:
-    """The next step; ``outcome`` is set for ``Step.ANSWER``."""
+    """The next step of a booking; ``outcome`` is set for ``Step.ANSWER``."""
 
     step: Step
     outcome: Outcome | None = None
@@ -58,7 +58,7 @@
         parsed = None
     if parsed is None or parsed.version != _UUID_VERSION or len(idempotency_key) != 36:
         raise IdempotencyKeyRequiredError(
-            "this route needs an Idempotency-Key header with a UUIDv7; make one for each booking"
+            "this route needs an Idempotency-Key header with a UUIDv7; create one for each booking"
         )
     return (parsed.int >> _TIME_SHIFT_BITS) / 1000
 
@@ -71,13 +71,13 @@
     """
     if time_s < now_s - window_s:
         raise KeyExpiredError(
-            f"the idempotency key is older than {window_s:g} s; find out whether the booking "
-            "exists before it is made again with a new key"
+            f"the idempotency key is older than {window_s:g} s; check whether the booking "
+            "exists before it is sent again with a new key"
         )
     if time_s > now_s + MAX_FUTURE_S:
         raise KeyExpiredError(
-            f"the idempotency key lies more than {MAX_FUTURE_S:g} s in the future; "
-            "set the caller's clock and make a new key"
+            f"the idempotency key is more than {MAX_FUTURE_S:g} s in the future; "
+            "correct the caller's clock and create a new key"
         )
 
 
@@ -88,17 +88,17 @@
 
 
 def request_digest(method: str, path: str, body: bytes) -> str:
-    """Returns the digest by which another request under the same key is recognised, in hex."""
+    """Returns the digest that distinguishes requests under the same key, in hex."""
     digest = hashlib.sha256(f"{method}\0{path}\0".encode())
     digest.update(body)
     return digest.hexdigest()
 
 
 def decide(entry: Any, digest: str) -> Decision:
-    """Decides on a booking by what the log says.
+    """Decides the next step of a booking from its entry in the control state.
 
-    :param entry: ``state.ClaimEntry`` of the key, or ``None``.
-    :param digest: digest of the request at hand.
+    :param entry: ``verdicts.ClaimEntry`` of the key, or ``None``.
+    :param digest: digest of the current request.
     :raises KeyReusedError: if the key was claimed for another request.
     :raises OutcomeUnknownError: if the booking may have run.
     """
@@ -106,11 +106,11 @@
         return Decision(Step.CLAIM)
     if entry.request_digest != digest:
         raise KeyReusedError(
-            "the idempotency key was used for another request; make a new key for this one"
+            "the idempotency key was used for another request; create a new key for this one"
         )
     if entry.outcome is None:
         raise OutcomeUnknownError(
-            "the booking is in progress or its node failed; ask again with the same key",
+            "the booking is in progress or its node failed; retry with the same key",
             ran=Ran.MAY_HAVE_RUN,
             retry_after_s=OUTCOME_RETRY_S,
         )
@@ -118,21 +118,21 @@
         return Decision(Step.CLAIM)
     if entry.outcome.ran == Ran.MAY_HAVE_RUN and not entry.outcome.status:
         raise OutcomeUnknownError(
-            "the answer of the endpoint was lost; the booking is never repeated, so find out "
+            "the endpoint's response was lost; the booking is never repeated, so check "
             "at the service whether it exists",
             ran=Ran.MAY_HAVE_RUN,
         )
     if entry.outcome.content_type == BODY_DROPPED:
         raise OutcomeUnknownError(
-            f"the booking ran, but its answer exceeded {MAX_OUTCOME_BYTES} bytes and was not kept; "
-            "ask the service for it",
+            f"the booking ran, but its response exceeded {MAX_OUTCOME_BYTES} bytes and was not "
+            "kept; look it up at the service",
             ran=Ran.RAN,
         )
     return Decision(Step.ANSWER, entry.outcome)
 
 
 def not_run(key: str, claim: int) -> Outcome:
-    """Returns the outcome that frees a key after its claimant gave up.
+    """Returns the outcome that frees a key whose claimant did not dispatch the booking.
 
     :param claim: offset of the claim.
     """
@@ -140,16 +140,16 @@
 
 
 def may_have_run(key: str, claim: int) -> Outcome:
-    """Returns the outcome of a dispatch whose answer was lost."""
+    """Returns the outcome of a dispatch whose response was lost."""
     return Outcome(key, str(Ran.MAY_HAVE_RUN), claim=claim)
 
 
 def answered(
     key: str, claim: int, ran: Ran, status: int, content_type: str, body: bytes
 ) -> Outcome:
-    """Returns the outcome of an answered dispatch.
+    """Returns the outcome of a dispatch that received a response.
 
-    A body over ``MAX_OUTCOME_BYTES`` is left out, and the content type then says so.
+    A body over ``MAX_OUTCOME_BYTES`` is omitted and the content type set to ``BODY_DROPPED``.
     """
     if len(body) > MAX_OUTCOME_BYTES:
         return Outcome(key, str(ran), status, BODY_DROPPED, claim=claim)
@@ -158,5 +158,5 @@
 
 
 def outcome_body(outcome: Outcome) -> bytes:
-    """Returns the recorded answer."""
+    """Returns the recorded response body."""
     return base64.b64decode(outcome.body)
--- a/packages/arbutustally/src/arbutustally/cbor_bounds.py
+++ b/packages/arbutustally/src/arbutustally/cbor_bounds.py
@@ -4,29 +4,29 @@
 
 #: Deepest nesting of a message; the deepest typed message needs 6 levels.
 MAX_DEPTH = 16
-#: Most CBOR items of a message; it bounds the memory that a frame of one-byte items decodes to.
+#: Largest number of CBOR items; bounds the memory of a decoded frame of one-byte items.
 MAX_ITEMS = 1 << 16
 
 
 def rejected(what: str) -> PeerRejectedError:
-    """Returns the error for a peer that broke the protocol."""
+    """Returns the error for a peer that violated the protocol."""
     return PeerRejectedError(
         f"{what}; check that both nodes run compatible versions and share a peer secret"
     )
 
 
 def check_bounds(data: bytes) -> None:
-    """Walks the item heads and compares each declared length with what is left.
+    """Scans the item heads and compares each declared length with the bytes that remain.
 
-    Only definite lengths and plain types are accepted: no tags, no indefinite items, so a few
-    bytes cannot make the decoder reserve or build more than the frame itself holds.
+    Only definite lengths and plain types are accepted, no tags and no indefinite items, so a few
+    bytes cannot make the decoder allocate or build more than the frame itself contains.
 
-    :raises PeerRejectedError: on the first item that breaks a bound.
+    :raises PeerRejectedError: at the first item that exceeds a bound.
     """
     position = 0
     size = len(data)
     items = 0
-    # Items still expected at each open level.
+    # Remaining items of each open array or map, outermost first.
     open_items = [1]
     while open_items:
         if open_items[-1] == 0:
--- a/packages/arbutustally/src/arbutustally/checkpoint.py
+++ b/packages/arbutustally/src/arbutustally/checkpoint.py
@@ -1,4 +1,4 @@
-"""Checkpoints: the fold of the log, cut into records, and their assembly at a reader."""
+"""Checkpoints: snapshots of the control state split into records, and their assembly."""
 
 import base64
 import binascii
@@ -10,7 +10,7 @@
 #: Base64 characters of one part; a few parts fit into one append.
 PART_CHARACTERS = 192 << 10
 MAX_PARTS = 4096
-#: Checkpoints that are assembled at the same time, for instance of an old and a new holder.
+#: Checkpoints assembled at the same time, for instance of the previous and the current holder.
 _MAX_OPEN = 4
 _DIGEST_BYTES = 16
 
@@ -22,7 +22,7 @@
 def split_snapshot(
     snapshot: bytes, upto: int, part_characters: int = PART_CHARACTERS
 ) -> list[CheckpointPart]:
-    """Cuts a snapshot into parts.
+    """Splits a snapshot into parts.
 
     :param upto: offset of the last record in the snapshot.
     """
@@ -40,8 +40,8 @@
 class CheckpointAssembler:
     """Collects parts of checkpoints until one is complete.
 
-    Parts are grouped by everything that names their checkpoint, so that parts of two checkpoints
-    written at the same time are never mixed; the digest is checked again on the whole.
+    Parts are grouped by all fields that identify their checkpoint, so that parts of two
+    checkpoints written at the same time are never mixed; the digest is verified on the whole.
     """
 
     def __init__(self) -> None:
@@ -52,7 +52,7 @@
 
         :return: the snapshot, once all of its parts have been added.
         :raises SnapshotInvalidError: if the part is malformed or the whole is damaged; its
-            checkpoint is given up.
+            checkpoint is discarded.
         """
         if not (0 <= part.part < part.parts <= MAX_PARTS and part.digest):
             raise SnapshotInvalidError("checkpoint part is malformed; wait for the next checkpoint")
--- a/packages/arbutustally/src/arbutustally/claim_table.py
+++ b/packages/arbutustally/src/arbutustally/claim_table.py
@@ -11,29 +11,30 @@
 from arbutustally.records import Claim, Outcome
 from arbutustally.verdicts import ACCEPTED, ClaimEntry, Reason, Verdict, rejected
 
-#: Base64 of the 64 KB of an answer that are kept.
+#: Length of the largest kept response body (64 KiB) in base64.
 MAX_BODY_CHARACTERS = (64 << 10) * 4 // 3 + 4
-#: Base64 of all answers that are kept; beyond it, the oldest ones are dropped, and their callers
-#: are told that the booking ran. Every node drops the same ones.
+#: Base64 characters of all kept response bodies. Beyond it the oldest bodies are dropped, and
+#: their callers receive an error that says that the booking ran. Every node drops the same ones.
 MAX_KEPT_CHARACTERS = 8 << 20
-#: Repeated appends of one key come from the few nodes that its caller tried.
+#: Duplicate appends of one key come from the few nodes to which its caller sent the request.
 _REMEMBERED_IDS = 16
 
 
 class ClaimTable:
     """Claims by key.
 
-    A claim leaves the table when its key time falls below the floor, and claims below the floor
-    are refused, so a key can never be claimed a second time after its entry was dropped. The floor
-    follows the highest key time in the log instead of a clock, because readers fold the same
-    record at different times. It never falls, also when the window is set to a longer one.
+    A claim is dropped from the table when its key time falls below the floor, and claims below
+    the floor are refused, so a key can never be claimed again after its entry was dropped. The
+    floor is derived from the highest key time in the log instead of a clock, because readers fold
+    the same record at different times. It never decreases, even if the window is set to a longer
+    one.
 
     :param window_s: booking window in seconds.
     """
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
-        # Least key time that is accepted, Unix seconds.
+        # Earliest key time that is accepted, Unix seconds.
         self._floor_s = -math.inf
         self._entries: dict[str, ClaimEntry] = {}
         self._by_time: list[tuple[float, str]] = []
@@ -104,8 +105,8 @@
         if entry is None:
             return rejected(Reason.NO_CLAIM)
         is_named = body.claim == entry.offset
-        # Only the claim itself can be declared not run: without its offset, a late record of a
-        # beaten or earlier claimant would free a claim that has been dispatched.
+        # An outcome ``not_run`` must carry the offset of the current claim: otherwise a late record
+        # of a claimant that lost or came earlier would free a claim that has been dispatched.
         if not is_named and (body.ran == Ran.NOT_RUN or body.claim != -1):
             return rejected(Reason.STALE_BASE, entry.offset)
         if entry.outcome is not None and not _improves(entry.outcome, body):
@@ -142,7 +143,7 @@
         return [self._floor_s, rows, list(self._bodies)]
 
     def load(self, data: Any) -> None:
-        """Replaces the content by data of ``dump``."""
+        """Replaces the content with data from ``dump``."""
         self._floor_s, rows, with_body = data
         self._entries = {}
         for key, digest, holder, offset, key_time_s, outcome, ids in rows:
@@ -156,5 +157,5 @@
 
 
 def _improves(old: Outcome, new: Outcome) -> bool:
-    """Returns whether a late answer replaces the uncertainty about a dispatched call."""
+    """Returns whether a late response settles a dispatched call of unknown outcome."""
     return old.ran == Ran.MAY_HAVE_RUN and new.ran == Ran.RAN
--- a/packages/arbutustally/src/arbutustally/clock.py
+++ b/packages/arbutustally/src/arbutustally/clock.py
@@ -1,4 +1,4 @@
-"""Clocks; decisions take a clock so that replays run on virtual time."""
+"""Clocks; decisions take a clock as an argument so that replays run on virtual time."""
 
 import time
 from collections.abc import Callable
@@ -10,9 +10,9 @@
 
 
 class VirtualClock:
-    """A clock that moves only when told to.
+    """A clock that advances only by calls of its methods.
 
-    :param now: start in seconds.
+    :param now: initial time in seconds.
     """
 
     def __init__(self, now: float = 0.0) -> None:
@@ -22,20 +22,20 @@
         return self._now
 
     def advance(self, seconds: float) -> None:
-        """Moves the clock forward.
+        """Advances the clock.
 
         :param seconds: a non-negative duration.
         :raises ValueError: if the duration is negative.
         """
         if seconds < 0:
-            raise ValueError("a monotonic clock cannot go back; pass a non-negative duration")
+            raise ValueError("a monotonic clock cannot be set back; pass a non-negative duration")
         self._now += seconds
 
     def advance_to(self, instant: float) -> None:
-        """Moves the clock to an instant that is not in the past."""
+        """Advances the clock to an instant that is not in the past."""
         self.advance(instant - self._now)
 
 
 def boottime() -> float:
-    """Returns seconds that go on while the instance is suspended; leases count these."""
+    """Returns seconds since boot, including suspension of the instance; leases use this clock."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/arbutustally/src/arbutustally/control_tables.py
+++ b/packages/arbutustally/src/arbutustally/control_tables.py
@@ -1,6 +1,6 @@
 """Tables of the fold for keys, leases, standing shares and moves.
 
-Each ``apply`` depends only on the table and the record, so that all readers agree.
+The result of each ``apply`` depends only on the table and the record, so all readers agree.
 """
 
 import math
@@ -24,20 +24,20 @@
 
 _MAX_TEXT = 200
 _DIGEST_LENGTH = 64
-#: Withdrawn keys are remembered so that a delayed repeat of the issue record stays without effect.
+#: Withdrawn keys are kept so that a delayed duplicate of the issue record has no effect.
 MAX_WITHDRAWN = 100_000
 MAX_KEYS = 200_000
 MAX_LEASES = 4096
 MAX_SHARES = 4096
 MAX_MOVES = 1024
 _MAX_EVIDENCE_BYTES = 16 << 10
-#: Repeated appends arrive within a writer's deadline, in which a move takes far fewer steps.
+#: Duplicate appends arrive within a writer's deadline; a move makes far fewer steps in that time.
 _REMEMBERED_IDS = 32
 _STEPS = frozenset({"started", "raised", "done", "taken_back"})
 
 
 def is_text(value: Any, longest: int = _MAX_TEXT) -> bool:
-    """Returns whether a value is a short, non-empty text that every codec can encode."""
+    """Returns whether a value is a short, non-empty string that UTF-8 can encode."""
     if not isinstance(value, str) or not 0 < len(value) <= longest:
         return False
     try:
@@ -48,7 +48,7 @@
 
 
 class KeyTable:
-    """Keys issued and withdrawn; a withdrawal always wins."""
+    """Issued and withdrawn keys; a withdrawal takes precedence in any order of the records."""
 
     def __init__(self) -> None:
         self._active: dict[str, KeyEntry] = {}
@@ -100,7 +100,7 @@
         return [active, list(self._withdrawn.items())]
 
     def load(self, data: Any) -> None:
-        """Replaces the content by data of ``dump``."""
+        """Replaces the content with data from ``dump``."""
         active, withdrawn = data
         self._active = {
             key_id: KeyEntry(key_id, digest.hex(), account, False)
@@ -110,7 +110,7 @@
 
 
 class LeaseTable:
-    """Leases by name; each record must name the offset of the one before it."""
+    """Leases by name; each record must carry the offset of the previous accepted one."""
 
     def __init__(self) -> None:
         self._entries: dict[str, LeaseEntry] = {}
@@ -145,7 +145,7 @@
         return [list(astuple(entry)) for entry in self._entries.values()]
 
     def load(self, data: Any) -> None:
-        """Replaces the content by data of ``dump``."""
+        """Replaces the content with data from ``dump``."""
         self._entries = {row[0]: LeaseEntry(*row) for row in data}
 
 
@@ -181,12 +181,12 @@
         return [list(astuple(entry)) for entry in self._entries.values()]
 
     def load(self, data: Any) -> None:
-        """Replaces the content by data of ``dump``."""
+        """Replaces the content with data from ``dump``."""
         self._entries = {(row[0], row[1]): ShareEntry(*row) for row in data}
 
 
 class MoveTable:
-    """Moves by model; a step needs the fencing number of the current controller."""
+    """Moves by model; a step must carry the fencing number of the current controller."""
 
     def __init__(self, leases: LeaseTable) -> None:
         self._leases = leases
@@ -201,11 +201,11 @@
         return list(self._entries.values())
 
     def declare(self, offset: int, versions: Mapping[str, str]) -> None:
-        """Follows an accepted change of configuration.
+        """Applies the declared versions of an accepted change of configuration.
 
-        A model that is declared for the first time is in force at its version at once; without an
-        entry, a change of the version before the controller's first step would send all traffic
-        to a version that no endpoint has loaded.
+        A model that is declared for the first time takes effect at its version immediately;
+        without an entry, a change of the version before the controller's first step would send
+        all traffic to a version that no endpoint has loaded.
 
         :param versions: declared version of each model.
         """
@@ -273,7 +273,7 @@
         ]
 
     def load(self, data: Any) -> None:
-        """Replaces the content by data of ``dump``."""
+        """Replaces the content with data from ``dump``."""
         entries = [MoveEntry(*row) for row in data]
         self._entries = {
             entry.model: replace(entry, record_ids=tuple(entry.record_ids)) for entry in entries
--- a/packages/arbutustally/src/arbutustally/declaration_fields.py
+++ b/packages/arbutustally/src/arbutustally/declaration_fields.py
@@ -1,4 +1,4 @@
-"""Strict structuring of declared items; a wrong field is named with its value and a remedy."""
+"""Strict conversion of declared items; errors name the field, its value and a remedy."""
 
 from collections.abc import Mapping
 from dataclasses import fields
@@ -23,7 +23,7 @@
 
 
 def _strict(kind: type) -> Any:
-    """Returns a hook that accepts only ``kind``; the default hooks convert, for instance 5 to "5"."""
+    """Returns a hook that accepts only ``kind``; default hooks convert values, such as 5 to "5"."""
 
     def structure(value: Any, _: Any) -> Any:
         if kind is float and type(value) is int:
@@ -74,13 +74,13 @@
 
 
 def shown(value: Any) -> str:
-    """Returns a value for a message, shortened."""
+    """Returns the truncated ``repr`` of a value, for messages."""
     text = repr(value)
     return text if len(text) <= _MAX_SHOWN else text[:_MAX_SHOWN] + "..."
 
 
 def structure_item(item: str, data: Any, cls: type) -> Any:
-    """Builds one item.
+    """Builds one item from plain data.
 
     :param item: ``section/name``, for messages.
     :raises ConfigurationInvalidError: naming the item, the field, its value and a remedy.
@@ -97,7 +97,7 @@
 
 
 def unstructure_item(value: Any) -> dict[str, Any]:
-    """Returns the normal form of an item: tuples as lists, absent fields left out."""
+    """Returns the normal form of an item: tuples as lists, fields that are ``None`` omitted."""
     _prepare(type(value))
     plain = _converter.unstructure(value)
     return {
--- a/packages/arbutustally/src/arbutustally/declaration_rules.py
+++ b/packages/arbutustally/src/arbutustally/declaration_rules.py
@@ -1,8 +1,8 @@
 """Rules for values of declared items and for references between items.
 
-The rules take part in the fold of the log. While nodes of two releases run side by side, a change
-that only one of them accepts would divide the fleet, so a rule is tightened only in a release that
-no node of the previous one runs beside.
+The rules are part of the fold of the log. While nodes of two releases run concurrently, a change
+that only one of them accepts would make their states diverge, so a rule is tightened only in a
+release that never runs concurrently with the previous one.
 """
 
 import math
@@ -74,7 +74,7 @@
     if value.open and value.kind == "model":
         _refuse(item, "open", True, "model traffic needs an account; set open = false")
     if value.open and not value.idempotent:
-        # Without an account, two callers who chose the same idempotency key would share an answer.
+        # Without an account, callers that chose the same idempotency key would share a response.
         _refuse(item, "open", True, "an open route needs idempotent = true")
 
 
@@ -110,7 +110,7 @@
 def check_references(declarations: "Declarations") -> None:
     """Checks references between items.
 
-    :raises ConfigurationInvalidError: naming the item that refers and what it needs.
+    :raises ConfigurationInvalidError: naming the referring item and what it needs.
     """
     taken: dict[tuple[str, str], str] = {}
     for name, route in declarations.routes.items():
--- a/packages/arbutustally/src/arbutustally/declarations.py
+++ b/packages/arbutustally/src/arbutustally/declarations.py
@@ -1,4 +1,4 @@
-"""Declarations of an operator: TOML to frozen data classes, validation and differences."""
+"""Declarations of an operator: parsing from TOML, validation and comparison."""
 
 import tomllib
 from collections.abc import Mapping
@@ -10,7 +10,7 @@
 from arbutustally.declaration_rules import check_item, check_references
 from arbutustally.errors import ConfigurationInvalidError
 
-#: Bounds the work that one record of the log can cause at every reader.
+#: Bounds the work that one record of the log causes at each reader.
 MAX_ITEMS = 100_000
 
 
@@ -18,8 +18,8 @@
 class ClassOfWork:
     """A class of work with exactly one target.
 
-    :ivar first_token_ms: wanted time to first token, milliseconds.
-    :ivar recompute_percent: wanted upper bound of recomputed prefix tokens, percent.
+    :ivar first_token_ms: target time to first token, milliseconds.
+    :ivar recompute_percent: target upper bound of recomputed prefix tokens, percent.
     """
 
     first_token_ms: float | None = None
@@ -45,10 +45,10 @@
     :ivar path: path prefix.
     :ivar kind: ``model`` or ``plain``.
     :ivar class_: class of work, ``class`` in the file.
-    :ivar service: service whose endpoints answer.
+    :ivar service: service whose endpoints handle the requests.
     :ivar methods: accepted HTTP methods.
-    :ivar idempotent: a plain call may be repeated; otherwise it needs an idempotency key.
-    :ivar open: callers need no key.
+    :ivar idempotent: a plain call may be retried; otherwise it needs an idempotency key.
+    :ivar open: callers need no caller key.
     """
 
     path: str
@@ -62,10 +62,10 @@
 
 @dataclass(frozen=True)
 class Model:
-    """Wanted version of a model.
+    """Target version of a model.
 
     :ivar version: weights version.
-    :ivar move_by: ISO 8601 time with offset by which traffic must have moved.
+    :ivar move_by: ISO 8601 time with offset by which all traffic must use the version.
     :ivar max_concurrent_loads: workers that may load weights at the same time.
     """
 
@@ -78,7 +78,7 @@
 class Endpoint:
     """Properties of the endpoints of a service.
 
-    :ivar checks_fencing: they refuse orders with an old fencing number.
+    :ivar checks_fencing: they refuse orders with an outdated fencing number.
     """
 
     checks_fencing: bool = False
@@ -151,7 +151,7 @@
 
 
 def to_items(declarations: Declarations) -> dict[str, dict[str, Any]]:
-    """Returns the normal form: every field present, absent optional fields left out."""
+    """Returns the normal form: all fields, with defaults, except those that are ``None``."""
     return {
         f"{section}/{name}": unstructure_item(value)
         for section in _SECTIONS
@@ -169,7 +169,7 @@
 
 
 def restore_items(items: Mapping[str, Any]) -> Declarations:
-    """Builds declarations that were accepted before, possibly by a release with other rules.
+    """Builds declarations that were accepted earlier, possibly by a release with other rules.
 
     :raises ConfigurationInvalidError: if an item does not have the fields of its section.
     """
@@ -183,7 +183,7 @@
 def change_items(
     declarations: Declarations, set_items: Mapping[str, Any], remove: tuple[str, ...]
 ) -> Declarations:
-    """Returns the declarations after a change; only the touched sections are copied.
+    """Returns the declarations after a change; only the changed sections are copied.
 
     :param set_items: items to add or replace.
     :param remove: items to remove.
@@ -209,7 +209,7 @@
     total = sum(len(getattr(changed, section)) for section in _SECTIONS)
     if total > MAX_ITEMS:
         raise ConfigurationInvalidError(f"{total} items are declared; keep them below {MAX_ITEMS}")
-    # Accounts take part in no reference, so the cost does not depend on their number.
+    # No reference involves accounts, so the cost does not depend on their number.
     check_references(changed)
     return changed
 
@@ -217,7 +217,7 @@
 def _copied(
     touched: dict[str, dict[str, Any]], declarations: Declarations, section: str
 ) -> dict[str, Any]:
-    """Returns the copy of a section that this change works on, made once per change."""
+    """Returns the modifiable copy of a section, made once per change."""
     if section not in touched:
         touched[section] = dict(getattr(declarations, section))
     return touched[section]
@@ -248,7 +248,7 @@
 
 
 def _plain(value: Any) -> Any:
-    """Replaces TOML dates by text, so that items are plain JSON."""
+    """Converts TOML dates to strings, so that items are plain JSON."""
     if isinstance(value, dict):
         return {name: _plain(entry) for name, entry in value.items()}
     if isinstance(value, datetime | date):
--- a/packages/arbutustally/src/arbutustally/directory.py
+++ b/packages/arbutustally/src/arbutustally/directory.py
@@ -1,17 +1,17 @@
-"""Which nodes are the home of a shard, and which addresses a caller is given."""
+"""Home nodes of a shard, and the addresses that the directory returns to a caller."""
 
 from collections.abc import Iterable, Sequence
 from hashlib import blake2b
 from heapq import nlargest
 from typing import Protocol, TypeVar
 
-#: Home nodes of a shard: rank 0 claims its lease, both hold its standing share slots.
+#: Number of home nodes of a shard: rank 0 claims its lease, both hold its standing share slots.
 HOME_WIDTH = 2
 DEFAULT_SHARDS = 8
 
 
 class RankedNode(Protocol):
-    """What the ranking needs of a node."""
+    """Fields of a node that the ranking uses."""
 
     id: str
     zone: str
@@ -22,7 +22,7 @@
 
 
 def score(item: str, node_id: str) -> bytes:
-    """Returns the rendezvous score of a node for an item; the largest wins."""
+    """Returns the rendezvous score of a node for an item; the highest score wins."""
     digest = blake2b(digest_size=8)
     digest.update(item.encode())
     digest.update(b"\0")
@@ -31,7 +31,7 @@
 
 
 def winners(item: str, node_ids: Iterable[str], count: int) -> list[str]:
-    """Returns the nodes with the largest scores, best first."""
+    """Returns the ids of the nodes with the highest scores, best first."""
     return nlargest(count, node_ids, key=lambda node_id: (score(item, node_id), node_id))
 
 
@@ -42,10 +42,10 @@
 
 
 def ranking(shard: int, nodes: Sequence[RankedNodeT]) -> list[RankedNodeT]:
-    """Returns the nodes in the order in which they are home to a shard.
+    """Returns the nodes in their order of preference as home nodes of a shard.
 
-    Rank 1 is the best node of another zone where there is one, so that the failure of a zone
-    leaves one of the two home nodes.
+    Rank 1 is the best node of another zone if there is one, so that one of the two home nodes
+    survives the failure of a zone.
     """
     item = f"shard/{shard}"
     ordered = sorted(nodes, key=lambda node: (score(item, node.id), node.id), reverse=True)
@@ -63,9 +63,9 @@
     width: int = HOME_WIDTH,
     shards: int = DEFAULT_SHARDS,
 ) -> tuple[str, ...]:
-    """Returns the addresses named to a caller, the home nodes first.
+    """Returns the addresses for a caller, the home nodes first.
 
-    :param zone: zone of the asking caller; beyond the home nodes, nodes of this zone come first.
+    :param zone: zone of the caller; after the home nodes, nodes of this zone come first.
     :param nodes: live nodes that are not draining.
     :param width: number of addresses, at least the home nodes; larger for hot accounts.
     """
--- a/packages/arbutustally/src/arbutustally/errors.py
+++ b/packages/arbutustally/src/arbutustally/errors.py
@@ -1,4 +1,4 @@
-"""Typed errors with stable codes; every message names the remedy."""
+"""Typed errors with stable codes; every message states a remedy."""
 
 from enum import StrEnum
 
@@ -17,7 +17,7 @@
     :ivar code: stable code, also the suffix of the refusal counter.
     :ivar status: HTTP status.
     :param message: what happened and what to do.
-    :param ran: whether the work ran; ``NOT_RUN`` only where it is proved.
+    :param ran: whether the work ran; ``NOT_RUN`` only if that is certain.
     :param retry_after_s: seconds until a retry may succeed; ``None`` if a retry cannot help.
     """
 
@@ -104,14 +104,14 @@
 
 
 class LimitUnavailableError(RouterError):
-    """No budget can be proved for the account at present."""
+    """The node cannot prove a budget for the account at present."""
 
     code = "limit_unavailable"
     status = 503
 
 
 class OverloadedError(RouterError):
-    """The request was shed before any work began."""
+    """The request was shed before any work started."""
 
     code = "overloaded"
     status = 503
@@ -132,7 +132,7 @@
 
 
 class EndpointTimeoutError(RouterError):
-    """The endpoint did not answer in time."""
+    """The endpoint did not respond in time."""
 
     code = "endpoint_timeout"
     status = 504
@@ -146,7 +146,7 @@
 
 
 class StreamNotResumableError(RouterError):
-    """The event id does not name a stream that can be resumed for this request."""
+    """The event id does not identify a stream that can be resumed for this request."""
 
     code = "stream_not_resumable"
     status = 409
@@ -209,7 +209,7 @@
 
 
 class ConfigurationInvalidError(RouterError):
-    """The declarations do not validate."""
+    """The declarations are invalid."""
 
     code = "configuration_invalid"
     status = 422
@@ -229,43 +229,43 @@
 
 
 class PeerRejectedError(RouterError):
-    """A peer link failed authentication or broke the peer protocol."""
+    """A peer link failed authentication or violated the peer protocol."""
 
     code = "peer_rejected"
 
 
 class LeaseLostError(RouterError):
-    """The lease that an effect depends on has lapsed."""
+    """The lease on which an effect depends has expired."""
 
     code = "lease_lost"
     status = 503
 
 
 class StaleFenceError(RouterError):
-    """An endpoint refused an order with an old fencing number."""
+    """An endpoint refused an order with an outdated fencing number."""
 
     code = "stale_fence"
     status = 409
 
 
 class PeerUnavailableError(RouterError):
-    """A peer cannot be reached or did not answer a call in time."""
+    """A peer cannot be reached or did not respond to a call in time."""
 
     code = "peer_unavailable"
     status = 503
 
 
 class InstanceListUnavailableError(RouterError):
-    """The platform's instance list did not answer with a valid list."""
+    """The platform did not return a valid instance list."""
 
     code = "instance_list_unavailable"
     status = 503
 
 
 class HoleFoundError(RouterError):
-    """Records that a reader still needs have left the log.
+    """The log has dropped records that a reader still needs.
 
-    :param oldest: oldest offset that the log still has.
+    :param oldest: lowest offset that the log still has.
     :param era: of the store, 0 if not stated.
     """
 
@@ -286,21 +286,21 @@
 
 
 class RequestUnknownError(RouterError):
-    """No explanation is kept for the request id."""
+    """No explanation is stored for the request id."""
 
     code = "request_unknown"
     status = 404
 
 
 class NodeUnreachableError(RouterError):
-    """A node that is needed for the answer cannot be reached."""
+    """A node that is needed for the response cannot be reached."""
 
     code = "node_unreachable"
     status = 503
 
 
 class StoreUnavailableError(RouterError):
-    """The platform's store did not answer, or refused the call."""
+    """The platform's store did not respond or refused the call."""
 
     code = "store_unavailable"
     status = 503
--- a/packages/arbutustally/src/arbutustally/instance_client.py
+++ b/packages/arbutustally/src/arbutustally/instance_client.py
@@ -36,7 +36,7 @@
     """Reads the instance list over HTTP.
 
     :param url: base URL.
-    :param timeout_s: bound for connecting and for each read, seconds.
+    :param timeout_s: timeout of connecting and of each read, seconds.
     """
 
     def __init__(self, url: str, timeout_s: float) -> None:
@@ -50,9 +50,9 @@
         return cls(url, timeout_s)
 
     def list(self) -> list[Instance]:
-        """Returns all instances; malformed entries are left out.
+        """Returns all instances; malformed entries are skipped.
 
-        :raises InstanceListUnavailableError: if there is no valid answer.
+        :raises InstanceListUnavailableError: if there is no valid response.
         """
         try:
             response = self._http.request(
@@ -69,15 +69,15 @@
         try:
             entries = orjson.loads(body)["instances"]
         except (orjson.JSONDecodeError, KeyError, TypeError) as error:
-            raise _unavailable("the answer is malformed") from error
+            raise _unavailable("the response is malformed") from error
         if not isinstance(entries, list):
-            raise _unavailable("the answer has no list")
+            raise _unavailable("the response has no list")
         return [instance for instance in map(_parse, entries) if instance is not None]
 
 
 def _unavailable(detail: str) -> InstanceListUnavailableError:
     return InstanceListUnavailableError(
-        f"the instance list gave no valid answer ({detail}); the last list stays in use, "
+        f"the instance list sent no valid response ({detail}); the last list stays in use, "
         "check --instances-url and the platform",
         retry_after_s=1.0,
     )
@@ -91,6 +91,6 @@
         return None
     if entry["state"] not in STATES:
         return None
-    # Plain services may be listed with an empty model; they have no load to poll.
+    # Plain services may be listed with an empty model; their load is not polled.
     model, version = entry.get("model") or None, entry.get("version") or None
     return Instance(*required, model=model, version=version)
--- a/packages/arbutustally/src/arbutustally/lease.py
+++ b/packages/arbutustally/src/arbutustally/lease.py
@@ -2,21 +2,22 @@
 
 from dataclasses import dataclass, field
 
-#: A holder gives up this much early, because clocks of two machines run at different rates.
+#: Fraction of the duration by which a holder stops early, because the clocks of two machines run
+#: at different rates.
 RATE_MARGIN = 0.01
-#: Seconds in addition, for the time between the check and the effect.
+#: Additional seconds for the time between the check and the effect.
 FIXED_MARGIN_S = 0.05
-#: Bits of a fencing number that hold the offset; with the era's it stays below 2^53, which every
-#: reader of JSON keeps exactly.
+#: Bits of a fencing number that hold the offset. With the bits of the era it stays below 2^53, so
+#: that every JSON reader represents it exactly.
 FENCE_OFFSET_BITS = 33
 FENCE_ERA_BITS = 20
 
 
 def fence_number(era: int, offset: int) -> int:
-    """Returns the number of a record, which grows with each record and with each era.
+    """Returns the fencing number of a record; it increases with each record and each era.
 
-    :param era: counts how often the store came back from an older copy.
-    :param offset: of the record; a new era may give it out again.
+    :param era: number of times that the store was restored from an older copy.
+    :param offset: of the record; a new era may assign it again.
     """
     return (era << FENCE_OFFSET_BITS) + offset
 
@@ -30,8 +31,8 @@
 class HeldLease:
     """The holder's view of its lease.
 
-    :ivar sent_at: when the last accepted renewal was sent, monotonic seconds. The time of sending
-        counts, because a claimant can have read the record at any moment after it.
+    :ivar sent_at: when the last accepted renewal was sent, monotonic seconds. Validity starts at
+        the time of sending, because a claimant can have read the record at any time after it.
     :ivar duration: of the lease, seconds.
     :ivar name: name of the lease.
     :ivar epoch: fencing number.
@@ -68,7 +69,7 @@
         return cls(duration)
 
     def observed(self, name: str, last_offset: int, now: float) -> None:
-        """Notes the last record of a lease; only the first reading of each record counts."""
+        """Records when the last record of a lease was first read; later readings change nothing."""
         seen = self._seen.get(name)
         if seen is None or seen[0] != last_offset:
             self._seen[name] = (last_offset, now)
--- a/packages/arbutustally/src/arbutustally/log_client.py
+++ b/packages/arbutustally/src/arbutustally/log_client.py
@@ -12,7 +12,7 @@
 
 _log = get_logger("log_client")
 
-#: Bounds the memory that one answer of the log can take.
+#: Bounds the memory of one response of the log.
 MAX_ANSWER_BYTES = 64 << 20
 _GONE = 410
 _RETRY_AFTER_S = 1.0
@@ -22,9 +22,9 @@
 class ReadResult:
     """Records of one read.
 
-    :ivar records: offsets with records; ``None`` for one that cannot be decoded.
+    :ivar records: pairs of offset and record, ``None`` for a record that cannot be decoded.
     :ivar next: offset at which the next read starts.
-    :ivar oldest: oldest offset that the log still has.
+    :ivar oldest: lowest offset that the log still has.
     """
 
     records: list[tuple[int, Record | None]]
@@ -36,7 +36,7 @@
     """Appends and reads records; safe for several greenlets.
 
     :param url: base URL of the log.
-    :param timeout_s: for connecting, and for each silence, in seconds.
+    :param timeout_s: longest time to connect and to wait for the next data, seconds.
     """
 
     def __init__(self, url: str, timeout_s: float) -> None:
@@ -53,30 +53,32 @@
         """Appends records in order.
 
         :return: offset of the first one.
-        :raises LogUnavailableError: ``may_have_run`` if the answer was lost, ``not_run`` only if
+        :raises LogUnavailableError: ``may_have_run`` if the response was lost, ``not_run`` only if
             no byte reached the log or the log refused the append.
         """
         body = orjson.dumps({"records": [record.encode() for record in records]})
         data = self._call("POST", "/v1/append", body, self._timeout_s)
         offset = data.get("first_offset") if isinstance(data, dict) else None
         if type(offset) is not int or offset < 0:
-            raise _unavailable("answered an append without first_offset", Ran.MAY_HAVE_RUN)
+            raise _unavailable("responded to an append without first_offset", Ran.MAY_HAVE_RUN)
         return offset
 
     def read(self, start: int, limit: int, wait_s: float) -> ReadResult:
         """Reads records from an offset.
 
-        :param limit: most records to return.
-        :param wait_s: how long the log may wait for a first record, in seconds.
+        :param limit: largest number of records to return.
+        :param wait_s: how long the log may wait for a first record, seconds.
         :raises HoleFoundError: if the log no longer has ``start``.
-        :raises LogUnavailableError: if the log did not answer.
+        :raises LogUnavailableError: if the log did not return a valid response.
         """
         path = f"/v1/records?from={start}&limit={limit}&wait_s={wait_s:.3f}"
         data = self._call("GET", path, None, self._timeout_s + wait_s)
         try:
             return _read_result(data, limit)
         except (KeyError, TypeError, ValueError) as error:
-            raise _unavailable(f"answered a read wrongly ({error!r})", Ran.NOT_RUN) from error
+            raise _unavailable(
+                f"sent a malformed response to a read ({error!r})", Ran.NOT_RUN
+            ) from error
 
     def _call(self, method: str, path: str, body: bytes | None, timeout_s: float) -> Any:
         timeout = urllib3.Timeout(connect=self._timeout_s, read=timeout_s)
@@ -98,13 +100,15 @@
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
             raise _unavailable("cannot be reached", Ran.NOT_RUN) from None
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise _unavailable(f"broke off ({type(error).__name__})", Ran.MAY_HAVE_RUN) from error
+            raise _unavailable(
+                f"failed during a request ({type(error).__name__})", Ran.MAY_HAVE_RUN
+            ) from error
         return _parse(answer.status, payload)
 
 
 def _parse(status: int, payload: bytes) -> Any:
     if len(payload) > MAX_ANSWER_BYTES:
-        raise _unavailable(f"answered more than {MAX_ANSWER_BYTES} bytes", Ran.MAY_HAVE_RUN)
+        raise _unavailable(f"sent more than {MAX_ANSWER_BYTES} bytes", Ran.MAY_HAVE_RUN)
     try:
         data = orjson.loads(payload)
     except orjson.JSONDecodeError:
@@ -117,7 +121,7 @@
     if 400 <= status < 500:
         raise _unavailable(f"refused the request with status {status}", Ran.NOT_RUN)
     if status != 200 or data is None:
-        raise _unavailable(f"answered with status {status}", Ran.MAY_HAVE_RUN)
+        raise _unavailable(f"responded with status {status}", Ran.MAY_HAVE_RUN)
     return data
 
 
@@ -139,7 +143,9 @@
     try:
         return decode(row)
     except BadRequestError as error:
-        _log.warning("record skipped", offset=row["offset"], error=str(error)[:200])
+        _log.warning(
+            "skipped a record that cannot be decoded", offset=row["offset"], error=str(error)[:200]
+        )
         return None
 
 
--- a/packages/arbutustally/src/arbutustally/logs.py
+++ b/packages/arbutustally/src/arbutustally/logs.py
@@ -1,4 +1,4 @@
-"""JSON-line logs by structlog; secrets are removed before a line is written."""
+"""Structured logs as JSON lines; secrets are redacted before a line is written."""
 
 import re
 import sys
@@ -9,7 +9,7 @@
 _SECRET_FIELDS = frozenset(
     {"key", "digest", "secret", "authorization", "token", "peer_secret", "operator_token"}
 )
-# Matches caller keys and bearer credentials that reach a line inside a longer string.
+# Matches caller keys and bearer credentials inside longer strings.
 _SECRET_TEXT = re.compile(r"(?i)(bearer\s+)\S+|at-[0-9a-z]{8,}-[0-9A-Za-z_\-]{16,}")
 
 
@@ -26,7 +26,7 @@
 
 
 def configure(level: str = "info", stream: Any = None) -> None:
-    """Sets up JSON lines on ``stream`` (standard error by default).
+    """Configures logging of JSON lines to ``stream`` (standard error by default).
 
     :param level: ``debug``, ``info``, ``warning`` or ``error``.
     """
@@ -48,6 +48,6 @@
 def get_logger(component: str) -> Any:
     """Returns a logger bound to a component name.
 
-    It reads the configuration at its first line, so modules may create it at import time.
+    The logger reads the configuration at its first call, so modules may create it at import time.
     """
     return structlog.get_logger(component=component)
--- a/packages/arbutustally/src/arbutustally/metrics.py
+++ b/packages/arbutustally/src/arbutustally/metrics.py
@@ -1,4 +1,4 @@
-"""statsd metrics and the table of all refusal and retry counters."""
+"""statsd metrics and the registry of all refusal and retry counters."""
 
 from dataclasses import dataclass
 from typing import Any
@@ -14,7 +14,7 @@
     """One declared counter.
 
     :ivar name: full statsd name below the prefix.
-    :ivar help: what an increment means and what an operator does about it.
+    :ivar help: meaning of an increment and what an operator does about it.
     """
 
     name: str
@@ -25,7 +25,7 @@
 
 
 def declare(name: str, help_text: str) -> Counter:
-    """Declares a counter once, at import time of the module that increments it.
+    """Declares a counter; called once, when the module that increments it is imported.
 
     :raises ValueError: if the name is declared twice.
     """
@@ -79,5 +79,5 @@
             self._client.timing(name, seconds * 1000)
 
     def snapshot(self) -> dict[str, Any]:
-        """Returns every declared counter with its count, for the status report."""
+        """Returns the count of every declared counter, for the status report."""
         return {name: self._counts.get(name, 0) for name in sorted(_REGISTRY)}
--- a/packages/arbutustally/src/arbutustally/peer_protocol.py
+++ b/packages/arbutustally/src/arbutustally/peer_protocol.py
@@ -2,7 +2,7 @@
 
 A frame is ``sequence (8 bytes) | message | MAC (16 bytes)``. The MAC is checked before the
 message is decoded, and the sequence has no gaps, so a replayed, reordered, truncated or altered
-frame ends the link.
+frame closes the link.
 """
 
 import hashlib
@@ -20,7 +20,7 @@
 PROTOCOL_VERSION = 1
 #: Largest frame in bytes, checked before decoding.
 MAX_FRAME_BYTES = 1 << 20
-#: Largest message before authentication, in bytes; a stranger can make a node hold no more.
+#: Largest message before authentication in bytes; bounds the memory an unauthenticated peer takes.
 MAX_HANDSHAKE_BYTES = 1024
 NONCE_BYTES = 32
 SEQUENCE_BYTES = 8
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True)
 class Challenge:
-    """Answer of the listening node.
+    """Response of the listening node.
 
     :ivar proofs: one HMAC for each secret that the node accepts, current one first.
     """
@@ -96,7 +96,7 @@
 
     :ivar origin: node that broadcast it.
     :ivar incarnation: of the origin.
-    :ivar serial: counts up for each origin incarnation; a repeated pair is dropped.
+    :ivar serial: increases within an incarnation of the origin; receivers drop duplicates.
     """
 
     origin: str
@@ -108,7 +108,7 @@
 
 @dataclass(frozen=True)
 class Events:
-    """Several broadcasts in one frame; empty as a sign of life.
+    """Several broadcasts in one frame; without events it is a heartbeat.
 
     :ivar events: each an ``Event`` in its list form.
     """
@@ -133,7 +133,7 @@
 def encode(message: Message) -> bytes:
     """Returns the CBOR form.
 
-    :raises PeerRejectedError: if the message does not fit into a frame; send less at once.
+    :raises PeerRejectedError: if the message exceeds a frame; send it in smaller parts.
     """
     if isinstance(message, Events):
         values: list[Any] = [[_values(event) for event in message.events]]
@@ -153,7 +153,7 @@
 
 
 def decode(data: bytes) -> Message:
-    """Decodes a message whose bounds are checked first.
+    """Decodes a message after checking its bounds.
 
     :raises PeerRejectedError: if the data is not exactly one well-formed message.
     """
@@ -221,7 +221,7 @@
     def open(self, frame: bytes) -> bytes:
         """Returns the payload of the next frame.
 
-        :raises PeerRejectedError: if the frame is too short, too long, altered, or not the next.
+        :raises PeerRejectedError: if the frame is too short, too long, altered or out of sequence.
         """
         if not FRAME_OVERHEAD_BYTES <= len(frame) <= MAX_FRAME_BYTES:
             raise rejected(f"a peer frame has a length of {len(frame)} bytes")
@@ -235,7 +235,7 @@
 
 
 def _mac(keyed: Any, body: bytes) -> bytes:
-    # A copy of the keyed state saves the key schedule on every frame.
+    # Copying the keyed state avoids the key schedule for every frame.
     state = keyed.copy()
     state.update(body)
     return state.digest()[:MAC_BYTES]
@@ -295,13 +295,13 @@
         )
 
     def challenge(self, data: bytes) -> bytes:
-        """Returns the listening node's answer to a hello.
+        """Returns the listening node's response to a hello.
 
         :raises PeerRejectedError: if the hello is malformed, of another version, or our own.
         """
         hello = _expect(Hello, data)
         if hello.version != PROTOCOL_VERSION:
-            raise rejected(f"the peer speaks protocol version {hello.version}")
+            raise rejected(f"the peer uses protocol version {hello.version}")
         peer = Identity(hello.node_id, hello.incarnation)
         self._refuse_self(peer)
         self._transcript = _transcript(peer, self._identity, hello.nonce, self._nonce)
@@ -313,7 +313,7 @@
     def prove(self, data: bytes, expected_node_id: str) -> tuple[bytes, SecureChannel]:
         """Checks the challenge and returns the dialling node's proof and its channel.
 
-        :raises PeerRejectedError: if another node answers or no secret is shared.
+        :raises PeerRejectedError: if another node responds or no secret is shared.
         """
         challenge = _expect(Challenge, data)
         peer = Identity(challenge.node_id, challenge.incarnation)
@@ -332,11 +332,11 @@
     def finish(self, data: bytes) -> SecureChannel:
         """Checks the proof and returns the listening node's channel.
 
-        :raises PeerRejectedError: if the proof fits none of the accepted secrets.
+        :raises PeerRejectedError: if the proof matches none of the accepted secrets.
         """
         proof = _expect(Proof, data)
         if not self._transcript:
-            raise rejected("a proof came before the hello")
+            raise rejected("the peer sent a proof before the hello")
         for secret in self._secrets:
             if hmac.compare_digest(_proof(secret, "dial", self._transcript), proof.proof):
                 self._peer = Identity(self._transcript[0], self._transcript[1])
--- a/packages/arbutustally/src/arbutustally/records.py
+++ b/packages/arbutustally/src/arbutustally/records.py
@@ -1,6 +1,6 @@
 """Typed records of the platform's log and their encoding.
 
-A record travels as ``{"id": str, "kind": str, "body": object}``; the log adds the offset.
+The JSON form of a record is ``{"id": str, "kind": str, "body": object}``; the log adds the offset.
 """
 
 import uuid
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True)
 class KeyWithdraw:
-    """Makes a key invalid for good."""
+    """Revokes a key permanently."""
 
     key_id: str
 
@@ -61,7 +61,7 @@
     :ivar name: what is leased, for instance ``shard/3`` or ``move/marelle``.
     :ivar holder: node incarnation, ``node-id#incarnation``.
     :ivar base: offset of the lease's last accepted record, -1 for the first claim.
-    :ivar release: the holder gives the lease up.
+    :ivar release: the holder releases the lease.
     """
 
     name: str
@@ -108,11 +108,11 @@
 
     :ivar key: as in the claim.
     :ivar ran: ``not_run``, ``may_have_run`` or ``ran``.
-    :ivar status: HTTP status of the endpoint's answer, 0 without one.
-    :ivar content_type: of the answer.
-    :ivar body: the answer, base64.
-    :ivar claim: offset of the claim that it ends. The fold ignores an outcome of any other claim,
-        else a late ``not_run`` would free a key that another node has claimed since.
+    :ivar status: HTTP status of the endpoint's response, 0 without one.
+    :ivar content_type: of the response.
+    :ivar body: body of the response, base64.
+    :ivar claim: offset of the claim to which it belongs. The fold ignores an outcome of any other
+        claim, because a late ``not_run`` would free a key that another node has claimed since.
     """
 
     key: str
@@ -128,12 +128,12 @@
     """One step of a move between versions.
 
     :ivar model: model name.
-    :ivar version: the version moved to.
-    :ivar previous: the version moved from.
+    :ivar version: the version to which traffic moves.
+    :ivar previous: the version from which it moves.
     :ivar step: ``started``, ``raised``, ``done`` or ``taken_back``.
     :ivar share: fraction of requests on the new version, 0 to 1.
     :ivar fence: fencing number, the offset of the controller's lease claim.
-    :ivar evidence: figures that led to the step.
+    :ivar evidence: measurements on which the step is based.
     """
 
     model: str
@@ -147,9 +147,9 @@
 
 @dataclass(frozen=True)
 class CheckpointPart:
-    """Part of a checkpoint of the whole fold.
+    """Part of a checkpoint of the whole control state.
 
-    :ivar upto: offset of the last record folded in.
+    :ivar upto: offset of the last record in the checkpoint.
     :ivar part: number of this part, from 0.
     :ivar parts: number of parts.
     :ivar data: slice of the encoded snapshot, base64 of compressed CBOR.
@@ -210,7 +210,8 @@
 def decode(data: Any) -> Record:
     """Decodes the JSON form.
 
-    :raises BadRequestError: if the record is malformed or of an unknown kind; readers count and skip it.
+    :raises BadRequestError: if the record is malformed or of an unknown kind; readers count and
+        skip it.
     """
     try:
         cls = _KINDS[data["kind"]]
@@ -223,5 +224,5 @@
 
 
 def wrap(body: Body) -> Record:
-    """Gives a body a new unique id."""
+    """Returns a record of the body with a new unique id."""
     return Record(new_id(), body)
--- a/packages/arbutustally/src/arbutustally/settings.py
+++ b/packages/arbutustally/src/arbutustally/settings.py
@@ -18,13 +18,13 @@
         variable ``ARBUTUSTALLY_NAME``.
     :ivar kind: ``str``, ``int``, ``float``, ``bool`` or ``list`` (comma-separated strings).
     :ivar unit: unit of the value, empty where it has none.
-    :ivar default: value when neither flag nor variable is given; ``None`` marks a required one.
+    :ivar default: value if neither flag nor variable is set; ``None`` for a required setting.
     :ivar help: one sentence for ``--help``.
     :ivar low: smallest accepted number.
     :ivar high: largest accepted number.
     :ivar choices: accepted strings; empty accepts all.
     :ivar secret: hide the value in ``--print-settings``.
-    :ivar example: a valid value, named in error messages.
+    :ivar example: a valid value, shown in error messages.
     """
 
     name: str
@@ -50,7 +50,7 @@
 
     @property
     def accepted(self) -> str:
-        """Returns the accepted values in words."""
+        """Returns a description of the accepted values."""
         unit = f" {self.unit}" if self.unit else ""
         if self.choices:
             return "one of " + ", ".join(self.choices)
@@ -117,9 +117,9 @@
 def read(
     settings: Sequence[Setting], flags: argparse.Namespace, environment: Mapping[str, str]
 ) -> dict[str, Any]:
-    """Returns the effective settings; a flag goes before the variable.
+    """Returns the effective settings; a flag takes precedence over the variable.
 
-    :raises SettingInvalidError: for the first missing or wrong value, or an unknown variable.
+    :raises SettingInvalidError: for the first missing or invalid value, or an unknown variable.
     """
     known = {setting.variable for setting in settings}
     for variable in sorted(environment):
--- a/packages/arbutustally/src/arbutustally/snapshots.py
+++ b/packages/arbutustally/src/arbutustally/snapshots.py
@@ -9,7 +9,7 @@
 from arbutustally.errors import SnapshotInvalidError
 
 _MAGIC = b"atsn"
-#: Raised when a reader of the older format could misread the content.
+#: Incremented when a reader of the previous format could misread the content.
 FORMAT = 1
 _DIGEST_BYTES = 16
 _HEADER_BYTES = len(_MAGIC) + 1 + _DIGEST_BYTES
@@ -34,10 +34,12 @@
     :raises SnapshotInvalidError: if it is damaged, too large or of an unknown format.
     """
     if len(data) <= _HEADER_BYTES or data[: len(_MAGIC)] != _MAGIC:
-        raise SnapshotInvalidError("this is no snapshot; ask another peer or read the log")
+        raise SnapshotInvalidError(
+            "the data is not a snapshot; fetch one from another peer or read the log"
+        )
     packed = data[len(_MAGIC) + _DIGEST_BYTES :]
     if _digest(packed) != data[len(_MAGIC) : len(_MAGIC) + _DIGEST_BYTES]:
-        raise SnapshotInvalidError("the snapshot is damaged; ask another peer or read the log")
+        raise SnapshotInvalidError("the snapshot is damaged; fetch another one or read the log")
     if packed[0] != FORMAT:
         raise SnapshotInvalidError(
             f"the snapshot has format {packed[0]} and this node reads {FORMAT}; run the same "
@@ -52,10 +54,10 @@
         plain = unpacker.decompress(packed, MAX_PLAIN_BYTES)
         if not unpacker.eof or unpacker.unused_data:
             raise SnapshotInvalidError(
-                f"the snapshot is cut off or larger than {MAX_PLAIN_BYTES} bytes; read the log"
+                f"the snapshot is truncated or larger than {MAX_PLAIN_BYTES} bytes; read the log"
             )
         return cbor2.loads(plain)
     except (zlib.error, cbor2.CBORDecodeError, RecursionError) as error:
         raise SnapshotInvalidError(
-            f"the snapshot cannot be decoded: {error}; ask another peer or read the log"
+            f"the snapshot cannot be decoded: {error}; fetch another one or read the log"
         ) from error
--- a/packages/arbutustally/src/arbutustally/state.py
+++ b/packages/arbutustally/src/arbutustally/state.py
@@ -1,4 +1,4 @@
-"""The control state: a pure fold of the log, the same at every reader."""
+"""The control state: a pure fold of the log, identical at every reader."""
 
 from collections import deque
 from dataclasses import astuple, replace
@@ -44,7 +44,7 @@
 class ControlState:
     """Fold of a prefix of the log.
 
-    ``apply`` uses nothing but the state and the record, so that readers of the same prefix agree.
+    ``apply`` depends only on the state and the record, so readers of the same prefix agree.
 
     :param booking_window_s: how long claims are kept, see ``ClaimTable``.
     """
@@ -119,7 +119,7 @@
     def apply(self, offset: int, record: Record | None) -> Verdict:
         """Applies the next record.
 
-        :param record: ``None`` for one that could not be decoded; it only takes up its offset.
+        :param record: ``None`` for one that could not be decoded; it only advances the offset.
         :raises ValueError: if the offset is not above the last one.
         """
         if offset <= self._offset:
@@ -180,7 +180,7 @@
     def _issue(self, offset: int, body: KeyIssue) -> Verdict:
         is_new = self._keys.get(body.key_id) is None
         if is_new and body.account not in self._declarations.accounts:
-            # A repeated append must not make the key valid once the account is declared.
+            # A duplicate of this record must not make the key valid once the account is declared.
             self._keys.withdraw(KeyWithdraw(body.key_id))
             verdict = rejected(Reason.ACCOUNT_UNKNOWN)
         else:
@@ -248,7 +248,7 @@
             state._load(content)
         except (KeyError, TypeError, ValueError, AttributeError, RouterError) as error:
             raise SnapshotInvalidError(
-                f"the snapshot's content does not fit format: {error!r}; ask another peer"
+                f"the snapshot's content is malformed: {error!r}; fetch it from another peer"
             ) from error
         return state
 
@@ -266,7 +266,7 @@
 
 
 def _printable(text: str, longest: int) -> str:
-    """Returns a text that every codec and terminal accepts, shortened."""
+    """Returns a text truncated, with ``?`` for characters that a codec or terminal may reject."""
     shortened = text[:longest]
     if shortened.isprintable():
         return shortened
--- a/packages/arbutustally/src/arbutustally/topology.py
+++ b/packages/arbutustally/src/arbutustally/topology.py
@@ -1,7 +1,7 @@
-"""Which peers a node keeps links to.
+"""Selection of the peers to which a node keeps links.
 
-Up to ``FULL_MESH_NODES`` every node links to every other. Beyond that, nodes form groups of about
-the square root of their number: full links within the group and one link to each other group.
+Up to ``FULL_MESH_NODES`` nodes form a full mesh. Larger fleets form groups of about the square
+root of their number: a full mesh within the group and one link to each other group.
 """
 
 from collections.abc import Collection
@@ -15,10 +15,10 @@
 
 @dataclass(frozen=True)
 class Plan:
-    """Links that one node wants.
+    """Links that one node maintains.
 
-    :ivar near: nodes of the own group.
-    :ivar far: for each other group its members in the order in which they are tried.
+    :ivar near: other nodes of its group.
+    :ivar far: members of each other group, in the order in which they are tried.
     """
 
     near: tuple[str, ...]
@@ -26,14 +26,14 @@
 
 
 def group_of(node_id: str, groups: int) -> int:
-    """Returns a node's group; it depends on no other node, so a join moves nobody else."""
+    """Returns a node's group; it does not depend on other nodes, so a joining node moves none."""
     return int.from_bytes(score("group", node_id), "big") % groups
 
 
 def plan(own_id: str, node_ids: Collection[str], mesh_up_to: int = FULL_MESH_NODES) -> Plan:
     """Returns the links of a node.
 
-    :param node_ids: all known nodes; the own id may be among them.
+    :param node_ids: all known nodes, with or without the own id.
     :param mesh_up_to: largest fleet with a full mesh.
     """
     known = sorted({own_id, *node_ids})
@@ -53,12 +53,12 @@
 
 
 def _round_robin(others: list[str], position: int) -> tuple[str, ...]:
-    # Both ends pair positions whose sum is a multiple of the group size, so that with groups of
-    # equal size the choice of one end is also the choice of the other and needs one link.
+    # Both ends pair positions whose sum is a multiple of the group size, so that in groups of
+    # equal size both ends choose each other and share one link.
     first = -position % len(others)
     return tuple(others[first:] + others[:first])
 
 
 def dials(own_id: str, other_id: str) -> bool:
-    """Returns whether this node opens the link of a pair; the smaller id does."""
+    """Returns whether this node opens the link to the other; the node with the smaller id does."""
     return own_id < other_id
