Name the steps of the fold and the parts of checkpoints plainly

Methods such as _note, _step, finish and _improves, and bounds such as _SHOWN_DETAIL, did not say what they apply or bound. The names now state the record that is applied, the unit of each bound and that incomplete checkpoints are dropped.

--- a/packages/arbutustally/src/arbutustally/checkpoint.py
+++ b/packages/arbutustally/src/arbutustally/checkpoint.py
@@ -11,7 +11,7 @@
 PART_CHARACTERS = 192 << 10
 MAX_PARTS = 4096
 #: Checkpoints assembled at the same time, for instance of the previous and the current holder.
-_MAX_OPEN = 4
+_MAX_INCOMPLETE = 4
 _DIGEST_BYTES = 16
 
 
@@ -27,13 +27,13 @@
     :param upto: offset of the last record in the snapshot.
     """
     text = base64.b64encode(snapshot).decode()
-    pieces = [
+    chunks = [
         text[start : start + part_characters] for start in range(0, len(text), part_characters)
     ]
     digest = _digest(snapshot)
     return [
-        CheckpointPart(upto=upto, part=number, parts=len(pieces), data=piece, digest=digest)
-        for number, piece in enumerate(pieces)
+        CheckpointPart(upto=upto, part=number, parts=len(chunks), data=chunk, digest=digest)
+        for number, chunk in enumerate(chunks)
     ]
 
 
@@ -45,7 +45,7 @@
     """
 
     def __init__(self) -> None:
-        self._open: dict[tuple[int, int, str], dict[int, str]] = {}
+        self._incomplete: dict[tuple[int, int, str], dict[int, str]] = {}
 
     def add(self, part: CheckpointPart) -> bytes | None:
         """Adds a part.
@@ -57,21 +57,21 @@
         if not (0 <= part.part < part.parts <= MAX_PARTS and part.digest):
             raise SnapshotInvalidError("checkpoint part is malformed; wait for the next checkpoint")
         group = (part.upto, part.parts, part.digest)
-        pieces = self._open.setdefault(group, {})
-        pieces.setdefault(part.part, part.data)
-        if len(pieces) < part.parts:
-            self._forget_oldest()
+        chunks = self._incomplete.setdefault(group, {})
+        chunks.setdefault(part.part, part.data)
+        if len(chunks) < part.parts:
+            self._drop_oldest()
             return None
-        del self._open[group]
-        return _join(pieces, part.digest)
+        del self._incomplete[group]
+        return _join(chunks, part.digest)
 
-    def _forget_oldest(self) -> None:
-        while len(self._open) > _MAX_OPEN:
-            del self._open[min(self._open)]
+    def _drop_oldest(self) -> None:
+        while len(self._incomplete) > _MAX_INCOMPLETE:
+            del self._incomplete[min(self._incomplete)]
 
 
-def _join(pieces: dict[int, str], digest: str) -> bytes:
-    text = "".join(pieces[number] for number in sorted(pieces))
+def _join(chunks: dict[int, str], digest: str) -> bytes:
+    text = "".join(chunks[number] for number in sorted(chunks))
     try:
         snapshot = base64.b64decode(text, validate=True)
     except (binascii.Error, ValueError):
--- a/packages/arbutustally/src/arbutustally/claim_table.py
+++ b/packages/arbutustally/src/arbutustally/claim_table.py
@@ -17,7 +17,7 @@
 #: their callers receive an error that says that the booking ran. Every node drops the same ones.
 MAX_KEPT_CHARACTERS = 8 << 20
 #: Duplicate appends of one key come from the few nodes to which its caller sent the request.
-_REMEMBERED_IDS = 16
+_MAX_RECORD_IDS = 16
 
 
 class ClaimTable:
@@ -38,7 +38,7 @@
         self._floor_s = -math.inf
         self._entries: dict[str, ClaimEntry] = {}
         self._by_time: list[tuple[float, str]] = []
-        self._bodies: dict[str, int] = {}
+        self._body_lengths: dict[str, int] = {}
         self._kept_characters = 0
 
     def get(self, key: str) -> ClaimEntry | None:
@@ -62,7 +62,7 @@
         if record_id in entry.record_ids:
             return rejected(Reason.DUPLICATE, entry.offset)
         verdict = self._verdict_on_repeat(entry, body)
-        ids = (*entry.record_ids, record_id)[-_REMEMBERED_IDS:]
+        ids = (*entry.record_ids, record_id)[-_MAX_RECORD_IDS:]
         if verdict.accepted:
             entry = replace(entry, holder=body.holder, offset=offset, outcome=None)
         self._entries[body.key] = replace(entry, record_ids=ids)
@@ -91,9 +91,9 @@
         while self._by_time and self._by_time[0][0] < self._floor_s:
             _, key = heapq.heappop(self._by_time)
             del self._entries[key]
-            self._kept_characters -= self._bodies.pop(key, 0)
+            self._kept_characters -= self._body_lengths.pop(key, 0)
 
-    def finish(self, body: Outcome) -> Verdict:
+    def apply_outcome(self, body: Outcome) -> Verdict:
         """Applies an outcome."""
         if body.ran not in tuple(Ran) or len(body.body) > MAX_BODY_CHARACTERS:
             return rejected(Reason.MALFORMED)
@@ -109,19 +109,19 @@
         # of a claimant that lost or came earlier would free a claim that has been dispatched.
         if not is_named and (body.ran == Ran.NOT_RUN or body.claim != -1):
             return rejected(Reason.STALE_BASE, entry.offset)
-        if entry.outcome is not None and not _improves(entry.outcome, body):
+        if entry.outcome is not None and not _settles_unknown(entry.outcome, body):
             return rejected(Reason.HAS_OUTCOME, entry.offset)
         self._entries[body.key] = replace(entry, outcome=body)
         if body.body:
-            self._bodies[body.key] = len(body.body)
+            self._body_lengths[body.key] = len(body.body)
             self._kept_characters += len(body.body)
-            self._drop_bodies()
+            self._drop_oldest_bodies()
         return ACCEPTED
 
-    def _drop_bodies(self) -> None:
+    def _drop_oldest_bodies(self) -> None:
         while self._kept_characters > MAX_KEPT_CHARACTERS:
-            key = next(iter(self._bodies))
-            self._kept_characters -= self._bodies.pop(key)
+            key = next(iter(self._body_lengths))
+            self._kept_characters -= self._body_lengths.pop(key)
             entry = self._entries[key]
             outcome = replace(entry.outcome, body="", content_type=BODY_DROPPED)
             self._entries[key] = replace(entry, outcome=outcome)
@@ -140,7 +140,7 @@
             ]
             for entry in self._entries.values()
         ]
-        return [self._floor_s, rows, list(self._bodies)]
+        return [self._floor_s, rows, list(self._body_lengths)]
 
     def load(self, data: Any) -> None:
         """Replaces the content with data from ``dump``."""
@@ -150,12 +150,12 @@
             known = Outcome(*outcome) if outcome is not None else None
             entry = ClaimEntry(key, digest, holder, offset, key_time_s, known, tuple(ids))
             self._entries[key] = entry
-        self._bodies = {key: len(self._entries[key].outcome.body) for key in with_body}
-        self._kept_characters = sum(self._bodies.values())
+        self._body_lengths = {key: len(self._entries[key].outcome.body) for key in with_body}
+        self._kept_characters = sum(self._body_lengths.values())
         self._by_time = [(entry.key_time_s, key) for key, entry in self._entries.items()]
         heapq.heapify(self._by_time)
 
 
-def _improves(old: Outcome, new: Outcome) -> bool:
+def _settles_unknown(old: Outcome, new: Outcome) -> bool:
     """Returns whether a late response settles a dispatched call of unknown outcome."""
     return old.ran == Ran.MAY_HAVE_RUN and new.ran == Ran.RAN
--- a/packages/arbutustally/src/arbutustally/control_tables.py
+++ b/packages/arbutustally/src/arbutustally/control_tables.py
@@ -32,13 +32,13 @@
 MAX_MOVES = 1024
 _MAX_EVIDENCE_BYTES = 16 << 10
 #: Duplicate appends arrive within a writer's deadline; a move makes far fewer steps in that time.
-_REMEMBERED_IDS = 32
+_MAX_RECORD_IDS = 32
 _STEPS = frozenset({"started", "raised", "done", "taken_back"})
 
 
-def is_text(value: Any, longest: int = _MAX_TEXT) -> bool:
+def is_text(value: Any, max_characters: int = _MAX_TEXT) -> bool:
     """Returns whether a value is a short, non-empty string that UTF-8 can encode."""
-    if not isinstance(value, str) or not 0 < len(value) <= longest:
+    if not isinstance(value, str) or not 0 < len(value) <= max_characters:
         return False
     try:
         value.encode()
@@ -161,19 +161,19 @@
 
     def apply(self, offset: int, body: ShareRecord) -> Verdict:
         """Applies an assignment or a release."""
-        place = (body.shard, body.slot)
-        if min(place) < 0 or max(place) >= MAX_SHARES:
+        slot_key = (body.shard, body.slot)
+        if min(slot_key) < 0 or max(slot_key) >= MAX_SHARES:
             return rejected(Reason.MALFORMED)
         if body.holder and not is_text(body.holder):
             return rejected(Reason.MALFORMED)
-        entry = self._entries.get(place)
+        entry = self._entries.get(slot_key)
         last = entry.last_offset if entry is not None else -1
         if body.base != last:
             return rejected(Reason.STALE_BASE, last)
         if entry is None and len(self._entries) >= MAX_SHARES:
             return rejected(Reason.TOO_MANY)
         previous = entry.holder if entry is not None else ""
-        self._entries[place] = ShareEntry(*place, body.holder, offset, previous)
+        self._entries[slot_key] = ShareEntry(*slot_key, body.holder, offset, previous)
         return ACCEPTED
 
     def dump(self) -> Any:
@@ -237,7 +237,7 @@
             return rejected(Reason.STALE_FENCE, lease.last_offset if lease is not None else -1)
         if entry is None and len(self._entries) >= MAX_MOVES:
             return rejected(Reason.TOO_MANY)
-        seen = entry.record_ids if entry is not None else ()
+        record_ids_before = entry.record_ids if entry is not None else ()
         self._entries[body.model] = MoveEntry(
             model=body.model,
             version=body.version,
@@ -247,7 +247,7 @@
             fence=body.fence,
             evidence=body.evidence,
             offset=offset,
-            record_ids=(*seen, record_id)[-_REMEMBERED_IDS:],
+            record_ids=(*record_ids_before, record_id)[-_MAX_RECORD_IDS:],
         )
         return ACCEPTED
 
--- a/packages/arbutustally/src/arbutustally/state.py
+++ b/packages/arbutustally/src/arbutustally/state.py
@@ -36,9 +36,9 @@
 
 DEFAULT_BOOKING_WINDOW_S = 3600.0
 _HISTORY_LENGTH = 500
-_SHOWN_NAMES = 20
-_SHOWN_DETAIL = 300
-_SHOWN_AUTHOR = 80
+_MAX_HISTORY_NAMES = 20
+_MAX_DETAIL_CHARACTERS = 300
+_MAX_NAME_CHARACTERS = 80
 
 
 class ControlState:
@@ -138,32 +138,32 @@
             case Claim() as body:
                 return self._claims.claim(offset, record.id, body)
             case Outcome() as body:
-                return self._claims.finish(body)
+                return self._claims.apply_outcome(body)
             case Change() as body:
-                return self._change(offset, body)
+                return self._apply_change(offset, body)
             case KeyIssue() as body:
-                return self._issue(offset, body)
+                return self._apply_key_issue(offset, body)
             case KeyWithdraw() as body:
-                return self._withdraw(offset, body)
+                return self._apply_key_withdrawal(offset, body)
             case ShareRecord() as body:
                 return self._shares.apply(offset, body)
             case MoveStep() as body:
-                return self._step(offset, record.id, body)
+                return self._apply_move_step(offset, record.id, body)
             case CheckpointPart():
                 return ACCEPTED
         return rejected(Reason.MALFORMED)
 
-    def _change(self, offset: int, body: Change) -> Verdict:
-        verdict = self._try_change(offset, body)
-        set_names = tuple(body.set)[:_SHOWN_NAMES]
-        removed = tuple(f"-{name}" for name in body.remove[:_SHOWN_NAMES])
+    def _apply_change(self, offset: int, body: Change) -> Verdict:
+        verdict = self._decide_change(offset, body)
+        set_names = tuple(body.set)[:_MAX_HISTORY_NAMES]
+        removed = tuple(f"-{name}" for name in body.remove[:_MAX_HISTORY_NAMES])
         total = len(body.set) + len(body.remove)
         changed = f"{total} item{'' if total == 1 else 's'} changed"
         detail = verdict.detail or verdict.reason or changed
-        self._note(offset, "change", body.author, verdict, detail, set_names + removed)
+        self._record_history(offset, "change", body.author, verdict, detail, set_names + removed)
         return verdict
 
-    def _try_change(self, offset: int, body: Change) -> Verdict:
+    def _decide_change(self, offset: int, body: Change) -> Verdict:
         if body.base != self._version:
             return rejected(Reason.STALE_BASE, self._version)
         if not body.set and not body.remove:
@@ -177,7 +177,7 @@
         self._moves.declare(offset, {name: model.version for name, model in changed.models.items()})
         return ACCEPTED
 
-    def _issue(self, offset: int, body: KeyIssue) -> Verdict:
+    def _apply_key_issue(self, offset: int, body: KeyIssue) -> Verdict:
         is_new = self._keys.get(body.key_id) is None
         if is_new and body.account not in self._declarations.accounts:
             # A duplicate of this record must not make the key valid once the account is declared.
@@ -185,21 +185,23 @@
             verdict = rejected(Reason.ACCOUNT_UNKNOWN)
         else:
             verdict = self._keys.issue(body)
-        self._note(offset, "key_issue", "", verdict, f"account {body.account}", (body.key_id,))
+        self._record_history(
+            offset, "key_issue", "", verdict, f"account {body.account}", (body.key_id,)
+        )
         return verdict
 
-    def _withdraw(self, offset: int, body: KeyWithdraw) -> Verdict:
+    def _apply_key_withdrawal(self, offset: int, body: KeyWithdraw) -> Verdict:
         verdict = self._keys.withdraw(body)
-        self._note(offset, "key_withdraw", "", verdict, verdict.reason, (body.key_id,))
+        self._record_history(offset, "key_withdraw", "", verdict, verdict.reason, (body.key_id,))
         return verdict
 
-    def _step(self, offset: int, record_id: str, body: MoveStep) -> Verdict:
+    def _apply_move_step(self, offset: int, record_id: str, body: MoveStep) -> Verdict:
         verdict = self._moves.apply(offset, record_id, body)
         detail = f"{body.model} {body.step}: {body.version} at {body.share:.0%}"
-        self._note(offset, "move", "", verdict, detail, (body.model,))
+        self._record_history(offset, "move", "", verdict, detail, (body.model,))
         return verdict
 
-    def _note(
+    def _record_history(
         self,
         offset: int,
         kind: str,
@@ -211,10 +213,10 @@
         entry = HistoryEntry(
             offset=offset,
             kind=kind,
-            author=_printable(author, _SHOWN_AUTHOR),
+            author=_printable(author, _MAX_NAME_CHARACTERS),
             accepted=verdict.accepted,
-            detail=_printable(detail, _SHOWN_DETAIL),
-            names=tuple(_printable(name, _SHOWN_AUTHOR) for name in names),
+            detail=_printable(detail, _MAX_DETAIL_CHARACTERS),
+            names=tuple(_printable(name, _MAX_NAME_CHARACTERS) for name in names),
         )
         self._history.append(entry)
 
@@ -265,9 +267,9 @@
         self._history.extend(replace(entry, names=tuple(entry.names)) for entry in entries)
 
 
-def _printable(text: str, longest: int) -> str:
+def _printable(text: str, max_characters: int) -> str:
     """Returns a text truncated, with ``?`` for characters that a codec or terminal may reject."""
-    shortened = text[:longest]
-    if shortened.isprintable():
-        return shortened
-    return "".join(char if char.isprintable() else "?" for char in shortened)
+    truncated = text[:max_characters]
+    if truncated.isprintable():
+        return truncated
+    return "".join(char if char.isprintable() else "?" for char in truncated)
