--- a/packages/arbutustally/src/arbutustally/declaration_fields.py
+++ b/packages/arbutustally/src/arbutustally/declaration_fields.py
@@ -9,7 +9,7 @@
 
 from arbutustally.errors import ConfigurationInvalidError
 
-_MAX_SHOWN = 80
+_MAX_REPR_CHARACTERS = 80
 _EXPECTED = {
     str: "a string in quotes",
     int: "a whole number",
@@ -22,7 +22,7 @@
     """A value of the wrong type."""
 
 
-def _strict(kind: type) -> Any:
+def _strict_hook(kind: type) -> Any:
     """Returns a hook that accepts only ``kind``; default hooks convert values, such as 5 to "5"."""
 
     def structure(value: Any, _: Any) -> Any:
@@ -30,35 +30,35 @@
             try:
                 return float(value)
             except OverflowError:
-                raise _FieldError(f"{shown(value)} is too large") from None
+                raise _FieldError(f"{short_repr(value)} is too large") from None
         if type(value) is not kind:
-            raise _FieldError(f"{shown(value)} is not {_EXPECTED[kind]}")
+            raise _FieldError(f"{short_repr(value)} is not {_EXPECTED[kind]}")
         return value
 
     return structure
 
 
-def _strings(value: Any, _: Any) -> tuple[str, ...]:
+def _structure_strings(value: Any, _: Any) -> tuple[str, ...]:
     if not isinstance(value, list | tuple) or not all(type(entry) is str for entry in value):
-        raise _FieldError(f"{shown(value)} is not a list of strings")
+        raise _FieldError(f"{short_repr(value)} is not a list of strings")
     return tuple(value)
 
 
 def _new_converter() -> cattrs.Converter:
     converter = cattrs.Converter(forbid_extra_keys=True)
     for kind in _EXPECTED:
-        converter.register_structure_hook(kind, _strict(kind))
-    converter.register_structure_hook_func(lambda kind: kind == tuple[str, ...], _strings)
+        converter.register_structure_hook(kind, _strict_hook(kind))
+    converter.register_structure_hook_func(lambda kind: kind == tuple[str, ...], _structure_strings)
     return converter
 
 
 _converter = _new_converter()
-_prepared: set[type] = set()
+_registered: set[type] = set()
 
 
-def _prepare(cls: type) -> None:
+def _register_hooks(cls: type) -> None:
     """Registers the hooks of a section once; ``class_`` is ``class`` in files and records."""
-    if cls in _prepared:
+    if cls in _registered:
         return
     renames = {
         field.name: override(rename=field.name.rstrip("_"))
@@ -70,13 +70,13 @@
     )
     _converter.register_structure_hook(cls, structure)
     _converter.register_unstructure_hook(cls, make_dict_unstructure_fn(cls, _converter, **renames))
-    _prepared.add(cls)
+    _registered.add(cls)
 
 
-def shown(value: Any) -> str:
+def short_repr(value: Any) -> str:
     """Returns the truncated ``repr`` of a value, for messages."""
     text = repr(value)
-    return text if len(text) <= _MAX_SHOWN else text[:_MAX_SHOWN] + "..."
+    return text if len(text) <= _MAX_REPR_CHARACTERS else text[:_MAX_REPR_CHARACTERS] + "..."
 
 
 def structure_item(item: str, data: Any, cls: type) -> Any:
@@ -85,20 +85,21 @@
     :param item: ``section/name``, for messages.
     :raises ConfigurationInvalidError: naming the item, the field, its value and a remedy.
     """
-    _prepare(cls)
+    _register_hooks(cls)
     if not isinstance(data, Mapping) or not all(type(name) is str for name in data):
         raise ConfigurationInvalidError(
-            f"{item}: {shown(data)} is not a table; write [{item.replace('/', '.')}] with fields"
+            f"{item}: {short_repr(data)} is not a table; "
+            f"write [{item.replace('/', '.')}] with fields"
         )
     try:
         return _converter.structure(data, cls)
     except cattrs.BaseValidationError as error:
-        raise ConfigurationInvalidError(f"{item}: {_first_fault(error, cls)}") from error
+        raise ConfigurationInvalidError(f"{item}: {_first_error(error, cls)}") from error
 
 
 def unstructure_item(value: Any) -> dict[str, Any]:
     """Returns the normal form of an item: tuples as lists, fields that are ``None`` omitted."""
-    _prepare(type(value))
+    _register_hooks(type(value))
     plain = _converter.unstructure(value)
     return {
         name: list(entry) if isinstance(entry, tuple) else entry
@@ -107,11 +108,11 @@
     }
 
 
-def _first_fault(error: cattrs.BaseValidationError, cls: type) -> str:
+def _first_error(error: cattrs.BaseValidationError, cls: type) -> str:
     names = ", ".join(field.name.rstrip("_") for field in fields(cls))
     for cause in error.exceptions:
         if isinstance(cause, cattrs.ForbiddenExtraKeysError):
-            extra = ", ".join(shown(name) for name in sorted(cause.extra_fields))
+            extra = ", ".join(short_repr(name) for name in sorted(cause.extra_fields))
             return f"unknown field {extra}; known fields: {names}"
         if isinstance(cause, KeyError):
             return f"field {cause.args[0]!r} is missing; add it (fields: {names})"
--- a/packages/arbutustally/src/arbutustally/declaration_rules.py
+++ b/packages/arbutustally/src/arbutustally/declaration_rules.py
@@ -20,7 +20,7 @@
 _METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
 _RESERVED_PATHS = ("/entry", "/healthz", "/readyz", "/v1/models")
 _MAX_NUMBER = 1e15
-_MAX_LOADS = 10_000
+_MAX_CONCURRENT_LOADS = 10_000
 
 
 def _refuse(item: str, field: str, value: Any, remedy: str) -> None:
@@ -38,7 +38,7 @@
     _RULES[type(value).__name__](item, value)
 
 
-def _positive(item: str, field: str, value: float, unit: str) -> None:
+def _check_positive(item: str, field: str, value: float, unit: str) -> None:
     if not (math.isfinite(value) and 0 < value <= _MAX_NUMBER):
         _refuse(item, field, value, f"use a number of {unit} above 0")
 
@@ -51,14 +51,14 @@
             "declare exactly one of them"
         )
     if value.first_token_ms is not None:
-        _positive(item, "first_token_ms", value.first_token_ms, "milliseconds")
+        _check_positive(item, "first_token_ms", value.first_token_ms, "milliseconds")
     elif not 0 <= value.recompute_percent <= 100:
         _refuse(item, "recompute_percent", value.recompute_percent, "use 0 to 100")
 
 
 def _check_account(item: str, value: Any) -> None:
-    _positive(item, "rate", value.rate, "tokens/s")
-    _positive(item, "burst", value.burst, "tokens")
+    _check_positive(item, "rate", value.rate, "tokens/s")
+    _check_positive(item, "burst", value.burst, "tokens")
 
 
 def _check_route(item: str, value: Any) -> None:
@@ -81,8 +81,13 @@
 def _check_model(item: str, value: Any) -> None:
     if not _NAME.match(value.version):
         _refuse(item, "version", value.version, "use letters, digits, '.', '_' or '-'")
-    if not 1 <= value.max_concurrent_loads <= _MAX_LOADS:
-        _refuse(item, "max_concurrent_loads", value.max_concurrent_loads, f"use 1 to {_MAX_LOADS}")
+    if not 1 <= value.max_concurrent_loads <= _MAX_CONCURRENT_LOADS:
+        _refuse(
+            item,
+            "max_concurrent_loads",
+            value.max_concurrent_loads,
+            f"use 1 to {_MAX_CONCURRENT_LOADS}",
+        )
     if value.move_by is None:
         return
     try:
@@ -112,11 +117,11 @@
 
     :raises ConfigurationInvalidError: naming the referring item and what it needs.
     """
-    taken: dict[tuple[str, str], str] = {}
+    routes_by_target: dict[tuple[str, str], str] = {}
     for name, route in declarations.routes.items():
         _check_route_references(f"routes/{name}", route, declarations)
         for method in route.methods:
-            other = taken.setdefault((route.path, method), name)
+            other = routes_by_target.setdefault((route.path, method), name)
             if other != name:
                 _refuse(
                     f"routes/{name}",
--- a/packages/arbutustally/src/arbutustally/declarations.py
+++ b/packages/arbutustally/src/arbutustally/declarations.py
@@ -146,7 +146,7 @@
                 f"one of {', '.join(_SECTIONS)}"
             )
         for name, fields in entries.items():
-            items[f"{section}/{name}"] = _plain(fields)
+            items[f"{section}/{name}"] = _dates_to_text(fields)
     return from_items(items)
 
 
@@ -175,7 +175,7 @@
     """
     sections: dict[str, dict[str, Any]] = {section: {} for section in _SECTIONS}
     for item, fields in items.items():
-        section, name = _split(item)
+        section, name = _split_item(item)
         sections[section][name] = structure_item(item, fields, _SECTIONS[section])
     return Declarations(**sections)
 
@@ -189,10 +189,10 @@
     :param remove: items to remove.
     :raises ConfigurationInvalidError: if an item, or a reference between items, is wrong.
     """
-    touched: dict[str, dict[str, Any]] = {}
+    changed_sections: dict[str, dict[str, Any]] = {}
     for item in remove:
-        section, name = _split(item)
-        entries = _copied(touched, declarations, section)
+        section, name = _split_item(item)
+        entries = _section_copy(changed_sections, declarations, section)
         if name not in entries:
             raise ConfigurationInvalidError(
                 f"{item} cannot be removed because it is not declared; read the current "
@@ -200,12 +200,12 @@
             )
         del entries[name]
     for item, fields in set_items.items():
-        section, name = _split(item)
-        entries = _copied(touched, declarations, section)
+        section, name = _split_item(item)
+        entries = _section_copy(changed_sections, declarations, section)
         value = structure_item(item, fields, _SECTIONS[section])
         check_item(item, value)
         entries[name] = value
-    changed = replace(declarations, **touched)
+    changed = replace(declarations, **changed_sections)
     total = sum(len(getattr(changed, section)) for section in _SECTIONS)
     if total > MAX_ITEMS:
         raise ConfigurationInvalidError(f"{total} items are declared; keep them below {MAX_ITEMS}")
@@ -214,13 +214,13 @@
     return changed
 
 
-def _copied(
-    touched: dict[str, dict[str, Any]], declarations: Declarations, section: str
+def _section_copy(
+    changed_sections: dict[str, dict[str, Any]], declarations: Declarations, section: str
 ) -> dict[str, Any]:
     """Returns the modifiable copy of a section, made once per change."""
-    if section not in touched:
-        touched[section] = dict(getattr(declarations, section))
-    return touched[section]
+    if section not in changed_sections:
+        changed_sections[section] = dict(getattr(declarations, section))
+    return changed_sections[section]
 
 
 def diff(old_items: Mapping[str, Any], new_items: Mapping[str, Any]) -> Difference:
@@ -238,7 +238,7 @@
     )
 
 
-def _split(item: str) -> tuple[str, str]:
+def _split_item(item: str) -> tuple[str, str]:
     section, _, name = item.partition("/")
     if section not in _SECTIONS:
         raise ConfigurationInvalidError(
@@ -247,10 +247,10 @@
     return section, name
 
 
-def _plain(value: Any) -> Any:
+def _dates_to_text(value: Any) -> Any:
     """Converts TOML dates to strings, so that items are plain JSON."""
     if isinstance(value, dict):
-        return {name: _plain(entry) for name, entry in value.items()}
+        return {name: _dates_to_text(entry) for name, entry in value.items()}
     if isinstance(value, datetime | date):
         return value.isoformat()
     return value
--- a/packages/arbutustally/src/arbutustally/logs.py
+++ b/packages/arbutustally/src/arbutustally/logs.py
@@ -10,7 +10,7 @@
     {"key", "digest", "secret", "authorization", "token", "peer_secret", "operator_token"}
 )
 # Matches caller keys and bearer credentials inside longer strings.
-_SECRET_TEXT = re.compile(r"(?i)(bearer\s+)\S+|at-[0-9a-z]{8,}-[0-9A-Za-z_\-]{16,}")
+_SECRET_PATTERN = re.compile(r"(?i)(bearer\s+)\S+|at-[0-9a-z]{8,}-[0-9A-Za-z_\-]{16,}")
 
 
 def _redact(_logger: Any, _method: str, event: dict[str, Any]) -> dict[str, Any]:
@@ -21,7 +21,7 @@
     if name in _SECRET_FIELDS:
         return "[redacted]"
     if isinstance(value, str):
-        return _SECRET_TEXT.sub("[redacted]", value)
+        return _SECRET_PATTERN.sub("[redacted]", value)
     return value
 
 
--- a/packages/arbutustally/src/arbutustally/settings.py
+++ b/packages/arbutustally/src/arbutustally/settings.py
@@ -66,14 +66,14 @@
         try:
             value = _convert(self.kind, text)
         except ValueError:
-            raise self._refusal(text) from None
+            raise self._invalid_error(text) from None
         if self.choices and value not in self.choices:
-            raise self._refusal(text)
+            raise self._invalid_error(text)
         if self.low is not None and value < self.low or self.high is not None and value > self.high:
-            raise self._refusal(text)
+            raise self._invalid_error(text)
         return value
 
-    def _refusal(self, text: str) -> SettingInvalidError:
+    def _invalid_error(self, text: str) -> SettingInvalidError:
         shown = "[hidden]" if self.secret else repr(text)
         example = self.example or str(self.default)
         return SettingInvalidError(
