--- a/packages/arbutustally/src/arbutustally/cbor_bounds.py
+++ b/packages/arbutustally/src/arbutustally/cbor_bounds.py
@@ -8,10 +8,10 @@
 MAX_ITEMS = 1 << 16
 
 
-def rejected(what: str) -> PeerRejectedError:
+def rejected(problem: str) -> PeerRejectedError:
     """Returns the error for a peer that violated the protocol."""
     return PeerRejectedError(
-        f"{what}; check that both nodes run compatible versions and share a peer secret"
+        f"{problem}; check that both nodes run compatible versions and share a peer secret"
     )
 
 
@@ -27,12 +27,12 @@
     size = len(data)
     items = 0
     # Remaining items of each open array or map, outermost first.
-    open_items = [1]
-    while open_items:
-        if open_items[-1] == 0:
-            open_items.pop()
+    remaining_items = [1]
+    while remaining_items:
+        if remaining_items[-1] == 0:
+            remaining_items.pop()
             continue
-        open_items[-1] -= 1
+        remaining_items[-1] -= 1
         items += 1
         if items > MAX_ITEMS or position >= size:
             raise rejected("a peer message is truncated or has too many items")
@@ -51,9 +51,9 @@
             position += argument
         elif major in (4, 5):
             count = argument * 2 if major == 5 else argument
-            if count > size - position or len(open_items) >= MAX_DEPTH:
+            if count > size - position or len(remaining_items) >= MAX_DEPTH:
                 raise rejected("a peer message declares more items than it holds or nests deeply")
-            open_items.append(count)
+            remaining_items.append(count)
         elif major == 6:
             raise rejected("a peer message has a tagged item")
     if position != size:
--- a/packages/arbutustally/src/arbutustally/lease.py
+++ b/packages/arbutustally/src/arbutustally/lease.py
@@ -61,7 +61,7 @@
     """
 
     duration: float
-    _seen: dict[str, tuple[int, float]] = field(default_factory=dict)
+    _first_read: dict[str, tuple[int, float]] = field(default_factory=dict)
 
     @classmethod
     def from_config(cls, duration: float) -> "LeaseObserver":
@@ -70,11 +70,11 @@
 
     def observed(self, name: str, last_offset: int, now: float) -> None:
         """Records when the last record of a lease was first read; later readings change nothing."""
-        seen = self._seen.get(name)
-        if seen is None or seen[0] != last_offset:
-            self._seen[name] = (last_offset, now)
+        first_read = self._first_read.get(name)
+        if first_read is None or first_read[0] != last_offset:
+            self._first_read[name] = (last_offset, now)
 
     def claimable(self, name: str, last_offset: int, now: float) -> bool:
         """Returns whether this observer has seen no newer record for a whole duration."""
         self.observed(name, last_offset, now)
-        return now - self._seen[name][1] >= self.duration
+        return now - self._first_read[name][1] >= self.duration
--- a/packages/arbutustally/src/arbutustally/log_client.py
+++ b/packages/arbutustally/src/arbutustally/log_client.py
@@ -13,7 +13,7 @@
 _log = get_logger("log_client")
 
 #: Bounds the memory of one response of the log.
-MAX_ANSWER_BYTES = 64 << 20
+MAX_RESPONSE_BYTES = 64 << 20
 _GONE = 410
 _RETRY_AFTER_S = 1.0
 
@@ -84,7 +84,7 @@
         timeout = urllib3.Timeout(connect=self._timeout_s, read=timeout_s)
         headers = {"Content-Type": "application/json"} if body is not None else {}
         try:
-            answer = self._pool.request(
+            response = self._pool.request(
                 method,
                 self._url + path,
                 body=body,
@@ -94,21 +94,21 @@
                 redirect=False,
             )
             try:
-                payload = answer.read(MAX_ANSWER_BYTES + 1)
+                payload = response.read(MAX_RESPONSE_BYTES + 1)
             finally:
-                answer.release_conn()
+                response.release_conn()
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
             raise _unavailable("cannot be reached", Ran.NOT_RUN) from None
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise _unavailable(
                 f"failed during a request ({type(error).__name__})", Ran.MAY_HAVE_RUN
             ) from error
-        return _parse(answer.status, payload)
+        return _parse(response.status, payload)
 
 
 def _parse(status: int, payload: bytes) -> Any:
-    if len(payload) > MAX_ANSWER_BYTES:
-        raise _unavailable(f"sent more than {MAX_ANSWER_BYTES} bytes", Ran.MAY_HAVE_RUN)
+    if len(payload) > MAX_RESPONSE_BYTES:
+        raise _unavailable(f"sent more than {MAX_RESPONSE_BYTES} bytes", Ran.MAY_HAVE_RUN)
     try:
         data = orjson.loads(payload)
     except orjson.JSONDecodeError:
@@ -149,9 +149,9 @@
         return None
 
 
-def _unavailable(what: str, ran: Ran) -> LogUnavailableError:
+def _unavailable(problem: str, ran: Ran) -> LogUnavailableError:
     return LogUnavailableError(
-        f"the log {what}; check --log-url and the log, then retry",
+        f"the log {problem}; check --log-url and the log, then retry",
         ran=ran,
         retry_after_s=_RETRY_AFTER_S,
     )
--- a/packages/arbutustally/src/arbutustally/peer_protocol.py
+++ b/packages/arbutustally/src/arbutustally/peer_protocol.py
@@ -172,7 +172,7 @@
         raise rejected(f"a peer message is malformed ({type(error).__name__})") from None
 
 
-_CHECKS: dict[Any, Callable[[Any], bool]] = {
+_TYPE_CHECKS: dict[Any, Callable[[Any], bool]] = {
     int: lambda value: type(value) is int and 0 <= value < 1 << 63,
     str: lambda value: type(value) is str,
     bytes: lambda value: type(value) is bytes,
@@ -188,7 +188,7 @@
         raise ValueError("wrong number of fields")
     checked = []
     for field, value in zip(declared, values, strict=True):
-        if not _CHECKS[field.type](value):
+        if not _TYPE_CHECKS[field.type](value):
             raise TypeError(field.name)
         checked.append(tuple(value) if field.type == tuple[bytes, ...] else value)
     return cls(*checked)
@@ -366,14 +366,16 @@
     return message
 
 
-def _transcript(dialling: Identity, listening: Identity, nonce: bytes, answer: bytes) -> list[Any]:
+def _transcript(
+    dialling: Identity, listening: Identity, dialling_nonce: bytes, listening_nonce: bytes
+) -> list[Any]:
     return [
         dialling.node_id,
         dialling.incarnation,
         listening.node_id,
         listening.incarnation,
-        nonce,
-        answer,
+        dialling_nonce,
+        listening_nonce,
     ]
 
 
--- a/packages/arbutustally/src/arbutustally/topology.py
+++ b/packages/arbutustally/src/arbutustally/topology.py
@@ -45,14 +45,14 @@
     near = tuple(node_id for node_id in members[own_group] if node_id != own_id)
     position = members[own_group].index(own_id)
     far = tuple(
-        _round_robin(others, position)
+        _rotated(others, position)
         for group, others in enumerate(members)
         if group != own_group and others
     )
     return Plan(near, far)
 
 
-def _round_robin(others: list[str], position: int) -> tuple[str, ...]:
+def _rotated(others: list[str], position: int) -> tuple[str, ...]:
     # Both ends pair positions whose sum is a multiple of the group size, so that in groups of
     # equal size both ends choose each other and share one link.
     first = -position % len(others)
