Reword the texts of the tests of records, leases and clients

Docstrings said who sees, meets or says something; they now name the failure that each test guards against and how it comes about. No code of a test changes.

--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -1,4 +1,4 @@
-"""The fold of the log gives every reader the same verdicts, whatever the log holds."""
+"""The fold of the log gives every reader the same verdicts for any content of the log."""
 
 import math
 import unittest
@@ -38,13 +38,13 @@
 ACCOUNT = {"rate": 10.0, "burst": 100.0}
 KEYS = st.sampled_from(["key-a", "key-b", "key-c"])
 NODES = st.sampled_from(["n1#1", "n2#1", "n3#1"])
-#: The last one moves the window past the first one.
+#: A claim with the last time expires claims with the first one.
 KEY_TIMES = st.sampled_from([1000.0, 1000.0, 1000.0, 1060.0, 1101.0])
 ITEMS = st.sampled_from(["accounts/a", "accounts/b"])
 
 
 def content(state: ControlState) -> dict:
-    """Returns what a state holds, without the position and the audit trail."""
+    """Returns the content of a state without its offset and history."""
     data = decode_snapshot(state.snapshot())
     return {name: value for name, value in data.items() if name not in ("offset", "history")}
 
@@ -52,8 +52,9 @@
 class FoldMachine(RuleBasedStateMachine):
     """Several readers, two operators and three nodes on one log.
 
-    The first reader gives the reference verdicts. Nodes dispatch a booking only after an accepted
-    claim and declare ``not_run`` only for claims that they have not dispatched.
+    ``reference`` applies every record first and gives the expected verdicts. Nodes dispatch a
+    booking only after an accepted claim and append ``not_run`` only for claims that they have not
+    dispatched.
     """
 
     claims = Bundle("claims")
@@ -79,7 +80,7 @@
 
     @rule(operator=st.integers(0, 1), item=ITEMS, rate=st.sampled_from([1.0, 2.0, -1.0]))
     def change(self, operator: int, item: str, rate: float) -> None:
-        """An operator changes an item on the version it last looked at."""
+        """An operator changes an item based on the version that it last read."""
         base, current = self.known_versions[operator], self.reference.version
         body = Change(base=base, set={item: {**ACCOUNT, "rate": rate}})
         offset, verdict = self.append(wrap(body))
@@ -124,7 +125,7 @@
 
     @rule(target=claims, node=NODES, key_time_s=KEY_TIMES)
     def claim(self, node: str, key_time_s: float):
-        """A node claims a booking; the key names its time."""
+        """A node claims a booking; equal times give equal keys."""
         name = f"booking@{key_time_s}"
         offset, verdict = self.append(wrap(Claim(name, "digest", node, key_time_s)))
         return name, offset, verdict.accepted
@@ -138,7 +139,7 @@
 
     @rule(claim=consumes(claims), names_claim=st.booleans(), repeats=st.integers(1, 2))
     def give_up(self, claim: tuple, names_claim: bool, repeats: int) -> None:
-        """A claimant that has not dispatched says so, perhaps twice under new ids."""
+        """A claimant that has not dispatched appends ``not_run``, once or twice with new ids."""
         name, offset, _ = claim
         base = offset if names_claim else -1
         for _ in range(repeats):
@@ -146,7 +147,7 @@
 
     @rule(data=st.data())
     def repeat(self, data: st.DataObject) -> None:
-        """An append whose answer was lost arrives again under the same id."""
+        """An append whose response was lost is repeated with the same id."""
         records = [record for record in self.log if record is not None]
         if not records:
             return
@@ -180,7 +181,7 @@
 
     @rule(number=st.integers(0, 2))
     def lose_head_and_start_from_checkpoint(self, number: int) -> None:
-        """A reader that starts after the head of the log was dropped."""
+        """The head of the log is dropped and a reader starts from the checkpoint."""
         if not self.parts:
             return
         self.oldest = self.parts[0].upto + 1
@@ -207,7 +208,7 @@
 
 
 class FoldTest(FoldMachine.TestCase):
-    """Guards against readers that disagree, lost updates and bookings that run twice."""
+    """Guards against diverging readers, lost updates and bookings that run twice."""
 
 
 JSON = st.recursive(
@@ -246,7 +247,7 @@
 
 
 class HostileRecordTest(unittest.TestCase):
-    """Guards against records that stop a reader or that two readers see differently."""
+    """Guards against records that stop a reader or that two readers apply differently."""
 
     @settings(max_examples=400)
     @given(st.lists(st.tuples(KINDS, st.dictionaries(FIELDS, JSON, max_size=2)), max_size=6))
@@ -280,7 +281,7 @@
                 state.apply(offset, None)
 
     def test_longer_window_does_not_revive_dropped_claims(self) -> None:
-        """Guards against a second run of a booking whose claim another node had dropped."""
+        """Guards against a second run of a booking whose claim a node had dropped."""
         state = ControlState(10.0)
         state.apply(0, wrap(Claim("old", "d", "n1", 100.0)))
         state.apply(1, wrap(Claim("new", "d", "n1", 200.0)))
@@ -291,7 +292,7 @@
         )
 
     def test_repeat_of_refused_issue_stays_without_effect(self) -> None:
-        """Guards against a key that becomes valid after its operator was told that it is not."""
+        """Guards against a key that becomes valid after its issue was refused to the operator."""
         state = ControlState()
         issue = wrap(KeyIssue("k", "0" * 64, "a"))
         self.assertEqual(state.apply(0, issue).reason, Reason.ACCOUNT_UNKNOWN)
@@ -299,7 +300,7 @@
         self.assertFalse(state.apply(2, issue).accepted)
 
     def test_repeat_of_a_move_step_stays_without_effect(self) -> None:
-        """Guards against traffic that goes back to an earlier share of a bad version."""
+        """Guards against a duplicate step that sends traffic to a bad version again."""
         state = ControlState()
         state.apply(0, wrap(LeaseRecord("move/m", "n1#1", -1)))
         start = wrap(MoveStep("m", "v2", "v1", "started", 0.01, 0))
@@ -310,7 +311,7 @@
         self.assertEqual(state.move("m").step, "taken_back")
 
     def test_claim_without_a_usable_time_is_refused(self) -> None:
-        """Guards against one record that ends the booking window for all keys."""
+        """Guards against one record that moves the booking window past all keys."""
         state = ControlState()
         for offset, key_time_s in enumerate((math.inf, math.nan, -math.inf)):
             verdict = state.apply(offset, wrap(Claim("k", "d", "n1", key_time_s)))
@@ -318,7 +319,7 @@
         self.assertTrue(state.apply(9, wrap(Claim("k", "d", "n1", 5.0))).accepted)
 
     def test_oldest_answers_are_dropped_the_same_way_everywhere(self) -> None:
-        """Guards against answers of bookings that fill the memory of every node."""
+        """Guards against response bodies of bookings that fill the memory of every node."""
         self.addCleanup(setattr, claim_table, "MAX_KEPT_CHARACTERS", 8 << 20)
         claim_table.MAX_KEPT_CHARACTERS = 100
         one, other = ControlState(), ControlState()
@@ -336,7 +337,7 @@
         self.assertEqual(one.claim("k0").outcome.status, 200)
 
     def test_outcome_turns_from_unknown_to_known_only(self) -> None:
-        """Guards against a late record that hides an answer or frees a dispatched booking."""
+        """Guards against a late record that hides a response or frees a dispatched booking."""
         state = ControlState()
         state.apply(0, wrap(Claim("k", "d", "n1", 1.0)))
         self.assertTrue(state.apply(1, wrap(Outcome("k", Ran.MAY_HAVE_RUN, claim=0))).accepted)
@@ -347,7 +348,7 @@
 
 
 class SnapshotTest(unittest.TestCase):
-    """Guards against damaged, mixed and foreign snapshots."""
+    """Guards against damaged, mixed and unrelated snapshots."""
 
     def setUp(self) -> None:
         state = ControlState()
@@ -362,7 +363,7 @@
             ControlState.restore(bytes(damaged))
 
     def test_accepted_configuration_outlives_a_tighter_rule(self) -> None:
-        """Guards against an upgrade after which no node can load its snapshot."""
+        """Guards against an upgrade after which no node can load its own snapshot."""
         refusal = ConfigurationInvalidError("a rule of a later release")
         with patch.object(declarations, "check_item", side_effect=refusal):
             restored = ControlState.restore(self.data)
@@ -375,7 +376,7 @@
                 ControlState.restore(data)
 
     def test_parts_of_two_checkpoints_are_not_mixed(self) -> None:
-        """Guards against a state that no prefix of the log has."""
+        """Guards against a state that no prefix of the log produces."""
         other = ControlState()
         other.apply(0, wrap(Change(-1, {f"accounts/b{n}": ACCOUNT for n in range(50)})))
         one = split_snapshot(self.data, 0, 100)
@@ -385,7 +386,7 @@
         self.assertEqual([entry for entry in found if entry], [self.data])
 
     def test_damaged_checkpoint_is_refused_and_next_is_taken(self) -> None:
-        """Guards against a damaged part that blocks a reader for good."""
+        """Guards against a damaged part that blocks a reader permanently."""
         parts = split_snapshot(self.data, 0, 100)
         bad = type(parts[0])(0, 0, len(parts), parts[1].data, parts[0].digest)
         assembler = CheckpointAssembler()
--- a/tests/test_declarations.py
+++ b/tests/test_declarations.py
@@ -1,4 +1,4 @@
-"""Declarations are refused with the item, the value and a remedy."""
+"""Invalid declarations are refused with the item, the value and a remedy."""
 
 import unittest
 
@@ -40,7 +40,7 @@
 checks_fencing = true
 [endpoints.quotes]
 """
-#: Replacement in TEXT, and what the message has to name.
+#: Text to replace in TEXT, its replacement, and parts that the message must contain.
 WRONG = (
     ("rate = 100", 'rate = "x"', ("accounts/school", "'x'", "a number")),
     ("rate = 100", "rate = true", ("accounts/school", "True")),
@@ -70,7 +70,7 @@
 
 class DeclarationsTest(unittest.TestCase):
     def test_each_fault_names_item_value_and_remedy(self) -> None:
-        """Guards against a wrong file that is accepted, or refused without saying why."""
+        """Guards against an invalid file that is accepted or refused without a reason."""
         for old, new, parts in WRONG:
             with self.subTest(new), self.assertRaises(ConfigurationInvalidError) as caught:
                 load_toml(TEXT.replace(old, new, 1))
@@ -78,7 +78,7 @@
                 self.assertIn(part, caught.exception.message)
 
     def test_normal_form_is_stable(self) -> None:
-        """Guards against a file that differs from itself after it was applied."""
+        """Guards against a file that shows differences after it was applied."""
         declared = load_toml(TEXT)
         items = to_items(declared)
         self.assertEqual(from_items(items), declared)
@@ -86,7 +86,7 @@
 
     @given(st.lists(st.tuples(st.sampled_from(["a", "b", "c"]), st.integers(0, 2)), max_size=8))
     def test_changes_step_by_step_equal_the_whole(self, steps: list) -> None:
-        """Guards against readers with a checkpoint that differ from readers of all changes."""
+        """Guards against readers of a checkpoint that diverge from readers of all changes."""
         declared, items = Declarations(), {}
         for name, rate in steps:
             item = f"accounts/{name}"
@@ -102,7 +102,7 @@
         self.assertEqual(declared, from_items(items))
 
     def test_item_that_others_refer_to_cannot_be_removed(self) -> None:
-        """Guards against a route whose class is gone."""
+        """Guards against a route whose class was removed."""
         with self.assertRaisesRegex(ConfigurationInvalidError, "routes/chat"):
             change_items(load_toml(TEXT), {}, ("classes/chat",))
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -1,10 +1,10 @@
-"""The pages agree with the code."""
+"""The documentation matches the code."""
 
 import re
 import unittest
 from pathlib import Path
 
-import arbutustally_node.services  # noqa: F401  declares every counter of a node
+import arbutustally_node.services  # noqa: F401  declares all counters of a node
 from arbutustally.metrics import declared
 from arbutustally_node.options import SETTINGS
 
@@ -22,7 +22,7 @@
         self.assertEqual(sorted(listed), [counter.name for counter in declared()])
 
     def test_proofs_name_tests_that_exist(self) -> None:
-        """Guards against a proof whose test was renamed."""
+        """Guards against a proof that refers to a renamed test."""
         text = (ROOT / "docs" / "PROOFS.md").read_text()
         names = set(re.findall(r"`(tests\.[A-Za-z0-9_.]+)`", text))
         self.assertTrue(names)
--- a/tests/test_fold_rules.py
+++ b/tests/test_fold_rules.py
@@ -1,4 +1,4 @@
-"""Single rules of the log fold that random machines reach too rarely."""
+"""Rules of the log fold that random state machines reach too rarely."""
 
 import unittest
 
@@ -9,7 +9,7 @@
 
 class FirstVersionTest(unittest.TestCase):
     def test_first_declared_version_is_in_force_before_any_step(self) -> None:
-        """Guards against traffic that follows a changed version before its move has begun."""
+        """Guards against traffic on a changed version before the first step of its move."""
         state = ControlState()
         first = {"models/marelle": {"version": "v1"}}
         state.apply(0, wrap(Change(-1, first)))
@@ -24,7 +24,7 @@
 
 class LateReleaseTest(unittest.TestCase):
     def test_late_release_of_an_earlier_claim_frees_nothing(self) -> None:
-        """Guards against a second run: a late not_run of one claimant frees another's claim."""
+        """Guards against a second run: a late not_run of one node frees the claim of another."""
         state = ControlState()
         first, second = (Claim("k", "d", f"node-{n}#1", 1000.0) for n in (1, 2))
         state.apply(0, wrap(first))
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,4 +1,4 @@
-"""At most one node acts under a lease, whatever is paused, lost or late."""
+"""At most one node acts under a lease when processes pause and appends are lost or delayed."""
 
 import unittest
 from random import Random
@@ -14,13 +14,16 @@
 from arbutustally_node.lease_hold import LeaseHold
 
 DURATION_S = 10.0
-#: Relative rates of the nodes' clocks; any two differ by less than the 1% that leases allow for.
+#: Relative rates of the nodes' clocks; any two differ by less than the 1% that leases tolerate.
 RATES = (1.0, 0.9955, 1.0045)
 NODES = st.integers(0, len(RATES) - 1)
 
 
 class SharedLog:
-    """The log and true time."""
+    """The log and the true time in seconds.
+
+    :ivar late: appends that have not reached the log yet.
+    """
 
     def __init__(self) -> None:
         self.now = 1000.0
@@ -29,7 +32,11 @@
 
 
 class NodeLog:
-    """One node's view of the shared log; ``mode`` is the fault that its appends meet."""
+    """One node's view of the shared log.
+
+    :ivar mode: fault of its appends: ``works``, ``answer lost``, ``late`` or ``down``.
+    :ivar landed: called when an append has reached the log.
+    """
 
     ready = True
 
@@ -69,7 +76,7 @@
 
 
 class LeaseMachine(RuleBasedStateMachine):
-    """Three claimants with clocks of different rates; a node that takes no step is frozen."""
+    """Three claimants with clocks of different rates; a node that makes no step is paused."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -130,7 +137,7 @@
 
 
 class LeaseMachineTest(LeaseMachine.TestCase):
-    """Guards against two holders at once: frozen, unheard, late or with a slow clock."""
+    """Guards against two concurrent holders: one paused, cut off, delayed or with a slow clock."""
 
 
 class LeaseTest(unittest.TestCase):
@@ -145,7 +152,7 @@
         return LeaseHold(log, "x", holder, DURATION_S, lambda: self.shared.now, Random(1))
 
     def test_frozen_holder_finds_its_lease_expired(self) -> None:
-        """Guards against an order of a paused process after its successor took over."""
+        """Guards against an order of a paused process after another node claimed its lease."""
         self.hold.step()
         first = self.hold.require()
         self.other_log.read(10)
@@ -161,7 +168,7 @@
         self.other.step()
 
     def test_validity_counts_from_sending(self) -> None:
-        """Guards against a slow answer that lengthens a tenure beyond a claimant's wait."""
+        """Guards against a slow response that extends a tenure beyond a claimant's wait."""
         self.log.landed = self.observe
         self.log.answer_delay_s = 5.0
         self.hold.step()
@@ -171,7 +178,7 @@
         self.assertFalse(self.hold.valid())
 
     def test_first_of_several_attempts_counts(self) -> None:
-        """Guards against a renewal that is dated by its repeat after a lost answer."""
+        """Guards against a renewal whose validity starts at its repeat after a lost response."""
         self.hold.step()
         self.shared.now += 5.0
         self.log.mode = "answer lost"
@@ -197,7 +204,7 @@
         self.assertFalse(held.valid(true_end * RATES[1]))
 
     def test_lease_is_renewed_and_released(self) -> None:
-        """Guards against a lease that lapses under a healthy holder, or outlives its release."""
+        """Guards against a lease that expires at a healthy holder, or stays valid after release."""
         for _ in range(20):
             self.hold.step()
             self.assertTrue(self.hold.valid())
--- a/tests/test_log_client.py
+++ b/tests/test_log_client.py
@@ -21,7 +21,7 @@
         return self.client.append([wrap(KeyWithdraw(f"key-{n:04}")) for n in range(count)])
 
     def test_records_are_read_as_they_were_appended(self) -> None:
-        """Guards against records that change on their way through the log."""
+        """Guards against records that are altered by encoding or by the log."""
         records = [wrap(KeyWithdraw("kkkkkkkk")), wrap(KeyWithdraw("llllllll"))]
         first = self.client.append(records)
         found = self.client.read(first, 10, 0.0)
@@ -30,7 +30,7 @@
         self.assertEqual(self.client.read(found.next, 10, 0.1).records, [])
 
     def test_unknown_record_takes_up_its_offset(self) -> None:
-        """Guards against a newer release that stops older readers."""
+        """Guards against a record of a newer release that stops older readers."""
         self.put(1)
         self.standin.journal.append([{"id": "x", "kind": "newer", "body": {}}])
         self.put(1)
@@ -38,7 +38,7 @@
         self.assertEqual([record is None for _, record in found], [False, True, False])
 
     def test_dropped_head_is_a_hole(self) -> None:
-        """Guards against a reader that goes on after a gap."""
+        """Guards against a reader that continues after a gap."""
         self.put(10)
         with self.assertRaises(HoleFoundError) as caught:
             self.client.read(0, 10, 0.0)
--- a/tests/test_peer_protocol.py
+++ b/tests/test_peer_protocol.py
@@ -1,4 +1,4 @@
-"""The peer protocol accepts nothing but the next frame of an authenticated peer."""
+"""The peer protocol accepts only the next frame of an authenticated peer."""
 
 import unittest
 from itertools import count
@@ -69,12 +69,12 @@
 class CodecTest(unittest.TestCase):
     @given(messages)
     def test_messages_survive_the_wire(self, message: Message) -> None:
-        """Guards against a field that is lost or changes its type."""
+        """Guards against a field that is lost or changes its type in transit."""
         self.assertEqual(decode(encode(message)), message)
 
     @given(st.binary(max_size=200))
     def test_random_bytes_are_refused_or_decoded(self, data: bytes) -> None:
-        """Guards against any other exception than the typed one."""
+        """Guards against exceptions other than the typed one."""
         try:
             decode(data)
         except PeerRejectedError:
@@ -94,7 +94,7 @@
             return
 
     def test_hostile_lengths_are_refused_before_decoding(self) -> None:
-        """Guards against a few bytes that make the decoder reserve memory or recurse."""
+        """Guards against a few bytes that make the decoder allocate memory or recurse."""
         hostile = {
             "string of 2^63 bytes": b"\x82\x07\x5b" + b"\x7f" + b"\xff" * 7,
             "list of 2^63 items": b"\x82\x07\x9b" + b"\x7f" + b"\xff" * 7,
@@ -152,7 +152,7 @@
             return
 
     def test_own_frame_reflected_is_refused(self) -> None:
-        """Guards against one key for both directions."""
+        """Guards against the same key for both directions."""
         sender, _ = channels()
         with self.assertRaises(PeerRejectedError):
             sender.open(sender.seal(b"x"))
@@ -176,7 +176,7 @@
         """Guards against a node of another fleet."""
 
         def fixed(name: str, secret: str) -> Handshake:
-            # Equal nonces leave the secret as the only difference of the two proofs.
+            # With equal nonces, the two proofs differ only by the secret.
             return Handshake.from_config(name, "1", secret, "", bytes)
 
         dialling, listening = fixed("a", OTHER), fixed("b", NEW)
@@ -188,7 +188,7 @@
             listening.finish(forged)
 
     def test_rotation_keeps_every_pair_connected(self) -> None:
-        """Guards against an outage between any two neighbouring steps of a rotation."""
+        """Guards against an outage between any two consecutive steps of a rotation."""
         steps = [(OLD, ""), (OLD, NEW), (NEW, OLD), (NEW, "")]
         for first, second in zip(steps, steps[1:], strict=False):
             for one, other in ((first, first), (first, second), (second, first)):
@@ -224,13 +224,13 @@
             listening.finish(proof)
 
     def test_own_handshake_reflected_is_refused(self) -> None:
-        """Guards against a node that is made to authenticate itself."""
+        """Guards against a reflected handshake that authenticates a node to itself."""
         dialling = node("a", NEW)
         with self.assertRaises(PeerRejectedError):
             node("a", NEW).challenge(dialling.hello())
 
     def test_long_and_unexpected_handshake_messages_are_refused(self) -> None:
-        """Guards against memory held for strangers, and against skipped steps."""
+        """Guards against memory held for unauthenticated peers, and against skipped steps."""
         for data in (bytes(MAX_HANDSHAKE_BYTES + 1), encode(Events(())), encode(Proof(b""))):
             with self.assertRaises(PeerRejectedError):
                 node("b", NEW).challenge(data)
@@ -239,7 +239,7 @@
 
     @given(st.integers(0, 10_000), st.integers(1, 255))
     def test_altered_handshake_fails(self, position: int, mask: int) -> None:
-        """Guards against any handshake byte that is not covered by the proofs."""
+        """Guards against a handshake byte that the proofs do not cover."""
         a, b = node("a", NEW), node("b", NEW)
         steps = [a.hello()]
         steps[0] = alter(steps[0], position, mask, 0)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Settings are refused at start with the name, the value, the range and an example."""
+"""Invalid settings are refused at start with the name, value, range and an example."""
 
 import argparse
 import unittest
