--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -91,7 +91,7 @@
             assert self.reference.version == offset
 
     @rule(operator=st.integers(0, 1))
-    def look(self, operator: int) -> None:
+    def read_version(self, operator: int) -> None:
         self.known_versions[operator] = self.reference.version
 
     @rule(key=KEYS, account=st.sampled_from(["a", "b"]))
@@ -103,16 +103,16 @@
         self.append(wrap(KeyWithdraw(key)))
         self.withdrawn.add(key)
 
-    @rule(node=NODES, behind=st.booleans(), release=st.booleans())
-    def lease(self, node: str, behind: bool, release: bool) -> None:
+    @rule(node=NODES, is_outdated=st.booleans(), release=st.booleans())
+    def lease(self, node: str, is_outdated: bool, release: bool) -> None:
         entry = self.reference.lease("move/m")
-        base = entry.last_offset if entry is not None and not behind else -1
+        base = entry.last_offset if entry is not None and not is_outdated else -1
         self.append(wrap(LeaseRecord("move/m", node, base, release)))
 
-    @rule(node=st.sampled_from(["", "n1#1", "n2#1"]), behind=st.booleans())
-    def share(self, node: str, behind: bool) -> None:
+    @rule(node=st.sampled_from(["", "n1#1", "n2#1"]), is_outdated=st.booleans())
+    def share(self, node: str, is_outdated: bool) -> None:
         entry = self.reference.share(0, 0)
-        base = entry.last_offset if entry is not None and not behind else -1
+        base = entry.last_offset if entry is not None and not is_outdated else -1
         self.append(wrap(ShareRecord(0, 0, node, base)))
 
     @rule(share=st.sampled_from([0.05, 1.0, math.nan, 2.0]), stale=st.booleans())
@@ -138,7 +138,7 @@
             assert self.dispatched[name] == 1, f"{name} was dispatched twice"
 
     @rule(claim=consumes(claims), names_claim=st.booleans(), repeats=st.integers(1, 2))
-    def give_up(self, claim: tuple, names_claim: bool, repeats: int) -> None:
+    def append_not_run(self, claim: tuple, names_claim: bool, repeats: int) -> None:
         """A claimant that has not dispatched appends ``not_run``, once or twice with new ids."""
         name, offset, _ = claim
         base = offset if names_claim else -1
@@ -157,7 +157,7 @@
         assert content(self.reference) == before
 
     @rule()
-    def undecodable(self) -> None:
+    def append_undecodable(self) -> None:
         assert not self.append(None)[1].accepted
 
     @rule(number=st.integers(0, 2), count=st.integers(1, 10))
@@ -170,7 +170,7 @@
             assert reader.apply(offset, self.log[offset]) == self.verdicts[offset]
 
     @rule(number=st.integers(0, 2))
-    def take_snapshot_of_peer(self, number: int) -> None:
+    def install_peer_snapshot(self, number: int) -> None:
         restored = ControlState.restore(self.reference.snapshot(), WINDOW_S)
         if restored.offset > self.readers[number].offset:
             self.readers[number] = restored
@@ -180,7 +180,7 @@
         self.parts = list(split_snapshot(self.reference.snapshot(), self.reference.offset, 200))
 
     @rule(number=st.integers(0, 2))
-    def lose_head_and_start_from_checkpoint(self, number: int) -> None:
+    def restart_from_checkpoint(self, number: int) -> None:
         """The head of the log is dropped and a reader starts from the checkpoint."""
         if not self.parts:
             return
@@ -251,9 +251,9 @@
 
     @settings(max_examples=400)
     @given(st.lists(st.tuples(KINDS, st.dictionaries(FIELDS, JSON, max_size=2)), max_size=6))
-    def test_any_record_is_decided_or_refused(self, drawn: list) -> None:
+    def test_any_record_is_decided_or_refused(self, drawn_records: list) -> None:
         one, other = ControlState(WINDOW_S), ControlState(WINDOW_S)
-        for offset, (kind, fields) in enumerate(drawn):
+        for offset, (kind, fields) in enumerate(drawn_records):
             data = {"id": str(offset), "kind": kind, "body": {**VALID.get(kind, {}), **fields}}
             known = {name: data["body"][name] for name in VALID.get(kind, {})}
             data["body"] = {**known, **{name: fields[name] for name in fields if name in known}}
--- a/tests/test_declarations.py
+++ b/tests/test_declarations.py
@@ -41,7 +41,7 @@
 [endpoints.quotes]
 """
 #: Text to replace in TEXT, its replacement, and parts that the message must contain.
-WRONG = (
+INVALID_FILES = (
     ("rate = 100", 'rate = "x"', ("accounts/school", "'x'", "a number")),
     ("rate = 100", "rate = true", ("accounts/school", "True")),
     ("rate = 100", "rate = nan", ("accounts/school", "nan", "above 0")),
@@ -71,7 +71,7 @@
 class DeclarationsTest(unittest.TestCase):
     def test_each_fault_names_item_value_and_remedy(self) -> None:
         """Guards against an invalid file that is accepted or refused without a reason."""
-        for old, new, parts in WRONG:
+        for old, new, parts in INVALID_FILES:
             with self.subTest(new), self.assertRaises(ConfigurationInvalidError) as caught:
                 load_toml(TEXT.replace(old, new, 1))
             for part in parts:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -35,7 +35,7 @@
     """One node's view of the shared log.
 
     :ivar mode: fault of its appends: ``works``, ``answer lost``, ``late`` or ``down``.
-    :ivar landed: called when an append has reached the log.
+    :ivar on_append: called when an append has reached the log.
     """
 
     ready = True
@@ -46,8 +46,8 @@
         self.state = ControlState()
         self.mode = "works"
         self.delay_s = 0.0
-        self.landed = lambda: None
-        self.answer_delay_s = 0.0
+        self.on_append = lambda: None
+        self.response_delay_s = 0.0
 
     def subscribe(self, subscriber) -> None:
         self._subscribers.append(subscriber)
@@ -57,8 +57,8 @@
         self._shared.now += self.delay_s
         if self.mode == "works":
             self._shared.records.append(record)
-            self.landed()
-            self._shared.now += self.answer_delay_s
+            self.on_append()
+            self._shared.now += self.response_delay_s
             self.read(len(self._shared.records))
             return
         if self.mode == "answer lost":
@@ -111,7 +111,7 @@
         mode=st.sampled_from(["works", "works", "answer lost", "late", "down"]),
         delay_s=st.sampled_from([0.0, 0.0, 3.0, 9.5]),
     )
-    def meet(self, node: int, mode: str, delay_s: float) -> None:
+    def set_fault(self, node: int, mode: str, delay_s: float) -> None:
         self.logs[node].mode = mode
         self.logs[node].delay_s = delay_s
 
@@ -128,7 +128,7 @@
             return
 
     @invariant()
-    def at_most_one_acts(self) -> None:
+    def at_most_one_holder(self) -> None:
         acting = [hold.epoch for hold in self.holds if hold.valid()]
         assert len(acting) <= 1, f"tenures {acting} act at the same time"
 
@@ -169,8 +169,8 @@
 
     def test_validity_counts_from_sending(self) -> None:
         """Guards against a slow response that extends a tenure beyond a claimant's wait."""
-        self.log.landed = self.observe
-        self.log.answer_delay_s = 5.0
+        self.log.on_append = self.observe
+        self.log.response_delay_s = 5.0
         self.hold.step()
         self.shared.now += 5.0
         self.other.step()
--- a/tests/test_log_client.py
+++ b/tests/test_log_client.py
@@ -17,7 +17,7 @@
         self.addCleanup(self.server.stop)
         self.client = LogClient.from_config(f"http://{self.server.address}", 1.0)
 
-    def put(self, count: int) -> int:
+    def append_records(self, count: int) -> int:
         return self.client.append([wrap(KeyWithdraw(f"key-{n:04}")) for n in range(count)])
 
     def test_records_are_read_as_they_were_appended(self) -> None:
@@ -31,15 +31,15 @@
 
     def test_unknown_record_takes_up_its_offset(self) -> None:
         """Guards against a record of a newer release that stops older readers."""
-        self.put(1)
+        self.append_records(1)
         self.standin.journal.append([{"id": "x", "kind": "newer", "body": {}}])
-        self.put(1)
+        self.append_records(1)
         found = self.client.read(0, 10, 0.0).records
         self.assertEqual([record is None for _, record in found], [False, True, False])
 
     def test_dropped_head_is_a_hole(self) -> None:
         """Guards against a reader that continues after a gap."""
-        self.put(10)
+        self.append_records(10)
         with self.assertRaises(HoleFoundError) as caught:
             self.client.read(0, 10, 0.0)
         self.assertEqual(caught.exception.oldest, 5)
@@ -48,14 +48,14 @@
         """Guards against "not run" for an append that took effect."""
         self.standin.faults.update({"lose_next_answers": 1})
         with self.assertRaises(LogUnavailableError) as caught:
-            self.put(1)
+            self.append_records(1)
         self.assertEqual(caught.exception.ran, Ran.MAY_HAVE_RUN)
         self.assertEqual(len(self.client.read(0, 10, 0.0).records), 1)
         self.standin.faults.update({"outage": True})
         with self.assertRaises(LogUnavailableError) as caught:
-            self.put(1)
+            self.append_records(1)
         self.assertEqual(caught.exception.ran, Ran.MAY_HAVE_RUN)
-        nobody = LogClient.from_config("http://127.0.0.1:1", 1.0)
+        unreachable = LogClient.from_config("http://127.0.0.1:1", 1.0)
         with self.assertRaises(LogUnavailableError) as caught:
-            nobody.append([wrap(KeyWithdraw("kkkkkkkk"))])
+            unreachable.append([wrap(KeyWithdraw("kkkkkkkk"))])
         self.assertEqual(caught.exception.ran, Ran.NOT_RUN)
