--- a/packages/arbutustally/src/arbutustally/cbor_bounds.py
+++ b/packages/arbutustally/src/arbutustally/cbor_bounds.py
@@ -4,35 +4,35 @@
 
 #: Deepest nesting of a message; the deepest typed message needs 6 levels.
 MAX_DEPTH = 16
-#: Most CBOR items of a message; it bounds the memory that a frame of one-byte items decodes to.
+#: Largest number of CBOR items; bounds the memory of a decoded frame of one-byte items.
 MAX_ITEMS = 1 << 16
 
 
-def rejected(what: str) -> PeerRejectedError:
-    """Returns the error for a peer that broke the protocol."""
+def rejected(problem: str) -> PeerRejectedError:
+    """Returns the error for a peer that violated the protocol."""
     return PeerRejectedError(
-        f"{what}; check that both nodes run compatible versions and share a peer secret"
+        f"{problem}; check that both nodes run compatible versions and share a peer secret"
     )
 
 
 def check_bounds(data: bytes) -> None:
-    """Walks the item heads and compares each declared length with what is left.
+    """Scans the item heads and compares each declared length with the bytes that remain.
 
-    Only definite lengths and plain types are accepted: no tags, no indefinite items, so a few
-    bytes cannot make the decoder reserve or build more than the frame itself holds.
+    Only definite lengths and plain types are accepted, no tags and no indefinite items, so a few
+    bytes cannot make the decoder allocate or build more than the frame itself contains.
 
-    :raises PeerRejectedError: on the first item that breaks a bound.
+    :raises PeerRejectedError: at the first item that exceeds a bound.
     """
     position = 0
     size = len(data)
     items = 0
-    # Items still expected at each open level.
-    open_items = [1]
-    while open_items:
-        if open_items[-1] == 0:
-            open_items.pop()
+    # Remaining items of each open array or map, outermost first.
+    remaining_items = [1]
+    while remaining_items:
+        if remaining_items[-1] == 0:
+            remaining_items.pop()
             continue
-        open_items[-1] -= 1
+        remaining_items[-1] -= 1
         items += 1
         if items > MAX_ITEMS or position >= size:
             raise rejected("a peer message is truncated or has too many items")
@@ -51,9 +51,9 @@
             position += argument
         elif major in (4, 5):
             count = argument * 2 if major == 5 else argument
-            if count > size - position or len(open_items) >= MAX_DEPTH:
+            if count > size - position or len(remaining_items) >= MAX_DEPTH:
                 raise rejected("a peer message declares more items than it holds or nests deeply")
-            open_items.append(count)
+            remaining_items.append(count)
         elif major == 6:
             raise rejected("a peer message has a tagged item")
     if position != size:
--- a/packages/arbutustally/src/arbutustally/claim_table.py
+++ b/packages/arbutustally/src/arbutustally/claim_table.py
@@ -11,33 +11,34 @@
 from arbutustally.records import Claim, Outcome
 from arbutustally.verdicts import ACCEPTED, ClaimEntry, Reason, Verdict, rejected
 
-#: Base64 of the 64 KB of an answer that are kept.
+#: Length of the largest kept response body (64 KiB) in base64.
 MAX_BODY_CHARACTERS = (64 << 10) * 4 // 3 + 4
-#: Base64 of all answers that are kept; beyond it, the oldest ones are dropped, and their callers
-#: are told that the booking ran. Every node drops the same ones.
+#: Base64 characters of all kept response bodies. Beyond it the oldest bodies are dropped, and
+#: their callers receive an error that says that the booking ran. Every node drops the same ones.
 MAX_KEPT_CHARACTERS = 8 << 20
-#: Repeated appends of one key come from the few nodes that its caller tried.
-_REMEMBERED_IDS = 16
+#: Duplicate appends of one key come from the few nodes to which its caller sent the request.
+_MAX_RECORD_IDS = 16
 
 
 class ClaimTable:
     """Claims by key.
 
-    A claim leaves the table when its key time falls below the floor, and claims below the floor
-    are refused, so a key can never be claimed a second time after its entry was dropped. The floor
-    follows the highest key time in the log instead of a clock, because readers fold the same
-    record at different times. It never falls, also when the window is set to a longer one.
+    A claim is dropped from the table when its key time falls below the floor, and claims below
+    the floor are refused, so a key can never be claimed again after its entry was dropped. The
+    floor is derived from the highest key time in the log instead of a clock, because readers fold
+    the same record at different times. It never decreases, even if the window is set to a longer
+    one.
 
     :param window_s: booking window in seconds.
     """
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
-        # Least key time that is accepted, Unix seconds.
+        # Earliest key time that is accepted, Unix seconds.
         self._floor_s = -math.inf
         self._entries: dict[str, ClaimEntry] = {}
         self._by_time: list[tuple[float, str]] = []
-        self._bodies: dict[str, int] = {}
+        self._body_lengths: dict[str, int] = {}
         self._kept_characters = 0
 
     def get(self, key: str) -> ClaimEntry | None:
@@ -61,7 +62,7 @@
         if record_id in entry.record_ids:
             return rejected(Reason.DUPLICATE, entry.offset)
         verdict = self._verdict_on_repeat(entry, body)
-        ids = (*entry.record_ids, record_id)[-_REMEMBERED_IDS:]
+        ids = (*entry.record_ids, record_id)[-_MAX_RECORD_IDS:]
         if verdict.accepted:
             entry = replace(entry, holder=body.holder, offset=offset, outcome=None)
         self._entries[body.key] = replace(entry, record_ids=ids)
@@ -90,9 +91,9 @@
         while self._by_time and self._by_time[0][0] < self._floor_s:
             _, key = heapq.heappop(self._by_time)
             del self._entries[key]
-            self._kept_characters -= self._bodies.pop(key, 0)
+            self._kept_characters -= self._body_lengths.pop(key, 0)
 
-    def finish(self, body: Outcome) -> Verdict:
+    def apply_outcome(self, body: Outcome) -> Verdict:
         """Applies an outcome."""
         if body.ran not in tuple(Ran) or len(body.body) > MAX_BODY_CHARACTERS:
             return rejected(Reason.MALFORMED)
@@ -104,23 +105,23 @@
         if entry is None:
             return rejected(Reason.NO_CLAIM)
         is_named = body.claim == entry.offset
-        # Only the claim itself can be declared not run: without its offset, a late record of a
-        # beaten or earlier claimant would free a claim that has been dispatched.
+        # An outcome ``not_run`` must carry the offset of the current claim: otherwise a late record
+        # of a claimant that lost or came earlier would free a claim that has been dispatched.
         if not is_named and (body.ran == Ran.NOT_RUN or body.claim != -1):
             return rejected(Reason.STALE_BASE, entry.offset)
-        if entry.outcome is not None and not _improves(entry.outcome, body):
+        if entry.outcome is not None and not _settles_unknown(entry.outcome, body):
             return rejected(Reason.HAS_OUTCOME, entry.offset)
         self._entries[body.key] = replace(entry, outcome=body)
         if body.body:
-            self._bodies[body.key] = len(body.body)
+            self._body_lengths[body.key] = len(body.body)
             self._kept_characters += len(body.body)
-            self._drop_bodies()
+            self._drop_oldest_bodies()
         return ACCEPTED
 
-    def _drop_bodies(self) -> None:
+    def _drop_oldest_bodies(self) -> None:
         while self._kept_characters > MAX_KEPT_CHARACTERS:
-            key = next(iter(self._bodies))
-            self._kept_characters -= self._bodies.pop(key)
+            key = next(iter(self._body_lengths))
+            self._kept_characters -= self._body_lengths.pop(key)
             entry = self._entries[key]
             outcome = replace(entry.outcome, body="", content_type=BODY_DROPPED)
             self._entries[key] = replace(entry, outcome=outcome)
@@ -139,22 +140,22 @@
             ]
             for entry in self._entries.values()
         ]
-        return [self._floor_s, rows, list(self._bodies)]
+        return [self._floor_s, rows, list(self._body_lengths)]
 
     def load(self, data: Any) -> None:
-        """Replaces the content by data of ``dump``."""
+        """Replaces the content with data from ``dump``."""
         self._floor_s, rows, with_body = data
         self._entries = {}
         for key, digest, holder, offset, key_time_s, outcome, ids in rows:
             known = Outcome(*outcome) if outcome is not None else None
             entry = ClaimEntry(key, digest, holder, offset, key_time_s, known, tuple(ids))
             self._entries[key] = entry
-        self._bodies = {key: len(self._entries[key].outcome.body) for key in with_body}
-        self._kept_characters = sum(self._bodies.values())
+        self._body_lengths = {key: len(self._entries[key].outcome.body) for key in with_body}
+        self._kept_characters = sum(self._body_lengths.values())
         self._by_time = [(entry.key_time_s, key) for key, entry in self._entries.items()]
         heapq.heapify(self._by_time)
 
 
-def _improves(old: Outcome, new: Outcome) -> bool:
-    """Returns whether a late answer replaces the uncertainty about a dispatched call."""
+def _settles_unknown(old: Outcome, new: Outcome) -> bool:
+    """Returns whether a late response settles a dispatched call of unknown outcome."""
     return old.ran == Ran.MAY_HAVE_RUN and new.ran == Ran.RAN
