State the node's texts on limits, bookings, versions and keys plainly

Cause: comments, log lines and messages spoke of asking, telling, looking and lapsing, and some durations had no unit. Change: comments, docstrings, three debug or info log lines and two error messages, none of them matched by a test or on the list of fixed texts.

--- a/packages/arbutustally-node/src/arbutustally_node/booking_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/booking_service.py
@@ -1,8 +1,8 @@
-"""Plain calls: repeatable ones are retried, the others are booked through the log.
+"""Plain calls: repeatable ones are retried, the others are claimed in the log before dispatch.
 
-A claim is dispatched by the attempt that made it and by no other. An attempt that gives up never
-dispatches afterwards, so its answer "not run" stays true; its claim is then released by an outcome
-``not_run`` as soon as the log shows that the claim was accepted.
+A claim is dispatched only by the attempt that made it. An abandoned attempt never dispatches
+afterwards, so its response "not run" stays true; its claim is released by an outcome ``not_run`` as
+soon as it is read from the log as accepted.
 """
 
 import itertools
@@ -47,14 +47,15 @@
 from arbutustally_node.options import Options
 from arbutustally_node.plain_dispatch import ATTEMPT_ERRORS, PlainDispatcher
 
-#: Time to wait for the log to confirm a claim.
+#: Time to wait for the log to confirm a claim, seconds.
 CLAIM_WAIT_S = 5.0
-#: Time from the claim within which it may be dispatched.
+#: Time from the claim within which it may be dispatched, seconds.
 CLAIM_VALID_S = 8.0
-#: Time to wait for the log to confirm an outcome before the caller gets the answer anyway.
+#: Time to wait for the log to confirm an outcome before the response is returned anyway, seconds.
 OUTCOME_WAIT_S = 1.0
-#: Time to wait for the outcome of another node's claim. Nodes read the records of others in groups,
-#: so a caller that has its answer can reach another node before that node has read the outcome.
+#: Time to wait for the outcome of another node's claim, seconds. Nodes read the records of others
+#: in batches, so a caller that has its response can reach another node before that node has read
+#: the outcome.
 OUTCOME_READ_S = 1.0
 LOG_RETRY_S = 2.0
 MAX_ATTEMPTS = 3
@@ -72,7 +73,7 @@
 class Attempt:
     """One attempt of this node to claim a booking.
 
-    :ivar offset: offset of the accepted claim, -1 before the log showed it.
+    :ivar offset: offset of the accepted claim, -1 until it is read from the log.
     """
 
     number: int
@@ -102,8 +103,8 @@
         self._retries = RetryBudget.from_config()
         self._numbers = itertools.count(1)
         self._attempts: dict[int, Attempt] = {}
-        # Attempts that gave up before the log showed their claim. Only these are released: an
-        # attempt that is not known here may have been dispatched.
+        # Attempts abandoned before their claim was read from the log. Only these are released: an
+        # attempt that is not listed here may have been dispatched.
         self._abandoned: OrderedDict[int, str] = OrderedDict()
         self._claiming: set[str] = set()
         # Calls that wait for an outcome; one for each key, because of ``_claiming``.
@@ -116,7 +117,7 @@
         return cls(kernel, options, monotonic, time.time, random.Random())
 
     def start(self) -> None:
-        """Starts to append and to watch for late claims."""
+        """Starts to append and subscribes to the log for late claims and outcomes."""
         log = self._kernel.lookup("log")
         log.subscribe(self._seen)
         log.subscribe_jump(self._jumped)
@@ -129,7 +130,7 @@
     def submit(self, call: PlainCall) -> PlainAnswer:
         """Runs a plain call.
 
-        :raises RouterError: with ``ran`` telling what is proved.
+        :raises RouterError: ``ran`` states what is proved about the run.
         """
         return self._repeatable(call) if call.idempotent else self._book(call)
 
@@ -181,7 +182,7 @@
             self._claiming.discard(key)
 
     def _decide(self, key: str, digest: str) -> Decision:
-        """Decides by what the log says; waits a moment for the outcome of a claim."""
+        """Decides by the entry in the log; waits up to ``OUTCOME_READ_S`` for a claim's outcome."""
         entry = self._entry(key)
         if entry is not None and entry.outcome is None and entry.request_digest == digest:
             self._wait_for_outcome(key)
@@ -257,7 +258,7 @@
             self._seen_claim(offset, body)
 
     def _seen_claim(self, offset: int, body: Claim) -> None:
-        """Releases an accepted claim of this process whose attempt gave up before."""
+        """Records the offset of an accepted claim of this process, or releases it if abandoned."""
         holder, _, number = body.holder.rpartition("/")
         if holder != self._holder or not number.isdigit():
             return
@@ -269,7 +270,7 @@
             self._batcher.submit(not_run(body.key, offset))
 
     def _jumped(self) -> None:
-        """Wakes waiting calls, and releases claims of given-up attempts, after a snapshot."""
+        """Wakes waiting calls and releases claims of abandoned attempts after a snapshot."""
         for arrived in self._outcome_waits.values():
             arrived.set()
         state = self._kernel.lookup("log").state
@@ -317,7 +318,7 @@
             return answer
 
     def _end(self, attempt: Attempt, outcome: Outcome) -> None:
-        """Records the outcome; the caller is not kept waiting when the log is down."""
+        """Records the outcome; waits at most ``OUTCOME_WAIT_S`` when the log is down."""
         self._finished[attempt.key] = outcome
         if len(self._finished) > MAX_FINISHED:
             self._finished.popitem(last=False)
@@ -332,7 +333,7 @@
 
 @dataclass(frozen=True)
 class _Finished:
-    """A claim whose outcome this node knows before the log does."""
+    """A claim whose outcome this node knows before it is read from the log."""
 
     request_digest: str
     outcome: Outcome
@@ -353,7 +354,7 @@
 
 
 def _stronger(first: RouterError | None, second: RouterError) -> RouterError:
-    """Returns the error that says less about the work not having run."""
+    """Returns the first error if it does not prove that the call did not run, else the second."""
     if first is not None and first.ran is not Ran.NOT_RUN:
         return first
     return second
--- a/packages/arbutustally-node/src/arbutustally_node/credentials.py
+++ b/packages/arbutustally-node/src/arbutustally_node/credentials.py
@@ -35,7 +35,7 @@
     {"access_token", "api-key", "api_key", "apikey", "authorization", "key"}
 )
 _KEY_TEXT = re.compile(r"(?i)\bat-[0-9a-z]{8,}-[0-9A-Za-z_\-]{16,}|\bbearer\s+\S")
-#: Shorter words would match ordinary text.
+#: Shorter credentials would match ordinary text.
 _MIN_KEY_CHARACTERS = 8
 
 
@@ -46,9 +46,9 @@
 
 
 def check_query(query: str) -> None:
-    """Checks that no key travels in the query string.
+    """Checks that the query string contains no key.
 
-    :raises KeyInQueryError: if a parameter is named or looks like a key.
+    :raises KeyInQueryError: if a parameter is named like a key or has a value that looks like one.
     """
     if not query:
         return
@@ -60,7 +60,7 @@
 
 
 def check_unrevealed(secret: str, path: str, body: bytes) -> None:
-    """Checks that the caller's key is not in the parts that an endpoint gets.
+    """Checks that the caller's key is not in the parts that an endpoint receives.
 
     :raises KeyInQueryError: if it is in the path.
     :raises BadRequestError: if it is in the body.
--- a/packages/arbutustally-node/src/arbutustally_node/grant_sources.py
+++ b/packages/arbutustally-node/src/arbutustally_node/grant_sources.py
@@ -14,17 +14,19 @@
 from arbutustally_node.shard_owner import ShardOwner, lease_name
 from arbutustally_node.slot_holder import SlotHolder
 
-#: Bound for one call to an issuer, seconds.
+#: Timeout of one call to an issuer, seconds.
 CALL_TIMEOUT_S = 0.25
-#: A node that did not answer is not asked again for this long, seconds; the pause doubles with
-#: each further call that it does not answer. One late answer may come from a busy machine.
+#: A node that did not respond is not called again for this long, seconds; the pause doubles with
+#: each further call without a response. It starts short because a single late response may only
+#: mean that the machine is busy.
 PAUSE_FIRST_S = 0.1
 PAUSE_LAST_S = 1.0
-#: A grant that ends within this time is closed, so that its unused tokens return, seconds.
+#: A grant that ends within this time is closed, so that its unused tokens return to its issuer,
+#: seconds.
 CLOSE_AHEAD_S = 0.5
-#: Use is reported this often to an issuer that was not asked meanwhile, seconds.
+#: Interval of reports of use to an issuer that was sent no request meanwhile, seconds.
 REPORT_S = 1.0
-#: Epochs whose issuers are remembered, several for each shard of the planned size.
+#: Most epochs whose issuers are kept, several for each shard of the planned size.
 MAX_EPOCHS = 4096
 
 GRANT = "limits.grant"
@@ -33,11 +35,11 @@
 
 @dataclass(frozen=True)
 class Refusal:
-    """Why no grant came.
+    """Reason why no grant was made.
 
-    :ivar unavailable: no issuer could be asked.
+    :ivar unavailable: no issuer could be reached.
     :ivar retry_after_s: earliest time at which an issuer may grant, seconds; for an account without
-        a reachable issuer, when its caller should ask again.
+        a reachable issuer, when its caller should retry.
     :ivar within_rate: the account's use is within its rate as far as is known.
     """
 
@@ -51,10 +53,10 @@
 
 @dataclass(frozen=True)
 class _Pause:
-    """Time in which a node that did not answer is not asked.
+    """Period in which a node that did not respond is not called.
 
-    :ivar until: monotonic seconds.
-    :ivar length_s: of this pause.
+    :ivar until: end of the pause, monotonic seconds.
+    :ivar length_s: length of this pause, seconds.
     """
 
     until: float
@@ -62,10 +64,10 @@
 
 
 class GrantSources:
-    """Asks issuers for grants and answers for those of this node.
+    """Requests grants from issuers and handles requests to the issuers of this node.
 
     :param call: calls a method of a node, as ``peers.call``.
-    :param pool: takes the grants.
+    :param pool: receives the grants.
     :param owners: by shard.
     :param slots: by shard and slot.
     """
@@ -90,14 +92,14 @@
         self._slots = slots
         self._pauses: dict[str, _Pause] = {}
         self._refusals: dict[str, Refusal] = {}
-        # Node and method of each epoch from which grants came, for the reports.
+        # Node, method and slot of the issuer of each epoch that made grants, for the reports.
         self._issuers: dict[int, tuple[str, str, int]] = {}
         self._reported: dict[str, dict[int, float]] = {}
 
-    # Answers
+    # Requests to the issuers of this node
 
     def on_grant(self, node_id: str, payload: list[Any]) -> list[Any]:
-        """Answers a node that asks this owner.
+        """Handles a grant request of a node to this owner.
 
         :raises LeaseLostError: if this node does not own the account's shard.
         """
@@ -106,7 +108,7 @@
         return self._answer(issuer, node_id, request).to_payload()
 
     def on_share_grant(self, node_id: str, payload: list[Any]) -> list[Any]:
-        """Answers a node that asks for tokens of a slot of this node.
+        """Handles a grant request of a node to a slot of this node.
 
         :raises LeaseLostError: if this node may not use the slot.
         """
@@ -124,7 +126,7 @@
             )
         return issuer.answer(node_id, request, limits.rate, limits.burst)
 
-    # Questions
+    # Requests to issuers
 
     def is_owner(self, account: str) -> bool:
         """Returns whether this node owns the account's shard."""
@@ -135,16 +137,16 @@
         return self._refusals.get(account, _UNAVAILABLE)
 
     def fetch(self, account: str, needed: float, wanted: float) -> Refusal | None:
-        """Asks the owner, then the slots, until one grants; returns the refusal if none does.
+        """Requests tokens from the owner, then the slots; returns the refusal if they fall short.
 
-        A need above what any issuer can hold is collected in parts.
+        A need above the capacity of any one issuer is collected in parts.
         """
         refusals = []
         missing = needed
         plan = self._plan(account)
         for position, (ask, most) in enumerate(plan):
             if sum(capacity for _, capacity in plan[position:]) < missing:
-                # The rest of the issuers cannot make up the need; asking would waste their level.
+                # The remaining issuers cannot cover the need; a request would waste their tokens.
                 break
             part = min(missing, most)
             try:
@@ -175,7 +177,7 @@
         plan: list[tuple[Callable[..., Offer], float]] = [
             (self.ask_owner, burst * owner_fraction(len(recorded)))
         ]
-        # The own slot comes before the other one, for it needs no message.
+        # A slot of this node comes first because it needs no message.
         recorded.sort(key=lambda slot: self._slot_node(entries[slot]) != self._node_id)
         for slot in recorded:
             node_id = self._slot_node(entries[slot])
@@ -190,9 +192,9 @@
         return ask
 
     def ask_owner(self, account: str, needed: float, wanted: float) -> Offer:
-        """Asks the owner of the account's shard and takes its grant into the pool.
+        """Requests a grant from the owner of the account's shard and adds it to the pool.
 
-        :raises RouterError: if there is no owner or it does not answer.
+        :raises RouterError: if there is no owner or it does not respond.
         """
         node_id = self._owner_node(account)
         if node_id is None:
@@ -207,11 +209,13 @@
     ) -> Offer:
         if self._is_paused(node_id):
             raise LimitUnavailableError(
-                f"node {node_id} did not answer a moment ago; retry", retry_after_s=PAUSE_LAST_S
+                f"node {node_id} did not respond to the latest call; retry",
+                retry_after_s=PAUSE_LAST_S,
             )
         uses = self._uses(account, node_id, method, slot)
         request = GrantRequest(account, needed, wanted, uses)
-        # The lifetime counts from here: the issuer grants later, so its count ends later.
+        # The lifetime counts from here. The issuer counts from its later decision, so the grant
+        # ends here before it ends at the issuer.
         sent_at = self._clock()
         offer = self._send(node_id, method, slot, request)
         if offer.tokens > 0:
@@ -230,7 +234,7 @@
                 return Offer(*answer(node_id, payload))
             offer = Offer(*self._call(node_id, method, payload, CALL_TIMEOUT_S))
         except LeaseLostError:
-            # The node is alive; the log will name the next holder.
+            # The node is alive; the log will record the next holder.
             self._pauses.pop(node_id, None)
             raise
         except RouterError:
@@ -251,14 +255,14 @@
     # Reports
 
     def report(self, account: str, everything: bool = False) -> None:
-        """Reports use to the issuers that were not asked since, and closes ending grants.
+        """Reports use to issuers without a report for ``REPORT_S`` and closes grants that end soon.
 
         :param everything: close all grants.
         """
         closing = float("inf") if everything else self._clock() + CLOSE_AHEAD_S
         live = self._pool.epochs(account)
         earlier = self._reported.get(account, {})
-        # Epochs without a live grant are forgotten here.
+        # Drops the epochs without a live grant.
         reported = {epoch: earlier.get(epoch, 0.0) for epoch in live}
         self._reported[account] = reported
         for epoch in live:
@@ -267,7 +271,7 @@
             if not due and not self._pool.wastes(account, epoch, closing):
                 continue
             if issuer is not None and self._is_paused(issuer[0]):
-                # An issuer that does not answer would hold up the reports to all others.
+                # An issuer that does not respond would delay the reports to all others.
                 continue
             reported[epoch] = self._clock()
             uses = tuple(self._pool.reports(account, epoch, closing))
@@ -277,7 +281,7 @@
             try:
                 self._send(node_id, method, slot, GrantRequest(account, 0.0, 0.0, uses))
             except RouterError:
-                # Unreported use only keeps the issuer's level lower until the deadline.
+                # Without a report, the issuer's level only stays lower until the grant's deadline.
                 continue
 
     def _uses(self, account: str, node_id: str, method: str, slot: int) -> tuple[Any, ...]:
@@ -305,6 +309,6 @@
     if not answered:
         return _UNAVAILABLE
     waits = [r.retry_after_s for r in answered if r.retry_after_s is not None]
-    # The owner has most of the limit; without its answer the account may well be within it.
+    # The owner issues most of the limit; without its response, use may still be within the rate.
     within = refusals[0].unavailable or any(refusal.within_rate for refusal in answered)
     return Refusal(refusals[0].unavailable, min(waits, default=None), within)
--- a/packages/arbutustally-node/src/arbutustally_node/keys.py
+++ b/packages/arbutustally-node/src/arbutustally_node/keys.py
@@ -1,4 +1,4 @@
-"""Service ``keys``: caller keys, checked with every request."""
+"""Service ``keys``: caller keys, checked on every request."""
 
 import hashlib
 import hmac
@@ -31,7 +31,7 @@
 _ID_BYTES = 8
 _SECRET_BYTES = 32
 _KEY_TEXT = re.compile(r"at-([0-9a-z]{8,32})-([0-9A-Za-z_\-]{16,128})\Z")
-#: Compared with when the id is unknown, so that the time does not tell whether an id exists.
+#: Compared with when the id is unknown, so that timing does not reveal whether an id exists.
 _NO_DIGEST = "0" * 64
 _RETRY_AFTER_S = 2.0
 _INVALID = "the key is missing, unknown or withdrawn; send Authorization: Bearer <key>"
@@ -39,9 +39,9 @@
 
 @dataclass(frozen=True)
 class IssuedKey:
-    """A new key; its text exists nowhere else.
+    """A new key; its text is stored nowhere.
 
-    :ivar text: what the caller sends.
+    :ivar text: key as the caller sends it.
     :ivar offset: offset of its record.
     """
 
@@ -146,10 +146,12 @@
         return appended
 
     def _check_fresh(self, log: Any) -> None:
-        """Refuses when a withdrawal may be in force elsewhere.
+        """Checks that no withdrawal that this node has missed may be in force on other nodes.
 
-        A silent log looks the same from inside whether it is down for all nodes or only this side
-        is cut off; only a majority of the nodes tells the two apart.
+        A node without contact to the log cannot tell an outage for all nodes from a partition that
+        cuts off only its own side, unless it reaches a majority of the nodes.
+
+        :raises KeysStaleError: if a withdrawal may have been missed.
         """
         if log.staleness(self._clock()) <= self._options.key_staleness_s:
             return
--- a/packages/arbutustally-node/src/arbutustally_node/lease_hold.py
+++ b/packages/arbutustally-node/src/arbutustally_node/lease_hold.py
@@ -14,28 +14,28 @@
 from arbutustally.records import LeaseRecord, Record
 from arbutustally.verdicts import Verdict
 
-#: Part of the duration after which a renewal is sent.
+#: Fraction of the lease's duration after which a renewal is sent.
 _RENEW_AFTER = 0.5
-#: Part of the duration between two looks at the state.
+#: Longest interval between two polls of the state, as a fraction of the lease's duration.
 _LOOK_EVERY = 0.1
 _RELEASE_TIMEOUT_S = 1.0
-#: Old bases of attempts that are kept; only the latest few can still be accepted.
+#: Bases whose send times are kept; only records with the latest few can still be accepted.
 _REMEMBERED_BASES = 8
 
 _log = get_logger("lease")
 
 
 def always() -> bool:
-    """Wants a lease at all times."""
+    """Returns ``True``, for a lease that is always wanted."""
     return True
 
 
 class LeaseHold:
-    """Keeps one lease while it is wanted.
+    """Claims and renews one lease while it is wanted.
 
     Call ``valid()`` immediately before each effect.
 
-    :param wanted: tells whether this node should hold the lease.
+    :param wanted: returns whether this node should hold the lease.
     :param duration_s: of the lease.
     :param spread_s: longest random delay of a claim after the lease became free.
     """
@@ -86,13 +86,13 @@
     def claimed_at(self) -> float:
         """Returns when this node read its accepted claim, monotonic seconds.
 
-        Endpoints that check no fencing numbers get orders only some time after it.
+        Endpoints that check no fencing numbers are sent orders only some time after it.
         """
         return self._claimed_at
 
     @property
     def held(self) -> HeldLease | None:
-        """Returns the lease as last accepted; it may have lapsed."""
+        """Returns the lease as last accepted; it may have expired."""
         return self._held
 
     def valid(self, now: float | None = None) -> bool:
@@ -111,11 +111,11 @@
         return self.epoch
 
     def want(self, wanted: Callable[[], bool]) -> None:
-        """Replaces the function that tells whether this node should hold the lease."""
+        """Replaces the function that returns whether this node should hold the lease."""
         self._wanted = wanted
 
     def start(self) -> None:
-        """Starts to claim and renew, unless that is running."""
+        """Starts to claim and renew, unless already started."""
         if self._greenlet is None:
             self._greenlet = gevent.spawn(self._run)
 
@@ -127,10 +127,10 @@
         try:
             self.release()
         except LogUnavailableError:
-            _log.info("lease was not released and expires by itself", lease=self._name)
+            _log.info("lease not released; it ends when it expires", lease=self._name)
 
     def release(self) -> None:
-        """Gives the lease up.
+        """Releases the lease.
 
         :raises LogUnavailableError: if the log did not confirm it; the lease then expires.
         """
@@ -154,7 +154,7 @@
             gevent.sleep(self._rng.uniform(0.8, 1.0) * _LOOK_EVERY * self._duration_s)
 
     def step(self) -> None:
-        """Looks at the state once and claims, renews or releases.
+        """Polls the state once and claims, renews or releases.
 
         :raises LogUnavailableError: if the log did not confirm the record.
         """
@@ -191,8 +191,8 @@
             self._append(base)
 
     def _append(self, base: int) -> None:
-        # Several attempts may go out for one base, and any of them may be the accepted one, so
-        # the time of the first counts.
+        # Several records may be sent for one base, and any of them may be the accepted one, so
+        # the lease counts from the time of the first.
         self._sent.setdefault(base, self._clock())
         while len(self._sent) > _REMEMBERED_BASES:
             del self._sent[min(self._sent)]
--- a/packages/arbutustally-node/src/arbutustally_node/limits_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/limits_service.py
@@ -1,4 +1,4 @@
-"""Service ``limits``: reserves tokens for requests, from grants of the owner and of shares."""
+"""Service ``limits``: reserves tokens for requests, from grants by owners and share slots."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -29,16 +29,16 @@
 
 #: Longest wait of a request for a grant, seconds.
 WAIT_S = 0.5
-#: Interval in which leases and slots are tended, seconds.
+#: Interval between two updates of the leases and slots, seconds.
 TEND_INTERVAL_S = 0.5
-#: Interval in which grants are looked through for those that end soon, seconds.
+#: Interval between two checks for due reports and grants that end soon, seconds.
 REPORT_INTERVAL_S = 0.25
-#: Bound for each step of stopping while log or peers do not answer, seconds.
+#: Timeout of each step of stopping while the log or peers do not respond, seconds.
 STOP_TIMEOUT_S = 2.0
 #: Shortest wait between two attempts of one request, seconds.
 MIN_RETRY_S = 0.01
-#: Wait between two attempts while no issuer answers, seconds: its next answer or the renewal of
-#: its lease may be near.
+#: Wait between two attempts while no issuer responds, seconds; one may soon respond again or
+#: renew its lease.
 UNAVAILABLE_RETRY_S = 0.1
 #: After this long without an issuer, requests are refused at once instead of waiting for one,
 #: seconds; without requests for as long, the next one waits again.
@@ -133,7 +133,7 @@
         )
 
     def start(self) -> None:
-        """Registers the calls of issuers and begins to tend leases and slots."""
+        """Registers the peer calls of the issuers and starts to maintain leases and slots."""
         peers = self._peers()
         peers.handle(GRANT, self._sources.on_grant)
         peers.handle(SHARE_GRANT, self._sources.on_share_grant)
@@ -143,8 +143,8 @@
     def stop(self) -> None:
         """Returns unused grants and ends the loops.
 
-        Leases under which grants are live are not released; they expire. A drain before hands
-        them over without that wait.
+        Leases under which grants are live are not released; they expire. A drain before
+        the stop hands them over without that wait.
         """
         self._stopping.set()
         gevent.killall([*self._loops, *self._tending.values()], timeout=1)
@@ -157,10 +157,10 @@
     # Requests
 
     def reserve(self, account: str, tokens: float, trace: Any = None) -> Reservation:
-        """Sets tokens aside for a request, waiting up to ``WAIT_S`` for a grant.
+        """Reserves tokens for a request, waiting up to ``WAIT_S`` for a grant.
 
         :param tokens: input estimate plus the output bound.
-        :param trace: notes the decision, with ``note(step, **fields)``; may be ``None``.
+        :param trace: records the decision, with ``note(step, **fields)``; may be ``None``.
         :raises OverBurstError: if the request can never be admitted.
         :raises RateLimitedError: if the account's tokens are used up.
         :raises LimitUnavailableError: if no issuer of the account's limit can be reached.
@@ -235,7 +235,7 @@
                     continue
                 return self._reserve_last(account, tokens)
             pause = _pause_s(refusal)
-            # A node without processor time may find its deadline passed by the first attempt.
+            # On a node short of processor time, the first attempt alone may pass the deadline.
             is_repeated = attempts > 1 or not refusal.unavailable
             if is_outage or (is_repeated and self._clock() + pause > deadline):
                 raise self._refused(account, tokens, refusal)
@@ -243,7 +243,10 @@
             gevent.sleep(pause)
 
     def _note_outage(self, account: str, refusal: Refusal | None) -> bool:
-        """Returns whether no issuer has been reached for so long that waiting helps no more."""
+        """Records the result of an attempt for ``_outages``.
+
+        Returns whether no issuer has been reached for ``OUTAGE_S``, so that waiting is pointless.
+        """
         if refusal is None or not refusal.unavailable:
             self._outages.pop(account, None)
             return False
@@ -254,7 +257,7 @@
         return now - since >= OUTAGE_S
 
     def _reserve_last(self, account: str, tokens: float) -> Reservation:
-        """Reserves from the grants at hand at the end of a wait, which may have ended late.
+        """Reserves from the grants held at the end of a wait, which may have ended late.
 
         :raises RouterError: if they do not suffice.
         """
@@ -276,12 +279,12 @@
             )
         self._metrics.count(RATE_LIMITED)
         return RateLimitedError(
-            f"account {account!r} has not {tokens:.0f} tokens left; "
+            f"account {account!r} has fewer than {tokens:.0f} tokens left; "
             f"retry after {retry_after_s:.1f} s",
             retry_after_s=retry_after_s,
         )
 
-    # Grants ahead of requests
+    # Prefetch of grants
 
     def _ahead(self, account: str) -> float:
         demand = self._demand.get(account)
@@ -301,7 +304,7 @@
         try:
             self._sources.ask_owner(account, 0.0, missing)
         except RouterError as error:
-            _log.debug("no grant ahead", account=account, code=error.code)
+            _log.debug("grant prefetch failed", account=account, code=error.code)
         finally:
             self._fetching.discard(account)
 
@@ -312,7 +315,7 @@
             live = self._membership().live_nodes()
             draining = self._membership().draining
             for shard in range(self._options.shards):
-                # An append that waits for the log holds up its own shard only.
+                # An append that waits for the log blocks its own shard only.
                 running = self._tending.get(shard)
                 if running is None or running.dead:
                     self._tending[shard] = gevent.spawn(self.tend, shard, live, draining)
--- a/packages/arbutustally-node/src/arbutustally_node/shard_owner.py
+++ b/packages/arbutustally-node/src/arbutustally_node/shard_owner.py
@@ -13,12 +13,12 @@
 from arbutustally_node.lease_hold import LeaseHold
 from arbutustally_node.node_table import Node
 
-#: An owner that is no longer first hands over after this long, seconds; shorter changes of the
-#: ranking come from lagging lists.
+#: An owner that no longer ranks first hands over after this long, seconds; shorter changes of the
+#: ranking come from outdated lists of nodes.
 DISPLACED_S = 5.0
 #: From the decision to hand over to the release, seconds; grants made meanwhile end by then.
 HANDOVER_S = 2.0
-#: A slot is assigned anew when its holder was not seen for this long, seconds.
+#: A slot is reassigned when its holder was not among the live nodes for this long, seconds.
 ABSENT_S = 60.0
 CONFIRM_TIMEOUT_S = 1.0
 
@@ -28,7 +28,7 @@
 
 
 class _BoundedTenure:
-    """The lease as its issuer sees it; it ends at the handover at the latest."""
+    """The tenure of the lease for its issuer; it ends at the handover at the latest."""
 
     def __init__(self, hold: LeaseHold, ends_at: Callable[[], float]) -> None:
         self._hold = hold
@@ -100,7 +100,7 @@
         return self._issuer
 
     def tend(self, ranked: list[Node]) -> None:
-        """Claims, keeps or hands over the lease, and tends the slots.
+        """Claims, keeps or hands over the lease, and assigns and confirms the slots.
 
         :param ranked: live nodes in the shard's order.
         """
@@ -120,7 +120,7 @@
         self._tend_slots(issuer, ranked, now)
 
     def hand_over(self) -> None:
-        """Begins to hand over at once; used when the node drains."""
+        """Starts the handover at once; used when the node drains."""
         if self._wanted and self._ends_at == float("inf"):
             self._ends_at = self._clock() + HANDOVER_S
 
@@ -146,8 +146,8 @@
             self.hand_over()
 
     def _end(self) -> None:
-        # All grants end before the handover, so the next owner's empty bucket is the whole truth.
-        # The hold releases the lease once it is not wanted.
+        # All grants end before the handover, so the next owner can start with an empty bucket
+        # without missing a live grant. The hold releases the lease once it is not wanted.
         self._wanted = False
         self._issuer = None
         self._ends_at = float("inf")
@@ -170,8 +170,13 @@
                 else:
                     self._confirm(issuer, slot, entry)
             except RouterError as error:
-                # The next round tries again; until then the slot stays as it is.
-                _log.debug("share slot waits", shard=self._shard, slot=slot, code=error.code)
+                # The next call of ``tend`` retries; until then the slot is unchanged.
+                _log.debug(
+                    "share slot not assigned or confirmed; will retry",
+                    shard=self._shard,
+                    slot=slot,
+                    code=error.code,
+                )
 
     def _absent(self, slot: int, entry: Any, present: set[str], now: float) -> bool:
         holder, seen_at = self._seen.get(slot, ("", now))
@@ -181,7 +186,7 @@
         return now - seen_at > ABSENT_S
 
     def _slot_home(self, slot: int, ranked: list[Node]) -> Node:
-        """Returns the home node for a slot: each of them is to serve without the other."""
+        """Returns the home node for a slot; another slot's node is avoided to survive its loss."""
         entries = [self._log().state.share(self._shard, other) for other in range(SLOTS)]
         taken = {
             entry.holder.partition("#")[0]
@@ -202,7 +207,7 @@
         key = (issuer.epoch, slot, entry.last_offset)
         if key in self._confirmed or not issuer.lowered():
             return
-        # An owner whose lease has lapsed may not have read what its successor knows.
+        # An owner whose lease has expired may not have read records that its successor has read.
         self.issuer()
         node_id = entry.holder.partition("#")[0]
         payload = [self._shard, slot, entry.last_offset]
--- a/packages/arbutustally-node/src/arbutustally_node/slot_holder.py
+++ b/packages/arbutustally-node/src/arbutustally_node/slot_holder.py
@@ -57,20 +57,21 @@
         return self._tenure.remaining(self._clock()) > 0
 
     def effective(self, offset: int) -> None:
-        """Notes the owner's word that the assignment at an offset is in effect."""
+        """Records the owner's confirmation that the assignment at an offset is in effect."""
         self._tenure.effective(offset)
 
     def tend(self, home_ids: list[str], draining: bool) -> None:
-        """Notes new assignments; releases the slot when this node is no home of the shard.
+        """Records new assignments; releases the slot when this node drains or is no home node.
 
-        :param home_ids: ids of the home nodes.
+        :param home_ids: ids of the home nodes of the shard.
         """
         now = self._clock()
         self._tenure.observe(now)
         if self._tenure.epoch < 0:
             return
         if self.is_usable:
-            # The bucket fills from when the slot may be used, not from the first request.
+            # Creates the issuer so that its bucket fills from when the slot may be used, not from
+            # the first request.
             self.issuer()
         displaced = self._holder.partition("#")[0] not in home_ids
         if not displaced:
@@ -87,5 +88,5 @@
         try:
             self._log().append(ShareRecord(self._shard, self._slot, "", self._tenure.epoch))
         except RouterError as error:
-            # The next round tries again; grants have ended already.
+            # The next call of ``tend`` retries; all grants have already ended.
             _log.debug("slot not released", shard=self._shard, slot=self._slot, code=error.code)
--- a/packages/arbutustally-node/src/arbutustally_node/version_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/version_service.py
@@ -1,4 +1,4 @@
-"""Service ``versions``: picks weights versions, trips on own evidence, runs moves under a lease."""
+"""Service ``versions``: picks and stops weights versions, runs moves between them."""
 
 from dataclasses import asdict, astuple
 from datetime import UTC, datetime
@@ -38,18 +38,18 @@
 
 #: Interval between two steps of the controllers and two reports of evidence, in seconds.
 STEP_INTERVAL_S = 0.5
-#: Longest wait for the answer to a load order, in seconds.
+#: Longest wait for the response to a load order, in seconds.
 ORDER_TIMEOUT_S = 5.0
-#: Time after which an unanswered load counts as failed and is ordered again, in seconds.
+#: Time after which an unconfirmed load counts as failed and is ordered again, in seconds.
 LOAD_TIMEOUT_S = 30.0
-#: Nodes that claim a lease, by rendezvous rank: the second takes over when the first is gone.
+#: Nodes that claim a lease, by rendezvous rank: the second takes over when the first fails.
 CLAIMANTS = 2
 TRIP_TOPIC = "trip"
 EVIDENCE_TOPIC = "evidence"
 
 
 class OrderSender(Protocol):
-    """Sends orders to endpoints; raises a ``RouterError`` when one is not taken."""
+    """Sends orders to endpoints; raises a ``RouterError`` when one is not accepted."""
 
     def order(self, address: str, order: Order) -> None:
         """Sends an order to the endpoint at ``address``."""
@@ -117,7 +117,7 @@
         move = self._move(model)
         if move is None or not move.previous:
             return pick_version(model, request_id, move, wanted, False)
-        # A step may reach this node before the load report of the endpoints that it relies on.
+        # This node may read a step before it receives the load reports on which the step is based.
         avoided = self._stopped(model, move) or not self._is_held(model, move.version)
         if not avoided and self._breaker.doubted(model, move.version):
             avoided = is_control(model, request_id) and self._is_held(model, move.previous)
@@ -134,18 +134,18 @@
         gap_s: float | None,
         work_tokens: float | None = None,
     ) -> None:
-        """Takes the result of an answer as evidence; may trip the breaker.
+        """Records the result of a response as evidence; may trip the breaker.
 
         :param gap_s: mean time between tokens in seconds.
         :param work_tokens: tokens to compute before the first token, ``Choice.work_tokens``; without
-            them the time to first token is not compared, for a cold cache looks like a slow version.
+            them the time to first token is not compared: a cold cache looks like a slow version.
         """
         key = EvidenceKey(model, version, class_name, route)
         sample = Sample(ok, first_token_s, gap_s, work_tokens)
         previous = self._previous(model, version)
         self._note_trip(self._breaker.observe(key, sample, previous))
         if not ok and previous:
-            # A failure of a version on trial is told at once: the fleet stops it together.
+            # A failure of a new version is sent at once, so that all nodes stop it together.
             spawn(self._send_reports, self._reports(model, version, previous))
 
     def moves(self) -> list[dict[str, Any]]:
@@ -250,7 +250,7 @@
         self._send_reports(reports)
 
     def _reports(self, model: str, version: str, previous: str) -> list[Report]:
-        """Returns the counts of both versions; the old one's come first, to be compared with."""
+        """Returns the counts of both versions; the previous one's come first, as the baseline."""
         return [
             *self._breaker.reports(model, previous, version),
             *self._breaker.reports(model, version),
@@ -298,7 +298,7 @@
         return hold
 
     def _is_ranked(self, name: str) -> bool:
-        """Returns whether this node is among the few that claim a lease; all others leave it."""
+        """Returns whether this node is among the ``CLAIMANTS`` that claim a lease."""
         nodes = [node.id for node in self._kernel.lookup("membership").nodes() if not node.draining]
         return self._node_id in order(name.encode(), nodes)[:CLAIMANTS]
 
@@ -372,7 +372,7 @@
 
 
 class _Hold:
-    """A lease and when this node first saw its present tenure.
+    """A lease and when this node first observed its current tenure.
 
     :param lease: see ``LogService.hold``.
     """
@@ -383,14 +383,14 @@
         self._epoch = -1
 
     def notice(self, now: float) -> None:
-        """Notes the start of a tenure; it is seen at or after the reading of the own claim."""
+        """Records the start of a tenure, at or after the time this node read its accepted claim."""
         if self.lease.epoch != self._epoch:
             self._epoch = self.lease.epoch
             self.seen_at = now
 
 
 def _deadline(move_by: str | None, now: float) -> float | None:
-    """Converts ``move_by`` (ISO 8601) to a monotonic instant."""
+    """Converts ``move_by`` (ISO 8601, UTC by default) to monotonic seconds."""
     if not move_by:
         return None
     instant = datetime.fromisoformat(move_by)
