Name the fractions and the log callback of a lease by their use

Cause: _LOOK_EVERY and _RENEW_AFTER read as durations, but are fractions of the lease's duration; _read_back named no event. Change: _POLL_INTERVAL_FRACTION, _RENEW_AFTER_FRACTION, _MAX_SENT_BASES and _on_record in lease_hold.py. Tests run on these four renames together: tests.test_limits_service, test_bookings, test_version_service, test_keys, test_lease, test_limits_model: 71 passed, 0 failed.

--- a/packages/arbutustally-node/src/arbutustally_node/lease_hold.py
+++ b/packages/arbutustally-node/src/arbutustally_node/lease_hold.py
@@ -15,12 +15,12 @@
 from arbutustally.verdicts import Verdict
 
 #: Fraction of the lease's duration after which a renewal is sent.
-_RENEW_AFTER = 0.5
+_RENEW_AFTER_FRACTION = 0.5
 #: Longest interval between two polls of the state, as a fraction of the lease's duration.
-_LOOK_EVERY = 0.1
+_POLL_INTERVAL_FRACTION = 0.1
 _RELEASE_TIMEOUT_S = 1.0
 #: Bases whose send times are kept; only records with the latest few can still be accepted.
-_REMEMBERED_BASES = 8
+_MAX_SENT_BASES = 8
 
 _log = get_logger("lease")
 
@@ -65,7 +65,7 @@
         self._held: HeldLease | None = None
         self._claimed_at = math.inf
         self._greenlet: gevent.Greenlet | None = None
-        log.subscribe(self._read_back)
+        log.subscribe(self._on_record)
 
     @property
     def name(self) -> str:
@@ -151,7 +151,7 @@
                 self.step()
             except LogUnavailableError as error:
                 _log.info("lease record not confirmed", lease=self._name, error=error.message)
-            gevent.sleep(self._rng.uniform(0.8, 1.0) * _LOOK_EVERY * self._duration_s)
+            gevent.sleep(self._rng.uniform(0.8, 1.0) * _POLL_INTERVAL_FRACTION * self._duration_s)
 
     def step(self) -> None:
         """Polls the state once and claims, renews or releases.
@@ -187,19 +187,19 @@
             self.release()
             return
         remaining = self._held.remaining(now) if self._held is not None else 0.0
-        if remaining <= _RENEW_AFTER * self._duration_s:
+        if remaining <= _RENEW_AFTER_FRACTION * self._duration_s:
             self._append(base)
 
     def _append(self, base: int) -> None:
         # Several records may be sent for one base, and any of them may be the accepted one, so
         # the lease counts from the time of the first.
         self._sent.setdefault(base, self._clock())
-        while len(self._sent) > _REMEMBERED_BASES:
+        while len(self._sent) > _MAX_SENT_BASES:
             del self._sent[min(self._sent)]
         record = LeaseRecord(self._name, self._holder, base)
-        self._log.append(record, timeout_s=self._duration_s * _RENEW_AFTER)
+        self._log.append(record, timeout_s=self._duration_s * _RENEW_AFTER_FRACTION)
 
-    def _read_back(self, offset: int, record: Record | None, verdict: Verdict) -> None:
+    def _on_record(self, offset: int, record: Record | None, verdict: Verdict) -> None:
         body = record.body if record is not None else None
         if not verdict.accepted or not isinstance(body, LeaseRecord):
             return
