Name the log callbacks of the booking service after their events

Cause: _seen, _jumped, _stronger and _Finished left open what they name. Change: _on_record, _on_claim, _on_jump, _less_certain and _FinishedClaim.

--- a/packages/arbutustally-node/src/arbutustally_node/booking_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/booking_service.py
@@ -119,8 +119,8 @@
     def start(self) -> None:
         """Starts to append and subscribes to the log for late claims and outcomes."""
         log = self._kernel.lookup("log")
-        log.subscribe(self._seen)
-        log.subscribe_jump(self._jumped)
+        log.subscribe(self._on_record)
+        log.subscribe_jump(self._on_jump)
         self._batcher.start()
 
     def stop(self) -> None:
@@ -148,7 +148,7 @@
             try:
                 answer = self._dispatcher.send(call, endpoint, fresh=False)
             except ATTEMPT_ERRORS as error:
-                failure = _stronger(failure, error)
+                failure = _less_certain(failure, error)
                 call.trace.note("endpoint_failed", endpoint=endpoint.id, code=error.code)
                 if not self._retries.allow(call.account):
                     raise failure from error
@@ -202,7 +202,11 @@
         entry = self._kernel.lookup("log").state.claim(key)
         known = self._finished.get(key)
         if entry is not None and entry.outcome is None and known is not None:
-            return _Finished(entry.request_digest, known) if known.claim == entry.offset else entry
+            return (
+                _FinishedClaim(entry.request_digest, known)
+                if known.claim == entry.offset
+                else entry
+            )
         return entry
 
     def _claim(self, call: PlainCall, key: str, digest: str, time_s: float) -> Attempt | None:
@@ -248,16 +252,16 @@
             retry_after_s=LOG_RETRY_S,
         )
 
-    def _seen(self, offset: int, record: Any, verdict: Any) -> None:
+    def _on_record(self, offset: int, record: Any, verdict: Any) -> None:
         body = getattr(record, "body", None)
         if not verdict.accepted:
             return
         if isinstance(body, Outcome) and body.key in self._outcome_waits:
             self._outcome_waits[body.key].set()
         elif isinstance(body, Claim):
-            self._seen_claim(offset, body)
+            self._on_claim(offset, body)
 
-    def _seen_claim(self, offset: int, body: Claim) -> None:
+    def _on_claim(self, offset: int, body: Claim) -> None:
         """Records the offset of an accepted claim of this process, or releases it if abandoned."""
         holder, _, number = body.holder.rpartition("/")
         if holder != self._holder or not number.isdigit():
@@ -269,7 +273,7 @@
             del self._abandoned[int(number)]
             self._batcher.submit(not_run(body.key, offset))
 
-    def _jumped(self) -> None:
+    def _on_jump(self) -> None:
         """Wakes waiting calls and releases claims of abandoned attempts after a snapshot."""
         for arrived in self._outcome_waits.values():
             arrived.set()
@@ -332,7 +336,7 @@
 
 
 @dataclass(frozen=True)
-class _Finished:
+class _FinishedClaim:
     """A claim whose outcome this node knows before it is read from the log."""
 
     request_digest: str
@@ -353,7 +357,7 @@
     )
 
 
-def _stronger(first: RouterError | None, second: RouterError) -> RouterError:
+def _less_certain(first: RouterError | None, second: RouterError) -> RouterError:
     """Returns the first error if it does not prove that the call did not run, else the second."""
     if first is not None and first.ran is not Ran.NOT_RUN:
         return first
