Call the fetch of grants before they are needed a prefetch

Cause: the shared term is prefetch; other private names of the limits service were participles without an object. Change: _prefetch, _prefetch_missing, _prefetch_tokens, _prefetching, _record_outage, _merge_refusals, _last_present and _is_absent.

--- a/packages/arbutustally-node/src/arbutustally_node/grant_sources.py
+++ b/packages/arbutustally-node/src/arbutustally_node/grant_sources.py
@@ -160,7 +160,7 @@
                 refusals.append(Refusal(False, offer.retry_after_s, offer.within_rate))
             if missing <= 0:
                 return None
-        refusal = _merged(refusals)
+        refusal = _merge_refusals(refusals)
         self._refusals[account] = refusal
         return refusal
 
@@ -304,7 +304,7 @@
         return entry.holder.partition("#")[0]
 
 
-def _merged(refusals: list[Refusal]) -> Refusal:
+def _merge_refusals(refusals: list[Refusal]) -> Refusal:
     answered = [refusal for refusal in refusals if not refusal.unavailable]
     if not answered:
         return _UNAVAILABLE
--- a/packages/arbutustally-node/src/arbutustally_node/limits_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/limits_service.py
@@ -104,7 +104,7 @@
         self._demand: dict[str, Demand] = {}
         self._locks: dict[str, BoundedSemaphore] = {}
         self._waiting: dict[str, float] = {}
-        self._fetching: set[str] = set()
+        self._prefetching: set[str] = set()
         self._outages: dict[str, _Outage] = {}
         self._owners = [
             ShardOwner(shard, options.node_id, clock, log, self._call)
@@ -178,7 +178,7 @@
             reservation = self._wait(account, tokens)
         now = self._clock()
         self._demand.setdefault(account, Demand(now)).note(tokens, now)
-        self._fetch_ahead(account, tokens, limits.burst)
+        self._prefetch(account, tokens, limits.burst)
         if trace is not None:
             trace.note("limits", tokens=tokens, grant=source)
         return reservation
@@ -227,9 +227,9 @@
             if reservation is not None:
                 return reservation
             needed = tokens - self._pool.available(account)
-            wanted = max(needed, self._waiting[account]) + self._ahead(account)
+            wanted = max(needed, self._waiting[account]) + self._prefetch_tokens(account)
             refusal = self._sources.fetch(account, needed, wanted)
-            is_outage = self._note_outage(account, refusal)
+            is_outage = self._record_outage(account, refusal)
             if refusal is None:
                 if self._clock() < deadline:
                     continue
@@ -242,7 +242,7 @@
             self._metrics.count(GRANT_RETRIED)
             gevent.sleep(pause)
 
-    def _note_outage(self, account: str, refusal: Refusal | None) -> bool:
+    def _record_outage(self, account: str, refusal: Refusal | None) -> bool:
         """Records the result of an attempt for ``_outages``.
 
         Returns whether no issuer has been reached for ``OUTAGE_S``, so that waiting is pointless.
@@ -286,27 +286,27 @@
 
     # Prefetch of grants
 
-    def _ahead(self, account: str) -> float:
+    def _prefetch_tokens(self, account: str) -> float:
         demand = self._demand.get(account)
         burst = self._limits(account).burst
         return demand.ahead(self._clock(), burst) if demand is not None else 0.0
 
-    def _fetch_ahead(self, account: str, tokens: float, burst: float) -> None:
-        if account in self._fetching or self._sources.is_owner(account):
+    def _prefetch(self, account: str, tokens: float, burst: float) -> None:
+        if account in self._prefetching or self._sources.is_owner(account):
             return
         available = self._pool.available(account)
         missing = self._demand[account].missing(available, tokens, self._clock(), burst)
         if missing > 0:
-            self._fetching.add(account)
-            gevent.spawn(self._fetch_missing, account, missing)
+            self._prefetching.add(account)
+            gevent.spawn(self._prefetch_missing, account, missing)
 
-    def _fetch_missing(self, account: str, missing: float) -> None:
+    def _prefetch_missing(self, account: str, missing: float) -> None:
         try:
             self._sources.ask_owner(account, 0.0, missing)
         except RouterError as error:
             _log.debug("grant prefetch failed", account=account, code=error.code)
         finally:
-            self._fetching.discard(account)
+            self._prefetching.discard(account)
 
     # Leases, slots and reports
 
--- a/packages/arbutustally-node/src/arbutustally_node/shard_owner.py
+++ b/packages/arbutustally-node/src/arbutustally_node/shard_owner.py
@@ -75,7 +75,7 @@
         self._wanted = False
         self._displaced_since: float | None = None
         self._ends_at = float("inf")
-        self._seen: dict[int, tuple[str, float]] = {}
+        self._last_present: dict[int, tuple[str, float]] = {}
         self._confirmed: set[tuple[int, int, int]] = set()
 
     @property
@@ -165,7 +165,7 @@
         for slot in range(min(SLOTS, len(ranked))):
             entry = self._log().state.share(self._shard, slot)
             try:
-                if entry is None or not entry.holder or self._absent(slot, entry, present, now):
+                if entry is None or not entry.holder or self._is_absent(slot, entry, present, now):
                     self._assign(slot, self._slot_home(slot, ranked), entry)
                 else:
                     self._confirm(issuer, slot, entry)
@@ -178,10 +178,10 @@
                     code=error.code,
                 )
 
-    def _absent(self, slot: int, entry: Any, present: set[str], now: float) -> bool:
-        holder, seen_at = self._seen.get(slot, ("", now))
+    def _is_absent(self, slot: int, entry: Any, present: set[str], now: float) -> bool:
+        holder, seen_at = self._last_present.get(slot, ("", now))
         if entry.holder in present or holder != entry.holder:
-            self._seen[slot] = (entry.holder, now)
+            self._last_present[slot] = (entry.holder, now)
             return False
         return now - seen_at > ABSENT_S
 
