Name the private methods of the versions service by their actions

Cause: _tell, _note_trip, notice and _is_ranked did not say what happens. Change: _broadcast, _record_trip, record_tenure and _is_claimant; one mutation quotes _broadcast and follows.

--- a/packages/arbutustally-node/src/arbutustally_node/version_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/version_service.py
@@ -143,7 +143,7 @@
         key = EvidenceKey(model, version, class_name, route)
         sample = Sample(ok, first_token_s, gap_s, work_tokens)
         previous = self._previous(model, version)
-        self._note_trip(self._breaker.observe(key, sample, previous))
+        self._record_trip(self._breaker.observe(key, sample, previous))
         if not ok and previous:
             # A failure of a new version is sent at once, so that all nodes stop it together.
             spawn(self._send_reports, self._reports(model, version, previous))
@@ -213,7 +213,7 @@
         for report in reports:
             key = report.key
             previous = self._previous(key.model, key.version)
-            self._note_trip(self._breaker.hear(node_id, [report], previous))
+            self._record_trip(self._breaker.hear(node_id, [report], previous))
 
     def _on_record(self, _offset: int, record: Record | None, verdict: Any) -> None:
         if record is None or not isinstance(record.body, MoveStep) or not verdict.accepted:
@@ -221,14 +221,14 @@
         if record.body.step == "started":
             self._breaker.reset(record.body.model, record.body.version)
 
-    def _note_trip(self, trip: Trip | None) -> None:
+    def _record_trip(self, trip: Trip | None) -> None:
         if trip is None:
             return
         self._kernel.lookup("metrics").count(TRIPPED)
         self._log.warning("version stopped", reason=trip.describe())
-        spawn(self._tell, TRIP_TOPIC, asdict(trip))
+        spawn(self._broadcast, TRIP_TOPIC, asdict(trip))
 
-    def _tell(self, topic: str, payload: Any) -> None:
+    def _broadcast(self, topic: str, payload: Any) -> None:
         self._kernel.lookup("peers").broadcast(topic, payload)
 
     def _run(self) -> None:
@@ -267,7 +267,7 @@
             }
             for report in reports
         ]
-        self._tell(EVIDENCE_TOPIC, {"reports": entries})
+        self._broadcast(EVIDENCE_TOPIC, {"reports": entries})
 
     def step(self) -> None:
         """Runs one step of each move that this node controls."""
@@ -279,7 +279,7 @@
             if not hold.lease.valid():
                 self._controllers.pop(model, None)
                 continue
-            hold.notice(self._clock())
+            hold.record_tenure(self._clock())
             controller = self._controllers.setdefault(model, MoveController())
             view = self._view(model, declared, hold)
             for action in controller.step(view, self._evidence(model), self._clock()):
@@ -291,13 +291,13 @@
         hold = self._holds.get(model)
         if hold is None:
             name = f"move/{model}"
-            lease = self._kernel.lookup("log").hold(name, lambda: self._is_ranked(name))
+            lease = self._kernel.lookup("log").hold(name, lambda: self._is_claimant(name))
             hold = _Hold(lease)
             self._holds[model] = hold
             lease.start()
         return hold
 
-    def _is_ranked(self, name: str) -> bool:
+    def _is_claimant(self, name: str) -> bool:
         """Returns whether this node is among the ``CLAIMANTS`` that claim a lease."""
         nodes = [node.id for node in self._kernel.lookup("membership").nodes() if not node.draining]
         return self._node_id in order(name.encode(), nodes)[:CLAIMANTS]
@@ -382,7 +382,7 @@
         self.seen_at = 0.0
         self._epoch = -1
 
-    def notice(self, now: float) -> None:
+    def record_tenure(self, now: float) -> None:
         """Records the start of a tenure, at or after the time this node read its accepted claim."""
         if self.lease.epoch != self._epoch:
             self._epoch = self.lease.epoch
