State the failures that tests of limits, bookings, versions and keys guard against

Cause: several docstrings were figurative or named no failure. Change: comments and docstrings of the tests and their fakes; the module doc of the versions service names the evidence and trips that stop a version again.

--- a/packages/arbutustally-node/src/arbutustally_node/slot_holder.py
+++ b/packages/arbutustally-node/src/arbutustally_node/slot_holder.py
@@ -61,7 +61,7 @@
         self._tenure.effective(offset)
 
     def tend(self, home_ids: list[str], draining: bool) -> None:
-        """Records new assignments; releases the slot when this node drains or is no home node.
+        """Records new assignments; releases the slot when this node drains or is no longer a home.
 
         :param home_ids: ids of the home nodes of the shard.
         """
--- a/packages/arbutustally-node/src/arbutustally_node/version_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/version_service.py
@@ -1,4 +1,7 @@
-"""Service ``versions``: picks and stops weights versions, runs moves between them."""
+"""Service ``versions``: picks weights versions and runs moves between them under a lease.
+
+A version is stopped on this node's own evidence, on its peers' evidence or on a trip of a peer.
+"""
 
 from dataclasses import asdict, astuple
 from datetime import UTC, datetime
@@ -137,8 +140,9 @@
         """Records the result of a response as evidence; may trip the breaker.
 
         :param gap_s: mean time between tokens in seconds.
-        :param work_tokens: tokens to compute before the first token, ``Choice.work_tokens``; without
-            them the time to first token is not compared: a cold cache looks like a slow version.
+        :param work_tokens: tokens to compute before the first token, ``Choice.work_tokens``;
+            without them the time to first token is not compared: a cold cache looks like a slow
+            version.
         """
         key = EvidenceKey(model, version, class_name, route)
         sample = Sample(ok, first_token_s, gap_s, work_tokens)
--- a/tests/fake_booking_log.py
+++ b/tests/fake_booking_log.py
@@ -1,4 +1,4 @@
-"""A platform log with lost answers and late appends, and log services over the real fold."""
+"""A platform log with lost responses and late appends, and log services over ``ControlState``."""
 
 from types import SimpleNamespace
 from typing import Any
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -60,8 +60,8 @@
 class Worker:
     """A booking worker that counts the runs of each key.
 
-    :ivar fault: ``lost`` closes after the run, ``crossed`` answers with another request's id,
-        ``late`` answers after 0.1 s, ``busy`` answers status 503.
+    :ivar fault: ``lost`` closes after the run, ``crossed`` responds with another request's id,
+        ``late`` responds after 0.1 s, ``busy`` responds with status 503.
     """
 
     def __init__(self) -> None:
@@ -95,7 +95,7 @@
 
 
 class BookingFleet:
-    """Two nodes, one log, one worker and one address where nothing listens."""
+    """Two nodes, one log, one worker and one address without a listener."""
 
     def __init__(self) -> None:
         self.platform = PlatformLog()
@@ -125,7 +125,7 @@
         self.pause_s = 0.0
 
     def reach_worker(self, running: bool) -> None:
-        """Starts or ends the worker; a mark of an instance without incarnation has expired."""
+        """Makes the worker reachable or not; marks of instances without incarnation expire."""
         address = self.worker.address if running else "127.0.0.1:1"
         self.membership.states["w"].address = address
         self.membership.dead.clear()
@@ -249,8 +249,8 @@
         self.assertEqual(self.fleet.worker.runs, {self.key: 1})
 
     def test_repeated_key_waits_for_an_outcome_that_this_node_has_not_read(self) -> None:
-        """Guards against a caller who has its answer and is told at another node, which has read
-        only the claim, that the booking may have run."""
+        """Guards against reporting that a booking may have run to a caller who has its response, at
+        another node that has read only the claim."""
         first = self.book()
         self.fleet.logs[1].sync(upto=1)
         with patch.object(booking_service, "OUTCOME_READ_S", 10.0):
@@ -282,7 +282,7 @@
         self.assertEqual(set(self.fleet.worker.runs.values()), {1})
 
     def test_frozen_claimant_gives_up_before_dispatch(self) -> None:
-        """Guards against a dispatch long after the claim, when the caller has gone elsewhere."""
+        """Guards against a dispatch long after the claim, when the caller has tried elsewhere."""
         self.fleet.pause_s = 100.0
         refused = self.book()
         self.assertEqual((type(refused), refused.ran), (LogUnavailableError, Ran.NOT_RUN))
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -1,4 +1,4 @@
-"""Keys: withdrawn ones stop working, and a node that may have missed that refuses."""
+"""Keys: withdrawn keys stop working, and a node that may have missed a withdrawal refuses all."""
 
 import io
 import unittest
@@ -26,7 +26,7 @@
 
 
 class DirectLog:
-    """The log service of one node, reduced to its fold.
+    """The log service of one node, reduced to its ``ControlState``.
 
     :ivar age_s: age of the last confirmation.
     :ivar known_offset: highest offset that any node is known to hold.
@@ -118,7 +118,7 @@
         self.header = f"Bearer {self.keys.issue('a').text}"
 
     def test_secret_is_compared(self) -> None:
-        """Guards against a key that is accepted by its public part."""
+        """Guards against a key that is accepted on its public part alone."""
         other = self.keys.issue("b").text
         mixed = self.header.rsplit("-", 1)[0][: len("Bearer at-") + 16]
         for wrong in (None, "", "Bearer", self.header[:-1], self.header + "x", mixed, "Bearer at-"):
@@ -129,7 +129,7 @@
             self.keys.authenticate(self.header[: len("Bearer at-") + 17] + secret)
 
     def test_key_is_in_no_record_log_line_or_message(self) -> None:
-        """Guards against a key that can be read where it does not belong."""
+        """Guards against a key that can be read in the log, in log lines or in error messages."""
         stream = io.StringIO()
         logs.configure("debug", stream)
         self.addCleanup(logs.configure)
@@ -142,18 +142,18 @@
         self.assertNotIn(secret.encode(), self.log.state.snapshot())
 
     def test_no_configuration_is_told_apart(self) -> None:
-        """Guards against a starting node that calls valid keys invalid."""
+        """Guards against a starting node that reports valid keys as invalid."""
         self.log.ready = False
         with self.assertRaises(NoConfigurationError):
             self.keys.authenticate(self.header)
 
     def test_log_down_for_all_keeps_known_keys_working(self) -> None:
-        """Guards against an outage of the log that stops all callers."""
+        """Guards against refusing all callers during an outage of the log."""
         self.log.age_s = 3600.0
         self.assertEqual(self.keys.authenticate(self.header), "a")
 
     def test_minority_refuses_keys_when_the_log_is_silent(self) -> None:
-        """Guards against a cut-off side that accepts keys withdrawn on the other one."""
+        """Guards against a minority partition that accepts keys withdrawn in the majority."""
         self.log.age_s = 8.1
         self.fleet.reached = ["n2", "n3"]
         self.assertEqual(self.keys.authenticate(self.header), "a")
--- a/tests/test_limits_service.py
+++ b/tests/test_limits_service.py
@@ -181,7 +181,7 @@
         self.assertGreater(self.third.count(GRANT_RETRIED), retried)
 
     def test_refusal_comes_at_once_and_names_the_time(self) -> None:
-        """Guards against a final refusal that is held back, and against a made-up Retry-After."""
+        """Guards against a final refusal that is delayed, and against an invented Retry-After."""
         self.fill("slow", 20)
         while self.admitted(self.third, "slow", 50):
             pass
@@ -204,7 +204,7 @@
             self.third.limits.reserve("nobody", 1)
 
     def test_loss_of_owner_and_shares_is_counted_as_within_the_rate(self) -> None:
-        """Guards against refusals by our own fault that look like the account's."""
+        """Guards against refusals caused by the fleet that are counted as the account's overuse."""
         self.owner.peers.stop()
         self.second.peers.stop()
         with self.assertRaises(LimitUnavailableError):
@@ -212,7 +212,7 @@
         self.assertEqual(self.third.count(WITHIN_RATE), 1)
 
     def test_grant_that_comes_late_admits_the_request(self) -> None:
-        """Guards against telling of no issuer when the grant came on a busy machine, late."""
+        """Guards against reporting no issuer when a busy machine received the grant late."""
         call = self.third.limits._call
 
         def late(*arguments: Any) -> Any:
@@ -225,7 +225,7 @@
         self.third.limits.settle(self.third.limits.reserve("slow", 20), 20)
 
     def test_short_loss_of_the_issuers_is_waited_for(self) -> None:
-        """Guards against a second of refusals after one answer that did not come in time."""
+        """Guards against a second of refusals after one response that is late."""
         call = self.third.limits._call
         lost_until = monotonic() + 1.2
 
@@ -240,7 +240,7 @@
         self.assertEqual(self.third.count(LIMIT_UNAVAILABLE), 0)
 
     def test_pause_in_the_first_attempt_is_followed_by_another_one(self) -> None:
-        """Guards against refusing what waited when a paused node wakes, after one attempt."""
+        """Guards against refusing waiting requests after one attempt when a paused node resumes."""
         call = self.third.limits._call
         paused_until = monotonic() + 1.0 + WAIT_S + 0.1
 
@@ -257,7 +257,7 @@
         self.third.limits.settle(self.third.limits.reserve("slow", 20), 20)
 
     def test_long_loss_of_the_issuers_is_refused_at_once(self) -> None:
-        """Guards against callers that wait for an issuer that has been gone for long."""
+        """Guards against callers that wait for an issuer after a long outage."""
         self.third.log.up = False
         self.owner.peers.stop()
         self.second.peers.stop()
@@ -266,7 +266,7 @@
             while monotonic() < refused + OUTAGE_S + WAIT_S:
                 self.assertFalse(self.admitted(self.third, "idle", 1))
                 gevent.sleep(0.01)
-        # An issuer's pause has ended at times, and a call to it then takes its bound.
+        # When an issuer's pause has ended, the next call to it takes up to its timeout.
         waits = []
         for _ in range(20):
             began = monotonic()
@@ -276,7 +276,7 @@
         self.assertLess(sorted(waits)[10], 0.1)
 
     def test_share_admits_without_log_and_owner(self) -> None:
-        """Guards against a share that is never asked when owner and log are gone."""
+        """Guards against a share slot that is never used when owner and log are unreachable."""
         self.fill("slow", 10)
         with gevent.Timeout(PATIENCE_S):
             while not self.admitted(self.second, "slow", 10):
--- a/tests/test_version_service.py
+++ b/tests/test_version_service.py
@@ -21,7 +21,7 @@
 
 
 class FakeLease:
-    """A lease that is valid when told so."""
+    """A lease whose validity is set by the test."""
 
     def __init__(self) -> None:
         self.is_valid = True
@@ -141,7 +141,7 @@
             self.addCleanup(node.versions.stop)
 
     def test_trip_on_one_node_stops_the_version_on_all(self) -> None:
-        """Guards against each node learning of a bad version by its own failures."""
+        """Guards against a bad version that each node stops only after failures of its own."""
         for _ in range(3):
             self.nodes[0].observe("2", False)
         self.assertEqual(self.nodes[0].versions.pick(MODEL, "request-1"), "1")
@@ -158,7 +158,7 @@
         self.assertEqual(self.nodes[2].versions.pick(MODEL, "request-1"), "1")
 
     def test_breaker_works_with_log_down(self) -> None:
-        """Guards against a bad version that stays in use until the log returns."""
+        """Guards against a bad version that stays in use until the log is up again."""
         self.log.down = True
         for _ in range(3):
             self.nodes[0].observe("2", False)
@@ -170,7 +170,7 @@
         self.assertEqual([step.step for step in self.log.appended], ["taken_back"])
 
     def test_doubted_version_shares_requests_with_the_old_one(self) -> None:
-        """Guards against a slow version at full share that nothing is left to compare with."""
+        """Guards against a slow version at full share without a baseline to compare it with."""
         node = self.nodes[0]
         for _ in range(40):
             node.versions.observe(MODEL, "1", "chat", "chat", True, 0.02, 0.01, 100.0)
@@ -187,7 +187,7 @@
         self.assertEqual(set(picks), {"2"})
 
     def test_lost_lease_allows_no_order_and_no_step(self) -> None:
-        """Guards against a paused controller that acts after its lease."""
+        """Guards against a paused controller that acts after its lease has expired."""
         self.log.move = MoveStep(MODEL, "2", "1", "raised", 0.5, 1)
         self.log.lease.is_valid = False
         self.nodes[0].versions.step()
