Name tests and constants of limits, bookings, versions and keys by what they check

Cause: three test names and two constants of tests were figurative. Change: test_new_attempt_clears_the_trip, test_minority_refuses_keys_when_the_log_is_unreachable, test_missing_configuration_has_its_own_error, TIMEOUT_S and SHORT_TIMEOUTS. Bodies and values are unchanged.

--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -32,7 +32,7 @@
 from tests.fakes import Endpoint, FakeMembership, node_kernel, node_options
 
 NOW_S = 1_800_000_000.0
-SHORT = (
+SHORT_TIMEOUTS = (
     patch.object(booking_service, "CLAIM_WAIT_S", 0.05),
     patch.object(booking_service, "OUTCOME_WAIT_S", 0.05),
     patch.object(booking_service, "OUTCOME_READ_S", 0.02),
@@ -43,12 +43,12 @@
 
 
 def setUpModule() -> None:  # noqa: N802
-    for item in SHORT:
+    for item in SHORT_TIMEOUTS:
         item.start()
 
 
 def tearDownModule() -> None:  # noqa: N802
-    for item in SHORT:
+    for item in SHORT_TIMEOUTS:
         item.stop()
 
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -141,7 +141,7 @@
         self.assertNotIn(secret, stream.getvalue() + str(caught.exception))
         self.assertNotIn(secret.encode(), self.log.state.snapshot())
 
-    def test_no_configuration_is_told_apart(self) -> None:
+    def test_missing_configuration_has_its_own_error(self) -> None:
         """Guards against a starting node that reports valid keys as invalid."""
         self.log.ready = False
         with self.assertRaises(NoConfigurationError):
@@ -152,7 +152,7 @@
         self.log.age_s = 3600.0
         self.assertEqual(self.keys.authenticate(self.header), "a")
 
-    def test_minority_refuses_keys_when_the_log_is_silent(self) -> None:
+    def test_minority_refuses_keys_when_the_log_is_unreachable(self) -> None:
         """Guards against a minority partition that accepts keys withdrawn in the majority."""
         self.log.age_s = 8.1
         self.fleet.reached = ["n2", "n3"]
--- a/tests/test_limits_service.py
+++ b/tests/test_limits_service.py
@@ -34,7 +34,7 @@
 from tests.node_options import options
 
 LEASE_S = 1.5
-PATIENCE_S = 10.0
+TIMEOUT_S = 10.0
 ACCOUNTS = {"big": (100_000.0, 100_000.0), "slow": (100.0, 1000.0), "idle": (0.001, 100.0)}
 
 
@@ -126,7 +126,7 @@
         self.addCleanup(self.stop)
         ranked = [node.id for node in ranking(0, self.live_nodes())]
         self.owner, self.second, self.third = (self.nodes[name] for name in ranked)
-        with gevent.Timeout(PATIENCE_S):
+        with gevent.Timeout(TIMEOUT_S):
             while not self.ready():
                 gevent.sleep(0.05)
 
@@ -153,7 +153,7 @@
         return True
 
     def fill(self, account: str, tokens: float) -> None:
-        with gevent.Timeout(PATIENCE_S):
+        with gevent.Timeout(TIMEOUT_S):
             while not self.admitted(self.third, account, tokens):
                 gevent.sleep(0.05)
 
@@ -261,7 +261,7 @@
         self.third.log.up = False
         self.owner.peers.stop()
         self.second.peers.stop()
-        with gevent.Timeout(PATIENCE_S):
+        with gevent.Timeout(TIMEOUT_S):
             refused = monotonic()
             while monotonic() < refused + OUTAGE_S + WAIT_S:
                 self.assertFalse(self.admitted(self.third, "idle", 1))
@@ -278,7 +278,7 @@
     def test_share_admits_without_log_and_owner(self) -> None:
         """Guards against a share slot that is never used when owner and log are unreachable."""
         self.fill("slow", 10)
-        with gevent.Timeout(PATIENCE_S):
+        with gevent.Timeout(TIMEOUT_S):
             while not self.admitted(self.second, "slow", 10):
                 gevent.sleep(0.05)
         gevent.sleep(2 * LEASE_S)
@@ -286,7 +286,7 @@
             node.log.up = False
         self.owner.peers.stop()
         gevent.sleep(2 * LEASE_S)
-        with gevent.Timeout(PATIENCE_S):
+        with gevent.Timeout(TIMEOUT_S):
             while not self.admitted(self.second, "slow", 50):
                 gevent.sleep(0.1)
 
@@ -294,7 +294,7 @@
         """Guards against operators, and tests of outages, that cannot tell whether the slots of an
         account are in force or only recorded."""
         homes = (self.owner, self.second)
-        with gevent.Timeout(PATIENCE_S):
+        with gevent.Timeout(TIMEOUT_S):
             while not all(len(home.limits.usable_shares()) == 1 for home in homes):
                 gevent.sleep(0.05)
         slots = {slot for home in homes for slot in home.limits.usable_shares()}
@@ -306,7 +306,7 @@
         gone = self.owner.node.id
         self.nodes.pop(gone).stop()
         self.owner.log.up = False
-        with gevent.Timeout(PATIENCE_S):
+        with gevent.Timeout(TIMEOUT_S):
             while not self.admitted(self.third, "big", 500):
                 gevent.sleep(0.1)
         lease = self.third.log.state.lease("shard/0")
--- a/tests/test_version_service.py
+++ b/tests/test_version_service.py
@@ -202,7 +202,7 @@
         gevent.sleep(0)
         self.assertEqual([order.fence for order in self.nodes[0].orders], [77])
 
-    def test_new_attempt_forgets_the_trip(self) -> None:
+    def test_new_attempt_clears_the_trip(self) -> None:
         """Guards against a version that can never be tried again."""
         for _ in range(3):
             self.nodes[0].observe("2", False)
