Merge the wording of the node's limits, bookings and versions

Texts and names of limits service, grants, shards, leases, bookings, version moves and keys, with their tests.

--- a/packages/arbutustally-node/src/arbutustally_node/version_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/version_service.py
@@ -1,4 +1,7 @@
-"""Service ``versions``: picks weights versions, trips on own evidence, runs moves under a lease."""
+"""Service ``versions``: picks weights versions and runs moves between them under a lease.
+
+A version is stopped on this node's own evidence, on its peers' evidence or on a trip of a peer.
+"""
 
 from dataclasses import asdict, astuple
 from datetime import UTC, datetime
@@ -38,18 +41,18 @@
 
 #: Interval between two steps of the controllers and two reports of evidence, in seconds.
 STEP_INTERVAL_S = 0.5
-#: Longest wait for the answer to a load order, in seconds.
+#: Longest wait for the response to a load order, in seconds.
 ORDER_TIMEOUT_S = 5.0
-#: Time after which an unanswered load counts as failed and is ordered again, in seconds.
+#: Time after which an unconfirmed load counts as failed and is ordered again, in seconds.
 LOAD_TIMEOUT_S = 30.0
-#: Nodes that claim a lease, by rendezvous rank: the second takes over when the first is gone.
+#: Nodes that claim a lease, by rendezvous rank: the second takes over when the first fails.
 CLAIMANTS = 2
 TRIP_TOPIC = "trip"
 EVIDENCE_TOPIC = "evidence"
 
 
 class OrderSender(Protocol):
-    """Sends orders to endpoints; raises a ``RouterError`` when one is not taken."""
+    """Sends orders to endpoints; raises a ``RouterError`` when one is not accepted."""
 
     def order(self, address: str, order: Order) -> None:
         """Sends an order to the endpoint at ``address``."""
@@ -117,7 +120,7 @@
         move = self._move(model)
         if move is None or not move.previous:
             return pick_version(model, request_id, move, wanted, False)
-        # A step may reach this node before the load report of the endpoints that it relies on.
+        # This node may read a step before it receives the load reports on which the step is based.
         avoided = self._stopped(model, move) or not self._is_held(model, move.version)
         if not avoided and self._breaker.doubted(model, move.version):
             avoided = is_control(model, request_id) and self._is_held(model, move.previous)
@@ -134,18 +137,19 @@
         gap_s: float | None,
         work_tokens: float | None = None,
     ) -> None:
-        """Takes the result of an answer as evidence; may trip the breaker.
+        """Records the result of a response as evidence; may trip the breaker.
 
         :param gap_s: mean time between tokens in seconds.
-        :param work_tokens: tokens to compute before the first token, ``Choice.work_tokens``; without
-            them the time to first token is not compared, for a cold cache looks like a slow version.
+        :param work_tokens: tokens to compute before the first token, ``Choice.work_tokens``;
+            without them the time to first token is not compared: a cold cache looks like a slow
+            version.
         """
         key = EvidenceKey(model, version, class_name, route)
         sample = Sample(ok, first_token_s, gap_s, work_tokens)
         previous = self._previous(model, version)
-        self._note_trip(self._breaker.observe(key, sample, previous))
+        self._record_trip(self._breaker.observe(key, sample, previous))
         if not ok and previous:
-            # A failure of a version on trial is told at once: the fleet stops it together.
+            # A failure of a new version is sent at once, so that all nodes stop it together.
             spawn(self._send_reports, self._reports(model, version, previous))
 
     def moves(self) -> list[dict[str, Any]]:
@@ -213,7 +217,7 @@
         for report in reports:
             key = report.key
             previous = self._previous(key.model, key.version)
-            self._note_trip(self._breaker.hear(node_id, [report], previous))
+            self._record_trip(self._breaker.hear(node_id, [report], previous))
 
     def _on_record(self, _offset: int, record: Record | None, verdict: Any) -> None:
         if record is None or not isinstance(record.body, MoveStep) or not verdict.accepted:
@@ -221,14 +225,14 @@
         if record.body.step == "started":
             self._breaker.reset(record.body.model, record.body.version)
 
-    def _note_trip(self, trip: Trip | None) -> None:
+    def _record_trip(self, trip: Trip | None) -> None:
         if trip is None:
             return
         self._kernel.lookup("metrics").count(TRIPPED)
         self._log.warning("version stopped", reason=trip.describe())
-        spawn(self._tell, TRIP_TOPIC, asdict(trip))
+        spawn(self._broadcast, TRIP_TOPIC, asdict(trip))
 
-    def _tell(self, topic: str, payload: Any) -> None:
+    def _broadcast(self, topic: str, payload: Any) -> None:
         self._kernel.lookup("peers").broadcast(topic, payload)
 
     def _run(self) -> None:
@@ -250,7 +254,7 @@
         self._send_reports(reports)
 
     def _reports(self, model: str, version: str, previous: str) -> list[Report]:
-        """Returns the counts of both versions; the old one's come first, to be compared with."""
+        """Returns the counts of both versions; the previous one's come first, as the baseline."""
         return [
             *self._breaker.reports(model, previous, version),
             *self._breaker.reports(model, version),
@@ -267,7 +271,7 @@
             }
             for report in reports
         ]
-        self._tell(EVIDENCE_TOPIC, {"reports": entries})
+        self._broadcast(EVIDENCE_TOPIC, {"reports": entries})
 
     def step(self) -> None:
         """Runs one step of each move that this node controls."""
@@ -279,7 +283,7 @@
             if not hold.lease.valid():
                 self._controllers.pop(model, None)
                 continue
-            hold.notice(self._clock())
+            hold.record_tenure(self._clock())
             controller = self._controllers.setdefault(model, MoveController())
             view = self._view(model, declared, hold)
             for action in controller.step(view, self._evidence(model), self._clock()):
@@ -291,14 +295,14 @@
         hold = self._holds.get(model)
         if hold is None:
             name = f"move/{model}"
-            lease = self._kernel.lookup("log").hold(name, lambda: self._is_ranked(name))
+            lease = self._kernel.lookup("log").hold(name, lambda: self._is_claimant(name))
             hold = _Hold(lease)
             self._holds[model] = hold
             lease.start()
         return hold
 
-    def _is_ranked(self, name: str) -> bool:
-        """Returns whether this node is among the few that claim a lease; all others leave it."""
+    def _is_claimant(self, name: str) -> bool:
+        """Returns whether this node is among the ``CLAIMANTS`` that claim a lease."""
         nodes = [node.id for node in self._kernel.lookup("membership").nodes() if not node.draining]
         return self._node_id in order(name.encode(), nodes)[:CLAIMANTS]
 
@@ -372,7 +376,7 @@
 
 
 class _Hold:
-    """A lease and when this node first saw its present tenure.
+    """A lease and when this node first observed its current tenure.
 
     :param lease: see ``LogService.hold``.
     """
@@ -382,15 +386,15 @@
         self.seen_at = 0.0
         self._epoch = -1
 
-    def notice(self, now: float) -> None:
-        """Notes the start of a tenure; it is seen at or after the reading of the own claim."""
+    def record_tenure(self, now: float) -> None:
+        """Records the start of a tenure, at or after the time this node read its accepted claim."""
         if self.lease.epoch != self._epoch:
             self._epoch = self.lease.epoch
             self.seen_at = now
 
 
 def _deadline(move_by: str | None, now: float) -> float | None:
-    """Converts ``move_by`` (ISO 8601) to a monotonic instant."""
+    """Converts ``move_by`` (ISO 8601, UTC by default) to monotonic seconds."""
     if not move_by:
         return None
     instant = datetime.fromisoformat(move_by)
--- a/tests/test_limits_service.py
+++ b/tests/test_limits_service.py
@@ -34,7 +34,7 @@
 from tests.node_options import options
 
 LEASE_S = 1.5
-PATIENCE_S = 10.0
+TIMEOUT_S = 10.0
 ACCOUNTS = {"big": (100_000.0, 100_000.0), "slow": (100.0, 1000.0), "idle": (0.001, 100.0)}
 
 
@@ -126,7 +126,7 @@
         self.addCleanup(self.stop)
         ranked = [node.id for node in ranking(0, self.live_nodes())]
         self.owner, self.second, self.third = (self.nodes[name] for name in ranked)
-        with gevent.Timeout(PATIENCE_S):
+        with gevent.Timeout(TIMEOUT_S):
             while not self.ready():
                 gevent.sleep(0.05)
 
@@ -153,7 +153,7 @@
         return True
 
     def fill(self, account: str, tokens: float) -> None:
-        with gevent.Timeout(PATIENCE_S):
+        with gevent.Timeout(TIMEOUT_S):
             while not self.admitted(self.third, account, tokens):
                 gevent.sleep(0.05)
 
@@ -181,7 +181,7 @@
         self.assertGreater(self.third.count(GRANT_RETRIED), retried)
 
     def test_refusal_comes_at_once_and_names_the_time(self) -> None:
-        """Guards against a final refusal that is held back, and against a made-up Retry-After."""
+        """Guards against a final refusal that is delayed, and against an invented Retry-After."""
         self.fill("slow", 20)
         while self.admitted(self.third, "slow", 50):
             pass
@@ -204,7 +204,7 @@
             self.third.limits.reserve("nobody", 1)
 
     def test_loss_of_owner_and_shares_is_counted_as_within_the_rate(self) -> None:
-        """Guards against refusals by our own fault that look like the account's."""
+        """Guards against refusals caused by the fleet that are counted as the account's overuse."""
         self.owner.peers.stop()
         self.second.peers.stop()
         with self.assertRaises(LimitUnavailableError):
@@ -212,7 +212,7 @@
         self.assertEqual(self.third.count(WITHIN_RATE), 1)
 
     def test_grant_that_comes_late_admits_the_request(self) -> None:
-        """Guards against telling of no issuer when the grant came on a busy machine, late."""
+        """Guards against reporting no issuer when a busy machine received the grant late."""
         call = self.third.limits._call
 
         def late(*arguments: Any) -> Any:
@@ -225,7 +225,7 @@
         self.third.limits.settle(self.third.limits.reserve("slow", 20), 20)
 
     def test_short_loss_of_the_issuers_is_waited_for(self) -> None:
-        """Guards against a second of refusals after one answer that did not come in time."""
+        """Guards against a second of refusals after one response that is late."""
         call = self.third.limits._call
         lost_until = monotonic() + 1.2
 
@@ -240,7 +240,7 @@
         self.assertEqual(self.third.count(LIMIT_UNAVAILABLE), 0)
 
     def test_pause_in_the_first_attempt_is_followed_by_another_one(self) -> None:
-        """Guards against refusing what waited when a paused node wakes, after one attempt."""
+        """Guards against refusing waiting requests after one attempt when a paused node resumes."""
         call = self.third.limits._call
         paused_until = monotonic() + 1.0 + WAIT_S + 0.1
 
@@ -257,16 +257,16 @@
         self.third.limits.settle(self.third.limits.reserve("slow", 20), 20)
 
     def test_long_loss_of_the_issuers_is_refused_at_once(self) -> None:
-        """Guards against callers that wait for an issuer that has been gone for long."""
+        """Guards against callers that wait for an issuer after a long outage."""
         self.third.log.up = False
         self.owner.peers.stop()
         self.second.peers.stop()
-        with gevent.Timeout(PATIENCE_S):
+        with gevent.Timeout(TIMEOUT_S):
             refused = monotonic()
             while monotonic() < refused + OUTAGE_S + WAIT_S:
                 self.assertFalse(self.admitted(self.third, "idle", 1))
                 gevent.sleep(0.01)
-        # An issuer's pause has ended at times, and a call to it then takes its bound.
+        # When an issuer's pause has ended, the next call to it takes up to its timeout.
         waits = []
         for _ in range(20):
             began = monotonic()
@@ -276,9 +276,9 @@
         self.assertLess(sorted(waits)[10], 0.1)
 
     def test_share_admits_without_log_and_owner(self) -> None:
-        """Guards against a share that is never asked when owner and log are gone."""
+        """Guards against a share slot that is never used when owner and log are unreachable."""
         self.fill("slow", 10)
-        with gevent.Timeout(PATIENCE_S):
+        with gevent.Timeout(TIMEOUT_S):
             while not self.admitted(self.second, "slow", 10):
                 gevent.sleep(0.05)
         gevent.sleep(2 * LEASE_S)
@@ -286,7 +286,7 @@
             node.log.up = False
         self.owner.peers.stop()
         gevent.sleep(2 * LEASE_S)
-        with gevent.Timeout(PATIENCE_S):
+        with gevent.Timeout(TIMEOUT_S):
             while not self.admitted(self.second, "slow", 50):
                 gevent.sleep(0.1)
 
@@ -294,7 +294,7 @@
         """Guards against operators, and tests of outages, that cannot tell whether the slots of an
         account are in force or only recorded."""
         homes = (self.owner, self.second)
-        with gevent.Timeout(PATIENCE_S):
+        with gevent.Timeout(TIMEOUT_S):
             while not all(len(home.limits.usable_shares()) == 1 for home in homes):
                 gevent.sleep(0.05)
         slots = {slot for home in homes for slot in home.limits.usable_shares()}
@@ -306,7 +306,7 @@
         gone = self.owner.node.id
         self.nodes.pop(gone).stop()
         self.owner.log.up = False
-        with gevent.Timeout(PATIENCE_S):
+        with gevent.Timeout(TIMEOUT_S):
             while not self.admitted(self.third, "big", 500):
                 gevent.sleep(0.1)
         lease = self.third.log.state.lease("shard/0")
