--- a/packages/arbutustally-node/src/arbutustally_node/admission.py
+++ b/packages/arbutustally-node/src/arbutustally_node/admission.py
@@ -1,4 +1,4 @@
-"""Service ``fairness``: makes requests wait in the fair queue of their class and pool."""
+"""Service ``fairness``: queues requests in the fair queue of their class and pool."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -21,17 +21,17 @@
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import Options
 
-#: Interval at which bounds follow the load of the endpoints, in seconds.
+#: Interval in seconds at which queue limits are updated from the load of the endpoints.
 REFRESH_S = 0.1
 
 _Pool = tuple[str, str, str]
 
 
 class Admission:
-    """A place in the pool; ended by ``started`` or by leaving the context.
+    """A slot in the pool; released by ``started`` or on leaving the context.
 
-    :param queue: queue that granted it.
-    :param ticket: its ticket.
+    :param queue: queue that admitted the request.
+    :param ticket: ticket of the request in this queue.
     """
 
     def __init__(self, queue: FairQueue, ticket: Ticket) -> None:
@@ -40,11 +40,11 @@
 
     @property
     def priority(self) -> int:
-        """Returns the engine priority of the class; lower runs first."""
+        """Returns the engine priority of the class; lower values run first."""
         return self._queue.limits.priority
 
     def started(self) -> None:
-        """Frees the place: the engine has sent the first token, so the prefill is over."""
+        """Releases the slot: the engine has sent the first token, so the prefill is over."""
         self._queue.release(self._ticket)
 
 
@@ -64,15 +64,15 @@
 
     @classmethod
     def from_config(cls, kernel: Kernel, options: Options) -> "AdmissionService":
-        """Builds the service; its bounds come from the declarations."""
+        """Builds the service; its limits come from the declarations."""
         return cls(kernel)
 
     def start(self) -> None:
-        """Starts following the load of the endpoints."""
+        """Starts updating the queue limits from the load of the endpoints."""
         self._greenlet = spawn(self._refresh)
 
     def stop(self) -> None:
-        """Stops following the load; waiting requests run into their deadline."""
+        """Stops the updates; waiting requests reach their deadline."""
         if self._greenlet is not None:
             self._greenlet.kill()
             self._greenlet = None
@@ -87,13 +87,13 @@
         service: str = "",
         model: str = "",
     ) -> Iterator[Admission]:
-        """Waits for a place in the pool.
+        """Waits for a slot in the pool.
 
         :param tokens: tokens to prefill.
         :param trace: trace of the request, or ``None``.
         :param service: service of the pool's endpoints.
         :param model: model of the pool's endpoints, empty for a plain service.
-        :raises OverloadedError: if the request is shed; no work has begun then.
+        :raises OverloadedError: if the request is shed before any work has begun.
         """
         pool = (class_name, service, model)
         queue = self._queue(pool)
@@ -168,5 +168,5 @@
                     queue.configure(self._limits(pool, queue.in_flight), self._weights())
                     queue.expire()
                 except (KeyError, LookupError) as error:
-                    # The class was removed from the declarations; its queue drains as it is.
+                    # The class was removed from the declarations; its queue keeps its last limits.
                     self._log.debug("queue bounds not refreshed", pool=pool, error=str(error))
--- a/packages/arbutustally-node/src/arbutustally_node/bounded_call.py
+++ b/packages/arbutustally-node/src/arbutustally_node/bounded_call.py
@@ -1,4 +1,4 @@
-"""Calls whose whole answer is bounded in size and in time."""
+"""HTTP calls with a limit on the size and the total time of the response."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -11,14 +11,14 @@
 
 @dataclass(frozen=True)
 class Place:
-    """An address to call, as the pool knows endpoints."""
+    """An address in the form in which the pool expects endpoints."""
 
     address: str
 
 
 @dataclass(frozen=True)
 class WholeAnswer:
-    """An answer that was read to its end.
+    """A response that was read completely.
 
     :ivar headers: as sent, in order.
     """
@@ -39,12 +39,11 @@
     headers: Mapping[str, str] | None = None,
     body: bytes | None = None,
 ) -> WholeAnswer:
-    """Makes a call and returns its answer.
+    """Makes a call and returns its complete response.
 
-    :param max_bytes: largest body.
-    :param total_s: longest time until the answer has ended; a server that sends a byte now and
-        then does not prolong it.
-    :raises RouterError: if there is no whole answer.
+    :param max_bytes: largest response body.
+    :param total_s: timeout for the complete response; bytes that arrive slowly do not extend it.
+    :raises RouterError: if no complete response was received.
     """
     response = None
     try:
@@ -54,7 +53,7 @@
             return WholeAnswer(response.status, tuple(response.header_items), data)
     except _LateError as error:
         raise EndpointTimeoutError(
-            f"{address} did not answer in time; check its load", ran=Ran.MAY_HAVE_RUN
+            f"{address} did not respond in time; check its load", ran=Ran.MAY_HAVE_RUN
         ) from error
     finally:
         if response is not None:
@@ -62,4 +61,4 @@
 
 
 class _LateError(Exception):
-    """The answer did not end in time."""
+    """The response was not complete in time."""
--- a/packages/arbutustally-node/src/arbutustally_node/bounded_head.py
+++ b/packages/arbutustally-node/src/arbutustally_node/bounded_head.py
@@ -1,7 +1,7 @@
-"""Answers whose head is bounded.
+"""HTTP responses with a limit on the informational (1xx) responses before them.
 
-A server in trouble may send informational answers without end. The standard library bounds lines
-and headers, but reads any number of such answers, and while it does no other task has its turn.
+A faulty server may send informational responses without end. The standard library limits lines and
+headers but reads any number of such responses, and no other greenlet runs meanwhile.
 """
 
 from http.client import HTTPException, HTTPResponse
@@ -9,16 +9,16 @@
 
 from urllib3.connection import HTTPConnection
 
-#: Informational answers before the answer itself; servers send one at most.
+#: Informational responses accepted before the final response; servers send at most one.
 MAX_INFORMATIONAL = 4
 
 
 class EndlessHeadError(HTTPException):
-    """The server sends one informational answer after the other."""
+    """The server sent too many informational responses."""
 
 
 class BoundedHead(HTTPResponse):
-    """An answer with few informational answers before it."""
+    """A response that limits the informational responses before it."""
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
@@ -28,11 +28,11 @@
         self._heads += 1
         if self._heads > MAX_INFORMATIONAL + 1:
             self.close()
-            raise EndlessHeadError("too many informational answers; check the server")
+            raise EndlessHeadError("too many informational responses; check the server")
         return super()._read_status()
 
 
 class BoundedConnection(HTTPConnection):
-    """A connection whose answers have a bounded head."""
+    """A connection whose responses are ``BoundedHead``."""
 
     response_class = BoundedHead
--- a/packages/arbutustally-node/src/arbutustally_node/caller_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_http.py
@@ -76,12 +76,12 @@
 
     @property
     def address(self) -> str:
-        """Returns the address that was bound."""
+        """Returns the bound address."""
         return self._server.address if self._server else self._options.caller_listen
 
     @property
     def running(self) -> int:
-        """Returns the number of requests that are being answered."""
+        """Returns the number of requests in progress."""
         return self._server.running if self._server else 0
 
     def start(self) -> None:
@@ -90,12 +90,12 @@
         self._server = serve(self._options.caller_listen, self._app, self._options, metrics)
 
     def stop(self) -> None:
-        """Ends all connections."""
+        """Closes all connections."""
         if self._server is not None:
             self._server.stop()
 
     def drain(self) -> None:
-        """Closes connections after their next answer; requests still run."""
+        """Closes each connection after its next response; requests are still served."""
         if self._server is not None:
             self._server.drain()
 
@@ -206,7 +206,7 @@
         headers = dict(answer.headers) | {_REQUEST_ID: trace.request_id}
         return bottle.HTTPResponse(answer.body, answer.status, headers)
 
-    # Parts of all handlers.
+    # Code shared by all handlers.
 
     def _answer(self, name: str, handler: Handler) -> bottle.HTTPResponse:
         explain = self._kernel.lookup("explain")
@@ -273,7 +273,7 @@
         return response
 
     def _unrouted(self, result: bottle.HTTPError) -> bytes:
-        """Answers what bottle itself refuses, in the form of all errors."""
+        """Formats errors raised by bottle itself like all other errors of the interface."""
         explain = self._kernel.lookup("explain")
         trace = explain.begin(explain.new_request_id(), "", "")
         error: RouterError = route_unknown()
@@ -287,7 +287,7 @@
 
 
 class _EventBody:
-    """The body of a streamed answer; closing it ends the stream at the engine."""
+    """Body of a streamed response; closing it cancels the stream at the engine."""
 
     def __init__(
         self, first: bytes, events: Iterator[bytes], service: CallerHttp, trace: Trace
@@ -345,6 +345,6 @@
 
 def _internal(error: Exception) -> RouterError:
     return RouterError(
-        f"a fault of the router ({type(error).__name__}); report it with the request id",
+        f"internal error of the router ({type(error).__name__}); report it with the request id",
         ran=Ran.MAY_HAVE_RUN,
     )
--- a/packages/arbutustally-node/src/arbutustally_node/caller_routes.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_routes.py
@@ -1,4 +1,4 @@
-"""Which declared route a caller's request takes."""
+"""Matches a caller's request to a declared route."""
 
 from collections.abc import Mapping
 
@@ -12,14 +12,14 @@
 
 
 def find_route(routes: Mapping[str, Route], method: str, path: str) -> tuple[str, Route]:
-    """Returns the name and the declaration of the route with the longest path that fits.
+    """Returns the name and the declaration of the matching route with the longest path.
 
     :raises BadRequestError: if the path has dot segments.
     :raises RouteUnknownError: if no route has this path and method.
     """
     if not _DOT_SEGMENTS.isdisjoint(path.replace("\\", "/").split("/")):
-        # A service that resolves them would run a request of one route under another one,
-        # which may be open to all.
+        # A service that resolves dot segments would run the request under a different route than
+        # the one checked here, which may be open to everyone.
         raise BadRequestError("the path has a segment '.' or '..'; send the resolved path")
     found = None
     for name, route in routes.items():
@@ -32,7 +32,7 @@
 
 
 def route_unknown() -> RouteUnknownError:
-    """Returns the error of a request that no declared route takes."""
+    """Returns the error for a request that matches no declared route."""
     return RouteUnknownError(
         "no declared route has this path and method; see the operator's declarations"
     )
--- a/packages/arbutustally-node/src/arbutustally_node/caller_watch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_watch.py
@@ -1,4 +1,4 @@
-"""Notices the end of a caller's connection while its request waits for an endpoint."""
+"""Detects that a caller closed its connection while its request waits for an endpoint."""
 
 import select
 from typing import Any
@@ -16,10 +16,10 @@
 
 
 class CallerWatch:
-    """Interrupts the serving greenlet when its caller is gone.
+    """Interrupts the serving greenlet when its caller closes the connection.
 
-    The interruption comes only inside a ``with`` block of the watch, so that accounting outside of
-    it always completes. Inside, the greenlet waits for an endpoint or for its caller.
+    The exception is raised only inside a ``with`` block of the watch, so that accounting outside of
+    it always completes. Inside the block the greenlet waits for an endpoint or for its caller.
 
     :param sock: the caller's socket, or ``None`` to watch nothing.
     """
@@ -57,8 +57,8 @@
     def _readable(self) -> None:
         poll = _poll()
         poll.register(self._descriptor, select.POLLRDHUP)
-        # Without a hang-up these are bytes of the next request, which would wake the loop again
-        # and again.
+        # Without a hang-up the socket is readable because of bytes of the next request. The watcher
+        # is stopped in that case too, because the event loop would call it continuously.
         self._gone = bool(poll.poll(0))
         self.stop()
         if self._gone and self._armed:
--- a/packages/arbutustally-node/src/arbutustally_node/calls.py
+++ b/packages/arbutustally-node/src/arbutustally_node/calls.py
@@ -1,4 +1,4 @@
-"""Requests as the services of a node pass them on."""
+"""Request and response types that the services of a node exchange."""
 
 from dataclasses import dataclass, field
 from typing import Any
@@ -12,14 +12,14 @@
 class ModelCall:
     """An authenticated request to a model.
 
-    :ivar path: path of the interface, the same at the engine.
+    :ivar path: path of the request, the same for caller and engine.
     :ivar fields: the caller's JSON body.
     :ivar prompt: ``messages`` or ``prompt`` of the body.
     :ivar prompt_bytes: size of the request body, from which its tokens are estimated.
-    :ivar output_tokens: bound on the answer.
+    :ivar output_tokens: limit on the tokens of the response.
     :ivar digest: digest of path and body, see ``stream_token.digest_request``.
     :ivar target: ``ClassOfWork`` of the route.
-    :ivar last_event_id: event after which the caller wants to resume, empty for a new stream.
+    :ivar last_event_id: event after which the caller resumes the stream, empty for a new stream.
     """
 
     request_id: str
@@ -65,9 +65,9 @@
 
 @dataclass(frozen=True)
 class PlainAnswer:
-    """The answer of a plain service.
+    """The response of a plain service.
 
-    :ivar ran: whether the work ran.
+    :ivar ran: whether the service ran the request.
     """
 
     status: int
--- a/packages/arbutustally-node/src/arbutustally_node/dispatch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/dispatch.py
@@ -1,4 +1,4 @@
-"""Choice of an engine for a request and the connection to it."""
+"""Selects an engine for a request and opens the connection to it."""
 
 from dataclasses import dataclass
 from typing import Any
@@ -32,7 +32,7 @@
 NO_ENDPOINT_RETRY_S = 1.0
 
 _JSON = {"Content-Type": "application/json", "Accept": "text/event-stream"}
-#: Statuses by which an engine says that another engine may take the request.
+#: Statuses with which an engine refuses a request that another engine may accept.
 _ELSEWHERE = frozenset({408, 409, 425, 429})
 
 
@@ -41,7 +41,7 @@
     """One connection that carries a stream.
 
     :ivar endpoint: ``EndpointState``.
-    :ivar tokens: load noted at the endpoint for this link.
+    :ivar tokens: prefill tokens counted as load of the endpoint for this link.
     :ivar opened_s: when the request was sent.
     :ivar first_s: when the first token arrived, 0 before that.
     :ivar last_s: when the last token arrived.
@@ -60,11 +60,11 @@
 
     @property
     def first_token_s(self) -> float | None:
-        """Returns the time to the first token, ``None`` before it."""
+        """Returns the time to the first token in seconds, ``None`` before it."""
         return self.first_s - self.opened_s if self.first_s else None
 
     def gap_s(self, next_index: int) -> float | None:
-        """Returns the mean time between tokens, ``None`` with less than two."""
+        """Returns the mean time between tokens in seconds, ``None`` for fewer than two."""
         sent = next_index - self.first_index
         return (self.last_s - self.first_s) / (sent - 1) if sent > 1 else None
 
@@ -88,10 +88,10 @@
     def choose(
         self, call: ModelCall, version: str, shape: PromptShape, tried: set[str]
     ) -> tuple[Any, Choice]:
-        """Returns the endpoint with the shortest estimate among those with the version.
+        """Returns the endpoint with the shortest estimated time among those with the version.
 
         :param tried: endpoint ids that failed this request.
-        :raises NoEndpointError: if there is none; ``ran`` is for the caller to set.
+        :raises NoEndpointError: if there is none; the caller of this method sets ``ran``.
         """
         endpoints = {
             state.id: state
@@ -122,9 +122,9 @@
         priority: int,
         now: float,
     ) -> Link:
-        """Sends the request, continued from the tokens of the cursor.
+        """Sends the request; generation continues after the tokens of the cursor.
 
-        :param priority: priority at the engine, lower first.
+        :param priority: priority at the engine; lower values run first.
         :raises RouterError: ``NOT_RUN`` only if no byte was sent.
         """
         body = encode_request(
@@ -162,22 +162,22 @@
         return response
 
     def leave(self, link: Link) -> None:
-        """Closes a link and takes its load off the endpoint."""
+        """Closes a link and removes its load from the endpoint."""
         link.response.close()
         self.started(link)
 
     def started(self, link: Link) -> None:
-        """Takes the load of a prefill off the endpoint, at its first token at the latest."""
+        """Removes the load of the prefill from the endpoint, at its first token at the latest."""
         if link.tokens:
             self._kernel.lookup("membership").finished(link.endpoint.id, link.tokens)
             link.tokens = 0
 
     def cancel(self, endpoint: Any, request_id: str) -> None:
-        """Cancels a request at its engine without waiting for the answer."""
+        """Cancels a request at its engine without waiting for the response."""
         gevent.spawn(self._cancel, endpoint.address, request_id)
 
     def lost(self, endpoint: Any, incarnation: str) -> None:
-        """Marks an incarnation as dead and forgets its cache."""
+        """Marks an incarnation as dead and discards what is known of its cache."""
         self._kernel.lookup("membership").mark_dead(endpoint.id, incarnation)
         self._kernel.lookup("placement").drop(endpoint.id, incarnation)
 
@@ -207,7 +207,7 @@
         try:
             self._engines.cancel(address, request_id)
         except RouterError:
-            # The engine ends the request by itself when its connection is closed or it is dead.
+            # The engine ends the request when its connection closes; a dead engine runs nothing.
             return
 
     def _candidate(self, state: Any, version: str) -> Candidate:
@@ -223,7 +223,7 @@
 
 
 def cache_salt(account: str) -> str:
-    """Returns the value that keeps an account's blocks apart at the engines."""
+    """Returns the cache salt that isolates an account's cached blocks at the engines."""
     return f"account:{account}"
 
 
--- a/packages/arbutustally-node/src/arbutustally_node/explain.py
+++ b/packages/arbutustally-node/src/arbutustally_node/explain.py
@@ -1,4 +1,4 @@
-"""Explanations: a bounded ring of request traces made of typed steps."""
+"""Traces of the latest requests; each trace is a list of named steps."""
 
 import secrets
 import time
@@ -32,7 +32,7 @@
 
     @property
     def text(self) -> str:
-        """Returns the step in one phrase."""
+        """Returns the step as one line of text."""
         details = " ".join(
             f"{name}={value}"
             for name, value in self.fields.items()
@@ -71,7 +71,7 @@
         return self._clock() - self._begun
 
     def note(self, step: str, **fields: Any) -> None:
-        """Adds a step; a request with ``MAX_STEPS`` steps counts further ones only."""
+        """Adds a step; beyond ``MAX_STEPS`` steps of a request, further ones are only counted."""
         if len(self._steps) >= MAX_STEPS:
             self._dropped += 1
             return
@@ -122,7 +122,7 @@
 
 
 class ExplainService:
-    """Keeps the traces of the last requests of this node.
+    """Keeps the traces of the latest requests of this node.
 
     :param clock: monotonic seconds.
     :param limit: traces kept.
@@ -151,7 +151,7 @@
         return f"{self._node_id}~{secrets.token_hex(12)}"
 
     def begin(self, request_id: str, account: str, route: str) -> Trace:
-        """Begins a trace and drops the oldest one over the limit."""
+        """Begins a trace and drops the oldest one beyond the limit."""
         trace = Trace(request_id, account, route, self._clock)
         self._traces[request_id] = trace
         if len(self._traces) > self._limit:
--- a/packages/arbutustally-node/src/arbutustally_node/framing.py
+++ b/packages/arbutustally-node/src/arbutustally_node/framing.py
@@ -1,17 +1,17 @@
-"""Body framing of endpoint answers, decoded from large reads.
+"""Incremental decoders for the body framing of endpoint responses.
 
-urllib3 decodes one chunk per call; a stream with many small events is cheaper when everything
-that has arrived is decoded at once (bench/relay.py).
+urllib3 decodes one chunk per call. For a stream of many small events it is cheaper to decode all
+received data at once (bench/relay.py).
 """
 
 from enum import Enum
 
 from arbutustally.errors import EndpointFailedError, Ran
 
-#: Longest chunk size line, extensions included.
+#: Longest chunk size line, including extensions.
 MAX_CHUNK_LINE_BYTES = 256
 MAX_SIZE_DIGITS = 8
-#: Longest trailer, all lines together.
+#: Longest trailer section, summed over its lines.
 MAX_TRAILER_BYTES = 8192
 _HEX = b"0123456789abcdefABCDEF"
 
@@ -24,7 +24,7 @@
 
 
 class ChunkedBody:
-    """Decoder of the chunked coding."""
+    """Decoder of the chunked transfer coding."""
 
     def __init__(self) -> None:
         self._part = _Part.SIZE
@@ -48,7 +48,7 @@
         :raises EndpointFailedError: if the coding is malformed.
         """
         if self._part is _Part.SIZE and not self._line:
-            # A paced stream delivers exactly one chunk a read.
+            # Fast path: a stream slower than the reads delivers exactly one chunk per read.
             end = data.find(b"\r\n", 0, MAX_SIZE_DIGITS + 2)
             if end > 0 and (head := data[:end]).isalnum():
                 size = _size(head)
@@ -123,7 +123,7 @@
 
 
 class OpenBody:
-    """A body that ends with its connection."""
+    """A body delimited by the end of its connection."""
 
     done = False
     unread = b""
--- a/packages/arbutustally-node/src/arbutustally_node/http_body.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_body.py
@@ -1,4 +1,4 @@
-"""Reading of one request from a connection, with bounds on its size and on its time."""
+"""Reads requests from a connection with limits on size and time."""
 
 import re
 from typing import Any
@@ -14,14 +14,14 @@
 
 READ_BYTES = 65536
 MAX_CHUNK_LINE_BYTES = 256
-#: Bytes of request bodies that all connections of a listener may hold at once.
+#: Bytes of request bodies that all connections of a listener may buffer at once.
 MAX_BUFFERED_BYTES = 128 << 20
 
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t -~]*)?")
 
 
 class BodyBudget:
-    """Counts the bytes of bodies that one listener holds.
+    """Limits the bytes of request bodies that one listener buffers.
 
     :param limit: bytes.
     """
@@ -31,34 +31,34 @@
         self._held = 0
 
     def take(self, count: int) -> None:
-        """Adds bytes.
+        """Reserves bytes.
 
-        :raises OverloadedError: if the listener already holds its limit.
+        :raises OverloadedError: if the limit would be exceeded.
         """
         if self._held + count > self._limit:
             raise OverloadedError(
-                "the node holds too many request bodies; send the request again later",
+                "the node buffers too many request bodies; send the request again later",
                 retry_after_s=1.0,
             )
         self._held += count
 
     def give(self, count: int) -> None:
-        """Returns bytes."""
+        """Releases reserved bytes."""
         self._held -= count
 
     @property
     def held(self) -> int:
-        """Returns the bytes held."""
+        """Returns the reserved bytes."""
         return self._held
 
 
 class RequestReader:
-    """Reads requests from one connection and keeps bytes of the next one.
+    """Reads requests from one connection and buffers bytes of the next one.
 
     :param sock: connected gevent socket.
     :param clock: monotonic seconds.
-    :param idle_s: longest wait for the first byte of a request.
-    :param send_s: longest time from the first byte of a request to its last.
+    :param idle_s: timeout for the first byte of a request.
+    :param send_s: timeout from the first byte of a request to its last.
     """
 
     def __init__(
@@ -83,7 +83,7 @@
         self._taken = 0
 
     def read_head(self) -> RequestHead | None:
-        """Returns the next head, or ``None`` when the connection ends or idles between requests.
+        """Returns the next head, or ``None`` if the connection ends or is idle too long before it.
 
         :raises RouterError: if the head is refused.
         """
@@ -110,7 +110,7 @@
         return self._read_exactly(head.content_length)
 
     def release(self) -> None:
-        """Returns the bytes of the last body to the budget of the listener."""
+        """Releases the bytes of the last body in the budget of the listener."""
         self._budget.give(self._taken)
         self._taken = 0
 
--- a/packages/arbutustally-node/src/arbutustally_node/http_head.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_head.py
@@ -1,7 +1,7 @@
 """Parsing and strict checks of an HTTP/1.1 request head.
 
-Every form on which two HTTP parsers may disagree is refused, so that no message can be split
-differently by this node and by another one in its path.
+Every form that two HTTP parsers may interpret differently is refused, which prevents request
+smuggling between this node and other servers on the path.
 """
 
 import re
@@ -14,7 +14,7 @@
 _REQUEST_LINE = re.compile(rb"([A-Z]{1,16}) (/[!-~]*) HTTP/1\.([01])")
 _HEADER_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*)")
 _DECIMAL = re.compile(rb"[0-9]{1,15}")
-# A repeated line of these names would be joined or dropped, depending on the parser.
+# Parsers differ in whether they join or drop repeated headers of these names.
 _SINGLE = frozenset(
     {
         b"authorization",
@@ -77,7 +77,7 @@
     content_length = _body_length(single, minor, max_body_bytes)
     expects = single.get(b"expect", b"").lower()
     if expects not in (b"", b"100-continue"):
-        raise BadRequestError("the Expect header is not understood; send 100-continue or nothing")
+        raise BadRequestError("the Expect header is not supported; send 100-continue or omit it")
     return RequestHead(method, target, minor, headers, content_length, minor == 1 and bool(expects))
 
 
@@ -94,7 +94,7 @@
         if name in _SINGLE and name in seen:
             raise BadRequestError(f"the {name.decode()} header is repeated; send it once")
         seen.add(name)
-        # WSGI maps '-' and '_' to the same variable, so X_Y could pass for X-Y.
+        # WSGI maps '-' and '_' to the same variable, so X_Y could be taken for X-Y.
         if b"_" not in name:
             headers.append((name, match[2].rstrip(b" \t")))
     return tuple(headers)
--- a/packages/arbutustally-node/src/arbutustally_node/http_server.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_server.py
@@ -1,7 +1,7 @@
 """HTTP listener: gevent's WSGI server behind strict request checks.
 
-A request reaches the application only when its head is unambiguous and its whole body has
-arrived within the bounds, so an application never waits for its caller.
+A request reaches the application only after its head was checked and its complete body was
+received within the limits, so an application never waits for its caller.
 """
 
 import io
@@ -28,16 +28,16 @@
 #: Longest time a caller may take to accept one write.
 WRITE_TIMEOUT_S = 60.0
 MAX_CONNECTIONS = 4096
-#: Time and bytes for which a refused connection is read on, so that the refusal is not lost in a
-#: reset when the caller is still sending.
+#: Time and bytes for which a refused connection is still read, because closing it while the caller
+#: is sending would reset it and lose the error response.
 LINGER_S = 1.0
 LINGER_BYTES = 16 << 20
-#: The kernel doubles the value; together with one read of 64 KiB it keeps what a slow caller
-#: leaves unread on a node below 256 KiB.
+#: The kernel doubles this value; together with one read of 64 KiB it keeps the data that a node
+#: buffers for a slow caller below 256 KiB.
 SEND_BUFFER_BYTES = 96 << 10
-#: WSGI variable that holds the connected socket.
+#: WSGI environment variable with the connected socket.
 SOCKET_VARIABLE = "arbutustally.socket"
-#: Environment variable with a list of functions that run before the socket can be closed.
+#: WSGI environment variable with a list of functions that run before the socket can be closed.
 ON_END_VARIABLE = "arbutustally.on_end"
 
 BAD_REQUEST = declare(
@@ -78,7 +78,7 @@
 
 
 class _Handler(WSGIHandler):
-    """One connection; each request is read whole before gevent's handler sees it."""
+    """One connection; each request is read completely before gevent's handler processes it."""
 
     def __init__(self, sock: Any, address: Any, server: "_WsgiServer") -> None:
         super().__init__(sock, address, server, rfile=io.BytesIO())
@@ -86,11 +86,11 @@
         self._on_end: list[Callable[[], None]] = []
 
     def handle(self) -> None:
-        """Serves the connection to its end."""
+        """Serves the connection until it ends."""
         try:
             super().handle()
         finally:
-            # A caller that leaves inside a body must not keep its share of the budget.
+            # A caller that disconnects inside a body must not keep its part of the budget reserved.
             self._reader.release()
 
     def handle_one_request(self) -> Any:
@@ -119,7 +119,7 @@
         return None if self.server.draining else result
 
     def get_environ(self) -> dict[str, Any]:
-        """Adds the socket, which an application watches for the end of its caller."""
+        """Adds the socket, which an application watches for the caller's disconnect."""
         environ = super().get_environ()
         environ[SOCKET_VARIABLE] = self.socket
         environ[ON_END_VARIABLE] = self._on_end
@@ -133,20 +133,20 @@
         self._reader.release()
 
     def finalize_headers(self) -> None:
-        """Tells callers of a draining listener to connect elsewhere."""
+        """Closes the connection after this response if the listener is draining."""
         if self.server.draining:
             self.close_connection = True
         super().finalize_headers()
 
     def _sendall(self, data: bytes) -> None:
-        """Sends one piece; most fit into the send buffer, where ``sendall`` costs twice as much."""
+        """Sends data; most fits into the send buffer, where ``sendall`` costs twice as much."""
         sent = self.socket.send(data)
         if sent < len(data):
             self.socket.sendall(memoryview(data)[sent:])
         self.response_length += len(data)
 
     def handle_error(self, kind: Any, value: Any, trace: Any) -> None:
-        """Logs a fault of the application in place of a traceback on standard error."""
+        """Logs an exception of the application instead of printing its traceback to stderr."""
         if isinstance(value, (OSError, gevent.Timeout, CallerGoneError)):
             self.close_connection = True
             return
@@ -185,7 +185,7 @@
 
 
 class _Running:
-    """Counts requests that are being answered."""
+    """Counts requests in progress."""
 
     def __init__(self) -> None:
         self.count = 0
@@ -198,7 +198,7 @@
 
 
 class _WsgiServer(WSGIServer):
-    """gevent's server with the bounds of a listener."""
+    """gevent's server with the limits of a listener."""
 
     handler_class = _Handler
 
@@ -230,11 +230,11 @@
 
     @property
     def held_bytes(self) -> int:
-        """Returns the bytes of request bodies that are held."""
+        """Returns the bytes of request bodies that are buffered."""
         return self._budget.held
 
     def running(self) -> _Running:
-        """Returns the context in which a request is answered."""
+        """Returns the context manager that counts a request as in progress."""
         return self._running
 
     def count(self, error: RouterError) -> None:
@@ -251,34 +251,34 @@
 
     @property
     def address(self) -> str:
-        """Returns ``host:port`` with the port that was bound."""
+        """Returns ``host:port`` with the bound port."""
         return self._address
 
     @property
     def running(self) -> int:
-        """Returns the number of requests that are being answered."""
+        """Returns the number of requests in progress."""
         return self._wsgi.running().count
 
     @property
     def held_bytes(self) -> int:
-        """Returns the bytes of request bodies that are held."""
+        """Returns the bytes of request bodies that are buffered."""
         return self._wsgi.held_bytes
 
     def drain(self) -> None:
-        """Answers on, but closes each connection after its next answer."""
+        """Closes each connection after its next response; requests are still served."""
         self._wsgi.draining = True
 
     def stop(self) -> None:
-        """Closes the listener and ends all connections."""
+        """Closes the listener and all connections."""
         self._wsgi.stop(timeout=0)
 
 
 def serve(
     listen: str, app: Application, options: Options, metrics: Metrics | None = None
 ) -> Server:
-    """Listens and serves a WSGI application.
+    """Starts a listener that serves a WSGI application.
 
-    :param listen: ``host:port``; port 0 picks a free one.
+    :param listen: ``host:port``; port 0 selects a free one.
     :param options: gives ``max_body_bytes``, ``max_header_bytes`` and ``body_timeout_s``.
     :param metrics: counts refusals; ``None`` counts them for this listener only.
     :raises OSError: if the address cannot be bound in ``listening.PORT_WAIT_S``.
--- a/packages/arbutustally-node/src/arbutustally_node/load_polls.py
+++ b/packages/arbutustally-node/src/arbutustally_node/load_polls.py
@@ -1,4 +1,4 @@
-"""Load reports that a node reads from engines, and what its peers have not been told of them."""
+"""Polls engines for load reports and selects those to send to peers."""
 
 from collections.abc import Callable, Container
 from typing import Any
@@ -9,9 +9,9 @@
 from arbutustally.metrics import Metrics, declare
 from arbutustally_node.endpoint_table import EndpointTable, Load
 
-#: An unchanged load is sent again after this long, so that its age stays low, seconds.
+#: Seconds after which an unchanged load is sent again, so that its age at peers stays low.
 LOAD_RESEND_S = 2.0
-#: Failed polls in a row after which this node does not use an endpoint.
+#: Consecutive failed polls after which this node marks an endpoint as unreachable.
 POLL_FAILURES = 2
 
 POLL_FAILED = declare("retried.load_poll", "Load polls that failed; check the endpoints.")
@@ -20,7 +20,7 @@
 
 
 class LoadPolls:
-    """Reads load reports into the table of endpoints.
+    """Polls load reports into the table of endpoints.
 
     :param load: reads the load report of the engine at an address.
     :param mark_dead: called with id and incarnation of an engine whose process has ended.
@@ -40,12 +40,12 @@
         self._metrics = metrics
         self._clock = clock
         self._failures: dict[str, int] = {}
-        # By endpoint: the newest load, and the one that was sent last with its time.
+        # By endpoint: the newest load, and the last sent load with its send time.
         self._polled: dict[str, Load] = {}
         self._sent: dict[str, tuple[Load, float]] = {}
 
     def poll(self, instance: Instance) -> None:
-        """Reads the load of one engine."""
+        """Polls the load of one engine."""
         sent_at = self._clock()
         try:
             report = self._load(instance.address)
@@ -66,9 +66,9 @@
             self._polled[instance.id] = load
 
     def take_unsent(self, is_full: bool) -> list[Load]:
-        """Returns the loads that are due to be sent, and counts them as sent.
+        """Returns the loads that are due to be sent and marks them as sent.
 
-        :param is_full: also those that have not changed.
+        :param is_full: include unchanged loads.
         """
         now = self._clock()
         due = []
@@ -81,13 +81,13 @@
         return due
 
     def keep(self, endpoint_ids: Container[str]) -> None:
-        """Forgets the loads of all other endpoints."""
+        """Drops the loads of all endpoints that are not in ``endpoint_ids``."""
         self._polled = {key: load for key, load in self._polled.items() if key in endpoint_ids}
 
     def _failed(self, instance: Instance, error: Exception) -> None:
         self._metrics.count(POLL_FAILED)
         if _is_refused(error):
-            # Nothing listens there: that process has ended.
+            # No process listens at the address, so the engine's process has ended.
             self._mark_dead(instance.id, self._endpoints.incarnation(instance.id))
             return
         failures = self._failures.get(instance.id, 0) + 1
--- a/packages/arbutustally-node/src/arbutustally_node/model_request.py
+++ b/packages/arbutustally-node/src/arbutustally_node/model_request.py
@@ -1,4 +1,4 @@
-"""Checks of the JSON body of a model request."""
+"""Parsing and validation of the JSON body of a model request."""
 
 from dataclasses import dataclass
 from typing import Any
@@ -8,17 +8,17 @@
 from arbutustally.engine_client import CHAT_PATH
 from arbutustally.errors import BadRequestError
 
-#: Bound on the answer when the caller gives none; the limit has to reserve something.
+#: Limit on output tokens when the caller sets none; the rate limit must reserve an amount.
 DEFAULT_OUTPUT_TOKENS = 1024
 MAX_OUTPUT_TOKENS = 1 << 20
 
 
 @dataclass(frozen=True)
 class ModelRequest:
-    """A checked body.
+    """A validated body.
 
     :ivar prompt: messages, or the prompt's text.
-    :ivar output_tokens: bound on the answer.
+    :ivar output_tokens: limit on the tokens of the response.
     """
 
     model: str
@@ -29,7 +29,7 @@
 
 
 def parse_model_request(path: str, body: bytes) -> ModelRequest:
-    """Parses and checks a body.
+    """Parses and validates a body.
 
     :raises BadRequestError: naming the field and its accepted form.
     """
--- a/packages/arbutustally-node/src/arbutustally_node/plain_dispatch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/plain_dispatch.py
@@ -1,4 +1,4 @@
-"""Calls of plain services: choice of an instance and one attempt at it."""
+"""Calls to plain services: selects an instance and makes one attempt."""
 
 import random
 from typing import Any
@@ -26,7 +26,7 @@
     """Sends a call to one instance of a service.
 
     :param kernel: finds ``membership`` and ``pool``.
-    :param rng: chooses among equal instances.
+    :param rng: breaks ties between instances with the same load.
     """
 
     def __init__(self, kernel: Kernel, rng: random.Random) -> None:
@@ -34,7 +34,7 @@
         self._rng = rng
 
     def choose(self, service: str, tried: set[str]) -> Any:
-        """Returns one of the least busy instances.
+        """Returns one of the instances with the fewest running requests.
 
         :param tried: endpoint ids that could not be reached.
         :raises NoEndpointError: if there is none.
@@ -54,7 +54,7 @@
         return self._rng.choice([state for state in states if state.running == least])
 
     def send(self, call: PlainCall, endpoint: Any, fresh: bool) -> PlainAnswer:
-        """Sends the call once and returns the whole answer.
+        """Sends the call once and returns the complete response.
 
         :raises RouterError: ``NOT_RUN`` only if no byte was sent.
         """
--- a/packages/arbutustally-node/src/arbutustally_node/pool.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -1,4 +1,4 @@
-"""Connections to endpoints, with proof of whether a byte of a request was sent."""
+"""Connections to endpoints; errors state whether any byte of the request may have been sent."""
 
 import contextlib
 import re
@@ -24,19 +24,19 @@
 from arbutustally_node.silence import SilenceWatch
 
 READ_BYTES = 65536
-#: A read below this size means that the endpoint sends slower than the node reads.
+#: A read below this size shows that the endpoint sends more slowly than the node reads.
 PACED_BYTES = 2048
-#: Reads after which other tasks have their turn, also if more has arrived.
+#: Reads after which other greenlets run, even if more data has arrived.
 READS_IN_A_ROW = 16
 IDLE_CONNECTIONS_PER_ENDPOINT = 64
 MAX_ENDPOINTS = 512
-#: Largest answer that is read whole.
+#: Largest response body that is read into memory by default.
 MAX_ANSWER_BYTES = 8 << 20
-#: The kernel doubles the value; a stream whose caller is slow holds no more than that unread.
+#: The kernel doubles this value; it bounds the unread data of a stream whose caller is slow.
 RECEIVE_BUFFER_BYTES = 64 << 10
 
-#: Time after which sent bytes without an acknowledgement end a connection, milliseconds. Without
-#: it, a connection that went silent holds its request until the caller gives up.
+#: Time in milliseconds after which a connection with unacknowledged sent data is closed. Without
+#: it, a connection to an unreachable peer blocks its request until the caller's deadline.
 UNACKNOWLEDGED_MS = 1500
 
 SocketOptions = Sequence[tuple[int, int, int]]
@@ -48,14 +48,15 @@
 ]
 _READ = 1
 _KEEP_ALIVE = re.compile(r"timeout=([0-9]{1,6})")
-#: Part of the announced idle time for which a connection is kept; the endpoint counts from earlier.
+#: Fraction of the announced keep-alive time for which an idle connection is reused; the endpoint
+#: starts counting earlier.
 KEEP_ALIVE_PART = 0.6
-# gevent's own poll yields to other greenlets; this check must not.
+# gevent's own poll switches to other greenlets, which this check must not do.
 _poll = monkey.get_original("select", "poll")
 
 
 class ExpiringConnection(BoundedConnection):
-    """A connection that is not used again after the endpoint may have closed it."""
+    """A connection that is not reused once the endpoint may have closed it."""
 
     idle_until: float | None = None
 
@@ -74,10 +75,11 @@
 
 
 class PooledResponse:
-    """An endpoint's answer whose body is read from its connection.
+    """An endpoint's response whose body is read from its connection.
 
     :param response: urllib3 response without preloaded content.
-    :param pool: pool that gets the connection back, or ``None`` to close it.
+    :param pooled: the connection returns to its pool after the body; otherwise it is closed.
+    :param silence: enforces the read timeout.
     """
 
     def __init__(
@@ -96,7 +98,7 @@
         self._closed = False
         self._silenced = False
         self._was_reset = False
-        # Reading before anything has arrived costs a failed call and an exception.
+        # Reading before data has arrived costs a failed system call and an exception.
         self._is_paced = False
         self._reads = 0
         self._hub = gevent.get_hub()
@@ -121,7 +123,7 @@
         """Returns the bytes of the body that have arrived, waiting for the first; empty at its end.
 
         :raises EndpointFailedError: ``MAY_HAVE_RUN``, if the connection breaks inside the body.
-        :raises EndpointTimeoutError: ``MAY_HAVE_RUN``, if the endpoint is silent.
+        :raises EndpointTimeoutError: ``MAY_HAVE_RUN``, if no data arrives within the read timeout.
         """
         if self._put_back:
             data, self._put_back = self._put_back, b""
@@ -141,7 +143,7 @@
         return b""
 
     def put_back(self, data: bytes) -> None:
-        """Makes bytes of the body that were read the first ones to be read."""
+        """Returns bytes of the body to the response; the next ``read`` yields them first."""
         self._put_back = data + self._put_back
 
     def _receive(self) -> bytes:
@@ -157,7 +159,7 @@
                 gevent.sleep(0)
             received = self._socket.recv(READ_BYTES)
         except OSError:
-            # Unlike an orderly end, a reset can't end a body without a length.
+            # A reset, unlike an orderly close, is never the end of a body without a length.
             self._was_reset = True
             received = b""
         finally:
@@ -167,12 +169,14 @@
             self.close()
             if self._silenced:
                 raise EndpointTimeoutError(
-                    f"endpoint {self._address} fell silent; check its load", ran=Ran.MAY_HAVE_RUN
+                    f"endpoint {self._address} sent no data before the read timeout; "
+                    "check its load",
+                    ran=Ran.MAY_HAVE_RUN,
                 )
         return received
 
     def silence(self) -> None:
-        """Ends a read that has waited too long."""
+        """Aborts the current read because of the read timeout."""
         self._silenced = True
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
@@ -182,9 +186,10 @@
         limit: int = MAX_ANSWER_BYTES,
         watch: Callable[[], AbstractContextManager[None]] = nullcontext,
     ) -> bytes:
-        """Returns the whole body.
+        """Returns the complete body.
 
-        :param watch: returns what watches the wait for a piece of it.
+        :param limit: largest body in bytes.
+        :param watch: returns a context manager that is entered for each wait for a chunk.
         :raises EndpointFailedError: as ``read``, and if the body exceeds ``limit`` bytes.
         """
         parts = []
@@ -199,8 +204,8 @@
             if size > limit:
                 self.close()
                 raise EndpointFailedError(
-                    f"the answer of endpoint {self._address} exceeds {limit} bytes; "
-                    "make the service answer in smaller parts",
+                    f"the response of endpoint {self._address} exceeds {limit} bytes; "
+                    "make the service send smaller responses",
                     ran=Ran.MAY_HAVE_RUN,
                 )
         return b"".join(parts)
@@ -210,9 +215,9 @@
             yield part
 
     def settle(self) -> None:
-        """Ends an answer whose content is complete; never waits for more of it.
+        """Ends a response whose content is complete, without waiting for further data.
 
-        The connection is kept only if the end of the body has arrived and nothing after it.
+        The connection is kept only if the end of the body has arrived and no data after it.
         """
         if self._closed:
             return
@@ -222,7 +227,7 @@
         self.close()
 
     def _ends_now(self) -> bool:
-        """Returns whether the end of the body has arrived and no content before it."""
+        """Returns whether the end of the body has arrived with no unread content before it."""
         while not self._body.done:
             if not (self._arrived or self._is_readable()):
                 return False
@@ -232,7 +237,7 @@
         return not self._put_back
 
     def close(self) -> None:
-        """Closes the connection; unread bytes never reach another request."""
+        """Closes the connection, so that unread bytes cannot reach another request."""
         if self._closed:
             return
         self._closed = True
@@ -283,21 +288,21 @@
         return OpenBody()
 
     def _arrived_with_head(self) -> bytes:
-        """Returns bytes of the body that were read together with the head.
+        """Returns bytes of the body that were read together with the response head.
 
-        Later reads go to the socket, where one call returns everything that has arrived.
+        Later reads use the socket directly, where one call returns all data that has arrived.
         """
         if self._original.fp is None or self._socket is None:
             return b""
         self._socket.settimeout(0.0)
         arrived = self._original.fp.peek(READ_BYTES)
-        # The watch on silence takes the place of a timer for each read.
+        # ``SilenceWatch`` enforces the read timeout instead of a timer for each read.
         self._socket.settimeout(None)
         return arrived
 
     def _broken(self) -> EndpointFailedError:
         return EndpointFailedError(
-            f"the connection to endpoint {self._address} broke; check that it runs",
+            f"the connection to endpoint {self._address} failed; check that the endpoint runs",
             ran=Ran.MAY_HAVE_RUN,
         )
 
@@ -306,7 +311,8 @@
     connection = response.connection
     if connection is not None and connection.sock is not None:
         return connection.sock
-    # An answer that ends its connection takes the socket away from the connection object.
+    # For a response that closes its connection, http.client detaches the socket from the
+    # connection object.
     reader = response._fp.fp
     return reader.raw._sock if reader is not None else None
 
@@ -314,9 +320,9 @@
 class PoolService:
     """urllib3 connection pools by endpoint address.
 
-    :param connect_s: time to connect.
-    :param read_s: longest silence of an endpoint.
-    :param socket_options: of each connection.
+    :param connect_s: connect timeout.
+    :param read_s: read timeout.
+    :param socket_options: options set on each socket.
     """
 
     def __init__(
@@ -334,7 +340,7 @@
         return cls(options.endpoint_connect_timeout_s, options.endpoint_read_timeout_s)
 
     def start(self) -> None:
-        """Does nothing; connections are made when they are needed."""
+        """Does nothing; connections are opened on demand."""
 
     def stop(self) -> None:
         """Closes idle connections."""
@@ -353,14 +359,14 @@
         timeout_s: float = 0.0,
         fresh: bool = False,
     ) -> PooledResponse:
-        """Sends a request and returns the answer with its body unread.
+        """Sends a request and returns the response with its body unread.
 
         :param endpoint: ``EndpointState``; its ``address`` is used.
-        :param timeout_s: longest wait for the head of the answer, 0 for that of the node.
+        :param timeout_s: timeout for the response head, 0 for the read timeout of the pool.
         :param fresh: use a new connection. An idle one may have been closed by the endpoint, and
-            then nobody can tell whether the request was read.
+            then it is unknown whether the endpoint read the request.
         :raises EndpointFailedError: ``NOT_RUN`` only if the connection was never established.
-        :raises EndpointTimeoutError: ``MAY_HAVE_RUN``, if no answer began in time.
+        :raises EndpointTimeoutError: ``MAY_HAVE_RUN``, if no response head arrived in time.
         """
         address = endpoint.address
         timeout = urllib3.Timeout(connect=self._connect_s, read=timeout_s or self._read_s)
--- a/packages/arbutustally-node/src/arbutustally_node/refusals.py
+++ b/packages/arbutustally-node/src/arbutustally_node/refusals.py
@@ -1,6 +1,6 @@
-"""Counters of the refusals that the request path itself makes.
+"""Counters of requests refused by the request path itself.
 
-Keys, limits, the fairness gate and the log count their own refusals where they make them.
+The services for keys, limits, admission and the log count their own refusals.
 """
 
 from arbutustally.errors import RouterError
@@ -30,7 +30,7 @@
 
 
 def count_refusal(metrics: Metrics, error: RouterError) -> None:
-    """Counts a refusal, unless another service has counted it."""
+    """Counts a refused request, unless another service has counted it."""
     counter = _COUNTERS.get(error.code)
     if counter is not None:
         metrics.count(counter)
--- a/packages/arbutustally-node/src/arbutustally_node/relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/relay.py
@@ -1,15 +1,15 @@
-"""Checks on a relayed stream: own request id, right incarnation and version, next index."""
+"""Checks of a relayed stream: request id, incarnation, weights version and token index."""
 
 from enum import StrEnum
 
 from arbutustally.engine_client import Usage, parse_chunk
 
-#: Longest event of an engine.
+#: Longest event accepted from an engine.
 MAX_EVENT_BYTES = 1 << 20
 
 
 class Fault(StrEnum):
-    """Why a stream cannot be read on from its connection."""
+    """Why a stream cannot be read further from its connection."""
 
     BROKEN = "connection_broken"
     CROSSED = "crossed_answer"
@@ -23,15 +23,15 @@
 
 
 class EventSplitter:
-    """Splits server-sent events out of large reads."""
+    """Splits received data into server-sent events."""
 
     def __init__(self) -> None:
         self._rest = b""
 
     def feed(self, data: bytes) -> list[bytes] | None:
-        """Returns the data of all whole events, or ``None`` if an event is too long."""
+        """Returns the data of all complete events, or ``None`` if an event is too long."""
         if not self._rest and data.startswith(b"data: ") and data.find(b"\n\n") == len(data) - 2:
-            # A paced stream delivers exactly one event a read.
+            # Fast path: a stream slower than the reads delivers exactly one event per read.
             payload = data[6:-2]
             if b"\n" not in payload:
                 return [payload]
@@ -57,12 +57,12 @@
 
 
 class StreamCursor:
-    """What is known of one stream, across all connections that carry it.
+    """State of one stream across all connections that carry it.
 
-    :param request_id: id that every chunk has to echo.
-    :param version: weights version that every chunk has to name.
+    :param request_id: id that every chunk must echo.
+    :param version: weights version that every chunk must carry.
     :param next_index: index of the next token.
-    :param complete_text: the texts of all earlier tokens are held, so another engine can continue.
+    :param complete_text: the texts of all earlier tokens are known, so another engine can continue.
     """
 
     def __init__(
@@ -84,17 +84,17 @@
 
     @property
     def texts(self) -> list[str]:
-        """Returns the texts of the tokens taken."""
+        """Returns the texts of the accepted tokens."""
         return self._texts
 
     @property
     def can_continue(self) -> bool:
-        """Returns whether another engine can continue from the tokens taken."""
+        """Returns whether another engine can continue from the accepted tokens."""
         return self._complete_text
 
     @property
     def finish_reason(self) -> str | None:
-        """Returns the reason for which the stream ended, ``None`` before that."""
+        """Returns why generation ended, ``None`` before that."""
         return self._finish_reason
 
     @property
@@ -104,20 +104,20 @@
 
     @property
     def finished(self) -> bool:
-        """Returns whether the engine said that the answer is whole."""
+        """Returns whether the engine has marked the response as complete."""
         return self._finish_reason is not None or self._usage is not None
 
     def expect(self, incarnation: str) -> None:
-        """Sets the incarnation of the next chunks; empty takes that of the first."""
+        """Sets the incarnation of the next chunks; if empty, that of the first chunk is used."""
         self._incarnation = incarnation
 
     @property
     def incarnation(self) -> str:
-        """Returns the incarnation whose chunks are taken."""
+        """Returns the incarnation whose chunks are accepted."""
         return self._incarnation
 
     def take(self, payload: bytes) -> Fault | int:
-        """Takes one event if it is the next of this stream.
+        """Accepts one event if it is the next one of this stream.
 
         :returns: the index of its token, -1 for an event without one, or the fault.
         """
--- a/packages/arbutustally-node/src/arbutustally_node/silence.py
+++ b/packages/arbutustally-node/src/arbutustally_node/silence.py
@@ -1,7 +1,7 @@
-"""Ends reads from endpoints that have been silent for too long.
+"""Read timeouts for connections to endpoints.
 
-One sweep over all waiting reads replaces a timer for each of them, which took a fifth of the
-processor time of a relayed event (bench/relay.py).
+A periodic sweep checks all waiting reads. A timer for each read took a fifth of the CPU time of a
+relayed event (bench/relay.py).
 """
 
 import math
@@ -11,22 +11,22 @@
 
 from arbutustally.clock import Clock
 
-#: Sweeps within the longest accepted silence; a read ends at most two sweeps late.
+#: Sweeps per read timeout; a read times out at most two sweeps late.
 SWEEPS = 8
 MAX_SWEEP_S = 1.0
 
 
 class Reader(Protocol):
-    """Something that waits for an endpoint."""
+    """A reader that waits for data of an endpoint."""
 
     def silence(self) -> None:
-        """Ends the wait."""
+        """Aborts the wait because of the read timeout."""
 
 
 class SilenceWatch:
-    """Knows since which sweep each read waits.
+    """Aborts reads that wait longer than the read timeout.
 
-    :param limit_s: longest accepted silence, infinite for no limit.
+    :param limit_s: read timeout, infinite for none.
     """
 
     def __init__(self, clock: Clock, limit_s: float) -> None:
@@ -36,18 +36,18 @@
         self._greenlet: Any = None
 
     def stop(self) -> None:
-        """Stops to sweep."""
+        """Stops the sweeps."""
         if self._greenlet is not None:
             self._greenlet.kill()
 
     def waits(self, reader: Reader) -> None:
-        """Notes the begin of a read; its time counts from the next sweep."""
+        """Records the start of a read; its waiting time counts from the next sweep."""
         self._waiting[reader] = 0.0
         if self._greenlet is None and math.isfinite(self._limit_s):
             self._greenlet = gevent.spawn(self._sweep)
 
     def received(self, reader: Reader) -> None:
-        """Notes the end of a read."""
+        """Records the end of a read."""
         del self._waiting[reader]
 
     def _sweep(self) -> None:
--- a/packages/arbutustally-node/src/arbutustally_node/stream_report.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_report.py
@@ -1,4 +1,4 @@
-"""What one model call tells placement, versions, limits, metrics and its explanation."""
+"""Reports of one model call to placement, versions, metrics and its trace."""
 
 from typing import Any
 
@@ -12,7 +12,7 @@
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.relay import Fault, StreamCursor
 
-#: Candidates that an explanation shows.
+#: Candidates listed in a trace.
 MAX_RANKED_NOTED = 5
 
 _RETRIED = {
@@ -24,7 +24,7 @@
 
 
 def estimated_prompt_tokens(call: ModelCall) -> int:
-    """Returns the tokens of the prompt before an engine has counted them."""
+    """Returns the prompt tokens estimated from the body size, until an engine has counted them."""
     return call.prompt_bytes // BYTES_PER_TOKEN + 1
 
 
@@ -41,7 +41,7 @@
         self._shape: PromptShape | None = None
 
     def began(self, version: str, shape: PromptShape | None) -> None:
-        """Takes the weights version and, unless the stream is resumed, the prompt's shape."""
+        """Sets the weights version and, unless the stream is resumed, the prompt's shape."""
         self._version = version
         self._shape = shape
 
@@ -50,7 +50,7 @@
         self._kernel.lookup("metrics").count(counter)
 
     def placed(self, endpoint: Any, choice: Choice) -> None:
-        """Notes why an endpoint was chosen."""
+        """Records why an endpoint was chosen."""
         self._call.trace.note(
             "placed",
             endpoint=endpoint.id,
@@ -67,7 +67,7 @@
     def not_answered(
         self, endpoint: Any, choice: Choice, error: RouterError, counter: Counter, lost_s: float
     ) -> None:
-        """Reports a dispatch that failed before an answer began."""
+        """Reports a dispatch that failed before a response began."""
         self.count(counter)
         self._call.trace.note(
             "retried", endpoint=endpoint.id, reason=error.code, lost_s=round(lost_s, 4)
@@ -76,7 +76,11 @@
         self._learn(endpoint.id, choice, None)
 
     def broken(self, link: Link, fault: Fault, at: int, lost_s: float) -> None:
-        """Reports a stream that broke at a token."""
+        """Reports a stream that broke.
+
+        :param at: index of the next token.
+        :param lost_s: seconds since the last token, or since the request was sent.
+        """
         self.count(_RETRIED[fault])
         self._call.trace.note(
             "retried",
@@ -87,19 +91,19 @@
         )
 
     def failed(self, link: Link) -> None:
-        """Reports an endpoint that could not carry its stream on."""
+        """Reports an endpoint that could not continue its stream."""
         self._observe(False)
         if link.choice is not None:
             self._learn(link.endpoint.id, link.choice, None)
 
     def first_token(self, link: Link) -> None:
-        """Notes the first token of a link."""
+        """Records the first token of a link."""
         self._call.trace.note(
             "first_token", endpoint=link.endpoint.id, first_token_s=round(link.first_token_s, 4)
         )
 
     def completed(self, link: Link, cursor: StreamCursor) -> None:
-        """Reports a whole answer."""
+        """Reports a complete response."""
         usage = cursor.usage
         self._call.trace.note(
             "completed",
@@ -117,7 +121,11 @@
         self._learn(link.endpoint.id, link.choice, usage, link.first_token_s)
 
     def abandoned(self, link: Link, at: int) -> None:
-        """Reports a stream whose caller left; it says nothing about the endpoint or its cache."""
+        """Reports a stream whose caller disconnected.
+
+        It is no evidence about the endpoint or its cache: neither success nor failure is counted,
+        and placement receives the expected number of cached tokens as the actual one.
+        """
         self._call.trace.note("abandoned", endpoint=link.endpoint.id, at=at)
         if link.choice is not None:
             expected = Usage(0, 0, link.choice.expected_cached_tokens)
--- a/packages/arbutustally-node/src/arbutustally_node/stream_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_run.py
@@ -33,11 +33,11 @@
     estimated_prompt_tokens,
 )
 
-#: Resumptions of one stream that bring no token before another engine is tried.
+#: Consecutive resumptions of a stream without a new token before another engine is tried.
 MAX_IDLE_RESUMES = 2
-#: The same after silence; each one may cost the longest accepted silence again.
+#: The same after a read timeout; each further resumption may wait for the whole timeout again.
 MAX_SILENT_RESUMES = 1
-#: The same while no other engine can take the stream.
+#: The same while no other engine can continue the stream.
 MAX_LAST_RESUMES = 4
 DONE = b"data: [DONE]\n\n"
 
@@ -72,11 +72,11 @@
 
     @property
     def cursor(self) -> StreamCursor:
-        """Returns what was received."""
+        """Returns the state of the stream received so far."""
         return self._cursor
 
     def events(self) -> Iterator[bytes]:
-        """Yields batches of events and then the end mark."""
+        """Yields batches of events and then the end marker."""
         try:
             if self._call.last_event_id:
                 yield from self._resumed()
@@ -137,7 +137,7 @@
                 self._abandon(self._link)
 
     def _pump(self, link: Link) -> Generator[bytes, None, Fault | None]:
-        """Yields checked events of a link; returns the fault that ends it, ``None`` at the end."""
+        """Yields checked events of a link; returns its fault, ``None`` if the stream completed."""
         with self._call.watch:
             return (yield from self._read_events(link))
 
@@ -249,9 +249,9 @@
             raise
 
     def _recover(self, link: Link, fault: Fault) -> Link:
-        """Returns a link that carries the stream on from the cursor.
+        """Returns a link that continues the stream from the cursor.
 
-        :raises StreamLostError: if nothing can carry it on.
+        :raises StreamLostError: if no engine can continue it.
         """
         lost_s = self._clock() - (link.last_s or link.opened_s)
         self._report.broken(link, fault, self._cursor.next_index, lost_s)
@@ -266,9 +266,10 @@
         return self._continue_elsewhere()
 
     def _continue_from_silent(self, link: Link) -> Link:
-        """Returns a link at another engine, or at the silent one if no other takes the stream.
+        """Returns a link to another engine, or to the same one if no other continues the stream.
 
-        An engine that is silent may only be behind, and still has the stream.
+        An engine that sent nothing until the read timeout may only be overloaded and still have the
+        stream.
         """
         try:
             continued = self._continue_elsewhere()
@@ -281,14 +282,14 @@
         return continued
 
     def _give_up(self, link: Link) -> None:
-        """Leaves an engine that could not carry its stream on, and ends its work."""
+        """Closes the link to an engine that failed to continue and cancels the request there."""
         self._link = None
         self._dispatcher.leave(link)
         self._report.failed(link)
         self._dispatcher.cancel(link.endpoint, self._call.request_id)
 
     def _resume(self, link: Link, limit: int) -> bool:
-        """Reads a stream on from the incarnation that produces it; returns whether it can."""
+        """Resumes a stream on the incarnation that produces it; returns whether that succeeded."""
         if self._idle_resumes >= limit or not self._cursor.incarnation:
             return False
         self._idle_resumes += 1
@@ -306,7 +307,7 @@
 
     def _continue_elsewhere(self) -> Link:
         if not self._cursor.can_continue:
-            raise self._lost("this node does not hold the tokens sent before")
+            raise self._lost("this node does not have the tokens sent before")
         if not self._retries.allow(self._call.account):
             raise self._lost("the retry budget is used up")
         try:
@@ -327,7 +328,7 @@
             if state.id == token.endpoint
         ]
         if not found or found[0].incarnation not in ("", token.incarnation):
-            raise self._not_resumable("its engine is gone")
+            raise self._not_resumable("its engine is not available or was restarted")
         opened_s = self._clock()
         try:
             response = self._dispatcher.resume(
@@ -338,7 +339,7 @@
         first = self._cursor.next_index
         return Link(found[0], token.incarnation, None, response, 0, opened_s, first)
 
-    # Ends.
+    # Completion and cancellation.
 
     def _complete(self, link: Link) -> None:
         link.response.settle()
@@ -380,5 +381,5 @@
 
 
 def _yield_to_others() -> None:
-    """Lets other greenlets run between the parts of a long computation."""
+    """Lets other greenlets run between the steps of a long computation."""
     gevent.sleep(0)
--- a/packages/arbutustally-node/src/arbutustally_node/streams.py
+++ b/packages/arbutustally-node/src/arbutustally_node/streams.py
@@ -1,4 +1,4 @@
-"""Relay of model answers: retries before the first token, resumption and continuation after it."""
+"""Relays model responses: retries before the first token, resumes or continues after it."""
 
 from collections.abc import Iterator
 from typing import Any
@@ -37,10 +37,10 @@
         """Does nothing; streams end with the connections of their callers."""
 
     def complete(self, call: ModelCall) -> Iterator[bytes]:
-        """Returns the server-sent events of the answer.
+        """Returns the server-sent events of the response.
 
-        The first item comes after the first token, so an error before it can still become an
-        ordinary error answer.
+        The first item is yielded after the first token has arrived, so an earlier error can still
+        be sent as an ordinary error response.
 
         :raises StreamLostError: while iterating, if the stream cannot be continued.
         :raises RouterError: before the first item, if the request is refused.
@@ -48,7 +48,7 @@
         return self._new(call).events()
 
     def complete_whole(self, call: ModelCall) -> dict[str, Any]:
-        """Returns the whole answer.
+        """Returns the complete response.
 
         :raises RouterError: if the request is refused or its stream is lost.
         """
--- a/packages/arbutustally-node/src/arbutustally_node/whole_answer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/whole_answer.py
@@ -1,4 +1,4 @@
-"""The answer of a model in the form of the interface without streaming."""
+"""Response body of a model call without streaming."""
 
 import time
 from typing import Any
@@ -9,7 +9,7 @@
 
 
 def whole_answer(call: ModelCall, cursor: StreamCursor) -> dict[str, Any]:
-    """Returns the answer in the form of the interface without streaming."""
+    """Returns the JSON body of a completed call without streaming."""
     text = "".join(cursor.texts)
     choice: dict[str, Any] = {"index": 0, "finish_reason": cursor.finish_reason, "logprobs": None}
     if call.path == CHAT_PATH:
