Reword texts of the tests of callers, streams and connections

Test docstrings now name the failure that they guard against in the terms of the field, such as read timeout, incarnation and disconnected caller. No assertion and no name changes.

--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -1,4 +1,4 @@
-"""A small HTTP engine whose tokens are known in advance and whose faults are scripted."""
+"""An HTTP engine with deterministic tokens and scripted faults."""
 
 import socket
 from dataclasses import dataclass, field
@@ -14,20 +14,20 @@
 
 
 def token(prompt: str, index: int) -> str:
-    """Returns the text of a token; every engine with the same weights produces the same."""
+    """Returns the text of a token; all engines with the same weights produce the same text."""
     return f"{prompt}-{index} "
 
 
 def answer(prompt: str, count: int) -> str:
-    """Returns the whole text of an answer."""
+    """Returns the complete text of a response."""
     return "".join(token(prompt, index) for index in range(count))
 
 
 @dataclass
 class Script:
-    """What happens to the streams of a test, whichever engine carries them.
+    """Faults and progress of the streams of a test, shared by all its engines.
 
-    :ivar faults: token index and kind; each happens once.
+    :ivar faults: token index and kind; each is applied once.
     :ivar allowed: tokens with a lower index may be sent.
     """
 
@@ -36,7 +36,7 @@
     changed: Event = field(default_factory=Event)
 
     def take(self, index: int) -> str:
-        """Returns the fault at an index once, else an empty string."""
+        """Removes and returns a fault at an index, or returns an empty string."""
         for fault in self.faults:
             if fault[0] == index:
                 self.faults.remove(fault)
@@ -45,7 +45,7 @@
 
 
 class FakeEngine:
-    """One engine process; ``die`` and ``restart`` act like those of a process.
+    """One engine process; ``die`` and ``restart`` simulate the end and restart of the process.
 
     :param extra: text added to each token, to make events larger.
     """
@@ -81,12 +81,12 @@
         self.port = self.server.server_port
 
     def die(self) -> None:
-        """Ends all connections and refuses new ones; the streams are lost."""
+        """Closes all connections and refuses new ones; the streams are lost."""
         self.server.stop(timeout=0)
         self.streams.clear()
 
     def restart(self) -> None:
-        """Begins a new life with a new incarnation."""
+        """Starts the engine again with a new incarnation."""
         if self.restarting:
             return
         self.restarting = True
@@ -95,7 +95,7 @@
         try:
             self.start()
         except OSError:
-            # Another socket of the test has taken the port meanwhile.
+            # Another socket of the test was bound to the port in the meantime.
             self.port = 0
             self.start()
         self.restarting = False
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,4 +1,4 @@
-"""Fakes with the signatures of section 16 of the design, for tests of the request path."""
+"""Fakes for tests of the request path, with the signatures of section 16 of the design."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True)
 class Declared:
-    """A declaration of any section."""
+    """A declaration of a route or a class."""
 
     path: str = ""
     kind: str = "model"
@@ -76,7 +76,7 @@
 
 
 class FakeMembership:
-    """Endpoints by id; marks are kept."""
+    """Endpoints by id; records dead incarnations and dispatched load."""
 
     def __init__(self, *endpoints: Endpoint) -> None:
         self.states = {endpoint.id: endpoint for endpoint in endpoints}
@@ -102,7 +102,7 @@
 
 
 class FakePlacement:
-    """Takes the first candidate."""
+    """Chooses the first candidate."""
 
     def __init__(self) -> None:
         self.learned: list[Any] = []
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -1,4 +1,4 @@
-"""The caller interface over real sockets: an ordinary client library, bad input, vanished callers."""
+"""The caller interface over real sockets: client library, bad input, disconnected callers."""
 
 import http.client
 import json
@@ -189,7 +189,10 @@
                 gevent.sleep(0.01)
 
     def test_vanished_caller_is_cancelled_at_the_engine(self) -> None:
-        """Guards against engine work for nobody, before and after the first token."""
+        """Guards against engines that keep generating for a disconnected caller.
+
+        The caller disconnects before and after the first token.
+        """
         for allowed in (0, 3):
             with self.subTest(allowed=allowed):
                 self.engine.cancelled.clear()
@@ -202,7 +205,8 @@
                 self.wait_for(lambda: len(self.engine.cancelled) == 1)
                 self.assertIn(self.engine.cancelled[0], self.engine.streams)
                 self.engine.streams.clear()
-        # What the engine may have done is charged even if the caller left before the first token.
+        # Work that the engine may have done is charged even if the caller disconnected before the
+        # first token.
         self.wait_for(lambda: len(self.kernel.lookup("limits").settled) == 2)
         self.assertGreater(min(self.kernel.lookup("limits").settled), 0)
         self.assertEqual(sum(self.membership.load.values()), 0)
@@ -214,7 +218,7 @@
         return data
 
     def test_slow_caller_stops_the_reading_from_the_engine(self) -> None:
-        """Guards against a buffer in the node that grows with the answer."""
+        """Guards against a buffer in the node that grows with the size of the response."""
         self.engine.extra = "x" * 10_000
         sock = self.stream_socket(1000)
         self.wait_for(lambda: self.engine.sent_tokens)
@@ -222,7 +226,7 @@
         while before != self.engine.sent_tokens:
             before = self.engine.sent_tokens
             gevent.sleep(0.2)
-        # 256 KiB in the node, and as much again in the kernel buffers of engine and caller.
+        # 256 KiB in the node and as much again in the kernel buffers of engine and caller.
         self.assertLess(self.engine.sent_tokens * 10_000, 1 << 20)
         self.script.allowed = 400
         data = self.received(sock, b"q-399 ")
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,4 +1,4 @@
-"""Malformed, oversized, slow and ambiguous requests are refused, and the listener serves on."""
+"""The listener refuses malformed, oversized, slow and ambiguous requests and keeps serving."""
 
 import json
 import socket
@@ -152,14 +152,14 @@
         self.assertTrue(received.startswith(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"))
 
     def test_idle_connections_are_closed(self) -> None:
-        """Guards against callers that hold all connections without a request."""
+        """Guards against callers that occupy all connections without sending a request."""
         with patch.object(http_server, "IDLE_TIMEOUT_S", 0.1):
             # The server closes first, so the read ends without a second request.
             self.assertTrue(self.exchange(GOOD.replace(b"abc", b"xyz")).endswith(b"xyz"))
             self.assertEqual(self.exchange(b""), b"")
 
     def test_bodies_of_all_connections_have_one_bound(self) -> None:
-        """Guards against many callers that together fill the memory of a node."""
+        """Guards against many callers that together exhaust the memory of a node."""
         budget = http_body.BodyBudget(5)
         budget.take(3)
         with self.assertRaises(OverloadedError):
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,4 +1,4 @@
-"""Connections to endpoints: framing, unread bytes, silence, and proof that nothing was sent."""
+"""Connections to endpoints: framing, unread bytes, timeouts and errors with ``NOT_RUN``."""
 
 import socket
 import struct
@@ -68,7 +68,7 @@
             body = b"3\r\nabc\r\n0\r\n\r\n"
             extra = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"
             if path == "/extra":
-                # The end of the stray answer comes together with the next one.
+                # The end of the stray response is sent together with the next response.
                 late = extra[40:]
                 body += extra[:40]
                 sock.sendall(OK + b"Transfer-Encoding: chunked\r\n\r\n" + body)
@@ -84,7 +84,7 @@
         return caught.exception
 
     def test_connection_with_unread_bytes_is_closed(self) -> None:
-        """Guards against the rest of one answer read as the head of the next."""
+        """Guards against the rest of one response read as the head of the next."""
         self.assertEqual([self.get("/a"), self.get("/a")], [b"abc", b"abc"])
         self.assertEqual(self.connections, 1)
         self.assertEqual([self.get("/extra"), self.get("/a")], [b"abc", b"abc"])
@@ -104,7 +104,7 @@
         self.assertEqual(self.connections, 3)
 
     def test_settling_keeps_a_connection_whose_body_has_ended(self) -> None:
-        """Guards against a connection lost at each refusal, and against a wait for its end."""
+        """Guards against a connection closed after each refusal and against waiting for its end."""
         for path, connections in (("/refusal", 1), ("/half-end", 1), ("/refusal", 2)):
             response = self.pool.open(self.endpoint, "GET", path, {}, None)
             began = time.monotonic()
@@ -113,7 +113,7 @@
             self.assertEqual(self.connections, connections)
 
     def test_only_an_unmade_connection_proves_that_nothing_ran(self) -> None:
-        """Guards against a refusal "not run" for a request that an endpoint has read."""
+        """Guards against ``NOT_RUN`` for a request that an endpoint has read."""
         for path, kind in {
             "/cut": EndpointFailedError,
             "/reset": EndpointFailedError,
@@ -136,7 +136,7 @@
         st.binary(max_size=10),
     )
     def test_any_split_decodes_to_the_same_body(self, chunks, cuts, extension, after) -> None:
-        """Guards against bytes lost or taken twice at the edge of a read."""
+        """Guards against bytes lost or decoded twice at the boundary of two reads."""
         data = b"".join(b"%x%s\r\n%s\r\n" % (len(c), extension, c) for c in chunks)
         data += b"0\r\n\r\n" + after
         body = ChunkedBody()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,4 +1,4 @@
-"""Streams: what a caller gets is the engine's own answer or an explicit ``stream_lost``."""
+"""Streams: a caller receives the engine's own response or an explicit ``stream_lost``."""
 
 import unittest
 from dataclasses import replace
@@ -52,7 +52,7 @@
 
 
 def events_of(data: bytes) -> list[tuple[str, dict]]:
-    """Returns the id and the JSON of each event; the end mark has the JSON ``None``."""
+    """Returns the id and the JSON of each event; the end marker has the JSON ``None``."""
     events = []
     for block in data.decode().split("\n\n")[:-1]:
         fields = dict(line.split(": ", 1) for line in block.split("\n"))
@@ -77,7 +77,7 @@
         self.nodes = [node_kernel(self.membership, option) for option in options]
 
     def learn(self) -> None:
-        """Tells the nodes the present incarnations, as load reports do."""
+        """Sets the current incarnations in the membership, as load reports do."""
         for engine in self.engines:
             self.membership.states[engine.name] = Endpoint(
                 engine.name,
@@ -138,7 +138,7 @@
     @precondition(lambda self: self.is_open() and self.last_id)
     @rule()
     def node_fails(self) -> None:
-        """The node loses its connections without a word to the engine."""
+        """The node closes its connections without a cancellation at the engine."""
         self.iterator.close()
         self.node = 1 - self.node
         node = self.fleet.nodes[self.node]
@@ -200,13 +200,16 @@
         return "".join(chunk["choices"][0]["delta"]["content"] for _, chunk in events if chunk)
 
     def test_machine(self) -> None:
-        """Guards against gaps, repeats, foreign tokens and silent ends under any mix of faults."""
+        """Guards against skipped, repeated and foreign tokens and against ends without an error.
+
+        Random sequences of faults of engines and nodes are applied to one stream.
+        """
         run_state_machine_as_test(
             StreamMachine, settings=settings(max_examples=60, stateful_step_count=14)
         )
 
     def test_each_single_fault_is_survived(self) -> None:
-        """Guards against a fault after which the stream could go on but does not."""
+        """Guards against a fault after which the stream could continue but does not."""
         for fault in FAULTS:
             for index in (0, 5, TOKENS - 1):
                 with self.subTest(fault=fault, index=index):
@@ -218,7 +221,7 @@
                     self.assertIsNone(events[-1][1])
 
     def test_chunks_of_other_weights_or_another_life_are_refused(self) -> None:
-        """Guards against tokens computed from the cache or weights of another engine life."""
+        """Guards against tokens computed from the cache or weights of another incarnation."""
         for fault, reason in (("stale", "other_incarnation"), ("version", "other_version")):
             with self.subTest(fault):
                 self.script.faults = [(4, fault)]
@@ -227,7 +230,7 @@
                 self.assertEqual(self.node.lookup("metrics").counts[f"retried.{reason}"], 1)
 
     def test_continuation_only_on_the_same_weights(self) -> None:
-        """Guards against an answer half from one version and half from another."""
+        """Guards against a response generated in part by one version and in part by another."""
         self.fleet.engines[1].die()
         self.fleet.membership.states.pop("e2")
         self.script.faults = [(5, "die")]
@@ -246,8 +249,8 @@
             self.complete(call)
 
     def fall_silent_twice(self) -> ModelCall:
-        """Returns a call whose engine is resumed once in vain after token 5."""
-        # The engine takes a fault from its script when it is asked to resume, too.
+        """Returns a call whose stream stops at token 5 and is resumed once without success."""
+        # The engine also consumes a fault of its script for each resume request.
         self.script.faults = [(5, "silent")] * 3
         return model_call(self.node, "p")
 
@@ -257,7 +260,7 @@
         self.assertEqual(self.fleet.engines[0].cancelled, [])
 
     def test_silent_engine_is_kept_where_the_retry_budget_is_used_up(self) -> None:
-        """Guards against an answer that is lost to silence although its engine still has it."""
+        """Guards against a stream lost to a read timeout although its engine still has it."""
         call = self.fall_silent_twice()
         budget = self.node.lookup("streams")._retries
         while budget.allow("school"):
@@ -265,13 +268,13 @@
         self.assert_kept(call)
 
     def test_silent_engine_is_kept_where_no_other_takes_the_stream(self) -> None:
-        """Guards against work that is cancelled before another engine has taken it over."""
-        # The list says that it has the weights, and it refuses.
+        """Guards against work that is cancelled before another engine has accepted it."""
+        # According to the instance list the engine has the weights, but it refuses the request.
         self.fleet.engines[1].version = "v9"
         self.assert_kept(self.fall_silent_twice())
 
     def test_engine_that_stays_silent_is_given_up(self) -> None:
-        """Guards against a caller that is held for ever by an engine that sends nothing more."""
+        """Guards against a caller that waits without end for an engine that sends no more data."""
         self.fleet.membership.states.pop("e2")
         self.script.faults = [(5, "silent")] * 20
         with Timeout(10), self.assertRaises(StreamLostError):
@@ -300,7 +303,7 @@
                 self.complete(call)
 
     def test_connection_with_bytes_of_another_answer_is_not_used_again(self) -> None:
-        """Guards against a late answer read as the answer to the next request."""
+        """Guards against a late response read as the response to the next request."""
         self.script.faults = [(3, "crossed")]
         for prompt in ("a", "b", "c"):
             events = self.complete(model_call(self.node, prompt))
