Name the read timeouts of streams and connections

Silence of an endpoint is a read timeout: silence.SilenceWatch becomes read_timeouts.ReadTimeouts with begin_read, end_read and time_out; Fault.SILENT becomes READ_TIMEOUT and Fault.CROSSED OTHER_REQUEST, both with their outer values. The limits on resumptions say what they count.

--- a/packages/arbutustally-node/src/arbutustally_node/pool.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -21,7 +21,7 @@
 from arbutustally_node.framing import ChunkedBody, OpenBody, SizedBody
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import Options
-from arbutustally_node.silence import SilenceWatch
+from arbutustally_node.read_timeouts import ReadTimeouts
 
 READ_BYTES = 65536
 #: A read below this size shows that the endpoint sends more slowly than the node reads.
@@ -79,16 +79,20 @@
 
     :param response: urllib3 response without preloaded content.
     :param pooled: the connection returns to its pool after the body; otherwise it is closed.
-    :param silence: enforces the read timeout.
+    :param read_timeouts: enforces the read timeout.
     """
 
     def __init__(
-        self, response: urllib3.HTTPResponse, address: str, pooled: bool, silence: SilenceWatch
+        self,
+        response: urllib3.HTTPResponse,
+        address: str,
+        pooled: bool,
+        read_timeouts: ReadTimeouts,
     ) -> None:
         self._response = response
         self._address = address
         self._pooled = pooled
-        self._silence = silence
+        self._read_timeouts = read_timeouts
         self._headers = {name.lower(): value for name, value in response.headers.items()}
         self._original = response._fp
         self._socket = _socket_of(response)
@@ -96,7 +100,7 @@
         self._arrived = self._arrived_with_head()
         self._put_back = b""
         self._closed = False
-        self._silenced = False
+        self._timed_out = False
         self._was_reset = False
         # Reading before data has arrived costs a failed system call and an exception.
         self._is_paced = False
@@ -150,7 +154,7 @@
         if self._arrived:
             received, self._arrived = self._arrived, b""
             return received
-        self._silence.waits(self)
+        self._read_timeouts.begin_read(self)
         try:
             self._reads += 1
             if self._is_paced:
@@ -163,11 +167,11 @@
             self._was_reset = True
             received = b""
         finally:
-            self._silence.received(self)
+            self._read_timeouts.end_read(self)
         self._is_paced = len(received) < PACED_BYTES
         if not received:
             self.close()
-            if self._silenced:
+            if self._timed_out:
                 raise EndpointTimeoutError(
                     f"endpoint {self._address} sent no data before the read timeout; "
                     "check its load",
@@ -175,9 +179,9 @@
                 )
         return received
 
-    def silence(self) -> None:
+    def time_out(self) -> None:
         """Aborts the current read because of the read timeout."""
-        self._silenced = True
+        self._timed_out = True
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
 
@@ -296,7 +300,7 @@
             return b""
         self._socket.settimeout(0.0)
         arrived = self._original.fp.peek(READ_BYTES)
-        # ``SilenceWatch`` enforces the read timeout instead of a timer for each read.
+        # ``ReadTimeouts`` enforces the read timeout instead of a timer for each read.
         self._socket.settimeout(None)
         return arrived
 
@@ -331,7 +335,7 @@
         self._socket_options = socket_options
         self._connect_s = connect_s
         self._read_s = read_s
-        self._silence = SilenceWatch(monotonic, read_s)
+        self._read_timeouts = ReadTimeouts(monotonic, read_s)
         self._pools: OrderedDict[str, urllib3.HTTPConnectionPool] = OrderedDict()
 
     @classmethod
@@ -344,7 +348,7 @@
 
     def stop(self) -> None:
         """Closes idle connections."""
-        self._silence.stop()
+        self._read_timeouts.stop()
         for pool in self._pools.values():
             pool.close()
         self._pools.clear()
@@ -385,7 +389,7 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise translate(error, address) from error
-        return PooledResponse(response, address, not fresh, self._silence)
+        return PooledResponse(response, address, not fresh, self._read_timeouts)
 
     def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
         pool = self._pools.get(address)
--- a/packages/arbutustally-node/src/arbutustally_node/relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/relay.py
@@ -12,12 +12,12 @@
     """Why a stream cannot be read further from its connection."""
 
     BROKEN = "connection_broken"
-    CROSSED = "crossed_answer"
+    OTHER_REQUEST = "crossed_answer"
     MALFORMED = "malformed_event"
     OTHER_INCARNATION = "other_incarnation"
     OTHER_VERSION = "other_version"
     REPEATED = "repeated_index"
-    SILENT = "endpoint_silent"
+    READ_TIMEOUT = "endpoint_silent"
     SKIPPED = "skipped_index"
     TRUNCATED = "truncated_stream"
 
@@ -125,7 +125,7 @@
         if chunk is None:
             return Fault.MALFORMED
         if chunk.request_id != self._request_id:
-            return Fault.CROSSED
+            return Fault.OTHER_REQUEST
         if chunk.version != self._version:
             return Fault.OTHER_VERSION
         if chunk.incarnation != self._incarnation:
--- a/packages/arbutustally-node/src/arbutustally_node/stream_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_run.py
@@ -34,11 +34,11 @@
 )
 
 #: Consecutive resumptions of a stream without a new token before another engine is tried.
-MAX_IDLE_RESUMES = 2
+MAX_RESUMES_WITHOUT_TOKEN = 2
 #: The same after a read timeout; each further resumption may wait for the whole timeout again.
-MAX_SILENT_RESUMES = 1
+MAX_RESUMES_AFTER_TIMEOUT = 1
 #: The same while no other engine can continue the stream.
-MAX_LAST_RESUMES = 4
+MAX_RESUMES_OF_LAST_ENGINE = 4
 DONE = b"data: [DONE]\n\n"
 
 
@@ -67,7 +67,7 @@
         self._tried: set[str] = set()
         self._link: Link | None = None
         self._admission: Any = None
-        self._idle_resumes = 0
+        self._resumes_without_token = 0
         self._ran = Ran.NOT_RUN
 
     @property
@@ -149,7 +149,7 @@
             try:
                 data = link.response.read()
             except EndpointTimeoutError:
-                return Fault.SILENT
+                return Fault.READ_TIMEOUT
             except EndpointFailedError:
                 return Fault.BROKEN
             if not data:
@@ -180,7 +180,7 @@
 
     def _progress(self, link: Link) -> None:
         link.last_s = self._clock()
-        self._idle_resumes = 0
+        self._resumes_without_token = 0
         if link.first_s:
             return
         link.first_s = link.last_s
@@ -213,7 +213,7 @@
                     call, self._version, self._shape, self._tried
                 )
             except NoEndpointError as error:
-                raise self._final(failure or error) from error
+                raise self._with_run_state(failure or error) from error
             self._tried.add(endpoint.id)
             self._report.placed(endpoint, choice)
             try:
@@ -222,7 +222,7 @@
                 failure = error
                 if not self._retries.allow(call.account):
                     call.trace.note("retry_budget_empty")
-                    raise self._final(failure) from error
+                    raise self._with_run_state(failure) from error
 
     def _send(self, endpoint: Any, choice: Any) -> Link:
         begun = self._clock()
@@ -258,14 +258,17 @@
         link.response.close()
         if fault is Fault.OTHER_INCARNATION:
             self._dispatcher.lost(link.endpoint, link.incarnation)
-        elif self._resume(link, MAX_SILENT_RESUMES if fault is Fault.SILENT else MAX_IDLE_RESUMES):
+        elif self._resume(
+            link,
+            MAX_RESUMES_AFTER_TIMEOUT if fault is Fault.READ_TIMEOUT else MAX_RESUMES_WITHOUT_TOKEN,
+        ):
             return link
-        if fault is Fault.SILENT:
-            return self._continue_from_silent(link)
-        self._give_up(link)
+        if fault is Fault.READ_TIMEOUT:
+            return self._continue_after_timeout(link)
+        self._drop_link(link)
         return self._continue_elsewhere()
 
-    def _continue_from_silent(self, link: Link) -> Link:
+    def _continue_after_timeout(self, link: Link) -> Link:
         """Returns a link to another engine, or to the same one if no other continues the stream.
 
         An engine that sent nothing until the read timeout may only be overloaded and still have the
@@ -274,14 +277,14 @@
         try:
             continued = self._continue_elsewhere()
         except StreamLostError:
-            if self._resume(link, MAX_LAST_RESUMES):
+            if self._resume(link, MAX_RESUMES_OF_LAST_ENGINE):
                 return link
-            self._give_up(link)
+            self._drop_link(link)
             raise
-        self._give_up(link)
+        self._drop_link(link)
         return continued
 
-    def _give_up(self, link: Link) -> None:
+    def _drop_link(self, link: Link) -> None:
         """Closes the link to an engine that failed to continue and cancels the request there."""
         self._link = None
         self._dispatcher.leave(link)
@@ -290,9 +293,9 @@
 
     def _resume(self, link: Link, limit: int) -> bool:
         """Resumes a stream on the incarnation that produces it; returns whether that succeeded."""
-        if self._idle_resumes >= limit or not self._cursor.incarnation:
+        if self._resumes_without_token >= limit or not self._cursor.incarnation:
             return False
-        self._idle_resumes += 1
+        self._resumes_without_token += 1
         try:
             link.response = self._dispatcher.resume(
                 self._call, link.endpoint, self._cursor.incarnation, self._cursor
@@ -360,7 +363,7 @@
         prompt = usage.prompt_tokens if usage else estimated_prompt_tokens(self._call)
         return prompt + self._cursor.next_index
 
-    def _final(self, error: RouterError) -> RouterError:
+    def _with_run_state(self, error: RouterError) -> RouterError:
         if self._ran is not Ran.NOT_RUN:
             error.ran = self._ran
         return error
