Name the steps of Dispatcher and StreamReport by what they do

Dispatcher.leave, started and lost become close_link, release_load and mark_dead, and the reports of a stream say what they report: dispatch_failed, stream_broken, endpoint_failed.

--- a/packages/arbutustally-node/src/arbutustally_node/dispatch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/dispatch.py
@@ -33,7 +33,7 @@
 
 _JSON = {"Content-Type": "application/json", "Accept": "text/event-stream"}
 #: Statuses with which an engine refuses a request that another engine may accept.
-_ELSEWHERE = frozenset({408, 409, 425, 429})
+_RETRYABLE_STATUSES = frozenset({408, 409, 425, 429})
 
 
 @dataclass
@@ -161,12 +161,12 @@
         cursor.expect(incarnation)
         return response
 
-    def leave(self, link: Link) -> None:
+    def close_link(self, link: Link) -> None:
         """Closes a link and removes its load from the endpoint."""
         link.response.close()
-        self.started(link)
+        self.release_load(link)
 
-    def started(self, link: Link) -> None:
+    def release_load(self, link: Link) -> None:
         """Removes the load of the prefill from the endpoint, at its first token at the latest."""
         if link.tokens:
             self._kernel.lookup("membership").finished(link.endpoint.id, link.tokens)
@@ -176,7 +176,7 @@
         """Cancels a request at its engine without waiting for the response."""
         gevent.spawn(self._cancel, endpoint.address, request_id)
 
-    def lost(self, endpoint: Any, incarnation: str) -> None:
+    def mark_dead(self, endpoint: Any, incarnation: str) -> None:
         """Marks an incarnation as dead and discards what is known of its cache."""
         self._kernel.lookup("membership").mark_dead(endpoint.id, incarnation)
         self._kernel.lookup("placement").drop(endpoint.id, incarnation)
@@ -197,10 +197,10 @@
                 response = self._kernel.lookup("pool").open(endpoint, method, path, headers, body)
         except EndpointFailedError as error:
             if is_refused(error):
-                self.lost(endpoint, incarnation)
+                self.mark_dead(endpoint, incarnation)
             raise
         if response.status != 200:
-            raise _refusal(endpoint, response)
+            raise _refused_error(endpoint, response)
         return response
 
     def _cancel(self, address: str, request_id: str) -> None:
@@ -231,10 +231,10 @@
     return version in state.versions or (not state.versions and state.version == version)
 
 
-def _refusal(endpoint: Any, response: PooledResponse) -> RouterError:
+def _refused_error(endpoint: Any, response: PooledResponse) -> RouterError:
     parsed = parse_json(response.read_whole())
     code = error_code(parsed)
-    if 400 <= response.status < 500 and response.status not in _ELSEWHERE:
+    if 400 <= response.status < 500 and response.status not in _RETRYABLE_STATUSES:
         return BadRequestError(
             f"the engine refused the request with status {response.status} {code}; correct it",
             ran=Ran.MAY_HAVE_RUN,
--- a/packages/arbutustally-node/src/arbutustally_node/stream_report.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_report.py
@@ -13,7 +13,7 @@
 from arbutustally_node.relay import Fault, StreamCursor
 
 #: Candidates listed in a trace.
-MAX_RANKED_NOTED = 5
+MAX_RANKED_IN_TRACE = 5
 
 _RETRIED = {
     fault: declare(f"retried.{fault}", f"Stream read on elsewhere: {fault}.") for fault in Fault
@@ -40,7 +40,7 @@
         self._version = ""
         self._shape: PromptShape | None = None
 
-    def began(self, version: str, shape: PromptShape | None) -> None:
+    def begin(self, version: str, shape: PromptShape | None) -> None:
         """Sets the weights version and, unless the stream is resumed, the prompt's shape."""
         self._version = version
         self._shape = shape
@@ -60,11 +60,11 @@
             reasons=list(choice.reasons),
             ranked=[
                 {"endpoint": entry.endpoint, "first_token_s": round(entry.first_token_s, 4)}
-                for entry in choice.ranked[:MAX_RANKED_NOTED]
+                for entry in choice.ranked[:MAX_RANKED_IN_TRACE]
             ],
         )
 
-    def not_answered(
+    def dispatch_failed(
         self, endpoint: Any, choice: Choice, error: RouterError, counter: Counter, lost_s: float
     ) -> None:
         """Reports a dispatch that failed before a response began."""
@@ -72,10 +72,10 @@
         self._call.trace.note(
             "retried", endpoint=endpoint.id, reason=error.code, lost_s=round(lost_s, 4)
         )
-        self._observe(False)
-        self._learn(endpoint.id, choice, None)
+        self._report_to_versions(False)
+        self._report_to_placement(endpoint.id, choice, None)
 
-    def broken(self, link: Link, fault: Fault, at: int, lost_s: float) -> None:
+    def stream_broken(self, link: Link, fault: Fault, at: int, lost_s: float) -> None:
         """Reports a stream that broke.
 
         :param at: index of the next token.
@@ -90,11 +90,11 @@
             lost_s=round(lost_s, 4),
         )
 
-    def failed(self, link: Link) -> None:
+    def endpoint_failed(self, link: Link) -> None:
         """Reports an endpoint that could not continue its stream."""
-        self._observe(False)
+        self._report_to_versions(False)
         if link.choice is not None:
-            self._learn(link.endpoint.id, link.choice, None)
+            self._report_to_placement(link.endpoint.id, link.choice, None)
 
     def first_token(self, link: Link) -> None:
         """Records the first token of a link."""
@@ -114,11 +114,11 @@
         )
         gap_s = link.gap_s(cursor.next_index)
         if link.choice is None:
-            self._observe(True, None, gap_s)
+            self._report_to_versions(True, None, gap_s)
             return
         work = usage.prompt_tokens - usage.cached_tokens if usage else None
-        self._observe(True, link.first_token_s, gap_s, work)
-        self._learn(link.endpoint.id, link.choice, usage, link.first_token_s)
+        self._report_to_versions(True, link.first_token_s, gap_s, work)
+        self._report_to_placement(link.endpoint.id, link.choice, usage, link.first_token_s)
 
     def abandoned(self, link: Link, at: int) -> None:
         """Reports a stream whose caller disconnected.
@@ -129,9 +129,9 @@
         self._call.trace.note("abandoned", endpoint=link.endpoint.id, at=at)
         if link.choice is not None:
             expected = Usage(0, 0, link.choice.expected_cached_tokens)
-            self._learn(link.endpoint.id, link.choice, expected)
+            self._report_to_placement(link.endpoint.id, link.choice, expected)
 
-    def _learn(
+    def _report_to_placement(
         self,
         endpoint: str,
         choice: Choice,
@@ -153,7 +153,7 @@
         )
         self._kernel.lookup("placement").learn(observation)
 
-    def _observe(
+    def _report_to_versions(
         self,
         ok: bool,
         first_token_s: float | None = None,
--- a/packages/arbutustally-node/src/arbutustally_node/stream_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_run.py
@@ -102,7 +102,7 @@
                 self._version = self._kernel.lookup("versions").pick(call.model, call.request_id)
                 call.trace.note("version_picked", version=self._version)
                 self._shape = split_levels(call.prompt, _yield_to_others)
-                self._report.began(self._version, self._shape)
+                self._report.begin(self._version, self._shape)
                 self._cursor = StreamCursor(call.request_id, self._version)
                 yield from self._relay(self._open_link)
         finally:
@@ -119,7 +119,7 @@
         self._ran = Ran.MAY_HAVE_RUN
         self._call = call = replace(self._call, request_id=token.request_id)
         self._cursor = StreamCursor(token.request_id, token.version, event.index + 1, False)
-        self._report.began(token.version, None)
+        self._report.begin(token.version, None)
         self._report.count(RESUMED)
         call.trace.note("resuming", stream=token.request_id, after=event.index)
         yield from self._relay(lambda: self._resume_for_caller(event))
@@ -184,7 +184,7 @@
         if link.first_s:
             return
         link.first_s = link.last_s
-        self._dispatcher.started(link)
+        self._dispatcher.release_load(link)
         if self._admission is not None:
             self._admission.started()
         self._report.first_token(link)
@@ -245,7 +245,7 @@
                 counter = NOT_SENT
             else:
                 self._dispatcher.cancel(endpoint, self._call.request_id)
-            self._report.not_answered(endpoint, choice, error, counter, self._clock() - begun)
+            self._report.dispatch_failed(endpoint, choice, error, counter, self._clock() - begun)
             raise
 
     def _recover(self, link: Link, fault: Fault) -> Link:
@@ -254,10 +254,10 @@
         :raises StreamLostError: if no engine can continue it.
         """
         lost_s = self._clock() - (link.last_s or link.opened_s)
-        self._report.broken(link, fault, self._cursor.next_index, lost_s)
+        self._report.stream_broken(link, fault, self._cursor.next_index, lost_s)
         link.response.close()
         if fault is Fault.OTHER_INCARNATION:
-            self._dispatcher.lost(link.endpoint, link.incarnation)
+            self._dispatcher.mark_dead(link.endpoint, link.incarnation)
         elif self._resume(
             link,
             MAX_RESUMES_AFTER_TIMEOUT if fault is Fault.READ_TIMEOUT else MAX_RESUMES_WITHOUT_TOKEN,
@@ -287,8 +287,8 @@
     def _drop_link(self, link: Link) -> None:
         """Closes the link to an engine that failed to continue and cancels the request there."""
         self._link = None
-        self._dispatcher.leave(link)
-        self._report.failed(link)
+        self._dispatcher.close_link(link)
+        self._report.endpoint_failed(link)
         self._dispatcher.cancel(link.endpoint, self._call.request_id)
 
     def _resume(self, link: Link, limit: int) -> bool:
@@ -346,13 +346,13 @@
 
     def _complete(self, link: Link) -> None:
         link.response.settle()
-        self._dispatcher.leave(link)
+        self._dispatcher.close_link(link)
         self._retries.succeeded(self._call.account)
         self._report.completed(link, self._cursor)
 
     def _abandon(self, link: Link) -> None:
         self._link = None
-        self._dispatcher.leave(link)
+        self._dispatcher.close_link(link)
         self._dispatcher.cancel(link.endpoint, self._call.request_id)
         self._report.abandoned(link, self._cursor.next_index)
 
