Name parts of the connection pool and of body framing by HTTP's terms

A body that ends with its connection is close-delimited, states of the chunk decoder are states, and constants name what they limit; tests/test_endless.py follows.

--- a/packages/arbutustally-node/src/arbutustally_node/framing.py
+++ b/packages/arbutustally-node/src/arbutustally_node/framing.py
@@ -16,7 +16,7 @@
 _HEX = b"0123456789abcdefABCDEF"
 
 
-class _Part(Enum):
+class _State(Enum):
     SIZE = 0
     END = 1
     TRAILER = 2
@@ -27,27 +27,27 @@
     """Decoder of the chunked transfer coding."""
 
     def __init__(self) -> None:
-        self._part = _Part.SIZE
-        self._left = 0
-        self._line = b""
+        self._state = _State.SIZE
+        self._remaining = 0
+        self._buffer = b""
         self._trailer_bytes = 0
 
     @property
     def done(self) -> bool:
         """Returns whether the last chunk and the trailer have been read."""
-        return self._part is _Part.DONE
+        return self._state is _State.DONE
 
     @property
     def unread(self) -> bytes:
         """Returns bytes after the end of the body."""
-        return self._line if self.done else b""
+        return self._buffer if self.done else b""
 
     def feed(self, data: bytes) -> bytes:
         """Returns the decoded bytes.
 
         :raises EndpointFailedError: if the coding is malformed.
         """
-        if self._part is _Part.SIZE and not self._line:
+        if self._state is _State.SIZE and not self._buffer:
             # Fast path: a stream slower than the reads delivers exactly one chunk per read.
             end = data.find(b"\r\n", 0, MAX_SIZE_DIGITS + 2)
             if end > 0 and (head := data[:end]).isalnum():
@@ -57,18 +57,18 @@
         return self._feed(data)
 
     def _feed(self, data: bytes) -> bytes:
-        if self._line:
-            data = self._line + data
-            self._line = b""
+        if self._buffer:
+            data = self._buffer + data
+            self._buffer = b""
         out: list[bytes] = []
         at = 0
         size = len(data)
-        while at < size and self._part is not _Part.DONE:
-            if self._left:
-                piece = data[at : at + self._left]
-                out.append(piece)
-                at += len(piece)
-                self._left -= len(piece)
+        while at < size and self._state is not _State.DONE:
+            if self._remaining:
+                chunk = data[at : at + self._remaining]
+                out.append(chunk)
+                at += len(chunk)
+                self._remaining -= len(chunk)
                 continue
             end = data.find(b"\r\n", at)
             if end < 0:
@@ -76,21 +76,23 @@
             self._take_line(data[at:end])
             at = end + 2
         if at < size:
-            self._line = data[at:]
-            if len(self._line) > MAX_CHUNK_LINE_BYTES and not self.done:
+            self._buffer = data[at:]
+            if len(self._buffer) > MAX_CHUNK_LINE_BYTES and not self.done:
                 raise _malformed()
         return out[0] if len(out) == 1 else b"".join(out)
 
     def _take_line(self, line: bytes) -> None:
-        if self._part is _Part.SIZE:
-            self._left = _size(line if line.isalnum() else line.partition(b";")[0].rstrip(b" \t"))
-            self._part = _Part.END if self._left else _Part.TRAILER
-        elif self._part is _Part.END:
+        if self._state is _State.SIZE:
+            self._remaining = _size(
+                line if line.isalnum() else line.partition(b";")[0].rstrip(b" \t")
+            )
+            self._state = _State.END if self._remaining else _State.TRAILER
+        elif self._state is _State.END:
             if line:
                 raise _malformed()
-            self._part = _Part.SIZE
+            self._state = _State.SIZE
         elif not line:
-            self._part = _Part.DONE
+            self._state = _State.DONE
         else:
             self._trailer_bytes += len(line)
             if self._trailer_bytes > MAX_TRAILER_BYTES:
@@ -101,13 +103,13 @@
     """A body of known length."""
 
     def __init__(self, length: int) -> None:
-        self._left = length
+        self._remaining = length
         self._unread = b""
 
     @property
     def done(self) -> bool:
         """Returns whether the whole body has been read."""
-        return not self._left
+        return not self._remaining
 
     @property
     def unread(self) -> bytes:
@@ -116,13 +118,13 @@
 
     def feed(self, data: bytes) -> bytes:
         """Returns the bytes that belong to the body."""
-        body = data[: self._left]
-        self._unread = data[self._left :]
-        self._left -= len(body)
+        body = data[: self._remaining]
+        self._unread = data[self._remaining :]
+        self._remaining -= len(body)
         return body
 
 
-class OpenBody:
+class CloseDelimitedBody:
     """A body delimited by the end of its connection."""
 
     done = False
--- a/packages/arbutustally-node/src/arbutustally_node/pool.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -18,20 +18,20 @@
 from arbutustally.engine_client import translate
 from arbutustally.errors import EndpointFailedError, EndpointTimeoutError, Ran
 from arbutustally_node.bounded_head import BoundedConnection
-from arbutustally_node.framing import ChunkedBody, OpenBody, SizedBody
+from arbutustally_node.framing import ChunkedBody, CloseDelimitedBody, SizedBody
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import Options
 from arbutustally_node.read_timeouts import ReadTimeouts
 
 READ_BYTES = 65536
 #: A read below this size shows that the endpoint sends more slowly than the node reads.
-PACED_BYTES = 2048
+PACED_READ_BYTES = 2048
 #: Reads after which other greenlets run, even if more data has arrived.
-READS_IN_A_ROW = 16
+READS_BEFORE_YIELD = 16
 IDLE_CONNECTIONS_PER_ENDPOINT = 64
 MAX_ENDPOINTS = 512
 #: Largest response body that is read into memory by default.
-MAX_ANSWER_BYTES = 8 << 20
+MAX_BODY_BYTES = 8 << 20
 #: The kernel doubles this value; it bounds the unread data of a stream whose caller is slow.
 RECEIVE_BUFFER_BYTES = 64 << 10
 
@@ -50,7 +50,7 @@
 _KEEP_ALIVE = re.compile(r"timeout=([0-9]{1,6})")
 #: Fraction of the announced keep-alive time for which an idle connection is reused; the endpoint
 #: starts counting earlier.
-KEEP_ALIVE_PART = 0.6
+KEEP_ALIVE_FRACTION = 0.6
 # gevent's own poll switches to other greenlets, which this check must not do.
 _poll = monkey.get_original("select", "poll")
 
@@ -94,7 +94,7 @@
         self._pooled = pooled
         self._read_timeouts = read_timeouts
         self._headers = {name.lower(): value for name, value in response.headers.items()}
-        self._original = response._fp
+        self._raw_response = response._fp
         self._socket = _socket_of(response)
         self._body = self._framing()
         self._arrived = self._arrived_with_head()
@@ -138,7 +138,7 @@
                 break
             received = self._receive()
             if not received:
-                if isinstance(self._body, OpenBody) and not self._was_reset:
+                if isinstance(self._body, CloseDelimitedBody) and not self._was_reset:
                     break
                 raise self._broken()
             decoded = self._body.feed(received)
@@ -159,7 +159,7 @@
             self._reads += 1
             if self._is_paced:
                 self._hub.wait(self._readable)
-            elif self._reads % READS_IN_A_ROW == 0:
+            elif self._reads % READS_BEFORE_YIELD == 0:
                 gevent.sleep(0)
             received = self._socket.recv(READ_BYTES)
         except OSError:
@@ -168,7 +168,7 @@
             received = b""
         finally:
             self._read_timeouts.end_read(self)
-        self._is_paced = len(received) < PACED_BYTES
+        self._is_paced = len(received) < PACED_READ_BYTES
         if not received:
             self.close()
             if self._timed_out:
@@ -187,7 +187,7 @@
 
     def read_whole(
         self,
-        limit: int = MAX_ANSWER_BYTES,
+        limit: int = MAX_BODY_BYTES,
         watch: Callable[[], AbstractContextManager[None]] = nullcontext,
     ) -> bytes:
         """Returns the complete body.
@@ -196,15 +196,15 @@
         :param watch: returns a context manager that is entered for each wait for a chunk.
         :raises EndpointFailedError: as ``read``, and if the body exceeds ``limit`` bytes.
         """
-        parts = []
+        chunks = []
         size = 0
         while True:
             with watch():
-                part = self.read()
-            if not part:
+                chunk = self.read()
+            if not chunk:
                 break
-            parts.append(part)
-            size += len(part)
+            chunks.append(chunk)
+            size += len(chunk)
             if size > limit:
                 self.close()
                 raise EndpointFailedError(
@@ -212,11 +212,11 @@
                     "make the service send smaller responses",
                     ran=Ran.MAY_HAVE_RUN,
                 )
-        return b"".join(parts)
+        return b"".join(chunks)
 
     def __iter__(self) -> Iterator[bytes]:
-        while part := self.read():
-            yield part
+        while chunk := self.read():
+            yield chunk
 
     def settle(self) -> None:
         """Ends a response whose content is complete, without waiting for further data.
@@ -226,11 +226,11 @@
         if self._closed:
             return
         with contextlib.suppress(EndpointFailedError, EndpointTimeoutError):
-            if self._ends_now():
+            if self._end_has_arrived():
                 self._finish()
         self.close()
 
-    def _ends_now(self) -> bool:
+    def _end_has_arrived(self) -> bool:
         """Returns whether the end of the body has arrived with no unread content before it."""
         while not self._body.done:
             if not (self._arrived or self._is_readable()):
@@ -247,14 +247,14 @@
         self._closed = True
         self._stop_watching()
         connection = self._response.connection
-        self._original.close()
+        self._raw_response.close()
         self._response.close()
         if connection is not None:
             connection.close()
             self._response.release_conn()
 
     def _finish(self) -> None:
-        reusable = self._pooled and not self._original.will_close
+        reusable = self._pooled and not self._raw_response.will_close
         if not reusable or self._body.unread or self._is_readable():
             self.close()
             return
@@ -263,12 +263,12 @@
         connection = self._response.connection
         if connection is not None:
             connection.idle_until = self._idle_until()
-        self._original.close()
+        self._raw_response.close()
         self._response.release_conn()
 
     def _idle_until(self) -> float | None:
         match = _KEEP_ALIVE.search(self._headers.get("keep-alive", ""))
-        return monotonic() + int(match[1]) * KEEP_ALIVE_PART if match else None
+        return monotonic() + int(match[1]) * KEEP_ALIVE_FRACTION if match else None
 
     def _stop_watching(self) -> None:
         if self._readable is not None:
@@ -282,24 +282,24 @@
         poll.register(self._socket.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
-    def _framing(self) -> ChunkedBody | SizedBody | OpenBody:
-        if self._original.fp is None:
+    def _framing(self) -> ChunkedBody | SizedBody | CloseDelimitedBody:
+        if self._raw_response.fp is None:
             return SizedBody(0)
-        if self._original.chunked:
+        if self._raw_response.chunked:
             return ChunkedBody()
-        if self._original.length is not None:
-            return SizedBody(self._original.length)
-        return OpenBody()
+        if self._raw_response.length is not None:
+            return SizedBody(self._raw_response.length)
+        return CloseDelimitedBody()
 
     def _arrived_with_head(self) -> bytes:
         """Returns bytes of the body that were read together with the response head.
 
         Later reads use the socket directly, where one call returns all data that has arrived.
         """
-        if self._original.fp is None or self._socket is None:
+        if self._raw_response.fp is None or self._socket is None:
             return b""
         self._socket.settimeout(0.0)
-        arrived = self._original.fp.peek(READ_BYTES)
+        arrived = self._raw_response.fp.peek(READ_BYTES)
         # ``ReadTimeouts`` enforces the read timeout instead of a timer for each read.
         self._socket.settimeout(None)
         return arrived
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -14,7 +14,7 @@
 from arbutustally.gateway.endpoints import EndpointState
 from arbutustally_node.framing import MAX_TRAILER_BYTES, ChunkedBody
 from arbutustally_node.gateway.web import fetch_snapshot
-from arbutustally_node.pool import MAX_ANSWER_BYTES, PoolService
+from arbutustally_node.pool import MAX_BODY_BYTES, PoolService
 from arbutustally_platform.engines import ANSWER_TIMEOUT_S as ENGINE_TIMEOUT_S
 from arbutustally_platform.engines import PlatformCacheEvents, PlatformEngines
 from arbutustally_platform.store import ANSWER_TIMEOUT_S, StoreClient, StoreKeyedTopic
@@ -183,7 +183,7 @@
                 with gevent.Timeout(2.0, _TooLateError):
                     response = pool.open(state, "GET", "/", {}, None, 2.0)
                     try:
-                        response.read_whole(MAX_ANSWER_BYTES)
+                        response.read_whole(MAX_BODY_BYTES)
                     finally:
                         response.close()
 
