--- a/packages/arbutustally-node/src/arbutustally_node/http_body.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_body.py
@@ -28,28 +28,28 @@
 
     def __init__(self, limit: int = MAX_BUFFERED_BYTES) -> None:
         self._limit = limit
-        self._held = 0
+        self._reserved = 0
 
-    def take(self, count: int) -> None:
+    def reserve(self, count: int) -> None:
         """Reserves bytes.
 
         :raises OverloadedError: if the limit would be exceeded.
         """
-        if self._held + count > self._limit:
+        if self._reserved + count > self._limit:
             raise OverloadedError(
                 "the node buffers too many request bodies; send the request again later",
                 retry_after_s=1.0,
             )
-        self._held += count
+        self._reserved += count
 
-    def give(self, count: int) -> None:
+    def release(self, count: int) -> None:
         """Releases reserved bytes."""
-        self._held -= count
+        self._reserved -= count
 
     @property
-    def held(self) -> int:
+    def reserved(self) -> int:
         """Returns the reserved bytes."""
-        return self._held
+        return self._reserved
 
 
 class RequestReader:
@@ -80,7 +80,7 @@
         self._send_s = send_s
         self._buffer = bytearray()
         self._deadline = 0.0
-        self._taken = 0
+        self._body_bytes = 0
 
     def read_head(self) -> RequestHead | None:
         """Returns the next head, or ``None`` if the connection ends or is idle too long before it.
@@ -111,8 +111,8 @@
 
     def release(self) -> None:
         """Releases the bytes of the last body in the budget of the listener."""
-        self._budget.give(self._taken)
-        self._taken = 0
+        self._budget.release(self._body_bytes)
+        self._body_bytes = 0
 
     def _read_chunked(self) -> bytes:
         parts = []
@@ -141,8 +141,8 @@
             left -= len(line) + 2
 
     def _read_exactly(self, count: int) -> bytes:
-        self._budget.take(count)
-        self._taken += count
+        self._budget.reserve(count)
+        self._body_bytes += count
         while len(self._buffer) < count:
             self._receive()
         data = bytes(self._buffer[:count])
--- a/packages/arbutustally-node/src/arbutustally_node/http_server.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_server.py
@@ -229,9 +229,9 @@
         )
 
     @property
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Returns the bytes of request bodies that are buffered."""
-        return self._budget.held
+        return self._budget.reserved
 
     def running(self) -> _Running:
         """Returns the context manager that counts a request as in progress."""
@@ -260,9 +260,9 @@
         return self._wsgi.running().count
 
     @property
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Returns the bytes of request bodies that are buffered."""
-        return self._wsgi.held_bytes
+        return self._wsgi.buffered_bytes
 
     def drain(self) -> None:
         """Closes each connection after its next response; requests are still served."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -161,15 +161,15 @@
     def test_bodies_of_all_connections_have_one_bound(self) -> None:
         """Guards against many callers that together exhaust the memory of a node."""
         budget = http_body.BodyBudget(5)
-        budget.take(3)
+        budget.reserve(3)
         with self.assertRaises(OverloadedError):
-            budget.take(3)
-        budget.give(3)
-        budget.take(5)
+            budget.reserve(3)
+        budget.release(3)
+        budget.reserve(5)
         for data in (GOOD, GOOD[:-1], post("Host: x", "Content-Length: 5000")):
             self.exchange(data, ends=True)
         gevent.sleep(0.01)
-        self.assertEqual(self.server.held_bytes, 0)
+        self.assertEqual(self.server.buffered_bytes, 0)
 
     @settings(max_examples=60)
     @given(st.binary(max_size=400), st.booleans())
