Rename whole_answer to completion_body

The module builds the JSON body of a model call without streaming.

Ran: tests.test_caller_http test_http_server test_streams test_endless test_platform_adapter: 50 passed, 0 failed.

--- a/packages/arbutustally-node/src/arbutustally_node/whole_answer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/completion_body.py
@@ -8,7 +8,7 @@
 from arbutustally_node.relay import StreamCursor
 
 
-def whole_answer(call: ModelCall, cursor: StreamCursor) -> dict[str, Any]:
+def completion_body(call: ModelCall, cursor: StreamCursor) -> dict[str, Any]:
     """Returns the JSON body of a completed call without streaming."""
     text = "".join(cursor.texts)
     choice: dict[str, Any] = {"index": 0, "finish_reason": cursor.finish_reason, "logprobs": None}
--- a/packages/arbutustally-node/src/arbutustally_node/streams.py
+++ b/packages/arbutustally-node/src/arbutustally_node/streams.py
@@ -6,11 +6,11 @@
 from arbutustally.clock import Clock, monotonic
 from arbutustally.retries import RetryBudget
 from arbutustally_node.calls import ModelCall
+from arbutustally_node.completion_body import completion_body
 from arbutustally_node.dispatch import Dispatcher
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import Options
 from arbutustally_node.stream_run import StreamRun
-from arbutustally_node.whole_answer import whole_answer
 
 
 class StreamsService:
@@ -55,7 +55,7 @@
         run = self._new(call)
         for _events in run.events():
             continue
-        return whole_answer(call, run.cursor)
+        return completion_body(call, run.cursor)
 
     def _new(self, call: ModelCall) -> StreamRun:
         return StreamRun(
