Rename private names of callers' HTTP, plain calls, polls and admission

Private names such as _unrouted, _guarded, _armed and _KEPT_RESPONSE_HEADERS_EXCEPT did not say what they do; Place in bounded_call is the target of a call.

--- a/packages/arbutustally-node/src/arbutustally_node/admission.py
+++ b/packages/arbutustally-node/src/arbutustally_node/admission.py
@@ -24,7 +24,7 @@
 #: Interval in seconds at which queue limits are updated from the load of the endpoints.
 REFRESH_S = 0.1
 
-_Pool = tuple[str, str, str]
+_PoolKey = tuple[str, str, str]
 
 
 class Admission:
@@ -58,7 +58,7 @@
     def __init__(self, kernel: Kernel, clock: Clock = monotonic) -> None:
         self._kernel = kernel
         self._clock = clock
-        self._queues: dict[_Pool, FairQueue] = {}
+        self._queues: dict[_PoolKey, FairQueue] = {}
         self._greenlet: Any = None
         self._log = get_logger("admission")
 
@@ -130,7 +130,7 @@
             queue.release(ticket)
             raise
 
-    def _queue(self, pool: _Pool) -> FairQueue:
+    def _queue(self, pool: _PoolKey) -> FairQueue:
         queue = self._queues.get(pool)
         if queue is None:
             queue = FairQueue(self._clock, self._limits(pool, 0.0), self._weights())
@@ -141,7 +141,7 @@
         accounts = self._kernel.lookup("log").state.declarations.accounts
         return {name: account.rate for name, account in accounts.items()}
 
-    def _limits(self, pool: _Pool, own: float) -> QueueLimits:
+    def _limits(self, pool: _PoolKey, own: float) -> QueueLimits:
         class_name, service, model = pool
         target = self._kernel.lookup("log").state.declarations.classes[class_name]
         membership = self._kernel.lookup("membership")
--- a/packages/arbutustally-node/src/arbutustally_node/bounded_call.py
+++ b/packages/arbutustally-node/src/arbutustally_node/bounded_call.py
@@ -10,7 +10,7 @@
 
 
 @dataclass(frozen=True)
-class Place:
+class CallTarget:
     """An address in the form in which the pool expects endpoints."""
 
     address: str
@@ -48,7 +48,7 @@
     response = None
     try:
         with gevent.Timeout(total_s, _LateError):
-            response = pools.open(Place(address), method, target, headers or {}, body, total_s)
+            response = pools.open(CallTarget(address), method, target, headers or {}, body, total_s)
             data = response.read_whole(max_bytes)
             return WholeAnswer(response.status, tuple(response.header_items), data)
     except _LateError as error:
--- a/packages/arbutustally-node/src/arbutustally_node/bounded_head.py
+++ b/packages/arbutustally-node/src/arbutustally_node/bounded_head.py
@@ -22,11 +22,11 @@
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
-        self._heads = 0
+        self._response_heads = 0
 
     def _read_status(self) -> tuple[str, int, str]:
-        self._heads += 1
-        if self._heads > MAX_INFORMATIONAL + 1:
+        self._response_heads += 1
+        if self._response_heads > MAX_INFORMATIONAL + 1:
             self.close()
             raise EndlessHeadError("too many informational responses; check the server")
         return super()._read_status()
--- a/packages/arbutustally-node/src/arbutustally_node/caller_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_http.py
@@ -105,11 +105,11 @@
         app = bottle.Bottle()
         app.route("/healthz", "GET", self._healthz)
         app.route("/readyz", "GET", self._readyz)
-        app.route("/entry", "GET", lambda: self._answer("entry", self._entry))
-        app.route("/v1/models", "GET", lambda: self._answer("models", self._models))
-        app.route("/<_path:path>", _METHODS, lambda _path: self._answer("", self._routed))
-        app.route("/", _METHODS, lambda: self._answer("", self._routed))
-        app.default_error_handler = self._unrouted
+        app.route("/entry", "GET", lambda: self._respond("entry", self._entry))
+        app.route("/v1/models", "GET", lambda: self._respond("models", self._models))
+        app.route("/<_path:path>", _METHODS, lambda _path: self._respond("", self._routed))
+        app.route("/", _METHODS, lambda: self._respond("", self._routed))
+        app.default_error_handler = self._format_bottle_error
         return app
 
     def _healthz(self) -> bottle.HTTPResponse:
@@ -208,7 +208,7 @@
 
     # Code shared by all handlers.
 
-    def _answer(self, name: str, handler: Handler) -> bottle.HTTPResponse:
+    def _respond(self, name: str, handler: Handler) -> bottle.HTTPResponse:
         explain = self._kernel.lookup("explain")
         trace = explain.begin(explain.new_request_id(), "", name)
         try:
@@ -272,7 +272,7 @@
             response.set_header("Retry-After", str(max(1, math.ceil(error.retry_after_s))))
         return response
 
-    def _unrouted(self, result: bottle.HTTPError) -> bytes:
+    def _format_bottle_error(self, result: bottle.HTTPError) -> bytes:
         """Formats errors raised by bottle itself like all other errors of the interface."""
         explain = self._kernel.lookup("explain")
         trace = explain.begin(explain.new_request_id(), "", "")
@@ -293,7 +293,7 @@
         self, first: bytes, events: Iterator[bytes], service: CallerHttp, trace: Trace
     ) -> None:
         self._events = events
-        self._items = self._guarded(first)
+        self._items = self._with_final_error(first)
         self._service = service
         self._trace = trace
 
@@ -305,7 +305,7 @@
         self._items.close()
         self._events.close()
 
-    def _guarded(self, first: bytes) -> Iterator[bytes]:
+    def _with_final_error(self, first: bytes) -> Iterator[bytes]:
         yield first
         try:
             yield from self._events
--- a/packages/arbutustally-node/src/arbutustally_node/caller_watch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_watch.py
@@ -25,19 +25,19 @@
     """
 
     def __init__(self, sock: Any = None) -> None:
-        self._gone = False
-        self._armed = False
+        self._is_gone = False
+        self._may_interrupt = False
         self._greenlet = gevent.getcurrent()
         self._watcher = None
         if sock is not None:
             self._descriptor = sock.fileno()
             self._watcher = gevent.get_hub().loop.io(self._descriptor, _READ)
-            self._watcher.start(self._readable)
+            self._watcher.start(self._on_readable)
 
     @property
     def gone(self) -> bool:
         """Returns whether the caller has closed its connection."""
-        return self._gone
+        return self._is_gone
 
     def stop(self) -> None:
         """Ends the watch; must be called before the socket is closed."""
@@ -47,19 +47,19 @@
             watcher.close()
 
     def __enter__(self) -> None:
-        if self._gone:
+        if self._is_gone:
             raise CallerGoneError
-        self._armed = True
+        self._may_interrupt = True
 
     def __exit__(self, *_error: Any) -> None:
-        self._armed = False
+        self._may_interrupt = False
 
-    def _readable(self) -> None:
+    def _on_readable(self) -> None:
         poll = _poll()
         poll.register(self._descriptor, select.POLLRDHUP)
         # Without a hang-up the socket is readable because of bytes of the next request. The watcher
         # is stopped in that case too, because the event loop would call it continuously.
-        self._gone = bool(poll.poll(0))
+        self._is_gone = bool(poll.poll(0))
         self.stop()
-        if self._gone and self._armed:
+        if self._is_gone and self._may_interrupt:
             self._greenlet.throw(CallerGoneError)
--- a/packages/arbutustally-node/src/arbutustally_node/load_polls.py
+++ b/packages/arbutustally-node/src/arbutustally_node/load_polls.py
@@ -50,7 +50,7 @@
         try:
             report = self._load(instance.address)
         except (RouterError, OSError) as error:
-            self._failed(instance, error)
+            self._handle_failure(instance, error)
             return
         self._failures.pop(instance.id, None)
         self._endpoints.set_unreachable(instance.id, False)
@@ -84,9 +84,9 @@
         """Drops the loads of all endpoints that are not in ``endpoint_ids``."""
         self._polled = {key: load for key, load in self._polled.items() if key in endpoint_ids}
 
-    def _failed(self, instance: Instance, error: Exception) -> None:
+    def _handle_failure(self, instance: Instance, error: Exception) -> None:
         self._metrics.count(POLL_FAILED)
-        if _is_refused(error):
+        if _is_connection_refused(error):
             # No process listens at the address, so the engine's process has ended.
             self._mark_dead(instance.id, self._endpoints.incarnation(instance.id))
             return
@@ -104,7 +104,7 @@
     )
 
 
-def _is_refused(error: BaseException | None) -> bool:
+def _is_connection_refused(error: BaseException | None) -> bool:
     while error is not None:
         if isinstance(error, ConnectionRefusedError):
             return True
--- a/packages/arbutustally-node/src/arbutustally_node/plain_dispatch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/plain_dispatch.py
@@ -16,7 +16,7 @@
 NO_ENDPOINT_RETRY_S = 1.0
 REQUEST_ID_HEADER = "X-Request-Id"
 
-_KEPT_RESPONSE_HEADERS_EXCEPT = frozenset(
+_DROPPED_RESPONSE_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "trailer", "te"}
     | {"proxy-authenticate", "server", "date", "x-request-id"}
 )
@@ -84,7 +84,7 @@
         kept = {
             name: value
             for name, value in response.headers.items()
-            if name not in _KEPT_RESPONSE_HEADERS_EXCEPT
+            if name not in _DROPPED_RESPONSE_HEADERS
         }
         return PlainAnswer(response.status, kept, body, ran)
 
