--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -55,7 +55,7 @@
         self.script = script
         self.version = version
         self.extra = extra
-        self.lives = 0
+        self.restarts = 0
         self.streams: dict[str, tuple[str, int]] = {}
         self.seen: list[tuple[str, str, dict[str, str], bytes]] = []
         self.cancelled: list[str] = []
@@ -67,7 +67,7 @@
 
     @property
     def incarnation(self) -> str:
-        return f"{self.name}-{self.lives}"
+        return f"{self.name}-{self.restarts}"
 
     @property
     def address(self) -> str:
@@ -91,7 +91,7 @@
             return
         self.restarting = True
         self.die()
-        self.lives += 1
+        self.restarts += 1
         try:
             self.start()
         except OSError:
--- a/tests/test_caller_http.py
+++ b/tests/test_caller_http.py
@@ -60,7 +60,7 @@
         self.assertEqual(error["request_id"], response.getheader("X-Request-Id"))
         return error
 
-    def test_client_library_reads_a_whole_answer(self) -> None:
+    def test_client_library_reads_a_complete_response(self) -> None:
         result = self.chat()
         self.assertEqual(result.choices[0].message.content, answer("q", 20))
         self.assertEqual(result.usage.prompt_tokens_details.cached_tokens, 2)
@@ -72,7 +72,7 @@
         self.assertEqual("".join(texts), answer("q", 20))
         self.assertEqual([model.id for model in self.client.models.list()], ["marelle"])
 
-    def test_client_library_sees_the_error_of_a_lost_stream(self) -> None:
+    def test_client_library_receives_the_error_of_a_lost_stream(self) -> None:
         """Guards against a broken stream that looks complete."""
         self.script.faults = [(5, "die")]
         self.membership.states.pop("e2")
@@ -82,7 +82,7 @@
             (caught.exception.code, caught.exception.body["ran"]), ("stream_lost", "may_have_run")
         )
 
-    def test_engine_death_is_invisible_to_the_caller(self) -> None:
+    def test_engine_failure_is_invisible_to_the_caller(self) -> None:
         self.script.faults = [(5, "die")]
         texts = [chunk.choices[0].delta.content for chunk in self.chat(stream=True)]
         self.assertEqual("".join(texts), answer("q", 20))
@@ -90,7 +90,7 @@
         sent = orjson.loads(self.other.seen[0][3])
         self.assertEqual("".join(sent["continue_tokens"]), answer("q", 5))
 
-    def test_no_endpoint_sees_a_credential(self) -> None:
+    def test_no_endpoint_receives_a_credential(self) -> None:
         """Guards against keys forwarded in a header, a cookie, a path or a body."""
         self.chat()
         self.assertNotIn(KEY, str(self.engine.seen))
@@ -109,7 +109,7 @@
         self.assertEqual(self.error("GET", f"/guide/{KEY}")["code"], "key_in_query")
         self.assertEqual(self.error("POST", "/guide", KEY.encode())["code"], "bad_request")
 
-    def test_bad_input_is_refused_and_the_node_serves_on(self) -> None:
+    def test_bad_input_is_refused_and_the_node_keeps_serving(self) -> None:
         chat = "/v1/chat/completions"
         bodies = {
             "broken JSON": b'{"model": ',
@@ -136,7 +136,7 @@
             self.assertEqual(self.error("POST", f"{chat}?{query}", b"{}")["code"], "key_in_query")
         self.assertEqual(self.kernel.lookup("metrics").counts["refused.key_in_query"], 4)
         self.assertEqual(self.engine.seen, [])
-        self.test_client_library_reads_a_whole_answer()
+        self.test_client_library_reads_a_complete_response()
 
     def test_dot_segments_cannot_reach_another_route(self) -> None:
         """Guards against a booking sent without key and claim through an open route."""
@@ -188,7 +188,7 @@
             while not condition():
                 gevent.sleep(0.01)
 
-    def test_vanished_caller_is_cancelled_at_the_engine(self) -> None:
+    def test_request_of_a_disconnected_caller_is_cancelled(self) -> None:
         """Guards against engines that keep generating for a disconnected caller.
 
         The caller disconnects before and after the first token.
@@ -217,7 +217,7 @@
             data += part
         return data
 
-    def test_slow_caller_stops_the_reading_from_the_engine(self) -> None:
+    def test_slow_caller_pauses_reads_from_the_engine(self) -> None:
         """Guards against a buffer in the node that grows with the size of the response."""
         self.engine.extra = "x" * 10_000
         sock = self.stream_socket(1000)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -103,7 +103,7 @@
         self.get("/a", fresh=True)
         self.assertEqual(self.connections, 3)
 
-    def test_settling_keeps_a_connection_whose_body_has_ended(self) -> None:
+    def test_settle_keeps_a_connection_whose_body_has_ended(self) -> None:
         """Guards against a connection closed after each refusal and against waiting for its end."""
         for path, connections in (("/refusal", 1), ("/half-end", 1), ("/refusal", 2)):
             response = self.pool.open(self.endpoint, "GET", path, {}, None)
@@ -112,7 +112,7 @@
             self.assertLess(time.monotonic() - began, 0.1)
             self.assertEqual(self.connections, connections)
 
-    def test_only_an_unmade_connection_proves_that_nothing_ran(self) -> None:
+    def test_only_a_failed_connect_is_reported_as_not_run(self) -> None:
         """Guards against ``NOT_RUN`` for a request that an endpoint has read."""
         for path, kind in {
             "/cut": EndpointFailedError,
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -220,7 +220,7 @@
                     self.assertEqual(self.text(events), answer("p", TOKENS))
                     self.assertIsNone(events[-1][1])
 
-    def test_chunks_of_other_weights_or_another_life_are_refused(self) -> None:
+    def test_chunks_of_other_weights_or_incarnations_are_refused(self) -> None:
         """Guards against tokens computed from the cache or weights of another incarnation."""
         for fault, reason in (("stale", "other_incarnation"), ("version", "other_version")):
             with self.subTest(fault):
@@ -248,32 +248,32 @@
         with self.assertRaisesRegex(StreamLostError, "retry budget"):
             self.complete(call)
 
-    def fall_silent_twice(self) -> ModelCall:
+    def call_with_repeated_timeouts(self) -> ModelCall:
         """Returns a call whose stream stops at token 5 and is resumed once without success."""
         # The engine also consumes a fault of its script for each resume request.
         self.script.faults = [(5, "silent")] * 3
         return model_call(self.node, "p")
 
-    def assert_kept(self, call: ModelCall) -> None:
+    def assert_completes_without_cancel(self, call: ModelCall) -> None:
         events = self.complete(call)
         self.assertEqual(self.text(events), answer("p", TOKENS))
         self.assertEqual(self.fleet.engines[0].cancelled, [])
 
-    def test_silent_engine_is_kept_where_the_retry_budget_is_used_up(self) -> None:
+    def test_timed_out_engine_is_kept_if_the_retry_budget_is_empty(self) -> None:
         """Guards against a stream lost to a read timeout although its engine still has it."""
-        call = self.fall_silent_twice()
+        call = self.call_with_repeated_timeouts()
         budget = self.node.lookup("streams")._retries
         while budget.allow("school"):
             continue
-        self.assert_kept(call)
+        self.assert_completes_without_cancel(call)
 
-    def test_silent_engine_is_kept_where_no_other_takes_the_stream(self) -> None:
+    def test_timed_out_engine_is_kept_if_no_other_continues_the_stream(self) -> None:
         """Guards against work that is cancelled before another engine has accepted it."""
         # According to the instance list the engine has the weights, but it refuses the request.
         self.fleet.engines[1].version = "v9"
-        self.assert_kept(self.fall_silent_twice())
+        self.assert_completes_without_cancel(self.call_with_repeated_timeouts())
 
-    def test_engine_that_stays_silent_is_given_up(self) -> None:
+    def test_engine_without_data_until_the_last_resume_is_cancelled(self) -> None:
         """Guards against a caller that waits without end for an engine that sends no more data."""
         self.fleet.membership.states.pop("e2")
         self.script.faults = [(5, "silent")] * 20
