Reword four messages that spoke of answers

Engines and services return statuses and responses. No test, tool or page matches the messages.

Ran: tests.test_caller_http test_streams test_bookings: 33 passed, 0 failed.

--- a/packages/arbutustally-node/src/arbutustally_node/dispatch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/dispatch.py
@@ -240,7 +240,7 @@
             ran=Ran.MAY_HAVE_RUN,
         )
     return EndpointFailedError(
-        f"engine {endpoint.id} answered status {response.status} {code}; see the engine's log",
+        f"engine {endpoint.id} returned status {response.status} {code}; see the engine's log",
         ran=Ran.MAY_HAVE_RUN,
         retry_after_s=NO_ENDPOINT_RETRY_S,
     )
--- a/packages/arbutustally-node/src/arbutustally_node/http_server.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_server.py
@@ -94,7 +94,7 @@
             self._reader.release()
 
     def handle_one_request(self) -> Any:
-        """Reads one request and answers it."""
+        """Reads one request and serves it."""
         try:
             head = self._reader.read_head()
             if head is None:
--- a/packages/arbutustally-node/src/arbutustally_node/model_request.py
+++ b/packages/arbutustally-node/src/arbutustally_node/model_request.py
@@ -43,7 +43,7 @@
     if not isinstance(model, str) or not model:
         raise BadRequestError("model is missing; name a model of GET /v1/models")
     if fields.get("n") not in (None, 1):
-        raise BadRequestError("n is not 1; send one request for each answer")
+        raise BadRequestError("n is not 1; send one request for each completion")
     stream = fields.get("stream")
     if stream not in (None, True, False):
         raise BadRequestError("stream is not true or false; correct it")
--- a/packages/arbutustally-node/src/arbutustally_node/plain_dispatch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/plain_dispatch.py
@@ -75,8 +75,8 @@
         if echoed is not None and echoed != call.request_id:
             response.close()
             raise EndpointFailedError(
-                f"{endpoint.id} answered another request; find out at the service whether this "
-                "one ran",
+                f"{endpoint.id} returned the response of another request; find out at the service "
+                "whether this one ran",
                 ran=Ran.MAY_HAVE_RUN,
             )
         body = response.read_whole()
