--- a/packages/arbutustally-node/src/arbutustally_node/caller_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_http.py
@@ -202,9 +202,9 @@
             idempotency_key=environ.get("HTTP_IDEMPOTENCY_KEY", ""),
             trace=trace,
         )
-        answer = self._kernel.lookup("bookings").submit(call)
-        headers = dict(answer.headers) | {_REQUEST_ID: trace.request_id}
-        return bottle.HTTPResponse(answer.body, answer.status, headers)
+        response = self._kernel.lookup("bookings").submit(call)
+        headers = dict(response.headers) | {_REQUEST_ID: trace.request_id}
+        return bottle.HTTPResponse(response.body, response.status, headers)
 
     # Code shared by all handlers.
 
--- a/packages/arbutustally-node/src/arbutustally_node/completion_body.py
+++ b/packages/arbutustally-node/src/arbutustally_node/completion_body.py
@@ -18,7 +18,7 @@
     else:
         kind = "text_completion"
         choice["text"] = text
-    answer = {
+    body = {
         "id": call.request_id,
         "object": kind,
         "created": int(time.time()),
@@ -26,8 +26,8 @@
         "choices": [choice],
     }
     if cursor.usage is not None:
-        answer["usage"] = _usage_fields(cursor.usage)
-    return answer
+        body["usage"] = _usage_fields(cursor.usage)
+    return body
 
 
 def _usage_fields(usage: Usage) -> dict[str, Any]:
