--- a/packages/arbutustally-node/src/arbutustally_node/caller_http.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_http.py
@@ -76,12 +76,12 @@
 
     @property
     def address(self) -> str:
-        """Returns the address that was bound."""
+        """Returns the bound address."""
         return self._server.address if self._server else self._options.caller_listen
 
     @property
     def running(self) -> int:
-        """Returns the number of requests that are being answered."""
+        """Returns the number of requests in progress."""
         return self._server.running if self._server else 0
 
     def start(self) -> None:
@@ -90,12 +90,12 @@
         self._server = serve(self._options.caller_listen, self._app, self._options, metrics)
 
     def stop(self) -> None:
-        """Ends all connections."""
+        """Closes all connections."""
         if self._server is not None:
             self._server.stop()
 
     def drain(self) -> None:
-        """Closes connections after their next answer; requests still run."""
+        """Closes each connection after its next response; requests are still served."""
         if self._server is not None:
             self._server.drain()
 
@@ -105,11 +105,11 @@
         app = bottle.Bottle()
         app.route("/healthz", "GET", self._healthz)
         app.route("/readyz", "GET", self._readyz)
-        app.route("/entry", "GET", lambda: self._answer("entry", self._entry))
-        app.route("/v1/models", "GET", lambda: self._answer("models", self._models))
-        app.route("/<_path:path>", _METHODS, lambda _path: self._answer("", self._routed))
-        app.route("/", _METHODS, lambda: self._answer("", self._routed))
-        app.default_error_handler = self._unrouted
+        app.route("/entry", "GET", lambda: self._respond("entry", self._entry))
+        app.route("/v1/models", "GET", lambda: self._respond("models", self._models))
+        app.route("/<_path:path>", _METHODS, lambda _path: self._respond("", self._routed))
+        app.route("/", _METHODS, lambda: self._respond("", self._routed))
+        app.default_error_handler = self._format_bottle_error
         return app
 
     def _healthz(self) -> bottle.HTTPResponse:
@@ -202,13 +202,13 @@
             idempotency_key=environ.get("HTTP_IDEMPOTENCY_KEY", ""),
             trace=trace,
         )
-        answer = self._kernel.lookup("bookings").submit(call)
-        headers = dict(answer.headers) | {_REQUEST_ID: trace.request_id}
-        return bottle.HTTPResponse(answer.body, answer.status, headers)
+        response = self._kernel.lookup("bookings").submit(call)
+        headers = dict(response.headers) | {_REQUEST_ID: trace.request_id}
+        return bottle.HTTPResponse(response.body, response.status, headers)
 
-    # Parts of all handlers.
+    # Code shared by all handlers.
 
-    def _answer(self, name: str, handler: Handler) -> bottle.HTTPResponse:
+    def _respond(self, name: str, handler: Handler) -> bottle.HTTPResponse:
         explain = self._kernel.lookup("explain")
         trace = explain.begin(explain.new_request_id(), "", name)
         try:
@@ -272,8 +272,8 @@
             response.set_header("Retry-After", str(max(1, math.ceil(error.retry_after_s))))
         return response
 
-    def _unrouted(self, result: bottle.HTTPError) -> bytes:
-        """Answers what bottle itself refuses, in the form of all errors."""
+    def _format_bottle_error(self, result: bottle.HTTPError) -> bytes:
+        """Formats errors raised by bottle itself like all other errors of the interface."""
         explain = self._kernel.lookup("explain")
         trace = explain.begin(explain.new_request_id(), "", "")
         error: RouterError = route_unknown()
@@ -287,13 +287,13 @@
 
 
 class _EventBody:
-    """The body of a streamed answer; closing it ends the stream at the engine."""
+    """Body of a streamed response; closing it cancels the stream at the engine."""
 
     def __init__(
         self, first: bytes, events: Iterator[bytes], service: CallerHttp, trace: Trace
     ) -> None:
         self._events = events
-        self._items = self._guarded(first)
+        self._items = self._with_final_error(first)
         self._service = service
         self._trace = trace
 
@@ -305,7 +305,7 @@
         self._items.close()
         self._events.close()
 
-    def _guarded(self, first: bytes) -> Iterator[bytes]:
+    def _with_final_error(self, first: bytes) -> Iterator[bytes]:
         yield first
         try:
             yield from self._events
@@ -345,6 +345,6 @@
 
 def _internal(error: Exception) -> RouterError:
     return RouterError(
-        f"a fault of the router ({type(error).__name__}); report it with the request id",
+        f"internal error of the router ({type(error).__name__}); report it with the request id",
         ran=Ran.MAY_HAVE_RUN,
     )
--- a/packages/arbutustally-node/src/arbutustally_node/whole_answer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/completion_body.py
@@ -1,4 +1,4 @@
-"""The answer of a model in the form of the interface without streaming."""
+"""Response body of a model call without streaming."""
 
 import time
 from typing import Any
@@ -8,8 +8,8 @@
 from arbutustally_node.relay import StreamCursor
 
 
-def whole_answer(call: ModelCall, cursor: StreamCursor) -> dict[str, Any]:
-    """Returns the answer in the form of the interface without streaming."""
+def completion_body(call: ModelCall, cursor: StreamCursor) -> dict[str, Any]:
+    """Returns the JSON body of a completed call without streaming."""
     text = "".join(cursor.texts)
     choice: dict[str, Any] = {"index": 0, "finish_reason": cursor.finish_reason, "logprobs": None}
     if call.path == CHAT_PATH:
@@ -18,7 +18,7 @@
     else:
         kind = "text_completion"
         choice["text"] = text
-    answer = {
+    body = {
         "id": call.request_id,
         "object": kind,
         "created": int(time.time()),
@@ -26,8 +26,8 @@
         "choices": [choice],
     }
     if cursor.usage is not None:
-        answer["usage"] = _usage_fields(cursor.usage)
-    return answer
+        body["usage"] = _usage_fields(cursor.usage)
+    return body
 
 
 def _usage_fields(usage: Usage) -> dict[str, Any]:
--- a/packages/arbutustally-node/src/arbutustally_node/http_body.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_body.py
@@ -1,4 +1,4 @@
-"""Reading of one request from a connection, with bounds on its size and on its time."""
+"""Reads requests from a connection with limits on size and time."""
 
 import re
 from typing import Any
@@ -14,51 +14,51 @@
 
 READ_BYTES = 65536
 MAX_CHUNK_LINE_BYTES = 256
-#: Bytes of request bodies that all connections of a listener may hold at once.
+#: Bytes of request bodies that all connections of a listener may buffer at once.
 MAX_BUFFERED_BYTES = 128 << 20
 
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t -~]*)?")
 
 
 class BodyBudget:
-    """Counts the bytes of bodies that one listener holds.
+    """Limits the bytes of request bodies that one listener buffers.
 
     :param limit: bytes.
     """
 
     def __init__(self, limit: int = MAX_BUFFERED_BYTES) -> None:
         self._limit = limit
-        self._held = 0
+        self._reserved = 0
 
-    def take(self, count: int) -> None:
-        """Adds bytes.
+    def reserve(self, count: int) -> None:
+        """Reserves bytes.
 
-        :raises OverloadedError: if the listener already holds its limit.
+        :raises OverloadedError: if the limit would be exceeded.
         """
-        if self._held + count > self._limit:
+        if self._reserved + count > self._limit:
             raise OverloadedError(
-                "the node holds too many request bodies; send the request again later",
+                "the node buffers too many request bodies; send the request again later",
                 retry_after_s=1.0,
             )
-        self._held += count
+        self._reserved += count
 
-    def give(self, count: int) -> None:
-        """Returns bytes."""
-        self._held -= count
+    def release(self, count: int) -> None:
+        """Releases reserved bytes."""
+        self._reserved -= count
 
     @property
-    def held(self) -> int:
-        """Returns the bytes held."""
-        return self._held
+    def reserved(self) -> int:
+        """Returns the reserved bytes."""
+        return self._reserved
 
 
 class RequestReader:
-    """Reads requests from one connection and keeps bytes of the next one.
+    """Reads requests from one connection and buffers bytes of the next one.
 
     :param sock: connected gevent socket.
     :param clock: monotonic seconds.
-    :param idle_s: longest wait for the first byte of a request.
-    :param send_s: longest time from the first byte of a request to its last.
+    :param idle_s: timeout for the first byte of a request.
+    :param send_s: timeout from the first byte of a request to its last.
     """
 
     def __init__(
@@ -80,10 +80,10 @@
         self._send_s = send_s
         self._buffer = bytearray()
         self._deadline = 0.0
-        self._taken = 0
+        self._body_bytes = 0
 
     def read_head(self) -> RequestHead | None:
-        """Returns the next head, or ``None`` when the connection ends or idles between requests.
+        """Returns the next head, or ``None`` if the connection ends or is idle too long before it.
 
         :raises RouterError: if the head is refused.
         """
@@ -110,9 +110,9 @@
         return self._read_exactly(head.content_length)
 
     def release(self) -> None:
-        """Returns the bytes of the last body to the budget of the listener."""
-        self._budget.give(self._taken)
-        self._taken = 0
+        """Releases the bytes of the last body in the budget of the listener."""
+        self._budget.release(self._body_bytes)
+        self._body_bytes = 0
 
     def _read_chunked(self) -> bytes:
         parts = []
@@ -141,8 +141,8 @@
             left -= len(line) + 2
 
     def _read_exactly(self, count: int) -> bytes:
-        self._budget.take(count)
-        self._taken += count
+        self._budget.reserve(count)
+        self._body_bytes += count
         while len(self._buffer) < count:
             self._receive()
         data = bytes(self._buffer[:count])
--- a/packages/arbutustally-node/src/arbutustally_node/plain_dispatch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/plain_dispatch.py
@@ -1,4 +1,4 @@
-"""Calls of plain services: choice of an instance and one attempt at it."""
+"""Calls to plain services: selects an instance and makes one attempt."""
 
 import random
 from typing import Any
@@ -16,7 +16,7 @@
 NO_ENDPOINT_RETRY_S = 1.0
 REQUEST_ID_HEADER = "X-Request-Id"
 
-_KEPT_RESPONSE_HEADERS_EXCEPT = frozenset(
+_DROPPED_RESPONSE_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "trailer", "te"}
     | {"proxy-authenticate", "server", "date", "x-request-id"}
 )
@@ -26,7 +26,7 @@
     """Sends a call to one instance of a service.
 
     :param kernel: finds ``membership`` and ``pool``.
-    :param rng: chooses among equal instances.
+    :param rng: breaks ties between instances with the same load.
     """
 
     def __init__(self, kernel: Kernel, rng: random.Random) -> None:
@@ -34,7 +34,7 @@
         self._rng = rng
 
     def choose(self, service: str, tried: set[str]) -> Any:
-        """Returns one of the least busy instances.
+        """Returns one of the instances with the fewest running requests.
 
         :param tried: endpoint ids that could not be reached.
         :raises NoEndpointError: if there is none.
@@ -54,7 +54,7 @@
         return self._rng.choice([state for state in states if state.running == least])
 
     def send(self, call: PlainCall, endpoint: Any, fresh: bool) -> PlainAnswer:
-        """Sends the call once and returns the whole answer.
+        """Sends the call once and returns the complete response.
 
         :raises RouterError: ``NOT_RUN`` only if no byte was sent.
         """
@@ -75,8 +75,8 @@
         if echoed is not None and echoed != call.request_id:
             response.close()
             raise EndpointFailedError(
-                f"{endpoint.id} answered another request; find out at the service whether this "
-                "one ran",
+                f"{endpoint.id} returned the response of another request; find out at the service "
+                "whether this one ran",
                 ran=Ran.MAY_HAVE_RUN,
             )
         body = response.read_whole()
@@ -84,7 +84,7 @@
         kept = {
             name: value
             for name, value in response.headers.items()
-            if name not in _KEPT_RESPONSE_HEADERS_EXCEPT
+            if name not in _DROPPED_RESPONSE_HEADERS
         }
         return PlainAnswer(response.status, kept, body, ran)
 
--- a/packages/arbutustally-node/src/arbutustally_node/pool.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -1,4 +1,4 @@
-"""Connections to endpoints, with proof of whether a byte of a request was sent."""
+"""Connections to endpoints; errors state whether any byte of the request may have been sent."""
 
 import contextlib
 import re
@@ -18,25 +18,25 @@
 from arbutustally.engine_client import translate
 from arbutustally.errors import EndpointFailedError, EndpointTimeoutError, Ran
 from arbutustally_node.bounded_head import BoundedConnection
-from arbutustally_node.framing import ChunkedBody, OpenBody, SizedBody
+from arbutustally_node.framing import ChunkedBody, CloseDelimitedBody, SizedBody
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import Options
-from arbutustally_node.silence import SilenceWatch
+from arbutustally_node.read_timeouts import ReadTimeouts
 
 READ_BYTES = 65536
-#: A read below this size means that the endpoint sends slower than the node reads.
-PACED_BYTES = 2048
-#: Reads after which other tasks have their turn, also if more has arrived.
-READS_IN_A_ROW = 16
+#: A read below this size shows that the endpoint sends more slowly than the node reads.
+PACED_READ_BYTES = 2048
+#: Reads after which other greenlets run, even if more data has arrived.
+READS_BEFORE_YIELD = 16
 IDLE_CONNECTIONS_PER_ENDPOINT = 64
 MAX_ENDPOINTS = 512
-#: Largest answer that is read whole.
-MAX_ANSWER_BYTES = 8 << 20
-#: The kernel doubles the value; a stream whose caller is slow holds no more than that unread.
+#: Largest response body that is read into memory by default.
+MAX_BODY_BYTES = 8 << 20
+#: The kernel doubles this value; it bounds the unread data of a stream whose caller is slow.
 RECEIVE_BUFFER_BYTES = 64 << 10
 
-#: Time after which sent bytes without an acknowledgement end a connection, milliseconds. Without
-#: it, a connection that went silent holds its request until the caller gives up.
+#: Time in milliseconds after which a connection with unacknowledged sent data is closed. Without
+#: it, a connection to an unreachable peer blocks its request until the caller's deadline.
 UNACKNOWLEDGED_MS = 1500
 
 SocketOptions = Sequence[tuple[int, int, int]]
@@ -48,14 +48,15 @@
 ]
 _READ = 1
 _KEEP_ALIVE = re.compile(r"timeout=([0-9]{1,6})")
-#: Part of the announced idle time for which a connection is kept; the endpoint counts from earlier.
-KEEP_ALIVE_PART = 0.6
-# gevent's own poll yields to other greenlets; this check must not.
+#: Fraction of the announced keep-alive time for which an idle connection is reused; the endpoint
+#: starts counting earlier.
+KEEP_ALIVE_FRACTION = 0.6
+# gevent's own poll switches to other greenlets, which this check must not do.
 _poll = monkey.get_original("select", "poll")
 
 
 class ExpiringConnection(BoundedConnection):
-    """A connection that is not used again after the endpoint may have closed it."""
+    """A connection that is not reused once the endpoint may have closed it."""
 
     idle_until: float | None = None
 
@@ -74,29 +75,34 @@
 
 
 class PooledResponse:
-    """An endpoint's answer whose body is read from its connection.
+    """An endpoint's response whose body is read from its connection.
 
     :param response: urllib3 response without preloaded content.
-    :param pool: pool that gets the connection back, or ``None`` to close it.
+    :param pooled: the connection returns to its pool after the body; otherwise it is closed.
+    :param read_timeouts: enforces the read timeout.
     """
 
     def __init__(
-        self, response: urllib3.HTTPResponse, address: str, pooled: bool, silence: SilenceWatch
+        self,
+        response: urllib3.HTTPResponse,
+        address: str,
+        pooled: bool,
+        read_timeouts: ReadTimeouts,
     ) -> None:
         self._response = response
         self._address = address
         self._pooled = pooled
-        self._silence = silence
+        self._read_timeouts = read_timeouts
         self._headers = {name.lower(): value for name, value in response.headers.items()}
-        self._original = response._fp
+        self._raw_response = response._fp
         self._socket = _socket_of(response)
         self._body = self._framing()
         self._arrived = self._arrived_with_head()
         self._put_back = b""
         self._closed = False
-        self._silenced = False
+        self._timed_out = False
         self._was_reset = False
-        # Reading before anything has arrived costs a failed call and an exception.
+        # Reading before data has arrived costs a failed system call and an exception.
         self._is_paced = False
         self._reads = 0
         self._hub = gevent.get_hub()
@@ -121,7 +127,7 @@
         """Returns the bytes of the body that have arrived, waiting for the first; empty at its end.
 
         :raises EndpointFailedError: ``MAY_HAVE_RUN``, if the connection breaks inside the body.
-        :raises EndpointTimeoutError: ``MAY_HAVE_RUN``, if the endpoint is silent.
+        :raises EndpointTimeoutError: ``MAY_HAVE_RUN``, if no data arrives within the read timeout.
         """
         if self._put_back:
             data, self._put_back = self._put_back, b""
@@ -132,7 +138,7 @@
                 break
             received = self._receive()
             if not received:
-                if isinstance(self._body, OpenBody) and not self._was_reset:
+                if isinstance(self._body, CloseDelimitedBody) and not self._was_reset:
                     break
                 raise self._broken()
             decoded = self._body.feed(received)
@@ -141,88 +147,91 @@
         return b""
 
     def put_back(self, data: bytes) -> None:
-        """Makes bytes of the body that were read the first ones to be read."""
+        """Returns bytes of the body to the response; the next ``read`` yields them first."""
         self._put_back = data + self._put_back
 
     def _receive(self) -> bytes:
         if self._arrived:
             received, self._arrived = self._arrived, b""
             return received
-        self._silence.waits(self)
+        self._read_timeouts.begin_read(self)
         try:
             self._reads += 1
             if self._is_paced:
                 self._hub.wait(self._readable)
-            elif self._reads % READS_IN_A_ROW == 0:
+            elif self._reads % READS_BEFORE_YIELD == 0:
                 gevent.sleep(0)
             received = self._socket.recv(READ_BYTES)
         except OSError:
-            # Unlike an orderly end, a reset can't end a body without a length.
+            # A reset, unlike an orderly close, is never the end of a body without a length.
             self._was_reset = True
             received = b""
         finally:
-            self._silence.received(self)
-        self._is_paced = len(received) < PACED_BYTES
+            self._read_timeouts.end_read(self)
+        self._is_paced = len(received) < PACED_READ_BYTES
         if not received:
             self.close()
-            if self._silenced:
+            if self._timed_out:
                 raise EndpointTimeoutError(
-                    f"endpoint {self._address} fell silent; check its load", ran=Ran.MAY_HAVE_RUN
+                    f"endpoint {self._address} sent no data before the read timeout; "
+                    "check its load",
+                    ran=Ran.MAY_HAVE_RUN,
                 )
         return received
 
-    def silence(self) -> None:
-        """Ends a read that has waited too long."""
-        self._silenced = True
+    def time_out(self) -> None:
+        """Aborts the current read because of the read timeout."""
+        self._timed_out = True
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
 
     def read_whole(
         self,
-        limit: int = MAX_ANSWER_BYTES,
+        limit: int = MAX_BODY_BYTES,
         watch: Callable[[], AbstractContextManager[None]] = nullcontext,
     ) -> bytes:
-        """Returns the whole body.
+        """Returns the complete body.
 
-        :param watch: returns what watches the wait for a piece of it.
+        :param limit: largest body in bytes.
+        :param watch: returns a context manager that is entered for each wait for a chunk.
         :raises EndpointFailedError: as ``read``, and if the body exceeds ``limit`` bytes.
         """
-        parts = []
+        chunks = []
         size = 0
         while True:
             with watch():
-                part = self.read()
-            if not part:
+                chunk = self.read()
+            if not chunk:
                 break
-            parts.append(part)
-            size += len(part)
+            chunks.append(chunk)
+            size += len(chunk)
             if size > limit:
                 self.close()
                 raise EndpointFailedError(
-                    f"the answer of endpoint {self._address} exceeds {limit} bytes; "
-                    "make the service answer in smaller parts",
+                    f"the response of endpoint {self._address} exceeds {limit} bytes; "
+                    "make the service send smaller responses",
                     ran=Ran.MAY_HAVE_RUN,
                 )
-        return b"".join(parts)
+        return b"".join(chunks)
 
     def __iter__(self) -> Iterator[bytes]:
-        while part := self.read():
-            yield part
+        while chunk := self.read():
+            yield chunk
 
     def settle(self) -> None:
-        """Ends an answer whose content is complete; never waits for more of it.
+        """Ends a response whose content is complete, without waiting for further data.
 
-        The connection is kept only if the end of the body has arrived and nothing after it.
+        The connection is kept only if the end of the body has arrived and no data after it.
         """
         if self._closed:
             return
         with contextlib.suppress(EndpointFailedError, EndpointTimeoutError):
-            if self._ends_now():
+            if self._end_has_arrived():
                 self._finish()
         self.close()
 
-    def _ends_now(self) -> bool:
-        """Returns whether the end of the body has arrived and no content before it."""
+    def _end_has_arrived(self) -> bool:
+        """Returns whether the end of the body has arrived with no unread content before it."""
         while not self._body.done:
             if not (self._arrived or self._is_readable()):
                 return False
@@ -232,20 +241,20 @@
         return not self._put_back
 
     def close(self) -> None:
-        """Closes the connection; unread bytes never reach another request."""
+        """Closes the connection, so that unread bytes cannot reach another request."""
         if self._closed:
             return
         self._closed = True
         self._stop_watching()
         connection = self._response.connection
-        self._original.close()
+        self._raw_response.close()
         self._response.close()
         if connection is not None:
             connection.close()
             self._response.release_conn()
 
     def _finish(self) -> None:
-        reusable = self._pooled and not self._original.will_close
+        reusable = self._pooled and not self._raw_response.will_close
         if not reusable or self._body.unread or self._is_readable():
             self.close()
             return
@@ -254,12 +263,12 @@
         connection = self._response.connection
         if connection is not None:
             connection.idle_until = self._idle_until()
-        self._original.close()
+        self._raw_response.close()
         self._response.release_conn()
 
     def _idle_until(self) -> float | None:
         match = _KEEP_ALIVE.search(self._headers.get("keep-alive", ""))
-        return monotonic() + int(match[1]) * KEEP_ALIVE_PART if match else None
+        return monotonic() + int(match[1]) * KEEP_ALIVE_FRACTION if match else None
 
     def _stop_watching(self) -> None:
         if self._readable is not None:
@@ -273,31 +282,31 @@
         poll.register(self._socket.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
-    def _framing(self) -> ChunkedBody | SizedBody | OpenBody:
-        if self._original.fp is None:
+    def _framing(self) -> ChunkedBody | SizedBody | CloseDelimitedBody:
+        if self._raw_response.fp is None:
             return SizedBody(0)
-        if self._original.chunked:
+        if self._raw_response.chunked:
             return ChunkedBody()
-        if self._original.length is not None:
-            return SizedBody(self._original.length)
-        return OpenBody()
+        if self._raw_response.length is not None:
+            return SizedBody(self._raw_response.length)
+        return CloseDelimitedBody()
 
     def _arrived_with_head(self) -> bytes:
-        """Returns bytes of the body that were read together with the head.
+        """Returns bytes of the body that were read together with the response head.
 
-        Later reads go to the socket, where one call returns everything that has arrived.
+        Later reads use the socket directly, where one call returns all data that has arrived.
         """
-        if self._original.fp is None or self._socket is None:
+        if self._raw_response.fp is None or self._socket is None:
             return b""
         self._socket.settimeout(0.0)
-        arrived = self._original.fp.peek(READ_BYTES)
-        # The watch on silence takes the place of a timer for each read.
+        arrived = self._raw_response.fp.peek(READ_BYTES)
+        # ``ReadTimeouts`` enforces the read timeout instead of a timer for each read.
         self._socket.settimeout(None)
         return arrived
 
     def _broken(self) -> EndpointFailedError:
         return EndpointFailedError(
-            f"the connection to endpoint {self._address} broke; check that it runs",
+            f"the connection to endpoint {self._address} failed; check that the endpoint runs",
             ran=Ran.MAY_HAVE_RUN,
         )
 
@@ -306,7 +315,8 @@
     connection = response.connection
     if connection is not None and connection.sock is not None:
         return connection.sock
-    # An answer that ends its connection takes the socket away from the connection object.
+    # For a response that closes its connection, http.client detaches the socket from the
+    # connection object.
     reader = response._fp.fp
     return reader.raw._sock if reader is not None else None
 
@@ -314,9 +324,9 @@
 class PoolService:
     """urllib3 connection pools by endpoint address.
 
-    :param connect_s: time to connect.
-    :param read_s: longest silence of an endpoint.
-    :param socket_options: of each connection.
+    :param connect_s: connect timeout.
+    :param read_s: read timeout.
+    :param socket_options: options set on each socket.
     """
 
     def __init__(
@@ -325,7 +335,7 @@
         self._socket_options = socket_options
         self._connect_s = connect_s
         self._read_s = read_s
-        self._silence = SilenceWatch(monotonic, read_s)
+        self._read_timeouts = ReadTimeouts(monotonic, read_s)
         self._pools: OrderedDict[str, urllib3.HTTPConnectionPool] = OrderedDict()
 
     @classmethod
@@ -334,11 +344,11 @@
         return cls(options.endpoint_connect_timeout_s, options.endpoint_read_timeout_s)
 
     def start(self) -> None:
-        """Does nothing; connections are made when they are needed."""
+        """Does nothing; connections are opened on demand."""
 
     def stop(self) -> None:
         """Closes idle connections."""
-        self._silence.stop()
+        self._read_timeouts.stop()
         for pool in self._pools.values():
             pool.close()
         self._pools.clear()
@@ -353,14 +363,14 @@
         timeout_s: float = 0.0,
         fresh: bool = False,
     ) -> PooledResponse:
-        """Sends a request and returns the answer with its body unread.
+        """Sends a request and returns the response with its body unread.
 
         :param endpoint: ``EndpointState``; its ``address`` is used.
-        :param timeout_s: longest wait for the head of the answer, 0 for that of the node.
+        :param timeout_s: timeout for the response head, 0 for the read timeout of the pool.
         :param fresh: use a new connection. An idle one may have been closed by the endpoint, and
-            then nobody can tell whether the request was read.
+            then it is unknown whether the endpoint read the request.
         :raises EndpointFailedError: ``NOT_RUN`` only if the connection was never established.
-        :raises EndpointTimeoutError: ``MAY_HAVE_RUN``, if no answer began in time.
+        :raises EndpointTimeoutError: ``MAY_HAVE_RUN``, if no response head arrived in time.
         """
         address = endpoint.address
         timeout = urllib3.Timeout(connect=self._connect_s, read=timeout_s or self._read_s)
@@ -379,7 +389,7 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise translate(error, address) from error
-        return PooledResponse(response, address, not fresh, self._silence)
+        return PooledResponse(response, address, not fresh, self._read_timeouts)
 
     def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
         pool = self._pools.get(address)
--- a/packages/arbutustally-node/src/arbutustally_node/stream_report.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_report.py
@@ -1,4 +1,4 @@
-"""What one model call tells placement, versions, limits, metrics and its explanation."""
+"""Reports of one model call to placement, versions, metrics and its trace."""
 
 from typing import Any
 
@@ -12,8 +12,8 @@
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.relay import Fault, StreamCursor
 
-#: Candidates that an explanation shows.
-MAX_RANKED_NOTED = 5
+#: Candidates listed in a trace.
+MAX_RANKED_IN_TRACE = 5
 
 _RETRIED = {
     fault: declare(f"retried.{fault}", f"Stream read on elsewhere: {fault}.") for fault in Fault
@@ -24,7 +24,7 @@
 
 
 def estimated_prompt_tokens(call: ModelCall) -> int:
-    """Returns the tokens of the prompt before an engine has counted them."""
+    """Returns the prompt tokens estimated from the body size, until an engine has counted them."""
     return call.prompt_bytes // BYTES_PER_TOKEN + 1
 
 
@@ -40,8 +40,8 @@
         self._version = ""
         self._shape: PromptShape | None = None
 
-    def began(self, version: str, shape: PromptShape | None) -> None:
-        """Takes the weights version and, unless the stream is resumed, the prompt's shape."""
+    def begin(self, version: str, shape: PromptShape | None) -> None:
+        """Sets the weights version and, unless the stream is resumed, the prompt's shape."""
         self._version = version
         self._shape = shape
 
@@ -50,7 +50,7 @@
         self._kernel.lookup("metrics").count(counter)
 
     def placed(self, endpoint: Any, choice: Choice) -> None:
-        """Notes why an endpoint was chosen."""
+        """Records why an endpoint was chosen."""
         self._call.trace.note(
             "placed",
             endpoint=endpoint.id,
@@ -60,23 +60,27 @@
             reasons=list(choice.reasons),
             ranked=[
                 {"endpoint": entry.endpoint, "first_token_s": round(entry.first_token_s, 4)}
-                for entry in choice.ranked[:MAX_RANKED_NOTED]
+                for entry in choice.ranked[:MAX_RANKED_IN_TRACE]
             ],
         )
 
-    def not_answered(
+    def dispatch_failed(
         self, endpoint: Any, choice: Choice, error: RouterError, counter: Counter, lost_s: float
     ) -> None:
-        """Reports a dispatch that failed before an answer began."""
+        """Reports a dispatch that failed before a response began."""
         self.count(counter)
         self._call.trace.note(
             "retried", endpoint=endpoint.id, reason=error.code, lost_s=round(lost_s, 4)
         )
-        self._observe(False)
-        self._learn(endpoint.id, choice, None)
+        self._report_to_versions(False)
+        self._report_to_placement(endpoint.id, choice, None)
 
-    def broken(self, link: Link, fault: Fault, at: int, lost_s: float) -> None:
-        """Reports a stream that broke at a token."""
+    def stream_broken(self, link: Link, fault: Fault, at: int, lost_s: float) -> None:
+        """Reports a stream that broke.
+
+        :param at: index of the next token.
+        :param lost_s: seconds since the last token, or since the request was sent.
+        """
         self.count(_RETRIED[fault])
         self._call.trace.note(
             "retried",
@@ -86,20 +90,20 @@
             lost_s=round(lost_s, 4),
         )
 
-    def failed(self, link: Link) -> None:
-        """Reports an endpoint that could not carry its stream on."""
-        self._observe(False)
+    def endpoint_failed(self, link: Link) -> None:
+        """Reports an endpoint that could not continue its stream."""
+        self._report_to_versions(False)
         if link.choice is not None:
-            self._learn(link.endpoint.id, link.choice, None)
+            self._report_to_placement(link.endpoint.id, link.choice, None)
 
     def first_token(self, link: Link) -> None:
-        """Notes the first token of a link."""
+        """Records the first token of a link."""
         self._call.trace.note(
             "first_token", endpoint=link.endpoint.id, first_token_s=round(link.first_token_s, 4)
         )
 
     def completed(self, link: Link, cursor: StreamCursor) -> None:
-        """Reports a whole answer."""
+        """Reports a complete response."""
         usage = cursor.usage
         self._call.trace.note(
             "completed",
@@ -110,20 +114,24 @@
         )
         gap_s = link.gap_s(cursor.next_index)
         if link.choice is None:
-            self._observe(True, None, gap_s)
+            self._report_to_versions(True, None, gap_s)
             return
         work = usage.prompt_tokens - usage.cached_tokens if usage else None
-        self._observe(True, link.first_token_s, gap_s, work)
-        self._learn(link.endpoint.id, link.choice, usage, link.first_token_s)
+        self._report_to_versions(True, link.first_token_s, gap_s, work)
+        self._report_to_placement(link.endpoint.id, link.choice, usage, link.first_token_s)
 
     def abandoned(self, link: Link, at: int) -> None:
-        """Reports a stream whose caller left; it says nothing about the endpoint or its cache."""
+        """Reports a stream whose caller disconnected.
+
+        It is no evidence about the endpoint or its cache: neither success nor failure is counted,
+        and placement receives the expected number of cached tokens as the actual one.
+        """
         self._call.trace.note("abandoned", endpoint=link.endpoint.id, at=at)
         if link.choice is not None:
             expected = Usage(0, 0, link.choice.expected_cached_tokens)
-            self._learn(link.endpoint.id, link.choice, expected)
+            self._report_to_placement(link.endpoint.id, link.choice, expected)
 
-    def _learn(
+    def _report_to_placement(
         self,
         endpoint: str,
         choice: Choice,
@@ -145,7 +153,7 @@
         )
         self._kernel.lookup("placement").learn(observation)
 
-    def _observe(
+    def _report_to_versions(
         self,
         ok: bool,
         first_token_s: float | None = None,
--- a/packages/arbutustally-node/src/arbutustally_node/stream_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_run.py
@@ -33,12 +33,12 @@
     estimated_prompt_tokens,
 )
 
-#: Resumptions of one stream that bring no token before another engine is tried.
-MAX_IDLE_RESUMES = 2
-#: The same after silence; each one may cost the longest accepted silence again.
-MAX_SILENT_RESUMES = 1
-#: The same while no other engine can take the stream.
-MAX_LAST_RESUMES = 4
+#: Consecutive resumptions of a stream without a new token before another engine is tried.
+MAX_RESUMES_WITHOUT_TOKEN = 2
+#: The same after a read timeout; each further resumption may wait for the whole timeout again.
+MAX_RESUMES_AFTER_TIMEOUT = 1
+#: The same while no other engine can continue the stream.
+MAX_RESUMES_OF_LAST_ENGINE = 4
 DONE = b"data: [DONE]\n\n"
 
 
@@ -67,16 +67,16 @@
         self._tried: set[str] = set()
         self._link: Link | None = None
         self._admission: Any = None
-        self._idle_resumes = 0
+        self._resumes_without_token = 0
         self._ran = Ran.NOT_RUN
 
     @property
     def cursor(self) -> StreamCursor:
-        """Returns what was received."""
+        """Returns the state of the stream received so far."""
         return self._cursor
 
     def events(self) -> Iterator[bytes]:
-        """Yields batches of events and then the end mark."""
+        """Yields batches of events and then the end marker."""
         try:
             if self._call.last_event_id:
                 yield from self._resumed()
@@ -102,7 +102,7 @@
                 self._version = self._kernel.lookup("versions").pick(call.model, call.request_id)
                 call.trace.note("version_picked", version=self._version)
                 self._shape = split_levels(call.prompt, _yield_to_others)
-                self._report.began(self._version, self._shape)
+                self._report.begin(self._version, self._shape)
                 self._cursor = StreamCursor(call.request_id, self._version)
                 yield from self._relay(self._open_link)
         finally:
@@ -119,7 +119,7 @@
         self._ran = Ran.MAY_HAVE_RUN
         self._call = call = replace(self._call, request_id=token.request_id)
         self._cursor = StreamCursor(token.request_id, token.version, event.index + 1, False)
-        self._report.began(token.version, None)
+        self._report.begin(token.version, None)
         self._report.count(RESUMED)
         call.trace.note("resuming", stream=token.request_id, after=event.index)
         yield from self._relay(lambda: self._resume_for_caller(event))
@@ -137,7 +137,7 @@
                 self._abandon(self._link)
 
     def _pump(self, link: Link) -> Generator[bytes, None, Fault | None]:
-        """Yields checked events of a link; returns the fault that ends it, ``None`` at the end."""
+        """Yields checked events of a link; returns its fault, ``None`` if the stream completed."""
         with self._call.watch:
             return (yield from self._read_events(link))
 
@@ -149,7 +149,7 @@
             try:
                 data = link.response.read()
             except EndpointTimeoutError:
-                return Fault.SILENT
+                return Fault.READ_TIMEOUT
             except EndpointFailedError:
                 return Fault.BROKEN
             if not data:
@@ -180,11 +180,11 @@
 
     def _progress(self, link: Link) -> None:
         link.last_s = self._clock()
-        self._idle_resumes = 0
+        self._resumes_without_token = 0
         if link.first_s:
             return
         link.first_s = link.last_s
-        self._dispatcher.started(link)
+        self._dispatcher.release_load(link)
         if self._admission is not None:
             self._admission.started()
         self._report.first_token(link)
@@ -213,7 +213,7 @@
                     call, self._version, self._shape, self._tried
                 )
             except NoEndpointError as error:
-                raise self._final(failure or error) from error
+                raise self._with_run_state(failure or error) from error
             self._tried.add(endpoint.id)
             self._report.placed(endpoint, choice)
             try:
@@ -222,7 +222,7 @@
                 failure = error
                 if not self._retries.allow(call.account):
                     call.trace.note("retry_budget_empty")
-                    raise self._final(failure) from error
+                    raise self._with_run_state(failure) from error
 
     def _send(self, endpoint: Any, choice: Any) -> Link:
         begun = self._clock()
@@ -245,53 +245,57 @@
                 counter = NOT_SENT
             else:
                 self._dispatcher.cancel(endpoint, self._call.request_id)
-            self._report.not_answered(endpoint, choice, error, counter, self._clock() - begun)
+            self._report.dispatch_failed(endpoint, choice, error, counter, self._clock() - begun)
             raise
 
     def _recover(self, link: Link, fault: Fault) -> Link:
-        """Returns a link that carries the stream on from the cursor.
+        """Returns a link that continues the stream from the cursor.
 
-        :raises StreamLostError: if nothing can carry it on.
+        :raises StreamLostError: if no engine can continue it.
         """
         lost_s = self._clock() - (link.last_s or link.opened_s)
-        self._report.broken(link, fault, self._cursor.next_index, lost_s)
+        self._report.stream_broken(link, fault, self._cursor.next_index, lost_s)
         link.response.close()
         if fault is Fault.OTHER_INCARNATION:
-            self._dispatcher.lost(link.endpoint, link.incarnation)
-        elif self._resume(link, MAX_SILENT_RESUMES if fault is Fault.SILENT else MAX_IDLE_RESUMES):
+            self._dispatcher.mark_dead(link.endpoint, link.incarnation)
+        elif self._resume(
+            link,
+            MAX_RESUMES_AFTER_TIMEOUT if fault is Fault.READ_TIMEOUT else MAX_RESUMES_WITHOUT_TOKEN,
+        ):
             return link
-        if fault is Fault.SILENT:
-            return self._continue_from_silent(link)
-        self._give_up(link)
+        if fault is Fault.READ_TIMEOUT:
+            return self._continue_after_timeout(link)
+        self._drop_link(link)
         return self._continue_elsewhere()
 
-    def _continue_from_silent(self, link: Link) -> Link:
-        """Returns a link at another engine, or at the silent one if no other takes the stream.
+    def _continue_after_timeout(self, link: Link) -> Link:
+        """Returns a link to another engine, or to the same one if no other continues the stream.
 
-        An engine that is silent may only be behind, and still has the stream.
+        An engine that sent nothing until the read timeout may only be overloaded and still have the
+        stream.
         """
         try:
             continued = self._continue_elsewhere()
         except StreamLostError:
-            if self._resume(link, MAX_LAST_RESUMES):
+            if self._resume(link, MAX_RESUMES_OF_LAST_ENGINE):
                 return link
-            self._give_up(link)
+            self._drop_link(link)
             raise
-        self._give_up(link)
+        self._drop_link(link)
         return continued
 
-    def _give_up(self, link: Link) -> None:
-        """Leaves an engine that could not carry its stream on, and ends its work."""
+    def _drop_link(self, link: Link) -> None:
+        """Closes the link to an engine that failed to continue and cancels the request there."""
         self._link = None
-        self._dispatcher.leave(link)
-        self._report.failed(link)
+        self._dispatcher.close_link(link)
+        self._report.endpoint_failed(link)
         self._dispatcher.cancel(link.endpoint, self._call.request_id)
 
     def _resume(self, link: Link, limit: int) -> bool:
-        """Reads a stream on from the incarnation that produces it; returns whether it can."""
-        if self._idle_resumes >= limit or not self._cursor.incarnation:
+        """Resumes a stream on the incarnation that produces it; returns whether that succeeded."""
+        if self._resumes_without_token >= limit or not self._cursor.incarnation:
             return False
-        self._idle_resumes += 1
+        self._resumes_without_token += 1
         try:
             link.response = self._dispatcher.resume(
                 self._call, link.endpoint, self._cursor.incarnation, self._cursor
@@ -306,7 +310,7 @@
 
     def _continue_elsewhere(self) -> Link:
         if not self._cursor.can_continue:
-            raise self._lost("this node does not hold the tokens sent before")
+            raise self._lost("this node does not have the tokens sent before")
         if not self._retries.allow(self._call.account):
             raise self._lost("the retry budget is used up")
         try:
@@ -327,7 +331,7 @@
             if state.id == token.endpoint
         ]
         if not found or found[0].incarnation not in ("", token.incarnation):
-            raise self._not_resumable("its engine is gone")
+            raise self._not_resumable("its engine is not available or was restarted")
         opened_s = self._clock()
         try:
             response = self._dispatcher.resume(
@@ -338,17 +342,17 @@
         first = self._cursor.next_index
         return Link(found[0], token.incarnation, None, response, 0, opened_s, first)
 
-    # Ends.
+    # Completion and cancellation.
 
     def _complete(self, link: Link) -> None:
         link.response.settle()
-        self._dispatcher.leave(link)
+        self._dispatcher.close_link(link)
         self._retries.succeeded(self._call.account)
         self._report.completed(link, self._cursor)
 
     def _abandon(self, link: Link) -> None:
         self._link = None
-        self._dispatcher.leave(link)
+        self._dispatcher.close_link(link)
         self._dispatcher.cancel(link.endpoint, self._call.request_id)
         self._report.abandoned(link, self._cursor.next_index)
 
@@ -359,7 +363,7 @@
         prompt = usage.prompt_tokens if usage else estimated_prompt_tokens(self._call)
         return prompt + self._cursor.next_index
 
-    def _final(self, error: RouterError) -> RouterError:
+    def _with_run_state(self, error: RouterError) -> RouterError:
         if self._ran is not Ran.NOT_RUN:
             error.ran = self._ran
         return error
@@ -380,5 +384,5 @@
 
 
 def _yield_to_others() -> None:
-    """Lets other greenlets run between the parts of a long computation."""
+    """Lets other greenlets run between the steps of a long computation."""
     gevent.sleep(0)
--- a/packages/arbutustally-node/src/arbutustally_node/streams.py
+++ b/packages/arbutustally-node/src/arbutustally_node/streams.py
@@ -1,4 +1,4 @@
-"""Relay of model answers: retries before the first token, resumption and continuation after it."""
+"""Relays model responses: retries before the first token, resumes or continues after it."""
 
 from collections.abc import Iterator
 from typing import Any
@@ -6,11 +6,11 @@
 from arbutustally.clock import Clock, monotonic
 from arbutustally.retries import RetryBudget
 from arbutustally_node.calls import ModelCall
+from arbutustally_node.completion_body import completion_body
 from arbutustally_node.dispatch import Dispatcher
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import Options
 from arbutustally_node.stream_run import StreamRun
-from arbutustally_node.whole_answer import whole_answer
 
 
 class StreamsService:
@@ -37,10 +37,10 @@
         """Does nothing; streams end with the connections of their callers."""
 
     def complete(self, call: ModelCall) -> Iterator[bytes]:
-        """Returns the server-sent events of the answer.
+        """Returns the server-sent events of the response.
 
-        The first item comes after the first token, so an error before it can still become an
-        ordinary error answer.
+        The first item is yielded after the first token has arrived, so an earlier error can still
+        be sent as an ordinary error response.
 
         :raises StreamLostError: while iterating, if the stream cannot be continued.
         :raises RouterError: before the first item, if the request is refused.
@@ -48,14 +48,14 @@
         return self._new(call).events()
 
     def complete_whole(self, call: ModelCall) -> dict[str, Any]:
-        """Returns the whole answer.
+        """Returns the complete response.
 
         :raises RouterError: if the request is refused or its stream is lost.
         """
         run = self._new(call)
         for _events in run.events():
             continue
-        return whole_answer(call, run.cursor)
+        return completion_body(call, run.cursor)
 
     def _new(self, call: ModelCall) -> StreamRun:
         return StreamRun(
