Reword the texts of the node's reading, writing and checkpointing of the log

The comments, docstrings, log lines and error messages used figurative or terse wording. They now use the usual terms; no statement changes.

--- a/packages/arbutustally-node/src/arbutustally_node/checkpoint_writer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/checkpoint_writer.py
@@ -1,4 +1,4 @@
-"""Writes checkpoints of the fold while this node holds the lease for it."""
+"""Writes checkpoints of the folded state while this node holds the checkpoint lease."""
 
 import math
 from random import Random
@@ -20,10 +20,11 @@
 )
 
 LEASE_NAME = "checkpoint"
-#: Part of the retention between two checkpoints, so that several lie within it.
+#: Interval between two checkpoints as a fraction of the retention, so that the log always holds
+#: several.
 INTERVAL_PART = 0.25
-#: Part of the retention over which the nodes spread their claims of the lease; without it, all
-#: nodes of a fleet would append at the same moment when a holder is gone.
+#: Fraction of the retention over which the nodes spread their claims of the lease; otherwise all
+#: nodes of a fleet would append at the same moment when the holder fails.
 CLAIM_SPREAD_PART = 0.001
 _LOOK_EVERY = 0.02
 _LONGEST_LOOK_S = 5.0
@@ -34,9 +35,9 @@
 
 
 class CheckpointWriter:
-    """Appends the whole fold every quarter of the retention.
+    """Appends the whole state every quarter of the retention.
 
-    :param retention_s: declared retention of the log.
+    :param retention_s: configured retention of the log in seconds.
     """
 
     def __init__(
@@ -60,7 +61,7 @@
         log.subscribe(self._read_back)
 
     def start(self) -> None:
-        """Starts to claim the lease and to write."""
+        """Starts claiming the lease and writing checkpoints."""
         self._hold.start()
         self._greenlet = gevent.spawn(self._run)
 
@@ -79,13 +80,13 @@
                 self.step()
             except LogUnavailableError as error:
                 self._metrics.count(CHECKPOINT_RETRIED)
-                _log.warning("checkpoint not written", error=error.message)
+                _log.warning("writing a checkpoint failed; it will be retried", error=error.message)
 
     def step(self) -> bool:
         """Writes a checkpoint if one is due.
 
         :return: whether one was written.
-        :raises LogUnavailableError: if the log did not take all of it.
+        :raises LogUnavailableError: if the log did not confirm all of it.
         """
         is_due = self._clock() - self._last_at >= self._interval_s
         if not is_due or self._log.state.version < 0 or not self._hold.valid():
@@ -101,9 +102,9 @@
         return True
 
     def _read_back(self, _offset: int, record: Record | None, _verdict: Verdict) -> None:
-        """Notes checkpoints of other holders.
+        """Restarts the interval when all parts of a checkpoint have been read, from any holder.
 
-        Only those read while the tail is followed count: the age of an older one is not known.
+        Ignores checkpoints read before the node is ready, because their age is not known.
         """
         body = record.body if record is not None else None
         if not isinstance(body, CheckpointPart) or not self._log.ready:
--- a/packages/arbutustally-node/src/arbutustally_node/log_batcher.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_batcher.py
@@ -1,4 +1,4 @@
-"""Appends of claims and outcomes to the log in batches."""
+"""Appends claims and outcomes of bookings to the log in batches."""
 
 from collections import deque
 from typing import Any
@@ -12,17 +12,19 @@
 from arbutustally.records import Body, Outcome
 from arbutustally_node.kernel import Kernel
 
-#: Time for which records are collected; it grows to the duration of the last append.
+#: Limits of the time for which records are collected; within them it follows the duration of the
+#: last append.
 MIN_INTERVAL_S = 0.02
 MAX_INTERVAL_S = 1.0
 MAX_BATCH = 128
-#: Outcomes that wait for the log; the oldest is dropped, and its booking stays unknown.
+#: Queued records; beyond this the oldest is dropped. The result of a booking whose outcome is
+#: dropped stays unknown.
 MAX_WAITING = 8192
 RETRY_S = 0.5
 
 
 class PendingAppend:
-    """A record that waits for its append."""
+    """A record that is queued to be appended."""
 
     def __init__(self, body: Body) -> None:
         self._body = body
@@ -44,33 +46,34 @@
         self._cancelled = True
 
     def wait(self, timeout_s: float) -> Any:
-        """Returns ``Appended``.
+        """Waits for the append and returns its ``Appended``.
 
+        :param timeout_s: in seconds.
         :raises LogUnavailableError: if the log did not confirm the append in time.
         """
         try:
             return self._result.get(timeout=timeout_s)
         except gevent.Timeout:
             raise LogUnavailableError(
-                "the log did not confirm in time; send the request again later"
+                "the log did not confirm the append in time; send the request again later"
             ) from None
 
     def resolve(self, appended: Any) -> None:
-        """Hands over the result."""
+        """Passes the result to the waiting caller."""
         self._result.set(appended)
 
     def fail(self, error: Exception) -> None:
-        """Hands over an error."""
+        """Raises an error in the waiting caller."""
         self._result.set_exception(error)
 
 
 class LogBatcher:
-    """One greenlet that appends everything that waits.
+    """Appends all queued records from one greenlet.
 
-    Outcomes are sent again until the log confirms them; a repeated one changes nothing. Claims are
-    sent once, because their sender gives up.
+    Outcomes are sent again until the log confirms them; a duplicate has no effect. Claims are sent
+    once, because their caller stops waiting.
 
-    :param kernel: finds ``log``.
+    :param kernel: provides the service ``log``.
     """
 
     def __init__(self, kernel: Kernel, clock: Clock) -> None:
@@ -87,23 +90,28 @@
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Ends the greenlet; what waits is lost."""
+        """Stops the greenlet; queued records are lost."""
         if self._greenlet is not None:
             self._greenlet.kill()
 
     @property
     def waiting(self) -> int:
-        """Returns the number of records that wait."""
+        """Returns the number of queued records."""
         return len(self._waiting)
 
     def submit(self, body: Body) -> PendingAppend:
-        """Queues a record."""
+        """Queues a record; if the queue is full, its oldest record fails."""
         pending = PendingAppend(body)
         self._waiting.append(pending)
         if len(self._waiting) > MAX_WAITING:
             dropped = self._waiting.popleft()
-            dropped.fail(LogUnavailableError("too many records wait for the log; try again later"))
-            self._logger.warning("record dropped", kind=type(dropped.body).__name__)
+            dropped.fail(
+                LogUnavailableError("too many records are queued for the log; try again later")
+            )
+            self._logger.warning(
+                "oldest record dropped; the queue for the log is full",
+                kind=type(dropped.body).__name__,
+            )
         self._wake.set()
         return pending
 
--- a/packages/arbutustally-node/src/arbutustally_node/log_peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_peers.py
@@ -1,4 +1,4 @@
-"""Exchange of log records between nodes: a node that is behind fetches what others hold."""
+"""Exchange of log records between nodes: a node that lags fetches records from its peers."""
 
 import math
 from random import Random
@@ -16,29 +16,30 @@
 
 TAIL_METHOD = "log_tail"
 SNAPSHOT_METHOD = "log_snapshot"
-#: Frames of peer links end at 1 MB.
+#: A frame of a peer link holds at most 1 MB.
 PART_BYTES = 512 << 10
 _TAIL_BYTES = 256 << 10
 _TAIL_RECORDS = 500
 _INTERVAL_S = 1.0
-#: A node that starts serves as soon as its first peer link is up.
+#: Interval until the node is ready, so that a starting node serves as soon as its first peer link
+#: is up.
 _START_INTERVAL_S = 0.1
 _TIMEOUT_S = 2.0
 _ASKED_PEERS = 2
 _MAX_PARTS = 1024
 _CACHE_S = 5.0
-#: Rounds with one peer before the next one is asked.
+#: Requests to one peer before the next one is tried.
 _MAX_ROUNDS = 20
 
 _log = get_logger("log_peers")
 
 
 class LogPeers:
-    """Answers peers about the log and asks them while the node's own reading is behind.
+    """Serves log records to peers and fetches them while this node's own reading lags.
 
-    :ivar confirmed_at: when a peer's confirmation of the tail was at least made, monotonic
-        seconds of this node; only set once everything that the peer holds was applied.
-    :ivar known_offset: highest offset that any peer was seen to hold.
+    :ivar confirmed_at: lower bound of the time at which a peer confirmed the tail, in monotonic
+        seconds of this node; only set once all records that the peer holds were applied.
+    :ivar known_offset: highest offset that any peer has reported.
     """
 
     def __init__(self, kernel: Kernel, view: LogView, clock: Clock, rng: Random, log: Any) -> None:
@@ -54,7 +55,7 @@
         self.known_offset = -1
 
     def start(self) -> None:
-        """Registers the handlers and starts asking; without a peers service nothing happens."""
+        """Registers the handlers and starts polling; does nothing without a ``peers`` service."""
         peers = self._peers()
         if peers is None:
             return
@@ -63,7 +64,7 @@
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Stops asking."""
+        """Stops polling the peers."""
         if self._greenlet is not None:
             self._greenlet.kill()
             self._greenlet = None
@@ -82,13 +83,15 @@
             gevent.sleep(self._rng.uniform(0.5, 1.0) * interval_s)
 
     def ask(self) -> None:
-        """Asks a few peers for what this node lacks."""
+        """Fetches missing records from a few peers chosen at random."""
         names = list(self._peers().connected())
         for name in self._rng.sample(names, min(_ASKED_PEERS, len(names))):
             try:
                 self._catch_up(name)
             except (RouterError, KeyError, TypeError, ValueError, OSError) as error:
-                _log.info("peer gave no log records", peer=name, error=str(error)[:200])
+                _log.info(
+                    "fetching log records from a peer failed", peer=name, error=str(error)[:200]
+                )
 
     def _catch_up(self, name: str) -> None:
         for _ in range(_MAX_ROUNDS):
@@ -98,9 +101,9 @@
                 return
 
     def _ask_one(self, name: str) -> int:
-        """Asks for the next records.
+        """Fetches the next records, or a snapshot if the peer no longer keeps them.
 
-        :return: the offset that the peer holds.
+        :return: the offset that the peer has reached.
         """
         sent_at = self._clock()
         answer = self._call(name, TAIL_METHOD, {"from": self._view.next_offset})
@@ -113,8 +116,8 @@
                 record = decode(orjson.loads(row)) if row is not None else None
                 self._view.apply(int(record_offset), record)
         if answer["ready"] and self._view.state.offset >= offset:
-            # The peer computed the age after this node sent its question, so the instant is
-            # never later than the true one.
+            # The peer computed the age after this node sent its request, so the result is never
+            # later than the true time.
             self.confirmed_at = max(self.confirmed_at, sent_at - float(answer["age_s"]))
         return offset
 
@@ -127,7 +130,9 @@
             question = {"part": part, "offset": first["offset"]}
             answer = self._call(name, SNAPSHOT_METHOD, question)
             if answer["offset"] != first["offset"]:
-                raise SnapshotInvalidError("the peer took a new snapshot meanwhile; ask again")
+                raise SnapshotInvalidError(
+                    "the peer took a new snapshot during the transfer; retry"
+                )
             pieces.append(answer["data"])
         self._view.install(b"".join(pieces))
 
@@ -145,7 +150,11 @@
         }
 
     def _snapshot(self, _node_id: str, payload: Any) -> dict[str, Any]:
-        """Answers one part; later parts are of the snapshot that the first one began."""
+        """Returns one part of a snapshot.
+
+        A request with a negative offset starts a transfer and takes a new snapshot unless the
+        cached one is usable; later parts come from the cached one.
+        """
         if payload["offset"] < 0 and not self._is_cache_useful(int(payload["from"])):
             self._cached = (self._view.state.offset, self._view.state.snapshot())
             self._cached_at = self._clock()
@@ -158,9 +167,10 @@
         }
 
     def _is_cache_useful(self, start: int) -> bool:
-        """Returns whether the last snapshot and the kept records after it serve a peer.
+        """Returns whether the cached snapshot and the kept records after it suffice for a peer.
 
-        Many nodes that restart at once ask within seconds, and encoding holds up all requests.
+        Many nodes that restart at once request it within seconds, and encoding a snapshot blocks
+        all requests of this node.
         """
         offset = self._cached[0]
         is_recent = self._clock() - self._cached_at < _CACHE_S
@@ -168,7 +178,7 @@
 
 
 def _bounded(records: list) -> list[tuple[int, bytes | None]]:
-    """Encodes records up to a size that fits into one frame; the first one always fits."""
+    """Encodes records up to a size that fits into one frame; always includes the first one."""
     rows: list[tuple[int, bytes | None]] = []
     size = 0
     for offset, record in records:
--- a/packages/arbutustally-node/src/arbutustally_node/log_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_reader.py
@@ -1,4 +1,4 @@
-"""Reads the log by long poll; finds a checkpoint when records are missing."""
+"""Reads the log by long polling and searches it for a checkpoint when records are missing."""
 
 from collections.abc import Callable
 from random import Random
@@ -26,22 +26,23 @@
 BATCH_RECORDS = 1000
 _RETRY_FIRST_S = 0.05
 _RETRY_LAST_S = 1.0
-#: Records of others are read in groups; a read for each would cost a node more bytes in heads of
-#: HTTP messages than in records.
+#: Pause after a read at the tail, so that records of other nodes are read in groups. With one read
+#: per record, a node would transfer more bytes of HTTP headers than of records.
 GROUP_PAUSE_S = 0.2
-#: Age of the last confirmation, in longest waits of a poll, from which the process was paused.
+#: If the last confirmation is older than this many longest waits of a poll, the process is taken
+#: to have been paused.
 _PAUSED_POLLS = 2.0
-#: Keeps a log that answers at once with nothing from being polled without a pause.
+#: Pause after an empty response that did not wait for records, to avoid a busy loop.
 _EMPTY_PAUSE_S = 0.05
 
 _log = get_logger("log_reader")
 
 
 class Reading(Protocol):
-    """The part of the log client that the reader uses."""
+    """The methods of the log client that the reader uses."""
 
     def read(self, start: int, limit: int, wait_s: float) -> ReadResult:
-        """Reads records."""
+        """Reads up to ``limit`` records, waiting up to ``wait_s`` seconds for the first one."""
 
 
 class _Scan:
@@ -53,16 +54,18 @@
         self.assembler = CheckpointAssembler()
 
     def moved(self, oldest: int) -> None:
-        """Notes that the log has dropped more records."""
+        """Skips records that the log has dropped since."""
         self.oldest = max(self.oldest, oldest)
         self.next = max(self.next, oldest)
 
 
 class LogReader:
-    """Feeds the view in log order.
+    """Applies records to the view in log order.
 
-    :param wait_s: longest wait of a poll; it bounds the age of the last confirmation of the tail.
-    :param is_awaited: tells whether an own record is to be read back, so that no pause is made.
+    :param wait_s: longest wait of a poll in seconds; it bounds the age of the last confirmation of
+        the tail.
+    :param is_awaited: returns whether a record of this node is to be read back; the reader then
+        does not pause.
     """
 
     def __init__(
@@ -91,12 +94,12 @@
 
     @property
     def confirmed_at(self) -> float:
-        """Returns when the last read that reached the tail was sent."""
+        """Returns when the last read that reached the tail was sent, in monotonic seconds."""
         return self._confirmed_at
 
     @property
     def is_scanning(self) -> bool:
-        """Returns whether records are missing."""
+        """Returns whether records are missing and a checkpoint is searched for."""
         return self._scan is not None
 
     @property
@@ -123,7 +126,10 @@
             gevent.sleep(0)
 
     def hurry(self) -> None:
-        """Ends a pause, because an own record is about to be appended."""
+        """Ends a pause between reads, because this node is about to append a record.
+
+        A pause after a failed read is not cut short.
+        """
         if not self._failures:
             self._hurried.set()
 
@@ -139,7 +145,9 @@
         try:
             result = self._client.read(start, BATCH_RECORDS, wait_s)
             if result.oldest > start:
-                raise HoleFoundError("the log answered from a later offset", oldest=result.oldest)
+                raise HoleFoundError(
+                    "the response of the log starts at a later offset", oldest=result.oldest
+                )
         except HoleFoundError as error:
             return self._hole(start, error)
         except LogUnavailableError as error:
@@ -147,7 +155,8 @@
         except Exception as error:  # The reader must survive a fault of the client
             return self._retry(error)
         if result.next < start:
-            # The log lost its tail. What was accepted stays in force until it grows past it again.
+            # The log lost its tail. The state keeps what was accepted, and reading continues once the
+            # log has grown past this offset again.
             return self._retry(f"the log ends at {result.next}, below {start}")
         self._failures = 0
         if scan is not None:
@@ -157,13 +166,13 @@
     def _is_confirmed(self, now: float) -> bool:
         """Returns whether the next read may wait for records.
 
-        At the start, after a failure and after a pause of the process, the tail is confirmed at
-        once instead.
+        At the start, after a failure and after a pause of the process, the read does not wait, so
+        that it confirms the tail at once.
         """
         return self._at_tail and now - self._confirmed_at <= _PAUSED_POLLS * self._wait_s
 
     def _current_scan(self) -> _Scan | None:
-        """Ends the search once a snapshot of a peer closed the gap."""
+        """Returns the search in progress; ends it once a snapshot has closed the gap."""
         if self._scan is not None and self._view.next_offset >= self._scan.oldest:
             self._scan = None
         return self._scan
@@ -187,7 +196,11 @@
     def _hole(self, start: int, error: HoleFoundError) -> float:
         self._metrics.count(HOLE_FOUND)
         self._at_tail = False
-        _log.warning("records are missing", start=start, oldest=error.oldest)
+        _log.warning(
+            "records are missing from the log; searching for a checkpoint",
+            start=start,
+            oldest=error.oldest,
+        )
         if self._scan is None:
             self._scan = _Scan(error.oldest)
         self._scan.moved(error.oldest)
@@ -211,13 +224,13 @@
             if snapshot is not None:
                 self._view.install(snapshot)
         except SnapshotInvalidError as error:
-            _log.error("checkpoint refused", upto=part.upto, error=error.message)
+            _log.error("invalid checkpoint ignored", upto=part.upto, error=error.message)
 
     def _retry(self, error: object) -> float:
         self._metrics.count(READ_RETRIED)
         self._at_tail = False
         if not self._failures:
-            _log.warning("log cannot be read", error=str(error))
+            _log.warning("read of the log failed; retrying", error=str(error))
         self._failures = min(self._failures + 1, 10)
         longest = min(_RETRY_LAST_S, _RETRY_FIRST_S * 2**self._failures)
         return self._rng.uniform(_RETRY_FIRST_S / 2, longest)
--- a/packages/arbutustally-node/src/arbutustally_node/log_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_service.py
@@ -1,4 +1,4 @@
-"""Service ``log``: the node's view of the platform's log."""
+"""Service ``log``: reads and appends to the platform's log and holds the state folded from it."""
 
 from collections.abc import Callable, Sequence
 from random import Random
@@ -23,14 +23,15 @@
     "refused.log_unavailable", "The log did not confirm an append in time; look at the log."
 )
 
-#: Silence of the log after which a call to it is given up.
+#: A call to the log fails if no response arrives within this time.
 CLIENT_TIMEOUT_S = 2.0
-#: A quarter of the staleness for each poll leaves room for one failed poll and its repeat.
+#: Longest wait of a poll as a fraction of the allowed staleness; a quarter leaves time for one
+#: failed poll and its retry.
 _POLL_PART = 0.25
 
 
 class LogService:
-    """Reads, appends and folds the log; keeps leases and checkpoints.
+    """Reads the log, appends to it and folds it into the state; holds leases, writes checkpoints.
 
     :param client: a ``LogClient`` or an object with its methods.
     """
@@ -68,7 +69,7 @@
         return cls(kernel, options, LogClient.from_config(options.log_url, CLIENT_TIMEOUT_S))
 
     def start(self) -> None:
-        """Starts reading, writing, asking peers and checkpoints."""
+        """Starts reading, appending, catching up from peers and writing checkpoints."""
         self._reader.start()
         self._writer.start()
         self._peers.start()
@@ -83,26 +84,29 @@
 
     @property
     def state(self) -> ControlState:
-        """Returns the fold; it is replaced when a snapshot is installed, so do not keep it."""
+        """Returns the folded state.
+
+        Installing a snapshot replaces the object, so callers must not keep a reference to it.
+        """
         return self._view.state
 
     @property
     def confirmed_at(self) -> float:
-        """Returns the instant up to which the state is known to be complete, monotonic seconds.
+        """Returns the time up to which the state is known to be complete, in monotonic seconds.
 
-        It is when the last read that reached the tail was sent, by this node or by a peer whose
-        records were all applied; minus infinity before the first.
+        This is the time at which the last read that reached the tail was sent, by this node or by
+        a peer all of whose records were applied; minus infinity before the first such read.
         """
         return max(self._reader.confirmed_at, self._peers.confirmed_at)
 
     @property
     def known_offset(self) -> int:
-        """Returns the highest offset that this node or a peer is known to hold."""
+        """Returns the highest offset that this node or any peer is known to have applied."""
         return max(self.state.offset, self._peers.known_offset)
 
     @property
     def is_missing_records(self) -> bool:
-        """Returns whether records left the log before this node read them."""
+        """Returns whether the log dropped records before this node read them."""
         return self._reader.is_scanning
 
     @property
@@ -112,12 +116,12 @@
 
     @property
     def ready(self) -> bool:
-        """Returns whether there is a configuration and the tail was reached at least once."""
+        """Returns whether a configuration was read and the tail was reached at least once."""
         return self.confirmed_at > float("-inf") and self.state.version >= 0
 
     @property
     def needs_peers(self) -> bool:
-        """Returns whether peers should be asked for records."""
+        """Returns whether this node should request records from its peers."""
         if self.is_missing_records or self.confirmed_at == float("-inf"):
             return True
         return self.staleness() > self._options.key_staleness_s / 2
@@ -127,8 +131,9 @@
         return (self._clock() if now is None else now) - self.confirmed_at
 
     def append(self, body: Body, timeout_s: float = DEFAULT_TIMEOUT_S) -> Appended:
-        """Appends a record and waits until it was read back.
+        """Appends a record and waits until it has been read back.
 
+        :param timeout_s: time for the append, in seconds.
         :raises LogUnavailableError: ``not_run`` only if it cannot have reached the log.
         """
         return self.append_many([body], timeout_s)[0]
@@ -136,8 +141,9 @@
     def append_many(
         self, bodies: Sequence[Body], timeout_s: float = DEFAULT_TIMEOUT_S
     ) -> list[Appended]:
-        """Appends records in order and waits until all were read back.
+        """Appends records in order and waits until all have been read back.
 
+        :param timeout_s: time for all appends together, in seconds.
         :raises LogUnavailableError: ``not_run`` only if none can have reached the log.
         """
         self._reader.hurry()
@@ -148,26 +154,26 @@
             raise
 
     def subscribe(self, callback: Subscriber) -> None:
-        """Adds a function that is called after each record; it must not block.
+        """Registers a callback that runs after each record; it must not block.
 
-        Records skipped by a snapshot are not announced; see ``subscribe_jump``.
+        It is not called for records that a snapshot skipped; see ``subscribe_jump``.
         """
         self._view.subscribe(callback)
 
     def subscribe_jump(self, callback: Callable[[], None]) -> None:
-        """Adds a function that is called after a snapshot replaced the state."""
+        """Registers a callback that runs after a snapshot replaced the state."""
         self._view.subscribe_jump(callback)
 
     def install(self, snapshot: bytes) -> bool:
-        """Installs a snapshot of a peer if it is higher.
+        """Installs a snapshot received from a peer if its offset is above that of the state.
 
         :return: whether it was installed.
-        :raises SnapshotInvalidError: if it is damaged.
+        :raises SnapshotInvalidError: if it is damaged or belongs to another log.
         """
         return self._view.install(snapshot)
 
     def held_leases(self) -> list[str]:
-        """Returns the names of the leases under which this node may act now."""
+        """Returns the sorted names of the leases that this node holds now."""
         return sorted(name for name, hold in self._holds.items() if hold.valid())
 
     def hold(
@@ -177,14 +183,16 @@
         duration_s: float | None = None,
         spread_s: float = 0.0,
     ) -> LeaseHold:
-        """Returns the lease of a name, to ``start()``, ``stop()`` and check with ``valid()``.
+        """Returns the hold on a named lease; the caller starts, stops and checks it.
 
         Calls with the same name return the same object.
 
-        :param wanted: tells whether this node should hold it; always by default.
-        :param duration_s: of the lease; ``lease_s`` of the settings by default.
-        :param spread_s: time over which the claims of all nodes are spread at random; for leases
-            that every node wants.
+        :param wanted: returns whether this node should hold the lease; by default it always
+            should.
+        :param duration_s: duration of the lease in seconds; ``lease_s`` of the settings by
+            default.
+        :param spread_s: seconds over which the claims of all nodes are spread at random; for
+            leases that every node tries to hold.
         """
         hold = self._holds.get(name)
         if hold is None:
--- a/packages/arbutustally-node/src/arbutustally_node/log_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_view.py
@@ -1,4 +1,4 @@
-"""The node's fold of the log, its subscribers and the latest records for peers."""
+"""The state folded from the log, its subscribers and the latest records kept for peers."""
 
 from collections import deque
 from collections.abc import Callable
@@ -10,19 +10,22 @@
 from arbutustally.state import ControlState
 from arbutustally.verdicts import Reason, Verdict, rejected
 
-#: Called with the offset, the record (``None`` if undecodable) and the verdict; must not block.
+#: Receives the offset, the record (``None`` if it cannot be decoded) and the verdict; must not
+#: block.
 Subscriber = Callable[[int, Record | None, Verdict], None]
 
-#: Lets a peer that missed some seconds of the log catch up without a whole snapshot.
+#: Records kept for peers, so that one that missed some seconds of the log catches up without a
+#: whole snapshot.
 RECENT_RECORDS = 2048
-#: Answers of bookings and checkpoints are large, so that the number alone bounds no memory.
+#: Also limits the kept records by payload, because responses of bookings and parts of checkpoints
+#: are large and a limit on the number alone does not bound memory.
 RECENT_BYTES = 4 << 20
 
 _log = get_logger("log")
 
 
 class LogView:
-    """Holds the state; every path into it checks the order of offsets.
+    """Holds the state; every way of changing it checks the order of offsets.
 
     :param booking_window_s: see ``ControlState``.
     """
@@ -46,17 +49,18 @@
         return self._state.offset + 1
 
     def subscribe(self, subscriber: Subscriber) -> None:
-        """Adds a function that is called after each record."""
+        """Registers a callback that runs after each record."""
         self._subscribers.append(subscriber)
 
     def subscribe_jump(self, subscriber: Callable[[], None]) -> None:
-        """Adds a function that is called after records were skipped by a snapshot."""
+        """Registers a callback that runs after a snapshot skipped records."""
         self._jump_subscribers.append(subscriber)
 
     def apply(self, offset: int, record: Record | None) -> bool:
         """Applies a record if it is the next one.
 
-        :return: ``False`` if records before it are missing; one already applied is passed over.
+        :return: ``False`` if records before it are missing; a record that was already applied is
+            ignored and gives ``True``.
         """
         if offset < self.next_offset:
             return True
@@ -67,7 +71,7 @@
         for subscriber in self._subscribers:
             try:
                 subscriber(offset, record, verdict)
-            except Exception as error:  # One subscriber must not stop the fold
+            except Exception as error:  # One subscriber must not stop the reader
                 _log.error("log subscriber failed", offset=offset, error=repr(error))
         return True
 
@@ -82,14 +86,18 @@
         try:
             return self._state.apply(offset, record)
         except Exception as error:  # A record must never stop the reader
-            _log.error("log record raised; report this", offset=offset, error=repr(error))
+            _log.error(
+                "applying a log record raised an exception; report this",
+                offset=offset,
+                error=repr(error),
+            )
             return rejected(Reason.MALFORMED)
 
     def install(self, snapshot: bytes) -> bool:
-        """Replaces the state by a snapshot if that is higher.
+        """Replaces the state by a snapshot if its offset is higher.
 
         :return: whether it was installed.
-        :raises SnapshotInvalidError: if it is damaged.
+        :raises SnapshotInvalidError: if it is damaged or belongs to another log.
         """
         restored = ControlState.restore(snapshot, self._booking_window_s)
         if restored.offset <= self._state.offset:
@@ -97,7 +105,7 @@
         if restored.version < self._state.version:
             raise SnapshotInvalidError(
                 f"the snapshot has version {restored.version}, below {self._state.version}, at a "
-                "higher offset; it is of another log"
+                "higher offset; it belongs to another log"
             )
         self._state = restored
         self._recent.clear()
@@ -108,7 +116,10 @@
         return True
 
     def recent_from(self, start: int, limit: int) -> list[tuple[int, Record | None]] | None:
-        """Returns records from an offset, or ``None`` if they are not all kept."""
+        """Returns records from an offset on, or ``None`` if some are no longer kept.
+
+        :param limit: largest number of records to return.
+        """
         if start >= self.next_offset:
             return []
         if not self._recent or self._recent[0][0] > start:
@@ -118,7 +129,10 @@
 
 
 def _payload_bytes(record: Record | None) -> int:
-    """Returns the size of the only parts of a record that can be large in numbers."""
+    """Returns the size in bytes of a response or checkpoint part.
+
+    Only these can be large and numerous; every other record counts as zero.
+    """
     body = record.body if record is not None else None
     if isinstance(body, Outcome):
         return len(body.body)
--- a/packages/arbutustally-node/src/arbutustally_node/log_writer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_writer.py
@@ -1,4 +1,4 @@
-"""Appends to the log: one greenlet, batches, and waiting for the own records."""
+"""Appends records to the log in batches from one greenlet and waits until they are read back."""
 
 from collections import deque
 from collections.abc import Sequence
@@ -23,15 +23,16 @@
 
 BATCH_RECORDS = 500
 BATCH_BYTES = 1 << 20
-#: A single record above this size would fill every reader's batch.
+#: A larger record would fill a whole batch of every reader.
 MAX_RECORD_BYTES = 8 << 20
-#: Under load, records wait this long for company; the interval grows as the log slows.
+#: Limits of the interval between two appends, in which records collect for the next batch. It
+#: grows with the latency of the log.
 MIN_INTERVAL_S = 0.02
 MAX_INTERVAL_S = 0.5
 DEFAULT_TIMEOUT_S = 5.0
 _RETRY_FIRST_S = 0.1
 _RETRY_LAST_S = 1.0
-#: A record that the log took in time is read back at the latest this long after the deadline.
+#: Time after the deadline within which a record that the log accepted in time must be read back.
 READ_BACK_GRACE_S = 1.0
 
 _log = get_logger("log_writer")
@@ -39,14 +40,18 @@
 
 @dataclass(frozen=True)
 class Appended:
-    """An own record, as it was read back."""
+    """The result of an append, once this node has read the record back.
+
+    :ivar offset: offset of the record in the log.
+    :ivar verdict: verdict of the fold on the record.
+    """
 
     offset: int
     verdict: Verdict
 
 
 class Appender(Protocol):
-    """The part of the log client that the writer uses."""
+    """The methods of the log client that the writer uses."""
 
     def append(self, records: list[Record]) -> int:
         """Appends records and returns the offset of the first one."""
@@ -54,7 +59,12 @@
 
 @dataclass
 class _Pending:
-    """A record on its way; ``ran`` tells whether the log may have it."""
+    """A record to append.
+
+    :ivar size: encoded size in bytes.
+    :ivar deadline: when the caller stops waiting, in monotonic seconds.
+    :ivar ran: whether the record may have reached the log.
+    """
 
     record: Record
     size: int
@@ -66,8 +76,8 @@
 class LogWriter:
     """Sends records until they are read back or their deadline passes.
 
-    A lost answer is harmless: the record is sent again under the same id, and the fold ignores the
-    second one. The first one read decides.
+    If a response is lost, the record is sent again under the same id. The first copy read decides
+    the verdict, and the fold ignores later ones.
     """
 
     def __init__(self, client: Appender, clock: Clock, rng: Random, metrics: Metrics) -> None:
@@ -84,7 +94,7 @@
 
     @property
     def is_waiting(self) -> bool:
-        """Returns whether a record is to be read back."""
+        """Returns whether any record has not been read back yet."""
         return bool(self._waiting)
 
     def start(self) -> None:
@@ -92,7 +102,7 @@
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Stops sending; waiting callers get an error."""
+        """Stops sending; waiting callers get a ``LogUnavailableError``."""
         if self._greenlet is not None:
             self._greenlet.kill()
             self._greenlet = None
@@ -100,8 +110,9 @@
             pending.result.set_exception(_unavailable("the node is stopping", pending.ran))
 
     def append_many(self, bodies: Sequence[Body], timeout_s: float) -> list[Appended]:
-        """Appends records and waits until all of them were read back.
+        """Appends records and waits until all of them have been read back.
 
+        :param timeout_s: time for all of them together, in seconds.
         :raises LogUnavailableError: ``not_run`` only if none of them can have reached the log.
         :raises BadRequestError: if a body cannot be encoded.
         """
@@ -139,20 +150,20 @@
         self._queue = deque(entry for entry in self._queue if entry.record.id not in gone)
 
     def read_back(self, offset: int, record: Record | None, verdict: Verdict) -> None:
-        """Completes a waiting append; a subscriber of the view."""
+        """Completes the pending append of a record; subscribed to the view."""
         entry = self._waiting.pop(record.id, None) if record is not None else None
         if entry is not None:
             entry.result.set(Appended(offset, verdict))
 
     def jumped(self) -> None:
-        """Fails appends whose records may lie within records that a snapshot skipped.
+        """Fails appends whose records may be among those that a snapshot skipped.
 
-        Their verdicts are not known any more, and the verdict on a repeat would be misleading.
+        Their verdicts can no longer be known, and the verdict on a later copy would be misleading.
         """
         for entry in list(self._waiting.values()):
             if entry.ran != Ran.NOT_RUN:
                 self._waiting.pop(entry.record.id, None)
-                error = _unavailable("a snapshot replaced the records in between", entry.ran)
+                error = _unavailable("a snapshot skipped records that may include it", entry.ran)
                 entry.result.set_exception(error)
 
     def _run(self) -> None:
@@ -181,7 +192,7 @@
     def _send(self, batch: list[_Pending]) -> float:
         """Sends a batch once.
 
-        :return: seconds to wait before the next one.
+        :return: seconds to wait before the next batch.
         """
         before = [entry.ran for entry in batch]
         for entry in batch:
@@ -202,7 +213,7 @@
 
     def _retry(self, batch: list[_Pending], error: Any) -> float:
         self._metrics.count(APPEND_RETRIED)
-        _log.warning("append failed", records=len(batch), error=str(error))
+        _log.warning("append to the log failed; retrying", records=len(batch), error=str(error))
         self._queue.extendleft(reversed(batch))
         self._failures = min(self._failures + 1, 10)
         longest = min(_RETRY_LAST_S, _RETRY_FIRST_S * 2**self._failures)
@@ -223,7 +234,9 @@
 
 
 def _unavailable(what: str, ran: Ran) -> LogUnavailableError:
-    remedy = "retry" if ran == Ran.NOT_RUN else "it may have run, so look before it is repeated"
+    remedy = (
+        "retry" if ran == Ran.NOT_RUN else "it may have run, so check its effect before you retry"
+    )
     return LogUnavailableError(
         f"{what}; {remedy}",
         ran=ran,
