--- a/packages/arbutustally-node/src/arbutustally_node/log_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_reader.py
@@ -24,11 +24,11 @@
 )
 
 BATCH_RECORDS = 1000
-_RETRY_FIRST_S = 0.05
-_RETRY_LAST_S = 1.0
+_FIRST_RETRY_DELAY_S = 0.05
+_MAX_RETRY_DELAY_S = 1.0
 #: Pause after a read at the tail, so that records of other nodes are read in groups. With one read
 #: per record, a node would transfer more bytes of HTTP headers than of records.
-GROUP_PAUSE_S = 0.2
+TAIL_PAUSE_S = 0.2
 #: If the last confirmation is older than this many longest waits of a poll, the process is taken
 #: to have been paused.
 _PAUSED_POLLS = 2.0
@@ -38,7 +38,7 @@
 _log = get_logger("log_reader")
 
 
-class Reading(Protocol):
+class ReadClient(Protocol):
     """The methods of the log client that the reader uses."""
 
     def read(self, start: int, limit: int, wait_s: float) -> ReadResult:
@@ -53,7 +53,7 @@
         self.oldest = oldest
         self.assembler = CheckpointAssembler()
 
-    def moved(self, oldest: int) -> None:
+    def advance(self, oldest: int) -> None:
         """Skips records that the log has dropped since."""
         self.oldest = max(self.oldest, oldest)
         self.next = max(self.next, oldest)
@@ -64,19 +64,19 @@
 
     :param wait_s: longest wait of a poll in seconds; it bounds the age of the last confirmation of
         the tail.
-    :param is_awaited: returns whether a record of this node is to be read back; the reader then
-        does not pause.
+    :param has_pending_appends: returns whether a record of this node is to be read back; the
+        reader then does not pause.
     """
 
     def __init__(
         self,
-        client: Reading,
+        client: ReadClient,
         view: LogView,
         clock: Clock,
         rng: Random,
         metrics: Metrics,
         wait_s: float,
-        is_awaited: Callable[[], bool],
+        has_pending_appends: Callable[[], bool],
     ) -> None:
         self._client = client
         self._view = view
@@ -84,8 +84,8 @@
         self._rng = rng
         self._metrics = metrics
         self._wait_s = wait_s
-        self._is_awaited = is_awaited
-        self._hurried = Event()
+        self._has_pending_appends = has_pending_appends
+        self._pause_skipped = Event()
         self._scan: _Scan | None = None
         self._confirmed_at = float("-inf")
         self._failures = 0
@@ -120,18 +120,18 @@
     def _run(self) -> None:
         while True:
             pause_s = self.step()
-            self._hurried.clear()
-            if not self._is_awaited() or self._failures or self._scan is not None:
-                self._hurried.wait(pause_s)
+            self._pause_skipped.clear()
+            if not self._has_pending_appends() or self._failures or self._scan is not None:
+                self._pause_skipped.wait(pause_s)
             gevent.sleep(0)
 
-    def hurry(self) -> None:
+    def skip_pause(self) -> None:
         """Ends a pause between reads, because this node is about to append a record.
 
         A pause after a failed read is not cut short.
         """
         if not self._failures:
-            self._hurried.set()
+            self._pause_skipped.set()
 
     def step(self) -> float:
         """Reads once.
@@ -149,7 +149,7 @@
                     "the response of the log starts at a later offset", oldest=result.oldest
                 )
         except HoleFoundError as error:
-            return self._hole(start, error)
+            return self._handle_missing(start, error)
         except LogUnavailableError as error:
             return self._retry(error)
         except Exception as error:  # The reader must survive a fault of the client
@@ -181,19 +181,21 @@
         expected = start
         for offset, record in result.records:
             if offset != expected or not self._view.apply(offset, record):
-                return self._hole(start, HoleFoundError("offsets are missing", oldest=offset))
+                return self._handle_missing(
+                    start, HoleFoundError("offsets are missing", oldest=offset)
+                )
             expected += 1
-        had_waited = self._at_tail
+        was_at_tail = self._at_tail
         self._at_tail = len(result.records) < BATCH_RECORDS
         if self._at_tail:
             self._confirmed_at = sent_at
         if result.records and self._at_tail:
-            return GROUP_PAUSE_S
-        if had_waited and not result.records and self._clock() - sent_at < _EMPTY_PAUSE_S:
+            return TAIL_PAUSE_S
+        if was_at_tail and not result.records and self._clock() - sent_at < _EMPTY_PAUSE_S:
             return _EMPTY_PAUSE_S
         return 0.0
 
-    def _hole(self, start: int, error: HoleFoundError) -> float:
+    def _handle_missing(self, start: int, error: HoleFoundError) -> float:
         self._metrics.count(HOLE_FOUND)
         self._at_tail = False
         _log.warning(
@@ -203,11 +205,11 @@
         )
         if self._scan is None:
             self._scan = _Scan(error.oldest)
-        self._scan.moved(error.oldest)
-        return self._rng.uniform(0, _RETRY_FIRST_S)
+        self._scan.advance(error.oldest)
+        return self._rng.uniform(0, _FIRST_RETRY_DELAY_S)
 
     def _search(self, scan: _Scan, result: ReadResult) -> float:
-        scan.moved(result.oldest)
+        scan.advance(result.oldest)
         for _, record in result.records:
             self._collect(scan, record)
             if self._current_scan() is None:
@@ -232,5 +234,5 @@
         if not self._failures:
             _log.warning("read of the log failed; retrying", error=str(error))
         self._failures = min(self._failures + 1, 10)
-        longest = min(_RETRY_LAST_S, _RETRY_FIRST_S * 2**self._failures)
-        return self._rng.uniform(_RETRY_FIRST_S / 2, longest)
+        longest = min(_MAX_RETRY_DELAY_S, _FIRST_RETRY_DELAY_S * 2**self._failures)
+        return self._rng.uniform(_FIRST_RETRY_DELAY_S / 2, longest)
--- a/packages/arbutustally-node/src/arbutustally_node/log_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_service.py
@@ -146,7 +146,7 @@
         :param timeout_s: time for all appends together, in seconds.
         :raises LogUnavailableError: ``not_run`` only if none can have reached the log.
         """
-        self._reader.hurry()
+        self._reader.skip_pause()
         try:
             return self._writer.append_many(bodies, timeout_s)
         except LogUnavailableError:
