--- a/packages/arbutustally-node/src/arbutustally_node/log_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_service.py
@@ -53,11 +53,11 @@
         self._writer = LogWriter(client, clock, self._rng, metrics)
         wait_s = options.key_staleness_s * _POLL_PART
         self._reader = LogReader(
-            client, self._view, clock, self._rng, metrics, wait_s, lambda: self._writer.is_waiting
+            client, self._view, clock, self._rng, metrics, wait_s, lambda: self._writer.has_pending
         )
         self._peers = LogPeers(kernel, self._view, clock, self._rng, self)
-        self._view.subscribe(self._writer.read_back)
-        self._view.subscribe_jump(self._writer.jumped)
+        self._view.subscribe(self._writer.complete)
+        self._view.subscribe_jump(self._writer.fail_skipped)
         hold = self.hold(LEASE_NAME, spread_s=options.log_retention_s * CLAIM_SPREAD_PART)
         self._checkpoints = CheckpointWriter(
             self, hold, options.log_retention_s, clock, self._rng, metrics
--- a/packages/arbutustally-node/src/arbutustally_node/log_writer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_writer.py
@@ -30,8 +30,8 @@
 MIN_INTERVAL_S = 0.02
 MAX_INTERVAL_S = 0.5
 DEFAULT_TIMEOUT_S = 5.0
-_RETRY_FIRST_S = 0.1
-_RETRY_LAST_S = 1.0
+_FIRST_RETRY_DELAY_S = 0.1
+_MAX_RETRY_DELAY_S = 1.0
 #: Time after the deadline within which a record that the log accepted in time must be read back.
 READ_BACK_GRACE_S = 1.0
 
@@ -50,7 +50,7 @@
     verdict: Verdict
 
 
-class Appender(Protocol):
+class AppendClient(Protocol):
     """The methods of the log client that the writer uses."""
 
     def append(self, records: list[Record]) -> int:
@@ -80,22 +80,22 @@
     the verdict, and the fold ignores later ones.
     """
 
-    def __init__(self, client: Appender, clock: Clock, rng: Random, metrics: Metrics) -> None:
+    def __init__(self, client: AppendClient, clock: Clock, rng: Random, metrics: Metrics) -> None:
         self._client = client
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
         self._queue: deque[_Pending] = deque()
-        self._waiting: dict[str, _Pending] = {}
+        self._pending: dict[str, _Pending] = {}
         self._wake = Event()
-        self._append_s = 0.0
+        self._append_latency_s = 0.0
         self._failures = 0
         self._greenlet: gevent.Greenlet | None = None
 
     @property
-    def is_waiting(self) -> bool:
+    def has_pending(self) -> bool:
         """Returns whether any record has not been read back yet."""
-        return bool(self._waiting)
+        return bool(self._pending)
 
     def start(self) -> None:
         """Starts the sending greenlet."""
@@ -106,7 +106,7 @@
         if self._greenlet is not None:
             self._greenlet.kill()
             self._greenlet = None
-        for pending in list(self._waiting.values()):
+        for pending in list(self._pending.values()):
             pending.result.set_exception(_unavailable("the node is stopping", pending.ran))
 
     def append_many(self, bodies: Sequence[Body], timeout_s: float) -> list[Appended]:
@@ -119,7 +119,7 @@
         deadline = self._clock() + timeout_s
         entries = [_prepare(body, deadline) for body in bodies]
         for entry in entries:
-            self._waiting[entry.record.id] = entry
+            self._pending[entry.record.id] = entry
         self._queue.extend(entries)
         self._wake.set()
         try:
@@ -145,24 +145,24 @@
 
     def _forget(self, entries: list[_Pending]) -> None:
         for entry in entries:
-            self._waiting.pop(entry.record.id, None)
-        gone = {entry.record.id for entry in entries}
-        self._queue = deque(entry for entry in self._queue if entry.record.id not in gone)
+            self._pending.pop(entry.record.id, None)
+        forgotten_ids = {entry.record.id for entry in entries}
+        self._queue = deque(entry for entry in self._queue if entry.record.id not in forgotten_ids)
 
-    def read_back(self, offset: int, record: Record | None, verdict: Verdict) -> None:
+    def complete(self, offset: int, record: Record | None, verdict: Verdict) -> None:
         """Completes the pending append of a record; subscribed to the view."""
-        entry = self._waiting.pop(record.id, None) if record is not None else None
+        entry = self._pending.pop(record.id, None) if record is not None else None
         if entry is not None:
             entry.result.set(Appended(offset, verdict))
 
-    def jumped(self) -> None:
+    def fail_skipped(self) -> None:
         """Fails appends whose records may be among those that a snapshot skipped.
 
         Their verdicts can no longer be known, and the verdict on a later copy would be misleading.
         """
-        for entry in list(self._waiting.values()):
+        for entry in list(self._pending.values()):
             if entry.ran != Ran.NOT_RUN:
-                self._waiting.pop(entry.record.id, None)
+                self._pending.pop(entry.record.id, None)
                 error = _unavailable("a snapshot skipped records that may include it", entry.ran)
                 entry.result.set_exception(error)
 
@@ -184,7 +184,7 @@
             if batch and size + entry.size > BATCH_BYTES:
                 break
             self._queue.popleft()
-            if entry.record.id in self._waiting and entry.deadline > now:
+            if entry.record.id in self._pending and entry.deadline > now:
                 batch.append(entry)
                 size += entry.size
         return batch
@@ -194,7 +194,7 @@
 
         :return: seconds to wait before the next batch.
         """
-        before = [entry.ran for entry in batch]
+        ran_before = [entry.ran for entry in batch]
         for entry in batch:
             entry.ran = Ran.MAY_HAVE_RUN
         started = self._clock()
@@ -202,21 +202,21 @@
             self._client.append([entry.record for entry in batch])
         except LogUnavailableError as error:
             if error.ran == Ran.NOT_RUN:
-                for entry, ran in zip(batch, before, strict=True):
+                for entry, ran in zip(batch, ran_before, strict=True):
                     entry.ran = ran
             return self._retry(batch, error)
         except Exception as error:  # The writer must survive a fault of the client
             return self._retry(batch, error)
         self._failures = 0
-        self._append_s = 0.8 * self._append_s + 0.2 * (self._clock() - started)
-        return min(MAX_INTERVAL_S, max(MIN_INTERVAL_S, 2 * self._append_s))
+        self._append_latency_s = 0.8 * self._append_latency_s + 0.2 * (self._clock() - started)
+        return min(MAX_INTERVAL_S, max(MIN_INTERVAL_S, 2 * self._append_latency_s))
 
     def _retry(self, batch: list[_Pending], error: Any) -> float:
         self._metrics.count(APPEND_RETRIED)
         _log.warning("append to the log failed; retrying", records=len(batch), error=str(error))
         self._queue.extendleft(reversed(batch))
         self._failures = min(self._failures + 1, 10)
-        longest = min(_RETRY_LAST_S, _RETRY_FIRST_S * 2**self._failures)
+        longest = min(_MAX_RETRY_DELAY_S, _FIRST_RETRY_DELAY_S * 2**self._failures)
         return self._rng.uniform(MIN_INTERVAL_S, longest)
 
 
@@ -233,12 +233,12 @@
     return _Pending(record, size, deadline)
 
 
-def _unavailable(what: str, ran: Ran) -> LogUnavailableError:
+def _unavailable(cause: str, ran: Ran) -> LogUnavailableError:
     remedy = (
         "retry" if ran == Ran.NOT_RUN else "it may have run, so check its effect before you retry"
     )
     return LogUnavailableError(
-        f"{what}; {remedy}",
+        f"{cause}; {remedy}",
         ran=ran,
-        retry_after_s=_RETRY_LAST_S,
+        retry_after_s=_MAX_RETRY_DELAY_S,
     )
