Name the exchange of log records with peers by request and response

question, answer, ask and pieces were figurative; the intervals, the cache and the handlers were named in part only.

--- a/tests/test_log_peers.py
+++ b/tests/test_log_peers.py
@@ -64,7 +64,7 @@
         """Guards against a restart during an outage of the log that ends in refusals."""
         self.log.is_down = True
         self.assertFalse(self.two.ready)
-        self.two._peers.ask()
+        self.two._peers.fetch()
         self.assertTrue(self.two.ready)
         self.assertEqual(self.two.state.snapshot(), self.one.state.snapshot())
 
@@ -76,16 +76,16 @@
             self.log.put(KeyWithdraw(f"key-{number:05}"))
         for _ in range(4):
             self.one._reader.step()
-        self.two._peers.ask()
+        self.two._peers.fetch()
         self.assertEqual(self.two.state.snapshot(), self.one.state.snapshot())
 
     def test_withdrawal_reaches_a_node_that_is_cut_off_from_the_log(self) -> None:
         """Guards against a withdrawn key that works where only the log is cut off."""
-        self.two._peers.ask()
+        self.two._peers.fetch()
         self.log.put(KeyWithdraw("kkkkkkkk"))
         self.log.put(None)
         self.one._reader.step()
-        self.two._peers.ask()
+        self.two._peers.fetch()
         self.assertTrue(self.two.state.key("kkkkkkkk").withdrawn)
         self.assertEqual(self.two.state.offset, 2)
 
@@ -94,13 +94,13 @@
         confirmed_at = self.one.confirmed_at
         self.clock.advance(3.0)
         self.two_link.delay_s = 4.0
-        self.two._peers.ask()
+        self.two._peers.fetch()
         self.assertGreater(self.two.confirmed_at, float("-inf"))
         self.assertLessEqual(self.two.confirmed_at, confirmed_at)
 
     def test_node_that_cannot_fetch_knows_that_it_is_behind(self) -> None:
         """Guards against a node that takes its old keys for the current ones."""
-        self.two._peers.ask()
+        self.two._peers.fetch()
         confirmed_at = self.two.confirmed_at
         for number in range(3000):
             self.log.put(KeyWithdraw(f"key-{number:05}"))
@@ -108,24 +108,26 @@
             self.one._reader.step()
         del self.one_link.handlers[log_peers.SNAPSHOT_METHOD]
         self.clock.advance(1.0)
-        self.two._peers.ask()
+        self.two._peers.fetch()
         self.assertGreater(self.two.known_offset, self.two.state.offset)
         self.assertEqual(self.two.confirmed_at, confirmed_at)
 
     def test_part_of_the_news_confirms_nothing(self) -> None:
         """Guards against a withdrawal in records that are still to be fetched."""
-        self.addCleanup(setattr, log_peers, "_MAX_ROUNDS", log_peers._MAX_ROUNDS)
-        log_peers._MAX_ROUNDS = 1
-        self.two._peers.ask()
+        self.addCleanup(
+            setattr, log_peers, "_MAX_REQUESTS_PER_PEER", log_peers._MAX_REQUESTS_PER_PEER
+        )
+        log_peers._MAX_REQUESTS_PER_PEER = 1
+        self.two._peers.fetch()
         confirmed_at = self.two.confirmed_at
         for number in range(700):
             self.log.put(KeyWithdraw(f"key-{number:05}"))
         self.clock.advance(1.0)
         self.one._reader.step()
-        self.two._peers.ask()
+        self.two._peers.fetch()
         self.assertLess(self.two.state.offset, self.one.state.offset)
         self.assertEqual(self.two.confirmed_at, confirmed_at)
-        self.two._peers.ask()
+        self.two._peers.fetch()
         self.assertGreater(self.two.confirmed_at, confirmed_at)
 
     def test_malformed_news_changes_nothing(self) -> None:
@@ -133,6 +135,6 @@
         answers = (None, {}, {"offset": 5, "records": [[0, b"{}"]], "ready": True, "age_s": "x"})
         for answer in answers:
             self.one_link.handlers[log_peers.TAIL_METHOD] = lambda *_, found=answer: found
-            self.two._peers.ask()
+            self.two._peers.fetch()
             self.assertEqual(self.two.state.offset, -1)
             self.assertFalse(self.two.ready)
