--- a/packages/arbutustally-node/src/arbutustally_node/checkpoint_writer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/checkpoint_writer.py
@@ -22,13 +22,13 @@
 LEASE_NAME = "checkpoint"
 #: Interval between two checkpoints as a fraction of the retention, so that the log always holds
 #: several.
-INTERVAL_PART = 0.25
+INTERVAL_FRACTION = 0.25
 #: Fraction of the retention over which the nodes spread their claims of the lease; otherwise all
 #: nodes of a fleet would append at the same moment when the holder fails.
-CLAIM_SPREAD_PART = 0.001
-_LOOK_EVERY = 0.02
-_LONGEST_LOOK_S = 5.0
-_PARTS_AT_ONCE = 4
+CLAIM_SPREAD_FRACTION = 0.001
+_CHECK_INTERVAL_FRACTION = 0.02
+_MAX_CHECK_INTERVAL_S = 5.0
+_PARTS_PER_APPEND = 4
 _TIMEOUT_S = 20.0
 
 _log = get_logger("checkpoint")
@@ -51,12 +51,12 @@
     ) -> None:
         self._log = log
         self._hold = hold
-        self._interval_s = retention_s * INTERVAL_PART
+        self._interval_s = retention_s * INTERVAL_FRACTION
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
         self._last_at = -math.inf
-        self._seen: set[tuple[str, int]] = set()
+        self._seen_parts: set[tuple[str, int]] = set()
         self._greenlet: gevent.Greenlet | None = None
         log.subscribe(self._read_back)
 
@@ -73,9 +73,9 @@
         self._hold.stop()
 
     def _run(self) -> None:
-        look_s = min(_LONGEST_LOOK_S, self._interval_s * _LOOK_EVERY)
+        check_interval_s = min(_MAX_CHECK_INTERVAL_S, self._interval_s * _CHECK_INTERVAL_FRACTION)
         while True:
-            gevent.sleep(self._rng.uniform(0.5, 1.0) * look_s)
+            gevent.sleep(self._rng.uniform(0.5, 1.0) * check_interval_s)
             try:
                 self.step()
             except LogUnavailableError as error:
@@ -93,10 +93,10 @@
             return False
         upto = self._log.state.offset
         parts = split_snapshot(self._log.state.snapshot(), upto)
-        for start in range(0, len(parts), _PARTS_AT_ONCE):
+        for start in range(0, len(parts), _PARTS_PER_APPEND):
             if not self._hold.valid():
                 return False
-            self._log.append_many(parts[start : start + _PARTS_AT_ONCE], timeout_s=_TIMEOUT_S)
+            self._log.append_many(parts[start : start + _PARTS_PER_APPEND], timeout_s=_TIMEOUT_S)
         self._last_at = self._clock()
         _log.info("checkpoint written", upto=upto, parts=len(parts))
         return True
@@ -109,7 +109,7 @@
         body = record.body if record is not None else None
         if not isinstance(body, CheckpointPart) or not self._log.ready:
             return
-        self._seen = {entry for entry in self._seen if entry[0] == body.digest}
-        self._seen.add((body.digest, body.part))
-        if len(self._seen) == body.parts:
+        self._seen_parts = {entry for entry in self._seen_parts if entry[0] == body.digest}
+        self._seen_parts.add((body.digest, body.part))
+        if len(self._seen_parts) == body.parts:
             self._last_at = self._clock()
--- a/packages/arbutustally-node/src/arbutustally_node/log_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_service.py
@@ -10,7 +10,7 @@
 from arbutustally.metrics import Metrics, declare
 from arbutustally.records import Body
 from arbutustally.state import ControlState
-from arbutustally_node.checkpoint_writer import CLAIM_SPREAD_PART, LEASE_NAME, CheckpointWriter
+from arbutustally_node.checkpoint_writer import CLAIM_SPREAD_FRACTION, LEASE_NAME, CheckpointWriter
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.lease_hold import LeaseHold
 from arbutustally_node.log_peers import LogPeers
@@ -27,7 +27,7 @@
 CLIENT_TIMEOUT_S = 2.0
 #: Longest wait of a poll as a fraction of the allowed staleness; a quarter leaves time for one
 #: failed poll and its retry.
-_POLL_PART = 0.25
+_POLL_WAIT_FRACTION = 0.25
 
 
 class LogService:
@@ -51,14 +51,14 @@
         self._holds: dict[str, LeaseHold] = {}
         self._view = LogView(options.booking_window_s)
         self._writer = LogWriter(client, clock, self._rng, metrics)
-        wait_s = options.key_staleness_s * _POLL_PART
+        wait_s = options.key_staleness_s * _POLL_WAIT_FRACTION
         self._reader = LogReader(
             client, self._view, clock, self._rng, metrics, wait_s, lambda: self._writer.has_pending
         )
         self._peers = LogPeers(kernel, self._view, clock, self._rng, self)
         self._view.subscribe(self._writer.complete)
         self._view.subscribe_jump(self._writer.fail_skipped)
-        hold = self.hold(LEASE_NAME, spread_s=options.log_retention_s * CLAIM_SPREAD_PART)
+        hold = self.hold(LEASE_NAME, spread_s=options.log_retention_s * CLAIM_SPREAD_FRACTION)
         self._checkpoints = CheckpointWriter(
             self, hold, options.log_retention_s, clock, self._rng, metrics
         )
--- a/packages/arbutustally-node/src/arbutustally_node/log_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_view.py
@@ -36,7 +36,7 @@
         self._recent: deque[tuple[int, Record | None]] = deque()
         self._recent_bytes = 0
         self._subscribers: list[Subscriber] = []
-        self._jump_subscribers: list[Callable[[], None]] = []
+        self._snapshot_subscribers: list[Callable[[], None]] = []
 
     @property
     def state(self) -> ControlState:
@@ -54,7 +54,7 @@
 
     def subscribe_jump(self, subscriber: Callable[[], None]) -> None:
         """Registers a callback that runs after a snapshot skipped records."""
-        self._jump_subscribers.append(subscriber)
+        self._snapshot_subscribers.append(subscriber)
 
     def apply(self, offset: int, record: Record | None) -> bool:
         """Applies a record if it is the next one.
@@ -66,8 +66,8 @@
             return True
         if offset > self.next_offset:
             return False
-        verdict = self._verdict(offset, record)
-        self._keep(offset, record)
+        verdict = self._apply_to_state(offset, record)
+        self._keep_recent(offset, record)
         for subscriber in self._subscribers:
             try:
                 subscriber(offset, record, verdict)
@@ -75,14 +75,14 @@
                 _log.error("log subscriber failed", offset=offset, error=repr(error))
         return True
 
-    def _keep(self, offset: int, record: Record | None) -> None:
+    def _keep_recent(self, offset: int, record: Record | None) -> None:
         self._recent.append((offset, record))
         self._recent_bytes += _payload_bytes(record)
         while len(self._recent) > RECENT_RECORDS or self._recent_bytes > RECENT_BYTES:
             _, oldest = self._recent.popleft()
             self._recent_bytes -= _payload_bytes(oldest)
 
-    def _verdict(self, offset: int, record: Record | None) -> Verdict:
+    def _apply_to_state(self, offset: int, record: Record | None) -> Verdict:
         try:
             return self._state.apply(offset, record)
         except Exception as error:  # A record must never stop the reader
@@ -110,7 +110,7 @@
         self._state = restored
         self._recent.clear()
         self._recent_bytes = 0
-        for subscriber in self._jump_subscribers:
+        for subscriber in self._snapshot_subscribers:
             subscriber()
         _log.info("snapshot installed", offset=restored.offset, version=restored.version)
         return True
