--- a/packages/arbutustally-node/src/arbutustally_node/log_batcher.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_batcher.py
@@ -16,11 +16,11 @@
 #: last append.
 MIN_INTERVAL_S = 0.02
 MAX_INTERVAL_S = 1.0
-MAX_BATCH = 128
+MAX_BATCH_RECORDS = 128
 #: Queued records; beyond this the oldest is dropped. The result of a booking whose outcome is
 #: dropped stays unknown.
-MAX_WAITING = 8192
-RETRY_S = 0.5
+MAX_QUEUED = 8192
+RETRY_DELAY_S = 0.5
 
 
 class PendingAppend:
@@ -79,7 +79,7 @@
     def __init__(self, kernel: Kernel, clock: Clock) -> None:
         self._kernel = kernel
         self._clock = clock
-        self._waiting: deque[PendingAppend] = deque()
+        self._queue: deque[PendingAppend] = deque()
         self._wake = Event()
         self._greenlet: Any = None
         self._interval_s = MIN_INTERVAL_S
@@ -97,14 +97,14 @@
     @property
     def waiting(self) -> int:
         """Returns the number of queued records."""
-        return len(self._waiting)
+        return len(self._queue)
 
     def submit(self, body: Body) -> PendingAppend:
         """Queues a record; if the queue is full, its oldest record fails."""
         pending = PendingAppend(body)
-        self._waiting.append(pending)
-        if len(self._waiting) > MAX_WAITING:
-            dropped = self._waiting.popleft()
+        self._queue.append(pending)
+        if len(self._queue) > MAX_QUEUED:
+            dropped = self._queue.popleft()
             dropped.fail(
                 LogUnavailableError("too many records are queued for the log; try again later")
             )
@@ -119,39 +119,39 @@
         while True:
             self._wake.wait()
             gevent.sleep(self._interval_s)
-            batch = self._take()
+            batch = self._take_batch()
             if batch:
                 self._append(batch)
 
-    def _take(self) -> list[PendingAppend]:
+    def _take_batch(self) -> list[PendingAppend]:
         batch: list[PendingAppend] = []
-        while self._waiting and len(batch) < MAX_BATCH:
-            pending = self._waiting.popleft()
+        while self._queue and len(batch) < MAX_BATCH_RECORDS:
+            pending = self._queue.popleft()
             if not pending.cancelled:
                 batch.append(pending)
-        if not self._waiting:
+        if not self._queue:
             self._wake.clear()
         return batch
 
     def _append(self, batch: list[PendingAppend]) -> None:
-        begun = self._clock()
+        started_at = self._clock()
         try:
             results = self._kernel.lookup("log").append_many([item.body for item in batch])
         except RouterError as error:
-            self._failed(batch, error)
-            gevent.sleep(RETRY_S)
+            self._handle_failure(batch, error)
+            gevent.sleep(RETRY_DELAY_S)
             return
         finally:
-            taken = self._clock() - begun
-            self._interval_s = min(MAX_INTERVAL_S, max(MIN_INTERVAL_S, taken))
+            append_s = self._clock() - started_at
+            self._interval_s = min(MAX_INTERVAL_S, max(MIN_INTERVAL_S, append_s))
         for pending, appended in zip(batch, results, strict=True):
             pending.resolve(appended)
 
-    def _failed(self, batch: list[PendingAppend], error: RouterError) -> None:
+    def _handle_failure(self, batch: list[PendingAppend], error: RouterError) -> None:
         for pending in batch:
             if isinstance(pending.body, Outcome) and isinstance(error, LogUnavailableError):
-                self._waiting.append(pending)
+                self._queue.append(pending)
             else:
                 pending.fail(error)
-        if self._waiting:
+        if self._queue:
             self._wake.set()
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -38,7 +38,7 @@
     patch.object(booking_service, "OUTCOME_READ_S", 0.02),
     patch.object(log_batcher, "MIN_INTERVAL_S", 0.0005),
     patch.object(log_batcher, "MAX_INTERVAL_S", 0.002),
-    patch.object(log_batcher, "RETRY_S", 0.002),
+    patch.object(log_batcher, "RETRY_DELAY_S", 0.002),
 )
 
 
