--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -28,12 +28,12 @@
         self.delay_s = 0.0
         self.oldest = 0
         self.reads = 0
-        self._news = Event()
+        self._appended = Event()
 
     def put(self, body: Body | None) -> int:
         """Appends a record of somebody else."""
         self.records.append(wrap(body) if body is not None else None)
-        self._news.set()
+        self._appended.set()
         return len(self.records) - 1
 
     def append(self, records: list[Record]) -> int:
@@ -42,7 +42,7 @@
             raise LogUnavailableError("down", ran=Ran.NOT_RUN)
         first = len(self.records)
         self.records.extend(records)
-        self._news.set()
+        self._appended.set()
         if self.lost_answers:
             self.lost_answers -= 1
             raise LogUnavailableError("answer lost", ran=Ran.MAY_HAVE_RUN)
@@ -56,8 +56,8 @@
         if start < self.oldest:
             raise HoleFoundError("gone", oldest=self.oldest)
         if start >= len(self.records):
-            self._news.clear()
-            self._news.wait(min(wait_s, 0.05))
+            self._appended.clear()
+            self._appended.wait(min(wait_s, 0.05))
         found = list(enumerate(self.records))[start : start + limit]
         return ReadResult(found, min(start, len(self.records)) + len(found), self.oldest)
 
--- a/tests/test_log_faults.py
+++ b/tests/test_log_faults.py
@@ -36,8 +36,8 @@
             service._reader.start()
             service._writer.start()
         try:
-            told = self._run(log, services, events)
-            self._check(log, services, told)
+            results = self._run(log, services, events)
+            self._check(log, services, results)
         finally:
             for service in services:
                 service._writer.stop()
@@ -65,15 +65,15 @@
         except LogUnavailableError as error:
             return body, None, error.ran
 
-    def _check(self, log: FakeLog, services: list, told: list) -> None:
+    def _check(self, log: FakeLog, services: list, results: list) -> None:
         reader = ControlState()
         verdicts = [reader.apply(offset, record) for offset, record in enumerate(log.records)]
         self.assertTrue(wait_until(lambda: all(s.state.offset == reader.offset for s in services)))
         for service in services:
             self.assertEqual(service.state.snapshot(), reader.snapshot())
         winners = 0
-        for body, appended, ran in told:
-            found = [offset for offset, record in enumerate(log.records) if _is(record, body)]
+        for body, appended, ran in results:
+            found = [offset for offset, record in enumerate(log.records) if _has_body(record, body)]
             if appended is not None:
                 self.assertEqual(appended.offset, found[0])
                 self.assertEqual(appended.verdict, verdicts[found[0]])
@@ -83,5 +83,5 @@
         self.assertLessEqual(winners, 1)
 
 
-def _is(record: Record, body: object) -> bool:
+def _has_body(record: Record, body: object) -> bool:
     return record.body == body
--- a/tests/test_log_peers.py
+++ b/tests/test_log_peers.py
@@ -14,7 +14,7 @@
 ACCOUNT = {"rate": 10.0, "burst": 100.0}
 
 
-class Link:
+class FakePeers:
     """The peers service of one node.
 
     :ivar delay_s: time that each call takes, half of it before the handler runs.
@@ -23,19 +23,19 @@
     def __init__(self, clock: VirtualClock) -> None:
         self._clock = clock
         self.handlers: dict = {}
-        self.others: dict[str, Link] = {}
+        self.peers: dict[str, FakePeers] = {}
         self.delay_s = 0.0
 
     def handle(self, method: str, function) -> None:
         self.handlers[method] = function
 
     def connected(self) -> list[str]:
-        return list(self.others)
+        return list(self.peers)
 
     def call(self, name: str, method: str, payload, _timeout_s: float):
         self._clock.advance(self.delay_s / 2)
         try:
-            return self.others[name].handlers[method]("caller", payload)
+            return self.peers[name].handlers[method]("caller", payload)
         except KeyError:
             raise PeerUnavailableError("gone") from None
         finally:
@@ -48,12 +48,12 @@
         self.log = FakeLog()
         self.one, self.one_link = self._node("n1")
         self.two, self.two_link = self._node("n2")
-        self.two_link.others["n1"] = self.one_link
+        self.two_link.peers["n1"] = self.one_link
         self.log.put(Change(-1, {f"accounts/a{n}": ACCOUNT for n in range(200)}))
         self.one._reader.step()
 
-    def _node(self, name: str) -> tuple[LogService, Link]:
-        kernel, link = Kernel(), Link(self.clock)
+    def _node(self, name: str) -> tuple[LogService, FakePeers]:
+        kernel, link = Kernel(), FakePeers(self.clock)
         kernel.register("peers", link)
         service = LogService(kernel, new_options(node_id=name), self.log, self.clock, Random(1))
         service._peers.start()
