--- a/packages/arbutustally-node/src/arbutustally_node/log_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_reader.py
@@ -155,8 +155,8 @@
         except Exception as error:  # The reader must survive a fault of the client
             return self._retry(error)
         if result.next < start:
-            # The log lost its tail. The state keeps what was accepted, and reading continues once the
-            # log has grown past this offset again.
+            # The log lost its tail. The state keeps what was accepted, and reading continues once
+            # the log has grown past this offset again.
             return self._retry(f"the log ends at {result.next}, below {start}")
         self._failures = 0
         if scan is not None:
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -1,4 +1,4 @@
-"""A log in memory that fails on demand, with the methods of the log client."""
+"""An in-memory log with the methods of the log client and faults on demand."""
 
 import gevent
 from gevent.event import Event
@@ -16,9 +16,10 @@
     """One log for any number of nodes.
 
     :ivar is_down: reads and appends fail before they reach the log.
-    :ivar lost_answers: so many next appends take effect but fail.
-    :ivar delay_s: of each append and read.
+    :ivar lost_answers: number of next appends that take effect but fail.
+    :ivar delay_s: delay of each append and read in seconds.
     :ivar oldest: oldest offset that is kept.
+    :ivar reads: number of reads so far.
     """
 
     def __init__(self) -> None:
@@ -31,7 +32,7 @@
         self._appended = Event()
 
     def put(self, body: Body | None) -> int:
-        """Appends a record of somebody else."""
+        """Appends a record as another writer, or one that cannot be decoded for ``None``."""
         self.records.append(wrap(body) if body is not None else None)
         self._appended.set()
         return len(self.records) - 1
@@ -45,7 +46,7 @@
         self._appended.set()
         if self.lost_answers:
             self.lost_answers -= 1
-            raise LogUnavailableError("answer lost", ran=Ran.MAY_HAVE_RUN)
+            raise LogUnavailableError("response lost", ran=Ran.MAY_HAVE_RUN)
         return first
 
     def read(self, start: int, limit: int, wait_s: float) -> ReadResult:
@@ -63,7 +64,7 @@
 
 
 def new_options(**changes: object) -> Options:
-    """Returns options of a node with short times."""
+    """Returns options of a node with short durations."""
     values = {
         "node_id": "n1",
         "zone": "z",
--- a/tests/test_log_faults.py
+++ b/tests/test_log_faults.py
@@ -1,4 +1,4 @@
-"""Several nodes append through random faults of the log."""
+"""Several nodes append to a log with random faults."""
 
 import unittest
 
@@ -29,7 +29,7 @@
     @settings(max_examples=25)
     @given(EVENTS)
     def test_what_writers_are_told_is_true(self, events: list) -> None:
-        """Guards against verdicts that another reader contradicts, and untrue "not run"."""
+        """Guards against verdicts that differ from those of another reader, and false "not run"."""
         log = FakeLog()
         services = [new_node(log, node_id=f"n{number}")[1] for number in range(3)]
         for service in services:
@@ -55,7 +55,10 @@
         return [append.get() for append in appends]
 
     def _append(self, service, kind: str, number: int) -> tuple:
-        """Appends a body that only this call writes; returns it with what the writer is told."""
+        """Appends a body that only this call writes.
+
+        :return: the body, the ``Appended`` or ``None``, and the error's ``ran`` or ``None``.
+        """
         if kind == "change":
             body = Change(service.state.version, {"accounts/a": ACCOUNT}, author=str(number))
         else:
--- a/tests/test_log_peers.py
+++ b/tests/test_log_peers.py
@@ -1,4 +1,4 @@
-"""Nodes hand each other what one of them missed of the log."""
+"""Nodes fetch records of the log that they missed from their peers."""
 
 import unittest
 from random import Random
@@ -17,7 +17,7 @@
 class FakePeers:
     """The peers service of one node.
 
-    :ivar delay_s: time that each call takes, half of it before the handler runs.
+    :ivar delay_s: duration of each call in seconds, half of it before the handler runs.
     """
 
     def __init__(self, clock: VirtualClock) -> None:
@@ -61,7 +61,7 @@
         return service, link
 
     def test_restarted_node_serves_with_the_log_down(self) -> None:
-        """Guards against a restart during an outage of the log that ends in refusals."""
+        """Guards against a node that refuses requests after a restart while the log is down."""
         self.log.is_down = True
         self.assertFalse(self.two.ready)
         self.two._peers.fetch()
@@ -69,7 +69,7 @@
         self.assertEqual(self.two.state.snapshot(), self.one.state.snapshot())
 
     def test_snapshot_larger_than_a_frame_arrives_in_parts(self) -> None:
-        """Guards against a fleet whose state has outgrown the frame of a link."""
+        """Guards against a snapshot that exceeds the largest frame of a peer link."""
         self.addCleanup(setattr, log_peers, "PART_BYTES", log_peers.PART_BYTES)
         log_peers.PART_BYTES = 50
         for number in range(3000):
@@ -80,7 +80,7 @@
         self.assertEqual(self.two.state.snapshot(), self.one.state.snapshot())
 
     def test_withdrawal_reaches_a_node_that_is_cut_off_from_the_log(self) -> None:
-        """Guards against a withdrawn key that works where only the log is cut off."""
+        """Guards against a withdrawn key that still works on a node that cannot reach the log."""
         self.two._peers.fetch()
         self.log.put(KeyWithdraw("kkkkkkkk"))
         self.log.put(None)
@@ -90,7 +90,7 @@
         self.assertEqual(self.two.state.offset, 2)
 
     def test_confirmation_by_a_peer_is_never_too_young(self) -> None:
-        """Guards against a slow link that makes old news look fresh."""
+        """Guards against a slow link that makes an old confirmation appear recent."""
         confirmed_at = self.one.confirmed_at
         self.clock.advance(3.0)
         self.two_link.delay_s = 4.0
@@ -99,7 +99,7 @@
         self.assertLessEqual(self.two.confirmed_at, confirmed_at)
 
     def test_node_that_cannot_fetch_knows_that_it_is_behind(self) -> None:
-        """Guards against a node that takes its old keys for the current ones."""
+        """Guards against a node that treats its outdated keys as current."""
         self.two._peers.fetch()
         confirmed_at = self.two.confirmed_at
         for number in range(3000):
@@ -113,7 +113,7 @@
         self.assertEqual(self.two.confirmed_at, confirmed_at)
 
     def test_part_of_the_news_confirms_nothing(self) -> None:
-        """Guards against a withdrawal in records that are still to be fetched."""
+        """Guards against missing a withdrawal in records that are not fetched yet."""
         self.addCleanup(
             setattr, log_peers, "_MAX_REQUESTS_PER_PEER", log_peers._MAX_REQUESTS_PER_PEER
         )
@@ -131,7 +131,7 @@
         self.assertGreater(self.two.confirmed_at, confirmed_at)
 
     def test_malformed_news_changes_nothing(self) -> None:
-        """Guards against a peer of another release that stops this node."""
+        """Guards against a peer of another release whose response stops this node."""
         answers = (None, {}, {"offset": 5, "records": [[0, b"{}"]], "ready": True, "age_s": "x"})
         for answer in answers:
             self.one_link.handlers[log_peers.TAIL_METHOD] = lambda *_, found=answer: found
--- a/tests/test_log_service.py
+++ b/tests/test_log_service.py
@@ -1,4 +1,4 @@
-"""The log service against a log that loses answers, is down or slow, and has holes."""
+"""The log service with a log that loses responses, is down or slow, or has dropped records."""
 
 import unittest
 from unittest.mock import patch
@@ -40,7 +40,7 @@
         return [record.id for record in self.log.records]
 
     def test_lost_answers_give_the_first_verdict(self) -> None:
-        """Guards against a writer that is told of a conflict with its own change."""
+        """Guards against reporting a conflict between an append and its own repeated copy."""
         service = self.start()
         self.log.lost_answers = 3
         appended = service.append(CHANGE)
@@ -51,7 +51,7 @@
         self.assertTrue(service.append(claim).verdict.accepted)
 
     def test_lost_answer_of_unread_record_is_sent_again_under_its_id(self) -> None:
-        """Guards against a second effect of one append."""
+        """Guards against one append taking effect twice."""
         service = self.ready()
         reading = self.log.read
         self.log.read = self._down
@@ -69,7 +69,7 @@
         raise LogUnavailableError("down")
 
     def test_not_run_is_true_when_the_log_was_down(self) -> None:
-        """Guards against a record that takes effect after its writer was told "not run"."""
+        """Guards against a record that takes effect after its append reported "not run"."""
         service = self.ready()
         self.log.is_down = True
         before = self.ids()
@@ -104,7 +104,7 @@
         self.assertTrue(service.append(KeyWithdraw("kkkkkkkk")).verdict.accepted)
 
     def test_confirmation_ages_while_the_log_is_down(self) -> None:
-        """Guards against a node that takes a silent log for an unchanged one."""
+        """Guards against a node that treats an unreachable log as an unchanged one."""
         service = self.ready()
         self.log.is_down = True
         gevent.sleep(0.1)
@@ -116,8 +116,8 @@
         self.assertTrue(wait_until(lambda: service.confirmed_at > confirmed_at))
 
     def test_paused_node_confirms_the_tail_at_once(self) -> None:
-        """Guards against a node that was not scheduled for a time and then refuses requests for
-        the whole wait of a poll, although the log answers."""
+        """Guards against a node that was paused and then refuses requests for a whole long poll,
+        although the log is reachable."""
         clock = VirtualClock()
         service = LogService(Kernel(), new_options(key_staleness_s=8.0), self.log, clock)
         waits = []
@@ -130,7 +130,7 @@
         self.assertEqual(service.staleness(), 0.0)
 
     def test_full_batch_is_no_confirmation_of_the_tail(self) -> None:
-        """Guards against serving old keys in the middle of a long catch-up."""
+        """Guards against serving outdated keys during a long catch-up."""
         self.log.put(CHANGE)
         for number in range(2500):
             self.log.put(KeyWithdraw(f"key-{number:05}"))
@@ -150,7 +150,7 @@
         self.assertTrue(service.append(KeyWithdraw("kkkkkkkk")).verdict.accepted)
 
     def test_lost_head_is_recovered_from_a_checkpoint(self) -> None:
-        """Guards against a start in the middle of the log with part of the state."""
+        """Guards against starting in the middle of the log with an incomplete state."""
         state = ControlState()
         offsets = [self.log.put(CHANGE), self.log.put(KeyWithdraw("aaaaaaaa"))]
         for offset in offsets:
@@ -170,7 +170,7 @@
         self.assertEqual(service.state.version, 0)
 
     def test_checkpoint_that_leaves_a_gap_is_not_used(self) -> None:
-        """Guards against records between a checkpoint and the oldest record being left out."""
+        """Guards against skipping the records between a checkpoint and the oldest record."""
         self.log.put(CHANGE)
         state = ControlState()
         state.apply(0, self.log.records[0])
@@ -188,14 +188,14 @@
         self.assertTrue(service.state.key("aaaaaaaa").withdrawn)
 
     def test_missing_offset_is_a_hole(self) -> None:
-        """Guards against a fold that silently leaves out a record."""
+        """Guards against a fold that silently skips a record."""
         service = self.ready()
         offset = service.state.offset
         self.assertFalse(service._view.apply(offset + 2, None))
         self.assertEqual(service.state.offset, offset)
 
     def test_state_never_reverts_when_the_log_lost_its_tail(self) -> None:
-        """Guards against a configuration that reverts with a log that was restored."""
+        """Guards against a configuration that reverts when an older copy of the log is restored."""
         service = self.ready()
         service.append(KeyWithdraw("kkkkkkkk"))
         version = service.state.version
@@ -207,7 +207,7 @@
         self.assertLess(service.confirmed_at - confirmed_at, 0.2)
 
     def test_only_a_higher_snapshot_is_installed(self) -> None:
-        """Guards against a peer's older state that brings a withdrawn key back."""
+        """Guards against a peer's older state that makes a withdrawn key valid again."""
         service = self.ready()
         old = service.state.snapshot()
         service.append(KeyWithdraw("kkkkkkkk"))
@@ -215,7 +215,7 @@
         self.assertTrue(service.state.key("kkkkkkkk").withdrawn)
 
     def test_snapshot_over_an_own_append_is_not_called_a_conflict(self) -> None:
-        """Guards against an operator who is told that the own change lost against itself."""
+        """Guards against reporting to an operator that a change conflicts with itself."""
         service = self.ready()
         reading, self.log.read = self.log.read, self._down
         self.log.lost_answers = 1
@@ -235,7 +235,7 @@
         self.assertEqual(caught.exception.ran, Ran.MAY_HAVE_RUN)
 
     def test_two_writers_one_wins_and_the_other_learns_the_version(self) -> None:
-        """Guards against a lost update of two operators at two nodes."""
+        """Guards against a lost update when two operators write through two nodes."""
         services = [self.start(node_id="n1"), self.start(node_id="n2")]
         appended = [
             gevent.spawn(service.append, Change(-1, {f"accounts/{n}": ACCOUNT}))
@@ -247,7 +247,7 @@
         self.assertEqual(verdicts[1].verdict.beaten_by, verdicts[0].offset)
 
     def test_checkpoint_holder_keeps_a_short_log_readable(self) -> None:
-        """Guards against a log that drops the configuration before a checkpoint holds it."""
+        """Guards against a log that drops the configuration before a checkpoint contains it."""
         service = self.ready(log_retention_s=20.0, booking_window_s=10.0, lease_s=1.0)
         service.append(KeyWithdraw("kkkkkkkk"))
 
