--- a/tests/test_log_faults.py
+++ b/tests/test_log_faults.py
@@ -28,7 +28,7 @@
 
     @settings(max_examples=25)
     @given(EVENTS)
-    def test_what_writers_are_told_is_true(self, events: list) -> None:
+    def test_results_of_appends_match_the_log(self, events: list) -> None:
         """Guards against verdicts that differ from those of another reader, and false "not run"."""
         log = FakeLog()
         services = [new_node(log, node_id=f"n{number}")[1] for number in range(3)]
--- a/tests/test_log_peers.py
+++ b/tests/test_log_peers.py
@@ -89,7 +89,7 @@
         self.assertTrue(self.two.state.key("kkkkkkkk").withdrawn)
         self.assertEqual(self.two.state.offset, 2)
 
-    def test_confirmation_by_a_peer_is_never_too_young(self) -> None:
+    def test_confirmation_by_a_peer_is_never_too_recent(self) -> None:
         """Guards against a slow link that makes an old confirmation appear recent."""
         confirmed_at = self.one.confirmed_at
         self.clock.advance(3.0)
@@ -98,7 +98,7 @@
         self.assertGreater(self.two.confirmed_at, float("-inf"))
         self.assertLessEqual(self.two.confirmed_at, confirmed_at)
 
-    def test_node_that_cannot_fetch_knows_that_it_is_behind(self) -> None:
+    def test_node_that_cannot_fetch_reports_that_it_lags(self) -> None:
         """Guards against a node that treats its outdated keys as current."""
         self.two._peers.fetch()
         confirmed_at = self.two.confirmed_at
@@ -112,7 +112,7 @@
         self.assertGreater(self.two.known_offset, self.two.state.offset)
         self.assertEqual(self.two.confirmed_at, confirmed_at)
 
-    def test_part_of_the_news_confirms_nothing(self) -> None:
+    def test_partial_catch_up_confirms_nothing(self) -> None:
         """Guards against missing a withdrawal in records that are not fetched yet."""
         self.addCleanup(
             setattr, log_peers, "_MAX_REQUESTS_PER_PEER", log_peers._MAX_REQUESTS_PER_PEER
@@ -130,7 +130,7 @@
         self.two._peers.fetch()
         self.assertGreater(self.two.confirmed_at, confirmed_at)
 
-    def test_malformed_news_changes_nothing(self) -> None:
+    def test_malformed_response_changes_nothing(self) -> None:
         """Guards against a peer of another release whose response stops this node."""
         answers = (None, {}, {"offset": 5, "records": [[0, b"{}"]], "ready": True, "age_s": "x"})
         for answer in answers:
--- a/tests/test_log_service.py
+++ b/tests/test_log_service.py
@@ -50,10 +50,10 @@
         self.log.lost_answers = 2
         self.assertTrue(service.append(claim).verdict.accepted)
 
-    def test_lost_answer_of_unread_record_is_sent_again_under_its_id(self) -> None:
+    def test_unread_record_is_sent_again_under_its_id_after_a_lost_response(self) -> None:
         """Guards against one append taking effect twice."""
         service = self.ready()
-        reading = self.log.read
+        original_read = self.log.read
         self.log.read = self._down
         self.log.lost_answers = 1
         with self.assertRaises(LogUnavailableError) as caught:
@@ -62,7 +62,7 @@
         withdrawals = [r.id for r in self.log.records if isinstance(r.body, KeyWithdraw)]
         self.assertGreater(len(withdrawals), 1)
         self.assertEqual(len(set(withdrawals)), 1)
-        self.log.read = reading
+        self.log.read = original_read
         self.assertTrue(wait_until(lambda: service.state.key("kkkkkkkk") is not None))
 
     def _down(self, *_: object):
@@ -143,7 +143,7 @@
         self.assertTrue(service.ready)
         self.assertEqual(service.state.offset, 2500)
 
-    def test_record_of_unknown_kind_is_passed_over(self) -> None:
+    def test_record_of_unknown_kind_is_skipped(self) -> None:
         """Guards against a reader that stops at a record of a newer release."""
         service = self.ready()
         self.log.put(None)
@@ -214,10 +214,10 @@
         self.assertFalse(service.install(old))
         self.assertTrue(service.state.key("kkkkkkkk").withdrawn)
 
-    def test_snapshot_over_an_own_append_is_not_called_a_conflict(self) -> None:
+    def test_snapshot_that_skips_an_own_append_reports_no_conflict(self) -> None:
         """Guards against reporting to an operator that a change conflicts with itself."""
         service = self.ready()
-        reading, self.log.read = self.log.read, self._down
+        original_read, self.log.read = self.log.read, self._down
         self.log.lost_answers = 1
         waiting = gevent.spawn(service.append, CHANGE_B)
 
@@ -229,7 +229,7 @@
         for offset in range(copies()[0] + 1):
             ahead.apply(offset, self.log.records[offset])
         service.install(ahead.snapshot())
-        self.log.read = reading
+        self.log.read = original_read
         with self.assertRaises(LogUnavailableError) as caught:
             waiting.get()
         self.assertEqual(caught.exception.ran, Ran.MAY_HAVE_RUN)
