State the inactivity timeout, the load and the retention exactly

The comment on the client's timeout left out that it bounds each silence and that a long poll adds its wait; the reason of the append interval is load.

--- a/packages/arbutustally-node/src/arbutustally_node/checkpoint_writer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/checkpoint_writer.py
@@ -20,8 +20,7 @@
 )
 
 LEASE_NAME = "checkpoint"
-#: Interval between two checkpoints as a fraction of the retention, so that the log always holds
-#: several.
+#: Interval between two checkpoints as a fraction of the retention, so that several fall within it.
 INTERVAL_FRACTION = 0.25
 #: Fraction of the retention over which the nodes spread their claims of the lease; otherwise all
 #: nodes of a fleet would append at the same moment when the holder fails.
--- a/packages/arbutustally-node/src/arbutustally_node/log_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_service.py
@@ -23,7 +23,7 @@
     "refused.log_unavailable", "The log did not confirm an append in time; look at the log."
 )
 
-#: A call to the log fails if no response arrives within this time.
+#: Connect and inactivity timeout of a call to the log; a long poll adds its own wait.
 CLIENT_TIMEOUT_S = 2.0
 #: Longest wait of a poll as a fraction of the allowed staleness; a quarter leaves time for one
 #: failed poll and its retry.
--- a/packages/arbutustally-node/src/arbutustally_node/log_writer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_writer.py
@@ -25,8 +25,8 @@
 BATCH_BYTES = 1 << 20
 #: A larger record would fill a whole batch of every reader.
 MAX_RECORD_BYTES = 8 << 20
-#: Limits of the interval between two appends, in which records collect for the next batch. It
-#: grows with the latency of the log.
+#: Limits of the interval between two appends under load, in which records collect for the next
+#: batch. It grows with the latency of the log.
 MIN_INTERVAL_S = 0.02
 MAX_INTERVAL_S = 0.5
 DEFAULT_TIMEOUT_S = 5.0
