--- a/packages/arbutustally-node/src/arbutustally_node/checkpoint_writer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/checkpoint_writer.py
@@ -1,4 +1,4 @@
-"""Writes checkpoints of the fold while this node holds the lease for it."""
+"""Writes checkpoints of the folded state while this node holds the checkpoint lease."""
 
 import math
 from random import Random
@@ -20,23 +20,23 @@
 )
 
 LEASE_NAME = "checkpoint"
-#: Part of the retention between two checkpoints, so that several lie within it.
-INTERVAL_PART = 0.25
-#: Part of the retention over which the nodes spread their claims of the lease; without it, all
-#: nodes of a fleet would append at the same moment when a holder is gone.
-CLAIM_SPREAD_PART = 0.001
-_LOOK_EVERY = 0.02
-_LONGEST_LOOK_S = 5.0
-_PARTS_AT_ONCE = 4
+#: Interval between two checkpoints as a fraction of the retention, so that several fall within it.
+INTERVAL_FRACTION = 0.25
+#: Fraction of the retention over which the nodes spread their claims of the lease; otherwise all
+#: nodes of a fleet would append at the same moment when the holder fails.
+CLAIM_SPREAD_FRACTION = 0.001
+_CHECK_INTERVAL_FRACTION = 0.02
+_MAX_CHECK_INTERVAL_S = 5.0
+_PARTS_PER_APPEND = 4
 _TIMEOUT_S = 20.0
 
 _log = get_logger("checkpoint")
 
 
 class CheckpointWriter:
-    """Appends the whole fold every quarter of the retention.
+    """Appends the whole state every quarter of the retention.
 
-    :param retention_s: declared retention of the log.
+    :param retention_s: configured retention of the log in seconds.
     """
 
     def __init__(
@@ -50,17 +50,17 @@
     ) -> None:
         self._log = log
         self._hold = hold
-        self._interval_s = retention_s * INTERVAL_PART
+        self._interval_s = retention_s * INTERVAL_FRACTION
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
         self._last_at = -math.inf
-        self._seen: set[tuple[str, int]] = set()
+        self._seen_parts: set[tuple[str, int]] = set()
         self._greenlet: gevent.Greenlet | None = None
         log.subscribe(self._read_back)
 
     def start(self) -> None:
-        """Starts to claim the lease and to write."""
+        """Starts claiming the lease and writing checkpoints."""
         self._hold.start()
         self._greenlet = gevent.spawn(self._run)
 
@@ -72,43 +72,43 @@
         self._hold.stop()
 
     def _run(self) -> None:
-        look_s = min(_LONGEST_LOOK_S, self._interval_s * _LOOK_EVERY)
+        check_interval_s = min(_MAX_CHECK_INTERVAL_S, self._interval_s * _CHECK_INTERVAL_FRACTION)
         while True:
-            gevent.sleep(self._rng.uniform(0.5, 1.0) * look_s)
+            gevent.sleep(self._rng.uniform(0.5, 1.0) * check_interval_s)
             try:
                 self.step()
             except LogUnavailableError as error:
                 self._metrics.count(CHECKPOINT_RETRIED)
-                _log.warning("checkpoint not written", error=error.message)
+                _log.warning("writing a checkpoint failed; it will be retried", error=error.message)
 
     def step(self) -> bool:
         """Writes a checkpoint if one is due.
 
         :return: whether one was written.
-        :raises LogUnavailableError: if the log did not take all of it.
+        :raises LogUnavailableError: if the log did not confirm all of it.
         """
         is_due = self._clock() - self._last_at >= self._interval_s
         if not is_due or self._log.state.version < 0 or not self._hold.valid():
             return False
         upto = self._log.state.offset
         parts = split_snapshot(self._log.state.snapshot(), upto)
-        for start in range(0, len(parts), _PARTS_AT_ONCE):
+        for start in range(0, len(parts), _PARTS_PER_APPEND):
             if not self._hold.valid():
                 return False
-            self._log.append_many(parts[start : start + _PARTS_AT_ONCE], timeout_s=_TIMEOUT_S)
+            self._log.append_many(parts[start : start + _PARTS_PER_APPEND], timeout_s=_TIMEOUT_S)
         self._last_at = self._clock()
         _log.info("checkpoint written", upto=upto, parts=len(parts))
         return True
 
     def _read_back(self, _offset: int, record: Record | None, _verdict: Verdict) -> None:
-        """Notes checkpoints of other holders.
+        """Restarts the interval when all parts of a checkpoint have been read, from any holder.
 
-        Only those read while the tail is followed count: the age of an older one is not known.
+        Ignores checkpoints read before the node is ready, because their age is not known.
         """
         body = record.body if record is not None else None
         if not isinstance(body, CheckpointPart) or not self._log.ready:
             return
-        self._seen = {entry for entry in self._seen if entry[0] == body.digest}
-        self._seen.add((body.digest, body.part))
-        if len(self._seen) == body.parts:
+        self._seen_parts = {entry for entry in self._seen_parts if entry[0] == body.digest}
+        self._seen_parts.add((body.digest, body.part))
+        if len(self._seen_parts) == body.parts:
             self._last_at = self._clock()
--- a/packages/arbutustally-node/src/arbutustally_node/log_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_view.py
@@ -1,4 +1,4 @@
-"""The node's fold of the log, its subscribers and the latest records for peers."""
+"""The state folded from the log, its subscribers and the latest records kept for peers."""
 
 from collections import deque
 from collections.abc import Callable
@@ -10,19 +10,22 @@
 from arbutustally.state import ControlState
 from arbutustally.verdicts import Reason, Verdict, rejected
 
-#: Called with the offset, the record (``None`` if undecodable) and the verdict; must not block.
+#: Receives the offset, the record (``None`` if it cannot be decoded) and the verdict; must not
+#: block.
 Subscriber = Callable[[int, Record | None, Verdict], None]
 
-#: Lets a peer that missed some seconds of the log catch up without a whole snapshot.
+#: Records kept for peers, so that one that missed some seconds of the log catches up without a
+#: whole snapshot.
 RECENT_RECORDS = 2048
-#: Answers of bookings and checkpoints are large, so that the number alone bounds no memory.
+#: Also limits the kept records by payload, because responses of bookings and parts of checkpoints
+#: are large and a limit on the number alone does not bound memory.
 RECENT_BYTES = 4 << 20
 
 _log = get_logger("log")
 
 
 class LogView:
-    """Holds the state; every path into it checks the order of offsets.
+    """Holds the state; every way of changing it checks the order of offsets.
 
     :param booking_window_s: see ``ControlState``.
     """
@@ -33,7 +36,7 @@
         self._recent: deque[tuple[int, Record | None]] = deque()
         self._recent_bytes = 0
         self._subscribers: list[Subscriber] = []
-        self._jump_subscribers: list[Callable[[], None]] = []
+        self._snapshot_subscribers: list[Callable[[], None]] = []
 
     @property
     def state(self) -> ControlState:
@@ -46,50 +49,55 @@
         return self._state.offset + 1
 
     def subscribe(self, subscriber: Subscriber) -> None:
-        """Adds a function that is called after each record."""
+        """Registers a callback that runs after each record."""
         self._subscribers.append(subscriber)
 
     def subscribe_jump(self, subscriber: Callable[[], None]) -> None:
-        """Adds a function that is called after records were skipped by a snapshot."""
-        self._jump_subscribers.append(subscriber)
+        """Registers a callback that runs after a snapshot skipped records."""
+        self._snapshot_subscribers.append(subscriber)
 
     def apply(self, offset: int, record: Record | None) -> bool:
         """Applies a record if it is the next one.
 
-        :return: ``False`` if records before it are missing; one already applied is passed over.
+        :return: ``False`` if records before it are missing; a record that was already applied is
+            ignored and gives ``True``.
         """
         if offset < self.next_offset:
             return True
         if offset > self.next_offset:
             return False
-        verdict = self._verdict(offset, record)
-        self._keep(offset, record)
+        verdict = self._apply_to_state(offset, record)
+        self._keep_recent(offset, record)
         for subscriber in self._subscribers:
             try:
                 subscriber(offset, record, verdict)
-            except Exception as error:  # One subscriber must not stop the fold
+            except Exception as error:  # One subscriber must not stop the reader
                 _log.error("log subscriber failed", offset=offset, error=repr(error))
         return True
 
-    def _keep(self, offset: int, record: Record | None) -> None:
+    def _keep_recent(self, offset: int, record: Record | None) -> None:
         self._recent.append((offset, record))
         self._recent_bytes += _payload_bytes(record)
         while len(self._recent) > RECENT_RECORDS or self._recent_bytes > RECENT_BYTES:
             _, oldest = self._recent.popleft()
             self._recent_bytes -= _payload_bytes(oldest)
 
-    def _verdict(self, offset: int, record: Record | None) -> Verdict:
+    def _apply_to_state(self, offset: int, record: Record | None) -> Verdict:
         try:
             return self._state.apply(offset, record)
         except Exception as error:  # A record must never stop the reader
-            _log.error("log record raised; report this", offset=offset, error=repr(error))
+            _log.error(
+                "applying a log record raised an exception; report this",
+                offset=offset,
+                error=repr(error),
+            )
             return rejected(Reason.MALFORMED)
 
     def install(self, snapshot: bytes) -> bool:
-        """Replaces the state by a snapshot if that is higher.
+        """Replaces the state by a snapshot if its offset is higher.
 
         :return: whether it was installed.
-        :raises SnapshotInvalidError: if it is damaged.
+        :raises SnapshotInvalidError: if it is damaged or belongs to another log.
         """
         restored = ControlState.restore(snapshot, self._booking_window_s)
         if restored.offset <= self._state.offset:
@@ -97,18 +105,21 @@
         if restored.version < self._state.version:
             raise SnapshotInvalidError(
                 f"the snapshot has version {restored.version}, below {self._state.version}, at a "
-                "higher offset; it is of another log"
+                "higher offset; it belongs to another log"
             )
         self._state = restored
         self._recent.clear()
         self._recent_bytes = 0
-        for subscriber in self._jump_subscribers:
+        for subscriber in self._snapshot_subscribers:
             subscriber()
         _log.info("snapshot installed", offset=restored.offset, version=restored.version)
         return True
 
     def recent_from(self, start: int, limit: int) -> list[tuple[int, Record | None]] | None:
-        """Returns records from an offset, or ``None`` if they are not all kept."""
+        """Returns records from an offset on, or ``None`` if some are no longer kept.
+
+        :param limit: largest number of records to return.
+        """
         if start >= self.next_offset:
             return []
         if not self._recent or self._recent[0][0] > start:
@@ -118,7 +129,10 @@
 
 
 def _payload_bytes(record: Record | None) -> int:
-    """Returns the size of the only parts of a record that can be large in numbers."""
+    """Returns the size in bytes of a response or checkpoint part.
+
+    Only these can be large and numerous; every other record counts as zero.
+    """
     body = record.body if record is not None else None
     if isinstance(body, Outcome):
         return len(body.body)
