--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,4 +1,4 @@
-"""The adapter: wire forms are decoded once, and unreadable ones harm nobody."""
+"""The platform adapter: decoding and encoding, and invalid input rejected without an exception."""
 
 import json
 import os
