--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -15,9 +15,9 @@
 from arbutustally_node.framing import MAX_TRAILER_BYTES, ChunkedBody
 from arbutustally_node.gateway.web import fetch_snapshot
 from arbutustally_node.pool import MAX_ANSWER_BYTES, PoolService
-from arbutustally_platform.engines import ANSWER_TIMEOUT_S as ENGINE_TIMEOUT_S
+from arbutustally_platform.engines import RESPONSE_TIMEOUT_S as ENGINE_TIMEOUT_S
 from arbutustally_platform.engines import PlatformCacheEvents, PlatformEngines
-from arbutustally_platform.store import ANSWER_TIMEOUT_S, StoreClient, StoreKeyedTopic
+from arbutustally_platform.store import RESPONSE_TIMEOUT_S, StoreClient, StoreKeyedTopic
 from tests.gateway_values import entry
 
 _socket = monkey.get_original("socket", "socket")
@@ -160,7 +160,7 @@
         def check(address: str) -> None:
             topic = StoreKeyedTopic(StoreClient(address), "keyed.op")
             with self.assertRaises(StoreUnavailableError):
-                self.assert_ends(lambda: topic.since(0, 0.0), ANSWER_TIMEOUT_S)
+                self.assert_ends(lambda: topic.since(0, 0.0), RESPONSE_TIMEOUT_S)
 
         self.check_each_response(check)
 
