--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -61,7 +61,7 @@
         self.assertEqual((headers["Deadline-Ms"], headers["Tenant"]), ("250", "school"))
         self.assertNotIn("secret", str(headers))
 
-    def test_headers_named_by_connection_stay_here(self) -> None:
+    def test_headers_named_by_connection_are_dropped(self) -> None:
         request = self.codec.decode_request(
             head("Request-Id: r1", "Connection: X-Hop", "X-Hop: 1", "TE: trailers"), b"", 1.0
         )
@@ -141,12 +141,12 @@
             ).map(lambda value: json.dumps(value).encode()),
         ),
     )
-    def test_unreadable_records_give_nothing_and_raise_nothing(self, key, value) -> None:
+    def test_invalid_records_decode_to_none(self, key, value) -> None:
         decoded = self.documents.decode_operator(Record(key, value))
         self.assertTrue(decoded is None or isinstance(decoded, (Configuration, WeightsNamed)))
         self.documents.decode_endpoint(Record(key, value))
 
-    def test_entry_with_a_wrong_field_names_no_endpoint(self) -> None:
+    def test_entry_with_an_invalid_field_decodes_to_none(self) -> None:
         worker = FakeWorker("e1", "llm", "m")
         self.addCleanup(worker.stop)
         good = worker.entry()
@@ -185,7 +185,7 @@
             [(record.key, record.value) for record in later.records], [("c", b"3"), ("b", None)]
         )
 
-    def test_forgotten_records_and_refusals_are_typed(self) -> None:
+    def test_missing_records_and_rejections_raise_typed_errors(self) -> None:
         topic = StoreKeyedTopic(self.client, "keyed.t")
         topic.put("a", b"1")
         self.store.drop_history("keyed.t")
@@ -197,7 +197,7 @@
             with self.assertRaises(StoreUnavailableError):
                 topic.newest()
 
-    def test_of_two_claims_on_one_offset_one_wins(self) -> None:
+    def test_only_one_of_two_appends_at_one_offset_succeeds(self) -> None:
         leases = StoreLeaseTopic(StoreKeyedTopic(self.client, "keyed.l"))
         self.assertEqual(leases.last(), LeaseReading(None, 0, era=1))
         self.assertEqual(leases.append("n1", None, False, 1, 0), LeaseAppend(True, era=1))
@@ -215,7 +215,7 @@
         self.assertEqual(decoded.store_address, "10.0.0.1:5")
         self.assertEqual(decoded.options.bounds.weights_s, 4.0)
 
-    def test_unusable_file_is_refused_with_the_remedy(self) -> None:
+    def test_invalid_file_error_states_the_remedy(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = os.path.join(folder, "local.json")
             for text in (b"", b"{", b"[]", b'{"ip": 5}'):
