--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,4 +1,4 @@
-"""The platform adapter: decoding and encoding, and invalid input rejected without an exception."""
+"""The platform adapter: decoding, encoding, and typed errors or ``None`` for invalid input."""
 
 import json
 import os
