Reword the texts of peer links, broadcasts and tables of nodes and endpoints

Comments and messages spoke of silence, signs of life and what a node hears or is told. They now say what is sent, received, forwarded, recorded or closed. Reasons, units and bounds stay. The help texts of the counters stay as they are.

Messages changed: "peer link silent" is "peer link timed out"; the details of PeerUnavailableError and PeerRejectedError name the missing reply, the closed link or the unexpected frame.

--- a/packages/arbutustally-node/src/arbutustally_node/broadcasts.py
+++ b/packages/arbutustally-node/src/arbutustally_node/broadcasts.py
@@ -1,4 +1,4 @@
-"""Broadcasts of this node and of others: serials, subscribers, and what to pass on."""
+"""Broadcasts of this node and of others: serials, subscribers and forwarding."""
 
 from collections import OrderedDict
 from collections.abc import Callable
@@ -9,7 +9,7 @@
 from arbutustally.peer_protocol import Event, Events, Identity
 from arbutustally_node.serial_window import SerialWindow
 
-#: Origins whose broadcast serials are remembered.
+#: Maximum number of origins whose broadcast serials are remembered.
 MAX_ORIGINS = 4096
 
 Subscriber = Callable[[str, Any], None]
@@ -18,9 +18,9 @@
 
 
 class Broadcasts:
-    """Delivers each broadcast once and collects those for the own group.
+    """Delivers each broadcast once and collects those to forward to this node's group.
 
-    :param own: this node.
+    :param own: identity of this node.
     """
 
     def __init__(self, own: Identity) -> None:
@@ -36,18 +36,19 @@
         return cls(own)
 
     def subscribe(self, topic: str, function: Subscriber) -> None:
-        """Calls ``function(origin, payload)`` for each new broadcast of a topic."""
+        """Registers ``function(origin, payload)`` for each new broadcast of a topic."""
         self._subscribers.setdefault(topic, []).append(function)
 
     def event(self, topic: str, payload: Any) -> Event:
-        """Returns a new broadcast of this node."""
+        """Returns a new broadcast of this node, with the next serial."""
         return Event(self._own.node_id, self._own.incarnation, next(self._serials), topic, payload)
 
     def receive(self, events: Events, sender: str, is_near: bool) -> list[str]:
-        """Delivers the new ones of received events.
+        """Delivers those of the received events that are new.
 
         :param sender: node that sent the frame.
-        :param is_near: the sender is of the own group; what it sends has been passed on already.
+        :param is_near: whether the sender is in this node's group; its events are not forwarded,
+            as the group has received them already.
         :returns: the origins of the new events.
         """
         origins = []
@@ -61,7 +62,7 @@
         return origins
 
     def take_forwarded(self) -> list[Event]:
-        """Returns the events to pass on to the own group since the last call."""
+        """Returns the events collected since the last call, to forward to this node's group."""
         events, self._forward = self._forward, []
         return events
 
@@ -78,5 +79,5 @@
         for function in self._subscribers.get(event.topic, ()):
             try:
                 function(event.origin, event.payload)
-            except Exception as error:  # noqa: BLE001 one subscriber must not end the link
+            except Exception as error:  # noqa: BLE001 a subscriber must not end the link
                 _log.error("subscriber failed", topic=event.topic, error=type(error).__name__)
--- a/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
@@ -1,4 +1,4 @@
-"""What a node knows of the endpoints: list entries, load reports, marks and own dispatches."""
+"""View of the endpoints, from list entries, load reports, marks and this node's dispatches."""
 
 from collections import deque
 from collections.abc import Iterable
@@ -8,16 +8,16 @@
 from arbutustally.clock import Clock
 from arbutustally.instance_client import Instance
 
-#: Incarnations remembered for each endpoint, to refuse late reports of replaced ones.
+#: Replaced incarnations remembered per endpoint, to reject their late reports.
 MAX_PAST = 8
-#: Own dispatches remembered for each endpoint between two load reports.
+#: Dispatches of this node remembered per endpoint between two load reports.
 MAX_DISPATCHES = 4096
 #: An endpoint without an incarnation is usable again this long after it was marked dead, seconds.
 UNNAMED_DEAD_S = 5.0
-#: Marks of an endpoint are forgotten this long after it left the list, seconds.
+#: An endpoint and its marks are removed this long after it left the list, seconds.
 FORGET_S = 600.0
 
-#: Marks of a replaced incarnation are repeated to peers for this long, seconds.
+#: Marks of a replaced incarnation are resent to peers for this long, seconds.
 REPEAT_S = 60.0
 
 MarkKind = Literal["dead", "leaving"]
@@ -25,24 +25,24 @@
 
 @dataclass(frozen=True)
 class Mark:
-    """A sticky statement about one incarnation of an endpoint."""
+    """A sticky state of one incarnation of an endpoint."""
 
     endpoint_id: str
     incarnation: str
     kind: MarkKind
 
     def to_values(self) -> list[str]:
-        """Returns the form in which nodes share it."""
+        """Returns the values that nodes exchange."""
         return [self.endpoint_id, self.incarnation, self.kind]
 
 
 @dataclass(frozen=True)
 class Load:
-    """A load report as nodes share it.
+    """A load report as nodes exchange it.
 
     :ivar queued_tokens: prompt tokens that wait for prefill.
     :ivar running: requests in the batch.
-    :ivar taken_at: when the engine took the figures, on the clock of this node, seconds.
+    :ivar taken_at: time at which the engine measured the load, on the clock of this node, seconds.
     """
 
     endpoint_id: str
@@ -54,12 +54,15 @@
 
     @classmethod
     def from_values(cls, values: list[Any], now: float) -> "Load":
-        """Returns the load that a peer shared, as of its arrival."""
+        """Returns the load that a peer sent.
+
+        :param now: time of its arrival, from which its age is subtracted, seconds.
+        """
         endpoint_id, incarnation, queued, running, versions, age_ms = values
         return cls(endpoint_id, incarnation, queued, running, tuple(versions), now - age_ms / 1000)
 
     def to_values(self, now: float) -> list[Any]:
-        """Returns the form in which nodes share it, with its age in milliseconds."""
+        """Returns the values that nodes exchange, with the age in milliseconds."""
         age_ms = int((now - self.taken_at) * 1000)
         return [
             self.endpoint_id,
@@ -75,9 +78,9 @@
 class EndpointState:
     """An endpoint that is not known to be dead.
 
-    :ivar leaving: no new work; work in progress may finish or resume there.
-    :ivar queued_tokens: last report plus own dispatches since.
-    :ivar running: last report plus own dispatches since.
+    :ivar leaving: receives no new work; work in progress may finish or resume there.
+    :ivar queued_tokens: last report plus this node's dispatches since.
+    :ivar running: last report plus this node's dispatches since.
     :ivar report_age_s: age of the report; infinite without one.
     :ivar versions: weights versions that it has loaded.
     """
@@ -109,7 +112,7 @@
 
 
 class EndpointTable:
-    """Merges the lagging list with reports and marks; marks win over the list.
+    """Merges the lagging list with reports and marks; marks take precedence over the list.
 
     :param clock: clock of this node.
     """
@@ -120,14 +123,14 @@
         self._marks: dict[Mark, float] = {}
 
     def update_list(self, instances: Iterable[Instance]) -> list[Mark]:
-        """Takes a new list; returns marks that follow from entries that began to leave."""
+        """Applies a new list; returns the marks of entries that have become leaving."""
         now = self._clock()
         listed = {instance.id: instance for instance in instances}
         fresh = []
         for endpoint_id, instance in listed.items():
             entry = self._entries.setdefault(endpoint_id, _Entry(instance))
             if instance.address != entry.instance.address:
-                # Another address is another process, whatever the engine will report.
+                # A new address means a new process, whatever incarnation the engine reports later.
                 self._replace(entry, "")
             entry.instance = instance
             entry.gone_since = None
@@ -144,14 +147,14 @@
             entry.listed_leaving_for = None
             return []
         if entry.listed_leaving_for is not None:
-            # The list lags: the entry may still speak of the previous incarnation.
+            # The list lags: the entry may still describe the previous incarnation.
             return []
         entry.listed_leaving_for = entry.incarnation
         mark = Mark(entry.instance.id, entry.incarnation, "leaving")
         return [mark] if self.apply(mark) else []
 
     def report(self, load: Load) -> bool:
-        """Takes a load report; returns whether it is newer than the known one.
+        """Records a load report; returns whether it was accepted.
 
         A report of a replaced or dead incarnation, or one older than the last, is dropped.
         """
@@ -165,7 +168,7 @@
         if load.incarnation != entry.incarnation:
             self._replace(entry, load.incarnation)
         entry.load = load
-        # The engine has counted what was dispatched before it took the figures.
+        # The report includes what was dispatched before the engine measured the load.
         while entry.dispatches and entry.dispatches[0][0] <= load.taken_at:
             entry.dispatches.popleft()
         return True
@@ -179,7 +182,8 @@
         entry.unreachable = False
 
     def apply(self, mark: Mark) -> bool:
-        """Takes a mark; returns whether it is new. Marks of an incarnation are never undone."""
+        """Records a mark; returns whether it is new. Marks of an incarnation are never removed
+        while its endpoint is listed."""
         if mark in self._marks and not self._expired(mark):
             return False
         self._marks[mark] = self._clock()
@@ -190,10 +194,10 @@
         return True
 
     def marks(self) -> list[Mark]:
-        """Returns the marks that other nodes may need.
+        """Returns the marks to send to other nodes.
 
         A mark of a replaced incarnation is left out after ``REPEAT_S``; by then every node has
-        seen the new one.
+        received the new one.
         """
         since = self._clock() - REPEAT_S
         return [
@@ -209,19 +213,19 @@
         return entry.incarnation if entry is not None else ""
 
     def set_unreachable(self, endpoint_id: str, unreachable: bool) -> None:
-        """Notes whether this node's own polls fail; it holds for this node only."""
+        """Records whether this node's own polls fail; peers do not share this state."""
         entry = self._entries.get(endpoint_id)
         if entry is not None:
             entry.unreachable = unreachable
 
     def dispatched(self, endpoint_id: str, tokens: int) -> None:
-        """Adds work sent by this node until a later report includes it."""
+        """Counts work dispatched by this node until a later report includes it."""
         entry = self._entries.get(endpoint_id)
         if entry is not None:
             entry.dispatches.append((self._clock(), tokens))
 
     def finished(self, endpoint_id: str, tokens: int) -> None:
-        """Removes work sent by this node that no report includes yet."""
+        """Removes finished work of this node that no report includes yet."""
         entry = self._entries.get(endpoint_id)
         if entry is None:
             return
@@ -231,9 +235,10 @@
                 return
 
     def endpoints(self, service: str | None, model: str | None = None) -> list[EndpointState]:
-        """Returns the endpoints that are listed and not dead, in order of id.
+        """Returns the endpoints that are listed and not dead, sorted by id.
 
         :param service: one service, or ``None`` for all.
+        :param model: one model, or ``None`` for all.
         """
         chosen = [
             entry
@@ -279,7 +284,7 @@
         return mark in self._marks and not self._expired(mark)
 
     def _expired(self, mark: Mark) -> bool:
-        # Nothing would ever revive a plain service marked dead, for it has no incarnation.
+        # A plain service has no incarnation, so no later report could replace one marked dead.
         unnamed = mark.kind == "dead" and not mark.incarnation
         return unnamed and self._clock() - self._marks[mark] > UNNAMED_DEAD_S
 
--- a/packages/arbutustally-node/src/arbutustally_node/node_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/node_table.py
@@ -1,4 +1,4 @@
-"""What a node knows of the other nodes: list entries and their own announcements."""
+"""View of the other nodes, from the instance list and from their own announcements."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -6,7 +6,7 @@
 from arbutustally.clock import Clock
 from arbutustally.instance_client import Instance
 
-#: A node that is not listed is forgotten this long after its last announcement, seconds.
+#: A node that is not listed is removed this long after its last announcement, seconds.
 UNLISTED_S = 30.0
 
 
@@ -28,7 +28,7 @@
 
 
 class NodeTable:
-    """Merges the list with announcements; a drain is sticky for the incarnation.
+    """Merges the instance list with announcements; a draining incarnation stays draining.
 
     :param clock: clock of this node.
     """
@@ -40,7 +40,7 @@
         self._drained: set[tuple[str, str]] = set()
 
     def update_list(self, instances: Iterable[Instance]) -> None:
-        """Takes the ``entry`` instances of a new list."""
+        """Replaces the list by the ``entry`` instances of a new one."""
         self._listed = {instance.id: instance for instance in instances}
         for node_id, (_, instant) in list(self._announced.items()):
             if node_id not in self._listed and self._clock() - instant > UNLISTED_S:
@@ -49,13 +49,13 @@
         self._drained = {pair for pair in self._drained if pair[0] in known}
 
     def announced(self, node: Node) -> None:
-        """Takes a node's announcement of itself."""
+        """Records a node's announcement of itself."""
         if node.draining:
             self._drained.add((node.id, node.incarnation))
         self._announced[node.id] = (node, self._clock())
 
     def nodes(self) -> list[Node]:
-        """Returns all known nodes in order of id."""
+        """Returns all known nodes, sorted by id."""
         known = sorted(set(self._listed) | set(self._announced))
         return [self._node(node_id) for node_id in known]
 
@@ -67,6 +67,6 @@
         node = announced[0]
         leaving = listed is not None and listed.state == "leaving"
         draining = node.draining or leaving or (node_id, node.incarnation) in self._drained
-        # The list knows the address of a restarted node before any link to it exists.
+        # The list has the new address of a restarted node before any link to it exists.
         address = listed.address if listed is not None else node.peer_address
         return Node(node.id, node.incarnation, node.zone, node.caller_address, address, draining)
--- a/packages/arbutustally-node/src/arbutustally_node/peer_connection.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peer_connection.py
@@ -1,8 +1,7 @@
-"""Websocket connections whose descriptor stays open as long as it may be watched.
+"""Websocket connections whose descriptor stays open while a greenlet may wait on it.
 
-The library closes a socket that its receiving greenlet has registered with a selector, and that
-greenlet may wait on it once more. libev aborts the process when a watcher starts on a closed
-descriptor.
+The library closes a socket while its receiving greenlet has it registered with a selector and may
+wait on it again. libev aborts the process when a watcher starts on a closed descriptor.
 """
 
 import socket
@@ -15,7 +14,7 @@
 
 
 class _WatchedSocket:
-    """A socket that is only shut down by ``close``; ``release`` closes its descriptor."""
+    """A socket whose ``close`` only shuts it down; ``release`` closes its descriptor."""
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
@@ -24,7 +23,7 @@
         return getattr(self._sock, name)
 
     def close(self) -> None:
-        """Ends the connection in both directions, which wakes whoever waits on it."""
+        """Shuts down both directions, which wakes the greenlets that wait on the socket."""
         with suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
 
@@ -34,7 +33,7 @@
 
 
 class _ReleasingConnection(Connection):
-    """Closes the descriptor once the receiving greenlet has ended."""
+    """A connection that closes its descriptor once the receiving greenlet has ended."""
 
     def __init__(self, sock: socket.socket, *arguments: Any, **options: Any) -> None:
         self._watched = _WatchedSocket(sock)
--- a/packages/arbutustally-node/src/arbutustally_node/peer_link.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peer_link.py
@@ -1,4 +1,4 @@
-"""One authenticated link to a peer: handshake, frames, calls and signs of life."""
+"""An authenticated link to a peer: handshake, frames, calls and heartbeats."""
 
 import logging
 from collections.abc import Callable
@@ -30,25 +30,25 @@
     encode,
 )
 
-#: Bound for each step of the handshake, seconds.
+#: Timeout of each step of the handshake, seconds.
 HANDSHAKE_TIMEOUT_S = 3.0
-#: A link on which nothing was sent for this long carries an empty frame, seconds.
+#: An empty frame is sent on a link after this long without another frame, seconds.
 HEARTBEAT_S = 2.0
-#: A link on which nothing arrived for this long is closed, seconds; three signs of life.
+#: A link on which nothing arrived for this long is closed, seconds; three heartbeats.
 SILENCE_S = 6.0
-#: Frames that wait for a slow peer; beyond that the link is closed.
+#: Maximum number of frames queued for a slow peer; beyond that the link is closed.
 MAX_QUEUED_FRAMES = 256
-#: Calls of one peer handled at the same time; beyond that reading from the link waits.
+#: Calls of one peer handled concurrently; beyond that reading from the link blocks.
 MAX_CONCURRENT_CALLS = 64
 
 Handler = Callable[[str, Any], Any]
 
 _log = get_logger("peers")
-# The library logs whole tracebacks for every stray connection; this module logs typed errors.
+# The library logs a traceback for every stray connection; this module logs typed errors instead.
 _library_log = logging.getLogger("arbutustally.peers.websockets")
 _library_log.addHandler(logging.NullHandler())
 _library_log.propagate = False
-#: The size bound holds until the peer is authenticated.
+#: ``max_size`` applies until the peer is authenticated; larger frames are accepted afterwards.
 WEBSOCKET_OPTIONS: dict[str, Any] = {
     "close_timeout": 1.0,
     "ping_interval": None,
@@ -67,7 +67,7 @@
 
 
 def to_error(failure: Failure) -> RouterError:
-    """Returns the typed error that a peer reported."""
+    """Returns the typed error for a failure that a peer reported."""
     cls = _error_classes(RouterError).get(failure.code, PeerUnavailableError)
     try:
         ran = Ran(failure.ran)
@@ -79,7 +79,7 @@
 def dial_handshake(
     connection: Connection, handshake: Handshake, expected_node_id: str
 ) -> tuple[Identity, SecureChannel]:
-    """Authenticates the dialling end.
+    """Runs the handshake of the dialling end.
 
     :raises PeerRejectedError: if the other end fails to prove that it is the expected node.
     """
@@ -87,7 +87,7 @@
     proof, channel = handshake.prove(_receive_step(connection), expected_node_id)
     connection.protocol.max_message_size = MAX_FRAME_BYTES
     connection.send(proof)
-    # The listener's first frame shows that it accepted the proof and now takes large frames.
+    # The listener sends its first frame once it has accepted the proof and accepts large frames.
     channel.open(_receive_step(connection))
     return handshake.peer, channel
 
@@ -95,7 +95,7 @@
 def listen_handshake(
     connection: Connection, handshake: Handshake
 ) -> tuple[Identity, SecureChannel]:
-    """Authenticates the listening end.
+    """Runs the handshake of the listening end.
 
     :raises PeerRejectedError: if the other end fails to prove that it has the fleet secret.
     """
@@ -111,15 +111,17 @@
         data = connection.recv(timeout=HANDSHAKE_TIMEOUT_S)
     except TimeoutError:
         raise PeerRejectedError(
-            f"a peer did not finish its handshake in {HANDSHAKE_TIMEOUT_S} s; check its load"
+            f"a peer sent no handshake message in {HANDSHAKE_TIMEOUT_S} s; check its load"
         ) from None
     if not isinstance(data, bytes):
-        raise PeerRejectedError("a peer sent text in the handshake; check what dials this port")
+        raise PeerRejectedError(
+            "a peer sent a text frame in the handshake; check which program connects to this port"
+        )
     return data
 
 
 class PeerLink:
-    """A link whose other end is authenticated.
+    """A link to an authenticated peer.
 
     :param peer: the other end.
     :param on_events: called with this link and each received ``Events``.
@@ -156,13 +158,13 @@
 
     @property
     def closed(self) -> bool:
-        """Returns whether the link has ended."""
+        """Returns whether the link is closed."""
         return self._closed
 
     def run(self) -> None:
-        """Reads until the link ends; the caller's greenlet is the link's greenlet.
+        """Receives messages until the link ends, in the greenlet of the caller.
 
-        :raises PeerRejectedError: if the peer broke the protocol; the link is closed then.
+        :raises PeerRejectedError: if the peer violated the protocol; the link is then closed.
         """
         writer = gevent.spawn(self._write)
         try:
@@ -172,7 +174,7 @@
                     raise PeerRejectedError("a peer sent a text frame; upgrade the older node")
                 self._dispatch(decode(self._channel.open(frame)))
         except TimeoutError:
-            _log.warning("peer link silent", peer=self._peer.node_id, silence_s=SILENCE_S)
+            _log.warning("peer link timed out", peer=self._peer.node_id, silence_s=SILENCE_S)
         except (WebSocketException, OSError):
             pass
         finally:
@@ -180,7 +182,7 @@
             writer.kill(block=False)
 
     def post(self, data: bytes) -> None:
-        """Queues an encoded message without waiting; closes the link if the peer is too slow."""
+        """Queues an encoded message without blocking; closes the link if the queue is full."""
         if self._closed:
             return
         try:
@@ -190,9 +192,9 @@
             self.close()
 
     def call(self, method: str, payload: Any, timeout_s: float) -> Any:
-        """Sends a call and waits for its answer.
+        """Sends a call and waits for its reply.
 
-        :raises PeerUnavailableError: if the link ends or no answer comes in time.
+        :raises PeerUnavailableError: if the link ends or no reply arrives in time.
         :raises RouterError: the typed error that the peer's handler raised.
         """
         call_id = next(self._call_ids)
@@ -201,19 +203,19 @@
         try:
             self.post(encode(Call(call_id, method, payload)))
             if self._closed:
-                raise self._unavailable("the link has ended", Ran.NOT_RUN)
+                raise self._unavailable("the link is closed", Ran.NOT_RUN)
             return result.get(timeout=timeout_s)
         except gevent.Timeout:
-            raise self._unavailable(f"no answer in {timeout_s} s", Ran.MAY_HAVE_RUN) from None
+            raise self._unavailable(f"no reply in {timeout_s} s", Ran.MAY_HAVE_RUN) from None
         finally:
             del self._calls[call_id]
 
     def close(self) -> None:
-        """Ends the link and fails the calls that wait on it."""
+        """Closes the link and fails its pending calls."""
         if self._closed:
             return
         self._closed = True
-        error = self._unavailable("the link ended", Ran.MAY_HAVE_RUN)
+        error = self._unavailable("the link was closed", Ran.MAY_HAVE_RUN)
         for result in list(self._calls.values()):
             result.set_exception(error)
         gevent.spawn(_close_quietly, self._connection)
@@ -250,10 +252,12 @@
         elif isinstance(message, Failure):
             self._resolve(message.call_id, lambda result: result.set_exception(to_error(message)))
         else:
-            raise PeerRejectedError("a peer repeated its handshake; restart the peer")
+            raise PeerRejectedError(
+                "a peer sent a handshake message after the handshake; restart the peer"
+            )
 
     def _resolve(self, call_id: int, finish: Callable[[AsyncResult], None]) -> None:
-        # An answer after the timeout of its call finds nobody waiting and is dropped.
+        # A reply that arrives after its call has timed out is dropped.
         result = self._calls.get(call_id)
         if result is not None:
             finish(result)
@@ -268,7 +272,7 @@
             answer = encode(Reply(call.call_id, handler(self._peer.node_id, call.payload)))
         except RouterError as error:
             answer = encode(_failure(call.call_id, error))
-        except Exception as error:  # noqa: BLE001 a fault of a handler must not end the link
+        except Exception as error:  # noqa: BLE001 an error in a handler must not end the link
             _log.error("peer call failed", method=call.method, error=type(error).__name__)
             text = f"the call {call.method} failed; see the log of the peer"
             failed = PeerUnavailableError(text, ran=Ran.MAY_HAVE_RUN)
--- a/packages/arbutustally-node/src/arbutustally_node/peer_listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peer_listener.py
@@ -1,4 +1,4 @@
-"""The listener of peer links: accepts connections and authenticates their other ends."""
+"""Listener for peer links: accepts connections and authenticates the dialling ends."""
 
 from collections.abc import Callable
 
@@ -14,9 +14,9 @@
 from arbutustally_node.peer_connection import PeerServerConnection
 from arbutustally_node.peer_link import HANDSHAKE_TIMEOUT_S, WEBSOCKET_OPTIONS, listen_handshake
 
-#: Connections that may be unauthenticated at the same time.
+#: Maximum number of concurrent handshakes; further connections are closed.
 MAX_HANDSHAKES = 64
-#: Pause after a failed accept, for instance without free descriptors, seconds.
+#: Pause after a failed accept, for example when no descriptors are free, seconds.
 ACCEPT_RETRY_S = 0.1
 
 _log = get_logger("peers")
@@ -25,9 +25,9 @@
 class PeerListener:
     """Accepts links of peers.
 
-    :param new_handshake: returns the own side of a handshake.
+    :param new_handshake: returns this node's side of a new handshake.
     :param on_accepted: serves an authenticated connection until it ends.
-    :param on_rejected: takes the reason why a connection was closed.
+    :param on_rejected: called with the error for which a connection was closed.
     """
 
     def __init__(
@@ -44,7 +44,7 @@
         self._loop: gevent.Greenlet | None = None
 
     def start(self, address: str) -> str:
-        """Listens and returns the address that was bound, ``host:port``."""
+        """Starts listening and returns the bound address, ``host:port``."""
         self._server = serve(
             self._accept,
             sock=listen(address),
@@ -59,13 +59,13 @@
     def stop(self) -> None:
         """Closes the listener; accepted connections stay open."""
         if self._server is not None:
-            # Nothing may wait on the descriptor when it is closed.
+            # No greenlet may be waiting on the descriptor when it is closed.
             self._loop.kill(timeout=1)
             self._server.socket.close()
 
     def _accept_forever(self, server: Server) -> None:
-        # ``Server.serve_forever`` has its listener closed while its selector watches the
-        # descriptor; libev then aborts the process on the next change of that watcher.
+        # Replaces ``Server.serve_forever``: its listener would be closed while its selector
+        # watches the descriptor, and libev aborts the process at the next change of that watcher.
         while True:
             try:
                 connected, address = server.socket.accept()
--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -1,4 +1,4 @@
-"""Service ``peers``: links to other nodes, calls, and broadcasts once a second."""
+"""Service ``peers``: links to other nodes, which carry calls and, once a second, broadcasts."""
 
 import random
 from collections.abc import Callable
@@ -29,15 +29,18 @@
 )
 from arbutustally_node.peer_listener import PeerListener
 
-#: Interval in which broadcasts of other groups are passed on in one frame, seconds.
+#: Interval at which collected broadcasts of other groups are forwarded in one frame, seconds.
 FORWARD_INTERVAL_S = 0.25
-#: A node from which nothing was heard for this long, directly or passed on, is not connected.
+#: A node without a link counts as connected for this long after its last message arrived,
+#: directly or forwarded, seconds.
 HEARD_S = 5.0
+#: Bounds of the delay between two attempts to dial a node, seconds.
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 5.0
 #: A direct link for calls is closed after this long without a call, seconds.
 IDLE_LINK_S = 60.0
-#: The node with the larger id dials only if the other has not linked after this time, seconds.
+#: The node with the larger id dials only if the other has opened no link this long after it
+#: became known, seconds.
 DIAL_GRACE_S = 3.0
 REPLAN_INTERVAL_S = 1.0
 
@@ -57,9 +60,10 @@
 
 
 class PeersService:
-    """Keeps the links that the topology wants.
+    """Maintains the links of the topology plan and direct links for calls.
 
     :param addresses: returns the peer address of each known node by id.
+    :param mesh_up_to: largest number of nodes that form a full mesh instead of groups.
     """
 
     def __init__(
@@ -110,7 +114,7 @@
         return self._address
 
     def start(self) -> None:
-        """Opens the listener and begins to dial."""
+        """Opens the listener and starts dialling."""
         self._address = self._listener.start(self._options.peer_listen)
         self._loops = [
             gevent.spawn(self._replan_forever),
@@ -126,28 +130,30 @@
             link.close()
 
     def handle(self, method: str, function: Handler) -> None:
-        """Answers calls of a method with ``function(node_id, payload)``; it may raise
-        ``RouterError``, which reaches the calling node with its code."""
+        """Registers ``function(node_id, payload)`` as the handler of a method.
+
+        A ``RouterError`` that it raises is returned to the calling node with its code.
+        """
         self._handlers[method] = function
 
     def subscribe(self, topic: str, function: Callable[[str, Any], None]) -> None:
-        """Calls ``function(node_id, payload)`` for each broadcast of a topic.
+        """Registers ``function(node_id, payload)`` for the broadcasts of a topic.
 
         :param function: must not block; the node id is that of the origin.
         """
         self._broadcasts.subscribe(topic, function)
 
     def connected(self) -> list[str]:
-        """Returns the nodes with a link or heard through others within ``HEARD_S``."""
+        """Returns the nodes with a link or with a message received within ``HEARD_S``."""
         since = self._clock() - HEARD_S
         heard = {node_id for node_id, instant in self._heard.items() if instant >= since}
         return sorted(heard | set(self._links))
 
     def broadcast(self, topic: str, payload: Any) -> frozenset[Identity]:
-        """Sends a message to all nodes that can be reached; best effort, at most once each.
+        """Sends a message to all reachable nodes; best effort, delivered at most once to each.
 
-        :return: processes to which it was sent over a direct link; others pass it on.
-        :raises PeerRejectedError: if the message is larger than a frame.
+        :return: processes to which it was sent over a direct link; the rest receive it forwarded.
+        :raises PeerRejectedError: if the message exceeds the size of a frame.
         """
         data = encode(Events((self._broadcasts.event(topic, payload),)))
         links = self._broadcast_links()
@@ -156,9 +162,9 @@
         return frozenset(link.peer for link in links)
 
     def call(self, node_id: str, method: str, payload: Any, timeout_s: float) -> Any:
-        """Calls a method of a node, over a direct link that is opened if there is none.
+        """Calls a method of a node over its direct link, which is opened if there is none.
 
-        :raises PeerUnavailableError: if the node is not reached or does not answer in time.
+        :raises PeerUnavailableError: if the node cannot be reached or does not answer in time.
         :raises RouterError: the typed error of the node's handler.
         """
         if node_id == self._options.node_id:
@@ -173,11 +179,11 @@
             raise
 
     def metric(self, counter: Counter) -> int:
-        """Returns the count of one of this service's counters, for the status report."""
+        """Returns the value of one of this service's counters for the status report."""
         return self._metrics.counts.get(counter.name, 0)
 
     def stats(self) -> dict[str, float]:
-        """Returns figures of the links for the status report."""
+        """Returns statistics of the links for the status report."""
         return {
             "links": len(self._links),
             "sent_bytes": sum(link.sent_bytes for link in self._links.values()),
@@ -231,7 +237,10 @@
                 del self._links[node_id]
 
     def _adopt(self, link: PeerLink) -> bool:
-        """Makes a link the one to its peer; of two that cross, both ends keep the same one."""
+        """Registers the only link to a peer; if both ends dialled, both keep the same link.
+
+        :return: whether the link is kept.
+        """
         node_id = link.peer.node_id
         existing = self._links.get(node_id)
         if existing is not None and not existing.closed:
@@ -263,7 +272,7 @@
             remaining = deadline - self._clock()
             if remaining <= 0:
                 raise PeerUnavailableError(
-                    f"no link to node {node_id} in time; retry or use another node",
+                    f"no link to node {node_id} was opened in time; retry or use another node",
                     ran=Ran.NOT_RUN,
                     retry_after_s=1.0,
                 )
@@ -300,7 +309,7 @@
 
     def _close_unwanted(self) -> None:
         for node_id, link in list(self._links.items()):
-            # The dialling end decides; the listening end cannot know why the link exists.
+            # Only the dialling end closes it; the listening end cannot know why the link was opened.
             if link.dialler == self._options.node_id and node_id not in self._wanted:
                 link.close()
 
@@ -321,7 +330,7 @@
                 if self._clock() - began > HEARD_S:
                     backoff = BACKOFF_MIN_S
                 self._metrics.count(PEER_REDIALLED)
-            # Jitter spreads the dials of a fleet that lost the same node.
+            # Jitter spreads the dials of many nodes that lost the same peer.
             self._stopping.wait(backoff * self._random.uniform(0.5, 1.5))
             backoff = min(backoff * 2, BACKOFF_MAX_S)
 
--- a/packages/arbutustally-node/src/arbutustally_node/serial_window.py
+++ b/packages/arbutustally-node/src/arbutustally_node/serial_window.py
@@ -1,11 +1,11 @@
-"""Which broadcasts of one origin have arrived, over any of its paths."""
+"""Detects broadcasts of one origin that arrive more than once, over any of its paths."""
 
-#: Serials remembered for each origin, enough for the events of the slower of two paths.
+#: Number of serials remembered per origin, enough for the events of the slower of two paths.
 WINDOW = 64
 
 
 class SerialWindow:
-    """Remembers which serials of one origin incarnation have arrived."""
+    """Records which serials of one incarnation of an origin have arrived."""
 
     def __init__(self, incarnation: str) -> None:
         self._incarnation = incarnation
@@ -14,11 +14,11 @@
 
     @property
     def incarnation(self) -> str:
-        """Returns the incarnation whose serials these are."""
+        """Returns the incarnation whose serials are recorded."""
         return self._incarnation
 
     def accept(self, serial: int) -> bool:
-        """Returns whether the serial is new; one too old to tell is not."""
+        """Records a serial; returns whether it is new. One older than the window counts as seen."""
         if serial > self._highest:
             self._mask = (self._mask << min(serial - self._highest, WINDOW)) | 1
             self._mask &= (1 << WINDOW) - 1
--- a/tests/node_options.py
+++ b/tests/node_options.py
@@ -1,4 +1,4 @@
-"""Options of nodes in tests: the defaults, free ports on the loopback."""
+"""Options of nodes in tests: default settings, with free ports on the loopback interface."""
 
 from collections.abc import Mapping
 from dataclasses import replace
@@ -19,10 +19,10 @@
 
 
 def with_defaults(values: Mapping[str, Any]) -> Options:
-    """Returns the options with these values and the defaults of all other settings."""
+    """Returns options with these values and the defaults of all other settings."""
     return Options.from_config({setting.name: setting.default for setting in SETTINGS} | values)
 
 
 def options(node_id: str, **changes: Any) -> Options:
-    """Returns the options of a node; ``changes`` replace single values."""
+    """Returns the options of a node, with the values of ``changes``."""
     return replace(with_defaults({**REQUIRED, "node_id": node_id}), **changes)
--- a/tests/test_peer_close.py
+++ b/tests/test_peer_close.py
@@ -1,4 +1,4 @@
-"""Links of peers that are closed with frames unread, in a process of their own."""
+"""Closing of peer links with unread frames, in a child process that may be aborted."""
 
 import os
 import subprocess
@@ -14,7 +14,7 @@
 from tests.test_peers import Fleet, eventually
 
 ROOT = Path(__file__).resolve().parent.parent
-#: Frames beyond the calls that are handled, more than the library takes from the socket.
+#: Frames beyond the calls handled concurrently; more than the library reads ahead.
 UNREAD_FRAMES = 64
 CHILD_TIMEOUT_S = 60.0
 _CHILD = """
@@ -28,7 +28,7 @@
 
 
 def close_with_unread_frames() -> None:
-    """Closes links at both ends while frames wait, then prints how many connections stay open."""
+    """Closes links at both ends with unread frames, then prints the number of open connections."""
     fleet = Fleet()
     nodes = [fleet.add(name) for name in ("a", "b")]
     gevent.sleep(0.2)
@@ -48,7 +48,7 @@
 
 
 def _open_connections() -> int:
-    """Returns how many descriptors of this process are TCP sockets."""
+    """Returns the number of TCP sockets among the descriptors of this process."""
     rows = Path("/proc/self/net/tcp").read_text().splitlines()[1:]
     tcp = {f"socket:[{row.split()[9]}]" for row in rows}
     links = []
@@ -56,14 +56,14 @@
         try:
             links.append(os.readlink(f"/proc/self/fd/{entry}"))
         except FileNotFoundError:
-            # The descriptor of the listing itself.
+            # The descriptor of the directory listing itself, closed by now.
             continue
     return sum(link in tcp for link in links)
 
 
 class PeerCloseTest(unittest.TestCase):
     def test_link_closed_with_unread_frames_leaves_the_process_alive(self) -> None:
-        """Guards against libev aborting the node that closes a link of a busy peer."""
+        """Guards against libev aborting a node that closes the link to a busy peer."""
         child = subprocess.run(
             [sys.executable, "-c", _CHILD],
             cwd=ROOT,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,4 +1,4 @@
-"""Peer links over real sockets: reconnection, calls, broadcasts and hostile ends."""
+"""Peer links over real sockets: reconnection, calls, broadcasts and hostile peers."""
 
 import unittest
 from typing import Any
@@ -21,12 +21,12 @@
 from tests.node_options import REQUIRED, options
 
 SECRET = REQUIRED["peer_secret"]
-#: Bound for what is expected to happen at once, seconds.
+#: Timeout for events that are expected without delay, seconds.
 PATIENCE_S = 10.0
 
 
 def eventually(condition: Any) -> bool:
-    """Returns whether the condition holds within the bound."""
+    """Returns whether the condition becomes true within ``PATIENCE_S``."""
     with gevent.Timeout(PATIENCE_S, False):
         while not condition():
             gevent.sleep(0.02)
@@ -78,7 +78,7 @@
 
 class LinksTest(PeersCase):
     def test_call_carries_payload_and_typed_errors(self) -> None:
-        """Guards against an error that loses its code, its ``ran`` or its retry time."""
+        """Guards against a typed error that loses its code, ``ran`` or retry time on the wire."""
         a, b = self.fleet.add("a"), self.fleet.add("b")
 
         def refuse(_node_id: str, _payload: Any) -> None:
@@ -97,7 +97,7 @@
         self.assertEqual(a.call("b", "echo", 1, PATIENCE_S), ["a", 1])
 
     def test_late_answer_reaches_no_other_call(self) -> None:
-        """Guards against an answer that is given to the next call."""
+        """Guards against the reply of a timed-out call being returned by a later call."""
         a, b = self.fleet.add("a"), self.fleet.add("b")
         delays = iter([0.3, 0.0])
 
@@ -115,7 +115,7 @@
         self.assertEqual(a.call("b", "echo", 3, PATIENCE_S), ["a", 3])
 
     def test_restarted_node_is_linked_again(self) -> None:
-        """Guards against a link that is kept for a dead incarnation."""
+        """Guards against keeping the link to the previous incarnation of a restarted node."""
         a, b = self.fleet.add("a"), self.fleet.add("b")
         self.assert_eventually(self.fleet.connected)
         b.stop()
@@ -126,7 +126,7 @@
         self.assertEqual(a.call("b", "echo", 2, PATIENCE_S), ["a", 2])
 
     def test_silent_peer_is_dropped(self) -> None:
-        """Guards against a link to a frozen process that counts as connected for ever."""
+        """Guards against counting a frozen process as connected for ever."""
         self.enterContext(mock.patch.object(peer_link, "SILENCE_S", 0.3))
         self.enterContext(mock.patch.object(peers, "HEARD_S", 0.3))
         a = self.fleet.add("a")
@@ -135,7 +135,7 @@
             self.assert_eventually(lambda: a.connected() == [])
 
     def test_signs_of_life_keep_an_idle_link(self) -> None:
-        """Guards against dropping a healthy link on which nothing is said."""
+        """Guards against closing a healthy link that carries only heartbeats."""
         self.enterContext(mock.patch.object(peer_link, "SILENCE_S", 0.6))
         self.enterContext(mock.patch.object(peer_link, "HEARTBEAT_S", 0.1))
         a = self.fleet.add("a")
@@ -146,7 +146,7 @@
         self.assertFalse(link.closed)
 
     def test_secret_rotates_without_an_outage(self) -> None:
-        """Guards against a fleet that splits while nodes restart with the new secret."""
+        """Guards against a split fleet while nodes restart one by one with the new secret."""
         old, new = SECRET, "next-secret-0123456789"
         names = ("a", "b", "c")
         for name in names:
@@ -166,7 +166,7 @@
 
 class GroupsTest(PeersCase):
     def test_broadcast_reaches_each_node_once_through_groups(self) -> None:
-        """Guards against broadcasts lost or repeated where no direct link exists."""
+        """Guards against losing or repeating broadcasts between nodes without a direct link."""
         self.fleet = Fleet(mesh_up_to=4)
         names = [f"node-{index}" for index in range(16)]
         for name in names:
@@ -196,7 +196,7 @@
         )
 
     def test_another_member_is_tried_when_the_first_is_down(self) -> None:
-        """Guards against losing a whole group with one of its members."""
+        """Guards against losing contact with a whole group when one of its members fails."""
         self.fleet = Fleet(mesh_up_to=2)
         names = [f"node-{index}" for index in range(9)]
         listed = self.fleet.addresses
@@ -220,7 +220,7 @@
 
 class SerialsTest(PeersCase):
     def test_repeated_event_is_delivered_once(self) -> None:
-        """Guards against an event that arrives over two paths and counts twice."""
+        """Guards against delivering an event twice that arrives over two paths."""
         node = self.fleet.add("a")
         event = encode(Events((Event("y", "1", 5, "news", "x"),)))
         later = encode(Events((Event("y", "1", 6, "news", "later"),)))
@@ -233,14 +233,14 @@
 
     @given(st.lists(st.integers(0, WINDOW - 1), max_size=60))
     def test_each_serial_is_accepted_once_in_any_order(self, serials: list[int]) -> None:
-        """Guards against an event lost because a newer one overtook it."""
+        """Guards against dropping an event because a newer one arrived before it."""
         window = SerialWindow("1")
         accepted = [serial for serial in serials if window.accept(serial)]
         self.assertEqual(accepted, list(dict.fromkeys(serials)))
 
 
 class raw_link:  # noqa: N801 used as a context manager
-    """An authenticated connection under the control of a test."""
+    """An authenticated connection that a test reads and writes directly."""
 
     def __init__(self, node: PeersService, name: str, secret: str = SECRET) -> None:
         self._node = node
@@ -275,7 +275,7 @@
         self.assert_eventually(lambda: node.metric(PEER_REJECTED) == before + 1)
 
     def test_broken_frames_close_the_link_and_are_counted(self) -> None:
-        """Guards against replayed, reordered, altered, truncated and unknown frames."""
+        """Guards against accepting replayed, reordered, altered, truncated or unknown frames."""
         node = self.fleet.add("a")
         self.fleet.add("b")
         heartbeat = encode(Events(()))
@@ -304,7 +304,7 @@
         self.assertEqual(node.call("b", "echo", 1, PATIENCE_S), ["a", 1])
 
     def test_wrong_secret_gets_no_answer(self) -> None:
-        """Guards against calls answered before the proof, or under another secret."""
+        """Guards against handling calls before authentication or under another secret."""
         node = self.fleet.add("a")
         calls = []
         node.handle("spy", lambda *call: calls.append(call))
@@ -319,7 +319,7 @@
         self.assertEqual(node.connected(), [])
 
     def test_large_message_before_authentication_is_refused(self) -> None:
-        """Guards against a stranger who makes the node hold a megabyte."""
+        """Guards against an unauthenticated peer that makes the node buffer a megabyte."""
         node = self.fleet.add("a")
         with connect(f"ws://{node.address}/", proxy=None) as connection:
             with self.assertRaises(WebSocketException):
