Name the timeouts of peer links for what they bound

SILENCE_S is RECEIVE_TIMEOUT_S, HEARD_S is LIVENESS_TIMEOUT_S, _heard is _received_at, and the tests' PATIENCE_S is TIMEOUT_S.

--- a/packages/arbutustally-node/src/arbutustally_node/peer_link.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peer_link.py
@@ -35,7 +35,7 @@
 #: An empty frame is sent on a link after this long without another frame, seconds.
 HEARTBEAT_S = 2.0
 #: A link on which nothing arrived for this long is closed, seconds; three heartbeats.
-SILENCE_S = 6.0
+RECEIVE_TIMEOUT_S = 6.0
 #: Maximum number of frames queued for a slow peer; beyond that the link is closed.
 MAX_QUEUED_FRAMES = 256
 #: Calls of one peer handled concurrently; beyond that reading from the link blocks.
@@ -169,12 +169,14 @@
         writer = gevent.spawn(self._write)
         try:
             while not self._closed:
-                frame = self._connection.recv(timeout=SILENCE_S)
+                frame = self._connection.recv(timeout=RECEIVE_TIMEOUT_S)
                 if not isinstance(frame, bytes):
                     raise PeerRejectedError("a peer sent a text frame; upgrade the older node")
                 self._dispatch(decode(self._channel.open(frame)))
         except TimeoutError:
-            _log.warning("peer link timed out", peer=self._peer.node_id, silence_s=SILENCE_S)
+            _log.warning(
+                "peer link timed out", peer=self._peer.node_id, silence_s=RECEIVE_TIMEOUT_S
+            )
         except (WebSocketException, OSError):
             pass
         finally:
--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -33,7 +33,7 @@
 FORWARD_INTERVAL_S = 0.25
 #: A node without a link counts as connected for this long after its last message arrived,
 #: directly or forwarded, seconds.
-HEARD_S = 5.0
+LIVENESS_TIMEOUT_S = 5.0
 #: Bounds of the delay between two attempts to dial a node, seconds.
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 5.0
@@ -82,7 +82,7 @@
         self._random = random.Random()
         self._handlers: dict[str, Handler] = {}
         self._links: dict[str, PeerLink] = {}
-        self._heard: dict[str, float] = {}
+        self._received_at: dict[str, float] = {}
         own = Identity(options.node_id, options.incarnation)
         self._broadcasts = Broadcasts.from_config(own)
         self._plan = Plan(())
@@ -144,10 +144,10 @@
         self._broadcasts.subscribe(topic, function)
 
     def connected(self) -> list[str]:
-        """Returns the nodes with a link or with a message received within ``HEARD_S``."""
-        since = self._clock() - HEARD_S
-        heard = {node_id for node_id, instant in self._heard.items() if instant >= since}
-        return sorted(heard | set(self._links))
+        """Returns the nodes with a link or with a message received within ``LIVENESS_TIMEOUT_S``."""
+        since = self._clock() - LIVENESS_TIMEOUT_S
+        active = {node_id for node_id, instant in self._received_at.items() if instant >= since}
+        return sorted(active | set(self._links))
 
     def broadcast(self, topic: str, payload: Any) -> frozenset[Identity]:
         """Sends a message to all reachable nodes; best effort, delivered at most once to each.
@@ -250,7 +250,7 @@
                 return False
             existing.close()
         self._links[node_id] = link
-        self._heard[node_id] = self._clock()
+        self._received_at[node_id] = self._clock()
         self._linked.set()
         self._linked.clear()
         return True
@@ -327,7 +327,7 @@
             if node_id not in self._links:
                 began = self._clock()
                 self._try_dial(node_id, address)
-                if self._clock() - began > HEARD_S:
+                if self._clock() - began > LIVENESS_TIMEOUT_S:
                     backoff = BACKOFF_MIN_S
                 self._metrics.count(PEER_REDIALLED)
             # Jitter spreads the dials of many nodes that lost the same peer.
@@ -358,10 +358,10 @@
         return [self._links[node_id] for node_id in chosen if node_id in self._links]
 
     def _on_events(self, link: PeerLink, events: Events) -> None:
-        self._heard[link.peer.node_id] = self._clock()
+        self._received_at[link.peer.node_id] = self._clock()
         is_near = link.peer.node_id in self._plan.near
         for origin in self._broadcasts.receive(events, link.peer.node_id, is_near):
-            self._heard[origin] = self._clock()
+            self._received_at[origin] = self._clock()
 
     def _forward_forever(self) -> None:
         while not self._stopping.is_set():
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -22,12 +22,12 @@
 
 SECRET = REQUIRED["peer_secret"]
 #: Timeout for events that are expected without delay, seconds.
-PATIENCE_S = 10.0
+TIMEOUT_S = 10.0
 
 
 def eventually(condition: Any) -> bool:
-    """Returns whether the condition becomes true within ``PATIENCE_S``."""
-    with gevent.Timeout(PATIENCE_S, False):
+    """Returns whether the condition becomes true within ``TIMEOUT_S``."""
+    with gevent.Timeout(TIMEOUT_S, False):
         while not condition():
             gevent.sleep(0.02)
         return True
@@ -87,14 +87,14 @@
         b.handle("refuse", refuse)
         b.handle("fail", lambda _node_id, _payload: 1 // 0)
         large = b"x" * 900_000
-        self.assertEqual(a.call("b", "echo", large, PATIENCE_S), ["a", large])
+        self.assertEqual(a.call("b", "echo", large, TIMEOUT_S), ["a", large])
         with self.assertRaises(RateLimitedError) as caught:
-            a.call("b", "refuse", None, PATIENCE_S)
+            a.call("b", "refuse", None, TIMEOUT_S)
         self.assertEqual(caught.exception.retry_after_s, 2.5)
         for method in ("fail", "unknown"):
             with self.assertRaises(PeerUnavailableError):
-                a.call("b", method, None, PATIENCE_S)
-        self.assertEqual(a.call("b", "echo", 1, PATIENCE_S), ["a", 1])
+                a.call("b", method, None, TIMEOUT_S)
+        self.assertEqual(a.call("b", "echo", 1, TIMEOUT_S), ["a", 1])
 
     def test_late_answer_reaches_no_other_call(self) -> None:
         """Guards against the reply of a timed-out call being returned by a later call."""
@@ -106,13 +106,13 @@
             return payload
 
         b.handle("slow", slow)
-        a.call("b", "echo", 0, PATIENCE_S)
+        a.call("b", "echo", 0, TIMEOUT_S)
         with self.assertRaises(PeerUnavailableError) as caught:
             a.call("b", "slow", "first", 0.05)
         self.assertEqual(caught.exception.ran, Ran.MAY_HAVE_RUN)
-        self.assertEqual(a.call("b", "slow", "second", PATIENCE_S), "second")
+        self.assertEqual(a.call("b", "slow", "second", TIMEOUT_S), "second")
         gevent.sleep(0.4)
-        self.assertEqual(a.call("b", "echo", 3, PATIENCE_S), ["a", 3])
+        self.assertEqual(a.call("b", "echo", 3, TIMEOUT_S), ["a", 3])
 
     def test_restarted_node_is_linked_again(self) -> None:
         """Guards against keeping the link to the previous incarnation of a restarted node."""
@@ -123,20 +123,20 @@
             a.call("b", "echo", 1, 0.05)
         self.fleet.add("b")
         self.assert_eventually(lambda: "b" in a._links and not a._links["b"].closed)
-        self.assertEqual(a.call("b", "echo", 2, PATIENCE_S), ["a", 2])
+        self.assertEqual(a.call("b", "echo", 2, TIMEOUT_S), ["a", 2])
 
     def test_silent_peer_is_dropped(self) -> None:
         """Guards against counting a frozen process as connected for ever."""
-        self.enterContext(mock.patch.object(peer_link, "SILENCE_S", 0.3))
-        self.enterContext(mock.patch.object(peers, "HEARD_S", 0.3))
+        self.enterContext(mock.patch.object(peer_link, "RECEIVE_TIMEOUT_S", 0.3))
+        self.enterContext(mock.patch.object(peers, "LIVENESS_TIMEOUT_S", 0.3))
         a = self.fleet.add("a")
         with raw_link(a, "z"):
             self.assert_eventually(lambda: a.connected() == ["z"])
             self.assert_eventually(lambda: a.connected() == [])
 
-    def test_signs_of_life_keep_an_idle_link(self) -> None:
+    def test_heartbeats_keep_an_idle_link_open(self) -> None:
         """Guards against closing a healthy link that carries only heartbeats."""
-        self.enterContext(mock.patch.object(peer_link, "SILENCE_S", 0.6))
+        self.enterContext(mock.patch.object(peer_link, "RECEIVE_TIMEOUT_S", 0.6))
         self.enterContext(mock.patch.object(peer_link, "HEARTBEAT_S", 0.1))
         a = self.fleet.add("a")
         self.fleet.add("b")
@@ -158,7 +158,7 @@
                 self.fleet.add(name, peer_secret=secrets[0], peer_secret_previous=secrets[1])
                 for other in names:
                     if other != name:
-                        answer = self.fleet.nodes[name].call(other, "echo", 1, PATIENCE_S)
+                        answer = self.fleet.nodes[name].call(other, "echo", 1, TIMEOUT_S)
                         self.assertEqual(answer, [name, 1])
         rejected = [node.metric(PEER_REJECTED) for node in self.fleet.nodes.values()]
         self.assertEqual(rejected, [0, 0, 0])
@@ -251,10 +251,10 @@
         self.connection = connect(f"ws://{self._node.address}/", proxy=None, compression=None)
         self.connection.send(self._handshake.hello())
         proof, self.channel = self._handshake.prove(
-            self.connection.recv(timeout=PATIENCE_S), self._node._options.node_id
+            self.connection.recv(timeout=TIMEOUT_S), self._node._options.node_id
         )
         self.connection.send(proof)
-        self.channel.open(self.connection.recv(timeout=PATIENCE_S))
+        self.channel.open(self.connection.recv(timeout=TIMEOUT_S))
         return self
 
     def __exit__(self, *_: Any) -> None:
@@ -270,7 +270,7 @@
                 link.connection.send(frame)
             with self.assertRaises((WebSocketException, TimeoutError)):
                 while True:
-                    link.connection.recv(timeout=PATIENCE_S)
+                    link.connection.recv(timeout=TIMEOUT_S)
             self.assertEqual(link.connection.close_code is not None, True)
         self.assert_eventually(lambda: node.metric(PEER_REJECTED) == before + 1)
 
@@ -301,7 +301,7 @@
         for send in (replayed, reordered, altered, truncated, hostile, text):
             with self.subTest(send.__name__):
                 self.assert_rejected(node, send)
-        self.assertEqual(node.call("b", "echo", 1, PATIENCE_S), ["a", 1])
+        self.assertEqual(node.call("b", "echo", 1, TIMEOUT_S), ["a", 1])
 
     def test_wrong_secret_gets_no_answer(self) -> None:
         """Guards against handling calls before authentication or under another secret."""
@@ -310,10 +310,10 @@
         node.handle("spy", lambda *call: calls.append(call))
         with connect(f"ws://{node.address}/", proxy=None) as connection:
             connection.send(Handshake.from_config("z", "1", "wrong" * 5).hello())
-            connection.recv(timeout=PATIENCE_S)
+            connection.recv(timeout=TIMEOUT_S)
             connection.send(encode(Call(0, "spy", None)))
             with self.assertRaises(WebSocketException):
-                connection.recv(timeout=PATIENCE_S)
+                connection.recv(timeout=TIMEOUT_S)
         self.assert_eventually(lambda: node.metric(PEER_REJECTED) == 1)
         self.assertEqual(calls, [])
         self.assertEqual(node.connected(), [])
@@ -324,7 +324,7 @@
         with connect(f"ws://{node.address}/", proxy=None) as connection:
             with self.assertRaises(WebSocketException):
                 connection.send(bytes(100_000))
-                connection.recv(timeout=PATIENCE_S)
+                connection.recv(timeout=TIMEOUT_S)
             self.assertEqual(connection.close_code, 1009)
 
 
