--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -89,9 +89,9 @@
         self._wanted: set[str] = set()
         self._known_since: dict[str, float] = {}
         self._linked = Signal()
-        self._tenders: dict[str, gevent.Greenlet] = {}
+        self._dial_loops: dict[str, gevent.Greenlet] = {}
         self._far_attempts: dict[str, int] = {}
-        self._direct_used: dict[str, float] = {}
+        self._direct_used_at: dict[str, float] = {}
         self._listener = PeerListener(
             self._handshake, self._serve_accepted, lambda error: self._reject(error, "unknown")
         )
@@ -124,7 +124,7 @@
     def stop(self) -> None:
         """Closes the listener and all links."""
         self._stopping.set()
-        gevent.killall([*self._loops, *self._tenders.values()], timeout=1)
+        gevent.killall([*self._loops, *self._dial_loops.values()], timeout=1)
         self._listener.stop()
         for link in list(self._links.values()):
             link.close()
@@ -172,7 +172,7 @@
         deadline = self._clock() + timeout_s
         try:
             link = self._links.get(node_id) or self._open_direct(node_id, deadline)
-            self._direct_used[node_id] = self._clock()
+            self._direct_used_at[node_id] = self._clock()
             return link.call(method, payload, max(deadline - self._clock(), 0.001))
         except PeerUnavailableError:
             self._metrics.count(PEER_UNAVAILABLE)
@@ -225,7 +225,7 @@
     def _run(self, link: PeerLink, dialler: Identity) -> None:
         node_id = link.peer.node_id
         link.dialler = dialler.node_id
-        if not self._adopt(link):
+        if not self._register_link(link):
             link.close()
             return
         try:
@@ -236,7 +236,7 @@
             if self._links.get(node_id) is link:
                 del self._links[node_id]
 
-    def _adopt(self, link: PeerLink) -> bool:
+    def _register_link(self, link: PeerLink) -> bool:
         """Registers the only link to a peer; if both ends dialled, both keep the same link.
 
         :return: whether the link is kept.
@@ -266,8 +266,8 @@
                 f"node {node_id} is not in the instance list; retry when it is listed",
                 retry_after_s=1.0,
             )
-        self._direct_used[node_id] = self._clock()
-        self._tend(node_id)
+        self._direct_used_at[node_id] = self._clock()
+        self._ensure_dialling(node_id)
         while node_id not in self._links:
             remaining = deadline - self._clock()
             if remaining <= 0:
@@ -289,19 +289,19 @@
         now = self._clock()
         self._plan = plan(self._options.node_id, known, self._mesh_up_to)
         wanted = set(self._plan.near)
-        wanted.update(self._far_choice(group) for group in self._plan.far)
+        wanted.update(self._choose_far_peer(group) for group in self._plan.far)
         wanted.update(
-            node_id for node_id, used in self._direct_used.items() if used > now - IDLE_LINK_S
+            node_id for node_id, used in self._direct_used_at.items() if used > now - IDLE_LINK_S
         )
         self._wanted = wanted
         self._known_since = {node_id: self._known_since.get(node_id, now) for node_id in known}
         for node_id in wanted:
             waited = now - self._known_since.get(node_id, now)
             if dials(self._options.node_id, node_id) or waited > DIAL_GRACE_S:
-                self._tend(node_id)
+                self._ensure_dialling(node_id)
         self._close_unwanted()
 
-    def _far_choice(self, group: tuple[str, ...]) -> str:
+    def _choose_far_peer(self, group: tuple[str, ...]) -> str:
         for node_id in group:
             if node_id in self._links:
                 return node_id
@@ -313,10 +313,10 @@
             if link.dialler == self._options.node_id and node_id not in self._wanted:
                 link.close()
 
-    def _tend(self, node_id: str) -> None:
-        tender = self._tenders.get(node_id)
-        if tender is None or tender.dead:
-            self._tenders[node_id] = gevent.spawn(self._keep_link, node_id)
+    def _ensure_dialling(self, node_id: str) -> None:
+        loop = self._dial_loops.get(node_id)
+        if loop is None or loop.dead:
+            self._dial_loops[node_id] = gevent.spawn(self._keep_link, node_id)
 
     def _keep_link(self, node_id: str) -> None:
         backoff = BACKOFF_MIN_S
@@ -325,9 +325,9 @@
             if address is None:
                 return
             if node_id not in self._links:
-                began = self._clock()
+                started_at = self._clock()
                 self._try_dial(node_id, address)
-                if self._clock() - began > LIVENESS_TIMEOUT_S:
+                if self._clock() - started_at > LIVENESS_TIMEOUT_S:
                     backoff = BACKOFF_MIN_S
                 self._metrics.count(PEER_REDIALLED)
             # Jitter spreads the dials of many nodes that lost the same peer.
@@ -346,7 +346,7 @@
                 self._far_attempts[group[0]] = self._far_attempts.get(group[0], 0) + 1
 
     def _is_wanted(self, node_id: str) -> bool:
-        recent = self._direct_used.get(node_id, -IDLE_LINK_S) > self._clock() - IDLE_LINK_S
+        recent = self._direct_used_at.get(node_id, -IDLE_LINK_S) > self._clock() - IDLE_LINK_S
         return node_id in self._wanted or recent
 
     def _broadcast_links(self) -> list[PeerLink]:
