Name the forwarding of broadcasts for what it does

_pass_on of PeersService is _forward; the events of Broadcasts that wait for it are _to_forward, read by take_events_to_forward; WINDOW is WINDOW_SERIALS.

Tests: tests.test_peers, tests.test_peer_close: 15 passed.

--- a/packages/arbutustally-node/src/arbutustally_node/broadcasts.py
+++ b/packages/arbutustally-node/src/arbutustally_node/broadcasts.py
@@ -28,7 +28,7 @@
         self._serials = count()
         self._subscribers: dict[str, list[Subscriber]] = {}
         self._seen: OrderedDict[str, SerialWindow] = OrderedDict()
-        self._forward: list[Event] = []
+        self._to_forward: list[Event] = []
 
     @classmethod
     def from_config(cls, own: Identity) -> "Broadcasts":
@@ -57,13 +57,13 @@
                 continue
             origins.append(event.origin)
             if event.origin == sender and not is_near:
-                self._forward.append(event)
+                self._to_forward.append(event)
             self._deliver(event)
         return origins
 
-    def take_forwarded(self) -> list[Event]:
+    def take_events_to_forward(self) -> list[Event]:
         """Returns the events collected since the last call, to forward to this node's group."""
-        events, self._forward = self._forward, []
+        events, self._to_forward = self._to_forward, []
         return events
 
     def _is_new(self, event: Event) -> bool:
--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -366,17 +366,17 @@
     def _forward_forever(self) -> None:
         while not self._stopping.is_set():
             self._stopping.wait(FORWARD_INTERVAL_S)
-            events = self._broadcasts.take_forwarded()
+            events = self._broadcasts.take_events_to_forward()
             if events:
-                self._pass_on(events)
+                self._forward(events)
 
-    def _pass_on(self, events: list[Event]) -> None:
+    def _forward(self, events: list[Event]) -> None:
         try:
             data = encode(Events(tuple(events)))
         except PeerRejectedError:
             if len(events) > 1:
-                self._pass_on(events[: len(events) // 2])
-                self._pass_on(events[len(events) // 2 :])
+                self._forward(events[: len(events) // 2])
+                self._forward(events[len(events) // 2 :])
             return
         for node_id in self._plan.near:
             link = self._links.get(node_id)
--- a/packages/arbutustally-node/src/arbutustally_node/serial_window.py
+++ b/packages/arbutustally-node/src/arbutustally_node/serial_window.py
@@ -1,7 +1,7 @@
 """Detects broadcasts of one origin that arrive more than once, over any of its paths."""
 
 #: Number of serials remembered per origin, enough for the events of the slower of two paths.
-WINDOW = 64
+WINDOW_SERIALS = 64
 
 
 class SerialWindow:
@@ -20,12 +20,12 @@
     def accept(self, serial: int) -> bool:
         """Records a serial; returns whether it is new. One older than the window counts as seen."""
         if serial > self._highest:
-            self._mask = (self._mask << min(serial - self._highest, WINDOW)) | 1
-            self._mask &= (1 << WINDOW) - 1
+            self._mask = (self._mask << min(serial - self._highest, WINDOW_SERIALS)) | 1
+            self._mask &= (1 << WINDOW_SERIALS) - 1
             self._highest = serial
             return True
         age = self._highest - serial
-        if age >= WINDOW or self._mask >> age & 1:
+        if age >= WINDOW_SERIALS or self._mask >> age & 1:
             return False
         self._mask |= 1 << age
         return True
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -17,7 +17,7 @@
 from arbutustally.topology import group_of, plan
 from arbutustally_node import peer_link, peers
 from arbutustally_node.peers import PEER_REJECTED, PeersService
-from arbutustally_node.serial_window import WINDOW, SerialWindow
+from arbutustally_node.serial_window import WINDOW_SERIALS, SerialWindow
 from tests.node_options import REQUIRED, options
 
 SECRET = REQUIRED["peer_secret"]
@@ -231,7 +231,7 @@
             gevent.sleep(0.1)
         self.assertEqual(self.fleet.received["a"], [("y", "x"), ("y", "later")])
 
-    @given(st.lists(st.integers(0, WINDOW - 1), max_size=60))
+    @given(st.lists(st.integers(0, WINDOW_SERIALS - 1), max_size=60))
     def test_each_serial_is_accepted_once_in_any_order(self, serials: list[int]) -> None:
         """Guards against dropping an event because a newer one arrived before it."""
         window = SerialWindow("1")
