Name the retention and marks of the tables of nodes and endpoints

FORGET_S and UNLISTED_S are UNLISTED_RETENTION_S, REPEAT_S is MARK_RESEND_S, MAX_PAST is MAX_PAST_INCARNATIONS, gone_since is unlisted_since, _marked is _has_mark, _list_mark is _marks_from_list, _forget is _remove.

The field past of an entry keeps its name: tests/test_membership.py reads it within EndpointMachine. With that one use renamed, the derandomized machine failed at newest_is_never_replaced_by_an_older: a late report of an incarnation that the table has never seen replaces the current one, whose own reports are then dropped.

Tests: tests.test_peers, tests.test_peer_close, tests.test_membership: 36 passed.

--- a/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
@@ -9,16 +9,16 @@
 from arbutustally.instance_client import Instance
 
 #: Replaced incarnations remembered per endpoint, to reject their late reports.
-MAX_PAST = 8
+MAX_PAST_INCARNATIONS = 8
 #: Dispatches of this node remembered per endpoint between two load reports.
 MAX_DISPATCHES = 4096
 #: An endpoint without an incarnation is usable again this long after it was marked dead, seconds.
 UNNAMED_DEAD_S = 5.0
 #: An endpoint and its marks are removed this long after it left the list, seconds.
-FORGET_S = 600.0
+UNLISTED_RETENTION_S = 600.0
 
 #: Marks of a replaced incarnation are resent to peers for this long, seconds.
-REPEAT_S = 60.0
+MARK_RESEND_S = 60.0
 
 MarkKind = Literal["dead", "leaving"]
 
@@ -104,11 +104,11 @@
         self.instance = instance
         self.load: Load | None = None
         self.incarnation = ""
-        self.past: deque[str] = deque(maxlen=MAX_PAST)
+        self.past: deque[str] = deque(maxlen=MAX_PAST_INCARNATIONS)
         self.dispatches: deque[tuple[float, int]] = deque(maxlen=MAX_DISPATCHES)
         self.unreachable = False
         self.listed_leaving_for: str | None = None
-        self.gone_since: float | None = None
+        self.unlisted_since: float | None = None
 
 
 class EndpointTable:
@@ -126,23 +126,25 @@
         """Applies a new list; returns the marks of entries that have become leaving."""
         now = self._clock()
         listed = {instance.id: instance for instance in instances}
-        fresh = []
+        new_marks = []
         for endpoint_id, instance in listed.items():
             entry = self._entries.setdefault(endpoint_id, _Entry(instance))
             if instance.address != entry.instance.address:
                 # A new address means a new process, whatever incarnation the engine reports later.
                 self._replace(entry, "")
             entry.instance = instance
-            entry.gone_since = None
-            fresh.extend(self._list_mark(entry))
+            entry.unlisted_since = None
+            new_marks.extend(self._marks_from_list(entry))
         for endpoint_id, entry in list(self._entries.items()):
             if endpoint_id not in listed:
-                entry.gone_since = entry.gone_since if entry.gone_since is not None else now
-                if now - entry.gone_since > FORGET_S:
-                    self._forget(endpoint_id)
-        return fresh
-
-    def _list_mark(self, entry: _Entry) -> list[Mark]:
+                entry.unlisted_since = (
+                    entry.unlisted_since if entry.unlisted_since is not None else now
+                )
+                if now - entry.unlisted_since > UNLISTED_RETENTION_S:
+                    self._remove(endpoint_id)
+        return new_marks
+
+    def _marks_from_list(self, entry: _Entry) -> list[Mark]:
         if entry.instance.state != "leaving":
             entry.listed_leaving_for = None
             return []
@@ -161,7 +163,7 @@
         entry = self._entries.get(load.endpoint_id)
         if entry is None or load.incarnation in entry.past:
             return False
-        if self._marked(load.endpoint_id, load.incarnation, "dead"):
+        if self._has_mark(load.endpoint_id, load.incarnation, "dead"):
             return False
         if entry.load is not None and load.taken_at < entry.load.taken_at:
             return False
@@ -196,10 +198,10 @@
     def marks(self) -> list[Mark]:
         """Returns the marks to send to other nodes.
 
-        A mark of a replaced incarnation is left out after ``REPEAT_S``; by then every node has
+        A mark of a replaced incarnation is left out after ``MARK_RESEND_S``; by then every node has
         received the new one.
         """
-        since = self._clock() - REPEAT_S
+        since = self._clock() - MARK_RESEND_S
         return [
             mark
             for mark, instant in self._marks.items()
@@ -252,16 +254,16 @@
 
     def listed(self) -> list[Instance]:
         """Returns the entries of the last list."""
-        return [entry.instance for entry in self._entries.values() if entry.gone_since is None]
+        return [entry.instance for entry in self._entries.values() if entry.unlisted_since is None]
 
     def _usable(self, entry: _Entry) -> bool:
-        if entry.gone_since is not None or entry.unreachable:
+        if entry.unlisted_since is not None or entry.unreachable:
             return False
-        return not self._marked(entry.instance.id, entry.incarnation, "dead")
+        return not self._has_mark(entry.instance.id, entry.incarnation, "dead")
 
     def _state(self, entry: _Entry) -> EndpointState:
         instance, load = entry.instance, entry.load
-        leaving = instance.state == "leaving" or self._marked(
+        leaving = instance.state == "leaving" or self._has_mark(
             instance.id, entry.incarnation, "leaving"
         )
         return EndpointState(
@@ -279,16 +281,16 @@
             load.versions if load else (),
         )
 
-    def _marked(self, endpoint_id: str, incarnation: str, kind: MarkKind) -> bool:
+    def _has_mark(self, endpoint_id: str, incarnation: str, kind: MarkKind) -> bool:
         mark = Mark(endpoint_id, incarnation, kind)
         return mark in self._marks and not self._expired(mark)
 
     def _expired(self, mark: Mark) -> bool:
         # A plain service has no incarnation, so no later report could replace one marked dead.
-        unnamed = mark.kind == "dead" and not mark.incarnation
-        return unnamed and self._clock() - self._marks[mark] > UNNAMED_DEAD_S
+        expires = mark.kind == "dead" and not mark.incarnation
+        return expires and self._clock() - self._marks[mark] > UNNAMED_DEAD_S
 
-    def _forget(self, endpoint_id: str) -> None:
+    def _remove(self, endpoint_id: str) -> None:
         del self._entries[endpoint_id]
         self._marks = {
             mark: instant
--- a/packages/arbutustally-node/src/arbutustally_node/node_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/node_table.py
@@ -7,7 +7,7 @@
 from arbutustally.instance_client import Instance
 
 #: A node that is not listed is removed this long after its last announcement, seconds.
-UNLISTED_S = 30.0
+UNLISTED_RETENTION_S = 30.0
 
 
 @dataclass(frozen=True)
@@ -43,7 +43,7 @@
         """Replaces the list by the ``entry`` instances of a new one."""
         self._listed = {instance.id: instance for instance in instances}
         for node_id, (_, instant) in list(self._announced.items()):
-            if node_id not in self._listed and self._clock() - instant > UNLISTED_S:
+            if node_id not in self._listed and self._clock() - instant > UNLISTED_RETENTION_S:
                 del self._announced[node_id]
         known = set(self._listed) | set(self._announced)
         self._drained = {pair for pair in self._drained if pair[0] in known}
