--- a/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
@@ -1,4 +1,4 @@
-"""What a node knows of the endpoints: list entries, load reports, marks and own dispatches."""
+"""View of the endpoints, from list entries, load reports, marks and this node's dispatches."""
 
 from collections import deque
 from collections.abc import Iterable
@@ -8,41 +8,41 @@
 from arbutustally.clock import Clock
 from arbutustally.instance_client import Instance
 
-#: Incarnations remembered for each endpoint, to refuse late reports of replaced ones.
-MAX_PAST = 8
-#: Own dispatches remembered for each endpoint between two load reports.
+#: Replaced incarnations remembered per endpoint, to reject their late reports.
+MAX_PAST_INCARNATIONS = 8
+#: Dispatches of this node remembered per endpoint between two load reports.
 MAX_DISPATCHES = 4096
 #: An endpoint without an incarnation is usable again this long after it was marked dead, seconds.
 UNNAMED_DEAD_S = 5.0
-#: Marks of an endpoint are forgotten this long after it left the list, seconds.
-FORGET_S = 600.0
+#: An endpoint and its marks are removed this long after it left the list, seconds.
+UNLISTED_RETENTION_S = 600.0
 
-#: Marks of a replaced incarnation are repeated to peers for this long, seconds.
-REPEAT_S = 60.0
+#: Marks of a replaced incarnation are resent to peers for this long, seconds.
+MARK_RESEND_S = 60.0
 
 MarkKind = Literal["dead", "leaving"]
 
 
 @dataclass(frozen=True)
 class Mark:
-    """A sticky statement about one incarnation of an endpoint."""
+    """A sticky state of one incarnation of an endpoint."""
 
     endpoint_id: str
     incarnation: str
     kind: MarkKind
 
     def to_values(self) -> list[str]:
-        """Returns the form in which nodes share it."""
+        """Returns the values that nodes exchange."""
         return [self.endpoint_id, self.incarnation, self.kind]
 
 
 @dataclass(frozen=True)
 class Load:
-    """A load report as nodes share it.
+    """A load report as nodes exchange it.
 
     :ivar queued_tokens: prompt tokens that wait for prefill.
     :ivar running: requests in the batch.
-    :ivar taken_at: when the engine took the figures, on the clock of this node, seconds.
+    :ivar taken_at: time at which the engine measured the load, on the clock of this node, seconds.
     """
 
     endpoint_id: str
@@ -54,12 +54,15 @@
 
     @classmethod
     def from_values(cls, values: list[Any], now: float) -> "Load":
-        """Returns the load that a peer shared, as of its arrival."""
+        """Returns the load that a peer sent.
+
+        :param now: time of its arrival, from which its age is subtracted, seconds.
+        """
         endpoint_id, incarnation, queued, running, versions, age_ms = values
         return cls(endpoint_id, incarnation, queued, running, tuple(versions), now - age_ms / 1000)
 
     def to_values(self, now: float) -> list[Any]:
-        """Returns the form in which nodes share it, with its age in milliseconds."""
+        """Returns the values that nodes exchange, with the age in milliseconds."""
         age_ms = int((now - self.taken_at) * 1000)
         return [
             self.endpoint_id,
@@ -75,9 +78,9 @@
 class EndpointState:
     """An endpoint that is not known to be dead.
 
-    :ivar leaving: no new work; work in progress may finish or resume there.
-    :ivar queued_tokens: last report plus own dispatches since.
-    :ivar running: last report plus own dispatches since.
+    :ivar leaving: receives no new work; work in progress may finish or resume there.
+    :ivar queued_tokens: last report plus this node's dispatches since.
+    :ivar running: last report plus this node's dispatches since.
     :ivar report_age_s: age of the report; infinite without one.
     :ivar versions: weights versions that it has loaded.
     """
@@ -101,15 +104,15 @@
         self.instance = instance
         self.load: Load | None = None
         self.incarnation = ""
-        self.past: deque[str] = deque(maxlen=MAX_PAST)
+        self.past: deque[str] = deque(maxlen=MAX_PAST_INCARNATIONS)
         self.dispatches: deque[tuple[float, int]] = deque(maxlen=MAX_DISPATCHES)
         self.unreachable = False
         self.listed_leaving_for: str | None = None
-        self.gone_since: float | None = None
+        self.unlisted_since: float | None = None
 
 
 class EndpointTable:
-    """Merges the lagging list with reports and marks; marks win over the list.
+    """Merges the lagging list with reports and marks; marks take precedence over the list.
 
     :param clock: clock of this node.
     """
@@ -120,52 +123,54 @@
         self._marks: dict[Mark, float] = {}
 
     def update_list(self, instances: Iterable[Instance]) -> list[Mark]:
-        """Takes a new list; returns marks that follow from entries that began to leave."""
+        """Applies a new list; returns the marks of entries that have become leaving."""
         now = self._clock()
         listed = {instance.id: instance for instance in instances}
-        fresh = []
+        new_marks = []
         for endpoint_id, instance in listed.items():
             entry = self._entries.setdefault(endpoint_id, _Entry(instance))
             if instance.address != entry.instance.address:
-                # Another address is another process, whatever the engine will report.
+                # A new address means a new process, whatever incarnation the engine reports later.
                 self._replace(entry, "")
             entry.instance = instance
-            entry.gone_since = None
-            fresh.extend(self._list_mark(entry))
+            entry.unlisted_since = None
+            new_marks.extend(self._marks_from_list(entry))
         for endpoint_id, entry in list(self._entries.items()):
             if endpoint_id not in listed:
-                entry.gone_since = entry.gone_since if entry.gone_since is not None else now
-                if now - entry.gone_since > FORGET_S:
-                    self._forget(endpoint_id)
-        return fresh
-
-    def _list_mark(self, entry: _Entry) -> list[Mark]:
+                entry.unlisted_since = (
+                    entry.unlisted_since if entry.unlisted_since is not None else now
+                )
+                if now - entry.unlisted_since > UNLISTED_RETENTION_S:
+                    self._remove(endpoint_id)
+        return new_marks
+
+    def _marks_from_list(self, entry: _Entry) -> list[Mark]:
         if entry.instance.state != "leaving":
             entry.listed_leaving_for = None
             return []
         if entry.listed_leaving_for is not None:
-            # The list lags: the entry may still speak of the previous incarnation.
+            # The list lags: the entry may still describe the previous incarnation.
             return []
         entry.listed_leaving_for = entry.incarnation
         mark = Mark(entry.instance.id, entry.incarnation, "leaving")
         return [mark] if self.apply(mark) else []
 
     def report(self, load: Load) -> bool:
-        """Takes a load report; returns whether it is newer than the known one.
+        """Records a load report; returns whether it was accepted.
 
         A report of a replaced or dead incarnation, or one older than the last, is dropped.
         """
         entry = self._entries.get(load.endpoint_id)
         if entry is None or load.incarnation in entry.past:
             return False
-        if self._marked(load.endpoint_id, load.incarnation, "dead"):
+        if self._has_mark(load.endpoint_id, load.incarnation, "dead"):
             return False
         if entry.load is not None and load.taken_at < entry.load.taken_at:
             return False
         if load.incarnation != entry.incarnation:
             self._replace(entry, load.incarnation)
         entry.load = load
-        # The engine has counted what was dispatched before it took the figures.
+        # The report includes what was dispatched before the engine measured the load.
         while entry.dispatches and entry.dispatches[0][0] <= load.taken_at:
             entry.dispatches.popleft()
         return True
@@ -179,7 +184,8 @@
         entry.unreachable = False
 
     def apply(self, mark: Mark) -> bool:
-        """Takes a mark; returns whether it is new. Marks of an incarnation are never undone."""
+        """Records a mark; returns whether it is new. Marks of an incarnation are never removed
+        while its endpoint is listed."""
         if mark in self._marks and not self._expired(mark):
             return False
         self._marks[mark] = self._clock()
@@ -190,12 +196,12 @@
         return True
 
     def marks(self) -> list[Mark]:
-        """Returns the marks that other nodes may need.
+        """Returns the marks to send to other nodes.
 
-        A mark of a replaced incarnation is left out after ``REPEAT_S``; by then every node has
-        seen the new one.
+        A mark of a replaced incarnation is left out after ``MARK_RESEND_S``; by then every node has
+        received the new one.
         """
-        since = self._clock() - REPEAT_S
+        since = self._clock() - MARK_RESEND_S
         return [
             mark
             for mark, instant in self._marks.items()
@@ -209,19 +215,19 @@
         return entry.incarnation if entry is not None else ""
 
     def set_unreachable(self, endpoint_id: str, unreachable: bool) -> None:
-        """Notes whether this node's own polls fail; it holds for this node only."""
+        """Records whether this node's own polls fail; peers do not share this state."""
         entry = self._entries.get(endpoint_id)
         if entry is not None:
             entry.unreachable = unreachable
 
     def dispatched(self, endpoint_id: str, tokens: int) -> None:
-        """Adds work sent by this node until a later report includes it."""
+        """Counts work dispatched by this node until a later report includes it."""
         entry = self._entries.get(endpoint_id)
         if entry is not None:
             entry.dispatches.append((self._clock(), tokens))
 
     def finished(self, endpoint_id: str, tokens: int) -> None:
-        """Removes work sent by this node that no report includes yet."""
+        """Removes finished work of this node that no report includes yet."""
         entry = self._entries.get(endpoint_id)
         if entry is None:
             return
@@ -231,9 +237,10 @@
                 return
 
     def endpoints(self, service: str | None, model: str | None = None) -> list[EndpointState]:
-        """Returns the endpoints that are listed and not dead, in order of id.
+        """Returns the endpoints that are listed and not dead, sorted by id.
 
         :param service: one service, or ``None`` for all.
+        :param model: one model, or ``None`` for all.
         """
         chosen = [
             entry
@@ -247,16 +254,16 @@
 
     def listed(self) -> list[Instance]:
         """Returns the entries of the last list."""
-        return [entry.instance for entry in self._entries.values() if entry.gone_since is None]
+        return [entry.instance for entry in self._entries.values() if entry.unlisted_since is None]
 
     def _usable(self, entry: _Entry) -> bool:
-        if entry.gone_since is not None or entry.unreachable:
+        if entry.unlisted_since is not None or entry.unreachable:
             return False
-        return not self._marked(entry.instance.id, entry.incarnation, "dead")
+        return not self._has_mark(entry.instance.id, entry.incarnation, "dead")
 
     def _state(self, entry: _Entry) -> EndpointState:
         instance, load = entry.instance, entry.load
-        leaving = instance.state == "leaving" or self._marked(
+        leaving = instance.state == "leaving" or self._has_mark(
             instance.id, entry.incarnation, "leaving"
         )
         return EndpointState(
@@ -274,16 +281,16 @@
             load.versions if load else (),
         )
 
-    def _marked(self, endpoint_id: str, incarnation: str, kind: MarkKind) -> bool:
+    def _has_mark(self, endpoint_id: str, incarnation: str, kind: MarkKind) -> bool:
         mark = Mark(endpoint_id, incarnation, kind)
         return mark in self._marks and not self._expired(mark)
 
     def _expired(self, mark: Mark) -> bool:
-        # Nothing would ever revive a plain service marked dead, for it has no incarnation.
-        unnamed = mark.kind == "dead" and not mark.incarnation
-        return unnamed and self._clock() - self._marks[mark] > UNNAMED_DEAD_S
+        # A plain service has no incarnation, so no later report could replace one marked dead.
+        expires = mark.kind == "dead" and not mark.incarnation
+        return expires and self._clock() - self._marks[mark] > UNNAMED_DEAD_S
 
-    def _forget(self, endpoint_id: str) -> None:
+    def _remove(self, endpoint_id: str) -> None:
         del self._entries[endpoint_id]
         self._marks = {
             mark: instant
--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -1,4 +1,4 @@
-"""Service ``peers``: links to other nodes, calls, and broadcasts once a second."""
+"""Service ``peers``: links to other nodes, which carry calls and, once a second, broadcasts."""
 
 import random
 from collections.abc import Callable
@@ -29,15 +29,18 @@
 )
 from arbutustally_node.peer_listener import PeerListener
 
-#: Interval in which broadcasts of other groups are passed on in one frame, seconds.
+#: Interval at which collected broadcasts of other groups are forwarded in one frame, seconds.
 FORWARD_INTERVAL_S = 0.25
-#: A node from which nothing was heard for this long, directly or passed on, is not connected.
-HEARD_S = 5.0
+#: A node without a link counts as connected for this long after its last message arrived,
+#: directly or forwarded, seconds.
+LIVENESS_TIMEOUT_S = 5.0
+#: Bounds of the delay between two attempts to dial a node, seconds.
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 5.0
 #: A direct link for calls is closed after this long without a call, seconds.
 IDLE_LINK_S = 60.0
-#: The node with the larger id dials only if the other has not linked after this time, seconds.
+#: The node with the larger id dials only if the other has opened no link this long after it
+#: became known, seconds.
 DIAL_GRACE_S = 3.0
 REPLAN_INTERVAL_S = 1.0
 
@@ -57,9 +60,10 @@
 
 
 class PeersService:
-    """Keeps the links that the topology wants.
+    """Maintains the links of the topology plan and direct links for calls.
 
     :param addresses: returns the peer address of each known node by id.
+    :param mesh_up_to: largest number of nodes that form a full mesh instead of groups.
     """
 
     def __init__(
@@ -78,16 +82,16 @@
         self._random = random.Random()
         self._handlers: dict[str, Handler] = {}
         self._links: dict[str, PeerLink] = {}
-        self._heard: dict[str, float] = {}
+        self._received_at: dict[str, float] = {}
         own = Identity(options.node_id, options.incarnation)
         self._broadcasts = Broadcasts.from_config(own)
         self._plan = Plan(())
         self._wanted: set[str] = set()
         self._known_since: dict[str, float] = {}
         self._linked = Signal()
-        self._tenders: dict[str, gevent.Greenlet] = {}
+        self._dial_loops: dict[str, gevent.Greenlet] = {}
         self._far_attempts: dict[str, int] = {}
-        self._direct_used: dict[str, float] = {}
+        self._direct_used_at: dict[str, float] = {}
         self._listener = PeerListener(
             self._handshake, self._serve_accepted, lambda error: self._reject(error, "unknown")
         )
@@ -110,7 +114,7 @@
         return self._address
 
     def start(self) -> None:
-        """Opens the listener and begins to dial."""
+        """Opens the listener and starts dialling."""
         self._address = self._listener.start(self._options.peer_listen)
         self._loops = [
             gevent.spawn(self._replan_forever),
@@ -120,34 +124,36 @@
     def stop(self) -> None:
         """Closes the listener and all links."""
         self._stopping.set()
-        gevent.killall([*self._loops, *self._tenders.values()], timeout=1)
+        gevent.killall([*self._loops, *self._dial_loops.values()], timeout=1)
         self._listener.stop()
         for link in list(self._links.values()):
             link.close()
 
     def handle(self, method: str, function: Handler) -> None:
-        """Answers calls of a method with ``function(node_id, payload)``; it may raise
-        ``RouterError``, which reaches the calling node with its code."""
+        """Registers ``function(node_id, payload)`` as the handler of a method.
+
+        A ``RouterError`` that it raises is returned to the calling node with its code.
+        """
         self._handlers[method] = function
 
     def subscribe(self, topic: str, function: Callable[[str, Any], None]) -> None:
-        """Calls ``function(node_id, payload)`` for each broadcast of a topic.
+        """Registers ``function(node_id, payload)`` for the broadcasts of a topic.
 
         :param function: must not block; the node id is that of the origin.
         """
         self._broadcasts.subscribe(topic, function)
 
     def connected(self) -> list[str]:
-        """Returns the nodes with a link or heard through others within ``HEARD_S``."""
-        since = self._clock() - HEARD_S
-        heard = {node_id for node_id, instant in self._heard.items() if instant >= since}
-        return sorted(heard | set(self._links))
+        """Returns the nodes with a link or with a message received within ``LIVENESS_TIMEOUT_S``."""
+        since = self._clock() - LIVENESS_TIMEOUT_S
+        active = {node_id for node_id, instant in self._received_at.items() if instant >= since}
+        return sorted(active | set(self._links))
 
     def broadcast(self, topic: str, payload: Any) -> frozenset[Identity]:
-        """Sends a message to all nodes that can be reached; best effort, at most once each.
+        """Sends a message to all reachable nodes; best effort, delivered at most once to each.
 
-        :return: processes to which it was sent over a direct link; others pass it on.
-        :raises PeerRejectedError: if the message is larger than a frame.
+        :return: processes to which it was sent over a direct link; the rest receive it forwarded.
+        :raises PeerRejectedError: if the message exceeds the size of a frame.
         """
         data = encode(Events((self._broadcasts.event(topic, payload),)))
         links = self._broadcast_links()
@@ -156,9 +162,9 @@
         return frozenset(link.peer for link in links)
 
     def call(self, node_id: str, method: str, payload: Any, timeout_s: float) -> Any:
-        """Calls a method of a node, over a direct link that is opened if there is none.
+        """Calls a method of a node over its direct link, which is opened if there is none.
 
-        :raises PeerUnavailableError: if the node is not reached or does not answer in time.
+        :raises PeerUnavailableError: if the node cannot be reached or does not answer in time.
         :raises RouterError: the typed error of the node's handler.
         """
         if node_id == self._options.node_id:
@@ -166,18 +172,18 @@
         deadline = self._clock() + timeout_s
         try:
             link = self._links.get(node_id) or self._open_direct(node_id, deadline)
-            self._direct_used[node_id] = self._clock()
+            self._direct_used_at[node_id] = self._clock()
             return link.call(method, payload, max(deadline - self._clock(), 0.001))
         except PeerUnavailableError:
             self._metrics.count(PEER_UNAVAILABLE)
             raise
 
     def metric(self, counter: Counter) -> int:
-        """Returns the count of one of this service's counters, for the status report."""
+        """Returns the value of one of this service's counters for the status report."""
         return self._metrics.counts.get(counter.name, 0)
 
     def stats(self) -> dict[str, float]:
-        """Returns figures of the links for the status report."""
+        """Returns statistics of the links for the status report."""
         return {
             "links": len(self._links),
             "sent_bytes": sum(link.sent_bytes for link in self._links.values()),
@@ -219,7 +225,7 @@
     def _run(self, link: PeerLink, dialler: Identity) -> None:
         node_id = link.peer.node_id
         link.dialler = dialler.node_id
-        if not self._adopt(link):
+        if not self._register_link(link):
             link.close()
             return
         try:
@@ -230,8 +236,11 @@
             if self._links.get(node_id) is link:
                 del self._links[node_id]
 
-    def _adopt(self, link: PeerLink) -> bool:
-        """Makes a link the one to its peer; of two that cross, both ends keep the same one."""
+    def _register_link(self, link: PeerLink) -> bool:
+        """Registers the only link to a peer; if both ends dialled, both keep the same link.
+
+        :return: whether the link is kept.
+        """
         node_id = link.peer.node_id
         existing = self._links.get(node_id)
         if existing is not None and not existing.closed:
@@ -241,7 +250,7 @@
                 return False
             existing.close()
         self._links[node_id] = link
-        self._heard[node_id] = self._clock()
+        self._received_at[node_id] = self._clock()
         self._linked.set()
         self._linked.clear()
         return True
@@ -257,13 +266,13 @@
                 f"node {node_id} is not in the instance list; retry when it is listed",
                 retry_after_s=1.0,
             )
-        self._direct_used[node_id] = self._clock()
-        self._tend(node_id)
+        self._direct_used_at[node_id] = self._clock()
+        self._ensure_dialling(node_id)
         while node_id not in self._links:
             remaining = deadline - self._clock()
             if remaining <= 0:
                 raise PeerUnavailableError(
-                    f"no link to node {node_id} in time; retry or use another node",
+                    f"no link to node {node_id} was opened in time; retry or use another node",
                     ran=Ran.NOT_RUN,
                     retry_after_s=1.0,
                 )
@@ -280,19 +289,19 @@
         now = self._clock()
         self._plan = plan(self._options.node_id, known, self._mesh_up_to)
         wanted = set(self._plan.near)
-        wanted.update(self._far_choice(group) for group in self._plan.far)
+        wanted.update(self._choose_far_peer(group) for group in self._plan.far)
         wanted.update(
-            node_id for node_id, used in self._direct_used.items() if used > now - IDLE_LINK_S
+            node_id for node_id, used in self._direct_used_at.items() if used > now - IDLE_LINK_S
         )
         self._wanted = wanted
         self._known_since = {node_id: self._known_since.get(node_id, now) for node_id in known}
         for node_id in wanted:
             waited = now - self._known_since.get(node_id, now)
             if dials(self._options.node_id, node_id) or waited > DIAL_GRACE_S:
-                self._tend(node_id)
+                self._ensure_dialling(node_id)
         self._close_unwanted()
 
-    def _far_choice(self, group: tuple[str, ...]) -> str:
+    def _choose_far_peer(self, group: tuple[str, ...]) -> str:
         for node_id in group:
             if node_id in self._links:
                 return node_id
@@ -300,14 +309,14 @@
 
     def _close_unwanted(self) -> None:
         for node_id, link in list(self._links.items()):
-            # The dialling end decides; the listening end cannot know why the link exists.
+            # Only the dialling end closes it; the listening end cannot know why the link was opened.
             if link.dialler == self._options.node_id and node_id not in self._wanted:
                 link.close()
 
-    def _tend(self, node_id: str) -> None:
-        tender = self._tenders.get(node_id)
-        if tender is None or tender.dead:
-            self._tenders[node_id] = gevent.spawn(self._keep_link, node_id)
+    def _ensure_dialling(self, node_id: str) -> None:
+        loop = self._dial_loops.get(node_id)
+        if loop is None or loop.dead:
+            self._dial_loops[node_id] = gevent.spawn(self._keep_link, node_id)
 
     def _keep_link(self, node_id: str) -> None:
         backoff = BACKOFF_MIN_S
@@ -316,12 +325,12 @@
             if address is None:
                 return
             if node_id not in self._links:
-                began = self._clock()
+                started_at = self._clock()
                 self._try_dial(node_id, address)
-                if self._clock() - began > HEARD_S:
+                if self._clock() - started_at > LIVENESS_TIMEOUT_S:
                     backoff = BACKOFF_MIN_S
                 self._metrics.count(PEER_REDIALLED)
-            # Jitter spreads the dials of a fleet that lost the same node.
+            # Jitter spreads the dials of many nodes that lost the same peer.
             self._stopping.wait(backoff * self._random.uniform(0.5, 1.5))
             backoff = min(backoff * 2, BACKOFF_MAX_S)
 
@@ -337,7 +346,7 @@
                 self._far_attempts[group[0]] = self._far_attempts.get(group[0], 0) + 1
 
     def _is_wanted(self, node_id: str) -> bool:
-        recent = self._direct_used.get(node_id, -IDLE_LINK_S) > self._clock() - IDLE_LINK_S
+        recent = self._direct_used_at.get(node_id, -IDLE_LINK_S) > self._clock() - IDLE_LINK_S
         return node_id in self._wanted or recent
 
     def _broadcast_links(self) -> list[PeerLink]:
@@ -349,25 +358,25 @@
         return [self._links[node_id] for node_id in chosen if node_id in self._links]
 
     def _on_events(self, link: PeerLink, events: Events) -> None:
-        self._heard[link.peer.node_id] = self._clock()
+        self._received_at[link.peer.node_id] = self._clock()
         is_near = link.peer.node_id in self._plan.near
         for origin in self._broadcasts.receive(events, link.peer.node_id, is_near):
-            self._heard[origin] = self._clock()
+            self._received_at[origin] = self._clock()
 
     def _forward_forever(self) -> None:
         while not self._stopping.is_set():
             self._stopping.wait(FORWARD_INTERVAL_S)
-            events = self._broadcasts.take_forwarded()
+            events = self._broadcasts.take_events_to_forward()
             if events:
-                self._pass_on(events)
+                self._forward(events)
 
-    def _pass_on(self, events: list[Event]) -> None:
+    def _forward(self, events: list[Event]) -> None:
         try:
             data = encode(Events(tuple(events)))
         except PeerRejectedError:
             if len(events) > 1:
-                self._pass_on(events[: len(events) // 2])
-                self._pass_on(events[len(events) // 2 :])
+                self._forward(events[: len(events) // 2])
+                self._forward(events[len(events) // 2 :])
             return
         for node_id in self._plan.near:
             link = self._links.get(node_id)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,4 +1,4 @@
-"""Peer links over real sockets: reconnection, calls, broadcasts and hostile ends."""
+"""Peer links over real sockets: reconnection, calls, broadcasts and hostile peers."""
 
 import unittest
 from typing import Any
@@ -17,17 +17,17 @@
 from arbutustally.topology import group_of, plan
 from arbutustally_node import peer_link, peers
 from arbutustally_node.peers import PEER_REJECTED, PeersService
-from arbutustally_node.serial_window import WINDOW, SerialWindow
+from arbutustally_node.serial_window import WINDOW_SERIALS, SerialWindow
 from tests.node_options import REQUIRED, options
 
 SECRET = REQUIRED["peer_secret"]
-#: Bound for what is expected to happen at once, seconds.
-PATIENCE_S = 10.0
+#: Timeout for events that are expected without delay, seconds.
+TIMEOUT_S = 10.0
 
 
 def eventually(condition: Any) -> bool:
-    """Returns whether the condition holds within the bound."""
-    with gevent.Timeout(PATIENCE_S, False):
+    """Returns whether the condition becomes true within ``TIMEOUT_S``."""
+    with gevent.Timeout(TIMEOUT_S, False):
         while not condition():
             gevent.sleep(0.02)
         return True
@@ -78,7 +78,7 @@
 
 class LinksTest(PeersCase):
     def test_call_carries_payload_and_typed_errors(self) -> None:
-        """Guards against an error that loses its code, its ``ran`` or its retry time."""
+        """Guards against a typed error that loses its code, ``ran`` or retry time on the wire."""
         a, b = self.fleet.add("a"), self.fleet.add("b")
 
         def refuse(_node_id: str, _payload: Any) -> None:
@@ -87,17 +87,17 @@
         b.handle("refuse", refuse)
         b.handle("fail", lambda _node_id, _payload: 1 // 0)
         large = b"x" * 900_000
-        self.assertEqual(a.call("b", "echo", large, PATIENCE_S), ["a", large])
+        self.assertEqual(a.call("b", "echo", large, TIMEOUT_S), ["a", large])
         with self.assertRaises(RateLimitedError) as caught:
-            a.call("b", "refuse", None, PATIENCE_S)
+            a.call("b", "refuse", None, TIMEOUT_S)
         self.assertEqual(caught.exception.retry_after_s, 2.5)
         for method in ("fail", "unknown"):
             with self.assertRaises(PeerUnavailableError):
-                a.call("b", method, None, PATIENCE_S)
-        self.assertEqual(a.call("b", "echo", 1, PATIENCE_S), ["a", 1])
+                a.call("b", method, None, TIMEOUT_S)
+        self.assertEqual(a.call("b", "echo", 1, TIMEOUT_S), ["a", 1])
 
     def test_late_answer_reaches_no_other_call(self) -> None:
-        """Guards against an answer that is given to the next call."""
+        """Guards against the reply of a timed-out call being returned by a later call."""
         a, b = self.fleet.add("a"), self.fleet.add("b")
         delays = iter([0.3, 0.0])
 
@@ -106,16 +106,16 @@
             return payload
 
         b.handle("slow", slow)
-        a.call("b", "echo", 0, PATIENCE_S)
+        a.call("b", "echo", 0, TIMEOUT_S)
         with self.assertRaises(PeerUnavailableError) as caught:
             a.call("b", "slow", "first", 0.05)
         self.assertEqual(caught.exception.ran, Ran.MAY_HAVE_RUN)
-        self.assertEqual(a.call("b", "slow", "second", PATIENCE_S), "second")
+        self.assertEqual(a.call("b", "slow", "second", TIMEOUT_S), "second")
         gevent.sleep(0.4)
-        self.assertEqual(a.call("b", "echo", 3, PATIENCE_S), ["a", 3])
+        self.assertEqual(a.call("b", "echo", 3, TIMEOUT_S), ["a", 3])
 
     def test_restarted_node_is_linked_again(self) -> None:
-        """Guards against a link that is kept for a dead incarnation."""
+        """Guards against keeping the link to the previous incarnation of a restarted node."""
         a, b = self.fleet.add("a"), self.fleet.add("b")
         self.assert_eventually(self.fleet.connected)
         b.stop()
@@ -123,20 +123,20 @@
             a.call("b", "echo", 1, 0.05)
         self.fleet.add("b")
         self.assert_eventually(lambda: "b" in a._links and not a._links["b"].closed)
-        self.assertEqual(a.call("b", "echo", 2, PATIENCE_S), ["a", 2])
+        self.assertEqual(a.call("b", "echo", 2, TIMEOUT_S), ["a", 2])
 
     def test_silent_peer_is_dropped(self) -> None:
-        """Guards against a link to a frozen process that counts as connected for ever."""
-        self.enterContext(mock.patch.object(peer_link, "SILENCE_S", 0.3))
-        self.enterContext(mock.patch.object(peers, "HEARD_S", 0.3))
+        """Guards against counting a frozen process as connected for ever."""
+        self.enterContext(mock.patch.object(peer_link, "RECEIVE_TIMEOUT_S", 0.3))
+        self.enterContext(mock.patch.object(peers, "LIVENESS_TIMEOUT_S", 0.3))
         a = self.fleet.add("a")
         with raw_link(a, "z"):
             self.assert_eventually(lambda: a.connected() == ["z"])
             self.assert_eventually(lambda: a.connected() == [])
 
-    def test_signs_of_life_keep_an_idle_link(self) -> None:
-        """Guards against dropping a healthy link on which nothing is said."""
-        self.enterContext(mock.patch.object(peer_link, "SILENCE_S", 0.6))
+    def test_heartbeats_keep_an_idle_link_open(self) -> None:
+        """Guards against closing a healthy link that carries only heartbeats."""
+        self.enterContext(mock.patch.object(peer_link, "RECEIVE_TIMEOUT_S", 0.6))
         self.enterContext(mock.patch.object(peer_link, "HEARTBEAT_S", 0.1))
         a = self.fleet.add("a")
         self.fleet.add("b")
@@ -146,7 +146,7 @@
         self.assertFalse(link.closed)
 
     def test_secret_rotates_without_an_outage(self) -> None:
-        """Guards against a fleet that splits while nodes restart with the new secret."""
+        """Guards against a split fleet while nodes restart one by one with the new secret."""
         old, new = SECRET, "next-secret-0123456789"
         names = ("a", "b", "c")
         for name in names:
@@ -158,7 +158,7 @@
                 self.fleet.add(name, peer_secret=secrets[0], peer_secret_previous=secrets[1])
                 for other in names:
                     if other != name:
-                        answer = self.fleet.nodes[name].call(other, "echo", 1, PATIENCE_S)
+                        answer = self.fleet.nodes[name].call(other, "echo", 1, TIMEOUT_S)
                         self.assertEqual(answer, [name, 1])
         rejected = [node.metric(PEER_REJECTED) for node in self.fleet.nodes.values()]
         self.assertEqual(rejected, [0, 0, 0])
@@ -166,7 +166,7 @@
 
 class GroupsTest(PeersCase):
     def test_broadcast_reaches_each_node_once_through_groups(self) -> None:
-        """Guards against broadcasts lost or repeated where no direct link exists."""
+        """Guards against losing or repeating broadcasts between nodes without a direct link."""
         self.fleet = Fleet(mesh_up_to=4)
         names = [f"node-{index}" for index in range(16)]
         for name in names:
@@ -196,7 +196,7 @@
         )
 
     def test_another_member_is_tried_when_the_first_is_down(self) -> None:
-        """Guards against losing a whole group with one of its members."""
+        """Guards against losing contact with a whole group when one of its members fails."""
         self.fleet = Fleet(mesh_up_to=2)
         names = [f"node-{index}" for index in range(9)]
         listed = self.fleet.addresses
@@ -220,7 +220,7 @@
 
 class SerialsTest(PeersCase):
     def test_repeated_event_is_delivered_once(self) -> None:
-        """Guards against an event that arrives over two paths and counts twice."""
+        """Guards against delivering an event twice that arrives over two paths."""
         node = self.fleet.add("a")
         event = encode(Events((Event("y", "1", 5, "news", "x"),)))
         later = encode(Events((Event("y", "1", 6, "news", "later"),)))
@@ -231,16 +231,16 @@
             gevent.sleep(0.1)
         self.assertEqual(self.fleet.received["a"], [("y", "x"), ("y", "later")])
 
-    @given(st.lists(st.integers(0, WINDOW - 1), max_size=60))
+    @given(st.lists(st.integers(0, WINDOW_SERIALS - 1), max_size=60))
     def test_each_serial_is_accepted_once_in_any_order(self, serials: list[int]) -> None:
-        """Guards against an event lost because a newer one overtook it."""
+        """Guards against dropping an event because a newer one arrived before it."""
         window = SerialWindow("1")
         accepted = [serial for serial in serials if window.accept(serial)]
         self.assertEqual(accepted, list(dict.fromkeys(serials)))
 
 
 class raw_link:  # noqa: N801 used as a context manager
-    """An authenticated connection under the control of a test."""
+    """An authenticated connection that a test reads and writes directly."""
 
     def __init__(self, node: PeersService, name: str, secret: str = SECRET) -> None:
         self._node = node
@@ -251,10 +251,10 @@
         self.connection = connect(f"ws://{self._node.address}/", proxy=None, compression=None)
         self.connection.send(self._handshake.hello())
         proof, self.channel = self._handshake.prove(
-            self.connection.recv(timeout=PATIENCE_S), self._node._options.node_id
+            self.connection.recv(timeout=TIMEOUT_S), self._node._options.node_id
         )
         self.connection.send(proof)
-        self.channel.open(self.connection.recv(timeout=PATIENCE_S))
+        self.channel.open(self.connection.recv(timeout=TIMEOUT_S))
         return self
 
     def __exit__(self, *_: Any) -> None:
@@ -270,12 +270,12 @@
                 link.connection.send(frame)
             with self.assertRaises((WebSocketException, TimeoutError)):
                 while True:
-                    link.connection.recv(timeout=PATIENCE_S)
+                    link.connection.recv(timeout=TIMEOUT_S)
             self.assertEqual(link.connection.close_code is not None, True)
         self.assert_eventually(lambda: node.metric(PEER_REJECTED) == before + 1)
 
     def test_broken_frames_close_the_link_and_are_counted(self) -> None:
-        """Guards against replayed, reordered, altered, truncated and unknown frames."""
+        """Guards against accepting replayed, reordered, altered, truncated or unknown frames."""
         node = self.fleet.add("a")
         self.fleet.add("b")
         heartbeat = encode(Events(()))
@@ -301,30 +301,30 @@
         for send in (replayed, reordered, altered, truncated, hostile, text):
             with self.subTest(send.__name__):
                 self.assert_rejected(node, send)
-        self.assertEqual(node.call("b", "echo", 1, PATIENCE_S), ["a", 1])
+        self.assertEqual(node.call("b", "echo", 1, TIMEOUT_S), ["a", 1])
 
     def test_wrong_secret_gets_no_answer(self) -> None:
-        """Guards against calls answered before the proof, or under another secret."""
+        """Guards against handling calls before authentication or under another secret."""
         node = self.fleet.add("a")
         calls = []
         node.handle("spy", lambda *call: calls.append(call))
         with connect(f"ws://{node.address}/", proxy=None) as connection:
             connection.send(Handshake.from_config("z", "1", "wrong" * 5).hello())
-            connection.recv(timeout=PATIENCE_S)
+            connection.recv(timeout=TIMEOUT_S)
             connection.send(encode(Call(0, "spy", None)))
             with self.assertRaises(WebSocketException):
-                connection.recv(timeout=PATIENCE_S)
+                connection.recv(timeout=TIMEOUT_S)
         self.assert_eventually(lambda: node.metric(PEER_REJECTED) == 1)
         self.assertEqual(calls, [])
         self.assertEqual(node.connected(), [])
 
     def test_large_message_before_authentication_is_refused(self) -> None:
-        """Guards against a stranger who makes the node hold a megabyte."""
+        """Guards against an unauthenticated peer that makes the node buffer a megabyte."""
         node = self.fleet.add("a")
         with connect(f"ws://{node.address}/", proxy=None) as connection:
             with self.assertRaises(WebSocketException):
                 connection.send(bytes(100_000))
-                connection.recv(timeout=PATIENCE_S)
+                connection.recv(timeout=TIMEOUT_S)
             self.assertEqual(connection.close_code, 1009)
 
 
