Name draining before a weight load by its usual term

Cause: the names called the drain before a load both emptying and draining. Change: EMPTYING_S is MAX_DRAIN_S, is_emptied is_drained, EMPTY_STEP_S DRAIN_CHECK_INTERVAL_S, _empty _drain.

Renames only.

--- a/bench/engines/orders.py
+++ b/bench/engines/orders.py
@@ -1,17 +1,17 @@
 """Orders to engines to load named weights, by the product's plan.
 
-One node orders. Its peers hear after the age of their knowledge that an engine is being emptied.
+One node orders. Its peers hear after the age of their knowledge that an engine is being drained.
 """
 
 from arbutustally.gateway.choice import expected_wait_s
 from arbutustally.gateway.configuration import Engine, Service
 from arbutustally.gateway.endpoints import EndpointState
 from arbutustally.gateway.weights import (
-    EMPTYING_S,
     LOAD_CHECK_S,
+    MAX_DRAIN_S,
     STEP_PAUSE_S,
     are_behind,
-    is_emptied,
+    is_drained,
     loads_at_once,
     loads_in_step,
     plan_loads,
@@ -21,7 +21,7 @@
 from bench.engines.node import ENGINES, MODEL, Node
 from bench.engines.sites import Site
 
-#: Interval at which the node looks at engines that are being emptied, seconds.
+#: Interval at which the node checks engines that are draining, seconds.
 LOOK_S = 0.05
 
 
@@ -77,7 +77,7 @@
         )
         plan = plan_loads(states, MODEL, self._version, at_once, now)
         for name in plan.engines[: loads_in_step(len(states))]:
-            self._empty(node.book.get(name))
+            self._drain(node.book.get(name))
         self._site.loop.after(STEP_PAUSE_S, self._step)
 
     def _unrepeatable(self, state: EndpointState) -> int:
@@ -87,12 +87,12 @@
         left = node.repeats.left(state.entry.service)
         return unrepeatable_runs(state, loading, left) + state.peer_unrepeatable
 
-    def _empty(self, state: EndpointState) -> None:
+    def _drain(self, state: EndpointState) -> None:
         began = self._site.clock()
         self._set_loading(state.id, True)
 
         def look() -> None:
-            if not is_emptied(state, self._site.clock() - began, self._unrepeatable(state)):
+            if not is_drained(state, self._site.clock() - began, self._unrepeatable(state)):
                 self._site.loop.after(LOOK_S, look)
                 return
             engine = self._site.engines[state.id]
@@ -107,7 +107,7 @@
         self._set_loading(name, False)
 
     def _set_loading(self, name: str, is_loading: bool) -> None:
-        until = self._site.clock() + EMPTYING_S + LOAD_CHECK_S
+        until = self._site.clock() + MAX_DRAIN_S + LOAD_CHECK_S
 
         def set_at(node: Node) -> None:
             state = node.book.get(name)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -16,12 +16,12 @@
 from arbutustally.gateway.configuration import RouteKind
 from arbutustally.gateway.endpoints import EndpointState
 from arbutustally.gateway.weights import (
-    EMPTYING_S,
     LOAD_CHECK_S,
+    MAX_DRAIN_S,
     STEP_PAUSE_S,
     are_behind,
     breaks_runs_off,
-    is_emptied,
+    is_drained,
     loads_at_once,
     loads_in_step,
     plan_loads,
@@ -51,7 +51,7 @@
 FIRST_POLL_S = 0.4
 POLL_S = 0.15
 #: Interval at which an engine that is draining before a load is checked, seconds.
-EMPTY_STEP_S = 0.05
+DRAIN_CHECK_INTERVAL_S = 0.05
 #: Initial estimate of the time for which a load makes an engine unavailable, seconds, and the weight
 #: of each measured load in the moving average.
 INITIAL_LOAD_S = 2.5
@@ -211,7 +211,7 @@
             self._loading_engines.add(engine)
             state = self._view.book.get(engine)
             state.loading = True
-            state.loading_until = self._clock() + EMPTYING_S + LOAD_CHECK_S
+            state.loading_until = self._clock() + MAX_DRAIN_S + LOAD_CHECK_S
             gevent.spawn(self._load, state, model)
         self._gossip.send_now()
 
@@ -236,7 +236,7 @@
         """Drains one engine, orders the load and polls the engine until it has loaded."""
         began = self._clock()
         try:
-            self._empty(state)
+            self._drain(state)
             # A newer version may have been named while the engine was draining.
             named = self._view.weights[model].version
             if self._send_order(state, model, named):
@@ -246,11 +246,11 @@
             state.loading = False
             self._loading_engines.discard(state.id)
 
-    def _empty(self, state: EndpointState) -> None:
+    def _drain(self, state: EndpointState) -> None:
         """Waits until an engine that gets no new requests has few enough requests left."""
         began = self._clock()
-        while not is_emptied(state, self._clock() - began, self._unrepeatable(state)):
-            gevent.sleep(EMPTY_STEP_S)
+        while not is_drained(state, self._clock() - began, self._unrepeatable(state)):
+            gevent.sleep(DRAIN_CHECK_INTERVAL_S)
 
     def _unrepeatable(self, state: EndpointState) -> int:
         """Returns how many requests of all nodes would be lost if the engine aborted its runs."""
--- a/packages/arbutustally/src/arbutustally/gateway/weights.py
+++ b/packages/arbutustally/src/arbutustally/gateway/weights.py
@@ -17,7 +17,7 @@
 #: Time after which an accepted load that was not reported as done is checked again, seconds.
 LOAD_CHECK_S = 2.0
 #: Longest time for which an engine gets no new requests before it is ordered to load, seconds.
-EMPTYING_S = 1.0
+MAX_DRAIN_S = 1.0
 #: Shortest such time, seconds: by then all nodes have been informed that the engine will load.
 MIN_DRAIN_S = 0.25
 #: Most running requests of an engine that are moved to other engines; more would use up the repeat
@@ -93,7 +93,7 @@
     return state.unrepeatable + min(repeatable, lacking)
 
 
-def is_emptied(state: EndpointState, waited_s: float, unrepeatable: int) -> bool:
+def is_drained(state: EndpointState, waited_s: float, unrepeatable: int) -> bool:
     """Returns whether an engine that gets no new requests should load now.
 
     Requests that can't continue on another engine finish first; the load moves the others.
@@ -101,7 +101,7 @@
     :param waited_s: time for which the engine has got no new requests, seconds.
     :param unrepeatable: requests of all nodes that can't continue on another engine.
     """
-    if waited_s >= EMPTYING_S:
+    if waited_s >= MAX_DRAIN_S:
         return True
     return waited_s >= MIN_DRAIN_S and state.total_running <= 1 and not unrepeatable
 
@@ -109,7 +109,7 @@
 def breaks_runs_off(state: EndpointState, unrepeatable: int) -> bool:
     """Returns whether an engine aborts its running requests rather than letting them finish.
 
-    :param unrepeatable: as for ``is_emptied``.
+    :param unrepeatable: as for ``is_drained``.
     """
     return not unrepeatable and state.total_running <= MAX_MOVED
 
--- a/tests/test_gateway_weights.py
+++ b/tests/test_gateway_weights.py
@@ -5,12 +5,12 @@
 
 from arbutustally.gateway.endpoints import EndpointState
 from arbutustally.gateway.weights import (
-    EMPTYING_S,
+    MAX_DRAIN_S,
     MIN_DRAIN_S,
     STEP_PAUSE_S,
     are_behind,
     breaks_runs_off,
-    is_emptied,
+    is_drained,
     loads_at_once,
     loads_in_step,
     plan_loads,
@@ -55,12 +55,12 @@
     def test_engine_is_drained_before_it_loads(self) -> None:
         """Simulates an engine with long streams: it loads soon and no request is lost."""
         state = EndpointState(entry("e1"))
-        self.assertFalse(is_emptied(state, 0.0, 0))
-        self.assertTrue(is_emptied(state, MIN_DRAIN_S, 0))
+        self.assertFalse(is_drained(state, 0.0, 0))
+        self.assertTrue(is_drained(state, MIN_DRAIN_S, 0))
         state.peer_load["n2"] = (1, 0.0, 0.0, 1)
-        self.assertFalse(is_emptied(state, MIN_DRAIN_S, state.peer_unrepeatable))
+        self.assertFalse(is_drained(state, MIN_DRAIN_S, state.peer_unrepeatable))
         self.assertFalse(breaks_runs_off(state, state.peer_unrepeatable))
-        self.assertTrue(is_emptied(state, EMPTYING_S, state.peer_unrepeatable))
+        self.assertTrue(is_drained(state, MAX_DRAIN_S, state.peer_unrepeatable))
         state.peer_load["n2"] = (5, 0.0, 0.0, 0)
         self.assertTrue(breaks_runs_off(state, state.peer_unrepeatable))
         state.peer_load["n3"] = (50, 0.0, 0.0, 0)
