Name overloaded engines by their usual term

Cause: terms of the parts: an engine whose queue grows is overloaded. Change: are_behind is are_overloaded.

Renames only. Tests run, all passed: tests.test_gateway_weights tests.test_bench_engines; linter clean.

--- a/bench/engines/orders.py
+++ b/bench/engines/orders.py
@@ -10,7 +10,7 @@
     LOAD_CHECK_S,
     MAX_DRAIN_S,
     STEP_PAUSE_S,
-    are_behind,
+    are_overloaded,
     is_drained,
     loads_at_once,
     loads_in_step,
@@ -73,7 +73,7 @@
             pending,
             max(0.0, left_s),
             max(self._experiment.engines.load_s, MS),
-            bool(self._target_s) and are_behind(waits_s, self._target_s),
+            bool(self._target_s) and are_overloaded(waits_s, self._target_s),
         )
         plan = plan_loads(states, MODEL, self._version, at_once, now)
         for name in plan.engines[: loads_in_step(len(states))]:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -19,7 +19,7 @@
     LOAD_CHECK_S,
     MAX_DRAIN_S,
     STEP_PAUSE_S,
-    are_behind,
+    are_overloaded,
     breaks_runs_off,
     is_drained,
     loads_at_once,
@@ -229,7 +229,7 @@
         configuration = self._view.configuration
         routes = configuration.routes if configuration else ()
         targets_s = [route.target_s for route in routes if route.kind is RouteKind.STREAM]
-        is_overloaded = bool(targets_s) and are_behind(waits_s, min(targets_s))
+        is_overloaded = bool(targets_s) and are_overloaded(waits_s, min(targets_s))
         return loads_at_once(len(states), pending, left_s, self._load_estimate_s, is_overloaded)
 
     def _load(self, state: EndpointState, model: str) -> None:
--- a/packages/arbutustally/src/arbutustally/gateway/weights.py
+++ b/packages/arbutustally/src/arbutustally/gateway/weights.py
@@ -141,7 +141,7 @@
     return max(MIN_STEP, int(engines * STEP_SHARE))
 
 
-def are_behind(waits_s: Sequence[float], shortest_target_s: float) -> bool:
+def are_overloaded(waits_s: Sequence[float], shortest_target_s: float) -> bool:
     """Returns whether engines are too busy for others to load.
 
     :param waits_s: expected wait at each engine that takes requests, seconds.
--- a/tests/test_gateway_weights.py
+++ b/tests/test_gateway_weights.py
@@ -8,7 +8,7 @@
     MAX_DRAIN_S,
     MIN_DRAIN_S,
     STEP_PAUSE_S,
-    are_behind,
+    are_overloaded,
     breaks_runs_off,
     is_drained,
     loads_at_once,
@@ -115,6 +115,6 @@
                 self.assertLessEqual(most, max(idle, 1))
 
     def test_engines_are_overloaded_by_their_mean_wait(self) -> None:
-        self.assertFalse(are_behind([], 0.5))
-        self.assertFalse(are_behind([0.0, 0.1, 0.2], 0.5))
-        self.assertTrue(are_behind([0.0, 0.3, 0.4], 0.5))
+        self.assertFalse(are_overloaded([], 0.5))
+        self.assertFalse(are_overloaded([0.0, 0.1, 0.2], 0.5))
+        self.assertTrue(are_overloaded([0.0, 0.3, 0.4], 0.5))
