Name what the endpoint book records and returns

Cause: verbs without an object (leaves, replaced) and a figurative name (heard_at). Change in EndpointBook and EndpointState: returns_in is shortest_pause_s, is_past is_outdated, leaves record_leaving, replaced mark_replaced, has_said_leaving has_announced_leaving, heard_at last_data_at.

Renames only.

--- a/bench/engines/placing.py
+++ b/bench/engines/placing.py
@@ -90,7 +90,7 @@
             return self._baseline(node, able)
         if able:
             return self._product(node, request, target_s, left_s, able, bool(tried))
-        pause_s = node.book.returns_in(service)
+        pause_s = node.book.shortest_pause_s(service)
         return Refused(retry_after_s(pause_s or DEFAULT_RETRY_S, left_s, node.rng))
 
     def _plain(self, node: Node, able: list[EndpointState]) -> EndpointState:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_notices.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_notices.py
@@ -29,7 +29,7 @@
         return {
             state.id: state.entry.incarnation
             for state in self._book.all()
-            if state.has_said_leaving
+            if state.has_announced_leaving
         }
 
     def take(self, state: EndpointState, notice: EndpointNotice) -> None:
@@ -37,7 +37,7 @@
         if notice.pause_s > 0:
             self._book.pause(state, notice.pause_s, self._rng)
             self._log.line("endpoint_paused", endpoint=state.id, pause_s=notice.pause_s)
-        if notice.is_leaving and self._book.leaves(state):
+        if notice.is_leaving and self._book.record_leaving(state):
             self._log.line("endpoint_leaving", endpoint=state.id, source="endpoint")
             self._notify_peers()
 
@@ -53,5 +53,5 @@
             state = self._book.get(endpoint_id)
             if state is None or state.entry.incarnation != incarnation:
                 continue
-            if not state.has_said_leaving and self._book.leaves(state):
+            if not state.has_announced_leaving and self._book.record_leaving(state):
                 self._log.line("endpoint_leaving", endpoint=state.id, source=peer)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -185,7 +185,7 @@
 
     def _is_outdated(self, record: Record) -> bool:
         entry = self._documents.decode_endpoint(record)
-        return entry is not None and self.book.is_past(entry)
+        return entry is not None and self.book.is_outdated(entry)
 
     def _remove_endpoint(self, endpoint_id: str, source: str) -> bool:
         self._endpoint_raw.pop(endpoint_id, None)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
@@ -89,7 +89,7 @@
 
     def record_data(self) -> None:
         """Records data from the endpoint and cancels the hedge, whose response is obsolete now."""
-        self._state.heard_at = self._clock()
+        self._state.last_data_at = self._clock()
         if self._hedge_greenlet is not None or self._is_overtaken:
             self._hedge_greenlet = None
             self._is_overtaken = False
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -92,7 +92,7 @@
         if result.outcome is Outcome.ANSWERED:
             services.view.book.answered(state, services.clock() - attempt.began)
         elif result.reason == OTHER_ENDPOINT:
-            services.view.book.replaced(state)
+            services.view.book.mark_replaced(state)
             services.log.line("endpoint_replaced", endpoint=state.id, by=result.terms.endpoint_id)
         elif result.reason == OTHER_WEIGHTS:
             services.on_other_weights(state)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -220,7 +220,7 @@
             return EndpointFailedError(
                 "endpoint failed and no other endpoint is left", ran=Ran.MAY_HAVE_RUN
             )
-        pause_s = self._services.view.book.returns_in(self._service.name)
+        pause_s = self._services.view.book.shortest_pause_s(self._service.name)
         wait = retry_after_s(pause_s or DEFAULT_RETRY_S, left_s, self._services.rng)
         return NoEndpointError("not run: no endpoint is available; retry", retry_after_s=wait)
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -291,7 +291,7 @@
         if reply == OrderReply.HOLDS_ALREADY:
             self._apply_weights(state, {model: named})
         if reply == OrderReply.OTHER_ENDPOINT:
-            self._view.book.replaced(state)
+            self._view.book.mark_replaced(state)
         if reply == OrderReply.FENCED:
             self._lease.drop()
         return reply in (OrderReply.ACCEPTED, OrderReply.BUSY, OrderReply.UNKNOWN)
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -95,13 +95,13 @@
         peer's repeat budget is used up.
     :ivar gone_at: when the entry was removed, ``None`` while it is listed.
     :ivar kept_until: until then it counts as present although its entry was removed.
-    :ivar has_said_leaving: it has announced that it leaves, regardless of its list entry.
+    :ivar has_announced_leaving: it has announced that it leaves, regardless of its list entry.
     :ivar replaced_incarnations: incarnations of earlier starts under the same id, latest last.
     :ivar paused_until: until then this node must send it no requests.
     :ivar is_down: the last attempt to connect failed.
     :ivar failed_checks: the latest failed checks since ``is_down`` was set.
     :ivar checked_at: when a connection was last tried because a request waits for it.
-    :ivar heard_at: when it last sent an answer or a stream event, for any request.
+    :ivar last_data_at: when it last sent an answer or a stream event, for any request.
     :ivar is_replaced: another endpoint was found at its address.
     """
 
@@ -116,14 +116,14 @@
     loading_until: float = 0.0
     gone_at: float | None = None
     kept_until: float = 0.0
-    has_said_leaving: bool = False
+    has_announced_leaving: bool = False
     replaced_incarnations: tuple[str, ...] = ()
     paused_until: float = 0.0
     is_replaced: bool = False
     is_down: bool = False
     failed_checks: deque[FailedCheck] = field(default_factory=lambda: deque(maxlen=FAILED_CHECKS))
     checked_at: float = float("-inf")
-    heard_at: float = float("-inf")
+    last_data_at: float = float("-inf")
     suspect_until: float = 0.0
     suspicions: int = 0
     failures: float = 0.0
@@ -152,7 +152,7 @@
     @property
     def is_leaving(self) -> bool:
         """Returns whether it accepts no new requests, by its list entry or its own notice."""
-        return self.entry.is_leaving or self.has_said_leaving
+        return self.entry.is_leaving or self.has_announced_leaving
 
     @property
     def newer_weights(self) -> dict[str, int]:
@@ -239,16 +239,16 @@
         """
         return any(map(predicate, self._staying(service, self._clock())))
 
-    def returns_in(self, service: str) -> float | None:
+    def shortest_pause_s(self, service: str) -> float | None:
         """Returns the time until the first pause ends, seconds; ``None`` if none is paused."""
         now = self._clock()
         waits = [state.paused_until - now for state in self._staying(service, now)]
         return min((wait for wait in waits if wait > 0), default=None)
 
-    def leaves(self, state: EndpointState) -> bool:
+    def record_leaving(self, state: EndpointState) -> bool:
         """Records that an endpoint announced its leaving; returns whether this was unknown."""
         is_news = not state.is_leaving
-        state.has_said_leaving = True
+        state.has_announced_leaving = True
         return is_news
 
     def pause(self, state: EndpointState, pause_s: float, rng: Random) -> None:
@@ -304,7 +304,7 @@
             state.weights[model] = max(state.weights.get(model, 0), version)
         return is_new
 
-    def is_past(self, entry: EndpointEntry) -> bool:
+    def is_outdated(self, entry: EndpointEntry) -> bool:
         """Returns whether an entry of an older list is outdated.
 
         It is if the endpoint has since begun to leave, was removed, or has restarted.
@@ -327,7 +327,7 @@
         state.kept_until = self._keep_removed_until
         return True
 
-    def replaced(self, state: EndpointState) -> None:
+    def mark_replaced(self, state: EndpointState) -> None:
         """Marks an endpoint as permanently gone: another one uses its address."""
         state.is_replaced = True
 
@@ -361,7 +361,7 @@
 
         One that keeps a request waiting but sends data for other requests is only overloaded.
         """
-        return self._clock() - state.heard_at >= STALLED_S
+        return self._clock() - state.last_data_at >= STALLED_S
 
     def failed(self, state: EndpointState) -> bool:
         """Records a failed answer; returns whether the endpoint is now avoided."""
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -159,7 +159,7 @@
         for seed in range(50):
             self.state.paused_until = 0.0
             self.book.pause(self.state, 10.0, Random(seed))
-            returns.add(round(self.book.returns_in("s"), 1))
+            returns.add(round(self.book.shortest_pause_s("s"), 1))
         self.assertGreaterEqual(min(returns), 10.0)
         self.assertLessEqual(max(returns), 10.0 + MAX_PAUSE_SPREAD_S)
         self.assertGreater(len(returns), 8)
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -244,6 +244,6 @@
 
     def test_endpoint_that_leaves_is_not_used_by_an_older_entry(self) -> None:
         """Guards against new requests to a leaving endpoint after the store has returned."""
-        self.assertTrue(self.book.is_past(self.ready))
-        self.assertFalse(self.book.is_past(replace(self.ready, is_leaving=True)))
+        self.assertTrue(self.book.is_outdated(self.ready))
+        self.assertFalse(self.book.is_outdated(replace(self.ready, is_leaving=True)))
         self.assertEqual(self.book.usable("desk"), [])
