Name the methods that record holdings

Cause: participles without a verb, and a coined opposite of expect. Change in Holdings: unexpect is cancel_expected, stored record_stored, dropped record_dropped.

Renames only.

--- a/bench/engines/request_run.py
+++ b/bench/engines/request_run.py
@@ -279,7 +279,7 @@
             self._node.book.failed(placed.state)
         if placed.choice is not None and not self._load.first_at:
             self._learn(None)
-            self._node.holdings.unexpect(placed.state.id, placed.scope, self._request.parts)
+            self._node.holdings.cancel_expected(placed.state.id, placed.scope, self._request.parts)
 
     def _learn_first(self, first_s: float) -> None:
         """Learns from the first event."""
--- a/bench/engines/run.py
+++ b/bench/engines/run.py
@@ -96,7 +96,7 @@
         for node in self.nodes:
             if node.policy.has_cached_parts:
                 # Without tokens left the part counts as dropped.
-                node.holdings.dropped(place, key.scope, key.id, tokens)
+                node.holdings.record_dropped(place, key.scope, key.id, tokens)
 
 
 def run_cell(cell: Cell) -> Result:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
@@ -104,7 +104,9 @@
             epoch, since = batch.epoch, batch.next_number
             for change in batch.changes:
                 if change.is_stored:
-                    self._holdings.stored(place, change.scope, change.part_id, change.tokens)
+                    self._holdings.record_stored(place, change.scope, change.part_id, change.tokens)
                 else:
-                    self._holdings.dropped(place, change.scope, change.part_id, change.tokens)
+                    self._holdings.record_dropped(
+                        place, change.scope, change.part_id, change.tokens
+                    )
             gevent.sleep(PAUSE_S)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -77,7 +77,9 @@
         """Records that this node or the caller cancelled an attempt, which proves nothing else."""
         placed = attempt.placed
         self._services.rollouts.withdrawn(attempt.answer)
-        self._services.holdings.unexpect(placed.state.id, placed.cache_scope, self._request.parts)
+        self._services.holdings.cancel_expected(
+            placed.state.id, placed.cache_scope, self._request.parts
+        )
 
     def ended(self, attempt: PlacedAttempt) -> None:
         """Records the result of an attempt."""
@@ -138,7 +140,7 @@
             )
         )
         if first_s is None:
-            services.holdings.unexpect(placed.state.id, placed.cache_scope, request.parts)
+            services.holdings.cancel_expected(placed.state.id, placed.cache_scope, request.parts)
         else:
             services.instruments.duration("first_event", self._route.name, first_s)
             self._trace.facts["first_ms"] = round(first_s * 1000)
--- a/packages/arbutustally/src/arbutustally/gateway/holdings.py
+++ b/packages/arbutustally/src/arbutustally/gateway/holdings.py
@@ -120,21 +120,21 @@
             if (scope, part.id) not in held:
                 self._put(place, (scope, part.id), _Held(part.tokens, until, True))
 
-    def unexpect(self, place: str, scope: str, parts: Iterable[PromptPart]) -> None:
+    def cancel_expected(self, place: str, scope: str, parts: Iterable[PromptPart]) -> None:
         """Reverts ``expect`` for parts that a place did not compute."""
         for part in parts:
             entry = self._parts(place).get((scope, part.id))
             if entry is not None and entry.is_pending:
                 self._places[place].drop((scope, part.id))
 
-    def stored(self, place: str, scope: str, part_id: str, tokens: int) -> None:
+    def record_stored(self, place: str, scope: str, part_id: str, tokens: int) -> None:
         """Records that a place reported that it holds a part."""
         self._put(place, (scope, part_id), _Held(tokens, math.inf))
 
-    def dropped(self, place: str, scope: str, part_id: str, tokens: int) -> None:
+    def record_dropped(self, place: str, scope: str, part_id: str, tokens: int) -> None:
         """Records that a place reported that only ``tokens`` of a part are left."""
         if tokens > 0:
-            self.stored(place, scope, part_id, tokens)
+            self.record_stored(place, scope, part_id, tokens)
             return
         if place in self._places:
             self._places[place].drop((scope, part_id))
--- a/tests/test_gateway_choice.py
+++ b/tests/test_gateway_choice.py
@@ -135,7 +135,7 @@
         self.holdings.expect(first, "1.", request.parts)
         self.assertEqual([self.choose(request) for _ in range(3)], [first] * 3)
         self.assertEqual(sources_of(self.holdings, "1.", request.parts, self.states, ()), [])
-        self.holdings.unexpect(first, "1.", request.parts)
+        self.holdings.cancel_expected(first, "1.", request.parts)
         self.assertEqual(self.holdings.prefix_tokens(first, "1.", request.parts, True), 0)
 
     def test_engine_that_may_have_dropped_parts_gets_another_source(self) -> None:
@@ -144,27 +144,27 @@
         for engine in ("e1", "e2"):
             self.holdings.assume(engine, "1.", request.parts[:1])
         self.assertEqual(self.source(request, 0).place, "e2")
-        self.holdings.stored("e1", "1.", "aa", 6000)
+        self.holdings.record_stored("e1", "1.", "aa", 6000)
         self.assertIsNone(self.source(request, 0))
 
     def test_only_parts_that_are_shared_and_missing_are_saved(self) -> None:
         store = Service("kv", 10, None, PartStore("10.0.0.9:1", "z1", 12))
         request = prompt(("aa", 6000), ("bb", 500), ("own", 2000))
         self.assertTrue(must_save(self.holdings, "1.", request.parts, store))
-        self.holdings.stored("kv", "1.", "aa", 5_990)
+        self.holdings.record_stored("kv", "1.", "aa", 5_990)
         self.assertTrue(must_save(self.holdings, "1.", request.parts, store))
-        self.holdings.stored("kv", "1.", "bb", 496)
+        self.holdings.record_stored("kv", "1.", "bb", 496)
         self.assertFalse(must_save(self.holdings, "1.", request.parts, store))
         self.assertFalse(must_save(self.holdings, "1.", request.parts[2:], store))
 
     def test_assumed_part_expires_and_reported_part_stays(self) -> None:
         request = prompt(("aa", 6000))
         self.holdings.assume("e1", "1.", request.parts)
-        self.holdings.stored("e2", "1.", "aa", 6000)
+        self.holdings.record_stored("e2", "1.", "aa", 6000)
         self.clock.advance(ASSUMED_S + 1)
         self.assertEqual(self.holdings.prefix_tokens("e1", "1.", request.parts), 0)
         self.assertEqual(self.holdings.prefix_tokens("e2", "1.", request.parts), 6000)
-        self.holdings.dropped("e2", "1.", "aa", 0)
+        self.holdings.record_dropped("e2", "1.", "aa", 0)
         self.assertEqual(self.holdings.prefix_tokens("e2", "1.", request.parts), 0)
 
     def test_busy_plain_endpoint_is_left_out(self) -> None:
