Name the setters of the quota ledger

Cause: give_back, declare and see do not say what they change. Change in QuotaLedger: give_back is refund, declare set_limits, see set_reporting_nodes.

Renames only.

--- a/bench/engines/node.py
+++ b/bench/engines/node.py
@@ -73,7 +73,7 @@
         self.repeats.share_among(self.nodes)
         tolerance = QuotaTolerance(bounds.quota_share, bounds.quota_tokens)
         self.quota = QuotaLedger.from_config(clock, tolerance)
-        self.quota.declare(
+        self.quota.set_limits(
             {entry.name: (entry.tokens_per_s, entry.burst_tokens) for entry in experiment.accounts}
         )
         self.weights_known_at: dict[int, float] = {1: float("-inf")}
--- a/bench/engines/request_run.py
+++ b/bench/engines/request_run.py
@@ -262,7 +262,7 @@
 
     def _refuse(self, retry_after: float) -> None:
         self._is_over = True
-        self._node.quota.give_back(self._arrival.account.name, self._cost)
+        self._node.quota.refund(self._arrival.account.name, self._cost)
         self._caller.refused(retry_after)
 
     def _fail(self) -> None:
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -43,7 +43,7 @@
         self.runs = True
         self.frozen_until = 0.0
         self.ledger = QuotaLedger.from_config(world.clock, TOLERANCE)
-        self.ledger.declare({ACCOUNT: world.limit})
+        self.ledger.set_limits({ACCOUNT: world.limit})
         self.sources: set[str] = set()
         self.urgent_states: list[PeerState] = []
         self.reported_peers = 0
@@ -90,7 +90,7 @@
         self.sources &= self.table.sources()
         if has_changed:
             self.reported_peers = len(self.table.present)
-            self.ledger.see(self.reported_peers + 1, self.table.known + 1)
+            self.ledger.set_reporting_nodes(self.reported_peers + 1, self.table.known + 1)
 
     def known_load(self) -> float:
         """Returns the load of all peers as this node knows it."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
@@ -70,6 +70,6 @@
         for service in configuration.services.values():
             if service.engine and service.engine.transfer_tokens_per_s:
                 self.placement.assume_import_speed(service.engine.transfer_tokens_per_s)
-        self.quota.declare(
+        self.quota.set_limits(
             {name: (entry.rate, entry.burst) for name, entry in configuration.accounts.items()}
         )
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -140,7 +140,7 @@
             services.quota.forget(source)
             services.speeds.set_peers(source, {})
         known = services.gossip.known + 1
-        services.quota.see(len(services.gossip.present) + 1, known)
+        services.quota.set_reporting_nodes(len(services.gossip.present) + 1, known)
         services.repeats.share_among(known)
 
     def _apply_weights(self, state: PeerState) -> None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -95,7 +95,7 @@
             self._attempts()
         except RouterError as error:
             if self._account and error.ran is Ran.NOT_RUN:
-                self._services.quota.give_back(self._account.name, cost)
+                self._services.quota.refund(self._account.name, cost)
             raise
         finally:
             self._cancel_hedge()
--- a/packages/arbutustally/src/arbutustally/gateway/quota.py
+++ b/packages/arbutustally/src/arbutustally/gateway/quota.py
@@ -78,7 +78,7 @@
         self._fill(bucket)
         return bucket.level
 
-    def declare(self, limits: Mapping[str, tuple[float, float]]) -> None:
+    def set_limits(self, limits: Mapping[str, tuple[float, float]]) -> None:
         """Sets the rate and burst of each account; a rate of 0 removes the limit."""
         now = self._clock()
         share = 1 + self._tolerance.share * TOLERANCE_USED
@@ -99,7 +99,7 @@
         for account in [name for name in self._buckets if name not in limits]:
             del self._buckets[account]
 
-    def see(self, reporting: int, known: int) -> None:
+    def set_reporting_nodes(self, reporting: int, known: int) -> None:
         """Sets how many nodes report their use, and how many are known, this one included."""
         for bucket in self._buckets.values():
             self._fill(bucket)
@@ -123,7 +123,7 @@
         self._admitted[account] = self._admitted.get(account, 0.0) + tokens
         return None
 
-    def give_back(self, account: str, tokens: float) -> None:
+    def refund(self, account: str, tokens: float) -> None:
         """Refunds the tokens of a request that did not run."""
         self._admitted[account] = self._admitted.get(account, 0.0) - tokens
         bucket = self._buckets.get(account)
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -26,8 +26,8 @@
         rng, clock = Random(seed), VirtualClock(100.0)
         ledgers = [QuotaLedger.from_config(clock, TOLERANCE) for _ in range(NODES)]
         for ledger in ledgers:
-            ledger.declare({"a": (RATE, BURST)})
-            ledger.see(NODES, NODES)
+            ledger.set_limits({"a": (RATE, BURST)})
+            ledger.set_reporting_nodes(NODES, NODES)
         clock.advance(5.0)
         began, reported_at = clock(), 0.0
         reports: deque[tuple[float, list[float]]] = deque()
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -88,7 +88,7 @@
     def fleet(self, clock: VirtualClock, nodes: int) -> list[QuotaLedger]:
         ledgers = [QuotaLedger.from_config(clock, self.TOLERANCE) for _ in range(nodes)]
         for ledger in ledgers:
-            ledger.declare({"a": (78_000.0, 78_000.0)})
+            ledger.set_limits({"a": (78_000.0, 78_000.0)})
         return ledgers
 
     def simulate(
@@ -103,7 +103,7 @@
         clock = VirtualClock()
         ledgers = self.fleet(clock, nodes)
         for ledger in ledgers:
-            ledger.see(reporting, nodes)
+            ledger.set_reporting_nodes(reporting, nodes)
         rng = Random(7)
         admitted = []
         reported_at = 0.0
@@ -156,7 +156,7 @@
         clock.advance(10)
         before = ledger.level("a")
         ledger.take("a", 5_000.0)
-        ledger.give_back("a", 5_000.0)
+        ledger.refund("a", 5_000.0)
         self.assertEqual(ledger.level("a"), before)
         self.assertEqual(ledger.admitted["a"], 0.0)
 
