Name the methods of the retry budget

Cause: requested, share_among and after do not say what is recorded, set or returned. Change in attempts: requested is record_request, share_among set_node_count, after next_action.

Renames only. Tests run, all passed: tests.test_gateway_limits tests.test_silent_engines tests.test_bench_engines; linter clean.

--- a/bench/engines/node.py
+++ b/bench/engines/node.py
@@ -70,7 +70,7 @@
         bounds = experiment.bounds
         budget = RepeatBudget(bounds.repeat_window_s, bounds.repeat_share, bounds.repeat_slack)
         self.repeats = RepeatLedger.from_config(clock, budget)
-        self.repeats.share_among(self.nodes)
+        self.repeats.set_node_count(self.nodes)
         tolerance = QuotaTolerance(bounds.quota_share, bounds.quota_tokens)
         self.quota = QuotaLedger.from_config(clock, tolerance)
         self.quota.set_limits(
--- a/bench/engines/request_run.py
+++ b/bench/engines/request_run.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from arbutustally.gateway.attempts import Next, Outcome, after
+from arbutustally.gateway.attempts import Next, Outcome, next_action
 from arbutustally.gateway.configuration import Route, RouteKind
 from arbutustally.gateway.requests import CallerRequest, shape_of
 from arbutustally.placement import Observation
@@ -133,7 +133,7 @@
             self._is_over = True
             self._caller.refused(wait)
             return
-        self._node.repeats.requested(self._service)
+        self._node.repeats.record_request(self._service)
         self._site.loop.at(self._deadline, self._expire)
         self._next()
 
@@ -245,7 +245,7 @@
             self._follow(Outcome.MAY_HAVE_RUN)
 
     def _follow(self, outcome: Outcome, has_repeat: bool = False) -> None:
-        following = after(self._route, outcome, self._ran, self._sends, self._left_s)
+        following = next_action(self._route, outcome, self._ran, self._sends, self._left_s)
         if following is Next.REPEAT and (has_repeat or self._node.take_repeat(self._service)):
             self._next()
         elif outcome is Outcome.NOT_RUN and self._ran == 0:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -141,7 +141,7 @@
             services.speeds.set_peers(source, {})
         known = services.gossip.known + 1
         services.quota.set_reporting_nodes(len(services.gossip.present) + 1, known)
-        services.repeats.share_among(known)
+        services.repeats.set_node_count(known)
 
     def _apply_weights(self, state: PeerState) -> None:
         view, now = self._services.view, self._clock()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -14,7 +14,7 @@
     RouterError,
 )
 from arbutustally.gateway.admission import retry_after_s
-from arbutustally.gateway.attempts import MAX_SENDS, Next, Outcome, after
+from arbutustally.gateway.attempts import MAX_SENDS, Next, Outcome, next_action
 from arbutustally.gateway.configuration import (
     ClientAccount,
     Configuration,
@@ -90,7 +90,7 @@
         :raises RouterError: if it fails; part of a streamed response may have been written.
         """
         cost = self._take_cost()
-        self._services.repeats.requested(self._placer.service.name)
+        self._services.repeats.record_request(self._placer.service.name)
         try:
             self._attempts()
         except RouterError as error:
@@ -126,7 +126,7 @@
                 continue
             # The hedge may be running even if its response has not arrived in time.
             ran = self._ran + (self._hedge is not None)
-            following = after(self._route, result.outcome, ran, self._sends, self.left_s)
+            following = next_action(self._route, result.outcome, ran, self._sends, self.left_s)
             if following is Next.REPEAT and not self._take_repeat():
                 self._trace.facts["repeat_budget"] = "used"
                 is_not_run = result.outcome is Outcome.NOT_RUN and ran == 0
--- a/packages/arbutustally/src/arbutustally/gateway/attempts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/attempts.py
@@ -75,11 +75,11 @@
         """Builds an empty ledger."""
         return cls(clock, budget)
 
-    def share_among(self, nodes: int) -> None:
+    def set_node_count(self, nodes: int) -> None:
         """Sets the number of nodes that share the budget."""
         self._nodes = max(nodes, 1)
 
-    def requested(self, service: str) -> None:
+    def record_request(self, service: str) -> None:
         """Counts a request."""
         self._recent(self._requests, service).append(self._clock())
 
@@ -117,7 +117,7 @@
         return entries
 
 
-def after(route: Route, outcome: Outcome, ran: int, sends: int, left_s: float) -> Next:
+def next_action(route: Route, outcome: Outcome, ran: int, sends: int, left_s: float) -> Next:
     """Returns the action after an attempt, regardless of the repeat budget.
 
     :param ran: number of endpoints on which the request may have run, this attempt included.
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -14,7 +14,7 @@
     Outcome,
     RepeatBudget,
     RepeatLedger,
-    after,
+    next_action,
 )
 from arbutustally.gateway.configuration import (
     RouteKind,
@@ -33,13 +33,13 @@
             (RouteKind.IDEMPOTENT, False, Next.REPEAT),
         ):
             for outcome in (Outcome.MAY_HAVE_RUN, Outcome.FAILED):
-                following = after(route(kind, 2, resumable), outcome, 1, 1, 1.0)
+                following = next_action(route(kind, 2, resumable), outcome, 1, 1, 1.0)
                 self.assertIs(following, expected, (kind, resumable, outcome))
 
     def test_refusal_says_not_run_only_if_no_attempt_may_have_run(self) -> None:
         idempotent = route(RouteKind.IDEMPOTENT)
-        self.assertIs(after(idempotent, Outcome.NOT_RUN, 0, MAX_SENDS, 1.0), Next.REFUSE)
-        self.assertIs(after(idempotent, Outcome.NOT_RUN, 1, MAX_SENDS, 1.0), Next.FAIL)
+        self.assertIs(next_action(idempotent, Outcome.NOT_RUN, 0, MAX_SENDS, 1.0), Next.REFUSE)
+        self.assertIs(next_action(idempotent, Outcome.NOT_RUN, 1, MAX_SENDS, 1.0), Next.FAIL)
 
     @given(
         st.sampled_from(list(Outcome)),
@@ -49,7 +49,7 @@
         st.booleans(),
     )
     def test_attempts_end(self, outcome, ran, sends, left, resumable) -> None:
-        following = after(route(resumable=resumable), outcome, ran, sends, left)
+        following = next_action(route(resumable=resumable), outcome, ran, sends, left)
         if left <= 0 or (sends >= MAX_SENDS and ran >= 2):
             self.assertIsNot(following, Next.REPEAT)
 
@@ -61,11 +61,11 @@
         budget = RepeatBudget(10.0, 0.2, 56.0)
         ledgers = [RepeatLedger.from_config(clock, budget) for _ in range(4)]
         for ledger in ledgers:
-            ledger.share_among(4)
+            ledger.set_node_count(4)
         repeats: list[float] = []
         for number in range(3000):
             ledger = ledgers[number % 4]
-            ledger.requested("s")
+            ledger.record_request("s")
             if ledger.take("s"):
                 repeats.append(clock())
             clock.advance(0.01)
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -26,7 +26,7 @@
         self.store.put("keyed.op", "config", changed)
         self.eventually(lambda: self.node._view.configuration.version == 2)
         for _ in range(self.EARLIER):
-            self.node._services.exchange._services.repeats.requested("llm")
+            self.node._services.exchange._services.repeats.record_request("llm")
 
     def send_to_first_engine(self, running) -> None:
         """Sends one request that runs at the first engine, then some that get no head in time.
