Name the updates that a list's readers send to peers

Cause: messages of changes were called news, and take_whole does not say what is taken. Change: ListNews is ListUpdate, OperatorNews OperatorUpdate, SharedReading.take_whole adopt_list; a mutation quotes the call.

Renames only. Tests run, all passed: tests.test_shared_reading tests.test_peer_state tests.test_return_model tests.test_gateway_node_store; linter clean.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -6,7 +6,7 @@
 
 from arbutustally.clock import Clock
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
-from arbutustally.gateway.shared_reading import Change, ListNews, Position, SharedReading
+from arbutustally.gateway.shared_reading import Change, ListUpdate, Position, SharedReading
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.gossip import Gossip
@@ -84,13 +84,13 @@
         """Stops reading."""
         self._greenlet.kill()
 
-    def news(self) -> ListNews | None:
+    def news(self) -> ListUpdate | None:
         """Returns the changes to send to the peers right after a read, otherwise ``None``."""
         if not self._is_publishing:
             return None
         return self._reading.news(self._view.book.keeps_removed_s)
 
-    def take(self, news: ListNews, peer: str) -> None:
+    def take(self, news: ListUpdate, peer: str) -> None:
         """Applies the changes that a peer has read."""
         keep_until = self._clock() + news.keep_removed_s
         for change in self._reading.take(news):
@@ -133,7 +133,7 @@
         is_newer = known is None or position > known
         if is_newer or (self._needs_peer_list and position == known):
             self._replace(records, position, peer)
-            self._reading.take_whole(position)
+            self._reading.adopt_list(position)
 
     def _run(self) -> None:
         retry_s = RETRY_S
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
@@ -12,7 +12,7 @@
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
-from arbutustally_node.gateway.peer_state import OperatorNews
+from arbutustally_node.gateway.peer_state import OperatorUpdate
 from arbutustally_node.gateway.ports import Batch, KeyedTopic, Record
 from arbutustally_node.gateway.store_watch import StoreWatch
 from arbutustally_node.gateway.supervision import supervise
@@ -73,13 +73,13 @@
         """Stops reading."""
         self._greenlet.kill()
 
-    def news(self) -> tuple[OperatorNews, ...]:
+    def news(self) -> tuple[OperatorUpdate, ...]:
         """Returns the records that this node has recently read or published."""
         now = self._clock()
         while self._recent and now - self._recent[0][0] > RESEND_S:
             self._recent.popleft()
         return tuple(
-            OperatorNews(
+            OperatorUpdate(
                 record.key, record.value, None if known_at == -math.inf else now - known_at
             )
             for _sent_at, known_at, record in self._recent
@@ -92,7 +92,7 @@
         self._recent.append((now, now, record))
         self._send_now()
 
-    def take(self, news: tuple[OperatorNews, ...], peer: str) -> None:
+    def take(self, news: tuple[OperatorUpdate, ...], peer: str) -> None:
         """Applies the records that a peer has read."""
         now = self._clock()
         for item in news:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -11,7 +11,7 @@
 from arbutustally.gateway.engine_speeds import Work
 from arbutustally.gateway.fleet_sums import Load
 from arbutustally.gateway.relaying import Member
-from arbutustally.gateway.shared_reading import Change, ListNews
+from arbutustally.gateway.shared_reading import Change, ListUpdate
 
 COMPRESSION_LEVEL = 3
 #: Content below this size is sent uncompressed: the gain would not justify the CPU time, bytes.
@@ -40,7 +40,7 @@
 
 
 @dataclass(frozen=True)
-class OperatorNews:
+class OperatorUpdate:
     """A record of the operator that the sender has read recently.
 
     :ivar age_s: longest possible time since it was written, ``None`` if unknown.
@@ -95,8 +95,8 @@
     members: tuple[Member, ...] | None = None
     peers: tuple[str, ...] = ()
     counted: Mapping[str, int] = field(default_factory=dict)
-    news: ListNews | None = None
-    operator: tuple[OperatorNews, ...] = ()
+    news: ListUpdate | None = None
+    operator: tuple[OperatorUpdate, ...] = ()
 
     def encode(self) -> bytes:
         """Returns the datagram."""
@@ -208,11 +208,11 @@
     return _text(endpoint), _text(scope), decoded_parts, bool(is_pending)
 
 
-def _operator(row: Any) -> OperatorNews:
+def _operator(row: Any) -> OperatorUpdate:
     key, value, age_s = row
     if not isinstance(value, bytes):
         raise TypeError("expected the bytes of a record")
-    return OperatorNews(_text(key), value, None if age_s is None else float(age_s))
+    return OperatorUpdate(_text(key), value, None if age_s is None else float(age_s))
 
 
 def _member_row(member: Member) -> list[Any]:
@@ -225,18 +225,18 @@
     return Member(*texts, bool(is_ready), int(config), int(capacity))
 
 
-def _news_row(news: ListNews) -> list[Any]:
+def _news_row(news: ListUpdate) -> list[Any]:
     changes = [[change.offset, change.key, change.value] for change in news.changes]
     return [news.era, news.covers_from, news.read_to, news.age_s, news.keep_removed_s, changes]
 
 
-def _news(row: Any) -> ListNews:
+def _news(row: Any) -> ListUpdate:
     """Returns the changes of the endpoints' list in a datagram.
 
     :raises TypeError: or ``ValueError`` if the row is malformed.
     """
     era, covers_from, read_to, age_s, keep_removed_s, changes = row
-    return ListNews(
+    return ListUpdate(
         natural_number(era),
         natural_number(covers_from),
         natural_number(read_to),
--- a/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
+++ b/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
@@ -60,7 +60,7 @@
 
 
 @dataclass(frozen=True)
-class ListNews:
+class ListUpdate:
     """Message of a reader to its peers.
 
     :ivar era: era of the store to which all offsets of the message belong.
@@ -133,7 +133,7 @@
         self._reset_to(position)
         self._record_store_answer()
 
-    def take_whole(self, position: Position) -> None:
+    def adopt_list(self, position: Position) -> None:
         """Records that this node has adopted a peer's whole list at a position."""
         self._reset_to(position)
         self._fresh_at = self._clock()
@@ -147,7 +147,7 @@
         self._advance_to(offset)
         self._record_store_answer()
 
-    def take(self, news: ListNews) -> tuple[Change, ...]:
+    def take(self, news: ListUpdate) -> tuple[Change, ...]:
         """Processes news of a peer; returns the changes that this node did not know."""
         known = self._position
         if known is None or news.era < known.era:
@@ -164,13 +164,13 @@
         self._fresh_at = max(self._fresh_at, self._clock() - news.age_s)
         return new
 
-    def news(self, keep_removed_s: float) -> ListNews | None:
+    def news(self, keep_removed_s: float) -> ListUpdate | None:
         """Returns the message to the peers, ``None`` if this node has not read the list lately."""
         now = self._clock()
         if self._position is None or self._read_at is None or now - self._read_at >= self._stale_s:
             return None
         self._drop_old(now)
-        return ListNews(
+        return ListUpdate(
             self._position.era,
             self._covers_from,
             self._position.offset,
--- a/tests/test_fleet_after_return.py
+++ b/tests/test_fleet_after_return.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent.event import Event
 
-from arbutustally.gateway.shared_reading import ListNews
+from arbutustally.gateway.shared_reading import ListUpdate
 from arbutustally_node.gateway.node import GatewayNode
 from tests.gateway_fleet import GatewayCase, settings
 from tests.platform_fakes import FakeStore, FakeWorker, configuration
@@ -250,7 +250,7 @@
         self.store.reads.clear()
         calls = self.store.calls
         for _ in range(20):
-            node._endpoints.take(ListNews(HUGE, 0, HUGE, 0.0, 0.0, ()), "node-2")
+            node._endpoints.take(ListUpdate(HUGE, 0, HUGE, 0.0, 0.0, ()), "node-2")
             gevent.sleep(0.1)
         self.assertEqual(node._endpoints.position.era, 1)
         self.assertFalse(node._endpoints.has_missed)
--- a/tests/test_gateway_node_store.py
+++ b/tests/test_gateway_node_store.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from arbutustally.gateway.shared_reading import READERS, Change, ListNews
+from arbutustally.gateway.shared_reading import READERS, Change, ListUpdate
 from arbutustally_node.gateway.fleet_view import FORGET_GONE_S
 from arbutustally_node.gateway.node import GatewayNode
 from tests.gateway_fleet import GatewayCase, settings
@@ -78,10 +78,10 @@
         book = node._view.book
         position = node._endpoints.position
         era, offset = position.era, position.offset
-        news = ListNews(era, offset, offset + 1, 0.0, 0.0, (Change(offset, "d1", None),))
+        news = ListUpdate(era, offset, offset + 1, 0.0, 0.0, (Change(offset, "d1", None),))
         node._endpoints.take(news, "node-2")
         book.get("d1").gone_at -= 2 * FORGET_GONE_S
-        node._endpoints.take(ListNews(era, offset, offset + 1, 0.0, 0.0, ()), "node-2")
+        node._endpoints.take(ListUpdate(era, offset, offset + 1, 0.0, 0.0, ()), "node-2")
         self.assertIsNone(book.get("d1"))
 
     def test_only_few_nodes_read_the_list(self) -> None:
--- a/tests/test_return_model.py
+++ b/tests/test_return_model.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from arbutustally.gateway.shared_reading import ListNews
+from arbutustally.gateway.shared_reading import ListUpdate
 from tests.return_world import Node, World
 
 NODES = st.integers(0, 3)
@@ -124,7 +124,7 @@
 
     @rule(index=NODES, ahead=st.sampled_from([1, 2, 1 << 40]))
     def false_era(self, index: int, ahead: int) -> None:
-        news = ListNews(self.world.store.era + ahead, 0, 1 << 40, 0.0, 0.0, ())
+        news = ListUpdate(self.world.store.era + ahead, 0, 1 << 40, 0.0, 0.0, ())
         self.world.nodes[index].endpoints.take(news, "liar")
 
     @precondition(lambda self: hasattr(self, "world"))
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -13,7 +13,7 @@
     RESEND_S,
     STALE_SHARE,
     Change,
-    ListNews,
+    ListUpdate,
     Position,
     SharedReading,
 )
@@ -180,7 +180,7 @@
         self.reading.read_whole(Position(2, 10))
 
     def receive(self, era: int, *changes: Change) -> tuple[Change, ...]:
-        return self.reading.take(ListNews(era, 0, 99, 0.0, 0.0, changes))
+        return self.reading.take(ListUpdate(era, 0, 99, 0.0, 0.0, changes))
 
     def test_news_of_an_older_era_are_ignored(self) -> None:
         """Guards against late news that revert a node to the state before the store's return."""
@@ -224,7 +224,7 @@
 
     def test_whole_list_of_the_store_replaces_any_state(self) -> None:
         """Guards against a node that keeps an era which the store never had."""
-        self.reading.take_whole(Position(1 << 60, 1))
+        self.reading.adopt_list(Position(1 << 60, 1))
         self.reading.read_whole(Position(2, 11))
         self.assertEqual(self.reading.position, Position(2, 11))
 
