Name the request handler, and the longest wait for new weights

Cause: exchange is vague, and a test-free parameter was called bearable. Change: Exchange is RequestHandler in request_handler.py; weights_to_use(bearable_s) is max_wait_s, as its caller names it.

Renames only. Tests run, all passed: tests.test_gateway_choice tests.test_gateway_weights tests.test_bench_engines tests.test_endpoint_notices; linter clean.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -19,7 +19,6 @@
 from arbutustally_node.gateway.endpoint_check import EndpointChecker
 from arbutustally_node.gateway.endpoint_notices import EndpointNotices
 from arbutustally_node.gateway.endpoint_reader import READING_DUTY, EndpointReader
-from arbutustally_node.gateway.exchange import Exchange
 from arbutustally_node.gateway.follower import Follower
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.listener import CallerListener
@@ -28,6 +27,7 @@
 from arbutustally_node.gateway.order_lease import OrderLease
 from arbutustally_node.gateway.peer_sync import PeerSync, SyncedServices
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
+from arbutustally_node.gateway.request_handler import RequestHandler
 from arbutustally_node.gateway.request_services import RequestServices
 from arbutustally_node.gateway.rollout_record import encode_progress
 from arbutustally_node.gateway.rollout_service import RolloutService
@@ -68,7 +68,7 @@
     store: StoreReaders
     catch_up: CatchUp
     weights: WeightsService
-    exchange: Exchange
+    exchange: RequestHandler
     listener: CallerListener
 
 
@@ -112,7 +112,7 @@
         lambda: status.is_complete,
         state.rollouts,
     )
-    exchange = Exchange(requests)
+    exchange = RequestHandler(requests)
     store = _build_store_readers(options, platform, state, gossip)
     weights = _build_weights(options, platform, state, gossip, checker.unreachable)
     synced = SyncedServices(
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/exchange.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_handler.py
@@ -20,7 +20,7 @@
 OTHER_NODE_RETRY_S = 0.02
 
 
-class Exchange:
+class RequestHandler:
     """Serves all requests of a node.
 
     :param services: services that the requests share.
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -256,7 +256,7 @@
     oldest_allowed: int,
     rng: Random,
     wait_s: Callable[[EndpointState], float] = lambda _state: 0.0,
-    bearable_s: float = 0.0,
+    max_wait_s: float = 0.0,
 ) -> tuple[int, list[EndpointState]]:
     """Returns the version of a model to use, and the engines that run it.
 
@@ -268,7 +268,7 @@
     :param named: newest version that the operator named.
     :param oldest_allowed: oldest version on which requests may still begin.
     :param wait_s: returns the expected wait at an engine, seconds.
-    :param bearable_s: expected wait at the engines with new weights up to which older ones are not
+    :param max_wait_s: expected wait at the engines with new weights up to which older ones are not
         used, seconds; if infinite, older ones are used only while no engine has the new weights.
     """
     # An engine may already run weights whose naming this node has not received yet.
@@ -281,11 +281,11 @@
     if not groups:
         return named, []
     waits = {version: min(map(wait_s, group)) for version, group in groups.items()}
-    if named in groups and len(groups) > 1 and bearable_s < math.inf:
+    if named in groups and len(groups) > 1 and max_wait_s < math.inf:
         part = len(groups[named]) / sum(map(len, groups.values()))
         if rng.random() >= part * NEW_WEIGHTS_LOAD_FACTOR:
             del waits[named]
-    if named in waits and waits[named] <= bearable_s:
+    if named in waits and waits[named] <= max_wait_s:
         return named, groups[named]
     best = min(waits, key=lambda version: (waits[version], -version))
     return best, groups[best]
