Name the log of placements

Cause: PlacedLog does not name what it holds. Change: PlacedLog is PlacementLog in placement_log.py.

Renames only. Tests run, all passed: tests.test_peer_state; linter clean.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -19,7 +19,7 @@
 from arbutustally_node.gateway.follower import Follower
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.peer_state import Covers, PeerState
-from arbutustally_node.gateway.placed_log import PlacedLog
+from arbutustally_node.gateway.placement_log import PlacementLog
 from arbutustally_node.gateway.rollout_evidence import SEPARATOR, RolloutEvidence
 from arbutustally_node.gateway.weights_service import WeightsService
 
@@ -42,7 +42,7 @@
     follower: Follower
     weights: WeightsService
     gossip: Gossip
-    placed: PlacedLog
+    placed: PlacementLog
     rollouts: RolloutEvidence
 
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placed_log.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placement_log.py
@@ -13,7 +13,7 @@
 MAX_ANNOUNCED = 64
 
 
-class PlacedLog:
+class PlacementLog:
     """Keeps the latest placements and how many of them each group of peers has received."""
 
     def __init__(self) -> None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -14,7 +14,7 @@
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.instruments import Instruments
-from arbutustally_node.gateway.placed_log import PlacedLog
+from arbutustally_node.gateway.placement_log import PlacementLog
 from arbutustally_node.gateway.rollout_evidence import RolloutEvidence
 from arbutustally_node.gateway.transport import Transport
 
@@ -56,7 +56,7 @@
     nodes: Callable[[], int]
     is_complete: Callable[[], bool]
     rollouts: RolloutEvidence
-    placed: PlacedLog = field(default_factory=PlacedLog)
+    placed: PlacementLog = field(default_factory=PlacementLog)
 
 
 @dataclass
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -12,7 +12,7 @@
 from arbutustally.gateway.relaying import Member
 from arbutustally.gateway.shared_reading import Change, ListUpdate
 from arbutustally_node.gateway.peer_state import MAX_CONTENT_BYTES, Covers, PeerState
-from arbutustally_node.gateway.placed_log import MAX_ANNOUNCED, PlacedLog
+from arbutustally_node.gateway.placement_log import MAX_ANNOUNCED, PlacementLog
 
 MEMBER = Member("n1", "10.0.0.1", "z1", "10.0.0.1:1", "10.0.0.1:2", True, 3, 20)
 
@@ -91,7 +91,7 @@
 
 class PlacedLogTest(unittest.TestCase):
     def test_each_group_receives_each_placement_once(self) -> None:
-        log = PlacedLog()
+        log = PlacementLog()
         log.add(("e1", "s", [("a", 1)], True))
         self.assertEqual(len(log.take(0)), 1)
         log.add(("e2", "s", [("b", 1)], True))
@@ -100,7 +100,7 @@
         self.assertEqual(log.take(0), ())
 
     def test_datagram_has_the_latest_placements(self) -> None:
-        log = PlacedLog()
+        log = PlacementLog()
         for number in range(1000):
             log.add((f"e{number}", "s", [], False))
         told = log.take(0)
