Name the reader of the operator's records, and the monitor of the store's returns

Cause: the follower of the operator's records stands beside EndpointReader, and StoreReturns is no thing. Change: Follower is OperatorReader in operator_reader.py (attribute operator_reader), StoreReturns StoreReturnMonitor; mutations name the file.

Renames only.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -19,11 +19,11 @@
 from arbutustally_node.gateway.endpoint_check import EndpointChecker
 from arbutustally_node.gateway.endpoint_notices import EndpointNotices
 from arbutustally_node.gateway.endpoint_reader import READING_DUTY, EndpointReader
-from arbutustally_node.gateway.follower import Follower
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.listener import CallerListener
 from arbutustally_node.gateway.node_state import NodeState
 from arbutustally_node.gateway.node_status import NodeStatus
+from arbutustally_node.gateway.operator_reader import OperatorReader
 from arbutustally_node.gateway.order_lease import OrderLease
 from arbutustally_node.gateway.peer_sync import PeerSync, SyncedServices
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
@@ -31,7 +31,7 @@
 from arbutustally_node.gateway.request_services import RequestServices
 from arbutustally_node.gateway.rollout_record import encode_progress
 from arbutustally_node.gateway.rollout_service import RolloutService
-from arbutustally_node.gateway.store_returns import StoreReturns
+from arbutustally_node.gateway.store_returns import StoreReturnMonitor
 from arbutustally_node.gateway.store_watch import StoreWatch
 from arbutustally_node.gateway.transport import Transport
 from arbutustally_node.gateway.weights_service import WeightsService
@@ -50,7 +50,7 @@
 
     watch: StoreWatch
     endpoints: EndpointReader
-    follower: Follower
+    follower: OperatorReader
     announcer: Announcer
 
 
@@ -167,7 +167,7 @@
 ) -> StoreReaders:
     log, view, bounds = state.log, state.view, options.bounds
     watch = StoreWatch(view.book, log, monotonic, bounds.store_return_s)
-    StoreReturns.from_config(platform.store_era, log, state.instruments)
+    StoreReturnMonitor.from_config(platform.store_era, log, state.instruments)
     endpoints = EndpointReader(
         platform.endpoint_topic,
         view,
@@ -178,7 +178,7 @@
         gossip,
         bounds.leaving_s,
     )
-    follower = Follower(
+    follower = OperatorReader(
         platform.operator_topic,
         view,
         watch,
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
@@ -31,7 +31,7 @@
 RESEND_S = 2.5
 
 
-class Follower:
+class OperatorReader:
     """Keeps a ``FleetView`` current with the operator's records.
 
     :param is_reader: returns whether this node reads for the fleet now.
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -16,8 +16,8 @@
 from arbutustally_node.gateway.endpoint_reader import EndpointReader
 from arbutustally_node.gateway.fleet_table import PeerUse
 from arbutustally_node.gateway.fleet_view import FleetView
-from arbutustally_node.gateway.follower import Follower
 from arbutustally_node.gateway.gossip import Gossip
+from arbutustally_node.gateway.operator_reader import OperatorReader
 from arbutustally_node.gateway.peer_state import Covers, PeerState
 from arbutustally_node.gateway.placement_log import PlacementLog
 from arbutustally_node.gateway.rollout_evidence import SEPARATOR, RolloutEvidence
@@ -39,7 +39,7 @@
     checker: EndpointChecker
     notices: EndpointNotices
     endpoints: EndpointReader
-    follower: Follower
+    follower: OperatorReader
     weights: WeightsService
     gossip: Gossip
     placed: PlacementLog
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/store_returns.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/store_returns.py
@@ -5,7 +5,7 @@
 from arbutustally_node.gateway.ports import StoreEra
 
 
-class StoreReturns:
+class StoreReturnMonitor:
     """Logs and counts each era of the store after the first one that this node has seen."""
 
     def __init__(self, log: DecisionLog, instruments: Instruments) -> None:
@@ -16,7 +16,7 @@
     @classmethod
     def from_config(
         cls, store_era: StoreEra, log: DecisionLog, instruments: Instruments
-    ) -> "StoreReturns":
+    ) -> "StoreReturnMonitor":
         """Returns one that watches the store's eras."""
         returns = cls(log, instruments)
         store_era.watch(returns.note)
--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -12,7 +12,7 @@
 from arbutustally_node.gateway.endpoint_notices import EndpointNotices
 from arbutustally_node.gateway.endpoint_reader import PAUSE_FRACTION, READING_DUTY, EndpointReader
 from arbutustally_node.gateway.fleet_view import FleetView
-from arbutustally_node.gateway.follower import Follower
+from arbutustally_node.gateway.operator_reader import OperatorReader
 from arbutustally_node.gateway.ports import Batch, Record, WeightsNamed
 from arbutustally_node.gateway.store_watch import StoreWatch
 
@@ -128,7 +128,7 @@
             self,
             LEAVING_S,
         )
-        self.follower = Follower(
+        self.follower = OperatorReader(
             Topic(world, self, "op"),
             self.view,
             watch,
--- a/tests/test_gateway_node_store.py
+++ b/tests/test_gateway_node_store.py
@@ -99,7 +99,7 @@
 
     def start_settled(self, count: int) -> list[GatewayNode]:
         """Starts nodes and waits until ``READERS`` of them read the store for all."""
-        patch = mock.patch("arbutustally_node.gateway.follower.WAIT_S", 1.0)
+        patch = mock.patch("arbutustally_node.gateway.operator_reader.WAIT_S", 1.0)
         patch.start()
         self.addCleanup(patch.stop)
         nodes = self.start_nodes(count)
