--- a/tests/policy_support.py
+++ b/tests/policy_support.py
@@ -4,7 +4,7 @@
 
 
 @dataclass(frozen=True)
-class Aim:
+class ClassTarget:
     """A class target; exactly one field is set."""
 
     first_token_ms: float | None = None
--- a/tests/test_cache_identity.py
+++ b/tests/test_cache_identity.py
@@ -10,13 +10,13 @@
 from arbutustally.clock import VirtualClock
 from arbutustally.placement import Candidate, Observation, Placement, PlacementRequest
 from arbutustally.prefixes import split_levels
-from tests.policy_support import Aim
+from tests.policy_support import ClassTarget
 
 ENDPOINTS = ("w1", "w2", "w3")
 ACCOUNTS = st.sampled_from(("school", "clinic"))
 VERSIONS = st.sampled_from(("v1", "v2"))
 PROMPTS = st.tuples(st.integers(0, 1), st.integers(0, 2), st.integers(0, 2))
-TARGET = Aim(first_token_ms=500.0)
+TARGET = ClassTarget(first_token_ms=500.0)
 #: Tokens of roles, delimiters, the fixed assistant message and rounding, which ``texts`` omits.
 FRAME_TOKENS = 16
 
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -9,7 +9,7 @@
 from arbutustally.clock import VirtualClock
 from arbutustally.errors import OverloadedError, Ran
 from arbutustally.fairness import FairQueue, QueueLimits, TicketState, engine_priority
-from tests.policy_support import Aim
+from tests.policy_support import ClassTarget
 
 LIMITS = QueueLimits(
     in_flight_tokens=100,
@@ -148,8 +148,8 @@
 
     def test_tighter_target_runs_first(self) -> None:
         """Guards against priorities that do not follow the class targets."""
-        tight = Aim(first_token_ms=300.0)
-        loose = Aim(first_token_ms=5000.0)
-        batch = Aim(recompute_percent=10.0)
+        tight = ClassTarget(first_token_ms=300.0)
+        loose = ClassTarget(first_token_ms=5000.0)
+        batch = ClassTarget(recompute_percent=10.0)
         ranks = [engine_priority(target) for target in (tight, loose, batch)]
         self.assertEqual(ranks, sorted(set(ranks)))
--- a/tests/test_placement_traces.py
+++ b/tests/test_placement_traces.py
@@ -11,7 +11,7 @@
 from arbutustally.errors import NoEndpointError
 from arbutustally.placement import Candidate, Observation, Placement, PlacementRequest
 from arbutustally.prefixes import split_levels
-from tests.policy_support import Aim
+from tests.policy_support import ClassTarget
 
 TRACES = json.loads((Path(__file__).parent / "traces" / "placement.json").read_text())
 ENDPOINTS = ("w1", "w2", "w3")
@@ -31,7 +31,7 @@
         self.trace = trace
         self.clock = VirtualClock(100.0)
         self.placement = Placement.from_config(self.clock, Random(3))
-        self.target = Aim(**trace.get("target", {"first_token_ms": 500}))
+        self.target = ClassTarget(**trace.get("target", {"first_token_ms": 500}))
         self.incarnations = dict.fromkeys(ENDPOINTS, 0)
         self.queues = dict.fromkeys(ENDPOINTS, 0)
         self.endpoint_by_label: dict[str, str] = {}
@@ -134,7 +134,7 @@
         for seed in range(5):
             placement = Placement.from_config(VirtualClock(100.0), Random(seed))
             request = PlacementRequest(
-                "school", "marelle", "v1", build_shape("cold"), 10, Aim(first_token_ms=500)
+                "school", "marelle", "v1", build_shape("cold"), 10, ClassTarget(first_token_ms=500)
             )
             first = placement.choose(request, many)
             busy = [
--- a/tests/test_version_service.py
+++ b/tests/test_version_service.py
@@ -14,7 +14,7 @@
 from arbutustally_node.admission import AdmissionService
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.version_service import TRIP_TOPIC, VersionService
-from tests.policy_support import Aim
+from tests.policy_support import ClassTarget
 
 MODEL = "marelle"
 RAISED = MoveStep(MODEL, "2", "1", "raised", 1.0, 1)
@@ -50,7 +50,7 @@
             models=models,
             endpoints={"llm": SimpleNamespace(checks_fencing=True)},
             routes={"chat": route},
-            classes={"chat": Aim(first_token_ms=200.0)},
+            classes={"chat": ClassTarget(first_token_ms=200.0)},
             accounts={"school": SimpleNamespace(rate=100.0)},
         )
         self.state = SimpleNamespace(declarations=declarations, move=lambda model: self.move)
