--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -27,7 +27,7 @@
 from arbutustally.gateway.endpoints import EndpointState
 from arbutustally.gateway.requests import CallerRequest
 from arbutustally.placement import Choice
-from arbutustally.rendezvous import unit
+from arbutustally.rendezvous import uniform_hash
 from arbutustally_node.gateway.request_services import RequestServices, Trace
 
 #: Retry delay suggested to callers if no estimate is available, seconds.
@@ -227,7 +227,7 @@
     def _pick_service(self) -> Service:
         shares = self._route.shares
         total = sum(share.weight for share in shares) or 1.0
-        point = unit(self._route.name.encode(), self._request.request_id) * total
+        point = uniform_hash(self._route.name.encode(), self._request.request_id) * total
         for share in shares:
             point -= share.weight
             if point < 0:
--- a/packages/arbutustally/src/arbutustally/gateway/rollouts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/rollouts.py
@@ -16,7 +16,7 @@
 
 from arbutustally.evidence import tail_probability
 from arbutustally.gateway.endpoints import EndpointBook, EndpointState
-from arbutustally.rendezvous import unit
+from arbutustally.rendezvous import uniform_hash
 
 #: Share of the requests routed to the canary while it is evaluated.
 CANARY_SHARE = 0.06
@@ -357,7 +357,7 @@
             return book.usable(service)
         progress = self._progress.get(service)
         share = progress.share if progress is not None else 0.0
-        is_sampled = is_first and unit(service.encode(), request_id) < share
+        is_sampled = is_first and uniform_hash(service.encode(), request_id) < share
         if (share >= 1.0 or is_sampled) and (canary := book.usable(service, self.is_canary)):
             return canary
         if baseline := book.usable(service, self.is_baseline):
--- a/packages/arbutustally/src/arbutustally/rendezvous.py
+++ b/packages/arbutustally/src/arbutustally/rendezvous.py
@@ -26,6 +26,6 @@
     return order(key, {name, *others}).index(name)
 
 
-def unit(key: bytes, name: str) -> float:
+def uniform_hash(key: bytes, name: str) -> float:
     """Returns a hash of the pair, uniformly distributed in [0, 1)."""
     return score(key, name) / 2.0**64
--- a/packages/arbutustally/src/arbutustally/versions.py
+++ b/packages/arbutustally/src/arbutustally/versions.py
@@ -8,7 +8,7 @@
 from arbutustally.breaker import TOLERATED_FAILURES, Accepted, Breaker, Trip, judge_tally
 from arbutustally.evidence import EvidenceKey, Tally
 from arbutustally.records import MoveStep
-from arbutustally.rendezvous import unit
+from arbutustally.rendezvous import uniform_hash
 
 __all__ = [
     "Breaker",
@@ -45,12 +45,12 @@
 
 def share_picks(model: str, request_id: str, share: float) -> bool:
     """Returns whether a request belongs to the fixed part ``share`` of the hash space."""
-    return unit(model.encode(), request_id) < share
+    return uniform_hash(model.encode(), request_id) < share
 
 
 def is_control(model: str, request_id: str) -> bool:
     """Returns whether the old version takes a request while the new one is doubted."""
-    return unit(f"{model}/control".encode(), request_id) < CONTROL_SHARE
+    return uniform_hash(f"{model}/control".encode(), request_id) < CONTROL_SHARE
 
 
 def in_use(move: MoveStep | None, wanted: str) -> str:
