--- a/packages/arbutustally-node/src/arbutustally_node/booking_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/booking_service.py
@@ -153,7 +153,7 @@
                     raise failure from error
                 self._count(PLAIN_FAILED)
                 continue
-            self._retries.succeeded(call.account)
+            self._retries.record_success(call.account)
             call.trace.note("answered", endpoint=endpoint.id, status=answer.status)
             return answer
 
--- a/packages/arbutustally-node/src/arbutustally_node/stream_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_run.py
@@ -343,7 +343,7 @@
     def _complete(self, link: Link) -> None:
         link.response.settle()
         self._dispatcher.leave(link)
-        self._retries.succeeded(self._call.account)
+        self._retries.record_success(self._call.account)
         self._report.completed(link, self._cursor)
 
     def _abandon(self, link: Link) -> None:
--- a/packages/arbutustally/src/arbutustally/retries.py
+++ b/packages/arbutustally/src/arbutustally/retries.py
@@ -45,7 +45,7 @@
         self._set(account, balance - 1)
         return True
 
-    def succeeded(self, account: str) -> None:
+    def record_success(self, account: str) -> None:
         """Credits both balances with a fraction of a retry."""
         self._node = min(self._node_reserve, self._node + self._fraction)
         balance = self._accounts.get(account)
