--- a/packages/arbutustally-node/src/arbutustally_node/pool.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -15,7 +15,7 @@
 from urllib3.connection import HTTPConnection
 
 from arbutustally.clock import monotonic
-from arbutustally.engine_client import translate
+from arbutustally.engine_client import connection_error
 from arbutustally.errors import EndpointFailedError, EndpointTimeoutError, Ran
 from arbutustally_node.bounded_head import BoundedConnection
 from arbutustally_node.framing import ChunkedBody, OpenBody, SizedBody
@@ -378,7 +378,7 @@
                 decode_content=False,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise translate(error, address) from error
+            raise connection_error(error, address) from error
         return PooledResponse(response, address, not fresh, self._silence)
 
     def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
--- a/packages/arbutustally/src/arbutustally/engine_client.py
+++ b/packages/arbutustally/src/arbutustally/engine_client.py
@@ -229,7 +229,7 @@
             )
             data = response.read(MAX_RESPONSE_BYTES)
         except urllib3.exceptions.HTTPError as error:
-            raise translate(error, address) from error
+            raise connection_error(error, address) from error
         finally:
             if response is not None:
                 response.drain_conn()
@@ -261,7 +261,7 @@
     return error if isinstance(error, str) else ""
 
 
-def translate(error: Exception, address: str) -> RouterError:
+def connection_error(error: Exception, address: str) -> RouterError:
     """Returns the typed error for a connection error.
 
     Only a connection that was never established proves that no byte of the request was sent.
