Name weights, records and speeds of placement, and a node's queue limits

Cause: gain, enter, assume and beside are vague. Change: SHARE_GAIN is COMPUTED_SHARE_WEIGHT, CacheIndex.enter record, assume_import_speed set_import_speed, QueueLimits.beside for_node.

Renames only.

--- a/bench/engines/node.py
+++ b/bench/engines/node.py
@@ -65,7 +65,7 @@
         self.book = EndpointBook.from_config(clock)
         self.speeds = EngineSpeeds.from_config(clock)
         self.placement = Placement.from_config(clock, rng, PLACEMENT_OPTIONS, self.speeds)
-        self.placement.assume_import_speed(experiment.engines.transfer_tokens_per_s)
+        self.placement.set_import_speed(experiment.engines.transfer_tokens_per_s)
         self.holdings = Holdings.from_config(clock, self._terms)
         bounds = experiment.bounds
         budget = RepeatBudget(bounds.repeat_window_s, bounds.repeat_share, bounds.repeat_slack)
--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -68,7 +68,7 @@
     tracemalloc.start()
     index = CacheIndex(entries)
     for number, name in enumerate(names):
-        index.enter(scope, [name], f"engine-{number % 433}", "1", 0.0)
+        index.record(scope, [name], f"engine-{number % 433}", "1", 0.0)
     used = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     return used
--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -9,7 +9,7 @@
 from arbutustally.errors import OverloadedError
 from arbutustally.fairness import MIN_COMPUTED_SHARE, FairQueue, QueueLimits, Ticket, TicketState
 from arbutustally.limits import GrantPool, OwnerBudget, Reservation, apply_reports, received
-from arbutustally.placement import SHARE_GAIN
+from arbutustally.placement import COMPUTED_SHARE_WEIGHT
 from arbutustally_standins.engine_model import EngineModel, EngineModelOptions, ModelRequest
 from arbutustally_standins.engine_types import FINISHED, FIRST_TOKEN
 from bench.replay.calls import Call, Result
@@ -162,7 +162,7 @@
             setup.target, setup.engines, setup.prefill_tokens_per_s, share
         )
         others = max(reported / max(share, MIN_COMPUTED_SHARE) - own, 0.0)
-        return limits.beside(others, setup.nodes)
+        return limits.for_node(others, setup.nodes)
 
     def run(self) -> list[Result]:
         """Runs the whole trace and returns the results."""
@@ -328,7 +328,7 @@
         result.imported = ticket.imported_tokens
         result.first_token_s = now - result.call.at
         computed = result.computed / result.call.prompt_tokens
-        self._computed_share += (computed - self._computed_share) * SHARE_GAIN
+        self._computed_share += (computed - self._computed_share) * COMPUTED_SHARE_WEIGHT
         if entry.ticket is not None:
             entry.node.queue.release(entry.ticket)
         self._store.update(result.call.blocks[: result.call.whole_piece_blocks])
--- a/packages/arbutustally-node/src/arbutustally_node/admission.py
+++ b/packages/arbutustally-node/src/arbutustally_node/admission.py
@@ -151,7 +151,7 @@
         reported = sum(entry.queued_tokens for entry in endpoints)
         share = self._kernel.lookup("placement").computed_share if model else 1.0
         limits = QueueLimits.from_config(target, len(endpoints), speed, share)
-        return limits.beside(max(reported / max(share, MIN_COMPUTED_SHARE) - own, 0.0), nodes)
+        return limits.for_node(max(reported / max(share, MIN_COMPUTED_SHARE) - own, 0.0), nodes)
 
     def _speed(self, endpoints: list[str]) -> float:
         """Returns the mean prefill speed of endpoints in tokens/s."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
@@ -69,7 +69,7 @@
     def _apply_configuration(self, configuration: Configuration) -> None:
         for service in configuration.services.values():
             if service.engine and service.engine.transfer_tokens_per_s:
-                self.placement.assume_import_speed(service.engine.transfer_tokens_per_s)
+                self.placement.set_import_speed(service.engine.transfer_tokens_per_s)
         self.quota.set_limits(
             {name: (entry.rate, entry.burst) for name, entry in configuration.accounts.items()}
         )
--- a/packages/arbutustally/src/arbutustally/cache_index.py
+++ b/packages/arbutustally/src/arbutustally/cache_index.py
@@ -138,9 +138,9 @@
         if (endpoint, incarnation) in self._dead:
             return
         self._adjust_retention(scope, anchors, endpoint, incarnation, cached, now)
-        self.enter(scope, anchors, endpoint, incarnation, now)
+        self.record(scope, anchors, endpoint, incarnation, now)
 
-    def enter(
+    def record(
         self, scope: CacheScope, anchors: list[Anchor], endpoint: str, incarnation: str, now: float
     ) -> None:
         """Records that the endpoint holds all these prefixes as of ``now``."""
--- a/packages/arbutustally/src/arbutustally/fairness.py
+++ b/packages/arbutustally/src/arbutustally/fairness.py
@@ -79,7 +79,7 @@
         busy = speed * IN_FLIGHT_S
         return cls(busy, speed * wait, speed, wait, engine_priority(target), busy)
 
-    def beside(self, others: float, nodes: int) -> "QueueLimits":
+    def for_node(self, others: float, nodes: int) -> "QueueLimits":
         """Returns the bounds of one of several nodes that share the pool.
 
         The node may use the part of the bound that the others leave, so that the queue at the
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -61,7 +61,7 @@
 #: Engine time of an output token, in prefill tokens, with a moderately filled batch.
 OUTPUT_COST = 10.0
 #: Weight of one response in the moving average of the share of computed tokens.
-SHARE_GAIN = 0.02
+COMPUTED_SHARE_WEIGHT = 0.02
 #: Fraction of the uncached home prefix that is deducted from the cost of a home of a hot prefix:
 #: its prefill also serves later requests, and a copy at another endpoint would take cache space
 #: there.
@@ -127,7 +127,7 @@
         """Returns the learned prefill speed of an endpoint in tokens/s."""
         return self._load.speed(endpoint)
 
-    def assume_import_speed(self, tokens_per_s: float) -> None:
+    def set_import_speed(self, tokens_per_s: float) -> None:
         """Sets the declared speed at which engines import cached chunks, in tokens/s."""
         self._load.set_initial_speed(KV_STORE, tokens_per_s)
 
@@ -157,7 +157,7 @@
         ahead = best.queue_s * self._load.speed(best.endpoint)
         number = self._load.record_dispatch(best.endpoint, missed, ahead, context.now)
         if self.options.in_band:
-            self._index.enter(
+            self._index.record(
                 context.scope, context.anchors, best.endpoint, best.incarnation, context.now
             )
         return Choice(
@@ -183,14 +183,14 @@
         cached = self._cached_estimate(observation)
         total = observation.shape.total_tokens
         self._computed_share += ((total - cached) / max(total, 1) - self._computed_share) * (
-            SHARE_GAIN
+            COMPUTED_SHARE_WEIGHT
         )
         if self.options.in_band:
             now = self.clock()
             self._index.learn(
                 scope, anchors, observation.endpoint, observation.incarnation, cached, now
             )
-            self._index.enter(scope, anchors, KV_STORE, "", now)
+            self._index.record(scope, anchors, KV_STORE, "", now)
         if dispatch is not None and observation.first_token_s:
             missed = observation.shape.total_tokens - cached
             self._learn_speed(observation, dispatch, missed)
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -56,7 +56,7 @@
             for node in range(NODES)
         ]
         for node in self.nodes:
-            node.assume_import_speed(2e6)
+            node.set_import_speed(2e6)
         self.free_at: dict[str, float] = defaultdict(float)
         self.holders: dict[str, set[str]] = defaultdict(set)
         self.sent: list[Sent] = []
