Name what applies records and peers' lists

Cause: take, settle and look do not say what is done; an orderer is the holder of the lease on orders.

Renames only.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/catch_up.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/catch_up.py
@@ -65,9 +65,9 @@
 
     def _apply(self, snapshot: Snapshot, peer: str) -> None:
         for record in snapshot.operator:
-            self._view.take_operator(record, peer)
+            self._view.apply_operator(record, peer)
         if snapshot.position is not None:
-            self._endpoints.take_snapshot(snapshot.endpoints, snapshot.position, peer)
+            self._endpoints.apply_snapshot(snapshot.endpoints, snapshot.position, peer)
 
     def _peer_to_ask(self) -> Member | None:
         configuration = self._view.configuration
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_notices.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_notices.py
@@ -47,7 +47,7 @@
             if state.address == address and state.gone_at is None:
                 self.take(state, notice)
 
-    def take_leaving(self, leaving: Mapping[str, str], peer: str) -> None:
+    def apply_leaving(self, leaving: Mapping[str, str], peer: str) -> None:
         """Applies a peer's list of endpoints that leave, with their incarnations by id."""
         for endpoint_id, incarnation in leaving.items():
             state = self._book.get(endpoint_id)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -94,7 +94,7 @@
         """Applies the changes that a peer has read."""
         keep_until = self._clock() + news.keep_removed_s
         for change in self._reading.take(news):
-            is_new = self._view.take_endpoint(Record(change.key, change.value), peer)
+            is_new = self._view.apply_endpoint(Record(change.key, change.value), peer)
             self._unconfirmed.discard(change.key)
             if change.value is None and is_new:
                 self._view.book.keep(change.key, keep_until)
@@ -124,7 +124,7 @@
         """
         return bool(self._unconfirmed) and self._clock() >= self._confirmed_by_peers_at
 
-    def take_snapshot(self, records: tuple[Record, ...], position: Position, peer: str) -> None:
+    def apply_snapshot(self, records: tuple[Record, ...], position: Position, peer: str) -> None:
         """Applies a peer's whole list if it is newer, or confirms endpoints at the same position.
 
         :param position: up to where the list is current.
@@ -215,7 +215,7 @@
         self._watch.list_restored()
         self._unconfirmed_until = self._clock() + UNCONFIRMED_S
         self._confirmed_by_peers_at = self._clock() + REWRITTEN_S
-        self._unconfirmed = self._view.settle_endpoints(records, source)
+        self._unconfirmed = self._view.apply_restored_endpoints(records, source)
         self._confirmed_to = position.offset
         self._log.line(
             "endpoints_read_anew", era=position.era, previous=known.era, listed=len(records)
@@ -247,7 +247,7 @@
         if not (is_unknown or was_unconfirmed):
             return False
         self._unconfirmed.discard(record.key)
-        return self._view.take_endpoint(record, "store") or was_unconfirmed
+        return self._view.apply_endpoint(record, "store") or was_unconfirmed
 
     def _log_role(self, is_reader: bool) -> None:
         if is_reader != self._is_reader:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
@@ -126,7 +126,7 @@
         return None if self.is_relay or fleet is None else fleet.state.sender
 
     @property
-    def has_orderer(self) -> bool:
+    def has_order_lease_holder(self) -> bool:
         """Returns whether a peer reports that it holds the lease on orders to engines."""
         return any(received.state.orders_engines for received in self._sources())
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -119,7 +119,7 @@
         """Calls ``notify`` with each configuration that comes into force."""
         self._configuration_watchers.append(notify)
 
-    def take_operator(self, record: Record, source: str, known_at: float = -math.inf) -> None:
+    def apply_operator(self, record: Record, source: str, known_at: float = -math.inf) -> None:
         """Applies a record of the operator; one older than the known state changes nothing.
 
         :param known_at: earliest time at which it may have been written, ``-inf`` if unknown.
@@ -141,7 +141,7 @@
         """Returns whether a record of the operator is already known with the same value."""
         return self._operator_raw.get(record.key) == record.value
 
-    def take_endpoint(self, record: Record, source: str) -> bool:
+    def apply_endpoint(self, record: Record, source: str) -> bool:
         """Applies an endpoint's entry or its removal; returns whether that changes anything."""
         if record.value is None:
             return self._remove_endpoint(record.key, source)
@@ -160,12 +160,12 @@
         """Applies a complete list of entries; endpoints that it lacks are removed."""
         listed = {record.key for record in records}
         for record in records:
-            self.take_endpoint(record, source)
+            self.apply_endpoint(record, source)
         for state in self.book.all():
             if state.id not in listed:
-                self.take_endpoint(Record(state.id, None), source)
+                self.apply_endpoint(Record(state.id, None), source)
 
-    def settle_endpoints(self, records: tuple[Record, ...], source: str) -> set[str]:
+    def apply_restored_endpoints(self, records: tuple[Record, ...], source: str) -> set[str]:
         """Applies a complete list that may be older than the known state.
 
         An endpoint that is leaving, was removed, or has restarted since, is used again only after
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -108,9 +108,9 @@
         return self._table.is_settled
 
     @property
-    def has_orderer(self) -> bool:
+    def has_order_lease_holder(self) -> bool:
         """Returns whether a peer reports that it holds the lease on orders to engines."""
-        return self._table.has_orderer
+        return self._table.has_order_lease_holder
 
     @property
     def relay(self) -> Member | None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -104,7 +104,7 @@
         state.rng,
         options.zone,
         options.bounds.weights_s,
-        lambda endpoint: weights.look(endpoint),
+        lambda endpoint: weights.poll_weights(endpoint),
         notices.take,
         checker.unreachable,
         checker.check_silent,
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
@@ -97,7 +97,7 @@
         now = self._clock()
         for item in news:
             known_at = -math.inf if item.age_s is None else now - item.age_s
-            self._view.take_operator(Record(item.key, item.value), peer, known_at)
+            self._view.apply_operator(Record(item.key, item.value), peer, known_at)
 
     def era_changed(self, era: int) -> None:
         """Ends a wait for the next record, since offsets differ in the store's new era."""
@@ -184,7 +184,7 @@
         # exact age.
         new = [record for record in records if not self._view.has_operator(record)]
         for record in new:
-            self._view.take_operator(record, "store", known_at)
+            self._view.apply_operator(record, "store", known_at)
             if is_news:
                 self._recent.append((now, known_at, record))
         if is_news and new and self._is_reader():
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -118,7 +118,7 @@
             services.rollouts.set_peer_totals(use.source, use.admitted)
             services.speeds.set_peers(use.source, use.speeds)
         self._apply_weights(state)
-        services.notices.take_leaving(state.leaving, node)
+        services.notices.apply_leaving(state.leaving, node)
         for endpoint_id in state.down:
             endpoint = services.view.book.get(endpoint_id)
             if endpoint is not None and not endpoint.is_down:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -138,7 +138,7 @@
         if not self.is_holder:
             if now - self._outdated_since < self._gossip.rank(LOADS_DUTY) * RANK_DELAY_S:
                 return True
-            if self._gossip.has_orderer:
+            if self._gossip.has_order_lease_holder:
                 self._poll_lease(True)
                 return True
             if not self._lease.claim():
@@ -309,7 +309,7 @@
                 return
             gevent.sleep(POLL_S)
 
-    def look(self, state: EndpointState) -> None:
+    def poll_weights(self, state: EndpointState) -> None:
         """Polls an engine's weights in the background, at most once per ``POLL_S``."""
         now = self._clock()
         if self._view.book.is_paused(state):
--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -176,7 +176,7 @@
             for model, named in self.view.weights.items():
                 for version, at in named.dated.items():
                     peer.view.learn_weights(model, version, at, "peer")
-            peer.notices.take_leaving(self.notices.leaving, "peer")
+            peer.notices.apply_leaving(self.notices.leaving, "peer")
         assert now == self.world.clock()
 
     def step(self) -> None:
@@ -204,9 +204,9 @@
             return
         peer = max(ahead, key=lambda one: one.version) if ahead else self.world.rng.choice(peers)
         for record in peer.view.operator_records:
-            self.view.take_operator(record, "peer")
+            self.view.apply_operator(record, "peer")
         if peer.reading.position is not None:
-            self.endpoints.take_snapshot(peer.view.endpoint_records, peer.reading.position, "peer")
+            self.endpoints.apply_snapshot(peer.view.endpoint_records, peer.reading.position, "peer")
 
 
 class World:
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -75,7 +75,7 @@
     def test_report_counts_and_nothing_is_ordered(self) -> None:
         self.engines[0].is_leaving = True
         state = self.nodes[0]._view.book.get("e1")
-        self.nodes[0]._weights.look(state)
+        self.nodes[0]._weights.poll_weights(state)
         self.eventually(lambda: state.is_leaving, 2.0)
         self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
         self.eventually(lambda: self.engines[1].version == 2)
