Call what readers send to peers updates, and the operator's reader by its class

Cause: changes that are sent to peers were called news; the attribute follower kept the old name of OperatorReader. Change: news is updates (field of PeerState, methods and parameters; the message holds positions, not names), _news and _news_row are _update and _update_row, follower is operator_reader (the kernel's name "follower" stays).

Renames only.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -84,16 +84,16 @@
         """Stops reading."""
         self._greenlet.kill()
 
-    def news(self) -> ListUpdate | None:
+    def updates(self) -> ListUpdate | None:
         """Returns the changes to send to the peers right after a read, otherwise ``None``."""
         if not self._is_publishing:
             return None
-        return self._reading.news(self._view.book.keeps_removed_s)
+        return self._reading.updates(self._view.book.keeps_removed_s)
 
-    def take(self, news: ListUpdate, peer: str) -> None:
+    def take(self, updates: ListUpdate, peer: str) -> None:
         """Applies the changes that a peer has read."""
-        keep_until = self._clock() + news.keep_removed_s
-        for change in self._reading.take(news):
+        keep_until = self._clock() + updates.keep_removed_s
+        for change in self._reading.take(updates):
             is_new = self._view.apply_endpoint(Record(change.key, change.value), peer)
             self._unconfirmed.discard(change.key)
             if change.value is None and is_new:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -50,7 +50,7 @@
 
     watch: StoreWatch
     endpoints: EndpointReader
-    follower: OperatorReader
+    operator_reader: OperatorReader
     announcer: Announcer
 
 
@@ -124,7 +124,7 @@
         checker,
         notices,
         store.endpoints,
-        store.follower,
+        store.operator_reader,
         weights,
         gossip,
         requests.placed,
@@ -143,7 +143,7 @@
         ("log", log),
         ("gossip", gossip),
         ("endpoints", store.endpoints),
-        ("follower", store.follower),
+        ("follower", store.operator_reader),
         ("announcer", store.announcer),
         ("pool", pool),
         ("caches", caches),
@@ -178,7 +178,7 @@
         gossip,
         bounds.leaving_s,
     )
-    follower = OperatorReader(
+    operator_reader = OperatorReader(
         platform.operator_topic,
         view,
         watch,
@@ -190,9 +190,9 @@
     announcer = Announcer(
         platform.node_topic, gossip, watch, log, boottime, options.node, options.ip.encode()
     )
-    platform.store_era.watch(follower.era_changed)
+    platform.store_era.watch(operator_reader.era_changed)
     platform.store_era.watch(announcer.era_changed)
-    return StoreReaders(watch, endpoints, follower, announcer)
+    return StoreReaders(watch, endpoints, operator_reader, announcer)
 
 
 def _build_weights(
@@ -238,7 +238,7 @@
         state.log,
         monotonic,
         is_decider,
-        lambda progress: store.follower.publish(encode_progress(progress)),
+        lambda progress: store.operator_reader.publish(encode_progress(progress)),
     )
     platform.store_era.watch(service.era_changed)
     return service
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
@@ -73,7 +73,7 @@
         """Stops reading."""
         self._greenlet.kill()
 
-    def news(self) -> tuple[OperatorUpdate, ...]:
+    def updates(self) -> tuple[OperatorUpdate, ...]:
         """Returns the records that this node has recently read or published."""
         now = self._clock()
         while self._recent and now - self._recent[0][0] > RESEND_S:
@@ -92,10 +92,10 @@
         self._recent.append((now, now, record))
         self._send_now()
 
-    def take(self, news: tuple[OperatorUpdate, ...], peer: str) -> None:
+    def take(self, updates: tuple[OperatorUpdate, ...], peer: str) -> None:
         """Applies the records that a peer has read."""
         now = self._clock()
-        for item in news:
+        for item in updates:
             known_at = -math.inf if item.age_s is None else now - item.age_s
             self._view.apply_operator(Record(item.key, item.value), peer, known_at)
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -73,8 +73,8 @@
     :ivar members: the covered nodes without the sender; ``None`` if unchanged since the last list.
     :ivar peers: addresses of other relays.
     :ivar counted: number of the last message of each node that uses the sender as its relay.
-    :ivar news: changes of the endpoints' list that the sender read, ``None`` if it has not read it
-        recently.
+    :ivar updates: changes of the endpoints' list that the sender read, ``None`` if it has not read
+        it recently.
     :ivar operator: records of the operator that the sender has read recently.
     """
 
@@ -95,7 +95,7 @@
     members: tuple[Member, ...] | None = None
     peers: tuple[str, ...] = ()
     counted: Mapping[str, int] = field(default_factory=dict)
-    news: ListUpdate | None = None
+    updates: ListUpdate | None = None
     operator: tuple[OperatorUpdate, ...] = ()
 
     def encode(self) -> bytes:
@@ -103,7 +103,7 @@
         values = [getattr(self, one.name) for one in fields(self)]
         values[0] = _member_row(self.sender)
         values[-5] = None if self.members is None else [_member_row(one) for one in self.members]
-        values[-2] = None if self.news is None else _news_row(self.news)
+        values[-2] = None if self.updates is None else _update_row(self.updates)
         values[-1] = [[one.key, one.value, one.age_s] for one in self.operator]
         content = cbor2.dumps(values)
         if len(content) < MIN_COMPRESSED_BYTES:
@@ -120,7 +120,9 @@
 
     @classmethod
     def _from_values(cls, values: Any) -> "PeerState":
-        sender, incarnation, number, covers, *rest, members, peers, counted, news, operator = values
+        sender, incarnation, number, covers, *rest, members, peers, counted, updates, operator = (
+            values
+        )
         loads, admitted, speeds, weights, engines, orders, loading, down, leaving, placed = rest
         return cls(
             _member(sender),
@@ -140,7 +142,7 @@
             None if members is None else tuple(map(_member, members)),
             tuple(map(_text, peers)),
             {_text(key): int(last) for key, last in counted.items()},
-            None if news is None else _news(news),
+            None if updates is None else _update(updates),
             tuple(map(_operator, operator)),
         )
 
@@ -225,12 +227,19 @@
     return Member(*texts, bool(is_ready), int(config), int(capacity))
 
 
-def _news_row(news: ListUpdate) -> list[Any]:
-    changes = [[change.offset, change.key, change.value] for change in news.changes]
-    return [news.era, news.covers_from, news.read_to, news.age_s, news.keep_removed_s, changes]
+def _update_row(updates: ListUpdate) -> list[Any]:
+    changes = [[change.offset, change.key, change.value] for change in updates.changes]
+    return [
+        updates.era,
+        updates.covers_from,
+        updates.read_to,
+        updates.age_s,
+        updates.keep_removed_s,
+        changes,
+    ]
 
 
-def _news(row: Any) -> ListUpdate:
+def _update(row: Any) -> ListUpdate:
     """Returns the changes of the endpoints' list in a datagram.
 
     :raises TypeError: or ``ValueError`` if the row is malformed.
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -39,7 +39,7 @@
     checker: EndpointChecker
     notices: EndpointNotices
     endpoints: EndpointReader
-    follower: OperatorReader
+    operator_reader: OperatorReader
     weights: WeightsService
     gossip: Gossip
     placed: PlacementLog
@@ -98,8 +98,8 @@
             down=tuple(state.id for state in states if state.is_down),
             leaving=services.notices.leaving,
             placed=services.placed.take(0) if has_placements else (),
-            news=services.endpoints.news(),
-            operator=services.follower.news() if services.endpoints.is_reader else (),
+            updates=services.endpoints.updates(),
+            operator=services.operator_reader.updates() if services.endpoints.is_reader else (),
         )
 
     def take(self, state: PeerState, use: PeerUse | None) -> None:
@@ -108,9 +108,9 @@
         :param use: use by peers, ``None`` if the message does not report it.
         """
         services, node = self._services, state.sender.node
-        if state.news is not None:
-            services.endpoints.take(state.news, node)
-        services.follower.take(state.operator, node)
+        if state.updates is not None:
+            services.endpoints.take(state.updates, node)
+        services.operator_reader.take(state.operator, node)
         if use is not None:
             services.view.book.set_peer_load(use.source, use.loads)
             accounts = {k: v for k, v in use.admitted.items() if not k.startswith(SEPARATOR)}
--- a/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
+++ b/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
@@ -2,11 +2,11 @@
 
 Load pattern: endpoints write heartbeats many times a second, and each node that reads the list
 costs the store calls and bandwidth. A few nodes read it and send the changes to the others. Any
-other node reads the list itself if it has not received news from a reader lately, or has missed
+other node reads the list itself if it has not received updates from a reader lately, or has missed
 changes.
 
 The store may be restored from an older copy; it then begins a new era, in which it assigns offsets
-again. Offsets are compared within one era only. News of a newer era from a peer only cause a
+again. Offsets are compared within one era only. Updates of a newer era from a peer only cause a
 query to the store.
 """
 
@@ -112,7 +112,7 @@
 
     @property
     def has_missed(self) -> bool:
-        """Returns whether a peer has sent news of changes, or of an era, that this node lacks."""
+        """Returns whether a peer has sent changes, or an era, that this node lacks."""
         return self._lacks_changes or self._has_claim
 
     def is_due(self, rank: int) -> bool:
@@ -147,24 +147,24 @@
         self._advance_to(offset)
         self._record_store_answer()
 
-    def take(self, news: ListUpdate) -> tuple[Change, ...]:
-        """Processes news of a peer; returns the changes that this node did not know."""
+    def take(self, updates: ListUpdate) -> tuple[Change, ...]:
+        """Processes updates of a peer; returns the changes that this node did not know."""
         known = self._position
-        if known is None or news.era < known.era:
+        if known is None or updates.era < known.era:
             return ()
-        if news.era > known.era:
+        if updates.era > known.era:
             self._claim()
             return ()
-        if news.covers_from > known.offset:
+        if updates.covers_from > known.offset:
             self._lacks_changes = True
             return ()
-        new = tuple(change for change in news.changes if change.offset >= known.offset)
+        new = tuple(change for change in updates.changes if change.offset >= known.offset)
         self._add_changes(new)
-        self._advance_to(news.read_to)
-        self._fresh_at = max(self._fresh_at, self._clock() - news.age_s)
+        self._advance_to(updates.read_to)
+        self._fresh_at = max(self._fresh_at, self._clock() - updates.age_s)
         return new
 
-    def news(self, keep_removed_s: float) -> ListUpdate | None:
+    def updates(self, keep_removed_s: float) -> ListUpdate | None:
         """Returns the message to the peers, ``None`` if this node has not read the list lately."""
         now = self._clock()
         if self._position is None or self._read_at is None or now - self._read_at >= self._stale_s:
--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -128,7 +128,7 @@
             self,
             LEAVING_S,
         )
-        self.follower = OperatorReader(
+        self.operator_reader = OperatorReader(
             Topic(world, self, "op"),
             self.view,
             watch,
@@ -163,16 +163,16 @@
         return [node.index for node in self.world.awake()].index(self.index)
 
     def send_now(self) -> None:
-        """Sends the news to all awake peers, as ``PeerNews`` does."""
-        news = self.endpoints.news()
-        operator = self.follower.news() if self.endpoints.is_reader else ()
+        """Sends the updates to all awake peers, as ``PeerSync`` does."""
+        updates = self.endpoints.updates()
+        operator = self.operator_reader.updates() if self.endpoints.is_reader else ()
         now = self.world.clock()
         for peer in self.world.awake():
             if peer is self:
                 continue
-            if news is not None:
-                peer.endpoints.take(news, "peer")
-            peer.follower.take(operator, "peer")
+            if updates is not None:
+                peer.endpoints.take(updates, "peer")
+            peer.operator_reader.take(operator, "peer")
             for model, named in self.view.weights.items():
                 for version, at in named.dated.items():
                     peer.view.learn_weights(model, version, at, "peer")
@@ -190,8 +190,8 @@
         except StoreUnavailableError as error:
             self.watch.failed(error)
         try:
-            if self.follower._offset is None or self.endpoints.is_reader:
-                self.follower.read_once()
+            if self.operator_reader._offset is None or self.endpoints.is_reader:
+                self.operator_reader.read_once()
         except StoreUnavailableError as error:
             self.watch.failed(error)
         self._catch_up()
--- a/tests/test_fleet_after_return.py
+++ b/tests/test_fleet_after_return.py
@@ -189,7 +189,7 @@
 
     def test_first_era_is_no_return(self) -> None:
         """Guards against a node that reads the operator's records twice at its start."""
-        self.assertFalse(self.node._services.store.follower._woken.is_set())
+        self.assertFalse(self.node._services.store.operator_reader._woken.is_set())
 
     def test_requests_are_served_through_a_return(self) -> None:
         self.lose_heartbeats()
--- a/tests/test_gateway_node_store.py
+++ b/tests/test_gateway_node_store.py
@@ -78,8 +78,8 @@
         book = node._view.book
         position = node._endpoints.position
         era, offset = position.era, position.offset
-        news = ListUpdate(era, offset, offset + 1, 0.0, 0.0, (Change(offset, "d1", None),))
-        node._endpoints.take(news, "node-2")
+        updates = ListUpdate(era, offset, offset + 1, 0.0, 0.0, (Change(offset, "d1", None),))
+        node._endpoints.take(updates, "node-2")
         book.get("d1").gone_at -= 2 * FORGET_GONE_S
         node._endpoints.take(ListUpdate(era, offset, offset + 1, 0.0, 0.0, ()), "node-2")
         self.assertIsNone(book.get("d1"))
@@ -91,7 +91,8 @@
         heartbeats = gevent.spawn(self.write_heartbeats)
         self.addCleanup(heartbeats.kill)
         self.eventually(
-            lambda: sum(node._endpoints._reading.news(0) is not None for node in nodes) == READERS
+            lambda: sum(node._endpoints._reading.updates(0) is not None for node in nodes)
+            == READERS
         )
         self.store.put("keyed.servers", "d1", self.desks[0].entry("draining"))
         for node in nodes:
@@ -137,7 +138,10 @@
         nodes = self.start_settled(5)
         for node in nodes:
             if node._endpoints.is_reader:
-                for greenlet in (*node._gossip._greenlets, node._services.store.follower._greenlet):
+                for greenlet in (
+                    *node._gossip._greenlets,
+                    node._services.store.operator_reader._greenlet,
+                ):
                     greenlet.kill()
                 node._endpoints.stop()
         left = [node for node in nodes if not node._gossip._greenlets[0].dead]
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -25,7 +25,7 @@
     def test_state_arrives_as_it_was_sent(self) -> None:
         changes = (Change(4, "e1", b"{}"), Change(6, "e2", None))
         sent = state(
-            news=ListUpdate(2, 3, 9, 0.5, 1.0, changes),
+            updates=ListUpdate(2, 3, 9, 0.5, 1.0, changes),
             loads={"e1": (1, 2.0, 3.0, 0)},
             admitted={"school": 7.0},
             weights={"m": {2: 0.5}},
@@ -49,7 +49,7 @@
         """Encodes the changes of 70 engines that have all loaded weights at the same time."""
         entry = b'{"service":"llm","address":"10.1.64.%d:8221","zone":"z1","slots":12}' * 3
         changes = tuple(Change(n, f"i-{n:010x}", entry % (n, n, n)) for n in range(70))
-        sent = state(news=ListUpdate(1, 0, 99, 0.0, 0.0, changes))
+        sent = state(updates=ListUpdate(1, 0, 99, 0.0, 0.0, changes))
         self.assertLess(len(sent.encode()), sum(len(change.value) for change in changes) / 4)
 
     def test_datagrams_that_unpack_to_too_much_are_refused(self) -> None:
@@ -70,8 +70,8 @@
         """Guards against an era or offset that ends the receiving task or floods the log."""
         for wrong in (float("inf"), float("nan"), 1.5, -1, 1 << 64, "1", None):
             for numbers in ((wrong, 0, 1), (1, wrong, 1), (1, 0, wrong)):
-                news = ListUpdate(*numbers, 0.0, 0.0, ())
-                self.assertIsNone(PeerState.decode(state(news=news).encode()), numbers)
+                updates = ListUpdate(*numbers, 0.0, 0.0, ())
+                self.assertIsNone(PeerState.decode(state(updates=updates).encode()), numbers)
             counted = state(counted={"n2": wrong})
             self.assertTrue(wrong != float("inf") or PeerState.decode(counted.encode()) is None)
 
@@ -82,7 +82,7 @@
     @given(st.data())
     def test_damaged_datagrams_raise_no_error(self, data) -> None:
         sent = bytearray(
-            state(news=ListUpdate(1, 0, 1, 0.0, 0.0, (Change(0, "e", b"{}"),))).encode()
+            state(updates=ListUpdate(1, 0, 1, 0.0, 0.0, (Change(0, "e", b"{}"),))).encode()
         )
         at = data.draw(st.integers(0, len(sent) - 1))
         sent[at] = data.draw(st.integers(0, 255))
--- a/tests/test_return_model.py
+++ b/tests/test_return_model.py
@@ -124,8 +124,8 @@
 
     @rule(index=NODES, ahead=st.sampled_from([1, 2, 1 << 40]))
     def false_era(self, index: int, ahead: int) -> None:
-        news = ListUpdate(self.world.store.era + ahead, 0, 1 << 40, 0.0, 0.0, ())
-        self.world.nodes[index].endpoints.take(news, "liar")
+        updates = ListUpdate(self.world.store.era + ahead, 0, 1 << 40, 0.0, 0.0, ())
+        self.world.nodes[index].endpoints.take(updates, "liar")
 
     @precondition(lambda self: hasattr(self, "world"))
     @invariant()
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -72,9 +72,9 @@
         self._apply(found)
 
     def receive(self, other: "Node") -> None:
-        news = other.reading.news(0.0)
-        if news is not None:
-            self._apply(self.reading.take(news))
+        updates = other.reading.updates(0.0)
+        if updates is not None:
+            self._apply(self.reading.take(updates))
 
     def _apply(self, changes) -> None:
         for change in changes:
@@ -89,16 +89,16 @@
     def fleet(self, size: int) -> list[Node]:
         return [Node(self.clock, self.listed, rank) for rank in range(size)]
 
-    def simulate(self, nodes: list[Node], seconds: float, with_news: bool = True) -> None:
+    def simulate(self, nodes: list[Node], seconds: float, with_updates: bool = True) -> None:
         """Advances time: heartbeats are written, readers read, and every node informs the others.
 
-        :param with_news: whether nodes send news to each other.
+        :param with_updates: whether nodes send updates to each other.
         """
         for _ in range(round(seconds / TELL_S)):
             self.listed.heartbeats(10)
             for node in nodes:
                 node.step()
-            for node in nodes if with_news else ():
+            for node in nodes if with_updates else ():
                 for other in nodes:
                     if other is not node:
                         other.receive(node)
@@ -156,7 +156,7 @@
         for number in range(100):
             self.listed.change(f"e{number}", b"x" * 300)
         self.simulate(nodes, READ_S + 1.0)
-        sent = nodes[0].reading.news(0.0).changes
+        sent = nodes[0].reading.updates(0.0).changes
         self.assertLessEqual(sum(len(change.value) for change in sent), MAX_CHANGES_BYTES)
         self.assertTrue(all(len(node.known) == 100 for node in nodes))
 
@@ -164,9 +164,9 @@
         """Guards against an old list that is sent as current after a suspension."""
         node = self.fleet(1)[0]
         node.step()
-        self.assertIsNotNone(node.reading.news(0.0))
+        self.assertIsNotNone(node.reading.updates(0.0))
         self.clock.advance(STALE_S)
-        self.assertIsNone(node.reading.news(0.0))
+        self.assertIsNone(node.reading.updates(0.0))
 
 
 class EraTest(unittest.TestCase):
@@ -183,7 +183,7 @@
         return self.reading.take(ListUpdate(era, 0, 99, 0.0, 0.0, changes))
 
     def test_news_of_an_older_era_are_ignored(self) -> None:
-        """Guards against late news that revert a node to the state before the store's return."""
+        """Guards against late updates that revert a node to the state before the store's return."""
         self.assertEqual(self.receive(1, Change(20, "e1", None)), ())
         self.assertEqual(self.reading.position, Position(2, 10))
         self.assertFalse(self.reading.has_missed)
