--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -204,7 +204,7 @@
 ) -> WeightsService:
     holder = f"{options.node}~{state.incarnation}"
     lease = OrderLease(holder, platform.lease_topic, state.log, boottime, options.bounds.lease_s)
-    platform.store_era.watch(lease.note_era)
+    platform.store_era.watch(lease.record_era)
 
     def wait_s(endpoint: EndpointState) -> float:
         return endpoint.total_prompt_tokens / state.placement.prefill_speed(endpoint.id)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/order_lease.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/order_lease.py
@@ -86,7 +86,7 @@
         if self._boottime() - self._read_at >= POLL_S:
             self._read()
 
-    def note_era(self, era: int) -> None:
+    def record_era(self, era: int) -> None:
         """Records that the store has begun an era.
 
         The holder of an earlier era, whose record the store may have lost, can regard its lease as
@@ -153,7 +153,7 @@
 
     def _read(self) -> LeaseReading:
         reading = self._leases.last()
-        self.note_era(reading.era)
+        self.record_era(reading.era)
         if reading.era < self._era:
             raise StoreUnavailableError("the lease was read in an era that is over; retry")
         now = self._boottime()
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -210,7 +210,7 @@
         self.hold(self.lease("a"))
         self.leases.return_to(1)
         standby = self.lease("b")
-        standby.note_era(2)
+        standby.record_era(2)
         self.assertTrue(standby.is_open)
         standby.poll()
         self.clock.advance(LEASE_S)
@@ -270,7 +270,7 @@
         """Guards against a claim based on records from before the store's return."""
         self.leases.era = 1
         lease = self.lease("a")
-        lease.note_era(2)
+        lease.record_era(2)
         with self.assertRaises(StoreUnavailableError):
             lease.claim()
 
--- a/tests/test_store_return_model.py
+++ b/tests/test_store_return_model.py
@@ -125,7 +125,7 @@
 
     @rule(number=st.integers(0, NODES - 1))
     def node_learns_the_era(self, number: int) -> None:
-        self.nodes[number].note_era(self.store.era)
+        self.nodes[number].record_era(self.store.era)
 
     @rule(number=st.integers(0, NODES - 1))
     def node_polls_lease(self, number: int) -> None:
