--- a/bench/engines/node.py
+++ b/bench/engines/node.py
@@ -137,7 +137,7 @@
     ) -> None:
         """Takes what all peers together use."""
         self.book.set_peer_load(PEERS, loads)
-        self.quota.heard(PEERS, admitted)
+        self.quota.record_admitted(PEERS, admitted)
         self.speeds.set_peers(PEERS, works)
 
     def hear_entry(self, entry: EndpointEntry) -> None:
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -71,7 +71,7 @@
         if use is None:
             return
         self.uses[use.source] = use.loads.get(ENGINE, (0, 0.0, 0.0, 0))[1]
-        self.ledger.heard(use.source, use.admitted)
+        self.ledger.record_admitted(use.source, use.admitted)
         self.sources.add(use.source)
         total = use.admitted.get(ACCOUNT, 0.0)
         self.peers_admitted += total - self.last_admitted.get(use.source, total)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -114,7 +114,7 @@
         if use is not None:
             services.view.book.set_peer_load(use.source, use.loads)
             accounts = {k: v for k, v in use.admitted.items() if not k.startswith(SEPARATOR)}
-            services.quota.heard(use.source, accounts)
+            services.quota.record_admitted(use.source, accounts)
             services.rollouts.set_peer_totals(use.source, use.admitted)
             services.speeds.set_peers(use.source, use.speeds)
         self._apply_weights(state)
--- a/packages/arbutustally/src/arbutustally/gateway/quota.py
+++ b/packages/arbutustally/src/arbutustally/gateway/quota.py
@@ -130,7 +130,7 @@
         if bucket is not None:
             bucket.level = min(bucket.level + tokens, bucket.burst)
 
-    def heard(self, peer: str, admitted: Mapping[str, float]) -> None:
+    def record_admitted(self, peer: str, admitted: Mapping[str, float]) -> None:
         """Deducts what a peer has admitted since its last report.
 
         :param peer: id that is unique for each start of a node.
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -55,7 +55,7 @@
 
     def report(self, ledgers: list[QuotaLedger], totals: list[float]) -> None:
         for ledger, own in zip(ledgers, totals, strict=True):
-            ledger.heard("relay", {"a": sum(totals) - own})
+            ledger.record_admitted("relay", {"a": sum(totals) - own})
 
     def test_flood_stays_within_the_operators_bound(self) -> None:
         allowed = (RATE * WINDOW_S + BURST) * (1 + TOLERANCE.share) + TOLERANCE.tokens
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -117,7 +117,7 @@
                 for number, ledger in enumerate(ledgers):
                     for other, peer in enumerate(ledgers):
                         if other != number and reporting > 1:
-                            ledger.heard(str(other), peer.admitted)
+                            ledger.record_admitted(str(other), peer.admitted)
         return admitted
 
     def most_in_window(self, admitted: list[tuple[float, float]]) -> float:
@@ -145,9 +145,9 @@
         first, second = self.fleet(clock, 2)
         clock.advance(10)
         first.take("a", 50_000.0)
-        second.heard("first", first.admitted)
+        second.record_admitted("first", first.admitted)
         level = second.level("a")
-        second.heard("first", first.admitted)
+        second.record_admitted("first", first.admitted)
         self.assertEqual(second.level("a"), level)
 
     def test_tokens_of_a_request_that_did_not_run_come_back(self) -> None:
