Name eligible engines and the last message of a relay

Cause: able and heard are everyday words. Change: able is eligible in choice and its benchmark and test, unpaused in EndpointBook.usable, candidates in RelayChoice.pick; RelayChoice.heard is record_message, _heard_at _last_message_at. The decision log's field nothing_able stays.

Renames only.

--- a/bench/engines/placing.py
+++ b/bench/engines/placing.py
@@ -82,35 +82,37 @@
         :param tried: endpoints to which earlier attempts went.
         """
         service = ENGINES if request.model else WORKERS
-        able = node.book.usable(service)
-        able = [state for state in able if state.id not in tried] or able
-        if able and not request.model:
-            return Placed(self._plain(node, able))
-        if able and node.policy.choice is not EngineChoice.PRODUCT:
-            return self._baseline(node, able)
-        if able:
-            return self._product(node, request, target_s, left_s, able, bool(tried))
+        eligible = node.book.usable(service)
+        eligible = [state for state in eligible if state.id not in tried] or eligible
+        if eligible and not request.model:
+            return Placed(self._plain(node, eligible))
+        if eligible and node.policy.choice is not EngineChoice.PRODUCT:
+            return self._baseline(node, eligible)
+        if eligible:
+            return self._product(node, request, target_s, left_s, eligible, bool(tried))
         pause_s = node.book.shortest_pause_s(service)
         return Refused(retry_after_s(pause_s or DEFAULT_RETRY_S, left_s, node.rng))
 
-    def _plain(self, node: Node, able: list[EndpointState]) -> EndpointState:
+    def _plain(self, node: Node, eligible: list[EndpointState]) -> EndpointState:
         if node.policy.choice is EngineChoice.PRODUCT:
-            return choose_plain(able, node.zone, node.rng)
-        return self._simple(node, able)
+            return choose_plain(eligible, node.zone, node.rng)
+        return self._simple(node, eligible)
 
-    def _simple(self, node: Node, able: list[EndpointState]) -> EndpointState:
+    def _simple(self, node: Node, eligible: list[EndpointState]) -> EndpointState:
         if node.policy.choice is EngineChoice.RANDOM:
-            return node.rng.choice(able)
-        least = min(state.total_running for state in able)
-        return node.rng.choice([state for state in able if state.total_running == least])
+            return node.rng.choice(eligible)
+        least = min(state.total_running for state in eligible)
+        return node.rng.choice([state for state in eligible if state.total_running == least])
 
     def _oldest(self, node: Node) -> int:
         return node.oldest_weights(self._bounds.old_weights_s - WEIGHTS_MARGIN_S)
 
-    def _baseline(self, node: Node, able: list[EndpointState]) -> Placed | Refused:
+    def _baseline(self, node: Node, eligible: list[EndpointState]) -> Placed | Refused:
         oldest = self._oldest(node)
         engines = [
-            state for state in able if not state.loading and state.weights.get(MODEL, 0) >= oldest
+            state
+            for state in eligible
+            if not state.loading and state.weights.get(MODEL, 0) >= oldest
         ]
         if not engines:
             return Refused(DEFAULT_RETRY_S)
@@ -124,13 +126,13 @@
         request: CallerRequest,
         target_s: float,
         left_s: float,
-        able: list[EndpointState],
+        eligible: list[EndpointState],
         is_repeat: bool,
     ) -> Placed | Refused:
-        usual_s = usual_latency_s(able)
+        usual_s = usual_latency_s(eligible)
         needed = (request.prompt_tokens or 0) + request.output_tokens
         version, engines = weights_to_use(
-            able,
+            eligible,
             MODEL,
             node.newest_weights,
             self._oldest(node),
@@ -143,7 +145,9 @@
         scope = f"{version}."
         stores = self._stores if node.policy.has_cached_parts else []
         store = store_of(stores, scope, request.parts)
-        sources = sources_of(node.holdings, scope, request.parts, able, [store] if store else [])
+        sources = sources_of(
+            node.holdings, scope, request.parts, eligible, [store] if store else []
+        )
         choice = choose_engine(
             node.placement,
             node.holdings,
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
@@ -164,7 +164,7 @@
         ip = state.sender.ip
         if ip == self._ip or not self._latest.is_newer(state):
             return False
-        self._choice.heard(ip)
+        self._choice.record_message(ip)
         if state.covers is Covers.URGENT:
             if ip in self._present:
                 self._update_member(state.sender)
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -70,12 +70,12 @@
     return sum(known) / len(known) if known else DEFAULT_LATENCY_S
 
 
-def choose_plain(able: Sequence[EndpointState], zone: str, rng: Random) -> EndpointState:
+def choose_plain(eligible: Sequence[EndpointState], zone: str, rng: Random) -> EndpointState:
     """Returns the endpoint with the shortest expected time; ``zone`` is preferred among equals.
 
     An endpoint that has not answered yet is assumed to have the mean latency of the others.
     """
-    usual_s = usual_latency_s(able)
+    usual_s = usual_latency_s(eligible)
 
     def expected_s(state: EndpointState) -> float:
         latency = state.latency_s or usual_s
@@ -83,9 +83,9 @@
         busy = state.total_running / max(state.entry.slots, 1)
         return latency * (1 + busy + waiting / max(state.entry.slots, 1) + state.failures)
 
-    times = {state.id: expected_s(state) for state in able}
+    times = {state.id: expected_s(state) for state in eligible}
     best = min(times.values())
-    tied = [state for state in able if times[state.id] <= best * (1 + NEAR_TIE)]
+    tied = [state for state in eligible if times[state.id] <= best * (1 + NEAR_TIE)]
     near = [state for state in tied if state.entry.zone == zone]
     return rng.choice(near or tied)
 
@@ -186,7 +186,7 @@
     holdings: Holdings,
     request: CallerRequest,
     service: Service,
-    able: Sequence[EndpointState],
+    eligible: Sequence[EndpointState],
     version: int,
     isolated_account: str,
     scope: str,
@@ -197,7 +197,7 @@
 ) -> Choice:
     """Returns the engine with the shortest expected time to the first event.
 
-    :param able: usable engines that run ``version``.
+    :param eligible: usable engines that run ``version``.
     :param isolated_account: name of the account if its cached parts are isolated from other
         accounts, otherwise empty.
     :param scope: scope of the cached parts that the request may use.
@@ -220,7 +220,7 @@
     )
     memory = service.engine.cache_tokens if service.engine else 0
     needed = shape.total_tokens + request.output_tokens
-    usual_s = usual_latency_s(able)
+    usual_s = usual_latency_s(eligible)
     candidates = [
         Candidate(
             endpoint=state.id,
@@ -234,7 +234,7 @@
             importable_tokens=importable_tokens,
             room_s=_room_s(state, usual_s),
         )
-        for state in able
+        for state in eligible
     ]
     return placement.choose(asked, candidates)
 
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -228,9 +228,9 @@
         """
         now = self._clock()
         staying = filter(predicate, self._staying(service, now))
-        able = [state for state in staying if state.paused_until <= now]
-        trusted = [state for state in able if not state.is_down and state.suspect_until <= now]
-        return trusted or able
+        unpaused = [state for state in staying if state.paused_until <= now]
+        trusted = [state for state in unpaused if not state.is_down and state.suspect_until <= now]
+        return trusted or unpaused
 
     def has_any(self, service: str, predicate: Callable[[EndpointState], bool]) -> bool:
         """Returns whether a matching endpoint of a service is present and not leaving.
--- a/packages/arbutustally/src/arbutustally/gateway/relaying.py
+++ b/packages/arbutustally/src/arbutustally/gateway/relaying.py
@@ -109,7 +109,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._current: str | None = None
-        self._heard_at = 0.0
+        self._last_message_at = 0.0
         self._avoided: dict[str, float] = {}
 
     @classmethod
@@ -122,11 +122,11 @@
         """Returns the address of the relay in use, ``None`` for none."""
         return self._current
 
-    def heard(self, relay: str) -> None:
+    def record_message(self, relay: str) -> None:
         """Records a message from a relay."""
         self._avoided.pop(relay, None)
         if relay == self._current:
-            self._heard_at = self._clock()
+            self._last_message_at = self._clock()
 
     def pick(self, order: Sequence[str]) -> str | None:
         """Selects and returns the relay to use now, ``None`` if there is none.
@@ -134,12 +134,12 @@
         :param order: addresses in order of preference.
         """
         now = self._clock()
-        if self._current is not None and now - self._heard_at > RELAY_TIMEOUT_S:
+        if self._current is not None and now - self._last_message_at > RELAY_TIMEOUT_S:
             self._avoided[self._current] = now + RELAY_AVOID_S
         self._avoided = {ip: until for ip, until in self._avoided.items() if until > now}
-        able = [ip for ip in order if ip not in self._avoided] or list(order)
-        best = able[0] if able else None
+        candidates = [ip for ip in order if ip not in self._avoided] or list(order)
+        best = candidates[0] if candidates else None
         if best != self._current:
             self._current = best
-            self._heard_at = now
+            self._last_message_at = now
         return best
--- a/tests/test_gateway_choice.py
+++ b/tests/test_gateway_choice.py
@@ -183,19 +183,21 @@
         self.states[0].weights = {"m": 1}
         self.states[1].weights = {"m": 2}
         self.states[2].weights = {"m": 1}
-        version, able = weights_to_use(self.states, "m", 2, 1, LOW)
-        self.assertEqual((version, [state.id for state in able]), (2, ["e2"]))
+        version, eligible = weights_to_use(self.states, "m", 2, 1, LOW)
+        self.assertEqual((version, [state.id for state in eligible]), (2, ["e2"]))
         self.states[1].loading = True
-        version, able = weights_to_use(self.states, "m", 2, 1, LOW)
-        self.assertEqual((version, [state.id for state in able]), (1, ["e1", "e3"]))
+        version, eligible = weights_to_use(self.states, "m", 2, 1, LOW)
+        self.assertEqual((version, [state.id for state in eligible]), (1, ["e1", "e3"]))
         self.assertEqual(weights_to_use(self.states, "m", 2, 2, LOW)[1], [])
 
     def test_repeat_uses_older_weights_before_any_engine_has_new_ones(self) -> None:
         """Guards against repeats that find no engine when engines fail just after a new version."""
         for state in self.states:
             state.weights = {"m": 1}
-        version, able = weights_to_use(self.states, "m", 2, 1, HIGH, lambda _state: 0.1, math.inf)
-        self.assertEqual((version, len(able)), (1, 3))
+        version, eligible = weights_to_use(
+            self.states, "m", 2, 1, HIGH, lambda _state: 0.1, math.inf
+        )
+        self.assertEqual((version, len(eligible)), (1, 3))
 
     def test_first_engines_with_new_weights_do_not_get_all_the_load(self) -> None:
         """Simulates 60 engines of which 3 have loaded; all nodes see these idle at once."""
@@ -224,10 +226,10 @@
         waits = {"e1": 0.1, "e2": 2.0, "e3": 0.4}
 
         def use(oldest_allowed: int) -> tuple[int, list[str]]:
-            version, able = weights_to_use(
+            version, eligible = weights_to_use(
                 self.states, "m", 2, oldest_allowed, LOW, lambda state: waits[state.id], 0.1
             )
-            return version, [state.id for state in able]
+            return version, [state.id for state in eligible]
 
         self.assertEqual(use(1), (1, ["e1", "e3"]))
         self.assertEqual(use(2), (2, ["e2"]))
