--- a/bench/engines/node.py
+++ b/bench/engines/node.py
@@ -65,15 +65,15 @@
         self.book = EndpointBook.from_config(clock)
         self.speeds = EngineSpeeds.from_config(clock)
         self.placement = Placement.from_config(clock, rng, PLACEMENT_OPTIONS, self.speeds)
-        self.placement.assume_import_speed(experiment.engines.transfer_tokens_per_s)
+        self.placement.set_import_speed(experiment.engines.transfer_tokens_per_s)
         self.holdings = Holdings.from_config(clock, self._terms)
         bounds = experiment.bounds
         budget = RepeatBudget(bounds.repeat_window_s, bounds.repeat_share, bounds.repeat_slack)
         self.repeats = RepeatLedger.from_config(clock, budget)
-        self.repeats.share_among(self.nodes)
+        self.repeats.set_node_count(self.nodes)
         tolerance = QuotaTolerance(bounds.quota_share, bounds.quota_tokens)
         self.quota = QuotaLedger.from_config(clock, tolerance)
-        self.quota.declare(
+        self.quota.set_limits(
             {entry.name: (entry.tokens_per_s, entry.burst_tokens) for entry in experiment.accounts}
         )
         self.weights_known_at: dict[int, float] = {1: float("-inf")}
@@ -137,7 +137,7 @@
     ) -> None:
         """Takes what all peers together use."""
         self.book.set_peer_load(PEERS, loads)
-        self.quota.heard(PEERS, admitted)
+        self.quota.record_admitted(PEERS, admitted)
         self.speeds.set_peers(PEERS, works)
 
     def hear_entry(self, entry: EndpointEntry) -> None:
--- a/bench/engines/request_run.py
+++ b/bench/engines/request_run.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from arbutustally.gateway.attempts import Next, Outcome, after
+from arbutustally.gateway.attempts import Next, Outcome, next_action
 from arbutustally.gateway.configuration import Route, RouteKind
 from arbutustally.gateway.requests import CallerRequest, shape_of
 from arbutustally.placement import Observation
@@ -133,7 +133,7 @@
             self._is_over = True
             self._caller.refused(wait)
             return
-        self._node.repeats.requested(self._service)
+        self._node.repeats.record_request(self._service)
         self._site.loop.at(self._deadline, self._expire)
         self._next()
 
@@ -245,7 +245,7 @@
             self._follow(Outcome.MAY_HAVE_RUN)
 
     def _follow(self, outcome: Outcome, has_repeat: bool = False) -> None:
-        following = after(self._route, outcome, self._ran, self._sends, self._left_s)
+        following = next_action(self._route, outcome, self._ran, self._sends, self._left_s)
         if following is Next.REPEAT and (has_repeat or self._node.take_repeat(self._service)):
             self._next()
         elif outcome is Outcome.NOT_RUN and self._ran == 0:
@@ -262,7 +262,7 @@
 
     def _refuse(self, retry_after: float) -> None:
         self._is_over = True
-        self._node.quota.give_back(self._arrival.account.name, self._cost)
+        self._node.quota.refund(self._arrival.account.name, self._cost)
         self._caller.refused(retry_after)
 
     def _fail(self) -> None:
@@ -279,7 +279,7 @@
             self._node.book.failed(placed.state)
         if placed.choice is not None and not self._load.first_at:
             self._learn(None)
-            self._node.holdings.unexpect(placed.state.id, placed.scope, self._request.parts)
+            self._node.holdings.cancel_expected(placed.state.id, placed.scope, self._request.parts)
 
     def _learn_first(self, first_s: float) -> None:
         """Learns from the first event."""
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -43,7 +43,7 @@
         self.runs = True
         self.frozen_until = 0.0
         self.ledger = QuotaLedger.from_config(world.clock, TOLERANCE)
-        self.ledger.declare({ACCOUNT: world.limit})
+        self.ledger.set_limits({ACCOUNT: world.limit})
         self.sources: set[str] = set()
         self.urgent_states: list[PeerState] = []
         self.reported_peers = 0
@@ -71,7 +71,7 @@
         if use is None:
             return
         self.uses[use.source] = use.loads.get(ENGINE, (0, 0.0, 0.0, 0))[1]
-        self.ledger.heard(use.source, use.admitted)
+        self.ledger.record_admitted(use.source, use.admitted)
         self.sources.add(use.source)
         total = use.admitted.get(ACCOUNT, 0.0)
         self.peers_admitted += total - self.last_admitted.get(use.source, total)
@@ -90,7 +90,7 @@
         self.sources &= self.table.sources()
         if has_changed:
             self.reported_peers = len(self.table.present)
-            self.ledger.see(self.reported_peers + 1, self.table.known + 1)
+            self.ledger.set_reporting_nodes(self.reported_peers + 1, self.table.known + 1)
 
     def known_load(self) -> float:
         """Returns the load of all peers as this node knows it."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -6,7 +6,7 @@
 
 from arbutustally.clock import Clock
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
-from arbutustally.gateway.shared_reading import Change, ListNews, Position, SharedReading
+from arbutustally.gateway.shared_reading import Change, ListUpdate, Position, SharedReading
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.gossip import Gossip
@@ -84,17 +84,17 @@
         """Stops reading."""
         self._greenlet.kill()
 
-    def news(self) -> ListNews | None:
+    def updates(self) -> ListUpdate | None:
         """Returns the changes to send to the peers right after a read, otherwise ``None``."""
         if not self._is_publishing:
             return None
-        return self._reading.news(self._view.book.keeps_removed_s)
+        return self._reading.updates(self._view.book.keeps_removed_s)
 
-    def take(self, news: ListNews, peer: str) -> None:
+    def take(self, updates: ListUpdate, peer: str) -> None:
         """Applies the changes that a peer has read."""
-        keep_until = self._clock() + news.keep_removed_s
-        for change in self._reading.take(news):
-            is_new = self._view.take_endpoint(Record(change.key, change.value), peer)
+        keep_until = self._clock() + updates.keep_removed_s
+        for change in self._reading.take(updates):
+            is_new = self._view.apply_endpoint(Record(change.key, change.value), peer)
             self._unconfirmed.discard(change.key)
             if change.value is None and is_new:
                 self._view.book.keep(change.key, keep_until)
@@ -124,7 +124,7 @@
         """
         return bool(self._unconfirmed) and self._clock() >= self._confirmed_by_peers_at
 
-    def take_snapshot(self, records: tuple[Record, ...], position: Position, peer: str) -> None:
+    def apply_snapshot(self, records: tuple[Record, ...], position: Position, peer: str) -> None:
         """Applies a peer's whole list if it is newer, or confirms endpoints at the same position.
 
         :param position: up to where the list is current.
@@ -133,7 +133,7 @@
         is_newer = known is None or position > known
         if is_newer or (self._needs_peer_list and position == known):
             self._replace(records, position, peer)
-            self._reading.take_whole(position)
+            self._reading.adopt_list(position)
 
     def _run(self) -> None:
         retry_s = RETRY_S
@@ -215,7 +215,7 @@
         self._watch.list_restored()
         self._unconfirmed_until = self._clock() + UNCONFIRMED_S
         self._confirmed_by_peers_at = self._clock() + REWRITTEN_S
-        self._unconfirmed = self._view.settle_endpoints(records, source)
+        self._unconfirmed = self._view.apply_restored_endpoints(records, source)
         self._confirmed_to = position.offset
         self._log.line(
             "endpoints_read_anew", era=position.era, previous=known.era, listed=len(records)
@@ -247,7 +247,7 @@
         if not (is_unknown or was_unconfirmed):
             return False
         self._unconfirmed.discard(record.key)
-        return self._view.take_endpoint(record, "store") or was_unconfirmed
+        return self._view.apply_endpoint(record, "store") or was_unconfirmed
 
     def _log_role(self, is_reader: bool) -> None:
         if is_reader != self._is_reader:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
@@ -126,7 +126,7 @@
         return None if self.is_relay or fleet is None else fleet.state.sender
 
     @property
-    def has_orderer(self) -> bool:
+    def has_order_lease_holder(self) -> bool:
         """Returns whether a peer reports that it holds the lease on orders to engines."""
         return any(received.state.orders_engines for received in self._sources())
 
@@ -164,7 +164,7 @@
         ip = state.sender.ip
         if ip == self._ip or not self._latest.is_newer(state):
             return False
-        self._choice.heard(ip)
+        self._choice.record_message(ip)
         if state.covers is Covers.URGENT:
             if ip in self._present:
                 self._update_member(state.sender)
@@ -245,7 +245,7 @@
 
         :param own: this node's state, as it is sent to the relay that it uses.
         """
-        own = replace(own, news=None, operator=())
+        own = replace(own, updates=None, operator=())
         self._messages.begin_round()
         if own.sender != self._own_member:
             self._own_member = own.sender
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -19,19 +19,19 @@
 from arbutustally_node.gateway.endpoint_check import EndpointChecker
 from arbutustally_node.gateway.endpoint_notices import EndpointNotices
 from arbutustally_node.gateway.endpoint_reader import READING_DUTY, EndpointReader
-from arbutustally_node.gateway.exchange import Exchange
-from arbutustally_node.gateway.follower import Follower
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.listener import CallerListener
 from arbutustally_node.gateway.node_state import NodeState
 from arbutustally_node.gateway.node_status import NodeStatus
+from arbutustally_node.gateway.operator_reader import OperatorReader
 from arbutustally_node.gateway.order_lease import OrderLease
 from arbutustally_node.gateway.peer_sync import PeerSync, SyncedServices
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
+from arbutustally_node.gateway.request_handler import RequestHandler
 from arbutustally_node.gateway.request_services import RequestServices
 from arbutustally_node.gateway.rollout_record import encode_progress
 from arbutustally_node.gateway.rollout_service import RolloutService
-from arbutustally_node.gateway.store_returns import StoreReturns
+from arbutustally_node.gateway.store_returns import StoreReturnMonitor
 from arbutustally_node.gateway.store_watch import StoreWatch
 from arbutustally_node.gateway.transport import Transport
 from arbutustally_node.gateway.weights_service import WeightsService
@@ -50,7 +50,7 @@
 
     watch: StoreWatch
     endpoints: EndpointReader
-    follower: Follower
+    operator_reader: OperatorReader
     announcer: Announcer
 
 
@@ -68,7 +68,7 @@
     store: StoreReaders
     catch_up: CatchUp
     weights: WeightsService
-    exchange: Exchange
+    exchange: RequestHandler
     listener: CallerListener
 
 
@@ -104,7 +104,7 @@
         state.rng,
         options.zone,
         options.bounds.weights_s,
-        lambda endpoint: weights.look(endpoint),
+        lambda endpoint: weights.poll_weights(endpoint),
         notices.take,
         checker.unreachable,
         checker.check_silent,
@@ -112,7 +112,7 @@
         lambda: status.is_complete,
         state.rollouts,
     )
-    exchange = Exchange(requests)
+    exchange = RequestHandler(requests)
     store = _build_store_readers(options, platform, state, gossip)
     weights = _build_weights(options, platform, state, gossip, checker.unreachable)
     synced = SyncedServices(
@@ -124,7 +124,7 @@
         checker,
         notices,
         store.endpoints,
-        store.follower,
+        store.operator_reader,
         weights,
         gossip,
         requests.placed,
@@ -143,7 +143,7 @@
         ("log", log),
         ("gossip", gossip),
         ("endpoints", store.endpoints),
-        ("follower", store.follower),
+        ("follower", store.operator_reader),
         ("announcer", store.announcer),
         ("pool", pool),
         ("caches", caches),
@@ -167,7 +167,7 @@
 ) -> StoreReaders:
     log, view, bounds = state.log, state.view, options.bounds
     watch = StoreWatch(view.book, log, monotonic, bounds.store_return_s)
-    StoreReturns.from_config(platform.store_era, log, state.instruments)
+    StoreReturnMonitor.from_config(platform.store_era, log, state.instruments)
     endpoints = EndpointReader(
         platform.endpoint_topic,
         view,
@@ -178,7 +178,7 @@
         gossip,
         bounds.leaving_s,
     )
-    follower = Follower(
+    operator_reader = OperatorReader(
         platform.operator_topic,
         view,
         watch,
@@ -190,9 +190,9 @@
     announcer = Announcer(
         platform.node_topic, gossip, watch, log, boottime, options.node, options.ip.encode()
     )
-    platform.store_era.watch(follower.era_changed)
+    platform.store_era.watch(operator_reader.era_changed)
     platform.store_era.watch(announcer.era_changed)
-    return StoreReaders(watch, endpoints, follower, announcer)
+    return StoreReaders(watch, endpoints, operator_reader, announcer)
 
 
 def _build_weights(
@@ -204,7 +204,7 @@
 ) -> WeightsService:
     holder = f"{options.node}~{state.incarnation}"
     lease = OrderLease(holder, platform.lease_topic, state.log, boottime, options.bounds.lease_s)
-    platform.store_era.watch(lease.note_era)
+    platform.store_era.watch(lease.record_era)
 
     def wait_s(endpoint: EndpointState) -> float:
         return endpoint.total_prompt_tokens / state.placement.prefill_speed(endpoint.id)
@@ -238,7 +238,7 @@
         state.log,
         monotonic,
         is_decider,
-        lambda progress: store.follower.publish(encode_progress(progress)),
+        lambda progress: store.operator_reader.publish(encode_progress(progress)),
     )
     platform.store_era.watch(service.era_changed)
     return service
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
@@ -12,7 +12,7 @@
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
-from arbutustally_node.gateway.peer_state import OperatorNews
+from arbutustally_node.gateway.peer_state import OperatorUpdate
 from arbutustally_node.gateway.ports import Batch, KeyedTopic, Record
 from arbutustally_node.gateway.store_watch import StoreWatch
 from arbutustally_node.gateway.supervision import supervise
@@ -31,7 +31,7 @@
 RESEND_S = 2.5
 
 
-class Follower:
+class OperatorReader:
     """Keeps a ``FleetView`` current with the operator's records.
 
     :param is_reader: returns whether this node reads for the fleet now.
@@ -73,13 +73,13 @@
         """Stops reading."""
         self._greenlet.kill()
 
-    def news(self) -> tuple[OperatorNews, ...]:
+    def updates(self) -> tuple[OperatorUpdate, ...]:
         """Returns the records that this node has recently read or published."""
         now = self._clock()
         while self._recent and now - self._recent[0][0] > RESEND_S:
             self._recent.popleft()
         return tuple(
-            OperatorNews(
+            OperatorUpdate(
                 record.key, record.value, None if known_at == -math.inf else now - known_at
             )
             for _sent_at, known_at, record in self._recent
@@ -92,12 +92,12 @@
         self._recent.append((now, now, record))
         self._send_now()
 
-    def take(self, news: tuple[OperatorNews, ...], peer: str) -> None:
+    def take(self, updates: tuple[OperatorUpdate, ...], peer: str) -> None:
         """Applies the records that a peer has read."""
         now = self._clock()
-        for item in news:
+        for item in updates:
             known_at = -math.inf if item.age_s is None else now - item.age_s
-            self._view.take_operator(Record(item.key, item.value), peer, known_at)
+            self._view.apply_operator(Record(item.key, item.value), peer, known_at)
 
     def era_changed(self, era: int) -> None:
         """Ends a wait for the next record, since offsets differ in the store's new era."""
@@ -184,7 +184,7 @@
         # exact age.
         new = [record for record in records if not self._view.has_operator(record)]
         for record in new:
-            self._view.take_operator(record, "store", known_at)
+            self._view.apply_operator(record, "store", known_at)
             if is_news:
                 self._recent.append((now, known_at, record))
         if is_news and new and self._is_reader():
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -11,7 +11,7 @@
 from arbutustally.gateway.engine_speeds import Work
 from arbutustally.gateway.fleet_sums import Load
 from arbutustally.gateway.relaying import Member
-from arbutustally.gateway.shared_reading import Change, ListNews
+from arbutustally.gateway.shared_reading import Change, ListUpdate
 
 COMPRESSION_LEVEL = 3
 #: Content below this size is sent uncompressed: the gain would not justify the CPU time, bytes.
@@ -40,7 +40,7 @@
 
 
 @dataclass(frozen=True)
-class OperatorNews:
+class OperatorUpdate:
     """A record of the operator that the sender has read recently.
 
     :ivar age_s: longest possible time since it was written, ``None`` if unknown.
@@ -73,8 +73,8 @@
     :ivar members: the covered nodes without the sender; ``None`` if unchanged since the last list.
     :ivar peers: addresses of other relays.
     :ivar counted: number of the last message of each node that uses the sender as its relay.
-    :ivar news: changes of the endpoints' list that the sender read, ``None`` if it has not read it
-        recently.
+    :ivar updates: changes of the endpoints' list that the sender read, ``None`` if it has not read
+        it recently.
     :ivar operator: records of the operator that the sender has read recently.
     """
 
@@ -95,15 +95,15 @@
     members: tuple[Member, ...] | None = None
     peers: tuple[str, ...] = ()
     counted: Mapping[str, int] = field(default_factory=dict)
-    news: ListNews | None = None
-    operator: tuple[OperatorNews, ...] = ()
+    updates: ListUpdate | None = None
+    operator: tuple[OperatorUpdate, ...] = ()
 
     def encode(self) -> bytes:
         """Returns the datagram."""
         values = [getattr(self, one.name) for one in fields(self)]
         values[0] = _member_row(self.sender)
         values[-5] = None if self.members is None else [_member_row(one) for one in self.members]
-        values[-2] = None if self.news is None else _news_row(self.news)
+        values[-2] = None if self.updates is None else _update_row(self.updates)
         values[-1] = [[one.key, one.value, one.age_s] for one in self.operator]
         content = cbor2.dumps(values)
         if len(content) < MIN_COMPRESSED_BYTES:
@@ -120,7 +120,9 @@
 
     @classmethod
     def _from_values(cls, values: Any) -> "PeerState":
-        sender, incarnation, number, covers, *rest, members, peers, counted, news, operator = values
+        sender, incarnation, number, covers, *rest, members, peers, counted, updates, operator = (
+            values
+        )
         loads, admitted, speeds, weights, engines, orders, loading, down, leaving, placed = rest
         return cls(
             _member(sender),
@@ -140,7 +142,7 @@
             None if members is None else tuple(map(_member, members)),
             tuple(map(_text, peers)),
             {_text(key): int(last) for key, last in counted.items()},
-            None if news is None else _news(news),
+            None if updates is None else _update(updates),
             tuple(map(_operator, operator)),
         )
 
@@ -208,11 +210,11 @@
     return _text(endpoint), _text(scope), decoded_parts, bool(is_pending)
 
 
-def _operator(row: Any) -> OperatorNews:
+def _operator(row: Any) -> OperatorUpdate:
     key, value, age_s = row
     if not isinstance(value, bytes):
         raise TypeError("expected the bytes of a record")
-    return OperatorNews(_text(key), value, None if age_s is None else float(age_s))
+    return OperatorUpdate(_text(key), value, None if age_s is None else float(age_s))
 
 
 def _member_row(member: Member) -> list[Any]:
@@ -225,18 +227,25 @@
     return Member(*texts, bool(is_ready), int(config), int(capacity))
 
 
-def _news_row(news: ListNews) -> list[Any]:
-    changes = [[change.offset, change.key, change.value] for change in news.changes]
-    return [news.era, news.covers_from, news.read_to, news.age_s, news.keep_removed_s, changes]
+def _update_row(updates: ListUpdate) -> list[Any]:
+    changes = [[change.offset, change.key, change.value] for change in updates.changes]
+    return [
+        updates.era,
+        updates.covers_from,
+        updates.read_to,
+        updates.age_s,
+        updates.keep_removed_s,
+        changes,
+    ]
 
 
-def _news(row: Any) -> ListNews:
+def _update(row: Any) -> ListUpdate:
     """Returns the changes of the endpoints' list in a datagram.
 
     :raises TypeError: or ``ValueError`` if the row is malformed.
     """
     era, covers_from, read_to, age_s, keep_removed_s, changes = row
-    return ListNews(
+    return ListUpdate(
         natural_number(era),
         natural_number(covers_from),
         natural_number(read_to),
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -16,10 +16,10 @@
 from arbutustally_node.gateway.endpoint_reader import EndpointReader
 from arbutustally_node.gateway.fleet_table import PeerUse
 from arbutustally_node.gateway.fleet_view import FleetView
-from arbutustally_node.gateway.follower import Follower
 from arbutustally_node.gateway.gossip import Gossip
+from arbutustally_node.gateway.operator_reader import OperatorReader
 from arbutustally_node.gateway.peer_state import Covers, PeerState
-from arbutustally_node.gateway.placed_log import PlacedLog
+from arbutustally_node.gateway.placement_log import PlacementLog
 from arbutustally_node.gateway.rollout_evidence import SEPARATOR, RolloutEvidence
 from arbutustally_node.gateway.weights_service import WeightsService
 
@@ -39,10 +39,10 @@
     checker: EndpointChecker
     notices: EndpointNotices
     endpoints: EndpointReader
-    follower: Follower
+    operator_reader: OperatorReader
     weights: WeightsService
     gossip: Gossip
-    placed: PlacedLog
+    placed: PlacementLog
     rollouts: RolloutEvidence
 
 
@@ -98,8 +98,8 @@
             down=tuple(state.id for state in states if state.is_down),
             leaving=services.notices.leaving,
             placed=services.placed.take(0) if has_placements else (),
-            news=services.endpoints.news(),
-            operator=services.follower.news() if services.endpoints.is_reader else (),
+            updates=services.endpoints.updates(),
+            operator=services.operator_reader.updates() if services.endpoints.is_reader else (),
         )
 
     def take(self, state: PeerState, use: PeerUse | None) -> None:
@@ -108,17 +108,17 @@
         :param use: use by peers, ``None`` if the message does not report it.
         """
         services, node = self._services, state.sender.node
-        if state.news is not None:
-            services.endpoints.take(state.news, node)
-        services.follower.take(state.operator, node)
+        if state.updates is not None:
+            services.endpoints.take(state.updates, node)
+        services.operator_reader.take(state.operator, node)
         if use is not None:
             services.view.book.set_peer_load(use.source, use.loads)
             accounts = {k: v for k, v in use.admitted.items() if not k.startswith(SEPARATOR)}
-            services.quota.heard(use.source, accounts)
+            services.quota.record_admitted(use.source, accounts)
             services.rollouts.set_peer_totals(use.source, use.admitted)
             services.speeds.set_peers(use.source, use.speeds)
         self._apply_weights(state)
-        services.notices.take_leaving(state.leaving, node)
+        services.notices.apply_leaving(state.leaving, node)
         for endpoint_id in state.down:
             endpoint = services.view.book.get(endpoint_id)
             if endpoint is not None and not endpoint.is_down:
@@ -140,8 +140,8 @@
             services.quota.forget(source)
             services.speeds.set_peers(source, {})
         known = services.gossip.known + 1
-        services.quota.see(len(services.gossip.present) + 1, known)
-        services.repeats.share_among(known)
+        services.quota.set_reporting_nodes(len(services.gossip.present) + 1, known)
+        services.repeats.set_node_count(known)
 
     def _apply_weights(self, state: PeerState) -> None:
         view, now = self._services.view, self._clock()
--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -12,7 +12,7 @@
 from arbutustally_node.gateway.endpoint_notices import EndpointNotices
 from arbutustally_node.gateway.endpoint_reader import PAUSE_FRACTION, READING_DUTY, EndpointReader
 from arbutustally_node.gateway.fleet_view import FleetView
-from arbutustally_node.gateway.follower import Follower
+from arbutustally_node.gateway.operator_reader import OperatorReader
 from arbutustally_node.gateway.ports import Batch, Record, WeightsNamed
 from arbutustally_node.gateway.store_watch import StoreWatch
 
@@ -128,7 +128,7 @@
             self,
             LEAVING_S,
         )
-        self.follower = Follower(
+        self.operator_reader = OperatorReader(
             Topic(world, self, "op"),
             self.view,
             watch,
@@ -163,20 +163,20 @@
         return [node.index for node in self.world.awake()].index(self.index)
 
     def send_now(self) -> None:
-        """Sends the news to all awake peers, as ``PeerNews`` does."""
-        news = self.endpoints.news()
-        operator = self.follower.news() if self.endpoints.is_reader else ()
+        """Sends the updates to all awake peers, as ``PeerSync`` does."""
+        updates = self.endpoints.updates()
+        operator = self.operator_reader.updates() if self.endpoints.is_reader else ()
         now = self.world.clock()
         for peer in self.world.awake():
             if peer is self:
                 continue
-            if news is not None:
-                peer.endpoints.take(news, "peer")
-            peer.follower.take(operator, "peer")
+            if updates is not None:
+                peer.endpoints.take(updates, "peer")
+            peer.operator_reader.take(operator, "peer")
             for model, named in self.view.weights.items():
                 for version, at in named.dated.items():
                     peer.view.learn_weights(model, version, at, "peer")
-            peer.notices.take_leaving(self.notices.leaving, "peer")
+            peer.notices.apply_leaving(self.notices.leaving, "peer")
         assert now == self.world.clock()
 
     def step(self) -> None:
@@ -190,8 +190,8 @@
         except StoreUnavailableError as error:
             self.watch.failed(error)
         try:
-            if self.follower._offset is None or self.endpoints.is_reader:
-                self.follower.read_once()
+            if self.operator_reader._offset is None or self.endpoints.is_reader:
+                self.operator_reader.read_once()
         except StoreUnavailableError as error:
             self.watch.failed(error)
         self._catch_up()
@@ -204,9 +204,9 @@
             return
         peer = max(ahead, key=lambda one: one.version) if ahead else self.world.rng.choice(peers)
         for record in peer.view.operator_records:
-            self.view.take_operator(record, "peer")
+            self.view.apply_operator(record, "peer")
         if peer.reading.position is not None:
-            self.endpoints.take_snapshot(peer.view.endpoint_records, peer.reading.position, "peer")
+            self.endpoints.apply_snapshot(peer.view.endpoint_records, peer.reading.position, "peer")
 
 
 class World:
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -75,7 +75,7 @@
     def test_report_counts_and_nothing_is_ordered(self) -> None:
         self.engines[0].is_leaving = True
         state = self.nodes[0]._view.book.get("e1")
-        self.nodes[0]._weights.look(state)
+        self.nodes[0]._weights.poll_weights(state)
         self.eventually(lambda: state.is_leaving, 2.0)
         self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
         self.eventually(lambda: self.engines[1].version == 2)
@@ -159,7 +159,7 @@
         for seed in range(50):
             self.state.paused_until = 0.0
             self.book.pause(self.state, 10.0, Random(seed))
-            returns.add(round(self.book.returns_in("s"), 1))
+            returns.add(round(self.book.shortest_pause_s("s"), 1))
         self.assertGreaterEqual(min(returns), 10.0)
         self.assertLessEqual(max(returns), 10.0 + MAX_PAUSE_SPREAD_S)
         self.assertGreater(len(returns), 8)
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -26,8 +26,8 @@
         rng, clock = Random(seed), VirtualClock(100.0)
         ledgers = [QuotaLedger.from_config(clock, TOLERANCE) for _ in range(NODES)]
         for ledger in ledgers:
-            ledger.declare({"a": (RATE, BURST)})
-            ledger.see(NODES, NODES)
+            ledger.set_limits({"a": (RATE, BURST)})
+            ledger.set_reporting_nodes(NODES, NODES)
         clock.advance(5.0)
         began, reported_at = clock(), 0.0
         reports: deque[tuple[float, list[float]]] = deque()
@@ -55,7 +55,7 @@
 
     def report(self, ledgers: list[QuotaLedger], totals: list[float]) -> None:
         for ledger, own in zip(ledgers, totals, strict=True):
-            ledger.heard("relay", {"a": sum(totals) - own})
+            ledger.record_admitted("relay", {"a": sum(totals) - own})
 
     def test_flood_stays_within_the_operators_bound(self) -> None:
         allowed = (RATE * WINDOW_S + BURST) * (1 + TOLERANCE.share) + TOLERANCE.tokens
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -14,7 +14,7 @@
     Outcome,
     RepeatBudget,
     RepeatLedger,
-    after,
+    next_action,
 )
 from arbutustally.gateway.configuration import (
     RouteKind,
@@ -33,13 +33,13 @@
             (RouteKind.IDEMPOTENT, False, Next.REPEAT),
         ):
             for outcome in (Outcome.MAY_HAVE_RUN, Outcome.FAILED):
-                following = after(route(kind, 2, resumable), outcome, 1, 1, 1.0)
+                following = next_action(route(kind, 2, resumable), outcome, 1, 1, 1.0)
                 self.assertIs(following, expected, (kind, resumable, outcome))
 
     def test_refusal_says_not_run_only_if_no_attempt_may_have_run(self) -> None:
         idempotent = route(RouteKind.IDEMPOTENT)
-        self.assertIs(after(idempotent, Outcome.NOT_RUN, 0, MAX_SENDS, 1.0), Next.REFUSE)
-        self.assertIs(after(idempotent, Outcome.NOT_RUN, 1, MAX_SENDS, 1.0), Next.FAIL)
+        self.assertIs(next_action(idempotent, Outcome.NOT_RUN, 0, MAX_SENDS, 1.0), Next.REFUSE)
+        self.assertIs(next_action(idempotent, Outcome.NOT_RUN, 1, MAX_SENDS, 1.0), Next.FAIL)
 
     @given(
         st.sampled_from(list(Outcome)),
@@ -49,7 +49,7 @@
         st.booleans(),
     )
     def test_attempts_end(self, outcome, ran, sends, left, resumable) -> None:
-        following = after(route(resumable=resumable), outcome, ran, sends, left)
+        following = next_action(route(resumable=resumable), outcome, ran, sends, left)
         if left <= 0 or (sends >= MAX_SENDS and ran >= 2):
             self.assertIsNot(following, Next.REPEAT)
 
@@ -61,11 +61,11 @@
         budget = RepeatBudget(10.0, 0.2, 56.0)
         ledgers = [RepeatLedger.from_config(clock, budget) for _ in range(4)]
         for ledger in ledgers:
-            ledger.share_among(4)
+            ledger.set_node_count(4)
         repeats: list[float] = []
         for number in range(3000):
             ledger = ledgers[number % 4]
-            ledger.requested("s")
+            ledger.record_request("s")
             if ledger.take("s"):
                 repeats.append(clock())
             clock.advance(0.01)
@@ -88,7 +88,7 @@
     def fleet(self, clock: VirtualClock, nodes: int) -> list[QuotaLedger]:
         ledgers = [QuotaLedger.from_config(clock, self.TOLERANCE) for _ in range(nodes)]
         for ledger in ledgers:
-            ledger.declare({"a": (78_000.0, 78_000.0)})
+            ledger.set_limits({"a": (78_000.0, 78_000.0)})
         return ledgers
 
     def simulate(
@@ -103,7 +103,7 @@
         clock = VirtualClock()
         ledgers = self.fleet(clock, nodes)
         for ledger in ledgers:
-            ledger.see(reporting, nodes)
+            ledger.set_reporting_nodes(reporting, nodes)
         rng = Random(7)
         admitted = []
         reported_at = 0.0
@@ -117,7 +117,7 @@
                 for number, ledger in enumerate(ledgers):
                     for other, peer in enumerate(ledgers):
                         if other != number and reporting > 1:
-                            ledger.heard(str(other), peer.admitted)
+                            ledger.record_admitted(str(other), peer.admitted)
         return admitted
 
     def most_in_window(self, admitted: list[tuple[float, float]]) -> float:
@@ -145,9 +145,9 @@
         first, second = self.fleet(clock, 2)
         clock.advance(10)
         first.take("a", 50_000.0)
-        second.heard("first", first.admitted)
+        second.record_admitted("first", first.admitted)
         level = second.level("a")
-        second.heard("first", first.admitted)
+        second.record_admitted("first", first.admitted)
         self.assertEqual(second.level("a"), level)
 
     def test_tokens_of_a_request_that_did_not_run_come_back(self) -> None:
@@ -156,7 +156,7 @@
         clock.advance(10)
         before = ledger.level("a")
         ledger.take("a", 5_000.0)
-        ledger.give_back("a", 5_000.0)
+        ledger.refund("a", 5_000.0)
         self.assertEqual(ledger.level("a"), before)
         self.assertEqual(ledger.admitted["a"], 0.0)
 
