Clarify comments of attempts, placement, weights and rate limits

Cause: a newcomer had to read several comments and docstrings of these five files twice: terms without a definition (hedge, home engines, duty, use, named weights), constants whose text does not say what is measured against what, and parameters whose text does not match what callers pass. Change: comments and docstrings of request_run.py, placer.py, weights_service.py, choice.py and quota.py say what is compared, counted or returned, and define a term where it is first used. Reasons and numbers are kept. No identifier, log line, error message or code is changed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -32,9 +32,11 @@
 
 #: Retry delay suggested to callers if no estimate is available, seconds.
 DEFAULT_RETRY_S = 0.25
-#: Safety margin before the bound on old weights, from which on they are not used, seconds.
+#: Old weights are no longer used from this time before the end of the period in which they are
+#: allowed, seconds.
 WEIGHTS_MARGIN_S = 0.8
-#: Fraction of a route's target latency that a request may wait for engines with new weights.
+#: Longest expected wait at the engines with new weights, as a fraction of the route's target time
+#: to the first event; above it, engines with older weights may be used.
 MAX_WEIGHTS_WAIT_FRACTION = 0.3
 
 
@@ -106,7 +108,10 @@
         return self._place_among(eligible, left_s, has_run, must_be_timely=not self._tried)
 
     def _usable(self) -> list[EndpointState]:
-        """Returns the eligible endpoints, of only one release if two are being compared."""
+        """Returns the usable endpoints of the service.
+
+        During a rollout these belong to only one release, the canary or the baseline.
+        """
         view, service = self._services.view, self._service.name
         request_id = self._request.request_id
         return view.rollouts.allowed(view.book, service, request_id, not self._tried)
@@ -126,7 +131,7 @@
         self._tried.add(placed.state.id)
 
     def place_hedge(self, left_s: float) -> Placed:
-        """Selects an endpoint that was not tried yet, for a hedge.
+        """Selects an endpoint for a hedge; no earlier attempt was sent to it.
 
         :param left_s: time until the deadline of the caller or of the route, seconds.
         :raises RouterError: if none can serve the request in time.
@@ -137,7 +142,10 @@
         return self._place_among(fresh, left_s, True, must_be_timely=True)
 
     def save_to(self, placed: Placed) -> Service | None:
-        """Returns the store to save the shared parts to, ``None`` if that is not needed."""
+        """Returns the part store to which the engine saves the prompt's shared parts.
+
+        ``None`` if nothing needs to be saved, e.g. because the store already holds the parts.
+        """
         if placed.choice is None:
             return None
         scope, parts = placed.cache_scope, self._request.parts
@@ -152,7 +160,8 @@
         services, request = self._services, self._request
         version, engines = self._engines_to_use(eligible)
         if not engines:
-            # The known versions may lag behind the engines, e.g. after a restart of all nodes.
+            # The versions that this node assumes may be older than those that the engines run,
+            # e.g. after a restart of all nodes, so the weights of one engine are polled.
             services.on_other_weights(services.rng.choice(eligible))
             raise self._no_endpoint_error("no_engine_with_weights", left_s, has_run)
         scope = f"{version}.{self.isolated_account}"
@@ -188,8 +197,8 @@
         named = services.view.weights.get(request.model)
         bound_s = services.weights_s - WEIGHTS_MARGIN_S
         needed = (request.prompt_tokens or 0) + request.output_tokens
-        # A repeated attempt waits without limit for new weights: a stream that continues at an
-        # engine with older weights could be interrupted once more.
+        # A later attempt uses engines with new weights however long the expected wait: a stream
+        # that continues at an engine with older weights could be interrupted once more.
         usual_s = usual_latency_s(eligible)
         max_wait_s = math.inf if self._tried else self._route.target_s * MAX_WEIGHTS_WAIT_FRACTION
         return weights_to_use(
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -1,4 +1,8 @@
-"""Attempts of one request: sends, retries and hedges it until it is answered or fails."""
+"""Runs one request: sends, retries and hedges it until it is answered or fails.
+
+An attempt sends the request to one endpoint. A hedge is an attempt that is sent to another endpoint
+while the first one is silent.
+"""
 
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager
@@ -37,6 +41,7 @@
 HEDGE_DELAY_S = 1.2
 #: Part of the deadline reserved for sending the response to the caller, seconds.
 ANSWER_MARGIN_S = 0.01
+#: Priority of the least urgent requests at an engine; 0 is the most urgent.
 LEAST_PRIORITY = 9
 
 
@@ -124,7 +129,7 @@
             if result.outcome is not Outcome.ANSWERED and self._await_hedge_answer():
                 _drop(result)
                 continue
-            # The hedge may be running even if its response has not arrived in time.
+            # A hedge without a response counts, as its endpoint may be running the request.
             ran = self._ran + (self._hedge is not None)
             following = next_action(self._route, result.outcome, ran, self._sends, self.left_s)
             if following is Next.REPEAT and not self._take_repeat():
@@ -160,7 +165,7 @@
         )
 
     def _begin(self, placed: Placed) -> PlacedAttempt:
-        """Records an attempt before its request is sent."""
+        """Creates an attempt, and records it and its load before the request is sent."""
         self._sends += 1
         self._placer.record_sent(placed)
         answer = self._learning.began(placed)
@@ -172,7 +177,10 @@
         )
 
     def _complete(self, attempt: PlacedAttempt) -> AttemptResult:
-        """Sends the request unless it was sent, passes the response on and records the result."""
+        """Sends the request, passes the response on and records the result.
+
+        An answered hedge already has a result and is not sent again.
+        """
         hedging = self._create_hedging(attempt)
         self._current = attempt
         try:
@@ -213,7 +221,7 @@
 
         The value of the greenlet is whether that endpoint has answered.
         """
-        # ``_ran`` counts the silent attempt only once its response head has arrived.
+        # ``_ran`` does not yet include the current attempt if it has no response head.
         ran = self._ran + (self._current.result is None)
         is_possible = self._hedge is None and self._sends < MAX_SENDS
         if not is_possible or not self._has_endpoints_left(ran):
@@ -230,13 +238,13 @@
         return self._hedge_greenlet
 
     def _update_loads(self) -> None:
-        """Updates the load of both attempts: whether the request may run at a further endpoint."""
+        """Updates in the load of each attempt whether the request may run at another endpoint."""
         attempts = [one for one in (self._current, self._hedge) if one is not None]
         for one in attempts:
             one.load.set_repeatable(self._has_endpoints_left(self._in_use()))
 
     def _in_use(self) -> int:
-        """Returns the number of endpoints where the request may have run or is in flight."""
+        """Returns the number of endpoints where the request may have run or may be running."""
         attempts = [one for one in (self._current, self._hedge) if one is not None]
         return self._ran + sum(one.result is None for one in attempts)
 
@@ -261,8 +269,8 @@
     def _send_hedge(self, attempt: PlacedAttempt) -> AttemptResult:
         """Waits for the hedge's complete response, or for the first event of a stream.
 
-        The hedge is abandoned once its endpoint is unreachable: a dead endpoint would block the
-        request while a further one could serve it.
+        The hedge is abandoned once its endpoint is unreachable; otherwise the request would wait
+        for an endpoint that is down although a further one could serve it.
         """
         hedging = HedgeController(
             attempt.placed.state,
@@ -275,7 +283,7 @@
             return result
         hedging.record_data()
         if not self._is_stream(result):
-            # The greenlet that serves the caller detects its disconnection.
+            # No watch on the caller here: the greenlet that serves it detects a disconnection.
             return self._read_whole(result, lambda: hedging.watch(HEDGE_DELAY_S))
         guard = hedging.watch(SILENT_START_S)
         resumed_after = self._relay.last_id if self._relay else ""
@@ -291,7 +299,7 @@
         return greenlet.value is True
 
     def _take_answered_hedge(self) -> PlacedAttempt | None:
-        """Returns the hedge if it was answered; it becomes the current attempt."""
+        """Returns the hedge if it was answered; it is then the current attempt, not the hedge."""
         attempt = self._hedge
         if attempt is None or attempt.result is None:
             return None
@@ -299,7 +307,7 @@
         return attempt
 
     def _cancel_hedge(self) -> None:
-        """Cancels the hedge."""
+        """Cancels the hedge, even if it was answered; its endpoint may have run the request."""
         attempt, greenlet = self._hedge, self._hedge_greenlet
         self._hedge = self._hedge_greenlet = None
         if attempt is None:
@@ -336,13 +344,17 @@
         result = self._services.transport.send(
             self._request, placed.state, terms, guard, placed.was_tried
         )
-        # The endpoint's notice takes effect before its response is passed on.
+        # The notice in the response is applied first, so that it takes effect before the response
+        # is passed on.
         if result.terms is not None and result.reason != OTHER_ENDPOINT:
             self._services.on_notice(placed.state, result.terms.notice)
         return self._continuing(result)
 
     def _continuing(self, result: AttemptResult) -> AttemptResult:
-        """Replaces a response that can't continue the caller's stream by a failed attempt."""
+        """Returns the result, or a failure if it can't continue a response that has begun.
+
+        Once a part of a stream was sent to the caller, only another stream can continue it.
+        """
         has_head = result.outcome in (Outcome.ANSWERED, Outcome.FAILED)
         if not (has_head and self._connection.began) or self._is_stream(result):
             return result
@@ -372,7 +384,8 @@
     ) -> AttemptResult:
         """Reads the complete body of a response; each chunk restarts the silence timer.
 
-        :param watch: returns the context manager that guards the wait for one chunk.
+        :param watch: returns the context manager that interrupts the wait for one chunk, e.g. if
+            the endpoint is silent or the caller disconnects.
         """
         return self._services.transport.read_whole(result, self.left_s, watch)
 
@@ -402,7 +415,7 @@
         return AttemptResult(Outcome.MAY_HAVE_RUN, str(end), result.status)
 
     def _record_stream_end(self, end: RelayEnd, placed: Placed) -> None:
-        """Adds to the log line why a stream ended early and which endpoints were left."""
+        """Adds to the log line why a stream ended early and how many endpoints were left."""
         self._trace.facts.update(
             stream_end=str(end),
             silent_ms=round(self._relay.silent_s * 1000),
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -1,7 +1,9 @@
-"""Orders engines to load newly named weights; one node at a time does so, under a lease.
+"""Orders engines to load the weights that the operator named last.
 
-The lease is held only while some engine has outdated weights: the first node in the fleet's order
-claims it as soon as it sees outdated weights, the following nodes only if no other node has.
+One node at a time sends orders, under a lease that is held only while some engine has outdated
+weights. The ready nodes are ranked. The first one claims the lease as soon as it sees outdated
+weights, each further one after a delay that grows with its rank, and only if no peer reports that
+it holds the lease.
 """
 
 import math
@@ -34,7 +36,7 @@
 from arbutustally_node.gateway.ports import EngineControl, LoadOrder, OrderReply
 from arbutustally_node.gateway.supervision import supervise
 
-#: Duty name that ranks the nodes for ordering engines.
+#: Key from which all nodes derive the same ranking of the nodes that may order engines to load.
 LOADS_DUTY = b"loads"
 #: Poll interval while some engine has outdated weights, seconds.
 STEP_S = 0.1
@@ -42,9 +44,10 @@
 IDLE_STEP_S = 0.2
 #: Additional delay per rank before a node claims the lease, seconds.
 RANK_DELAY_S = 0.4
-#: Number of nodes after the first that poll the holder's lease, to take over soon after it expires.
+#: Number of nodes ranked after the first that also poll another holder's lease, to take over soon
+#: after it expires.
 STANDBY_NODES = 2
-#: Delays before a retry, seconds: after a store call without an answer, and after a failed claim.
+#: Delays before a retry, seconds: after the store was unavailable, and after a failed claim.
 STORE_RETRY_S = 0.5
 CLAIM_RETRY_S = 0.3
 #: Delay from an order to the first poll of its engine, and interval of further polls, seconds.
@@ -52,14 +55,14 @@
 POLL_S = 0.15
 #: Interval at which an engine that is draining before a load is checked, seconds.
 DRAIN_CHECK_INTERVAL_S = 0.05
-#: Initial estimate of the time for which a load makes an engine unavailable, seconds, and the weight
-#: of each measured load in the moving average.
+#: Initial estimate of the time for which loading weights makes an engine unavailable, seconds, and
+#: the weight of each measured duration in its moving average.
 INITIAL_LOAD_S = 2.5
 LOAD_GAIN = 0.3
 
 
 class WeightsService:
-    """Updates engines to the named weights.
+    """Updates engines to the weights that the operator named last, while this node has the lease.
 
     :param weights_s: time after which replaced weights are no longer allowed, seconds.
     :param wait_s: returns the expected wait at an engine, seconds.
@@ -152,7 +155,7 @@
         return True
 
     def _renew(self) -> None:
-        """Renews the lease; orders continue meanwhile under its remaining time."""
+        """Renews the lease in its own greenlet; orders are sent meanwhile while it is valid."""
         try:
             self._lease.renew()
         except StoreUnavailableError as error:
@@ -165,17 +168,20 @@
             self._lease.release()
 
     def _poll_lease(self, has_holder: bool = False) -> None:
-        """Polls the lease of another holder if this node is among the next in order.
+        """Polls the lease of another holder if this node is ranked among the first.
 
-        :param has_holder: another node is the active holder; without one, only a lease that may be
-            unreleased is polled.
+        :param has_holder: whether a peer reports that it holds the lease; if none does, the lease
+            is polled only if it may not have been released.
         """
         may_claim = self._gossip.rank(LOADS_DUTY) <= STANDBY_NODES
         if not self.is_holder and may_claim and (has_holder or self._lease.is_open):
             self._lease.poll()
 
     def _outdated_models(self) -> list[tuple[str, int]]:
-        """Returns the models, with the named version, of which some available engine is outdated."""
+        """Returns each model that some available engine runs with outdated weights.
+
+        The second value is the version that the operator named last.
+        """
         return [
             (model, named.version)
             for model, named in self._view.weights.items()
@@ -220,8 +226,8 @@
         now = self._clock()
         pending = sum(state.weights.get(model, 0) < named for state in states)
         known_at = self._view.weights[model].known_at.get(named, now)
-        # A version that was named before this node started may be as old as the bound, so it
-        # leaves no time.
+        # A version that was named before this node started may have been named ``weights_s`` ago,
+        # so no time is assumed to be left.
         left_s = max(0.0, known_at + self._weights_s - now)
         waits_s = [
             self._wait_s(state) for state in states if not state.loading and not state.is_down
@@ -247,7 +253,10 @@
             self._loading_engines.discard(state.id)
 
     def _drain(self, state: EndpointState) -> None:
-        """Waits until an engine that gets no new requests has few enough requests left."""
+        """Waits until an engine has few enough requests left, at most ``MAX_DRAIN_S``.
+
+        It gets no new requests meanwhile.
+        """
         began = self._clock()
         while not is_drained(state, self._clock() - began, self._unrepeatable(state)):
             gevent.sleep(DRAIN_CHECK_INTERVAL_S)
@@ -310,7 +319,7 @@
             gevent.sleep(POLL_S)
 
     def poll_weights(self, state: EndpointState) -> None:
-        """Polls an engine's weights in the background, at most once per ``POLL_S``."""
+        """Asks an engine in the background which weights it runs, at most once per ``POLL_S``."""
         now = self._clock()
         if self._view.book.is_paused(state):
             return
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -1,14 +1,15 @@
 """Choice of an endpoint for one request.
 
-Load pattern: long prompts share parts, engines differ in cached parts and queue length, and many
-nodes choose concurrently. Engines are ranked by the expected time to the first event
-(``arbutustally.placement``); the queue of each engine includes the requests of all nodes. A node
-does not know the choices that other nodes made within the last few hundred ms. All nodes therefore
-derive the same few home engines for a shared part, as many as the demand of the fleet needs, and
-the next part of a prompt spreads the prompts over these homes. Engine memory is limited and each
-further copy evicts other parts, so a copy is made on another engine only if the homes are much
-busier. A prompt that exceeds an engine's free memory, or an engine without a free slot, counts as a
-longer queue.
+Load pattern: many long prompts begin with the same parts, engines differ in cached parts and queue
+length, and many nodes choose concurrently. Engines are ranked by the expected time to the first
+event of the response (``arbutustally.placement``); the queue of each engine includes the requests
+of all nodes. A node does not know the choices that other nodes made within the last few hundred ms.
+All nodes therefore derive the same few home engines for a shared part by rendezvous hashing, as
+many as the demand of the fleet needs. A hash of the part that follows the shared one orders these
+homes, which spreads the prompts over them. Engine memory is limited and each further copy evicts
+other parts, so a copy is made on another engine only if the homes are much busier. An engine whose
+free memory is too small for the prompt, or that has no free slot, is ranked as if its queue were
+longer.
 """
 
 import math
@@ -32,28 +33,32 @@
 #: Queue tokens added per token that does not fit into an engine's memory: the prompt of a preempted
 #: request is computed again, and a request that waits for memory waits until another stream ends.
 OVERFLOW_WEIGHT = 4.0
-#: Home engines of a shared part regardless of its demand: the second serves requests while the
-#: first is busy; more copies would evict other parts.
+#: Number of engines, first in rendezvous order, that may cache a shared part without the cost of an
+#: additional copy, regardless of demand: the second serves requests while the first is busy; more
+#: copies would evict other parts.
 ENGINE_HOMES = 2
-#: Share of an engine's speed at which the demand for a part adds another home engine. A node sees
-#: few of the fleet's requests, so a smaller share would add homes because of random variation.
+#: Demand per home engine, as a share of an engine's prefill speed, above which a part gets another
+#: home engine. A node sees few of the fleet's requests, so with a smaller share random variation of
+#: its own requests would add homes.
 WIDEN_AT = 0.6
 #: Cost of evicting other parts for an additional copy, as a share of the work of making the copy.
 COPY_SHARE = 0.5
 PLACEMENT_OPTIONS = PlacementOptions(homes=ENGINE_HOMES, copy_share=COPY_SHARE, widen_at=WIDEN_AT)
-#: Places whose expiry times of a part differ by at most this are equally likely to still hold it,
-#: seconds.
+#: Largest difference, seconds, between the expiry times of a part at two places (engines or part
+#: stores) that are taken to be equally likely to still hold it.
 EXPIRY_TOLERANCE_S = 0.5
 #: Latency assumed for a plain endpoint until any endpoint of its service has answered, seconds.
 DEFAULT_LATENCY_S = 0.05
-#: Share of requests sent to engines with new weights, as a multiple of their share of all engines.
+#: Largest share of requests sent to engines with new weights, as a multiple of their share of all
+#: engines.
 NEW_WEIGHTS_LOAD_FACTOR = 2.0
-#: Endpoints whose expected times differ by at most this share count as equal.
+#: Plain endpoints whose expected time exceeds the shortest one by at most this share count as
+#: equal.
 NEAR_TIE = 0.1
 
 
 class FirstEventTarget:
-    """Placement target: time to the first event.
+    """Target of a placement request that limits the time to the first event only.
 
     :param target_s: targeted time to the first event, seconds.
     """
@@ -135,13 +140,14 @@
 ) -> PartSource | None:
     """Returns the place from which an engine fetches the parts that it may lack.
 
-    Load patterns: engine memory is limited and engines drop parts within seconds; a large fleet
-    receives no events about it. A source is therefore named even if the engine is assumed to hold
-    the parts; the engine fetches nothing that it has. Among the places that hold equally much,
-    those whose entry for the last shared part expires latest are the least likely to have dropped
-    it: part stores, then engines that used it recently. A hot part is held by many engines, each of
-    which transfers one part at a time, so the load is spread at random over these places, with a
-    preference for the engine's zone.
+    Load patterns: engine memory is limited and engines drop parts within seconds; in a large fleet,
+    nodes do not receive the engines' cache events. A source is therefore returned even if the
+    engine is assumed to hold the parts, unless the engine itself has reported that it holds them;
+    the engine fetches only what it lacks. Among the places that hold equally many tokens (within
+    one block), those whose entry for the last shared part expires latest are the least likely to
+    have dropped it: part stores, then engines that used it recently. A frequently requested part
+    is held by many engines, each of which transfers one part at a time, so one of these places is
+    chosen at random, from the engine's zone if there is one.
     """
     others = [source for source in sources if source.place != engine.id]
     most = max((source.tokens for source in others), default=0)
@@ -172,7 +178,7 @@
 
 
 def must_save(holdings: Holdings, scope: str, parts: Sequence[PromptPart], store: Service) -> bool:
-    """Returns whether a part store lacks a part that other requests may share.
+    """Returns whether a part store lacks any of the parts that other requests may share.
 
     The last part belongs to one request or session; saving it would evict shared parts.
     """
@@ -201,7 +207,8 @@
     :param isolated_account: name of the account if its cached parts are isolated from other
         accounts, otherwise empty.
     :param scope: scope of the cached parts that the request may use.
-    :param importable_tokens: tokens of the prompt that any engine can fetch from another place.
+    :param importable_tokens: most tokens of the prompt that one engine or part store holds, which
+        the chosen engine can fetch from there.
     :param zone: engines of this zone are preferred among equals.
     :param nodes: nodes that choose concurrently, this one included.
     """
@@ -215,7 +222,7 @@
         target=FirstEventTarget(target_s),
         zone=zone,
         nodes=nodes,
-        # The last part belongs to the request or its session.
+        # Level of the last shared part; the part after it belongs to the request or its session.
         home_level=max(0, len(request.parts) - 2),
     )
     memory = service.engine.cache_tokens if service.engine else 0
@@ -240,7 +247,10 @@
 
 
 def _room_s(state: EndpointState, usual_s: float) -> float:
-    """Returns the expected time until a slot is free; each slot frees up once per ``usual_s``."""
+    """Returns the expected time until the engine has a slot for the request, seconds.
+
+    Each slot is assumed to become free once per ``usual_s``.
+    """
     waiting = state.total_running + 1 - state.entry.slots
     return max(0, waiting) * usual_s / max(state.entry.slots, 1)
 
@@ -260,18 +270,21 @@
 ) -> tuple[int, list[EndpointState]]:
     """Returns the version of a model to use, and the engines that run it.
 
-    Load pattern: right after new weights are named, few engines run them, and all nodes see these
-    idle at the same moment. A late first event costs a request more than older weights do.
-    Engines with new weights therefore get a multiple of their proportional share of the requests,
-    and the other engines serve the rest while older weights are allowed.
+    Load pattern: right after the operator names new weights, few engines run them, and all nodes
+    see these engines idle at the same moment. A late first event costs a request more than older
+    weights do. The share of requests that goes to the engines with new weights is therefore limited
+    to a multiple of their share of all engines, and the other engines serve the rest while older
+    weights are allowed.
 
     :param named: newest version that the operator named.
     :param oldest_allowed: oldest version on which requests may still begin.
     :param wait_s: returns the expected wait at an engine, seconds.
-    :param max_wait_s: expected wait at the engines with new weights up to which older ones are not
-        used, seconds; if infinite, older ones are used only while no engine has the new weights.
+    :param max_wait_s: longest expected wait, seconds, that is accepted to use the new weights;
+        above it, the version with the shortest expected wait is used. If infinite, older weights
+        are used only while no engine has the new ones.
+    :returns: the newest known version and an empty list if no engine has an allowed version.
     """
-    # An engine may already run weights whose naming this node has not received yet.
+    # An engine may run a version that this node has not yet received from the operator's records.
     named = max([named, *(state.weights.get(model, 0) for state in states)])
     groups: dict[int, list[EndpointState]] = {}
     for state in states:
--- a/packages/arbutustally/src/arbutustally/gateway/quota.py
+++ b/packages/arbutustally/src/arbutustally/gateway/quota.py
@@ -3,10 +3,10 @@
 Load pattern: one account sends many times its rate to all nodes at once. Every node keeps a token
 bucket for every account and deducts what it admits and what its peers report as admitted. Peers
 report several times a second, so the fleet exceeds the bucket by at most what arrives between two
-reports; the excess makes the level negative, and later requests wait until it is refilled. Until
-their next report, the peers are assumed to admit tokens at the same rate as before. A node that
-receives no reports from some of its peers uses only the share of rate and burst that belongs to
-itself and the peers that report.
+reports; the excess makes the level negative, and later requests are refused until the bucket is
+refilled. Until their next report, the peers are assumed to admit tokens at the same rate as before.
+A node that receives no reports from some of its peers scales rate and burst by the share of known
+nodes that report, itself included.
 """
 
 import math
@@ -15,11 +15,12 @@
 
 from arbutustally.clock import Clock
 
-#: Share of the operator's tolerance that is used; the rest covers reports in transit.
+#: Share of the operator's tolerance by which rate and burst of the buckets are raised; the rest
+#: covers what peers have admitted while their reports are in transit.
 TOLERANCE_USED = 0.15
-#: Age of the peers' reports at a node, seconds.
+#: Time assumed between an admission at a peer and its deduction at this node, seconds.
 REPORT_AGE_S = 0.3
-#: Time constant of the average of the peers' use, seconds.
+#: Time constant of the moving average of the rate at which the peers admit tokens, seconds.
 USE_AVERAGING_S = 0.6
 #: Longest time that a refused caller is asked to wait, seconds.
 MAX_RETRY_AFTER_S = 5.0
@@ -27,10 +28,10 @@
 
 @dataclass(frozen=True)
 class QuotaTolerance:
-    """Amount by which the fleet may exceed a limit in a sliding window.
+    """Amount by which the fleet may exceed a limit in a sliding window: the sum of both fields.
 
-    :ivar share: as a share of rate and burst.
-    :ivar tokens: additional tokens.
+    :ivar share: excess as a share of rate and burst.
+    :ivar tokens: further excess, tokens.
     """
 
     share: float
@@ -79,7 +80,10 @@
         return bucket.level
 
     def set_limits(self, limits: Mapping[str, tuple[float, float]]) -> None:
-        """Sets the rate and burst of each account; a rate of 0 removes the limit."""
+        """Sets the limits of all accounts; an account that is not listed has no limit.
+
+        :param limits: rate (tokens/s) and burst (tokens) by account; a rate of 0 removes the limit.
+        """
         now = self._clock()
         share = 1 + self._tolerance.share * TOLERANCE_USED
         for account, (rate, burst) in limits.items():
@@ -89,7 +93,8 @@
             size = burst * share + self._tolerance.tokens * TOLERANCE_USED
             bucket = self._buckets.get(account)
             if bucket is None:
-                # The fleet may have used the burst just before this node started.
+                # The fleet may have used the burst just before this node started, so the bucket
+                # starts with the tolerance's additional tokens only.
                 first = min(size, self._tolerance.tokens * TOLERANCE_USED)
                 self._buckets[account] = _Bucket(rate * share, size, first, now)
                 continue
@@ -100,7 +105,10 @@
             del self._buckets[account]
 
     def set_reporting_nodes(self, reporting: int, known: int) -> None:
-        """Sets how many nodes report their use, and how many are known, this one included."""
+        """Sets how many nodes report what they admit, and how many are known.
+
+        Both numbers include this node.
+        """
         for bucket in self._buckets.values():
             self._fill(bucket)
         self._reporting_share = reporting / max(known, reporting, 1)
@@ -110,7 +118,9 @@
     def take(self, account: str, tokens: float) -> float | None:
         """Deducts the tokens of a request if they are available.
 
-        :returns: ``None`` if they were deducted, otherwise seconds until they may be available.
+        A request larger than the burst needs only a full bucket; the level is negative afterwards.
+
+        :returns: ``None`` if the request is admitted, otherwise seconds until it may be.
         """
         bucket = self._buckets.get(account)
         if bucket is not None:
@@ -131,10 +141,10 @@
             bucket.level = min(bucket.level + tokens, bucket.burst)
 
     def heard(self, peer: str, admitted: Mapping[str, float]) -> None:
-        """Deducts what a peer has admitted since its last report.
+        """Deducts what a peer, or the nodes it reports for, admitted since its last report.
 
-        :param peer: id that is unique for each start of a node.
-        :param admitted: tokens that the peer has admitted since its start, by account.
+        :param peer: key of the source of the reports, different after each start of the peer.
+        :param admitted: tokens admitted since the start, by account.
         """
         # The initial level already accounts for what a peer admitted before its first report.
         before = self._last_reports.get(peer, admitted)
@@ -149,11 +159,14 @@
                 bucket.peers_used_at = self._clock()
 
     def forget(self, peer: str) -> None:
-        """Removes a peer that no longer counts; later admissions arrive in reports of others."""
+        """Removes the last report of a source whose reports are no longer used.
+
+        What is admitted from now on is deducted when other sources report it.
+        """
         self._last_reports.pop(peer, None)
 
     def _peers_use(self, bucket: _Bucket) -> float:
-        """Returns the average rate at which the peers admitted tokens lately, tokens/s."""
+        """Returns the moving average of the rate at which the peers admit tokens, tokens/s."""
         age_s = self._clock() - bucket.peers_used_at
         return bucket.peers_use * math.exp(-age_s / USE_AVERAGING_S)
 
