--- a/tests/test_log_faults.py
+++ b/tests/test_log_faults.py
@@ -1,4 +1,4 @@
-"""Several nodes append through random faults of the log."""
+"""Several nodes append to a log with random faults."""
 
 import unittest
 
@@ -28,16 +28,16 @@
 
     @settings(max_examples=25)
     @given(EVENTS)
-    def test_what_writers_are_told_is_true(self, events: list) -> None:
-        """Guards against verdicts that another reader contradicts, and untrue "not run"."""
+    def test_results_of_appends_match_the_log(self, events: list) -> None:
+        """Guards against verdicts that differ from those of another reader, and false "not run"."""
         log = FakeLog()
         services = [new_node(log, node_id=f"n{number}")[1] for number in range(3)]
         for service in services:
             service._reader.start()
             service._writer.start()
         try:
-            told = self._run(log, services, events)
-            self._check(log, services, told)
+            results = self._run(log, services, events)
+            self._check(log, services, results)
         finally:
             for service in services:
                 service._writer.stop()
@@ -55,7 +55,10 @@
         return [append.get() for append in appends]
 
     def _append(self, service, kind: str, number: int) -> tuple:
-        """Appends a body that only this call writes; returns it with what the writer is told."""
+        """Appends a body that only this call writes.
+
+        :return: the body, the ``Appended`` or ``None``, and the error's ``ran`` or ``None``.
+        """
         if kind == "change":
             body = Change(service.state.version, {"accounts/a": ACCOUNT}, author=str(number))
         else:
@@ -65,15 +68,15 @@
         except LogUnavailableError as error:
             return body, None, error.ran
 
-    def _check(self, log: FakeLog, services: list, told: list) -> None:
+    def _check(self, log: FakeLog, services: list, results: list) -> None:
         reader = ControlState()
         verdicts = [reader.apply(offset, record) for offset, record in enumerate(log.records)]
         self.assertTrue(wait_until(lambda: all(s.state.offset == reader.offset for s in services)))
         for service in services:
             self.assertEqual(service.state.snapshot(), reader.snapshot())
         winners = 0
-        for body, appended, ran in told:
-            found = [offset for offset, record in enumerate(log.records) if _is(record, body)]
+        for body, appended, ran in results:
+            found = [offset for offset, record in enumerate(log.records) if _has_body(record, body)]
             if appended is not None:
                 self.assertEqual(appended.offset, found[0])
                 self.assertEqual(appended.verdict, verdicts[found[0]])
@@ -83,5 +86,5 @@
         self.assertLessEqual(winners, 1)
 
 
-def _is(record: Record, body: object) -> bool:
+def _has_body(record: Record, body: object) -> bool:
     return record.body == body
