Rename the limits and breaker names that several folders use

Cause: names such as hear, wastes, doubted, effective and Offer did not say what the function or class does; they were left over because several folders use them.

Change: received -> grant_for_receiver, Offer -> GrantResponse, wastes -> has_expiring_tokens, lowered -> apply_fraction, ahead -> prefetch_tokens, hear -> add_peer_reports, doubted -> needs_control, effective -> confirm_owner_lowered.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -201,7 +201,7 @@
             return self._world.admit(node, tokens)
         now, burst = node.clock(), self._world.burst
         demand = self._demand.setdefault(node.holder, Demand(now))
-        admitted = self._world.admit(node, tokens, demand.ahead(now, burst))
+        admitted = self._world.admit(node, tokens, demand.prefetch_tokens(now, burst))
         if admitted:
             demand.note(tokens, now)
             missing = demand.missing(node.pool.available(ACCOUNT), tokens, now, burst)
--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -8,7 +8,13 @@
 from arbutustally.directory import addresses
 from arbutustally.errors import OverloadedError
 from arbutustally.fairness import MIN_COMPUTED_SHARE, FairQueue, QueueLimits, Ticket, TicketState
-from arbutustally.limits import GrantPool, OwnerBudget, Reservation, apply_reports, received
+from arbutustally.limits import (
+    GrantPool,
+    OwnerBudget,
+    Reservation,
+    apply_reports,
+    grant_for_receiver,
+)
 from arbutustally.placement import COMPUTED_SHARE_WEIGHT
 from arbutustally_standins.engine_model import EngineModel, EngineModelOptions, ModelRequest
 from arbutustally_standins.engine_types import FINISHED, FIRST_TOKEN
@@ -215,7 +221,7 @@
         apply_reports(owner, node.pool.reports(call.account, 0))
         grant = owner.grant(node.name.id, call.tokens, now + GRANT_S)
         if grant is not None:
-            node.pool.add(received(grant, GRANT_S, sent_at))
+            node.pool.add(grant_for_receiver(grant, GRANT_S, sent_at))
             self._loop.after(self._setup.rtt_s / 2, lambda: self._reserve(result, node, give_up))
             return
         wait = owner.wait_s(call.tokens)
--- a/bench/replay/moves.py
+++ b/bench/replay/moves.py
@@ -215,7 +215,7 @@
         for report in reports:
             version = report.key.version
             previous = self._move.previous if version == self._move.version else ""
-            node.breaker.hear(name, [report], previous)
+            node.breaker.add_peer_reports(name, [report], previous)
 
     def _rtt(self) -> float:
         return self._deployment.rtt_ms / 1000
--- a/packages/arbutustally-node/src/arbutustally_node/grant_sources.py
+++ b/packages/arbutustally-node/src/arbutustally_node/grant_sources.py
@@ -7,8 +7,8 @@
 from arbutustally.clock import Clock
 from arbutustally.directory import shard_of
 from arbutustally.errors import LeaseLostError, LimitUnavailableError, RouterError
-from arbutustally.limit_issuer import GrantRequest, Issuer, Offer
-from arbutustally.limits import SLOT_FRACTION, SLOTS, GrantPool, received
+from arbutustally.limit_issuer import GrantRequest, GrantResponse, Issuer
+from arbutustally.limits import SLOT_FRACTION, SLOTS, GrantPool, grant_for_receiver
 from arbutustally.standing_shares import owner_fraction
 from arbutustally_node.options import Options
 from arbutustally_node.shard_owner import ShardOwner, lease_name
@@ -117,7 +117,7 @@
         issuer = self._slots[self._shard(request.account)][slot].issuer()
         return self._answer(issuer, node_id, request).to_payload()
 
-    def _answer(self, issuer: Issuer, node_id: str, request: GrantRequest) -> Offer:
+    def _answer(self, issuer: Issuer, node_id: str, request: GrantRequest) -> GrantResponse:
         limits = self._log().state.declarations.accounts.get(request.account)
         if limits is None:
             raise LimitUnavailableError(
@@ -164,7 +164,7 @@
         self._refusals[account] = refusal
         return refusal
 
-    def _plan(self, account: str) -> list[tuple[Callable[..., Offer], float]]:
+    def _plan(self, account: str) -> list[tuple[Callable[..., GrantResponse], float]]:
         """Returns the issuers in order, each with the most that it can ever grant at once."""
         state = self._log().state
         limits = state.declarations.accounts.get(account)
@@ -174,7 +174,7 @@
         shard = self._shard(account)
         entries = [state.share(shard, slot) for slot in range(SLOTS)]
         recorded = [slot for slot, entry in enumerate(entries) if entry is not None]
-        plan: list[tuple[Callable[..., Offer], float]] = [
+        plan: list[tuple[Callable[..., GrantResponse], float]] = [
             (self.ask_owner, burst * owner_fraction(len(recorded)))
         ]
         # A slot of this node comes first because it needs no message.
@@ -185,13 +185,13 @@
                 plan.append((self._slot_asker(slot, node_id), burst * SLOT_FRACTION))
         return plan
 
-    def _slot_asker(self, slot: int, node_id: str) -> Callable[..., Offer]:
-        def ask(account: str, needed: float, wanted: float) -> Offer:
+    def _slot_asker(self, slot: int, node_id: str) -> Callable[..., GrantResponse]:
+        def ask(account: str, needed: float, wanted: float) -> GrantResponse:
             return self._ask(node_id, SHARE_GRANT, slot, account, needed, wanted)
 
         return ask
 
-    def ask_owner(self, account: str, needed: float, wanted: float) -> Offer:
+    def ask_owner(self, account: str, needed: float, wanted: float) -> GrantResponse:
         """Requests a grant from the owner of the account's shard and adds it to the pool.
 
         :raises RouterError: if there is no owner or it does not respond.
@@ -206,7 +206,7 @@
 
     def _ask(
         self, node_id: str, method: str, slot: int, account: str, needed: float, wanted: float
-    ) -> Offer:
+    ) -> GrantResponse:
         if self._is_paused(node_id):
             raise LimitUnavailableError(
                 f"node {node_id} did not respond to the latest call; retry",
@@ -223,16 +223,16 @@
             self._issuers[offer.epoch] = (node_id, method, slot)
             if len(self._issuers) > MAX_EPOCHS:
                 del self._issuers[next(iter(self._issuers))]
-            self._pool.add(received(grant, offer.lifetime_s, sent_at))
+            self._pool.add(grant_for_receiver(grant, offer.lifetime_s, sent_at))
         return offer
 
-    def _send(self, node_id: str, method: str, slot: int, request: GrantRequest) -> Offer:
+    def _send(self, node_id: str, method: str, slot: int, request: GrantRequest) -> GrantResponse:
         payload = request.to_payload() if method == GRANT else [slot, *request.to_payload()]
         try:
             if node_id == self._node_id:
                 answer = self.on_grant if method == GRANT else self.on_share_grant
-                return Offer(*answer(node_id, payload))
-            offer = Offer(*self._call(node_id, method, payload, CALL_TIMEOUT_S))
+                return GrantResponse(*answer(node_id, payload))
+            offer = GrantResponse(*self._call(node_id, method, payload, CALL_TIMEOUT_S))
         except LeaseLostError:
             # The node is alive; the log will record the next holder.
             self._pauses.pop(node_id, None)
@@ -268,7 +268,7 @@
         for epoch in live:
             issuer = self._issuers.get(epoch)
             due = self._clock() - reported[epoch] >= REPORT_S
-            if not due and not self._pool.wastes(account, epoch, closing):
+            if not due and not self._pool.has_expiring_tokens(account, epoch, closing):
                 continue
             if issuer is not None and self._is_paused(issuer[0]):
                 # An issuer that does not respond would delay the reports to all others.
--- a/packages/arbutustally-node/src/arbutustally_node/limits_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/limits_service.py
@@ -289,7 +289,7 @@
     def _prefetch_tokens(self, account: str) -> float:
         demand = self._demand.get(account)
         burst = self._limits(account).burst
-        return demand.ahead(self._clock(), burst) if demand is not None else 0.0
+        return demand.prefetch_tokens(self._clock(), burst) if demand is not None else 0.0
 
     def _prefetch(self, account: str, tokens: float, burst: float) -> None:
         if account in self._prefetching or self._sources.is_owner(account):
@@ -340,7 +340,7 @@
 
     def _on_slot_effective(self, _node_id: str, payload: list[int]) -> None:
         shard, slot, offset = payload
-        self._slots[shard][slot].effective(offset)
+        self._slots[shard][slot].confirm_owner_lowered(offset)
 
     def _call(self, node_id: str, method: str, payload: Any, timeout_s: float) -> Any:
         return self._peers().call(node_id, method, payload, timeout_s)
--- a/packages/arbutustally-node/src/arbutustally_node/shard_owner.py
+++ b/packages/arbutustally-node/src/arbutustally_node/shard_owner.py
@@ -205,7 +205,7 @@
 
     def _confirm(self, issuer: Issuer, slot: int, entry: Any) -> None:
         key = (issuer.epoch, slot, entry.last_offset)
-        if key in self._confirmed or not issuer.lowered():
+        if key in self._confirmed or not issuer.apply_fraction():
             return
         # An owner whose lease has expired may not have read records that its successor has read.
         self.issuer()
--- a/packages/arbutustally-node/src/arbutustally_node/slot_holder.py
+++ b/packages/arbutustally-node/src/arbutustally_node/slot_holder.py
@@ -56,9 +56,9 @@
         """Returns whether this node may use the slot now."""
         return self._tenure.remaining(self._clock()) > 0
 
-    def effective(self, offset: int) -> None:
+    def confirm_owner_lowered(self, offset: int) -> None:
         """Records the owner's confirmation that the assignment at an offset is in effect."""
-        self._tenure.effective(offset)
+        self._tenure.confirm_owner_lowered(offset)
 
     def tend(self, home_ids: list[str], draining: bool) -> None:
         """Records new assignments; releases the slot when this node drains or is no longer a home.
--- a/packages/arbutustally-node/src/arbutustally_node/version_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/version_service.py
@@ -122,7 +122,7 @@
             return pick_version(model, request_id, move, wanted, False)
         # This node may read a step before it receives the load reports on which the step is based.
         avoided = self._stopped(model, move) or not self._is_held(model, move.version)
-        if not avoided and self._breaker.doubted(model, move.version):
+        if not avoided and self._breaker.needs_control(model, move.version):
             avoided = is_control(model, request_id) and self._is_held(model, move.previous)
         return pick_version(model, request_id, move, wanted, avoided)
 
@@ -217,7 +217,7 @@
         for report in reports:
             key = report.key
             previous = self._previous(key.model, key.version)
-            self._record_trip(self._breaker.hear(node_id, [report], previous))
+            self._record_trip(self._breaker.add_peer_reports(node_id, [report], previous))
 
     def _on_record(self, _offset: int, record: Record | None, verdict: Any) -> None:
         if record is None or not isinstance(record.body, MoveStep) or not verdict.accepted:
--- a/packages/arbutustally/src/arbutustally/breaker.py
+++ b/packages/arbutustally/src/arbutustally/breaker.py
@@ -255,7 +255,7 @@
         record.add_on_trial(sample, self._records.get(_with_version(key, previous)), self._clock())
         return self._judge(key, previous)
 
-    def hear(self, node: str, reports: list[Report], previous: str = "") -> Trip | None:
+    def add_peer_reports(self, node: str, reports: list[Report], previous: str = "") -> Trip | None:
         """Applies the counts of a peer, which replace those that it sent before.
 
         :param previous: as in ``observe``.
@@ -276,7 +276,7 @@
         """Returns why the version must not be used, or ``None``."""
         return self._trips.get((model, version))
 
-    def doubted(self, model: str, version: str) -> bool:
+    def needs_control(self, model: str, version: str) -> bool:
         """Returns whether the version is slow and responses of the old one are too few to show why.
 
         The old version should then receive some requests.
--- a/packages/arbutustally/src/arbutustally/limit_issuer.py
+++ b/packages/arbutustally/src/arbutustally/limit_issuer.py
@@ -66,7 +66,7 @@
 
 
 @dataclass(frozen=True)
-class Offer:
+class GrantResponse:
     """An issuer's response.
 
     :ivar tokens: granted tokens, 0 for a refusal.
@@ -147,7 +147,7 @@
         """Returns the budget of an account, to apply reports; ``None`` before its first request."""
         return self._budgets.get(account)
 
-    def lowered(self) -> bool:
+    def apply_fraction(self) -> bool:
         """Applies the current fraction and returns whether every budget is within it."""
         for account, reference in self._references.items():
             self._budget(account, reference.rate, reference.burst)
@@ -155,7 +155,9 @@
             budget.level + budget.outstanding <= budget.burst for budget in self._budgets.values()
         )
 
-    def answer(self, holder: str, request: GrantRequest, rate: float, burst: float) -> Offer:
+    def answer(
+        self, holder: str, request: GrantRequest, rate: float, burst: float
+    ) -> GrantResponse:
         """Applies a holder's usage reports and grants the requested tokens if the level allows.
 
         :param rate: whole rate of the account, tokens/s; this issuer has its fraction of it.
@@ -169,7 +171,7 @@
         returned = sum(use.unused for use in request.uses if use.closed)
         reference.level = min(reference.level + returned, reference.burst)
         if request.needed <= 0 and request.wanted <= 0:
-            return Offer("", 0.0, 0.0, self._epoch)
+            return GrantResponse("", 0.0, 0.0, self._epoch)
         tokens = self._grant_size(budget, request)
         lifetime_s = self._lifetime_s(rate, burst)
         grant = None
@@ -177,9 +179,9 @@
             grant = budget.grant(holder, tokens, self._clock() + lifetime_s)
         if grant is None:
             within = 0 < request.needed <= reference.level
-            return Offer("", 0.0, 0.0, self._epoch, budget.wait_s(request.needed), within)
+            return GrantResponse("", 0.0, 0.0, self._epoch, budget.wait_s(request.needed), within)
         reference.level -= tokens
-        return Offer(grant.grant_id, tokens, lifetime_s, self._epoch)
+        return GrantResponse(grant.grant_id, tokens, lifetime_s, self._epoch)
 
     def _budget(self, account: str, rate: float, burst: float) -> OwnerBudget:
         fraction = self._fraction()
@@ -237,7 +239,7 @@
         """Returns the average use in tokens/s."""
         return self._rate * exp(-(now - self._at) / USE_AVERAGE_S)
 
-    def ahead(self, now: float, burst: float) -> float:
+    def prefetch_tokens(self, now: float, burst: float) -> float:
         """Returns the tokens to hold in advance of requests.
 
         :param burst: of the account, tokens.
@@ -250,7 +252,7 @@
         :param available: tokens of live grants.
         :param last_tokens: size of the last request; prefetching fewer tokens saves no message.
         """
-        target = self.ahead(now, burst)
+        target = self.prefetch_tokens(now, burst)
         if target < last_tokens or available >= target / 2:
             return 0.0
         return target - available
--- a/packages/arbutustally/src/arbutustally/limits.py
+++ b/packages/arbutustally/src/arbutustally/limits.py
@@ -350,7 +350,7 @@
             )
         return uses
 
-    def wastes(self, account: str, epoch: int, closing: float) -> bool:
+    def has_expiring_tokens(self, account: str, epoch: int, closing: float) -> bool:
         """Returns whether a grant that still has unused tokens expires by ``closing``."""
         return any(
             held.grant.epoch == epoch and held.left > 0 and held.grant.until <= closing
@@ -386,7 +386,7 @@
             del self._debts[account]
 
 
-def received(grant: Grant, lifetime_s: float, sent_at: float) -> Grant:
+def grant_for_receiver(grant: Grant, lifetime_s: float, sent_at: float) -> Grant:
     """Returns a grant with its deadline on the receiver's clock.
 
     :param lifetime_s: time from issue to deadline on the issuer's clock.
--- a/packages/arbutustally/src/arbutustally/standing_shares.py
+++ b/packages/arbutustally/src/arbutustally/standing_shares.py
@@ -68,7 +68,7 @@
         """Returns when use ends before a release, infinite without one."""
         return self._ends_at
 
-    def effective(self, offset: int) -> None:
+    def confirm_owner_lowered(self, offset: int) -> None:
         """Records that the owner has lowered its own budget for this assignment."""
         self._effective_offset = max(self._effective_offset, offset)
 
--- a/tests/limits_world.py
+++ b/tests/limits_world.py
@@ -205,7 +205,7 @@
         if callee.frozen or frozenset((caller.id, node_id)) in self.cut_links:
             raise PeerUnavailableError("simulated cut")
         if method == SLOT_EFFECTIVE:
-            answer = callee.slots[payload[1]].effective(payload[2])
+            answer = callee.slots[payload[1]].confirm_owner_lowered(payload[2])
         else:
             handlers = {
                 GRANT: callee.sources.on_grant,
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -94,10 +94,10 @@
     def test_slow_version_without_an_old_one_beside_it_is_doubted(self) -> None:
         """Guards against a trip by comparison with responses from a time of lower load."""
         self.respond_new_only(1.0)
-        self.assertFalse(self.breaker.doubted("marelle", "2"))
+        self.assertFalse(self.breaker.needs_control("marelle", "2"))
         self.respond_new_only(4.0)
         self.assertIsNone(self.breaker.tripped("marelle", "2"))
-        self.assertTrue(self.breaker.doubted("marelle", "2"))
+        self.assertTrue(self.breaker.needs_control("marelle", "2"))
 
     def test_machine_that_gets_busy_after_the_last_step_stops_no_version(self) -> None:
         """Guards against counting old responses from before the last step as concurrent."""
@@ -106,7 +106,7 @@
             self.assertIsNone(self.pairs_until_trip(1.0, 1.0, count))
             self.respond_new_only(4.0)
             self.assertIsNone(self.breaker.tripped("marelle", "2"))
-            self.assertTrue(self.breaker.doubted("marelle", "2"))
+            self.assertTrue(self.breaker.needs_control("marelle", "2"))
             self.assertIsNone(self.pairs_until_trip(4.0, 4.0))
 
     def test_doubt_ends_with_a_trip_if_the_old_version_is_fast(self) -> None:
@@ -119,14 +119,14 @@
         longer than it takes to compare."""
         self.respond_new_only(4.0)
         self.assertIsNone(self.pairs_until_trip(4.0, 4.0, 25))
-        self.assertFalse(self.breaker.doubted("marelle", "2"))
+        self.assertFalse(self.breaker.needs_control("marelle", "2"))
         self.assertIsNone(self.pairs_until_trip(4.0, 4.0))
 
     def test_doubt_ends_when_no_answers_come(self) -> None:
         """Guards against requests on the old version due to a route that is no longer used."""
         self.respond_new_only(4.0)
         self.now += 11.0
-        self.assertFalse(self.breaker.doubted("marelle", "2"))
+        self.assertFalse(self.breaker.needs_control("marelle", "2"))
 
     def test_busy_machines_of_peers_stop_no_version(self) -> None:
         """Guards against adding up slow responses of peers without those of the old version."""
@@ -139,8 +139,8 @@
             peer.observe(NEW, response(self.rng, slow=4.0), "1")
         self.breaker.observe(NEW, response(self.rng), "1")
         reports = [*peer.reports("marelle", "1", "2"), *peer.reports("marelle", "2")]
-        self.assertIsNone(self.breaker.hear("node-1", reports[:1]))
-        self.assertIsNone(self.breaker.hear("node-1", reports[1:], "1"))
+        self.assertIsNone(self.breaker.add_peer_reports("node-1", reports[:1]))
+        self.assertIsNone(self.breaker.add_peer_reports("node-1", reports[1:], "1"))
 
     def test_cold_cache_does_not_stop_good_version(self) -> None:
         """Guards against mistaking the recomputation after a cold cache for a slow version."""
@@ -165,7 +165,7 @@
         for node in nodes:
             self.assertIsNone(node.observe(NEW, FAILURE, "1"))
         for number in (1, 2):
-            nodes[0].hear(f"node-{number}", nodes[number].reports("marelle", "2"), "1")
+            nodes[0].add_peer_reports(f"node-{number}", nodes[number].reports("marelle", "2"), "1")
         self.assertIsNotNone(nodes[0].tripped("marelle", "2"))
 
     def test_repeated_report_does_not_add_up(self) -> None:
@@ -173,7 +173,7 @@
         peer = Breaker()
         peer.observe(NEW, FAILURE, "1")
         for _ in range(10):
-            self.breaker.hear("node-1", peer.reports("marelle", "2"), "1")
+            self.breaker.add_peer_reports("node-1", peer.reports("marelle", "2"), "1")
         self.assertIsNone(self.breaker.tripped("marelle", "2"))
 
     def test_trip_lasts_until_new_attempt(self) -> None:
