Rename tend to maintain and want to set_wanted

Cause: tend is figurative for the periodic claiming, keeping and handing over of leases and slots, and want did not say that it replaces a function.

Change: tend -> maintain, TEND_INTERVAL_S -> MAINTENANCE_INTERVAL_S, _tend_forever -> _maintain_forever, _tending -> _maintaining, _tend_slots -> _maintain_slots, LeaseHold.want -> set_wanted.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -15,7 +15,7 @@
 from random import Random
 
 from arbutustally.limit_issuer import Demand
-from arbutustally_node.limits_service import REPORT_INTERVAL_S, TEND_INTERVAL_S, WAIT_S
+from arbutustally_node.limits_service import MAINTENANCE_INTERVAL_S, REPORT_INTERVAL_S, WAIT_S
 from tests.limits_world import ACCOUNT, SimNode, World
 
 OUT = Path(__file__).resolve().parent / "out" / "limits.csv"
@@ -121,7 +121,7 @@
         end = self._start + MEASURED_S
         for instant in self._arrivals(end):
             self._at(instant, self._arrive)
-        self._every(TEND_INTERVAL_S, end, self._world.tend)
+        self._every(MAINTENANCE_INTERVAL_S, end, self._world.maintain)
         self._every(REPORT_INTERVAL_S, end, self._report)
         if self._case.failure:
             self._at(self._start + FAILURE_AT_S, self._freeze, True)
--- a/packages/arbutustally-node/src/arbutustally_node/lease_hold.py
+++ b/packages/arbutustally-node/src/arbutustally_node/lease_hold.py
@@ -110,7 +110,7 @@
             raise LeaseLostError(f"lease {self._name} is not held by this node; ask its holder")
         return self.epoch
 
-    def want(self, wanted: Callable[[], bool]) -> None:
+    def set_wanted(self, wanted: Callable[[], bool]) -> None:
         """Replaces the function that returns whether this node should hold the lease."""
         self._wanted = wanted
 
--- a/packages/arbutustally-node/src/arbutustally_node/limits_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/limits_service.py
@@ -30,7 +30,7 @@
 #: Longest wait of a request for a grant, seconds.
 WAIT_S = 0.5
 #: Interval between two updates of the leases and slots, seconds.
-TEND_INTERVAL_S = 0.5
+MAINTENANCE_INTERVAL_S = 0.5
 #: Interval between two checks for due reports and grants that end soon, seconds.
 REPORT_INTERVAL_S = 0.25
 #: Timeout of each step of stopping while the log or peers do not respond, seconds.
@@ -117,7 +117,7 @@
         self._sources = GrantSources(
             options, clock, log, self._call, self._pool, self._owners, self._slots
         )
-        self._tending: dict[int, gevent.Greenlet] = {}
+        self._maintaining: dict[int, gevent.Greenlet] = {}
         self._stopping = Signal()
         self._loops: list[gevent.Greenlet] = []
 
@@ -138,7 +138,7 @@
         peers.handle(GRANT, self._sources.on_grant)
         peers.handle(SHARE_GRANT, self._sources.on_share_grant)
         peers.handle(SLOT_EFFECTIVE, self._on_slot_effective)
-        self._loops = [gevent.spawn(self._tend_forever), gevent.spawn(self._report_forever)]
+        self._loops = [gevent.spawn(self._maintain_forever), gevent.spawn(self._report_forever)]
 
     def stop(self) -> None:
         """Returns unused grants and ends the loops.
@@ -147,7 +147,7 @@
         the stop hands them over without that wait.
         """
         self._stopping.set()
-        gevent.killall([*self._loops, *self._tending.values()], timeout=1)
+        gevent.killall([*self._loops, *self._maintaining.values()], timeout=1)
         with gevent.Timeout(STOP_TIMEOUT_S, False):
             for account in self._pool.accounts():
                 self._sources.report(account, everything=True)
@@ -310,27 +310,27 @@
 
     # Leases, slots and reports
 
-    def _tend_forever(self) -> None:
+    def _maintain_forever(self) -> None:
         while not self._stopping.is_set():
             live = self._membership().live_nodes()
             draining = self._membership().draining
             for shard in range(self._options.shards):
                 # An append that waits for the log blocks its own shard only.
-                running = self._tending.get(shard)
+                running = self._maintaining.get(shard)
                 if running is None or running.dead:
-                    self._tending[shard] = gevent.spawn(self.tend, shard, live, draining)
-            self._stopping.wait(TEND_INTERVAL_S)
+                    self._maintaining[shard] = gevent.spawn(self.maintain, shard, live, draining)
+            self._stopping.wait(MAINTENANCE_INTERVAL_S)
 
-    def tend(self, shard: int, live: list[Node], draining: bool) -> None:
+    def maintain(self, shard: int, live: list[Node], draining: bool) -> None:
         """Claims or hands over the lease and slots of a shard according to the live nodes."""
         ranked = ranking(shard, live)
         owner = self._owners[shard]
         if draining:
             owner.hand_over()
-        owner.tend(ranked)
+        owner.maintain(ranked)
         home_ids = [node.id for node in ranked[:HOME_WIDTH]]
         for holder in self._slots[shard]:
-            holder.tend(home_ids, draining)
+            holder.maintain(home_ids, draining)
 
     def _report_forever(self) -> None:
         while not self._stopping.is_set():
--- a/packages/arbutustally-node/src/arbutustally_node/log_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_service.py
@@ -206,7 +206,7 @@
                 spread_s=spread_s,
             )
         if wanted is not None:
-            hold.want(wanted)
+            hold.set_wanted(wanted)
         return hold
 
 
--- a/packages/arbutustally-node/src/arbutustally_node/shard_owner.py
+++ b/packages/arbutustally-node/src/arbutustally_node/shard_owner.py
@@ -99,7 +99,7 @@
             self._confirmed.clear()
         return self._issuer
 
-    def tend(self, ranked: list[Node]) -> None:
+    def maintain(self, ranked: list[Node]) -> None:
         """Claims, keeps or hands over the lease, and assigns and confirms the slots.
 
         :param ranked: live nodes in the shard's order.
@@ -117,7 +117,7 @@
             issuer = self.issuer()
         except LeaseLostError:
             return
-        self._tend_slots(issuer, ranked, now)
+        self._maintain_slots(issuer, ranked, now)
 
     def hand_over(self) -> None:
         """Starts the handover at once; used when the node drains."""
@@ -160,7 +160,7 @@
 
     # Slots
 
-    def _tend_slots(self, issuer: Issuer, ranked: list[Node], now: float) -> None:
+    def _maintain_slots(self, issuer: Issuer, ranked: list[Node], now: float) -> None:
         present = {f"{node.id}#{node.incarnation}" for node in ranked if node.incarnation}
         for slot in range(min(SLOTS, len(ranked))):
             entry = self._log().state.share(self._shard, slot)
@@ -170,7 +170,7 @@
                 else:
                     self._confirm(issuer, slot, entry)
             except RouterError as error:
-                # The next call of ``tend`` retries; until then the slot is unchanged.
+                # The next call of ``maintain`` retries; until then the slot is unchanged.
                 _log.debug(
                     "share slot not assigned or confirmed; will retry",
                     shard=self._shard,
--- a/packages/arbutustally-node/src/arbutustally_node/slot_holder.py
+++ b/packages/arbutustally-node/src/arbutustally_node/slot_holder.py
@@ -60,7 +60,7 @@
         """Records the owner's confirmation that the assignment at an offset is in effect."""
         self._tenure.confirm_owner_lowered(offset)
 
-    def tend(self, home_ids: list[str], draining: bool) -> None:
+    def maintain(self, home_ids: list[str], draining: bool) -> None:
         """Records new assignments; releases the slot when this node drains or is no longer a home.
 
         :param home_ids: ids of the home nodes of the shard.
@@ -88,5 +88,5 @@
         try:
             self._log().append(ShareRecord(self._shard, self._slot, "", self._tenure.epoch))
         except RouterError as error:
-            # The next call of ``tend`` retries; all grants have already ended.
+            # The next call of ``maintain`` retries; all grants have already ended.
             _log.debug("slot not released", shard=self._shard, slot=self._slot, code=error.code)
--- a/tests/limits_world.py
+++ b/tests/limits_world.py
@@ -107,16 +107,16 @@
 
     # Work of the limits service.
 
-    def tend(self) -> None:
+    def maintain(self) -> None:
         self.read()
         ranked = ranking(0, [node.node() for node in self.world.visible_to(self)])
         if self.draining:
             self.owner.hand_over()
-        self.owner.tend(ranked)
+        self.owner.maintain(ranked)
         self.step_hold()
         for slot in self.slots:
             try:
-                slot.tend([node.id for node in ranked[:2]], self.draining)
+                slot.maintain([node.id for node in ranked[:2]], self.draining)
             except RouterError:
                 continue
 
@@ -217,17 +217,17 @@
             raise PeerUnavailableError("simulated lost answer")
         return answer
 
-    def tend(self) -> None:
+    def maintain(self) -> None:
         for node in self.nodes.values():
             if not node.frozen:
-                node.tend()
+                node.maintain()
 
     def run(self, seconds: float, step: float = 1.0) -> None:
         """Advances time while all nodes that are not frozen do their periodic work."""
         end = self.now + seconds
         while self.now < end:
             self.now = min(self.now + step, end)
-            self.tend()
+            self.maintain()
 
     def admit(self, node: SimNode, tokens: float, ahead: float = 50.0) -> bool:
         if node.frozen:
--- a/tests/test_limits_model.py
+++ b/tests/test_limits_model.py
@@ -92,7 +92,7 @@
     @rule(index=NODES)
     def tend_one(self, index: int) -> None:
         if not self.world.node(index).frozen:
-            self.world.node(index).tend()
+            self.world.node(index).maintain()
 
     @rule(index=NODES)
     def freeze(self, index: int) -> None:
@@ -386,7 +386,7 @@
         """Guards against a first share in use while the owner's grants cover the whole burst."""
         world = World()
         owner = world.node(world.owner_index())
-        owner.tend()
+        owner.maintain()
         world.now += 30
         owner.read()
         owner.step_hold()
@@ -398,7 +398,7 @@
         other.read()
         self.assertEqual(other.sources.ask_owner("acct", BURST, BURST).tokens, BURST)
         for _ in range(3):
-            world.tend()
+            world.maintain()
         second = world.nodes[owner.state.share(0, 1).holder.partition("#")[0]]
         self.assertRaises(LeaseLostError, second.slots[1].issuer)
         world.run(LIFETIME_S + 2)
