Rename the record and topology functions that two packages use

Cause: winners, observed, dials and answered did not say what they return or do.

Change: winners -> top_nodes, LeaseObserver.observed -> record_read, dials -> opens_link, bookings.answered -> outcome_of_response. Names only; the strings "answered" of traces stay.

--- a/packages/arbutustally-node/src/arbutustally_node/booking_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/booking_service.py
@@ -18,7 +18,6 @@
 from arbutustally.bookings import (
     Decision,
     Step,
-    answered,
     booking_key,
     check_window,
     decide,
@@ -26,6 +25,7 @@
     may_have_run,
     not_run,
     outcome_body,
+    outcome_of_response,
     request_digest,
 )
 from arbutustally.clock import Clock, monotonic
@@ -345,7 +345,7 @@
 
 def _outcome(attempt: Attempt, answer: PlainAnswer) -> Outcome:
     content_type = answer.headers.get("content-type", "")
-    return answered(
+    return outcome_of_response(
         attempt.key, attempt.offset, answer.ran, answer.status, content_type, answer.body
     )
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/order_lease.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/order_lease.py
@@ -160,7 +160,7 @@
         self._read_at = now
         last = reading.last
         if last is not None:
-            self._observer.observed(NAME, fence_number(reading.era, last.offset), now)
+            self._observer.record_read(NAME, fence_number(reading.era, last.offset), now)
         self._is_open = last is not None and not _is_released(reading)
         if self._is_open and last.is_released:
             self._is_open = not self._is_claimable(reading)
--- a/packages/arbutustally-node/src/arbutustally_node/lease_hold.py
+++ b/packages/arbutustally-node/src/arbutustally_node/lease_hold.py
@@ -161,7 +161,7 @@
         now = self._clock()
         entry = self._log.state.lease(self._name)
         if entry is not None:
-            self._observer.observed(self._name, entry.last_offset, now)
+            self._observer.record_read(self._name, entry.last_offset, now)
         if not self._log.ready:
             return
         if self._is_mine():
--- a/packages/arbutustally-node/src/arbutustally_node/membership.py
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -9,7 +9,7 @@
 from gevent.pool import Pool
 
 from arbutustally.clock import Clock, monotonic
-from arbutustally.directory import winners
+from arbutustally.directory import top_nodes
 from arbutustally.engine_client import EngineClient
 from arbutustally.errors import InstanceListUnavailableError
 from arbutustally.instance_client import Instance, InstanceClient
@@ -226,7 +226,7 @@
             instance
             for instance in self._endpoints.listed()
             if self._options.node_id
-            in winners(instance.id, by_zone.get(instance.zone, everyone), copies)
+            in top_nodes(instance.id, by_zone.get(instance.zone, everyone), copies)
         ]
 
     def poll(self, instance: Instance) -> None:
--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -15,7 +15,7 @@
 from arbutustally.logs import get_logger
 from arbutustally.metrics import Counter, Metrics, declare
 from arbutustally.peer_protocol import Event, Events, Handshake, Identity, SecureChannel, encode
-from arbutustally.topology import FULL_MESH_NODES, Plan, dials, plan
+from arbutustally.topology import FULL_MESH_NODES, Plan, opens_link, plan
 from arbutustally_node.broadcasts import Broadcasts
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import Options
@@ -297,7 +297,7 @@
         self._known_since = {node_id: self._known_since.get(node_id, now) for node_id in known}
         for node_id in wanted:
             waited = now - self._known_since.get(node_id, now)
-            if dials(self._options.node_id, node_id) or waited > DIAL_GRACE_S:
+            if opens_link(self._options.node_id, node_id) or waited > DIAL_GRACE_S:
                 self._ensure_dialling(node_id)
         self._close_unwanted()
 
--- a/packages/arbutustally/src/arbutustally/bookings.py
+++ b/packages/arbutustally/src/arbutustally/bookings.py
@@ -144,7 +144,7 @@
     return Outcome(key, str(Ran.MAY_HAVE_RUN), claim=claim)
 
 
-def answered(
+def outcome_of_response(
     key: str, claim: int, ran: Ran, status: int, content_type: str, body: bytes
 ) -> Outcome:
     """Returns the outcome of a dispatch that received a response.
--- a/packages/arbutustally/src/arbutustally/directory.py
+++ b/packages/arbutustally/src/arbutustally/directory.py
@@ -30,7 +30,7 @@
     return digest.digest()
 
 
-def winners(item: str, node_ids: Iterable[str], count: int) -> list[str]:
+def top_nodes(item: str, node_ids: Iterable[str], count: int) -> list[str]:
     """Returns the ids of the nodes with the highest scores, best first."""
     return nlargest(count, node_ids, key=lambda node_id: (score(item, node_id), node_id))
 
--- a/packages/arbutustally/src/arbutustally/lease.py
+++ b/packages/arbutustally/src/arbutustally/lease.py
@@ -68,7 +68,7 @@
         """Builds an observer of leases of one duration in seconds."""
         return cls(duration)
 
-    def observed(self, name: str, last_offset: int, now: float) -> None:
+    def record_read(self, name: str, last_offset: int, now: float) -> None:
         """Records when the last record of a lease was first read; later readings change nothing."""
         first_read = self._first_read.get(name)
         if first_read is None or first_read[0] != last_offset:
@@ -76,5 +76,5 @@
 
     def claimable(self, name: str, last_offset: int, now: float) -> bool:
         """Returns whether this observer has seen no newer record for a whole duration."""
-        self.observed(name, last_offset, now)
+        self.record_read(name, last_offset, now)
         return now - self._first_read[name][1] >= self.duration
--- a/packages/arbutustally/src/arbutustally/topology.py
+++ b/packages/arbutustally/src/arbutustally/topology.py
@@ -59,6 +59,6 @@
     return tuple(others[first:] + others[:first])
 
 
-def dials(own_id: str, other_id: str) -> bool:
+def opens_link(own_id: str, other_id: str) -> bool:
     """Returns whether this node opens the link to the other; the node with the smaller id does."""
     return own_id < other_id
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -198,7 +198,7 @@
         """Guards against a holder whose clock is slow by nearly the allowed rate."""
         held = HeldLease(0.0, DURATION_S)
         observer = LeaseObserver.from_config(DURATION_S)
-        observer.observed("x", 1, 0.0)
+        observer.record_read("x", 1, 0.0)
         true_end = DURATION_S / RATES[2]
         self.assertTrue(observer.claimable("x", 1, true_end * RATES[2]))
         self.assertFalse(held.valid(true_end * RATES[1]))
--- a/tests/test_order_lease_upgrade.py
+++ b/tests/test_order_lease_upgrade.py
@@ -76,7 +76,7 @@
         reading = self._leases.last()
         last = reading.last
         if last is not None and not last.is_released:
-            self._observer.observed(NAME, last.offset, self._clock())
+            self._observer.record_read(NAME, last.offset, self._clock())
         return last, reading.end
 
     def _hold(self, fence: int, sent_at: float) -> bool:
