Rename PlainAnswer to PlainResponse and WholeAnswer to CompleteResponse

Cause: HTTP responses were called answers.

Change: PlainAnswer -> PlainResponse (calls.py), WholeAnswer -> CompleteResponse (bounded_call.py). Names and order of imports only.

--- a/packages/arbutustally-node/src/arbutustally_node/booking_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/booking_service.py
@@ -41,7 +41,7 @@
 from arbutustally.records import Claim, Outcome
 from arbutustally.retries import RetryBudget
 from arbutustally.verdicts import Reason
-from arbutustally_node.calls import PlainAnswer, PlainCall
+from arbutustally_node.calls import PlainCall, PlainResponse
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.log_batcher import LogBatcher
 from arbutustally_node.options import Options
@@ -127,7 +127,7 @@
         """Stops appending."""
         self._batcher.stop()
 
-    def submit(self, call: PlainCall) -> PlainAnswer:
+    def submit(self, call: PlainCall) -> PlainResponse:
         """Runs a plain call.
 
         :raises RouterError: ``ran`` states what is proved about the run.
@@ -136,7 +136,7 @@
 
     # Calls that may be repeated.
 
-    def _repeatable(self, call: PlainCall) -> PlainAnswer:
+    def _repeatable(self, call: PlainCall) -> PlainResponse:
         tried: set[str] = set()
         failure: RouterError | None = None
         while True:
@@ -160,7 +160,7 @@
 
     # Bookings.
 
-    def _book(self, call: PlainCall) -> PlainAnswer:
+    def _book(self, call: PlainCall) -> PlainResponse:
         time_s = key_time_s(call.idempotency_key)
         check_window(time_s, self._wall_clock(), self._window_s)
         key = booking_key(call.account, call.route, call.idempotency_key)
@@ -290,13 +290,13 @@
         if len(self._abandoned) > MAX_ABANDONED:
             self._abandoned.popitem(last=False)
 
-    def _run(self, call: PlainCall, attempt: Attempt) -> PlainAnswer:
+    def _run(self, call: PlainCall, attempt: Attempt) -> PlainResponse:
         try:
             return self._dispatch(call, attempt)
         finally:
             self._attempts.pop(attempt.number, None)
 
-    def _dispatch(self, call: PlainCall, attempt: Attempt) -> PlainAnswer:
+    def _dispatch(self, call: PlainCall, attempt: Attempt) -> PlainResponse:
         tried: set[str] = set()
         while True:
             # Checked immediately before each dispatch: the process may have been paused since.
@@ -343,16 +343,16 @@
     outcome: Outcome
 
 
-def _outcome(attempt: Attempt, answer: PlainAnswer) -> Outcome:
+def _outcome(attempt: Attempt, answer: PlainResponse) -> Outcome:
     content_type = answer.headers.get("content-type", "")
     return outcome_of_response(
         attempt.key, attempt.offset, answer.ran, answer.status, content_type, answer.body
     )
 
 
-def _recorded(outcome: Outcome) -> PlainAnswer:
+def _recorded(outcome: Outcome) -> PlainResponse:
     body = outcome_body(outcome)
-    return PlainAnswer(
+    return PlainResponse(
         outcome.status, {"content-type": outcome.content_type}, body, Ran(outcome.ran)
     )
 
--- a/packages/arbutustally-node/src/arbutustally_node/bounded_call.py
+++ b/packages/arbutustally-node/src/arbutustally_node/bounded_call.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(frozen=True)
-class WholeAnswer:
+class CompleteResponse:
     """A response that was read completely.
 
     :ivar headers: as sent, in order.
@@ -38,7 +38,7 @@
     total_s: float,
     headers: Mapping[str, str] | None = None,
     body: bytes | None = None,
-) -> WholeAnswer:
+) -> CompleteResponse:
     """Makes a call and returns its complete response.
 
     :param max_bytes: largest response body.
@@ -50,7 +50,7 @@
         with gevent.Timeout(total_s, _LateError):
             response = pools.open(CallTarget(address), method, target, headers or {}, body, total_s)
             data = response.read_whole(max_bytes)
-            return WholeAnswer(response.status, tuple(response.header_items), data)
+            return CompleteResponse(response.status, tuple(response.header_items), data)
     except _LateError as error:
         raise EndpointTimeoutError(
             f"{address} did not respond in time; check its load", ran=Ran.MAY_HAVE_RUN
--- a/packages/arbutustally-node/src/arbutustally_node/calls.py
+++ b/packages/arbutustally-node/src/arbutustally_node/calls.py
@@ -64,7 +64,7 @@
 
 
 @dataclass(frozen=True)
-class PlainAnswer:
+class PlainResponse:
     """The response of a plain service.
 
     :ivar ran: whether the service ran the request.
--- a/packages/arbutustally-node/src/arbutustally_node/plain_dispatch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/plain_dispatch.py
@@ -10,7 +10,7 @@
     NoEndpointError,
     Ran,
 )
-from arbutustally_node.calls import PlainAnswer, PlainCall
+from arbutustally_node.calls import PlainCall, PlainResponse
 from arbutustally_node.kernel import Kernel
 
 NO_ENDPOINT_RETRY_S = 1.0
@@ -53,7 +53,7 @@
         least = min(state.running for state in states)
         return self._rng.choice([state for state in states if state.running == least])
 
-    def send(self, call: PlainCall, endpoint: Any, fresh: bool) -> PlainAnswer:
+    def send(self, call: PlainCall, endpoint: Any, fresh: bool) -> PlainResponse:
         """Sends the call once and returns the complete response.
 
         :raises RouterError: ``NOT_RUN`` only if no byte was sent.
@@ -86,7 +86,7 @@
             for name, value in response.headers.items()
             if name not in _DROPPED_RESPONSE_HEADERS
         }
-        return PlainAnswer(response.status, kept, body, ran)
+        return PlainResponse(response.status, kept, body, ran)
 
 
 ATTEMPT_ERRORS = (EndpointFailedError, EndpointTimeoutError)
