--- a/packages/arbutustally-node/src/arbutustally_node/booking_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/booking_service.py
@@ -120,7 +120,7 @@
         """Starts to append and subscribes to the log for late claims and outcomes."""
         log = self._kernel.lookup("log")
         log.subscribe(self._on_record)
-        log.subscribe_jump(self._on_jump)
+        log.subscribe_snapshot(self._on_jump)
         self._batcher.start()
 
     def stop(self) -> None:
--- a/packages/arbutustally-node/src/arbutustally_node/log_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_service.py
@@ -57,7 +57,7 @@
         )
         self._peers = LogPeers(kernel, self._view, clock, self._rng, self)
         self._view.subscribe(self._writer.complete)
-        self._view.subscribe_jump(self._writer.fail_skipped)
+        self._view.subscribe_snapshot(self._writer.fail_skipped)
         hold = self.hold(LEASE_NAME, spread_s=options.log_retention_s * CLAIM_SPREAD_FRACTION)
         self._checkpoints = CheckpointWriter(
             self, hold, options.log_retention_s, clock, self._rng, metrics
@@ -156,13 +156,13 @@
     def subscribe(self, callback: Subscriber) -> None:
         """Registers a callback that runs after each record; it must not block.
 
-        It is not called for records that a snapshot skipped; see ``subscribe_jump``.
+        It is not called for records that a snapshot skipped; see ``subscribe_snapshot``.
         """
         self._view.subscribe(callback)
 
-    def subscribe_jump(self, callback: Callable[[], None]) -> None:
+    def subscribe_snapshot(self, callback: Callable[[], None]) -> None:
         """Registers a callback that runs after a snapshot replaced the state."""
-        self._view.subscribe_jump(callback)
+        self._view.subscribe_snapshot(callback)
 
     def install(self, snapshot: bytes) -> bool:
         """Installs a snapshot received from a peer if its offset is above that of the state.
--- a/packages/arbutustally-node/src/arbutustally_node/log_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_view.py
@@ -52,7 +52,7 @@
         """Registers a callback that runs after each record."""
         self._subscribers.append(subscriber)
 
-    def subscribe_jump(self, subscriber: Callable[[], None]) -> None:
+    def subscribe_snapshot(self, subscriber: Callable[[], None]) -> None:
         """Registers a callback that runs after a snapshot skipped records."""
         self._snapshot_subscribers.append(subscriber)
 
--- a/tests/fake_booking_log.py
+++ b/tests/fake_booking_log.py
@@ -59,7 +59,7 @@
     def subscribe(self, callback: Any) -> None:
         self._callbacks.append(callback)
 
-    def subscribe_jump(self, callback: Any) -> None:
+    def subscribe_snapshot(self, callback: Any) -> None:
         return
 
     def append_many(self, bodies: list[Body]) -> list[Any]:
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -16,7 +16,7 @@
     """One log for any number of nodes.
 
     :ivar is_down: reads and appends fail before they reach the log.
-    :ivar lost_answers: number of next appends that take effect but fail.
+    :ivar lost_responses: number of next appends that take effect but fail.
     :ivar delay_s: delay of each append and read in seconds.
     :ivar oldest: oldest offset that is kept.
     :ivar reads: number of reads so far.
@@ -25,7 +25,7 @@
     def __init__(self) -> None:
         self.records: list[Record | None] = []
         self.is_down = False
-        self.lost_answers = 0
+        self.lost_responses = 0
         self.delay_s = 0.0
         self.oldest = 0
         self.reads = 0
@@ -44,8 +44,8 @@
         first = len(self.records)
         self.records.extend(records)
         self._appended.set()
-        if self.lost_answers:
-            self.lost_answers -= 1
+        if self.lost_responses:
+            self.lost_responses -= 1
             raise LogUnavailableError("response lost", ran=Ran.MAY_HAVE_RUN)
         return first
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -169,7 +169,7 @@
     def subscribe(self, callback: Any) -> None:
         return
 
-    def subscribe_jump(self, callback: Any) -> None:
+    def subscribe_snapshot(self, callback: Any) -> None:
         return
 
 
--- a/tests/test_log_faults.py
+++ b/tests/test_log_faults.py
@@ -48,10 +48,10 @@
         for number, (node, kind, fault) in enumerate(events):
             log.is_down = fault == "down"
             log.delay_s = 0.02 if fault == "slow" else 0.0
-            log.lost_answers = 2 if fault == "lost" else 0
+            log.lost_responses = 2 if fault == "lost" else 0
             appends.append(gevent.spawn(self._append, services[node], kind, number))
             gevent.sleep(0.01)
-        log.is_down, log.delay_s, log.lost_answers = False, 0.0, 0
+        log.is_down, log.delay_s, log.lost_responses = False, 0.0, 0
         return [append.get() for append in appends]
 
     def _append(self, service, kind: str, number: int) -> tuple:
--- a/tests/test_log_service.py
+++ b/tests/test_log_service.py
@@ -42,12 +42,12 @@
     def test_lost_answers_give_the_first_verdict(self) -> None:
         """Guards against reporting a conflict between an append and its own repeated copy."""
         service = self.start()
-        self.log.lost_answers = 3
+        self.log.lost_responses = 3
         appended = service.append(CHANGE)
         self.assertTrue(appended.verdict.accepted)
         self.assertEqual(service.state.version, appended.offset)
         claim = Claim("k", "d", "n1#1", 1.0)
-        self.log.lost_answers = 2
+        self.log.lost_responses = 2
         self.assertTrue(service.append(claim).verdict.accepted)
 
     def test_unread_record_is_sent_again_under_its_id_after_a_lost_response(self) -> None:
@@ -55,7 +55,7 @@
         service = self.ready()
         original_read = self.log.read
         self.log.read = self._down
-        self.log.lost_answers = 1
+        self.log.lost_responses = 1
         with self.assertRaises(LogUnavailableError) as caught:
             service.append(KeyWithdraw("kkkkkkkk"), timeout_s=1.0)
         self.assertEqual(caught.exception.ran, Ran.MAY_HAVE_RUN)
@@ -218,7 +218,7 @@
         """Guards against reporting to an operator that a change conflicts with itself."""
         service = self.ready()
         original_read, self.log.read = self.log.read, self._down
-        self.log.lost_answers = 1
+        self.log.lost_responses = 1
         waiting = gevent.spawn(service.append, CHANGE_B)
 
         def copies() -> list[int]:
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -139,7 +139,7 @@
 
     def test_lost_answer_of_the_log_is_no_conflict(self) -> None:
         """Guards against an operator who is told that an accepted change failed."""
-        self.log.lost_answers = 2
+        self.log.lost_responses = 2
         self.assertEqual(self.cli("apply", str(self.file))[0], ExitCode.DONE)
 
     def test_exit_codes(self) -> None:
