--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/codec.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/codec.py
@@ -79,7 +79,7 @@
     def attempt_headers(self, request: CallerRequest, terms: AttemptTerms) -> dict[str, str]:
         """Returns the headers of an attempt."""
 
-    def decode_answer(self, status: int, headers: Sequence[tuple[str, str]]) -> AnswerTerms:
+    def decode_response(self, status: int, headers: Sequence[tuple[str, str]]) -> AnswerTerms:
         """Returns the contents of the head of an answer."""
 
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -172,7 +172,7 @@
         self, request: CallerRequest, state: EndpointState, response: PooledResponse
     ) -> AttemptResult:
         """Classifies a response: usable, or not to be passed on to the caller."""
-        terms = self._codec.decode_answer(response.status, response.header_items)
+        terms = self._codec.decode_response(response.status, response.header_items)
         status = response.status
         if terms.echoed_id and terms.echoed_id != request.request_id:
             response.close()
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -180,7 +180,7 @@
     codec = PlatformCodec()
 
     def pause(self, status: int, text: str) -> float:
-        return self.codec.decode_answer(status, [("Retry-After", text)]).notice.pause_s
+        return self.codec.decode_response(status, [("Retry-After", text)]).notice.pause_s
 
     def test_fractions_count_and_only_beside_a_refusal(self) -> None:
         self.assertEqual(self.pause(503, "1.25"), 1.25)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -87,9 +87,9 @@
         self.assertTrue(request.prompt_tokens is None or request.prompt_tokens >= 0)
 
     def test_two_meanings_of_421(self) -> None:
-        terms = self.codec.decode_answer(421, [("Instance-Id", "i-9")])
+        terms = self.codec.decode_response(421, [("Instance-Id", "i-9")])
         self.assertEqual((terms.is_mismatched, terms.endpoint_id), (True, "i-9"))
-        self.assertFalse(self.codec.decode_answer(200, [("Server-Stamp", "x")]).is_mismatched)
+        self.assertFalse(self.codec.decode_response(200, [("Server-Stamp", "x")]).is_mismatched)
 
 
 class DocumentsTest(unittest.TestCase):
