Rename dispatched, finished and UNNAMED_DEAD_S of the endpoint table

Cause: participles named methods that change a count, and the constant did not say that it is a lifetime.

Change: UNNAMED_DEAD_S -> DEAD_MARK_TTL_S, dispatched -> add_dispatch, finished -> remove_dispatch, with the fake membership of tests/fakes.py.

--- a/packages/arbutustally-node/src/arbutustally_node/dispatch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/dispatch.py
@@ -138,11 +138,11 @@
         )
         tokens = max(0, shape.total_tokens - choice.expected_cached_tokens)
         membership = self._kernel.lookup("membership")
-        membership.dispatched(endpoint.id, tokens)
+        membership.add_dispatch(endpoint.id, tokens)
         try:
             response = self._open(call, endpoint, choice.incarnation, "POST", call.path, body)
         except BaseException as error:
-            membership.finished(endpoint.id, tokens)
+            membership.remove_dispatch(endpoint.id, tokens)
             if isinstance(error, CallerGoneError):
                 self.cancel(endpoint, call.request_id)
             raise
@@ -169,7 +169,7 @@
     def release_load(self, link: Link) -> None:
         """Removes the load of the prefill from the endpoint, at its first token at the latest."""
         if link.tokens:
-            self._kernel.lookup("membership").finished(link.endpoint.id, link.tokens)
+            self._kernel.lookup("membership").remove_dispatch(link.endpoint.id, link.tokens)
             link.tokens = 0
 
     def cancel(self, endpoint: Any, request_id: str) -> None:
--- a/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/endpoint_table.py
@@ -13,7 +13,7 @@
 #: Dispatches of this node remembered per endpoint between two load reports.
 MAX_DISPATCHES = 4096
 #: An endpoint without an incarnation is usable again this long after it was marked dead, seconds.
-UNNAMED_DEAD_S = 5.0
+DEAD_MARK_TTL_S = 5.0
 #: An endpoint and its marks are removed this long after it left the list, seconds.
 UNLISTED_RETENTION_S = 600.0
 
@@ -220,13 +220,13 @@
         if entry is not None:
             entry.unreachable = unreachable
 
-    def dispatched(self, endpoint_id: str, tokens: int) -> None:
+    def add_dispatch(self, endpoint_id: str, tokens: int) -> None:
         """Counts work dispatched by this node until a later report includes it."""
         entry = self._entries.get(endpoint_id)
         if entry is not None:
             entry.dispatches.append((self._clock(), tokens))
 
-    def finished(self, endpoint_id: str, tokens: int) -> None:
+    def remove_dispatch(self, endpoint_id: str, tokens: int) -> None:
         """Removes finished work of this node that no report includes yet."""
         entry = self._entries.get(endpoint_id)
         if entry is None:
@@ -288,7 +288,7 @@
     def _expired(self, mark: Mark) -> bool:
         # A plain service has no incarnation, so no later report could replace one marked dead.
         expires = mark.kind == "dead" and not mark.incarnation
-        return expires and self._clock() - self._marks[mark] > UNNAMED_DEAD_S
+        return expires and self._clock() - self._marks[mark] > DEAD_MARK_TTL_S
 
     def _remove(self, endpoint_id: str) -> None:
         del self._entries[endpoint_id]
--- a/packages/arbutustally-node/src/arbutustally_node/membership.py
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -154,13 +154,13 @@
         incarnation = self._endpoints.incarnation(endpoint_id)
         self._mark(Mark(endpoint_id, incarnation, "leaving"))
 
-    def dispatched(self, endpoint_id: str, tokens: int) -> None:
+    def add_dispatch(self, endpoint_id: str, tokens: int) -> None:
         """Adds work sent by this node to the load of an endpoint."""
-        self._endpoints.dispatched(endpoint_id, tokens)
+        self._endpoints.add_dispatch(endpoint_id, tokens)
 
-    def finished(self, endpoint_id: str, tokens: int) -> None:
+    def remove_dispatch(self, endpoint_id: str, tokens: int) -> None:
         """Removes work sent by this node from the load of an endpoint."""
-        self._endpoints.finished(endpoint_id, tokens)
+        self._endpoints.remove_dispatch(endpoint_id, tokens)
 
     def drain(self) -> None:
         """Announces at once that this node is no longer to be named to callers."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -94,10 +94,10 @@
     def mark_dead(self, endpoint_id: str, incarnation: str) -> None:
         self.dead.add((endpoint_id, incarnation))
 
-    def dispatched(self, endpoint_id: str, tokens: int) -> None:
+    def add_dispatch(self, endpoint_id: str, tokens: int) -> None:
         self.load[endpoint_id] = self.load.get(endpoint_id, 0) + tokens
 
-    def finished(self, endpoint_id: str, tokens: int) -> None:
+    def remove_dispatch(self, endpoint_id: str, tokens: int) -> None:
         self.load[endpoint_id] -= tokens
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -212,11 +212,11 @@
     def test_own_dispatches_count_until_a_report_includes_them(self) -> None:
         """Guards against a herd to the endpoint that reported the least load."""
         service = self.hub.services["a"]
-        service.dispatched("e1", 50)
-        service.dispatched("e1", 70)
+        service.add_dispatch("e1", 50)
+        service.add_dispatch("e1", 70)
         self.assertEqual(self.states("a")["e1"].queued_tokens, 220)
         self.assertEqual(self.states("b")["e1"].queued_tokens, 100)
-        service.finished("e1", 50)
+        service.remove_dispatch("e1", 50)
         self.assertEqual(self.states("a")["e1"].queued_tokens, 170)
         self.set_load("e1", "i1", 300, age_s=60.0)
         self.round()
@@ -382,7 +382,7 @@
         table.update_list([Instance("p", "quotes", "p:80", "z", "live")])
         table.apply(Mark("p", "", "dead"))
         self.assertEqual(table.endpoints("quotes"), [])
-        clock.advance(endpoint_table.UNNAMED_DEAD_S + 0.1)
+        clock.advance(endpoint_table.DEAD_MARK_TTL_S + 0.1)
         self.assertEqual(len(table.endpoints("quotes")), 1)
 
     def test_new_address_is_a_new_process(self) -> None:
