--- a/packages/arbutustally-node/src/arbutustally_node/lease_hold.py
+++ b/packages/arbutustally-node/src/arbutustally_node/lease_hold.py
@@ -110,7 +110,7 @@
             raise LeaseLostError(f"lease {self._name} is not held by this node; ask its holder")
         return self.epoch
 
-    def want(self, wanted: Callable[[], bool]) -> None:
+    def set_wanted(self, wanted: Callable[[], bool]) -> None:
         """Replaces the function that returns whether this node should hold the lease."""
         self._wanted = wanted
 
@@ -161,7 +161,7 @@
         now = self._clock()
         entry = self._log.state.lease(self._name)
         if entry is not None:
-            self._observer.observed(self._name, entry.last_offset, now)
+            self._observer.record_read(self._name, entry.last_offset, now)
         if not self._log.ready:
             return
         if self._is_mine():
--- a/packages/arbutustally-node/src/arbutustally_node/membership.py
+++ b/packages/arbutustally-node/src/arbutustally_node/membership.py
@@ -9,7 +9,7 @@
 from gevent.pool import Pool
 
 from arbutustally.clock import Clock, monotonic
-from arbutustally.directory import winners
+from arbutustally.directory import top_nodes
 from arbutustally.engine_client import EngineClient
 from arbutustally.errors import InstanceListUnavailableError
 from arbutustally.instance_client import Instance, InstanceClient
@@ -154,13 +154,13 @@
         incarnation = self._endpoints.incarnation(endpoint_id)
         self._mark(Mark(endpoint_id, incarnation, "leaving"))
 
-    def dispatched(self, endpoint_id: str, tokens: int) -> None:
+    def add_dispatch(self, endpoint_id: str, tokens: int) -> None:
         """Adds work sent by this node to the load of an endpoint."""
-        self._endpoints.dispatched(endpoint_id, tokens)
+        self._endpoints.add_dispatch(endpoint_id, tokens)
 
-    def finished(self, endpoint_id: str, tokens: int) -> None:
+    def remove_dispatch(self, endpoint_id: str, tokens: int) -> None:
         """Removes work sent by this node from the load of an endpoint."""
-        self._endpoints.finished(endpoint_id, tokens)
+        self._endpoints.remove_dispatch(endpoint_id, tokens)
 
     def drain(self) -> None:
         """Announces at once that this node is no longer to be named to callers."""
@@ -226,7 +226,7 @@
             instance
             for instance in self._endpoints.listed()
             if self._options.node_id
-            in winners(instance.id, by_zone.get(instance.zone, everyone), copies)
+            in top_nodes(instance.id, by_zone.get(instance.zone, everyone), copies)
         ]
 
     def poll(self, instance: Instance) -> None:
