Name a parameter and an attribute in docstrings as the code does

Cause: the last read of the change found :param may_take: of EndpointBook.usable, whose parameter is now predicate, and FleetWorld.is_cut documented as a parameter. Change: two words in two docstrings.

--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -102,7 +102,7 @@
     """Nodes and the network between them.
 
     :param loss: fraction of the datagrams that are lost.
-    :param is_cut: whether a datagram from one node to another is lost in a partition.
+    :ivar is_cut: whether a datagram from one node to another is lost in a partition.
     """
 
     def __init__(
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -224,7 +224,7 @@
         Suspected and unreachable endpoints are left out while another one remains; paused ones are
         always left out.
 
-        :param may_take: filter of the endpoints to consider.
+        :param predicate: filter of the endpoints to consider.
         """
         now = self._clock()
         staying = filter(predicate, self._staying(service, now))
