Log how long a removed endpoint counts as present and how old its list is

Change: endpoint_removed and endpoint_kept tell kept_s, endpoint_listed_again tells an entry of an endpoint that was leaving or removed, endpoint_listed the incarnation, a request's line the age of the list.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -96,8 +96,10 @@
         for change in self._reading.take(updates):
             is_new = self._view.apply_endpoint(Record(change.key, change.value), peer)
             self._unconfirmed.discard(change.key)
-            if change.value is None and is_new:
+            if change.value is None and is_new and updates.keep_removed_s > 0:
                 self._view.book.keep(change.key, keep_until)
+                kept_s = round(self._view.book.kept_s(change.key), 2)
+                self._log.line("endpoint_kept", endpoint=change.key, kept_s=kept_s, source=peer)
         self._view.forget_gone()
 
     @property
@@ -105,6 +107,11 @@
         """Returns the position up to which the list is known, ``None`` before the first read."""
         return self._reading.position
 
+    @property
+    def list_age_s(self) -> float:
+        """Returns the time since the list was known to be current, seconds."""
+        return self._reading.age_s
+
     @property
     def is_reader(self) -> bool:
         """Returns whether this node reads the store for the fleet now."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -162,9 +162,20 @@
             return False
         self._endpoint_raw[record.key] = record.value
         self._has_endpoints = True
+        before = self.book.get(entry.id)
+        was_leaving = before is not None and before.is_leaving
+        was_removed = before is not None and before.gone_at is not None
         is_new = self.book.put(entry)
         if is_new:
             self._log_endpoint(entry, source)
+        if is_new and not entry.is_leaving and (was_leaving or was_removed):
+            self._log.line(
+                "endpoint_listed_again",
+                endpoint=entry.id,
+                was_leaving=was_leaving,
+                was_removed=was_removed,
+                source=source,
+            )
         return is_new
 
     def replace_endpoints(self, records: tuple[Record, ...], source: str) -> None:
@@ -202,7 +213,8 @@
         self._endpoint_raw.pop(endpoint_id, None)
         is_new = self.book.remove(endpoint_id)
         if is_new:
-            self._log.line("endpoint_removed", endpoint=endpoint_id, source=source)
+            kept_s = round(self.book.kept_s(endpoint_id), 2)
+            self._log.line("endpoint_removed", endpoint=endpoint_id, kept_s=kept_s, source=source)
         return is_new
 
     def _configure(self, configuration: Configuration, record: Record, source: str) -> None:
@@ -279,6 +291,7 @@
             endpoint=entry.id,
             address=entry.address,
             leaving=entry.is_leaving,
+            incarnation=entry.incarnation,
             weights=dict(entry.weights),
             source=source,
         )
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -111,6 +111,7 @@
         lambda: len(gossip.present) + 1,
         lambda: status.is_complete,
         state.rollouts,
+        lambda: store.endpoints.list_age_s,
     )
     exchange = RequestHandler(requests)
     store = _build_store_readers(options, platform, state, gossip)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -123,6 +123,8 @@
         self, eligible: list[EndpointState], left_s: float, has_run: bool, must_be_timely: bool
     ) -> Placed:
         services = self._services
+        age_s = services.list_age_s()
+        self._trace.facts["list_age_ms"] = round(age_s * 1000) if math.isfinite(age_s) else None
         if self._service.engine is None or not self._request.model:
             placed = Placed(choose_plain(eligible, services.zone, services.rng))
         else:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -35,6 +35,7 @@
     :ivar nodes: returns the number of nodes in the fleet, including this one.
     :ivar is_complete: returns whether the node has all data it needs to serve.
     :ivar rollouts: results of the releases that are being compared.
+    :ivar list_age_s: returns the time since the endpoints' list was known to be current, seconds.
     :ivar placed: placements to announce to the peers.
     """
 
@@ -57,6 +58,7 @@
     nodes: Callable[[], int]
     is_complete: Callable[[], bool]
     rollouts: RolloutEvidence
+    list_age_s: Callable[[], float]
     placed: PlacementLog = field(default_factory=PlacementLog)
 
 
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -122,6 +122,11 @@
         if state is not None and state.gone_at is not None:
             state.kept_until = max(state.kept_until, until)
 
+    def kept_s(self, endpoint_id: str) -> float:
+        """Returns the time for which a removed entry still counts as present, seconds."""
+        state = self._states.get(endpoint_id)
+        return max(0.0, state.kept_until - self._clock()) if state is not None else 0.0
+
     @property
     def keeps_removed_s(self) -> float:
         """Returns the time for which entries removed now count as present, seconds."""
--- a/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
+++ b/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
@@ -110,6 +110,11 @@
         """Returns the position up to which the list is known, ``None`` if it is unknown."""
         return self._position
 
+    @property
+    def age_s(self) -> float:
+        """Returns the time since the list was known to be current, seconds."""
+        return self._clock() - self._fresh_at
+
     @property
     def has_missed(self) -> bool:
         """Returns whether a peer has sent changes, or an era, that this node lacks."""
