--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -52,6 +52,8 @@
         self.topics: dict[str, list[tuple[str, bytes]]] = defaultdict(list)
         self.first: dict[str, int] = defaultdict(int)
         self.status = 200
+        self.refused_topics: set[str] = set()
+        self.refusals = 0
         self.lose_next_answer = False
         self.calls = 0
         self.reads: Counter[str] = Counter()
@@ -61,7 +63,8 @@
         self._contents: dict[tuple[str, int], bytes] = {}
         self._authored: dict[tuple[str, str], bytes] = {}
         self._changed = Event()
-        super().__init__(self._with_era(app))
+        self.app = self._with_era(app)
+        super().__init__(self.app)
 
     def _with_era(self, app: Bottle):
         """Adds the era to all responses, including refusals."""
@@ -150,6 +153,9 @@
 
     def _refused(self) -> HTTPResponse | None:
         self.calls += 1
+        if request.query.get("topic") in self.refused_topics:
+            self.refusals += 1
+            return HTTPResponse(status=503)
         return HTTPResponse(status=self.status) if self.status != 200 else None
 
     def _newest(self):
@@ -204,6 +210,23 @@
         return {"offset": end, "end": end + 1}
 
 
+class StorePath(_Server):
+    """Path of one node to a store; a ``status`` other than 200 refuses the calls on this path."""
+
+    def __init__(self, store: FakeStore) -> None:
+        self.status = 200
+        self.refusals = 0
+        self._store = store
+        super().__init__(self._serve)
+
+    def _serve(self, environ, start_response):
+        if self.status == 200:
+            return self._store.app(environ, start_response)
+        self.refusals += 1
+        start_response(f"{self.status} Refused", [("Content-Length", "0")])
+        return [b""]
+
+
 class FakeWorker(_Server):
     """A worker; ``behave`` may replace the response to a request.
 
--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -114,6 +114,7 @@
         self.index = index
         self.is_cut = False
         self.is_frozen = False
+        self.is_isolated = False
         clock, log = world.clock, DecisionLog({}, clock=world.clock)
         self.view = FleetView(Documents(), clock, log)
         watch = StoreWatch(self.view.book, log, clock, STORE_RETURN_S)
@@ -160,14 +161,14 @@
         return {state.id for state in self.view.book.usable(SERVICE)}
 
     def rank(self, _duty: bytes = READING_DUTY) -> int:
-        return [node.index for node in self.world.awake()].index(self.index)
+        return [node.index for node in self.world.reached_by(self)].index(self.index)
 
     def send_now(self) -> None:
         """Sends the updates to all awake peers, as ``PeerSync`` does."""
         updates = self.endpoints.updates()
         operator = self.operator_reader.updates() if self.endpoints.is_reader else ()
         now = self.world.clock()
-        for peer in self.world.awake():
+        for peer in self.world.reached_by(self):
             if peer is self:
                 continue
             if updates is not None:
@@ -197,7 +198,7 @@
         self._catch_up()
 
     def _catch_up(self) -> None:
-        peers = [peer for peer in self.world.awake() if peer is not self]
+        peers = [peer for peer in self.world.reached_by(self) if peer is not self]
         ahead = [peer for peer in peers if peer.version > self.version]
         is_behind = not self.watch.has_store and self.endpoints.has_missed
         if not peers or not (ahead or is_behind or self.reading.position is None):
@@ -226,6 +227,12 @@
     def awake(self) -> list[Node]:
         return [node for node in self.nodes if not node.is_frozen]
 
+    def reached_by(self, node: Node) -> list[Node]:
+        """Returns the awake nodes that exchange messages with a node, including itself."""
+        if node.is_isolated:
+            return [node]
+        return [other for other in self.awake() if not other.is_isolated]
+
     def write_operator(self, key: str) -> None:
         self.store.put("op", key, str(self.written[key]).encode())
 
