Count a removal as an expiry only if the store was away for all

Callers' requests reached an endpoint for up to 2.5 s after its entry was removed; 2.0 s are allowed. Cause: any failed call of a node to the store, of the list, the operator's records or the announcement, counted as an outage of the store, so that entries removed in the next 2.5 s counted as expired; a reader told this to the whole fleet. Class of fault: a failure of one's own path taken for the failure of a shared service.

Change: StoreWatch knows nothing of endpoints any more. The reader of the list judges a gap of 1.5 heartbeat intervals or more since any node of the fleet is known to have read the list, by the entries written in it: endpoints that could write did so in the gap too. A node that was frozen or isolated finds them, a fleet without a store does not. During an outage only entries that already are kept stay kept.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -6,6 +6,7 @@
 
 from arbutustally.clock import Clock
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
+from arbutustally.gateway.list_outage import ListOutage
 from arbutustally.gateway.shared_reading import Change, ListUpdate, Position, SharedReading
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
@@ -41,6 +42,8 @@
     """Reads the list while this node is a reader, or receives nothing from any reader.
 
     :param leaving_s: time within which leaving endpoints must be known, seconds.
+    :param outage: judges whether entries expired or were removed.
+    :param return_s: time after the store's return within which a missing entry may reappear, seconds.
     """
 
     def __init__(
@@ -53,6 +56,8 @@
         clock: Clock,
         gossip: Gossip,
         leaving_s: float,
+        outage: ListOutage,
+        return_s: float,
     ) -> None:
         self._pause_s = leaving_s * PAUSE_FRACTION
         self._wait_s = leaving_s * WAIT_FRACTION
@@ -64,6 +69,8 @@
         self._clock = clock
         self._gossip = gossip
         self._reader_s = leaving_s * READER_FRACTION
+        self._outage = outage
+        self._return_s = return_s
         self._read_at = float("-inf")
         self._is_reader: bool | None = None
         self._must_read_whole = True
@@ -93,6 +100,8 @@
     def take(self, updates: ListUpdate, peer: str) -> None:
         """Applies the changes that a peer has read."""
         keep_until = self._clock() + updates.keep_removed_s
+        if updates.keep_removed_s > 0 and self._may_have_expired:
+            self._view.book.keep_removed(keep_until)
         for change in self._reading.take(updates):
             is_new = self._view.apply_endpoint(Record(change.key, change.value), peer)
             self._unconfirmed.discard(change.key)
@@ -154,7 +163,7 @@
                 if not self._must_read_whole:
                     gevent.sleep(self._pause_s)
             except StoreUnavailableError as error:
-                self._watch.failed(error)
+                self.failed(error)
                 gevent.sleep(retry_s)
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
@@ -194,12 +203,43 @@
         if self._reading.position.era != start.era:
             # Meanwhile a peer's list of a newer era was applied.
             return
+        self._judge_gap(batch)
         self._read_at = self._clock()
         self._reading.read(batch.next_offset, self._apply(offset, batch))
         self._confirmed_to = batch.next_offset
         self._view.forget_gone()
         self._publish()
 
+    def failed(self, error: StoreUnavailableError) -> None:
+        """Records a failed call to the store."""
+        self._watch.failed(error)
+        if self._may_have_expired:
+            # Endpoints can't renew their entries either, unless this node alone is cut off.
+            self._view.book.extend_kept(self._clock() + self._return_s)
+
+    @property
+    def _may_have_expired(self) -> bool:
+        """Returns whether entries may have expired since the list was known to be current."""
+        return self._outage.is_possible(self._reading.age_s)
+
+    def _judge_gap(self, batch: Batch) -> None:
+        """Treats entries removed from now on as expired if the store was unavailable to all."""
+        gap_s, book = self._reading.age_s, self._view.book
+        if not self._outage.is_possible(gap_s):
+            return
+        entries = sum(record.value is not None for record in batch.records)
+        endpoints = sum(state.gone_at is None for state in book.all())
+        is_shown = self._outage.is_shown(gap_s, entries, endpoints)
+        if is_shown:
+            book.keep_removed(self._clock() + self._return_s)
+        self._log.line(
+            "endpoint_list_gap",
+            gap_s=round(gap_s, 2),
+            entries=entries,
+            endpoints=endpoints,
+            is_outage=is_shown,
+        )
+
     def _read_whole(self, start: Position | None) -> None:
         batch = self._topic.newest()
         self._watch.answered()
@@ -217,9 +257,10 @@
         known = self._reading.position
         self._unconfirmed.clear()
         if known is None or known.era == position.era:
-            self._view.replace_endpoints(records, source)
+            self._replace_same_era(records, source)
             return
-        self._watch.list_restored()
+        # Endpoints missing from the older copy are rewritten within the same time as expired ones.
+        self._view.book.keep_removed(self._clock() + self._return_s)
         self._unconfirmed_until = self._clock() + UNCONFIRMED_S
         self._confirmed_by_peers_at = self._clock() + REWRITTEN_S
         self._unconfirmed = self._view.apply_restored_endpoints(records, source)
@@ -228,6 +269,16 @@
             "endpoints_read_anew", era=position.era, previous=known.era, listed=len(records)
         )
 
+    def _replace_same_era(self, records: tuple[Record, ...], source: str) -> None:
+        """Applies a whole list; after a long gap, the entries that it lacks may have expired."""
+        book = self._view.book
+        may_have_expired = self._may_have_expired
+        listed = [state.id for state in book.all() if state.gone_at is None]
+        self._view.replace_endpoints(records, source)
+        if may_have_expired:
+            for endpoint_id in listed:
+                book.keep(endpoint_id, self._clock() + self._return_s)
+
     def _publish(self) -> None:
         """Sends the changes to all peers now.
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -11,6 +11,7 @@
 from arbutustally.clock import boottime, monotonic
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.holdings import USUAL_TERMS, Holdings, PlaceTerms
+from arbutustally.gateway.list_outage import ListOutage
 from arbutustally.gateway.place_terms import terms_of
 from arbutustally.gateway.shared_reading import SharedReading
 from arbutustally_node.gateway.announcer import Announcer
@@ -167,7 +168,7 @@
     options: GatewayOptions, platform: Platform, state: NodeState, gossip: Gossip
 ) -> StoreReaders:
     log, view, bounds = state.log, state.view, options.bounds
-    watch = StoreWatch(view.book, log, monotonic, bounds.store_return_s)
+    watch = StoreWatch(log, monotonic)
     StoreReturnMonitor.from_config(platform.store_era, log, state.instruments)
     endpoints = EndpointReader(
         platform.endpoint_topic,
@@ -178,6 +179,8 @@
         monotonic,
         gossip,
         bounds.leaving_s,
+        ListOutage(bounds.heartbeat_s),
+        bounds.store_return_s,
     )
     operator_reader = OperatorReader(
         platform.operator_topic,
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/options.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/options.py
@@ -16,6 +16,7 @@
     :ivar leaving_s: time after which a leaving endpoint gets no new requests, seconds.
     :ivar store_return_s: time after the store's return within which a missing entry may reappear,
         seconds.
+    :ivar heartbeat_s: interval at which endpoints renew their entries in the list, seconds.
     :ivar grace_s: time from SIGTERM to SIGKILL, seconds.
     :ivar directory_ttl_s: longest time for which an answer with addresses is valid, seconds.
     """
@@ -28,6 +29,7 @@
     repeats: RepeatBudget
     leaving_s: float = 2.0
     store_return_s: float = 2.5
+    heartbeat_s: float = 1.2
 
 
 @dataclass(frozen=True)
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -110,8 +110,12 @@
         Entries expire while the platform's store is unavailable, and are registered again soon
         after it returns. Entries removed before the outage stay removed.
         """
-        now = self._clock()
         self._keep_removed_until = until
+        self.extend_kept(until)
+
+    def extend_kept(self, until: float) -> None:
+        """Extends the time for which removed entries that still count as present do so."""
+        now = self._clock()
         for state in self._states.values():
             if state.gone_at is not None and state.kept_until > now:
                 state.kept_until = until
--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -7,6 +7,7 @@
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
 from arbutustally.gateway.configuration import Configuration
 from arbutustally.gateway.endpoint_entry import EndpointEntry
+from arbutustally.gateway.list_outage import ListOutage
 from arbutustally.gateway.shared_reading import SharedReading
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.endpoint_notices import EndpointNotices
@@ -117,7 +118,7 @@
         self.is_isolated = False
         clock, log = world.clock, DecisionLog({}, clock=world.clock)
         self.view = FleetView(Documents(), clock, log)
-        watch = StoreWatch(self.view.book, log, clock, STORE_RETURN_S)
+        watch = StoreWatch(log, clock)
         self.reading = SharedReading.from_config(clock, LEAVING_S)
         self.endpoints = EndpointReader(
             Topic(world, self, "servers"),
@@ -128,6 +129,8 @@
             clock,
             self,
             LEAVING_S,
+            ListOutage(TICK_S),
+            STORE_RETURN_S,
         )
         self.operator_reader = OperatorReader(
             Topic(world, self, "op"),
@@ -189,7 +192,7 @@
                 if self.endpoints._must_read_whole:
                     self.endpoints.read_once()
         except StoreUnavailableError as error:
-            self.watch.failed(error)
+            self.endpoints.failed(error)
         try:
             if self.operator_reader._offset is None or self.endpoints.is_reader:
                 self.operator_reader.read_once()
