Ignore an entry of an earlier start of an endpoint that was replaced

What callers would see: requests at an endpoint that announced in its answers that it leaves. Cause: the book of endpoints took any record as newer than what it had; a heartbeat of the process before, carried out late by the store, replaced the state of the running one, and the next heartbeat built it anew without its announced leaving. Class of fault: a position in a log taken for an order of events. Change: an entry whose start is known to be replaced changes nothing; a start with a lower number that is not known as replaced is taken, since a clock may be set back.

Excluded: a ready record after draining of the same start counts as a cancelled leaving, which tests.test_shared_reading demands since.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -160,6 +160,8 @@
         if entry is None:
             self._refused.add("endpoint_record_unreadable", record, source)
             return False
+        if self.book.is_replaced_start(entry):
+            return False
         self._endpoint_raw[record.key] = record.value
         self._has_endpoints = True
         before = self.book.get(entry.id)
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -137,7 +137,12 @@
         return max(0.0, self._keep_removed_until - self._clock())
 
     def put(self, entry: EndpointEntry) -> bool:
-        """Adds or updates an entry; returns whether it changes anything."""
+        """Adds or updates an entry; returns whether it changes anything.
+
+        An entry of an earlier start, e.g. one that was written late, changes nothing.
+        """
+        if self.is_replaced_start(entry):
+            return False
         state = self._states.get(entry.id)
         if state is None:
             self._states[entry.id] = EndpointState(entry, weights=dict(entry.weights))
@@ -157,6 +162,11 @@
             state.weights[model] = max(state.weights.get(model, 0), version)
         return is_new
 
+    def is_replaced_start(self, entry: EndpointEntry) -> bool:
+        """Returns whether an entry belongs to a start that another start under its id replaced."""
+        state = self._states.get(entry.id)
+        return state is not None and entry.incarnation in state.replaced_incarnations
+
     def is_outdated(self, entry: EndpointEntry) -> bool:
         """Returns whether an entry of an older list is outdated.
 
@@ -168,8 +178,7 @@
         if entry.incarnation == state.entry.incarnation:
             has_left = state.entry.is_leaving and not entry.is_leaving
             return has_left or state.gone_at is not None
-        is_replaced = entry.incarnation in state.replaced_incarnations
-        return is_replaced or _start_number(entry) < _start_number(state.entry)
+        return self.is_replaced_start(entry) or _start_number(entry) < _start_number(state.entry)
 
     def remove(self, endpoint_id: str) -> bool:
         """Marks an entry as removed; returns whether it was present."""
