Read on without a pause while the endpoints' list has more records

What callers would see: requests at an endpoint that left, on a fleet that writes more records a second than one answer holds (1 MiB), or after a pause in reading. Cause: each answer counted as the end of the list, so that a reader paused after it, and told its peers that the list is current. Class of fault: a part taken for the whole. Change: a batch tells how many records the topic already has behind it; a reader goes on at once, and its list is not younger for it. A gap is judged by all records in it.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -74,6 +74,7 @@
         self._read_at = float("-inf")
         self._is_reader: bool | None = None
         self._must_read_whole = True
+        self._has_more = False
         # Endpoints whose entries in an older copy of the list were not applied; their next records
         # show whether they still exist.
         self._unconfirmed: set[str] = set()
@@ -160,8 +161,7 @@
             try:
                 self.read_once()
                 retry_s = RETRY_S
-                if not self._must_read_whole:
-                    gevent.sleep(self._pause_s)
+                gevent.sleep(0 if self._must_read_whole or self._has_more else self._pause_s)
             except StoreUnavailableError as error:
                 self.failed(error)
                 gevent.sleep(retry_s)
@@ -203,9 +203,15 @@
         if self._reading.position.era != start.era:
             # Meanwhile a peer's list of a newer era was applied.
             return
-        self._judge_gap(batch)
+        if not self._has_more:
+            self._judge_gap(batch)
         self._read_at = self._clock()
-        self._reading.read(batch.next_offset, self._apply(offset, batch))
+        changes = self._apply(offset, batch)
+        self._has_more = bool(batch.records) and batch.unread > 0
+        if self._has_more:
+            self._reading.read_part(batch.next_offset, changes)
+        else:
+            self._reading.read(batch.next_offset, changes)
         self._confirmed_to = batch.next_offset
         self._view.forget_gone()
         self._publish()
@@ -227,7 +233,7 @@
         gap_s, book = self._reading.age_s, self._view.book
         if not self._outage.is_possible(gap_s):
             return
-        entries = sum(record.value is not None for record in batch.records)
+        entries = sum(record.value is not None for record in batch.records) + batch.unread
         endpoints = sum(state.gone_at is None for state in book.all())
         is_shown = self._outage.is_shown(gap_s, entries, endpoints)
         if is_shown:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/store.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/store.py
@@ -43,11 +43,13 @@
 
     :ivar next_offset: offset from which to read next.
     :ivar era: era of the store when it answered, 0 if not stated.
+    :ivar unread: records that the topic already had from ``next_offset`` on.
     """
 
     records: tuple[Record, ...]
     next_offset: int
     era: int = 0
+    unread: int = 0
 
 
 class KeyedTopic(Protocol):
--- a/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
+++ b/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
@@ -152,6 +152,14 @@
         self._advance_to(offset)
         self._record_store_answer()
 
+    def read_part(self, offset: int, changes: Iterable[Change]) -> None:
+        """Records that this node has read up to an offset beyond which the list has more records.
+
+        That shows nothing of the age of the list.
+        """
+        self._add_changes(changes)
+        self._advance_to(offset)
+
     def take(self, updates: ListUpdate) -> tuple[Change, ...]:
         """Processes updates of a peer; returns the changes that this node did not know."""
         known = self._position
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -54,6 +54,7 @@
         self.status = 200
         self.refused_topics: set[str] = set()
         self.refusals = 0
+        self.read_limit: int | None = None
         self.lose_next_answer = False
         self.calls = 0
         self.reads: Counter[str] = Counter()
@@ -184,7 +185,7 @@
         if not self.first[topic] <= start <= len(self.topics[topic]):
             response.status = 410
             return {"first": self.first[topic]}
-        records = self.topics[topic][start:]
+        records = self.topics[topic][start:][: self.read_limit]
         body = struct.pack(">QQ", len(self.topics[topic]), self.first[topic])
         for offset, (key, data) in enumerate(records, start):
             content = self._contents.get((topic, offset))
