Count the age of the endpoints' list from when it was asked for

What callers would see: requests at an endpoint that left, at nodes in touch, while the answers to the fleet's reader are held up on its link. Cause: the list counted as current at the moment its answer arrived; a list that was 1.2 s old looked new, and the other nodes, which read for themselves from 1.0 s on, waited that much longer. Class of fault: the time of arrival taken for the time of a statement. Change: an answer with records is as old as the call, one without as the end of the wait that the store was asked for.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -191,6 +191,7 @@
         try:
             # Changes from peers advance the position but do not confirm these endpoints.
             offset = self._confirmed_to if self._unconfirmed else start.offset
+            asked_at = self._reading.now
             batch = self._topic.since(offset, self._wait_s)
         except HoleFoundError as error:
             self._log.line("store_history_gone", oldest=error.oldest)
@@ -211,11 +212,20 @@
         if self._has_more:
             self._reading.read_part(batch.next_offset, changes)
         else:
-            self._reading.read(batch.next_offset, changes)
+            self._reading.read(batch.next_offset, changes, self._current_at(asked_at, batch))
         self._confirmed_to = batch.next_offset
         self._view.forget_gone()
         self._publish()
 
+    def _current_at(self, asked_at: float, batch: Batch) -> float:
+        """Returns when the list certainly was as in a batch, which may be held up on its way.
+
+        The store keeps a read without records waiting until its end.
+        """
+        if batch.records:
+            return asked_at
+        return min(asked_at + self._wait_s, self._reading.now)
+
     def failed(self, error: StoreUnavailableError) -> None:
         """Records a failed call to the store."""
         self._watch.failed(error)
@@ -247,6 +257,7 @@
         )
 
     def _read_whole(self, start: Position | None) -> None:
+        asked_at = self._reading.now
         batch = self._topic.newest()
         self._watch.answered()
         self._must_read_whole = False
@@ -256,7 +267,7 @@
             # The changes received from peers meanwhile are newer than this answer.
             return
         self._replace(batch.records, position, "store")
-        self._reading.read_whole(position)
+        self._reading.read_whole(position, asked_at)
 
     def _replace(self, records: tuple[Record, ...], position: Position, source: str) -> None:
         """Applies a whole list; a list of another era may be older than the known one."""
--- a/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
+++ b/packages/arbutustally/src/arbutustally/gateway/shared_reading.py
@@ -110,6 +110,11 @@
         """Returns the position up to which the list is known, ``None`` if it is unknown."""
         return self._position
 
+    @property
+    def now(self) -> float:
+        """Returns the time on the clock of the readings, seconds."""
+        return self._clock()
+
     @property
     def age_s(self) -> float:
         """Returns the time since the list was known to be current, seconds."""
@@ -133,24 +138,28 @@
             return True
         return now - self._fresh_at >= self._stale_s + delay
 
-    def read_whole(self, position: Position) -> None:
-        """Records that this node has read the whole list at a position."""
+    def read_whole(self, position: Position, current_at: float | None = None) -> None:
+        """Records that this node has read the whole list at a position.
+
+        :param current_at: as for ``read``.
+        """
         self._reset_to(position)
-        self._record_store_answer()
+        self._record_store_answer(current_at)
 
     def adopt_list(self, position: Position) -> None:
         """Records that this node has adopted a peer's whole list at a position."""
         self._reset_to(position)
         self._fresh_at = self._clock()
 
-    def read(self, offset: int, changes: Iterable[Change]) -> None:
+    def read(self, offset: int, changes: Iterable[Change], current_at: float | None = None) -> None:
         """Records that this node has read the list up to an offset of the current era.
 
         :param changes: those of the records read that change an entry.
+        :param current_at: time at which the list certainly was as read, ``None`` for now.
         """
         self._add_changes(changes)
         self._advance_to(offset)
-        self._record_store_answer()
+        self._record_store_answer(current_at)
 
     def read_part(self, offset: int, changes: Iterable[Change]) -> None:
         """Records that this node has read up to an offset beyond which the list has more records.
@@ -216,14 +225,16 @@
     def _advance_to(self, offset: int) -> None:
         self._position = Position(self._position.era, max(self._position.offset, offset))
 
-    def _record_store_answer(self) -> None:
+    def _record_store_answer(self, current_at: float | None = None) -> None:
         """Records an answer of the store in the current era."""
         now = self._clock()
+        current_at = now if current_at is None else current_at
         if now - self._claimed_at < CLAIM_S:
             self._denied_at = now
         self._claimed_at = float("-inf")
         self._lacks_changes = False
-        self._read_at = self._fresh_at = now
+        self._read_at = current_at
+        self._fresh_at = max(self._fresh_at, current_at)
 
     def _add_changes(self, changes: Iterable[Change]) -> None:
         now = self._clock()
