Reject new requests from the middle of a short grace period on

Excluded here for a grace of 8 s: new requests are rejected with 503 from 3 s on, when no caller can hold this node's address any more. Shown for a grace under 6 s, where 3 s lie in its second half or behind it: cause, the time did not depend on the grace. Class of fault: a constant that assumes a setting. Change: new requests are rejected after half of the grace at the latest.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -24,6 +24,8 @@
 #: long, and a stopping node serves until then.
 DIRECTORY_TTL_S = 1.0
 TTL_CACHED_FACTOR = 3
+#: Share of the grace period from which on new requests are rejected at the latest.
+REFUSING_SHARE = 0.5
 #: Time before the end of the grace period at which a draining node stops, seconds.
 GRACE_MARGIN_S = 0.6
 STOP_POLL_S = 0.05
@@ -97,12 +99,13 @@
         self._log.line("node_draining", running=self._listener.running)
         self._weights.stop()
         self._gossip.send_now()
-        latest = boottime() + self._options.bounds.grace_s - GRACE_MARGIN_S
-        known_until = boottime() + self._ttl_s * TTL_CACHED_FACTOR
+        began, grace_s = boottime(), self._options.bounds.grace_s
+        latest = began + grace_s - GRACE_MARGIN_S
+        refuse_at = began + min(self._ttl_s * TTL_CACHED_FACTOR, grace_s * REFUSING_SHARE)
         self._listener.drain()
         while boottime() < latest:
-            if boottime() >= known_until:
-                # A stream that starts now might not finish within the grace period.
+            if boottime() >= refuse_at:
+                # A request that starts now might not finish within the grace period.
                 self._exchange.refuse_new()
                 self._listener.close_idle()
                 if not self._listener.running:
