Answer the requests that still run when the grace of a stop ends

Shown here: the process ended with the connections of all running requests. Class of fault: an end of the process taken for an end of its work.

--- a/packages/arbutustally-node/src/arbutustally_node/caller_watch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_watch.py
@@ -1,4 +1,4 @@
-"""Detects that a caller closed its connection while its request waits for an endpoint."""
+"""Interrupts a request that waits for an endpoint: its caller is gone, or the node stops."""
 
 import select
 from typing import Any
@@ -15,8 +15,12 @@
     """The caller closed its connection; raised in the greenlet that serves it."""
 
 
+class NodeStoppingError(Exception):
+    """The node stops before the request has ended; raised in the greenlet that serves it."""
+
+
 class CallerWatch:
-    """Interrupts the serving greenlet when its caller closes the connection.
+    """Interrupts the serving greenlet when its caller closes the connection or the node stops.
 
     The exception is raised only inside a ``with`` block of the watch, so that accounting outside of
     it always completes. Inside the block the greenlet waits for an endpoint or for its caller.
@@ -26,6 +30,7 @@
 
     def __init__(self, sock: Any = None) -> None:
         self._is_gone = False
+        self._is_stopping = False
         self._may_interrupt = False
         self._greenlet = gevent.getcurrent()
         self._watcher = None
@@ -39,6 +44,11 @@
         """Returns whether the caller has closed its connection."""
         return self._is_gone
 
+    def node_stops(self) -> None:
+        """Interrupts the request since the node stops."""
+        self._is_stopping = True
+        gevent.get_hub().loop.run_callback(self._interrupt_stopping)
+
     def stop(self) -> None:
         """Ends the watch; must be called before the socket is closed."""
         watcher, self._watcher = self._watcher, None
@@ -49,11 +59,17 @@
     def __enter__(self) -> None:
         if self._is_gone:
             raise CallerGoneError
+        if self._is_stopping:
+            raise NodeStoppingError
         self._may_interrupt = True
 
     def __exit__(self, *_error: Any) -> None:
         self._may_interrupt = False
 
+    def _interrupt_stopping(self) -> None:
+        if self._may_interrupt:
+            self._greenlet.throw(NodeStoppingError)
+
     def _on_readable(self) -> None:
         poll = _poll()
         poll.register(self._descriptor, select.POLLRDHUP)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -65,6 +65,7 @@
         self._idle: set[Any] = set()
         self._connections = 0
         self._running = 0
+        self._watches: set[CallerWatch] = set()
         self._draining = False
 
     @property
@@ -95,6 +96,11 @@
         """Closes each connection after its next response."""
         self._draining = True
 
+    def end_running(self) -> None:
+        """Ends the requests that wait for an endpoint; those without an answer get an error."""
+        for watch in list(self._watches):
+            watch.node_stops()
+
     def close_idle(self) -> None:
         """Closes the connections on which no request has begun or arrived."""
         for sock in list(self._idle):
@@ -156,9 +162,11 @@
             _refuse(sock, connection, error)
             return False
         watch = CallerWatch(sock)
+        self._watches.add(watch)
         try:
             self._handler(request, connection, watch)
         finally:
+            self._watches.discard(watch)
             watch.stop()
             reader.release()
         return connection.keep and not self._draining
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -29,6 +29,8 @@
 #: Time before the end of the grace period at which a draining node stops, seconds.
 GRACE_MARGIN_S = 0.6
 STOP_POLL_S = 0.05
+#: Time for the answers to the requests that still run at that time, seconds.
+LAST_ANSWERS_S = 0.2
 
 
 class GatewayNode:
@@ -111,6 +113,8 @@
                 if not self._listener.running:
                     return
             gevent.sleep(STOP_POLL_S)
+        self._listener.end_running()
+        gevent.sleep(LAST_ANSWERS_S)
 
     def stop(self) -> None:
         """Stops all services."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_handler.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_handler.py
@@ -5,12 +5,13 @@
 from arbutustally.errors import (
     DrainingError,
     EndpointFailedError,
+    EndpointTimeoutError,
     NoConfigurationError,
     Ran,
     RouterError,
 )
 from arbutustally.gateway.requests import CallerRequest
-from arbutustally_node.caller_watch import CallerGoneError, CallerWatch
+from arbutustally_node.caller_watch import CallerGoneError, CallerWatch, NodeStoppingError
 from arbutustally_node.gateway.caller import CallerConnection
 from arbutustally_node.gateway.placer import DEFAULT_RETRY_S
 from arbutustally_node.gateway.request_run import RequestRun
@@ -49,6 +50,13 @@
         except CallerGoneError:
             trace.outcome = "caller_gone"
             connection.keep = False
+        except NodeStoppingError:
+            stopping = EndpointTimeoutError(
+                "the node stops before the endpoint has answered; it may have run",
+                ran=Ran.MAY_HAVE_RUN,
+            )
+            self._refuse(connection, stopping, trace)
+            trace.outcome = "node_stopping"
         except OSError as error:
             trace.outcome = "caller_unwritable"
             trace.facts["error"] = type(error).__name__
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -25,7 +25,7 @@
     Route,
 )
 from arbutustally.gateway.requests import CallerRequest
-from arbutustally_node.caller_watch import CallerGoneError, CallerWatch
+from arbutustally_node.caller_watch import CallerGoneError, CallerWatch, NodeStoppingError
 from arbutustally_node.gateway.answer_delivery import AnswerDelivery
 from arbutustally_node.gateway.attempt_load import AttemptLoad
 from arbutustally_node.gateway.caller import CallerConnection
@@ -196,8 +196,7 @@
         except BaseException as error:
             if attempt.result is None:
                 self._ran += 1
-            is_gone = isinstance(error, CallerGoneError)
-            self._withdraw(attempt, "caller_gone" if is_gone else "caller_unwritable")
+            self._withdraw(attempt, _reason_to_withdraw(error))
             raise
         finally:
             attempt.load.end()
@@ -387,3 +386,9 @@
     def _urgency(self) -> int:
         account = self._account.priority if self._account else 0
         return account * 3 + self._route.priority
+
+
+def _reason_to_withdraw(error: BaseException) -> str:
+    if isinstance(error, NodeStoppingError):
+        return "node_stopping"
+    return "caller_gone" if isinstance(error, CallerGoneError) else "caller_unwritable"
--- a/tests/test_grace_end.py
+++ b/tests/test_grace_end.py
@@ -62,6 +62,21 @@
         except TimeoutError:
             return b""
 
+    def test_booking_that_runs_at_the_end_of_the_grace_is_answered(self) -> None:
+        """Guards against a connection that ends without an answer in a planned stop."""
+        self.assert_answered_at_the_end("/book/x")
+
+    def test_stream_without_an_event_at_the_end_of_the_grace_is_answered(self) -> None:
+        self.assert_answered_at_the_end("/chat/x")
+
+    def assert_answered_at_the_end(self, path: str) -> None:
+        sock = self.send(path)
+        self.eventually(lambda: self.began)
+        stop = gevent.spawn(self.drain_and_stop)
+        stop.join()
+        # The process ends here, and with it all connections.
+        self.assertRegex(self.answer(sock), rb"^HTTP/1.1 504 ")
+
     def test_request_that_comes_late_in_the_grace_does_not_run(self) -> None:
         """Guards against a request that begins in a stop although it may not end before it."""
         # The node stops early if no request runs.
