--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -6,6 +6,7 @@
 
 from arbutustally.clock import Clock
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
+from arbutustally.gateway.list_outage import ListOutage
 from arbutustally.gateway.shared_reading import Change, ListUpdate, Position, SharedReading
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
@@ -41,6 +42,8 @@
     """Reads the list while this node is a reader, or receives nothing from any reader.
 
     :param leaving_s: time within which leaving endpoints must be known, seconds.
+    :param outage: judges whether entries expired or were removed.
+    :param return_s: time after the store's return within which a missing entry may reappear, seconds.
     """
 
     def __init__(
@@ -53,6 +56,8 @@
         clock: Clock,
         gossip: Gossip,
         leaving_s: float,
+        outage: ListOutage,
+        return_s: float,
     ) -> None:
         self._pause_s = leaving_s * PAUSE_FRACTION
         self._wait_s = leaving_s * WAIT_FRACTION
@@ -64,9 +69,12 @@
         self._clock = clock
         self._gossip = gossip
         self._reader_s = leaving_s * READER_FRACTION
+        self._outage = outage
+        self._return_s = return_s
         self._read_at = float("-inf")
         self._is_reader: bool | None = None
         self._must_read_whole = True
+        self._has_more = False
         # Endpoints whose entries in an older copy of the list were not applied; their next records
         # show whether they still exist.
         self._unconfirmed: set[str] = set()
@@ -93,11 +101,15 @@
     def take(self, updates: ListUpdate, peer: str) -> None:
         """Applies the changes that a peer has read."""
         keep_until = self._clock() + updates.keep_removed_s
+        if updates.keep_removed_s > 0 and self._may_have_expired:
+            self._view.book.keep_removed(keep_until)
         for change in self._reading.take(updates):
             is_new = self._view.apply_endpoint(Record(change.key, change.value), peer)
             self._unconfirmed.discard(change.key)
-            if change.value is None and is_new:
+            if change.value is None and is_new and updates.keep_removed_s > 0:
                 self._view.book.keep(change.key, keep_until)
+                kept_s = round(self._view.book.kept_s(change.key), 2)
+                self._log.line("endpoint_kept", endpoint=change.key, kept_s=kept_s, source=peer)
         self._view.forget_gone()
 
     @property
@@ -105,6 +117,11 @@
         """Returns the position up to which the list is known, ``None`` before the first read."""
         return self._reading.position
 
+    @property
+    def list_age_s(self) -> float:
+        """Returns the time since the list was known to be current, seconds."""
+        return self._reading.age_s
+
     @property
     def is_reader(self) -> bool:
         """Returns whether this node reads the store for the fleet now."""
@@ -144,10 +161,9 @@
             try:
                 self.read_once()
                 retry_s = RETRY_S
-                if not self._must_read_whole:
-                    gevent.sleep(self._pause_s)
+                gevent.sleep(0 if self._must_read_whole or self._has_more else self._pause_s)
             except StoreUnavailableError as error:
-                self._watch.failed(error)
+                self.failed(error)
                 gevent.sleep(retry_s)
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
@@ -175,6 +191,7 @@
         try:
             # Changes from peers advance the position but do not confirm these endpoints.
             offset = self._confirmed_to if self._unconfirmed else start.offset
+            asked_at = self._reading.now
             batch = self._topic.since(offset, self._wait_s)
         except HoleFoundError as error:
             self._log.line("store_history_gone", oldest=error.oldest)
@@ -187,13 +204,60 @@
         if self._reading.position.era != start.era:
             # Meanwhile a peer's list of a newer era was applied.
             return
+        if not self._has_more:
+            self._judge_gap(batch)
         self._read_at = self._clock()
-        self._reading.read(batch.next_offset, self._apply(offset, batch))
+        changes = self._apply(offset, batch)
+        self._has_more = bool(batch.records) and batch.unread > 0
+        if self._has_more:
+            self._reading.read_part(batch.next_offset, changes)
+        else:
+            self._reading.read(batch.next_offset, changes, self._current_at(asked_at, batch))
         self._confirmed_to = batch.next_offset
         self._view.forget_gone()
         self._publish()
 
+    def _current_at(self, asked_at: float, batch: Batch) -> float:
+        """Returns when the list certainly was as in a batch, which may be held up on its way.
+
+        The store keeps a read without records waiting until its end.
+        """
+        if batch.records:
+            return asked_at
+        return min(asked_at + self._wait_s, self._reading.now)
+
+    def failed(self, error: StoreUnavailableError) -> None:
+        """Records a failed call to the store."""
+        self._watch.failed(error)
+        if self._may_have_expired:
+            # Endpoints can't renew their entries either, unless this node alone is cut off.
+            self._view.book.extend_kept(self._clock() + self._return_s)
+
+    @property
+    def _may_have_expired(self) -> bool:
+        """Returns whether entries may have expired since the list was known to be current."""
+        return self._outage.is_possible(self._reading.age_s)
+
+    def _judge_gap(self, batch: Batch) -> None:
+        """Treats entries removed from now on as expired if the store was unavailable to all."""
+        gap_s, book = self._reading.age_s, self._view.book
+        if not self._outage.is_possible(gap_s):
+            return
+        entries = sum(record.value is not None for record in batch.records) + batch.unread
+        endpoints = sum(state.gone_at is None for state in book.all())
+        is_shown = self._outage.is_shown(gap_s, entries, endpoints)
+        if is_shown:
+            book.keep_removed(self._clock() + self._return_s)
+        self._log.line(
+            "endpoint_list_gap",
+            gap_s=round(gap_s, 2),
+            entries=entries,
+            endpoints=endpoints,
+            is_outage=is_shown,
+        )
+
     def _read_whole(self, start: Position | None) -> None:
+        asked_at = self._reading.now
         batch = self._topic.newest()
         self._watch.answered()
         self._must_read_whole = False
@@ -203,16 +267,17 @@
             # The changes received from peers meanwhile are newer than this answer.
             return
         self._replace(batch.records, position, "store")
-        self._reading.read_whole(position)
+        self._reading.read_whole(position, asked_at)
 
     def _replace(self, records: tuple[Record, ...], position: Position, source: str) -> None:
         """Applies a whole list; a list of another era may be older than the known one."""
         known = self._reading.position
         self._unconfirmed.clear()
         if known is None or known.era == position.era:
-            self._view.replace_endpoints(records, source)
+            self._replace_same_era(records, source)
             return
-        self._watch.list_restored()
+        # Endpoints missing from the older copy are rewritten within the same time as expired ones.
+        self._view.book.keep_removed(self._clock() + self._return_s)
         self._unconfirmed_until = self._clock() + UNCONFIRMED_S
         self._confirmed_by_peers_at = self._clock() + REWRITTEN_S
         self._unconfirmed = self._view.apply_restored_endpoints(records, source)
@@ -221,6 +286,16 @@
             "endpoints_read_anew", era=position.era, previous=known.era, listed=len(records)
         )
 
+    def _replace_same_era(self, records: tuple[Record, ...], source: str) -> None:
+        """Applies a whole list; after a long gap, the entries that it lacks may have expired."""
+        book = self._view.book
+        may_have_expired = self._may_have_expired
+        listed = [state.id for state in book.all() if state.gone_at is None]
+        self._view.replace_endpoints(records, source)
+        if may_have_expired:
+            for endpoint_id in listed:
+                book.keep(endpoint_id, self._clock() + self._return_s)
+
     def _publish(self) -> None:
         """Sends the changes to all peers now.
 
--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -7,6 +7,7 @@
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
 from arbutustally.gateway.configuration import Configuration
 from arbutustally.gateway.endpoint_entry import EndpointEntry
+from arbutustally.gateway.list_outage import ListOutage
 from arbutustally.gateway.shared_reading import SharedReading
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.endpoint_notices import EndpointNotices
@@ -114,9 +115,10 @@
         self.index = index
         self.is_cut = False
         self.is_frozen = False
+        self.is_isolated = False
         clock, log = world.clock, DecisionLog({}, clock=world.clock)
         self.view = FleetView(Documents(), clock, log)
-        watch = StoreWatch(self.view.book, log, clock, STORE_RETURN_S)
+        watch = StoreWatch(log, clock)
         self.reading = SharedReading.from_config(clock, LEAVING_S)
         self.endpoints = EndpointReader(
             Topic(world, self, "servers"),
@@ -127,6 +129,8 @@
             clock,
             self,
             LEAVING_S,
+            ListOutage(TICK_S),
+            STORE_RETURN_S,
         )
         self.operator_reader = OperatorReader(
             Topic(world, self, "op"),
@@ -160,14 +164,14 @@
         return {state.id for state in self.view.book.usable(SERVICE)}
 
     def rank(self, _duty: bytes = READING_DUTY) -> int:
-        return [node.index for node in self.world.awake()].index(self.index)
+        return [node.index for node in self.world.reached_by(self)].index(self.index)
 
     def send_now(self) -> None:
         """Sends the updates to all awake peers, as ``PeerSync`` does."""
         updates = self.endpoints.updates()
         operator = self.operator_reader.updates() if self.endpoints.is_reader else ()
         now = self.world.clock()
-        for peer in self.world.awake():
+        for peer in self.world.reached_by(self):
             if peer is self:
                 continue
             if updates is not None:
@@ -188,7 +192,7 @@
                 if self.endpoints._must_read_whole:
                     self.endpoints.read_once()
         except StoreUnavailableError as error:
-            self.watch.failed(error)
+            self.endpoints.failed(error)
         try:
             if self.operator_reader._offset is None or self.endpoints.is_reader:
                 self.operator_reader.read_once()
@@ -197,7 +201,7 @@
         self._catch_up()
 
     def _catch_up(self) -> None:
-        peers = [peer for peer in self.world.awake() if peer is not self]
+        peers = [peer for peer in self.world.reached_by(self) if peer is not self]
         ahead = [peer for peer in peers if peer.version > self.version]
         is_behind = not self.watch.has_store and self.endpoints.has_missed
         if not peers or not (ahead or is_behind or self.reading.position is None):
@@ -226,6 +230,12 @@
     def awake(self) -> list[Node]:
         return [node for node in self.nodes if not node.is_frozen]
 
+    def reached_by(self, node: Node) -> list[Node]:
+        """Returns the awake nodes that exchange messages with a node, including itself."""
+        if node.is_isolated:
+            return [node]
+        return [other for other in self.awake() if not other.is_isolated]
+
     def write_operator(self, key: str) -> None:
         self.store.put("op", key, str(self.written[key]).encode())
 
