Log endpoints that end while they begin to answer, with the parts of the prompts

Change: an attempt that its endpoint broke off before 0.5 s of answer is followed by a check whether anything listens there; if not, endpoint_crashed tells the keys of the shared parts of such prompts, and the line of the request has them too. Nothing is decided by it yet.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -5,6 +5,7 @@
 from arbutustally.gateway.attempts import Outcome
 from arbutustally.gateway.configuration import Route, Service
 from arbutustally.gateway.endpoint_state import EndpointState
+from arbutustally.gateway.part_keys import shared_part_keys
 from arbutustally.gateway.requests import CallerRequest, shape_of
 from arbutustally.placement_types import Observation
 from arbutustally_node.gateway.attempt_load import AttemptLoad
@@ -13,6 +14,7 @@
 from arbutustally_node.gateway.rollout_evidence import AnswerRun
 from arbutustally_node.gateway.stream_relay import RelayEnd
 from arbutustally_node.gateway.transport import (
+    ENDPOINT_GONE,
     ENDPOINT_SILENT,
     OTHER_ENDPOINT,
     OTHER_WEIGHTS,
@@ -20,6 +22,10 @@
 )
 from arbutustally_node.response_reading import ResponseReading
 
+#: Reasons of attempts that their endpoint broke off.
+BROKEN_REASONS = frozenset(
+    {"connection_broken", "answer_broken", ENDPOINT_GONE, RelayEnd.BROKEN, RelayEnd.GONE}
+)
 #: Reasons of attempts abandoned because another endpoint answered first: slow, not failed.
 SILENT_REASONS = frozenset({ENDPOINT_SILENT, RelayEnd.SILENT})
 #: Reasons of attempts that took too long and were not interrupted by their endpoint.
@@ -109,6 +115,13 @@
             self._record_failure(state)
         if attempt.placed.choice is not None:
             self._learn_engine(attempt)
+        if result.reason in BROKEN_REASONS:
+            self._record_broken(attempt)
+
+    def _record_broken(self, attempt: PlacedAttempt) -> None:
+        keys = shared_part_keys(self._request)
+        self._trace.facts["parts"] = [key.hex() for key in keys]
+        self._services.crashes.broken(attempt.placed.state, self._request, attempt.load.first_at)
 
     def _is_overloaded(self, attempt: PlacedAttempt) -> bool:
         """Returns whether an attempt was slow at an engine that makes progress on other requests.
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -17,6 +17,7 @@
 from arbutustally_node.gateway.announcer import Announcer
 from arbutustally_node.gateway.cache_follower import CacheFollower
 from arbutustally_node.gateway.catch_up import CatchUp
+from arbutustally_node.gateway.crash_watch import CrashWatch
 from arbutustally_node.gateway.endpoint_check import EndpointChecker
 from arbutustally_node.gateway.endpoint_notices import EndpointNotices
 from arbutustally_node.gateway.endpoint_reader import READING_DUTY, EndpointReader
@@ -113,6 +114,7 @@
         lambda: status.is_complete,
         state.rollouts,
         lambda: store.endpoints.list_age_s,
+        CrashWatch(log, state.instruments, monotonic, lambda _state, _at, _keys: None),
     )
     exchange = RequestHandler(requests)
     store = _build_store_readers(options, platform, state, gossip)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -12,6 +12,7 @@
 from arbutustally.gateway.holdings import Holdings
 from arbutustally.gateway.quota import QuotaLedger
 from arbutustally.placement import Placement
+from arbutustally_node.gateway.crash_watch import CrashWatch
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.instruments import Instruments
@@ -36,6 +37,7 @@
     :ivar is_complete: returns whether the node has all data it needs to serve.
     :ivar rollouts: results of the releases that are being compared.
     :ivar list_age_s: returns the time since the endpoints' list was known to be current, seconds.
+    :ivar crashes: recognises endpoints that end while they begin to answer.
     :ivar placed: placements to announce to the peers.
     """
 
@@ -59,6 +61,7 @@
     is_complete: Callable[[], bool]
     rollouts: RolloutEvidence
     list_age_s: Callable[[], float]
+    crashes: CrashWatch
     placed: PlacementLog = field(default_factory=PlacementLog)
 
 
--- a/tests/raw_worker.py
+++ b/tests/raw_worker.py
@@ -84,7 +84,7 @@
         reader = connection.makefile("rb")
         number = 0
         with contextlib.suppress(OSError):
-            while (asked := _read(reader, number)) is not None:
+            while (asked := read_request(reader, number)) is not None:
                 number += 1
                 self.seen.append(asked)
                 if not self._answer(connection, asked):
@@ -117,7 +117,7 @@
         connection.shutdown(socket.SHUT_WR)
 
 
-def _read(reader: Any, number: int) -> RawRequest | None:
+def read_request(reader: Any, number: int) -> RawRequest | None:
     """Returns the next request, ``None`` at the end of the connection."""
     target = reader.readline().decode("latin-1").split(" ")[1:2]
     if not target:
