Quarantine prompt parts that end the endpoints that answer on them

What callers saw: all engines of a service ended within a second, again and again, and sound requests with them. Cause: nothing connected the end of an endpoint with the parts of the prompts that it was beginning to answer; each such request, and the repeat that the node added, ended one engine more. Class of fault: a request that kills its server treated as a failure of the server (a poison message).

Change: each crash makes candidates of the shared parts of the prompts that the endpoint was beginning to answer, each answer clears its prompt's parts. Nodes exchange both in their regular messages, as a union of crashes and the latest proof by part, so that loss, order and repetition do not matter. Requests with a culprit are rejected at once, 503, not run.

--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -13,8 +13,11 @@
 from arbutustally.clock import VirtualClock
 from arbutustally.gateway.quota import QuotaLedger, QuotaTolerance
 from arbutustally.gateway.relaying import Member
+from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_table import FleetTable
 from arbutustally_node.gateway.gossip import DIRECT_INTERVAL_S, RELAY_INTERVAL_S
+from arbutustally_node.gateway.instruments import Instruments
+from arbutustally_node.gateway.part_quarantine import PartQuarantine
 from arbutustally_node.gateway.peer_state import Covers, PeerState
 
 ENGINE = "engine"
@@ -49,6 +52,13 @@
         self.reported_peers = 0
         self.queued: list[tuple[PeerState, str]] = []
         self.last_admitted: dict[str, float] = {}
+        self.quarantine = PartQuarantine(
+            DecisionLog({}, clock=world.clock),
+            Instruments(),
+            world.clock,
+            world.clock,
+            self.table.rank,
+        )
         self._world = world
 
     def describe(self) -> PeerState:
@@ -60,11 +70,13 @@
             Covers.NODE,
             loads={ENGINE: (1, now, 0.0, 0)},
             admitted={ACCOUNT: self.admitted + self.ledger.admitted.get(ACCOUNT, 0.0)},
+            quarantine=self.quarantine.describe(),
         )
 
     def take(self, state: PeerState) -> None:
         if not self.table.take(state):
             return
+        self.quarantine.take(state.quarantine, state.sender.node)
         if state.covers is Covers.URGENT:
             self.urgent_states.append(state)
         use = self.table.reported_use(state)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_check.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_check.py
@@ -84,6 +84,12 @@
     return error is not None and error.errno in REFUSALS
 
 
+def has_no_listener(address: str) -> bool:
+    """Returns whether the host of the address answers that no process listens there."""
+    error = _connect_error(address)
+    return error is not None and error.errno == errno.ECONNREFUSED
+
+
 def _connect_error(address: str) -> OSError | None:
     """Returns the error of a connection attempt, ``None`` on success or after a local error."""
     host, _, port = address.rpartition(":")
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -5,7 +5,6 @@
 from arbutustally.gateway.attempts import Outcome
 from arbutustally.gateway.configuration import Route, Service
 from arbutustally.gateway.endpoint_state import EndpointState
-from arbutustally.gateway.part_keys import shared_part_keys
 from arbutustally.gateway.requests import CallerRequest, shape_of
 from arbutustally.placement_types import Observation
 from arbutustally_node.gateway.attempt_load import AttemptLoad
@@ -58,6 +57,7 @@
     """Updates the services of the node with the results of one request's attempts.
 
     :param isolated_account: account whose cached parts are isolated, otherwise empty.
+    :param shared_parts: keys of the shared parts of the prompt.
     """
 
     def __init__(
@@ -66,9 +66,11 @@
         request: CallerRequest,
         route: Route,
         isolated_account: str,
+        shared_parts: tuple[bytes, ...],
         trace: Trace,
     ) -> None:
         self._services = services
+        self._shared_parts = shared_parts
         self._request = request
         self._route = route
         self._isolated_account = isolated_account
@@ -104,6 +106,7 @@
             services.rollouts.ended(attempt.answer, is_failed)
         if result.outcome is Outcome.ANSWERED:
             services.view.book.answered(state, services.clock() - attempt.began)
+            services.quarantine.answered(self._shared_parts)
         elif result.reason == OTHER_ENDPOINT:
             services.view.book.mark_replaced(state)
             services.log.line("endpoint_replaced", endpoint=state.id, by=result.terms.endpoint_id)
@@ -119,9 +122,10 @@
             self._record_broken(attempt)
 
     def _record_broken(self, attempt: PlacedAttempt) -> None:
-        keys = shared_part_keys(self._request)
-        self._trace.facts["parts"] = [key.hex() for key in keys]
-        self._services.crashes.broken(attempt.placed.state, self._request, attempt.load.first_at)
+        self._trace.facts["parts"] = [part.hex() for part in self._shared_parts]
+        self._services.crashes.broken(
+            attempt.placed.state, self._shared_parts, attempt.load.first_at
+        )
 
     def _is_overloaded(self, attempt: PlacedAttempt) -> bool:
         """Returns whether an attempt was slow at an engine that makes progress on other requests.
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -27,6 +27,7 @@
 from arbutustally_node.gateway.node_status import NodeStatus
 from arbutustally_node.gateway.operator_reader import OperatorReader
 from arbutustally_node.gateway.order_lease import OrderLease
+from arbutustally_node.gateway.part_quarantine import PartQuarantine
 from arbutustally_node.gateway.peer_sync import PeerSync, SyncedServices
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
 from arbutustally_node.gateway.request_handler import RequestHandler
@@ -93,6 +94,7 @@
     holdings = Holdings.from_config(monotonic, lambda place: _place_terms(place, caches, state))
     caches = CacheFollower(platform.cache_events, view, holdings, gossip, log)
     pool = PoolService(CONNECT_TIMEOUT_S, SILENCE_S, id_header=platform.codec.id_header)
+    quarantine = PartQuarantine(log, state.instruments, boottime, monotonic, gossip.rank)
     requests = RequestServices(
         view,
         Transport(pool, platform.codec),
@@ -114,7 +116,8 @@
         lambda: status.is_complete,
         state.rollouts,
         lambda: store.endpoints.list_age_s,
-        CrashWatch(log, state.instruments, monotonic, lambda _state, _at, _keys: None),
+        CrashWatch(log, state.instruments, monotonic, quarantine.crashed),
+        quarantine,
     )
     exchange = RequestHandler(requests)
     store = _build_store_readers(options, platform, state, gossip)
@@ -133,6 +136,7 @@
         gossip,
         requests.placed,
         state.rollouts,
+        quarantine,
     )
     sync = PeerSync(synced, lambda: status.member, incarnation, monotonic)
     rollouts = _build_rollouts(platform, state, gossip, store)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -13,6 +13,12 @@
 from arbutustally.gateway.relaying import Member
 from arbutustally.gateway.shared_reading import Change, ListUpdate
 from arbutustally_node.addresses import is_host_ip
+from arbutustally_node.gateway.quarantine_messages import (
+    NO_UPDATE,
+    QuarantineUpdate,
+    decode_update,
+    update_row,
+)
 
 COMPRESSION_LEVEL = 3
 #: Content below this size is sent uncompressed: the gain would not justify the CPU time, bytes.
@@ -71,6 +77,7 @@
     :ivar down: endpoints to which the sender could not connect.
     :ivar leaving: incarnations of endpoints that announced in answers that they leave, by id.
     :ivar placed: recent placements of prompts, see ``PlacedParts``.
+    :ivar quarantine: crashes of endpoints, and prompt parts whose requests are rejected.
     :ivar members: the covered nodes without the sender; ``None`` if unchanged since the last list.
     :ivar peers: addresses of other relays.
     :ivar counted: number of the last message of each node that uses the sender as its relay.
@@ -93,6 +100,7 @@
     down: tuple[str, ...] = ()
     leaving: Mapping[str, str] = field(default_factory=dict)
     placed: tuple[Any, ...] = ()
+    quarantine: QuarantineUpdate = NO_UPDATE
     members: tuple[Member, ...] | None = None
     peers: tuple[str, ...] = ()
     counted: Mapping[str, int] = field(default_factory=dict)
@@ -103,6 +111,7 @@
         """Returns the datagram."""
         values = [getattr(self, one.name) for one in fields(self)]
         values[0] = _member_row(self.sender)
+        values[-6] = update_row(self.quarantine)
         values[-5] = None if self.members is None else [_member_row(one) for one in self.members]
         values[-2] = None if self.updates is None else _update_row(self.updates)
         values[-1] = [[one.key, one.value, one.age_s] for one in self.operator]
@@ -124,7 +133,8 @@
         sender, incarnation, number, covers, *rest, members, peers, counted, updates, operator = (
             values
         )
-        loads, admitted, speeds, weights, engines, orders, loading, down, leaving, placed = rest
+        loads, admitted, speeds, weights, engines, orders, loading, down, *rest = rest
+        leaving, placed, quarantine = rest
         return cls(
             _member(sender),
             _text(incarnation),
@@ -140,6 +150,7 @@
             tuple(map(_text, down)),
             {_text(key): _text(incarnation) for key, incarnation in leaving.items()},
             tuple(map(_placed, placed)),
+            decode_update(quarantine),
             None if members is None else tuple(map(_member, members)),
             tuple(map(_host_ip, peers)),
             {_text(key): _whole(last) for key, last in counted.items()},
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -18,6 +18,7 @@
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.operator_reader import OperatorReader
+from arbutustally_node.gateway.part_quarantine import PartQuarantine
 from arbutustally_node.gateway.peer_state import Covers, PeerState
 from arbutustally_node.gateway.placement_log import PlacementLog
 from arbutustally_node.gateway.rollout_evidence import SEPARATOR, RolloutEvidence
@@ -44,6 +45,7 @@
     gossip: Gossip
     placed: PlacementLog
     rollouts: RolloutEvidence
+    quarantine: PartQuarantine
 
 
 class PeerSync:
@@ -98,6 +100,7 @@
             down=tuple(state.id for state in states if state.is_down),
             leaving=services.notices.leaving,
             placed=services.placed.take(0) if has_placements else (),
+            quarantine=services.quarantine.describe(),
             updates=services.endpoints.updates(),
             operator=services.operator_reader.updates() if services.endpoints.is_reader else (),
         )
@@ -119,6 +122,7 @@
             services.speeds.set_peers(use.source, use.speeds)
         self._apply_weights(state)
         services.notices.apply_leaving(state.leaving, node)
+        services.quarantine.take(state.quarantine, node)
         for endpoint_id in state.down:
             endpoint = services.view.book.get(endpoint_id)
             if endpoint is not None and not endpoint.is_down:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -24,6 +24,7 @@
     Configuration,
     Route,
 )
+from arbutustally.gateway.part_keys import shared_part_keys
 from arbutustally.gateway.requests import CallerRequest
 from arbutustally_node.caller_watch import CallerGoneError, CallerWatch, NodeStoppingError
 from arbutustally_node.gateway.answer_delivery import AnswerDelivery
@@ -75,8 +76,9 @@
         self._ran = 0
         self._sends = 0
         self._placer = Placer(services, request, configuration, route, account, trace)
+        self._shared_parts = shared_part_keys(request) if request.model else ()
         self._learning = AttemptLearning(
-            services, request, route, self._placer.isolated_account, trace
+            services, request, route, self._placer.isolated_account, self._shared_parts, trace
         )
         self._delivery = AnswerDelivery(
             services, request, route, connection, watch, trace, lambda: self.left_s
@@ -95,6 +97,7 @@
 
         :raises RouterError: if it fails; part of a streamed response may have been written.
         """
+        self._services.quarantine.admit(self._shared_parts)
         cost = self._take_cost()
         self._services.repeats.record_request(self._placer.service.name)
         try:
@@ -135,7 +138,11 @@
             following = next_action(self._route, result.outcome, ran, self._sends, self.left_s)
             if following is Next.REPEAT and not self._delivery.is_resumable:
                 following = Next.FAIL
-            if following is Next.REPEAT and not self._take_repeat():
+            if following is Next.REPEAT and not self._may_run_again():
+                self._trace.facts["quarantine"] = "no_repeat"
+                is_not_run = result.outcome is Outcome.NOT_RUN and ran == 0
+                following = Next.REFUSE if is_not_run else Next.FAIL
+            elif following is Next.REPEAT and not self._take_repeat():
                 self._trace.facts["repeat_budget"] = "used"
                 is_not_run = result.outcome is Outcome.NOT_RUN and ran == 0
                 following = Next.REFUSE if is_not_run else Next.FAIL
@@ -145,6 +152,9 @@
             self._finish(following, result)
             return
 
+    def _may_run_again(self) -> bool:
+        return self._services.quarantine.may_run_again(self._shared_parts)
+
     def _take_repeat(self) -> bool:
         return self._services.repeats.take(self._placer.service.name)
 
@@ -175,6 +185,7 @@
         load = AttemptLoad(
             placed.state, self._request, placed.choice, self._has_endpoints_left(self._ran + 1)
         )
+        self._services.quarantine.began(load, self._shared_parts)
         return PlacedAttempt(
             placed, load, self._services.clock(), answer, self._placer.save_to(placed)
         )
@@ -381,7 +392,7 @@
         :param ran: number of endpoints where it has run.
         """
         may_repeat = self._route.may_repeat and self._delivery.is_resumable
-        return may_repeat and ran < self._route.max_attempts
+        return may_repeat and ran < self._route.max_attempts and self._may_run_again()
 
     def _urgency(self) -> int:
         account = self._account.priority if self._account else 0
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -16,6 +16,7 @@
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.instruments import Instruments
+from arbutustally_node.gateway.part_quarantine import PartQuarantine
 from arbutustally_node.gateway.placement_log import PlacementLog
 from arbutustally_node.gateway.rollout_evidence import RolloutEvidence
 from arbutustally_node.gateway.transport import Transport
@@ -38,6 +39,7 @@
     :ivar rollouts: results of the releases that are being compared.
     :ivar list_age_s: returns the time since the endpoints' list was known to be current, seconds.
     :ivar crashes: recognises endpoints that end while they begin to answer.
+    :ivar quarantine: rejects prompts with parts that end endpoints.
     :ivar placed: placements to announce to the peers.
     """
 
@@ -62,6 +64,7 @@
     rollouts: RolloutEvidence
     list_age_s: Callable[[], float]
     crashes: CrashWatch
+    quarantine: PartQuarantine
     placed: PlacementLog = field(default_factory=PlacementLog)
 
 
--- a/packages/arbutustally/src/arbutustally/errors.py
+++ b/packages/arbutustally/src/arbutustally/errors.py
@@ -124,6 +124,13 @@
     status = 503
 
 
+class QuarantinedPartError(RouterError):
+    """Endpoints have ended while they answered on a part of the prompt."""
+
+    code = "part_quarantined"
+    status = 503
+
+
 class EndpointFailedError(RouterError):
     """The endpoint failed while it handled the request."""
 
