--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -13,6 +13,7 @@
     EndpointFailedError,
     EndpointTimeoutError,
     OverloadedError,
+    QuarantinedPartError,
     Ran,
     RateLimitedError,
     RouterError,
@@ -97,7 +98,7 @@
 
         :raises RouterError: if it fails; part of a streamed response may have been written.
         """
-        self._services.quarantine.admit(self._shared_parts)
+        self._admit()
         cost = self._take_cost()
         self._services.repeats.record_request(self._placer.service.name)
         try:
@@ -109,6 +110,17 @@
         finally:
             self._cancel_hedge()
 
+    def _admit(self) -> None:
+        """Lets the request through.
+
+        :raises QuarantinedPartError: if a part of its prompt has ended endpoints.
+        """
+        try:
+            self._services.quarantine.admit(self._shared_parts)
+        except QuarantinedPartError:
+            self._trace.facts["parts"] = [part.hex() for part in self._shared_parts]
+            raise
+
     def _take_cost(self) -> float:
         """Charges the cost of the request to the account's rate limit.
 
