--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -51,6 +51,7 @@
             nodes=lambda: 1,
             weights_s=WEIGHTS_S,
             on_other_weights=self.polled.append,
+            list_age_s=lambda: 0.0,
         )
         asked, way = prompt(("aa", PROMPT_TOKENS)), route()
         configuration = Configuration(1, (way,), {"s": Service("s", 10, Engine(4, 10**9))}, {}, ())
