--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,7 +11,7 @@
 
 from gevent.pool import Pool  # noqa: E402
 
-from tests.soak.faults import FAULTS  # noqa: E402
+from tests.soak.faults import FAULTS, NAMED_FAULTS  # noqa: E402
 from tests.soak.fleet import FleetSize  # noqa: E402
 from tests.soak.networks import FIRST_NETWORK  # noqa: E402
 from tests.soak.soak import DEFAULT_SIZE, run  # noqa: E402
@@ -40,7 +40,8 @@
     for name, count in asdict(DEFAULT_SIZE).items():
         parser.add_argument(f"--{name}", type=int, default=count, help="number of processes")
     flags = parser.parse_args()
-    faults = tuple(one for one in FAULTS if one.__name__.startswith(tuple(flags.faults)))
+    known = FAULTS if "" in flags.faults else (*FAULTS, *NAMED_FAULTS)
+    faults = tuple(one for one in known if one.__name__.startswith(tuple(flags.faults)))
     size = FleetSize(flags.nodes, flags.engines, flags.desks)
     broken = 0
     rules: Counter[str] = Counter()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers of the soak: requests with a unique id each, and what came back."""
 
+import time
 from dataclasses import dataclass, field
 from random import Random
 
@@ -79,6 +80,7 @@
     def ask(self, caller: LibraryCaller | RawCaller, result: Result) -> None:
         """Sends one request and notes what came back."""
         self.results.append(result)
+        result.sent_at = time.monotonic()
         headers = {
             "Host": "h.example",
             "Request-Id": result.id,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -105,6 +105,14 @@
     backend.list("ready")
 
 
+def take_worker_out(fleet: SoakFleet, rng: Random) -> None:
+    """Lists a worker as leaving, or removes it at once; it keeps serving and is listed later."""
+    backend = _backend(fleet, rng)
+    backend.list(rng.choice(("draining", None)))
+    gevent.sleep(rng.uniform(2.5, 5.0))
+    backend.list("ready")
+
+
 def change_configuration(fleet: SoakFleet, rng: Random) -> None:
     """Puts newer configurations in force in quick succession."""
     for _ in range(rng.randint(1, 4)):
@@ -173,6 +181,8 @@
     change_configuration,
     name_weights,
 )
+#: Faults that are injected only by name, so that the seeds of the others play the same.
+NAMED_FAULTS: tuple[Fault, ...] = (take_worker_out,)
 
 
 def _node(fleet: SoakFleet, rng: Random) -> Program:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -30,6 +30,8 @@
 #: How often the soak checks whether its own process is late, and from when it is, seconds.
 WATCH_S = 0.05
 LATE_S = 0.1
+#: Interval at which workers renew their entries, seconds.
+HEARTBEAT_S = 1.2
 #: As on the site sheets, but for a shorter lease.
 BOUNDS = {
     "versionMs": 6000,
@@ -119,7 +121,10 @@
 
 
 class Backend:
-    """A worker behind a proxy."""
+    """A worker behind a proxy.
+
+    :ivar left: when it was listed as leaving, or not at all.
+    """
 
     def __init__(self, fleet: "SoakFleet", worker_id: str, service: str, model: str) -> None:
         self._fleet = fleet
@@ -131,6 +136,8 @@
         self.proxy: Proxy | None = None
         self.program: Program | None = None
         self.disrupted = Spans()
+        self.left = Spans()
+        self._state: str | None = None
         self._spoils = fleet.directory / f"{worker_id}.spoils"
         self._spoilings: list[Spoiling] = []
 
@@ -149,6 +156,22 @@
 
     def list(self, state: str | None) -> None:
         """Writes the worker's entry, or removes it."""
+        self._state = state
+        if state == "ready":
+            self.left.end()
+        self._write_entry()
+        if state != "ready":
+            self.left.begin()
+
+    def write_heartbeats(self) -> None:
+        """Writes the entry again and again, until the greenlet is killed."""
+        while True:
+            gevent.sleep(HEARTBEAT_S)
+            if self._state is not None and self.program.is_alive:
+                self._write_entry()
+
+    def _write_entry(self) -> None:
+        state = self._state
         if state is None:
             self._fleet.write("keyed.servers", self.id, None)
             return
@@ -216,6 +239,7 @@
         self._http = urllib3.PoolManager(retries=False, timeout=5.0)
         self._store, self._store_address = self.back_end("store", "store")
         self.late = Spans()
+        self.store_disrupted = Spans()
         self._watch = gevent.spawn(self.watch_delays)
         self._config_version = 0
         self.weights = 1
@@ -224,6 +248,7 @@
         self.backends += [Backend(self, f"d{n}", "desk", "") for n in range(1, size.desks + 1)]
         for backend in self.backends:
             backend.start()
+        self._heartbeats = [gevent.spawn(one.write_heartbeats) for one in self.backends]
         self.ips = network.ips(size.nodes)
         self.stores = {ip: Proxy(self._store_address) for ip in self.ips}
         self.nodes = {ip: self._node(ip) for ip in self.ips}
@@ -259,11 +284,13 @@
     def set_store_status(self, status: int) -> None:
         """Makes the store refuse every call, or serve again with 200."""
         self._call(f"status/{status}")
+        self.store_disrupted.end() if status == 200 else self.store_disrupted.begin()
 
     def forget_history(self) -> None:
         """Makes the store forget the records that are not the newest of their key."""
         for topic in ("keyed.op", "keyed.servers"):
             self._call(f"forget/{topic}")
+        self.store_disrupted.add(time.monotonic(), time.monotonic())
 
     def copy_store(self) -> int:
         """Copies what the store holds; returns the number of the copy."""
@@ -274,7 +301,9 @@
 
         :param seed: gives the order and the pauses in which they write.
         """
+        began = time.monotonic()
         self._call(f"return/{copy}/{seed}")
+        self.store_disrupted.add(began, time.monotonic())
 
     def notes(self) -> Notes:
         """Returns what the workers noted so far."""
@@ -317,7 +346,7 @@
 
     def stop(self) -> None:
         """Ends every process by its id."""
-        self._watch.kill()
+        gevent.killall([self._watch, *self._heartbeats])
         for program in [*self.nodes.values(), *self.programs]:
             program.end()
         for proxy in [*self.stores.values(), *(one.proxy for one in self.backends)]:
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -17,6 +17,8 @@
 #: Time before the second run in which nothing may have been disrupted, seconds; the pages'
 #: ``stableWindowMs``.
 CALM_S = 3.0
+#: Time after which a worker that leaves gets nothing new, seconds; the pages' ``drainMs``.
+DRAIN_S = 2.0
 
 
 class Kind(StrEnum):
@@ -32,6 +34,7 @@
     """What a caller saw of one request.
 
     :ivar ip: of the node that was asked.
+    :ivar sent_at: when it was sent.
     :ivar status: 0 without an answer.
     :ivar is_whole: the answer came to its end, as its framing says.
     :ivar is_done: the caller waits for nothing more.
@@ -41,6 +44,7 @@
     id: str
     kind: Kind
     ip: str
+    sent_at: float = 0.0
     status: int = 0
     headers: Headers = ()
     body: bytes = b""
@@ -123,3 +127,20 @@
                 f"TWICE {where}, for {lasted_s:.3f} s, first event {first}, "
                 f"at {later.began:.3f}, node {result.ip}"
             )
+
+
+def late_runs(fleet: SoakFleet, result: Result, runs: list[Run]) -> Iterator[str]:
+    """Yields the runs at workers that had left, while store and node were calm since then."""
+    for run in runs:
+        worker = next(one for one in fleet.backends if one.id == run.worker)
+        left_at = worker.left.began_before(run.began)
+        if left_at is None or result.sent_at < left_at + DRAIN_S:
+            continue
+        calm = not fleet.store_disrupted.touch(left_at - CALM_S, run.began)
+        span = min(left_at, run.began - CALM_S), run.began
+        path = fleet.stores[result.ip].harmed
+        if calm and not path.touch(*span) and fleet.is_in_touch(result.ip, (), *span):
+            yield (
+                f"DRAIN ran at {run.worker} {run.began - left_at:.3f} s after it left, "
+                f"at {run.began:.3f}, node {result.ip}"
+            )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,7 +16,7 @@
 from tests.soak.networks import FIRST_NETWORK, Network
 from tests.soak.notes import Notes
 from tests.soak.proxy import Harm
-from tests.soak.rules import overlapping_runs
+from tests.soak.rules import late_runs, overlapping_runs
 
 #: Callers of a fleet of the default size; larger ones have more.
 CALLERS = 16
@@ -159,7 +159,12 @@
         own = runs.get(result.id, [])
         report.unmarked += result.is_unmarked
         report.short += result.is_short(own)
-        for fault in (*result.faults(own), *overlapping_runs(fleet, result, own)):
+        found = (
+            *result.faults(own),
+            *overlapping_runs(fleet, result, own),
+            *late_runs(fleet, result, own),
+        )
+        for fault in found:
             report.broken.append(f"{result.kind} {result.id}: {fault}")
     unasked = runs.keys() - {result.id for result in callers.results}
     if unasked:
--- a/tests/soak/spans.py
+++ b/tests/soak/spans.py
@@ -28,6 +28,10 @@
         """Returns whether a span has a moment in common with another one."""
         return any(since <= ended and until >= began for since, until in self._spans)
 
+    def began_before(self, at: float) -> float | None:
+        """Returns when the span that lasts at a time began, ``None`` if none does."""
+        return next((since for since, until in self._spans if since <= at < until), None)
+
     def next_begin(self, after: float) -> float:
         """Returns when the next span began, infinite if none did."""
         return min((since for since, _until in self._spans if since >= after), default=math.inf)
