Split admission and the record of attempts off the run of a request

Change: what a request passes before its first attempt is request_admission, the record of an attempt attempt_record; no behaviour changes. Measured: tests.test_gateway_node_attempts, test_gateway_limits, test_grace_end, test_crashing_part and test_two_runs pass.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -13,9 +13,7 @@
     EndpointFailedError,
     EndpointTimeoutError,
     OverloadedError,
-    QuarantinedPartError,
     Ran,
-    RateLimitedError,
     RouterError,
 )
 from arbutustally.gateway.admission import retry_after_s
@@ -27,15 +25,17 @@
 )
 from arbutustally.gateway.part_keys import shared_part_keys
 from arbutustally.gateway.requests import CallerRequest
-from arbutustally_node.caller_watch import CallerGoneError, CallerWatch, NodeStoppingError
+from arbutustally_node.caller_watch import CallerWatch
 from arbutustally_node.gateway.answer_delivery import AnswerDelivery
 from arbutustally_node.gateway.attempt_load import AttemptLoad
+from arbutustally_node.gateway.attempt_record import reason_to_withdraw, trace_of
 from arbutustally_node.gateway.caller import CallerConnection
 from arbutustally_node.gateway.hedge import HedgeController
 from arbutustally_node.gateway.learning import AttemptLearning, PlacedAttempt
 from arbutustally_node.gateway.placer import DEFAULT_RETRY_S, Placed, Placer
 from arbutustally_node.gateway.ports import AttemptTerms
-from arbutustally_node.gateway.request_services import AttemptTrace, RequestServices, Trace
+from arbutustally_node.gateway.request_admission import admit, take_cost
+from arbutustally_node.gateway.request_services import RequestServices, Trace
 from arbutustally_node.gateway.stream_relay import SILENT_START_S
 from arbutustally_node.gateway.transport import OTHER_ENDPOINT, AttemptResult
 
@@ -98,8 +98,8 @@
 
         :raises RouterError: if it fails; part of a streamed response may have been written.
         """
-        self._admit()
-        cost = self._take_cost()
+        admit(self._services, self._shared_parts, self._trace)
+        cost = take_cost(self._services, self._account, self._request, self._trace)
         self._services.repeats.record_request(self._placer.service.name)
         try:
             self._attempts()
@@ -110,32 +110,6 @@
         finally:
             self._cancel_hedge()
 
-    def _admit(self) -> None:
-        """Lets the request through.
-
-        :raises QuarantinedPartError: if a part of its prompt has ended endpoints.
-        """
-        try:
-            self._services.quarantine.admit(self._shared_parts)
-        except QuarantinedPartError:
-            self._trace.facts["parts"] = [part.hex() for part in self._shared_parts]
-            raise
-
-    def _take_cost(self) -> float:
-        """Charges the cost of the request to the account's rate limit.
-
-        :raises RateLimitedError: if the account has exceeded its rate and burst.
-        """
-        if self._account is None:
-            return 0.0
-        quota = self._services.quota
-        cost = self._account.cost(self._request.tokens)
-        wait = quota.take(self._account.name, cost)
-        if wait is not None:
-            self._trace.facts.update(cost=cost, level=round(quota.level(self._account.name)))
-            raise RateLimitedError("account rate limit exceeded", retry_after_s=round(wait, 3))
-        return cost
-
     def _attempts(self) -> None:
         while True:
             attempt = self._take_answered_hedge() or self._begin(
@@ -219,7 +193,7 @@
         except BaseException as error:
             if attempt.result is None:
                 self._ran += 1
-            self._withdraw(attempt, _reason_to_withdraw(error))
+            self._withdraw(attempt, reason_to_withdraw(error))
             raise
         finally:
             attempt.load.end()
@@ -362,16 +336,8 @@
         self._learning.withdrawn(attempt)
 
     def _record_attempt(self, attempt: PlacedAttempt, reason: str) -> None:
-        took = round(self._services.clock() - attempt.began, 4)
-        reading = str(attempt.reading) if attempt.reading else ""
-        head_s = None if attempt.head_at is None else self._since_arrival_s(attempt.head_at)
-        began_s = self._since_arrival_s(attempt.began)
-        self._trace.attempts.append(
-            AttemptTrace(attempt.placed.state.id, reason, took, began_s, head_s, reading)
-        )
-
-    def _since_arrival_s(self, at: float) -> float:
-        return round(at - self._request.arrived_at, 3)
+        now, arrived_at = self._services.clock(), self._request.arrived_at
+        self._trace.attempts.append(trace_of(attempt, reason, arrived_at, now))
 
     def _send(self, attempt: PlacedAttempt, guard: AbstractContextManager[None]) -> AttemptResult:
         """Sends one attempt; returns the response head or the failure."""
@@ -409,9 +375,3 @@
     def _urgency(self) -> int:
         account = self._account.priority if self._account else 0
         return account * 3 + self._route.priority
-
-
-def _reason_to_withdraw(error: BaseException) -> str:
-    if isinstance(error, NodeStoppingError):
-        return "node_stopping"
-    return "caller_gone" if isinstance(error, CallerGoneError) else "caller_unwritable"
