--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -12,7 +12,8 @@
 from arbutustally_node.gateway.node import GatewayNode
 from arbutustally_platform.__main__ import build_platform
 from arbutustally_platform.settings import PlatformSettings, decode_settings
-from tests.platform_fakes import FakeStore, FakeWorker, configuration
+from tests.fake_configuration import configuration
+from tests.platform_fakes import FakeStore, FakeWorker
 from tests.ports import free_port
 
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -16,7 +16,7 @@
 import urllib3
 from gevent.lock import BoundedSemaphore
 
-from tests.platform_fakes import configuration
+from tests.fake_configuration import configuration
 from tests.soak.networks import Network
 from tests.soak.notes import Notes, Run
 from tests.soak.proxy import Proxy
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -24,8 +24,9 @@
     signed,
     use_up_repeat_budget,
 )
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase
-from tests.platform_fakes import FakeWorker, configuration
+from tests.platform_fakes import FakeWorker
 
 
 class CutAnswerTest(GatewayCase):
--- a/tests/test_fleet_after_return.py
+++ b/tests/test_fleet_after_return.py
@@ -8,8 +8,9 @@
 
 from arbutustally.gateway.shared_reading import ListUpdate
 from arbutustally_node.gateway.node import GatewayNode
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase, settings
-from tests.platform_fakes import FakeStore, FakeWorker, configuration
+from tests.platform_fakes import FakeStore, FakeWorker
 from tests.ports import free_port
 
 SERVERS = "keyed.servers"
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -7,8 +7,8 @@
 import gevent
 
 from arbutustally_node.gateway.gossip import Gossip
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase, settings
-from tests.platform_fakes import configuration
 
 
 class ServingTest(GatewayCase):
--- a/tests/test_gateway_node_attempts.py
+++ b/tests/test_gateway_node_attempts.py
@@ -9,8 +9,9 @@
 from arbutustally_node.gateway.request_run import HEDGE_DELAY_S
 from arbutustally_node.gateway.stream_relay import SILENT_GAP_S
 from tests.engine_answers import full
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase
-from tests.platform_fakes import FakeWorker, configuration
+from tests.platform_fakes import FakeWorker
 
 
 class AttemptTest(GatewayCase):
--- a/tests/test_gateway_node_store.py
+++ b/tests/test_gateway_node_store.py
@@ -9,8 +9,9 @@
 from arbutustally.gateway.shared_reading import READERS, Change, ListUpdate
 from arbutustally_node.gateway.fleet_view import FORGET_GONE_S
 from arbutustally_node.gateway.node import GatewayNode
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase, settings
-from tests.platform_fakes import FakeStore, configuration
+from tests.platform_fakes import FakeStore
 from tests.ports import free_port
 
 
--- a/tests/test_grace_end.py
+++ b/tests/test_grace_end.py
@@ -5,8 +5,8 @@
 
 import gevent
 
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase, settings
-from tests.platform_fakes import configuration
 
 #: Grace period of the nodes in these tests, seconds.
 GRACE_S = 3
--- a/tests/test_hedged_answers.py
+++ b/tests/test_hedged_answers.py
@@ -10,8 +10,8 @@
 from arbutustally.gateway.attempts import RepeatLedger
 from arbutustally_node.gateway.request_run import HEDGE_DELAY_S
 from tests.engine_answers import events, full, head, signed
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase
-from tests.platform_fakes import configuration
 
 #: A pause long enough for the node to send a hedge, seconds.
 PAUSE_S = 1.6
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -13,9 +13,10 @@
 from arbutustally_node.gateway.node import GatewayNode
 from arbutustally_node.gateway.ports import Record
 from arbutustally_platform.documents import PlatformDocuments
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase
 from tests.odd_values import ODD_ADDRESSES, ODD_VALUES, odd_values, with_field
-from tests.platform_fakes import FakeWorker, configuration
+from tests.platform_fakes import FakeWorker
 
 SERVERS = "keyed.servers"
 OPERATOR = "keyed.op"
--- a/tests/test_odd_operator_records.py
+++ b/tests/test_odd_operator_records.py
@@ -11,8 +11,8 @@
 from arbutustally.gateway.rollouts import RolloutOrder
 from arbutustally_node.gateway.ports import Record, WeightsNamed
 from arbutustally_platform.documents import PlatformDocuments
+from tests.fake_configuration import configuration
 from tests.odd_values import ODD_VALUES, odd_values, with_field
-from tests.platform_fakes import configuration
 from tests.test_odd_entries import OPERATOR, LoggedCase
 
 CONFIG = configuration(9)
--- a/tests/test_odd_processes.py
+++ b/tests/test_odd_processes.py
@@ -4,8 +4,9 @@
 
 import gevent
 
+from tests.fake_configuration import configuration
 from tests.odd_values import ODD_ADDRESSES, ODD_VALUES, with_field
-from tests.platform_fakes import FakeWorker, configuration
+from tests.platform_fakes import FakeWorker
 from tests.test_odd_entries import OPERATOR, SERVERS, AnyNameWorker, odd_entries
 from tests.test_odd_operator_records import odd_operator_records
 from tests.test_return_processes import ProcessCase
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -4,8 +4,8 @@
 
 import gevent
 
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase, settings
-from tests.platform_fakes import configuration
 
 #: Longest time that a shutdown may take in these tests, seconds.
 GRACE_S = 8
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -28,8 +28,9 @@
 from arbutustally_platform.settings import decode_settings, load
 from arbutustally_platform.store import StoreClient
 from arbutustally_platform.store_topics import StoreKeyedTopic, StoreLeaseTopic
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import settings
-from tests.platform_fakes import FakeStore, FakeWorker, configuration
+from tests.platform_fakes import FakeStore, FakeWorker
 
 
 def head(*lines: str) -> RequestHead:
--- a/tests/test_return_processes.py
+++ b/tests/test_return_processes.py
@@ -12,8 +12,9 @@
 import urllib3
 from bottle import HTTPResponse, request
 
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase, settings
-from tests.platform_fakes import FakeStore, FakeWorker, configuration
+from tests.platform_fakes import FakeStore, FakeWorker
 from tests.soak.fleet import PEER_PORT, PORTS, Program
 from tests.soak.networks import FIRST_NETWORK, Network
 from tests.soak.proxy import Harm, Proxy
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -5,8 +5,8 @@
 
 from arbutustally_node.gateway.request_run import HEDGE_DELAY_S
 from tests.engine_answers import events, signed, steady_stream
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase
-from tests.platform_fakes import configuration
 
 
 class SilentEngineTest(GatewayCase):
--- a/tests/test_two_runs.py
+++ b/tests/test_two_runs.py
@@ -14,8 +14,9 @@
 
 from arbutustally_node.gateway.request_run import HEDGE_DELAY_S
 from tests.engine_answers import events
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase
-from tests.platform_fakes import FakeWorker, configuration
+from tests.platform_fakes import FakeWorker
 
 #: Longest time for which two workers may work on a request, seconds.
 BOTH_S = 0.4
--- a/tests/test_unreachable_endpoints.py
+++ b/tests/test_unreachable_endpoints.py
@@ -22,8 +22,9 @@
     head,
     signed,
 )
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase
-from tests.platform_fakes import FakeWorker, configuration
+from tests.platform_fakes import FakeWorker
 
 
 class FailedChecksTest(GatewayCase):
