--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Engines in trouble end three of 400 answers with line breaks that do not end."""
+"""One engine in trouble answers questions about its cache with bytes that do not end."""
 
 import socket
 import sys
@@ -26,9 +26,12 @@
 #: Rate at which the engine in trouble sends; the machines' links carry 125 MB/s.
 TROUBLE_BYTES_PER_S = 20_000_000
 PIECE_BYTES = 262_144
+#: The engine in trouble, one of six.
+ENGINE = "i-e1"
 SECONDS = 20.0
-#: When an engine spoils its next answer: 3 of about 400 answers of the engines.
-TROUBLES_AT_S = (3.0, 8.0, 13.0)
+#: When the trouble of the engine begins and ends.
+TROUBLE_BEGINS_S = 4.0
+TROUBLE_ENDS_S = 12.0
 STREAMS_PER_S = 10
 CALLS_PER_S = 15
 #: ``timeoutMs`` of the plain routes, and the time after it that the rule allows.
@@ -53,27 +56,33 @@
 
 
 class EngineWorker(Worker):
-    """An engine; the trouble meets whichever one gets the next request."""
-
-    trouble = threading.Semaphore(0)
-
-    def run(self, request: Request, sock: socket.socket) -> bytes | None:
-        if not self.trouble.acquire(blocking=False):
-            return event_stream(self, request, sock, 12)
-        self.record.line("endless_begins", worker=self.id, id=request.headers["request-id"])
-        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
-        lines += [f"{name}: {text}" for name, text in self.stamp(request).items()]
-        sent = 0
+    """An engine; in trouble, its answers about cache events are chunks of one byte without end."""
+
+    in_trouble = threading.Event()
+
+    def serve(self, request: Request, sock: socket.socket) -> bytes | None:
+        is_events = request.target.startswith("/arbutustally/kv-events")
+        if not (is_events and self.id == ENGINE and self.in_trouble.is_set()):
+            return super().serve(request, sock)
+        self.record.line("endless_begins", worker=self.id)
+        head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked"
+        sent, began = 0, time.monotonic()
+        piece = b"1\r\n \r\n" * (PIECE_BYTES // 6)
         try:
-            sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
+            sock.sendall(head.encode() + b"\r\n\r\n")
             while True:
-                sock.sendall(b"\n" * PIECE_BYTES)
-                sent += PIECE_BYTES
-                time.sleep(PIECE_BYTES / TROUBLE_BYTES_PER_S)
+                sock.sendall(piece)
+                sent += len(piece)
+                time.sleep(len(piece) / TROUBLE_BYTES_PER_S)
         except OSError:
-            self.record.line("endless_ends", worker=self.id, bytes=sent)
+            self.record.line(
+                "endless_ends", worker=self.id, bytes=sent, took=round(time.monotonic() - began, 2)
+            )
             return None
 
+    def run(self, request: Request, sock: socket.socket) -> bytes | None:
+        return event_stream(self, request, sock, 12)
+
 
 class Clients:
     """Sends requests at steady rates and notes how long the answers took."""
@@ -91,11 +100,11 @@
     def play(self, trouble: bool) -> None:
         """Sends requests for ``SECONDS``."""
         began, sent = time.monotonic(), {"stream": 0, "call": 0}
-        troubles = list(TROUBLES_AT_S)
         while (now := time.monotonic() - began) < SECONDS:
-            if trouble and troubles and now >= troubles[0]:
-                troubles.pop(0)
-                EngineWorker.trouble.release()
+            if trouble and TROUBLE_BEGINS_S <= now < TROUBLE_ENDS_S:
+                EngineWorker.in_trouble.set()
+            else:
+                EngineWorker.in_trouble.clear()
             for kind, rate in (("stream", STREAMS_PER_S), ("call", CALLS_PER_S)):
                 if sent[kind] <= now * rate * len(self._nodes):
                     self._spawn(kind, sent[kind])
