--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,9 @@
-"""The settings of all machines change, with SIGHUP, while some processes have just been started."""
+"""A tenant becomes isolated by a new configuration while its cached parts lie at an engine."""
 
-import signal
 import socket
 import sys
 import time
+import uuid
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -16,69 +16,97 @@
     Request,
     Store,
     Worker,
-    answer_bytes,
+    ask,
     configuration,
+    event_stream,
     play,
+    tenant,
 )
 
-#: Changes of the settings, and the time from a start of the process until SIGHUP, seconds.
-CHANGES = 3
-AFTER_START_S = 0.3
-#: The same without the trouble: the process has been ready for a while.
-AFTER_READY_S = 1.0
-#: Pause before the platform starts a process again that has ended.
-RESTART_S = 0.5
-#: The rule names three ends on a tenth of the machines, two at least.
-ENDS = 3
-MACHINES = 2
+#: ``configApplyMs`` of the sites, and a second more.
+APPLY_S = 2.0 + 1.0
+GUIDE = "5c1e07a2"
 
 
-class DeskWorker(Worker):
-    """A worker of the plain service; a node without workers is not ready."""
+class EngineWorker(Worker):
+    """An engine that keeps the parts of prompts under their ``Cache-Salt``.
 
-    def run(self, request: Request, _sock: socket.socket) -> bytes:
-        return answer_bytes(200, self.stamp(request), b"done")
+    :ivar made: tenant and id of the request that made each part, by salt and part.
+    :ivar used: tenant that used a part, and the tenant and request that had made it.
+    """
 
+    made: dict[tuple[str, str, str], tuple[str, str]] = {}
+    used: list[tuple[str, str, str, str]] = []
 
-def change_settings(node: Node, record: Record, trouble: bool) -> bool:
-    """Sends SIGHUP to a node, in trouble soon after its start; returns whether that ended it."""
-    if node.popen is None or node.popen.poll() is not None:
-        time.sleep(RESTART_S)
-        node.start()
-        record.line("start", node=node.ip)
-        if trouble:
-            time.sleep(AFTER_START_S)
-    if not trouble:
-        node.await_ready()
-        time.sleep(AFTER_READY_S)
-    if node.popen.poll() is not None:
-        raise CaseError(f"the process had ended before SIGHUP: {node.popen.returncode}")
-    node.send(signal.SIGHUP)
-    record.line("sighup", node=node.ip)
-    time.sleep(1.0)
-    code = node.popen.poll()
-    record.line("process", node=node.ip, exit_code=code)
-    return code is not None
+    def run(self, request: Request, sock: socket.socket) -> bytes:
+        salt = request.headers.get("cache-salt", "")
+        who, request_id = request.headers["tenant"], request.headers["request-id"]
+        self.record.line("run", worker=self.id, id=request_id, tenant=who, salt=salt)
+        with self.lock:
+            for entry in request.headers["prompt-prefix"].split(","):
+                part = entry.partition(":")[0]
+                key = (self.id, salt, part)
+                if key not in self.made:
+                    self.made[key] = (who, request_id)
+                    self.record.line("made", worker=self.id, part=part, salt=salt, tenant=who)
+                elif self.made[key][0] != who:
+                    self.used.append((request_id, who, *self.made[key]))
+                    maker, by = self.made[key]
+                    self.record.line(
+                        "used", id=request_id, part=part, tenant=who, made_by=maker, made_in=by
+                    )
+        return event_stream(self, request, sock, 5)
+
+
+def ask_guide(node: Node, record: Record, who: str) -> str:
+    """Sends a tenant's request about the guide; returns its id."""
+    request_id = uuid.uuid4().hex[:16]
+    headers = {
+        "Host": "h.example",
+        "Request-Id": request_id,
+        "Authorization": f"Token key-{who}",
+        "Deadline-Ms": "12000",
+        "Model": "m0",
+        "Token-Usage": "1000,20",
+        "Prompt-Prefix": f"{GUIDE}:800,{request_id[:8]}:200",
+    }
+    record.line("send", id=request_id, node=node.ip, tenant=who)
+    status, _headers, body = ask(node.front, "POST", "/draft/a", headers, b"x" * 600, 12.0)
+    record.line("answer", id=request_id, status=status, events=body.count(b"data: "))
+    if status != 200:
+        raise CaseError(f"a request of {who} got {status}")
+    return request_id
 
 
 def case(record: Record, trouble: bool) -> bool:
     store = Store()
     store.write("keyed.op", "config", configuration(1))
-    DeskWorker("i-desk1", "desk", store, record)
-    fleet = Fleet(3, store.address)
-    hit, other = fleet.nodes[:MACHINES], fleet.nodes[MACHINES:]
-    ends = {node.ip: 0 for node in hit}
+    for number in (1, 2):
+        EngineWorker(f"i-e{number}", "llm", store, record, "m0")
+    fleet = Fleet(2, store.address)
     try:
-        for node in other:
-            node.start()
-        for _ in range(CHANGES):
-            for node in hit:
-                ends[node.ip] += change_settings(node, record, trouble)
+        fleet.start()
+        time.sleep(1.0)
+        for node in fleet.nodes * 3:
+            ask_guide(node, record, "north")
+        tenants = [tenant("north", isolated=trouble), tenant("south")]
+        store.write("keyed.op", "config", configuration(2, tenants=tenants))
+        record.line("configuration", version=2, isolated="north" if trouble else "nobody")
+        time.sleep(APPLY_S)
+        later = [
+            ask_guide(node, record, who) for node in fleet.nodes * 3 for who in ("south", "north")
+        ]
     finally:
         fleet.stop()
-    record.line("result", ends=ends)
-    print(f"processes ended by SIGHUP: {ends}")
-    return sum(count >= ENDS for count in ends.values()) < MACHINES
+    # Only requests that were sent after the bound count, and only while a tenant is isolated.
+    broken = [use for use in EngineWorker.used if use[0] in later and trouble]
+    shared = [use for use in EngineWorker.used if use[0] in later]
+    record.line("result", uses_across_tenants=len(shared), of_an_isolated_tenant=len(broken))
+    print(
+        f"{len(later)} requests after the change, {len(shared)} parts of another tenant used, "
+        f"{len(broken)} where one of the two is isolated"
+    )
+    return not broken
 
 
 if __name__ == "__main__":
