--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -519,9 +520,10 @@
             node.await_ready()
 
     def stop(self) -> None:
-        """Ends all nodes."""
+        """Ends all nodes and removes their settings and logs."""
         for node in self.nodes:
             node.end()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def _free_ports(ips: list[str]) -> dict[str, int]:
