--- a/review/5/case.py
+++ b/review/5/case.py
@@ -31,7 +31,7 @@
 class EngineWorker(Worker):
     """An engine that keeps the parts of prompts under their ``Cache-Salt``.
 
-    :ivar made: tenant and id of the request that made each part, by salt and part.
+    :ivar made: tenant and id of the request that made each part, by engine, salt and part.
     :ivar used: tenant that used a part, and the tenant and request that had made it.
     """
 
