Let the hedge of a silent stream take over within a bound

Cause: the first engine of a stream was kept until the second one had answered.

Change: 0.35 s after a hedge was sent, it takes the stream over: the first attempt is reset although nothing has been answered. A hedge that has given only a part of an event by then is itself left, as before. Plain requests keep both attempts. Hedges and takeovers are counted.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
@@ -1,9 +1,10 @@
 """Hedging: a request at a silent endpoint is also sent to another one; the first response is used.
 
-The first attempt is abandoned only once another endpoint has answered, so hedging never costs the
-request its place in a queue or a response that has begun. An attempt is also abandoned if its
-endpoint is silent and refuses connections. Connect timeouts also occur at a working endpoint, so
-they count only if the request may run at another endpoint.
+The first attempt of a plain request is abandoned only once another endpoint has answered, so hedging
+costs it neither its place in a queue nor a response that has begun. A stream must not be generated
+by two engines for long, so its hedge takes over a bounded time after it was sent, answered or not.
+An attempt is also abandoned if its endpoint is silent and refuses connections. Connect timeouts
+also occur at a working endpoint, so they count only if the request may run at another endpoint.
 """
 
 from collections.abc import Callable, Iterator
@@ -20,10 +21,13 @@
 CHECK_INTERVAL_S = 0.3
 #: Minimum silence before an attempt at an unreachable endpoint is abandoned, seconds.
 UNREACHABLE_S = 1.2
+#: Time after which the hedge of a stream takes over, seconds. Two engines may work on a stream for
+#: 0.4 s at most; the rest is for the reset to reach the first one.
+STREAM_TAKEOVER_S = 0.35
 
 
 class OvertakenError(Exception):
-    """Another endpoint has answered the request."""
+    """Another endpoint has answered the request or takes it over."""
 
 
 class UnreachableError(Exception):
@@ -42,6 +46,8 @@
     :param cancel_hedge: cancels the hedge, even if it has been answered.
     :param may_run_elsewhere: returns whether the request may run at another endpoint if this
         attempt is abandoned because connects to its endpoint time out.
+    :param takeover_s: time after which a running hedge takes over although it has not answered,
+        seconds; ``None`` if both attempts may go on.
     """
 
     def __init__(
@@ -52,6 +58,7 @@
         start_hedge: Callable[[], gevent.Greenlet | None] = lambda: None,
         cancel_hedge: Callable[[], None] = lambda: None,
         may_run_elsewhere: Callable[[], bool] = lambda: False,
+        takeover_s: float | None = None,
     ) -> None:
         self._state = state
         self._clock = clock
@@ -59,6 +66,7 @@
         self._start_hedge = start_hedge
         self._cancel_hedge = cancel_hedge
         self._may_run_elsewhere = may_run_elsewhere
+        self._takeover_s = takeover_s
         self._hedge_greenlet: gevent.Greenlet | None = None
         self._waiting: gevent.Greenlet | None = None
         self._is_overtaken = False
@@ -70,7 +78,7 @@
         """Guards a wait of the current greenlet for the endpoint.
 
         :param silent_s: time from now after which the endpoint counts as silent, seconds.
-        :raises OvertakenError: if another endpoint has answered.
+        :raises OvertakenError: if another endpoint has answered or takes the request over.
         :raises UnreachableError: if the endpoint is silent and unreachable.
         """
         if self._is_overtaken:
@@ -126,6 +134,13 @@
         if greenlet is not None:
             self._hedge_greenlet = greenlet
             greenlet.link(self._ended)
+            if self._takeover_s is not None:
+                gevent.spawn_later(self._takeover_s, self._take_over, greenlet)
+
+    def _take_over(self, greenlet: gevent.Greenlet) -> None:
+        """Abandons the attempt in favour of a hedge that is still running."""
+        if greenlet is self._hedge_greenlet:
+            self._overtake()
 
     def _ended(self, greenlet: Any) -> None:
         if greenlet is not self._hedge_greenlet:
@@ -133,8 +148,11 @@
         self._hedge_greenlet = None
         # The value of a killed greenlet is an exception, hence the comparison with ``True``.
         if greenlet.value is True:
-            self._is_overtaken = True
-            self._interrupt(OvertakenError())
+            self._overtake()
+
+    def _overtake(self) -> None:
+        self._is_overtaken = True
+        self._interrupt(OvertakenError())
 
     def _interrupt(self, error: Exception) -> None:
         if self._waiting is not None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -22,6 +22,7 @@
     ClientAccount,
     Configuration,
     Route,
+    RouteKind,
 )
 from arbutustally.gateway.part_keys import shared_part_keys
 from arbutustally.gateway.requests import CallerRequest
@@ -30,7 +31,7 @@
 from arbutustally_node.gateway.attempt_load import AttemptLoad
 from arbutustally_node.gateway.attempt_record import reason_to_withdraw, trace_of
 from arbutustally_node.gateway.caller import CallerConnection
-from arbutustally_node.gateway.hedge import HedgeController
+from arbutustally_node.gateway.hedge import STREAM_TAKEOVER_S, HedgeController
 from arbutustally_node.gateway.learning import AttemptLearning, PlacedAttempt
 from arbutustally_node.gateway.placer import DEFAULT_RETRY_S, Placed, Placer
 from arbutustally_node.gateway.ports import AttemptTerms
@@ -210,12 +211,14 @@
         )
 
     def _create_hedging(self, attempt: PlacedAttempt) -> HedgeController:
+        is_stream = self._route.kind is RouteKind.STREAM
         return HedgeController(
             attempt.placed.state,
             self._services.clock,
             self._services.on_silent,
             self._start_hedge,
             self._cancel_hedge,
+            takeover_s=STREAM_TAKEOVER_S if is_stream else None,
         )
 
     @contextmanager
@@ -239,6 +242,7 @@
             return None
         if not self._services.repeats.take_for_hedge(self._placer.service.name):
             return None
+        self._services.instruments.count("hedges", self._placer.service.name)
         self._hedge = self._begin(placed)
         self._hedge_greenlet = gevent.spawn(self._run_hedge, self._hedge)
         self._update_loads()
@@ -306,6 +310,8 @@
         greenlet = self._hedge_greenlet
         if greenlet is None:
             return False
+        if not greenlet.ready():
+            self._services.instruments.count("hedge_takeovers", self._placer.service.name)
         with self._watch:
             greenlet.join(max(self.left_s, 0.0))
         return greenlet.value is True
--- a/tests/test_two_runs.py
+++ b/tests/test_two_runs.py
@@ -84,6 +84,19 @@
         self.assertIsNone(self.second["began"])
         self.assertLess(self.second["ended"] - self.first["began"], BOTH_S)
 
+    def test_silent_engine_is_left_before_a_slow_hedge_has_begun(self) -> None:
+        """Guards against two engines that read a prompt side by side until one of them answers."""
+        self.start_workers([4.0, text(1, 3)], [1.0, text(1, 3)])
+        self.assertEqual(self.ask(), events(1, 3))
+        self.assertIsNone(self.first["began"])
+        self.assertLess(self.first["ended"] - self.second["read"], BOTH_S)
+
+    def test_paused_engine_is_left_before_a_slow_hedge_has_begun(self) -> None:
+        """Guards against a run that is kept while the engine that continues its stream is silent."""
+        self.start_workers([text(1, 2), 4.0, text(3, 5)], [1.0, text(3, 5)])
+        self.assertEqual(self.ask(), events(1, 5))
+        self.assertLess(self.first["ended"] - self.second["read"], BOTH_S)
+
     def test_log_line_tells_when_two_attempts_ran(self) -> None:
         """Guards against a log that can't tell two runs side by side from one after the other."""
         self.start_workers([4.0, text(1, 3)], [0.2, text(1, 3)])
--- a/tests/timed_worker.py
+++ b/tests/timed_worker.py
@@ -3,8 +3,8 @@
 Run as ``python -m tests.timed_worker FOLDER STEPS``. ``STEPS`` is a JSON list of two lists: those of
 the first worker that gets a request, and those of the second one. A string is written, a number is
 a pause in seconds, ``null`` ends the connection. The process prints a line for each stream: its
-part (0 or 1), the steady times of its first write, and of its end or of the kernel's report that
-the node has left.
+part (0 or 1), the steady times at which it was read, of its first write, and of its end or of the
+kernel's report that the node has left.
 """
 
 import contextlib
@@ -49,6 +49,7 @@
 
 def _play(connection: socket.socket, request_id: str, folder: Path, steps: list) -> None:
     part = _part(folder / request_id)
+    read = time.monotonic()
     began = None
     try:
         for step in steps[part]:
@@ -64,7 +65,7 @@
             connection.sendall(b"%x\r\n%b\r\n" % (len(data), data))
         connection.sendall(_LAST_CHUNK)
     finally:
-        report = {"part": part, "began": began, "ended": time.monotonic()}
+        report = {"part": part, "read": read, "began": began, "ended": time.monotonic()}
         print(json.dumps(report), flush=True)
 
 
