Send request targets to endpoints byte for byte

Cause: PoolService.open gave the caller's target to urlopen of urllib3, which normalizes it: percent escapes in upper case, brackets and other characters escaped, and everything from "#" on dropped. Bookings ran under another path than the caller sent.

Change: urlopen gets "/", and the pool hands the target itself to the connection. A target with a fragment is refused with 400 and the reason, because servers differ in what they make of it. All other characters and malformed escapes are forwarded as they are.

--- a/packages/arbutustally-node/src/arbutustally_node/http_head.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_head.py
@@ -70,6 +70,9 @@
     if match is None:
         raise BadRequestError("the request line is malformed; send METHOD /path HTTP/1.1")
     method, target, minor = match[1], match[2], int(match[3])
+    if b"#" in target:
+        # Some servers drop a fragment and others take it for a part of the path or query.
+        raise BadRequestError("the request target has a fragment; send # as %23 or omit it")
     headers = _parse_headers(lines)
     single = {name: value for name, value in headers if name in _SINGLE}
     if minor == 1 and not single.get(b"host"):
--- a/packages/arbutustally-node/src/arbutustally_node/pool.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pool.py
@@ -146,10 +146,17 @@
 
 
 class EndpointPool(urllib3.HTTPConnectionPool):
-    """Connections to one endpoint."""
+    """Connections to one endpoint, on which request targets are sent byte for byte."""
 
     ConnectionCls = ExpiringConnection
 
+    def _make_request(
+        self, conn: ExpiringConnection, method: str, _url: str, *, target: str, **options: Any
+    ) -> urllib3.BaseHTTPResponse:
+        # ``urlopen`` normalizes its URL, e.g. the case of percent escapes, and passes unknown
+        # options on unchanged.
+        return super()._make_request(conn, method, target, **options)
+
 
 class PoolService:
     """urllib3 connection pools by endpoint address.
@@ -206,6 +213,7 @@
         """Sends a request and returns the response with its body unread.
 
         :param endpoint: ``EndpointState``; its ``address`` is used.
+        :param path: request target, sent byte for byte; ASCII without spaces.
         :param timeout_s: timeout for the response head, 0 for the read timeout of the pool.
         :param fresh: use a new connection. An idle one may have been closed by the endpoint, and
             then it is unknown whether the endpoint read the request.
@@ -218,7 +226,8 @@
         try:
             response = pool.urlopen(
                 method,
-                path,
+                "/",
+                target=path,
                 body=body,
                 headers=dict(headers),
                 retries=False,
