Handle signals from the first line of both node programs

Cause: the handlers were installed after the imports, which take about half a second. SIGHUP, SIGTERM and SIGINT had their default action until then, and in arbutustallyd SIGHUP had it for good.

Change: early_signals, which imports the standard library only, is the first import of both programs. SIGTERM and SIGINT exit with 0, as nothing has been started; SIGHUP is remembered and leads to a reload once the gateway node is built. arbutustallyd reads its settings once and ignores SIGHUP.

--- a/packages/arbutustally-node/src/arbutustally_node/__main__.py
+++ b/packages/arbutustally-node/src/arbutustally_node/__main__.py
@@ -1,5 +1,10 @@
 """Entry point of ``arbutustallyd``: settings, wiring of the services, signals."""
 
+from arbutustally_node.early_signals import EARLY_SIGNALS
+
+# SIGHUP stays without effect: the settings are read only once.
+EARLY_SIGNALS.install()
+
 from gevent import config, monkey
 
 # libuv may use io_uring, which the instances do not allow.
