Evacuate zones by the operator's order

Requests, hedges and repeats leave out the endpoints of a zone while the record evacuate/ZONE is in force, and its part stores are not named.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -8,7 +8,9 @@
 from arbutustally.gateway.endpoint_entry import EndpointEntry
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.endpoints import EndpointBook
+from arbutustally.gateway.evacuation import ZoneEvacuation
 from arbutustally.gateway.rollouts import RolloutBook, RolloutOrder
+from arbutustally.gateway.shared_reading import Position
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.ports import Documents, Record, WeightsNamed
 from arbutustally_node.gateway.refused_records import RefusedRecords
@@ -86,9 +88,11 @@
         self._documents = documents
         self._clock = clock
         self._log = log
+        self._count = count
         self._refused = RefusedRecords(log, count)
         self._configuration: Configuration | None = None
         self._operator_raw: dict[str, bytes] = {}
+        self._evacuation_raw: dict[str, Record] = {}
         self._endpoint_raw: dict[str, bytes] = {}
         self._weights: dict[str, NamedWeights] = {}
         self._rollouts = RolloutBook()
@@ -119,7 +123,14 @@
     @property
     def operator_records(self) -> tuple[Record, ...]:
         """Returns the operator's records as written, for peers without the store."""
-        return tuple(Record(key, value) for key, value in self._operator_raw.items())
+        records = (Record(key, value) for key, value in self._operator_raw.items())
+        # A node with a configuration may serve, so it is the last record to be applied.
+        return (*self._evacuation_raw.values(), *records)
+
+    @property
+    def evacuation_records(self) -> tuple[Record, ...]:
+        """Returns the records of evacuations and of their removals, with positions."""
+        return tuple(self._evacuation_raw.values())
 
     @property
     def endpoint_records(self) -> tuple[Record, ...]:
@@ -145,12 +156,41 @@
             self._name_weights(change, record, source, known_at)
         elif isinstance(change, RolloutOrder):
             self._order_rollout(change, record, source, known_at)
+        elif isinstance(change, ZoneEvacuation):
+            self._evacuate(change, record, source)
         elif change is None and record.value is not None:
             self._refused.add("operator_record_unreadable", record, source)
 
     def has_operator(self, record: Record) -> bool:
         """Returns whether a record of the operator is already known with the same value."""
-        return self._operator_raw.get(record.key) == record.value
+        known = self._evacuation_raw.get(record.key)
+        if known is not None:
+            return known.value == record.value and _position(known) >= _position(record)
+        return record.value is not None and self._operator_raw.get(record.key) == record.value
+
+    def is_evacuation(self, record: Record) -> bool:
+        """Returns whether a record is that of an evacuation or of its removal."""
+        return record.key in self._evacuation_raw
+
+    def end_unlisted_evacuations(
+        self, listed: tuple[Record, ...], end: Position, source: str
+    ) -> None:
+        """Ends the evacuations whose records are missing among all records of the operator.
+
+        A store that is restored from an older copy may have lost a record that the operator did not
+        remove. An evacuation ordered in an earlier era therefore stays in force until its removal
+        is read.
+
+        :param end: position of the last record of the store.
+        """
+        keys = {record.key for record in listed}
+        for record in self.evacuation_records:
+            if record.value is None or record.key in keys:
+                continue
+            if _position(record).era == end.era:
+                self.apply_operator(Record(record.key, None, end), source)
+            else:
+                self._log.line("evacuation_kept", key=record.key, era=end.era)
 
     def apply_endpoint(self, record: Record, source: str) -> bool:
         """Applies an endpoint's entry or its removal; returns whether that changes anything."""
@@ -234,6 +274,23 @@
         for notify in self._configuration_watchers:
             notify(configuration)
 
+    def _evacuate(self, change: ZoneEvacuation, record: Record, source: str) -> None:
+        evacuations, position = self.book.evacuations, _position(record)
+        if evacuations.is_known(change, position):
+            return
+        if evacuations.apply(change, position):
+            event = "zone_evacuated" if change.is_ordered else "zone_evacuation_ended"
+            self._count(event)
+            self._log.line(
+                event, zone=change.zone, era=position.era, offset=position.offset, source=source
+            )
+        value = record.value if change.is_ordered else None
+        self._evacuation_raw[record.key] = Record(record.key, value, position)
+        for key, known in list(self._evacuation_raw.items()):
+            decoded = self._documents.decode_operator(known)
+            if evacuations.state(decoded.zone) is None:
+                del self._evacuation_raw[key]
+
     def _order_rollout(
         self, order: RolloutOrder, record: Record, source: str, known_at: float
     ) -> None:
@@ -297,3 +354,7 @@
             weights=dict(entry.weights),
             source=source,
         )
+
+
+def _position(record: Record) -> Position:
+    return record.position or Position(0, 0)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -134,7 +134,7 @@
         data = message.state.encode()
         if len(data) > MAX_DATAGRAM_BYTES:
             # Peers fetch the configuration when they see that this node has a newer one.
-            data = replace(message.state, operator=()).encode()
+            data = replace(message.state, operator=message.state.standing).encode()
         self._send_data(data, message.ips)
 
     def _send(self) -> None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
@@ -10,6 +10,7 @@
 
 from arbutustally.clock import Clock
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
+from arbutustally.gateway.shared_reading import Position
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.peer_state import OperatorUpdate
@@ -73,8 +74,18 @@
         """Stops reading."""
         self._greenlet.kill()
 
-    def updates(self) -> tuple[OperatorUpdate, ...]:
-        """Returns the records that this node has recently read or published."""
+    def updates(self, has_read: bool) -> tuple[OperatorUpdate, ...]:
+        """Returns the evacuations and removals of evacuations that this node knows.
+
+        :param has_read: whether to add the records that this node has recently read or published.
+        """
+        standing = tuple(
+            OperatorUpdate(record.key, record.value, None, record.position)
+            for record in self._view.evacuation_records
+        )
+        return (*standing, *self._recent_updates()) if has_read else standing
+
+    def _recent_updates(self) -> tuple[OperatorUpdate, ...]:
         now = self._clock()
         while self._recent and now - self._recent[0][0] > RESEND_S:
             self._recent.popleft()
@@ -83,7 +94,7 @@
                 record.key, record.value, None if known_at == -math.inf else now - known_at
             )
             for _sent_at, known_at, record in self._recent
-            if record.value is not None
+            if record.value is not None and not self._view.is_evacuation(record)
         )
 
     def publish(self, record: Record) -> None:
@@ -97,7 +108,7 @@
         now = self._clock()
         for item in updates:
             known_at = -math.inf if item.age_s is None else now - item.age_s
-            self._view.apply_operator(Record(item.key, item.value), peer, known_at)
+            self._view.apply_operator(Record(item.key, item.value, item.position), peer, known_at)
 
     def era_changed(self, era: int) -> None:
         """Ends a wait for the next record, since offsets differ in the store's new era."""
@@ -145,6 +156,10 @@
         if self._era >= self._announced_era:
             self._woken.clear()
         self._apply_records(batch.records, min(self._unread_since, self._clock()), self._has_read)
+        if offset is None:
+            # Removed keys are missing among the newest records.
+            end = Position(batch.era, max(0, batch.next_offset - 1))
+            self._view.end_unlisted_evacuations(batch.records, end, "store")
         self._unread_since = math.inf
         self._has_read = True
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -11,7 +11,7 @@
 from arbutustally.gateway.engine_speeds import Work
 from arbutustally.gateway.fleet_sums import Load
 from arbutustally.gateway.relaying import Member
-from arbutustally.gateway.shared_reading import Change, ListUpdate
+from arbutustally.gateway.shared_reading import Change, ListUpdate, Position
 from arbutustally_node.addresses import is_host_ip
 from arbutustally_node.gateway.quarantine_messages import (
     NO_UPDATE,
@@ -50,12 +50,16 @@
 class OperatorUpdate:
     """A record of the operator that the sender has read recently.
 
+    :ivar value: ``None`` if it was removed.
     :ivar age_s: longest possible time since it was written, ``None`` if unknown.
+    :ivar position: its position in the store, for records whose removal matters, otherwise
+        ``None``. These records are sent with every message.
     """
 
     key: str
-    value: bytes
+    value: bytes | None
     age_s: float | None
+    position: Position | None = None
 
 
 @dataclass(frozen=True)
@@ -107,6 +111,11 @@
     updates: ListUpdate | None = None
     operator: tuple[OperatorUpdate, ...] = ()
 
+    @property
+    def standing(self) -> tuple[OperatorUpdate, ...]:
+        """Returns the operator's records that are sent with every message."""
+        return tuple(one for one in self.operator if one.position is not None)
+
     def encode(self) -> bytes:
         """Returns the datagram."""
         values = [getattr(self, one.name) for one in fields(self)]
@@ -114,7 +123,7 @@
         values[-6] = update_row(self.quarantine)
         values[-5] = None if self.members is None else [_member_row(one) for one in self.members]
         values[-2] = None if self.updates is None else _update_row(self.updates)
-        values[-1] = [[one.key, one.value, one.age_s] for one in self.operator]
+        values[-1] = [_operator_row(one) for one in self.operator]
         content = cbor2.dumps(values)
         if len(content) < MIN_COMPRESSED_BYTES:
             return _PLAIN + content
@@ -246,11 +255,32 @@
     return _text(endpoint), _text(scope), decoded_parts, bool(is_pending)
 
 
+def _operator_row(update: OperatorUpdate) -> list[Any]:
+    return [update.key, update.value, update.age_s, *position_row(update.position)]
+
+
 def _operator(row: Any) -> OperatorUpdate:
-    key, value, age_s = row
-    if not isinstance(value, bytes):
-        raise TypeError("expected the bytes of a record")
-    return OperatorUpdate(_text(key), value, None if age_s is None else _finite(age_s))
+    key, value, age_s, *position = row
+    if not isinstance(value, bytes) and not (value is None and position):
+        raise TypeError("expected the bytes of a record, or a removal with its position")
+    age_s = None if age_s is None else _finite(age_s)
+    return OperatorUpdate(_text(key), value, age_s, decode_position(position))
+
+
+def decode_position(row: Any) -> Position | None:
+    """Returns a position in the store that a peer sent, ``None`` if the row is empty.
+
+    :raises TypeError: or ``ValueError`` if the row is malformed.
+    """
+    if not row:
+        return None
+    era, offset = row
+    return Position(natural_number(era), natural_number(offset))
+
+
+def position_row(position: Position | None) -> list[int]:
+    """Returns the row of a position, empty without one."""
+    return [] if position is None else [position.era, position.offset]
 
 
 def _member_row(member: Member) -> list[Any]:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -102,7 +102,7 @@
             placed=services.placed.take(0) if has_placements else (),
             quarantine=services.quarantine.describe(),
             updates=services.endpoints.updates(),
-            operator=services.operator_reader.updates() if services.endpoints.is_reader else (),
+            operator=services.operator_reader.updates(services.endpoints.is_reader),
         )
 
     def take(self, state: PeerState, use: PeerUse | None) -> None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -116,8 +116,23 @@
         During a rollout these belong to only one release, the canary or the baseline.
         """
         view, service = self._services.view, self._service.name
-        request_id = self._request.request_id
-        return view.rollouts.allowed(view.book, service, request_id, not self._tried)
+        request_id, evacuations = self._request.request_id, view.book.evacuations
+        usable = view.rollouts.allowed(view.book, service, request_id, not self._tried)
+        # The traffic of a zone returns gradually, unless there is no other endpoint.
+        returned = [
+            state for state in usable if evacuations.has_returned(state.entry.zone, request_id)
+        ]
+        return returned or usable
+
+    @property
+    def _part_stores(self) -> list[Service]:
+        """Returns the part stores that are not in an evacuated zone."""
+        evacuations = self._services.view.book.evacuations
+        return [
+            store
+            for store in self._configuration.part_stores
+            if not evacuations.is_evacuated(store.part_store.zone)
+        ]
 
     def _place_among(
         self, eligible: list[EndpointState], left_s: float, has_run: bool, must_be_timely: bool
@@ -155,7 +170,7 @@
         if placed.choice is None:
             return None
         scope, parts = placed.cache_scope, self._request.parts
-        store = store_of(self._configuration.part_stores, scope, parts)
+        store = store_of(self._part_stores, scope, parts)
         if store is None or not must_save(self._services.holdings, scope, parts, store):
             return None
         return store
@@ -171,7 +186,7 @@
             services.on_other_weights(services.rng.choice(eligible))
             raise self._no_endpoint_error("no_engine_with_weights", left_s, has_run)
         scope = f"{version}.{self.isolated_account}"
-        store = store_of(self._configuration.part_stores, scope, request.parts)
+        store = store_of(self._part_stores, scope, request.parts)
         sources = sources_of(
             services.holdings, scope, request.parts, eligible, [store] if store else []
         )
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/documents.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/documents.py
@@ -5,6 +5,7 @@
 
 from arbutustally.gateway.configuration import Configuration
 from arbutustally.gateway.endpoint_entry import EndpointEntry
+from arbutustally.gateway.evacuation import ZoneEvacuation
 from arbutustally.gateway.rollouts import RolloutOrder, RolloutProgress
 from arbutustally_node.gateway.ports.store import Record
 
@@ -18,14 +19,14 @@
 
 
 #: Decoded content of an operator's record.
-OperatorChange = Configuration | WeightsNamed | RolloutOrder
+OperatorChange = Configuration | WeightsNamed | RolloutOrder | ZoneEvacuation
 
 
 class Documents(Protocol):
     """Decodes and encodes documents in the store; an unreadable one is decoded to ``None``."""
 
     def decode_operator(self, record: Record) -> OperatorChange | None:
-        """Returns the content of an operator's record."""
+        """Returns the content of an operator's record, or what its removal means."""
 
     def encode_rollout(self, progress: RolloutProgress) -> Record:
         """Returns the record that reports a roll-out's progress to the operator."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/store.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/store.py
@@ -1,18 +1,22 @@
 """Interfaces to the platform's store: topics, their records, and the store's era."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from arbutustally.gateway.shared_reading import Position
+
 
 @dataclass(frozen=True)
 class Record:
     """The newest value of a key.
 
     :ivar value: ``None`` where the key was removed.
+    :ivar position: position in the store's topic, ``None`` if unknown.
     """
 
     key: str
     value: bytes | None
+    position: Position | None = field(default=None, compare=False)
 
 
 class EraWatcher(Protocol):
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
@@ -13,7 +13,7 @@
 from arbutustally.gateway.shared_reading import Position
 from arbutustally_node.addresses import is_host_address
 from arbutustally_node.bounded_call import CallPools, call
-from arbutustally_node.gateway.peer_state import natural_number
+from arbutustally_node.gateway.peer_state import decode_position, natural_number, position_row
 from arbutustally_node.gateway.ports import Record
 
 SNAPSHOT_PATH = "/snapshot"
@@ -71,7 +71,7 @@
 
 
 def _rows(records: tuple[Record, ...]) -> list[list[Any]]:
-    return [[record.key, record.value] for record in records]
+    return [[record.key, record.value, *position_row(record.position)] for record in records]
 
 
 def _records(rows: Any) -> tuple[Record, ...]:
@@ -79,11 +79,12 @@
 
 
 def _record(row: Any) -> Record:
-    key, value = row
+    key, value, *position = row
     # ``bytes`` of a number would allocate that many bytes.
-    if not isinstance(key, str) or not isinstance(value, bytes):
-        raise TypeError("expected the key and the bytes of a record")
-    return Record(key, value)
+    is_content = isinstance(value, bytes) or (value is None and position)
+    if not isinstance(key, str) or not is_content:
+        raise TypeError("expected the key and the bytes of a record, or a removal")
+    return Record(key, value, decode_position(position))
 
 
 def serve(address: str, app: Bottle) -> WSGIServer:
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -6,6 +6,7 @@
 from arbutustally.clock import Clock
 from arbutustally.gateway.endpoint_entry import EndpointEntry
 from arbutustally.gateway.endpoint_state import EndpointState
+from arbutustally.gateway.evacuation import Evacuations
 
 #: Time for which an endpoint gets no requests after several failures, seconds; doubled at each
 #: repetition.
@@ -33,12 +34,14 @@
     """All endpoints that a node knows.
 
     :param clock: monotonic seconds.
+    :ivar evacuations: zones whose endpoints get no requests.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._states: dict[str, EndpointState] = {}
         self._keep_removed_until = 0.0
+        self.evacuations = Evacuations(clock)
 
     @classmethod
     def from_config(cls, clock: Clock) -> "EndpointBook":
@@ -66,13 +69,17 @@
         """Returns the endpoints that may get a new request now.
 
         Suspected and unreachable endpoints are left out while another one remains; paused ones are
-        always left out.
+        always left out, as are those in evacuated zones.
 
         :param predicate: filter of the endpoints to consider.
         """
         now = self._clock()
         staying = filter(predicate, self._staying(service, now))
-        unpaused = [state for state in staying if state.paused_until <= now]
+        unpaused = [
+            state
+            for state in staying
+            if state.paused_until <= now and not self.evacuations.is_evacuated(state.entry.zone)
+        ]
         trusted = [state for state in unpaused if not state.is_down and state.suspect_until <= now]
         return trusted or unpaused
 
--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -169,7 +169,7 @@
     def send_now(self) -> None:
         """Sends the updates to all awake peers, as ``PeerSync`` does."""
         updates = self.endpoints.updates()
-        operator = self.operator_reader.updates() if self.endpoints.is_reader else ()
+        operator = self.operator_reader.updates(self.endpoints.is_reader)
         now = self.world.clock()
         for peer in self.world.reached_by(self):
             if peer is self:
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -6,11 +6,13 @@
 
 from arbutustally.clock import VirtualClock
 from arbutustally.errors import NoEndpointError
-from arbutustally.gateway.configuration import Configuration, Engine, Service
+from arbutustally.gateway.configuration import Configuration, Engine, PartStore, Service
+from arbutustally.gateway.evacuation import ZoneEvacuation
 from arbutustally.gateway.holdings import Holdings
+from arbutustally.gateway.shared_reading import Position
 from arbutustally.placement import Placement
 from arbutustally_node.gateway.fleet_view import FleetView, NamedWeights
-from arbutustally_node.gateway.placer import WEIGHTS_MARGIN_S, Placer
+from arbutustally_node.gateway.placer import WEIGHTS_MARGIN_S, Placed, Placer
 from tests.gateway_values import entry, prompt, route
 
 #: Time after which no request may begin on replaced weights, seconds.
@@ -91,3 +93,22 @@
         self.queue("new", 4.0)
         self.placement._load.set_initial_speed("old", PROMPT_TOKENS / 2.0)
         self.assertEqual(self.place(WEIGHTS_S - WEIGHTS_MARGIN_S - 1.5), "new")
+
+
+class EvacuatedPartStoreTest(unittest.TestCase):
+    def test_part_store_of_an_evacuated_zone_is_not_named(self) -> None:
+        """Guards against cached parts that are saved to a zone that is evacuated."""
+        clock = VirtualClock(NAMED_AT)
+        view = FleetView(None, clock, None)
+        services = SimpleNamespace(view=view, holdings=Holdings.from_config(clock))
+        store = Service("parts", 10, part_store=PartStore("10.0.0.9:1", "z2", 1))
+        way = route()
+        configuration = Configuration(1, (way,), {"s": Service("s", 10), "parts": store}, {}, ())
+        asked = prompt(("aa", 4000), ("bb", 400))
+        placer = Placer(services, asked, configuration, way, None, SimpleNamespace(facts={}))
+        view.book.put(entry("a"))
+        choice = SimpleNamespace(endpoint="a")
+        placed = Placed(view.book.get("a"), choice, 1, "1.")
+        self.assertEqual(placer.save_to(placed), store)
+        view.book.evacuations.apply(ZoneEvacuation("z2", True), Position(1, 1))
+        self.assertIsNone(placer.save_to(placed))
