Change the shared cache scope with the set of isolated accounts

Cause: all accounts that are not isolated have the cache scope "VERSION.", before and after one of them becomes isolated. The others kept reading the parts that it had made before.

Change: while any account is isolated, the shared scope holds a digest of the names of the isolated accounts. Under the scope of a set, no account of that set has ever made a part, so the epoch needs no memory and no message. The scope is taken from the configuration in force at each attempt, also for requests begun under an older one. The log line configuration_in_force names the epoch.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from arbutustally.clock import Clock
+from arbutustally.gateway.cache_scope import isolation_epoch
 from arbutustally.gateway.configuration import Configuration
 from arbutustally.gateway.endpoint_entry import EndpointEntry
 from arbutustally.gateway.endpoint_state import EndpointState
@@ -228,6 +229,7 @@
         self._log.line(
             "configuration_in_force",
             version=configuration.version,
+            isolation_epoch=isolation_epoch(configuration.accounts.values()),
             previous=current.version if current else None,
             source=source,
         )
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -11,6 +11,7 @@
     RouterError,
 )
 from arbutustally.gateway.admission import must_reject, retry_after_s
+from arbutustally.gateway.cache_scope import cache_scope
 from arbutustally.gateway.choice import (
     PartSource,
     choose_engine,
@@ -170,7 +171,9 @@
             # e.g. after a restart of all nodes, so the weights of one engine are polled.
             services.on_other_weights(services.rng.choice(eligible))
             raise self._no_endpoint_error("no_engine_with_weights", left_s, has_run)
-        scope = f"{version}.{self.isolated_account}"
+        scope = cache_scope(
+            version, self._account, services.view.configuration or self._configuration
+        )
         store = store_of(self._configuration.part_stores, scope, request.parts)
         sources = sources_of(
             services.holdings, scope, request.parts, eligible, [store] if store else []
