Search for parts of a key's secret that do not occur by accident

Cause: the test took the text behind the last hyphen of the key for its secret. The secret is base64 text for URLs and may contain hyphens, so that the test searched logs for a short rest, once for "4".

Change: the test searches for every part of 12 characters of the whole secret. This finds a leak of the whole secret, of its beginning or of its end, where the old test saw only the end behind the last hyphen.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -12,6 +12,19 @@
 from tests.fleet import DECLARATIONS, wait_for
 from tests.process_fleet import CHAT, HTTP, FleetCase, chat_body, engine_text
 
+#: Length of the parts of a secret that are searched for. Shorter ones occur by accident.
+SECRET_PART_CHARACTERS = 12
+
+
+def secret_parts(key: str) -> list[str]:
+    """Returns all parts of the secret of a key of the form ``at-ID-SECRET``.
+
+    The secret itself may contain hyphens.
+    """
+    secret = key.split("-", 2)[2]
+    starts = range(len(secret) - SECRET_PART_CHARACTERS + 1)
+    return [secret[start : start + SECRET_PART_CHARACTERS] for start in starts]
+
 
 class ServingTest(FleetCase):
     """One fleet that serves without loss of processes."""
@@ -39,16 +52,22 @@
         """Guards against a key that is forwarded or logged."""
         self.call("node-1", CHAT, chat_body("Where is my key?"))
         self.call("node-1", "/bookings", {"day": 1}, Idempotency_Key=new_uuid7())
-        secret = self.key.rpartition("-")[2]
         endpoints = [*self.fleet.engines.values(), *self.fleet.bookings.values()]
-        for process in endpoints:
-            self.assertNotIn(secret, orjson.dumps(self.fleet.stats(process)).decode())
+        texts = [orjson.dumps(self.fleet.stats(process)).decode() for process in endpoints]
+        texts += [node.log_text() for node in self.fleet.nodes.values()]
+        for text in texts:
+            self.assertEqual([part for part in secret_parts(self.key) if part in text], [])
         for node in self.fleet.nodes.values():
             text = node.log_text()
-            self.assertNotIn(secret, text)
             for fleet_secret in self.fleet.secrets:
                 self.assertNotIn(fleet_secret, text)
 
+    def test_parts_of_a_secret_with_hyphens_are_long(self) -> None:
+        """Guards against a search for a secret that finds its last character anywhere."""
+        parts = secret_parts(f"at-0123456789abcdef-{'-x' * 20}-4")
+        self.assertEqual({len(part) for part in parts}, {SECRET_PART_CHARACTERS})
+        self.assertEqual(parts[0] + parts[-1], "-x" * 6 + "-x" * 5 + "-4")
+
     def test_withdrawn_key_stops_on_every_node(self) -> None:
         """Guards against a key that works on a kept connection after its withdrawal."""
         key, key_id = self.fleet.issue_key()
