Apply changed limits to connections that are already open

Cause: the listener took the limits of the configuration when it accepted a connection and kept them for all its requests.

Change: the limits are set when the wait for a request begins, and again when its first bytes have arrived, as the configuration may change while the connection is idle. The timeout of an idle wait in progress stays.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -173,11 +173,22 @@
 
     def _read_head(self, sock: Any, reader: RequestReader) -> RequestHead | None:
         self._idle.add(sock)
+        self._apply_limits(reader)
         try:
-            return reader.read_head()
+            # The configuration may change while the connection is idle.
+            return reader.read_head(lambda: self._apply_limits(reader))
         finally:
             self._idle.discard(sock)
 
+    def _apply_limits(self, reader: RequestReader) -> None:
+        limits = self._limits()
+        reader.set_limits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.idle_timeout_s,
+            limits.header_timeout_s,
+        )
+
     def _read_rest(self, sock: Any, reader: RequestReader, head: RequestHead) -> CallerRequest:
         arrived_at = monotonic()
         if head.expects_continue:
--- a/packages/arbutustally-node/src/arbutustally_node/http_body.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_body.py
@@ -1,6 +1,7 @@
 """Reads requests from a connection with limits on size and time."""
 
 import re
+from collections.abc import Callable
 from typing import Any
 
 from arbutustally.clock import Clock
@@ -74,17 +75,24 @@
         self._sock = sock
         self._clock = clock
         self._budget = budget
+        self.set_limits(max_header_bytes, max_body_bytes, idle_s, send_s)
+        self._buffer = bytearray()
+        self._deadline = 0.0
+        self._body_bytes = 0
+
+    def set_limits(
+        self, max_header_bytes: int, max_body_bytes: int, idle_s: float, send_s: float
+    ) -> None:
+        """Sets the limits of the requests that begin from now on, as in the constructor."""
         self._max_header_bytes = max_header_bytes
         self._max_body_bytes = max_body_bytes
         self._idle_s = idle_s
         self._send_s = send_s
-        self._buffer = bytearray()
-        self._deadline = 0.0
-        self._body_bytes = 0
 
-    def read_head(self) -> RequestHead | None:
+    def read_head(self, on_begin: Callable[[], None] = lambda: None) -> RequestHead | None:
         """Returns the next head, or ``None`` if the connection ends or is idle too long before it.
 
+        :param on_begin: called once the request has begun; it may set the limits.
         :raises RouterError: if the head is refused.
         """
         if not self._buffer:
@@ -96,6 +104,7 @@
             if not received:
                 return None
             self._buffer += received
+        on_begin()
         self._deadline = self._clock() + self._send_s
         head = self._read_until(b"\r\n\r\n", self._max_header_bytes, "the request head")
         return parse_head(head, self._max_body_bytes)
