Let only an engine's report raise its recorded weights

Cause: a response with a higher version in its header raised the recorded weights of the engine for good, and nodes told each other. An engine that stated 99 once counted as having newer weights than named: requests expected 99 there, and no order to load reached it.

Change: such a response leads to a poll of the engine's report, as after a refusal for other weights; the report decides.

Result: the new test of test_gateway_node_weights finds {"m": 99} on the code before; now the record stays at 1 and the next request is served.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -168,9 +168,12 @@
             self._trace.facts["first_ms"] = round(first_s * 1000)
             self._record_parts(attempt)
         terms = attempt.result.terms
-        if terms is not None and terms.weights is not None and not terms.is_mismatched:
-            known = placed.state.weights
-            known[request.model] = max(known.get(request.model, 0), terms.weights)
+        if terms is None or terms.weights is None or terms.is_mismatched:
+            return
+        if terms.weights > placed.state.weights.get(request.model, 0):
+            # What is recorded is never lowered and is told to all nodes, so the engine's own report
+            # must confirm it.
+            services.on_other_weights(placed.state)
 
     def _record_parts(self, attempt: PlacedAttempt) -> None:
         """Records, locally and for the peers, that an engine has read the prompt's parts."""
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -255,6 +255,8 @@
         self.behave = None
         self.is_leaving = False
         self.pause_s: str | None = None
+        #: Version stated in the next responses, ``None`` to state none.
+        self.stated_version: int | None = None
         self.asked_at: list[float] = []
         super().__init__(self._with_notices(app))
 
@@ -336,6 +338,8 @@
         self.note_run(headers["Request-Id"])
         response.set_header("Request-Id", headers["Request-Id"])
         response.set_header("Server-Stamp", f"stamp-{self.id}")
+        if self.stated_version is not None:
+            response.set_header("Weight-Versions", str(self.stated_version))
         if not self.model:
             return request.body.read() or b"plain answer"
         response.content_type = "text/event-stream"
--- a/tests/test_gateway_node_weights.py
+++ b/tests/test_gateway_node_weights.py
@@ -69,6 +69,20 @@
         seen = next(engine for engine in self.engines if engine.ran).seen[-1]
         self.assertEqual(seen["Expect-Version"], "3")
 
+    def test_one_response_with_too_high_a_version_is_not_believed(self) -> None:
+        """Guards against an engine that gets no requests and no order to load any more."""
+        engine = self.engines[0]
+        self.engines[1].stop()
+        self.store.put("keyed.servers", self.engines[1].id, None)
+        node = self.start_node()
+        self.wait_ready(node, engines=1)
+        engine.stated_version = 99
+        self.assertEqual(self.call(node, "/chat/x", "r1").status, 200)
+        engine.stated_version = None
+        gevent.sleep(0.5)
+        self.assertEqual(node._view.book.get(engine.id).weights, {"m": 1})
+        self.assertEqual(self.call(node, "/chat/x", "r2").status, 200)
+
     def test_engines_ahead_of_the_list_serve_while_another_holds_the_lease(self) -> None:
         """Guards against refusals until the lease of a killed holder has expired."""
         for engine in self.engines:
