Apply the costs between zones to the choice of endpoints

Which zone a request ran in followed from load and ties alone. The placer now asks ZoneSpill before it chooses, and drops sources of cached parts in other zones that cost more than they save.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -14,6 +14,7 @@
 from arbutustally.gateway.list_outage import ListOutage
 from arbutustally.gateway.place_terms import terms_of
 from arbutustally.gateway.shared_reading import SharedReading
+from arbutustally.gateway.zone_spill import ZoneSpill
 from arbutustally_node.gateway.announcer import Announcer
 from arbutustally_node.gateway.cache_follower import CacheFollower
 from arbutustally_node.gateway.catch_up import CatchUp
@@ -118,6 +119,7 @@
         lambda: store.endpoints.list_age_s,
         CrashWatch(log, state.instruments, monotonic, quarantine.crashed),
         quarantine,
+        ZoneSpill(options.zone_costs, options.zone, monotonic, state.rng),
     )
     exchange = RequestHandler(requests)
     store = _build_store_readers(options, platform, state, gossip)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -10,7 +10,7 @@
     Ran,
     RouterError,
 )
-from arbutustally.gateway.admission import must_reject, retry_after_s
+from arbutustally.gateway.admission import longest_s, must_reject, retry_after_s
 from arbutustally.gateway.choice import (
     PartSource,
     choose_engine,
@@ -27,6 +27,8 @@
 from arbutustally.gateway.configuration import ClientAccount, Configuration, Route, Service
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.requests import CallerRequest
+from arbutustally.gateway.zone_choice import engines_in_zone, plain_in_zone
+from arbutustally.gateway.zone_spill import SpillReason
 from arbutustally.placement_types import Choice
 from arbutustally.rendezvous import uniform_hash
 from arbutustally_node.gateway.request_services import RequestServices, Trace
@@ -49,6 +51,7 @@
     :ivar version: version of the weights to run on, ``None`` for a plain service.
     :ivar cache_scope: scope of the cached prompt parts that the attempt may use.
     :ivar source: place from which the engine fetches parts missing in its cache.
+    :ivar zone_reason: why the endpoint is in the zone of the node or in another one.
     :ivar was_tried: whether an earlier attempt of the request was sent to the same address. A
         worker that has started again may be listed under two ids.
     """
@@ -58,6 +61,7 @@
     version: int | None = None
     cache_scope: str = ""
     source: PartSource | None = None
+    zone_reason: SpillReason = SpillReason.OFF
     was_tried: bool = False
 
 
@@ -126,7 +130,11 @@
         age_s = services.list_age_s()
         self._trace.facts["list_age_ms"] = round(age_s * 1000) if math.isfinite(age_s) else None
         if self._service.engine is None or not self._request.model:
-            placed = Placed(choose_plain(eligible, services.zone, services.rng))
+            eligible, zone = plain_in_zone(
+                services.spill, self._service.name, eligible, self._request
+            )
+            state = choose_plain(eligible, services.zone, services.rng)
+            placed = Placed(state, zone_reason=zone.reason)
         else:
             placed = self._place_at_engine(eligible, left_s, has_run, must_be_timely)
         return replace(placed, was_tried=placed.state.address in self._tried_addresses)
@@ -135,6 +143,10 @@
         """Records that the request is sent to an endpoint."""
         self._tried.add(placed.state.id)
         self._tried_addresses.add(placed.state.address)
+        if placed.state.entry.zone != self._services.zone:
+            self._trace.facts["left_zone"] = placed.zone_reason
+            self._trace.facts["to_zone"] = placed.state.entry.zone
+            self._services.instruments.count("left_zone", placed.zone_reason)
 
     def place_hedge(self, left_s: float) -> Placed:
         """Selects an endpoint for a hedge; no earlier attempt was sent to it.
@@ -175,6 +187,17 @@
         sources = sources_of(
             services.holdings, scope, request.parts, eligible, [store] if store else []
         )
+        engines, sources, zone = engines_in_zone(
+            services.spill,
+            services.placement,
+            services.holdings,
+            request,
+            self._service,
+            engines,
+            scope,
+            sources,
+            longest_s(left_s) if must_be_timely else math.inf,
+        )
         choice = choose_engine(
             services.placement,
             services.holdings,
@@ -195,7 +218,7 @@
         if must_be_timely and must_reject(choice.estimate_s, left_s):
             wait = retry_after_s(choice.estimate_s, left_s, services.rng)
             raise OverloadedError("not run: engines are overloaded; retry", retry_after_s=wait)
-        return Placed(state, choice, version, scope, source)
+        return Placed(state, choice, version, scope, source, zone.reason)
 
     def _engines_to_use(self, eligible: list[EndpointState]) -> tuple[int, list[EndpointState]]:
         """Returns the version of the weights to run on, and the engines that have it."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/options.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/options.py
@@ -4,6 +4,7 @@
 
 from arbutustally.gateway.attempts import RepeatBudget
 from arbutustally.gateway.quota import QuotaTolerance
+from arbutustally.gateway.zone_spill import ZoneCosts
 
 
 @dataclass(frozen=True)
@@ -45,6 +46,7 @@
     :ivar memory_mb: memory available to the process, MiB.
     :ivar capacity: capacity of processor and link; instances with more of it are the first to relay
         for others.
+    :ivar zone_costs: costs of traffic between zones.
     """
 
     node: str
@@ -62,3 +64,4 @@
     capacity: int = 0
     ready_path: str = "/ready"
     directory_path: str = "/addresses"
+    zone_costs: ZoneCosts = ZoneCosts()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -11,6 +11,7 @@
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.holdings import Holdings
 from arbutustally.gateway.quota import QuotaLedger
+from arbutustally.gateway.zone_spill import ZoneSpill
 from arbutustally.placement import Placement
 from arbutustally_node.gateway.crash_watch import CrashWatch
 from arbutustally_node.gateway.decision_log import DecisionLog
@@ -40,6 +41,7 @@
     :ivar list_age_s: returns the time since the endpoints' list was known to be current, seconds.
     :ivar crashes: recognises endpoints that end while they begin to answer.
     :ivar quarantine: rejects prompts with parts that end endpoints.
+    :ivar spill: decides whether requests leave the zone.
     :ivar placed: placements to announce to the peers.
     """
 
@@ -65,6 +67,7 @@
     list_age_s: Callable[[], float]
     crashes: CrashWatch
     quarantine: PartQuarantine
+    spill: ZoneSpill
     placed: PlacementLog = field(default_factory=PlacementLog)
 
 
--- a/packages/arbutustally/src/arbutustally/gateway/admission.py
+++ b/packages/arbutustally/src/arbutustally/gateway/admission.py
@@ -23,7 +23,12 @@
     :param expected_s: expected time to the first event, seconds.
     :param left_s: time until the caller's timeout, seconds.
     """
-    return expected_s > left_s * USABLE_SHARE
+    return expected_s > longest_s(left_s)
+
+
+def longest_s(left_s: float) -> float:
+    """Returns the longest expected time to the first event that is accepted, seconds."""
+    return left_s * USABLE_SHARE
 
 
 def retry_after_s(backlog_s: float, left_s: float, rng: Random) -> float:
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -74,8 +74,8 @@
     return sum(known) / len(known) if known else DEFAULT_LATENCY_S
 
 
-def choose_plain(eligible: Sequence[EndpointState], zone: str, rng: Random) -> EndpointState:
-    """Returns the endpoint with the shortest expected time; ``zone`` is preferred among equals.
+def plain_times_s(eligible: Sequence[EndpointState]) -> dict[str, float]:
+    """Returns the expected time of a request at each plain endpoint by its id, seconds.
 
     An endpoint that has not answered yet is assumed to have the mean latency of the others.
     """
@@ -87,7 +87,12 @@
         busy = state.total_running / max(state.entry.slots, 1)
         return latency * (1 + busy + waiting / max(state.entry.slots, 1) + state.failures)
 
-    times = {state.id: expected_s(state) for state in eligible}
+    return {state.id: expected_s(state) for state in eligible}
+
+
+def choose_plain(eligible: Sequence[EndpointState], zone: str, rng: Random) -> EndpointState:
+    """Returns the endpoint with the shortest expected time; ``zone`` is preferred among equals."""
+    times = plain_times_s(eligible)
     best = min(times.values())
     tied = [state for state in eligible if times[state.id] <= best * (1 + NEAR_TIE)]
     near = [state for state in tied if state.entry.zone == zone]
--- a/packages/arbutustally/src/arbutustally/gateway/configuration.py
+++ b/packages/arbutustally/src/arbutustally/gateway/configuration.py
@@ -65,12 +65,14 @@
     :ivar cache_tokens: capacity of the memory for running requests and cached parts, tokens.
     :ivar transfer_tokens_per_s: speed at which an engine fetches cached parts from another place.
     :ivar max_watchers: concurrent calls for cache events that one engine answers.
+    :ivar token_bytes: bytes of a cached token.
     """
 
     slots: int
     cache_tokens: int
     transfer_tokens_per_s: float = 0.0
     max_watchers: int = 0
+    token_bytes: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/arbutustally/src/arbutustally/gateway/zone_spill.py
+++ b/packages/arbutustally/src/arbutustally/gateway/zone_spill.py
@@ -8,6 +8,7 @@
 holds in between; each request draws whether it is in the share, and to which zone it goes.
 """
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -39,6 +40,7 @@
     NO_ENDPOINT = "no_endpoint"
     PARTS_CACHED = "parts_cached"
     BUSY = "busy"
+    TOO_LATE = "too_late"
 
 
 @dataclass(frozen=True)
@@ -100,11 +102,13 @@
 
     :ivar cost_s: expected time, costs included, of a request that waits as long as in the mean of
         the zone. The shortest wait of a zone is no estimate while the loads are old.
+    :ivar least_s: the same for its best endpoint.
     :ivar slots: slots of all its endpoints.
     """
 
     cost_s: float
     wait_s: float
+    least_s: float
     slots: int
 
 
@@ -144,12 +148,17 @@
         return self._zone
 
     def decide(
-        self, service: str, candidates: Sequence[ZoneCandidate], exchanged_bytes: float
+        self,
+        service: str,
+        candidates: Sequence[ZoneCandidate],
+        exchanged_bytes: float,
+        limit_s: float = math.inf,
     ) -> ZoneDecision:
         """Returns the zone in which a request is to run.
 
         :param candidates: not empty.
         :param exchanged_bytes: bytes of the request and its answer.
+        :param limit_s: expected time above which the request is rejected, seconds.
         """
         if not self.is_active:
             return ZoneDecision("", SpillReason.OFF)
@@ -172,6 +181,9 @@
             return ZoneDecision(zone, SpillReason.PARTS_CACHED, gain_s)
         relative = gain_s / max(own.cost_s, LEAST_GAIN_S)
         share = self._updated_share(service, relative)
+        timely = {zone: other for zone, other in outlooks.items() if other.least_s <= limit_s}
+        if timely and own.least_s > limit_s:
+            return ZoneDecision(self._draw_zone(timely), SpillReason.TOO_LATE, gain_s, share)
         chance = min(1.0, share + IMMEDIATE * max(0.0, relative - RISE_AT))
         if better and self._rng.random() < chance:
             return ZoneDecision(self._draw_zone(better), SpillReason.BUSY, gain_s, share)
@@ -194,8 +206,9 @@
         begun_s = min(
             one.expected_s - one.wait_s + self._costs.bytes_s(one.fetched_bytes) for one in group
         )
+        least_s = min(one.expected_s for one in group) + crossing_s
         slots = sum(one.slots for one in group)
-        return _ZoneOutlook(wait_s + begun_s + crossing_s, wait_s, slots)
+        return _ZoneOutlook(wait_s + begun_s + crossing_s, wait_s, least_s, slots)
 
     def _draw_zone(self, outlooks: dict[str, _ZoneOutlook]) -> str:
         """Draws a zone; one with many slots and a short time is the likeliest."""
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -1,6 +1,7 @@
 """Engines that the placer uses while only a part of them runs the weights that were named last."""
 
 import unittest
+from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
 
@@ -8,8 +9,11 @@
 from arbutustally.errors import NoEndpointError
 from arbutustally.gateway.configuration import Configuration, Engine, Service
 from arbutustally.gateway.holdings import Holdings
+from arbutustally.gateway.requests import CallerRequest
+from arbutustally.gateway.zone_spill import ZoneCosts, ZoneSpill
 from arbutustally.placement import Placement
 from arbutustally_node.gateway.fleet_view import FleetView, NamedWeights
+from arbutustally_node.gateway.instruments import Instruments
 from arbutustally_node.gateway.placer import WEIGHTS_MARGIN_S, Placer
 from tests.gateway_values import entry, prompt, route
 
@@ -52,6 +56,7 @@
             weights_s=WEIGHTS_S,
             on_other_weights=self.polled.append,
             list_age_s=lambda: 0.0,
+            spill=ZoneSpill(ZoneCosts(), "z1", self.clock, Random(3)),
         )
         asked, way = prompt(("aa", PROMPT_TOKENS)), route()
         configuration = Configuration(1, (way,), {"s": Service("s", 10, Engine(4, 10**9))}, {}, ())
@@ -91,3 +96,53 @@
         self.queue("new", 4.0)
         self.placement._load.set_initial_speed("old", PROMPT_TOKENS / 2.0)
         self.assertEqual(self.place(WEIGHTS_S - WEIGHTS_MARGIN_S - 1.5), "new")
+
+
+class ZoneTest(unittest.TestCase):
+    """Requests that stay in the zone of their node or leave it, where costs are set."""
+
+    def setUp(self) -> None:
+        self.clock = VirtualClock(NAMED_AT)
+        self.view = FleetView(None, self.clock, None)
+        self.instruments = Instruments()
+        self.trace = SimpleNamespace(facts={})
+
+    def place(self, costs: ZoneCosts, asked: CallerRequest) -> str:
+        """Sends a request and returns its endpoint."""
+        services = SimpleNamespace(
+            view=self.view,
+            zone="z1",
+            rng=Random(3),
+            clock=self.clock,
+            placement=Placement.from_config(self.clock, Random(3)),
+            holdings=Holdings.from_config(self.clock),
+            nodes=lambda: 1,
+            weights_s=WEIGHTS_S,
+            list_age_s=lambda: 0.0,
+            spill=ZoneSpill(costs, "z1", self.clock, Random(3)),
+            instruments=self.instruments,
+        )
+        engine = Engine(4, 10**9, token_bytes=1e5) if asked.model else None
+        configuration = Configuration(1, (route(),), {"s": Service("s", 10, engine)}, {}, ())
+        placer = Placer(services, asked, configuration, route(), None, self.trace)
+        placed = placer.place(60.0, False)
+        placer.record_sent(placed)
+        return placed.state.id
+
+    def test_request_stays_unless_the_gain_exceeds_the_cost(self) -> None:
+        """Guards against requests that leave the zone for a gain smaller than its cost."""
+        self.view.book.put(entry("near"))
+        self.view.book.put(entry("far", zone="z2"))
+        for asked in (prompt(("aa", 400)), replace(prompt(("aa", 400)), model="")):
+            self.view.book.get("near").running = 2
+            self.view.book.get("near").peer_load["n2"] = (0, 2000.0, 0.0, 0)
+            self.assertEqual(self.place(ZoneCosts(), asked), "far")
+            self.assertEqual(self.trace.facts["left_zone"], "off")
+            self.assertEqual(self.place(ZoneCosts(delay_s=60.0), asked), "near")
+
+    def test_zone_without_endpoints_is_left_and_counted(self) -> None:
+        """Guards against refused requests while another zone has endpoints."""
+        self.view.book.put(entry("far", zone="z2"))
+        self.assertEqual(self.place(ZoneCosts(1.0, 0.002), prompt(("aa", 400))), "far")
+        self.assertEqual(self.trace.facts["left_zone"], "no_endpoint")
+        self.assertEqual(self.instruments.value("left_zone", "no_endpoint"), 1)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,6 +15,7 @@
     StoreUnavailableError,
 )
 from arbutustally.gateway.configuration import Configuration, RouteKind
+from arbutustally.gateway.zone_spill import ZoneCosts
 from arbutustally_node.gateway.ports import (
     AttemptTerms,
     LeaseAppend,
@@ -23,9 +24,10 @@
     WeightsNamed,
 )
 from arbutustally_node.http_head import RequestHead, parse_head
+from arbutustally_platform.__main__ import build_parser
 from arbutustally_platform.documents import PlatformDocuments
 from arbutustally_platform.headers import PlatformCodec
-from arbutustally_platform.settings import decode_settings, load
+from arbutustally_platform.settings import decode_settings, load, zone_costs
 from arbutustally_platform.store import StoreClient
 from arbutustally_platform.store_topics import StoreKeyedTopic, StoreLeaseTopic
 from tests.fake_configuration import configuration
@@ -240,6 +242,18 @@
         self.assertEqual(decoded.store_address, "10.0.0.1:5")
         self.assertEqual(decoded.options.bounds.weights_s, 4.0)
 
+    def test_costs_between_zones_come_from_flags_and_variables(self) -> None:
+        """Guards against ignored costs, and against a variable of the platform that is refused."""
+
+        def costs(*arguments: str, **environment: str) -> ZoneCosts:
+            return zone_costs(build_parser().parse_args(arguments), environment)
+
+        self.assertFalse(costs(ARBUTUSTALLY_CONFIG="x", ARBUTUSTALLY_OTHER="y").is_set)
+        given = costs("--zone-delay-s", "0.002", ARBUTUSTALLY_ZONE_S_PER_GB="1.5")
+        self.assertEqual(given, ZoneCosts(1.5, 0.002))
+        with self.assertRaises(SettingInvalidError):
+            costs(ARBUTUSTALLY_ZONE_S_PER_GB="-1")
+
     def test_invalid_file_error_states_the_remedy(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = os.path.join(folder, "local.json")
--- a/tests/test_zone_spill.py
+++ b/tests/test_zone_spill.py
@@ -5,13 +5,20 @@
 from random import Random
 
 from arbutustally.clock import VirtualClock
+from arbutustally.gateway.choice import sources_of
+from arbutustally.gateway.configuration import Engine, Service
+from arbutustally.gateway.endpoint_state import EndpointState
+from arbutustally.gateway.holdings import Holdings
+from arbutustally.gateway.zone_choice import engines_in_zone
 from arbutustally.gateway.zone_spill import (
     SpillReason,
     ZoneCandidate,
     ZoneCosts,
     ZoneSpill,
 )
+from arbutustally.placement import Placement
 from bench.zone_replay import LOADS, Result, replay
+from tests.gateway_values import entry, prompt
 
 COSTS = ZoneCosts(s_per_gb=1.0, delay_s=0.002)
 
@@ -73,6 +80,46 @@
             self.assertTrue(least <= share <= most, share)
 
 
+class EngineZoneTest(unittest.TestCase):
+    """Engines and sources that remain for prompts whose parts are cached in another zone."""
+
+    def remaining(self, s_per_gb: float, limit_s: float = 60.0) -> tuple[set, list, str]:
+        """Returns engines, places of sources and the reason, for a node in zone z1."""
+        clock = VirtualClock(10.0)
+        holdings = Holdings.from_config(clock)
+        placement = Placement.from_config(clock, Random(1))
+        near, far = EndpointState(entry("near")), EndpointState(entry("far", zone="z2"))
+        far.peer_load["n2"] = (0, 50_000.0, 0.0, 0)
+        near.peer_load["n2"] = (0, self.near_queue, 0.0, 0)
+        asked = prompt(("aa", 6000), ("bb", 500))
+        holdings.assume("far", "1.", asked.parts)
+        engines, sources, decision = engines_in_zone(
+            ZoneSpill(ZoneCosts(s_per_gb, 0.002), "z1", clock, Random(1)),
+            placement,
+            holdings,
+            asked,
+            Service("s", 10, Engine(4, 10**9, token_bytes=1e5)),
+            [near, far],
+            "1.",
+            sources_of(holdings, "1.", asked.parts, [near, far], ()),
+            limit_s,
+        )
+        return {state.id for state in engines}, [one.place for one in sources], decision.reason
+
+    def setUp(self) -> None:
+        self.near_queue = 0.0
+
+    def test_parts_are_fetched_across_zones_only_if_that_saves_more_than_it_costs(self) -> None:
+        """Guards against transfers of 650 MB between zones for a prefill of less worth."""
+        self.assertEqual(self.remaining(0.0), ({"near"}, ["far"], SpillReason.OWN_ZONE))
+        self.assertEqual(self.remaining(100.0), ({"near"}, [], SpillReason.OWN_ZONE))
+
+    def test_request_that_the_own_zone_would_reject_leaves(self) -> None:
+        """Guards against rejections while an engine of another zone would be in time."""
+        self.near_queue = 10_000_000.0
+        self.assertEqual(self.remaining(1.0, 30.0)[::2], ({"far"}, SpillReason.TOO_LATE))
+
+
 class ReplayTest(unittest.TestCase):
     """Loads of several zones, compared with never leaving and with the least load."""
 
