Explain where a described request would go, without sending it

An operator could see why a request went somewhere only afterwards, in its log line. GET /explain at a node's control listener runs the placer on copies of the tables that a decision writes, with cloned random numbers, and tells endpoint, zone decision, rejecting limits and candidates. arbutustally where prints it as text or JSON.

--- a/packages/arbutustally-cli/src/arbutustally_cli/commands.py
+++ b/packages/arbutustally-cli/src/arbutustally_cli/commands.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 from arbutustally.declarations import Declarations, Difference, diff, load_toml, to_items
 from arbutustally.errors import (
@@ -19,10 +19,25 @@
 from arbutustally_cli.exit_codes import ExitCode
 from arbutustally_cli.explanation import explain_text
 from arbutustally_cli.render import Screen, difference_data, difference_lines, show, table
+from arbutustally_cli.where_text import where_text
 
 #: The node waits 9 s for its peers to confirm a withdrawal; the rest is for collecting reports.
 _WITHDRAWAL_S = 20.0
 _APPLY_S = 15.0
+#: Fields that describe a request to ``where``, and their help.
+DESCRIPTION = {
+    "host": "host that the caller names",
+    "path": "path of the request",
+    "method": "method",
+    "account": "client account",
+    "model": "model, for a prompt",
+    "tokens": "tokens of the prompt",
+    "output_tokens": "tokens to generate",
+    "parts": "parts of the prompt, ID:TOKENS,...",
+    "bytes": "bytes of the body",
+    "left_s": "seconds that the caller waits",
+    "id": "request id, which decides shares of a route and of a roll-out",
+}
 _POLL_S = 0.3
 
 
@@ -164,6 +179,15 @@
     return ExitCode.DONE
 
 
+def where(context: Context) -> ExitCode:
+    """Explains where a described request would go now; it is not sent."""
+    given = {name: getattr(context.arguments, name) for name in DESCRIPTION}
+    query = urlencode({name: value for name, value in given.items() if value})
+    told = context.client.call("GET", f"/explain?{query}", longest_s=_APPLY_S)
+    context.screen.result(told, where_text(told))
+    return ExitCode.DONE
+
+
 def keys_issue(context: Context) -> ExitCode:
     """Issues a key; its text is shown once."""
     body = {"account": context.arguments.account}
--- a/packages/arbutustally-cli/src/arbutustally_cli/main.py
+++ b/packages/arbutustally-cli/src/arbutustally_cli/main.py
@@ -35,9 +35,12 @@
     ("status", "show all nodes", commands.status),
     ("history", "show the latest changes, accepted and rejected", commands.history),
     ("explain", "explain one request", commands.explain),
+    ("where", "explain where a request would go now, without sending it", commands.where),
     ("moves", "show moves between versions", commands.moves),
 )
 _WAIT_S = 30.0
+#: Longest silence of a gateway node that explains a request, seconds.
+WHERE_TIMEOUT_S = 10.0
 
 Command = Callable[[commands.Context], ExitCode]
 
@@ -81,6 +84,7 @@
         "--limit", type=_positive, default=20, metavar="N", help="entries to show (default 20)"
     )
     parsers["explain"].add_argument("request_id", metavar="REQUEST-ID", help="X-Request-Id")
+    _add_where(parsers["where"])
     _add_keys(subparsers, common)
     return parser
 
@@ -121,6 +125,15 @@
     )
 
 
+def _add_where(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--control", required=True, metavar="HOST:PORT", help="control listener of a gateway node"
+    )
+    for name, text in commands.DESCRIPTION.items():
+        flag = "--" + name.replace("_", "-")
+        parser.add_argument(flag, required=name in ("host", "path"), default="", help=text)
+
+
 def _add_keys(subparsers: argparse._SubParsersAction, common: argparse.ArgumentParser) -> None:
     text = "issue and withdraw keys of callers"
     keys = subparsers.add_parser("keys", help=text, description=text, allow_abbrev=False)
@@ -190,6 +203,11 @@
         return ExitCode.USAGE
     if arguments.command == "check":
         return commands.check(commands.Context(arguments, None, screen))
+    if arguments.command == "where":
+        # The control listener is open to the nodes' network only and takes no credential.
+        _check_address(arguments.control)
+        client = OperatorClient(arguments.control, "", WHERE_TIMEOUT_S)
+        return commands.where(commands.Context(arguments, client, screen))
     values = _read_settings(flags, environment)
     _check_address(values["node"])
     client = OperatorClient(values["node"], values["operator_token"], values["timeout_s"])
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import gevent
+from bottle import Bottle
 from gevent.event import Event
 
 from arbutustally.clock import boottime
@@ -12,6 +13,7 @@
 from arbutustally_node.gateway.directory import EntryNode, addresses_for
 from arbutustally_node.gateway.node_services import NodeServices, build_services
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
+from arbutustally_node.gateway.preview import Preview, add_explain
 from arbutustally_node.gateway.web import (
     directory_app,
     metrics_app,
@@ -137,10 +139,18 @@
         return [
             serve(options.ready_listen, ready_app(options.ready_path, self.is_ready)),
             serve(options.directory_listen, directory_app(options.directory_path, self._addresses)),
-            serve(options.control_listen, snapshot_app(services.catch_up.snapshot)),
+            serve(options.control_listen, self._control_app()),
             serve(options.metrics_listen, metrics_app(services.state.instruments.text)),
         ]
 
+    def _control_app(self) -> Bottle:
+        requests = self._services.requests
+        return add_explain(
+            snapshot_app(self._services.catch_up.snapshot),
+            Preview(requests, self._options.node),
+            requests,
+        )
+
     def _addresses(self, zone: str) -> bytes | None:
         nodes = [
             EntryNode(peer.callers, peer.zone) for peer in self._gossip.present if peer.is_ready
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -74,6 +74,7 @@
     weights: WeightsService
     exchange: RequestHandler
     listener: CallerListener
+    requests: RequestServices
 
 
 def build_services(options: GatewayOptions, platform: Platform, incarnation: str) -> NodeServices:
@@ -162,7 +163,9 @@
         ("listener", listener),
     )
     catch_up = CatchUp(view, store.endpoints, gossip, store.watch, log, state.rng)
-    return NodeServices(kernel, state, status, gossip, store, catch_up, weights, exchange, listener)
+    return NodeServices(
+        kernel, state, status, gossip, store, catch_up, weights, exchange, listener, requests
+    )
 
 
 def _build_notices(platform: Platform, state: NodeState, gossip: Gossip) -> EndpointNotices:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -28,7 +28,7 @@
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.requests import CallerRequest
 from arbutustally.gateway.zone_choice import engines_in_zone, plain_in_zone
-from arbutustally.gateway.zone_spill import SpillReason
+from arbutustally.gateway.zone_spill import SpillReason, ZoneDecision
 from arbutustally.placement_types import Choice
 from arbutustally.rendezvous import uniform_hash
 from arbutustally_node.gateway.request_services import RequestServices, Trace
@@ -51,7 +51,7 @@
     :ivar version: version of the weights to run on, ``None`` for a plain service.
     :ivar cache_scope: scope of the cached prompt parts that the attempt may use.
     :ivar source: place from which the engine fetches parts missing in its cache.
-    :ivar zone_reason: why the endpoint is in the zone of the node or in another one.
+    :ivar zone: decision whether the request leaves the zone of the node.
     :ivar was_tried: whether an earlier attempt of the request was sent to the same address. A
         worker that has started again may be listed under two ids.
     """
@@ -61,7 +61,7 @@
     version: int | None = None
     cache_scope: str = ""
     source: PartSource | None = None
-    zone_reason: SpillReason = SpillReason.OFF
+    zone: ZoneDecision = ZoneDecision("", SpillReason.OFF)
     was_tried: bool = False
 
 
@@ -134,7 +134,7 @@
                 services.spill, self._service.name, eligible, self._request
             )
             state = choose_plain(eligible, services.zone, services.rng)
-            placed = Placed(state, zone_reason=zone.reason)
+            placed = Placed(state, zone=zone)
         else:
             placed = self._place_at_engine(eligible, left_s, has_run, must_be_timely)
         return replace(placed, was_tried=placed.state.address in self._tried_addresses)
@@ -144,9 +144,9 @@
         self._tried.add(placed.state.id)
         self._tried_addresses.add(placed.state.address)
         if placed.state.entry.zone != self._services.zone:
-            self._trace.facts["left_zone"] = placed.zone_reason
+            self._trace.facts["left_zone"] = placed.zone.reason
             self._trace.facts["to_zone"] = placed.state.entry.zone
-            self._services.instruments.count("left_zone", placed.zone_reason)
+            self._services.instruments.count("left_zone", placed.zone.reason)
 
     def place_hedge(self, left_s: float) -> Placed:
         """Selects an endpoint for a hedge; no earlier attempt was sent to it.
@@ -218,7 +218,7 @@
         if must_be_timely and must_reject(choice.estimate_s, left_s):
             wait = retry_after_s(choice.estimate_s, left_s, services.rng)
             raise OverloadedError("not run: engines are overloaded; retry", retry_after_s=wait)
-        return Placed(state, choice, version, scope, source, zone.reason)
+        return Placed(state, choice, version, scope, source, zone)
 
     def _engines_to_use(self, eligible: list[EndpointState]) -> tuple[int, list[EndpointState]]:
         """Returns the version of the weights to run on, and the engines that have it."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -1,7 +1,7 @@
 """Services shared by the requests of one node, and the record of one request for the log."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any, NamedTuple
 
@@ -70,6 +70,21 @@
     spill: ZoneSpill
     placed: PlacementLog = field(default_factory=PlacementLog)
 
+    def preview(self) -> "RequestServices":
+        """Returns services for a decision that is not acted upon.
+
+        It makes the same draws as the next decision, and changes nothing that others use.
+        """
+        rng = Random()
+        rng.setstate(self.rng.getstate())
+        return replace(
+            self,
+            rng=rng,
+            placement=self.placement.preview(rng),
+            spill=self.spill.preview(rng),
+            on_other_weights=lambda _state: None,
+        )
+
 
 class AttemptTrace(NamedTuple):
     """One attempt in the log line of its request.
--- a/packages/arbutustally/src/arbutustally/gateway/zone_spill.py
+++ b/packages/arbutustally/src/arbutustally/gateway/zone_spill.py
@@ -10,7 +10,7 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from random import Random
 from statistics import fmean
@@ -147,6 +147,15 @@
         """Returns the zone of the node."""
         return self._zone
 
+    def preview(self, rng: Random) -> "ZoneSpill":
+        """Returns a copy that decides as this one does now; its decisions do not change this one.
+
+        :param rng: source of its draws.
+        """
+        copied = ZoneSpill(self._costs, self._zone, self._clock, rng)
+        copied._shares = {name: replace(share) for name, share in self._shares.items()}
+        return copied
+
     def decide(
         self,
         service: str,
--- a/packages/arbutustally/src/arbutustally/hot_prefixes.py
+++ b/packages/arbutustally/src/arbutustally/hot_prefixes.py
@@ -36,6 +36,15 @@
         self._narrow_at = widen_at * NARROW_FRACTION
         self._demands: OrderedDict[bytes, _Demand] = OrderedDict()
 
+    def copied(self) -> "HotPrefixes":
+        """Returns a copy; requests recorded in it do not change this one."""
+        other = HotPrefixes(self._max_prefixes, self._widen_at)
+        other._demands = OrderedDict(
+            (key, _Demand(one.tokens_per_s, one.updated_at, one.homes))
+            for key, one in self._demands.items()
+        )
+        return other
+
     def homes(self, key: bytes) -> int:
         """Returns the number of homes of a prefix, at least 1."""
         demand = self._demands.get(key)
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Mapping
+from copy import copy
 from dataclasses import dataclass, field
 from heapq import nlargest, nsmallest
 from random import Random
@@ -76,6 +77,7 @@
         self._hot = HotPrefixes(widen_at=self.options.widen_at)
         self._estimator = Estimator(self._index, self._load, self.options)
         self._computed_share = 1.0
+        self._records = True
 
     @classmethod
     def from_config(
@@ -101,6 +103,17 @@
         """Returns the recent share of prompt tokens that engines had to compute, 0 to 1."""
         return self._computed_share
 
+    def preview(self, rng: Random) -> "Placement":
+        """Returns a placement that chooses as this one does now, and leaves its tables unchanged.
+
+        :param rng: source of the random choice between near-equal candidates.
+        """
+        copied = copy(self)
+        copied.rng = rng
+        copied._records = False
+        copied._hot = self._hot.copied()
+        return copied
+
     def choose(self, request: PlacementRequest, candidates: list[Candidate]) -> Choice:
         """Chooses an endpoint and records the dispatch to it.
 
@@ -122,8 +135,10 @@
         best, tied = self._pick(context, estimates, zones)
         missed = request.shape.total_tokens - best.cached_tokens
         ahead = best.queue_s * self._load.speed(best.endpoint)
-        number = self._load.record_dispatch(best.endpoint, missed, ahead, context.now)
-        if self.options.in_band:
+        number = 0
+        if self._records:
+            number = self._load.record_dispatch(best.endpoint, missed, ahead, context.now)
+        if self._records and self.options.in_band:
             self._index.record(
                 context.scope, context.anchors, best.endpoint, best.incarnation, context.now
             )
