--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -1,7 +1,7 @@
 """Services shared by the requests of one node, and the record of one request for the log."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any, NamedTuple
 
@@ -11,6 +11,7 @@
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.holdings import Holdings
 from arbutustally.gateway.quota import QuotaLedger
+from arbutustally.gateway.zone_spill import ZoneSpill
 from arbutustally.placement import Placement
 from arbutustally_node.gateway.crash_watch import CrashWatch
 from arbutustally_node.gateway.decision_log import DecisionLog
@@ -40,6 +41,7 @@
     :ivar list_age_s: returns the time since the endpoints' list was known to be current, seconds.
     :ivar crashes: recognises endpoints that end while they begin to answer.
     :ivar quarantine: rejects prompts with parts that end endpoints.
+    :ivar spill: decides whether requests leave the zone.
     :ivar placed: placements to announce to the peers.
     """
 
@@ -65,8 +67,24 @@
     list_age_s: Callable[[], float]
     crashes: CrashWatch
     quarantine: PartQuarantine
+    spill: ZoneSpill
     placed: PlacementLog = field(default_factory=PlacementLog)
 
+    def preview(self) -> "RequestServices":
+        """Returns services for a decision that is not acted upon.
+
+        It makes the same draws as the next decision, and changes nothing that others use.
+        """
+        rng = Random()
+        rng.setstate(self.rng.getstate())
+        return replace(
+            self,
+            rng=rng,
+            placement=self.placement.preview(rng),
+            spill=self.spill.preview(rng),
+            on_other_weights=lambda _state: None,
+        )
+
 
 class AttemptTrace(NamedTuple):
     """One attempt in the log line of its request.
