Name callers the strongest nodes of each zone

Cause: callers spread over all 80 instances of a fleet, 55 of them with 0.4 cores.

Change: where instances differ in capacity, callers are named the strongest ready nodes, zone by zone, until these have half of the capacity, 16 at least.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -92,6 +92,11 @@
         peers = len(self._table.present)
         return DIRECT_INTERVAL_S + INTERVAL_PER_PEER_S * max(0, peers - 10)
 
+    @property
+    def is_direct(self) -> bool:
+        """Returns whether all nodes exchange their load directly, without relays."""
+        return self._table.is_direct
+
     @property
     def present(self) -> list[Member]:
         """Returns the peers from which this node or a relay receives messages."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -9,8 +9,8 @@
 from gevent.event import Event
 
 from arbutustally.clock import boottime
+from arbutustally.gateway.entry_nodes import addresses_for
 from arbutustally_node.collector import tune_collector
-from arbutustally_node.gateway.directory import EntryNode, addresses_for
 from arbutustally_node.gateway.node_services import NodeServices, build_services
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
 from arbutustally_node.gateway.preview import Preview, add_explain
@@ -152,11 +152,7 @@
         )
 
     def _addresses(self, zone: str) -> bytes | None:
-        nodes = [
-            EntryNode(peer.callers, peer.zone) for peer in self._gossip.present if peer.is_ready
-        ]
-        if self.is_ready():
-            nodes.append(EntryNode(self._options.caller_listen, self._options.zone))
+        nodes = self._status.ready_nodes(self._gossip.present)
         if not nodes:
             return None
         addresses = addresses_for(zone, nodes, self._services.state.rng)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_status.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_status.py
@@ -1,11 +1,17 @@
 """Readiness of a node, and the membership data that it sends to its peers."""
 
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Sequence
 
+from arbutustally.clock import monotonic
+from arbutustally.gateway.entry_nodes import entry_nodes
 from arbutustally.gateway.relaying import Member
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.ports import GatewayOptions
 
+#: Time for which a count of the entry nodes is used, seconds; each request needs it.
+COUNT_INTERVAL_S = 0.5
+
 
 class NodeStatus:
     """Readiness and membership data of a node.
@@ -20,6 +26,8 @@
         self._view = view
         self._is_settled = is_settled
         self._is_draining = False
+        self._entry_count = 1
+        self._counted_at = -math.inf
 
     @property
     def is_complete(self) -> bool:
@@ -46,6 +54,28 @@
             options.capacity,
         )
 
+    def ready_nodes(self, peers: Sequence[Member]) -> list[Member]:
+        """Returns the nodes that callers may use, this one included if it is ready.
+
+        :param peers: the other nodes that are present.
+        """
+        nodes = [peer for peer in peers if peer.is_ready]
+        return [*nodes, self.member] if self.is_ready else nodes
+
+    def caller_nodes(self, peers: Sequence[Member], is_direct: bool) -> int:
+        """Returns the number of nodes among which callers are divided, at least one.
+
+        :param peers: the other nodes that are present.
+        :param is_direct: whether the fleet is so small that callers are named all nodes.
+        """
+        if is_direct:
+            return len(peers) + 1
+        now = monotonic()
+        if now - self._counted_at >= COUNT_INTERVAL_S:
+            self._entry_count = max(1, len(entry_nodes(self.ready_nodes(peers))))
+            self._counted_at = now
+        return self._entry_count
+
     def begin_drain(self) -> None:
         """Marks the node as not ready, so that callers are directed to other nodes."""
         self._is_draining = True
