Compare prompts at random engines where loads are relayed

Cause: in fleets of more than 16 nodes, loads are 0.3 s old, and all nodes compared a prompt at all engines.

Change: such fleets compare a prompt at its homes, at two holders of its parts and at one random engine.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -121,6 +121,7 @@
         CrashWatch(log, state.instruments, monotonic, quarantine.crashed),
         quarantine,
         ZoneSpill(options.zone_costs, options.zone, monotonic, state.rng),
+        has_relayed_loads=lambda: not gossip.is_direct,
     )
     exchange = RequestHandler(requests)
     store = _build_store_readers(options, platform, state, gossip)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -229,6 +229,7 @@
             self._route.target_s,
             services.zone,
             services.nodes(),
+            services.has_relayed_loads(),
         )
         state = next(entry for entry in engines if entry.id == choice.endpoint)
         source = fetch_source(services.holdings, scope, request.parts, state, sources, services.rng)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -35,7 +35,7 @@
     :ivar on_notice: called with the notice in an endpoint's response.
     :ivar on_unreachable: called for an endpoint to which no connection could be established.
     :ivar on_silent: called for an endpoint that is silent while a request waits for it.
-    :ivar nodes: returns the number of nodes in the fleet, including this one.
+    :ivar nodes: returns the number of nodes among which callers are divided.
     :ivar is_complete: returns whether the node has all data it needs to serve.
     :ivar rollouts: results of the releases that are being compared.
     :ivar list_age_s: returns the time since the endpoints' list was known to be current, seconds.
@@ -43,6 +43,7 @@
     :ivar quarantine: rejects prompts with parts that end endpoints.
     :ivar spill: decides whether requests leave the zone.
     :ivar placed: placements to announce to the peers.
+    :ivar has_relayed_loads: returns whether load reports of other nodes pass through relays.
     """
 
     view: FleetView
@@ -69,6 +70,7 @@
     quarantine: PartQuarantine
     spill: ZoneSpill
     placed: PlacementLog = field(default_factory=PlacementLog)
+    has_relayed_loads: Callable[[], bool] = lambda: False
 
     def preview(self) -> "RequestServices":
         """Returns services for a decision that is not acted upon.
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -9,7 +9,9 @@
 homes, which spreads the prompts over them. Engine memory is limited and each further copy evicts
 other parts, so a copy is made on another engine only if the homes are much busier. An engine whose
 free memory is too small for the prompt, or that has no free slot, is ranked as if its queue were
-longer.
+longer. In a fleet that relays its load reports, requests arrive faster than the reports, and the
+engine with the shortest queue would get all requests of a report interval. Each request is then
+compared at its homes and at a few random engines only.
 """
 
 import math
@@ -38,6 +40,9 @@
 WIDEN_AT = 0.6
 #: Cost of evicting other parts for an additional copy, as a share of the work of making the copy.
 COPY_SHARE = 0.5
+#: Random engines that a request is compared at in a fleet that relays its load reports, besides the
+#: homes of its prompt. More candidates make nodes choose alike, and queues grow with them.
+RANDOM_CANDIDATES = 1
 PLACEMENT_OPTIONS = PlacementOptions(homes=ENGINE_HOMES, copy_share=COPY_SHARE, widen_at=WIDEN_AT)
 #: Largest difference, seconds, between the expiry times of a part at two places (engines or part
 #: stores) that are taken to be equally likely to still hold it.
@@ -204,6 +209,7 @@
     target_s: float,
     zone: str,
     nodes: int,
+    has_relayed_loads: bool = False,
 ) -> Choice:
     """Returns the engine with the shortest expected time to the first event.
 
@@ -215,6 +221,7 @@
         the chosen engine can fetch from there.
     :param zone: engines of this zone are preferred among equals.
     :param nodes: nodes that choose concurrently, this one included.
+    :param has_relayed_loads: whether the load that other nodes report passes through relays.
     """
     shape = shape_of(request)
     asked = PlacementRequest(
@@ -228,6 +235,7 @@
         nodes=nodes,
         # Level of the last shared part; the part after it belongs to the request or its session.
         home_level=max(0, len(request.parts) - 2),
+        random_candidates=RANDOM_CANDIDATES if has_relayed_loads else 0,
     )
     memory = service.engine.cache_tokens if service.engine else 0
     needed = shape.total_tokens + request.output_tokens
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -53,6 +53,8 @@
 ESTIMATED_HOMES = 8
 ESTIMATED_IDLE = 8
 ESTIMATED_HOLDERS = 8
+#: Holders of cached tokens that are estimated where the other candidates are picked at random.
+SAMPLED_HOLDERS = 2
 
 
 @dataclass
@@ -236,6 +238,8 @@
         take 9 ms. Short queues are picked from a random sample, so that nodes do not all choose the
         same endpoint.
         """
+        if context.request.random_candidates:
+            return self._sample(context, eligible)
         if len(eligible) <= ALL_ESTIMATED:
             return eligible
         names = set(context.homes[: max(ESTIMATED_HOMES, context.width)])
@@ -250,6 +254,19 @@
         names.update(entry.endpoint for entry in idle)
         return [entry for entry in eligible if entry.endpoint in names]
 
+    def _sample(self, context: PlacementContext, eligible: list[Candidate]) -> list[Candidate]:
+        """Returns the homes, the holders of most cached tokens and some endpoints at random.
+
+        Nodes that all compare every endpoint by the same old load send all requests of that time to
+        the one that seemed idle; with few random candidates each, they spread them.
+        """
+        names = set(context.homes[: max(self.options.homes, context.width)])
+        shuffled = self.rng.sample(eligible, len(eligible))
+        holders = nlargest(SAMPLED_HOLDERS, shuffled, key=lambda entry: entry.cached_tokens or 0)
+        names.update(entry.endpoint for entry in holders if entry.cached_tokens)
+        names.update(entry.endpoint for entry in shuffled[: context.request.random_candidates])
+        return [entry for entry in eligible if entry.endpoint in names]
+
     def _work(self, request: PlacementRequest, home_level: int) -> float:
         """Returns the engine time of a request in prefill tokens, with its home prefix cached."""
         shape = request.shape
--- a/packages/arbutustally/src/arbutustally/placement_types.py
+++ b/packages/arbutustally/src/arbutustally/placement_types.py
@@ -61,6 +61,8 @@
     :ivar nodes: nodes that place requests of this kind; each sees only its part of the demand, so
         the demand is multiplied by this number.
     :ivar home_level: index of the level whose hash determines the homes.
+    :ivar random_candidates: number of endpoints, picked at random, that are compared with the homes
+        and the holders of cached tokens; 0 to compare as many as an estimate may take time for.
     """
 
     account: str
@@ -72,6 +74,7 @@
     zone: str = ""
     nodes: int = 1
     home_level: int = 0
+    random_candidates: int = 0
 
 
 @dataclass(frozen=True)
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -55,6 +55,7 @@
             placement=self.placement,
             holdings=Holdings.from_config(self.clock),
             nodes=lambda: 1,
+            has_relayed_loads=lambda: False,
             weights_s=WEIGHTS_S,
             on_other_weights=self.polled.append,
             list_age_s=lambda: 0.0,
