Correct expected waits by observed ones before requests are rejected

Cause: the expected wait counts all queued tokens as if they were read in order.

Change: in fleets with relayed loads, the expected time is multiplied by the ratio of observed to expected times of the route, 0.05 to 1.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -165,6 +165,7 @@
             services.holdings.cancel_expected(placed.state.id, placed.cache_scope, request.parts)
         else:
             services.instruments.duration("first_event", self._route.name, first_s)
+            services.waits.observe(self._route.name, placed.choice.estimate_s, first_s)
             self._trace.facts["first_ms"] = round(first_s * 1000)
             self._record_parts(attempt)
         terms = attempt.result.terms
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -14,6 +14,7 @@
 from arbutustally.gateway.list_outage import ListOutage
 from arbutustally.gateway.place_terms import terms_of
 from arbutustally.gateway.shared_reading import SharedReading
+from arbutustally.gateway.wait_calibration import WaitCalibration
 from arbutustally.gateway.zone_spill import ZoneSpill
 from arbutustally_node.gateway.announcer import Announcer
 from arbutustally_node.gateway.cache_follower import CacheFollower
@@ -121,6 +122,7 @@
         CrashWatch(log, state.instruments, monotonic, quarantine.crashed),
         quarantine,
         ZoneSpill(options.zone_costs, options.zone, monotonic, state.rng),
+        WaitCalibration.from_config(monotonic),
         has_relayed_loads=lambda: not gossip.is_direct,
     )
     exchange = RequestHandler(requests)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -234,11 +234,21 @@
         state = next(entry for entry in engines if entry.id == choice.endpoint)
         source = fetch_source(services.holdings, scope, request.parts, state, sources, services.rng)
         self._record_decision(choice, version, source)
-        if must_be_timely and must_reject(choice.estimate_s, left_s):
-            wait = retry_after_s(choice.estimate_s, left_s, services.rng)
+        expected_s = self._corrected_s(choice.estimate_s)
+        if must_be_timely and must_reject(expected_s, left_s):
+            wait = retry_after_s(expected_s, left_s, services.rng)
             raise OverloadedError("not run: engines are overloaded; retry", retry_after_s=wait)
         return Placed(state, choice, version, scope, source, zone)
 
+    def _corrected_s(self, expected_s: float) -> float:
+        """Returns an expected time to the first event, corrected where loads are relayed.
+
+        Reports of relayed loads are old, so the expectation alone rejects too many requests.
+        """
+        if not self._services.has_relayed_loads():
+            return expected_s
+        return expected_s * self._services.waits.factor(self._route.name)
+
     def _engines_to_use(self, eligible: list[EndpointState]) -> tuple[int, list[EndpointState]]:
         """Returns the version of the weights to run on, and the engines that have it."""
         services, request = self._services, self._request
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -11,6 +11,7 @@
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.holdings import Holdings
 from arbutustally.gateway.quota import QuotaLedger
+from arbutustally.gateway.wait_calibration import WaitCalibration
 from arbutustally.gateway.zone_spill import ZoneSpill
 from arbutustally.placement import Placement
 from arbutustally_node.gateway.crash_watch import CrashWatch
@@ -42,6 +43,7 @@
     :ivar crashes: recognises endpoints that end while they begin to answer.
     :ivar quarantine: rejects prompts with parts that end endpoints.
     :ivar spill: decides whether requests leave the zone.
+    :ivar waits: correction of expected times by the observed ones.
     :ivar placed: placements to announce to the peers.
     :ivar has_relayed_loads: returns whether load reports of other nodes pass through relays.
     """
@@ -69,6 +71,7 @@
     crashes: CrashWatch
     quarantine: PartQuarantine
     spill: ZoneSpill
+    waits: WaitCalibration
     placed: PlacementLog = field(default_factory=PlacementLog)
     has_relayed_loads: Callable[[], bool] = lambda: False
 
