--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -139,6 +139,7 @@
             placement=Placement.from_config(self.clock, Random(3)),
             holdings=Holdings.from_config(self.clock),
             nodes=lambda: 1,
+            has_relayed_loads=lambda: False,
             weights_s=WEIGHTS_S,
             list_age_s=lambda: 0.0,
             spill=ZoneSpill(costs, "z1", self.clock, Random(3)),
