Bound the decoding of responses per turn of the event loop

Cause: the cost of decoding grows with chunks and events, not with bytes. One call decoded a whole read, and other greenlets ran only after 16 reads, so tiny chunks or line breaks without end blocked the node.

Framing is limited to 64 KB plus 4 bytes for each byte of content, and received bytes count toward the limit of a body that is read whole.

--- a/packages/arbutustally-node/src/arbutustally_node/earlier_responses.py
+++ b/packages/arbutustally-node/src/arbutustally_node/earlier_responses.py
@@ -8,6 +8,7 @@
 
 from arbutustally.bounded_head import BoundedHead
 from arbutustally_node.framing import ChunkedBody
+from arbutustally_node.loop_turn import wait_for_turn
 
 #: Earlier requests of a connection whose ids are kept; a copy follows its response closely.
 MAX_EARLIER_IDS = 8
@@ -115,6 +116,9 @@
         if not data:
             raise CutCopyError("the connection ended inside a copy of an earlier response")
         body.feed(data)
+        while body.has_more:
+            wait_for_turn()
+            body.feed(b"")
         skipped += len(data) - len(body.unread)
         if skipped > MAX_SKIPPED_BYTES:
             return False
--- a/packages/arbutustally-node/src/arbutustally_node/framing.py
+++ b/packages/arbutustally-node/src/arbutustally_node/framing.py
@@ -13,6 +13,12 @@
 MAX_SIZE_DIGITS = 8
 #: Longest trailer section, summed over its lines.
 MAX_TRAILER_BYTES = 8192
+#: Lines of the coding that one call of ``ChunkedBody.feed`` decodes at most. The cost of decoding
+#: grows with the number of chunks, not with their bytes.
+MAX_LINES_PER_FEED = 1024
+#: Bytes of chunk framing that any body may have, and those allowed for each byte of content.
+FREE_FRAMING_BYTES = 64 << 10
+MAX_FRAMING_RATIO = 4
 _HEX = b"0123456789abcdefABCDEF"
 
 
@@ -41,6 +47,13 @@
         self._remaining = 0
         self._buffer = b""
         self._trailer_bytes = 0
+        self._framing_left = FREE_FRAMING_BYTES
+        self._has_more = False
+
+    @property
+    def has_more(self) -> bool:
+        """Returns whether received bytes can be decoded without further ones, by ``feed(b"")``."""
+        return self._has_more
 
     @property
     def done(self) -> bool:
@@ -53,9 +66,10 @@
         return self._buffer if self.done else b""
 
     def feed(self, data: bytes) -> bytes:
-        """Returns the decoded bytes.
+        """Returns the decoded bytes of up to ``MAX_LINES_PER_FEED`` lines.
 
-        :raises EndpointFailedError: if the coding is malformed.
+        :param data: received bytes, empty while ``has_more``.
+        :raises EndpointFailedError: if the coding is malformed or far longer than the content.
         """
         if self._state is _State.SIZE and not self._buffer:
             # Fast path: a stream slower than the reads delivers exactly one chunk per read.
@@ -71,26 +85,40 @@
             data = self._buffer + data
             self._buffer = b""
         out: list[bytes] = []
-        at = 0
+        at = lines = decoded = 0
         size = len(data)
         while at < size and self._state is not _State.DONE:
             if self._remaining:
                 chunk = data[at : at + self._remaining]
                 out.append(chunk)
                 at += len(chunk)
+                decoded += len(chunk)
                 self._remaining -= len(chunk)
                 continue
+            if lines == MAX_LINES_PER_FEED:
+                break
             end = data.find(b"\r\n", at)
             if end < 0:
                 break
             self._take_line(data[at:end])
             at = end + 2
+            lines += 1
+        self._has_more = lines == MAX_LINES_PER_FEED and at < size and not self.done
+        self._count_framing(at - decoded, decoded)
         if at < size:
             self._buffer = data[at:]
-            if len(self._buffer) > MAX_CHUNK_LINE_BYTES and not self.done:
+            if len(self._buffer) > MAX_CHUNK_LINE_BYTES and not (self.done or self._has_more):
                 raise _malformed()
         return out[0] if len(out) == 1 else b"".join(out)
 
+    def _count_framing(self, framing: int, content: int) -> None:
+        self._framing_left += MAX_FRAMING_RATIO * content - framing
+        if self._framing_left < 0:
+            raise EndpointFailedError(
+                "the endpoint's chunks are too small; make it send longer ones",
+                ran=Ran.MAY_HAVE_RUN,
+            )
+
     def _take_line(self, line: bytes) -> None:
         if self._state is _State.SIZE:
             self._remaining = _size(
@@ -113,6 +141,7 @@
     """A body of known length."""
 
     framing = Framing.LENGTH
+    has_more = False
 
     def __init__(self, length: int) -> None:
         self._remaining = length
@@ -140,6 +169,7 @@
     """A body delimited by the end of its connection."""
 
     framing = Framing.CLOSE
+    has_more = False
     done = False
     unread = b""
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
@@ -13,6 +13,7 @@
 from arbutustally_node.gateway.caller import CallerConnection, Headers
 from arbutustally_node.gateway.hedge import HedgeController, OvertakenError, UnreachableError
 from arbutustally_node.gateway.transport import died_in_body
+from arbutustally_node.loop_turn import wait_for_turn
 from arbutustally_node.pooled_response import PooledResponse
 
 #: Time without a complete event after which the stream is also requested from another endpoint if
@@ -137,12 +138,9 @@
         while True:
             silent_s = SILENT_START_S if is_first else SILENT_GAP_S
             with watch, hedging.watch(self._event_at + silent_s - self._clock()):
-                data = response.read()
-            if not data:
-                break
-            whole = self._events.feed(data)
+                whole = self._next_events(response)
             if not whole:
-                continue
+                break
             hedging.record_data()
             self._event_at = self._clock()
             if is_first:
@@ -154,10 +152,26 @@
         if not self._may_end_with(response):
             return RelayEnd.BROKEN
         if not self.began:
-            self._begin(b"", response)
+            self._begin(self._events.held, response)
+        elif self._events.held:
+            self._connection.send_part(self._events.held)
         self._connection.end()
         return RelayEnd.COMPLETE
 
+    def _next_events(self, response: PooledResponse) -> bytes:
+        """Returns the next complete events, empty at the end of the body.
+
+        Bytes without an event do not end the wait, so that the limits on silence apply to it.
+        """
+        while True:
+            if self._events.has_more:
+                wait_for_turn()
+                data = b""
+            elif not (data := response.read()):
+                return b""
+            if whole := self._events.feed(data):
+                return whole
+
     def _may_end_with(self, response: PooledResponse) -> bool:
         """Returns whether the caller can be told that the stream is complete.
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -18,6 +18,7 @@
 from arbutustally_node.gateway.endpoint_check import refuses_connections
 from arbutustally_node.gateway.hedge import OvertakenError, UnreachableError
 from arbutustally_node.gateway.ports import AnswerTerms, AttemptTerms, HttpCodec
+from arbutustally_node.loop_turn import wait_for_turn
 from arbutustally_node.pool import PoolService
 from arbutustally_node.pooled_response import PooledResponse
 from arbutustally_node.response_reading import ResponseReading
@@ -144,15 +145,16 @@
         :param is_other_running: returns whether another attempt of the request is running.
         """
         response = result.response
-        arrived = b""
+        arrived = bytearray()
+        events = WholeEvents(resumed_after)
+        whole = b""
         latest = math.inf
         try:
             with guard, gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
-                while not WholeEvents(resumed_after).feed(arrived) and (
-                    piece := _read_until(response, latest, is_other_running)
-                ):
+                while not whole and (piece := _read_until(response, latest, is_other_running)):
                     latest = min(latest, monotonic() + PARTIAL_EVENT_S)
                     arrived += piece
+                    whole = _first_events(events, piece)
         except UnreachableError:
             response.close()
             return AttemptResult(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE, result.status)
@@ -167,10 +169,10 @@
             raise
         # A resumed stream without an event claims an end that the first endpoint hasn't reached.
         is_expected = bool(arrived or resumed_after)
-        if is_expected and not WholeEvents().feed(arrived):
+        if is_expected and not (whole or events.held):
             response.close()
             return AttemptResult(Outcome.MAY_HAVE_RUN, "stream_broken", result.status)
-        response.put_back(arrived)
+        response.put_back(bytes(arrived))
         return result
 
     def read_whole(
@@ -243,6 +245,15 @@
             raise _PartialEventError
 
 
+def _first_events(events: WholeEvents, data: bytes) -> bytes:
+    """Returns the first events that are complete with ``data``, empty if none are."""
+    whole = events.feed(data)
+    while not whole and events.has_more:
+        wait_for_turn()
+        whole = events.feed(b"")
+    return whole
+
+
 def _is_answer_to(request: CallerRequest, terms: AnswerTerms, reading: ResponseReading) -> bool:
     """Returns whether a response belongs to a request.
 
--- a/packages/arbutustally-node/src/arbutustally_node/pooled_response.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pooled_response.py
@@ -14,7 +14,13 @@
 
 from arbutustally.clock import monotonic
 from arbutustally.errors import EndpointFailedError, EndpointTimeoutError, Ran
-from arbutustally_node.framing import ChunkedBody, CloseDelimitedBody, SizedBody
+from arbutustally_node.framing import (
+    FREE_FRAMING_BYTES,
+    ChunkedBody,
+    CloseDelimitedBody,
+    SizedBody,
+)
+from arbutustally_node.loop_turn import wait_for_turn
 from arbutustally_node.read_timeouts import ReadTimeouts
 from arbutustally_node.response_reading import BodyEnd, ResponseReading
 from arbutustally_node.socket_close import close_orderly, reset_on_close
@@ -22,8 +28,8 @@
 READ_BYTES = 65536
 #: A read below this size shows that the endpoint sends more slowly than the node reads.
 PACED_READ_BYTES = 2048
-#: Reads after which other greenlets run, even if more data has arrived.
-READS_BEFORE_YIELD = 16
+#: Reads after which timers and other sockets get a turn, even if more data has arrived.
+READS_BEFORE_YIELD = 4
 #: Largest response body that is read into memory by default.
 MAX_BODY_BYTES = 8 << 20
 #: Fraction of the announced keep-alive time for which an idle connection is reused; the endpoint
@@ -72,6 +78,7 @@
         # Reading before data has arrived costs a failed system call and an exception.
         self._is_paced = False
         self._reads = 0
+        self._received_bytes = 0
         self._hub = gevent.get_hub()
         self._readable = self._hub.loop.io(self._socket.fileno(), _READ) if self._socket else None
 
@@ -117,12 +124,15 @@
             if self._body.done:
                 self._finish()
                 break
-            received = self._receive()
-            if not received:
-                if isinstance(self._body, CloseDelimitedBody) and not self._was_reset:
-                    break
-                raise self._broken()
-            decoded = self._body.feed(received)
+            if self._body.has_more:
+                decoded = self._decode_more()
+            else:
+                received = self._receive()
+                if not received:
+                    if isinstance(self._body, CloseDelimitedBody) and not self._was_reset:
+                        break
+                    raise self._broken()
+                decoded = self._body.feed(received)
             if decoded:
                 self._reading.body_bytes += len(decoded)
                 return decoded
@@ -132,9 +142,14 @@
         """Returns bytes of the body to the response; the next ``read`` yields them first."""
         self._put_back = data + self._put_back
 
+    def _decode_more(self) -> bytes:
+        wait_for_turn()
+        return b"" if self._closed else self._body.feed(b"")
+
     def _receive(self) -> bytes:
         if self._arrived:
             received, self._arrived = self._arrived, b""
+            self._received_bytes += len(received)
             return received
         self._read_timeouts.begin_read(self)
         try:
@@ -142,7 +157,7 @@
             if self._is_paced:
                 self._hub.wait(self._readable)
             elif self._reads % READS_BEFORE_YIELD == 0:
-                gevent.sleep(0)
+                wait_for_turn()
             received = self._socket.recv(READ_BYTES)
         except OSError:
             # A reset, unlike an orderly close, is never the end of a body without a length.
@@ -151,6 +166,7 @@
         finally:
             self._read_timeouts.end_read(self)
         self._is_paced = len(received) < PACED_READ_BYTES
+        self._received_bytes += len(received)
         if not received:
             self._reading.ended(self._end_of_input())
             self.close()
@@ -180,7 +196,8 @@
     ) -> bytes:
         """Returns the complete body.
 
-        :param limit: largest body in bytes.
+        :param limit: largest body in bytes, to which its framing counts beyond
+            ``FREE_FRAMING_BYTES``.
         :param watch: returns a context manager that is entered for each wait for a chunk.
         :raises EndpointFailedError: as ``read``, and if the body exceeds ``limit`` bytes.
         """
@@ -193,7 +210,7 @@
                 break
             chunks.append(chunk)
             size += len(chunk)
-            if size > limit:
+            if size > limit or self._received_bytes > limit + FREE_FRAMING_BYTES:
                 self.close()
                 raise EndpointFailedError(
                     f"the response of endpoint {self._address} exceeds {limit} bytes; "
@@ -224,7 +241,7 @@
             if not (self._arrived or self._is_readable()):
                 return False
             received = self._receive()
-            if not received or self._body.feed(received):
+            if not received or self._body.feed(received) or self._body.has_more:
                 return False
         return not self._put_back
 
--- /dev/null
+++ b/tests/test_bounded_decoding.py
@@ -0,0 +1,82 @@
+"""Work of the decoders per call, in elements, and their limits on bytes without content."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from arbutustally.errors import EndpointFailedError
+from arbutustally.gateway.events import EventTooLongError, WholeEvents
+from arbutustally_node.framing import FREE_FRAMING_BYTES, ChunkedBody
+
+READ_BYTES = 65536
+#: Elements that one call may decode; one takes about a microsecond.
+MAX_ELEMENTS = 2048
+
+
+class ChunkedUnitsTest(unittest.TestCase):
+    def test_one_call_decodes_a_bounded_number_of_chunks(self) -> None:
+        """Guards against a read of tiny chunks that blocks the event loop until all are decoded."""
+        body = ChunkedBody()
+        data = b"2\r\nab\r\n" * (READ_BYTES // 7)
+        parts = [body.feed(data)]
+        while body.has_more:
+            parts.append(body.feed(b""))
+        self.assertEqual(b"".join(parts), b"ab" * (READ_BYTES // 7))
+        self.assertLess(max(map(len, parts)), MAX_ELEMENTS)
+
+    def test_framing_is_limited(self) -> None:
+        """Guards against framing without end around next to no content."""
+        for chunk in (b"1\r\n \r\n", b"1;" + b"x" * 200 + b"\r\n \r\n"):
+            body = ChunkedBody()
+            received = 0
+            with self.subTest(chunk[:8]), self.assertRaises(EndpointFailedError):
+                while received < 8 * FREE_FRAMING_BYTES:
+                    body.feed(b"" if body.has_more else chunk * 64)
+                    received += len(chunk) * 64
+
+    def test_short_chunks_of_a_stream_are_not_limited(self) -> None:
+        """Guards against long streams that are cut because each token is a chunk."""
+        body = ChunkedBody()
+        chunk = b"9\r\ndata: x\n\n\r\n"
+        for _ in range(400):
+            body.feed(chunk * 64)
+        self.assertFalse(body.has_more)
+
+
+class EventUnitsTest(unittest.TestCase):
+    def test_one_call_checks_a_bounded_number_of_events(self) -> None:
+        """Guards against a read of tiny events that blocks the event loop until all are checked."""
+        events = WholeEvents()
+        data = b"a\n\n" * (READ_BYTES // 3)
+        parts = [events.feed(data)]
+        while events.has_more:
+            parts.append(events.feed(b""))
+        self.assertEqual(b"".join(parts), data)
+        self.assertLess(max(map(len, parts)), 3 * MAX_ELEMENTS)
+
+    def test_endless_bytes_without_an_event_are_refused(self) -> None:
+        """Guards against line breaks and comments that pass for events and never end."""
+        for piece in (b"\n", b":\n\n", b"retry: 5\r\n\r\n"):
+            events = WholeEvents()
+            fed = 0
+            with self.subTest(piece), self.assertRaises(EventTooLongError):
+                while fed < 4 << 20:
+                    data = b"" if events.has_more else piece * 4096
+                    fed += len(data)
+                    self.assertEqual(events.feed(data), b"")
+
+    @given(
+        st.lists(st.sampled_from((b"\n", b": a\n\n", b"retry: 1\n\n", b"data: b\n\n"))),
+        st.lists(st.integers(1, 9), min_size=1),
+    )
+    def test_every_byte_is_kept_in_order(self, pieces, sizes) -> None:
+        """Guards against bytes without content that are lost, repeated or moved."""
+        events, data = WholeEvents(), b"".join(pieces)
+        out, at, number = b"", 0, 0
+        while at < len(data):
+            size = sizes[number % len(sizes)]
+            whole = events.feed(data[at : at + size])
+            self.assertTrue(not whole or b"data: b\n\n" in whole)
+            out, at, number = out + whole, at + size, number + 1
+        self.assertEqual(out + events.held + events.rest, data)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -60,6 +60,11 @@
     yield from repeat(b"400\r\n" + b"x" * 1024 + b"\r\n")
 
 
+def endless_small_chunks() -> Iterator[bytes]:
+    yield OK + b"Transfer-Encoding: chunked\r\n\r\n"
+    yield from repeat(b"1\r\n \r\n" * 8192)
+
+
 def endless_chunk_size() -> Iterator[bytes]:
     yield OK + b"Transfer-Encoding: chunked\r\n\r\n"
     yield from repeat(b"0" * 4096)
@@ -80,6 +85,7 @@
     endless_informational,
     endless_body,
     endless_chunks,
+    endless_small_chunks,
     endless_chunk_size,
     endless_trailer,
     endless_nonsense,
