Measure the delay of the event loop

Change: the monitor records how late a timer fires as the metric loop_lag, and logs a line above 250 ms, with the processor time that tells long work from a process that got no time.

--- /dev/null
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/loop_lag.py
@@ -0,0 +1,61 @@
+"""Measures how long work keeps the event loop from its timers."""
+
+import time
+from typing import Any
+
+import gevent
+
+from arbutustally.clock import Clock
+from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.instruments import Instruments
+
+#: Interval between two measurements, seconds.
+INTERVAL_S = 0.05
+#: Delay above which a line is logged, seconds.
+LOGGED_LAG_S = 0.25
+
+
+class LoopLagMonitor:
+    """Records the delays of a periodic timer as the metric ``loop_lag``.
+
+    A process that gets no processor time is late too; the processor time in the log line tells
+    this from long work of the process itself.
+
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(self, log: DecisionLog, instruments: Instruments, clock: Clock) -> None:
+        self._log = log
+        self._instruments = instruments
+        self._clock = clock
+        self._greenlet: Any = None
+
+    def start(self) -> None:
+        """Starts the measurements."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stops the measurements."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def record(self, lag_s: float, processor_s: float) -> None:
+        """Records one delay.
+
+        :param lag_s: delay of the timer, seconds.
+        :param processor_s: processor time of the process since the previous delay, seconds.
+        """
+        self._instruments.duration("loop_lag", "", max(lag_s, 0.0))
+        if lag_s > LOGGED_LAG_S:
+            self._log.line(
+                "loop_lag",
+                lag_ms=round(lag_s * 1000),
+                processor_ms=round(processor_s * 1000),
+            )
+
+    def _run(self) -> None:
+        while True:
+            began, processor_began = self._clock(), time.process_time()
+            gevent.sleep(INTERVAL_S)
+            lag_s = self._clock() - began - INTERVAL_S
+            self.record(lag_s, time.process_time() - processor_began)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -23,6 +23,7 @@
 from arbutustally_node.gateway.endpoint_reader import READING_DUTY, EndpointReader
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.listener import CallerListener
+from arbutustally_node.gateway.loop_lag import LoopLagMonitor
 from arbutustally_node.gateway.node_state import NodeState
 from arbutustally_node.gateway.node_status import NodeStatus
 from arbutustally_node.gateway.operator_reader import OperatorReader
@@ -149,6 +150,7 @@
     )
     kernel = _register(
         ("log", log),
+        ("loop_lag", LoopLagMonitor(log, state.instruments, monotonic)),
         ("gossip", gossip),
         ("endpoints", store.endpoints),
         ("follower", store.operator_reader),
