Give other sockets turns while a caller's chunks are decoded

Cause: a body in tiny chunks was decoded without a turn of the event loop, as far as it had arrived, and its framing counted toward no limit.

Change: after 256 chunks the loop makes a pass; framing may be as long as the largest body plus 64 KB. The body is gathered in one buffer instead of an object for each chunk.

Measured: without the change, tests.test_bounded_decoding counts 1 pass of the loop during 12,000 chunks of 2 bytes, and accepts 4,000 chunks with 100 bytes of framing for one byte; both tests pass with it.

--- a/packages/arbutustally-node/src/arbutustally_node/http_body.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_body.py
@@ -10,10 +10,16 @@
     OverloadedError,
     SlowSenderError,
 )
+from arbutustally_node.framing import FREE_FRAMING_BYTES
 from arbutustally_node.http_head import RequestHead, parse_head
+from arbutustally_node.loop_turn import wait_for_turn
 
 READ_BYTES = 65536
 MAX_CHUNK_LINE_BYTES = 256
+#: Chunks of a body after which timers and other sockets get a turn.
+CHUNKS_PER_TURN = 256
+#: Line breaks around the content of a chunk, bytes.
+FIXED_FRAMING_BYTES = 4
 #: Bytes of request bodies that all connections of a listener may buffer at once.
 MAX_BUFFERED_BYTES = 128 << 20
 
@@ -115,9 +121,12 @@
         self._body_bytes = 0
 
     def _read_chunked(self) -> bytes:
-        parts = []
-        total = 0
+        body = bytearray()
+        total = framing = chunks = 0
         while True:
+            chunks += 1
+            if chunks % CHUNKS_PER_TURN == 0:
+                wait_for_turn()
             line = self._read_until(b"\r\n", MAX_CHUNK_LINE_BYTES, "a chunk size line")
             match = _CHUNK_LINE.fullmatch(line)
             if match is None:
@@ -125,13 +134,16 @@
             size = int(match[1], 16)
             if not size:
                 self._skip_trailers()
-                return b"".join(parts)
+                return bytes(body)
             total += size
-            if total > self._max_body_bytes:
+            framing += len(line) + FIXED_FRAMING_BYTES
+            is_framed_too_much = framing > self._max_body_bytes + FREE_FRAMING_BYTES
+            if total > self._max_body_bytes or is_framed_too_much:
                 raise BodyTooLargeError(
-                    f"the body exceeds {self._max_body_bytes} bytes; send a smaller one"
+                    f"the body or its framing exceeds {self._max_body_bytes} bytes; "
+                    "send a smaller one or longer chunks"
                 )
-            parts.append(self._read_exactly(size))
+            body += self._read_exactly(size)
             if self._read_exactly(2) != b"\r\n":
                 raise BadRequestError("a chunk is longer than its size; correct the chunk size")
 
--- a/tests/test_bounded_decoding.py
+++ b/tests/test_bounded_decoding.py
@@ -1,13 +1,18 @@
 """Work of the decoders per call, in elements, and their limits on bytes without content."""
 
+import socket
 import unittest
 
+import gevent
 from hypothesis import given
 from hypothesis import strategies as st
 
-from arbutustally.errors import EndpointFailedError
+from arbutustally.clock import monotonic
+from arbutustally.errors import BodyTooLargeError, EndpointFailedError
 from arbutustally.gateway.events import EventTooLongError, WholeEvents
 from arbutustally_node.framing import FREE_FRAMING_BYTES, ChunkedBody
+from arbutustally_node.http_body import BodyBudget, RequestReader
+from arbutustally_node.loop_turn import wait_for_turn
 
 READ_BYTES = 65536
 #: Elements that one call may decode; one takes about a microsecond.
@@ -80,3 +85,39 @@
             self.assertTrue(not whole or b"data: b\n\n" in whole)
             out, at, number = out + whole, at + size, number + 1
         self.assertEqual(out + events.held + events.rest, data)
+
+
+class CallerBodyTest(unittest.TestCase):
+    HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    def read(self, chunk: bytes, number: int, limit: int) -> tuple[bytes, int]:
+        """Returns a body of equal chunks, and the passes of the event loop while it was read."""
+        near, far = socket.socketpair()
+        passes = 0
+
+        def watch() -> None:
+            nonlocal passes
+            while True:
+                wait_for_turn()
+                passes += 1
+
+        sender = gevent.spawn(far.sendall, self.HEAD + chunk * number + b"0\r\n\r\n")
+        watcher = gevent.spawn(watch)
+        with near, far:
+            try:
+                reader = RequestReader(near, monotonic, BodyBudget(), 4096, limit, 5.0, 5.0)
+                return reader.read_body(reader.read_head()), passes
+            finally:
+                gevent.killall([sender, watcher])
+
+    def test_other_sockets_get_turns_while_chunks_are_decoded(self) -> None:
+        """Guards against a body in tiny chunks that blocks the event loop."""
+        number = 12_000
+        body, passes = self.read(b"2\r\nab\r\n", number, 1 << 20)
+        self.assertEqual(body, b"ab" * number)
+        self.assertGreater(passes, number // MAX_ELEMENTS)
+
+    def test_framing_counts_toward_the_limit(self) -> None:
+        """Guards against a short body that costs far more bytes than the limit allows."""
+        with self.assertRaises(BodyTooLargeError):
+            self.read(b"1;" + b"x" * 100 + b"\r\na\r\n", 4000, 1 << 16)
