Limit the requests to cold endpoints over all nodes

The cold time comes from coldRemainingMs of the list entry and from the header Cold-Ms of any answer, the rate from coldPerS of the service. The excess is rejected at once with 503 and a Retry-After if nothing else is left.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -207,7 +207,11 @@
         before = self.book.get(entry.id)
         was_leaving = before is not None and before.is_leaving
         was_removed = before is not None and before.gone_at is not None
+        was_cold = before is not None and before.cold_until > self._clock()
         is_new = self.book.put(entry)
+        if entry.cold_remaining_s and not was_cold:
+            cold_s = entry.cold_remaining_s
+            self._log.line("endpoint_cold", endpoint=entry.id, cold_s=cold_s, source=source)
         if is_new:
             self._log_endpoint(entry, source)
         if is_new and not entry.is_leaving and (was_leaving or was_removed):
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
@@ -9,6 +9,7 @@
 from arbutustally.gateway.configuration import CallerLimits, Configuration
 from arbutustally.gateway.engine_speeds import EngineSpeeds
 from arbutustally.gateway.quota import QuotaLedger
+from arbutustally.gateway.slow_start import SlowStart
 from arbutustally.placement import Placement
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
@@ -46,6 +47,7 @@
         speeds = EngineSpeeds.from_config(monotonic)
         instruments = Instruments()
         view = FleetView(documents, monotonic, log, instruments.count)
+        view.book.slow_start = SlowStart(monotonic, options.node, options.bounds.cold)
         state = cls(
             incarnation,
             log,
@@ -71,6 +73,9 @@
         for service in configuration.services.values():
             if service.engine and service.engine.transfer_tokens_per_s:
                 self.placement.set_import_speed(service.engine.transfer_tokens_per_s)
+        self.view.book.slow_start.set_rates(
+            {service.name: service.cold_rate for service in configuration.services.values()}
+        )
         self.quota.set_limits(
             {name: (entry.rate, entry.burst) for name, entry in configuration.accounts.items()}
         )
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -107,9 +107,16 @@
         fresh = [state for state in eligible if state.id not in self._tried]
         eligible = fresh or eligible
         if not eligible:
-            raise self._no_endpoint_error("no_endpoint", left_s, has_run)
+            raise self._no_endpoint_error(self._reason_for_none(), left_s, has_run)
         return self._place_among(eligible, left_s, has_run, must_be_timely=not self._tried)
 
+    def _reason_for_none(self) -> str:
+        book, service = self._services.view.book, self._service.name
+        if not book.has_any(service, book.slow_start.is_cold):
+            return "no_endpoint"
+        self._services.instruments.count("cold_rejections", service)
+        return "endpoints_cold"
+
     def _usable(self) -> list[EndpointState]:
         """Returns the usable endpoints of the service.
 
@@ -148,6 +155,8 @@
 
     def record_sent(self, placed: Placed) -> None:
         """Records that the request is sent to an endpoint."""
+        if self._services.view.book.slow_start.record_sent(placed.state):
+            self._services.instruments.count("cold_requests", self._service.name)
         self._tried.add(placed.state.id)
         self._tried_addresses.add(placed.state.address)
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/options.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/options.py
@@ -4,6 +4,7 @@
 
 from arbutustally.gateway.attempts import RepeatBudget
 from arbutustally.gateway.quota import QuotaTolerance
+from arbutustally.gateway.slow_start import ColdTolerance
 
 
 @dataclass(frozen=True)
@@ -14,6 +15,7 @@
         seconds.
     :ivar lease_s: shortest time between orders of two holders, seconds.
     :ivar leaving_s: time after which a leaving endpoint gets no new requests, seconds.
+    :ivar cold: most requests that a cold endpoint may get in a second.
     :ivar store_return_s: time after the store's return within which a missing entry may reappear,
         seconds.
     :ivar heartbeat_s: interval at which endpoints renew their entries in the list, seconds.
@@ -27,6 +29,7 @@
     directory_ttl_s: float
     quota: QuotaTolerance
     repeats: RepeatBudget
+    cold: ColdTolerance = ColdTolerance()
     leaving_s: float = 2.0
     store_return_s: float = 2.5
     heartbeat_s: float = 1.2
--- a/packages/arbutustally/src/arbutustally/gateway/configuration.py
+++ b/packages/arbutustally/src/arbutustally/gateway/configuration.py
@@ -93,12 +93,14 @@
     :ivar max_connections: connections that one endpoint accepts from all nodes together.
     :ivar engine: ``None`` for a plain service.
     :ivar part_store: set for a service that is a store of cached parts.
+    :ivar cold_rate: requests per second that a cold endpoint sustains, 0 for no limit.
     """
 
     name: str
     max_connections: int
     engine: Engine | None = None
     part_store: PartStore | None = None
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/arbutustally/src/arbutustally/gateway/endpoint_state.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoint_state.py
@@ -41,6 +41,9 @@
     :ivar failed_checks: the latest failed checks since ``is_down`` was set.
     :ivar checked_at: when a connection was last tried because a request waits for it.
     :ivar last_data_at: when it last sent an answer or a stream event, for any request.
+    :ivar cold_until: until then it is slow.
+    :ivar cold_sent: when this node sent it requests while it was slow, latest last.
+    :ivar stated_cold_at: when it last stated in an answer for how long it is slow.
     :ivar is_replaced: another endpoint was found at its address.
     """
 
@@ -58,6 +61,9 @@
     has_announced_leaving: bool = False
     replaced_incarnations: tuple[str, ...] = ()
     paused_until: float = 0.0
+    cold_until: float = 0.0
+    cold_sent: deque[float] = field(default_factory=deque)
+    stated_cold_at: float = float("-inf")
     is_replaced: bool = False
     is_down: bool = False
     failed_checks: deque[FailedCheck] = field(default_factory=lambda: deque(maxlen=FAILED_CHECKS))
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -7,6 +7,7 @@
 from arbutustally.gateway.endpoint_entry import EndpointEntry
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.evacuation import Evacuations
+from arbutustally.gateway.slow_start import SlowStart
 
 #: Time for which an endpoint gets no requests after several failures, seconds; doubled at each
 #: repetition.
@@ -28,6 +29,8 @@
 MAX_PAUSE_SPREAD_S = 1.0
 #: Earlier incarnations that are remembered per endpoint.
 MAX_INCARNATIONS = 8
+#: Longest time from writing to reading an entry of the list, seconds.
+LIST_DELAY_S = 3.0
 
 
 class EndpointBook:
@@ -35,6 +38,7 @@
 
     :param clock: monotonic seconds.
     :ivar evacuations: zones whose endpoints get no requests.
+    :ivar slow_start: limits the requests to cold endpoints.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -42,6 +46,7 @@
         self._states: dict[str, EndpointState] = {}
         self._keep_removed_until = 0.0
         self.evacuations = Evacuations(clock)
+        self.slow_start = SlowStart(clock, "")
 
     @classmethod
     def from_config(cls, clock: Clock) -> "EndpointBook":
@@ -69,7 +74,8 @@
         """Returns the endpoints that may get a new request now.
 
         Suspected and unreachable endpoints are left out while another one remains; paused ones are
-        always left out, as are those in evacuated zones.
+        always left out, as are those in evacuated zones and cold ones
+        to which this node may send nothing now.
 
         :param predicate: filter of the endpoints to consider.
         """
@@ -78,7 +84,9 @@
         unpaused = [
             state
             for state in staying
-            if state.paused_until <= now and not self.evacuations.is_evacuated(state.entry.zone)
+            if state.paused_until <= now
+            and not self.evacuations.is_evacuated(state.entry.zone)
+            and self.slow_start.may_send(state)
         ]
         trusted = [state for state in unpaused if not state.is_down and state.suspect_until <= now]
         return trusted or unpaused
@@ -152,16 +160,14 @@
             return False
         state = self._states.get(entry.id)
         if state is None:
-            self._states[entry.id] = EndpointState(entry, weights=dict(entry.weights))
+            self._states[entry.id] = self._first_state(entry)
             return True
         if state.entry.incarnation != entry.incarnation:
             incarnations = (*state.replaced_incarnations, state.entry.incarnation)
-            self._states[entry.id] = EndpointState(
-                entry,
-                weights=dict(entry.weights),
-                replaced_incarnations=incarnations[-MAX_INCARNATIONS:],
-            )
+            self._states[entry.id] = self._first_state(entry, incarnations[-MAX_INCARNATIONS:])
             return True
+        if entry.cold_remaining_s != state.entry.cold_remaining_s:
+            self._list_cold(state, entry.cold_remaining_s)
         is_new = state.entry != entry or state.gone_at is not None
         state.entry = entry
         state.gone_at = None
@@ -169,6 +175,33 @@
             state.weights[model] = max(state.weights.get(model, 0), version)
         return is_new
 
+    def state_cold(self, state: EndpointState, cold_s: float) -> bool:
+        """Records how long an endpoint remains slow, as stated in its answer; returns whether it
+        becomes slow.
+
+        :param cold_s: seconds, 0 if it is not slow.
+        """
+        now = self._clock()
+        was_cold = state.cold_until > now
+        state.cold_until, state.stated_cold_at = now + cold_s, now
+        return cold_s > 0 and not was_cold
+
+    def _list_cold(self, state: EndpointState, cold_s: float) -> None:
+        # An entry that is read now may have been written before the endpoint's latest answer.
+        now = self._clock()
+        until = now + cold_s
+        if now - state.stated_cold_at < LIST_DELAY_S:
+            until = max(until, state.cold_until)
+        state.cold_until = until
+
+    def _first_state(self, entry: EndpointEntry, replaced: tuple[str, ...] = ()) -> EndpointState:
+        return EndpointState(
+            entry,
+            weights=dict(entry.weights),
+            replaced_incarnations=replaced,
+            cold_until=self._clock() + entry.cold_remaining_s,
+        )
+
     def is_replaced_start(self, entry: EndpointEntry) -> bool:
         """Returns whether an entry belongs to a start that another start under its id replaced."""
         state = self._states.get(entry.id)
