--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -53,11 +53,15 @@
         self.store.put("keyed.op", "config", configuration())
         self.http = urllib3.PoolManager(retries=False, timeout=5.0)
 
-    def start_node(self, fields: dict[str, Any] | None = None) -> GatewayNode:
+    def start_node(self, fields: dict[str, Any] | None = None, **options: Any) -> GatewayNode:
+        """Starts a node.
+
+        :param options: changes of its options.
+        """
         decoded = self._on_free_metrics_port(
             decode_settings(fields or settings(self.store.address))
         )
-        node = GatewayNode.from_config(decoded.options, build_platform(decoded))
+        node = GatewayNode.from_config(replace(decoded.options, **options), build_platform(decoded))
         node.start()
         self.addCleanup(node.stop)
         return node
