Show when a second roll-out order is ignored

An order for the same service and release with another duration applies while the roll-out runs (test added), but is ignored once it has ended.

--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -19,6 +19,7 @@
     MOVE_S,
     WATCH_S,
     AnswerTally,
+    KnownOrder,
     RolloutBook,
     RolloutOrder,
     RolloutProgress,
@@ -185,6 +186,23 @@
         self.assertTrue(self.book.add_order(RolloutOrder("llm", "v3", 10.0), 1.0))
         self.assertIsNone(self.book.progress("llm"))
 
+    def test_order_with_another_duration_applies_while_the_roll_out_runs(self) -> None:
+        """Guards against a roll-out that ends at the time of an order that was replaced."""
+        running = progress(RolloutState.RUNNING, CANARY_SHARE)
+        longer = RolloutOrder("llm", "v2", 60.0)
+        self.book.add_order(ORDER, 0.0)
+        self.book.apply(running)
+        self.assertTrue(self.book.add_order(longer, 5.0))
+        self.assertEqual(self.book.orders, [KnownOrder(longer, 5.0)])
+        self.assertEqual(self.book.progress("llm"), running)
+
+    def test_order_with_another_duration_begins_anew_after_the_end(self) -> None:
+        """Guards against a second order for a release that is ignored since the first has ended."""
+        self.book.add_order(ORDER, 0.0)
+        self.book.apply(progress(RolloutState.ROLLED_BACK, 0.0))
+        self.assertTrue(self.book.add_order(RolloutOrder("llm", "v2", 60.0), 5.0))
+        self.assertIsNone(self.book.progress("llm"))
+
 
 class EvidenceTest(unittest.TestCase):
     def test_long_runs_count_before_they_end(self) -> None:
