Name the order of starts in one place for its mutation

The mutation "no earlier start comes back" named a line that the order of starts by number has changed. is_outdated now asks is_replaced_start and keeps only the case of an entry without a number.

--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -171,9 +171,9 @@
         state = self._states.get(entry.id)
         if state is None:
             return False
-        return entry.incarnation in state.replaced_incarnations or is_earlier_start(
-            entry.incarnation, state.entry.incarnation
-        )
+        if is_earlier_start(entry.incarnation, state.entry.incarnation):
+            return True
+        return entry.incarnation in state.replaced_incarnations
 
     def is_outdated(self, entry: EndpointEntry) -> bool:
         """Returns whether an entry of an older list is outdated.
@@ -186,8 +186,8 @@
         if entry.incarnation == state.entry.incarnation:
             has_left = state.entry.is_leaving and not entry.is_leaving
             return has_left or state.gone_at is not None
-        number, known = start_number(entry.incarnation), start_number(state.entry.incarnation)
-        return self.is_replaced_start(entry) or number < known
+        lacks_number = start_number(entry.incarnation) == 0 < start_number(state.entry.incarnation)
+        return lacks_number or self.is_replaced_start(entry)
 
     def remove(self, endpoint_id: str) -> bool:
         """Marks an entry as removed; returns whether it was present."""
