--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -129,6 +129,27 @@
         self._listener.close()
 
 
+def longest_delay_during(call: Callable[[], object]) -> float:
+    """Returns the longest time for which a call blocked other greenlets, seconds."""
+    longest = 0.0
+
+    def watch() -> None:
+        nonlocal longest
+        while True:
+            before = time.monotonic()
+            gevent.sleep(0.01)
+            longest = max(longest, time.monotonic() - before)
+
+    watcher = gevent.spawn(watch)
+    gevent.sleep(0.05)
+    try:
+        call()
+    finally:
+        gevent.sleep(0.02)
+        watcher.kill()
+    return longest
+
+
 class EndlessTest(unittest.TestCase):
     def check_each_response(self, check: Callable[[str], None]) -> None:
         """Runs a check against each kind of endless data."""
@@ -143,24 +164,9 @@
 
         :param within_s: time limit of the call, seconds.
         """
-        longest = 0.0
-
-        def watch() -> None:
-            nonlocal longest
-            while True:
-                before = time.monotonic()
-                gevent.sleep(0.01)
-                longest = max(longest, time.monotonic() - before)
-
-        watcher = gevent.spawn(watch)
-        gevent.sleep(0.05)
         began = time.monotonic()
-        try:
-            call()
-        finally:
-            took = time.monotonic() - began
-            gevent.sleep(0.02)
-            watcher.kill()
+        longest = longest_delay_during(call)
+        took = time.monotonic() - began
         self.assertLess(took, within_s + SLACK_S)
         self.assertLess(longest, MAX_HELD_UP_S)
 
@@ -206,6 +212,24 @@
         self.check_each_response(check)
 
 
+class ManyChangesTest(unittest.TestCase):
+    def test_changes_of_a_cache_are_decoded_in_turns(self) -> None:
+        """Guards against a short list in many elements that blocks the event loop."""
+        body = b'{"bootEpoch":1,"next":1,"lost":false,"events":[0' + b",0" * 1_500_000 + b"]}"
+
+        def response() -> Iterator[bytes]:
+            yield OK + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+        server = EndlessServer(response)
+        self.addCleanup(server.stop)
+        batches = []
+        longest = longest_delay_during(
+            lambda: batches.append(PlatformCacheEvents().changes(server.address, 0, 0.0))
+        )
+        self.assertEqual(batches[0].next_number, 1)
+        self.assertLess(longest, MAX_HELD_UP_S)
+
+
 class TrailerTest(unittest.TestCase):
     def test_trailer_is_bounded(self) -> None:
         body = ChunkedBody()
