Test that a stream of comments counts as silent

Measured: on the stream stays at its engine for 3.0 s and the caller gets the comments (test fails); now another engine answers after 1.2 s (test passes).

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -139,6 +139,21 @@
         states = self.node._view.book.of_service("llm")
         self.eventually(lambda: sum(state.running for state in states) == 0)
 
+    def test_engine_that_sends_only_comments_is_silent(self) -> None:
+        """Guards against bytes without an event that keep a stream at a stuck engine."""
+        self.set_routes()
+
+        def only_comments(headers):
+            def body():
+                for _ in range(30):
+                    yield b":\n\n\n"
+                    gevent.sleep(0.1)
+
+            return signed(headers, body())
+
+        self.answer_first_with(only_comments, self.paused(0.0))
+        self.assertEqual(self.ask().data, events(1, 5))
+
     def test_late_head_drops_the_other_engine(self) -> None:
         """Guards against counting a cancelled hedge as answered."""
         self.set_routes()
