Play evacuations and cold workers in the soak; pass on cold times

The soak's named faults evacuate_zone and cool_worker check that no request reaches an evacuated zone (EVACUATED) and no cold worker gets more than its limit in a second (COLDRATE). They showed nodes that did not hear of a worker that became cold: readers of the list passed on only entries that differ in another field. An entry that moves the end of the cold time by over 0.5 s now counts as a change.

--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -31,6 +31,9 @@
 MAX_INCARNATIONS = 8
 #: Longest time from writing to reading an entry of the list, seconds.
 LIST_DELAY_S = 3.0
+#: Change of the end of an endpoint's cold time from which nodes pass its entry on, seconds. Entries
+#: that count the same time down are not passed on at each heartbeat.
+COLD_NEWS_S = 0.5
 
 
 class EndpointBook:
@@ -166,9 +169,9 @@
             incarnations = (*state.replaced_incarnations, state.entry.incarnation)
             self._states[entry.id] = self._first_state(entry, incarnations[-MAX_INCARNATIONS:])
             return True
-        if entry.cold_remaining_s != state.entry.cold_remaining_s:
-            self._list_cold(state, entry.cold_remaining_s)
         is_new = state.entry != entry or state.gone_at is not None
+        if entry.cold_remaining_s != state.entry.cold_remaining_s:
+            is_new |= self._list_cold(state, entry.cold_remaining_s)
         state.entry = entry
         state.gone_at = None
         for model, version in entry.weights.items():
@@ -186,13 +189,16 @@
         state.cold_until, state.stated_cold_at = now + cold_s, now
         return cold_s > 0 and not was_cold
 
-    def _list_cold(self, state: EndpointState, cold_s: float) -> None:
+    def _list_cold(self, state: EndpointState, cold_s: float) -> bool:
+        """Records the cold time of a list entry; returns whether its end is news for peers."""
         # An entry that is read now may have been written before the endpoint's latest answer.
         now = self._clock()
         until = now + cold_s
         if now - state.stated_cold_at < LIST_DELAY_S:
             until = max(until, state.cold_until)
+        is_news = abs(max(until, now) - max(state.cold_until, now)) > COLD_NEWS_S
         state.cold_until = until
+        return is_news
 
     def _first_state(self, entry: EndpointEntry, replaced: tuple[str, ...] = ()) -> EndpointState:
         return EndpointState(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -113,6 +113,16 @@
     backend.list("ready")
 
 
+def evacuate_zone(fleet: SoakFleet, rng: Random) -> None:
+    """Evacuates the zone of one worker for a while."""
+    _backend(fleet, rng).evacuate(rng.uniform(0.5, 2.0), rng.uniform(6.0, 9.0))
+
+
+def cool_worker(fleet: SoakFleet, rng: Random) -> None:
+    """Lists a worker as cold for a while."""
+    _backend(fleet, rng).cool(rng.uniform(4.0, 8.0))
+
+
 def change_configuration(fleet: SoakFleet, rng: Random) -> None:
     """Puts newer configurations in force in quick succession."""
     for _ in range(rng.randint(1, 4)):
@@ -182,7 +192,7 @@
     name_weights,
 )
 #: Faults that are injected only by name, so that the seeds of the others play the same.
-NAMED_FAULTS: tuple[Fault, ...] = (take_worker_out,)
+NAMED_FAULTS: tuple[Fault, ...] = (take_worker_out, evacuate_zone, cool_worker)
 
 
 def _node(fleet: SoakFleet, rng: Random) -> Program:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -27,6 +27,8 @@
 PORTS = {"front": 7101, "ready": 7102, "control": 7103, "directory": 7104}
 PEER_PORT = 7110
 MODEL = "m"
+#: Requests per second that a cold worker sustains.
+COLD_PER_S = 4.0
 #: How often the soak checks whether its own process is late, and from when it is, seconds.
 WATCH_S = 0.05
 LATE_S = 0.1
@@ -124,6 +126,8 @@
     """A worker behind a proxy.
 
     :ivar left: when it was listed as leaving, or not at all.
+    :ivar evacuated: when its zone was evacuated, as the store acknowledged.
+    :ivar cold: when it was cold.
     """
 
     def __init__(self, fleet: "SoakFleet", worker_id: str, service: str, model: str) -> None:
@@ -137,6 +141,10 @@
         self.program: Program | None = None
         self.disrupted = Spans()
         self.left = Spans()
+        self.evacuated = Spans()
+        self.cold = Spans()
+        self._cold_until = 0.0
+        self._zone = "z1"
         self._state: str | None = None
         self._writing = BoundedSemaphore()
         self._spoils = fleet.directory / f"{worker_id}.spoils"
@@ -183,17 +191,46 @@
         entry = {
             "service": self.service,
             "address": self.proxy.address,
-            "zone": "z1",
+            "zone": self._zone,
             "version": "v1",
             "slots": 32,
             "state": state,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": max(0, round((self._cold_until - time.monotonic()) * 1000)),
             "models": models if self.model else [],
             "sequence": 1,
             "born": self.born,
         }
         self._fleet.write("keyed.servers", self.id, entry)
 
+    def evacuate(self, alone_s: float, seconds: float) -> None:
+        """Lists the worker in a zone of its own and evacuates that for a while.
+
+        :param alone_s: time in the zone before its evacuation.
+        """
+        if self._zone != "z1":
+            return
+        self._zone = f"z-{self.id}"
+        key = f"evacuate/{self._zone}"
+        gevent.sleep(alone_s)
+        self._fleet.write("keyed.op", key, {"zone": self._zone})
+        self.evacuated.begin()
+        gevent.sleep(seconds)
+        self.evacuated.end()
+        self._fleet.write("keyed.op", key, None)
+        self._zone = "z1"
+
+    def cool(self, seconds: float) -> None:
+        """Lists the worker as cold for a while."""
+        if self._cold_until > time.monotonic():
+            return
+        self._cold_until = time.monotonic() + seconds
+        with self._writing:
+            if self._state is not None:
+                self._write_entry()
+        self.cold.begin()
+        gevent.sleep(max(0.0, self._cold_until - time.monotonic()))
+        self.cold.end()
+
     @contextmanager
     def spoiling(self, spoiling: Spoiling) -> Iterator[None]:
         """Makes the worker spoil answers meanwhile, besides what else it spoils."""
@@ -278,7 +315,10 @@
     def change_configuration(self) -> None:
         """Puts a newer configuration in force."""
         self._config_version += 1
-        self.write("keyed.op", "config", configuration(self._config_version))
+        fields = configuration(self._config_version)
+        for service in fields["services"]:
+            service["coldPerS"] = COLD_PER_S
+        self.write("keyed.op", "config", fields)
 
     def name_weights(self) -> None:
         """Names newer weights."""
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 
 from tests.soak.content import answer_body, stream_body
-from tests.soak.fleet import SoakFleet
+from tests.soak.fleet import COLD_PER_S, SoakFleet
 from tests.soak.notes import Run
 from tests.soak.wire import Framing, Headers
 
@@ -19,6 +19,12 @@
 CALM_S = 3.0
 #: Time after which a worker that leaves gets nothing new, seconds; the pages' ``drainMs``.
 DRAIN_S = 2.0
+#: Time after which an evacuated zone gets nothing; the pages' ``evacuateMs``.
+EVACUATE_S = 5.0
+#: Time after which nodes know that a worker is cold, seconds; its entry may be read that late.
+COLD_KNOWN_S = 2.0
+#: Most requests to a cold worker in a second; the pages' ``coldOverage`` and ``coldSlack``.
+COLD_LIMIT = COLD_PER_S * 1.5 + 5
 
 
 class Kind(StrEnum):
@@ -148,3 +154,45 @@
                 f"DRAIN ran at {run.worker} {run.began - left_at:.3f} s after it left, "
                 f"at {run.began:.3f}, node {result.ip}"
             )
+
+
+def evacuated_runs(fleet: SoakFleet, result: Result, runs: list[Run]) -> Iterator[str]:
+    """Yields the runs at workers whose zone was evacuated.
+
+    The store may be disrupted as soon as the nodes have had the time to read the order. A node that
+    has also been disrupted may not know the order, if the store has lost it.
+    """
+    for run in runs:
+        worker = next(one for one in fleet.backends if one.id == run.worker)
+        since = worker.evacuated.began_before(run.began)
+        if since is None or run.began < since + EVACUATE_S:
+            continue
+        is_read = not fleet.store_disrupted.touch(since - CALM_S, since + EVACUATE_S)
+        is_kept = not fleet.store_disrupted.touch(since - CALM_S, run.began)
+        known_from = run.began if is_kept else since
+        if is_read and fleet.is_in_touch(result.ip, (run.worker,), known_from - CALM_S, run.began):
+            yield (
+                f"EVACUATED ran at {run.worker} {run.began - since:.3f} s after its zone was "
+                f"evacuated, at {run.began:.3f}, node {result.ip}"
+            )
+
+
+def cold_bursts(fleet: SoakFleet, runs: list[Run]) -> Iterator[str]:
+    """Yields the seconds in which a cold worker got too many requests, while all else was calm."""
+    for worker in fleet.backends:
+        begins = sorted(run.began for run in runs if run.worker == worker.id)
+        for at in begins:
+            since = worker.cold.began_before(at)
+            if since is None or at < since + COLD_KNOWN_S:
+                continue
+            calm = [fleet.store_disrupted, *(one.harmed for one in fleet.stores.values())]
+            is_calm = not any(one.touch(since - CALM_S, at + 1.0) for one in calm)
+            in_touch = all(
+                fleet.is_in_touch(ip, (worker.id,), since - CALM_S, at + 1.0) for ip in fleet.ips
+            )
+            # Requests after the end of the cold time do not count.
+            count = sum(
+                at <= one < at + 1.0 and worker.cold.began_before(one) is not None for one in begins
+            )
+            if count > COLD_LIMIT and is_calm and in_touch:
+                yield f"COLDRATE {count} requests in a second at {worker.id}, from {at:.3f}"
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,7 +16,7 @@
 from tests.soak.networks import FIRST_NETWORK, Network
 from tests.soak.notes import Notes
 from tests.soak.proxy import Harm
-from tests.soak.rules import late_runs, overlapping_runs
+from tests.soak.rules import cold_bursts, evacuated_runs, late_runs, overlapping_runs
 
 #: Callers of a fleet of the default size; larger ones have more.
 CALLERS = 16
@@ -163,6 +163,7 @@
             *result.faults(own),
             *overlapping_runs(fleet, result, own),
             *late_runs(fleet, result, own),
+            *evacuated_runs(fleet, result, own),
         )
         for fault in found:
             report.broken.append(f"{result.kind} {result.id}: {fault}")
@@ -172,6 +173,7 @@
     if notes.changed:
         report.broken.append(f"requests ran with a changed body: {notes.changed[:3]}")
     report.broken.extend(_bad_orders(notes))
+    report.broken.extend(cold_bursts(fleet, [run for own in runs.values() for run in own]))
 
 
 def _bad_orders(notes: Notes) -> Iterator[str]:
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -150,8 +150,11 @@
         clock.advance(1.0)
         book.put(entry("e", cold_remaining_s=4.0))
         self.assertEqual(cold_s(), 3.0)
-        book.put(entry("e", cold_remaining_s=0.0))
+        self.assertFalse(book.put(entry("e", cold_remaining_s=2.9)))
+        self.assertTrue(book.put(entry("e", cold_remaining_s=0.0)))
         self.assertEqual(cold_s(), 0.0)
+        # Nodes that do not read the list learn only of entries that change something.
+        self.assertTrue(book.put(entry("e", cold_remaining_s=4.0)))
         book.state_cold(book.get("e"), 6.0)
         book.put(entry("e", cold_remaining_s=0.1))
         self.assertEqual(cold_s(), 6.0)
