--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -1,6 +1,7 @@
 """A cold endpoint gets no more than its limit from all nodes together, whatever they know."""
 
 import itertools
+import json
 import math
 import unittest
 from random import Random
@@ -13,6 +14,8 @@
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.endpoints import EndpointBook
 from arbutustally.gateway.slow_start import MEMORY_S, START_S, ColdTolerance, SlowStart, shares
+from arbutustally_node.gateway.ports import Record
+from arbutustally_platform.documents import PlatformDocuments
 from arbutustally_platform.headers import MAX_COLD_S, decode_notice
 from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase
@@ -194,6 +197,13 @@
         answers = [self.call(node, "/look/a", f"w{number}") for number in range(20)]
         self.assertEqual({answer.status for answer in answers}, {200})
 
+    def test_listed_time_is_bounded(self) -> None:
+        """Guards against an odd entry that makes a worker cold for ever."""
+        for listed, expected in ((1500, 1.5), (0, 0.0), (1e15, MAX_COLD_S)):
+            fields = {**self.desks[0].entry(), "coldRemainingMs": listed}
+            record = Record("d1", json.dumps(fields).encode())
+            self.assertEqual(PlatformDocuments().decode_endpoint(record).cold_remaining_s, expected)
+
     def test_workers_state_in_answers_counts(self) -> None:
         """Guards against a worker that becomes cold again and is used as before."""
         self.assertEqual(decode_notice(200, {"cold-ms": "1500"}).cold_s, 1.5)
