--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -9,8 +9,8 @@
 
 from arbutustally.gateway.endpoint_state import FailedCheck
 from arbutustally_node.gateway import stream_relay
-from arbutustally_node.gateway.node import GatewayNode
 from arbutustally_node.gateway.hedge import STREAM_TAKEOVER_S
+from arbutustally_node.gateway.node import GatewayNode
 from arbutustally_node.gateway.request_run import HEDGE_DELAY_S
 from arbutustally_node.gateway.stream_relay import SILENT_GAP_S
 from arbutustally_node.gateway.weights_service import LOADS_DUTY
