Count requests and answers of callers in one memory account

Cause: only bodies had a bound. Heads, the connections' buffers and answers that are read completely had none, an answer was copied with its head, and attempts that refer to each other kept a written answer until the next collection.

Change: each connection reserves what it receives and, before it is read, the answer's stated length (without one, chunk by chunk). A full account sheds unfinished requests and stalled answers of callers with more of them, newest first; otherwise the request is rejected with 503 and Retry-After, and an answer waits unread at its endpoint. Above half of the account, requests that pause for 1 s or arrive below 16 KiB/s are rejected with 408. Callers' connections leave 256 descriptors (half of them where there are fewer than 512).

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/answer_delivery.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/answer_delivery.py
@@ -100,7 +100,9 @@
         :param watch: returns the context manager that interrupts the wait for one chunk, e.g. if
             the endpoint is silent or the caller disconnects.
         """
-        return self._services.transport.read_whole(result, self._left_s(), watch)
+        return self._services.transport.read_whole(
+            result, self._left_s(), watch, self._connection.memory
+        )
 
     def is_stream(self, result: AttemptResult) -> bool:
         """Returns whether a response is a stream of events."""
@@ -117,7 +119,11 @@
     def _send_whole(self, result: AttemptResult) -> None:
         """Passes a response on with a length only if the endpoint marked the end of its body."""
         framing = result.reading.framing
-        self._connection.send_whole(result.status, result.terms.headers, result.body, framing)
+        try:
+            self._connection.send_whole(result.status, result.terms.headers, result.body, framing)
+        finally:
+            # Attempts refer to each other, so the body would stay until the next collection.
+            result.body = b""
 
     def _stream(
         self, attempt: PlacedAttempt, hedging: HedgeController, endpoints_left: Callable[[], int]
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/caller.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/caller.py
@@ -5,11 +5,17 @@
 from http.client import responses
 from typing import Any
 
+from arbutustally.clock import monotonic
 from arbutustally_node.framing import Framing
+from arbutustally_node.gateway.connection_memory import ConnectionMemory, Writing
 from arbutustally_node.socket_close import close_orderly, reset_on_close
 
 #: Longest time that a caller may take to accept one write, seconds.
 WRITE_TIMEOUT_S = 5.0
+#: Time without progress after which the memory of a response may be taken for others, seconds.
+STALLED_WRITE_S = 1.0
+#: Body up to which a response is written together with its head, bytes; a larger one is not copied.
+JOINED_BYTES = 65536
 
 _BODILESS = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
@@ -21,10 +27,14 @@
 
     :param sock: connected gevent socket.
     :param keep: whether to keep the connection open for another request.
+    :param memory: memory of the connection, ``None`` for a connection without an account.
     """
 
-    def __init__(self, sock: Any, keep: bool = True) -> None:
+    def __init__(
+        self, sock: Any, keep: bool = True, memory: ConnectionMemory | None = None
+    ) -> None:
         self._sock = sock
+        self._memory = memory
         self.keep = keep
         #: Whether the request is a HEAD request, whose response has no body.
         self.is_head_only = False
@@ -37,6 +47,11 @@
         """Returns whether writing of a response has begun."""
         return self._began
 
+    @property
+    def memory(self) -> ConnectionMemory | None:
+        """Returns the memory of the connection, ``None`` without an account."""
+        return self._memory
+
     @property
     def framing(self) -> Framing:
         """Returns how the end of the response that has begun is marked."""
@@ -64,7 +79,12 @@
             self.end()
             return
         headers = [*headers, ("Content-Length", str(len(body)))]
-        self._write(self._head(status, headers) + body)
+        head = self._head(status, headers)
+        if len(body) <= JOINED_BYTES:
+            self._write(head + body)
+            return
+        self._write(head)
+        self._write(body)
 
     def begin(
         self, status: int, headers: Headers, first: bytes, framing: Framing = Framing.CHUNKED
@@ -116,8 +136,28 @@
         return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
 
     def _write(self, data: bytes) -> None:
-        self._sock.settimeout(WRITE_TIMEOUT_S)
-        self._sock.sendall(data)
+        if len(data) <= JOINED_BYTES or self._memory is None:
+            self._sock.settimeout(WRITE_TIMEOUT_S)
+            self._sock.sendall(data)
+            return
+        deadline = monotonic() + WRITE_TIMEOUT_S
+        with self._memory.writing() as writing, memoryview(data) as view:
+            sent = 0
+            while sent < len(data):
+                sent += self._send_some(view[sent:], deadline, writing)
+
+    def _send_some(self, data: memoryview, deadline: float, writing: Writing) -> int:
+        left_s = deadline - monotonic()
+        if left_s <= 0:
+            raise TimeoutError("the caller does not read its response")
+        self._sock.settimeout(min(left_s, STALLED_WRITE_S))
+        try:
+            count = self._sock.send(data)
+        except TimeoutError:
+            writing.stalls()
+            return 0
+        writing.goes_on()
+        return count
 
     def _framed(self, data: bytes) -> bytes:
         if self._framing is Framing.CLOSE:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -1,6 +1,7 @@
 """HTTP listener for callers: reads each request completely, then calls the request handler."""
 
 import contextlib
+import resource
 import select
 import socket
 from collections.abc import Callable
@@ -14,17 +15,21 @@
 from arbutustally.clock import monotonic
 from arbutustally.errors import BadRequestError, RouterError
 from arbutustally.gateway.configuration import CallerLimits
+from arbutustally.gateway.memory_account import MemoryAccount
 from arbutustally.gateway.requests import CallerRequest
 from arbutustally_node.caller_watch import CallerGoneError, CallerWatch
 from arbutustally_node.gateway.caller import CallerConnection
+from arbutustally_node.gateway.connection_memory import ConnectionMemory
 from arbutustally_node.gateway.ports import HttpCodec
-from arbutustally_node.http_body import BodyBudget, RequestReader
+from arbutustally_node.http_body import RequestReader
 from arbutustally_node.http_head import RequestHead
 
 BACKLOG = 1024
 MAX_CONNECTIONS = 3000
-#: Fraction of the process's memory that request bodies may use.
-BODY_MEMORY_FRACTION = 0.2
+#: Descriptors that connections of callers leave for the store, peers, endpoints and operators.
+RESERVED_DESCRIPTORS = 256
+#: Fraction of the descriptors that callers may use if fewer than twice the reserved ones exist.
+DESCRIPTOR_FRACTION = 0.5
 #: Longest time to read from a caller that keeps sending after its request was refused, seconds.
 LINGER_S = 0.3
 #: Longest time to wait until a caller has read an answer that ends with its connection, seconds.
@@ -43,7 +48,7 @@
     :param codec: decodes requests.
     :param handler: answers a request.
     :param limits: returns the limits in force.
-    :param memory_mb: memory of the process, megabytes.
+    :param memory: account of the process's memory.
     """
 
     def __init__(
@@ -52,15 +57,15 @@
         codec: HttpCodec,
         handler: Handler,
         limits: Callable[[], CallerLimits],
-        memory_mb: int,
+        memory: MemoryAccount,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._codec = codec
         self._handler = handler
         self._limits = limits
-        self._budget = BodyBudget(int(memory_mb * BODY_MEMORY_FRACTION) << 20)
+        self._memory = memory
         self._server = StreamServer(
-            (host, int(port)), self._serve, backlog=BACKLOG, spawn=Pool(MAX_CONNECTIONS)
+            (host, int(port)), self._serve, backlog=BACKLOG, spawn=Pool(connection_limit())
         )
         self._idle: set[Any] = set()
         self._connections = 0
@@ -110,34 +115,38 @@
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
 
-    def _serve(self, sock: Any, _address: Any) -> None:
+    def _serve(self, sock: Any, address: Any) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         limits = self._limits()
+        memory = ConnectionMemory(self._memory, address[0] if address else "")
         reader = RequestReader(
             sock,
             monotonic,
-            self._budget,
+            memory,
             limits.max_header_bytes,
             limits.max_body_bytes,
             limits.idle_timeout_s,
             limits.header_timeout_s,
+            memory.is_too_slow,
         )
         self._connections += 1
         try:
-            while self._serve_one(sock, reader):
+            while self._serve_one(sock, reader, memory):
                 continue
         except (OSError, gevent.Timeout, CallerGoneError):
             return
         finally:
             self._connections -= 1
-            reader.release()
+            memory.close()
             sock.close()
 
-    def _serve_one(self, sock: Any, reader: RequestReader) -> bool:
-        connection = CallerConnection(sock, keep=not self._draining)
+    def _serve_one(self, sock: Any, reader: RequestReader, memory: ConnectionMemory) -> bool:
+        connection = CallerConnection(sock, not self._draining, memory)
         try:
-            head = self._read_head(sock, reader)
+            with memory.reading():
+                head = self._read_head(sock, reader)
         except RouterError as error:
+            reader.close()
             _refuse(sock, connection, error)
             return False
         if head is None:
@@ -157,8 +166,10 @@
         self, sock: Any, reader: RequestReader, head: RequestHead, connection: CallerConnection
     ) -> bool:
         try:
-            request = self._read_rest(sock, reader, head)
+            with connection.memory.reading():
+                request = self._read_rest(sock, reader, head)
         except RouterError as error:
+            reader.close()
             _refuse(sock, connection, error)
             return False
         watch = CallerWatch(sock)
@@ -168,6 +179,7 @@
         finally:
             self._watches.discard(watch)
             watch.stop()
+            connection.memory.end_request()
             reader.release()
         return connection.keep and not self._draining
 
@@ -188,6 +200,15 @@
         return self._codec.decode_request(head, body, arrived_at)
 
 
+def connection_limit() -> int:
+    """Returns the number of connections that callers may have at once."""
+    descriptors, _hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return MAX_CONNECTIONS
+    left = max(descriptors - RESERVED_DESCRIPTORS, int(descriptors * DESCRIPTOR_FRACTION))
+    return min(MAX_CONNECTIONS, left)
+
+
 def _is_readable(sock: Any) -> bool:
     poll = _poll()
     poll.register(sock.fileno(), select.POLLIN)
@@ -196,7 +217,10 @@
 
 def _refuse(sock: Any, connection: CallerConnection, error: RouterError) -> None:
     connection.keep = False
-    connection.send_whole(error.status, (), error.message.encode())
+    headers = []
+    if error.retry_after_s is not None:
+        headers.append(("Retry-After", f"{error.retry_after_s:g}"))
+    connection.send_whole(error.status, headers, error.message.encode())
     _linger(sock, LINGER_S)
 
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -12,6 +12,7 @@
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.holdings import USUAL_TERMS, Holdings, PlaceTerms
 from arbutustally.gateway.list_outage import ListOutage
+from arbutustally.gateway.memory_account import MemoryAccount
 from arbutustally.gateway.place_terms import terms_of
 from arbutustally.gateway.shared_reading import SharedReading
 from arbutustally_node.gateway.announcer import Announcer
@@ -23,6 +24,7 @@
 from arbutustally_node.gateway.endpoint_reader import READING_DUTY, EndpointReader
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.listener import CallerListener
+from arbutustally_node.gateway.memory_monitor import MemoryMonitor
 from arbutustally_node.gateway.node_state import NodeState
 from arbutustally_node.gateway.node_status import NodeStatus
 from arbutustally_node.gateway.operator_reader import OperatorReader
@@ -140,12 +142,13 @@
     )
     sync = PeerSync(synced, lambda: status.member, incarnation, monotonic)
     rollouts = _build_rollouts(platform, state, gossip, store)
+    memory = MemoryAccount.from_config(options.memory_mb)
     listener = CallerListener(
         options.caller_listen,
         platform.codec,
         exchange.serve,
         lambda: state.caller_limits,
-        options.memory_mb,
+        memory,
     )
     kernel = _register(
         ("log", log),
@@ -157,6 +160,7 @@
         ("caches", caches),
         ("weights", weights),
         ("rollouts", rollouts),
+        ("memory", MemoryMonitor(memory, log, state.instruments)),
         ("listener", listener),
     )
     catch_up = CatchUp(view, store.endpoints, gossip, store.watch, log, state.rng)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -19,7 +19,7 @@
 from arbutustally_node.gateway.hedge import OvertakenError, UnreachableError
 from arbutustally_node.gateway.ports import AnswerTerms, AttemptTerms, HttpCodec
 from arbutustally_node.pool import PoolService
-from arbutustally_node.pooled_response import PooledResponse
+from arbutustally_node.pooled_response import AnswerMemory, PooledResponse
 from arbutustally_node.response_reading import ResponseReading
 
 #: Largest response that is read completely before it is passed on, bytes.
@@ -178,18 +178,20 @@
         result: AttemptResult,
         left_s: float,
         watch: Callable[[], AbstractContextManager[None]],
+        memory: AnswerMemory | None = None,
     ) -> AttemptResult:
         """Reads the complete body of a response.
 
         :param result: result of an attempt whose response has not been read.
         :param left_s: time until the deadline, seconds.
         :param watch: returns the context manager that guards the wait for one chunk.
+        :param memory: as for ``PooledResponse.read_whole``.
         :raises CallerGoneError: if the caller disconnects meanwhile.
         """
         response = result.response
         try:
             with gevent.Timeout(max(left_s, 0.001), _HeadTimeoutError):
-                result.body = response.read_whole(MAX_WHOLE_ANSWER, watch)
+                result.body = response.read_whole(MAX_WHOLE_ANSWER, watch, memory)
                 if died_in_body(response):
                     return AttemptResult(Outcome.MAY_HAVE_RUN, "answer_broken", result.status)
         except OvertakenError:
--- a/packages/arbutustally-node/src/arbutustally_node/http_body.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_body.py
@@ -1,7 +1,10 @@
 """Reads requests from a connection with limits on size and time."""
 
+import contextlib
+import io
 import re
-from typing import Any
+from collections.abc import Callable
+from typing import Any, Protocol
 
 from arbutustally.clock import Clock
 from arbutustally.errors import (
@@ -14,12 +17,43 @@
 
 READ_BYTES = 65536
 MAX_CHUNK_LINE_BYTES = 256
+#: Interval at which the pace of a request is checked while nothing arrives, seconds.
+PACE_CHECK_S = 0.5
 #: Bytes of request bodies that all connections of a listener may buffer at once.
 MAX_BUFFERED_BYTES = 128 << 20
 
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t -~]*)?")
 
 
+# All readers receive into this buffer, whose bytes are copied before another greenlet runs. A buffer
+# for each call, shrunk to what has arrived, would fragment the memory of the process.
+_received = bytearray(READ_BYTES)
+_view = memoryview(_received)
+
+
+class Budget(Protocol):
+    """Reserves the bytes that one reader or several buffer."""
+
+    def reserve(self, count: int) -> None:
+        """Reserves bytes.
+
+        :raises OverloadedError: if they are not available.
+        """
+
+    def release(self, count: int) -> None:
+        """Releases reserved bytes."""
+
+
+#: Returns whether a request arrives too slowly, from the seconds since its first byte and since its
+#: last one, and the bytes received.
+TooSlow = Callable[[float, float, int], bool]
+
+
+def never_too_slow(_elapsed_s: float, _silent_s: float, _received: int) -> bool:
+    """Allows any rate within the timeout of the request."""
+    return False
+
+
 class BodyBudget:
     """Limits the bytes of request bodies that one listener buffers.
 
@@ -59,17 +93,19 @@
     :param clock: monotonic seconds.
     :param idle_s: timeout for the first byte of a request.
     :param send_s: timeout from the first byte of a request to its last.
+    :param is_too_slow: ends a request before its timeout.
     """
 
     def __init__(
         self,
         sock: Any,
         clock: Clock,
-        budget: BodyBudget,
+        budget: Budget,
         max_header_bytes: int,
         max_body_bytes: int,
         idle_s: float,
         send_s: float,
+        is_too_slow: TooSlow = never_too_slow,
     ) -> None:
         self._sock = sock
         self._clock = clock
@@ -78,9 +114,12 @@
         self._max_body_bytes = max_body_bytes
         self._idle_s = idle_s
         self._send_s = send_s
+        self._is_too_slow = is_too_slow
         self._buffer = bytearray()
-        self._deadline = 0.0
-        self._body_bytes = 0
+        self._began_at = 0.0
+        self._received_at = 0.0
+        self._received_bytes = 0
+        self._reserved = 0
 
     def read_head(self) -> RequestHead | None:
         """Returns the next head, or ``None`` if the connection ends or is idle too long before it.
@@ -90,13 +129,14 @@
         if not self._buffer:
             self._sock.settimeout(self._idle_s)
             try:
-                received = self._sock.recv(READ_BYTES)
+                count = self._sock.recv_into(_received)
             except OSError:
                 return None
-            if not received:
+            if not count:
                 return None
-            self._buffer += received
-        self._deadline = self._clock() + self._send_s
+            self._take(count)
+        self._began_at = self._received_at = self._clock()
+        self._received_bytes = len(self._buffer)
         head = self._read_until(b"\r\n\r\n", self._max_header_bytes, "the request head")
         return parse_head(head, self._max_body_bytes)
 
@@ -110,12 +150,18 @@
         return self._read_exactly(head.content_length)
 
     def release(self) -> None:
-        """Releases the bytes of the last body in the budget of the listener."""
-        self._budget.release(self._body_bytes)
-        self._body_bytes = 0
+        """Releases the bytes of the last request, but not those of the next one."""
+        kept = len(self._buffer)
+        self._budget.release(self._reserved - kept)
+        self._reserved = kept
+
+    def close(self) -> None:
+        """Discards what has arrived and releases its bytes."""
+        self._buffer = bytearray()
+        self.release()
 
     def _read_chunked(self) -> bytes:
-        parts = []
+        body = io.BytesIO()
         total = 0
         while True:
             line = self._read_until(b"\r\n", MAX_CHUNK_LINE_BYTES, "a chunk size line")
@@ -125,13 +171,13 @@
             size = int(match[1], 16)
             if not size:
                 self._skip_trailers()
-                return b"".join(parts)
+                return body.getvalue()
             total += size
             if total > self._max_body_bytes:
                 raise BodyTooLargeError(
                     f"the body exceeds {self._max_body_bytes} bytes; send a smaller one"
                 )
-            parts.append(self._read_exactly(size))
+            body.write(self._read_exactly(size))
             if self._read_exactly(2) != b"\r\n":
                 raise BadRequestError("a chunk is longer than its size; correct the chunk size")
 
@@ -141,11 +187,14 @@
             left -= len(line) + 2
 
     def _read_exactly(self, count: int) -> bytes:
-        self._budget.reserve(count)
-        self._body_bytes += count
         while len(self._buffer) < count:
             self._receive()
-        data = bytes(self._buffer[:count])
+        if len(self._buffer) == count:
+            data = bytes(self._buffer)
+            self._buffer = bytearray()
+            return data
+        with memoryview(self._buffer) as arrived:
+            data = bytes(arrived[:count])
         del self._buffer[:count]
         return data
 
@@ -163,19 +212,37 @@
         return data
 
     def _receive(self) -> None:
-        left = self._deadline - self._clock()
-        if left <= 0:
-            raise self._too_slow()
-        self._sock.settimeout(left)
-        try:
-            received = self._sock.recv(READ_BYTES)
-        except TimeoutError:
-            raise self._too_slow() from None
-        if not received:
+        count = None
+        while count is None:
+            self._check_pace()
+            self._sock.settimeout(min(PACE_CHECK_S, max(self._left_s(), 0.001)))
+            with contextlib.suppress(TimeoutError):
+                count = self._sock.recv_into(_received)
+        if not count:
             raise ConnectionResetError("caller closed the connection inside a request")
-        self._buffer += received
+        self._take(count)
+        self._received_at = self._clock()
+        self._received_bytes += count
+
+    def _take(self, count: int) -> None:
+        self._buffer += _view[:count]
+        self._budget.reserve(count)
+        self._reserved += count
+
+    def _left_s(self) -> float:
+        return self._began_at + self._send_s - self._clock()
+
+    def _check_pace(self) -> None:
+        now = self._clock()
+        elapsed_s, silent_s = now - self._began_at, now - self._received_at
+        if elapsed_s >= self._send_s or self._is_too_slow(
+            elapsed_s, silent_s, self._received_bytes
+        ):
+            raise self._too_slow()
 
     def _too_slow(self) -> SlowSenderError:
         return SlowSenderError(
-            f"the request did not arrive within {self._send_s:g} s; send it faster"
+            f"the request did not arrive within {self._send_s:g} s, or not fast enough for a loaded "
+            "node; send it faster",
+            retry_after_s=1.0,
         )
--- a/packages/arbutustally-node/src/arbutustally_node/http_server.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_server.py
@@ -91,7 +91,7 @@
             super().handle()
         finally:
             # A caller that disconnects inside a body must not keep its part of the budget reserved.
-            self._reader.release()
+            self._reader.close()
 
     def handle_one_request(self) -> Any:
         """Reads one request and serves it."""
--- a/packages/arbutustally-node/src/arbutustally_node/pooled_response.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pooled_response.py
@@ -1,12 +1,13 @@
 """A response of an endpoint whose body is read from a pooled connection."""
 
 import contextlib
+import io
 import re
 import select
 import socket
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import AbstractContextManager, nullcontext
-from typing import Any
+from typing import Any, Protocol
 
 import gevent
 import urllib3
@@ -24,6 +25,8 @@
 PACED_READ_BYTES = 2048
 #: Reads after which other greenlets run, even if more data has arrived.
 READS_BEFORE_YIELD = 16
+#: Interval at which a response that waits for memory asks again, seconds.
+MEMORY_WAIT_S = 0.05
 #: Largest response body that is read into memory by default.
 MAX_BODY_BYTES = 8 << 20
 #: Fraction of the announced keep-alive time for which an idle connection is reused; the endpoint
@@ -36,6 +39,22 @@
 _poll = monkey.get_original("select", "poll")
 
 
+class AnswerMemory(Protocol):
+    """Reserves the memory of responses that are read completely."""
+
+    def try_answer(self, count: int) -> bool:
+        """Reserves the bytes of a response; returns whether they are available now.
+
+        :raises OverloadedError: if there will never be as many.
+        """
+
+    def reserve_answer(self, count: int) -> None:
+        """Reserves further bytes of a response of unknown length.
+
+        :raises OverloadedError: if they are not available.
+        """
+
+
 class PooledResponse:
     """An endpoint's response whose body is read from its connection.
 
@@ -58,6 +77,7 @@
         self._headers = {name.lower(): value for name, value in response.headers.items()}
         self._raw_response = response._fp
         self._socket = _socket_of(response)
+        self._length: int | None = self._raw_response.length
         self._body = self._framing()
         self._reading = ResponseReading(
             self._body.framing,
@@ -95,6 +115,11 @@
         """Returns all headers as sent, in order."""
         return list(self._response.headers.iteritems())
 
+    @property
+    def length(self) -> int | None:
+        """Returns the stated length of the body, ``None`` if none is stated, bytes."""
+        return self._length
+
     @property
     def reading(self) -> ResponseReading:
         """Returns how the response has arrived so far."""
@@ -177,30 +202,48 @@
         self,
         limit: int = MAX_BODY_BYTES,
         watch: Callable[[], AbstractContextManager[None]] = nullcontext,
+        memory: AnswerMemory | None = None,
     ) -> bytes:
         """Returns the complete body.
 
         :param limit: largest body in bytes.
         :param watch: returns a context manager that is entered for each wait for a chunk.
+        :param memory: reserves the memory of the body, ``None`` to read it in any case.
         :raises EndpointFailedError: as ``read``, and if the body exceeds ``limit`` bytes.
+        :raises OverloadedError: if there is no memory for the body.
         """
-        chunks = []
-        size = 0
+        if memory is not None and self._length:
+            self._await_memory(memory, watch)
+        # Unlike joined chunks, its content is never held twice.
+        whole = io.BytesIO()
         while True:
             with watch():
                 chunk = self.read()
             if not chunk:
                 break
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > limit:
+            if memory is not None and not self._length:
+                memory.reserve_answer(len(chunk))
+            whole.write(chunk)
+            if whole.tell() > limit:
                 self.close()
                 raise EndpointFailedError(
                     f"the response of endpoint {self._address} exceeds {limit} bytes; "
                     "make the service send smaller responses",
                     ran=Ran.MAY_HAVE_RUN,
                 )
-        return b"".join(chunks)
+        return whole.getvalue()
+
+    def _await_memory(
+        self, memory: AnswerMemory, watch: Callable[[], AbstractContextManager[None]]
+    ) -> None:
+        """Waits without reading, so that the endpoint stops sending.
+
+        It is not silent meanwhile, so ``watch`` only shows that the caller is still there.
+        """
+        while not memory.try_answer(self._length):
+            with watch():
+                pass
+            gevent.sleep(MEMORY_WAIT_S)
 
     def __iter__(self) -> Iterator[bytes]:
         while chunk := self.read():
--- a/packages/arbutustally/src/arbutustally/gateway/memory_account.py
+++ b/packages/arbutustally/src/arbutustally/gateway/memory_account.py
@@ -20,6 +20,8 @@
 #: Fraction of the account that stays usable however large the resident memory is, so that a process
 #: that is large for other reasons still serves.
 LEAST_FRACTION = 0.2
+#: Fraction of the allowed bytes above which memory is scarce.
+SCARCE_FRACTION = 0.5
 #: Retry delay suggested to callers that are rejected, seconds.
 RETRY_S = 1.0
 
@@ -83,6 +85,16 @@
         """Returns the bytes of all holdings."""
         return self._reserved
 
+    @property
+    def ceiling(self) -> int:
+        """Returns the resident bytes of the process above which the limit is narrowed."""
+        return self._ceiling
+
+    @property
+    def is_scarce(self) -> bool:
+        """Returns whether so much is reserved that slow senders are rejected."""
+        return self._reserved > self._allowed * SCARCE_FRACTION
+
     @property
     def shed(self) -> int:
         """Returns the number of holdings that were shed."""
@@ -176,7 +188,7 @@
 
     def _victims(self, holding: Holding) -> list[Holding]:
         """Returns what may be shed for a holding, in this order."""
-        own = self._open[holding.caller] if holding.caller in self._open else 0
+        own = self._open.get(holding.caller, 0)
         crowds = {caller for caller, number in self._open.items() if number > max(own, 1)}
         if not crowds:
             return []
