--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -27,7 +27,7 @@
 BACKLOG = 1024
 MAX_CONNECTIONS = 3000
 #: Descriptors that connections of callers leave for the store, peers, endpoints and operators.
-RESERVED_DESCRIPTORS = 256
+RESERVED_DESCRIPTORS = 512
 #: Fraction of the descriptors that callers may use if fewer than twice the reserved ones exist.
 DESCRIPTOR_FRACTION = 0.5
 #: Longest time to read from a caller that keeps sending after its request was refused, seconds.
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
@@ -1,13 +1,17 @@
 """HTTP applications of a node: readiness, caller addresses, metrics, snapshots for peers."""
 
+import contextlib
+import resource
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 import cbor2
+import gevent
 from bottle import Bottle, HTTPResponse, request, response
-from gevent.pywsgi import WSGIServer
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from arbutustally.errors import RouterError
 from arbutustally.gateway.shared_reading import Position
@@ -23,6 +27,14 @@
 MAX_SNAPSHOT_BYTES = 16 << 20
 COMPRESSION = 3
 BACKLOG = 256
+#: Connections of one listener that are served at once; others wait in its backlog.
+MAX_CONNECTIONS = 1024
+#: Part of the process's descriptors that one listener may use at most, as a divisor.
+DESCRIPTOR_DIVISOR = 16
+#: Longest wait for a part of a request, and for a caller that does not read its answer, seconds.
+IDLE_TIMEOUT_S = 15.0
+#: Longest time from the start of reading a request to the end of its answer, seconds.
+REQUEST_TIMEOUT_S = 30.0
 
 
 @dataclass(frozen=True)
@@ -92,11 +104,51 @@
     :param address: ``host:port`` to listen on.
     """
     host, _, port = address.rpartition(":")
-    server = WSGIServer((host, int(port)), app, log=None, error_log=None, backlog=BACKLOG)
+    server = WSGIServer(
+        (host, int(port)),
+        app,
+        log=None,
+        error_log=None,
+        backlog=BACKLOG,
+        spawn=Pool(_connection_limit()),
+        handler_class=_Handler,
+    )
     server.start()
     return server
 
 
+def _connection_limit() -> int:
+    descriptors, _hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return MAX_CONNECTIONS
+    return max(1, min(MAX_CONNECTIONS, descriptors // DESCRIPTOR_DIVISOR))
+
+
+class _Handler(WSGIHandler):
+    """A connection that ends if its caller stops sending or reading."""
+
+    def handle(self) -> None:
+        """Serves the connection until it ends or is idle for too long."""
+        self.socket.settimeout(IDLE_TIMEOUT_S)
+        super().handle()
+
+    def handle_one_request(self) -> Any:
+        """Serves one request, or closes the connection if that takes too long."""
+        with contextlib.suppress(TimeoutError), gevent.Timeout(REQUEST_TIMEOUT_S, False):
+            return super().handle_one_request()
+        return None
+
+    def read_request(self, raw_requestline: str) -> Any:
+        """Reads a head; a late one is refused without the traceback of a fault.
+
+        :raises ValueError: if the head does not arrive.
+        """
+        try:
+            return super().read_request(raw_requestline)
+        except TimeoutError:
+            raise ValueError("the request head did not arrive in time") from None
+
+
 def ready_app(path: str, is_ready: Callable[[], bool]) -> Bottle:
     """Returns an application that answers 200 while the node is ready and 503 otherwise."""
     app = Bottle()
--- /dev/null
+++ b/tests/test_web_limits.py
@@ -0,0 +1,48 @@
+"""Limits of the directory, readiness, control and metrics listeners."""
+
+import socket
+import time
+import unittest
+from unittest.mock import patch
+
+from arbutustally_node.gateway import web
+
+REQUEST = b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class WebLimitTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.server = web.serve("127.0.0.1:0", web.ready_app("/ready", lambda: True))
+        self.addCleanup(self.server.stop, 0)
+
+    def connect(self) -> socket.socket:
+        caller = socket.create_connection(("127.0.0.1", self.server.server_port), 5.0)
+        self.addCleanup(caller.close)
+        return caller
+
+    def test_connection_that_stops_inside_a_head_is_closed(self) -> None:
+        """Guards against callers that hold all connections of a listener."""
+        with patch.object(web, "IDLE_TIMEOUT_S", 0.1):
+            for sent in (b"", REQUEST[:-2], REQUEST):
+                with self.subTest(sent=sent):
+                    caller = self.connect()
+                    caller.sendall(sent)
+                    while caller.recv(4096):
+                        continue
+
+    def test_head_that_trickles_is_ended(self) -> None:
+        """Guards against callers that stay just below the idle timeout."""
+        with patch.object(web, "REQUEST_TIMEOUT_S", 0.3):
+            caller = self.connect()
+            caller.sendall(REQUEST[:-2])
+            with self.assertRaises(OSError):
+                for _ in range(100):
+                    caller.sendall(b"A: b\r\n")
+                    time.sleep(0.05)
+
+    def test_requests_are_answered(self) -> None:
+        """Guards against limits that end sound requests of one connection."""
+        caller = self.connect()
+        for _ in range(3):
+            caller.sendall(REQUEST)
+            self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 200"))
