Free what a rejected caller sent before the rejection lingers

Cause: the traceback of the rejection held the frames with the body, whose memory the account had released, until the caller had closed or 0.3 s were over.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -216,6 +216,8 @@
 
 
 def _refuse(sock: Any, connection: CallerConnection, error: RouterError) -> None:
+    # The frames of the traceback hold what has arrived, whose memory is released.
+    error.with_traceback(None)
     connection.keep = False
     headers = []
     if error.retry_after_s is not None:
