--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_table.py
@@ -245,7 +245,7 @@
 
         :param own: this node's state, as it is sent to the relay that it uses.
         """
-        own = replace(own, updates=None, operator=own.standing)
+        own = replace(own, updates=None, operator=own.repeated)
         self._messages.begin_round()
         if own.sender != self._own_member:
             self._own_member = own.sender
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -139,7 +139,7 @@
         data = message.state.encode()
         if len(data) > MAX_DATAGRAM_BYTES:
             # Peers fetch the configuration when they see that this node has a newer one.
-            data = replace(message.state, operator=message.state.standing).encode()
+            data = replace(message.state, operator=message.state.repeated).encode()
         self._send_data(data, message.ips)
 
     def _send(self) -> None:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
@@ -79,11 +79,11 @@
 
         :param has_read: whether to add the records that this node has recently read or published.
         """
-        standing = tuple(
+        repeated = tuple(
             OperatorUpdate(record.key, record.value, None, record.position)
             for record in self._view.evacuation_records
         )
-        return (*standing, *self._recent_updates()) if has_read else standing
+        return (*repeated, *self._recent_updates()) if has_read else repeated
 
     def _recent_updates(self) -> tuple[OperatorUpdate, ...]:
         now = self._clock()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -112,7 +112,7 @@
     operator: tuple[OperatorUpdate, ...] = ()
 
     @property
-    def standing(self) -> tuple[OperatorUpdate, ...]:
+    def repeated(self) -> tuple[OperatorUpdate, ...]:
         """Returns the operator's records that are sent with every message."""
         return tuple(one for one in self.operator if one.position is not None)
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -129,7 +129,7 @@
         updates = tuple(OperatorUpdate(one.key, one.value, None, one.position) for one in records)
         sent = PeerState(member("n", "10.0.0.1"), "i", 1, Covers.NODE, operator=updates)
         self.assertEqual(PeerState.decode(sent.encode()), sent)
-        self.assertEqual(sent.standing, updates)
+        self.assertEqual(sent.repeated, updates)
 
 
 class NodesTest(GatewayCase):
