--- a/packages/arbutustally/src/arbutustally/gateway/zone_spill.py
+++ b/packages/arbutustally/src/arbutustally/gateway/zone_spill.py
@@ -97,7 +97,7 @@
 
 
 @dataclass(frozen=True)
-class _ZoneOutlook:
+class _ZoneEstimate:
     """Expected times in a zone.
 
     :ivar cost_s: expected time, costs included, of a request that waits as long as in the mean of
@@ -176,18 +176,18 @@
         """
         if not self.is_active:
             return ZoneDecision("", SpillReason.OFF)
-        outlooks = self._outlooks(candidates, exchanged_bytes)
-        own = outlooks.pop(self._zone, None)
+        estimates = self._estimates(candidates, exchanged_bytes)
+        own = estimates.pop(self._zone, None)
         if own is None:
-            return ZoneDecision(self._draw_zone(outlooks), SpillReason.NO_ENDPOINT, share=1.0)
-        if not outlooks:
+            return ZoneDecision(self._draw_zone(estimates), SpillReason.NO_ENDPOINT, share=1.0)
+        if not estimates:
             return ZoneDecision(self._zone, SpillReason.OWN_ZONE)
-        best = min(outlooks.values(), key=lambda outlook: outlook.cost_s)
+        best = min(estimates.values(), key=lambda estimate: estimate.cost_s)
         gain_s = own.cost_s - best.cost_s
         better = {
-            zone: outlook
-            for zone, outlook in outlooks.items()
-            if own.cost_s - outlook.cost_s > LEAST_GAIN_S
+            zone: estimate
+            for zone, estimate in estimates.items()
+            if own.cost_s - estimate.cost_s > LEAST_GAIN_S
         }
         if better and own.wait_s <= best.wait_s:
             # The gain comes from cached parts, not from the load, so nothing is to be balanced.
@@ -195,7 +195,7 @@
             return ZoneDecision(zone, SpillReason.PARTS_CACHED, gain_s)
         relative = gain_s / max(own.cost_s, LEAST_GAIN_S)
         share = self._updated_share(service, relative)
-        timely = {zone: other for zone, other in outlooks.items() if other.least_s <= limit_s}
+        timely = {zone: other for zone, other in estimates.items() if other.least_s <= limit_s}
         if timely and own.least_s > limit_s:
             return ZoneDecision(self._draw_zone(timely), SpillReason.TOO_LATE, gain_s, share)
         chance = min(1.0, share + IMMEDIATE * max(0.0, relative - RISE_AT))
@@ -203,32 +203,32 @@
             return ZoneDecision(self._draw_zone(better), SpillReason.BUSY, gain_s, share)
         return ZoneDecision(self._zone, SpillReason.OWN_ZONE, gain_s, share)
 
-    def _outlooks(
+    def _estimates(
         self, candidates: Sequence[ZoneCandidate], exchanged_bytes: float
-    ) -> dict[str, _ZoneOutlook]:
+    ) -> dict[str, _ZoneEstimate]:
         crossing_s = self._costs.delay_s + self._costs.bytes_s(exchanged_bytes)
         zones: dict[str, list[ZoneCandidate]] = {}
         for one in candidates:
             zones.setdefault(one.zone, []).append(one)
         return {
-            zone: self._outlook(group, 0.0 if zone == self._zone else crossing_s)
+            zone: self._estimate(group, 0.0 if zone == self._zone else crossing_s)
             for zone, group in zones.items()
         }
 
-    def _outlook(self, group: Sequence[ZoneCandidate], crossing_s: float) -> _ZoneOutlook:
+    def _estimate(self, group: Sequence[ZoneCandidate], crossing_s: float) -> _ZoneEstimate:
         wait_s = fmean(one.wait_s for one in group)
         begun_s = min(
             one.expected_s - one.wait_s + self._costs.bytes_s(one.fetched_bytes) for one in group
         )
         least_s = min(one.expected_s for one in group) + crossing_s
         slots = sum(one.slots for one in group)
-        return _ZoneOutlook(wait_s + begun_s + crossing_s, wait_s, least_s, slots)
+        return _ZoneEstimate(wait_s + begun_s + crossing_s, wait_s, least_s, slots)
 
-    def _draw_zone(self, outlooks: dict[str, _ZoneOutlook]) -> str:
+    def _draw_zone(self, estimates: dict[str, _ZoneEstimate]) -> str:
         """Draws a zone; one with many slots and a short time is the likeliest."""
-        zones = sorted(outlooks)
+        zones = sorted(estimates)
         weights = [
-            max(outlooks[zone].slots, 1) / max(outlooks[zone].cost_s, LEAST_GAIN_S)
+            max(estimates[zone].slots, 1) / max(estimates[zone].cost_s, LEAST_GAIN_S)
             for zone in zones
         ]
         return self._rng.choices(zones, weights)[0]
