--- a/bench/zone_replay.py
+++ b/bench/zone_replay.py
@@ -77,13 +77,13 @@
 
     :ivar worth: worth of all requests as a share of the offline bound.
     :ivar left: share of the requests that left their zone.
-    :ivar turns: seconds in which the number of leaving requests moved against the second before by
+    :ivar jumps: seconds in which the number of leaving requests moved against the second before by
         more than a quarter of all requests.
     """
 
     worth: float
     left: float
-    turns: int
+    jumps: int
 
 
 def replay(load: Load, policy: str, seed: int = 1) -> Result:
@@ -134,8 +134,8 @@
         seen.append(dict(queues))
         clock.advance(STEP_S)
     shares = [gone / max(count, 1) for count, gone in by_second.values()]
-    turns = sum(abs(b - a) > 0.25 for a, b in zip(shares, shares[1:], strict=False))
-    return Result(worth / bound, left / total, turns)
+    jumps = sum(abs(b - a) > 0.25 for a, b in zip(shares, shares[1:], strict=False))
+    return Result(worth / bound, left / total, jumps)
 
 
 def _count(rng: Random, mean: float) -> int:
@@ -173,7 +173,7 @@
     for title, load in LOADS.items():
         for policy in ("never", "least", "spill"):
             got = replay(load, policy)
-            print(f"{title},{policy},{got.worth:.3f},{got.left:.3f},{got.turns}")
+            print(f"{title},{policy},{got.worth:.3f},{got.left:.3f},{got.jumps}")
 
 
 if __name__ == "__main__":
--- a/tests/test_zone_spill.py
+++ b/tests/test_zone_spill.py
@@ -167,7 +167,7 @@
                 never, least, spill = self.results(title)
                 self.assertGreater(spill.worth, max(never.worth, least.worth) + 0.03)
                 self.assertLess(spill.left, least.left * 0.75)
-                self.assertLessEqual(spill.turns, 1)
+                self.assertLessEqual(spill.jumps, 1)
 
     def test_old_loads_never_cost_more_than_always_taking_the_least(self) -> None:
         """Guards against a herd: all nodes leave for the zone that was idle 3 s ago."""
