--- a/packages/arbutustally-cli/src/arbutustally_cli/commands.py
+++ b/packages/arbutustally-cli/src/arbutustally_cli/commands.py
@@ -25,7 +25,7 @@
 _WITHDRAWAL_S = 20.0
 _APPLY_S = 15.0
 #: Fields that describe a request to ``where``, and their help.
-DESCRIPTION = {
+REQUEST_FIELDS = {
     "host": "host that the caller names",
     "path": "path of the request",
     "method": "method",
@@ -181,10 +181,10 @@
 
 def where(context: Context) -> ExitCode:
     """Explains where a described request would go now; it is not sent."""
-    given = {name: getattr(context.arguments, name) for name in DESCRIPTION}
+    given = {name: getattr(context.arguments, name) for name in REQUEST_FIELDS}
     query = urlencode({name: value for name, value in given.items() if value})
-    told = context.client.call("GET", f"/explain?{query}", longest_s=_APPLY_S)
-    context.screen.result(told, where_text(told))
+    answer = context.client.call("GET", f"/explain?{query}", longest_s=_APPLY_S)
+    context.screen.result(answer, where_text(answer))
     return ExitCode.DONE
 
 
--- a/packages/arbutustally-cli/src/arbutustally_cli/main.py
+++ b/packages/arbutustally-cli/src/arbutustally_cli/main.py
@@ -129,7 +129,7 @@
     parser.add_argument(
         "--control", required=True, metavar="HOST:PORT", help="control listener of a gateway node"
     )
-    for name, text in commands.DESCRIPTION.items():
+    for name, text in commands.REQUEST_FIELDS.items():
         flag = "--" + name.replace("_", "-")
         parser.add_argument(flag, required=name in ("host", "path"), default="", help=text)
 
--- a/packages/arbutustally-cli/src/arbutustally_cli/where_text.py
+++ b/packages/arbutustally-cli/src/arbutustally_cli/where_text.py
@@ -20,19 +20,19 @@
 )
 
 
-def where_text(told: Mapping[str, Any]) -> str:
+def where_text(answer: Mapping[str, Any]) -> str:
     """Returns the explanation as text.
 
-    :param told: answer of a node: the endpoint, limits that reject the request, and candidates.
+    :param answer: answer of a node: the endpoint, limits that reject the request, and candidates.
     """
     lines = [
-        f"node {told['node']} in zone {told['zone']}, route {told['route']}, "
-        f"service {told['service']}, configuration {told['config']}",
-        f"endpoint: {show(told['endpoint'])}",
+        f"node {answer['node']} in zone {answer['zone']}, route {answer['route']}, "
+        f"service {answer['service']}, configuration {answer['config']}",
+        f"endpoint: {show(answer['endpoint'])}",
     ]
-    lines += [f"rejected: {one['code']} ({one['message']})" for one in told["rejected"]]
-    if told["zone_decision"]:
-        lines.append(f"zone: {show(told['zone_decision'])}; costs: {show(told['zone_costs'])}")
-    lines += [f"because: {reason}" for reason in told["reasons"]]
-    lines += [f"{name}: {show(value)}" for name, value in told["facts"].items()]
-    return "\n".join((*lines, table(told["candidates"], _COLUMNS)))
+    lines += [f"rejected: {one['code']} ({one['message']})" for one in answer["rejected"]]
+    if answer["zone_decision"]:
+        lines.append(f"zone: {show(answer['zone_decision'])}; costs: {show(answer['zone_costs'])}")
+    lines += [f"because: {reason}" for reason in answer["reasons"]]
+    lines += [f"{name}: {show(value)}" for name, value in answer["facts"].items()]
+    return "\n".join((*lines, table(answer["candidates"], _COLUMNS)))
