Name the updates of cold times and of remembered peers

Cause: state_cold read as a noun beside EndpointState; hear(names) did not say that it replaces the peers that are present. No behaviour changes. Tests run on all renames together: tests.test_evacuation, test_slow_start, test_zone_spill, test_placer, test_preview and test_fleet_table pass.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_notices.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_notices.py
@@ -39,7 +39,7 @@
         if notice.pause_s > 0:
             self._book.pause(state, notice.pause_s, self._rng)
             self._log.line("endpoint_paused", endpoint=state.id, pause_s=notice.pause_s)
-        if notice.cold_s is not None and self._book.state_cold(state, notice.cold_s):
+        if notice.cold_s is not None and self._book.record_cold(state, notice.cold_s):
             self._log.line(
                 "endpoint_cold", endpoint=state.id, cold_s=notice.cold_s, source="endpoint"
             )
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -139,7 +139,7 @@
         :param gone: sources of use that no longer count.
         """
         services = self._services
-        services.view.book.slow_start.hear(peer.node for peer in services.gossip.present)
+        services.view.book.slow_start.update_peers(peer.node for peer in services.gossip.present)
         for source in gone:
             services.view.book.set_peer_load(source, {})
             services.quota.forget(source)
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -168,7 +168,7 @@
             self._states[entry.id] = self._first_state(entry, incarnations[-MAX_INCARNATIONS:])
             return True
         if entry.cold_remaining_s != state.entry.cold_remaining_s:
-            self._list_cold(state, entry.cold_remaining_s)
+            self._apply_listed_cold(state, entry.cold_remaining_s)
         is_new = state.entry != entry or state.gone_at is not None
         state.entry = entry
         state.gone_at = None
@@ -176,7 +176,7 @@
             state.weights[model] = max(state.weights.get(model, 0), version)
         return is_new
 
-    def state_cold(self, state: EndpointState, cold_s: float) -> bool:
+    def record_cold(self, state: EndpointState, cold_s: float) -> bool:
         """Records how long an endpoint remains slow, as stated in its answer; returns whether it
         becomes slow.
 
@@ -187,7 +187,7 @@
         state.cold_until, state.stated_cold_at = now + cold_s, now
         return cold_s > 0 and not was_cold
 
-    def _list_cold(self, state: EndpointState, cold_s: float) -> None:
+    def _apply_listed_cold(self, state: EndpointState, cold_s: float) -> None:
         # An entry that is read now may have been written before the endpoint's latest answer.
         now = self._clock()
         until = now + cold_s
--- a/packages/arbutustally/src/arbutustally/gateway/slow_start.py
+++ b/packages/arbutustally/src/arbutustally/gateway/slow_start.py
@@ -65,7 +65,7 @@
         self._tolerance = tolerance
         self._started_at = self._forgot_at = clock()
         self._present: frozenset[str] = frozenset()
-        self._heard_at: dict[str, float] = {}
+        self._present_at: dict[str, float] = {}
         self._rates: dict[str, float] = {}
         self._ranks: dict[str, int] = {}
 
@@ -76,12 +76,12 @@
         """
         self._rates = {service: rate for service, rate in rates.items() if rate > 0}
 
-    def hear(self, names: Iterable[str]) -> None:
+    def update_peers(self, names: Iterable[str]) -> None:
         """Records the names of the peers that are present from now on."""
         now = self._clock()
         before = self._present
         self._present = frozenset(names)
-        self._heard_at.update(dict.fromkeys(before | self._present, now))
+        self._present_at.update(dict.fromkeys(before | self._present, now))
         self._ranks.clear()
 
     def is_cold(self, state: EndpointState) -> bool:
@@ -111,23 +111,23 @@
         return True
 
     def _shares(self, state: EndpointState) -> tuple[int, int, float]:
-        nodes = len(self._heard_at.keys() | {self._name})
+        nodes = len(self._present_at.keys() | {self._name})
         return shares(self._rates[state.entry.service], nodes, self._tolerance)
 
     def _forget(self, now: float) -> None:
         if now - self._forgot_at < FORGET_INTERVAL_S:
             return
         self._forgot_at = now
-        self._heard_at.update(dict.fromkeys(self._present, now))
-        old = [name for name, at in self._heard_at.items() if now - at > MEMORY_S]
+        self._present_at.update(dict.fromkeys(self._present, now))
+        old = [name for name, at in self._present_at.items() if now - at > MEMORY_S]
         for name in old:
-            del self._heard_at[name]
+            del self._present_at[name]
         if old or len(self._ranks) > MAX_RANKS:
             self._ranks.clear()
 
     def _rank(self, endpoint: str) -> int:
         if endpoint not in self._ranks:
-            self._ranks[endpoint] = rank(endpoint.encode(), self._name, self._heard_at)
+            self._ranks[endpoint] = rank(endpoint.encode(), self._name, self._present_at)
         return self._ranks[endpoint]
 
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -49,7 +49,7 @@
             node = SlowStart(clock, name)
             node.set_rates({"s": rate})
             unknown = rng.sample(self.names, min(missing, nodes - 1))
-            node.hear(set(self.names) - {name, *unknown})
+            node.update_peers(set(self.names) - {name, *unknown})
             state = EndpointState(entry("e"), cold_until=math.inf)
             self.nodes.append((node, state))
         self.clock.advance(START_S)
@@ -57,7 +57,7 @@
     def cut(self) -> None:
         """Cuts all nodes off from each other."""
         for node, _state in self.nodes:
-            node.hear(())
+            node.update_peers(())
 
     def send(self, seconds: float) -> None:
         for _ in range(round(seconds / STEP_S)):
@@ -117,9 +117,9 @@
         clock = VirtualClock(10.0)
         node, state = SlowStart(clock, "n1"), EndpointState(entry("e"), cold_until=math.inf)
         node.set_rates({"s": 1.0})
-        node.hear(f"n{number}" for number in range(2, 60))
+        node.update_peers(f"n{number}" for number in range(2, 60))
         clock.advance(2 * MEMORY_S)
-        node.hear(())
+        node.update_peers(())
         clock.advance(MEMORY_S)
         self.assertFalse(node.may_send(state))
         clock.advance(1.0)
@@ -152,10 +152,10 @@
         self.assertEqual(cold_s(), 3.0)
         book.put(entry("e", cold_remaining_s=0.0))
         self.assertEqual(cold_s(), 0.0)
-        book.state_cold(book.get("e"), 6.0)
+        book.record_cold(book.get("e"), 6.0)
         book.put(entry("e", cold_remaining_s=0.1))
         self.assertEqual(cold_s(), 6.0)
-        book.state_cold(book.get("e"), 0.0)
+        book.record_cold(book.get("e"), 0.0)
         self.assertEqual(cold_s(), 0.0)
         book.put(entry("e", cold_remaining_s=2.0, incarnation="2"))
         self.assertEqual(cold_s(), 2.0)
