Name a time limit, a node count and a flag by what they are

longest_s becomes max_expected_s, caller_nodes, which returned a count, entry_node_count, and Placement._records, a flag, _is_recording. No behaviour changes. Tests run on all renames together: tests.test_evacuation, test_slow_start, test_zone_spill, test_placer, test_preview and test_fleet_table pass.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -116,7 +116,7 @@
         notices.take,
         checker.unreachable,
         checker.check_silent,
-        lambda: status.caller_nodes(gossip.present, gossip.is_direct),
+        lambda: status.entry_node_count(gossip.present, gossip.is_direct),
         lambda: status.is_complete,
         state.rollouts,
         lambda: store.endpoints.list_age_s,
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_status.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_status.py
@@ -62,7 +62,7 @@
         nodes = [peer for peer in peers if peer.is_ready]
         return [*nodes, self.member] if self.is_ready else nodes
 
-    def caller_nodes(self, peers: Sequence[Member], is_direct: bool) -> int:
+    def entry_node_count(self, peers: Sequence[Member], is_direct: bool) -> int:
         """Returns the number of nodes among which callers are divided, at least one.
 
         :param peers: the other nodes that are present.
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -10,7 +10,7 @@
     Ran,
     RouterError,
 )
-from arbutustally.gateway.admission import longest_s, must_reject, retry_after_s
+from arbutustally.gateway.admission import max_expected_s, must_reject, retry_after_s
 from arbutustally.gateway.cache_scope import cache_scope
 from arbutustally.gateway.choice import (
     PartSource,
@@ -223,7 +223,7 @@
             engines,
             scope,
             sources,
-            longest_s(left_s) if must_be_timely else math.inf,
+            max_expected_s(left_s) if must_be_timely else math.inf,
         )
         choice = choose_engine(
             services.placement,
--- a/packages/arbutustally/src/arbutustally/gateway/admission.py
+++ b/packages/arbutustally/src/arbutustally/gateway/admission.py
@@ -23,10 +23,10 @@
     :param expected_s: expected time to the first event, seconds.
     :param left_s: time until the caller's timeout, seconds.
     """
-    return expected_s > longest_s(left_s)
+    return expected_s > max_expected_s(left_s)
 
 
-def longest_s(left_s: float) -> float:
+def max_expected_s(left_s: float) -> float:
     """Returns the longest expected time to the first event that is accepted, seconds."""
     return left_s * USABLE_SHARE
 
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -79,7 +79,7 @@
         self._hot = HotPrefixes(widen_at=self.options.widen_at)
         self._estimator = Estimator(self._index, self._load, self.options)
         self._computed_share = 1.0
-        self._records = True
+        self._is_recording = True
 
     @classmethod
     def from_config(
@@ -112,7 +112,7 @@
         """
         copied = copy(self)
         copied.rng = rng
-        copied._records = False
+        copied._is_recording = False
         copied._hot = self._hot.copied()
         return copied
 
@@ -138,9 +138,9 @@
         missed = request.shape.total_tokens - best.cached_tokens
         ahead = best.queue_s * self._load.speed(best.endpoint)
         number = 0
-        if self._records:
+        if self._is_recording:
             number = self._load.record_dispatch(best.endpoint, missed, ahead, context.now)
-        if self._records and self.options.in_band:
+        if self._is_recording and self.options.in_band:
             self._index.record(
                 context.scope, context.anchors, best.endpoint, best.incarnation, context.now
             )
