--- a/packages/arbutustally-node/src/arbutustally_node/early_signals.py
+++ b/packages/arbutustally-node/src/arbutustally_node/early_signals.py
@@ -1,8 +1,8 @@
 """Signal handlers for the time before a program has read its settings and built its node.
 
-Importing the services takes about half a second. The default action of SIGHUP and SIGTERM would end
-the process by the signal meanwhile, as would a handler that raises inside an import. This module
-therefore imports nothing but the standard library and is imported first.
+Importing the services takes about half a second. Meanwhile, the default action of SIGHUP and
+SIGTERM would end the process by the signal, as would a handler that raises inside an import. This
+module therefore imports nothing but the standard library and is imported first.
 """
 
 import os
--- a/packages/arbutustally-node/src/arbutustally_node/framing.py
+++ b/packages/arbutustally-node/src/arbutustally_node/framing.py
@@ -17,6 +17,7 @@
 #: grows with the number of chunks, not with their bytes.
 MAX_LINES_PER_FEED = 1024
 #: Bytes of chunk framing that any body may have, and those allowed for each byte of content.
+#: Framing without content would otherwise keep a node busy without end.
 FREE_FRAMING_BYTES = 64 << 10
 MAX_FRAMING_RATIO = 4
 _HEX = b"0123456789abcdefABCDEF"
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/loop_lag.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/loop_lag.py
@@ -1,4 +1,4 @@
-"""Measures how long work keeps the event loop from its timers."""
+"""Measures by how much the event loop's timers are late."""
 
 import time
 from typing import Any
@@ -18,8 +18,8 @@
 class LoopLagMonitor:
     """Records the delays of a periodic timer as the metric ``loop_lag``.
 
-    A process that gets no processor time is late too; the processor time in the log line tells
-    this from long work of the process itself.
+    Timers are also late if the process gets no processor time. The processor time in the log line
+    distinguishes this from a long computation of the process itself.
 
     :param clock: monotonic seconds.
     """
@@ -43,7 +43,7 @@
         """Records one delay.
 
         :param lag_s: delay of the timer, seconds.
-        :param processor_s: processor time of the process since the previous delay, seconds.
+        :param processor_s: processor time of the process in the interval and the delay, seconds.
         """
         self._instruments.duration("loop_lag", "", max(lag_s, 0.0))
         if lag_s > LOGGED_LAG_S:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_status.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_status.py
@@ -66,7 +66,8 @@
         """Returns the number of nodes among which callers are divided, at least one.
 
         :param peers: the other nodes that are present.
-        :param is_direct: whether the fleet is so small that callers are named all nodes.
+        :param is_direct: whether nodes exchange their load directly. Such a fleet is small, and
+            callers are named all of its nodes.
         """
         if is_direct:
             return len(peers) + 1
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -53,7 +53,7 @@
     :ivar value: ``None`` if it was removed.
     :ivar age_s: longest possible time since it was written, ``None`` if unknown.
     :ivar position: its position in the store, for records whose removal matters, otherwise
-        ``None``. These records are sent with every message.
+        ``None``. Records with a position are sent with every message.
     """
 
     key: str
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -252,7 +252,7 @@
     def _corrected_s(self, expected_s: float) -> float:
         """Returns an expected time to the first event, corrected where loads are relayed.
 
-        Reports of relayed loads are old, so the expectation alone rejects too many requests.
+        Relayed reports are older, so the uncorrected expectation would reject too many requests.
         """
         if not self._services.has_relayed_loads():
             return expected_s
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/preview.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/preview.py
@@ -1,7 +1,9 @@
-"""Explains where a described request would go now, by the node's own decision code, without sending.
+"""Explains where a node would send a described request now, by its own decision code.
 
-Tables and random numbers that a decision changes are copied or restored, so that the next real
-request is decided as if nothing had been asked.
+Nothing is sent.
+
+The tables and random numbers that a decision changes are copied or restored, so that an explanation
+does not affect the next request.
 """
 
 import math
@@ -27,6 +29,7 @@
 from arbutustally_node.gateway.placer import Placed, Placer
 from arbutustally_node.gateway.request_services import RequestServices, Trace
 
+#: Path of the explanation at the control listener.
 EXPLAIN_PATH = "/explain"
 #: Largest body of a described request, bytes.
 MAX_BODY_BYTES = 1 << 30
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -75,8 +75,8 @@
         """Returns the endpoints that may get a new request now.
 
         Suspected and unreachable endpoints are left out while another one remains; paused ones are
-        always left out, as are those in evacuated zones and cold ones
-        to which this node may send nothing now.
+        always left out, as are those in evacuated zones and cold ones to which this node may send
+        nothing now.
 
         :param predicate: filter of the endpoints to consider.
         """
--- a/packages/arbutustally/src/arbutustally/gateway/entry_nodes.py
+++ b/packages/arbutustally/src/arbutustally/gateway/entry_nodes.py
@@ -1,8 +1,8 @@
 """Selection of the nodes that callers use, and of the addresses named to one caller.
 
 Load pattern: a fleet has many more instances than its callers need, most of them small. If callers
-spread over all of them, each node sends an endpoint few requests: connections expire unused, and no
-node knows more than a small part of the load at first hand. Callers are therefore named the
+spread over all of them, each node sends an endpoint few requests: connections expire unused, and
+each node observes only a small part of the load itself. Callers are therefore named the
 strongest nodes of each availability zone only. Where all instances are alike, all are named.
 """
 
--- a/packages/arbutustally/src/arbutustally/gateway/evacuation.py
+++ b/packages/arbutustally/src/arbutustally/gateway/evacuation.py
@@ -7,7 +7,7 @@
 from arbutustally.rendezvous import uniform_hash
 
 #: Time over which the share of requests that may use a zone rises from 0 to 1 after its evacuation,
-#: seconds. Endpoints of the zone may still be cold at its end.
+#: seconds. Endpoints of the zone may be cold when the evacuation ends.
 RETURN_S = 5.0
 #: Zones that are remembered; the removals that were learned first are forgotten beyond that.
 MAX_ZONES = 32
--- a/packages/arbutustally/src/arbutustally/gateway/slow_start.py
+++ b/packages/arbutustally/src/arbutustally/gateway/slow_start.py
@@ -28,12 +28,13 @@
 #: Time after the start in which a node sends no requests to cold endpoints, seconds: it does not
 #: know all peers yet, nor the requests that it sent before a restart.
 START_S = 3.0
-#: Window in which an owner counts its requests, seconds. The part above 1 s is the time by which
-#: the ways of two requests to an endpoint may differ.
+#: Shortest window in which an owner counts its requests, seconds. The part above 1 s is the longest
+#: difference between the times that two requests take to reach an endpoint.
 WINDOW_S = 1.2
 #: Interval at which peers that were last heard long ago are forgotten, seconds.
 FORGET_INTERVAL_S = 1.0
-#: Endpoints whose ranks are kept between two changes of the fleet.
+#: Endpoints whose ranks are kept between two changes of the fleet, so that removed ones do not
+#: accumulate.
 MAX_RANKS = 4096
 
 
@@ -77,7 +78,7 @@
         self._rates = {service: rate for service, rate in rates.items() if rate > 0}
 
     def update_peers(self, names: Iterable[str]) -> None:
-        """Records the names of the peers that are present from now on."""
+        """Replaces the names of the peers that are present."""
         now = self._clock()
         before = self._present
         self._present = frozenset(names)
--- a/packages/arbutustally/src/arbutustally/gateway/wait_calibration.py
+++ b/packages/arbutustally/src/arbutustally/gateway/wait_calibration.py
@@ -1,10 +1,10 @@
 """Correction of the expected time to the first event by the times that requests took.
 
-Load pattern: engines are short, and placement expects a request to wait for all work that is queued
-at its engine. Engines begin urgent requests before others and fetch cached parts instead of reading
-them, so many requests wait far shorter; if the uncorrected expectation decided, they would be
-rejected although they could be served in time. Corrections are kept by route, since routes differ
-in urgency and in the prompts that they bring.
+Load pattern: there are too few engines, and placement expects a request to wait for all work that
+is queued at its engine. Engines begin urgent requests before others and fetch cached parts instead
+of reading them, so many requests wait far shorter; if the uncorrected expectation decided, they
+would be rejected although they could be served in time. Corrections are kept by route, since routes
+differ in urgency and in the prompts that they bring.
 """
 
 import math
@@ -14,7 +14,8 @@
 
 #: Time constant of the exponential decay of observations, seconds.
 DECAY_S = 5.0
-#: Weight of the uncorrected expectation, seconds of expected time.
+#: Weight of the uncorrected expectation, seconds of expected time. With few observations, the
+#: factor stays near 1.
 PRIOR_S = 2.0
 #: Smallest factor by which an expectation is corrected.
 MIN_FACTOR = 0.05
@@ -28,7 +29,7 @@
 
 
 class WaitCalibration:
-    """Compares expected with observed times by route.
+    """Compares expected with observed times by route; older observations decay.
 
     :param clock: monotonic seconds.
     """
@@ -50,7 +51,7 @@
     def factor(self, route: str) -> float:
         """Returns the factor for expected times of a route, at most 1.
 
-        A larger one would reject requests for a wait that placement does not expect.
+        A larger one would reject requests that placement expects to be in time.
         """
         expected, taken = self._decayed(route)
         factor = (taken + PRIOR_S) / (expected + PRIOR_S)
--- a/packages/arbutustally/src/arbutustally/gateway/zone_choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/zone_choice.py
@@ -22,10 +22,11 @@
 
 #: Bytes of an event of a stream, its framing included, that carries one token.
 EVENT_BYTES = 120
-#: Factor on the time of a transfer of cached parts between zones.
+#: Time of a transfer of cached parts between zones, relative to one within a zone.
 CROSS_ZONE_TRANSFER_FACTOR = 2.0
 #: Engines of a zone that are estimated at most: some drawn at random, and those that hold the most
-#: of the prompt. An estimate takes about 20 us, so all 433 of a large fleet would take 8 ms.
+#: of the prompt. An estimate takes about 20 us, so those of hundreds of engines would hold up other
+#: requests for milliseconds.
 SAMPLED_ENGINES = 24
 SAMPLED_HOLDERS = 8
 
@@ -84,7 +85,7 @@
 def _sampled(
     engines: Sequence[EndpointState], sources: Sequence[PartSource], rng: Random
 ) -> list[tuple[EndpointState, float]]:
-    """Returns the engines to estimate, and the slots of its zone that each stands for."""
+    """Returns the engines to estimate, and the slots of its zone that each represents."""
     held = {source.place: source.tokens for source in sources}
     zones: dict[str, list[EndpointState]] = {}
     for state in engines:
@@ -135,7 +136,7 @@
     def candidate(self, state: EndpointState, usual_s: float, slots: float) -> ZoneCandidate:
         """Returns the expected time at an engine, and what it would fetch from other zones.
 
-        :param slots: slots of the zone that the engine stands for.
+        :param slots: slots of the zone that the engine represents.
         """
         request, zone = self._request, state.entry.zone
         speed = self._placement.prefill_speed(state.id)
--- a/packages/arbutustally/src/arbutustally/gateway/zone_spill.py
+++ b/packages/arbutustally/src/arbutustally/gateway/zone_spill.py
@@ -3,7 +3,7 @@
 Load pattern: traffic between zones is paid for and slower, but a zone may have too few endpoints
 for its callers. The nodes of a zone see the same loads, which are 0.3 s old and up to 3 s when
 messages are lost. If each of them sent its requests to the zone with the shortest queue, they would
-overload it before they could see that, and then return together. Each node therefore lets only a
+overload it before a report shows that, and then return together. Each node therefore lets only a
 share of its requests leave. The share rises while leaving pays off, falls while it does not, and
 holds in between; each request draws whether it is in the share, and to which zone it goes.
 """
@@ -20,13 +20,14 @@
 #: Gain, as a share of the expected time in the own zone, above which the share rises. Between zero
 #: and this gain it holds, so that small differences do not move traffic back and forth.
 RISE_AT = 0.4
-#: Smallest gain that makes a request leave, seconds; expected times are not more exact.
+#: Smallest gain that makes a request leave, seconds. Smaller ones are within the error of the
+#: expected times.
 LEAST_GAIN_S = 0.005
 #: Time in which the share rises from 0 to 1 while the gain is the whole expected time, seconds.
 RISE_S = 12.0
 #: Time in which the share falls from 1 to 0 while other zones are twice as slow, seconds.
 FALL_S = 4.0
-#: Part of the relative gain that is added to the share at once, before the share has risen.
+#: Share that is added at once for the part of the relative gain above ``RISE_AT``.
 IMMEDIATE = 0.3
 #: Longest time between two decisions that counts for the share, seconds.
 LONGEST_STEP_S = 0.5
@@ -47,7 +48,7 @@
 class ZoneCosts:
     """Costs of traffic between zones.
 
-    :ivar s_per_gb: seconds of delay that 10**9 bytes between zones are worth.
+    :ivar s_per_gb: delay that 10**9 bytes between zones are worth, seconds.
     :ivar delay_s: time that a request to another zone takes longer, both ways, seconds.
     """
 
@@ -70,7 +71,8 @@
 
     :ivar expected_s: expected time to the first event or to the answer, seconds.
     :ivar wait_s: part of ``expected_s`` until the request begins, seconds.
-    :ivar slots: requests that it runs concurrently, and others for which it stands.
+    :ivar slots: requests that it runs concurrently, and those of the endpoints that were not
+        estimated and that it represents.
     :ivar fetched_bytes: cached parts that it would fetch from another zone than its own.
     """
 
@@ -86,7 +88,7 @@
     """The zone in which a request is to run.
 
     :ivar zone: empty if any zone may be used.
-    :ivar gain_s: time by which the best other zone is better in the mean, costs included, seconds.
+    :ivar gain_s: mean time that a request gains in the best other zone, costs included, seconds.
     :ivar share: share of the requests that leave at present.
     """
 
@@ -170,9 +172,10 @@
     ) -> ZoneDecision:
         """Returns the zone in which a request is to run.
 
-        :param candidates: not empty.
+        :param candidates: may be empty only while no decision is made (``is_active``).
         :param exchanged_bytes: bytes of the request and its answer.
-        :param limit_s: expected time above which the request is rejected, seconds.
+        :param limit_s: expected time to the first event above which the request is rejected,
+            seconds.
         """
         if not self.is_active:
             return ZoneDecision("", SpillReason.OFF)
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -257,8 +257,8 @@
     def _sample(self, context: PlacementContext, eligible: list[Candidate]) -> list[Candidate]:
         """Returns the homes, the holders of most cached tokens and some endpoints at random.
 
-        Nodes that all compare every endpoint by the same old load send all requests of that time to
-        the one that seemed idle; with few random candidates each, they spread them.
+        If all nodes compared all endpoints by the same old load, they would send all requests until
+        the next report to the endpoint that seemed idle. Random candidates spread the requests.
         """
         names = set(context.homes[: max(self.options.homes, context.width)])
         shuffled = self.rng.sample(eligible, len(eligible))
