--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -66,6 +66,7 @@
             self.assertAlmostEqual(share, index / 4, delta=0.05)
 
     def test_node_that_starts_after_the_removal_uses_the_zone_at_once(self) -> None:
+        """Guards against a started node that keeps requests away from a zone in use."""
         self.evacuations.apply(REMOVAL, Position(1, 2))
         self.assertEqual(self.share(), 1.0)
 
@@ -92,6 +93,7 @@
         return [state.id for state in self.view.book.usable("s")]
 
     def test_no_endpoint_of_the_zone_is_used_even_if_no_other_is_left(self) -> None:
+        """Guards against an evacuated zone that is used as the last resort."""
         self.assertEqual(self.usable, [])
         self.view.book.put(entry("b", zone="z2"))
         self.view.book.get("b").is_down = True
@@ -187,6 +189,7 @@
         self.assert_evacuated([first, second])
 
     def test_node_that_starts_reads_the_order(self) -> None:
+        """Guards against a node that is ready before it knows of an evacuation."""
         self.store.put(OPERATOR, KEY, {"zone": "z1"})
         node = self.start_node()
         self.wait_ready(node)
--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -86,6 +86,7 @@
         self.assertEqual(self.names(), ["e1", "e2"])
 
     def test_starts_without_numbers_are_ordered_by_arrival(self) -> None:
+        """Guards against a start that is ignored because its incarnation is no number."""
         for incarnation in ("b", "0", "a"):
             self.assertTrue(self.book.put(entry("e3", incarnation=incarnation)))
         self.assertFalse(self.book.put(entry("e3", incarnation="b")))
--- a/tests/test_preview.py
+++ b/tests/test_preview.py
@@ -54,6 +54,7 @@
             self.assertTrue(all("cost" in one for one in told[0]["candidates"]))
 
     def test_limits_that_reject_are_named_and_nothing_is_sent_or_charged(self) -> None:
+        """Guards against an explanation that is charged to the account or sent to an engine."""
         quota = self.node._services.state.quota
         admitted = dict(quota.admitted)
         told = orjson.loads(self.where(*self.described("r"), "--tokens", "9000000"))
@@ -63,6 +64,7 @@
         self.assertEqual([worker.ran for worker in self.engines], [[], []])
 
     def test_text_names_zone_and_candidates(self) -> None:
+        """Guards against a text that omits what the JSON output contains."""
         text = self.where(
             "--host", "h.example", "--path", "/look/x", "--account", "school", output="table"
         )
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -20,7 +20,7 @@
 
 OVERAGE, SLACK = 1.5, 5
 FLEETS = (6, 85, 480)
-#: Longest difference between the ways of two requests to an endpoint, seconds.
+#: Longest difference between the times that two requests take to an endpoint, seconds.
 WAY_S = 0.2
 STEP_S = 0.05
 
@@ -126,6 +126,7 @@
         self.assertTrue(node.may_send(state))
 
     def test_endpoint_without_a_limit_or_a_cold_time_is_not_limited(self) -> None:
+        """Guards against a limit on services that state none, and on warm endpoints."""
         node = SlowStart(VirtualClock(10.0), "n1")
         cold = EndpointState(entry("e"), cold_until=math.inf)
         self.assertTrue(node.may_send(cold))
@@ -165,7 +166,7 @@
     """A running node at cold workers."""
 
     def test_excess_at_cold_workers_is_rejected_at_once(self) -> None:
-        """Guards against bursts at workers that have just started, and against callers that wait."""
+        """Guards against bursts at workers that have just started, and callers that wait."""
         services = configuration()["services"]
         services[1]["coldPerS"] = 2.0
         self.store.put("keyed.op", "config", configuration(2, services=services))
--- a/tests/test_zone_spill.py
+++ b/tests/test_zone_spill.py
@@ -69,6 +69,7 @@
         self.assertEqual(share(0.03, 5.0), risen)
 
     def test_share_falls_while_the_other_zone_is_slower(self) -> None:
+        """Guards against requests that go on leaving after the load has moved."""
         spill = self.spill()
         for wait_s, other_s, least, most in ((2.0, 0.0, 0.5, 1.0), (0.0, 2.0, 0.0, 0.0)):
             for _ in range(100):
@@ -156,6 +157,7 @@
         return tuple(replay(LOADS[title], policy) for policy in ("never", "least", "spill"))
 
     def test_nothing_leaves_evenly_loaded_zones(self) -> None:
+        """Guards against traffic between zones that gains nothing."""
         _never, least, spill = self.results("even")
         self.assertLess(spill.left, 0.01)
         self.assertGreater(spill.worth, least.worth)
@@ -170,7 +172,7 @@
                 self.assertLessEqual(spill.jumps, 1)
 
     def test_old_loads_never_cost_more_than_always_taking_the_least(self) -> None:
-        """Guards against a herd: all nodes leave for the zone that was idle 3 s ago."""
+        """Guards against nodes that all leave for the zone that was idle 3 s ago."""
         for title in ("double, 3 s old", "waves, 3 s old", "crashes, 3 s old"):
             with self.subTest(title):
                 _never, least, spill = self.results(title)
