Split the replay of zones into steps

Arrivals, the view of a node and the jumps are functions of their own. The doc comment of the jumps spoke of a number of requests; the code compares shares.

--- a/bench/zone_replay.py
+++ b/bench/zone_replay.py
@@ -25,6 +25,8 @@
 TARGET_S = 0.4
 TIMEOUT_S = 5.0
 LATE_WORTH = 0.3
+#: Change of the share of leaving requests within a second that counts as a jump.
+JUMP_SHARE = 0.25
 #: Worth lost by each request that leaves its zone.
 CROSSING_WORTH = 0.02
 #: The same in the terms of the decision: the delay that a request's bytes are worth.
@@ -77,8 +79,8 @@
 
     :ivar worth: worth of all requests as a share of the offline bound.
     :ivar left: share of the requests that left their zone.
-    :ivar jumps: seconds in which the number of leaving requests moved against the second before by
-        more than a quarter of all requests.
+    :ivar jumps: seconds in which the share of leaving requests differed from that of the second
+        before by more than ``JUMP_SHARE``.
     """
 
     worth: float
@@ -105,20 +107,10 @@
             queues[name] = max(0.0, queues[name] - RATE * STEP_S)
         pooled = max(0.0, pooled - RATE * STEP_S * len(alive))
         second = by_second.setdefault(int(clock()), [0, 0])
-        arrivals = [
-            zone
-            for zone in ZONES
-            for _ in range(_count(rng, load.demand(zone, clock()) * ENDPOINTS * RATE * STEP_S))
-        ]
-        rng.shuffle(arrivals)
-        for zone in arrivals:
+        for zone in _arrivals(load, clock(), rng):
             node = rng.choice(nodes[zone])
             sent = own[node]
-            while sent and sent[0][0] < clock() - load.age_s:
-                sent.popleft()
-            view = dict(seen[0])
-            for _at, name in sent:
-                view[name] += 1
+            view = _view(seen[0], sent, clock() - load.age_s)
             times = {name: (view[name] + 1) / RATE for name in alive}
             name = _choose(policy, node, zone, times, rng)
             wait_s = (queues[name] + 1) / RATE
@@ -133,9 +125,37 @@
             second[1] += name[0] != zone
         seen.append(dict(queues))
         clock.advance(STEP_S)
+    return Result(worth / bound, left / total, _jumps(by_second))
+
+
+def _arrivals(load: Load, at: float, rng: Random) -> list[str]:
+    """Returns the zones of the requests of a step, in random order."""
+    arrivals = [
+        zone
+        for zone in ZONES
+        for _ in range(_count(rng, load.demand(zone, at) * ENDPOINTS * RATE * STEP_S))
+    ]
+    rng.shuffle(arrivals)
+    return arrivals
+
+
+def _view(reported: dict, sent: deque, reported_at: float) -> dict:
+    """Returns the queues that a node assumes: the reported ones and what it has sent since.
+
+    Drops older requests from ``sent``.
+    """
+    while sent and sent[0][0] < reported_at:
+        sent.popleft()
+    view = dict(reported)
+    for _at, name in sent:
+        view[name] += 1
+    return view
+
+
+def _jumps(by_second: dict[int, list[int]]) -> int:
+    """Returns the seconds in which the share of leaving requests changed by more than a quarter."""
     shares = [gone / max(count, 1) for count, gone in by_second.values()]
-    jumps = sum(abs(b - a) > 0.25 for a, b in zip(shares, shares[1:], strict=False))
-    return Result(worth / bound, left / total, jumps)
+    return sum(abs(b - a) > JUMP_SHARE for a, b in zip(shares, shares[1:], strict=False))
 
 
 def _count(rng: Random, mean: float) -> int:
