--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_status.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_status.py
@@ -62,11 +62,12 @@
         nodes = [peer for peer in peers if peer.is_ready]
         return [*nodes, self.member] if self.is_ready else nodes
 
-    def caller_nodes(self, peers: Sequence[Member], is_direct: bool) -> int:
+    def entry_node_count(self, peers: Sequence[Member], is_direct: bool) -> int:
         """Returns the number of nodes among which callers are divided, at least one.
 
         :param peers: the other nodes that are present.
-        :param is_direct: whether the fleet is so small that callers are named all nodes.
+        :param is_direct: whether nodes exchange their load directly. Such a fleet is small, and
+            callers are named all of its nodes.
         """
         if is_direct:
             return len(peers) + 1
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -53,7 +53,7 @@
     :ivar value: ``None`` if it was removed.
     :ivar age_s: longest possible time since it was written, ``None`` if unknown.
     :ivar position: its position in the store, for records whose removal matters, otherwise
-        ``None``. These records are sent with every message.
+        ``None``. Records with a position are sent with every message.
     """
 
     key: str
@@ -112,7 +112,7 @@
     operator: tuple[OperatorUpdate, ...] = ()
 
     @property
-    def standing(self) -> tuple[OperatorUpdate, ...]:
+    def repeated(self) -> tuple[OperatorUpdate, ...]:
         """Returns the operator's records that are sent with every message."""
         return tuple(one for one in self.operator if one.position is not None)
 
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -78,8 +78,8 @@
         """Returns the endpoints that may get a new request now.
 
         Suspected and unreachable endpoints are left out while another one remains; paused ones are
-        always left out, as are those in evacuated zones and cold ones
-        to which this node may send nothing now.
+        always left out, as are those in evacuated zones and cold ones to which this node may send
+        nothing now.
 
         :param predicate: filter of the endpoints to consider.
         """
@@ -172,14 +172,14 @@
             return True
         is_new = state.entry != entry or state.gone_at is not None
         if entry.cold_remaining_s != state.entry.cold_remaining_s:
-            is_new |= self._list_cold(state, entry.cold_remaining_s)
+            is_new |= self._apply_listed_cold(state, entry.cold_remaining_s)
         state.entry = entry
         state.gone_at = None
         for model, version in entry.weights.items():
             state.weights[model] = max(state.weights.get(model, 0), version)
         return is_new
 
-    def state_cold(self, state: EndpointState, cold_s: float) -> bool:
+    def record_cold(self, state: EndpointState, cold_s: float) -> bool:
         """Records how long an endpoint remains slow, as stated in its answer; returns whether it
         becomes slow.
 
@@ -190,7 +190,7 @@
         state.cold_until, state.stated_cold_at = now + cold_s, now
         return cold_s > 0 and not was_cold
 
-    def _list_cold(self, state: EndpointState, cold_s: float) -> bool:
+    def _apply_listed_cold(self, state: EndpointState, cold_s: float) -> bool:
         """Records the cold time of a list entry; returns whether its end is news for peers."""
         # An entry that is read now may have been written before the endpoint's latest answer.
         now = self._clock()
--- a/packages/arbutustally/src/arbutustally/gateway/zone_spill.py
+++ b/packages/arbutustally/src/arbutustally/gateway/zone_spill.py
@@ -3,7 +3,7 @@
 Load pattern: traffic between zones is paid for and slower, but a zone may have too few endpoints
 for its callers. The nodes of a zone see the same loads, which are 0.3 s old and up to 3 s when
 messages are lost. If each of them sent its requests to the zone with the shortest queue, they would
-overload it before they could see that, and then return together. Each node therefore lets only a
+overload it before a report shows that, and then return together. Each node therefore lets only a
 share of its requests leave. The share rises while leaving pays off, falls while it does not, and
 holds in between; each request draws whether it is in the share, and to which zone it goes.
 """
@@ -20,13 +20,14 @@
 #: Gain, as a share of the expected time in the own zone, above which the share rises. Between zero
 #: and this gain it holds, so that small differences do not move traffic back and forth.
 RISE_AT = 0.4
-#: Smallest gain that makes a request leave, seconds; expected times are not more exact.
+#: Smallest gain that makes a request leave, seconds. Smaller ones are within the error of the
+#: expected times.
 LEAST_GAIN_S = 0.005
 #: Time in which the share rises from 0 to 1 while the gain is the whole expected time, seconds.
 RISE_S = 12.0
 #: Time in which the share falls from 1 to 0 while other zones are twice as slow, seconds.
 FALL_S = 4.0
-#: Part of the relative gain that is added to the share at once, before the share has risen.
+#: Share that is added at once for the part of the relative gain above ``RISE_AT``.
 IMMEDIATE = 0.3
 #: Longest time between two decisions that counts for the share, seconds.
 LONGEST_STEP_S = 0.5
@@ -47,7 +48,7 @@
 class ZoneCosts:
     """Costs of traffic between zones.
 
-    :ivar s_per_gb: seconds of delay that 10**9 bytes between zones are worth.
+    :ivar s_per_gb: delay that 10**9 bytes between zones are worth, seconds.
     :ivar delay_s: time that a request to another zone takes longer, both ways, seconds.
     """
 
@@ -70,7 +71,8 @@
 
     :ivar expected_s: expected time to the first event or to the answer, seconds.
     :ivar wait_s: part of ``expected_s`` until the request begins, seconds.
-    :ivar slots: requests that it runs concurrently, and others for which it stands.
+    :ivar slots: requests that it runs concurrently, and those of the endpoints that were not
+        estimated and that it represents.
     :ivar fetched_bytes: cached parts that it would fetch from another zone than its own.
     """
 
@@ -86,7 +88,7 @@
     """The zone in which a request is to run.
 
     :ivar zone: empty if any zone may be used.
-    :ivar gain_s: time by which the best other zone is better in the mean, costs included, seconds.
+    :ivar gain_s: mean time that a request gains in the best other zone, costs included, seconds.
     :ivar share: share of the requests that leave at present.
     """
 
@@ -97,7 +99,7 @@
 
 
 @dataclass(frozen=True)
-class _ZoneOutlook:
+class _ZoneEstimate:
     """Expected times in a zone.
 
     :ivar cost_s: expected time, costs included, of a request that waits as long as in the mean of
@@ -170,24 +172,25 @@
     ) -> ZoneDecision:
         """Returns the zone in which a request is to run.
 
-        :param candidates: not empty.
+        :param candidates: may be empty only while no decision is made (``is_active``).
         :param exchanged_bytes: bytes of the request and its answer.
-        :param limit_s: expected time above which the request is rejected, seconds.
+        :param limit_s: expected time to the first event above which the request is rejected,
+            seconds.
         """
         if not self.is_active:
             return ZoneDecision("", SpillReason.OFF)
-        outlooks = self._outlooks(candidates, exchanged_bytes)
-        own = outlooks.pop(self._zone, None)
+        estimates = self._estimates(candidates, exchanged_bytes)
+        own = estimates.pop(self._zone, None)
         if own is None:
-            return ZoneDecision(self._draw_zone(outlooks), SpillReason.NO_ENDPOINT, share=1.0)
-        if not outlooks:
+            return ZoneDecision(self._draw_zone(estimates), SpillReason.NO_ENDPOINT, share=1.0)
+        if not estimates:
             return ZoneDecision(self._zone, SpillReason.OWN_ZONE)
-        best = min(outlooks.values(), key=lambda outlook: outlook.cost_s)
+        best = min(estimates.values(), key=lambda estimate: estimate.cost_s)
         gain_s = own.cost_s - best.cost_s
         better = {
-            zone: outlook
-            for zone, outlook in outlooks.items()
-            if own.cost_s - outlook.cost_s > LEAST_GAIN_S
+            zone: estimate
+            for zone, estimate in estimates.items()
+            if own.cost_s - estimate.cost_s > LEAST_GAIN_S
         }
         if better and own.wait_s <= best.wait_s:
             # The gain comes from cached parts, not from the load, so nothing is to be balanced.
@@ -195,7 +198,7 @@
             return ZoneDecision(zone, SpillReason.PARTS_CACHED, gain_s)
         relative = gain_s / max(own.cost_s, LEAST_GAIN_S)
         share = self._updated_share(service, relative)
-        timely = {zone: other for zone, other in outlooks.items() if other.least_s <= limit_s}
+        timely = {zone: other for zone, other in estimates.items() if other.least_s <= limit_s}
         if timely and own.least_s > limit_s:
             return ZoneDecision(self._draw_zone(timely), SpillReason.TOO_LATE, gain_s, share)
         chance = min(1.0, share + IMMEDIATE * max(0.0, relative - RISE_AT))
@@ -203,32 +206,32 @@
             return ZoneDecision(self._draw_zone(better), SpillReason.BUSY, gain_s, share)
         return ZoneDecision(self._zone, SpillReason.OWN_ZONE, gain_s, share)
 
-    def _outlooks(
+    def _estimates(
         self, candidates: Sequence[ZoneCandidate], exchanged_bytes: float
-    ) -> dict[str, _ZoneOutlook]:
+    ) -> dict[str, _ZoneEstimate]:
         crossing_s = self._costs.delay_s + self._costs.bytes_s(exchanged_bytes)
         zones: dict[str, list[ZoneCandidate]] = {}
         for one in candidates:
             zones.setdefault(one.zone, []).append(one)
         return {
-            zone: self._outlook(group, 0.0 if zone == self._zone else crossing_s)
+            zone: self._estimate(group, 0.0 if zone == self._zone else crossing_s)
             for zone, group in zones.items()
         }
 
-    def _outlook(self, group: Sequence[ZoneCandidate], crossing_s: float) -> _ZoneOutlook:
+    def _estimate(self, group: Sequence[ZoneCandidate], crossing_s: float) -> _ZoneEstimate:
         wait_s = fmean(one.wait_s for one in group)
         begun_s = min(
             one.expected_s - one.wait_s + self._costs.bytes_s(one.fetched_bytes) for one in group
         )
         least_s = min(one.expected_s for one in group) + crossing_s
         slots = sum(one.slots for one in group)
-        return _ZoneOutlook(wait_s + begun_s + crossing_s, wait_s, least_s, slots)
+        return _ZoneEstimate(wait_s + begun_s + crossing_s, wait_s, least_s, slots)
 
-    def _draw_zone(self, outlooks: dict[str, _ZoneOutlook]) -> str:
+    def _draw_zone(self, estimates: dict[str, _ZoneEstimate]) -> str:
         """Draws a zone; one with many slots and a short time is the likeliest."""
-        zones = sorted(outlooks)
+        zones = sorted(estimates)
         weights = [
-            max(outlooks[zone].slots, 1) / max(outlooks[zone].cost_s, LEAST_GAIN_S)
+            max(estimates[zone].slots, 1) / max(estimates[zone].cost_s, LEAST_GAIN_S)
             for zone in zones
         ]
         return self._rng.choices(zones, weights)[0]
--- a/packages/arbutustally/src/arbutustally/placement.py
+++ b/packages/arbutustally/src/arbutustally/placement.py
@@ -79,7 +79,7 @@
         self._hot = HotPrefixes(widen_at=self.options.widen_at)
         self._estimator = Estimator(self._index, self._load, self.options)
         self._computed_share = 1.0
-        self._records = True
+        self._is_recording = True
 
     @classmethod
     def from_config(
@@ -112,7 +112,7 @@
         """
         copied = copy(self)
         copied.rng = rng
-        copied._records = False
+        copied._is_recording = False
         copied._hot = self._hot.copied()
         return copied
 
@@ -138,9 +138,9 @@
         missed = request.shape.total_tokens - best.cached_tokens
         ahead = best.queue_s * self._load.speed(best.endpoint)
         number = 0
-        if self._records:
+        if self._is_recording:
             number = self._load.record_dispatch(best.endpoint, missed, ahead, context.now)
-        if self._records and self.options.in_band:
+        if self._is_recording and self.options.in_band:
             self._index.record(
                 context.scope, context.anchors, best.endpoint, best.incarnation, context.now
             )
@@ -257,8 +257,8 @@
     def _sample(self, context: PlacementContext, eligible: list[Candidate]) -> list[Candidate]:
         """Returns the homes, the holders of most cached tokens and some endpoints at random.
 
-        Nodes that all compare every endpoint by the same old load send all requests of that time to
-        the one that seemed idle; with few random candidates each, they spread them.
+        If all nodes compared all endpoints by the same old load, they would send all requests until
+        the next report to the endpoint that seemed idle. Random candidates spread the requests.
         """
         names = set(context.homes[: max(self.options.homes, context.width)])
         shuffled = self.rng.sample(eligible, len(eligible))
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -23,7 +23,7 @@
 
 OVERAGE, SLACK = 1.5, 5
 FLEETS = (6, 85, 480)
-#: Longest difference between the ways of two requests to an endpoint, seconds.
+#: Longest difference between the times that two requests take to an endpoint, seconds.
 WAY_S = 0.2
 STEP_S = 0.05
 
@@ -52,7 +52,7 @@
             node = SlowStart(clock, name)
             node.set_rates({"s": rate})
             unknown = rng.sample(self.names, min(missing, nodes - 1))
-            node.hear(set(self.names) - {name, *unknown})
+            node.update_peers(set(self.names) - {name, *unknown})
             state = EndpointState(entry("e"), cold_until=math.inf)
             self.nodes.append((node, state))
         self.clock.advance(START_S)
@@ -60,7 +60,7 @@
     def cut(self) -> None:
         """Cuts all nodes off from each other."""
         for node, _state in self.nodes:
-            node.hear(())
+            node.update_peers(())
 
     def send(self, seconds: float) -> None:
         for _ in range(round(seconds / STEP_S)):
@@ -120,15 +120,16 @@
         clock = VirtualClock(10.0)
         node, state = SlowStart(clock, "n1"), EndpointState(entry("e"), cold_until=math.inf)
         node.set_rates({"s": 1.0})
-        node.hear(f"n{number}" for number in range(2, 60))
+        node.update_peers(f"n{number}" for number in range(2, 60))
         clock.advance(2 * MEMORY_S)
-        node.hear(())
+        node.update_peers(())
         clock.advance(MEMORY_S)
         self.assertFalse(node.may_send(state))
         clock.advance(1.0)
         self.assertTrue(node.may_send(state))
 
     def test_endpoint_without_a_limit_or_a_cold_time_is_not_limited(self) -> None:
+        """Guards against a limit on services that state none, and on warm endpoints."""
         node = SlowStart(VirtualClock(10.0), "n1")
         cold = EndpointState(entry("e"), cold_until=math.inf)
         self.assertTrue(node.may_send(cold))
@@ -158,10 +159,10 @@
         self.assertEqual(cold_s(), 0.0)
         # Nodes that do not read the list learn only of entries that change something.
         self.assertTrue(book.put(entry("e", cold_remaining_s=4.0)))
-        book.state_cold(book.get("e"), 6.0)
+        book.record_cold(book.get("e"), 6.0)
         book.put(entry("e", cold_remaining_s=0.1))
         self.assertEqual(cold_s(), 6.0)
-        book.state_cold(book.get("e"), 0.0)
+        book.record_cold(book.get("e"), 0.0)
         self.assertEqual(cold_s(), 0.0)
         book.put(entry("e", cold_remaining_s=2.0, incarnation="2"))
         self.assertEqual(cold_s(), 2.0)
@@ -171,7 +172,7 @@
     """A running node at cold workers."""
 
     def test_excess_at_cold_workers_is_rejected_at_once(self) -> None:
-        """Guards against bursts at workers that have just started, and against callers that wait."""
+        """Guards against bursts at workers that have just started, and callers that wait."""
         services = configuration()["services"]
         services[1]["coldPerS"] = 2.0
         self.store.put("keyed.op", "config", configuration(2, services=services))
