Mend what the read-through of the new parts found

Cause: an explanation counted in the node's metrics and took negative or huge numbers of tokens; a removed evacuation of a zone unknown here was forgotten before older ones, so a late order evacuated the zone again; rejections in an evacuated zone were named after its cold endpoints; the zone decision compared uncorrected times with the limit for corrected ones; a start number of thousands of digits raised an error.

Change: each is mended at its place; tests for the first two.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -117,7 +117,12 @@
 
     def _reason_for_none(self) -> str:
         book, service = self._services.view.book, self._service.name
-        if not book.has_any(service, book.slow_start.is_cold):
+
+        def is_cold(state: EndpointState) -> bool:
+            is_evacuated = book.evacuations.is_evacuated(state.entry.zone)
+            return book.slow_start.is_cold(state) and not is_evacuated
+
+        if not book.has_any(service, is_cold):
             return "no_endpoint"
         self._services.instruments.count("cold_rejections", service)
         return "endpoints_cold"
@@ -223,7 +228,7 @@
             engines,
             scope,
             sources,
-            max_expected_s(left_s) if must_be_timely else math.inf,
+            self._max_expected_s(left_s) if must_be_timely else math.inf,
         )
         choice = choose_engine(
             services.placement,
@@ -243,20 +248,24 @@
         state = next(entry for entry in engines if entry.id == choice.endpoint)
         source = fetch_source(services.holdings, scope, request.parts, state, sources, services.rng)
         self._record_decision(choice, version, source)
-        expected_s = self._corrected_s(choice.estimate_s)
+        expected_s = choice.estimate_s * self._correction()
         if must_be_timely and must_reject(expected_s, left_s):
             wait = retry_after_s(expected_s, left_s, services.rng)
             raise OverloadedError("not run: engines are overloaded; retry", retry_after_s=wait)
         return Placed(state, choice, version, scope, source, zone)
 
-    def _corrected_s(self, expected_s: float) -> float:
-        """Returns an expected time to the first event, corrected where loads are relayed.
+    def _max_expected_s(self, left_s: float) -> float:
+        """Returns the longest uncorrected expected time that is not rejected, seconds."""
+        return max_expected_s(left_s) / self._correction()
+
+    def _correction(self) -> float:
+        """Returns the factor for expected times, 1 unless loads are relayed.
 
         Relayed reports are older, so the uncorrected expectation would reject too many requests.
         """
         if not self._services.has_relayed_loads():
-            return expected_s
-        return expected_s * self._services.waits.factor(self._route.name)
+            return 1.0
+        return self._services.waits.factor(self._route.name)
 
     def _engines_to_use(self, eligible: list[EndpointState]) -> tuple[int, list[EndpointState]]:
         """Returns the version of the weights to run on, and the engines that have it."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/preview.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/preview.py
@@ -33,6 +33,8 @@
 EXPLAIN_PATH = "/explain"
 #: Largest body of a described request, bytes.
 MAX_BODY_BYTES = 1 << 30
+#: Largest number of tokens in a described request.
+MAX_TOKENS = 1 << 31
 
 
 class Preview:
@@ -171,11 +173,12 @@
     """
     try:
         parts = tuple(
-            PromptPart(part.rpartition(":")[0].lower(), int(part.rpartition(":")[2]))
+            PromptPart(part.rpartition(":")[0].lower(), _token_count(part.rpartition(":")[2]))
             for part in fields.get("parts", "").split(",")
             if part
         )
         tokens, size = fields.get("tokens", ""), int(fields.get("bytes", "0"))
+        output_tokens = _token_count(fields.get("output_tokens", "0"))
         left_s = float(fields["left_s"]) if fields.get("left_s") else None
         if not 0 <= size <= MAX_BODY_BYTES:
             raise ValueError(f"bytes must be 0 to {MAX_BODY_BYTES}")
@@ -191,8 +194,8 @@
             key="",
             time_left_s=left_s,
             model=fields.get("model", ""),
-            prompt_tokens=int(tokens) if tokens else None,
-            output_tokens=int(fields.get("output_tokens", "0")),
+            prompt_tokens=_token_count(tokens) if tokens else None,
+            output_tokens=output_tokens,
             parts=parts,
             resume_from="",
             arrived_at=now,
@@ -201,6 +204,17 @@
         raise BadRequestError(f"the description can't be read: {error}") from error
 
 
+def _token_count(text: str) -> int:
+    """Returns a number of tokens.
+
+    :raises ValueError: if it is malformed, negative or too large.
+    """
+    count = int(text)
+    if not 0 <= count <= MAX_TOKENS:
+        raise ValueError(f"numbers of tokens must be 0 to {MAX_TOKENS}")
+    return count
+
+
 class SizedBody(bytes):
     """A body of which only the length is known; it takes no memory."""
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -88,6 +88,7 @@
             placement=self.placement.preview(rng),
             spill=self.spill.preview(rng),
             on_other_weights=lambda _state: None,
+            instruments=Instruments(),
         )
 
 
--- a/packages/arbutustally/src/arbutustally/gateway/evacuation.py
+++ b/packages/arbutustally/src/arbutustally/gateway/evacuation.py
@@ -9,7 +9,7 @@
 #: Time over which the share of requests that may use a zone rises from 0 to 1 after its evacuation,
 #: seconds. Endpoints of the zone may be cold when the evacuation ends.
 RETURN_S = 5.0
-#: Zones that are remembered; the removals that were learned first are forgotten beyond that.
+#: Zones that are remembered; the earliest removals are forgotten beyond that.
 MAX_ZONES = 32
 
 
@@ -94,6 +94,6 @@
 
     def _forget_oldest(self) -> None:
         removed = [one for one in self._zones.values() if not one.evacuation.is_ordered]
-        removed.sort(key=lambda one: one.learned_at)
+        removed.sort(key=lambda one: one.position)
         for one in removed[: max(0, len(self._zones) - MAX_ZONES)]:
             del self._zones[one.evacuation.zone]
--- a/packages/arbutustally/src/arbutustally/incarnations.py
+++ b/packages/arbutustally/src/arbutustally/incarnations.py
@@ -5,6 +5,8 @@
 #: Unix time in milliseconds from 2001 to 2286. A random hexadecimal text of even length that happens
 #: to have decimal digits only is not taken for one.
 _UNIX_MS = re.compile(r"[1-9][0-9]{12}")
+#: Longest number of a start, digits; a longer text is taken for an unordered one.
+MAX_DIGITS = 32
 
 
 def start_number(incarnation: str) -> int:
@@ -12,7 +14,8 @@
 
     :param incarnation: a decimal number increases from start to start; other texts have no order.
     """
-    return int(incarnation) if incarnation.isdecimal() else 0
+    is_number = incarnation.isdecimal() and len(incarnation) <= MAX_DIGITS
+    return int(incarnation) if is_number else 0
 
 
 def is_earlier_start(incarnation: str, other: str) -> bool:
--- a/tests/test_cache_scope.py
+++ b/tests/test_cache_scope.py
@@ -11,6 +11,7 @@
 from arbutustally.gateway.cache_scope import cache_scope
 from arbutustally.gateway.configuration import ClientAccount, Configuration, Engine, Service
 from arbutustally.gateway.holdings import Holdings
+from arbutustally.gateway.zone_spill import ZoneCosts, ZoneSpill
 from arbutustally.placement import Placement
 from arbutustally_node.gateway.fleet_view import FleetView, NamedWeights
 from arbutustally_node.gateway.placer import Placer
@@ -74,6 +75,8 @@
             placement=Placement.from_config(clock, Random(3)),
             holdings=Holdings.from_config(clock),
             nodes=lambda: 1,
+            has_relayed_loads=lambda: False,
+            spill=ZoneSpill(ZoneCosts(), "z1", clock, Random(3)),
             weights_s=8.0,
             list_age_s=lambda: 0.0,
         )
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -70,6 +70,14 @@
         self.evacuations.apply(REMOVAL, Position(1, 2))
         self.assertEqual(self.share(), 1.0)
 
+    def test_removal_of_an_unknown_zone_is_remembered(self) -> None:
+        """Guards against a late order that evacuates a zone again after its removal was heard."""
+        for number in range(MAX_ZONES):
+            self.evacuations.apply(ZoneEvacuation(f"z{number}", False), Position(1, number))
+        self.evacuations.apply(ZoneEvacuation("new", False), Position(1, 900))
+        self.evacuations.apply(ZoneEvacuation("new", True), Position(1, 899))
+        self.assertFalse(self.evacuations.is_evacuated("new"))
+
     def test_orders_in_force_are_never_forgotten(self) -> None:
         """Guards against memory that grows with each name of a zone, and against lost orders."""
         for number in range(3 * MAX_ZONES):
--- a/tests/test_preview.py
+++ b/tests/test_preview.py
@@ -4,9 +4,11 @@
 
 import orjson
 
+from arbutustally.errors import BadRequestError
 from arbutustally_cli.exit_codes import ExitCode
 from arbutustally_cli.main import run
 from arbutustally_cli.render import Screen
+from arbutustally_node.gateway.preview import described_request
 from tests.gateway_fleet import GatewayCase
 
 
@@ -63,6 +65,12 @@
         self.assertEqual(sum(quota.admitted.values()), sum(admitted.values()))
         self.assertEqual([worker.ran for worker in self.engines], [[], []])
 
+    def test_odd_numbers_of_tokens_are_rejected(self) -> None:
+        """Guards against a description that ends in an internal error or refunds an account."""
+        for name, value in (("tokens", "-5"), ("tokens", "9" * 400), ("parts", "aa:-60")):
+            with self.assertRaises(BadRequestError):
+                described_request({"host": "h.example", "path": "/", name: value}, 0.0)
+
     def test_text_names_zone_and_candidates(self) -> None:
         """Guards against a text that omits what the JSON output contains."""
         text = self.where(
