Keep accounts isolated that are removed while isolated

Seen by callers: an account shared cached parts, became isolated and was removed. Requests of other accounts then ran under the scope of before its isolation ("1."), so an engine or part store that still held the parts of the removed account served them.

Cause: the shared scope named the isolated accounts of the configuration alone. With the removal the set was the one of before, and so was the scope.

Change: accounts that were isolated and are no longer configured stay in the set. Why it works: no account of the set has made a part under the scope of the set, and the set loses a name only when the operator lists the account as not isolated.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -10,9 +10,16 @@
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.endpoints import EndpointBook
 from arbutustally.gateway.evacuation import ZoneEvacuation
+from arbutustally.gateway.isolation_history import IsolationHistory
 from arbutustally.gateway.rollouts import RolloutBook, RolloutOrder
 from arbutustally.gateway.shared_reading import Position
 from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.isolation_record import (
+    ISOLATION_PREFIX,
+    decode_isolated,
+    encode_complete,
+    encode_isolated,
+)
 from arbutustally_node.gateway.ports import Documents, Record, WeightsNamed
 from arbutustally_node.gateway.refused_records import RefusedRecords
 from arbutustally_node.gateway.rollout_record import PROGRESS_PREFIX, decode_progress
@@ -23,6 +30,8 @@
 FORGET_GONE_S = 60.0
 #: Named versions that are kept per model.
 MAX_VERSIONS = 8
+#: Accounts that were removed while isolated which every message to the peers names, the latest ones.
+MAX_REMOVED_ACCOUNTS = 16
 
 
 class NamedWeights:
@@ -98,6 +107,7 @@
         self._weights: dict[str, NamedWeights] = {}
         self._rollouts = RolloutBook()
         self._has_endpoints = False
+        self.isolation = IsolationHistory()
         self.book = EndpointBook.from_config(clock)
         self._configuration_watchers: list[Callable[[Configuration], None]] = []
 
@@ -125,14 +135,25 @@
     def operator_records(self) -> tuple[Record, ...]:
         """Returns the operator's records as written, for peers without the store."""
         records = (Record(key, value) for key, value in self._operator_raw.items())
+        isolated = [encode_isolated(name) for name in self.isolation.names]
+        if self.isolation.is_complete:
+            isolated.append(encode_complete())
         # A node with a configuration may serve, so it is the last record to be applied.
-        return (*self._evacuation_raw.values(), *records)
+        return (*isolated, *self._evacuation_raw.values(), *records)
 
     @property
     def evacuation_records(self) -> tuple[Record, ...]:
         """Returns the records of evacuations and of their removals, with positions."""
         return tuple(self._evacuation_raw.values())
 
+    @property
+    def removed_account_records(self) -> tuple[Record, ...]:
+        """Returns records of the accounts that the operator removed while they were isolated."""
+        if self._configuration is None:
+            return ()
+        names = self.isolation.removed(self._configuration)[-MAX_REMOVED_ACCOUNTS:]
+        return tuple(map(encode_isolated, names))
+
     @property
     def endpoint_records(self) -> tuple[Record, ...]:
         """Returns the endpoints' entries as written, for peers without the store."""
@@ -150,6 +171,9 @@
         if record.key.startswith(PROGRESS_PREFIX):
             self._take_progress(record, source)
             return
+        if record.key.startswith(ISOLATION_PREFIX):
+            self._take_isolated(record)
+            return
         change = self._documents.decode_operator(record)
         if isinstance(change, Configuration):
             self._configure(change, record, source)
@@ -269,11 +293,12 @@
         if current is not None and configuration.version <= current.version:
             return
         self._configuration = configuration
+        self.isolation.observe(configuration)
         self._operator_raw[record.key] = record.value or b""
         self._log.line(
             "configuration_in_force",
             version=configuration.version,
-            isolation_epoch=isolation_epoch(configuration.accounts.values()),
+            isolation_epoch=isolation_epoch(self.isolation.isolated(configuration)),
             previous=current.version if current else None,
             source=source,
         )
@@ -311,6 +336,13 @@
                 source=source,
             )
 
+    def _take_isolated(self, record: Record) -> None:
+        name = decode_isolated(record)
+        if name:
+            self.isolation.add(name)
+        else:
+            self.isolation.complete()
+
     def _take_progress(self, record: Record, source: str) -> None:
         progress = decode_progress(record)
         if progress is not None and self._rollouts.apply(progress):
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -25,6 +25,7 @@
 from arbutustally_node.gateway.endpoint_notices import EndpointNotices
 from arbutustally_node.gateway.endpoint_reader import READING_DUTY, EndpointReader
 from arbutustally_node.gateway.gossip import Gossip
+from arbutustally_node.gateway.isolation_recorder import IsolationRecorder
 from arbutustally_node.gateway.listener import CallerListener
 from arbutustally_node.gateway.loop_lag import LoopLagMonitor
 from arbutustally_node.gateway.memory_monitor import MemoryMonitor
@@ -60,6 +61,7 @@
     endpoints: EndpointReader
     operator_reader: OperatorReader
     announcer: Announcer
+    isolation: IsolationRecorder
 
 
 @dataclass(frozen=True)
@@ -161,6 +163,7 @@
         ("log", log),
         ("loop_lag", LoopLagMonitor(log, state.instruments, monotonic)),
         ("gossip", gossip),
+        ("isolation", store.isolation),
         ("endpoints", store.endpoints),
         ("follower", store.operator_reader),
         ("announcer", store.announcer),
@@ -214,9 +217,12 @@
     announcer = Announcer(
         platform.node_topic, gossip, watch, log, boottime, options.node, options.ip.encode()
     )
-    platform.store_era.watch(operator_reader.era_changed)
-    platform.store_era.watch(announcer.era_changed)
-    return StoreReaders(watch, endpoints, operator_reader, announcer)
+    isolation = IsolationRecorder(
+        platform.isolated_topic, view.isolation, log, lambda: _is_decider(endpoints, gossip)
+    )
+    for service in (operator_reader, announcer, isolation):
+        platform.store_era.watch(service.era_changed)
+    return StoreReaders(watch, endpoints, operator_reader, announcer, isolation)
 
 
 def _build_weights(
@@ -250,9 +256,6 @@
 def _build_rollouts(
     platform: Platform, state: NodeState, gossip: Gossip, store: StoreReaders
 ) -> RolloutService:
-    def is_decider() -> bool:
-        return store.endpoints.is_reader and gossip.rank(READING_DUTY) == 0
-
     service = RolloutService(
         state.view.rollouts,
         state.rollouts,
@@ -261,13 +264,18 @@
         platform.documents,
         state.log,
         monotonic,
-        is_decider,
+        lambda: _is_decider(store.endpoints, gossip),
         lambda progress: store.operator_reader.publish(encode_progress(progress)),
     )
     platform.store_era.watch(service.era_changed)
     return service
 
 
+def _is_decider(endpoints: EndpointReader, gossip: Gossip) -> bool:
+    """Returns whether this node decides and writes for the fleet now."""
+    return endpoints.is_reader and gossip.rank(READING_DUTY) == 0
+
+
 def _register(*services: tuple[str, Service]) -> Kernel:
     kernel = Kernel()
     for name, service in services:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
@@ -75,13 +75,13 @@
         self._greenlet.kill()
 
     def updates(self, has_read: bool) -> tuple[OperatorUpdate, ...]:
-        """Returns the evacuations and removals of evacuations that this node knows.
+        """Returns the evacuations, removals of evacuations and removed accounts that it knows.
 
         :param has_read: whether to add the records that this node has recently read or published.
         """
         repeated = tuple(
             OperatorUpdate(record.key, record.value, None, record.position)
-            for record in self._view.evacuation_records
+            for record in (*self._view.evacuation_records, *self._view.removed_account_records)
         )
         return (*repeated, *self._recent_updates()) if has_read else repeated
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -212,9 +212,9 @@
             # e.g. after a restart of all nodes, so the weights of one engine are polled.
             services.on_other_weights(services.rng.choice(eligible))
             raise self._no_endpoint_error("no_engine_with_weights", left_s, has_run)
-        scope = cache_scope(
-            version, self._account, services.view.configuration or self._configuration
-        )
+        active = services.view.configuration or self._configuration
+        isolated = services.view.isolation.isolated(active)
+        scope = cache_scope(version, self._account, active, isolated)
         store = store_of(self._part_stores, scope, request.parts)
         sources = sources_of(
             services.holdings, scope, request.parts, eligible, [store] if store else []
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/platform.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/platform.py
@@ -16,12 +16,16 @@
 
 @dataclass(frozen=True)
 class Platform:
-    """The set of interfaces that a platform adapter provides."""
+    """The set of interfaces that a platform adapter provides.
+
+    :ivar isolated_topic: names of the accounts that were isolated, one key for each.
+    """
 
     codec: HttpCodec
     documents: Documents
     operator_topic: KeyedTopic
     status_topic: StatusTopic
+    isolated_topic: StatusTopic
     endpoint_topic: KeyedTopic
     node_topic: NodeTopic
     engines: EngineControl
--- a/packages/arbutustally/src/arbutustally/gateway/cache_scope.py
+++ b/packages/arbutustally/src/arbutustally/gateway/cache_scope.py
@@ -13,9 +13,12 @@
 EPOCH_BYTES = 8
 
 
-def isolation_epoch(accounts: Iterable[ClientAccount]) -> str:
-    """Returns a text that differs between sets of isolated accounts, ``""`` for the empty set."""
-    names = sorted(account.name for account in accounts if account.is_isolated)
+def isolation_epoch(isolated: Iterable[str]) -> str:
+    """Returns a text that differs between sets of isolated accounts, ``""`` for the empty set.
+
+    :param isolated: names of the accounts.
+    """
+    names = sorted(set(isolated))
     if not names:
         return ""
     digest = blake2b(digest_size=EPOCH_BYTES)
@@ -26,17 +29,23 @@
     return digest.hexdigest()
 
 
-def cache_scope(version: int, account: ClientAccount | None, configuration: Configuration) -> str:
+def cache_scope(
+    version: int,
+    account: ClientAccount | None,
+    configuration: Configuration,
+    isolated: Iterable[str],
+) -> str:
     """Returns the scope of a request's cached parts.
 
     :param version: version of the weights.
     :param account: account of the request, ``None`` without one.
     :param configuration: configuration in force, which decides whether the account is isolated; the
         account itself may stem from the older one under which the request began.
+    :param isolated: names of all accounts that count as isolated, see ``IsolationHistory``.
     """
     if account is not None:
         account = configuration.accounts.get(account.name, account)
         if account.is_isolated:
             return f"{version}.{account.name}"
-    epoch = isolation_epoch(configuration.accounts.values())
+    epoch = isolation_epoch(isolated)
     return f"{version}-{epoch}." if epoch else f"{version}."
--- a/tests/test_cache_scope.py
+++ b/tests/test_cache_scope.py
@@ -30,7 +30,11 @@
 
 
 def scope_of(name: str, active: Configuration) -> str:
-    return cache_scope(1, active.accounts[name], active)
+    return cache_scope(1, active.accounts[name], active, isolated_of(active))
+
+
+def isolated_of(active: Configuration) -> list[str]:
+    return [account.name for account in active.accounts.values() if account.is_isolated]
 
 
 class CacheScopeTest(unittest.TestCase):
@@ -47,8 +51,8 @@
     def test_scope_is_as_before_without_isolated_accounts(self) -> None:
         """Guards against cached parts that are lost by an update of the nodes."""
         active = configuration(frozenset())
-        self.assertEqual(cache_scope(7, active.accounts["a"], active), "7.")
-        self.assertEqual(cache_scope(7, None, active), "7.")
+        self.assertEqual(cache_scope(7, active.accounts["a"], active, ()), "7.")
+        self.assertEqual(cache_scope(7, None, active, ()), "7.")
 
     def test_accounts_share_while_the_set_stays_the_same(self) -> None:
         """Guards against cached parts that are lost at every change of the configuration."""
