Decode the records of the operator and of the endpoints' list in turns

Seen by callers: a node that reads the whole list of a large fleet, at its start, after an outage or from a peer, answers nobody until all entries are decoded and applied.

Why it works: decoding is the larger part of the work and touches no state, so it can be interrupted; what is applied still appears at once, and the checks against changes that peers send meanwhile come after the decoding.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/catch_up.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/catch_up.py
@@ -64,8 +64,8 @@
                 self._apply(snapshot, peer.node)
 
     def _apply(self, snapshot: Snapshot, peer: str) -> None:
-        for record in snapshot.operator:
-            self._view.apply_operator(record, peer)
+        for decoded in self._view.decode_operators(snapshot.operator):
+            self._view.apply_decoded_operator(decoded, peer)
         if snapshot.position is not None:
             self._endpoints.apply_snapshot(snapshot.endpoints, snapshot.position, peer)
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -9,6 +9,7 @@
 from arbutustally.gateway.list_outage import ListOutage
 from arbutustally.gateway.shared_reading import Change, ListUpdate, Position, SharedReading
 from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.decoded_records import EndpointRecord
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.ports import Batch, KeyedTopic, Record
@@ -146,10 +147,11 @@
 
         :param position: up to where the list is current.
         """
+        decoded = self._view.decode_endpoints(records)
         known = self._reading.position
         is_newer = known is None or position > known
         if is_newer or (self._needs_peer_list and position == known):
-            self._replace(records, position, peer)
+            self._replace(decoded, position, peer)
             self._reading.adopt_list(position)
 
     def _run(self) -> None:
@@ -197,6 +199,7 @@
             self._log.line("store_history_gone", oldest=error.oldest)
             self._must_read_whole = True
             return
+        decoded = self._view.decode_endpoints(batch.records)
         self._watch.answered()
         if batch.era != start.era:
             self._must_read_whole = True
@@ -207,7 +210,7 @@
         if not self._has_more:
             self._judge_gap(batch)
         self._read_at = self._clock()
-        changes = self._apply(offset, batch)
+        changes = self._apply(offset, decoded)
         self._has_more = bool(batch.records) and batch.unread > 0
         if self._has_more:
             self._reading.read_part(batch.next_offset, changes)
@@ -259,6 +262,7 @@
     def _read_whole(self, start: Position | None) -> None:
         asked_at = self._reading.now
         batch = self._topic.newest()
+        decoded = self._view.decode_endpoints(batch.records)
         self._watch.answered()
         self._must_read_whole = False
         position = Position(batch.era, batch.next_offset)
@@ -266,10 +270,12 @@
         if now_known is not None and now_known != start and now_known > position:
             # The changes received from peers meanwhile are newer than this answer.
             return
-        self._replace(batch.records, position, "store")
+        self._replace(decoded, position, "store")
         self._reading.read_whole(position, asked_at)
 
-    def _replace(self, records: tuple[Record, ...], position: Position, source: str) -> None:
+    def _replace(
+        self, records: tuple[EndpointRecord, ...], position: Position, source: str
+    ) -> None:
         """Applies a whole list; a list of another era may be older than the known one."""
         known = self._reading.position
         self._unconfirmed.clear()
@@ -286,7 +292,7 @@
             "endpoints_read_anew", era=position.era, previous=known.era, listed=len(records)
         )
 
-    def _replace_same_era(self, records: tuple[Record, ...], source: str) -> None:
+    def _replace_same_era(self, records: tuple[EndpointRecord, ...], source: str) -> None:
         """Applies a whole list; after a long gap, the entries that it lacks may have expired."""
         book = self._view.book
         may_have_expired = self._may_have_expired
@@ -307,22 +313,22 @@
         finally:
             self._is_publishing = False
 
-    def _apply(self, start: int, batch: Batch) -> list[Change]:
+    def _apply(self, start: int, records: tuple[EndpointRecord, ...]) -> list[Change]:
         """Applies the records not received from peers meanwhile; returns the changes."""
         known_to = self._reading.position.offset
         return [
-            Change(offset, record.key, record.value)
-            for offset, record in enumerate(batch.records, start)
-            if self._take_record(record, offset >= known_to)
+            Change(offset, decoded.key, decoded.record.value)
+            for offset, decoded in enumerate(records, start)
+            if self._take_record(decoded, offset >= known_to)
         ]
 
-    def _take_record(self, record: Record, is_unknown: bool) -> bool:
+    def _take_record(self, decoded: EndpointRecord, is_unknown: bool) -> bool:
         """Applies a record that no peer has sent; returns whether it may be new to the peers."""
-        was_unconfirmed = record.key in self._unconfirmed
+        was_unconfirmed = decoded.key in self._unconfirmed
         if not (is_unknown or was_unconfirmed):
             return False
-        self._unconfirmed.discard(record.key)
-        return self._view.apply_endpoint(record, "store") or was_unconfirmed
+        self._unconfirmed.discard(decoded.key)
+        return self._view.apply_decoded(decoded, "store") or was_unconfirmed
 
     def _log_role(self, is_reader: bool) -> None:
         if is_reader != self._is_reader:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -14,6 +14,14 @@
 from arbutustally.gateway.rollouts import RolloutBook, RolloutOrder
 from arbutustally.gateway.shared_reading import Position
 from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.decoded_records import (
+    EndpointRecord,
+    OperatorRecord,
+    decode_endpoint,
+    decode_endpoints,
+    decode_operator,
+    decode_operators,
+)
 from arbutustally_node.gateway.isolation_record import (
     ISOLATION_PREFIX,
     decode_isolated,
@@ -163,18 +171,28 @@
         """Calls ``notify`` with each configuration that comes into force."""
         self._configuration_watchers.append(notify)
 
+    def decode_operators(self, records: tuple[Record, ...]) -> tuple[OperatorRecord, ...]:
+        """Returns records of the operator with contents; the event loop gets turns meanwhile."""
+        return decode_operators(self._documents, records)
+
     def apply_operator(self, record: Record, source: str, known_at: float = -math.inf) -> None:
         """Applies a record of the operator; one older than the known state changes nothing.
 
         :param known_at: earliest time at which it may have been written, ``-inf`` if unknown.
         """
+        self.apply_decoded_operator(decode_operator(self._documents, record), source, known_at)
+
+    def apply_decoded_operator(
+        self, decoded: OperatorRecord, source: str, known_at: float = -math.inf
+    ) -> None:
+        """Applies a decoded record of the operator as ``apply_operator`` does."""
+        record, change = decoded.record, decoded.change
         if record.key.startswith(PROGRESS_PREFIX):
             self._take_progress(record, source)
             return
         if record.key.startswith(ISOLATION_PREFIX):
             self._take_isolated(record)
             return
-        change = self._documents.decode_operator(record)
         if isinstance(change, Configuration):
             self._configure(change, record, source)
         elif isinstance(change, WeightsNamed):
@@ -217,11 +235,19 @@
             else:
                 self._log.line("evacuation_kept", key=record.key, era=end.era)
 
+    def decode_endpoints(self, records: tuple[Record, ...]) -> tuple[EndpointRecord, ...]:
+        """Returns records of the list with their contents; the event loop gets turns meanwhile."""
+        return decode_endpoints(self._documents, records)
+
     def apply_endpoint(self, record: Record, source: str) -> bool:
         """Applies an endpoint's entry or its removal; returns whether that changes anything."""
-        if record.value is None:
+        return self.apply_decoded(decode_endpoint(self._documents, record), source)
+
+    def apply_decoded(self, decoded: EndpointRecord, source: str) -> bool:
+        """Applies a decoded entry or removal; returns whether that changes anything."""
+        record, entry = decoded.record, decoded.entry
+        if decoded.is_removal:
             return self._remove_endpoint(record.key, source)
-        entry = self._documents.decode_endpoint(record)
         if entry is None:
             self._refused.add("endpoint_record_unreadable", record, source)
             return False
@@ -249,16 +275,18 @@
             )
         return is_new
 
-    def replace_endpoints(self, records: tuple[Record, ...], source: str) -> None:
+    def replace_endpoints(self, records: tuple[EndpointRecord, ...], source: str) -> None:
         """Applies a complete list of entries; endpoints that it lacks are removed."""
         listed = {record.key for record in records}
         for record in records:
-            self.apply_endpoint(record, source)
+            self.apply_decoded(record, source)
         for state in self.book.all():
             if state.id not in listed:
                 self.apply_endpoint(Record(state.id, None), source)
 
-    def apply_restored_endpoints(self, records: tuple[Record, ...], source: str) -> set[str]:
+    def apply_restored_endpoints(
+        self, records: tuple[EndpointRecord, ...], source: str
+    ) -> set[str]:
         """Applies a complete list that may be older than the known state.
 
         An endpoint that is leaving, was removed, or has restarted since, is used again only after
@@ -276,9 +304,8 @@
         """Drops endpoints that were removed long ago."""
         self.book.forget_gone(FORGET_GONE_S)
 
-    def _is_outdated(self, record: Record) -> bool:
-        entry = self._documents.decode_endpoint(record)
-        return entry is not None and self.book.is_outdated(entry)
+    def _is_outdated(self, decoded: EndpointRecord) -> bool:
+        return decoded.entry is not None and self.book.is_outdated(decoded.entry)
 
     def _remove_endpoint(self, endpoint_id: str, source: str) -> bool:
         self._endpoint_raw.pop(endpoint_id, None)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
@@ -12,6 +12,7 @@
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
 from arbutustally.gateway.shared_reading import Position
 from arbutustally_node.gateway.decision_log import DecisionLog
+from arbutustally_node.gateway.decoded_records import OperatorRecord
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.peer_state import OperatorUpdate
 from arbutustally_node.gateway.ports import Batch, KeyedTopic, Record
@@ -146,6 +147,7 @@
             self._log.line("store_history_gone", oldest=error.oldest, read_from=offset)
             self._read_anew()
             return
+        decoded = self._view.decode_operators(batch.records)
         self._watch.answered()
         if offset is not None and batch.era != self._era:
             self._read_anew()
@@ -155,7 +157,7 @@
         self._era, self._offset = batch.era, batch.next_offset
         if self._era >= self._announced_era:
             self._woken.clear()
-        self._apply_records(batch.records, min(self._unread_since, self._clock()), self._has_read)
+        self._apply_records(decoded, min(self._unread_since, self._clock()), self._has_read)
         if offset is None:
             # Removed keys are missing among the newest records.
             end = Position(batch.era, max(0, batch.next_offset - 1))
@@ -193,15 +195,17 @@
     def _expect_unread(self) -> None:
         self._unread_since = min(self._unread_since, self._clock() - UNDETECTED_S)
 
-    def _apply_records(self, records: tuple[Record, ...], known_at: float, is_news: bool) -> None:
+    def _apply_records(
+        self, records: tuple[OperatorRecord, ...], known_at: float, is_news: bool
+    ) -> None:
         now = self._clock()
         # A node that begins to read finds records that it has from peers already, with a more
         # exact age.
-        new = [record for record in records if not self._view.has_operator(record)]
-        for record in new:
-            self._view.apply_operator(record, "store", known_at)
+        new = [one for one in records if not self._view.has_operator(one.record)]
+        for decoded in new:
+            self._view.apply_decoded_operator(decoded, "store", known_at)
             if is_news:
-                self._recent.append((now, known_at, record))
+                self._recent.append((now, known_at, decoded.record))
         if is_news and new and self._is_reader():
             self._send_now()
 
--- a/tests/test_largest_messages.py
+++ b/tests/test_largest_messages.py
@@ -7,13 +7,45 @@
 import struct
 import unittest
 from collections.abc import Callable, Iterator
+from types import SimpleNamespace
 
+import orjson
+
+from arbutustally.clock import boottime, monotonic
 from arbutustally.errors import StoreUnavailableError
+from arbutustally.gateway.list_outage import ListOutage
+from arbutustally.gateway.shared_reading import Position, SharedReading
+from arbutustally_node.gateway.endpoint_reader import EndpointReader
+from arbutustally_node.gateway.fleet_view import FleetView
+from arbutustally_node.gateway.ports import Batch, Record
+from arbutustally_node.gateway.store_watch import StoreWatch
+from arbutustally_platform.documents import MAX_ENTRY_BYTES, PlatformDocuments
 from arbutustally_platform.store import StoreClient
 from arbutustally_platform.store_responses import MAX_READ_KB, MAX_RESPONSE_BYTES
 from arbutustally_platform.store_topics import StoreKeyedTopic
 from tests.test_endless import MAX_HELD_UP_S, OK, EndlessServer, longest_delay_during
 
+#: Largest fleet that the product is made for.
+ENDPOINTS = 2600
+
+
+def entry(number: int, size: int) -> bytes:
+    """Returns an endpoint's entry of about ``size`` bytes."""
+    model = {"name": "m" * 20, "version": 1}
+    fields = {
+        "service": "llm",
+        "address": f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:80",
+        "zone": "z1",
+        "version": "v1",
+        "slots": 64,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "models": [model] * max(1, (size - 200) // 42),
+        "sequence": 1,
+        "born": 1,
+    }
+    return orjson.dumps(fields)
+
 
 class LargestMessagesTest(unittest.TestCase):
     def assert_turns(self, work: Callable[[], object]) -> None:
@@ -47,3 +79,31 @@
                 topic.newest()
 
         self.assert_turns(read)
+
+    def test_whole_list_of_endpoints(self) -> None:
+        """Guards against a list of the largest fleet that is decoded and applied in one piece."""
+        records = tuple(
+            Record(f"i-{number:x}", entry(number, MAX_ENTRY_BYTES // 2), Position(1, number))
+            for number in range(ENDPOINTS)
+        )
+        reader, view = self.reader(Batch(records, ENDPOINTS, 1))
+        self.assert_turns(reader.read_once)
+        self.assertEqual(len(view.book.all()), ENDPOINTS)
+
+    def reader(self, batch: Batch) -> tuple[EndpointReader, FleetView]:
+        """Returns a reader whose store has one whole list."""
+        log = SimpleNamespace(line=lambda *_arguments, **_fields: None)
+        view = FleetView(PlatformDocuments(), monotonic, log)
+        reader = EndpointReader(
+            SimpleNamespace(newest=lambda: batch),
+            view,
+            SharedReading.from_config(boottime, 2.0),
+            StoreWatch(log, monotonic),
+            log,
+            monotonic,
+            SimpleNamespace(send_now=lambda: None, rank=lambda _duty: 0, is_settled=True),
+            2.0,
+            ListOutage(1.2),
+            2.5,
+        )
+        return reader, view
