Give the event loop turns between waiting datagrams of peers

Seen by callers: while datagrams of peers wait, a node does nothing else; in a burst of wide ones it answered nobody for 5.7 s.

Cause: receiving returns at once while a datagram waits, without a switch to other greenlets, and one datagram of a few hundred bytes may decompress into 262,144 bytes of content with as many elements.

Change: the loop gets a turn after 16 datagrams or 64 KB of decompressed content. Why it works: what counts is the work of decoding, and a turn polls the sockets of callers and the timers before the next datagram is read; datagrams replace each other, so those that the kernel drops meanwhile only cause delay.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -16,8 +16,9 @@
 from arbutustally.gateway.relaying import Member
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_table import FleetTable, PeerUse
-from arbutustally_node.gateway.peer_state import PeerState
+from arbutustally_node.gateway.peer_state import PeerState, datagram_content
 from arbutustally_node.gateway.supervision import supervise
+from arbutustally_node.loop_turn import LoopTurns
 
 #: Interval between two datagrams to a peer, seconds. Where nodes send to each other directly, it
 #: grows with each peer beyond ten, which bounds the rate at which a node sends.
@@ -30,6 +31,8 @@
 #: Largest datagram that is sent.
 MAX_DATAGRAM_BYTES = 48_000
 RECEIVE_BYTES = 65_536
+#: Datagrams that are processed before the event loop gets a turn; large ones count by their content.
+DATAGRAMS_PER_TURN = 16
 
 
 class Gossip:
@@ -166,6 +169,8 @@
                 self._log.line("gossip_unsent", peer=ip, error=type(error).__name__)
 
     def _receive(self) -> None:
+        # A receive returns at once while datagrams wait, without a turn of the event loop.
+        turns = LoopTurns(DATAGRAMS_PER_TURN)
         while True:
             try:
                 data, (ip, _port) = self._socket.recvfrom(RECEIVE_BYTES)
@@ -173,7 +178,9 @@
                 self._log.line("gossip_unreceived", error=type(error).__name__)
                 gevent.sleep(DIRECT_INTERVAL_S)
                 continue
-            state = PeerState.decode(data)
+            content = datagram_content(data) or b""
+            turns.count(len(content))
+            state = PeerState.from_content(content)
             if state is None:
                 self._log.line("gossip_malformed", peer=ip, bytes=len(data))
                 continue
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -132,8 +132,14 @@
     @classmethod
     def decode(cls, data: bytes) -> "PeerState | None":
         """Returns the state in a datagram, ``None`` if it is malformed."""
+        content = datagram_content(data)
+        return None if content is None else cls.from_content(content)
+
+    @classmethod
+    def from_content(cls, content: bytes) -> "PeerState | None":
+        """Returns the state in the content of a datagram, ``None`` if it is malformed."""
         try:
-            return cls._from_values(cbor2.loads(_content(data)))
+            return cls._from_values(cbor2.loads(content))
         except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError, OverflowError):
             return None
 
@@ -168,24 +174,19 @@
         )
 
 
-def _content(data: bytes) -> bytes:
-    """Returns the decompressed content of a datagram.
-
-    :raises ValueError: if the datagram is malformed or its content too long.
-    """
+def datagram_content(data: bytes) -> bytes | None:
+    """Returns the decompressed content of a datagram, ``None`` if it is malformed or too long."""
     kind, body = data[:1], data[1:]
     if kind == _PLAIN:
         return body
     if kind != _COMPRESSED:
-        raise ValueError("unknown datagram type")
+        return None
     unpacker = zlib.decompressobj()
     try:
         content = unpacker.decompress(body, MAX_CONTENT_BYTES)
-    except zlib.error as error:
-        raise ValueError("datagram content is not valid zlib data") from error
-    if unpacker.unconsumed_tail:
-        raise ValueError("datagram content exceeds the size limit")
-    return content
+    except zlib.error:
+        return None
+    return None if unpacker.unconsumed_tail else content
 
 
 def _text(value: Any) -> str:
--- a/tests/test_largest_messages.py
+++ b/tests/test_largest_messages.py
@@ -4,29 +4,39 @@
 node from all its other work until it is decoded and applied.
 """
 
+import socket
 import struct
 import unittest
 from collections.abc import Callable, Iterator
 from types import SimpleNamespace
 
+import gevent
 import orjson
+from gevent import monkey
 
 from arbutustally.clock import boottime, monotonic
 from arbutustally.errors import StoreUnavailableError
 from arbutustally.gateway.list_outage import ListOutage
+from arbutustally.gateway.relaying import Member
 from arbutustally.gateway.shared_reading import Position, SharedReading
+from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.endpoint_reader import EndpointReader
 from arbutustally_node.gateway.fleet_view import FleetView
+from arbutustally_node.gateway.gossip import Gossip
+from arbutustally_node.gateway.peer_state import Covers, PeerState
 from arbutustally_node.gateway.ports import Batch, Record
 from arbutustally_node.gateway.store_watch import StoreWatch
 from arbutustally_platform.documents import MAX_ENTRY_BYTES, PlatformDocuments
 from arbutustally_platform.store import StoreClient
 from arbutustally_platform.store_responses import MAX_READ_KB, MAX_RESPONSE_BYTES
 from arbutustally_platform.store_topics import StoreKeyedTopic
+from tests.ports import free_port
 from tests.test_endless import MAX_HELD_UP_S, OK, EndlessServer, longest_delay_during
 
 #: Largest fleet that the product is made for.
 ENDPOINTS = 2600
+#: Time for which datagrams are sent as fast as possible, seconds.
+FLOOD_S = 1.5
 
 
 def entry(number: int, size: int) -> bytes:
@@ -107,3 +117,42 @@
             2.5,
         )
         return reader, view
+
+    def test_burst_of_datagrams(self) -> None:
+        """Guards against waiting datagrams that are all read before anything else is done."""
+        port = free_port(kind=socket.SOCK_DGRAM)
+        own = Member("a", "127.0.0.1", "z1", "127.0.0.1:1", "127.0.0.1:2", True, 1, 0)
+        received = []
+        gossip = Gossip(
+            own,
+            port,
+            boottime,
+            DecisionLog({}),
+            lambda _has_placements: PeerState(own, "1", 0, Covers.NODE),
+            lambda state, _use: received.append(state.number),
+            lambda _gone: None,
+        )
+        gossip.start()
+        self.addCleanup(gossip.stop)
+        datagrams = self.wide_datagrams()
+        pool = gevent.get_hub().threadpool
+        self.assert_turns(lambda: pool.apply(_send_all, (datagrams, port)))
+        self.assertTrue(received)
+
+    def wide_datagrams(self) -> list[bytes]:
+        """Returns datagrams with very many elements."""
+        peer = Member("b", "127.0.0.2", "z1", "127.0.0.2:1", "127.0.0.2:2", True, 1, 0)
+        wide = tuple(("", "", (), False) for _ in range(10_000))
+        return [
+            PeerState(peer, "1", number, Covers.NODE, placed=wide).encode()
+            for number in range(1, 100)
+        ]
+
+
+def _send_all(datagrams: list[bytes], port: int) -> None:
+    sender = monkey.get_original("socket", "socket")(socket.AF_INET, socket.SOCK_DGRAM)
+    until = monotonic() + FLOOD_S
+    while monotonic() < until:
+        for data in datagrams:
+            sender.sendto(data, ("127.0.0.1", port))
+    sender.close()
