Bound the memory of the answers to a node's own calls

Cause: the limits counted bytes of one answer. Decoded, short JSON elements take up to 24 times their bytes (4 MB of empty lists: 89 MB); answers of several servers were held at once, each up to its own limit, and changes of caches stayed decoded through the turns between them.

--- a/packages/arbutustally-node/src/arbutustally_node/bounded_call.py
+++ b/packages/arbutustally-node/src/arbutustally_node/bounded_call.py
@@ -12,6 +12,7 @@
 
 from arbutustally.errors import EndpointFailedError, EndpointTimeoutError, Ran
 from arbutustally_node.pool import PoolService
+from arbutustally_node.response_budget import ResponseBudget
 
 
 @dataclass(frozen=True)
@@ -51,6 +52,7 @@
     *,
     max_bytes: int,
     total_s: float,
+    budget: ResponseBudget,
     headers: Mapping[str, str] | None = None,
     body: bytes | None = None,
     fresh: bool = False,
@@ -60,32 +62,34 @@
 
     :param max_bytes: largest response body.
     :param total_s: timeout for the complete response; bytes that arrive slowly do not extend it.
+    :param budget: memory of the responses to such calls, held until ``is_answer`` has returned.
     :param fresh: use a new connection, on which no copy of an earlier response can arrive.
     :param is_answer: returns whether a response answers this call. If not, all connections to the
         address are dropped: the true response, or a further copy, may still arrive.
     :raises RouterError: if no complete response was received, or one that answers another call.
     """
-    response = None
-    try:
-        with gevent.Timeout(total_s, _LateError):
-            response = pools.open(
-                CallTarget(address), method, target, headers or {}, body, total_s, fresh
+    with budget.response() as memory:
+        response = None
+        try:
+            with gevent.Timeout(total_s, _LateError):
+                response = pools.open(
+                    CallTarget(address), method, target, headers or {}, body, total_s, fresh
+                )
+                data = response.read_whole(max_bytes, memory=memory)
+        except _LateError as error:
+            raise EndpointTimeoutError(
+                f"{address} did not respond in time; check its load", ran=Ran.MAY_HAVE_RUN
+            ) from error
+        finally:
+            if response is not None:
+                response.close()
+        complete = CompleteResponse(response.status, tuple(response.header_items), data)
+        if not is_answer(complete):
+            pools.drop(address)
+            raise EndpointFailedError(
+                f"{address} sent a response to another call; check it", ran=Ran.MAY_HAVE_RUN
             )
-            data = response.read_whole(max_bytes)
-    except _LateError as error:
-        raise EndpointTimeoutError(
-            f"{address} did not respond in time; check its load", ran=Ran.MAY_HAVE_RUN
-        ) from error
-    finally:
-        if response is not None:
-            response.close()
-    complete = CompleteResponse(response.status, tuple(response.header_items), data)
-    if not is_answer(complete):
-        pools.drop(address)
-        raise EndpointFailedError(
-            f"{address} sent a response to another call; check it", ran=Ran.MAY_HAVE_RUN
-        )
-    return complete
+        return complete
 
 
 class _LateError(Exception):
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
@@ -15,6 +15,7 @@
 from arbutustally_node.addresses import is_host_address
 from arbutustally_node.bounded_call import CallPools, call
 from arbutustally_node.gateway.snapshot import MAX_SNAPSHOT_BYTES, Snapshot
+from arbutustally_node.response_budget import ResponseBudget
 
 SNAPSHOT_PATH = "/snapshot"
 #: Timeout for fetching a peer's snapshot, seconds.
@@ -147,6 +148,7 @@
             SNAPSHOT_PATH,
             max_bytes=MAX_SNAPSHOT_BYTES,
             total_s=SNAPSHOT_TIMEOUT_S,
+            budget=ResponseBudget(MAX_SNAPSHOT_BYTES),
         )
         return Snapshot.decode(answer.body) if answer.status == 200 else None
     except (RouterError, zlib.error, ValueError):
--- a/packages/arbutustally-node/src/arbutustally_node/pooled_response.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pooled_response.py
@@ -229,6 +229,8 @@
         :raises EndpointFailedError: as ``read``, and if the body exceeds ``limit`` bytes.
         :raises OverloadedError: if there is no memory for the body.
         """
+        if self._length is not None and self._length > limit:
+            raise self._too_long(limit)
         if memory is not None and self._length:
             self._await_memory(memory, watch)
         # Unlike joined chunks, its content is never held twice.
@@ -243,14 +245,18 @@
             whole.write(chunk)
             size = whole.tell()
             if size > limit or self._received_bytes > limit + FREE_FRAMING_BYTES:
-                self.close()
-                raise EndpointFailedError(
-                    f"the response of endpoint {self._address} exceeds {limit} bytes; "
-                    "make the service send smaller responses",
-                    ran=Ran.MAY_HAVE_RUN,
-                )
+                raise self._too_long(limit)
         return whole.getvalue()
 
+    def _too_long(self, limit: int) -> EndpointFailedError:
+        """Closes the connection and returns the error of a body that exceeds a limit."""
+        self.close()
+        return EndpointFailedError(
+            f"the response of endpoint {self._address} exceeds {limit} bytes; "
+            "make the service send smaller responses",
+            ran=Ran.MAY_HAVE_RUN,
+        )
+
     def _await_memory(
         self, memory: AnswerMemory, watch: Callable[[], AbstractContextManager[None]]
     ) -> None:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,23 +1,17 @@
 """Crowds of hostile callers against one node that runs as a process of its own."""
 
-import json
-import os
 import socket
-import tempfile
 import time
 from collections.abc import Callable
-from pathlib import Path
-from sys import executable
 
 import gevent
 import urllib3
 from bottle import HTTPResponse
 
 from tests.fake_configuration import configuration
-from tests.gateway_fleet import GatewayCase, settings
+from tests.node_process import NodeProcessCase
 from tests.platform_fakes import FakeStore, FakeWorker
-from tests.soak.fleet import PEER_PORT, PORTS, Program
-from tests.soak.networks import FIRST_NETWORK, Network
+from tests.soak.fleet import PORTS
 
 MEMORY_MB = 128
 BODY_BYTES = 1 << 20
@@ -36,7 +30,6 @@
 DESCRIPTORS = 300
 #: Time that a crowd stays, seconds.
 CROWD_S = 6.0
-READY_S = 20.0
 ANSWERED_S = 15.0
 REQUEST = "POST /look/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token key-school\r\n"
 
@@ -69,9 +62,11 @@
     return f"{REQUEST}Request-Id: a{number}\r\nContent-Length: 0\r\n\r\n".encode()
 
 
-class OverloadCase(GatewayCase):
+class OverloadCase(NodeProcessCase):
     """One process, a plain worker that answers with many bytes, and crowds of callers."""
 
+    memory_mb = MEMORY_MB
+
     def setUp(self) -> None:
         self.http = urllib3.PoolManager(retries=False, timeout=5.0)
         self.store = FakeStore()
@@ -85,49 +80,7 @@
             route["timeoutMs"] = 8000
         fields["services"][1]["maxConnections"] = 500
         self.store.put("keyed.op", "config", fields)
-        network = Network.reserve_free(FIRST_NETWORK, tuple(PORTS.values()))
-        self.addCleanup(network.release)
-        (self.ip,) = network.ips(1)
-        self._start()
-
-    def command(self) -> list[str]:
-        """Returns the command of the process."""
-        return [executable, "-m", "arbutustally_platform"]
-
-    def _start(self) -> None:
-        directory = Path(tempfile.mkdtemp(prefix="overload-"))
-        fields = settings(
-            self.store.address,
-            ip=self.ip,
-            listen={which: f"{self.ip}:{port}" for which, port in PORTS.items()},
-            internalPorts=[PEER_PORT, PEER_PORT],
-            limits={"memoryMb": MEMORY_MB},
-        )
-        path = directory / "settings.json"
-        path.write_text(json.dumps(fields))
-        self.program = Program(
-            "node-1",
-            self.command(),
-            directory / "node.log",
-            {"ARBUTUSTALLY_CONFIG": str(path)},
-        )
-        self.program.start()
-        self.addCleanup(self.program.end)
-        self.eventually(lambda: self._ask() == 200, READY_S)
-
-    def _ask(self) -> int:
-        """Sends an ordinary request; returns its status, 0 without one."""
-        url = f"http://{self.ip}:{PORTS['front']}/look/small"
-        fields = {
-            "Host": "h.example",
-            "Request-Id": f"o{time.monotonic_ns()}",
-            "Authorization": "Token key-school",
-            "Small": "1",
-        }
-        try:
-            return self.http.request("POST", url, headers=fields, body=b"{}").status
-        except urllib3.exceptions.HTTPError:
-            return 0
+        self.start_process()
 
     def _crowd(self, port: int, *members: tuple[int, Sent]) -> None:
         """Checks that the node survives callers that send what each kind of member sends."""
@@ -139,13 +92,13 @@
         most_descriptors = 0
         deadline = time.monotonic() + CROWD_S
         while time.monotonic() < deadline and self.program.is_alive:
-            most_descriptors = max(most_descriptors, self._descriptors())
+            most_descriptors = max(most_descriptors, self.descriptors())
             gevent.sleep(0.1)
         gevent.killall(callers)
         self.assertTrue(self.program.is_alive, "the process ended")
-        peak = self._peak_mb()
+        peak = self.peak_mb()
         print(f"{self.id()}: peak {peak:.0f} MB, {most_descriptors} descriptors", flush=True)
-        self.eventually(lambda: self._ask() == 200, ANSWERED_S)
+        self.eventually(lambda: self.ask() == 200, ANSWERED_S)
         self.assertLess(peak, MEMORY_MB)
         # Each caller's connection may have one to an endpoint.
         self.assertLess(most_descriptors, 2 * count + OTHER_DESCRIPTORS)
@@ -161,14 +114,6 @@
         except OSError:
             return
 
-    def _descriptors(self) -> int:
-        return len(os.listdir(f"/proc/{self.program.popen.pid}/fd"))
-
-    def _peak_mb(self) -> float:
-        status = Path(f"/proc/{self.program.popen.pid}/status").read_text()
-        line = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
-        return int(line.split()[1]) / 1024
-
 
 class CallerCrowdTest(OverloadCase):
     """Guards against callers that make a process exceed its memory."""
