Ignore models of a report that the engine's entry does not list

Seen by callers: after reports of faulty engines, the node that had read them was gone for its peers. It still served, but with a limit of its own, and without news of the others' load and of leaving endpoints.

Cause: every model in a report was recorded as newer weights of that engine and repeated in all messages to the peers, which exceeded the largest datagram and were not sent. The record grew with each report.

Change: a report changes only models that the entry in the list names. Why it works: requests, orders and the choice of engines use no other ones, and the number of models is now that of the entry.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -334,6 +334,7 @@
 
     def _apply_weights(self, state: EndpointState, weights: dict[str, int]) -> None:
         for model, version in weights.items():
-            if version > state.weights.get(model, 0):
+            # Models that no entry lists have no requests, and their number has no bound.
+            if version > state.weights.get(model, version):
                 state.weights[model] = version
                 self._log.line("engine_weights", engine=state.id, model=model, version=version)
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -257,6 +257,8 @@
         self.pause_s: str | None = None
         #: Version stated in the next responses, ``None`` to state none.
         self.stated_version: int | None = None
+        #: Further models in its reports.
+        self.other_models: list[dict] = []
         self.asked_at: list[float] = []
         super().__init__(self._with_notices(app))
 
@@ -306,7 +308,10 @@
     def _report(self):
         return {
             "stage": "unified",
-            "models": [{"name": self.model, "version": self.version, "adapters": []}],
+            "models": [
+                {"name": self.model, "version": self.version, "adapters": []},
+                *self.other_models,
+            ],
             "busy": False,
             "sequence": self.accepted,
         }
