Share no cached parts while a node may have missed a configuration

Seen by callers: an account became isolated while a node was suspended. Requests that waited at the node ran right after it went on, under the scope of before, in which the isolated account had made parts.

Cause: a node acts under the configuration that it knows, however long it has heard nothing. It learns of the change some ms after it goes on, later than it places what has waited.

Change: messages of peers and answers of the store are contact. After a gap of the time within which changes must be known, by a clock that counts suspensions, the node's scope holds a random name until 1 s after it hears from others again. Why it works: the scope is decided when a request is placed, and at that moment the gap is known, whatever is read first.

A start and an outage of the store alone are no gap.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/gossip.py
@@ -13,6 +13,7 @@
 from gevent import socket as gevent_socket
 
 from arbutustally.clock import Clock
+from arbutustally.gateway.contact import Contact
 from arbutustally.gateway.relaying import Member
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_table import FleetTable, PeerUse
@@ -46,6 +47,7 @@
         not report it.
     :param on_change: called when the fleet has changed, with the sources of use that no longer
         count.
+    :param contact: records that a peer was heard.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         describe: Callable[[bool], PeerState],
         on_state: Callable[[PeerState, PeerUse | None], None],
         on_change: Callable[[set[str]], None],
+        contact: Contact,
     ) -> None:
         self._ip = own_member.ip
         self._port = port
@@ -65,6 +68,7 @@
         self._describe = describe
         self._on_state = on_state
         self._on_change = on_change
+        self._contact = contact
         self._table = FleetTable(own_member, clock)
         self._sources: set[str] = set()
         self._was_relay = False
@@ -196,6 +200,7 @@
         if use is not None:
             self._sources.add(use.source)
         self._on_state(state, use)
+        self._contact.heard()
 
     def _refresh_peers(self) -> None:
         has_changed = self._table.refresh()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from arbutustally.clock import boottime, monotonic
+from arbutustally.gateway.contact import Contact
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.holdings import USUAL_TERMS, Holdings, PlaceTerms
 from arbutustally.gateway.list_outage import ListOutage
@@ -87,6 +88,7 @@
     """Builds the services of a node without starting them."""
     state = NodeState.from_config(options, platform.documents, incarnation)
     log, view = state.log, state.view
+    contact = Contact(boottime, options.bounds.leaving_s)
     status = NodeStatus(options, view, lambda: gossip.is_settled)
     gossip = Gossip(
         status.member,
@@ -96,6 +98,7 @@
         lambda has_placements: sync.describe(has_placements),
         lambda received, use: sync.take(received, use),
         lambda gone: sync.fleet_changed(gone),
+        contact,
     )
     checker = EndpointChecker(view.book, log, monotonic)
     notices = _build_notices(platform, state, gossip)
@@ -128,10 +131,11 @@
         quarantine,
         ZoneSpill(options.zone_costs, options.zone, monotonic, state.rng),
         WaitCalibration.from_config(monotonic),
+        contact,
         has_relayed_loads=lambda: not gossip.is_direct,
     )
     exchange = RequestHandler(requests)
-    store = _build_store_readers(options, platform, state, gossip)
+    store = _build_store_readers(options, platform, state, gossip, contact)
     weights = _build_weights(options, platform, state, gossip, checker.unreachable)
     synced = SyncedServices(
         view,
@@ -188,10 +192,14 @@
 
 
 def _build_store_readers(
-    options: GatewayOptions, platform: Platform, state: NodeState, gossip: Gossip
+    options: GatewayOptions,
+    platform: Platform,
+    state: NodeState,
+    gossip: Gossip,
+    contact: Contact,
 ) -> StoreReaders:
     log, view, bounds = state.log, state.view, options.bounds
-    watch = StoreWatch(log, monotonic)
+    watch = StoreWatch(log, monotonic, contact)
     StoreReturnMonitor.from_config(platform.store_era, log, state.instruments)
     endpoints = EndpointReader(
         platform.endpoint_topic,
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -213,7 +213,7 @@
             services.on_other_weights(services.rng.choice(eligible))
             raise self._no_endpoint_error("no_engine_with_weights", left_s, has_run)
         active = services.view.configuration or self._configuration
-        isolated = services.view.isolation.isolated(active)
+        isolated = services.view.isolation.isolated(active, services.contact.is_current)
         scope = cache_scope(version, self._account, active, isolated)
         store = store_of(self._part_stores, scope, request.parts)
         sources = sources_of(
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -7,6 +7,7 @@
 
 from arbutustally.clock import Clock
 from arbutustally.gateway.attempts import RepeatLedger
+from arbutustally.gateway.contact import Contact
 from arbutustally.gateway.endpoint_entry import EndpointNotice
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.holdings import Holdings
@@ -44,6 +45,7 @@
     :ivar quarantine: rejects prompts with parts that end endpoints.
     :ivar spill: decides whether requests leave the zone.
     :ivar waits: correction of expected times by the observed ones.
+    :ivar contact: tells whether the node may have missed a configuration.
     :ivar placed: placements to announce to the peers.
     :ivar has_relayed_loads: returns whether load reports of other nodes pass through relays.
     """
@@ -72,6 +74,7 @@
     quarantine: PartQuarantine
     spill: ZoneSpill
     waits: WaitCalibration
+    contact: Contact
     placed: PlacementLog = field(default_factory=PlacementLog)
     has_relayed_loads: Callable[[], bool] = lambda: False
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/store_watch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/store_watch.py
@@ -2,15 +2,20 @@
 
 from arbutustally.clock import Clock
 from arbutustally.errors import StoreUnavailableError
+from arbutustally.gateway.contact import Contact
 from arbutustally_node.gateway.decision_log import DecisionLog
 
 
 class StoreWatch:
-    """Records every answer and failure of the store."""
+    """Records every answer and failure of the store.
 
-    def __init__(self, log: DecisionLog, clock: Clock) -> None:
+    :param contact: records that the store was heard.
+    """
+
+    def __init__(self, log: DecisionLog, clock: Clock, contact: Contact) -> None:
         self._log = log
         self._clock = clock
+        self._contact = contact
         self._lost_since: float | None = None
 
     @property
@@ -26,6 +31,7 @@
 
     def answered(self) -> None:
         """Records a successful call to the store."""
+        self._contact.heard()
         if self._lost_since is None:
             return
         lost_s = self._clock() - self._lost_since
--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -6,6 +6,7 @@
 from arbutustally.clock import VirtualClock
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
 from arbutustally.gateway.configuration import Configuration
+from arbutustally.gateway.contact import Contact
 from arbutustally.gateway.endpoint_entry import EndpointEntry
 from arbutustally.gateway.list_outage import ListOutage
 from arbutustally.gateway.shared_reading import SharedReading
@@ -118,7 +119,7 @@
         self.is_isolated = False
         clock, log = world.clock, DecisionLog({}, clock=world.clock)
         self.view = FleetView(Documents(), clock, log)
-        watch = StoreWatch(log, clock)
+        watch = StoreWatch(log, clock, Contact(clock, LEAVING_S))
         self.reading = SharedReading.from_config(clock, LEAVING_S)
         self.endpoints = EndpointReader(
             Topic(world, self, "servers"),
--- a/tests/test_cache_scope.py
+++ b/tests/test_cache_scope.py
@@ -83,6 +83,7 @@
             spill=ZoneSpill(ZoneCosts(), "z1", clock, Random(3)),
             weights_s=8.0,
             list_age_s=lambda: 0.0,
+            contact=SimpleNamespace(is_current=True),
         )
 
     def placer(self, name: str, active: Configuration) -> Placer:
--- a/tests/test_largest_messages.py
+++ b/tests/test_largest_messages.py
@@ -16,6 +16,7 @@
 
 from arbutustally.clock import boottime, monotonic
 from arbutustally.errors import StoreUnavailableError
+from arbutustally.gateway.contact import Contact
 from arbutustally.gateway.list_outage import ListOutage
 from arbutustally.gateway.relaying import Member
 from arbutustally.gateway.shared_reading import Position, SharedReading
@@ -110,7 +111,7 @@
             SimpleNamespace(newest=lambda: batch),
             view,
             SharedReading.from_config(boottime, 2.0),
-            StoreWatch(log, monotonic),
+            StoreWatch(log, monotonic, Contact(boottime, 2.0)),
             log,
             monotonic,
             SimpleNamespace(send_now=lambda: None, rank=lambda _duty: 0, is_settled=True),
@@ -142,6 +143,7 @@
             lambda _has_placements: PeerState(own, "1", 0, Covers.NODE),
             lambda state, _use: received.append(state.number),
             lambda _gone: None,
+            Contact(boottime, 2.0),
         )
         gossip.start()
         self.addCleanup(gossip.stop)
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -59,6 +59,7 @@
             weights_s=WEIGHTS_S,
             on_other_weights=self.polled.append,
             list_age_s=lambda: 0.0,
+            contact=SimpleNamespace(is_current=True),
             spill=ZoneSpill(ZoneCosts(), "z1", self.clock, Random(3)),
         )
         asked, way = prompt(("aa", PROMPT_TOKENS)), route()
@@ -142,6 +143,7 @@
             has_relayed_loads=lambda: False,
             weights_s=WEIGHTS_S,
             list_age_s=lambda: 0.0,
+            contact=SimpleNamespace(is_current=True),
             spill=ZoneSpill(costs, "z1", self.clock, Random(3)),
             instruments=self.instruments,
         )
