--- a/tests/test_bounded_decoding.py
+++ b/tests/test_bounded_decoding.py
@@ -12,9 +12,12 @@
 from arbutustally.clock import monotonic
 from arbutustally.errors import BodyTooLargeError, EndpointFailedError
 from arbutustally.gateway.events import EventTooLongError, WholeEvents
+from arbutustally_node.bounded_call import CallTarget
 from arbutustally_node.framing import FREE_FRAMING_BYTES, ChunkedBody
 from arbutustally_node.http_body import BodyBudget, RequestReader
 from arbutustally_node.loop_turn import wait_for_turn
+from arbutustally_node.pool import PoolService
+from tests.raw_worker import RawWorker
 
 T = TypeVar("T")
 
@@ -108,6 +111,27 @@
         self.assertEqual(out + events.held + events.rest, data)
 
 
+class ResponseTurnsTest(unittest.TestCase):
+    def test_other_sockets_get_turns_while_a_response_is_decoded(self) -> None:
+        """Guards against a response in tiny chunks that stops a node (review/1)."""
+        number = 12_000
+        body = b"2\r\nab\r\n" * number + b"0\r\n\r\n"
+
+        def script(_asked):
+            yield b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body
+
+        worker = RawWorker(script)
+        self.addCleanup(worker.stop)
+        pool = PoolService(1.0, 5.0)
+        self.addCleanup(pool.stop)
+        response = pool.open(CallTarget(worker.address), "GET", "/", {}, None, 5.0)
+        # What has arrived is decoded without a wait for the sender.
+        gevent.sleep(0.2)
+        whole, passes = passes_during(response.read_whole)
+        self.assertEqual(whole, b"ab" * number)
+        self.assertGreater(passes, number // MAX_ELEMENTS)
+
+
 class CallerBodyTest(unittest.TestCase):
     HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 
