--- a/tests/test_store_decoding.py
+++ b/tests/test_store_decoding.py
@@ -22,9 +22,13 @@
 PAGE_ROWS = 500
 
 
-def read_answer(contents: list[bytes]) -> bytes:
+def read_answer(contents: list[bytes], end: int = 0) -> bytes:
+    """Returns the body of a read.
+
+    :param end: end of the topic, 0 for that of the contents.
+    """
     records = b"".join(struct.pack(">I", len(one)) + one for one in contents)
-    return struct.pack(">QQ", len(contents), 0) + records
+    return struct.pack(">QQ", end or len(contents), 0) + records
 
 
 class ReadTest(unittest.TestCase):
@@ -49,10 +53,12 @@
         self.assertEqual((first.unread, rest.unread), (10, 0))
 
     def test_copy_of_an_earlier_read_is_recognized(self) -> None:
-        """Guards against a late copy that is taken for an answer since only one record counts."""
-        data = read_answer([b"\1ab"] * 3)
-        self.assertTrue(is_read_from(StoreResponse(200, data, 1), 2))
-        self.assertFalse(is_read_from(StoreResponse(200, data, 1), 3))
+        """Guards against a late copy that is taken for an answer because not all records count."""
+        contents = [b"\1ab"] * 60
+        whole, cut = read_answer(contents), read_answer(contents, end=100)
+        self.assertTrue(is_read_from(StoreResponse(200, whole, 1), 0))
+        self.assertFalse(is_read_from(StoreResponse(200, whole, 1), 60))
+        self.assertFalse(is_read_from(StoreResponse(200, cut, 1), 60))
 
 
 class PageTest(unittest.TestCase):
