--- a/packages/arbutustally-node/src/arbutustally_node/bounded_call.py
+++ b/packages/arbutustally-node/src/arbutustally_node/bounded_call.py
@@ -12,6 +12,7 @@
 
 from arbutustally.errors import EndpointFailedError, EndpointTimeoutError, Ran
 from arbutustally_node.pool import PoolService
+from arbutustally_node.pooled_response import AnswerMemory, PooledResponse
 from arbutustally_node.response_budget import ResponseBudget
 
 
@@ -68,22 +69,19 @@
         address are dropped: the true response, or a further copy, may still arrive.
     :raises RouterError: if no complete response was received, or one that answers another call.
     """
+
+    def open_response() -> PooledResponse:
+        endpoint = CallTarget(address)
+        return pools.open(endpoint, method, target, headers or {}, body, total_s, fresh)
+
     with budget.response() as memory:
-        response = None
         try:
             with gevent.Timeout(total_s, _LateError):
-                response = pools.open(
-                    CallTarget(address), method, target, headers or {}, body, total_s, fresh
-                )
-                data = response.read_whole(max_bytes, memory=memory)
+                complete = _complete(open_response(), max_bytes, memory)
         except _LateError as error:
             raise EndpointTimeoutError(
                 f"{address} did not respond in time; check its load", ran=Ran.MAY_HAVE_RUN
             ) from error
-        finally:
-            if response is not None:
-                response.close()
-        complete = CompleteResponse(response.status, tuple(response.header_items), data)
         if not is_answer(complete):
             pools.drop(address)
             raise EndpointFailedError(
@@ -92,5 +90,14 @@
         return complete
 
 
+def _complete(response: PooledResponse, max_bytes: int, memory: AnswerMemory) -> CompleteResponse:
+    """Reads a response to its end, and closes it in any case."""
+    try:
+        data = response.read_whole(max_bytes, memory=memory)
+    finally:
+        response.close()
+    return CompleteResponse(response.status, tuple(response.header_items), data)
+
+
 class _LateError(Exception):
     """The response was not complete in time."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -11,6 +11,7 @@
 from arbutustally.gateway.endpoints import EndpointBook
 from arbutustally.gateway.evacuation import ZoneEvacuation
 from arbutustally.gateway.isolation_history import IsolationHistory
+from arbutustally.gateway.named_weights import NamedWeights
 from arbutustally.gateway.rollouts import RolloutBook, RolloutOrder
 from arbutustally.gateway.shared_reading import Position
 from arbutustally_node.gateway.decision_log import DecisionLog
@@ -36,59 +37,10 @@
 #: a copy from which the store may be restored, so that an entry in the copy is recognised as
 #: outdated.
 FORGET_GONE_S = 60.0
-#: Named versions that are kept per model.
-MAX_VERSIONS = 8
 #: Accounts that were removed while isolated which every message to the peers names, the latest ones.
 MAX_REMOVED_ACCOUNTS = 16
 
 
-class NamedWeights:
-    """Versions of one model that the operator named.
-
-    :ivar known_at: when each version became known in the fleet, monotonic seconds.
-    """
-
-    def __init__(self) -> None:
-        self.known_at: dict[int, float] = {}
-        self._undated: set[int] = set()
-
-    @property
-    def dated(self) -> dict[int, float]:
-        """Returns ``known_at`` of the versions whose naming was observed by a node of the fleet."""
-        return {
-            version: at for version, at in self.known_at.items() if version not in self._undated
-        }
-
-    @property
-    def version(self) -> int:
-        """Returns the newest version."""
-        return max(self.known_at)
-
-    def learn(self, version: int, known_at: float) -> bool:
-        """Records a version; returns whether it is the newest one and was not known.
-
-        :param known_at: ``-inf`` if it was named before this node started, at an unknown time.
-        """
-        is_newer = not self.known_at or version > self.version
-        if known_at == -math.inf:
-            if version not in self.known_at:
-                self._undated.add(version)
-                self.known_at[version] = known_at
-        else:
-            before = known_at if version in self._undated else self.known_at.get(version, known_at)
-            self._undated.discard(version)
-            self.known_at[version] = min(before, known_at)
-        for old in sorted(self.known_at)[:-MAX_VERSIONS]:
-            del self.known_at[old]
-            self._undated.discard(old)
-        return is_newer
-
-    def oldest_allowed(self, now: float, bound_s: float) -> int:
-        """Returns the oldest version that was not replaced longer than ``bound_s`` ago."""
-        replaced = [version for version, at in self.known_at.items() if now - at >= bound_s]
-        return max(replaced, default=0)
-
-
 class FleetView:
     """Configuration, named weights and endpoints as one node currently knows them.
 
--- a/tests/test_cache_scope.py
+++ b/tests/test_cache_scope.py
@@ -11,9 +11,10 @@
 from arbutustally.gateway.cache_scope import cache_scope
 from arbutustally.gateway.configuration import ClientAccount, Configuration, Engine, Service
 from arbutustally.gateway.holdings import Holdings
+from arbutustally.gateway.named_weights import NamedWeights
 from arbutustally.gateway.zone_spill import ZoneCosts, ZoneSpill
 from arbutustally.placement import Placement
-from arbutustally_node.gateway.fleet_view import FleetView, NamedWeights
+from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.placer import Placer
 from tests.gateway_values import entry, prompt, route
 
--- a/tests/test_gateway_weights.py
+++ b/tests/test_gateway_weights.py
@@ -4,6 +4,7 @@
 import unittest
 
 from arbutustally.gateway.endpoint_state import EndpointState
+from arbutustally.gateway.named_weights import NamedWeights
 from arbutustally.gateway.weights import (
     MAX_DRAIN_S,
     MIN_DRAIN_S,
@@ -16,7 +17,6 @@
     plan_loads,
     unrepeatable_runs,
 )
-from arbutustally_node.gateway.fleet_view import NamedWeights
 from tests.gateway_values import entry
 
 
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -10,11 +10,12 @@
 from arbutustally.gateway.configuration import Configuration, Engine, PartStore, Service
 from arbutustally.gateway.evacuation import ZoneEvacuation
 from arbutustally.gateway.holdings import Holdings
+from arbutustally.gateway.named_weights import NamedWeights
 from arbutustally.gateway.requests import CallerRequest
 from arbutustally.gateway.shared_reading import Position
 from arbutustally.gateway.zone_spill import ZoneCosts, ZoneSpill
 from arbutustally.placement import Placement
-from arbutustally_node.gateway.fleet_view import FleetView, NamedWeights
+from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.instruments import Instruments
 from arbutustally_node.gateway.placer import WEIGHTS_MARGIN_S, Placed, Placer
 from tests.gateway_values import entry, prompt, route
