--- a/tests/node_process.py
+++ b/tests/node_process.py
@@ -10,8 +10,8 @@
 import urllib3
 
 from tests.gateway_fleet import GatewayCase, settings
-from tests.soak.fleet import PEER_PORT, PORTS, Program
 from tests.soak.networks import FIRST_NETWORK, Network
+from tests.soak.program import PEER_PORT, PORTS, Program
 
 READY_S = 20.0
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -8,7 +8,8 @@
 import urllib3
 
 from tests.soak.content import request_body
-from tests.soak.fleet import MODEL, PORTS, SoakFleet
+from tests.soak.fleet import MODEL, SoakFleet
+from tests.soak.program import PORTS
 from tests.soak.raw_caller import RawCaller
 from tests.soak.rules import Kind, Result
 from tests.soak.wire import CutError, Head, NotHttpError
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,7 +7,8 @@
 
 import gevent
 
-from tests.soak.fleet import Backend, Program, SoakFleet
+from tests.soak.fleet import Backend, SoakFleet
+from tests.soak.program import Program
 from tests.soak.proxy import Harm
 from tests.soak.spoils import Spoil, Spoiling
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,9 +12,10 @@
 from arbutustally.clock import monotonic
 from tests.soak.callers import Callers
 from tests.soak.faults import FAULTS, Fault
-from tests.soak.fleet import PORTS, FleetSize, SoakFleet
+from tests.soak.fleet import FleetSize, SoakFleet
 from tests.soak.networks import FIRST_NETWORK, Network
 from tests.soak.notes import Notes
+from tests.soak.program import PORTS
 from tests.soak.proxy import Harm
 from tests.soak.rules import cold_bursts, evacuated_runs, late_runs, overlapping_runs
 
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -11,8 +11,8 @@
 from pathlib import Path
 
 from tests.gateway_fleet import settings
-from tests.soak.fleet import PORTS
 from tests.soak.networks import FIRST_NETWORK, Network
+from tests.soak.program import PORTS
 
 PROGRAMS = ("arbutustally_platform", "arbutustally_node")
 EXIT_SETTINGS = 2
--- a/tests/test_endless_senders.py
+++ b/tests/test_endless_senders.py
@@ -23,7 +23,7 @@
 from tests.node_process import NodeProcessCase
 from tests.platform_fakes import FakeStore, FakeWorker
 from tests.raw_worker import read_request
-from tests.soak.fleet import PEER_PORT, PORTS
+from tests.soak.program import PEER_PORT, PORTS
 
 #: Time for which each form is sent, seconds.
 FORM_S = 0.7
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -11,7 +11,7 @@
 from tests.fake_configuration import configuration
 from tests.node_process import NodeProcessCase
 from tests.platform_fakes import FakeStore, FakeWorker
-from tests.soak.fleet import PORTS
+from tests.soak.program import PORTS
 
 MEMORY_MB = 128
 BODY_BYTES = 1 << 20
--- a/tests/test_return_processes.py
+++ b/tests/test_return_processes.py
@@ -15,8 +15,8 @@
 from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase, settings
 from tests.platform_fakes import FakeStore, FakeWorker
-from tests.soak.fleet import PEER_PORT, PORTS, Program
 from tests.soak.networks import FIRST_NETWORK, Network
+from tests.soak.program import PEER_PORT, PORTS, Program
 from tests.soak.proxy import Harm, Proxy
 
 #: Longer than a node that is silent counts as holder at its peers.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,9 +13,9 @@
 
 from tests.soak.content import answer_body
 from tests.soak.faults import SPOILS
-from tests.soak.fleet import Program
 from tests.soak.networks import Network, NetworkInUseError
 from tests.soak.notes import Run
+from tests.soak.program import Program
 from tests.soak.raw_caller import RawCaller
 from tests.soak.rules import Kind, Result
 from tests.soak.soak import run
--- a/tests/test_woken_node.py
+++ b/tests/test_woken_node.py
@@ -9,7 +9,7 @@
 from tests.fake_configuration import configuration
 from tests.node_process import NodeProcessCase
 from tests.platform_fakes import FakeStore, FakeWorker
-from tests.soak.fleet import PORTS
+from tests.soak.program import PORTS
 from tests.test_removed_accounts import account
 
 #: Time for which the node is suspended, seconds.
