Tell in the log when attempts begin, and until when their weights are allowed

The log could not tell apart whether a request began late because its engine was chosen once and waited for without a bound, because the node dated the naming late, or because the engine's version is not the recorded one.

Each attempt's record now names the version that it was sent for, its first event and the end of the version's period. weights_named tells the believed age of a naming, weights_redated that a peer knew better; late_begin and its counter report a first event after the period; stated_weights tells that an answer states another version than the request was sent for. No decision changes.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -39,6 +39,8 @@
 FORGET_GONE_S = 60.0
 #: Accounts that were removed while isolated which every message to the peers names, the latest ones.
 MAX_REMOVED_ACCOUNTS = 16
+#: Corrections of the time at which weights were named that are logged, seconds.
+REDATED_S = 0.1
 
 
 class FleetView:
@@ -349,10 +351,19 @@
     def learn_weights(self, model: str, version: int, known_at: float, source: str) -> bool:
         """Records a named version; returns whether it is the newest one and was not known."""
         named = self._weights.setdefault(model, NamedWeights())
-        if not named.learn(version, known_at):
-            return False
-        self._log.line("weights_named", model=model, version=version, source=source)
-        return True
+        before = named.dated.get(version, math.inf)
+        is_newest = named.learn(version, known_at)
+        if is_newest:
+            self._log_weights("weights_named", model, version, known_at, source)
+        elif known_at < before - REDATED_S and version in named.dated:
+            self._log_weights("weights_redated", model, version, known_at, source)
+        return is_newest
+
+    def _log_weights(
+        self, event: str, model: str, version: int, known_at: float, source: str
+    ) -> None:
+        age_s = round(self._clock() - known_at, 3) if math.isfinite(known_at) else None
+        self._log.line(event, model=model, version=version, age_s=age_s, source=source)
 
     def has_outdated_weights(self, endpoint: EndpointState) -> bool:
         """Returns whether an endpoint is known to have older weights than the newest named ones."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -168,14 +168,33 @@
             services.waits.observe(self._route.name, placed.choice.estimate_s, first_s)
             self._trace.facts["first_ms"] = round(first_s * 1000)
             self._record_parts(attempt)
+            self._check_begin(attempt)
         terms = attempt.result.terms
         if terms is None or terms.weights is None or terms.is_mismatched:
             return
+        if terms.weights != placed.version:
+            self._trace.facts["stated_weights"] = terms.weights
         if terms.weights > placed.state.weights.get(request.model, 0):
             # What is recorded is never lowered and is told to all nodes, so the engine's own report
             # must confirm it.
             services.on_other_weights(placed.state)
 
+    def _check_begin(self, attempt: PlacedAttempt) -> None:
+        """Reports a request that began on weights that were no longer allowed."""
+        services, placed = self._services, attempt.placed
+        late_s = attempt.load.first_at - services.weights_until(self._request.model, placed.version)
+        if late_s <= 0:
+            return
+        services.instruments.count("late_begins", placed.state.entry.service)
+        services.log.line(
+            "late_begin",
+            id=self._request.request_id,
+            engine=placed.state.id,
+            weights=placed.version,
+            late_ms=round(late_s * 1000),
+            waited_ms=round((attempt.load.first_at - attempt.began) * 1000),
+        )
+
     def _record_parts(self, attempt: PlacedAttempt) -> None:
         """Records, locally and for the peers, that an engine has read the prompt's parts."""
         services, placed, parts = self._services, attempt.placed, self._request.parts
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -343,7 +343,8 @@
 
     def _record_attempt(self, attempt: PlacedAttempt, reason: str) -> None:
         now, arrived_at = self._services.clock(), self._request.arrived_at
-        self._trace.attempts.append(trace_of(attempt, reason, arrived_at, now))
+        until = self._services.weights_until(self._request.model, attempt.placed.version)
+        self._trace.attempts.append(trace_of(attempt, reason, arrived_at, now, until))
 
     def _send(self, attempt: PlacedAttempt, guard: AbstractContextManager[None]) -> AttemptResult:
         """Sends one attempt; returns the response head or the failure."""
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -1,5 +1,6 @@
 """Services shared by the requests of one node, and the record of one request for the log."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from random import Random
@@ -78,6 +79,13 @@
     placed: PlacementLog = field(default_factory=PlacementLog)
     has_relayed_loads: Callable[[], bool] = lambda: False
 
+    def weights_until(self, model: str, version: int | None) -> float:
+        """Returns until when requests may begin on weights, steady seconds; ``inf`` if no end."""
+        named = self.view.weights.get(model)
+        if named is None or version is None:
+            return math.inf
+        return named.allowed_until(version, self.weights_s)
+
     def preview(self) -> "RequestServices":
         """Returns services for a decision that is not acted upon.
 
@@ -102,6 +110,10 @@
     :ivar began_s: time from the arrival of the request until the attempt was sent, seconds.
     :ivar head_s: the same until its response head, ``None`` without one.
     :ivar reading: how the response arrived, empty without one.
+    :ivar weights: version of the weights it was sent for, ``None`` at a plain service.
+    :ivar first_s: as ``began_s``, until its first event, ``None`` without one.
+    :ivar weights_until_s: the same until the weights were no longer allowed, as known at the end of
+        the attempt; ``None`` if no newer ones were named.
     """
 
     endpoint: str
@@ -110,6 +122,9 @@
     began_s: float
     head_s: float | None
     reading: str
+    weights: int | None
+    first_s: float | None
+    weights_until_s: float | None
 
 
 @dataclass
--- a/packages/arbutustally/src/arbutustally/gateway/named_weights.py
+++ b/packages/arbutustally/src/arbutustally/gateway/named_weights.py
@@ -47,6 +47,14 @@
             self._undated.discard(old)
         return is_newer
 
+    def allowed_until(self, version: int, bound_s: float) -> float:
+        """Returns until when requests may begin on a version, ``inf`` if none has replaced it.
+
+        :param bound_s: time for which a version remains allowed after a newer one was named.
+        """
+        replaced_at = (at for newer, at in self.known_at.items() if newer > version)
+        return min(replaced_at, default=math.inf) + bound_s
+
     def oldest_allowed(self, now: float, bound_s: float) -> int:
         """Returns the oldest version that was not replaced longer than ``bound_s`` ago."""
         replaced = [version for version, at in self.known_at.items() if now - at >= bound_s]
--- a/tests/test_gateway_weights.py
+++ b/tests/test_gateway_weights.py
@@ -31,6 +31,8 @@
         self.assertEqual(named.oldest_allowed(8.0, 6.0), 2)
         self.assertEqual(named.oldest_allowed(10.9, 6.0), 3)
         self.assertEqual(named.oldest_allowed(20.0, 6.0), 4)
+        ends = [named.allowed_until(version, 6.0) for version in range(5)]
+        self.assertEqual(ends, [6.0, 8.0, 10.9, 14.6, math.inf])
 
     def test_version_named_before_the_start_leaves_no_time_for_older_ones(self) -> None:
         """Guards against restarted nodes that start requests on weights replaced long before."""
