--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -20,6 +20,7 @@
 from tests.soak.proxy import Proxy
 from tests.soak.spans import Spans
 from tests.soak.spoils import Spoiling
+from tests.soak.worker import deaf_marker
 
 MODEL = "m"
 #: Requests per second that a cold worker sustains.
@@ -170,6 +171,10 @@
             merged |= one
         merged.save(self._spoils)
 
+    def ignore_orders(self) -> None:
+        """Makes the worker leave all later orders unanswered and not carry them out."""
+        deaf_marker(self._spoils).touch()
+
     def restart(self) -> None:
         """Starts the worker again under its id, with the weights that it had."""
         self.program.end()
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -25,9 +25,19 @@
 
 WORK_S = 0.05
 EVENTS_WAIT_S = 0.2
+#: Time for which the connection of an order that gets no answer stays open, seconds.
+UNANSWERED_S = 30.0
 JSON = ("Content-Type", "application/json")
 
 
+def deaf_marker(spoils: Path) -> Path:
+    """Returns the file that exists while a worker ignores orders.
+
+    :param spoils: file of the worker's spoils.
+    """
+    return spoils.with_suffix(".deaf")
+
+
 class SoakWorker:
     """Answers requests, notes its runs and accepts orders.
 
@@ -50,10 +60,16 @@
         self.notes = notes
         self.rng = rng
         self._spoils = spoils
+        self._deaf = deaf_marker(spoils)
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
         self.address = f"127.0.0.1:{self._server.server_port}"
 
+    @property
+    def ignores_orders(self) -> bool:
+        """Returns whether orders get no answer and are not carried out."""
+        return self._deaf.exists()
+
     def draw(self) -> frozenset[Spoil]:
         """Returns how the next answer is spoiled."""
         spoils = Spoiling.load(self._spoils).draw(self.rng)
@@ -114,6 +130,9 @@
         if target == "/healthz":
             return Answer(200, (("Instance-Id", worker.id),), (b"",))
         if target == "/arbutustally/order":
+            if worker.ignores_orders:
+                gevent.sleep(UNANSWERED_S)
+                raise ClosedError
             return Answer(self._order(json.loads(body)), (), (b"",))
         if target.startswith("/arbutustally/kv-events"):
             gevent.sleep(EVENTS_WAIT_S)
