Leave engines that have not begun when the period of their weights ends

What callers saw: nothing; the users saw a request that began on version N after its period.

Cause: the end of the period was looked at once, when an engine was chosen, and compared with an expected begin. An attempt under way then waited for its first event without regard to it. A sound engine may be silent for a second or more, and begins when it goes on what lies in its sockets. The class of fault is a bound that is checked when a decision is made and not while it has effect.

Change: attempts are watched until their first event. 0.4 to 0.7 s before the period of their weights ends they are left by a reset, spread by a hash of the request, and go on at an engine with newer weights as after any failed attempt: within the repeat budget, on routes that may repeat, with no promise that they have not run. A naming that is learned, or dated earlier, after the start of an attempt counts too. It proves nothing about the engine, so it is no failure of it. A request that may not go on elsewhere is sent to replaced weights only until 2 s before the end, and not 0.8 s.

tests.test_placer used a stream that may not be resumed to check the margin of 0.8 s; it uses a resumable one now and a new test checks the other margin.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -72,6 +72,7 @@
         self.isolation = IsolationHistory()
         self.book = EndpointBook.from_config(clock)
         self._configuration_watchers: list[Callable[[Configuration], None]] = []
+        self._weights_watchers: list[Callable[[str], None]] = []
 
     @property
     def configuration(self) -> Configuration | None:
@@ -125,6 +126,10 @@
         """Calls ``notify`` with each configuration that comes into force."""
         self._configuration_watchers.append(notify)
 
+    def watch_weights(self, notify: Callable[[str], None]) -> None:
+        """Calls ``notify`` with each model for which the time of a naming has become known."""
+        self._weights_watchers.append(notify)
+
     def decode_operators(self, records: tuple[Record, ...]) -> tuple[OperatorRecord, ...]:
         """Returns records of the operator with contents; the event loop gets turns meanwhile."""
         return decode_operators(self._documents, records)
@@ -352,7 +357,11 @@
         """Records a named version; returns whether it is the newest one and was not known."""
         named = self._weights.setdefault(model, NamedWeights())
         before = named.dated.get(version, math.inf)
+        was_known_at = named.known_at.get(version)
         is_newest = named.learn(version, known_at)
+        if named.known_at.get(version) != was_known_at:
+            for notify in self._weights_watchers:
+                notify(model)
         if is_newest:
             self._log_weights("weights_named", model, version, known_at, source)
         elif known_at < before - REDATED_S and version in named.dated:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/hedge.py
@@ -30,6 +30,10 @@
     """Another endpoint has answered the request or takes it over."""
 
 
+class WeightsExpiredError(Exception):
+    """The endpoint has not begun the request, and its weights are about to expire."""
+
+
 class UnreachableError(Exception):
     """The endpoint is silent and does not accept connections."""
 
@@ -70,6 +74,7 @@
         self._hedge_greenlet: gevent.Greenlet | None = None
         self._waiting: gevent.Greenlet | None = None
         self._is_overtaken = False
+        self._is_expired = False
         self._waits = 0
         self._waits_since = clock()
 
@@ -80,7 +85,10 @@
         :param silent_s: time from now after which the endpoint counts as silent, seconds.
         :raises OvertakenError: if another endpoint has answered or takes the request over.
         :raises UnreachableError: if the endpoint is silent and unreachable.
+        :raises WeightsExpiredError: if ``expire`` was called.
         """
+        if self._is_expired:
+            raise WeightsExpiredError
         if self._is_overtaken:
             raise OvertakenError
         timer = get_hub().loop.timer(max(silent_s, 0.0), CHECK_INTERVAL_S)
@@ -103,6 +111,11 @@
             self._is_overtaken = False
             self._cancel_hedge()
 
+    def expire(self) -> None:
+        """Abandons the attempt, as its endpoint has not begun in time; not for the event loop."""
+        self._is_expired = True
+        self._interrupt(WeightsExpiredError())
+
     def _check(self) -> None:
         if self._is_gone():
             # Spawned, so that data waiting in the socket is read first.
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -17,6 +17,7 @@
     ENDPOINT_SILENT,
     OTHER_ENDPOINT,
     OTHER_WEIGHTS,
+    WEIGHTS_EXPIRED,
     AttemptResult,
 )
 from arbutustally_node.response_reading import ResponseReading
@@ -97,6 +98,9 @@
     def ended(self, attempt: PlacedAttempt) -> None:
         """Records the result of an attempt."""
         services, result, state = self._services, attempt.result, attempt.placed.state
+        if result.reason == WEIGHTS_EXPIRED:
+            self.withdrawn(attempt)
+            return
         if result.outcome is Outcome.NOT_RUN:
             services.rollouts.withdrawn(attempt.answer)
         else:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -19,6 +19,7 @@
 from arbutustally.gateway.wait_calibration import WaitCalibration
 from arbutustally.gateway.zone_spill import ZoneSpill
 from arbutustally_node.gateway.announcer import Announcer
+from arbutustally_node.gateway.begin_watch import BeginWatch
 from arbutustally_node.gateway.cache_follower import CacheFollower
 from arbutustally_node.gateway.catch_up import CatchUp
 from arbutustally_node.gateway.crash_watch import CrashWatch
@@ -106,6 +107,8 @@
     caches = CacheFollower(platform.cache_events, view, holdings, gossip, log)
     pool = PoolService(CONNECT_TIMEOUT_S, SILENCE_S, id_header=platform.codec.id_header)
     quarantine = PartQuarantine(log, state.instruments, boottime, monotonic, gossip.rank)
+    begins = BeginWatch(lambda model, version: requests.weights_until(model, version), monotonic)
+    view.watch_weights(begins.weights_changed)
     requests = RequestServices(
         view,
         Transport(pool, platform.codec),
@@ -132,6 +135,7 @@
         ZoneSpill(options.zone_costs, options.zone, monotonic, state.rng),
         WaitCalibration.from_config(monotonic),
         contact,
+        begins,
         has_relayed_loads=lambda: not gossip.is_direct,
     )
     exchange = RequestHandler(requests)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -39,6 +39,9 @@
 #: Old weights are used only for requests that are expected to begin this time before the end of the
 #: period in which they are allowed, seconds.
 WEIGHTS_MARGIN_S = 0.8
+#: The same for a request that may not go on at another engine if this one does not begin it in
+#: time, seconds; as long as a working engine may be silent.
+LAST_ATTEMPT_MARGIN_S = 2.0
 #: Longest expected wait at the engines with new weights, as a fraction of the route's target time
 #: to the first event; above it, engines with older weights may be used.
 MAX_WEIGHTS_WAIT_FRACTION = 0.3
@@ -271,7 +274,9 @@
         """Returns the version of the weights to run on, and the engines that have it."""
         services, request = self._services, self._request
         named = services.view.weights.get(request.model)
-        bound_s = services.weights_s - WEIGHTS_MARGIN_S
+        may_move = self._route.may_repeat and not self._tried
+        margin_s = WEIGHTS_MARGIN_S if may_move else LAST_ATTEMPT_MARGIN_S
+        bound_s = services.weights_s - margin_s
         prompt_tokens = request.prompt_tokens or 0
         needed = prompt_tokens + request.output_tokens
         # A later attempt uses engines with new weights however long the expected wait: a stream
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -26,10 +26,12 @@
 )
 from arbutustally.gateway.part_keys import shared_part_keys
 from arbutustally.gateway.requests import CallerRequest
+from arbutustally.rendezvous import uniform_hash
 from arbutustally_node.caller_watch import CallerWatch
 from arbutustally_node.gateway.answer_delivery import AnswerDelivery
 from arbutustally_node.gateway.attempt_load import AttemptLoad
 from arbutustally_node.gateway.attempt_record import reason_to_withdraw, trace_of
+from arbutustally_node.gateway.begin_watch import WaitingAttempt
 from arbutustally_node.gateway.caller import CallerConnection
 from arbutustally_node.gateway.hedge import STREAM_TAKEOVER_S, HedgeController
 from arbutustally_node.gateway.learning import AttemptLearning, PlacedAttempt
@@ -184,9 +186,12 @@
         """
         hedging = self._create_hedging(attempt)
         self._current = attempt
+        waiting = self._await_begin(attempt, hedging)
         try:
             if attempt.result is None:
                 attempt.result = self._send(attempt, self._watching(hedging))
+            if waiting is not None and not self._delivery.is_stream(attempt.result):
+                waiting.end()
             if attempt.result.outcome is not Outcome.NOT_RUN:
                 self._ran += 1
             if attempt.result.outcome is Outcome.ANSWERED:
@@ -198,10 +203,30 @@
             raise
         finally:
             attempt.load.end()
+            if waiting is not None:
+                waiting.end()
         self._record_attempt(attempt, attempt.result.reason)
         self._learning.ended(attempt)
         return attempt.result
 
+    def _await_begin(
+        self, attempt: PlacedAttempt, hedging: HedgeController
+    ) -> WaitingAttempt | None:
+        """Has the attempt left if it has not begun when its weights are about to expire.
+
+        :returns: the wait to end, ``None`` at a plain service and for a hedge that has begun.
+        """
+        version = attempt.placed.version
+        if version is None or attempt.result is not None:
+            return None
+
+        def leave() -> None:
+            if not attempt.load.first_at:
+                hedging.expire()
+
+        spread = uniform_hash(attempt.placed.state.id.encode(), self._request.request_id)
+        return self._services.begins.begin(self._request.model, version, leave, spread)
+
     def _pass_on(self, attempt: PlacedAttempt, hedging: HedgeController) -> AttemptResult:
         return self._delivery.pass_on(
             attempt,
@@ -289,6 +314,14 @@
             self._services.on_silent,
             may_run_elsewhere=lambda: self._has_endpoints_left(self._in_use()),
         )
+        waiting = self._await_begin(attempt, hedging)
+        try:
+            return self._await_hedge(attempt, hedging)
+        finally:
+            if waiting is not None:
+                waiting.end()
+
+    def _await_hedge(self, attempt: PlacedAttempt, hedging: HedgeController) -> AttemptResult:
         result = self._send(attempt, hedging.watch(HEDGE_DELAY_S))
         if result.outcome is not Outcome.ANSWERED:
             return result
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_services.py
@@ -16,6 +16,7 @@
 from arbutustally.gateway.wait_calibration import WaitCalibration
 from arbutustally.gateway.zone_spill import ZoneSpill
 from arbutustally.placement import Placement
+from arbutustally_node.gateway.begin_watch import BeginWatch
 from arbutustally_node.gateway.crash_watch import CrashWatch
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
@@ -47,6 +48,7 @@
     :ivar spill: decides whether requests leave the zone.
     :ivar waits: correction of expected times by the observed ones.
     :ivar contact: tells whether the node may have missed a configuration.
+    :ivar begins: leaves engines that have not begun when their weights are about to expire.
     :ivar placed: placements to announce to the peers.
     :ivar has_relayed_loads: returns whether load reports of other nodes pass through relays.
     """
@@ -76,6 +78,7 @@
     spill: ZoneSpill
     waits: WaitCalibration
     contact: Contact
+    begins: BeginWatch
     placed: PlacementLog = field(default_factory=PlacementLog)
     has_relayed_loads: Callable[[], bool] = lambda: False
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/stream_relay.py
@@ -11,8 +11,13 @@
 from arbutustally_node.caller_watch import CallerWatch
 from arbutustally_node.framing import Framing
 from arbutustally_node.gateway.caller import CallerConnection, Headers
-from arbutustally_node.gateway.hedge import HedgeController, OvertakenError, UnreachableError
-from arbutustally_node.gateway.transport import died_in_body
+from arbutustally_node.gateway.hedge import (
+    HedgeController,
+    OvertakenError,
+    UnreachableError,
+    WeightsExpiredError,
+)
+from arbutustally_node.gateway.transport import WEIGHTS_EXPIRED, died_in_body
 from arbutustally_node.loop_turn import wait_for_turn
 from arbutustally_node.pooled_response import PooledResponse
 
@@ -34,6 +39,7 @@
     SILENT = "stream_silent"
     GONE = "stream_endpoint_gone"
     OUT_OF_TIME = "stream_out_of_time"
+    EXPIRED = WEIGHTS_EXPIRED
 
 
 class StreamRelay:
@@ -113,6 +119,9 @@
         except UnreachableError:
             response.close()
             return RelayEnd.GONE
+        except WeightsExpiredError:
+            response.close()
+            return RelayEnd.EXPIRED
         except _OutOfTimeError:
             response.close()
             return RelayEnd.OUT_OF_TIME
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/transport.py
@@ -16,7 +16,11 @@
 from arbutustally.gateway.requests import CallerRequest
 from arbutustally_node.framing import Framing
 from arbutustally_node.gateway.endpoint_check import refuses_connections
-from arbutustally_node.gateway.hedge import OvertakenError, UnreachableError
+from arbutustally_node.gateway.hedge import (
+    OvertakenError,
+    UnreachableError,
+    WeightsExpiredError,
+)
 from arbutustally_node.gateway.ports import AnswerTerms, AttemptTerms, HttpCodec
 from arbutustally_node.loop_turn import wait_for_turn
 from arbutustally_node.pool import PoolService
@@ -35,6 +39,8 @@
 ENDPOINT_SILENT = "endpoint_silent"
 #: Reason of an attempt whose endpoint is silent and unreachable.
 ENDPOINT_GONE = "endpoint_gone"
+#: Reason of an attempt that had not begun when its weights were about to expire.
+WEIGHTS_EXPIRED = "weights_expired"
 #: Reason of a hedge whose endpoint sent only a part of an event while another attempt was running.
 PARTIAL_EVENT = "partial_event"
 
@@ -116,6 +122,8 @@
             return AttemptResult(Outcome.MAY_HAVE_RUN, ENDPOINT_SILENT)
         except UnreachableError:
             return AttemptResult(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE)
+        except WeightsExpiredError:
+            return AttemptResult(Outcome.MAY_HAVE_RUN, WEIGHTS_EXPIRED)
         except EndpointFailedError as error:
             if error.ran is Ran.NOT_RUN:
                 reason = "connection_refused" if is_refused(error) else "connect_timeout"
@@ -158,6 +166,9 @@
         except UnreachableError:
             response.close()
             return AttemptResult(Outcome.MAY_HAVE_RUN, ENDPOINT_GONE, result.status)
+        except WeightsExpiredError:
+            response.close()
+            return AttemptResult(Outcome.MAY_HAVE_RUN, WEIGHTS_EXPIRED, result.status)
         except _PartialEventError:
             response.close()
             return AttemptResult(Outcome.MAY_HAVE_RUN, PARTIAL_EVENT, result.status)
--- /dev/null
+++ b/tests/test_begin_watch.py
@@ -0,0 +1,149 @@
+"""Attempts that have not begun are left before the period of their weights ends."""
+
+import math
+import unittest
+
+import gevent
+import urllib3
+from bottle import HTTPResponse
+
+from arbutustally.clock import monotonic
+from arbutustally_node.gateway.begin_watch import LEAVE_MARGIN_S, LEAVE_SPREAD_S, BeginWatch
+from tests.engine_answers import events, signed, use_up_repeat_budget
+from tests.fake_configuration import configuration
+from tests.gateway_fleet import GatewayCase, settings
+
+#: Tolerance for timers, seconds.
+LATE_S = 0.15
+#: Period in which requests may begin on replaced weights, seconds. Attempts are left before a hedge
+#: is sent.
+PERIOD_S = 1.4
+QUEUE_TOKENS = 1e5
+
+
+class BeginWatchTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.until = math.inf
+        self.watch = BeginWatch(lambda _model, _version: self.until, monotonic)
+        self.left_at: list[float] = []
+
+    def begin(self, spread: float = 0.0):
+        return self.watch.begin("m", 1, lambda: self.left_at.append(monotonic()), spread)
+
+    def test_attempts_are_left_spread_over_the_time_before_the_margin(self) -> None:
+        """Guards against all requests that arrive at the engines with new weights at once."""
+        self.until = monotonic() + LEAVE_MARGIN_S + LEAVE_SPREAD_S + 0.1
+        for spread in (0.0, 0.5, 1.0):
+            self.begin(spread)
+        gevent.sleep(0.1 + LEAVE_SPREAD_S + LATE_S)
+        self.assertEqual(len(self.left_at), 3)
+        for at, spread in zip(self.left_at, (1.0, 0.5, 0.0), strict=True):
+            due = self.until - LEAVE_MARGIN_S - spread * LEAVE_SPREAD_S
+            self.assertGreaterEqual(at, due - 0.01)
+            self.assertLess(at, due + LATE_S)
+
+    def test_naming_after_the_start_of_an_attempt_counts(self) -> None:
+        """Guards against a request that waits longer than the whole period."""
+        self.begin()
+        gevent.sleep(0.05)
+        self.assertEqual(self.left_at, [])
+        self.until = monotonic() + LEAVE_MARGIN_S + 5.0
+        self.watch.weights_changed("m")
+        gevent.sleep(0.05)
+        self.assertEqual(self.left_at, [])
+        # A peer knows that the version was named earlier.
+        self.until -= 5.0
+        self.watch.weights_changed("m")
+        gevent.sleep(LATE_S)
+        self.assertEqual(len(self.left_at), 1)
+
+    def test_attempt_that_has_ended_is_not_left(self) -> None:
+        self.until = monotonic() + LEAVE_MARGIN_S + 0.05
+        self.begin().end()
+        waiting = self.begin()
+        gevent.sleep(0.05 + LATE_S)
+        waiting.end()
+        self.watch.weights_changed("m")
+        gevent.sleep(0.05)
+        self.assertEqual(len(self.left_at), 1)
+
+
+class ExpiringWeightsTest(GatewayCase):
+    """A node whose first engine does not begin; the second one has the named weights."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        bounds = {"versionMs": PERIOD_S * 1000, "leaseTtlMs": 1000, "graceS": 3, "ttl_max_s": 1}
+        self.node = self.start_node(settings(self.store.address, bounds=bounds))
+        self.wait_ready(self.node)
+        self.old, self.new = (self.node._view.book.get(engine.id) for engine in self.engines)
+        # Until the naming, only the first engine is free.
+        self.new.prompt_tokens += QUEUE_TOKENS
+        self.pause_s = 4.0
+        self.is_head_early = False
+        self.engines[0].behave = self.begin_late
+        # The first engine is not ordered to load meanwhile.
+        lease = {"holder": "node-9~x", "fence": None, "released": False}
+        self.store.put("keyed.weights-lease", "lease", lease)
+
+    def begin_late(self, headers) -> HTTPResponse:
+        def body():
+            if self.is_head_early:
+                yield b": no event\n"
+                gevent.sleep(self.pause_s)
+            yield events(1, 5)
+
+        if not self.is_head_early:
+            gevent.sleep(self.pause_s)
+        return signed(headers, body())
+
+    def ask(self, request_id: str = "r1", **route) -> urllib3.BaseHTTPResponse:
+        """Sends a stream to the first engine, then names weights that the second one has."""
+        changed = configuration(2)
+        changed["routes"][0] |= {"timeoutMs": 6000, **route}
+        self.store.put("keyed.op", "config", changed)
+        self.eventually(lambda: self.node._view.configuration.version == 2)
+        asking = gevent.spawn(self.call, self.node, "/chat/x", request_id, Deadline_Ms="5000")
+        self.eventually(lambda: self.old.running == 1)
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        self.eventually(lambda: "m" in self.node._view.weights)
+        self.engines[1].version = self.new.weights["m"] = 2
+        self.new.prompt_tokens -= QUEUE_TOKENS
+        return asking.get()
+
+    def left(self) -> int:
+        """Returns how many attempts were left since their weights expired."""
+        return self.node._services.state.instruments.value("attempts", "weights_expired")
+
+    def test_request_goes_on_at_an_engine_with_new_weights(self) -> None:
+        """Guards against a request that begins on replaced weights after their period."""
+        self.assertEqual(self.ask().data, events(1, 5))
+        self.assertEqual((self.engines[1].ran, self.left()), (["r1"], 1))
+        self.assertEqual(self.old.failures, 0.0)
+
+    def test_head_without_an_event_is_no_begin(self) -> None:
+        self.is_head_early = True
+        self.assertEqual(self.ask().data, events(1, 5))
+        self.assertEqual((self.engines[1].ran, self.left()), (["r1"], 1))
+
+    def test_stream_that_may_not_run_again_is_left_and_promises_nothing(self) -> None:
+        """Guards against 503 for a request that may have run, and against a second run."""
+        self.assertEqual(self.ask(resumable=False).status, 502)
+        self.assertEqual((self.engines[1].ran, self.left()), ([], 1))
+
+    def test_left_attempts_take_from_the_repeat_budget(self) -> None:
+        """Guards against repeats beyond the budget when many attempts are left."""
+        use_up_repeat_budget(self.node)
+        self.assertEqual(self.ask().status, 502)
+        self.assertEqual((self.engines[1].ran, self.left()), ([], 1))
+
+    def test_event_that_arrives_as_the_attempt_is_left(self) -> None:
+        """Guards against pieces that are missing or come twice if the engine begins just then."""
+        first_s = PERIOD_S - LEAVE_MARGIN_S - LEAVE_SPREAD_S
+        for number in range(8):
+            with self.subTest(number=number):
+                if number:
+                    self.doCleanups()
+                    self.setUp()
+                self.pause_s = first_s + LEAVE_SPREAD_S * number / 7
+                self.assertEqual(self.ask(f"r{number}").data, events(1, 5))
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -17,7 +17,12 @@
 from arbutustally.placement import Placement
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.instruments import Instruments
-from arbutustally_node.gateway.placer import WEIGHTS_MARGIN_S, Placed, Placer
+from arbutustally_node.gateway.placer import (
+    LAST_ATTEMPT_MARGIN_S,
+    WEIGHTS_MARGIN_S,
+    Placed,
+    Placer,
+)
 from tests.gateway_values import entry, prompt, route
 
 #: Time after which no request may begin on replaced weights, seconds.
@@ -45,8 +50,8 @@
         tokens = seconds * self.placement.prefill_speed(name)
         self.view.book.get(name).peer_load["n2"] = (1, tokens, 0.0, 0)
 
-    def place(self, after_s: float) -> str:
-        """Places a request the given time after version 2 was named."""
+    def place(self, after_s: float, resumable: bool = True) -> str:
+        """Places a stream the given time after version 2 was named."""
         self.clock.advance(NAMED_AT + after_s - self.clock())
         services = SimpleNamespace(
             view=self.view,
@@ -63,7 +68,7 @@
             contact=SimpleNamespace(is_current=True),
             spill=ZoneSpill(ZoneCosts(), "z1", self.clock, Random(3)),
         )
-        asked, way = prompt(("aa", PROMPT_TOKENS)), route()
+        asked, way = prompt(("aa", PROMPT_TOKENS)), route(resumable=resumable)
         configuration = Configuration(1, (way,), {"s": Service("s", 10, Engine(4, 10**9))}, {}, ())
         placer = Placer(services, asked, configuration, way, None, SimpleNamespace(facts={}))
         return placer.place(60.0, False).state.id
@@ -96,6 +101,13 @@
         self.assertEqual(self.place(WEIGHTS_S - WEIGHTS_MARGIN_S - 0.2), "old")
         self.assertEqual(self.place(WEIGHTS_S - WEIGHTS_MARGIN_S), "new")
 
+    def test_stream_that_may_not_move_keeps_away_from_the_bound(self) -> None:
+        """Guards against streams that fail because their engine is silent near the bound."""
+        self.queue("new", 4.0)
+        last_s = WEIGHTS_S - LAST_ATTEMPT_MARGIN_S
+        self.assertEqual(self.place(last_s - 0.2, resumable=False), "old")
+        self.assertEqual(self.place(last_s, resumable=False), "new")
+
     def test_speed_of_the_engine_and_length_of_the_prompt_count(self) -> None:
         """Guards against prompts that begin too late at a slow engine, if it has no queue."""
         self.queue("new", 4.0)
