Read without a wait after a gap before the operator's records count as new

What callers saw: 503 in fresh fleets and after each change of the readers.

Cause: a node that begins to read, or reads again after a failed call, can't know when the first records were written, so it dates them up to 3 s before its last gap. Its first read waits for records, so records that are written seconds after the gap got that date too. With 4.5 s of the naming's 6 s gone, all older weights were refused at once.

Change: the first read after a gap does not wait. What it returns may be as old as the gap; what comes after it is new. This costs one call to the store after each gap.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
@@ -176,7 +176,9 @@
         :raises StoreUnavailableError: if the store does not answer.
         :raises HoleFoundError: if the store no longer has the offset, or has begun a new era.
         """
-        reading = gevent.spawn(_read_or_error, self._topic, offset)
+        # Records that come after a wait are new only if all earlier ones have been read.
+        wait_s = 0.0 if math.isfinite(self._unread_since) else WAIT_S
+        reading = gevent.spawn(_read_or_error, self._topic, offset, wait_s)
         try:
             gevent.wait([reading, self._woken], count=1)
             if not reading.ready():
@@ -211,9 +213,9 @@
 
 
 def _read_or_error(
-    topic: KeyedTopic, offset: int
+    topic: KeyedTopic, offset: int, wait_s: float
 ) -> Batch | HoleFoundError | StoreUnavailableError:
     try:
-        return topic.since(offset, WAIT_S)
+        return topic.since(offset, wait_s)
     except (HoleFoundError, StoreUnavailableError) as error:
         return error
