Date all answers to the first reads after a gap as old as the gap

What callers saw: nothing was seen. A request could begin on replaced weights later than allowed, by as long as the node had not read.

Cause: after a gap, records may be as old as the gap. If the store returns them in several answers, only those of the first one were dated so; the others counted as written when they were read.

Change: the doubt ends with the answer that has nothing left behind it.

Measured: the new case of test_operator_dates is red without the change (version 3 dated 110.4, written before 110.0) and green with it.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
@@ -162,7 +162,8 @@
             # Removed keys are missing among the newest records.
             end = Position(batch.era, max(0, batch.next_offset - 1))
             self._view.end_unlisted_evacuations(batch.records, end, "store")
-        self._unread_since = math.inf
+        if batch.unread <= 0 or not batch.records:
+            self._unread_since = math.inf
         self._has_read = True
 
     def _newest(self) -> Batch:
--- a/tests/test_operator_dates.py
+++ b/tests/test_operator_dates.py
@@ -78,3 +78,16 @@
         known_at = self.read((110.0, lost), (110.2, Batch((naming(2),), 1)))
         self.assertLessEqual(known_at[2], 107.0)
         self.assertFalse(math.isinf(known_at[2]))
+
+    def test_all_parts_of_what_was_written_in_a_gap_are_as_old(self) -> None:
+        """Guards against the same when the records of a gap come in several answers."""
+        lost = StoreUnavailableError("lost")
+        known_at = self.read(
+            (110.0, lost),
+            (110.2, Batch((naming(2),), 1, unread=1)),
+            (110.4, Batch((naming(3),), 2)),
+            (114.0, Batch((naming(4),), 3)),
+        )
+        self.assertLessEqual(known_at[3], 107.0)
+        self.assertEqual(known_at[4], 114.0)
+        self.assertEqual(self.topic.waits_s, [WAIT_S, 0.0, 0.0, WAIT_S])
