Count the time in which an instance is suspended in all decisions

What callers saw: nothing was seen. A request could begin on replaced weights later than allowed by as long as its node was suspended, until a peer told the age of the naming. Leases, limits and the list of endpoints counted suspension before; namings, roll-outs, notices of leaving endpoints, deadlines and kept connections did not.

Change: the steady clock of all decisions is the one that counts suspension. Timers of the event loop still stand still, so the watch for late begins looks at the clock every 0.5 s.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/begin_watch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/begin_watch.py
@@ -21,6 +21,9 @@
 #: Time before that over which attempts are left, seconds. The engines with newer weights would
 #: otherwise get all of them at once.
 LEAVE_SPREAD_S = 0.3
+#: Longest time between two looks at the clock, seconds: timers stand still while the instance is
+#: suspended.
+CHECK_INTERVAL_S = 0.5
 
 
 class WaitingAttempt:
@@ -98,9 +101,15 @@
             waiting.timer = None
         left_s = self._left_s(waiting)
         if math.isfinite(left_s):
-            waiting.timer = gevent.spawn_later(max(0.0, left_s), self._leave, waiting)
+            delay_s = min(max(0.0, left_s), CHECK_INTERVAL_S)
+            waiting.timer = gevent.spawn_later(delay_s, self._leave, waiting)
 
     def _leave(self, waiting: WaitingAttempt) -> None:
+        """Leaves an attempt if it is time; otherwise looks again later."""
+        if self._left_s(waiting) > 0:
+            waiting.timer = None
+            self._schedule(waiting)
+            return
         # A first event that lies in the socket is read first.
         wait_for_turn()
         if waiting in self._waiting[waiting.model]:
--- a/packages/arbutustally/src/arbutustally/clock.py
+++ b/packages/arbutustally/src/arbutustally/clock.py
@@ -6,7 +6,15 @@
 #: Returns monotonic seconds.
 Clock = Callable[[], float]
 
-monotonic: Clock = time.monotonic
+
+def boottime() -> float:
+    """Returns seconds since boot, including suspension of the instance."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+#: Steady clock of all decisions. What a peer, an endpoint or a caller may expect after some time
+#: does not wait for an instance that is suspended.
+monotonic: Clock = boottime
 
 
 class VirtualClock:
@@ -34,8 +42,3 @@
     def advance_to(self, instant: float) -> None:
         """Advances the clock to an instant that is not in the past."""
         self.advance(instant - self._now)
-
-
-def boottime() -> float:
-    """Returns seconds since boot, including suspension of the instance; leases use this clock."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/tests/test_begin_watch.py
+++ b/tests/test_begin_watch.py
@@ -1,7 +1,9 @@
 """Attempts that have not begun are left before the period of their weights ends."""
 
 import math
+import time
 import unittest
+from unittest import mock
 
 import gevent
 import urllib3
@@ -76,6 +78,9 @@
         bounds = {"versionMs": PERIOD_S * 1000, "leaseTtlMs": 1000, "graceS": 3, "ttl_max_s": 1}
         self.node = self.start_node(settings(self.store.address, bounds=bounds))
         self.wait_ready(self.node)
+        # From then on the node knows when records are written.
+        reader = self.node._services.store.operator_reader
+        self.eventually(lambda: reader._unread_since == math.inf)
         self.old, self.new = (self.node._view.book.get(engine.id) for engine in self.engines)
         # Until the naming, only the first engine is free.
         self.new.prompt_tokens += QUEUE_TOKENS
@@ -105,11 +110,15 @@
         self.eventually(lambda: self.node._view.configuration.version == 2)
         asking = gevent.spawn(self.call, self.node, "/chat/x", request_id, Deadline_Ms="5000")
         self.eventually(lambda: self.old.running == 1)
+        self.name()
+        self.new.prompt_tokens -= QUEUE_TOKENS
+        return asking.get()
+
+    def name(self) -> None:
+        """Names weights that the second engine has."""
         self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
         self.eventually(lambda: "m" in self.node._view.weights)
         self.engines[1].version = self.new.weights["m"] = 2
-        self.new.prompt_tokens -= QUEUE_TOKENS
-        return asking.get()
 
     def left(self) -> int:
         """Returns how many attempts were left since their weights expired."""
@@ -126,6 +135,23 @@
         self.assertEqual(self.ask().data, events(1, 5))
         self.assertEqual((self.engines[1].ran, self.left()), (["r1"], 1))
 
+    def test_suspension_of_the_node_counts(self) -> None:
+        """Guards against a clock that stands still while the instance is suspended."""
+        read_clock = time.clock_gettime
+
+        def after_suspension(which: int) -> float:
+            suspended_s = PERIOD_S if which == time.CLOCK_BOOTTIME else 0.0
+            return read_clock(which) + suspended_s
+
+        self.engines[0].behave = None
+        self.name()
+        # The first engine is preferred as long as its weights are allowed.
+        self.new.prompt_tokens -= 0.94 * QUEUE_TOKENS
+        self.assertEqual(self.call(self.node, "/chat/x", "r1").status, 200)
+        with mock.patch("time.clock_gettime", after_suspension):
+            self.assertEqual(self.call(self.node, "/chat/x", "r2").status, 200)
+        self.assertEqual([engine.ran for engine in self.engines], [["r1"], ["r2"]])
+
     def test_stream_that_may_not_run_again_is_left_and_promises_nothing(self) -> None:
         """Guards against 503 for a request that may have run, and against a second run."""
         self.assertEqual(self.ask(resumable=False).status, 502)
