End the watch for late begins when a hedge's answer has arrived

What callers saw: 502 instead of an answer that was being read, on routes with a model whose answers are not streams, when a hedge answers and the period of its weights ends before its body is read.

Cause: the watch ends at the response head of an answer that is no stream, but only for the first attempt. A hedge was watched until its whole body was read. WeightsExpiredError was then raised in read_whole, which does not expect it, and ended the hedge's greenlet with a trace. The hedge counted as running from then on, so the request had no endpoint left.

Change: a hedge's watch ends at the head too, unless a stream follows.

Evidence: the new test of test_begin_watch is red without the change (502, WeightsExpiredError in _run_hedge) and green with it; test_begin_watch and test_hedged_answers, 21 passed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -316,13 +316,17 @@
         )
         waiting = self._await_begin(attempt, hedging)
         try:
-            return self._await_hedge(attempt, hedging)
+            return self._await_hedge(attempt, hedging, waiting)
         finally:
             if waiting is not None:
                 waiting.end()
 
-    def _await_hedge(self, attempt: PlacedAttempt, hedging: HedgeController) -> AttemptResult:
+    def _await_hedge(
+        self, attempt: PlacedAttempt, hedging: HedgeController, waiting: WaitingAttempt | None
+    ) -> AttemptResult:
         result = self._send(attempt, hedging.watch(HEDGE_DELAY_S))
+        if waiting is not None and not self._delivery.is_stream(result):
+            waiting.end()
         if result.outcome is not Outcome.ANSWERED:
             return result
         hedging.record_data()
--- a/tests/test_begin_watch.py
+++ b/tests/test_begin_watch.py
@@ -163,6 +163,32 @@
         self.assertEqual(self.ask().status, 502)
         self.assertEqual((self.engines[1].ran, self.left()), ([], 1))
 
+    def test_hedge_whose_answer_is_being_read_has_begun(self) -> None:
+        """Guards against an answer that is broken off by the end of its weights' period."""
+
+        def answer_slowly(headers) -> HTTPResponse:
+            def body():
+                yield b"first part, "
+                gevent.sleep(PERIOD_S)
+                yield b"second part"
+
+            return signed(headers, body())
+
+        self.engines[1].behave = answer_slowly
+        changed = configuration(2)
+        changed["routes"][0] |= {"kind": "idempotent", "timeoutMs": 6000}
+        self.store.put("keyed.op", "config", changed)
+        self.eventually(lambda: self.node._view.configuration.version == 2)
+        asking = gevent.spawn(self.call, self.node, "/chat/x", "r1", Deadline_Ms="5000")
+        self.eventually(lambda: self.old.running == 1)
+        self.new.prompt_tokens -= QUEUE_TOKENS
+        self.eventually(lambda: self.new.running == 1)
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        answer = asking.get()
+        self.assertEqual((answer.status, answer.data), (200, b"first part, second part"))
+        # Only the first engine had not begun.
+        self.assertEqual(self.left(), 1)
+
     def test_event_that_arrives_as_the_attempt_is_left(self) -> None:
         """Guards against pieces that are missing or come twice if the engine begins just then."""
         first_s = PERIOD_S - LEAVE_MARGIN_S - LEAVE_SPREAD_S
