Leave attempts on weights whose replacement cannot be dated

What callers saw: nothing was seen. A request could begin on replaced weights at any time.

The watch for late begins scheduled finite times only, so the end "long ago" counted as no end, and attempts that were under way were never left.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/begin_watch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/begin_watch.py
@@ -100,9 +100,13 @@
             waiting.timer.kill(block=False)
             waiting.timer = None
         left_s = self._left_s(waiting)
-        if math.isfinite(left_s):
-            delay_s = min(max(0.0, left_s), CHECK_INTERVAL_S)
-            waiting.timer = gevent.spawn_later(delay_s, self._leave, waiting)
+        if left_s == math.inf:
+            return
+        if left_s == -math.inf:
+            # A peer usually tells soon when a version was named that this node cannot date.
+            left_s = CHECK_INTERVAL_S - waiting.lead_s
+        delay_s = min(max(0.0, left_s), CHECK_INTERVAL_S)
+        waiting.timer = gevent.spawn_later(delay_s, self._leave, waiting)
 
     def _leave(self, waiting: WaitingAttempt) -> None:
         """Leaves an attempt if it is time; otherwise looks again later."""
--- a/tests/test_begin_watch.py
+++ b/tests/test_begin_watch.py
@@ -10,7 +10,12 @@
 from bottle import HTTPResponse
 
 from arbutustally.clock import monotonic
-from arbutustally_node.gateway.begin_watch import LEAVE_MARGIN_S, LEAVE_SPREAD_S, BeginWatch
+from arbutustally_node.gateway.begin_watch import (
+    CHECK_INTERVAL_S,
+    LEAVE_MARGIN_S,
+    LEAVE_SPREAD_S,
+    BeginWatch,
+)
 from tests.engine_answers import events, signed, use_up_repeat_budget
 from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase, settings
@@ -59,6 +64,26 @@
         gevent.sleep(LATE_S)
         self.assertEqual(len(self.left_at), 1)
 
+    def test_naming_without_a_known_date_counts(self) -> None:
+        """Guards against a request that waits without a bound while nobody can date the naming."""
+        self.begin(0.0)
+        self.begin(1.0)
+        self.until = -math.inf
+        self.watch.weights_changed("m")
+        gevent.sleep(CHECK_INTERVAL_S + LATE_S)
+        self.assertEqual(len(self.left_at), 2)
+
+    def test_naming_that_a_peer_dates_at_once_leaves_its_period(self) -> None:
+        """Guards against attempts that are left because a snapshot names weights without a date."""
+        self.begin(1.0)
+        self.until = -math.inf
+        self.watch.weights_changed("m")
+        gevent.sleep(0.1)
+        self.until = monotonic() + LEAVE_MARGIN_S + 5.0
+        self.watch.weights_changed("m")
+        gevent.sleep(CHECK_INTERVAL_S + LATE_S)
+        self.assertEqual(self.left_at, [])
+
     def test_attempt_that_has_ended_is_not_left(self) -> None:
         self.until = monotonic() + LEAVE_MARGIN_S + 0.05
         self.begin().end()
