Date a naming that is read after a standstill as old as the standstill

What callers saw: nothing was seen. A node without peers let requests begin on replaced weights later than allowed, by as long as its process or its instance was suspended when the version was named.

Cause: a record that comes after a wait counts as written when it is read. If the node stands still meanwhile, the answer lies in its socket, also while the clock counts the time. In a fleet, peers that went on tell the exact age within a message or two; a node alone never learns it.

Change: the monitor of the event loop tells since when what is read now may have arrived. A node that has had no peers recently dates the operator's records by it. Others don't, since their peers would adopt the earlier date and refuse the older weights.

Evidence: the new test of test_begin_watch blocks the process for 1.0 s and is red without the change (dated 0.9 s after the naming) and green with it. The test with two nodes is red if they date so too. test_loop_lag, test_operator_dates, test_begin_watch, test_gateway_node_weights and the tests with return_world, 46 passed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/loop_lag.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/loop_lag.py
@@ -1,5 +1,6 @@
 """Measures by how much the event loop's timers are late."""
 
+import math
 import time
 from typing import Any
 
@@ -13,6 +14,8 @@
 INTERVAL_S = 0.05
 #: Delay above which a line is logged, seconds.
 LOGGED_LAG_S = 0.25
+#: Time after such a delay within which the loop reads what arrived meanwhile, seconds.
+BACKLOG_S = 0.5
 
 
 class LoopLagMonitor:
@@ -29,6 +32,9 @@
         self._instruments = instruments
         self._clock = clock
         self._greenlet: Any = None
+        self._turn_at = math.inf
+        self._stalled_from = -math.inf
+        self._stalled_to = -math.inf
 
     def start(self) -> None:
         """Starts the measurements."""
@@ -39,6 +45,17 @@
         if self._greenlet is not None:
             self._greenlet.kill()
 
+    def earliest_arrival(self) -> float:
+        """Returns the earliest time at which what is read now may have arrived, steady seconds.
+
+        It is in the past while the loop stands still, e.g. since the process or the instance is
+        suspended, and shortly after.
+        """
+        now = self._clock()
+        if now - self._turn_at > INTERVAL_S + LOGGED_LAG_S:
+            return self._turn_at
+        return self._stalled_from if now - self._stalled_to < BACKLOG_S else now
+
     def record(self, lag_s: float, processor_s: float) -> None:
         """Records one delay.
 
@@ -56,6 +73,12 @@
     def _run(self) -> None:
         while True:
             began, processor_began = self._clock(), time.process_time()
+            self._turn_at = began
             gevent.sleep(INTERVAL_S)
-            lag_s = self._clock() - began - INTERVAL_S
+            ended = self._clock()
+            lag_s = ended - began - INTERVAL_S
+            if lag_s > LOGGED_LAG_S:
+                if began - self._stalled_to >= BACKLOG_S:
+                    self._stalled_from = began
+                self._stalled_to = ended
             self.record(lag_s, time.process_time() - processor_began)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -139,7 +139,8 @@
         has_relayed_loads=lambda: not gossip.is_direct,
     )
     exchange = RequestHandler(requests)
-    store = _build_store_readers(options, platform, state, gossip, contact)
+    loop_lag = LoopLagMonitor(log, state.instruments, monotonic)
+    store = _build_store_readers(options, platform, state, gossip, contact, loop_lag)
     weights = _build_weights(options, platform, state, gossip, checker.unreachable)
     synced = SyncedServices(
         view,
@@ -169,7 +170,7 @@
     )
     kernel = _register(
         ("log", log),
-        ("loop_lag", LoopLagMonitor(log, state.instruments, monotonic)),
+        ("loop_lag", loop_lag),
         ("gossip", gossip),
         ("isolation", store.isolation),
         ("endpoints", store.endpoints),
@@ -201,6 +202,7 @@
     state: NodeState,
     gossip: Gossip,
     contact: Contact,
+    loop_lag: LoopLagMonitor,
 ) -> StoreReaders:
     log, view, bounds = state.log, state.view, options.bounds
     watch = StoreWatch(log, monotonic, contact)
@@ -217,6 +219,11 @@
         ListOutage(bounds.heartbeat_s),
         bounds.store_return_s,
     )
+
+    def earliest_arrival() -> float:
+        # Peers that went on meanwhile know better, and would adopt an earlier date.
+        return monotonic() if gossip.known else loop_lag.earliest_arrival()
+
     operator_reader = OperatorReader(
         platform.operator_topic,
         view,
@@ -225,6 +232,7 @@
         monotonic,
         lambda: endpoints.is_reader,
         gossip.send_now,
+        earliest_arrival,
     )
     announcer = Announcer(
         platform.node_topic, gossip, watch, log, boottime, options.node, options.ip.encode()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
@@ -38,6 +38,8 @@
 
     :param is_reader: returns whether this node reads for the fleet now.
     :param send_now: sends the peers at once the records that this node has read.
+    :param earliest_arrival: returns the earliest time at which an answer that is read now may have
+        arrived, steady seconds; by default now.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         clock: Clock,
         is_reader: Callable[[], bool],
         send_now: Callable[[], None],
+        earliest_arrival: Clock | None = None,
     ) -> None:
         self._topic = topic
         self._view = view
@@ -57,6 +60,7 @@
         self._clock = clock
         self._is_reader = is_reader
         self._send_now = send_now
+        self._earliest_arrival = earliest_arrival or clock
         self._recent: deque[tuple[float, float, Record]] = deque()
         self._offset: int | None = None
         self._era = 0
@@ -147,6 +151,7 @@
             self._log.line("store_history_gone", oldest=error.oldest, read_from=offset)
             self._read_anew()
             return
+        arrived_at = self._earliest_arrival()
         decoded = self._view.decode_operators(batch.records)
         self._watch.answered()
         if offset is not None and batch.era != self._era:
@@ -157,7 +162,7 @@
         self._era, self._offset = batch.era, batch.next_offset
         if self._era >= self._announced_era:
             self._woken.clear()
-        self._apply_records(decoded, min(self._unread_since, self._clock()), self._has_read)
+        self._apply_records(decoded, min(self._unread_since, arrived_at), self._has_read)
         if offset is None:
             # Removed keys are missing among the newest records.
             end = Position(batch.era, max(0, batch.next_offset - 1))
--- a/tests/test_begin_watch.py
+++ b/tests/test_begin_watch.py
@@ -8,6 +8,7 @@
 import gevent
 import urllib3
 from bottle import HTTPResponse
+from gevent import monkey
 
 from arbutustally.clock import monotonic
 from arbutustally_node.gateway.begin_watch import (
@@ -26,6 +27,10 @@
 #: is sent.
 PERIOD_S = 1.4
 QUEUE_TOKENS = 1e5
+#: Time for which the whole process stands still, seconds.
+STANDSTILL_S = 1.0
+
+_block = monkey.get_original("time", "sleep")
 
 
 class BeginWatchTest(unittest.TestCase):
@@ -177,6 +182,16 @@
             self.assertEqual(self.call(self.node, "/chat/x", "r2").status, 200)
         self.assertEqual([engine.ran for engine in self.engines], [["r1"], ["r2"]])
 
+    def test_naming_while_the_node_stands_still_is_dated_before_it_goes_on(self) -> None:
+        """Guards against a period that begins late at a node that was suspended when it began."""
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        named_at = monotonic()
+        _block(STANDSTILL_S)
+        self.eventually(lambda: "m" in self.node._view.weights)
+        known_at = self.node._view.weights["m"].known_at[2]
+        self.assertLess(known_at, named_at + LATE_S)
+        self.assertGreater(known_at, named_at - LATE_S)
+
     def test_stream_that_may_not_run_again_is_left_and_promises_nothing(self) -> None:
         """Guards against 503 for a request that may have run, and against a second run."""
         self.assertEqual(self.ask(resumable=False).status, 502)
@@ -224,3 +239,22 @@
                     self.setUp()
                 self.pause_s = first_s + LEAVE_SPREAD_S * number / 7
                 self.assertEqual(self.ask(f"r{number}").data, events(1, 5))
+
+
+class StandstillAmongPeersTest(GatewayCase):
+    def test_naming_after_a_standstill_is_new_where_peers_date_it(self) -> None:
+        """Guards against a fleet that refuses older weights since one of its nodes stood still."""
+        nodes = self.start_nodes(2)
+        for node in nodes:
+            self.wait_ready(node)
+            reader = node._services.store.operator_reader
+            self.eventually(lambda reader=reader: reader._unread_since == math.inf)
+            self.eventually(lambda node=node: node._services.gossip.known == 1)
+        _block(STANDSTILL_S)
+        named_at = monotonic()
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        for node in nodes:
+            self.eventually(lambda node=node: "m" in node._view.weights)
+        gevent.sleep(LATE_S)
+        for node in nodes:
+            self.assertGreater(node._view.weights["m"].known_at[2], named_at - LATE_S)
--- a/tests/test_loop_lag.py
+++ b/tests/test_loop_lag.py
@@ -9,7 +9,12 @@
 
 from arbutustally.clock import monotonic
 from arbutustally_node.gateway.instruments import Instruments
-from arbutustally_node.gateway.loop_lag import INTERVAL_S, LOGGED_LAG_S, LoopLagMonitor
+from arbutustally_node.gateway.loop_lag import (
+    BACKLOG_S,
+    INTERVAL_S,
+    LOGGED_LAG_S,
+    LoopLagMonitor,
+)
 
 _block = monkey.get_original("time", "sleep")
 
@@ -37,3 +42,18 @@
             gevent.sleep(INTERVAL_S)
         self.monitor.stop()
         self.log.line.assert_called_once()
+
+    def test_what_is_read_after_a_standstill_may_have_arrived_before(self) -> None:
+        """Guards against answers that count as new since their node could not read them earlier."""
+        self.monitor.start()
+        self.addCleanup(self.monitor.stop)
+        gevent.sleep(INTERVAL_S)
+        began = monotonic()
+        _block(LOGGED_LAG_S + 2 * INTERVAL_S)
+        for _ in range(2):
+            # Before and after the monitor's timer has fired.
+            self.assertLessEqual(self.monitor.earliest_arrival(), began)
+            self.assertGreater(self.monitor.earliest_arrival(), began - 2 * INTERVAL_S)
+            gevent.sleep(2 * INTERVAL_S)
+        gevent.sleep(BACKLOG_S)
+        self.assertGreater(self.monitor.earliest_arrival(), monotonic() - INTERVAL_S)
