Keep requests with one attempt as far from the bound as those that may not repeat

What callers saw: 502 for streams and idempotent requests on routes with maxAttempts 1, if their engine is silent near the end of the period of its weights.

Cause: such a request is left when the period ends and may run at no second engine.

Change: a route with one attempt counts as one that can't move its requests.

Evidence: the new test of test_placer is red without the change and green with it; 10 passed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -274,7 +274,8 @@
         """Returns the version of the weights to run on, and the engines that have it."""
         services, request = self._services, self._request
         named = services.view.weights.get(request.model)
-        may_move = self._route.may_repeat and not self._tried
+        can_run_twice = self._route.may_repeat and self._route.max_attempts > 1
+        may_move = can_run_twice and not self._tried
         margin_s = WEIGHTS_MARGIN_S if may_move else LAST_ATTEMPT_MARGIN_S
         bound_s = services.weights_s - margin_s
         prompt_tokens = request.prompt_tokens or 0
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -50,7 +50,7 @@
         tokens = seconds * self.placement.prefill_speed(name)
         self.view.book.get(name).peer_load["n2"] = (1, tokens, 0.0, 0)
 
-    def place(self, after_s: float, resumable: bool = True) -> str:
+    def place(self, after_s: float, resumable: bool = True, attempts: int = 2) -> str:
         """Places a stream the given time after version 2 was named."""
         self.clock.advance(NAMED_AT + after_s - self.clock())
         services = SimpleNamespace(
@@ -68,7 +68,8 @@
             contact=SimpleNamespace(is_current=True),
             spill=ZoneSpill(ZoneCosts(), "z1", self.clock, Random(3)),
         )
-        asked, way = prompt(("aa", PROMPT_TOKENS)), route(resumable=resumable)
+        asked = prompt(("aa", PROMPT_TOKENS))
+        way = route(attempts=attempts, resumable=resumable)
         configuration = Configuration(1, (way,), {"s": Service("s", 10, Engine(4, 10**9))}, {}, ())
         placer = Placer(services, asked, configuration, way, None, SimpleNamespace(facts={}))
         return placer.place(60.0, False).state.id
@@ -108,6 +109,13 @@
         self.assertEqual(self.place(last_s - 0.2, resumable=False), "old")
         self.assertEqual(self.place(last_s, resumable=False), "new")
 
+    def test_stream_with_one_attempt_keeps_away_from_the_bound(self) -> None:
+        """Guards against the same on a route that allows no second engine."""
+        self.queue("new", 4.0)
+        last_s = WEIGHTS_S - LAST_ATTEMPT_MARGIN_S
+        self.assertEqual(self.place(last_s - 0.2, attempts=1), "old")
+        self.assertEqual(self.place(last_s, attempts=1), "new")
+
     def test_speed_of_the_engine_and_length_of_the_prompt_count(self) -> None:
         """Guards against prompts that begin too late at a slow engine, if it has no queue."""
         self.queue("new", 4.0)
