Tell peers of replaced weights that no node can date

What callers saw: nothing was seen. A request could begin on weights that were replaced long ago.

Cause: the store keeps the newest naming only. A node that starts finds version 3 there and gets its date from a peer. Peers told dated versions only, so where all of them had started after version 2 was named, the new node did not know of version 2, and took the date of version 3 for the replacement of version 1. The others refused version 1. Each version is judged from its own acknowledgement.

Change: nodes also tell the replaced versions that they can't date, with a stated age that counts as unknown. A known date is kept. The newest version is not told so: a node finds it by itself, and an unknown date that came before the known one would refuse older weights for a while.

Evidence: the new test of test_gateway_node_weights is red without the change (the started node allows version 0 on) and green with it; test_gateway_weights, parts of test_begin_watch, and the tests of peers and messages, 78 passed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -73,7 +73,8 @@
         under evaluation (``RolloutEvidence.totals``).
     :ivar speeds: prompt tokens that engines were observed to process recently, and the seconds that
         it took, by engine.
-    :ivar weights: named versions by model, with the time in seconds since each became known.
+    :ivar weights: named versions by model, with the time in seconds since each became known;
+        ``UNKNOWN_AGE_S`` for a replaced one of unknown age.
     :ivar engines: version that an engine is known to run if newer than in the endpoints' list, by
         endpoint and model.
     :ivar orders_engines: whether one of the covered nodes holds the lease on orders to engines.
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -1,5 +1,6 @@
 """Builds the state that a node sends to its peers, and applies the states that it receives."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -7,6 +8,7 @@
 from arbutustally.gateway.attempts import RepeatLedger
 from arbutustally.gateway.engine_speeds import EngineSpeeds
 from arbutustally.gateway.holdings import Holdings
+from arbutustally.gateway.named_weights import NamedWeights
 from arbutustally.gateway.quota import QuotaLedger
 from arbutustally.gateway.relaying import Member
 from arbutustally.gateway.requests import PromptPart
@@ -27,6 +29,9 @@
 #: Time for which an endpoint counts as loading after a peer reported it, in message intervals.
 LOADING_TIMEOUT_INTERVALS = 2.5
 
+#: Age that is stated for weights that were named at an unknown time, seconds.
+UNKNOWN_AGE_S = 1e9
+
 
 @dataclass(frozen=True)
 class SyncedServices:
@@ -90,10 +95,7 @@
             },
             admitted={**services.quota.admitted, **services.rollouts.totals},
             speeds=services.speeds.own(),
-            weights={
-                model: {version: round(now - at, 3) for version, at in named.dated.items()}
-                for model, named in view.weights.items()
-            },
+            weights={model: _ages(named, now) for model, named in view.weights.items()},
             engines={state.id: dict(newer) for state in states if (newer := state.newer_weights)},
             orders_engines=weights.is_holder,
             loading=tuple(state.id for state in states if state.loading and weights.is_holder),
@@ -152,7 +154,8 @@
         view, now = self._services.view, self._clock()
         for model, versions in state.weights.items():
             for version, age in versions.items():
-                view.learn_weights(model, version, now - age, state.sender.node)
+                known_at = now - age if age < UNKNOWN_AGE_S else -math.inf
+                view.learn_weights(model, version, known_at, state.sender.node)
         for endpoint_id, weights in state.engines.items():
             endpoint = view.book.get(endpoint_id)
             if endpoint is None:
@@ -173,3 +176,14 @@
         for endpoint in view.book.all():
             if endpoint.loading and now >= endpoint.loading_until:
                 endpoint.loading = False
+
+
+def _ages(named: NamedWeights, now: float) -> dict[int, float]:
+    """Returns the time since each version was named, as peers are told it, seconds.
+
+    A node that has started since finds only the newest one in the store. Without the others it
+    would take the date of the newest one for that of the replacement of all older weights. It finds
+    an undated newest one by itself, and peers that have not read it yet will date it.
+    """
+    ages = dict.fromkeys(named.undated, UNKNOWN_AGE_S)
+    return ages | {version: round(now - at, 3) for version, at in named.dated.items()}
--- a/packages/arbutustally/src/arbutustally/gateway/named_weights.py
+++ b/packages/arbutustally/src/arbutustally/gateway/named_weights.py
@@ -23,6 +23,11 @@
             version: at for version, at in self.known_at.items() if version not in self._undated
         }
 
+    @property
+    def undated(self) -> tuple[int, ...]:
+        """Returns the replaced versions whose naming was observed by no node that is known."""
+        return tuple(sorted(self._undated - {self.version}))
+
     @property
     def version(self) -> int:
         """Returns the newest version."""
--- a/tests/test_gateway_node_weights.py
+++ b/tests/test_gateway_node_weights.py
@@ -1,10 +1,14 @@
 """Tests over real sockets that gateway nodes update engines to the named weights."""
 
+import socket
+
 import gevent
 
+from arbutustally.clock import monotonic
 from arbutustally_node.gateway.node import GatewayNode
 from arbutustally_node.gateway.weights_service import LOADS_DUTY
 from tests.gateway_fleet import GatewayCase, settings
+from tests.ports import free_port
 
 
 class WeightsTest(GatewayCase):
@@ -83,6 +87,28 @@
         self.assertEqual(node._view.book.get(engine.id).weights, {"m": 1})
         self.assertEqual(self.call(node, "/chat/x", "r2").status, 200)
 
+    def test_started_node_learns_of_versions_whose_records_are_gone(self) -> None:
+        """Guards against requests on weights that were replaced twice: only the last has a date."""
+        port = free_port(kind=socket.SOCK_DGRAM)
+
+        def start(number: int) -> GatewayNode:
+            name, ip = f"node-{number}", f"127.0.0.{number}"
+            fields = settings(self.store.address, name, ip, internalPorts=[port, port])
+            node = self.start_node(fields)
+            self.wait_ready(node)
+            return node
+
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        older = start(1)
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 3})
+        self.eventually(lambda: 3 in older._view.weights["m"].dated)
+        younger = start(2)
+        self.eventually(lambda: 3 in younger._view.weights["m"].dated)
+        now = monotonic()
+        for node in (older, younger):
+            self.assertEqual(node._view.weights["m"].oldest_allowed(now, 60.0), 2)
+        self.assertEqual(list(younger._view.weights["m"].dated), [3])
+
     def test_engines_ahead_of_the_list_serve_while_another_holds_the_lease(self) -> None:
         """Guards against refusals until the lease of a killed holder has expired."""
         for engine in self.engines:
