Test callers that leave in the moment in which their attempts are left

Both interrupt the same wait. No fault was found: ten callers close at the times at which attempts are left; all end as answered or caller_gone, and no load or watch stays.

--- a/tests/test_begin_watch.py
+++ b/tests/test_begin_watch.py
@@ -27,6 +27,8 @@
 #: is sent.
 PERIOD_S = 1.4
 QUEUE_TOKENS = 1e5
+#: Callers that wait for the first engine.
+CALLERS = 10
 #: Time for which the whole process stands still, seconds.
 STANDSTILL_S = 1.0
 
@@ -229,6 +231,36 @@
         # Only the first engine had not begun.
         self.assertEqual(self.left(), 1)
 
+    def test_callers_that_leave_as_their_attempts_are_left(self) -> None:
+        """Guards against load that stays counted, and internal errors, if both happen at once."""
+        self.pause_s = 6.0
+        host, _, port = self.node._options.caller_listen.rpartition(":")
+        callers = []
+        for number in range(CALLERS):
+            caller = gevent.socket.create_connection((host, int(port)))
+            caller.sendall(
+                b"POST /chat/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r%d\r\n"
+                b"Authorization: Token key-school\r\nDeadline-Ms: 5000\r\nModel: m\r\n"
+                b"Token-Usage: 100,5\r\nPrompt-Prefix: aa:60,b%d:40\r\n"
+                b"Content-Length: 0\r\n\r\n" % (number, number)
+            )
+            callers.append(caller)
+        self.eventually(lambda: self.old.running == CALLERS)
+        self.name()
+        self.new.prompt_tokens -= QUEUE_TOKENS
+        begins = self.node._services.requests.begins
+        due = sorted(monotonic() + begins._left_s(waiting) for waiting in begins._waiting["m"])
+        for at, caller in zip(due, callers, strict=True):
+            gevent.sleep(max(0.0, at - monotonic()))
+            caller.close()
+        self.eventually(lambda: self.old.running + self.new.running == 0, 3.0)
+        self.assertEqual(begins._waiting["m"], set())
+        count = self.node._services.state.instruments.value
+        self.eventually(
+            lambda: count("requests", "answered") + count("requests", "caller_gone") == CALLERS
+        )
+        self.assertGreater(self.left(), 0)
+
     def test_event_that_arrives_as_the_attempt_is_left(self) -> None:
         """Guards against pieces that are missing or come twice if the engine begins just then."""
         first_s = PERIOD_S - LEAVE_MARGIN_S - LEAVE_SPREAD_S
