--- a/tests/test_begin_watch.py
+++ b/tests/test_begin_watch.py
@@ -8,9 +8,15 @@
 import gevent
 import urllib3
 from bottle import HTTPResponse
+from gevent import monkey
 
 from arbutustally.clock import monotonic
-from arbutustally_node.gateway.begin_watch import LEAVE_MARGIN_S, LEAVE_SPREAD_S, BeginWatch
+from arbutustally_node.gateway.begin_watch import (
+    CHECK_INTERVAL_S,
+    LEAVE_MARGIN_S,
+    LEAVE_SPREAD_S,
+    BeginWatch,
+)
 from tests.engine_answers import events, signed, use_up_repeat_budget
 from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase, settings
@@ -21,6 +27,12 @@
 #: is sent.
 PERIOD_S = 1.4
 QUEUE_TOKENS = 1e5
+#: Callers that wait for the first engine.
+CALLERS = 10
+#: Time for which the whole process stands still, seconds.
+STANDSTILL_S = 1.0
+
+_block = monkey.get_original("time", "sleep")
 
 
 class BeginWatchTest(unittest.TestCase):
@@ -59,6 +71,26 @@
         gevent.sleep(LATE_S)
         self.assertEqual(len(self.left_at), 1)
 
+    def test_naming_without_a_known_date_counts(self) -> None:
+        """Guards against a request that waits without a bound while nobody can date the naming."""
+        self.begin(0.0)
+        self.begin(1.0)
+        self.until = -math.inf
+        self.watch.weights_changed("m")
+        gevent.sleep(CHECK_INTERVAL_S + LATE_S)
+        self.assertEqual(len(self.left_at), 2)
+
+    def test_naming_that_a_peer_dates_at_once_leaves_its_period(self) -> None:
+        """Guards against attempts that are left because a snapshot names weights without a date."""
+        self.begin(1.0)
+        self.until = -math.inf
+        self.watch.weights_changed("m")
+        gevent.sleep(0.1)
+        self.until = monotonic() + LEAVE_MARGIN_S + 5.0
+        self.watch.weights_changed("m")
+        gevent.sleep(CHECK_INTERVAL_S + LATE_S)
+        self.assertEqual(self.left_at, [])
+
     def test_attempt_that_has_ended_is_not_left(self) -> None:
         self.until = monotonic() + LEAVE_MARGIN_S + 0.05
         self.begin().end()
@@ -152,6 +184,16 @@
             self.assertEqual(self.call(self.node, "/chat/x", "r2").status, 200)
         self.assertEqual([engine.ran for engine in self.engines], [["r1"], ["r2"]])
 
+    def test_naming_while_the_node_stands_still_is_dated_before_it_goes_on(self) -> None:
+        """Guards against a period that begins late at a node that was suspended when it began."""
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        named_at = monotonic()
+        _block(STANDSTILL_S)
+        self.eventually(lambda: "m" in self.node._view.weights)
+        known_at = self.node._view.weights["m"].known_at[2]
+        self.assertLess(known_at, named_at + LATE_S)
+        self.assertGreater(known_at, named_at - LATE_S)
+
     def test_stream_that_may_not_run_again_is_left_and_promises_nothing(self) -> None:
         """Guards against 503 for a request that may have run, and against a second run."""
         self.assertEqual(self.ask(resumable=False).status, 502)
@@ -163,6 +205,62 @@
         self.assertEqual(self.ask().status, 502)
         self.assertEqual((self.engines[1].ran, self.left()), ([], 1))
 
+    def test_hedge_whose_answer_is_being_read_has_begun(self) -> None:
+        """Guards against an answer that is broken off by the end of its weights' period."""
+
+        def answer_slowly(headers) -> HTTPResponse:
+            def body():
+                yield b"first part, "
+                gevent.sleep(PERIOD_S)
+                yield b"second part"
+
+            return signed(headers, body())
+
+        self.engines[1].behave = answer_slowly
+        changed = configuration(2)
+        changed["routes"][0] |= {"kind": "idempotent", "timeoutMs": 6000}
+        self.store.put("keyed.op", "config", changed)
+        self.eventually(lambda: self.node._view.configuration.version == 2)
+        asking = gevent.spawn(self.call, self.node, "/chat/x", "r1", Deadline_Ms="5000")
+        self.eventually(lambda: self.old.running == 1)
+        self.new.prompt_tokens -= QUEUE_TOKENS
+        self.eventually(lambda: self.new.running == 1)
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        answer = asking.get()
+        self.assertEqual((answer.status, answer.data), (200, b"first part, second part"))
+        # Only the first engine had not begun.
+        self.assertEqual(self.left(), 1)
+
+    def test_callers_that_leave_as_their_attempts_are_left(self) -> None:
+        """Guards against load that stays counted, and internal errors, if both happen at once."""
+        self.pause_s = 6.0
+        host, _, port = self.node._options.caller_listen.rpartition(":")
+        callers = []
+        for number in range(CALLERS):
+            caller = gevent.socket.create_connection((host, int(port)))
+            caller.sendall(
+                b"POST /chat/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r%d\r\n"
+                b"Authorization: Token key-school\r\nDeadline-Ms: 5000\r\nModel: m\r\n"
+                b"Token-Usage: 100,5\r\nPrompt-Prefix: aa:60,b%d:40\r\n"
+                b"Content-Length: 0\r\n\r\n" % (number, number)
+            )
+            callers.append(caller)
+        self.eventually(lambda: self.old.running == CALLERS)
+        self.name()
+        self.new.prompt_tokens -= QUEUE_TOKENS
+        begins = self.node._services.requests.begins
+        due = sorted(monotonic() + begins._left_s(waiting) for waiting in begins._waiting["m"])
+        for at, caller in zip(due, callers, strict=True):
+            gevent.sleep(max(0.0, at - monotonic()))
+            caller.close()
+        self.eventually(lambda: self.old.running + self.new.running == 0, 3.0)
+        self.assertEqual(begins._waiting["m"], set())
+        count = self.node._services.state.instruments.value
+        self.eventually(
+            lambda: count("requests", "answered") + count("requests", "caller_gone") == CALLERS
+        )
+        self.assertGreater(self.left(), 0)
+
     def test_event_that_arrives_as_the_attempt_is_left(self) -> None:
         """Guards against pieces that are missing or come twice if the engine begins just then."""
         first_s = PERIOD_S - LEAVE_MARGIN_S - LEAVE_SPREAD_S
@@ -173,3 +271,22 @@
                     self.setUp()
                 self.pause_s = first_s + LEAVE_SPREAD_S * number / 7
                 self.assertEqual(self.ask(f"r{number}").data, events(1, 5))
+
+
+class StandstillAmongPeersTest(GatewayCase):
+    def test_naming_after_a_standstill_is_new_where_peers_date_it(self) -> None:
+        """Guards against a fleet that refuses older weights since one of its nodes stood still."""
+        nodes = self.start_nodes(2)
+        for node in nodes:
+            self.wait_ready(node)
+            reader = node._services.store.operator_reader
+            self.eventually(lambda reader=reader: reader._unread_since == math.inf)
+            self.eventually(lambda node=node: node._services.gossip.known == 1)
+        _block(STANDSTILL_S)
+        named_at = monotonic()
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        for node in nodes:
+            self.eventually(lambda node=node: "m" in node._view.weights)
+        gevent.sleep(LATE_S)
+        for node in nodes:
+            self.assertGreater(node._view.weights["m"].known_at[2], named_at - LATE_S)
