Make the silence of a sound worker a fault of the soak, and judge VERSION

The soak's only silence, freeze_worker, excuses what happens in it.

Five faults, injected only by name: a worker is suspended for 0.3 to 2 s at any time, around its leaving, before the end of the period of its weights, around the evacuation of its zone, and while streams are hedged. None is recorded as a disruption.

Rules: DRAIN counts when the worker reads a request, also one that was sent in time; such a one only if worker and path were undisrupted. VERSION is new: a run on older weights later than versionMs after a newer version was acknowledged, in one stretch in which store and links were calm, at a node and a worker in touch. In TWICE the time in which a process is suspended does not count as work on a stream; what it does when it goes on counts.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,10 +10,13 @@
 from tests.soak.fleet import Backend, SoakFleet
 from tests.soak.program import Program
 from tests.soak.proxy import Harm
+from tests.soak.rules import DRAIN_S, EVACUATE_S, VERSION_S
 from tests.soak.spoils import Spoil, Spoiling
 
 #: Longest time of one fault, seconds.
 MAX_FAULT_S = 3.0
+#: Longest silence of a sound worker, seconds; the pages allow about a second.
+MAX_SILENCE_S = 2.0
 #: Statuses with which the store refuses calls.
 STORE_REFUSALS = (429, 500, 503)
 
@@ -124,6 +127,59 @@
     _backend(fleet, rng).cool(rng.uniform(4.0, 8.0))
 
 
+def silence_worker(fleet: SoakFleet, rng: Random) -> None:
+    """Lets a sound worker fall silent."""
+    _backend(fleet, rng).fall_silent(_silence_s(rng))
+
+
+def silence_leaving(fleet: SoakFleet, rng: Random) -> None:
+    """Lets a worker fall silent as it is listed as leaving, or before nothing new may reach it."""
+    backend, silence_s = _backend(fleet, rng), _silence_s(rng)
+    pause_s = rng.choice((0.0, DRAIN_S))
+    before_s = rng.uniform(0.0, min(silence_s, pause_s or 0.4))
+    if not pause_s:
+        gevent.spawn(backend.fall_silent, silence_s)
+        gevent.sleep(before_s)
+    backend.list(rng.choice(("draining", None)))
+    if pause_s:
+        gevent.sleep(pause_s - before_s)
+        backend.fall_silent(silence_s)
+    gevent.sleep(rng.uniform(2.5, 4.0))
+    backend.list("ready")
+
+
+def silence_outdated(fleet: SoakFleet, rng: Random) -> None:
+    """Lets an engine keep its weights and fall silent before nothing may begin on them."""
+    backend, silence_s = rng.choice([one for one in fleet.backends if one.model]), _silence_s(rng)
+    backend.ignore_orders()
+    fleet.name_weights()
+    before_s = rng.uniform(0.0, silence_s)
+    gevent.sleep(VERSION_S - before_s)
+    backend.fall_silent(silence_s)
+    gevent.sleep(rng.uniform(0.0, 1.0))
+    backend.obey_orders()
+
+
+def silence_evacuated(fleet: SoakFleet, rng: Random) -> None:
+    """Lets a worker fall silent as its zone is evacuated, or before nothing may reach it."""
+    backend, silence_s = _backend(fleet, rng), _silence_s(rng)
+    alone_s = rng.uniform(0.5, 2.0)
+    pause_s = rng.choice((0.0, EVACUATE_S)) - rng.uniform(0.0, min(0.5, silence_s))
+    gevent.spawn_later(max(0.0, alone_s + pause_s), backend.fall_silent, silence_s)
+    backend.evacuate(alone_s, rng.uniform(6.5, 8.0))
+
+
+def silence_hedged(fleet: SoakFleet, rng: Random) -> None:
+    """Lets an engine fall silent for so long that others are asked, and one of these then too."""
+    first, second = rng.sample([one for one in fleet.backends if one.model], 2)
+    gevent.spawn_later(rng.uniform(0.7, 1.3), second.fall_silent, rng.uniform(0.3, 1.0))
+    first.fall_silent(rng.uniform(1.2, MAX_SILENCE_S))
+
+
+def _silence_s(rng: Random) -> float:
+    return rng.uniform(0.3, MAX_SILENCE_S)
+
+
 def change_configuration(fleet: SoakFleet, rng: Random) -> None:
     """Puts newer configurations in force in quick succession."""
     for _ in range(rng.randint(1, 4)):
@@ -192,8 +248,16 @@
     change_configuration,
     name_weights,
 )
+#: Silences of workers that count as sound, so that the rules judge what their requests do.
+SILENCES: tuple[Fault, ...] = (
+    silence_worker,
+    silence_leaving,
+    silence_outdated,
+    silence_evacuated,
+    silence_hedged,
+)
 #: Faults that are injected only by name, so that the seeds of the others play the same.
-NAMED_FAULTS: tuple[Fault, ...] = (take_worker_out, evacuate_zone, cool_worker)
+NAMED_FAULTS: tuple[Fault, ...] = (take_worker_out, evacuate_zone, cool_worker, *SILENCES)
 
 
 def _node(fleet: SoakFleet, rng: Random) -> Program:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,6 +1,7 @@
 """The processes of one soak: a store, workers behind proxies, and gateway nodes."""
 
 import json
+import signal
 import sys
 import tempfile
 import time
@@ -30,6 +31,8 @@
 LATE_S = 0.1
 #: Interval at which workers renew their entries, seconds.
 HEARTBEAT_S = 1.2
+#: Shortest time between two silences of a worker that counts as sound, seconds.
+BETWEEN_SILENCES_S = 1.0
 #: As on the site sheets, but for a shorter lease.
 BOUNDS = {
     "versionMs": 6000,
@@ -51,6 +54,7 @@
     :ivar left: when it was listed as leaving, or not at all.
     :ivar evacuated: when its zone was evacuated, as the store acknowledged.
     :ivar cold: when it was cold.
+    :ivar silent: when its process was suspended although it counts as sound.
     """
 
     def __init__(self, fleet: "SoakFleet", worker_id: str, service: str, model: str) -> None:
@@ -66,6 +70,7 @@
         self.left = Spans()
         self.evacuated = Spans()
         self.cold = Spans()
+        self.silent = Spans()
         self._cold_until = 0.0
         self._zone = "z1"
         self._state: str | None = None
@@ -171,10 +176,26 @@
             merged |= one
         merged.save(self._spoils)
 
+    def fall_silent(self, seconds: float) -> None:
+        """Suspends the worker, which still counts as sound, unless it was just silent."""
+        now = time.monotonic()
+        if now < self.silent.last_end(now) + BETWEEN_SILENCES_S:
+            return
+        program = self.program
+        self.silent.begin()
+        program.send(signal.SIGSTOP)
+        gevent.sleep(seconds)
+        program.send(signal.SIGCONT)
+        self.silent.end()
+
     def ignore_orders(self) -> None:
         """Makes the worker leave all later orders unanswered and not carry them out."""
         deaf_marker(self._spoils).touch()
 
+    def obey_orders(self) -> None:
+        """Makes the worker carry out later orders again."""
+        deaf_marker(self._spoils).unlink(missing_ok=True)
+
     def restart(self) -> None:
         """Starts the worker again under its id, with the weights that it had."""
         self.program.end()
@@ -211,6 +232,8 @@
         self._watch = gevent.spawn(self.watch_delays)
         self._config_version = 0
         self.weights = 1
+        #: When each version of the weights was acknowledged, oldest first.
+        self.named: list[tuple[int, float]] = []
         self.change_configuration()
         self.backends = [Backend(self, f"e{n}", "llm", MODEL) for n in range(1, size.engines + 1)]
         self.backends += [Backend(self, f"d{n}", "desk", "") for n in range(1, size.desks + 1)]
@@ -250,7 +273,9 @@
     def name_weights(self) -> None:
         """Names newer weights."""
         self.weights += 1
-        self.write("keyed.op", f"version/{MODEL}", {"model": MODEL, "version": self.weights})
+        version = self.weights
+        self.write("keyed.op", f"version/{MODEL}", {"model": MODEL, "version": version})
+        self.named.append((version, time.monotonic()))
 
     def set_store_status(self, status: int) -> None:
         """Makes the store refuse every call, or serve again with 200."""
@@ -300,6 +325,18 @@
                 spans += [backend.disrupted, backend.proxy.harmed]
         return not any(one.touch(began, ended) for one in spans)
 
+    def calm_since(self, at: float) -> float:
+        """Returns since when store and links were calm at a time, infinite if they were not."""
+        links = [*self.stores.values(), *(one.proxy for one in self.backends)]
+        spans = [self.store_disrupted, self.late, *(link.harmed for link in links)]
+        return max(one.last_end(at) for one in spans)
+
+    def worked_s(self, run: Run, since: float, until: float) -> float:
+        """Returns how long a run was worked on in a span; a suspended process does not work."""
+        backend = next(one for one in self.backends if one.id == run.worker)
+        until = min(until, self.end_of(run))
+        return until - since - backend.silent.common_s(since, until)
+
     def end_of(self, run: Run) -> float:
         """Returns when a run ended, at the latest with its worker's process."""
         if run.ended is not None:
--- a/tests/soak/notes.py
+++ b/tests/soak/notes.py
@@ -20,6 +20,7 @@
     :ivar status: with which the worker answers.
     :ivar ended: ``None`` if the worker noted no end, as one that was killed.
     :ivar first: when the first event of a stream was sent, ``None`` without one.
+    :ivar version: of the worker's weights when the run began.
     """
 
     id: str
@@ -29,6 +30,7 @@
     began: float
     ended: float | None = None
     first: float | None = None
+    version: int = 1
 
     @property
     def signature(self) -> str:
@@ -59,9 +61,9 @@
         """Appends a line."""
         os.write(self._file, (" ".join(map(str, words)) + "\n").encode())
 
-    def begin(self, request_id: str, token: str, status: int) -> None:
-        """Notes that a run begins."""
-        self.write("begin", request_id, token, status, time.monotonic())
+    def begin(self, request_id: str, token: str, status: int, version: int) -> None:
+        """Notes that a run begins on a version of the weights."""
+        self.write("begin", request_id, token, status, time.monotonic(), version)
 
     def first(self, request_id: str, token: str) -> None:
         """Notes that the first event of a stream is sent."""
@@ -90,8 +92,9 @@
 
     def _add(self, worker: str, word: str, *values: str) -> None:
         if word == "begin":
-            request_id, token, status, at = values
-            self._began[worker, token] = Run(request_id, worker, token, int(status), float(at))
+            request_id, token, status, at, version = values
+            run = Run(request_id, worker, token, int(status), float(at), version=int(version))
+            self._began[worker, token] = run
         elif word in ("first", "end"):
             _id, token, at = values
             run, field = self._began[worker, token], "first" if word == "first" else "ended"
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -1,11 +1,12 @@
 """What callers must never see, and requests that must not run twice."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import StrEnum
 
 from tests.soak.content import answer_body, stream_body
-from tests.soak.fleet import COLD_PER_S, SoakFleet
+from tests.soak.fleet import BOUNDS, COLD_PER_S, SoakFleet
 from tests.soak.notes import Run
 from tests.soak.wire import Framing, Headers
 
@@ -19,6 +20,8 @@
 CALM_S = 3.0
 #: Time after which a worker that leaves gets nothing new, seconds; the pages' ``drainMs``.
 DRAIN_S = 2.0
+#: Time after which no request may begin on replaced weights, seconds.
+VERSION_S = BOUNDS["versionMs"] / 1000
 #: Time after which an evacuated zone gets nothing; the pages' ``evacuateMs``.
 EVACUATE_S = 5.0
 #: Time after which nodes know that a worker is cold, seconds; its entry may be read that late.
@@ -125,7 +128,7 @@
     if result.kind is not Kind.CHAT:
         return
     for earlier, later in zip(runs, runs[1:], strict=False):
-        worked_s = min(fleet.end_of(earlier), fleet.end_of(later)) - later.began
+        worked_s = fleet.worked_s(earlier, later.began, fleet.end_of(later))
         span = later.began - CALM_S, later.began + OVERLAP_S
         # A request that was held up on its way may begin first at the engine that was asked last.
         workers = earlier.worker, later.worker
@@ -140,11 +143,20 @@
 
 
 def late_runs(fleet: SoakFleet, result: Result, runs: list[Run]) -> Iterator[str]:
-    """Yields the runs at workers that had left, while store and node were calm since then."""
+    """Yields the runs at workers that had left, while store and node were calm since then.
+
+    A request reaches its worker when the worker reads it, so one that waited in a silent worker
+    counts. One that was sent in time is late by its fault only if worker and path were sound.
+    """
     for run in runs:
         worker = next(one for one in fleet.backends if one.id == run.worker)
         left_at = worker.left.began_before(run.began)
-        if left_at is None or result.sent_at < left_at + DRAIN_S:
+        if left_at is None or run.began < left_at + DRAIN_S:
+            continue
+        in_time = result.sent_at < left_at + DRAIN_S
+        if in_time and not fleet.is_in_touch(
+            result.ip, (run.worker,), run.began - CALM_S, run.began
+        ):
             continue
         calm = not fleet.store_disrupted.touch(left_at - CALM_S, run.began)
         span = min(left_at, run.began - CALM_S), run.began
@@ -152,7 +164,22 @@
         if calm and not path.touch(*span) and fleet.is_in_touch(result.ip, (), *span):
             yield (
                 f"DRAIN ran at {run.worker} {run.began - left_at:.3f} s after it left, "
-                f"at {run.began:.3f}, node {result.ip}"
+                f"at {run.began:.3f}, sent at {result.sent_at:.3f}, node {result.ip}"
+            )
+
+
+def outdated_runs(fleet: SoakFleet, result: Result, runs: list[Run]) -> Iterator[str]:
+    """Yields the runs that began on older weights after their period, in one calm stretch."""
+    for run in runs if result.kind is Kind.CHAT else ():
+        named_at = next((at for version, at in fleet.named if version > run.version), math.inf)
+        since = max(named_at, fleet.calm_since(run.began) + CALM_S)
+        if run.began < since + VERSION_S:
+            continue
+        if fleet.is_in_touch(result.ip, (run.worker,), run.began - CALM_S, run.began):
+            yield (
+                f"VERSION ran at {run.worker} on version {run.version} "
+                f"{run.began - named_at:.3f} s after a newer one, at {run.began:.3f}, "
+                f"sent at {result.sent_at:.3f}, node {result.ip}"
             )
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,7 +17,7 @@
 from tests.soak.notes import Notes
 from tests.soak.program import PORTS
 from tests.soak.proxy import Harm
-from tests.soak.rules import cold_bursts, evacuated_runs, late_runs, overlapping_runs
+from tests.soak.rules import cold_bursts, evacuated_runs, late_runs, outdated_runs, overlapping_runs
 
 #: Callers of a fleet of the default size; larger ones have more.
 CALLERS = 16
@@ -164,6 +164,7 @@
             *result.faults(own),
             *overlapping_runs(fleet, result, own),
             *late_runs(fleet, result, own),
+            *outdated_runs(fleet, result, own),
             *evacuated_runs(fleet, result, own),
         )
         for fault in found:
--- a/tests/soak/spans.py
+++ b/tests/soak/spans.py
@@ -24,6 +24,14 @@
         """Adds a span that is over."""
         self._spans.append((began, ended))
 
+    def common_s(self, began: float, ended: float) -> float:
+        """Returns how long the spans, which must not overlap, last within another one."""
+        return sum(max(0.0, min(until, ended) - max(since, began)) for since, until in self._spans)
+
+    def last_end(self, before: float) -> float:
+        """Returns until when the spans that began before a time lasted, 0 if there were none."""
+        return max((until for since, until in self._spans if since < before), default=0.0)
+
     def touch(self, began: float, ended: float) -> bool:
         """Returns whether a span has a moment in common with another one."""
         return any(since <= ended and until >= began for since, until in self._spans)
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -169,7 +169,7 @@
             raise ClosedError
         token = secrets.token_hex(6)
         status = 500 if Spoil.FAIL in spoils else 200
-        self._notes.begin(request_id, token, status)
+        self._notes.begin(request_id, token, status, self._worker.version)
         answer = self._answer(request_id, after, token, status, spoils)
         is_stream = len(answer.parts) != 1
         try:
