Leave answers that one silence held up out of the average latency

Cause: the class is one event counted as many observations. All answers that a silence held up entered the average latency of the endpoint, which plain endpoints are chosen by. One with a higher average gets no requests while the others are not busy, so the average was never corrected.

Change: a slow answer after a usual one, and all answers to requests that were sent before it arrived, leave the average as it is; at most once in 3 s, and again only after a usual answer. So an endpoint that is slow for good is known from its second slow answer that was sent after the first one arrived.

Red before: tests.test_silent_desks.

--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -23,6 +23,10 @@
 FAILURE_DECAY_S = 3.0
 #: Weight of one answer in the moving average of the latency.
 LATENCY_GAIN = 0.2
+#: Multiple of an endpoint's average latency from which an answer may have been held up.
+HELD_UP_FACTOR = 3.0
+#: Shortest time between two moments until which answers count as held up, seconds.
+HELD_UP_INTERVAL_S = 3.0
 #: Longest random extension of a pause that an endpoint asked for, as a share of the pause, so that
 #: the nodes do not resume at the same time.
 PAUSE_SPREAD = 0.2
@@ -293,13 +297,33 @@
         return True
 
     def answered(self, state: EndpointState, latency_s: float) -> None:
-        """Records a successful answer and its latency."""
+        """Records a successful answer and its latency.
+
+        A sound endpoint may be silent for a second or so. All its answers are late then by one
+        event, which tells nothing of the next ones. So a slow answer after a usual one, and all
+        answers to requests that were sent before it arrived, leave the average as it is.
+        """
         state.suspicions = 0
         state.suspect_until = 0.0
         state.is_down = False
+        if self._is_held_up(state, latency_s):
+            return
         gain = LATENCY_GAIN if state.latency_s else 1.0
         state.latency_s += (latency_s - state.latency_s) * gain
 
+    def _is_held_up(self, state: EndpointState, latency_s: float) -> bool:
+        now = self._clock()
+        if now - latency_s < state.held_up_until:
+            return True
+        if not state.latency_s or latency_s < state.latency_s * HELD_UP_FACTOR:
+            state.is_held_up = False
+            return False
+        if state.is_held_up or now - state.held_up_until < HELD_UP_INTERVAL_S:
+            return False
+        state.is_held_up = True
+        state.held_up_until = now
+        return True
+
     def set_peer_load(self, peer: str, loads: Mapping[str, tuple[int, float, float, int]]) -> None:
         """Replaces the load that a peer reports at the endpoints."""
         for state in self._states.values():
--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -91,6 +91,38 @@
             self.assertTrue(self.book.put(entry("e3", incarnation=incarnation)))
         self.assertFalse(self.book.put(entry("e3", incarnation="b")))
 
+    def answer(self, latency_s: float, after_s: float = 1.0) -> float:
+        """Records an answer of the first endpoint; returns the average latency then."""
+        self.clock.advance(after_s)
+        state = self.book.get("e1")
+        self.book.answered(state, latency_s)
+        return state.latency_s
+
+    def test_answers_that_a_silence_held_up_do_not_count_as_slow(self) -> None:
+        """Guards against a second of silence that keeps a sound endpoint out for long."""
+        for _ in range(3):
+            usual_s = self.answer(0.05)
+            for number in range(20):
+                self.answer(1.0 - number * 0.05, 0.001)
+            self.assertAlmostEqual(self.answer(0.05, 4.0), usual_s)
+
+    def test_endpoint_that_becomes_slow_is_known_after_few_answers(self) -> None:
+        """Guards against a slow endpoint that counts as one that was silent."""
+        for pause_s in (0.1, 5.0):
+            with self.subTest(pause_s=pause_s):
+                self.setUp()
+                self.answer(0.05)
+                latencies = [self.answer(0.5, max(pause_s, 0.5)) for _ in range(8)]
+                self.assertGreater(latencies[-1], 0.25)
+
+    def test_endpoint_of_which_half_the_answers_are_slow_is_known_too(self) -> None:
+        """Guards against slow answers that are left out since a fast one came in between."""
+        self.answer(0.05)
+        for _ in range(20):
+            self.answer(0.05, 0.1)
+            self.answer(0.5, 0.6)
+        self.assertGreater(self.book.get("e1").latency_s, 0.15)
+
 
 class IncarnationMachine(RuleBasedStateMachine):
     """Guards against an older start that replaces a newer one, in any order of entries."""
--- /dev/null
+++ b/tests/test_silent_desks.py
@@ -0,0 +1,63 @@
+"""A sound endpoint that was silent for a moment gets its share of the requests again soon."""
+
+import time
+import unittest
+from random import Random
+
+import gevent
+
+from tests.soak.callers import Callers, LibraryCaller
+from tests.soak.fleet import FleetSize, SoakFleet
+from tests.soak.networks import FIRST_NETWORK, Network
+from tests.soak.program import PORTS
+from tests.soak.rules import Kind, Result
+
+DESKS = 3
+READY_S = 20.0
+#: Interval between two requests, and time for which they are sent before a silence, seconds.
+INTERVAL_S = 0.015
+WARM_UP_S = 2.0
+#: Time after a silence after which the endpoint must be in use again, and for which that is
+#: counted, seconds.
+BACK_S = 2.0
+COUNTED_S = 2.0
+#: Smallest part of its fair share that an endpoint in use gets.
+MIN_PART = 0.5
+
+
+class SilentDeskTest(unittest.TestCase):
+    """Real processes: one node, and endpoints of a plain service of which one falls silent."""
+
+    def setUp(self) -> None:
+        network = Network.reserve_free(FIRST_NETWORK, tuple(PORTS.values()))
+        self.fleet = SoakFleet(network, FleetSize(1, 1, DESKS), seed=1)
+        self.addCleanup(self.fleet.stop)
+        self.desk = next(one for one in self.fleet.backends if not one.model)
+        latest = time.monotonic() + READY_S
+        while not self.fleet.is_ready(self.fleet.ips[0]):
+            self.assertLess(time.monotonic(), latest, "the node is not ready")
+            gevent.sleep(0.1)
+
+    def part_after(self, silence_s: float) -> float:
+        """Returns which part of its fair share the endpoint gets after it was silent."""
+        callers, asking = Callers(self.fleet, Random(1)), []
+        silent_at = time.monotonic() + WARM_UP_S
+        counted_from = silent_at + silence_s + BACK_S
+        gevent.spawn_later(WARM_UP_S, self.desk.fall_silent, silence_s)
+        while time.monotonic() < counted_from + COUNTED_S:
+            kind = (Kind.BOOK, Kind.LOOK)[len(asking) % 2]
+            result = Result(f"{silence_s}-{len(asking)}", kind, self.fleet.ips[0])
+            asking.append(gevent.spawn(callers.ask, LibraryCaller(), result))
+            gevent.sleep(INTERVAL_S)
+        gevent.joinall(asking, raise_error=True)
+        lost = [(one.id, one.kind, one.status) for one in callers.results if not one.is_served]
+        self.assertEqual(lost, [])
+        runs = [run for own in self.fleet.notes().runs().values() for run in own]
+        counted = [run.worker for run in runs if run.began > counted_from]
+        part = counted.count(self.desk.id) * DESKS / len(counted)
+        print(f"{part:.2f} of its share {BACK_S} s after a silence of {silence_s} s")
+        return part
+
+    def test_endpoint_is_in_use_soon_after_a_silence_of_a_second(self) -> None:
+        """Guards against answers that one silence held up and that count as a lasting slowness."""
+        self.assertGreater(self.part_after(1.0), MIN_PART)
