Let failures of plain endpoints be forgotten in their choice

What callers saw: a sound plain endpoint that was silent for 1.6 s, longer than the 1.2 s after which requests are also sent elsewhere, got no requests afterwards while the others were not busy.

Cause: the class is a count that is aged only where it is raised. Each hedged request counts as a failure of the silent endpoint. The count decays over 3 s, but only when the next failure comes; the expected time of the endpoint is multiplied by it all the while, so the endpoint gets no requests, and neither fails nor answers.

Change: the count is aged where it is read. The pause after several failures in a row is as before.

Red before: the second test of tests.test_silent_desks.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -162,9 +162,9 @@
         self._trace.facts["list_age_ms"] = round(age_s * 1000) if math.isfinite(age_s) else None
         if self._service.engine is None or not self._request.model:
             eligible, zone = plain_in_zone(
-                services.spill, self._service.name, eligible, self._request
+                services.spill, self._service.name, eligible, self._request, services.clock()
             )
-            state = choose_plain(eligible, services.zone, services.rng)
+            state = choose_plain(eligible, services.zone, services.rng, services.clock())
             placed = Placed(state, zone=zone)
         else:
             placed = self._place_at_engine(eligible, left_s, has_run, must_be_timely)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/preview.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/preview.py
@@ -120,7 +120,7 @@
                     "cost": one.cost,
                 }
         elif usable and placer.service.engine is None:
-            times = plain_times_s(usable)
+            times = plain_times_s(usable, self._services.clock())
             terms = {name: {"expected_s": seconds} for name, seconds in times.items()}
         rows = [self._row(state, state in usable) | terms.get(state.id, {}) for state in states]
         chosen = placed.state.id if placed else ""
--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -79,7 +79,7 @@
     return sum(known) / len(known) if known else DEFAULT_LATENCY_S
 
 
-def plain_times_s(eligible: Sequence[EndpointState]) -> dict[str, float]:
+def plain_times_s(eligible: Sequence[EndpointState], now: float) -> dict[str, float]:
     """Returns the expected time of a request at each plain endpoint by its id, seconds.
 
     An endpoint that has not answered yet is assumed to have the mean latency of the others.
@@ -90,14 +90,18 @@
         latency = state.latency_s or usual_s
         waiting = max(0, state.total_running + 1 - state.entry.slots)
         busy = state.total_running / max(state.entry.slots, 1)
-        return latency * (1 + busy + waiting / max(state.entry.slots, 1) + state.failures)
+        return latency * (
+            1 + busy + waiting / max(state.entry.slots, 1) + state.recent_failures(now)
+        )
 
     return {state.id: expected_s(state) for state in eligible}
 
 
-def choose_plain(eligible: Sequence[EndpointState], zone: str, rng: Random) -> EndpointState:
+def choose_plain(
+    eligible: Sequence[EndpointState], zone: str, rng: Random, now: float
+) -> EndpointState:
     """Returns the endpoint with the shortest expected time; ``zone`` is preferred among equals."""
-    times = plain_times_s(eligible)
+    times = plain_times_s(eligible, now)
     best = min(times.values())
     tied = [state for state in eligible if times[state.id] <= best * (1 + NEAR_TIE)]
     near = [state for state in tied if state.entry.zone == zone]
--- a/packages/arbutustally/src/arbutustally/gateway/endpoint_state.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoint_state.py
@@ -7,6 +7,8 @@
 
 #: Consecutive failed checks after which an endpoint counts as unreachable.
 FAILED_CHECKS = 2
+#: Time over which the count of failures decays to 0, seconds.
+FAILURE_DECAY_S = 3.0
 
 
 @dataclass(frozen=True)
@@ -86,6 +88,10 @@
         """Returns the id of the endpoint."""
         return self.entry.id
 
+    def recent_failures(self, now: float) -> float:
+        """Returns the count of failures, which decays from the latest one on."""
+        return self.failures * max(0.0, 1.0 - (now - self.failed_at) / FAILURE_DECAY_S)
+
     def has_failed_checks(self, since: float) -> bool:
         """Returns whether the last ``FAILED_CHECKS`` checks failed and began since ``since``."""
         checks = self.failed_checks
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -19,8 +19,6 @@
 #: Time without an answer or a stream event for any request after which an endpoint counts as
 #: stalled, seconds; shorter than every silence after which a request is hedged.
 STALLED_S = 0.6
-#: Time over which the count of failures decays to 0, seconds.
-FAILURE_DECAY_S = 3.0
 #: Weight of one answer in the moving average of the latency.
 LATENCY_GAIN = 0.2
 #: Multiple of an endpoint's average latency from which an answer may have been held up.
@@ -287,8 +285,7 @@
     def failed(self, state: EndpointState) -> bool:
         """Records a failed answer; returns whether the endpoint is now avoided."""
         now = self._clock()
-        decay = max(0.0, 1.0 - (now - state.failed_at) / FAILURE_DECAY_S)
-        state.failures = state.failures * decay + 1.0
+        state.failures = state.recent_failures(now) + 1.0
         state.failed_at = now
         if state.failures < FAILURES_TO_SUSPECT:
             return False
--- a/packages/arbutustally/src/arbutustally/gateway/zone_choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/zone_choice.py
@@ -32,12 +32,16 @@
 
 
 def plain_in_zone(
-    spill: ZoneSpill, service: str, eligible: Sequence[EndpointState], request: CallerRequest
+    spill: ZoneSpill,
+    service: str,
+    eligible: Sequence[EndpointState],
+    request: CallerRequest,
+    now: float,
 ) -> tuple[list[EndpointState], ZoneDecision]:
     """Returns the endpoints of a plain service that remain, and the decision on the zone."""
     if not spill.is_active:
         return list(eligible), spill.decide(service, (), 0)
-    times = plain_times_s(eligible)
+    times = plain_times_s(eligible, now)
     usual_s = usual_latency_s(eligible)
     candidates = [
         ZoneCandidate(
--- a/tests/test_gateway_choice.py
+++ b/tests/test_gateway_choice.py
@@ -170,15 +170,26 @@
     def test_busy_plain_endpoint_is_left_out(self) -> None:
         self.states[0].running = 4
         self.states[1].running = 4
-        chosen = choose_plain(self.states, "z1", Random(1))
+        chosen = choose_plain(self.states, "z1", Random(1), 0.0)
         self.assertEqual(chosen.id, "e3")
 
     def test_plain_endpoint_that_has_not_answered_counts_as_the_others(self) -> None:
         """Guards against new endpoints that get no requests while the others answer fast."""
         self.states[0].latency_s = self.states[1].latency_s = 0.004
-        chosen = Counter(choose_plain(self.states, "z1", Random(seed)).id for seed in range(60))
+        chosen = Counter(
+            choose_plain(self.states, "z1", Random(seed), 0.0).id for seed in range(60)
+        )
         self.assertGreater(chosen["e3"], 0)
 
+    def test_failures_of_a_plain_endpoint_are_forgotten(self) -> None:
+        """Guards against an endpoint that gets no requests since it has failed long ago."""
+        for state in self.states:
+            state.latency_s = 0.05
+        self.states[0].failures, self.states[0].failed_at = 4.0, 100.0
+        for now, expected in ((101.0, {"e2", "e3"}), (103.0, {"e1", "e2", "e3"})):
+            chosen = {choose_plain(self.states, "", Random(seed), now).id for seed in range(60)}
+            self.assertEqual(chosen, expected)
+
     def test_named_weights_are_preferred_to_older_ones(self) -> None:
         self.states[0].weights = {"m": 1}
         self.states[1].weights = {"m": 2}
--- a/tests/test_silent_desks.py
+++ b/tests/test_silent_desks.py
@@ -61,3 +61,7 @@
     def test_endpoint_is_in_use_soon_after_a_silence_of_a_second(self) -> None:
         """Guards against answers that one silence held up and that count as a lasting slowness."""
         self.assertGreater(self.part_after(1.0), MIN_PART)
+
+    def test_endpoint_is_in_use_soon_after_a_silence_beyond_the_hedges(self) -> None:
+        """Guards against failures that are over and count until the next one."""
+        self.assertGreater(self.part_after(1.6), MIN_PART)
