--- a/packages/arbutustally/src/arbutustally/gateway/endpoint_state.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoint_state.py
@@ -7,6 +7,8 @@
 
 #: Consecutive failed checks after which an endpoint counts as unreachable.
 FAILED_CHECKS = 2
+#: Time over which the count of failures decays to 0, seconds.
+FAILURE_DECAY_S = 3.0
 
 
 @dataclass(frozen=True)
@@ -45,6 +47,8 @@
     :ivar cold_until: until then it is slow.
     :ivar cold_sent: when this node sent it requests while it was slow, latest last.
     :ivar stated_cold_at: when it last stated in an answer for how long it is slow.
+    :ivar held_up_until: answers to requests that were sent before count as held up by one silence.
+    :ivar is_held_up: no answer since then was as fast as usual.
     :ivar is_replaced: another endpoint was found at its address.
     """
 
@@ -76,12 +80,18 @@
     failures: float = 0.0
     failed_at: float = 0.0
     latency_s: float = 0.0
+    held_up_until: float = float("-inf")
+    is_held_up: bool = False
 
     @property
     def id(self) -> str:
         """Returns the id of the endpoint."""
         return self.entry.id
 
+    def recent_failures(self, now: float) -> float:
+        """Returns the count of failures, which decays from the latest one on."""
+        return self.failures * max(0.0, 1.0 - (now - self.failed_at) / FAILURE_DECAY_S)
+
     def has_failed_checks(self, since: float) -> bool:
         """Returns whether the last ``FAILED_CHECKS`` checks failed and began since ``since``."""
         checks = self.failed_checks
