--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -35,6 +35,10 @@
 }
 #: Callers of each crowd. Their bodies together are twice as large as the memory of the process.
 CROWD = 192
+#: Callers with bodies in small chunks, which need time to be read, and the bytes of each chunk.
+CHUNK_CROWD = 24
+SMALL_CHUNK_BYTES = 16
+CHUNK_CROWD_S = 20.0
 #: Callers of the listeners besides that for requests.
 WEB_CROWD = 48
 #: Lines of a head at those listeners, and the bytes of each.
@@ -95,6 +99,15 @@
     yield chunk[:-3]
 
 
+def small_chunks(number: int) -> Iterator[bytes]:
+    """Yields a request in small chunks, of which the last stops a byte short."""
+    yield _chunked_head(f"e{number}")
+    chunk = b"%x\r\n%b\r\n" % (SMALL_CHUNK_BYTES, b"e" * SMALL_CHUNK_BYTES)
+    for _ in range(BODY_BYTES // PIECE_BYTES - 1):
+        yield chunk * (PIECE_BYTES // SMALL_CHUNK_BYTES)
+    yield (chunk * (PIECE_BYTES // SMALL_CHUNK_BYTES))[:-3]
+
+
 def whole_body(number: int) -> Iterator[bytes]:
     """Yields a complete request."""
     yield _length_head(f"w{number}") + b"w" * BODY_BYTES
@@ -173,9 +186,9 @@
         ]
         self.addCleanup(gevent.killall, self.callers)
 
-    def watch_crowd(self) -> None:
+    def watch_crowd(self, stay_s: float = CROWD_S) -> None:
         """Observes the process while the crowd stays."""
-        deadline = time.monotonic() + CROWD_S
+        deadline = time.monotonic() + stay_s
         while time.monotonic() < deadline and self.program.is_alive:
             self.most_descriptors = max(self.most_descriptors, self.descriptors())
             gevent.sleep(0.1)
@@ -251,6 +264,18 @@
         self.check()
 
 
+class SmallChunksTest(LargeBodyCase):
+    """Guards against chunks that each take several times their bytes."""
+
+    limits = {**LIMITS, "headerTimeoutMs": 30_000}
+
+    def test_bodies_in_small_chunks(self) -> None:
+        self.start_crowd(PORTS["front"], (CHUNK_CROWD, small_chunks))
+        self.watch_crowd(CHUNK_CROWD_S)
+        self.end_crowd()
+        self.check()
+
+
 class CalmTest(LargeBodyCase):
     """Guards against limits that refuse a single large request inside the limits."""
 
@@ -390,6 +415,7 @@
         self.desk.behave = self._hold_large
         self.start_crowd(PORTS["front"], (DESCRIPTORS, small_body))
         self.watch_crowd()
+        self.eventually(lambda: self.ask() == 200, ANSWERED_S)
         self.end_crowd()
         self.released.set()
         self.assertLess(self.most_descriptors, DESCRIPTORS)
