Bound the request heads of the listeners that are not for requests

The lines of a head are now read from a reader that allows 16 KiB together, the default of maxHeaderBytes for callers' requests; a longer head gets 400.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
@@ -4,7 +4,8 @@
 import resource
 import zlib
 from collections.abc import Callable
-from typing import Any
+from http.client import LineTooLong
+from typing import Any, BinaryIO
 
 import gevent
 from bottle import Bottle, HTTPResponse, request, response
@@ -25,6 +26,9 @@
 MAX_CONNECTIONS = 1024
 #: Part of the process's descriptors that one listener may use at most, as a divisor.
 DESCRIPTOR_DIVISOR = 16
+#: Longest request head, bytes, as callers' requests have by default. The standard library alone
+#: would keep 100 lines of 64 KiB for each connection.
+MAX_HEAD_BYTES = 16384
 #: Longest wait for a part of a request, and for a caller that does not read its answer, seconds.
 IDLE_TIMEOUT_S = 15.0
 #: Longest time from the start of reading a request to the end of its answer, seconds.
@@ -81,6 +85,33 @@
         except TimeoutError:
             raise ValueError("the request head did not arrive in time") from None
 
+    def MessageClass(self, file: BinaryIO, *arguments: Any) -> Any:  # noqa: N802
+        """Returns the header fields of a head; a longer one than ``MAX_HEAD_BYTES`` is refused."""
+        left = MAX_HEAD_BYTES - len(self.requestline)
+        return super().MessageClass(_BoundedLines(file, left), *arguments)
+
+
+class _BoundedLines:
+    """Lines of one request head.
+
+    :param left: bytes that they may have together.
+    """
+
+    def __init__(self, file: BinaryIO, left: int) -> None:
+        self._file = file
+        self._left = left
+
+    def readline(self, limit: int) -> bytes:
+        """Returns the next line.
+
+        :raises LineTooLong: if the head is too long.
+        """
+        line = self._file.readline(min(limit, self._left + 1))
+        self._left -= len(line)
+        if self._left < 0:
+            raise LineTooLong("request head")
+        return line
+
 
 def ready_app(path: str, is_ready: Callable[[], bool]) -> Bottle:
     """Returns an application that answers 200 while the node is ready and 503 otherwise."""
--- a/tests/test_web_limits.py
+++ b/tests/test_web_limits.py
@@ -1,5 +1,6 @@
 """Limits of the directory, readiness, control and metrics listeners."""
 
+import contextlib
 import socket
 import time
 import unittest
@@ -40,6 +41,22 @@
                     caller.sendall(b"A: b\r\n")
                     time.sleep(0.05)
 
+    def test_head_of_many_long_lines_is_refused(self) -> None:
+        """Guards against heads that take megabytes for each connection."""
+        for line in (b"A: " + b"a" * 60_000 + b"\r\n", b"A: " + b"a" * 1000 + b"\r\n"):
+            with self.subTest(line=len(line)):
+                caller = self.connect()
+                with contextlib.suppress(OSError):
+                    caller.sendall(REQUEST[:-2] + line * (web.MAX_HEAD_BYTES // len(line) + 1))
+                self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 400"))
+
+    def test_largest_head_is_served(self) -> None:
+        """Guards against a limit that refuses heads inside it."""
+        filling = web.MAX_HEAD_BYTES - len(REQUEST) - len(b"A: \r\n")
+        caller = self.connect()
+        caller.sendall(REQUEST[:-2] + b"A: " + b"a" * filling + b"\r\n\r\n")
+        self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 200"))
+
     def test_requests_are_answered(self) -> None:
         """Guards against limits that end sound requests of one connection."""
         caller = self.connect()
