Leave descriptors for the node's own connections while requests run

Connections of callers were bounded, but not the requests that run on them, each of which has a connection to an endpoint. The node then cannot open connections to the store or to another endpoint.

A request that would run beyond the descriptors less callers' connections less a reserve is now refused with 503, "not run" and Retry-After before an attempt is made. With 4,100 descriptors, 588 requests may run at once while callers have 3,000 connections, and 2,588 while they have 1,000.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -13,9 +13,9 @@
 from gevent.server import StreamServer
 
 from arbutustally.clock import monotonic
-from arbutustally.errors import BadRequestError, RouterError
+from arbutustally.errors import BadRequestError, OverloadedError, RouterError
 from arbutustally.gateway.configuration import CallerLimits
-from arbutustally.gateway.memory_account import MemoryAccount
+from arbutustally.gateway.memory_account import RETRY_S, MemoryAccount
 from arbutustally.gateway.requests import CallerRequest
 from arbutustally_node.caller_watch import CallerGoneError, CallerWatch
 from arbutustally_node.gateway.caller import CallerConnection
@@ -30,6 +30,10 @@
 RESERVED_DESCRIPTORS = 512
 #: Fraction of the descriptors that callers may use if fewer than twice the reserved ones exist.
 DESCRIPTOR_FRACTION = 0.5
+#: Fraction of the descriptors that are reserved, and that running requests always may use, if few
+#: exist.
+LEAST_RESERVED_FRACTION = 0.25
+LEAST_RUNNING_FRACTION = 0.125
 #: Longest time to read from a caller that keeps sending after its request was refused, seconds.
 LINGER_S = 0.3
 #: Longest time to wait until a caller has read an answer that ends with its connection, seconds.
@@ -70,6 +74,7 @@
         self._idle: set[Any] = set()
         self._connections = 0
         self._running = 0
+        self._handled = 0
         self._watches: set[CallerWatch] = set()
         self._draining = False
 
@@ -168,21 +173,31 @@
         try:
             with connection.memory.reading():
                 request = self._read_rest(sock, reader, head)
+            self._check_descriptors()
         except RouterError as error:
             reader.close()
             _refuse(sock, connection, error)
             return False
         watch = CallerWatch(sock)
         self._watches.add(watch)
+        self._handled += 1
         try:
             self._handler(request, connection, watch)
         finally:
+            self._handled -= 1
             self._watches.discard(watch)
             watch.stop()
             connection.memory.end_request()
             reader.release()
         return connection.keep and not self._draining
 
+    def _check_descriptors(self) -> None:
+        """Raises ``OverloadedError`` if the connection to an endpoint may have no descriptor."""
+        if self._handled >= running_limit(self._connections):
+            raise OverloadedError(
+                "not run: the node's descriptors are in use; retry later", retry_after_s=RETRY_S
+            )
+
     def _read_head(self, sock: Any, reader: RequestReader) -> RequestHead | None:
         self._idle.add(sock)
         self._apply_limits(reader)
@@ -220,6 +235,21 @@
     return min(MAX_CONNECTIONS, left)
 
 
+def running_limit(connections: int) -> float:
+    """Returns the number of requests that may run at once.
+
+    Each may need a connection to an endpoint besides that of its caller.
+
+    :param connections: open connections of callers.
+    """
+    descriptors, _hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return float("inf")
+    reserved = min(RESERVED_DESCRIPTORS, int(descriptors * LEAST_RESERVED_FRACTION))
+    left = descriptors - reserved - connections
+    return max(left, int(descriptors * LEAST_RUNNING_FRACTION))
+
+
 def _is_readable(sock: Any) -> bool:
     poll = _poll()
     poll.register(sock.fileno(), select.POLLIN)
