Close idle connections of crowds while all connections are taken

Callers with a new connection got no answer while a crowd had all connections: accepting stopped until one ended by itself, after the idle timeout or later, and the crowd's next connections stood before them in the backlog. Shown by tests.test_large_bodies.FewDescriptorsTest test_another_caller_while_a_crowd_has_all_connections: 300 callers that stay against 150 connections; red on, no answer within 15 s.

While all are taken, every 0.25 s up to an eighth is now closed of those that have been idle, or inside a head, for 1 s: of the callers (by address) with the most connections first, the longest idle of these first. Callers with few connections keep theirs. The test passes (8 cores, load 7 to 13), and so do test_crossing_close and test_overload's DescriptorCrowdTest.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -4,7 +4,9 @@
 import resource
 import select
 import socket
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Any
 
 import gevent
@@ -30,6 +32,11 @@
 RESERVED_DESCRIPTORS = 512
 #: Fraction of the descriptors that callers may use if fewer than twice the reserved ones exist.
 DESCRIPTOR_FRACTION = 0.5
+#: Interval at which idle connections are closed while no further one is accepted, seconds.
+FULL_CHECK_S = 0.25
+#: Fraction of the connections that are closed then, and how long they have been idle, seconds.
+CLOSED_FRACTION = 0.125
+LEAST_IDLE_S = 1.0
 #: Fraction of the descriptors that are reserved, and that running requests always may use, if few
 #: exist.
 LEAST_RESERVED_FRACTION = 0.25
@@ -42,6 +49,20 @@
 # gevent's own poll switches to other greenlets, so that a request could arrive after the check.
 _poll = monkey.get_original("select", "poll")
 
+
+@dataclass(frozen=True)
+class IdleConnection:
+    """A connection on which no request has begun, or whose request has no complete head.
+
+    :ivar caller: address of the caller, without its port.
+    :ivar since: when the head began, otherwise when the last request ended or the connection was
+        accepted, seconds.
+    """
+
+    caller: str
+    since: float
+
+
 Handler = Callable[[CallerRequest, CallerConnection, CallerWatch], None]
 
 
@@ -68,10 +89,13 @@
         self._handler = handler
         self._limits = limits
         self._memory = memory
+        self._pool = Pool(connection_limit())
         self._server = StreamServer(
-            (host, int(port)), self._serve, backlog=BACKLOG, spawn=Pool(connection_limit())
+            (host, int(port)), self._serve, backlog=BACKLOG, spawn=self._pool
         )
-        self._idle: set[Any] = set()
+        self._idle: dict[Any, IdleConnection] = {}
+        self._callers: Counter[str] = Counter()
+        self._room: Any = None
         self._connections = 0
         self._running = 0
         self._handled = 0
@@ -96,11 +120,14 @@
     def start(self) -> None:
         """Starts accepting connections."""
         self._server.start()
+        self._room = gevent.spawn(self._keep_room)
 
     def stop(self) -> None:
         """Closes the listening socket; open connections are not affected."""
         self._server.stop_accepting()
         self._server.close()
+        if self._room is not None:
+            self._room.kill()
 
     def drain(self) -> None:
         """Closes each connection after its next response."""
@@ -114,16 +141,26 @@
     def close_idle(self) -> None:
         """Closes the connections on which no request has begun or arrived."""
         for sock in list(self._idle):
-            # A shutdown would not discard a request that has arrived, but its response.
-            if _is_readable(sock):
+            _close_idle(sock)
+
+    def _keep_room(self) -> None:
+        """Closes idle connections while all are taken, so that further callers are accepted.
+
+        Callers with few connections keep theirs.
+        """
+        while True:
+            gevent.sleep(FULL_CHECK_S)
+            if not self._pool.full():
                 continue
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+            number = max(1, int(self._pool.size * CLOSED_FRACTION))
+            for sock in longest_idle(self._idle, self._callers, monotonic())[:number]:
+                _close_idle(sock)
 
     def _serve(self, sock: Any, address: Any) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         limits = self._limits()
-        memory = ConnectionMemory(self._memory, address[0] if address else "")
+        caller = address[0] if address else ""
+        memory = ConnectionMemory(self._memory, caller)
         reader = RequestReader(
             sock,
             monotonic,
@@ -135,21 +172,27 @@
             memory.is_too_slow,
         )
         self._connections += 1
+        self._callers[caller] += 1
         try:
-            while self._serve_one(sock, reader, memory):
+            while self._serve_one(sock, reader, memory, caller):
                 continue
         except (OSError, gevent.Timeout, CallerGoneError):
             return
         finally:
             self._connections -= 1
+            self._callers[caller] -= 1
+            if not self._callers[caller]:
+                del self._callers[caller]
             memory.close()
             sock.close()
 
-    def _serve_one(self, sock: Any, reader: RequestReader, memory: ConnectionMemory) -> bool:
+    def _serve_one(
+        self, sock: Any, reader: RequestReader, memory: ConnectionMemory, caller: str
+    ) -> bool:
         connection = CallerConnection(sock, not self._draining, memory)
         try:
             with memory.reading():
-                head = self._read_head(sock, reader)
+                head = self._read_head(sock, reader, caller)
         except RouterError as error:
             reader.close()
             _refuse(sock, connection, error)
@@ -198,14 +241,19 @@
                 "not run: the node's descriptors are in use; retry later", retry_after_s=RETRY_S
             )
 
-    def _read_head(self, sock: Any, reader: RequestReader) -> RequestHead | None:
-        self._idle.add(sock)
+    def _read_head(self, sock: Any, reader: RequestReader, caller: str) -> RequestHead | None:
+        self._idle[sock] = IdleConnection(caller, monotonic())
         self._apply_limits(reader)
         try:
             # The configuration may change while the connection is idle.
-            return reader.read_head(lambda: self._apply_limits(reader))
+            return reader.read_head(lambda: self._begin(sock, reader, caller))
         finally:
-            self._idle.discard(sock)
+            self._idle.pop(sock, None)
+
+    def _begin(self, sock: Any, reader: RequestReader, caller: str) -> None:
+        """Notes that a request has begun on a connection."""
+        self._idle[sock] = IdleConnection(caller, monotonic())
+        self._apply_limits(reader)
 
     def _apply_limits(self, reader: RequestReader) -> None:
         limits = self._limits()
@@ -250,6 +298,27 @@
     return max(left, int(descriptors * LEAST_RUNNING_FRACTION))
 
 
+def longest_idle(
+    idle: Mapping[Any, IdleConnection], callers: Mapping[str, int], now: float
+) -> list[Any]:
+    """Returns the connections to close if all are taken, in this order.
+
+    Those of callers with the most connections come first, of these the longest idle.
+
+    :param callers: number of connections by address of the caller.
+    """
+    found = [sock for sock, one in idle.items() if now - one.since >= LEAST_IDLE_S]
+    return sorted(found, key=lambda sock: (-callers[idle[sock].caller], idle[sock].since))
+
+
+def _close_idle(sock: Any) -> None:
+    # A shutdown would not discard a request that has arrived, but its response.
+    if _is_readable(sock):
+        return
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+
+
 def _is_readable(sock: Any) -> bool:
     poll = _poll()
     poll.register(sock.fileno(), select.POLLIN)
