Test bodies that callers send behind a request that runs

400 callers that send 512 KiB behind a small request which a worker holds, against a process of 96 MB.

--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -5,11 +5,13 @@
 resident size stays below ``memoryMb``, and each caller's connection takes at most two descriptors.
 """
 
+import resource
 import select
 import signal
 import socket
 import time
 from collections.abc import Callable, Iterator
+from pathlib import Path
 
 import gevent
 import urllib3
@@ -59,6 +61,10 @@
 GRACE_S = 3
 ENDED_S = 20.0
 ROUNDS = 3
+#: Callers that send further requests behind one that runs, and the bytes that each sends behind it.
+#: Bytes that a process has received and not read count as its memory.
+BEHIND_CROWD = 400
+BEHIND_BYTES = 512 << 10
 ORDINARY_IP = "127.0.0.9"
 REQUEST = "POST /look/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token key-school\r\n"
 LISTENERS = {**PORTS, "metrics": 9464}
@@ -99,6 +105,13 @@
     yield chunk[:-3]
 
 
+def body_behind_a_request(number: int) -> Iterator[bytes]:
+    """Yields a complete small request, and a large one behind it."""
+    yield from small_body(number)
+    head = f"{REQUEST}Request-Id: n{number}\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+    yield head.encode() + b"n" * BEHIND_BYTES
+
+
 def small_chunks(number: int) -> Iterator[bytes]:
     """Yields a request in small chunks, of which the last stops a byte short."""
     yield _chunked_head(f"e{number}")
@@ -314,6 +327,45 @@
         return None
 
 
+class UnreadBytesTest(LargeBodyCase):
+    """Guards against bytes that the system holds for the process, which count as its memory."""
+
+    def test_bodies_behind_a_running_request(self) -> None:
+        self.desk.behave = self._hold_large
+        self.start_crowd(PORTS["front"], (BEHIND_CROWD, body_behind_a_request))
+        most = 0.0
+        deadline = time.monotonic() + CROWD_S
+        while time.monotonic() < deadline:
+            unread = self._unread_bytes() / (1 << 20)
+            most = max(most, unread + self._resident_mb())
+            gevent.sleep(0.2)
+        print(f"{self.id()}: {most:.0f} MB with {unread:.0f} MB unread at the end", flush=True)
+        self.end_crowd()
+        self.released.set()
+        self.check()
+        self.assertLess(most, self.memory_mb)
+
+    def _hold_large(self, headers: dict[str, str]) -> HTTPResponse | None:
+        request.body.read()
+        if "Small" not in headers:
+            self.released.wait(30.0)
+        return None
+
+    def _resident_mb(self) -> float:
+        pages = Path(f"/proc/{self.program.popen.pid}/statm").read_text().split()[1]
+        return int(pages) * resource.getpagesize() / (1 << 20)
+
+    def _unread_bytes(self) -> int:
+        """Returns the bytes that wait in the receive queues of the node's connections."""
+        ip = socket.inet_aton(self.ip)[::-1].hex().upper()
+        local = f"{ip}:{PORTS['front']:04X}"
+        rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+        # Of sockets that listen, this is the number of waiting connections.
+        return sum(
+            int(row[4].partition(":")[2], 16) for row in rows if row[1] == local and row[3] == "01"
+        )
+
+
 class UnreadStreamsTest(LargeBodyCase):
     """Guards against relayed streams whose callers do not read."""
 
