--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -65,6 +65,8 @@
 #: Bytes that a process has received and not read count as its memory.
 BEHIND_CROWD = 400
 BEHIND_BYTES = 512 << 10
+#: Fraction of the memory that is left for the program once nothing is reserved for requests.
+PROGRAM_FRACTION = 0.65
 ORDINARY_IP = "127.0.0.9"
 REQUEST = "POST /look/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token key-school\r\n"
 LISTENERS = {**PORTS, "metrics": 9464}
@@ -219,6 +221,11 @@
         self.assertLess(peak, self.memory_mb)
         self.assertLess(self.most_descriptors, 2 * self.count + OTHER_DESCRIPTORS)
 
+    def resident_mb(self) -> float:
+        """Returns the resident size of the process now, MB."""
+        pages = Path(f"/proc/{self.program.popen.pid}/statm").read_text().split()[1]
+        return int(pages) * resource.getpagesize() / (1 << 20)
+
     def _stay(self, port: int, sent: Sent, index: int) -> None:
         attempts = 0
         while True:
@@ -268,6 +275,15 @@
             self.end_crowd()
             self.check()
 
+    def test_process_is_small_again_afterwards(self) -> None:
+        """Guards against memory that stays with the process after its callers have left."""
+        self.start_crowd(PORTS["front"], (CROWD // 2, length_pieces), (CROWD // 2, whole_body))
+        self.watch_crowd()
+        self.end_crowd()
+        self.check()
+        bound = PROGRAM_FRACTION * self.memory_mb
+        self.eventually(lambda: self.resident_mb() < bound, ANSWERED_S)
+
     def _play(self, *members: tuple[int, Sent]) -> None:
         self.start_crowd(PORTS["front"], *members)
         self.watch_crowd()
@@ -337,7 +353,7 @@
         deadline = time.monotonic() + CROWD_S
         while time.monotonic() < deadline:
             unread = self._unread_bytes() / (1 << 20)
-            most = max(most, unread + self._resident_mb())
+            most = max(most, unread + self.resident_mb())
             gevent.sleep(0.2)
         print(f"{self.id()}: {most:.0f} MB with {unread:.0f} MB unread at the end", flush=True)
         self.end_crowd()
@@ -351,10 +367,6 @@
             self.released.wait(30.0)
         return None
 
-    def _resident_mb(self) -> float:
-        pages = Path(f"/proc/{self.program.popen.pid}/statm").read_text().split()[1]
-        return int(pages) * resource.getpagesize() / (1 << 20)
-
     def _unread_bytes(self) -> int:
         """Returns the bytes that wait in the receive queues of the node's connections."""
         ip = socket.inet_aton(self.ip)[::-1].hex().upper()
