Keep the names of hop-by-hop headers in one place

Cause: the front of callers and the platform's codec each listed the same ten headers that concern one connection only, and each split the Connection header in the same way. A name that is added to one list alone would still be forwarded by the other path.

The list of plain_dispatch for responses differs (it passes proxy-authorization and proxy-connection) and stays as it is.

--- a/packages/arbutustally-node/src/arbutustally_node/credentials.py
+++ b/packages/arbutustally-node/src/arbutustally_node/credentials.py
@@ -5,32 +5,24 @@
 from urllib.parse import parse_qsl, unquote_plus
 
 from arbutustally.errors import BadRequestError, KeyInQueryError
+from arbutustally_node.connection_headers import HOP_BY_HOP, connection_options
 
-#: Headers of one connection or of the caller's identity, never forwarded.
-_DROPPED = frozenset(
+#: Headers of the caller's identity or of its own exchange with this node.
+_CALLER_ONLY = frozenset(
     {
         "authorization",
-        "connection",
-        "content-length",
         "cookie",
         "expect",
         "forwarded",
         "host",
         "idempotency-key",
-        "keep-alive",
         "last-event-id",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
         "x-api-key",
         "x-arbutustally-explain",
         "x-request-id",
     }
 )
+_DROPPED = HOP_BY_HOP | _CALLER_ONLY
 _KEY_PARAMETERS = frozenset(
     {"access_token", "api-key", "api_key", "apikey", "authorization", "key"}
 )
@@ -78,7 +70,7 @@
 
     :param secret: the caller's key; a header that contains it is dropped.
     """
-    named = {name.strip().lower() for name in headers.get("connection", "").split(",")}
+    named = connection_options(headers.get("connection", ""))
     return {
         name: value
         for name, value in headers.items()
