Part the authentication of peer links from the peers' messages

Cause: peer_protocol (383 lines) held the message types with their CBOR codec and also the handshake and the sealed frames of a link. Broadcasts, listeners and tests each need one of the two.

Change: Handshake, SecureChannel, Identity and their bounds are in arbutustally.peer_channel; peer_protocol keeps messages, encode and decode. No line inside a class or function changes.

--- a/packages/arbutustally-node/src/arbutustally_node/broadcasts.py
+++ b/packages/arbutustally-node/src/arbutustally_node/broadcasts.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from arbutustally.logs import get_logger
-from arbutustally.peer_protocol import Event, Events, Identity
+from arbutustally.peer_channel import Identity
+from arbutustally.peer_protocol import Event, Events
 from arbutustally_node.serial_window import SerialWindow
 
 #: Maximum number of origins whose broadcast serials are remembered.
--- a/packages/arbutustally-node/src/arbutustally_node/peer_link.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peer_link.py
@@ -15,17 +15,14 @@
 
 from arbutustally.errors import PeerRejectedError, PeerUnavailableError, Ran, RouterError
 from arbutustally.logs import get_logger
+from arbutustally.peer_channel import MAX_HANDSHAKE_BYTES, Handshake, Identity, SecureChannel
 from arbutustally.peer_protocol import (
     MAX_FRAME_BYTES,
-    MAX_HANDSHAKE_BYTES,
     Call,
     Events,
     Failure,
-    Handshake,
-    Identity,
     Message,
     Reply,
-    SecureChannel,
     decode,
     encode,
 )
--- a/packages/arbutustally-node/src/arbutustally_node/peer_listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peer_listener.py
@@ -9,7 +9,7 @@
 
 from arbutustally.errors import PeerRejectedError
 from arbutustally.logs import get_logger
-from arbutustally.peer_protocol import Handshake, Identity, SecureChannel
+from arbutustally.peer_channel import Handshake, Identity, SecureChannel
 from arbutustally_node.listening import listen
 from arbutustally_node.peer_connection import PeerServerConnection
 from arbutustally_node.peer_link import HANDSHAKE_TIMEOUT_S, WEBSOCKET_OPTIONS, listen_handshake
--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -14,7 +14,8 @@
 from arbutustally.errors import PeerRejectedError, PeerUnavailableError, Ran
 from arbutustally.logs import get_logger
 from arbutustally.metrics import Counter, Metrics, declare
-from arbutustally.peer_protocol import Event, Events, Handshake, Identity, SecureChannel, encode
+from arbutustally.peer_channel import Handshake, Identity, SecureChannel
+from arbutustally.peer_protocol import Event, Events, encode
 from arbutustally.topology import FULL_MESH_NODES, Plan, opens_link, plan
 from arbutustally_node.broadcasts import Broadcasts
 from arbutustally_node.kernel import Kernel
--- a/tests/test_peer_protocol.py
+++ b/tests/test_peer_protocol.py
@@ -9,20 +9,18 @@
 
 from arbutustally.cbor_bounds import MAX_ITEMS
 from arbutustally.errors import PeerRejectedError
+from arbutustally.peer_channel import MAX_HANDSHAKE_BYTES, Handshake, SecureChannel
 from arbutustally.peer_protocol import (
     MAX_FRAME_BYTES,
-    MAX_HANDSHAKE_BYTES,
     Call,
     Challenge,
     Event,
     Events,
     Failure,
-    Handshake,
     Hello,
     Message,
     Proof,
     Reply,
-    SecureChannel,
     decode,
     encode,
 )
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,7 +13,8 @@
 from arbutustally.errors import PeerUnavailableError, Ran, RateLimitedError
 from arbutustally.logs import configure
 from arbutustally.metrics import Metrics
-from arbutustally.peer_protocol import Call, Event, Events, Handshake, SecureChannel, encode
+from arbutustally.peer_channel import Handshake, SecureChannel
+from arbutustally.peer_protocol import Call, Event, Events, encode
 from arbutustally.topology import group_of, plan
 from arbutustally_node import peer_link, peers
 from arbutustally_node.peers import PEER_REJECTED, PeersService
