Part the completions of engines from the client of their control interface

Cause: engine_client (389 lines) held the client that reads loads and sends orders, and beside it the encoding of completion requests and the decoding of their streamed chunks, which share no code with the client and are used by other modules (relay, streams, routes).

No line inside a class or function changes.

--- a/packages/arbutustally-node/src/arbutustally_node/caller_routes.py
+++ b/packages/arbutustally-node/src/arbutustally_node/caller_routes.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 
 from arbutustally.declarations import Route
-from arbutustally.engine_client import CHAT_PATH, COMPLETIONS_PATH
+from arbutustally.engine_completions import CHAT_PATH, COMPLETIONS_PATH
 from arbutustally.errors import BadRequestError, RouteUnknownError
 
 MODEL_PATHS = (CHAT_PATH, COMPLETIONS_PATH)
--- a/packages/arbutustally-node/src/arbutustally_node/completion_body.py
+++ b/packages/arbutustally-node/src/arbutustally_node/completion_body.py
@@ -3,7 +3,7 @@
 import time
 from typing import Any
 
-from arbutustally.engine_client import CHAT_PATH, Usage
+from arbutustally.engine_completions import CHAT_PATH, Usage
 from arbutustally_node.calls import ModelCall
 from arbutustally_node.relay import StreamCursor
 
--- a/packages/arbutustally-node/src/arbutustally_node/dispatch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/dispatch.py
@@ -5,13 +5,8 @@
 
 import gevent
 
-from arbutustally.engine_client import (
-    EngineClient,
-    encode_request,
-    error_code,
-    is_refused,
-    parse_json,
-)
+from arbutustally.engine_client import EngineClient, error_code, is_refused, parse_json
+from arbutustally.engine_completions import encode_request
 from arbutustally.errors import (
     BadRequestError,
     EndpointFailedError,
--- a/packages/arbutustally-node/src/arbutustally_node/model_request.py
+++ b/packages/arbutustally-node/src/arbutustally_node/model_request.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from arbutustally.engine_client import CHAT_PATH
+from arbutustally.engine_completions import CHAT_PATH
 from arbutustally.errors import BadRequestError
 
 #: Limit on output tokens when the caller sets none; the rate limit must reserve an amount.
--- a/packages/arbutustally-node/src/arbutustally_node/relay.py
+++ b/packages/arbutustally-node/src/arbutustally_node/relay.py
@@ -2,7 +2,7 @@
 
 from enum import StrEnum
 
-from arbutustally.engine_client import Usage, parse_chunk
+from arbutustally.engine_completions import Usage, parse_chunk
 
 #: Longest event accepted from an engine.
 MAX_EVENT_BYTES = 1 << 20
--- a/packages/arbutustally-node/src/arbutustally_node/stream_report.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_report.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from arbutustally.engine_client import Usage
+from arbutustally.engine_completions import Usage
 from arbutustally.errors import RouterError
 from arbutustally.metrics import Counter, declare
 from arbutustally.placement_types import Choice, Observation
--- a/packages/arbutustally-node/src/arbutustally_node/stream_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/stream_run.py
@@ -7,7 +7,7 @@
 import gevent
 
 from arbutustally.clock import Clock
-from arbutustally.engine_client import END_OF_STREAM
+from arbutustally.engine_completions import END_OF_STREAM
 from arbutustally.errors import (
     EndpointFailedError,
     EndpointTimeoutError,
