Part the dialling of peers from the calls and broadcasts on their links

Cause: PeersService (384 lines with its module) carried calls and broadcasts and also decided which links to open, when to dial again and which to close, with a dozen fields that only that part uses.

Change: PeerDialler in arbutustally_node.peer_dialler keeps the links that the topology plan or a call asks for; the service gives it its links and the function that dials. Delays and order of steps are unchanged.

--- a/packages/arbutustally-node/src/arbutustally_node/peers.py
+++ b/packages/arbutustally-node/src/arbutustally_node/peers.py
@@ -1,6 +1,5 @@
 """Service ``peers``: links to other nodes, which carry calls and, once a second, broadcasts."""
 
-import random
 from collections.abc import Callable
 from typing import Any
 
@@ -16,11 +15,12 @@
 from arbutustally.metrics import Counter, Metrics, declare
 from arbutustally.peer_channel import Handshake, Identity, SecureChannel
 from arbutustally.peer_protocol import Event, Events, encode
-from arbutustally.topology import FULL_MESH_NODES, Plan, opens_link, plan
+from arbutustally.topology import FULL_MESH_NODES
 from arbutustally_node.broadcasts import Broadcasts
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.options import Options
 from arbutustally_node.peer_connection import PeerClientConnection
+from arbutustally_node.peer_dialler import PeerDialler
 from arbutustally_node.peer_link import (
     HANDSHAKE_TIMEOUT_S,
     WEBSOCKET_OPTIONS,
@@ -35,15 +35,6 @@
 #: A node without a link counts as connected for this long after its last message arrived,
 #: directly or forwarded, seconds.
 LIVENESS_TIMEOUT_S = 5.0
-#: Bounds of the delay between two attempts to dial a node, seconds.
-BACKOFF_MIN_S = 0.1
-BACKOFF_MAX_S = 5.0
-#: A direct link for calls is closed after this long without a call, seconds.
-IDLE_LINK_S = 60.0
-#: The node with the larger id dials only if the other has opened no link this long after it
-#: became known, seconds.
-DIAL_GRACE_S = 3.0
-REPLAN_INTERVAL_S = 1.0
 
 PEER_REJECTED = declare(
     "refused.peer_rejected",
@@ -53,15 +44,12 @@
     "refused.peer_unavailable",
     "Calls to peers that failed for want of a link or an answer; check the network.",
 )
-PEER_REDIALLED = declare(
-    "retried.peer_link", "Attempts to open a peer link again after a failure; check the peer."
-)
 
 _log = get_logger("peers")
 
 
 class PeersService:
-    """Maintains the links of the topology plan and direct links for calls.
+    """Carries calls and broadcasts over the links to other nodes.
 
     :param addresses: returns the peer address of each known node by id.
     :param mesh_up_to: largest number of nodes that form a full mesh instead of groups.
@@ -79,25 +67,20 @@
         self._metrics = metrics
         self._addresses = addresses
         self._clock = clock
-        self._mesh_up_to = mesh_up_to
-        self._random = random.Random()
         self._handlers: dict[str, Handler] = {}
         self._links: dict[str, PeerLink] = {}
         self._received_at: dict[str, float] = {}
         own = Identity(options.node_id, options.incarnation)
         self._broadcasts = Broadcasts.from_config(own)
-        self._plan = Plan(())
-        self._wanted: set[str] = set()
-        self._known_since: dict[str, float] = {}
         self._linked = Signal()
-        self._dial_loops: dict[str, gevent.Greenlet] = {}
-        self._far_attempts: dict[str, int] = {}
-        self._direct_used_at: dict[str, float] = {}
+        self._dialler = PeerDialler(
+            options.node_id, addresses, self._links, self._try_dial, metrics, clock, mesh_up_to
+        )
         self._listener = PeerListener(
             self._handshake, self._serve_accepted, lambda error: self._reject(error, "unknown")
         )
         self._address = options.peer_listen
-        self._loops: list[gevent.Greenlet] = []
+        self._forward_loop: gevent.Greenlet | None = None
         self._stopping = Signal()
 
     @classmethod
@@ -117,15 +100,15 @@
     def start(self) -> None:
         """Opens the listener and starts dialling."""
         self._address = self._listener.start(self._options.peer_listen)
-        self._loops = [
-            gevent.spawn(self._replan_forever),
-            gevent.spawn(self._forward_forever),
-        ]
+        self._dialler.start()
+        self._forward_loop = gevent.spawn(self._forward_forever)
 
     def stop(self) -> None:
         """Closes the listener and all links."""
         self._stopping.set()
-        gevent.killall([*self._loops, *self._dial_loops.values()], timeout=1)
+        self._dialler.stop()
+        if self._forward_loop is not None:
+            gevent.killall([self._forward_loop], timeout=1)
         self._listener.stop()
         for link in list(self._links.values()):
             link.close()
@@ -173,7 +156,7 @@
         deadline = self._clock() + timeout_s
         try:
             link = self._links.get(node_id) or self._open_direct(node_id, deadline)
-            self._direct_used_at[node_id] = self._clock()
+            self._dialler.note_call(node_id)
             return link.call(method, payload, max(deadline - self._clock(), 0.001))
         except PeerUnavailableError:
             self._metrics.count(PEER_UNAVAILABLE)
@@ -267,8 +250,7 @@
                 f"node {node_id} is not in the instance list; retry when it is listed",
                 retry_after_s=1.0,
             )
-        self._direct_used_at[node_id] = self._clock()
-        self._ensure_dialling(node_id)
+        self._dialler.dial_for_call(node_id)
         while node_id not in self._links:
             remaining = deadline - self._clock()
             if remaining <= 0:
@@ -280,61 +262,6 @@
             self._linked.wait(remaining)
         return self._links[node_id]
 
-    def _replan_forever(self) -> None:
-        while not self._stopping.is_set():
-            self._replan()
-            self._stopping.wait(REPLAN_INTERVAL_S * self._random.uniform(0.8, 1.2))
-
-    def _replan(self) -> None:
-        known = self._addresses()
-        now = self._clock()
-        self._plan = plan(self._options.node_id, known, self._mesh_up_to)
-        wanted = set(self._plan.near)
-        wanted.update(self._choose_far_peer(group) for group in self._plan.far)
-        wanted.update(
-            node_id for node_id, used in self._direct_used_at.items() if used > now - IDLE_LINK_S
-        )
-        self._wanted = wanted
-        self._known_since = {node_id: self._known_since.get(node_id, now) for node_id in known}
-        for node_id in wanted:
-            waited = now - self._known_since.get(node_id, now)
-            if opens_link(self._options.node_id, node_id) or waited > DIAL_GRACE_S:
-                self._ensure_dialling(node_id)
-        self._close_unwanted()
-
-    def _choose_far_peer(self, group: tuple[str, ...]) -> str:
-        for node_id in group:
-            if node_id in self._links:
-                return node_id
-        return group[self._far_attempts.get(group[0], 0) % len(group)]
-
-    def _close_unwanted(self) -> None:
-        for node_id, link in list(self._links.items()):
-            # Only the dialling end closes it; the listening end cannot know why the link was opened.
-            if link.dialler == self._options.node_id and node_id not in self._wanted:
-                link.close()
-
-    def _ensure_dialling(self, node_id: str) -> None:
-        loop = self._dial_loops.get(node_id)
-        if loop is None or loop.dead:
-            self._dial_loops[node_id] = gevent.spawn(self._keep_link, node_id)
-
-    def _keep_link(self, node_id: str) -> None:
-        backoff = BACKOFF_MIN_S
-        while not self._stopping.is_set() and self._is_wanted(node_id):
-            address = self._addresses().get(node_id)
-            if address is None:
-                return
-            if node_id not in self._links:
-                started_at = self._clock()
-                self._try_dial(node_id, address)
-                if self._clock() - started_at > LIVENESS_TIMEOUT_S:
-                    backoff = BACKOFF_MIN_S
-                self._metrics.count(PEER_REDIALLED)
-            # Jitter spreads the dials of many nodes that lost the same peer.
-            self._stopping.wait(backoff * self._random.uniform(0.5, 1.5))
-            backoff = min(backoff * 2, BACKOFF_MAX_S)
-
     def _try_dial(self, node_id: str, address: str) -> None:
         try:
             self._dial(node_id, address)
@@ -342,17 +269,10 @@
             self._reject(error, node_id)
         except (WebSocketException, OSError) as error:
             _log.debug("peer dial failed", peer=node_id, error=type(error).__name__)
-        for group in self._plan.far:
-            if node_id in group:
-                self._far_attempts[group[0]] = self._far_attempts.get(group[0], 0) + 1
-
-    def _is_wanted(self, node_id: str) -> bool:
-        recent = self._direct_used_at.get(node_id, -IDLE_LINK_S) > self._clock() - IDLE_LINK_S
-        return node_id in self._wanted or recent
 
     def _broadcast_links(self) -> list[PeerLink]:
-        chosen = [*self._plan.near]
-        for group in self._plan.far:
+        chosen = [*self._dialler.plan.near]
+        for group in self._dialler.plan.far:
             linked = next((node_id for node_id in group if node_id in self._links), None)
             if linked is not None:
                 chosen.append(linked)
@@ -360,7 +280,7 @@
 
     def _on_events(self, link: PeerLink, events: Events) -> None:
         self._received_at[link.peer.node_id] = self._clock()
-        is_near = link.peer.node_id in self._plan.near
+        is_near = link.peer.node_id in self._dialler.plan.near
         for origin in self._broadcasts.receive(events, link.peer.node_id, is_near):
             self._received_at[origin] = self._clock()
 
@@ -379,7 +299,7 @@
                 self._forward(events[: len(events) // 2])
                 self._forward(events[len(events) // 2 :])
             return
-        for node_id in self._plan.near:
+        for node_id in self._dialler.plan.near:
             link = self._links.get(node_id)
             if link is not None:
                 link.post(data)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,7 +16,7 @@
 from arbutustally.peer_channel import Handshake, SecureChannel
 from arbutustally.peer_protocol import Call, Event, Events, encode
 from arbutustally.topology import group_of, plan
-from arbutustally_node import peer_link, peers
+from arbutustally_node import peer_dialler, peer_link, peers
 from arbutustally_node.peers import PEER_REJECTED, PeersService
 from arbutustally_node.serial_window import WINDOW_SERIALS, SerialWindow
 from tests.node_options import REQUIRED, options
@@ -68,8 +68,8 @@
 class PeersCase(unittest.TestCase):
     def setUp(self) -> None:
         configure("error")
-        self.enterContext(mock.patch.object(peers, "REPLAN_INTERVAL_S", 0.05))
-        self.enterContext(mock.patch.object(peers, "DIAL_GRACE_S", 0.2))
+        self.enterContext(mock.patch.object(peer_dialler, "REPLAN_INTERVAL_S", 0.05))
+        self.enterContext(mock.patch.object(peer_dialler, "DIAL_GRACE_S", 0.2))
         self.fleet = Fleet()
         self.addCleanup(lambda: self.fleet.stop())
 
