Part the circuit breaker into comparison, verdict and state

Cause: breaker (377 lines) held three jobs: comparing each response with the old version, judging counts of compared responses, and keeping trips, doubts and counts of peers. Constants of all three stood in one list, and the controller of moves imported the verdict from the breaker.

Change: arbutustally.version_responses compares, arbutustally.trips judges, arbutustally.breaker keeps the state. Of the code only _VersionRecord gets another name, VersionResponses, as "record" is a record of the log elsewhere. Constants keep their values; two comments name the module of the constant to which they refer. The design and PROOFS name the modules.

Run: test_breaker, test_move_controller, test_version_service, test_documents: 48 passed; test_breaker, test_moves_processes: 25 passed. The three mutations of the modules are caught.

--- a/packages/arbutustally-node/src/arbutustally_node/version_evidence.py
+++ b/packages/arbutustally-node/src/arbutustally_node/version_evidence.py
@@ -5,10 +5,11 @@
 
 from gevent import spawn
 
-from arbutustally.breaker import Breaker, Report, Trip
+from arbutustally.breaker import Breaker, Report
 from arbutustally.evidence import EvidenceKey, Sample, Tally
 from arbutustally.logs import get_logger
 from arbutustally.metrics import declare
+from arbutustally.trips import Trip
 from arbutustally_node.kernel import Kernel
 
 TRIPPED = declare(
--- a/packages/arbutustally/src/arbutustally/versions.py
+++ b/packages/arbutustally/src/arbutustally/versions.py
@@ -5,10 +5,11 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from arbutustally.breaker import TOLERATED_FAILURES, Accepted, Breaker, Trip, judge_tally
+from arbutustally.breaker import Breaker
 from arbutustally.evidence import EvidenceKey, Tally
 from arbutustally.records import MoveStep
 from arbutustally.rendezvous import uniform_hash
+from arbutustally.trips import TOLERATED_FAILURES, Accepted, Trip, judge_tally
 
 __all__ = [
     "Breaker",
--- a/tests/test_move_controller.py
+++ b/tests/test_move_controller.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from arbutustally.breaker import Trip
 from arbutustally.evidence import EvidenceKey, Tally
 from arbutustally.records import MoveStep
+from arbutustally.trips import Trip
 from arbutustally.versions import (
     STEPS,
     EndpointVersions,
