Part the calls that may be repeated from the booking service

Cause: booking_service (372 lines) ran two kinds of plain calls that share the dispatcher and nothing else; a reader of the claims had to pass the retries of repeatable calls, whose budget and errors bookings don't use.

Change: RepeatableCalls in arbutustally_node.repeatable_calls has the loop, its budget and its counter; submit chooses between the two as before. The code of the loop is unchanged.

--- a/packages/arbutustally-node/src/arbutustally_node/booking_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/booking_service.py
@@ -1,4 +1,4 @@
-"""Plain calls: repeatable ones are retried, the others are claimed in the log before dispatch.
+"""Plain calls; those that must not be repeated are claimed in the log before dispatch.
 
 A claim is dispatched only by the attempt that made it. An abandoned attempt never dispatches
 afterwards, so its response "not run" stays true; its claim is released by an outcome ``not_run`` as
@@ -39,13 +39,13 @@
 )
 from arbutustally.metrics import declare
 from arbutustally.records import Claim, Outcome
-from arbutustally.retries import RetryBudget
 from arbutustally.verdicts import Reason
 from arbutustally_node.calls import PlainCall, PlainResponse
 from arbutustally_node.kernel import Kernel
 from arbutustally_node.log_batcher import LogBatcher
 from arbutustally_node.options import Options
 from arbutustally_node.plain_dispatch import ATTEMPT_ERRORS, PlainDispatcher
+from arbutustally_node.repeatable_calls import RepeatableCalls
 
 #: Time to wait for the log to confirm a claim, seconds.
 CLAIM_WAIT_S = 5.0
@@ -65,7 +65,6 @@
 BOOKING_NOT_SENT = declare(
     "retried.booking_not_sent", "Instance unreachable; the booking went to another one."
 )
-PLAIN_FAILED = declare("retried.plain_failed", "A repeatable plain call went to another instance.")
 GIVEN_UP = declare("bookings.given_up", "Claims given up before dispatch; check the log's delay.")
 
 
@@ -100,7 +99,7 @@
         self._wall_clock = wall_clock
         self._dispatcher = PlainDispatcher(kernel, rng)
         self._batcher = LogBatcher(kernel, clock)
-        self._retries = RetryBudget.from_config()
+        self._repeatable = RepeatableCalls.from_config(kernel, self._dispatcher)
         self._numbers = itertools.count(1)
         self._attempts: dict[int, Attempt] = {}
         # Attempts abandoned before their claim was read from the log. Only these are released: an
@@ -132,33 +131,7 @@
 
         :raises RouterError: ``ran`` states what is proved about the run.
         """
-        return self._repeatable(call) if call.idempotent else self._book(call)
-
-    # Calls that may be repeated.
-
-    def _repeatable(self, call: PlainCall) -> PlainResponse:
-        tried: set[str] = set()
-        failure: RouterError | None = None
-        while True:
-            try:
-                endpoint = self._dispatcher.choose(call.service, tried)
-            except NoEndpointError as error:
-                raise failure or error from error
-            tried.add(endpoint.id)
-            try:
-                answer = self._dispatcher.send(call, endpoint, fresh=False)
-            except ATTEMPT_ERRORS as error:
-                failure = _less_certain(failure, error)
-                call.trace.note("endpoint_failed", endpoint=endpoint.id, code=error.code)
-                if not self._retries.allow(call.account):
-                    raise failure from error
-                self._count(PLAIN_FAILED)
-                continue
-            self._retries.record_success(call.account)
-            call.trace.note("answered", endpoint=endpoint.id, status=answer.status)
-            return answer
-
-    # Bookings.
+        return self._repeatable.run(call) if call.idempotent else self._book(call)
 
     def _book(self, call: PlainCall) -> PlainResponse:
         time_s = key_time_s(call.idempotency_key)
@@ -357,13 +330,6 @@
     )
 
 
-def _less_certain(first: RouterError | None, second: RouterError) -> RouterError:
-    """Returns the first error if it does not prove that the call did not run, else the second."""
-    if first is not None and first.ran is not Ran.NOT_RUN:
-        return first
-    return second
-
-
 def _in_progress() -> OutcomeUnknownError:
     return OutcomeUnknownError(
         "the booking is in progress; ask again with the same key",
