Part the tests of standing shares from the model of the limits

Cause: test_limits_model (426 lines) held the state machine with its scenarios and also the cases of standing shares, two of which cut off a holder with the same seven lines.

The lifetime of a grant, which both modules use, is GRANT_LIFETIME_S of limits_world.

--- a/tests/limits_world.py
+++ b/tests/limits_world.py
@@ -9,6 +9,7 @@
 from arbutustally.directory import ranking
 from arbutustally.errors import LogUnavailableError, PeerUnavailableError, RouterError
 from arbutustally.grant_pool import GrantPool, Reservation
+from arbutustally.limit_issuer import LIFETIME_REFILL_FRACTION
 from arbutustally.logs import configure
 from arbutustally.owner_budget import CLOCK_SLEW
 from arbutustally.records import Change, wrap
@@ -25,6 +26,8 @@
 ACCOUNT = "acct"
 RATE = 100.0
 BURST = 1000.0
+#: Lifetime of a grant for the account, seconds.
+GRANT_LIFETIME_S = LIFETIME_REFILL_FRACTION * BURST / RATE
 LEASE_S = 10.0
 # Tolerance in tokens for rounding errors of sums of up to some thousand such floats.
 ROUNDING = 1e-6
--- a/tests/test_limits_model.py
+++ b/tests/test_limits_model.py
@@ -7,18 +7,14 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from arbutustally.errors import LeaseLostError, RouterError
-from arbutustally.limit_issuer import LIFETIME_REFILL_FRACTION
-from arbutustally.records import ShareRecord
+from arbutustally.errors import RouterError
 from arbutustally.standing_shares import SHARE_VALIDITY_S
 from arbutustally_node.shard_owner import HANDOVER_S
-from tests.limits_world import BURST, RATE, ROUNDING, World
+from tests.limits_world import BURST, GRANT_LIFETIME_S, RATE, ROUNDING, World
 
 NODES = st.integers(0, 3)
 #: Sizes of requests as fractions of the burst.
 PARTS = st.sampled_from([0.01, 0.06, 0.125, 0.25, 0.7, 0.875, 1.0])
-#: Lifetime of a grant for the account, seconds.
-LIFETIME_S = LIFETIME_REFILL_FRACTION * BURST / RATE
 SHORT = st.sampled_from([0.05, 0.4, 1.0, 2.4, 3.0])
 LONG = st.sampled_from([9.0, 11.0, 25.0, 70.0])
 
@@ -203,7 +199,7 @@
         self.world.admit_all(self.owner)
         self.world.run(8)
         node.sources.ask_owner("acct", 500.0, 500.0)
-        self.world.run(LIFETIME_S - 0.1, step=0.1)
+        self.world.run(GRANT_LIFETIME_S - 0.1, step=0.1)
         self.assertTrue(self.world.admit(node, 500.0))
         self.world.now += 0.2
         self.world.admit_all(self.owner)
@@ -211,10 +207,10 @@
 
     def test_late_answer_does_not_extend_a_grant(self) -> None:
         """Guards against counting a grant's lifetime from the arrival of the response."""
-        self.world.answer_delay = LIFETIME_S - 0.1
+        self.world.answer_delay = GRANT_LIFETIME_S - 0.1
         self.others[0].sources.ask_owner("acct", 700.0, 700.0)
         self.world.answer_delay = 0.0
-        self.world.run(LIFETIME_S - 0.5, step=0.1)
+        self.world.run(GRANT_LIFETIME_S - 0.5, step=0.1)
         self.world.admit_all(self.owner)
         self.world.admit_all(self.others[0])
         self.check()
@@ -282,7 +278,7 @@
         self.owner.draining = True
         self.world.run(HANDOVER_S - 0.2, step=0.1)
         self.assertGreater(node.sources.ask_owner("acct", 700.0, 700.0).tokens, 0)
-        self.world.run(LIFETIME_S - 0.5, step=0.1)
+        self.world.run(GRANT_LIFETIME_S - 0.5, step=0.1)
         self.assertTrue(any(self.world.owns(other) for other in self.others))
         for other in self.world.nodes.values():
             self.world.admit_all(other)
@@ -294,133 +290,11 @@
         node.sources.ask_owner("acct", 400.0, 400.0)
         budget = self.owner.owner.issuer().budget("acct")
         before = budget.level
-        self.world.now += LIFETIME_S - 0.3
+        self.world.now += GRANT_LIFETIME_S - 0.3
         node.sources.report("acct")
         self.assertAlmostEqual(budget.outstanding, 0.0)
         self.assertGreaterEqual(budget.level, before + 400.0 - ROUNDING)
 
 
-class StandingShareTest(unittest.TestCase):
-    """Slots change holders without an instant at which two nodes use one slot."""
-
-    def setUp(self) -> None:
-        self.world = World()
-        self.world.run(60)
-        fold = self.world.node(0).state
-        self.holders = [fold.share(0, slot).holder.partition("#")[0] for slot in range(2)]
-
-    def check(self) -> None:
-        self.assertLessEqual(self.world.excess(), ROUNDING)
-
-    def usable(self, node_id: str, slot: int) -> bool:
-        try:
-            self.world.nodes[node_id].slots[slot].issuer()
-        except LeaseLostError:
-            return False
-        return True
-
-    def test_shares_work_without_log_and_owner(self) -> None:
-        """Guards against refusing everything while log and owner are down."""
-        self.world.log_up = False
-        self.world.nodes[self.holders[0]].frozen = True
-        self.world.run(30)
-        self.assertTrue(self.world.admit(self.world.nodes[self.holders[1]], 100.0))
-        self.check()
-
-    def test_share_ends_when_the_log_was_not_read_for_its_validity(self) -> None:
-        """Guards against a share that is still used after its successor's wait."""
-        self.world.log_up = False
-        self.world.run(SHARE_VALIDITY_S + 10, step=30.0)
-        self.assertFalse(self.usable(self.holders[1], 1))
-
-    def test_successor_of_an_unreleased_slot_waits(self) -> None:
-        """Guards against use by a holder without access to the log and by its successor at once."""
-        old = self.world.nodes[self.holders[1]]
-        self.world.cut_from_log.add(old.id)
-        for node_id in self.world.nodes:
-            if node_id != old.id:
-                self.world.cut_links.add(frozenset((old.id, node_id)))
-        self.world.run(200)
-        fold = self.world.node(self.world.owner_index()).state
-        successor = fold.share(0, 1).holder.partition("#")[0]
-        self.assertNotEqual(successor, old.id)
-        self.assertTrue(self.usable(old.id, 1))
-        self.assertFalse(self.usable(successor, 1))
-        self.world.run(SHARE_VALIDITY_S * 1.02, step=30.0)
-        self.assertFalse(self.usable(old.id, 1))
-        self.assertTrue(self.usable(successor, 1))
-
-    def test_holder_stops_when_it_reads_another_assignment(self) -> None:
-        """Guards against use of a slot that the log has given to another node."""
-        old = self.world.nodes[self.holders[1]]
-        offset = old.state.share(0, 1).last_offset
-        self.assertTrue(self.usable(old.id, 1))
-        self.world.nodes[self.holders[0]].append(ShareRecord(0, 1, "other#1", offset))
-        for _ in range(int(SHARE_VALIDITY_S * 1.03 / 60)):
-            old.read()
-            self.assertFalse(self.usable(old.id, 1))
-            self.world.now += 60
-
-    def test_released_slot_is_used_at_once(self) -> None:
-        """Guards against leaving a released slot unused for the succession wait."""
-        self.world.nodes[self.holders[1]].draining = True
-        self.world.run(30)
-        fold = self.world.nodes[self.holders[0]].state
-        successor = fold.share(0, 1).holder.partition("#")[0]
-        self.assertNotEqual(successor, self.holders[1])
-        self.assertTrue(self.usable(successor, 1))
-
-    def test_home_nodes_that_start_in_turn_get_a_slot_each(self) -> None:
-        """Guards against a home node that gets no share because the other one started first."""
-        world = World(size=2)
-        first = world.owner_index()
-        world.node(first).frozen = True
-        world.run(20)
-        world.node(first).frozen = False
-        world.run(60)
-        fold = world.node(first).state
-        holders = {fold.share(0, slot).holder.partition("#")[0] for slot in range(2)}
-        self.assertEqual(holders, set(world.nodes))
-
-    def test_first_share_waits_for_the_lowered_owner(self) -> None:
-        """Guards against a first share in use while the owner's grants cover the whole burst."""
-        world = World()
-        owner = world.node(world.owner_index())
-        owner.maintain()
-        world.now += 30
-        owner.read()
-        owner.step_hold()
-        owner.owner.issuer()
-        for _ in range(12):
-            world.now += 1
-            owner.step_hold()
-        other = next(node for node in world.nodes.values() if node is not owner)
-        other.read()
-        self.assertEqual(other.sources.ask_owner("acct", BURST, BURST).tokens, BURST)
-        for _ in range(3):
-            world.maintain()
-        second = world.nodes[owner.state.share(0, 1).holder.partition("#")[0]]
-        self.assertRaises(LeaseLostError, second.slots[1].issuer)
-        world.run(LIFETIME_S + 2)
-        second.slots[1].issuer()
-
-    def test_holder_that_still_waits_does_not_release(self) -> None:
-        """Guards against a release that lets a third holder start before the first has stopped."""
-        old = self.world.nodes[self.holders[1]]
-        self.world.cut_from_log.add(old.id)
-        for node_id in self.world.nodes:
-            if node_id != old.id:
-                self.world.cut_links.add(frozenset((old.id, node_id)))
-        self.world.run(200)
-        fold = self.world.node(self.world.owner_index()).state
-        successor = fold.share(0, 1).holder.partition("#")[0]
-        self.world.nodes[successor].draining = True
-        self.world.run(200)
-        self.assertTrue(self.usable(old.id, 1))
-        for node_id in self.world.nodes:
-            if node_id != old.id:
-                self.assertFalse(self.usable(node_id, 1))
-
-
 if __name__ == "__main__":
     unittest.main()
