Try a release again on a second order after it was rolled back

What the operator saw: an order for a release that had been rolled back, with another duration, was ignored; the status stayed rolled_back.

Cause: decisions, tallies and the status named the service and the release only, so a node could not tell under which order they were made.

Change: decisions name the duration of the order, and of the one that began the trial; the answers of each trial are counted apart. The first trial has the names of the program before, and the durations follow where that program does not read. A further trial waits until all ready peers tell that they can follow it, since a node of the program before would go on to use endpoints that stop once the release is kept. A release that was kept stays kept.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -15,6 +15,7 @@
 from arbutustally.gateway.list_outage import ListOutage
 from arbutustally.gateway.memory_account import MemoryAccount
 from arbutustally.gateway.place_terms import terms_of
+from arbutustally.gateway.relaying import RETRIAL_LEVEL
 from arbutustally.gateway.shared_reading import SharedReading
 from arbutustally.gateway.wait_calibration import WaitCalibration
 from arbutustally.gateway.zone_spill import ZoneSpill
@@ -278,6 +279,7 @@
         monotonic,
         lambda: _is_decider(store.endpoints, gossip),
         lambda progress: store.operator_reader.publish(encode_progress(progress)),
+        lambda: all(peer.level >= RETRIAL_LEVEL for peer in gossip.present if peer.is_ready),
     )
     platform.store_era.watch(service.era_changed)
     return service
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_status.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_status.py
@@ -5,7 +5,7 @@
 
 from arbutustally.clock import monotonic
 from arbutustally.gateway.entry_nodes import entry_nodes
-from arbutustally.gateway.relaying import Member
+from arbutustally.gateway.relaying import RETRIAL_LEVEL, Member
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.ports import GatewayOptions
 
@@ -52,6 +52,7 @@
             self.is_ready,
             configuration.version if configuration else 0,
             options.capacity,
+            RETRIAL_LEVEL,
         )
 
     def ready_nodes(self, peers: Sequence[Member]) -> list[Member]:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_state.py
@@ -28,6 +28,8 @@
 #: Largest offset or era that is accepted from a peer.
 MAX_STORE_NUMBER = (1 << 63) - 1
 
+#: Index of readiness in the row of a member.
+_READY = 5
 _PLAIN = b"p"
 _COMPRESSED = b"z"
 
@@ -285,15 +287,19 @@
 
 
 def _member_row(member: Member) -> list[Any]:
-    return [getattr(member, one.name) for one in fields(Member)]
+    *row, capacity, _level = (getattr(member, one.name) for one in fields(Member))
+    # The level takes the place of readiness: programs of level 1 refuse a longer row, and read any
+    # number above 0 as ready.
+    row[_READY] = member.level if member.is_ready and member.level > 1 else member.is_ready
+    return [*row, capacity]
 
 
 def _member(row: Any) -> Member:
     node, ip, zone, callers, control, is_ready, config, capacity = row
     texts = map(_text, (zone, callers, control))
-    return Member(
-        _text(node), _host_ip(ip), *texts, bool(is_ready), _whole(config), _whole(capacity)
-    )
+    numbers = _whole(config), _whole(capacity)
+    level = is_ready if type(is_ready) is int and 1 < is_ready <= MAX_STORE_NUMBER else 1
+    return Member(_text(node), _host_ip(ip), *texts, bool(is_ready), *numbers, level)
 
 
 def _update_row(updates: ListUpdate) -> list[Any]:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
@@ -40,6 +40,7 @@
 class AnswerRun:
     """A request at an endpoint of a service that is judged.
 
+    :ivar trial: name of the trial in which it began, see ``RolloutBook.trial``.
     :ivar began: start time on this node's clock, seconds.
     :ivar prompt_read_s: time that reading the prompt may take at an endpoint with an empty cache,
         seconds.
@@ -47,7 +48,7 @@
     """
 
     service: str
-    target: str
+    trial: str
     group: str
     route: str
     began: float
@@ -97,10 +98,10 @@
         if rows:
             self._peer_totals[source] = {name: AnswerTally(*row) for name, row in rows.items()}
 
-    def tallies(self, service: str, target: str, group: str) -> dict[str, AnswerTally]:
-        """Returns the tallies of all nodes' answers by route."""
+    def tallies(self, service: str, trial: str, group: str) -> dict[str, AnswerTally]:
+        """Returns the tallies of all nodes' answers in a trial by route."""
         self._count_long_runs()
-        start = _name(service, target, group, "")
+        start = _name(service, trial, group, "")
         all_tallies = add_tallies([self._own_tallies, *self._peer_totals.values()])
         return {
             name.removeprefix(start): tally
@@ -111,9 +112,9 @@
     def began(self, state: EndpointState, route: str, prompt_read_s: float) -> AnswerRun:
         """Records that a request was sent to an endpoint."""
         service = state.entry.service
-        target = self._book.target(service) or ""
+        trial = self._book.trial(service)
         group = CANARY if self._book.is_canary(state) else BASELINE
-        run = AnswerRun(service, target, group, route, self._clock(), prompt_read_s)
+        run = AnswerRun(service, trial, group, route, self._clock(), prompt_read_s)
         if self._book.is_judged(service):
             self._running[id(run)] = run
         return run
@@ -150,9 +151,9 @@
         return times.quantile(BASELINE_QUANTILE) * LONG_RUN_FACTOR + run.prompt_read_s
 
     def _add(self, run: AnswerRun, tally: AnswerTally) -> None:
-        name = _name(run.service, run.target, run.group, run.route)
+        name = _name(run.service, run.trial, run.group, run.route)
         self._own_tallies[name] = self._own_tallies.get(name, AnswerTally()).plus(tally)
 
 
-def _name(service: str, target: str, group: str, route: str) -> str:
-    return f"{service}{SEPARATOR}{target}{SEPARATOR}{group}{SEPARATOR}{route}"
+def _name(service: str, trial: str, group: str, route: str) -> str:
+    return f"{service}{SEPARATOR}{trial}{SEPARATOR}{group}{SEPARATOR}{route}"
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
@@ -4,12 +4,13 @@
 requests from the moment of the decision, even if the store cannot be written. A release gets
 requests only after the store has the record that its roll-out is running, and is kept only after the
 store has the record of its completion. A final record is never replaced by a different final
-record, even if two nodes both act as decider.
+record of the same trial, even if two nodes both act as decider.
 """
 
 import math
 from collections import deque
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Any
 
 import gevent
@@ -47,6 +48,9 @@
 
     :param is_decider: returns whether this node decides now.
     :param send_decision: sends a decision to all peers at once, and repeatedly for a while.
+    :param allows_retrials: returns whether no ready peer runs a program that takes a release which
+        was rolled back for rolled back for good. Such a node would go on to use the baseline, which
+        is stopped once the release is kept.
     """
 
     def __init__(
@@ -60,6 +64,7 @@
         clock: Clock,
         is_decider: Callable[[], bool],
         send_decision: Callable[[RolloutProgress], None],
+        allows_retrials: Callable[[], bool],
     ) -> None:
         self._rollouts = rollouts
         self._evidence = evidence
@@ -70,6 +75,7 @@
         self._clock = clock
         self._is_decider = is_decider
         self._send_decision = send_decision
+        self._allows_retrials = allows_retrials
         self._written: dict[str, RolloutProgress] = {}
         self._sent_at: dict[str, float] = {}
         self._known: dict[str, KnownOrder] = {}
@@ -113,8 +119,12 @@
         if current is not None and current.is_final:
             self._resend(current)
             return
-        canary = self._evidence.tallies(order.service, order.target, CANARY)
-        baseline = self._evidence.tallies(order.service, order.target, BASELINE)
+        retrial_s = self._rollouts.retrial_s(order.service)
+        if current is None and retrial_s is not None and not self._allows_retrials():
+            return
+        trial = self._rollouts.trial(order.service)
+        canary = self._evidence.tallies(order.service, trial, CANARY)
+        baseline = self._evidence.tallies(order.service, trial, BASELINE)
         following = next_progress(
             order,
             current,
@@ -123,6 +133,7 @@
             baseline,
             self._is_recently_bad(order.service, canary, baseline),
             self._baseline_running(order.service, order.target),
+            retrial_s,
         )
         if following != current:
             self._decide(following, canary)
@@ -150,7 +161,7 @@
                 continue
             if progress.target == known.order.target:
                 self._written[progress.service] = progress
-                if progress.is_final:
+                if progress.is_final or progress.retrial_s is not None:
                     self._rollouts.apply(progress)
 
     def _decide(self, progress: RolloutProgress, canary: Tallies) -> None:
@@ -163,10 +174,7 @@
 
     def _is_written(self, progress: RolloutProgress) -> bool:
         written = self._written.get(progress.service)
-        return written is not None and (written.target, written.state) == (
-            progress.target,
-            progress.state,
-        )
+        return written is not None and replace(written, share=progress.share) == progress
 
     def _apply(self, progress: RolloutProgress, canary: Tallies) -> None:
         if self._rollouts.apply(progress):
@@ -196,13 +204,14 @@
             self._write(progress)
 
     def _write(self, progress: RolloutProgress) -> bool:
-        """Writes a roll-out's progress, unless the store has a different final state of it.
+        """Writes a roll-out's progress, unless the store has a different final state of the trial.
 
         :returns: whether the store has the record.
         """
         batch = self._topic.newest()
         found = self._stored_progress(batch.records, progress)
-        if found is not None and found.is_final and found.state is not progress.state:
+        is_ended = found is not None and found.is_final and found.retrial_s == progress.retrial_s
+        if is_ended and found.state is not progress.state:
             self._written[progress.service] = found
             self._log.line(
                 "rollout_ended_otherwise",
--- a/packages/arbutustally/src/arbutustally/gateway/relaying.py
+++ b/packages/arbutustally/src/arbutustally/gateway/relaying.py
@@ -29,6 +29,9 @@
 
 _RELAY_DUTY = b"relay"
 
+#: Level of the programs that judge a release again on another order after it was rolled back.
+RETRIAL_LEVEL = 2
+
 
 @dataclass(frozen=True)
 class Member:
@@ -40,6 +43,7 @@
     :ivar config: version of the active configuration, 0 for none.
     :ivar capacity: processor and network capacity of the instance; larger ones are preferred as
         relays.
+    :ivar level: level of the node's program, told by ready nodes; 1 for those that tell none.
     """
 
     node: str
@@ -50,6 +54,7 @@
     is_ready: bool
     config: int
     capacity: int = 0
+    level: int = 1
 
 
 class RelayPlan:
--- a/packages/arbutustally/src/arbutustally/gateway/rollouts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/rollouts.py
@@ -59,6 +59,9 @@
 #: Lower limit of the variance of log times; keeps z-scores finite where all times are equal.
 MIN_VARIANCE = 0.01
 
+#: Separates a release and the duration of the order in the name of a trial.
+TRIAL_SEPARATOR = "\x1e"
+
 
 class RolloutState(StrEnum):
     """Progress state of a roll-out."""
@@ -86,12 +89,18 @@
     """Latest decision of the node that decides on roll-outs.
 
     :ivar share: share of the requests that are routed to the canary.
+    :ivar order_s: duration of the order in force at the decision, seconds; ``None`` if the node that
+        decided runs a program that does not tell.
+    :ivar retrial_s: duration of the order with which this trial of the release began, seconds;
+        ``None`` in the first trial.
     """
 
     service: str
     target: str
     state: RolloutState
     share: float
+    order_s: float | None = None
+    retrial_s: float | None = None
 
     @property
     def is_final(self) -> bool:
@@ -231,6 +240,7 @@
     baseline: Tallies,
     is_bad_lately: bool,
     baseline_running: int,
+    retrial_s: float | None = None,
 ) -> RolloutProgress:
     """Returns the progress that applies from now on.
 
@@ -242,11 +252,18 @@
     :param baseline: answers of the baseline in the same period.
     :param is_bad_lately: whether the canary's answers of the last 3 s alone are bad.
     :param baseline_running: number of requests that endpoints of other releases still run.
+    :param retrial_s: see ``RolloutProgress``.
     """
+
+    def progress(state: RolloutState, share: float) -> RolloutProgress:
+        return RolloutProgress(
+            order.service, order.target, state, share, order.duration_s, retrial_s
+        )
+
     if current is not None and current.is_final:
         return current
     if is_bad_lately or is_bad(canary, baseline):
-        return _progress(order, RolloutState.ROLLED_BACK, 0.0)
+        return progress(RolloutState.ROLLED_BACK, 0.0)
     has_moved = current is not None and current.share == 1.0
     is_watched = left_s <= MOVE_S - WATCH_S
     is_drained = baseline_running == 0
@@ -254,14 +271,15 @@
     if has_moved and (must_end or (is_watched and is_drained)):
         is_kept = is_sound(canary, baseline)
         end = RolloutState.COMPLETED if is_kept else RolloutState.ROLLED_BACK
-        return _progress(order, end, 1.0 if is_kept else 0.0)
+        return progress(end, 1.0 if is_kept else 0.0)
     if has_moved or (left_s <= MOVE_S and is_sound(canary, baseline)):
-        return _progress(order, RolloutState.RUNNING, 1.0)
-    return _progress(order, RolloutState.RUNNING, CANARY_SHARE)
+        return progress(RolloutState.RUNNING, 1.0)
+    return progress(RolloutState.RUNNING, CANARY_SHARE)
 
 
-def _progress(order: RolloutOrder, state: RolloutState, share: float) -> RolloutProgress:
-    return RolloutProgress(order.service, order.target, state, share)
+def _differs(progress: RolloutProgress, order: RolloutOrder) -> bool:
+    """Returns whether a decision was made under another order for the same release."""
+    return progress.order_s != order.duration_s
 
 
 @dataclass(frozen=True)
@@ -276,12 +294,19 @@
 
 
 class RolloutBook:
-    """Roll-out orders and progress by service, as one node knows them."""
+    """Roll-out orders and progress by service, as one node knows them.
+
+    An order for the release that runs already, with another duration, continues the trial. An order
+    for a release that was rolled back begins another trial, which is judged on its own answers. A
+    release that was kept stays kept. Orders of one release are distinguished by their durations:
+    after a return of the store the operator writes the same order again at another position.
+    """
 
     def __init__(self) -> None:
         self._orders: dict[str, KnownOrder] = {}
         self._progress: dict[str, RolloutProgress] = {}
         self._rolled_back: dict[str, set[str]] = {}
+        self._retrials: dict[str, float] = {}
 
     @property
     def orders(self) -> list[KnownOrder]:
@@ -299,11 +324,32 @@
             return False
         self._orders[order.service] = KnownOrder(order, known_at)
         self._rolled_back.get(order.service, set()).discard(order.target)
+        if known is not None and known.order.target != order.target:
+            self._set_retrial(order.service, None)
         progress = self._progress.get(order.service)
         if progress is not None and progress.target != order.target:
             del self._progress[order.service]
+        elif progress is not None and progress.state is RolloutState.ROLLED_BACK:
+            # A decision without a duration, known before any order, may be that on this order.
+            is_earlier = (
+                known is not None if progress.order_s is None else _differs(progress, order)
+            )
+            if is_earlier:
+                self._begin_retrial(order)
+            else:
+                self._rolled_back.setdefault(order.service, set()).add(order.target)
         return True
 
+    def _begin_retrial(self, order: RolloutOrder) -> None:
+        self._progress.pop(order.service, None)
+        self._set_retrial(order.service, order.duration_s)
+
+    def _set_retrial(self, service: str, retrial_s: float | None) -> None:
+        if retrial_s is None:
+            self._retrials.pop(service, None)
+        else:
+            self._retrials[service] = retrial_s
+
     def apply(self, progress: RolloutProgress) -> bool:
         """Applies a decision; returns whether it changes anything.
 
@@ -316,17 +362,58 @@
         if current == progress:
             return False
         is_later = current is not None and current.target == progress.target
-        if is_later and not self._may_follow(current, progress):
+        is_same_trial = progress.retrial_s == self.retrial_s(progress.service)
+        if is_later and not self._may_follow(current, progress, is_same_trial):
+            return False
+        if known is not None and not self._is_current(progress, known.order):
             return False
         self._progress[progress.service] = progress
+        if progress.state is RolloutState.RUNNING and not is_same_trial:
+            self._set_retrial(progress.service, progress.retrial_s)
         if progress.state is RolloutState.ROLLED_BACK:
             self._rolled_back.setdefault(progress.service, set()).add(progress.target)
         return True
 
     @staticmethod
-    def _may_follow(current: RolloutProgress, progress: RolloutProgress) -> bool:
+    def _may_follow(
+        current: RolloutProgress, progress: RolloutProgress, is_same_trial: bool
+    ) -> bool:
         """Returns whether a decision may replace an earlier one on the same order."""
-        return not current.is_final and (progress.is_final or progress.share >= current.share)
+        is_raised = progress.share >= current.share or not is_same_trial
+        return not current.is_final and (progress.is_final or is_raised)
+
+    def _is_current(self, progress: RolloutProgress, order: RolloutOrder) -> bool:
+        """Returns whether a decision is on the newest order, and not on an earlier trial.
+
+        If it ended the trial that this node has under an earlier order, the newest begins another.
+        """
+        own_s = self.retrial_s(order.service)
+        if progress.state is RolloutState.COMPLETED:
+            return True
+        if progress.state is RolloutState.RUNNING:
+            # Another trial follows the first one, or is that on the newest order.
+            return own_s in (None, progress.retrial_s) or not _differs(progress, order)
+        if progress.order_s is None:
+            # A node of the program before this one decided, which ends any trial that runs. Before
+            # a trial runs, the decision is that on the trial before.
+            return own_s is None or order.service in self._progress
+        if not _differs(progress, order):
+            return True
+        if own_s is None or progress.retrial_s == own_s != order.duration_s:
+            self._begin_retrial(order)
+        return False
+
+    def retrial_s(self, service: str) -> float | None:
+        """Returns the duration of the order with which a trial began, ``None`` in the first."""
+        return self._retrials.get(service)
+
+    def trial(self, service: str) -> str:
+        """Returns the name under which the answers of a service's trial are counted.
+
+        That of the first trial is the release, as in the program before this one.
+        """
+        target, retrial_s = self.target(service) or "", self.retrial_s(service)
+        return target if retrial_s is None else f"{target}{TRIAL_SEPARATOR}{retrial_s}"
 
     def is_judged(self, service: str) -> bool:
         """Returns whether the answers of a service's canary and baseline are being compared."""
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -24,6 +24,26 @@
 
 
 class PeerStateTest(unittest.TestCase):
+    def test_level_of_a_program_arrives_where_earlier_programs_read_readiness(self) -> None:
+        """Guards against members that nodes of level 1 refuse or read as not ready."""
+        for level, is_ready in ((1, True), (2, True), (7, True), (1, False)):
+            member = replace(MEMBER, level=level, is_ready=is_ready)
+            data = replace(state(), sender=member).encode()
+            self.assertEqual(PeerState.decode(data).sender, member)
+            row = cbor2.loads(data[1:])[0]
+            self.assertEqual((len(row), bool(row[5])), (8, is_ready))
+        starting = replace(MEMBER, level=2, is_ready=False)
+        self.assertFalse(
+            PeerState.decode(replace(state(), sender=starting).encode()).sender.is_ready
+        )
+
+    def test_odd_levels_are_refused_or_count_as_the_first(self) -> None:
+        content = cbor2.loads(state().encode()[1:])
+        for odd in (1.5, "x", -3, 0, 1 << 70, None, [2], math.nan):
+            content[0][5] = odd
+            decoded = PeerState.decode(b"p" + cbor2.dumps(content))
+            self.assertTrue(decoded is None or decoded.sender.level == 1)
+
     def test_state_arrives_as_it_was_sent(self) -> None:
         changes = (Change(4, "e1", b"{}"), Change(6, "e2", None))
         sent = state(
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -6,12 +6,14 @@
 from random import Random
 from unittest import mock
 
+import cbor2
 import gevent
 from bottle import HTTPResponse
 
 from arbutustally.gateway.endpoint_entry import EndpointEntry
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.endpoints import EndpointBook
+from arbutustally.gateway.relaying import Member
 from arbutustally.gateway.rollouts import (
     CANARY_SHARE,
     KEEP_S,
@@ -28,12 +30,18 @@
     is_sound,
     next_progress,
 )
+from arbutustally_node.gateway.gossip import Gossip
+from arbutustally_node.gateway.ports import Record
 from arbutustally_node.gateway.rollout_evidence import CANARY, RolloutEvidence
+from arbutustally_node.gateway.rollout_record import decode_progress, encode_progress
+from arbutustally_platform.documents import PlatformDocuments
 from arbutustally_platform.store_topics import StoreKeyedTopic
 from tests.gateway_fleet import GatewayCase
 from tests.platform_fakes import FakeWorker
 
 ORDER = RolloutOrder("llm", "v2", 10.0)
+#: Second order for the same release.
+LONGER = RolloutOrder("llm", "v2", 60.0)
 
 
 def times(number: int, mean_s: float, seed: int = 1, failures: int = 0) -> AnswerTally:
@@ -54,7 +62,7 @@
 
 
 def progress(state: RolloutState, share: float) -> RolloutProgress:
-    return RolloutProgress("llm", "v2", state, share)
+    return RolloutProgress("llm", "v2", state, share, ORDER.duration_s)
 
 
 class JudgementTest(unittest.TestCase):
@@ -204,6 +212,147 @@
         self.assertIsNone(self.book.progress("llm"))
 
 
+class SecondOrderTest(unittest.TestCase):
+    """Orders with another duration for the release of an earlier order."""
+
+    def setUp(self) -> None:
+        self.book = RolloutBook()
+
+    def decided(self, state: RolloutState, order: RolloutOrder, retrial_s: float | None = None):
+        share = CANARY_SHARE if state is RolloutState.RUNNING else 0.0
+        return RolloutProgress("llm", "v2", state, share, order.duration_s, retrial_s)
+
+    def begin_retrial(self) -> None:
+        self.book.add_order(ORDER, 0.0)
+        self.book.apply(self.decided(RolloutState.ROLLED_BACK, ORDER))
+        self.book.add_order(LONGER, 5.0)
+        self.assertEqual(self.book.retrial_s("llm"), 60.0)
+
+    def test_late_decisions_on_the_first_order_change_nothing(self) -> None:
+        """Guards against a second trial that a repeated message about the first ends."""
+        self.begin_retrial()
+        late = [self.decided(state, ORDER) for state in RolloutState if state != "completed"]
+        for one in late:
+            self.assertFalse(self.book.apply(one))
+        running = self.decided(RolloutState.RUNNING, LONGER, 60.0)
+        self.assertTrue(self.book.apply(running))
+        for one in late:
+            self.assertFalse(self.book.apply(one))
+        self.assertEqual(self.book.progress("llm"), running)
+        self.assertEqual(self.book.retrial_s("llm"), 60.0)
+
+    def test_end_of_the_second_trial_is_final(self) -> None:
+        self.begin_retrial()
+        self.book.apply(self.decided(RolloutState.RUNNING, LONGER, 60.0))
+        back = self.decided(RolloutState.ROLLED_BACK, LONGER, 60.0)
+        self.assertTrue(self.book.apply(back))
+        self.assertFalse(self.book.apply(self.decided(RolloutState.RUNNING, LONGER, 60.0)))
+        self.assertEqual(self.book.progress("llm"), back)
+
+    def test_node_that_starts_later_joins_the_trial(self) -> None:
+        """Guards against answers that a new node counts for a trial that has ended."""
+        running = self.decided(RolloutState.RUNNING, LONGER, 60.0)
+        self.book.add_order(LONGER, 5.0)
+        self.assertFalse(self.book.apply(self.decided(RolloutState.ROLLED_BACK, ORDER)))
+        self.assertTrue(self.book.apply(running))
+        other = RolloutBook()
+        other.apply(running)
+        other.add_order(LONGER, 5.0)
+        for book in (self.book, other):
+            self.assertEqual(book.progress("llm"), running)
+            self.assertEqual(book.retrial_s("llm"), 60.0)
+
+    def test_decision_that_comes_before_its_order_is_kept(self) -> None:
+        """Guards against a bad release that is tried again, since the order is read last."""
+        for order, is_kept in ((ORDER, True), (LONGER, False)):
+            book = RolloutBook()
+            back = self.decided(RolloutState.ROLLED_BACK, ORDER)
+            book.apply(back)
+            book.add_order(order, 0.0)
+            self.assertEqual(book.progress("llm"), back if is_kept else None)
+
+    def test_order_that_crosses_the_end_of_the_first_begins_anew(self) -> None:
+        """Guards against nodes that differ on whether the first trial ended before the order."""
+        self.book.add_order(ORDER, 0.0)
+        self.book.apply(self.decided(RolloutState.RUNNING, ORDER))
+        self.book.add_order(LONGER, 5.0)
+        self.assertFalse(self.book.apply(self.decided(RolloutState.ROLLED_BACK, ORDER)))
+        self.assertIsNone(self.book.progress("llm"))
+        self.assertEqual(self.book.retrial_s("llm"), 60.0)
+
+    def test_release_that_was_kept_stays_kept(self) -> None:
+        """Guards against a second trial of a release whose baseline was stopped."""
+        self.book.add_order(ORDER, 0.0)
+        kept = RolloutProgress("llm", "v2", RolloutState.COMPLETED, 1.0, ORDER.duration_s)
+        self.book.apply(kept)
+        self.book.add_order(LONGER, 5.0)
+        self.assertEqual(self.book.progress("llm"), kept)
+
+    def test_earlier_program_ends_a_trial_that_runs(self) -> None:
+        """Guards against a release that nobody judges while an old node decides."""
+        back = RolloutProgress("llm", "v2", RolloutState.ROLLED_BACK, 0.0)
+        self.begin_retrial()
+        self.assertFalse(self.book.apply(back))
+        self.book.apply(self.decided(RolloutState.RUNNING, LONGER, 60.0))
+        self.assertTrue(self.book.apply(back))
+        self.assertEqual(self.book.progress("llm"), back)
+
+    def test_trials_count_their_own_answers(self) -> None:
+        """Guards against a second trial that the failures of the first end at once."""
+        evidence = RolloutEvidence(self.book, lambda: 0.0)
+        peer = RolloutEvidence(self.book, lambda: 0.0)
+        self.book.add_order(ORDER, 0.0)
+        late = evidence.began(state("c", "v2"), "chat", 0.0)
+        evidence.ended(evidence.began(state("c", "v2"), "chat", 0.0), True)
+        first = self.book.trial("llm")
+        self.book.apply(self.decided(RolloutState.ROLLED_BACK, ORDER))
+        self.book.add_order(LONGER, 5.0)
+        second = self.book.trial("llm")
+        evidence.ended(late, True)
+        evidence.ended(evidence.began(state("c", "v2"), "chat", 0.0), False)
+        peer.set_peer_totals("node-1", evidence.totals)
+        for one in (evidence, peer):
+            self.assertEqual(one.tallies("llm", first, CANARY)["chat"].failures, 2)
+            self.assertEqual(one.tallies("llm", second, CANARY)["chat"].answers, 1)
+            self.assertEqual(one.tallies("llm", second, CANARY)["chat"].failures, 0)
+
+
+class RecordsTest(unittest.TestCase):
+    """Records of this program and the one before it, whose records have no durations."""
+
+    def test_peers_of_the_earlier_program_understand_each_other(self) -> None:
+        sent = RolloutProgress("llm", "v2", RolloutState.RUNNING, 0.06, 60.0, 30.0)
+        record = encode_progress(sent)
+        self.assertEqual(decode_progress(record), sent)
+        # The program before this one reads the record so.
+        target, state, share = cbor2.loads(record.value)
+        self.assertEqual((target, state, share), ("v2", "running", 0.06))
+        earlier = Record(record.key, cbor2.dumps(["v2", "running", 0.06]))
+        read = RolloutProgress("llm", "v2", RolloutState.RUNNING, 0.06)
+        self.assertEqual(decode_progress(earlier), read)
+
+    def test_odd_durations_are_refused(self) -> None:
+        content = cbor2.dumps(["v2", "running", 0.06])
+        odd = (math.nan, math.inf, "x", [], 1 << 5000)
+        for tail in (b"\xff", b"\x82", *(cbor2.dumps([one, None]) for one in odd)):
+            self.assertIsNone(decode_progress(Record("rollout-progress/llm", content + tail)))
+
+    def test_first_trial_is_counted_under_the_name_of_the_release(self) -> None:
+        """Guards against answers that a node of the earlier program does not find."""
+        book = RolloutBook()
+        book.add_order(ORDER, 0.0)
+        self.assertEqual(book.trial("llm"), "v2")
+
+    def test_status_keeps_its_documented_fields(self) -> None:
+        documents = PlatformDocuments()
+        for durations in ((None, None), (60.0, None), (60.0, 30.0)):
+            one = RolloutProgress("llm", "v2", RolloutState.ROLLED_BACK, 0.0, *durations)
+            record = documents.encode_rollout(one)
+            self.assertEqual(documents.decode_rollout(record), one)
+            fields = json.loads(record.value)
+            self.assertEqual((fields["state"], fields["target"]), ("rolled_back", "v2"))
+
+
 class EvidenceTest(unittest.TestCase):
     def test_long_runs_count_before_they_end(self) -> None:
         """Guards against missing a slow release because its answers arrive last."""
@@ -275,6 +424,28 @@
         for number in range(50):
             self.assertEqual(self.call(self.node, "/book/a", f"s{number}").status, 200)
 
+    def test_release_that_was_taken_back_is_tried_again_on_another_order(self) -> None:
+        """Guards against a second order that is ignored, or that the first trial's answers end."""
+        for worker in self.canaries:
+            worker.behave = lambda headers: HTTPResponse(
+                status=500, headers={"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
+            )
+        self.roll_out(60.0)
+        self.send_until("rolled_back")
+        for worker in self.canaries:
+            worker.behave = None
+        order = {"service": "desk", "target": "v2", "durationS": 8.0}
+        # A peer of a program that would refuse the second trial's decisions.
+        earlier = Member("old", "127.0.0.9", "z1", "127.0.0.9:1", "127.0.0.9:2", True, 1)
+        with mock.patch.object(Gossip, "present", [earlier]):
+            self.store.put("keyed.op", "rollout/desk", order)
+            gevent.sleep(1.0)
+            self.assertEqual(self.state(), "rolled_back")
+        self.eventually(lambda: self.state() == "running")
+        self.send_until("completed")
+        status = json.loads(self.store.newest("keyed.status")["rollout/desk"][1])
+        self.assertEqual((status["target"], status["durationS"]), ("v2", 8.0))
+
     def test_status_is_written_although_others_write_to_its_topic(self) -> None:
         """Guards against a refused append of a status that counts as written."""
         append = self.store.put_raw
