--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -511,6 +511,7 @@
             clock,
             lambda: True,
             lambda _progress: None,
+            lambda: True,
         )
         known = KnownOrder(RolloutOrder("llm", "v2", self.DURATION_S), clock())
         rollouts.add_order(known.order, known.known_at)
