Release the body of a request as soon as it has ended

Callers see a process that is killed for its memory, and with it all its requests.

The objects of a request refer to each other, so that they stay until the next collection, while their bytes leave the account at once.

The listener now drops the body when the request has been answered or has failed. A later use of it raises AttributeError: an empty body would be sent as another request than the caller's.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -230,6 +230,7 @@
             self._handled -= 1
             self._watches.discard(watch)
             watch.stop()
+            request.release_body()
             connection.memory.end_request()
             reader.release()
         return connection.keep and not self._draining
--- a/packages/arbutustally/src/arbutustally/gateway/requests.py
+++ b/packages/arbutustally/src/arbutustally/gateway/requests.py
@@ -45,6 +45,14 @@
     resume_from: str
     arrived_at: float
 
+    def release_body(self) -> None:
+        """Releases the body once the request has ended; a later use of it raises AttributeError.
+
+        The objects of a request refer to each other, so that the body would stay in memory until
+        the next collection, after its bytes have left the account of the process.
+        """
+        object.__delattr__(self, "body")
+
     @property
     def path(self) -> str:
         """Returns the target without its query."""
