End the watch for late begins at the first event

Cause: a stream that had begun on replaced weights stayed in the watch, with a look at the clock every 0.5 s until its end.

Change: an attempt that has begun gets no further timer. The watch asks itself whether the attempt has begun, which the caller's closure did before.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/begin_watch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/begin_watch.py
@@ -29,7 +29,8 @@
 class WaitingAttempt:
     """An attempt that waits for its first event.
 
-    :param leave: leaves the engine, unless it has begun.
+    :param leave: leaves the engine.
+    :param has_begun: returns whether the first event has come.
     :param lead_s: part of ``LEAVE_SPREAD_S`` by which it is left earlier than others, seconds.
     """
 
@@ -39,11 +40,13 @@
         model: str,
         version: int,
         leave: Callable[[], None],
+        has_begun: Callable[[], bool],
         lead_s: float,
     ) -> None:
         self.model = model
         self.version = version
         self.leave = leave
+        self.has_begun = has_begun
         self.lead_s = lead_s
         self.timer: Any = None
         self._watch = watch
@@ -67,14 +70,21 @@
         self._waiting: dict[str, set[WaitingAttempt]] = {}
 
     def begin(
-        self, model: str, version: int, leave: Callable[[], None], spread: float
+        self,
+        model: str,
+        version: int,
+        leave: Callable[[], None],
+        has_begun: Callable[[], bool],
+        spread: float,
     ) -> WaitingAttempt:
-        """Adds an attempt that was sent.
+        """Adds an attempt that is about to be sent.
 
-        :param leave: called in a greenlet of its own, at most once.
+        :param leave: called in a greenlet of its own, at most once and only before the first event.
+        :param has_begun: returns whether the first event has come.
         :param spread: number from 0 to 1 that spreads the attempts.
         """
-        waiting = WaitingAttempt(self, model, version, leave, spread * LEAVE_SPREAD_S)
+        lead_s = spread * LEAVE_SPREAD_S
+        waiting = WaitingAttempt(self, model, version, leave, has_begun, lead_s)
         self._waiting.setdefault(model, set()).add(waiting)
         self._schedule(waiting)
         return waiting
@@ -100,7 +110,7 @@
             waiting.timer.kill(block=False)
             waiting.timer = None
         left_s = self._left_s(waiting)
-        if left_s == math.inf:
+        if left_s == math.inf or waiting.has_begun():
             return
         if left_s == -math.inf:
             # A peer usually tells soon when a version was named that this node cannot date.
@@ -116,7 +126,9 @@
             return
         # A first event that lies in the socket is read first.
         wait_for_turn()
-        if waiting in self._waiting[waiting.model]:
+        if waiting not in self._waiting[waiting.model]:
+            return
+        waiting.timer = None
+        if not waiting.has_begun():
             self._waiting[waiting.model].discard(waiting)
-            waiting.timer = None
             waiting.leave()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -220,12 +220,14 @@
         if version is None or attempt.result is not None:
             return None
 
-        def leave() -> None:
-            if not attempt.load.first_at:
-                hedging.expire()
-
         spread = uniform_hash(attempt.placed.state.id.encode(), self._request.request_id)
-        return self._services.begins.begin(self._request.model, version, leave, spread)
+        return self._services.begins.begin(
+            self._request.model,
+            version,
+            hedging.expire,
+            lambda: bool(attempt.load.first_at),
+            spread,
+        )
 
     def _pass_on(self, attempt: PlacedAttempt, hedging: HedgeController) -> AttemptResult:
         return self._delivery.pass_on(
--- a/tests/test_begin_watch.py
+++ b/tests/test_begin_watch.py
@@ -40,9 +40,12 @@
         self.until = math.inf
         self.watch = BeginWatch(lambda _model, _version: self.until, monotonic)
         self.left_at: list[float] = []
+        self.has_begun = False
 
     def begin(self, spread: float = 0.0):
-        return self.watch.begin("m", 1, lambda: self.left_at.append(monotonic()), spread)
+        return self.watch.begin(
+            "m", 1, lambda: self.left_at.append(monotonic()), lambda: self.has_begun, spread
+        )
 
     def test_attempts_are_left_spread_over_the_time_before_the_margin(self) -> None:
         """Guards against all requests that arrive at the engines with new weights at once."""
@@ -91,6 +94,16 @@
         gevent.sleep(CHECK_INTERVAL_S + LATE_S)
         self.assertEqual(self.left_at, [])
 
+    def test_attempt_that_has_begun_needs_no_timer(self) -> None:
+        """Guards against a running stream that is cut, and against timers for each of them."""
+        self.until = monotonic() + LEAVE_MARGIN_S + 0.05
+        waiting = self.begin()
+        self.has_begun = True
+        gevent.sleep(0.05 + LATE_S)
+        self.watch.weights_changed("m")
+        self.assertIsNone(waiting.timer)
+        self.assertEqual(self.left_at, [])
+
     def test_attempt_that_has_ended_is_not_left(self) -> None:
         self.until = monotonic() + LEAVE_MARGIN_S + 0.05
         self.begin().end()
