Let a request that was refused by one engine use replaced weights as long as others

What callers saw: 503 between 2.0 and 0.8 s before the end of a period, after one engine had refused the request, while engines with allowed weights were free.

Cause: the longer margin for requests that may not move applied to every later attempt. One that has run nowhere may still run at two engines.

Change: the margin asks whether the request may have run.

Measured: the new test of test_placer is red without the change and green with it; 11 passed.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -209,7 +209,7 @@
         self, eligible: list[EndpointState], left_s: float, has_run: bool, must_be_timely: bool
     ) -> Placed:
         services, request = self._services, self._request
-        version, engines = self._engines_to_use(eligible)
+        version, engines = self._engines_to_use(eligible, has_run)
         if not engines:
             # The versions that this node assumes may be older than those that the engines run,
             # e.g. after a restart of all nodes, so the weights of one engine are polled.
@@ -270,12 +270,14 @@
             return 1.0
         return self._services.waits.factor(self._route.name)
 
-    def _engines_to_use(self, eligible: list[EndpointState]) -> tuple[int, list[EndpointState]]:
+    def _engines_to_use(
+        self, eligible: list[EndpointState], has_run: bool
+    ) -> tuple[int, list[EndpointState]]:
         """Returns the version of the weights to run on, and the engines that have it."""
         services, request = self._services, self._request
         named = services.view.weights.get(request.model)
         can_run_twice = self._route.may_repeat and self._route.max_attempts > 1
-        may_move = can_run_twice and not self._tried
+        may_move = can_run_twice and not has_run
         margin_s = WEIGHTS_MARGIN_S if may_move else LAST_ATTEMPT_MARGIN_S
         bound_s = services.weights_s - margin_s
         prompt_tokens = request.prompt_tokens or 0
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -6,7 +6,7 @@
 from types import SimpleNamespace
 
 from arbutustally.clock import VirtualClock
-from arbutustally.errors import NoEndpointError
+from arbutustally.errors import EndpointFailedError, NoEndpointError
 from arbutustally.gateway.configuration import Configuration, Engine, PartStore, Service
 from arbutustally.gateway.evacuation import ZoneEvacuation
 from arbutustally.gateway.holdings import Holdings
@@ -50,8 +50,19 @@
         tokens = seconds * self.placement.prefill_speed(name)
         self.view.book.get(name).peer_load["n2"] = (1, tokens, 0.0, 0)
 
-    def place(self, after_s: float, resumable: bool = True, attempts: int = 2) -> str:
-        """Places a stream the given time after version 2 was named."""
+    def place(
+        self,
+        after_s: float,
+        resumable: bool = True,
+        attempts: int = 2,
+        tried: str = "",
+        has_run: bool = False,
+    ) -> str:
+        """Places a stream the given time after version 2 was named.
+
+        :param tried: engine of an earlier attempt.
+        :param has_run: whether that may have run.
+        """
         self.clock.advance(NAMED_AT + after_s - self.clock())
         services = SimpleNamespace(
             view=self.view,
@@ -72,7 +83,9 @@
         way = route(attempts=attempts, resumable=resumable)
         configuration = Configuration(1, (way,), {"s": Service("s", 10, Engine(4, 10**9))}, {}, ())
         placer = Placer(services, asked, configuration, way, None, SimpleNamespace(facts={}))
-        return placer.place(60.0, False).state.id
+        if tried:
+            placer._tried.add(tried)
+        return placer.place(60.0, has_run).state.id
 
     def test_engine_whose_queue_reaches_beyond_the_bound_is_left_out(self) -> None:
         """Guards against a request that waits at a busy engine until its weights are forbidden."""
@@ -116,6 +129,15 @@
         self.assertEqual(self.place(last_s - 0.2, attempts=1), "old")
         self.assertEqual(self.place(last_s, attempts=1), "new")
 
+    def test_stream_that_was_refused_elsewhere_may_still_move(self) -> None:
+        """Guards against refused callers while engines with replaced weights may be used."""
+        last_s = WEIGHTS_S - LAST_ATTEMPT_MARGIN_S
+        self.view.book.put(entry("other", weights={"m": 1}))
+        self.view.book.remove("new")
+        self.assertEqual(self.place(last_s + 0.2, tried="other"), "old")
+        with self.assertRaises(EndpointFailedError):
+            self.place(last_s + 0.3, tried="other", has_run=True)
+
     def test_speed_of_the_engine_and_length_of_the_prompt_count(self) -> None:
         """Guards against prompts that begin too late at a slow engine, if it has no queue."""
         self.queue("new", 4.0)
