Count failures during a pause of an endpoint as part of the trouble that caused it

What callers saw: an endpoint that was silent for 1.9 s with several requests of a node was not used by that node for up to 3.8 s after it went on, and plain endpoints for 1.7 to 2.8 s at every node.

Cause: the class is one event counted as many. From the third failure on an endpoint is paused for 0.5 s, doubled at each repetition. The requests that one silence held up fail one after another, and each counted as a repetition, so the sixth failure gave the longest pause, 4 s.

Change: a failure while the endpoint is paused neither extends nor doubles the pause. The first failure after it does.

The new test of test_gateway_endpoints is red before; 34 tests of the endpoints, hedges and silent engines pass after.

--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -289,6 +289,9 @@
         state.failed_at = now
         if state.failures < FAILURES_TO_SUSPECT:
             return False
+        if now < state.suspect_until:
+            # Requests that were sent before the pause fail as a part of the same trouble.
+            return True
         state.suspect_until = now + min(SUSPECT_S * 2**state.suspicions, MAX_SUSPECT_S)
         state.suspicions += 1
         return True
--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from arbutustally.clock import VirtualClock
-from arbutustally.gateway.endpoints import EndpointBook
+from arbutustally.gateway.endpoints import SUSPECT_S, EndpointBook
 from tests.gateway_values import entry
 
 
@@ -91,6 +91,18 @@
             self.assertTrue(self.book.put(entry("e3", incarnation=incarnation)))
         self.assertFalse(self.book.put(entry("e3", incarnation="b")))
 
+    def test_failures_of_one_silence_pause_an_endpoint_once(self) -> None:
+        """Guards against a short silence that keeps a busy endpoint out for the longest time."""
+        state = self.book.get("e1")
+        for pause_s in (SUSPECT_S, 2 * SUSPECT_S):
+            for _ in range(12):
+                self.book.failed(state)
+                self.clock.advance(0.01)
+            self.clock.advance(pause_s - 0.15)
+            self.assertEqual(self.names(), ["e2"])
+            self.clock.advance(0.1)
+            self.assertEqual(self.names(), ["e1", "e2"])
+
     def answer(self, latency_s: float, after_s: float = 1.0) -> float:
         """Records an answer of the first endpoint; returns the average latency then."""
         self.clock.advance(after_s)
