--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -136,10 +136,11 @@
     """Lets a worker fall silent as it is listed as leaving, or before nothing new may reach it."""
     backend, silence_s = _backend(fleet, rng), _silence_s(rng)
     pause_s = rng.choice((0.0, DRAIN_S))
-    before_s = rng.uniform(0.0, min(silence_s, pause_s or 0.4))
+    # Nodes learn of the listing a moment later, and send requests until then.
+    before_s = rng.uniform(0.0, silence_s) if pause_s else rng.uniform(-0.1, 0.3)
     if not pause_s:
-        gevent.spawn(backend.fall_silent, silence_s)
-        gevent.sleep(before_s)
+        gevent.spawn_later(max(0.0, -before_s), backend.fall_silent, silence_s)
+        gevent.sleep(max(0.0, before_s))
     backend.list(rng.choice(("draining", None)))
     if pause_s:
         gevent.sleep(pause_s - before_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,7 @@
 import gevent
 
 from tests.soak.content import answer_body
-from tests.soak.faults import SPOILS
+from tests.soak.faults import SILENCES, SPOILS
 from tests.soak.networks import Network, NetworkInUseError
 from tests.soak.notes import Run
 from tests.soak.program import Program
@@ -25,6 +25,9 @@
 SHORT_S = 6.0
 #: Spoils in eight ways, one after another.
 SPOILED_SEED = 34
+#: Silences of all five kinds.
+SILENT_SEED = 62
+SILENT_S = 4.0
 #: Far from the networks that soaks try first.
 FIRST_TRIED = 230
 PORT = 7101
@@ -146,3 +149,9 @@
         report = run(SPOILED_SEED, SHORT_S, faults=SPOILS)
         self.assertEqual(report.broken, [], f"{report}; logs: {report.logs}")
         self.assertGreater(sum(report.spoils.values()), 0)
+
+    def test_promises_hold_when_sound_workers_fall_silent(self) -> None:
+        """Guards against requests that a silent worker carries across a bound."""
+        report = run(SILENT_SEED, SILENT_S, faults=SILENCES)
+        self.assertEqual(report.broken, [], f"{report}; logs: {report.logs}")
+        self.assertEqual({name for _, name in report.faults}, {one.__name__ for one in SILENCES})
