--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -118,6 +118,14 @@
                 self.answer(1.0 - number * 0.05, 0.001)
             self.assertAlmostEqual(self.answer(0.05, 4.0), usual_s)
 
+    def test_held_up_answers_that_arrive_latest_sent_first_do_not_count_as_slow(self) -> None:
+        """Guards against an average that follows the held-up answers in small steps."""
+        for _ in range(3):
+            usual_s = self.answer(0.05)
+        for number in range(20):
+            self.answer(0.1 + number * 0.05, 0.001)
+        self.assertLess(self.answer(0.05, 4.0), 1.1 * usual_s)
+
     def test_endpoint_that_becomes_slow_is_known_after_few_answers(self) -> None:
         """Guards against a slow endpoint that counts as one that was silent."""
         for pause_s in (0.1, 5.0):
