--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -484,6 +484,16 @@
         self.assertLess(self.most_descriptors, DESCRIPTORS)
         self.check()
 
+    def test_another_caller_while_a_worker_holds_requests(self) -> None:
+        """Guards against requests of a crowd that keep another caller's from running."""
+        self.desk.behave = self._hold_large
+        self.start_crowd(PORTS["front"], (DESCRIPTORS, small_body))
+        self.watch_crowd()
+        self.eventually(lambda: self.ask() == 200, ANSWERED_S)
+        self.end_crowd()
+        self.released.set()
+        self.check()
+
     def test_another_caller_while_a_crowd_has_all_connections(self) -> None:
         """Guards against connections that wait unaccepted behind those of a crowd."""
         self.start_crowd(PORTS["front"], (DESCRIPTORS, small_body))
