Read an attempt in the log line by the names of its fields

Change: the test reads the record by its names; its comparisons are the same.

Measured: tests.test_response_reading and test_two_runs, all passed.

--- a/tests/test_response_reading.py
+++ b/tests/test_response_reading.py
@@ -4,6 +4,7 @@
 
 from bottle import HTTPResponse
 
+from arbutustally_node.gateway.request_services import AttemptTrace
 from tests.engine_answers import head, signed
 from tests.gateway_fleet import GatewayCase
 
@@ -25,7 +26,8 @@
             for number in range(requests):
                 self.call(self.node, path, f"{path}-{number}")
         lines = [one.kwargs for one in line.call_args_list if one.args == ("request",)]
-        return [reading for one in lines for *_rest, reading in one["attempts"]]
+        attempts = [AttemptTrace(*attempt) for one in lines for attempt in one["attempts"]]
+        return [attempt.reading for attempt in attempts]
 
     def test_framing_bytes_end_and_connection_are_told(self) -> None:
         def sized(headers):
