--- a/bench/engines/node.py
+++ b/bench/engines/node.py
@@ -85,6 +85,11 @@
         for entry in entries:
             self.book.put(entry)
 
+    @property
+    def now(self) -> float:
+        """Returns the virtual time, seconds."""
+        return self._clock()
+
     @property
     def newest_weights(self) -> int:
         """Returns the newest version that was named."""
--- a/bench/engines/placing.py
+++ b/bench/engines/placing.py
@@ -96,7 +96,7 @@
 
     def _plain(self, node: Node, eligible: list[EndpointState]) -> EndpointState:
         if node.policy.choice is EngineChoice.PRODUCT:
-            return choose_plain(eligible, node.zone, node.rng)
+            return choose_plain(eligible, node.zone, node.rng, node.now)
         return self._simple(node, eligible)
 
     def _simple(self, node: Node, eligible: list[EndpointState]) -> EndpointState:
