Count answers of an endpoint that arrive together little each

What callers saw: a plain endpoint that was silent for a second got none of a node's requests for seconds after it, if its latest requests were answered first. Cause: each held-up answer was less than three times the average that the ones before it had raised, so none counted as held up; twenty answers of one moment moved the average as much as twenty of a second. Class: one event that counts as many independent ones.

Now the weight of an answer grows with the time since the one before, up to 50 ms, so that a burst moves the average no more than one answer does, and the first clearly late one leaves out the rest.

--- a/packages/arbutustally/src/arbutustally/gateway/endpoint_state.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoint_state.py
@@ -47,6 +47,7 @@
     :ivar cold_until: until then it is slow.
     :ivar cold_sent: when this node sent it requests while it was slow, latest last.
     :ivar stated_cold_at: when it last stated in an answer for how long it is slow.
+    :ivar answered_at: when its latest answer arrived.
     :ivar held_up_until: answers to requests that were sent before count as held up by one silence.
     :ivar is_held_up: no answer since then was as fast as usual.
     :ivar is_replaced: another endpoint was found at its address.
@@ -79,6 +80,7 @@
     suspicions: int = 0
     failures: float = 0.0
     failed_at: float = 0.0
+    answered_at: float = float("-inf")
     latency_s: float = 0.0
     held_up_until: float = float("-inf")
     is_held_up: bool = False
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -21,6 +21,8 @@
 STALLED_S = 0.6
 #: Weight of one answer in the moving average of the latency.
 LATENCY_GAIN = 0.2
+#: Time between two answers of an endpoint below which the later one counts less, seconds.
+TOGETHER_S = 0.05
 #: Multiple of an endpoint's average latency from which an answer may have been held up.
 HELD_UP_FACTOR = 3.0
 #: Shortest time between two moments until which answers count as held up, seconds.
@@ -301,14 +303,18 @@
 
         A sound endpoint may be silent for a second or so. All its answers are late then by one
         event, which tells nothing of the next ones. So a slow answer after a usual one, and all
-        answers to requests that were sent before it arrived, leave the average as it is.
+        answers to requests that were sent before it arrived, leave the average as it is. Answers
+        that arrive together count little each, as the first of them may be late by less.
         """
+        now = self._clock()
         state.suspicions = 0
         state.suspect_until = 0.0
         state.is_down = False
-        if self._is_held_up(state, latency_s):
+        is_held_up = self._is_held_up(state, latency_s)
+        since_last_s, state.answered_at = now - state.answered_at, now
+        if is_held_up:
             return
-        gain = LATENCY_GAIN if state.latency_s else 1.0
+        gain = LATENCY_GAIN * min(1.0, since_last_s / TOGETHER_S) if state.latency_s else 1.0
         state.latency_s += (latency_s - state.latency_s) * gain
 
     def _is_held_up(self, state: EndpointState, latency_s: float) -> bool:
