Forget failures of a silence once held-up answers show that it is over

Class: one event that counts as many independent ones.

Now failures of requests that were given up while the endpoint sent nothing at all are kept apart, and forgotten by the first answer to a request that was sent before them. A request of that silence that is given up after it is no failure. What an endpoint breaks off, and requests that hang while others are answered, count as before; three tests hold that.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -119,7 +119,7 @@
         elif result.is_unreachable:
             services.on_unreachable(state)
         elif result.outcome is not Outcome.NOT_RUN and not self._is_overloaded(attempt):
-            self._record_failure(state)
+            self._record_failure(attempt)
         if attempt.placed.choice is not None:
             self._learn_engine(attempt)
         if result.reason in BROKEN_REASONS:
@@ -141,9 +141,11 @@
         is_slow = attempt.result.reason in SLOW_REASONS and attempt.placed.choice is not None
         return is_slow and not self._services.view.book.is_stalled(attempt.placed.state)
 
-    def _record_failure(self, state: EndpointState) -> None:
-        services = self._services
-        if services.view.book.failed(state):
+    def _record_failure(self, attempt: PlacedAttempt) -> None:
+        services, state = self._services, attempt.placed.state
+        is_slow = attempt.result.reason in SLOW_REASONS
+        waited_s = services.clock() - attempt.began if is_slow else None
+        if services.view.book.failed(state, waited_s):
             services.log.line(
                 "endpoint_avoided", endpoint=state.id, failures=round(state.failures, 1)
             )
--- a/packages/arbutustally/src/arbutustally/gateway/endpoint_state.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoint_state.py
@@ -47,6 +47,9 @@
     :ivar cold_until: until then it is slow.
     :ivar cold_sent: when this node sent it requests while it was slow, latest last.
     :ivar stated_cold_at: when it last stated in an answer for how long it is slow.
+    :ivar failures: count of failures at ``failed_at``, see ``recent_failures``.
+    :ivar silent_failures: those of requests that were given up while it sent nothing at all.
+    :ivar silent_at: when the latest of these was given up.
     :ivar answered_at: when its latest answer arrived.
     :ivar held_up_until: answers to requests that were sent before count as held up by one silence.
     :ivar is_held_up: no answer since then was as fast as usual.
@@ -80,6 +83,8 @@
     suspicions: int = 0
     failures: float = 0.0
     failed_at: float = 0.0
+    silent_failures: float = 0.0
+    silent_at: float = float("-inf")
     answered_at: float = float("-inf")
     latency_s: float = 0.0
     held_up_until: float = float("-inf")
@@ -90,9 +95,13 @@
         """Returns the id of the endpoint."""
         return self.entry.id
 
-    def recent_failures(self, now: float) -> float:
-        """Returns the count of failures, which decays from the latest one on."""
-        return self.failures * max(0.0, 1.0 - (now - self.failed_at) / FAILURE_DECAY_S)
+    def recent_failures(self, now: float, of_silence: bool = False) -> float:
+        """Returns the count of failures, which decays from the latest one on.
+
+        :param of_silence: whether only those of a silence are counted.
+        """
+        failures = self.silent_failures if of_silence else self.failures
+        return failures * max(0.0, 1.0 - (now - self.failed_at) / FAILURE_DECAY_S)
 
     def has_failed_checks(self, since: float) -> bool:
         """Returns whether the last ``FAILED_CHECKS`` checks failed and began since ``since``."""
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -284,11 +284,23 @@
         """
         return self._clock() - state.last_data_at >= STALLED_S
 
-    def failed(self, state: EndpointState) -> bool:
-        """Records a failed answer; returns whether the endpoint is now avoided."""
+    def failed(self, state: EndpointState, waited_s: float | None = None) -> bool:
+        """Records a failed answer; returns whether the endpoint is now avoided.
+
+        :param waited_s: time after which the request was given up since it had no answer, seconds;
+            ``None`` if the endpoint broke it off.
+        """
         now = self._clock()
+        if waited_s is not None and now - waited_s < state.held_up_until:
+            # A silence that is over held the answer up.
+            return now < state.suspect_until
+        silent = state.recent_failures(now, of_silence=True)
         state.failures = state.recent_failures(now) + 1.0
         state.failed_at = now
+        if waited_s is not None and self.is_stalled(state):
+            silent += 1.0
+            state.silent_at = now
+        state.silent_failures = silent
         if state.failures < FAILURES_TO_SUSPECT:
             return False
         if now < state.suspect_until:
@@ -304,12 +316,16 @@
         A sound endpoint may be silent for a second or so. All its answers are late then by one
         event, which tells nothing of the next ones. So a slow answer after a usual one, and all
         answers to requests that were sent before it arrived, leave the average as it is. Answers
-        that arrive together count little each, as the first of them may be late by less.
+        that arrive together count little each, as the first of them may be late by less. Requests
+        that were given up in that silence no longer count as failures.
         """
         now = self._clock()
         state.suspicions = 0
         state.suspect_until = 0.0
         state.is_down = False
+        if now - latency_s < state.silent_at:
+            state.failures -= state.silent_failures
+            state.silent_failures = 0.0
         is_held_up = self._is_held_up(state, latency_s)
         since_last_s, state.answered_at = now - state.answered_at, now
         if is_held_up:
--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -103,6 +103,52 @@
             self.clock.advance(0.1)
             self.assertEqual(self.names(), ["e1", "e2"])
 
+    def silent_failures(self, waited_s: float) -> float:
+        """Records requests that are given up in one silence; returns the count of failures."""
+        state = self.book.get("e1")
+        state.last_data_at = self.clock()
+        self.clock.advance(waited_s)
+        for _ in range(4):
+            self.clock.advance(0.05)
+            self.book.failed(state, waited_s)
+        return state.recent_failures(self.clock())
+
+    def test_failures_of_a_silence_end_with_it(self) -> None:
+        """Guards against a sound endpoint that is avoided for seconds after its silence."""
+        state = self.book.get("e1")
+        self.answer(0.05)
+        self.assertGreater(self.silent_failures(1.25), 3.0)
+        self.answer(1.4, 0.1)
+        self.book.failed(state, 1.3)
+        self.assertEqual((state.recent_failures(self.clock()), len(self.names())), (0.0, 2))
+
+    def test_other_failures_stay_after_a_silence(self) -> None:
+        """Guards against an endpoint that breaks requests off and counts as one that was silent."""
+        state = self.book.get("e1")
+        self.answer(0.05)
+        self.book.failed(state)
+        self.silent_failures(0.7)
+        self.answer(0.9, 0.05)
+        left = state.recent_failures(self.clock())
+        self.assertGreater(left, 0.5)
+        self.assertLess(left, 1.0)
+
+    def test_failures_of_requests_that_hang_stay_while_others_are_answered(self) -> None:
+        """Guards against an endpoint that leaves some requests unanswered and stays in use."""
+        state = self.book.get("e1")
+        for _ in range(4):
+            state.last_data_at = self.clock() - 0.01
+            self.book.failed(state, 1.25)
+            self.answer(0.05, 0.01)
+        self.assertGreater(state.recent_failures(self.clock()), 3.0)
+
+    def test_failures_of_a_silence_stay_until_it_ends(self) -> None:
+        """Guards against requests to an endpoint that answers new ones but lost those before."""
+        state = self.book.get("e1")
+        self.silent_failures(1.25)
+        self.answer(0.05, 0.1)
+        self.assertGreater(state.recent_failures(self.clock()), 3.0)
+
     def answer(self, latency_s: float, after_s: float = 1.0) -> float:
         """Records an answer of the first endpoint; returns the average latency then."""
         self.clock.advance(after_s)
