--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -12,7 +12,8 @@
 from arbutustally.gateway.evacuation import ZoneEvacuation
 from arbutustally.gateway.isolation_history import IsolationHistory
 from arbutustally.gateway.named_weights import NamedWeights
-from arbutustally.gateway.rollouts import RolloutBook, RolloutOrder
+from arbutustally.gateway.rollout_book import RolloutBook
+from arbutustally.gateway.rollouts import RolloutOrder
 from arbutustally.gateway.shared_reading import Position
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.decoded_records import (
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -4,7 +4,6 @@
 
 from arbutustally.gateway.attempts import Outcome
 from arbutustally.gateway.configuration import Route, Service
-from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.requests import CallerRequest, shape_of
 from arbutustally.placement_types import Observation
 from arbutustally_node.gateway.attempt_load import AttemptLoad
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
@@ -11,13 +11,10 @@
 
 from arbutustally.clock import Clock
 from arbutustally.evidence import Latencies
+from arbutustally.gateway.answer_tallies import AnswerTally, add_tallies
 from arbutustally.gateway.endpoint_state import EndpointState
-from arbutustally.gateway.rollouts import (
-    MIN_BASELINE_TIMES,
-    AnswerTally,
-    RolloutBook,
-    add_tallies,
-)
+from arbutustally.gateway.release_comparison import MIN_BASELINE_TIMES
+from arbutustally.gateway.rollout_book import RolloutBook
 
 #: Quantile of the baseline's durations with which a run that has not ended is compared.
 BASELINE_QUANTILE = 0.75
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
@@ -17,17 +17,11 @@
 
 from arbutustally.clock import Clock
 from arbutustally.errors import StoreUnavailableError
+from arbutustally.gateway.answer_tallies import Tallies, subtract
 from arbutustally.gateway.endpoints import EndpointBook
-from arbutustally.gateway.rollouts import (
-    KnownOrder,
-    RolloutBook,
-    RolloutProgress,
-    RolloutState,
-    Tallies,
-    is_bad,
-    next_progress,
-    subtract,
-)
+from arbutustally.gateway.release_comparison import is_bad
+from arbutustally.gateway.rollout_book import KnownOrder, RolloutBook
+from arbutustally.gateway.rollouts import RolloutProgress, RolloutState, next_progress
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.ports import Documents, Record, StatusTopic
 from arbutustally_node.gateway.rollout_evidence import BASELINE, CANARY, RolloutEvidence
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/gateway/release_comparison.py
@@ -0,0 +1,101 @@
+"""Comparison of the answers of a release's canary with those of the baseline.
+
+Load pattern: a canary fails or answers several times slower, immediately or later, on all routes or
+on one, while each node sees only a few of its answers. The answers of all nodes are summed and
+compared by route with those of the baseline in the same period.
+"""
+
+import math
+from collections.abc import Sequence
+
+from arbutustally.evidence import tail_probability
+from arbutustally.gateway.answer_tallies import AnswerTally, Tallies, add_tallies
+
+#: Minimum answers of the canary, on one route or in total, before its failures are evaluated.
+MIN_ANSWERS = 8
+#: Minimum answers of the canary before it may be kept.
+MIN_ANSWERS_TO_KEEP = 20
+#: Minimum response times of the canary on one route before they are compared.
+MIN_CANARY_TIMES = 5
+#: Minimum response times of the baseline on one route before they are compared.
+MIN_BASELINE_TIMES = 20
+#: Failure rate allowed for a sound canary however low the baseline's is.
+MIN_FAILURE_RATE = 0.04
+#: Failure rate allowed for a sound canary, as a multiple of the baseline's.
+FAILURE_FACTOR = 2.0
+#: Significance level: probability below which the observed failures are not due to chance.
+SIGNIFICANCE = 1e-4
+#: Factor by which the answers of a sound canary may take longer, since its caches are cold.
+ALLOWED_SLOWDOWN = 1.3
+#: Combined z-score of all routes above which the canary counts as slow.
+SLOW_Z = 3.1
+#: Z-score of one route above which the canary counts as slow.
+SLOW_ROUTE_Z = 4.0
+#: Combined z-score below which the canary may be kept.
+SOUND_Z = 1.5
+#: Share of the canary's response times that must be on routes with enough of them to compare, for
+#: it to be kept.
+MIN_COMPARED_SHARE = 0.5
+
+
+def is_bad(canary: Tallies, baseline: Tallies) -> bool:
+    """Returns whether the canary is worse than the baseline, on any route or in total.
+
+    :param canary: answers of the canary.
+    :param baseline: answers of the baseline in the same period.
+    """
+    pairs = [(tally, baseline.get(route, AnswerTally())) for route, tally in canary.items()]
+    whole = (_total(canary), _total(baseline))
+    if any(_fails_more(one, other) for one, other in (*pairs, whole)):
+        return True
+    z_scores = _z_scores(canary, baseline)
+    return any(one > SLOW_ROUTE_Z for one in z_scores) or _combined_z(z_scores) > SLOW_Z
+
+
+def is_sound(canary: Tallies, baseline: Tallies) -> bool:
+    """Returns whether enough answers show that the canary is as good as the baseline."""
+    if _total(canary).answers < MIN_ANSWERS_TO_KEEP or is_bad(canary, baseline):
+        return False
+    compared = [
+        tally for route, tally in canary.items() if _is_compared(tally, baseline.get(route))
+    ]
+    if sum(tally.timed for tally in compared) < _total(canary).timed * MIN_COMPARED_SHARE:
+        return False
+    return bool(compared) and _combined_z(_z_scores(canary, baseline)) < SOUND_Z
+
+
+def _is_compared(canary: AnswerTally, baseline: AnswerTally | None) -> bool:
+    return (
+        baseline is not None
+        and canary.timed >= MIN_CANARY_TIMES
+        and baseline.timed >= MIN_BASELINE_TIMES
+    )
+
+
+def _total(tallies: Tallies) -> AnswerTally:
+    return add_tallies([{"": tally} for tally in tallies.values()]).get("", AnswerTally())
+
+
+def _fails_more(canary: AnswerTally, baseline: AnswerTally) -> bool:
+    if canary.answers < MIN_ANSWERS:
+        return False
+    baseline_share = baseline.failures / baseline.answers if baseline.answers else 0.0
+    chance = min(0.9, max(MIN_FAILURE_RATE, baseline_share * FAILURE_FACTOR))
+    return tail_probability(round(canary.failures), round(canary.answers), chance) < SIGNIFICANCE
+
+
+def _z_scores(canary: Tallies, baseline: Tallies) -> list[float]:
+    """Returns by how many standard errors each compared route exceeds the bearable slowdown."""
+    z_scores = []
+    for route, tally in canary.items():
+        other = baseline.get(route)
+        if not _is_compared(tally, other):
+            continue
+        error = math.sqrt(other.variance * (1 / tally.timed + 1 / other.timed))
+        z_scores.append((tally.mean - other.mean - math.log(ALLOWED_SLOWDOWN)) / error)
+    return z_scores
+
+
+def _combined_z(z_scores: Sequence[float]) -> float:
+    """Returns the combined z-score of all routes by Stouffer's method."""
+    return sum(z_scores) / math.sqrt(len(z_scores)) if z_scores else 0.0
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -13,24 +13,21 @@
 from bottle import HTTPResponse
 
 from arbutustally.clock import VirtualClock
+from arbutustally.gateway.answer_tallies import AnswerTally
 from arbutustally.gateway.endpoint_entry import EndpointEntry
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.endpoints import EndpointBook
 from arbutustally.gateway.relaying import Member
+from arbutustally.gateway.release_comparison import MIN_BASELINE_TIMES, is_bad, is_sound
+from arbutustally.gateway.rollout_book import KnownOrder, RolloutBook
 from arbutustally.gateway.rollouts import (
     CANARY_SHARE,
     KEEP_S,
-    MIN_BASELINE_TIMES,
     MOVE_S,
     WATCH_S,
-    AnswerTally,
-    KnownOrder,
-    RolloutBook,
     RolloutOrder,
     RolloutProgress,
     RolloutState,
-    is_bad,
-    is_sound,
     next_progress,
 )
 from arbutustally_node.gateway.decision_log import DecisionLog
