Judge a release by what is slow without one silence of its endpoint

What callers saw: a sound release whose only endpoint was silent for a second during its roll-out was rolled back. Cause: all answers that wait in one silence, and the early counts of runs that wait, count as independent slow answers. Class: one event that counts as many independent ones; nodes can't tell, as each has few of these answers, so the node that decides has to.

The node that decides now keeps the sums of all nodes at intervals of 0.5 s. A release is slow, and too slow to be kept, only if it is so without the answers of any one period of 2 s; while its latest answers alone are suspect, requests are not moved to it. Failures count at once, and once all requests are at the canary there is no time to wait, so all answers count.

What is open: a silence longer than about 1.5 s, and one after all requests have moved.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
@@ -8,7 +8,6 @@
 """
 
 import math
-from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Any
@@ -17,9 +16,9 @@
 
 from arbutustally.clock import Clock
 from arbutustally.errors import StoreUnavailableError
-from arbutustally.gateway.answer_tallies import Tallies, subtract
+from arbutustally.gateway.answer_history import AnswerHistory
+from arbutustally.gateway.answer_tallies import Tallies
 from arbutustally.gateway.endpoints import EndpointBook
-from arbutustally.gateway.release_comparison import is_bad
 from arbutustally.gateway.rollout_book import KnownOrder, RolloutBook
 from arbutustally.gateway.rollouts import RolloutProgress, RolloutState, next_progress
 from arbutustally_node.gateway.decision_log import DecisionLog
@@ -31,8 +30,6 @@
 STEP_S = 0.1
 #: Interval at which a decision is sent to the peers again, seconds.
 RESEND_INTERVAL_S = 1.0
-#: Number of past tallies kept to judge recent answers separately, one per step (about 3 s).
-RECENT_STEPS = 30
 #: Pause after a call that the store did not answer, seconds.
 STORE_RETRY_S = 0.3
 
@@ -73,7 +70,7 @@
         self._written: dict[str, RolloutProgress] = {}
         self._sent_at: dict[str, float] = {}
         self._known: dict[str, KnownOrder] = {}
-        self._recent: dict[str, deque[tuple[Tallies, Tallies]]] = {}
+        self._histories: dict[str, AnswerHistory] = {}
         self._greenlet: Any = None
 
     def start(self) -> None:
@@ -107,7 +104,7 @@
             return
         if self._known.get(order.service) != known:
             self._known[order.service] = known
-            self._recent.pop(order.service, None)
+            self._histories.pop(order.service, None)
             self._resume(known)
             current = self._rollouts.progress(order.service)
         if current is not None and current.is_final:
@@ -116,29 +113,44 @@
         retrial_s = self._rollouts.retrial_s(order.service)
         if current is None and retrial_s is not None and not self._allows_retrials():
             return
-        trial = self._rollouts.trial(order.service)
-        canary = self._evidence.tallies(order.service, trial, CANARY)
-        baseline = self._evidence.tallies(order.service, trial, BASELINE)
-        following = next_progress(
+        following = self._next_progress(known, current, retrial_s)
+        if following != current:
+            self._decide(following, self._histories[order.service].total.canary)
+        else:
+            self._resend(following)
+
+    def _next_progress(
+        self, known: KnownOrder, current: RolloutProgress | None, retrial_s: float | None
+    ) -> RolloutProgress:
+        order = known.order
+        history = self._record_answers(known)
+        # With all requests at the canary there is no time left to wait for further answers.
+        has_moved = current is not None and current.share == 1.0
+        judged = history.total if has_moved else history.without_one_silence()
+        return next_progress(
             order,
             current,
             known.known_at + order.duration_s - self._clock(),
-            canary,
-            baseline,
-            self._is_recently_bad(order.service, canary, baseline),
+            judged.canary,
+            judged.baseline,
+            history.is_suspect if has_moved else history.is_bad_lately,
             self._baseline_running(order.service, order.target),
             retrial_s,
+            history.is_suspect,
         )
-        if following != current:
-            self._decide(following, canary)
-        else:
-            self._resend(following)
 
-    def _is_recently_bad(self, service: str, canary: Tallies, baseline: Tallies) -> bool:
-        recent = self._recent.setdefault(service, deque(maxlen=RECENT_STEPS))
-        recent.append((canary, baseline))
-        canary_before, baseline_before = recent[0]
-        return is_bad(subtract(canary, canary_before), subtract(baseline, baseline_before))
+    def _record_answers(self, known: KnownOrder) -> AnswerHistory:
+        service = known.order.service
+        trial = self._rollouts.trial(service)
+        history = self._histories.get(service)
+        if history is None:
+            history = self._histories[service] = AnswerHistory(known.known_at)
+        history.record(
+            self._clock(),
+            self._evidence.tallies(service, trial, CANARY),
+            self._evidence.tallies(service, trial, BASELINE),
+        )
+        return history
 
     def _baseline_running(self, service: str, target: str) -> int:
         return sum(
--- a/packages/arbutustally/src/arbutustally/gateway/release_comparison.py
+++ b/packages/arbutustally/src/arbutustally/gateway/release_comparison.py
@@ -44,12 +44,30 @@
     :param canary: answers of the canary.
     :param baseline: answers of the baseline in the same period.
     """
+    return is_failing(canary, baseline) or is_slow(canary, baseline)
+
+
+def is_failing(canary: Tallies, baseline: Tallies) -> bool:
+    """Returns whether more of the canary's answers fail, on any route or in total."""
     pairs = [(tally, baseline.get(route, AnswerTally())) for route, tally in canary.items()]
     whole = (_total(canary), _total(baseline))
-    if any(_fails_more(one, other) for one, other in (*pairs, whole)):
-        return True
+    return any(_fails_more(one, other) for one, other in (*pairs, whole))
+
+
+def is_slow(canary: Tallies, baseline: Tallies) -> bool:
+    """Returns whether the canary's answers take longer, on any route or on all together."""
+    return slowness(canary, baseline) > 1.0
+
+
+def is_too_slow_to_keep(canary: Tallies, baseline: Tallies) -> bool:
+    """Returns whether the canary's answers take longer than those of one that may be kept."""
+    return is_slow(canary, baseline) or _combined_z(_z_scores(canary, baseline)) >= SOUND_Z
+
+
+def slowness(canary: Tallies, baseline: Tallies) -> float:
+    """Returns how slow the canary's answers are as a multiple of what counts as slow."""
     z_scores = _z_scores(canary, baseline)
-    return any(one > SLOW_ROUTE_Z for one in z_scores) or _combined_z(z_scores) > SLOW_Z
+    return max(_combined_z(z_scores) / SLOW_Z, max(z_scores, default=0.0) / SLOW_ROUTE_Z)
 
 
 def is_sound(canary: Tallies, baseline: Tallies) -> bool:
@@ -61,7 +79,7 @@
     ]
     if sum(tally.timed for tally in compared) < _total(canary).timed * MIN_COMPARED_SHARE:
         return False
-    return bool(compared) and _combined_z(_z_scores(canary, baseline)) < SOUND_Z
+    return bool(compared) and not is_too_slow_to_keep(canary, baseline)
 
 
 def _is_compared(canary: AnswerTally, baseline: AnswerTally | None) -> bool:
--- a/packages/arbutustally/src/arbutustally/gateway/rollouts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/rollouts.py
@@ -76,6 +76,7 @@
     is_bad_lately: bool,
     baseline_running: int,
     retrial_s: float | None = None,
+    is_suspect: bool = False,
 ) -> RolloutProgress:
     """Returns the progress that applies from now on.
 
@@ -85,9 +86,11 @@
     :param left_s: time until the order's end, seconds.
     :param canary: answers of the canary so far.
     :param baseline: answers of the baseline in the same period.
-    :param is_bad_lately: whether the canary's answers of the last 3 s alone are bad.
+    :param is_bad_lately: whether the canary's latest answers alone are bad.
     :param baseline_running: number of requests that endpoints of other releases still run.
     :param retrial_s: see ``RolloutProgress``.
+    :param is_suspect: whether the latest answers alone may be bad, so that requests are not moved to
+        the canary yet.
     """
 
     def progress(state: RolloutState, share: float) -> RolloutProgress:
@@ -107,6 +110,7 @@
         is_kept = is_sound(canary, baseline)
         end = RolloutState.COMPLETED if is_kept else RolloutState.ROLLED_BACK
         return progress(end, 1.0 if is_kept else 0.0)
-    if has_moved or (left_s <= MOVE_S and is_sound(canary, baseline)):
+    may_move = left_s <= MOVE_S and not is_suspect and is_sound(canary, baseline)
+    if has_moved or may_move:
         return progress(RolloutState.RUNNING, 1.0)
     return progress(RolloutState.RUNNING, CANARY_SHARE)
