Draw plain endpoints by their expected time, so that slow ones still get some requests

Cause: the endpoint with the shortest expected time got every request, so one whose average was 15% higher got nothing, and only its own answers could correct its average. Class: an estimate that keeps out what would correct it.

Endpoints are now drawn with the fourth power of their expected time against the fastest one. The own zone is preferred among those that are equal to the one drawn, as before.

--- a/packages/arbutustally/src/arbutustally/gateway/choice.py
+++ b/packages/arbutustally/src/arbutustally/gateway/choice.py
@@ -56,8 +56,9 @@
 #: limited time: the load that peers report is some 100 ms old, and an engine that has become slower
 #: shows it only with its next answers.
 BEGIN_TOLERANCE = 1.5
-#: Plain endpoints whose expected time exceeds the shortest one by at most this share count as
-#: equal.
+#: Power of a plain endpoint's expected time by which it is drawn less often than the fastest one.
+TIME_POWER = 4
+#: Plain endpoints whose expected times differ by at most this share count as equal.
 NEAR_TIE = 0.1
 
 
@@ -100,10 +101,16 @@
 def choose_plain(
     eligible: Sequence[EndpointState], zone: str, rng: Random, now: float
 ) -> EndpointState:
-    """Returns the endpoint with the shortest expected time; ``zone`` is preferred among equals."""
+    """Returns an endpoint drawn by its expected time; ``zone`` is preferred among equals.
+
+    A slower one is drawn less often, but not never: only its own answers correct its average.
+    """
     times = plain_times_s(eligible, now)
-    best = min(times.values())
-    tied = [state for state in eligible if times[state.id] <= best * (1 + NEAR_TIE)]
+    best_s = min(times.values())
+    weights = [(best_s / times[state.id]) ** TIME_POWER for state in eligible]
+    drawn_s = times[rng.choices(eligible, weights)[0].id]
+    shortest_s, longest_s = drawn_s / (1 + NEAR_TIE), drawn_s * (1 + NEAR_TIE)
+    tied = [state for state in eligible if shortest_s <= times[state.id] <= longest_s]
     near = [state for state in tied if state.entry.zone == zone]
     return rng.choice(near or tied)
 
