Count requests that hang after a slow answer as failures

An endpoint that hangs after a slow answer then stayed in use until requests failed that were sent later. Now the endpoint must have sent something lately. Found while reading again; tests.test_gateway_endpoints .test_endpoint_that_hangs_after_a_slow_answer_has_failed fails without the change.

--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -291,13 +291,14 @@
             ``None`` if the endpoint broke it off.
         """
         now = self._clock()
-        if waited_s is not None and now - waited_s < state.held_up_until:
+        is_stalled = self.is_stalled(state)
+        if waited_s is not None and not is_stalled and now - waited_s < state.held_up_until:
             # A silence that is over held the answer up.
             return now < state.suspect_until
         silent = state.recent_failures(now, of_silence=True)
         state.failures = state.recent_failures(now) + 1.0
         state.failed_at = now
-        if waited_s is not None and self.is_stalled(state):
+        if waited_s is not None and is_stalled:
             silent += 1.0
             state.silent_at = now
         state.silent_failures = silent
--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -119,9 +119,21 @@
         self.answer(0.05)
         self.assertGreater(self.silent_failures(1.25), 3.0)
         self.answer(1.4, 0.1)
+        state.last_data_at = self.clock()
         self.book.failed(state, 1.3)
         self.assertEqual((state.recent_failures(self.clock()), len(self.names())), (0.0, 2))
 
+    def test_endpoint_that_hangs_after_a_slow_answer_has_failed(self) -> None:
+        """Guards against an endpoint that hangs and stays in use since one answer was slow."""
+        state = self.book.get("e1")
+        self.answer(0.05)
+        self.answer(1.0)
+        state.last_data_at = self.clock()
+        self.clock.advance(1.0)
+        for _ in range(3):
+            self.book.failed(state, 1.25)
+        self.assertEqual(self.names(), ["e2"])
+
     def test_other_failures_stay_after_a_silence(self) -> None:
         """Guards against an endpoint that breaks requests off and counts as one that was silent."""
         state = self.book.get("e1")
