Bound the receive queues of callers' connections

Callers that send further requests behind one that runs, or on connections that are not accepted, could make the system hold more bytes for a process than its memory allows.

Cause: the system lets receive queues grow by itself, and neither the account nor the resident size shows what waits in them.

The size of the listening socket now bounds connections that are not accepted, and a size from the memory and the number of connections bounds accepted ones. A size that is set ends the growth by the system. Once 128 KiB of a request have arrived, its connection gets 128 KiB until it ends, if few others have that.

Not measured: callers with a long round trip, which have at most 64 KiB under way; 3,000 connections.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -23,6 +23,7 @@
 from arbutustally_node.gateway.caller import CallerConnection
 from arbutustally_node.gateway.connection_memory import ConnectionMemory
 from arbutustally_node.gateway.ports import HttpCodec
+from arbutustally_node.gateway.receive_queues import QueueSizes, ReceiveQueues
 from arbutustally_node.http_body import RequestReader
 from arbutustally_node.http_head import RequestHead
 
@@ -74,6 +75,7 @@
     :param handler: answers a request.
     :param limits: returns the limits in force.
     :param memory: account of the process's memory.
+    :param queue_sizes: of the connections' receive queues, ``None`` to leave them to the system.
     """
 
     def __init__(
@@ -83,12 +85,14 @@
         handler: Handler,
         limits: Callable[[], CallerLimits],
         memory: MemoryAccount,
+        queue_sizes: QueueSizes | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._codec = codec
         self._handler = handler
         self._limits = limits
         self._memory = memory
+        self._queues = ReceiveQueues(queue_sizes)
         self._pool = Pool(connection_limit())
         self._server = StreamServer(
             (host, int(port)), self._serve, backlog=BACKLOG, spawn=self._pool
@@ -119,6 +123,8 @@
 
     def start(self) -> None:
         """Starts accepting connections."""
+        self._server.init_socket()
+        self._queues.bound_listener(self._server.socket)
         self._server.start()
         self._room = gevent.spawn(self._keep_room)
 
@@ -161,6 +167,7 @@
         limits = self._limits()
         caller = address[0] if address else ""
         memory = ConnectionMemory(self._memory, caller)
+        self._queues.bound_accepted(sock, self._connections)
         reader = RequestReader(
             sock,
             monotonic,
@@ -170,6 +177,7 @@
             limits.idle_timeout_s,
             limits.header_timeout_s,
             memory.is_too_slow,
+            lambda: self._queues.widen(sock),
         )
         self._connections += 1
         self._callers[caller] += 1
@@ -183,6 +191,7 @@
             self._callers[caller] -= 1
             if not self._callers[caller]:
                 del self._callers[caller]
+            self._queues.forget(sock)
             memory.close()
             sock.close()
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -29,7 +29,7 @@
 from arbutustally_node.gateway.endpoint_reader import READING_DUTY, EndpointReader
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.isolation_recorder import IsolationRecorder
-from arbutustally_node.gateway.listener import CallerListener
+from arbutustally_node.gateway.listener import BACKLOG, CallerListener, connection_limit
 from arbutustally_node.gateway.loop_lag import LoopLagMonitor
 from arbutustally_node.gateway.memory_monitor import MemoryMonitor
 from arbutustally_node.gateway.node_state import NodeState
@@ -39,6 +39,7 @@
 from arbutustally_node.gateway.part_quarantine import PartQuarantine
 from arbutustally_node.gateway.peer_sync import PeerSync, SyncedServices
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
+from arbutustally_node.gateway.receive_queues import QueueSizes
 from arbutustally_node.gateway.request_handler import RequestHandler
 from arbutustally_node.gateway.request_services import RequestServices
 from arbutustally_node.gateway.rollout_record import encode_progress
@@ -168,6 +169,7 @@
         exchange.serve,
         lambda: state.caller_limits,
         memory,
+        QueueSizes.from_config(options.memory_mb, BACKLOG, connection_limit()),
     )
     kernel = _register(
         ("log", log),
--- a/packages/arbutustally-node/src/arbutustally_node/http_body.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_body.py
@@ -18,6 +18,7 @@
 from arbutustally_node.loop_turn import wait_for_turn
 
 READ_BYTES = 65536
+LARGE_BYTES = 128 << 10
 MAX_CHUNK_LINE_BYTES = 256
 #: Chunks of a body after which timers and other sockets get a turn.
 CHUNKS_PER_TURN = 256
@@ -100,6 +101,7 @@
     :param idle_s: timeout for the first byte of a request.
     :param send_s: timeout from the first byte of a request to its last.
     :param is_too_slow: ends a request before its timeout.
+    :param on_large: called once ``LARGE_BYTES`` of a request have arrived.
     """
 
     def __init__(
@@ -112,12 +114,14 @@
         idle_s: float,
         send_s: float,
         is_too_slow: TooSlow = never_too_slow,
+        on_large: Callable[[], None] = lambda: None,
     ) -> None:
         self._sock = sock
         self._clock = clock
         self._budget = budget
         self.set_limits(max_header_bytes, max_body_bytes, idle_s, send_s)
         self._is_too_slow = is_too_slow
+        self._on_large = on_large
         self._buffer = bytearray()
         self._began_at = 0.0
         self._received_at = 0.0
@@ -242,7 +246,10 @@
             raise ConnectionResetError("caller closed the connection inside a request")
         self._take(count)
         self._received_at = self._clock()
+        was_large = self._received_bytes >= LARGE_BYTES
         self._received_bytes += count
+        if not was_large and self._received_bytes >= LARGE_BYTES:
+            self._on_large()
 
     def _take(self, count: int) -> None:
         self._buffer += _view[:count]
