Keep a reserve of running requests for callers with few

While a worker held the requests of a crowd, another caller got 503 until those requests timed out.

Cause: requests run while descriptors for connections to endpoints are left, whoever sends them, so one crowd took all places.

An eighth of the descriptors that are reserved beside callers' connections is now kept for requests of callers, by address, that have less than a sixteenth of the running ones. Nobody's limit is lower than before. It is counted apart, as connections that are accepted later lower the limit below the requests that run already.

Open: callers of many addresses can take the reserve.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -15,15 +15,16 @@
 from gevent.server import StreamServer
 
 from arbutustally.clock import monotonic
-from arbutustally.errors import BadRequestError, OverloadedError, RouterError
+from arbutustally.errors import BadRequestError, RouterError
 from arbutustally.gateway.configuration import CallerLimits
-from arbutustally.gateway.memory_account import RETRY_S, MemoryAccount
+from arbutustally.gateway.memory_account import MemoryAccount
 from arbutustally.gateway.requests import CallerRequest
 from arbutustally_node.caller_watch import CallerGoneError, CallerWatch
 from arbutustally_node.gateway.caller import CallerConnection
 from arbutustally_node.gateway.connection_memory import ConnectionMemory
 from arbutustally_node.gateway.ports import HttpCodec
 from arbutustally_node.gateway.receive_queues import QueueSizes, ReceiveQueues
+from arbutustally_node.gateway.running_requests import RunningRequests
 from arbutustally_node.http_body import RequestReader
 from arbutustally_node.http_head import RequestHead
 
@@ -42,6 +43,8 @@
 #: exist.
 LEAST_RESERVED_FRACTION = 0.25
 LEAST_RUNNING_FRACTION = 0.125
+#: Fraction of the reserved descriptors for requests of callers that have few others.
+FEW_CALLERS_FRACTION = 0.125
 #: Longest time to read from a caller that keeps sending after its request was refused, seconds.
 LINGER_S = 0.3
 #: Longest time to wait until a caller has read an answer that ends with its connection, seconds.
@@ -102,7 +105,7 @@
         self._room: Any = None
         self._connections = 0
         self._running = 0
-        self._handled = 0
+        self._requests = RunningRequests(few_callers_reserve())
         self._watches: set[CallerWatch] = set()
         self._draining = False
 
@@ -212,7 +215,7 @@
         # From here on, a shutdown of the node waits for the request.
         self._running += 1
         try:
-            is_kept = self._serve_request(sock, reader, head, connection)
+            is_kept = self._serve_request(sock, reader, head, connection, caller)
         finally:
             self._running -= 1
         if connection.ends_answer:
@@ -220,36 +223,43 @@
         return is_kept
 
     def _serve_request(
-        self, sock: Any, reader: RequestReader, head: RequestHead, connection: CallerConnection
+        self,
+        sock: Any,
+        reader: RequestReader,
+        head: RequestHead,
+        connection: CallerConnection,
+        caller: str,
     ) -> bool:
-        try:
-            with connection.memory.reading():
-                request = self._read_rest(sock, reader, head)
-            self._check_descriptors()
-        except RouterError as error:
-            reader.close()
-            _refuse(sock, connection, error)
-            return False
+        with contextlib.ExitStack() as place:
+            try:
+                with connection.memory.reading():
+                    request = self._read_rest(sock, reader, head)
+                limit = running_limit(self._connections)
+                place.enter_context(self._requests.running(caller, limit))
+            except RouterError as error:
+                reader.close()
+                _refuse(sock, connection, error)
+                return False
+            self._handle(sock, reader, request, connection)
+        return connection.keep and not self._draining
+
+    def _handle(
+        self,
+        sock: Any,
+        reader: RequestReader,
+        request: CallerRequest,
+        connection: CallerConnection,
+    ) -> None:
         watch = CallerWatch(sock)
         self._watches.add(watch)
-        self._handled += 1
         try:
             self._handler(request, connection, watch)
         finally:
-            self._handled -= 1
             self._watches.discard(watch)
             watch.stop()
             request.release_body()
             connection.memory.end_request()
             reader.release()
-        return connection.keep and not self._draining
-
-    def _check_descriptors(self) -> None:
-        """Raises ``OverloadedError`` if the connection to an endpoint may have no descriptor."""
-        if self._handled >= running_limit(self._connections):
-            raise OverloadedError(
-                "not run: the node's descriptors are in use; retry later", retry_after_s=RETRY_S
-            )
 
     def _read_head(self, sock: Any, reader: RequestReader, caller: str) -> RequestHead | None:
         self._idle[sock] = IdleConnection(caller, monotonic())
@@ -303,11 +313,22 @@
     descriptors, _hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if descriptors == resource.RLIM_INFINITY:
         return float("inf")
-    reserved = min(RESERVED_DESCRIPTORS, int(descriptors * LEAST_RESERVED_FRACTION))
-    left = descriptors - reserved - connections
+    left = descriptors - _reserved(descriptors) - connections
     return max(left, int(descriptors * LEAST_RUNNING_FRACTION))
 
 
+def few_callers_reserve() -> int:
+    """Returns the number of requests of callers with few that may run beyond that limit."""
+    descriptors, _hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return 0
+    return int(_reserved(descriptors) * FEW_CALLERS_FRACTION)
+
+
+def _reserved(descriptors: int) -> int:
+    return min(RESERVED_DESCRIPTORS, int(descriptors * LEAST_RESERVED_FRACTION))
+
+
 def longest_idle(
     idle: Mapping[Any, IdleConnection], callers: Mapping[str, int], now: float
 ) -> list[Any]:
