--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -142,6 +142,17 @@
             self.answer(0.05, 0.01)
         self.assertGreater(state.recent_failures(self.clock()), 3.0)
 
+    def test_usual_answers_do_not_end_a_silence(self) -> None:
+        """Guards against an endpoint that hangs for some requests and stays in use at low load."""
+        state = self.book.get("e1")
+        self.answer(0.05)
+        for _ in range(8):
+            state.last_data_at = self.clock()
+            self.clock.advance(0.62)
+            self.book.failed(state, 1.25)
+            self.answer(0.05, 0.03)
+        self.assertGreater(state.recent_failures(self.clock()), 3.0)
+
     def test_failures_of_a_silence_stay_until_it_ends(self) -> None:
         """Guards against requests to an endpoint that answers new ones but lost those before."""
         state = self.book.get("e1")
