Follow a trial's answers at every node, and through a further order

What callers saw: none reported; found in a review. A sound release whose endpoint had been silent was rolled back if another node took over deciding after the silence, and a slow one was recognized later if a further order continued its trial. Cause: the node that decides began its history of answers when it took over or when the order changed. All answers before came to lie at one moment: in a period longer than a silence, which can't be left out, or, after a further order, in one that is left out as a whole. Class: many events that count as one.

Each node now records the tallies of a trial while it is judged, under the name of the trial.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
@@ -9,7 +9,7 @@
 
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 import gevent
@@ -34,6 +34,17 @@
 STORE_RETRY_S = 0.3
 
 
+@dataclass(frozen=True)
+class TrialHistory:
+    """Answers of a trial over time.
+
+    :ivar trial: see ``RolloutBook.trial``.
+    """
+
+    trial: str
+    answers: AnswerHistory
+
+
 class RolloutService:
     """Decides on roll-outs while this node is the first in order.
 
@@ -70,7 +81,7 @@
         self._written: dict[str, RolloutProgress] = {}
         self._sent_at: dict[str, float] = {}
         self._known: dict[str, KnownOrder] = {}
-        self._histories: dict[str, AnswerHistory] = {}
+        self._histories: dict[str, TrialHistory] = {}
         self._greenlet: Any = None
 
     def start(self) -> None:
@@ -99,12 +110,13 @@
         order = known.order
         current = self._rollouts.progress(order.service)
         if not self._is_decider():
-            # Another node decides; its records are read again if this node takes over.
+            # Another node decides; its records are read again if this node takes over. The answers
+            # are followed until then, as their times cannot be told afterwards.
             self._known.pop(order.service, None)
+            self._follow_answers(known, current)
             return
         if self._known.get(order.service) != known:
             self._known[order.service] = known
-            self._histories.pop(order.service, None)
             self._resume(known)
             current = self._rollouts.progress(order.service)
         if current is not None and current.is_final:
@@ -115,7 +127,7 @@
             return
         following = self._next_progress(known, current, retrial_s)
         if following != current:
-            self._decide(following, self._histories[order.service].total.canary)
+            self._decide(following, self._histories[order.service].answers.total.canary)
         else:
             self._resend(following)
 
@@ -139,12 +151,17 @@
             history.is_suspect,
         )
 
+    def _follow_answers(self, known: KnownOrder, current: RolloutProgress | None) -> None:
+        """Records the answers of a trial that another node decides on."""
+        if current is not None and current.is_final:
+            self._histories.pop(known.order.service, None)
+            return
+        self._record_answers(known)
+
     def _record_answers(self, known: KnownOrder) -> AnswerHistory:
         service = known.order.service
         trial = self._rollouts.trial(service)
-        history = self._histories.get(service)
-        if history is None:
-            history = self._histories[service] = AnswerHistory(known.known_at)
+        history = self._history(known)
         history.record(
             self._clock(),
             self._evidence.tallies(service, trial, CANARY),
@@ -152,6 +169,16 @@
         )
         return history
 
+    def _history(self, known: KnownOrder) -> AnswerHistory:
+        """Returns the history of the present trial, which a further order may continue."""
+        service = known.order.service
+        trial = self._rollouts.trial(service)
+        history = self._histories.get(service)
+        if history is None or history.trial != trial:
+            history = TrialHistory(trial, AnswerHistory(known.known_at))
+            self._histories[service] = history
+        return history.answers
+
     def _baseline_running(self, service: str, target: str) -> int:
         return sum(
             state.total_running
