Let an answer whose request ran through a silence end it

A long stream never takes three times its usual time because of a silence, so failures of an engine's silence were kept until they decayed, as before.

A request that had waited for more than the time after which an endpoint counts as stalled when the latest one was given up was there in the silence, however long it takes, so its answer ends it too.

--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -318,14 +318,16 @@
         answers to requests that were sent before it arrived, leave the average as it is. Answers
         that arrive together count little each, as the first of them may be late by less. Requests
         that were given up in that silence no longer count as failures. An answer that took as long
-        as usual proves no silence: the endpoint may leave some requests unanswered for good.
+        as usual proves no silence, unless its request ran through it, as a long stream does: the
+        endpoint may leave some requests unanswered for good.
         """
         now = self._clock()
         state.suspicions = 0
         state.suspect_until = 0.0
         state.is_down = False
         is_held_up = self._is_held_up(state, latency_s)
-        if is_held_up and now - latency_s < state.silent_at:
+        waited_s = state.silent_at - (now - latency_s)
+        if waited_s > STALLED_S or (is_held_up and waited_s > 0):
             state.failures -= state.silent_failures
             state.silent_failures = 0.0
         since_last_s, state.answered_at = now - state.answered_at, now
--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -142,6 +142,14 @@
             self.answer(0.05, 0.01)
         self.assertGreater(state.recent_failures(self.clock()), 3.0)
 
+    def test_stream_that_ran_through_a_silence_ends_it(self) -> None:
+        """Guards against an engine that is avoided after its silence since its answers are long."""
+        state = self.book.get("e1")
+        self.answer(5.0)
+        self.silent_failures(1.25)
+        self.answer(5.3, 0.1)
+        self.assertEqual(state.recent_failures(self.clock()), 0.0)
+
     def test_usual_answers_do_not_end_a_silence(self) -> None:
         """Guards against an endpoint that hangs for some requests and stays in use at low load."""
         state = self.book.get("e1")
