Part the decision on a repeat from the loop over attempts

The loop of RequestRun also held the quarantine, the repeat budget and the choice between a refusal and a failure, the latter twice. They are now in one method that returns what follows an attempt. Behaviour is unchanged.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -122,24 +122,29 @@
             if result.outcome is not Outcome.ANSWERED and self._await_hedge_answer():
                 result.drop()
                 continue
-            # A hedge without a response counts, as its endpoint may be running the request.
-            ran = self._ran + (self._hedge is not None)
-            following = next_action(self._route, result.outcome, ran, self._sends, self.left_s)
-            if following is Next.REPEAT and not self._delivery.is_resumable:
-                following = Next.FAIL
-            if following is Next.REPEAT and not self._may_run_again():
-                self._trace.facts["quarantine"] = "no_repeat"
-                is_not_run = result.outcome is Outcome.NOT_RUN and ran == 0
-                following = Next.REFUSE if is_not_run else Next.FAIL
-            elif following is Next.REPEAT and not self._take_repeat():
-                self._trace.facts["repeat_budget"] = "used"
-                is_not_run = result.outcome is Outcome.NOT_RUN and ran == 0
-                following = Next.REFUSE if is_not_run else Next.FAIL
-            if following is Next.REPEAT:
-                result.drop()
-                continue
-            self._finish(following, result)
-            return
+            following = self._following(result)
+            if following is not Next.REPEAT:
+                self._finish(following, result)
+                return
+            result.drop()
+
+    def _following(self, result: AttemptResult) -> Next:
+        """Returns what follows an attempt; takes a repeat from the budget if it is a repeat."""
+        # A hedge without a response counts, as its endpoint may be running the request.
+        ran = self._ran + (self._hedge is not None)
+        following = next_action(self._route, result.outcome, ran, self._sends, self.left_s)
+        if following is not Next.REPEAT:
+            return following
+        if not self._delivery.is_resumable:
+            return Next.FAIL
+        if not self._may_run_again():
+            self._trace.facts["quarantine"] = "no_repeat"
+        elif not self._take_repeat():
+            self._trace.facts["repeat_budget"] = "used"
+        else:
+            return Next.REPEAT
+        is_not_run = result.outcome is Outcome.NOT_RUN and ran == 0
+        return Next.REFUSE if is_not_run else Next.FAIL
 
     def _may_run_again(self) -> bool:
         return self._services.quarantine.may_run_again(self._shared_parts)
