Part the sending of an attempt from the run of its request

AttemptSender sends an attempt with its terms, applies the notice of the response and has the attempt left when its weights expire. Behaviour is unchanged.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterator
-from contextlib import AbstractContextManager, contextmanager
+from contextlib import contextmanager
 
 import gevent
 
@@ -26,28 +26,25 @@
 )
 from arbutustally.gateway.part_keys import shared_part_keys
 from arbutustally.gateway.requests import CallerRequest
-from arbutustally.rendezvous import uniform_hash
 from arbutustally_node.caller_watch import CallerWatch
 from arbutustally_node.gateway.answer_delivery import AnswerDelivery
 from arbutustally_node.gateway.attempt_load import AttemptLoad
 from arbutustally_node.gateway.attempt_record import reason_to_withdraw, trace_of
+from arbutustally_node.gateway.attempt_sender import AttemptSender
 from arbutustally_node.gateway.begin_watch import WaitingAttempt
 from arbutustally_node.gateway.caller import CallerConnection
 from arbutustally_node.gateway.hedge import STREAM_TAKEOVER_S, HedgeController
 from arbutustally_node.gateway.learning import AttemptLearning, PlacedAttempt
 from arbutustally_node.gateway.placer import DEFAULT_RETRY_S, Placed, Placer
-from arbutustally_node.gateway.ports import AttemptTerms
 from arbutustally_node.gateway.request_admission import admit, take_cost
 from arbutustally_node.gateway.request_services import RequestServices, Trace
 from arbutustally_node.gateway.stream_relay import SILENT_START_S
-from arbutustally_node.gateway.transport import OTHER_ENDPOINT, AttemptResult
+from arbutustally_node.gateway.transport import AttemptResult
 
 #: Time without a response head after which a hedge is sent to another endpoint, seconds.
 HEDGE_DELAY_S = 1.2
 #: Part of the deadline reserved for sending the response to the caller, seconds.
 ANSWER_MARGIN_S = 0.01
-#: Priority of the least urgent requests at an engine; 0 is the most urgent.
-LEAST_PRIORITY = 9
 
 
 class RequestRun:
@@ -87,6 +84,9 @@
         self._delivery = AnswerDelivery(
             services, request, route, connection, watch, trace, lambda: self.left_s
         )
+        self._sender = AttemptSender(
+            services, request, route, account, self._delivery, lambda: self.left_s
+        )
         self._current: PlacedAttempt | None = None
         self._hedge: PlacedAttempt | None = None
         self._hedge_greenlet: gevent.Greenlet | None = None
@@ -191,10 +191,10 @@
         """
         hedging = self._create_hedging(attempt)
         self._current = attempt
-        waiting = self._await_begin(attempt, hedging)
+        waiting = self._sender.await_begin(attempt, hedging)
         try:
             if attempt.result is None:
-                attempt.result = self._send(attempt, self._watching(hedging))
+                attempt.result = self._sender.send(attempt, self._watching(hedging))
             if waiting is not None and not self._delivery.is_stream(attempt.result):
                 waiting.end()
             if attempt.result.outcome is not Outcome.NOT_RUN:
@@ -214,26 +214,6 @@
         self._learning.ended(attempt)
         return attempt.result
 
-    def _await_begin(
-        self, attempt: PlacedAttempt, hedging: HedgeController
-    ) -> WaitingAttempt | None:
-        """Has the attempt left if it has not begun when its weights are about to expire.
-
-        :returns: the wait to end, ``None`` at a plain service and for a hedge that has begun.
-        """
-        version = attempt.placed.version
-        if version is None or attempt.result is not None:
-            return None
-
-        spread = uniform_hash(attempt.placed.state.id.encode(), self._request.request_id)
-        return self._services.begins.begin(
-            self._request.model,
-            version,
-            hedging.expire,
-            lambda: bool(attempt.load.first_at),
-            spread,
-        )
-
     def _pass_on(self, attempt: PlacedAttempt, hedging: HedgeController) -> AttemptResult:
         return self._delivery.pass_on(
             attempt,
@@ -321,7 +301,7 @@
             self._services.on_silent,
             may_run_elsewhere=lambda: self._has_endpoints_left(self._in_use()),
         )
-        waiting = self._await_begin(attempt, hedging)
+        waiting = self._sender.await_begin(attempt, hedging)
         try:
             return self._await_hedge(attempt, hedging, waiting)
         finally:
@@ -331,7 +311,7 @@
     def _await_hedge(
         self, attempt: PlacedAttempt, hedging: HedgeController, waiting: WaitingAttempt | None
     ) -> AttemptResult:
-        result = self._send(attempt, hedging.watch(HEDGE_DELAY_S))
+        result = self._sender.send(attempt, hedging.watch(HEDGE_DELAY_S))
         if waiting is not None and not self._delivery.is_stream(result):
             waiting.end()
         if result.outcome is not Outcome.ANSWERED:
@@ -390,31 +370,6 @@
         until = self._services.weights_until(self._request.model, attempt.placed.version)
         self._trace.attempts.append(trace_of(attempt, reason, arrived_at, now, until))
 
-    def _send(self, attempt: PlacedAttempt, guard: AbstractContextManager[None]) -> AttemptResult:
-        """Sends one attempt; returns the response head or the failure."""
-        placed = attempt.placed
-        terms = AttemptTerms(
-            endpoint_id=placed.state.id,
-            account=self._account.name if self._account else "",
-            left_s=max(self.left_s, 0.001),
-            cache_scope=placed.cache_scope,
-            weights=placed.version,
-            priority=None if placed.version is None else min(self._urgency(), LEAST_PRIORITY),
-            resume_from=self._delivery.resume_from,
-            fetch_from=placed.source.address if placed.source else "",
-            save_to=attempt.saved_to.part_store.address if attempt.saved_to else "",
-        )
-        result = self._services.transport.send(
-            self._request, placed.state, terms, guard, placed.was_tried
-        )
-        attempt.reading = result.reading
-        attempt.head_at = None if result.reading is None else self._services.clock()
-        # The notice in the response is applied first, so that it takes effect before the response
-        # is passed on.
-        if result.terms is not None and result.reason != OTHER_ENDPOINT:
-            self._services.on_notice(placed.state, result.terms.notice)
-        return self._delivery.continuing(result)
-
     def _has_endpoints_left(self, ran: int) -> bool:
         """Returns whether the request may run at a further endpoint.
 
@@ -422,7 +377,3 @@
         """
         may_repeat = self._route.may_repeat and self._delivery.is_resumable
         return may_repeat and ran < self._route.max_attempts and self._may_run_again()
-
-    def _urgency(self) -> int:
-        account = self._account.priority if self._account else 0
-        return account * 3 + self._route.priority
