Part the attempts of a request from its run

RequestAttempts counts the attempts of a request, begins and ends them and tells whether the request may run at a further endpoint. RequestRun and its hedge use it. Behaviour is unchanged.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -28,15 +28,15 @@
 from arbutustally.gateway.requests import CallerRequest
 from arbutustally_node.caller_watch import CallerWatch
 from arbutustally_node.gateway.answer_delivery import AnswerDelivery
-from arbutustally_node.gateway.attempt_load import AttemptLoad
-from arbutustally_node.gateway.attempt_record import reason_to_withdraw, trace_of
+from arbutustally_node.gateway.attempt_record import reason_to_withdraw
 from arbutustally_node.gateway.attempt_sender import AttemptSender
 from arbutustally_node.gateway.begin_watch import WaitingAttempt
 from arbutustally_node.gateway.caller import CallerConnection
 from arbutustally_node.gateway.hedge import STREAM_TAKEOVER_S, HedgeController
-from arbutustally_node.gateway.learning import AttemptLearning, PlacedAttempt
-from arbutustally_node.gateway.placer import DEFAULT_RETRY_S, Placed, Placer
+from arbutustally_node.gateway.learning import PlacedAttempt
+from arbutustally_node.gateway.placer import DEFAULT_RETRY_S, Placer
 from arbutustally_node.gateway.request_admission import admit, take_cost
+from arbutustally_node.gateway.request_attempts import RequestAttempts
 from arbutustally_node.gateway.request_services import RequestServices, Trace
 from arbutustally_node.gateway.stream_relay import SILENT_START_S
 from arbutustally_node.gateway.transport import AttemptResult
@@ -74,21 +74,23 @@
         if request.time_left_s is not None:
             limit = min(limit, request.time_left_s)
         self._deadline = request.arrived_at + limit - ANSWER_MARGIN_S
-        self._ran = 0
-        self._sends = 0
         self._placer = Placer(services, request, configuration, route, account, trace)
         self._shared_parts = shared_part_keys(request) if request.model else ()
-        self._learning = AttemptLearning(
-            services, request, route, self._placer.isolated_account, self._shared_parts, trace
-        )
         self._delivery = AnswerDelivery(
             services, request, route, connection, watch, trace, lambda: self.left_s
         )
         self._sender = AttemptSender(
             services, request, route, account, self._delivery, lambda: self.left_s
         )
-        self._current: PlacedAttempt | None = None
-        self._hedge: PlacedAttempt | None = None
+        self._attempts = RequestAttempts(
+            services,
+            request,
+            route,
+            self._placer,
+            self._delivery,
+            self._shared_parts,
+            trace,
+        )
         self._hedge_greenlet: gevent.Greenlet | None = None
 
     @property
@@ -105,7 +107,7 @@
         cost = take_cost(self._services, self._account, self._request, self._trace)
         self._services.repeats.record_request(self._placer.service.name)
         try:
-            self._attempts()
+            self._run_attempts()
         except RouterError as error:
             if self._account and error.ran is Ran.NOT_RUN:
                 self._services.quota.refund(self._account.name, cost)
@@ -113,10 +115,10 @@
         finally:
             self._cancel_hedge()
 
-    def _attempts(self) -> None:
+    def _run_attempts(self) -> None:
         while True:
-            attempt = self._take_answered_hedge() or self._begin(
-                self._placer.place(self.left_s, self._ran > 0)
+            attempt = self._take_answered_hedge() or self._attempts.begin(
+                self._placer.place(self.left_s, self._attempts.ran > 0)
             )
             result = self._complete(attempt)
             if result.outcome is not Outcome.ANSWERED and self._await_hedge_answer():
@@ -131,13 +133,13 @@
     def _following(self, result: AttemptResult) -> Next:
         """Returns what follows an attempt; takes a repeat from the budget if it is a repeat."""
         # A hedge without a response counts, as its endpoint may be running the request.
-        ran = self._ran + (self._hedge is not None)
-        following = next_action(self._route, result.outcome, ran, self._sends, self.left_s)
+        ran = self._attempts.ran + (self._attempts.hedge is not None)
+        following = next_action(self._route, result.outcome, ran, self._attempts.sends, self.left_s)
         if following is not Next.REPEAT:
             return following
         if not self._delivery.is_resumable:
             return Next.FAIL
-        if not self._may_run_again():
+        if not self._attempts.may_run_again():
             self._trace.facts["quarantine"] = "no_repeat"
         elif not self._take_repeat():
             self._trace.facts["repeat_budget"] = "used"
@@ -146,9 +148,6 @@
         is_not_run = result.outcome is Outcome.NOT_RUN and ran == 0
         return Next.REFUSE if is_not_run else Next.FAIL
 
-    def _may_run_again(self) -> bool:
-        return self._services.quarantine.may_run_again(self._shared_parts)
-
     def _take_repeat(self) -> bool:
         return self._services.repeats.take(self._placer.service.name)
 
@@ -171,26 +170,13 @@
             ran=Ran.MAY_HAVE_RUN,
         )
 
-    def _begin(self, placed: Placed) -> PlacedAttempt:
-        """Creates an attempt, and records it and its load before the request is sent."""
-        self._sends += 1
-        self._placer.record_sent(placed)
-        answer = self._learning.began(placed)
-        load = AttemptLoad(
-            placed.state, self._request, placed.choice, self._has_endpoints_left(self._ran + 1)
-        )
-        self._services.quarantine.began(load, self._shared_parts)
-        return PlacedAttempt(
-            placed, load, self._services.clock(), answer, self._placer.save_to(placed)
-        )
-
     def _complete(self, attempt: PlacedAttempt) -> AttemptResult:
         """Sends the request, passes the response on and records the result.
 
         An answered hedge already has a result and is not sent again.
         """
         hedging = self._create_hedging(attempt)
-        self._current = attempt
+        self._attempts.current = attempt
         waiting = self._sender.await_begin(attempt, hedging)
         try:
             if attempt.result is None:
@@ -198,20 +184,19 @@
             if waiting is not None and not self._delivery.is_stream(attempt.result):
                 waiting.end()
             if attempt.result.outcome is not Outcome.NOT_RUN:
-                self._ran += 1
+                self._attempts.ran += 1
             if attempt.result.outcome is Outcome.ANSWERED:
                 attempt.result = self._pass_on(attempt, hedging)
         except BaseException as error:
             if attempt.result is None:
-                self._ran += 1
-            self._withdraw(attempt, reason_to_withdraw(error))
+                self._attempts.ran += 1
+            self._attempts.withdraw(attempt, reason_to_withdraw(error))
             raise
         finally:
             attempt.load.end()
             if waiting is not None:
                 waiting.end()
-        self._record_attempt(attempt, attempt.result.reason)
-        self._learning.ended(attempt)
+        self._attempts.end(attempt)
         return attempt.result
 
     def _pass_on(self, attempt: PlacedAttempt, hedging: HedgeController) -> AttemptResult:
@@ -219,7 +204,7 @@
             attempt,
             hedging,
             lambda: self._watching(hedging),
-            lambda: max(0, self._route.max_attempts - self._ran),
+            lambda: max(0, self._route.max_attempts - self._attempts.ran),
         )
 
     def _create_hedging(self, attempt: PlacedAttempt) -> HedgeController:
@@ -244,9 +229,9 @@
         The value of the greenlet is whether that endpoint has answered.
         """
         # ``_ran`` does not yet include the current attempt if it has no response head.
-        ran = self._ran + (self._current.result is None)
-        is_possible = self._hedge is None and self._sends < MAX_SENDS
-        if not is_possible or not self._has_endpoints_left(ran):
+        ran = self._attempts.ran + (self._attempts.current.result is None)
+        is_possible = self._attempts.hedge is None and self._attempts.sends < MAX_SENDS
+        if not is_possible or not self._attempts.has_endpoints_left(ran):
             return None
         try:
             placed = self._placer.place_hedge(self.left_s)
@@ -255,38 +240,26 @@
         if not self._services.repeats.take_for_hedge(self._placer.service.name):
             return None
         self._services.instruments.count("hedges", self._placer.service.name)
-        self._hedge = self._begin(placed)
-        self._hedge_greenlet = gevent.spawn(self._run_hedge, self._hedge)
-        self._update_loads()
+        self._attempts.hedge = self._attempts.begin(placed)
+        self._hedge_greenlet = gevent.spawn(self._run_hedge, self._attempts.hedge)
+        self._attempts.update_loads()
         return self._hedge_greenlet
 
-    def _update_loads(self) -> None:
-        """Updates in the load of each attempt whether the request may run at another endpoint."""
-        attempts = [one for one in (self._current, self._hedge) if one is not None]
-        for one in attempts:
-            one.load.set_repeatable(self._has_endpoints_left(self._in_use()))
-
-    def _in_use(self) -> int:
-        """Returns the number of endpoints where the request may have run or may be running."""
-        attempts = [one for one in (self._current, self._hedge) if one is not None]
-        return self._ran + sum(one.result is None for one in attempts)
-
     def _run_hedge(self, attempt: PlacedAttempt) -> bool:
         result = self._send_hedge(attempt)
-        if self._hedge is not attempt:
+        if self._attempts.hedge is not attempt:
             result.drop()
             return False
         attempt.result = result
         if result.outcome is Outcome.ANSWERED:
             return True
         if result.outcome is not Outcome.NOT_RUN:
-            self._ran += 1
+            self._attempts.ran += 1
         result.drop()
-        self._hedge = self._hedge_greenlet = None
+        self._attempts.hedge = self._hedge_greenlet = None
         attempt.load.end()
-        self._update_loads()
-        self._record_attempt(attempt, attempt.result.reason)
-        self._learning.ended(attempt)
+        self._attempts.update_loads()
+        self._attempts.end(attempt)
         return False
 
     def _send_hedge(self, attempt: PlacedAttempt) -> AttemptResult:
@@ -299,7 +272,7 @@
             attempt.placed.state,
             self._services.clock,
             self._services.on_silent,
-            may_run_elsewhere=lambda: self._has_endpoints_left(self._in_use()),
+            may_run_elsewhere=lambda: self._attempts.has_endpoints_left(self._attempts.in_use),
         )
         waiting = self._sender.await_begin(attempt, hedging)
         try:
@@ -326,7 +299,7 @@
             self.left_s,
             guard,
             self._delivery.resumed_after,
-            lambda: not self._current.load.has_ended,
+            lambda: not self._attempts.current.load.has_ended,
         )
 
     def _await_hedge_answer(self) -> bool:
@@ -342,38 +315,21 @@
 
     def _take_answered_hedge(self) -> PlacedAttempt | None:
         """Returns the hedge if it was answered; it is then the current attempt, not the hedge."""
-        attempt = self._hedge
+        attempt = self._attempts.hedge
         if attempt is None or attempt.result is None:
             return None
-        self._hedge = self._hedge_greenlet = None
+        self._attempts.hedge = self._hedge_greenlet = None
         return attempt
 
     def _cancel_hedge(self) -> None:
         """Cancels the hedge, even if it was answered; its endpoint may have run the request."""
-        attempt, greenlet = self._hedge, self._hedge_greenlet
-        self._hedge = self._hedge_greenlet = None
+        attempt, greenlet = self._attempts.hedge, self._hedge_greenlet
+        self._attempts.hedge = self._hedge_greenlet = None
         if attempt is None:
             return
         greenlet.kill(block=False)
-        self._ran += 1
+        self._attempts.ran += 1
         if attempt.result is not None:
             attempt.result.drop()
         attempt.load.end()
-        self._withdraw(attempt, "not_needed")
-
-    def _withdraw(self, attempt: PlacedAttempt, reason: str) -> None:
-        self._record_attempt(attempt, reason)
-        self._learning.withdrawn(attempt)
-
-    def _record_attempt(self, attempt: PlacedAttempt, reason: str) -> None:
-        now, arrived_at = self._services.clock(), self._request.arrived_at
-        until = self._services.weights_until(self._request.model, attempt.placed.version)
-        self._trace.attempts.append(trace_of(attempt, reason, arrived_at, now, until))
-
-    def _has_endpoints_left(self, ran: int) -> bool:
-        """Returns whether the request may run at a further endpoint.
-
-        :param ran: number of endpoints where it has run.
-        """
-        may_repeat = self._route.may_repeat and self._delivery.is_resumable
-        return may_repeat and ran < self._route.max_attempts and self._may_run_again()
+        self._attempts.withdraw(attempt, "not_needed")
