--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -7,8 +7,6 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-import gevent
-
 from arbutustally.errors import (
     EndpointFailedError,
     EndpointTimeoutError,
@@ -17,7 +15,7 @@
     RouterError,
 )
 from arbutustally.gateway.admission import retry_after_s
-from arbutustally.gateway.attempts import MAX_SENDS, Next, Outcome, next_action
+from arbutustally.gateway.attempts import Next, Outcome, next_action
 from arbutustally.gateway.configuration import (
     ClientAccount,
     Configuration,
@@ -30,19 +28,16 @@
 from arbutustally_node.gateway.answer_delivery import AnswerDelivery
 from arbutustally_node.gateway.attempt_record import reason_to_withdraw
 from arbutustally_node.gateway.attempt_sender import AttemptSender
-from arbutustally_node.gateway.begin_watch import WaitingAttempt
 from arbutustally_node.gateway.caller import CallerConnection
 from arbutustally_node.gateway.hedge import STREAM_TAKEOVER_S, HedgeController
 from arbutustally_node.gateway.learning import PlacedAttempt
 from arbutustally_node.gateway.placer import DEFAULT_RETRY_S, Placer
 from arbutustally_node.gateway.request_admission import admit, take_cost
 from arbutustally_node.gateway.request_attempts import RequestAttempts
+from arbutustally_node.gateway.request_hedge import HEDGE_DELAY_S, RequestHedge
 from arbutustally_node.gateway.request_services import RequestServices, Trace
-from arbutustally_node.gateway.stream_relay import SILENT_START_S
 from arbutustally_node.gateway.transport import AttemptResult
 
-#: Time without a response head after which a hedge is sent to another endpoint, seconds.
-HEDGE_DELAY_S = 1.2
 #: Part of the deadline reserved for sending the response to the caller, seconds.
 ANSWER_MARGIN_S = 0.01
 
@@ -91,7 +86,15 @@
             self._shared_parts,
             trace,
         )
-        self._hedge_greenlet: gevent.Greenlet | None = None
+        self._hedge = RequestHedge(
+            services,
+            watch,
+            self._placer,
+            self._delivery,
+            self._sender,
+            self._attempts,
+            lambda: self.left_s,
+        )
 
     @property
     def left_s(self) -> float:
@@ -113,15 +116,15 @@
                 self._services.quota.refund(self._account.name, cost)
             raise
         finally:
-            self._cancel_hedge()
+            self._hedge.cancel()
 
     def _run_attempts(self) -> None:
         while True:
-            attempt = self._take_answered_hedge() or self._attempts.begin(
+            attempt = self._hedge.take_answered() or self._attempts.begin(
                 self._placer.place(self.left_s, self._attempts.ran > 0)
             )
             result = self._complete(attempt)
-            if result.outcome is not Outcome.ANSWERED and self._await_hedge_answer():
+            if result.outcome is not Outcome.ANSWERED and self._hedge.await_answer():
                 result.drop()
                 continue
             following = self._following(result)
@@ -213,8 +216,8 @@
             attempt.placed.state,
             self._services.clock,
             self._services.on_silent,
-            self._start_hedge,
-            self._cancel_hedge,
+            self._hedge.start,
+            self._hedge.cancel,
             takeover_s=STREAM_TAKEOVER_S if is_stream else None,
         )
 
@@ -222,114 +225,3 @@
     def _watching(self, hedging: HedgeController) -> Iterator[None]:
         with self._watch, hedging.watch(HEDGE_DELAY_S):
             yield
-
-    def _start_hedge(self) -> gevent.Greenlet | None:
-        """Sends a hedge to another endpoint; returns ``None`` if that is not allowed or possible.
-
-        The value of the greenlet is whether that endpoint has answered.
-        """
-        # ``_ran`` does not yet include the current attempt if it has no response head.
-        ran = self._attempts.ran + (self._attempts.current.result is None)
-        is_possible = self._attempts.hedge is None and self._attempts.sends < MAX_SENDS
-        if not is_possible or not self._attempts.has_endpoints_left(ran):
-            return None
-        try:
-            placed = self._placer.place_hedge(self.left_s)
-        except RouterError:
-            return None
-        if not self._services.repeats.take_for_hedge(self._placer.service.name):
-            return None
-        self._services.instruments.count("hedges", self._placer.service.name)
-        self._attempts.hedge = self._attempts.begin(placed)
-        self._hedge_greenlet = gevent.spawn(self._run_hedge, self._attempts.hedge)
-        self._attempts.update_loads()
-        return self._hedge_greenlet
-
-    def _run_hedge(self, attempt: PlacedAttempt) -> bool:
-        result = self._send_hedge(attempt)
-        if self._attempts.hedge is not attempt:
-            result.drop()
-            return False
-        attempt.result = result
-        if result.outcome is Outcome.ANSWERED:
-            return True
-        if result.outcome is not Outcome.NOT_RUN:
-            self._attempts.ran += 1
-        result.drop()
-        self._attempts.hedge = self._hedge_greenlet = None
-        attempt.load.end()
-        self._attempts.update_loads()
-        self._attempts.end(attempt)
-        return False
-
-    def _send_hedge(self, attempt: PlacedAttempt) -> AttemptResult:
-        """Waits for the hedge's complete response, or for the first event of a stream.
-
-        The hedge is abandoned once its endpoint is unreachable; otherwise the request would wait
-        for an endpoint that is down although a further one could serve it.
-        """
-        hedging = HedgeController(
-            attempt.placed.state,
-            self._services.clock,
-            self._services.on_silent,
-            may_run_elsewhere=lambda: self._attempts.has_endpoints_left(self._attempts.in_use),
-        )
-        waiting = self._sender.await_begin(attempt, hedging)
-        try:
-            return self._await_hedge(attempt, hedging, waiting)
-        finally:
-            if waiting is not None:
-                waiting.end()
-
-    def _await_hedge(
-        self, attempt: PlacedAttempt, hedging: HedgeController, waiting: WaitingAttempt | None
-    ) -> AttemptResult:
-        result = self._sender.send(attempt, hedging.watch(HEDGE_DELAY_S))
-        if waiting is not None and not self._delivery.is_stream(result):
-            waiting.end()
-        if result.outcome is not Outcome.ANSWERED:
-            return result
-        hedging.record_data()
-        if not self._delivery.is_stream(result):
-            # No watch on the caller here: the greenlet that serves it detects a disconnection.
-            return self._delivery.read_whole(result, lambda: hedging.watch(HEDGE_DELAY_S))
-        guard = hedging.watch(SILENT_START_S)
-        return self._services.transport.await_event(
-            result,
-            self.left_s,
-            guard,
-            self._delivery.resumed_after,
-            lambda: not self._attempts.current.load.has_ended,
-        )
-
-    def _await_hedge_answer(self) -> bool:
-        """Waits for the hedge after the other attempt has failed; returns whether it answered."""
-        greenlet = self._hedge_greenlet
-        if greenlet is None:
-            return False
-        if not greenlet.ready():
-            self._services.instruments.count("hedge_takeovers", self._placer.service.name)
-        with self._watch:
-            greenlet.join(max(self.left_s, 0.0))
-        return greenlet.value is True
-
-    def _take_answered_hedge(self) -> PlacedAttempt | None:
-        """Returns the hedge if it was answered; it is then the current attempt, not the hedge."""
-        attempt = self._attempts.hedge
-        if attempt is None or attempt.result is None:
-            return None
-        self._attempts.hedge = self._hedge_greenlet = None
-        return attempt
-
-    def _cancel_hedge(self) -> None:
-        """Cancels the hedge, even if it was answered; its endpoint may have run the request."""
-        attempt, greenlet = self._attempts.hedge, self._hedge_greenlet
-        self._attempts.hedge = self._hedge_greenlet = None
-        if attempt is None:
-            return
-        greenlet.kill(block=False)
-        self._attempts.ran += 1
-        if attempt.result is not None:
-            attempt.result.drop()
-        attempt.load.end()
-        self._attempts.withdraw(attempt, "not_needed")
