--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -5,9 +5,7 @@
 """
 
 from collections.abc import Iterator
-from contextlib import AbstractContextManager, contextmanager
-
-import gevent
+from contextlib import contextmanager
 
 from arbutustally.errors import (
     EndpointFailedError,
@@ -17,7 +15,7 @@
     RouterError,
 )
 from arbutustally.gateway.admission import retry_after_s
-from arbutustally.gateway.attempts import MAX_SENDS, Next, Outcome, next_action
+from arbutustally.gateway.attempts import Next, Outcome, next_action
 from arbutustally.gateway.configuration import (
     ClientAccount,
     Configuration,
@@ -26,28 +24,22 @@
 )
 from arbutustally.gateway.part_keys import shared_part_keys
 from arbutustally.gateway.requests import CallerRequest
-from arbutustally.rendezvous import uniform_hash
 from arbutustally_node.caller_watch import CallerWatch
 from arbutustally_node.gateway.answer_delivery import AnswerDelivery
-from arbutustally_node.gateway.attempt_load import AttemptLoad
-from arbutustally_node.gateway.attempt_record import reason_to_withdraw, trace_of
-from arbutustally_node.gateway.begin_watch import WaitingAttempt
+from arbutustally_node.gateway.attempt_record import reason_to_withdraw
+from arbutustally_node.gateway.attempt_sender import AttemptSender
 from arbutustally_node.gateway.caller import CallerConnection
 from arbutustally_node.gateway.hedge import STREAM_TAKEOVER_S, HedgeController
-from arbutustally_node.gateway.learning import AttemptLearning, PlacedAttempt
-from arbutustally_node.gateway.placer import DEFAULT_RETRY_S, Placed, Placer
-from arbutustally_node.gateway.ports import AttemptTerms
+from arbutustally_node.gateway.learning import PlacedAttempt
+from arbutustally_node.gateway.placer import DEFAULT_RETRY_S, Placer
 from arbutustally_node.gateway.request_admission import admit, take_cost
+from arbutustally_node.gateway.request_attempts import RequestAttempts
+from arbutustally_node.gateway.request_hedge import HEDGE_DELAY_S, RequestHedge
 from arbutustally_node.gateway.request_services import RequestServices, Trace
-from arbutustally_node.gateway.stream_relay import SILENT_START_S
-from arbutustally_node.gateway.transport import OTHER_ENDPOINT, AttemptResult
+from arbutustally_node.gateway.transport import AttemptResult
 
-#: Time without a response head after which a hedge is sent to another endpoint, seconds.
-HEDGE_DELAY_S = 1.2
 #: Part of the deadline reserved for sending the response to the caller, seconds.
 ANSWER_MARGIN_S = 0.01
-#: Priority of the least urgent requests at an engine; 0 is the most urgent.
-LEAST_PRIORITY = 9
 
 
 class RequestRun:
@@ -77,19 +69,32 @@
         if request.time_left_s is not None:
             limit = min(limit, request.time_left_s)
         self._deadline = request.arrived_at + limit - ANSWER_MARGIN_S
-        self._ran = 0
-        self._sends = 0
         self._placer = Placer(services, request, configuration, route, account, trace)
         self._shared_parts = shared_part_keys(request) if request.model else ()
-        self._learning = AttemptLearning(
-            services, request, route, self._placer.isolated_account, self._shared_parts, trace
-        )
         self._delivery = AnswerDelivery(
             services, request, route, connection, watch, trace, lambda: self.left_s
         )
-        self._current: PlacedAttempt | None = None
-        self._hedge: PlacedAttempt | None = None
-        self._hedge_greenlet: gevent.Greenlet | None = None
+        self._sender = AttemptSender(
+            services, request, route, account, self._delivery, lambda: self.left_s
+        )
+        self._attempts = RequestAttempts(
+            services,
+            request,
+            route,
+            self._placer,
+            self._delivery,
+            self._shared_parts,
+            trace,
+        )
+        self._hedge = RequestHedge(
+            services,
+            watch,
+            self._placer,
+            self._delivery,
+            self._sender,
+            self._attempts,
+            lambda: self.left_s,
+        )
 
     @property
     def left_s(self) -> float:
@@ -105,44 +110,46 @@
         cost = take_cost(self._services, self._account, self._request, self._trace)
         self._services.repeats.record_request(self._placer.service.name)
         try:
-            self._attempts()
+            self._run_attempts()
         except RouterError as error:
             if self._account and error.ran is Ran.NOT_RUN:
                 self._services.quota.refund(self._account.name, cost)
             raise
         finally:
-            self._cancel_hedge()
+            self._hedge.cancel()
 
-    def _attempts(self) -> None:
+    def _run_attempts(self) -> None:
         while True:
-            attempt = self._take_answered_hedge() or self._begin(
-                self._placer.place(self.left_s, self._ran > 0)
+            attempt = self._hedge.take_answered() or self._attempts.begin(
+                self._placer.place(self.left_s, self._attempts.ran > 0)
             )
             result = self._complete(attempt)
-            if result.outcome is not Outcome.ANSWERED and self._await_hedge_answer():
-                result.drop()
-                continue
-            # A hedge without a response counts, as its endpoint may be running the request.
-            ran = self._ran + (self._hedge is not None)
-            following = next_action(self._route, result.outcome, ran, self._sends, self.left_s)
-            if following is Next.REPEAT and not self._delivery.is_resumable:
-                following = Next.FAIL
-            if following is Next.REPEAT and not self._may_run_again():
-                self._trace.facts["quarantine"] = "no_repeat"
-                is_not_run = result.outcome is Outcome.NOT_RUN and ran == 0
-                following = Next.REFUSE if is_not_run else Next.FAIL
-            elif following is Next.REPEAT and not self._take_repeat():
-                self._trace.facts["repeat_budget"] = "used"
-                is_not_run = result.outcome is Outcome.NOT_RUN and ran == 0
-                following = Next.REFUSE if is_not_run else Next.FAIL
-            if following is Next.REPEAT:
+            if result.outcome is not Outcome.ANSWERED and self._hedge.await_answer():
                 result.drop()
                 continue
-            self._finish(following, result)
-            return
+            following = self._following(result)
+            if following is not Next.REPEAT:
+                self._finish(following, result)
+                return
+            result.drop()
 
-    def _may_run_again(self) -> bool:
-        return self._services.quarantine.may_run_again(self._shared_parts)
+    def _following(self, result: AttemptResult) -> Next:
+        """Returns what follows an attempt; takes a repeat from the budget if it is a repeat."""
+        # A hedge without a response counts, as its endpoint may be running the request.
+        ran = self._attempts.ran + (self._attempts.hedge is not None)
+        following = next_action(self._route, result.outcome, ran, self._attempts.sends, self.left_s)
+        if following is not Next.REPEAT:
+            return following
+        if not self._delivery.is_resumable:
+            return Next.FAIL
+        if not self._attempts.may_run_again():
+            self._trace.facts["quarantine"] = "no_repeat"
+        elif not self._take_repeat():
+            self._trace.facts["repeat_budget"] = "used"
+        else:
+            return Next.REPEAT
+        is_not_run = result.outcome is Outcome.NOT_RUN and ran == 0
+        return Next.REFUSE if is_not_run else Next.FAIL
 
     def _take_repeat(self) -> bool:
         return self._services.repeats.take(self._placer.service.name)
@@ -166,75 +173,41 @@
             ran=Ran.MAY_HAVE_RUN,
         )
 
-    def _begin(self, placed: Placed) -> PlacedAttempt:
-        """Creates an attempt, and records it and its load before the request is sent."""
-        self._sends += 1
-        self._placer.record_sent(placed)
-        answer = self._learning.began(placed)
-        load = AttemptLoad(
-            placed.state, self._request, placed.choice, self._has_endpoints_left(self._ran + 1)
-        )
-        self._services.quarantine.began(load, self._shared_parts)
-        return PlacedAttempt(
-            placed, load, self._services.clock(), answer, self._placer.save_to(placed)
-        )
-
     def _complete(self, attempt: PlacedAttempt) -> AttemptResult:
         """Sends the request, passes the response on and records the result.
 
         An answered hedge already has a result and is not sent again.
         """
         hedging = self._create_hedging(attempt)
-        self._current = attempt
-        waiting = self._await_begin(attempt, hedging)
+        self._attempts.current = attempt
+        waiting = self._sender.await_begin(attempt, hedging)
         try:
             if attempt.result is None:
-                attempt.result = self._send(attempt, self._watching(hedging))
+                attempt.result = self._sender.send(attempt, self._watching(hedging))
             if waiting is not None and not self._delivery.is_stream(attempt.result):
                 waiting.end()
             if attempt.result.outcome is not Outcome.NOT_RUN:
-                self._ran += 1
+                self._attempts.ran += 1
             if attempt.result.outcome is Outcome.ANSWERED:
                 attempt.result = self._pass_on(attempt, hedging)
         except BaseException as error:
             if attempt.result is None:
-                self._ran += 1
-            self._withdraw(attempt, reason_to_withdraw(error))
+                self._attempts.ran += 1
+            self._attempts.withdraw(attempt, reason_to_withdraw(error))
             raise
         finally:
             attempt.load.end()
             if waiting is not None:
                 waiting.end()
-        self._record_attempt(attempt, attempt.result.reason)
-        self._learning.ended(attempt)
+        self._attempts.end(attempt)
         return attempt.result
 
-    def _await_begin(
-        self, attempt: PlacedAttempt, hedging: HedgeController
-    ) -> WaitingAttempt | None:
-        """Has the attempt left if it has not begun when its weights are about to expire.
-
-        :returns: the wait to end, ``None`` at a plain service and for a hedge that has begun.
-        """
-        version = attempt.placed.version
-        if version is None or attempt.result is not None:
-            return None
-
-        spread = uniform_hash(attempt.placed.state.id.encode(), self._request.request_id)
-        return self._services.begins.begin(
-            self._request.model,
-            version,
-            hedging.expire,
-            lambda: bool(attempt.load.first_at),
-            spread,
-        )
-
     def _pass_on(self, attempt: PlacedAttempt, hedging: HedgeController) -> AttemptResult:
         return self._delivery.pass_on(
             attempt,
             hedging,
             lambda: self._watching(hedging),
-            lambda: max(0, self._route.max_attempts - self._ran),
+            lambda: max(0, self._route.max_attempts - self._attempts.ran),
         )
 
     def _create_hedging(self, attempt: PlacedAttempt) -> HedgeController:
@@ -243,8 +216,8 @@
             attempt.placed.state,
             self._services.clock,
             self._services.on_silent,
-            self._start_hedge,
-            self._cancel_hedge,
+            self._hedge.start,
+            self._hedge.cancel,
             takeover_s=STREAM_TAKEOVER_S if is_stream else None,
         )
 
@@ -252,172 +225,3 @@
     def _watching(self, hedging: HedgeController) -> Iterator[None]:
         with self._watch, hedging.watch(HEDGE_DELAY_S):
             yield
-
-    def _start_hedge(self) -> gevent.Greenlet | None:
-        """Sends a hedge to another endpoint; returns ``None`` if that is not allowed or possible.
-
-        The value of the greenlet is whether that endpoint has answered.
-        """
-        # ``_ran`` does not yet include the current attempt if it has no response head.
-        ran = self._ran + (self._current.result is None)
-        is_possible = self._hedge is None and self._sends < MAX_SENDS
-        if not is_possible or not self._has_endpoints_left(ran):
-            return None
-        try:
-            placed = self._placer.place_hedge(self.left_s)
-        except RouterError:
-            return None
-        if not self._services.repeats.take_for_hedge(self._placer.service.name):
-            return None
-        self._services.instruments.count("hedges", self._placer.service.name)
-        self._hedge = self._begin(placed)
-        self._hedge_greenlet = gevent.spawn(self._run_hedge, self._hedge)
-        self._update_loads()
-        return self._hedge_greenlet
-
-    def _update_loads(self) -> None:
-        """Updates in the load of each attempt whether the request may run at another endpoint."""
-        attempts = [one for one in (self._current, self._hedge) if one is not None]
-        for one in attempts:
-            one.load.set_repeatable(self._has_endpoints_left(self._in_use()))
-
-    def _in_use(self) -> int:
-        """Returns the number of endpoints where the request may have run or may be running."""
-        attempts = [one for one in (self._current, self._hedge) if one is not None]
-        return self._ran + sum(one.result is None for one in attempts)
-
-    def _run_hedge(self, attempt: PlacedAttempt) -> bool:
-        result = self._send_hedge(attempt)
-        if self._hedge is not attempt:
-            result.drop()
-            return False
-        attempt.result = result
-        if result.outcome is Outcome.ANSWERED:
-            return True
-        if result.outcome is not Outcome.NOT_RUN:
-            self._ran += 1
-        result.drop()
-        self._hedge = self._hedge_greenlet = None
-        attempt.load.end()
-        self._update_loads()
-        self._record_attempt(attempt, attempt.result.reason)
-        self._learning.ended(attempt)
-        return False
-
-    def _send_hedge(self, attempt: PlacedAttempt) -> AttemptResult:
-        """Waits for the hedge's complete response, or for the first event of a stream.
-
-        The hedge is abandoned once its endpoint is unreachable; otherwise the request would wait
-        for an endpoint that is down although a further one could serve it.
-        """
-        hedging = HedgeController(
-            attempt.placed.state,
-            self._services.clock,
-            self._services.on_silent,
-            may_run_elsewhere=lambda: self._has_endpoints_left(self._in_use()),
-        )
-        waiting = self._await_begin(attempt, hedging)
-        try:
-            return self._await_hedge(attempt, hedging, waiting)
-        finally:
-            if waiting is not None:
-                waiting.end()
-
-    def _await_hedge(
-        self, attempt: PlacedAttempt, hedging: HedgeController, waiting: WaitingAttempt | None
-    ) -> AttemptResult:
-        result = self._send(attempt, hedging.watch(HEDGE_DELAY_S))
-        if waiting is not None and not self._delivery.is_stream(result):
-            waiting.end()
-        if result.outcome is not Outcome.ANSWERED:
-            return result
-        hedging.record_data()
-        if not self._delivery.is_stream(result):
-            # No watch on the caller here: the greenlet that serves it detects a disconnection.
-            return self._delivery.read_whole(result, lambda: hedging.watch(HEDGE_DELAY_S))
-        guard = hedging.watch(SILENT_START_S)
-        return self._services.transport.await_event(
-            result,
-            self.left_s,
-            guard,
-            self._delivery.resumed_after,
-            lambda: not self._current.load.has_ended,
-        )
-
-    def _await_hedge_answer(self) -> bool:
-        """Waits for the hedge after the other attempt has failed; returns whether it answered."""
-        greenlet = self._hedge_greenlet
-        if greenlet is None:
-            return False
-        if not greenlet.ready():
-            self._services.instruments.count("hedge_takeovers", self._placer.service.name)
-        with self._watch:
-            greenlet.join(max(self.left_s, 0.0))
-        return greenlet.value is True
-
-    def _take_answered_hedge(self) -> PlacedAttempt | None:
-        """Returns the hedge if it was answered; it is then the current attempt, not the hedge."""
-        attempt = self._hedge
-        if attempt is None or attempt.result is None:
-            return None
-        self._hedge = self._hedge_greenlet = None
-        return attempt
-
-    def _cancel_hedge(self) -> None:
-        """Cancels the hedge, even if it was answered; its endpoint may have run the request."""
-        attempt, greenlet = self._hedge, self._hedge_greenlet
-        self._hedge = self._hedge_greenlet = None
-        if attempt is None:
-            return
-        greenlet.kill(block=False)
-        self._ran += 1
-        if attempt.result is not None:
-            attempt.result.drop()
-        attempt.load.end()
-        self._withdraw(attempt, "not_needed")
-
-    def _withdraw(self, attempt: PlacedAttempt, reason: str) -> None:
-        self._record_attempt(attempt, reason)
-        self._learning.withdrawn(attempt)
-
-    def _record_attempt(self, attempt: PlacedAttempt, reason: str) -> None:
-        now, arrived_at = self._services.clock(), self._request.arrived_at
-        until = self._services.weights_until(self._request.model, attempt.placed.version)
-        self._trace.attempts.append(trace_of(attempt, reason, arrived_at, now, until))
-
-    def _send(self, attempt: PlacedAttempt, guard: AbstractContextManager[None]) -> AttemptResult:
-        """Sends one attempt; returns the response head or the failure."""
-        placed = attempt.placed
-        terms = AttemptTerms(
-            endpoint_id=placed.state.id,
-            account=self._account.name if self._account else "",
-            left_s=max(self.left_s, 0.001),
-            cache_scope=placed.cache_scope,
-            weights=placed.version,
-            priority=None if placed.version is None else min(self._urgency(), LEAST_PRIORITY),
-            resume_from=self._delivery.resume_from,
-            fetch_from=placed.source.address if placed.source else "",
-            save_to=attempt.saved_to.part_store.address if attempt.saved_to else "",
-        )
-        result = self._services.transport.send(
-            self._request, placed.state, terms, guard, placed.was_tried
-        )
-        attempt.reading = result.reading
-        attempt.head_at = None if result.reading is None else self._services.clock()
-        # The notice in the response is applied first, so that it takes effect before the response
-        # is passed on.
-        if result.terms is not None and result.reason != OTHER_ENDPOINT:
-            self._services.on_notice(placed.state, result.terms.notice)
-        return self._delivery.continuing(result)
-
-    def _has_endpoints_left(self, ran: int) -> bool:
-        """Returns whether the request may run at a further endpoint.
-
-        :param ran: number of endpoints where it has run.
-        """
-        may_repeat = self._route.may_repeat and self._delivery.is_resumable
-        return may_repeat and ran < self._route.max_attempts and self._may_run_again()
-
-    def _urgency(self) -> int:
-        account = self._account.priority if self._account else 0
-        return account * 3 + self._route.priority
