--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -79,6 +79,7 @@
     :param limits: returns the limits in force.
     :param memory: account of the process's memory.
     :param queue_sizes: of the connections' receive queues, ``None`` to leave them to the system.
+    :param on_refused: called for each request that is refused as descriptors are few.
     """
 
     def __init__(
@@ -89,6 +90,7 @@
         limits: Callable[[], CallerLimits],
         memory: MemoryAccount,
         queue_sizes: QueueSizes | None = None,
+        on_refused: Callable[[], None] = lambda: None,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._codec = codec
@@ -105,7 +107,7 @@
         self._room: Any = None
         self._connections = 0
         self._running = 0
-        self._requests = RunningRequests(few_callers_reserve())
+        self._requests = RunningRequests(few_callers_reserve(), on_refused)
         self._watches: set[CallerWatch] = set()
         self._draining = False
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -170,6 +170,7 @@
         lambda: state.caller_limits,
         memory,
         QueueSizes.from_config(options.memory_mb, BACKLOG, connection_limit()),
+        lambda: state.instruments.count("descriptors_refused"),
     )
     kernel = _register(
         ("log", log),
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/running_requests.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/running_requests.py
@@ -1,7 +1,7 @@
 """Which requests may run while descriptors for connections to endpoints are few."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 from arbutustally.errors import OverloadedError
@@ -15,25 +15,21 @@
     """Counts running requests, and keeps a reserve for callers that have few.
 
     :param reserve: requests of callers with few that may run beyond the limit.
+    :param on_refused: called for each request that is refused.
     """
 
-    def __init__(self, reserve: int) -> None:
+    def __init__(self, reserve: int, on_refused: Callable[[], None] = lambda: None) -> None:
         self._reserve = reserve
         self._usual = 0
         self._reserved = 0
         self._callers: Counter[str] = Counter()
-        self._refused = 0
+        self._on_refused = on_refused
 
     @property
     def reserved(self) -> int:
         """Returns the number of requests that run from the reserve."""
         return self._reserved
 
-    @property
-    def refused(self) -> int:
-        """Returns the number of requests that were refused."""
-        return self._refused
-
     @contextmanager
     def running(self, caller: str, limit: float) -> Iterator[None]:
         """Counts a request while it runs.
@@ -44,7 +40,7 @@
         """
         is_reserved = self._usual >= limit
         if is_reserved and not self._may_use_reserve(caller):
-            self._refused += 1
+            self._on_refused()
             raise OverloadedError(
                 "not run: the node's descriptors are in use; retry later", retry_after_s=RETRY_S
             )
--- a/tests/test_running_requests.py
+++ b/tests/test_running_requests.py
@@ -12,12 +12,16 @@
 
 class RunningRequestsTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.requests = RunningRequests(RESERVE)
+        self.refused = 0
+        self.requests = RunningRequests(RESERVE, self.count_refused)
         self.crowd = ExitStack()
         self.addCleanup(self.crowd.close)
         for _ in range(LIMIT):
             self.crowd.enter_context(self.requests.running("crowd", LIMIT))
 
+    def count_refused(self) -> None:
+        self.refused += 1
+
     def run_one(self, caller: str, limit: int = LIMIT) -> None:
         with self.requests.running(caller, limit):
             pass
@@ -25,7 +29,7 @@
     def test_another_caller_runs_beside_a_crowd(self) -> None:
         """Guards against a crowd that keeps another caller out."""
         self.run_one("single")
-        self.assertEqual((self.requests.reserved, self.requests.refused), (0, 0))
+        self.assertEqual((self.requests.reserved, self.refused), (0, 0))
 
     def test_another_caller_runs_although_the_limit_has_fallen(self) -> None:
         """Guards against connections that come later and take the reserve away."""
@@ -34,7 +38,7 @@
     def test_crowd_cannot_use_the_reserve(self) -> None:
         """Guards against a crowd that takes the reserve too."""
         self.assertRaises(OverloadedError, self.run_one, "crowd")
-        self.assertEqual(self.requests.refused, 1)
+        self.assertEqual(self.refused, 1)
 
     def test_reserve_is_bounded(self) -> None:
         """Guards against callers of many addresses that take all descriptors."""
