Test routes, keys, limits and leaving while sound workers are silent

ROUTE and CONFIG were only read so far: the soak moves no routes.

tests.test_silent_routes plays real processes: three nodes, two plain services, callers with kept connections. Workers are suspended for 1.0 and 1.5 s across a change that moves and removes routes and replaces an account with its key, across the time by which it must be in force, across a lower limit, across a worker's leaving and its bound, and across the timeout of bookings, with one worker that runs requests although their connection is closed.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -5,7 +5,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -21,7 +21,7 @@
 from tests.soak.proxy import Proxy
 from tests.soak.spans import Spans
 from tests.soak.spoils import Spoiling
-from tests.soak.worker import deaf_marker
+from tests.soak.worker import deaf_marker, unaware_marker
 
 MODEL = "m"
 #: Requests per second that a cold worker sustains.
@@ -196,6 +196,14 @@
         """Makes the worker carry out later orders again."""
         deaf_marker(self._spoils).unlink(missing_ok=True)
 
+    def serve_closed(self) -> None:
+        """Makes the worker run requests although their connection is closed."""
+        unaware_marker(self._spoils).touch()
+
+    def drop_closed(self) -> None:
+        """Makes the worker drop requests whose connection is closed before they begin."""
+        unaware_marker(self._spoils).unlink(missing_ok=True)
+
     def restart(self) -> None:
         """Starts the worker again under its id, with the weights that it had."""
         self.program.end()
@@ -217,11 +225,19 @@
     """All processes of one soak.
 
     :param network: that nobody else uses; it is released when the fleet stops.
+    :param bounds: of the nodes' settings.
     :ivar late: when this process, with its proxies and callers, was late.
     """
 
-    def __init__(self, network: Network, size: FleetSize, seed: int) -> None:
+    def __init__(
+        self,
+        network: Network,
+        size: FleetSize,
+        seed: int,
+        bounds: Mapping[str, object] = BOUNDS,
+    ) -> None:
         self.seed = seed
+        self._bounds = dict(bounds)
         self._network = network
         self.directory = Path(tempfile.mkdtemp(prefix=f"soak-{network.number}-"))
         self.programs: list[Program] = []
@@ -376,7 +392,7 @@
             "internalPorts": [PEER_PORT, PEER_PORT],
             "seeds": [f"{other}:{PORTS['control']}" for other in self.ips],
             "limits": {"memoryMb": 150},
-            "bounds": BOUNDS,
+            "bounds": self._bounds,
             "platform": {"address": self.stores[ip].address},
         }
         path = self.directory / f"node-{ip}.json"
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -38,6 +38,14 @@
     return spoils.with_suffix(".deaf")
 
 
+def unaware_marker(spoils: Path) -> Path:
+    """Returns the file that exists while a worker does not notice closed connections.
+
+    :param spoils: file of the worker's spoils.
+    """
+    return spoils.with_suffix(".unaware")
+
+
 class SoakWorker:
     """Answers requests, notes its runs and accepts orders.
 
@@ -61,6 +69,7 @@
         self.rng = rng
         self._spoils = spoils
         self._deaf = deaf_marker(spoils)
+        self._unaware = unaware_marker(spoils)
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
         self.address = f"127.0.0.1:{self._server.server_port}"
@@ -70,6 +79,11 @@
         """Returns whether orders get no answer and are not carried out."""
         return self._deaf.exists()
 
+    @property
+    def notices_closes(self) -> bool:
+        """Returns whether a request is dropped if its connection is closed before it begins."""
+        return not self._unaware.exists()
+
     def draw(self) -> frozenset[Spoil]:
         """Returns how the next answer is spoiled."""
         spoils = Spoiling.load(self._spoils).draw(self.rng)
@@ -164,7 +178,7 @@
         return None
 
     def _run(self, request_id: str, after: int, spoils: frozenset[Spoil]) -> None:
-        if self.wire.peek() == b"":
+        if self._worker.notices_closes and self.wire.peek() == b"":
             # The caller left while a late copy of an earlier answer was sent.
             raise ClosedError
         token = secrets.token_hex(6)
