Leave out what a silence holds up also soon after a single slow answer

Cause, by the trace: one answer more than three times slower than usual, before the silence, used up the allowance of one held-up moment in 3 s. The ten answers that the silence held up (0.5 to 1.6 s) then counted as slow ones, the average rose from 0.059 to 0.416 s, and the endpoint was not drawn any more. Class: an allowance for one kind of event that another kind uses up.

An answer that arrives after the endpoint has answered nothing for 0.6 s, and that waited as long, now has an allowance of its own, also one in 3 s. tests.test_gateway_endpoints .test_silence_soon_after_a_slow_answer_does_not_count_as_slow fails on the code before (0.30 s where 0.05 is usual); the tests of endpoints that become slow pass as before.

--- a/packages/arbutustally/src/arbutustally/gateway/endpoint_state.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoint_state.py
@@ -52,6 +52,7 @@
     :ivar silent_at: when the latest of these was given up.
     :ivar answered_at: when its latest answer arrived.
     :ivar held_up_until: answers to requests that were sent before count as held up by one silence.
+    :ivar silent_until: the latest of these times at which it had answered nothing for a while.
     :ivar is_held_up: no answer since then was as fast as usual.
     :ivar is_replaced: another endpoint was found at its address.
     """
@@ -88,6 +89,7 @@
     answered_at: float = float("-inf")
     latency_s: float = 0.0
     held_up_until: float = float("-inf")
+    silent_until: float = float("-inf")
     is_held_up: bool = False
 
     @property
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -344,10 +344,15 @@
         if not state.latency_s or latency_s < state.latency_s * HELD_UP_FACTOR:
             state.is_held_up = False
             return False
-        if state.is_held_up or now - state.held_up_until < HELD_UP_INTERVAL_S:
+        # A single slow answer must not make the silence of a moment later count as many.
+        is_silence = min(latency_s, now - state.answered_at) >= STALLED_S
+        latest = state.silent_until if is_silence else state.held_up_until
+        if state.is_held_up or now - latest < HELD_UP_INTERVAL_S:
             return False
         state.is_held_up = True
         state.held_up_until = now
+        if is_silence:
+            state.silent_until = now
         return True
 
     def set_peer_load(self, peer: str, loads: Mapping[str, tuple[int, float, float, int]]) -> None:
--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -203,6 +203,17 @@
             self.answer(0.1 + number * 0.05, 0.001)
         self.assertLess(self.answer(0.05, 4.0), 1.1 * usual_s)
 
+    def test_silence_soon_after_a_slow_answer_does_not_count_as_slow(self) -> None:
+        """Guards against a slow answer after which a silence counts as many slow ones."""
+        for _ in range(3):
+            usual_s = self.answer(0.05)
+        self.answer(0.2, 0.1)
+        usual_s = self.answer(0.05, 0.1)
+        self.clock.advance(1.5)
+        for number in range(10):
+            self.answer(1.5 - number * 0.1, 0.001)
+        self.assertAlmostEqual(self.answer(0.05, 0.1), usual_s)
+
     def test_endpoint_that_becomes_slow_is_known_after_few_answers(self) -> None:
         """Guards against a slow endpoint that counts as one that was silent."""
         for pause_s in (0.1, 5.0):
