--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -226,6 +226,13 @@
         pages = Path(f"/proc/{self.program.popen.pid}/statm").read_text().split()[1]
         return int(pages) * resource.getpagesize() / (1 << 20)
 
+    def hold_large(self, headers: dict[str, str]) -> HTTPResponse | None:
+        """Has the worker hold requests until they are released, but for ordinary ones."""
+        request.body.read()
+        if "Small" not in headers:
+            self.released.wait(30.0)
+        return None
+
     def _stay(self, port: int, sent: Sent, index: int) -> None:
         attempts = 0
         while True:
@@ -328,7 +335,7 @@
     """Guards against whole bodies that a worker holds, whose requests are never shed."""
 
     def test_bodies_that_a_worker_holds(self) -> None:
-        self.desk.behave = self._hold_large
+        self.desk.behave = self.hold_large
         self.start_crowd(PORTS["front"], (CROWD, whole_body))
         self.watch_crowd()
         self.eventually(lambda: self.ask() == 200, ANSWERED_S)
@@ -336,18 +343,12 @@
         self.released.set()
         self.check()
 
-    def _hold_large(self, headers: dict[str, str]) -> HTTPResponse | None:
-        request.body.read()
-        if "Small" not in headers:
-            self.released.wait(30.0)
-        return None
-
 
 class UnreadBytesTest(LargeBodyCase):
     """Guards against bytes that the system holds for the process, which count as its memory."""
 
     def test_bodies_behind_a_running_request(self) -> None:
-        self.desk.behave = self._hold_large
+        self.desk.behave = self.hold_large
         self.start_crowd(PORTS["front"], (BEHIND_CROWD, body_behind_a_request))
         most = 0.0
         deadline = time.monotonic() + CROWD_S
@@ -361,12 +362,6 @@
         self.check()
         self.assertLess(most, self.memory_mb)
 
-    def _hold_large(self, headers: dict[str, str]) -> HTTPResponse | None:
-        request.body.read()
-        if "Small" not in headers:
-            self.released.wait(30.0)
-        return None
-
     def _unread_bytes(self) -> int:
         """Returns the bytes that wait in the receive queues of the node's connections."""
         ip = socket.inet_aton(self.ip)[::-1].hex().upper()
@@ -476,7 +471,7 @@
         return ["/bin/sh", "-c", f'ulimit -n {DESCRIPTORS}; exec "$@"', "sh", *super().command()]
 
     def test_requests_that_a_worker_holds(self) -> None:
-        self.desk.behave = self._hold_large
+        self.desk.behave = self.hold_large
         self.start_crowd(PORTS["front"], (DESCRIPTORS, small_body))
         self.watch_crowd()
         self.end_crowd()
@@ -486,7 +481,7 @@
 
     def test_another_caller_while_a_worker_holds_requests(self) -> None:
         """Guards against requests of a crowd that keep another caller's from running."""
-        self.desk.behave = self._hold_large
+        self.desk.behave = self.hold_large
         self.start_crowd(PORTS["front"], (DESCRIPTORS, small_body))
         self.watch_crowd()
         self.eventually(lambda: self.ask() == 200, ANSWERED_S)
@@ -502,12 +497,6 @@
         self.end_crowd()
         self.check()
 
-    def _hold_large(self, headers: dict[str, str]) -> HTTPResponse | None:
-        request.body.read()
-        if "Small" not in headers:
-            self.released.wait(30.0)
-        return None
-
 
 def small_body(number: int) -> Iterator[bytes]:
     """Yields a complete small request."""
