--- a/packages/arbutustally-node/src/arbutustally_node/http_body.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_body.py
@@ -18,6 +18,7 @@
 from arbutustally_node.loop_turn import wait_for_turn
 
 READ_BYTES = 65536
+#: Bytes of a request from which it counts as large.
 LARGE_BYTES = 128 << 10
 MAX_CHUNK_LINE_BYTES = 256
 #: Chunks of a body after which timers and other sockets get a turn.
