--- /dev/null
+++ b/review/common_2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers of the scripts in this review."""
