--- a/review/common_2/worker.py
+++ b/review/common_2/worker.py
@@ -2,7 +2,8 @@
 
 Usage: ``python3 worker.py OPTIONS``, a JSON object: ``id``, ``service``, ``zone``, ``store``
 (address), ``record`` (file) and, if it serves a model, ``model``. ``work_ms`` is the time of a plain
-request, ``answer_bytes`` the length of its body; ``events`` and ``gap_ms`` describe a stream.
+request, ``answer_bytes`` the length of its body; ``events`` and ``gap_ms`` describe a stream, and
+``kv_tokens`` the memory for cached parts.
 """
 
 import asyncio
@@ -12,14 +13,66 @@
 import struct
 import sys
 import time
+from collections import OrderedDict, deque
 from pathlib import Path
 from typing import Any
-from urllib.parse import urlsplit
+from urllib.parse import parse_qs, urlsplit
 
 from http_messages import Message, call, read_request, response
 
 HEARTBEAT_S = 1.2
 MAX_EVENTS_WAIT_S = 1.0
+#: Newest events that are kept.
+MAX_EVENTS = 20_000
+
+
+class Cache:
+    """Cached parts of one model worker, the least recently used first, and its events.
+
+    :param capacity: memory for parts, tokens.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        # The tenant whose request made a part, and its tokens, by salt and part.
+        self._parts: OrderedDict[tuple[str, str], tuple[str, int]] = OrderedDict()
+        self._tokens = 0
+        self._events: deque[tuple[int, str, str, str, int]] = deque(maxlen=MAX_EVENTS)
+        self._next = 0
+        self._grown = asyncio.Event()
+
+    def maker(self, salt: str, part: str) -> str | None:
+        """Returns the tenant whose request made a part, ``None`` if it is not cached."""
+        found = self._parts.get((salt, part))
+        if found is None:
+            return None
+        self._parts.move_to_end((salt, part))
+        return found[0]
+
+    def put(self, salt: str, part: str, tenant: str, tokens: int) -> None:
+        """Adds a part; the least recently used ones yield."""
+        self._parts[salt, part] = (tenant, tokens)
+        self._tokens += tokens
+        self._tell("+", salt, part, tokens)
+        while self._tokens > self._capacity:
+            (salt, part), (_tenant, tokens) = self._parts.popitem(last=False)
+            self._tokens -= tokens
+            self._tell("-", salt, part, 0)
+
+    def _tell(self, sign: str, salt: str, part: str, tokens: int) -> None:
+        self._events.append((self._next, sign, salt, part, tokens))
+        self._next += 1
+        self._grown.set()
+
+    async def changes(self, since: int, wait_s: float, model: str) -> dict[str, Any]:
+        """Returns the events from a number on, waiting for the first."""
+        if self._next <= since and wait_s:
+            self._grown.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._grown.wait(), wait_s)
+        first = self._events[0][0] if self._events else self._next
+        events = [[*event, model] for event in self._events if event[0] >= since]
+        return {"next": self._next, "lost": since < first, "events": events}
 
 
 class Worker:
@@ -35,6 +88,7 @@
         self._version = 1
         self._sequence = 0
         self._fence = -1
+        self._checks_fences = options.get("fenced", True)
         self._work_s = options.get("work_ms", 20) / 1000
         self._answer = b"x" * options.get("answer_bytes", 800)
         self._events = options.get("events", 5)
@@ -42,8 +96,7 @@
         self._slots = options.get("slots", 64)
         self._born = int(time.time() * 1000)
         self._beats = 0
-        # The tenant whose request made a cached part, by salt and part.
-        self._parts: dict[tuple[str, str], str] = {}
+        self._cache = Cache(options.get("kv_tokens", 99_903))
         self.address = ""
 
     def note(self, event: str, **fields: Any) -> None:
@@ -133,17 +186,17 @@
         """Finds the leading parts of a prompt that are cached, and caches the others."""
         salt = message.headers.get("cache-salt", "")
         prefix = message.headers.get("prompt-prefix", "")
-        parts = [entry.strip().split(":")[0] for entry in prefix.split(",") if entry]
         is_leading = True
-        for part in parts:
-            maker = self._parts.get((salt, part))
+        for entry in prefix.split(",") if prefix else ():
+            part, _, tokens = entry.strip().partition(":")
+            maker = self._cache.maker(salt, part)
             is_leading = is_leading and maker is not None
             if is_leading:
                 self.note(
                     "kv_used", id=request_id, tenant=tenant, part=part, maker=maker, salt=salt
                 )
             elif maker is None:
-                self._parts[salt, part] = tenant
+                self._cache.put(salt, part, tenant, int(tokens))
 
     async def _stream(
         self,
@@ -194,15 +247,17 @@
         if path == "/arbutustally/order":
             return response(self._order(json.loads(message.body)), json_type)
         if path == "/arbutustally/kv-events":
-            wait_s = int(message.headers.get("wait-ms", 0)) / 1000
-            await asyncio.sleep(min(wait_s, MAX_EVENTS_WAIT_S))
-            events = {"bootEpoch": self._born, "next": 0, "lost": False, "events": []}
-            return response(200, json_type, json.dumps(events).encode())
+            wait_s = min(int(message.headers.get("wait-ms", 0)) / 1000, MAX_EVENTS_WAIT_S)
+            since = int(parse_qs(urlsplit(message.target).query)["since"][0])
+            changes = await self._cache.changes(since, wait_s, self._model)
+            return response(
+                200, json_type, json.dumps({"bootEpoch": self._born, **changes}).encode()
+            )
         return response(404, json_type)
 
     def _order(self, order: dict[str, Any]) -> int:
         status = 202
-        if order["fence"] < self._fence:
+        if self._checks_fences and order["fence"] < self._fence:
             status = 412
         elif order.get("expect", self._sequence) != self._sequence:
             status = 409
