Fix the times of a stop at its signal, and take late only what ends in time

Cause: GatewayNode.drain computed the instant from which to refuse when it began to drain, and a loop that looks every 50 ms acted on it.

Change: gateway/stop_plan.py fixes all times once, from the first signal. RequestHandler compares where a complete request is taken. A short TTL no longer refuses earlier, and the node stays until callers can't hold its address.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -10,6 +10,7 @@
 
 from arbutustally.clock import boottime
 from arbutustally.gateway.entry_nodes import addresses_for
+from arbutustally.gateway.stop_plan import StopPlan
 from arbutustally_node.collector import tune_collector
 from arbutustally_node.gateway.node_services import NodeServices, build_services
 from arbutustally_node.gateway.ports import GatewayOptions, Platform
@@ -22,14 +23,8 @@
     snapshot_app,
 )
 
-#: Time for which callers may cache an answer with addresses, seconds. Some cache it three times as
-#: long, and a stopping node serves until then.
+#: Time for which callers may cache an answer with addresses, seconds.
 DIRECTORY_TTL_S = 1.0
-TTL_CACHED_FACTOR = 3
-#: Share of the grace period from which on new requests are rejected at the latest.
-REFUSING_SHARE = 0.5
-#: Time before the end of the grace period at which a draining node stops, seconds.
-GRACE_MARGIN_S = 0.6
 STOP_POLL_S = 0.05
 #: Time for the answers to the requests that still run at that time, seconds.
 LAST_ANSWERS_S = 0.2
@@ -55,6 +50,7 @@
         self._exchange = services.exchange
         self._listener = services.listener
         self._stopping = Event()
+        self._stop_plan: StopPlan | None = None
         self._web: list[Any] = []
 
     @classmethod
@@ -62,8 +58,16 @@
         """Builds a node without starting it."""
         return cls(options, platform, build_services(options, platform, secrets.token_hex(6)))
 
-    def request_stop(self) -> None:
-        """Requests that the node drain and stop."""
+    def request_stop(self, signalled_at: float | None = None) -> None:
+        """Requests that the node drain and stop; a further request changes nothing.
+
+        :param signalled_at: when the signal to stop was noted, steady seconds, ``None`` for now.
+        """
+        if self._stop_plan is not None:
+            return
+        began = boottime() if signalled_at is None else signalled_at
+        self._stop_plan = StopPlan.from_config(began, self._options.bounds.grace_s, self._ttl_s)
+        self._exchange.plan_stop(self._stop_plan)
         self._stopping.set()
 
     def reload(self, options: GatewayOptions) -> None:
@@ -99,22 +103,22 @@
 
     def drain(self) -> None:
         """Serves callers that still have this node's address, then waits for running requests."""
+        self.request_stop()
+        plan = self._stop_plan
         self._status.begin_drain()
-        self._log.line("node_draining", running=self._listener.running)
+        late_s = boottime() - plan.signalled_at
+        self._log.line(
+            "node_draining", running=self._listener.running, late_ms=round(late_s * 1000, 1)
+        )
         self._weights.stop()
         self._gossip.send_now()
-        began, grace_s = boottime(), self._options.bounds.grace_s
-        latest = began + grace_s - GRACE_MARGIN_S
-        refuse_at = began + min(self._ttl_s * TTL_CACHED_FACTOR, grace_s * REFUSING_SHARE)
         self._listener.drain()
-        while boottime() < latest:
-            if boottime() >= refuse_at:
-                # A request that starts now might not finish within the grace period.
-                self._exchange.refuse_new()
+        while (left_s := plan.end_at - boottime()) > 0:
+            if boottime() >= plan.leave_at:
                 self._listener.close_idle()
                 if not self._listener.running:
                     return
-            gevent.sleep(STOP_POLL_S)
+            gevent.sleep(min(STOP_POLL_S, left_s))
         self._listener.end_running()
         gevent.sleep(LAST_ANSWERS_S)
 
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_handler.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_handler.py
@@ -10,7 +10,9 @@
     Ran,
     RouterError,
 )
+from arbutustally.gateway.configuration import Route
 from arbutustally.gateway.requests import CallerRequest
+from arbutustally.gateway.stop_plan import StopPlan
 from arbutustally_node.caller_watch import CallerGoneError, CallerWatch, NodeStoppingError
 from arbutustally_node.gateway.caller import CallerConnection
 from arbutustally_node.gateway.placer import DEFAULT_RETRY_S
@@ -29,11 +31,11 @@
 
     def __init__(self, services: RequestServices) -> None:
         self._services = services
-        self._is_refusing = False
+        self._stop_plan: StopPlan | None = None
 
-    def refuse_new(self) -> None:
-        """Rejects new requests from now on, so that callers use another node before a shutdown."""
-        self._is_refusing = True
+    def plan_stop(self, plan: StopPlan) -> None:
+        """Takes from now on only the requests that the plan of the node's stop allows."""
+        self._stop_plan = plan
 
     def serve(
         self, request: CallerRequest, connection: CallerConnection, watch: CallerWatch
@@ -82,15 +84,12 @@
         watch: CallerWatch,
         trace: Trace,
     ) -> None:
-        if self._is_refusing:
-            raise DrainingError(
-                "not run: the node is shutting down; use another", retry_after_s=OTHER_NODE_RETRY_S
-            )
         configuration = self._services.view.configuration
         if configuration is None or not self._services.is_complete():
             raise NoConfigurationError("the node is starting; retry", retry_after_s=DEFAULT_RETRY_S)
         route = configuration.route_of(request.host, request.path)
         trace.route = route.name
+        self._check_stop(request, route, trace)
         account = configuration.account_of(route, request.key)
         trace.account = account.name if account else ""
         trace.facts["config"] = configuration.version
@@ -100,6 +99,20 @@
         )
         run.serve()
 
+    def _check_stop(self, request: CallerRequest, route: Route, trace: Trace) -> None:
+        """Rejects a request that may last longer than a node that is being stopped.
+
+        :raises DrainingError: if its caller has to use another node.
+        """
+        plan, now = self._stop_plan, self._services.clock()
+        if plan is None:
+            return
+        trace.facts["stop_ms"] = round((now - plan.signalled_at) * 1000)
+        if not plan.takes(now, request.latest_end(route.timeout_s)):
+            raise DrainingError(
+                "not run: the node is shutting down; use another", retry_after_s=OTHER_NODE_RETRY_S
+            )
+
     def _refuse(self, connection: CallerConnection, error: RouterError, trace: Trace) -> None:
         trace.outcome = error.code
         trace.status = error.status
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/request_run.py
@@ -65,10 +65,7 @@
         self._account = account
         self._watch = watch
         self._trace = trace
-        limit = route.timeout_s
-        if request.time_left_s is not None:
-            limit = min(limit, request.time_left_s)
-        self._deadline = request.arrived_at + limit - ANSWER_MARGIN_S
+        self._deadline = request.latest_end(route.timeout_s) - ANSWER_MARGIN_S
         self._placer = Placer(services, request, configuration, route, account, trace)
         self._shared_parts = shared_part_keys(request) if request.model else ()
         self._delivery = AnswerDelivery(
--- a/packages/arbutustally/src/arbutustally/gateway/requests.py
+++ b/packages/arbutustally/src/arbutustally/gateway/requests.py
@@ -65,6 +65,15 @@
             return None
         return self.prompt_tokens + self.output_tokens
 
+    def latest_end(self, timeout_s: float) -> float:
+        """Returns when the caller or the route gives the request up, monotonic seconds.
+
+        :param timeout_s: of the route, seconds.
+        """
+        if self.time_left_s is None:
+            return self.arrived_at + timeout_s
+        return self.arrived_at + min(timeout_s, self.time_left_s)
+
 
 def shape_of(request: CallerRequest) -> PromptShape:
     """Returns the nested prefixes of a prompt for ``arbutustally.placement``."""
