Tell callers of kept connections that a stopping node closes them

Callers saw: an answer without Connection: close on a connection that was idle or in use when the stop began, and then a closed connection. A next request on it crossed the close.

Cause: whether a connection is kept was decided when the node began to wait for its next request, before the stop.

Change: the listener knows its open connections, and a stop marks them all, so every head that is written from then on announces the close.

Evidence: test_planned_stop.test_caller_of_a_kept_connection_learns_that_it_ends was red before (answer of an idle connection without the header), and is green with the modules of stops, idle connections and crossing closes (13 passed).

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -109,6 +109,7 @@
         self._running = 0
         self._requests = RunningRequests(few_callers_reserve(), on_refused)
         self._watches: set[CallerWatch] = set()
+        self._open: set[CallerConnection] = set()
         self._draining = False
 
     @property
@@ -143,6 +144,8 @@
     def drain(self) -> None:
         """Closes each connection after its next response."""
         self._draining = True
+        for connection in self._open:
+            connection.keep = False
 
     def end_running(self) -> None:
         """Ends the requests that wait for an endpoint; those without an answer get an error."""
@@ -204,8 +207,18 @@
         self, sock: Any, reader: RequestReader, memory: ConnectionMemory, caller: str
     ) -> bool:
         connection = CallerConnection(sock, not self._draining, memory)
+        self._open.add(connection)
         try:
-            with memory.reading():
+            return self._serve_on(connection, sock, reader, caller)
+        finally:
+            self._open.discard(connection)
+
+    def _serve_on(
+        self, connection: CallerConnection, sock: Any, reader: RequestReader, caller: str
+    ) -> bool:
+        """Serves one request; returns whether the connection is kept for another one."""
+        try:
+            with connection.memory.reading():
                 head = self._read_head(sock, reader, caller)
         except RouterError as error:
             reader.close()
@@ -243,7 +256,7 @@
                 _refuse(sock, connection, error)
                 return False
             self._handle(sock, reader, request, connection)
-        return connection.keep and not self._draining
+        return connection.keep
 
     def _handle(
         self,
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -66,6 +66,25 @@
         drain.join(GRACE_S)
         self.assertTrue(drain.ready())
 
+    def test_caller_of_a_kept_connection_learns_that_it_ends(self) -> None:
+        """Guards against a caller that sends its next request on a connection that is closed."""
+        idle, busy = self.connect(), self.connect()
+        for sock in (idle, busy):
+            sock.sendall(self.head() + BODY)
+            self.assertNotIn(b"Connection: close", self.answer(sock))
+        for desk in self.desks:
+            desk.behave = lambda _headers: gevent.sleep(0.3)
+        busy.sendall(self.head() + BODY)
+        self.eventually(lambda: self.node._listener.running == 1)
+        drain = gevent.spawn(self.node.drain)
+        gevent.sleep(0.1)
+        idle.sendall(self.head() + BODY)
+        for sock in (idle, busy):
+            answer = self.answer(sock)
+            self.assertRegex(answer, rb"^HTTP/1.1 200 ")
+            self.assertIn(b"\r\nConnection: close\r\n", answer)
+        drain.join(GRACE_S)
+
     def test_caller_that_never_ends_its_body_does_not_hold_the_stop_up(self) -> None:
         sock = self.connect()
         sock.sendall(self.head() + BODY[:4])
