End running requests in the last sixth of a short grace period too

Callers would see: with a grace period under 3.6 s, requests that are cut before its last sixth, where nothing excuses it; under 0.6 s, at once.

Cause: the time before the end at which a node stops was 0.6 s whatever the grace period, and 0.2 s of it were for the last answers.

Change: it is at most 0.15 of the period, a third of it for last answers. A grace period of 4 s or more is treated as before.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node.py
@@ -26,8 +26,6 @@
 #: Time for which callers may cache an answer with addresses, seconds.
 DIRECTORY_TTL_S = 1.0
 STOP_POLL_S = 0.05
-#: Time for the answers to the requests that still run at that time, seconds.
-LAST_ANSWERS_S = 0.2
 
 
 class GatewayNode:
@@ -120,7 +118,7 @@
                     return
             gevent.sleep(min(STOP_POLL_S, left_s))
         self._listener.end_running()
-        gevent.sleep(LAST_ANSWERS_S)
+        gevent.sleep(plan.last_answers_s)
 
     def stop(self) -> None:
         """Stops all services."""
--- a/packages/arbutustally/src/arbutustally/gateway/stop_plan.py
+++ b/packages/arbutustally/src/arbutustally/gateway/stop_plan.py
@@ -13,8 +13,12 @@
 TTL_CACHED_FACTOR = 3
 #: Time after the signal until no other node names this one to callers, seconds.
 NOTICE_S = 0.3
-#: Time before the end of the grace period at which running requests are ended, seconds.
+#: Time before the end of the grace period at which running requests are ended, seconds, and the
+#: share of the period that it is at most. They may be ended in its last sixth only.
 GRACE_MARGIN_S = 0.6
+GRACE_MARGIN_SHARE = 0.15
+#: Share of that time for the answers to them.
+LAST_ANSWERS_SHARE = 1 / 3
 
 
 @dataclass(frozen=True)
@@ -26,12 +30,14 @@
     :ivar leave_at: from when on callers no longer hold this node's address, so that it may end as
         soon as no request runs.
     :ivar end_at: when the requests that still run are ended.
+    :ivar last_answers_s: time for the answers to them, seconds.
     """
 
     signalled_at: float
     take_all_until: float
     leave_at: float
     end_at: float
+    last_answers_s: float
 
     @classmethod
     def from_config(cls, signalled_at: float, grace_s: float, ttl_s: float) -> "StopPlan":
@@ -40,12 +46,14 @@
         :param grace_s: time from the signal until the process is killed, seconds.
         :param ttl_s: time for which callers may cache this node's address, seconds.
         """
+        margin_s = min(GRACE_MARGIN_S, grace_s * GRACE_MARGIN_SHARE)
         taking_s = min(TAKE_ALL_S, grace_s * TAKE_ALL_SHARE)
         return cls(
             signalled_at,
             signalled_at + taking_s - SIGNAL_LAG_S,
             signalled_at + min(NOTICE_S + ttl_s * TTL_CACHED_FACTOR, grace_s * TAKE_ALL_SHARE),
-            signalled_at + grace_s - GRACE_MARGIN_S,
+            signalled_at + grace_s - margin_s,
+            margin_s * LAST_ANSWERS_SHARE,
         )
 
     def takes(self, now: float, latest_end: float) -> bool:
--- a/tests/test_crossing_close.py
+++ b/tests/test_crossing_close.py
@@ -30,7 +30,7 @@
     def refuse_new(self) -> None:
         """Lets the node reject requests as late in a stop, where none can end before it."""
         now = monotonic()
-        self.node._exchange.plan_stop(StopPlan(now, now, now, now))
+        self.node._exchange.plan_stop(StopPlan(now, now, now, now, 0.0))
 
     def ran(self) -> list[str]:
         return [name for desk in self.desks for name in desk.ran]
--- a/tests/test_stop_plan.py
+++ b/tests/test_stop_plan.py
@@ -62,6 +62,14 @@
         self.assertTrue(plan.takes(100.7, 112.0))
 
 
+    def test_running_requests_are_ended_in_the_last_sixth_of_any_grace(self) -> None:
+        """Guards against requests that are cut earlier than excused as the grace is short."""
+        for grace_s in (0.5, 1, 2, 3, 3.5, 8, 60):
+            plan = StopPlan.from_config(100.0, grace_s, ttl_s=1.0)
+            self.assertGreaterEqual(plan.end_at - 100.0, grace_s * 5 / 6)
+            self.assertLess(plan.end_at - 100.0 + plan.last_answers_s, grace_s)
+
+
 class SignalHandlersTest(unittest.TestCase):
     def test_signal_is_noted_though_the_loop_is_busy(self) -> None:
         """Guards against a signal that is noted only after all greenlets that are due."""
