Give each account its own cache scope while a configuration may be missed

Cause: a node that has heard nobody for 2 s put one random name for all that it doesn't know into the shared scope.

Change: cache_scope gives every account VERSION.ACCOUNT meanwhile, the scope of an isolated one. Only that account has ever made parts under it, so nothing needs to be known to use it. Requests without an account share a scope that no account uses. The line of such a request bears own_scope.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -215,9 +215,7 @@
             # e.g. after a restart of all nodes, so the weights of one engine are polled.
             services.on_other_weights(services.rng.choice(eligible))
             raise self._no_endpoint_error("no_engine_with_weights", left_s, has_run)
-        active = services.view.configuration or self._configuration
-        isolated = services.view.isolation.isolated(active, services.contact.is_current)
-        scope = cache_scope(version, self._account, active, isolated)
+        scope = self._cache_scope(version)
         store = store_of(self._part_stores, scope, request.parts)
         sources = sources_of(
             services.holdings, scope, request.parts, eligible, [store] if store else []
@@ -257,6 +255,15 @@
             raise OverloadedError("not run: engines are overloaded; retry", retry_after_s=wait)
         return Placed(state, choice, version, scope, source, zone)
 
+    def _cache_scope(self, version: int) -> str:
+        services = self._services
+        active = services.view.configuration or self._configuration
+        isolated = services.view.isolation.isolated(active)
+        is_current = services.contact.is_current
+        if not is_current:
+            self._trace.facts["own_scope"] = True
+        return cache_scope(version, self._account, active, isolated, is_current)
+
     def _max_expected_s(self, left_s: float) -> float:
         """Returns the longest uncorrected expected time that is not rejected, seconds."""
         return max_expected_s(left_s) / self._correction()
--- a/packages/arbutustally/src/arbutustally/gateway/isolation_history.py
+++ b/packages/arbutustally/src/arbutustally/gateway/isolation_history.py
@@ -59,15 +59,12 @@
         """
         return tuple(name for name in self._names if name not in configuration.accounts)
 
-    def isolated(self, configuration: Configuration, is_current: bool = True) -> tuple[str, ...]:
+    def isolated(self, configuration: Configuration) -> tuple[str, ...]:
         """Returns all accounts that count as isolated under a configuration.
 
-        While the history is incomplete, or the configuration may have been replaced for long, one
-        name stands for the unknown accounts. It differs between nodes, so such a node shares cached
-        parts with no other node.
-
-        :param is_current: whether the node would know a configuration that replaced this one.
+        While the history is incomplete, one name stands for the accounts that were removed while
+        isolated. It differs between nodes, so such a node shares cached parts with no other node.
         """
         current = (one.name for one in configuration.accounts.values() if one.is_isolated)
-        unknown = () if self._is_complete and is_current else (self._unknown,)
+        unknown = () if self._is_complete else (self._unknown,)
         return (*current, *self.removed(configuration), *unknown)
--- a/tests/test_cache_scope.py
+++ b/tests/test_cache_scope.py
@@ -49,6 +49,22 @@
                 self.assertFalse({name, maker} & isolated, (requests, known))
             known.add(name)
 
+    @given(st.lists(st.tuples(SETS, SETS, st.sampled_from((*NAMES, None))), max_size=40))
+    def test_no_part_crosses_at_nodes_that_miss_configurations(self, requests) -> None:
+        """Guards against accounts that share while their node's configuration may be old.
+
+        Each request names the accounts that are isolated, and those that its node believes to be.
+        """
+        makers: dict[str, set[str]] = {}
+        for isolated, believed, name in requests:
+            active = configuration(believed)
+            account = None if name is None else active.accounts[name]
+            scope = cache_scope(1, account, active, isolated_of(active), isolated == believed)
+            known = makers.setdefault(scope, set())
+            for maker in known - {name}:
+                self.assertFalse({name, maker} & isolated, (requests, scope))
+            known.add(name)
+
     def test_scope_is_as_before_without_isolated_accounts(self) -> None:
         """Guards against cached parts that are lost by an update of the nodes."""
         active = configuration(frozenset())
@@ -110,3 +126,15 @@
         self.view._configuration = after
         for placer, name in zip(running, "ab", strict=True):
             self.assertEqual(self.scope(placer), self.scope(self.placer(name, after)))
+
+    def test_accounts_share_nothing_while_the_configuration_may_be_old(self) -> None:
+        """Guards against a node that is cut off and shares parts of an account isolated meanwhile."""
+        active = configuration(frozenset())
+        self.view._configuration = active
+        shared = [self.scope(self.placer(name, active)) for name in ("a", "b")]
+        self.services.contact.is_current = False
+        own = [self.scope(self.placer(name, active)) for name in ("a", "b")]
+        self.assertEqual(len({*shared, *own}), 3)
+        self.assertEqual(self.scope(self.placer("a", active)), own[0])
+        self.services.contact.is_current = True
+        self.assertEqual(self.scope(self.placer("b", active)), shared[1])
--- /dev/null
+++ b/tests/test_cut_off_node.py
@@ -0,0 +1,46 @@
+"""Scopes of cached parts at a node that can't reach the store, and has no peers."""
+
+import gevent
+
+from tests.account_changes import AccountChangesCase, account
+
+#: Time after which a node without contact can't be sure of its configuration, seconds.
+BOUND_S = 2.0
+#: Time for it to know again what it has missed, seconds.
+CAUGHT_UP_S = 4.0
+
+
+class CutOffNodeTest(AccountChangesCase):
+    """Guards against accounts that share parts at a node that misses that one is isolated."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = self.start_node()
+        self.shared = self.scope(self.node, "guest")
+        self.assertEqual(self.scope(self.node, "school"), self.shared)
+
+    def scopes(self) -> dict[str, str]:
+        return {name: self.scope(self.node, name) for name in ("guest", "school")}
+
+    def test_accounts_share_nothing_at_a_node_that_is_cut_off(self) -> None:
+        self.store.status = 503
+        self.configure(account("school"), account("guest", True))
+        gevent.sleep(BOUND_S)
+        found = self.scopes()
+        self.assertEqual(len({*found.values(), self.shared}), 3)
+        self.assertEqual(self.scopes(), found)
+        self.store.status = 200
+        self.await_version(self.node)
+        gevent.sleep(CAUGHT_UP_S)
+        after = self.scopes()
+        self.assertEqual(len({*after.values(), self.shared}), 3)
+        # Nobody else has made parts under the scope of the guest, who may use them on.
+        self.assertEqual(after["guest"], found["guest"])
+
+    def test_accounts_share_again_after_a_cut_that_changed_nothing(self) -> None:
+        self.store.status = 503
+        gevent.sleep(BOUND_S)
+        self.assertNotIn(self.shared, self.scopes().values())
+        self.store.status = 200
+        gevent.sleep(CAUGHT_UP_S)
+        self.assertEqual(set(self.scopes().values()), {self.shared})
--- a/tests/test_stop_plan.py
+++ b/tests/test_stop_plan.py
@@ -61,7 +61,6 @@
         plan = StopPlan.from_config(100.0, GRACE_S, ttl_s=0.2)
         self.assertTrue(plan.takes(100.7, 112.0))
 
-
     def test_running_requests_are_ended_in_the_last_sixth_of_any_grace(self) -> None:
         """Guards against requests that are cut earlier than excused as the grace is short."""
         for grace_s in (0.5, 1, 2, 3, 3.5, 8, 60):
--- a/tests/test_woken_node.py
+++ b/tests/test_woken_node.py
@@ -6,11 +6,11 @@
 import gevent
 import urllib3
 
+from tests.account_changes import account
 from tests.fake_configuration import configuration
 from tests.node_process import NodeProcessCase
 from tests.platform_fakes import FakeStore, FakeWorker
 from tests.soak.program import PORTS
-from tests.test_removed_accounts import account
 
 #: Time for which the node is suspended, seconds.
 SUSPENDED_S = 3.0
