Share cached parts again only once the configuration was read

Cause: a node counted as current 1 s after it heard anybody again. The endpoints' list may be heard while the operator's records are not, e.g. on connections of their own that are still dead, and a peer may have told it that its configuration is older.

Change: the gap ends once the operator's records were read by a call that began after it, or peers are present and none is ahead. The end of a gap interrupts a read that waits, so a node without peers asks at once.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -9,13 +9,14 @@
 from dataclasses import dataclass
 
 from arbutustally.clock import boottime, monotonic
+from arbutustally.gateway.configuration import Configuration
 from arbutustally.gateway.contact import Contact
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.holdings import USUAL_TERMS, Holdings, PlaceTerms
 from arbutustally.gateway.list_outage import ListOutage
 from arbutustally.gateway.memory_account import MemoryAccount
 from arbutustally.gateway.place_terms import terms_of
-from arbutustally.gateway.relaying import RETRIAL_LEVEL
+from arbutustally.gateway.relaying import RETRIAL_LEVEL, Member
 from arbutustally.gateway.shared_reading import SharedReading
 from arbutustally.gateway.wait_calibration import WaitCalibration
 from arbutustally.gateway.zone_spill import ZoneSpill
@@ -91,7 +92,9 @@
     """Builds the services of a node without starting them."""
     state = NodeState.from_config(options, platform.documents, incarnation)
     log, view = state.log, state.view
-    contact = Contact(boottime, options.bounds.leaving_s)
+    contact = Contact(
+        boottime, options.bounds.leaving_s, lambda: _are_level(gossip.present, view.configuration)
+    )
     status = NodeStatus(options, view, lambda: gossip.is_settled)
     gossip = Gossip(
         status.member,
@@ -244,11 +247,18 @@
     isolation = IsolationRecorder(
         platform.isolated_topic, view.isolation, log, lambda: _is_decider(endpoints, gossip)
     )
+    contact.watch_gaps(operator_reader.contact_resumed)
     for service in (operator_reader, announcer, isolation):
         platform.store_era.watch(service.era_changed)
     return StoreReaders(watch, endpoints, operator_reader, announcer, isolation)
 
 
+def _are_level(peers: list[Member], configuration: Configuration | None) -> bool:
+    """Returns whether there are peers, and none has a newer configuration than this node."""
+    version = configuration.version if configuration else 0
+    return bool(peers) and all(peer.config <= version for peer in peers)
+
+
 def _build_weights(
     options: GatewayOptions,
     platform: Platform,
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
@@ -67,6 +67,9 @@
         self._announced_era = 0
         # Earliest time at which the next records may have been written.
         self._unread_since = -math.inf
+        # When the store was asked for the records of the last answer.
+        self._asked_at = -math.inf
+        self._must_ask_again = False
         self._has_read = False
         self._woken = Event()
         self._greenlet: Any = None
@@ -121,6 +124,11 @@
         if era > self._era:
             self._woken.set()
 
+    def contact_resumed(self) -> None:
+        """Ends a wait that began before this node lost contact, and asks again at once."""
+        self._must_ask_again = True
+        self._woken.set()
+
     def _follow(self) -> None:
         retry_s = RETRY_S
         while True:
@@ -160,8 +168,7 @@
         if self._has_read and batch.era != self._era:
             self._log.line("operator_records_read_anew", era=batch.era, previous=self._era)
         self._era, self._offset = batch.era, batch.next_offset
-        if self._era >= self._announced_era:
-            self._woken.clear()
+        self._clear_wake()
         self._apply_records(decoded, min(self._unread_since, arrived_at), self._has_read)
         if offset is None:
             # Removed keys are missing among the newest records.
@@ -169,24 +176,41 @@
             self._view.end_unlisted_evacuations(batch.records, end, "store")
         if batch.unread <= 0 or not batch.records:
             self._unread_since = math.inf
+            self._watch.configuration_read(self._asked_at)
         self._has_read = True
 
     def _newest(self) -> Batch:
         # Cleared before the call: an era that begins during it then ends the next wait.
         self._woken.clear()
+        self._must_ask_again = False
+        self._asked_at = self._clock()
         return self._topic.newest()
 
+    def _begin_call(self) -> float:
+        """Returns how long a call that begins now may wait for the next record, seconds."""
+        # Records that come after a wait are new only if all earlier ones have been read.
+        may_wait = not self._must_ask_again and math.isinf(self._unread_since)
+        if self._must_ask_again:
+            self._must_ask_again = False
+            self._clear_wake()
+        self._asked_at = self._clock()
+        return WAIT_S if may_wait else 0.0
+
+    def _clear_wake(self) -> None:
+        if self._era >= self._announced_era:
+            self._woken.clear()
+
     def _wait_for_records(self, offset: int) -> Batch:
         """Returns the records from an offset on; a new era ends the wait for the first one.
 
         :raises StoreUnavailableError: if the store does not answer.
         :raises HoleFoundError: if the store no longer has the offset, or has begun a new era.
         """
-        # Records that come after a wait are new only if all earlier ones have been read.
-        wait_s = 0.0 if math.isfinite(self._unread_since) else WAIT_S
-        reading = gevent.spawn(_read_or_error, self._topic, offset, wait_s)
+        reading = gevent.spawn(_read_or_error, self._topic, offset, self._begin_call())
         try:
             gevent.wait([reading, self._woken], count=1)
+            if not reading.ready() and self._must_ask_again:
+                return self._topic.since(offset, self._begin_call())
             if not reading.ready():
                 raise HoleFoundError("the store has begun a new era; read the newest", oldest=0)
             outcome = reading.get()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/store_watch.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/store_watch.py
@@ -37,3 +37,10 @@
         lost_s = self._clock() - self._lost_since
         self._lost_since = None
         self._log.line("store_regained", lost_s=round(lost_s, 2))
+
+    def configuration_read(self, asked_at: float) -> None:
+        """Records that all records of the operator were read.
+
+        :param asked_at: when the store was asked for them, steady seconds.
+        """
+        self._contact.configuration_read(asked_at)
--- a/packages/arbutustally/src/arbutustally/gateway/contact.py
+++ b/packages/arbutustally/src/arbutustally/gateway/contact.py
@@ -5,33 +5,55 @@
 """
 
 import math
+from collections.abc import Callable
 
 from arbutustally.clock import Clock
 
-#: Time within which a node that hears from others again learns what it has missed, seconds.
+#: Time in which a node that hears from others again learns which configuration they have, seconds.
 CATCH_UP_S = 1.0
 
 
 class Contact:
-    """Records when this node heard from a peer or the store.
+    """Records when this node heard from a peer or the store, and whether it has caught up.
 
     :param clock: clock in seconds that keeps counting while the instance is suspended.
     :param bound_s: longest gap in which nothing counts as missed, seconds.
+    :param are_peers_level: returns whether peers are present, and none has a newer configuration.
     """
 
-    def __init__(self, clock: Clock, bound_s: float) -> None:
+    def __init__(
+        self, clock: Clock, bound_s: float, are_peers_level: Callable[[], bool] = lambda: False
+    ) -> None:
         self._clock = clock
         self._bound_s = bound_s
+        self._are_peers_level = are_peers_level
         self._heard_at = math.inf
         self._resumed_at = -math.inf
+        self._has_caught_up = True
+        self._has_read = False
+        self._watchers: list[Callable[[], None]] = []
+
+    def watch_gaps(self, watcher: Callable[[], None]) -> None:
+        """Calls a function at the end of each gap."""
+        self._watchers.append(watcher)
 
     def heard(self) -> None:
         """Records a message of a peer or an answer of the store."""
         now = self._clock()
         if now - self._heard_at > self._bound_s:
             self._resumed_at = now
+            self._has_caught_up = self._has_read = False
+            for watcher in self._watchers:
+                watcher()
         self._heard_at = now
 
+    def configuration_read(self, asked_at: float) -> None:
+        """Records that all records of the operator were read from the store.
+
+        :param asked_at: when the store was asked for them, seconds.
+        """
+        self._has_read = self._has_read or asked_at >= self._resumed_at
+
     @property
     def is_current(self) -> bool:
         """Returns whether this node knows what others knew ``bound_s`` ago.
@@ -39,5 +61,8 @@
         Before the first contact nothing is known that could be out of date.
         """
         now = self._clock()
-        is_in_contact = now - self._heard_at <= self._bound_s
-        return is_in_contact and now - self._resumed_at >= CATCH_UP_S
+        if now - self._heard_at > self._bound_s:
+            return False
+        if not self._has_caught_up and now - self._resumed_at >= CATCH_UP_S:
+            self._has_caught_up = self._has_read or self._are_peers_level()
+        return self._has_caught_up
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -11,7 +11,8 @@
 class ContactTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = VirtualClock(100.0)
-        self.contact = Contact(self.clock, BOUND_S)
+        self.are_peers_level = True
+        self.contact = Contact(self.clock, BOUND_S, lambda: self.are_peers_level)
 
     def test_node_that_starts_is_current(self) -> None:
         """Guards against parts that each restarted node reads again."""
@@ -36,3 +37,37 @@
         self.clock.advance(CATCH_UP_S)
         self.contact.heard()
         self.assertTrue(self.contact.is_current)
+
+    def end_gap(self) -> None:
+        self.contact.heard()
+        self.clock.advance(BOUND_S * 2)
+        self.contact.heard()
+        self.clock.advance(CATCH_UP_S)
+        self.contact.heard()
+
+    def test_node_behind_its_peers_has_not_caught_up(self) -> None:
+        """Guards against a node that counts as current since a time has passed."""
+        self.are_peers_level = False
+        self.end_gap()
+        self.assertFalse(self.contact.is_current)
+        self.are_peers_level = True
+        self.assertTrue(self.contact.is_current)
+
+    def test_node_has_caught_up_once_it_has_read_the_configuration(self) -> None:
+        self.are_peers_level = False
+        self.end_gap()
+        self.contact.configuration_read(self.clock())
+        self.assertTrue(self.contact.is_current)
+
+    def test_reading_that_began_in_the_gap_proves_nothing(self) -> None:
+        self.are_peers_level = False
+        self.end_gap()
+        self.contact.configuration_read(self.clock() - CATCH_UP_S - 0.1)
+        self.assertFalse(self.contact.is_current)
+
+    def test_peers_that_are_ahead_later_change_nothing(self) -> None:
+        """Guards against parts that are read again at each change of the configuration."""
+        self.end_gap()
+        self.assertTrue(self.contact.is_current)
+        self.are_peers_level = False
+        self.assertTrue(self.contact.is_current)
--- a/tests/test_cut_off_node.py
+++ b/tests/test_cut_off_node.py
@@ -44,3 +44,17 @@
         self.store.status = 200
         gevent.sleep(CAUGHT_UP_S)
         self.assertEqual(set(self.scopes().values()), {self.shared})
+
+    def test_accounts_share_nothing_until_the_configuration_was_read(self) -> None:
+        """Guards against a node that hears the store again and not yet what it has missed."""
+        self.store.status = 503
+        self.configure(account("school"), account("guest", True))
+        gevent.sleep(BOUND_S)
+        self.store.refused_topics.add("keyed.op")
+        self.store.status = 200
+        gevent.sleep(CAUGHT_UP_S)
+        self.assertEqual(len({*self.scopes().values(), self.shared}), 3)
+        self.store.refused_topics.clear()
+        self.await_version(self.node)
+        gevent.sleep(CAUGHT_UP_S)
+        self.assertEqual(len({*self.scopes().values(), self.shared}), 3)
--- a/tests/test_operator_dates.py
+++ b/tests/test_operator_dates.py
@@ -49,7 +49,7 @@
         clock = VirtualClock(100.0)
         view = FleetView(PlatformDocuments(), clock, DecisionLog({}, clock=clock))
         self.topic = Topic(clock, list(answers))
-        watch = SimpleNamespace(answered=lambda: None)
+        watch = SimpleNamespace(answered=lambda: None, configuration_read=lambda _asked_at: None)
         self.reader = OperatorReader(
             self.topic, view, watch, DecisionLog({}, clock=clock), clock, lambda: True, lambda: None
         )
