Bound the trust in a configuration by the time for configurations

Callers would see: where a configuration must be in force sooner than a leaving endpoint must be known, a node that is cut off goes on to share parts with an account that was isolated meanwhile, until the latter time.

Cause: the gap after which a node may have missed a configuration was drainMs; configApplyMs was not read from the settings at all.

Change: GatewayBounds.configuration_s. A node counts on its configuration for 0.85 of it after it heard from others, the rest is for what was held up on its way. The endpoints' list is read as often as the shorter bound asks.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -53,6 +53,9 @@
 from arbutustally_node.pool import PoolService
 
 CONNECT_TIMEOUT_S = 0.2
+#: Share of the time within which a configuration must be in force for which a node without contact
+#: counts on the one that it has. What it heard last may have been held up on its way.
+SURE_SHARE = 0.85
 #: Longest pause of an endpoint within an answer, seconds. It has no limit of its own: the remaining
 #: time of the request and the hedge bound the wait.
 SILENCE_S = math.inf
@@ -93,7 +96,9 @@
     state = NodeState.from_config(options, platform.documents, incarnation)
     log, view = state.log, state.view
     contact = Contact(
-        boottime, options.bounds.leaving_s, lambda: _are_level(gossip.present, view.configuration)
+        boottime,
+        options.bounds.configuration_s * SURE_SHARE,
+        lambda: _are_level(gossip.present, view.configuration),
     )
     status = NodeStatus(options, view, lambda: gossip.is_settled)
     gossip = Gossip(
@@ -217,12 +222,12 @@
     endpoints = EndpointReader(
         platform.endpoint_topic,
         view,
-        SharedReading.from_config(boottime, bounds.leaving_s),
+        SharedReading.from_config(boottime, bounds.known_s),
         watch,
         log,
         monotonic,
         gossip,
-        bounds.leaving_s,
+        bounds.known_s,
         ListOutage(bounds.heartbeat_s),
         bounds.store_return_s,
     )
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/options.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/options.py
@@ -16,6 +16,7 @@
         seconds.
     :ivar lease_s: shortest time between orders of two holders, seconds.
     :ivar leaving_s: time after which a leaving endpoint gets no new requests, seconds.
+    :ivar configuration_s: time after which a new configuration must be in force, seconds.
     :ivar cold: most requests that a cold endpoint may get in a second.
     :ivar store_return_s: time after the store's return within which a missing entry may reappear,
         seconds.
@@ -32,9 +33,15 @@
     repeats: RepeatBudget
     cold: ColdTolerance = ColdTolerance()
     leaving_s: float = 2.0
+    configuration_s: float = 2.0
     store_return_s: float = 2.5
     heartbeat_s: float = 1.2
 
+    @property
+    def known_s(self) -> float:
+        """Returns the time within which changes at the store must be known, seconds."""
+        return min(self.leaving_s, self.configuration_s)
+
 
 @dataclass(frozen=True)
 class GatewayOptions:
--- a/tests/test_cut_off_node.py
+++ b/tests/test_cut_off_node.py
@@ -3,6 +3,7 @@
 import gevent
 
 from tests.account_changes import AccountChangesCase, account
+from tests.gateway_fleet import settings
 
 #: Time after which a node without contact can't be sure of its configuration, seconds.
 BOUND_S = 2.0
@@ -58,3 +59,29 @@
         self.await_version(self.node)
         gevent.sleep(CAUGHT_UP_S)
         self.assertEqual(len({*self.scopes().values(), self.shared}), 3)
+
+
+class ConfigurationBoundTest(AccountChangesCase):
+    """Guards against a node that is sure of its configuration for longer than the deployment says."""
+
+    def test_accounts_share_nothing_later_than_a_configuration_must_be_known(self) -> None:
+        fields = settings(self.store.address)
+        fields["bounds"] |= {"configApplyMs": 1200, "drainMs": 4000}
+        node = self.start_node(fields)
+        shared = self.scope(node, "guest")
+        gevent.sleep(1.0)
+        self.store.status = 503
+        self.configure(account("school"), account("guest", True))
+        gevent.sleep(1.2)
+        found = {self.scope(node, name) for name in ("guest", "school")}
+        self.assertEqual(len({*found, shared}), 3)
+
+    def test_accounts_share_while_the_node_hears_from_the_store(self) -> None:
+        """Guards against gaps between two reads that count as a loss of contact."""
+        fields = settings(self.store.address)
+        fields["bounds"] |= {"configApplyMs": 1200, "drainMs": 4000}
+        node = self.start_node(fields)
+        shared = self.settled_scope(node, "guest")
+        for _ in range(12):
+            gevent.sleep(0.15)
+            self.assertEqual(self.scope(node, "school"), shared)
