Take nodes that are cut off together for what they may be

Cause: hearing any peer counted as contact, also one that knows no more.

Change: if nobody whom a node hears has read the endpoints' list for as long as a node may go without contact, and these are half of the fleet or less, it may have missed a configuration. If they are more, the store is away for all, and nothing changes.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -10,7 +10,7 @@
 
 from arbutustally.clock import boottime, monotonic
 from arbutustally.gateway.configuration import Configuration
-from arbutustally.gateway.contact import Contact
+from arbutustally.gateway.contact import Contact, is_small_part
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.holdings import USUAL_TERMS, Holdings, PlaceTerms
 from arbutustally.gateway.list_outage import ListOutage
@@ -95,10 +95,14 @@
     """Builds the services of a node without starting them."""
     state = NodeState.from_config(options, platform.documents, incarnation)
     log, view = state.log, state.view
+    sure_s = options.bounds.configuration_s * SURE_SHARE
     contact = Contact(
         boottime,
-        options.bounds.configuration_s * SURE_SHARE,
+        sure_s,
         lambda: _are_level(gossip.present, view.configuration),
+        lambda: is_small_part(
+            len(gossip.present), gossip.known, store.endpoints.list_age_s, sure_s
+        ),
     )
     status = NodeStatus(options, view, lambda: gossip.is_settled)
     gossip = Gossip(
--- a/packages/arbutustally/src/arbutustally/gateway/contact.py
+++ b/packages/arbutustally/src/arbutustally/gateway/contact.py
@@ -19,14 +19,21 @@
     :param clock: clock in seconds that keeps counting while the instance is suspended.
     :param bound_s: longest gap in which nothing counts as missed, seconds.
     :param are_peers_level: returns whether peers are present, and none has a newer configuration.
+    :param is_cut_off_with_peers: returns whether the peers that this node hears may be cut off from
+        the store as it is.
     """
 
     def __init__(
-        self, clock: Clock, bound_s: float, are_peers_level: Callable[[], bool] = lambda: False
+        self,
+        clock: Clock,
+        bound_s: float,
+        are_peers_level: Callable[[], bool] = lambda: False,
+        is_cut_off_with_peers: Callable[[], bool] = lambda: False,
     ) -> None:
         self._clock = clock
         self._bound_s = bound_s
         self._are_peers_level = are_peers_level
+        self._is_cut_off_with_peers = is_cut_off_with_peers
         self._heard_at = math.inf
         self._resumed_at = -math.inf
         self._has_caught_up = True
@@ -65,4 +72,19 @@
             return False
         if not self._has_caught_up and now - self._resumed_at >= CATCH_UP_S:
             self._has_caught_up = self._has_read or self._are_peers_level()
-        return self._has_caught_up
+        return self._has_caught_up and not self._is_cut_off_with_peers()
+
+
+def is_small_part(present: int, known: int, list_age_s: float, bound_s: float) -> bool:
+    """Returns whether a node may be in a part of the fleet that is cut off from the rest.
+
+    If nobody whom a node hears reads the store, and these are most of the nodes, the store is away.
+    Otherwise the others may read it.
+
+    :param present: number of peers that are heard.
+    :param known: number of peers that were heard recently.
+    :param list_age_s: time since one of these nodes has read the endpoints' list, seconds.
+    :param bound_s: longest such time while one of them reads the store, seconds.
+    """
+    has_most = 2 * (present + 1) > known + 1
+    return list_age_s > bound_s and not has_most
--- a/tests/test_cut_off_node.py
+++ b/tests/test_cut_off_node.py
@@ -85,3 +85,28 @@
         for _ in range(12):
             gevent.sleep(0.15)
             self.assertEqual(self.scope(node, "school"), shared)
+
+
+class CutOffGroupTest(AccountChangesCase):
+    """Guards against nodes that are cut off together and take each other for the fleet."""
+
+    def test_accounts_share_nothing_at_a_small_part_of_the_fleet(self) -> None:
+        nodes = self.start_nodes(5)
+        shared = self.scope(nodes[0], "guest")
+        self.eventually(lambda: all(len(node._gossip.present) == 4 for node in nodes), 10.0)
+        self.store.status = 503
+        for node in nodes[2:]:
+            node.stop()
+        self.eventually(lambda: len(nodes[0]._gossip.present) == 1, 10.0)
+        gevent.sleep(BOUND_S)
+        found = {self.scope(nodes[0], name) for name in ("guest", "school")}
+        self.assertEqual(len({*found, shared}), 3)
+
+    def test_accounts_share_on_while_the_store_is_away_for_all(self) -> None:
+        """Guards against parts that each outage of the store has read again for each account."""
+        nodes = self.start_nodes(3)
+        shared = self.settled_scope(nodes[0], "guest")
+        self.eventually(lambda: all(len(node._gossip.present) == 2 for node in nodes), 10.0)
+        self.store.status = 503
+        gevent.sleep(2 * BOUND_S)
+        self.assertEqual(self.scope(nodes[0], "school"), shared)
