Take a reset of an upload for the end of an answer without a length

Cause: urllib3 reads the response after a write that failed with ECONNRESET. That write has taken the error of the socket, so the reads after it return what had arrived and then an orderly end.

Change: connections note a reset of a write. For a body without a length, PooledResponse then takes the end of the connection for a reset, and the clients of control interfaces refuse the response. Answers with a marked end, refusals that say "not run", and an orderly end before the reset (EPIPE) are passed on as before.

--- a/packages/arbutustally-node/src/arbutustally_node/pooled_response.py
+++ b/packages/arbutustally-node/src/arbutustally_node/pooled_response.py
@@ -93,7 +93,8 @@
         self._put_back = b""
         self._closed = False
         self._timed_out = False
-        self._was_reset = False
+        # A reset while the request was sent has been reported to that write, not to a read.
+        self._was_reset = getattr(response.connection, "was_reset", False)
         self._arrived = self._arrived_with_head()
         # Reading before data has arrived costs a failed system call and an exception.
         self._is_paced = False
@@ -318,7 +319,7 @@
 
     def _finish(self) -> None:
         self._reading.ended(BodyEnd.COMPLETE)
-        reusable = self._pooled and not self._raw_response.will_close
+        reusable = self._pooled and not (self._raw_response.will_close or self._was_reset)
         if not reusable or self._arrived or self._body.unread or self._is_readable():
             self.close()
             return
--- a/packages/arbutustally/src/arbutustally/bounded_head.py
+++ b/packages/arbutustally/src/arbutustally/bounded_head.py
@@ -34,6 +34,10 @@
     """The connection ended inside the response head."""
 
 
+class CutBodyError(HTTPException):
+    """The server reset the connection during the request, and its response states no length."""
+
+
 class SpoiledHeadError(HTTPException):
     """The response head has a malformed line, or no unambiguous end of the body."""
 
@@ -120,31 +124,75 @@
             raise SpoiledHeadError("the length of a response is malformed; check the server")
 
 
-class BoundedConnection(HTTPConnection):
-    """A connection whose responses are ``BoundedHead``."""
+class _ResetWatch:
+    """Notes that the server reset the connection while a request was being sent.
+
+    urllib3 reads the response all the same, as a server may refuse a request that it has not read.
+    The failed write has taken the error of the socket, so the body seems to have an orderly end
+    where the reset cut it. A write after the server's own orderly end fails with another error.
+    """
+
+    was_reset = False
+
+    def connect(self) -> None:
+        self.was_reset = False
+        super().connect()
+
+    def send(self, data: Any) -> None:
+        try:
+            super().send(data)
+        except ConnectionResetError:
+            self.was_reset = True
+            raise
+
+
+class _WholeBodies(_ResetWatch):
+    """Refuses responses whose body may have been cut by a reset."""
 
     response_class = BoundedHead
 
+    def getresponse(self) -> Any:
+        response = super().getresponse()
+        head = response._fp
+        if self.was_reset and head.length is None and not head.chunked:
+            response.close()
+            raise CutBodyError("the connection was reset within a response; check the server")
+        return response
+
+
+class BoundedConnection(_ResetWatch, HTTPConnection):
+    """A connection whose responses are ``BoundedHead``.
+
+    :ivar was_reset: whether the server reset the connection while a request was being sent. The
+        end of the connection then is no end of a body.
+    """
 
-class _SecureBoundedConnection(HTTPSConnection):
     response_class = BoundedHead
 
 
-class _BoundedPool(HTTPConnectionPool):
-    ConnectionCls = BoundedConnection
+class _WholeConnection(_WholeBodies, HTTPConnection):
+    pass
+
+
+class _SecureWholeConnection(_WholeBodies, HTTPSConnection):
+    pass
+
+
+class _WholePool(HTTPConnectionPool):
+    ConnectionCls = _WholeConnection
 
 
-class _SecureBoundedPool(HTTPSConnectionPool):
-    ConnectionCls = _SecureBoundedConnection
+class _SecureWholePool(HTTPSConnectionPool):
+    ConnectionCls = _SecureWholeConnection
 
 
 def bounded_pools(**options: Any) -> PoolManager:
-    """Returns connection pools whose responses are ``BoundedHead``.
+    """Returns connection pools whose responses are ``BoundedHead``, with bodies that are whole.
 
     :param options: as for ``PoolManager``.
     """
     manager = PoolManager(**options)
-    manager.pool_classes_by_scheme = {"http": _BoundedPool, "https": _SecureBoundedPool}
+    manager.pool_classes_by_scheme = {"http": _WholePool, "https": _SecureWholePool}
     return manager
 
 
--- a/tests/raw_worker.py
+++ b/tests/raw_worker.py
@@ -13,14 +13,21 @@
 
 from tests.platform_fakes import FakeWorker
 
+#: Size of the receive queue of a worker that leaves bodies unread.
+QUEUE_BYTES = 64 << 10
 _RESET = struct.pack("ii", 1, 0)
 
 
 class Close(Enum):
-    """How a worker ends a connection."""
+    """How a worker ends a connection.
+
+    ``HALF`` ends only its own direction, ``UNREAD`` closes over whatever has not been read.
+    """
 
     ORDERLY = "orderly"
     RESET = "reset"
+    HALF = "half"
+    UNREAD = "unread"
 
 
 @dataclass(frozen=True)
@@ -52,6 +59,8 @@
 
     :ivar seen: requests read, in order.
     :ivar closed: ids of the requests during which the node closed the connection.
+    :ivar body_read: bytes of a body that it reads before it answers, ``None`` for all; the rest
+        stays unread, in receive queues that are small then.
     """
 
     script: Script
@@ -60,9 +69,13 @@
     model: str = ""
     seen: list[RawRequest] = field(default_factory=list)
     closed: list[str] = field(default_factory=list)
+    body_read: int | None = None
 
     def __post_init__(self) -> None:
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.init_socket()
+        if self.body_read is not None:
+            self._server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, QUEUE_BYTES)
         self._server.start()
 
     @property
@@ -84,7 +97,7 @@
         reader = connection.makefile("rb")
         number = 0
         with contextlib.suppress(OSError):
-            while (asked := read_request(reader, number)) is not None:
+            while (asked := read_request(reader, number, self.body_read)) is not None:
                 number += 1
                 self.seen.append(asked)
                 if not self._answer(connection, asked):
@@ -100,7 +113,8 @@
                     connection.sendall(step)
                 elif isinstance(step, Close):
                     end(connection, step)
-                    return False
+                    if step is not Close.HALF:
+                        return False
                 else:
                     gevent.sleep(step)
         except OSError:
@@ -113,12 +127,15 @@
     """Ends a connection; all bytes sent before an orderly close arrive."""
     if how is Close.RESET:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-    else:
+    elif how is not Close.UNREAD:
         connection.shutdown(socket.SHUT_WR)
 
 
-def read_request(reader: Any, number: int) -> RawRequest | None:
-    """Returns the next request, ``None`` at the end of the connection."""
+def read_request(reader: Any, number: int, body_read: int | None = None) -> RawRequest | None:
+    """Returns the next request, ``None`` at the end of the connection.
+
+    :param body_read: as for ``RawWorker``.
+    """
     target = reader.readline().decode("latin-1").split(" ")[1:2]
     if not target:
         return None
@@ -126,5 +143,6 @@
     while (line := reader.readline().strip()) != b"":
         name, _, value = line.decode("latin-1").partition(":")
         headers[name.lower()] = value.strip()
-    body = reader.read(int(headers.get("content-length", 0)))
+    length = int(headers.get("content-length", 0))
+    body = reader.read(length if body_read is None else min(length, body_read))
     return RawRequest(target[0], headers, body, number)
