Read a status only from three digits behind the version

Here 000, 099, other numbers of digits and letters were refused, but +200, 0200, 2_00, blanks or a tab around the digits, and versions like HTTP/1.x were delivered as a 200.

Cause: the standard library splits the status line at white space and reads the number as Python reads integers.

Change: bounded_head checks the status line as it checks header lines. All clients read their responses with it.

--- a/packages/arbutustally/src/arbutustally/bounded_head.py
+++ b/packages/arbutustally/src/arbutustally/bounded_head.py
@@ -1,9 +1,9 @@
 """Strict reading of HTTP response heads.
 
 The standard library takes the end of the input as the end of the headers, drops malformed header
-lines with all that follow them, ignores a malformed length, and reads any number of informational
-(1xx) responses. Each of these turns a cut or spoiled head into a response with other headers and
-another end of its body.
+lines with all that follow them, ignores a malformed length, reads any number of informational (1xx)
+responses, and takes whatever Python reads as a number for a status. Each of these turns a cut or
+spoiled head into a response with another status, other headers or another end of its body.
 """
 
 import re
@@ -21,6 +21,7 @@
 #: A header line without its line break.
 HEADER_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*)")
 
+_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-9][0-9]{2}(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r?\n")
 #: A status line behind other bytes: the head of a response behind a cut copy of an earlier one.
 _STATUS_INSIDE = re.compile(rb".HTTP/1\.[01] [0-9]{3}")
 _LENGTH = re.compile(r"[0-9]{1,15}")
@@ -58,7 +59,7 @@
 
         :param limit: longest line, bytes; a longer one is returned incomplete.
         :raises CutHeadError: if the connection ended inside the head.
-        :raises SpoiledHeadError: if the line is not a header line.
+        :raises SpoiledHeadError: if the line is not a status line or header line.
         """
         line = self._file.readline(limit)
         is_status, self._is_status = self._is_status, False
@@ -66,7 +67,8 @@
             return line
         if not line.endswith(b"\n"):
             raise CutHeadError("the connection ended inside a response head; check the server")
-        if _STATUS_INSIDE.search(line) or (not is_status and not _is_header_line(line)):
+        is_sound = _STATUS_LINE.fullmatch(line) if is_status else _is_header_line(line)
+        if not is_sound or _STATUS_INSIDE.search(line):
             raise SpoiledHeadError("a response head has a malformed line; check the server")
         # The standard library keeps the white space behind a value, and then takes ``chunked`` for
         # another coding.
