Leave a caller only after a time in which it takes nothing

Cause: WRITE_TIMEOUT_S bounded the write of a whole answer. Bytes that go into the send queue are no measure of progress either: a socket becomes writable only once a large part of its queue is free.

Change: caller_write looks every second at what the caller's system has taken out of the send queue, and gives up after 5 s without any. Memory is open to others after a second without progress, as before, and also while it is scarce and the caller is slower than the slowest accepted sender.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/caller.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/caller.py
@@ -5,15 +5,11 @@
 from http.client import responses
 from typing import Any
 
-from arbutustally.clock import monotonic
 from arbutustally_node.framing import Framing
-from arbutustally_node.gateway.connection_memory import ConnectionMemory, Writing
+from arbutustally_node.gateway.caller_write import write
+from arbutustally_node.gateway.connection_memory import ConnectionMemory
 from arbutustally_node.socket_close import close_orderly, reset_on_close
 
-#: Longest time that a caller may take to accept one write, seconds.
-WRITE_TIMEOUT_S = 5.0
-#: Time without progress after which the memory of a response may be taken for others, seconds.
-STALLED_WRITE_S = 1.0
 #: Body up to which a response is written together with its head, bytes; a larger one is not copied.
 JOINED_BYTES = 65536
 
@@ -136,28 +132,7 @@
         return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
 
     def _write(self, data: bytes) -> None:
-        if len(data) <= JOINED_BYTES or self._memory is None:
-            self._sock.settimeout(WRITE_TIMEOUT_S)
-            self._sock.sendall(data)
-            return
-        deadline = monotonic() + WRITE_TIMEOUT_S
-        with self._memory.writing() as writing, memoryview(data) as view:
-            sent = 0
-            while sent < len(data):
-                sent += self._send_some(view[sent:], deadline, writing)
-
-    def _send_some(self, data: memoryview, deadline: float, writing: Writing) -> int:
-        left_s = deadline - monotonic()
-        if left_s <= 0:
-            raise TimeoutError("the caller does not read its response")
-        self._sock.settimeout(min(left_s, STALLED_WRITE_S))
-        try:
-            count = self._sock.send(data)
-        except TimeoutError:
-            writing.stalls()
-            return 0
-        writing.goes_on()
-        return count
+        write(self._sock, data, self._memory)
 
     def _framed(self, data: bytes) -> bytes:
         if self._framing is Framing.CLOSE:
