Part the idle connections from the listener

Change: idle_connections.py has the connections on which no request has begun, and closes some while all places are taken.

Evidence: 27 passed, the modules of idle connections, crossing closes, floods, planned stops, running requests and limits.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -2,15 +2,11 @@
 
 import contextlib
 import resource
-import select
 import socket
-from collections import Counter
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable
 from typing import Any
 
 import gevent
-from gevent import monkey
 from gevent.pool import Pool
 from gevent.server import StreamServer
 
@@ -22,6 +18,7 @@
 from arbutustally_node.caller_watch import CallerGoneError, CallerWatch
 from arbutustally_node.gateway.caller import CallerConnection
 from arbutustally_node.gateway.connection_memory import ConnectionMemory
+from arbutustally_node.gateway.idle_connections import IdleConnections
 from arbutustally_node.gateway.ports import HttpCodec
 from arbutustally_node.gateway.receive_queues import QueueSizes, ReceiveQueues
 from arbutustally_node.gateway.running_requests import RunningRequests
@@ -34,11 +31,6 @@
 RESERVED_DESCRIPTORS = 512
 #: Fraction of the descriptors that callers may use if fewer than twice the reserved ones exist.
 DESCRIPTOR_FRACTION = 0.5
-#: Interval at which idle connections are closed while no further one is accepted, seconds.
-FULL_CHECK_S = 0.25
-#: Fraction of the connections that are closed then, and how long they have been idle, seconds.
-CLOSED_FRACTION = 0.125
-LEAST_IDLE_S = 1.0
 #: Fraction of the descriptors that are reserved, and that running requests always may use, if few
 #: exist.
 LEAST_RESERVED_FRACTION = 0.25
@@ -50,23 +42,6 @@
 #: Longest time to wait until a caller has read an answer that ends with its connection, seconds.
 ANSWER_LINGER_S = 2.0
 
-# gevent's own poll switches to other greenlets, so that a request could arrive after the check.
-_poll = monkey.get_original("select", "poll")
-
-
-@dataclass(frozen=True)
-class IdleConnection:
-    """A connection on which no request has begun, or whose request has no complete head.
-
-    :ivar caller: address of the caller, without its port.
-    :ivar since: when the head began, otherwise when the last request ended or the connection was
-        accepted, seconds.
-    """
-
-    caller: str
-    since: float
-
-
 Handler = Callable[[CallerRequest, CallerConnection, CallerWatch], None]
 
 
@@ -102,8 +77,7 @@
         self._server = StreamServer(
             (host, int(port)), self._serve, backlog=BACKLOG, spawn=self._pool
         )
-        self._idle: dict[Any, IdleConnection] = {}
-        self._callers: Counter[str] = Counter()
+        self._idle = IdleConnections()
         self._room: Any = None
         self._connections = 0
         self._running = 0
@@ -132,7 +106,7 @@
         self._server.init_socket()
         self._queues.bound_listener(self._server.socket)
         self._server.start()
-        self._room = gevent.spawn(self._keep_room)
+        self._room = gevent.spawn(self._idle.keep_room, self._pool)
 
     def stop(self) -> None:
         """Closes the listening socket; open connections are not affected."""
@@ -154,21 +128,7 @@
 
     def close_idle(self) -> None:
         """Closes the connections on which no request has begun or arrived."""
-        for sock in list(self._idle):
-            _close_idle(sock)
-
-    def _keep_room(self) -> None:
-        """Closes idle connections while all are taken, so that further callers are accepted.
-
-        Callers with few connections keep theirs.
-        """
-        while True:
-            gevent.sleep(FULL_CHECK_S)
-            if not self._pool.full():
-                continue
-            number = max(1, int(self._pool.size * CLOSED_FRACTION))
-            for sock in longest_idle(self._idle, self._callers, monotonic())[:number]:
-                _close_idle(sock)
+        self._idle.close_all()
 
     def _serve(self, sock: Any, address: Any) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -188,17 +148,14 @@
             lambda: self._queues.widen(sock),
         )
         self._connections += 1
-        self._callers[caller] += 1
         try:
-            while self._serve_one(sock, reader, memory, caller):
-                continue
+            with self._idle.connected(caller):
+                while self._serve_one(sock, reader, memory, caller):
+                    continue
         except (OSError, gevent.Timeout, CallerGoneError):
             return
         finally:
             self._connections -= 1
-            self._callers[caller] -= 1
-            if not self._callers[caller]:
-                del self._callers[caller]
             self._queues.forget(sock)
             memory.close()
             sock.close()
@@ -277,17 +234,17 @@
             reader.release()
 
     def _read_head(self, sock: Any, reader: RequestReader, caller: str) -> RequestHead | None:
-        self._idle[sock] = IdleConnection(caller, monotonic())
+        self._idle.begin(sock, caller)
         self._apply_limits(reader)
         try:
             # The configuration may change while the connection is idle.
             return reader.read_head(lambda: self._begin(sock, reader, caller))
         finally:
-            self._idle.pop(sock, None)
+            self._idle.end(sock)
 
     def _begin(self, sock: Any, reader: RequestReader, caller: str) -> None:
         """Notes that a request has begun on a connection."""
-        self._idle[sock] = IdleConnection(caller, monotonic())
+        self._idle.begin(sock, caller)
         self._apply_limits(reader)
 
     def _apply_limits(self, reader: RequestReader) -> None:
@@ -344,33 +301,6 @@
     return min(RESERVED_DESCRIPTORS, int(descriptors * LEAST_RESERVED_FRACTION))
 
 
-def longest_idle(
-    idle: Mapping[Any, IdleConnection], callers: Mapping[str, int], now: float
-) -> list[Any]:
-    """Returns the connections to close if all are taken, in this order.
-
-    Those of callers with the most connections come first, of these the longest idle.
-
-    :param callers: number of connections by address of the caller.
-    """
-    found = [sock for sock, one in idle.items() if now - one.since >= LEAST_IDLE_S]
-    return sorted(found, key=lambda sock: (-callers[idle[sock].caller], idle[sock].since))
-
-
-def _close_idle(sock: Any) -> None:
-    # A shutdown would not discard a request that has arrived, but its response.
-    if _is_readable(sock):
-        return
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_RDWR)
-
-
-def _is_readable(sock: Any) -> bool:
-    poll = _poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 def _refuse(sock: Any, connection: CallerConnection, error: RouterError) -> None:
     # The frames of the traceback hold what has arrived, whose memory is released.
     error.with_traceback(None)
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -2,7 +2,11 @@
 
 import unittest
 
-from arbutustally_node.gateway.listener import LEAST_IDLE_S, IdleConnection, longest_idle
+from arbutustally_node.gateway.idle_connections import (
+    LEAST_IDLE_S,
+    IdleConnection,
+    longest_idle,
+)
 
 
 class LongestIdleTest(unittest.TestCase):
