Let idle connections yield to new ones on every listener

Cause: the listeners of directory, readiness, control and metrics close an idle connection after 15 s, however many callers wait.

Change: they use IdleConnections, as the listener of callers does. Callers that ask once a second are never idle for long, so a listener with over seven eighths of its places taken also closes each connection after its answer, and announces it.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/web.py
@@ -15,6 +15,7 @@
 from arbutustally.errors import RouterError
 from arbutustally_node.addresses import is_host_address
 from arbutustally_node.bounded_call import CallPools, call
+from arbutustally_node.gateway.idle_connections import IdleConnections
 from arbutustally_node.gateway.snapshot import MAX_SNAPSHOT_BYTES, Snapshot
 from arbutustally_node.response_budget import ResponseBudget
 
@@ -26,6 +27,8 @@
 MAX_CONNECTIONS = 1024
 #: Part of the process's descriptors that one listener may use at most, as a divisor.
 DESCRIPTOR_DIVISOR = 16
+#: Fraction of its connections above which a listener closes each after its next answer.
+CROWDED_FRACTION = 0.875
 #: Longest request head, bytes, as callers' requests have by default. The standard library alone
 #: would keep 100 lines of 64 KiB for each connection.
 MAX_HEAD_BYTES = 16384
@@ -35,13 +38,38 @@
 REQUEST_TIMEOUT_S = 30.0
 
 
+class _Server(WSGIServer):
+    """A server whose idle connections yield to new ones."""
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.idle = IdleConnections()
+        self._room: Any = None
+
+    @property
+    def is_crowded(self) -> bool:
+        """Returns whether few places are left for further connections."""
+        return len(self.pool) > self.pool.size * CROWDED_FRACTION
+
+    def start(self) -> None:
+        """Starts accepting connections."""
+        super().start()
+        self._room = gevent.spawn(self.idle.keep_room, self.pool)
+
+    def stop(self, timeout: float | None = None) -> None:
+        """Stops accepting connections and ends the open ones."""
+        if self._room is not None:
+            self._room.kill()
+        super().stop(timeout)
+
+
 def serve(address: str, app: Bottle) -> WSGIServer:
     """Starts a server for an application.
 
     :param address: ``host:port`` to listen on.
     """
     host, _, port = address.rpartition(":")
-    server = WSGIServer(
+    server = _Server(
         (host, int(port)),
         app,
         log=None,
@@ -67,7 +95,12 @@
     def handle(self) -> None:
         """Serves the connection until it ends or is idle for too long."""
         self.socket.settimeout(IDLE_TIMEOUT_S)
-        super().handle()
+        sock, caller = self.socket, self.client_address[0]
+        try:
+            with self.server.idle.connected(caller):
+                super().handle()
+        finally:
+            self.server.idle.end(sock)
 
     def handle_one_request(self) -> Any:
         """Serves one request, or closes the connection if that takes too long."""
@@ -75,6 +108,21 @@
             return super().handle_one_request()
         return None
 
+    def read_requestline(self) -> str:
+        """Returns the first line of a request; the connection is idle until it arrives."""
+        self.server.idle.begin(self.socket, self.client_address[0])
+        try:
+            return super().read_requestline()
+        finally:
+            self.server.idle.end(self.socket)
+
+    def finalize_headers(self) -> None:
+        """Announces the end of the connection if others need its place."""
+        if self.server.is_crowded:
+            self.close_connection = True
+            self.response_headers.append((b"Connection", b"close"))
+        super().finalize_headers()
+
     def read_request(self, raw_requestline: str) -> Any:
         """Reads a head; a late one is refused without the traceback of a fault.
 
--- a/tests/test_web_limits.py
+++ b/tests/test_web_limits.py
@@ -6,6 +6,8 @@
 import unittest
 from unittest.mock import patch
 
+import gevent
+
 from arbutustally_node.gateway import web
 
 REQUEST = b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -63,3 +65,54 @@
         for _ in range(3):
             caller.sendall(REQUEST)
             self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 200"))
+
+
+class FullListenerTest(unittest.TestCase):
+    """Guards against callers that keep their connections and shut out all others."""
+
+    LIMIT = 16
+
+    def setUp(self) -> None:
+        patch_limit = patch.object(web, "_connection_limit", lambda: self.LIMIT)
+        patch_limit.start()
+        self.addCleanup(patch_limit.stop)
+        self.server = web.serve("127.0.0.1:0", web.ready_app("/ready", lambda: True))
+        self.addCleanup(self.server.stop, 0)
+        self.kept = [self.connect() for _ in range(2 * self.LIMIT)]
+
+    def connect(self) -> socket.socket:
+        caller = socket.create_connection(("127.0.0.1", self.server.server_port), 5.0)
+        caller.settimeout(4.0)
+        self.addCleanup(caller.close)
+        return caller
+
+    def assert_newcomer_is_served(self) -> None:
+        caller = self.connect()
+        caller.sendall(REQUEST)
+        self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 200"))
+
+    def test_newcomer_is_served_beside_callers_that_ask_often(self) -> None:
+        asking = [gevent.spawn(self.ask_often, caller) for caller in self.kept]
+        gevent.sleep(0.5)
+        self.assert_newcomer_is_served()
+        gevent.killall(asking)
+
+    def ask_often(self, caller: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                caller.sendall(REQUEST)
+                if not caller.recv(4096):
+                    return
+                gevent.sleep(0.1)
+
+    def test_newcomer_is_served_beside_callers_that_ask_nothing(self) -> None:
+        self.assert_newcomer_is_served()
+
+    def test_caller_of_a_full_listener_learns_that_its_connection_ends(self) -> None:
+        """Guards against a next request that its caller sends on a connection that is closed."""
+        caller = self.kept[0]
+        caller.sendall(REQUEST)
+        answer = caller.recv(4096)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"))
+        self.assertIn(b"\r\nConnection: close\r\n", answer)
+        self.assertEqual(caller.recv(4096), b"")
