Announce the close of a connection at a draining node of the product

Callers would see: an answer of a draining arbutustallyd without Connection: close, and then a closed connection.

Cause: gevent's handler ends the connection where close_connection is set, and adds no header for HTTP/1.1.

Change: the server adds it, as the listeners of the platform's node do.

Evidence: tests.test_http_server. test_draining_server_announces_that_it_closes was red before; 27 passed with the modules of the callers' interface and of node processes.

--- a/packages/arbutustally-node/src/arbutustally_node/http_server.py
+++ b/packages/arbutustally-node/src/arbutustally_node/http_server.py
@@ -136,6 +136,7 @@
         """Closes the connection after this response if the listener is draining."""
         if self.server.draining:
             self.close_connection = True
+            self.response_headers.append((b"Connection", b"close"))
         super().finalize_headers()
 
     def _sendall(self, data: bytes) -> None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -127,6 +127,12 @@
         self.assertEqual(self.metrics.counts["refused.body_too_large"], len(TOO_LARGE))
         self.assert_serves()
 
+    def test_draining_server_announces_that_it_closes(self) -> None:
+        """Guards against a caller that sends its next request on a connection that is closed."""
+        self.server.drain()
+        head = self.exchange(GOOD).partition(b"\r\n\r\n")[0]
+        self.assertIn(b"\r\nConnection: close", head)
+
     def test_slow_senders_cannot_hold_a_connection(self) -> None:
         for data in (GOOD[:20], GOOD[:-1], post("Host: x", "Transfer-Encoding: chunked")):
             self.assertEqual(self.refusal(data)["code"], "slow_sender")
