--- a/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/listener.py
@@ -318,6 +318,7 @@
     The reset could destroy the response before the caller has read it.
     """
     with contextlib.suppress(OSError, gevent.Timeout), gevent.Timeout(longest_s):
+        sock.settimeout(None)
         sock.shutdown(socket.SHUT_WR)
         while sock.recv(65536):
             continue
--- a/tests/test_unread_callers.py
+++ b/tests/test_unread_callers.py
@@ -21,8 +21,19 @@
                     received = self._ask_and_send(path, extra)
                     self.assertEqual(received.partition(b"\r\n\r\n")[2], _EVENTS)
 
-    def _ask_and_send(self, path: str, extra: bytes) -> bytes:
-        """Returns what a slow caller receives that sends more bytes before the answer."""
+    def test_caller_that_sends_late_gets_the_whole_answer(self) -> None:
+        """Guards against a node that stops waiting for a slow caller before its time is over."""
+        received = self._ask_and_send("/book/x", b"", 1.3, b"\r\n")
+        self.assertEqual(received.partition(b"\r\n\r\n")[2], _EVENTS)
+
+    def _ask_and_send(
+        self, path: str, extra: bytes, pause_s: float = 0.5, late: bytes = b""
+    ) -> bytes:
+        """Returns what a slow caller receives that sends more bytes before the answer.
+
+        :param pause_s: time until it begins to read, seconds.
+        :param late: bytes that it sends shortly before that.
+        """
         self._reset_health()
         self._asks += 1
         self.answers, self.asked = (_answer,), []
@@ -30,11 +41,16 @@
         lines += "Authorization: Token key-school\r\nDeadline-Ms: 3000\r\n"
         lines += "Model: m\r\nToken-Usage: 10,5\r\n"
         host, _, port = self.node._options.caller_listen.rpartition(":")
-        with socket.create_connection((host, int(port)), 5.0) as caller:
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
+            caller.settimeout(5.0)
+            caller.connect((host, int(port)))
             caller.sendall(f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode())
             gevent.sleep(0.05)
             caller.sendall(extra)
-            gevent.sleep(0.5)
+            gevent.sleep(pause_s)
+            caller.sendall(late)
+            gevent.sleep(0.1)
             return caller.makefile("rb").read()
 
 
