Let the tests of uploads use the scripted gateway of the other tests

Cause: test_reset_uploads had a copy of the caller and of the scripted workers of raw_gateway.

Change: RawGatewayCase takes a body, the bytes of it that workers read, and the largest body that is allowed. The checks are the same; attempts beyond the answers of a test are reset, so the refusal is given for each of them.

--- a/tests/raw_gateway.py
+++ b/tests/raw_gateway.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from tests.fake_configuration import configuration
 from tests.gateway_fleet import GatewayCase
 from tests.raw_worker import Close, RawRequest, RawWorker
 
@@ -43,7 +44,14 @@
 
 
 class RawGatewayCase(GatewayCase):
-    """Starts a store, a node, and two engines and two plain workers that run scripts."""
+    """Starts a store, a node, and two engines and two plain workers that run scripts.
+
+    :cvar body_read: as for ``RawWorker``.
+    :cvar max_body_bytes: largest body that the configuration allows, ``None`` for the usual one.
+    """
+
+    body_read: int | None = None
+    max_body_bytes: int | None = None
 
     def setUp(self) -> None:
         super().setUp()
@@ -52,13 +60,19 @@
         self.answers: tuple[Answer, ...] = ()
         self.asked: list[RawRequest] = []
         self._asks = 0
+        self.workers: list[RawWorker] = []
+        if self.max_body_bytes is not None:
+            limits = configuration()["limits"] | {"maxBodyBytes": self.max_body_bytes}
+            self.store.put("keyed.op", "config", configuration(2, limits=limits))
         for number in (1, 2):
-            self._add(RawWorker(self._script, f"raw-d{number}"))
-            self._add(RawWorker(self._script, f"raw-e{number}", "llm", "m"))
+            self._add(RawWorker(self._script, f"raw-d{number}", body_read=self.body_read))
+            self._add(
+                RawWorker(self._script, f"raw-e{number}", "llm", "m", body_read=self.body_read)
+            )
         self.node = self.start_node()
         self.wait_ready(self.node)
 
-    def ask(self, path: str, *answers: Answer, fields: str = "") -> Received:
+    def ask(self, path: str, *answers: Answer, fields: str = "", body: bytes = b"") -> Received:
         """Sends a request; the workers answer its attempts with one answer after another.
 
         Attempts without an answer of their own are reset.
@@ -68,16 +82,18 @@
         self._reset_health()
         self._asks += 1
         self.answers, self.asked = answers, []
-        lines = f"Host: h.example\r\nRequest-Id: r{self._asks}\r\nContent-Length: 0\r\n"
+        lines = f"Host: h.example\r\nRequest-Id: r{self._asks}\r\n"
+        lines += f"Content-Length: {len(body)}\r\n"
         lines += "Authorization: Token key-school\r\nDeadline-Ms: 1500\r\n"
         lines += f"Model: m\r\nToken-Usage: 10,5\r\n{fields}"
         host, _, port = self.node._options.caller_listen.rpartition(":")
         with socket.create_connection((host, int(port)), 5.0) as caller:
-            caller.sendall(f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode())
+            caller.sendall(f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
             return _receive(caller)
 
     def _add(self, worker: RawWorker) -> None:
         self.addCleanup(worker.stop)
+        self.workers.append(worker)
         self.store.put("keyed.servers", worker.id, worker.entry())
 
     def _script(self, request: RawRequest) -> Iterator[bytes | Close | float]:
--- a/tests/test_reset_uploads.py
+++ b/tests/test_reset_uploads.py
@@ -4,7 +4,6 @@
 failed write takes the error of the socket, and later reads see an orderly end.
 """
 
-import socket
 import unittest
 from collections.abc import Iterator
 
@@ -13,13 +12,12 @@
 
 from arbutustally.bounded_head import bounded_pools
 from arbutustally.errors import EndpointFailedError
+from arbutustally.gateway.attempts import MAX_SENDS
 from arbutustally_node.bounded_call import CallTarget
 from arbutustally_node.pool import PoolService
 from arbutustally_node.pooled_response import PooledResponse
 from tests.engine_answers import events
-from tests.fake_configuration import configuration
-from tests.gateway_fleet import GatewayCase
-from tests.raw_gateway import End, Received, _receive
+from tests.raw_gateway import Answer, End, RawGatewayCase, Received
 from tests.raw_worker import Close, RawRequest, RawWorker
 from tests.test_unframed_answers import chunked, unframed
 
@@ -43,51 +41,17 @@
     yield how
 
 
-class ResetUploadTest(GatewayCase):
+class ResetUploadTest(RawGatewayCase):
     """Guards against a part of an answer that its caller gets as a whole one."""
 
-    def setUp(self) -> None:
-        super().setUp()
-        for worker in (*self.engines, *self.desks):
-            self.store.put("keyed.servers", worker.id, None)
-        large = configuration(2)
-        large["limits"]["maxBodyBytes"] = 2 * len(UPLOAD)
-        self.store.put("keyed.op", "config", large)
-        self.workers = []
-        for number in (1, 2):
-            self.add(RawWorker(self.script, f"raw-d{number}", body_read=0))
-            self.add(RawWorker(self.script, f"raw-e{number}", "llm", "m", body_read=0))
-        self.node = self.start_node()
-        self.wait_ready(self.node)
-        self.eventually(lambda: self.node._view.configuration.version == 2)
-        self.asks = 0
-
-    def add(self, worker: RawWorker) -> None:
-        self.addCleanup(worker.stop)
-        self.workers.append(worker)
-        self.store.put("keyed.servers", worker.id, worker.entry())
-
-    def script(self, request: RawRequest) -> Iterator[bytes | Close | float]:
-        """Answers the attempts of a request with one script after another."""
-        if request.id != f"r{self.asks}":
-            return iter([b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"])
-        self.asked.append(request)
-        return self.scripts[min(len(self.asked), len(self.scripts)) - 1](request)
-
-    def ask(self, path: str, *scripts, body_read: int = 0) -> Received:
-        """Uploads a body; the attempts get one script after another."""
-        self.node._services.state.repeats._repeats.clear()
-        self.asks += 1
-        self.scripts, self.asked = scripts, []
+    body_read = 0
+    max_body_bytes = 2 * len(UPLOAD)
+
+    def upload(self, path: str, *answers: Answer, body_read: int = 0) -> Received:
+        """Uploads a body of which the workers read a part; the attempts get an answer each."""
         for worker in self.workers:
             worker.body_read = body_read
-        host, _, port = self.node._options.caller_listen.rpartition(":")
-        fields = f"Host: h.example\r\nRequest-Id: r{self.asks}\r\n"
-        fields += "Authorization: Token key-school\r\nDeadline-Ms: 1500\r\n"
-        fields += f"Model: m\r\nToken-Usage: 10,5\r\nContent-Length: {len(UPLOAD)}\r\n"
-        with socket.create_connection((host, int(port)), 5.0) as caller:
-            caller.sendall(f"POST {path} HTTP/1.1\r\n{fields}\r\n".encode() + UPLOAD)
-            return _receive(caller)
+        return self.ask(path, *answers, body=UPLOAD)
 
     def assert_each(self, check, *framings: str) -> None:
         """Runs a check for all framings, bytes read and pauses."""
@@ -99,7 +63,7 @@
 
     def test_cut_answer_without_a_length_is_not_delivered(self) -> None:
         def check(framing: str, body_read: int, pause_s: float) -> None:
-            found = self.ask(
+            found = self.upload(
                 "/book/x",
                 lambda asked: early(asked, "200 OK", framing, PART, pause_s, Close.RESET),
                 body_read=body_read,
@@ -111,7 +75,7 @@
 
     def test_answer_without_a_length_is_not_delivered_if_it_is_closed_over_unread_bytes(self):
         """The kernel resets a connection that is closed while bytes of the upload are unread."""
-        found = self.ask(
+        found = self.upload(
             "/book/x", lambda asked: early(asked, "200 OK", "", PART, 0.1, Close.UNREAD)
         )
         self.assertEqual(found.status, 502)
@@ -121,7 +85,7 @@
 
         def check(framing: str, body_read: int, pause_s: float) -> None:
             body = PART if "Length" in framing else b"2bc\r\n%b\r\n0\r\n\r\n" % PART
-            found = self.ask(
+            found = self.upload(
                 "/book/x",
                 lambda asked: early(asked, "413 Too Large", framing, body, pause_s, Close.RESET),
                 body_read=body_read,
@@ -135,7 +99,7 @@
     def test_cut_answer_with_a_marked_end_is_not_delivered(self) -> None:
         def check(framing: str, body_read: int, pause_s: float) -> None:
             body = PART if "Length" in framing else b"2bc\r\n%b" % PART
-            found = self.ask(
+            found = self.upload(
                 "/book/x",
                 lambda asked: early(asked, "200 OK", framing, body, pause_s, Close.RESET),
                 body_read=body_read,
@@ -154,21 +118,21 @@
             yield 0.1
             yield Close.RESET
 
-        found = self.ask("/book/x", end_then_reset)
+        found = self.upload("/book/x", end_then_reset)
         self.assertEqual((found.status, found.body), (200, PART))
 
     def test_refusal_without_a_length_is_still_one(self) -> None:
         """Guards against a request that its worker has not run, and that fails for its caller."""
-        refusal = "Not-Executed: 1\r\n"
-        found = self.ask(
-            "/book/x",
-            lambda asked: early(asked, "503 Full", refusal, b"", 0.0, Close.RESET),
-        )
+
+        def refuse(asked: RawRequest) -> Iterator[bytes | Close | float]:
+            return early(asked, "503 Full", "Not-Executed: 1\r\n", b"", 0.0, Close.RESET)
+
+        found = self.upload("/book/x", *[refuse] * MAX_SENDS)
         self.assertEqual(found.status, 503)
 
     def test_cut_stream_goes_on_elsewhere(self) -> None:
         def check(framing: str, body_read: int, pause_s: float) -> None:
-            found = self.ask(
+            found = self.upload(
                 "/chat/x",
                 lambda asked: early(asked, "200 OK", framing, events(1, 2), pause_s, Close.RESET),
                 lambda asked: chunked(asked, events(3, 5), Close.RESET),
@@ -181,7 +145,7 @@
         self.assert_each(check, "")
 
     def test_cut_stream_that_no_other_continues_does_not_look_complete(self) -> None:
-        found = self.ask(
+        found = self.upload(
             "/chat/x",
             lambda asked: unframed(asked, events(1, 2), Close.RESET),
             lambda asked: iter([Close.RESET]),
@@ -190,13 +154,13 @@
 
     def test_connection_of_a_failed_upload_is_not_used_again(self) -> None:
         framing = f"Content-Length: {len(PART)}\r\n"
-        found = self.ask(
+        found = self.upload(
             "/book/x",
             lambda asked: early(asked, "413 Too Large", framing, PART, 0.3, Close.RESET),
         )
         self.assertEqual(found.status, 413)
         gevent.sleep(0.1)
-        found = self.ask(
+        found = self.upload(
             "/book/x", lambda asked: early(asked, "200 OK", framing, PART, 0.1, Close.RESET)
         )
         self.assertEqual((found.status, found.body), (200, PART))
