--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -116,7 +116,7 @@
         self.assertFalse(node.is_ready())
         first = gevent.spawn(lambda: self.call(node, "/book/x", "r1", Deadline_Ms="5000").status)
         self.eventually(lambda: monotonic() >= node._stop_plan.take_all_until)
-        # Its route allows it 2 s, and the node ends the running requests 1.65 s later.
+        # Its route allows it 2 s, and the node ends the running requests 1.7 s later.
         late = self.call(node, "/book/x", "r2", Deadline_Ms="5000")
         self.assertEqual(late.status, 503)
         self.assertIn("Retry-After", late.headers)
--- a/tests/test_stop_plan.py
+++ b/tests/test_stop_plan.py
@@ -149,6 +149,7 @@
         self.assertTrue(drain.ready())
 
     def test_second_signal_does_not_begin_the_stop_anew(self) -> None:
+        """Guards against a second signal that moves the time from which requests are refused."""
         self.request_stop()
         drain = gevent.spawn(self.node.drain)
         self.sleep_until(1.0)
