--- a/review/common_3/callers.py
+++ b/review/common_3/callers.py
@@ -23,6 +23,7 @@
 
     request_id: str
     tokens: int
+    path: str
     node: str
     at: float
     status: int = 0
@@ -71,13 +72,14 @@
     tokens: int
     deadline_s: float
     sent: list[Sent]
+    method: str = "POST"
 
     async def ask(self) -> None:
         """Sends one request and reads its answer."""
         address = await self.directory.pick()
         if not address:
             return
-        sent = Sent(secrets.token_hex(8), self.tokens, address, time.monotonic())
+        sent = Sent(secrets.token_hex(8), self.tokens, self.path, address, time.monotonic())
         self.sent.append(sent)
         with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             await asyncio.wait_for(self._exchange(sent, address), self.deadline_s)
@@ -92,10 +94,16 @@
                 "Deadline-Ms": str(int(self.deadline_s * 1000)),
                 "Authorization": f"Token {self.key}",
                 **self.headers,
-                "Content-Length": "2",
             }
-            lines = [f"POST {self.path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\nhi")
+            body = b""
+            if self.method == "POST":
+                body = b"hi"
+                headers["Content-Length"] = str(len(body))
+            lines = [
+                f"{self.method} {self.path} HTTP/1.1",
+                *(f"{k}: {v}" for k, v in headers.items()),
+            ]
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
             sent.status = int(head.split(" ")[1])
             if "transfer-encoding: chunked" in head:
--- a/review/common_3/store.py
+++ b/review/common_3/store.py
@@ -35,6 +35,11 @@
         """Writes a record as the operator or a worker does; ``None`` removes the key."""
         self._append(topic, key, b"" if value is None else json.dumps(value).encode())
 
+    def newest(self, topic: str, key: str) -> Any:
+        """Returns the newest value of a key, ``None`` without one."""
+        found = [data for one, data in self._topics[topic] if one == key]
+        return json.loads(found[-1]) if found and found[-1] else None
+
     def _append(self, topic: str, key: str, data: bytes) -> None:
         self._topics[topic].append((key, data))
         self._changed.set()
--- a/review/common_3/workers.py
+++ b/review/common_3/workers.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import json
+import random
 import secrets
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from review.common_3.http_server import Connection, Request, Response, json_response, serve
@@ -12,8 +13,10 @@
 
 HEARTBEAT_S = 1.2
 EVENTS_WAIT_S = 0.5
-EVENTS = 4
-EVENT_S = 0.05
+#: Events of a stream, and the time before each, seconds.
+EVENTS = 8
+EVENT_S = 0.055
+SLOW_FACTOR = 4
 WORK_S = 0.02
 
 
@@ -31,12 +34,34 @@
     at: float
 
 
+@dataclass(frozen=True)
+class Answered:
+    """The end of a run.
+
+    :ivar at: steady seconds.
+    :ivar is_bad: it failed, or took several times as long as usual.
+    """
+
+    request_id: str
+    worker: str
+    status: int
+    at: float
+    is_bad: bool
+
+
 @dataclass
 class Worker:
     """One worker; it registers itself in the store.
 
     :ivar model: that it serves, empty for a plain worker.
+    :ivar release: version of its software.
+    :ivar fails_path: beginning of the paths whose requests it fails, empty for none.
+    :ivar fail_status: status of these failures.
+    :ivar fail_share: share of these requests that it fails.
+    :ivar slow_above: streams that it runs at once above which the others take ``SLOW_FACTOR``
+        times as long; 0 for none.
     :ivar runs: what it began to work on.
+    :ivar answers: ends of its runs.
     """
 
     id: str
@@ -46,36 +71,64 @@
     model: str = ""
     version: int = 1
     slots: int = 64
+    release: str = "v1"
+    fails_path: str = ""
+    fail_status: int = 500
+    fail_share: float = 1.0
+    slow_above: int = 0
     runs: list[Run] = field(default_factory=list)
+    answers: list[Answered] = field(default_factory=list)
     address: str = ""
+    is_leaving: bool = False
     _born: int = 0
     _beats: int = 0
     _accepted: int = 0
-    _tasks: list[Any] = field(default_factory=list)
+    _running: int = 0
+    _server: Any = None
+    _beating: Any = None
+    _connections: set[Connection] = field(default_factory=set)
 
     async def start(self) -> None:
         """Starts serving and writes its entry, again at every heartbeat."""
         self._born = int(time.time() * 1000)
-        _server, self.address = await serve("127.0.0.1", 0, self._handle)
-        self._tasks.append(asyncio.create_task(self._beat()))
+        self._server, self.address = await serve("127.0.0.1", 0, self._handle)
+        self._beating = asyncio.create_task(self._beat())
+
+    def drain(self) -> float:
+        """Reports that it leaves; returns when the store has acknowledged that, steady seconds.
+
+        It goes on to serve, and says in all its answers that it leaves.
+        """
+        self.is_leaving = True
+        self.store.put("keyed.servers", self.id, self.entry())
+        return time.monotonic()
+
+    def stop(self) -> None:
+        """Ends at once, as a process does, and removes its entry."""
+        self._beating.cancel()
+        self._server.close()
+        for connection in self._connections:
+            connection.writer.close()
+        self.store.put("keyed.servers", self.id, None)
 
     async def _beat(self) -> None:
         while True:
             self._beats += 1
-            self.store.put("keyed.servers", self.id, self._entry())
+            self.store.put("keyed.servers", self.id, self.entry())
             await asyncio.sleep(HEARTBEAT_S)
 
     def _models(self) -> list[dict[str, Any]]:
         return [{"name": self.model, "version": self.version, "adapters": []}] if self.model else []
 
-    def _entry(self) -> dict[str, Any]:
+    def entry(self) -> dict[str, Any]:
+        """Returns its entry in the store."""
         return {
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.release,
             "slots": self.slots,
-            "state": "ready",
+            "state": "draining" if self.is_leaving else "ready",
             "coldRemainingMs": 0,
             "stage": "unified",
             "models": self._models(),
@@ -84,6 +137,13 @@
         }
 
     async def _handle(self, request: Request, connection: Connection) -> Response | None:
+        self._connections.add(connection)
+        response = await self._respond(request, connection)
+        if response is None or not self.is_leaving:
+            return response
+        return replace(response, headers=(*response.headers, ("Server-Leaving", "1")))
+
+    async def _respond(self, request: Request, connection: Connection) -> Response | None:
         echo = (("Request-Id", request.headers.get("request-id", "")),)
         expected = request.headers.get("expect-instance", self.id)
         if request.path == "/arbutustally/kv-events":
@@ -112,6 +172,7 @@
             "kvUsed": 0,
             "kvTotal": 100_000,
             "handles": 0,
+            "born": self._born,
         }
 
     def _order(self, order: dict[str, Any]) -> int:
@@ -131,17 +192,35 @@
         stamp = ("Server-Stamp", f"{self.id}.{secrets.token_hex(4)}")
         if not self.model:
             await asyncio.sleep(WORK_S)
-            return Response(200, f"answer to {echo[0][1]}".encode(), (*echo, stamp))
-        await self._stream(connection, int(headers.get("last-event-id", 0)), (*echo, stamp))
+            fails = bool(self.fails_path) and request.path.startswith(self.fails_path)
+            is_failed = fails and random.random() < self.fail_share
+            status = self.fail_status if is_failed else 200
+            self._ended(echo[0][1], status, is_failed)
+            return Response(status, f"answer to {echo[0][1]}".encode(), (*echo, stamp))
+        self._running += 1
+        is_slow = 0 < self.slow_above < self._running
+        try:
+            pause_s = EVENT_S * SLOW_FACTOR if is_slow else EVENT_S
+            after = int(headers.get("last-event-id", 0))
+            await self._stream(connection, after, (*echo, stamp), pause_s)
+            self._ended(echo[0][1], 200, is_slow)
+        finally:
+            self._running -= 1
         return None
 
-    async def _stream(self, connection: Connection, after: int, headers: tuple) -> None:
+    def _ended(self, request_id: str, status: int, is_bad: bool) -> None:
+        self.answers.append(Answered(request_id, self.id, status, time.monotonic(), is_bad))
+
+    async def _stream(
+        self, connection: Connection, after: int, headers: tuple, pause_s: float
+    ) -> None:
         named = (*headers, ("Weight-Versions", str(self.version)))
         lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in named)]
+        lines += ["Server-Leaving: 1"] if self.is_leaving else []
         lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         await connection.send("\r\n".join(lines).encode() + b"\r\n\r\n")
         for number in range(after + 1, EVENTS + 1):
-            await asyncio.sleep(EVENT_S)
+            await asyncio.sleep(pause_s)
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             await connection.send(b"%x\r\n%b\r\n" % (len(event), event))
         await connection.send(b"0\r\n\r\n")
