--- a/review/common_3/store.py
+++ b/review/common_3/store.py
@@ -19,6 +19,7 @@
     """Topics of keyed records, each with one partition.
 
     :ivar address: ``host:port``.
+    :ivar turned_away: addresses of the paths on which it answers every call with 503.
     """
 
     def __init__(self) -> None:
@@ -26,11 +27,24 @@
         self._changed = asyncio.Event()
         self._server: Any = None
         self.address = ""
+        self.turned_away: set[str] = set()
 
     async def start(self) -> None:
         """Starts serving on a free port."""
         self._server, self.address = await serve("127.0.0.1", 0, self._handle)
 
+    async def add_path(self) -> str:
+        """Returns a further address of the store, for the calls of one machine."""
+        path = ""
+
+        async def handle(request: Request, connection: Connection) -> Response:
+            response = await self._handle(request, connection)
+            # Also a read that waited when the machine was turned away.
+            return Response(503) if path in self.turned_away else response
+
+        _server, path = await serve("127.0.0.1", 0, handle)
+        return path
+
     def put(self, topic: str, key: str, value: Any) -> None:
         """Writes a record as the operator or a worker does; ``None`` removes the key."""
         self._append(topic, key, b"" if value is None else json.dumps(value).encode())
--- a/review/common_3/workers.py
+++ b/review/common_3/workers.py
@@ -5,7 +5,7 @@
 import random
 import secrets
 import time
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
 from review.common_3.http_server import Connection, Request, Response, json_response, serve
@@ -16,7 +16,6 @@
 #: Events of a stream, and the time before each, seconds.
 EVENTS = 8
 EVENT_S = 0.055
-SLOW_FACTOR = 4
 WORK_S = 0.02
 
 
@@ -25,6 +24,8 @@
     """A request that a worker began to work on.
 
     :ivar at: steady seconds.
+    :ivar salt: its ``Cache-Salt``.
+    :ivar uses: leading parts of its prompt that the worker found in its memory.
     """
 
     request_id: str
@@ -32,6 +33,17 @@
     tenant: str
     usage: str
     at: float
+    salt: str = ""
+    uses: tuple["Cached", ...] = ()
+
+
+@dataclass(frozen=True)
+class Cached:
+    """A part of a prompt in a worker's memory, and the request that made it."""
+
+    part: str
+    request_id: str
+    tenant: str
 
 
 @dataclass(frozen=True)
@@ -58,8 +70,6 @@
     :ivar fails_path: beginning of the paths whose requests it fails, empty for none.
     :ivar fail_status: status of these failures.
     :ivar fail_share: share of these requests that it fails.
-    :ivar slow_above: streams that it runs at once above which the others take ``SLOW_FACTOR``
-        times as long; 0 for none.
     :ivar runs: what it began to work on.
     :ivar answers: ends of its runs.
     """
@@ -75,17 +85,15 @@
     fails_path: str = ""
     fail_status: int = 500
     fail_share: float = 1.0
-    slow_above: int = 0
     runs: list[Run] = field(default_factory=list)
     answers: list[Answered] = field(default_factory=list)
     address: str = ""
-    is_leaving: bool = False
     _born: int = 0
     _beats: int = 0
     _accepted: int = 0
-    _running: int = 0
     _server: Any = None
     _beating: Any = None
+    _cache: dict[tuple[str, str], Cached] = field(default_factory=dict)
     _connections: set[Connection] = field(default_factory=set)
 
     async def start(self) -> None:
@@ -94,15 +102,6 @@
         self._server, self.address = await serve("127.0.0.1", 0, self._handle)
         self._beating = asyncio.create_task(self._beat())
 
-    def drain(self) -> float:
-        """Reports that it leaves; returns when the store has acknowledged that, steady seconds.
-
-        It goes on to serve, and says in all its answers that it leaves.
-        """
-        self.is_leaving = True
-        self.store.put("keyed.servers", self.id, self.entry())
-        return time.monotonic()
-
     def stop(self) -> None:
         """Ends at once, as a process does, and removes its entry."""
         self._beating.cancel()
@@ -128,7 +127,7 @@
             "zone": self.zone,
             "version": self.release,
             "slots": self.slots,
-            "state": "draining" if self.is_leaving else "ready",
+            "state": "ready",
             "coldRemainingMs": 0,
             "stage": "unified",
             "models": self._models(),
@@ -138,12 +137,6 @@
 
     async def _handle(self, request: Request, connection: Connection) -> Response | None:
         self._connections.add(connection)
-        response = await self._respond(request, connection)
-        if response is None or not self.is_leaving:
-            return response
-        return replace(response, headers=(*response.headers, ("Server-Leaving", "1")))
-
-    async def _respond(self, request: Request, connection: Connection) -> Response | None:
         echo = (("Request-Id", request.headers.get("request-id", "")),)
         expected = request.headers.get("expect-instance", self.id)
         if request.path == "/arbutustally/kv-events":
@@ -188,7 +181,10 @@
         if self.model and wanted != str(self.version):
             return Response(421, b"", (*echo, ("Instance-Id", self.id)))
         tenant, usage = headers.get("tenant", ""), headers.get("token-usage", "")
-        self.runs.append(Run(echo[0][1], self.id, tenant, usage, time.monotonic()))
+        salt = headers.get("cache-salt", "")
+        uses = self._read_prompt(headers.get("prompt-prefix", ""), salt, echo[0][1], tenant)
+        run = Run(echo[0][1], self.id, tenant, usage, time.monotonic(), salt, uses)
+        self.runs.append(run)
         stamp = ("Server-Stamp", f"{self.id}.{secrets.token_hex(4)}")
         if not self.model:
             await asyncio.sleep(WORK_S)
@@ -197,30 +193,34 @@
             status = self.fail_status if is_failed else 200
             self._ended(echo[0][1], status, is_failed)
             return Response(status, f"answer to {echo[0][1]}".encode(), (*echo, stamp))
-        self._running += 1
-        is_slow = 0 < self.slow_above < self._running
-        try:
-            pause_s = EVENT_S * SLOW_FACTOR if is_slow else EVENT_S
-            after = int(headers.get("last-event-id", 0))
-            await self._stream(connection, after, (*echo, stamp), pause_s)
-            self._ended(echo[0][1], 200, is_slow)
-        finally:
-            self._running -= 1
+        after = int(headers.get("last-event-id", 0))
+        await self._stream(connection, after, (*echo, stamp))
+        self._ended(echo[0][1], 200, False)
         return None
 
+    def _read_prompt(
+        self, prefix: str, salt: str, request_id: str, tenant: str
+    ) -> tuple[Cached, ...]:
+        """Takes the parts of a prompt that are cached under its salt, and caches the others."""
+        parts = [entry.partition(":")[0] for entry in prefix.split(",") if entry]
+        used = []
+        for number, part in enumerate(parts):
+            found = self._cache.get((salt, part))
+            if found is not None and len(used) == number:
+                used.append(found)
+            self._cache.setdefault((salt, part), Cached(part, request_id, tenant))
+        return tuple(used)
+
     def _ended(self, request_id: str, status: int, is_bad: bool) -> None:
         self.answers.append(Answered(request_id, self.id, status, time.monotonic(), is_bad))
 
-    async def _stream(
-        self, connection: Connection, after: int, headers: tuple, pause_s: float
-    ) -> None:
+    async def _stream(self, connection: Connection, after: int, headers: tuple) -> None:
         named = (*headers, ("Weight-Versions", str(self.version)))
         lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in named)]
-        lines += ["Server-Leaving: 1"] if self.is_leaving else []
         lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         await connection.send("\r\n".join(lines).encode() + b"\r\n\r\n")
         for number in range(after + 1, EVENTS + 1):
-            await asyncio.sleep(pause_s)
+            await asyncio.sleep(EVENT_S)
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             await connection.send(b"%x\r\n%b\r\n" % (len(event), event))
         await connection.send(b"0\r\n\r\n")
