Share cached parts only while someone has read the operator's records

Cause: a node that read nothing took the store for away to everybody if most of the nodes that it remembered saw the same. The store may reject some instances and serve the operator, so no count of peers shows that nothing was written. Also, the age of the list of endpoints stood for that of the operator's records, which are another topic.

Change: a node is current only while it, or a peer that it hears and whose configuration it has, has read the operator's records within the bound (gateway/configuration_age). Readers tell the age of their reading with the messages that go out at once. An answer to a read of the list ends reads of the operator's records that began before it, since their connection may be silent.

Changed tests: test_accounts_share_on_while_the_store_is_away_for_all demanded the fault; tests that demand the opposite, and sharing within 1.3 s after the return, take its place.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/endpoint_reader.py
@@ -210,6 +210,7 @@
         if not self._has_more:
             self._judge_gap(batch)
         self._read_at = self._clock()
+        self._watch.list_read(asked_at)
         changes = self._apply(offset, decoded)
         self._has_more = bool(batch.records) and batch.unread > 0
         if self._has_more:
@@ -272,6 +273,7 @@
             return
         self._replace(decoded, position, "store")
         self._reading.read_whole(position, asked_at)
+        self._watch.list_read(asked_at)
 
     def _replace(
         self, records: tuple[EndpointRecord, ...], position: Position, source: str
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -10,7 +10,8 @@
 
 from arbutustally.clock import boottime, monotonic
 from arbutustally.gateway.configuration import Configuration
-from arbutustally.gateway.contact import Contact, is_small_part
+from arbutustally.gateway.configuration_age import ConfigurationAge
+from arbutustally.gateway.contact import CATCH_UP_S, Contact
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.holdings import USUAL_TERMS, Holdings, PlaceTerms
 from arbutustally.gateway.list_outage import ListOutage
@@ -96,14 +97,14 @@
     state = NodeState.from_config(options, platform.documents, incarnation)
     log, view = state.log, state.view
     sure_s = options.bounds.configuration_s * SURE_SHARE
+    age = ConfigurationAge(boottime, lambda: loop_lag.earliest_arrival())
     contact = Contact(
         boottime,
         sure_s,
         lambda: _are_level(gossip.present, view.configuration),
-        lambda: is_small_part(
-            len(gossip.present), gossip.known, store.endpoints.list_age_s, sure_s
-        ),
+        lambda: age.age_s <= sure_s,
     )
+    contact.watch_gaps(lambda: age.forget(CATCH_UP_S))
     status = NodeStatus(options, view, lambda: gossip.is_settled)
     gossip = Gossip(
         status.member,
@@ -154,7 +155,7 @@
     )
     exchange = RequestHandler(requests)
     loop_lag = LoopLagMonitor(log, state.instruments, monotonic)
-    store = _build_store_readers(options, platform, state, gossip, contact, loop_lag)
+    store = _build_store_readers(options, platform, state, gossip, contact, age, loop_lag)
     weights = _build_weights(options, platform, state, gossip, checker.unreachable)
     synced = SyncedServices(
         view,
@@ -218,10 +219,11 @@
     state: NodeState,
     gossip: Gossip,
     contact: Contact,
+    age: ConfigurationAge,
     loop_lag: LoopLagMonitor,
 ) -> StoreReaders:
     log, view, bounds = state.log, state.view, options.bounds
-    watch = StoreWatch(log, monotonic, contact)
+    watch = StoreWatch(log, monotonic, contact, age)
     StoreReturnMonitor.from_config(platform.store_era, log, state.instruments)
     endpoints = EndpointReader(
         platform.endpoint_topic,
@@ -257,6 +259,7 @@
         platform.isolated_topic, view.isolation, log, lambda: _is_decider(endpoints, gossip)
     )
     contact.watch_gaps(operator_reader.contact_resumed)
+    watch.watch_unfollowed(operator_reader.store_answered)
     for service in (operator_reader, announcer, isolation):
         platform.store_era.watch(service.era_changed)
     return StoreReaders(watch, endpoints, operator_reader, announcer, isolation)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/operator_reader.py
@@ -16,6 +16,7 @@
 from arbutustally_node.gateway.fleet_view import FleetView
 from arbutustally_node.gateway.peer_state import OperatorUpdate
 from arbutustally_node.gateway.ports import Batch, KeyedTopic, Record
+from arbutustally_node.gateway.reading_record import decode_reading, encode_reading, is_reading
 from arbutustally_node.gateway.store_watch import StoreWatch
 from arbutustally_node.gateway.supervision import supervise
 
@@ -29,6 +30,8 @@
 UNDETECTED_S = 3.0
 #: Interval at which a node that does not read checks whether it must, seconds.
 ROLE_CHECK_S = 0.05
+#: Longest age of a reading of which peers are told, seconds.
+READING_TOLD_S = 3.0
 #: Time for which records are sent repeatedly, so that lost datagrams do not matter, seconds.
 RESEND_S = 2.5
 
@@ -67,10 +70,13 @@
         self._announced_era = 0
         # Earliest time at which the next records may have been written.
         self._unread_since = -math.inf
-        # When the store was asked for the records of the last answer.
+        # When the store was asked last, and for how long it may wait for the next record.
         self._asked_at = -math.inf
+        self._wait_s = 0.0
         self._must_ask_again = False
         self._has_read = False
+        # Whether this node reads for the fleet, or has yet to read for the first time.
+        self._is_active = True
         self._woken = Event()
         self._greenlet: Any = None
 
@@ -91,7 +97,13 @@
             OperatorUpdate(record.key, record.value, None, record.position)
             for record in (*self._view.evacuation_records, *self._view.removed_account_records)
         )
-        return (*repeated, *self._recent_updates()) if has_read else repeated
+        recent = self._recent_updates() if has_read else ()
+        return (*repeated, *recent, *self._reading_update())
+
+    def _reading_update(self) -> tuple[OperatorUpdate, ...]:
+        """Returns the record that tells how old this node's own reading is, if it is recent."""
+        age_s = self._watch.configuration_age.own_age_s
+        return (encode_reading(self._version, age_s),) if age_s <= READING_TOLD_S else ()
 
     def _recent_updates(self) -> tuple[OperatorUpdate, ...]:
         now = self._clock()
@@ -115,9 +127,23 @@
         """Applies the records that a peer has read."""
         now = self._clock()
         for item in updates:
+            if is_reading(item):
+                self._take_reading(item)
+                continue
             known_at = -math.inf if item.age_s is None else now - item.age_s
             self._view.apply_operator(Record(item.key, item.value, item.position), peer, known_at)
 
+    def _take_reading(self, update: OperatorUpdate) -> None:
+        version = decode_reading(update)
+        if version is not None and version <= self._version:
+            self._watch.configuration_age.peer_read(update.age_s)
+
+    @property
+    def _version(self) -> int:
+        """Returns the version of the configuration in force, 0 without one."""
+        configuration = self._view.configuration
+        return configuration.version if configuration else 0
+
     def era_changed(self, era: int) -> None:
         """Ends a wait for the next record, since offsets differ in the store's new era."""
         self._announced_era = era
@@ -125,10 +151,20 @@
             self._woken.set()
 
     def contact_resumed(self) -> None:
-        """Ends a wait that began before this node lost contact, and asks again at once."""
+        """Ends a wait or pause that began before this node lost contact, and asks again at once."""
         self._must_ask_again = True
         self._woken.set()
 
+    def store_answered(self, asked_at: float) -> None:
+        """Ends a call or pause that began before another call that the store has answered.
+
+        The connection of a call that began while the store was silent may stay silent.
+
+        :param asked_at: when that call was made, steady seconds.
+        """
+        if self._is_active and self._offset is not None and self._asked_at < asked_at:
+            self.contact_resumed()
+
     def _follow(self) -> None:
         retry_s = RETRY_S
         while True:
@@ -136,15 +172,18 @@
                 # The nodes that read pass on new records, unless all of them are lost, which may
                 # be undetected for a while.
                 self._unread_since = self._clock() - UNDETECTED_S
+                self._watch.configuration_age.following_ended()
+                self._is_active = False
                 gevent.sleep(ROLE_CHECK_S)
                 continue
+            self._is_active = True
             try:
                 self.read_once()
                 retry_s = RETRY_S
             except StoreUnavailableError as error:
                 self._watch.failed(error)
                 self._expect_unread()
-                gevent.sleep(retry_s)
+                self._woken.wait(retry_s)
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
     def read_once(self) -> None:
@@ -176,14 +215,26 @@
             self._view.end_unlisted_evacuations(batch.records, end, "store")
         if batch.unread <= 0 or not batch.records:
             self._unread_since = math.inf
-            self._watch.configuration_read(self._asked_at)
+            has_begun = self._watch.configuration_read(self._current_at(batch))
+            if has_begun and self._has_read:
+                # Peers may wait for it to share cached parts again.
+                self._send_now()
         self._has_read = True
 
+    def _current_at(self, batch: Batch) -> float:
+        """Returns when the records certainly were as in a batch, which may be held up on its way.
+
+        The store keeps a read without records waiting until its end.
+        """
+        if batch.records:
+            return self._asked_at
+        return min(self._asked_at + self._wait_s, self._clock())
+
     def _newest(self) -> Batch:
         # Cleared before the call: an era that begins during it then ends the next wait.
         self._woken.clear()
         self._must_ask_again = False
-        self._asked_at = self._clock()
+        self._asked_at, self._wait_s = self._clock(), 0.0
         return self._topic.newest()
 
     def _begin_call(self) -> float:
@@ -194,7 +245,8 @@
             self._must_ask_again = False
             self._clear_wake()
         self._asked_at = self._clock()
-        return WAIT_S if may_wait else 0.0
+        self._wait_s = WAIT_S if may_wait else 0.0
+        return self._wait_s
 
     def _clear_wake(self) -> None:
         if self._era >= self._announced_era:
@@ -206,19 +258,25 @@
         :raises StoreUnavailableError: if the store does not answer.
         :raises HoleFoundError: if the store no longer has the offset, or has begun a new era.
         """
+        outcome = self._read_unless_woken(offset)
+        while outcome is None and self._must_ask_again:
+            outcome = self._read_unless_woken(offset)
+        if outcome is None:
+            raise HoleFoundError("the store has begun a new era; read the newest", oldest=0)
+        if isinstance(outcome, Batch):
+            return outcome
+        raise outcome
+
+    def _read_unless_woken(
+        self, offset: int
+    ) -> Batch | HoleFoundError | StoreUnavailableError | None:
+        """Returns the outcome of a read, ``None`` if it was ended before."""
         reading = gevent.spawn(_read_or_error, self._topic, offset, self._begin_call())
         try:
             gevent.wait([reading, self._woken], count=1)
-            if not reading.ready() and self._must_ask_again:
-                return self._topic.since(offset, self._begin_call())
-            if not reading.ready():
-                raise HoleFoundError("the store has begun a new era; read the newest", oldest=0)
-            outcome = reading.get()
+            return reading.get() if reading.ready() else None
         finally:
             reading.kill(block=False)
-        if isinstance(outcome, Batch):
-            return outcome
-        raise outcome
 
     def _read_anew(self) -> None:
         self._expect_unread()
--- a/packages/arbutustally/src/arbutustally/gateway/contact.py
+++ b/packages/arbutustally/src/arbutustally/gateway/contact.py
@@ -19,8 +19,8 @@
     :param clock: clock in seconds that keeps counting while the instance is suspended.
     :param bound_s: longest gap in which nothing counts as missed, seconds.
     :param are_peers_level: returns whether peers are present, and none has a newer configuration.
-    :param is_cut_off_with_peers: returns whether the peers that this node hears may be cut off from
-        the store as it is.
+    :param is_configuration_known: returns whether this node, or a peer that it hears, has read the
+        operator's records within ``bound_s``.
     """
 
     def __init__(
@@ -28,12 +28,12 @@
         clock: Clock,
         bound_s: float,
         are_peers_level: Callable[[], bool] = lambda: False,
-        is_cut_off_with_peers: Callable[[], bool] = lambda: False,
+        is_configuration_known: Callable[[], bool] = lambda: True,
     ) -> None:
         self._clock = clock
         self._bound_s = bound_s
         self._are_peers_level = are_peers_level
-        self._is_cut_off_with_peers = is_cut_off_with_peers
+        self._is_configuration_known = is_configuration_known
         self._heard_at = math.inf
         self._resumed_at = -math.inf
         self._has_caught_up = True
@@ -54,12 +54,12 @@
                 watcher()
         self._heard_at = now
 
-    def configuration_read(self, asked_at: float) -> None:
+    def configuration_read(self, current_at: float) -> None:
         """Records that all records of the operator were read from the store.
 
-        :param asked_at: when the store was asked for them, seconds.
+        :param current_at: when they certainly were all records, seconds.
         """
-        self._has_read = self._has_read or asked_at >= self._resumed_at
+        self._has_read = self._has_read or current_at >= self._resumed_at
 
     @property
     def is_current(self) -> bool:
@@ -72,19 +72,4 @@
             return False
         if not self._has_caught_up and now - self._resumed_at >= CATCH_UP_S:
             self._has_caught_up = self._has_read or self._are_peers_level()
-        return self._has_caught_up and not self._is_cut_off_with_peers()
-
-
-def is_small_part(present: int, known: int, list_age_s: float, bound_s: float) -> bool:
-    """Returns whether a node may be in a part of the fleet that is cut off from the rest.
-
-    If nobody whom a node hears reads the store, and these are most of the nodes, the store is away.
-    Otherwise the others may read it.
-
-    :param present: number of peers that are heard.
-    :param known: number of peers that were heard recently.
-    :param list_age_s: time since one of these nodes has read the endpoints' list, seconds.
-    :param bound_s: longest such time while one of them reads the store, seconds.
-    """
-    has_most = 2 * (present + 1) > known + 1
-    return list_age_s > bound_s and not has_most
+        return self._has_caught_up and self._is_configuration_known()
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -3,6 +3,7 @@
 import socket
 import time
 import unittest
+from collections.abc import Sequence
 from dataclasses import replace
 from typing import Any
 
@@ -66,13 +67,17 @@
         self.addCleanup(node.stop)
         return node
 
-    def start_nodes(self, count: int) -> list[GatewayNode]:
-        """Starts nodes that are peers of each other."""
+    def start_nodes(self, count: int, stores: Sequence[str] = ()) -> list[GatewayNode]:
+        """Starts nodes that are peers of each other.
+
+        :param stores: addresses at which the nodes reach the store, by default that of the store.
+        """
+        stores = stores or [self.store.address] * count
         port = free_port(kind=socket.SOCK_DGRAM)
         return [
             self.start_node(
                 settings(
-                    self.store.address,
+                    stores[number - 1],
                     f"node-{number}",
                     f"127.0.0.{number}",
                     internalPorts=[port, port],
--- a/tests/return_world.py
+++ b/tests/return_world.py
@@ -6,6 +6,7 @@
 from arbutustally.clock import VirtualClock
 from arbutustally.errors import HoleFoundError, StoreUnavailableError
 from arbutustally.gateway.configuration import Configuration
+from arbutustally.gateway.configuration_age import ConfigurationAge
 from arbutustally.gateway.contact import Contact
 from arbutustally.gateway.endpoint_entry import EndpointEntry
 from arbutustally.gateway.list_outage import ListOutage
@@ -119,7 +120,7 @@
         self.is_isolated = False
         clock, log = world.clock, DecisionLog({}, clock=world.clock)
         self.view = FleetView(Documents(), clock, log)
-        watch = StoreWatch(log, clock, Contact(clock, LEAVING_S))
+        watch = StoreWatch(log, clock, Contact(clock, LEAVING_S), ConfigurationAge(clock))
         self.reading = SharedReading.from_config(clock, LEAVING_S)
         self.endpoints = EndpointReader(
             Topic(world, self, "servers"),
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -3,7 +3,7 @@
 import unittest
 
 from arbutustally.clock import VirtualClock
-from arbutustally.gateway.contact import CATCH_UP_S, Contact, is_small_part
+from arbutustally.gateway.contact import CATCH_UP_S, Contact
 
 BOUND_S = 2.0
 
@@ -72,12 +72,11 @@
         self.are_peers_level = False
         self.assertTrue(self.contact.is_current)
 
-
-class SmallPartTest(unittest.TestCase):
-    def test_half_of_a_fleet_without_the_store_may_be_cut_off(self) -> None:
-        for present, known, expected in ((1, 4, True), (1, 3, True), (2, 3, False), (4, 4, False)):
-            with self.subTest(present=present, known=known):
-                self.assertEqual(is_small_part(present, known, BOUND_S + 0.1, BOUND_S), expected)
-
-    def test_part_that_reads_the_store_is_not_cut_off(self) -> None:
-        self.assertFalse(is_small_part(1, 9, BOUND_S, BOUND_S))
+    def test_node_that_hears_others_without_a_reader_is_not_current(self) -> None:
+        """Guards against peers that count as a proof that nothing was written."""
+        is_known = True
+        contact = Contact(self.clock, BOUND_S, is_configuration_known=lambda: is_known)
+        contact.heard()
+        self.assertTrue(contact.is_current)
+        is_known = False
+        self.assertFalse(contact.is_current)
--- a/tests/test_cut_off_node.py
+++ b/tests/test_cut_off_node.py
@@ -2,13 +2,17 @@
 
 import gevent
 
+from arbutustally_node.gateway.operator_reader import WAIT_S
 from tests.account_changes import AccountChangesCase, account
 from tests.gateway_fleet import settings
+from tests.platform_fakes import StorePath
 
 #: Time after which a node without contact can't be sure of its configuration, seconds.
 BOUND_S = 2.0
 #: Time for it to know again what it has missed, seconds.
 CAUGHT_UP_S = 4.0
+#: Time in which one of several nodes reads the store again and tells the others, seconds.
+READ_AGAIN_S = 1.3
 
 
 class CutOffNodeTest(AccountChangesCase):
@@ -102,11 +106,55 @@
         found = {self.scope(nodes[0], name) for name in ("guest", "school")}
         self.assertEqual(len({*found, shared}), 3)
 
-    def test_accounts_share_on_while_the_store_is_away_for_all(self) -> None:
-        """Guards against parts that each outage of the store has read again for each account."""
+    def test_accounts_share_nothing_at_nodes_that_all_miss_a_configuration(self) -> None:
+        """Guards against nodes that take the store for away to the operator as it is to them."""
+        nodes = self.start_nodes(2)
+        shared = self.settled_scope(nodes[0], "guest")
+        self.eventually(lambda: all(len(node._gossip.present) == 1 for node in nodes), 10.0)
+        self.store.status = 503
+        gevent.sleep(WAIT_S)
+        self.configure(account("school"), account("guest", True))
+        gevent.sleep(BOUND_S)
+        found = {self.scope(nodes[0], name) for name in ("guest", "school")}
+        self.assertEqual(len({*found, shared}), 3)
+
+    def test_accounts_share_again_as_soon_as_the_store_is_read(self) -> None:
+        """Guards against parts that are read for each account after an outage that changed nothing."""
         nodes = self.start_nodes(3)
         shared = self.settled_scope(nodes[0], "guest")
         self.eventually(lambda: all(len(node._gossip.present) == 2 for node in nodes), 10.0)
         self.store.status = 503
+        gevent.sleep(BOUND_S)
+        self.assertNotEqual(self.scope(nodes[0], "school"), shared)
+        self.store.status = 200
+        gevent.sleep(READ_AGAIN_S)
+        for node in nodes:
+            self.assertEqual(self.scope(node, "school"), shared)
+
+    def test_accounts_share_nothing_while_only_the_list_is_served(self) -> None:
+        """Guards against a read of the endpoints' list that counts as one of the configuration."""
+        nodes = self.start_nodes(3)
+        shared = self.settled_scope(nodes[0], "guest")
+        self.eventually(lambda: all(len(node._gossip.present) == 2 for node in nodes), 10.0)
+        self.store.refused_topics.add("keyed.op")
+        gevent.sleep(WAIT_S)
+        self.configure(account("school"), account("guest", True))
+        gevent.sleep(BOUND_S)
+        found = {self.scope(nodes[0], name) for name in ("guest", "school")}
+        self.assertEqual(len({*found, shared}), 3)
+
+    def test_accounts_share_at_a_node_whose_peer_reads_the_store(self) -> None:
+        """Guards against parts that a node reads for each account since the store rejects it."""
+        paths = [StorePath(self.store) for _ in range(2)]
+        for path in paths:
+            self.addCleanup(path.stop)
+        nodes = self.start_nodes(2, [path.address for path in paths])
+        shared = self.settled_scope(nodes[0], "guest")
+        self.eventually(lambda: all(len(node._gossip.present) == 1 for node in nodes), 10.0)
+        paths[0].status = 503
         gevent.sleep(2 * BOUND_S)
         self.assertEqual(self.scope(nodes[0], "school"), shared)
+        self.configure(account("school"), account("guest", True))
+        self.await_version(nodes[0])
+        found = {self.scope(nodes[0], name) for name in ("guest", "school")}
+        self.assertEqual(len({*found, shared}), 3)
--- a/tests/test_largest_messages.py
+++ b/tests/test_largest_messages.py
@@ -16,6 +16,7 @@
 
 from arbutustally.clock import boottime, monotonic
 from arbutustally.errors import StoreUnavailableError
+from arbutustally.gateway.configuration_age import ConfigurationAge
 from arbutustally.gateway.contact import Contact
 from arbutustally.gateway.list_outage import ListOutage
 from arbutustally.gateway.relaying import Member
@@ -111,7 +112,7 @@
             SimpleNamespace(newest=lambda: batch),
             view,
             SharedReading.from_config(boottime, 2.0),
-            StoreWatch(log, monotonic, Contact(boottime, 2.0)),
+            StoreWatch(log, monotonic, Contact(boottime, 2.0), ConfigurationAge(boottime)),
             log,
             monotonic,
             SimpleNamespace(send_now=lambda: None, rank=lambda _duty: 0, is_settled=True),
