Order engines again after a time in which they come last

Cause: engines were ordered by their unanswered orders first, and only an answered order reset that count. While versions are named faster than all engines can load, the others always need an order, so an engine that had left one unanswered got no further one.

Change: an unanswered order puts an engine last for 1 s, doubled with each further one up to 12 s. After that it goes first, together with others of its kind in at most a third of the loads that run at once. The line weights_ordered tells the count before the order.

Changed test: WeightsPlanTest sets the counts by record_order, since an engine comes last for a time now and not by its count alone. It expects the same orders.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/weights_service.py
@@ -27,6 +27,7 @@
     loads_at_once,
     loads_in_step,
     plan_loads,
+    record_order,
     unrepeatable_runs,
 )
 from arbutustally_node.gateway.decision_log import DecisionLog
@@ -281,6 +282,7 @@
         if not self.is_holder:
             return False
         fence = self._lease.fence
+        unanswered_before = state.unanswered_orders
         unrepeatable = self._unrepeatable(state)
         breaks_off = breaks_runs_off(state, unrepeatable)
         order = LoadOrder(model, named, report.orders, breaks_off)
@@ -296,9 +298,9 @@
             running=state.total_running,
             unrepeatable=unrepeatable,
             reply=reply,
+            unanswered_before=unanswered_before,
         )
-        is_unanswered = reply == OrderReply.UNKNOWN
-        state.unanswered_orders = state.unanswered_orders + 1 if is_unanswered else 0
+        record_order(state, reply != OrderReply.UNKNOWN, self._clock())
         if reply == OrderReply.HOLDS_ALREADY:
             self._apply_weights(state, {model: named})
         if reply == OrderReply.OTHER_ENDPOINT:
--- a/packages/arbutustally/src/arbutustally/gateway/endpoint_state.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoint_state.py
@@ -44,6 +44,7 @@
     :ivar checked_at: when a connection was last tried because a request waits for it.
     :ivar last_data_at: when it last sent an answer or a stream event, for any request.
     :ivar unanswered_orders: orders of this node in a row that it left unanswered.
+    :ivar order_backoff_until: until then the others that need an order go first.
     :ivar cold_until: until then it is slow.
     :ivar cold_sent: when this node sent it requests while it was slow, latest last.
     :ivar stated_cold_at: when it last stated in an answer for how long it is slow.
@@ -67,6 +68,7 @@
     loading: bool = False
     loading_until: float = 0.0
     unanswered_orders: int = 0
+    order_backoff_until: float = 0.0
     gone_at: float | None = None
     kept_until: float = 0.0
     has_announced_leaving: bool = False
--- a/packages/arbutustally/src/arbutustally/gateway/weights.py
+++ b/packages/arbutustally/src/arbutustally/gateway/weights.py
@@ -2,10 +2,13 @@
 
 Load pattern: new weights are named under traffic, often before all engines have loaded the previous
 ones. Only a few engines load at the same time, since concurrent loads slow each other down and
-reduce capacity. Engines with the oldest weights go first, and idle ones before busy ones; those
-that leave orders unanswered come last, since each such order keeps another engine waiting. An engine
-has an empty cache after a load, so loads are started in steps. While the other engines are
-overloaded, only as many load as are needed to meet the deadline for old weights, since a late
+reduce capacity. Engines with the oldest weights go first, and idle ones before busy ones. An engine
+that leaves an order unanswered keeps another one waiting, so it comes last for a time that doubles
+with each such order in a row. The time has a limit and ends without an answer: only an order shows
+that the engine obeys again, and while versions are named fast the others always need one too.
+Engines whose time is over go first, but no more of them at the same time than a part of those that
+may load. An engine has an empty cache after a load, so loads are started in steps. While the other
+engines are overloaded, only as many load as are needed to meet the deadline for old weights, since a late
 answer costs a caller more than an old version does.
 """
 
@@ -24,6 +27,14 @@
 #: Most running requests of an engine that are moved to other engines; more would use up the repeat
 #: budget.
 MAX_MOVED = 8
+#: Time after an unanswered order for which other engines go first, seconds; doubles with each further
+#: one in a row up to ``MAX_ORDER_BACKOFF_S``. At the limit, three engines that obey no order leave
+#: room for a fourth where only one may load at a time.
+ORDER_BACKOFF_S = 1.0
+MAX_ORDER_BACKOFF_S = 12.0
+#: Part of the engines that may load at once, in which those are ordered again that left their last
+#: order unanswered while others need an order; at least one.
+RETRIED_PART = 3
 #: Share of the engines that may load at once; more loads slow each other down (site sheets).
 LOADING_SHARE = 0.4
 #: Share of the engines that begin to load in one step, and the least number of them.
@@ -70,13 +81,43 @@
     ]
     free.sort(
         key=lambda state: (
-            state.unanswered_orders,
             state.weights.get(model, 0),
+            state.unanswered_orders,
             state.total_memory_tokens,
         )
     )
     room = max(0, at_once - len(busy))
-    return LoadPlan(tuple(state.id for state in free[:room]), len(old))
+    retried = sum(state.unanswered_orders > 0 for state in busy)
+    retries = max(0, max(1, at_once // RETRIED_PART) - retried)
+    chosen = _in_turn(free, retries, now)[:room]
+    return LoadPlan(tuple(state.id for state in chosen), len(old))
+
+
+def _in_turn(free: list[EndpointState], retries: int, now: float) -> list[EndpointState]:
+    """Returns the engines in the order in which they should load.
+
+    :param free: engines by age of their weights.
+    :param retries: number of those with an unanswered order that may go first.
+    """
+    usual = [state for state in free if not state.unanswered_orders]
+    unanswered = [state for state in free if state.unanswered_orders]
+    due = [state for state in unanswered if now >= state.order_backoff_until]
+    first = due[:retries]
+    rest = [state for state in unanswered if state not in first]
+    return [*first, *usual, *sorted(rest, key=lambda state: now < state.order_backoff_until)]
+
+
+def record_order(state: EndpointState, is_answered: bool, now: float) -> None:
+    """Records whether an engine answered an order.
+
+    :param now: monotonic seconds.
+    """
+    if is_answered:
+        state.unanswered_orders, state.order_backoff_until = 0, 0.0
+        return
+    backoff_s = min(ORDER_BACKOFF_S * 2**state.unanswered_orders, MAX_ORDER_BACKOFF_S)
+    state.unanswered_orders += 1
+    state.order_backoff_until = now + backoff_s
 
 
 def unrepeatable_runs(
--- a/tests/test_gateway_weights.py
+++ b/tests/test_gateway_weights.py
@@ -15,6 +15,7 @@
     loads_at_once,
     loads_in_step,
     plan_loads,
+    record_order,
     unrepeatable_runs,
 )
 from tests.gateway_values import entry
@@ -58,13 +59,13 @@
         """Guards against willing engines that load only once the old weights are forbidden."""
         states = [EndpointState(entry(f"e{number}"), weights={"m": 1}) for number in range(5)]
         for state in states[1:]:
-            state.unanswered_orders = 1
+            record_order(state, False, 10.0)
         states[0].memory_tokens = 1000.0
         self.assertEqual(plan_loads(states, "m", 2, 1, 10.0).engines, ("e0",))
-        states[2].unanswered_orders = 0
+        record_order(states[2], True, 10.0)
         states[2].weights["m"] = 0
         self.assertEqual(plan_loads(states, "m", 2, 2, 10.0).engines, ("e2", "e0"))
-        states[3].unanswered_orders = 2
+        record_order(states[3], False, 10.0)
         self.assertEqual(plan_loads(states, "m", 2, 5, 10.0).engines[-1], "e3")
 
     def test_engine_is_drained_before_it_loads(self) -> None:
