Count every answer but a 2xx against a release on trial

Cause: one constant, "below 500", answered three questions: whether the caller gets the answer, whether the endpoint is healthy, and whether the release is sound. So no 3xx or 4xx ever counted against a release.

Change: for a release on trial only a 2xx is sound. What callers cause comes from the baseline as well, with which it is compared. For callers and the health of endpoints a 4xx is an answer as before.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/learning.py
@@ -29,6 +29,9 @@
 SILENT_REASONS = frozenset({ENDPOINT_SILENT, RelayEnd.SILENT})
 #: Reasons of attempts that took too long and were not interrupted by their endpoint.
 SLOW_REASONS = SILENT_REASONS | {RelayEnd.OUT_OF_TIME}
+#: Statuses of answers that count for a release on trial. Any other may be what a bad release gives;
+#: those that callers cause are as frequent at the baseline, with which it is compared.
+RELEASE_SUCCESS = range(200, 300)
 
 
 @dataclass
@@ -103,10 +106,7 @@
         if result.outcome is Outcome.NOT_RUN:
             services.rollouts.withdrawn(attempt.answer)
         else:
-            is_failed = (
-                result.outcome is not Outcome.ANSWERED and result.reason not in SILENT_REASONS
-            )
-            services.rollouts.ended(attempt.answer, is_failed)
+            services.rollouts.ended(attempt.answer, _counts_against_release(result))
         if result.outcome is Outcome.ANSWERED:
             services.view.book.answered(state, services.clock() - attempt.began)
             services.quarantine.answered(self._shared_parts)
@@ -214,3 +214,13 @@
     def _announce_parts(self, placed: Placed, is_pending: bool) -> None:
         announced = [(part.id, part.tokens) for part in self._request.parts]
         self._services.placed.add((placed.state.id, placed.cache_scope, announced, is_pending))
+
+
+def _counts_against_release(result: AttemptResult) -> bool:
+    """Returns whether an answer or its absence is a failure of the endpoint's release.
+
+    For the caller and for the endpoint's health a 4xx is an answer like others.
+    """
+    if result.outcome is Outcome.ANSWERED:
+        return result.status not in RELEASE_SUCCESS
+    return result.reason not in SILENT_REASONS
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -8,7 +8,6 @@
 
 import cbor2
 import gevent
-from bottle import HTTPResponse
 
 from arbutustally.gateway.answer_tallies import AnswerTally
 from arbutustally.gateway.endpoint_entry import EndpointEntry
@@ -33,8 +32,7 @@
 from arbutustally_node.gateway.rollout_record import decode_progress, encode_progress
 from arbutustally_platform.documents import PlatformDocuments
 from arbutustally_platform.store_topics import StoreKeyedTopic
-from tests.gateway_fleet import GatewayCase
-from tests.platform_fakes import FakeWorker
+from tests.rollout_case import RolloutCase
 
 ORDER = RolloutOrder("llm", "v2", 10.0)
 #: Second order for the same release.
@@ -376,44 +374,10 @@
         self.assertAlmostEqual(math.exp(late.mean), 1.0)
 
 
-class RolloutNodeTest(GatewayCase):
-    def setUp(self) -> None:
-        super().setUp()
-        self.canaries = [FakeWorker(f"n{number}", "desk") for number in (1, 2)]
-        for worker in self.canaries:
-            self.addCleanup(worker.stop)
-        self.node = self.start_node()
-        self.wait_ready(self.node)
-
-    def roll_out(self, duration_s: float) -> None:
-        order = {"service": "desk", "target": "v2", "durationS": duration_s}
-        self.store.put("keyed.op", "rollout/desk", order)
-        self.eventually(lambda: self.state() == "running")
-        for worker in self.canaries:
-            entry = {**worker.entry(), "version": "v2"}
-            self.store.put("keyed.servers", worker.id, entry)
-        self.eventually(lambda: self.node._view.book.get("n2") is not None)
-
-    def state(self) -> str:
-        found = self.store.newest("keyed.status").get("rollout/desk")
-        return json.loads(found[1])["state"] if found else ""
-
-    def send_until(self, final: str) -> int:
-        """Sends requests until the roll-out has ended; returns how many were sent."""
-        sent = 0
-        while self.state() != final:
-            self.assertLess(sent, 4000, f"the roll-out is {self.state()!r} and not {final!r}")
-            self.call(self.node, "/book/a", f"r{sent}")
-            sent += 1
-            gevent.sleep(0)
-        return sent
-
+class RolloutNodeTest(RolloutCase):
     def test_failing_release_is_taken_back_and_harms_few(self) -> None:
         """Replays the day `hasty`: a bad release got requests like any other."""
-        for worker in self.canaries:
-            worker.behave = lambda headers: HTTPResponse(
-                status=500, headers={"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
-            )
+        self.answer_with(500)
         self.roll_out(60.0)
         sent = self.send_until("rolled_back")
         harmed = sum(len(worker.seen) for worker in self.canaries)
@@ -423,10 +387,7 @@
 
     def test_release_that_was_taken_back_is_tried_again_on_another_order(self) -> None:
         """Guards against a second order that is ignored, or that the first trial's answers end."""
-        for worker in self.canaries:
-            worker.behave = lambda headers: HTTPResponse(
-                status=500, headers={"Request-Id": headers["Request-Id"], "Server-Stamp": "s"}
-            )
+        self.answer_with(500)
         self.roll_out(60.0)
         self.send_until("rolled_back")
         for worker in self.canaries:
