Keep the dates of named weights for as long as a rule asks for them

Cause: the dates of the eight newest versions were kept. With more than that in a period, the date at which an allowed version had been replaced was forgotten, and that of a later version took its place.

Change: dates are kept for the period.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/fleet_view.py
@@ -49,6 +49,7 @@
 
     :param documents: decodes the records that other programs write into the store.
     :param count: counts an event.
+    :param weights_s: time for which replaced weights are allowed, seconds.
     """
 
     def __init__(
@@ -57,11 +58,13 @@
         clock: Clock,
         log: DecisionLog,
         count: Callable[[str], None] = lambda _event: None,
+        weights_s: float = math.inf,
     ) -> None:
         self._documents = documents
         self._clock = clock
         self._log = log
         self._count = count
+        self._weights_s = weights_s
         self._refused = RefusedRecords(log, count)
         self._configuration: Configuration | None = None
         self._operator_raw: dict[str, bytes] = {}
@@ -356,7 +359,7 @@
 
     def learn_weights(self, model: str, version: int, known_at: float, source: str) -> bool:
         """Records a named version; returns whether it is the newest one and was not known."""
-        named = self._weights.setdefault(model, NamedWeights())
+        named = self._weights.setdefault(model, NamedWeights(self._weights_s))
         before = named.dated.get(version, math.inf)
         was_known_at = named.known_at.get(version)
         is_newest = named.learn(version, known_at)
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_state.py
@@ -46,7 +46,8 @@
         log = DecisionLog({"node": options.node, "inc": incarnation[:6]})
         speeds = EngineSpeeds.from_config(monotonic)
         instruments = Instruments()
-        view = FleetView(documents, monotonic, log, instruments.count)
+        weights_s = options.bounds.weights_s
+        view = FleetView(documents, monotonic, log, instruments.count, weights_s)
         view.book.slow_start = SlowStart(monotonic, options.node, options.bounds.cold)
         state = cls(
             incarnation,
