Keep a worker's own entries beside one that states no start time

Cause: an entry without its start time was decoded as the start 0. It counted as a new start of the worker, and the worker's own entries from then on as those of a start that had been replaced.

Change: an entry that states no start has an incarnation of its own and never replaces one that is known to be stated. A stated 0 stays a start like others.

Evidence: tests.test_odd_entries: 2 of 6 red on (a draining worker still used after 4 s, an engine without weights), all pass now.

--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -8,7 +8,7 @@
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.evacuation import Evacuations
 from arbutustally.gateway.slow_start import SlowStart
-from arbutustally.incarnations import is_earlier_start, start_number
+from arbutustally.incarnations import is_earlier_start, lacks_start, start_number
 
 #: Time for which an endpoint gets no requests after several failures, seconds; doubled at each
 #: repetition.
@@ -216,11 +216,14 @@
     def is_replaced_start(self, entry: EndpointEntry) -> bool:
         """Returns whether an entry belongs to a start that another start under its id replaced.
 
-        The earlier start may never have been known here.
+        The earlier start may never have been known here. An entry of another writer that states no
+        start counts as replaced too: taken for a new one, it would hide the endpoint's own entries.
         """
         state = self._states.get(entry.id)
         if state is None:
             return False
+        if lacks_start(entry.incarnation, state.entry.incarnation):
+            return True
         if is_earlier_start(entry.incarnation, state.entry.incarnation):
             return True
         return entry.incarnation in state.replaced_incarnations
--- a/packages/arbutustally/src/arbutustally/incarnations.py
+++ b/packages/arbutustally/src/arbutustally/incarnations.py
@@ -5,6 +5,8 @@
 #: Unix time in milliseconds from 2001 to 2286. A random hexadecimal text of even length that happens
 #: to have decimal digits only is not taken for one.
 _UNIX_MS = re.compile(r"[1-9][0-9]{12}")
+#: Incarnation of an entry that states none.
+UNSTATED = ""
 #: Longest number of a start, digits; a longer text is taken for an unordered one.
 MAX_DIGITS = 32
 
@@ -27,6 +29,16 @@
     return 0 < number < other_number
 
 
+def lacks_start(incarnation: str, other: str) -> bool:
+    """Returns whether an incarnation is unstated although the endpoint is known to state it.
+
+    Such an entry is not the endpoint's own.
+
+    :param other: incarnation that the endpoint stated.
+    """
+    return incarnation == UNSTATED and start_number(other) > 0
+
+
 def is_earlier_timed_start(incarnation: str, other: str) -> bool:
     """Returns the same for incarnations that may be random texts; only Unix times are compared."""
     if _UNIX_MS.fullmatch(incarnation) is None or _UNIX_MS.fullmatch(other) is None:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -145,6 +145,30 @@
             self.assertEqual(node._view.book.get("d1").address, good["address"])
         self.assert_no_fault()
 
+    def test_entry_without_a_start_time_does_not_hide_that_a_worker_leaves(self) -> None:
+        """Guards against requests at a worker whose draining was acknowledged long ago."""
+        nodes = self.start_nodes(2)
+        for node in nodes:
+            self.wait_ready(node)
+        good = self.desks[0].entry()
+        odd = {name: value for name, value in good.items() if name != "born"}
+        self.store.put(SERVERS, "d1", odd)
+        gevent.sleep(1.0)
+        self.store.put(SERVERS, "d1", {**good, "state": "draining", "sequence": 2})
+        for node in nodes:
+            self.eventually(lambda node=node: node._view.book.get("d1").is_leaving, FOLLOWED_S)
+
+    def test_entry_without_a_start_time_leaves_an_engine_in_use(self) -> None:
+        """Guards against an engine that gets nothing until it starts again."""
+        node = self.start_node()
+        self.wait_ready(node)
+        good = self.engines[0].entry()
+        odd = {name: value for name, value in good.items() if name not in ("born", "models")}
+        self.store.put(SERVERS, "e1", odd)
+        gevent.sleep(1.0)
+        self.store.put(SERVERS, "e1", {**good, "sequence": 2})
+        self.eventually(lambda: node._view.book.get("e1").weights == {"m": 1}, FOLLOWED_S)
+
     def test_odd_entry_is_logged_once_and_counted(self) -> None:
         """Guards against an odd entry, written again and again, that fills the log."""
         node = self.start_node()
