Limit the doublings of a delay, not only the delay

Callers: after about 70 minutes in which an endpoint failed every request without an answer in between, a node's requests there would have failed with an error of the node itself.

Cause: the limit was applied to the product, so the power grew with the count of suspicions until it exceeded the numbers (OverflowError at 1,024). Class of fault: a bounded result of an unbounded step.

Change: one function for the four delays that double, with a limit of the doublings (arbutustally.doubled_delay). Two of them had such a limit of their own.

Evidence: tests.test_gateway_endpoints test_count_of_suspicions_has_no_ limit: OverflowError on, passes now; the same for orders in tests.test_order_backoff.

--- a/packages/arbutustally-node/src/arbutustally_node/log_reader.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_reader.py
@@ -9,6 +9,7 @@
 
 from arbutustally.checkpoint import CheckpointAssembler
 from arbutustally.clock import Clock
+from arbutustally.doubled_delay import doubled_delay_s
 from arbutustally.errors import HoleFoundError, LogUnavailableError, SnapshotInvalidError
 from arbutustally.log_client import ReadResult
 from arbutustally.logs import get_logger
@@ -233,6 +234,6 @@
         self._at_tail = False
         if not self._failures:
             _log.warning("read of the log failed; retrying", error=str(error))
-        self._failures = min(self._failures + 1, 10)
-        longest = min(_MAX_RETRY_DELAY_S, _FIRST_RETRY_DELAY_S * 2**self._failures)
+        self._failures += 1
+        longest = doubled_delay_s(_FIRST_RETRY_DELAY_S, self._failures, _MAX_RETRY_DELAY_S)
         return self._rng.uniform(_FIRST_RETRY_DELAY_S / 2, longest)
--- a/packages/arbutustally-node/src/arbutustally_node/log_writer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/log_writer.py
@@ -11,6 +11,7 @@
 from gevent.event import AsyncResult, Event
 
 from arbutustally.clock import Clock
+from arbutustally.doubled_delay import doubled_delay_s
 from arbutustally.errors import BadRequestError, LogUnavailableError, Ran
 from arbutustally.logs import get_logger
 from arbutustally.metrics import Metrics, declare
@@ -215,8 +216,8 @@
         self._metrics.count(APPEND_RETRIED)
         _log.warning("append to the log failed; retrying", records=len(batch), error=str(error))
         self._queue.extendleft(reversed(batch))
-        self._failures = min(self._failures + 1, 10)
-        longest = min(_MAX_RETRY_DELAY_S, _FIRST_RETRY_DELAY_S * 2**self._failures)
+        self._failures += 1
+        longest = doubled_delay_s(_FIRST_RETRY_DELAY_S, self._failures, _MAX_RETRY_DELAY_S)
         return self._rng.uniform(MIN_INTERVAL_S, longest)
 
 
--- a/packages/arbutustally/src/arbutustally/gateway/endpoints.py
+++ b/packages/arbutustally/src/arbutustally/gateway/endpoints.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from arbutustally.clock import Clock
+from arbutustally.doubled_delay import doubled_delay_s
 from arbutustally.gateway.endpoint_entry import EndpointEntry
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.evacuation import Evacuations
@@ -310,7 +311,7 @@
         if now < state.suspect_until:
             # Requests that were sent before the pause fail as a part of the same trouble.
             return True
-        state.suspect_until = now + min(SUSPECT_S * 2**state.suspicions, MAX_SUSPECT_S)
+        state.suspect_until = now + doubled_delay_s(SUSPECT_S, state.suspicions, MAX_SUSPECT_S)
         state.suspicions += 1
         return True
 
--- a/packages/arbutustally/src/arbutustally/gateway/weights.py
+++ b/packages/arbutustally/src/arbutustally/gateway/weights.py
@@ -8,14 +8,15 @@
 that the engine obeys again, and while versions are named fast the others always need one too.
 Engines whose time is over go first, but no more of them at the same time than a part of those that
 may load. An engine has an empty cache after a load, so loads are started in steps. While the other
-engines are overloaded, only as many load as are needed to meet the deadline for old weights, since a late
-answer costs a caller more than an old version does.
+engines are overloaded, only as many load as are needed to meet the deadline for old weights, since
+a late answer costs a caller more than an old version does.
 """
 
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from arbutustally.doubled_delay import doubled_delay_s
 from arbutustally.gateway.endpoint_state import EndpointState
 
 #: Time after which an accepted load that was not reported as done is checked again, seconds.
@@ -115,7 +116,7 @@
     if is_answered:
         state.unanswered_orders, state.order_backoff_until = 0, 0.0
         return
-    backoff_s = min(ORDER_BACKOFF_S * 2**state.unanswered_orders, MAX_ORDER_BACKOFF_S)
+    backoff_s = doubled_delay_s(ORDER_BACKOFF_S, state.unanswered_orders, MAX_ORDER_BACKOFF_S)
     state.unanswered_orders += 1
     state.order_backoff_until = now + backoff_s
 
--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from arbutustally.clock import VirtualClock
-from arbutustally.gateway.endpoints import SUSPECT_S, EndpointBook
+from arbutustally.gateway.endpoints import MAX_SUSPECT_S, SUSPECT_S, EndpointBook
 from tests.gateway_values import entry
 
 
@@ -51,6 +51,15 @@
         self.clock.advance(1.0)
         self.assertEqual(self.names(), ["e2"])
 
+    def test_count_of_suspicions_has_no_limit(self) -> None:
+        """Guards against requests that fail in the node after an hour of a service's outage."""
+        state = self.book.get("e1")
+        for _ in range(2000):
+            while not self.book.failed(state):
+                pass
+            self.clock.advance(MAX_SUSPECT_S)
+        self.assertEqual(self.names(), ["e1", "e2"])
+
     def test_unreachable_endpoint_is_avoided_while_another_remains(self) -> None:
         state = self.book.get("e1")
         self.book.unreachable(state)
--- a/tests/test_order_backoff.py
+++ b/tests/test_order_backoff.py
@@ -100,6 +100,13 @@
                 with self.subTest(engines=engines, willing=willing, engine=number):
                     self.assertLessEqual(replay.longest_outdated_s(number, 0.0), ALLOWED_S)
 
+    def test_count_of_unanswered_orders_has_no_limit(self) -> None:
+        """Guards against a node that fails to order after hours of orders without an answer."""
+        state = EndpointState(entry("e1"), weights={"m": 1})
+        for _ in range(2000):
+            record_order(state, False, 100.0)
+        self.assertEqual(state.order_backoff_until, 100.0 + MAX_ORDER_BACKOFF_S)
+
     def test_backoff_grows_and_ends(self) -> None:
         state = EndpointState(entry("e1"), weights={"m": 1})
         for expected_s in (1.0, 2.0, 4.0, 8.0, MAX_ORDER_BACKOFF_S, MAX_ORDER_BACKOFF_S):
