Judge a release on its rare routes too

Cause: failures counted from 8 answers of a route on, and 6% of a rare route are two or three in 20 s. Too few answers were read as a sign of soundness.

Where 20 answers of the baseline show what is usual on a route, three of the canary can show that it fails; and a canary with a route whose failures are below a probability of 1% is not kept yet.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/placer.py
@@ -137,7 +137,9 @@
         """
         view, service = self._services.view, self._service.name
         request_id, evacuations = self._request.request_id, view.book.evacuations
-        usable = view.rollouts.allowed(view.book, service, request_id, not self._tried)
+        usable = view.rollouts.allowed(
+            view.book, service, request_id, not self._tried, self._route.name
+        )
         # The traffic of a zone returns gradually, unless there is no other endpoint.
         returned = [
             state for state in usable if evacuations.has_returned(state.entry.zone, request_id)
--- a/packages/arbutustally/src/arbutustally/gateway/release_comparison.py
+++ b/packages/arbutustally/src/arbutustally/gateway/release_comparison.py
@@ -13,6 +13,9 @@
 
 #: Minimum answers of the canary, on one route or in total, before its failures are evaluated.
 MIN_ANSWERS = 8
+#: The same on a route whose usual failure rate the baseline's answers show, and their number.
+MIN_ROUTE_ANSWERS = 3
+MIN_BASELINE_ANSWERS = 20
 #: Minimum answers of the canary before it may be kept.
 MIN_ANSWERS_TO_KEEP = 20
 #: Minimum response times of the canary on one route before they are compared.
@@ -25,6 +28,8 @@
 FAILURE_FACTOR = 2.0
 #: Significance level: probability below which the observed failures are not due to chance.
 SIGNIFICANCE = 1e-4
+#: Probability of a route's failures below which the canary may not be kept yet.
+DOUBT = 1e-2
 #: Factor by which the answers of a sound canary may take longer, since its caches are cold.
 ALLOWED_SLOWDOWN = 1.3
 #: Combined z-score of all routes above which the canary counts as slow.
@@ -74,6 +79,8 @@
     """Returns whether enough answers show that the canary is as good as the baseline."""
     if _total(canary).answers < MIN_ANSWERS_TO_KEEP or is_bad(canary, baseline):
         return False
+    if any(_is_doubtful(tally, baseline.get(route)) for route, tally in canary.items()):
+        return False
     compared = [
         tally for route, tally in canary.items() if _is_compared(tally, baseline.get(route))
     ]
@@ -95,11 +102,24 @@
 
 
 def _fails_more(canary: AnswerTally, baseline: AnswerTally) -> bool:
-    if canary.answers < MIN_ANSWERS:
+    is_known = baseline.answers >= MIN_BASELINE_ANSWERS
+    if canary.answers < (MIN_ROUTE_ANSWERS if is_known else MIN_ANSWERS):
+        return False
+    return _failures_by_chance(canary, baseline) < SIGNIFICANCE
+
+
+def _is_doubtful(canary: AnswerTally, baseline: AnswerTally | None) -> bool:
+    """Returns whether a route's failures are too many for a canary that may be kept."""
+    if baseline is None or baseline.answers < MIN_BASELINE_ANSWERS:
         return False
+    return _failures_by_chance(canary, baseline) < DOUBT
+
+
+def _failures_by_chance(canary: AnswerTally, baseline: AnswerTally) -> float:
+    """Returns the probability of as many failures of a sound canary."""
     baseline_share = baseline.failures / baseline.answers if baseline.answers else 0.0
     chance = min(0.9, max(MIN_FAILURE_RATE, baseline_share * FAILURE_FACTOR))
-    return tail_probability(round(canary.failures), round(canary.answers), chance) < SIGNIFICANCE
+    return tail_probability(round(canary.failures), round(canary.answers), chance)
 
 
 def _z_scores(canary: Tallies, baseline: Tallies) -> list[float]:
--- a/packages/arbutustally/src/arbutustally/gateway/rollout_book.py
+++ b/packages/arbutustally/src/arbutustally/gateway/rollout_book.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from arbutustally.gateway.canary_sampling import CanarySampling
 from arbutustally.gateway.endpoint_state import EndpointState
 from arbutustally.gateway.endpoints import EndpointBook
 from arbutustally.gateway.rollouts import RolloutOrder, RolloutProgress, RolloutState
@@ -41,6 +42,7 @@
         self._progress: dict[str, RolloutProgress] = {}
         self._rolled_back: dict[str, set[str]] = {}
         self._retrials: dict[str, float] = {}
+        self._sampling = CanarySampling()
 
     @property
     def orders(self) -> list[KnownOrder]:
@@ -168,8 +170,16 @@
         is_bad = state.entry.release in self._rolled_back.get(state.entry.service, ())
         return not is_bad and not self.is_canary(state)
 
+    def share(self, service: str, route: str) -> float:
+        """Counts a request, and returns the share of its route that is routed to the canary."""
+        progress = self._progress.get(service)
+        share = progress.share if progress is not None else 0.0
+        if not 0.0 < share < 1.0:
+            return share
+        return self._sampling.share(service, self.trial(service), route, share)
+
     def allowed(
-        self, book: EndpointBook, service: str, request_id: str, is_first: bool
+        self, book: EndpointBook, service: str, request_id: str, is_first: bool, route: str = ""
     ) -> list[EndpointState]:
         """Returns the usable endpoints of the canary or the baseline, to which a request is routed.
 
@@ -179,7 +189,9 @@
             return book.usable(service)
         progress = self._progress.get(service)
         share = progress.share if progress is not None else 0.0
-        is_sampled = is_first and uniform_hash(service.encode(), request_id) < share
+        is_sampled = is_first and uniform_hash(service.encode(), request_id) < self.share(
+            service, route
+        )
         if (share >= 1.0 or is_sampled) and (canary := book.usable(service, self.is_canary)):
             return canary
         if baseline := book.usable(service, self.is_baseline):
