Count long runs of a release on trial before they end

Cause: answers that have not ended were read as none, and the watch of 0.5 s was shorter than usual runs. A long run entered the mean with the time at which it was noticed, so some of them among earlier sound answers did not raise it.

Change: each run is counted once as usual or long as soon as that is known, and the shares are compared; slow by this is slow as by the mean, so one silence of an endpoint is left out as before. The watch lasts as long as usual runs of the slowest route and 0.5 s more, at most 2 s, and requests move to the canary earlier by as much.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_evidence.py
@@ -130,6 +130,7 @@
             self._add(run, AnswerTally(answers=1, failures=int(is_failed)))
             if not is_failed:
                 self._add(run, run.tally(now).minus(run.counted_early or AnswerTally()))
+                self._count_usual_run(run)
         if run.group == BASELINE and not is_failed:
             times = self._baseline_times.setdefault((run.service, run.route), Latencies())
             times.add(now - run.began)
@@ -140,6 +141,25 @@
             if run.counted_early is None and now - run.began > self._long_run_s(run):
                 run.counted_early = run.tally(now)
                 self._add(run, run.counted_early)
+                self._add(run, AnswerTally(aged=1, long=1))
+
+    def _count_usual_run(self, run: AnswerRun) -> None:
+        if run.counted_early is None and math.isfinite(self._long_run_s(run)):
+            self._add(run, AnswerTally(aged=1))
+
+    def longest_usual_s(self, service: str) -> float:
+        """Returns the time after which every usual run of a service has ended, seconds.
+
+        0 if this node knows too few runs of the baseline.
+        """
+        return max(
+            (
+                times.quantile(BASELINE_QUANTILE) * LONG_RUN_FACTOR
+                for (name, _route), times in self._baseline_times.items()
+                if name == service and len(times) >= MIN_BASELINE_TIMES
+            ),
+            default=0.0,
+        )
 
     def _long_run_s(self, run: AnswerRun) -> float:
         times = self._baseline_times.get((run.service, run.route))
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/rollout_service.py
@@ -149,6 +149,7 @@
             self._baseline_running(order.service, order.target),
             retrial_s,
             history.is_suspect,
+            self._evidence.longest_usual_s(order.service),
         )
 
     def _follow_answers(self, known: KnownOrder, current: RolloutProgress | None) -> None:
--- a/packages/arbutustally/src/arbutustally/gateway/answer_tallies.py
+++ b/packages/arbutustally/src/arbutustally/gateway/answer_tallies.py
@@ -20,6 +20,8 @@
         take long.
     :ivar log_sum: sum of the logarithms of these times in seconds.
     :ivar log_squares: sum of the squares of these logarithms.
+    :ivar aged: number of runs of which it is known whether they take longer than usual.
+    :ivar long: those of ``aged`` that do.
     """
 
     answers: float = 0
@@ -27,6 +29,8 @@
     timed: float = 0
     log_sum: float = 0.0
     log_squares: float = 0.0
+    aged: float = 0
+    long: float = 0
 
     @classmethod
     def of_time(cls, seconds: float) -> "AnswerTally":
@@ -52,6 +56,8 @@
             self.timed + other.timed,
             self.log_sum + other.log_sum,
             self.log_squares + other.log_squares,
+            self.aged + other.aged,
+            self.long + other.long,
         )
 
     def minus(self, other: "AnswerTally") -> "AnswerTally":
@@ -62,6 +68,8 @@
             self.timed - other.timed,
             self.log_sum - other.log_sum,
             self.log_squares - other.log_squares,
+            self.aged - other.aged,
+            self.long - other.long,
         )
 
 
--- a/packages/arbutustally/src/arbutustally/gateway/release_comparison.py
+++ b/packages/arbutustally/src/arbutustally/gateway/release_comparison.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import sys
 from collections.abc import Sequence
 
 from arbutustally.evidence import tail_probability
@@ -30,6 +31,8 @@
 SIGNIFICANCE = 1e-4
 #: Probability of a route's failures below which the canary may not be kept yet.
 DOUBT = 1e-2
+#: Share of runs longer than usual that is allowed for a sound canary however low the baseline's is.
+MIN_LONG_SHARE = 0.2
 #: Factor by which the answers of a sound canary may take longer, since its caches are cold.
 ALLOWED_SLOWDOWN = 1.3
 #: Combined z-score of all routes above which the canary counts as slow.
@@ -72,7 +75,10 @@
 def slowness(canary: Tallies, baseline: Tallies) -> float:
     """Returns how slow the canary's answers are as a multiple of what counts as slow."""
     z_scores = _z_scores(canary, baseline)
-    return max(_combined_z(z_scores) / SLOW_Z, max(z_scores, default=0.0) / SLOW_ROUTE_Z)
+    by_time = max(_combined_z(z_scores) / SLOW_Z, max(z_scores, default=0.0) / SLOW_ROUTE_Z)
+    lingering = [_lingering(tally, baseline.get(route)) for route, tally in canary.items()]
+    by_runs = max(lingering, default=0.0)
+    return max(by_time, by_runs) if by_runs > 1.0 else by_time
 
 
 def is_sound(canary: Tallies, baseline: Tallies) -> bool:
@@ -122,6 +128,18 @@
     return tail_probability(round(canary.failures), round(canary.answers), chance)
 
 
+def _lingering(canary: AnswerTally, baseline: AnswerTally | None) -> float:
+    """Returns how many of a route's runs are longer than usual, as a multiple of what is slow.
+
+    A run is longer than usual from some time on, whether or not it has ended since.
+    """
+    if baseline is None or baseline.aged < MIN_BASELINE_TIMES or canary.aged < MIN_ANSWERS:
+        return 0.0
+    chance = min(0.9, max(MIN_LONG_SHARE, baseline.long / baseline.aged * FAILURE_FACTOR))
+    by_chance = tail_probability(round(canary.long), round(canary.aged), chance)
+    return math.log(max(by_chance, sys.float_info.min)) / math.log(SIGNIFICANCE)
+
+
 def _z_scores(canary: Tallies, baseline: Tallies) -> list[float]:
     """Returns by how many standard errors each compared route exceeds the bearable slowdown."""
     z_scores = []
--- a/packages/arbutustally/src/arbutustally/gateway/rollouts.py
+++ b/packages/arbutustally/src/arbutustally/gateway/rollouts.py
@@ -17,6 +17,10 @@
 MOVE_S = 1.2
 #: Observation time at the start of that period, before which the canary is not kept, seconds.
 WATCH_S = 0.5
+#: Time for enough runs that began in that period to become long, and for all nodes' reports of
+#: them, seconds, and the longest observation time.
+NOTICE_S = 0.5
+MAX_WATCH_S = 2.0
 #: Time before the end at which the decision to keep the canary is made although the baseline still
 #: runs requests, seconds.
 KEEP_S = 0.4
@@ -77,11 +81,12 @@
     baseline_running: int,
     retrial_s: float | None = None,
     is_suspect: bool = False,
+    usual_s: float = 0.0,
 ) -> RolloutProgress:
     """Returns the progress that applies from now on.
 
     A canary may turn bad late in the roll-out, so all requests are moved to it only shortly before
-    the end.
+    the end, but early enough to see whether runs that begin then take longer than usual.
 
     :param left_s: time until the order's end, seconds.
     :param canary: answers of the canary so far.
@@ -91,7 +96,10 @@
     :param retrial_s: see ``RolloutProgress``.
     :param is_suspect: whether the latest answers alone may be bad, so that requests are not moved to
         the canary yet.
+    :param usual_s: time after which the usual runs have ended, seconds.
     """
+    watch_s = max(WATCH_S, min(usual_s + NOTICE_S, MAX_WATCH_S))
+    move_s = max(MOVE_S, watch_s + KEEP_S)
 
     def progress(state: RolloutState, share: float) -> RolloutProgress:
         return RolloutProgress(
@@ -103,14 +111,14 @@
     if is_bad_lately or is_bad(canary, baseline):
         return progress(RolloutState.ROLLED_BACK, 0.0)
     has_moved = current is not None and current.share == 1.0
-    is_watched = left_s <= MOVE_S - WATCH_S
+    is_watched = left_s <= move_s - watch_s
     is_drained = baseline_running == 0
     must_end = left_s <= KEEP_S
     if has_moved and (must_end or (is_watched and is_drained)):
         is_kept = is_sound(canary, baseline)
         end = RolloutState.COMPLETED if is_kept else RolloutState.ROLLED_BACK
         return progress(end, 1.0 if is_kept else 0.0)
-    may_move = left_s <= MOVE_S and not is_suspect and is_sound(canary, baseline)
+    may_move = left_s <= move_s and not is_suspect and is_sound(canary, baseline)
     if has_moved or may_move:
         return progress(RolloutState.RUNNING, 1.0)
     return progress(RolloutState.RUNNING, CANARY_SHARE)
--- a/tests/test_kept_releases.py
+++ b/tests/test_kept_releases.py
@@ -1,4 +1,4 @@
-"""Releases that are bad at once, later, on one route, and sound ones beside them."""
+"""Releases that are bad at once, later, on one route or under load, and sound ones beside them."""
 
 import unittest
 
@@ -11,6 +11,8 @@
 MAX_BY_CHANCE = 1
 PLAIN = {"busy": Traffic(30.0, 0.05), "rare": Traffic(2.0, 0.05)}
 STREAMS = {"chat": Traffic(30.0, 0.45), "look": Traffic(12.0, 0.05)}
+#: Requests at the canary from which it is slow under load, and how slow.
+LOADED = 4
 SLOWDOWN = 4.0
 
 
@@ -38,8 +40,12 @@
 
 
 class KeptByLackOfEvidenceTest(unittest.TestCase):
-    """Guards against releases that are kept since their bad answers are few."""
+    """Guards against releases that are kept since their bad answers are few, or still run."""
 
     def test_release_that_fails_on_a_rare_route_is_not_kept(self) -> None:
         rare = Behaviour(fails=lambda route, _at: route == "rare")
         self.assertEqual(kept(PLAIN, rare), 0)
+
+    def test_release_that_is_slow_under_load_is_not_kept(self) -> None:
+        loaded = Behaviour(slowdown=lambda _r, running: SLOWDOWN if running > LOADED else 1.0)
+        self.assertEqual(kept(STREAMS, loaded), 0)
