Count the fleet by its recorded size after a start

Cause: parts of limits, the slack for repeats and the number of watchers were counted from the peers heard within 30 s, which are none after a start. The nodes that started again shared the whole limit among themselves, and those behind the cut went on with their part.

Change: gateway/fleet_size.py counts the nodes heard or the size that the store has recorded, whichever is higher; one node records it (fleet_size_recorder.py), and each node reads it once after its start. It counts for 30 s, as a silent peer does, so a fleet that shrank has its whole limits again after that time. Errors to too many nodes are the safe side for all three uses.

--- a/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/cache_follower.py
@@ -4,10 +4,10 @@
 
 import gevent
 
+from arbutustally.gateway.fleet_size import FleetSize
 from arbutustally.gateway.holdings import Holdings
 from arbutustally_node.gateway.decision_log import DecisionLog
 from arbutustally_node.gateway.fleet_view import FleetView
-from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.ports import CacheEvents
 from arbutustally_node.gateway.supervision import supervise
 
@@ -31,13 +31,13 @@
         events: CacheEvents,
         view: FleetView,
         holdings: Holdings,
-        gossip: Gossip,
+        size: FleetSize,
         log: DecisionLog,
     ) -> None:
         self._events = events
         self._view = view
         self._holdings = holdings
-        self._gossip = gossip
+        self._size = size
         self._log = log
         self._greenlets: dict[str, Any] = {}
         self._greenlet: Any = None
@@ -74,7 +74,7 @@
         configuration = self._view.configuration
         if configuration is None:
             return {}
-        nodes = self._gossip.known + 1
+        nodes = self._size.nodes
         places = {}
         for service in configuration.services.values():
             if service.part_store and nodes <= service.part_store.max_watchers * WATCHER_FRACTION:
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/node_services.py
@@ -13,6 +13,7 @@
 from arbutustally.gateway.configuration_age import ConfigurationAge
 from arbutustally.gateway.contact import CATCH_UP_S, Contact
 from arbutustally.gateway.endpoint_state import EndpointState
+from arbutustally.gateway.fleet_size import FleetSize
 from arbutustally.gateway.holdings import USUAL_TERMS, Holdings, PlaceTerms
 from arbutustally.gateway.list_outage import ListOutage
 from arbutustally.gateway.memory_account import MemoryAccount
@@ -29,6 +30,7 @@
 from arbutustally_node.gateway.endpoint_check import EndpointChecker
 from arbutustally_node.gateway.endpoint_notices import EndpointNotices
 from arbutustally_node.gateway.endpoint_reader import READING_DUTY, EndpointReader
+from arbutustally_node.gateway.fleet_size_recorder import FleetSizeRecorder
 from arbutustally_node.gateway.gossip import Gossip
 from arbutustally_node.gateway.isolation_recorder import IsolationRecorder
 from arbutustally_node.gateway.listener import BACKLOG, CallerListener, connection_limit
@@ -116,10 +118,11 @@
         lambda gone: sync.fleet_changed(gone),
         contact,
     )
+    size = FleetSize(boottime, lambda: gossip.known)
     checker = EndpointChecker(view.book, log, monotonic)
     notices = _build_notices(platform, state, gossip)
     holdings = Holdings.from_config(monotonic, lambda place: _place_terms(place, caches, state))
-    caches = CacheFollower(platform.cache_events, view, holdings, gossip, log)
+    caches = CacheFollower(platform.cache_events, view, holdings, size, log)
     pool = PoolService(CONNECT_TIMEOUT_S, SILENCE_S, id_header=platform.codec.id_header)
     quarantine = PartQuarantine(log, state.instruments, boottime, monotonic, gossip.rank)
     begins = BeginWatch(lambda model, version: requests.weights_until(model, version), monotonic)
@@ -169,11 +172,21 @@
         store.operator_reader,
         weights,
         gossip,
+        size,
         requests.placed,
         state.rollouts,
         quarantine,
     )
     sync = PeerSync(synced, lambda: status.member, incarnation, monotonic)
+    recorder = FleetSizeRecorder(
+        platform.fleet_size_topic,
+        size,
+        log,
+        monotonic,
+        lambda: gossip.is_settled and _is_decider(store.endpoints, gossip),
+        sync.size_changed,
+    )
+    platform.store_era.watch(recorder.era_changed)
     rollouts = _build_rollouts(platform, state, gossip, store)
     memory = MemoryAccount.from_config(options.memory_mb)
     listener = CallerListener(
@@ -189,6 +202,7 @@
         ("log", log),
         ("loop_lag", loop_lag),
         ("gossip", gossip),
+        ("fleet_size", recorder),
         ("isolation", store.isolation),
         ("endpoints", store.endpoints),
         ("follower", store.operator_reader),
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/peer_sync.py
@@ -7,6 +7,7 @@
 from arbutustally.clock import Clock
 from arbutustally.gateway.attempts import RepeatLedger
 from arbutustally.gateway.engine_speeds import EngineSpeeds
+from arbutustally.gateway.fleet_size import FleetSize
 from arbutustally.gateway.holdings import Holdings
 from arbutustally.gateway.named_weights import NamedWeights
 from arbutustally.gateway.quota import QuotaLedger
@@ -48,6 +49,7 @@
     operator_reader: OperatorReader
     weights: WeightsService
     gossip: Gossip
+    size: FleetSize
     placed: PlacementLog
     rollouts: RolloutEvidence
     quarantine: PartQuarantine
@@ -146,9 +148,14 @@
             services.view.book.set_peer_load(source, {})
             services.quota.forget(source)
             services.speeds.set_peers(source, {})
-        known = services.gossip.known + 1
-        services.quota.set_reporting_nodes(len(services.gossip.present) + 1, known)
-        services.repeats.set_node_count(known)
+        self.size_changed()
+
+    def size_changed(self) -> None:
+        """Updates the services that divide limits among the nodes."""
+        services = self._services
+        nodes = services.size.nodes
+        services.quota.set_reporting_nodes(len(services.gossip.present) + 1, nodes)
+        services.repeats.set_node_count(nodes)
 
     def _apply_weights(self, state: PeerState) -> None:
         view, now = self._services.view, self._clock()
--- a/packages/arbutustally-node/src/arbutustally_node/gateway/ports/platform.py
+++ b/packages/arbutustally-node/src/arbutustally_node/gateway/ports/platform.py
@@ -19,6 +19,7 @@
     """The set of interfaces that a platform adapter provides.
 
     :ivar isolated_topic: names of the accounts that were isolated, one key for each.
+    :ivar fleet_size_topic: number of nodes of the fleet, under one key.
     """
 
     codec: HttpCodec
@@ -26,6 +27,7 @@
     operator_topic: KeyedTopic
     status_topic: StatusTopic
     isolated_topic: StatusTopic
+    fleet_size_topic: StatusTopic
     endpoint_topic: KeyedTopic
     node_topic: NodeTopic
     engines: EngineControl
--- /dev/null
+++ b/packages/arbutustally/src/arbutustally/gateway/fleet_size.py
@@ -0,0 +1,58 @@
+"""Number of nodes among which limits and budgets of the fleet are divided.
+
+It rests on two counts: the nodes that this one has heard recently, and the size that a node has
+recorded in the store, which also includes nodes that this one can't hear since its start. The
+higher one applies: with too few nodes each takes more than its share, and the fleet exceeds the
+limit, whereas too many cost a part of it until the silent ones no longer count.
+
+Load pattern: some nodes are cut off and serve on, the others are killed and start again. The ones
+that start again hear only each other.
+"""
+
+from collections.abc import Callable
+
+from arbutustally.clock import Clock
+
+#: Time for which a recorded size counts after it was read, seconds: as long as a silent peer counts.
+RECORD_VALID_S = 30.0
+#: Largest size that is accepted from a record.
+MAX_NODES = 100_000
+
+
+class FleetSize:
+    """Number of nodes as one node knows it.
+
+    :param clock: clock in seconds that keeps counting while the instance is suspended.
+    :param heard_peers: returns the number of peers that were heard recently.
+    """
+
+    def __init__(self, clock: Clock, heard_peers: Callable[[], int]) -> None:
+        self._clock = clock
+        self._heard_peers = heard_peers
+        self._recorded: int | None = None
+        self._read_at = 0.0
+
+    @property
+    def heard(self) -> int:
+        """Returns the number of nodes that were heard recently, this one included."""
+        return self._heard_peers() + 1
+
+    @property
+    def recorded(self) -> int | None:
+        """Returns the size read from the store, ``None`` if none was read recently."""
+        if self._recorded is not None and self._clock() - self._read_at > RECORD_VALID_S:
+            self._recorded = None
+        return self._recorded
+
+    @property
+    def nodes(self) -> int:
+        """Returns the number of nodes of the fleet, this one included."""
+        return max(self.heard, self.recorded or 0)
+
+    def record_read(self, nodes: int) -> None:
+        """Takes the size that the store had when this node started.
+
+        :param nodes: 1 to ``MAX_NODES``.
+        """
+        self._recorded = nodes
+        self._read_at = self._clock()
